--- /dev/null
+++ b/wigeonport/channels.py
@@ -0,0 +1,114 @@
+"""Bounded channels between tasks."""
+
+import trio
+from expression import Error, Ok, Result
+
+WAIT = "wait"
+REFUSE = "refuse"
+DROP_OLDEST = "drop_oldest"
+
+
+class Mailbox:
+    """A bounded queue of messages with a stated behaviour when full.
+
+    Attributes:
+        name: Name for log lines and metrics.
+        bound: Largest number of waiting messages.
+        full: ``wait``, ``refuse`` or ``drop_oldest``.
+        dropped: Number of messages dropped or refused.
+    """
+
+    __slots__ = ("name", "bound", "full", "dropped", "sender", "receiver")
+
+    def __init__(self, name, bound, full=WAIT):
+        self.name = name
+        self.bound = bound
+        self.full = full
+        self.dropped = 0
+        self.sender, self.receiver = trio.open_memory_channel(bound)
+
+    async def put(self, message):
+        """Adds a message; returns False if it was refused."""
+        if self.full == WAIT:
+            await self.sender.send(message)
+            return True
+        return self.put_nowait(message)
+
+    def put_nowait(self, message):
+        """Adds a message without waiting; returns False if refused."""
+        try:
+            self.sender.send_nowait(message)
+            return True
+        except trio.WouldBlock:
+            self.dropped += 1
+        if self.full != DROP_OLDEST:
+            return False
+        self.receiver.receive_nowait()
+        self.sender.send_nowait(message)
+        return True
+
+    async def get(self):
+        """Waits for the next message."""
+        return await self.receiver.receive()
+
+    async def get_within(self, timeout_ms):
+        """Returns the next message, or None after the timeout."""
+        with trio.move_on_after(max(timeout_ms, 0) / 1000):
+            return await self.receiver.receive()
+        return None
+
+    def close(self):
+        """Ends the iteration of the reader after the waiting messages."""
+        self.sender.close()
+
+    def depth(self):
+        """Returns the number of waiting messages."""
+        return self.sender.statistics().current_buffer_used
+
+    def __aiter__(self):
+        return self
+
+    async def __anext__(self):
+        try:
+            return await self.receiver.receive()
+        except trio.EndOfChannel:
+            raise StopAsyncIteration from None
+
+
+class Reply:
+    """A reply channel that takes one answer; later ones are dropped."""
+
+    __slots__ = ("sender", "receiver")
+
+    def __init__(self):
+        self.sender, self.receiver = trio.open_memory_channel(1)
+
+    def send(self, message):
+        """Delivers the answer; returns False if one was there already."""
+        try:
+            self.sender.send_nowait(message)
+            return True
+        except (trio.WouldBlock, trio.BrokenResourceError):
+            return False
+
+    async def wait(self, timeout_ms) -> Result:
+        """Returns the answer, or an error text after the timeout."""
+        with trio.move_on_after(max(timeout_ms, 0) / 1000):
+            return Ok(await self.receiver.receive())
+        return Error(f"no answer within {timeout_ms} ms")
+
+
+async def ask(mailbox, make_message, timeout_ms) -> Result:
+    """Sends a message that carries a reply channel and awaits the answer.
+
+    Args:
+        mailbox: Mailbox of the task that answers.
+        make_message: Called with the Reply, returns the message.
+        timeout_ms: Longest wait for delivery and answer together.
+    """
+    reply = Reply()
+    with trio.move_on_after(max(timeout_ms, 0) / 1000):
+        if not await mailbox.put(make_message(reply)):
+            return Error(f"{mailbox.name} is full")
+        return Ok(await reply.receiver.receive())
+    return Error(f"no answer from {mailbox.name} within {timeout_ms} ms")
--- /dev/null
+++ b/wigeonport/clocks.py
@@ -0,0 +1,50 @@
+"""Time in integer milliseconds."""
+
+import time
+
+import trio
+
+
+class Clock:
+    """Reads the clocks of this VM."""
+
+    __slots__ = ()
+
+    def now(self):
+        """Returns the monotonic time in ms; its origin is arbitrary."""
+        return time.monotonic_ns() // 1_000_000
+
+    def wall(self):
+        """Returns the time since the Unix epoch in ms."""
+        return time.time_ns() // 1_000_000
+
+    async def sleep(self, duration_ms):
+        """Waits for a number of milliseconds."""
+        await trio.sleep(duration_ms / 1000)
+
+
+class ManualClock(Clock):
+    """A clock that moves only when told to; for replay and tests.
+
+    Attributes:
+        now_ms: Current monotonic time.
+        offset_ms: Difference between wall time and monotonic time.
+    """
+
+    __slots__ = ("now_ms", "offset_ms")
+
+    def __init__(self, now_ms=0, offset_ms=0):
+        self.now_ms = now_ms
+        self.offset_ms = offset_ms
+
+    def now(self):
+        """Returns the current manual time in ms."""
+        return self.now_ms
+
+    def wall(self):
+        """Returns the manual wall time in ms."""
+        return self.now_ms + self.offset_ms
+
+    def advance(self, duration_ms):
+        """Moves the clock forward."""
+        self.now_ms += duration_ms
--- /dev/null
+++ b/wigeonport/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' commands."""
--- /dev/null
+++ b/wigeonport/metrics.py
@@ -0,0 +1,61 @@
+"""Counters, gauges and histograms of one process."""
+
+from hdrh.histogram import HdrHistogram
+
+LARGEST_VALUE = 3_600_000_000
+SIGNIFICANT_FIGURES = 2
+PERCENTILES = (50.0, 99.0, 99.9)
+
+
+class Metrics:
+    """Holds the metrics of a process; names follow ``part_what_unit``.
+
+    Attributes:
+        counters: Counts by name.
+        gauges: Latest values by name.
+        histograms: HdrHistogram by name.
+    """
+
+    __slots__ = ("counters", "gauges", "histograms")
+
+    def __init__(self):
+        self.counters = {}
+        self.gauges = {}
+        self.histograms = {}
+
+    def count(self, name, amount=1):
+        """Adds to a counter."""
+        self.counters[name] = self.counters.get(name, 0) + amount
+
+    def set(self, name, value):
+        """Sets a gauge."""
+        self.gauges[name] = value
+
+    def record(self, name, value):
+        """Records a whole number in a histogram."""
+        histogram = self.histograms.get(name)
+        if histogram is None:
+            histogram = HdrHistogram(1, LARGEST_VALUE, SIGNIFICANT_FIGURES)
+            self.histograms[name] = histogram
+        histogram.record_value(max(1, min(int(value), LARGEST_VALUE)))
+
+    def to_document(self):
+        """Returns all metrics as plain data."""
+        return {
+            "counters": dict(self.counters),
+            "gauges": dict(self.gauges),
+            "histograms": {
+                name: summarize(histogram)
+                for name, histogram in self.histograms.items()
+            },
+        }
+
+
+def summarize(histogram):
+    """Returns count, percentiles and maximum of a histogram."""
+    summary = {"count": histogram.get_total_count()}
+    for percentile in PERCENTILES:
+        value = histogram.get_value_at_percentile(percentile)
+        summary[f"p{percentile:g}"] = value
+    summary["max"] = histogram.get_max_value()
+    return summary
--- /dev/null
+++ b/wigeonport/registries.py
@@ -0,0 +1,48 @@
+"""Registries that decorators fill."""
+
+from expression import Error, Ok, Result
+
+
+class DuplicateNameError(Exception):
+    """A name was registered twice in one registry."""
+
+
+class Registry:
+    """Maps names to the functions or classes registered under them.
+
+    Attributes:
+        kind: What the entries are, for error messages.
+        entries: The registered objects by name.
+    """
+
+    __slots__ = ("kind", "entries")
+
+    def __init__(self, kind):
+        self.kind = kind
+        self.entries = {}
+
+    def register(self, name):
+        """Returns a decorator that registers its target as ``name``.
+
+        Raises:
+            DuplicateNameError: If the name is taken.
+        """
+
+        def decorate(target):
+            if name in self.entries:
+                raise DuplicateNameError(f"{self.kind} {name!r} exists")
+            self.entries[name] = target
+            return target
+
+        return decorate
+
+    def get(self, name) -> Result:
+        """Returns the entry, or an error text that lists the names."""
+        if name in self.entries:
+            return Ok(self.entries[name])
+        known = ", ".join(map(str, self.names()))
+        return Error(f"no {self.kind} {name!r}; known: {known}")
+
+    def names(self):
+        """Returns the registered names in alphabetical order."""
+        return sorted(self.entries, key=str)
