--- /dev/null
+++ b/wigeonport/messages.py
@@ -0,0 +1,91 @@
+"""Messages of the links themselves; other modules add their own kinds."""
+
+from wigeonport.codecs import message_kinds
+
+FORMAT = 1
+CALL = 1
+REPLY = 2
+ONEWAY = 4
+
+
+@message_kinds.register("Envelope")
+class Envelope:
+    """Carries one encoded message over a link.
+
+    Attributes:
+        format: Version of the frame format.
+        exchange: CALL, REPLY or ONEWAY.
+        sequence: Number of the call that is made or answered, else 0.
+        lamport: Lamport counter of the sender.
+        payload: The encoded message.
+    """
+
+    __slots__ = ("format", "exchange", "sequence", "lamport", "payload")
+
+    def __init__(self, exchange, sequence, lamport, payload):
+        self.format = FORMAT
+        self.exchange = exchange
+        self.sequence = sequence
+        self.lamport = lamport
+        self.payload = payload
+
+
+@message_kinds.register("Challenge")
+class Challenge:
+    """First frame of the accepting side; its nonce prevents replay."""
+
+    __slots__ = ("format", "nonce")
+
+    def __init__(self, nonce):
+        self.format = FORMAT
+        self.nonce = nonce
+
+
+@message_kinds.register("Hello")
+class Hello:
+    """Names a side of the link and the key that it signs with."""
+
+    __slots__ = (
+        "node_id",
+        "availability_zone",
+        "cluster_id",
+        "key_id",
+        "nonce",
+    )
+
+    def __init__(self, node_id, availability_zone, cluster_id, key_id, nonce):
+        self.node_id = node_id
+        self.availability_zone = availability_zone
+        self.cluster_id = cluster_id
+        self.key_id = key_id
+        self.nonce = nonce
+
+
+@message_kinds.register("Ping")
+class Ping:
+    """Asks the other side for a sign of life."""
+
+    __slots__ = ("sent_ms",)
+
+    def __init__(self, sent_ms):
+        self.sent_ms = sent_ms
+
+
+@message_kinds.register("Pong")
+class Pong:
+    """Answers a Ping."""
+
+    __slots__ = ("sent_ms",)
+
+    def __init__(self, sent_ms):
+        self.sent_ms = sent_ms
+
+
+@message_kinds.register("Failure")
+class Failure:
+    """Answers a call that could not be handled."""
+
+    __slots__ = ("reason",)
+
+    def __init__(self, reason):
+        self.reason = reason
