--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,8 @@
 
 from wigeonport.clocks import ManualClock
 
+pytest_plugins = ["planning_fixtures"]
+
 
 @pytest.fixture
 def clock():
--- /dev/null
+++ b/wigeonport/fleet_events.py
@@ -0,0 +1,124 @@
+"""Effects of fleet versions, platform reports and leadership on the view."""
+
+from wigeonport.logs import PartLogger
+from wigeonport.operations import restore_operations
+from wigeonport.plan_events import (
+    FleetLoaded,
+    LeadershipChanged,
+    MaintenanceSteered,
+    Tick,
+    VmReported,
+    ZoneReported,
+)
+from wigeonport.plan_registries import event_handlers
+from wigeonport.views import FAILED, READY, REBOOTING
+
+logger = PartLogger("planner")
+
+
+@event_handlers.register(FleetLoaded)
+def handle_fleet(view, event, now_ms):
+    """Takes over a fleet version and keeps what reports have shown."""
+    old = view.fleet
+    view.fleet = event.fleet
+    for name, vm in event.fleet.vms.items():
+        if name in old.vms:
+            keep_reported(old.vms[name], vm)
+    event.fleet.heard_ms.update(
+        (zone, heard_ms)
+        for zone, heard_ms in old.heard_ms.items()
+        if zone in event.fleet.heard_ms
+    )
+    restore_operations(view, event.grants, now_ms)
+    view.jobs.fleet_changed(event.fleet)
+    logger.info("Fleet version loaded.", version=event.fleet.version)
+    return tuple(event.fleet.pools)
+
+
+def keep_reported(old, new):
+    """Copies what the platform reported from the old view of a VM."""
+    new.state = old.state
+    new.sequence = old.sequence
+    new.unsettled_until_ms = old.unsettled_until_ms
+    new.missing = old.missing
+    new.quarantined = old.quarantined
+    new.moved_ms = old.moved_ms
+    new.due_ms = max(old.due_ms, new.due_ms)
+
+
+@event_handlers.register(VmReported)
+def handle_vm(view, event, now_ms):
+    """Applies a report that is newer than the last one applied."""
+    vm = view.fleet.vms.get(event.vm)
+    if vm is None or event.sequence <= vm.sequence:
+        return ()
+    vm.sequence = event.sequence
+    was, vm.state = vm.state, event.state
+    if event.state == FAILED and was != FAILED:
+        view.wave.note_failure(now_ms)
+        view.jobs.vm_lost(vm.name)
+    if event.state == READY and was in (FAILED, REBOOTING):
+        vm.unsettled_until_ms = now_ms + view.settings.healthy_hold_ms
+    return (vm.pool,)
+
+
+@event_handlers.register(ZoneReported)
+def handle_zone(view, event, now_ms):
+    """Applies which VMs of a zone are alive; older reports are ignored."""
+    heard_ms = view.fleet.heard_ms.get(event.zone, 0)
+    if event.zone not in view.fleet.heard_ms:
+        return ()
+    if heard_ms is not None and event.measured_ms <= heard_ms:
+        return ()
+    view.fleet.heard_ms[event.zone] = event.measured_ms
+    missing = set(event.missing)
+    touched = set()
+    for vm in view.fleet.vms.values():
+        if vm.zone != event.zone or vm.missing == (vm.name in missing):
+            continue
+        vm.missing = not vm.missing
+        touched.add(vm.pool)
+        if not vm.missing:
+            hold_ms = view.settings.healthy_hold_ms
+            vm.unsettled_until_ms = now_ms + hold_ms
+        elif vm.state == READY:
+            view.wave.note_failure(now_ms)
+    return sorted(touched)
+
+
+@event_handlers.register(LeadershipChanged)
+def handle_leadership(view, event, now_ms):
+    """Applies a newer lease, or the end of leadership by a higher term."""
+    if event.term < view.term:
+        return ()
+    if event.term > view.term:
+        view.term = event.term
+        view.lease_until_ms = 0
+        # Another leader may have acted since; only what the log shows
+        # counts, and the operations are rebuilt from it.
+        view.operations.clear()
+        restore_operations(view, list(view.grants.values()), now_ms)
+    if event.lease_until_ms == 0:
+        view.lease_until_ms = 0
+    view.lease_until_ms = max(view.lease_until_ms, event.lease_until_ms)
+    return ()
+
+
+@event_handlers.register(MaintenanceSteered)
+def handle_steering(view, event, now_ms):
+    """Pauses or resumes maintenance, or makes one VM due now."""
+    if event.action == "pause":
+        view.wave.pause("paused by an operator", by_operator=True)
+    elif event.action == "resume":
+        view.wave.resume()
+        view.wave.failures = []
+    elif event.vm in view.fleet.vms:
+        vm = view.fleet.vms[event.vm]
+        vm.due_ms = min(vm.due_ms, now_ms)
+        return (vm.pool,)
+    return ()
+
+
+@event_handlers.register(Tick)
+def handle_tick(view, event, now_ms):
+    """Plans every pool: touches ``None``, which stands for all."""
--- /dev/null
+++ b/wigeonport/forecasts.py
@@ -0,0 +1,95 @@
+"""Forecast of each service's demand from reports that lag."""
+
+import math
+
+from wigeonport.plan_events import DemandReported
+from wigeonport.plan_registries import event_handlers
+
+
+class ServiceDemand:
+    """Demand of one service.
+
+    Attributes:
+        level: Slots at the last measurement.
+        slope: Change of the level in slots per ms.
+        mean: Time-weighted mean over about the demand window.
+        peak: Highest level, decaying towards the mean over the window.
+        measured_ms: Time of the last measurement.
+    """
+
+    __slots__ = ("level", "slope", "mean", "peak", "measured_ms")
+
+    def __init__(self, level, measured_ms):
+        self.level = level
+        self.slope = 0.0
+        self.mean = float(level)
+        self.peak = float(level)
+        self.measured_ms = measured_ms
+
+    def add(self, level, measured_ms, window_ms):
+        """Applies a newer measurement."""
+        elapsed_ms = measured_ms - self.measured_ms
+        share = 1 - math.exp(-elapsed_ms / window_ms)
+        # The earlier level held from its measurement until this one.
+        self.mean += (self.level - self.mean) * share
+        self.peak += (self.mean - self.peak) * share
+        self.peak = max(self.peak, level)
+        self.slope = (level - self.level) / elapsed_ms
+        self.level = level
+        self.measured_ms = measured_ms
+
+
+class Forecasts:
+    """Demand by service.
+
+    Attributes:
+        settings: PlanSettings.
+        demands: ServiceDemand by name of the service.
+    """
+
+    __slots__ = ("settings", "demands")
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.demands = {}
+
+    def add(self, report):
+        """Applies a report; a repeated or older one has no effect."""
+        demand = self.demands.get(report.service)
+        if demand is None:
+            self.demands[report.service] = ServiceDemand(
+                report.slots, report.measured_ms
+            )
+        elif report.measured_ms > demand.measured_ms:
+            window_ms = self.settings.demand_window_ms
+            demand.add(report.slots, report.measured_ms, window_ms)
+
+    def slots(self, service_name, now_ms):
+        """Returns the slots expected now.
+
+        The level is extended by its slope over the lag of the report, within
+        zero and the peak seen. When reports stop, the demand is unknown and
+        the higher of level and mean is assumed.
+        """
+        demand = self.demands.get(service_name)
+        if demand is None:
+            return 0.0
+        lag_ms = now_ms - demand.measured_ms
+        if lag_ms > self.settings.demand_stale_ms:
+            return max(demand.level, demand.mean)
+        extended = demand.level + demand.slope * lag_ms
+        return min(max(extended, 0.0), max(demand.peak, demand.level))
+
+    def needed_vms(self, service, now_ms):
+        """Returns the VMs that the expected demand of a service fills."""
+        slots = self.slots(service.name, now_ms)
+        return math.ceil(slots / service.slots_per_vm - 1e-9)
+
+
+@event_handlers.register(DemandReported)
+def handle_demand(view, event, now_ms):
+    """Applies a demand report; the pool is planned at the next tick."""
+    service = view.fleet.services.get(event.service)
+    if service is not None:
+        view.forecasts.add(event)
+    return ()
--- /dev/null
+++ b/wigeonport/operation_answers.py
@@ -0,0 +1,50 @@
+"""Effects of the log's answers on the operations."""
+
+from wigeonport.operations import CHANGED, CHANGING, GRANTING, STARTING
+from wigeonport.plan_commands import MoveVm, RequestVmGrant
+from wigeonport.plan_registries import confirmations, refusals
+from wigeonport.views import GrantView
+
+
+@confirmations.register(RequestVmGrant)
+def confirm_grant(view, command, now_ms):
+    """Starts the drain after the first grant; a renewal extends it."""
+    operation = view.operations.get(command.vm)
+    if operation is None or operation.kind != command.purpose:
+        return
+    view.grants[command.vm] = GrantView(
+        command.vm, command.purpose, command.destination, command.until_ms
+    )
+    if operation.phase == GRANTING:
+        operation.enter(STARTING, now_ms)
+
+
+@confirmations.register(MoveVm)
+def confirm_move(view, command, now_ms):
+    """Applies the committed change of pool."""
+    vm = view.fleet.vms.get(command.vm)
+    if vm is None:
+        return
+    if vm.pool != command.destination:
+        view.fleet.move(vm, command.destination, now_ms)
+    operation = view.operations.get(command.vm)
+    if operation is not None and operation.phase == CHANGING:
+        operation.enter(CHANGED, now_ms)
+        # The log ends the lease of a move together with the change.
+        view.grants.pop(command.vm, None)
+
+
+@refusals.register(RequestVmGrant)
+def refuse_grant(view, command, now_ms):
+    """Drops maintenance whose grant the log refused."""
+    operation = view.operations.get(command.vm)
+    if operation is not None and operation.phase == GRANTING:
+        del view.operations[command.vm]
+
+
+@refusals.register(MoveVm)
+def refuse_move(view, command, now_ms):
+    """Drops a move that the log refused; the VM is then a stray."""
+    operation = view.operations.get(command.vm)
+    if operation is not None and operation.phase == CHANGING:
+        del view.operations[command.vm]
--- /dev/null
+++ b/wigeonport/operations.py
@@ -0,0 +1,300 @@
+"""Steps of maintenance and of moves between pools, one VM at a time.
+
+Maintenance: grant, drain, reboot, ready. Move: grant, drain, confirm, change
+the pool in one step, prepare, ready. A VM has at most one operation.
+"""
+
+from wigeonport.plan_commands import (
+    DrainVm,
+    MoveVm,
+    PrepareVm,
+    RebootVm,
+    ReleaseGrant,
+    RequestVmGrant,
+    UndrainVm,
+)
+from wigeonport.plan_registries import stages
+from wigeonport.registries import Registry
+from wigeonport.views import (
+    DRAINED,
+    DRAINING,
+    FAILED,
+    PREPARING,
+    READY,
+    REBOOTING,
+)
+
+MAINTENANCE = "maintenance"
+MOVE = "move"
+RECOVERY = "recovery"
+STRAY_REASON = "no operation needs the drain"
+
+GRANTING = "granting"
+STARTING = "starting"
+EMPTYING = "emptying"
+RESTARTING = "restarting"
+CHANGING = "changing"
+CHANGED = "changed"
+SETTING_UP = "setting_up"
+RETURNING = "returning"
+REVOCABLE = (GRANTING, STARTING, EMPTYING)
+RESTORED_PHASES = {
+    DRAINING: EMPTYING,
+    DRAINED: EMPTYING,
+    REBOOTING: RESTARTING,
+}
+
+phases = Registry("operation phase")
+
+
+class Operation:
+    """What is being done with one VM.
+
+    Attributes:
+        vm: Name of the VM.
+        kind: ``maintenance``, ``move`` or ``recovery``.
+        phase: Name in ``phases``.
+        since_ms: Start of the phase.
+        renewed_ms: Time of the last request for the lease.
+        source: Pool that a move leaves, or None.
+        destination: Pool that a move enters, or None.
+    """
+
+    __slots__ = (
+        "vm",
+        "kind",
+        "phase",
+        "since_ms",
+        "renewed_ms",
+        "source",
+        "destination",
+    )
+
+    def __init__(self, vm, kind, phase, now_ms, source=None, destination=None):
+        self.vm = vm
+        self.kind = kind
+        self.phase = phase
+        self.since_ms = now_ms
+        self.renewed_ms = now_ms
+        self.source = source
+        self.destination = destination
+
+    def enter(self, phase, now_ms):
+        """Starts the next phase."""
+        self.phase = phase
+        self.since_ms = now_ms
+
+
+def start_maintenance(view, vm, now_ms):
+    """Starts maintenance of a VM; returns the commands."""
+    operation = Operation(vm.name, MAINTENANCE, GRANTING, now_ms)
+    view.operations[vm.name] = operation
+    return [request_grant(view, operation, now_ms)]
+
+
+def start_move(view, vm, destination, now_ms):
+    """Starts the move of a VM; returns the commands."""
+    operation = Operation(
+        vm.name, MOVE, GRANTING, now_ms, vm.pool, destination
+    )
+    view.operations[vm.name] = operation
+    return [request_grant(view, operation, now_ms)]
+
+
+def request_grant(view, operation, now_ms):
+    """Returns the command that asks for, or renews, the lease."""
+    return RequestVmGrant(
+        operation.vm,
+        operation.kind,
+        operation.destination or "",
+        now_ms + view.settings.grant_lease_ms,
+    )
+
+
+def restore_operations(view, grants, now_ms):
+    """Rebuilds the operations from what the log and the platform show."""
+    view.grants = {grant.vm: grant for grant in grants}
+    vms = view.fleet.vms
+    for name in [name for name in view.operations if name not in vms]:
+        del view.operations[name]
+    for grant in grants:
+        vm = vms.get(grant.vm)
+        if vm is not None and vm.name not in view.operations:
+            phase = RESTORED_PHASES.get(vm.state, STARTING)
+            view.operations[vm.name] = Operation(
+                vm.name,
+                grant.purpose,
+                phase,
+                now_ms,
+                vm.pool,
+                grant.destination or None,
+            )
+
+
+def end(view, operation, reason, healthy=True):
+    """Ends an operation; returns the release of its lease if it has one."""
+    view.operations.pop(operation.vm, None)
+    grant = view.grants.pop(operation.vm, None)
+    # A request that is still on its way must not be granted later.
+    if grant is None and operation.phase != GRANTING:
+        return []
+    return [ReleaseGrant(operation.vm, healthy, reason)]
+
+
+def revoke(view, operation, reason, now_ms):
+    """Returns a VM to work that was not rebooted or moved yet."""
+    drained = operation.phase == EMPTYING
+    commands = end(view, operation, reason)
+    if drained:
+        commands.insert(0, start_return(view, operation.vm, reason, now_ms))
+    return commands
+
+
+def start_return(view, vm_name, reason, now_ms):
+    """Starts the return of a drained VM to work; returns the command."""
+    view.operations[vm_name] = Operation(vm_name, RECOVERY, RETURNING, now_ms)
+    return UndrainVm(vm_name, reason)
+
+
+@stages.register("operations")
+def plan(view, now_ms, random):
+    """Advances the operations in scope."""
+    commands = []
+    for operation in operations_in_scope(view):
+        commands.extend(advance(view, operation, now_ms))
+    commands.extend(recover_strays(view, now_ms))
+    return commands
+
+
+def operations_in_scope(view):
+    """Returns the operations on VMs of the pools in scope."""
+    if view.is_full():
+        return list(view.operations.values())
+    names = [name for pool in view.pools() for name in pool.members]
+    return [view.operations[name] for name in names if name in view.operations]
+
+
+def advance(view, operation, now_ms):
+    """Takes the next step of one operation, if its condition holds."""
+    vm = view.fleet.vms[operation.vm]
+    if vm.state == FAILED:
+        return end(view, operation, "the VM failed", healthy=False)
+    commands = renew_grant(view, operation, now_ms)
+    step = phases.entries[operation.phase]
+    commands.extend(step(view, operation, vm, now_ms))
+    return commands
+
+
+def renew_grant(view, operation, now_ms):
+    """Renews the grant of an operation in its last third."""
+    grant = view.grants.get(operation.vm)
+    lease_ms = view.settings.grant_lease_ms
+    if grant is None or grant.until_ms - now_ms > lease_ms // 3:
+        return []
+    if now_ms >= grant.until_ms and operation.phase in REVOCABLE:
+        return []
+    if now_ms < operation.renewed_ms + view.settings.command_resend_ms:
+        return []
+    operation.renewed_ms = now_ms
+    return [request_grant(view, operation, now_ms)]
+
+
+def grant_is_live(view, vm, now_ms):
+    """Returns whether the lease on a VM has not expired."""
+    grant = view.grants.get(vm.name)
+    return grant is not None and now_ms < grant.until_ms
+
+
+@phases.register(GRANTING)
+def await_grant(view, operation, vm, now_ms):
+    """Waits until the log has committed the grant."""
+    return []
+
+
+@phases.register(STARTING)
+def start_drain(view, operation, vm, now_ms):
+    """Drains a VM whose grant is live."""
+    if not grant_is_live(view, vm, now_ms):
+        return end(view, operation, "the grant expired")
+    operation.enter(EMPTYING, now_ms)
+    return [DrainVm(vm.name, operation.kind)]
+
+
+@phases.register(EMPTYING)
+def await_drain(view, operation, vm, now_ms):
+    """Waits for the drain; a drain that takes too long is given up."""
+    if not grant_is_live(view, vm, now_ms):
+        return revoke(view, operation, "the grant expired", now_ms)
+    if vm.state == DRAINED:
+        if operation.kind == MAINTENANCE:
+            operation.enter(RESTARTING, now_ms)
+            return [RebootVm(vm.name, MAINTENANCE)]
+        operation.enter(CHANGING, now_ms)
+        return [MoveVm(vm.name, operation.source, operation.destination)]
+    if now_ms - operation.since_ms > view.settings.drain_bound_ms:
+        reason = "the drain exceeded its bound"
+        return revoke(view, operation, reason, now_ms)
+    return []
+
+
+@phases.register(RESTARTING)
+def await_reboot(view, operation, vm, now_ms):
+    """Waits for the reboot; one that takes too long counts as a failure."""
+    if vm.state == READY:
+        vm.due_ms = now_ms + view.settings.maintenance_period_ms
+        vm.unsettled_until_ms = now_ms + view.settings.healthy_hold_ms
+        view.wave.completed += 1
+        return end(view, operation, "maintained")
+    if now_ms - operation.since_ms > view.settings.reboot_bound_ms:
+        view.wave.pause(
+            f"{vm.name} did not return from its reboot", by_operator=True
+        )
+        reason = "the reboot exceeded its bound"
+        return end(view, operation, reason, healthy=False)
+    return []
+
+
+@phases.register(CHANGING)
+def await_change(view, operation, vm, now_ms):
+    """Waits until the log has committed the change of pool."""
+    return []
+
+
+@phases.register(CHANGED)
+def start_preparation(view, operation, vm, now_ms):
+    """Prepares a VM for its new pool."""
+    operation.enter(SETTING_UP, now_ms)
+    return [PrepareVm(vm.name, vm.pool)]
+
+
+@phases.register(SETTING_UP)
+def await_preparation(view, operation, vm, now_ms):
+    """Waits until the VM is ready in its new pool."""
+    overdue_ms = now_ms - operation.since_ms - view.settings.prepare_bound_ms
+    if vm.state == READY or overdue_ms > 0:
+        return end(view, operation, "moved")
+    return []
+
+
+@phases.register(RETURNING)
+def await_return(view, operation, vm, now_ms):
+    """Waits until a stray VM is ready; asks again after the bound."""
+    if vm.state == READY:
+        return end(view, operation, "returned")
+    if now_ms - operation.since_ms > view.settings.prepare_bound_ms:
+        operation.enter(RETURNING, now_ms)
+        return [UndrainVm(vm.name, STRAY_REASON)]
+    return []
+
+
+def recover_strays(view, now_ms):
+    """Returns VMs to work that an earlier leader left drained."""
+    commands = []
+    for pool in view.pools():
+        for vm in view.fleet.members(pool.name):
+            stray = vm.state in (DRAINING, DRAINED, PREPARING)
+            if stray and vm.name not in view.operations:
+                commands.append(
+                    start_return(view, vm.name, STRAY_REASON, now_ms)
+                )
+    return commands
--- /dev/null
+++ b/wigeonport/plan_commands.py
@@ -0,0 +1,278 @@
+"""Commands of the planner, for the replicated log or the platform."""
+
+from wigeonport.registries import Registry
+
+LOG = "log"
+PLATFORM = "platform"
+OPERATORS = "operators"
+
+command_kinds = Registry("command")
+
+
+class Command:
+    """Base of all commands; the planner sets id and term.
+
+    Attributes:
+        command_id: ``term-number``; a repeated id has no second effect.
+        term: Term of the leader that issued the command.
+        kind: Name in ``command_kinds``.
+        target: ``log``, ``platform`` or ``operators``.
+    """
+
+    __slots__ = ("command_id", "term")
+    kind = ""
+    target = PLATFORM
+
+    def __init__(self):
+        self.command_id = None
+        self.term = None
+
+    def fields(self):
+        """Returns the names of the fields of this kind."""
+        return type(self).__slots__
+
+    def __str__(self):
+        pairs = (f"{name}={getattr(self, name)}" for name in self.fields())
+        return " ".join((self.kind, *pairs))
+
+
+def register(kind, target):
+    """Returns a decorator that registers a command class."""
+
+    def decorate(command_class):
+        command_class.kind = kind
+        command_class.target = target
+        return command_kinds.register(kind)(command_class)
+
+    return decorate
+
+
+class VmCommand(Command):
+    """A command about one VM with a reason."""
+
+    __slots__ = ("vm", "reason")
+
+    def __init__(self, vm, reason):
+        super().__init__()
+        self.vm = vm
+        self.reason = reason
+
+    def fields(self):
+        """Returns the names of the fields of this kind."""
+        return ("vm", "reason")
+
+
+@register("drain_vm", PLATFORM)
+class DrainVm(VmCommand):
+    """Stops new work on a VM and lets the running work end."""
+
+    __slots__ = ()
+
+
+@register("undrain_vm", PLATFORM)
+class UndrainVm(VmCommand):
+    """Returns a drained or draining VM to work."""
+
+    __slots__ = ()
+
+
+@register("reboot_vm", PLATFORM)
+class RebootVm(VmCommand):
+    """Reboots a drained VM gracefully."""
+
+    __slots__ = ()
+
+
+@register("quarantine_worker", OPERATORS)
+class QuarantineWorker(VmCommand):
+    """Reports that a worker gets no more tasks."""
+
+    __slots__ = ()
+
+
+@register("release_worker", OPERATORS)
+class ReleaseWorker(VmCommand):
+    """Reports that a worker gets tasks again."""
+
+    __slots__ = ()
+
+
+@register("request_grant", LOG)
+class RequestVmGrant(Command):
+    """Asks for, or renews, a lease that permits to take a VM away.
+
+    Attributes:
+        vm: The VM.
+        purpose: ``maintenance`` or ``move``.
+        destination: Pool that a move enters, else "".
+        until_ms: End of the lease.
+    """
+
+    __slots__ = ("vm", "purpose", "destination", "until_ms")
+
+    def __init__(self, vm, purpose, destination, until_ms):
+        super().__init__()
+        self.vm = vm
+        self.purpose = purpose
+        self.destination = destination
+        self.until_ms = until_ms
+
+
+@register("release_grant", LOG)
+class ReleaseGrant(Command):
+    """Ends a lease; the VM is back if it is healthy."""
+
+    __slots__ = ("vm", "healthy", "reason")
+
+    def __init__(self, vm, healthy, reason):
+        super().__init__()
+        self.vm = vm
+        self.healthy = healthy
+        self.reason = reason
+
+
+@register("move_vm", LOG)
+class MoveVm(Command):
+    """Changes the pool of a drained VM in one step."""
+
+    __slots__ = ("vm", "source", "destination")
+
+    def __init__(self, vm, source, destination):
+        super().__init__()
+        self.vm = vm
+        self.source = source
+        self.destination = destination
+
+
+@register("prepare_vm", PLATFORM)
+class PrepareVm(Command):
+    """Prepares a moved VM for the work of its new pool."""
+
+    __slots__ = ("vm", "pool")
+
+    def __init__(self, vm, pool):
+        super().__init__()
+        self.vm = vm
+        self.pool = pool
+
+
+@register("start_task", PLATFORM)
+class StartTask(Command):
+    """Starts an attempt of a job on a worker under a lease."""
+
+    __slots__ = ("job", "vm", "attempt", "cores", "memory_mb", "until_ms")
+
+    def __init__(self, job, vm, attempt, size, until_ms):
+        super().__init__()
+        self.job = job
+        self.vm = vm
+        self.attempt = attempt
+        self.cores = round(size.cores, 3)
+        self.memory_mb = round(size.memory_mb, 1)
+        self.until_ms = until_ms
+
+
+@register("renew_tasks", PLATFORM)
+class RenewTasks(Command):
+    """Renews the leases of all listed tasks of a pool in one message."""
+
+    __slots__ = ("pool", "jobs", "until_ms")
+
+    def __init__(self, pool, jobs, until_ms):
+        super().__init__()
+        self.pool = pool
+        self.jobs = jobs
+        self.until_ms = until_ms
+
+
+class TaskCommand(Command):
+    """A command about one attempt of a job."""
+
+    __slots__ = ("job", "vm", "attempt")
+
+    def __init__(self, job, vm, attempt):
+        super().__init__()
+        self.job = job
+        self.vm = vm
+        self.attempt = attempt
+
+    def fields(self):
+        """Returns the names of the fields of this kind."""
+        return ("job", "vm", "attempt")
+
+
+@register("checkpoint_task", PLATFORM)
+class CheckpointTask(TaskCommand):
+    """Saves the state of a task and ends it."""
+
+    __slots__ = ()
+
+
+@register("stop_task", PLATFORM)
+class StopTask(TaskCommand):
+    """Ends a task; its progress is lost."""
+
+    __slots__ = ()
+
+
+@register("throttle_task", PLATFORM)
+class ThrottleTask(Command):
+    """Limits a task to a share of its processors; 1 removes the limit."""
+
+    __slots__ = ("job", "vm", "attempt", "share")
+
+    def __init__(self, job, vm, attempt, share):
+        super().__init__()
+        self.job = job
+        self.vm = vm
+        self.attempt = attempt
+        self.share = share
+
+
+@register("cancel_jobs", PLATFORM)
+class CancelJobs(Command):
+    """Ends the running tasks of all cancelled jobs in one message."""
+
+    __slots__ = ("jobs",)
+
+    def __init__(self, jobs):
+        super().__init__()
+        self.jobs = jobs
+
+
+@register("report_job", OPERATORS)
+class ReportJob(Command):
+    """Reports that a job can never run, and why."""
+
+    __slots__ = ("job", "verdict", "reason")
+
+    def __init__(self, job, verdict, reason):
+        super().__init__()
+        self.job = job
+        self.verdict = verdict
+        self.reason = reason
+
+
+@register("report_wave", OPERATORS)
+class ReportWave(Command):
+    """Reports that maintenance paused or resumed, and why."""
+
+    __slots__ = ("state", "reason")
+
+    def __init__(self, state, reason):
+        super().__init__()
+        self.state = state
+        self.reason = reason
+
+
+@register("report_reserve", OPERATORS)
+class ReportReserve(Command):
+    """Reports a change of the reserve and whether a zone loss is covered."""
+
+    __slots__ = ("needed", "held", "uncovered")
+
+    def __init__(self, needed, held, uncovered):
+        super().__init__()
+        self.needed = needed
+        self.held = held
+        self.uncovered = uncovered
--- /dev/null
+++ b/wigeonport/plan_registries.py
@@ -0,0 +1,25 @@
+"""Registries through which the decisions are extended.
+
+A stage is ``plan(view, now_ms, random) -> list[Command]``. An event handler
+is ``handle(view, event, now_ms) -> pool names touched``. A confirmation is
+``confirm(view, command, now_ms)``, a refusal has the same form.
+"""
+
+from wigeonport.registries import Registry
+
+stages = Registry("stage")
+event_handlers = Registry("event handler")
+confirmations = Registry("confirmation")
+refusals = Registry("refusal")
+reserve_policies = Registry("reserve policy")
+borrow_policies = Registry("borrow policy")
+wave_orders = Registry("wave order")
+placement_policies = Registry("placement policy")
+estimate_policies = Registry("estimate policy")
+POLICIES = {
+    "reserve_policy": reserve_policies,
+    "borrow_policy": borrow_policies,
+    "wave_order": wave_orders,
+    "placement_policy": placement_policies,
+    "estimate_policy": estimate_policies,
+}
--- /dev/null
+++ b/wigeonport/platforms.py
@@ -0,0 +1,130 @@
+"""Commands to the log and the platform: ids, terms and repetition."""
+
+from wigeonport.plan_commands import OPERATORS, CancelJobs
+
+ACCEPTED = "accepted"
+REPEATED = "repeated"
+STALE_TERM = "stale term"
+
+
+def find_subject(command):
+    """Returns what a command is about; a later one replaces an earlier."""
+    fields = command.fields()
+    if "job" in fields:
+        return (command.target, "job", command.job)
+    if "vm" in fields:
+        return (command.target, "vm", command.vm)
+    return (command.target, command.kind, command.command_id)
+
+
+class SentCommand:
+    """A command that was not confirmed yet.
+
+    Attributes:
+        command: The command.
+        sent_ms: Time of the last sending.
+    """
+
+    __slots__ = ("command", "sent_ms")
+
+    def __init__(self, command, sent_ms):
+        self.command = command
+        self.sent_ms = sent_ms
+
+
+class CommandLedger:
+    """Numbers the commands of a term and repeats unconfirmed ones.
+
+    Attributes:
+        resend_ms: Time after which an unconfirmed command is sent again.
+        term: Term of the commands.
+        number: Number of the last command.
+        sent: SentCommand by command id, in the order of sending.
+        subjects: Command id of the newest unconfirmed command by subject.
+    """
+
+    __slots__ = ("resend_ms", "term", "number", "sent", "subjects")
+
+    def __init__(self, resend_ms):
+        self.resend_ms = resend_ms
+        self.term = 0
+        self.number = 0
+        self.sent = {}
+        self.subjects = {}
+
+    def start_term(self, term):
+        """Forgets the commands of earlier terms."""
+        if term != self.term:
+            self.term = term
+            self.number = 0
+            self.sent.clear()
+            self.subjects.clear()
+
+    def stamp(self, command, now_ms):
+        """Gives a command its id and term and records it as sent."""
+        self.number += 1
+        command.term = self.term
+        command.command_id = f"{self.term}-{self.number}"
+        if command.target == OPERATORS:
+            return command
+        if isinstance(command, CancelJobs):
+            for job in command.jobs:
+                self.forget((command.target, "job", job))
+        subject = find_subject(command)
+        # A replaced command must not be repeated after its successor.
+        self.forget(subject)
+        self.subjects[subject] = command.command_id
+        self.sent[command.command_id] = SentCommand(command, now_ms)
+        return command
+
+    def forget(self, subject):
+        """Stops the repetition of the command about a subject."""
+        command_id = self.subjects.pop(subject, None)
+        if command_id is not None:
+            self.sent.pop(command_id, None)
+
+    def settle(self, command_id):
+        """Returns the command of a first answer, or None for a repeat."""
+        sent = self.sent.pop(command_id, None)
+        if sent is None:
+            return None
+        subject = find_subject(sent.command)
+        if self.subjects.get(subject) == command_id:
+            del self.subjects[subject]
+        return sent.command
+
+    def overdue(self, now_ms):
+        """Returns the commands to send again, with their first ids."""
+        commands = []
+        for sent in self.sent.values():
+            if now_ms - sent.sent_ms >= self.resend_ms:
+                sent.sent_ms = now_ms
+                commands.append(sent.command)
+        return commands
+
+
+class TermFence:
+    """Receiving side: admits each command once and no older term.
+
+    Attributes:
+        term: Highest term seen.
+        seen: Command ids of that term.
+    """
+
+    __slots__ = ("term", "seen")
+
+    def __init__(self):
+        self.term = 0
+        self.seen = set()
+
+    def admit(self, term, command_id):
+        """Returns ``accepted``, ``repeated`` or ``stale term``."""
+        if term < self.term:
+            return STALE_TERM
+        if term > self.term:
+            self.term = term
+            self.seen = set()
+        if command_id in self.seen:
+            return REPEATED
+        self.seen.add(command_id)
+        return ACCEPTED
--- /dev/null
+++ b/wigeonport/preemptions.py
@@ -0,0 +1,199 @@
+"""Makes room for urgent work: checkpoint, then throttle, then stop."""
+
+from wigeonport.availabilities import is_available
+from wigeonport.job_tables import ENDING, RUNNING, STARTING
+from wigeonport.plan_commands import (
+    CheckpointTask,
+    StartTask,
+    StopTask,
+    ThrottleTask,
+)
+from wigeonport.views import Size
+
+CHECKPOINT = "checkpoint"
+THROTTLE = "throttle"
+STOP = "stop"
+
+
+class Preemption:
+    """A worker kept for an urgent job while its tasks give way.
+
+    Attributes:
+        vm: Name of the worker.
+        job: Id of the urgent job.
+        size: Size that the job needs.
+        victims: Attempt by id of the jobs that give way.
+        started_ms: Start of the preemption.
+        step: ``checkpoint``, ``throttle`` or ``stop``.
+    """
+
+    __slots__ = ("vm", "job", "size", "victims", "started_ms", "step")
+
+    def __init__(self, vm, job, size, victims, started_ms):
+        self.vm = vm
+        self.job = job
+        self.size = size
+        self.victims = victims
+        self.started_ms = started_ms
+        self.step = CHECKPOINT
+
+
+def start_preemption(view, pool, job, size, now_ms):
+    """Starts on the worker that loses the least work."""
+    table = view.jobs
+    if any(each.job == job.name for each in table.preemptions.values()):
+        return []
+    best = None
+    for vm in view.fleet.members(pool.name):
+        if vm.name in table.preemptions or not is_available(view, vm, now_ms):
+            continue
+        found = find_victims(view, vm, size, now_ms)
+        if found is not None and (best is None or found[0] < best[0]):
+            best = (*found, vm)
+    if best is None:
+        return []
+    _, victims, vm = best
+    attempts = {victim.name: victim.attempt for victim in victims}
+    table.preemptions[vm.name] = Preemption(
+        vm.name, job.name, size, attempts, now_ms
+    )
+    return [command_first_step(view, victim) for victim in victims]
+
+
+def command_first_step(view, victim):
+    """Returns the mildest command that a task supports."""
+    if victim.submitted.can_checkpoint:
+        victim.state = ENDING
+        return CheckpointTask(victim.name, victim.vm, victim.attempt)
+    return throttle(view, victim)
+
+
+def throttle(view, victim):
+    """Returns the command that limits a task to its share."""
+    share = view.settings.throttle_share
+    return ThrottleTask(victim.name, victim.vm, victim.attempt, share)
+
+
+def find_victims(view, vm, size, now_ms):
+    """Returns cost and victims that free enough room, or None."""
+    table = view.jobs
+    candidates = [
+        table.jobs[name]
+        for name in table.tasks_on(vm.name)
+        if not table.jobs[name].submitted.urgent
+        and table.jobs[name].state in (STARTING, RUNNING)
+    ]
+    candidates.sort(key=lambda job: (lost_work(view, job, now_ms), job.name))
+    room = vm.size.minus(table.used_on(vm.name))
+    cost, victims = 0, []
+    for victim in candidates:
+        if size.fits(room):
+            break
+        room = room.plus(victim.size)
+        cost += lost_work(view, victim, now_ms)
+        victims.append(victim)
+    return (cost, victims) if size.fits(room) else None
+
+
+def lost_work(view, job, now_ms):
+    """Returns the core-ms lost when a task gives way."""
+    if job.submitted.can_checkpoint:
+        return view.settings.checkpoint_bound_ms * job.size.cores
+    return (now_ms - job.started_ms) * job.size.cores
+
+
+def advance_preemptions(view, pool, now_ms):
+    """Starts urgent jobs that have room, or takes the next step."""
+    commands = []
+    for vm in view.fleet.members(pool.name):
+        preemption = view.jobs.preemptions.get(vm.name)
+        if preemption is not None:
+            commands.extend(advance(view, vm, preemption, now_ms))
+    return commands
+
+
+def advance(view, vm, preemption, now_ms):
+    """Advances one preemption."""
+    table = view.jobs
+    job = table.jobs.get(preemption.job)
+    waits = job is not None and job.vm is None
+    if not waits or not is_available(view, vm, now_ms):
+        del table.preemptions[vm.name]
+        return []
+    if preemption.size.fits(vm.size.minus(table.used_on(vm.name))):
+        del table.preemptions[vm.name]
+        table.bind(job, vm.name, preemption.size, now_ms)
+        until_ms = job.lease_until_ms
+        size = preemption.size
+        return [StartTask(job.name, vm.name, job.attempt, size, until_ms)]
+    return escalate(view, preemption, now_ms)
+
+
+def escalate(view, preemption, now_ms):
+    """Throttles, then stops the tasks that have not given way in time."""
+    elapsed_ms = now_ms - preemption.started_ms
+    step = preemption.step
+    if elapsed_ms >= view.settings.preempt_bound_ms and step != STOP:
+        preemption.step = STOP
+        return [
+            StopTask(victim.name, victim.vm, victim.attempt)
+            for victim in remaining(view, preemption)
+        ]
+    bound_ms = view.settings.checkpoint_bound_ms
+    if elapsed_ms >= bound_ms and step == CHECKPOINT:
+        preemption.step = THROTTLE
+        return [
+            throttle(view, victim)
+            for victim in remaining(view, preemption)
+            if not victim.throttled
+        ]
+    return []
+
+
+def remaining(view, preemption):
+    """Returns the victims whose attempt still holds room."""
+    jobs = (view.jobs.jobs.get(name) for name in preemption.victims)
+    return [
+        job
+        for job in jobs
+        if job is not None
+        and job.vm == preemption.vm
+        and job.attempt == preemption.victims[job.name]
+    ]
+
+
+def apply_throttle(view, job):
+    """Frees the processors that a throttled task no longer uses."""
+    if not job.throttled:
+        job.throttled = True
+        share = view.settings.throttle_share
+        size = job.size
+        cores = size.cores * share
+        limited = Size(cores, size.memory_mb, size.accelerators)
+        view.jobs.resize(job, limited)
+
+
+def restore_throttled(view, pool, now_ms):
+    """Removes the limit of tasks whose worker has room again."""
+    commands = []
+    for vm in view.fleet.members(pool.name):
+        if vm.name in view.jobs.preemptions:
+            continue
+        for name in view.jobs.tasks_on(vm.name):
+            job = view.jobs.jobs[name]
+            if job.throttled and job.state == RUNNING:
+                commands.extend(restore(view, vm, job))
+    return commands
+
+
+def restore(view, vm, job):
+    """Removes the limit of one task if its full size fits."""
+    size = job.size
+    cores = size.cores / view.settings.throttle_share
+    full = Size(cores, size.memory_mb, size.accelerators)
+    room = vm.size.minus(view.jobs.used_on(vm.name)).plus(size)
+    if not full.fits(room):
+        return []
+    view.jobs.resize(job, full)
+    job.throttled = False
+    return [ThrottleTask(job.name, job.vm, job.attempt, 1)]
--- /dev/null
+++ b/wigeonport/view_documents.py
@@ -0,0 +1,166 @@
+"""The form of a FleetView in a trace."""
+
+from wigeonport.views import (
+    VM_STATES,
+    FleetView,
+    GrantView,
+    PoolView,
+    ServiceView,
+    Size,
+    TeamView,
+    VmView,
+)
+
+
+def size_from_document(document):
+    """Builds a Size.
+
+    Raises:
+        KeyError: If a part is missing.
+        TypeError: If a part is not a number.
+    """
+    return Size(
+        document["cores"] + 0,
+        document["memory_mb"] + 0,
+        document.get("accelerators", 0) + 0,
+    )
+
+
+def size_to_document(size):
+    """Returns a Size as plain data."""
+    return {
+        "cores": size.cores,
+        "memory_mb": size.memory_mb,
+        "accelerators": size.accelerators,
+    }
+
+
+def fleet_from_document(document):
+    """Builds a FleetView.
+
+    Raises:
+        KeyError: If a field is missing, or a pool is not listed.
+        TypeError: If a field has the wrong type.
+        ValueError: If a state is unknown or a name is listed twice.
+    """
+    pools = [
+        PoolView(
+            each["name"], each.get("spare", False), each.get("floor", 0) + 0
+        )
+        for each in document["pools"]
+    ]
+    services = [
+        ServiceView(
+            each["name"],
+            each["pool"],
+            each["guaranteed"] + 0,
+            each["slots_per_vm"] + 0,
+        )
+        for each in document["services"]
+    ]
+    teams = [
+        TeamView(each["name"], each["quota_cores"] + 0)
+        for each in document.get("teams", [])
+    ]
+    vms = [vm_from_document(each) for each in document["vms"]]
+    for kind, views in (("pool", pools), ("VM", vms), ("service", services)):
+        check_unique(kind, [view.name for view in views])
+    return FleetView(document["version"] + 0, vms, pools, services, teams)
+
+
+def check_unique(kind, names):
+    """Raises ValueError if a name stands twice."""
+    seen = set()
+    for name in names:
+        if name in seen:
+            raise ValueError(f"{kind} {name} is listed twice")
+        seen.add(name)
+
+
+def vm_from_document(document):
+    """Builds a VmView."""
+    vm = VmView(
+        document["name"],
+        document["pool"],
+        document["rack"],
+        document["zone"],
+        size_from_document(document),
+        document["due_ms"] + 0,
+        document.get("state", "ready"),
+    )
+    if vm.state not in VM_STATES:
+        raise ValueError(f"VM {vm.name} has the unknown state {vm.state}")
+    vm.home_pool = document.get("home_pool", vm.pool)
+    vm.borrowed = document.get("borrowed", False)
+    return vm
+
+
+def fleet_to_document(fleet):
+    """Returns a FleetView as plain data."""
+    return {
+        "version": fleet.version,
+        "pools": [
+            {"name": pool.name, "spare": pool.spare, "floor": pool.floor}
+            for pool in fleet.pools.values()
+        ],
+        "services": [
+            {
+                "name": service.name,
+                "pool": service.pool,
+                "guaranteed": service.guaranteed,
+                "slots_per_vm": service.slots_per_vm,
+            }
+            for service in fleet.services.values()
+        ],
+        "teams": [
+            {"name": team.name, "quota_cores": team.quota_cores}
+            for team in fleet.teams.values()
+        ],
+        "vms": [vm_to_document(vm) for vm in fleet.vms.values()],
+    }
+
+
+def vm_to_document(vm):
+    """Returns a VmView as plain data."""
+    return {
+        "name": vm.name,
+        "pool": vm.pool,
+        "home_pool": vm.home_pool,
+        "borrowed": vm.borrowed,
+        "rack": vm.rack,
+        "zone": vm.zone,
+        **size_to_document(vm.size),
+        "due_ms": vm.due_ms,
+        "state": vm.state,
+    }
+
+
+def copy_fleet(fleet):
+    """Returns an independent copy."""
+    return fleet_from_document(fleet_to_document(fleet))
+
+
+def grants_from_document(document):
+    """Builds the GrantViews."""
+    return [
+        GrantView(
+            each["vm"],
+            each["purpose"],
+            each.get("destination", ""),
+            each["until_ms"] + 0,
+        )
+        for each in document
+    ]
+
+
+def grants_to_document(grants):
+    """Returns GrantViews as plain data."""
+    return [
+        {
+            "vm": grant.vm,
+            "purpose": grant.purpose,
+            "destination": grant.destination,
+            "until_ms": grant.until_ms,
+        }
+        for grant in grants
+    ]
--- /dev/null
+++ b/wigeonport/views.py
@@ -0,0 +1,240 @@
+"""Views of the fleet that the decisions read; independent of its documents.
+
+All times are integer milliseconds on the planner's clock.
+"""
+
+READY = "ready"
+DRAINING = "draining"
+DRAINED = "drained"
+REBOOTING = "rebooting"
+PREPARING = "preparing"
+FAILED = "failed"
+VM_STATES = (READY, DRAINING, DRAINED, REBOOTING, PREPARING, FAILED)
+
+
+class Size:
+    """Resources of a task or a worker.
+
+    Attributes:
+        cores: Processor cores, may be fractional.
+        memory_mb: Memory in MB.
+        accelerators: Whole accelerators.
+    """
+
+    __slots__ = ("cores", "memory_mb", "accelerators")
+
+    def __init__(self, cores, memory_mb, accelerators=0):
+        self.cores = cores
+        self.memory_mb = memory_mb
+        self.accelerators = accelerators
+
+    def plus(self, other):
+        """Returns the sum of two sizes."""
+        return Size(
+            self.cores + other.cores,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+        )
+
+    def minus(self, other):
+        """Returns the difference of two sizes; parts may be negative."""
+        return Size(
+            self.cores - other.cores,
+            self.memory_mb - other.memory_mb,
+            self.accelerators - other.accelerators,
+        )
+
+    def fits(self, room):
+        """Returns whether this size fits into ``room``."""
+        return (
+            self.cores <= room.cores
+            and self.memory_mb <= room.memory_mb
+            and self.accelerators <= room.accelerators
+        )
+
+    def __str__(self):
+        return (
+            f"{self.cores:g} cores, {self.memory_mb:g} MB, "
+            f"{self.accelerators} accelerators"
+        )
+
+
+class VmView:
+    """A worker VM as last reported.
+
+    Attributes:
+        name: Unique name.
+        pool: Pool that holds the VM now.
+        home_pool: Pool to which a borrowed VM returns.
+        rack: Rack, unique across zones.
+        zone: Availability zone.
+        size: Resources for tasks.
+        state: One of ``VM_STATES``.
+        sequence: Sequence number of the newest report applied.
+        due_ms: Time by which the VM must have been maintained.
+        moved_ms: Time of the last change of pool.
+        unsettled_until_ms: End of the hold after a repair or reboot.
+        missing: Whether the zone's last report did not include the VM.
+        quarantined: Whether the worker is excluded from tasks.
+        borrowed: Whether the planner lent the VM to its present pool; a VM
+            outside its home pool that is not borrowed must be moved there.
+    """
+
+    __slots__ = (
+        "name",
+        "pool",
+        "home_pool",
+        "rack",
+        "zone",
+        "size",
+        "state",
+        "sequence",
+        "due_ms",
+        "moved_ms",
+        "unsettled_until_ms",
+        "missing",
+        "quarantined",
+        "borrowed",
+    )
+
+    def __init__(self, name, pool, rack, zone, size, due_ms, state=READY):
+        self.name = name
+        self.pool = pool
+        self.home_pool = pool
+        self.rack = rack
+        self.zone = zone
+        self.size = size
+        self.state = state
+        self.sequence = 0
+        self.due_ms = due_ms
+        self.moved_ms = None
+        self.unsettled_until_ms = 0
+        self.missing = False
+        self.quarantined = False
+        self.borrowed = False
+
+
+class PoolView:
+    """A pool of VMs.
+
+    Attributes:
+        name: Unique name.
+        spare: Whether other pools may borrow from this one.
+        members: Names of the VMs in the pool, in insertion order.
+        services: Services that run in the pool.
+        floor: VMs that must stay available besides what the services add up
+            to; the larger of both counts.
+    """
+
+    __slots__ = ("name", "spare", "members", "services", "floor")
+
+    def __init__(self, name, spare=False, floor=0):
+        self.name = name
+        self.spare = spare
+        self.floor = floor
+        self.members = {}
+        self.services = []
+
+    def guaranteed(self):
+        """Returns the number of VMs that must stay available."""
+        total = sum(service.guaranteed for service in self.services)
+        return max(total, self.floor)
+
+
+class ServiceView:
+    """A service and the capacity it was guaranteed.
+
+    Attributes:
+        name: Unique name.
+        pool: Pool that runs the service.
+        guaranteed: VMs that must stay available; the pool's declared size
+            minus this number is the availability budget.
+        slots_per_vm: Requests that one VM serves at a time.
+    """
+
+    __slots__ = ("name", "pool", "guaranteed", "slots_per_vm")
+
+    def __init__(self, name, pool, guaranteed, slots_per_vm):
+        self.name = name
+        self.pool = pool
+        self.guaranteed = guaranteed
+        self.slots_per_vm = slots_per_vm
+
+
+class TeamView:
+    """A team and its quota.
+
+    Attributes:
+        name: Unique name.
+        quota_cores: Most cores that the team's tasks may hold at a time.
+    """
+
+    __slots__ = ("name", "quota_cores")
+
+    def __init__(self, name, quota_cores):
+        self.name = name
+        self.quota_cores = quota_cores
+
+
+class GrantView:
+    """A live lease that permits to take a VM away.
+
+    Attributes:
+        vm: Name of the VM.
+        purpose: ``maintenance`` or ``move``.
+        destination: Pool that a move enters, else "".
+        until_ms: End of the lease.
+    """
+
+    __slots__ = ("vm", "purpose", "destination", "until_ms")
+
+    def __init__(self, vm, purpose, destination, until_ms):
+        self.vm = vm
+        self.purpose = purpose
+        self.destination = destination
+        self.until_ms = until_ms
+
+
+class FleetView:
+    """The fleet at one version, with the pools as an index of the VMs.
+
+    Attributes:
+        version: Fleet version from which the view was built.
+        vms: VmView by name.
+        pools: PoolView by name.
+        services: ServiceView by name.
+        teams: TeamView by name.
+        heard_ms: Time of the last report of each zone.
+    """
+
+    __slots__ = ("version", "vms", "pools", "services", "teams", "heard_ms")
+
+    def __init__(self, version, vms, pools, services, teams):
+        self.version = version
+        self.vms = {vm.name: vm for vm in vms}
+        self.pools = {pool.name: pool for pool in pools}
+        self.services = {service.name: service for service in services}
+        self.teams = {team.name: team for team in teams}
+        self.heard_ms = {}
+        for vm in vms:
+            self.pools[vm.pool].members[vm.name] = None
+            self.heard_ms.setdefault(vm.zone, None)
+        for service in services:
+            self.pools[service.pool].services.append(service)
+
+    def members(self, pool_name):
+        """Returns the VmViews of a pool."""
+        vms = self.vms
+        return [vms[name] for name in self.pools[pool_name].members]
+
+    def spare_pools(self):
+        """Returns the pools that lend VMs."""
+        return [pool for pool in self.pools.values() if pool.spare]
+
+    def move(self, vm, destination, now_ms):
+        """Moves a VM to another pool in one step."""
+        del self.pools[vm.pool].members[vm.name]
+        self.pools[destination].members[vm.name] = None
+        vm.pool = destination
+        vm.borrowed = destination != vm.home_pool
+        vm.moved_ms = now_ms
