--- /dev/null
+++ b/tests/test_fleets.py
@@ -0,0 +1,154 @@
+"""Tests of fleet versions, their document form and their checks."""
+
+import json
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from wigeonport.fleets import fleet_from_document
+
+MS_PER_HOUR = 3_600_000
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=3)
+    ),
+    max_leaves=8,
+)
+
+
+def test_document_form_loses_nothing(fleet):
+    """Guards against a field that is lost in a snapshot."""
+    document = json.loads(json.dumps(fleet.to_document()))
+    again = fleet_from_document(document).ok
+    assert again.to_document() == document
+    assert again.services["notices"].repeatable is True
+    assert again.workers["vm-3"].pool == "roster"
+
+
+def test_all_faults_are_reported_with_their_key_paths(fleet_document):
+    """Guards against a check that stops at the first fault."""
+    fleet_document["workers"][0]["pool"] = "absent"
+    fleet_document["workers"][1]["rack"] = "ikeja-r1"
+    fleet_document["services"][0]["max_unavailable"] = None
+    fleet_document["spare_pool"] = "absent"
+    fleet_document["windows"][0]["day"] = "sunday"
+    lines = fleet_from_document(fleet_document).error.lines()
+    for start in (
+        "workers.vm-1.pool: ",
+        "workers.vm-2.rack: ",
+        "services.roster: ",
+        "spare_pool: ",
+        "windows.ikeja-night.day: ",
+    ):
+        assert any(line.startswith(start) for line in lines), start
+
+
+def test_unknown_key_names_the_nearest(fleet_document):
+    """Guards against a misspelt key that is silently ignored."""
+    fleet_document["services"][0]["max_unavailabel"] = 1
+    lines = fleet_from_document(fleet_document).error.lines()
+    assert lines[0].startswith("services[0].max_unavailabel: unknown key")
+    assert "did you mean 'max_unavailable'" in lines[0]
+
+
+def test_vm_listed_twice_is_refused(fleet_document):
+    """Guards against a VM in two pools (R2)."""
+    twice = dict(fleet_document["workers"][0], pool="notices")
+    fleet_document["workers"].append(twice)
+    text = str(fleet_from_document(fleet_document).error)
+    assert "workers[8].id: 'vm-1' is defined twice" in text
+
+
+def test_capacity_above_the_pool_is_refused(fleet_document):
+    """Guards against promises that the pool can never keep (R1)."""
+    fleet_document["services"][0]["capacity_workers"] = 5
+    text = str(fleet_from_document(fleet_document).error)
+    assert "has 4 workers, its services are promised 5" in text
+
+
+@pytest.mark.parametrize(
+    ("workers", "allowed"), [(4, 1), (3, 0), (2, 0), (40, 1)]
+)
+def test_budget_never_cuts_into_the_promise(fleet, workers, allowed):
+    """Guards against a budget that allows less than the promise (R1)."""
+    assert fleet.services["roster"].allowed_unavailable(workers) == allowed
+
+
+def test_share_budget_rounds_down(fleet):
+    """Guards against rounding up, which would exceed the budget (R1)."""
+    service = fleet.services["notices"]
+    assert [service.allowed_unavailable(n) for n in (0, 1, 3, 7)] == [
+        0,
+        0,
+        1,
+        3,
+    ]
+
+
+def test_window_runs_past_midnight(fleet):
+    """Guards against a window that closes at the end of the day."""
+    window = fleet.windows["ikeja-night"]
+    open_hours = [h for h in range(48) if window.contains(h * MS_PER_HOUR)]
+    assert open_hours == [0, 23, 24, 47]
+
+
+def test_window_of_one_day_belongs_to_the_day_it_opens(fleet):
+    """Guards against a window that opens on the wrong day."""
+    window = fleet.windows["ikeja-night"]
+    window.day = "thu"  # 1970-01-01 was a Thursday.
+    open_hours = [h for h in range(7 * 24) if window.contains(h * MS_PER_HOUR)]
+    assert open_hours == [23, 24]
+
+
+@given(document=JSON)
+@settings(max_examples=100, derandomize=True, deadline=None)
+def test_any_document_gives_a_fleet_or_findings(document):
+    """Guards against a traceback on a malformed document."""
+    read = fleet_from_document(document)
+    assert read.is_ok() or read.error.lines()
+
+
+@given(
+    section=st.sampled_from(["workers", "services", "windows", "pools"]),
+    value=JSON,
+    data=st.data(),
+)
+@settings(max_examples=150, derandomize=True, deadline=None)
+def test_any_field_value_gives_a_fleet_or_findings(section, value, data):
+    """Guards against a traceback on one malformed value."""
+    document = SAMPLE[section]
+    key = data.draw(st.sampled_from(sorted(document)))
+    read = fleet_from_document({section: [dict(document, **{key: value})]})
+    assert read.is_ok() or read.error.lines()
+
+
+SAMPLE = {
+    "workers": {
+        "id": "vm-1",
+        "zone": "ikeja",
+        "rack": "r1",
+        "processors": 16,
+        "memory_mb": 1_024,
+        "accelerators": 0,
+        "pool": "roster",
+    },
+    "services": {
+        "id": "roster",
+        "pool": "roster",
+        "capacity_workers": 3,
+        "max_unavailable": 1,
+        "max_unavailable_share": 0.5,
+        "repeatable": False,
+    },
+    "windows": {
+        "id": "night",
+        "zone": "ikeja",
+        "day": "mon",
+        "start_minute": 3,
+        "duration_minutes": 120,
+    },
+    "pools": {"id": "roster", "team": "plans"},
+}
--- /dev/null
+++ b/wigeonport/documents.py
@@ -0,0 +1,298 @@
+"""Reading of plain documents by field tables, with key paths."""
+
+import difflib
+import math
+import re
+
+from expression import Error, Ok, Result
+
+from wigeonport.findings import Findings
+from wigeonport.registries import Registry
+
+KINDS = Registry("kind of value")
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,127}")
+LARGEST_WHOLE = 2**53
+LARGEST_TEXT_BYTES = 4_096
+
+
+class Required:
+    """Type of the marker for fields without a default."""
+
+    __slots__ = ()
+
+    def __repr__(self):
+        return "REQUIRED"
+
+
+REQUIRED = Required()
+
+
+class Field:
+    """One key of a document.
+
+    Attributes:
+        name: The key.
+        kind: Name in ``KINDS``.
+        default: Value when the key is absent; ``REQUIRED`` if there is none.
+        least: Smallest number, or None.
+        most: Largest number, or None.
+        text: Meaning, for the reference pages.
+    """
+
+    __slots__ = ("name", "kind", "default", "least", "most", "text")
+
+    def __init__(
+        self, name, kind, default=REQUIRED, least=None, most=None, text=""
+    ):
+        self.name = name
+        self.kind = kind
+        self.default = default
+        self.least = least
+        self.most = most
+        self.text = text
+
+
+class Places:
+    """Maps key paths to places for findings.
+
+    Attributes:
+        file: Name of the source, or an empty text.
+        lines: Line number by key path, where known.
+    """
+
+    __slots__ = ("file", "lines")
+
+    def __init__(self, file="", lines=None):
+        self.file = file
+        self.lines = lines or {}
+
+    def at(self, path):
+        """Returns file, line and key path as one text."""
+        name = path_text(path)
+        line = self.line(path)
+        if line is not None:
+            return f"{self.file}:{line}: {name}"
+        return f"{self.file}: {name}" if self.file else name
+
+    def line(self, path):
+        """Returns the line of the path or of its nearest ancestor."""
+        path = tuple(path)
+        while path and path not in self.lines:
+            path = path[:-1]
+        return self.lines.get(path)
+
+
+class Reporter:
+    """Collects findings at key paths.
+
+    Attributes:
+        findings: The collection.
+        places: Maps key paths to places.
+    """
+
+    __slots__ = ("findings", "places")
+
+    def __init__(self, places=None):
+        self.findings = Findings()
+        self.places = places or Places()
+
+    def add(self, path, text, refers=None):
+        """Adds a finding.
+
+        Args:
+            path: Key path as a tuple.
+            text: What is wrong.
+            refers: Section and id of another record that the finding is
+                about, or None.
+        """
+        del refers
+        self.findings.add(self.places.at(path), text)
+
+
+def path_text(path):
+    """Renders a key path: names joined by dots, indices in brackets."""
+    text = ""
+    for part in path:
+        if isinstance(part, int):
+            text += f"[{part}]"
+        else:
+            text += f".{part}" if text else str(part)
+    return text or "document"
+
+
+def read_fields(fields, document, path, reporter):
+    """Reads the fields of a mapping and reports every fault.
+
+    Returns:
+        The values by field name, or None if anything was wrong.
+    """
+    if not isinstance(document, dict):
+        reporter.add(path, f"expected a mapping, found {type_name(document)}")
+        return None
+    known = {field.name: field for field in fields}
+    good = True
+    for key in document:
+        if key not in known:
+            reporter.add((*path, str(key)), unknown_key(key, known))
+            good = False
+    values = {}
+    for field in fields:
+        value = _read_field(field, document, path, reporter)
+        good = good and value.is_ok()
+        values[field.name] = value.default_value(None)
+    return values if good else None
+
+
+def _read_field(field, document, path, reporter):
+    if field.name not in document:
+        if field.default is not REQUIRED:
+            return Ok(field.default)
+        reporter.add(path, f"the key {field.name!r} is missing")
+        return Error("missing")
+    value = document[field.name]
+    if value is None and field.default is None:
+        return Ok(None)
+    read = KINDS.entries[field.kind](value, field)
+    if read.is_error():
+        reporter.add((*path, field.name), read.error)
+    return read
+
+
+def unknown_key(key, known):
+    """Returns the text of a finding that names the nearest known key."""
+    near = difflib.get_close_matches(str(key), [str(k) for k in known], 1, 0.5)
+    hint = f"; did you mean {near[0]!r}?" if near else ""
+    return f"unknown key {str(key)[:80]!r}{hint}"
+
+
+def write_fields(fields, record):
+    """Returns the document form of a record."""
+    return {field.name: getattr(record, field.name) for field in fields}
+
+
+def type_name(value):
+    """Returns a value's type in the words of YAML."""
+    names = {
+        dict: "a mapping",
+        list: "a list",
+        str: "a text",
+        bool: "true or false",
+        int: "a whole number",
+        float: "a number",
+        type(None): "nothing",
+    }
+    return names.get(type(value), f"a {type(value).__name__}")
+
+
+def _expected(what, value):
+    shown = repr(value)
+    shown = shown if len(shown) <= 60 else shown[:57] + "..."
+    return Error(f"expected {what}, found {type_name(value)} {shown}")
+
+
+def _in_range(value, field):
+    if field.least is not None and value < field.least:
+        return Error(f"{value} is below the smallest value {field.least}")
+    if field.most is not None and value > field.most:
+        return Error(f"{value} is above the largest value {field.most}")
+    return Ok(value)
+
+
+@KINDS.register("name")
+def read_name(value, field) -> Result:
+    """Accepts an identifier."""
+    if isinstance(value, str) and NAME.fullmatch(value):
+        return Ok(value)
+    return _expected("a name of letters, digits and . _ : -", value)
+
+
+@KINDS.register("text")
+def read_text(value, field) -> Result:
+    """Accepts a text that can be encoded in UTF-8."""
+    if not isinstance(value, str):
+        return _expected("a text", value)
+    try:
+        size = len(value.encode())
+    except UnicodeEncodeError:
+        return Error("the text cannot be encoded in UTF-8")
+    if size > LARGEST_TEXT_BYTES:
+        return Error(f"the text is longer than {LARGEST_TEXT_BYTES} bytes")
+    return Ok(value)
+
+
+@KINDS.register("whole")
+def read_whole(value, field) -> Result:
+    """Accepts a whole number in range; true and false are not numbers."""
+    if not isinstance(value, int) or isinstance(value, bool):
+        return _expected("a whole number", value)
+    if abs(value) > LARGEST_WHOLE:
+        return Error(f"the number is beyond {LARGEST_WHOLE}")
+    return _in_range(value, field)
+
+
+@KINDS.register("number")
+def read_number(value, field) -> Result:
+    """Accepts a finite number in range."""
+    if not isinstance(value, int | float) or isinstance(value, bool):
+        return _expected("a number", value)
+    if isinstance(value, int) and abs(value) > LARGEST_WHOLE:
+        return Error(f"the number is beyond {LARGEST_WHOLE}")
+    if not math.isfinite(value):
+        return _expected("a finite number", value)
+    return _in_range(float(value), field)
+
+
+@KINDS.register("flag")
+def read_flag(value, field) -> Result:
+    """Accepts true or false."""
+    if isinstance(value, bool):
+        return Ok(value)
+    return _expected("true or false", value)
+
+
+@KINDS.register("names")
+def read_names(value, field) -> Result:
+    """Accepts a list of different names."""
+    if not isinstance(value, list):
+        return _expected("a list of names", value)
+    for item in value:
+        read = read_name(item, field)
+        if read.is_error():
+            return read
+    if len(set(value)) < len(value):
+        return Error("the list contains a name twice")
+    return Ok(list(value))
+
+
+@KINDS.register("texts")
+def read_texts(value, field) -> Result:
+    """Accepts a list of texts."""
+    if not isinstance(value, list):
+        return _expected("a list of texts", value)
+    for item in value:
+        read = read_text(item, field)
+        if read.is_error():
+            return read
+    return Ok(list(value))
+
+
+@KINDS.register("mappings")
+def read_mappings(value, field) -> Result:
+    """Accepts a list; the caller reads its items."""
+    if not isinstance(value, list):
+        return _expected("a list", value)
+    return Ok(value)
+
+
+@KINDS.register("mapping")
+def read_mapping(value, field) -> Result:
+    """Accepts a mapping; the caller reads its fields."""
+    if not isinstance(value, dict):
+        return _expected("a mapping", value)
+    return Ok(value)
+
+
+@KINDS.register("any")
+def read_any(value, field) -> Result:
+    """Accepts any value; the caller reads it."""
+    return Ok(value)
--- /dev/null
+++ b/wigeonport/fleets.py
@@ -0,0 +1,276 @@
+"""The numbered fleet version and its document form."""
+
+from expression import Result
+
+from wigeonport.documents import (
+    Field,
+    Reporter,
+    read_fields,
+    write_fields,
+)
+from wigeonport.fleet_records import (
+    DAYS,
+    SECTIONS,
+    AvailabilityZone,
+    MaintenanceWindow,
+    Pool,
+    Rack,
+    Region,
+    Service,
+    Team,
+    Weights,
+    Worker,
+)
+from wigeonport.registries import Registry
+
+FLEET_CHECKS = Registry("fleet check")
+DEFAULT_PERIOD_HOURS = 336
+SECTION_NAMES = tuple(SECTIONS.entries)
+SCALARS = (
+    Field("spare_pool", "name", None),
+    Field(
+        "maintenance_period_hours",
+        "whole",
+        DEFAULT_PERIOD_HOURS,
+        least=1,
+        most=24 * 366,
+    ),
+)
+TOP_FIELDS = (
+    Field("version", "whole", 0, least=0),
+    *SCALARS,
+    Field("weights", "mapping", None),
+    *(Field(name, "mappings", ()) for name in SECTION_NAMES),
+)
+
+
+class Fleet:
+    """One version of the fleet; its records are never changed in place.
+
+    Attributes:
+        version: Number of this version; 0 is the empty fleet.
+        spare_pool: Pool that lends workers, or None.
+        maintenance_period_hours: Every VM is maintained once in it.
+        weights: Weights of the measures.
+        regions: Region by id.
+        zones: AvailabilityZone by id.
+        racks: Rack by id.
+        workers: Worker by VM id.
+        pools: Pool by id.
+        services: Service by id.
+        teams: Team by id.
+        windows: MaintenanceWindow by id.
+    """
+
+    __slots__ = (
+        "version",
+        "spare_pool",
+        "maintenance_period_hours",
+        "weights",
+        *SECTION_NAMES,
+    )
+
+    def __init__(self, version=0):
+        self.version = version
+        self.spare_pool = None
+        self.maintenance_period_hours = DEFAULT_PERIOD_HOURS
+        self.weights = Weights()
+        for name in SECTION_NAMES:
+            setattr(self, name, {})
+
+    def copy(self, version=None):
+        """Returns a copy whose sections can be changed separately."""
+        result = Fleet(self.version if version is None else version)
+        result.spare_pool = self.spare_pool
+        result.maintenance_period_hours = self.maintenance_period_hours
+        result.weights = self.weights
+        for name in SECTION_NAMES:
+            setattr(result, name, dict(getattr(self, name)))
+        return result
+
+    def workers_of(self, pool):
+        """Returns the workers of a pool, ordered by id."""
+        found = [w for w in self.workers.values() if w.pool == pool]
+        return sorted(found, key=lambda worker: worker.id)
+
+    def services_of(self, pool):
+        """Returns the services that run on a pool, ordered by id."""
+        found = [s for s in self.services.values() if s.pool == pool]
+        return sorted(found, key=lambda service: service.id)
+
+    def windows_of(self, zone):
+        """Returns the maintenance windows of an availability zone."""
+        return [w for w in self.windows.values() if w.zone == zone]
+
+    def to_document(self):
+        """Returns plain data; equal fleets give equal documents."""
+        document = {
+            "version": self.version,
+            "spare_pool": self.spare_pool,
+            "maintenance_period_hours": self.maintenance_period_hours,
+            "weights": write_fields(Weights.FIELDS, self.weights),
+        }
+        for name in SECTION_NAMES:
+            records = sorted(getattr(self, name).values(), key=lambda r: r.id)
+            document[name] = [
+                write_fields(record.FIELDS, record) for record in records
+            ]
+        return document
+
+
+def replaced(record, **changes):
+    """Returns a copy of a record with some attributes changed."""
+    values = write_fields(record.FIELDS, record)
+    return type(record)(**(values | changes))
+
+
+def read_record(record_class, document, path, reporter):
+    """Returns a record from its document, or None after findings."""
+    values = read_fields(record_class.FIELDS, document, path, reporter)
+    return None if values is None else record_class(**values)
+
+
+def fleet_from_document(document, places=None) -> Result:
+    """Returns the Fleet, or all Findings with their key paths."""
+    reporter = Reporter(places)
+    values = read_fields(TOP_FIELDS, document, (), reporter)
+    if values is None:
+        return reporter.findings.result(None)
+    fleet = Fleet(values["version"])
+    for field in SCALARS:
+        setattr(fleet, field.name, values[field.name])
+    if values["weights"] is not None:
+        weights = read_record(
+            Weights, values["weights"], ("weights",), reporter
+        )
+        fleet.weights = weights or fleet.weights
+    for name in SECTION_NAMES:
+        _read_section(fleet, name, values[name], reporter)
+    check_fleet(fleet, reporter)
+    return reporter.findings.result(fleet)
+
+
+def _read_section(fleet, name, documents, reporter):
+    section = getattr(fleet, name)
+    for index, document in enumerate(documents):
+        path = (name, index)
+        record = read_record(SECTIONS.entries[name], document, path, reporter)
+        if record is None:
+            continue
+        if record.id in section:
+            reporter.add((*path, "id"), f"{record.id!r} is defined twice")
+        section.setdefault(record.id, record)
+
+
+def check_fleet(fleet, reporter):
+    """Runs every registered check; the reporter collects the findings."""
+    for name in FLEET_CHECKS.names():
+        FLEET_CHECKS.entries[name](fleet, reporter)
+
+
+def _refer(reporter, path, section, name, known):
+    """Reports a reference to a record that does not exist."""
+    if name is not None and name not in known:
+        kind = section[:-1]
+        reporter.add(path, f"{kind} {name!r} does not exist", (section, name))
+
+
+@FLEET_CHECKS.register("topology")
+def check_topology(fleet, reporter):
+    """Zones name regions, and racks name zones, that exist."""
+    for zone in fleet.zones.values():
+        path = ("zones", zone.id, "region")
+        _refer(reporter, path, "regions", zone.region, fleet.regions)
+    for rack in fleet.racks.values():
+        path = ("racks", rack.id, "zone")
+        _refer(reporter, path, "zones", rack.zone, fleet.zones)
+
+
+@FLEET_CHECKS.register("workers")
+def check_workers(fleet, reporter):
+    """Every worker is in an existing pool, zone and rack of that zone."""
+    for worker in fleet.workers.values():
+        path = ("workers", worker.id)
+        _refer(reporter, (*path, "pool"), "pools", worker.pool, fleet.pools)
+        _refer(reporter, (*path, "zone"), "zones", worker.zone, fleet.zones)
+        _refer(reporter, (*path, "rack"), "racks", worker.rack, fleet.racks)
+        rack = fleet.racks.get(worker.rack)
+        if rack is not None and rack.zone != worker.zone:
+            reporter.add(
+                (*path, "rack"),
+                f"rack {rack.id!r} is in zone {rack.zone!r}, "
+                f"not in {worker.zone!r}",
+                ("racks", rack.id),
+            )
+
+
+@FLEET_CHECKS.register("services")
+def check_services(fleet, reporter):
+    """Services name existing pools and exactly one form of budget."""
+    for service in fleet.services.values():
+        path = ("services", service.id)
+        _refer(reporter, (*path, "pool"), "pools", service.pool, fleet.pools)
+        forms = (service.max_unavailable, service.max_unavailable_share)
+        if sum(form is not None for form in forms) != 1:
+            reporter.add(
+                path,
+                "give either max_unavailable or max_unavailable_share",
+            )
+
+
+@FLEET_CHECKS.register("capacity")
+def check_capacity(fleet, reporter):
+    """The workers of a pool cover what its services are promised."""
+    counts = {}
+    for worker in fleet.workers.values():
+        counts[worker.pool] = counts.get(worker.pool, 0) + 1
+    promised = {}
+    for service in fleet.services.values():
+        total = promised.get(service.pool, 0) + service.capacity_workers
+        promised[service.pool] = total
+        if total > counts.get(service.pool, 0) and service.capacity_workers:
+            reporter.add(
+                ("services", service.id, "capacity_workers"),
+                f"pool {service.pool!r} has "
+                f"{counts.get(service.pool, 0)} workers, its services are "
+                f"promised {total}",
+                ("pools", service.pool),
+            )
+
+
+@FLEET_CHECKS.register("teams")
+def check_teams(fleet, reporter):
+    """Pools name teams, and the spare pool is a pool, that exist."""
+    for pool in fleet.pools.values():
+        path = ("pools", pool.id, "team")
+        _refer(reporter, path, "teams", pool.team, fleet.teams)
+    path = ("spare_pool",)
+    _refer(reporter, path, "pools", fleet.spare_pool, fleet.pools)
+
+
+@FLEET_CHECKS.register("windows")
+def check_windows(fleet, reporter):
+    """Windows name existing zones and days of the week."""
+    for window in fleet.windows.values():
+        path = ("windows", window.id)
+        _refer(reporter, (*path, "zone"), "zones", window.zone, fleet.zones)
+        if window.day not in DAYS:
+            reporter.add((*path, "day"), f"use one of {', '.join(DAYS)}")
+
+
+__all__ = [
+    "AvailabilityZone",
+    "Fleet",
+    "MaintenanceWindow",
+    "Pool",
+    "Rack",
+    "Region",
+    "Service",
+    "Team",
+    "Weights",
+    "Worker",
+    "check_fleet",
+    "fleet_from_document",
+    "read_record",
+    "replaced",
+]
--- /dev/null
+++ b/wigeonport/patches.py
@@ -0,0 +1,173 @@
+"""Patches against a stated fleet version."""
+
+import hashlib
+import json
+
+from expression import Result
+
+from wigeonport.documents import (
+    Field,
+    Places,
+    Reporter,
+    path_text,
+    read_fields,
+    unknown_key,
+    write_fields,
+)
+from wigeonport.fleet_changes import diff
+from wigeonport.fleets import check_fleet
+from wigeonport.patch_operations import OPERATIONS, Draft
+
+LARGEST_OPERATION_COUNT = 20_000
+FIELDS = (
+    Field("id", "name"),
+    Field("against_version", "whole", least=0),
+    Field("author", "text"),
+    Field("reason", "text"),
+    Field("operations", "mappings"),
+)
+
+
+class Patch:
+    """A change of the fleet that an operator or a policy submits.
+
+    Attributes:
+        id: Chosen by the author; a resend carries the same id.
+        against_version: Version that the author had seen.
+        author: Who submits the patch.
+        reason: Why.
+        operations: Operations in order.
+        places: Maps key paths to places in the source.
+    """
+
+    __slots__ = (
+        "id",
+        "against_version",
+        "author",
+        "reason",
+        "operations",
+        "places",
+    )
+
+    def __init__(
+        self, id, against_version, author, reason, operations, places=None
+    ):
+        self.id = id
+        self.against_version = against_version
+        self.author = author
+        self.reason = reason
+        self.operations = operations
+        self.places = places or Places()
+
+    def apply(self, fleet, past=None) -> Result:
+        """Returns the next Fleet version, or all Findings.
+
+        Args:
+            fleet: The current version; it is not changed.
+            past: Function from a version number to its Fleet, or None; the
+                operation ``restore`` needs it.
+        """
+        reporter = Reporter(self.places)
+        draft = Draft(fleet.copy(fleet.version + 1), past, reporter)
+        for index, operation in enumerate(self.operations):
+            draft.path = ("operations", index)
+            operation.apply(draft)
+        check_fleet(draft.fleet, _ResultReporter(draft))
+        if not reporter.findings and not diff(fleet, draft.fleet):
+            reporter.add(("operations",), "the patch changes nothing")
+        return reporter.findings.result(draft.fleet)
+
+    def to_document(self):
+        """Returns plain data."""
+        document = write_fields(FIELDS, self)
+        document["operations"] = [
+            {"operation": operation_name(item), **item.to_document()}
+            for item in self.operations
+        ]
+        return document
+
+    def digest(self):
+        """Returns a digest of the content; equal patches have equal ones."""
+        text = json.dumps(self.to_document(), sort_keys=True)
+        return hashlib.sha256(text.encode()).hexdigest()
+
+
+class _ResultReporter:
+    """Places findings about the resulting fleet at the operation at fault.
+
+    Attributes:
+        draft: The draft after all operations.
+    """
+
+    __slots__ = ("draft",)
+
+    def __init__(self, draft):
+        self.draft = draft
+
+    def add(self, path, text, refers=None):
+        """Adds a finding at the last operation on the records concerned."""
+        own = path[:2] if len(path) > 1 else ("fleet", path[0])
+        touched = self.draft.touched
+        operation = touched.get(tuple(own)) or touched.get(refers)
+        if operation is None:
+            operation = ("operations",)
+        place = self.draft.reporter.places.at(operation)
+        findings = self.draft.reporter.findings
+        findings.add(f"{place}: {path_text(path)}", text)
+
+
+def operation_name(operation):
+    """Returns the name under which the operation's class is registered."""
+    for name, registered in OPERATIONS.entries.items():
+        if registered is type(operation):
+            return name
+    raise KeyError(type(operation).__name__)
+
+
+def patch_from_document(document, places=None) -> Result:
+    """Returns the Patch, or all Findings with their places."""
+    reporter = Reporter(places)
+    values = read_fields(FIELDS, document, (), reporter)
+    # Operations are read even after other faults, to report all of them.
+    operations = _read_operations(document, reporter)
+    if values is None or reporter.findings:
+        return reporter.findings.result(None)
+    values["operations"] = operations
+    return reporter.findings.result(Patch(**values, places=places))
+
+
+def _read_operations(document, reporter):
+    listed = isinstance(document, dict) and document.get("operations")
+    documents = listed if isinstance(listed, list) else None
+    if documents is None:
+        return []
+    if not documents:
+        reporter.add(("operations",), "the patch has no operations")
+    if len(documents) > LARGEST_OPERATION_COUNT:
+        text = f"more than {LARGEST_OPERATION_COUNT} operations"
+        reporter.add(("operations",), text)
+        return []
+    operations = []
+    for index, document in enumerate(documents):
+        path = ("operations", index)
+        operations.append(_read_operation(document, path, reporter))
+    return operations
+
+
+def _read_operation(document, path, reporter):
+    if not isinstance(document, dict):
+        reporter.add(path, "expected a mapping with the key 'operation'")
+        return None
+    name = document.get("operation")
+    if name is None:
+        reporter.add(path, "the key 'operation' is missing")
+        return None
+    if not isinstance(name, str) or name not in OPERATIONS.entries:
+        text = unknown_key(name, OPERATIONS.entries)
+        text = text.replace("unknown key", "unknown operation")
+        reporter.add((*path, "operation"), text)
+        return None
+    operation_class = OPERATIONS.entries[name]
+    fields = {k: v for k, v in document.items() if k != "operation"}
+    values = read_fields(operation_class.FIELDS, fields, path, reporter)
+    return None if values is None else operation_class(**values)
--- /dev/null
+++ b/wigeonport/yaml_documents.py
@@ -0,0 +1,233 @@
+"""YAML files as plain documents, with the line of every key."""
+
+import io
+import pathlib
+
+from expression import Error, Result
+from ruamel.yaml import YAML
+from ruamel.yaml.error import MarkedYAMLError, YAMLError
+from ruamel.yaml.events import CollectionEndEvent, CollectionStartEvent
+from ruamel.yaml.nodes import MappingNode, ScalarNode
+
+from wigeonport.documents import Places
+from wigeonport.findings import Findings
+from wigeonport.registries import Registry
+
+SCALARS = Registry("YAML scalar")
+TAG = "tag:yaml.org,2002:"
+LARGEST_FILE_BYTES = 4 * 1024 * 1024
+# Aliases can expand a small file without limit.
+LARGEST_NODE_COUNT = 200_000
+LARGEST_DEPTH = 32
+
+
+class YamlDocument:
+    """A plain document and the places of its keys.
+
+    Attributes:
+        value: Plain dict, list or scalar.
+        places: Line by key path.
+    """
+
+    __slots__ = ("value", "places")
+
+    def __init__(self, value, places):
+        self.value = value
+        self.places = places
+
+
+def load_file(path) -> Result:
+    """Reads a YAML file; returns a YamlDocument or Findings."""
+    try:
+        with pathlib.Path(path).open("rb") as source:
+            data = source.read(LARGEST_FILE_BYTES + 1)
+    except (OSError, ValueError) as fault:
+        reason = getattr(fault, "strerror", None) or str(fault)
+        return _fault(str(path), f"cannot be read: {reason}")
+    return load_bytes(data, str(path))
+
+
+def load_bytes(data, name) -> Result:
+    """Parses YAML; returns a YamlDocument or Findings."""
+    if len(data) > LARGEST_FILE_BYTES:
+        return _fault(name, f"is larger than {LARGEST_FILE_BYTES} bytes")
+    try:
+        text = data.decode()
+    except UnicodeDecodeError as fault:
+        return _fault(name, f"is not UTF-8 at byte {fault.start}")
+    try:
+        if _is_too_deep(text):
+            return _fault(name, f"is nested deeper than {LARGEST_DEPTH}")
+        tree = YAML(typ="rt").compose(io.StringIO(text))
+    except MarkedYAMLError as fault:
+        mark = fault.problem_mark or fault.context_mark
+        line = mark.line + 1 if mark else 1
+        return _fault(f"{name}:{line}", f"is not valid YAML: {fault.problem}")
+    except YAMLError as fault:
+        first = (str(fault).splitlines() or ["unknown fault"])[0]
+        return _fault(name, f"is not valid YAML: {first}")
+    except Exception as fault:
+        # The parser raises assorted built-in errors on malformed input.
+        return _fault(name, f"is not valid YAML: {type(fault).__name__}")
+    return _Converter(name).convert(tree)
+
+
+def _fault(place, text):
+    findings = Findings()
+    findings.add(place, text)
+    return Error(findings)
+
+
+def _is_too_deep(text):
+    """Reads the events first: composing recurses once for each level."""
+    depth = 0
+    for event in YAML(typ="rt").parse(io.StringIO(text)):
+        if isinstance(event, CollectionStartEvent):
+            depth += 1
+        elif isinstance(event, CollectionEndEvent):
+            depth -= 1
+        if depth > LARGEST_DEPTH:
+            return True
+    return False
+
+
+class _Converter:
+    """Turns the parser's nodes into plain data and notes the lines.
+
+    Attributes:
+        places: Line by key path.
+        findings: Faults found on the way.
+        count: Number of nodes visited, aliases included.
+        open_nodes: Ids of the nodes that contain the current one.
+    """
+
+    __slots__ = ("places", "findings", "count", "open_nodes")
+
+    def __init__(self, name):
+        self.places = Places(name, {(): 1})
+        self.findings = Findings()
+        self.count = 0
+        self.open_nodes = set()
+
+    def convert(self, tree):
+        """Returns the YamlDocument or the findings."""
+        value = None if tree is None else self.plain(tree, ())
+        return self.findings.result(YamlDocument(value, self.places))
+
+    def plain(self, node, path):
+        """Returns the plain value of a node."""
+        self.count += 1
+        if self.count > LARGEST_NODE_COUNT:
+            if self.count == LARGEST_NODE_COUNT + 1:
+                self.report(path, "the document is too large")
+            return None
+        if isinstance(node, ScalarNode):
+            return self.scalar(node, path)
+        if id(node) in self.open_nodes:
+            self.report(path, "the alias refers to what contains it")
+            return None
+        self.open_nodes.add(id(node))
+        read = self.mapping if isinstance(node, MappingNode) else self.sequence
+        value = read(node, path)
+        self.open_nodes.discard(id(node))
+        return value
+
+    def mapping(self, node, path):
+        """Returns a dict; reports keys that are not texts or repeated."""
+        result = {}
+        if not self.has_tag(node, path, "map"):
+            return result
+        for key, value in node.value:
+            name = str(key.value) if isinstance(key, ScalarNode) else "?"
+            below = (*path, name)
+            self.places.lines.setdefault(below, key.start_mark.line + 1)
+            if key.tag != f"{TAG}str":
+                self.report(below, "the key is not a text; put it in quotes")
+            elif name in result:
+                line = key.start_mark.line + 1
+                self.report(below, f"the key is repeated at line {line}")
+            else:
+                result[name] = self.plain(value, below)
+        return result
+
+    def sequence(self, node, path):
+        """Returns a list."""
+        result = []
+        if not self.has_tag(node, path, "seq"):
+            return result
+        for index, value in enumerate(node.value):
+            below = (*path, index)
+            self.places.lines.setdefault(below, value.start_mark.line + 1)
+            result.append(self.plain(value, below))
+        return result
+
+    def scalar(self, node, path):
+        """Returns a text, number, truth value or None."""
+        reader = SCALARS.entries.get(str(node.tag).removeprefix(TAG))
+        if reader is None:
+            self.report(path, f"has the unsupported type {node.tag}; quote it")
+            return None
+        try:
+            return reader(node.value)
+        except ValueError:
+            self.report(path, f"{node.value[:60]!r} does not fit its type")
+            return None
+
+    def has_tag(self, node, path, name):
+        """Returns whether a collection is a plain one; reports if not."""
+        if node.tag == f"{TAG}{name}":
+            return True
+        self.report(path, f"has the unsupported type {node.tag}")
+        return False
+
+    def report(self, path, text):
+        """Adds a finding at a key path."""
+        self.findings.add(self.places.at(path), text)
+
+
+@SCALARS.register("null")
+def read_null(text):
+    """Returns None."""
+
+
+@SCALARS.register("str")
+def read_str(text):
+    """Returns the text itself."""
+    return str(text)
+
+
+@SCALARS.register("bool")
+def read_bool(text):
+    """Returns the truth value."""
+    if text.lower() not in ("true", "false"):
+        raise ValueError(text)
+    return text.lower() == "true"
+
+
+@SCALARS.register("int")
+def read_int(text):
+    """Returns a whole number; the prefixes 0o and 0x are understood."""
+    digits = text.replace("_", "")
+    if "0o" in digits or "0x" in digits:
+        return int(digits, 0)
+    return int(digits)
+
+
+@SCALARS.register("float")
+def read_float(text):
+    """Returns a number, also for ``.inf`` and ``.nan``."""
+    return float(
+        text.replace("_", "")
+        .lower()
+        .replace(".inf", "inf")
+        .replace(".nan", "nan")
+    )
+
+
+def dump(value) -> str:
+    """Returns plain data as YAML text."""
+    target = io.StringIO()
+    writer = YAML()
+    writer.default_flow_style = False
+    writer.dump(value, target)
+    return target.getvalue()
