--- a/wigeonport/fleet_records.py
+++ b/wigeonport/fleet_records.py
@@ -164,19 +164,21 @@
         self.default_deadline_ms = default_deadline_ms
         self.repeatable = repeatable
 
+    def budget(self, worker_count):
+        """Returns the budget as a number of workers of the pool."""
+        if self.max_unavailable is not None:
+            return min(self.max_unavailable, worker_count)
+        # Tolerates the rounding of shares such as 0.29 * 100.
+        return int((self.max_unavailable_share or 0) * worker_count + 1e-9)
+
     def allowed_unavailable(self, worker_count):
         """Returns how many of the pool's workers may be unavailable.
 
         The promised capacity limits the budget: with fewer workers than
         promised plus budget, fewer may be unavailable.
         """
-        if self.max_unavailable is not None:
-            allowed = self.max_unavailable
-        else:
-            # Tolerates the rounding of shares such as 0.29 * 100.
-            share = self.max_unavailable_share or 0
-            allowed = int(share * worker_count + 1e-9)
-        return max(0, min(allowed, worker_count - self.capacity_workers))
+        spare = worker_count - self.capacity_workers
+        return max(0, min(self.budget(worker_count), spare))
 
 
 @SECTIONS.register("teams")
--- /dev/null
+++ b/wigeonport/maintenance_handlers.py
@@ -0,0 +1,139 @@
+"""Handlers of the commands about grants, drains and pauses."""
+
+from wigeonport.maintenance_states import (
+    LONGEST_HOLD_MS,
+    LONGEST_LEASE_MS,
+    Grant,
+    Pause,
+    grant_findings,
+)
+from wigeonport.state_answers import (
+    CommandRefused,
+    DrainConfirmed,
+    GrantEnded,
+    GrantGiven,
+    GrantRefused,
+    MaintenanceChanged,
+    WorkerReturned,
+)
+from wigeonport.state_commands import (
+    HANDLERS,
+    ConfirmDrain,
+    EndGrant,
+    PauseMaintenance,
+    RenewGrant,
+    RequestGrant,
+    ResumeMaintenance,
+    ReturnWorker,
+)
+
+
+@HANDLERS.register(RequestGrant)
+def handle_request_grant(state, command, now_ms):
+    """Grants a lease if every pool can spare the VMs."""
+    maintenance = state.maintenance
+    live = maintenance.grants.get(command.grant)
+    if live is not None:
+        return _answer_to_repeat(live, command)
+    if command.grant in maintenance.ended:
+        text = f"grant {command.grant!r} ended before"
+        return GrantRefused(command.grant, [text])
+    findings = grant_findings(state, command, now_ms)
+    if findings:
+        return GrantRefused(command.grant, findings)
+    expires_ms = now_ms + command.lease_ms
+    maintenance.grants[command.grant] = Grant(
+        command.grant,
+        sorted(command.workers),
+        command.purpose,
+        command.author,
+        command.reason,
+        now_ms,
+        expires_ms,
+        [],
+    )
+    return GrantGiven(command.grant, sorted(command.workers), expires_ms)
+
+
+def _answer_to_repeat(live, command):
+    same = (
+        live.purpose == command.purpose
+        and live.author == command.author
+        and set(live.workers) <= set(command.workers)
+    )
+    if same:
+        return GrantGiven(live.id, list(live.workers), live.expires_ms)
+    text = f"grant id {live.id!r} was used for another request"
+    return GrantRefused(live.id, [text])
+
+
+def _not_live(id):
+    return GrantRefused(id, [f"grant {id!r} is not live"])
+
+
+@HANDLERS.register(RenewGrant)
+def handle_renew_grant(state, command, now_ms):
+    """Extends a lease that has not expired."""
+    grant = state.maintenance.grants.get(command.grant)
+    if grant is None:
+        return _not_live(command.grant)
+    if not 0 < command.lease_ms <= LONGEST_LEASE_MS:
+        text = f"a lease takes 1 to {LONGEST_LEASE_MS} ms"
+        return GrantRefused(command.grant, [text])
+    grant.expires_ms = max(grant.expires_ms, now_ms + command.lease_ms)
+    return GrantGiven(grant.id, list(grant.workers), grant.expires_ms)
+
+
+@HANDLERS.register(ConfirmDrain)
+def handle_confirm_drain(state, command, now_ms):
+    """Records that a VM of a live lease runs nothing any more."""
+    grant = state.maintenance.grants.get(command.grant)
+    if grant is None:
+        return _not_live(command.grant)
+    if command.worker not in grant.workers:
+        text = f"VM {command.worker!r} is not in grant {grant.id!r}"
+        return GrantRefused(grant.id, [text])
+    if command.worker not in grant.drained:
+        grant.drained.append(command.worker)
+    return DrainConfirmed(grant.id, command.worker)
+
+
+@HANDLERS.register(EndGrant)
+def handle_end_grant(state, command, now_ms):
+    """Ends a lease; VMs that are not back count as unavailable."""
+    if command.grant not in state.maintenance.grants:
+        return _not_live(command.grant)
+    if not 0 <= command.hold_ms <= LONGEST_HOLD_MS:
+        text = f"a hold takes 0 to {LONGEST_HOLD_MS} ms"
+        return GrantRefused(command.grant, [text])
+    missing = state.maintenance.end(
+        command.grant, set(command.healthy), command.hold_ms, now_ms
+    )
+    return GrantEnded(command.grant, missing)
+
+
+@HANDLERS.register(ReturnWorker)
+def handle_return_worker(state, command, now_ms):
+    """Takes a missing VM back after its hold time."""
+    if command.worker not in state.maintenance.missing:
+        return CommandRefused(f"VM {command.worker!r} is not missing")
+    if not 0 <= command.hold_ms <= LONGEST_HOLD_MS:
+        return CommandRefused(f"a hold takes 0 to {LONGEST_HOLD_MS} ms")
+    until_ms = now_ms + command.hold_ms
+    state.maintenance.hold(command.worker, until_ms)
+    return WorkerReturned(command.worker, until_ms)
+
+
+@HANDLERS.register(PauseMaintenance)
+def handle_pause(state, command, now_ms):
+    """Stops new maintenance grants; live leases go on."""
+    pause = Pause(command.author, command.reason, now_ms)
+    state.maintenance.pauses.setdefault(command.scope, pause)
+    return MaintenanceChanged(command.scope, True)
+
+
+@HANDLERS.register(ResumeMaintenance)
+def handle_resume(state, command, now_ms):
+    """Allows new maintenance grants again."""
+    state.maintenance.pauses.pop(command.scope, None)
+    return MaintenanceChanged(command.scope, False)
--- /dev/null
+++ b/wigeonport/records.py
@@ -0,0 +1,22 @@
+"""Base of plain records with slots."""
+
+
+class Record:
+    """Compares and prints by its slots; holds no behaviour of its own."""
+
+    __slots__ = ()
+
+    def to_document(self):
+        """Returns plain data by slot name."""
+        return {name: getattr(self, name) for name in self.__slots__}
+
+    def __eq__(self, other):
+        if type(other) is not type(self):
+            return NotImplemented
+        return self.to_document() == other.to_document()
+
+    __hash__ = None
+
+    def __repr__(self):
+        pairs = (f"{k}={v!r}" for k, v in self.to_document().items())
+        return f"{type(self).__name__}({', '.join(pairs)})"
