--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,9 +1,13 @@
 """Fixtures shared by the tests."""
 
+import json
+
 import pytest
 
 from wigeonport.clocks import ManualClock
-from wigeonport.fleets import fleet_from_document
+from wigeonport.fleets import SECTION_NAMES, fleet_from_document
+from wigeonport.state_commands import SubmitPatch
+from wigeonport.states import Entry, ReplicatedState
 
 
 @pytest.fixture
@@ -67,3 +71,55 @@
 def fleet(fleet_document):
     """The fleet of ``fleet_document``."""
     return fleet_from_document(fleet_document).ok
+
+
+@pytest.fixture
+def apply():
+    """Returns a function that applies commands to a new state.
+
+    The function takes a command and how much time passes before it; its
+    attribute ``state`` is the state, which a test may replace.
+    """
+
+    def run(command, after_ms=1):
+        run.now_ms += after_ms
+        run.index += 1
+        return run.state.apply(Entry(run.index, run.now_ms, command))
+
+    run.state, run.now_ms, run.index = ReplicatedState(), 0, 0
+    return run
+
+
+@pytest.fixture
+def submit(apply):
+    """Returns a function that submits a patch of some operations."""
+
+    def run(id, against, *operations, author="ada"):
+        document = {
+            "id": id,
+            "against_version": against,
+            "author": author,
+            "reason": f"reason of {id}",
+            "operations": list(operations),
+        }
+        return apply(SubmitPatch(json.dumps(document)))
+
+    return run
+
+
+@pytest.fixture
+def live(apply, submit, fleet_document):
+    """``apply`` after the patch p-1 that made ``fleet`` version 1."""
+    submit("p-1", 0, *add_operations(fleet_document))
+    return apply
+
+
+def add_operations(document):
+    """Returns the operations that build a fleet document."""
+    operations = [
+        {"operation": f"add_{section[:-1]}", **record}
+        for section in SECTION_NAMES
+        for record in document.get(section, [])
+    ]
+    pool = document["spare_pool"]
+    return [*operations, {"operation": "set_spare_pool", "pool": pool}]
--- /dev/null
+++ b/tests/test_claim_states.py
@@ -0,0 +1,168 @@
+"""Tests of idempotency claims in the replicated state."""
+
+import json
+
+import pytest
+
+from wigeonport import claim_states
+from wigeonport.state_answers import (
+    ClaimCompleted,
+    ClaimConflict,
+    ClaimGranted,
+    ClaimInProgress,
+    ClaimRefused,
+    ClaimReleased,
+    ClaimRepeat,
+    ClaimUnknown,
+)
+from wigeonport.state_commands import ClaimKey, CompleteClaim, ReleaseClaim
+from wigeonport.states import state_from_document
+
+DAY_MS = 24 * 3_600_000
+
+
+def restart(apply):
+    """Replaces the state by its own snapshot."""
+    document = json.loads(json.dumps(apply.state.to_document()))
+    apply.state = state_from_document(document).ok
+
+
+def test_repeat_of_a_completed_key_returns_the_response(apply):
+    """Guards against a second run of a completed request (R5)."""
+    assert apply(ClaimKey("k", "d", "a1")) == ClaimGranted("k", "a1")
+    stored = apply(CompleteClaim("k", "a1", b"\x00sent"))
+    assert stored == ClaimCompleted("k", True)
+    restart(apply)
+    repeat = apply(ClaimKey("k", "d", "a2"))
+    assert repeat == ClaimRepeat("k", b"\x00sent")
+
+
+def test_key_in_progress_is_not_granted_again(apply):
+    """Guards against two attempts that run at the same time (R5)."""
+    apply(ClaimKey("k", "d", "a1"))
+    assert apply(ClaimKey("k", "d", "a2")) == ClaimInProgress("k", 1)
+    assert apply(ClaimKey("k", "d", "a1")) == ClaimGranted("k", "a1")
+
+
+def test_other_digest_is_a_conflict(apply):
+    """Guards against the response of another request (R3)."""
+    apply(ClaimKey("k", "d", "a1"))
+    assert apply(ClaimKey("k", "other", "a1")) == ClaimConflict("k")
+    apply(CompleteClaim("k", "a1", b"x"))
+    assert apply(ClaimKey("k", "other", "a2")) == ClaimConflict("k")
+
+
+def test_release_lets_a_later_attempt_run(apply):
+    """Guards against a key that stays blocked although nothing ran."""
+    apply(ClaimKey("k", "d", "a1"))
+    assert apply(ReleaseClaim("k", "a1")) == ClaimReleased("k", "a1")
+    assert apply(ClaimKey("k", "d", "a2")) == ClaimGranted("k", "a2")
+
+
+def test_release_before_its_claim_prevents_it(apply):
+    """Guards against a late claim that is granted after not-run (R4)."""
+    apply(ReleaseClaim("k", "a1"))
+    restart(apply)
+    assert apply(ClaimKey("k", "d", "a1")) == ClaimRefused("k", "released")
+    assert apply(ClaimKey("k", "d", "a2")) == ClaimGranted("k", "a2")
+    # The claim that was duplicated on its way must not come back either.
+    apply(ReleaseClaim("k", "a2"))
+    assert apply(ClaimKey("k", "d", "a2")) == ClaimRefused("k", "released")
+
+
+def test_release_of_another_attempt_keeps_the_claim(apply):
+    """Guards against a release that frees a key that others hold (R5)."""
+    apply(ClaimKey("k", "d", "a1"))
+    apply(ReleaseClaim("k", "a2"))
+    assert apply(ClaimKey("k", "d", "a3")) == ClaimInProgress("k", 1)
+
+
+def test_completed_claim_cannot_be_released(apply):
+    """Guards against a second run after a late release (R5)."""
+    apply(ClaimKey("k", "d", "a1"))
+    apply(CompleteClaim("k", "a1", b"x"))
+    assert apply(ReleaseClaim("k", "a1")) == ClaimRefused("k", "completed")
+    assert apply(ClaimKey("k", "d", "a2")) == ClaimRepeat("k", b"x")
+
+
+def test_only_the_holder_completes(apply):
+    """Guards against a response that belongs to a released attempt."""
+    assert apply(CompleteClaim("k", "a1", b"")).why == "not held"
+    apply(ClaimKey("k", "d", "a1"))
+    apply(ReleaseClaim("k", "a1"))
+    apply(ClaimKey("k", "d", "a2"))
+    assert apply(CompleteClaim("k", "a1", b"x")).why == "not held"
+
+
+def test_second_completion_does_not_replace_the_response(apply):
+    """Guards against two repeats with different responses."""
+    apply(ClaimKey("k", "d", "a1"))
+    apply(CompleteClaim("k", "a1", b"first"))
+    apply(CompleteClaim("k", "a1", b"second"))
+    assert apply(ClaimKey("k", "d", "a2")) == ClaimRepeat("k", b"first")
+
+
+@pytest.mark.parametrize(
+    ("size", "answer"),
+    [
+        (8_192, ClaimRepeat("k", b"x" * 8_192)),
+        (8_193, ClaimUnknown("k")),
+    ],
+)
+def test_large_response_is_not_stored(apply, size, answer):
+    """Guards against an unbounded log, and against a partial response."""
+    apply(ClaimKey("k", "d", "a1"))
+    apply(CompleteClaim("k", "a1", b"x" * size))
+    restart(apply)
+    assert apply(ClaimKey("k", "d", "a2")) == answer
+
+
+def test_claims_are_kept_for_a_day(apply):
+    """Guards against keys that are kept for good or forgotten early."""
+    apply(ClaimKey("k", "d", "a1"))
+    apply(ReleaseClaim("other", "b1"))
+    answer = apply(ClaimKey("k", "d", "a2"), after_ms=DAY_MS - 2)
+    assert answer == ClaimInProgress("k", 1)
+    answer = apply(ClaimKey("k", "d", "a3"), after_ms=2)
+    assert answer == ClaimGranted("k", "a3")
+    assert apply.state.claims.released == {}
+
+
+def test_oldest_responses_make_room(apply, monkeypatch):
+    """Guards against unbounded memory; dropped keys must stay claimed."""
+    monkeypatch.setattr(claim_states, "LARGEST_TOTAL_BYTES", 3_000)
+    for n in range(3):
+        apply(ClaimKey(f"k{n}", "d", "a"))
+        apply(CompleteClaim(f"k{n}", "a", b"x" * 600))
+    assert apply(ClaimKey("k0", "d", "b")) == ClaimUnknown("k0")
+    assert apply(ClaimKey("k2", "d", "b")) == ClaimRepeat("k2", b"x" * 600)
+    assert apply.state.claims.total_bytes <= 3_000
+
+
+def test_full_state_refuses_new_claims(apply, monkeypatch):
+    """Guards against records that are dropped before their time (R5)."""
+    monkeypatch.setattr(claim_states, "LARGEST_TOTAL_BYTES", 1_100)
+    answers = [apply(ClaimKey(f"k{n}", "d", "a")) for n in range(3)]
+    assert answers[2] == ClaimRefused("k2", "full")
+    assert apply(ClaimKey("k0", "d", "b")) == ClaimInProgress("k0", 1)
+    assert apply(ReleaseClaim("k9", "a")) == ClaimReleased("k9", "a")
+
+
+@pytest.mark.parametrize("key", ["", "x" * 513, "\ud800"])
+def test_malformed_key_is_refused(apply, key):
+    """Guards against keys that cannot be stored."""
+    assert apply(ClaimKey(key, "d", "a")).why == "malformed"
+    assert apply(ReleaseClaim(key, "a")).why == "malformed"
+
+
+def test_counted_size_follows_every_change(apply):
+    """Guards against a count that drifts from the content."""
+    apply(ClaimKey("k", "d", "a1"))
+    apply(CompleteClaim("k", "a1", b"x" * 100))
+    apply(ReleaseClaim("r", "a"))
+    before = apply.state.claims.total_bytes
+    restart(apply)
+    assert apply.state.claims.total_bytes == before
+    apply(ClaimKey("new", "d", "a"), after_ms=2 * DAY_MS)
+    only = claim_states.RECORD_BYTES + len("new" + "d" + "a")
+    assert apply.state.claims.total_bytes == only
--- a/wigeonport/fleet_states.py
+++ b/wigeonport/fleet_states.py
@@ -1,7 +1,11 @@
 """Replicated part: fleet versions, their history and patch answers."""
 
+import json
 from collections import deque
 
+from expression import Error, Ok, Result
+
+from wigeonport.codecs import message_kinds
 from wigeonport.fleet_changes import (
     Change,
     apply_changes,
@@ -11,7 +15,7 @@
 from wigeonport.fleets import Fleet, fleet_from_document
 from wigeonport.patches import patch_from_document
 from wigeonport.records import Record
-from wigeonport.state_answers import ANSWERS, PatchAccepted, PatchRefused
+from wigeonport.state_answers import PatchAccepted, PatchRefused
 from wigeonport.state_commands import HANDLERS, SubmitPatch
 
 # Two days at 1,900 configuration changes a day.
@@ -96,12 +100,15 @@
         self.answers = {}
         self.change_count = 0
 
-    def submit(self, document, now_ms):
-        """Applies a patch document; returns the answer."""
+    def submit(self, document_json, now_ms):
+        """Applies a patch, given as JSON text; returns the answer."""
         self._expire_answers(now_ms)
-        read = patch_from_document(document)
+        parsed = parse_json(document_json)
+        if parsed.is_error():
+            return self._refusal("", "invalid", [parsed.error])
+        read = patch_from_document(parsed.ok)
         if read.is_error():
-            return self._refusal(_id_of(document), "invalid", read.error)
+            return self._refusal(_id_of(parsed.ok), "invalid", read.error)
         patch = read.ok
         digest = patch.digest()
         stored = self.answers.get(patch.id)
@@ -158,9 +165,10 @@
         changes = self.changes_since(stated)
         answer.complete = changes is not None
         listed = changes or []
-        answer.changes = [c.to_document() for c in listed[:LISTED_CHANGES]]
+        documents = [c.to_document() for c in listed[:LISTED_CHANGES]]
+        answer.changes_json = json.dumps(documents)
         newer = [r.summary() for r in self.history if r.version > stated]
-        answer.versions = newer[-LISTED_VERSIONS:]
+        answer.versions_json = json.dumps(newer[-LISTED_VERSIONS:])
         if len(listed) > LISTED_CHANGES or len(newer) > LISTED_VERSIONS:
             answer.complete = False
         return answer
@@ -168,7 +176,7 @@
     def _refusal(self, id, why, findings):
         texts = getattr(findings, "lines", lambda: list(findings))()
         version = self.fleet.version
-        return PatchRefused(id, why, version, texts, [], [], True)
+        return PatchRefused(id, why, version, texts, "[]", "[]", True)
 
     def _expire_answers(self, now_ms):
         oldest_ms = now_ms - ANSWER_RETENTION_MS
@@ -207,7 +215,7 @@
                     "id": id,
                     "digest": stored.digest,
                     "time_ms": stored.time_ms,
-                    "kind": answer_kind(stored.answer),
+                    "kind": type(stored.answer).__name__,
                     "answer": stored.answer.to_document(),
                 }
                 for id, stored in self.answers.items()
@@ -215,14 +223,6 @@
         }
 
 
-def answer_kind(answer):
-    """Returns the registered name of an answer's class."""
-    for name, registered in ANSWERS.entries.items():
-        if registered is type(answer):
-            return name
-    raise KeyError(type(answer).__name__)
-
-
 def fleet_state_from_document(document):
     """Returns the FleetState of a snapshot."""
     state = FleetState()
@@ -232,12 +232,20 @@
         state.history.append(VersionRecord(**(item | {"changes": changes})))
         state.change_count += len(changes)
     for item in document["answers"]:
-        answer = ANSWERS.entries[item["kind"]](**item["answer"])
+        answer = message_kinds.entries[item["kind"]](**item["answer"])
         stored = StoredAnswer(item["digest"], answer, item["time_ms"])
         state.answers[item["id"]] = stored
     return state
 
 
+def parse_json(text) -> Result:
+    """Returns the value of a JSON text, or an error text."""
+    try:
+        return Ok(json.loads(text))
+    except (ValueError, RecursionError) as fault:
+        return Error(f"the document is not JSON: {fault}")
+
+
 def _id_of(document):
     id = document.get("id") if isinstance(document, dict) else None
     return id if isinstance(id, str) else ""
@@ -246,7 +254,7 @@
 @HANDLERS.register(SubmitPatch)
 def handle_submit_patch(state, command, now_ms):
     """Applies a patch and lets new VMs join their pools."""
-    answer = state.fleet.submit(command.document, now_ms)
+    answer = state.fleet.submit(command.document_json, now_ms)
     if isinstance(answer, PatchAccepted):
         state.pools.adopt(state.fleet.fleet)
     return answer
--- a/wigeonport/maintenance_handlers.py
+++ b/wigeonport/maintenance_handlers.py
@@ -1,14 +1,6 @@
 """Handlers of the commands about grants, drains and pauses."""
 
-from wigeonport.maintenance_states import (
-    LONGEST_HOLD_MS,
-    LONGEST_LEASE_MS,
-    Grant,
-    Pause,
-    grant_findings,
-)
-from wigeonport.state_answers import (
-    CommandRefused,
+from wigeonport.maintenance_answers import (
     DrainConfirmed,
     GrantEnded,
     GrantGiven,
@@ -16,6 +8,14 @@
     MaintenanceChanged,
     WorkerReturned,
 )
+from wigeonport.maintenance_states import (
+    LONGEST_HOLD_MS,
+    LONGEST_LEASE_MS,
+    Grant,
+    Pause,
+    grant_findings,
+)
+from wigeonport.state_answers import CommandRefused
 from wigeonport.state_commands import (
     HANDLERS,
     ConfirmDrain,
--- a/wigeonport/member_states.py
+++ b/wigeonport/member_states.py
@@ -1,7 +1,7 @@
 """Replicated part: the member list of the control programs."""
 
-from wigeonport.documents import Field, Reporter
-from wigeonport.fleets import read_record
+from wigeonport.codecs import message_kinds
+from wigeonport.documents import Field, Reporter, read_fields
 from wigeonport.records import Record
 from wigeonport.registries import Registry
 from wigeonport.state_answers import CommandRefused, MemberChanged
@@ -24,6 +24,7 @@
     return ""
 
 
+@message_kinds.register("Member")
 class Member(Record):
     """A control program that takes part in replication.
 
@@ -90,8 +91,9 @@
 def handle_set_member(state, command, now_ms):
     """Adds or replaces a member."""
     reporter = Reporter()
-    member = read_record(Member, command.member, ("member",), reporter)
-    if member is None:
+    member = command.member
+    document = member.to_document()
+    if read_fields(Member.FIELDS, document, ("member",), reporter) is None:
         return CommandRefused(str(reporter.findings))
     role = ROLES.get(member.role)
     fault = role.error if role.is_error() else role.ok(member)
--- a/wigeonport/pool_states.py
+++ b/wigeonport/pool_states.py
@@ -1,6 +1,6 @@
 """Replicated part: the one pool in which each VM is."""
 
-from wigeonport.state_answers import MoveFinished, MoveRefused
+from wigeonport.maintenance_answers import MoveFinished, MoveRefused
 from wigeonport.state_commands import HANDLERS, FinishMove
 
 
--- a/wigeonport/state_answers.py
+++ b/wigeonport/state_answers.py
@@ -1,12 +1,10 @@
-"""Answers of the replicated state machine."""
+"""Answers about patches, claims and members."""
 
+from wigeonport.codecs import message_kinds
 from wigeonport.records import Record
-from wigeonport.registries import Registry
 
-ANSWERS = Registry("state answer")
 
-
-@ANSWERS.register("patch_accepted")
+@message_kinds.register("PatchAccepted")
 class PatchAccepted(Record):
     """The patch created a version.
 
@@ -22,7 +20,7 @@
         self.version = version
 
 
-@ANSWERS.register("patch_refused")
+@message_kinds.register("PatchRefused")
 class PatchRefused(Record):
     """The patch changed nothing.
 
@@ -31,8 +29,10 @@
         why: ``stale``, ``invalid`` or ``conflict``.
         version: Version in force when the patch was applied.
         findings: Texts of all findings, with places.
-        changes: Documents of the changes since the stated version.
-        versions: Documents of the versions since the stated one.
+        changes_json: Documents of the changes since the stated
+            version, as a JSON list.
+        versions_json: Documents of the versions since the stated one,
+            without their changes, as a JSON list.
         complete: Whether changes and versions are listed in full.
     """
 
@@ -41,24 +41,31 @@
         "why",
         "version",
         "findings",
-        "changes",
-        "versions",
+        "changes_json",
+        "versions_json",
         "complete",
     )
 
     def __init__(
-        self, patch, why, version, findings, changes, versions, complete
+        self,
+        patch,
+        why,
+        version,
+        findings,
+        changes_json,
+        versions_json,
+        complete,
     ):
         self.patch = patch
         self.why = why
         self.version = version
         self.findings = findings
-        self.changes = changes
-        self.versions = versions
+        self.changes_json = changes_json
+        self.versions_json = versions_json
         self.complete = complete
 
 
-@ANSWERS.register("claim_granted")
+@message_kinds.register("ClaimGranted")
 class ClaimGranted(Record):
     """The attempt holds the key and may be dispatched.
 
@@ -74,7 +81,7 @@
         self.attempt = attempt
 
 
-@ANSWERS.register("claim_repeat")
+@message_kinds.register("ClaimRepeat")
 class ClaimRepeat(Record):
     """The request was completed before.
 
@@ -90,7 +97,7 @@
         self.response = response
 
 
-@ANSWERS.register("claim_in_progress")
+@message_kinds.register("ClaimInProgress")
 class ClaimInProgress(Record):
     """Another attempt holds the key; its outcome is unknown.
 
@@ -106,7 +113,7 @@
         self.claimed_ms = claimed_ms
 
 
-@ANSWERS.register("claim_unknown")
+@message_kinds.register("ClaimUnknown")
 class ClaimUnknown(Record):
     """The request was completed, its response is not stored.
 
@@ -120,7 +127,7 @@
         self.key = key
 
 
-@ANSWERS.register("claim_conflict")
+@message_kinds.register("ClaimConflict")
 class ClaimConflict(Record):
     """The key was used for another request.
 
@@ -134,7 +141,7 @@
         self.key = key
 
 
-@ANSWERS.register("claim_refused")
+@message_kinds.register("ClaimRefused")
 class ClaimRefused(Record):
     """The attempt does not hold the key.
 
@@ -151,7 +158,7 @@
         self.why = why
 
 
-@ANSWERS.register("claim_completed")
+@message_kinds.register("ClaimCompleted")
 class ClaimCompleted(Record):
     """The claim is completed.
 
@@ -167,7 +174,7 @@
         self.stored = stored
 
 
-@ANSWERS.register("claim_released")
+@message_kinds.register("ClaimReleased")
 class ClaimReleased(Record):
     """The attempt does not and will not hold the key.
 
@@ -183,139 +190,7 @@
         self.attempt = attempt
 
 
-@ANSWERS.register("grant_given")
-class GrantGiven(Record):
-    """The VMs may be drained until the lease expires.
-
-    Attributes:
-        grant: Grant id.
-        workers: VM ids.
-        expires_ms: Wall time at which the lease expires.
-    """
-
-    __slots__ = ("grant", "workers", "expires_ms")
-
-    def __init__(self, grant, workers, expires_ms):
-        self.grant = grant
-        self.workers = workers
-        self.expires_ms = expires_ms
-
-
-@ANSWERS.register("grant_refused")
-class GrantRefused(Record):
-    """Nothing was granted or changed.
-
-    Attributes:
-        grant: Grant id.
-        findings: Texts of all reasons.
-    """
-
-    __slots__ = ("grant", "findings")
-
-    def __init__(self, grant, findings):
-        self.grant = grant
-        self.findings = findings
-
-
-@ANSWERS.register("grant_ended")
-class GrantEnded(Record):
-    """The lease ended.
-
-    Attributes:
-        grant: Grant id.
-        missing: VMs that are not back and count as unavailable.
-    """
-
-    __slots__ = ("grant", "missing")
-
-    def __init__(self, grant, missing):
-        self.grant = grant
-        self.missing = missing
-
-
-@ANSWERS.register("drain_confirmed")
-class DrainConfirmed(Record):
-    """The VM is recorded as drained.
-
-    Attributes:
-        grant: Grant id.
-        worker: VM id.
-    """
-
-    __slots__ = ("grant", "worker")
-
-    def __init__(self, grant, worker):
-        self.grant = grant
-        self.worker = worker
-
-
-@ANSWERS.register("worker_returned")
-class WorkerReturned(Record):
-    """The VM counts as available after the hold time.
-
-    Attributes:
-        worker: VM id.
-        hold_until_ms: Wall time at which the hold ends.
-    """
-
-    __slots__ = ("worker", "hold_until_ms")
-
-    def __init__(self, worker, hold_until_ms):
-        self.worker = worker
-        self.hold_until_ms = hold_until_ms
-
-
-@ANSWERS.register("move_finished")
-class MoveFinished(Record):
-    """The VM is in its new pool.
-
-    Attributes:
-        worker: VM id.
-        source: Pool it was in.
-        target: Pool it is in, or None.
-    """
-
-    __slots__ = ("worker", "source", "target")
-
-    def __init__(self, worker, source, target):
-        self.worker = worker
-        self.source = source
-        self.target = target
-
-
-@ANSWERS.register("move_refused")
-class MoveRefused(Record):
-    """The VM stays in its pool.
-
-    Attributes:
-        worker: VM id.
-        findings: Texts of all reasons.
-    """
-
-    __slots__ = ("worker", "findings")
-
-    def __init__(self, worker, findings):
-        self.worker = worker
-        self.findings = findings
-
-
-@ANSWERS.register("maintenance_changed")
-class MaintenanceChanged(Record):
-    """Maintenance was paused or resumed.
-
-    Attributes:
-        scope: Pool id, or ``all``.
-        paused: Whether the scope is paused now.
-    """
-
-    __slots__ = ("scope", "paused")
-
-    def __init__(self, scope, paused):
-        self.scope = scope
-        self.paused = paused
-
-
-@ANSWERS.register("member_changed")
+@message_kinds.register("MemberChanged")
 class MemberChanged(Record):
     """The member list was changed.
 
@@ -329,7 +204,7 @@
         self.member = member
 
 
-@ANSWERS.register("command_refused")
+@message_kinds.register("CommandRefused")
 class CommandRefused(Record):
     """The command was not understood or not permitted.
 
--- a/wigeonport/state_commands.py
+++ b/wigeonport/state_commands.py
@@ -1,27 +1,27 @@
 """Commands that the replicated state machine applies."""
 
+from wigeonport.codecs import message_kinds
 from wigeonport.records import Record
 from wigeonport.registries import Registry
 
-COMMANDS = Registry("state command")
 HANDLERS = Registry("command handler")
 
 
-@COMMANDS.register("submit_patch")
+@message_kinds.register("SubmitPatch")
 class SubmitPatch(Record):
     """Submits a patch against a stated fleet version.
 
     Attributes:
-        document: Document form of the patch.
+        document_json: Document form of the patch as JSON text.
     """
 
-    __slots__ = ("document",)
+    __slots__ = ("document_json",)
 
-    def __init__(self, document):
-        self.document = document
+    def __init__(self, document_json):
+        self.document_json = document_json
 
 
-@COMMANDS.register("claim_key")
+@message_kinds.register("ClaimKey")
 class ClaimKey(Record):
     """Claims an idempotency key for one attempt of a request.
 
@@ -39,7 +39,7 @@
         self.attempt = attempt
 
 
-@COMMANDS.register("complete_claim")
+@message_kinds.register("CompleteClaim")
 class CompleteClaim(Record):
     """Stores the response of a claimed request.
 
@@ -57,7 +57,7 @@
         self.response = response
 
 
-@COMMANDS.register("release_claim")
+@message_kinds.register("ReleaseClaim")
 class ReleaseClaim(Record):
     """Gives up an attempt that never was and never will be dispatched.
 
@@ -73,7 +73,7 @@
         self.attempt = attempt
 
 
-@COMMANDS.register("request_grant")
+@message_kinds.register("RequestGrant")
 class RequestGrant(Record):
     """Asks for a lease on VMs that are to be drained.
 
@@ -110,7 +110,7 @@
         self.unavailable = unavailable
 
 
-@COMMANDS.register("renew_grant")
+@message_kinds.register("RenewGrant")
 class RenewGrant(Record):
     """Extends a live lease from now on.
 
@@ -126,7 +126,7 @@
         self.lease_ms = lease_ms
 
 
-@COMMANDS.register("confirm_drain")
+@message_kinds.register("ConfirmDrain")
 class ConfirmDrain(Record):
     """Reports that a VM runs nothing any more.
 
@@ -142,7 +142,7 @@
         self.worker = worker
 
 
-@COMMANDS.register("end_grant")
+@message_kinds.register("EndGrant")
 class EndGrant(Record):
     """Ends a lease.
 
@@ -161,7 +161,7 @@
         self.hold_ms = hold_ms
 
 
-@COMMANDS.register("return_worker")
+@message_kinds.register("ReturnWorker")
 class ReturnWorker(Record):
     """Reports that a VM of an expired or ended lease is back.
 
@@ -177,7 +177,7 @@
         self.hold_ms = hold_ms
 
 
-@COMMANDS.register("finish_move")
+@message_kinds.register("FinishMove")
 class FinishMove(Record):
     """Moves a drained VM to the pool that the version assigns.
 
@@ -199,7 +199,7 @@
         self.hold_ms = hold_ms
 
 
-@COMMANDS.register("pause_maintenance")
+@message_kinds.register("PauseMaintenance")
 class PauseMaintenance(Record):
     """Stops new maintenance grants.
 
@@ -217,7 +217,7 @@
         self.reason = reason
 
 
-@COMMANDS.register("resume_maintenance")
+@message_kinds.register("ResumeMaintenance")
 class ResumeMaintenance(Record):
     """Allows maintenance grants again.
 
@@ -235,12 +235,12 @@
         self.reason = reason
 
 
-@COMMANDS.register("set_member")
+@message_kinds.register("SetMember")
 class SetMember(Record):
     """Adds or replaces an entry of the member list.
 
     Attributes:
-        member: Document form of the Member.
+        member: The Member.
     """
 
     __slots__ = ("member",)
@@ -249,7 +249,7 @@
         self.member = member
 
 
-@COMMANDS.register("remove_member")
+@message_kinds.register("RemoveMember")
 class RemoveMember(Record):
     """Removes an entry of the member list.
 
--- a/wigeonport/states.py
+++ b/wigeonport/states.py
@@ -115,8 +115,8 @@
         return Error(findings)
     state = ReplicatedState()
     try:
-        state.applied_index = document["applied_index"]
-        state.now_ms = document["now_ms"]
+        state.applied_index = int(document["applied_index"])
+        state.now_ms = int(document["now_ms"])
         for name, (_, read) in PARTS.entries.items():
             setattr(state, name, read(document[name]))
     except (AttributeError, KeyError, TypeError, ValueError) as fault:
@@ -125,4 +125,9 @@
     return Ok(state)
 
 
-__all__ = ["Entry", "ReplicatedState", "maintenance_handlers"]
+__all__ = [
+    "Entry",
+    "ReplicatedState",
+    "maintenance_handlers",
+    "state_from_document",
+]
