--- a/wigeonport/clocks.py
+++ b/wigeonport/clocks.py
@@ -48,3 +48,28 @@
     def advance(self, duration_ms):
         """Moves the clock forward."""
         self.now_ms += duration_ms
+
+
+class LamportCounter:
+    """Counts events so that a message is numbered after its cause.
+
+    Source: L. Lamport, "Time, Clocks, and the Ordering of Events in a
+    Distributed System", 1978.
+
+    Attributes:
+        value: Number of the latest event.
+    """
+
+    __slots__ = ("value",)
+
+    def __init__(self):
+        self.value = 0
+
+    def tick(self):
+        """Returns the number of a new event of this process."""
+        self.value += 1
+        return self.value
+
+    def observe(self, value):
+        """Moves past the number on a received message."""
+        self.value = max(self.value, value) + 1
