--- /dev/null
+++ b/wigeonport/announcements.py
@@ -0,0 +1,126 @@
+"""Announcements: the HTTP edge towards endpoints.
+
+An endpoint sends one JSON object a line, either as one long-lived request or
+as a short request for each announcement.
+"""
+
+import ipaddress
+import json
+
+from expression import Result
+
+from wigeonport.endpoints import STATES, Announced, EndpointRecord
+from wigeonport.findings import Findings
+from wigeonport.logs import PartLogger
+from wigeonport.servers import respond_json, send_response
+
+logger = PartLogger("announcements")
+
+MAX_LINE_BYTES = 4_096
+MAX_SLOTS = 10_000
+MAX_CONNECTIONS = 100_000
+MAX_PORT = 65_535
+MAX_COUNTER = 2**53
+TEXT_FIELDS = ("endpoint_id", "service", "availability_zone", "host")
+NUMBER_FIELDS = {
+    "port": (1, MAX_PORT),
+    "slots": (1, MAX_SLOTS),
+    "connections": (1, MAX_CONNECTIONS),
+    "incarnation": (0, MAX_COUNTER),
+    "sequence": (0, MAX_COUNTER),
+}
+
+
+def parse_announcement(line) -> Result:
+    """Returns the EndpointRecord of a JSON line, or Findings."""
+    findings = Findings()
+    try:
+        document = json.loads(line)
+    except (ValueError, RecursionError):
+        findings.add("announcement", "is not JSON")
+        return findings.result(None)
+    if not isinstance(document, dict):
+        findings.add("announcement", "is not an object")
+        return findings.result(None)
+    check_fields(document, findings)
+    if findings:
+        return findings.result(None)
+    names = EndpointRecord.__slots__
+    return findings.result(EndpointRecord(*(document[n] for n in names)))
+
+
+def check_fields(document, findings):
+    """Adds a finding for each wrong field."""
+    for name in TEXT_FIELDS:
+        value = document.get(name)
+        if not isinstance(value, str) or not 0 < len(value) <= 255:
+            findings.add(name, "must be a text of 1 to 255 characters")
+    for name, (smallest, largest) in NUMBER_FIELDS.items():
+        value = document.get(name)
+        if type(value) is not int or not smallest <= value <= largest:
+            findings.add(name, f"must be a number, {smallest} to {largest}")
+    if document.get("state") not in STATES:
+        findings.add("state", f"must be one of {', '.join(STATES)}")
+    for name in sorted(document.keys() - set(EndpointRecord.__slots__)):
+        findings.add(name, "is not a known field")
+    check_host(document.get("host"), findings)
+
+
+def check_host(host, findings):
+    """Adds a finding if the host is no IP address."""
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        findings.add("host", "must be an IP address")
+
+
+class AnnouncementApp:
+    """ASGI app of the path that endpoints announce to.
+
+    Attributes:
+        outbound: Mailbox of the endpoint table.
+        metrics: Metrics of the process.
+    """
+
+    __slots__ = ("outbound", "metrics")
+
+    def __init__(self, outbound, metrics):
+        self.outbound = outbound
+        self.metrics = metrics
+
+    async def __call__(self, scope, receive, send):
+        """Reads the lines of one request as they arrive."""
+        if scope["method"] != "POST":
+            response = respond_json(405, {"error": "use POST"})
+            return await send_response(send, response)
+        rest, more, accepted = b"", True, 0
+        while more:
+            event = await receive()
+            more = event.get("more_body", False)
+            *lines, rest = (rest + event.get("body", b"")).split(b"\n")
+            if not more and rest:
+                lines.append(rest)
+            for line in lines:
+                findings = await self.take(line)
+                if findings:
+                    return await self.refuse(send, findings)
+                accepted += 1
+            if len(rest) > MAX_LINE_BYTES:
+                return await self.refuse(send, ["announcement: is too long"])
+        response = respond_json(200, {"accepted": accepted})
+        return await send_response(send, response)
+
+    async def take(self, line):
+        """Passes one announcement on; returns the lines of its findings."""
+        parsed = parse_announcement(line)
+        if parsed.is_error():
+            return parsed.error.lines()
+        self.metrics.count("announcements_accepted")
+        await self.outbound.put(Announced(parsed.ok))
+        return []
+
+    async def refuse(self, send, findings):
+        """Answers with all findings."""
+        self.metrics.count("announcements_refused")
+        logger.warning("Announcement refused.", reason="; ".join(findings))
+        await send_response(send, respond_json(400, {"findings": findings}))
--- /dev/null
+++ b/wigeonport/publishers.py
@@ -0,0 +1,161 @@
+"""Publishers: push accepted fleet versions and track who applies them."""
+
+from wigeonport.configurations import ConfigUpdate, Subscribe, VersionReport
+from wigeonport.links import Delivery, LinkClosed
+
+REPORT_INTERVAL_MS = 5_000
+
+
+class VersionAccepted:
+    """A fleet version was committed by the replicated log.
+
+    Attributes:
+        version: Number of the version.
+        document: The fleet in JSON, as bytes.
+        stale: Whether no quorum confirmed that it is the newest.
+    """
+
+    __slots__ = ("version", "document", "stale")
+
+    def __init__(self, version, document, stale=False):
+        self.version = version
+        self.document = document
+        self.stale = stale
+
+
+class StatusQuery:
+    """Asks for the ProcessStatus of all known processes."""
+
+    __slots__ = ("reply",)
+
+    def __init__(self, reply):
+        self.reply = reply
+
+
+class ProcessStatus:
+    """What is known of one process.
+
+    Attributes:
+        node_id: The process.
+        availability_zone: Its zone.
+        version: Version that it reported last.
+        heard_ms: Monotonic time of the report.
+    """
+
+    __slots__ = ("node_id", "availability_zone", "version", "heard_ms")
+
+    def __init__(self, node_id, availability_zone, version, heard_ms):
+        self.node_id = node_id
+        self.availability_zone = availability_zone
+        self.version = version
+        self.heard_ms = heard_ms
+
+
+class Publisher:
+    """Keeps the subscriptions of one control.
+
+    Attributes:
+        newest: VersionAccepted with the highest version, or None.
+        subscribers: Delivery of the Subscribe by session.
+        statuses: ProcessStatus by node id.
+        own: Node ids of this control's own subscribers.
+    """
+
+    __slots__ = ("newest", "subscribers", "statuses", "own")
+
+    def __init__(self):
+        self.newest = None
+        self.subscribers = {}
+        self.statuses = {}
+        self.own = set()
+
+    def accept(self, accepted):
+        """Pushes a version that is higher than all before."""
+        if self.newest is not None:
+            if accepted.version < self.newest.version:
+                return
+            if accepted.version == self.newest.version and accepted.stale:
+                return
+        self.newest = accepted
+        for delivery in self.subscribers.values():
+            self.push(delivery)
+
+    def push(self, delivery):
+        """Pushes the newest version to one subscriber."""
+        newest = self.newest
+        delivery.push(
+            ConfigUpdate(newest.version, newest.document, newest.stale)
+        )
+
+    def subscribe(self, delivery, now_ms):
+        """Adds a subscriber and brings it up to date."""
+        message = delivery.message
+        self.subscribers[delivery.session] = delivery
+        self.own.add(message.node_id)
+        self.record(message, now_ms)
+        if self.newest is not None and self.newest.version >= message.version:
+            self.push(delivery)
+
+    def record(self, report, now_ms):
+        """Keeps the highest version that a process has reported."""
+        known = self.statuses.get(report.node_id)
+        version = report.version
+        if known is not None:
+            version = max(version, known.version)
+        self.statuses[report.node_id] = ProcessStatus(
+            report.node_id, report.availability_zone, version, now_ms
+        )
+
+    def own_reports(self):
+        """Returns the reports of this control's own subscribers."""
+        return [
+            VersionReport(
+                status.node_id, status.availability_zone, status.version
+            )
+            for node_id, status in self.statuses.items()
+            if node_id in self.own
+        ]
+
+
+async def publish(inbound, publisher, clock, dialers):
+    """Owns the publisher.
+
+    Args:
+        inbound: Mailbox of VersionAccepted, StatusQuery and link messages.
+        publisher: The Publisher.
+        clock: Time source.
+        dialers: Dialers of the other controls, which get the reports.
+    """
+    reported_ms = clock.now()
+    while True:
+        message = await inbound.get_within(REPORT_INTERVAL_MS)
+        now_ms = clock.now()
+        changed = handle(publisher, message, now_ms)
+        if changed or now_ms - reported_ms >= REPORT_INTERVAL_MS:
+            reported_ms = now_ms
+            for report in publisher.own_reports():
+                for dialer in dialers:
+                    dialer.post(report)
+
+
+def handle(publisher, message, now_ms):
+    """Handles one message; returns whether reports are to be sent."""
+    if isinstance(message, VersionAccepted):
+        publisher.accept(message)
+    elif isinstance(message, StatusQuery):
+        message.reply.send(list(publisher.statuses.values()))
+    elif isinstance(message, LinkClosed):
+        publisher.subscribers.pop(message.session, None)
+    elif isinstance(message, Delivery):
+        return handle_delivery(publisher, message, now_ms)
+    return False
+
+
+def handle_delivery(publisher, delivery, now_ms):
+    """Handles a message of another process."""
+    if isinstance(delivery.message, Subscribe):
+        publisher.subscribe(delivery, now_ms)
+        return True
+    own = delivery.session in publisher.subscribers
+    publisher.record(delivery.message, now_ms)
+    return own
--- /dev/null
+++ b/wigeonport/requests.py
@@ -0,0 +1,116 @@
+"""Requests of callers and their answers."""
+
+COMPLETED = "completed"
+NOT_RUN = "not-run"
+UNKNOWN = "unknown"
+
+IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
+
+
+class CallerRequest:
+    """One request of a caller.
+
+    Attributes:
+        request_id: Unique id; the endpoint returns it unchanged.
+        service: First segment of the path.
+        method: HTTP method.
+        path: Path and query below the service, as bytes.
+        headers: Pairs of header name and value, as bytes.
+        body: The whole body.
+        key: Idempotency key, or None.
+        deadline_ms: Monotonic time after which the answer is useless.
+        received_ms: Monotonic time of arrival.
+        priority: Larger is more urgent.
+        attempts: Number of attempts made.
+        reply: Reply channel of the receiver.
+    """
+
+    __slots__ = (
+        "request_id",
+        "service",
+        "method",
+        "path",
+        "headers",
+        "body",
+        "key",
+        "deadline_ms",
+        "received_ms",
+        "priority",
+        "attempts",
+        "reply",
+    )
+
+    def __init__(
+        self,
+        request_id,
+        service,
+        method,
+        path,
+        headers,
+        body,
+        key,
+        deadline_ms,
+        received_ms,
+        priority,
+        reply,
+    ):
+        self.request_id = request_id
+        self.service = service
+        self.method = method
+        self.path = path
+        self.headers = headers
+        self.body = body
+        self.key = key
+        self.deadline_ms = deadline_ms
+        self.received_ms = received_ms
+        self.priority = priority
+        self.attempts = 0
+        self.reply = reply
+
+    @property
+    def repeatable(self):
+        """Whether a second run does no harm."""
+        return self.key is None and self.method in IDEMPOTENT_METHODS
+
+
+class CallerAnswer:
+    """The whole answer to a request.
+
+    Attributes:
+        status: HTTP status.
+        headers: Pairs of header name and value, as bytes.
+        body: The whole body.
+        outcome: COMPLETED, NOT_RUN or UNKNOWN.
+        reason: Why it is not completed, else an empty text.
+        retry_after_ms: When a retry makes sense, or None.
+    """
+
+    __slots__ = (
+        "status",
+        "headers",
+        "body",
+        "outcome",
+        "reason",
+        "retry_after_ms",
+    )
+
+    def __init__(
+        self, status, headers, body, outcome, reason="", retry_after_ms=None
+    ):
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.outcome = outcome
+        self.reason = reason
+        self.retry_after_ms = retry_after_ms
+
+
+def refuse(status, reason, retry_after_ms=None):
+    """Returns the answer to a request that was not run."""
+    body = f"{reason}\n".encode()
+    return CallerAnswer(status, [], body, NOT_RUN, reason, retry_after_ms)
+
+
+def leave_unknown(status, reason):
+    """Returns the answer to a request that may or may not have run."""
+    return CallerAnswer(status, [], f"{reason}\n".encode(), UNKNOWN, reason)
--- /dev/null
+++ b/wigeonport/servers.py
@@ -0,0 +1,145 @@
+"""HTTP servers: hypercorn set-up and the routes that every process has."""
+
+import json
+
+import hypercorn.trio
+import trio
+from hypercorn.config import Config
+
+from wigeonport.registries import Registry
+
+common_routes = Registry("route")
+
+MAX_HEADER_BYTES = 32_768
+KEEP_ALIVE_S = 30
+BACKLOG = 512
+
+
+class HttpResponse:
+    """A small response of our own.
+
+    Attributes:
+        status: HTTP status.
+        body: Bytes of the body.
+        content_type: Media type.
+    """
+
+    __slots__ = ("status", "body", "content_type")
+
+    def __init__(self, status, body, content_type="application/json"):
+        self.status = status
+        self.body = body
+        self.content_type = content_type
+
+
+def respond_json(status, document):
+    """Returns a response with a JSON body."""
+    return HttpResponse(status, json.dumps(document).encode() + b"\n")
+
+
+class ProcessInfo:
+    """What the common routes report.
+
+    Attributes:
+        metrics: Metrics of the process.
+        events: EventLog of the process, or None.
+        stopping: trio.Event that is set when a stop was asked for.
+    """
+
+    __slots__ = ("metrics", "events", "stopping")
+
+    def __init__(self, metrics, events, stopping):
+        self.metrics = metrics
+        self.events = events
+        self.stopping = stopping
+
+
+@common_routes.register("/metrics")
+def show_metrics(info):
+    """Returns the metrics as JSON."""
+    return respond_json(200, info.metrics.to_document())
+
+
+@common_routes.register("/healthz")
+def show_health(info):
+    """Returns 200, or 503 while the process stops."""
+    if info.stopping.is_set():
+        return respond_json(503, {"state": "stopping"})
+    return respond_json(200, {"state": "serving"})
+
+
+@common_routes.register("/events")
+def show_events(info):
+    """Returns the latest events as JSON Lines."""
+    if info.events is None:
+        return respond_json(404, {"error": "this process records no events"})
+    body = "".join(line + "\n" for line in info.events.lines()).encode()
+    return HttpResponse(200, body, "application/jsonl")
+
+
+async def send_response(send, response):
+    """Sends a small response over ASGI."""
+    headers = [
+        (b"content-type", response.content_type.encode()),
+        (b"content-length", str(len(response.body)).encode()),
+    ]
+    await send(
+        {
+            "type": "http.response.start",
+            "status": response.status,
+            "headers": headers,
+        }
+    )
+    await send({"type": "http.response.body", "body": response.body})
+
+
+async def answer_lifespan(receive, send):
+    """Answers the start and stop events of the ASGI server."""
+    while True:
+        event = await receive()
+        await send({"type": f"{event['type']}.complete"})
+        if event["type"] == "lifespan.shutdown":
+            return
+
+
+async def read_body(receive, limit_bytes):
+    """Returns the whole body, or None if it is too large or cut short."""
+    chunks, size = [], 0
+    while True:
+        event = await receive()
+        if event["type"] != "http.request":
+            return None
+        chunk = event.get("body", b"")
+        size += len(chunk)
+        if size > limit_bytes:
+            return None
+        chunks.append(chunk)
+        if not event.get("more_body", False):
+            return b"".join(chunks)
+
+
+def make_config(host, port, grace_ms):
+    """Returns the hypercorn configuration of one listener."""
+    config = Config()
+    config.bind = [f"{host}:{port}"]
+    config.backlog = BACKLOG
+    config.keep_alive_timeout = KEEP_ALIVE_S
+    config.graceful_timeout = grace_ms / 1000
+    config.shutdown_timeout = grace_ms / 1000
+    config.h11_max_incomplete_size = MAX_HEADER_BYTES
+    config.include_server_header = False
+    config.accesslog = None
+    config.errorlog = None
+    return config
+
+
+async def serve_http(
+    app, host, port, stopping, grace_ms, task_status=trio.TASK_STATUS_IGNORED
+):
+    """Serves an ASGI app until ``stopping`` is set, then drains."""
+    await hypercorn.trio.serve(
+        app,
+        make_config(host, port, grace_ms),
+        shutdown_trigger=stopping.wait,
+        task_status=task_status,
+    )
--- /dev/null
+++ b/wigeonport/subscriptions.py
@@ -0,0 +1,66 @@
+"""Subscriptions: an entry's links to the controls."""
+
+from wigeonport.configurations import ConfigUpdate, Subscribe, VersionReport
+from wigeonport.links import Delivery
+from wigeonport.logs import PartLogger
+
+logger = PartLogger("subscriptions")
+
+
+class ControlLinks:
+    """Dialers to the controls, those of the own VM and zone first.
+
+    Attributes:
+        dialers: Dialers in order of preference.
+        identity: Identity of this process.
+        configuration: Configuration of this process.
+    """
+
+    __slots__ = ("dialers", "identity", "configuration")
+
+    def __init__(self, identity, configuration):
+        self.dialers = []
+        self.identity = identity
+        self.configuration = configuration
+
+    def subscribe(self, dialer):
+        """Subscribes over a link that was just opened."""
+        dialer.post(
+            Subscribe(
+                self.identity.node_id,
+                self.identity.availability_zone,
+                self.configuration.version,
+            )
+        )
+
+    def report(self, version):
+        """Reports the version in force to every connected control."""
+        for dialer in self.dialers:
+            dialer.post(
+                VersionReport(
+                    self.identity.node_id,
+                    self.identity.availability_zone,
+                    version,
+                )
+            )
+
+    def preferred(self):
+        """Returns the connected dialers in order of preference."""
+        return [dialer for dialer in self.dialers if dialer.connected]
+
+
+async def sort_deliveries(inbound, configurations, entries):
+    """Passes arrivals to the filter that handles them.
+
+    Args:
+        inbound: Mailbox of all links of the process.
+        configurations: Mailbox for ConfigUpdates.
+        entries: Mailbox for the messages of other entries.
+    """
+    async for delivery in inbound:
+        if not isinstance(delivery, Delivery):
+            await entries.put(delivery)
+        elif isinstance(delivery.message, ConfigUpdate):
+            await configurations.put(delivery.message)
+        else:
+            await entries.put(delivery)
