Add the consensus core

Cause: the fleet versions and claims need a log that survives the loss of a minority of control VMs.

Change: Replica.step takes one event and returns entries and hard state to persist, messages, committed entries and replies. A replica id contains the identity of its data directory, so a replaced disk never counts as the voter that it replaces.

The test module follows.

--- /dev/null
+++ b/tests/network_simulations.py
@@ -0,0 +1,449 @@
+"""A deterministic network of replicas with injected failures.
+
+Each check raises AssertionError at the step that violates it.
+"""
+
+import hashlib
+import heapq
+import random
+
+from wigeonport.memberships import Member
+from wigeonport.replica_events import (
+    COMMITTED,
+    Outcome,
+    Persisted,
+    ProposalItem,
+    Propose,
+    ReadRequest,
+    Recovered,
+    RemoveMember,
+    ReplicaSettings,
+    Snapshot,
+    SnapshotTaken,
+    Tick,
+)
+from wigeonport.replicas import Replica
+from wigeonport.replication_messages import MEMBERS, node_of
+
+SEEDS = ("a", "b", "c")
+NODES = ("a", "b", "c", "d", "m")
+DISKLESS = ("m",)
+
+
+class Disk:
+    """What has survived: hard state, snapshot and entries."""
+
+    def __init__(self):
+        self.recovered = Recovered()
+
+    def write(self, persist, entry_limit=None):
+        """Applies a Persist, or part of it if it was not synced."""
+        kept = self.recovered
+        if persist.hard_state:
+            kept.hard_state = persist.hard_state
+        if persist.snapshot:
+            kept.snapshot = persist.snapshot
+            kept.entries = []
+        entries = persist.entries[:entry_limit]
+        if entries:
+            first_index = entries[0].index
+            kept.entries = [e for e in kept.entries if e.index < first_index]
+            kept.entries += entries
+
+    def read(self):
+        """Returns what a replica finds after a restart."""
+        kept = self.recovered
+        base_index = kept.snapshot.index if kept.snapshot else 0
+        entries = [e for e in kept.entries if e.index > base_index]
+        assert [e.index for e in entries] == list(
+            range(base_index + 1, base_index + 1 + len(entries))
+        )
+        return Recovered(kept.hard_state, kept.snapshot, entries)
+
+
+class Node:
+    """One VM: disk, clock and at times a running replica."""
+
+    def __init__(self, name, rate, offset_ms):
+        self.name = name
+        self.rate = rate
+        self.offset_ms = offset_ms
+        self.durable = name not in DISKLESS
+        self.disk = Disk()
+        self.identity = 0
+        self.replica = None
+        self.epoch = 0
+        self.unsynced = []
+        self.syncing = False
+        self.tick_ms = None
+        self.digest = b""
+        self.applied_index = 0
+        self.paused_until_ms = 0
+
+    def clock_ms(self, now_ms):
+        """Returns the drifting monotonic time of this node."""
+        return int(now_ms * self.rate) + self.offset_ms
+
+
+class Network:
+    """Runs one seeded schedule and checks the invariants."""
+
+    def __init__(self, seed, settings=None):
+        self.random = random.Random(seed)
+        self.settings = settings or ReplicaSettings(3, 5)
+        self.settings.piece_bytes = 7
+        self.settings.append_bytes = 300
+        self.settings.window_entries = 8
+        self.settings.replace_voter_ms = 8_000
+        self.settings.forget_learner_ms = 20_000
+        self.now_ms = 1_000
+        self.queue = []
+        self.counter = 1
+        self.loss = 0.0
+        self.blocked = set()
+        self.leaders = {}
+        self.committed = {}
+        self.digests = {0: b""}
+        self.acked = {}
+        self.reads = {}
+        self.lost_ids = set()
+        self.known_members = None
+        self.steps = 0
+        rates = [0.97, 1.0, 1.03]
+        self.nodes = {
+            name: Node(
+                name, self.random.choice(rates), self.random.randrange(9_000)
+            )
+            for name in NODES
+        }
+
+    def at(self, delay_ms, action, *arguments):
+        """Schedules a call."""
+        self.counter += 1
+        heapq.heappush(
+            self.queue,
+            (self.now_ms + delay_ms, self.counter, action, arguments),
+        )
+
+    def run_until(self, end_ms):
+        """Runs the scheduled calls up to a time."""
+        while self.queue and self.queue[0][0] <= end_ms:
+            self.now_ms, _, action, arguments = heapq.heappop(self.queue)
+            action(*arguments)
+        self.now_ms = end_ms
+
+    def start(self, node):
+        """Starts the replica from what its disk holds."""
+        if not node.durable or node.identity == 0:
+            node.identity = self.counter
+            node.disk = Disk()
+        recovered = node.disk.read()
+        node.unsynced = []
+        node.syncing = False
+        node.tick_ms = None
+        node.replica = Replica(
+            f"{node.name}/{node.identity}",
+            SEEDS,
+            node.durable,
+            recovered,
+            node.clock_ms(self.now_ms),
+            self.random,
+            self.settings,
+        )
+        node.applied_index = 0
+        node.digest = b""
+        if recovered.snapshot:
+            self.install(node, recovered.snapshot)
+        self.plan_tick(node)
+
+    def crash(self, node, lose_disk=False):
+        """Stops the replica; unsynced writes survive in part."""
+        if node.replica is None:
+            return
+        if self.random.random() < 0.5:
+            for persist in node.unsynced[: self.random.randrange(4)]:
+                node.disk.write(persist)
+            # A torn write: only the first entries of a batch survive.
+        if lose_disk or not node.durable:
+            self.lost_ids.add(node.replica.replica_id)
+            node.identity = 0
+        node.replica = None
+        node.epoch += 1
+
+    def may_lose_disk(self, node):
+        """Returns whether a quorum keeps its data in every known view."""
+        lost = self.lost_ids | {f"{node.name}/{node.identity}"}
+        for other in self.nodes.values():
+            if other.replica is None:
+                return False
+            for _, members in other.replica.log.history:
+                gone = len(lost & set(members.voters))
+                if gone > len(members.voters) - members.quorum():
+                    return False
+        return True
+
+    def step(self, node, event):
+        """Runs one step of a replica and handles its Output."""
+        replica = node.replica
+        self.steps += 1
+        if self.now_ms < node.paused_until_ms:
+            delay_ms = node.paused_until_ms - self.now_ms
+            self.at(delay_ms, self.later, node, node.epoch, event)
+            return
+        out = replica.step(event, node.clock_ms(self.now_ms))
+        if out.persist:
+            node.unsynced.append(out.persist)
+            self.sync(node)
+        for message in out.messages:
+            self.carry(node, message)
+        if out.install:
+            assert out.install.index > node.applied_index
+            self.install(node, out.install)
+        for entry in out.committed:
+            self.apply(node, entry)
+        for reply in out.replies:
+            self.answered(node, reply)
+        self.check_leaders(node)
+        self.plan_tick(node)
+
+    def later(self, node, epoch, event):
+        """Runs a step unless the replica has crashed meanwhile."""
+        if node.replica is not None and node.epoch == epoch:
+            self.step(node, event)
+
+    def plan_tick(self, node):
+        """Schedules the next Tick."""
+        due_ms = node.replica.next_deadline_ms() - node.offset_ms
+        due_ms = max(int(due_ms / node.rate) + 1, self.now_ms + 1)
+        if node.tick_ms is None or due_ms < node.tick_ms:
+            node.tick_ms = due_ms
+            self.at(due_ms - self.now_ms, self.tick, node, node.epoch, due_ms)
+
+    def tick(self, node, epoch, due_ms):
+        """Fires a timer."""
+        if node.epoch == epoch and node.tick_ms == due_ms:
+            node.tick_ms = None
+            self.later(node, epoch, Tick())
+
+    def sync(self, node):
+        """Starts an fsync of all that waits, unless one is running."""
+        if node.syncing or not node.unsynced:
+            return
+        node.syncing = True
+        delay_ms = self.random.choice([1, 2, 5, 30, 200])
+        batch = list(node.unsynced)
+        self.at(delay_ms, self.synced, node, node.epoch, batch)
+
+    def synced(self, node, epoch, batch):
+        """Ends an fsync."""
+        if node.epoch != epoch or node.replica is None:
+            return
+        for persist in batch:
+            node.disk.write(persist)
+        node.unsynced = node.unsynced[len(batch) :]
+        node.syncing = False
+        self.sync(node)
+        self.step(node, Persisted(batch[-1].sequence))
+
+    def carry(self, node, message):
+        """Delivers a message late, twice or never."""
+        target = self.nodes[node_of(message.recipient)]
+        copies = self.random.choices([0, 1, 2], [self.loss, 1, self.loss])[0]
+        for _ in range(copies):
+            delay_ms = self.random.choice([1, 2, 3, 8])
+            if self.random.random() < self.loss:
+                delay_ms = self.random.randrange(3_000)
+            self.at(delay_ms, self.arrive, node.name, target, message)
+
+    def arrive(self, sender, target, message):
+        """Hands over a message if both are connected."""
+        if target.replica and (sender, target.name) not in self.blocked:
+            self.step(target, message)
+
+    def install(self, node, snapshot):
+        """Replaces the state of a node by a snapshot."""
+        node.digest = snapshot.data
+        node.applied_index = snapshot.index
+        assert self.digests[snapshot.index] == snapshot.data
+
+    def apply(self, node, entry):
+        """Applies an entry and compares it with the other nodes."""
+        assert entry.index == node.applied_index + 1
+        node.applied_index = entry.index
+        key = (entry.term, entry.payload)
+        known = self.committed.setdefault(entry.index, key)
+        assert known == key, f"index {entry.index} has two entries"
+        node.digest = hashlib.sha256(node.digest + entry.payload).digest()
+        self.digests.setdefault(entry.index, node.digest)
+        assert self.digests[entry.index] == node.digest
+
+    def answered(self, node, reply):
+        """Records an acknowledgement, or checks a read."""
+        if not isinstance(reply, Outcome):
+            if reply.index >= 0:
+                assert reply.index >= self.reads[reply.number], "stale read"
+            return
+        if reply.outcome == COMMITTED:
+            self.acked[reply.index] = reply.number
+
+    def check_leaders(self, node):
+        """Checks election safety and the lease."""
+        replica = node.replica
+        if not replica.is_leader():
+            return
+        first = self.leaders.setdefault(replica.term, replica.replica_id)
+        assert first == replica.replica_id, f"two leaders in {replica.term}"
+        for other in self.nodes.values():
+            if other.replica is None or not other.replica.is_leader():
+                continue
+            if other.replica.term < replica.term:
+                now_ms = other.clock_ms(self.now_ms)
+                until_ms = other.replica.lease_until_ms()
+                assert now_ms >= until_ms, "lease outlives an election"
+
+    def check_end(self):
+        """Checks that nothing acknowledged is missing anywhere."""
+        logs = {}
+        last_index = max(self.acked, default=0)
+        for node in self.nodes.values():
+            assert node.applied_index >= last_index, f"{node.name} is behind"
+            for entry in node.replica.log.entries:
+                key = (entry.index, entry.term)
+                value = (entry.kind, entry.payload)
+                assert logs.setdefault(key, value) == value
+        for index, number in self.acked.items():
+            kind_payload = self.committed[index][1]
+            if number < 1_000_000:
+                assert kind_payload == b"%d" % number, f"lost {number}"
+
+
+class Schedule:
+    """Injects proposals, reads and failures at random."""
+
+    def __init__(self, seed, network=None):
+        self.network = network or Network(seed)
+        self.random = random.Random(seed + 7)
+        self.number = 0
+
+    def running(self):
+        """Returns the nodes whose replica runs."""
+        nodes = self.network.nodes.values()
+        return [node for node in nodes if node.replica is not None]
+
+    def act(self):
+        """Does one random thing and schedules the next."""
+        choice = self.random.choices(
+            [self.propose, self.read, self.snapshot, self.fail],
+            [60, 15, 10, 15],
+        )[0]
+        choice()
+        self.network.at(self.random.randrange(1, 120), self.act)
+
+    def propose(self):
+        """Proposes a small batch at a random node, often the leader."""
+        items = []
+        for _ in range(self.random.randrange(1, 4)):
+            self.number += 1
+            items.append(ProposalItem(self.number, b"%d" % self.number))
+        nodes = self.running()
+        leaders = [node for node in nodes if node.replica.is_leader()]
+        if nodes:
+            node = self.random.choice(leaders or nodes)
+            self.network.step(node, Propose(items))
+
+    def read(self):
+        """Reads at a random leader."""
+        leaders = [n for n in self.running() if n.replica.is_leader()]
+        if leaders:
+            self.number += 1
+            network = self.network
+            network.reads[self.number] = max(network.acked, default=0)
+            request = ReadRequest(self.number)
+            network.step(self.random.choice(leaders), request)
+
+    def snapshot(self):
+        """Takes a snapshot at a random node."""
+        nodes = self.running()
+        if not nodes:
+            return
+        node = self.random.choice(nodes)
+        log = node.replica.log
+        index = node.applied_index
+        term = log.term_at(index)
+        if term is None or index <= log.base_index:
+            return
+        taken = Snapshot(index, term, log.members_at(index), node.digest)
+        node.disk.recovered.snapshot = taken
+        self.network.step(node, SnapshotTaken(taken))
+
+    def fail(self):
+        """Injects or heals one failure."""
+        network = self.network
+        node = self.random.choice(list(network.nodes.values()))
+        kind = self.random.randrange(8)
+        if kind == 0:
+            network.loss = self.random.choice([0.0, 0.05, 0.3])
+        elif kind == 1:
+            network.blocked = {
+                (one, two)
+                for one in NODES
+                for two in NODES
+                if self.random.random() < 0.3
+            }
+        elif kind == 2:
+            side = {name for name in NODES if self.random.random() < 0.5}
+            network.blocked = {
+                (one, two)
+                for one in NODES
+                for two in NODES
+                if (one in side) != (two in side)
+            }
+        elif kind in (3, 4):
+            network.blocked = set()
+        elif kind == 5:
+            network.crash(node)
+            if self.random.random() < 0.3:
+                for other in network.nodes.values():
+                    network.crash(other)
+        elif kind == 6 and network.may_lose_disk(node):
+            network.crash(node, lose_disk=True)
+        elif kind == 7:
+            self.disturb(node)
+        self.network.at(self.random.randrange(4_000), self.restart)
+
+    def disturb(self, node):
+        """Pauses a node, or removes a member."""
+        network = self.network
+        if self.random.random() < 0.7:
+            network.paused_until_ms = network.now_ms + 4_000
+            node.paused_until_ms = network.now_ms + self.random.randrange(4000)
+        elif node.replica and node.replica.is_leader():
+            ids = sorted(node.replica.members().by_id)
+            if len(node.replica.members().voters) >= 3:
+                target = self.random.choice(ids)
+                network.step(node, RemoveMember(1_000_000, target))
+
+    def restart(self):
+        """Starts what is stopped."""
+        for node in self.network.nodes.values():
+            if node.replica is None:
+                self.network.start(node)
+
+    def run(self, duration_ms=15_000, settle_ms=25_000):
+        """Runs the schedule, heals everything and checks the end."""
+        network = self.network
+        for node in network.nodes.values():
+            network.start(node)
+            network.counter += 1
+        network.at(3_000, self.act)
+        network.run_until(network.now_ms + duration_ms)
+        network.queue = [
+            item for item in network.queue if item[2].__name__ != "act"
+        ]
+        heapq.heapify(network.queue)
+        network.loss = 0.0
+        network.blocked = set()
+        self.restart()
+        network.run_until(network.now_ms + settle_ms)
+        network.check_end()
+        return network
--- /dev/null
+++ b/wigeonport/appends.py
@@ -0,0 +1,320 @@
+"""Replication of entries from the leader to the other members."""
+
+from wigeonport import reads, transfers
+from wigeonport.replica_events import handles
+from wigeonport.replication_messages import Append, AppendReply
+
+PROBE = "probe"
+REPLICATE = "replicate"
+SNAPSHOT = "snapshot"
+
+# Delay before the leader announces a new commit index by itself; under
+# load the next Append carries it and no extra message is needed.
+COMMIT_NOTICE_MS = 20
+
+
+class Progress:
+    """What the leader knows of one peer.
+
+    Attributes:
+        mode: ``probe`` (searching the last matching entry, one Append
+            at a time), ``replicate`` (pipelined) or ``snapshot``.
+        match_index: Highest index known to be durable there.
+        next_index: Next index to send.
+        probe_sent: Whether the Append of a probe awaits its answer.
+        heard_ms: When the peer was heard last.
+        acked_sent_ms: Highest send time of an acknowledged Append.
+        round: Highest acknowledged heartbeat round.
+        sent_commit: Highest commit index sent.
+        snapshot: Snapshot being transferred, or None.
+        offset: Bytes of it that the peer has received.
+        piece_sent_ms: When the last piece was sent.
+    """
+
+    __slots__ = (
+        "mode",
+        "match_index",
+        "next_index",
+        "probe_sent",
+        "heard_ms",
+        "acked_sent_ms",
+        "round",
+        "sent_commit",
+        "snapshot",
+        "offset",
+        "piece_sent_ms",
+    )
+
+    def __init__(self, next_index, now_ms):
+        self.mode = PROBE
+        self.match_index = 0
+        self.next_index = next_index
+        self.probe_sent = False
+        self.heard_ms = now_ms
+        self.acked_sent_ms = 0
+        self.round = 0
+        self.sent_commit = 0
+        self.snapshot = None
+        self.offset = 0
+        self.piece_sent_ms = 0
+
+
+def refresh_progress(replica):
+    """Keeps one Progress for each other member."""
+    wanted = set(replica.members().by_id) - {replica.replica_id}
+    for replica_id in set(replica.progress) - wanted:
+        del replica.progress[replica_id]
+    for replica_id in sorted(wanted - set(replica.progress)):
+        replica.progress[replica_id] = Progress(
+            max(1, replica.log.last_index()), replica.now_ms
+        )
+
+
+def send_all(replica):
+    """Sends waiting entries to every peer."""
+    for replica_id, progress in replica.progress.items():
+        send_entries(replica, replica_id, progress)
+
+
+def send_entries(replica, replica_id, progress):
+    """Sends what the window of one peer permits."""
+    log = replica.log
+    if progress.mode == SNAPSHOT:
+        return
+    if log.term_at(progress.next_index - 1) is None:
+        progress.mode = SNAPSHOT
+        transfers.start(replica, replica_id, progress)
+        return
+    if progress.mode == PROBE:
+        if not progress.probe_sent and progress.next_index <= log.last_index():
+            progress.probe_sent = True
+            _send(replica, replica_id, progress, _batch(replica, progress))
+        return
+    while progress.next_index <= log.last_index():
+        batch = _batch(replica, progress)
+        if not batch:
+            return
+        _send(replica, replica_id, progress, batch)
+        progress.next_index += len(batch)
+
+
+def _batch(replica, progress):
+    settings = replica.settings
+    limit_index = progress.next_index + settings.window_entries - 1
+    if progress.mode == REPLICATE:
+        limit_index = progress.match_index + settings.window_entries
+    if limit_index < progress.next_index:
+        return []
+    return replica.log.batch(
+        progress.next_index, limit_index, settings.append_bytes
+    )
+
+
+def _send(replica, replica_id, progress, entries):
+    prev_index = progress.next_index - 1
+    prev_term = replica.log.term_at(prev_index)
+    if progress.mode == SNAPSHOT or prev_term is None:
+        # Index 0 matches every log, so this is a heartbeat only.
+        prev_index, prev_term, entries = 0, 0, []
+    progress.sent_commit = replica.commit_index
+    replica.send(
+        Append(
+            replica.term,
+            replica.replica_id,
+            replica_id,
+            prev_index,
+            prev_term,
+            entries,
+            replica.commit_index,
+            replica.round,
+            replica.now_ms,
+        )
+    )
+
+
+def beat(replica):
+    """Sends the heartbeats and commit notices that are due."""
+    now_ms = replica.now_ms
+    settings = replica.settings
+    voters_due = now_ms >= replica.voter_beat_ms
+    learners_due = now_ms >= replica.learner_beat_ms
+    if voters_due or learners_due:
+        replica.round += 1
+    if voters_due:
+        replica.voter_beat_ms = now_ms + settings.heartbeat_ms
+    if learners_due:
+        replica.learner_beat_ms = now_ms + settings.learner_heartbeat_ms
+    notice_due = (
+        replica.commit_due_ms is not None and now_ms >= replica.commit_due_ms
+    )
+    if notice_due:
+        replica.commit_due_ms = None
+    members = replica.members()
+    for replica_id, progress in replica.progress.items():
+        due = voters_due if members.is_voter(replica_id) else learners_due
+        if due:
+            _beat_peer(replica, replica_id, progress)
+        elif notice_due and progress.sent_commit < replica.commit_index:
+            _send(replica, replica_id, progress, [])
+
+
+def beat_now(replica):
+    """Starts a heartbeat round to all members at once."""
+    replica.voter_beat_ms = replica.now_ms
+    replica.learner_beat_ms = replica.now_ms
+    beat(replica)
+
+
+def _beat_peer(replica, replica_id, progress):
+    """Sends one heartbeat, with entries if the peer lacks some."""
+    if progress.mode == SNAPSHOT:
+        _send(replica, replica_id, progress, [])
+        transfers.resend(replica, replica_id, progress)
+        return
+    progress.probe_sent = False
+    sent_count = len(replica.out.messages)
+    send_entries(replica, replica_id, progress)
+    if len(replica.out.messages) == sent_count:
+        _send(replica, replica_id, progress, [])
+
+
+def advance_commit(replica):
+    """Commits what a quorum has made durable.
+
+    Only an entry of the current term is committed by counting; earlier
+    ones are committed with it (Raft, section 5.4.2).
+    """
+    index = replica.quorum_value(
+        replica.log.durable_index,
+        lambda progress: progress.match_index,
+    )
+    if index <= replica.commit_index:
+        return
+    if replica.log.term_at(index) != replica.term:
+        return
+    replica.commit_to(index)
+    if replica.commit_due_ms is None:
+        replica.commit_due_ms = replica.now_ms + COMMIT_NOTICE_MS
+    reads.answer(replica)
+    members = replica.members()
+    if replica.replica_id not in members.by_id and (
+        replica.log.members_index() <= replica.commit_index
+    ):
+        send_all(replica)
+        replica.become_follower(replica.term, "")
+
+
+@handles(Append)
+def on_append(replica, message):
+    """Takes entries from the leader."""
+    if not replica.admit(message):
+        return
+    replica.follow(message.sender)
+    log = replica.log
+    prev_index = message.prev_index
+    if prev_index >= log.base_index and (
+        log.term_at(prev_index) != message.prev_term
+    ):
+        _reject(replica, message)
+        return
+    for entry in message.entries:
+        if entry.index <= log.base_index:
+            continue
+        term = log.term_at(entry.index)
+        if term == entry.term:
+            continue
+        if term is not None:
+            replica.truncate_from(entry.index)
+        log.append(entry)
+        replica.persist.entries.append(entry)
+    last_index = prev_index + len(message.entries)
+    replica.verified_index = max(replica.verified_index, last_index)
+    replica.commit_to(min(message.commit_index, replica.verified_index))
+    acknowledge(replica, message.round, message.sent_ms)
+
+
+def acknowledge(replica, round=0, sent_ms=0):
+    """Tells the leader what is durable here."""
+    replica.send_durable(
+        AppendReply(
+            replica.term,
+            replica.replica_id,
+            replica.leader_id,
+            True,
+            min(replica.verified_index, replica.log.durable_index),
+            0,
+            round,
+            sent_ms,
+        )
+    )
+
+
+def _reject(replica, message):
+    """Names the index from which the leader should try again."""
+    log = replica.log
+    hint_index = log.last_index()
+    if message.prev_index <= hint_index:
+        hint_index = log.first_index_of_term(message.prev_index) - 1
+    replica.send_durable(
+        AppendReply(
+            replica.term,
+            replica.replica_id,
+            message.sender,
+            False,
+            max(hint_index, replica.commit_index),
+            message.prev_index,
+            message.round,
+            message.sent_ms,
+        )
+    )
+
+
+@handles(AppendReply)
+def on_append_reply(replica, message):
+    """Advances the progress of a peer."""
+    if not replica.admit(message) or not replica.is_leader():
+        return
+    progress = replica.progress.get(message.sender)
+    if progress is None:
+        return
+    progress.heard_ms = replica.now_ms
+    progress.round = max(progress.round, message.round)
+    progress.acked_sent_ms = max(progress.acked_sent_ms, message.sent_ms)
+    if message.success:
+        _on_success(replica, progress, message.match_index)
+        advance_commit(replica)
+    else:
+        _on_failure(progress, message)
+    if not replica.is_leader():
+        return
+    reads.answer(replica)
+    send_entries(replica, message.sender, progress)
+
+
+def _on_success(replica, progress, match_index):
+    progress.match_index = max(progress.match_index, match_index)
+    progress.next_index = max(progress.next_index, progress.match_index + 1)
+    if progress.mode == PROBE:
+        progress.mode = REPLICATE
+    elif progress.mode == SNAPSHOT and (
+        progress.match_index >= progress.snapshot.index
+    ):
+        progress.mode = REPLICATE
+        progress.snapshot = None
+        progress.next_index = progress.match_index + 1
+
+
+def _on_failure(progress, message):
+    """Goes back to the follower's hint, unless the answer is stale."""
+    if progress.mode == SNAPSHOT:
+        return
+    if message.prev_index <= progress.match_index:
+        return
+    if progress.mode == PROBE and (
+        message.prev_index != progress.next_index - 1
+    ):
+        return
+    retry_index = min(message.match_index + 1, message.prev_index)
+    progress.next_index = max(progress.match_index + 1, retry_index)
+    progress.mode = PROBE
+    progress.probe_sent = False
--- /dev/null
+++ b/wigeonport/elections.py
@@ -0,0 +1,190 @@
+"""Elections, terms and the leader's lease."""
+
+from wigeonport import appends
+from wigeonport.replica_events import (
+    CANDIDATE,
+    LEADER,
+    PRE_CANDIDATE,
+    handles,
+)
+from wigeonport.replication_messages import (
+    BLANK,
+    PreVote,
+    PreVoteReply,
+    Vote,
+    VoteReply,
+)
+
+
+def may_campaign(replica):
+    """Returns whether the replica may start an election."""
+    return replica.durable and replica.members().is_voter(replica.replica_id)
+
+
+def is_abandoned(replica):
+    """Returns whether no leader contacts this replica."""
+    limit_ms = 2 * replica.settings.learner_heartbeat_ms
+    silent_ms = replica.now_ms - replica.leader_contact_ms
+    return replica.blank() or silent_ms >= limit_ms
+
+
+def check_quorum(replica):
+    """Steps down and returns False if no quorum was heard recently."""
+    heard_ms = replica.quorum_value(
+        replica.now_ms, lambda progress: progress.heard_ms
+    )
+    if replica.now_ms - heard_ms <= replica.settings.election_ms:
+        return True
+    replica.become_follower(replica.term, "")
+    return False
+
+
+def _has_promised(replica):
+    """Returns whether a vote now could break a leader's lease."""
+    if replica.role == LEADER:
+        return replica.now_ms < replica.lease_until_ms()
+    silent_ms = replica.now_ms - replica.leader_contact_ms
+    return silent_ms < replica.settings.election_ms
+
+
+def _is_up_to_date(replica, message):
+    """Returns whether the candidate's log is not behind this one."""
+    own = (replica.log.last_term(), replica.log.last_index())
+    return (message.last_term, message.last_index) >= own
+
+
+def start_pre_vote(replica):
+    """Asks the voters whether an election could be won."""
+    replica.role = PRE_CANDIDATE
+    replica.leader_id = ""
+    replica.votes = {replica.replica_id}
+    _ask_voters(replica, PreVote, replica.term + 1, replica.send)
+    _count(replica)
+
+
+def _start_election(replica):
+    replica.role = CANDIDATE
+    replica.votes = set()
+    replica.set_hard_state(replica.term + 1, replica.replica_id)
+    replica.verified_index = replica.commit_index
+    replica.incoming = None
+    replica.restart_timer()
+    _ask_voters(replica, Vote, replica.term, replica.send_durable)
+
+
+def _ask_voters(replica, kind, term, send):
+    log = replica.log
+    for voter in replica.members().voters:
+        if voter != replica.replica_id:
+            send(
+                kind(
+                    term,
+                    replica.replica_id,
+                    voter,
+                    log.last_index(),
+                    log.last_term(),
+                )
+            )
+
+
+def count_own_vote(replica):
+    """Counts the candidate's own vote once it is durable."""
+    if replica.role != CANDIDATE:
+        return
+    if replica.hard_sequence <= replica.durable_sequence:
+        replica.votes.add(replica.replica_id)
+        _count(replica)
+
+
+def _count(replica):
+    """Goes on to the next stage of the election if a quorum agreed."""
+    members = replica.members()
+    granted = replica.votes.intersection(members.voters)
+    if len(granted) < members.quorum():
+        return
+    if replica.role == PRE_CANDIDATE:
+        _start_election(replica)
+    elif replica.role == CANDIDATE:
+        start_term(replica)
+
+
+def start_term(replica):
+    """Makes the winner of an election the leader."""
+    replica.role = LEADER
+    replica.leader_id = replica.replica_id
+    replica.progress = {}
+    replica.proposals = {}
+    replica.reads = []
+    replica.round = 0
+    replica.votes = set()
+    replica.term_start_index = replica.log.last_index() + 1
+    appends.refresh_progress(replica)
+    replica.append_own(BLANK, b"")
+    appends.beat_now(replica)
+
+
+@handles(PreVote)
+def on_pre_vote(replica, message):
+    """Answers whether this replica would vote; changes no term."""
+    if message.recipient != replica.replica_id or not replica.durable:
+        return
+    granted = (
+        message.term > replica.term
+        and not _has_promised(replica)
+        and _is_up_to_date(replica, message)
+    )
+    replica.send_durable(
+        PreVoteReply(
+            replica.term,
+            replica.replica_id,
+            message.sender,
+            message.term,
+            granted,
+        )
+    )
+
+
+@handles(PreVoteReply)
+def on_pre_vote_reply(replica, message):
+    """Counts a pre-vote."""
+    if message.recipient != replica.replica_id:
+        return
+    if message.term > replica.term:
+        replica.become_follower(message.term, "")
+    if replica.role != PRE_CANDIDATE:
+        return
+    # A voter that lags behind grants the pre-vote at a lower term.
+    if message.granted and message.proposed_term == replica.term + 1:
+        replica.votes.add(message.sender)
+        _count(replica)
+
+
+@handles(Vote)
+def on_vote(replica, message):
+    """Votes at most once in a term, and never against a live lease."""
+    if message.recipient != replica.replica_id or not replica.durable:
+        return
+    if _has_promised(replica) or not replica.admit(message):
+        return
+    granted = (
+        replica.vote in ("", message.sender)
+        and not replica.leader_id
+        and _is_up_to_date(replica, message)
+    )
+    if granted:
+        if not replica.vote:
+            replica.set_hard_state(replica.term, message.sender)
+        replica.restart_timer()
+    replica.send_durable(
+        VoteReply(replica.term, replica.replica_id, message.sender, granted)
+    )
+
+
+@handles(VoteReply)
+def on_vote_reply(replica, message):
+    """Counts a vote."""
+    if not replica.admit(message) or replica.role != CANDIDATE:
+        return
+    if message.granted:
+        replica.votes.add(message.sender)
+        _count(replica)
--- /dev/null
+++ b/wigeonport/memberships.py
@@ -0,0 +1,246 @@
+"""Members of the replicated log and changes to them, one at a time."""
+
+import json
+
+from wigeonport.replica_events import (
+    REFUSED,
+    Outcome,
+    RemoveMember,
+    handles,
+)
+from wigeonport.replication_messages import (
+    MEMBERS,
+    JoinReply,
+    JoinRequest,
+    node_of,
+)
+
+
+class Member:
+    """One replica.
+
+    Attributes:
+        replica_id: ``node/identity``.
+        voter: Whether it counts towards a quorum.
+        durable: Whether it keeps its log on a disk.
+    """
+
+    __slots__ = ("replica_id", "voter", "durable")
+
+    def __init__(self, replica_id, voter, durable):
+        self.replica_id = replica_id
+        self.voter = voter
+        self.durable = durable
+
+
+class Members:
+    """An immutable set of members.
+
+    Attributes:
+        by_id: Member by replica id.
+        voters: Sorted replica ids of the voters.
+    """
+
+    __slots__ = ("by_id", "voters")
+
+    def __init__(self, members=()):
+        self.by_id = {member.replica_id: member for member in members}
+        self.voters = sorted(m.replica_id for m in members if m.voter)
+
+    def quorum(self):
+        """Returns the number of voters that form a quorum."""
+        return len(self.voters) // 2 + 1
+
+    def is_voter(self, replica_id):
+        """Returns whether the replica is a voter."""
+        member = self.by_id.get(replica_id)
+        return member is not None and member.voter
+
+    def with_member(self, member):
+        """Returns members in which ``member`` replaces its node's."""
+        node = node_of(member.replica_id)
+        kept = [
+            other
+            for other in self.by_id.values()
+            if node_of(other.replica_id) != node
+        ]
+        return Members([*kept, member])
+
+    def without(self, replica_id):
+        """Returns members without one replica."""
+        return Members(
+            [
+                member
+                for member in self.by_id.values()
+                if member.replica_id != replica_id
+            ]
+        )
+
+    def to_payload(self):
+        """Returns the members as bytes for an entry or a snapshot."""
+        rows = sorted(
+            [member.replica_id, member.voter, member.durable]
+            for member in self.by_id.values()
+        )
+        return json.dumps(rows).encode()
+
+    @classmethod
+    def from_payload(cls, payload):
+        """Reads the bytes that ``to_payload`` wrote."""
+        return cls([Member(*row) for row in json.loads(payload or b"[]")])
+
+
+def may_change(replica):
+    """Returns whether the leader may append a change of members.
+
+    Single-step changes are safe only if one is pending at a time and
+    the leader has committed an entry of its own term.
+    """
+    return (
+        replica.is_leader()
+        and replica.commit_index >= replica.term_start_index
+        and replica.log.members_index() <= replica.commit_index
+    )
+
+
+def change(replica, members):
+    """Appends a change of members; the caller has asked may_change."""
+    replica.append_own(MEMBERS, members.to_payload())
+
+
+@handles(RemoveMember)
+def on_remove(replica, event):
+    """Removes a member, or refuses while another change is pending."""
+    members = replica.members()
+    if not may_change(replica) or event.replica_id not in members.by_id:
+        replica.out.replies.append(
+            Outcome(event.number, REFUSED, "cannot change members now", 0)
+        )
+        return
+    change(replica, members.without(event.replica_id))
+    replica.proposals[replica.log.last_index()] = event.number
+    replica.broadcast()
+
+
+@handles(JoinRequest)
+def on_join_request(replica, message):
+    """Answers a replica without a leader; the leader adds it."""
+    if message.recipient != replica.node:
+        return
+    reply = JoinReply(
+        replica.replica_id, message.sender, replica.durable, replica.blank()
+    )
+    replica.out.messages.append(reply)
+    members = replica.members()
+    if message.sender in members.by_id or not may_change(replica):
+        return
+    node = node_of(message.sender)
+    if node == replica.node or _node_is_active(replica, node):
+        return
+    learner = Member(message.sender, False, message.durable)
+    change(replica, members.with_member(learner))
+    replica.broadcast()
+
+
+def _node_is_active(replica, node):
+    """Returns whether a present member of the node was heard recently.
+
+    A delayed JoinRequest of an earlier identity must not replace the
+    current one.
+    """
+    limit_ms = replica.now_ms - replica.settings.learner_heartbeat_ms * 2
+    return any(
+        progress.heard_ms > limit_ms
+        for replica_id, progress in replica.progress.items()
+        if node_of(replica_id) == node
+    )
+
+
+@handles(JoinReply)
+def on_join_reply(replica, message):
+    """Forms a new cluster once every initial voter has a blank log.
+
+    Only the first node of the sorted list does so, and only with the
+    answers of all: a node that lost its disk finds a peer with a log
+    and joins instead.
+    """
+    if message.recipient != replica.replica_id or not replica.blank():
+        return
+    if not replica.durable or replica.node != min(replica.seeds, default=""):
+        return
+    node = node_of(message.sender)
+    if not (message.blank and message.durable) or node not in replica.seeds:
+        replica.blank_peers.pop(node, None)
+        return
+    replica.blank_peers[node] = message.sender
+    others = set(replica.seeds) - {replica.node}
+    if others <= set(replica.blank_peers):
+        found(replica)
+
+
+def found(replica):
+    """Writes the first entry, which names the initial voters."""
+    ids = [replica.replica_id, *replica.blank_peers.values()]
+    members = Members([Member(replica_id, True, True) for replica_id in ids])
+    replica.become_follower(1, "")
+    replica.append_local(1, MEMBERS, members.to_payload())
+
+
+def ask_to_join(replica):
+    """Sends JoinRequests to the known nodes while there is no leader."""
+    nodes = set(replica.seeds)
+    nodes.update(node_of(each) for each in replica.members().by_id)
+    nodes.discard(replica.node)
+    if not nodes and replica.blank() and replica.seeds and replica.durable:
+        found(replica)
+    for node in sorted(nodes):
+        replica.out.messages.append(
+            JoinRequest(
+                replica.replica_id, node, replica.durable, replica.blank()
+            )
+        )
+
+
+def review(replica):
+    """On the leader: promotes, replaces and forgets members if due."""
+    if not may_change(replica):
+        return
+    members = replica.members()
+    if replica.replica_id not in members.by_id:
+        return
+    ready = _ready_learner(replica, members)
+    settings = replica.settings
+    silent_voter = _silent(replica, True, settings.replace_voter_ms)
+    silent_learner = _silent(replica, False, settings.forget_learner_ms)
+    if ready and len(members.voters) < settings.target_voters:
+        member = Member(ready, True, True)
+        change(replica, members.with_member(member))
+    elif ready and silent_voter:
+        change(replica, members.without(silent_voter))
+    elif silent_learner:
+        change(replica, members.without(silent_learner))
+
+
+def _ready_learner(replica, members):
+    """Returns a learner with a disk that has caught up, or None."""
+    recent_ms = replica.now_ms - 2 * replica.settings.learner_heartbeat_ms
+    for replica_id in sorted(members.by_id):
+        member = members.by_id[replica_id]
+        progress = replica.progress.get(replica_id)
+        if member.voter or not member.durable or progress is None:
+            continue
+        if progress.match_index >= replica.commit_index and (
+            progress.heard_ms >= recent_ms
+        ):
+            return replica_id
+    return None
+
+
+def _silent(replica, voter, limit_ms):
+    for replica_id, progress in sorted(replica.progress.items()):
+        member = replica.members().by_id[replica_id]
+        if member.voter == voter and (
+            replica.now_ms - progress.heard_ms > limit_ms
+        ):
+            return replica_id
+    return None
--- /dev/null
+++ b/wigeonport/proposals.py
@@ -0,0 +1,30 @@
+"""Proposals to the replicated log."""
+
+from wigeonport.replica_events import REFUSED, Outcome, Propose, handles
+from wigeonport.replication_messages import DATA
+
+
+@handles(Propose)
+def on_propose(replica, event):
+    """Appends a batch of proposals, or refuses them."""
+    settings = replica.settings
+    appended = False
+    for item in event.items:
+        waiting = replica.log.last_index() - replica.commit_index
+        reason = ""
+        if not replica.is_leader():
+            reason = "not leader"
+        elif waiting >= settings.pending_entries:
+            reason = "too many entries wait for commit"
+        elif len(item.payload) > settings.payload_bytes:
+            reason = "payload is too large"
+        if reason:
+            replica.out.replies.append(
+                Outcome(item.number, REFUSED, reason, 0)
+            )
+            continue
+        replica.append_own(DATA, item.payload)
+        replica.proposals[replica.log.last_index()] = item.number
+        appended = True
+    if appended:
+        replica.broadcast()
--- /dev/null
+++ b/wigeonport/replicas.py
@@ -0,0 +1,384 @@
+"""The pure consensus core.
+
+``Replica.step(event, now_ms)`` takes a local event or a message of a
+peer and returns an Output. The core reads no clock, opens no file or
+socket and draws random numbers only from the source passed in. The
+algorithm is Raft (Ongaro and Ousterhout, 2014) with pre-vote,
+check-quorum, leader leases and single-step membership changes.
+"""
+
+from wigeonport import (
+    appends,
+    elections,
+    persists,
+    proposals,  # noqa: F401, registers its handlers
+    reads,
+    ticks,  # noqa: F401, registers its handlers
+)
+from wigeonport.memberships import Members
+from wigeonport.replica_events import (
+    COMMITTED,
+    FOLLOWER,
+    LEADER,
+    UNKNOWN,
+    ConsistencyError,
+    HardState,
+    Outcome,
+    Output,
+    Persist,
+    ReplicaSettings,
+    handlers,
+)
+from wigeonport.replica_logs import ReplicaLog
+from wigeonport.replication_messages import (
+    MEMBERS,
+    Append,
+    AppendReply,
+    Entry,
+    SnapshotPiece,
+)
+
+
+class Replica:
+    """One replica of the log.
+
+    Attributes:
+        replica_id: ``node/identity`` of this replica.
+        node: Node name.
+        seeds: Names of the nodes that form a new cluster as voters.
+        durable: Whether there is a disk; without one it never votes.
+        settings: ReplicaSettings.
+        random: Source for election timeouts.
+        term: Current term.
+        vote: Replica id voted for in this term, or "".
+        role: One of the role names of this module.
+        leader_id: Leader of this term as far as known, or "".
+        log: ReplicaLog.
+        snapshot: Newest Snapshot, or None.
+        commit_index: Highest index known to be committed.
+        delivered_index: Highest index given out in an Output.
+        now_ms: Time of the current step.
+        out: Output of the current step.
+        persist: Persist of the current step.
+        sequence: Sequence of the last Persist.
+        pending: Persists in progress.
+        hard_sequence: Sequence of the last Persist with a hard state.
+        durable_sequence: Sequence up to which all is durable.
+        deferred: Messages that wait for ``hard_sequence``.
+        verified_index: Highest index that matches the leader's log.
+        leader_contact_ms: When the leader was heard last; no vote is
+            given within ``election_ms`` of it, which protects the
+            leader's lease. A restart counts as a contact, because the
+            replica may have acknowledged a heartbeat just before it.
+        election_deadline_ms: When the next election starts.
+        votes: Replica ids that granted the vote or the pre-vote.
+        progress: On the leader, Progress by replica id.
+        proposals: On the leader, proposal number by index.
+        term_start_index: On the leader, index of its first entry.
+        round: On the leader, number of the last heartbeat round.
+        reads: On the leader, reads that wait for a round.
+        voter_beat_ms: When voters get the next heartbeat.
+        learner_beat_ms: When learners get the next heartbeat.
+        commit_due_ms: When to announce the commit index, or None.
+        incoming: Snapshot being received, or None.
+        join_due_ms: When to send the next JoinRequest.
+        blank_peers: Replica id by node of seeds with a blank log.
+    """
+
+    __slots__ = (
+        "replica_id",
+        "node",
+        "seeds",
+        "durable",
+        "settings",
+        "random",
+        "term",
+        "vote",
+        "role",
+        "leader_id",
+        "log",
+        "snapshot",
+        "commit_index",
+        "delivered_index",
+        "now_ms",
+        "out",
+        "persist",
+        "sequence",
+        "pending",
+        "hard_sequence",
+        "durable_sequence",
+        "deferred",
+        "verified_index",
+        "leader_contact_ms",
+        "election_deadline_ms",
+        "votes",
+        "progress",
+        "proposals",
+        "term_start_index",
+        "round",
+        "reads",
+        "voter_beat_ms",
+        "learner_beat_ms",
+        "commit_due_ms",
+        "incoming",
+        "join_due_ms",
+        "blank_peers",
+    )
+
+    def __init__(
+        self, replica_id, seeds, durable, recovered, now_ms, random, settings
+    ):
+        self.replica_id = replica_id
+        self.node = replica_id.partition("/")[0]
+        self.seeds = tuple(seeds)
+        self.durable = durable
+        self.settings = settings or ReplicaSettings()
+        self.random = random
+        self.now_ms = now_ms
+        self._recover(recovered)
+        self.out = None
+        self.persist = None
+        self.sequence = 0
+        self.pending = []
+        self.hard_sequence = 0
+        self.durable_sequence = 0
+        self.deferred = []
+        self.role = FOLLOWER
+        self.leader_id = ""
+        self.leader_contact_ms = now_ms
+        self.votes = set()
+        self.progress = {}
+        self.proposals = {}
+        self.term_start_index = 0
+        self.round = 0
+        self.reads = []
+        self.voter_beat_ms = 0
+        self.learner_beat_ms = 0
+        self.commit_due_ms = None
+        self.incoming = None
+        self.join_due_ms = now_ms
+        self.blank_peers = {}
+        self.restart_timer()
+
+    def _recover(self, recovered):
+        self.term = recovered.hard_state.term
+        self.vote = recovered.hard_state.vote
+        self.snapshot = recovered.snapshot
+        base_index, base_term, members = 0, 0, Members()
+        if self.snapshot:
+            base_index = self.snapshot.index
+            base_term = self.snapshot.term
+            members = self.snapshot.members
+        self.log = ReplicaLog(
+            base_index, base_term, members, recovered.entries
+        )
+        self.commit_index = base_index
+        self.delivered_index = base_index
+        self.verified_index = base_index
+
+    def step(self, event, now_ms):
+        """Handles one event and returns the Output."""
+        self.now_ms = max(self.now_ms, now_ms)
+        self.out = Output()
+        self.persist = Persist(self.sequence + 1)
+        handlers.entries[type(event).__name__](self, event)
+        self._finish()
+        return self.out
+
+    def _finish(self):
+        persist = self.persist
+        if persist.is_empty():
+            return
+        self.sequence = persist.sequence
+        last_index = 0
+        if persist.snapshot:
+            last_index = persist.snapshot.index
+        if persist.entries:
+            last_index = persist.entries[-1].index
+        self.pending.append(persists.Pending(self.sequence, last_index))
+        self.out.persist = persist
+
+    def is_leader(self):
+        """Returns whether this replica leads its term."""
+        return self.role == LEADER
+
+    def members(self):
+        """Returns the newest members in the log."""
+        return self.log.members()
+
+    def blank(self):
+        """Returns whether this replica has never had a part in a log."""
+        return self.log.last_index() == 0 and self.term == 0
+
+    def restart_timer(self):
+        """Draws the time of the next election."""
+        settings = self.settings
+        spread_ms = self.random.randrange(settings.election_spread_ms)
+        self.election_deadline_ms = (
+            self.now_ms + settings.election_ms + spread_ms
+        )
+
+    def admit(self, message):
+        """Checks recipient and term; returns whether to handle it."""
+        if message.recipient != self.replica_id:
+            return False
+        from_leader = isinstance(message, Append | SnapshotPiece)
+        if message.term < self.term:
+            if from_leader:
+                self.send_durable(
+                    AppendReply(
+                        self.term,
+                        self.replica_id,
+                        message.sender,
+                        False,
+                        0,
+                        0,
+                        0,
+                        0,
+                    )
+                )
+            return False
+        if message.term > self.term:
+            leader_id = message.sender if from_leader else ""
+            self.become_follower(message.term, leader_id)
+        return True
+
+    def follow(self, leader_id):
+        """Notes that the leader of the current term was heard."""
+        if self.is_leader():
+            raise ConsistencyError(f"two leaders in term {self.term}")
+        self.become_follower(self.term, leader_id)
+        self.leader_contact_ms = self.now_ms
+        self.restart_timer()
+
+    def lease_until_ms(self):
+        """Returns until when no other leader can be elected, or 0.
+
+        A quorum has acknowledged heartbeats sent at or after some time,
+        and gives no vote for ``election_ms`` after receiving them.
+        """
+        if not self.is_leader():
+            return 0
+        sent_ms = self.quorum_value(
+            self.now_ms, lambda progress: progress.acked_sent_ms
+        )
+        return sent_ms + self.settings.lease_ms if sent_ms else 0
+
+    def quorum_value(self, own, value_of):
+        """Returns the highest value that a quorum of voters has reached.
+
+        Args:
+            own: Value of the leader itself.
+            value_of: Returns the value of a Progress.
+        """
+        members = self.members()
+        values = [
+            own if voter == self.replica_id else value_of(self.progress[voter])
+            for voter in members.voters
+        ]
+        values.sort(reverse=True)
+        return values[members.quorum() - 1] if values else 0
+
+    def next_deadline_ms(self):
+        """Returns when the next Tick is due."""
+        if self.is_leader():
+            due = min(self.voter_beat_ms, self.learner_beat_ms)
+            if self.commit_due_ms is not None:
+                due = min(due, self.commit_due_ms)
+            return due
+        due = self.join_due_ms
+        if elections.may_campaign(self):
+            due = min(due, self.election_deadline_ms)
+        return due
+
+    def set_hard_state(self, term, vote):
+        """Changes term and vote and asks to persist them."""
+        self.term = term
+        self.vote = vote
+        self.persist.hard_state = HardState(term, vote)
+        self.hard_sequence = self.persist.sequence
+
+    def send(self, message):
+        """Sends a message at once."""
+        self.out.messages.append(message)
+
+    def send_durable(self, message):
+        """Sends a message once term and vote are durable."""
+        if self.hard_sequence <= self.durable_sequence:
+            self.send(message)
+        else:
+            self.deferred.append((self.hard_sequence, message))
+
+    def become_follower(self, term, leader_id):
+        """Follows a leader, or waits for one if ``leader_id`` is ""."""
+        if self.is_leader():
+            self._drop_leadership()
+        if term > self.term:
+            self.set_hard_state(term, "")
+            self.verified_index = self.commit_index
+            self.incoming = None
+        self.role = FOLLOWER
+        self.leader_id = leader_id
+        self.votes = set()
+
+    def _drop_leadership(self):
+        """Answers all waiting proposals and reads."""
+        for index, number in self.proposals.items():
+            self.out.replies.append(
+                Outcome(number, UNKNOWN, "leader changed", index)
+            )
+        self.proposals = {}
+        self.progress = {}
+        self.commit_due_ms = None
+        reads.refuse_all(self)
+        self.restart_timer()
+
+    def append_local(self, term, kind, payload):
+        """Adds an entry at the end of the log."""
+        entry = Entry(self.log.last_index() + 1, term, kind, payload)
+        self.log.append(entry)
+        self.persist.entries.append(entry)
+
+    def append_own(self, kind, payload):
+        """Adds an entry as the leader."""
+        self.append_local(self.term, kind, payload)
+        if kind == MEMBERS:
+            appends.refresh_progress(self)
+
+    def truncate_from(self, index):
+        """Removes uncommitted entries that conflict with the leader."""
+        if index <= self.commit_index:
+            raise ConsistencyError(
+                f"entry {index} is committed and conflicts with the leader"
+            )
+        self.log.truncate_from(index)
+        self.verified_index = min(self.verified_index, index - 1)
+        for each in self.pending:
+            each.last_index = min(each.last_index, index - 1)
+
+    def beat_now(self):
+        """Starts a heartbeat round to all members."""
+        appends.beat_now(self)
+
+    def broadcast(self):
+        """Sends new entries to all peers."""
+        appends.send_all(self)
+
+    def commit_to(self, index):
+        """Advances the commit index and gives out the entries."""
+        if index <= self.commit_index:
+            return
+        self.commit_index = index
+        if index > self.log.last_index():
+            raise ConsistencyError(f"commit index {index} is not in the log")
+        entries = self.log.between(self.delivered_index + 1, index)
+        self.out.committed.extend(entries)
+        self.delivered_index = index
+        if not self.proposals:
+            return
+        for entry in entries:
+            number = self.proposals.pop(entry.index, None)
+            if number is not None:
+                self.out.replies.append(
+                    Outcome(number, COMMITTED, "", entry.index)
+                )
--- /dev/null
+++ b/wigeonport/ticks.py
@@ -0,0 +1,23 @@
+"""Timers of a replica."""
+
+from wigeonport import appends, elections, memberships
+from wigeonport.replica_events import Tick, handles
+
+
+@handles(Tick)
+def on_tick(replica, event):
+    """Fires the timers that are due."""
+    if replica.is_leader():
+        if not elections.check_quorum(replica):
+            return
+        appends.beat(replica)
+        memberships.review(replica)
+        return
+    if replica.now_ms >= replica.election_deadline_ms:
+        replica.restart_timer()
+        if elections.may_campaign(replica):
+            elections.start_pre_vote(replica)
+    if replica.now_ms >= replica.join_due_ms:
+        replica.join_due_ms = replica.now_ms + replica.settings.join_ms
+        if elections.is_abandoned(replica):
+            memberships.ask_to_join(replica)
--- /dev/null
+++ b/wigeonport/transfers.py
@@ -0,0 +1,150 @@
+"""Transfer of a snapshot from the leader, one piece at a time."""
+
+import zlib
+
+from wigeonport.memberships import Members
+from wigeonport.replica_events import Snapshot, handles
+from wigeonport.replication_messages import (
+    AppendReply,
+    SnapshotPiece,
+    SnapshotReply,
+)
+
+
+class Incoming:
+    """A snapshot that is being received.
+
+    Attributes:
+        index: Its log index.
+        term: Its term.
+        data: Bytes received so far.
+    """
+
+    __slots__ = ("index", "term", "data")
+
+    def __init__(self, index, term):
+        self.index = index
+        self.term = term
+        self.data = bytearray()
+
+
+def start(replica, replica_id, progress):
+    """Starts a transfer of the newest snapshot."""
+    progress.snapshot = replica.snapshot
+    progress.offset = 0
+    _send_piece(replica, replica_id, progress)
+
+
+def resend(replica, replica_id, progress):
+    """Sends the piece again that was not acknowledged for a while."""
+    waited_ms = replica.now_ms - progress.piece_sent_ms
+    if waited_ms >= replica.settings.heartbeat_ms:
+        _send_piece(replica, replica_id, progress)
+
+
+def _send_piece(replica, replica_id, progress):
+    snapshot = progress.snapshot
+    progress.piece_sent_ms = replica.now_ms
+    stop = progress.offset + replica.settings.piece_bytes
+    replica.send(
+        SnapshotPiece(
+            replica.term,
+            replica.replica_id,
+            replica_id,
+            snapshot.index,
+            snapshot.term,
+            snapshot.members.to_payload(),
+            progress.offset,
+            len(snapshot.data),
+            snapshot.checksum,
+            snapshot.data[progress.offset : stop],
+        )
+    )
+
+
+@handles(SnapshotReply)
+def on_snapshot_reply(replica, message):
+    """Sends the next piece."""
+    if not replica.admit(message) or not replica.is_leader():
+        return
+    progress = replica.progress.get(message.sender)
+    if progress is None:
+        return
+    progress.heard_ms = replica.now_ms
+    snapshot = progress.snapshot
+    if snapshot is None or snapshot.index != message.index:
+        return
+    if message.offset == progress.offset:
+        return
+    progress.offset = message.offset
+    if message.offset < len(snapshot.data):
+        _send_piece(replica, message.sender, progress)
+
+
+@handles(SnapshotPiece)
+def on_snapshot_piece(replica, message):
+    """Collects the pieces and installs the complete snapshot."""
+    if not replica.admit(message):
+        return
+    replica.follow(message.sender)
+    if message.index <= replica.commit_index:
+        _acknowledge(replica)
+        return
+    incoming = replica.incoming
+    key = (message.index, message.index_term)
+    if incoming is None or (incoming.index, incoming.term) != key:
+        incoming = Incoming(*key)
+        replica.incoming = incoming
+    if message.offset == len(incoming.data):
+        incoming.data += message.data
+    if len(incoming.data) >= message.size_bytes:
+        replica.incoming = None
+        data = bytes(incoming.data)
+        if zlib.crc32(data) == message.checksum:
+            _install(replica, message, data)
+            return
+        incoming.data.clear()
+    replica.send_durable(
+        SnapshotReply(
+            replica.term,
+            replica.replica_id,
+            message.sender,
+            message.index,
+            len(incoming.data),
+        )
+    )
+
+
+def _acknowledge(replica):
+    replica.send_durable(
+        AppendReply(
+            replica.term,
+            replica.replica_id,
+            replica.leader_id,
+            True,
+            min(replica.verified_index, replica.log.durable_index),
+            0,
+            0,
+            0,
+        )
+    )
+
+
+def _install(replica, message, data):
+    """Replaces state and log, unless the log holds the position."""
+    members = Members.from_payload(message.members)
+    if replica.log.term_at(message.index) == message.index_term:
+        replica.verified_index = max(replica.verified_index, message.index)
+        replica.commit_to(message.index)
+        _acknowledge(replica)
+        return
+    snapshot = Snapshot(message.index, message.index_term, members, data)
+    replica.snapshot = snapshot
+    replica.log.reset(snapshot)
+    for each in replica.pending:
+        each.last_index = 0
+    replica.persist.snapshot = snapshot
+    replica.out.install = snapshot
+    replica.commit_index = snapshot.index
+    replica.delivered_index = snapshot.index
+    replica.verified_index = snapshot.index
