--- a/wigeonport/admissions.py
+++ b/wigeonport/admissions.py
@@ -20,7 +20,7 @@
     def configure(self, applied):
         """Takes over a newly applied version."""
         self.services = {
-            service["name"] for service in applied.document["services"]
+            service["id"] for service in applied.document["services"]
         }
 
     def check(self, request, now_ms):
--- a/wigeonport/announcements.py
+++ b/wigeonport/announcements.py
@@ -12,10 +12,11 @@
 from wigeonport.endpoints import STATES, Announced, EndpointRecord
 from wigeonport.findings import Findings
 from wigeonport.logs import PartLogger
-from wigeonport.servers import respond_json, send_response
+from wigeonport.servers import answer_lifespan, respond_json, send_response
 
 logger = PartLogger("announcements")
 
+ANNOUNCEMENTS_PATH = "/v1/announcements"
 MAX_LINE_BYTES = 4_096
 MAX_SLOTS = 10_000
 MAX_CONNECTIONS = 100_000
@@ -89,13 +90,26 @@
         self.metrics = metrics
 
     async def __call__(self, scope, receive, send):
-        """Reads the lines of one request as they arrive."""
+        """Handles one ASGI connection scope."""
+        if scope["type"] == "lifespan":
+            return await answer_lifespan(receive, send)
+        if scope["type"] != "http":
+            return None
+        if scope["path"] != ANNOUNCEMENTS_PATH:
+            response = respond_json(404, {"error": "no such path"})
+            return await send_response(send, response)
         if scope["method"] != "POST":
             response = respond_json(405, {"error": "use POST"})
             return await send_response(send, response)
+        return await self.read_lines(receive, send)
+
+    async def read_lines(self, receive, send):
+        """Reads the lines of one request as they arrive."""
         rest, more, accepted = b"", True, 0
         while more:
             event = await receive()
+            if event["type"] != "http.request":
+                return None
             more = event.get("more_body", False)
             *lines, rest = (rest + event.get("body", b"")).split(b"\n")
             if not more and rest:
--- /dev/null
+++ b/wigeonport/entry_main.py
@@ -0,0 +1,173 @@
+"""The entry program: builds the chain from callers to endpoints."""
+
+import random
+import sys
+
+import trio
+
+from wigeonport.admissions import admit
+from wigeonport.announcements import AnnouncementApp
+from wigeonport.channels import REFUSE, Mailbox
+from wigeonport.configurations import Configuration, apply_updates
+from wigeonport.dialers import Dialer, listen
+from wigeonport.dispatchers import Dispatcher, dispatch, make_pool
+from wigeonport.endpoints import EndpointTable, keep_table
+from wigeonport.programs import start
+from wigeonport.receivers import CallerApp, CallerLimits
+from wigeonport.routers import Router, route
+from wigeonport.servers import ProcessInfo, StatusApp, serve_http
+from wigeonport.subscriptions import ControlLinks, sort_deliveries
+
+CONTROL_LINKS = 3
+MAX_CONNECTIONS = 1_024
+MAX_ATTEMPTS = 3
+TICK_MS = 100
+
+
+class EntryMailboxes:
+    """The channels of the entry, each with its bound.
+
+    Attributes:
+        deliveries: From the links to the sorter.
+        configurations: From the sorter to the configuration filter.
+        peers: From the sorter to the endpoint table.
+        admissions: From the receivers to the admission filter; full means
+            that callers are refused.
+        routing: From all filters to the router.
+        dispatches: From the router to the dispatcher.
+        announcements: From the announcement edge to the endpoint table.
+    """
+
+    __slots__ = (
+        "deliveries",
+        "configurations",
+        "peers",
+        "admissions",
+        "routing",
+        "dispatches",
+        "announcements",
+    )
+
+    def __init__(self, settings):
+        bound = settings.mailbox_bound
+        in_flight = settings.max_requests_in_flight
+        self.deliveries = Mailbox("deliveries", bound)
+        self.configurations = Mailbox("configurations", bound)
+        self.peers = Mailbox("peers", bound)
+        self.admissions = Mailbox("admissions", in_flight, REFUSE)
+        self.routing = Mailbox("routing", in_flight + bound)
+        self.dispatches = Mailbox("dispatches", in_flight)
+        self.announcements = Mailbox("announcements", bound)
+
+
+def make_control_links(program, context, configuration):
+    """Returns links to some controls, those nearest first."""
+    settings = program.settings
+    links = ControlLinks(context.identity, configuration)
+    addresses = [(settings.host, settings.control_links_port)]
+    own_zone = settings.availability_zone
+    ranked = sorted(
+        settings.peers, key=lambda peer: peer.availability_zone != own_zone
+    )
+    addresses += [(peer.host, peer.control_links_port) for peer in ranked]
+    for host, port in addresses[:CONTROL_LINKS]:
+        links.dialers.append(Dialer(context, host, port, links.subscribe))
+    return links
+
+
+def make_dispatcher(program, boxes):
+    """Returns the dispatcher."""
+    return Dispatcher(
+        make_pool(MAX_CONNECTIONS),
+        boxes.routing,
+        program.clock,
+        program.metrics,
+        program.settings.max_response_bytes,
+    )
+
+
+def start_filters(nursery, program, boxes, configuration, links):
+    """Starts the filters of the chain."""
+    settings, clock = program.settings, program.clock
+    router = Router(
+        settings.availability_zone, settings.queue_bound, MAX_ATTEMPTS
+    )
+    table = EndpointTable(settings.endpoint_expiry_ms)
+    nursery.start_soon(
+        sort_deliveries, boxes.deliveries, boxes.configurations, boxes.peers
+    )
+    nursery.start_soon(
+        apply_updates,
+        boxes.configurations,
+        [boxes.admissions],
+        configuration,
+        links.report,
+        program.metrics,
+    )
+    nursery.start_soon(admit, boxes.admissions, boxes.routing, clock)
+    nursery.start_soon(
+        route,
+        boxes.routing,
+        boxes.dispatches,
+        router,
+        clock,
+        random.Random(),
+        TICK_MS,
+    )
+    nursery.start_soon(
+        dispatch, boxes.dispatches, make_dispatcher(program, boxes)
+    )
+    nursery.start_soon(
+        keep_table, boxes.announcements, boxes.routing, table, clock, TICK_MS
+    )
+
+
+async def serve_edges(program, boxes):
+    """Serves the HTTP edges until the program stops."""
+    settings = program.settings
+    info = ProcessInfo(program.metrics, None, program.stopping)
+    limits = CallerLimits(settings.max_body_bytes, settings.max_deadline_ms)
+    callers = CallerApp(boxes.admissions, info, limits, program.clock)
+    announcements = AnnouncementApp(boxes.announcements, program.metrics)
+    edges = (
+        (callers, settings.callers_port),
+        (announcements, settings.announcements_port),
+        (StatusApp(info), settings.entry_status_port),
+    )
+    async with trio.open_nursery() as nursery:
+        for app, port in edges:
+            nursery.start_soon(
+                serve_http,
+                app,
+                settings.host,
+                port,
+                program.stopping,
+                settings.shutdown_grace_ms,
+            )
+
+
+async def run_entry(program):
+    """Runs the entry until it has stopped."""
+    settings = program.settings
+    boxes = EntryMailboxes(settings)
+    context = program.link_context(boxes.deliveries)
+    configuration = Configuration()
+    links = make_control_links(program, context, configuration)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(
+            listen, context, settings.host, settings.entry_links_port
+        )
+        for dialer in links.dialers:
+            nursery.start_soon(dialer.run)
+        start_filters(nursery, program, boxes, configuration, links)
+        await serve_edges(program, boxes)
+        nursery.cancel_scope.cancel()
+
+
+def main():
+    """Entry point of ``wigeonport-entry``."""
+    sys.exit(start("entry", run_entry, sys.argv[1:]))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/wigeonport/programs.py
@@ -0,0 +1,119 @@
+"""What the entry and the control program share at start and stop."""
+
+import signal
+import sys
+
+import trio
+
+from wigeonport.clocks import Clock, LamportCounter
+from wigeonport.credentials import load_keys
+from wigeonport.links import Identity, LinkContext
+from wigeonport.logs import PartLogger, set_up
+from wigeonport.metrics import Metrics
+from wigeonport.settings import load_settings
+
+logger = PartLogger("program")
+
+EXIT_DONE = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+
+
+class Program:
+    """A started program.
+
+    Attributes:
+        role: ``entry`` or ``control``.
+        settings: Settings of the VM.
+        keys: Keys of the links by key id.
+        clock: Time source.
+        metrics: Metrics of the process.
+        lamport: LamportCounter of the process.
+        stopping: trio.Event that is set when a stop was asked for.
+    """
+
+    __slots__ = (
+        "role",
+        "settings",
+        "keys",
+        "clock",
+        "metrics",
+        "lamport",
+        "stopping",
+    )
+
+    def __init__(self, role, settings, keys):
+        self.role = role
+        self.settings = settings
+        self.keys = keys
+        self.clock = Clock()
+        self.metrics = Metrics()
+        self.lamport = LamportCounter()
+        self.stopping = trio.Event()
+
+    def link_context(self, inbound):
+        """Returns the LinkContext whose arrivals go to ``inbound``."""
+        identity = Identity(
+            f"{self.role}/{self.settings.node_id}",
+            self.settings.availability_zone,
+            self.settings.cluster_id,
+            self.keys,
+        )
+        return LinkContext(
+            identity, inbound, self.clock, self.metrics, self.lamport
+        )
+
+
+async def stop_on_signal(stopping):
+    """Sets ``stopping`` at the first SIGTERM or SIGINT.
+
+    Later signals have no further effect; the bound on the shutdown is the
+    setting ``shutdown_grace_ms``.
+    """
+    wanted = (signal.SIGTERM, signal.SIGINT)
+    with trio.open_signal_receiver(*wanted) as signals:
+        async for number in signals:
+            if stopping.is_set():
+                logger.info("Already stopping.", signal=number)
+                continue
+            logger.info("Stopping.", signal=number)
+            stopping.set()
+
+
+def start(role, run, arguments):
+    """Loads the settings and runs a program.
+
+    Args:
+        role: ``entry`` or ``control``.
+        run: Async function that takes the Program and returns when it has
+            stopped.
+        arguments: Command line without the program's name.
+
+    Returns:
+        The exit status.
+    """
+    if len(arguments) != 1:
+        print(f"usage: wigeonport-{role} SETTINGS", file=sys.stderr)
+        return EXIT_USAGE
+    settings = load_settings(arguments[0])
+    if settings.is_error():
+        print(settings.error, file=sys.stderr)
+        return EXIT_FAILED
+    keys = load_keys(settings.ok.key_files)
+    if keys.is_error():
+        print(keys.error, file=sys.stderr)
+        return EXIT_FAILED
+    set_up(settings.ok.log_level)
+    trio.run(run_until_stopped, role, run, settings.ok, keys.ok)
+    return EXIT_DONE
+
+
+async def run_until_stopped(role, run, settings, keys):
+    """Runs a program with its signal handler."""
+    program = Program(role, settings, keys)
+    logger.info("Starting.", role=role, node_id=settings.node_id)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(stop_on_signal, program.stopping)
+        await run(program)
+        nursery.cancel_scope.cancel()
+    logger.info("Stopped.", role=role, node_id=settings.node_id)
--- a/wigeonport/receivers.py
+++ b/wigeonport/receivers.py
@@ -6,9 +6,7 @@
 from wigeonport.requests import CallerRequest, leave_unknown, refuse
 from wigeonport.servers import (
     answer_lifespan,
-    common_routes,
     read_body,
-    send_response,
 )
 
 DEADLINE_HEADER = b"wigeonport-deadline-ms"
@@ -40,25 +38,16 @@
 
     Attributes:
         admissions: Mailbox of the admission filter.
-        announcements: ASGI app of the endpoints' announcements, or None.
-        info: ProcessInfo for the common routes.
+        info: ProcessInfo of the process.
         limits: CallerLimits.
         clock: Time source.
         metrics: Metrics of the process.
     """
 
-    __slots__ = (
-        "admissions",
-        "announcements",
-        "info",
-        "limits",
-        "clock",
-        "metrics",
-    )
+    __slots__ = ("admissions", "info", "limits", "clock", "metrics")
 
-    def __init__(self, admissions, announcements, info, limits, clock):
+    def __init__(self, admissions, info, limits, clock):
         self.admissions = admissions
-        self.announcements = announcements
         self.info = info
         self.limits = limits
         self.clock = clock
@@ -70,12 +59,6 @@
             return await answer_lifespan(receive, send)
         if scope["type"] != "http":
             return None
-        path = scope["path"]
-        if path == "/v1/announcements" and self.announcements:
-            return await self.announcements(scope, receive, send)
-        route = common_routes.get(path)
-        if route.is_ok():
-            return await send_response(send, route.ok(self.info))
         answer = await self.handle(scope, receive)
         return await send_answer(send, answer)
 
--- a/wigeonport/servers.py
+++ b/wigeonport/servers.py
@@ -77,6 +77,32 @@
     return HttpResponse(200, body, "application/jsonl")
 
 
+class StatusApp:
+    """ASGI app of the common routes.
+
+    Attributes:
+        info: ProcessInfo of the process.
+    """
+
+    __slots__ = ("info",)
+
+    def __init__(self, info):
+        self.info = info
+
+    async def __call__(self, scope, receive, send):
+        """Handles one ASGI connection scope."""
+        if scope["type"] == "lifespan":
+            return await answer_lifespan(receive, send)
+        if scope["type"] != "http":
+            return None
+        route = common_routes.get(scope["path"])
+        if route.is_error():
+            response = respond_json(404, {"error": route.error})
+        else:
+            response = route.ok(self.info)
+        return await send_response(send, response)
+
+
 async def send_response(send, response):
     """Sends a small response over ASGI."""
     headers = [
