--- /dev/null
+++ b/wigeonport/state_commands.py
@@ -0,0 +1,263 @@
+"""Commands that the replicated state machine applies."""
+
+from wigeonport.codecs import message_kinds
+from wigeonport.records import Record
+from wigeonport.registries import Registry
+
+HANDLERS = Registry("command handler")
+
+
+@message_kinds.register("SubmitPatch")
+class SubmitPatch(Record):
+    """Submits a patch against a stated fleet version.
+
+    Attributes:
+        document_json: Document form of the patch as JSON text.
+    """
+
+    __slots__ = ("document_json",)
+
+    def __init__(self, document_json):
+        self.document_json = document_json
+
+
+@message_kinds.register("ClaimKey")
+class ClaimKey(Record):
+    """Claims an idempotency key for one attempt of a request.
+
+    Attributes:
+        key: Idempotency key.
+        digest: Digest of method, path and body.
+        attempt: Attempt id, unique for each attempt.
+    """
+
+    __slots__ = ("key", "digest", "attempt")
+
+    def __init__(self, key, digest, attempt):
+        self.key = key
+        self.digest = digest
+        self.attempt = attempt
+
+
+@message_kinds.register("CompleteClaim")
+class CompleteClaim(Record):
+    """Stores the response of a claimed request.
+
+    Attributes:
+        key: Idempotency key.
+        attempt: Attempt that holds the claim.
+        response: Encoded response; its form is up to the entries.
+    """
+
+    __slots__ = ("key", "attempt", "response")
+
+    def __init__(self, key, attempt, response):
+        self.key = key
+        self.attempt = attempt
+        self.response = response
+
+
+@message_kinds.register("ReleaseClaim")
+class ReleaseClaim(Record):
+    """Gives up an attempt that never was and never will be dispatched.
+
+    Attributes:
+        key: Idempotency key.
+        attempt: Attempt to release.
+    """
+
+    __slots__ = ("key", "attempt")
+
+    def __init__(self, key, attempt):
+        self.key = key
+        self.attempt = attempt
+
+
+@message_kinds.register("RequestGrant")
+class RequestGrant(Record):
+    """Asks for a lease on VMs that are to be drained.
+
+    Attributes:
+        grant: Grant id; a resend carries the same one.
+        workers: VM ids.
+        purpose: Name in ``PURPOSES``.
+        author: Who asks.
+        reason: Why.
+        lease_ms: Length of the lease.
+        unavailable: VMs that the sender knows or assumes to be
+            unavailable.
+    """
+
+    __slots__ = (
+        "grant",
+        "workers",
+        "purpose",
+        "author",
+        "reason",
+        "lease_ms",
+        "unavailable",
+    )
+
+    def __init__(
+        self, grant, workers, purpose, author, reason, lease_ms, unavailable
+    ):
+        self.grant = grant
+        self.workers = workers
+        self.purpose = purpose
+        self.author = author
+        self.reason = reason
+        self.lease_ms = lease_ms
+        self.unavailable = unavailable
+
+
+@message_kinds.register("RenewGrant")
+class RenewGrant(Record):
+    """Extends a live lease from now on.
+
+    Attributes:
+        grant: Grant id.
+        lease_ms: Length of the lease.
+    """
+
+    __slots__ = ("grant", "lease_ms")
+
+    def __init__(self, grant, lease_ms):
+        self.grant = grant
+        self.lease_ms = lease_ms
+
+
+@message_kinds.register("ConfirmDrain")
+class ConfirmDrain(Record):
+    """Reports that a VM runs nothing any more.
+
+    Attributes:
+        grant: Grant id.
+        worker: VM id.
+    """
+
+    __slots__ = ("grant", "worker")
+
+    def __init__(self, grant, worker):
+        self.grant = grant
+        self.worker = worker
+
+
+@message_kinds.register("EndGrant")
+class EndGrant(Record):
+    """Ends a lease.
+
+    Attributes:
+        grant: Grant id.
+        healthy: VMs that are back; the others count as unavailable.
+        hold_ms: How long the VMs that are back still count as
+            unavailable.
+    """
+
+    __slots__ = ("grant", "healthy", "hold_ms")
+
+    def __init__(self, grant, healthy, hold_ms):
+        self.grant = grant
+        self.healthy = healthy
+        self.hold_ms = hold_ms
+
+
+@message_kinds.register("ReturnWorker")
+class ReturnWorker(Record):
+    """Reports that a VM of an expired or ended lease is back.
+
+    Attributes:
+        worker: VM id.
+        hold_ms: How long it still counts as unavailable.
+    """
+
+    __slots__ = ("worker", "hold_ms")
+
+    def __init__(self, worker, hold_ms):
+        self.worker = worker
+        self.hold_ms = hold_ms
+
+
+@message_kinds.register("FinishMove")
+class FinishMove(Record):
+    """Moves a drained VM to the pool that the version assigns.
+
+    Attributes:
+        grant: Grant id.
+        worker: VM id.
+        source: Pool that the VM leaves.
+        target: Pool that it joins, or None if the version removed it.
+        hold_ms: How long it counts as unavailable in its new pool.
+    """
+
+    __slots__ = ("grant", "worker", "source", "target", "hold_ms")
+
+    def __init__(self, grant, worker, source, target, hold_ms):
+        self.grant = grant
+        self.worker = worker
+        self.source = source
+        self.target = target
+        self.hold_ms = hold_ms
+
+
+@message_kinds.register("PauseMaintenance")
+class PauseMaintenance(Record):
+    """Stops new maintenance grants.
+
+    Attributes:
+        scope: Pool id, or ``all``.
+        author: Who pauses.
+        reason: Why.
+    """
+
+    __slots__ = ("scope", "author", "reason")
+
+    def __init__(self, scope, author, reason):
+        self.scope = scope
+        self.author = author
+        self.reason = reason
+
+
+@message_kinds.register("ResumeMaintenance")
+class ResumeMaintenance(Record):
+    """Allows maintenance grants again.
+
+    Attributes:
+        scope: Pool id, or ``all``.
+        author: Who resumes.
+        reason: Why.
+    """
+
+    __slots__ = ("scope", "author", "reason")
+
+    def __init__(self, scope, author, reason):
+        self.scope = scope
+        self.author = author
+        self.reason = reason
+
+
+@message_kinds.register("SetMember")
+class SetMember(Record):
+    """Adds or replaces an entry of the member list.
+
+    Attributes:
+        member: The Member.
+    """
+
+    __slots__ = ("member",)
+
+    def __init__(self, member):
+        self.member = member
+
+
+@message_kinds.register("RemoveMember")
+class RemoveMember(Record):
+    """Removes an entry of the member list.
+
+    Attributes:
+        member: Node id.
+    """
+
+    __slots__ = ("member",)
+
+    def __init__(self, member):
+        self.member = member
