Build the planner's views from the replicated state

Cause: the control program holds pool membership, grants and versions in the replicated state, while the planner reads its own views.

Change: view_builders makes a FleetLoaded event of a ReplicatedState, and plan_proposals turns the planner's commands into proposals. A loan is a patch by the author wigeonport-planner followed by a grant and a move, so operators find it in the history.

Conclusion: maintenance, loans and roll-outs pass through the log in tests.

--- a/tests/planning_fixtures.py
+++ b/tests/planning_fixtures.py
@@ -87,17 +87,17 @@
 
 
 @pytest.fixture
-def fleet():
+def planned_fleet():
     """A small fleet with a spare pool."""
     return make_fleet()
 
 
 @pytest.fixture
-def make_run(clock, fleet):
+def make_run(clock, planned_fleet):
     """Makes a leading PlannerRun with overridden settings."""
 
     def make(**overrides):
-        run = PlannerRun(PlanSettings(**overrides), clock, fleet)
+        run = PlannerRun(PlanSettings(**overrides), clock, planned_fleet)
         run.lead()
         run.tick()
         return run
--- /dev/null
+++ b/tests/test_view_builders.py
@@ -0,0 +1,206 @@
+"""Tests of the planner on top of the replicated state."""
+
+import json
+
+import pytest
+
+from wigeonport.plan_events import (
+    CommandConfirmed,
+    CommandRefused,
+    VmReported,
+)
+from wigeonport.plan_proposals import make_proposals, read_refusal
+from wigeonport.state_commands import SubmitPatch
+from wigeonport.states import Entry, ReplicatedState
+from wigeonport.view_builders import build_fleet_loaded, find_due_ms
+from wigeonport.views import DRAINED, READY
+
+ZONES = ("ikeja", "lekki", "yaba")
+POOLS = ("roster", "notices")
+
+
+class Log:
+    """A replicated state that applies proposals at once."""
+
+    __slots__ = ("state", "clock")
+
+    def __init__(self, clock):
+        self.state = ReplicatedState()
+        self.clock = clock
+
+    def apply(self, command):
+        """Applies one command; returns the answer."""
+        index = self.state.applied_index + 1
+        return self.state.apply(Entry(index, self.clock.now(), command))
+
+    def patch(self, operations, author="operator"):
+        """Submits a patch against the current version."""
+        version = self.state.fleet.fleet.version
+        document = {
+            "id": f"patch-{version}-{author}",
+            "against_version": version,
+            "author": author,
+            "reason": "test",
+            "operations": operations,
+        }
+        answer = self.apply(SubmitPatch(json.dumps(document)))
+        assert not read_refusal(answer), answer.findings
+
+
+def fleet_operations():
+    """Returns the operations that build a small fleet."""
+    yield {"operation": "add_region", "id": "lagos"}
+    for zone in ZONES:
+        yield {"operation": "add_zone", "id": zone, "region": "lagos"}
+        yield {"operation": "add_rack", "id": f"{zone}-1", "zone": zone}
+    for pool, promised in zip(POOLS, (5, 2), strict=True):
+        yield {"operation": "add_pool", "id": pool}
+        for number in range(6):
+            yield {
+                "operation": "add_worker",
+                "id": f"{pool}-{number}",
+                "zone": ZONES[number % 3],
+                "rack": f"{ZONES[number % 3]}-1",
+                "processors": 16,
+                "memory_mb": 32_768,
+                "pool": pool,
+            }
+        yield {
+            "operation": "add_service",
+            "id": pool,
+            "pool": pool,
+            "capacity_workers": promised,
+            "max_unavailable": 6 - promised,
+        }
+    yield {"operation": "set_spare_pool", "pool": "notices"}
+
+
+@pytest.fixture
+def log(clock):
+    """A log with a small fleet."""
+    log = Log(clock)
+    log.patch(list(fleet_operations()))
+    return log
+
+
+@pytest.fixture
+def logged_run(make_run, log):
+    """A planner run whose fleet comes from the log."""
+    run = make_run()
+    run.step(build_fleet_loaded(log.state, 0))
+    run.tick()
+    return run
+
+
+def carry_out(run, log, commands):
+    """Lets log and platform carry out commands until none follow."""
+    done = []
+    while commands:
+        command = commands.pop(0)
+        done.append(str(command))
+        refusal = ""
+        now_ms = run.clock.now()
+        for item in make_proposals(command, run.view, log.state, now_ms):
+            refusal = read_refusal(log.apply(item))
+        for state in STATES.get(command.kind, ()):
+            sequence = run.view.fleet.vms[command.vm].sequence + 1
+            report = VmReported(command.vm, state, sequence)
+            commands.extend(run.step(report))
+        event = CommandConfirmed(command.command_id)
+        if refusal:
+            event = CommandRefused(command.command_id, refusal)
+            done.append(refusal)
+        commands.extend(run.step(event))
+    return done
+
+
+STATES = {
+    "drain_vm": (DRAINED,),
+    "reboot_vm": ("rebooting", READY),
+    "prepare_vm": (READY,),
+    "undrain_vm": (READY,),
+}
+
+
+def kinds(texts):
+    """Returns the kinds of commands."""
+    return [text.split()[0] for text in texts]
+
+
+def test_maintenance_goes_through_the_log(logged_run, log, clock):
+    """Guards against a reboot without a grant of the replicated state."""
+    vm = logged_run.view.fleet.vms["roster-0"]
+    vm.due_ms = clock.now()
+    done = carry_out(logged_run, log, logged_run.tick())
+    steps = [kind for kind in kinds(done) if kind != "report_reserve"]
+    assert steps == ["request_grant", "drain_vm", "reboot_vm", "release_grant"]
+    assert log.state.maintenance.maintained == {"roster-0": clock.now()}
+    assert not log.state.maintenance.grants
+
+
+def test_loan_is_a_patch_and_a_move(logged_run, log):
+    """Guards against a loan that the fleet version does not show."""
+    for number in (0, 1):
+        report = VmReported(f"roster-{number}", "failed", 1)
+        commands = logged_run.step(report)
+    carry_out(logged_run, log, commands)
+    lent = [
+        worker
+        for worker, pool in log.state.pools.pools.items()
+        if pool == "roster" and worker.startswith("notices")
+    ]
+    assert len(lent) == 1
+    assert log.state.fleet.fleet.workers[lent[0]].pool == "roster"
+    rebuilt = build_fleet_loaded(log.state, 0).fleet.vms[lent[0]]
+    assert (rebuilt.pool, rebuilt.lender) == ("roster", "notices")
+
+
+def test_operator_move_is_no_loan(log):
+    """Guards against the planner taking back what an operator moved."""
+    log.patch(
+        [{"operation": "move_worker", "worker": "notices-0", "pool": "roster"}]
+    )
+    vm = build_fleet_loaded(log.state, 0).fleet.vms["notices-0"]
+    assert (vm.pool, vm.home_pool, vm.lender) == ("notices", "roster", "")
+
+
+def test_version_is_rolled_out(logged_run, log):
+    """Guards against VMs that stay where an older version put them."""
+    log.patch(
+        [{"operation": "move_worker", "worker": "notices-0", "pool": "roster"}]
+    )
+    commands = logged_run.step(build_fleet_loaded(log.state, 0))
+    carry_out(logged_run, log, commands)
+    assert log.state.pools.pools["notices-0"] == "roster"
+
+
+def test_new_leader_continues_live_grants(make_run, logged_run, log, clock):
+    """Guards against a VM that stays drained after a change of leader."""
+    logged_run.view.fleet.vms["roster-0"].due_ms = clock.now()
+    request = logged_run.tick()[0]
+    for item in make_proposals(
+        request, logged_run.view, log.state, clock.now()
+    ):
+        assert not read_refusal(log.apply(item))
+    successor = make_run()
+    commands = successor.step(build_fleet_loaded(log.state, 0))
+    assert "drain_vm" in kinds(carry_out(successor, log, commands))
+    assert "roster-0" in log.state.maintenance.maintained
+
+
+def test_refused_grant_frees_the_vm(logged_run, log, clock):
+    """Guards against an operation that waits for good for its grant."""
+    logged_run.view.fleet.vms["roster-0"].due_ms = clock.now()
+    request = logged_run.tick()[0]
+    logged_run.step(CommandRefused(request.command_id, "paused"))
+    assert "roster-0" not in logged_run.view.operations
+
+
+def test_unknown_due_times_are_spread():
+    """Guards against a new fleet that is due all at once."""
+    period_ms = 14 * 86_400_000
+    now_ms = 10 * period_ms
+    due = [find_due_ms(f"vm-{n}", None, period_ms, now_ms) for n in range(100)]
+    assert all(now_ms <= each < now_ms + period_ms for each in due)
+    halves = sum(each < now_ms + period_ms // 2 for each in due)
+    assert 30 < halves < 70
--- a/tools/generate_traces.py
+++ b/tools/generate_traces.py
@@ -359,6 +359,21 @@
     return builder
 
 
+@scenarios.register("version_rollout")
+def build_version_rollout(deployment, seed):
+    """A version assigns four VMs to other pools."""
+    builder = TraceBuilder(deployment, seed, 120_000)
+    builder.start()
+    fleet = build_fleet(deployment)
+    fleet.version = 2
+    last = len(builder.pools) - 1
+    for pool, zone, target in ((0, 0, 1), (1, 1, 2), (last, 0, 3), (2, 2, 3)):
+        vm = fleet.vms[builder.vm(pool, zone)]
+        vm.home_pool = builder.pools[target]
+    builder.add(20_000, events.FleetLoaded(fleet))
+    return builder
+
+
 @scenarios.register("stuck_reboot")
 def build_stuck_reboot(deployment, seed):
     """A VM does not return from its reboot; an operator resumes later."""
--- a/tools/trace_expectations.py
+++ b/tools/trace_expectations.py
@@ -208,6 +208,19 @@
     ]
 
 
+@stated.register("version_rollout")
+def state_version_rollout(builder):
+    """The four VMs are in their new pools within 12 s."""
+    return [
+        measure("moves", equals=4),
+        measure("rollout_ms", at_least=1, at_most=12_000),
+        *(
+            measure("below_guarantee_ms", key=pool, equals=0)
+            for pool in builder.pools
+        ),
+    ]
+
+
 @stated.register("stuck_reboot")
 def state_stuck_reboot(builder):
     """The wave pauses until an operator resumes it, then completes."""
--- a/wigeonport/borrowings.py
+++ b/wigeonport/borrowings.py
@@ -42,7 +42,7 @@
         self.kept = kept
         for pool in view.fleet.spare_pools():
             vms = available_vms(view, pool.name, now_ms)
-            for vm in vms[: max(len(vms) - pool.guaranteed(), 0)]:
+            for vm in vms[: max(len(vms) - pool.required(), 0)]:
                 self.vms[vm.name] = vm
 
     def count(self):
@@ -196,7 +196,7 @@
         for vm in view.fleet.members(pool.name)
         if vm.borrowed
         and is_available(view, vm, now_ms)
-        and now_ms - vm.moved_ms >= hold_ms
+        and now_ms - (vm.moved_ms or 0) >= hold_ms
     ]
 
 
@@ -236,5 +236,5 @@
                 break
             commands.extend(start_move(view, vm, pool_name, now_ms))
     for vm in returns:
-        commands.extend(start_move(view, vm, vm.home_pool, now_ms))
+        commands.extend(start_move(view, vm, vm.lender, now_ms))
     return commands
--- a/wigeonport/fleet_events.py
+++ b/wigeonport/fleet_events.py
@@ -43,7 +43,13 @@
     new.missing = old.missing
     new.quarantined = old.quarantined
     new.moved_ms = old.moved_ms
-    new.due_ms = max(old.due_ms, new.due_ms)
+    known_ms, told_ms = old.maintained_ms or 0, new.maintained_ms or 0
+    if told_ms < known_ms:
+        # The end of this maintenance is still on its way to the log.
+        new.maintained_ms, new.due_ms = old.maintained_ms, old.due_ms
+    elif told_ms == known_ms:
+        # Keeps what an operator has requested meanwhile.
+        new.due_ms = min(old.due_ms, new.due_ms)
 
 
 @event_handlers.register(VmReported)
--- a/wigeonport/invariants.py
+++ b/wigeonport/invariants.py
@@ -214,11 +214,11 @@
         pool_name = checker.pools[command.vm]
         if checker.is_available(command.vm, now_ms):
             counts[pool_name] -= 1
-            guaranteed = checker.fleet.pools[pool_name].guaranteed()
-            if counts[pool_name] < guaranteed:
+            required = checker.fleet.pools[pool_name].required()
+            if counts[pool_name] < required:
                 violations.append(
                     f"{command.kind} of {command.vm} leaves "
-                    f"{counts[pool_name]} of {guaranteed} guaranteed VMs "
+                    f"{counts[pool_name]} of {required} required VMs "
                     f"available in {pool_name}"
                 )
         note_taken(checker, command)
--- a/wigeonport/operation_answers.py
+++ b/wigeonport/operation_answers.py
@@ -17,6 +17,24 @@
     )
     if operation.phase == GRANTING:
         operation.enter(STARTING, now_ms)
+        if command.destination:
+            note_assignment(view, command)
+
+
+def note_assignment(view, command):
+    """Records the pool that the log has assigned to a VM to be moved.
+
+    A version that assigned the VM before was not written by the planner, so
+    the VM is not lent.
+    """
+    vm = view.fleet.vms[command.vm]
+    if vm.home_pool == command.destination:
+        return
+    vm.home_pool = command.destination
+    if view.fleet.pools[command.destination].spare:
+        vm.lender = ""
+    elif view.fleet.pools[vm.pool].spare and not vm.lender:
+        vm.lender = vm.pool
 
 
 @confirmations.register(MoveVm)
@@ -28,6 +46,7 @@
     if vm.pool != command.destination:
         view.fleet.move(vm, command.destination, now_ms)
     operation = view.operations.get(command.vm)
+    vm.home_pool = command.destination
     if operation is not None and operation.phase == CHANGING:
         operation.enter(CHANGED, now_ms)
         # The log ends the lease of a move together with the change.
--- a/wigeonport/operations.py
+++ b/wigeonport/operations.py
@@ -241,6 +241,7 @@
 def await_reboot(view, operation, vm, now_ms):
     """Waits for the reboot; one that takes too long counts as a failure."""
     if vm.state == READY:
+        vm.maintained_ms = now_ms
         vm.due_ms = now_ms + view.settings.maintenance_period_ms
         vm.unsettled_until_ms = now_ms + view.settings.healthy_hold_ms
         view.wave.completed += 1
--- /dev/null
+++ b/wigeonport/plan_proposals.py
@@ -0,0 +1,149 @@
+"""Translates the planner's commands to commands of the replicated log.
+
+One command may need several proposals; they are proposed in order, and the
+answer to the last one confirms or refuses the command.
+"""
+
+import json
+
+from wigeonport.availabilities import is_available
+from wigeonport.maintenance_answers import GrantRefused, MoveRefused
+from wigeonport.plan_commands import (
+    MoveVm,
+    RebootVm,
+    ReleaseGrant,
+    RequestVmGrant,
+)
+from wigeonport.registries import Registry
+from wigeonport.state_answers import CommandRefused, PatchRefused
+from wigeonport.state_commands import (
+    ConfirmDrain,
+    EndGrant,
+    FinishMove,
+    RenewGrant,
+    RequestGrant,
+    ReturnWorker,
+    SubmitPatch,
+)
+from wigeonport.view_builders import PLANNER_AUTHOR
+from wigeonport.views import READY
+
+proposals = Registry("proposal")
+
+
+def make_proposals(command, view, state, now_ms):
+    """Returns the log's commands for one command of the planner.
+
+    Args:
+        command: The Command, with its id.
+        view: PlanView of the planner.
+        state: ReplicatedState as applied here.
+        now_ms: Time on the planner's clock.
+    """
+    make = proposals.entries.get(type(command))
+    return [] if make is None else make(command, view, state, now_ms)
+
+
+@proposals.register(RequestVmGrant)
+def propose_grant(command, view, state, now_ms):
+    """Renews a live grant, or asks for one; a loan is a patch first."""
+    lease_ms = max(command.until_ms - now_ms, 1)
+    live = state.maintenance.grant_of(command.vm)
+    if live is not None and live.author == PLANNER_AUTHOR:
+        return [RenewGrant(live.id, lease_ms)]
+    request = RequestGrant(
+        f"plan-{command.command_id}",
+        [command.vm],
+        command.purpose,
+        PLANNER_AUTHOR,
+        command.destination or "maintenance period",
+        lease_ms,
+        find_unavailable(view, command.vm, now_ms),
+    )
+    patch = make_patch(command, state)
+    return [request] if patch is None else [patch, request]
+
+
+def make_patch(command, state):
+    """Returns the patch that assigns a VM to its destination, or None."""
+    worker = state.fleet.fleet.workers.get(command.vm)
+    if not command.destination or worker is None:
+        return None
+    if worker.pool == command.destination:
+        return None
+    document = {
+        "id": f"plan-{command.command_id}",
+        "against_version": state.fleet.fleet.version,
+        "author": PLANNER_AUTHOR,
+        "reason": f"demand or losses in {command.destination}",
+        "operations": [
+            {
+                "operation": "move_worker",
+                "worker": command.vm,
+                "pool": command.destination,
+            }
+        ],
+    }
+    return SubmitPatch(json.dumps(document))
+
+
+def find_unavailable(view, vm_name, now_ms):
+    """Returns the other VMs of the pool that the planner cannot count."""
+    pool_name = view.fleet.vms[vm_name].pool
+    return [
+        vm.name
+        for vm in view.fleet.members(pool_name)
+        if vm.name != vm_name and not is_available(view, vm, now_ms)
+    ]
+
+
+@proposals.register(RebootVm)
+def propose_drained(command, view, state, now_ms):
+    """Records the drain before the reboot; the platform gets it after."""
+    grant = state.maintenance.grant_of(command.vm)
+    return [] if grant is None else [ConfirmDrain(grant.id, command.vm)]
+
+
+@proposals.register(MoveVm)
+def propose_move(command, view, state, now_ms):
+    """Records the drain and changes the pool in one step."""
+    grant = state.maintenance.grant_of(command.vm)
+    grant_id = "" if grant is None else grant.id
+    return [
+        ConfirmDrain(grant_id, command.vm),
+        FinishMove(
+            grant_id, command.vm, command.source, command.destination, 0
+        ),
+    ]
+
+
+@proposals.register(ReleaseGrant)
+def propose_release(command, view, state, now_ms):
+    """Ends the grant of a VM."""
+    grant = state.maintenance.grant_of(command.vm)
+    if grant is None:
+        return []
+    healthy = [command.vm] if command.healthy else []
+    return [EndGrant(grant.id, healthy, view.settings.healthy_hold_ms)]
+
+
+def find_returns(view, state, now_ms):
+    """Returns proposals for VMs that the log misses and that are back."""
+    hold_ms = view.settings.healthy_hold_ms
+    vms = view.fleet.vms
+    return [
+        ReturnWorker(name, hold_ms)
+        for name in state.maintenance.missing
+        if name in vms
+        and vms[name].state == READY
+        and is_available(view, vms[name], now_ms)
+    ]
+
+
+def read_refusal(answer):
+    """Returns why the log refused a command, or "" if it did not."""
+    if isinstance(answer, GrantRefused | MoveRefused | PatchRefused):
+        return "; ".join(answer.findings) or "refused"
+    if isinstance(answer, CommandRefused):
+        return answer.why
+    return ""
--- a/wigeonport/replay_measures.py
+++ b/wigeonport/replay_measures.py
@@ -154,10 +154,7 @@
         """Records the end of a roll-out."""
         if self.version_ms is None:
             return
-        placed = all(
-            vm.borrowed or vm.pool == vm.home_pool
-            for vm in view.fleet.vms.values()
-        )
+        placed = all(vm.pool == vm.home_pool for vm in view.fleet.vms.values())
         if placed:
             rollout_ms = now_ms - self.version_ms
             self.rollout_ms = max(self.rollout_ms, rollout_ms)
--- a/wigeonport/reserves.py
+++ b/wigeonport/reserves.py
@@ -108,7 +108,7 @@
 def count_held(view, now_ms):
     """Returns the available spare VMs beyond the spare pools' guarantee."""
     return sum(
-        max(count_available(view, pool.name, now_ms) - pool.guaranteed(), 0)
+        max(count_available(view, pool.name, now_ms) - pool.required(), 0)
         for pool in view.fleet.spare_pools()
     )
 
--- a/wigeonport/rollouts.py
+++ b/wigeonport/rollouts.py
@@ -13,20 +13,11 @@
         misplaced = [
             vm
             for vm in view.fleet.members(pool.name)
-            if is_misplaced(view, vm) and is_available(view, vm, now_ms)
+            if vm.pool != vm.home_pool and is_available(view, vm, now_ms)
         ]
         if not misplaced:
             continue
-        free = count_available(view, pool.name, now_ms) - pool.guaranteed()
+        free = count_available(view, pool.name, now_ms) - pool.required()
         for vm in misplaced[: max(free, 0)]:
             commands.extend(start_move(view, vm, vm.home_pool, now_ms))
     return commands
-
-
-def is_misplaced(view, vm):
-    """Returns whether a VM is outside its home pool without being lent."""
-    return (
-        vm.pool != vm.home_pool
-        and not vm.borrowed
-        and vm.home_pool in view.fleet.pools
-    )
--- /dev/null
+++ b/wigeonport/view_builders.py
@@ -0,0 +1,178 @@
+"""Builds the planner's views from the replicated state."""
+
+import zlib
+
+from wigeonport.budgets import required_available
+from wigeonport.plan_events import FleetLoaded
+from wigeonport.views import (
+    FleetView,
+    GrantView,
+    PoolView,
+    ServiceView,
+    Size,
+    TeamView,
+    VmView,
+)
+
+# Author of the planner's patches; the history then shows which VMs are lent.
+PLANNER_AUTHOR = "wigeonport-planner"
+MS_PER_HOUR = 3_600_000
+WORKERS = "workers"
+
+
+class PoolSlice:
+    """The part of a fleet version that concerns one pool.
+
+    It has what ``required_available`` reads, so that the requirement of one
+    pool does not cost a pass over the whole fleet.
+
+    Attributes:
+        workers: Workers that the version assigns to the pool, by id.
+        services: Services of the pool.
+    """
+
+    __slots__ = ("workers", "services")
+
+    def __init__(self):
+        self.workers = {}
+        self.services = []
+
+    def services_of(self, pool):
+        """Returns the services of the pool."""
+        return self.services
+
+
+def build_fleet_loaded(state, offset_ms):
+    """Returns the FleetLoaded event of a replicated state.
+
+    Args:
+        state: ReplicatedState.
+        offset_ms: Planner's clock minus wall clock, because the log's times
+            are wall times.
+    """
+    fleet = build_fleet_view(state, offset_ms)
+    grants = [
+        GrantView(
+            worker,
+            grant.purpose,
+            find_destination(state, grant, worker),
+            grant.expires_ms + offset_ms,
+        )
+        for grant in state.maintenance.grants.values()
+        for worker in grant.workers
+        if grant.purpose in ("maintenance", "move") and worker in fleet.vms
+    ]
+    return FleetLoaded(fleet, grants)
+
+
+def find_destination(state, grant, worker):
+    """Returns the pool that a move enters, or "" for maintenance."""
+    if grant.purpose != "move":
+        return ""
+    return state.pools.target(state.fleet.fleet, worker) or ""
+
+
+def build_fleet_view(state, offset_ms):
+    """Returns the FleetView of a replicated state."""
+    fleet = state.fleet.fleet
+    slices = slice_by_pool(fleet)
+    pools = [
+        PoolView(
+            pool.id,
+            pool.id == fleet.spare_pool,
+            required_available(slices[pool.id], pool.id),
+        )
+        for pool in fleet.pools.values()
+    ]
+    services = [
+        ServiceView(
+            service.id,
+            service.pool,
+            service.capacity_workers,
+            service.slots_per_endpoint,
+        )
+        for service in fleet.services.values()
+    ]
+    teams = [
+        TeamView(team.id, team.processors) for team in fleet.teams.values()
+    ]
+    lent = find_lent(state.fleet)
+    vms = [
+        build_vm(state, worker, lent, offset_ms)
+        for worker in fleet.workers.values()
+        if state.pools.pools.get(worker.id) in fleet.pools
+    ]
+    return FleetView(fleet.version, vms, pools, services, teams)
+
+
+def slice_by_pool(fleet):
+    """Returns a PoolSlice for each pool."""
+    slices = {name: PoolSlice() for name in fleet.pools}
+    for worker in fleet.workers.values():
+        slices[worker.pool].workers[worker.id] = worker
+    for service in fleet.services.values():
+        slices[service.pool].services.append(service)
+    return slices
+
+
+def build_vm(state, worker, lent, offset_ms):
+    """Returns the VmView of a worker."""
+    fleet = state.fleet.fleet
+    size = Size(worker.processors, worker.memory_mb, worker.accelerators)
+    period_ms = fleet.maintenance_period_hours * MS_PER_HOUR
+    maintained_ms = state.maintenance.maintained.get(worker.id)
+    due_ms = find_due_ms(worker.id, maintained_ms, period_ms, state.now_ms)
+    vm = VmView(
+        worker.id,
+        state.pools.pools[worker.id],
+        worker.rack,
+        worker.zone,
+        size,
+        due_ms + offset_ms,
+    )
+    vm.home_pool = worker.pool
+    if worker.id in lent and worker.pool != fleet.spare_pool:
+        vm.lender = fleet.spare_pool or ""
+    if maintained_ms is not None:
+        vm.maintained_ms = maintained_ms + offset_ms
+    held_ms = state.maintenance.holds.get(worker.id)
+    if held_ms is not None:
+        vm.unsettled_until_ms = held_ms + offset_ms
+    return vm
+
+
+def find_due_ms(worker_id, maintained_ms, period_ms, now_ms):
+    """Returns the wall time by which a VM must be maintained.
+
+    VMs whose last maintenance is unknown are spread over the period by their
+    names, so that a new fleet is not due all at once.
+    """
+    if maintained_ms is not None:
+        return maintained_ms + period_ms
+    offset_ms = zlib.crc32(worker_id.encode()) % period_ms
+    periods = (now_ms - offset_ms + period_ms - 1) // period_ms
+    return periods * period_ms + offset_ms
+
+
+def find_lent(fleet_state):
+    """Returns the VMs whose pool was last changed by the planner.
+
+    Loans older than the retained history are taken as permanent.
+    """
+    lent = set()
+    for record in fleet_state.history:
+        for change in record.changes:
+            if change.section != WORKERS or not changes_pool(change):
+                continue
+            if record.author == PLANNER_AUTHOR:
+                lent.add(change.id)
+            else:
+                lent.discard(change.id)
+    return lent
+
+
+def changes_pool(change):
+    """Returns whether a change assigns a VM to another pool."""
+    before = change.before or {}
+    after = change.after or {}
+    return before.get("pool") != after.get("pool")
--- a/wigeonport/view_documents.py
+++ b/wigeonport/view_documents.py
@@ -91,7 +91,8 @@
     if vm.state not in VM_STATES:
         raise ValueError(f"VM {vm.name} has the unknown state {vm.state}")
     vm.home_pool = document.get("home_pool", vm.pool)
-    vm.borrowed = document.get("borrowed", False)
+    vm.lender = document.get("lender", "")
+    vm.maintained_ms = document.get("maintained_ms")
     return vm
 
 
@@ -126,11 +127,12 @@
         "name": vm.name,
         "pool": vm.pool,
         "home_pool": vm.home_pool,
-        "borrowed": vm.borrowed,
+        "lender": vm.lender,
         "rack": vm.rack,
         "zone": vm.zone,
         **size_to_document(vm.size),
         "due_ms": vm.due_ms,
+        "maintained_ms": vm.maintained_ms,
         "state": vm.state,
     }
 
--- a/wigeonport/views.py
+++ b/wigeonport/views.py
@@ -65,53 +65,60 @@
     Attributes:
         name: Unique name.
         pool: Pool that holds the VM now.
-        home_pool: Pool to which a borrowed VM returns.
+        home_pool: Pool that the version in force assigns.
+        lender: Spare pool from which the planner has lent the VM, or "".
         rack: Rack, unique across zones.
         zone: Availability zone.
         size: Resources for tasks.
         state: One of ``VM_STATES``.
         sequence: Sequence number of the newest report applied.
         due_ms: Time by which the VM must have been maintained.
+        maintained_ms: Time of the last maintenance, or None if unknown.
         moved_ms: Time of the last change of pool.
         unsettled_until_ms: End of the hold after a repair or reboot.
         missing: Whether the zone's last report did not include the VM.
         quarantined: Whether the worker is excluded from tasks.
-        borrowed: Whether the planner lent the VM to its present pool; a VM
-            outside its home pool that is not borrowed must be moved there.
     """
 
     __slots__ = (
         "name",
         "pool",
         "home_pool",
+        "lender",
         "rack",
         "zone",
         "size",
         "state",
         "sequence",
         "due_ms",
+        "maintained_ms",
         "moved_ms",
         "unsettled_until_ms",
         "missing",
         "quarantined",
-        "borrowed",
     )
 
     def __init__(self, name, pool, rack, zone, size, due_ms, state=READY):
         self.name = name
         self.pool = pool
         self.home_pool = pool
+        self.lender = ""
         self.rack = rack
         self.zone = zone
         self.size = size
         self.state = state
         self.sequence = 0
         self.due_ms = due_ms
+        self.maintained_ms = None
         self.moved_ms = None
         self.unsettled_until_ms = 0
         self.missing = False
         self.quarantined = False
-        self.borrowed = False
+
+    @property
+    def borrowed(self):
+        """Whether the VM serves in another pool than its lender's."""
+        return self.lender not in ("", self.pool)
 
 
 class PoolView:
@@ -122,8 +129,8 @@
         spare: Whether other pools may borrow from this one.
         members: Names of the VMs in the pool, in insertion order.
         services: Services that run in the pool.
-        floor: VMs that must stay available besides what the services add up
-            to; the larger of both counts.
+        floor: VMs below which planned work must not bring the pool; it may
+            be higher than what the services were guaranteed.
     """
 
     __slots__ = ("name", "spare", "members", "services", "floor")
@@ -136,9 +143,12 @@
         self.services = []
 
     def guaranteed(self):
-        """Returns the number of VMs that must stay available."""
-        total = sum(service.guaranteed for service in self.services)
-        return max(total, self.floor)
+        """Returns the number of VMs that the services were guaranteed."""
+        return sum(service.guaranteed for service in self.services)
+
+    def required(self):
+        """Returns the number of VMs that planned work must leave."""
+        return max(self.guaranteed(), self.floor)
 
 
 class ServiceView:
@@ -236,5 +246,4 @@
         del self.pools[vm.pool].members[vm.name]
         self.pools[destination].members[vm.name] = None
         vm.pool = destination
-        vm.borrowed = destination != vm.home_pool
         vm.moved_ms = now_ms
--- a/wigeonport/waves.py
+++ b/wigeonport/waves.py
@@ -126,7 +126,7 @@
     """Returns whether the budget of the VM's pool allows one more grant."""
     pool = view.fleet.pools[vm.pool]
     left = count_available(view, pool.name, now_ms) - 1
-    if left - find_headroom(view, pool) < pool.guaranteed():
+    if left - find_headroom(view, pool) < pool.required():
         return False
     if is_overdue(view, vm, now_ms):
         return True
@@ -141,7 +141,7 @@
     A pool whose budget is a single VM has no headroom; it could never be
     maintained otherwise.
     """
-    budget = len(pool.members) - pool.guaranteed()
+    budget = len(pool.members) - pool.required()
     return max(min(view.settings.wave_headroom, budget - 1), 0)
 
 
