Free jobs of lost workers and tasks that ignore checkpoints

Cause: the random traces showed jobs that were held for good: a worker that failed and returned within the lease had its lost tasks renewed, and a task that ignored a checkpoint was never asked again.

Change: tasks on a failed worker are marked lost and not renewed; a task that does not give way runs on once its room is not needed; the platform reports a renewed task that does not run as stopped. Unit tests for planner, capacity and jobs.

Conclusion: a job is held at most until its lease ends.

--- /dev/null
+++ b/tests/test_capacities.py
@@ -0,0 +1,170 @@
+"""Tests of forecasts, reserves and borrowing."""
+
+import pytest
+
+from wigeonport.forecasts import Forecasts
+from wigeonport.plan_events import (
+    CommandConfirmed,
+    DemandReported,
+    VmReported,
+)
+from wigeonport.plan_settings import PlanSettings
+from wigeonport.reserves import size_reserve
+from wigeonport.views import FAILED
+
+
+@pytest.fixture
+def forecasts():
+    """Forecasts with the default settings."""
+    return Forecasts(PlanSettings())
+
+
+def demand(run, slots):
+    """Reports the demand of roster, measured now."""
+    run.step(DemandReported("roster", slots, run.clock.now()))
+
+
+def moves(commands):
+    """Returns (VM, destination) of the requested moves."""
+    return [
+        (c.vm, c.destination)
+        for c in commands
+        if c.kind == "request_grant" and c.purpose == "move"
+    ]
+
+
+def test_forecast_extends_the_trend_over_the_lag(forecasts):
+    """Guards against capacity that is always one lag too late."""
+    forecasts.add(DemandReported("roster", 60, 0))
+    forecasts.add(DemandReported("roster", 10, 1_000))
+    forecasts.add(DemandReported("roster", 20, 2_000))
+    assert forecasts.slots("roster", 3_000) == pytest.approx(30)
+    assert forecasts.slots("roster", 9_000) <= 60
+
+
+def test_forecast_ignores_older_reports(forecasts):
+    """Guards against a reordered report that lowers the demand."""
+    forecasts.add(DemandReported("roster", 40, 2_000))
+    forecasts.add(DemandReported("roster", 0, 1_000))
+    forecasts.add(DemandReported("roster", 0, 2_000))
+    assert forecasts.slots("roster", 2_000) == 40
+
+
+def test_silent_service_is_not_taken_for_idle(forecasts):
+    """Guards against returning VMs because reports stopped."""
+    for second in range(60):
+        forecasts.add(DemandReported("roster", 40, second * 1_000))
+    forecasts.add(DemandReported("roster", 0, 60_000))
+    assert forecasts.slots("roster", 90_000) > 10
+
+
+def test_shared_reserve_covers_the_worst_rack(make_run, clock):
+    """Guards against a reserve that the loss of one rack exhausts."""
+    run = make_run()
+    # Rack ikeja-r1 holds two VMs of each pool, so its loss leaves both
+    # services one VM short and takes two spare VMs with it.
+    shared = size_reserve(run.view, clock.now())
+    assert (shared.needed, shared.held, shared.uncovered) == (4, 4, 0)
+
+
+def test_shared_reserve_is_smaller_than_one_for_each(make_run, clock):
+    """Guards against a shared reserve that saves nothing."""
+    run = make_run()
+    for vm in run.view.fleet.vms.values():
+        vm.rack = f"{vm.zone}-{vm.pool}"
+    shared = size_reserve(run.view, clock.now())
+    run.view.settings.reserve_policy = "per_service"
+    separate = size_reserve(run.view, clock.now())
+    assert (shared.needed, separate.needed) == (1, 2)
+
+
+def test_uncovered_zone_is_reported(make_run, clock):
+    """Guards against a zone loss that no one knew to be uncovered."""
+    run = make_run()
+    run.view.fleet.services["notices"].guaranteed = 5
+    reserve = size_reserve(run.view, clock.now())
+    assert reserve.uncovered == 2
+
+
+def test_reserve_is_not_lent_for_demand(make_run):
+    """Guards against a peak that spends the reserve for losses."""
+    run = make_run(move_price_s=0.1)
+    for _ in range(5):
+        demand(run, 100)
+        assert moves(run.tick(1_000)) == []
+
+
+def test_lost_capacity_is_covered_from_the_reserve(make_run):
+    """Guards against a guarantee that is broken beside idle VMs."""
+    run = make_run()
+    run.step(VmReported("roster-ikeja-1", FAILED, 1))
+    commands = run.step(VmReported("roster-ikeja-2", FAILED, 1))
+    assert [pool for _, pool in moves(commands)] == ["roster"]
+    assert moves(run.tick(1_000)) == []
+
+
+def test_borrowed_vm_is_spread_over_zones(make_run):
+    """Guards against replacing a lost zone by a VM of another's rack."""
+    run = make_run()
+    run.step(VmReported("roster-ikeja-1", FAILED, 1))
+    commands = run.step(VmReported("roster-ikeja-2", FAILED, 1))
+    ((vm, _),) = moves(commands)
+    assert run.view.fleet.vms[vm].zone != "ikeja" or "ikeja" in vm
+
+
+def borrow(run, peak_s):
+    """Runs a peak of roster; returns the commands of each second."""
+    run.view.fleet.services["crusade"].guaranteed = 0
+    run.view.fleet.services["roster"].guaranteed = 0
+    seconds = []
+    for _ in range(peak_s):
+        demand(run, 60)
+        seconds.append(run.tick(1_000))
+    return seconds
+
+
+def test_peak_shorter_than_its_price_moves_nothing(make_run):
+    """Guards against oscillation under rotating demand."""
+    run = make_run(weight_rollout=1.0, move_price_s=10.0)
+    assert not any(moves(commands) for commands in borrow(run, 9))
+
+
+def test_peak_longer_than_its_price_borrows_once(make_run):
+    """Guards against a pool that waits through a long peak."""
+    run = make_run(weight_rollout=1.0, move_price_s=10.0)
+    moved = [moves(commands) for commands in borrow(run, 30)]
+    # Requests that are not confirmed are repeated with the same VMs.
+    assert len({each for second in moved for each in second}) == 2
+    first = next(i for i, each in enumerate(moved) if each)
+    assert 15 <= first <= 25
+
+
+def test_higher_weight_of_rollout_time_borrows_sooner(make_run):
+    """Guards against weights that change nothing."""
+    run = make_run(weight_rollout=5.0, move_price_s=10.0)
+    moved = [moves(commands) for commands in borrow(run, 10)]
+    assert any(moved)
+
+
+def test_hold_delays_the_return(make_run):
+    """Guards against VMs that move back and forth."""
+    run = make_run(weight_rollout=100.0, weight_buffer=100.0)
+    for commands in borrow(run, 5):
+        for command in commands:
+            if command.kind == "request_grant":
+                run.step(CommandConfirmed(command.command_id))
+    operations = list(run.view.operations.values())
+    assert len(operations) == 2
+    for operation in operations:
+        vm = run.view.fleet.vms[operation.vm]
+        run.view.fleet.move(vm, "roster", run.clock.now())
+        del run.view.operations[operation.vm]
+    returned_after_s = None
+    for second in range(60):
+        demand(run, 0)
+        if moves(run.tick(1_000)):
+            returned_after_s = second
+            break
+    hold_s = run.view.settings.borrow_hold_ms / 1000
+    assert returned_after_s is not None
+    assert returned_after_s >= hold_s - 2
--- /dev/null
+++ b/tests/test_jobs.py
@@ -0,0 +1,251 @@
+"""Tests of jobs, placement, estimates and faulty workers."""
+
+import pytest
+
+from wigeonport.estimates import Samples
+from wigeonport.job_tables import NEVER
+from wigeonport.plan_events import (
+    CommandConfirmed,
+    JobsCancelled,
+    JobSubmitted,
+    TaskReported,
+    UsageReported,
+    VmReported,
+)
+from wigeonport.views import Size
+
+
+def make_job(name, cores=1, memory_mb=1_024, **fields):
+    """Returns a submission to the pool roster."""
+    values = {
+        "team": "planners",
+        "pool": "roster",
+        "job_kind": "plan",
+        "declared_run_ms": 10_000,
+        **fields,
+    }
+    return JobSubmitted(name, declared=Size(cores, memory_mb), **values)
+
+
+def starts(commands):
+    """Returns the start commands."""
+    return [c for c in commands if c.kind == "start_task"]
+
+
+def submit(run, *jobs):
+    """Submits jobs; returns their start commands."""
+    found = []
+    for job in jobs:
+        found.extend(starts(run.step(job)))
+    found.extend(starts(run.tick()))
+    for command in found:
+        run.step(CommandConfirmed(command.command_id))
+        report(run, command, "running")
+    return found
+
+
+def report(run, start, state):
+    """Reports a state of the attempt of a start command."""
+    return run.step(TaskReported(start.job, start.vm, start.attempt, state))
+
+
+def test_repeated_submission_starts_once(make_run):
+    """Guards against a resent job that runs twice."""
+    run = make_run()
+    (start,) = submit(run, make_job("a"), make_job("a"))
+    report(run, start, "finished")
+    assert submit(run, make_job("a")) == []
+
+
+def test_report_of_an_earlier_attempt_is_ignored(make_run):
+    """Guards against a late failure that ends the next attempt."""
+    run = make_run()
+    (first,) = submit(run, make_job("a"))
+    (second,) = starts(report(run, first, "stopped"))
+    assert second.attempt == 2
+    assert run.step(TaskReported("a", first.vm, 1, "finished")) == []
+    assert "a" in run.view.jobs.jobs
+
+
+def test_job_of_a_lost_worker_waits_for_its_lease(make_run):
+    """Guards against a task that runs twice at the same time."""
+    run = make_run(task_lease_ms=10_000)
+    (start,) = submit(run, make_job("a"))
+    run.step(VmReported(start.vm, "failed", 1))
+    assert starts(run.tick(5_000)) == []
+    (again,) = starts(run.tick(6_000))
+    assert (again.job, again.attempt) == ("a", 2)
+    assert again.vm != start.vm
+
+
+def test_running_task_keeps_its_lease(make_run):
+    """Guards against a task that ends for lack of renewal."""
+    run = make_run(task_lease_ms=10_000)
+    (start,) = submit(run, make_job("a"))
+    for _ in range(30):
+        assert starts(run.tick(1_000)) == []
+    assert run.view.jobs.jobs["a"].attempt == start.attempt
+
+
+def test_quota_limits_a_team(make_run):
+    """Guards against one team that takes the whole pool."""
+    run = make_run()
+    run.view.fleet.teams["planners"].quota_cores = 20
+    jobs = [make_job(str(number), cores=8) for number in range(4)]
+    assert len(submit(run, *jobs)) == 2
+    reasons = {job.reason for job in run.view.jobs.jobs.values()}
+    assert "the quota of the team is used" in reasons
+
+
+def test_waiting_job_is_not_called_impossible(make_run):
+    """Guards against a verdict on a job that only has to wait."""
+    run = make_run()
+    jobs = [make_job(str(number), cores=16) for number in range(7)]
+    assert len(submit(run, *jobs)) == 6
+    assert run.view.jobs.ended == {}
+
+
+def test_impossible_job_is_reconsidered_in_a_new_version(
+    make_run, planned_fleet
+):
+    """Guards against a verdict that outlives the fleet it is about."""
+    run = make_run()
+    submit(run, make_job("a", cores=40))
+    assert run.view.jobs.ended["a"].state == NEVER
+    for vm in planned_fleet.vms.values():
+        vm.size = Size(64, 65_536)
+    run.view.jobs.fleet_changed(planned_fleet)
+    assert [c.job for c in starts(run.tick())] == ["a"]
+
+
+def test_old_large_job_is_no_longer_overtaken(make_run):
+    """Guards against a large job that small ones starve."""
+    run = make_run()
+    for vm in run.view.fleet.members("roster")[1:]:
+        vm.quarantined = True
+    submit(run, make_job("small", cores=8, declared_run_ms=500_000))
+    submit(run, make_job("large", cores=16))
+    assert len(submit(run, make_job("early", cores=4))) == 1
+    run.tick(61_000)
+    assert submit(run, make_job("late", cores=4)) == []
+
+
+def fail_on(run, vm_name, count):
+    """Lets jobs fail on one worker and finish on the others."""
+    for number in range(count):
+        name = f"{vm_name}-{run.clock.now()}-{number}"
+        (start,) = submit(run, make_job(name))
+        job = run.view.jobs.jobs[name]
+        bad = TaskReported(name, start.vm, start.attempt, "failed")
+        if start.vm != vm_name:
+            # Moves the attempt to the worker under test.
+            size = job.size
+            run.view.jobs.unbind(job)
+            run.view.jobs.bind(job, vm_name, size, run.clock.now())
+            bad = TaskReported(name, vm_name, job.attempt, "failed")
+        run.step(bad)
+        run.clock.advance(100)
+
+
+def let_finish(run, vm_name):
+    """Records a success of a worker."""
+    run.view.faults.note_success(vm_name, run.clock.now())
+
+
+def test_quarantine_leaves_a_floor_of_workers(make_run):
+    """Guards against a pool whose workers are all quarantined."""
+    run = make_run()
+    names = [vm.name for vm in run.view.fleet.members("roster")]
+    for name in names[2:]:
+        let_finish(run, name)
+    for name in names[:2]:
+        for number in range(5):
+            job = f"job-{number}"
+            run.view.faults.note_failure(name, job, run.clock.now())
+    run.tick()
+    assert sum(vm.quarantined for vm in run.view.fleet.vms.values()) == 1
+
+
+def test_common_fault_quarantines_no_one(make_run):
+    """Guards against blaming workers for a fault that all share."""
+    run = make_run()
+    for vm in run.view.fleet.members("roster"):
+        for number in range(5):
+            run.view.faults.note_failure(
+                vm.name, f"job-{number}", run.clock.now()
+            )
+    run.tick()
+    assert not any(vm.quarantined for vm in run.view.fleet.vms.values())
+
+
+def test_failures_of_a_bad_worker_do_not_count_against_jobs(make_run):
+    """Guards against jobs that are condemned by one faulty worker."""
+    run = make_run()
+    bad, *others = [vm.name for vm in run.view.fleet.members("roster")]
+    for name in others:
+        let_finish(run, name)
+    fail_on(run, bad, 3)
+    assert run.view.fleet.vms[bad].quarantined
+    assert all(not job.failed_on for job in run.view.jobs.jobs.values())
+
+
+def test_quarantine_ends(make_run):
+    """Guards against a repaired worker that stays excluded."""
+    run = make_run(quarantine_ms=5_000)
+    bad, *others = [vm.name for vm in run.view.fleet.members("roster")]
+    for name in others:
+        let_finish(run, name)
+    fail_on(run, bad, 3)
+    kinds = [command.kind for command in run.tick(6_000)]
+    assert "release_worker" in kinds
+    assert not run.view.fleet.vms[bad].quarantined
+
+
+def test_cancellation_is_one_command(make_run):
+    """Guards against a message for each of thousands of jobs."""
+    run = make_run()
+    submit(run, *(make_job(str(number)) for number in range(50)))
+    names = tuple(map(str, range(50)))
+    commands = run.step(JobsCancelled(names))
+    assert [c.kind for c in commands] == ["cancel_jobs"]
+    assert len(commands[0].jobs) == 50
+    assert run.step(JobsCancelled(names)) == []
+
+
+def test_cancelled_task_holds_its_room_until_it_ends(make_run):
+    """Guards against two tasks in the room of one."""
+    run = make_run()
+    (start,) = submit(run, make_job("a", cores=16))
+    run.step(JobsCancelled(("a",)))
+    assert run.view.jobs.used_on(start.vm).cores == 16
+    report(run, start, "stopped")
+    assert run.view.jobs.used_on(start.vm).cores == 0
+    assert "a" not in run.view.jobs.jobs
+
+
+@pytest.mark.parametrize("factor", [0.2, 5])
+def test_sizes_are_learned_from_late_reports(make_run, factor):
+    """Guards against placing by declarations that are far off."""
+    run = make_run()
+    for number in range(3):
+        (start,) = submit(run, make_job(str(number), cores=2 * factor))
+        report(run, start, "finished")
+        run.step(UsageReported(str(number), Size(2, 500), 0))
+    (start,) = submit(run, make_job("next", cores=2 * factor))
+    assert start.cores == pytest.approx(2 * 1.15)
+
+
+def test_ratio_is_used_when_declarations_scale():
+    """Guards against one size for jobs that differ by a known factor."""
+    samples = Samples(32)
+    for declared in (1, 2, 4, 8, 16):
+        samples.add(declared / 2, declared)
+    assert samples.estimate(6, 0.9) == pytest.approx(3)
+
+
+def test_value_is_used_when_declarations_are_noise():
+    """Guards against scaling by declarations that mean nothing."""
+    samples = Samples(32)
+    for declared in (1, 20, 4, 50, 16):
+        samples.add(3, declared)
+    assert samples.estimate(100, 0.9) == 3
--- /dev/null
+++ b/tests/test_planners.py
@@ -0,0 +1,233 @@
+"""Tests of the planner, its operations and its commands."""
+
+import pytest
+
+from wigeonport.plan_commands import CancelJobs, DrainVm, StartTask
+from wigeonport.plan_events import (
+    CommandConfirmed,
+    CommandRefused,
+    LeadershipChanged,
+    MaintenanceSteered,
+    Tick,
+    VmReported,
+    ZoneReported,
+)
+from wigeonport.plan_settings import PlanSettings, read_plan_settings
+from wigeonport.planners import build_planner
+from wigeonport.platforms import CommandLedger, TermFence
+from wigeonport.views import DRAINED, DRAINING, FAILED, READY, Size
+
+
+def kinds(commands):
+    """Returns the kinds of commands without reports to operators."""
+    return [c.kind for c in commands if c.target != "operators"]
+
+
+def start_drain(run, vm_name):
+    """Makes a VM due and returns the drain command of its maintenance."""
+    run.step(MaintenanceSteered("request", vm_name))
+    (request,) = (c for c in run.tick() if c.kind == "request_grant")
+    (drain,) = run.step(CommandConfirmed(request.command_id))
+    assert (drain.kind, drain.vm) == ("drain_vm", vm_name)
+    return drain
+
+
+def report(run, vm_name, state):
+    """Feeds the next report about a VM."""
+    sequence = run.view.fleet.vms[vm_name].sequence + 1
+    return run.step(VmReported(vm_name, state, sequence))
+
+
+def test_unknown_policy_is_a_finding_with_its_place():
+    """Guards against a mistyped policy that fails at the first plan."""
+    built = build_planner(PlanSettings(borrow_policy="eager"), "plan")
+    assert "plan.borrow_policy" in str(built.error)
+    assert "break_even" in str(built.error)
+
+
+def test_all_bad_settings_are_reported_together():
+    """Guards against one finding at a time."""
+    bad = {"move_price": 1, "wave_parallel": 0, "borrow_hold_ms": "1"}
+    found = read_plan_settings(bad, "plan").error
+    assert len(found.items) == 3
+
+
+def test_repeated_and_older_reports_change_nothing(make_run):
+    """Guards against a late report that revives a failed VM."""
+    run = make_run()
+    vm = run.view.fleet.vms["roster-ikeja-1"]
+    run.step(VmReported(vm.name, FAILED, 5))
+    run.step(VmReported(vm.name, READY, 4))
+    run.step(VmReported(vm.name, READY, 5))
+    assert vm.state == FAILED
+    assert len(run.view.wave.failures) == 1
+
+
+def test_older_zone_report_changes_nothing(make_run, clock):
+    """Guards against a reordered report that hides missing VMs."""
+    run = make_run()
+    vm = run.view.fleet.vms["roster-ikeja-1"]
+    run.step(ZoneReported("ikeja", clock.now() + 2, (vm.name,)))
+    run.step(ZoneReported("ikeja", clock.now() + 1))
+    assert vm.missing
+
+
+def test_older_term_changes_nothing(make_run, clock):
+    """Guards against a delayed lease that revives an old leadership."""
+    run = make_run()
+    run.step(LeadershipChanged(3, 0))
+    run.step(LeadershipChanged(1, clock.now() + 10_000))
+    assert not run.view.leads(clock.now())
+
+
+def test_stale_term_at_the_platform_ends_leadership(make_run, clock):
+    """Guards against a deposed leader that keeps on commanding."""
+    run = make_run()
+    drain = start_drain(run, "roster-ikeja-1")
+    run.step(CommandRefused(drain.command_id, "stale term"))
+    assert not run.view.leads(clock.now())
+
+
+def test_unconfirmed_command_is_repeated_with_its_id(make_run):
+    """Guards against a lost command and against a second effect of it."""
+    run = make_run()
+    drain = start_drain(run, "roster-ikeja-1")
+    repeats = [c for c in run.tick(2_000) if c.kind == "drain_vm"]
+    assert [c.command_id for c in repeats] == [drain.command_id]
+    run.step(CommandConfirmed(drain.command_id))
+    assert "drain_vm" not in kinds(run.tick(2_000))
+
+
+def test_drain_that_takes_too_long_is_given_up(make_run):
+    """Guards against a VM that is drained for good without a reboot."""
+    run = make_run(drain_bound_ms=5_000)
+    start_drain(run, "roster-ikeja-1")
+    report(run, "roster-ikeja-1", DRAINING)
+    commands = run.tick(6_000)
+    assert {"undrain_vm", "release_grant"} <= set(kinds(commands))
+    assert "reboot_vm" not in kinds(run.tick(1_000))
+
+
+def test_reboot_follows_only_a_confirmed_drain(make_run):
+    """Guards against a planned stop that drops running work."""
+    run = make_run()
+    start_drain(run, "roster-ikeja-1")
+    assert kinds(run.tick(1_000)) == []
+    assert kinds(report(run, "roster-ikeja-1", DRAINED)) == ["reboot_vm"]
+
+
+def test_expired_grant_returns_the_vm(make_run):
+    """Guards against work on a VM whose lease another may hold."""
+    run = make_run(grant_lease_ms=9_000)
+    start_drain(run, "roster-ikeja-1")
+    renewals = [c for c in run.tick(7_000) if c.kind == "request_grant"]
+    assert len(renewals) == 1
+    commands = run.tick(4_000)
+    assert "undrain_vm" in kinds(commands)
+    assert "reboot_vm" not in kinds(
+        report(run, "roster-ikeja-1", DRAINED) + run.tick(1_000)
+    )
+
+
+def test_stray_vm_of_an_earlier_leader_returns(make_run):
+    """Guards against capacity that no one gives back."""
+    run = make_run()
+    commands = report(run, "roster-ikeja-1", DRAINED)
+    assert kinds(commands) == ["undrain_vm"]
+    assert kinds(run.tick(500)) == []
+
+
+def test_failed_vm_ends_its_operation(make_run):
+    """Guards against a grant that is held for a VM that is gone."""
+    run = make_run()
+    start_drain(run, "roster-ikeja-1")
+    commands = report(run, "roster-ikeja-1", FAILED)
+    released = [c for c in commands if c.kind == "release_grant"]
+    assert [c.healthy for c in released] == [False]
+
+
+def test_operators_pause_outlasts_the_quiet_time(make_run):
+    """Guards against maintenance that restarts by itself."""
+    run = make_run()
+    run.step(MaintenanceSteered("pause"))
+    run.step(MaintenanceSteered("request", "roster-ikeja-1"))
+    assert "request_grant" not in kinds(run.tick(600_000))
+    run.step(MaintenanceSteered("resume"))
+    assert "request_grant" in kinds(run.tick(1_000))
+
+
+def test_pause_takes_back_a_drain(make_run):
+    """Guards against VMs kept away while failures arrive."""
+    run = make_run()
+    start_drain(run, "roster-ikeja-1")
+    report(run, "crusade-lekki-1", FAILED)
+    commands = report(run, "crusade-lekki-2", FAILED)
+    assert {"undrain_vm", "release_grant"} <= set(kinds(commands))
+
+
+def test_unknown_zone_blocks_grants(make_run, clock):
+    """Guards against grants based on VMs that no one has heard of."""
+    run = make_run()
+    run.step(MaintenanceSteered("request", "roster-ikeja-1"))
+    clock.advance(6_000)
+    for zone in ("ikeja", "lekki"):
+        run.step(ZoneReported(zone, clock.now()))
+    granted = [
+        c
+        for c in run.step(Tick())
+        if c.kind == "request_grant" and c.purpose == "maintenance"
+    ]
+    assert granted == []
+
+
+@pytest.mark.parametrize("budget", [1, 2, 3])
+def test_wave_keeps_headroom_for_a_loss(make_run, budget):
+    """Guards against a wave that spends the whole budget at once."""
+    run = make_run()
+    run.view.fleet.services["roster"].guaranteed = 6 - budget
+    for zone in ("ikeja", "lekki", "yaba"):
+        for number in (1, 2):
+            vm = f"roster-{zone}-{number}"
+            run.step(MaintenanceSteered("request", vm))
+    granted = [c for c in run.tick() if c.kind == "request_grant"]
+    assert len(granted) == max(budget - 1, 1)
+
+
+def test_later_command_replaces_the_repetition_of_an_earlier():
+    """Guards against a repeated start after its cancellation."""
+    ledger = CommandLedger(1_000)
+    ledger.start_term(1)
+    ledger.stamp(StartTask("job", "vm", 1, Size(1, 1), 9_000), 0)
+    cancel = ledger.stamp(CancelJobs(("job",)), 10)
+    assert ledger.overdue(5_000) == [cancel]
+
+
+def test_commands_of_an_old_term_are_not_repeated():
+    """Guards against commands of an earlier leadership."""
+    ledger = CommandLedger(1_000)
+    ledger.start_term(1)
+    old = ledger.stamp(DrainVm("vm", "maintenance"), 0)
+    ledger.start_term(2)
+    assert ledger.overdue(5_000) == []
+    assert ledger.settle(old.command_id) is None
+    new = ledger.stamp(DrainVm("vm", "maintenance"), 0)
+    assert (new.command_id, new.term) == ("2-1", 2)
+
+
+def test_fence_admits_each_command_once_and_no_old_term():
+    """Guards against a second effect and against a deposed leader."""
+    fence = TermFence()
+    verdicts = [
+        fence.admit(2, "2-1"),
+        fence.admit(2, "2-1"),
+        fence.admit(1, "1-9"),
+        fence.admit(3, "3-1"),
+        fence.admit(2, "2-2"),
+    ]
+    assert verdicts == [
+        "accepted",
+        "repeated",
+        "stale term",
+        "accepted",
+        "stale term",
+    ]
--- a/tests/test_random_traces.py
+++ b/tests/test_random_traces.py
@@ -6,6 +6,7 @@
 from planning_fixtures import make_fleet
 
 from wigeonport import plan_events as events
+from wigeonport.job_tables import LOST
 from wigeonport.plan_settings import PlanSettings
 from wigeonport.planners import Planner
 from wigeonport.replays import Replay
@@ -148,6 +149,25 @@
         assert used.cores == pytest.approx(cores)
 
 
+def check_no_ghosts(replay):
+    """Asserts that no job is held long after its task has ended.
+
+    A job on a lost worker is held until its lease ends, not longer.
+    """
+    table = replay.planner.view.jobs
+    lease_ms = table.settings.task_lease_ms
+    ghosts = []
+    for name, job in table.jobs.items():
+        if job.vm is None or name in replay.platform.tasks:
+            continue
+        expired = END_MS - job.lease_until_ms > lease_ms // 2
+        held_ms = END_MS - job.started_ms
+        forgotten = job.state != LOST and held_ms > 2 * lease_ms
+        if expired or forgotten:
+            ghosts.append(name)
+    assert ghosts == []
+
+
 @pytest.mark.parametrize("seed", range(12))
 def test_random_trace_keeps_the_invariants(seed):
     """Guards against combinations of faults that no one listed."""
@@ -162,3 +182,4 @@
     assert record.measures.commands["drain_vm"] > 0
     assert record.measures.commands["start_task"] > 20
     check_tables(replay.planner.view)
+    check_no_ghosts(replay)
--- a/wigeonport/job_tables.py
+++ b/wigeonport/job_tables.py
@@ -7,6 +7,7 @@
 RUNNING = "running"
 ENDING = "ending"
 CANCELLING = "cancelling"
+LOST = "lost"
 FINISHED = "finished"
 CANCELLED = "cancelled"
 NEVER = "never"
@@ -24,6 +25,7 @@
         vm: Worker of the current attempt, or None.
         size: Size reserved on the worker.
         started_ms: Start of the attempt as reported, or of its command.
+        ending_ms: Time at which the task was asked to give way.
         lease_until_ms: Latest end of the task's lease.
         retry_ms: Earliest time of the next attempt.
         failed_on: Workers on which an attempt failed.
@@ -39,6 +41,7 @@
         "vm",
         "size",
         "started_ms",
+        "ending_ms",
         "lease_until_ms",
         "retry_ms",
         "failed_on",
@@ -54,6 +57,7 @@
         self.vm = None
         self.size = None
         self.started_ms = None
+        self.ending_ms = None
         self.lease_until_ms = 0
         self.retry_ms = 0
         self.failed_on = {}
@@ -64,6 +68,11 @@
         """Id of the job."""
         return self.submitted.job
 
+    def give_way(self, now_ms):
+        """Records that the task was asked to save its state and end."""
+        self.state = ENDING
+        self.ending_ms = now_ms
+
 
 class JobTable:
     """All jobs that are not ended, and a bounded number that are.
@@ -208,7 +217,7 @@
         for name in self.tasks_on(vm_name):
             job = self.jobs[name]
             if job.state != CANCELLING:
-                job.state = ENDING
+                job.state = LOST
 
     def fleet_changed(self, fleet):
         """Reconsiders jobs that could never run on the earlier fleet."""
--- a/wigeonport/jobs.py
+++ b/wigeonport/jobs.py
@@ -192,6 +192,7 @@
     commands.extend(cancel_running(view))
     expire_leases(view, now_ms)
     for pool in view.pools():
+        keep_stuck_tasks(view, pool, now_ms)
         commands.extend(checkpoint_drained(view, pool, now_ms))
         commands.extend(advance_preemptions(view, pool, now_ms))
         commands.extend(place_waiting(view, pool, now_ms, random))
@@ -255,7 +256,9 @@
                 names.append(job.name)
     if not names:
         return []
-    return [RenewTasks(pool.name, tuple(names), now_ms + lease_ms)]
+    attempts = tuple(view.jobs.jobs[name].attempt for name in names)
+    until_ms = now_ms + lease_ms
+    return [RenewTasks(pool.name, tuple(names), attempts, until_ms)]
 
 
 def may_renew(view, job, now_ms):
@@ -278,11 +281,26 @@
             continue
         for job in jobs_on(view, vm):
             if outlasts_drain(view, job, now_ms):
-                job.state = ENDING
+                job.give_way(now_ms)
                 commands.append(CheckpointTask(job.name, vm.name, job.attempt))
     return commands
 
 
+def keep_stuck_tasks(view, pool, now_ms):
+    """Lets tasks go on that did not give way, once no one needs their room.
+
+    Otherwise a task that ignores checkpoints would never be asked again.
+    """
+    for vm in view.fleet.members(pool.name):
+        if vm.name in view.operations or vm.name in view.jobs.preemptions:
+            continue
+        for job in jobs_on(view, vm):
+            if job.state != ENDING:
+                continue
+            if now_ms - job.ending_ms > view.settings.checkpoint_bound_ms:
+                job.state = RUNNING
+
+
 def outlasts_drain(view, job, now_ms):
     """Returns whether a task that can be checkpointed runs too long."""
     if job.state != RUNNING or not job.submitted.can_checkpoint:
--- a/wigeonport/plan_commands.py
+++ b/wigeonport/plan_commands.py
@@ -174,14 +174,24 @@
 
 @register("renew_tasks", PLATFORM)
 class RenewTasks(Command):
-    """Renews the leases of all listed tasks of a pool in one message."""
+    """Renews the leases of all listed tasks of a pool in one message.
 
-    __slots__ = ("pool", "jobs", "until_ms")
+    The platform reports a listed task that does not run as stopped.
 
-    def __init__(self, pool, jobs, until_ms):
+    Attributes:
+        pool: The pool.
+        jobs: Ids of the jobs.
+        attempts: Attempt of each job, in the same order.
+        until_ms: End of the leases.
+    """
+
+    __slots__ = ("pool", "jobs", "attempts", "until_ms")
+
+    def __init__(self, pool, jobs, attempts, until_ms):
         super().__init__()
         self.pool = pool
         self.jobs = jobs
+        self.attempts = attempts
         self.until_ms = until_ms
 
 
--- a/wigeonport/preemptions.py
+++ b/wigeonport/preemptions.py
@@ -1,7 +1,7 @@
 """Makes room for urgent work: checkpoint, then throttle, then stop."""
 
 from wigeonport.availabilities import is_available
-from wigeonport.job_tables import ENDING, RUNNING, STARTING
+from wigeonport.job_tables import RUNNING, STARTING
 from wigeonport.plan_commands import (
     CheckpointTask,
     StartTask,
@@ -57,13 +57,13 @@
     table.preemptions[vm.name] = Preemption(
         vm.name, job.name, size, attempts, now_ms
     )
-    return [command_first_step(view, victim) for victim in victims]
+    return [command_first_step(view, victim, now_ms) for victim in victims]
 
 
-def command_first_step(view, victim):
+def command_first_step(view, victim, now_ms):
     """Returns the mildest command that a task supports."""
     if victim.submitted.can_checkpoint:
-        victim.state = ENDING
+        victim.give_way(now_ms)
         return CheckpointTask(victim.name, victim.vm, victim.attempt)
     return throttle(view, victim)
 
