--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -52,7 +52,7 @@
                 "pool": "notices",
                 "capacity_workers": 1,
                 "max_unavailable_share": 0.5,
-                "repeatable": True,
+                "idempotent": True,
             },
         ],
         "teams": [{"id": "plans", "processors": 64, "memory_mb": 131_072}],
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,200 @@
+"""Tests of the settings, their checks and the credentials."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from wigeonport.credentials import load_keys, load_tokens
+from wigeonport.setting_tables import TABLE
+from wigeonport.settings import (
+    check_files,
+    key_id,
+    load_settings,
+    settings_from_document,
+)
+from wigeonport.yaml_documents import dump
+
+SECRET = "0123456789abcdef"
+
+
+@pytest.fixture
+def document():
+    """The smallest valid settings document."""
+    return {
+        "node_id": "ikeja-1",
+        "cluster_id": "lagos",
+        "availability_zone": "ikeja",
+        "voters": ["ikeja-1"],
+        "data_dir": "data",
+        "key_files": ["links-1.key"],
+        "peers": [
+            {
+                "node_id": "lekki-1",
+                "availability_zone": "lekki",
+                "host": "10.0.0.2",
+            }
+        ],
+    }
+
+
+def write(folder, name, document):
+    """Writes a settings file and returns its path."""
+    path = folder / name
+    path.write_text(dump(document))
+    return path
+
+
+def test_defaults_fill_what_is_absent(document):
+    """Guards against a table row without a usable default."""
+    read = settings_from_document(document).ok
+    assert read.callers_port == 8_080
+    assert read.peers[0].control_links_port == 8_084
+    assert read.is_voter()
+    again = settings_from_document(read.to_document()).ok
+    assert again == read
+
+
+def test_defaults_of_the_table_pass_their_own_kinds(document):
+    """Guards against a default that the reader would refuse."""
+    defaults = {
+        field.name: field.default
+        for field in TABLE
+        if field.name not in document
+    }
+    defaults["peers"] = []
+    assert settings_from_document(defaults | document).is_ok()
+
+
+def test_all_findings_carry_file_line_and_key_path(tmp_path, document):
+    """Guards against one finding a run, or findings without a place."""
+    document["callers_prot"] = 1
+    document["queue_bound"] = "many"
+    document["peers"][0]["port"] = 3
+    path = write(tmp_path, "a.yaml", document)
+    lines = load_settings(path).error.lines()
+    assert len(lines) == 3
+    assert f"{path}:14: callers_prot: unknown key" in lines[0]
+    assert "did you mean 'callers_port'" in lines[0]
+    assert f"{path}:15: queue_bound: expected a whole number" in lines[1]
+    assert f"{path}:13: peers[0].port: unknown key" in lines[2]
+
+
+@pytest.mark.parametrize(
+    ("change", "text"),
+    [
+        ({"callers_port": 8_085}, "port 8085 is used by 'callers_port' too"),
+        ({"voters": ["ikeja-1", "x"]}, "'x' is neither this VM nor a peer"),
+        ({"voters": ["ikeja-1", "lekki-1"]}, "name 1, 3 or 5 voters, not 2"),
+        ({"data_dir": None}, "a voter needs a data_dir"),
+        ({"key_files": []}, "name at least one key file"),
+        ({"key_files": ["a/k.key", "b/k.key"]}, "'k' is used twice"),
+        ({"link_timeout_ms": 999}, "at least twice link_heartbeat_ms"),
+        ({"log_level": "loud"}, "use one of debug, info"),
+        ({"node_id": "lekki-1"}, "'lekki-1' is this VM already"),
+        ({"retry_budget_share": 2}, "above the largest value 1"),
+        ({"host": None}, "host: expected a text, found nothing"),
+    ],
+)
+def test_checks_refuse_what_cannot_work(document, change, text):
+    """Guards against settings that fail only when the program runs."""
+    assert text in str(settings_from_document(document | change).error)
+
+
+def test_files_of_one_cluster_are_compared(tmp_path, document):
+    """Guards against VMs that disagree about each other."""
+    other = document | {
+        "node_id": "lekki-1",
+        "availability_zone": "lekki",
+        "host": "10.0.0.2",
+        "control_links_port": 9_000,
+        "voters": ["lekki-1"],
+        "peers": [],
+    }
+    paths = [
+        write(tmp_path, "a.yaml", document),
+        write(tmp_path, "b.yaml", other),
+        write(tmp_path, "c.yaml", other),
+    ]
+    text = str(check_files(paths).error)
+    assert f"{paths[1]}: voters: differ from {paths[0]}" in text
+    assert "peers[0].control_links_port: is 8084, but 'lekki-1' has" in text
+    assert f"'lekki-1' stands in {paths[1]} too" in text
+
+
+def test_missing_file_is_one_finding(tmp_path):
+    """Guards against a traceback for a wrong file name."""
+    text = str(check_files([tmp_path / "absent.yaml"]).error)
+    assert "No such file" in text
+
+
+@given(
+    changes=st.dictionaries(
+        st.sampled_from([field.name for field in TABLE]),
+        st.none()
+        | st.booleans()
+        | st.integers()
+        | st.floats()
+        | st.text(max_size=9)
+        | st.lists(st.text(max_size=3), max_size=2)
+        | st.lists(st.dictionaries(st.text(max_size=2), st.none())),
+        max_size=3,
+    )
+)
+@settings(max_examples=300, derandomize=True, deadline=None)
+def test_any_value_gives_settings_or_findings(changes):
+    """Guards against a traceback on a malformed value."""
+    base = {"node_id": "a", "cluster_id": "c", "availability_zone": "z"}
+    read = settings_from_document(base | changes)
+    assert read.is_ok() or read.error.lines()
+
+
+@given(value=st.none() | st.text() | st.lists(st.none()) | st.integers())
+@settings(max_examples=30, derandomize=True, deadline=None)
+def test_any_top_level_value_gives_findings(value):
+    """Guards against a traceback on a file that is no mapping."""
+    assert settings_from_document(value).error.lines()
+
+
+def test_keys_keep_the_order_of_rotation(tmp_path):
+    """Guards against a rotation that signs with the wrong key."""
+    for name in ("links-2.key", "links-1.key"):
+        (tmp_path / name).write_text(f"{SECRET}-{name}\n")
+    paths = [str(tmp_path / n) for n in ("links-2.key", "links-1.key")]
+    keys = load_keys(paths).ok
+    assert list(keys) == ["links-2", "links-1"]
+    assert keys["links-1"] == f"{SECRET}-links-1.key".encode()
+
+
+def test_short_or_missing_keys_are_findings(tmp_path):
+    """Guards against links that anybody can join."""
+    (tmp_path / "short.key").write_text("short")
+    paths = [str(tmp_path / n) for n in ("short.key", "absent.key")]
+    assert len(load_keys(paths).error.items) == 2
+
+
+@pytest.mark.parametrize(
+    ("path", "expected"),
+    [("run/a.key", "a"), ("a", "a"), (".key", ".key"), ("x/a.b.c", "a.b")],
+)
+def test_key_id_is_the_file_name(path, expected):
+    """Guards against key ids that differ between VMs."""
+    assert key_id(path) == expected
+
+
+def test_tokens_name_their_operator(tmp_path):
+    """Guards against an unknown token that is accepted."""
+    path = tmp_path / "tokens"
+    path.write_text(f"# operators\nada {SECRET}\n\nbayo {SECRET}2\n")
+    tokens = load_tokens(str(path)).ok
+    assert tokens.find(f"{SECRET}2") == "bayo"
+    assert tokens.find(SECRET + " ") is None
+    assert tokens.find("") is None
+    assert tokens.find("\ud800") is None
+
+
+@pytest.mark.parametrize("text", ["", "ada\n", "ada short\n", "a b c\n"])
+def test_malformed_token_file_is_refused(tmp_path, text):
+    """Guards against an empty file that lets everybody in."""
+    path = tmp_path / "tokens"
+    path.write_text(text)
+    assert load_tokens(str(path)).is_error()
--- /dev/null
+++ b/wigeonport/credentials.py
@@ -0,0 +1,88 @@
+"""Keys of the links and tokens of the operators, read from files."""
+
+import hashlib
+import hmac
+import pathlib
+
+from expression import Error, Result
+
+from wigeonport.findings import Findings
+from wigeonport.settings import key_id
+
+LARGEST_FILE_BYTES = 65_536
+SHORTEST_SECRET_BYTES = 16
+
+
+class OperatorTokens:
+    """Digests of the operators' tokens.
+
+    Attributes:
+        names: Operator's name by SHA-256 digest of the token.
+    """
+
+    __slots__ = ("names",)
+
+    def __init__(self, names):
+        self.names = names
+
+    def find(self, token):
+        """Returns the operator's name, or None for an unknown token."""
+        digest = hashlib.sha256(token.encode("utf-8", "replace")).digest()
+        found = None
+        for known, name in self.names.items():
+            if hmac.compare_digest(known, digest):
+                found = name
+        return found
+
+
+def load_keys(paths) -> Result:
+    """Returns the keys by key id in the order of the files, or Findings."""
+    findings = Findings()
+    keys = {}
+    for path in paths:
+        data = _read(path, findings)
+        if data is not None and len(data.strip()) < SHORTEST_SECRET_BYTES:
+            text = f"the key is shorter than {SHORTEST_SECRET_BYTES} bytes"
+            findings.add(path, text)
+        elif data is not None:
+            keys[key_id(path)] = data.strip()
+    return findings.result(keys)
+
+
+def load_tokens(path) -> Result:
+    """Returns the OperatorTokens of a file, or Findings."""
+    findings = Findings()
+    data = _read(path, findings)
+    if data is None:
+        return Error(findings)
+    names = {}
+    text = data.decode("utf-8", "replace")
+    for number, line in enumerate(text.splitlines(), start=1):
+        words = line.split()
+        if not words or line.startswith("#"):
+            continue
+        if len(words) != 2 or len(words[1].encode()) < SHORTEST_SECRET_BYTES:
+            findings.add(
+                f"{path}:{number}",
+                "expected a name and a token of at least "
+                f"{SHORTEST_SECRET_BYTES} bytes",
+            )
+            continue
+        names[hashlib.sha256(words[1].encode()).digest()] = words[0]
+    if not names and not findings:
+        findings.add(path, "the file has no tokens")
+    return findings.result(OperatorTokens(names))
+
+
+def _read(path, findings):
+    try:
+        with pathlib.Path(path).open("rb") as source:
+            data = source.read(LARGEST_FILE_BYTES + 1)
+    except (OSError, ValueError) as fault:
+        reason = getattr(fault, "strerror", None) or str(fault)
+        findings.add(path, f"cannot be read: {reason}")
+        return None
+    if len(data) > LARGEST_FILE_BYTES:
+        findings.add(path, f"is larger than {LARGEST_FILE_BYTES} bytes")
+        return None
+    return data
--- a/wigeonport/fleet_records.py
+++ b/wigeonport/fleet_records.py
@@ -116,7 +116,7 @@
         slots_per_endpoint: Requests that an endpoint runs at a time.
         connections_per_endpoint: Connections that an endpoint accepts.
         default_deadline_ms: Deadline of requests that name none.
-        repeatable: Whether requests may be run again by default.
+        idempotent: Whether requests may run more than once by default.
     """
 
     __slots__ = (
@@ -128,7 +128,7 @@
         "slots_per_endpoint",
         "connections_per_endpoint",
         "default_deadline_ms",
-        "repeatable",
+        "idempotent",
     )
     FIELDS = (
         Field("id", "name"),
@@ -139,7 +139,7 @@
         Field("slots_per_endpoint", "whole", 8, least=1, most=65_536),
         Field("connections_per_endpoint", "whole", 64, least=1, most=65_536),
         Field("default_deadline_ms", "whole", 5_000, least=1, most=3_600_000),
-        Field("repeatable", "flag", False),
+        Field("idempotent", "flag", False),
     )
 
     def __init__(
@@ -152,7 +152,7 @@
         slots_per_endpoint,
         connections_per_endpoint,
         default_deadline_ms,
-        repeatable,
+        idempotent,
     ):
         self.id = id
         self.pool = pool
@@ -162,7 +162,7 @@
         self.slots_per_endpoint = slots_per_endpoint
         self.connections_per_endpoint = connections_per_endpoint
         self.default_deadline_ms = default_deadline_ms
-        self.repeatable = repeatable
+        self.idempotent = idempotent
 
     def budget(self, worker_count):
         """Returns the budget as a number of workers of the pool."""
--- /dev/null
+++ b/wigeonport/setting_tables.py
@@ -0,0 +1,212 @@
+"""The one table of settings, with their defaults and meanings."""
+
+from wigeonport.documents import REQUIRED, Field
+
+PORT = {"least": 1, "most": 65_535}
+LONGEST_MS = 24 * 3_600_000
+
+
+def _port(name, default, text):
+    return Field(name, "whole", default, text=text, **PORT)
+
+
+def _ms(name, default, text, least=1):
+    return Field(name, "whole", default, least, LONGEST_MS, text)
+
+
+def _count(name, default, text, most=1_000_000):
+    return Field(name, "whole", default, 1, most, text)
+
+
+IDENTITY = (
+    Field("node_id", "name", REQUIRED, text="Unique name of the VM."),
+    Field("cluster_id", "name", REQUIRED, text="Name of the deployment."),
+    Field("availability_zone", "name", REQUIRED, text="Zone of the VM."),
+    Field("host", "text", "127.0.0.1", text="Address on which ports listen."),
+)
+PORTS = (
+    _port("callers_port", 8_080, "HTTP of callers; entry."),
+    _port("announcements_port", 8_081, "HTTP of announcing endpoints; entry."),
+    _port("entry_links_port", 8_082, "Links to the entry program."),
+    _port(
+        "entry_status_port",
+        8_083,
+        "HTTP of `/metrics`, `/events` and `/healthz`; entry.",
+    ),
+    _port("control_links_port", 8_084, "Links to the control program."),
+    _port("operators_port", 8_085, "HTTP of operators; control."),
+)
+CLUSTER = (
+    Field(
+        "peers",
+        "mappings",
+        (),
+        text="The other VMs, each with `node_id`, `availability_zone`, "
+        "`host`, `entry_links_port` and `control_links_port`.",
+    ),
+    Field(
+        "voters",
+        "names",
+        (),
+        text="Node ids of the control programs that vote at the first "
+        "start; 1, 3 or 5.",
+    ),
+    Field(
+        "key_files",
+        "texts",
+        (),
+        text="Files with the keys of the links. The first signs, all are "
+        "accepted; the key id is the file name without its suffix.",
+    ),
+    Field(
+        "operator_token_file",
+        "text",
+        None,
+        text="File with the bearer tokens of operators, one line each: name "
+        "and token. Without it operators are refused.",
+    ),
+    Field(
+        "platform_url",
+        "text",
+        None,
+        text="Address of the platform, such as `http://10.0.0.1:9000`.",
+    ),
+)
+STORAGE = (
+    Field(
+        "data_dir",
+        "text",
+        None,
+        text="Folder of the journal and snapshots; a control without it "
+        "never votes.",
+    ),
+    Field(
+        "event_log",
+        "text",
+        None,
+        text="File of the event log; without it, a ring in memory.",
+    ),
+    _count("event_ring_bound", 10_000, "Events that the ring holds."),
+    Field(
+        "log_level",
+        "name",
+        "info",
+        text="`debug`, `info`, `warning` or `error`.",
+    ),
+    _count(
+        "segment_max_bytes",
+        8 * 1024 * 1024,
+        "Size at which the journal starts a new segment.",
+        2**30,
+    ),
+    _count("snapshot_entries", 10_000, "Entries between two snapshots."),
+)
+REQUEST_LIMITS = (
+    _count("max_body_bytes", 1_048_576, "Largest body of a request.", 2**30),
+    _count("max_header_bytes", 16_384, "Largest header of a request.", 2**20),
+    _count(
+        "max_response_bytes",
+        8 * 1024 * 1024,
+        "Largest response of an endpoint.",
+        2**30,
+    ),
+    _count(
+        "max_patch_bytes",
+        786_432,
+        "Largest patch; it has to fit into a frame of 1 MB.",
+        900_000,
+    ),
+    _count(
+        "max_requests_in_flight",
+        1_024,
+        "Requests of callers that an entry handles at a time.",
+    ),
+    _count("queue_bound", 512, "Requests that wait for one service."),
+    _count("mailbox_bound", 256, "Messages that wait for one task."),
+    _ms("queue_wait_ms", 2_000, "Longest wait of a request for a slot."),
+    _ms("max_deadline_ms", 60_000, "Longest deadline of a request."),
+    _ms("connect_timeout_ms", 500, "Longest wait for a connection."),
+    _ms("claim_timeout_ms", 1_000, "Longest wait for a claim."),
+    _ms("propose_timeout_ms", 3_000, "Longest wait for a decision."),
+    _ms(
+        "shutdown_grace_ms",
+        30_000,
+        "Longest graceful shutdown; running requests get this time.",
+    ),
+    Field(
+        "retry_budget_share",
+        "number",
+        0.1,
+        0,
+        1,
+        "Retries allowed, as a share of the requests.",
+    ),
+    Field(
+        "retry_budget_floor",
+        "whole",
+        10,
+        0,
+        1_000_000,
+        "Retries a second that are allowed besides the share.",
+    ),
+)
+INTERVALS = (
+    _ms("link_heartbeat_ms", 500, "Time between two heartbeats of a link."),
+    _ms(
+        "link_timeout_ms",
+        2_000,
+        "A link without any message for this long is closed.",
+    ),
+    _ms("link_exchange_timeout_ms", 1_000, "Longest wait for an answer."),
+    _ms(
+        "announcement_interval_ms",
+        1_000,
+        "Time between two announcements of an endpoint.",
+    ),
+    _ms(
+        "endpoint_expiry_ms",
+        2_500,
+        "An endpoint without an announcement for this long is dropped.",
+    ),
+    _ms(
+        "table_digest_ms",
+        1_000,
+        "Time between two digests of the endpoint table.",
+    ),
+    _ms("share_lease_ms", 2_000, "Length of a lease on an endpoint's slots."),
+    _ms(
+        "replication_heartbeat_ms",
+        150,
+        "Time between two messages of the leader to its followers.",
+    ),
+    _ms(
+        "election_timeout_ms",
+        1_000,
+        "A voter that hears no leader for this long, and up to twice as "
+        "long, starts an election.",
+    ),
+    _ms("plan_interval_ms", 1_000, "Time between two plans."),
+    _ms("grant_lease_ms", 600_000, "Length of a maintenance grant."),
+    _ms(
+        "return_hold_ms",
+        60_000,
+        "A VM that is back counts as unavailable for this long.",
+        least=0,
+    ),
+)
+GROUPS = (
+    ("Identity", IDENTITY),
+    ("Ports", PORTS),
+    ("Cluster", CLUSTER),
+    ("Storage and logs", STORAGE),
+    ("Limits", REQUEST_LIMITS),
+    ("Intervals", INTERVALS),
+)
+TABLE = tuple(field for _, fields in GROUPS for field in fields)
+PEER_FIELDS = (
+    Field("node_id", "name"),
+    Field("availability_zone", "name"),
+    Field("host", "text", "127.0.0.1"),
+    Field("entry_links_port", "whole", 8_082, **PORT),
+    Field("control_links_port", "whole", 8_084, **PORT),
+)
--- /dev/null
+++ b/wigeonport/settings.py
@@ -0,0 +1,236 @@
+"""Settings of the entry and control programs."""
+
+from expression import Error, Ok, Result
+
+from wigeonport.documents import Reporter, read_fields
+from wigeonport.findings import Findings
+from wigeonport.records import Record
+from wigeonport.registries import Registry
+from wigeonport.setting_tables import PEER_FIELDS, PORTS, TABLE
+from wigeonport.yaml_documents import load_file
+
+SETTINGS_CHECKS = Registry("settings check")
+CLUSTER_CHECKS = Registry("cluster settings check")
+LOG_LEVELS = ("debug", "info", "warning", "error")
+
+
+class Peer(Record):
+    """Another VM of the system.
+
+    Attributes:
+        node_id: Unique name of the VM.
+        availability_zone: Its zone.
+        host: Its address.
+        entry_links_port: Port of the links to its entry program.
+        control_links_port: Port of the links to its control program.
+    """
+
+    __slots__ = tuple(field.name for field in PEER_FIELDS)
+
+    def __init__(
+        self,
+        node_id,
+        availability_zone,
+        host,
+        entry_links_port,
+        control_links_port,
+    ):
+        self.node_id = node_id
+        self.availability_zone = availability_zone
+        self.host = host
+        self.entry_links_port = entry_links_port
+        self.control_links_port = control_links_port
+
+
+class Settings(Record):
+    """Settings of one VM; the attributes are the rows of ``TABLE``.
+
+    Paths are relative to the working directory of the program.
+    """
+
+    __slots__ = tuple(field.name for field in TABLE)
+
+    def __init__(self, values):
+        for field in TABLE:
+            setattr(self, field.name, values.get(field.name, field.default))
+
+    def is_voter(self):
+        """Returns whether this VM's control program may vote."""
+        return self.node_id in self.voters
+
+    def to_document(self):
+        """Returns plain data."""
+        document = super().to_document()
+        document["peers"] = [peer.to_document() for peer in self.peers]
+        return document
+
+
+def load_settings(path) -> Result:
+    """Reads a settings file; returns Settings or all Findings."""
+    loaded = load_file(path)
+    if loaded.is_error():
+        return loaded
+    return settings_from_document(loaded.ok.value, loaded.ok.places)
+
+
+def settings_from_document(document, places=None) -> Result:
+    """Returns Settings, or all Findings with their places."""
+    reporter = Reporter(places)
+    values = read_fields(TABLE, document, (), reporter)
+    listed = document.get("peers") if isinstance(document, dict) else None
+    peers = _read_peers(listed, reporter)
+    if values is None or reporter.findings:
+        return Error(reporter.findings)
+    settings = Settings(values | {"peers": peers})
+    for name in SETTINGS_CHECKS.names():
+        SETTINGS_CHECKS.entries[name](settings, reporter)
+    return reporter.findings.result(settings)
+
+
+def _read_peers(documents, reporter):
+    peers = []
+    for index, document in enumerate(
+        documents if isinstance(documents, list) else []
+    ):
+        path = ("peers", index)
+        values = read_fields(PEER_FIELDS, document, path, reporter)
+        if values is not None:
+            peers.append(Peer(**values))
+    return peers
+
+
+def check_files(paths) -> Result:
+    """Checks settings files alone and against each other.
+
+    Returns:
+        The Settings by path, or all Findings.
+    """
+    findings = Findings()
+    read = {}
+    for path in paths:
+        loaded = load_settings(path)
+        if loaded.is_ok():
+            read[str(path)] = loaded.ok
+        else:
+            findings.extend(loaded.error)
+    for name in CLUSTER_CHECKS.names():
+        CLUSTER_CHECKS.entries[name](read, findings)
+    return Error(findings) if findings else Ok(read)
+
+
+@SETTINGS_CHECKS.register("ports")
+def check_ports(settings, reporter):
+    """The ports of a VM differ."""
+    users = {}
+    for field in PORTS:
+        port = getattr(settings, field.name)
+        if port in users:
+            text = f"port {port} is used by {users[port]!r} too"
+            reporter.add((field.name,), text)
+        users.setdefault(port, field.name)
+
+
+@SETTINGS_CHECKS.register("peers")
+def check_peers(settings, reporter):
+    """Peers differ from each other and from this VM."""
+    names = {settings.node_id: "this VM"}
+    addresses = {}
+    for index, peer in enumerate(settings.peers):
+        path = ("peers", index)
+        if peer.node_id in names:
+            text = f"{peer.node_id!r} is {names[peer.node_id]} already"
+            reporter.add((*path, "node_id"), text)
+        names.setdefault(peer.node_id, f"peers[{index}]")
+        for key in ("entry_links_port", "control_links_port"):
+            address = (peer.host, getattr(peer, key))
+            if address in addresses:
+                text = f"{address[0]}:{address[1]} is {addresses[address]}"
+                reporter.add((*path, key), text)
+            addresses.setdefault(address, f"peers[{index}].{key}")
+
+
+@SETTINGS_CHECKS.register("voters")
+def check_voters(settings, reporter):
+    """One, three or five known VMs vote, each with a disk."""
+    known = {peer.node_id for peer in settings.peers} | {settings.node_id}
+    for index, voter in enumerate(settings.voters):
+        if voter not in known:
+            text = f"{voter!r} is neither this VM nor a peer"
+            reporter.add(("voters", index), text)
+    if len(settings.voters) not in (1, 3, 5):
+        text = f"name 1, 3 or 5 voters, not {len(settings.voters)}"
+        reporter.add(("voters",), text)
+    if settings.is_voter() and settings.data_dir is None:
+        reporter.add(("data_dir",), "a voter needs a data_dir")
+
+
+@SETTINGS_CHECKS.register("secrets")
+def check_secrets(settings, reporter):
+    """Links are always authenticated; key ids differ."""
+    if not settings.key_files:
+        reporter.add(("key_files",), "name at least one key file")
+    ids = [key_id(path) for path in settings.key_files]
+    for index, name in enumerate(ids):
+        if name in ids[:index]:
+            text = f"the key id {name!r} is used twice"
+            reporter.add(("key_files", index), text)
+
+
+@SETTINGS_CHECKS.register("intervals")
+def check_intervals(settings, reporter):
+    """A time-out leaves room for at least two of its heartbeats."""
+    pairs = (
+        ("link_timeout_ms", "link_heartbeat_ms"),
+        ("endpoint_expiry_ms", "announcement_interval_ms"),
+        ("election_timeout_ms", "replication_heartbeat_ms"),
+    )
+    for timeout, interval in pairs:
+        if getattr(settings, timeout) < 2 * getattr(settings, interval):
+            text = f"must be at least twice {interval}"
+            reporter.add((timeout,), text)
+
+
+@SETTINGS_CHECKS.register("log_level")
+def check_log_level(settings, reporter):
+    """The log level is a known one."""
+    if settings.log_level not in LOG_LEVELS:
+        text = f"use one of {', '.join(LOG_LEVELS)}"
+        reporter.add(("log_level",), text)
+
+
+@CLUSTER_CHECKS.register("agreement")
+def check_agreement(read, findings):
+    """Files of one cluster agree on voters and name different nodes."""
+    first, nodes = {}, {}
+    for path, settings in read.items():
+        node = (settings.cluster_id, settings.node_id)
+        if node in nodes:
+            text = f"{settings.node_id!r} stands in {nodes[node]} too"
+            findings.add(f"{path}: node_id", text)
+        nodes.setdefault(node, path)
+        other = first.setdefault(settings.cluster_id, path)
+        if set(read[other].voters) != set(settings.voters):
+            findings.add(f"{path}: voters", f"differ from {other}")
+
+
+@CLUSTER_CHECKS.register("addresses")
+def check_addresses(read, findings):
+    """What a file says of a peer equals what the peer's own file says."""
+    own = {(s.cluster_id, s.node_id): s for s in read.values()}
+    keys = Peer.__slots__
+    for path, settings in read.items():
+        for index, peer in enumerate(settings.peers):
+            other = own.get((settings.cluster_id, peer.node_id))
+            for key in keys if other is not None else ():
+                said, real = getattr(peer, key), getattr(other, key)
+                if said != real:
+                    findings.add(
+                        f"{path}: peers[{index}].{key}",
+                        f"is {said}, but {peer.node_id!r} has {real}",
+                    )
+
+
+def key_id(path):
+    """Returns the key id of a key file: its name without the suffix."""
+    name = path.replace("\\", "/").rsplit("/", 1)[-1]
+    return name.rsplit(".", 1)[0] if "." in name[1:] else name
