--- a/tests/network_simulations.py
+++ b/tests/network_simulations.py
@@ -7,7 +7,6 @@
 import heapq
 import random
 
-from wigeonport.memberships import Member
 from wigeonport.replica_events import (
     COMMITTED,
     Outcome,
@@ -23,7 +22,7 @@
     Tick,
 )
 from wigeonport.replicas import Replica
-from wigeonport.replication_messages import MEMBERS, node_of
+from wigeonport.replication_messages import node_of
 
 SEEDS = ("a", "b", "c")
 NODES = ("a", "b", "c", "d", "m")
--- a/wigeonport/memberships.py
+++ b/wigeonport/memberships.py
@@ -108,11 +108,30 @@
     replica.append_own(MEMBERS, members.to_payload())
 
 
+def _keeps_quorum(replica, members):
+    """Returns whether a quorum of these voters was heard recently.
+
+    A change that only silent voters could commit would stop the log.
+    """
+    limit_ms = replica.now_ms - 2 * replica.settings.learner_heartbeat_ms
+    heard = [
+        voter
+        for voter in members.voters
+        if voter == replica.replica_id
+        or replica.progress[voter].heard_ms >= limit_ms
+    ]
+    return len(heard) >= members.quorum()
+
+
 @handles(RemoveMember)
 def on_remove(replica, event):
     """Removes a member, or refuses while another change is pending."""
     members = replica.members()
-    if not may_change(replica) or event.replica_id not in members.by_id:
+    if (
+        not may_change(replica)
+        or event.replica_id not in members.by_id
+        or not _keeps_quorum(replica, members.without(event.replica_id))
+    ):
         replica.out.replies.append(
             Outcome(event.number, REFUSED, "cannot change members now", 0)
         )
@@ -128,7 +147,11 @@
     if message.recipient != replica.node:
         return
     reply = JoinReply(
-        replica.replica_id, message.sender, replica.durable, replica.blank()
+        replica.replica_id,
+        message.sender,
+        replica.durable,
+        replica.blank(),
+        replica.leader_id,
     )
     replica.out.messages.append(reply)
     members = replica.members()
@@ -164,7 +187,12 @@
     answers of all: a node that lost its disk finds a peer with a log
     and joins instead.
     """
-    if message.recipient != replica.replica_id or not replica.blank():
+    if message.recipient != replica.replica_id:
+        return
+    if message.leader_id:
+        # The leader need not be one of the seeds.
+        replica.leader_hint = node_of(message.leader_id)
+    if not replica.blank():
         return
     if not replica.durable or replica.node != min(replica.seeds, default=""):
         return
@@ -190,6 +218,7 @@
     """Sends JoinRequests to the known nodes while there is no leader."""
     nodes = set(replica.seeds)
     nodes.update(node_of(each) for each in replica.members().by_id)
+    nodes.add(replica.leader_hint or replica.node)
     nodes.discard(replica.node)
     if not nodes and replica.blank() and replica.seeds and replica.durable:
         found(replica)
@@ -215,7 +244,11 @@
     if ready and len(members.voters) < settings.target_voters:
         member = Member(ready, True, True)
         change(replica, members.with_member(member))
-    elif ready and silent_voter:
+    elif (
+        ready
+        and silent_voter
+        and _keeps_quorum(replica, members.without(silent_voter))
+    ):
         change(replica, members.without(silent_voter))
     elif silent_learner:
         change(replica, members.without(silent_learner))
--- a/wigeonport/replicas.py
+++ b/wigeonport/replicas.py
@@ -82,6 +82,7 @@
         commit_due_ms: When to announce the commit index, or None.
         incoming: Snapshot being received, or None.
         join_due_ms: When to send the next JoinRequest.
+        leader_hint: Node that is the leader according to a peer, or "".
         blank_peers: Replica id by node of seeds with a blank log.
     """
 
@@ -122,6 +123,7 @@
         "commit_due_ms",
         "incoming",
         "join_due_ms",
+        "leader_hint",
         "blank_peers",
     )
 
@@ -157,6 +159,7 @@
         self.commit_due_ms = None
         self.incoming = None
         self.join_due_ms = now_ms
+        self.leader_hint = ""
         self.blank_peers = {}
         self.restart_timer()
 
--- a/wigeonport/replication_messages.py
+++ b/wigeonport/replication_messages.py
@@ -258,15 +258,22 @@
 
 
 class JoinReply:
-    """Answers a JoinRequest with the state of the answering replica."""
+    """Answers a JoinRequest with the state of the answering replica.
 
-    __slots__ = ("sender", "recipient", "durable", "blank")
+    Attributes:
+        durable: Whether the sender keeps its log on a disk.
+        blank: Whether the sender's log has never held an entry.
+        leader_id: Leader that the sender knows, or "".
+    """
 
-    def __init__(self, sender, recipient, durable, blank):
+    __slots__ = ("sender", "recipient", "durable", "blank", "leader_id")
+
+    def __init__(self, sender, recipient, durable, blank, leader_id):
         self.sender = sender
         self.recipient = recipient
         self.durable = durable
         self.blank = blank
+        self.leader_id = leader_id
 
 
 class ProposeForward:
