--- a/wigeonport/channels.py
+++ b/wigeonport/channels.py
@@ -57,6 +57,16 @@
             return await self.receiver.receive()
         return None
 
+    def drain(self, limit):
+        """Returns up to ``limit`` messages that wait already."""
+        messages = []
+        while len(messages) < limit:
+            try:
+                messages.append(self.receiver.receive_nowait())
+            except (trio.WouldBlock, trio.EndOfChannel):
+                break
+        return messages
+
     def close(self):
         """Ends the iteration of the reader after the waiting messages."""
         self.sender.close()
--- /dev/null
+++ b/wigeonport/consensus.py
@@ -0,0 +1,322 @@
+"""The task that owns a replica, its journal and the replicated state.
+
+Filters around it: links deliver messages of peers into ``inbox``; the
+writer makes Persists durable in a worker thread; the snapshot filter
+encodes and writes snapshots in another. Each returns its result through
+``inbox``.
+"""
+
+import functools
+import random
+
+import trio
+
+from wigeonport import consensus_inputs
+from wigeonport.channels import WAIT, Mailbox
+from wigeonport.codecs import codecs
+from wigeonport.consensus_calls import Calls
+from wigeonport.consensus_requests import (
+    Applied,
+    Installed,
+    LoggedCommand,
+    ProposalAnswer,
+)
+from wigeonport.logs import PartLogger
+from wigeonport.replica_events import (
+    COMMITTED,
+    ConsistencyError,
+    Outcome,
+    Persisted,
+    Propose,
+    Snapshot,
+    SnapshotTaken,
+    Tick,
+)
+from wigeonport.replicas import Replica
+from wigeonport.replication_messages import DATA, node_of
+from wigeonport.snapshots import decode_state, encode_state, write_snapshot
+from wigeonport.states import Entry as StateEntry
+
+logger = PartLogger("consensus")
+
+codec = codecs.get("thrift").ok()
+INBOX_BOUND = 4_096
+# Largest number of messages handled before the journal gets its batch.
+BATCH_LIMIT = 512
+SNAPSHOT_ENTRIES = 5_000
+
+
+class Consensus:
+    """One replica of the replicated state.
+
+    Attributes:
+        replica: The consensus core.
+        journal: Journal or MemoryJournal.
+        directory: Data directory, or None without a disk.
+        state: Current state object.
+        read_state: Function from a document to a Result of a state.
+        send: Function ``(node, message)`` that does not wait; it returns
+            False only if the message was surely not sent.
+        clock: Clock.
+        metrics: Metrics.
+        inbox: Mailbox for messages of peers and for requests.
+        calls: Open proposals and reads.
+        observers: Mailboxes that get Applied and Installed; each must
+            refuse or drop when full.
+        batch: Proposals to append in the current round.
+        unwritten: Persists that the writer has not got yet.
+        writing: Whether the writer is busy.
+        writes: Mailbox of the writer.
+        documents: Mailbox of the snapshot filter.
+        snapshot_index: Index of the newest snapshot, or of the one that
+            is being written.
+        snapshotting: Whether the snapshot filter is busy.
+        snapshot_entries: Entries between two snapshots.
+        leadership: Pair of term and leader id at the last round.
+    """
+
+    __slots__ = (
+        "replica",
+        "journal",
+        "directory",
+        "state",
+        "read_state",
+        "send",
+        "clock",
+        "metrics",
+        "inbox",
+        "calls",
+        "observers",
+        "batch",
+        "unwritten",
+        "writing",
+        "writes",
+        "documents",
+        "snapshot_index",
+        "snapshotting",
+        "snapshot_entries",
+        "leadership",
+    )
+
+    def __init__(
+        self,
+        opened,
+        directory,
+        seeds,
+        state,
+        read_state,
+        send,
+        clock,
+        metrics,
+        settings=None,
+        random_source=None,
+        snapshot_entries=SNAPSHOT_ENTRIES,
+    ):
+        self.replica = Replica(
+            opened.replica_id,
+            seeds,
+            opened.durable,
+            opened.recovered,
+            clock.now(),
+            random_source or random.Random(),
+            settings,
+        )
+        self.journal = opened.journal
+        self.directory = directory if opened.durable else None
+        self.state = state
+        self.read_state = read_state
+        self.send = send
+        self.clock = clock
+        self.metrics = metrics
+        self.inbox = Mailbox("consensus", INBOX_BOUND, WAIT)
+        self.calls = Calls()
+        self.observers = []
+        self.batch = []
+        self.unwritten = []
+        self.writing = False
+        self.writes = Mailbox("journal writer", 1, WAIT)
+        self.documents = Mailbox("snapshot writer", 1, WAIT)
+        self.snapshot_index = 0
+        self.snapshotting = False
+        self.snapshot_entries = snapshot_entries
+        self.leadership = (0, "")
+        if opened.recovered.snapshot:
+            self.install(opened.recovered.snapshot)
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        """Runs until cancelled or until the disk fails.
+
+        Raises:
+            JournalError: If the disk failed; the process must end.
+            ConsistencyError: If an invariant of the log is violated.
+        """
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.write_journal)
+                nursery.start_soon(self.write_snapshots)
+                task_status.started()
+                await self.serve()
+        finally:
+            self.calls.abandon_all("the process is stopping")
+            self.journal.close()
+
+    async def serve(self):
+        """Handles messages in rounds; one round forms one batch."""
+        while True:
+            wait_ms = self.replica.next_deadline_ms() - self.clock.now()
+            first = await self.inbox.get_within(wait_ms)
+            events = [] if first is None else [first]
+            events += self.inbox.drain(BATCH_LIMIT - len(events))
+            for event in events:
+                consensus_inputs.dispatch(self, event)
+            self.append_batch()
+            now_ms = self.clock.now()
+            if now_ms >= self.replica.next_deadline_ms():
+                self.step(Tick())
+            self.end_round(now_ms)
+
+    def append_batch(self):
+        """Proposes the collected proposals at once."""
+        if self.batch:
+            items, self.batch = self.batch, []
+            self.step(Propose(items))
+
+    def end_round(self, now_ms):
+        """Starts writes, and ends calls that cannot succeed any more."""
+        self.consider_snapshot()
+        if self.unwritten and not self.writing:
+            self.writing = True
+            persists, self.unwritten = self.unwritten, []
+            self.writes.put_nowait(persists)
+        leadership = (self.replica.term, self.replica.leader_id)
+        if leadership != self.leadership:
+            self.leadership = leadership
+            self.calls.leave(self.replica.leader_id)
+            logger.info(
+                "Leadership changed.",
+                term=leadership[0],
+                leader=leadership[1] or "none",
+            )
+        self.calls.expire(now_ms)
+
+    def step(self, event):
+        """Runs one step of the core and handles its Output."""
+        out = self.replica.step(event, self.clock.now())
+        if out.persist:
+            self.unwritten.append(out.persist)
+        for message in out.messages:
+            self.send(node_of(message.recipient), message)
+        if out.install:
+            self.install(out.install)
+        answers = {}
+        for entry in out.committed:
+            answers[entry.index] = self.apply(entry)
+        for reply in out.replies:
+            self.settle(reply, answers)
+        if out.committed:
+            index = out.committed[-1].index
+            self.metrics.set("consensus_applied_index", index)
+            self.calls.applied(index, self.state)
+
+    def install(self, snapshot):
+        """Replaces the state by that of a snapshot."""
+        found = self.read_state(decode_state(snapshot.data))
+        if found.is_error():
+            raise ConsistencyError(f"snapshot is unreadable: {found.error}")
+        self.state = found.ok
+        self.snapshot_index = snapshot.index
+        self.notify(Installed(snapshot.index))
+        self.calls.applied(snapshot.index, self.state)
+
+    def apply(self, entry):
+        """Applies a committed entry and returns the state's answer."""
+        if entry.kind != DATA:
+            self.state.apply(StateEntry(entry.index, 0, None))
+            return None
+        logged = decode_known(entry.payload)
+        command = decode_known(logged.command)
+        answer = self.state.apply(
+            StateEntry(entry.index, logged.time_ms, command)
+        )
+        self.notify(Applied(entry.index, entry.term, command, answer))
+        return answer
+
+    def notify(self, notice):
+        """Passes a notice to the observers."""
+        for observer in self.observers:
+            observer.put_nowait(notice)
+
+    def settle(self, reply, answers):
+        """Ends the call of an Outcome or a ReadReady."""
+        call = self.calls.take(reply.number)
+        if call is None:
+            return
+        if not isinstance(reply, Outcome):
+            consensus_inputs.end_read(self, call, reply.index)
+            return
+        answer = None
+        if reply.outcome == COMMITTED:
+            answer = answers.get(reply.index)
+        call.finish(
+            ProposalAnswer(reply.outcome, reply.reason, reply.index, answer)
+        )
+
+    def encode_command(self, command):
+        """Returns the payload of an entry for an encoded command."""
+        return codec.encode(LoggedCommand(self.clock.wall(), command))
+
+    def consider_snapshot(self):
+        """Hands a document to the snapshot filter when one is due."""
+        index = self.replica.delivered_index
+        due = index - self.snapshot_index >= self.snapshot_entries
+        term = self.replica.log.term_at(index)
+        if self.snapshotting or not due or term is None:
+            return
+        members = self.replica.log.members_at(index)
+        self.snapshot_index = index
+        make = functools.partial(Snapshot, index, term, members)
+        if self.directory is None:
+            # A learner without a disk never leads, so that nobody asks
+            # for its snapshot; only its log is compacted.
+            self.step(SnapshotTaken(make(b"")))
+            return
+        self.snapshotting = True
+        self.documents.put_nowait((make, self.state.to_document()))
+
+    async def write_journal(self):
+        """Writes and syncs batches in a worker thread."""
+        async for persists in self.writes:
+            started_ms = self.clock.now()
+            await trio.to_thread.run_sync(self.journal.write, persists)
+            self.metrics.record(
+                "journal_write_ms", self.clock.now() - started_ms
+            )
+            await self.inbox.put(Persisted(persists[-1].sequence))
+
+    async def write_snapshots(self):
+        """Encodes and writes snapshots in a worker thread."""
+        async for make, document in self.documents:
+            snapshot = await trio.to_thread.run_sync(
+                save_snapshot, self.directory, make, document
+            )
+            await self.inbox.put(SnapshotTaken(snapshot))
+
+
+def save_snapshot(directory, make, document):
+    """Writes a document as a durable snapshot and returns it."""
+    snapshot = make(encode_state(document))
+    write_snapshot(directory, snapshot)
+    return snapshot
+
+
+def decode_known(data):
+    """Decodes a message of the log.
+
+    Raises:
+        ConsistencyError: If this version does not know it. Skipping it
+            would make the states of the replicas differ.
+    """
+    decoded = codec.decode(data)
+    if decoded.is_error():
+        raise ConsistencyError(f"entry is unreadable: {decoded.error}")
+    return decoded.ok
--- /dev/null
+++ b/wigeonport/consensus_calls.py
@@ -0,0 +1,222 @@
+"""Open calls of the consensus task: proposals and reads in progress."""
+
+import secrets
+
+from expression import Error, Ok
+
+from wigeonport.codecs import codecs
+from wigeonport.consensus_requests import ProposalAnswer
+from wigeonport.replica_events import UNKNOWN
+from wigeonport.replication_messages import (
+    ProposeReply,
+    ReadIndexReply,
+    node_of,
+)
+
+codec = codecs.get("thrift").ok()
+
+# Longer than an election, so that most calls end by an answer; callers
+# set their own shorter deadlines.
+CALL_TIMEOUT_MS = 10_000
+
+
+class LocalProposal:
+    """A proposal of this process.
+
+    Attributes:
+        reply: Reply channel for a ProposalAnswer.
+    """
+
+    __slots__ = ("reply",)
+
+    def __init__(self, reply):
+        self.reply = reply
+
+    def finish(self, answer):
+        """Answers the proposer."""
+        self.reply.send(answer)
+
+    def abandon(self, reason):
+        """Answers that the outcome is unknown."""
+        self.reply.send(ProposalAnswer(UNKNOWN, reason))
+
+
+class RemoteProposal:
+    """A proposal that another replica forwarded.
+
+    Attributes:
+        message: The ProposeForward.
+        send: Function ``(node, message)``.
+    """
+
+    __slots__ = ("message", "send")
+
+    def __init__(self, message, send):
+        self.message = message
+        self.send = send
+
+    def finish(self, answer):
+        """Sends the answer to the replica that forwarded."""
+        message = self.message
+        encoded = b""
+        if answer.answer is not None:
+            encoded = codec.encode(answer.answer)
+        self.send(
+            node_of(message.sender),
+            ProposeReply(
+                message.recipient,
+                message.sender,
+                message.number,
+                answer.outcome,
+                answer.reason,
+                answer.index,
+                encoded,
+            ),
+        )
+
+    def abandon(self, reason):
+        """Sends that the outcome is unknown."""
+        self.finish(ProposalAnswer(UNKNOWN, reason))
+
+
+class LocalRead:
+    """A read of this process.
+
+    Attributes:
+        view: Function of the state.
+        reply: Reply channel for Ok or Error.
+    """
+
+    __slots__ = ("view", "reply")
+
+    def __init__(self, view, reply):
+        self.view = view
+        self.reply = reply
+
+    def finish(self, state):
+        """Answers with the view of the state."""
+        self.reply.send(Ok(self.view(state)))
+
+    def abandon(self, reason):
+        """Answers with an error; a read has no effect."""
+        self.reply.send(Error(reason))
+
+
+class RemoteRead:
+    """A ReadIndex of another replica.
+
+    Attributes:
+        message: The ReadIndex.
+        send: Function ``(node, message)``.
+    """
+
+    __slots__ = ("message", "send")
+
+    def __init__(self, message, send):
+        self.message = message
+        self.send = send
+
+    def answer(self, index):
+        """Sends the index, or -1 if there is none."""
+        message = self.message
+        self.send(
+            node_of(message.sender),
+            ReadIndexReply(
+                message.recipient, message.sender, message.number, index
+            ),
+        )
+
+    def abandon(self, reason):
+        """Sends that there is no index."""
+        self.answer(-1)
+
+
+class OpenCall:
+    """A call that awaits its end.
+
+    Attributes:
+        call: One of the classes above.
+        deadline_ms: When it is abandoned.
+        leader_id: Leader that it was forwarded to, or "".
+    """
+
+    __slots__ = ("call", "deadline_ms", "leader_id")
+
+    def __init__(self, call, deadline_ms, leader_id):
+        self.call = call
+        self.deadline_ms = deadline_ms
+        self.leader_id = leader_id
+
+
+class Calls:
+    """Open calls by number.
+
+    Attributes:
+        next_number: Number of the next call. It starts at random, so that
+            a late answer from before a restart matches no call.
+        by_number: OpenCall by number, oldest first.
+        reads: Pairs of index and LocalRead that wait until it is applied.
+    """
+
+    __slots__ = ("next_number", "by_number", "reads")
+
+    def __init__(self):
+        self.next_number = secrets.randbits(40) << 20
+        self.by_number = {}
+        self.reads = []
+
+    def open(self, call, now_ms, leader_id=""):
+        """Adds a call and returns its number."""
+        self.next_number += 1
+        deadline_ms = now_ms + CALL_TIMEOUT_MS
+        self.by_number[self.next_number] = OpenCall(
+            call, deadline_ms, leader_id
+        )
+        return self.next_number
+
+    def take(self, number):
+        """Removes a call and returns it, or None."""
+        found = self.by_number.pop(number, None)
+        return found.call if found else None
+
+    def expire(self, now_ms):
+        """Abandons the calls whose deadline has passed."""
+        while self.by_number:
+            number = next(iter(self.by_number))
+            if self.by_number[number].deadline_ms > now_ms:
+                return
+            self.take(number).abandon("no answer in time")
+
+    def leave(self, leader_id):
+        """Abandons the calls forwarded to another leader than this."""
+        stale = [
+            number
+            for number, each in self.by_number.items()
+            if each.leader_id and each.leader_id != leader_id
+        ]
+        for number in stale:
+            self.take(number).abandon("leader changed")
+
+    def abandon_all(self, reason):
+        """Abandons every call, at the end of the process."""
+        for number in list(self.by_number):
+            self.take(number).abandon(reason)
+        for _, read in self.reads:
+            read.abandon(reason)
+        self.reads = []
+
+    def wait_applied(self, index, read):
+        """Keeps a read until an index is applied."""
+        self.reads.append((index, read))
+
+    def applied(self, index, state):
+        """Answers the reads that waited for an index."""
+        if not self.reads:
+            return
+        waiting = []
+        for wanted, read in self.reads:
+            if wanted <= index:
+                read.finish(state)
+            else:
+                waiting.append((wanted, read))
+        self.reads = waiting
--- /dev/null
+++ b/wigeonport/consensus_inputs.py
@@ -0,0 +1,213 @@
+"""Handlers of what arrives in the inbox of the consensus task."""
+
+from wigeonport.codecs import codecs
+from wigeonport.consensus_calls import (
+    LocalProposal,
+    LocalRead,
+    RemoteProposal,
+    RemoteRead,
+)
+from wigeonport.consensus_requests import (
+    Proposal,
+    ProposalAnswer,
+    Read,
+    Removal,
+    Status,
+    StatusRequest,
+)
+from wigeonport.logs import PartLogger
+from wigeonport.registries import Registry
+from wigeonport.replica_events import (
+    COMMITTED,
+    REFUSED,
+    UNKNOWN,
+    Persisted,
+    ProposalItem,
+    ReadRequest,
+    RemoveReplica,
+    SnapshotTaken,
+    handlers,
+)
+from wigeonport.replication_messages import (
+    ProposeForward,
+    ProposeReply,
+    ReadIndex,
+    ReadIndexReply,
+    node_of,
+)
+
+logger = PartLogger("consensus")
+
+codec = codecs.get("thrift").ok()
+inputs = Registry("consensus input")
+
+
+def handles_input(kind):
+    """Registers a function ``(consensus, message)`` for a class."""
+    return inputs.register(kind)
+
+
+def dispatch(consensus, message):
+    """Handles a request, or passes a message to the core."""
+    handler = inputs.entries.get(type(message))
+    if handler is not None:
+        handler(consensus, message)
+        return
+    kind = type(message).__name__
+    if kind not in handlers.entries:
+        logger.warning("Message is not for the consensus task.", kind=kind)
+        return
+    # Messages keep their order: what came before must be in the log.
+    consensus.append_batch()
+    consensus.step(message)
+
+
+@handles_input(Proposal)
+def on_proposal(consensus, request):
+    """Appends a proposal, or forwards it to the leader."""
+    replica = consensus.replica
+    payload = codec.encode(request.command)
+    call = LocalProposal(request.reply)
+    now_ms = consensus.clock.now()
+    if replica.is_leader():
+        number = consensus.calls.open(call, now_ms)
+        logged = consensus.encode_command(payload)
+        consensus.batch.append(ProposalItem(number, logged))
+    elif len(payload) > replica.settings.payload_bytes:
+        call.finish(ProposalAnswer(REFUSED, "payload is too large"))
+    elif replica.leader_id:
+        leader_id = replica.leader_id
+        number = consensus.calls.open(call, now_ms, leader_id)
+        forward = ProposeForward(
+            replica.replica_id, leader_id, number, payload
+        )
+        if not consensus.send(node_of(leader_id), forward):
+            consensus.calls.take(number)
+            call.finish(ProposalAnswer(REFUSED, "the leader is unreachable"))
+    else:
+        call.finish(ProposalAnswer(REFUSED, "there is no leader"))
+
+
+@handles_input(ProposeForward)
+def on_forward(consensus, message):
+    """Appends a proposal that another replica forwarded."""
+    replica = consensus.replica
+    if message.recipient != replica.replica_id:
+        return
+    call = RemoteProposal(message, consensus.send)
+    if not replica.is_leader():
+        call.finish(ProposalAnswer(REFUSED, "not leader"))
+        return
+    decoded = codec.decode(message.payload)
+    if decoded.is_error():
+        call.finish(ProposalAnswer(REFUSED, str(decoded.error)))
+        return
+    number = consensus.calls.open(call, consensus.clock.now())
+    logged = consensus.encode_command(message.payload)
+    consensus.batch.append(ProposalItem(number, logged))
+
+
+@handles_input(ProposeReply)
+def on_propose_reply(consensus, message):
+    """Passes the leader's answer to the proposer."""
+    if message.recipient != consensus.replica.replica_id:
+        return
+    call = consensus.calls.take(message.number)
+    if call is None:
+        return
+    answer = None
+    if message.outcome == COMMITTED and message.answer:
+        decoded = codec.decode(message.answer)
+        if decoded.is_error():
+            call.finish(ProposalAnswer(UNKNOWN, str(decoded.error)))
+            return
+        answer = decoded.ok
+    call.finish(
+        ProposalAnswer(message.outcome, message.reason, message.index, answer)
+    )
+
+
+@handles_input(Read)
+def on_read(consensus, request):
+    """Reads the local state, after the leader named an index if asked."""
+    replica = consensus.replica
+    call = LocalRead(request.view, request.reply)
+    now_ms = consensus.clock.now()
+    if not request.consistent:
+        call.finish(consensus.state)
+    elif replica.is_leader():
+        number = consensus.calls.open(call, now_ms)
+        consensus.append_batch()
+        consensus.step(ReadRequest(number))
+    elif replica.leader_id:
+        leader_id = replica.leader_id
+        number = consensus.calls.open(call, now_ms, leader_id)
+        consensus.send(
+            node_of(leader_id),
+            ReadIndex(replica.replica_id, leader_id, number),
+        )
+    else:
+        call.abandon("there is no leader")
+
+
+@handles_input(ReadIndex)
+def on_read_index(consensus, message):
+    """Names an index to another replica."""
+    if message.recipient != consensus.replica.replica_id:
+        return
+    call = RemoteRead(message, consensus.send)
+    number = consensus.calls.open(call, consensus.clock.now())
+    consensus.append_batch()
+    consensus.step(ReadRequest(number))
+
+
+@handles_input(ReadIndexReply)
+def on_read_index_reply(consensus, message):
+    """Reads once the index that the leader named is applied."""
+    if message.recipient != consensus.replica.replica_id:
+        return
+    call = consensus.calls.take(message.number)
+    if call is not None:
+        end_read(consensus, call, message.index)
+
+
+def end_read(consensus, call, index):
+    """Answers a read when its index is known."""
+    if isinstance(call, RemoteRead):
+        call.answer(index)
+    elif index < 0:
+        call.abandon("the leader could not confirm its term")
+    elif index <= consensus.replica.delivered_index:
+        call.finish(consensus.state)
+    else:
+        consensus.calls.wait_applied(index, call)
+
+
+@handles_input(Removal)
+def on_removal(consensus, request):
+    """Removes a replica if this one leads."""
+    call = LocalProposal(request.reply)
+    number = consensus.calls.open(call, consensus.clock.now())
+    consensus.append_batch()
+    consensus.step(RemoveReplica(number, request.replica_id))
+
+
+@handles_input(StatusRequest)
+def on_status(consensus, request):
+    """Reports the condition of the replica."""
+    request.reply.send(Status(consensus.replica))
+
+
+@handles_input(Persisted)
+def on_persisted(consensus, event):
+    """Learns that the writer is free again."""
+    consensus.writing = False
+    consensus.append_batch()
+    consensus.step(event)
+
+
+@handles_input(SnapshotTaken)
+def on_snapshot_taken(consensus, event):
+    """Learns that a snapshot is durable."""
+    consensus.snapshotting = False
+    consensus.step(event)
--- a/wigeonport/memberships.py
+++ b/wigeonport/memberships.py
@@ -5,7 +5,7 @@
 from wigeonport.replica_events import (
     REFUSED,
     Outcome,
-    RemoveMember,
+    RemoveReplica,
     handles,
 )
 from wigeonport.replication_messages import (
@@ -123,7 +123,7 @@
     return len(heard) >= members.quorum()
 
 
-@handles(RemoveMember)
+@handles(RemoveReplica)
 def on_remove(replica, event):
     """Removes a member, or refuses while another change is pending."""
     members = replica.members()
--- /dev/null
+++ b/wigeonport/recoveries.py
@@ -0,0 +1,253 @@
+"""Start of a replica from its data directory."""
+
+import os
+import shutil
+
+from wigeonport import durable_files
+from wigeonport.disk_identities import (
+    draw_identity,
+    read_identity,
+    write_identity,
+)
+from wigeonport.journal_records import (
+    JournalBatch,
+    SegmentHeader,
+    has_record_after,
+    read_records,
+)
+from wigeonport.journals import (
+    FORMAT,
+    PREFIX,
+    Journal,
+    MemoryJournal,
+    Segment,
+)
+from wigeonport.logs import PartLogger
+from wigeonport.replica_events import HardState, Recovered
+from wigeonport.snapshots import (
+    DamageError,
+    FormatError,
+    list_snapshots,
+    read_newest,
+)
+
+logger = PartLogger("journal")
+
+DAMAGED = "damaged"
+
+
+class Opened:
+    """A data directory that is ready for use.
+
+    Attributes:
+        replica_id: Replica id to run under.
+        durable: False if the replica must run in memory only.
+        journal: Journal or MemoryJournal.
+        recovered: What the replica starts from.
+        damage: Why older data was set aside, or "".
+    """
+
+    __slots__ = ("replica_id", "durable", "journal", "recovered", "damage")
+
+    def __init__(self, replica_id, durable, journal, recovered, damage):
+        self.replica_id = replica_id
+        self.durable = durable
+        self.journal = journal
+        self.recovered = recovered
+        self.damage = damage
+
+
+def open_memory(cluster_id, node):
+    """Returns an Opened for a node without a disk."""
+    replica_id = draw_identity(cluster_id, node).replica_id()
+    return Opened(replica_id, False, MemoryJournal(), Recovered(), "")
+
+
+def open_directory(directory, cluster_id, node):
+    """Opens or creates the data directory of a node.
+
+    Damaged data is moved aside and the replica starts under a new
+    identity, so that it does not vote before it has been rebuilt from its
+    peers. A directory that belongs to another node or cluster is left as
+    it is, and the replica runs in memory without a vote.
+
+    Raises:
+        FormatError: If the data was written by a newer version.
+        OSError: If the disk fails or another process uses the directory.
+    """
+    directory.mkdir(parents=True, exist_ok=True)
+    lock = durable_files.lock_directory(directory)
+    for path in directory.glob("*.tmp"):
+        path.unlink()
+    try:
+        identity = read_identity(directory)
+        if identity is None:
+            if list(directory.glob(f"{PREFIX}*")) or list_snapshots(directory):
+                raise DamageError("the identity file is missing")
+            return _create(directory, cluster_id, node, "", lock)
+        if (identity.cluster_id, identity.node) != (cluster_id, node):
+            owner = f"{identity.cluster_id}/{identity.node}"
+            logger.error("Data belongs to another node.", owner=owner)
+            opened = open_memory(cluster_id, node)
+            opened.journal.lock = lock
+            opened.damage = f"the data directory belongs to {owner}"
+            return opened
+        return _recover(directory, identity, lock)
+    except DamageError as error:
+        logger.error("Data is damaged and is set aside.", reason=error)
+        _set_aside(directory)
+        return _create(directory, cluster_id, node, str(error), lock)
+
+
+def _create(directory, cluster_id, node, damage, lock):
+    identity = draw_identity(cluster_id, node)
+    journal = Journal(directory, identity.identity, [], None, lock)
+    # The identity comes first: a segment without it counts as damage.
+    write_identity(directory, identity)
+    journal.start_segment(-1)
+    durable_files.sync_directory(directory.parent)
+    return Opened(identity.replica_id(), True, journal, Recovered(), damage)
+
+
+def _set_aside(directory):
+    """Moves everything into a subdirectory for inspection."""
+    target = directory / DAMAGED
+    if target.exists():
+        shutil.rmtree(target)
+    target.mkdir()
+    for path in directory.iterdir():
+        if path not in (target, directory / durable_files.LOCK_NAME):
+            os.replace(path, target / path.name)
+    durable_files.sync_directory(target)
+    durable_files.sync_directory(directory)
+
+
+def _recover(directory, identity, lock):
+    snapshot = read_newest(directory)
+    replay = Replay()
+    segments = _read_segments(directory, identity, replay)
+    if not segments:
+        raise DamageError("there is no segment")
+    entries = _entries_after(snapshot, replay.entries)
+    recovered = Recovered(replay.hard_state, snapshot, entries)
+    journal = Journal(
+        directory, identity.identity, segments, replay.hard_state, lock
+    )
+    starts_anew = snapshot is not None and not entries
+    journal.start_segment(snapshot.index if starts_anew else -1)
+    return Opened(identity.replica_id(), True, journal, recovered, "")
+
+
+class Replay:
+    """Rebuilds the log from the records of the segments.
+
+    Attributes:
+        entries: Entries of the log.
+        hard_state: Newest HardState.
+    """
+
+    __slots__ = ("entries", "hard_state")
+
+    def __init__(self):
+        self.entries = []
+        self.hard_state = HardState(0, "")
+
+    def take(self, record):
+        """Applies a record.
+
+        Raises:
+            DamageError: If an entry is missing.
+        """
+        if isinstance(record, SegmentHeader):
+            self.hard_state = record.hard_state
+            if record.base_index >= 0:
+                self.entries = []
+            return
+        self.hard_state = record.hard_state or self.hard_state
+        for entry in record.entries:
+            self.add(entry)
+
+    def add(self, entry):
+        """Adds an entry, which replaces the log from its index on."""
+        if self.entries:
+            position = entry.index - self.entries[0].index
+            if position < 0:
+                self.entries = []
+            elif position > len(self.entries):
+                raise DamageError(f"entries before {entry.index} are missing")
+            else:
+                del self.entries[position:]
+        self.entries.append(entry)
+
+
+def _read_segments(directory, identity, replay):
+    """Feeds all records to the replay; returns the valid segments."""
+    paths = sorted(directory.glob(f"{PREFIX}*"))
+    segments = []
+    for position, path in enumerate(paths):
+        data = path.read_bytes()
+        records, offset = read_records(data)
+        is_last = position == len(paths) - 1
+        number = int(path.name.removeprefix(PREFIX))
+        if records or not is_last:
+            _check_header(path, records, number, identity, segments)
+        if offset < len(data):
+            _repair(path, data, offset, is_last)
+        if not records:
+            path.unlink()
+            durable_files.sync_directory(directory)
+            continue
+        segment = Segment(number, path)
+        for record in records:
+            replay.take(record)
+            if isinstance(record, JournalBatch):
+                for entry in record.entries:
+                    segment.last_index = max(segment.last_index, entry.index)
+        segments.append(segment)
+    return segments
+
+
+def _repair(path, data, offset, is_last):
+    """Cuts off an interrupted write at the end of the last segment."""
+    if not is_last or has_record_after(data, offset):
+        raise DamageError(f"{path.name}: damage at byte {offset}")
+    logger.warning(
+        "An interrupted write is cut off.", file=path.name, offset=offset
+    )
+    descriptor = os.open(path, os.O_WRONLY)
+    try:
+        os.ftruncate(descriptor, offset)
+        durable_files.sync_file(descriptor)
+    finally:
+        os.close(descriptor)
+
+
+def _check_header(path, records, number, identity, segments):
+    header = records[0] if records else None
+    if not isinstance(header, SegmentHeader):
+        raise DamageError(f"{path.name}: header is missing")
+    if header.format != FORMAT:
+        raise FormatError(f"{path.name}: format {header.format}")
+    if header.identity != identity.identity or header.number != number:
+        raise DamageError(f"{path.name}: belongs to another directory")
+    if segments and number != segments[-1].number + 1:
+        raise DamageError(f"{path.name}: an earlier segment is missing")
+
+
+def _entries_after(snapshot, entries):
+    """Returns the entries that continue the snapshot.
+
+    Raises:
+        DamageError: If entries between the two are missing.
+    """
+    base_index = snapshot.index if snapshot else 0
+    if not entries or entries[-1].index < base_index:
+        return []
+    first_index = entries[0].index
+    if first_index > base_index + 1:
+        raise DamageError(f"entries before {first_index} are missing")
+    position = base_index + 1 - first_index
+    if position > 0 and entries[position - 1].term != snapshot.term:
+        # The snapshot came from the leader and the log did not match it.
+        return []
+    return entries[position:]
--- a/wigeonport/replica_events.py
+++ b/wigeonport/replica_events.py
@@ -2,6 +2,7 @@
 
 import zlib
 
+from wigeonport.codecs import message_kinds
 from wigeonport.registries import Registry
 
 handlers = Registry("replica event handler")
@@ -77,7 +78,7 @@
         self.snapshot = snapshot
 
 
-class RemoveMember:
+class RemoveReplica:
     """Asks the leader to remove a member.
 
     Attributes:
@@ -122,6 +123,7 @@
         self.index = index
 
 
+@message_kinds.register("HardState")
 class HardState:
     """Term and vote; durable before a message depends on them."""
 
--- a/wigeonport/replication_messages.py
+++ b/wigeonport/replication_messages.py
@@ -5,6 +5,8 @@
 replica id and is not counted as the voter that it replaces.
 """
 
+from wigeonport.codecs import message_kinds
+
 DATA = 0
 BLANK = 1
 MEMBERS = 2
@@ -15,6 +17,7 @@
     return replica_id.partition("/")[0]
 
 
+@message_kinds.register("Entry")
 class Entry:
     """One entry of the replicated log.
 
@@ -34,6 +37,7 @@
         self.payload = payload
 
 
+@message_kinds.register("PreVote")
 class PreVote:
     """Asks whether an election at ``term`` could be won."""
 
@@ -47,6 +51,7 @@
         self.last_term = last_term
 
 
+@message_kinds.register("PreVoteReply")
 class PreVoteReply:
     """Answers a PreVote; ``proposed_term`` is the term that it named."""
 
@@ -60,6 +65,7 @@
         self.granted = granted
 
 
+@message_kinds.register("Vote")
 class Vote:
     """Asks for the vote of the recipient in ``term``."""
 
@@ -73,6 +79,7 @@
         self.last_term = last_term
 
 
+@message_kinds.register("VoteReply")
 class VoteReply:
     """Answers a Vote; sent only once the vote is durable."""
 
@@ -85,6 +92,7 @@
         self.granted = granted
 
 
+@message_kinds.register("Append")
 class Append:
     """Entries from the leader; without entries it is a heartbeat.
 
@@ -131,6 +139,7 @@
         self.sent_ms = sent_ms
 
 
+@message_kinds.register("AppendReply")
 class AppendReply:
     """Answers an Append.
 
@@ -175,6 +184,7 @@
         self.sent_ms = sent_ms
 
 
+@message_kinds.register("SnapshotPiece")
 class SnapshotPiece:
     """One piece of the leader's snapshot.
 
@@ -226,6 +236,7 @@
         self.data = data
 
 
+@message_kinds.register("SnapshotReply")
 class SnapshotReply:
     """Names the offset from which the follower wants the next piece."""
 
@@ -239,6 +250,7 @@
         self.offset = offset
 
 
+@message_kinds.register("JoinRequest")
 class JoinRequest:
     """A replica that no leader contacts makes itself known.
 
@@ -257,6 +269,7 @@
         self.blank = blank
 
 
+@message_kinds.register("JoinReply")
 class JoinReply:
     """Answers a JoinRequest with the state of the answering replica.
 
@@ -276,6 +289,7 @@
         self.leader_id = leader_id
 
 
+@message_kinds.register("ProposeForward")
 class ProposeForward:
     """A proposal that a follower forwards to the leader."""
 
@@ -288,6 +302,7 @@
         self.payload = payload
 
 
+@message_kinds.register("ProposeReply")
 class ProposeReply:
     """Answers a ProposeForward; ``answer`` is encoded by the state."""
 
@@ -313,6 +328,7 @@
         self.answer = answer
 
 
+@message_kinds.register("ReadIndex")
 class ReadIndex:
     """Asks the leader for an index that a read must wait for."""
 
@@ -324,6 +340,7 @@
         self.number = number
 
 
+@message_kinds.register("ReadIndexReply")
 class ReadIndexReply:
     """Answers a ReadIndex; ``index`` is -1 if it cannot be given."""
 
--- /dev/null
+++ b/wigeonport/snapshots.py
@@ -0,0 +1,108 @@
+"""Snapshot files: one complete state at a log index."""
+
+import json
+import zlib
+
+from wigeonport.durable_files import replace_file, sync_directory
+from wigeonport.journal_records import (
+    HEAD,
+    SnapshotHeader,
+    encode_record,
+    read_body,
+)
+from wigeonport.journal_records import codec as record_codec
+from wigeonport.memberships import Members
+from wigeonport.replica_events import Snapshot
+
+FORMAT = 1
+PREFIX = "snapshot-"
+# Level 1 compresses a state of repeated keys nearly as well as the
+# default level at a fraction of the time.
+COMPRESSION_LEVEL = 1
+
+
+class DamageError(Exception):
+    """Stored data is missing or does not match its checksum."""
+
+
+class FormatError(Exception):
+    """Stored data has a format that this version does not read."""
+
+
+def encode_state(document):
+    """Returns the bytes of a state's document."""
+    text = json.dumps(document, separators=(",", ":"))
+    return zlib.compress(text.encode(), COMPRESSION_LEVEL)
+
+
+def decode_state(data):
+    """Returns the document from its bytes."""
+    return json.loads(zlib.decompress(data))
+
+
+def snapshot_path(directory, index):
+    """Returns the path of the snapshot at an index."""
+    return directory / f"{PREFIX}{index:016d}"
+
+
+def write_snapshot(directory, snapshot):
+    """Writes a snapshot durably.
+
+    Raises:
+        OSError: If a write or a sync fails.
+    """
+    header = SnapshotHeader(
+        FORMAT,
+        snapshot.index,
+        snapshot.term,
+        snapshot.members.to_payload(),
+        len(snapshot.data),
+        snapshot.checksum,
+    )
+    path = snapshot_path(directory, snapshot.index)
+    replace_file(path, [encode_record(header), snapshot.data])
+
+
+def read_newest(directory):
+    """Returns the newest Snapshot, or None if there is no file.
+
+    Raises:
+        DamageError: If the newest file is damaged.
+        FormatError: If its format is unknown.
+    """
+    paths = list_snapshots(directory)
+    if not paths:
+        return None
+    data = paths[-1].read_bytes()
+    body = read_body(data, 0)
+    if body is None:
+        raise DamageError(f"{paths[-1].name}: header is damaged")
+    decoded = record_codec.decode(body)
+    if decoded.is_error():
+        raise FormatError(f"{paths[-1].name}: {decoded.error}")
+    header = decoded.ok
+    if header.format != FORMAT:
+        raise FormatError(f"{paths[-1].name}: format {header.format}")
+    content = data[HEAD.size + len(body) :]
+    if len(content) != header.size_bytes or (
+        zlib.crc32(content) != header.checksum
+    ):
+        raise DamageError(f"{paths[-1].name}: content is damaged")
+    members = Members.from_payload(header.members)
+    return Snapshot(header.index, header.term, members, content)
+
+
+def list_snapshots(directory):
+    """Returns the paths of the snapshots, oldest first."""
+    return sorted(
+        path for path in directory.glob(f"{PREFIX}*") if path.suffix != ".tmp"
+    )
+
+
+def remove_older(directory):
+    """Removes all snapshots but the newest one."""
+    older = list_snapshots(directory)[:-1]
+    for path in older:
+        path.unlink()
+    if older:
+        sync_directory(directory)
