Assemble the control program

Cause: the replicated state, the operators' edge and the entries' claims need one program that only builds the chain.

--- a/wigeonport/configurations.thrift
+++ b/wigeonport/configurations.thrift
@@ -17,3 +17,7 @@
   2: required string availability_zone
   3: required i64 version
 }
+
+struct ConfigRequest {
+  1: required i64 above
+}
--- /dev/null
+++ b/wigeonport/control_main.py
@@ -0,0 +1,196 @@
+"""The control program: builds the chain around the replicated state."""
+
+import pathlib
+import random
+import sys
+
+import trio
+
+from wigeonport.channels import DROP_OLDEST, REFUSE, Mailbox
+from wigeonport.claim_brokers import ClaimBroker, broker_claims
+from wigeonport.configurations import ConfigUpdate, Subscribe, VersionReport
+from wigeonport.consensus import Consensus
+from wigeonport.credentials import load_tokens
+from wigeonport.dialers import Dialer, listen
+from wigeonport.links import LinkClosed
+from wigeonport.logs import PartLogger
+from wigeonport.operators import OperatorApp, OperatorControl
+from wigeonport.programs import start
+from wigeonport.publishers import Publisher, publish
+from wigeonport.recoveries import open_directory, open_memory
+from wigeonport.servers import ProcessInfo, serve_http
+from wigeonport.state_adapters import StateAdapter, adapt_requests
+from wigeonport.state_commands import ClaimKey, CompleteClaim, ReleaseClaim
+from wigeonport.state_requests import StatePort
+from wigeonport.states import ReplicatedState, state_from_document
+from wigeonport.version_watchers import watch_versions
+
+logger = PartLogger("control")
+
+PUBLISHED = (Subscribe, VersionReport, ConfigUpdate)
+CLAIMS = (ClaimKey, CompleteClaim, ReleaseClaim)
+
+
+class ControlMailboxes:
+    """The channels of the control, each with its bound.
+
+    Attributes:
+        deliveries: From the links to the sorter.
+        publisher: To the publisher.
+        claims: From the sorter to the claim broker.
+        requests: From the operators' edge to the state adapter.
+        notices: From the consensus task to the version watcher.
+        health: Queries for unavailable VMs.
+    """
+
+    __slots__ = (
+        "deliveries",
+        "publisher",
+        "claims",
+        "requests",
+        "notices",
+        "health",
+    )
+
+    def __init__(self, settings):
+        bound = settings.mailbox_bound
+        self.deliveries = Mailbox("deliveries", bound)
+        self.publisher = Mailbox("publisher", bound)
+        self.claims = Mailbox("claims", settings.max_requests_in_flight)
+        self.requests = Mailbox("state requests", bound, REFUSE)
+        # A dropped notice does no harm: the watcher reads the state.
+        self.notices = Mailbox("notices", bound, DROP_OLDEST)
+        self.health = Mailbox("health", bound, REFUSE)
+
+
+async def sort_deliveries(inbound, boxes, consensus):
+    """Passes arrivals to the filter that handles them."""
+    async for delivery in inbound:
+        if isinstance(delivery, LinkClosed):
+            await boxes.publisher.put(delivery)
+            continue
+        message = delivery.message
+        if isinstance(message, PUBLISHED):
+            await boxes.publisher.put(delivery)
+        elif isinstance(message, CLAIMS):
+            await boxes.claims.put(delivery)
+        else:
+            await consensus.put(message)
+
+
+def make_dialers(settings, context):
+    """Returns the dialers to the other controls by node id."""
+    return {
+        peer.node_id: Dialer(context, peer.host, peer.control_links_port)
+        for peer in settings.peers
+    }
+
+
+def open_replica(settings):
+    """Returns what the data directory holds, or an empty memory."""
+    if settings.data_dir is None:
+        return open_memory(settings.cluster_id, settings.node_id)
+    directory = pathlib.Path(settings.data_dir)
+    return open_directory(directory, settings.cluster_id, settings.node_id)
+
+
+def make_consensus(program, dialers):
+    """Returns the consensus task."""
+    settings = program.settings
+
+    def send(node, message):
+        dialer = dialers.get(node)
+        return dialer is not None and dialer.post(message)
+
+    directory = settings.data_dir
+    return Consensus(
+        open_replica(settings),
+        None if directory is None else pathlib.Path(directory),
+        settings.voters,
+        ReplicatedState(),
+        state_from_document,
+        send,
+        program.clock,
+        program.metrics,
+        random_source=random.Random(),
+        snapshot_entries=settings.snapshot_entries,
+    )
+
+
+def start_filters(nursery, program, boxes, consensus, dialers):
+    """Starts the filters of the chain."""
+    settings = program.settings
+    adapter = StateAdapter(consensus.inbox, settings.propose_timeout_ms)
+    broker = ClaimBroker(
+        adapter.propose, settings.claim_timeout_ms, program.metrics
+    )
+    nursery.start_soon(
+        sort_deliveries, boxes.deliveries, boxes, consensus.inbox
+    )
+    nursery.start_soon(
+        publish,
+        boxes.publisher,
+        Publisher(),
+        program.clock,
+        list(dialers.values()),
+    )
+    nursery.start_soon(
+        watch_versions, boxes.notices, consensus.inbox, boxes.publisher
+    )
+    nursery.start_soon(broker_claims, boxes.claims, broker)
+    nursery.start_soon(adapt_requests, boxes.requests, adapter)
+
+
+async def serve_operators(program, boxes):
+    """Serves the operators' HTTP until the program stops."""
+    settings = program.settings
+    tokens = None
+    if settings.operator_token_file is not None:
+        loaded = load_tokens(settings.operator_token_file)
+        if loaded.is_error():
+            logger.error("Operators are refused.", reason=loaded.error)
+        tokens = loaded.default_value(None)
+    control = OperatorControl(
+        settings,
+        program.clock,
+        StatePort(boxes.requests, settings.propose_timeout_ms),
+        boxes.publisher,
+        boxes.health,
+    )
+    info = ProcessInfo(program.metrics, None, program.stopping)
+    await serve_http(
+        OperatorApp(control, tokens, info),
+        settings.host,
+        settings.operators_port,
+        program.stopping,
+        settings.shutdown_grace_ms,
+    )
+
+
+async def run_control(program):
+    """Runs the control until it has stopped."""
+    settings = program.settings
+    boxes = ControlMailboxes(settings)
+    context = program.link_context(boxes.deliveries)
+    dialers = make_dialers(settings, context)
+    consensus = make_consensus(program, dialers)
+    consensus.observers.append(boxes.notices)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(consensus.run)
+        await nursery.start(
+            listen, context, settings.host, settings.control_links_port
+        )
+        for dialer in dialers.values():
+            nursery.start_soon(dialer.run)
+        start_filters(nursery, program, boxes, consensus, dialers)
+        await serve_operators(program, boxes)
+        nursery.cancel_scope.cancel()
+
+
+def main():
+    """Entry point of ``wigeonport-control``."""
+    sys.exit(start("control", run_control, sys.argv[1:]))
+
+
+if __name__ == "__main__":
+    main()
--- a/wigeonport/entry_main.py
+++ b/wigeonport/entry_main.py
@@ -102,6 +102,7 @@
         [boxes.admissions],
         configuration,
         links.report,
+        clock,
         program.metrics,
     )
     nursery.start_soon(admit, boxes.admissions, boxes.routing, clock)
--- a/wigeonport/publishers.py
+++ b/wigeonport/publishers.py
@@ -1,6 +1,11 @@
 """Publishers: push accepted fleet versions and track who applies them."""
 
-from wigeonport.configurations import ConfigUpdate, Subscribe, VersionReport
+from wigeonport.configurations import (
+    ConfigRequest,
+    ConfigUpdate,
+    Subscribe,
+    VersionReport,
+)
 from wigeonport.links import Delivery, LinkClosed
 
 REPORT_INTERVAL_MS = 5_000
@@ -93,8 +98,11 @@
         self.subscribers[delivery.session] = delivery
         self.own.add(message.node_id)
         self.record(message, now_ms)
-        if self.newest is not None and self.newest.version >= message.version:
+        known = 0 if self.newest is None else self.newest.version
+        if known > 0 and known >= message.version:
             self.push(delivery)
+        elif message.version > known:
+            delivery.push(ConfigRequest(known))
 
     def record(self, report, now_ms):
         """Keeps the highest version that a process has reported."""
@@ -156,6 +164,12 @@
     if isinstance(delivery.message, Subscribe):
         publisher.subscribe(delivery, now_ms)
         return True
+    if isinstance(delivery.message, ConfigUpdate):
+        update = delivery.message
+        publisher.accept(
+            VersionAccepted(update.version, update.document, True)
+        )
+        return False
     own = delivery.session in publisher.subscribers
     publisher.record(delivery.message, now_ms)
     return own
--- a/wigeonport/subscriptions.py
+++ b/wigeonport/subscriptions.py
@@ -1,6 +1,11 @@
 """Subscriptions: an entry's links to the controls."""
 
-from wigeonport.configurations import ConfigUpdate, Subscribe, VersionReport
+from wigeonport.configurations import (
+    ConfigRequest,
+    ConfigUpdate,
+    Subscribe,
+    VersionReport,
+)
 from wigeonport.links import Delivery
 from wigeonport.logs import PartLogger
 
@@ -54,13 +59,13 @@
 
     Args:
         inbound: Mailbox of all links of the process.
-        configurations: Mailbox for ConfigUpdates.
+        configurations: Mailbox for ConfigUpdates and ConfigRequests.
         entries: Mailbox for the messages of other entries.
     """
     async for delivery in inbound:
         if not isinstance(delivery, Delivery):
             await entries.put(delivery)
-        elif isinstance(delivery.message, ConfigUpdate):
-            await configurations.put(delivery.message)
+        elif isinstance(delivery.message, (ConfigUpdate, ConfigRequest)):
+            await configurations.put(delivery)
         else:
             await entries.put(delivery)
