Add the operators' HTTP interface, event logs and timelines

Cause: operators read the fleet and submit patches over HTTP, and need one timeline of events over processes whose clocks differ.

Change: routes in a registry, bearer tokens from a file, refused access logged and counted; the handlers reach the owner of the replicated state by messages only, through StatePort. Lost answers are `unknown` (504), commands that were not delivered or proposed are `not-run` (503). Grants count what the planner knows of the VMs' health and are refused while it is unknown. Event logs number events by run, sequence and Lamport counter; the merge keeps causal order and shows gaps.

Conclusion: the consensus task has to answer ProposeCommand and ReadState, the planner UnavailableQuery.

--- /dev/null
+++ b/tests/operator_fakes.py
@@ -0,0 +1,144 @@
+"""A control program whose replicated log is replaced by one local state."""
+
+import json
+
+import trio
+
+from wigeonport.channels import Mailbox
+from wigeonport.clocks import ManualClock
+from wigeonport.credentials import OperatorTokens, load_tokens
+from wigeonport.metrics import Metrics
+from wigeonport.operators import OperatorApp, OperatorControl
+from wigeonport.publishers import ProcessStatus
+from wigeonport.servers import ProcessInfo
+from wigeonport.settings import Settings
+from wigeonport.state_requests import (
+    COMMITTED,
+    NOT_RUN,
+    Decision,
+    ReadState,
+    StatePort,
+    StateRead,
+)
+from wigeonport.states import Entry, ReplicatedState
+
+TOKEN = "0123456789abcdef"
+OTHER_TOKEN = "fedcba9876543210"
+
+
+class FakeControl:
+    """Owns a ReplicatedState and answers like the consensus task.
+
+    Attributes:
+        state: The state.
+        mode: ``commit``, ``lose`` (commits and never answers), ``ignore``
+            (neither), or ``refuse`` (no quorum).
+        unavailable: VMs that the planner reports, or None.
+        statuses: ProcessStatus list of the publisher.
+        app: The OperatorApp under test.
+    """
+
+    def __init__(self, tokens_path, timeout_ms=200):
+        """Writes the token file and builds the app."""
+        tokens_path.write_text(f"ada {TOKEN}\nbayo {OTHER_TOKEN}\n")
+        self.state = ReplicatedState()
+        self.mode = "commit"
+        self.unavailable = []
+        self.statuses = []
+        self.index = 0
+        self.consensus = Mailbox("consensus", 8)
+        self.publisher = Mailbox("publisher", 8)
+        self.health = Mailbox("health", 8)
+        settings = Settings({"node_id": "ikeja-1", "cluster_id": "lagos"})
+        settings.availability_zone = "ikeja"
+        clock = ManualClock(1_000_000, 1_700_000_000_000)
+        port = StatePort(self.consensus, timeout_ms)
+        control = OperatorControl(
+            settings, clock, port, self.publisher, self.health
+        )
+        info = ProcessInfo(Metrics(), None, trio.Event())
+        tokens = load_tokens(str(tokens_path)).ok
+        assert isinstance(tokens, OperatorTokens)
+        self.app = OperatorApp(control, tokens, info)
+
+    async def run(self):
+        """Answers messages until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.own_state)
+            nursery.start_soon(self.publish)
+            nursery.start_soon(self.report_health)
+
+    async def own_state(self):
+        """Plays the task that owns the replicated state."""
+        async for message in self.consensus:
+            if isinstance(message, ReadState):
+                document = message.query.read(self.state)
+                read = StateRead(document, "leader", "ikeja-1", 3)
+                message.reply.send(read)
+                continue
+            self.decide(message)
+
+    def decide(self, message):
+        """Answers a proposal as the mode says."""
+        if self.mode == "refuse":
+            message.reply.send(Decision(NOT_RUN, reason="no quorum"))
+        if self.mode in ("refuse", "ignore"):
+            return
+        self.index += 1
+        time_ms = self.app.control.clock.wall()
+        entry = Entry(self.index, time_ms, message.command)
+        answer = self.state.apply(entry)
+        if self.mode == "commit":
+            message.reply.send(Decision(COMMITTED, answer))
+
+    async def publish(self):
+        """Plays the publisher."""
+        async for message in self.publisher:
+            message.reply.send(self.statuses)
+
+    async def report_health(self):
+        """Plays the planner."""
+        async for message in self.health:
+            message.reply.send(self.unavailable)
+
+    def report(self, process, version, silent_ms=0):
+        """Adds a report of a process."""
+        heard_ms = self.app.control.clock.now() - silent_ms
+        status = ProcessStatus(process, "ikeja", version, heard_ms)
+        self.statuses.append(status)
+
+    async def call(self, method, target, body=None, token=TOKEN, headers=()):
+        """Sends one ASGI request; returns status and document."""
+        path, _, query = target.partition("?")
+        sent = [(b"authorization", f"Bearer {token}".encode())]
+        scope = {
+            "type": "http",
+            "method": method,
+            "path": path,
+            "query_string": query.encode(),
+            "headers": [*(sent if token else []), *headers],
+            "client": ("127.0.0.1", 1),
+        }
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        events = []
+
+        async def receive():
+            return {"type": "http.request", "body": data}
+
+        async def send(event):
+            events.append(event)
+
+        await self.app(scope, receive, send)
+        return events[0]["status"], json.loads(events[1]["body"])
+
+
+def run_with(control, scenario):
+    """Runs a scenario while the fake control answers."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(control.run)
+            await scenario()
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
--- /dev/null
+++ b/tests/test_events.py
@@ -0,0 +1,227 @@
+"""Tests of the event log and of the merged timeline."""
+
+import json
+import random
+
+import pytest
+import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from wigeonport import events as events_module
+from wigeonport.clocks import LamportCounter, ManualClock
+from wigeonport.events import EventLog, append, write_events
+from wigeonport.findings import Findings
+from wigeonport.metrics import Metrics
+from wigeonport.timelines import merge, read_lines, render
+
+
+def make_log(node, clock, **options):
+    """Returns an event log with its own Lamport counter."""
+    options.setdefault("ring_bound", 100)
+    return EventLog(node, clock, LamportCounter(), **options)
+
+
+def events_of(*logs):
+    """Returns the events of several logs, by way of their lines."""
+    findings = Findings()
+    events = []
+    for log in logs:
+        events += read_lines(log.node, log.lines(), findings)
+    assert not findings
+    return events
+
+
+def kinds(events):
+    """Returns node and kind of every event."""
+    return [f"{event.node}:{event.kind}" for event in events]
+
+
+def test_effect_follows_its_cause_although_clocks_differ():
+    """Guards against a timeline ordered by wall times."""
+    ahead = make_log("a", ManualClock(9_000_000))
+    behind = make_log("b", ManualClock(1_000))
+    cause = ahead.record("sent")
+    behind.lamport.observe(cause.lamport)
+    behind.record("received")
+    ahead.lamport.observe(behind.record("answered").lamport)
+    ahead.record("done")
+    merged = kinds(merge(events_of(behind, ahead)))
+    assert merged == [
+        "b:start",
+        "a:start",
+        "a:sent",
+        "b:received",
+        "b:answered",
+        "a:done",
+    ]
+
+
+def test_restarted_process_stays_behind_its_past():
+    """Guards against a new run that is listed before the old one."""
+    clock = ManualClock(1_000)
+    first = make_log("a", clock)
+    first.lamport.observe(50_000)
+    first.record("old")
+    clock.advance(10)
+    second = make_log("a", clock)
+    second.record("new")
+    merged = kinds(merge(events_of(second, first)))
+    assert merged == ["a:start", "a:old", "a:start", "a:new"]
+
+
+def test_full_ring_records_a_gap(clock):
+    """Guards against lost events that nobody notices."""
+    log = make_log("a", clock, ring_bound=2)
+    for number in range(5):
+        log.record("step", number=number)
+    lines = [json.loads(line) for line in log.lines()]
+    assert [line["kind"] for line in lines] == ["gap", "step", "step"]
+    assert lines[0]["fields"] == {"lost": 4}
+    merged = merge(events_of(log))
+    assert kinds(merged) == ["a:gap", "a:step", "a:step"]
+
+
+def test_several_sources_of_one_process_are_joined(clock):
+    """Guards against events that are listed twice."""
+    log = make_log("a", clock)
+    log.record("one")
+    before = events_of(log)
+    log.record("two")
+    merged = merge(before + events_of(log))
+    assert kinds(merged) == ["a:start", "a:one", "a:two"]
+
+
+def test_missing_sequence_numbers_become_a_gap(clock):
+    """Guards against a hole in the middle of a source."""
+    log = make_log("a", clock)
+    for _ in range(3):
+        log.record("step")
+    events = events_of(log)
+    merged = merge([events[0], events[3]])
+    assert kinds(merged) == ["a:start", "a:gap", "a:step"]
+    assert merged[1].fields == {"lost": 2}
+
+
+def test_file_holds_every_event_over_restarts(tmp_path, clock):
+    """Guards against events that are lost when a process stops."""
+    path = tmp_path / "deep" / "events.jsonl"
+
+    async def run(*names):
+        log = make_log("a", clock, has_file=True)
+        for name in names:
+            log.record(name)
+        log.writer.close()
+        await write_events(log, path, Metrics())
+        clock.advance(5)
+
+    trio.run(run, "one", "two")
+    with path.open("ab") as target:
+        target.write(b'{"node": "a", "ru')
+    trio.run(run, "three")
+    findings = Findings()
+    with path.open("rb") as source:
+        merged = merge(read_lines(str(path), source, findings))
+    assert kinds(merged) == [
+        "a:start",
+        "a:one",
+        "a:two",
+        "a:start",
+        "a:three",
+    ]
+    assert [item.place for item in findings.items] == [f"{path}:4"]
+
+
+def test_slow_writer_leaves_a_gap_in_the_file(tmp_path, clock, monkeypatch):
+    """Guards against a full channel that loses events silently."""
+    monkeypatch.setattr(events_module, "WRITER_BOUND", 2)
+    path = tmp_path / "events.jsonl"
+
+    async def run():
+        log = make_log("a", clock, has_file=True)
+        for _ in range(4):
+            log.record("step")
+        assert await log.writer.get()
+        log.record("last")
+        log.writer.close()
+        await write_events(log, path, Metrics())
+
+    trio.run(run)
+    lines = [json.loads(line) for line in path.read_text().splitlines()]
+    assert [line["kind"] for line in lines] == ["step", "gap", "last"]
+    assert lines[1]["fields"] == {"lost": 3}
+
+
+def test_full_file_starts_a_new_one(tmp_path):
+    """Guards against an event file that fills the disk."""
+    path = tmp_path / "events.jsonl"
+    for number in range(4):
+        append(path, b"%d" % number * 8 + b"\n", 20)
+    assert path.read_bytes() == b"22222222\n33333333\n"
+    old = path.with_name("events.jsonl.1")
+    assert old.read_bytes() == b"00000000\n11111111\n"
+
+
+def test_unwritable_file_is_counted(tmp_path, clock):
+    """Guards against a full disk that stops the process."""
+    (tmp_path / "file").write_text("")
+
+    async def run():
+        metrics = Metrics()
+        log = make_log("a", clock, has_file=True)
+        log.writer.close()
+        await write_events(log, tmp_path / "file" / "x", metrics)
+        assert metrics.counters["events_lost"] == 1
+
+    trio.run(run)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_merge_is_causal_for_random_exchanges(seed):
+    """Guards against an effect before its cause in any order of sources."""
+    source = random.Random(seed)
+    clocks = [ManualClock(source.randrange(10**6)) for _ in range(4)]
+    logs = [make_log(f"n{i}", clock) for i, clock in enumerate(clocks)]
+    causes = {}
+    for step in range(60):
+        sender, receiver = source.sample(logs, 2)
+        sent = sender.record("sent", step=step)
+        receiver.lamport.observe(sent.lamport)
+        causes[step] = receiver.record("received", step=step)
+        source.choice(clocks).advance(source.randrange(100))
+    shuffled = events_of(*logs)
+    source.shuffle(shuffled)
+    seen, last = set(), {}
+    for event in merge(shuffled):
+        if event.kind == "sent":
+            seen.add(event.fields["step"])
+        if event.kind == "received":
+            assert event.fields["step"] in seen
+        assert event.sequence == last.get(event.node, 0) + 1
+        last[event.node] = event.sequence
+    assert len(seen) == len(causes)
+
+
+@given(
+    lines=st.lists(
+        st.binary(max_size=30)
+        | st.text(max_size=20)
+        | st.sampled_from([b"{}", b"[]", b'{"node": 1}', b"[" * 9_999]),
+        max_size=4,
+    )
+)
+@settings(max_examples=100, derandomize=True, deadline=None)
+def test_malformed_lines_are_findings(lines):
+    """Guards against a traceback, or a silent loss, on a damaged source."""
+    findings = Findings()
+    assert read_lines("x", lines, findings) == []
+    kept = [line for line in lines if line.strip()]
+    places = {item.place.split(":")[1] for item in findings.items}
+    assert len(places) == len(kept)
+
+
+def test_rendered_line_is_readable(clock):
+    """Guards against output that cannot be searched."""
+    log = make_log("a", clock)
+    line = render(log.record("moved", worker="vm-1", ok=True))
+    assert line.endswith('a moved worker="vm-1" ok=true')
--- a/tests/test_maintenance_states.py
+++ b/tests/test_maintenance_states.py
@@ -134,7 +134,9 @@
     grant("g-1", "vm-2", purpose="maintenance")
     live(ConfirmDrain("g-1", "vm-2"))
     live(EndGrant("g-1", ["vm-2"], 0))
-    assert live.state.maintenance.maintained == {"vm-2": live.now_ms}
+    maintained = live.state.maintenance.maintained
+    assert maintained["vm-2"] == live.now_ms
+    assert maintained["vm-1"] == 1  # The time at which it joined.
 
 
 def test_unknown_purpose_names_the_known_ones(grant):
--- /dev/null
+++ b/wigeonport/events.py
@@ -0,0 +1,195 @@
+"""Event log of a process: JSON Lines with Lamport numbers."""
+
+import json
+import pathlib
+from collections import deque
+
+import trio
+
+from wigeonport.channels import REFUSE, Mailbox
+from wigeonport.logs import PartLogger
+from wigeonport.records import Record
+
+logger = PartLogger("events")
+
+GAP = "gap"
+START = "start"
+WRITER_BOUND = 4_096
+LARGEST_FILE_BYTES = 32 * 1024 * 1024
+
+
+class Event(Record):
+    """One event of one process.
+
+    Attributes:
+        node: Node id of the process.
+        run: Wall time in ms at which the process started; tells the runs of
+            a process apart.
+        sequence: Number of the event in its run, from 1 without holes.
+        lamport: Lamport number; an effect has a higher one than its cause.
+        wall_ms: Wall time on the clock of that VM.
+        kind: What happened.
+        fields: Details as plain data.
+    """
+
+    __slots__ = (
+        "node",
+        "run",
+        "sequence",
+        "lamport",
+        "wall_ms",
+        "kind",
+        "fields",
+    )
+
+    def __init__(self, node, run, sequence, lamport, wall_ms, kind, fields):
+        self.node = node
+        self.run = run
+        self.sequence = sequence
+        self.lamport = lamport
+        self.wall_ms = wall_ms
+        self.kind = kind
+        self.fields = fields
+
+    def line(self):
+        """Returns the event as one line of JSON."""
+        return json.dumps(self.to_document(), default=str)
+
+
+class EventLog:
+    """Numbers events and keeps the latest in a ring.
+
+    A log with a file also passes every line to the task that owns the file.
+    What does not fit, there or in the ring, is counted and recorded as a
+    gap.
+
+    Attributes:
+        node: Node id of the process.
+        run: Wall time at which the log was made.
+        clock: Time source.
+        lamport: LamportCounter of the process. It starts at the wall time,
+            so that a restarted process does not number below its past.
+        sequence: Number of the last event.
+        ring: The latest events.
+        writer: Mailbox of the task that owns the file, or None.
+        lost: Events that the file misses since the last recorded gap.
+    """
+
+    __slots__ = (
+        "node",
+        "run",
+        "clock",
+        "lamport",
+        "sequence",
+        "ring",
+        "writer",
+        "lost",
+    )
+
+    def __init__(self, node, clock, lamport, ring_bound, has_file=False):
+        self.node = node
+        self.run = clock.wall()
+        self.clock = clock
+        self.lamport = lamport
+        self.lamport.observe(self.run)
+        self.sequence = 0
+        self.ring = deque(maxlen=ring_bound)
+        self.writer = None
+        if has_file:
+            self.writer = Mailbox("event writer", WRITER_BOUND, REFUSE)
+        self.lost = 0
+        self.record(START)
+
+    def record(self, kind, **fields):
+        """Records an event and returns it."""
+        self.sequence += 1
+        event = Event(
+            self.node,
+            self.run,
+            self.sequence,
+            self.lamport.tick(),
+            self.clock.wall(),
+            kind,
+            fields,
+        )
+        self.ring.append(event)
+        if self.writer is not None:
+            self._pass_on(event)
+        return event
+
+    def _pass_on(self, event):
+        line = event.line()
+        if self.lost:
+            line = gap_before(event, self.lost).line() + "\n" + line
+        if self.writer.put_nowait(line):
+            self.lost = 0
+        else:
+            self.lost += 1
+
+    def lines(self):
+        """Returns the lines of the ring, with a gap for what it dropped."""
+        events = list(self.ring)
+        dropped = self.sequence - len(events)
+        if dropped and events:
+            events.insert(0, gap_before(events[0], dropped))
+        return [event.line() for event in events]
+
+
+def gap_before(event, lost):
+    """Returns the record of events that were lost before an event."""
+    return Event(
+        event.node,
+        event.run,
+        event.sequence - 1,
+        event.lamport,
+        event.wall_ms,
+        GAP,
+        {"lost": lost},
+    )
+
+
+async def write_events(log, path, metrics, limit_bytes=LARGEST_FILE_BYTES):
+    """Owns the event file: appends lines until the writer is closed.
+
+    At ``limit_bytes`` the file becomes ``PATH.1`` and a new one starts. A
+    write that fails is logged and counted, and its events are lost; the
+    sequence numbers show it.
+
+    Args:
+        log: EventLog with a writer.
+        path: Name of the file.
+        metrics: Metrics of the process.
+        limit_bytes: Size at which a new file starts.
+    """
+    path = pathlib.Path(path)
+    async for line in log.writer:
+        lines = [line]
+        while log.writer.depth():
+            lines.append(await log.writer.get())
+        data = "".join(item + "\n" for item in lines).encode()
+        try:
+            await trio.to_thread.run_sync(append, path, data, limit_bytes)
+        except OSError as fault:
+            metrics.count("events_lost", len(lines))
+            logger.error("Events were not written.", reason=fault.strerror)
+
+
+def append(path, data, limit_bytes):
+    """Appends lines to a file; starts a new file when it is full.
+
+    Raises:
+        OSError: If the file cannot be written.
+    """
+    path.parent.mkdir(parents=True, exist_ok=True)
+    with path.open("a+b") as target:
+        size = target.seek(0, 2)
+        if size and size + len(data) > limit_bytes:
+            path.replace(path.with_name(path.name + ".1"))
+        elif size:
+            target.seek(size - 1)
+            # A crash may have cut the last line.
+            whole = target.read(1) == b"\n"
+            target.write(data if whole else b"\n" + data)
+            return
+    with path.open("ab") as target:
+        target.write(data)
--- a/wigeonport/maintenance_states.py
+++ b/wigeonport/maintenance_states.py
@@ -86,7 +86,8 @@
         holds: Wall time until which a VM that is back counts as
             unavailable.
         pauses: Pause by pool id or ``all``.
-        maintained: Wall time of the last finished maintenance by VM.
+        maintained: Wall time by VM at which it joined or its last maintenance
+            was finished.
     """
 
     __slots__ = (
--- a/wigeonport/pool_states.py
+++ b/wigeonport/pool_states.py
@@ -21,9 +21,11 @@
         self.pools = {}
 
     def adopt(self, fleet):
-        """Lets VMs that are new in a version join their pools."""
-        for worker in fleet.workers.values():
-            self.pools.setdefault(worker.id, worker.pool)
+        """Lets VMs that are new in a version join; returns their ids."""
+        joined = [w for w in fleet.workers.values() if w.id not in self.pools]
+        for worker in joined:
+            self.pools[worker.id] = worker.pool
+        return [worker.id for worker in joined]
 
     def members(self, pool):
         """Returns the ids of the VMs in a pool, ordered."""
--- a/wigeonport/setting_tables.py
+++ b/wigeonport/setting_tables.py
@@ -112,9 +112,9 @@
     ),
     _count(
         "max_patch_bytes",
-        786_432,
-        "Largest patch; it has to fit into a frame of 1 MB.",
-        900_000,
+        491_520,
+        "Largest patch; it has to fit into one entry of the log.",
+        500_000,
     ),
     _count(
         "max_requests_in_flight",
--- /dev/null
+++ b/wigeonport/state_requests.py
@@ -0,0 +1,132 @@
+"""Messages to the task that owns the replicated state, and its replies."""
+
+import trio
+from expression import Result
+
+from wigeonport.channels import Reply, ask
+from wigeonport.records import Record
+
+COMMITTED = "committed"
+NOT_RUN = "not-run"
+UNKNOWN = "unknown"
+
+
+class ProposeCommand(Record):
+    """Asks to append a command to the replicated log.
+
+    Attributes:
+        command: The command.
+        reply: Takes one Decision.
+    """
+
+    __slots__ = ("command", "reply")
+
+    def __init__(self, command, reply):
+        self.command = command
+        self.reply = reply
+
+
+class Decision(Record):
+    """What became of a command.
+
+    Attributes:
+        outcome: ``committed``, ``not-run`` or ``unknown``.
+        answer: Answer of the state machine if it was committed, else None.
+        reason: Why it was not committed, or why that is unknown.
+    """
+
+    __slots__ = ("outcome", "answer", "reason")
+
+    def __init__(self, outcome, answer=None, reason=""):
+        self.outcome = outcome
+        self.answer = answer
+        self.reason = reason
+
+
+class ReadState(Record):
+    """Asks to evaluate a query on the replicated state.
+
+    Attributes:
+        query: Has a method ``read(state)`` that returns plain data.
+        reply: Takes one StateRead.
+    """
+
+    __slots__ = ("query", "reply")
+
+    def __init__(self, query, reply):
+        self.query = query
+        self.reply = reply
+
+
+class StateRead(Record):
+    """Result of a query.
+
+    Attributes:
+        document: What the query returned.
+        role: Role of the replica: ``leader``, ``follower`` and so on.
+        leader: Node id of the known leader, or an empty text.
+        term: Term of the replica.
+    """
+
+    __slots__ = ("document", "role", "leader", "term")
+
+    def __init__(self, document, role, leader, term):
+        self.document = document
+        self.role = role
+        self.leader = leader
+        self.term = term
+
+
+class UnavailableQuery(Record):
+    """Asks for the VMs that are unavailable or in an unknown state.
+
+    Attributes:
+        reply: Takes a list of VM ids, or None if this node does not know.
+    """
+
+    __slots__ = ("reply",)
+
+    def __init__(self, reply):
+        self.reply = reply
+
+
+class StatePort:
+    """How other tasks reach the task that owns the replicated state.
+
+    Attributes:
+        mailbox: Mailbox of that task.
+        timeout_ms: Longest wait for a reply.
+    """
+
+    __slots__ = ("mailbox", "timeout_ms")
+
+    def __init__(self, mailbox, timeout_ms):
+        self.mailbox = mailbox
+        self.timeout_ms = timeout_ms
+
+    async def _deliver(self, message):
+        with trio.move_on_after(self.timeout_ms / 1000):
+            return await self.mailbox.put(message)
+        return False
+
+    async def propose(self, command):
+        """Returns the Decision on a command.
+
+        A command that was not delivered did not run; the outcome of one
+        that was delivered and not answered is unknown.
+        """
+        reply = Reply()
+        if not await self._deliver(ProposeCommand(command, reply)):
+            return Decision(NOT_RUN, reason=f"{self.mailbox.name} is full")
+        answer = await reply.wait(self.timeout_ms)
+        if answer.is_error():
+            return Decision(UNKNOWN, reason=answer.error)
+        return answer.ok
+
+    async def read(self, query) -> Result:
+        """Returns the StateRead of a query, or an error text."""
+        return await ask(
+            self.mailbox,
+            lambda reply: ReadState(query, reply),
+            self.timeout_ms,
+        )
--- a/wigeonport/states.thrift
+++ b/wigeonport/states.thrift
@@ -191,3 +191,8 @@
 struct CommandRefused {
   1: required string why
 }
+
+struct TimedCommand {
+  1: required i64 time_ms
+  2: required binary command
+}
--- /dev/null
+++ b/wigeonport/timelines.py
@@ -0,0 +1,104 @@
+"""Merge of the event logs of several processes in causal order."""
+
+import heapq
+import json
+
+from wigeonport.documents import Field, Places, Reporter, read_fields
+from wigeonport.events import GAP, Event, gap_before
+
+LARGEST_LINE_BYTES = 1_048_576
+FIELDS = (
+    Field("node", "text"),
+    Field("run", "whole"),
+    Field("sequence", "whole", least=0),
+    Field("lamport", "whole", least=0),
+    Field("wall_ms", "whole"),
+    Field("kind", "text"),
+    Field("fields", "mapping"),
+)
+
+
+def read_lines(name, lines, findings):
+    """Returns the Events of JSON Lines; malformed lines become findings.
+
+    Args:
+        name: Name of the source, for the findings.
+        lines: Iterable of bytes or texts.
+        findings: Findings to add to.
+    """
+    events = []
+    for number, line in enumerate(lines, start=1):
+        place = f"{name}:{number}"
+        if not line.strip():
+            continue
+        event = _read_line(place, line, findings)
+        if event is not None:
+            events.append(event)
+    return events
+
+
+def _read_line(place, line, findings):
+    if len(line) > LARGEST_LINE_BYTES:
+        findings.add(place, f"is longer than {LARGEST_LINE_BYTES} bytes")
+        return None
+    try:
+        document = json.loads(line)
+    except (ValueError, RecursionError) as fault:
+        findings.add(place, f"is not JSON: {fault}")
+        return None
+    reporter = Reporter(Places(place))
+    values = read_fields(FIELDS, document, (), reporter)
+    findings.extend(reporter.findings)
+    return None if values is None else Event(**values)
+
+
+def merge(events):
+    """Returns all events in causal order, with the gaps in between.
+
+    The order keeps the sequence of each process, over all its runs, and puts
+    an event after every event of another process that caused it, because a
+    message raises the Lamport number of its receiver. Wall times are not
+    compared between VMs. An event that occurs in several sources is listed
+    once.
+    """
+    streams = {}
+    for event in events:
+        if event.kind != GAP:
+            key = (event.run, event.sequence)
+            streams.setdefault(event.node, {}).setdefault(key, event)
+    ordered = [
+        _number(_with_gaps([stream[key] for key in sorted(stream)]))
+        for _, stream in sorted(streams.items())
+    ]
+    return [event for _, event in heapq.merge(*ordered, key=lambda p: p[0])]
+
+
+def _number(events):
+    """Returns sort keys that never fall within a process."""
+    numbered, highest = [], 0
+    for event in events:
+        highest = max(highest, event.lamport)
+        numbered.append(((highest, event.node), event))
+    return numbered
+
+
+def _with_gaps(events):
+    """Inserts a gap wherever sequence numbers of a run are missing."""
+    result, run, expected = [], None, 1
+    for event in events:
+        if event.run != run:
+            run, expected = event.run, 1
+        if event.sequence > expected:
+            result.append(gap_before(event, event.sequence - expected))
+        result.append(event)
+        expected = event.sequence + 1
+    return result
+
+
+def render(event):
+    """Returns an event as one line for people."""
+    fields = " ".join(
+        f"{key}={json.dumps(value)}" for key, value in event.fields.items()
+    )
+    text = f"{event.lamport} {event.wall_ms} {event.node} {event.kind}"
+    return f"{text} {fields}".rstrip()
