--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,6 +9,8 @@
 from wigeonport.state_commands import SubmitPatch
 from wigeonport.states import Entry, ReplicatedState
 
+pytest_plugins = ["planning_fixtures"]
+
 
 @pytest.fixture
 def clock():
