Claim keyed requests and classify attempts exactly

A retry that waited in the queue was reported as not run although its first attempt may have run.

Change: the claims filter claims a key through the controls before the request is queued, stores completed answers, releases requests that did not run, and leaves the rest open.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,14 +1,21 @@
 """Fixtures shared by the tests."""
 
+import itertools
 import json
 
 import pytest
 
-from wigeonport.clocks import ManualClock
+from wigeonport.channels import Reply
+from wigeonport.clocks import Clock, ManualClock
+from wigeonport.endpoints import READY, EndpointRecord
 from wigeonport.fleets import SECTION_NAMES, fleet_from_document
+from wigeonport.requests import CallerRequest
 from wigeonport.state_commands import SubmitPatch
 from wigeonport.states import Entry, ReplicatedState
 
+HOST = "127.0.0.1"
+NUMBERS = itertools.count(1)
+
 
 @pytest.fixture
 def clock():
@@ -123,3 +130,45 @@
     ]
     pool = document["spare_pool"]
     return [*operations, {"operation": "set_spare_pool", "pool": pool}]
+
+
+@pytest.fixture
+def make_request():
+    """Makes callers' requests with a far deadline."""
+
+    def make(method="GET", key=None, body=b"", deadline_ms=None, **changes):
+        if deadline_ms is None:
+            deadline_ms = Clock().now() + 5_000
+        request = CallerRequest(
+            request_id=changes.pop("request_id", f"r{next(NUMBERS)}"),
+            service="roster",
+            method=method,
+            path=changes.pop("path", b"/sends"),
+            headers=[(b"x-tag", b"t")],
+            body=body,
+            key=key,
+            deadline_ms=deadline_ms,
+            received_ms=changes.pop("received_ms", 0),
+            priority=changes.pop("priority", 0),
+            reply=Reply(),
+        )
+        for name, value in changes.items():
+            setattr(request, name, value)
+        return request
+
+    return make
+
+
+@pytest.fixture
+def make_record():
+    """Makes announcements of endpoints."""
+
+    def make(endpoint_id="e1", port=1, **changes):
+        record = EndpointRecord(
+            endpoint_id, "roster", "ikeja", HOST, port, 8, 64, READY, 1, 1
+        )
+        for name, value in changes.items():
+            setattr(record, name, value)
+        return record
+
+    return make
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,147 @@
+"""Tests of at most one run for each key."""
+
+import pytest
+import trio
+from expression import Error, Ok
+
+from wigeonport.channels import Mailbox
+from wigeonport.claim_states import LARGEST_RESPONSE_BYTES, ClaimState
+from wigeonport.claims import Claimer, ClaimLimits, claim_keys
+from wigeonport.clocks import Clock
+from wigeonport.codecs import codecs
+from wigeonport.metrics import Metrics
+from wigeonport.requests import (
+    COMPLETED,
+    NOT_RUN,
+    UNKNOWN,
+    CallerAnswer,
+    leave_unknown,
+    refuse,
+)
+from wigeonport.state_commands import (
+    HANDLERS,
+    ClaimKey,
+    CompleteClaim,
+    ReleaseClaim,
+)
+
+DONE = CallerAnswer(201, [(b"x", b"\xff")], b"sent", COMPLETED)
+
+
+class FakeControl:
+    """Applies the claim commands; may lose answers after applying them."""
+
+    def __init__(self):
+        self.claims = ClaimState()
+        self.lost = set()
+        self.commands = []
+
+    async def ask(self, command, timeout_ms, try_timeout_ms):
+        """Applies a command as the log would."""
+        self.commands.append(type(command))
+        if isinstance(command, CompleteClaim):
+            assert len(command.response) <= LARGEST_RESPONSE_BYTES
+        handler = HANDLERS.get(type(command)).ok
+        answer = handler(self, command, 1_000)
+        if type(command) in self.lost:
+            return Error("no answer")
+        return Ok(answer)
+
+
+@pytest.fixture
+def run_claims(make_request):
+    """Runs keyed requests one after the other against one control."""
+
+    def run(control, answers, requests):
+        dispatched, results = [], []
+
+        async def stand_in_router(mailbox):
+            async for request in mailbox:
+                dispatched.append(request)
+                request.reply.send(answers[len(dispatched) - 1])
+
+        async def scenario():
+            inbound, outbound = Mailbox("claims", 8), Mailbox("router", 8)
+            limits = ClaimLimits(settle_wait_ms=50, settle_limit_ms=200)
+            codec = codecs.get("thrift").ok()
+            claimer = Claimer(
+                control, outbound, codec, limits, Clock(), Metrics()
+            )
+            with trio.fail_after(10):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(claim_keys, inbound, claimer)
+                    nursery.start_soon(stand_in_router, outbound)
+                    for request in requests:
+                        await inbound.put(request)
+                        results.append((await request.reply.wait(5_000)).ok)
+                    nursery.cancel_scope.cancel()
+
+        trio.run(scenario)
+        return dispatched, results
+
+    return run
+
+
+def test_repeat_gets_the_stored_answer(run_claims, make_request):
+    """Guards against a second run of a completed request."""
+    requests = [make_request("POST", "k", b"x") for _ in range(2)]
+    dispatched, results = run_claims(FakeControl(), [DONE, DONE], requests)
+    assert len(dispatched) == 1
+    for result in results:
+        assert (result.status, result.headers, result.body) == (
+            201,
+            [(b"x", b"\xff")],
+            b"sent",
+        )
+        assert result.outcome == COMPLETED
+
+
+def test_unknown_outcome_is_never_run_again(run_claims, make_request):
+    """Guards against a second run after an attempt that may have run."""
+    requests = [make_request("POST", "k") for _ in range(2)]
+    answers = [leave_unknown(502, "lost"), DONE]
+    dispatched, results = run_claims(FakeControl(), answers, requests)
+    assert len(dispatched) == 1
+    assert [result.outcome for result in results] == [UNKNOWN, UNKNOWN]
+
+
+def test_request_that_did_not_run_can_be_repeated(run_claims, make_request):
+    """Guards against a key that is spent by a refused request."""
+    requests = [make_request("POST", "k") for _ in range(2)]
+    answers = [refuse(503, "full"), DONE]
+    dispatched, results = run_claims(FakeControl(), answers, requests)
+    assert len(dispatched) == 2
+    assert [result.outcome for result in results] == [NOT_RUN, COMPLETED]
+
+
+def test_unanswered_claim_is_released_and_never_run(run_claims, make_request):
+    """Guards against a run that the caller was told did not happen."""
+    control = FakeControl()
+    control.lost = {ClaimKey}
+    requests = [make_request("POST", "k")]
+    dispatched, results = run_claims(control, [], requests)
+    assert (dispatched, results[0].outcome) == ([], NOT_RUN)
+    assert control.commands == [ClaimKey, ReleaseClaim]
+    control.lost = set()
+    dispatched, results = run_claims(
+        control, [DONE], [make_request("POST", "k")]
+    )
+    assert (len(dispatched), results[0].outcome) == (1, COMPLETED)
+
+
+def test_other_body_with_the_same_key_is_refused(run_claims, make_request):
+    """Guards against the answer of another request."""
+    requests = [make_request("POST", "k", body) for body in (b"a", b"b")]
+    dispatched, results = run_claims(FakeControl(), [DONE, DONE], requests)
+    assert len(dispatched) == 1
+    assert (results[1].status, results[1].outcome) == (422, NOT_RUN)
+
+
+def test_answer_too_large_to_store_is_unknown_later(run_claims, make_request):
+    """Guards against a repeat that gets a cut answer."""
+    large = CallerAnswer(200, [], b"x" * 9_000, COMPLETED)
+    requests = [make_request("POST", "k") for _ in range(2)]
+    dispatched, results = run_claims(FakeControl(), [large] * 2, requests)
+    assert len(dispatched) == 1
+    assert len(results[0].body) == 9_000
+    assert results[1].outcome == UNKNOWN
--- /dev/null
+++ b/tests/test_routers.py
@@ -0,0 +1,79 @@
+"""Tests of the router's decisions."""
+
+import random
+
+import pytest
+
+from wigeonport.endpoints import EndpointChanged
+from wigeonport.requests import NOT_RUN, UNKNOWN
+from wigeonport.routers import AttemptEnded, Dispatch, Respond, Router
+
+
+@pytest.fixture
+def router(make_record):
+    """A router that knows one endpoint."""
+    router = Router("ikeja", 10, 3)
+    router.step(EndpointChanged(make_record()), 0, random.Random(1))
+    return router
+
+
+def step(router, message, now_ms=0):
+    """Steps with a fixed random source."""
+    return router.step(message, now_ms, random.Random(1))
+
+
+def test_waiting_retry_is_never_reported_as_not_run(router, make_request):
+    """Guards against "not run" after an attempt that may have run."""
+    request = make_request(deadline_ms=100)
+    (dispatched,) = step(router, request)
+    assert isinstance(dispatched, Dispatch)
+    router.targets["roster"]["e1"].record.slots = 0
+    assert step(router, AttemptEnded(request, "e1", None, True, "lost")) == []
+    (response,) = router.expire(100)
+    assert response.answer.outcome == UNKNOWN
+
+
+@pytest.mark.parametrize(
+    ("method", "key", "ran", "expected"),
+    [
+        ("POST", None, True, UNKNOWN),
+        ("POST", "k", True, UNKNOWN),
+        ("GET", "k", True, UNKNOWN),
+        ("POST", None, False, Dispatch),
+        ("POST", "k", False, Dispatch),
+        ("GET", None, True, Dispatch),
+    ],
+)
+def test_retries_are_only_safe_ones(
+    router, make_request, method, key, ran, expected
+):
+    """Guards against a second run of a request that is not repeatable."""
+    request = make_request(method, key)
+    step(router, request)
+    (command,) = step(router, AttemptEnded(request, "e1", None, ran, "lost"))
+    if isinstance(command, Respond):
+        assert command.answer.outcome == expected
+    else:
+        assert isinstance(command, expected)
+
+
+def test_attempts_end_and_refusals_stay_not_run(router, make_request):
+    """Guards against endless retries and against an outcome made worse."""
+    request = make_request("POST")
+    step(router, request)
+    for _ in range(2):
+        step(router, AttemptEnded(request, "e1", None, False, "refused"))
+    ended = AttemptEnded(request, "e1", None, False, "refused")
+    (command,) = step(router, ended)
+    assert command.answer.outcome == NOT_RUN
+
+
+def test_refused_retry_does_not_hide_an_earlier_run(router, make_request):
+    """Guards against "not run" from the last attempt alone."""
+    request = make_request("GET")
+    step(router, request)
+    for ran in (True, False):
+        step(router, AttemptEnded(request, "e1", None, ran, "failed"))
+    ended = AttemptEnded(request, "e1", None, False, "refused")
+    (command,) = step(router, ended)
+    assert command.answer.outcome == UNKNOWN
--- a/wigeonport/receivers.py
+++ b/wigeonport/receivers.py
@@ -1,5 +1,6 @@
 """Receivers: the HTTP edge towards callers."""
 
+import re
 import uuid
 
 from wigeonport.channels import Reply
@@ -16,6 +17,7 @@
 KEY_HEADER = b"idempotency-key"
 MAX_DEADLINE_MS = 600_000
 MAX_KEY_BYTES = 256
+KEY_PATTERN = re.compile(rb"[!-~]{1,%d}" % MAX_KEY_BYTES)
 MAX_PRIORITY = 9
 REPLY_MARGIN_MS = 200
 
@@ -123,8 +125,10 @@
         if isinstance(value, str):
             return value
     key = headers.get(KEY_HEADER)
-    if key is not None and not 0 < len(key) <= MAX_KEY_BYTES:
-        return f"Idempotency-Key must have 1 to {MAX_KEY_BYTES} bytes"
+    if key is not None and not KEY_PATTERN.fullmatch(key):
+        return f"Idempotency-Key must be 1 to {MAX_KEY_BYTES} ASCII bytes"
+    if sum(name == KEY_HEADER for name, _ in scope["headers"]) > 1:
+        return "Idempotency-Key is given twice"
     return CallerRequest(
         request_id=uuid.uuid4().hex,
         service=service,
@@ -132,7 +136,7 @@
         path=b"/" + target.lstrip(b"/").partition(b"/")[2],
         headers=scope["headers"],
         body=body,
-        key=None if key is None else key.decode("latin-1"),
+        key=None if key is None else key.decode("ascii"),
         deadline_ms=received_ms + deadline_ms,
         received_ms=received_ms,
         priority=priority,
--- a/wigeonport/requests.py
+++ b/wigeonport/requests.py
@@ -22,6 +22,8 @@
         received_ms: Monotonic time of arrival.
         priority: Larger is more urgent.
         attempts: Number of attempts made.
+        may_have_run: Whether an earlier attempt may have run. A request that
+            waits for its retry must not be reported as not run.
         reply: Reply channel of the receiver.
     """
 
@@ -37,6 +39,7 @@
         "received_ms",
         "priority",
         "attempts",
+        "may_have_run",
         "reply",
     )
 
@@ -65,6 +68,7 @@
         self.received_ms = received_ms
         self.priority = priority
         self.attempts = 0
+        self.may_have_run = False
         self.reply = reply
 
     @property
@@ -111,6 +115,13 @@
     return CallerAnswer(status, [], body, NOT_RUN, reason, retry_after_ms)
 
 
+def give_up(request, status, reason, retry_after_ms=None):
+    """Returns the answer to a request that gets no further attempt."""
+    if request.may_have_run:
+        return leave_unknown(status, reason)
+    return refuse(status, reason, retry_after_ms)
+
+
 def leave_unknown(status, reason):
     """Returns the answer to a request that may or may not have run."""
     return CallerAnswer(status, [], f"{reason}\n".encode(), UNKNOWN, reason)
--- a/wigeonport/routers.py
+++ b/wigeonport/routers.py
@@ -4,7 +4,7 @@
 
 from wigeonport.endpoints import READY
 from wigeonport.registries import Registry
-from wigeonport.requests import leave_unknown, refuse
+from wigeonport.requests import give_up, refuse
 
 handlers = Registry("router message")
 
@@ -110,7 +110,8 @@
             kept = deque()
             for request in queue:
                 if now_ms >= request.deadline_ms:
-                    answer = refuse(504, "no free endpoint before deadline")
+                    text = "no free endpoint before the deadline"
+                    answer = give_up(request, 504, text)
                     commands.append(Respond(request, answer))
                 else:
                     kept.append(request)
@@ -192,15 +193,16 @@
     target = targets.get(ended.endpoint_id)
     if target is not None:
         target.in_flight = max(0, target.in_flight - 1)
+    request.may_have_run = request.may_have_run or ended.ran
     commands = []
     if ended.answer is not None:
         commands.append(Respond(request, ended.answer))
     elif may_retry(router, ended, now_ms):
         router.queues.setdefault(request.service, deque()).appendleft(request)
-    elif ended.ran:
-        commands.append(Respond(request, leave_unknown(502, ended.reason)))
     else:
-        commands.append(Respond(request, refuse(503, ended.reason, 1_000)))
+        status = 502 if request.may_have_run else 503
+        answer = give_up(request, status, ended.reason, 1_000)
+        commands.append(Respond(request, answer))
     commands += router.drain_queue(request.service, now_ms, random)
     return commands
 
@@ -208,7 +210,7 @@
 def may_retry(router, ended, now_ms):
     """Returns whether another attempt is safe and useful."""
     request = ended.request
-    safe = not ended.ran or request.repeatable
+    safe = not request.may_have_run or request.repeatable
     in_time = now_ms < request.deadline_ms
     return safe and in_time and request.attempts < router.max_attempts
 
