--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -15,6 +15,7 @@
 
 HOST = "127.0.0.1"
 NUMBERS = itertools.count(1)
+pytest_plugins = ["planning_fixtures"]
 
 
 @pytest.fixture
@@ -59,7 +60,7 @@
                 "pool": "notices",
                 "capacity_workers": 1,
                 "max_unavailable_share": 0.5,
-                "repeatable": True,
+                "idempotent": True,
             },
         ],
         "teams": [{"id": "plans", "processors": 64, "memory_mb": 131_072}],
