--- a/wigeonport/setting_tables.py
+++ b/wigeonport/setting_tables.py
@@ -126,6 +126,12 @@
     _ms("queue_wait_ms", 2_000, "Longest wait of a request for a slot."),
     _ms("max_deadline_ms", 60_000, "Longest deadline of a request."),
     _ms("connect_timeout_ms", 500, "Longest wait for a connection."),
+    _ms(
+        "attempt_timeout_ms",
+        2_000,
+        "Longest wait for the answer to a repeatable request over a used "
+        "connection.",
+    ),
     _ms("claim_timeout_ms", 1_000, "Longest wait for a claim."),
     _ms("propose_timeout_ms", 3_000, "Longest wait for a decision."),
     _ms(
