--- a/wigeonport/control_main.py
+++ b/wigeonport/control_main.py
@@ -18,6 +18,7 @@
 from wigeonport.programs import start
 from wigeonport.publishers import Publisher, publish
 from wigeonport.recoveries import open_directory, open_memory
+from wigeonport.replica_events import ReplicaSettings
 from wigeonport.servers import ProcessInfo, serve_http
 from wigeonport.state_adapters import StateAdapter, adapt_requests
 from wigeonport.state_commands import ClaimKey, CompleteClaim, ReleaseClaim
@@ -94,6 +95,20 @@
     return open_directory(directory, settings.cluster_id, settings.node_id)
 
 
+def make_replica_settings(settings):
+    """Returns the timers of the replica.
+
+    The lease ends before another replica may start an election; the
+    difference covers the drift of the clocks.
+    """
+    replica = ReplicaSettings(target_voters=len(settings.voters))
+    replica.heartbeat_ms = settings.replication_heartbeat_ms
+    replica.election_ms = settings.election_timeout_ms
+    replica.election_spread_ms = settings.election_timeout_ms * 6 // 10
+    replica.lease_ms = settings.election_timeout_ms * 8 // 10
+    return replica
+
+
 def make_consensus(program, dialers):
     """Returns the consensus task."""
     settings = program.settings
@@ -112,6 +127,7 @@
         send,
         program.clock,
         program.metrics,
+        make_replica_settings(settings),
         random_source=random.Random(),
         snapshot_entries=settings.snapshot_entries,
     )
