--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,11 +1,125 @@
 """Fixtures shared by the tests."""
 
+import json
+
 import pytest
 
 from wigeonport.clocks import ManualClock
+from wigeonport.fleets import SECTION_NAMES, fleet_from_document
+from wigeonport.state_commands import SubmitPatch
+from wigeonport.states import Entry, ReplicatedState
 
 
 @pytest.fixture
 def clock():
     """A manual clock that starts at 1 s, so that 0 is in the past."""
     return ManualClock(now_ms=1_000)
+
+
+@pytest.fixture
+def fleet_document():
+    """A small fleet: two zones, two pools of four workers, two services."""
+    workers = [
+        {
+            "id": f"vm-{number}",
+            "zone": "ikeja" if number % 2 else "lekki",
+            "rack": "ikeja-r1" if number % 2 else "lekki-r1",
+            "processors": 16,
+            "memory_mb": 32_768,
+            "pool": "roster" if number <= 4 else "notices",
+        }
+        for number in range(1, 9)
+    ]
+    service = {"capacity_workers": 3, "max_unavailable": 1}
+    return {
+        "version": 1,
+        "spare_pool": "notices",
+        "regions": [{"id": "lagos"}],
+        "zones": [
+            {"id": "ikeja", "region": "lagos"},
+            {"id": "lekki", "region": "lagos"},
+        ],
+        "racks": [
+            {"id": "ikeja-r1", "zone": "ikeja"},
+            {"id": "lekki-r1", "zone": "lekki"},
+        ],
+        "pools": [{"id": "roster", "team": "plans"}, {"id": "notices"}],
+        "workers": workers,
+        "services": [
+            {"id": "roster", "pool": "roster", **service},
+            {
+                "id": "notices",
+                "pool": "notices",
+                "capacity_workers": 1,
+                "max_unavailable_share": 0.5,
+                "repeatable": True,
+            },
+        ],
+        "teams": [{"id": "plans", "processors": 64, "memory_mb": 131_072}],
+        "windows": [
+            {
+                "id": "ikeja-night",
+                "zone": "ikeja",
+                "start_minute": 1_380,
+                "duration_minutes": 120,
+            }
+        ],
+    }
+
+
+@pytest.fixture
+def fleet(fleet_document):
+    """The fleet of ``fleet_document``."""
+    return fleet_from_document(fleet_document).ok
+
+
+@pytest.fixture
+def apply():
+    """Returns a function that applies commands to a new state.
+
+    The function takes a command and how much time passes before it; its
+    attribute ``state`` is the state, which a test may replace.
+    """
+
+    def run(command, after_ms=1):
+        run.now_ms += after_ms
+        run.index += 1
+        return run.state.apply(Entry(run.index, run.now_ms, command))
+
+    run.state, run.now_ms, run.index = ReplicatedState(), 0, 0
+    return run
+
+
+@pytest.fixture
+def submit(apply):
+    """Returns a function that submits a patch of some operations."""
+
+    def run(id, against, *operations, author="ada"):
+        document = {
+            "id": id,
+            "against_version": against,
+            "author": author,
+            "reason": f"reason of {id}",
+            "operations": list(operations),
+        }
+        return apply(SubmitPatch(json.dumps(document)))
+
+    return run
+
+
+@pytest.fixture
+def live(apply, submit, fleet_document):
+    """``apply`` after the patch p-1 that made ``fleet`` version 1."""
+    submit("p-1", 0, *add_operations(fleet_document))
+    return apply
+
+
+def add_operations(document):
+    """Returns the operations that build a fleet document."""
+    operations = [
+        {"operation": f"add_{section[:-1]}", **record}
+        for section in SECTION_NAMES
+        for record in document.get(section, [])
+    ]
+    pool = document["spare_pool"]
+    return [*operations, {"operation": "set_spare_pool", "pool": pool}]
