--- a/tools/standins/endpoint.py
+++ b/tools/standins/endpoint.py
@@ -5,7 +5,7 @@
 outcomes that callers were told.
 
 Behaviour is asked for by headers of the request: ``x-delay-ms``,
-``x-fail`` (``close``, ``short``, ``late``) and ``x-size``.
+``x-fail`` (``close``, ``short``, ``foreign``) and ``x-size``.
 """
 
 import argparse
@@ -51,10 +51,21 @@
         }
         return json.dumps(document).encode() + b"\n"
 
+    def log_event(self, event):
+        """Appends an event that is no run to the log."""
+        self.append_record(
+            {
+                "endpoint": self.options.id,
+                "event": event,
+                "wall_ms": time.time_ns() // 1_000_000,
+            }
+        )
+
     def log_run(self, request_id, headers, body):
         """Appends a run to the log."""
         record = {
             "endpoint": self.options.id,
+            "event": "run",
             "request_id": request_id,
             "tag": headers.get("x-tag", ""),
             "key": headers.get("idempotency-key", ""),
@@ -62,6 +73,10 @@
             "bytes": len(body),
             "state": self.state,
         }
+        self.append_record(record)
+
+    def append_record(self, record):
+        """Appends one JSON line to the log."""
         with open(self.options.log, "a", encoding="utf-8") as stream:
             stream.write(json.dumps(record) + "\n")
 
@@ -132,6 +147,7 @@
         endpoint.options.slots
     ):
         reason = "leaving" if endpoint.state == "leaving" else "no-slot"
+        endpoint.log_event(f"refused-{reason}")
         await reply(
             stream,
             connection,
@@ -162,6 +178,8 @@
     ).encode()
     content += b" " * max(0, size - len(content))
     extra = [("content-type", "application/json")]
+    if failure == "foreign":
+        headers["wigeonport-request-id"] = f"not-{request_id}"
     if failure == "short":
         await reply_short(stream, connection, headers, content)
         return False
@@ -205,8 +223,9 @@
     with trio.open_signal_receiver(signal.SIGTERM) as signals:
         async for _ in signals:
             endpoint.state = "leaving"
+            endpoint.log_event("leaving")
             with trio.move_on_after(10):
-                await trio.sleep(3)
+                await trio.sleep(endpoint.options.linger_s)
                 while endpoint.running:
                     await trio.sleep(0.05)
             scope.cancel()
@@ -215,6 +234,7 @@
 async def main_task(options):
     """Runs the stand-in."""
     endpoint = Endpoint(options)
+    endpoint.log_event("ready")
     async with trio.open_nursery() as nursery:
         nursery.start_soon(leave_on_signal, endpoint, nursery.cancel_scope)
         for address in options.entry:
@@ -238,6 +258,7 @@
     parser.add_argument("--slots", type=int, default=8)
     parser.add_argument("--entry", action="append", required=True)
     parser.add_argument("--log", default=os.devnull)
+    parser.add_argument("--linger-s", type=float, default=5.0)
     trio.run(main_task, parser.parse_args())
 
 
