--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,6 +9,8 @@
 from wigeonport.state_commands import SubmitPatch
 from wigeonport.states import Entry, ReplicatedState
 
+pytest_plugins = ["planning_fixtures"]
+
 
 @pytest.fixture
 def clock():
@@ -52,7 +54,7 @@
                 "pool": "notices",
                 "capacity_workers": 1,
                 "max_unavailable_share": 0.5,
-                "repeatable": True,
+                "idempotent": True,
             },
         ],
         "teams": [{"id": "plans", "processors": 64, "memory_mb": 131_072}],
