--- /dev/null
+++ b/tools/relays.py
@@ -0,0 +1,157 @@
+"""TCP relays that can hold or drop the traffic between two zones.
+
+Arguments name the relays as ``port:target_port:source_zone:target_zone``.
+Commands arrive on standard input, one a line; each is answered by ``ok``:
+
+- ``cut ZONE``: close all connections from and to the zone; refuse new ones.
+- ``hold ZONE``: connections stay open, but carry nothing any more.
+- ``silence ZONE``: open connections carry nothing, new ones work.
+- ``heal``: ends the above; held connections stay dead.
+"""
+
+import sys
+
+import trio
+
+from wigeonport.registries import Registry
+
+commands = Registry("relay command")
+
+HOST = "127.0.0.1"
+READ_BYTES = 65_536
+
+
+class Connection:
+    """One relayed connection.
+
+    Attributes:
+        zones: The zones at its two ends.
+        scope: Cancels the connection.
+        silent: trio.Event; once set, nothing is carried any more.
+    """
+
+    __slots__ = ("zones", "scope", "silent")
+
+    def __init__(self, zones, scope):
+        self.zones = zones
+        self.scope = scope
+        self.silent = trio.Event()
+
+
+class Relays:
+    """State of all relays.
+
+    Attributes:
+        connections: Open connections.
+        refused: Zones whose new connections are refused.
+        held: Zones whose new connections carry nothing.
+    """
+
+    __slots__ = ("connections", "refused", "held")
+
+    def __init__(self):
+        self.connections = set()
+        self.refused = set()
+        self.held = set()
+
+    def of_zone(self, zone):
+        """Returns the open connections from and to a zone."""
+        return [c for c in self.connections if zone in c.zones]
+
+
+@commands.register("cut")
+def cut(relays, zone):
+    """Closes the zone's connections and refuses new ones."""
+    relays.refused.add(zone)
+    for connection in relays.of_zone(zone):
+        connection.scope.cancel()
+
+
+@commands.register("hold")
+def hold(relays, zone):
+    """Stops the traffic of all connections, old and new."""
+    relays.held.add(zone)
+    silence(relays, zone)
+
+
+@commands.register("silence")
+def silence(relays, zone):
+    """Stops the traffic of the open connections."""
+    for connection in relays.of_zone(zone):
+        connection.silent.set()
+
+
+@commands.register("heal")
+def heal(relays, zone=None):
+    """Lets new connections work again."""
+    relays.refused.clear()
+    relays.held.clear()
+
+
+async def copy(source, target, connection):
+    """Carries bytes in one direction until one side ends."""
+    try:
+        while True:
+            data = await source.receive_some(READ_BYTES)
+            if connection.silent.is_set():
+                await trio.sleep_forever()
+            if not data:
+                break
+            await target.send_all(data)
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        pass
+    connection.scope.cancel()
+
+
+async def carry(relays, zones, target_port, stream):
+    """Relays one accepted connection."""
+    if relays.refused & zones:
+        return
+    try:
+        target = await trio.open_tcp_stream(HOST, target_port)
+    except OSError:
+        return
+    async with target, trio.open_nursery() as nursery:
+        connection = Connection(zones, nursery.cancel_scope)
+        if relays.held & zones:
+            connection.silent.set()
+        relays.connections.add(connection)
+        nursery.start_soon(copy, stream, target, connection)
+        nursery.start_soon(copy, target, stream, connection)
+    relays.connections.discard(connection)
+
+
+async def serve_relay(relays, argument):
+    """Listens on the port of one relay."""
+    port, target_port, *zones = argument.split(":")
+
+    async def handle(stream):
+        await carry(relays, set(zones), int(target_port), stream)
+
+    await trio.serve_tcp(handle, int(port), host=HOST)
+
+
+async def read_commands(relays, scope):
+    """Executes the commands on standard input; its end ends the process."""
+    rest = b""
+    stream = trio.lowlevel.FdStream(sys.stdin.fileno())
+    while data := await stream.receive_some(READ_BYTES):
+        *lines, rest = (rest + data).split(b"\n")
+        for line in lines:
+            name, *zones = line.decode().split()
+            commands.get(name).ok(relays, *zones)
+            print("ok", flush=True)
+    scope.cancel()
+
+
+async def main_task(arguments):
+    """Runs all relays."""
+    relays = Relays()
+    async with trio.open_nursery() as nursery:
+        for argument in arguments:
+            nursery.start_soon(serve_relay, relays, argument)
+        nursery.start_soon(read_commands, relays, nursery.cancel_scope)
+
+
+if __name__ == "__main__":
+    trio.run(main_task, sys.argv[1:])
