End announcement streams when the entry has drained

An entry with announcing endpoints did not end within 15 s of SIGTERM: its HTTP server waited for the long-lived announcement requests until the whole grace period of 30 s had passed. The edge now ends these streams once the callers' edge has drained; it keeps receiving until then, since waiting requests need live endpoints.

Also adds a publisher of one fixed version, to try entries without the replicated log.

--- a/tools/processes.py
+++ b/tools/processes.py
@@ -91,7 +91,10 @@
     async def command(self, line):
         """Sends a line to a piped process and waits for its answer."""
         await self.process.stdin.send_all(line.encode() + b"\n")
-        return await self.process.stdout.receive_some(4_096)
+        answer = b""
+        while not answer.endswith(b"\n"):
+            answer += await self.process.stdout.receive_some(4_096)
+        return answer
 
     def log_tail(self, count=20):
         """Returns the last lines of its log."""
--- /dev/null
+++ b/tools/standins/control_publisher.py
@@ -0,0 +1,47 @@
+"""Stand-in for a control: publishes one fixed fleet version.
+
+It lets entries be measured and tried without the replicated log. Usage:
+``control_publisher.py SETTINGS DOCUMENT``, with the fleet in JSON.
+"""
+
+import pathlib
+import sys
+
+import trio
+
+from wigeonport.channels import Mailbox
+from wigeonport.dialers import listen
+from wigeonport.programs import start
+from wigeonport.publishers import Publisher, VersionAccepted, publish
+
+DELIVERIES_BOUND = 256
+
+
+async def run_publisher(program, document):
+    """Publishes the document as version 1 until the program stops."""
+    settings = program.settings
+    inbound = Mailbox("deliveries", DELIVERIES_BOUND)
+    publisher = Publisher()
+    publisher.accept(VersionAccepted(1, document))
+    context = program.link_context(inbound)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(publish, inbound, publisher, program.clock, [])
+        await nursery.start(
+            listen, context, settings.host, settings.control_links_port
+        )
+        await program.stopping.wait()
+        nursery.cancel_scope.cancel()
+
+
+def main():
+    """Reads the document and runs."""
+    document = pathlib.Path(sys.argv[2]).read_bytes()
+
+    async def run(program):
+        await run_publisher(program, document)
+
+    return start("control", run, [sys.argv[1]])
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/wigeonport/announcements.py
+++ b/wigeonport/announcements.py
@@ -7,6 +7,7 @@
 import ipaddress
 import json
 
+import trio
 from expression import Result
 
 from wigeonport.endpoints import STATES, Announced, EndpointRecord
@@ -75,19 +76,27 @@
         findings.add("host", "must be an IP address")
 
 
+async def cancel_at(event, scope):
+    """Cancels a scope when an event is set."""
+    await event.wait()
+    scope.cancel()
+
+
 class AnnouncementApp:
     """ASGI app of the path that endpoints announce to.
 
     Attributes:
         outbound: Mailbox of the endpoint table.
         metrics: Metrics of the process.
+        ending: trio.Event that ends the long-lived requests.
     """
 
-    __slots__ = ("outbound", "metrics")
+    __slots__ = ("outbound", "metrics", "ending")
 
-    def __init__(self, outbound, metrics):
+    def __init__(self, outbound, metrics, ending):
         self.outbound = outbound
         self.metrics = metrics
+        self.ending = ending
 
     async def __call__(self, scope, receive, send):
         """Handles one ASGI connection scope."""
@@ -101,7 +110,21 @@
         if scope["method"] != "POST":
             response = respond_json(405, {"error": "use POST"})
             return await send_response(send, response)
-        return await self.read_lines(receive, send)
+        return await self.read_until_ending(receive, send)
+
+    async def read_until_ending(self, receive, send):
+        """Reads the lines of one request until it or the edge ends.
+
+        An endpoint never ends its long-lived request, so a stop that waited
+        for it would always take the whole grace period.
+        """
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(cancel_at, self.ending, nursery.cancel_scope)
+            await self.read_lines(receive, send)
+            nursery.cancel_scope.cancel()
+            return
+        response = respond_json(503, {"error": "this entry stops"})
+        await send_response(send, response)
 
     async def read_lines(self, receive, send):
         """Reads the lines of one request as they arrive."""
--- a/wigeonport/entry_main.py
+++ b/wigeonport/entry_main.py
@@ -128,22 +128,29 @@
     info = ProcessInfo(program.metrics, None, program.stopping)
     limits = CallerLimits(settings.max_body_bytes, settings.max_deadline_ms)
     callers = CallerApp(boxes.admissions, info, limits, program.clock)
-    announcements = AnnouncementApp(boxes.announcements, program.metrics)
-    edges = (
-        (callers, settings.callers_port),
+    drained = trio.Event()
+    announcements = AnnouncementApp(
+        boxes.announcements, program.metrics, drained
+    )
+    others = (
         (announcements, settings.announcements_port),
         (StatusApp(info), settings.entry_status_port),
     )
+    grace_ms = settings.shutdown_grace_ms
     async with trio.open_nursery() as nursery:
-        for app, port in edges:
+        for app, port in others:
             nursery.start_soon(
-                serve_http,
-                app,
-                settings.host,
-                port,
-                program.stopping,
-                settings.shutdown_grace_ms,
+                serve_http, app, settings.host, port, drained, grace_ms
             )
+        # Waiting requests need the endpoints' announcements until the end.
+        await serve_http(
+            callers,
+            settings.host,
+            settings.callers_port,
+            program.stopping,
+            grace_ms,
+        )
+        drained.set()
 
 
 async def run_entry(program):
