--- a/wigeonport/entry_main.py
+++ b/wigeonport/entry_main.py
@@ -8,9 +8,17 @@
 from wigeonport.admissions import admit
 from wigeonport.announcements import AnnouncementApp
 from wigeonport.channels import REFUSE, Mailbox
+from wigeonport.claims import (
+    Claimer,
+    ClaimLimits,
+    ControlCaller,
+    claim_keys,
+)
+from wigeonport.codecs import codecs
 from wigeonport.configurations import Configuration, apply_updates
+from wigeonport.connections import IdleConnections
 from wigeonport.dialers import Dialer, listen
-from wigeonport.dispatchers import Dispatcher, dispatch, make_pool
+from wigeonport.dispatchers import Dispatcher, DispatchLimits, dispatch
 from wigeonport.endpoints import EndpointTable, keep_table
 from wigeonport.programs import start
 from wigeonport.receivers import CallerApp, CallerLimits
@@ -19,7 +27,7 @@
 from wigeonport.subscriptions import ControlLinks, sort_deliveries
 
 CONTROL_LINKS = 3
-MAX_CONNECTIONS = 1_024
+ENDPOINT_CONNECTIONS = 64
 MAX_ATTEMPTS = 3
 TICK_MS = 100
 
@@ -33,6 +41,7 @@
         peers: From the sorter to the endpoint table.
         admissions: From the receivers to the admission filter; full means
             that callers are refused.
+        claims: From the admission filter to the claims filter.
         routing: From all filters to the router.
         dispatches: From the router to the dispatcher.
         announcements: From the announcement edge to the endpoint table.
@@ -43,6 +52,7 @@
         "configurations",
         "peers",
         "admissions",
+        "claims",
         "routing",
         "dispatches",
         "announcements",
@@ -55,6 +65,7 @@
         self.configurations = Mailbox("configurations", bound)
         self.peers = Mailbox("peers", bound)
         self.admissions = Mailbox("admissions", in_flight, REFUSE)
+        self.claims = Mailbox("claims", bound)
         self.routing = Mailbox("routing", in_flight + bound)
         self.dispatches = Mailbox("dispatches", in_flight)
         self.announcements = Mailbox("announcements", bound)
@@ -75,14 +86,39 @@
     return links
 
 
+def make_claimer(program, boxes, links):
+    """Returns the claimer of keyed requests."""
+    settings = program.settings
+    limits = ClaimLimits(
+        claim_timeout_ms=settings.claim_timeout_ms,
+        try_timeout_ms=max(1, settings.claim_timeout_ms // 2),
+        max_open=settings.max_requests_in_flight,
+    )
+    return Claimer(
+        ControlCaller(links, program.clock),
+        boxes.routing,
+        codecs.get("thrift").ok(),
+        limits,
+        program.clock,
+        program.metrics,
+    )
+
+
 def make_dispatcher(program, boxes):
-    """Returns the dispatcher."""
+    """Returns the dispatcher; the entries divide the connections evenly."""
+    settings = program.settings
+    entries = len(settings.peers) + 1
+    limits = DispatchLimits(
+        settings.connect_timeout_ms,
+        settings.attempt_timeout_ms,
+        settings.max_response_bytes,
+    )
     return Dispatcher(
-        make_pool(MAX_CONNECTIONS),
+        IdleConnections(max(1, ENDPOINT_CONNECTIONS // entries)),
         boxes.routing,
         program.clock,
         program.metrics,
-        program.settings.max_response_bytes,
+        limits,
     )
 
 
@@ -102,9 +138,12 @@
         [boxes.admissions],
         configuration,
         links.report,
+        clock,
         program.metrics,
     )
-    nursery.start_soon(admit, boxes.admissions, boxes.routing, clock)
+    nursery.start_soon(admit, boxes.admissions, boxes.claims, clock)
+    claimer = make_claimer(program, boxes, links)
+    nursery.start_soon(claim_keys, boxes.claims, claimer)
     nursery.start_soon(
         route,
         boxes.routing,
