Record events in both programs

Cause: operators need one time line over all processes. Change: each program owns an event log (ring, and a file where set); the controls record leadership and committed commands other than claims, the entries record each applied version; the file is complete before exit.

--- a/wigeonport/configurations.py
+++ b/wigeonport/configurations.py
@@ -151,7 +151,7 @@
 
 
 async def apply_updates(
-    inbound, outbounds, configuration, report, clock, metrics
+    inbound, outbounds, configuration, report, clock, metrics, events
 ):
     """Applies ConfigUpdates in order and reports the version in force.
 
@@ -162,6 +162,7 @@
         report: Called with the version after it is applied.
         clock: Time source.
         metrics: Metrics of the process.
+        events: EventLog of the process.
     """
     while True:
         delivery = await inbound.get_within(SETTLE_INTERVAL_MS)
@@ -178,6 +179,11 @@
             version=applied.version,
             stale=configuration.stale,
         )
+        events.record(
+            "config.applied",
+            version=applied.version,
+            stale=configuration.stale,
+        )
         report(applied.version)
 
 
--- a/wigeonport/consensus.py
+++ b/wigeonport/consensus.py
@@ -18,6 +18,7 @@
 from wigeonport.consensus_requests import (
     Applied,
     Installed,
+    LeadershipNotice,
     LoggedCommand,
     ProposalAnswer,
 )
@@ -61,8 +62,8 @@
         metrics: Metrics.
         inbox: Mailbox for messages of peers and for requests.
         calls: Open proposals and reads.
-        observers: Mailboxes that get Applied and Installed; each must
-            refuse or drop when full.
+        observers: Mailboxes that get Applied, Installed and
+            LeadershipNotice; each must refuse or drop when full.
         batch: Proposals to append in the current round.
         unwritten: Persists that the writer has not got yet.
         writing: Whether the writer is busy.
@@ -191,6 +192,7 @@
         leadership = (self.replica.term, self.replica.leader_id)
         if leadership != self.leadership:
             self.leadership = leadership
+            self.notify(LeadershipNotice(*leadership))
             self.calls.leave(self.replica.leader_id)
             logger.info(
                 "Leadership changed.",
--- a/wigeonport/consensus_requests.py
+++ b/wigeonport/consensus_requests.py
@@ -168,3 +168,18 @@
 
     def __init__(self, index):
         self.index = index
+
+
+class LeadershipNotice:
+    """Tells observers that the term or the leader changed.
+
+    Attributes:
+        term: Current term.
+        leader_id: Replica id of the leader, or "".
+    """
+
+    __slots__ = ("term", "leader_id")
+
+    def __init__(self, term, leader_id):
+        self.term = term
+        self.leader_id = leader_id
--- a/wigeonport/control_main.py
+++ b/wigeonport/control_main.py
@@ -12,6 +12,7 @@
 from wigeonport.consensus import Consensus
 from wigeonport.credentials import load_tokens
 from wigeonport.dialers import Dialer, listen
+from wigeonport.histories import record_history
 from wigeonport.links import LinkClosed
 from wigeonport.logs import PartLogger
 from wigeonport.operators import OperatorApp, OperatorControl
@@ -28,6 +29,7 @@
 
 logger = PartLogger("control")
 
+HISTORY_BOUND = 4_096
 PUBLISHED = (Subscribe, VersionReport, ConfigUpdate)
 CLAIMS = (ClaimKey, CompleteClaim, ReleaseClaim)
 
@@ -41,6 +43,7 @@
         claims: From the sorter to the claim broker.
         requests: From the operators' edge to the state adapter.
         notices: From the consensus task to the version watcher.
+        history: From the consensus task to the event recorder.
         health: Queries for unavailable VMs.
     """
 
@@ -50,6 +53,7 @@
         "claims",
         "requests",
         "notices",
+        "history",
         "health",
     )
 
@@ -61,6 +65,7 @@
         self.requests = Mailbox("state requests", bound, REFUSE)
         # A dropped notice does no harm: the watcher reads the state.
         self.notices = Mailbox("notices", bound, DROP_OLDEST)
+        self.history = Mailbox("history", HISTORY_BOUND, DROP_OLDEST)
         self.health = Mailbox("health", bound, REFUSE)
 
 
@@ -153,6 +158,7 @@
     nursery.start_soon(
         watch_versions, boxes.notices, consensus.inbox, boxes.publisher
     )
+    nursery.start_soon(record_history, boxes.history, program.events)
     nursery.start_soon(broker_claims, boxes.claims, broker)
     nursery.start_soon(adapt_requests, boxes.requests, adapter)
 
@@ -173,7 +179,7 @@
         boxes.publisher,
         boxes.health,
     )
-    info = ProcessInfo(program.metrics, None, program.stopping)
+    info = ProcessInfo(program.metrics, program.events, program.stopping)
     await serve_http(
         OperatorApp(control, tokens, info),
         settings.host,
@@ -190,7 +196,7 @@
     context = program.link_context(boxes.deliveries)
     dialers = make_dialers(settings, context)
     consensus = make_consensus(program, dialers)
-    consensus.observers.append(boxes.notices)
+    consensus.observers += [boxes.notices, boxes.history]
     async with trio.open_nursery() as nursery:
         await nursery.start(consensus.run)
         await nursery.start(
--- a/wigeonport/entry_main.py
+++ b/wigeonport/entry_main.py
@@ -140,6 +140,7 @@
         links.report,
         clock,
         program.metrics,
+        program.events,
     )
     nursery.start_soon(admit, boxes.admissions, boxes.claims, clock)
     claimer = make_claimer(program, boxes, links)
@@ -164,7 +165,7 @@
 async def serve_edges(program, boxes):
     """Serves the HTTP edges until the program stops."""
     settings = program.settings
-    info = ProcessInfo(program.metrics, None, program.stopping)
+    info = ProcessInfo(program.metrics, program.events, program.stopping)
     limits = CallerLimits(settings.max_body_bytes, settings.max_deadline_ms)
     callers = CallerApp(boxes.admissions, info, limits, program.clock)
     drained = trio.Event()
--- a/wigeonport/programs.py
+++ b/wigeonport/programs.py
@@ -1,5 +1,6 @@
 """What the entry and the control program share at start and stop."""
 
+import pathlib
 import signal
 import sys
 
@@ -7,6 +8,7 @@
 
 from wigeonport.clocks import Clock, LamportCounter
 from wigeonport.credentials import load_keys
+from wigeonport.events import EventLog, write_events
 from wigeonport.links import Identity, LinkContext
 from wigeonport.logs import PartLogger, set_up
 from wigeonport.metrics import Metrics
@@ -14,6 +16,7 @@
 
 logger = PartLogger("program")
 
+STOP = "stop"
 EXIT_DONE = 0
 EXIT_FAILED = 1
 EXIT_USAGE = 2
@@ -29,6 +32,7 @@
         clock: Time source.
         metrics: Metrics of the process.
         lamport: LamportCounter of the process.
+        events: EventLog of the process.
         stopping: trio.Event that is set when a stop was asked for.
     """
 
@@ -39,6 +43,7 @@
         "clock",
         "metrics",
         "lamport",
+        "events",
         "stopping",
     )
 
@@ -49,12 +54,30 @@
         self.clock = Clock()
         self.metrics = Metrics()
         self.lamport = LamportCounter()
+        self.events = EventLog(
+            self.node_id,
+            self.clock,
+            self.lamport,
+            settings.event_ring_bound,
+            settings.event_log is not None,
+        )
         self.stopping = trio.Event()
 
+    @property
+    def node_id(self):
+        """Name of this process on links and in events."""
+        return f"{self.role}/{self.settings.node_id}"
+
+    @property
+    def event_path(self):
+        """Event file of this process; the programs of a VM differ in it."""
+        path = pathlib.Path(self.settings.event_log)
+        return path.with_name(f"{path.stem}-{self.role}{path.suffix}")
+
     def link_context(self, inbound):
         """Returns the LinkContext whose arrivals go to ``inbound``."""
         identity = Identity(
-            f"{self.role}/{self.settings.node_id}",
+            self.node_id,
             self.settings.availability_zone,
             self.settings.cluster_id,
             self.keys,
@@ -109,11 +132,22 @@
 
 
 async def run_until_stopped(role, run, settings, keys):
-    """Runs a program with its signal handler."""
+    """Runs a program with its signal handler and its event file."""
     program = Program(role, settings, keys)
     logger.info("Starting.", role=role, node_id=settings.node_id)
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(stop_on_signal, program.stopping)
-        await run(program)
-        nursery.cancel_scope.cancel()
+    async with trio.open_nursery() as writers:
+        if settings.event_log is not None:
+            writers.start_soon(
+                write_events,
+                program.events,
+                program.event_path,
+                program.metrics,
+            )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stop_on_signal, program.stopping)
+            await run(program)
+            nursery.cancel_scope.cancel()
+        program.events.record(STOP)
+        if program.events.writer is not None:
+            program.events.writer.close()
     logger.info("Stopped.", role=role, node_id=settings.node_id)
