Keep joining and maintenance of a VM apart

Change: the state records both times; first maintenances are spread over the period after joining. The two tests that read the merged time now read the one they mean, with the same bounds. Conclusion: due times of a new fleet are spread again.

--- a/tests/test_maintenance_states.py
+++ b/tests/test_maintenance_states.py
@@ -136,7 +136,8 @@
     live(EndGrant("g-1", ["vm-2"], 0))
     maintained = live.state.maintenance.maintained
     assert maintained["vm-2"] == live.now_ms
-    assert maintained["vm-1"] == 1  # The time at which it joined.
+    assert "vm-1" not in maintained
+    assert live.state.maintenance.joined["vm-1"] == 1
 
 
 def test_unknown_purpose_names_the_known_ones(grant):
--- a/tests/test_view_builders.py
+++ b/tests/test_view_builders.py
@@ -200,7 +200,7 @@
     """Guards against a new fleet that is due all at once."""
     period_ms = 14 * 86_400_000
     now_ms = 10 * period_ms
-    due = [find_due_ms(f"vm-{n}", None, period_ms, now_ms) for n in range(100)]
+    due = [find_due_ms(f"vm-{n}", now_ms, None, period_ms) for n in range(100)]
     assert all(now_ms <= each < now_ms + period_ms for each in due)
     halves = sum(each < now_ms + period_ms // 2 for each in due)
     assert 30 < halves < 70
--- a/wigeonport/fleet_states.py
+++ b/wigeonport/fleet_states.py
@@ -257,5 +257,5 @@
     answer = state.fleet.submit(command.document_json, now_ms)
     if isinstance(answer, PatchAccepted):
         joined = state.pools.adopt(state.fleet.fleet)
-        state.maintenance.maintained.update(dict.fromkeys(joined, now_ms))
+        state.maintenance.joined.update(dict.fromkeys(joined, now_ms))
     return answer
--- a/wigeonport/maintenance_states.py
+++ b/wigeonport/maintenance_states.py
@@ -86,8 +86,9 @@
         holds: Wall time until which a VM that is back counts as
             unavailable.
         pauses: Pause by pool id or ``all``.
-        maintained: Wall time by VM at which it joined or its last maintenance
-            was finished.
+        joined: Wall time by VM at which it joined the fleet.
+        maintained: Wall time by VM at which its last maintenance was
+            finished.
     """
 
     __slots__ = (
@@ -96,6 +97,7 @@
         "missing",
         "holds",
         "pauses",
+        "joined",
         "maintained",
     )
 
@@ -105,6 +107,7 @@
         self.missing = {}
         self.holds = {}
         self.pauses = {}
+        self.joined = {}
         self.maintained = {}
 
     def expire(self, now_ms):
@@ -163,7 +166,8 @@
 
     def forget(self, worker):
         """Drops what is remembered about a VM that left the fleet."""
-        for table in (self.missing, self.holds, self.maintained):
+        tables = (self.missing, self.holds, self.joined, self.maintained)
+        for table in tables:
             table.pop(worker, None)
 
     def pause_of(self, pools):
@@ -181,6 +185,7 @@
             "missing": dict(self.missing),
             "holds": dict(self.holds),
             "pauses": {k: p.to_document() for k, p in self.pauses.items()},
+            "joined": dict(self.joined),
             "maintained": dict(self.maintained),
         }
 
@@ -195,6 +200,7 @@
     state.missing = dict(document["missing"])
     state.holds = dict(document["holds"])
     state.pauses = {k: Pause(**p) for k, p in document["pauses"].items()}
+    state.joined = dict(document["joined"])
     state.maintained = dict(document["maintained"])
     return state
 
--- a/wigeonport/state_queries.py
+++ b/wigeonport/state_queries.py
@@ -147,9 +147,9 @@
     """Returns the VMs that were not maintained within the period."""
     fleet = state.fleet.fleet
     period_ms = fleet.maintenance_period_hours * MS_PER_HOUR
-    maintained = state.maintenance.maintained
+    since = state.maintenance.joined | state.maintenance.maintained
     return [
         id
         for id in sorted(fleet.workers)
-        if state.now_ms - maintained.get(id, 0) > period_ms
+        if state.now_ms - since.get(id, 0) > period_ms
     ]
--- a/wigeonport/view_builders.py
+++ b/wigeonport/view_builders.py
@@ -121,7 +121,8 @@
     size = Size(worker.processors, worker.memory_mb, worker.accelerators)
     period_ms = fleet.maintenance_period_hours * MS_PER_HOUR
     maintained_ms = state.maintenance.maintained.get(worker.id)
-    due_ms = find_due_ms(worker.id, maintained_ms, period_ms, state.now_ms)
+    joined_ms = state.maintenance.joined.get(worker.id, 0)
+    due_ms = find_due_ms(worker.id, joined_ms, maintained_ms, period_ms)
     vm = VmView(
         worker.id,
         state.pools.pools[worker.id],
@@ -141,17 +142,15 @@
     return vm
 
 
-def find_due_ms(worker_id, maintained_ms, period_ms, now_ms):
+def find_due_ms(worker_id, joined_ms, maintained_ms, period_ms):
     """Returns the wall time by which a VM must be maintained.
 
-    VMs whose last maintenance is unknown are spread over the period by their
-    names, so that a new fleet is not due all at once.
+    VMs that were never maintained are spread over the period after they
+    joined by their names, so that a new fleet is not due all at once.
     """
     if maintained_ms is not None:
         return maintained_ms + period_ms
-    offset_ms = zlib.crc32(worker_id.encode()) % period_ms
-    periods = (now_ms - offset_ms + period_ms - 1) // period_ms
-    return periods * period_ms + offset_ms
+    return joined_ms + zlib.crc32(worker_id.encode()) % period_ms
 
 
 def find_lent(fleet_state):
