Add the command line of operators

Cause: operators need to check settings, submit and preview patches, steer maintenance and read timelines, and must know whether a lost answer may have taken effect.

--- /dev/null
+++ b/wigeonport/cli_main.py
@@ -0,0 +1,64 @@
+"""The command line of operators."""
+
+import importlib
+import pkgutil
+import sys
+
+from cleo.application import Application
+from cleo.exceptions import CleoError
+from cleo.io.inputs.argv_input import ArgvInput
+
+import wigeonport.commands
+from wigeonport import __version__
+from wigeonport.commands import commands
+from wigeonport.commands.options import (
+    EXIT_UNKNOWN,
+    EXIT_USAGE,
+    UsageError,
+)
+
+
+def load_commands():
+    """Imports every module of the package, which register the commands."""
+    package = wigeonport.commands
+    for module in pkgutil.iter_modules(package.__path__):
+        importlib.import_module(f"{package.__name__}.{module.name}")
+
+
+def make_application():
+    """Returns the application with all registered commands."""
+    load_commands()
+    application = Application("wigeonport", __version__)
+    application.auto_exits(False)
+    application.catch_exceptions(False)
+    for name in commands.names():
+        application.add(commands.entries[name]())
+    return application
+
+
+def run(arguments, output=None, error_output=None):
+    """Runs a command line without the program's name.
+
+    Returns:
+        0 when done, 1 when refused or violated, 2 for a wrong command line,
+        3 when the outcome is unknown.
+    """
+    application = make_application()
+    source = ArgvInput(["wigeonport", *arguments])
+    try:
+        return application.run(source, output, error_output)
+    except (CleoError, UsageError) as fault:
+        print(f"usage: {fault}", file=sys.stderr)
+        return EXIT_USAGE
+    except KeyboardInterrupt:
+        print("Interrupted; the outcome is unknown.", file=sys.stderr)
+        return EXIT_UNKNOWN
+
+
+def main():
+    """Entry point of ``wigeonport``."""
+    sys.exit(run(sys.argv[1:]))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/wigeonport/commands/timeline.py
@@ -0,0 +1,85 @@
+"""Command that merges the event logs of several processes."""
+
+import httpcore
+import trio
+from cleo.helpers import argument
+
+from wigeonport.clients import describe, fetch
+from wigeonport.commands import commands
+from wigeonport.commands.options import (
+    EXIT_DONE,
+    EXIT_REFUSED,
+    JSON_OPTION,
+    PlainCommand,
+)
+from wigeonport.findings import Findings
+from wigeonport.timelines import merge, read_lines, render
+
+TIMEOUT_MS = 10_000
+URL_START = "http://"
+
+
+@commands.register("timeline")
+class TimelineCommand(PlainCommand):
+    """Prints one timeline of several event logs."""
+
+    name = "timeline"
+    description = "Merges event logs in causal order."
+    arguments = [
+        argument(
+            "sources",
+            "Event files, or addresses such as http://host:port/events.",
+            multiple=True,
+        )
+    ]
+    options = [JSON_OPTION]
+
+    def handle(self):
+        """Prints the events, then what could not be read."""
+        findings = Findings()
+        events = []
+        for source in self.argument("sources"):
+            events += read_source(source, findings)
+        merged = merge(events)
+        if self.option("json"):
+            for event in merged:
+                self.print(event.line())
+        else:
+            for event in merged:
+                self.print(render(event))
+        for line in findings.lines():
+            self.print_error(line)
+        return EXIT_REFUSED if findings else EXIT_DONE
+
+
+def read_source(source, findings):
+    """Returns the events of a file or of a running process."""
+    if source.startswith(URL_START):
+        return read_url(source, findings)
+    try:
+        with open(source, "rb") as lines:
+            return read_lines(source, lines, findings)
+    except OSError as fault:
+        findings.add(source, f"cannot be read: {fault.strerror}")
+        return []
+
+
+def read_url(url, findings):
+    """Returns the events that a running process serves."""
+    try:
+        status, content = trio.run(fetch, url, TIMEOUT_MS)
+    except (
+        httpcore.NetworkError,
+        httpcore.ProtocolError,
+        httpcore.TimeoutException,
+        httpcore.UnsupportedProtocol,
+        trio.TooSlowError,
+        OSError,
+        ValueError,
+    ) as fault:
+        findings.add(url, f"cannot be read: {describe(fault)}")
+        return []
+    if status != 200:
+        findings.add(url, f"answered with status {status}")
+        return []
+    return read_lines(url, content.splitlines(), findings)
