--- a/wigeonport/setting_tables.py
+++ b/wigeonport/setting_tables.py
@@ -176,7 +176,7 @@
     _ms("share_lease_ms", 2_000, "Length of a lease on an endpoint's slots."),
     _ms(
         "replication_heartbeat_ms",
-        150,
+        200,
         "Time between two messages of the leader to its followers.",
     ),
     _ms(
@@ -204,9 +204,9 @@
 )
 TABLE = tuple(field for _, fields in GROUPS for field in fields)
 PEER_FIELDS = (
-    Field("node_id", "name"),
-    Field("availability_zone", "name"),
-    Field("host", "text", "127.0.0.1"),
-    Field("entry_links_port", "whole", 8_082, **PORT),
-    Field("control_links_port", "whole", 8_084, **PORT),
+    Field("node_id", "name", text="Unique name of the VM."),
+    Field("availability_zone", "name", text="Its zone."),
+    Field("host", "text", "127.0.0.1", text="Its address."),
+    _port("entry_links_port", 8_082, "Links to its entry program."),
+    _port("control_links_port", 8_084, "Links to its control program."),
 )
