Drive the planner from the control program

Cause: the decisions existed as pure code and ran only from traces. Change: a driver task owns the planner and feeds it notices of the log, reports of the platform and demand of the entries; an actor proposes to the log and commands the platform with the term; a client polls the platform's reports. The platform stand-in reports each zone. Conclusion: the leader plans on real input; followers keep the reports.

--- a/tests/test_view_builders.py
+++ b/tests/test_view_builders.py
@@ -204,3 +204,27 @@
     assert all(now_ms <= each < now_ms + period_ms for each in due)
     halves = sum(each < now_ms + period_ms // 2 for each in due)
     assert 30 < halves < 70
+
+
+def test_closed_window_stops_requests_until_it_opens(logged_run, log, clock):
+    """Guards against a planner that asks each second for a refused grant."""
+    minute = clock.now() // 60_000
+    windows = [
+        {
+            "operation": "add_window",
+            "id": f"night-{zone}",
+            "zone": zone,
+            "start_minute": (minute + 60) % 1_440,
+            "duration_minutes": 30,
+        }
+        for zone in ZONES
+    ]
+    log.patch(windows)
+    logged_run.view.fleet.vms["roster-0"].due_ms = clock.now()
+    asked = kinds(carry_out(logged_run, log, logged_run.tick()))
+    assert asked.count("request_grant") == 1
+    again = kinds(carry_out(logged_run, log, logged_run.tick(1_000)))
+    assert "request_grant" not in again
+    logged_run.step(build_fleet_loaded(log.state, 0))
+    vm = logged_run.view.fleet.vms["roster-0"]
+    assert vm.closed_until_ms >= 60 * 60_000
--- a/tools/standins/platform_server.py
+++ b/tools/standins/platform_server.py
@@ -114,6 +114,7 @@
             platform.tick(now_ms)
             if ticks % MEASURE_TICKS == 0:
                 platform.measure(now_ms)
+                platform.report_zones(now_ms)
         if query is not None:
             route = routes.get(query.route)
             if route.is_error():
@@ -177,7 +178,9 @@
     """Parses the options and runs."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--port", type=int, required=True)
-    parser.add_argument("--vms", nargs="*", default=[])
+    parser.add_argument(
+        "--vms", nargs="*", default=[], help="NAME@ZONE of each VM"
+    )
     parser.add_argument("--lag-ms", type=int, default=500)
     parser.add_argument("--drain-ms", type=int, default=500)
     parser.add_argument("--reboot-ms", type=int, default=1_000)
--- a/tools/standins/platform_states.py
+++ b/tools/standins/platform_states.py
@@ -47,6 +47,7 @@
     Attributes:
         options: Options of the command line.
         vms: Vm by name.
+        zones: Availability zone by name of the VM.
         tasks: Task by job.
         term: Newest term seen.
         seen: Command ids of that term.
@@ -57,6 +58,7 @@
     __slots__ = (
         "options",
         "vms",
+        "zones",
         "tasks",
         "term",
         "seen",
@@ -66,7 +68,9 @@
 
     def __init__(self, options):
         self.options = options
-        self.vms = {vm: Vm(vm) for vm in options.vms}
+        placed = [text.partition("@") for text in options.vms]
+        self.vms = {name: Vm(name) for name, _, _ in placed}
+        self.zones = {name: zone for name, _, zone in placed}
         self.tasks = {}
         self.term = 0
         self.seen = set()
@@ -120,6 +124,15 @@
             elif vm.state == REBOOTING:
                 self.change(vm, READY, now_ms)
 
+    def report_zones(self, now_ms):
+        """Reports for each zone which of its VMs do not answer."""
+        missing = {zone: [] for zone in self.zones.values()}
+        for vm in self.vms.values():
+            if vm.state == FAILED:
+                missing[self.zones[vm.vm]].append(vm.vm)
+        for zone, names in missing.items():
+            self.report("zone", now_ms, zone=zone, missing=names)
+
     def measure(self, now_ms):
         """Reports the usage of every task."""
         for task in self.tasks.values():
--- a/wigeonport/consensus.py
+++ b/wigeonport/consensus.py
@@ -73,6 +73,7 @@
             is being written.
         snapshotting: Whether the snapshot filter is busy.
         snapshot_entries: Entries between two snapshots.
+        quiet: Classes of commands that observers are not told about.
         leadership: Pair of term and leader id at the last round.
     """
 
@@ -96,6 +97,7 @@
         "snapshot_index",
         "snapshotting",
         "snapshot_entries",
+        "quiet",
         "leadership",
     )
 
@@ -112,6 +114,7 @@
         settings=None,
         random_source=None,
         snapshot_entries=SNAPSHOT_ENTRIES,
+        quiet=(),
     ):
         self.replica = Replica(
             opened.replica_id,
@@ -140,6 +143,7 @@
         self.snapshot_index = 0
         self.snapshotting = False
         self.snapshot_entries = snapshot_entries
+        self.quiet = quiet
         self.leadership = (0, "")
         if opened.recovered.snapshot:
             self.install(opened.recovered.snapshot)
@@ -240,7 +244,8 @@
         answer = self.state.apply(
             StateEntry(entry.index, logged.time_ms, command)
         )
-        self.notify(Applied(entry.index, entry.term, command, answer))
+        if not isinstance(command, self.quiet):
+            self.notify(Applied(entry.index, entry.term, command, answer))
         return answer
 
     def notify(self, notice):
--- a/wigeonport/control_main.py
+++ b/wigeonport/control_main.py
@@ -11,11 +11,21 @@
 from wigeonport.configurations import ConfigUpdate, Subscribe, VersionReport
 from wigeonport.consensus import Consensus
 from wigeonport.credentials import load_tokens
+from wigeonport.demands import DemandReport
 from wigeonport.dialers import Dialer, listen
 from wigeonport.histories import record_history
 from wigeonport.links import LinkClosed
 from wigeonport.logs import PartLogger
 from wigeonport.operators import OperatorApp, OperatorControl
+from wigeonport.plan_actors import PlanActor, act_on_plans
+from wigeonport.plan_drivers import (
+    PlanDriver,
+    answer_without_platform,
+    drive_plans,
+)
+from wigeonport.plan_settings import PlanSettings
+from wigeonport.planners import build_planner
+from wigeonport.platform_clients import PlatformClient, poll_reports
 from wigeonport.programs import start
 from wigeonport.publishers import Publisher, publish
 from wigeonport.recoveries import open_directory, open_memory
@@ -30,6 +40,7 @@
 logger = PartLogger("control")
 
 HISTORY_BOUND = 4_096
+PLANNER_BOUND = 4_096
 PUBLISHED = (Subscribe, VersionReport, ConfigUpdate)
 CLAIMS = (ClaimKey, CompleteClaim, ReleaseClaim)
 
@@ -44,7 +55,8 @@
         requests: From the operators' edge to the state adapter.
         notices: From the consensus task to the version watcher.
         history: From the consensus task to the event recorder.
-        health: Queries for unavailable VMs.
+        planner: Notices, reports, results and queries for the planner.
+        plans: From the planner to its actor.
     """
 
     __slots__ = (
@@ -54,7 +66,8 @@
         "requests",
         "notices",
         "history",
-        "health",
+        "planner",
+        "plans",
     )
 
     def __init__(self, settings):
@@ -66,7 +79,10 @@
         # A dropped notice does no harm: the watcher reads the state.
         self.notices = Mailbox("notices", bound, DROP_OLDEST)
         self.history = Mailbox("history", HISTORY_BOUND, DROP_OLDEST)
-        self.health = Mailbox("health", bound, REFUSE)
+        # What the planner misses it reads again: it is resent by the
+        # platform or found in the state at the next tick.
+        self.planner = Mailbox("planner", PLANNER_BOUND, DROP_OLDEST)
+        self.plans = Mailbox("plans", PLANNER_BOUND, DROP_OLDEST)
 
 
 async def sort_deliveries(inbound, boxes, consensus):
@@ -78,6 +94,8 @@
         message = delivery.message
         if isinstance(message, PUBLISHED):
             await boxes.publisher.put(delivery)
+        elif isinstance(message, DemandReport):
+            await boxes.planner.put(delivery)
         elif isinstance(message, CLAIMS):
             await boxes.claims.put(delivery)
         else:
@@ -135,6 +153,8 @@
         make_replica_settings(settings),
         random_source=random.Random(),
         snapshot_entries=settings.snapshot_entries,
+        # Claims come at the rate of the requests and no observer needs them.
+        quiet=CLAIMS,
     )
 
 
@@ -161,6 +181,33 @@
     nursery.start_soon(record_history, boxes.history, program.events)
     nursery.start_soon(broker_claims, boxes.claims, broker)
     nursery.start_soon(adapt_requests, boxes.requests, adapter)
+    start_planner(nursery, program, boxes, consensus, dialers, adapter)
+
+
+def start_planner(nursery, program, boxes, consensus, dialers, adapter):
+    """Starts the planner, its actor and the platform's reports."""
+    settings, clock = program.settings, program.clock
+    if settings.platform_url is None:
+        nursery.start_soon(answer_without_platform, boxes.planner)
+        return
+    client = PlatformClient(settings.platform_url, clock, program.metrics)
+    planner = build_planner(PlanSettings())
+    if planner.is_error():
+        raise ValueError(str(planner.error))
+    driver = PlanDriver(
+        planner.ok,
+        consensus.inbox,
+        boxes.plans,
+        dialers,
+        clock,
+        random.Random(),
+    )
+    actor = PlanActor(consensus.inbox, adapter, client, program.events, clock)
+    nursery.start_soon(
+        drive_plans, boxes.planner, driver, settings.plan_interval_ms
+    )
+    nursery.start_soon(act_on_plans, boxes.plans, boxes.planner, actor)
+    nursery.start_soon(poll_reports, client, boxes.planner, logger)
 
 
 async def serve_operators(program, boxes):
@@ -177,7 +224,7 @@
         program.clock,
         StatePort(boxes.requests, settings.propose_timeout_ms),
         boxes.publisher,
-        boxes.health,
+        boxes.planner,
     )
     info = ProcessInfo(program.metrics, program.events, program.stopping)
     await serve_http(
@@ -196,7 +243,7 @@
     context = program.link_context(boxes.deliveries)
     dialers = make_dialers(settings, context)
     consensus = make_consensus(program, dialers)
-    consensus.observers += [boxes.notices, boxes.history]
+    consensus.observers += [boxes.notices, boxes.history, boxes.planner]
     async with trio.open_nursery() as nursery:
         await nursery.start(consensus.run)
         await nursery.start(
--- a/wigeonport/fleet_events.py
+++ b/wigeonport/fleet_events.py
@@ -40,6 +40,7 @@
     new.state = old.state
     new.sequence = old.sequence
     new.unsettled_until_ms = old.unsettled_until_ms
+    new.closed_until_ms = max(old.closed_until_ms, new.closed_until_ms)
     new.missing = old.missing
     new.quarantined = old.quarantined
     new.moved_ms = old.moved_ms
--- a/wigeonport/fleet_records.py
+++ b/wigeonport/fleet_records.py
@@ -4,6 +4,7 @@
 from wigeonport.registries import Registry
 
 SECTIONS = Registry("fleet section")
+MS_PER_DAY = 86_400_000
 MINUTES_PER_DAY = 1_440
 DAYS = ("mon", "tue", "wed", "thu", "fri", "sat", "sun", "daily")
 MS_PER_MINUTE = 60_000
@@ -240,6 +241,17 @@
             return self._opens_on((weekday - 1) % 7)
         return False
 
+    def next_opening(self, wall_ms):
+        """Returns when the window opens next, after a time."""
+        day = wall_ms // MS_PER_DAY
+        for ahead in range(8):
+            opening = (day + ahead) * MS_PER_DAY
+            opening += self.start_minute * MS_PER_MINUTE
+            weekday = (day + ahead + FIRST_WEEKDAY) % 7
+            if opening > wall_ms and self._opens_on(weekday):
+                return opening
+        raise ValueError(f"window {self.id!r} never opens")
+
     def _opens_on(self, weekday):
         return self.day == "daily" or self.day == DAYS[weekday]
 
--- a/wigeonport/histories.py
+++ b/wigeonport/histories.py
@@ -7,14 +7,9 @@
 )
 from wigeonport.registries import Registry
 from wigeonport.state_answers import PatchAccepted, PatchRefused
-from wigeonport.state_commands import ClaimKey, CompleteClaim, ReleaseClaim
 
 recorders = Registry("history recorder")
 
-# Claims come at the rate of the requests; recording them on every control
-# would cost more than applying them.
-UNRECORDED = (ClaimKey, CompleteClaim, ReleaseClaim)
-
 
 def records(kind):
     """Registers a function ``(events, notice)`` for a class of notices."""
@@ -36,8 +31,6 @@
 @records(Applied)
 def record_applied(events, notice):
     """Records a committed command and what became of it."""
-    if isinstance(notice.command, UNRECORDED):
-        return
     answer = notice.answer
     fields = {"index": notice.index, "answer": type(answer).__name__}
     if isinstance(answer, PatchAccepted):
--- a/wigeonport/operation_answers.py
+++ b/wigeonport/operation_answers.py
@@ -1,6 +1,12 @@
 """Effects of the log's answers on the operations."""
 
-from wigeonport.operations import CHANGED, CHANGING, GRANTING, STARTING
+from wigeonport.operations import (
+    CHANGED,
+    CHANGING,
+    GRANTING,
+    MAINTENANCE,
+    STARTING,
+)
 from wigeonport.plan_commands import MoveVm, RequestVmGrant
 from wigeonport.plan_registries import confirmations, refusals
 from wigeonport.views import GrantView
@@ -55,10 +61,14 @@
 
 @refusals.register(RequestVmGrant)
 def refuse_grant(view, command, now_ms):
-    """Drops maintenance whose grant the log refused."""
+    """Drops maintenance whose grant the log refused, for some time."""
     operation = view.operations.get(command.vm)
     if operation is not None and operation.phase == GRANTING:
         del view.operations[command.vm]
+    vm = view.fleet.vms.get(command.vm)
+    if vm is not None and command.purpose == MAINTENANCE:
+        retry_ms = now_ms + view.settings.grant_retry_ms
+        vm.closed_until_ms = max(vm.closed_until_ms, retry_ms)
 
 
 @refusals.register(MoveVm)
--- a/wigeonport/plan_settings.py
+++ b/wigeonport/plan_settings.py
@@ -39,6 +39,8 @@
     "wave_pause_failures": 2,
     "wave_failure_window_ms": 60_000,
     "wave_quiet_ms": 60_000,
+    # A refused grant is not asked for again before this time.
+    "grant_retry_ms": 60_000,
     "grant_lease_ms": 120_000,
     "drain_bound_ms": 60_000,
     "reboot_bound_ms": 90_000,
--- /dev/null
+++ b/wigeonport/platform_reports.py
@@ -0,0 +1,74 @@
+"""Platform reports: JSON documents of the platform as planner events."""
+
+from expression import Error, Ok, Result
+
+from wigeonport.plan_events import (
+    TASK_STATES,
+    TaskReported,
+    UsageReported,
+    VmReported,
+    ZoneReported,
+)
+from wigeonport.registries import Registry
+from wigeonport.views import VM_STATES, Size
+
+readers = Registry("platform report")
+
+
+@readers.register("vm")
+def read_vm(document, offset_ms):
+    """Reads the state of a VM."""
+    if document["state"] not in VM_STATES:
+        raise ValueError(f"state {document['state']!r} is not known")
+    return VmReported(
+        str(document["vm"]), document["state"], int(document["sequence"])
+    )
+
+
+@readers.register("zone")
+def read_zone(document, offset_ms):
+    """Reads which VMs of a zone are alive."""
+    return ZoneReported(
+        str(document["zone"]),
+        int(document["measured_ms"]) + offset_ms,
+        tuple(str(name) for name in document["missing"]),
+    )
+
+
+@readers.register("task")
+def read_task(document, offset_ms):
+    """Reads the state of a task."""
+    if document["state"] not in TASK_STATES:
+        raise ValueError(f"state {document['state']!r} is not known")
+    return TaskReported(
+        str(document["job"]),
+        str(document["vm"]),
+        int(document["attempt"]),
+        document["state"],
+    )
+
+
+@readers.register("usage")
+def read_usage(document, offset_ms):
+    """Reads what a task used."""
+    used = Size(float(document["cores"]), float(document["memory_mb"]), 0)
+    measured_ms = int(document["measured_ms"]) + offset_ms
+    return UsageReported(str(document["job"]), used, measured_ms)
+
+
+def read_report(document, offset_ms) -> Result:
+    """Returns the planner event of a report, or why it is malformed.
+
+    Args:
+        document: A JSON object with ``kind`` and the fields of the kind.
+        offset_ms: Planner's clock minus wall clock.
+    """
+    if not isinstance(document, dict):
+        return Error("report is not an object")
+    reader = readers.get(document.get("kind"))
+    if reader.is_error():
+        return reader
+    try:
+        return Ok(reader.ok(document, offset_ms))
+    except (KeyError, TypeError, ValueError) as fault:
+        return Error(f"{document['kind']} report: {fault!r}")
--- a/wigeonport/view_builders.py
+++ b/wigeonport/view_builders.py
@@ -136,6 +136,9 @@
         vm.lender = fleet.spare_pool or ""
     if maintained_ms is not None:
         vm.maintained_ms = maintained_ms + offset_ms
+    closed_ms = find_opening(fleet.windows_of(worker.zone), state.now_ms)
+    if closed_ms:
+        vm.closed_until_ms = closed_ms + offset_ms
     held_ms = state.maintenance.holds.get(worker.id)
     if held_ms is not None:
         vm.unsettled_until_ms = held_ms + offset_ms
@@ -153,6 +156,13 @@
     return joined_ms + zlib.crc32(worker_id.encode()) % period_ms
 
 
+def find_opening(windows, now_ms):
+    """Returns when the next window opens; 0 if one is open or none exists."""
+    if not windows or any(window.contains(now_ms) for window in windows):
+        return 0
+    return min(window.next_opening(now_ms) for window in windows)
+
+
 def find_lent(fleet_state):
     """Returns the VMs whose pool was last changed by the planner.
 
--- a/wigeonport/views.py
+++ b/wigeonport/views.py
@@ -76,6 +76,8 @@
         maintained_ms: Time of the last maintenance, or None if unknown.
         moved_ms: Time of the last change of pool.
         unsettled_until_ms: End of the hold after a repair or reboot.
+        closed_until_ms: Time before which no maintenance may start, because
+            no window is open or the log has just refused a grant.
         missing: Whether the zone's last report did not include the VM.
         quarantined: Whether the worker is excluded from tasks.
     """
@@ -94,6 +96,7 @@
         "maintained_ms",
         "moved_ms",
         "unsettled_until_ms",
+        "closed_until_ms",
         "missing",
         "quarantined",
     )
@@ -112,6 +115,7 @@
         self.maintained_ms = None
         self.moved_ms = None
         self.unsettled_until_ms = 0
+        self.closed_until_ms = 0
         self.missing = False
         self.quarantined = False
 
--- a/wigeonport/waves.py
+++ b/wigeonport/waves.py
@@ -117,7 +117,9 @@
     due = [
         vm
         for vm in view.fleet.vms.values()
-        if vm.due_ms <= latest_ms and is_available(view, vm, now_ms)
+        if vm.due_ms <= latest_ms
+        and vm.closed_until_ms <= now_ms
+        and is_available(view, vm, now_ms)
     ]
     return wave_orders.entries[view.settings.wave_order](view, due, now_ms)
 
