Exchange endpoint tables between entries

Cause: an endpoint was usable only at the entries to which it announced, and the other entries did not learn that it left.

Change: each entry sends the changes of the endpoints that announce to it, a digest each second and 200 ms after a change, and its table on a mismatch. An entry that is silent for the expiry loses what it alone heard. A record older than a leaving one never shows an endpoint again. The wire field is service_id, because service is a reserved word of thrift.

Heartbeats of endpoints add no message.

Each test was seen to fail with its mechanism disabled: request of a table after a digest, expiry of endpoints, expiry of entries, early digest, silence about heartbeats, memory of leaving, sticky owner, comparison of epochs.

--- /dev/null
+++ b/bench/table_exchange.py
@@ -0,0 +1,139 @@
+"""Measures the traffic of the endpoint tables between entries.
+
+Runs 7 entries' tables in one process, joined by real links on 127.0.0.1,
+with 30 endpoints that announce each second. Prints what one entry sends:
+idle links, heartbeats only, and while one endpoint changes each second.
+"""
+
+import argparse
+
+import trio
+
+from wigeonport.channels import Mailbox
+from wigeonport.clocks import Clock, LamportCounter
+from wigeonport.dialers import Dialer, listen
+from wigeonport.endpoints import READY, Announced, EndpointRecord
+from wigeonport.exchanges import TableExchange, keep_table
+from wigeonport.links import Identity, LinkContext
+from wigeonport.metrics import Metrics
+
+HOST = "127.0.0.1"
+TICK_MS = 100
+
+
+class Node:
+    """One entry's table and its links."""
+
+    def __init__(self, number, digest_ms):
+        self.name = f"entry/n{number}"
+        self.inbound = Mailbox("peers", 256)
+        self.metrics = Metrics()
+        identity = Identity(self.name, "ikeja", "bench", {"k": b"k" * 16})
+        self.context = LinkContext(
+            identity, self.inbound, Clock(), self.metrics, LamportCounter()
+        )
+        self.exchange = TableExchange(self.name, 1, 2_500, digest_ms)
+        self.dialers = {}
+        self.port = 0
+
+    async def listen(self, nursery):
+        """Starts listening."""
+        listeners = await nursery.start(listen, self.context, HOST, 0)
+        self.port = listeners[0].socket.getsockname()[1]
+
+    def start(self, nursery, nodes):
+        """Connects to all other nodes and runs the table."""
+        for node in nodes:
+            if node is not self:
+                dialer = Dialer(self.context, HOST, node.port)
+                self.dialers[node.name] = dialer
+                nursery.start_soon(dialer.run)
+        nursery.start_soon(
+            keep_table,
+            self.inbound,
+            [],
+            self.exchange,
+            self.dialers,
+            Clock(),
+            TICK_MS,
+        )
+
+
+async def announce(nodes, endpoints, changes):
+    """Lets each endpoint announce to two entries each second."""
+    sequence = 0
+    while True:
+        sequence += 1
+        for number in range(endpoints):
+            slots = 8
+            if changes[0] and number == sequence % endpoints:
+                slots = 9 + sequence
+            record = EndpointRecord(
+                f"endpoint-{number}",
+                "roster",
+                "ikeja",
+                "10.0.0.1",
+                9_000,
+                slots,
+                64,
+                READY,
+                1,
+                sequence,
+            )
+            for offset in (0, 1):
+                node = nodes[(number + offset) % len(nodes)]
+                await node.inbound.put(Announced(record))
+        await trio.sleep(1)
+
+
+async def measure(nodes, seconds, label):
+    """Prints frames and bytes that one entry sends each second."""
+    names = ("links_sent_frames", "links_sent_bytes")
+    before = {
+        name: sum(n.metrics.counters.get(name, 0) for n in nodes)
+        for name in names
+    }
+    await trio.sleep(seconds)
+    figures = [
+        (sum(n.metrics.counters.get(name, 0) for n in nodes) - before[name])
+        / seconds
+        / len(nodes)
+        for name in names
+    ]
+    print(
+        f"{label}: {figures[0]:.1f} frames/s, {figures[1]:.0f} bytes/s "
+        f"sent by one of {len(nodes)} entries"
+    )
+
+
+async def main_task(options):
+    """Runs the three measurements."""
+    nodes = [Node(n, options.digest_ms) for n in range(options.entries)]
+    changes = [False]
+    async with trio.open_nursery() as nursery:
+        for node in nodes:
+            await node.listen(nursery)
+        for node in nodes:
+            node.start(nursery, nodes)
+        await trio.sleep(2)
+        await measure(nodes, options.seconds, "no endpoints")
+        nursery.start_soon(announce, nodes, options.endpoints, changes)
+        await trio.sleep(2)
+        await measure(nodes, options.seconds, "heartbeats only")
+        changes[0] = True
+        await measure(nodes, options.seconds, "two changes a second")
+        nursery.cancel_scope.cancel()
+
+
+def main():
+    """Parses the options and runs."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--entries", type=int, default=7)
+    parser.add_argument("--endpoints", type=int, default=30)
+    parser.add_argument("--seconds", type=int, default=8)
+    parser.add_argument("--digest-ms", type=int, default=1_000)
+    trio.run(main_task, parser.parse_args())
+
+
+if __name__ == "__main__":
+    main()
--- a/wigeonport/announcements.py
+++ b/wigeonport/announcements.py
@@ -23,6 +23,19 @@
 MAX_PORT = 65_535
 MAX_COUNTER = 2**53
 TEXT_FIELDS = ("endpoint_id", "service", "availability_zone", "host")
+# Fields of an announcement, in the order of EndpointRecord.
+FIELDS = (
+    "endpoint_id",
+    "service",
+    "availability_zone",
+    "host",
+    "port",
+    "slots",
+    "connections",
+    "state",
+    "incarnation",
+    "sequence",
+)
 NUMBER_FIELDS = {
     "port": (1, MAX_PORT),
     "slots": (1, MAX_SLOTS),
@@ -46,8 +59,7 @@
     check_fields(document, findings)
     if findings:
         return findings.result(None)
-    names = EndpointRecord.__slots__
-    return findings.result(EndpointRecord(*(document[n] for n in names)))
+    return findings.result(EndpointRecord(*(document[n] for n in FIELDS)))
 
 
 def check_fields(document, findings):
@@ -62,7 +74,7 @@
             findings.add(name, f"must be a number, {smallest} to {largest}")
     if document.get("state") not in STATES:
         findings.add("state", f"must be one of {', '.join(STATES)}")
-    for name in sorted(document.keys() - set(EndpointRecord.__slots__)):
+    for name in sorted(document.keys() - set(FIELDS)):
         findings.add(name, "is not a known field")
     check_host(document.get("host"), findings)
 
--- a/wigeonport/endpoints.py
+++ b/wigeonport/endpoints.py
@@ -1,16 +1,19 @@
-"""Endpoints: what they announce and which of them are usable."""
+"""Endpoints: what they announce, and which of them announce to this entry."""
+
+from wigeonport.codecs import message_kinds
 
 READY = "ready"
 LEAVING = "leaving"
 STATES = (READY, LEAVING)
 
 
+@message_kinds.register("EndpointRecord")
 class EndpointRecord:
     """One announcement of an endpoint.
 
     Attributes:
         endpoint_id: Unique name of the endpoint's process.
-        service: Service that it runs.
+        service_id: Service that it runs.
         availability_zone: Its zone.
         host: IP address.
         port: TCP port.
@@ -23,7 +26,7 @@
 
     __slots__ = (
         "endpoint_id",
-        "service",
+        "service_id",
         "availability_zone",
         "host",
         "port",
@@ -37,7 +40,7 @@
     def __init__(
         self,
         endpoint_id,
-        service,
+        service_id,
         availability_zone,
         host,
         port,
@@ -48,7 +51,7 @@
         sequence,
     ):
         self.endpoint_id = endpoint_id
-        self.service = service
+        self.service_id = service_id
         self.availability_zone = availability_zone
         self.host = host
         self.port = port
@@ -78,12 +81,14 @@
 
     Attributes:
         record: Its latest record.
+        owner: Node id of the entry that grants its slots.
     """
 
-    __slots__ = ("record",)
+    __slots__ = ("record", "owner")
 
-    def __init__(self, record):
+    def __init__(self, record, owner=""):
         self.record = record
+        self.owner = owner
 
 
 class EndpointLost:
@@ -101,48 +106,6 @@
         self.service = service
 
 
-class EndpointTable:
-    """Records by endpoint, with the time when each was last heard.
-
-    Attributes:
-        expiry_ms: Time without an announcement after which one is lost.
-        records: EndpointRecord by endpoint id.
-        heard_ms: Monotonic time of the last announcement by endpoint id.
-    """
-
-    __slots__ = ("expiry_ms", "records", "heard_ms")
-
-    def __init__(self, expiry_ms):
-        self.expiry_ms = expiry_ms
-        self.records = {}
-        self.heard_ms = {}
-
-    def announce(self, record, now_ms):
-        """Takes an announcement; returns the changes for the router."""
-        known = self.records.get(record.endpoint_id)
-        if known is not None and record.age <= known.age:
-            return []
-        self.records[record.endpoint_id] = record
-        self.heard_ms[record.endpoint_id] = now_ms
-        if known is not None and is_same(known, record):
-            return []
-        return [EndpointChanged(record)]
-
-    def expire(self, now_ms):
-        """Removes silent endpoints; returns the changes for the router."""
-        silent = [
-            endpoint_id
-            for endpoint_id, heard_ms in self.heard_ms.items()
-            if now_ms - heard_ms > self.expiry_ms
-        ]
-        changes = []
-        for endpoint_id in silent:
-            record = self.records.pop(endpoint_id)
-            del self.heard_ms[endpoint_id]
-            changes.append(EndpointLost(endpoint_id, record.service))
-        return changes
-
-
 def is_same(old, new):
     """Returns whether a newer record changes nothing but its sequence."""
     return all(
@@ -150,16 +113,3 @@
         for name in EndpointRecord.__slots__
         if name != "sequence"
     )
-
-
-async def keep_table(inbound, outbound, table, clock, tick_ms):
-    """Owns the endpoint table and sends its changes to the router."""
-    while True:
-        message = await inbound.get_within(tick_ms)
-        now_ms = clock.now()
-        changes = []
-        if isinstance(message, Announced):
-            changes += table.announce(message.record, now_ms)
-        changes += table.expire(now_ms)
-        for change in changes:
-            await outbound.put(change)
--- a/wigeonport/entry_main.py
+++ b/wigeonport/entry_main.py
@@ -8,26 +8,24 @@
 from wigeonport.admissions import admit
 from wigeonport.announcements import AnnouncementApp
 from wigeonport.channels import REFUSE, Mailbox
-from wigeonport.claims import (
-    Claimer,
-    ClaimLimits,
-    ControlCaller,
-    claim_keys,
-)
-from wigeonport.codecs import codecs
+from wigeonport.claims import claim_keys
 from wigeonport.configurations import Configuration, apply_updates
-from wigeonport.connections import IdleConnections
-from wigeonport.dialers import Dialer, listen
-from wigeonport.dispatchers import Dispatcher, DispatchLimits, dispatch
-from wigeonport.endpoints import EndpointTable, keep_table
+from wigeonport.dialers import listen
+from wigeonport.dispatchers import dispatch
+from wigeonport.entry_parts import (
+    make_claimer,
+    make_control_links,
+    make_dispatcher,
+    make_exchange,
+    make_peer_links,
+)
+from wigeonport.exchanges import keep_table
 from wigeonport.programs import start
 from wigeonport.receivers import CallerApp, CallerLimits
 from wigeonport.routers import Router, route
 from wigeonport.servers import ProcessInfo, StatusApp, serve_http
-from wigeonport.subscriptions import ControlLinks, sort_deliveries
+from wigeonport.subscriptions import sort_deliveries
 
-CONTROL_LINKS = 3
-ENDPOINT_CONNECTIONS = 64
 MAX_ATTEMPTS = 3
 TICK_MS = 100
 
@@ -38,13 +36,13 @@
     Attributes:
         deliveries: From the links to the sorter.
         configurations: From the sorter to the configuration filter.
-        peers: From the sorter to the endpoint table.
+        peers: From the sorter and the announcement edge to the endpoint
+            table.
         admissions: From the receivers to the admission filter; full means
             that callers are refused.
         claims: From the admission filter to the claims filter.
         routing: From all filters to the router.
         dispatches: From the router to the dispatcher.
-        announcements: From the announcement edge to the endpoint table.
     """
 
     __slots__ = (
@@ -55,7 +53,6 @@
         "claims",
         "routing",
         "dispatches",
-        "announcements",
     )
 
     def __init__(self, settings):
@@ -68,57 +65,21 @@
         self.claims = Mailbox("claims", bound)
         self.routing = Mailbox("routing", in_flight + bound)
         self.dispatches = Mailbox("dispatches", in_flight)
-        self.announcements = Mailbox("announcements", bound)
-
-
-def make_control_links(program, context, configuration):
-    """Returns links to some controls, those nearest first."""
-    settings = program.settings
-    links = ControlLinks(context.identity, configuration)
-    addresses = [(settings.host, settings.control_links_port)]
-    own_zone = settings.availability_zone
-    ranked = sorted(
-        settings.peers, key=lambda peer: peer.availability_zone != own_zone
-    )
-    addresses += [(peer.host, peer.control_links_port) for peer in ranked]
-    for host, port in addresses[:CONTROL_LINKS]:
-        links.dialers.append(Dialer(context, host, port, links.subscribe))
-    return links
-
-
-def make_claimer(program, boxes, links):
-    """Returns the claimer of keyed requests."""
-    settings = program.settings
-    limits = ClaimLimits(
-        claim_timeout_ms=settings.claim_timeout_ms,
-        try_timeout_ms=max(1, settings.claim_timeout_ms // 2),
-        max_open=settings.max_requests_in_flight,
-    )
-    return Claimer(
-        ControlCaller(links, program.clock),
-        boxes.routing,
-        codecs.get("thrift").ok(),
-        limits,
-        program.clock,
-        program.metrics,
-    )
 
 
-def make_dispatcher(program, boxes):
-    """Returns the dispatcher; the entries divide the connections evenly."""
-    settings = program.settings
-    entries = len(settings.peers) + 1
-    limits = DispatchLimits(
-        settings.connect_timeout_ms,
-        settings.attempt_timeout_ms,
-        settings.max_response_bytes,
-    )
-    return Dispatcher(
-        IdleConnections(max(1, ENDPOINT_CONNECTIONS // entries)),
-        boxes.routing,
+def start_table(nursery, program, boxes, context):
+    """Starts the endpoint table and the links to the other entries."""
+    peers = make_peer_links(program, context)
+    for dialer in peers.values():
+        nursery.start_soon(dialer.run)
+    nursery.start_soon(
+        keep_table,
+        boxes.peers,
+        [boxes.routing],
+        make_exchange(program, context),
+        peers,
         program.clock,
-        program.metrics,
-        limits,
+        TICK_MS,
     )
 
 
@@ -128,7 +89,6 @@
     router = Router(
         settings.availability_zone, settings.queue_bound, MAX_ATTEMPTS
     )
-    table = EndpointTable(settings.endpoint_expiry_ms)
     nursery.start_soon(
         sort_deliveries, boxes.deliveries, boxes.configurations, boxes.peers
     )
@@ -155,9 +115,6 @@
     nursery.start_soon(
         dispatch, boxes.dispatches, make_dispatcher(program, boxes)
     )
-    nursery.start_soon(
-        keep_table, boxes.announcements, boxes.routing, table, clock, TICK_MS
-    )
 
 
 async def serve_edges(program, boxes):
@@ -166,7 +123,7 @@
     info = ProcessInfo(program.metrics, None, program.stopping)
     limits = CallerLimits(settings.max_body_bytes, settings.max_deadline_ms)
     callers = CallerApp(boxes.admissions, info, limits, program.clock)
-    announcements = AnnouncementApp(boxes.announcements, program.metrics)
+    announcements = AnnouncementApp(boxes.peers, program.metrics)
     edges = (
         (callers, settings.callers_port),
         (announcements, settings.announcements_port),
@@ -197,6 +154,7 @@
         )
         for dialer in links.dialers:
             nursery.start_soon(dialer.run)
+        start_table(nursery, program, boxes, context)
         start_filters(nursery, program, boxes, configuration, links)
         await serve_edges(program, boxes)
         nursery.cancel_scope.cancel()
--- /dev/null
+++ b/wigeonport/entry_parts.py
@@ -0,0 +1,84 @@
+"""Parts of the entry program, made from its settings."""
+
+from wigeonport.claims import Claimer, ClaimLimits, ControlCaller
+from wigeonport.codecs import codecs
+from wigeonport.connections import IdleConnections
+from wigeonport.dialers import Dialer
+from wigeonport.dispatchers import Dispatcher, DispatchLimits
+from wigeonport.exchanges import TableExchange
+from wigeonport.subscriptions import ControlLinks
+
+CONTROL_LINKS = 3
+ENDPOINT_CONNECTIONS = 64
+
+
+def make_control_links(program, context, configuration):
+    """Returns links to some controls, those nearest first."""
+    settings = program.settings
+    links = ControlLinks(context.identity, configuration)
+    addresses = [(settings.host, settings.control_links_port)]
+    own_zone = settings.availability_zone
+    ranked = sorted(
+        settings.peers, key=lambda peer: peer.availability_zone != own_zone
+    )
+    addresses += [(peer.host, peer.control_links_port) for peer in ranked]
+    for host, port in addresses[:CONTROL_LINKS]:
+        links.dialers.append(Dialer(context, host, port, links.subscribe))
+    return links
+
+
+def make_claimer(program, boxes, links):
+    """Returns the claimer of keyed requests."""
+    settings = program.settings
+    limits = ClaimLimits(
+        claim_timeout_ms=settings.claim_timeout_ms,
+        try_timeout_ms=max(1, settings.claim_timeout_ms // 2),
+        max_open=settings.max_requests_in_flight,
+    )
+    return Claimer(
+        ControlCaller(links, program.clock),
+        boxes.routing,
+        codecs.get("thrift").ok(),
+        limits,
+        program.clock,
+        program.metrics,
+    )
+
+
+def make_dispatcher(program, boxes):
+    """Returns the dispatcher; the entries divide the connections evenly."""
+    settings = program.settings
+    entries = len(settings.peers) + 1
+    limits = DispatchLimits(
+        settings.connect_timeout_ms,
+        settings.attempt_timeout_ms,
+        settings.max_response_bytes,
+    )
+    return Dispatcher(
+        IdleConnections(max(1, ENDPOINT_CONNECTIONS // entries)),
+        boxes.routing,
+        program.clock,
+        program.metrics,
+        limits,
+    )
+
+
+def make_peer_links(program, context):
+    """Returns dialers to the other entries by node id."""
+    return {
+        f"entry/{peer.node_id}": Dialer(
+            context, peer.host, peer.entry_links_port
+        )
+        for peer in program.settings.peers
+    }
+
+
+def make_exchange(program, context):
+    """Returns the exchange of endpoint tables."""
+    settings = program.settings
+    return TableExchange(
+        context.identity.node_id,
+        program.clock.wall(),
+        settings.endpoint_expiry_ms,
+        settings.table_digest_ms,
+    )
--- a/wigeonport/routers.py
+++ b/wigeonport/routers.py
@@ -172,10 +172,10 @@
 def update_target(router, change, now_ms, random):
     """Takes over the latest record of an endpoint."""
     record = change.record
-    targets = router.targets.setdefault(record.service, {})
+    targets = router.targets.setdefault(record.service_id, {})
     target = targets.setdefault(record.endpoint_id, Target(record))
     target.record = record
-    return router.drain_queue(record.service, now_ms, random)
+    return router.drain_queue(record.service_id, now_ms, random)
 
 
 @handlers.register("EndpointLost")
--- a/wigeonport/sessions.py
+++ b/wigeonport/sessions.py
@@ -199,6 +199,7 @@
         """Encodes, seals and sends envelopes."""
         async for envelope in self.outbox:
             frame = self.sealer.seal(self.codec.encode(envelope))
+            self.metrics.count("links_sent_frames")
             self.metrics.count("links_sent_bytes", len(frame))
             try:
                 with trio.fail_after(SEND_TIMEOUT_MS / 1000):
