--- a/wigeonport/entry_main.py
+++ b/wigeonport/entry_main.py
@@ -98,7 +98,9 @@
         [boxes.admissions],
         configuration,
         links.report,
+        clock,
         program.metrics,
+        program.events,
     )
     nursery.start_soon(admit, boxes.admissions, boxes.claims, clock)
     claimer = make_claimer(program, boxes, links)
@@ -120,25 +122,30 @@
 async def serve_edges(program, boxes):
     """Serves the HTTP edges until the program stops."""
     settings = program.settings
-    info = ProcessInfo(program.metrics, None, program.stopping)
+    info = ProcessInfo(program.metrics, program.events, program.stopping)
     limits = CallerLimits(settings.max_body_bytes, settings.max_deadline_ms)
     callers = CallerApp(boxes.admissions, info, limits, program.clock)
-    announcements = AnnouncementApp(boxes.peers, program.metrics)
-    edges = (
-        (callers, settings.callers_port),
+    drained = trio.Event()
+    announcements = AnnouncementApp(boxes.peers, program.metrics, drained)
+    others = (
         (announcements, settings.announcements_port),
         (StatusApp(info), settings.entry_status_port),
     )
+    grace_ms = settings.shutdown_grace_ms
     async with trio.open_nursery() as nursery:
-        for app, port in edges:
+        for app, port in others:
             nursery.start_soon(
-                serve_http,
-                app,
-                settings.host,
-                port,
-                program.stopping,
-                settings.shutdown_grace_ms,
+                serve_http, app, settings.host, port, drained, grace_ms
             )
+        # Waiting requests need the endpoints' announcements until the end.
+        await serve_http(
+            callers,
+            settings.host,
+            settings.callers_port,
+            program.stopping,
+            grace_ms,
+        )
+        drained.set()
 
 
 async def run_entry(program):
