--- a/wigeonport/endpoint_tables.py
+++ b/wigeonport/endpoint_tables.py
@@ -182,13 +182,16 @@
     Attributes:
         shown: EndpointChanged that was sent last, by endpoint id.
         left: Age and time of the last leaving record by endpoint id.
+        gone_ms: Time until which an entry that is now silent may have been
+            alive, by node id.
     """
 
-    __slots__ = ("shown", "left")
+    __slots__ = ("shown", "left", "gone_ms")
 
     def __init__(self):
         self.shown = {}
         self.left = {}
+        self.gone_ms = {}
 
     def refresh(self, tables, endpoint_ids, now_ms):
         """Returns the changes after some endpoints may have changed.
@@ -234,7 +237,14 @@
             and is_same(shown.record, newest)
         ):
             return None
-        change = EndpointChanged(newest, owner)
+        replaced_ms = None
+        if (
+            shown is not None
+            and shown.owner != owner
+            and shown.record.incarnation == newest.incarnation
+        ):
+            replaced_ms = self.gone_ms.get(shown.owner, now_ms)
+        change = EndpointChanged(newest, owner, replaced_ms)
         self.shown[endpoint_id] = change
         return change
 
--- a/wigeonport/endpoints.py
+++ b/wigeonport/endpoints.py
@@ -82,13 +82,16 @@
     Attributes:
         record: Its latest record.
         owner: Node id of the entry that grants its slots.
+        replaced_ms: Until when an earlier owner may have granted slots, or
+            None if there was none.
     """
 
-    __slots__ = ("record", "owner")
+    __slots__ = ("record", "owner", "replaced_ms")
 
-    def __init__(self, record, owner=""):
+    def __init__(self, record, owner="", replaced_ms=None):
         self.record = record
         self.owner = owner
+        self.replaced_ms = replaced_ms
 
 
 class EndpointLost:
--- a/wigeonport/exchanges.py
+++ b/wigeonport/exchanges.py
@@ -73,6 +73,8 @@
             if now_ms - peer.heard_ms > self.own.expiry_ms:
                 touched.update(peer.entries)
                 del self.peers[node_id]
+                alive_ms = peer.heard_ms + self.digest_ms
+                self.view.gone_ms[node_id] = alive_ms
         if now_ms >= self.next_digest_ms:
             self.next_digest_ms = now_ms + self.digest_ms
             commands.append(Broadcast(self.own.digest()))
@@ -96,6 +98,7 @@
         """Returns the PeerTable of an entry that sent something."""
         peer = self.peers.setdefault(node_id, PeerTable(now_ms))
         peer.heard_ms = now_ms
+        self.view.gone_ms.pop(node_id, None)
         return peer
 
     def ask(self, node_id, peer, now_ms):
