--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -182,7 +182,8 @@
     other = ShareWant("e1", 1, 8, 0, 0)
     assert ledger.grant("n2", other, 2, 20) == 0
     assert ledger.grant("n1", greedy, 3, 30) == SLOTS // 2
-    assert ledger.grant("n2", other, 4, 40) == 0
-    greedy.applied = 3
-    assert ledger.grant("n1", greedy, 5, 50) == SLOTS // 2
-    assert ledger.grant("n2", other, 6, 60) == SLOTS // 2
+    assert ledger.grant("n1", greedy, 4, 35) == SLOTS // 2
+    assert ledger.grant("n2", other, 5, 40) == 0
+    greedy.applied = 4
+    assert ledger.grant("n1", greedy, 6, 50) == SLOTS // 2
+    assert ledger.grant("n2", other, 7, 60) == SLOTS // 2
