--- /dev/null
+++ b/tests/test_replica_rules.py
@@ -0,0 +1,171 @@
+"""Single rules of the consensus core that schedules violate rarely."""
+
+import random
+
+import pytest
+
+from wigeonport.memberships import Member, Members
+from wigeonport.replica_events import (
+    REFUSED,
+    HardState,
+    Persisted,
+    Recovered,
+    RemoveReplica,
+    Tick,
+)
+from wigeonport.replicas import Replica
+from wigeonport.replication_messages import (
+    DATA,
+    MEMBERS,
+    Append,
+    AppendReply,
+    Entry,
+    PreVote,
+    PreVoteReply,
+    Vote,
+    VoteReply,
+)
+
+IDS = ("a/1", "b/1", "c/1")
+START_MS = 10_000
+
+
+@pytest.fixture
+def make_replica():
+    """Makes replica c/1 of three voters, restarted at START_MS."""
+
+    def make(term=1, vote="", extra=(), durable=True, replica_id="c/1"):
+        members = Members([Member(each, True, True) for each in IDS])
+        first = Entry(1, 1, MEMBERS, members.to_payload())
+        recovered = Recovered(HardState(term, vote), None, [first, *extra])
+        return Replica(
+            replica_id,
+            ("a", "b", "c"),
+            durable,
+            recovered,
+            START_MS,
+            random.Random(1),
+            None,
+        )
+
+    return make
+
+
+@pytest.fixture
+def make_leader(make_replica):
+    """Makes c/1 the leader of the next term; index 1 is committed."""
+
+    def make(term=1, extra=()):
+        replica = make_replica(term, "", extra)
+        now_ms = START_MS + 5_000
+        heartbeat = Append(term, "a/1", "c/1", 1, 1, [], 1, 1, 1)
+        assert len(replica.step(heartbeat, START_MS).committed) == 1
+        replica.step(Tick(), now_ms)
+        replica.step(PreVoteReply(term, "a/1", "c/1", term + 1, True), now_ms)
+        replica.step(Persisted(replica.sequence), now_ms)
+        replica.step(VoteReply(term + 1, "a/1", "c/1", True), now_ms)
+        assert replica.is_leader()
+        return replica
+
+    return make
+
+
+def ack(replica, match_index):
+    """Acknowledges an index as a/1 and returns the Output."""
+    reply = AppendReply(replica.term, "a/1", "c/1", True, match_index, 0, 0, 0)
+    return replica.step(reply, replica.now_ms)
+
+
+def append(term, sender, prev, entries):
+    """Returns an Append to c/1 after the (index, term) pair ``prev``."""
+    return Append(term, sender, "c/1", *prev, entries, 0, 1, 1)
+
+
+def test_vote_is_sent_once_durable_and_kept_over_a_restart(make_replica):
+    """Guards against two votes of one replica in a term."""
+    replica = make_replica()
+    vote = Vote(2, "a/1", "c/1", 1, 1)
+    out = replica.step(vote, START_MS + 2_000)
+    assert not out.messages
+    stored = out.persist.hard_state
+    out = replica.step(Persisted(replica.sequence), START_MS + 2_001)
+    assert [reply.granted for reply in out.messages] == [True]
+    restarted = make_replica(stored.term, stored.vote)
+    rival = Vote(2, "b/1", "c/1", 1, 1)
+    out = restarted.step(rival, START_MS + 2_000)
+    assert [reply.granted for reply in out.messages] == [False]
+
+
+def test_no_vote_right_after_a_restart(make_replica):
+    """Guards a lease that was acknowledged just before a crash."""
+    replica = make_replica()
+    out = replica.step(Vote(2, "a/1", "c/1", 9, 1), START_MS + 100)
+    assert (out.messages, replica.term) == ([], 1)
+
+
+def test_no_vote_without_a_disk(make_replica):
+    """Guards against the vote of a replica that forgets it."""
+    replica = make_replica(durable=False)
+    for kind in (PreVote, Vote):
+        out = replica.step(kind(2, "a/1", "c/1", 9, 1), START_MS + 5_000)
+        assert not out.messages
+
+
+def test_vote_for_an_earlier_identity_is_not_given(make_replica):
+    """Guards against a new disk that votes for the old one."""
+    replica = make_replica(replica_id="c/2")
+    out = replica.step(Vote(2, "a/1", "c/1", 9, 1), START_MS + 5_000)
+    assert (out.messages, replica.term) == ([], 1)
+
+
+def test_earlier_term_is_not_committed_by_counting(make_leader):
+    """Guards against committing an entry that can still be replaced."""
+    leader = make_leader(2, [Entry(2, 2, DATA, b"old")])
+    leader.step(Persisted(leader.sequence), leader.now_ms)
+    assert not ack(leader, 2).committed
+    assert [entry.index for entry in ack(leader, 3).committed] == [2, 3]
+
+
+def test_leader_does_not_count_its_unsynced_entry(make_leader):
+    """Guards against a commit that one disk holds."""
+    leader = make_leader()
+    assert not ack(leader, 2).committed
+    out = leader.step(Persisted(leader.sequence), leader.now_ms)
+    assert len(out.committed) == 1
+
+
+def test_one_change_of_members_at_a_time(make_leader):
+    """Guards against two changes whose quorums do not overlap."""
+    leader = make_leader()
+    out = leader.step(RemoveReplica(1, "b/1"), leader.now_ms)
+    assert out.replies[0].outcome == REFUSED
+    leader.step(Persisted(leader.sequence), leader.now_ms)
+    ack(leader, 2)
+    out = leader.step(RemoveReplica(2, "b/1"), leader.now_ms)
+    assert not out.replies
+    out = leader.step(RemoveReplica(3, "a/1"), leader.now_ms)
+    assert out.replies[0].outcome == REFUSED
+
+
+def test_late_sync_does_not_cover_replaced_entries(make_replica):
+    """Guards against acknowledging entries that are not yet synced."""
+    replica = make_replica()
+    now_ms = START_MS + 10
+    old = [Entry(index, 1, DATA, b"old") for index in (2, 3)]
+    replica.step(append(1, "a/1", (1, 1), old), now_ms)
+    first = replica.sequence
+    new = [Entry(index, 2, DATA, b"new") for index in (2, 3)]
+    replica.step(append(2, "b/1", (1, 1), new), now_ms)
+    out = replica.step(Persisted(first), now_ms)
+    assert replica.log.durable_index == 1
+    assert all(reply.match_index <= 1 for reply in out.messages)
+    out = replica.step(Persisted(replica.sequence), now_ms)
+    assert out.messages[-1].match_index == 3
+
+
+def test_isolated_replica_does_not_raise_its_term(make_replica):
+    """Guards against a returning replica that ends a working term."""
+    replica = make_replica()
+    for second in range(5, 60):
+        replica.step(Tick(), START_MS + second * 1_000)
+    assert replica.term == 1
