--- a/wigeonport/receivers.py
+++ b/wigeonport/receivers.py
@@ -1,14 +1,13 @@
 """Receivers: the HTTP edge towards callers."""
 
+import re
 import uuid
 
 from wigeonport.channels import Reply
 from wigeonport.requests import CallerRequest, leave_unknown, refuse
 from wigeonport.servers import (
     answer_lifespan,
-    common_routes,
     read_body,
-    send_response,
 )
 
 DEADLINE_HEADER = b"wigeonport-deadline-ms"
@@ -16,6 +15,7 @@
 KEY_HEADER = b"idempotency-key"
 MAX_DEADLINE_MS = 600_000
 MAX_KEY_BYTES = 256
+KEY_PATTERN = re.compile(rb"[!-~]{1,%d}" % MAX_KEY_BYTES)
 MAX_PRIORITY = 9
 REPLY_MARGIN_MS = 200
 
@@ -40,25 +40,16 @@
 
     Attributes:
         admissions: Mailbox of the admission filter.
-        announcements: ASGI app of the endpoints' announcements, or None.
-        info: ProcessInfo for the common routes.
+        info: ProcessInfo of the process.
         limits: CallerLimits.
         clock: Time source.
         metrics: Metrics of the process.
     """
 
-    __slots__ = (
-        "admissions",
-        "announcements",
-        "info",
-        "limits",
-        "clock",
-        "metrics",
-    )
+    __slots__ = ("admissions", "info", "limits", "clock", "metrics")
 
-    def __init__(self, admissions, announcements, info, limits, clock):
+    def __init__(self, admissions, info, limits, clock):
         self.admissions = admissions
-        self.announcements = announcements
         self.info = info
         self.limits = limits
         self.clock = clock
@@ -70,12 +61,6 @@
             return await answer_lifespan(receive, send)
         if scope["type"] != "http":
             return None
-        path = scope["path"]
-        if path == "/v1/announcements" and self.announcements:
-            return await self.announcements(scope, receive, send)
-        route = common_routes.get(path)
-        if route.is_ok():
-            return await send_response(send, route.ok(self.info))
         answer = await self.handle(scope, receive)
         return await send_answer(send, answer)
 
@@ -123,8 +108,10 @@
         if isinstance(value, str):
             return value
     key = headers.get(KEY_HEADER)
-    if key is not None and not 0 < len(key) <= MAX_KEY_BYTES:
-        return f"Idempotency-Key must have 1 to {MAX_KEY_BYTES} bytes"
+    if key is not None and not KEY_PATTERN.fullmatch(key):
+        return f"Idempotency-Key must be 1 to {MAX_KEY_BYTES} ASCII bytes"
+    if sum(name == KEY_HEADER for name, _ in scope["headers"]) > 1:
+        return "Idempotency-Key is given twice"
     return CallerRequest(
         request_id=uuid.uuid4().hex,
         service=service,
@@ -132,7 +119,7 @@
         path=b"/" + target.lstrip(b"/").partition(b"/")[2],
         headers=scope["headers"],
         body=body,
-        key=None if key is None else key.decode("latin-1"),
+        key=None if key is None else key.decode("ascii"),
         deadline_ms=received_ms + deadline_ms,
         received_ms=received_ms,
         priority=priority,
