--- /dev/null
+++ b/tests/test_journals.py
@@ -0,0 +1,271 @@
+"""Tests that damage, lose or swap the files of a replica."""
+
+import errno
+import random
+import shutil
+
+import pytest
+
+from wigeonport import durable_files, journals
+from wigeonport.journal_records import SegmentHeader, encode_record
+from wigeonport.journals import JournalError
+from wigeonport.memberships import Member, Members
+from wigeonport.recoveries import open_directory
+from wigeonport.replica_events import HardState, Persist, Snapshot
+from wigeonport.replication_messages import DATA, Entry
+from wigeonport.snapshots import FormatError, write_snapshot
+
+MEMBERS = Members([Member("a/1", True, True)])
+
+
+def persist(entries=(), hard_state=None, snapshot=None, compact_index=0):
+    """Returns a Persist of (index, term) pairs."""
+    made = Persist(1)
+    made.entries = [
+        Entry(index, term, DATA, b"entry %d" % index)
+        for index, term in entries
+    ]
+    made.hard_state = hard_state
+    made.snapshot = snapshot
+    made.compact_index = compact_index
+    return made
+
+
+def pairs(opened):
+    """Returns the recovered (index, term) pairs."""
+    return [(e.index, e.term) for e in opened.recovered.entries]
+
+
+@pytest.fixture
+def directory(tmp_path):
+    """A data directory with a vote and three synced batches."""
+    path = tmp_path / "data"
+    journal = open_directory(path, "test", "a").journal
+    journal.write([persist(hard_state=HardState(3, "b/1"))])
+    for index in (1, 2, 3):
+        journal.write([persist([(index, 1)])])
+    journal.close()
+    return path
+
+
+def reopen(path, node="a"):
+    """Opens a directory and closes its files again."""
+    opened = open_directory(path, "test", node)
+    opened.journal.close()
+    return opened
+
+
+def test_reopening_returns_what_was_synced(directory):
+    """Guards against losing entries, term or vote in a restart."""
+    for _ in range(3):
+        opened = reopen(directory)
+        assert pairs(opened) == [(1, 1), (2, 1), (3, 1)]
+        assert opened.recovered.hard_state.vote == "b/1"
+        assert not opened.damage
+
+
+def test_write_cut_off_at_each_byte_is_dropped(directory, tmp_path):
+    """Guards against half a record being read or taken for damage."""
+    segment = sorted(directory.glob("segment-*"))[-1]
+    data = segment.read_bytes()
+    start = data.rfind(b"WGJ")
+    for size in range(start, len(data)):
+        copy = tmp_path / f"copy{size}"
+        shutil.copytree(directory, copy)
+        (copy / segment.name).write_bytes(data[:size])
+        opened = open_directory(copy, "test", "a")
+        assert not opened.damage, f"cut at byte {size}"
+        assert pairs(opened) == [(1, 1), (2, 1)]
+        opened.journal.write([persist([(3, 2)])])
+        opened.journal.close()
+        assert pairs(reopen(copy)) == [(1, 1), (2, 1), (3, 2)]
+
+
+def test_flipped_bit_in_the_middle_costs_the_identity(directory, tmp_path):
+    """Guards against a vote of a replica that lost acknowledged entries."""
+    segment = sorted(directory.glob("segment-*"))[-1]
+    data = segment.read_bytes()
+    before = reopen(directory)
+    for position in range(0, data.rfind(b"WGJ"), 7):
+        copy = tmp_path / f"copy{position}"
+        shutil.copytree(directory, copy)
+        damaged = bytearray(data)
+        damaged[position] ^= 0x10
+        (copy / segment.name).write_bytes(damaged)
+        opened = reopen(copy)
+        assert opened.damage, f"bit flipped at byte {position}"
+        assert opened.replica_id != before.replica_id
+        assert pairs(opened) == []
+        assert opened.recovered.hard_state.term == 0
+        assert (copy / "damaged" / segment.name).exists()
+
+
+def remove_segment(path):
+    """Removes the oldest segment."""
+    sorted(path.glob("segment-*"))[0].unlink()
+
+
+def remove_identity(path):
+    """Removes the identity file."""
+    (path / "identity").unlink()
+
+
+def damage_snapshot(path):
+    """Flips a bit at the end of the newest snapshot."""
+    snapshot = Snapshot(3, 1, MEMBERS, b"state")
+    write_snapshot(path, snapshot)
+    file = sorted(path.glob("snapshot-*"))[-1]
+    data = bytearray(file.read_bytes())
+    data[-1] ^= 1
+    file.write_bytes(data)
+
+
+def remove_snapshot(path):
+    """Removes the snapshot that the log continues."""
+    write_snapshot(path, Snapshot(9, 1, MEMBERS, b"state"))
+    reopen(path)
+    sorted(path.glob("snapshot-*"))[-1].unlink()
+
+
+def replace_identity(path):
+    """Puts the identity of another directory in place."""
+    other = path.with_name("other")
+    reopen(other)
+    shutil.copy(other / "identity", path / "identity")
+
+
+@pytest.mark.parametrize(
+    "damage",
+    [
+        remove_segment,
+        remove_identity,
+        remove_snapshot,
+        damage_snapshot,
+        replace_identity,
+    ],
+)
+def test_lost_files_cost_the_identity(directory, damage):
+    """Guards against a partly lost directory that still votes."""
+    before = reopen(directory)
+    damage(directory)
+    opened = reopen(directory)
+    assert opened.damage
+    assert opened.durable
+    assert opened.replica_id != before.replica_id
+    assert (pairs(opened), opened.recovered.snapshot) == ([], None)
+    assert reopen(directory).replica_id == opened.replica_id
+
+
+def test_swapped_directory_is_left_alone_without_a_vote(directory):
+    """Guards against one disk that counts as two voters."""
+    before = reopen(directory)
+    files = {path: path.read_bytes() for path in directory.iterdir()}
+    opened = reopen(directory, "b")
+    assert not opened.durable
+    assert opened.replica_id.startswith("b/")
+    assert files == {p: p.read_bytes() for p in directory.iterdir()}
+    assert reopen(directory).replica_id == before.replica_id
+
+
+def test_directory_in_use_is_refused(directory):
+    """Guards against two processes that write one journal."""
+    opened = open_directory(directory, "test", "a")
+    with pytest.raises(BlockingIOError):
+        open_directory(directory, "test", "a")
+    opened.journal.close()
+
+
+def test_newer_format_is_refused_and_kept(directory):
+    """Guards against a downgrade that sets data aside."""
+    segment = sorted(directory.glob("segment-*"))[-1]
+    header = SegmentHeader(99, 1, "x", HardState(0, ""), 0, False)
+    segment.write_bytes(encode_record(header))
+    with pytest.raises(FormatError):
+        open_directory(directory, "test", "a")
+    assert segment.exists()
+
+
+@pytest.mark.parametrize("name", ["write_all", "sync_file"])
+def test_failed_write_is_never_retried(directory, monkeypatch, name):
+    """Guards against a second sync that reports success falsely."""
+    opened = open_directory(directory, "test", "a")
+    calls = []
+
+    def fail(*arguments):
+        calls.append(arguments)
+        raise OSError(errno.ENOSPC, "no space left on device")
+
+    monkeypatch.setattr(durable_files, name, fail)
+    for _ in range(2):
+        with pytest.raises(JournalError):
+            opened.journal.write([persist([(4, 1)])])
+    assert len(calls) == 1
+    opened.journal.close()
+
+
+def test_snapshot_without_its_segment_drops_a_log_that_conflicts(directory):
+    """Guards a crash between a received snapshot and the new segment."""
+    write_snapshot(directory, Snapshot(2, 9, MEMBERS, b"state"))
+    opened = open_directory(directory, "test", "a")
+    assert pairs(opened) == []
+    opened.journal.write([persist([(3, 9)])])
+    opened.journal.close()
+    assert pairs(reopen(directory)) == [(3, 9)]
+
+
+class Model:
+    """What the journal must return after any writes."""
+
+    def __init__(self):
+        self.entries = []
+        self.hard_state = HardState(0, "")
+        self.base = (0, 0)
+
+    def random_persist(self, source):
+        """Returns a random Persist and applies it to the model."""
+        last = self.entries[-1] if self.entries else self.base
+        kind = source.randrange(10)
+        if kind == 0:
+            self.hard_state = HardState(self.hard_state.term + 1, "b/1")
+            return persist(hard_state=self.hard_state)
+        if kind == 1 and self.entries:
+            self.base = source.choice(self.entries)
+            self.entries = [e for e in self.entries if e > self.base]
+            return None
+        if kind == 2:
+            self.base = (last[0] + source.randrange(1, 9), last[1] + 1)
+            self.entries = []
+            return persist(snapshot=Snapshot(*self.base, MEMBERS, b"state"))
+        first, term = last[0] + 1, last[1]
+        if kind < 5 and self.entries:
+            first = source.choice(self.entries)[0]
+            term += 1
+        new = [(first + step, term) for step in range(source.randrange(1, 5))]
+        self.entries = [e for e in self.entries if e[0] < first] + new
+        return persist(new)
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_random_writes_and_restarts_agree_with_a_model(
+    tmp_path, monkeypatch, seed
+):
+    """Guards against compaction or replacement that loses entries."""
+    monkeypatch.setattr(journals, "SEGMENT_BYTES", 300)
+    source = random.Random(seed)
+    model = Model()
+    path = tmp_path / "data"
+    opened = open_directory(path, "test", "a")
+    for _ in range(60):
+        made = model.random_persist(source)
+        if made is None:
+            write_snapshot(path, Snapshot(*model.base, MEMBERS, b"state"))
+            made = persist(compact_index=model.base[0])
+        opened.journal.write([made])
+        if source.random() < 0.2:
+            opened.journal.close()
+            opened = open_directory(path, "test", "a")
+            assert not opened.damage
+            assert pairs(opened) == model.entries
+            assert opened.recovered.hard_state.term == model.hard_state.term
+    assert len(list(path.glob("snapshot-*"))) <= 1
+    opened.journal.close()
--- a/wigeonport/journal_records.py
+++ b/wigeonport/journal_records.py
@@ -24,17 +24,29 @@
         number: Number of the segment, from 1.
         identity: Identity of the data directory.
         hard_state: Term and vote when the segment was started.
-        base_index: If not -1, the log starts anew after this index.
+        last_index: Last index of the log when the segment was started;
+            shows whether an earlier segment is missing.
+        starts_anew: Whether the earlier segments hold no part of the log.
     """
 
-    __slots__ = ("format", "number", "identity", "hard_state", "base_index")
+    __slots__ = (
+        "format",
+        "number",
+        "identity",
+        "hard_state",
+        "last_index",
+        "starts_anew",
+    )
 
-    def __init__(self, format, number, identity, hard_state, base_index):
+    def __init__(
+        self, format, number, identity, hard_state, last_index, starts_anew
+    ):
         self.format = format
         self.number = number
         self.identity = identity
         self.hard_state = hard_state
-        self.base_index = base_index
+        self.last_index = last_index
+        self.starts_anew = starts_anew
 
 
 @message_kinds.register("JournalBatch")
--- a/wigeonport/journals.py
+++ b/wigeonport/journals.py
@@ -53,6 +53,7 @@
         identity: Identity in the segment headers.
         segments: Segments, oldest first.
         hard_state: Last durable HardState.
+        last_index: Last durable index of the log.
         descriptor: Open file of the newest segment.
         size_bytes: Size of the newest segment.
         failed: Whether a write failed; the journal is then unusable.
@@ -64,6 +65,7 @@
         "identity",
         "segments",
         "hard_state",
+        "last_index",
         "descriptor",
         "size_bytes",
         "failed",
@@ -75,6 +77,7 @@
         self.identity = identity
         self.segments = segments
         self.hard_state = hard_state or HardState(0, "")
+        self.last_index = 0
         self.descriptor = -1
         self.size_bytes = 0
         self.failed = False
@@ -115,7 +118,7 @@
         if batch.hard_state is None and not batch.entries:
             return
         if self.size_bytes >= SEGMENT_BYTES:
-            self.start_segment(-1)
+            self.start_segment()
         data = encode_record(batch)
         durable_files.write_all(self.descriptor, data)
         durable_files.sync_file(self.descriptor)
@@ -124,12 +127,14 @@
         segment = self.segments[-1]
         for entry in batch.entries:
             segment.last_index = max(segment.last_index, entry.index)
+            self.last_index = entry.index
 
     def _install(self, persist):
         """Writes a received snapshot and starts the log after it."""
         self.hard_state = persist.hard_state or self.hard_state
         write_snapshot(self.directory, persist.snapshot)
-        self.start_segment(persist.snapshot.index)
+        self.last_index = persist.snapshot.index
+        self.start_segment(starts_anew=True)
         self._remove(self.segments[:-1])
         remove_older(self.directory)
 
@@ -151,16 +156,22 @@
         if segments:
             durable_files.sync_directory(self.directory)
 
-    def start_segment(self, base_index):
+    def start_segment(self, starts_anew=False):
         """Starts a new segment file.
 
         Args:
-            base_index: -1, or the index after which the log starts anew.
+            starts_anew: Whether the log continues a snapshot and no
+                earlier segment.
         """
         number = self.segments[-1].number + 1 if self.segments else 1
         path = self.directory / f"{PREFIX}{number:010d}"
         header = SegmentHeader(
-            FORMAT, number, self.identity, self.hard_state, base_index
+            FORMAT,
+            number,
+            self.identity,
+            self.hard_state,
+            self.last_index,
+            starts_anew,
         )
         flags = os.O_WRONLY | os.O_CREAT | os.O_EXCL | os.O_APPEND
         descriptor = os.open(path, flags, 0o600)
--- a/wigeonport/recoveries.py
+++ b/wigeonport/recoveries.py
@@ -104,7 +104,7 @@
     journal = Journal(directory, identity.identity, [], None, lock)
     # The identity comes first: a segment without it counts as damage.
     write_identity(directory, identity)
-    journal.start_segment(-1)
+    journal.start_segment()
     durable_files.sync_directory(directory.parent)
     return Opened(identity.replica_id(), True, journal, Recovered(), damage)
 
@@ -128,13 +128,20 @@
     segments = _read_segments(directory, identity, replay)
     if not segments:
         raise DamageError("there is no segment")
+    base_index = snapshot.index if snapshot else 0
+    if replay.missing_index > base_index:
+        raise DamageError(f"entries up to {replay.missing_index} are missing")
     entries = _entries_after(snapshot, replay.entries)
     recovered = Recovered(replay.hard_state, snapshot, entries)
     journal = Journal(
         directory, identity.identity, segments, replay.hard_state, lock
     )
+    if entries:
+        journal.last_index = entries[-1].index
+    elif snapshot:
+        journal.last_index = snapshot.index
     starts_anew = snapshot is not None and not entries
-    journal.start_segment(snapshot.index if starts_anew else -1)
+    journal.start_segment(starts_anew)
     return Opened(identity.replica_id(), True, journal, recovered, "")
 
 
@@ -144,13 +151,17 @@
     Attributes:
         entries: Entries of the log.
         hard_state: Newest HardState.
+        missing_index: Last index that only a snapshot may hold.
+        is_first: Whether no segment has been read yet.
     """
 
-    __slots__ = ("entries", "hard_state")
+    __slots__ = ("entries", "hard_state", "missing_index", "is_first")
 
     def __init__(self):
         self.entries = []
         self.hard_state = HardState(0, "")
+        self.missing_index = 0
+        self.is_first = True
 
     def take(self, record):
         """Applies a record.
@@ -160,8 +171,11 @@
         """
         if isinstance(record, SegmentHeader):
             self.hard_state = record.hard_state
-            if record.base_index >= 0:
+            if self.is_first or record.starts_anew:
+                self.missing_index = record.last_index
+            if record.starts_anew:
                 self.entries = []
+            self.is_first = False
             return
         self.hard_state = record.hard_state or self.hard_state
         for entry in record.entries:
--- a/wigeonport/replication.thrift
+++ b/wigeonport/replication.thrift
@@ -17,7 +17,8 @@
   2: required i64 number
   3: required string identity
   4: required HardState hard_state
-  5: required i64 base_index
+  5: required i64 last_index
+  6: required bool starts_anew
 }
 
 struct JournalBatch {
