--- a/tools/callers.py
+++ b/tools/callers.py
@@ -18,6 +18,7 @@
 DEADLINES_MS = (1_000, 3_000, 5_000)
 FAILURES = ("close", "short", "foreign")
 MAX_SENDS = 4
+MAX_UNREACHABLE = 20
 WHOLE, PARTIAL, FOREIGN, ABSENT = "whole", "partial", "foreign", "absent"
 NO_OUTCOME = "none"
 
@@ -208,7 +209,12 @@
 
 
 async def send_once(pool, call, entry, number):
-    """Sends a call to one entry; returns the Sent."""
+    """Sends a call to one entry.
+
+    Returns:
+        The Sent, or None if the entry accepts no connection; the platform's
+        balancer turns to another entry then.
+    """
     sent = Sent(call, entry, number)
     url = f"http://{entry}/{call.service}/work"
     timeout_ms = call.deadline_ms + CALLER_MARGIN_MS
@@ -218,6 +224,8 @@
                 call.method, url, headers=call.headers, content=call.body
             )
         read_response(sent, response)
+    except (httpcore.ConnectError, httpcore.ConnectTimeout):
+        return None
     except trio.TooSlowError:
         sent.reason = "no response"
     except (
@@ -257,12 +265,17 @@
 
 async def perform(pool, call, random, options, report):
     """Sends a call until its outcome is known; reports each sending."""
-    number, last = 0, None
+    number, last, unreachable = 1, None, 0
     while True:
-        number += 1
         others = [entry for entry in options.entries if entry != last]
         last = random.choice(others or options.entries)
         sent = await send_once(pool, call, last, number)
+        if sent is None:
+            unreachable += 1
+            if unreachable > MAX_UNREACHABLE:
+                return
+            continue
+        number += 1
         await report(sent)
         if not wants_resend(sent):
             return
--- a/tools/fleet_runner.py
+++ b/tools/fleet_runner.py
@@ -64,8 +64,17 @@
         self.processes[name] = process
         return process
 
-    def plan(self, endpoints_per_zone=ENDPOINTS_PER_ZONE, vms=()):
-        """Adds all processes of the deployment."""
+    def plan(
+        self, endpoints_per_zone=ENDPOINTS_PER_ZONE, vms=(), document=None
+    ):
+        """Adds all processes of the deployment.
+
+        Args:
+            endpoints_per_zone: Endpoints of each service in each zone.
+            vms: Workers that the platform stand-in knows.
+            document: Path of a fixed fleet version. If given, a publisher
+                of this version runs in place of each control.
+        """
         deployment = self.deployment
         deployment.write()
         relays = [r.to_argument() for r in deployment.relays.values()]
@@ -78,13 +87,20 @@
             ],
         )
         for node in deployment.nodes.values():
-            path = deployment.settings_path(node)
-            for role in ("control", "entry"):
-                module = f"wigeonport.{role}_main"
-                self.add(f"{role}/{node.node_id}", ["-m", module, path])
+            self.plan_node(node, document)
         for zone in dict.fromkeys(n.zone for n in deployment.nodes.values()):
             self.plan_endpoints(zone, endpoints_per_zone)
 
+    def plan_node(self, node, document):
+        """Adds the programs of a VM."""
+        path = self.deployment.settings_path(node)
+        control = ["-m", "wigeonport.control_main", path]
+        if document is not None:
+            control = [STANDINS / "control_publisher.py", path, document]
+        self.add(f"control/{node.node_id}", control)
+        entry = ["-m", "wigeonport.entry_main", path]
+        self.add(f"entry/{node.node_id}", entry)
+
     def plan_endpoints(self, zone, count):
         """Adds the process with the endpoint stand-ins of a zone."""
         deployment = self.deployment
