Print the merged events in the demo

The events of all running programs are merged in causal order at the end of the demo. The endpoint stand-in now also changes the tag of a response that belongs to another request, so that a relay that lets it through is seen.

--- a/tools/demo_steps.py
+++ b/tools/demo_steps.py
@@ -9,13 +9,17 @@
 from load import run_load
 from operators_client import load_fleet_patch
 
+from wigeonport.findings import Findings
 from wigeonport.registries import Registry
+from wigeonport.timelines import merge, read_lines, render
 
 steps = Registry("demo step")
 
 WAIT_S = 20.0
 POLL_S = 0.1
 STOP_S = 12.0
+PRINTED_EVENTS = 40
+PRINTED_WIDTH = 120
 DRAINED_POOL = "cortege"
 BUDGET = 2
 
@@ -303,3 +307,22 @@
     """Returns ``vm pool`` of each worker of the fleet document."""
     fleet = document.get("fleet", document)
     return [worker["id"] for worker in fleet["workers"] if worker["pool"]]
+
+
+@steps.register("13 merge the event logs")
+async def merge_events(demo):
+    """Prints the latest events of all processes in causal order."""
+    findings, events = Findings(), []
+    names = [name for name in demo.runner.processes if "/" in name]
+    for name in names:
+        if not name.startswith(("entry/", "control/")):
+            continue
+        answer = await demo.runner.get(name, "/events")
+        if answer is not None and answer.status == 200:
+            events += read_lines(name, answer.body.splitlines(), findings)
+    merged = merge(events)
+    demo.note(f"{len(merged)} events of the running programs, merged:")
+    for event in merged[-PRINTED_EVENTS:]:
+        print(f"            {render(event)}"[:PRINTED_WIDTH])
+    for line in findings.lines():
+        demo.note(f"event log: {line}")
--- a/tools/standins/endpoint.py
+++ b/tools/standins/endpoint.py
@@ -180,6 +180,7 @@
     extra = [("content-type", "application/json")]
     if failure == "foreign":
         headers["wigeonport-request-id"] = f"not-{request_id}"
+        content = content.replace(b'"tag": "', b'"tag": "not-')
     if failure == "short":
         await reply_short(stream, connection, headers, content)
         return False
