--- /dev/null
+++ b/tools/failures.py
@@ -0,0 +1,107 @@
+"""Failures that the soak injects; each is undone after a while."""
+
+import signal
+
+import trio
+
+from wigeonport.registries import Registry
+
+failures = Registry("failure")
+
+ZONES = ("ikeja", "lekki", "yaba")
+STOP_TIMEOUT_S = 12.0
+
+
+async def kill_and_restart(runner, name, hold_s):
+    """Kills a program and starts it again."""
+    process = runner.processes[name]
+    await process.kill()
+    await trio.sleep(hold_s)
+    await process.start()
+    await runner.wait_healthy([name])
+
+
+@failures.register("kill entry")
+async def kill_entry(runner, random, hold_s):
+    """Kills an entry."""
+    node_id = random.choice(sorted(runner.deployment.nodes))
+    fault = runner.begin_fault("kill", [node_id])
+    await kill_and_restart(runner, f"entry/{node_id}", hold_s)
+    runner.end_fault(fault)
+
+
+@failures.register("kill control")
+async def kill_control(runner, random, hold_s):
+    """Kills a control."""
+    node_id = random.choice(sorted(runner.deployment.nodes))
+    await kill_and_restart(runner, f"control/{node_id}", hold_s)
+
+
+@failures.register("freeze entry")
+async def freeze_entry(runner, random, hold_s):
+    """Stops an entry without its knowledge."""
+    node_id = random.choice(sorted(runner.deployment.nodes))
+    process = runner.processes[f"entry/{node_id}"]
+    fault = runner.begin_fault("freeze", [node_id])
+    process.freeze()
+    await trio.sleep(hold_s)
+    process.thaw()
+    runner.end_fault(fault)
+
+
+@failures.register("freeze control")
+async def freeze_control(runner, random, hold_s):
+    """Stops a control without its knowledge, a leader for example."""
+    node_id = random.choice(sorted(runner.deployment.nodes))
+    process = runner.processes[f"control/{node_id}"]
+    process.freeze()
+    await trio.sleep(hold_s)
+    process.thaw()
+
+
+@failures.register("cut zone")
+async def cut_zone(runner, random, hold_s):
+    """Closes all links from and to a zone."""
+    await runner.relay(f"cut {random.choice(ZONES)}")
+    await trio.sleep(hold_s)
+    await runner.relay("heal")
+
+
+@failures.register("hold zone")
+async def hold_zone(runner, random, hold_s):
+    """Lets a zone's links stay open without carrying anything."""
+    await runner.relay(f"hold {random.choice(ZONES)}")
+    await trio.sleep(hold_s)
+    await runner.relay("heal")
+
+
+@failures.register("silence connections")
+async def silence_connections(runner, random, hold_s):
+    """Silences a zone's open links for good; new ones work."""
+    await runner.relay(f"silence {random.choice(ZONES)}")
+    await trio.sleep(hold_s)
+
+
+@failures.register("endpoint leaves")
+async def leave_endpoint(runner, random, hold_s):
+    """Lets an endpoint of a zone leave and come back."""
+    zone = random.choice(ZONES)
+    runner.processes[f"endpoints/{zone}"].send(signal.SIGUSR1)
+    await trio.sleep(hold_s)
+
+
+@failures.register("stop entry")
+async def stop_entry(runner, random, hold_s):
+    """Stops an entry gracefully and starts it again.
+
+    No fault is recorded: a planned stop must not lose a request.
+    """
+    node_id = random.choice(sorted(runner.deployment.nodes))
+    process = runner.processes[f"entry/{node_id}"]
+    if not process.running:
+        return
+    process.thaw()
+    await process.stop(STOP_TIMEOUT_S)
+    await trio.sleep(hold_s)
+    await process.start()
+    await runner.wait_healthy([process.name])
