Add benchmarks; reserve VMs in the soak

Two failures that restarted the same program could leave one copy without an owner; each now reserves its VM. Relay commands no longer wait for answers, so that failures which overlap can send them.

--- /dev/null
+++ b/bench/footprint.py
@@ -0,0 +1,221 @@
+"""Memory, processor time and bytes of each process, at several sizes.
+
+Each size is a deployment of 7 VMs whose entries each get announcements of
+that many endpoints. After it settled, every process is observed idle, then
+the entries under a paced load. Run with ``PYTHONPATH=tools:.``.
+"""
+
+import argparse
+import statistics
+import tempfile
+import time
+
+import trio
+from deployments import SERVICES, Deployment
+from fleet_runner import STANDINS, FleetRunner
+from measures import (
+    describe_machine,
+    fit_slope,
+    load_paced,
+    read_cpu_s,
+    read_resident_mb,
+)
+from operators_client import OperatorsClient, load_fleet_patch
+
+SETTLE_S = 6.0
+POLL_S = 0.3
+START_S = 30.0
+LOAD_PER_ENTRY_PER_S = 10
+SERVICE = SERVICES[0]
+
+
+class Usage:
+    """What one process used during a window.
+
+    Attributes:
+        name: Name of the process.
+        cpu_percent: Share of one core.
+        resident_mb: Resident memory at the end.
+        sent_bytes_per_s: Bytes a second that it sent over links.
+    """
+
+    __slots__ = ("name", "cpu_percent", "resident_mb", "sent_bytes_per_s")
+
+    def __init__(self, name, cpu_percent, resident_mb, sent_bytes_per_s):
+        self.name = name
+        self.cpu_percent = cpu_percent
+        self.resident_mb = resident_mb
+        self.sent_bytes_per_s = sent_bytes_per_s
+
+
+def plan(runner, endpoints):
+    """Adds the programs and, for each entry, its endpoints."""
+    deployment = runner.deployment
+    runner.plan(endpoints_per_zone=0)
+    for name in [n for n in runner.processes if n.startswith("endpoints/")]:
+        del runner.processes[name]
+    for node in deployment.nodes.values():
+        arguments = [STANDINS / "endpoint_group.py"]
+        for number in range(endpoints):
+            service = SERVICES[number % len(SERVICES)]
+            member = f"{service}-{node.node_id}-{number}"
+            port = deployment.ports.take()
+            arguments += ["--member", f"{member}:{service}:{node.zone}:{port}"]
+        arguments += ["--entry", node.address("announcements_port")]
+        arguments += ["--log", runner.run_log(node.node_id)]
+        runner.add(f"endpoints/{node.node_id}", arguments)
+
+
+async def apply_first_version(runner):
+    """Submits the first patch until it is accepted."""
+    operators = OperatorsClient(runner)
+    patch = load_fleet_patch()
+    with trio.fail_after(START_S):
+        while True:
+            answer = await operators.submit(
+                "ikeja-1", "bench", 0, patch["reason"], patch["operations"]
+            )
+            if answer is not None and answer.status == 200:
+                break
+            await trio.sleep(POLL_S)
+        status = None
+        while status is None:
+            status = await operators.status("ikeja-1")
+    return status["leader"].split("/")[0]
+
+
+async def read_sent(runner, name):
+    """Returns the bytes that a program has sent over links."""
+    metrics = await runner.metrics(name)
+    return metrics["counters"].get("links_sent_bytes", 0)
+
+
+async def observe(runner, seconds):
+    """Returns the Usage of every program over some seconds."""
+    names = [
+        name
+        for name in runner.processes
+        if name.startswith(("entry/", "control/"))
+    ]
+    sent = {name: await read_sent(runner, name) for name in names}
+    pids = {name: runner.processes[name].pid for name in names}
+    cpu_s = {name: read_cpu_s(pid) for name, pid in pids.items()}
+    started_s = time.monotonic()
+    await trio.sleep(seconds)
+    spent_s = time.monotonic() - started_s
+    usages = []
+    for name, pid in pids.items():
+        cpu = (read_cpu_s(pid) - cpu_s[name]) / spent_s * 100
+        resident_mb = read_resident_mb(pid)
+        usages.append(Usage(name, cpu, resident_mb, 0.0))
+    for usage in usages:
+        total = await read_sent(runner, usage.name) - sent[usage.name]
+        usage.sent_bytes_per_s = total / (time.monotonic() - started_s)
+    return usages
+
+
+def role_of(runner, name, leader):
+    """Returns ``entry``, ``leader``, ``follower`` or ``learner``."""
+    role, node_id = name.split("/")
+    if role == "entry":
+        return role
+    if node_id == leader:
+        return "leader"
+    votes = runner.deployment.nodes[node_id].votes
+    return "follower" if votes else "learner"
+
+
+def summarize(runner, usages, leader):
+    """Returns the median Usage by role."""
+    by_role = {}
+    for usage in usages:
+        role = role_of(runner, usage.name, leader)
+        by_role.setdefault(role, []).append(usage)
+    return {
+        role: Usage(
+            role,
+            *(
+                statistics.median(getattr(usage, field) for usage in listed)
+                for field in Usage.__slots__[1:]
+            ),
+        )
+        for role, listed in by_role.items()
+    }
+
+
+def print_usages(endpoints, state, by_role):
+    """Prints one line for each role."""
+    for role in sorted(by_role):
+        usage = by_role[role]
+        print(
+            f"{endpoints:>4} endpoints/entry, {state:<4} {role:<8} "
+            f"cpu {usage.cpu_percent:6.2f} % of a core, "
+            f"memory {usage.resident_mb:6.1f} MB, "
+            f"links {usage.sent_bytes_per_s / 1_000:6.2f} KB/s"
+        )
+
+
+async def load_entries(runner, seconds):
+    """Sends a paced load to every entry."""
+    async with trio.open_nursery() as nursery:
+        for address in runner.deployment.entries():
+            url = f"http://{address}/{SERVICE}/work"
+            nursery.start_soon(load_paced, url, LOAD_PER_ENTRY_PER_S, seconds)
+
+
+async def measure_size(endpoints, seconds, folder):
+    """Returns the idle Usage by role at one size."""
+    runner = FleetRunner(Deployment(folder))
+    plan(runner, endpoints)
+    try:
+        await runner.start()
+        leader = await apply_first_version(runner)
+        await trio.sleep(SETTLE_S)
+        idle = summarize(runner, await observe(runner, seconds), leader)
+        print_usages(endpoints, "idle", idle)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(load_entries, runner, seconds)
+            loaded = await observe(runner, seconds)
+        print_usages(endpoints, "load", summarize(runner, loaded, leader))
+    finally:
+        runner.kill_all()
+    return idle
+
+
+def print_slopes(sizes):
+    """Prints how the figures grow with the endpoints of an entry."""
+    for role in ("entry", "leader", "follower", "learner"):
+        for field in Usage.__slots__[1:]:
+            points = [
+                (endpoints, getattr(by_role[role], field))
+                for endpoints, by_role in sizes.items()
+            ]
+            slope, base = fit_slope(points)
+            print(
+                f"{role:<8} {field:<17} {base:10.3f} + "
+                f"{slope:.5f} for each endpoint of an entry"
+            )
+
+
+def main():
+    """Measures all sizes."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=15)
+    parser.add_argument(
+        "--endpoints", type=int, nargs="+", default=[28, 56, 112]
+    )
+    options = parser.parse_args()
+    print("before:", describe_machine())
+    print(f"load: {LOAD_PER_ENTRY_PER_S} requests/s at each entry")
+    sizes = {}
+    for endpoints in options.endpoints:
+        with tempfile.TemporaryDirectory(prefix="wigeonport-") as folder:
+            sizes[endpoints] = trio.run(
+                measure_size, endpoints, options.seconds, folder
+            )
+    print_slopes(sizes)
+    print("after:", describe_machine())
+
+
+if __name__ == "__main__":
+    main()
--- a/tools/failures.py
+++ b/tools/failures.py
@@ -1,5 +1,6 @@
 """Failures that the soak injects; each is undone after a while."""
 
+import contextlib
 import signal
 
 import trio
@@ -12,6 +13,22 @@
 STOP_TIMEOUT_S = 12.0
 
 
+@contextlib.contextmanager
+def reserve_node(runner, random):
+    """Picks a VM that no other failure is using.
+
+    Two failures that both restart a program would leave one copy of it
+    without an owner.
+    """
+    free = sorted(runner.deployment.nodes.keys() - runner.busy)
+    node_id = random.choice(free)
+    runner.busy.add(node_id)
+    try:
+        yield node_id
+    finally:
+        runner.busy.discard(node_id)
+
+
 async def kill_and_restart(runner, name, hold_s):
     """Kills a program and starts it again."""
     process = runner.processes[name]
@@ -24,55 +41,57 @@
 @failures.register("kill entry")
 async def kill_entry(runner, random, hold_s):
     """Kills an entry."""
-    node_id = random.choice(sorted(runner.deployment.nodes))
-    fault = runner.begin_fault("kill", [node_id])
-    await kill_and_restart(runner, f"entry/{node_id}", hold_s)
-    runner.end_fault(fault)
+    with reserve_node(runner, random) as node_id:
+        fault = runner.begin_fault("kill", [node_id])
+        await kill_and_restart(runner, f"entry/{node_id}", hold_s)
+        runner.end_fault(fault)
 
 
 @failures.register("kill control")
 async def kill_control(runner, random, hold_s):
     """Kills a control."""
-    node_id = random.choice(sorted(runner.deployment.nodes))
-    await kill_and_restart(runner, f"control/{node_id}", hold_s)
+    with reserve_node(runner, random) as node_id:
+        await kill_and_restart(runner, f"control/{node_id}", hold_s)
 
 
 @failures.register("freeze entry")
 async def freeze_entry(runner, random, hold_s):
     """Stops an entry without its knowledge."""
-    node_id = random.choice(sorted(runner.deployment.nodes))
-    process = runner.processes[f"entry/{node_id}"]
-    fault = runner.begin_fault("freeze", [node_id])
-    process.freeze()
-    await trio.sleep(hold_s)
-    process.thaw()
-    runner.end_fault(fault)
+    with reserve_node(runner, random) as node_id:
+        process = runner.processes[f"entry/{node_id}"]
+        fault = runner.begin_fault("freeze", [node_id])
+        process.freeze()
+        await trio.sleep(hold_s)
+        process.thaw()
+        runner.end_fault(fault)
 
 
 @failures.register("freeze control")
 async def freeze_control(runner, random, hold_s):
     """Stops a control without its knowledge, a leader for example."""
-    node_id = random.choice(sorted(runner.deployment.nodes))
-    process = runner.processes[f"control/{node_id}"]
-    process.freeze()
-    await trio.sleep(hold_s)
-    process.thaw()
+    with reserve_node(runner, random) as node_id:
+        process = runner.processes[f"control/{node_id}"]
+        process.freeze()
+        await trio.sleep(hold_s)
+        process.thaw()
 
 
 @failures.register("cut zone")
 async def cut_zone(runner, random, hold_s):
     """Closes all links from and to a zone."""
-    await runner.relay(f"cut {random.choice(ZONES)}")
+    zone = random.choice(ZONES)
+    await runner.relay(f"cut {zone}")
     await trio.sleep(hold_s)
-    await runner.relay("heal")
+    await runner.relay(f"heal {zone}")
 
 
 @failures.register("hold zone")
 async def hold_zone(runner, random, hold_s):
     """Lets a zone's links stay open without carrying anything."""
-    await runner.relay(f"hold {random.choice(ZONES)}")
+    zone = random.choice(ZONES)
+    await runner.relay(f"hold {zone}")
     await trio.sleep(hold_s)
-    await runner.relay("heal")
+    await runner.relay(f"heal {zone}")
 
 
 @failures.register("silence connections")
@@ -96,12 +115,9 @@
 
     No fault is recorded: a planned stop must not lose a request.
     """
-    node_id = random.choice(sorted(runner.deployment.nodes))
-    process = runner.processes[f"entry/{node_id}"]
-    if not process.running:
-        return
-    process.thaw()
-    await process.stop(STOP_TIMEOUT_S)
-    await trio.sleep(hold_s)
-    await process.start()
-    await runner.wait_healthy([process.name])
+    with reserve_node(runner, random) as node_id:
+        process = runner.processes[f"entry/{node_id}"]
+        await process.stop(STOP_TIMEOUT_S)
+        await trio.sleep(hold_s)
+        await process.start()
+        await runner.wait_healthy([process.name])
--- a/tools/fleet_runner.py
+++ b/tools/fleet_runner.py
@@ -44,15 +44,17 @@
         deployment: The Deployment.
         processes: ManagedProcess by name, ``entry/ikeja-1`` for example.
         faults: Injected faults, as the checker of outcomes reads them.
+        busy: VMs that a failure is using.
         pool: HTTP connections of the tool.
     """
 
-    __slots__ = ("deployment", "processes", "faults", "pool")
+    __slots__ = ("deployment", "processes", "faults", "busy", "pool")
 
     def __init__(self, deployment):
         self.deployment = deployment
         self.processes = {}
         self.faults = []
+        self.busy = set()
         self.pool = httpcore.AsyncConnectionPool(max_connections=64)
 
     def add(self, name, arguments, piped=False):
@@ -223,7 +225,7 @@
 
     async def relay(self, line):
         """Sends a command to the relays."""
-        return await self.processes["relays"].command(line)
+        await self.processes["relays"].command(line)
 
     async def stop(self):
         """Stops all processes; returns the exit status by name.
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -20,7 +20,7 @@
         arguments: Command line after the interpreter.
         log_path: File with its standard error and output.
         process: trio.Process, or None before the start.
-        piped: Whether the tool talks to it over its standard streams.
+        piped: Whether the tool writes to its standard input.
     """
 
     __slots__ = ("name", "arguments", "log_path", "process", "piped")
@@ -40,7 +40,7 @@
             self.process = await trio.lowlevel.open_process(
                 [sys.executable, *self.arguments],
                 stdin=pipe or subprocess.DEVNULL,
-                stdout=pipe or log,
+                stdout=log,
                 stderr=log,
                 env=environment,
                 cwd=self.log_path.parent,
@@ -89,12 +89,8 @@
         await self.wait(KILL_AFTER_S)
 
     async def command(self, line):
-        """Sends a line to a piped process and waits for its answer."""
+        """Sends a line to the standard input of a piped process."""
         await self.process.stdin.send_all(line.encode() + b"\n")
-        answer = b""
-        while not answer.endswith(b"\n"):
-            answer += await self.process.stdout.receive_some(4_096)
-        return answer
 
     def log_tail(self, count=20):
         """Returns the last lines of its log."""
--- a/tools/relays.py
+++ b/tools/relays.py
@@ -1,12 +1,12 @@
 """TCP relays that can hold or drop the traffic between two zones.
 
 Arguments name the relays as ``port:target_port:source_zone:target_zone``.
-Commands arrive on standard input, one a line; each is answered by ``ok``:
+Commands arrive on standard input, one a line:
 
 - ``cut ZONE``: close all connections from and to the zone; refuse new ones.
 - ``hold ZONE``: connections stay open, but carry nothing any more.
 - ``silence ZONE``: open connections carry nothing, new ones work.
-- ``heal``: ends the above; held connections stay dead.
+- ``heal ZONE``: ends the above; held connections stay dead.
 """
 
 import sys
@@ -82,10 +82,10 @@
 
 
 @commands.register("heal")
-def heal(relays, zone=None):
+def heal(relays, zone):
     """Lets new connections work again."""
-    relays.refused.clear()
-    relays.held.clear()
+    relays.refused.discard(zone)
+    relays.held.discard(zone)
 
 
 async def copy(source, target, connection):
@@ -138,9 +138,8 @@
     while data := await stream.receive_some(READ_BYTES):
         *lines, rest = (rest + data).split(b"\n")
         for line in lines:
-            name, *zones = line.decode().split()
-            commands.get(name).ok(relays, *zones)
-            print("ok", flush=True)
+            name, zone = line.decode().split()
+            commands.get(name).ok(relays, zone)
     scope.cancel()
 
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -43,7 +43,6 @@
         broken: Texts of what did not hold.
         accepted: Highest version that an operator was told is accepted.
         started_s: Monotonic time of the start.
-        busy: Names of the failures that are going on.
     """
 
     __slots__ = (
@@ -53,7 +52,6 @@
         "broken",
         "accepted",
         "started_s",
-        "busy",
     )
 
     def __init__(self, runner, seed):
@@ -63,7 +61,6 @@
         self.broken = []
         self.accepted = 0
         self.started_s = time.monotonic()
-        self.busy = set()
 
     def note(self, text):
         """Prints a line with the time since the start."""
