Never grant VMs of unknown state for nothing

Cause: the demo's grant for 3 VMs of a pool that can spare 2 was given. The planner knew none of the pool's VMs to be available (the stand-in got no zones), and a VM that the sender listed as unavailable cost no budget. Ruled out: a fault of the planner's view; it rightly counted the VMs as unknown. Change: only VMs that the log itself has taken away cost nothing; others are taken only if the pool keeps its budget without them. Controls that do not lead ask the leader for the health of the VMs. Conclusion: R1 holds for VMs that nobody has heard of.

--- a/tests/test_maintenance_states.py
+++ b/tests/test_maintenance_states.py
@@ -77,6 +77,16 @@
     assert "ended before" in grant("g-1", "vm-1").findings[0]
 
 
+def test_vms_of_unknown_state_are_not_granted_for_nothing(grant):
+    """Guards against a grant for a whole pool that nobody has heard of.
+
+    The demo found it: three VMs that the planner did not know to be
+    available were granted, although the budget is two.
+    """
+    names = ["vm-1", "vm-2", "vm-3"]
+    assert isinstance(grant("g-1", *names, unavailable=names), GrantRefused)
+
+
 def test_vm_of_an_expired_lease_counts_as_unavailable(live, grant):
     """Guards against a lease whose end frees budget by itself (R1)."""
     grant("g-1", "vm-1")
--- a/wigeonport/control_main.py
+++ b/wigeonport/control_main.py
@@ -13,6 +13,11 @@
 from wigeonport.credentials import load_tokens
 from wigeonport.demands import DemandReport
 from wigeonport.dialers import Dialer, listen
+from wigeonport.health_brokers import (
+    HealthBroker,
+    HealthRequest,
+    broker_health,
+)
 from wigeonport.histories import record_history
 from wigeonport.links import LinkClosed
 from wigeonport.logs import PartLogger
@@ -55,6 +60,7 @@
         requests: From the operators' edge to the state adapter.
         notices: From the consensus task to the version watcher.
         history: From the consensus task to the event recorder.
+        health: Queries for unavailable VMs.
         planner: Notices, reports, results and queries for the planner.
         plans: From the planner to its actor.
     """
@@ -66,6 +72,7 @@
         "requests",
         "notices",
         "history",
+        "health",
         "planner",
         "plans",
     )
@@ -79,6 +86,7 @@
         # A dropped notice does no harm: the watcher reads the state.
         self.notices = Mailbox("notices", bound, DROP_OLDEST)
         self.history = Mailbox("history", HISTORY_BOUND, DROP_OLDEST)
+        self.health = Mailbox("health", bound, REFUSE)
         # What the planner misses it reads again: it is resent by the
         # platform or found in the state at the next tick.
         self.planner = Mailbox("planner", PLANNER_BOUND, DROP_OLDEST)
@@ -96,6 +104,8 @@
             await boxes.publisher.put(delivery)
         elif isinstance(message, DemandReport):
             await boxes.planner.put(delivery)
+        elif isinstance(message, HealthRequest):
+            await boxes.health.put(delivery)
         elif isinstance(message, CLAIMS):
             await boxes.claims.put(delivery)
         else:
@@ -181,6 +191,8 @@
     nursery.start_soon(record_history, boxes.history, program.events)
     nursery.start_soon(broker_claims, boxes.claims, broker)
     nursery.start_soon(adapt_requests, boxes.requests, adapter)
+    health = HealthBroker(consensus.inbox, boxes.planner, dialers)
+    nursery.start_soon(broker_health, boxes.health, health)
     start_planner(nursery, program, boxes, consensus, dialers, adapter)
 
 
@@ -224,7 +236,7 @@
         program.clock,
         StatePort(boxes.requests, settings.propose_timeout_ms),
         boxes.publisher,
-        boxes.planner,
+        boxes.health,
     )
     info = ProcessInfo(program.metrics, program.events, program.stopping)
     await serve_http(
--- /dev/null
+++ b/wigeonport/health_brokers.py
@@ -0,0 +1,88 @@
+"""Health brokers: ask the leader which VMs are unavailable."""
+
+import trio
+
+from wigeonport.channels import ask
+from wigeonport.codecs import message_kinds
+from wigeonport.consensus_requests import StatusRequest
+from wigeonport.links import Delivery
+from wigeonport.state_requests import UnavailableQuery
+
+TIMEOUT_MS = 1_000
+
+
+@message_kinds.register("HealthRequest")
+class HealthRequest:
+    """Asks the leader for the unavailable VMs."""
+
+    __slots__ = ()
+
+
+@message_kinds.register("HealthReply")
+class HealthReply:
+    """Answers a HealthRequest.
+
+    Attributes:
+        known: Whether the control leads and knows the health of the VMs.
+        unavailable: VMs that are unavailable or in an unknown state.
+    """
+
+    __slots__ = ("known", "unavailable")
+
+    def __init__(self, known, unavailable):
+        self.known = known
+        self.unavailable = unavailable
+
+
+class HealthBroker:
+    """Answers queries here if this control leads, else at the leader.
+
+    Attributes:
+        consensus: Mailbox of the consensus task.
+        planner: Mailbox of the planner.
+        dialers: Dialers to the other controls by node id.
+    """
+
+    __slots__ = ("consensus", "planner", "dialers")
+
+    def __init__(self, consensus, planner, dialers):
+        self.consensus = consensus
+        self.planner = planner
+        self.dialers = dialers
+
+    async def handle(self, message):
+        """Answers a query of this process or of another control."""
+        if isinstance(message, Delivery):
+            found = await self.ask_planner()
+            message.respond(HealthReply(found is not None, found or []))
+        else:
+            message.reply.send(await self.find())
+
+    async def ask_planner(self):
+        """Returns the unavailable VMs, or None if this control can't say."""
+        found = await ask(self.planner, UnavailableQuery, TIMEOUT_MS)
+        return found.default_value(None)
+
+    async def find(self):
+        """Returns the unavailable VMs, or None if nobody can say."""
+        found = await self.ask_planner()
+        if found is not None:
+            return found
+        status = await ask(self.consensus, StatusRequest, TIMEOUT_MS)
+        if status.is_error():
+            return None
+        leader = status.ok.leader_id.partition("/")[0]
+        dialer = self.dialers.get(leader)
+        if dialer is None:
+            return None
+        answer = await dialer.ask(HealthRequest(), TIMEOUT_MS)
+        if answer.is_error() or not isinstance(answer.ok, HealthReply):
+            return None
+        return answer.ok.unavailable if answer.ok.known else None
+
+
+async def broker_health(inbound, broker):
+    """Handles queries concurrently."""
+    async with trio.open_nursery() as nursery:
+        async for message in inbound:
+            nursery.start_soon(broker.handle, message)
--- a/wigeonport/maintenance_states.py
+++ b/wigeonport/maintenance_states.py
@@ -233,15 +233,22 @@
 
 
 def _budget_findings(state, command):
-    """Checks the pools of the VMs; VMs that are away already cost none."""
+    """Checks the pools of the VMs.
+
+    A VM that the log has taken away costs none. One that the sender does not
+    know to be available may still serve, so it is taken away only if its
+    pool keeps the budget without it.
+    """
     findings = []
     pools = state.pools.pools
-    unavailable = state.maintenance.unavailable() | set(command.unavailable)
-    wanted = [w for w in command.workers if w not in unavailable]
+    away = state.maintenance.unavailable()
+    unavailable = away | set(command.unavailable)
+    wanted = [w for w in command.workers if w not in away]
     for pool in sorted({pools[w] for w in wanted}):
         members = state.pools.members(pool)
         spare = spare_budget(state.fleet.fleet, pool, members, unavailable)
-        count = sum(pools[w] == pool for w in wanted)
+        known = [w for w in wanted if w not in unavailable]
+        count = sum(pools[w] == pool for w in known)
         if count > spare:
             findings.append(
                 f"pool {pool!r} can spare {max(spare, 0)} more VMs, "
