Bound queues, retries and failing endpoints in the router

Cause: a queue served every request in order until its deadline, so that under five-fold demand most answers came too late; retries had no budget; an endpoint that failed everything kept its share of the requests; the router did not use the leases of slots.

Change: queues are bounded and ordered by priority and a discipline from a registry; a request whose estimated wait exceeds its deadline is refused at once; while a queue stands, the latest request is served first. Retries are a share of a service's requests. An endpoint with five failures in a row gets probes only, and at most a third of a service's endpoints at a time. The own zone goes first; other zones are asked for slots while requests wait.

Conclusion: adaptive is the default.

--- a/tests/test_routers.py
+++ b/tests/test_routers.py
@@ -6,13 +6,19 @@
 
 from wigeonport.endpoints import EndpointChanged
 from wigeonport.requests import NOT_RUN, UNKNOWN
-from wigeonport.routers import AttemptEnded, Dispatch, Respond, Router
+from wigeonport.routers import (
+    AttemptEnded,
+    Dispatch,
+    Respond,
+    Router,
+    RouterLimits,
+)
 
 
 @pytest.fixture
 def router(make_record):
     """A router that knows one endpoint."""
-    router = Router("ikeja", 10, 3)
+    router = Router("ikeja", RouterLimits(queue_bound=10, leased=False))
     router.step(EndpointChanged(make_record()), 0, random.Random(1))
     return router
 
@@ -27,9 +33,9 @@
     request = make_request(deadline_ms=100)
     (dispatched,) = step(router, request)
     assert isinstance(dispatched, Dispatch)
-    router.targets["roster"]["e1"].record.slots = 0
+    router.services["roster"].targets["e1"].record.slots = 0
     assert step(router, AttemptEnded(request, "e1", None, True, "lost")) == []
-    (response,) = router.expire(100)
+    (response,) = router.tick(100, random.Random(1))
     assert response.answer.outcome == UNKNOWN
 
 
--- a/wigeonport/dispatchers.py
+++ b/wigeonport/dispatchers.py
@@ -167,8 +167,8 @@
 
     def note_end(self, attempt, ended, started_ms):
         """Records time and kind of an attempt's end."""
-        spent_us = (self.clock.now() - started_ms) * 1_000
-        self.metrics.record("dispatchers_service_us", spent_us)
+        ended.spent_ms = self.clock.now() - started_ms
+        self.metrics.record("dispatchers_service_us", ended.spent_ms * 1_000)
         if ended.answer is not None:
             kind = "answered"
         elif not ended.ran:
@@ -213,6 +213,7 @@
         refusal = find_refusal(response.headers)
         if refusal is not None:
             ended.ran = False
+            ended.refusal = refusal
             ended.reason = f"the endpoint refused: {refusal}"
             return
         ended.answer = make_answer(
--- a/wigeonport/entry_main.py
+++ b/wigeonport/entry_main.py
@@ -18,16 +18,19 @@
     make_dispatcher,
     make_exchange,
     make_peer_links,
+    make_router,
+    make_share_book,
 )
 from wigeonport.exchanges import keep_table
 from wigeonport.programs import start
 from wigeonport.receivers import CallerApp, CallerLimits
-from wigeonport.routers import Router, route
+from wigeonport.routers import route
 from wigeonport.servers import ProcessInfo, StatusApp, serve_http
+from wigeonport.shares import keep_shares
 from wigeonport.subscriptions import sort_deliveries
 
-MAX_ATTEMPTS = 3
 TICK_MS = 100
+SHARE_TICK_MS = 20
 
 
 class EntryMailboxes:
@@ -42,6 +45,9 @@
             that callers are refused.
         claims: From the admission filter to the claims filter.
         routing: From all filters to the router.
+        shares: From the router, the endpoint table and the sorter to the
+            shares. The router does not wait: its demand is dropped when
+            the mailbox is full, and reported again soon after.
         dispatches: From the router to the dispatcher.
     """
 
@@ -52,6 +58,7 @@
         "admissions",
         "claims",
         "routing",
+        "shares",
         "dispatches",
     )
 
@@ -64,6 +71,7 @@
         self.admissions = Mailbox("admissions", in_flight, REFUSE)
         self.claims = Mailbox("claims", bound)
         self.routing = Mailbox("routing", in_flight + bound)
+        self.shares = Mailbox("shares", bound)
         self.dispatches = Mailbox("dispatches", in_flight)
 
 
@@ -75,22 +83,33 @@
     nursery.start_soon(
         keep_table,
         boxes.peers,
-        [boxes.routing],
+        [boxes.shares, boxes.routing],
         make_exchange(program, context),
         peers,
         program.clock,
         TICK_MS,
     )
+    nursery.start_soon(
+        keep_shares,
+        boxes.shares,
+        boxes.routing,
+        make_share_book(program, context),
+        peers,
+        program.clock,
+        SHARE_TICK_MS,
+    )
 
 
 def start_filters(nursery, program, boxes, configuration, links):
     """Starts the filters of the chain."""
     settings, clock = program.settings, program.clock
-    router = Router(
-        settings.availability_zone, settings.queue_bound, MAX_ATTEMPTS
-    )
+    router = make_router(settings)
     nursery.start_soon(
-        sort_deliveries, boxes.deliveries, boxes.configurations, boxes.peers
+        sort_deliveries,
+        boxes.deliveries,
+        boxes.configurations,
+        boxes.peers,
+        boxes.shares,
     )
     nursery.start_soon(
         apply_updates,
@@ -109,10 +128,11 @@
         route,
         boxes.routing,
         boxes.dispatches,
+        boxes.shares,
         router,
         clock,
         random.Random(),
-        TICK_MS,
+        program.metrics,
     )
     nursery.start_soon(
         dispatch, boxes.dispatches, make_dispatcher(program, boxes)
--- a/wigeonport/entry_parts.py
+++ b/wigeonport/entry_parts.py
@@ -6,10 +6,13 @@
 from wigeonport.dialers import Dialer
 from wigeonport.dispatchers import Dispatcher, DispatchLimits
 from wigeonport.exchanges import TableExchange
+from wigeonport.routers import Router, RouterLimits
+from wigeonport.shares import ShareBook
 from wigeonport.subscriptions import ControlLinks
 
 CONTROL_LINKS = 3
 ENDPOINT_CONNECTIONS = 64
+SETTLE_MARGIN_MS = 200
 
 
 def make_control_links(program, context, configuration):
@@ -82,3 +85,30 @@
         settings.endpoint_expiry_ms,
         settings.table_digest_ms,
     )
+
+
+def make_router(settings):
+    """Returns the router."""
+    limits = RouterLimits(
+        queue_bound=settings.queue_bound,
+        queue_wait_ms=settings.queue_wait_ms,
+        retry_share=settings.retry_budget_share,
+        retry_floor=settings.retry_budget_floor,
+        entries=len(settings.peers) + 1,
+    )
+    return Router(settings.availability_zone, limits)
+
+
+def make_share_book(program, context):
+    """Returns both sides of the leases of slots.
+
+    An entry without peers is the only owner there can be, so it need not
+    wait until others are heard.
+    """
+    settings = program.settings
+    settle_ms = settings.table_digest_ms + SETTLE_MARGIN_MS
+    return ShareBook(
+        context.identity.node_id,
+        settings.share_lease_ms,
+        settle_ms if settings.peers else 0,
+    )
--- a/wigeonport/requests.py
+++ b/wigeonport/requests.py
@@ -24,6 +24,7 @@
         attempts: Number of attempts made.
         may_have_run: Whether an earlier attempt may have run. A request that
             waits for its retry must not be reported as not run.
+        queued_ms: When it began to wait for a slot.
         reply: Reply channel of the receiver.
     """
 
@@ -40,6 +41,7 @@
         "priority",
         "attempts",
         "may_have_run",
+        "queued_ms",
         "reply",
     )
 
@@ -69,6 +71,7 @@
         self.priority = priority
         self.attempts = 0
         self.may_have_run = False
+        self.queued_ms = received_ms
         self.reply = reply
 
     @property
--- a/wigeonport/routers.py
+++ b/wigeonport/routers.py
@@ -1,13 +1,29 @@
 """Routers: choose an endpoint for each request and bound the queues."""
 
-from collections import deque
-
-from wigeonport.endpoints import READY
+from wigeonport.quarantines import may_quarantine
+from wigeonport.queues import ServiceQueue
 from wigeonport.registries import Registry
 from wigeonport.requests import give_up, refuse
+from wigeonport.retries import RetryBudget
+from wigeonport.shares import ShareDemand
+from wigeonport.targets import (
+    FULL_PAUSE_MS,
+    ServiceTimes,
+    Target,
+    choose_target,
+    list_demand,
+)
 
 handlers = Registry("router message")
 
+LEAVING_REFUSAL = "leaving"
+EXPIRE_INTERVAL_MS = 20
+IDLE_INTERVAL_MS = 100
+DEMAND_INTERVAL_MS = 100
+REPORT_INTERVAL_MS = 500
+URGENT_INTERVAL_MS = 10
+SERVER_ERROR = 500
+
 
 class AttemptEnded:
     """The result of one attempt at an endpoint.
@@ -18,9 +34,19 @@
         answer: CallerAnswer, or None if no whole answer arrived.
         ran: False if the endpoint certainly did not run it.
         reason: Why there is no answer.
+        refusal: Reason that the endpoint gave for not running it, or None.
+        spent_ms: Time of the attempt.
     """
 
-    __slots__ = ("request", "endpoint_id", "answer", "ran", "reason")
+    __slots__ = (
+        "request",
+        "endpoint_id",
+        "answer",
+        "ran",
+        "reason",
+        "refusal",
+        "spent_ms",
+    )
 
     def __init__(self, request, endpoint_id, answer, ran, reason):
         self.request = request
@@ -28,6 +54,8 @@
         self.answer = answer
         self.ran = ran
         self.reason = reason
+        self.refusal = None
+        self.spent_ms = 0
 
 
 class Dispatch:
@@ -41,60 +69,122 @@
 
 
 class Respond:
-    """Command: answer a request."""
+    """Command: answer a request; the cause is for the metrics."""
 
-    __slots__ = ("request", "answer")
+    __slots__ = ("request", "answer", "cause")
 
-    def __init__(self, request, answer):
+    def __init__(self, request, answer, cause):
         self.request = request
         self.answer = answer
+        self.cause = cause
 
 
-class Target:
-    """An endpoint as the router sees it.
+class RouterLimits:
+    """Limits of the router.
 
     Attributes:
-        record: Its latest record.
-        in_flight: Requests of this entry that run on it.
+        queue_bound: Largest number of waiting requests of a service.
+        queue_wait_ms: Longest wait for a slot.
+        max_attempts: Attempts for one request.
+        retry_share: Retries as a share of the requests of a service.
+        retry_floor: Retries a second besides the share.
+        discipline: Name of the queue discipline.
+        leased: Whether slots are used only within leases.
+        entries: Number of entries that share the connections.
     """
 
-    __slots__ = ("record", "in_flight")
+    __slots__ = (
+        "queue_bound",
+        "queue_wait_ms",
+        "max_attempts",
+        "retry_share",
+        "retry_floor",
+        "discipline",
+        "leased",
+        "entries",
+    )
 
-    def __init__(self, record):
-        self.record = record
-        self.in_flight = 0
+    def __init__(
+        self,
+        queue_bound=512,
+        queue_wait_ms=2_000,
+        max_attempts=3,
+        retry_share=0.1,
+        retry_floor=10,
+        discipline="adaptive",
+        leased=True,
+        entries=1,
+    ):
+        self.queue_bound = queue_bound
+        self.queue_wait_ms = queue_wait_ms
+        self.max_attempts = max_attempts
+        self.retry_share = retry_share
+        self.retry_floor = retry_floor
+        self.discipline = discipline
+        self.leased = leased
+        self.entries = entries
 
-    @property
-    def free_slots(self):
-        """Slots that this entry may still use."""
-        return self.record.slots - self.in_flight
+
+class Service:
+    """What the router keeps of one service.
+
+    Attributes:
+        targets: Target by endpoint id.
+        queue: Its waiting requests.
+        budget: RetryBudget.
+        times: ServiceTimes.
+    """
+
+    __slots__ = ("targets", "queue", "budget", "times")
+
+    def __init__(self, limits):
+        self.targets = {}
+        self.queue = ServiceQueue(
+            limits.queue_bound, limits.queue_wait_ms, limits.discipline
+        )
+        self.budget = RetryBudget(limits.retry_share, limits.retry_floor)
+        self.times = ServiceTimes()
+
+    def slots(self, now_ms):
+        """Returns the slots that this entry may use."""
+        return sum(target.slots(now_ms) for target in self.targets.values())
+
+    def may_quarantine(self):
+        """Returns whether one more endpoint may be set aside."""
+        return may_quarantine([t.health for t in self.targets.values()])
 
 
 class Router:
     """Routes requests; a pure decision without sockets.
 
     Attributes:
-        availability_zone: Zone of this entry.
-        queue_bound: Largest number of waiting requests of a service.
-        max_attempts: Attempts for one repeatable request.
-        targets: Targets by service and endpoint id.
-        queues: Waiting requests by service.
+        zone: Availability zone of this entry.
+        limits: RouterLimits.
+        services: Service by name.
+        expired_ms: When waiting requests were checked last.
+        demand_ms: When the demand was looked at last.
+        reported: Items of the last report.
+        reported_ms: When it was made.
     """
 
     __slots__ = (
-        "availability_zone",
-        "queue_bound",
-        "max_attempts",
-        "targets",
-        "queues",
+        "zone",
+        "limits",
+        "services",
+        "expired_ms",
+        "demand_ms",
+        "reported",
+        "reported_ms",
     )
 
-    def __init__(self, availability_zone, queue_bound, max_attempts):
-        self.availability_zone = availability_zone
-        self.queue_bound = queue_bound
-        self.max_attempts = max_attempts
-        self.targets = {}
-        self.queues = {}
+    def __init__(self, zone, limits):
+        self.zone = zone
+        self.limits = limits
+        self.services = {}
+        self.expired_ms = 0
+        self.demand_ms = 0
+        self.reported = []
+        self.reported_ms = 0
 
     def step(self, message, now_ms, random):
         """Handles a message; returns the commands that follow."""
@@ -103,128 +193,245 @@
             raise TypeError(handler.error)
         return handler.ok(self, message, now_ms, random)
 
-    def expire(self, now_ms):
-        """Answers the waiting requests whose deadline has passed."""
+    def service(self, name):
+        """Returns the Service of a name."""
+        if name not in self.services:
+            self.services[name] = Service(self.limits)
+        return self.services[name]
+
+    def tick(self, now_ms, random):
+        """Answers requests that waited too long; uses slots that came up."""
+        if now_ms - self.expired_ms < EXPIRE_INTERVAL_MS:
+            return []
+        self.expired_ms = now_ms
         commands = []
-        for service, queue in self.queues.items():
-            kept = deque()
-            for request in queue:
-                if now_ms >= request.deadline_ms:
-                    text = "no free endpoint before the deadline"
-                    answer = give_up(request, 504, text)
-                    commands.append(Respond(request, answer))
-                else:
-                    kept.append(request)
-            self.queues[service] = kept
+        for service in self.services.values():
+            margin = service.times.margin
+            for request in service.queue.expire(now_ms, margin):
+                commands.append(respond_late(request))
+            commands += self.drain(service, now_ms, random)
         return commands
 
-    def choose(self, service, now_ms, random):
-        """Returns the Target for the next request, or None.
-
-        Endpoints of the own zone go first; among those, two are drawn at
-        random and the one with more free slots wins.
-        Source: M. Mitzenmacher, "The Power of Two Choices in Randomized
-        Load Balancing", 2001.
-        """
-        usable = [
-            target
-            for target in self.targets.get(service, {}).values()
-            if target.record.state == READY and target.free_slots > 0
-        ]
-        near = [
-            target
-            for target in usable
-            if target.record.availability_zone == self.availability_zone
-        ]
-        candidates = near or usable
-        if not candidates:
-            return None
-        drawn = random.sample(candidates, min(2, len(candidates)))
-        return max(drawn, key=lambda target: target.free_slots)
-
-    def drain_queue(self, service, now_ms, random):
+    def drain(self, service, now_ms, random):
         """Dispatches waiting requests while there are free slots."""
         commands = []
-        queue = self.queues.get(service, ())
-        while queue:
-            target = self.choose(service, now_ms, random)
+        queue = service.queue
+        while queue.size:
+            priority, position = queue.find_next(now_ms)
+            request = queue.waiting[priority][position]
+            if is_late(service, request, now_ms):
+                queue.take(priority, position)
+                commands.append(respond_late(request))
+                continue
+            target = choose_target(
+                service.targets.values(), request, self.zone, now_ms, random
+            )
             if target is None:
                 break
-            request = queue.popleft()
+            queue.take(priority, position)
             target.in_flight += 1
+            target.health.note_sent()
             request.attempts += 1
             commands.append(Dispatch(request, target.record))
         return commands
 
+    def demand(self, now_ms):
+        """Returns the ShareDemand that is due, or None."""
+        urgent = self.has_waiting()
+        interval_ms = URGENT_INTERVAL_MS if urgent else DEMAND_INTERVAL_MS
+        if now_ms - self.demand_ms < interval_ms:
+            return None
+        self.demand_ms = now_ms
+        items = []
+        for service in self.services.values():
+            items += list_demand(
+                service.targets.values(),
+                service.queue.size,
+                self.zone,
+                now_ms,
+            )
+        recent = now_ms - self.reported_ms < REPORT_INTERVAL_MS
+        if items == self.reported and recent and not urgent:
+            return None
+        self.reported, self.reported_ms = items, now_ms
+        return ShareDemand(items, urgent)
+
+    def has_waiting(self):
+        """Returns whether any request waits for a slot."""
+        return any(service.queue.size for service in self.services.values())
+
 
 @handlers.register("CallerRequest")
 def queue_request(router, request, now_ms, random):
-    """Queues a request, or refuses it when the queue is full."""
-    queue = router.queues.setdefault(request.service, deque())
-    if len(queue) >= router.queue_bound:
-        answer = refuse(503, "the queue of the service is full", 1_000)
-        return [Respond(request, answer)]
-    queue.append(request)
-    return router.drain_queue(request.service, now_ms, random)
+    """Queues a request, or refuses it when it would wait too long."""
+    service = router.service(request.service)
+    service.budget.note_request()
+    queue = service.queue
+    wait_ms = service.times.estimate_wait(
+        queue.ahead(request.priority), service.slots(now_ms)
+    )
+    left_ms = request.deadline_ms - now_ms - service.times.margin(request)
+    left_ms = min(left_ms, queue.longest_wait_ms)
+    if wait_ms and wait_ms > left_ms:
+        text = f"the wait would be about {wait_ms:.0f} ms"
+        answer = refuse(503, text, wait_ms)
+        return [Respond(request, answer, "early")]
+    evicted = queue.push(request, now_ms)
+    commands = []
+    if evicted is not None:
+        text = "the queue of the service is full"
+        answer = give_up(evicted, 503, text, wait_ms or 1_000)
+        commands.append(Respond(evicted, answer, "full"))
+    return commands + router.drain(service, now_ms, random)
 
 
 @handlers.register("EndpointChanged")
 def update_target(router, change, now_ms, random):
     """Takes over the latest record of an endpoint."""
-    record = change.record
-    targets = router.targets.setdefault(record.service_id, {})
-    target = targets.setdefault(record.endpoint_id, Target(record))
-    target.record = record
-    return router.drain_queue(record.service_id, now_ms, random)
+    record, limits = change.record, router.limits
+    service = router.service(record.service_id)
+    target = service.targets.get(record.endpoint_id)
+    if target is None:
+        target = Target(record, limits.leased, limits.entries)
+        service.targets[record.endpoint_id] = target
+    elif target.record.incarnation != record.incarnation:
+        target.health.release()
+        target.share_until_ms = 0
+    target.follow(record, limits.entries)
+    return router.drain(service, now_ms, random)
 
 
 @handlers.register("EndpointLost")
 def remove_target(router, change, now_ms, random):
     """Stops sending work to an endpoint."""
-    router.targets.get(change.service, {}).pop(change.endpoint_id, None)
+    service = router.service(change.service)
+    target = service.targets.get(change.endpoint_id)
+    if target is not None:
+        target.lost = True
+        forget_lost(service, target)
     return []
 
 
+@handlers.register("ShareChanged")
+def update_share(router, change, now_ms, random):
+    """Takes over a lease."""
+    service = router.service(change.service)
+    target = service.targets.get(change.endpoint_id)
+    if target is None or target.share is None:
+        return []
+    target.share, target.share_until_ms = change.slots, change.until_ms
+    return router.drain(service, now_ms, random)
+
+
 @handlers.register("AttemptEnded")
 def finish_attempt(router, ended, now_ms, random):
     """Answers the request, or tries it again where that is safe."""
     request = ended.request
-    targets = router.targets.get(request.service, {})
-    target = targets.get(ended.endpoint_id)
+    service = router.service(request.service)
+    target = service.targets.get(ended.endpoint_id)
     if target is not None:
-        target.in_flight = max(0, target.in_flight - 1)
+        note_end(service, target, ended, now_ms)
     request.may_have_run = request.may_have_run or ended.ran
     commands = []
     if ended.answer is not None:
-        commands.append(Respond(request, ended.answer))
-    elif may_retry(router, ended, now_ms):
-        router.queues.setdefault(request.service, deque()).appendleft(request)
+        commands.append(Respond(request, ended.answer, "answered"))
+    elif may_retry(router, service, ended, now_ms):
+        service.queue.put_back(request, now_ms)
     else:
         status = 502 if request.may_have_run else 503
         answer = give_up(request, status, ended.reason, 1_000)
-        commands.append(Respond(request, answer))
-    commands += router.drain_queue(request.service, now_ms, random)
-    return commands
+        commands.append(Respond(request, answer, "failed"))
+    return commands + router.drain(service, now_ms, random)
 
 
-def may_retry(router, ended, now_ms):
-    """Returns whether another attempt is safe and useful."""
+def is_late(service, request, now_ms):
+    """Returns whether a request can no longer be served in time.
+
+    One that has not waited is always tried, because the mean time of a
+    service says little about a single request.
+    """
+    if request.queued_ms == now_ms:
+        return now_ms >= request.deadline_ms
+    return now_ms + service.times.margin(request) >= request.deadline_ms
+
+
+def respond_late(request):
+    """Answers a request that can no longer be served in time."""
+    text = "no slot of an endpoint was free in time"
+    answer = give_up(request, 503, text, 1_000)
+    return Respond(request, answer, "waited")
+
+
+def note_end(service, target, ended, now_ms):
+    """Notes what an attempt says about its endpoint."""
+    target.in_flight -= 1
+    forget_lost(service, target)
+    if ended.refusal == LEAVING_REFUSAL:
+        target.paused_until_ms = now_ms + 10 * FULL_PAUSE_MS
+        target.health.probing = False
+    elif ended.refusal is not None:
+        target.paused_until_ms = now_ms + FULL_PAUSE_MS
+        target.health.probing = False
+    elif ended.answer is None or ended.answer.status >= SERVER_ERROR:
+        target.health.note_failure(now_ms, service.may_quarantine())
+    else:
+        target.health.note_success()
+        service.times.note(ended.spent_ms)
+
+
+def forget_lost(service, target):
+    """Removes a lost endpoint once nothing runs on it."""
+    if target.lost and not target.in_flight:
+        service.targets.pop(target.record.endpoint_id, None)
+
+
+def may_retry(router, service, ended, now_ms):
+    """Returns whether another attempt is safe, useful and affordable.
+
+    A refusal by a leaving endpoint costs nothing: the endpoint gets no
+    further work, so these retries cannot become a storm.
+    """
     request = ended.request
     safe = not request.may_have_run or request.repeatable
     in_time = now_ms < request.deadline_ms
-    return safe and in_time and request.attempts < router.max_attempts
-
-
-async def route(inbound, outbound, router, clock, random, tick_ms):
-    """Owns the router; answers requests and sends on dispatches."""
+    if (
+        not safe
+        or not in_time
+        or request.attempts >= (router.limits.max_attempts)
+    ):
+        return False
+    return ended.refusal == LEAVING_REFUSAL or service.budget.take(now_ms)
+
+
+async def route(inbound, outbound, shares, router, clock, random, metrics):
+    """Owns the router; answers requests and sends on dispatches.
+
+    Args:
+        inbound: Mailbox of requests, endpoint changes and ends of attempts.
+        outbound: Mailbox of the dispatcher.
+        shares: Mailbox of the shares. The demand is dropped when it is
+            full: waiting could block both tasks, and the next is due soon.
+        router: The Router.
+        clock: Time source.
+        random: Random source.
+        metrics: Metrics of the process.
+    """
     while True:
-        message = await inbound.get_within(tick_ms)
+        waiting = router.has_waiting()
+        wait_ms = EXPIRE_INTERVAL_MS if waiting else IDLE_INTERVAL_MS
+        message = await inbound.get_within(wait_ms)
         now_ms = clock.now()
-        commands = router.expire(now_ms)
+        commands = router.tick(now_ms, random)
         if message is not None:
             commands += router.step(message, now_ms, random)
         for command in commands:
             if isinstance(command, Respond):
+                metrics.count(f"routers_{command.cause}")
                 command.request.reply.send(command.answer)
             else:
+                wait_ms = now_ms - command.request.queued_ms
+                metrics.record("routers_wait_us", wait_ms * 1_000)
                 await outbound.put(command)
+        demand = router.demand(now_ms)
+        if demand is not None:
+            shares.put_nowait(demand)
--- a/wigeonport/shares.py
+++ b/wigeonport/shares.py
@@ -308,11 +308,13 @@
         book: The ShareBook.
         dialers: Dialers to the other entries by node id.
         clock: Time source.
-        tick_ms: Longest time between two checks for due requests.
+        tick_ms: Longest time between two checks for due requests while
+            requests wait for a slot; five times as long otherwise.
     """
     ticked_ms = clock.now()
     while True:
-        message = await inbound.get_within(tick_ms)
+        wait_ms = tick_ms if book.urgent else 5 * tick_ms
+        message = await inbound.get_within(wait_ms)
         now_ms = clock.now()
         commands = []
         if isinstance(message, Delivery):
--- a/wigeonport/subscriptions.py
+++ b/wigeonport/subscriptions.py
@@ -8,6 +8,7 @@
 )
 from wigeonport.links import Delivery
 from wigeonport.logs import PartLogger
+from wigeonport.share_messages import ShareGrant, ShareRequest
 
 logger = PartLogger("subscriptions")
 
@@ -54,18 +55,21 @@
         return [dialer for dialer in self.dialers if dialer.connected]
 
 
-async def sort_deliveries(inbound, configurations, entries):
+async def sort_deliveries(inbound, configurations, entries, shares):
     """Passes arrivals to the filter that handles them.
 
     Args:
         inbound: Mailbox of all links of the process.
         configurations: Mailbox for ConfigUpdates and ConfigRequests.
         entries: Mailbox for the messages of other entries.
+        shares: Mailbox for the ShareRequests and ShareGrants of others.
     """
     async for delivery in inbound:
         if not isinstance(delivery, Delivery):
             await entries.put(delivery)
         elif isinstance(delivery.message, (ConfigUpdate, ConfigRequest)):
             await configurations.put(delivery)
+        elif isinstance(delivery.message, (ShareRequest, ShareGrant)):
+            await shares.put(delivery)
         else:
             await entries.put(delivery)
