Report the demand of the services to the leader

Cause: the planner had no demand from the running entries, so that VMs were never borrowed outside of traces. Change: the router answers a query with what runs and waits; each entry reports once a second to its nearest control, which passes the report on.

--- /dev/null
+++ b/wigeonport/demand_reporters.py
@@ -0,0 +1,53 @@
+"""Demand reporters: tell a control what each service asks for here."""
+
+from wigeonport.channels import ask
+from wigeonport.demands import DemandReport, ServiceDemand
+from wigeonport.routers import handlers
+
+REPORT_INTERVAL_MS = 1_000
+
+
+class DemandQuery:
+    """Asks the router for the demand of each service.
+
+    Attributes:
+        reply: Reply channel of a list of ServiceDemand.
+    """
+
+    __slots__ = ("reply",)
+
+    def __init__(self, reply):
+        self.reply = reply
+
+
+@handlers.register("DemandQuery")
+def count_demands(router, query, now_ms, random):
+    """Counts what runs and what waits."""
+    demands = [
+        ServiceDemand(
+            name,
+            sum(target.in_flight for target in service.targets.values()),
+            service.queue.size,
+        )
+        for name, service in router.services.items()
+    ]
+    query.reply.send(demands)
+    return []
+
+
+async def report_demands(router, links, clock):
+    """Reports the demand at a fixed interval.
+
+    Args:
+        router: Mailbox of the router.
+        links: ControlLinks; the nearest control passes the report on to the
+            leader.
+        clock: Time source.
+    """
+    node_id = links.identity.node_id
+    while True:
+        await clock.sleep(REPORT_INTERVAL_MS)
+        demands = await ask(router, DemandQuery, REPORT_INTERVAL_MS)
+        preferred = links.preferred()
+        if demands.is_ok() and preferred:
+            preferred[0].post(DemandReport(node_id, demands.ok))
--- a/wigeonport/entry_main.py
+++ b/wigeonport/entry_main.py
@@ -10,6 +10,7 @@
 from wigeonport.channels import REFUSE, Mailbox
 from wigeonport.claims import claim_keys
 from wigeonport.configurations import Configuration, apply_updates
+from wigeonport.demand_reporters import report_demands
 from wigeonport.dialers import listen
 from wigeonport.dispatchers import dispatch
 from wigeonport.entry_parts import (
@@ -134,6 +135,7 @@
         random.Random(),
         program.metrics,
     )
+    nursery.start_soon(report_demands, boxes.routing, links, clock)
     nursery.start_soon(
         dispatch, boxes.dispatches, make_dispatcher(program, boxes)
     )
