Carry out operators' drains through the planner

Cause: a grant for a drain only reserved budget; the demo told the platform itself, and VMs that were missing after an expired lease were never reported back. Change: the planner drains the VM of an operator's grant, confirms it in the log, holds it until the grant ends and returns it; the driver proposes the return of missing VMs that are ready again.

--- a/tests/test_view_builders.py
+++ b/tests/test_view_builders.py
@@ -10,7 +10,7 @@
     VmReported,
 )
 from wigeonport.plan_proposals import make_proposals, read_refusal
-from wigeonport.state_commands import SubmitPatch
+from wigeonport.state_commands import EndGrant, RequestGrant, SubmitPatch
 from wigeonport.states import Entry, ReplicatedState
 from wigeonport.view_builders import build_fleet_loaded, find_due_ms
 from wigeonport.views import DRAINED, READY
@@ -228,3 +228,29 @@
     logged_run.step(build_fleet_loaded(log.state, 0))
     vm = logged_run.view.fleet.vms["roster-0"]
     assert vm.closed_until_ms >= 60 * 60_000
+
+
+def test_operators_drain_is_carried_out_and_ended(logged_run, log, clock):
+    """Guards against a granted drain that nobody tells the platform of."""
+    granted = log.apply(
+        RequestGrant(
+            "by-hand", ["roster-0"], "drain", "ada", "disk", 60_000, []
+        )
+    )
+    assert not read_refusal(granted)
+    started = logged_run.step(build_fleet_loaded(log.state, 0))
+    done = kinds(carry_out(logged_run, log, started))
+    done += kinds(carry_out(logged_run, log, logged_run.tick()))
+    assert [kind for kind in done if "report" not in kind] == [
+        "drain_vm",
+        "confirm_drain",
+    ]
+    assert log.state.maintenance.grants["by-hand"].drained == ["roster-0"]
+    held = kinds(carry_out(logged_run, log, logged_run.tick(1_000)))
+    assert "undrain_vm" not in held
+    log.apply(EndGrant("by-hand", ["roster-0"], 0))
+    ended = logged_run.step(build_fleet_loaded(log.state, 0))
+    done = kinds(carry_out(logged_run, log, ended))
+    done += kinds(carry_out(logged_run, log, logged_run.tick(1_000)))
+    assert "undrain_vm" in done
+    assert "reboot_vm" not in done
--- a/tools/demo_steps.py
+++ b/tools/demo_steps.py
@@ -225,39 +225,30 @@
     demo.check("R1", held, f"one VM within the budget is granted: {seen}")
     if not held:
         return
-    status = await wait_drained(demo, worker)
-    demo.check("R1", status == "drained", f"the platform drained {worker}")
-    for path, document in (
-        ("drained", {"grant": "demo-drain", "worker": worker}),
-        ("end", {"grant": "demo-drain", "healthy": [worker]}),
-    ):
-        answer = await demo.operators.send(
-            "lekki-1", "POST", f"/v1/maintenance/{path}", document
-        )
-        held = answer is not None and answer.status == 200
-        demo.check("R1", held, f"the grant of {worker}: {path}")
+    drained = await wait_for_state(demo, worker, "drained")
+    demo.check("R1", drained, f"the planner drained {worker}")
+    answer = await demo.operators.send(
+        "lekki-1",
+        "POST",
+        "/v1/maintenance/end",
+        {"grant": "demo-drain", "healthy": [worker]},
+    )
+    held = answer is not None and answer.status == 200
+    demo.check("R1", held, f"the grant of {worker} is ended")
+    returned = await wait_for_state(demo, worker, "ready")
+    demo.check("R1", returned, f"the planner returned {worker} to work")
 
 
-async def wait_drained(demo, worker):
-    """Drains a VM at the platform; returns its state."""
+async def wait_for_state(demo, worker, wanted):
+    """Returns whether the platform shows a VM in a state in time."""
     port = demo.runner.deployment.platform_port
-    command = {
-        "kind": "drain_vm",
-        "vm": worker,
-        "reason": "demo",
-        "term": 1,
-        "command_id": f"demo-{worker}",
-    }
-    body = json.dumps(command).encode()
-    headers = [("content-length", str(len(body)))]
-    await demo.runner.request("POST", port, "/v1/commands", headers, body)
-
-    async def drained():
+
+    async def reached():
         answer = await demo.runner.request("GET", port, "/v1/workers")
         state = answer and answer.document["workers"].get(worker)
-        return state if state == "drained" else None
+        return state == wanted
 
-    return await demo.until(drained)
+    return bool(await demo.until(reached))
 
 
 @steps.register("09 let an endpoint leave")
--- a/wigeonport/operations.py
+++ b/wigeonport/operations.py
@@ -1,10 +1,13 @@
-"""Steps of maintenance and of moves between pools, one VM at a time.
+"""Steps of maintenance, moves and operators' drains, one VM at a time.
 
 Maintenance: grant, drain, reboot, ready. Move: grant, drain, confirm, change
-the pool in one step, prepare, ready. A VM has at most one operation.
+the pool in one step, prepare, ready. Drain: an operator's grant, drain, held
+until the operator ends the grant or it expires, ready. A VM has at most one
+operation.
 """
 
 from wigeonport.plan_commands import (
+    ConfirmVmDrain,
     DrainVm,
     MoveVm,
     PrepareVm,
@@ -26,6 +29,7 @@
 
 MAINTENANCE = "maintenance"
 MOVE = "move"
+DRAIN = "drain"
 RECOVERY = "recovery"
 STRAY_REASON = "no operation needs the drain"
 
@@ -35,6 +39,7 @@
 RESTARTING = "restarting"
 CHANGING = "changing"
 CHANGED = "changed"
+HOLDING = "holding"
 SETTING_UP = "setting_up"
 RETURNING = "returning"
 REVOCABLE = (GRANTING, STARTING, EMPTYING)
@@ -52,7 +57,7 @@
 
     Attributes:
         vm: Name of the VM.
-        kind: ``maintenance``, ``move`` or ``recovery``.
+        kind: ``maintenance``, ``move``, ``drain`` or ``recovery``.
         phase: Name in ``phases``.
         since_ms: Start of the phase.
         renewed_ms: Time of the last request for the lease.
@@ -186,7 +191,12 @@
 
 
 def renew_grant(view, operation, now_ms):
-    """Renews the grant of an operation in its last third."""
+    """Renews the grant of an operation in its last third.
+
+    The lease of an operator's drain is the operator's to renew.
+    """
+    if operation.kind == DRAIN:
+        return []
     grant = view.grants.get(operation.vm)
     lease_ms = view.settings.grant_lease_ms
     if grant is None or grant.until_ms - now_ms > lease_ms // 3:
@@ -229,14 +239,28 @@
         if operation.kind == MAINTENANCE:
             operation.enter(RESTARTING, now_ms)
             return [RebootVm(vm.name, MAINTENANCE)]
+        if operation.kind == DRAIN:
+            operation.enter(HOLDING, now_ms)
+            return [ConfirmVmDrain(vm.name, "the VM runs nothing")]
         operation.enter(CHANGING, now_ms)
         return [MoveVm(vm.name, operation.source, operation.destination)]
+    if operation.kind == DRAIN:
+        return []
     if now_ms - operation.since_ms > view.settings.drain_bound_ms:
         reason = "the drain exceeded its bound"
         return revoke(view, operation, reason, now_ms)
     return []
 
 
+@phases.register(HOLDING)
+def hold_drained(view, operation, vm, now_ms):
+    """Keeps a VM drained until the operator's grant ends."""
+    if grant_is_live(view, vm, now_ms):
+        return []
+    view.grants.pop(vm.name, None)
+    return [start_return(view, vm.name, "the drain has ended", now_ms)]
+
+
 @phases.register(RESTARTING)
 def await_reboot(view, operation, vm, now_ms):
     """Waits for the reboot; one that takes too long counts as a failure."""
--- a/wigeonport/plan_drivers.py
+++ b/wigeonport/plan_drivers.py
@@ -1,11 +1,12 @@
 """Plan drivers: the task that owns the planner of a control."""
 
 from wigeonport.availabilities import is_available
-from wigeonport.channels import ask
+from wigeonport.channels import Reply, ask
 from wigeonport.consensus_requests import (
     Applied,
     Installed,
     LeadershipNotice,
+    Proposal,
     Read,
 )
 from wigeonport.consensus_requests import StatusRequest as ReplicaStatusRequest
@@ -19,9 +20,12 @@
     MaintenanceSteered,
     Tick,
 )
+from wigeonport.plan_proposals import PLANNER_GRANTS, find_returns
 from wigeonport.state_answers import PatchAccepted
 from wigeonport.state_commands import (
+    EndGrant,
     PauseMaintenance,
+    RenewGrant,
     RequestGrant,
     ResumeMaintenance,
     ReturnWorker,
@@ -134,6 +138,8 @@
             self.outdated = True
         elif isinstance(command, RequestGrant):
             self.outdated |= command.author != PLANNER_AUTHOR
+        elif isinstance(command, EndGrant | RenewGrant):
+            self.outdated |= not command.grant.startswith(PLANNER_GRANTS)
         elif isinstance(command, ReturnWorker):
             self.outdated = True
 
@@ -161,6 +167,25 @@
             await self.load_fleet()
         await self.report_demand()
         await self.step(Tick())
+        await self.return_workers()
+
+    async def return_workers(self):
+        """Tells the log of VMs that it misses and that are back."""
+        view, now_ms = self.planner.view, self.clock.now()
+        found = await ask(
+            self.consensus,
+            lambda reply: Read(
+                lambda state: find_returns(view, state, now_ms),
+                reply,
+                consistent=False,
+            ),
+            READ_TIMEOUT_MS,
+        )
+        if found.is_error() or found.ok.is_error():
+            return
+        for command in found.ok.ok:
+            # A return that is lost is proposed again at the next tick.
+            await self.consensus.put(Proposal(command, Reply()))
 
     async def load_fleet(self):
         """Reads the version in force and the grants."""
--- a/wigeonport/plan_proposals.py
+++ b/wigeonport/plan_proposals.py
@@ -9,6 +9,7 @@
 from wigeonport.availabilities import is_available
 from wigeonport.maintenance_answers import GrantRefused, MoveRefused
 from wigeonport.plan_commands import (
+    ConfirmVmDrain,
     MoveVm,
     RebootVm,
     ReleaseGrant,
@@ -30,6 +31,8 @@
 
 proposals = Registry("proposal")
 
+PLANNER_GRANTS = "plan-"
+
 
 def make_proposals(command, view, state, now_ms):
     """Returns the log's commands for one command of the planner.
@@ -52,7 +55,7 @@
     if live is not None and live.author == PLANNER_AUTHOR:
         return [RenewGrant(live.id, lease_ms)]
     request = RequestGrant(
-        f"plan-{command.command_id}",
+        f"{PLANNER_GRANTS}{command.command_id}",
         [command.vm],
         command.purpose,
         PLANNER_AUTHOR,
@@ -97,9 +100,10 @@
     ]
 
 
+@proposals.register(ConfirmVmDrain)
 @proposals.register(RebootVm)
 def propose_drained(command, view, state, now_ms):
-    """Records the drain before the reboot; the platform gets it after."""
+    """Records a drain; a reboot goes to the platform only after it."""
     grant = state.maintenance.grant_of(command.vm)
     return [] if grant is None else [ConfirmDrain(grant.id, command.vm)]
 
--- a/wigeonport/view_builders.py
+++ b/wigeonport/view_builders.py
@@ -60,7 +60,8 @@
         )
         for grant in state.maintenance.grants.values()
         for worker in grant.workers
-        if grant.purpose in ("maintenance", "move") and worker in fleet.vms
+        if grant.purpose in ("maintenance", "move", "drain")
+        and worker in fleet.vms
     ]
     return FleetLoaded(fleet, grants)
 
