Tell the runs of a process apart in version reports

Cause: the status kept the highest version that a process had ever reported, so that a restarted process that applied none was shown as up to date; controls were not listed at all. Change: reports carry the start of the run; a newer run replaces an older one, within a run the highest version counts; controls report themselves.

--- a/tests/operator_fakes.py
+++ b/tests/operator_fakes.py
@@ -104,7 +104,7 @@
     def report(self, process, version, silent_ms=0):
         """Adds a report of a process."""
         heard_ms = self.app.control.clock.now() - silent_ms
-        status = ProcessStatus(process, "ikeja", version, heard_ms)
+        status = ProcessStatus(process, "ikeja", 1, version, heard_ms)
         self.statuses.append(status)
 
     async def call(self, method, target, body=None, token=TOKEN, headers=()):
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -219,6 +219,8 @@
         assert (status, document["version"]) == (200, 1)
         assert document["in_force_everywhere"] is False
         lags = {p["process"]: p["lag"] for p in document["processes"]}
+        unheard = lags.pop("control/ikeja-1")
+        assert unheard.startswith("has not reported")
         assert lags == {
             "entry/ikeja-1": "applies version 0, 1 behind",
             "entry/lekki-1": "silent for 60000 ms",
@@ -234,9 +236,10 @@
 
     async def scenario():
         _, document = await control.call("GET", "/v1/status")
-        (line,) = document["processes"]
-        assert line["process"] == "entry/ikeja-1"
-        assert line["lag"].startswith("has not reported")
+        names = [line["process"] for line in document["processes"]]
+        assert names == ["control/ikeja-1", "entry/ikeja-1"]
+        for line in document["processes"]:
+            assert line["lag"].startswith("has not reported")
 
     run_with(control, scenario)
 
--- a/wigeonport/configurations.py
+++ b/wigeonport/configurations.py
@@ -18,14 +18,16 @@
     Attributes:
         node_id: The subscriber.
         availability_zone: Its zone.
+        run_ms: Wall time at which the process started; tells its runs apart.
         version: Version that it applies, 0 for none.
     """
 
-    __slots__ = ("node_id", "availability_zone", "version")
+    __slots__ = ("node_id", "availability_zone", "run_ms", "version")
 
-    def __init__(self, node_id, availability_zone, version):
+    def __init__(self, node_id, availability_zone, run_ms, version):
         self.node_id = node_id
         self.availability_zone = availability_zone
+        self.run_ms = run_ms
         self.version = version
 
 
@@ -49,13 +51,14 @@
 
 @message_kinds.register("VersionReport")
 class VersionReport:
-    """Reports the version that a process applies."""
+    """Reports the version that a process applies; fields as in Subscribe."""
 
-    __slots__ = ("node_id", "availability_zone", "version")
+    __slots__ = ("node_id", "availability_zone", "run_ms", "version")
 
-    def __init__(self, node_id, availability_zone, version):
+    def __init__(self, node_id, availability_zone, run_ms, version):
         self.node_id = node_id
         self.availability_zone = availability_zone
+        self.run_ms = run_ms
         self.version = version
 
 
--- a/wigeonport/configurations.thrift
+++ b/wigeonport/configurations.thrift
@@ -3,7 +3,8 @@
 struct Subscribe {
   1: required string node_id
   2: required string availability_zone
-  3: required i64 version
+  3: required i64 run_ms
+  4: required i64 version
 }
 
 struct ConfigUpdate {
@@ -15,7 +16,8 @@
 struct VersionReport {
   1: required string node_id
   2: required string availability_zone
-  3: required i64 version
+  3: required i64 run_ms
+  4: required i64 version
 }
 
 struct ConfigRequest {
--- a/wigeonport/control_main.py
+++ b/wigeonport/control_main.py
@@ -112,6 +112,12 @@
             await consensus.put(message)
 
 
+def make_report(program):
+    """Returns the VersionReport of this control before any version."""
+    zone = program.settings.availability_zone
+    return VersionReport(program.node_id, zone, program.events.run, 0)
+
+
 def make_dialers(settings, context):
     """Returns the dialers to the other controls by node id."""
     return {
@@ -181,7 +187,7 @@
     nursery.start_soon(
         publish,
         boxes.publisher,
-        Publisher(),
+        Publisher(make_report(program)),
         program.clock,
         list(dialers.values()),
     )
--- a/wigeonport/entry_parts.py
+++ b/wigeonport/entry_parts.py
@@ -18,7 +18,7 @@
 def make_control_links(program, context, configuration):
     """Returns links to some controls, those nearest first."""
     settings = program.settings
-    links = ControlLinks(context.identity, configuration)
+    links = ControlLinks(context.identity, configuration, program.events.run)
     addresses = [(settings.host, settings.control_links_port)]
     own_zone = settings.availability_zone
     ranked = sorted(
--- a/wigeonport/publishers.py
+++ b/wigeonport/publishers.py
@@ -43,15 +43,23 @@
     Attributes:
         node_id: The process.
         availability_zone: Its zone.
-        version: Version that it reported last.
+        run_ms: Wall time at which it started.
+        version: Highest version that it reported in this run.
         heard_ms: Monotonic time of the report.
     """
 
-    __slots__ = ("node_id", "availability_zone", "version", "heard_ms")
+    __slots__ = (
+        "node_id",
+        "availability_zone",
+        "run_ms",
+        "version",
+        "heard_ms",
+    )
 
-    def __init__(self, node_id, availability_zone, version, heard_ms):
+    def __init__(self, node_id, availability_zone, run_ms, version, heard_ms):
         self.node_id = node_id
         self.availability_zone = availability_zone
+        self.run_ms = run_ms
         self.version = version
         self.heard_ms = heard_ms
 
@@ -63,16 +71,18 @@
         newest: VersionAccepted with the highest version, or None.
         subscribers: Delivery of the Subscribe by session.
         statuses: ProcessStatus by node id.
-        own: Node ids of this control's own subscribers.
+        own: Node ids of this control and of its own subscribers.
+        report: VersionReport of this control itself.
     """
 
-    __slots__ = ("newest", "subscribers", "statuses", "own")
+    __slots__ = ("newest", "subscribers", "statuses", "own", "report")
 
-    def __init__(self):
+    def __init__(self, report):
+        self.report = report
         self.newest = None
         self.subscribers = {}
         self.statuses = {}
-        self.own = set()
+        self.own = {report.node_id}
 
     def accept(self, accepted):
         """Pushes a version that is higher than all before."""
@@ -105,20 +115,34 @@
             delivery.push(ConfigRequest(known))
 
     def record(self, report, now_ms):
-        """Keeps the highest version that a process has reported."""
+        """Keeps the highest version that a run of a process has reported.
+
+        Reports come over several controls and may overtake each other.
+        """
         known = self.statuses.get(report.node_id)
         version = report.version
-        if known is not None:
+        if known is not None and known.run_ms > report.run_ms:
+            return
+        if known is not None and known.run_ms == report.run_ms:
             version = max(version, known.version)
         self.statuses[report.node_id] = ProcessStatus(
-            report.node_id, report.availability_zone, version, now_ms
+            report.node_id,
+            report.availability_zone,
+            report.run_ms,
+            version,
+            now_ms,
         )
 
-    def own_reports(self):
-        """Returns the reports of this control's own subscribers."""
+    def own_reports(self, now_ms):
+        """Returns the reports of this control and of its subscribers."""
+        self.report.version = self.newest.version if self.newest else 0
+        self.record(self.report, now_ms)
         return [
             VersionReport(
-                status.node_id, status.availability_zone, status.version
+                status.node_id,
+                status.availability_zone,
+                status.run_ms,
+                status.version,
             )
             for node_id, status in self.statuses.items()
             if node_id in self.own
@@ -141,7 +165,7 @@
         changed = handle(publisher, message, now_ms)
         if changed or now_ms - reported_ms >= REPORT_INTERVAL_MS:
             reported_ms = now_ms
-            for report in publisher.own_reports():
+            for report in publisher.own_reports(now_ms):
                 for dialer in dialers:
                     dialer.post(report)
 
@@ -150,7 +174,8 @@
     """Handles one message; returns whether reports are to be sent."""
     if isinstance(message, VersionAccepted):
         publisher.accept(message)
-    elif isinstance(message, StatusQuery):
+        return True
+    if isinstance(message, StatusQuery):
         message.reply.send(list(publisher.statuses.values()))
     elif isinstance(message, LinkClosed):
         publisher.subscribers.pop(message.session, None)
--- a/wigeonport/status_routes.py
+++ b/wigeonport/status_routes.py
@@ -9,6 +9,7 @@
 
 # Processes report at least every 5 s.
 SILENT_MS = 12_000
+ROLES = ("control", "entry")
 
 
 class ProcessLine(Record):
@@ -33,11 +34,12 @@
 
 
 def list_expected(settings):
-    """Returns zone by process for the entries of all VMs."""
-    expected = {f"entry/{settings.node_id}": settings.availability_zone}
-    for peer in settings.peers:
-        expected[f"entry/{peer.node_id}"] = peer.availability_zone
-    return expected
+    """Returns zone by process for the programs of all VMs."""
+    return {
+        f"{role}/{vm.node_id}": vm.availability_zone
+        for role in ROLES
+        for vm in (settings, *settings.peers)
+    }
 
 
 def list_processes(expected, statuses, version, now_ms):
--- a/wigeonport/subscriptions.py
+++ b/wigeonport/subscriptions.py
@@ -20,14 +20,16 @@
         dialers: Dialers in order of preference.
         identity: Identity of this process.
         configuration: Configuration of this process.
+        run_ms: Wall time at which this process started.
     """
 
-    __slots__ = ("dialers", "identity", "configuration")
+    __slots__ = ("dialers", "identity", "configuration", "run_ms")
 
-    def __init__(self, identity, configuration):
+    def __init__(self, identity, configuration, run_ms):
         self.dialers = []
         self.identity = identity
         self.configuration = configuration
+        self.run_ms = run_ms
 
     def subscribe(self, dialer):
         """Subscribes over a link that was just opened."""
@@ -35,6 +37,7 @@
             Subscribe(
                 self.identity.node_id,
                 self.identity.availability_zone,
+                self.run_ms,
                 self.configuration.version,
             )
         )
@@ -46,6 +49,7 @@
                 VersionReport(
                     self.identity.node_id,
                     self.identity.availability_zone,
+                    self.run_ms,
                     version,
                 )
             )
