--- a/wigeonport/appends.py
+++ b/wigeonport/appends.py
@@ -230,6 +230,11 @@
     last_index = prev_index + len(message.entries)
     replica.verified_index = max(replica.verified_index, last_index)
     replica.commit_to(min(message.commit_index, replica.verified_index))
+    # New entries are acknowledged once, after their sync; only the first
+    # Append of a round is answered at once, for the leader's lease.
+    if replica.persist.entries and message.round <= replica.answered_round:
+        return
+    replica.answered_round = max(replica.answered_round, message.round)
     acknowledge(replica, message.round, message.sent_ms)
 
 
--- a/wigeonport/replicas.py
+++ b/wigeonport/replicas.py
@@ -66,6 +66,7 @@
         durable_sequence: Sequence up to which all is durable.
         deferred: Messages that wait for ``hard_sequence``.
         verified_index: Highest index that matches the leader's log.
+        answered_round: Highest round of the leader that was answered.
         leader_contact_ms: When the leader was heard last; no vote is
             given within ``election_ms`` of it, which protects the
             leader's lease. A restart counts as a contact, because the
@@ -110,6 +111,7 @@
         "durable_sequence",
         "deferred",
         "verified_index",
+        "answered_round",
         "leader_contact_ms",
         "election_deadline_ms",
         "votes",
@@ -147,6 +149,7 @@
         self.deferred = []
         self.role = FOLLOWER
         self.leader_id = ""
+        self.answered_round = 0
         self.leader_contact_ms = now_ms
         self.votes = set()
         self.progress = {}
@@ -319,6 +322,7 @@
         if term > self.term:
             self.set_hard_state(term, "")
             self.verified_index = self.commit_index
+            self.answered_round = 0
             self.incoming = None
         self.role = FOLLOWER
         self.leader_id = leader_id
