Apply committed entries for a bounded time in each round

Change: committed entries are queued and applied for at most 20 ms a round; answers and reads follow the applied index. A due timer waits once for messages in the inbox, because a heartbeat there may move it.

--- a/bench/commit_latency.py
+++ b/bench/commit_latency.py
@@ -23,6 +23,7 @@
 sys.path[:0] = [str(ROOT), str(ROOT / "tools")]
 
 from deployments import Ports  # noqa: E402
+from piped_processes import PipedProcess  # noqa: E402
 from processes import ManagedProcess  # noqa: E402
 
 BENCH = ROOT / "bench"
@@ -83,8 +84,8 @@
                 "snapshot_entries": snapshot_entries,
             }
             arguments = [str(BENCH / "replica_process.py"), json.dumps(setup)]
-            self.processes[node] = ManagedProcess(
-                node, arguments, folder / f"{node}.log", piped=True
+            self.processes[node] = PipedProcess(
+                node, arguments, folder / f"{node}.log"
             )
 
     async def start(self):
@@ -92,7 +93,7 @@
         for process in self.processes.values():
             await process.start()
         for node, process in self.processes.items():
-            first = await read_line(process)
+            first = await process.read_line()
             self.opened_ms[node] = json.loads(first)["opened_ms"]
         while True:
             for process in self.processes.values():
@@ -107,17 +108,9 @@
             await process.kill()
 
 
-async def read_line(process):
-    """Reads one line from a piped process."""
-    line = b""
-    while not line.endswith(b"\n"):
-        line += await process.process.stdout.receive_some(1)
-    return line
-
-
 async def call(process, line):
     """Runs a command in a replica."""
-    return json.loads(await process.command(line))
+    return json.loads(await process.call(line))
 
 
 def report(name, latencies):
--- a/wigeonport/consensus.py
+++ b/wigeonport/consensus.py
@@ -6,6 +6,7 @@
 ``inbox``.
 """
 
+import collections
 import functools
 import random
 
@@ -22,12 +23,13 @@
     LoggedCommand,
     ProposalAnswer,
 )
+from wigeonport.consensus_writers import write_journal, write_snapshots
 from wigeonport.logs import PartLogger
 from wigeonport.replica_events import (
     COMMITTED,
+    UNKNOWN,
     ConsistencyError,
     Outcome,
-    Persisted,
     Propose,
     Snapshot,
     SnapshotTaken,
@@ -35,7 +37,7 @@
 )
 from wigeonport.replicas import Replica
 from wigeonport.replication_messages import DATA, node_of
-from wigeonport.snapshots import decode_state, encode_state, write_snapshot
+from wigeonport.snapshots import decode_state
 from wigeonport.states import Entry as StateEntry
 
 logger = PartLogger("consensus")
@@ -45,6 +47,8 @@
 # Largest number of messages handled before the journal gets its batch.
 BATCH_LIMIT = 512
 SNAPSHOT_ENTRIES = 5_000
+# Far below the heartbeat interval.
+APPLY_LIMIT_MS = 20
 
 
 class Consensus:
@@ -75,6 +79,10 @@
         snapshot_entries: Entries between two snapshots.
         quiet: Classes of commands that observers are not told about.
         leadership: Pair of term and leader id at the last round.
+        applied_index: Index of the last entry applied to the state.
+        unapplied: Committed entries that are not applied yet.
+        decided: Outcome by index of proposals among them.
+        postponed: Whether due timers waited for the inbox once.
     """
 
     __slots__ = (
@@ -99,6 +107,10 @@
         "snapshot_entries",
         "quiet",
         "leadership",
+        "applied_index",
+        "unapplied",
+        "decided",
+        "postponed",
     )
 
     def __init__(
@@ -145,6 +157,10 @@
         self.snapshot_entries = snapshot_entries
         self.quiet = quiet
         self.leadership = (0, "")
+        self.applied_index = 0
+        self.unapplied = collections.deque()
+        self.decided = {}
+        self.postponed = False
         if opened.recovered.snapshot:
             self.install(opened.recovered.snapshot)
 
@@ -157,8 +173,17 @@
         """
         try:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self.write_journal)
-                nursery.start_soon(self.write_snapshots)
+                nursery.start_soon(
+                    write_journal,
+                    self.journal,
+                    self.writes,
+                    self.inbox,
+                    self.clock,
+                    self.metrics,
+                )
+                nursery.start_soon(
+                    write_snapshots, self.directory, self.documents, self.inbox
+                )
                 task_status.started()
                 await self.serve()
         finally:
@@ -169,16 +194,31 @@
         """Handles messages in rounds; one round forms one batch."""
         while True:
             wait_ms = self.replica.next_deadline_ms() - self.clock.now()
+            if self.unapplied:
+                wait_ms = 0
             first = await self.inbox.get_within(wait_ms)
             events = [] if first is None else [first]
             events += self.inbox.drain(BATCH_LIMIT - len(events))
             for event in events:
                 consensus_inputs.dispatch(self, event)
             self.append_batch()
-            now_ms = self.clock.now()
-            if now_ms >= self.replica.next_deadline_ms():
-                self.step(Tick())
-            self.end_round(now_ms)
+            self.apply_some()
+            self.tick_if_due()
+            self.end_round(self.clock.now())
+
+    def tick_if_due(self):
+        """Fires due timers.
+
+        A heartbeat that waits in the inbox may move the election timer,
+        so that a replica that was busy first reads what has arrived.
+        """
+        if self.clock.now() < self.replica.next_deadline_ms():
+            self.postponed = False
+        elif self.inbox.depth() and not self.postponed:
+            self.postponed = True
+        else:
+            self.postponed = False
+            self.step(Tick())
 
     def append_batch(self):
         """Proposes the collected proposals at once."""
@@ -214,15 +254,31 @@
             self.send(node_of(message.recipient), message)
         if out.install:
             self.install(out.install)
-        answers = {}
-        for entry in out.committed:
-            answers[entry.index] = self.apply(entry)
+        self.unapplied.extend(out.committed)
         for reply in out.replies:
-            self.settle(reply, answers)
-        if out.committed:
-            index = out.committed[-1].index
-            self.metrics.set("consensus_applied_index", index)
-            self.calls.applied(index, self.state)
+            if isinstance(reply, Outcome) and reply.outcome == COMMITTED:
+                self.decided[reply.index] = reply
+            else:
+                self.settle(reply)
+
+    def apply_some(self):
+        """Applies committed entries for a bounded time.
+
+        After a restart thousands of entries are committed at once; the
+        heartbeats must not wait for all of them.
+        """
+        if not self.unapplied:
+            return
+        stop_ms = self.clock.now() + APPLY_LIMIT_MS
+        while self.unapplied and self.clock.now() <= stop_ms:
+            entry = self.unapplied.popleft()
+            answer = self.apply(entry)
+            self.applied_index = entry.index
+            reply = self.decided.pop(entry.index, None)
+            if reply is not None:
+                self.settle(reply, answer)
+        self.metrics.set("consensus_applied_index", self.applied_index)
+        self.calls.applied(self.applied_index, self.state)
 
     def install(self, snapshot):
         """Replaces the state by that of a snapshot."""
@@ -231,6 +287,13 @@
             raise ConsistencyError(f"snapshot is unreadable: {found.error}")
         self.state = found.ok
         self.snapshot_index = snapshot.index
+        self.applied_index = snapshot.index
+        self.unapplied.clear()
+        for reply in self.decided.values():
+            # The snapshot contains the effect, but not the answer.
+            reply.outcome = UNKNOWN
+            self.settle(reply)
+        self.decided.clear()
         self.notify(Installed(snapshot.index))
         self.calls.applied(snapshot.index, self.state)
 
@@ -253,7 +316,7 @@
         for observer in self.observers:
             observer.put_nowait(notice)
 
-    def settle(self, reply, answers):
+    def settle(self, reply, answer=None):
         """Ends the call of an Outcome or a ReadReady."""
         call = self.calls.take(reply.number)
         if call is None:
@@ -261,9 +324,6 @@
         if not isinstance(reply, Outcome):
             consensus_inputs.end_read(self, call, reply.index)
             return
-        answer = None
-        if reply.outcome == COMMITTED:
-            answer = answers.get(reply.index)
         call.finish(
             ProposalAnswer(reply.outcome, reply.reason, reply.index, answer)
         )
@@ -274,7 +334,7 @@
 
     def consider_snapshot(self):
         """Hands a document to the snapshot filter when one is due."""
-        index = self.replica.delivered_index
+        index = self.applied_index
         due = index - self.snapshot_index >= self.snapshot_entries
         term = self.replica.log.term_at(index)
         if self.snapshotting or not due or term is None:
@@ -290,31 +350,6 @@
         self.snapshotting = True
         self.documents.put_nowait((make, self.state.to_document()))
 
-    async def write_journal(self):
-        """Writes and syncs batches in a worker thread."""
-        async for persists in self.writes:
-            started_ms = self.clock.now()
-            await trio.to_thread.run_sync(self.journal.write, persists)
-            self.metrics.record(
-                "journal_write_ms", self.clock.now() - started_ms
-            )
-            await self.inbox.put(Persisted(persists[-1].sequence))
-
-    async def write_snapshots(self):
-        """Encodes and writes snapshots in a worker thread."""
-        async for make, document in self.documents:
-            snapshot = await trio.to_thread.run_sync(
-                save_snapshot, self.directory, make, document
-            )
-            await self.inbox.put(SnapshotTaken(snapshot))
-
-
-def save_snapshot(directory, make, document):
-    """Writes a document as a durable snapshot and returns it."""
-    snapshot = make(encode_state(document))
-    write_snapshot(directory, snapshot)
-    return snapshot
-
 
 def decode_known(data):
     """Decodes a message of the log.
--- a/wigeonport/consensus_inputs.py
+++ b/wigeonport/consensus_inputs.py
@@ -177,7 +177,7 @@
         call.answer(index)
     elif index < 0:
         call.abandon("the leader could not confirm its term")
-    elif index <= consensus.replica.delivered_index:
+    elif index <= consensus.applied_index:
         call.finish(consensus.state)
     else:
         consensus.calls.wait_applied(index, call)
@@ -195,7 +195,7 @@
 @handles_input(StatusRequest)
 def on_status(consensus, request):
     """Reports the condition of the replica."""
-    request.reply.send(Status(consensus.replica))
+    request.reply.send(Status(consensus.replica, consensus.applied_index))
 
 
 @handles_input(Persisted)
--- a/wigeonport/consensus_requests.py
+++ b/wigeonport/consensus_requests.py
@@ -107,8 +107,9 @@
         leader_id: Replica id of the leader, or "".
         lease_until_ms: On the leader, monotonic time until which no
             other leader can be elected, else 0.
-        ready: Whether the leader has committed an entry of its term, so
+        ready: Whether the leader has applied an entry of its term, so
             that its state contains all acknowledged changes.
+        applied_index: Index of the last applied entry.
         commit_index: Highest committed index known.
         last_index: Last index of the log.
         members: Member objects, sorted by replica id.
@@ -121,21 +122,22 @@
         "leader_id",
         "lease_until_ms",
         "ready",
+        "applied_index",
         "commit_index",
         "last_index",
         "members",
     )
 
-    def __init__(self, replica):
+    def __init__(self, replica, applied_index):
         self.replica_id = replica.replica_id
         self.role = replica.role
         self.term = replica.term
         self.leader_id = replica.leader_id
         self.lease_until_ms = replica.lease_until_ms()
         self.ready = (
-            replica.is_leader()
-            and replica.commit_index >= replica.term_start_index
+            replica.is_leader() and applied_index >= replica.term_start_index
         )
+        self.applied_index = applied_index
         self.commit_index = replica.commit_index
         self.last_index = replica.log.last_index()
         by_id = replica.members().by_id
--- /dev/null
+++ b/wigeonport/consensus_writers.py
@@ -0,0 +1,50 @@
+"""Filters that make the output of the consensus task durable."""
+
+import trio
+
+from wigeonport.replica_events import Persisted, SnapshotTaken
+from wigeonport.snapshots import encode_state, write_snapshot
+
+
+async def write_journal(journal, writes, inbox, clock, metrics):
+    """Writes and syncs batches in a worker thread.
+
+    Args:
+        journal: Journal or MemoryJournal.
+        writes: Mailbox of lists of Persists.
+        inbox: Mailbox that gets a Persisted for each list.
+        clock: Clock.
+        metrics: Metrics.
+
+    Raises:
+        JournalError: If the disk failed; nothing of the list may count
+            as durable.
+    """
+    async for persists in writes:
+        started_ms = clock.now()
+        await trio.to_thread.run_sync(journal.write, persists)
+        metrics.record("journal_write_ms", clock.now() - started_ms)
+        await inbox.put(Persisted(persists[-1].sequence))
+
+
+async def write_snapshots(directory, documents, inbox):
+    """Encodes and writes snapshots in a worker thread.
+
+    Args:
+        directory: Data directory.
+        documents: Mailbox of pairs of a function, which makes a Snapshot
+            of encoded bytes, and the document of the state.
+        inbox: Mailbox that gets a SnapshotTaken for each.
+    """
+    async for make, document in documents:
+        snapshot = await trio.to_thread.run_sync(
+            save_snapshot, directory, make, document
+        )
+        await inbox.put(SnapshotTaken(snapshot))
+
+
+def save_snapshot(directory, make, document):
+    """Writes a document as a durable snapshot and returns it."""
+    snapshot = make(encode_state(document))
+    write_snapshot(directory, snapshot)
+    return snapshot
--- a/wigeonport/journals.py
+++ b/wigeonport/journals.py
@@ -22,6 +22,9 @@
 FORMAT = 1
 PREFIX = "segment-"
 SEGMENT_BYTES = 8 * 1024 * 1024
+# A compaction starts a new segment above this size, so that a restart
+# does not read entries that a snapshot contains.
+COMPACT_BYTES = 256 * 1024
 
 
 class JournalError(Exception):
@@ -140,6 +143,8 @@
 
     def _compact(self, index):
         """Removes the oldest segments that a snapshot covers."""
+        if self.size_bytes > COMPACT_BYTES:
+            self.start_segment()
         covered = []
         for segment in self.segments[:-1]:
             if segment.last_index > index:
