--- a/tests/operator_fakes.py
+++ b/tests/operator_fakes.py
@@ -72,7 +72,9 @@
         """Plays the task that owns the replicated state."""
         async for message in self.consensus:
             if isinstance(message, ReadState):
-                document = message.query.read(self.state)
+                document = None
+                if self.mode != "ignore":
+                    document = message.query.read(self.state)
                 read = StateRead(document, "leader", "ikeja-1", 3)
                 message.reply.send(read)
                 continue
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -207,6 +207,18 @@
     trio.run(scenario)
 
 
+def test_reads_without_an_answer_are_unavailable(control):
+    """Guards against a traceback while the log does not answer."""
+    control.mode = "ignore"
+
+    async def scenario():
+        for path in ("fleet", "history", "status", "maintenance"):
+            status, document = await control.call("GET", f"/v1/{path}")
+            assert (status, document["outcome"]) == (503, "unavailable")
+
+    run_with(control, scenario)
+
+
 def test_status_says_who_lags_and_why(control):
     """Guards against a process that lags unnoticed (R8)."""
     control.report("entry/ikeja-1", 0)
--- a/wigeonport/claim_states.py
+++ b/wigeonport/claim_states.py
@@ -2,6 +2,7 @@
 
 import base64
 
+from wigeonport.key_sets import KeySet, hash_key, key_set_from_document
 from wigeonport.records import Record
 from wigeonport.state_answers import (
     ClaimCompleted,
@@ -22,10 +23,15 @@
 
 RETENTION_MS = 24 * 3_600_000
 LARGEST_RESPONSE_BYTES = 8 * 1024
-LARGEST_TOTAL_BYTES = 64 * 1024 * 1024
+# A snapshot needs about four times this in memory while it is written or
+# installed; a control node has 256 MB.
+LARGEST_TOTAL_BYTES = 32 * 1024 * 1024
 LARGEST_TEXT_BYTES = 512
-# Counted for each record besides its texts and its response.
-RECORD_BYTES = 512
+# Memory of a record besides its texts and its response.
+RECORD_BYTES = 320
+# A claim that was not completed by then is taken for abandoned: its outcome
+# is unknown for good, and only its key has to be remembered.
+ABANDONED_MS = 3_600_000
 
 
 class Claim(Record):
@@ -50,44 +56,63 @@
 
 
 class ClaimState:
-    """Claims by key, and released attempts.
+    """Claims by key, and released attempts, for 24 h.
 
-    Records are kept for 24 h after the claim. When everything together
-    reaches 64 MB, the oldest responses are dropped, and repeats of their
-    keys are answered with ``ClaimUnknown``; when the records alone reach it,
-    new claims are refused. A release is always recorded.
+    When everything together reaches 32 MiB, the oldest releases, completed
+    claims and abandoned claims are reduced to 8 bytes each: a repeat of such
+    a key is answered with ``ClaimUnknown``, and a claim of such an attempt
+    is still refused. New claims are refused only when this does not make
+    room. A release is always recorded.
 
     Attributes:
         claims: Claim by key, in the order of the claims.
+        completed: Keys of completed claims, in the order of completion.
         released: Wall time of the release by key and attempt, in order. A
             claim that arrives after its release is refused.
-        stored: Keys with a stored response, in the order of completion.
-        total_bytes: Counted size of everything.
+        reduced_keys: Keys of reduced claims.
+        reduced_attempts: Keys with attempts of reduced releases.
+        full_bytes: Counted size of everything that is not reduced.
     """
 
-    __slots__ = ("claims", "released", "stored", "total_bytes")
+    __slots__ = (
+        "claims",
+        "completed",
+        "released",
+        "reduced_keys",
+        "reduced_attempts",
+        "full_bytes",
+    )
 
     def __init__(self):
         self.claims = {}
+        self.completed = {}
         self.released = {}
-        self.stored = {}
-        self.total_bytes = 0
+        self.reduced_keys = KeySet(RETENTION_MS)
+        self.reduced_attempts = KeySet(RETENTION_MS)
+        self.full_bytes = 0
+
+    def total_bytes(self):
+        """Returns the counted size of everything."""
+        reduced = (self.reduced_keys, self.reduced_attempts)
+        return self.full_bytes + sum(keys.size_bytes() for keys in reduced)
 
     def claim(self, key, digest, attempt, now_ms):
         """Claims a key for an attempt; returns the answer."""
         self._expire(now_ms)
         if not all(map(_is_usable, (key, digest, attempt))):
             return ClaimRefused(key, "malformed")
-        if (key, attempt) in self.released:
+        if self._is_released(key, attempt):
             return ClaimRefused(key, "released")
         claim = self.claims.get(key)
         if claim is not None:
             return _answer_to_held(key, digest, attempt, claim)
+        if hash_key(key) in self.reduced_keys:
+            return ClaimUnknown(key)
         size = _size(key, digest, attempt)
-        if not self._make_room(size):
+        if not self._make_room(size, now_ms):
             return ClaimRefused(key, "full")
         self.claims[key] = Claim(digest, attempt, now_ms, False, None)
-        self.total_bytes += size
+        self.full_bytes += size
         return ClaimGranted(key, attempt)
 
     def complete(self, key, attempt, response, now_ms):
@@ -97,12 +122,12 @@
         if claim is None or claim.attempt != attempt:
             return ClaimRefused(key, "not held")
         if not claim.completed:
-            claim.completed = True
             fits = len(response) <= LARGEST_RESPONSE_BYTES
-            if fits and self._make_room(len(response)):
+            if fits and self._make_room(len(response), now_ms):
                 claim.response = bytes(response)
-                self.stored[key] = None
-                self.total_bytes += len(response)
+                self.full_bytes += len(response)
+            claim.completed = True
+            self.completed[key] = None
         return ClaimCompleted(key, claim.response is not None)
 
     def release(self, key, attempt, now_ms):
@@ -115,26 +140,53 @@
             if claim.completed:
                 return ClaimRefused(key, "completed")
             self._forget(key)
-        if (key, attempt) not in self.released:
+        if not self._is_released(key, attempt):
             self.released[key, attempt] = now_ms
-            self.total_bytes += _size(key, attempt)
+            self.full_bytes += _size(key, attempt)
+            self._make_room(0, now_ms)
         return ClaimReleased(key, attempt)
 
-    def _make_room(self, size):
-        """Drops the oldest responses; their keys stay claimed."""
-        while self.total_bytes + size > LARGEST_TOTAL_BYTES and self.stored:
-            key = next(iter(self.stored))
-            del self.stored[key]
-            claim = self.claims[key]
-            self.total_bytes -= len(claim.response)
-            claim.response = None
-        return self.total_bytes + size <= LARGEST_TOTAL_BYTES
+    def _is_released(self, key, attempt):
+        if (key, attempt) in self.released:
+            return True
+        return hash_key(key, attempt) in self.reduced_attempts
+
+    def _make_room(self, size, now_ms):
+        """Reduces the oldest records until ``size`` more bytes fit."""
+        while self.total_bytes() + size > LARGEST_TOTAL_BYTES:
+            if not self._reduce_one(now_ms):
+                return False
+        return True
+
+    def _reduce_one(self, now_ms):
+        """Reduces one record; returns False if none may be reduced."""
+        if self.completed:
+            self._reduce_claim(next(iter(self.completed)))
+            return True
+        if self.released:
+            pair, time_ms = next(iter(self.released.items()))
+            self.reduced_attempts.add(hash_key(*pair), time_ms)
+            self._forget_release(pair)
+            return True
+        key, claim = next(iter(self.claims.items()), (None, None))
+        if claim is None or claim.claimed_ms > now_ms - ABANDONED_MS:
+            return False
+        self._reduce_claim(key)
+        return True
+
+    def _reduce_claim(self, key):
+        self.reduced_keys.add(hash_key(key), self.claims[key].claimed_ms)
+        self._forget(key)
 
     def _forget(self, key):
         claim = self.claims.pop(key)
-        self.stored.pop(key, None)
-        self.total_bytes -= _size(key, claim.digest, claim.attempt)
-        self.total_bytes -= len(claim.response or b"")
+        self.completed.pop(key, None)
+        self.full_bytes -= _size(key, claim.digest, claim.attempt)
+        self.full_bytes -= len(claim.response or b"")
+
+    def _forget_release(self, pair):
+        del self.released[pair]
+        self.full_bytes -= _size(*pair)
 
     def _expire(self, now_ms):
         oldest_ms = now_ms - RETENTION_MS
@@ -147,40 +199,55 @@
             pair, time_ms = next(iter(self.released.items()))
             if time_ms > oldest_ms:
                 break
-            del self.released[pair]
-            self.total_bytes -= _size(*pair)
+            self._forget_release(pair)
+        self.reduced_keys.expire(now_ms)
+        self.reduced_attempts.expire(now_ms)
 
     def to_document(self):
-        """Returns plain data; responses are in base64."""
+        """Returns plain data; rows instead of mappings keep it small."""
         claims = []
         for key, claim in self.claims.items():
-            item = claim.to_document() | {"key": key}
-            if claim.response is not None:
-                item["response"] = base64.b64encode(claim.response).decode()
-            claims.append(item)
+            response = claim.response
+            if response is not None:
+                response = base64.b64encode(response).decode()
+            claims.append(
+                [
+                    key,
+                    claim.digest,
+                    claim.attempt,
+                    claim.claimed_ms,
+                    claim.completed,
+                    response,
+                ]
+            )
         return {
             "claims": claims,
+            "completed": list(self.completed),
             "released": [[*p, ms] for p, ms in self.released.items()],
-            "stored": list(self.stored),
+            "reduced_keys": self.reduced_keys.to_document(),
+            "reduced_attempts": self.reduced_attempts.to_document(),
         }
 
 
 def claim_state_from_document(document):
     """Returns the ClaimState of a snapshot."""
     state = ClaimState()
-    for item in document["claims"]:
-        values = dict(item)
-        key = values.pop("key")
-        if values["response"] is not None:
-            values["response"] = base64.b64decode(values["response"])
-        claim = Claim(**values)
-        state.claims[key] = claim
-        state.total_bytes += _size(key, claim.digest, claim.attempt)
-        state.total_bytes += len(claim.response or b"")
+    for key, digest, attempt, claimed_ms, completed, text in document[
+        "claims"
+    ]:
+        response = None if text is None else base64.b64decode(text)
+        state.claims[key] = Claim(
+            digest, attempt, claimed_ms, completed, response
+        )
+        state.full_bytes += _size(key, digest, attempt)
+        state.full_bytes += len(response or b"")
     for key, attempt, time_ms in document["released"]:
         state.released[key, attempt] = time_ms
-        state.total_bytes += _size(key, attempt)
-    state.stored = dict.fromkeys(document["stored"])
+        state.full_bytes += _size(key, attempt)
+    state.completed = dict.fromkeys(document["completed"])
+    for name in ("reduced_keys", "reduced_attempts"):
+        keys = key_set_from_document(document[name], RETENTION_MS)
+        setattr(state, name, keys)
     return state
 
 
--- a/wigeonport/operator_routes.py
+++ b/wigeonport/operator_routes.py
@@ -2,6 +2,8 @@
 
 import json
 
+from expression import Error, Result
+
 from wigeonport.fleet_states import parse_json
 from wigeonport.patches import patch_from_document
 from wigeonport.records import Record
@@ -57,12 +59,23 @@
     return respond_json(status, document)
 
 
+async def read_state(control, query) -> Result:
+    """Returns the StateRead of a query, or the response of a failure."""
+    read = await control.port.read(query)
+    reason = "" if read.is_ok() else read.error
+    if read.is_ok() and read.ok.document is None:
+        reason = "the replicated state does not answer"
+    if reason:
+        document = {"outcome": "unavailable", "reason": reason}
+        return Error(respond_json(503, document))
+    return read
+
+
 async def respond_read(control, query):
     """Returns the response to a query of the replicated state."""
-    read = await control.port.read(query)
+    read = await read_state(control, query)
     if read.is_error():
-        document = {"outcome": "unavailable", "reason": read.error}
-        return respond_json(503, document)
+        return read.error
     found = read.ok
     replica = {
         "role": found.role,
--- a/wigeonport/state_answers.py
+++ b/wigeonport/state_answers.py
@@ -1,4 +1,4 @@
-"""Answers about patches, claims and members."""
+"""Answers about patches and claims."""
 
 from wigeonport.codecs import message_kinds
 from wigeonport.records import Record
@@ -190,20 +190,6 @@
         self.attempt = attempt
 
 
-@message_kinds.register("MemberChanged")
-class MemberChanged(Record):
-    """The member list was changed.
-
-    Attributes:
-        member: Node id.
-    """
-
-    __slots__ = ("member",)
-
-    def __init__(self, member):
-        self.member = member
-
-
 @message_kinds.register("CommandRefused")
 class CommandRefused(Record):
     """The command was not understood or not permitted.
--- a/wigeonport/state_commands.py
+++ b/wigeonport/state_commands.py
@@ -233,31 +233,3 @@
         self.scope = scope
         self.author = author
         self.reason = reason
-
-
-@message_kinds.register("SetMember")
-class SetMember(Record):
-    """Adds or replaces an entry of the member list.
-
-    Attributes:
-        member: The Member.
-    """
-
-    __slots__ = ("member",)
-
-    def __init__(self, member):
-        self.member = member
-
-
-@message_kinds.register("RemoveMember")
-class RemoveMember(Record):
-    """Removes an entry of the member list.
-
-    Attributes:
-        member: Node id.
-    """
-
-    __slots__ = ("member",)
-
-    def __init__(self, member):
-        self.member = member
--- a/wigeonport/state_requests.py
+++ b/wigeonport/state_requests.py
@@ -62,7 +62,7 @@
     """Result of a query.
 
     Attributes:
-        document: What the query returned.
+        document: What the query returned, or None if it failed.
         role: Role of the replica: ``leader``, ``follower`` and so on.
         leader: Node id of the known leader, or an empty text.
         term: Term of the replica.
--- a/wigeonport/states.py
+++ b/wigeonport/states.py
@@ -11,7 +11,6 @@
     MaintenanceState,
     maintenance_state_from_document,
 )
-from wigeonport.member_states import MemberState, member_state_from_document
 from wigeonport.pool_states import PoolState, pool_state_from_document
 from wigeonport.registries import Registry
 from wigeonport.state_answers import CommandRefused
@@ -25,7 +24,6 @@
 PARTS.register("maintenance")(
     (MaintenanceState, maintenance_state_from_document)
 )
-PARTS.register("members")((MemberState, member_state_from_document))
 
 
 class Entry:
@@ -56,7 +54,6 @@
         pools: PoolState.
         claims: ClaimState.
         maintenance: MaintenanceState.
-        members: MemberState.
     """
 
     __slots__ = (
@@ -66,7 +63,6 @@
         "pools",
         "claims",
         "maintenance",
-        "members",
     )
 
     def __init__(self):
--- a/wigeonport/states.thrift
+++ b/wigeonport/states.thrift
@@ -1,14 +1,5 @@
 // Commands of the replicated state machine and their answers.
 
-struct Member {
-  1: required string id
-  2: required string identity
-  3: required string role
-  4: required string zone
-  5: required string host
-  6: required i32 port
-}
-
 struct SubmitPatch {
   1: required string document_json
 }
@@ -81,14 +72,6 @@
   3: required string reason
 }
 
-struct SetMember {
-  1: required Member member
-}
-
-struct RemoveMember {
-  1: required string member
-}
-
 struct PatchAccepted {
   1: required string patch
   2: required i64 version
@@ -184,15 +167,6 @@
   2: required bool paused
 }
 
-struct MemberChanged {
-  1: required string member
-}
-
 struct CommandRefused {
   1: required string why
 }
-
-struct TimedCommand {
-  1: required i64 time_ms
-  2: required binary command
-}
--- a/wigeonport/status_routes.py
+++ b/wigeonport/status_routes.py
@@ -1,7 +1,7 @@
 """Route that shows which processes apply which version."""
 
 from wigeonport.channels import ask
-from wigeonport.operator_routes import operator_routes
+from wigeonport.operator_routes import operator_routes, read_state
 from wigeonport.publishers import StatusQuery
 from wigeonport.records import Record
 from wigeonport.servers import respond_json
@@ -77,10 +77,9 @@
 @operator_routes.register(("GET", "/v1/status"))
 async def show_status(control, request):
     """Returns the version that every process applies."""
-    read = await control.port.read(VersionQuery())
+    read = await read_state(control, VersionQuery())
     if read.is_error():
-        document = {"outcome": "unavailable", "reason": read.error}
-        return respond_json(503, document)
+        return read.error
     found = read.ok
     statuses = await ask(
         control.publisher, StatusQuery, control.port.timeout_ms
