Wait for a new leader on the command line

Cause: in a trial with five controls, a patch that was sent 0.8 s after the leader was killed ended with exit code 1, because no server could run it yet.

Conclusion: a certain `not-run` is retried, an unknown outcome is reported.

--- a/wigeonport/clients.py
+++ b/wigeonport/clients.py
@@ -27,6 +27,9 @@
     OSError,
 )
 CONNECT_TIMEOUT_MS = 2_000
+# A lost leader is replaced within 3 s.
+RETRY_MS = 4_000
+PAUSE_MS = 250
 
 
 class Answer(Record):
@@ -48,6 +51,50 @@
         self.reasons = list(reasons)
 
 
+class Course:
+    """What the attempts at one request have shown so far.
+
+    Once an outcome is unknown, only an answer that the replicated state
+    decided resolves it: another server cannot know that the first one did
+    not run the request.
+
+    Attributes:
+        reasons: Why servers gave no answer, without repetitions.
+        unknown: Whether an attempt may have taken effect.
+        busy: Whether a server answered that it ran nothing.
+        document: Document of the last such answer.
+    """
+
+    __slots__ = ("reasons", "unknown", "busy", "document")
+
+    def __init__(self):
+        self.reasons = []
+        self.unknown = False
+        self.busy = False
+        self.document = {}
+
+    def ends_with(self, server, answer):
+        """Takes an Answer; returns whether it is the final one."""
+        decided = answer.status in DECIDED
+        if answer.outcome == ANSWERED and (decided or not self.unknown):
+            answer.reasons = self.reasons
+            return True
+        self.unknown = self.unknown or answer.outcome == UNKNOWN
+        if answer.document:
+            self.busy, self.document = True, answer.document
+        for text in answer.reasons:
+            line = f"{server}: {text}"
+            if line not in self.reasons:
+                self.reasons.append(line)
+        return False
+
+    def conclude(self, method):
+        """Returns the Answer when no server has given a final one."""
+        if self.unknown and method != "GET":
+            return Answer(UNKNOWN, reasons=self.reasons)
+        return Answer(NOT_RUN, 0, self.document, self.reasons)
+
+
 class OperatorClient:
     """Sends requests to several control programs in turn.
 
@@ -58,14 +105,17 @@
         servers: Addresses, ``host:port``.
         token: Bearer token.
         timeout_ms: Longest wait for one server.
+        retry_ms: How long the servers are tried again while one of them
+            answers that it ran nothing.
     """
 
-    __slots__ = ("servers", "token", "timeout_ms")
+    __slots__ = ("servers", "token", "timeout_ms", "retry_ms")
 
-    def __init__(self, servers, token, timeout_ms):
+    def __init__(self, servers, token, timeout_ms, retry_ms=RETRY_MS):
         self.servers = servers
         self.token = token
         self.timeout_ms = timeout_ms
+        self.retry_ms = retry_ms
 
     def call(self, method, path, document=None):
         """Returns the Answer of the first server that decides."""
@@ -74,25 +124,21 @@
     async def request(self, method, path, document=None):
         """Tries the servers in turn; see ``call``.
 
-        Once an outcome is unknown, only an answer that the replicated state
-        decided resolves it: another server cannot know that the first one
-        did not run the request.
+        While a server answers that it ran nothing, for example because the
+        leader is being replaced, all are tried again for some seconds.
         """
-        reasons, unknown, last = [], False, None
         body = b"" if document is None else json.dumps(document).encode()
-        for server in self.servers:
-            answer = await self.attempt(server, method, path, body)
-            decided = answer.status in DECIDED
-            if answer.outcome == ANSWERED and (decided or not unknown):
-                answer.reasons = reasons
-                return answer
-            unknown = unknown or answer.outcome == UNKNOWN
-            last = answer
-            reasons += [f"{server}: {text}" for text in answer.reasons]
-        if unknown and method != "GET":
-            return Answer(UNKNOWN, reasons=reasons)
-        document = last.document if last else {}
-        return Answer(NOT_RUN, 0, document, reasons)
+        course = Course()
+        ends_s = trio.current_time() + self.retry_ms / 1000
+        while True:
+            course.busy = False
+            for server in self.servers:
+                answer = await self.attempt(server, method, path, body)
+                if course.ends_with(server, answer):
+                    return answer
+            if not course.busy or trio.current_time() >= ends_s:
+                return course.conclude(method)
+            await trio.sleep(PAUSE_MS / 1000)
 
     async def attempt(self, server, method, path, body):
         """Returns the Answer of one server."""
--- a/wigeonport/commands/options.py
+++ b/wigeonport/commands/options.py
@@ -10,6 +10,7 @@
 
 from wigeonport.clients import (
     ANSWERED,
+    RETRY_MS,
     UNKNOWN,
     OperatorClient,
     parse_server,
@@ -46,6 +47,13 @@
         flag=False,
         default=str(TIMEOUT_MS),
     ),
+    option(
+        "retry-ms",
+        None,
+        "How long to try again while the servers run nothing.",
+        flag=False,
+        default=str(RETRY_MS),
+    ),
     JSON_OPTION,
 ]
 
@@ -106,7 +114,8 @@
                 raise UsageError(f"{name!r} is not an address host:port")
             servers.append(server)
         timeout_ms = self.whole("timeout-ms") or TIMEOUT_MS
-        return OperatorClient(servers, self.read_token(), timeout_ms)
+        retry_ms = self.whole("retry-ms")
+        return OperatorClient(servers, self.read_token(), timeout_ms, retry_ms)
 
     def read_token(self):
         """Returns the token: the last word of the first line of its file.
@@ -150,7 +159,7 @@
             self.print_error(f"The outcome is unknown. {resend}".rstrip())
             return EXIT_UNKNOWN
         if answer.outcome != ANSWERED:
-            self.print_error("No server answered; nothing was run.")
+            self.print_error("No server ran it; nothing was changed.")
             return EXIT_REFUSED
         if answer.status != 200:
             self.print_refusal(answer)
--- a/wigeonport/fleet_changes.py
+++ b/wigeonport/fleet_changes.py
@@ -45,7 +45,7 @@
         if self.section == SETTING_SECTION:
             return f"{name}: {self.before} -> {self.after}"
         if self.before is None:
-            return f"{name}: added {_pairs(self.after)}"
+            return f"{name}: added {_pairs(self.after)}".rstrip()
         if self.after is None:
             return f"{name}: removed"
         fields = [
