Remove settings without effect

Cause: six rows of the table (segment_max_bytes, max_header_bytes, link_heartbeat_ms, link_timeout_ms, link_exchange_timeout_ms, announcement_interval_ms) were read by no program, so that an operator who changed one saw no effect. The parts concerned use constants.

Change: the rows and their check go; a test requires that every row is read.

Before: 6 rows without effect.

Conclusion: whoever makes one of these constants a setting adds the row with its use.

--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -12,6 +12,7 @@
 from wigeonport.documents import REQUIRED
 from wigeonport.patch_operations import OPERATIONS
 from wigeonport.patches import patch_from_document
+from wigeonport.setting_tables import TABLE
 from wigeonport.yaml_documents import load_bytes
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -33,6 +34,19 @@
     assert page == module.make_page()
 
 
+def test_every_setting_is_used():
+    """Guards against a setting that has no effect."""
+    sources = "".join(
+        path.read_text()
+        for path in (ROOT / "wigeonport").glob("*.py")
+        if path.name not in ("settings.py", "setting_tables.py")
+    )
+    for field in TABLE:
+        assert re.search(rf"settings(\.ok)?\.{field.name}\b", sources), (
+            field.name
+        )
+
+
 def test_every_command_and_option_is_described(command_page):
     """Guards against commands that the page lacks."""
     load_commands()
--- a/wigeonport/setting_tables.py
+++ b/wigeonport/setting_tables.py
@@ -93,17 +93,10 @@
         "info",
         text="`debug`, `info`, `warning` or `error`.",
     ),
-    _count(
-        "segment_max_bytes",
-        8 * 1024 * 1024,
-        "Size at which the journal starts a new segment.",
-        2**30,
-    ),
     _count("snapshot_entries", 10_000, "Entries between two snapshots."),
 )
 REQUEST_LIMITS = (
     _count("max_body_bytes", 1_048_576, "Largest body of a request.", 2**30),
-    _count("max_header_bytes", 16_384, "Largest header of a request.", 2**20),
     _count(
         "max_response_bytes",
         8 * 1024 * 1024,
@@ -157,18 +150,6 @@
     ),
 )
 INTERVALS = (
-    _ms("link_heartbeat_ms", 500, "Time between two heartbeats of a link."),
-    _ms(
-        "link_timeout_ms",
-        2_000,
-        "A link without any message for this long is closed.",
-    ),
-    _ms("link_exchange_timeout_ms", 1_000, "Longest wait for an answer."),
-    _ms(
-        "announcement_interval_ms",
-        1_000,
-        "Time between two announcements of an endpoint.",
-    ),
     _ms(
         "endpoint_expiry_ms",
         2_500,
--- a/wigeonport/settings.py
+++ b/wigeonport/settings.py
@@ -176,18 +176,12 @@
             reporter.add(("key_files", index), text)
 
 
-@SETTINGS_CHECKS.register("intervals")
-def check_intervals(settings, reporter):
-    """A time-out leaves room for at least two of its heartbeats."""
-    pairs = (
-        ("link_timeout_ms", "link_heartbeat_ms"),
-        ("endpoint_expiry_ms", "announcement_interval_ms"),
-        ("election_timeout_ms", "replication_heartbeat_ms"),
-    )
-    for timeout, interval in pairs:
-        if getattr(settings, timeout) < 2 * getattr(settings, interval):
-            text = f"must be at least twice {interval}"
-            reporter.add((timeout,), text)
+@SETTINGS_CHECKS.register("election")
+def check_election(settings, reporter):
+    """A voter may miss a heartbeat without starting an election."""
+    if settings.election_timeout_ms < 2 * settings.replication_heartbeat_ms:
+        text = "must be at least twice replication_heartbeat_ms"
+        reporter.add(("election_timeout_ms",), text)
 
 
 @SETTINGS_CHECKS.register("log_level")
