--- a/wigeonport/control_main.py
+++ b/wigeonport/control_main.py
@@ -31,6 +31,7 @@
 from wigeonport.plan_settings import PlanSettings
 from wigeonport.planners import build_planner
 from wigeonport.platform_clients import PlatformClient, poll_reports
+from wigeonport.probes import ReplicaProbe, answer_probes
 from wigeonport.programs import start
 from wigeonport.publishers import Publisher, publish
 from wigeonport.recoveries import open_directory, open_memory
@@ -61,6 +62,7 @@
         notices: From the consensus task to the version watcher.
         history: From the consensus task to the event recorder.
         health: Queries for unavailable VMs.
+        probes: Queries for the condition of the replica.
         planner: Notices, reports, results and queries for the planner.
         plans: From the planner to its actor.
     """
@@ -73,6 +75,7 @@
         "notices",
         "history",
         "health",
+        "probes",
         "planner",
         "plans",
     )
@@ -87,6 +90,7 @@
         self.notices = Mailbox("notices", bound, DROP_OLDEST)
         self.history = Mailbox("history", HISTORY_BOUND, DROP_OLDEST)
         self.health = Mailbox("health", bound, REFUSE)
+        self.probes = Mailbox("probes", bound, REFUSE)
         # What the planner misses it reads again: it is resent by the
         # platform or found in the state at the next tick.
         self.planner = Mailbox("planner", PLANNER_BOUND, DROP_OLDEST)
@@ -106,6 +110,8 @@
             await boxes.planner.put(delivery)
         elif isinstance(message, HealthRequest):
             await boxes.health.put(delivery)
+        elif isinstance(message, ReplicaProbe):
+            await boxes.probes.put(delivery)
         elif isinstance(message, CLAIMS):
             await boxes.claims.put(delivery)
         else:
@@ -197,6 +203,7 @@
     nursery.start_soon(record_history, boxes.history, program.events)
     nursery.start_soon(broker_claims, boxes.claims, broker)
     nursery.start_soon(adapt_requests, boxes.requests, adapter)
+    nursery.start_soon(answer_probes, boxes.probes, consensus.inbox)
     health = HealthBroker(consensus.inbox, boxes.planner, dialers)
     nursery.start_soon(broker_health, boxes.health, health)
     start_planner(nursery, program, boxes, consensus, dialers, adapter)
--- /dev/null
+++ b/wigeonport/probes.py
@@ -0,0 +1,99 @@
+"""Probes: ask a control for the condition of its replica."""
+
+import trio
+
+from wigeonport.channels import Mailbox, ask
+from wigeonport.clocks import Clock, LamportCounter
+from wigeonport.codecs import message_kinds
+from wigeonport.consensus_requests import StatusRequest
+from wigeonport.dialers import Dialer
+from wigeonport.links import Identity, LinkContext
+from wigeonport.messages import Failure
+from wigeonport.metrics import Metrics
+
+STATUS_TIMEOUT_MS = 1_000
+PROBE_TIMEOUT_MS = 2_000
+INBOUND_BOUND = 64
+
+
+@message_kinds.register("ReplicaProbe")
+class ReplicaProbe:
+    """Asks a control for its ReplicaReport."""
+
+    __slots__ = ()
+
+
+@message_kinds.register("ReplicaReport")
+class ReplicaReport:
+    """Condition of a replica.
+
+    Attributes:
+        replica_id: The replica.
+        leader_id: Leader that it follows or is, or "".
+        term: Its term.
+        last_index: Last index of its log.
+    """
+
+    __slots__ = ("replica_id", "leader_id", "term", "last_index")
+
+    def __init__(self, replica_id, leader_id, term, last_index):
+        self.replica_id = replica_id
+        self.leader_id = leader_id
+        self.term = term
+        self.last_index = last_index
+
+
+async def answer_probes(inbound, consensus):
+    """Answers the probes that reach a control."""
+    async for delivery in inbound:
+        status = await ask(consensus, StatusRequest, STATUS_TIMEOUT_MS)
+        if status.is_error():
+            delivery.respond(Failure(status.error))
+            continue
+        found = status.ok
+        delivery.respond(
+            ReplicaReport(
+                found.replica_id,
+                found.leader_id,
+                found.term,
+                found.last_index,
+            )
+        )
+
+
+async def probe_peers(settings, keys):
+    """Returns the ReplicaReports of all peers that answer in time."""
+    identity = Identity(
+        f"probe/{settings.node_id}",
+        settings.availability_zone,
+        settings.cluster_id,
+        keys,
+    )
+    inbound = Mailbox("probes", INBOUND_BOUND)
+    context = LinkContext(
+        identity, inbound, Clock(), Metrics(), LamportCounter()
+    )
+    reports = []
+    with trio.move_on_after(PROBE_TIMEOUT_MS / 1000):
+        async with trio.open_nursery() as nursery:
+            for peer in settings.peers:
+                nursery.start_soon(probe, context, peer, reports)
+    return reports
+
+
+async def probe(context, peer, reports):
+    """Adds the report of one peer."""
+    opened = trio.Event()
+    dialer = Dialer(
+        context,
+        peer.host,
+        peer.control_links_port,
+        lambda _: opened.set(),
+    )
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(dialer.run)
+        await opened.wait()
+        answer = await dialer.ask(ReplicaProbe(), PROBE_TIMEOUT_MS)
+        if answer.is_ok() and isinstance(answer.ok, ReplicaReport):
+            reports.append(answer.ok)
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/wigeonport/quorum_recoveries.py
@@ -0,0 +1,161 @@
+"""Quorum recoveries: let one replica go on when the quorum is lost for good.
+
+The surviving replica appends a member list that names only itself. Entries
+that the lost voters had committed and that this replica never received are
+lost; entries that it received and that were never committed take effect.
+"""
+
+import pathlib
+
+import trio
+from expression import Error, Ok, Result
+
+from wigeonport.codecs import codecs
+from wigeonport.disk_identities import read_identity
+from wigeonport.memberships import Member, Members
+from wigeonport.probes import probe_peers
+from wigeonport.recoveries import open_directory
+from wigeonport.replica_events import HardState, Persist
+from wigeonport.replica_logs import ReplicaLog
+from wigeonport.replication_messages import DATA, MEMBERS, Entry, node_of
+from wigeonport.snapshots import DamageError, FormatError, decode_state
+from wigeonport.states import Entry as StateEntry
+from wigeonport.states import ReplicatedState, state_from_document
+
+
+class Survivor:
+    """What the data directory of the surviving replica holds.
+
+    Attributes:
+        replica_id: The replica.
+        term: Its term.
+        last_index: Last index of its log.
+        version: Fleet version after all its entries.
+        members: Its Members.
+        opened: Opened data directory.
+    """
+
+    __slots__ = (
+        "replica_id",
+        "term",
+        "last_index",
+        "version",
+        "members",
+        "opened",
+    )
+
+    def __init__(self, opened):
+        recovered = opened.recovered
+        snapshot = recovered.snapshot
+        log = ReplicaLog(
+            snapshot.index if snapshot else 0,
+            snapshot.term if snapshot else 0,
+            snapshot.members if snapshot else Members(),
+            recovered.entries,
+        )
+        self.replica_id = opened.replica_id
+        self.term = recovered.hard_state.term
+        self.last_index = log.last_index()
+        self.version = read_state(recovered).fleet.fleet.version
+        self.members = log.members()
+        self.opened = opened
+
+    def describe(self):
+        """Returns the lines that an operator reads before deciding."""
+        lost = [v for v in self.members.voters if v != self.replica_id]
+        return [
+            f"replica {self.replica_id} holds fleet version {self.version}",
+            f"its log ends at index {self.last_index} in term {self.term}",
+            "changes that only these voters hold are lost: " + ", ".join(lost),
+            "never start those voters again with their old data",
+        ]
+
+
+def read_state(recovered):
+    """Returns the ReplicatedState after all entries."""
+    state = ReplicatedState()
+    if recovered.snapshot:
+        document = decode_state(recovered.snapshot.data)
+        state = state_from_document(document).ok
+    codec = codecs.get("thrift").ok()
+    for entry in recovered.entries:
+        command, time_ms = None, 0
+        if entry.kind == DATA:
+            logged = codec.decode(entry.payload).ok
+            command, time_ms = codec.decode(logged.command).ok, logged.time_ms
+        state.apply(StateEntry(entry.index, time_ms, command))
+    return state
+
+
+def open_survivor(settings) -> Result:
+    """Returns the Survivor of a stopped control, or why there is none."""
+    if settings.data_dir is None:
+        return Error("this VM has no data_dir")
+    directory = pathlib.Path(settings.data_dir)
+    try:
+        identity = read_identity(directory) if directory.is_dir() else None
+        if identity is None:
+            return Error(f"{directory} holds no replica")
+        if (identity.cluster_id, identity.node) != (
+            settings.cluster_id,
+            settings.node_id,
+        ):
+            return Error(f"{directory} belongs to another node")
+        opened = open_directory(
+            directory, settings.cluster_id, settings.node_id
+        )
+    except (DamageError, FormatError) as fault:
+        return Error(f"{directory} is damaged: {fault}")
+    except OSError as fault:
+        return Error(f"{directory} cannot be opened: {fault}")
+    if opened.damage:
+        return Error(f"{directory} is damaged: {opened.damage}")
+    return Ok(Survivor(opened))
+
+
+def find_objections(survivor, reports):
+    """Returns why the quorum must not be given up.
+
+    Args:
+        survivor: The Survivor.
+        reports: ReplicaReports of the other controls that answered.
+    """
+    members = survivor.members
+    if not members.is_voter(survivor.replica_id):
+        return [f"{survivor.replica_id} is not a voter"]
+    objections = [
+        f"{report.replica_id} follows the leader {report.leader_id}"
+        for report in reports
+        if report.leader_id
+    ]
+    living = {r.replica_id for r in reports} & set(members.voters)
+    if len(living) + 1 >= members.quorum():
+        objections.append(
+            f"{len(living) + 1} of {len(members.voters)} voters live, which "
+            "is a quorum; start this control"
+        )
+    objections += [
+        f"{report.replica_id} holds a longer log (term {report.term}, index "
+        f"{report.last_index}); recover on {node_of(report.replica_id)}"
+        for report in reports
+        if report.replica_id in members.voters
+        and report.last_index > survivor.last_index
+    ]
+    return objections
+
+
+def give_up_quorum(survivor):
+    """Appends the member list that names only the survivor."""
+    term = survivor.term + 1
+    alone = Members([Member(survivor.replica_id, True, True)])
+    persist = Persist(1)
+    persist.hard_state = HardState(term, survivor.replica_id)
+    persist.entries = [
+        Entry(survivor.last_index + 1, term, MEMBERS, alone.to_payload())
+    ]
+    survivor.opened.journal.write([persist])
+
+
+def find_reports(settings, keys):
+    """Returns the ReplicaReports of the other controls."""
+    return trio.run(probe_peers, settings, keys)
