Bound what an entry holds, and end its stop with answers

Cause: one service could fill the entry with its requests; bodies that arrived slowly were held without a limit; at the bound of a shutdown callers lost their connection without an answer; a request that arrived during the stop was run.

Change: a service holds at most as much as is still free, in requests and bytes. A body has to arrive within receive_timeout_ms, and only as many bodies arrive in pieces as fit into max_held_bytes. A stopping entry accepts connections for stop_refuse_ms more and answers not-run; before the bound all held requests are answered unknown. Queue discipline and share policy are settings.

The number of callers' connections is not limited: the HTTP server offers no such limit, so the limit of open files of the process is the bound.

--- a/tests/test_entry_chains.py
+++ b/tests/test_entry_chains.py
@@ -61,3 +61,72 @@
                 nursery.start_soon(ask, number)
 
     run_cluster(scenario)
+
+
+def test_entries_share_the_slots_of_an_endpoint(run_cluster):
+    """Guards against three entries that overrun one endpoint."""
+
+    async def scenario(cluster):
+        await cluster.start(3)
+        await cluster.add_endpoint("e1")
+        for index in range(3):
+            await cluster.wait_ready(index)
+        statuses = []
+
+        async def ask(index):
+            for _ in range(10):
+                headers = [("x-delay-ms", "20"), ("x-tag", "load")]
+                answer = await cluster.call(index, "GET", headers)
+                statuses.append(answer.status)
+
+        async with trio.open_nursery() as nursery:
+            for number in range(18):
+                nursery.start_soon(ask, number % 3)
+        assert statuses == [200] * 180
+        refused = sum(
+            program.metrics.counters.get("dispatchers_not_run", 0)
+            for program in cluster.programs
+        )
+        # The endpoint frees a slot only after it has sent its answer.
+        assert refused < 5
+
+    run_cluster(scenario)
+
+
+def test_leaving_endpoint_gets_no_work_from_any_entry(run_cluster):
+    """Guards against work sent to an endpoint long after it left."""
+
+    async def scenario(cluster):
+        await cluster.start(3)
+        leaving = await cluster.add_endpoint("e1")
+        await cluster.add_endpoint("e2", entries=(1,))
+        for index in range(3):
+            await cluster.wait_ready(index)
+        leaving.state = "leaving"
+        await trio.sleep(3)
+        for index in (0, 1, 2) * 10:
+            answer = await cluster.call(index, "POST", [("x-tag", "after")])
+            assert answer.status == 200
+        runs = [run for run in cluster.runs() if run["tag"] == "after"]
+        assert {run["endpoint"] for run in runs} == {"e2"}
+        counters = [program.metrics.counters for program in cluster.programs]
+        refused = [item.get("dispatchers_not_run", 0) for item in counters]
+        assert refused == [0, 0, 0]
+
+    run_cluster(scenario)
+
+
+def test_endpoints_of_a_dead_entry_stay_usable(run_cluster):
+    """Guards against endpoints lost with the entry that grants slots."""
+
+    async def scenario(cluster):
+        await cluster.start(2)
+        await cluster.add_endpoint("e1", entries=(0, 1))
+        for index in (0, 1):
+            await cluster.wait_ready(index)
+        cluster.scopes[0].cancel()
+        await trio.sleep(5)
+        answer = await cluster.call(1)
+        assert answer.status == 200
+
+    run_cluster(scenario)
--- a/wigeonport/entry_main.py
+++ b/wigeonport/entry_main.py
@@ -5,14 +5,15 @@
 
 import trio
 
-from wigeonport.admissions import admit
+from wigeonport.admissions import Admission, CutOff, admit
 from wigeonport.announcements import AnnouncementApp
-from wigeonport.channels import REFUSE, Mailbox
+from wigeonport.channels import Mailbox
 from wigeonport.claims import claim_keys
 from wigeonport.configurations import Configuration, apply_updates
 from wigeonport.dialers import listen
 from wigeonport.dispatchers import dispatch
 from wigeonport.entry_parts import (
+    make_caller_limits,
     make_claimer,
     make_control_links,
     make_dispatcher,
@@ -23,7 +24,7 @@
 )
 from wigeonport.exchanges import keep_table
 from wigeonport.programs import start
-from wigeonport.receivers import CallerApp, CallerLimits
+from wigeonport.receivers import CallerApp
 from wigeonport.routers import route
 from wigeonport.servers import ProcessInfo, StatusApp, serve_http
 from wigeonport.shares import keep_shares
@@ -31,6 +32,8 @@
 
 TICK_MS = 100
 SHARE_TICK_MS = 20
+# Time for the last answers before the bound on the shutdown.
+LAST_ANSWERS_MS = 500
 
 
 class EntryMailboxes:
@@ -41,8 +44,8 @@
         configurations: From the sorter to the configuration filter.
         peers: From the sorter and the announcement edge to the endpoint
             table.
-        admissions: From the receivers to the admission filter; full means
-            that callers are refused.
+        admissions: From the receivers to the admission filter. Callers are
+            refused when it is full; the ends of requests wait.
         claims: From the admission filter to the claims filter.
         routing: From all filters to the router.
         shares: From the router, the endpoint table and the sorter to the
@@ -68,7 +71,7 @@
         self.deliveries = Mailbox("deliveries", bound)
         self.configurations = Mailbox("configurations", bound)
         self.peers = Mailbox("peers", bound)
-        self.admissions = Mailbox("admissions", in_flight, REFUSE)
+        self.admissions = Mailbox("admissions", in_flight)
         self.claims = Mailbox("claims", bound)
         self.routing = Mailbox("routing", in_flight + bound)
         self.shares = Mailbox("shares", bound)
@@ -121,7 +124,14 @@
         program.metrics,
         program.events,
     )
-    nursery.start_soon(admit, boxes.admissions, boxes.claims, clock)
+    nursery.start_soon(
+        admit,
+        boxes.admissions,
+        boxes.claims,
+        Admission(settings.max_requests_in_flight, settings.max_held_bytes),
+        clock,
+        program.metrics,
+    )
     claimer = make_claimer(program, boxes, links)
     nursery.start_soon(claim_keys, boxes.claims, claimer)
     nursery.start_soon(
@@ -143,9 +153,9 @@
     """Serves the HTTP edges until the program stops."""
     settings = program.settings
     info = ProcessInfo(program.metrics, program.events, program.stopping)
-    limits = CallerLimits(settings.max_body_bytes, settings.max_deadline_ms)
+    limits = make_caller_limits(settings)
     callers = CallerApp(boxes.admissions, info, limits, program.clock)
-    drained = trio.Event()
+    closing, drained = trio.Event(), trio.Event()
     announcements = AnnouncementApp(boxes.peers, program.metrics, drained)
     others = (
         (announcements, settings.announcements_port),
@@ -158,16 +168,37 @@
                 serve_http, app, settings.host, port, drained, grace_ms
             )
         # Waiting requests need the endpoints' announcements until the end.
-        await serve_http(
-            callers,
-            settings.host,
-            settings.callers_port,
-            program.stopping,
-            grace_ms,
-        )
+        async with trio.open_nursery() as ending:
+            ending.start_soon(end_in_steps, program, boxes, closing)
+            await serve_http(
+                callers,
+                settings.host,
+                settings.callers_port,
+                closing,
+                grace_ms,
+            )
+            ending.cancel_scope.cancel()
         drained.set()
 
 
+async def end_in_steps(program, boxes, closing):
+    """Closes the callers' port, and answers all before the time is up.
+
+    For a moment after the stop the port stays open, so that callers whose
+    connection is on its way are told that nothing was run.
+    """
+    settings = program.settings
+    await program.stopping.wait()
+    stopped_ms = program.clock.now()
+    grace_ms = settings.shutdown_grace_ms
+    await program.clock.sleep(min(settings.stop_refuse_ms, grace_ms // 2))
+    closing.set()
+    spent_ms = program.clock.now() - stopped_ms
+    margin_ms = min(LAST_ANSWERS_MS, grace_ms // 4)
+    await program.clock.sleep(max(grace_ms - margin_ms - spent_ms, 0))
+    await boxes.admissions.put(CutOff())
+
+
 async def run_entry(program):
     """Runs the entry until it has stopped."""
     settings = program.settings
--- a/wigeonport/entry_parts.py
+++ b/wigeonport/entry_parts.py
@@ -6,6 +6,7 @@
 from wigeonport.dialers import Dialer
 from wigeonport.dispatchers import Dispatcher, DispatchLimits
 from wigeonport.exchanges import TableExchange
+from wigeonport.receivers import CallerLimits
 from wigeonport.routers import Router, RouterLimits
 from wigeonport.shares import ShareBook
 from wigeonport.subscriptions import ControlLinks
@@ -94,6 +95,7 @@
         queue_wait_ms=settings.queue_wait_ms,
         retry_share=settings.retry_budget_share,
         retry_floor=settings.retry_budget_floor,
+        discipline=settings.queue_discipline,
         entries=len(settings.peers) + 1,
     )
     return Router(settings.availability_zone, limits)
@@ -111,4 +113,15 @@
         context.identity.node_id,
         settings.share_lease_ms,
         settle_ms if settings.peers else 0,
+        settings.share_policy,
+    )
+
+
+def make_caller_limits(settings):
+    """Returns the limits at the callers' edge."""
+    return CallerLimits(
+        settings.max_body_bytes,
+        settings.max_deadline_ms,
+        settings.receive_timeout_ms,
+        max(1, settings.max_held_bytes // settings.max_body_bytes),
     )
--- a/wigeonport/receivers.py
+++ b/wigeonport/receivers.py
@@ -3,12 +3,18 @@
 import re
 import uuid
 
+import trio
+
+from wigeonport.admissions import RequestEnded
+from wigeonport.answers import BODILESS_STATUSES
 from wigeonport.channels import Reply
-from wigeonport.requests import CallerRequest, leave_unknown, refuse
-from wigeonport.servers import (
-    answer_lifespan,
-    read_body,
+from wigeonport.requests import (
+    CallerAnswer,
+    CallerRequest,
+    leave_unknown,
+    refuse,
 )
+from wigeonport.servers import BodyReader, answer_lifespan
 
 DEADLINE_HEADER = b"wigeonport-deadline-ms"
 PRIORITY_HEADER = b"wigeonport-priority"
@@ -18,6 +24,7 @@
 KEY_PATTERN = re.compile(rb"[!-~]{1,%d}" % MAX_KEY_BYTES)
 MAX_PRIORITY = 9
 REPLY_MARGIN_MS = 200
+RETRY_AFTER_MS = 1_000
 
 
 class CallerLimits:
@@ -26,13 +33,29 @@
     Attributes:
         max_body_bytes: Largest body of a request.
         default_deadline_ms: Deadline of a request that states none.
+        receive_timeout_ms: Longest wait for the body of a request.
+        max_receiving: Largest number of bodies that arrive in pieces at
+            the same time; bounds the memory of what is not admitted yet.
     """
 
-    __slots__ = ("max_body_bytes", "default_deadline_ms")
+    __slots__ = (
+        "max_body_bytes",
+        "default_deadline_ms",
+        "receive_timeout_ms",
+        "max_receiving",
+    )
 
-    def __init__(self, max_body_bytes, default_deadline_ms):
+    def __init__(
+        self,
+        max_body_bytes,
+        default_deadline_ms,
+        receive_timeout_ms=10_000,
+        max_receiving=64,
+    ):
         self.max_body_bytes = max_body_bytes
         self.default_deadline_ms = default_deadline_ms
+        self.receive_timeout_ms = receive_timeout_ms
+        self.max_receiving = max_receiving
 
 
 class CallerApp:
@@ -44,9 +67,17 @@
         limits: CallerLimits.
         clock: Time source.
         metrics: Metrics of the process.
+        receiving: Limiter of the bodies that arrive in pieces.
     """
 
-    __slots__ = ("admissions", "info", "limits", "clock", "metrics")
+    __slots__ = (
+        "admissions",
+        "info",
+        "limits",
+        "clock",
+        "metrics",
+        "receiving",
+    )
 
     def __init__(self, admissions, info, limits, clock):
         self.admissions = admissions
@@ -54,6 +85,7 @@
         self.limits = limits
         self.clock = clock
         self.metrics = info.metrics
+        self.receiving = trio.CapacityLimiter(limits.max_receiving)
 
     async def __call__(self, scope, receive, send):
         """Handles one ASGI connection scope."""
@@ -61,26 +93,57 @@
             return await answer_lifespan(receive, send)
         if scope["type"] != "http":
             return None
-        answer = await self.handle(scope, receive)
-        return await send_answer(send, answer)
+        answer, whole = await self.handle(scope, receive)
+        self.metrics.count(f"receivers_{answer.outcome}")
+        last = not whole or self.info.stopping.is_set()
+        return await send_answer(send, answer, last)
 
     async def handle(self, scope, receive):
-        """Returns the answer to one request."""
+        """Returns the answer, and whether the request was read whole."""
         received_ms = self.clock.now()
-        body = await read_body(receive, self.limits.max_body_bytes)
-        if body is None:
-            return refuse(413, "body is too large or incomplete")
+        if self.info.stopping.is_set():
+            return refuse(503, "the entry is stopping", RETRY_AFTER_MS), False
+        body = await self.receive_body(scope, receive)
+        if isinstance(body, CallerAnswer):
+            return body, False
         made = make_request(scope, body, received_ms, self.limits)
         if isinstance(made, str):
-            return refuse(400, made)
-        if not await self.admissions.put(made):
-            self.metrics.count("receivers_refused")
-            return refuse(503, "too many requests are waiting", 1_000)
-        answer = await self.wait(made)
+            return refuse(400, made), True
+        if not self.admissions.put_nowait(made):
+            text = "too many requests are waiting"
+            return refuse(503, text, RETRY_AFTER_MS), True
+        try:
+            answer = await self.wait(made)
+        finally:
+            if not self.admissions.put_nowait(RequestEnded(made)):
+                await self.admissions.put(RequestEnded(made))
         spent_us = (self.clock.now() - received_ms) * 1_000
         self.metrics.record("receivers_total_us", spent_us)
-        self.metrics.count(f"receivers_{answer.outcome}")
-        return answer
+        return answer, True
+
+    async def receive_body(self, scope, receive):
+        """Returns the body, or the refusal of the request."""
+        reader = BodyReader(receive, self.limits.max_body_bytes)
+        length = dict(scope["headers"]).get(b"content-length", b"0")
+        if length.isdigit() and int(length) > self.limits.max_body_bytes:
+            return refuse(413, "the body is too large")
+        with trio.move_on_after(self.limits.receive_timeout_ms / 1000):
+            await reader.read_piece()
+            if reader.more:
+                try:
+                    self.receiving.acquire_nowait()
+                except trio.WouldBlock:
+                    text = "too many requests are arriving"
+                    return refuse(503, text, RETRY_AFTER_MS)
+                try:
+                    await reader.read_rest()
+                finally:
+                    self.receiving.release()
+        if reader.whole:
+            return b"".join(reader.pieces)
+        if reader.more:
+            return refuse(408, "the request did not arrive in time")
+        return refuse(413, "the body is too large or cut short")
 
     async def wait(self, request):
         """Returns the answer; the margin covers the filters' own work."""
@@ -137,13 +200,24 @@
     return int(text)
 
 
-async def send_answer(send, answer):
-    """Sends a whole answer over ASGI."""
+async def send_answer(send, answer, last):
+    """Sends a whole answer over ASGI.
+
+    Args:
+        send: Send function of ASGI.
+        answer: The CallerAnswer.
+        last: Whether the connection ends after it.
+    """
     headers = [
         *answer.headers,
-        (b"content-length", str(len(answer.body)).encode()),
         (b"wigeonport-outcome", answer.outcome.encode()),
     ]
+    sized = any(name.lower() == b"content-length" for name, _ in headers)
+    if not sized and answer.status not in BODILESS_STATUSES:
+        length = str(len(answer.body)).encode()
+        headers.append((b"content-length", length))
+    if last:
+        headers.append((b"connection", b"close"))
     if answer.reason:
         headers.append((b"wigeonport-reason", answer.reason.encode()))
     if answer.retry_after_ms is not None:
--- a/wigeonport/servers.py
+++ b/wigeonport/servers.py
@@ -128,20 +128,51 @@
             return
 
 
+class BodyReader:
+    """Reads a body of bounded size piece by piece.
+
+    Attributes:
+        receive: Receive function of ASGI.
+        limit_bytes: Largest size.
+        pieces: The pieces so far.
+        size: Their size.
+        more: Whether more pieces are expected.
+        whole: Whether the body is complete.
+    """
+
+    __slots__ = ("receive", "limit_bytes", "pieces", "size", "more", "whole")
+
+    def __init__(self, receive, limit_bytes):
+        self.receive = receive
+        self.limit_bytes = limit_bytes
+        self.pieces = []
+        self.size = 0
+        self.more = True
+        self.whole = False
+
+    async def read_piece(self):
+        """Reads the next piece."""
+        event = await self.receive()
+        piece = event.get("body", b"")
+        self.size += len(piece)
+        if event["type"] != "http.request" or self.size > self.limit_bytes:
+            self.more, self.pieces = False, []
+            return
+        self.pieces.append(piece)
+        self.more = event.get("more_body", False)
+        self.whole = not self.more
+
+    async def read_rest(self):
+        """Reads the remaining pieces."""
+        while self.more:
+            await self.read_piece()
+
+
 async def read_body(receive, limit_bytes):
     """Returns the whole body, or None if it is too large or cut short."""
-    chunks, size = [], 0
-    while True:
-        event = await receive()
-        if event["type"] != "http.request":
-            return None
-        chunk = event.get("body", b"")
-        size += len(chunk)
-        if size > limit_bytes:
-            return None
-        chunks.append(chunk)
-        if not event.get("more_body", False):
-            return b"".join(chunks)
+    reader = BodyReader(receive, limit_bytes)
+    await reader.read_rest()
+    return b"".join(reader.pieces) if reader.whole else None
 
 
 def make_config(host, port, grace_ms):
--- a/wigeonport/setting_tables.py
+++ b/wigeonport/setting_tables.py
@@ -121,6 +121,13 @@
         1_024,
         "Requests of callers that an entry handles at a time.",
     ),
+    _count(
+        "max_held_bytes",
+        64 * 1024 * 1024,
+        "Bodies of requests that an entry holds together.",
+        2**33,
+    ),
+    _ms("receive_timeout_ms", 10_000, "Longest wait for a request's body."),
     _count("queue_bound", 512, "Requests that wait for one service."),
     _count("mailbox_bound", 256, "Messages that wait for one task."),
     _ms("queue_wait_ms", 2_000, "Longest wait of a request for a slot."),
@@ -139,6 +146,25 @@
         30_000,
         "Longest graceful shutdown; running requests get this time.",
     ),
+    _ms(
+        "stop_refuse_ms",
+        500,
+        "An entry that stops still accepts connections for this long and "
+        "answers that nothing was run.",
+    ),
+    Field(
+        "queue_discipline",
+        "name",
+        "adaptive",
+        text="Order of waiting requests: `adaptive`, `fifo`, `lifo` or "
+        "`deadline`.",
+    ),
+    Field(
+        "share_policy",
+        "name",
+        "demand",
+        text="Division of an endpoint's slots: `demand` or `even`.",
+    ),
     Field(
         "retry_budget_share",
         "number",
--- a/wigeonport/settings.py
+++ b/wigeonport/settings.py
@@ -4,9 +4,11 @@
 
 from wigeonport.documents import Reporter, read_fields
 from wigeonport.findings import Findings
+from wigeonport.queues import disciplines
 from wigeonport.records import Record
 from wigeonport.registries import Registry
 from wigeonport.setting_tables import PEER_FIELDS, PORTS, TABLE
+from wigeonport.share_ledgers import share_policies
 from wigeonport.yaml_documents import load_file
 
 SETTINGS_CHECKS = Registry("settings check")
@@ -198,6 +200,19 @@
         reporter.add(("log_level",), text)
 
 
+@SETTINGS_CHECKS.register("policies")
+def check_policies(settings, reporter):
+    """Named policies are registered."""
+    policies = (
+        ("queue_discipline", disciplines),
+        ("share_policy", share_policies),
+    )
+    for name, registry in policies:
+        found = registry.get(getattr(settings, name))
+        if found.is_error():
+            reporter.add((name,), found.error)
+
+
 @CLUSTER_CHECKS.register("agreement")
 def check_agreement(read, findings):
     """Files of one cluster agree on voters and name different nodes."""
