--- a/tests/operator_fakes.py
+++ b/tests/operator_fakes.py
@@ -33,6 +33,8 @@
         state: The state.
         mode: ``commit``, ``lose`` (commits and never answers), ``ignore``
             (neither), or ``refuse`` (no quorum).
+        refusals: How often ``refuse`` refuses before it commits; negative
+            for always.
         unavailable: VMs that the planner reports, or None.
         statuses: ProcessStatus list of the publisher.
         app: The OperatorApp under test.
@@ -43,6 +45,7 @@
         tokens_path.write_text(f"ada {TOKEN}\nbayo {OTHER_TOKEN}\n")
         self.state = ReplicatedState()
         self.mode = "commit"
+        self.refusals = -1
         self.unavailable = []
         self.statuses = []
         self.index = 0
@@ -72,7 +75,9 @@
         """Plays the task that owns the replicated state."""
         async for message in self.consensus:
             if isinstance(message, ReadState):
-                document = message.query.read(self.state)
+                document = None
+                if self.mode != "ignore":
+                    document = message.query.read(self.state)
                 read = StateRead(document, "leader", "ikeja-1", 3)
                 message.reply.send(read)
                 continue
@@ -80,15 +85,17 @@
 
     def decide(self, message):
         """Answers a proposal as the mode says."""
-        if self.mode == "refuse":
+        if self.mode == "refuse" and self.refusals != 0:
+            self.refusals -= 1
             message.reply.send(Decision(NOT_RUN, reason="no quorum"))
-        if self.mode in ("refuse", "ignore"):
+            return
+        if self.mode == "ignore":
             return
         self.index += 1
         time_ms = self.app.control.clock.wall()
         entry = Entry(self.index, time_ms, message.command)
         answer = self.state.apply(entry)
-        if self.mode == "commit":
+        if self.mode != "lose":
             message.reply.send(Decision(COMMITTED, answer))
 
     async def publish(self):
@@ -104,7 +111,7 @@
     def report(self, process, version, silent_ms=0):
         """Adds a report of a process."""
         heard_ms = self.app.control.clock.now() - silent_ms
-        status = ProcessStatus(process, "ikeja", version, heard_ms)
+        status = ProcessStatus(process, "ikeja", 1, version, heard_ms)
         self.statuses.append(status)
 
     async def call(self, method, target, body=None, token=TOKEN, headers=()):
