--- /dev/null
+++ b/bench/planning.py
@@ -0,0 +1,173 @@
+"""Measures time and memory of planning at several sizes of the fleet.
+
+Usage: PYTHONPATH=.:tools python bench/planning.py [WORKERS POOLS ZONES]
+
+Without arguments it runs the three sizes of ``SIZES``. The processor time of
+this process is measured, on one core. Memory is what Python allocates for
+fleet and planner, by tracemalloc, in a separate run.
+"""
+
+import random
+import sys
+import time
+import tracemalloc
+
+from hdrh.histogram import HdrHistogram
+from trace_fleets import build_large_fleet
+
+from wigeonport import plan_events as events
+from wigeonport.plan_settings import PlanSettings
+from wigeonport.planners import Planner
+from wigeonport.view_documents import copy_fleet
+from wigeonport.views import FAILED, READY, Size
+
+SIZES = ((450, 84, 3), (900, 168, 5), (1_800, 335, 10))
+SEED = 7
+FULL_PLANS = 30
+VM_CHANGES = 300
+LEASE_MS = 10**9
+LARGEST_US = 60_000_000
+
+
+class Bench:
+    """A planner with a loaded fleet.
+
+    Attributes:
+        random: Seeded source.
+        planner: Planner.
+        now_ms: Time on the planner's clock.
+    """
+
+    __slots__ = ("random", "planner", "now_ms")
+
+    def __init__(self, worker_count, pool_count, zone_count):
+        self.random = random.Random(SEED)
+        self.now_ms = 1_000
+        settings = PlanSettings(wave_parallel=16)
+        self.planner = Planner(settings)
+        fleet = build_large_fleet(
+            self.random, worker_count, pool_count, zone_count
+        )
+        self.step(events.FleetLoaded(fleet))
+        self.step(events.LeadershipChanged(1, LEASE_MS))
+        self.load()
+
+    def step(self, event):
+        """Feeds one event; returns commands and processor time in us."""
+        started_ns = time.process_time_ns()
+        commands = self.planner.step(event, self.now_ms, self.random)
+        return commands, (time.process_time_ns() - started_ns) // 1000
+
+    def load(self):
+        """Adds tasks to every pool and runs until they are started."""
+        fleet = self.planner.view.fleet
+        teams = list(fleet.teams)
+        self.hear()
+        self.step(events.Tick())
+        for pool in fleet.pools:
+            for number in range(8):
+                job = events.JobSubmitted(
+                    f"{pool}-{number}",
+                    self.random.choice(teams),
+                    pool,
+                    f"kind-{number % 4}",
+                    Size(self.random.randrange(2, 8), 4_096),
+                    600_000,
+                )
+                self.step(job)
+        self.pass_second()
+
+    def hear(self):
+        """Feeds a report of every zone."""
+        for zone in self.planner.view.fleet.heard_ms:
+            self.step(events.ZoneReported(zone, self.now_ms))
+
+    def pass_second(self):
+        """Feeds demand of all services; returns a full plan's time in us."""
+        self.now_ms += 1_000
+        self.hear()
+        for service in self.planner.view.fleet.services:
+            slots = self.random.choice((0, 10, 20, 60))
+            demand = events.DemandReported(service, slots, self.now_ms)
+            self.step(demand)
+        commands, elapsed_us = self.step(events.Tick())
+        self.confirm(commands)
+        return elapsed_us
+
+    def confirm(self, commands):
+        """Confirms commands, so that repetitions do not add up."""
+        for command in commands:
+            answer = events.CommandConfirmed(command.command_id)
+            self.confirm(self.step(answer)[0])
+
+    def change_vm(self):
+        """Lets one VM fail or return; returns the time in us."""
+        vm = self.random.choice(list(self.planner.view.fleet.vms.values()))
+        state = READY if vm.state == FAILED else FAILED
+        report = events.VmReported(vm.name, state, vm.sequence + 1)
+        commands, elapsed_us = self.step(report)
+        self.confirm(commands)
+        return elapsed_us
+
+    def reload(self):
+        """Loads the fleet again as a new version; returns the time in us."""
+        fleet = copy_fleet(self.planner.view.fleet)
+        return self.step(events.FleetLoaded(fleet))[1]
+
+
+def record(values):
+    """Returns a histogram of times in us."""
+    histogram = HdrHistogram(1, LARGEST_US, 3)
+    for value in values:
+        histogram.record_value(max(int(value), 1))
+    return histogram
+
+
+def format_ms(histogram, percentile):
+    """Returns a percentile in ms as text."""
+    return f"{histogram.get_value_at_percentile(percentile) / 1000:.2f}"
+
+
+def measure_memory(size):
+    """Returns MB allocated for fleet and planner."""
+    tracemalloc.start()
+    bench = Bench(*size)
+    bench.pass_second()
+    current, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return current / 2**20
+
+
+def measure(size):
+    """Prints one row of the table."""
+    bench = Bench(*size)
+    full = record(bench.pass_second() for _ in range(FULL_PLANS))
+    changes = record(bench.change_vm() for _ in range(VM_CHANGES))
+    reload_us = bench.reload()
+    cells = (
+        *size,
+        format_ms(full, 50),
+        format_ms(full, 100),
+        format_ms(changes, 50),
+        format_ms(changes, 100),
+        f"{reload_us / 1000:.2f}",
+        f"{measure_memory(size):.1f}",
+    )
+    print("| " + " | ".join(map(str, cells)) + " |")
+
+
+def main(arguments):
+    """Prints the table."""
+    print(
+        "| workers | pools | zones | full plan p50 (ms) | max (ms) "
+        "| VM change p50 (ms) | max (ms) | new version (ms) | memory (MB) |"
+    )
+    print("|" + " --- |" * 9)
+    sizes = [tuple(map(int, arguments))] if arguments else SIZES
+    for size in sizes:
+        measure(size)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/tests/test_capacities.py
+++ b/tests/test_capacities.py
@@ -3,6 +3,7 @@
 import pytest
 
 from wigeonport.forecasts import Forecasts
+from wigeonport.peaks import PeakRecords
 from wigeonport.plan_events import (
     CommandConfirmed,
     DemandReported,
@@ -146,6 +147,39 @@
     assert any(moved)
 
 
+@pytest.fixture
+def peaks():
+    """Records with two peaks of 20 s in roster."""
+    records = PeakRecords()
+    for start_ms in (0, 100_000):
+        records.find("roster").update(True, start_ms)
+        records.find("roster").update(False, start_ms + 20_000)
+    return records
+
+
+def test_rest_of_a_peak_is_learned(peaks):
+    """Guards against a move that arrives when the peak is over."""
+    assert peaks.expected_left_ms("roster", 200_000) is None
+    peaks.find("roster").update(True, 200_000)
+    assert peaks.expected_left_ms("roster", 205_000) == 15_000
+    assert peaks.expected_left_ms("roster", 230_000) is None
+
+
+def test_new_pool_is_judged_by_the_peaks_of_others(peaks):
+    """Guards against learning the same rotation once for each pool."""
+    peaks.find("crusade").update(True, 200_000)
+    assert peaks.expected_left_ms("crusade", 201_000) == 19_000
+
+
+def test_single_peak_of_another_pool_proves_nothing():
+    """Guards against one odd peak that steers all pools."""
+    records = PeakRecords()
+    records.find("roster").update(True, 0)
+    records.find("roster").update(False, 20_000)
+    records.find("crusade").update(True, 30_000)
+    assert records.expected_left_ms("crusade", 31_000) is None
+
+
 def test_hold_delays_the_return(make_run):
     """Guards against VMs that move back and forth."""
     run = make_run(weight_rollout=100.0, weight_buffer=100.0)
--- a/tests/test_trace_outcomes.py
+++ b/tests/test_trace_outcomes.py
@@ -39,6 +39,8 @@
     [
         ("rotation", {"borrow_policy": "follow_demand"}),
         ("rotation", {"reserve_policy": "per_service"}),
+        ("long_rotation", {"borrow_policy": "break_even"}),
+        ("long_rotation", {"borrow_policy": "follow_demand"}),
         ("sustained_peak", {"move_price_s": 10_000.0}),
         ("failures_in_wave", {"wave_pause_failures": 1_000}),
         ("second_loss", {"healthy_hold_ms": 0}),
--- a/tools/generate_traces.py
+++ b/tools/generate_traces.py
@@ -144,33 +144,43 @@
         self.lead(0, self.end_ms, 1)
 
     def write(self, path):
-        """Writes the trace."""
+        """Writes the trace to a file."""
         with open(path, "w", encoding="utf-8") as file:
-            writer = TraceWriter(file)
-            writer.write_header(
-                {
-                    "deployment": self.deployment.name,
-                    "seed": self.seed,
-                    "tick_ms": 1_000,
-                    "end_ms": self.end_ms,
-                    "settings": self.settings,
-                    "answers": ANSWERS,
-                }
-            )
-            for at_ms, event in sorted(self.events, key=lambda e: e[0]):
-                if at_ms < self.end_ms:
-                    writer.write(at_ms, event)
+            self.write_to(file)
+
+    def write_to(self, file):
+        """Writes the trace to an open file."""
+        writer = TraceWriter(file)
+        writer.write_header(
+            {
+                "deployment": self.deployment.name,
+                "seed": self.seed,
+                "tick_ms": 1_000,
+                "end_ms": self.end_ms,
+                "settings": self.settings,
+                "answers": ANSWERS,
+            }
+        )
+        for at_ms, event in sorted(self.events, key=lambda e: e[0]):
+            if at_ms < self.end_ms:
+                writer.write(at_ms, event)
 
 
 @scenarios.register("rotation")
-def build_rotation(deployment, seed):
-    """Each service in turn peaks for 8 s."""
-    builder = TraceBuilder(deployment, seed, 240_000)
+def build_rotation(deployment, seed, peak_ms=PEAK_MS, end_ms=240_000):
+    """Each service in turn peaks for 8 s, or another time for benches."""
+    builder = TraceBuilder(deployment, seed, end_ms)
     builder.start()
-    builder.rotate(0, 240_000)
+    builder.rotate(0, end_ms, peak_ms)
     return builder
 
 
+@scenarios.register("long_rotation")
+def build_long_rotation(deployment, seed):
+    """Each service in turn peaks for 30 s, long enough to move VMs."""
+    return build_rotation(deployment, seed, 30_000, 480_000)
+
+
 @scenarios.register("sustained_peak")
 def build_sustained_peak(deployment, seed):
     """One service peaks for 100 s, and the demand then falls."""
--- a/tools/trace_expectations.py
+++ b/tools/trace_expectations.py
@@ -34,6 +34,21 @@
     ]
 
 
+@stated.register("long_rotation")
+def state_long_rotation(builder):
+    """VMs follow the peaks where the weights make that worth it.
+
+    Without moves 779 VM-seconds are short; with a move at every change of
+    the demand there are 117 to 130 moves.
+    """
+    if builder.settings["weight_rollout"] > builder.settings["weight_buffer"]:
+        return [
+            measure("shortage_vm_s", at_most=250),
+            measure("moves", at_least=8, at_most=40),
+        ]
+    return [measure("moves", at_most=20), measure("buffer_vm_s", at_most=1200)]
+
+
 @stated.register("sustained_peak")
 def state_sustained_peak(builder):
     """Two VMs are lent within 30 s and return after the peak."""
--- a/wigeonport/borrowings.py
+++ b/wigeonport/borrowings.py
@@ -2,11 +2,10 @@
 
 from wigeonport.availabilities import (
     available_vms,
-    count_available,
     count_incoming,
     is_available,
-    needed_vms,
 )
+from wigeonport.level_scores import move_price
 from wigeonport.operations import MAINTENANCE, start_move
 from wigeonport.plan_registries import borrow_policies, stages
 from wigeonport.views import READY
@@ -17,14 +16,29 @@
 
     Attributes:
         wants: VMs wanted, by pool.
+        only_transfers: Pools whose want is worth one move, not two; they
+            take VMs that are idle in other pools, but none of the spare.
         returns: Borrowed VMs that their pools no longer need.
+        idle: Borrowed VMs that other pools may take, but that stay if none
+            does.
     """
 
-    __slots__ = ("wants", "returns")
+    __slots__ = ("wants", "only_transfers", "returns", "idle")
 
     def __init__(self):
         self.wants = {}
+        self.only_transfers = set()
         self.returns = []
+        self.idle = []
+
+    def take_idle(self, pool_name):
+        """Returns a VM that its pool does not need, or None."""
+        for vms in (self.returns, self.idle):
+            for vm in vms:
+                if vm.pool != pool_name:
+                    vms.remove(vm)
+                    return vm
+        return None
 
 
 class Supply:
@@ -125,116 +139,20 @@
     scores[pool.guaranteed()] = move_price(view.settings)
 
 
-def move_price(settings):
-    """Returns the price of one move in weighted VM-seconds."""
-    return settings.weight_moves * settings.move_price_s
-
-
-@borrow_policies.register("break_even")
-def break_even(view, now_ms):
-    """Moves a VM once its absence has cost as much as the move.
-
-    Each level of capacity above the pool's own has a score between minus and
-    plus the price of a move. It rises while the level is needed, by the
-    weight of roll-out time, and falls while it is idle, by the weight of
-    buffer cost. A VM is borrowed at the upper bound and returned at the
-    lower one, so a peak shorter than its price causes no move. This is the
-    break-even rule of the ski rental problem, applied in both directions.
-    """
-    wishes = Wishes()
-    elapsed_s = (now_ms - (view.scored_ms or now_ms)) / 1000
-    limit = len(Supply(view, now_ms, 0).vms)
-    for pool in view.fleet.pools.values():
-        if not pool.spare and pool.services:
-            score_pool(view, pool, elapsed_s, limit, now_ms, wishes)
-    return wishes
-
-
-def score_pool(view, pool, elapsed_s, limit, now_ms, wishes):
-    """Updates the scores of a pool and adds its wishes."""
-    have = count_available(view, pool.name, now_ms)
-    have += count_incoming(view, pool.name)
-    need = needed_vms(view, pool, now_ms)
-    scores = view.borrow_scores.setdefault(pool.name, {})
-    update_scores(view.settings, scores, have, need, limit, elapsed_s)
-    price = move_price(view.settings)
-    wanted = 0
-    while scores.get(have + wanted + 1, -price) >= price:
-        wanted += 1
-    if wanted:
-        wishes.wants[pool.name] = wanted
-        return
-    for vm in returnable_vms(view, pool, now_ms):
-        if have <= need or scores.get(have, -price) > -price:
-            return
-        wishes.returns.append(vm)
-        have -= 1
-
-
-def update_scores(settings, scores, have, need, limit, elapsed_s):
-    """Raises the scores of needed levels and lowers those of idle ones."""
-    price = move_price(settings)
-    levels = set(scores)
-    levels.update(range(have + 1, min(need, have + limit) + 1))
-    for level in levels:
-        score = scores.get(level, -price)
-        if level <= need:
-            score = min(score + settings.weight_rollout * elapsed_s, price)
-        else:
-            score -= settings.weight_buffer * elapsed_s
-        if score > -price:
-            scores[level] = score
-        else:
-            scores.pop(level, None)
-
-
-def returnable_vms(view, pool, now_ms):
-    """Returns the borrowed VMs of a pool whose hold has passed."""
-    hold_ms = view.settings.borrow_hold_ms
-    return [
-        vm
-        for vm in view.fleet.members(pool.name)
-        if vm.borrowed
-        and is_available(view, vm, now_ms)
-        and now_ms - (vm.moved_ms or 0) >= hold_ms
-    ]
-
-
-@borrow_policies.register("follow_demand")
-def follow_demand(view, now_ms):
-    """Baseline: moves as many VMs as the demand differs, at once."""
-    wishes = Wishes()
-    for pool in view.fleet.pools.values():
-        if pool.spare or not pool.services:
-            continue
-        have = count_available(view, pool.name, now_ms)
-        surplus = have + count_incoming(view, pool.name)
-        surplus -= needed_vms(view, pool, now_ms)
-        borrowed = [
-            vm
-            for vm in view.fleet.members(pool.name)
-            if vm.borrowed and is_available(view, vm, now_ms)
-        ]
-        if surplus < 0:
-            wishes.wants[pool.name] = -surplus
-        else:
-            wishes.returns.extend(borrowed[:surplus])
-    return wishes
-
-
 def fulfil(view, wishes, now_ms):
-    """Starts the moves; a VM to return goes straight to a pool in need."""
+    """Starts the moves; a VM that is idle elsewhere goes straight there."""
     commands = []
     kept = view.reserve.needed if view.reserve else 0
     supply = Supply(view, now_ms, kept)
-    returns = list(wishes.returns)
     by_want = sorted(wishes.wants.items(), key=lambda item: (-item[1], item))
     for pool_name, wanted in by_want:
         for _ in range(wanted):
-            vm = returns.pop() if returns else supply.take(view, pool_name)
+            vm = wishes.take_idle(pool_name)
+            if vm is None and pool_name not in wishes.only_transfers:
+                vm = supply.take(view, pool_name)
             if vm is None:
                 break
             commands.extend(start_move(view, vm, pool_name, now_ms))
-    for vm in returns:
+    for vm in wishes.returns:
         commands.extend(start_move(view, vm, vm.lender, now_ms))
     return commands
--- a/wigeonport/plan_settings.py
+++ b/wigeonport/plan_settings.py
@@ -9,7 +9,7 @@
 DEFAULTS = {
     # Names of the policies of each stage.
     "reserve_policy": "shared_rack",
-    "borrow_policy": "break_even",
+    "borrow_policy": "learned_peaks",
     "wave_order": "zone_rack",
     "placement_policy": "estimated_best_fit",
     "estimate_policy": "learned",
--- a/wigeonport/plan_views.py
+++ b/wigeonport/plan_views.py
@@ -2,6 +2,7 @@
 
 from wigeonport.forecasts import Forecasts
 from wigeonport.job_tables import JobTable
+from wigeonport.peaks import PeakRecords
 from wigeonport.views import FleetView
 from wigeonport.wave_states import WaveState
 from wigeonport.worker_faults import WorkerFaults
@@ -23,6 +24,7 @@
         faults: Task outcomes of each worker.
         reserve: Latest Reserve, or None before the first full plan.
         borrow_scores: Score of each level of capacity, by service.
+        peaks: PeakRecords of the pools.
         scored_ms: Time of the last update of the scores.
         scope: Names of the pools to plan, or None for all.
     """
@@ -40,6 +42,7 @@
         "faults",
         "reserve",
         "borrow_scores",
+        "peaks",
         "scored_ms",
         "scope",
     )
@@ -57,6 +60,7 @@
         self.faults = WorkerFaults()
         self.reserve = None
         self.borrow_scores = {}
+        self.peaks = PeakRecords()
         self.scored_ms = None
         self.scope = None
 
--- a/wigeonport/planners.py
+++ b/wigeonport/planners.py
@@ -7,6 +7,7 @@
 from expression import Result
 
 from wigeonport import (  # noqa: F401 - the stages register themselves
+    borrow_policies,
     borrowings,
     fleet_events,
     forecasts,
--- a/wigeonport/replay_measures.py
+++ b/wigeonport/replay_measures.py
@@ -1,9 +1,12 @@
 """Measures of a replay: buffer cost, roll-out time, moves and others."""
 
+import math
+
 from wigeonport.availabilities import count_available
-from wigeonport.plan_commands import PrepareVm, StartTask
+from wigeonport.plan_commands import PrepareVm, RequestVmGrant, StartTask
 from wigeonport.plan_events import (
     FINISHED,
+    DemandReported,
     FleetLoaded,
     JobSubmitted,
     TaskReported,
@@ -20,6 +23,8 @@
             that their pool does not need.
         shortage_vm_s: VM-seconds by which pools were short of their demand.
         rollout_ms: Longest time from a version until all VMs are placed.
+        move_ms: Longest time from the request of a move until the VM serves
+            in its new pool.
         maintained: VMs maintained.
         mixed_zones_ms: Time with maintenance in more than one zone.
         lowest_available: Fewest available VMs by pool.
@@ -34,6 +39,8 @@
         version_ms: Time of the last version that is not rolled out, or None.
         urgent_ms: Time of submission by urgent job that has not started.
         waiting_ms: Time of submission by job that has not started.
+        moving_ms: Time of the request by VM that is being moved.
+        demand: Slots last reported by service, not forecast.
     """
 
     __slots__ = (
@@ -41,6 +48,7 @@
         "buffer_vm_s",
         "shortage_vm_s",
         "rollout_ms",
+        "move_ms",
         "maintained",
         "mixed_zones_ms",
         "lowest_available",
@@ -54,6 +62,8 @@
         "version_ms",
         "urgent_ms",
         "waiting_ms",
+        "moving_ms",
+        "demand",
     )
 
     def __init__(self):
@@ -61,6 +71,7 @@
         self.buffer_vm_s = 0.0
         self.shortage_vm_s = 0.0
         self.rollout_ms = 0
+        self.move_ms = 0
         self.maintained = 0
         self.mixed_zones_ms = 0
         self.lowest_available = {}
@@ -74,6 +85,8 @@
         self.version_ms = None
         self.urgent_ms = {}
         self.waiting_ms = {}
+        self.moving_ms = {}
+        self.demand = {}
 
     def pass_time(self, view, now_ms):
         """Adds the time since the last update to the sums."""
@@ -99,7 +112,7 @@
         if pool.spare:
             return
         needed = sum(
-            view.forecasts.needed_vms(service, now_ms)
+            math.ceil(self.demand.get(service.name, 0) / service.slots_per_vm)
             for service in pool.services
         )
         shortage = max(needed - available, 0)
@@ -117,6 +130,8 @@
             self.waiting_ms[event.job] = now_ms
             if event.urgent:
                 self.urgent_ms[event.job] = now_ms
+        elif isinstance(event, DemandReported):
+            self.demand[event.service] = event.slots
         elif isinstance(event, TaskReported):
             self.finished_jobs += event.state == FINISHED
             self.failed_tasks += event.state == "failed"
@@ -130,7 +145,10 @@
                 self.note_start(command.job, now_ms)
             elif isinstance(command, PrepareVm):
                 self.moves += 1
+            elif isinstance(command, RequestVmGrant) and command.destination:
+                self.moving_ms.setdefault(command.vm, now_ms)
         self.maintained = view.wave.completed
+        self.note_moves(view, now_ms)
         self.note_rollout(view, now_ms)
         if view.reserve is not None:
             self.note_available(view, now_ms)
@@ -150,6 +168,13 @@
             waited_ms = now_ms - self.urgent_ms.pop(job)
             self.urgent_start_ms = max(self.urgent_start_ms, waited_ms)
 
+    def note_moves(self, view, now_ms):
+        """Records how long moves took that have ended."""
+        ended = [vm for vm in self.moving_ms if vm not in view.operations]
+        for vm in ended:
+            moved_ms = now_ms - self.moving_ms.pop(vm)
+            self.move_ms = max(self.move_ms, moved_ms)
+
     def note_rollout(self, view, now_ms):
         """Records the end of a roll-out."""
         if self.version_ms is None:
@@ -162,7 +187,14 @@
 
     def to_document(self):
         """Returns the measures as plain data."""
-        hidden = ("at_ms", "version_ms", "urgent_ms", "waiting_ms")
+        hidden = (
+            "at_ms",
+            "version_ms",
+            "urgent_ms",
+            "waiting_ms",
+            "moving_ms",
+            "demand",
+        )
         document = {
             name: getattr(self, name)
             for name in self.__slots__
