Learn the lengths of peaks and plan at the target scale

Cause: with the break-even rule alone, peaks of 20 to 40 s were followed too late: VMs arrived when the peak had passed.

Available VMs are computed once in a plan, the reserve only when they changed, and the job stages visit only what they act on.

--- a/tests/test_capacities.py
+++ b/tests/test_capacities.py
@@ -10,7 +10,7 @@
     VmReported,
 )
 from wigeonport.plan_settings import PlanSettings
-from wigeonport.reserves import size_reserve
+from wigeonport.reserves import find_basis, size_reserve
 from wigeonport.views import FAILED
 
 
@@ -34,6 +34,13 @@
     ]
 
 
+def find_reserve(run):
+    """Returns the Reserve that a plan would size now."""
+    now_ms = run.clock.now()
+    basis = find_basis(run.view, now_ms)
+    return size_reserve(run.view, basis, now_ms)
+
+
 def test_forecast_extends_the_trend_over_the_lag(forecasts):
     """Guards against capacity that is always one lag too late."""
     forecasts.add(DemandReported("roster", 60, 0))
@@ -59,31 +66,31 @@
     assert forecasts.slots("roster", 90_000) > 10
 
 
-def test_shared_reserve_covers_the_worst_rack(make_run, clock):
+def test_shared_reserve_covers_the_worst_rack(make_run):
     """Guards against a reserve that the loss of one rack exhausts."""
     run = make_run()
     # Rack ikeja-r1 holds two VMs of each pool, so its loss leaves both
     # services one VM short and takes two spare VMs with it.
-    shared = size_reserve(run.view, clock.now())
+    shared = find_reserve(run)
     assert (shared.needed, shared.held, shared.uncovered) == (4, 4, 0)
 
 
-def test_shared_reserve_is_smaller_than_one_for_each(make_run, clock):
+def test_shared_reserve_is_smaller_than_one_for_each(make_run):
     """Guards against a shared reserve that saves nothing."""
     run = make_run()
     for vm in run.view.fleet.vms.values():
         vm.rack = f"{vm.zone}-{vm.pool}"
-    shared = size_reserve(run.view, clock.now())
+    shared = find_reserve(run)
     run.view.settings.reserve_policy = "per_service"
-    separate = size_reserve(run.view, clock.now())
+    separate = find_reserve(run)
     assert (shared.needed, separate.needed) == (1, 2)
 
 
-def test_uncovered_zone_is_reported(make_run, clock):
+def test_uncovered_zone_is_reported(make_run):
     """Guards against a zone loss that no one knew to be uncovered."""
     run = make_run()
     run.view.fleet.services["notices"].guaranteed = 5
-    reserve = size_reserve(run.view, clock.now())
+    reserve = find_reserve(run)
     assert reserve.uncovered == 2
 
 
@@ -117,6 +124,7 @@
     """Runs a peak of roster; returns the commands of each second."""
     run.view.fleet.services["crusade"].guaranteed = 0
     run.view.fleet.services["roster"].guaranteed = 0
+    run.view.reserve_basis = None
     seconds = []
     for _ in range(peak_s):
         demand(run, 60)
@@ -152,31 +160,31 @@
     """Records with two peaks of 20 s in roster."""
     records = PeakRecords()
     for start_ms in (0, 100_000):
-        records.find("roster").update(True, start_ms)
-        records.find("roster").update(False, start_ms + 20_000)
+        records.update("roster", True, start_ms)
+        records.update("roster", False, start_ms + 20_000)
     return records
 
 
 def test_rest_of_a_peak_is_learned(peaks):
     """Guards against a move that arrives when the peak is over."""
     assert peaks.expected_left_ms("roster", 200_000) is None
-    peaks.find("roster").update(True, 200_000)
+    peaks.update("roster", True, 200_000)
     assert peaks.expected_left_ms("roster", 205_000) == 15_000
     assert peaks.expected_left_ms("roster", 230_000) is None
 
 
 def test_new_pool_is_judged_by_the_peaks_of_others(peaks):
     """Guards against learning the same rotation once for each pool."""
-    peaks.find("crusade").update(True, 200_000)
+    peaks.update("crusade", True, 200_000)
     assert peaks.expected_left_ms("crusade", 201_000) == 19_000
 
 
 def test_single_peak_of_another_pool_proves_nothing():
     """Guards against one odd peak that steers all pools."""
     records = PeakRecords()
-    records.find("roster").update(True, 0)
-    records.find("roster").update(False, 20_000)
-    records.find("crusade").update(True, 30_000)
+    records.update("roster", True, 0)
+    records.update("roster", False, 20_000)
+    records.update("crusade", True, 30_000)
     assert records.expected_left_ms("crusade", 31_000) is None
 
 
--- a/wigeonport/availabilities.py
+++ b/wigeonport/availabilities.py
@@ -27,12 +27,18 @@
 
 
 def available_vms(view, pool_name, now_ms):
-    """Returns the available VMs of a pool."""
-    return [
+    """Returns the available VMs of a pool; the list must not be changed."""
+    known = view.available
+    if known is not None and pool_name in known:
+        return known[pool_name]
+    vms = [
         vm
         for vm in view.fleet.members(pool_name)
         if is_available(view, vm, now_ms)
     ]
+    if known is not None:
+        known[pool_name] = vms
+    return vms
 
 
 def count_available(view, pool_name, now_ms):
--- a/wigeonport/borrow_policies.py
+++ b/wigeonport/borrow_policies.py
@@ -1,9 +1,9 @@
 """Policies that decide when a pool borrows VMs and when it returns them."""
 
 from wigeonport.availabilities import (
+    available_vms,
     count_available,
     count_incoming,
-    is_available,
     needed_vms,
 )
 from wigeonport.borrowings import Supply, Wishes
@@ -27,11 +27,7 @@
 
     def __init__(self, view, pool, now_ms):
         self.pool = pool
-        available = [
-            vm
-            for vm in view.fleet.members(pool.name)
-            if is_available(view, vm, now_ms)
-        ]
+        available = available_vms(view, pool.name, now_ms)
         borrowed = [vm for vm in available if vm.borrowed]
         self.own = len(available) - len(borrowed)
         self.have = len(available) + count_incoming(view, pool.name)
@@ -107,7 +103,7 @@
     needs = find_needs(view, now_ms)
     for each in needs:
         peaks = each.need > each.own
-        view.peaks.find(each.pool.name).update(peaks, now_ms)
+        view.peaks.update(each.pool.name, peaks, now_ms)
     for each in needs:
         left_ms = view.peaks.expected_left_ms(each.pool.name, now_ms)
         if left_ms is None:
@@ -151,9 +147,7 @@
         surplus = have + count_incoming(view, pool.name)
         surplus -= needed_vms(view, pool, now_ms)
         borrowed = [
-            vm
-            for vm in view.fleet.members(pool.name)
-            if vm.borrowed and is_available(view, vm, now_ms)
+            vm for vm in available_vms(view, pool.name, now_ms) if vm.borrowed
         ]
         if surplus < 0:
             wishes.wants[pool.name] = -surplus
--- a/wigeonport/borrowings.py
+++ b/wigeonport/borrowings.py
@@ -3,7 +3,6 @@
 from wigeonport.availabilities import (
     available_vms,
     count_incoming,
-    is_available,
 )
 from wigeonport.level_scores import move_price
 from wigeonport.operations import MAINTENANCE, start_move
@@ -118,10 +117,15 @@
 
 def expected_vms(view, pool, now_ms):
     """Returns available VMs plus those certain to return soon."""
-    return count_incoming(view, pool.name) + sum(
-        1
+    available = available_vms(view, pool.name, now_ms)
+    expected = len(available) + count_incoming(view, pool.name)
+    if expected >= pool.guaranteed():
+        # Those that return make no difference then.
+        return expected
+    return expected + sum(
+        is_returning(view, vm, now_ms)
         for vm in view.fleet.members(pool.name)
-        if is_available(view, vm, now_ms) or is_returning(view, vm, now_ms)
+        if vm not in available
     )
 
 
--- a/wigeonport/fleet_events.py
+++ b/wigeonport/fleet_events.py
@@ -21,9 +21,11 @@
     """Takes over a fleet version and keeps what reports have shown."""
     old = view.fleet
     view.fleet = event.fleet
+    view.reserve_basis = None
     for name, vm in event.fleet.vms.items():
         if name in old.vms:
             keep_reported(old.vms[name], vm)
+    event.fleet.missing.update(old.missing)
     event.fleet.heard_ms.update(
         (zone, heard_ms)
         for zone, heard_ms in old.heard_ms.items()
@@ -77,21 +79,27 @@
     if heard_ms is not None and event.measured_ms <= heard_ms:
         return ()
     view.fleet.heard_ms[event.zone] = event.measured_ms
-    missing = set(event.missing)
+    missing = frozenset(event.missing)
+    changed = missing ^ view.fleet.missing.get(event.zone, frozenset())
+    view.fleet.missing[event.zone] = missing
     touched = set()
-    for vm in view.fleet.vms.values():
-        if vm.zone != event.zone or vm.missing == (vm.name in missing):
-            continue
-        vm.missing = not vm.missing
-        touched.add(vm.pool)
-        if not vm.missing:
-            hold_ms = view.settings.healthy_hold_ms
-            vm.unsettled_until_ms = now_ms + hold_ms
-        elif vm.state == READY:
-            view.wave.note_failure(now_ms)
+    for name in changed:
+        vm = view.fleet.vms.get(name)
+        if vm is not None and vm.zone == event.zone:
+            change_missing(view, vm, name in missing, now_ms)
+            touched.add(vm.pool)
     return sorted(touched)
 
 
+def change_missing(view, vm, missing, now_ms):
+    """Records that a VM went missing, or was found and has to settle."""
+    vm.missing = missing
+    if not missing:
+        vm.unsettled_until_ms = now_ms + view.settings.healthy_hold_ms
+    elif vm.state == READY:
+        view.wave.note_failure(now_ms)
+
+
 @event_handlers.register(LeadershipChanged)
 def handle_leadership(view, event, now_ms):
     """Applies a newer lease, or the end of leadership by a higher term."""
--- a/wigeonport/job_tables.py
+++ b/wigeonport/job_tables.py
@@ -68,11 +68,6 @@
         """Id of the job."""
         return self.submitted.job
 
-    def give_way(self, now_ms):
-        """Records that the task was asked to save its state and end."""
-        self.state = ENDING
-        self.ending_ms = now_ms
-
 
 class JobTable:
     """All jobs that are not ended, and a bounded number that are.
@@ -91,6 +86,9 @@
         verdicts: Jobs found never to run and not reported yet.
         histories: History by (team, kind), for estimates.
         preemptions: Preemption by worker.
+        yielding: Ids of jobs whose tasks were asked to give way.
+        throttled: Ids of jobs whose tasks are limited.
+        renewed_ms: Time of the last renewal of leases.
     """
 
     __slots__ = (
@@ -107,6 +105,9 @@
         "verdicts",
         "histories",
         "preemptions",
+        "yielding",
+        "throttled",
+        "renewed_ms",
     )
 
     def __init__(self, settings):
@@ -123,6 +124,9 @@
         self.verdicts = []
         self.histories = {}
         self.preemptions = {}
+        self.yielding = {}
+        self.throttled = {}
+        self.renewed_ms = 0
 
     def add(self, submitted, now_ms):
         """Adds a job; returns None if its id was submitted before."""
@@ -159,6 +163,12 @@
         self.used[vm_name] = self.used_on(vm_name).plus(size)
         self.hold_cores(job, size.cores)
 
+    def give_way(self, job, now_ms):
+        """Records that a task was asked to save its state and end."""
+        job.state = ENDING
+        job.ending_ms = now_ms
+        self.yielding[job.name] = None
+
     def hold_cores(self, job, cores):
         """Adds to the cores that the job's team holds."""
         team = job.submitted.team
@@ -181,6 +191,8 @@
             del self.on_vm[job.vm]
             del self.used[job.vm]
         self.hold_cores(job, -job.size.cores)
+        self.yielding.pop(job.name, None)
+        self.throttled.pop(job.name, None)
         job.vm = None
         job.throttled = False
 
--- a/wigeonport/jobs.py
+++ b/wigeonport/jobs.py
@@ -40,6 +40,7 @@
 from wigeonport.views import FAILED
 from wigeonport.worker_faults import review_workers
 
+RENEWALS_PER_LEASE = 6
 RETRY_BASE_MS = 1_000
 RETRY_LONGEST_MS = 60_000
 # A task that ends within this share of the drain bound is left to end.
@@ -191,14 +192,14 @@
     commands.extend(report_verdicts(view))
     commands.extend(cancel_running(view))
     expire_leases(view, now_ms)
+    keep_stuck_tasks(view, now_ms)
+    commands.extend(checkpoint_drained(view, now_ms))
+    commands.extend(advance_preemptions(view, now_ms))
     for pool in view.pools():
-        keep_stuck_tasks(view, pool, now_ms)
-        commands.extend(checkpoint_drained(view, pool, now_ms))
-        commands.extend(advance_preemptions(view, pool, now_ms))
         commands.extend(place_waiting(view, pool, now_ms, random))
-        commands.extend(restore_throttled(view, pool, now_ms))
-        if view.is_full():
-            commands.extend(renew_leases(view, pool, now_ms))
+    commands.extend(restore_throttled(view, now_ms))
+    if view.is_full():
+        commands.extend(renew_all_leases(view, now_ms))
     return commands
 
 
@@ -242,11 +243,24 @@
                 requeue(view, job)
 
 
+def renew_all_leases(view, now_ms):
+    """Renews the leases of all pools, a few times in the time of a lease."""
+    interval_ms = view.settings.task_lease_ms // RENEWALS_PER_LEASE
+    if now_ms - view.jobs.renewed_ms < interval_ms:
+        return []
+    view.jobs.renewed_ms = now_ms
+    commands = []
+    for pool in view.pools():
+        commands.extend(renew_leases(view, pool, now_ms))
+    return commands
+
+
 def renew_leases(view, pool, now_ms):
     """Renews the leases in their second half by one command for a pool."""
     lease_ms = view.settings.task_lease_ms
     names = []
-    for vm in view.fleet.members(pool.name):
+    for vm_name in pool.members:
+        vm = view.fleet.vms[vm_name]
         if vm.state == FAILED or not is_heard(view, vm, now_ms):
             continue
         for job in jobs_on(view, vm):
@@ -273,31 +287,30 @@
     return job.state in (RUNNING, ENDING)
 
 
-def checkpoint_drained(view, pool, now_ms):
+def checkpoint_drained(view, now_ms):
     """Checkpoints tasks on draining workers that would outlast the drain."""
     commands = []
-    for vm in view.fleet.members(pool.name):
-        if vm.name not in view.operations:
-            continue
-        for job in jobs_on(view, vm):
+    for vm_name in view.operations:
+        for job in jobs_on(view, view.fleet.vms[vm_name]):
             if outlasts_drain(view, job, now_ms):
-                job.give_way(now_ms)
-                commands.append(CheckpointTask(job.name, vm.name, job.attempt))
+                view.jobs.give_way(job, now_ms)
+                commands.append(CheckpointTask(job.name, vm_name, job.attempt))
     return commands
 
 
-def keep_stuck_tasks(view, pool, now_ms):
+def keep_stuck_tasks(view, now_ms):
     """Lets tasks go on that did not give way, once no one needs their room.
 
     Otherwise a task that ignores checkpoints would never be asked again.
     """
-    for vm in view.fleet.members(pool.name):
-        if vm.name in view.operations or vm.name in view.jobs.preemptions:
+    table = view.jobs
+    for name in list(table.yielding):
+        job = table.jobs[name]
+        if job.vm in view.operations or job.vm in table.preemptions:
             continue
-        for job in jobs_on(view, vm):
-            if job.state != ENDING:
-                continue
-            if now_ms - job.ending_ms > view.settings.checkpoint_bound_ms:
+        if now_ms - job.ending_ms > view.settings.checkpoint_bound_ms:
+            del table.yielding[name]
+            if job.state == ENDING:
                 job.state = RUNNING
 
 
--- a/wigeonport/operations.py
+++ b/wigeonport/operations.py
@@ -85,10 +85,16 @@
         self.since_ms = now_ms
 
 
+def begin(view, operation):
+    """Records an operation; its VM is not available from now on."""
+    view.operations[operation.vm] = operation
+    view.forget_available(operation.vm)
+
+
 def start_maintenance(view, vm, now_ms):
     """Starts maintenance of a VM; returns the commands."""
     operation = Operation(vm.name, MAINTENANCE, GRANTING, now_ms)
-    view.operations[vm.name] = operation
+    begin(view, operation)
     return [request_grant(view, operation, now_ms)]
 
 
@@ -97,7 +103,7 @@
     operation = Operation(
         vm.name, MOVE, GRANTING, now_ms, vm.pool, destination
     )
-    view.operations[vm.name] = operation
+    begin(view, operation)
     return [request_grant(view, operation, now_ms)]
 
 
@@ -134,6 +140,7 @@
 def end(view, operation, reason, healthy=True):
     """Ends an operation; returns the release of its lease if it has one."""
     view.operations.pop(operation.vm, None)
+    view.forget_available(operation.vm)
     grant = view.grants.pop(operation.vm, None)
     # A request that is still on its way must not be granted later.
     if grant is None and operation.phase != GRANTING:
@@ -152,7 +159,7 @@
 
 def start_return(view, vm_name, reason, now_ms):
     """Starts the return of a drained VM to work; returns the command."""
-    view.operations[vm_name] = Operation(vm_name, RECOVERY, RETURNING, now_ms)
+    begin(view, Operation(vm_name, RECOVERY, RETURNING, now_ms))
     return UndrainVm(vm_name, reason)
 
 
@@ -292,9 +299,10 @@
     """Returns VMs to work that an earlier leader left drained."""
     commands = []
     for pool in view.pools():
-        for vm in view.fleet.members(pool.name):
+        for name in pool.members:
+            vm = view.fleet.vms[name]
             stray = vm.state in (DRAINING, DRAINED, PREPARING)
-            if stray and vm.name not in view.operations:
+            if stray and name not in view.operations:
                 commands.append(
                     start_return(view, vm.name, STRAY_REASON, now_ms)
                 )
--- a/wigeonport/peaks.py
+++ b/wigeonport/peaks.py
@@ -1,6 +1,7 @@
 """Lengths of demand peaks, learned to judge whether a move still pays."""
 
 KEPT_PEAKS = 5
+KEPT_SHARED_PEAKS = 20
 # Peaks of other pools are used only when there are this many.
 LEAST_SHARED_PEAKS = 2
 
@@ -20,13 +21,19 @@
         self.lengths_ms = []
 
     def update(self, peaks, now_ms):
-        """Notes whether the pool is in a peak."""
+        """Notes whether the pool is in a peak.
+
+        Returns:
+            Length in ms of a peak that has ended just now, else None.
+        """
         if peaks and self.started_ms is None:
             self.started_ms = now_ms
         elif not peaks and self.started_ms is not None:
             self.lengths_ms.append(now_ms - self.started_ms)
             del self.lengths_ms[:-KEPT_PEAKS]
             self.started_ms = None
+            return self.lengths_ms[-1]
+        return None
 
 
 class PeakRecords:
@@ -34,25 +41,26 @@
 
     Attributes:
         records: PeakRecord by pool.
+        shared_ms: Lengths of the last peaks of all pools, oldest first.
     """
 
-    __slots__ = ("records",)
+    __slots__ = ("records", "shared_ms")
 
     def __init__(self):
         self.records = {}
+        self.shared_ms = []
+
+    def update(self, pool_name, peaks, now_ms):
+        """Notes whether a pool is in a peak."""
+        length_ms = self.find(pool_name).update(peaks, now_ms)
+        if length_ms is not None:
+            self.shared_ms.append(length_ms)
+            del self.shared_ms[:-KEPT_SHARED_PEAKS]
 
     def find(self, pool_name):
         """Returns the record of a pool; creates it if new."""
         return self.records.setdefault(pool_name, PeakRecord())
 
-    def shared_lengths_ms(self):
-        """Returns the lengths of the peaks of all pools."""
-        return [
-            length_ms
-            for record in self.records.values()
-            for length_ms in record.lengths_ms
-        ]
-
     def expected_left_ms(self, pool_name, now_ms):
         """Returns how long the present peak should still last.
 
@@ -64,13 +72,13 @@
             outlasted what was learned.
         """
         record = self.find(pool_name)
+        if record.started_ms is None:
+            return None
         lengths_ms = record.lengths_ms
         if not lengths_ms:
-            lengths_ms = self.shared_lengths_ms()
+            lengths_ms = self.shared_ms
             if len(lengths_ms) < LEAST_SHARED_PEAKS:
                 return None
-        if record.started_ms is None:
-            return None
         expected_ms = sorted(lengths_ms)[(len(lengths_ms) - 1) // 2]
         left_ms = expected_ms - (now_ms - record.started_ms)
         return left_ms if left_ms > 0 else None
--- a/wigeonport/placements.py
+++ b/wigeonport/placements.py
@@ -2,7 +2,7 @@
 
 from itertools import islice
 
-from wigeonport.availabilities import is_available
+from wigeonport.availabilities import available_vms
 from wigeonport.estimates import estimate_run_ms, estimate_size
 from wigeonport.job_tables import NEVER
 from wigeonport.plan_commands import StartTask
@@ -179,9 +179,8 @@
 
 def find_workers(view, pool, now_ms):
     """Yields the workers that may take tasks, with their room."""
-    for vm in view.fleet.members(pool.name):
-        reserved = vm.name in view.jobs.preemptions
-        if not reserved and is_available(view, vm, now_ms):
+    for vm in available_vms(view, pool.name, now_ms):
+        if vm.name not in view.jobs.preemptions:
             yield Worker(vm, vm.size.minus(view.jobs.used_on(vm.name)))
 
 
--- a/wigeonport/plan_views.py
+++ b/wigeonport/plan_views.py
@@ -23,10 +23,13 @@
         jobs: JobTable.
         faults: Task outcomes of each worker.
         reserve: Latest Reserve, or None before the first full plan.
+        reserve_basis: Available VMs by pool for which the reserve was sized.
         borrow_scores: Score of each level of capacity, by service.
         peaks: PeakRecords of the pools.
         scored_ms: Time of the last update of the scores.
         scope: Names of the pools to plan, or None for all.
+        available: Available VMs by pool while a plan runs, else None; what
+            changes the availability of a VM calls ``forget_available``.
     """
 
     __slots__ = (
@@ -41,10 +44,12 @@
         "jobs",
         "faults",
         "reserve",
+        "reserve_basis",
         "borrow_scores",
         "peaks",
         "scored_ms",
         "scope",
+        "available",
     )
 
     def __init__(self, settings):
@@ -59,15 +64,23 @@
         self.jobs = JobTable(settings)
         self.faults = WorkerFaults()
         self.reserve = None
+        self.reserve_basis = None
         self.borrow_scores = {}
         self.peaks = PeakRecords()
         self.scored_ms = None
         self.scope = None
+        self.available = None
 
     def leads(self, now_ms):
         """Returns whether the leader lease is live, with the margin."""
         return now_ms + self.settings.leader_margin_ms < self.lease_until_ms
 
+    def forget_available(self, vm_name):
+        """Drops what was computed about the pool of a VM in this plan."""
+        vm = self.fleet.vms.get(vm_name)
+        if self.available and vm is not None:
+            self.available.pop(vm.pool, None)
+
     def pools(self):
         """Returns the PoolViews in scope."""
         pools = self.fleet.pools
--- a/wigeonport/planners.py
+++ b/wigeonport/planners.py
@@ -120,9 +120,11 @@
         if not view.leads(now_ms):
             return []
         view.scope = pools
+        view.available = {}
         commands = []
         for plan_stage in self.stage_functions:
             commands.extend(plan_stage(view, now_ms, random))
+        view.available = None
         commands = [self.ledger.stamp(each, now_ms) for each in commands]
         if view.is_full():
             fresh = {command.command_id for command in commands}
--- a/wigeonport/preemptions.py
+++ b/wigeonport/preemptions.py
@@ -63,7 +63,7 @@
 def command_first_step(view, victim, now_ms):
     """Returns the mildest command that a task supports."""
     if victim.submitted.can_checkpoint:
-        victim.give_way(now_ms)
+        view.jobs.give_way(victim, now_ms)
         return CheckpointTask(victim.name, victim.vm, victim.attempt)
     return throttle(view, victim)
 
@@ -102,12 +102,14 @@
     return (now_ms - job.started_ms) * job.size.cores
 
 
-def advance_preemptions(view, pool, now_ms):
+def advance_preemptions(view, now_ms):
     """Starts urgent jobs that have room, or takes the next step."""
     commands = []
-    for vm in view.fleet.members(pool.name):
-        preemption = view.jobs.preemptions.get(vm.name)
-        if preemption is not None:
+    for preemption in list(view.jobs.preemptions.values()):
+        vm = view.fleet.vms.get(preemption.vm)
+        if vm is None:
+            del view.jobs.preemptions[preemption.vm]
+        else:
             commands.extend(advance(view, vm, preemption, now_ms))
     return commands
 
@@ -166,6 +168,7 @@
     """Frees the processors that a throttled task no longer uses."""
     if not job.throttled:
         job.throttled = True
+        view.jobs.throttled[job.name] = None
         share = view.settings.throttle_share
         size = job.size
         cores = size.cores * share
@@ -173,16 +176,15 @@
         view.jobs.resize(job, limited)
 
 
-def restore_throttled(view, pool, now_ms):
+def restore_throttled(view, now_ms):
     """Removes the limit of tasks whose worker has room again."""
     commands = []
-    for vm in view.fleet.members(pool.name):
-        if vm.name in view.jobs.preemptions:
-            continue
-        for name in view.jobs.tasks_on(vm.name):
-            job = view.jobs.jobs[name]
-            if job.throttled and job.state == RUNNING:
-                commands.extend(restore(view, vm, job))
+    for name in list(view.jobs.throttled):
+        job = view.jobs.jobs[name]
+        vm = view.fleet.vms.get(job.vm)
+        reserved = job.vm in view.jobs.preemptions
+        if job.state == RUNNING and not reserved and vm is not None:
+            commands.extend(restore(view, vm, job))
     return commands
 
 
@@ -196,4 +198,5 @@
         return []
     view.jobs.resize(job, full)
     job.throttled = False
+    view.jobs.throttled.pop(job.name, None)
     return [ThrottleTask(job.name, job.vm, job.attempt, 1)]
--- a/wigeonport/reserves.py
+++ b/wigeonport/reserves.py
@@ -34,73 +34,82 @@
     """VMs that each failure domain would take from each pool.
 
     Attributes:
-        available: Available VMs by pool.
+        slack: Available VMs beyond the guarantee, by pool that is not spare.
         by_domain: Lost VMs by pool, by domain.
     """
 
-    __slots__ = ("available", "by_domain")
+    __slots__ = ("slack", "by_domain")
 
-    def __init__(self, view, now_ms, domain_of):
-        self.available = {}
+    def __init__(self, slack):
+        self.slack = slack
         self.by_domain = {}
-        for name in view.fleet.pools:
-            vms = available_vms(view, name, now_ms)
-            self.available[name] = len(vms)
-            for vm in vms:
-                losses = self.by_domain.setdefault(domain_of(vm), {})
-                losses[name] = losses.get(name, 0) + 1
-
-    def deficits(self, view, domain):
-        """Returns the VMs missing by pool after the loss of a domain."""
-        deficits = {}
-        for name, lost in self.by_domain[domain].items():
-            pool = view.fleet.pools[name]
-            short = pool.guaranteed() - (self.available[name] - lost)
-            if short > 0 and not pool.spare:
-                # What is missing already is covered by borrowing.
-                deficits[name] = min(short, lost)
-        return deficits
-
-    def spare_lost(self, view, domain):
+
+    def add(self, domain, pool_name):
+        """Counts a VM of a pool in a domain."""
+        losses = self.by_domain.setdefault(domain, {})
+        losses[pool_name] = losses.get(pool_name, 0) + 1
+
+    def deficits(self, domain):
+        """Returns the VMs missing by pool after the loss of a domain.
+
+        What is missing already is covered by borrowing and not counted.
+        """
+        return {
+            name: min(lost - self.slack[name], lost)
+            for name, lost in self.by_domain[domain].items()
+            if name in self.slack and lost > self.slack[name]
+        }
+
+    def spare_lost(self, domain):
         """Returns the spare VMs that the domain takes with it."""
         return sum(
             lost
             for name, lost in self.by_domain[domain].items()
-            if view.fleet.pools[name].spare
+            if name not in self.slack
         )
 
 
-def rack_of(vm):
-    """Returns the rack of a VM."""
-    return vm.rack
+def find_losses(view, basis):
+    """Returns the DomainLosses of the racks and of the zones.
 
-
-def zone_of(vm):
-    """Returns the zone of a VM."""
-    return vm.zone
+    Args:
+        view: PlanView.
+        basis: Available VMs by pool.
+    """
+    slack = {
+        pool.name: len(basis[pool.name]) - pool.guaranteed()
+        for pool in view.fleet.pools.values()
+        if not pool.spare
+    }
+    racks, zones = DomainLosses(slack), DomainLosses(slack)
+    for name, vms in basis.items():
+        for vm in vms:
+            racks.add(vm.rack, name)
+            zones.add(vm.zone, name)
+    return racks, zones
 
 
 @reserve_policies.register("shared_rack")
-def size_shared(view, racks):
+def size_shared(racks):
     """Sizes one reserve for the worst rack; services share it.
 
     Spare VMs in the same rack are lost with it, so they are added.
     """
     worst = 0
     for rack in racks.by_domain:
-        deficit = sum(racks.deficits(view, rack).values())
+        deficit = sum(racks.deficits(rack).values())
         if deficit:
-            worst = max(worst, deficit + racks.spare_lost(view, rack))
+            worst = max(worst, deficit + racks.spare_lost(rack))
     return worst
 
 
 @reserve_policies.register("per_service")
-def size_per_service(view, racks):
+def size_per_service(racks):
     """Sizes a reserve for each pool's own worst rack and adds them up."""
     worst = {}
     for rack in racks.by_domain:
-        lost_too = racks.spare_lost(view, rack)
-        for name, deficit in racks.deficits(view, rack).items():
+        lost_too = racks.spare_lost(rack)
+        for name, deficit in racks.deficits(rack).items():
             worst[name] = max(worst.get(name, 0), deficit + lost_too)
     return sum(worst.values())
 
@@ -113,24 +122,30 @@
     )
 
 
-def find_uncovered(view, zones, held):
+def find_uncovered(zones, held):
     """Returns the VMs that the loss of the worst zone leaves missing."""
     worst = 0
     for zone in zones.by_domain:
-        deficit = sum(zones.deficits(view, zone).values())
-        left = max(held - zones.spare_lost(view, zone), 0)
+        deficit = sum(zones.deficits(zone).values())
+        left = max(held - zones.spare_lost(zone), 0)
         worst = max(worst, deficit - left)
     return worst
 
 
-def size_reserve(view, now_ms):
+def find_basis(view, now_ms):
+    """Returns the available VMs by pool, on which the size depends."""
+    return {
+        name: available_vms(view, name, now_ms) for name in view.fleet.pools
+    }
+
+
+def size_reserve(view, basis, now_ms):
     """Returns the Reserve by the policy of the settings."""
     policy = reserve_policies.entries[view.settings.reserve_policy]
-    racks = DomainLosses(view, now_ms, rack_of)
-    zones = DomainLosses(view, now_ms, zone_of)
+    racks, zones = find_losses(view, basis)
     held = count_held(view, now_ms)
-    uncovered = find_uncovered(view, zones, held)
-    return Reserve(policy(view, racks), held, uncovered)
+    uncovered = find_uncovered(zones, held)
+    return Reserve(policy(racks), held, uncovered)
 
 
 @stages.register("reserves")
@@ -138,7 +153,11 @@
     """Sizes the reserve in a full plan and reports a change."""
     if not view.is_full():
         return []
-    reserve = size_reserve(view, now_ms)
+    basis = find_basis(view, now_ms)
+    if basis == view.reserve_basis:
+        return []
+    view.reserve_basis = basis
+    reserve = size_reserve(view, basis, now_ms)
     if reserve.equals(view.reserve):
         return []
     view.reserve = reserve
--- a/wigeonport/views.py
+++ b/wigeonport/views.py
@@ -215,9 +215,18 @@
         services: ServiceView by name.
         teams: TeamView by name.
         heard_ms: Time of the last report of each zone.
+        missing: Names of the VMs missing in that report, by zone.
     """
 
-    __slots__ = ("version", "vms", "pools", "services", "teams", "heard_ms")
+    __slots__ = (
+        "version",
+        "vms",
+        "pools",
+        "services",
+        "teams",
+        "heard_ms",
+        "missing",
+    )
 
     def __init__(self, version, vms, pools, services, teams):
         self.version = version
@@ -226,6 +235,7 @@
         self.services = {service.name: service for service in services}
         self.teams = {team.name: team for team in teams}
         self.heard_ms = {}
+        self.missing = {}
         for vm in vms:
             self.pools[vm.pool].members[vm.name] = None
             self.heard_ms.setdefault(vm.zone, None)
--- a/wigeonport/waves.py
+++ b/wigeonport/waves.py
@@ -1,8 +1,8 @@
 """Maintenance waves: which VM gets a grant next, when to pause, resume."""
 
 from wigeonport.availabilities import (
+    available_vms,
     count_available,
-    is_available,
     needed_vms,
 )
 from wigeonport.operations import (
@@ -116,8 +116,9 @@
     latest_ms = now_ms + view.settings.wave_lead_ms
     due = [
         vm
-        for vm in view.fleet.vms.values()
-        if vm.due_ms <= latest_ms and is_available(view, vm, now_ms)
+        for pool in view.fleet.pools
+        for vm in available_vms(view, pool, now_ms)
+        if vm.due_ms <= latest_ms
     ]
     return wave_orders.entries[view.settings.wave_order](view, due, now_ms)
 
--- a/wigeonport/worker_faults.py
+++ b/wigeonport/worker_faults.py
@@ -62,9 +62,10 @@
     """Quarantines and releases workers of the pools in scope."""
     commands = []
     for pool in view.pools():
-        for vm in view.fleet.members(pool.name):
-            if vm.name not in view.faults.records:
+        for name in pool.members:
+            if name not in view.faults.records:
                 continue
+            vm = view.fleet.vms[name]
             if vm.quarantined:
                 commands.extend(release_after_time(view, vm, now_ms))
             elif is_faulty(view, vm, now_ms) and has_room(view, pool):
@@ -108,6 +109,7 @@
 def quarantine(view, vm, now_ms):
     """Excludes a worker and takes its failures back from the jobs."""
     vm.quarantined = True
+    view.forget_available(vm.name)
     record = view.faults.find(vm.name)
     record.quarantined_ms = now_ms
     for name in record.failed:
@@ -125,6 +127,7 @@
     if now_ms - record.quarantined_ms < view.settings.quarantine_ms:
         return []
     vm.quarantined = False
+    view.forget_available(vm.name)
     record.failed.clear()
     record.quarantined_ms = None
     return [ReleaseWorker(vm.name, "the quarantine has ended")]
