Carry out operators' drains and take weights from the version

Cause: the planner took a VM that an operator had drained for a stray and returned it to work, and the weights of the fleet version had no effect.

Change: a grant with the purpose drain is an operation of its own: the planner drains the VM, records that, and returns it when the grant ends. FleetLoaded carries the weights and the maintenance period of the version. The end of a grant makes the driver read the fleet again. The stage of the operations moved to operation_stages.

Conclusion: an operator's drain is carried out, kept and ended in a test.

--- a/tests/test_view_builders.py
+++ b/tests/test_view_builders.py
@@ -10,7 +10,7 @@
     VmReported,
 )
 from wigeonport.plan_proposals import make_proposals, read_refusal
-from wigeonport.state_commands import SubmitPatch
+from wigeonport.state_commands import EndGrant, RequestGrant, SubmitPatch
 from wigeonport.states import Entry, ReplicatedState
 from wigeonport.view_builders import build_fleet_loaded, find_due_ms
 from wigeonport.views import DRAINED, READY
@@ -188,6 +188,26 @@
     assert "roster-0" in log.state.maintenance.maintained
 
 
+def test_operators_drain_is_carried_out_and_kept(logged_run, log, clock):
+    """Guards against a planner that undoes an operator's drain."""
+    request = RequestGrant("g", ["roster-0"], "drain", "op", "", 60_000, [])
+    assert not read_refusal(log.apply(request))
+    commands = logged_run.step(build_fleet_loaded(log.state, 0))
+    assert "drain_vm" in kinds(carry_out(logged_run, log, commands))
+    assert log.state.maintenance.grants["g"].drained == ["roster-0"]
+    assert "undrain_vm" not in kinds(as_texts(logged_run.tick(5_000)))
+    log.apply(EndGrant("g", ["roster-0"], 0))
+    commands = logged_run.step(build_fleet_loaded(log.state, 0))
+    done = kinds(carry_out(logged_run, log, commands))
+    assert "undrain_vm" in done
+    assert "release_grant" not in done
+
+
+def as_texts(commands):
+    """Returns the commands as texts."""
+    return [str(command) for command in commands]
+
+
 def test_refused_grant_frees_the_vm(logged_run, log, clock):
     """Guards against an operation that waits for good for its grant."""
     logged_run.view.fleet.vms["roster-0"].due_ms = clock.now()
@@ -196,6 +216,20 @@
     assert "roster-0" not in logged_run.view.operations
 
 
+def test_weights_and_period_come_from_the_version(logged_run, log):
+    """Guards against weights that an operator set without any effect."""
+    log.patch(
+        [
+            {"operation": "set_weights", "roll_out_time": 7.0},
+            {"operation": "set_maintenance_period", "hours": 48},
+        ]
+    )
+    logged_run.step(build_fleet_loaded(log.state, 0))
+    settings = logged_run.view.settings
+    assert settings.weight_rollout == 7
+    assert settings.maintenance_period_ms == 48 * 3_600_000
+
+
 def test_unknown_due_times_are_spread():
     """Guards against a new fleet that is due all at once."""
     period_ms = 14 * 86_400_000
--- a/wigeonport/fleet_events.py
+++ b/wigeonport/fleet_events.py
@@ -1,7 +1,7 @@
 """Effects of fleet versions, platform reports and leadership on the view."""
 
 from wigeonport.logs import PartLogger
-from wigeonport.operations import restore_operations
+from wigeonport.operation_stages import restore_operations
 from wigeonport.plan_events import (
     FleetLoaded,
     LeadershipChanged,
@@ -22,6 +22,7 @@
     old = view.fleet
     view.fleet = event.fleet
     view.reserve_basis = None
+    apply_fleet_settings(view)
     for name, vm in event.fleet.vms.items():
         if name in old.vms:
             keep_reported(old.vms[name], vm)
@@ -37,11 +38,24 @@
     return tuple(event.fleet.pools)
 
 
+def apply_fleet_settings(view):
+    """Takes over the settings that the version in force carries."""
+    weights = view.fleet.weights
+    if weights is not None:
+        view.settings.weight_buffer = weights.buffer_cost
+        view.settings.weight_rollout = weights.rollout_time
+        view.settings.weight_moves = weights.moves
+    if view.fleet.period_ms is not None:
+        view.settings.maintenance_period_ms = view.fleet.period_ms
+
+
 def keep_reported(old, new):
     """Copies what the platform reported from the old view of a VM."""
     new.state = old.state
     new.sequence = old.sequence
-    new.unsettled_until_ms = old.unsettled_until_ms
+    new.unsettled_until_ms = max(
+        old.unsettled_until_ms, new.unsettled_until_ms
+    )
     new.closed_until_ms = max(old.closed_until_ms, new.closed_until_ms)
     new.missing = old.missing
     new.quarantined = old.quarantined
--- /dev/null
+++ b/wigeonport/operation_stages.py
@@ -0,0 +1,75 @@
+"""Stage that advances the operations, and what a new leader takes over."""
+
+from wigeonport.operations import (
+    EMPTYING,
+    OPERATOR_DRAIN,
+    OPERATOR_STARTING,
+    RESTARTING,
+    STARTING,
+    STRAY_REASON,
+    Operation,
+    advance,
+    start_return,
+)
+from wigeonport.plan_registries import stages
+from wigeonport.views import DRAINED, DRAINING, PREPARING, REBOOTING
+
+RESTORED_PHASES = {
+    DRAINING: EMPTYING,
+    DRAINED: EMPTYING,
+    REBOOTING: RESTARTING,
+}
+
+
+@stages.register("operations")
+def plan(view, now_ms, random):
+    """Advances the operations in scope."""
+    commands = []
+    for operation in operations_in_scope(view):
+        commands.extend(advance(view, operation, now_ms))
+    commands.extend(recover_strays(view, now_ms))
+    return commands
+
+
+def operations_in_scope(view):
+    """Returns the operations on VMs of the pools in scope."""
+    if view.is_full():
+        return list(view.operations.values())
+    names = [name for pool in view.pools() for name in pool.members]
+    return [view.operations[name] for name in names if name in view.operations]
+
+
+def restore_operations(view, grants, now_ms):
+    """Rebuilds the operations from what the log and the platform show."""
+    view.grants = {grant.vm: grant for grant in grants}
+    vms = view.fleet.vms
+    for name in [name for name in view.operations if name not in vms]:
+        del view.operations[name]
+    for grant in grants:
+        vm = vms.get(grant.vm)
+        if vm is not None and vm.name not in view.operations:
+            phase = RESTORED_PHASES.get(vm.state, STARTING)
+            if grant.purpose == OPERATOR_DRAIN:
+                phase = OPERATOR_STARTING
+            view.operations[vm.name] = Operation(
+                vm.name,
+                grant.purpose,
+                phase,
+                now_ms,
+                vm.pool,
+                grant.destination or None,
+            )
+
+
+def recover_strays(view, now_ms):
+    """Returns VMs to work that an earlier leader left drained."""
+    commands = []
+    for pool in view.pools():
+        for name in pool.members:
+            vm = view.fleet.vms[name]
+            stray = vm.state in (DRAINING, DRAINED, PREPARING)
+            if stray and name not in view.operations:
+                commands.append(
+                    start_return(view, vm.name, STRAY_REASON, now_ms)
+                )
+    return commands
--- a/wigeonport/operations.py
+++ b/wigeonport/operations.py
@@ -13,20 +13,17 @@
     RequestVmGrant,
     UndrainVm,
 )
-from wigeonport.plan_registries import stages
 from wigeonport.registries import Registry
 from wigeonport.views import (
     DRAINED,
-    DRAINING,
     FAILED,
-    PREPARING,
     READY,
-    REBOOTING,
 )
 
 MAINTENANCE = "maintenance"
 MOVE = "move"
 RECOVERY = "recovery"
+OPERATOR_DRAIN = "drain"
 STRAY_REASON = "no operation needs the drain"
 
 GRANTING = "granting"
@@ -37,13 +34,10 @@
 CHANGED = "changed"
 SETTING_UP = "setting_up"
 RETURNING = "returning"
+OPERATOR_STARTING = "operator_starting"
+OPERATOR_EMPTYING = "operator_emptying"
+HOLDING = "holding"
 REVOCABLE = (GRANTING, STARTING, EMPTYING)
-RESTORED_PHASES = {
-    DRAINING: EMPTYING,
-    DRAINED: EMPTYING,
-    REBOOTING: RESTARTING,
-}
-
 phases = Registry("operation phase")
 
 
@@ -52,7 +46,7 @@
 
     Attributes:
         vm: Name of the VM.
-        kind: ``maintenance``, ``move`` or ``recovery``.
+        kind: ``maintenance``, ``move``, ``drain`` or ``recovery``.
         phase: Name in ``phases``.
         since_ms: Start of the phase.
         renewed_ms: Time of the last request for the lease.
@@ -117,31 +111,14 @@
     )
 
 
-def restore_operations(view, grants, now_ms):
-    """Rebuilds the operations from what the log and the platform show."""
-    view.grants = {grant.vm: grant for grant in grants}
-    vms = view.fleet.vms
-    for name in [name for name in view.operations if name not in vms]:
-        del view.operations[name]
-    for grant in grants:
-        vm = vms.get(grant.vm)
-        if vm is not None and vm.name not in view.operations:
-            phase = RESTORED_PHASES.get(vm.state, STARTING)
-            view.operations[vm.name] = Operation(
-                vm.name,
-                grant.purpose,
-                phase,
-                now_ms,
-                vm.pool,
-                grant.destination or None,
-            )
-
-
 def end(view, operation, reason, healthy=True):
     """Ends an operation; returns the release of its lease if it has one."""
     view.operations.pop(operation.vm, None)
     view.forget_available(operation.vm)
     grant = view.grants.pop(operation.vm, None)
+    if operation.kind == OPERATOR_DRAIN:
+        # Operators end their own leases.
+        return []
     # A request that is still on its way must not be granted later.
     if grant is None and operation.phase != GRANTING:
         return []
@@ -163,24 +140,6 @@
     return UndrainVm(vm_name, reason)
 
 
-@stages.register("operations")
-def plan(view, now_ms, random):
-    """Advances the operations in scope."""
-    commands = []
-    for operation in operations_in_scope(view):
-        commands.extend(advance(view, operation, now_ms))
-    commands.extend(recover_strays(view, now_ms))
-    return commands
-
-
-def operations_in_scope(view):
-    """Returns the operations on VMs of the pools in scope."""
-    if view.is_full():
-        return list(view.operations.values())
-    names = [name for pool in view.pools() for name in pool.members]
-    return [view.operations[name] for name in names if name in view.operations]
-
-
 def advance(view, operation, now_ms):
     """Takes the next step of one operation, if its condition holds."""
     vm = view.fleet.vms[operation.vm]
@@ -196,6 +155,8 @@
     """Renews the grant of an operation in its last third."""
     grant = view.grants.get(operation.vm)
     lease_ms = view.settings.grant_lease_ms
+    if operation.kind == OPERATOR_DRAIN:
+        return []
     if grant is None or grant.until_ms - now_ms > lease_ms // 3:
         return []
     if now_ms >= grant.until_ms and operation.phase in REVOCABLE:
@@ -293,17 +254,3 @@
         operation.enter(RETURNING, now_ms)
         return [UndrainVm(vm.name, STRAY_REASON)]
     return []
-
-
-def recover_strays(view, now_ms):
-    """Returns VMs to work that an earlier leader left drained."""
-    commands = []
-    for pool in view.pools():
-        for name in pool.members:
-            vm = view.fleet.vms[name]
-            stray = vm.state in (DRAINING, DRAINED, PREPARING)
-            if stray and name not in view.operations:
-                commands.append(
-                    start_return(view, vm.name, STRAY_REASON, now_ms)
-                )
-    return commands
--- a/wigeonport/plan_commands.py
+++ b/wigeonport/plan_commands.py
@@ -76,6 +76,13 @@
     __slots__ = ()
 
 
+@register("confirm_drain", LOG)
+class ConfirmVmDrain(VmCommand):
+    """Records that a VM runs nothing any more."""
+
+    __slots__ = ()
+
+
 @register("reboot_vm", PLATFORM)
 class RebootVm(VmCommand):
     """Reboots a drained VM gracefully."""
--- a/wigeonport/plan_drivers.py
+++ b/wigeonport/plan_drivers.py
@@ -21,6 +21,7 @@
 )
 from wigeonport.state_answers import PatchAccepted
 from wigeonport.state_commands import (
+    EndGrant,
     PauseMaintenance,
     RequestGrant,
     ResumeMaintenance,
@@ -134,7 +135,7 @@
             self.outdated = True
         elif isinstance(command, RequestGrant):
             self.outdated |= command.author != PLANNER_AUTHOR
-        elif isinstance(command, ReturnWorker):
+        elif isinstance(command, ReturnWorker | EndGrant):
             self.outdated = True
 
     async def tick(self):
--- a/wigeonport/plan_proposals.py
+++ b/wigeonport/plan_proposals.py
@@ -9,6 +9,7 @@
 from wigeonport.availabilities import is_available
 from wigeonport.maintenance_answers import GrantRefused, MoveRefused
 from wigeonport.plan_commands import (
+    ConfirmVmDrain,
     MoveVm,
     RebootVm,
     ReleaseGrant,
@@ -97,9 +98,10 @@
     ]
 
 
+@proposals.register(ConfirmVmDrain)
 @proposals.register(RebootVm)
 def propose_drained(command, view, state, now_ms):
-    """Records the drain before the reboot; the platform gets it after."""
+    """Records the drain; a reboot reaches the platform after that."""
     grant = state.maintenance.grant_of(command.vm)
     return [] if grant is None else [ConfirmDrain(grant.id, command.vm)]
 
--- a/wigeonport/view_builders.py
+++ b/wigeonport/view_builders.py
@@ -12,6 +12,7 @@
     Size,
     TeamView,
     VmView,
+    WeightsView,
 )
 
 # Author of the planner's patches; the history then shows which VMs are lent.
@@ -60,7 +61,7 @@
         )
         for grant in state.maintenance.grants.values()
         for worker in grant.workers
-        if grant.purpose in ("maintenance", "move") and worker in fleet.vms
+        if worker in fleet.vms
     ]
     return FleetLoaded(fleet, grants)
 
@@ -102,7 +103,13 @@
         for worker in fleet.workers.values()
         if state.pools.pools.get(worker.id) in fleet.pools
     ]
-    return FleetView(fleet.version, vms, pools, services, teams)
+    view = FleetView(fleet.version, vms, pools, services, teams)
+    view.period_ms = fleet.maintenance_period_hours * MS_PER_HOUR
+    weights = fleet.weights
+    view.weights = WeightsView(
+        weights.buffer_cost, weights.roll_out_time, weights.moves
+    )
+    return view
 
 
 def slice_by_pool(fleet):
--- a/wigeonport/view_documents.py
+++ b/wigeonport/view_documents.py
@@ -9,6 +9,7 @@
     Size,
     TeamView,
     VmView,
+    WeightsView,
 )
 
 
@@ -65,7 +66,11 @@
     vms = [vm_from_document(each) for each in document["vms"]]
     for kind, views in (("pool", pools), ("VM", vms), ("service", services)):
         check_unique(kind, [view.name for view in views])
-    return FleetView(document["version"] + 0, vms, pools, services, teams)
+    fleet = FleetView(document["version"] + 0, vms, pools, services, teams)
+    fleet.period_ms = document.get("period_ms")
+    if document.get("weights") is not None:
+        fleet.weights = WeightsView(**document["weights"])
+    return fleet
 
 
 def check_unique(kind, names):
@@ -100,6 +105,8 @@
     """Returns a FleetView as plain data."""
     return {
         "version": fleet.version,
+        "period_ms": fleet.period_ms,
+        "weights": weights_to_document(fleet.weights),
         "pools": [
             {"name": pool.name, "spare": pool.spare, "floor": pool.floor}
             for pool in fleet.pools.values()
@@ -121,6 +128,13 @@
     }
 
 
+def weights_to_document(weights):
+    """Returns a WeightsView as plain data."""
+    if weights is None:
+        return None
+    return {name: getattr(weights, name) for name in weights.__slots__}
+
+
 def vm_to_document(vm):
     """Returns a VmView as plain data."""
     return {
--- a/wigeonport/views.py
+++ b/wigeonport/views.py
@@ -195,7 +195,7 @@
 
     Attributes:
         vm: Name of the VM.
-        purpose: ``maintenance`` or ``move``.
+        purpose: ``maintenance``, ``move`` or, of an operator, ``drain``.
         destination: Pool that a move enters, else "".
         until_ms: End of the lease.
     """
@@ -209,6 +209,23 @@
         self.until_ms = until_ms
 
 
+class WeightsView:
+    """Weights of the measures.
+
+    Attributes:
+        buffer_cost: Cost of an idle VM for a second.
+        rollout_time: Cost of a missing VM for a second.
+        moves: Factor of the price of a move.
+    """
+
+    __slots__ = ("buffer_cost", "rollout_time", "moves")
+
+    def __init__(self, buffer_cost, rollout_time, moves):
+        self.buffer_cost = buffer_cost
+        self.rollout_time = rollout_time
+        self.moves = moves
+
+
 class FleetView:
     """The fleet at one version, with the pools as an index of the VMs.
 
@@ -220,6 +237,8 @@
         teams: TeamView by name.
         heard_ms: Time of the last report of each zone.
         missing: Names of the VMs missing in that report, by zone.
+        weights: WeightsView of the version, or None to keep the settings.
+        period_ms: Maintenance period, or None to keep the settings.
     """
 
     __slots__ = (
@@ -230,6 +249,8 @@
         "teams",
         "heard_ms",
         "missing",
+        "weights",
+        "period_ms",
     )
 
     def __init__(self, version, vms, pools, services, teams):
@@ -240,6 +261,8 @@
         self.teams = {team.name: team for team in teams}
         self.heard_ms = {}
         self.missing = {}
+        self.weights = None
+        self.period_ms = None
         for vm in vms:
             self.pools[vm.pool].members[vm.name] = None
             self.heard_ms.setdefault(vm.zone, None)
