--- a/wigeonport/plan_proposals.py
+++ b/wigeonport/plan_proposals.py
@@ -31,6 +31,8 @@
 
 proposals = Registry("proposal")
 
+PLANNER_GRANTS = "plan-"
+
 
 def make_proposals(command, view, state, now_ms):
     """Returns the log's commands for one command of the planner.
@@ -53,7 +55,7 @@
     if live is not None and live.author == PLANNER_AUTHOR:
         return [RenewGrant(live.id, lease_ms)]
     request = RequestGrant(
-        f"plan-{command.command_id}",
+        f"{PLANNER_GRANTS}{command.command_id}",
         [command.vm],
         command.purpose,
         PLANNER_AUTHOR,
@@ -101,7 +103,11 @@
 @proposals.register(ConfirmVmDrain)
 @proposals.register(RebootVm)
 def propose_drained(command, view, state, now_ms):
+<<<<<<< HEAD
     """Records the drain; a reboot reaches the platform after that."""
+=======
+    """Records a drain; a reboot goes to the platform only after it."""
+>>>>>>> main
     grant = state.maintenance.grant_of(command.vm)
     return [] if grant is None else [ConfirmDrain(grant.id, command.vm)]
 
