--- a/wigeonport/operations.py
+++ b/wigeonport/operations.py
@@ -7,7 +7,6 @@
 """
 
 from wigeonport.plan_commands import (
-    ConfirmVmDrain,
     DrainVm,
     MoveVm,
     PrepareVm,
@@ -25,7 +24,6 @@
 
 MAINTENANCE = "maintenance"
 MOVE = "move"
-DRAIN = "drain"
 RECOVERY = "recovery"
 OPERATOR_DRAIN = "drain"
 STRAY_REASON = "no operation needs the drain"
@@ -36,7 +34,6 @@
 RESTARTING = "restarting"
 CHANGING = "changing"
 CHANGED = "changed"
-HOLDING = "holding"
 SETTING_UP = "setting_up"
 RETURNING = "returning"
 OPERATOR_STARTING = "operator_starting"
@@ -161,12 +158,10 @@
 
     The lease of an operator's drain is the operator's to renew.
     """
-    if operation.kind == DRAIN:
+    if operation.kind == OPERATOR_DRAIN:
         return []
     grant = view.grants.get(operation.vm)
     lease_ms = view.settings.grant_lease_ms
-    if operation.kind == OPERATOR_DRAIN:
-        return []
     if grant is None or grant.until_ms - now_ms > lease_ms // 3:
         return []
     if now_ms >= grant.until_ms and operation.phase in REVOCABLE:
@@ -207,28 +202,14 @@
         if operation.kind == MAINTENANCE:
             operation.enter(RESTARTING, now_ms)
             return [RebootVm(vm.name, MAINTENANCE)]
-        if operation.kind == DRAIN:
-            operation.enter(HOLDING, now_ms)
-            return [ConfirmVmDrain(vm.name, "the VM runs nothing")]
         operation.enter(CHANGING, now_ms)
         return [MoveVm(vm.name, operation.source, operation.destination)]
-    if operation.kind == DRAIN:
-        return []
     if now_ms - operation.since_ms > view.settings.drain_bound_ms:
         reason = "the drain exceeded its bound"
         return revoke(view, operation, reason, now_ms)
     return []
 
 
-@phases.register(HOLDING)
-def hold_drained(view, operation, vm, now_ms):
-    """Keeps a VM drained until the operator's grant ends."""
-    if grant_is_live(view, vm, now_ms):
-        return []
-    view.grants.pop(vm.name, None)
-    return [start_return(view, vm.name, "the drain has ended", now_ms)]
-
-
 @phases.register(RESTARTING)
 def await_reboot(view, operation, vm, now_ms):
     """Waits for the reboot; one that takes too long counts as a failure."""
--- a/wigeonport/plan_commands.py
+++ b/wigeonport/plan_commands.py
@@ -125,13 +125,6 @@
         self.until_ms = until_ms
 
 
-@register("confirm_drain", LOG)
-class ConfirmVmDrain(VmCommand):
-    """Records that a VM of an operator's grant runs nothing any more."""
-
-    __slots__ = ()
-
-
 @register("release_grant", LOG)
 class ReleaseGrant(Command):
     """Ends a lease; the VM is back if it is healthy."""
--- a/wigeonport/plan_drivers.py
+++ b/wigeonport/plan_drivers.py
@@ -138,13 +138,9 @@
             self.outdated = True
         elif isinstance(command, RequestGrant):
             self.outdated |= command.author != PLANNER_AUTHOR
-<<<<<<< HEAD
-        elif isinstance(command, ReturnWorker | EndGrant):
-=======
         elif isinstance(command, EndGrant | RenewGrant):
             self.outdated |= not command.grant.startswith(PLANNER_GRANTS)
         elif isinstance(command, ReturnWorker):
->>>>>>> main
             self.outdated = True
 
     async def tick(self):
--- a/wigeonport/plan_proposals.py
+++ b/wigeonport/plan_proposals.py
@@ -103,11 +103,7 @@
 @proposals.register(ConfirmVmDrain)
 @proposals.register(RebootVm)
 def propose_drained(command, view, state, now_ms):
-<<<<<<< HEAD
-    """Records the drain; a reboot reaches the platform after that."""
-=======
     """Records a drain; a reboot goes to the platform only after it."""
->>>>>>> main
     grant = state.maintenance.grant_of(command.vm)
     return [] if grant is None else [ConfirmDrain(grant.id, command.vm)]
 
--- a/wigeonport/view_builders.py
+++ b/wigeonport/view_builders.py
@@ -63,12 +63,7 @@
         )
         for grant in state.maintenance.grants.values()
         for worker in grant.workers
-<<<<<<< HEAD
         if worker in fleet.vms
-=======
-        if grant.purpose in ("maintenance", "move", "drain")
-        and worker in fleet.vms
->>>>>>> main
     ]
     return FleetLoaded(fleet, grants)
 
