Record what reaches the planner as a trace and read jobs of the platform

Change: with trace_file a control writes every event of its planner, the seed and the settings, up to trace_max_bytes. Platform reports may carry jobs and cancellations. The handlers of job events moved to job_events.

Conclusion: a run of a control can be replayed with the same decisions.

--- a/tests/test_trace_outcomes.py
+++ b/tests/test_trace_outcomes.py
@@ -70,7 +70,11 @@
             "wigeonport.plan_views.PlanView.leads",
             lambda view, now_ms: True,
         ),
-        ("never_jobs", "wigeonport.jobs.find_fault", lambda view, job: ""),
+        (
+            "never_jobs",
+            "wigeonport.job_events.find_fault",
+            lambda view, job: "",
+        ),
         (
             "never_jobs",
             "wigeonport.placements.find_never_reason",
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -11,6 +11,10 @@
 from wigeonport.commands.replays import ReplayCommand
 from wigeonport.expectations import read_expectations
 from wigeonport.plan_events import DemandReported, VmReported
+from wigeonport.plan_settings import PlanSettings
+from wigeonport.planners import Planner
+from wigeonport.replays import Replay, replay_trace
+from wigeonport.trace_recorders import TraceRecorder
 from wigeonport.traces import TraceReader, TraceWriter, read_trace
 
 HEADER = '{"kind":"header","format":1}'
@@ -87,6 +91,36 @@
     assert file.getvalue().splitlines() == path.read_text().splitlines()[1:]
 
 
+def test_recorded_run_replays_to_the_same_commands(tmp_path):
+    """Guards against decisions that a recorded trace does not reproduce."""
+    closed = read_trace(TRACES / "lagos_failures_in_wave.jsonl").ok
+    path = tmp_path / "open.jsonl"
+    with path.open("w") as file:
+        settings = closed.header.settings
+        recorder = TraceRecorder(file, 10**8, settings, closed.header.seed)
+        replay = Replay(closed.header, Planner(settings), recorder)
+        first = replay.run(closed.events)
+    opened = read_trace(path)
+    assert opened.is_ok(), str(opened.error)
+    second = replay_trace(opened.ok).ok
+    assert second.violations == []
+    texts = [
+        [f"{o.at_ms} {o.command.command_id} {o.command}" for o in r.outcomes]
+        for r in (first, second)
+    ]
+    assert texts[0] == texts[1]
+
+
+def test_recording_ends_at_its_bound():
+    """Guards against a trace that fills the disk."""
+    file = io.StringIO()
+    recorder = TraceRecorder(file, 2_500, PlanSettings(), 1)
+    for second in range(1_000):
+        recorder.record(VmReported("vm-1", "ready", second), second)
+    assert 2_500 <= len(file.getvalue()) < 2_600
+    assert TraceReader("t").read(file.getvalue().splitlines()).is_ok()
+
+
 def test_bad_expectations_are_findings(tmp_path):
     """Guards against a mistyped expectation that always holds."""
     path = tmp_path / "expect"
--- a/wigeonport/control_main.py
+++ b/wigeonport/control_main.py
@@ -40,6 +40,7 @@
 from wigeonport.state_commands import ClaimKey, CompleteClaim, ReleaseClaim
 from wigeonport.state_requests import StatePort
 from wigeonport.states import ReplicatedState, state_from_document
+from wigeonport.trace_recorders import open_recorder
 from wigeonport.version_watchers import watch_versions
 
 logger = PartLogger("control")
@@ -209,16 +210,23 @@
         nursery.start_soon(answer_without_platform, boxes.planner)
         return
     client = PlatformClient(settings.platform_url, clock, program.metrics)
-    planner = build_planner(PlanSettings())
+    plan_settings = PlanSettings()
+    planner = build_planner(plan_settings)
     if planner.is_error():
         raise ValueError(str(planner.error))
+    # A replay repeats the choices between equals from the recorded seed.
+    seed = random.randrange(2**32)
+    recorder = open_recorder(
+        settings.trace_file, settings.trace_max_bytes, plan_settings, seed
+    )
     driver = PlanDriver(
         planner.ok,
         consensus.inbox,
         boxes.plans,
         dialers,
         clock,
-        random.Random(),
+        random.Random(seed),
+        recorder,
     )
     actor = PlanActor(consensus.inbox, adapter, client, program.events, clock)
     nursery.start_soon(
--- /dev/null
+++ b/wigeonport/job_events.py
@@ -0,0 +1,180 @@
+"""Effects of submissions, cancellations and task reports on the jobs."""
+
+from wigeonport.estimates import estimate_size, learn_run, learn_usage
+from wigeonport.job_tables import (
+    CANCELLED,
+    CANCELLING,
+    FINISHED,
+    NEVER,
+    RUNNING,
+    STARTING,
+)
+from wigeonport.plan_events import (
+    CHECKPOINTED,
+    TASK_FAILED,
+    JobsCancelled,
+    JobSubmitted,
+    TaskReported,
+    UsageReported,
+)
+from wigeonport.plan_events import FINISHED as TASK_FINISHED
+from wigeonport.plan_events import RUNNING as TASK_RUNNING
+from wigeonport.plan_events import STOPPED as TASK_STOPPED
+from wigeonport.plan_events import THROTTLED as TASK_THROTTLED
+from wigeonport.plan_registries import event_handlers
+from wigeonport.preemptions import apply_throttle
+from wigeonport.registries import Registry
+
+RETRY_BASE_MS = 1_000
+RETRY_LONGEST_MS = 60_000
+
+task_reports = Registry("task report")
+
+
+@event_handlers.register(JobSubmitted)
+def handle_submission(view, event, now_ms):
+    """Adds a job; a repeated id has no effect."""
+    job = view.jobs.add(event, now_ms)
+    if job is None:
+        return ()
+    reason = find_unknown(view, event)
+    if reason:
+        view.jobs.finish(job, NEVER, reason)
+        view.jobs.verdicts.append(job)
+        return tuple(view.fleet.pools)[:1]
+    others_wait = len(view.jobs.queue_of(job)) > 1
+    # Behind others the job can wait for the next full plan.
+    return (event.pool,) if event.urgent or not others_wait else ()
+
+
+def find_unknown(view, submitted):
+    """Returns which name of a submission the fleet does not know, or ""."""
+    if submitted.pool not in view.fleet.pools:
+        return f"there is no pool {submitted.pool}"
+    if submitted.team not in view.fleet.teams:
+        return f"there is no team {submitted.team}"
+    return ""
+
+
+@event_handlers.register(JobsCancelled)
+def handle_cancellation(view, event, now_ms):
+    """Cancels jobs; the running ones are collected for one command."""
+    table = view.jobs
+    names = list(event.jobs)
+    if event.team:
+        names.extend(table.by_team.get(event.team, ()))
+    pools = {}
+    for name in names:
+        job = table.jobs.get(name)
+        if job is None or job.state == CANCELLING:
+            continue
+        pools[job.submitted.pool] = None
+        if job.vm is None:
+            table.finish(job, CANCELLED)
+        else:
+            job.state = CANCELLING
+            table.cancelled.append(name)
+    return tuple(pools)
+
+
+@event_handlers.register(UsageReported)
+def handle_usage(view, event, now_ms):
+    """Learns from a usage report, also after the job has ended."""
+    job = view.jobs.find(event.job)
+    if job is not None:
+        learn_usage(view.jobs, job, event.used)
+    return ()
+
+
+@event_handlers.register(TaskReported)
+def handle_task(view, event, now_ms):
+    """Applies a report about the current attempt; others are late."""
+    job = view.jobs.jobs.get(event.job)
+    if job is None:
+        return ()
+    if job.vm is None and job.submitted.may_run:
+        adopt_task(view, job, event, now_ms)
+    if (job.vm, job.attempt) != (event.vm, event.attempt):
+        return ()
+    task_reports.entries[event.state](view, job, now_ms)
+    return (job.submitted.pool,)
+
+
+def adopt_task(view, job, event, now_ms):
+    """Takes over a task that an earlier leader has started."""
+    known = event.vm in view.fleet.vms
+    if known and event.attempt > job.attempt and event.state == TASK_RUNNING:
+        size = estimate_size(view.jobs, job)
+        job.attempt = event.attempt - 1
+        view.jobs.bind(job, event.vm, size, now_ms)
+
+
+@task_reports.register(TASK_RUNNING)
+def note_running(view, job, now_ms):
+    """Records the start of a task."""
+    if job.state == STARTING:
+        job.state = RUNNING
+        job.started_ms = now_ms
+
+
+@task_reports.register(TASK_FINISHED)
+def note_finished(view, job, now_ms):
+    """Ends a job that has run to its end."""
+    view.faults.note_success(job.vm, now_ms)
+    learn_run(view.jobs, job, now_ms - job.started_ms)
+    view.jobs.finish(job, FINISHED)
+
+
+@task_reports.register(TASK_FAILED)
+def note_failed(view, job, now_ms):
+    """Retries a failed job elsewhere, or finds that it can never run."""
+    view.faults.note_failure(job.vm, job.name, now_ms)
+    if job.state == CANCELLING:
+        view.jobs.finish(job, CANCELLED)
+        return
+    job.failed_on[job.vm] = None
+    view.jobs.unbind(job)
+    reason = find_fault(view, job)
+    if reason:
+        view.jobs.finish(job, NEVER, reason)
+        view.jobs.verdicts.append(job)
+        return
+    delay_ms = RETRY_BASE_MS * 2 ** (len(job.failed_on) - 1)
+    job.retry_ms = now_ms + min(delay_ms, RETRY_LONGEST_MS)
+    view.jobs.enqueue(job)
+
+
+def find_fault(view, job):
+    """Returns why the failures of a job are its own, or "".
+
+    Only failures on workers that finish other jobs speak against it.
+    """
+    trusted = sum(view.faults.is_trusted(vm) for vm in job.failed_on)
+    if trusted >= view.settings.job_failed_workers:
+        return f"failed on {trusted} workers that finish other jobs"
+    members = view.fleet.pools[job.submitted.pool].members
+    if trusted and job.failed_on.keys() >= members.keys():
+        return "failed on every worker of its pool"
+    return ""
+
+
+@task_reports.register(CHECKPOINTED)
+@task_reports.register(TASK_STOPPED)
+def note_ended(view, job, now_ms):
+    """Queues a job whose task gave way, or ends a cancelled one."""
+    requeue(view, job)
+
+
+def requeue(view, job):
+    """Frees the worker of a job that is to run again, if not cancelled."""
+    if job.state == CANCELLING:
+        view.jobs.finish(job, CANCELLED)
+        return
+    view.jobs.unbind(job)
+    view.jobs.enqueue(job)
+
+
+@task_reports.register(TASK_THROTTLED)
+def note_throttled(view, job, now_ms):
+    """Frees the processors of a throttled task."""
+    apply_throttle(view, job)
--- a/wigeonport/plan_drivers.py
+++ b/wigeonport/plan_drivers.py
@@ -54,6 +54,7 @@
         dialers: Dialers to the other controls by node id.
         clock: Time source.
         random: Random source.
+        recorder: TraceRecorder, or None if nothing is recorded.
         demands: DemandTable of all entries.
         leader: Node id of the leader, or "".
         leading: Whether this control leads and its state is complete.
@@ -68,6 +69,7 @@
         "dialers",
         "clock",
         "random",
+        "recorder",
         "demands",
         "leader",
         "leading",
@@ -75,13 +77,23 @@
         "loaded_ms",
     )
 
-    def __init__(self, planner, consensus, actor, dialers, clock, random):
+    def __init__(
+        self,
+        planner,
+        consensus,
+        actor,
+        dialers,
+        clock,
+        random,
+        recorder=None,
+    ):
         self.planner = planner
         self.consensus = consensus
         self.actor = actor
         self.dialers = dialers
         self.clock = clock
         self.random = random
+        self.recorder = recorder
         self.demands = DemandTable()
         self.leader = ""
         self.leading = False
@@ -90,7 +102,10 @@
 
     async def step(self, event):
         """Feeds one event and passes the commands on."""
-        commands = self.planner.step(event, self.clock.now(), self.random)
+        now_ms = self.clock.now()
+        if self.recorder is not None:
+            self.recorder.record(event, now_ms)
+        commands = self.planner.step(event, now_ms, self.random)
         for command in commands:
             await self.actor.put(PlannedCommand(command, self.planner.view))
 
--- a/wigeonport/platform_reports.py
+++ b/wigeonport/platform_reports.py
@@ -4,6 +4,8 @@
 
 from wigeonport.plan_events import (
     TASK_STATES,
+    JobsCancelled,
+    JobSubmitted,
     TaskReported,
     UsageReported,
     VmReported,
@@ -51,9 +53,42 @@
 @readers.register("usage")
 def read_usage(document, offset_ms):
     """Reads what a task used."""
-    used = Size(float(document["cores"]), float(document["memory_mb"]), 0)
     measured_ms = int(document["measured_ms"]) + offset_ms
-    return UsageReported(str(document["job"]), used, measured_ms)
+    return UsageReported(
+        str(document["job"]), read_size(document), measured_ms
+    )
+
+
+@readers.register("job")
+def read_job(document, offset_ms):
+    """Reads a job that a team submitted."""
+    return JobSubmitted(
+        str(document["job"]),
+        str(document["team"]),
+        str(document["pool"]),
+        str(document["job_kind"]),
+        read_size(document["declared"]),
+        int(document["declared_run_ms"]),
+        bool(document.get("urgent", False)),
+        bool(document.get("can_checkpoint", True)),
+        bool(document.get("may_run", False)),
+    )
+
+
+def read_size(document):
+    """Reads the resources of a task."""
+    return Size(
+        float(document["cores"]),
+        float(document["memory_mb"]),
+        int(document.get("accelerators", 0)),
+    )
+
+
+@readers.register("cancel")
+def read_cancellation(document, offset_ms):
+    """Reads which jobs were cancelled, and the team if it is all of it."""
+    jobs = tuple(str(name) for name in document.get("jobs", ()))
+    return JobsCancelled(jobs, str(document.get("team", "")))
 
 
 def read_report(document, offset_ms) -> Result:
--- a/wigeonport/replays.py
+++ b/wigeonport/replays.py
@@ -94,6 +94,7 @@
         random: Source of randomness with the trace's seed.
         tick_at_ms: Time of the next added tick, or None.
         line: Line of the last trace event.
+        recorder: TraceRecorder of what reaches the planner, or None.
     """
 
     __slots__ = (
@@ -105,11 +106,13 @@
         "random",
         "tick_at_ms",
         "line",
+        "recorder",
     )
 
-    def __init__(self, header, planner):
+    def __init__(self, header, planner, recorder=None):
         self.header = header
         self.planner = planner
+        self.recorder = recorder
         self.platform = None
         if header.answers is not None:
             self.platform = AnswerPlatform(header.answers)
@@ -162,6 +165,8 @@
 
     def feed(self, event, now_ms):
         """Feeds one event to the planner and checks what follows."""
+        if self.recorder is not None:
+            self.recorder.record(event, now_ms)
         view = self.planner.view
         measures = self.record.measures
         measures.pass_time(view, now_ms)
--- a/wigeonport/setting_tables.py
+++ b/wigeonport/setting_tables.py
@@ -87,6 +87,19 @@
         text="File of the event log; without it, a ring in memory.",
     ),
     _count("event_ring_bound", 10_000, "Events that the ring holds."),
+    Field(
+        "trace_file",
+        "text",
+        None,
+        text="File to which a control records what reaches its planner; "
+        "`wigeonport replay` reads it. Without it nothing is recorded.",
+    ),
+    _count(
+        "trace_max_bytes",
+        64 * 1024 * 1024,
+        "Size at which the recording ends.",
+        2**40,
+    ),
     Field(
         "log_level",
         "name",
