--- a/wigeonport/operations.py
+++ b/wigeonport/operations.py
@@ -7,7 +7,6 @@
 """
 
 from wigeonport.plan_commands import (
-    ConfirmVmDrain,
     DrainVm,
     MoveVm,
     PrepareVm,
@@ -16,21 +15,17 @@
     RequestVmGrant,
     UndrainVm,
 )
-from wigeonport.plan_registries import stages
 from wigeonport.registries import Registry
 from wigeonport.views import (
     DRAINED,
-    DRAINING,
     FAILED,
-    PREPARING,
     READY,
-    REBOOTING,
 )
 
 MAINTENANCE = "maintenance"
 MOVE = "move"
-DRAIN = "drain"
 RECOVERY = "recovery"
+OPERATOR_DRAIN = "drain"
 STRAY_REASON = "no operation needs the drain"
 
 GRANTING = "granting"
@@ -39,16 +34,12 @@
 RESTARTING = "restarting"
 CHANGING = "changing"
 CHANGED = "changed"
-HOLDING = "holding"
 SETTING_UP = "setting_up"
 RETURNING = "returning"
+OPERATOR_STARTING = "operator_starting"
+OPERATOR_EMPTYING = "operator_emptying"
+HOLDING = "holding"
 REVOCABLE = (GRANTING, STARTING, EMPTYING)
-RESTORED_PHASES = {
-    DRAINING: EMPTYING,
-    DRAINED: EMPTYING,
-    REBOOTING: RESTARTING,
-}
-
 phases = Registry("operation phase")
 
 
@@ -90,10 +81,16 @@
         self.since_ms = now_ms
 
 
+def begin(view, operation):
+    """Records an operation; its VM is not available from now on."""
+    view.operations[operation.vm] = operation
+    view.forget_available(operation.vm)
+
+
 def start_maintenance(view, vm, now_ms):
     """Starts maintenance of a VM; returns the commands."""
     operation = Operation(vm.name, MAINTENANCE, GRANTING, now_ms)
-    view.operations[vm.name] = operation
+    begin(view, operation)
     return [request_grant(view, operation, now_ms)]
 
 
@@ -102,7 +99,7 @@
     operation = Operation(
         vm.name, MOVE, GRANTING, now_ms, vm.pool, destination
     )
-    view.operations[vm.name] = operation
+    begin(view, operation)
     return [request_grant(view, operation, now_ms)]
 
 
@@ -116,30 +113,14 @@
     )
 
 
-def restore_operations(view, grants, now_ms):
-    """Rebuilds the operations from what the log and the platform show."""
-    view.grants = {grant.vm: grant for grant in grants}
-    vms = view.fleet.vms
-    for name in [name for name in view.operations if name not in vms]:
-        del view.operations[name]
-    for grant in grants:
-        vm = vms.get(grant.vm)
-        if vm is not None and vm.name not in view.operations:
-            phase = RESTORED_PHASES.get(vm.state, STARTING)
-            view.operations[vm.name] = Operation(
-                vm.name,
-                grant.purpose,
-                phase,
-                now_ms,
-                vm.pool,
-                grant.destination or None,
-            )
-
-
 def end(view, operation, reason, healthy=True):
     """Ends an operation; returns the release of its lease if it has one."""
     view.operations.pop(operation.vm, None)
+    view.forget_available(operation.vm)
     grant = view.grants.pop(operation.vm, None)
+    if operation.kind == OPERATOR_DRAIN:
+        # Operators end their own leases.
+        return []
     # A request that is still on its way must not be granted later.
     if grant is None and operation.phase != GRANTING:
         return []
@@ -157,28 +138,10 @@
 
 def start_return(view, vm_name, reason, now_ms):
     """Starts the return of a drained VM to work; returns the command."""
-    view.operations[vm_name] = Operation(vm_name, RECOVERY, RETURNING, now_ms)
+    begin(view, Operation(vm_name, RECOVERY, RETURNING, now_ms))
     return UndrainVm(vm_name, reason)
 
 
-@stages.register("operations")
-def plan(view, now_ms, random):
-    """Advances the operations in scope."""
-    commands = []
-    for operation in operations_in_scope(view):
-        commands.extend(advance(view, operation, now_ms))
-    commands.extend(recover_strays(view, now_ms))
-    return commands
-
-
-def operations_in_scope(view):
-    """Returns the operations on VMs of the pools in scope."""
-    if view.is_full():
-        return list(view.operations.values())
-    names = [name for pool in view.pools() for name in pool.members]
-    return [view.operations[name] for name in names if name in view.operations]
-
-
 def advance(view, operation, now_ms):
     """Takes the next step of one operation, if its condition holds."""
     vm = view.fleet.vms[operation.vm]
@@ -195,7 +158,7 @@
 
     The lease of an operator's drain is the operator's to renew.
     """
-    if operation.kind == DRAIN:
+    if operation.kind == OPERATOR_DRAIN:
         return []
     grant = view.grants.get(operation.vm)
     lease_ms = view.settings.grant_lease_ms
@@ -239,28 +202,14 @@
         if operation.kind == MAINTENANCE:
             operation.enter(RESTARTING, now_ms)
             return [RebootVm(vm.name, MAINTENANCE)]
-        if operation.kind == DRAIN:
-            operation.enter(HOLDING, now_ms)
-            return [ConfirmVmDrain(vm.name, "the VM runs nothing")]
         operation.enter(CHANGING, now_ms)
         return [MoveVm(vm.name, operation.source, operation.destination)]
-    if operation.kind == DRAIN:
-        return []
     if now_ms - operation.since_ms > view.settings.drain_bound_ms:
         reason = "the drain exceeded its bound"
         return revoke(view, operation, reason, now_ms)
     return []
 
 
-@phases.register(HOLDING)
-def hold_drained(view, operation, vm, now_ms):
-    """Keeps a VM drained until the operator's grant ends."""
-    if grant_is_live(view, vm, now_ms):
-        return []
-    view.grants.pop(vm.name, None)
-    return [start_return(view, vm.name, "the drain has ended", now_ms)]
-
-
 @phases.register(RESTARTING)
 def await_reboot(view, operation, vm, now_ms):
     """Waits for the reboot; one that takes too long counts as a failure."""
@@ -310,16 +259,3 @@
         operation.enter(RETURNING, now_ms)
         return [UndrainVm(vm.name, STRAY_REASON)]
     return []
-
-
-def recover_strays(view, now_ms):
-    """Returns VMs to work that an earlier leader left drained."""
-    commands = []
-    for pool in view.pools():
-        for vm in view.fleet.members(pool.name):
-            stray = vm.state in (DRAINING, DRAINED, PREPARING)
-            if stray and vm.name not in view.operations:
-                commands.append(
-                    start_return(view, vm.name, STRAY_REASON, now_ms)
-                )
-    return commands
--- a/wigeonport/planners.py
+++ b/wigeonport/planners.py
@@ -7,12 +7,14 @@
 from expression import Result
 
 from wigeonport import (  # noqa: F401 - the stages register themselves
+    borrow_policies,
     borrowings,
     fleet_events,
     forecasts,
     jobs,
     operation_answers,
-    operations,
+    operation_stages,
+    operator_drains,
     reserves,
     rollouts,
     waves,
@@ -119,9 +121,11 @@
         if not view.leads(now_ms):
             return []
         view.scope = pools
+        view.available = {}
         commands = []
         for plan_stage in self.stage_functions:
             commands.extend(plan_stage(view, now_ms, random))
+        view.available = None
         commands = [self.ledger.stamp(each, now_ms) for each in commands]
         if view.is_full():
             fresh = {command.command_id for command in commands}
