--- a/wigeonport/snapshots.py
+++ b/wigeonport/snapshots.py
@@ -1,5 +1,6 @@
 """Snapshot files: one complete state at a log index."""
 
+import functools
 import json
 import zlib
 
@@ -19,6 +20,10 @@
 # Level 1 compresses a state of repeated keys nearly as well as the
 # default level at a fraction of the time.
 COMPRESSION_LEVEL = 1
+GROUP_ITEMS = 128
+
+
+to_json = functools.partial(json.dumps, separators=(",", ":"))
 
 
 class DamageError(Exception):
@@ -30,9 +35,38 @@
 
 
 def encode_state(document):
-    """Returns the bytes of a state's document."""
-    text = json.dumps(document, separators=(",", ":"))
-    return zlib.compress(text.encode(), COMPRESSION_LEVEL)
+    """Returns the bytes of a state's document.
+
+    The worker thread that encodes a snapshot shares the interpreter with the
+    event loop, and encoding JSON does not yield within one call. Long lists
+    are therefore encoded in groups.
+    """
+    compressor = zlib.compressobj(COMPRESSION_LEVEL)
+    pieces = [
+        compressor.compress(text.encode()) for text in json_pieces(document)
+    ]
+    pieces.append(compressor.flush())
+    return b"".join(pieces)
+
+
+def json_pieces(value):
+    """Yields the JSON text of a document in short pieces."""
+    if isinstance(value, dict):
+        separator = "{"
+        for key, item in value.items():
+            yield f"{separator}{to_json(str(key))}:"
+            yield from json_pieces(item)
+            separator = ","
+        yield "}" if value else "{}"
+    elif isinstance(value, list) and len(value) > GROUP_ITEMS:
+        separator = "["
+        for start in range(0, len(value), GROUP_ITEMS):
+            group = to_json(value[start : start + GROUP_ITEMS])
+            yield f"{separator}{group[1:-1]}"
+            separator = ","
+        yield "]"
+    else:
+        yield to_json(value)
 
 
 def decode_state(data):
