--- a/wigeonport/subscriptions.py
+++ b/wigeonport/subscriptions.py
@@ -8,6 +8,7 @@
 )
 from wigeonport.links import Delivery
 from wigeonport.logs import PartLogger
+from wigeonport.share_messages import ShareGrant, ShareRequest
 
 logger = PartLogger("subscriptions")
 
@@ -19,14 +20,16 @@
         dialers: Dialers in order of preference.
         identity: Identity of this process.
         configuration: Configuration of this process.
+        run_ms: Wall time at which this process started.
     """
 
-    __slots__ = ("dialers", "identity", "configuration")
+    __slots__ = ("dialers", "identity", "configuration", "run_ms")
 
-    def __init__(self, identity, configuration):
+    def __init__(self, identity, configuration, run_ms):
         self.dialers = []
         self.identity = identity
         self.configuration = configuration
+        self.run_ms = run_ms
 
     def subscribe(self, dialer):
         """Subscribes over a link that was just opened."""
@@ -34,6 +37,7 @@
             Subscribe(
                 self.identity.node_id,
                 self.identity.availability_zone,
+                self.run_ms,
                 self.configuration.version,
             )
         )
@@ -45,6 +49,7 @@
                 VersionReport(
                     self.identity.node_id,
                     self.identity.availability_zone,
+                    self.run_ms,
                     version,
                 )
             )
@@ -54,18 +59,21 @@
         return [dialer for dialer in self.dialers if dialer.connected]
 
 
-async def sort_deliveries(inbound, configurations, entries):
+async def sort_deliveries(inbound, configurations, entries, shares):
     """Passes arrivals to the filter that handles them.
 
     Args:
         inbound: Mailbox of all links of the process.
         configurations: Mailbox for ConfigUpdates and ConfigRequests.
         entries: Mailbox for the messages of other entries.
+        shares: Mailbox for the ShareRequests and ShareGrants of others.
     """
     async for delivery in inbound:
         if not isinstance(delivery, Delivery):
             await entries.put(delivery)
         elif isinstance(delivery.message, (ConfigUpdate, ConfigRequest)):
             await configurations.put(delivery)
+        elif isinstance(delivery.message, (ShareRequest, ShareGrant)):
+            await shares.put(delivery)
         else:
             await entries.put(delivery)
