--- a/tests/test_journals.py
+++ b/tests/test_journals.py
@@ -13,7 +13,12 @@
 from wigeonport.recoveries import open_directory
 from wigeonport.replica_events import HardState, Persist, Snapshot
 from wigeonport.replication_messages import DATA, Entry
-from wigeonport.snapshots import FormatError, write_snapshot
+from wigeonport.snapshots import (
+    FormatError,
+    decode_state,
+    encode_state,
+    write_snapshot,
+)
 
 MEMBERS = Members([Member("a/1", True, True)])
 
@@ -269,3 +274,16 @@
             assert opened.recovered.hard_state.term == model.hard_state.term
     assert len(list(path.glob("snapshot-*"))) <= 1
     opened.journal.close()
+
+
+@pytest.mark.parametrize("count", [0, 1, 100, 101, 250])
+def test_sliced_state_reads_back(count):
+    """Guards against a separator lost between two slices of a snapshot."""
+    rows = {f"key-{number}": {"row": number} for number in range(count)}
+    document = {
+        "format": 1,
+        "claims": {"rows": rows, "order": list(rows)},
+        "empty": {},
+        "list": list(range(count)),
+    }
+    assert decode_state(encode_state(document)) == document
--- a/tests/test_replica_rules.py
+++ b/tests/test_replica_rules.py
@@ -6,9 +6,12 @@
 
 from wigeonport.memberships import Member, Members
 from wigeonport.replica_events import (
+    COMMITTED,
     REFUSED,
     HardState,
     Persisted,
+    ProposalItem,
+    Propose,
     Recovered,
     RemoveReplica,
     Tick,
@@ -134,6 +137,23 @@
     assert len(out.committed) == 1
 
 
+def test_leader_with_a_hanging_disk_refuses_proposals(make_leader):
+    """Guards against writes that pile up in memory."""
+    leader = make_leader()
+    leader.settings.pending_entries = 3
+    outcomes = []
+    for number in range(5):
+        item = ProposalItem(number, b"x")
+        out = leader.step(Propose([item]), leader.now_ms)
+        outcomes += [reply.outcome for reply in out.replies]
+        for voter in ("a/1", "b/1"):
+            index = leader.log.last_index()
+            reply = AppendReply(2, voter, "c/1", True, index, 0, 0, 0)
+            out = leader.step(reply, leader.now_ms)
+            outcomes += [reply.outcome for reply in out.replies]
+    assert outcomes == [COMMITTED, COMMITTED, REFUSED, REFUSED, REFUSED]
+
+
 def test_one_change_of_members_at_a_time(make_leader):
     """Guards against two changes whose quorums do not overlap."""
     leader = make_leader()
--- a/wigeonport/proposals.py
+++ b/wigeonport/proposals.py
@@ -10,12 +10,15 @@
     settings = replica.settings
     appended = False
     for item in event.items:
-        waiting = replica.log.last_index() - replica.commit_index
+        # Followers may commit without the leader's disk; if it hangs, the
+        # writes that wait for it must not grow without bound.
+        settled_index = min(replica.commit_index, replica.log.durable_index)
+        waiting = replica.log.last_index() - settled_index
         reason = ""
         if not replica.is_leader():
             reason = "not leader"
         elif waiting >= settings.pending_entries:
-            reason = "too many entries wait for commit"
+            reason = "too many entries wait for commit or for the disk"
         elif len(item.payload) > settings.payload_bytes:
             reason = "payload is too large"
         if reason:
--- a/wigeonport/replica_events.py
+++ b/wigeonport/replica_events.py
@@ -249,7 +249,8 @@
         forget_learner_ms: A learner silent for so long is removed.
         append_bytes: Largest payload of one Append.
         window_entries: Most entries sent but not acknowledged by a peer.
-        pending_entries: Most entries appended but not committed.
+        pending_entries: Most entries that the leader has appended and
+            that are not yet committed and durable.
         payload_bytes: Largest payload of a proposal; an Append must fit
             into a frame of 1 MB.
         piece_bytes: Size of a piece of a snapshot.
--- a/wigeonport/snapshots.py
+++ b/wigeonport/snapshots.py
@@ -1,5 +1,6 @@
 """Snapshot files: one complete state at a log index."""
 
+import itertools
 import json
 import zlib
 
@@ -19,6 +20,10 @@
 # Level 1 compresses a state of repeated keys nearly as well as the
 # default level at a fraction of the time.
 COMPRESSION_LEVEL = 1
+# A state has sections, each with some tables of many rows.
+SLICED_DEPTH = 2
+SLICE_ITEMS = 100
+encode_json = json.JSONEncoder(separators=(",", ":")).encode
 
 
 class DamageError(Exception):
@@ -31,8 +36,38 @@
 
 def encode_state(document):
     """Returns the bytes of a state's document."""
-    text = json.dumps(document, separators=(",", ":"))
-    return zlib.compress(text.encode(), COMPRESSION_LEVEL)
+    compressor = zlib.compressobj(COMPRESSION_LEVEL)
+    parts = [
+        compressor.compress(text.encode())
+        for text in encode_slices(document, SLICED_DEPTH)
+    ]
+    return b"".join([*parts, compressor.flush()])
+
+
+def encode_slices(value, depth):
+    """Yields the JSON text of plain data in short pieces.
+
+    The JSON encoder holds the interpreter lock for the whole of a call, so
+    that one call for a large state would stop the heartbeats.
+    """
+    if isinstance(value, dict) and depth and value:
+        mark = "{"
+        for key, item in value.items():
+            yield f"{mark}{encode_json(str(key))}:"
+            yield from encode_slices(item, depth - 1)
+            mark = ","
+        yield "}"
+    elif isinstance(value, dict | list) and len(value) > SLICE_ITEMS:
+        first, last = "{}" if isinstance(value, dict) else "[]"
+        items = value.items() if isinstance(value, dict) else value
+        source = iter(items)
+        while part := list(itertools.islice(source, SLICE_ITEMS)):
+            text = encode_json(type(value)(part))
+            yield first + text[1:-1]
+            first = ","
+        yield last
+    else:
+        yield encode_json(value)
 
 
 def decode_state(data):
