--- a/wigeonport/snapshots.py
+++ b/wigeonport/snapshots.py
@@ -1,6 +1,6 @@
 """Snapshot files: one complete state at a log index."""
 
-import functools
+import itertools
 import json
 import zlib
 
@@ -20,10 +20,10 @@
 # Level 1 compresses a state of repeated keys nearly as well as the
 # default level at a fraction of the time.
 COMPRESSION_LEVEL = 1
-GROUP_ITEMS = 128
-
-
-to_json = functools.partial(json.dumps, separators=(",", ":"))
+# A state has sections, each with some tables of many rows.
+SLICED_DEPTH = 2
+SLICE_ITEMS = 100
+encode_json = json.JSONEncoder(separators=(",", ":")).encode
 
 
 class DamageError(Exception):
@@ -35,38 +35,39 @@
 
 
 def encode_state(document):
-    """Returns the bytes of a state's document.
-
-    The worker thread that encodes a snapshot shares the interpreter with the
-    event loop, and encoding JSON does not yield within one call. Long lists
-    are therefore encoded in groups.
-    """
+    """Returns the bytes of a state's document."""
     compressor = zlib.compressobj(COMPRESSION_LEVEL)
-    pieces = [
-        compressor.compress(text.encode()) for text in json_pieces(document)
+    parts = [
+        compressor.compress(text.encode())
+        for text in encode_slices(document, SLICED_DEPTH)
     ]
-    pieces.append(compressor.flush())
-    return b"".join(pieces)
+    return b"".join([*parts, compressor.flush()])
+
 
+def encode_slices(value, depth):
+    """Yields the JSON text of plain data in short pieces.
 
-def json_pieces(value):
-    """Yields the JSON text of a document in short pieces."""
-    if isinstance(value, dict):
-        separator = "{"
+    The JSON encoder holds the interpreter lock for the whole of a call, so
+    that one call for a large state would stop the heartbeats.
+    """
+    if isinstance(value, dict) and depth and value:
+        mark = "{"
         for key, item in value.items():
-            yield f"{separator}{to_json(str(key))}:"
-            yield from json_pieces(item)
-            separator = ","
-        yield "}" if value else "{}"
-    elif isinstance(value, list) and len(value) > GROUP_ITEMS:
-        separator = "["
-        for start in range(0, len(value), GROUP_ITEMS):
-            group = to_json(value[start : start + GROUP_ITEMS])
-            yield f"{separator}{group[1:-1]}"
-            separator = ","
-        yield "]"
+            yield f"{mark}{encode_json(str(key))}:"
+            yield from encode_slices(item, depth - 1)
+            mark = ","
+        yield "}"
+    elif isinstance(value, dict | list) and len(value) > SLICE_ITEMS:
+        first, last = "{}" if isinstance(value, dict) else "[]"
+        items = value.items() if isinstance(value, dict) else value
+        source = iter(items)
+        while part := list(itertools.islice(source, SLICE_ITEMS)):
+            text = encode_json(type(value)(part))
+            yield first + text[1:-1]
+            first = ","
+        yield last
     else:
-        yield to_json(value)
+        yield encode_json(value)
 
 
 def decode_state(data):
