Refuse operators' grants for VMs of which there is no recent report

Cause: the demo, once the planner ran, was granted 3 VMs of a pool whose budget is 2. The leader had no report of any VM yet, so all of them counted as away, and VMs that are away cost no budget (R1). Change: the planner's answer tells VMs without a recent report apart; a grant that names one is not run. The demo asks the leader and waits until it knows the VMs, and names the VMs' zones to the platform stand-in.

--- a/tests/operator_fakes.py
+++ b/tests/operator_fakes.py
@@ -19,6 +19,7 @@
     ReadState,
     StatePort,
     StateRead,
+    VmHealth,
 )
 from wigeonport.states import Entry, ReplicatedState
 
@@ -44,6 +45,7 @@
         self.state = ReplicatedState()
         self.mode = "commit"
         self.unavailable = []
+        self.unheard = []
         self.statuses = []
         self.index = 0
         self.consensus = Mailbox("consensus", 8)
@@ -99,7 +101,10 @@
     async def report_health(self):
         """Plays the planner."""
         async for message in self.health:
-            message.reply.send(self.unavailable)
+            health = None
+            if self.unavailable is not None:
+                health = VmHealth(self.unavailable, self.unheard)
+            message.reply.send(health)
 
     def report(self, process, version, silent_ms=0):
         """Adds a report of a process."""
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -270,6 +270,21 @@
     run_with(control, scenario)
 
 
+def test_no_grant_for_a_vm_without_reports(control):
+    """Guards against draining VMs that only seem to be away (R1)."""
+
+    async def scenario():
+        grant = {"grant": "g-1", "workers": ["vm-1"]}
+        control.unavailable = control.unheard = ["vm-1"]
+        status, document = await control.call(
+            "POST", "/v1/maintenance/grant", grant
+        )
+        assert (status, document["outcome"]) == (503, "not-run")
+        assert control.state.maintenance.grants == {}
+
+    run_with(control, scenario)
+
+
 def test_grant_counts_what_the_planner_reports(control):
     """Guards against a drain on top of failures (R1)."""
 
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -23,9 +23,9 @@
 
 
 def list_vms(patch):
-    """Returns the workers that a patch adds."""
+    """Returns ``VM@ZONE`` of the workers that a patch adds."""
     return [
-        operation["id"]
+        f"{operation['id']}@{operation['zone']}"
         for operation in patch["operations"]
         if operation["operation"] == "add_worker"
     ]
--- a/tools/demo_steps.py
+++ b/tools/demo_steps.py
@@ -199,16 +199,26 @@
 async def exceed_budget(demo):
     """Asks for one VM more than the budget of a service allows."""
     workers = [f"{DRAINED_POOL}-{n}" for n in range(1, BUDGET + 2)]
-    answer = await grant(demo, "demo-too-many", workers)
+
+    async def answered():
+        answer = await grant(demo, "demo-too-many", workers)
+        # The leader answers once it knows the health of the VMs.
+        known = answer is not None and answer.status not in (503, 504)
+        return answer if known else None
+
+    answer = await demo.until(answered)
     refused = answer is not None and answer.status == 409
     text = f"a grant for {BUDGET + 1} VMs of {DRAINED_POOL} is refused"
     demo.check("R1", refused, text)
 
 
 async def grant(demo, grant_id, workers):
-    """Asks the control of lekki-1 for a grant."""
+    """Asks the leader, which knows the health of the VMs, for a grant."""
+    status = await demo.operators.status("lekki-1")
+    if status is None:
+        return None
     return await demo.operators.send(
-        "lekki-1",
+        status["leader"].partition("/")[0],
         "POST",
         "/v1/maintenance/grant",
         {"grant": grant_id, "workers": workers, "reason": "demo"},
@@ -241,11 +251,12 @@
 async def wait_drained(demo, worker):
     """Drains a VM at the platform; returns its state."""
     port = demo.runner.deployment.platform_port
+    state = await demo.runner.request("GET", port, "/v1/workers")
     command = {
         "kind": "drain_vm",
         "vm": worker,
         "reason": "demo",
-        "term": 1,
+        "term": state.document["term"],
         "command_id": f"demo-{worker}",
     }
     body = json.dumps(command).encode()
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -97,9 +97,8 @@
     return True
 
 
-async def submit_patches(soak):
+async def submit_patches(soak, source):
     """Submits patches to random controls; some are sent twice."""
-    source = random.Random(soak.random.random())
     number = 0
     while True:
         number += 1
@@ -194,7 +193,7 @@
         random.Random(seed),
     )
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(submit_patches, soak)
+        nursery.start_soon(submit_patches, soak, random.Random(seed))
         nursery.start_soon(watch_versions, soak)
         nursery.start_soon(run_faults, soak, seconds, nursery.cancel_scope)
         async with trio.open_nursery() as callers:
--- a/wigeonport/maintenance_routes.py
+++ b/wigeonport/maintenance_routes.py
@@ -124,6 +124,10 @@
     if known is None:
         reason = "the health of the VMs is not known to this control"
         return Decision(NOT_RUN, reason=reason)
+    unheard = sorted(set(values["workers"]) & set(known.unheard))
+    if unheard:
+        reason = f"there is no recent report of {', '.join(unheard)}"
+        return Decision(NOT_RUN, reason=reason)
     lease_ms = values["lease_ms"] or control.settings.grant_lease_ms
     return RequestGrant(
         values["grant"],
@@ -132,7 +136,7 @@
         request.operator,
         values["reason"],
         lease_ms,
-        sorted(known),
+        sorted(known.unavailable),
     )
 
 
--- a/wigeonport/plan_drivers.py
+++ b/wigeonport/plan_drivers.py
@@ -1,6 +1,6 @@
 """Plan drivers: the task that owns the planner of a control."""
 
-from wigeonport.availabilities import is_available
+from wigeonport.availabilities import is_available, is_heard
 from wigeonport.channels import ask
 from wigeonport.consensus_requests import (
     Applied,
@@ -26,7 +26,7 @@
     ResumeMaintenance,
     ReturnWorker,
 )
-from wigeonport.state_requests import UnavailableQuery
+from wigeonport.state_requests import UnavailableQuery, VmHealth
 from wigeonport.view_builders import PLANNER_AUTHOR, build_fleet_loaded
 
 logger = PartLogger("planner")
@@ -106,15 +106,21 @@
             await self.step(message)
 
     def find_unavailable(self):
-        """Returns the VMs not known to be available, None if unknown."""
+        """Returns the VmHealth, or None if this control does not lead."""
         if not self.leading:
             return None
         view, now_ms = self.planner.view, self.clock.now()
-        return [
-            vm.name
+        unavailable = [
+            vm
             for vm in view.fleet.vms.values()
             if not is_available(view, vm, now_ms)
         ]
+        unheard = [
+            vm.name
+            for vm in unavailable
+            if not vm.missing and not is_heard(view, vm, now_ms)
+        ]
+        return VmHealth([vm.name for vm in unavailable], unheard)
 
     def take_demand(self, report):
         """Keeps a report of an entry and passes it on to the leader."""
--- a/wigeonport/state_requests.py
+++ b/wigeonport/state_requests.py
@@ -77,11 +77,27 @@
         self.term = term
 
 
+class VmHealth(Record):
+    """What the planner knows of the VMs.
+
+    Attributes:
+        unavailable: VMs that are not known to be available.
+        unheard: Those of them of which there is no recent report. They may
+            run work, so taking one away may cost capacity.
+    """
+
+    __slots__ = ("unavailable", "unheard")
+
+    def __init__(self, unavailable, unheard):
+        self.unavailable = unavailable
+        self.unheard = unheard
+
+
 class UnavailableQuery(Record):
     """Asks for the VMs that are unavailable or in an unknown state.
 
     Attributes:
-        reply: Takes a list of VM ids, or None if this node does not know.
+        reply: Takes a VmHealth, or None if this node does not know.
     """
 
     __slots__ = ("reply",)
