--- a/wigeonport/status_routes.py
+++ b/wigeonport/status_routes.py
@@ -1,7 +1,7 @@
 """Route that shows which processes apply which version."""
 
 from wigeonport.channels import ask
-from wigeonport.operator_routes import operator_routes
+from wigeonport.operator_routes import operator_routes, read_state
 from wigeonport.publishers import StatusQuery
 from wigeonport.records import Record
 from wigeonport.servers import respond_json
@@ -9,6 +9,7 @@
 
 # Processes report at least every 5 s.
 SILENT_MS = 12_000
+ROLES = ("control", "entry")
 
 
 class ProcessLine(Record):
@@ -33,11 +34,12 @@
 
 
 def list_expected(settings):
-    """Returns zone by process for the entries of all VMs."""
-    expected = {f"entry/{settings.node_id}": settings.availability_zone}
-    for peer in settings.peers:
-        expected[f"entry/{peer.node_id}"] = peer.availability_zone
-    return expected
+    """Returns zone by process for the programs of all VMs."""
+    return {
+        f"{role}/{vm.node_id}": vm.availability_zone
+        for role in ROLES
+        for vm in (settings, *settings.peers)
+    }
 
 
 def list_processes(expected, statuses, version, now_ms):
@@ -77,10 +79,9 @@
 @operator_routes.register(("GET", "/v1/status"))
 async def show_status(control, request):
     """Returns the version that every process applies."""
-    read = await control.port.read(VersionQuery())
+    read = await read_state(control, VersionQuery())
     if read.is_error():
-        document = {"outcome": "unavailable", "reason": read.error}
-        return respond_json(503, document)
+        return read.error
     found = read.ok
     statuses = await ask(
         control.publisher, StatusQuery, control.port.timeout_ms
