--- a/bench/entry_throughput.py
+++ b/bench/entry_throughput.py
@@ -8,6 +8,7 @@
 import argparse
 import json
 import pathlib
+import sys
 import tempfile
 
 import trio
@@ -146,6 +147,7 @@
     print("after:", describe_machine())
     print(f"rounds: {options.rounds} of {options.seconds} s + half load")
     print_figures(figures)
+    return all(row.failed == 0 for row in figures.values())
 
 
 def main():
@@ -156,7 +158,9 @@
     parser.add_argument("--endpoints", type=int, default=2)
     options = parser.parse_args()
     with tempfile.TemporaryDirectory(prefix="wigeonport-bench-") as folder:
-        trio.run(main_task, options, folder)
+        valid = trio.run(main_task, options, folder)
+    if not valid:
+        sys.exit("requests failed; the figures compare nothing")
 
 
 if __name__ == "__main__":
