--- a/tests/failure_schedules.py
+++ b/tests/failure_schedules.py
@@ -3,7 +3,7 @@
 import heapq
 import random
 
-from network_simulations import NODES, REMOVAL_NUMBER, Network
+from network_simulations import REMOVAL_NUMBER, Network
 
 from wigeonport.replica_events import (
     ProposalItem,
@@ -112,20 +112,22 @@
 
     def block_pairs(self, node):
         """Blocks random pairs of nodes, each in one direction."""
+        names = self.network.names
         self.network.blocked = {
             (one, two)
-            for one in NODES
-            for two in NODES
+            for one in names
+            for two in names
             if self.random.random() < 0.3
         }
 
     def partition(self, node):
         """Separates the nodes into two sides."""
-        side = {name for name in NODES if self.random.random() < 0.5}
+        names = self.network.names
+        side = {name for name in names if self.random.random() < 0.5}
         self.network.blocked = {
             (one, two)
-            for one in NODES
-            for two in NODES
+            for one in names
+            for two in names
             if (one in side) != (two in side)
         }
 
@@ -138,7 +140,9 @@
 
         Without new entries its log stays good enough for an election.
         """
-        self.network.blocked = {(node.name, self.random.choice(NODES))}
+        self.network.blocked = {
+            (node.name, self.random.choice(self.network.names))
+        }
         self.quiet_until_ms = self.network.now_ms + 2_000
 
     def crash(self, node):
--- a/tests/network_simulations.py
+++ b/tests/network_simulations.py
@@ -18,9 +18,9 @@
 from wigeonport.replicas import Replica
 from wigeonport.replication_messages import node_of
 
-SEEDS = ("a", "b", "c")
-NODES = ("a", "b", "c", "d", "m")
-DISKLESS = ("m",)
+VOTERS = ("a", "b", "c", "d", "e")
+SPARE = "s"
+DISKLESS = "m"
 REMOVAL_NUMBER = 1_000_000
 
 
@@ -62,7 +62,7 @@
         self.name = name
         self.rate = rate
         self.offset_ms = offset_ms
-        self.durable = name not in DISKLESS
+        self.durable = name != DISKLESS
         self.disk = Disk()
         self.identity = 0
         self.replica = None
@@ -84,7 +84,10 @@
 
     def __init__(self, seed, settings=None):
         self.random = random.Random(seed)
-        self.settings = settings or ReplicaSettings(3, 5)
+        # Every third schedule has five voters, the others three.
+        self.voters = VOTERS if seed % 3 == 2 else VOTERS[:3]
+        self.names = (*self.voters, SPARE, DISKLESS)
+        self.settings = settings or ReplicaSettings(len(self.voters), 5)
         self.settings.heartbeat_ms = 100
         self.settings.learner_heartbeat_ms = 400
         self.settings.election_ms = 500
@@ -114,7 +117,7 @@
             name: Node(
                 name, self.random.choice(rates), self.random.randrange(9_000)
             )
-            for name in NODES
+            for name in self.names
         }
 
     def at(self, delay_ms, action, *arguments):
@@ -143,7 +146,7 @@
         node.tick_ms = None
         node.replica = Replica(
             f"{node.name}/{node.identity}",
-            SEEDS,
+            self.voters,
             node.durable,
             recovered,
             node.clock_ms(self.now_ms),
