--- a/tests/test_trace_outcomes.py
+++ b/tests/test_trace_outcomes.py
@@ -101,6 +101,13 @@
     assert find_differences(record, f"lagos_{scenario}")
 
 
+def test_recorded_run_shows_other_decisions(replay):
+    """Guards against a recorded run that any decisions would satisfy."""
+    record = replay("recorded_lagos_demo", leader_margin_ms=5_000)
+    texts = [difference.text for difference in record.violations]
+    assert "command 2-4 is answered but not issued" in texts
+
+
 def test_difference_names_the_line(replay):
     """Guards against a difference that cannot be found in the trace."""
     record = replay("lagos_second_loss", healthy_hold_ms=0)
--- a/wigeonport/replays.py
+++ b/wigeonport/replays.py
@@ -8,7 +8,12 @@
 from wigeonport import replay_tasks  # noqa: F401 - registers its answers
 from wigeonport.expectations import Difference
 from wigeonport.invariants import InvariantChecker
-from wigeonport.plan_events import FleetLoaded, Tick
+from wigeonport.plan_events import (
+    CommandConfirmed,
+    CommandRefused,
+    FleetLoaded,
+    Tick,
+)
 from wigeonport.plan_settings import DEFAULTS, read_plan_settings
 from wigeonport.planners import build_planner
 from wigeonport.replay_measures import Measures
@@ -94,6 +99,7 @@
         random: Source of randomness with the trace's seed.
         tick_at_ms: Time of the next added tick, or None.
         line: Line of the last trace event.
+        issued: Ids of all commands.
         recorder: TraceRecorder of what reaches the planner, or None.
     """
 
@@ -106,6 +112,7 @@
         "random",
         "tick_at_ms",
         "line",
+        "issued",
         "recorder",
     )
 
@@ -124,6 +131,7 @@
         self.random = random.Random(header.seed)
         self.tick_at_ms = None
         self.line = 1
+        self.issued = set()
 
     def run(self, events):
         """Feeds all events and what follows until the end time."""
@@ -172,15 +180,28 @@
         measures.pass_time(view, now_ms)
         measures.note_event(event, now_ms)
         self.checker.observe(event, now_ms)
+        self.check_answer(event)
         commands = self.planner.step(event, now_ms, self.random)
         for text in self.checker.check(view, commands, now_ms):
             self.record.violations.append(Difference(self.line, text))
         for command in commands:
+            self.issued.add(command.command_id)
             self.record.outcomes.append(Outcome(self.line, now_ms, command))
             if self.platform is not None and command.target != "operators":
                 self.platform.send(command, now_ms)
         measures.note_commands(view, commands, now_ms)
 
+    def check_answer(self, event):
+        """Reports an answer to a command that was not issued.
+
+        The decisions then differ from those of the recorded run.
+        """
+        if not isinstance(event, CommandConfirmed | CommandRefused):
+            return
+        if event.command_id not in self.issued:
+            text = f"command {event.command_id} is answered but not issued"
+            self.record.violations.append(Difference(self.line, text))
+
 
 def override_settings(settings, overrides) -> Result:
     """Returns settings with some values replaced, or Findings."""
--- a/wigeonport/view_documents.py
+++ b/wigeonport/view_documents.py
@@ -98,6 +98,8 @@
     vm.home_pool = document.get("home_pool", vm.pool)
     vm.lender = document.get("lender", "")
     vm.maintained_ms = document.get("maintained_ms")
+    vm.closed_until_ms = document.get("closed_until_ms", 0) + 0
+    vm.unsettled_until_ms = document.get("unsettled_until_ms", 0) + 0
     return vm
 
 
@@ -147,6 +149,8 @@
         **size_to_document(vm.size),
         "due_ms": vm.due_ms,
         "maintained_ms": vm.maintained_ms,
+        "closed_until_ms": vm.closed_until_ms,
+        "unsettled_until_ms": vm.unsettled_until_ms,
         "state": vm.state,
     }
 
