--- a/tools/demo.py
+++ b/tools/demo.py
@@ -23,7 +23,7 @@
 
 
 def list_vms(patch):
-    """Returns NAME@ZONE of the workers that a patch adds."""
+    """Returns ``VM@ZONE`` of the workers that a patch adds."""
     return [
         f"{operation['id']}@{operation['zone']}"
         for operation in patch["operations"]
