Report quarantines; measure claims and share traffic

Change: the router reports when an endpoint is set aside and used again; its messages and limits have a module of their own. bench/claim_latency.py compares claims in the replicated log, in the memory of a quorum, and none; bench/table_exchange.py also measures the leases of slots.

--- /dev/null
+++ b/bench/claim_latency.py
@@ -0,0 +1,195 @@
+"""Measures what a claim of an idempotency key costs, in one run.
+
+Three ways: in the replicated log of five control processes, in the memory
+of a quorum of seven processes, and no claim. Each way sends the same number
+of requests from one process, one after the other and 32 at a time. The time
+is that of the claim alone; a request also pays for its completion, which
+takes as long again.
+
+``--serve`` runs one process of the quorum; the bench starts it by itself.
+"""
+
+import argparse
+import pathlib
+import sys
+import tempfile
+import time
+import uuid
+
+import trio
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT / "tools"))
+
+from deployments import HOST, Deployment, Ports  # noqa: E402
+from processes import ManagedProcess  # noqa: E402
+
+from wigeonport.channels import Mailbox  # noqa: E402
+from wigeonport.claim_states import ClaimState  # noqa: E402
+from wigeonport.clocks import Clock, LamportCounter  # noqa: E402
+from wigeonport.credentials import load_keys  # noqa: E402
+from wigeonport.dialers import Dialer, listen  # noqa: E402
+from wigeonport.links import Delivery, Identity, LinkContext  # noqa: E402
+from wigeonport.metrics import Metrics  # noqa: E402
+from wigeonport.state_answers import ClaimGranted  # noqa: E402
+from wigeonport.state_commands import ClaimKey  # noqa: E402
+
+CONTROLS = 5
+QUORUM_NODES = 7
+TIMEOUT_MS = 3_000
+START_TIMEOUT_S = 30
+
+
+def make_context(name, key_path, inbound):
+    """Returns the LinkContext of a process of the bench."""
+    keys = load_keys([str(key_path)]).ok
+    identity = Identity(name, "ikeja", "lagos", keys)
+    return LinkContext(identity, inbound, Clock(), Metrics(), LamportCounter())
+
+
+async def serve(port, key_path):
+    """Keeps claims in memory and answers them."""
+    inbound, claims = Mailbox("claims", 1_024), ClaimState()
+    context = make_context(f"memory-{port}", key_path, inbound)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(listen, context, HOST, port)
+        async for delivery in inbound:
+            if isinstance(delivery, Delivery):
+                message = delivery.message
+                answer = claims.claim(
+                    message.key, message.digest, message.attempt, 0
+                )
+                delivery.respond(answer)
+
+
+def make_claim():
+    """Returns a claim of a new key."""
+    key = uuid.uuid4().hex
+    return ClaimKey(f"roster/{key}", "0" * 64, key)
+
+
+async def claim_in_log(dialers):
+    """Claims through the first control."""
+    answer = await dialers[0].ask(make_claim(), TIMEOUT_MS)
+    return answer.is_ok() and isinstance(answer.ok, ClaimGranted)
+
+
+async def claim_in_memory(dialers):
+    """Claims at all processes; done when a majority has granted."""
+    claim, granted = make_claim(), []
+    async with trio.open_nursery() as nursery:
+
+        async def ask(dialer):
+            answer = await dialer.ask(claim, TIMEOUT_MS)
+            if answer.is_ok() and isinstance(answer.ok, ClaimGranted):
+                granted.append(dialer)
+            if len(granted) > len(dialers) // 2:
+                nursery.cancel_scope.cancel()
+
+        for dialer in dialers:
+            nursery.start_soon(ask, dialer)
+    return len(granted) > len(dialers) // 2
+
+
+async def claim_nothing(dialers):
+    """Stands for a request without a key."""
+    await trio.lowlevel.checkpoint()
+    return True
+
+
+async def measure(name, claim, dialers, count, at_a_time):
+    """Prints percentiles and the rate of one way."""
+    times_us, failed = [], []
+    started = time.perf_counter()
+
+    async def work():
+        for _ in range(count // at_a_time):
+            began = time.perf_counter()
+            if not await claim(dialers):
+                failed.append(name)
+            times_us.append((time.perf_counter() - began) * 1e6)
+
+    async with trio.open_nursery() as nursery:
+        for _ in range(at_a_time):
+            nursery.start_soon(work)
+    rate = len(times_us) / (time.perf_counter() - started)
+    times_us.sort()
+    p50 = times_us[len(times_us) // 2] / 1000
+    p99 = times_us[int(len(times_us) * 0.99)] / 1000
+    print(
+        f"{name:22} {at_a_time:3} at a time: p50 {p50:7.3f} ms, "
+        f"p99 {p99:7.3f} ms, {rate:7.0f}/s, failed {len(failed)}"
+    )
+
+
+async def wait_for(condition):
+    """Waits until an async condition holds."""
+    with trio.fail_after(START_TIMEOUT_S):
+        while not await condition():
+            await trio.sleep(0.1)
+
+
+async def main_task(options, folder):
+    """Starts the processes, measures, and ends them."""
+    deployment = Deployment(folder, {"ikeja": CONTROLS}, {"ikeja": CONTROLS})
+    deployment.write()
+    key_path = deployment.path("links-1.key")
+    ports, processes, memory_ports = Ports(), [], []
+    for node in deployment.nodes.values():
+        path = str(deployment.settings_path(node))
+        arguments = ["-m", "wigeonport.control_main", path]
+        log_path = deployment.path("logs", node.node_id)
+        processes.append(ManagedProcess(node.node_id, arguments, log_path))
+    for number in range(QUORUM_NODES):
+        port = ports.take()
+        memory_ports.append(port)
+        own = [str(pathlib.Path(__file__).resolve()), "--serve", str(port)]
+        arguments = [*own, "--key", str(key_path)]
+        log_path = deployment.path("logs", f"memory-{number}")
+        processes.append(ManagedProcess(f"m{number}", arguments, log_path))
+    inbound = Mailbox("bench", 1_024)
+    context = make_context("entry/bench", key_path, inbound)
+    control_ports = [
+        node.ports["control_links_port"] for node in deployment.nodes.values()
+    ]
+    controls = [Dialer(context, HOST, port) for port in control_ports]
+    memories = [Dialer(context, HOST, port) for port in memory_ports]
+    try:
+        for process in processes:
+            await process.start()
+        async with trio.open_nursery() as nursery:
+            for dialer in (*controls, *memories):
+                nursery.start_soon(dialer.run)
+            await wait_for(lambda: claim_in_log(controls))
+            await wait_for(lambda: claim_in_memory(memories))
+            for at_a_time in (1, 32):
+                count = options.count
+                for name, claim, dialers in (
+                    ("no key", claim_nothing, []),
+                    ("memory of a quorum", claim_in_memory, memories),
+                    ("replicated log", claim_in_log, controls),
+                ):
+                    await measure(name, claim, dialers, count, at_a_time)
+            nursery.cancel_scope.cancel()
+    finally:
+        with trio.CancelScope(shield=True):
+            for process in processes:
+                await process.kill()
+
+
+def main():
+    """Parses the options and runs."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--count", type=int, default=640)
+    parser.add_argument("--serve", type=int)
+    parser.add_argument("--key")
+    options = parser.parse_args()
+    if options.serve:
+        trio.run(serve, options.serve, options.key)
+        return
+    with tempfile.TemporaryDirectory() as folder:
+        trio.run(main_task, options, folder)
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/overload.py
+++ b/bench/overload.py
@@ -15,12 +15,12 @@
 from wigeonport.channels import Reply
 from wigeonport.endpoints import READY, EndpointChanged, EndpointRecord
 from wigeonport.requests import COMPLETED, CallerAnswer, CallerRequest
-from wigeonport.routers import (
+from wigeonport.router_messages import (
     AttemptEnded,
     Dispatch,
-    Router,
     RouterLimits,
 )
+from wigeonport.routers import Router
 
 ENDPOINTS = 6
 SLOTS = 8
--- a/bench/table_exchange.py
+++ b/bench/table_exchange.py
@@ -2,20 +2,23 @@
 
 Runs 7 entries' tables in one process, joined by real links on 127.0.0.1,
 with 30 endpoints that announce each second. Prints what one entry sends:
-idle links, heartbeats only, and while one endpoint changes each second.
+idle links, heartbeats only, changes each second, and the leases of the
+slots when every entry asks for shares of all endpoints.
 """
 
 import argparse
 
 import trio
 
-from wigeonport.channels import Mailbox
+from wigeonport.channels import DROP_OLDEST, Mailbox
 from wigeonport.clocks import Clock, LamportCounter
 from wigeonport.dialers import Dialer, listen
 from wigeonport.endpoints import READY, Announced, EndpointRecord
 from wigeonport.exchanges import TableExchange, keep_table
 from wigeonport.links import Identity, LinkContext
 from wigeonport.metrics import Metrics
+from wigeonport.shares import ShareBook, ShareDemand, keep_shares
+from wigeonport.subscriptions import sort_deliveries
 
 HOST = "127.0.0.1"
 TICK_MS = 100
@@ -27,11 +30,15 @@
     def __init__(self, number, digest_ms):
         self.name = f"entry/n{number}"
         self.inbound = Mailbox("peers", 256)
+        self.shares = Mailbox("shares", 256)
+        self.tables = Mailbox("tables", 256)
+        self.routing = Mailbox("routing", 256, DROP_OLDEST)
         self.metrics = Metrics()
         identity = Identity(self.name, "ikeja", "bench", {"k": b"k" * 16})
         self.context = LinkContext(
             identity, self.inbound, Clock(), self.metrics, LamportCounter()
         )
+        self.book = ShareBook(self.name, 2_000, 1_200)
         self.exchange = TableExchange(self.name, 1, 2_500, digest_ms)
         self.dialers = {}
         self.port = 0
@@ -49,14 +56,30 @@
                 self.dialers[node.name] = dialer
                 nursery.start_soon(dialer.run)
         nursery.start_soon(
-            keep_table,
+            sort_deliveries,
             self.inbound,
-            [],
+            self.tables,
+            self.tables,
+            self.shares,
+        )
+        nursery.start_soon(
+            keep_table,
+            self.tables,
+            [self.shares],
             self.exchange,
             self.dialers,
             Clock(),
             TICK_MS,
         )
+        nursery.start_soon(
+            keep_shares,
+            self.shares,
+            self.routing,
+            self.book,
+            self.dialers,
+            Clock(),
+            20,
+        )
 
 
 async def announce(nodes, endpoints, changes):
@@ -82,10 +105,19 @@
             )
             for offset in (0, 1):
                 node = nodes[(number + offset) % len(nodes)]
-                await node.inbound.put(Announced(record))
+                await node.tables.put(Announced(record))
         await trio.sleep(1)
 
 
+async def want_shares(nodes, endpoints):
+    """Lets each entry ask for shares of all endpoints without demand."""
+    items = [(f"endpoint-{number}", 0, 0) for number in range(endpoints)]
+    while True:
+        for node in nodes:
+            node.shares.put_nowait(ShareDemand(items, False))
+        await trio.sleep(0.5)
+
+
 async def measure(nodes, seconds, label):
     """Prints frames and bytes that one entry sends each second."""
     names = ("links_sent_frames", "links_sent_bytes")
@@ -107,7 +139,7 @@
 
 
 async def main_task(options):
-    """Runs the three measurements."""
+    """Runs the measurements."""
     nodes = [Node(n, options.digest_ms) for n in range(options.entries)]
     changes = [False]
     async with trio.open_nursery() as nursery:
@@ -122,6 +154,10 @@
         await measure(nodes, options.seconds, "heartbeats only")
         changes[0] = True
         await measure(nodes, options.seconds, "two changes a second")
+        changes[0] = False
+        nursery.start_soon(want_shares, nodes, options.endpoints)
+        await trio.sleep(3)
+        await measure(nodes, options.seconds, "shares of all endpoints")
         nursery.cancel_scope.cancel()
 
 
--- a/tests/test_dispatchers.py
+++ b/tests/test_dispatchers.py
@@ -10,7 +10,9 @@
 from wigeonport.connections import IdleConnections
 from wigeonport.dispatchers import Dispatcher, DispatchLimits, dispatch
 from wigeonport.metrics import Metrics
-from wigeonport.routers import Dispatch
+from wigeonport.router_messages import (
+    Dispatch,
+)
 
 HOST = "127.0.0.1"
 HEAD = b"HTTP/1.1 200 OK\r\nwigeonport-request-id: %s\r\n"
--- a/tests/test_overloads.py
+++ b/tests/test_overloads.py
@@ -6,13 +6,14 @@
 
 from wigeonport.endpoints import EndpointChanged, EndpointLost
 from wigeonport.requests import COMPLETED, NOT_RUN, CallerAnswer
-from wigeonport.routers import (
+from wigeonport.router_messages import (
     AttemptEnded,
     Dispatch,
+    HealthChanged,
     Respond,
-    Router,
     RouterLimits,
 )
+from wigeonport.routers import Router
 from wigeonport.shares import ShareChanged
 
 
@@ -23,6 +24,7 @@
         self.router = Router("ikeja", RouterLimits(**limits))
         self.chance = random.Random(3)
         self.now_ms = 1_000
+        self.health = []
 
     def send(self, message):
         """Steps the router."""
@@ -35,7 +37,9 @@
             dispatch.request, dispatch.record.endpoint_id, answer, ran, "lost"
         )
         ended.spent_ms, ended.refusal = spent_ms, refusal
-        return self.send(ended)
+        commands = self.send(ended)
+        self.health += [c for c in commands if isinstance(c, HealthChanged)]
+        return [c for c in commands if not isinstance(c, HealthChanged)]
 
     def queue(self):
         """Returns the queue of the service."""
@@ -169,6 +173,7 @@
     bench.now_ms += 1_100
     call()
     assert ran_at.count("e1") == 6
+    assert [c.quarantined for c in bench.health] == [True]
 
 
 def test_quarantine_keeps_two_thirds_in_use(make_bench, make_request):
--- a/tests/test_routers.py
+++ b/tests/test_routers.py
@@ -6,13 +6,13 @@
 
 from wigeonport.endpoints import EndpointChanged
 from wigeonport.requests import NOT_RUN, UNKNOWN
-from wigeonport.routers import (
+from wigeonport.router_messages import (
     AttemptEnded,
     Dispatch,
     Respond,
-    Router,
     RouterLimits,
 )
+from wigeonport.routers import Router
 
 
 @pytest.fixture
--- a/wigeonport/dispatchers.py
+++ b/wigeonport/dispatchers.py
@@ -16,7 +16,7 @@
     names_request,
 )
 from wigeonport.connections import ConnectionReturned, open_connection
-from wigeonport.routers import AttemptEnded
+from wigeonport.router_messages import AttemptEnded
 
 FIRST_BYTE_EVENT = "http11.send_request_headers.started"
 SWEEP_INTERVAL_MS = 1_000
--- a/wigeonport/entry_parts.py
+++ b/wigeonport/entry_parts.py
@@ -7,7 +7,8 @@
 from wigeonport.dispatchers import Dispatcher, DispatchLimits
 from wigeonport.exchanges import TableExchange
 from wigeonport.receivers import CallerLimits
-from wigeonport.routers import Router, RouterLimits
+from wigeonport.router_messages import RouterLimits
+from wigeonport.routers import Router
 from wigeonport.shares import ShareBook
 from wigeonport.subscriptions import ControlLinks
 
--- a/wigeonport/quarantines.py
+++ b/wigeonport/quarantines.py
@@ -57,8 +57,10 @@
         self.probing = self.quarantined
 
     def note_success(self):
-        """Notes a whole answer that is no server error."""
+        """Notes a whole answer; returns whether a quarantine ended."""
+        ended = self.quarantined
         self.release()
+        return ended
 
     def note_failure(self, now_ms, may_quarantine):
         """Notes a failure; returns whether a quarantine began.
--- /dev/null
+++ b/wigeonport/router_messages.py
@@ -0,0 +1,111 @@
+"""What the router takes in and gives out, and its limits."""
+
+
+class AttemptEnded:
+    """The result of one attempt at an endpoint.
+
+    Attributes:
+        request: The request.
+        endpoint_id: Where it was tried.
+        answer: CallerAnswer, or None if no whole answer arrived.
+        ran: False if the endpoint certainly did not run it.
+        reason: Why there is no answer.
+        refusal: Reason that the endpoint gave for not running it, or None.
+        spent_ms: Time of the attempt.
+    """
+
+    __slots__ = (
+        "request",
+        "endpoint_id",
+        "answer",
+        "ran",
+        "reason",
+        "refusal",
+        "spent_ms",
+    )
+
+    def __init__(self, request, endpoint_id, answer, ran, reason):
+        self.request = request
+        self.endpoint_id = endpoint_id
+        self.answer = answer
+        self.ran = ran
+        self.reason = reason
+        self.refusal = None
+        self.spent_ms = 0
+
+
+class Dispatch:
+    """Command: try a request at an endpoint."""
+
+    __slots__ = ("request", "record")
+
+    def __init__(self, request, record):
+        self.request = request
+        self.record = record
+
+
+class Respond:
+    """Command: answer a request; the cause is for the metrics."""
+
+    __slots__ = ("request", "answer", "cause")
+
+    def __init__(self, request, answer, cause):
+        self.request = request
+        self.answer = answer
+        self.cause = cause
+
+
+class HealthChanged:
+    """Command: report that an endpoint is set aside, or used again."""
+
+    __slots__ = ("endpoint_id", "quarantined")
+
+    def __init__(self, endpoint_id, quarantined):
+        self.endpoint_id = endpoint_id
+        self.quarantined = quarantined
+
+
+class RouterLimits:
+    """Limits of the router.
+
+    Attributes:
+        queue_bound: Largest number of waiting requests of a service.
+        queue_wait_ms: Longest wait for a slot.
+        max_attempts: Attempts for one request.
+        retry_share: Retries as a share of the requests of a service.
+        retry_floor: Retries a second besides the share.
+        discipline: Name of the queue discipline.
+        leased: Whether slots are used only within leases.
+        entries: Number of entries that share the connections.
+    """
+
+    __slots__ = (
+        "queue_bound",
+        "queue_wait_ms",
+        "max_attempts",
+        "retry_share",
+        "retry_floor",
+        "discipline",
+        "leased",
+        "entries",
+    )
+
+    def __init__(
+        self,
+        queue_bound=512,
+        queue_wait_ms=2_000,
+        max_attempts=3,
+        retry_share=0.1,
+        retry_floor=10,
+        discipline="adaptive",
+        leased=True,
+        entries=1,
+    ):
+        self.queue_bound = queue_bound
+        self.queue_wait_ms = queue_wait_ms
+        self.max_attempts = max_attempts
+        self.retry_share = retry_share
+        self.retry_floor = retry_floor
+        self.discipline = discipline
+        self.leased = leased
+        self.entries = entries
--- a/wigeonport/routers.py
+++ b/wigeonport/routers.py
@@ -1,10 +1,12 @@
 """Routers: choose an endpoint for each request and bound the queues."""
 
+from wigeonport.logs import PartLogger
 from wigeonport.quarantines import may_quarantine
 from wigeonport.queues import ServiceQueue
 from wigeonport.registries import Registry
 from wigeonport.requests import give_up, refuse
 from wigeonport.retries import RetryBudget
+from wigeonport.router_messages import Dispatch, HealthChanged, Respond
 from wigeonport.shares import ShareDemand
 from wigeonport.targets import (
     FULL_PAUSE_MS,
@@ -14,6 +16,7 @@
     list_demand,
 )
 
+logger = PartLogger("routers")
 handlers = Registry("router message")
 
 LEAVING_REFUSAL = "leaving"
@@ -25,106 +28,6 @@
 SERVER_ERROR = 500
 
 
-class AttemptEnded:
-    """The result of one attempt at an endpoint.
-
-    Attributes:
-        request: The request.
-        endpoint_id: Where it was tried.
-        answer: CallerAnswer, or None if no whole answer arrived.
-        ran: False if the endpoint certainly did not run it.
-        reason: Why there is no answer.
-        refusal: Reason that the endpoint gave for not running it, or None.
-        spent_ms: Time of the attempt.
-    """
-
-    __slots__ = (
-        "request",
-        "endpoint_id",
-        "answer",
-        "ran",
-        "reason",
-        "refusal",
-        "spent_ms",
-    )
-
-    def __init__(self, request, endpoint_id, answer, ran, reason):
-        self.request = request
-        self.endpoint_id = endpoint_id
-        self.answer = answer
-        self.ran = ran
-        self.reason = reason
-        self.refusal = None
-        self.spent_ms = 0
-
-
-class Dispatch:
-    """Command: try a request at an endpoint."""
-
-    __slots__ = ("request", "record")
-
-    def __init__(self, request, record):
-        self.request = request
-        self.record = record
-
-
-class Respond:
-    """Command: answer a request; the cause is for the metrics."""
-
-    __slots__ = ("request", "answer", "cause")
-
-    def __init__(self, request, answer, cause):
-        self.request = request
-        self.answer = answer
-        self.cause = cause
-
-
-class RouterLimits:
-    """Limits of the router.
-
-    Attributes:
-        queue_bound: Largest number of waiting requests of a service.
-        queue_wait_ms: Longest wait for a slot.
-        max_attempts: Attempts for one request.
-        retry_share: Retries as a share of the requests of a service.
-        retry_floor: Retries a second besides the share.
-        discipline: Name of the queue discipline.
-        leased: Whether slots are used only within leases.
-        entries: Number of entries that share the connections.
-    """
-
-    __slots__ = (
-        "queue_bound",
-        "queue_wait_ms",
-        "max_attempts",
-        "retry_share",
-        "retry_floor",
-        "discipline",
-        "leased",
-        "entries",
-    )
-
-    def __init__(
-        self,
-        queue_bound=512,
-        queue_wait_ms=2_000,
-        max_attempts=3,
-        retry_share=0.1,
-        retry_floor=10,
-        discipline="adaptive",
-        leased=True,
-        entries=1,
-    ):
-        self.queue_bound = queue_bound
-        self.queue_wait_ms = queue_wait_ms
-        self.max_attempts = max_attempts
-        self.retry_share = retry_share
-        self.retry_floor = retry_floor
-        self.discipline = discipline
-        self.leased = leased
-        self.entries = entries
-
-
 class Service:
     """What the router keeps of one service.
 
@@ -329,10 +232,11 @@
     request = ended.request
     service = router.service(request.service)
     target = service.targets.get(ended.endpoint_id)
-    if target is not None:
-        note_end(service, target, ended, now_ms)
     request.may_have_run = request.may_have_run or ended.ran
     commands = []
+    if target is not None and note_end(service, target, ended, now_ms):
+        quarantined = target.health.quarantined
+        commands.append(HealthChanged(ended.endpoint_id, quarantined))
     if ended.answer is not None:
         commands.append(Respond(request, ended.answer, "answered"))
     elif may_retry(router, service, ended, now_ms):
@@ -363,7 +267,7 @@
 
 
 def note_end(service, target, ended, now_ms):
-    """Notes what an attempt says about its endpoint."""
+    """Notes an attempt; returns whether a quarantine began or ended."""
     target.in_flight -= 1
     forget_lost(service, target)
     if ended.refusal == LEAVING_REFUSAL:
@@ -373,10 +277,12 @@
         target.paused_until_ms = now_ms + FULL_PAUSE_MS
         target.health.probing = False
     elif ended.answer is None or ended.answer.status >= SERVER_ERROR:
-        target.health.note_failure(now_ms, service.may_quarantine())
+        may_quarantine = service.may_quarantine()
+        return target.health.note_failure(now_ms, may_quarantine)
     else:
-        target.health.note_success()
         service.times.note(ended.spent_ms)
+        return target.health.note_success()
+    return False
 
 
 def forget_lost(service, target):
@@ -425,13 +331,26 @@
         if message is not None:
             commands += router.step(message, now_ms, random)
         for command in commands:
-            if isinstance(command, Respond):
-                metrics.count(f"routers_{command.cause}")
-                command.request.reply.send(command.answer)
-            else:
+            if not report(command, metrics):
                 wait_ms = now_ms - command.request.queued_ms
                 metrics.record("routers_wait_us", wait_ms * 1_000)
                 await outbound.put(command)
         demand = router.demand(now_ms)
         if demand is not None:
             shares.put_nowait(demand)
+
+
+def report(command, metrics):
+    """Answers callers and logs changes; returns False for a Dispatch."""
+    if isinstance(command, Respond):
+        metrics.count(f"routers_{command.cause}")
+        command.request.reply.send(command.answer)
+    elif isinstance(command, HealthChanged):
+        if command.quarantined:
+            metrics.count("routers_quarantines")
+            logger.warning("Endpoint set aside.", endpoint=command.endpoint_id)
+        else:
+            logger.info("Endpoint used again.", endpoint=command.endpoint_id)
+    else:
+        return False
+    return True
