--- a/bench/footprint.py
+++ b/bench/footprint.py
@@ -1,8 +1,8 @@
 """Memory, processor time and bytes of each process, at several sizes.
 
-Each size is a deployment of 7 VMs whose entries each get announcements of
-that many endpoints. After it settled, every process is observed idle, then
-the entries under a paced load. Run with ``PYTHONPATH=tools:.``.
+Each size is a number of endpoints that announce themselves to each entry, or
+with ``--vms`` a number of VMs. After it settled, every process is observed
+idle, then the entries under a paced load. Run with ``PYTHONPATH=tools:.``.
 """
 
 import argparse
@@ -11,7 +11,7 @@
 import time
 
 import trio
-from deployments import SERVICES, Deployment
+from deployments import SERVICES, VOTERS, ZONES, Deployment
 from fleet_runner import STANDINS, FleetRunner
 from measures import (
     describe_machine,
@@ -27,6 +27,8 @@
 START_S = 30.0
 LOAD_PER_ENTRY_PER_S = 10
 SERVICE = SERVICES[0]
+ONE_VOTER_EACH = dict.fromkeys(ZONES, 1)
+SMALLEST_WITH_FIVE_VOTERS = 5
 
 
 class Usage:
@@ -143,12 +145,12 @@
     }
 
 
-def print_usages(endpoints, state, by_role):
+def print_usages(size, state, by_role):
     """Prints one line for each role."""
     for role in sorted(by_role):
         usage = by_role[role]
         print(
-            f"{endpoints:>4} endpoints/entry, {state:<4} {role:<8} "
+            f"{size}, {state:<4} {role:<8} "
             f"cpu {usage.cpu_percent:6.2f} % of a core, "
             f"memory {usage.resident_mb:6.1f} MB, "
             f"links {usage.sent_bytes_per_s / 1_000:6.2f} KB/s"
@@ -163,37 +165,48 @@
             nursery.start_soon(load_paced, url, LOAD_PER_ENTRY_PER_S, seconds)
 
 
-async def measure_size(endpoints, seconds, folder):
+def spread(vms, zones):
+    """Returns how many of the VMs are in each zone, the first get more."""
+    return {
+        zone: vms // len(zones) + (index < vms % len(zones))
+        for index, zone in enumerate(zones)
+    }
+
+
+async def measure_size(endpoints, vms, seconds, folder):
     """Returns the idle Usage by role at one size."""
-    runner = FleetRunner(Deployment(folder))
+    voters = VOTERS if vms >= SMALLEST_WITH_FIVE_VOTERS else ONE_VOTER_EACH
+    runner = FleetRunner(Deployment(folder, spread(vms, ZONES), voters))
     plan(runner, endpoints)
+    size = f"{vms:>3} VMs, {endpoints:>4} endpoints an entry"
     try:
         await runner.start()
         leader = await apply_first_version(runner)
         await trio.sleep(SETTLE_S)
         idle = summarize(runner, await observe(runner, seconds), leader)
-        print_usages(endpoints, "idle", idle)
+        print_usages(size, "idle", idle)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(load_entries, runner, seconds)
             loaded = await observe(runner, seconds)
-        print_usages(endpoints, "load", summarize(runner, loaded, leader))
+        print_usages(size, "load", summarize(runner, loaded, leader))
     finally:
         runner.kill_all()
     return idle
 
 
-def print_slopes(sizes):
-    """Prints how the figures grow with the endpoints of an entry."""
-    for role in ("entry", "leader", "follower", "learner"):
+def print_slopes(sizes, unit):
+    """Prints how the figures grow with the size."""
+    roles = set.intersection(*(set(by_role) for by_role in sizes.values()))
+    for role in sorted(roles):
         for field in Usage.__slots__[1:]:
             points = [
-                (endpoints, getattr(by_role[role], field))
-                for endpoints, by_role in sizes.items()
+                (size, getattr(by_role[role], field))
+                for size, by_role in sizes.items()
             ]
             slope, base = fit_slope(points)
             print(
                 f"{role:<8} {field:<17} {base:10.3f} + "
-                f"{slope:.5f} for each endpoint of an entry"
+                f"{slope:.5f} for each {unit}"
             )
 
 
@@ -204,16 +217,20 @@
     parser.add_argument(
         "--endpoints", type=int, nargs="+", default=[28, 56, 112]
     )
+    parser.add_argument("--vms", type=int, nargs="+", default=[7])
     options = parser.parse_args()
     print("before:", describe_machine())
     print(f"load: {LOAD_PER_ENTRY_PER_S} requests/s at each entry")
+    by_vms = len(options.vms) > 1
     sizes = {}
-    for endpoints in options.endpoints:
-        with tempfile.TemporaryDirectory(prefix="wigeonport-") as folder:
-            sizes[endpoints] = trio.run(
-                measure_size, endpoints, options.seconds, folder
-            )
-    print_slopes(sizes)
+    for vms in options.vms:
+        for endpoints in options.endpoints:
+            with tempfile.TemporaryDirectory(prefix="wigeonport-") as folder:
+                idle = trio.run(
+                    measure_size, endpoints, vms, options.seconds, folder
+                )
+            sizes[vms if by_vms else endpoints] = idle
+    print_slopes(sizes, "VM" if by_vms else "endpoint of an entry")
     print("after:", describe_machine())
 
 
--- a/wigeonport/control_main.py
+++ b/wigeonport/control_main.py
@@ -31,6 +31,7 @@
 from wigeonport.plan_settings import PlanSettings
 from wigeonport.planners import build_planner
 from wigeonport.platform_clients import PlatformClient, poll_reports
+from wigeonport.probes import ReplicaProbe, answer_probes
 from wigeonport.programs import start
 from wigeonport.publishers import Publisher, publish
 from wigeonport.recoveries import open_directory, open_memory
@@ -40,6 +41,7 @@
 from wigeonport.state_commands import ClaimKey, CompleteClaim, ReleaseClaim
 from wigeonport.state_requests import StatePort
 from wigeonport.states import ReplicatedState, state_from_document
+from wigeonport.trace_recorders import open_recorder
 from wigeonport.version_watchers import watch_versions
 
 logger = PartLogger("control")
@@ -61,6 +63,7 @@
         notices: From the consensus task to the version watcher.
         history: From the consensus task to the event recorder.
         health: Queries for unavailable VMs.
+        probes: Queries for the condition of the replica.
         planner: Notices, reports, results and queries for the planner.
         plans: From the planner to its actor.
     """
@@ -73,6 +76,7 @@
         "notices",
         "history",
         "health",
+        "probes",
         "planner",
         "plans",
     )
@@ -87,6 +91,7 @@
         self.notices = Mailbox("notices", bound, DROP_OLDEST)
         self.history = Mailbox("history", HISTORY_BOUND, DROP_OLDEST)
         self.health = Mailbox("health", bound, REFUSE)
+        self.probes = Mailbox("probes", bound, REFUSE)
         # What the planner misses it reads again: it is resent by the
         # platform or found in the state at the next tick.
         self.planner = Mailbox("planner", PLANNER_BOUND, DROP_OLDEST)
@@ -106,6 +111,8 @@
             await boxes.planner.put(delivery)
         elif isinstance(message, HealthRequest):
             await boxes.health.put(delivery)
+        elif isinstance(message, ReplicaProbe):
+            await boxes.probes.put(delivery)
         elif isinstance(message, CLAIMS):
             await boxes.claims.put(delivery)
         else:
@@ -197,6 +204,7 @@
     nursery.start_soon(record_history, boxes.history, program.events)
     nursery.start_soon(broker_claims, boxes.claims, broker)
     nursery.start_soon(adapt_requests, boxes.requests, adapter)
+    nursery.start_soon(answer_probes, boxes.probes, consensus.inbox)
     health = HealthBroker(consensus.inbox, boxes.planner, dialers)
     nursery.start_soon(broker_health, boxes.health, health)
     start_planner(nursery, program, boxes, consensus, dialers, adapter)
@@ -209,16 +217,23 @@
         nursery.start_soon(answer_without_platform, boxes.planner)
         return
     client = PlatformClient(settings.platform_url, clock, program.metrics)
-    planner = build_planner(PlanSettings())
+    plan_settings = PlanSettings()
+    planner = build_planner(plan_settings)
     if planner.is_error():
         raise ValueError(str(planner.error))
+    # A replay repeats the choices between equals from the recorded seed.
+    seed = random.randrange(2**32)
+    recorder = open_recorder(
+        settings.trace_file, settings.trace_max_bytes, plan_settings, seed
+    )
     driver = PlanDriver(
         planner.ok,
         consensus.inbox,
         boxes.plans,
         dialers,
         clock,
-        random.Random(),
+        random.Random(seed),
+        recorder,
     )
     actor = PlanActor(consensus.inbox, adapter, client, program.events, clock)
     nursery.start_soon(
--- a/wigeonport/plan_drivers.py
+++ b/wigeonport/plan_drivers.py
@@ -1,6 +1,6 @@
 """Plan drivers: the task that owns the planner of a control."""
 
-from wigeonport.availabilities import is_available
+from wigeonport.availabilities import is_available, is_heard
 from wigeonport.channels import Reply, ask
 from wigeonport.consensus_requests import (
     Applied,
@@ -30,7 +30,7 @@
     ResumeMaintenance,
     ReturnWorker,
 )
-from wigeonport.state_requests import UnavailableQuery
+from wigeonport.state_requests import UnavailableQuery, VmHealth
 from wigeonport.view_builders import PLANNER_AUTHOR, build_fleet_loaded
 
 logger = PartLogger("planner")
@@ -54,6 +54,7 @@
         dialers: Dialers to the other controls by node id.
         clock: Time source.
         random: Random source.
+        recorder: TraceRecorder, or None if nothing is recorded.
         demands: DemandTable of all entries.
         leader: Node id of the leader, or "".
         leading: Whether this control leads and its state is complete.
@@ -68,6 +69,7 @@
         "dialers",
         "clock",
         "random",
+        "recorder",
         "demands",
         "leader",
         "leading",
@@ -75,13 +77,23 @@
         "loaded_ms",
     )
 
-    def __init__(self, planner, consensus, actor, dialers, clock, random):
+    def __init__(
+        self,
+        planner,
+        consensus,
+        actor,
+        dialers,
+        clock,
+        random,
+        recorder=None,
+    ):
         self.planner = planner
         self.consensus = consensus
         self.actor = actor
         self.dialers = dialers
         self.clock = clock
         self.random = random
+        self.recorder = recorder
         self.demands = DemandTable()
         self.leader = ""
         self.leading = False
@@ -90,7 +102,10 @@
 
     async def step(self, event):
         """Feeds one event and passes the commands on."""
-        commands = self.planner.step(event, self.clock.now(), self.random)
+        now_ms = self.clock.now()
+        if self.recorder is not None:
+            self.recorder.record(event, now_ms)
+        commands = self.planner.step(event, now_ms, self.random)
         for command in commands:
             await self.actor.put(PlannedCommand(command, self.planner.view))
 
@@ -110,15 +125,21 @@
             await self.step(message)
 
     def find_unavailable(self):
-        """Returns the VMs not known to be available, None if unknown."""
+        """Returns the VmHealth, or None if this control does not lead."""
         if not self.leading:
             return None
         view, now_ms = self.planner.view, self.clock.now()
-        return [
-            vm.name
+        unavailable = [
+            vm
             for vm in view.fleet.vms.values()
             if not is_available(view, vm, now_ms)
         ]
+        unheard = [
+            vm.name
+            for vm in unavailable
+            if not vm.missing and not is_heard(view, vm, now_ms)
+        ]
+        return VmHealth([vm.name for vm in unavailable], unheard)
 
     def take_demand(self, report):
         """Keeps a report of an entry and passes it on to the leader."""
--- a/wigeonport/plan_events.py
+++ b/wigeonport/plan_events.py
@@ -137,6 +137,8 @@
         declared_run_ms: Declared run time.
         urgent: Whether the job must start within ``urgent_start_ms``.
         can_checkpoint: Whether the job can save its state and continue.
+        may_run: Whether an attempt that an earlier leader started may still
+            run; the job then waits for its report or for the end of a lease.
     """
 
     __slots__ = (
@@ -148,6 +150,7 @@
         "declared_run_ms",
         "urgent",
         "can_checkpoint",
+        "may_run",
     )
 
     def __init__(
@@ -160,6 +163,7 @@
         declared_run_ms,
         urgent=False,
         can_checkpoint=True,
+        may_run=False,
     ):
         self.job = job
         self.team = team
@@ -169,6 +173,7 @@
         self.declared_run_ms = declared_run_ms
         self.urgent = urgent
         self.can_checkpoint = can_checkpoint
+        self.may_run = may_run
 
 
 class JobsCancelled:
--- a/wigeonport/trace_kinds.py
+++ b/wigeonport/trace_kinds.py
@@ -261,6 +261,7 @@
     Field("declared_run_ms", WHOLE),
     Field("urgent", FLAG, False),
     Field("can_checkpoint", FLAG, True),
+    Field("may_run", FLAG, False),
 )
 declare(
     "cancel",
