--- a/tools/failures.py
+++ b/tools/failures.py
@@ -13,6 +13,10 @@
 STOP_TIMEOUT_S = 12.0
 
 
+class BusyError(Exception):
+    """No VM is free for a failure."""
+
+
 @contextlib.contextmanager
 def reserve_node(runner, random):
     """Picks a VM that no other failure is using.
@@ -21,6 +25,8 @@
     without an owner.
     """
     free = sorted(runner.deployment.nodes.keys() - runner.busy)
+    if not free:
+        raise BusyError("every VM is used by another failure")
     node_id = random.choice(free)
     runner.busy.add(node_id)
     try:
@@ -121,3 +127,17 @@
         await trio.sleep(hold_s)
         await process.start()
         await runner.wait_healthy([process.name])
+
+
+@failures.register("kill all controls")
+async def kill_all_controls(runner, random, hold_s):
+    """Kills every control that is not in use at once; the log has to last."""
+    with contextlib.ExitStack() as stack:
+        node_ids = []
+        while runner.deployment.nodes.keys() - runner.busy:
+            reserved = reserve_node(runner, random)
+            node_ids.append(stack.enter_context(reserved))
+        async with trio.open_nursery() as nursery:
+            for node_id in node_ids:
+                name = f"control/{node_id}"
+                nursery.start_soon(kill_and_restart, runner, name, hold_s)
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -15,7 +15,7 @@
 from callers import CallerOptions
 from demands import list_arrivals
 from deployments import SERVICES, Deployment
-from failures import failures
+from failures import BusyError, failures
 from fleet_runner import FleetRunner, HealthError
 from load import run_load
 from operators_client import OperatorsClient, load_fleet_patch
@@ -147,6 +147,14 @@
         await trio.sleep(POLL_S)
 
 
+async def fail(soak, name, source, hold_s):
+    """Runs one failure; it is left out if every VM is in use."""
+    try:
+        await failures.get(name).ok(soak.runner, source, hold_s)
+    except BusyError as fault:
+        soak.note(f"{name} left out: {fault}")
+
+
 async def inject(soak, seconds):
     """Injects failures, singly or two together, for some seconds."""
     names = failures.names()
@@ -160,8 +168,7 @@
                 hold_s = source.uniform(*HOLD_S)
                 part = random.Random(source.random())
                 soak.note(f"{name} for {hold_s:.1f} s")
-                failure = failures.get(name).ok
-                nursery.start_soon(failure, soak.runner, part, hold_s)
+                nursery.start_soon(fail, soak, name, part, hold_s)
                 await trio.sleep(source.uniform(*PAUSE_S))
         await trio.sleep(source.uniform(*PAUSE_S))
 
