--- a/tests/test_trace_outcomes.py
+++ b/tests/test_trace_outcomes.py
@@ -39,6 +39,8 @@
     [
         ("rotation", {"borrow_policy": "follow_demand"}),
         ("rotation", {"reserve_policy": "per_service"}),
+        ("long_rotation", {"borrow_policy": "break_even"}),
+        ("long_rotation", {"borrow_policy": "follow_demand"}),
         ("sustained_peak", {"move_price_s": 10_000.0}),
         ("failures_in_wave", {"wave_pause_failures": 1_000}),
         ("second_loss", {"healthy_hold_ms": 0}),
@@ -68,7 +70,11 @@
             "wigeonport.plan_views.PlanView.leads",
             lambda view, now_ms: True,
         ),
-        ("never_jobs", "wigeonport.jobs.find_fault", lambda view, job: ""),
+        (
+            "never_jobs",
+            "wigeonport.job_events.find_fault",
+            lambda view, job: "",
+        ),
         (
             "never_jobs",
             "wigeonport.placements.find_never_reason",
--- a/wigeonport/fleet_events.py
+++ b/wigeonport/fleet_events.py
@@ -1,7 +1,7 @@
 """Effects of fleet versions, platform reports and leadership on the view."""
 
 from wigeonport.logs import PartLogger
-from wigeonport.operations import restore_operations
+from wigeonport.operation_stages import restore_operations
 from wigeonport.plan_events import (
     FleetLoaded,
     LeadershipChanged,
@@ -21,9 +21,12 @@
     """Takes over a fleet version and keeps what reports have shown."""
     old = view.fleet
     view.fleet = event.fleet
+    view.reserve_basis = None
+    apply_fleet_settings(view)
     for name, vm in event.fleet.vms.items():
         if name in old.vms:
             keep_reported(old.vms[name], vm)
+    event.fleet.missing.update(old.missing)
     event.fleet.heard_ms.update(
         (zone, heard_ms)
         for zone, heard_ms in old.heard_ms.items()
@@ -32,14 +35,60 @@
     restore_operations(view, event.grants, now_ms)
     view.jobs.fleet_changed(event.fleet)
     logger.info("Fleet version loaded.", version=event.fleet.version)
-    return tuple(event.fleet.pools)
+    granted = {view.fleet.vms[name].pool for name in view.operations}
+    return sorted(find_changed_pools(old, event.fleet) | granted)
+
+
+def find_changed_pools(old, new):
+    """Returns the pools that differ between two versions."""
+    changed = set()
+    for name, pool in new.pools.items():
+        before = old.pools.get(name)
+        if before is None or not same_pool(before, pool):
+            changed.add(name)
+    for name, vm in new.vms.items():
+        before = old.vms.get(name)
+        if before is None or not same_assignment(before, vm):
+            changed.add(vm.pool)
+    return changed
+
+
+def same_pool(old, new):
+    """Returns whether a pool has the same use and the same needs."""
+    return (old.spare, old.floor, old.guaranteed()) == (
+        new.spare,
+        new.floor,
+        new.guaranteed(),
+    )
+
+
+def same_assignment(old, new):
+    """Returns whether a VM is and belongs where it did."""
+    return (old.pool, old.home_pool, old.lender) == (
+        new.pool,
+        new.home_pool,
+        new.lender,
+    )
+
+
+def apply_fleet_settings(view):
+    """Takes over the settings that the version in force carries."""
+    weights = view.fleet.weights
+    if weights is not None:
+        view.settings.weight_buffer = weights.buffer_cost
+        view.settings.weight_rollout = weights.rollout_time
+        view.settings.weight_moves = weights.moves
+    if view.fleet.period_ms is not None:
+        view.settings.maintenance_period_ms = view.fleet.period_ms
 
 
 def keep_reported(old, new):
     """Copies what the platform reported from the old view of a VM."""
     new.state = old.state
     new.sequence = old.sequence
-    new.unsettled_until_ms = old.unsettled_until_ms
+    new.unsettled_until_ms = max(
+        old.unsettled_until_ms, new.unsettled_until_ms
+    )
     new.closed_until_ms = max(old.closed_until_ms, new.closed_until_ms)
     new.missing = old.missing
     new.quarantined = old.quarantined
@@ -78,21 +127,27 @@
     if heard_ms is not None and event.measured_ms <= heard_ms:
         return ()
     view.fleet.heard_ms[event.zone] = event.measured_ms
-    missing = set(event.missing)
+    missing = frozenset(event.missing)
+    changed = missing ^ view.fleet.missing.get(event.zone, frozenset())
+    view.fleet.missing[event.zone] = missing
     touched = set()
-    for vm in view.fleet.vms.values():
-        if vm.zone != event.zone or vm.missing == (vm.name in missing):
-            continue
-        vm.missing = not vm.missing
-        touched.add(vm.pool)
-        if not vm.missing:
-            hold_ms = view.settings.healthy_hold_ms
-            vm.unsettled_until_ms = now_ms + hold_ms
-        elif vm.state == READY:
-            view.wave.note_failure(now_ms)
+    for name in changed:
+        vm = view.fleet.vms.get(name)
+        if vm is not None and vm.zone == event.zone:
+            change_missing(view, vm, name in missing, now_ms)
+            touched.add(vm.pool)
     return sorted(touched)
 
 
+def change_missing(view, vm, missing, now_ms):
+    """Records that a VM went missing, or was found and has to settle."""
+    vm.missing = missing
+    if not missing:
+        vm.unsettled_until_ms = now_ms + view.settings.healthy_hold_ms
+    elif vm.state == READY:
+        view.wave.note_failure(now_ms)
+
+
 @event_handlers.register(LeadershipChanged)
 def handle_leadership(view, event, now_ms):
     """Applies a newer lease, or the end of leadership by a higher term."""
--- a/wigeonport/views.py
+++ b/wigeonport/views.py
@@ -9,6 +9,8 @@
 REBOOTING = "rebooting"
 PREPARING = "preparing"
 FAILED = "failed"
+# Home pool of a VM that the version in force has removed.
+REMOVED = ""
 VM_STATES = (READY, DRAINING, DRAINED, REBOOTING, PREPARING, FAILED)
 
 
@@ -65,7 +67,7 @@
     Attributes:
         name: Unique name.
         pool: Pool that holds the VM now.
-        home_pool: Pool that the version in force assigns.
+        home_pool: Pool that the version in force assigns, or ``REMOVED``.
         lender: Spare pool from which the planner has lent the VM, or "".
         rack: Rack, unique across zones.
         zone: Availability zone.
@@ -195,7 +197,7 @@
 
     Attributes:
         vm: Name of the VM.
-        purpose: ``maintenance`` or ``move``.
+        purpose: ``maintenance``, ``move`` or, of an operator, ``drain``.
         destination: Pool that a move enters, else "".
         until_ms: End of the lease.
     """
@@ -209,6 +211,23 @@
         self.until_ms = until_ms
 
 
+class WeightsView:
+    """Weights of the measures.
+
+    Attributes:
+        buffer_cost: Cost of an idle VM for a second.
+        rollout_time: Cost of a missing VM for a second.
+        moves: Factor of the price of a move.
+    """
+
+    __slots__ = ("buffer_cost", "rollout_time", "moves")
+
+    def __init__(self, buffer_cost, rollout_time, moves):
+        self.buffer_cost = buffer_cost
+        self.rollout_time = rollout_time
+        self.moves = moves
+
+
 class FleetView:
     """The fleet at one version, with the pools as an index of the VMs.
 
@@ -219,9 +238,22 @@
         services: ServiceView by name.
         teams: TeamView by name.
         heard_ms: Time of the last report of each zone.
+        missing: Names of the VMs missing in that report, by zone.
+        weights: WeightsView of the version, or None to keep the settings.
+        period_ms: Maintenance period, or None to keep the settings.
     """
 
-    __slots__ = ("version", "vms", "pools", "services", "teams", "heard_ms")
+    __slots__ = (
+        "version",
+        "vms",
+        "pools",
+        "services",
+        "teams",
+        "heard_ms",
+        "missing",
+        "weights",
+        "period_ms",
+    )
 
     def __init__(self, version, vms, pools, services, teams):
         self.version = version
@@ -230,6 +262,9 @@
         self.services = {service.name: service for service in services}
         self.teams = {team.name: team for team in teams}
         self.heard_ms = {}
+        self.missing = {}
+        self.weights = None
+        self.period_ms = None
         for vm in vms:
             self.pools[vm.pool].members[vm.name] = None
             self.heard_ms.setdefault(vm.zone, None)
@@ -245,6 +280,11 @@
         """Returns the pools that lend VMs."""
         return [pool for pool in self.pools.values() if pool.spare]
 
+    def remove(self, vm):
+        """Removes a VM from its pool and from the fleet."""
+        del self.pools[vm.pool].members[vm.name]
+        del self.vms[vm.name]
+
     def move(self, vm, destination, now_ms):
         """Moves a VM to another pool in one step."""
         del self.pools[vm.pool].members[vm.name]
