Record changes of endpoints as events

Cause: the merged time line did not show when an endpoint became ready, left or was lost, so the cause of refused work was not visible. Change: the endpoint table also feeds the event recorder.

--- a/wigeonport/entry_main.py
+++ b/wigeonport/entry_main.py
@@ -7,7 +7,7 @@
 
 from wigeonport.admissions import Admission, CutOff, admit
 from wigeonport.announcements import AnnouncementApp
-from wigeonport.channels import Mailbox
+from wigeonport.channels import DROP_OLDEST, Mailbox
 from wigeonport.claims import claim_keys
 from wigeonport.configurations import Configuration, apply_updates
 from wigeonport.demand_reporters import report_demands
@@ -24,6 +24,7 @@
     make_share_book,
 )
 from wigeonport.exchanges import keep_table
+from wigeonport.histories import record_history
 from wigeonport.programs import start
 from wigeonport.receivers import CallerApp
 from wigeonport.routers import route
@@ -53,6 +54,7 @@
             shares. The router does not wait: its demand is dropped when
             the mailbox is full, and reported again soon after.
         dispatches: From the router to the dispatcher.
+        history: From the endpoint table to the event recorder.
     """
 
     __slots__ = (
@@ -64,6 +66,7 @@
         "routing",
         "shares",
         "dispatches",
+        "history",
     )
 
     def __init__(self, settings):
@@ -77,17 +80,19 @@
         self.routing = Mailbox("routing", in_flight + bound)
         self.shares = Mailbox("shares", bound)
         self.dispatches = Mailbox("dispatches", in_flight)
+        self.history = Mailbox("history", bound, DROP_OLDEST)
 
 
 def start_table(nursery, program, boxes, context):
     """Starts the endpoint table and the links to the other entries."""
+    nursery.start_soon(record_history, boxes.history, program.events)
     peers = make_peer_links(program, context)
     for dialer in peers.values():
         nursery.start_soon(dialer.run)
     nursery.start_soon(
         keep_table,
         boxes.peers,
-        [boxes.shares, boxes.routing],
+        [boxes.shares, boxes.routing, boxes.history],
         make_exchange(program, context),
         peers,
         program.clock,
--- a/wigeonport/histories.py
+++ b/wigeonport/histories.py
@@ -1,10 +1,11 @@
-"""Histories: record committed commands as events of this process."""
+"""Histories: record what a process learns as its events."""
 
 from wigeonport.consensus_requests import (
     Applied,
     Installed,
     LeadershipNotice,
 )
+from wigeonport.endpoints import EndpointChanged, EndpointLost
 from wigeonport.registries import Registry
 from wigeonport.state_answers import PatchAccepted, PatchRefused
 
@@ -40,8 +41,27 @@
     events.record(f"log.{type(notice.command).__name__}", **fields)
 
 
+@records(EndpointChanged)
+def record_endpoint(events, notice):
+    """Records that an endpoint became usable, leaves or changed."""
+    record = notice.record
+    events.record(
+        f"endpoint.{record.state}",
+        endpoint=record.endpoint_id,
+        service=record.service_id,
+        zone=record.availability_zone,
+        owner=notice.owner,
+    )
+
+
+@records(EndpointLost)
+def record_loss(events, notice):
+    """Records that an endpoint gets no more work."""
+    events.record("endpoint.lost", endpoint=notice.endpoint_id)
+
+
 async def record_history(inbound, events):
-    """Records the notices of the consensus task."""
+    """Records notices of other filters of the process."""
     async for notice in inbound:
         recorder = recorders.entries.get(type(notice))
         if recorder is not None:
