Measure waves of jobs and check the traces against their generator

Cause: the cost of a cancellation wave was claimed but not measured, and a change of the generator could leave old traces behind.

--- /dev/null
+++ b/bench/job_waves.py
@@ -0,0 +1,70 @@
+"""Measures a wave of submissions and its cancellation.
+
+Usage: PYTHONPATH=.:tools:bench python bench/job_waves.py
+
+A team submits jobs to 20 pools of a fleet of 1,800 workers and cancels all of
+them at once. Processor time of this process is measured, on one core.
+"""
+
+from planning import SIZES, Bench
+
+from wigeonport import plan_events as events
+from wigeonport.views import Size
+
+JOB_COUNTS = (1_000, 5_000, 10_000)
+POOLS = 20
+TEAM = "team-0"
+
+
+def submit(bench, count):
+    """Submits jobs; returns the time in us."""
+    pools = list(bench.planner.view.fleet.pools)[:POOLS]
+    total_us = 0
+    for number in range(count):
+        job = events.JobSubmitted(
+            f"wave-{number}",
+            TEAM,
+            pools[number % POOLS],
+            "wave",
+            Size(4, 8_192),
+            60_000,
+        )
+        commands, elapsed_us = bench.step(job)
+        bench.confirm(commands)
+        total_us += elapsed_us
+    return total_us
+
+
+def measure(count):
+    """Prints one row of the table."""
+    bench = Bench(*SIZES[-1])
+    idle_us = bench.pass_second()
+    submit_us = submit(bench, count)
+    plan_us = bench.pass_second()
+    commands, cancel_us = bench.step(events.JobsCancelled(team=TEAM))
+    cancels = sum(command.kind == "cancel_jobs" for command in commands)
+    cells = (
+        count,
+        f"{submit_us / count:.0f}",
+        f"{idle_us / 1000:.1f}",
+        f"{plan_us / 1000:.1f}",
+        f"{cancel_us / 1000:.1f}",
+        cancels,
+    )
+    print("| " + " | ".join(map(str, cells)) + " |")
+
+
+def main():
+    """Prints the table."""
+    print(
+        "| jobs | submission (us each) | full plan before (ms) "
+        "| full plan with them (ms) | cancellation of all (ms) "
+        "| cancel commands |"
+    )
+    print("|" + " --- |" * 6)
+    for count in JOB_COUNTS:
+        measure(count)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -2,6 +2,10 @@
 
 import io
 import json
+import os
+import pathlib
+import subprocess
+import sys
 
 import pytest
 from cleo.application import Application
@@ -17,6 +21,7 @@
 from wigeonport.trace_recorders import TraceRecorder
 from wigeonport.traces import TraceReader, TraceWriter, read_trace
 
+ROOT = pathlib.Path(__file__).parent.parent
 HEADER = '{"kind":"header","format":1}'
 TICK = '{"at_ms":5,"kind":"tick"}'
 
@@ -184,3 +189,17 @@
     record = tmp_path / "record.jsonl"
     assert run_command(f"{trace} --record {record}")[0] == 0
     assert run_command(f"{trace} --expect {record}")[0] == 0
+
+
+def test_traces_are_those_of_the_generator(tmp_path):
+    """Guards against traces that no longer fit their generator."""
+    script = ROOT / "tools" / "generate_traces.py"
+    environment = os.environ | {"PYTHONPATH": str(ROOT)}
+    subprocess.run(
+        [sys.executable, script, tmp_path], check=True, env=environment
+    )
+    names = sorted(path.name for path in tmp_path.iterdir())
+    assert len(names) >= 32
+    for name in names:
+        committed = (TRACES / name).read_text()
+        assert (tmp_path / name).read_text() == committed, name
