End connections whose caller stops reading

Cause: the HTTP server's sends cannot be cancelled. A caller that did not read its answer held it for good, and the entry did not stop within its bound.

Change: the listening sockets carry TCP_USER_TIMEOUT, at most 10 s and at most shutdown_grace_ms.

Without the option the test fails: the entry was still running 8 s after a stop with a bound of 1 s.

--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -182,6 +182,27 @@
     run_cluster(scenario)
 
 
+def test_caller_that_does_not_read_cannot_hold_up_the_stop(run_cluster):
+    """Guards against answers held, and a stop delayed, for good."""
+
+    async def scenario(cluster):
+        await cluster.start(1, shutdown_grace_ms=1_000)
+        await cluster.add_endpoint("e1")
+        await cluster.wait_ready()
+        port = cluster.programs[0].settings.callers_port
+        stream = await trio.open_tcp_stream(HOST, port)
+        head = b"GET /roster/x HTTP/1.1\r\nhost: a\r\nx-size: 8000000\r\n\r\n"
+        async with stream:
+            await stream.send_all(head)
+            await trio.sleep(0.5)
+            cluster.programs[0].stopping.set()
+            with trio.fail_after(8):
+                while not cluster.scopes[0].cancel_called:
+                    await trio.sleep(0.05)
+
+    run_cluster(scenario)
+
+
 def test_second_signal_has_no_further_effect():
     """Guards against an impatient operator who kills running requests."""
 
--- a/wigeonport/servers.py
+++ b/wigeonport/servers.py
@@ -1,6 +1,7 @@
 """HTTP servers: hypercorn set-up and the routes that every process has."""
 
 import json
+import socket
 
 import hypercorn.trio
 import trio
@@ -13,6 +14,7 @@
 MAX_HEADER_BYTES = 32_768
 KEEP_ALIVE_S = 30
 BACKLOG = 512
+STALLED_TIMEOUT_MS = 10_000
 
 
 class HttpResponse:
@@ -175,9 +177,31 @@
     return b"".join(reader.pieces) if reader.whole else None
 
 
+class ServerConfig(Config):
+    """Configuration of hypercorn that also bounds stalled connections.
+
+    The server's sends cannot be cancelled, so a client that stops reading
+    would hold its answer, and the stop of the process, for good.
+    """
+
+    stalled_timeout_ms = STALLED_TIMEOUT_MS
+
+    def create_sockets(self):
+        """Returns the listening sockets; accepted ones inherit the bound."""
+        sockets = super().create_sockets()
+        for item in sockets.insecure_sockets:
+            item.setsockopt(
+                socket.IPPROTO_TCP,
+                socket.TCP_USER_TIMEOUT,
+                self.stalled_timeout_ms,
+            )
+        return sockets
+
+
 def make_config(host, port, grace_ms):
     """Returns the hypercorn configuration of one listener."""
-    config = Config()
+    config = ServerConfig()
+    config.stalled_timeout_ms = min(STALLED_TIMEOUT_MS, grace_ms)
     config.bind = [f"{host}:{port}"]
     config.backlog = BACKLOG
     config.keep_alive_timeout = KEEP_ALIVE_S
