Hold no leases for idle services

Cause: an entry renewed leases of all endpoints of its zone twice a second, also for services without requests.

Change: a service without requests for 10 s and without running ones is left out of the demand.

--- a/tests/test_overloads.py
+++ b/tests/test_overloads.py
@@ -232,3 +232,25 @@
     assert again.record.endpoint_id != first.record.endpoint_id
     (failed,) = bench.end(again, None, ran=False)
     assert failed.answer.outcome == NOT_RUN
+
+
+def test_idle_service_holds_no_leases(make_bench, make_request):
+    """Guards against traffic for slots that nobody uses."""
+    bench = make_bench(2, slots=8, leased=True)
+    assert bench.router.demand(bench.now_ms).items == []
+    request = far(make_request, deadline_ms=bench.now_ms + 100)
+    bench.send(request)
+    bench.now_ms += 1_000
+    bench.router.tick(bench.now_ms, bench.chance)
+    assert len(bench.router.demand(bench.now_ms).items) == 2
+    bench.now_ms += 10_000
+    assert bench.router.demand(bench.now_ms).items == []
+
+
+def test_long_request_keeps_its_lease(make_bench, make_request):
+    """Guards against slots in use that count as free after 10 s."""
+    bench = make_bench(1, slots=8, leased=True)
+    bench.send(far(make_request))
+    bench.send(ShareChanged("e0", "roster", 1, bench.now_ms + 100))
+    bench.now_ms += 20_000
+    assert bench.router.demand(bench.now_ms).items == [("e0", 1, 1)]
--- a/wigeonport/routers.py
+++ b/wigeonport/routers.py
@@ -24,6 +24,9 @@
 IDLE_INTERVAL_MS = 100
 DEMAND_INTERVAL_MS = 100
 REPORT_INTERVAL_MS = 500
+# A service without requests for this long holds no leases: renewing them
+# costs more than the one wait of its next request.
+IDLE_SERVICE_MS = 10_000
 URGENT_INTERVAL_MS = 10
 SERVER_ERROR = 500
 
@@ -36,9 +39,10 @@
         queue: Its waiting requests.
         budget: RetryBudget.
         times: ServiceTimes.
+        requested_ms: Time of its latest request, or None.
     """
 
-    __slots__ = ("targets", "queue", "budget", "times")
+    __slots__ = ("targets", "queue", "budget", "times", "requested_ms")
 
     def __init__(self, limits):
         self.targets = {}
@@ -47,6 +51,16 @@
         )
         self.budget = RetryBudget(limits.retry_share, limits.retry_floor)
         self.times = ServiceTimes()
+        self.requested_ms = None
+
+    def is_idle(self, now_ms):
+        """Returns whether no leases are in use or to be held ready."""
+        if self.requested_ms is None:
+            return True
+        if now_ms - self.requested_ms <= IDLE_SERVICE_MS:
+            return False
+        running = any(target.in_flight for target in self.targets.values())
+        return not self.queue.size and not running
 
     def slots(self, now_ms):
         """Returns the slots that this entry may use."""
@@ -147,6 +161,8 @@
         self.demand_ms = now_ms
         items = []
         for service in self.services.values():
+            if service.is_idle(now_ms):
+                continue
             items += list_demand(
                 service.targets.values(),
                 service.queue.size,
@@ -169,6 +185,7 @@
     """Queues a request, or refuses it when it would wait too long."""
     service = router.service(request.service)
     service.budget.note_request()
+    service.requested_ms = now_ms
     queue = service.queue
     wait_ms = service.times.estimate_wait(
         queue.ahead(request.priority), service.slots(now_ms)
