Promote a replacement before removing a voter

A leader that had been stopped took old answers for recent ones.

Change: a ready learner is promoted first and the silent voter is removed afterwards. The leader makes a change only if a quorum of the voters after it has acknowledged a heartbeat sent in the last two learner heartbeats; the time of sending counts, not that of reading.

--- a/tests/test_replica_rules.py
+++ b/tests/test_replica_rules.py
@@ -35,10 +35,11 @@
 
 @pytest.fixture
 def make_replica():
-    """Makes replica c/1 of three voters, restarted at START_MS."""
+    """Makes c/1 of three voters and a learner, restarted at START_MS."""
 
     def make(term=1, vote="", extra=(), durable=True, replica_id="c/1"):
-        members = Members([Member(each, True, True) for each in IDS])
+        voters = [Member(each, True, True) for each in IDS]
+        members = Members([*voters, Member("s/1", False, True)])
         first = Entry(1, 1, MEMBERS, members.to_payload())
         recovered = Recovered(HardState(term, vote), None, [first, *extra])
         return Replica(
@@ -75,8 +76,9 @@
 
 def ack(replica, match_index):
     """Acknowledges an index as a/1 and returns the Output."""
-    reply = AppendReply(replica.term, "a/1", "c/1", True, match_index, 0, 0, 0)
-    return replica.step(reply, replica.now_ms)
+    term, now_ms = replica.term, replica.now_ms
+    reply = AppendReply(term, "a/1", "c/1", True, match_index, 0, 0, now_ms)
+    return replica.step(reply, now_ms)
 
 
 def append(term, sender, prev, entries):
@@ -157,6 +159,7 @@
 def test_one_change_of_members_at_a_time(make_leader):
     """Guards against two changes whose quorums do not overlap."""
     leader = make_leader()
+    ack(leader, 1)
     out = leader.step(RemoveReplica(1, "b/1"), leader.now_ms)
     assert out.replies[0].outcome == REFUSED
     leader.step(Persisted(leader.sequence), leader.now_ms)
@@ -167,6 +170,29 @@
     assert out.replies[0].outcome == REFUSED
 
 
+def test_replacement_is_promoted_before_a_voter_is_removed(make_leader):
+    """Guards against a log that one more lost disk stops for good."""
+    leader = make_leader()
+    seen = []
+    for now_ms in range(leader.now_ms, leader.now_ms + 70_000, 200):
+        leader.step(Tick(), now_ms)
+        leader.step(Persisted(leader.sequence), now_ms)
+        for peer in ("a/1", "s/1"):
+            index, term = leader.log.last_index(), leader.term
+            reply = AppendReply(
+                term, peer, "c/1", True, index, 0, leader.round, now_ms
+            )
+            leader.step(reply, now_ms)
+        voters = leader.members().voters
+        if voters not in seen:
+            seen.append(voters)
+    assert seen == [
+        ["a/1", "b/1", "c/1"],
+        ["a/1", "b/1", "c/1", "s/1"],
+        ["a/1", "c/1", "s/1"],
+    ]
+
+
 def test_late_sync_does_not_cover_replaced_entries(make_replica):
     """Guards against acknowledging entries that are not yet synced."""
     replica = make_replica()
--- a/wigeonport/memberships.py
+++ b/wigeonport/memberships.py
@@ -109,16 +109,18 @@
 
 
 def _keeps_quorum(replica, members):
-    """Returns whether a quorum of these voters was heard recently.
+    """Returns whether a quorum of these voters answered recently.
 
-    A change that only silent voters could commit would stop the log.
+    A change that only silent voters could commit would stop the log. The
+    time of the request counts: a leader that was stopped for a while
+    reads old answers when it goes on.
     """
     limit_ms = replica.now_ms - 2 * replica.settings.learner_heartbeat_ms
     heard = [
         voter
         for voter in members.voters
         if voter == replica.replica_id
-        or replica.progress[voter].heard_ms >= limit_ms
+        or replica.progress[voter].acked_sent_ms >= limit_ms
     ]
     return len(heard) >= members.quorum()
 
@@ -237,21 +239,40 @@
     members = replica.members()
     if replica.replica_id not in members.by_id:
         return
-    ready = _ready_learner(replica, members)
+    wanted = _next_members(replica, members)
+    if wanted is not None and _keeps_quorum(replica, wanted):
+        change(replica, wanted)
+
+
+def _next_members(replica, members):
+    """Returns the members after the next change that is due, or None.
+
+    A silent voter is removed only after its replacement was promoted. The
+    other order could stop the log for good: with three voters the change
+    needs both remaining ones, and one may lose its disk just then.
+    """
     settings = replica.settings
     silent_voter = _silent(replica, True, settings.replace_voter_ms)
     silent_learner = _silent(replica, False, settings.forget_learner_ms)
-    if ready and len(members.voters) < settings.target_voters:
-        member = Member(ready, True, True)
-        change(replica, members.with_member(member))
-    elif (
-        ready
-        and silent_voter
-        and _keeps_quorum(replica, members.without(silent_voter))
-    ):
-        change(replica, members.without(silent_voter))
-    elif silent_learner:
-        change(replica, members.without(silent_learner))
+    ready = _ready_learner(replica, members)
+    spare_count = len(members.voters) - settings.target_voters
+    if ready and spare_count < (1 if silent_voter else 0):
+        return members.with_member(Member(ready, True, True))
+    if spare_count > 0:
+        return members.without(silent_voter or _least_heard(replica))
+    if silent_learner:
+        return members.without(silent_learner)
+    return None
+
+
+def _least_heard(replica):
+    """Returns the voter whose last message is the oldest."""
+    voters = [
+        voter
+        for voter in replica.members().voters
+        if voter != replica.replica_id
+    ]
+    return min(voters, key=lambda voter: replica.progress[voter].heard_ms)
 
 
 def _ready_learner(replica, members):
