Send simulated removals to running leaders only

Change: the schedule sends a removal only to a leader that runs, so that its check of lost disks holds when the removal is appended.

--- a/tests/failure_schedules.py
+++ b/tests/failure_schedules.py
@@ -167,6 +167,9 @@
         network = self.network
         if not node.replica or not node.replica.is_leader():
             return
+        # A stopped leader would handle the request after the check below.
+        if network.now_ms < node.paused_until_ms:
+            return
         members = node.replica.members()
         # Removing a voter just after another lost its disk leaves no
         # quorum with data, as with any two such losses of three.
