--- a/tests/test_planners.py
+++ b/tests/test_planners.py
@@ -129,7 +129,7 @@
     )
 
 
-def test_stray_vm_of_an_earlier_leader_returns(make_run):
+def test_orphaned_vm_of_an_earlier_leader_returns(make_run):
     """Guards against capacity that no one gives back."""
     run = make_run()
     commands = report(run, "roster-ikeja-1", DRAINED)
--- a/tests/test_random_traces.py
+++ b/tests/test_random_traces.py
@@ -10,7 +10,7 @@
 from wigeonport.plan_settings import PlanSettings
 from wigeonport.planners import Planner
 from wigeonport.replays import Replay
-from wigeonport.trace_kinds import WorldChanged
+from wigeonport.trace_kinds import FaultsChanged
 from wigeonport.traces import ANSWERS, TraceEvent, TraceHeader
 from wigeonport.views import FAILED, READY, Size
 
@@ -115,13 +115,13 @@
                     self.random.random() < 0.7,
                 ),
             )
-        world = WorldChanged(
+        faults = FaultsChanged(
             failing_workers=("roster-ikeja-1",),
             failing_jobs=tuple(self.random.sample(names, 5)),
             stuck_jobs=tuple(self.random.sample(names, 10)),
             stuck_reboots=("crusade-yaba-1",),
         )
-        self.add(0, world)
+        self.add(0, faults)
         cancelled = tuple(self.random.sample(names, 20))
         self.add(90_000, events.JobsCancelled(cancelled))
 
@@ -149,14 +149,14 @@
         assert used.cores == pytest.approx(cores)
 
 
-def check_no_ghosts(replay):
+def check_no_stale_jobs(replay):
     """Asserts that no job is held long after its task has ended.
 
     A job on a lost worker is held until its lease ends, not longer.
     """
     table = replay.planner.view.jobs
     lease_ms = table.settings.task_lease_ms
-    ghosts = []
+    stale_jobs = []
     for name, job in table.jobs.items():
         if job.vm is None or name in replay.platform.tasks:
             continue
@@ -164,8 +164,8 @@
         held_ms = END_MS - job.started_ms
         forgotten = job.state != LOST and held_ms > 2 * lease_ms
         if expired or forgotten:
-            ghosts.append(name)
-    assert ghosts == []
+            stale_jobs.append(name)
+    assert stale_jobs == []
 
 
 @pytest.mark.parametrize("seed", range(12))
@@ -182,4 +182,4 @@
     assert record.measures.commands["drain_vm"] > 0
     assert record.measures.commands["start_task"] > 20
     check_tables(replay.planner.view)
-    check_no_ghosts(replay)
+    check_no_stale_jobs(replay)
--- a/tools/generate_traces.py
+++ b/tools/generate_traces.py
@@ -12,7 +12,7 @@
 
 from wigeonport import plan_events as events
 from wigeonport.registries import Registry
-from wigeonport.trace_kinds import ActualJob, WorldChanged
+from wigeonport.trace_kinds import ActualJob, FaultsChanged
 from wigeonport.traces import ANSWERS, TraceWriter
 from wigeonport.views import FAILED, READY, Size
 
@@ -255,7 +255,7 @@
     builder = TraceBuilder(deployment, seed, 180_000)
     builder.start()
     bad = builder.vm(0, 0)
-    builder.add(0, WorldChanged(failing_workers=(bad,)))
+    builder.add(0, FaultsChanged(failing_workers=(bad,)))
     for number in range(100):
         builder.job(
             1_000 + 400 * number,
@@ -287,7 +287,7 @@
     builder.job(2_000, "no-device", used=graphics, run_ms=5_000, job_kind="b")
     builder.job(2_000, "no-team", used=small, run_ms=5_000, team="unknown")
     builder.job(2_000, "broken", used=small, run_ms=5_000, job_kind="c")
-    builder.add(0, WorldChanged(failing_jobs=("broken",)))
+    builder.add(0, FaultsChanged(failing_jobs=("broken",)))
     return builder
 
 
@@ -322,7 +322,7 @@
             run_ms=300_000,
             can_checkpoint=number % 3 > 0,
         )
-    builder.add(0, WorldChanged(stuck_jobs=("long-1", "long-4", "long-7")))
+    builder.add(0, FaultsChanged(stuck_jobs=("long-1", "long-4", "long-7")))
     for number in range(8):
         builder.job(
             20_000 + 6_000 * number,
@@ -390,10 +390,10 @@
     builder = TraceBuilder(deployment, seed, 600_000)
     builder.start(due_ms=2 * 86_400_000)
     stuck = builder.vm(0, 0)
-    builder.add(0, WorldChanged(stuck_reboots=(stuck,)))
+    builder.add(0, FaultsChanged(stuck_reboots=(stuck,)))
     builder.add(200_000, events.MaintenanceSteered("resume"))
     builder.report_vm(210_000, stuck, READY)
-    builder.add(210_000, WorldChanged())
+    builder.add(210_000, FaultsChanged())
     return builder
 
 
--- a/wigeonport/borrow_policies.py
+++ b/wigeonport/borrow_policies.py
@@ -6,7 +6,7 @@
     count_incoming,
     needed_vms,
 )
-from wigeonport.borrowings import Supply, Wishes
+from wigeonport.borrowings import LoanRequests, Supply
 from wigeonport.level_scores import move_price, update_scores
 from wigeonport.plan_registries import borrow_policies
 
@@ -60,24 +60,24 @@
 @borrow_policies.register("break_even")
 def break_even(view, now_ms):
     """Moves a VM once its absence has cost as much as the move."""
-    wishes = Wishes()
+    requests = LoanRequests()
     for each in find_needs(view, now_ms):
-        want_by_score(view, each, wishes)
-        return_by_score(view, each, now_ms, wishes)
-    return wishes
+        want_by_score(view, each, requests)
+        return_by_score(view, each, now_ms, requests)
+    return requests
 
 
-def want_by_score(view, each, wishes):
+def want_by_score(view, each, requests):
     """Wants the levels whose score is at the upper bound."""
     price = move_price(view.settings)
     wanted = 0
     while each.scores.get(each.have + wanted + 1, -price) >= price:
         wanted += 1
     if wanted:
-        wishes.wants[each.pool.name] = wanted
+        requests.wants[each.pool.name] = wanted
 
 
-def return_by_score(view, each, now_ms, wishes):
+def return_by_score(view, each, now_ms, requests):
     """Returns idle VMs whose hold has passed, at the lower bound."""
     price = move_price(view.settings)
     have = each.have
@@ -86,7 +86,7 @@
         if each.scores.get(have, -price) > -price:
             return
         if now_ms - (vm.moved_ms or 0) >= hold_ms:
-            wishes.returns.append(vm)
+            requests.returns.append(vm)
             have -= 1
 
 
@@ -99,7 +99,7 @@
     A VM that is idle after a peak stays until its hold and its score let it
     return, but a pool whose peak has begun may take it at once.
     """
-    wishes = Wishes()
+    requests = LoanRequests()
     needs = find_needs(view, now_ms)
     for each in needs:
         peaks = each.need > each.own
@@ -107,15 +107,17 @@
     for each in needs:
         left_ms = view.peaks.expected_left_ms(each.pool.name, now_ms)
         if left_ms is None:
-            want_by_score(view, each, wishes)
+            want_by_score(view, each, requests)
         elif each.need > each.have:
-            want_by_gain(view, each, left_ms, wishes)
-        return_by_score(view, each, now_ms, wishes)
-        wishes.idle.extend(vm for vm in each.idle if vm not in wishes.returns)
-    return wishes
+            want_by_gain(view, each, left_ms, requests)
+        return_by_score(view, each, now_ms, requests)
+        requests.idle.extend(
+            vm for vm in each.idle if vm not in requests.returns
+        )
+    return requests
 
 
-def want_by_gain(view, each, left_ms, wishes):
+def want_by_gain(view, each, left_ms, requests):
     """Wants the missing VMs if the rest of the peak pays their moves.
 
     A VM of the spare pool is moved twice, there and back; one that is idle
@@ -128,9 +130,9 @@
     if gain <= price:
         return
     name = each.pool.name
-    wishes.wants[name] = each.need - each.have
+    requests.wants[name] = each.need - each.have
     if gain <= 2 * price:
-        wishes.only_transfers.add(name)
+        requests.only_transfers.add(name)
     for level in range(each.have + 1, each.need + 1):
         # The hold then applies to what is moved now.
         each.scores[level] = price
@@ -139,7 +141,7 @@
 @borrow_policies.register("follow_demand")
 def follow_demand(view, now_ms):
     """Baseline: moves as many VMs as the demand differs, at once."""
-    wishes = Wishes()
+    requests = LoanRequests()
     for pool in view.fleet.pools.values():
         if pool.spare or not pool.services:
             continue
@@ -150,7 +152,7 @@
             vm for vm in available_vms(view, pool.name, now_ms) if vm.borrowed
         ]
         if surplus < 0:
-            wishes.wants[pool.name] = -surplus
+            requests.wants[pool.name] = -surplus
         else:
-            wishes.returns.extend(borrowed[:surplus])
-    return wishes
+            requests.returns.extend(borrowed[:surplus])
+    return requests
--- a/wigeonport/borrowings.py
+++ b/wigeonport/borrowings.py
@@ -10,7 +10,7 @@
 from wigeonport.views import READY
 
 
-class Wishes:
+class LoanRequests:
     """What a borrowing policy asks for.
 
     Attributes:
@@ -91,9 +91,9 @@
     if not view.is_full():
         return commands
     policy = borrow_policies.entries[view.settings.borrow_policy]
-    wishes = policy(view, now_ms)
+    requests = policy(view, now_ms)
     view.scored_ms = now_ms
-    commands.extend(fulfil(view, wishes, now_ms))
+    commands.extend(start_moves(view, requests, now_ms))
     return commands
 
 
@@ -143,20 +143,20 @@
     scores[pool.guaranteed()] = move_price(view.settings)
 
 
-def fulfil(view, wishes, now_ms):
+def start_moves(view, requests, now_ms):
     """Starts the moves; a VM that is idle elsewhere goes straight there."""
     commands = []
     kept = view.reserve.needed if view.reserve else 0
     supply = Supply(view, now_ms, kept)
-    by_want = sorted(wishes.wants.items(), key=lambda item: (-item[1], item))
+    by_want = sorted(requests.wants.items(), key=lambda item: (-item[1], item))
     for pool_name, wanted in by_want:
         for _ in range(wanted):
-            vm = wishes.take_idle(pool_name)
-            if vm is None and pool_name not in wishes.only_transfers:
+            vm = requests.take_idle(pool_name)
+            if vm is None and pool_name not in requests.only_transfers:
                 vm = supply.take(view, pool_name)
             if vm is None:
                 break
             commands.extend(start_move(view, vm, pool_name, now_ms))
-    for vm in wishes.returns:
+    for vm in requests.returns:
         commands.extend(start_move(view, vm, vm.lender, now_ms))
     return commands
--- a/wigeonport/operation_answers.py
+++ b/wigeonport/operation_answers.py
@@ -78,7 +78,7 @@
 
 @refusals.register(MoveVm)
 def refuse_move(view, command, now_ms):
-    """Drops a move that the log refused; the VM is then a stray."""
+    """Drops a move that the log refused; the VM is then orphaned."""
     operation = view.operations.get(command.vm)
     if operation is not None and operation.phase == CHANGING:
         del view.operations[command.vm]
--- a/wigeonport/operation_stages.py
+++ b/wigeonport/operation_stages.py
@@ -5,9 +5,9 @@
     MOVE,
     OPERATOR_DRAIN,
     OPERATOR_STARTING,
+    ORPHAN_REASON,
     RESTARTING,
     STARTING,
-    STRAY_REASON,
     Operation,
     advance,
     start_return,
@@ -28,7 +28,7 @@
     commands = []
     for operation in operations_in_scope(view):
         commands.extend(advance(view, operation, now_ms))
-    commands.extend(recover_strays(view, now_ms))
+    commands.extend(recover_orphans(view, now_ms))
     return commands
 
 
@@ -67,15 +67,15 @@
             )
 
 
-def recover_strays(view, now_ms):
+def recover_orphans(view, now_ms):
     """Returns VMs to work that an earlier leader left drained."""
     commands = []
     for pool in view.pools():
         for name in pool.members:
             vm = view.fleet.vms[name]
-            stray = vm.state in (DRAINING, DRAINED, PREPARING)
-            if stray and name not in view.operations:
+            orphaned = vm.state in (DRAINING, DRAINED, PREPARING)
+            if orphaned and name not in view.operations:
                 commands.append(
-                    start_return(view, vm.name, STRAY_REASON, now_ms)
+                    start_return(view, vm.name, ORPHAN_REASON, now_ms)
                 )
     return commands
--- a/wigeonport/operations.py
+++ b/wigeonport/operations.py
@@ -26,7 +26,7 @@
 MOVE = "move"
 RECOVERY = "recovery"
 OPERATOR_DRAIN = "drain"
-STRAY_REASON = "no operation needs the drain"
+ORPHAN_REASON = "no operation needs the drain"
 
 GRANTING = "granting"
 STARTING = "starting"
@@ -252,10 +252,10 @@
 
 @phases.register(RETURNING)
 def await_return(view, operation, vm, now_ms):
-    """Waits until a stray VM is ready; asks again after the bound."""
+    """Waits until an orphaned VM is ready; asks again after the bound."""
     if vm.state == READY:
         return end(view, operation, "returned")
     if now_ms - operation.since_ms > view.settings.prepare_bound_ms:
         operation.enter(RETURNING, now_ms)
-        return [UndrainVm(vm.name, STRAY_REASON)]
+        return [UndrainVm(vm.name, ORPHAN_REASON)]
     return []
--- a/wigeonport/replay_platforms.py
+++ b/wigeonport/replay_platforms.py
@@ -17,7 +17,7 @@
 )
 from wigeonport.platforms import REPEATED, STALE_TERM, TermFence
 from wigeonport.registries import Registry
-from wigeonport.trace_kinds import ActualJob, WorldChanged
+from wigeonport.trace_kinds import ActualJob, FaultsChanged
 from wigeonport.views import DRAINED, FAILED, READY, REBOOTING
 
 # Sequence numbers of one millisecond.
@@ -41,7 +41,7 @@
         tasks: Task by job.
         actual: ActualJob by job.
         submitted: JobSubmitted by job.
-        world: WorldChanged in force.
+        faults: FaultsChanged in force.
     """
 
     __slots__ = (
@@ -55,7 +55,7 @@
         "tasks",
         "actual",
         "submitted",
-        "world",
+        "faults",
     )
 
     def __init__(self, delays):
@@ -69,7 +69,7 @@
         self.tasks = {}
         self.actual = {}
         self.submitted = {}
-        self.world = WorldChanged()
+        self.faults = FaultsChanged()
 
     def observe(self, event, now_ms):
         """Takes note of an event of the trace."""
@@ -157,10 +157,10 @@
     platform.actual[event.job] = event
 
 
-@observers.register(WorldChanged)
-def observe_world(platform, event, now_ms):
+@observers.register(FaultsChanged)
+def observe_faults(platform, event, now_ms):
     """Replaces the faults in force."""
-    platform.world = event
+    platform.faults = event
 
 
 @answers.register("drain_vm")
@@ -196,7 +196,7 @@
     """Reports a VM as rebooting, then as ready."""
     platform.draining.pop(command.vm, None)
     platform.report_vm(command.vm, REBOOTING, at_ms)
-    if command.vm not in platform.world.stuck_reboots:
+    if command.vm not in platform.faults.stuck_reboots:
         ready_ms = at_ms + platform.delays["reboot_ms"]
         platform.report_vm(command.vm, READY, ready_ms)
 
--- a/wigeonport/replay_tasks.py
+++ b/wigeonport/replay_tasks.py
@@ -90,8 +90,8 @@
 
 def will_fail(platform, task):
     """Returns whether a task fails, also for lack of memory."""
-    world = platform.world
-    if task.vm in world.failing_workers or task.job in world.failing_jobs:
+    faults = platform.faults
+    if task.vm in faults.failing_workers or task.job in faults.failing_jobs:
         return True
     memory_mb = sum(
         find_actual(platform, each.job).used.memory_mb
@@ -150,7 +150,7 @@
 def answer_checkpoint(platform, command, at_ms):
     """Ends a task after its checkpoint, unless it is stuck."""
     task = find_task(platform, command)
-    if task is not None and task.job not in platform.world.stuck_jobs:
+    if task is not None and task.job not in platform.faults.stuck_jobs:
         saved_ms = at_ms + platform.delays["checkpoint_ms"]
         report_task(platform, task, CHECKPOINTED, saved_ms)
 
--- a/wigeonport/replays.py
+++ b/wigeonport/replays.py
@@ -18,10 +18,10 @@
 from wigeonport.planners import build_planner
 from wigeonport.replay_measures import Measures
 from wigeonport.replay_platforms import AnswerPlatform
-from wigeonport.trace_kinds import ActualJob, WorldChanged
+from wigeonport.trace_kinds import ActualJob, FaultsChanged
 from wigeonport.view_documents import copy_fleet
 
-WORLD_ONLY = (ActualJob, WorldChanged)
+STAND_IN_ONLY = (ActualJob, FaultsChanged)
 
 
 class Outcome:
@@ -168,7 +168,7 @@
             event = FleetLoaded(copy_fleet(event.fleet), event.grants)
         if self.platform is not None:
             self.platform.observe(event, now_ms)
-        if not isinstance(event, WORLD_ONLY):
+        if not isinstance(event, STAND_IN_ONLY):
             self.feed(event, now_ms)
 
     def feed(self, event, now_ms):
--- a/wigeonport/trace_kinds.py
+++ b/wigeonport/trace_kinds.py
@@ -34,7 +34,7 @@
         self.run_ms = run_ms
 
 
-class WorldChanged:
+class FaultsChanged:
     """Faults that only the stand-in of the platform knows.
 
     Attributes:
@@ -299,8 +299,8 @@
     Field("run_ms", WHOLE),
 )
 declare(
-    "world",
-    WorldChanged,
+    "faults",
+    FaultsChanged,
     Field("failing_workers", TEXTS, ()),
     Field("failing_jobs", TEXTS, ()),
     Field("stuck_jobs", TEXTS, ()),
