Cap deadlines by max_deadline_ms

Cause: the setting is the longest deadline of a request, but a caller could ask for up to 600 s.

Change: a longer deadline is cut to the setting. The settings page names the check of policies.

--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -19,7 +19,7 @@
 from wigeonport.metrics import Metrics
 from wigeonport.programs import stop_on_signal
 from wigeonport.receivers import (
-    MAX_DEADLINE_MS,
+    DEADLINE_HEADER,
     MAX_PRIORITY,
     CallerLimits,
     make_request,
@@ -262,6 +262,14 @@
     }
     made = make_request(scope, b"", 0, CallerLimits(1_000, 60_000))
     if not isinstance(made, str):
-        assert 0 <= made.deadline_ms <= MAX_DEADLINE_MS
+        assert 0 <= made.deadline_ms <= 60_000
         assert 0 <= made.priority <= MAX_PRIORITY
         assert made.key is None or made.key.isascii()
+
+
+def test_deadline_is_capped_by_the_setting():
+    """Guards against requests held for longer than the operator allows."""
+    scope = {"method": "GET", "path": "/roster", "raw_path": b"/roster"}
+    scope |= {"query_string": b"", "headers": [(DEADLINE_HEADER, b"90000")]}
+    made = make_request(scope, b"", 0, CallerLimits(1_000, 60_000))
+    assert made.deadline_ms == 60_000
--- a/tools/write_references.py
+++ b/tools/write_references.py
@@ -36,6 +36,7 @@
 - The file names 1, 3 or 5 voters, each this VM or a peer; a voter has a
   `data_dir`.
 - There is at least one key file, and the key ids differ.
+- `queue_discipline` and `share_policy` name registered policies.
 - `election_timeout_ms` is at least twice `replication_heartbeat_ms`.
 
 ## Keys of the links
--- a/wigeonport/receivers.py
+++ b/wigeonport/receivers.py
@@ -32,7 +32,8 @@
 
     Attributes:
         max_body_bytes: Largest body of a request.
-        default_deadline_ms: Deadline of a request that states none.
+        max_deadline_ms: Longest deadline, and that of a request that states
+            none.
         receive_timeout_ms: Longest wait for the body of a request.
         max_receiving: Largest number of bodies that arrive in pieces at
             the same time; bounds the memory of what is not admitted yet.
@@ -40,7 +41,7 @@
 
     __slots__ = (
         "max_body_bytes",
-        "default_deadline_ms",
+        "max_deadline_ms",
         "receive_timeout_ms",
         "max_receiving",
     )
@@ -48,12 +49,12 @@
     def __init__(
         self,
         max_body_bytes,
-        default_deadline_ms,
+        max_deadline_ms,
         receive_timeout_ms=10_000,
         max_receiving=64,
     ):
         self.max_body_bytes = max_body_bytes
-        self.default_deadline_ms = default_deadline_ms
+        self.max_deadline_ms = max_deadline_ms
         self.receive_timeout_ms = receive_timeout_ms
         self.max_receiving = max_receiving
 
@@ -164,7 +165,7 @@
     if not service:
         return "the path names no service"
     deadline_ms = parse_number(
-        headers, DEADLINE_HEADER, limits.default_deadline_ms, MAX_DEADLINE_MS
+        headers, DEADLINE_HEADER, limits.max_deadline_ms, MAX_DEADLINE_MS
     )
     priority = parse_number(headers, PRIORITY_HEADER, 0, MAX_PRIORITY)
     for value in (deadline_ms, priority):
@@ -183,7 +184,7 @@
         headers=scope["headers"],
         body=body,
         key=None if key is None else key.decode("ascii"),
-        deadline_ms=received_ms + deadline_ms,
+        deadline_ms=received_ms + min(deadline_ms, limits.max_deadline_ms),
         received_ms=received_ms,
         priority=priority,
         reply=Reply(),
