Apply the deadline and repeatability of a service

Cause: the fleet version states default_deadline_ms and idempotent of a service, but no entry applied them.

Change: the admission filter applies both. The test fails without it.

--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -273,3 +273,19 @@
     scope |= {"query_string": b"", "headers": [(DEADLINE_HEADER, b"90000")]}
     made = make_request(scope, b"", 0, CallerLimits(1_000, 60_000))
     assert made.deadline_ms == 60_000
+
+
+def test_service_sets_deadline_and_repeatability(make_request):
+    """Guards against fleet settings that no entry applies."""
+    admission = Admission(8, 100_000)
+    service = {"id": "roster", "default_deadline_ms": 500, "idempotent": True}
+    admission.configure(FleetApplied(1, {"services": [service]}))
+    stated, default, keyed = (
+        make_request("POST", key, deadline_ms=9_000)
+        for key in (None, None, "k")
+    )
+    default.states_deadline = False
+    for request in (stated, default, keyed):
+        assert admission.admit(request, 0) is None
+    assert (stated.deadline_ms, default.deadline_ms) == (9_000, 500)
+    assert (stated.repeatable, keyed.repeatable) == (True, False)
--- a/wigeonport/admissions.py
+++ b/wigeonport/admissions.py
@@ -51,8 +51,8 @@
     Attributes:
         max_requests: Largest number of requests in the entry.
         max_bytes: Largest size of their bodies together.
-        services: Names of the services of the version in force, or None
-            before the first version.
+        services: Documents of the services of the version in force by
+            name, or None before the first version.
         total: Held of all services.
         by_service: Held by service.
         requests: Admitted requests without an answer by id.
@@ -78,13 +78,14 @@
     def configure(self, applied):
         """Takes over a newly applied version."""
         self.services = {
-            service["id"] for service in applied.document["services"]
+            service["id"]: service for service in applied.document["services"]
         }
 
     def admit(self, request, now_ms):
         """Holds a request; returns its refusal, or None."""
         refusal = self.check(request, now_ms)
         if refusal is None:
+            apply_service(request, self.services[request.service])
             held = self.by_service.setdefault(request.service, Held())
             for each in (held, self.total):
                 each.add(1, measure(request))
@@ -127,6 +128,15 @@
             request.reply.send(leave_unknown(503, text))
 
 
+def apply_service(request, service):
+    """Applies what the fleet version says of the service's requests."""
+    request.service_repeatable = service.get("idempotent", False)
+    default_ms = service.get("default_deadline_ms")
+    if default_ms is not None and not request.states_deadline:
+        deadline_ms = request.received_ms + default_ms
+        request.deadline_ms = min(request.deadline_ms, deadline_ms)
+
+
 def measure(request):
     """Returns the size that is counted for a request."""
     return REQUEST_BYTES + len(request.body)
--- a/wigeonport/receivers.py
+++ b/wigeonport/receivers.py
@@ -176,7 +176,7 @@
         return f"Idempotency-Key must be 1 to {MAX_KEY_BYTES} ASCII bytes"
     if sum(name == KEY_HEADER for name, _ in scope["headers"]) > 1:
         return "Idempotency-Key is given twice"
-    return CallerRequest(
+    request = CallerRequest(
         request_id=uuid.uuid4().hex,
         service=service,
         method=scope["method"],
@@ -189,6 +189,8 @@
         priority=priority,
         reply=Reply(),
     )
+    request.states_deadline = DEADLINE_HEADER in headers
+    return request
 
 
 def parse_number(headers, name, default, largest):
--- a/wigeonport/requests.py
+++ b/wigeonport/requests.py
@@ -25,6 +25,9 @@
         may_have_run: Whether an earlier attempt may have run. A request that
             waits for its retry must not be reported as not run.
         queued_ms: When it began to wait for a slot.
+        states_deadline: Whether the caller stated the deadline.
+        service_repeatable: Whether the fleet version says that requests of
+            the service may run more than once.
         reply: Reply channel of the receiver.
     """
 
@@ -42,6 +45,8 @@
         "attempts",
         "may_have_run",
         "queued_ms",
+        "states_deadline",
+        "service_repeatable",
         "reply",
     )
 
@@ -72,12 +77,16 @@
         self.attempts = 0
         self.may_have_run = False
         self.queued_ms = received_ms
+        self.states_deadline = True
+        self.service_repeatable = False
         self.reply = reply
 
     @property
     def repeatable(self):
         """Whether a second run does no harm."""
-        return self.key is None and self.method in IDEMPOTENT_METHODS
+        if self.key is not None:
+            return False
+        return self.service_repeatable or self.method in IDEMPOTENT_METHODS
 
 
 class CallerAnswer:
