Do not repeat a POST for an idempotent service

Change: the entry applies only default_deadline_ms. A POST without a key is not sent again once a byte may have been sent.

--- a/wigeonport/admissions.py
+++ b/wigeonport/admissions.py
@@ -129,8 +129,11 @@
 
 
 def apply_service(request, service):
-    """Applies what the fleet version says of the service's requests."""
-    request.service_repeatable = service.get("idempotent", False)
+    """Applies the service's deadline where the caller stated none.
+
+    ``idempotent`` is not applied: a POST without a key is never sent again
+    once a byte of it may have been sent.
+    """
     default_ms = service.get("default_deadline_ms")
     if default_ms is not None and not request.states_deadline:
         deadline_ms = request.received_ms + default_ms
--- a/wigeonport/requests.py
+++ b/wigeonport/requests.py
@@ -26,8 +26,6 @@
             waits for its retry must not be reported as not run.
         queued_ms: When it began to wait for a slot.
         states_deadline: Whether the caller stated the deadline.
-        service_repeatable: Whether the fleet version says that requests of
-            the service may run more than once.
         reply: Reply channel of the receiver.
     """
 
@@ -46,7 +44,6 @@
         "may_have_run",
         "queued_ms",
         "states_deadline",
-        "service_repeatable",
         "reply",
     )
 
@@ -78,15 +75,12 @@
         self.may_have_run = False
         self.queued_ms = received_ms
         self.states_deadline = True
-        self.service_repeatable = False
         self.reply = reply
 
     @property
     def repeatable(self):
         """Whether a second run does no harm."""
-        if self.key is not None:
-            return False
-        return self.service_repeatable or self.method in IDEMPOTENT_METHODS
+        return self.key is None and self.method in IDEMPOTENT_METHODS
 
 
 class CallerAnswer:
