--- a/wigeonport/requests.py
+++ b/wigeonport/requests.py
@@ -25,6 +25,7 @@
         may_have_run: Whether an earlier attempt may have run. A request that
             waits for its retry must not be reported as not run.
         queued_ms: When it began to wait for a slot.
+        states_deadline: Whether the caller stated the deadline.
         reply: Reply channel of the receiver.
     """
 
@@ -42,6 +43,7 @@
         "attempts",
         "may_have_run",
         "queued_ms",
+        "states_deadline",
         "reply",
     )
 
@@ -72,6 +74,7 @@
         self.attempts = 0
         self.may_have_run = False
         self.queued_ms = received_ms
+        self.states_deadline = True
         self.reply = reply
 
     @property
