Count failed requests of the throughput benchmark by reason

One run at a load average of 29 counted 5,539 failed requests at the entry without a reason; runs since then had none. The reasons are printed now.

--- a/bench/entry_throughput.py
+++ b/bench/entry_throughput.py
@@ -10,6 +10,7 @@
 import pathlib
 import sys
 import tempfile
+from collections import Counter
 
 import trio
 from deployments import Deployment
@@ -69,13 +70,14 @@
 class Figures:
     """Series of one contender."""
 
-    __slots__ = ("rate_per_s", "p50_ms", "p99_ms", "failed")
+    __slots__ = ("rate_per_s", "p50_ms", "p99_ms", "failed", "reasons")
 
     def __init__(self):
         self.rate_per_s = Series()
         self.p50_ms = Series()
         self.p99_ms = Series()
         self.failed = 0
+        self.reasons = Counter()
 
 
 async def measure(url, figures, half_rate, seconds):
@@ -87,6 +89,7 @@
     figures.p50_ms.values.append(half.percentile_ms(50))
     figures.p99_ms.values.append(half.percentile_ms(99))
     figures.failed += full.failed + half.failed
+    figures.reasons += full.reasons + half.reasons
     return rate
 
 
@@ -114,6 +117,8 @@
             f"{name:>6}: {row.rate_per_s} requests/s, at half load p50 "
             f"{row.p50_ms} ms, p99 {row.p99_ms} ms, failed {row.failed}"
         )
+        for reason, count in row.reasons.most_common():
+            print(f"        {count} failed: {reason}")
     for name in ("direct", "entry"):
         row = figures[name]
         rate = row.rate_per_s.median / relay.rate_per_s.median
--- a/bench/measures.py
+++ b/bench/measures.py
@@ -4,6 +4,7 @@
 import pathlib
 import statistics
 import time
+from collections import Counter
 
 import httpcore
 import trio
@@ -22,9 +23,10 @@
         rate_per_s: Completed requests a second.
         latency_us: Histogram of the latency.
         failed: Requests with a status other than 200.
+        reasons: Their number by status and reason.
     """
 
-    __slots__ = ("rate_per_s", "latency_us", "failed")
+    __slots__ = ("rate_per_s", "latency_us", "failed", "reasons")
 
     def __init__(self):
         self.rate_per_s = 0.0
@@ -32,6 +34,7 @@
             1, LARGEST_LATENCY_US, SIGNIFICANT_FIGURES
         )
         self.failed = 0
+        self.reasons = Counter()
 
     def percentile_ms(self, percentile):
         """Returns a percentile of the latency in ms."""
@@ -45,6 +48,8 @@
     response = await pool.request("GET", url)
     if response.status != 200:
         result.failed += 1
+        reason = dict(response.headers).get(b"wigeonport-reason", b"")
+        result.reasons[f"{response.status} {reason.decode('latin-1')}"] += 1
     spent_us = (time.monotonic_ns() - started_ns) // 1_000
     result.latency_us.record_value(max(1, spent_us))
 
