--- a/wigeonport/consensus.py
+++ b/wigeonport/consensus.py
@@ -278,6 +278,8 @@
             if reply is not None:
                 self.settle(reply, answer)
         self.metrics.set("consensus_applied_index", self.applied_index)
+        voters = len(self.replica.members().voters)
+        self.metrics.set("consensus_voters", voters)
         self.calls.applied(self.applied_index, self.state)
 
     def install(self, snapshot):
