Count suspended time, and survive a view that raises

Cause: found by reading: CLOCK_MONOTONIC stands still while a VM is suspended, so a leader lease could outlive its time; a view that raises ended the task that owns the log. Change: CLOCK_BOOTTIME; a fault in a view is logged and answered. Figures: one test added, which fails without the change; a suspended VM was not tried. Conclusion: a fault of the planner's queries cannot stop a replica.

--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -153,6 +153,23 @@
     run_group(scenario)
 
 
+def test_view_that_raises_does_not_end_the_task(run_group):
+    """Guards against a fault of another filter that stops the replica."""
+
+    async def scenario(group):
+        for node in SEEDS:
+            await group.start(node)
+        leader = await group.leader()
+        inbox = group.tasks[leader].inbox
+        found = await ask(
+            inbox, lambda r: Read(lambda state: state.missing, r), 5_000
+        )
+        assert "the view failed" in found.ok.error
+        assert await group.index(leader) >= 1
+
+    run_group(scenario)
+
+
 def test_lost_disk_and_diskless_node_join_as_learners(run_group):
     """Guards against a vote of a replica that lost its data."""
 
--- a/wigeonport/clocks.py
+++ b/wigeonport/clocks.py
@@ -6,13 +6,17 @@
 
 
 class Clock:
-    """Reads the clocks of this VM."""
+    """Reads the clocks of this VM.
+
+    CLOCK_MONOTONIC stands still while a VM is suspended, so that a leader
+    lease would outlive its time; CLOCK_BOOTTIME goes on.
+    """
 
     __slots__ = ()
 
     def now(self):
         """Returns the monotonic time in ms; its origin is arbitrary."""
-        return time.monotonic_ns() // 1_000_000
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
 
     def wall(self):
         """Returns the time since the Unix epoch in ms."""
--- a/wigeonport/consensus_calls.py
+++ b/wigeonport/consensus_calls.py
@@ -6,6 +6,7 @@
 
 from wigeonport.codecs import codecs
 from wigeonport.consensus_requests import ProposalAnswer
+from wigeonport.logs import PartLogger
 from wigeonport.replica_events import UNKNOWN
 from wigeonport.replication_messages import (
     ProposeReply,
@@ -13,6 +14,8 @@
     node_of,
 )
 
+logger = PartLogger("consensus")
+
 codec = codecs.get("thrift").ok()
 
 # Longer than an election, so that most calls end by an answer; callers
@@ -94,8 +97,17 @@
         self.reply = reply
 
     def finish(self, state):
-        """Answers with the view of the state."""
-        self.reply.send(Ok(self.view(state)))
+        """Answers with the view of the state.
+
+        A view comes from another filter; its fault must not end the task
+        that owns the log.
+        """
+        try:
+            answer = Ok(self.view(state))
+        except Exception as fault:
+            logger.error("A view of the state failed.", fault=repr(fault))
+            answer = Error(f"the view failed: {fault!r}")
+        self.reply.send(answer)
 
     def abandon(self, reason):
         """Answers with an error; a read has no effect."""
