Show dead processes as silent in the fleet status

Cause: a control reported every process that had ever subscribed to it to the other controls every 5 s, also after its link had closed. Two controls that did so refreshed each other's status for ever, so a dead entry never became silent and the status said that the version was in force everywhere.

Ruled out: reports of the entry itself; an entry reports only when it applies a version, and the entry was killed.

Change: a control reports the processes whose links to it are open, and an open link counts as heard; the node ids kept beside them are gone.

--- a/tests/test_publishers.py
+++ b/tests/test_publishers.py
@@ -10,7 +10,7 @@
     Subscribe,
     VersionReport,
 )
-from wigeonport.links import Delivery
+from wigeonport.links import Delivery, LinkClosed
 from wigeonport.publishers import Publisher, VersionAccepted, handle
 
 
@@ -96,3 +96,18 @@
     assert configuration.settle(STALE_WAIT_MS - 1) is None
     assert configuration.settle(STALE_WAIT_MS).version == 6
     assert configuration.stale
+
+
+def test_dead_process_is_not_reported_by_the_controls(publisher, session):
+    """Guards against a dead entry that never shows as silent (R8).
+
+    Two controls that reported it to each other kept its status fresh.
+    """
+    deliver(publisher, session, Subscribe("entry/b", "ikeja", 1, 5), 1)
+    names = [r.node_id for r in publisher.own_reports(6_000)]
+    assert names == ["control/a", "entry/b"]
+    assert publisher.statuses["entry/b"].heard_ms == 6_000
+    handle(publisher, LinkClosed("entry/b", session), 7_000)
+    names = [r.node_id for r in publisher.own_reports(11_000)]
+    assert names == ["control/a"]
+    assert publisher.statuses["entry/b"].heard_ms == 6_000
--- a/wigeonport/publishers.py
+++ b/wigeonport/publishers.py
@@ -71,18 +71,16 @@
         newest: VersionAccepted with the highest version, or None.
         subscribers: Delivery of the Subscribe by session.
         statuses: ProcessStatus by node id.
-        own: Node ids of this control and of its own subscribers.
         report: VersionReport of this control itself.
     """
 
-    __slots__ = ("newest", "subscribers", "statuses", "own", "report")
+    __slots__ = ("newest", "subscribers", "statuses", "report")
 
     def __init__(self, report):
         self.report = report
         self.newest = None
         self.subscribers = {}
         self.statuses = {}
-        self.own = {report.node_id}
 
     def accept(self, accepted):
         """Pushes a version that is higher than all before."""
@@ -106,7 +104,6 @@
         """Adds a subscriber and brings it up to date."""
         message = delivery.message
         self.subscribers[delivery.session] = delivery
-        self.own.add(message.node_id)
         self.record(message, now_ms)
         known = 0 if self.newest is None else self.newest.version
         if known > 0 and known >= message.version:
@@ -134,19 +131,28 @@
         )
 
     def own_reports(self, now_ms):
-        """Returns the reports of this control and of its subscribers."""
+        """Returns the reports of this control and of its subscribers.
+
+        An open link shows that its process lives; a closed one vouches for
+        nothing, so that a dead process becomes silent everywhere.
+        """
         self.report.version = self.newest.version if self.newest else 0
         self.record(self.report, now_ms)
-        return [
-            VersionReport(
-                status.node_id,
-                status.availability_zone,
-                status.run_ms,
-                status.version,
+        links = self.subscribers.values()
+        own = {delivery.message.node_id for delivery in links}
+        reports = []
+        for node_id in sorted(own | {self.report.node_id}):
+            status = self.statuses[node_id]
+            status.heard_ms = now_ms
+            reports.append(
+                VersionReport(
+                    status.node_id,
+                    status.availability_zone,
+                    status.run_ms,
+                    status.version,
+                )
             )
-            for node_id, status in self.statuses.items()
-            if node_id in self.own
-        ]
+        return reports
 
 
 async def publish(inbound, publisher, clock, dialers):
