--- a/tools/patch_failures.py
+++ b/tools/patch_failures.py
@@ -33,9 +33,18 @@
         disks: trio.Lock of the failures of disks: a second one before the
             first disk was replaced may lose what was acknowledged.
         cuts: trio.Lock of the failures of zones.
+        skipped: Failures that found no free VM and did nothing.
     """
 
-    __slots__ = ("runner", "client", "faults", "random", "disks", "cuts")
+    __slots__ = (
+        "runner",
+        "client",
+        "faults",
+        "random",
+        "disks",
+        "cuts",
+        "skipped",
+    )
 
     def __init__(self, runner, client, faults, random):
         self.runner = runner
@@ -44,6 +53,7 @@
         self.random = random
         self.disks = trio.Lock()
         self.cuts = trio.Lock()
+        self.skipped = 0
 
     @contextlib.contextmanager
     def fault(self, kind, name):
@@ -65,6 +75,7 @@
             and zone in (None, node.zone)
         ]
         chosen = self.random.sample(free, min(count, len(free)))
+        self.skipped += not chosen
         self.runner.busy.update(chosen)
         return chosen
 
@@ -76,6 +87,7 @@
         """Reserves the leader; returns an empty list if it is in use."""
         leader = await self.find_leader()
         if leader is None or leader in self.runner.busy:
+            self.skipped += 1
             return []
         self.runner.busy.add(leader)
         return [leader]
@@ -211,6 +223,7 @@
             await swap(injector, chosen)
             await trio.sleep(hold_s)
             await swap(injector, chosen)
+        injector.skipped += len(chosen) == 1
         injector.release(chosen)
         await injector.wait_for_voters()
 
--- a/tools/patch_soak.py
+++ b/tools/patch_soak.py
@@ -169,7 +169,9 @@
 def judge_soak(soak):
     """Prints the counts and adds the broken properties."""
     soak.history.applied = read_applied(soak.runner.deployment)
-    counts = count(soak.history) | {"failures": dict(soak.kinds)}
+    counts = count(soak.history)
+    counts["failures"] = dict(soak.kinds)
+    counts["failures_without_a_free_vm"] = soak.injector.skipped
     print(json.dumps(counts, indent=2))
     for name, texts in judge(soak.history).items():
         print(f"{name}: {len(texts)} violations")
