Tell a connection that the caller closed itself from a lost response

No entry was involved. Change: such a sending is recorded as abandoned. It may have run, so that it still counts as a possible cause of a run, and R3 to R5 are judged as before; every connection that the entry closes or resets still needs an outcome.

--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -50,6 +50,8 @@
         keyed("later", outcome="not-run", check="absent"),
         keyed("later", sent_ms=1_100, ended_ms=1_150, number=2),
         sending("lost", "none", entry="127.0.0.1:2"),
+        # The caller closed the connection itself; the request may have run.
+        sending("left", "abandoned"),
     ]
     events = [
         event("ready", 0),
@@ -57,6 +59,7 @@
         # A repeatable request may run twice.
         event("run", 1_030, tag="plain", endpoint="roster-2"),
         event("run", tag="once"),
+        event("run", tag="left"),
         event("run", 1_120, tag="later"),
         event("leaving", 5_000, endpoint="roster-2"),
         event("refused-leaving", 7_900, endpoint="roster-2"),
--- a/tools/callers.py
+++ b/tools/callers.py
@@ -21,6 +21,7 @@
 MAX_UNREACHABLE = 20
 WHOLE, PARTIAL, FOREIGN, ABSENT = "whole", "partial", "foreign", "absent"
 NO_OUTCOME = "none"
+ABANDONED = "abandoned"
 
 
 class CallerOptions:
@@ -117,7 +118,8 @@
         sent_ms: Wall time at the start.
         ended_ms: Wall time at the end.
         status: HTTP status, or 0.
-        outcome: Value of the outcome header, or NO_OUTCOME.
+        outcome: Value of the outcome header, NO_OUTCOME, or ABANDONED if the
+            caller itself closed the connection.
         reason: Reason of the entry, or what went wrong on the way.
         check: WHOLE, PARTIAL, FOREIGN or ABSENT.
         number: 1 for the first sending of the Call.
@@ -234,10 +236,25 @@
         httpcore.TimeoutException,
     ) as fault:
         sent.reason = f"{type(fault).__name__}: {fault}"
+        if is_local(fault):
+            sent.outcome = ABANDONED
     sent.ended_ms = time.time_ns() // 1_000_000
     return sent
 
 
+def is_local(fault):
+    """Returns whether this side closed the connection.
+
+    The connection pool sometimes closes a connection that a request has just
+    been given; the entry has no part in that.
+    """
+    while fault is not None:
+        if isinstance(fault, trio.ClosedResourceError):
+            return True
+        fault = fault.__cause__ or fault.__context__
+    return False
+
+
 def read_response(sent, response):
     """Fills in what the response says."""
     headers = dict(response.headers)
