Remove the service field idempotent

Ruled out: keeping it as a hint, because a field without effect misleads. Change: repeatability follows from method and key only; two tests read other fields instead. Conclusion: one rule decides what is sent again.

--- a/bench/document_costs.py
+++ b/bench/document_costs.py
@@ -57,7 +57,6 @@
             slots_per_endpoint=8,
             connections_per_endpoint=64,
             default_deadline_ms=5_000,
-            idempotent=False,
         )
         add(fleet, "services", service)
     for number in range(worker_count):
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -60,7 +60,6 @@
                 "pool": "notices",
                 "capacity_workers": 1,
                 "max_unavailable_share": 0.5,
-                "idempotent": True,
             },
         ],
         "teams": [{"id": "plans", "processors": 64, "memory_mb": 131_072}],
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -278,7 +278,7 @@
 def test_service_sets_deadline_but_not_repeatability(make_request):
     """Guards against an unused deadline and against a POST run twice."""
     admission = Admission(8, 100_000)
-    service = {"id": "roster", "default_deadline_ms": 500, "idempotent": True}
+    service = {"id": "roster", "default_deadline_ms": 500}
     admission.configure(FleetApplied(1, {"services": [service]}))
     stated, default, keyed = (
         make_request("POST", key, deadline_ms=9_000)
--- a/tests/test_fleets.py
+++ b/tests/test_fleets.py
@@ -24,7 +24,7 @@
     document = json.loads(json.dumps(fleet.to_document()))
     again = fleet_from_document(document).ok
     assert again.to_document() == document
-    assert again.services["notices"].idempotent is True
+    assert again.services["notices"].max_unavailable_share == 0.5
     assert again.workers["vm-3"].pool == "roster"
 
 
@@ -141,7 +141,6 @@
         "capacity_workers": 3,
         "max_unavailable": 1,
         "max_unavailable_share": 0.5,
-        "idempotent": False,
     },
     "windows": {
         "id": "night",
--- a/tools/write_examples.py
+++ b/tools/write_examples.py
@@ -32,7 +32,6 @@
         "region": "lagos",
         "zones": ("ikeja", "lekki", "yaba"),
         "services": ("routedesk", "roster", "cortege", "crusade", "notices"),
-        "once_only": ("roster",),
         "spare": "notices",
         "team": "ogbeni-route-marshals",
         "processors": 16,
@@ -44,7 +43,6 @@
         "region": "kroumirie",
         "zones": ("ain-draham", "tabarka", "fernana"),
         "services": ("survey", "crews", "walls", "haulage", "commons"),
-        "once_only": ("haulage",),
         "spare": "commons",
         "team": "artisans-des-sentiers",
         "processors": 32,
@@ -165,7 +163,6 @@
         "slots_per_endpoint": 8,
         "connections_per_endpoint": 64,
         "default_deadline_ms": 5_000,
-        "idempotent": name not in user["once_only"],
     }
 
 
--- a/wigeonport/admissions.py
+++ b/wigeonport/admissions.py
@@ -129,11 +129,7 @@
 
 
 def apply_service(request, service):
-    """Applies the service's deadline where the caller stated none.
-
-    ``idempotent`` is not applied: a POST without a key is never sent again
-    once a byte of it may have been sent.
-    """
+    """Applies the service's deadline where the caller stated none."""
     default_ms = service.get("default_deadline_ms")
     if default_ms is not None and not request.states_deadline:
         deadline_ms = request.received_ms + default_ms
--- a/wigeonport/fleet_records.py
+++ b/wigeonport/fleet_records.py
@@ -117,7 +117,6 @@
         slots_per_endpoint: Requests that an endpoint runs at a time.
         connections_per_endpoint: Connections that an endpoint accepts.
         default_deadline_ms: Deadline of requests that name none.
-        idempotent: Whether requests may run more than once by default.
     """
 
     __slots__ = (
@@ -129,7 +128,6 @@
         "slots_per_endpoint",
         "connections_per_endpoint",
         "default_deadline_ms",
-        "idempotent",
     )
     FIELDS = (
         Field("id", "name"),
@@ -140,7 +138,6 @@
         Field("slots_per_endpoint", "whole", 8, least=1, most=65_536),
         Field("connections_per_endpoint", "whole", 64, least=1, most=65_536),
         Field("default_deadline_ms", "whole", 5_000, least=1, most=3_600_000),
-        Field("idempotent", "flag", False),
     )
 
     def __init__(
@@ -153,7 +150,6 @@
         slots_per_endpoint,
         connections_per_endpoint,
         default_deadline_ms,
-        idempotent,
     ):
         self.id = id
         self.pool = pool
@@ -163,7 +159,6 @@
         self.slots_per_endpoint = slots_per_endpoint
         self.connections_per_endpoint = connections_per_endpoint
         self.default_deadline_ms = default_deadline_ms
-        self.idempotent = idempotent
 
     def budget(self, worker_count):
         """Returns the budget as a number of workers of the pool."""
