Connect each entry to controls of two zones

Cause: an entry of ikeja used three controls of ikeja only; without them it got no new version and no claims, although other zones had a quorum. Conclusion: the loss of a zone's controls does not stop its entries.

--- a/wigeonport/entry_parts.py
+++ b/wigeonport/entry_parts.py
@@ -12,26 +12,40 @@
 from wigeonport.shares import ShareBook
 from wigeonport.subscriptions import ControlLinks
 
-CONTROL_LINKS = 3
 ENDPOINT_CONNECTIONS = 64
 SETTLE_MARGIN_MS = 200
 
 
 def make_control_links(program, context, configuration):
     """Returns links to some controls, those nearest first."""
-    settings = program.settings
     links = ControlLinks(context.identity, configuration, program.events.run)
-    addresses = [(settings.host, settings.control_links_port)]
-    own_zone = settings.availability_zone
-    ranked = sorted(
-        settings.peers, key=lambda peer: peer.availability_zone != own_zone
-    )
-    addresses += [(peer.host, peer.control_links_port) for peer in ranked]
-    for host, port in addresses[:CONTROL_LINKS]:
-        links.dialers.append(Dialer(context, host, port, links.subscribe))
+    for vm in choose_controls(program.settings):
+        dialer = Dialer(
+            context, vm.host, vm.control_links_port, links.subscribe
+        )
+        links.dialers.append(dialer)
     return links
 
 
+def choose_controls(settings):
+    """Returns the VMs whose controls an entry uses, nearest first.
+
+    One of the own zone takes over when the own control is down, and one of
+    another zone when the whole zone has none. The choice differs between
+    the entries, so that no control serves all of them.
+    """
+    vms = sorted([settings, *settings.peers], key=lambda vm: vm.node_id)
+    position = vms.index(settings)
+    others = vms[position + 1 :] + vms[:position]
+    own_zone = settings.availability_zone
+    near = [vm for vm in others if vm.availability_zone == own_zone]
+    far = [vm for vm in others if vm.availability_zone != own_zone]
+    chosen = [settings, *near[:1]]
+    if far:
+        chosen.append(far[position % len(far)])
+    return chosen
+
+
 def make_claimer(program, boxes, links):
     """Returns the claimer of keyed requests."""
     settings = program.settings
--- a/wigeonport/servers.py
+++ b/wigeonport/servers.py
@@ -182,9 +182,17 @@
 
     The server's sends cannot be cancelled, so a client that stops reading
     would hold its answer, and the stop of the process, for good.
+
+    Attributes:
+        stalled_timeout_ms: Longest time in which sent data stays
+            unacknowledged.
     """
 
-    stalled_timeout_ms = STALLED_TIMEOUT_MS
+    __slots__ = ("stalled_timeout_ms",)
+
+    def __init__(self, stalled_timeout_ms):
+        super().__init__()
+        self.stalled_timeout_ms = stalled_timeout_ms
 
     def create_sockets(self):
         """Returns the listening sockets; accepted ones inherit the bound."""
@@ -200,8 +208,7 @@
 
 def make_config(host, port, grace_ms):
     """Returns the hypercorn configuration of one listener."""
-    config = ServerConfig()
-    config.stalled_timeout_ms = min(STALLED_TIMEOUT_MS, grace_ms)
+    config = ServerConfig(min(STALLED_TIMEOUT_MS, grace_ms))
     config.bind = [f"{host}:{port}"]
     config.backlog = BACKLOG
     config.keep_alive_timeout = KEEP_ALIVE_S
