--- a/tests/test_quorum_recoveries.py
+++ b/tests/test_quorum_recoveries.py
@@ -4,7 +4,7 @@
 
 import pytest
 import trio
-from test_consensus import SEEDS, Group, run_group  # noqa: F401
+from consensus_groups import SEEDS
 
 from wigeonport.memberships import Member, Members
 from wigeonport.probes import ReplicaReport
@@ -74,7 +74,7 @@
     assert find_objections(survivor, []) == ["m/1 is not a voter"]
 
 
-def test_refuses_a_running_or_missing_replica(run_group, tmp_path):  # noqa: F811
+def test_refuses_a_running_or_missing_replica(run_group, tmp_path):
     """Guards against changing the data of a control that runs."""
     missing = open_survivor(make_settings(tmp_path / "gone", "a"))
     assert "holds no replica" in missing.error
@@ -90,7 +90,7 @@
     run_group(scenario)
 
 
-def test_survivor_goes_on_and_others_join_again(run_group, tmp_path):  # noqa: F811
+def test_survivor_goes_on_and_others_join_again(run_group, tmp_path):
     """Guards against a recovery that loses what the survivor holds."""
 
     async def scenario(group):
