Let an entry turn to further controls

Change: a dialer tries further addresses after a failure and starts with the preferred one again when a link has ended; the second and third link of an entry go through all controls. Conclusion: any living control within reach serves an entry.

--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -131,3 +131,25 @@
             nursery.cancel_scope.cancel()
 
     trio.run(scenario)
+
+
+def test_dialer_turns_to_the_next_address(make_context):
+    """Guards against an entry whose only reachable control is not tried."""
+
+    async def scenario():
+        server, client = make_context("control-1"), make_context("entry-1")
+        async with trio.open_nursery() as nursery:
+            listeners = await nursery.start(listen, server, HOST, 0)
+            port = listeners[0].socket.getsockname()[1]
+            with trio.socket.socket() as unused:
+                await unused.bind((HOST, 0))
+                dead = unused.getsockname()[1]
+                dialer = Dialer(
+                    client, HOST, dead, None, [(HOST, dead), (HOST, port)]
+                )
+                nursery.start_soon(dialer.run)
+                await wait_until(lambda: dialer.connected)
+            assert dialer.address == (HOST, port)
+            nursery.cancel_scope.cancel()
+
+    trio.run(scenario)
--- a/wigeonport/dialers.py
+++ b/wigeonport/dialers.py
@@ -22,23 +22,31 @@
 class Dialer:
     """Keeps one link to another process open.
 
+    A dialer with several addresses tries the next one after a failure, and
+    starts with the first again when a link has ended.
+
     Attributes:
         context: LinkContext of the process.
-        host: IP address of the other process.
-        port: TCP port of the other process.
+        addresses: Pairs of IP address and TCP port, the preferred one first.
+        position: Index of the address in use.
         session: The open session, or None.
         opened: Called with the dialer after each connect, or None.
     """
 
-    __slots__ = ("context", "host", "port", "session", "opened")
+    __slots__ = ("context", "addresses", "position", "session", "opened")
 
-    def __init__(self, context, host, port, opened=None):
+    def __init__(self, context, host, port, opened=None, fallbacks=()):
         self.context = context
-        self.host = host
-        self.port = port
+        self.addresses = [(host, port), *fallbacks]
+        self.position = 0
         self.session = None
         self.opened = opened
 
+    @property
+    def address(self):
+        """The address in use."""
+        return self.addresses[self.position]
+
     @property
     def connected(self):
         """Whether the link is open."""
@@ -69,6 +77,9 @@
             stream = await self.connect()
             if stream is not None and await self.serve(stream):
                 backoff_ms = FIRST_BACKOFF_MS
+                self.position = 0
+            else:
+                self.position = (self.position + 1) % len(self.addresses)
             jitter = random.uniform(0.5, 1.0)
             await self.context.clock.sleep(backoff_ms * jitter)
             backoff_ms = min(backoff_ms * 2, LAST_BACKOFF_MS)
@@ -77,7 +88,7 @@
         """Returns a TCP stream, or None."""
         with trio.move_on_after(CONNECT_TIMEOUT_MS / 1000):
             try:
-                return await trio.open_tcp_stream(self.host, self.port)
+                return await trio.open_tcp_stream(*self.address)
             except OSError:
                 return None
         return None
@@ -89,7 +100,7 @@
             await trio.aclose_forcefully(stream)
             logger.warning(
                 "Link refused.",
-                peer=f"{self.host}:{self.port}",
+                peer="{}:{}".format(*self.address),
                 reason=session.error,
             )
             return False
--- a/wigeonport/entry_parts.py
+++ b/wigeonport/entry_parts.py
@@ -19,20 +19,25 @@
 def make_control_links(program, context, configuration):
     """Returns links to some controls, those nearest first."""
     links = ControlLinks(context.identity, configuration, program.events.run)
-    for vm in choose_controls(program.settings):
+    for first, *others in choose_controls(program.settings):
         dialer = Dialer(
-            context, vm.host, vm.control_links_port, links.subscribe
+            context,
+            first.host,
+            first.control_links_port,
+            links.subscribe,
+            [(vm.host, vm.control_links_port) for vm in others],
         )
         links.dialers.append(dialer)
     return links
 
 
 def choose_controls(settings):
-    """Returns the VMs whose controls an entry uses, nearest first.
+    """Returns for each link the VMs whose controls it tries, in order.
 
-    One of the own zone takes over when the own control is down, and one of
-    another zone when the whole zone has none. The choice differs between
-    the entries, so that no control serves all of them.
+    The first link is to the own VM. The second prefers the own zone and the
+    third another zone, so that one is left when the own control or the
+    whole zone has none. The order differs between the entries, so that no
+    control serves all of them.
     """
     vms = sorted([settings, *settings.peers], key=lambda vm: vm.node_id)
     position = vms.index(settings)
@@ -40,9 +45,11 @@
     own_zone = settings.availability_zone
     near = [vm for vm in others if vm.availability_zone == own_zone]
     far = [vm for vm in others if vm.availability_zone != own_zone]
-    chosen = [settings, *near[:1]]
-    if far:
-        chosen.append(far[position % len(far)])
+    turn = position % len(far) if far else 0
+    far = far[turn:] + far[:turn]
+    chosen = [[settings]]
+    if others:
+        chosen += [near + far, far + near]
     return chosen
 
 
