Send the health of the VMs in the form that it now has

Cause: found by reading the whole change. Change: the reply carries both lists of VmHealth, and the asking control builds a VmHealth from it. Conclusion: a follower can answer for grants again.

--- a/wigeonport/health.thrift
+++ b/wigeonport/health.thrift
@@ -6,4 +6,5 @@
 struct HealthReply {
   1: required bool known
   2: required list<string> unavailable
+  3: required list<string> unheard
 }
--- a/wigeonport/health_brokers.py
+++ b/wigeonport/health_brokers.py
@@ -6,7 +6,7 @@
 from wigeonport.codecs import message_kinds
 from wigeonport.consensus_requests import StatusRequest
 from wigeonport.links import Delivery
-from wigeonport.state_requests import UnavailableQuery
+from wigeonport.state_requests import UnavailableQuery, VmHealth
 
 TIMEOUT_MS = 1_000
 
@@ -24,14 +24,30 @@
 
     Attributes:
         known: Whether the control leads and knows the health of the VMs.
-        unavailable: VMs that are unavailable or in an unknown state.
+        unavailable: As in VmHealth.
+        unheard: As in VmHealth.
     """
 
-    __slots__ = ("known", "unavailable")
+    __slots__ = ("known", "unavailable", "unheard")
 
-    def __init__(self, known, unavailable):
+    def __init__(self, known, unavailable, unheard):
         self.known = known
         self.unavailable = unavailable
+        self.unheard = unheard
+
+
+def to_reply(health):
+    """Returns the HealthReply for a VmHealth or None."""
+    if health is None:
+        return HealthReply(False, [], [])
+    return HealthReply(True, health.unavailable, health.unheard)
+
+
+def to_health(reply):
+    """Returns the VmHealth of a HealthReply, or None if it has none."""
+    if not reply.known:
+        return None
+    return VmHealth(reply.unavailable, reply.unheard)
 
 
 class HealthBroker:
@@ -53,18 +69,17 @@
     async def handle(self, message):
         """Answers a query of this process or of another control."""
         if isinstance(message, Delivery):
-            found = await self.ask_planner()
-            message.respond(HealthReply(found is not None, found or []))
+            message.respond(to_reply(await self.ask_planner()))
         else:
             message.reply.send(await self.find())
 
     async def ask_planner(self):
-        """Returns the unavailable VMs, or None if this control can't say."""
+        """Returns the VmHealth, or None if this control can't say."""
         found = await ask(self.planner, UnavailableQuery, TIMEOUT_MS)
         return found.default_value(None)
 
     async def find(self):
-        """Returns the unavailable VMs, or None if nobody can say."""
+        """Returns the VmHealth, or None if nobody can say."""
         found = await self.ask_planner()
         if found is not None:
             return found
@@ -78,7 +93,7 @@
         answer = await dialer.ask(HealthRequest(), TIMEOUT_MS)
         if answer.is_error() or not isinstance(answer.ok, HealthReply):
             return None
-        return answer.ok.unavailable if answer.ok.known else None
+        return to_health(answer.ok)
 
 
 async def broker_health(inbound, broker):
