Name the claim commands once and drop unused loggers

Cause: the control listed the claim commands beside the broker's own list, and three modules made a logger that nothing used. Change: the control uses the broker's list; the loggers are gone. Behaviour is the same. Conclusion: one place names the commands of the claims.

--- a/wigeonport/claim_brokers.py
+++ b/wigeonport/claim_brokers.py
@@ -2,12 +2,9 @@
 
 import trio
 
-from wigeonport.logs import PartLogger
 from wigeonport.messages import Failure
 from wigeonport.state_commands import ClaimKey, CompleteClaim, ReleaseClaim
 
-logger = PartLogger("claims")
-
 CLAIM_COMMANDS = (ClaimKey, CompleteClaim, ReleaseClaim)
 MAX_OPEN_PROPOSALS = 1_024
 
--- a/wigeonport/control_main.py
+++ b/wigeonport/control_main.py
@@ -7,7 +7,11 @@
 import trio
 
 from wigeonport.channels import DROP_OLDEST, REFUSE, Mailbox
-from wigeonport.claim_brokers import ClaimBroker, broker_claims
+from wigeonport.claim_brokers import (
+    CLAIM_COMMANDS,
+    ClaimBroker,
+    broker_claims,
+)
 from wigeonport.configurations import ConfigUpdate, Subscribe, VersionReport
 from wigeonport.consensus import Consensus
 from wigeonport.credentials import load_tokens
@@ -38,7 +42,6 @@
 from wigeonport.replica_events import ReplicaSettings
 from wigeonport.servers import ProcessInfo, serve_http
 from wigeonport.state_adapters import StateAdapter, adapt_requests
-from wigeonport.state_commands import ClaimKey, CompleteClaim, ReleaseClaim
 from wigeonport.state_requests import StatePort
 from wigeonport.states import ReplicatedState, state_from_document
 from wigeonport.trace_recorders import open_recorder
@@ -49,7 +52,6 @@
 HISTORY_BOUND = 4_096
 PLANNER_BOUND = 4_096
 PUBLISHED = (Subscribe, VersionReport, ConfigUpdate)
-CLAIMS = (ClaimKey, CompleteClaim, ReleaseClaim)
 
 
 class ControlMailboxes:
@@ -113,7 +115,7 @@
             await boxes.health.put(delivery)
         elif isinstance(message, ReplicaProbe):
             await boxes.probes.put(delivery)
-        elif isinstance(message, CLAIMS):
+        elif isinstance(message, CLAIM_COMMANDS):
             await boxes.claims.put(delivery)
         else:
             await consensus.put(message)
@@ -177,7 +179,7 @@
         random_source=random.Random(),
         snapshot_entries=settings.snapshot_entries,
         # Claims come at the rate of the requests and no observer needs them.
-        quiet=CLAIMS,
+        quiet=CLAIM_COMMANDS,
     )
 
 
--- a/wigeonport/journals.py
+++ b/wigeonport/journals.py
@@ -13,12 +13,9 @@
     SegmentHeader,
     encode_record,
 )
-from wigeonport.logs import PartLogger
 from wigeonport.replica_events import HardState
 from wigeonport.snapshots import remove_older, write_snapshot
 
-logger = PartLogger("journal")
-
 FORMAT = 1
 PREFIX = "segment-"
 SEGMENT_BYTES = 8 * 1024 * 1024
--- a/wigeonport/subscriptions.py
+++ b/wigeonport/subscriptions.py
@@ -7,11 +7,8 @@
     VersionReport,
 )
 from wigeonport.links import Delivery
-from wigeonport.logs import PartLogger
 from wigeonport.share_messages import ShareGrant, ShareRequest
 
-logger = PartLogger("subscriptions")
-
 
 class ControlLinks:
     """Dialers to the controls, those of the own VM and zone first.
