Add durable batch jobs and the first platform path

Cause: the product had no durable store of jobs, no workers that take orders on heartbeats, and no adapter to the operators' platform.

--- /dev/null
+++ b/wigeonport/batch_dispatchers.py
@@ -0,0 +1,365 @@
+"""Decisions of the leader on batch jobs and workers.
+
+The dispatcher holds a working copy of the replicated state. It applies
+each operation at once and hands it out in ``operations``; what it decides
+may be told to others only after these are committed.
+"""
+
+from wigeonport.batch_calls import (
+    CANCEL,
+    COUNT,
+    INVALID,
+    NO_JOB,
+    NO_QUEUE,
+    OK,
+    STATE,
+    SUBMIT,
+    BatchReply,
+)
+from wigeonport.batch_commands import (
+    CancelJob,
+    EndRuns,
+    OpenOccurrence,
+    StartRuns,
+    SubmitJob,
+)
+from wigeonport.batch_jobs import (
+    ENDED_FAILED,
+    LOST,
+    QUEUED,
+)
+from wigeonport.batch_specs import split_task_id
+from wigeonport.batch_states import apply_operation
+from wigeonport.fill_pacers import pace_fills
+from wigeonport.logs import PartLogger
+from wigeonport.registries import Registry
+from wigeonport.task_placements import place_gangs, place_tasks
+from wigeonport.worker_reports import StartOrder, WorkerOrders
+from wigeonport.worker_tables import WorkerTable
+
+logger = PartLogger("dispatch")
+
+call_handlers = Registry("batch call")
+
+# Failed tasks whose workers are remembered; beyond, all are forgotten.
+FAILED_ON_LIMIT = 4_096
+
+
+class BatchDispatcher:
+    """Decides for one term.
+
+    Attributes:
+        state: Working copy of the ReplicatedState.
+        settings: BatchSettings.
+        term: Term of the leader, the fence of its orders.
+        since_ms: Monotonic start of the term at this replica.
+        workers: WorkerTable.
+        active: Job by id, of those whose tasks may be started.
+        operations: Operations since the last ``take_operations``.
+        orphans_until_ms: Until when runs of workers that this leader has
+            not heard of may live.
+        failed_on: Worker ids by task on which it failed.
+        waiting_since: First time at which a step waited for a near worker.
+        wall_ms: Wall time of the current step.
+    """
+
+    __slots__ = (
+        "state",
+        "settings",
+        "term",
+        "since_ms",
+        "workers",
+        "active",
+        "operations",
+        "orphans_until_ms",
+        "failed_on",
+        "waiting_since",
+        "wall_ms",
+    )
+
+    def __init__(self, state, settings, term, now_ms):
+        self.state = state
+        self.settings = settings
+        self.term = term
+        self.since_ms = now_ms
+        self.workers = WorkerTable()
+        self.active = {}
+        self.operations = []
+        # The former leader may have answered until this one was elected.
+        self.orphans_until_ms = now_ms + int(settings.hold_ms * 1.03) + 500
+        self.failed_on = {}
+        self.waiting_since = {}
+        self.wall_ms = 0
+        for job in state.batch.jobs.values():
+            if job.active:
+                self.active[job.job_id] = job
+            for task, run, worker, step in job.live_runs():
+                self.workers.add_run(worker, task, run, step)
+
+    def record(self, operation):
+        """Applies an operation to the working copy and hands it out."""
+        if isinstance(operation, EndRuns):
+            self.drop_ended(operation)
+        apply_operation(self.state, operation, self.wall_ms)
+        self.operations.append(operation)
+        if isinstance(operation, StartRuns):
+            self.note_starts(operation)
+        elif isinstance(operation, SubmitJob):
+            job = self.state.batch.jobs.get(operation.job_id)
+            if job is not None and job.active:
+                self.active[job.job_id] = job
+
+    def note_starts(self, operation):
+        """Keeps the index of live runs."""
+        for name, run in zip(operation.tasks, operation.runs, strict=True):
+            step = self.step_of(name)
+            self.workers.add_run(operation.worker, name, run, step)
+
+    def drop_ended(self, operation):
+        """Removes runs from the index of live runs before they end."""
+        for name, run in zip(operation.tasks, operation.runs, strict=True):
+            found = self.task_of(name)
+            if found is not None:
+                worker = found[2].runs.get(run)
+                self.workers.drop_run(worker, name, run)
+
+    def take_operations(self):
+        """Returns and clears the operations to commit."""
+        operations, self.operations = self.operations, []
+        return operations
+
+    def step_of(self, name):
+        """Returns the Step of a task."""
+        job_id, _, step, _ = split_task_id(name)
+        return self.state.batch.jobs[job_id].spec.steps[step]
+
+    def task_of(self, name):
+        """Returns job, StepRun and Task of a name, or None."""
+        try:
+            job_id, *position = split_task_id(name)
+        except ValueError:
+            return None
+        job = self.state.batch.jobs.get(job_id)
+        found = job.find(*position) if job else None
+        return (job, *found) if found else None
+
+    def is_wanted(self, name, run):
+        """Returns whether a run is to go on."""
+        found = self.task_of(name)
+        if found is None:
+            return False
+        job, _, task = found
+        return job.active and not task.done and run in task.runs
+
+    def on_report(self, report, now_ms, wall_ms):
+        """Takes in a heartbeat and returns the WorkerOrders."""
+        self.wall_ms = wall_ms
+        orders = WorkerOrders(self.term, self.settings.retry_after_ms)
+        worker, over = self.workers.admit(report, now_ms)
+        for incarnation in over:
+            self.lose(incarnation, "the worker has started anew")
+        if worker is None:
+            logger.info(
+                "Heartbeat is outdated.",
+                worker=report.incarnation,
+                sequence=report.sequence,
+            )
+            return orders
+        if report.capacity is None:
+            return orders
+        self.take_ends(worker, orders)
+        self.reconcile(worker, orders)
+        pace_fills(worker, orders)
+        if worker.accepts(now_ms, self.settings.silence_ms):
+            place_gangs(self, now_ms, wall_ms)
+            place_tasks(self, worker, now_ms, wall_ms)
+        self.add_starts(worker, orders)
+        orders.hold_ms = self.settings.hold_ms
+        worker.extend_lease(orders.hold_ms, now_ms)
+        return orders
+
+    def take_ends(self, worker, orders):
+        """Records the ends that a worker lists."""
+        tasks, runs, outcomes, saved = [], [], [], []
+        for end in worker.report.ended:
+            orders.acknowledged = max(orders.acknowledged, end.number)
+            if self.task_of(end.task) is None:
+                continue
+            tasks.append(end.task)
+            runs.append(end.run)
+            outcomes.append(end.outcome)
+            saved.append(end.saved)
+            self.note_outcome(worker, end)
+        if tasks:
+            self.record(EndRuns(tasks, runs, outcomes, saved))
+
+    def note_outcome(self, worker, end):
+        """Keeps where tasks failed, and logs each end."""
+        if end.outcome == ENDED_FAILED:
+            if len(self.failed_on) > FAILED_ON_LIMIT:
+                self.failed_on.clear()
+            places = self.failed_on.setdefault(end.task, set())
+            places.add(worker.report.worker_id)
+        logger.info(
+            "Run ended.",
+            task=end.task,
+            run=end.run,
+            outcome=end.outcome,
+            worker=worker.incarnation,
+            sequence=worker.report.sequence,
+        )
+
+    def reconcile(self, worker, orders):
+        """Stops what is not wanted, and drops what never started."""
+        listed = set()
+        for row in worker.report.running:
+            key = (row.task, row.run)
+            listed.add(key)
+            if key not in worker.runs or not self.is_wanted(*key):
+                orders.stops.append(key)
+            elif key in worker.stopping:
+                orders.stops.append(key)
+            if row.saved and key in worker.runs:
+                self.note_checkpoint(row)
+        gone = [
+            key
+            for key in worker.runs
+            if key not in listed
+            and (key in worker.stopping or not self.is_wanted(*key))
+        ]
+        for key in gone:
+            # The stop makes the worker refuse a start that is on its way.
+            orders.stops.append(key)
+        self.drop_runs(gone)
+        worker.stopping &= set(worker.runs)
+
+    def note_checkpoint(self, row):
+        """Keeps the newest checkpoint for a start after a loss."""
+        found = self.task_of(row.task)
+        if found is not None:
+            job, step_run, task = found
+            job.keep_checkpoint(step_run, task, row.saved)
+
+    def drop_runs(self, keys):
+        """Records runs that are surely not live."""
+        if keys:
+            tasks = [task for task, _ in keys]
+            runs = [run for _, run in keys]
+            # Makes the newest checkpoint durable with the loss.
+            saved = [self.task_of(task)[2].saved for task in tasks]
+            self.record(EndRuns(tasks, runs, [LOST] * len(tasks), saved))
+
+    def add_starts(self, worker, orders):
+        """Adds the starts of all runs that the worker does not list."""
+        listed = {(row.task, row.run) for row in worker.report.running}
+        stopped = set(orders.stops)
+        for key in list(worker.runs):
+            if key in listed or key in stopped:
+                continue
+            job, _, task = self.task_of(key[0])
+            orders.starts.append(
+                StartOrder(*key, job.spec.payload, task.saved)
+            )
+            logger.info(
+                "Run ordered.",
+                task=key[0],
+                run=key[1],
+                worker=worker.incarnation,
+                sequence=worker.report.sequence,
+            )
+
+    def lose(self, incarnation, reason):
+        """Records that all runs of a life of a worker are over."""
+        keys = list(self.workers.runs.get(incarnation, ()))
+        self.drop_runs(keys)
+        self.workers.runs.pop(incarnation, None)
+        logger.warning(
+            "Worker is lost.",
+            worker=incarnation,
+            reason=reason,
+            runs=len(keys),
+        )
+
+    def on_tick(self, now_ms, wall_ms):
+        """Notes workers whose leases have lapsed, and opens occurrences."""
+        self.wall_ms = wall_ms
+        for worker in list(self.workers.by_id.values()):
+            if now_ms > worker.lease_until_ms and (
+                now_ms - worker.heard_ms > self.settings.hold_ms
+            ):
+                self.workers.forget(worker)
+                self.lose(worker.incarnation, "the lease has lapsed")
+        if now_ms > self.orphans_until_ms:
+            known = self.workers.incarnations()
+            for incarnation in list(self.workers.runs):
+                if incarnation not in known:
+                    self.lose(incarnation, "no heartbeat in this term")
+        self.open_occurrences(wall_ms)
+
+    def open_occurrences(self, wall_ms):
+        """Opens the occurrences that are due."""
+        for job in list(self.active.values()):
+            spec = job.spec
+            while (
+                job.active
+                and job.opened < spec.repeat_count
+                and spec.due_ms(job.opened) <= wall_ms
+            ):
+                self.record(OpenOccurrence(job.job_id, job.opened))
+
+    def services_with_gangs(self):
+        """Returns the services with an active job that has a gang."""
+        services = set()
+        for job in self.active.values():
+            if any(step.gang for step in job.spec.steps):
+                queue = self.state.routes.queue_of(job.queue)
+                services.add(queue.service if queue else "")
+        return services
+
+    def on_call(self, call, wall_ms):
+        """Returns the BatchReply to a BatchCall."""
+        self.wall_ms = wall_ms
+        queue = self.state.routes.table.resolve(call.host, call.path)
+        if queue is None:
+            return BatchReply(NO_QUEUE)
+        rest = call.path[len(queue.path_prefix) :]
+        handler = call_handlers.get(call.verb)
+        if handler.is_error():
+            return BatchReply(INVALID, handler.error)
+        return handler.ok(self, call, queue, rest)
+
+
+@call_handlers.register(SUBMIT)
+def submit(dispatcher, call, queue, job_id):
+    """Accepts a job; a resent one is accepted again without effect."""
+    if not dispatcher.state.batch.knows(job_id):
+        dispatcher.record(SubmitJob(job_id, queue.name, call.spec_json))
+    return BatchReply(OK)
+
+
+@call_handlers.register(STATE)
+def show_state(dispatcher, call, queue, job_id):
+    """Returns the state of a job."""
+    job = dispatcher.state.batch.jobs.get(job_id)
+    return BatchReply(OK, job.state) if job else BatchReply(NO_JOB)
+
+
+@call_handlers.register(CANCEL)
+def cancel(dispatcher, call, queue, job_id):
+    """Cancels a job."""
+    job = dispatcher.state.batch.jobs.get(job_id)
+    if job is None:
+        return BatchReply(NO_JOB)
+    if job.active:
+        dispatcher.record(CancelJob(job_id))
+    return BatchReply(OK, job.state)
+
+
+@call_handlers.register(COUNT)
+def count_waiting(dispatcher, call, queue, rest):
+    """Counts the accepted jobs of a queue of which no task has started."""
+    number = sum(
+        job.state == QUEUED and job.queue == queue.name
+        for job in dispatcher.active.values()
+    )
+    return BatchReply(OK, "", number)
--- /dev/null
+++ b/wigeonport/batch_jobs.py
@@ -0,0 +1,278 @@
+"""Accepted batch jobs and the progress of their tasks."""
+
+from wigeonport.batch_specs import job_spec_from_document, task_id
+
+QUEUED = "queued"
+RUNNING = "running"
+COMPLETED = "completed"
+FAILED = "failed"
+CANCELLED = "cancelled"
+ACTIVE = (QUEUED, RUNNING)
+
+DONE = "done"
+ENDED_FAILED = "failed"
+LOST = "lost"
+
+
+class Task:
+    """Progress of one task.
+
+    Attributes:
+        runs: Worker incarnation by number of each run that may be live.
+        last_run: Highest run number given out.
+        failures: Runs that ended as failed.
+        done: Whether a run has ended as done.
+        saved: Newest checkpoint, or "".
+    """
+
+    __slots__ = ("runs", "last_run", "failures", "done", "saved")
+
+    def __init__(self, runs=None, last_run=0, failures=0, done=0, saved=""):
+        self.runs = runs or {}
+        self.last_run = last_run
+        self.failures = failures
+        self.done = done
+        self.saved = saved
+
+    def to_row(self):
+        """Returns plain data."""
+        runs = [[run, worker] for run, worker in self.runs.items()]
+        return [runs, self.last_run, self.failures, self.done, self.saved]
+
+    @classmethod
+    def from_row(cls, row):
+        """Reads what ``to_row`` returned."""
+        return cls(dict(map(tuple, row[0])), *row[1:])
+
+
+class StepRun:
+    """One occurrence of a step.
+
+    Attributes:
+        step: Step.
+        tasks: Task by index.
+        waiting: Indices of the tasks that are neither done nor running.
+        left: Number of tasks that are not done.
+    """
+
+    __slots__ = ("step", "tasks", "waiting", "left")
+
+    def __init__(self, step, tasks=None):
+        self.step = step
+        self.tasks = tasks or [Task() for _ in range(step.count)]
+        self.waiting = {
+            index
+            for index, task in enumerate(self.tasks)
+            if not task.done and not task.runs
+        }
+        self.left = sum(not task.done for task in self.tasks)
+
+    def start(self, index, run, worker):
+        """Notes a new run of a task."""
+        task = self.tasks[index]
+        task.runs[run] = worker
+        task.last_run = max(task.last_run, run)
+        self.waiting.discard(index)
+
+    def release(self, index):
+        """Makes a task eligible again if it is neither done nor running."""
+        task = self.tasks[index]
+        if not task.done and not task.runs:
+            self.waiting.add(index)
+
+    def finish(self, index):
+        """Notes that a task is done, or all tasks of a gang."""
+        indices = range(len(self.tasks)) if self.step.gang else (index,)
+        for each in indices:
+            task = self.tasks[each]
+            if not task.done:
+                task.done = 1
+                self.left -= 1
+            self.waiting.discard(each)
+
+
+class BatchJob:
+    """One accepted job.
+
+    Attributes:
+        job_id: Id that the caller chose.
+        queue: Name of its queue.
+        spec: JobSpec.
+        attempts: Failed runs of a task after which the job fails.
+        submitted_ms: Wall time of its acceptance.
+        state: One of the state names of this module.
+        finished_ms: Wall time of its end, or 0.
+        occurrences: List of StepRun by number of the occurrence, for the
+            open ones.
+        opened: Number of occurrences opened so far.
+        left: Number of occurrences that are not done.
+    """
+
+    __slots__ = (
+        "job_id",
+        "queue",
+        "spec",
+        "attempts",
+        "submitted_ms",
+        "state",
+        "finished_ms",
+        "occurrences",
+        "opened",
+        "left",
+    )
+
+    def __init__(self, job_id, queue, spec, attempts, submitted_ms):
+        self.job_id = job_id
+        self.queue = queue
+        self.spec = spec
+        self.attempts = attempts
+        self.submitted_ms = submitted_ms
+        self.state = QUEUED
+        self.finished_ms = 0
+        self.occurrences = {}
+        self.opened = 0
+        self.left = spec.occurrences()
+        if not spec.repeat_count:
+            self.open_next()
+
+    @property
+    def active(self):
+        """Whether tasks of the job may still be started."""
+        return self.state in ACTIVE
+
+    def open_next(self):
+        """Opens the next occurrence."""
+        self.occurrences[self.opened] = [
+            StepRun(step) for step in self.spec.steps
+        ]
+        self.opened += 1
+
+    def find(self, occurrence, step, index):
+        """Returns StepRun and Task, or None for an unknown task."""
+        step_runs = self.occurrences.get(occurrence)
+        if step_runs is None or not 0 <= step < len(step_runs):
+            return None
+        step_run = step_runs[step]
+        if not 0 <= index < len(step_run.tasks):
+            return None
+        return step_run, step_run.tasks[index]
+
+    def ready_steps(self):
+        """Yields occurrence, number and StepRun of each step that may run."""
+        for occurrence, step_runs in self.occurrences.items():
+            for number, step_run in enumerate(step_runs):
+                if not step_run.left:
+                    continue
+                depends_on = step_run.step.depends_on
+                if all(not step_runs[each].left for each in depends_on):
+                    yield occurrence, number, step_run
+
+    def live_runs(self):
+        """Yields task name, run number, worker and Step of each live run."""
+        for occurrence, step_runs in self.occurrences.items():
+            for number, step_run in enumerate(step_runs):
+                for index, task in enumerate(step_run.tasks):
+                    for run, worker in task.runs.items():
+                        name = task_id(self.job_id, occurrence, number, index)
+                        yield name, run, worker, step_run.step
+
+    def end(self, state, now_ms):
+        """Ends the job; live runs stay noted until they have ended."""
+        self.state = state
+        self.finished_ms = now_ms
+
+    def start_run(self, position, run, worker):
+        """Notes a new run of the task at a position."""
+        occurrence, step, index = position
+        if self.find(*position) is None:
+            return False
+        self.occurrences[occurrence][step].start(index, run, worker)
+        if self.state == QUEUED:
+            self.state = RUNNING
+        return True
+
+    def end_run(self, position, run, outcome, saved, now_ms):
+        """Notes the end of a run; returns whether anything changed."""
+        found = self.find(*position)
+        if found is None:
+            return False
+        step_run, task = found
+        live = task.runs.pop(run, None) is not None
+        if saved:
+            self.keep_checkpoint(step_run, task, saved)
+        if outcome == DONE:
+            self.finish_task(position, now_ms)
+        elif live and outcome == ENDED_FAILED:
+            task.failures += 1
+            spent = task.failures >= self.attempts and not task.done
+            if spent and not step_run.step.lasting and self.active:
+                self.end(FAILED, now_ms)
+        step_run.release(position[2])
+        self.drop_closed(position[0])
+        return live or outcome == DONE
+
+    def keep_checkpoint(self, step_run, task, saved):
+        """Stores a checkpoint; that of a gang's member holds for all."""
+        for each in step_run.tasks if step_run.step.gang else (task,):
+            each.saved = saved
+
+    def finish_task(self, position, now_ms):
+        """Notes that a task is done and ends the job after the last one."""
+        occurrence, step, index = position
+        step_runs = self.occurrences[occurrence]
+        before = any(each.left for each in step_runs)
+        step_runs[step].finish(index)
+        if before and not any(each.left for each in step_runs):
+            self.left -= 1
+        if self.left <= 0 and self.active:
+            self.end(COMPLETED, now_ms)
+
+    def drop_closed(self, occurrence):
+        """Forgets an occurrence that is done and has no live run."""
+        step_runs = self.occurrences[occurrence]
+        if not self.spec.repeat_count or any(s.left for s in step_runs):
+            return
+        if not any(task.runs for s in step_runs for task in s.tasks):
+            del self.occurrences[occurrence]
+
+    def to_document(self):
+        """Returns plain data."""
+        return {
+            "job_id": self.job_id,
+            "queue": self.queue,
+            "spec": self.spec.to_document(),
+            "attempts": self.attempts,
+            "submitted_ms": self.submitted_ms,
+            "state": self.state,
+            "finished_ms": self.finished_ms,
+            "opened": self.opened,
+            "left": self.left,
+            "occurrences": [
+                [number, [[t.to_row() for t in s.tasks] for s in step_runs]]
+                for number, step_runs in self.occurrences.items()
+            ],
+        }
+
+
+def job_from_document(document):
+    """Reads what ``BatchJob.to_document`` returned."""
+    spec = job_spec_from_document(document["spec"])
+    job = BatchJob(
+        document["job_id"],
+        document["queue"],
+        spec,
+        document["attempts"],
+        document["submitted_ms"],
+    )
+    job.state = document["state"]
+    job.finished_ms = document["finished_ms"]
+    job.opened = document["opened"]
+    job.left = document["left"]
+    job.occurrences = {
+        number: [
+            StepRun(step, [Task.from_row(row) for row in rows])
+            for step, rows in zip(spec.steps, step_rows, strict=True)
+        ]
+        for number, step_rows in document["occurrences"]
+    }
+    return job
--- /dev/null
+++ b/wigeonport/batch_programs.py
@@ -0,0 +1,178 @@
+"""Chains of the programs that serve batch jobs.
+
+The edges, which speak a wire format, are passed in; so another front end
+can use the same chains.
+"""
+
+import pathlib
+import random
+
+import trio
+
+from wigeonport.batch_calls import COUNT, BatchCall
+from wigeonport.batch_controllers import (
+    BatchController,
+    CallReceived,
+    forward_leadership,
+)
+from wigeonport.batch_commands import RecordBatch
+from wigeonport.batch_settings import BatchSettings
+from wigeonport.channels import DROP_OLDEST, Mailbox, Reply
+from wigeonport.consensus import Consensus
+from wigeonport.control_main import make_replica_settings, open_replica
+from wigeonport.dialers import listen
+from wigeonport.gateways import Gateway, GatewayCall
+from wigeonport.links import LinkClosed
+from wigeonport.logs import PartLogger
+from wigeonport.peer_links import PeerLinks
+from wigeonport.states import ReplicatedState, state_from_document
+
+logger = PartLogger("batch")
+
+NOTICES_BOUND = 1_024
+# The balancer asks for readiness each second.
+PROBE_INTERVAL_MS = 500
+PROBE_TIMEOUT_MS = 1_000
+PROBE_HOST = "readiness"
+
+
+class LinkReply:
+    """Reply channel that answers a call over its link.
+
+    Attributes:
+        delivery: Delivery of the call.
+    """
+
+    __slots__ = ("delivery",)
+
+    def __init__(self, delivery):
+        self.delivery = delivery
+
+    def send(self, message):
+        """Answers the call; returns False if the link is gone."""
+        return self.delivery.respond(message)
+
+
+async def sort_batch_deliveries(inbound, consensus, controller):
+    """Passes arrivals to the filter that handles them."""
+    async for delivery in inbound:
+        if isinstance(delivery, LinkClosed):
+            continue
+        message = delivery.message
+        if isinstance(message, BatchCall):
+            await controller.put(CallReceived(message, LinkReply(delivery)))
+        else:
+            await consensus.put(message)
+
+
+def make_batch_consensus(program, links):
+    """Returns the consensus task of a control for batch jobs."""
+    settings = program.settings
+    replica = make_replica_settings(settings)
+    replica.may_form = settings.forms_cluster
+    directory = settings.data_dir
+    return Consensus(
+        open_replica(settings),
+        None if directory is None else pathlib.Path(directory),
+        settings.voters,
+        ReplicatedState(),
+        state_from_document,
+        links.post,
+        program.clock,
+        program.metrics,
+        replica,
+        random_source=random.Random(),
+        snapshot_entries=settings.snapshot_entries,
+        # Batches come at the rate of the tasks and no observer needs them.
+        quiet=(RecordBatch,),
+    )
+
+
+def batch_settings_of(settings):
+    """Returns the BatchSettings of a program."""
+    return BatchSettings(settings.max_hold_ms, settings.machine_lease_ms)
+
+
+async def run_batch_control(program, serve_edge, make_machines=None):
+    """Runs a control for batch jobs until it has stopped.
+
+    Args:
+        program: Program.
+        serve_edge: Async function ``(program, controller)`` that serves
+            workers and operators until the program stops.
+        make_machines: Function of the program that returns the
+            MachineManager, or None.
+    """
+    settings = program.settings
+    inbound = Mailbox("deliveries", settings.mailbox_bound)
+    context = program.link_context(inbound)
+    links = PeerLinks(
+        context,
+        settings.host,
+        settings.control_links_port,
+        [peer.host for peer in settings.peers],
+    )
+    consensus = make_batch_consensus(program, links)
+    notices = Mailbox("notices", NOTICES_BOUND, DROP_OLDEST)
+    consensus.observers.append(notices)
+    machines = make_machines(program) if make_machines else None
+    controller = BatchController(
+        consensus.inbox,
+        settings.node_id,
+        batch_settings_of(settings),
+        program.clock,
+        program.metrics,
+        machines,
+    )
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(links.run, nursery)
+        await nursery.start(controller.run)
+        nursery.start_soon(forward_leadership, notices, controller.inbox)
+        await nursery.start(consensus.run)
+        await nursery.start(
+            listen, context, settings.host, settings.control_links_port
+        )
+        nursery.start_soon(
+            sort_batch_deliveries, inbound, consensus.inbox, controller.inbox
+        )
+        if machines is not None:
+            nursery.start_soon(machines.run, controller.inbox)
+        await serve_edge(program, controller)
+        nursery.cancel_scope.cancel()
+
+
+async def run_batch_entry(program, serve_edge):
+    """Runs an entry for batch jobs until it has stopped.
+
+    Args:
+        program: Program.
+        serve_edge: Async function ``(program, gateway)`` that serves
+            callers until the program stops.
+    """
+    settings = program.settings
+    inbound = Mailbox("deliveries", settings.mailbox_bound, DROP_OLDEST)
+    context = program.link_context(inbound)
+    links = PeerLinks(
+        context,
+        settings.host,
+        settings.control_links_port,
+        [peer.host for peer in settings.peers],
+    )
+    gateway = Gateway(links, program.clock, program.metrics)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(links.run, nursery)
+        nursery.start_soon(gateway.run)
+        nursery.start_soon(probe_leader, gateway, program.clock)
+        await serve_edge(program, gateway)
+        nursery.cancel_scope.cancel()
+
+
+async def probe_leader(gateway, clock):
+    """Asks the leader regularly, so that readiness is known."""
+    while True:
+        reply = Reply()
+        call = BatchCall(COUNT, PROBE_HOST, "/", request_id="probe")
+        deadline_ms = clock.now() + PROBE_TIMEOUT_MS
+        gateway.inbox.put_nowait(GatewayCall(call, deadline_ms, reply))
+        await reply.wait(PROBE_TIMEOUT_MS)
+        await clock.sleep(PROBE_INTERVAL_MS)
--- /dev/null
+++ b/wigeonport/gateways.py
@@ -0,0 +1,173 @@
+"""The entry's way to the control that leads, for calls about jobs."""
+
+import trio
+
+from wigeonport.batch_calls import NOT_LEADING, UNKNOWN
+from wigeonport.channels import REFUSE, Mailbox
+from wigeonport.logs import PartLogger
+
+logger = PartLogger("gateway")
+
+INBOX_BOUND = 1_024
+# Longest wait for one control; a change of leader shows by then.
+ATTEMPT_TIMEOUT_MS = 900
+# Longest search for a leader before a call that was not sent is refused:
+# a quarter of the smallest latency objective, less a margin.
+SEARCH_MS = 600
+PAUSE_MS = 60
+# A leader that answered within this time counts as reachable.
+FRESH_MS = 2_500
+
+
+class GatewayCall:
+    """A BatchCall with its deadline; answered by a GatewayAnswer.
+
+    Attributes:
+        call: BatchCall.
+        deadline_ms: Monotonic time after which no answer is of use.
+        reply: Reply channel.
+    """
+
+    __slots__ = ("call", "deadline_ms", "reply")
+
+    def __init__(self, call, deadline_ms, reply):
+        self.call = call
+        self.deadline_ms = deadline_ms
+        self.reply = reply
+
+
+class GatewayAnswer:
+    """What became of a call.
+
+    Attributes:
+        reply: BatchReply of the leader, or None.
+        sent: Whether the call may have reached a control that handled it.
+    """
+
+    __slots__ = ("reply", "sent")
+
+    def __init__(self, reply, sent):
+        self.reply = reply
+        self.sent = sent
+
+
+class Gateway:
+    """Passes calls to the control that leads.
+
+    Attributes:
+        links: PeerLinks to the controls.
+        clock: Clock.
+        metrics: Metrics.
+        inbox: Mailbox of GatewayCalls.
+        leader: Address of the control that led last, or "".
+        answered_ms: When a leader answered last, or None.
+        position: Index of the control that is tried next without a leader.
+    """
+
+    __slots__ = (
+        "links",
+        "clock",
+        "metrics",
+        "inbox",
+        "leader",
+        "answered_ms",
+        "position",
+    )
+
+    def __init__(self, links, clock, metrics):
+        self.links = links
+        self.clock = clock
+        self.metrics = metrics
+        self.inbox = Mailbox("gateway", INBOX_BOUND, REFUSE)
+        self.leader = ""
+        self.answered_ms = None
+        self.position = 0
+
+    async def run(self):
+        """Handles calls concurrently."""
+        async with trio.open_nursery() as nursery:
+            async for request in self.inbox:
+                nursery.start_soon(self.handle, request)
+
+    async def handle(self, request):
+        """Answers one call."""
+        start_ms = self.clock.now()
+        request.reply.send(await self.find_answer(request, start_ms))
+        self.metrics.record("gateway_call_ms", self.clock.now() - start_ms)
+
+    async def find_answer(self, request, start_ms):
+        """Tries controls until one that leads has answered."""
+        sent = False
+        search_until_ms = min(request.deadline_ms, start_ms + SEARCH_MS)
+        while True:
+            now_ms = self.clock.now()
+            if now_ms >= (request.deadline_ms if sent else search_until_ms):
+                return GatewayAnswer(None, sent)
+            host, dialer = self.choose()
+            if dialer is None:
+                await self.clock.sleep(PAUSE_MS)
+                continue
+            timeout_ms = min(ATTEMPT_TIMEOUT_MS, request.deadline_ms - now_ms)
+            answer = await dialer.ask(request.call, timeout_ms)
+            if answer.is_error():
+                sent = sent or answer.error.sent
+                self.note_failure(host, request.call, answer.error)
+                await self.clock.sleep(PAUSE_MS)
+                continue
+            reply = answer.ok
+            if reply.outcome == NOT_LEADING:
+                await self.turn_to(host, reply.leader)
+            elif reply.outcome == UNKNOWN:
+                sent = True
+                self.note_failure(host, request.call, reply.detail)
+                await self.clock.sleep(PAUSE_MS)
+            else:
+                self.leader = host
+                self.answered_ms = self.clock.now()
+                return GatewayAnswer(reply, True)
+
+    def choose(self):
+        """Returns address and dialer of the control to try, or Nones."""
+        dialers = self.links.dialers
+        known = dialers.get(self.leader)
+        if known is not None and known.connected:
+            return self.leader, known
+        hosts = sorted(dialers)
+        for _ in hosts:
+            self.position = (self.position + 1) % len(hosts)
+            host = hosts[self.position]
+            if dialers[host].connected:
+                return host, dialers[host]
+        return "", None
+
+    def note_failure(self, host, call, reason):
+        """Turns away from a control that gave no answer."""
+        logger.warning(
+            "Control gave no answer.",
+            request=call.request_id,
+            control=host,
+            reason=reason,
+        )
+        self.metrics.count("gateway_failed_attempts")
+        if self.leader == host:
+            self.leader = ""
+
+    async def turn_to(self, host, leader):
+        """Follows the hint of a control that does not lead."""
+        self.links.add(leader)
+        dialer = self.links.dialers.get(leader)
+        if dialer is not None and leader != host:
+            if self.leader != leader:
+                logger.info("Leader changed.", leader=leader, said_by=host)
+            self.leader = leader
+            if not dialer.connected:
+                await self.clock.sleep(PAUSE_MS)
+            return
+        self.leader = ""
+        await self.clock.sleep(PAUSE_MS)
+
+    def is_ready(self):
+        """Returns whether calls are likely to be answered."""
+        if self.answered_ms is None:
+            return False
+        return self.clock.now() - self.answered_ms <= FRESH_MS
--- a/wigeonport/memberships.py
+++ b/wigeonport/memberships.py
@@ -194,7 +194,7 @@
     if message.leader_id:
         # The leader need not be one of the seeds.
         replica.leader_hint = node_of(message.leader_id)
-    if not replica.blank():
+    if not replica.blank() or not replica.settings.may_form:
         return
     if not replica.durable or replica.node != min(replica.seeds, default=""):
         return
@@ -222,7 +222,8 @@
     nodes.update(node_of(each) for each in replica.members().by_id)
     nodes.add(replica.leader_hint or replica.node)
     nodes.discard(replica.node)
-    if not nodes and replica.blank() and replica.seeds and replica.durable:
+    alone = not nodes and replica.blank() and replica.settings.may_form
+    if alone and replica.seeds and replica.durable:
         found(replica)
     for node in sorted(nodes):
         replica.out.messages.append(
--- a/wigeonport/programs.py
+++ b/wigeonport/programs.py
@@ -118,7 +118,11 @@
     if len(arguments) != 1:
         print(f"usage: wigeonport-{role} SETTINGS", file=sys.stderr)
         return EXIT_USAGE
-    settings = load_settings(arguments[0])
+    return start_with(role, run, load_settings(arguments[0]))
+
+
+def start_with(role, run, settings):
+    """Runs a program with a Result of Settings; returns the exit status."""
     if settings.is_error():
         print(settings.error, file=sys.stderr)
         return EXIT_FAILED
--- a/wigeonport/replica_events.py
+++ b/wigeonport/replica_events.py
@@ -254,6 +254,7 @@
         payload_bytes: Largest payload of a proposal; an Append must fit
             into a frame of 1 MB.
         piece_bytes: Size of a piece of a snapshot.
+        may_form: Whether a blank replica may form a new cluster.
         keep_entries: Entries kept in memory behind a snapshot, so that
             a follower that lags a little needs no snapshot.
     """
@@ -273,6 +274,7 @@
         "pending_entries",
         "payload_bytes",
         "piece_bytes",
+        "may_form",
         "keep_entries",
     )
 
@@ -291,4 +293,5 @@
         self.pending_entries = 20_000
         self.payload_bytes = 512 * 1024
         self.piece_bytes = 128 * 1024
+        self.may_form = True
         self.keep_entries = keep_entries
--- a/wigeonport/servers.py
+++ b/wigeonport/servers.py
@@ -24,19 +24,24 @@
         status: HTTP status.
         body: Bytes of the body.
         content_type: Media type.
+        headers: Further pairs of name and value, as bytes.
     """
 
-    __slots__ = ("status", "body", "content_type")
+    __slots__ = ("status", "body", "content_type", "headers")
 
-    def __init__(self, status, body, content_type="application/json"):
+    def __init__(
+        self, status, body, content_type="application/json", headers=()
+    ):
         self.status = status
         self.body = body
         self.content_type = content_type
+        self.headers = headers
 
 
-def respond_json(status, document):
+def respond_json(status, document, headers=()):
     """Returns a response with a JSON body."""
-    return HttpResponse(status, json.dumps(document).encode() + b"\n")
+    body = json.dumps(document).encode() + b"\n"
+    return HttpResponse(status, body, headers=headers)
 
 
 class ProcessInfo:
@@ -110,6 +115,7 @@
     headers = [
         (b"content-type", response.content_type.encode()),
         (b"content-length", str(len(response.body)).encode()),
+        *response.headers,
     ]
     await send(
         {
--- a/wigeonport/setting_tables.py
+++ b/wigeonport/setting_tables.py
@@ -220,6 +220,59 @@
         least=0,
     ),
 )
+BATCH = (
+    Field(
+        "jobs_listen",
+        "text",
+        None,
+        text="Address `host:port` of callers of batch jobs; entry.",
+    ),
+    Field(
+        "readiness_listen",
+        "text",
+        None,
+        text="Address `host:port` of the balancer's checks; entry.",
+    ),
+    Field(
+        "workers_listen",
+        "text",
+        None,
+        text="Address `host:port` of workers and operators of batch jobs; "
+        "control.",
+    ),
+    Field(
+        "machines_url",
+        "text",
+        None,
+        text="Address at which machines are listed and ordered.",
+    ),
+    Field(
+        "advice_url",
+        "text",
+        None,
+        text="Address of the service that advises on workers.",
+    ),
+    Field(
+        "forms_cluster",
+        "flag",
+        True,
+        text="Whether a control with an empty disk may form a new cluster.",
+    ),
+    _ms("max_hold_ms", 10_000, "Longest lease that a worker accepts."),
+    _ms(
+        "machine_lease_ms",
+        3_000,
+        "Pause between the orders of two leaders to one machine.",
+    ),
+    _ms("notice_ms", 4_500, "Time in which a moved task is back at work."),
+    _ms(
+        "drain_wait_ms",
+        2_500,
+        "An entry that stops takes requests for this long after it has told "
+        "the balancer; two missed checks, 1 s apart, and a margin.",
+    ),
+    _count("metrics_port", 8_086, "HTTP of `/metrics` for batch roles."),
+)
 GROUPS = (
     ("Identity", IDENTITY),
     ("Ports", PORTS),
@@ -227,6 +280,7 @@
     ("Storage and logs", STORAGE),
     ("Limits", REQUEST_LIMITS),
     ("Intervals", INTERVALS),
+    ("Batch jobs", BATCH),
 )
 TABLE = tuple(field for _, fields in GROUPS for field in fields)
 PEER_FIELDS = (
--- a/wigeonport/states.py
+++ b/wigeonport/states.py
@@ -4,6 +4,7 @@
 
 # The modules of the parts register their handlers when they are imported.
 from wigeonport import maintenance_handlers
+from wigeonport.batch_states import BatchState, batch_state_from_document
 from wigeonport.claim_states import ClaimState, claim_state_from_document
 from wigeonport.findings import Findings
 from wigeonport.fleet_states import FleetState, fleet_state_from_document
@@ -13,8 +14,10 @@
 )
 from wigeonport.pool_states import PoolState, pool_state_from_document
 from wigeonport.registries import Registry
+from wigeonport.route_tables import RouteState, route_state_from_document
 from wigeonport.state_answers import CommandRefused
 from wigeonport.state_commands import HANDLERS
+from wigeonport.upkeep_states import UpkeepState, upkeep_state_from_document
 
 FORMAT = 1
 PARTS = Registry("state part")
@@ -24,6 +27,11 @@
 PARTS.register("maintenance")(
     (MaintenanceState, maintenance_state_from_document)
 )
+PARTS.register("batch")((BatchState, batch_state_from_document))
+PARTS.register("routes")((RouteState, route_state_from_document))
+PARTS.register("upkeep")((UpkeepState, upkeep_state_from_document))
+# Parts that snapshots of earlier versions lack; they start empty.
+ADDED_PARTS = ("batch", "routes", "upkeep")
 
 
 class Entry:
@@ -54,6 +62,9 @@
         pools: PoolState.
         claims: ClaimState.
         maintenance: MaintenanceState.
+        batch: BatchState.
+        routes: RouteState.
+        upkeep: UpkeepState.
     """
 
     __slots__ = (
@@ -63,6 +74,9 @@
         "pools",
         "claims",
         "maintenance",
+        "batch",
+        "routes",
+        "upkeep",
     )
 
     def __init__(self):
@@ -114,7 +128,8 @@
         state.applied_index = int(document["applied_index"])
         state.now_ms = int(document["now_ms"])
         for name, (_, read) in PARTS.entries.items():
-            setattr(state, name, read(document[name]))
+            if name in document or name not in ADDED_PARTS:
+                setattr(state, name, read(document[name]))
     except (AttributeError, KeyError, TypeError, ValueError) as fault:
         findings.add("snapshot", f"{type(fault).__name__}: {fault}")
         return Error(findings)
--- /dev/null
+++ b/wigeonport/upkeep_states.py
@@ -0,0 +1,142 @@
+"""Replicated state of upkeep waves and of orders to machines."""
+
+from wigeonport.batch_commands import (
+    OPERATIONS,
+    UPKEEP,
+    OpenWave,
+    OrderMachine,
+    SettleMachine,
+)
+from wigeonport.records import Record
+
+# Waves that are over are kept for readers; an operator asks for a recent
+# one only.
+KEPT_WAVES = 200
+
+
+class Wave(Record):
+    """An upkeep wave that an operator has stated.
+
+    Attributes:
+        number: Number of the wave.
+        due_ms: Wall time by which all upkeeps must have begun.
+        opened_ms: Wall time of its acceptance.
+        max_count: Most machines of the wave that are down at a time.
+        left: Machines whose upkeep has not begun, in the operator's order.
+        machines: All machines of the wave.
+    """
+
+    __slots__ = (
+        "number",
+        "due_ms",
+        "opened_ms",
+        "max_count",
+        "left",
+        "machines",
+    )
+
+    def __init__(self, number, due_ms, opened_ms, max_count, left, machines):
+        self.number = number
+        self.due_ms = due_ms
+        self.opened_ms = opened_ms
+        self.max_count = max_count
+        self.left = left
+        self.machines = machines
+
+
+class MachineOrder(Record):
+    """An order to a machine that may be in progress.
+
+    Attributes:
+        purpose: ``upkeep`` or ``move``.
+        target: Number of the wave, or name of the pool.
+        ordered_ms: Wall time at which it was recorded.
+    """
+
+    __slots__ = ("purpose", "target", "ordered_ms")
+
+    def __init__(self, purpose, target, ordered_ms):
+        self.purpose = purpose
+        self.target = target
+        self.ordered_ms = ordered_ms
+
+
+class UpkeepState:
+    """Waves and orders.
+
+    Attributes:
+        waves: Wave by number.
+        orders: MachineOrder by machine, for orders in progress.
+    """
+
+    __slots__ = ("waves", "orders")
+
+    def __init__(self):
+        self.waves = {}
+        self.orders = {}
+
+    def down(self, wave):
+        """Returns how many machines of a wave may be down for upkeep."""
+        return sum(
+            order.purpose == UPKEEP and order.target == str(wave.number)
+            for order in self.orders.values()
+        )
+
+    def to_document(self):
+        """Returns plain data."""
+        return {
+            "waves": [wave.to_document() for wave in self.waves.values()],
+            "orders": {
+                machine: order.to_document()
+                for machine, order in self.orders.items()
+            },
+        }
+
+
+def upkeep_state_from_document(document):
+    """Reads what ``UpkeepState.to_document`` returned."""
+    state = UpkeepState()
+    for values in document["waves"]:
+        state.waves[values["number"]] = Wave(**values)
+    for machine, values in document["orders"].items():
+        state.orders[machine] = MachineOrder(**values)
+    return state
+
+
+@OPERATIONS.register(OpenWave)
+def open_wave(state, operation, now_ms):
+    """Adds a wave unless its number is known."""
+    waves = state.upkeep.waves
+    if operation.wave in waves:
+        return
+    machines = list(dict.fromkeys(operation.machines))
+    waves[operation.wave] = Wave(
+        operation.wave,
+        operation.due_ms,
+        now_ms,
+        operation.max_count,
+        list(machines),
+        machines,
+    )
+    over = [number for number, wave in waves.items() if not wave.left]
+    for number in over[: max(0, len(waves) - KEPT_WAVES)]:
+        del waves[number]
+
+
+@OPERATIONS.register(OrderMachine)
+def order_machine(state, operation, now_ms):
+    """Notes an order before the platform is called."""
+    state.upkeep.orders[operation.machine] = MachineOrder(
+        operation.purpose, operation.target, now_ms
+    )
+
+
+@OPERATIONS.register(SettleMachine)
+def settle_machine(state, operation, now_ms):
+    """Notes that an order is over."""
+    order = state.upkeep.orders.pop(operation.machine, None)
+    if order is None or not operation.executed or order.purpose != UPKEEP:
+        return
+    wave = state.upkeep.waves.get(int(order.target))
+    if wave is not None and operation.machine in wave.left:
+        wave.left.remove(operation.machine)
--- /dev/null
+++ b/wigeonport/worker_tables.py
@@ -0,0 +1,158 @@
+"""The leader's view of the workers; rebuilt from their heartbeats."""
+
+from wigeonport.worker_reports import Room
+
+# Lease time that is added because the clock of a worker may be 2% slow.
+CLOCK_DRIFT = 0.03
+# Time in which a stop takes effect after a lease has lapsed (`stop-ms`).
+STOP_MARGIN_MS = 250
+
+
+class Worker:
+    """One life of a worker.
+
+    Attributes:
+        report: Newest WorkerReport.
+        heard_ms: When it arrived.
+        lease_until_ms: Until when its runs may live at the latest.
+        runs: Step by pair of task and run, for all that may be live.
+        started_ms: When the leader first assigned each of them.
+        outcomes: Newest outcomes of its runs, for the health verdict.
+        shunned_until_ms: No task is placed on it before.
+        stopping: Pairs of task and run that the leader wants moved.
+        fill_percent: Speed of the tasks that fill.
+        reserved: Whether a machine order is about to empty it.
+    """
+
+    __slots__ = (
+        "report",
+        "heard_ms",
+        "lease_until_ms",
+        "runs",
+        "started_ms",
+        "outcomes",
+        "shunned_until_ms",
+        "stopping",
+        "fill_percent",
+        "reserved",
+        "progress",
+    )
+
+    def __init__(self, report, now_ms):
+        self.report = report
+        self.heard_ms = now_ms
+        self.lease_until_ms = now_ms
+        self.runs = {}
+        self.started_ms = {}
+        self.outcomes = []
+        self.shunned_until_ms = 0
+        self.stopping = set()
+        self.fill_percent = 100
+        self.reserved = False
+        self.progress = {}
+
+    @property
+    def incarnation(self):
+        """Name of this life."""
+        return self.report.incarnation
+
+    def extend_lease(self, hold_ms, now_ms):
+        """Notes that an answer extends the lease of all that runs."""
+        until_ms = now_ms + int(hold_ms * (1 + CLOCK_DRIFT)) + STOP_MARGIN_MS
+        self.lease_until_ms = max(self.lease_until_ms, until_ms)
+
+    def room(self):
+        """Returns what is free; what is being stopped still counts."""
+        capacity = self.report.capacity
+        room = Room(capacity.cpu_milli, capacity.memory_mb, capacity.gpu)
+        for step in self.runs.values():
+            room.take(step)
+        return room
+
+    def accepts(self, now_ms, silent_ms):
+        """Returns whether new tasks may be placed on it."""
+        return (
+            self.report.capacity is not None
+            and not self.report.draining
+            and not self.reserved
+            and now_ms >= self.shunned_until_ms
+            and now_ms - self.heard_ms <= silent_ms
+        )
+
+
+class WorkerTable:
+    """Workers by id, and the newest life of each machine.
+
+    Attributes:
+        by_id: Worker by worker id.
+        by_machine: Worker by machine.
+        runs: Dict of Step by pair of task and run, by incarnation; also
+            for incarnations that have not been heard by this leader.
+    """
+
+    __slots__ = ("by_id", "by_machine", "runs")
+
+    def __init__(self):
+        self.by_id = {}
+        self.by_machine = {}
+        self.runs = {}
+
+    def admit(self, report, now_ms):
+        """Takes in a heartbeat.
+
+        Returns:
+            The Worker, or None if the heartbeat is outdated, and the list
+            of the incarnations that it shows to be over.
+        """
+        known = self.by_id.get(report.worker_id)
+        if known is not None and is_outdated(report, known.report):
+            return None, []
+        over = []
+        twin = self.by_machine.get(report.machine) if report.machine else None
+        for other in (known, twin):
+            if other is None or other.incarnation == report.incarnation:
+                continue
+            if other.report.born_ms > report.born_ms:
+                return None, []
+            if other.incarnation not in over:
+                over.append(other.incarnation)
+                self.forget(other)
+        if known is not None and known.incarnation == report.incarnation:
+            known.report = report
+            known.heard_ms = now_ms
+            return known, over
+        worker = Worker(report, now_ms)
+        worker.runs = self.runs.setdefault(report.incarnation, {})
+        self.by_id[report.worker_id] = worker
+        if report.machine:
+            self.by_machine[report.machine] = worker
+        return worker, over
+
+    def forget(self, worker):
+        """Removes a worker that is gone."""
+        report = worker.report
+        if self.by_id.get(report.worker_id) is worker:
+            del self.by_id[report.worker_id]
+        if self.by_machine.get(report.machine) is worker:
+            del self.by_machine[report.machine]
+
+    def add_run(self, incarnation, task, run, step):
+        """Notes a run that may be live."""
+        self.runs.setdefault(incarnation, {})[task, run] = step
+
+    def drop_run(self, incarnation, task, run):
+        """Notes that a run has ended."""
+        runs = self.runs.get(incarnation)
+        if runs is not None:
+            runs.pop((task, run), None)
+
+    def incarnations(self):
+        """Returns the incarnations of all known lives."""
+        return {worker.incarnation for worker in self.by_id.values()}
+
+
+def is_outdated(report, newest):
+    """Returns whether a heartbeat is older than the newest one."""
+    if report.born_ms != newest.born_ms:
+        return report.born_ms < newest.born_ms
+    return report.sequence <= newest.sequence
