Order upkeep of machines in waves

Change: a machine manager reserves and empties machines within the bound of the wave, records each order before the platform is called, and settles it by the platform's list.

--- a/wigeonport/batch.thrift
+++ b/wigeonport/batch.thrift
@@ -55,9 +55,13 @@
   3: required string target
 }
 
+struct ConfirmMachine {
+  1: required string machine
+}
+
 struct SettleMachine {
   1: required string machine
-  2: required bool executed
+  2: required bool gone
 }
 
 struct BatchCall {
--- a/wigeonport/batch_commands.py
+++ b/wigeonport/batch_commands.py
@@ -171,17 +171,27 @@
         self.target = target
 
 
+@message_kinds.register("ConfirmMachine")
+class ConfirmMachine(Record):
+    """Records that the platform has begun to carry out an order."""
+
+    __slots__ = ("machine",)
+
+    def __init__(self, machine):
+        self.machine = machine
+
+
 @message_kinds.register("SettleMachine")
 class SettleMachine(Record):
-    """Records that an order to a machine is over.
+    """Records that an order is over, carried out or refused.
 
     Attributes:
         machine: Machine.
-        executed: Whether the platform has carried it out.
+        gone: Whether the machine does not exist any more.
     """
 
-    __slots__ = ("machine", "executed")
+    __slots__ = ("machine", "gone")
 
-    def __init__(self, machine, executed):
+    def __init__(self, machine, gone):
         self.machine = machine
-        self.executed = executed
+        self.gone = gone
--- a/wigeonport/batch_controllers.py
+++ b/wigeonport/batch_controllers.py
@@ -22,6 +22,7 @@
     StatusRequest,
 )
 from wigeonport.logs import PartLogger
+from wigeonport.machine_orders import MachineAnswered, MachineListed
 from wigeonport.registries import Registry
 from wigeonport.replica_events import COMMITTED, LEADER
 from wigeonport.replication_messages import node_of
@@ -232,7 +233,9 @@
             if self.dispatcher is not None:
                 self.dispatcher.on_tick(now_ms, self.clock.wall())
                 if self.machines is not None:
-                    self.machines.on_tick(self.dispatcher, now_ms)
+                    self.round += self.machines.on_tick(
+                        self.dispatcher, now_ms
+                    )
 
     def propose(self):
         """Proposes the operations of this round."""
@@ -313,6 +316,8 @@
         logger.warning("Dispatching ends.", term=self.term, reason=reason)
         self.dispatcher = None
         self.lease_until_ms = 0
+        if self.machines is not None:
+            self.machines.stop()
         pending = [(reply, answer) for _, reply, answer in self.waiting]
         for reply, answer in pending + self.round:
             if isinstance(answer, BatchReply):
@@ -355,6 +360,24 @@
     return copy
 
 
+@controller_inputs.register(MachineListed)
+def on_machines_listed(controller, event):
+    """Takes in the platform's list of machines."""
+    if controller.machines is not None:
+        controller.machines.note_list(event)
+
+
+@controller_inputs.register(MachineAnswered)
+def on_machine_answered(controller, event):
+    """Takes in the platform's answer to an order."""
+    dispatcher = controller.dispatcher
+    if dispatcher is not None and event.term == controller.term:
+        dispatcher.wall_ms = controller.clock.wall()
+        controller.machines.note_answer(
+            dispatcher, event, controller.clock.now()
+        )
+
+
 @controller_inputs.register(LeadershipNotice)
 def on_leadership(controller, notice):
     """Learns who leads."""
--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -41,6 +41,8 @@
 
 call_handlers = Registry("batch call")
 
+# Progress of a lasting task that is at work.
+FULL_PERCENT = 100
 # Failed tasks whose workers are remembered; beyond, all are forgotten.
 FAILED_ON_LIMIT = 4_096
 
@@ -215,12 +217,16 @@
         for row in worker.report.running:
             key = (row.task, row.run)
             listed.add(key)
-            if key not in worker.runs or not self.is_wanted(*key):
-                orders.stops.append(key)
-            elif key in worker.stopping:
+            if (
+                key not in worker.runs
+                or not self.is_wanted(*key)
+                or key in worker.stopping
+            ):
                 orders.stops.append(key)
-            if row.saved and key in worker.runs:
-                self.note_checkpoint(row)
+            if key in worker.runs:
+                worker.progress[key] = row.percent
+                if row.saved:
+                    self.note_checkpoint(row)
         gone = [
             key
             for key in worker.runs
@@ -232,6 +238,8 @@
             orders.stops.append(key)
         self.drop_runs(gone)
         worker.stopping &= set(worker.runs)
+        for key in set(worker.progress) - listed:
+            del worker.progress[key]
 
     def note_checkpoint(self, row):
         """Keeps the newest checkpoint for a start after a loss."""
@@ -307,6 +315,56 @@
             ):
                 self.record(OpenOccurrence(job.job_id, job.opened))
 
+    def away_count(self, name):
+        """Returns how many other tasks of a task's step are not at work.
+
+        Only a run that its worker has reported at 100 percent counts as
+        at work.
+        """
+        _, step_run, _ = self.task_of(name)
+        prefix, _, own = name.rpartition(".")
+        away = 0
+        for index, task in enumerate(step_run.tasks):
+            if str(index) == own or task.done:
+                continue
+            away += not any(
+                self.is_at_work(f"{prefix}.{index}", run, worker)
+                for run, worker in task.runs.items()
+            )
+        return away
+
+    def is_at_work(self, name, run, incarnation):
+        """Returns whether a run is at full progress on a known worker."""
+        worker = self.workers.by_id.get(incarnation.partition("@")[0])
+        return (
+            worker is not None
+            and worker.incarnation == incarnation
+            and (name, run) not in worker.stopping
+            and worker.progress.get((name, run), 0) >= FULL_PERCENT
+        )
+
+    def may_stop(self, name, step):
+        """Returns whether stopping a run keeps its step available."""
+        if not step.lasting or not step.max_unavailable:
+            return True
+        return self.away_count(name) < step.max_unavailable
+
+    def evacuate(self, worker, stop_all):
+        """Wants the runs of a worker moved, as far as is allowed now.
+
+        Args:
+            worker: Worker that is to become empty.
+            stop_all: Whether tasks that would end by themselves are
+                stopped too.
+        """
+        for key, step in list(worker.runs.items()):
+            if key in worker.stopping or not (step.lasting or stop_all):
+                continue
+            if key not in worker.progress and step.lasting:
+                continue
+            if self.may_stop(key[0], step):
+                worker.stopping.add(key)
+
     def services_with_gangs(self):
         """Returns the services with an active job that has a gang."""
         services = set()
--- a/wigeonport/batch_programs.py
+++ b/wigeonport/batch_programs.py
@@ -10,12 +10,12 @@
 import trio
 
 from wigeonport.batch_calls import COUNT, BatchCall
+from wigeonport.batch_commands import RecordBatch
 from wigeonport.batch_controllers import (
     BatchController,
     CallReceived,
     forward_leadership,
 )
-from wigeonport.batch_commands import RecordBatch
 from wigeonport.batch_settings import BatchSettings
 from wigeonport.channels import DROP_OLDEST, Mailbox, Reply
 from wigeonport.consensus import Consensus
--- a/wigeonport/job_orders.py
+++ b/wigeonport/job_orders.py
@@ -27,7 +27,9 @@
         if spec.repeat_count:
             start_ms = spec.due_ms(max(0, job.opened - 1))
         self.objective_ms = (
-            start_ms + queue.stretch * spec.chain_ms() + queue.target_latency_ms
+            start_ms
+            + queue.stretch * spec.chain_ms()
+            + queue.target_latency_ms
         )
         self.left_ms = chain_left_ms(job)
 
--- /dev/null
+++ b/wigeonport/machine_managers.py
@@ -0,0 +1,320 @@
+"""Upkeep of machines and their moves between pools.
+
+An order is durable before the platform is called. After a change of
+leader nothing is ordered for a while, because the former leader's last
+order may still be on its way.
+"""
+
+import math
+
+import trio
+
+from wigeonport.batch_commands import (
+    UPKEEP,
+    ConfirmMachine,
+    OrderMachine,
+    SettleMachine,
+)
+from wigeonport.channels import REFUSE, Mailbox
+from wigeonport.logs import PartLogger
+from wigeonport.machine_orders import (
+    EXECUTED,
+    NO_ANSWER,
+    UNKNOWN_MACHINE,
+    UP,
+    MachineAnswered,
+    MachineListed,
+    PlannedOrder,
+)
+from wigeonport.pool_sizes import plan_moves
+
+logger = PartLogger("machines")
+
+CALLS_BOUND = 256
+# The list is needed for machines without a worker; each call is paid for.
+LIST_INTERVAL_MS = 1_500
+# While an order is carried out; an upkeep takes 2 s.
+BUSY_LIST_INTERVAL_MS = 400
+# A machine that is to be emptied loses its remaining tasks after this time:
+# two mean run times of the longest kind of task.
+EMPTYING_MS = 4_000
+# Time of one upkeep for the pace of a wave: emptying, the upkeep of 2 s,
+# and the first heartbeat of the new worker.
+ROUND_MS = 6_500
+# A refused order is tried again after this time.
+REFUSED_PAUSE_MS = 700
+# Share of a pool that a wave takes at a time while it is not pressed.
+POOL_SHARE = 0.34
+# Use of a pool's processors below which a wave may take machines early.
+CALM_USE = 0.5
+
+
+class DurableOrder:
+    """Reply channel that passes an order on once it is durable.
+
+    Attributes:
+        calls: Mailbox of the task that calls the platform.
+    """
+
+    __slots__ = ("calls",)
+
+    def __init__(self, calls):
+        self.calls = calls
+
+    def send(self, answer):
+        """Passes a PlannedOrder on; anything else means a lost lead."""
+        if isinstance(answer, PlannedOrder):
+            return self.calls.put_nowait(answer)
+        return False
+
+
+class MachineManager:
+    """Decides on orders to machines.
+
+    Attributes:
+        cloud: Client of the platform with ``list_machines`` and ``order``.
+        settings: BatchSettings.
+        node: Node of this replica, the holder of its orders.
+        clock: Clock.
+        calls: Mailbox of PlannedOrders that are durable.
+        rows: MachineRow by machine.
+        rows_asked_ms: When that list was asked for.
+        confirmed_ms: When an order was confirmed, by machine.
+        since_ms: Start of the term.
+        pausing: Time until which a machine gets no order, by machine.
+        asked: Machines whose order is at the platform.
+        leading: Whether this replica leads.
+        demand: Recent demand by service, owned by ``pool_sizes``.
+    """
+
+    __slots__ = (
+        "cloud",
+        "settings",
+        "node",
+        "clock",
+        "calls",
+        "rows",
+        "rows_asked_ms",
+        "confirmed_ms",
+        "since_ms",
+        "pausing",
+        "asked",
+        "leading",
+        "demand",
+    )
+
+    def __init__(self, cloud, settings, node, clock):
+        self.cloud = cloud
+        self.settings = settings
+        self.node = node
+        self.clock = clock
+        self.calls = Mailbox("machine calls", CALLS_BOUND, REFUSE)
+        self.rows = {}
+        self.rows_asked_ms = 0
+        self.confirmed_ms = {}
+        self.since_ms = 0
+        self.pausing = {}
+        self.asked = set()
+        self.leading = False
+        self.demand = {}
+
+    def restart(self, now_ms):
+        """Begins a term."""
+        self.since_ms = now_ms
+        self.pausing = {}
+        self.asked = set()
+        self.rows = {}
+        self.confirmed_ms = {}
+        self.leading = True
+        self.demand = {}
+
+    def stop(self):
+        """Ends a term."""
+        self.leading = False
+
+    async def run(self, inbox):
+        """Calls the platform on behalf of the controller."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.list_regularly, inbox)
+            async for order in self.calls:
+                nursery.start_soon(self.call, order, inbox)
+
+    async def call(self, order, inbox):
+        """Sends one order and reports the answer."""
+        result = await self.cloud.order(order)
+        logger.info(
+            "Machine ordered.",
+            machine=order.machine,
+            purpose=order.purpose,
+            target=order.target,
+            fence=order.fence,
+            result=result,
+        )
+        await inbox.put(MachineAnswered(order, result))
+
+    async def list_regularly(self, inbox):
+        """Reads the list of machines while this replica leads."""
+        while True:
+            if self.leading:
+                asked_ms = self.clock.now()
+                rows = await self.cloud.list_machines()
+                if rows.is_ok():
+                    await inbox.put(MachineListed(rows.ok, asked_ms))
+                else:
+                    logger.warning("No list of machines.", reason=rows.error)
+            busy = bool(self.asked or self.confirmed_ms)
+            await self.clock.sleep(
+                BUSY_LIST_INTERVAL_MS if busy else LIST_INTERVAL_MS
+            )
+
+    def note_list(self, event):
+        """Takes in the list of machines."""
+        self.rows = event.rows
+        self.rows_asked_ms = event.asked_ms
+
+    def note_answer(self, dispatcher, event, now_ms):
+        """Takes in the answer to an order."""
+        machine = event.order.machine
+        self.asked.discard(machine)
+        if event.result == EXECUTED:
+            # What ran there is over once the new worker is heard; an order
+            # that had been carried out before must not end its runs.
+            dispatcher.record(ConfirmMachine(machine))
+            self.confirmed_ms[machine] = now_ms
+            return
+        self.pausing[machine] = now_ms + REFUSED_PAUSE_MS
+        if event.result == NO_ANSWER:
+            # It may have been carried out; the same order is sent again.
+            return
+        dispatcher.record(
+            SettleMachine(machine, event.result == UNKNOWN_MACHINE)
+        )
+        self.release(dispatcher, machine)
+
+    def on_tick(self, dispatcher, now_ms):
+        """Returns pairs of reply channel and PlannedOrder."""
+        early = now_ms - self.since_ms < self.settings.duty_wait_ms
+        if early or now_ms < dispatcher.orphans_until_ms or not self.rows:
+            return []
+        self.settle_returned(dispatcher)
+        for wave in list(dispatcher.state.upkeep.waves.values()):
+            if wave.left:
+                self.advance(dispatcher, wave, now_ms)
+        plan_moves(self, dispatcher, now_ms)
+        self.empty_reserved(dispatcher, now_ms)
+        return [
+            self.plan(dispatcher, machine, order)
+            for machine, order in list(dispatcher.state.upkeep.orders.items())
+            if not order.begun and self.is_free(machine, now_ms)
+        ]
+
+    def is_free(self, machine, now_ms):
+        """Returns whether a machine may get an order now."""
+        if machine in self.asked:
+            return False
+        return now_ms >= self.pausing.get(machine, 0)
+
+    def plan(self, dispatcher, machine, order):
+        """Returns reply channel and PlannedOrder of a recorded order."""
+        self.asked.add(machine)
+        planned = PlannedOrder(
+            machine, order.purpose, order.target, self.node, dispatcher.term
+        )
+        return DurableOrder(self.calls), planned
+
+    def settle_returned(self, dispatcher):
+        """Settles the orders whose machine is up again.
+
+        Only a list that was asked for after the order was confirmed
+        counts; a heartbeat may be one of the former worker.
+        """
+        for machine, order in list(dispatcher.state.upkeep.orders.items()):
+            since_ms = self.confirmed_ms.get(machine, self.since_ms)
+            if not order.begun or self.rows_asked_ms <= since_ms:
+                continue
+            row = self.rows.get(machine)
+            if row is None or row.state == UP:
+                dispatcher.record(SettleMachine(machine, row is None))
+                self.confirmed_ms.pop(machine, None)
+                self.release(dispatcher, machine)
+
+    def release(self, dispatcher, machine):
+        """Lets a machine take tasks again."""
+        worker = dispatcher.workers.by_machine.get(machine)
+        if worker is not None:
+            worker.reserved_ms = None
+
+    def advance(self, dispatcher, wave, now_ms):
+        """Reserves machines of a wave, and orders those that are empty."""
+        state = dispatcher.state.upkeep
+        begun = state.down(wave)
+        left = [name for name in wave.left if name not in state.orders]
+        rounds = math.ceil(len(left) / max(1, wave.max_count))
+        slack_ms = wave.due_ms - dispatcher.wall_ms - rounds * ROUND_MS
+        pressed = slack_ms < 0
+        reserved = [
+            name
+            for name in left
+            if (worker := dispatcher.workers.by_machine.get(name)) is not None
+            and worker.reserved_ms is not None
+        ]
+        free = wave.max_count - begun - len(reserved)
+        for name in self.rank(dispatcher, left):
+            if free <= 0:
+                break
+            if name in reserved or not self.is_free(name, now_ms):
+                continue
+            worker = dispatcher.workers.by_machine.get(name)
+            row = self.rows.get(name)
+            if worker is None:
+                if row is None or row.state == UP:
+                    dispatcher.record(
+                        OrderMachine(name, UPKEEP, str(wave.number))
+                    )
+                    free -= 1
+                continue
+            if pressed or self.is_calm(dispatcher, worker):
+                worker.reserved_ms = now_ms
+                free -= 1
+        for name in reserved:
+            worker = dispatcher.workers.by_machine[name]
+            if not worker.runs and self.is_free(name, now_ms):
+                dispatcher.record(OrderMachine(name, UPKEEP, str(wave.number)))
+
+    def rank(self, dispatcher, names):
+        """Returns machines, those with the least work first."""
+
+        def work(name):
+            worker = dispatcher.workers.by_machine.get(name)
+            if worker is None:
+                return -1
+            return sum(step.cpu_milli for step in worker.runs.values())
+
+        return sorted(names, key=work)
+
+    def is_calm(self, dispatcher, worker):
+        """Returns whether a pool can spare a worker now."""
+        service = worker.report.service
+        members = [
+            other
+            for other in dispatcher.workers.by_id.values()
+            if other.report.service == service and other.report.capacity
+        ]
+        taken = sum(other.reserved_ms is not None for other in members)
+        if taken + 1 > max(1, POOL_SHARE * len(members)):
+            return False
+        total = sum(other.report.capacity.cpu_milli for other in members)
+        free = sum(max(0, other.room().cpu_milli) for other in members)
+        return total - free < CALM_USE * total
+
+    def empty_reserved(self, dispatcher, now_ms):
+        """Moves what runs on the machines that are being emptied."""
+        for machine in dispatcher.state.upkeep.orders:
+            worker = dispatcher.workers.by_machine.get(machine)
+            if worker is not None and worker.reserved_ms is None:
+                worker.reserved_ms = now_ms
+        for worker in dispatcher.workers.by_id.values():
+            if worker.reserved_ms is None:
+                continue
+            late = now_ms - worker.reserved_ms > EMPTYING_MS
+            dispatcher.evacuate(worker, late)
--- a/wigeonport/platform_clients.py
+++ b/wigeonport/platform_clients.py
@@ -39,16 +39,18 @@
         self.clock = clock
         self.metrics = metrics
 
-    async def exchange(self, method, path, document=None) -> Result:
+    async def exchange(
+        self, method, path, document=None, headers=None
+    ) -> Result:
         """Returns status and JSON document of a response, or an error."""
         content = None if document is None else json.dumps(document).encode()
         try:
             with trio.fail_after(REQUEST_TIMEOUT_MS / 1000):
                 async with self.pool.stream(
-                    method, self.url + path, content=content
+                    method, self.url + path, headers=headers, content=content
                 ) as response:
                     body = await read_bounded(response)
-            return Ok((response.status, json.loads(body)))
+            return Ok((response.status, json.loads(body) if body else {}))
         except trio.TooSlowError:
             return Error("the platform did not answer in time")
         except (
--- a/wigeonport/upkeep_states.py
+++ b/wigeonport/upkeep_states.py
@@ -3,6 +3,7 @@
 from wigeonport.batch_commands import (
     OPERATIONS,
     UPKEEP,
+    ConfirmMachine,
     OpenWave,
     OrderMachine,
     SettleMachine,
@@ -51,14 +52,16 @@
         purpose: ``upkeep`` or ``move``.
         target: Number of the wave, or name of the pool.
         ordered_ms: Wall time at which it was recorded.
+        begun: Whether the platform has confirmed it.
     """
 
-    __slots__ = ("purpose", "target", "ordered_ms")
+    __slots__ = ("purpose", "target", "ordered_ms", "begun")
 
-    def __init__(self, purpose, target, ordered_ms):
+    def __init__(self, purpose, target, ordered_ms, begun=False):
         self.purpose = purpose
         self.target = target
         self.ordered_ms = ordered_ms
+        self.begun = begun
 
 
 class UpkeepState:
@@ -131,12 +134,26 @@
     )
 
 
+@OPERATIONS.register(ConfirmMachine)
+def confirm_machine(state, operation, now_ms):
+    """Notes that an order is being carried out."""
+    order = state.upkeep.orders.get(operation.machine)
+    if order is not None:
+        order.begun = True
+        if order.purpose == UPKEEP:
+            strike_off(state, order.target, operation.machine)
+
+
 @OPERATIONS.register(SettleMachine)
 def settle_machine(state, operation, now_ms):
     """Notes that an order is over."""
     order = state.upkeep.orders.pop(operation.machine, None)
-    if order is None or not operation.executed or order.purpose != UPKEEP:
-        return
-    wave = state.upkeep.waves.get(int(order.target))
-    if wave is not None and operation.machine in wave.left:
-        wave.left.remove(operation.machine)
+    if operation.gone and order is not None and order.purpose == UPKEEP:
+        strike_off(state, order.target, operation.machine)
+
+
+def strike_off(state, target, machine):
+    """Removes a machine from what is left of a wave."""
+    wave = state.upkeep.waves.get(int(target))
+    if wave is not None and machine in wave.left:
+        wave.left.remove(machine)
--- a/wigeonport/worker_tables.py
+++ b/wigeonport/worker_tables.py
@@ -16,12 +16,12 @@
         heard_ms: When it arrived.
         lease_until_ms: Until when its runs may live at the latest.
         runs: Step by pair of task and run, for all that may be live.
-        started_ms: When the leader first assigned each of them.
-        outcomes: Newest outcomes of its runs, for the health verdict.
         shunned_until_ms: No task is placed on it before.
         stopping: Pairs of task and run that the leader wants moved.
         fill_percent: Speed of the tasks that fill.
-        reserved: Whether a machine order is about to empty it.
+        reserved_ms: Since when it is being emptied for a machine order, or
+            None.
+        progress: Newest percent by pair of task and run.
     """
 
     __slots__ = (
@@ -29,12 +29,10 @@
         "heard_ms",
         "lease_until_ms",
         "runs",
-        "started_ms",
-        "outcomes",
         "shunned_until_ms",
         "stopping",
         "fill_percent",
-        "reserved",
+        "reserved_ms",
         "progress",
     )
 
@@ -43,12 +41,10 @@
         self.heard_ms = now_ms
         self.lease_until_ms = now_ms
         self.runs = {}
-        self.started_ms = {}
-        self.outcomes = []
         self.shunned_until_ms = 0
         self.stopping = set()
         self.fill_percent = 100
-        self.reserved = False
+        self.reserved_ms = None
         self.progress = {}
 
     @property
@@ -74,7 +70,7 @@
         return (
             self.report.capacity is not None
             and not self.report.draining
-            and not self.reserved
+            and self.reserved_ms is None
             and now_ms >= self.shunned_until_ms
             and now_ms - self.heard_ms <= silent_ms
         )
