--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -15,7 +15,12 @@
 
 HOST = "127.0.0.1"
 NUMBERS = itertools.count(1)
-pytest_plugins = ["planning_fixtures", "entry_fixtures", "consensus_groups"]
+pytest_plugins = [
+    "planning_fixtures",
+    "entry_fixtures",
+    "consensus_groups",
+    "batch_fixtures",
+]
 
 
 @pytest.fixture
--- a/wigeonport/machine_managers.py
+++ b/wigeonport/machine_managers.py
@@ -5,11 +5,13 @@
 order may still be on its way.
 """
 
+import collections
 import math
 
 import trio
 
 from wigeonport.batch_commands import (
+    MOVE,
     UPKEEP,
     ConfirmMachine,
     OrderMachine,
@@ -84,7 +86,9 @@
         pausing: Time until which a machine gets no order, by machine.
         asked: Machines whose order is at the platform.
         leading: Whether this replica leads.
-        demand: Recent demand by service, owned by ``pool_sizes``.
+        moving: Target pool by machine, for machines that are being emptied.
+        calm_since: Since when a pool could spare a machine.
+        unsuitable: Pairs of machine and pool that the platform refused.
     """
 
     __slots__ = (
@@ -100,7 +104,9 @@
         "pausing",
         "asked",
         "leading",
-        "demand",
+        "moving",
+        "calm_since",
+        "unsuitable",
     )
 
     def __init__(self, cloud, settings, node, clock):
@@ -116,7 +122,9 @@
         self.pausing = {}
         self.asked = set()
         self.leading = False
-        self.demand = {}
+        self.moving = {}
+        self.calm_since = {}
+        self.unsuitable = set()
 
     def restart(self, now_ms):
         """Begins a term."""
@@ -126,7 +134,8 @@
         self.rows = {}
         self.confirmed_ms = {}
         self.leading = True
-        self.demand = {}
+        self.moving = {}
+        self.calm_since = {}
 
     def stop(self):
         """Ends a term."""
@@ -169,6 +178,13 @@
 
     def note_list(self, event):
         """Takes in the list of machines."""
+        if {m: r.state for m, r in event.rows.items()} != {
+            m: r.state for m, r in self.rows.items()
+        }:
+            states = collections.Counter(
+                f"{row.pool} {row.state}" for row in event.rows.values()
+            )
+            logger.info("Machines listed.", states=dict(states))
         self.rows = event.rows
         self.rows_asked_ms = event.asked_ms
 
@@ -186,9 +202,12 @@
         if event.result == NO_ANSWER:
             # It may have been carried out; the same order is sent again.
             return
-        dispatcher.record(
-            SettleMachine(machine, event.result == UNKNOWN_MACHINE)
-        )
+        gone = event.result == UNKNOWN_MACHINE
+        if gone and event.order.purpose == MOVE:
+            # The pool takes machines of another kind, or the machine is
+            # gone; the next list tells which.
+            self.unsuitable.add((machine, event.order.target))
+        dispatcher.record(SettleMachine(machine, gone))
         self.release(dispatcher, machine)
 
     def on_tick(self, dispatcher, now_ms):
--- a/wigeonport/pool_sizes.py
+++ b/wigeonport/pool_sizes.py
@@ -1,5 +1,189 @@
-"""Sizes of the pools: which machines move, and when."""
+"""Sizes of the pools: which machines move between pools, and when.
+
+A machine in a pool is paid for by the second, in a standby pool it is
+not; a move costs about as much as two seconds in a pool, and the machine
+serves again after about two seconds. So a pool grows when its jobs cannot
+be on time together, and shrinks when it has been calm for a while.
+"""
+
+import math
+
+from wigeonport.batch_commands import MOVE, OrderMachine
+from wigeonport.job_orders import ESTIMATE_MARGIN
+from wigeonport.logs import PartLogger
+from wigeonport.machine_orders import UP
+from wigeonport.task_placements import claims_of
+
+logger = PartLogger("pools")
+
+# A pool shrinks when it could have spared a machine for this long: less
+# than a move and its way back cost, in seconds of a machine.
+CALM_MS = 2_000
+# Spare capacity that a pool keeps when it shrinks.
+SHRINK_MARGIN = 1.35
+# Machines of a pool beyond what its lasting tasks need at least.
+SPARE_MACHINES = 1
+# Shortest time in which work is assumed to be done; bounds the demand of
+# jobs that are nearly late.
+SHORTEST_SPAN_MS = 1_000
+# Most machines that one pool gets at a time.
+MOST_ADDED = 4
+
+
+class Pool:
+    """A pool as the plan sees it.
+
+    Attributes:
+        service: Name.
+        workers: Workers that take tasks.
+        capacity: Thousandths of a core of these together.
+        needed: Thousandths of a core that its jobs need to be on time.
+        least: Least number of machines.
+    """
+
+    __slots__ = ("service", "workers", "capacity", "needed", "least")
+
+    def __init__(self, service, workers):
+        self.service = service
+        self.workers = workers
+        self.capacity = sum(
+            worker.report.capacity.cpu_milli for worker in workers
+        )
+        self.needed = 0
+        self.least = 0
+
+    @property
+    def machine_milli(self):
+        """Mean size of a machine of the pool."""
+        return self.capacity / len(self.workers) if self.workers else 0
+
+
+def measure_pool(dispatcher, service, now_ms, wall_ms):
+    """Returns the Pool of a service with its present demand."""
+    workers = [
+        worker
+        for worker in dispatcher.workers.by_id.values()
+        if worker.report.service == service
+        and worker.accepts(now_ms, dispatcher.settings.silence_ms)
+    ]
+    pool = Pool(service, workers)
+    lasting = 0
+    work, needed = 0, 0
+    claims = claims_of(dispatcher, service, wall_ms)
+    for claim in sorted(claims, key=lambda claim: claim.objective_ms):
+        if claim.lasting:
+            steps = claim.job.spec.steps
+            pool.least = max(pool.least, *map(machines_for, steps))
+            lasting += sum(
+                step.count * step.cpu_milli for step in steps if not step.fills
+            )
+            continue
+        span_ms = claim.objective_ms - wall_ms - claim.left_ms / 2
+        if span_ms < claim.left_ms / 2:
+            continue
+        work += claim.work * ESTIMATE_MARGIN
+        needed = max(needed, work / max(span_ms, SHORTEST_SPAN_MS))
+    pool.needed = lasting + needed
+    return pool
+
+
+def machines_for(step):
+    """Returns how many machines the tasks of a step need at least."""
+    if not step.lasting or not step.max_per_worker:
+        return 1
+    return math.ceil(step.count / step.max_per_worker)
 
 
 def plan_moves(manager, dispatcher, now_ms):
-    """Plans moves between pools; nothing moves without a standby pool."""
+    """Reserves machines that move, and orders those that are empty."""
+    finish_moves(manager, dispatcher, now_ms)
+    table = dispatcher.state.routes.table
+    standby = [s.name for s in table.services.values() if s.standby]
+    if not standby:
+        return
+    served = {queue.service for queue in table.queues.values()}
+    pools = [
+        measure_pool(dispatcher, service, now_ms, dispatcher.wall_ms)
+        for service in sorted(served)
+        if service not in standby
+    ]
+    for pool in pools:
+        grow(manager, dispatcher, pool, standby, now_ms)
+    for pool in pools:
+        shrink(manager, dispatcher, pool, standby[0], now_ms)
+
+
+def grow(manager, dispatcher, pool, standby, now_ms):
+    """Adds machines from standby to a pool whose jobs would be late."""
+    if pool.needed <= pool.capacity or not pool.workers:
+        return
+    orders = dispatcher.state.upkeep.orders
+    coming = sum(
+        order.purpose == MOVE and order.target == pool.service
+        for order in orders.values()
+    )
+    missing = (pool.needed - pool.capacity) / pool.machine_milli
+    wanted = min(MOST_ADDED, math.ceil(missing)) - coming
+    for machine, row in sorted(manager.rows.items()):
+        if wanted <= 0:
+            return
+        if (
+            row.pool not in standby
+            or machine in orders
+            or (machine, pool.service) in manager.unsuitable
+            or not manager.is_free(machine, now_ms)
+        ):
+            continue
+        logger.info(
+            "Pool grows.",
+            pool=pool.service,
+            machine=machine,
+            needed_milli=int(pool.needed),
+            capacity_milli=pool.capacity,
+        )
+        dispatcher.record(OrderMachine(machine, MOVE, pool.service))
+        wanted -= 1
+
+
+def shrink(manager, dispatcher, pool, standby, now_ms):
+    """Reserves one machine of a calm pool for standby."""
+    left = pool.capacity - pool.machine_milli
+    least = pool.least + SPARE_MACHINES
+    if pool.needed * SHRINK_MARGIN > left or len(pool.workers) <= least:
+        manager.calm_since.pop(pool.service, None)
+        return
+    since_ms = manager.calm_since.setdefault(pool.service, now_ms)
+    if now_ms - since_ms < CALM_MS:
+        return
+    idle = [
+        worker
+        for worker in pool.workers
+        if worker.report.machine
+        and not any(step.lasting for step in worker.runs.values())
+        and manager.is_free(worker.report.machine, now_ms)
+    ]
+    if not idle:
+        return
+    worker = min(idle, key=lambda each: -each.room().cpu_milli)
+    logger.info(
+        "Pool shrinks.",
+        pool=pool.service,
+        machine=worker.report.machine,
+        needed_milli=int(pool.needed),
+        capacity_milli=pool.capacity,
+    )
+    worker.reserved_ms = now_ms
+    manager.moving[worker.report.machine] = standby
+    manager.calm_since.pop(pool.service, None)
+
+
+def finish_moves(manager, dispatcher, now_ms):
+    """Orders the moves of machines that are empty."""
+    for machine, target in list(manager.moving.items()):
+        worker = dispatcher.workers.by_machine.get(machine)
+        row = manager.rows.get(machine)
+        if worker is None or row is None or row.state != UP:
+            del manager.moving[machine]
+        elif not worker.runs:
+            dispatcher.record(OrderMachine(machine, MOVE, target))
+            del manager.moving[machine]
--- a/wigeonport/task_placements.py
+++ b/wigeonport/task_placements.py
@@ -24,8 +24,12 @@
         if queue is not None and queue.service == service:
             claims.append(JobClaim(job, queue))
     order = job_orders.get(dispatcher.settings.job_order).ok
-    claims.sort(key=lambda claim: order(claim, now_ms))
-    return claims
+    capacity_milli = sum(
+        worker.report.capacity.cpu_milli
+        for worker in dispatcher.workers.by_id.values()
+        if worker.report.service == service and worker.report.capacity
+    )
+    return order(claims, now_ms, capacity_milli)
 
 
 def place_tasks(dispatcher, worker, now_ms, wall_ms):
@@ -33,27 +37,17 @@
     room = worker.room()
     tasks, runs = [], []
     for claim in claims_of(dispatcher, worker.report.service, wall_ms):
+        if claim.queue.advice is not None:
+            continue
         for occurrence, number, step_run in claim.job.ready_steps():
             if not step_run.waiting or step_run.step.gang:
                 continue
-            if claim.queue.advice is not None:
-                continue
-            here = Spot(dispatcher, worker, claim, occurrence, number)
-            if not here.suits(step_run.step, now_ms):
+            spot = Spot(dispatcher, worker, claim, occurrence, number)
+            if not spot.suits(step_run.step, now_ms):
                 continue
-            limit = here.limit(step_run.step)
-            for index in sorted(step_run.waiting):
-                if limit <= 0 or not room.fits(step_run.step):
-                    break
-                name = task_id(claim.job.job_id, occurrence, number, index)
-                if worker.report.worker_id in dispatcher.failed_on.get(
-                    name, ()
-                ):
-                    continue
-                tasks.append(name)
+            for index in spot.choose(step_run, room):
+                tasks.append(f"{spot.prefix}{index}")
                 runs.append(step_run.tasks[index].last_run + 1)
-                room.take(step_run.step)
-                limit -= 1
             if len(tasks) >= MAX_STARTS:
                 break
     if tasks:
@@ -99,6 +93,20 @@
         wait_ms = LOCALITY_WAIT_MS + step.estimated_ms
         return not near or now_ms - since > wait_ms
 
+    def choose(self, step_run, room):
+        """Returns the indices of the tasks to start; takes their room."""
+        chosen = []
+        most = self.limit(step_run.step)
+        for index in sorted(step_run.waiting):
+            if len(chosen) >= most or not room.fits(step_run.step):
+                break
+            failed_on = self.dispatcher.failed_on.get(f"{self.prefix}{index}")
+            if failed_on and self.worker.report.worker_id in failed_on:
+                continue
+            room.take(step_run.step)
+            chosen.append(index)
+        return chosen
+
     def limit(self, step):
         """Returns how many more tasks of the step the worker may run."""
         if step.fills and not step.max_per_worker:
