Grow pools ahead of demand; return tasks to workers after a pause

Pools shrank to two machines and grew by one every half second. Ruled out: room and labels; the report shows room for it twice over. Change: a failed task avoids its worker for 1 s only; pools keep a floor and prepare for their learned peak.

--- a/tests/test_batch_dispatchers.py
+++ b/tests/test_batch_dispatchers.py
@@ -1,8 +1,8 @@
 """Tests of the decisions on batch jobs and workers."""
 
 import pytest
-
 from batch_fixtures import JOB, Scene, make_queue, make_table, names
+
 from wigeonport.batch_calls import NO_JOB, NO_QUEUE, OK
 from wigeonport.worker_reports import Room
 
@@ -258,3 +258,12 @@
     """A worker must not be ordered beyond its capacity."""
     scene.submit(ONE)
     assert names(scene.beat(capacity=free)) == []
+
+
+def test_task_returns_to_a_worker_on_which_it_failed(scene):
+    """A lasting task must not stay down because it failed everywhere."""
+    scene.submit(ONE | {"lasting": True})
+    scene.beat()
+    assert names(scene.beat(ended=[(1, TASK, 1, "failed")])) == []
+    scene.advance(1_100)
+    assert names(scene.beat()) == [(TASK, 2)]
--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -60,7 +60,8 @@
         operations: Operations since the last ``take_operations``.
         orphans_until_ms: Until when runs of workers that this leader has
             not heard of may live.
-        failed_on: Worker ids by task on which it failed.
+        failed_on: Time of the failure by worker id, by task.
+        claims: Wall time and JobClaims by service, kept for a moment.
         waiting_since: First time at which a step waited for a near worker.
         wall_ms: Wall time of the current step.
     """
@@ -75,6 +76,7 @@
         "operations",
         "orphans_until_ms",
         "failed_on",
+        "claims",
         "waiting_since",
         "wall_ms",
     )
@@ -90,6 +92,7 @@
         # The former leader may have answered until this one was elected.
         self.orphans_until_ms = now_ms + int(settings.hold_ms * 1.03) + 500
         self.failed_on = {}
+        self.claims = {}
         self.waiting_since = {}
         self.wall_ms = 0
         for job in state.batch.jobs.values():
@@ -110,6 +113,8 @@
             job = self.state.batch.jobs.get(operation.job_id)
             if job is not None and job.active:
                 self.active[job.job_id] = job
+                queue = self.state.routes.queue_of(job.queue)
+                self.claims.pop(queue.service if queue else "", None)
 
     def note_starts(self, operation):
         """Keeps the index of live runs."""
@@ -200,8 +205,8 @@
         if end.outcome == ENDED_FAILED:
             if len(self.failed_on) > FAILED_ON_LIMIT:
                 self.failed_on.clear()
-            places = self.failed_on.setdefault(end.task, set())
-            places.add(worker.report.worker_id)
+            places = self.failed_on.setdefault(end.task, {})
+            places[worker.report.worker_id] = worker.heard_ms
         logger.info(
             "Run ended.",
             task=end.task,
--- a/wigeonport/job_orders.py
+++ b/wigeonport/job_orders.py
@@ -23,6 +23,7 @@
         left_ms: Estimated run time of the longest chain that is left.
         work: Estimated work that is left, in thousandths of a core times
             ms.
+        running: Estimated work of the tasks that run, in the same unit.
         begun: Whether a task of it has been started.
     """
 
@@ -33,6 +34,7 @@
         "objective_ms",
         "left_ms",
         "work",
+        "running",
         "begun",
     )
 
@@ -49,13 +51,13 @@
             + queue.stretch * spec.chain_ms()
             + queue.target_latency_ms
         )
-        self.left_ms, self.work = estimate_left(job)
+        self.left_ms, self.work, self.running = estimate_left(job)
         self.begun = job.state == "running"
 
 
 def estimate_left(job):
-    """Returns run time of the longest chain and work that are left."""
-    longest, work = 0, 0
+    """Returns the longest chain, the waiting and the running work."""
+    longest, work, running = 0, 0, 0
     for step_runs in job.occurrences.values():
         finish = []
         for step_run in step_runs:
@@ -63,9 +65,11 @@
             own_ms = step.estimated_ms if step_run.left else 0
             before = [finish[each] for each in step.depends_on]
             finish.append(max(before, default=0) + own_ms)
-            work += len(step_run.waiting) * step.cpu_milli * own_ms
+            task_work = step.cpu_milli * own_ms
+            work += len(step_run.waiting) * task_work
+            running += (step_run.left - len(step_run.waiting)) * task_work
         longest = max(longest, *finish) if finish else longest
-    return longest, work
+    return longest, work, running
 
 
 @job_orders.register("objective")
--- a/wigeonport/machine_managers.py
+++ b/wigeonport/machine_managers.py
@@ -88,6 +88,8 @@
         leading: Whether this replica leads.
         moving: Target pool by machine, for machines that are being emptied.
         calm_since: Since when a pool could spare a machine.
+        peaks: Highest demand of a pool in this term.
+        sizes: Most machines of a pool in this term.
         unsuitable: Pairs of machine and pool that the platform refused.
     """
 
@@ -106,6 +108,8 @@
         "leading",
         "moving",
         "calm_since",
+        "peaks",
+        "sizes",
         "unsuitable",
     )
 
@@ -124,6 +128,8 @@
         self.leading = False
         self.moving = {}
         self.calm_since = {}
+        self.peaks = {}
+        self.sizes = {}
         self.unsuitable = set()
 
     def restart(self, now_ms):
@@ -136,6 +142,8 @@
         self.leading = True
         self.moving = {}
         self.calm_since = {}
+        self.peaks = {}
+        self.sizes = {}
 
     def stop(self):
         """Ends a term."""
--- a/wigeonport/pool_sizes.py
+++ b/wigeonport/pool_sizes.py
@@ -23,11 +23,22 @@
 SHRINK_MARGIN = 1.35
 # Machines of a pool beyond what its lasting tasks need at least.
 SPARE_MACHINES = 1
+# A pool that grows prepares for more than its jobs need at the moment,
+# because demand rises within a second or two.
+GROWTH_FACTOR = 1.3
+# Use of a pool at which it begins to grow.
+GROWTH_SHARE = 0.9
+# A pool that begins to grow prepares for this share of its highest demand.
+PEAK_SHARE = 0.8
+# A calm pool keeps this share of the most machines that it had.
+FLOOR_SHARE = 0.5
+# Window over which the arrival of work is measured.
+ARRIVAL_MS = 1_500
 # Shortest time in which work is assumed to be done; bounds the demand of
 # jobs that are nearly late.
 SHORTEST_SPAN_MS = 1_000
 # Most machines that one pool gets at a time.
-MOST_ADDED = 4
+MOST_ADDED = 6
 
 
 class Pool:
@@ -68,7 +79,7 @@
     ]
     pool = Pool(service, workers)
     lasting = 0
-    work, needed = 0, 0
+    work, needed, arrived = 0, 0, 0
     claims = claims_of(dispatcher, service, wall_ms)
     for claim in sorted(claims, key=lambda claim: claim.objective_ms):
         if claim.lasting:
@@ -83,7 +94,9 @@
             continue
         work += claim.work * ESTIMATE_MARGIN
         needed = max(needed, work / max(span_ms, SHORTEST_SPAN_MS))
-    pool.needed = lasting + needed
+        if wall_ms - claim.job.submitted_ms < ARRIVAL_MS:
+            arrived += claim.work + claim.running
+    pool.needed = lasting + max(needed, arrived / ARRIVAL_MS)
     return pool
 
 
@@ -115,14 +128,17 @@
 
 def grow(manager, dispatcher, pool, standby, now_ms):
     """Adds machines from standby to a pool whose jobs would be late."""
-    if pool.needed <= pool.capacity or not pool.workers:
+    peak = max(pool.needed, manager.peaks.get(pool.service, 0))
+    manager.peaks[pool.service] = peak
+    if pool.needed <= GROWTH_SHARE * pool.capacity or not pool.workers:
         return
+    target = max(GROWTH_FACTOR * pool.needed, PEAK_SHARE * peak)
     orders = dispatcher.state.upkeep.orders
     coming = sum(
         order.purpose == MOVE and order.target == pool.service
         for order in orders.values()
     )
-    missing = (pool.needed - pool.capacity) / pool.machine_milli
+    missing = (target - pool.capacity) / pool.machine_milli
     wanted = min(MOST_ADDED, math.ceil(missing)) - coming
     for machine, row in sorted(manager.rows.items()):
         if wanted <= 0:
@@ -148,7 +164,9 @@
 def shrink(manager, dispatcher, pool, standby, now_ms):
     """Reserves one machine of a calm pool for standby."""
     left = pool.capacity - pool.machine_milli
-    least = pool.least + SPARE_MACHINES
+    most = max(len(pool.workers), manager.sizes.get(pool.service, 0))
+    manager.sizes[pool.service] = most
+    least = max(pool.least + SPARE_MACHINES, math.ceil(FLOOR_SHARE * most))
     if pool.needed * SHRINK_MARGIN > left or len(pool.workers) <= least:
         manager.calm_since.pop(pool.service, None)
         return
--- a/wigeonport/task_placements.py
+++ b/wigeonport/task_placements.py
@@ -6,6 +6,11 @@
 
 # Most tasks started by one answer; bounds its size far below 4 MiB.
 MAX_STARTS = 64
+# Validity of a computed order of jobs; a new job waits this long at most.
+CLAIMS_MS = 50
+# Time for which a task that failed on a worker is left to the others; in a
+# pool all workers have sent a heartbeat by then.
+AVOID_MS = 1_000
 # A task waits this long, beyond its estimate, for a worker near its data.
 LOCALITY_WAIT_MS = 1_000
 # A worker that has been silent for longer gets no member of a gang.
@@ -13,7 +18,20 @@
 
 
 def claims_of(dispatcher, service, now_ms):
-    """Returns the claims of the active jobs of a service, in order."""
+    """Returns the claims of the active jobs of a service, in order.
+
+    They are kept for a moment, because each heartbeat asks for them.
+    """
+    kept_ms, kept = dispatcher.claims.get(service, (None, None))
+    if kept_ms is not None and 0 <= now_ms - kept_ms < CLAIMS_MS:
+        return [claim for claim in kept if claim.job.active]
+    claims = sort_claims(dispatcher, service, now_ms)
+    dispatcher.claims[service] = (now_ms, claims)
+    return claims
+
+
+def sort_claims(dispatcher, service, now_ms):
+    """Computes and sorts the claims of a service."""
     routes = dispatcher.state.routes
     claims = []
     for job in list(dispatcher.active.values()):
@@ -100,13 +118,21 @@
         for index in sorted(step_run.waiting):
             if len(chosen) >= most or not room.fits(step_run.step):
                 break
-            failed_on = self.dispatcher.failed_on.get(f"{self.prefix}{index}")
-            if failed_on and self.worker.report.worker_id in failed_on:
+            if self.failed_here(index):
                 continue
             room.take(step_run.step)
             chosen.append(index)
         return chosen
 
+    def failed_here(self, index):
+        """Returns whether a task failed on the worker a moment ago."""
+        places = self.dispatcher.failed_on.get(f"{self.prefix}{index}", {})
+        failed_ms = places.get(self.worker.report.worker_id)
+        return (
+            failed_ms is not None
+            and self.worker.heard_ms - failed_ms < AVOID_MS
+        )
+
     def limit(self, step):
         """Returns how many more tasks of the step the worker may run."""
         if step.fills and not step.max_per_worker:
