Judge workers by their runs; reload, metrics, and sizes of pools

Cause: workers that fail, stall or slow down kept getting tasks; SIGHUP ended a process; the control kept 1,934 descriptors because idle connections of workers stayed open for 30 s.

--- a/tests/test_batch_dispatchers.py
+++ b/tests/test_batch_dispatchers.py
@@ -267,3 +267,67 @@
     assert names(scene.beat(ended=[(1, TASK, 1, "failed")])) == []
     scene.advance(1_100)
     assert names(scene.beat()) == [(TASK, 2)]
+
+
+def fail_jobs(scene, worker, count):
+    """Fails a run of each of several jobs on a worker."""
+    for number in range(count):
+        job_id = f"{number:016x}"
+        scene.submit(ONE, job_id=job_id)
+        scene.beat(worker)
+        scene.beat(
+            worker, ended=[(number + 1, f"{job_id}.0.0.0", 1, "failed")]
+        )
+
+
+def test_worker_that_fails_everything_gets_no_more_work(scene):
+    """A bad worker must not use up the attempts of many jobs."""
+    for other in ("w2", "w3"):
+        scene.beat(other)
+    fail_jobs(scene, "w1", 2)
+    scene.submit(ONE, job_id="00000000000000cc")
+    assert names(scene.beat("w1")) == []
+    assert len(names(scene.beat("w2"))) == 3
+
+
+def test_excluded_worker_is_tried_again(scene):
+    """A verdict on a worker must be reversible."""
+    fail_jobs(scene, "w1", 2)
+    scene.submit(ONE, job_id="00000000000000cc")
+    assert names(scene.beat("w1")) == []
+    scene.advance(2_600)
+    assert len(names(scene.beat("w1"))) == 3
+
+
+def test_run_that_stands_still_is_moved(scene):
+    """A task that hangs must not hold its job until the lease ends."""
+    scene.submit(ONE | {"estimated_ms": 1_000})
+    scene.beat("w1")
+    scene.beat("w1", running=[(TASK, 1, "", 10)])
+    scene.advance(1_000)
+    assert scene.beat("w1", running=[(TASK, 1, "", 10)]).stops == []
+    scene.advance(700)
+    orders = scene.beat("w1", running=[(TASK, 1, "", 10)])
+    assert orders.stops == [(TASK, 1)]
+    scene.beat("w1", ended=[(1, TASK, 1, "stopped")])
+    assert names(scene.beat("w2")) == [(TASK, 2)]
+
+
+def test_run_that_advances_is_left_alone(scene):
+    """Slow progress is no stall."""
+    scene.submit(ONE | {"estimated_ms": 9_000})
+    scene.beat("w1")
+    for percent in (1, 2, 3, 4):
+        orders = scene.beat("w1", running=[(TASK, 1, "", percent)])
+        assert orders.stops == []
+        scene.advance(1_000)
+
+
+def test_lasting_task_at_work_does_not_stand_still(scene):
+    """A lasting task stays at 100 percent for good."""
+    scene.submit(ONE | {"lasting": True})
+    scene.beat("w1")
+    for _ in range(4):
+        orders = scene.beat("w1", running=[(TASK, 1, "", 100)])
+        assert orders.stops == []
+        scene.advance(1_000)
--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -36,6 +36,11 @@
 from wigeonport.task_placements import place_gangs, place_tasks
 from wigeonport.worker_reports import StartOrder, WorkerOrders
 from wigeonport.worker_tables import WorkerTable
+from wigeonport.worker_verdicts import (
+    note_end,
+    note_progress,
+    review_worker,
+)
 
 logger = PartLogger("dispatch")
 
@@ -175,6 +180,8 @@
         if report.capacity is None:
             return orders
         self.take_ends(worker, orders)
+        self.take_progress(worker)
+        review_worker(self, worker, now_ms)
         self.reconcile(worker, orders)
         pace_fills(worker, orders)
         if worker.accepts(now_ms, self.settings.silence_ms):
@@ -207,6 +214,7 @@
                 self.failed_on.clear()
             places = self.failed_on.setdefault(end.task, {})
             places[worker.report.worker_id] = worker.heard_ms
+        note_end(self, worker, end)
         logger.info(
             "Run ended.",
             task=end.task,
@@ -216,6 +224,19 @@
             sequence=worker.report.sequence,
         )
 
+    def take_progress(self, worker):
+        """Notes progress and checkpoints of the runs that are live."""
+        listed = set()
+        for row in worker.report.running:
+            key = (row.task, row.run)
+            if key in worker.runs:
+                listed.add(key)
+                note_progress(worker, key, row.percent)
+                if row.saved:
+                    self.note_checkpoint(row)
+        for key in set(worker.progress) - listed:
+            del worker.progress[key]
+
     def reconcile(self, worker, orders):
         """Stops what is not wanted, and drops what never started."""
         listed = set()
@@ -228,10 +249,6 @@
                 or key in worker.stopping
             ):
                 orders.stops.append(key)
-            if key in worker.runs:
-                worker.progress[key] = row.percent
-                if row.saved:
-                    self.note_checkpoint(row)
         gone = [
             key
             for key in worker.runs
@@ -243,8 +260,6 @@
             orders.stops.append(key)
         self.drop_runs(gone)
         worker.stopping &= set(worker.runs)
-        for key in set(worker.progress) - listed:
-            del worker.progress[key]
 
     def note_checkpoint(self, row):
         """Keeps the newest checkpoint for a start after a loss."""
@@ -345,7 +360,8 @@
             worker is not None
             and worker.incarnation == incarnation
             and (name, run) not in worker.stopping
-            and worker.progress.get((name, run), 0) >= FULL_PERCENT
+            and (name, run) in worker.progress
+            and worker.progress[name, run].percent >= FULL_PERCENT
         )
 
     def may_stop(self, name, step):
--- a/wigeonport/batch_programs.py
+++ b/wigeonport/batch_programs.py
@@ -25,6 +25,7 @@
 from wigeonport.links import LinkClosed
 from wigeonport.logs import PartLogger
 from wigeonport.peer_links import PeerLinks
+from wigeonport.servers import ProcessInfo, StatusApp, serve_http
 from wigeonport.states import ReplicatedState, state_from_document
 
 logger = PartLogger("batch")
@@ -34,6 +35,9 @@
 PROBE_INTERVAL_MS = 500
 PROBE_TIMEOUT_MS = 1_000
 PROBE_HOST = "readiness"
+# The settings file may change without a signal.
+RELOAD_INTERVAL_MS = 2_000
+METRICS_GRACE_MS = 500
 
 
 class LinkReply:
@@ -93,13 +97,54 @@
     return BatchSettings(settings.max_hold_ms, settings.machine_lease_ms)
 
 
-async def run_batch_control(program, serve_edge, make_machines=None):
+async def reload_settings(program, links, load):
+    """Reads the settings again when asked to, or when they have changed.
+
+    New addresses of controls get links; what else has changed holds from
+    the next start.
+
+    Args:
+        program: Program.
+        links: PeerLinks.
+        load: Function that returns a Result of Settings.
+    """
+    known = program.settings
+    while True:
+        asked = await program.reloads.get_within(RELOAD_INTERVAL_MS)
+        loaded = load()
+        if loaded.is_error():
+            logger.error("Settings are unreadable.", reason=loaded.error)
+            continue
+        if asked is None and loaded.ok == known:
+            continue
+        known = loaded.ok
+        hosts = [peer.host for peer in known.peers]
+        for host in hosts:
+            links.add(host)
+        logger.info("Settings reloaded.", controls=",".join(hosts))
+
+
+async def serve_metrics(program):
+    """Serves ``/metrics`` until the program has stopped."""
+    settings = program.settings
+    info = ProcessInfo(program.metrics, program.events, program.stopping)
+    await serve_http(
+        StatusApp(info),
+        settings.host,
+        settings.metrics_port,
+        program.stopping,
+        METRICS_GRACE_MS,
+    )
+
+
+async def run_batch_control(program, serve_edge, load, make_machines=None):
     """Runs a control for batch jobs until it has stopped.
 
     Args:
         program: Program.
         serve_edge: Async function ``(program, controller)`` that serves
             workers and operators until the program stops.
+        load: Function that returns a Result of the present Settings.
         make_machines: Function of the program that returns the
             MachineManager, or None.
     """
@@ -126,6 +171,8 @@
     )
     async with trio.open_nursery() as nursery:
         nursery.start_soon(links.run, nursery)
+        nursery.start_soon(reload_settings, program, links, load)
+        nursery.start_soon(serve_metrics, program)
         await nursery.start(controller.run)
         nursery.start_soon(forward_leadership, notices, controller.inbox)
         await nursery.start(consensus.run)
@@ -141,13 +188,14 @@
         nursery.cancel_scope.cancel()
 
 
-async def run_batch_entry(program, serve_edge):
+async def run_batch_entry(program, serve_edge, load):
     """Runs an entry for batch jobs until it has stopped.
 
     Args:
         program: Program.
         serve_edge: Async function ``(program, gateway)`` that serves
             callers until the program stops.
+        load: Function that returns a Result of the present Settings.
     """
     settings = program.settings
     inbound = Mailbox("deliveries", settings.mailbox_bound, DROP_OLDEST)
@@ -161,6 +209,8 @@
     gateway = Gateway(links, program.clock, program.metrics)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(links.run, nursery)
+        nursery.start_soon(reload_settings, program, links, load)
+        nursery.start_soon(serve_metrics, program)
         nursery.start_soon(gateway.run)
         nursery.start_soon(probe_leader, gateway, program.clock)
         await serve_edge(program, gateway)
--- a/wigeonport/batch_settings.py
+++ b/wigeonport/batch_settings.py
@@ -33,7 +33,7 @@
         self.hold_ms = min(4_500, max_hold_ms)
         self.retry_after_ms = 400
         self.silence_ms = 1_500
-        self.job_order = "selection"
+        self.job_order = "objective"
         self.max_fills_per_step = 2
         self.occurrence_lead_ms = 0
         self.duty_wait_ms = lease_ms + 500
--- a/wigeonport/job_orders.py
+++ b/wigeonport/job_orders.py
@@ -1,15 +1,11 @@
 """Order in which the jobs of a service get room."""
 
-import heapq
-
 from wigeonport.registries import Registry
 
 job_orders = Registry("job order")
 
 # Estimates are rough and the tasks of a step differ by about a third.
 ESTIMATE_MARGIN = 1.25
-# Worth of a job that does not depend on its size, in mean job sizes.
-FIXED_WORTH = 0.3
 
 
 class JobClaim:
@@ -24,7 +20,6 @@
         work: Estimated work that is left, in thousandths of a core times
             ms.
         running: Estimated work of the tasks that run, in the same unit.
-        begun: Whether a task of it has been started.
     """
 
     __slots__ = (
@@ -35,7 +30,6 @@
         "left_ms",
         "work",
         "running",
-        "begun",
     )
 
     def __init__(self, job, queue):
@@ -52,7 +46,6 @@
             + queue.target_latency_ms
         )
         self.left_ms, self.work, self.running = estimate_left(job)
-        self.begun = job.state == "running"
 
 
 def estimate_left(job):
@@ -73,7 +66,7 @@
 
 
 @job_orders.register("objective")
-def order_by_objective(claims, now_ms, capacity_milli):
+def order_by_objective(claims, now_ms):
     """Lasting jobs, then what can meet its objective, the nearest first."""
 
     def key(claim):
@@ -81,37 +74,3 @@
         return (not claim.lasting, late, claim.objective_ms)
 
     return sorted(claims, key=key)
-
-
-@job_orders.register("selection")
-def order_by_selection(claims, now_ms, capacity_milli):
-    """Lasting jobs, then the set of jobs that can be on time together.
-
-    Jobs are taken in the order of their objectives. When one would be
-    late, the taken job with the most work for its worth is put behind, as
-    in the algorithm of Moore and Hodgson (1968) for one machine; the
-    processors of the pool count as one machine.
-    """
-    lasting = [claim for claim in claims if claim.lasting]
-    timed = [claim for claim in claims if not claim.lasting]
-    timed.sort(key=lambda claim: claim.objective_ms)
-    mean = sum(claim.work for claim in timed) / len(timed) if timed else 0
-    taken, work = [], 0
-    behind = set()
-    for claim in timed:
-        chain_ms = claim.left_ms * ESTIMATE_MARGIN
-        if now_ms + chain_ms > claim.objective_ms:
-            behind.add(id(claim))
-            continue
-        worth = FIXED_WORTH * mean + claim.work + 1
-        rank = -claim.work / worth if not claim.begun else 0
-        heapq.heappush(taken, (rank, id(claim), claim))
-        work += claim.work
-        latest_ms = claim.objective_ms - now_ms - chain_ms / 2
-        while taken and work * ESTIMATE_MARGIN > latest_ms * capacity_milli:
-            _, _, dropped = heapq.heappop(taken)
-            behind.add(id(dropped))
-            work -= dropped.work
-    on_time = [claim for claim in timed if id(claim) not in behind]
-    late = [claim for claim in timed if id(claim) in behind]
-    return lasting + on_time + late
--- a/wigeonport/machine_managers.py
+++ b/wigeonport/machine_managers.py
@@ -88,7 +88,6 @@
         leading: Whether this replica leads.
         moving: Target pool by machine, for machines that are being emptied.
         calm_since: Since when a pool could spare a machine.
-        peaks: Highest demand of a pool in this term.
         sizes: Most machines of a pool in this term.
         unsuitable: Pairs of machine and pool that the platform refused.
     """
@@ -108,7 +107,6 @@
         "leading",
         "moving",
         "calm_since",
-        "peaks",
         "sizes",
         "unsuitable",
     )
@@ -128,7 +126,6 @@
         self.leading = False
         self.moving = {}
         self.calm_since = {}
-        self.peaks = {}
         self.sizes = {}
         self.unsuitable = set()
 
@@ -142,7 +139,6 @@
         self.leading = True
         self.moving = {}
         self.calm_since = {}
-        self.peaks = {}
         self.sizes = {}
 
     def stop(self):
--- a/wigeonport/pool_sizes.py
+++ b/wigeonport/pool_sizes.py
@@ -23,22 +23,15 @@
 SHRINK_MARGIN = 1.35
 # Machines of a pool beyond what its lasting tasks need at least.
 SPARE_MACHINES = 1
-# A pool that grows prepares for more than its jobs need at the moment,
-# because demand rises within a second or two.
-GROWTH_FACTOR = 1.3
-# Use of a pool at which it begins to grow.
-GROWTH_SHARE = 0.9
-# A pool that begins to grow prepares for this share of its highest demand.
-PEAK_SHARE = 0.8
 # A calm pool keeps this share of the most machines that it had.
-FLOOR_SHARE = 0.5
+FLOOR_SHARE = 0.6
 # Window over which the arrival of work is measured.
 ARRIVAL_MS = 1_500
 # Shortest time in which work is assumed to be done; bounds the demand of
 # jobs that are nearly late.
 SHORTEST_SPAN_MS = 1_000
 # Most machines that one pool gets at a time.
-MOST_ADDED = 6
+MOST_ADDED = 3
 
 
 class Pool:
@@ -128,17 +121,14 @@
 
 def grow(manager, dispatcher, pool, standby, now_ms):
     """Adds machines from standby to a pool whose jobs would be late."""
-    peak = max(pool.needed, manager.peaks.get(pool.service, 0))
-    manager.peaks[pool.service] = peak
-    if pool.needed <= GROWTH_SHARE * pool.capacity or not pool.workers:
+    if pool.needed <= pool.capacity or not pool.workers:
         return
-    target = max(GROWTH_FACTOR * pool.needed, PEAK_SHARE * peak)
     orders = dispatcher.state.upkeep.orders
     coming = sum(
         order.purpose == MOVE and order.target == pool.service
         for order in orders.values()
     )
-    missing = (target - pool.capacity) / pool.machine_milli
+    missing = (pool.needed - pool.capacity) / pool.machine_milli
     wanted = min(MOST_ADDED, math.ceil(missing)) - coming
     for machine, row in sorted(manager.rows.items()):
         if wanted <= 0:
--- a/wigeonport/programs.py
+++ b/wigeonport/programs.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from wigeonport.channels import DROP_OLDEST, Mailbox
 from wigeonport.clocks import Clock, LamportCounter
 from wigeonport.credentials import load_keys
 from wigeonport.events import EventLog, write_events
@@ -34,6 +35,7 @@
         lamport: LamportCounter of the process.
         events: EventLog of the process.
         stopping: trio.Event that is set when a stop was asked for.
+        reloads: Mailbox of requests to read the settings again.
     """
 
     __slots__ = (
@@ -45,6 +47,7 @@
         "lamport",
         "events",
         "stopping",
+        "reloads",
     )
 
     def __init__(self, role, settings, keys):
@@ -62,6 +65,7 @@
             settings.event_log is not None,
         )
         self.stopping = trio.Event()
+        self.reloads = Mailbox("reloads", 1, DROP_OLDEST)
 
     @property
     def node_id(self):
@@ -87,16 +91,18 @@
         )
 
 
-async def stop_on_signal(stopping):
+async def handle_signals(stopping, reloads):
     """Sets ``stopping`` at the first SIGTERM or SIGINT.
 
-    Later signals have no further effect; the bound on the shutdown is the
-    setting ``shutdown_grace_ms``.
+    Later ones have no further effect; the bound on the shutdown is the
+    setting ``shutdown_grace_ms``. SIGHUP asks for a reload.
     """
-    wanted = (signal.SIGTERM, signal.SIGINT)
+    wanted = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with trio.open_signal_receiver(*wanted) as signals:
         async for number in signals:
-            if stopping.is_set():
+            if number == signal.SIGHUP:
+                reloads.put_nowait(number)
+            elif stopping.is_set():
                 logger.info("Already stopping.", signal=number)
                 continue
             logger.info("Stopping.", signal=number)
@@ -148,7 +154,9 @@
                 program.metrics,
             )
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(stop_on_signal, program.stopping)
+            nursery.start_soon(
+                handle_signals, program.stopping, program.reloads
+            )
             await run(program)
             nursery.cancel_scope.cancel()
         program.events.record(STOP)
--- a/wigeonport/servers.py
+++ b/wigeonport/servers.py
@@ -212,12 +212,12 @@
         return sockets
 
 
-def make_config(host, port, grace_ms):
+def make_config(host, port, grace_ms, keep_alive_s=KEEP_ALIVE_S):
     """Returns the hypercorn configuration of one listener."""
     config = ServerConfig(min(STALLED_TIMEOUT_MS, grace_ms))
     config.bind = [f"{host}:{port}"]
     config.backlog = BACKLOG
-    config.keep_alive_timeout = KEEP_ALIVE_S
+    config.keep_alive_timeout = keep_alive_s
     config.graceful_timeout = grace_ms / 1000
     config.shutdown_timeout = grace_ms / 1000
     config.h11_max_incomplete_size = MAX_HEADER_BYTES
@@ -228,12 +228,18 @@
 
 
 async def serve_http(
-    app, host, port, stopping, grace_ms, task_status=trio.TASK_STATUS_IGNORED
+    app,
+    host,
+    port,
+    stopping,
+    grace_ms,
+    keep_alive_s=KEEP_ALIVE_S,
+    task_status=trio.TASK_STATUS_IGNORED,
 ):
     """Serves an ASGI app until ``stopping`` is set, then drains."""
     await hypercorn.trio.serve(
         app,
-        make_config(host, port, grace_ms),
+        make_config(host, port, grace_ms, keep_alive_s),
         shutdown_trigger=stopping.wait,
         task_status=task_status,
     )
--- a/wigeonport/task_placements.py
+++ b/wigeonport/task_placements.py
@@ -42,12 +42,7 @@
         if queue is not None and queue.service == service:
             claims.append(JobClaim(job, queue))
     order = job_orders.get(dispatcher.settings.job_order).ok
-    capacity_milli = sum(
-        worker.report.capacity.cpu_milli
-        for worker in dispatcher.workers.by_id.values()
-        if worker.report.service == service and worker.report.capacity
-    )
-    return order(claims, now_ms, capacity_milli)
+    return order(claims, now_ms)
 
 
 def place_tasks(dispatcher, worker, now_ms, wall_ms):
--- a/wigeonport/worker_tables.py
+++ b/wigeonport/worker_tables.py
@@ -8,6 +8,29 @@
 STOP_MARGIN_MS = 250
 
 
+class RunProgress:
+    """Progress of a run as its worker has reported it.
+
+    Attributes:
+        percent: Newest percent.
+        first_ms: When the run was reported first.
+        changed_ms: When the percent changed last.
+    """
+
+    __slots__ = ("percent", "first_ms", "changed_ms")
+
+    def __init__(self, percent, now_ms):
+        self.percent = percent
+        self.first_ms = now_ms
+        self.changed_ms = now_ms
+
+    def note(self, percent, now_ms):
+        """Takes in a newer report."""
+        if percent != self.percent:
+            self.percent = percent
+            self.changed_ms = now_ms
+
+
 class Worker:
     """One life of a worker.
 
@@ -21,7 +44,9 @@
         fill_percent: Speed of the tasks that fill.
         reserved_ms: Since when it is being emptied for a machine order, or
             None.
-        progress: Newest percent by pair of task and run.
+        progress: RunProgress by pair of task and run.
+        failed_jobs: Jobs that failed on it since its last success.
+        shun_ms: Length of its last exclusion.
     """
 
     __slots__ = (
@@ -34,6 +59,8 @@
         "fill_percent",
         "reserved_ms",
         "progress",
+        "failed_jobs",
+        "shun_ms",
     )
 
     def __init__(self, report, now_ms):
@@ -46,6 +73,8 @@
         self.fill_percent = 100
         self.reserved_ms = None
         self.progress = {}
+        self.failed_jobs = set()
+        self.shun_ms = 0
 
     @property
     def incarnation(self):
--- /dev/null
+++ b/wigeonport/worker_verdicts.py
@@ -0,0 +1,123 @@
+"""Verdicts on workers that fail, stall or slow down what they run.
+
+A verdict keeps new tasks away from a worker for a while; stalled runs are
+moved. It is reversible: the worker is tried again, and a longer exclusion
+follows only if it fails again.
+"""
+
+from wigeonport.batch_jobs import DONE, ENDED_FAILED
+from wigeonport.logs import PartLogger
+from wigeonport.worker_tables import RunProgress
+
+logger = PartLogger("verdicts")
+
+# Jobs that must have failed in a row. Two in a row on a sound worker are
+# rare, because a task fails by itself in 0.2% of its runs.
+FAILED_JOBS = 2
+# Failures on this many workers speak against the job.
+BLAMED_JOB_WORKERS = 2
+# A run whose percent has not changed for so long stands still; a task of
+# 4 s advances by 1% in 40 ms, and a resumption takes up to 600 ms.
+STALL_MS = 1_600
+# A run is slow when it will take this many times its estimate.
+SLOW_FACTOR = 4.0
+# Shortest age of a run whose speed counts.
+SLOW_AGE_MS = 700
+# Runs that must be slow together.
+SLOW_RUNS = 2
+FULL_PERCENT = 100
+# First and longest exclusion of a worker.
+FIRST_SHUN_MS = 2_500
+LAST_SHUN_MS = 8_000
+# Share of a service's workers that may be excluded at a time.
+SHUNNED_SHARE = 0.34
+
+
+def note_progress(worker, key, percent):
+    """Takes in the progress of a run."""
+    known = worker.progress.get(key)
+    if known is None:
+        worker.progress[key] = RunProgress(percent, worker.heard_ms)
+    else:
+        known.note(percent, worker.heard_ms)
+
+
+def note_end(dispatcher, worker, end):
+    """Takes in the end of a run."""
+    if end.outcome == DONE:
+        worker.failed_jobs.clear()
+        worker.shun_ms = 0
+        return
+    found = dispatcher.task_of(end.task)
+    if end.outcome != ENDED_FAILED or found[1].step.lasting:
+        return
+    if len(dispatcher.failed_on.get(end.task, ())) >= BLAMED_JOB_WORKERS:
+        return
+    worker.failed_jobs.add(found[0].job_id)
+
+
+def review_worker(dispatcher, worker, now_ms):
+    """Excludes a worker that shows a fault, and moves stalled runs."""
+    stalled = find_stalled(worker, now_ms)
+    for key in stalled:
+        worker.stopping.add(key)
+    if now_ms < worker.shunned_until_ms:
+        return
+    if stalled:
+        shun(dispatcher, worker, now_ms, f"{len(stalled)} runs stand still")
+    elif len(worker.failed_jobs) >= FAILED_JOBS:
+        shun(dispatcher, worker, now_ms, "it fails what it starts")
+    elif count_slow(worker, now_ms) >= SLOW_RUNS:
+        shun(dispatcher, worker, now_ms, "it is slow")
+
+
+def find_stalled(worker, now_ms):
+    """Returns the runs that have not advanced for a while."""
+    stalled = []
+    for key, progress in worker.progress.items():
+        step = worker.runs.get(key)
+        if step is None or step.gang or step.fills:
+            continue
+        if step.lasting and progress.percent >= FULL_PERCENT:
+            continue
+        if now_ms - progress.changed_ms > STALL_MS:
+            stalled.append(key)
+    return stalled
+
+
+def count_slow(worker, now_ms):
+    """Returns how many runs take far longer than estimated."""
+    slow = 0
+    for key, progress in worker.progress.items():
+        step = worker.runs.get(key)
+        age_ms = now_ms - progress.first_ms
+        if step is None or step.lasting or age_ms < SLOW_AGE_MS:
+            continue
+        expected = 100 * age_ms / max(1, step.estimated_ms)
+        slow += progress.percent * SLOW_FACTOR < min(100, expected)
+    return slow
+
+
+def shun(dispatcher, worker, now_ms, reason):
+    """Keeps new tasks away from a worker, unless too many are excluded."""
+    service = worker.report.service
+    peers = [
+        other
+        for other in dispatcher.workers.by_id.values()
+        if other.report.service == service
+    ]
+    shunned = sum(now_ms < other.shunned_until_ms for other in peers)
+    if shunned + 1 > max(1, SHUNNED_SHARE * len(peers)):
+        return
+    worker.shun_ms = min(LAST_SHUN_MS, max(FIRST_SHUN_MS, 2 * worker.shun_ms))
+    worker.shunned_until_ms = now_ms + worker.shun_ms
+    # After the exclusion one more failure is enough.
+    worker.failed_jobs = set(list(worker.failed_jobs)[: FAILED_JOBS - 1])
+    logger.warning(
+        "Worker is excluded.",
+        worker=worker.incarnation,
+        service=service,
+        reason=reason,
+        for_ms=worker.shun_ms,
+        sequence=worker.report.sequence,
+    )
