--- /dev/null
+++ b/tests/test_gateways.py
@@ -0,0 +1,118 @@
+"""Tests of the entry's way to the control that leads."""
+
+import pytest
+import trio
+from expression import Error, Ok
+
+from wigeonport.batch_calls import (
+    NOT_LEADING,
+    OK,
+    UNKNOWN,
+    BatchCall,
+    BatchReply,
+)
+from wigeonport.channels import ask
+from wigeonport.clocks import Clock
+from wigeonport.gateways import Gateway, GatewayCall
+from wigeonport.links import LinkError
+from wigeonport.metrics import Metrics
+
+
+class FakeDialer:
+    """Answers calls from a list; the last answer repeats."""
+
+    __slots__ = ("connected", "answers", "calls")
+
+    def __init__(self, *answers, connected=True):
+        self.connected = connected
+        self.answers = list(answers)
+        self.calls = 0
+
+    async def ask(self, message, timeout_ms):
+        """Returns the next answer."""
+        await trio.lowlevel.checkpoint()
+        self.calls += 1
+        if len(self.answers) > 1:
+            return self.answers.pop(0)
+        return self.answers[0]
+
+
+class FakeLinks:
+    """Holds dialers by address."""
+
+    __slots__ = ("dialers",)
+
+    def __init__(self, dialers):
+        self.dialers = dialers
+
+    def add(self, host):
+        """Does nothing; all addresses are known."""
+
+
+@pytest.fixture
+def call_through():
+    """Returns a function that passes one call through a gateway."""
+
+    def call(dialers, patience_ms=1_500):
+        async def main():
+            gateway = Gateway(FakeLinks(dialers), Clock(), Metrics())
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(gateway.run)
+                deadline_ms = gateway.clock.now() + patience_ms
+                answer = await ask(
+                    gateway.inbox,
+                    lambda reply: GatewayCall(
+                        BatchCall("submit", "h", "/p"), deadline_ms, reply
+                    ),
+                    5_000,
+                )
+                nursery.cancel_scope.cancel()
+            return answer.ok
+
+        return trio.run(main)
+
+    return call
+
+
+def test_gateway_follows_the_hint_of_a_follower(call_through):
+    """A call must reach the leader whichever control is tried first."""
+    follower = Ok(BatchReply(NOT_LEADING, leader="b"))
+    dialers = {
+        "a": FakeDialer(follower),
+        "b": FakeDialer(Ok(BatchReply(OK))),
+        "c": FakeDialer(follower),
+    }
+    assert call_through(dialers).reply.outcome == OK
+
+
+def test_unsent_call_is_given_up_early_as_not_sent(call_through):
+    """Without a control the caller learns at once that nothing ran."""
+    start_ms = Clock().now()
+    dialers = {"a": FakeDialer(None, connected=False)}
+    answer = call_through(dialers, patience_ms=3_000)
+    assert Clock().now() - start_ms < 1_500
+    assert answer.reply is None
+    assert not answer.sent
+
+
+def test_refusal_by_all_controls_counts_as_not_sent(call_through):
+    """A control that does not lead has run nothing."""
+    answer = call_through({"a": FakeDialer(Ok(BatchReply(NOT_LEADING)))})
+    assert answer.reply is None
+    assert not answer.sent
+
+
+def test_lost_answer_counts_as_sent(call_through):
+    """A call without an answer may have been stored."""
+    lost = Error(LinkError("connection reset", sent=True))
+    answer = call_through({"a": FakeDialer(lost)}, patience_ms=300)
+    assert answer.reply is None
+    assert answer.sent
+
+
+def test_call_is_repeated_after_a_lost_answer(call_through):
+    """Calls are idempotent, so the gateway asks again in time."""
+    lost = Error(LinkError("connection reset", sent=True))
+    dialer = FakeDialer(lost, Ok(BatchReply(UNKNOWN)), Ok(BatchReply(OK)))
+    assert call_through({"a": dialer}).reply.outcome == OK
+    assert dialer.calls == 3
--- /dev/null
+++ b/tests/test_platform_codecs.py
@@ -0,0 +1,301 @@
+"""Tests of the translation between the platform and the product."""
+
+import json
+
+import pytest
+from boot_settings import translate_settings
+from cloud_client import decode_row
+from front import encode_answer
+from hypothesis import given
+from hypothesis import strategies as st
+from job_codec import FormError, decode_submission, split_path
+from route_codec import decode_configuration
+from worker_codec import decode_heartbeat, encode_orders
+
+from wigeonport.batch_calls import (
+    CANCEL,
+    COUNT,
+    NO_JOB,
+    NO_QUEUE,
+    OK,
+    STATE,
+    SUBMIT,
+    BatchReply,
+)
+from wigeonport.batch_specs import job_spec_from_json
+from wigeonport.gateways import GatewayAnswer
+from wigeonport.worker_reports import StartOrder, WorkerOrders
+
+HEARTBEAT = {
+    "service": "desk",
+    "address": "10.0.0.9:80",
+    "zone": "ikeja",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "capacity": {"cpu": 16_000, "mem-mb": 32_768, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "born": 1_700_000_000_000,
+    "seq": 4,
+    "machine": "m-1",
+    "running": [["00000000000000aa.0.0.0", 2, "cc", 41, 7]],
+    "ended": [[58, "00000000000000aa.0.0.1", 1, "done", ""]],
+}
+ROUTE = {
+    "name": "r-1",
+    "host": "Pule.example",
+    "path-prefix": "/p/",
+    "type": "unsafe",
+    "timeout-ms": 3_000,
+    "target-latency-ms": 3_600,
+    "priority": 1,
+    "service": "desk",
+    "attempts": 3,
+    "stretch": 1.6,
+}
+CONFIGURATION = {
+    "version": 7,
+    "routes": [ROUTE],
+    "services": [{"name": "desk", "rejects-overload": True}],
+    "limits": {
+        "max-header-bytes": 16_384,
+        "max-body-bytes": 262_144,
+        "header-timeout-ms": 3_000,
+        "idle-timeout-ms": 15_000,
+    },
+}
+SETTINGS = {
+    "ip": "10.1.0.12",
+    "zone": "ikeja",
+    "port-range": [7060, 7075],
+    "seeds": ["10.1.0.12:8623", "10.2.0.25:8623", "10.3.0.43:8623"],
+    "bootstrap": True,
+    "data-dir": "/data/core",
+    "listen": {"control": "10.1.0.12:8623"},
+    "bounds": {"grace-s": 6, "max-hold-ms": 9_000},
+    "cloud": {"address": "10.200.0.107:8621"},
+    "a-field-to-come": {"x": 1},
+}
+ANY_JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=12,
+)
+
+
+def encode(document):
+    """Returns a body."""
+    return json.dumps(document).encode()
+
+
+def test_submission_is_decoded_with_all_needs():
+    """A need that is lost on the way makes a task run in a wrong place."""
+    step = {
+        "count": 4,
+        "cpu": 500,
+        "mem-mb": 256,
+        "estimated-ms": 900,
+        "max-per-server": 2,
+        "use-checkpoints": True,
+        "long-running": True,
+        "data-rack": "r1-3",
+        "max-unavailable": 1,
+    }
+    body = encode({"spec": "text", "steps": [step, {"count": 1}]})
+    spec = job_spec_from_json(decode_submission(body).ok.to_json())
+    first = spec.steps[0]
+    assert (first.count, first.cpu_milli, first.memory_mb) == (4, 500, 256)
+    assert (first.max_per_worker, first.max_unavailable) == (2, 1)
+    assert first.checkpoints and first.lasting and not first.gang
+    assert first.data_rack == "r1-3"
+    assert spec.payload == "text"
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"spec": 1},
+        {"spec": "x" * 4_001},
+        {"steps": []},
+        {"steps": [{"count": 0}]},
+        {"steps": [{"count": 1, "cpu": "many"}]},
+        {"steps": [{"count": 1, "depends-on": [0]}]},
+        {"steps": [{"count": 1, "gang": "yes"}]},
+        {"steps": [{"count": 10_001}]},
+    ],
+)
+def test_malformed_submission_is_refused(change):
+    """A submission that cannot be run as asked must not be accepted."""
+    document = {"spec": "text", "steps": [{"count": 1}]} | change
+    assert decode_submission(encode(document)).is_error()
+
+
+@given(ANY_JSON)
+def test_any_submission_is_decoded_or_refused(document):
+    """No body may raise."""
+    result = decode_submission(encode(document))
+    assert result.is_ok() or result.error
+
+
+@given(st.binary())
+def test_any_bytes_are_decoded_or_refused(body):
+    """Unreadable bytes must be refused, not raised."""
+    assert decode_submission(body).is_error()
+    assert decode_configuration(body).is_error()
+
+
+@given(ANY_JSON, st.sampled_from(sorted(HEARTBEAT)))
+def test_any_heartbeat_is_decoded_or_refused(value, name):
+    """An entry of another writer must be refused as a whole."""
+    try:
+        decode_heartbeat("i-1", HEARTBEAT | {name: value})
+    except FormError as fault:
+        assert str(fault)
+
+
+def test_heartbeat_is_decoded():
+    """Fields with poor names must land where the product expects them."""
+    report = decode_heartbeat("i-1", HEARTBEAT)
+    assert report.incarnation == "i-1@1700000000000"
+    assert (report.rack, report.machine) == ("r1-3", "m-1")
+    assert report.capacity.memory_mb == 32_768
+    assert report.running[0].percent == 41
+    assert report.running[0].gauge == 7
+    assert (report.ended[0].number, report.ended[0].outcome) == (58, "done")
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "asleep"},
+        {"service": None},
+        {"born": "now"},
+        {"ended": [[1, "t", 1, "vanished", ""]]},
+        {"running": [["t"]]},
+    ],
+)
+def test_foreign_heartbeat_is_refused(change):
+    """What is not understood names no worker to use."""
+    with pytest.raises(FormError):
+        decode_heartbeat("i-1", HEARTBEAT | change)
+
+
+def test_orders_without_a_lease_start_nothing():
+    """Without a lease no order may be understood as one."""
+    assert encode_orders(WorkerOrders(3, 400)) == {"retry-after-ms": 400}
+
+
+def test_orders_are_encoded():
+    """Order and meaning of the fields of a row are the platform's."""
+    orders = WorkerOrders(3, 400)
+    orders.hold_ms = 4_500
+    orders.acknowledged = 58
+    orders.starts = [
+        StartOrder("t", 1, "text", ""),
+        StartOrder("u", 2, "text", "cc", "ticket"),
+    ]
+    orders.stops = [("v", 3)]
+    orders.rates = [("w", 1, 50)]
+    assert encode_orders(orders) == {
+        "retry-after-ms": 400,
+        "hold-ms": 4_500,
+        "fence": 3,
+        "acked-through": 58,
+        "start": [["t", 1, "text", ""], ["u", 2, "text", "cc", "ticket"]],
+        "stop": [["v", 3]],
+        "rate": [["w", 1, 50]],
+    }
+
+
+def test_configuration_is_decoded():
+    """Routes must be found by host, whatever its case, and prefix."""
+    table = decode_configuration(encode(CONFIGURATION)).ok
+    assert table.version == 7
+    assert table.resolve("pule.example", "/p/00").name == "r-1"
+    assert table.resolve("pule.example", "/q/00") is None
+    assert json.loads(table.source) == CONFIGURATION
+
+
+def routes(*changes):
+    """Returns a configuration with changed routes."""
+    return CONFIGURATION | {"routes": [ROUTE | change for change in changes]}
+
+
+@pytest.mark.parametrize(
+    "document",
+    [
+        CONFIGURATION | {"version": "7"},
+        CONFIGURATION | {"version": 0},
+        CONFIGURATION | {"limits": None},
+        CONFIGURATION | {"services": {}},
+        routes({"service": "unknown"}),
+        routes({"timeout-ms": 0}),
+        routes({"host": 5}),
+        routes({}, {"name": "r-2"}),
+    ],
+)
+def test_invalid_configuration_is_refused(document):
+    """What is invalid must never be acknowledged."""
+    assert decode_configuration(encode(document)).is_error()
+
+
+def test_cut_configuration_is_refused():
+    """A body that ends early must not be taken for a shorter one."""
+    assert decode_configuration(encode(CONFIGURATION)[:-3]).is_error()
+
+
+def test_settings_are_translated():
+    """Fields to come are ignored; own address is no peer."""
+    settings = translate_settings(SETTINGS).ok
+    assert settings.node_id == "10.1.0.12"
+    assert [peer.host for peer in settings.peers] == ["10.2.0.25", "10.3.0.43"]
+    assert settings.control_links_port == 7060
+    assert settings.machines_url == "http://10.200.0.107:8621"
+    assert settings.max_hold_ms == 9_000
+
+
+def test_incomplete_settings_are_a_finding():
+    """A missing field must be named."""
+    incomplete = {k: v for k, v in SETTINGS.items() if k != "zone"}
+    assert "zone" in str(translate_settings(incomplete).error)
+
+
+@pytest.mark.parametrize(
+    ("path", "job_id"),
+    [
+        ("/p/5c0e7a21d94b36f8", "5c0e7a21d94b36f8"),
+        ("/p/", None),
+        ("/p/5C0E7A21D94B36F8", None),
+        ("/p/5c0e", None),
+    ],
+)
+def test_job_id_of_a_path(path, job_id):
+    """Only 16 lower-case hexadecimal digits are a job id."""
+    assert split_path(path) == job_id
+
+
+@pytest.mark.parametrize(
+    ("verb", "answer", "status"),
+    [
+        (SUBMIT, GatewayAnswer(BatchReply(OK), True), 200),
+        (SUBMIT, GatewayAnswer(BatchReply(NO_QUEUE), True), 404),
+        (SUBMIT, GatewayAnswer(None, False), 503),
+        (SUBMIT, GatewayAnswer(None, True), 504),
+        (CANCEL, GatewayAnswer(BatchReply(NO_JOB), True), 410),
+        (STATE, GatewayAnswer(BatchReply(OK, "queued"), True), 200),
+        (COUNT, GatewayAnswer(BatchReply(OK, "", 3), True), 200),
+    ],
+)
+def test_answer_to_a_client(verb, answer, status):
+    """Not accepted may be said only if the submission was never sent."""
+    response = encode_answer(verb, answer)
+    assert response.status == status
+    if status == 503:
+        assert dict(response.headers)[b"retry-after"]
+
+
+def test_foreign_machine_rows_are_skipped():
+    """A row without a name must not stop the reading of the list."""
+    assert decode_row({"machine": 5}) is None
+    row = decode_row({"machine": "m-1", "pool": "desk", "state": "up"})
+    assert (row.machine, row.pool, row.rack) == ("m-1", "desk", "")
