--- /dev/null
+++ b/tools/platform_emulator.py
@@ -0,0 +1,317 @@
+"""Workers, clients and an operator that speak the platform's protocol.
+
+They stand in for the platform in tests and in the fault soak, and check
+the promises on runs of tasks from what they see themselves.
+"""
+
+import json
+import secrets
+import time
+
+import httpcore
+import trio
+
+BEAT_TIMEOUT_S = 1.0
+CALL_TIMEOUT_S = 3.0
+REDIRECTS = 2
+FAULTS = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+    trio.TooSlowError,
+)
+
+
+class Ledger:
+    """What all workers have seen of the runs of tasks.
+
+    Attributes:
+        live: Worker by task, of the runs that are live.
+        done: Tasks of which a run has ended as done.
+        cancelled: Monotonic time of the acknowledged cancel by job.
+        starts: Number of starts.
+        violations: Texts of broken promises.
+    """
+
+    __slots__ = ("live", "done", "cancelled", "starts", "violations")
+
+    # A start is late this long after an acknowledged cancel.
+    CANCEL_S = 3.0
+
+    def __init__(self):
+        self.live = {}
+        self.done = set()
+        self.cancelled = {}
+        self.starts = 0
+        self.violations = []
+
+    def note_start(self, task, run, worker):
+        """Checks and notes a start."""
+        self.starts += 1
+        if task in self.live:
+            other = self.live[task]
+            self.violations.append(f"{task} runs on {other} and {worker}")
+        if task in self.done:
+            self.violations.append(f"{task} run {run} starts after its end")
+        cancelled = self.cancelled.get(task.partition(".")[0])
+        if cancelled is not None and (
+            time.monotonic() - cancelled > self.CANCEL_S
+        ):
+            self.violations.append(f"{task} starts after the cancel")
+        self.live[task] = worker
+
+    def note_end(self, task, worker, outcome):
+        """Notes the end of a run."""
+        if self.live.get(task) == worker:
+            del self.live[task]
+        if outcome == "done":
+            self.done.add(task)
+
+
+async def exchange(method, url, document=None, headers=(), timeout_s=1.0):
+    """Returns status and document of a call that follows redirects."""
+    content = None if document is None else json.dumps(document).encode()
+    head = [("Content-Type", "application/json"), *headers]
+    for _ in range(REDIRECTS + 1):
+        with trio.fail_after(timeout_s):
+            async with httpcore.AsyncConnectionPool() as pool:
+                response = await pool.request(
+                    method, url, headers=head, content=content
+                )
+        if response.status != 307:
+            break
+        url = dict(response.headers)[b"Location".lower()].decode()
+    body = json.loads(response.content) if response.content else {}
+    return response.status, body
+
+
+class Run:
+    """A live run.
+
+    Attributes:
+        number: Run number.
+        started: Monotonic time of its start.
+        duration_s: Its length; None for a task that lasts.
+    """
+
+    __slots__ = ("number", "started", "duration_s")
+
+    def __init__(self, number, duration_s):
+        self.number = number
+        self.started = time.monotonic()
+        self.duration_s = duration_s
+
+    def percent(self):
+        """Returns its progress."""
+        if self.duration_s is None:
+            return 100
+        age_s = time.monotonic() - self.started
+        return min(99, int(100 * age_s / self.duration_s))
+
+
+class EmulatedWorker:
+    """One worker of a service.
+
+    Attributes:
+        worker_id: Its id.
+        service: Its service.
+        controls: Addresses of the controls.
+        ledger: Ledger.
+        random: Source of run times and choices.
+        runs: Run by task.
+        ended: Rows of ends that are not acknowledged.
+        lease_until: Monotonic time at which all that runs is killed.
+    """
+
+    __slots__ = (
+        "worker_id",
+        "service",
+        "controls",
+        "ledger",
+        "random",
+        "runs",
+        "ended",
+        "born",
+        "sequence",
+        "number",
+        "fence",
+        "lease_until",
+        "target",
+        "last_runs",
+        "wait_s",
+    )
+
+    def __init__(self, worker_id, service, controls, ledger, random):
+        self.worker_id = worker_id
+        self.service = service
+        self.controls = controls
+        self.ledger = ledger
+        self.random = random
+        self.target = random.choice(controls)
+        self.begin_life()
+
+    def begin_life(self):
+        """Starts anew and knows nothing of before."""
+        self.runs = {}
+        self.ended = []
+        self.born = time.time_ns() // 1_000_000
+        self.sequence = 0
+        self.number = 0
+        self.fence = 0
+        self.lease_until = 0.0
+        self.last_runs = {}
+        self.wait_s = 0.1
+
+    def crash(self):
+        """Ends this life; what ran is gone."""
+        for task in list(self.runs):
+            self.ledger.note_end(task, self.worker_id, "crashed")
+        self.begin_life()
+
+    async def run(self):
+        """Sends heartbeats until cancelled."""
+        while True:
+            self.end_due()
+            try:
+                await self.beat()
+            except FAULTS:
+                self.target = self.random.choice(self.controls)
+                self.wait_s = 0.1
+            await trio.sleep(self.wait_s)
+
+    def end_due(self):
+        """Ends the runs that are done, or whose lease has lapsed."""
+        now = time.monotonic()
+        lapsed = now >= self.lease_until
+        for task, run in list(self.runs.items()):
+            over = run.duration_s is not None and (
+                now - run.started >= run.duration_s
+            )
+            if over:
+                self.end(task, run.number, "done")
+            elif lapsed:
+                self.end(task, run.number, "lapsed")
+
+    def end(self, task, number, outcome):
+        """Ends a run and lists it."""
+        self.runs.pop(task, None)
+        self.number += 1
+        self.ended.append([self.number, task, number, outcome, ""])
+        self.ledger.note_end(task, self.worker_id, outcome)
+
+    def report(self):
+        """Returns the body of a heartbeat."""
+        self.sequence += 1
+        return {
+            "service": self.service,
+            "address": "127.0.0.1:1",
+            "zone": "ikeja",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "capacity": {"cpu": 8_000, "mem-mb": 16_000, "gpu": 0},
+            "labels": ["a", "r1"],
+            "machine": f"m-{self.worker_id}",
+            "born": self.born,
+            "seq": self.sequence,
+            "running": [
+                [task, run.number, "", run.percent(), 0]
+                for task, run in self.runs.items()
+            ],
+            "ended": self.ended[:500],
+        }
+
+    async def beat(self):
+        """Sends one heartbeat and carries the answer out."""
+        sent, born = time.monotonic(), self.born
+        status, orders = await exchange(
+            "PUT",
+            f"http://{self.target}/v1/instances/{self.worker_id}",
+            self.report(),
+            timeout_s=BEAT_TIMEOUT_S,
+        )
+        late = time.monotonic() - sent > BEAT_TIMEOUT_S
+        if status != 200 or late or born != self.born:
+            self.target = self.random.choice(self.controls)
+            return
+        self.carry_out(orders, sent)
+
+    def carry_out(self, orders, sent):
+        """Does what an answer says."""
+        self.wait_s = orders.get("retry-after-ms", 500) / 1000
+        if "hold-ms" not in orders or orders["fence"] < self.fence:
+            return
+        self.fence = orders["fence"]
+        until = sent + orders["hold-ms"] / 1000
+        self.lease_until = max(self.lease_until, until)
+        through = orders.get("acked-through", 0)
+        self.ended = [row for row in self.ended if row[0] > through]
+        for task, number in orders.get("stop", ()):
+            self.last_runs[task] = max(self.last_runs.get(task, 0), number)
+            if task in self.runs and self.runs[task].number == number:
+                self.end(task, number, "stopped")
+        for task, number, payload, *_ in orders.get("start", ()):
+            self.start(task, number, payload)
+
+    def start(self, task, number, payload):
+        """Starts a run unless a newer one was here."""
+        if number <= self.last_runs.get(task, 0):
+            return
+        self.last_runs[task] = number
+        self.ledger.note_start(task, number, self.worker_id)
+        lasts = payload.startswith("lasting")
+        length = None if lasts else self.random.uniform(0.1, 0.8)
+        self.runs[task] = Run(number, length)
+
+
+class Client:
+    """Submits jobs and follows them to their end.
+
+    Attributes:
+        fronts: Addresses of the fronts.
+        host: Host name of the queue.
+        prefix: Path prefix of the queue.
+        accepted: Ids of the accepted jobs.
+    """
+
+    __slots__ = ("fronts", "host", "prefix", "random", "accepted", "refused")
+
+    def __init__(self, fronts, host, prefix, random):
+        self.fronts = fronts
+        self.host = host
+        self.prefix = prefix
+        self.random = random
+        self.accepted = []
+        self.refused = 0
+
+    async def call(self, method, rest, document=None):
+        """Returns status and document, or None without an answer."""
+        front = self.random.choice(self.fronts)
+        headers = [("Host", self.host), ("X-Deadline-Ms", "3000")]
+        url = f"http://{front}{self.prefix}{rest}"
+        try:
+            return await exchange(
+                method, url, document, headers, CALL_TIMEOUT_S
+            )
+        except FAULTS:
+            return None
+
+    async def submit(self, steps, payload="timed", tries=12):
+        """Submits a job until it is accepted; returns its id or None."""
+        job_id = secrets.token_hex(8)
+        document = {"spec": payload, "steps": steps}
+        for _ in range(tries):
+            answer = await self.call("POST", job_id, document)
+            if answer is not None and answer[0] == 200:
+                self.accepted.append(job_id)
+                return job_id
+            self.refused += 1
+            await trio.sleep(0.3)
+        return None
+
+    async def state(self, job_id):
+        """Returns the state of a job, or None."""
+        answer = await self.call("GET", job_id)
+        if answer is None or answer[0] not in (200, 410):
+            return None
+        return answer[1].get("state", "unknown")
--- /dev/null
+++ b/tools/platform_fleet.py
@@ -0,0 +1,135 @@
+"""Starts the platform's programs as processes on loopback addresses."""
+
+import os
+import pathlib
+import shutil
+import signal
+import sys
+
+import trio
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+PORT = 8_623
+LINKS_PORT = 7_060
+FRONT_PORT = 8_624
+READY_PORT = 8_622
+
+
+class PlatformProcess:
+    """One program on one address.
+
+    Attributes:
+        script: ``front`` or ``core``.
+        host: Loopback address of its machine.
+        process: The running process, or None.
+    """
+
+    __slots__ = ("fleet", "script", "host", "process")
+
+    def __init__(self, fleet, script, host):
+        self.fleet = fleet
+        self.script = script
+        self.host = host
+        self.process = None
+
+    @property
+    def folder(self):
+        """Folder of its files."""
+        return self.fleet.folder / self.host
+
+    async def start(self, first=False):
+        """Starts the program."""
+        self.folder.mkdir(parents=True, exist_ok=True)
+        path = self.folder / "local.toml"
+        path.write_text(self.fleet.settings(self, first))
+        environment = os.environ | {"WIGEONPORT_BOOT": str(path)}
+        with open(self.folder / "log", "ab") as log:
+            self.process = await trio.lowlevel.open_process(
+                [sys.executable, f"platform/{self.script}.py"],
+                stdin=None,
+                stdout=log,
+                stderr=log,
+                env=environment,
+                cwd=ROOT,
+            )
+
+    def send(self, number):
+        """Sends a signal to this process only."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    async def stop(self, number=signal.SIGKILL):
+        """Ends the process and waits for it."""
+        self.send(signal.SIGCONT)
+        self.send(number)
+        if self.process is not None:
+            await self.process.wait()
+
+    def lose_disk(self):
+        """Removes the data of a stopped process."""
+        shutil.rmtree(self.folder / "data", ignore_errors=True)
+
+
+class PlatformFleet:
+    """Cores and fronts on addresses of 127.0.0.0/8.
+
+    Attributes:
+        folder: Folder for settings, data and logs.
+        cores: PlatformProcess list.
+        fronts: PlatformProcess list.
+    """
+
+    __slots__ = ("folder", "net", "cores", "fronts")
+
+    def __init__(self, folder, net, cores=3, fronts=2):
+        self.folder = pathlib.Path(folder)
+        self.net = net
+        self.cores = [
+            PlatformProcess(self, "core", f"127.{net}.1.{n + 1}")
+            for n in range(cores)
+        ]
+        self.fronts = [
+            PlatformProcess(self, "front", f"127.{net}.2.{n + 1}")
+            for n in range(fronts)
+        ]
+
+    @property
+    def control_addresses(self):
+        """Addresses of the workers' and the operator's calls."""
+        return [f"{core.host}:{PORT}" for core in self.cores]
+
+    @property
+    def front_addresses(self):
+        """Addresses of the clients' calls."""
+        return [f"{front.host}:{FRONT_PORT}" for front in self.fronts]
+
+    def settings(self, process, first):
+        """Returns the settings file of a process."""
+        seeds = ", ".join(f'"{each}"' for each in self.control_addresses)
+        lines = [
+            f'ip = "{process.host}"',
+            'zone = "ikeja"',
+            f"port-range = [{LINKS_PORT}, {LINKS_PORT + 15}]",
+            f"seeds = [{seeds}]",
+            f"bootstrap = {'true' if first else 'false'}",
+        ]
+        if process.script == "core":
+            lines.append(f'data-dir = "{process.folder / "data"}"')
+            lines += ["[listen]", f'control = "{process.host}:{PORT}"']
+        else:
+            lines += [
+                "[listen]",
+                f'front = "{process.host}:{FRONT_PORT}"',
+                f'readiness-addr = "{process.host}:{READY_PORT}"',
+            ]
+        return "\n".join(lines) + "\n"
+
+    async def start(self):
+        """Starts all programs for the first time."""
+        for process in (*self.cores, *self.fronts):
+            await process.start(first=True)
+
+    async def stop(self):
+        """Ends all programs."""
+        for process in (*self.cores, *self.fronts):
+            await process.stop()
