Keep running after SIGHUP

Change: a reload no longer falls through; the soak notes processes that end by themselves, and its faults take turns on a process.

--- a/tools/platform_fleet.py
+++ b/tools/platform_fleet.py
@@ -22,15 +22,24 @@
         script: ``front`` or ``core``.
         host: Loopback address of its machine.
         process: The running process, or None.
+        wanted: Whether it has to run.
+        turn: Held by the fault that stops and starts it.
     """
 
-    __slots__ = ("fleet", "script", "host", "process")
+    __slots__ = ("fleet", "script", "host", "process", "wanted", "turn")
 
     def __init__(self, fleet, script, host):
         self.fleet = fleet
         self.script = script
         self.host = host
         self.process = None
+        self.wanted = False
+        self.turn = trio.Lock()
+
+    @property
+    def ended(self):
+        """Whether it has ended although it has to run."""
+        return self.wanted and self.process.poll() is not None
 
     @property
     def folder(self):
@@ -52,6 +61,7 @@
                 env=environment,
                 cwd=ROOT,
             )
+        self.wanted = True
 
     def send(self, number):
         """Sends a signal to this process only."""
@@ -60,6 +70,7 @@
 
     async def stop(self, number=signal.SIGKILL):
         """Ends the process and waits for it."""
+        self.wanted = False
         self.send(signal.SIGCONT)
         self.send(number)
         if self.process is not None:
--- a/tools/platform_soak.py
+++ b/tools/platform_soak.py
@@ -8,6 +8,7 @@
 """
 
 import argparse
+import contextlib
 import pathlib
 import random
 import signal
@@ -155,6 +156,7 @@
                     nursery.start_soon(worker.run)
                 with trio.fail_after(SETTLE_S):
                     await self.operator.state(1)
+                nursery.start_soon(self.keep_running)
                 async with trio.open_nursery() as active:
                     active.start_soon(self.submit)
                     active.start_soon(self.operator.run)
@@ -167,6 +169,16 @@
                 await self.fleet.stop()
         return self.ledger.violations
 
+    async def keep_running(self):
+        """Notes and restarts processes that end by themselves."""
+        while True:
+            for process in (*self.fleet.cores, *self.fleet.fronts):
+                if process.ended:
+                    text = f"{process.script} on {process.host} has ended"
+                    self.ledger.violations.append(text)
+                    await process.start()
+            await trio.sleep(0.2)
+
     async def submit(self):
         """Submits and sometimes cancels jobs until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -237,9 +249,10 @@
 async def kill_core(soak):
     """Kills a control and starts it again with its disk."""
     core = soak.random.choice(soak.fleet.cores)
-    await core.stop()
-    await trio.sleep(soak.random.uniform(0.1, 1.5))
-    await core.start()
+    async with core.turn:
+        await core.stop()
+        await trio.sleep(soak.random.uniform(0.1, 1.5))
+        await core.start()
 
 
 async def pause_core(soak):
@@ -253,8 +266,9 @@
 async def stop_core(soak):
     """Stops a control gracefully and starts it again."""
     core = soak.random.choice(soak.fleet.cores)
-    await core.stop(signal.SIGTERM)
-    await core.start()
+    async with core.turn:
+        await core.stop(signal.SIGTERM)
+        await core.start()
 
 
 async def wipe_core(soak):
@@ -262,25 +276,31 @@
     if soak.faults.count("wipe_core") > 1:
         return
     core = soak.random.choice(soak.fleet.cores)
-    await core.stop()
-    core.lose_disk()
-    await core.start()
+    async with core.turn:
+        await core.stop()
+        core.lose_disk()
+        await core.start()
 
 
 async def kill_all(soak):
     """Kills all controls at once."""
-    for core in soak.fleet.cores:
-        core.send(signal.SIGKILL)
-    for core in soak.fleet.cores:
-        await core.stop()
-        await core.start()
+    async with contextlib.AsyncExitStack() as stack:
+        for core in soak.fleet.cores:
+            await stack.enter_async_context(core.turn)
+        for core in soak.fleet.cores:
+            core.wanted = False
+            core.send(signal.SIGKILL)
+        for core in soak.fleet.cores:
+            await core.stop()
+            await core.start()
 
 
 async def kill_front(soak):
     """Kills a front and starts it again."""
     front = soak.random.choice(soak.fleet.fronts)
-    await front.stop()
-    await front.start()
+    async with front.turn:
+        await front.stop()
+        await front.start()
 
 
 async def reload_all(soak):
--- a/wigeonport/programs.py
+++ b/wigeonport/programs.py
@@ -104,9 +104,9 @@
                 reloads.put_nowait(number)
             elif stopping.is_set():
                 logger.info("Already stopping.", signal=number)
-                continue
-            logger.info("Stopping.", signal=number)
-            stopping.set()
+            else:
+                logger.info("Stopping.", signal=number)
+                stopping.set()
 
 
 def start(role, run, arguments):
