Ask for advice on workers ahead of the starts

Cause: jobs of a queue with advice never started, because no ticket was asked for. Change: an advisor asks for steps that are ready, keeps answers for the life of a worker and tickets for their validity; starts carry them.

--- /dev/null
+++ b/tests/test_advisors.py
@@ -0,0 +1,90 @@
+"""Tests of advice on the workers of a step."""
+
+import pytest
+from batch_fixtures import JOB, Scene, make_queue, make_table, names
+
+from wigeonport.advisors import AdviceAnswered, Advisor
+from wigeonport.clocks import ManualClock
+from wigeonport.route_tables import AdviceTerms
+
+ONE = {"count": 1, "cpu_milli": 1_000, "memory_mb": 100}
+STEP = f"{JOB}.0.0"
+VALID_MS = 5_000
+
+
+@pytest.fixture
+def advised():
+    """A scene whose queue needs advice, and its advisor."""
+    terms = AdviceTerms(50, 5, VALID_MS)
+    scene = Scene(make_table(queues=[make_queue(advice=terms)]))
+    return scene, Advisor(None, ManualClock())
+
+
+def ask(scene, advisor):
+    """Returns the calls that the advisor makes now."""
+    advisor.on_tick(scene.dispatcher, scene.now_ms)
+    return advisor.calls.drain(10)
+
+
+def answer(scene, advisor, call, tickets):
+    """Passes an answer of the service."""
+    event = AdviceAnswered(call, tickets, scene.now_ms)
+    advisor.note_answer(scene.dispatcher, event, scene.now_ms)
+
+
+def test_task_waits_for_a_ticket(advised):
+    """A start without a ticket would be rejected."""
+    scene, advisor = advised
+    scene.submit(ONE)
+    assert names(scene.beat("w1")) == []
+    (call,) = ask(scene, advisor)
+    assert (call.step, list(call.workers)) == (STEP, ["w1"])
+    answer(scene, advisor, call, {"w1": "pass"})
+    (start,) = scene.beat("w1").starts
+    assert start.ticket == "pass"
+
+
+def test_worker_that_is_not_allowed_gets_no_task(advised):
+    """The policy of the queue excludes workers for good."""
+    scene, advisor = advised
+    scene.submit(ONE)
+    scene.beat("w1")
+    (call,) = ask(scene, advisor)
+    answer(scene, advisor, call, {})
+    assert names(scene.beat("w1")) == []
+    assert ask(scene, advisor) == []
+
+
+def test_expired_ticket_is_asked_for_again(advised):
+    """A start must not carry a ticket that has run out."""
+    scene, advisor = advised
+    scene.submit(ONE)
+    scene.beat("w1")
+    (call,) = ask(scene, advisor)
+    answer(scene, advisor, call, {"w1": "pass"})
+    scene.now_ms += VALID_MS
+    assert names(scene.beat("w1")) == []
+    assert len(ask(scene, advisor)) == 1
+
+
+def test_new_life_of_a_worker_needs_a_new_ticket(advised):
+    """A ticket holds for one life of a worker."""
+    scene, advisor = advised
+    scene.submit(ONE)
+    scene.beat("w1")
+    (call,) = ask(scene, advisor)
+    answer(scene, advisor, call, {"w1": "pass"})
+    assert names(scene.beat("w1", born_ms=60_000, sequence=1)) == []
+
+
+def test_call_without_an_answer_is_made_again_later(advised):
+    """A refused call must neither be lost nor repeated at once."""
+    scene, advisor = advised
+    scene.submit(ONE)
+    scene.beat("w1")
+    (call,) = ask(scene, advisor)
+    answer(scene, advisor, call, None)
+    assert ask(scene, advisor) == []
+    scene.now_ms += 600
+    scene.beat("w1")
+    assert len(ask(scene, advisor)) == 1
--- a/wigeonport/batch_controllers.py
+++ b/wigeonport/batch_controllers.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from wigeonport.advisors import AdviceAnswered
 from wigeonport.batch_calls import NOT_LEADING, UNKNOWN, BatchReply
 from wigeonport.batch_commands import AdoptRoutes, OpenWave, RecordBatch
 from wigeonport.batch_dispatchers import BatchDispatcher
@@ -152,6 +153,7 @@
         clock: Clock.
         metrics: Metrics.
         machines: MachineManager, or None without a cloud.
+        advisor: Advisor, or None without a service for advice.
         inbox: Mailbox of this task.
         dispatcher: BatchDispatcher while this replica leads, else None.
         term: Newest known term.
@@ -172,6 +174,7 @@
         "clock",
         "metrics",
         "machines",
+        "advisor",
         "inbox",
         "dispatcher",
         "term",
@@ -185,13 +188,23 @@
         "tick_due_ms",
     )
 
-    def __init__(self, consensus, node, settings, clock, metrics, machines):
+    def __init__(
+        self,
+        consensus,
+        node,
+        settings,
+        clock,
+        metrics,
+        machines=None,
+        advisor=None,
+    ):
         self.consensus = consensus
         self.node = node
         self.settings = settings
         self.clock = clock
         self.metrics = metrics
         self.machines = machines
+        self.advisor = advisor
         self.inbox = Mailbox("batch controller", INBOX_BOUND, WAIT)
         self.dispatcher = None
         self.term = 0
@@ -231,11 +244,15 @@
         if now_ms >= self.tick_due_ms:
             self.tick_due_ms = now_ms + TICK_MS
             if self.dispatcher is not None:
-                self.dispatcher.on_tick(now_ms, self.clock.wall())
-                if self.machines is not None:
-                    self.round += self.machines.on_tick(
-                        self.dispatcher, now_ms
-                    )
+                self.tick(now_ms)
+
+    def tick(self, now_ms):
+        """Fires the timers of the dispatcher and of what serves it."""
+        self.dispatcher.on_tick(now_ms, self.clock.wall())
+        if self.machines is not None:
+            self.round += self.machines.on_tick(self.dispatcher, now_ms)
+        if self.advisor is not None:
+            self.advisor.on_tick(self.dispatcher, now_ms)
 
     def propose(self):
         """Proposes the operations of this round."""
@@ -378,6 +395,14 @@
         )
 
 
+@controller_inputs.register(AdviceAnswered)
+def on_advice(controller, event):
+    """Takes in the tickets of an answer."""
+    controller.advisor.note_answer(
+        controller.dispatcher, event, controller.clock.now()
+    )
+
+
 @controller_inputs.register(LeadershipNotice)
 def on_leadership(controller, notice):
     """Learns who leads."""
--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -5,6 +5,7 @@
 may be told to others only after these are committed.
 """
 
+from wigeonport.advice_tickets import Tickets
 from wigeonport.batch_calls import (
     CANCEL,
     COUNT,
@@ -48,6 +49,8 @@
 
 # Progress of a lasting task that is at work.
 FULL_PERCENT = 100
+# Steps whose tickets are kept.
+MAX_TICKET_STEPS = 4_096
 # Failed tasks whose workers are remembered; beyond, all are forgotten.
 FAILED_ON_LIMIT = 4_096
 
@@ -67,6 +70,7 @@
             not heard of may live.
         failed_on: Time of the failure by worker id, by task.
         claims: Wall time and JobClaims by service, kept for a moment.
+        tickets: Tickets by name of a step, for queues with advice.
         waiting_since: First time at which a step waited for a near worker.
         wall_ms: Wall time of the current step.
     """
@@ -82,6 +86,7 @@
         "orphans_until_ms",
         "failed_on",
         "claims",
+        "tickets",
         "waiting_since",
         "wall_ms",
     )
@@ -98,6 +103,7 @@
         self.orphans_until_ms = now_ms + int(settings.hold_ms * 1.03) + 500
         self.failed_on = {}
         self.claims = {}
+        self.tickets = {}
         self.waiting_since = {}
         self.wall_ms = 0
         for job in state.batch.jobs.values():
@@ -285,8 +291,17 @@
             if key in listed or key in stopped:
                 continue
             job, _, task = self.task_of(key[0])
+            ticket = ""
+            if self.needs_ticket(job):
+                step = key[0].rpartition(".")[0]
+                ticket = self.tickets_of(step).find(
+                    worker.incarnation, worker.heard_ms
+                )
+                if ticket is None:
+                    # The advisor asks again, and the start follows.
+                    continue
             orders.starts.append(
-                StartOrder(*key, job.spec.payload, task.saved)
+                StartOrder(*key, job.spec.payload, task.saved, ticket)
             )
             logger.info(
                 "Run ordered.",
@@ -386,6 +401,29 @@
             if self.may_stop(key[0], step):
                 worker.stopping.add(key)
 
+    def needs_ticket(self, job):
+        """Returns whether the starts of a job carry tickets."""
+        queue = self.state.routes.queue_of(job.queue)
+        return queue is not None and queue.advice is not None
+
+    def tickets_of(self, step):
+        """Returns the Tickets of a step."""
+        found = self.tickets.get(step)
+        if found is None:
+            if len(self.tickets) >= MAX_TICKET_STEPS:
+                self.tickets.pop(next(iter(self.tickets)))
+            found = self.tickets[step] = Tickets()
+        return found
+
+    def services_with_advice(self):
+        """Returns the services with an active job that needs advice."""
+        services = set()
+        for job in self.active.values():
+            queue = self.state.routes.queue_of(job.queue)
+            if queue is not None and queue.advice is not None:
+                services.add(queue.service)
+        return services
+
     def services_with_gangs(self):
         """Returns the services with an active job that has a gang."""
         services = set()
--- a/wigeonport/batch_programs.py
+++ b/wigeonport/batch_programs.py
@@ -137,7 +137,9 @@
     )
 
 
-async def run_batch_control(program, serve_edge, load, make_machines=None):
+async def run_batch_control(
+    program, serve_edge, load, make_machines=None, make_advisor=None
+):
     """Runs a control for batch jobs until it has stopped.
 
     Args:
@@ -147,6 +149,8 @@
         load: Function that returns a Result of the present Settings.
         make_machines: Function of the program that returns the
             MachineManager, or None.
+        make_advisor: Function of the program that returns the Advisor, or
+            None.
     """
     settings = program.settings
     inbound = Mailbox("deliveries", settings.mailbox_bound)
@@ -161,6 +165,7 @@
     notices = Mailbox("notices", NOTICES_BOUND, DROP_OLDEST)
     consensus.observers.append(notices)
     machines = make_machines(program) if make_machines else None
+    advisor = make_advisor(program) if make_advisor else None
     controller = BatchController(
         consensus.inbox,
         settings.node_id,
@@ -168,6 +173,7 @@
         program.clock,
         program.metrics,
         machines,
+        advisor,
     )
     async with trio.open_nursery() as nursery:
         nursery.start_soon(links.run, nursery)
@@ -184,6 +190,8 @@
         )
         if machines is not None:
             nursery.start_soon(machines.run, controller.inbox)
+        if advisor is not None:
+            nursery.start_soon(advisor.run, controller.inbox)
         await serve_edge(program, controller)
         nursery.cancel_scope.cancel()
 
--- a/wigeonport/task_placements.py
+++ b/wigeonport/task_placements.py
@@ -50,8 +50,6 @@
     room = worker.room()
     tasks, runs = [], []
     for claim in claims_of(dispatcher, worker.report.service, wall_ms):
-        if claim.queue.advice is not None:
-            continue
         for occurrence, number, step_run in claim.job.ready_steps():
             if not step_run.waiting or step_run.step.gang:
                 continue
@@ -90,10 +88,17 @@
         report = self.worker.report
         if step.required_label and step.required_label not in report.labels:
             return False
+        if self.claim.queue.advice is not None and not self.ticket(now_ms):
+            return False
         if not step.data_rack or report.rack == step.data_rack:
             return True
         return self.waited_for_rack(step, now_ms)
 
+    def ticket(self, now_ms):
+        """Returns the worker's ticket for the step, or None."""
+        tickets = self.dispatcher.tickets_of(self.prefix[:-1])
+        return tickets.find(self.worker.incarnation, now_ms)
+
     def waited_for_rack(self, step, now_ms):
         """Returns whether a task may run away from its data."""
         near = any(
@@ -147,7 +152,7 @@
             for occurrence, number, step_run in claim.job.ready_steps():
                 step = step_run.step
                 complete = len(step_run.waiting) == step.count
-                if step.gang and complete and claim.queue.advice is None:
+                if step.gang and complete:
                     place_gang(
                         dispatcher, claim, occurrence, number, step_run, now_ms
                     )
