--- /dev/null
+++ b/tests/test_platform_programs.py
@@ -0,0 +1,38 @@
+"""Tests of the platform's programs as processes, without the bench."""
+
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+
+import pytest
+import trio
+from platform_soak import Soak
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+
+
+@pytest.mark.parametrize("script", ["front", "core"])
+def test_reload_during_the_start_is_harmless(script, tmp_path):
+    """SIGHUP before the handler stood once ended the process."""
+    process = subprocess.Popen(
+        [sys.executable, f"platform/{script}.py"],
+        cwd=ROOT,
+        env=os.environ | {"WIGEONPORT_BOOT": str(tmp_path / "missing.toml")},
+        stderr=subprocess.PIPE,
+    )
+    time.sleep(0.15)
+    process.send_signal(signal.SIGHUP)
+    _, errors = process.communicate(timeout=20)
+    assert process.returncode == 1
+    assert b"cannot be read" in errors
+
+
+def test_short_soak_holds_every_promise(tmp_path):
+    """The whole path under seeded faults, as real processes."""
+    soak = Soak(6, 8.0, tmp_path)
+    violations = trio.run(soak.run)
+    assert violations == []
+    assert soak.ledger.starts > 0
