--- /dev/null
+++ b/tests/test_machine_managers.py
@@ -0,0 +1,235 @@
+"""Tests of upkeep waves, moves and the sizes of pools."""
+
+import pytest
+from batch_fixtures import JOB, Scene, make_queue, make_table, names
+
+from wigeonport.batch_commands import OpenWave
+from wigeonport.batch_settings import BatchSettings
+from wigeonport.clocks import ManualClock
+from wigeonport.machine_managers import MachineManager
+from wigeonport.machine_orders import (
+    BUSY,
+    EXECUTED,
+    NO_ANSWER,
+    UNKNOWN_MACHINE,
+    MachineAnswered,
+    MachineListed,
+    MachineRow,
+)
+from wigeonport.worker_reports import Room
+
+ONE = {"count": 1, "cpu_milli": 1_000, "memory_mb": 100}
+LASTING = ONE | {
+    "count": 2,
+    "lasting": True,
+    "max_per_worker": 1,
+    "max_unavailable": 1,
+}
+READY_MS = 6_000
+
+
+class Yard:
+    """A scene with machines and a manager that leads for a while."""
+
+    __slots__ = ("scene", "manager", "states")
+
+    def __init__(self, machines, standby=()):
+        queues = [make_queue(target_latency_ms=2_000)]
+        self.scene = Scene(make_table(queues=queues, standby=["spare"]))
+        self.manager = MachineManager(
+            None, BatchSettings(), "node", ManualClock()
+        )
+        self.manager.restart(self.scene.now_ms)
+        self.states = dict.fromkeys(machines, ("desk", "up"))
+        self.states |= dict.fromkeys(standby, ("spare", "up"))
+        self.scene.now_ms += READY_MS
+        self.list_machines()
+
+    def list_machines(self):
+        """Passes a list of the machines."""
+        rows = {
+            name: MachineRow(name, pool, state, "ikeja", "r1", "")
+            for name, (pool, state) in self.states.items()
+        }
+        self.manager.note_list(MachineListed(rows, self.scene.now_ms))
+
+    def beat(self, name, **values):
+        """Sends a heartbeat of the worker of a machine."""
+        return self.scene.beat(f"w-{name}", machine=name, **values)
+
+    def tick(self):
+        """Returns the orders that are planned now."""
+        self.scene.dispatcher.wall_ms = self.scene.now_ms
+        planned = self.manager.on_tick(
+            self.scene.dispatcher, self.scene.now_ms
+        )
+        return [order for _, order in planned]
+
+    def answer(self, order, result):
+        """Passes the platform's answer to an order."""
+        self.manager.note_answer(
+            self.scene.dispatcher,
+            MachineAnswered(order, result),
+            self.scene.now_ms,
+        )
+
+    def open_wave(self, machines, count=1, duration_ms=4_000):
+        """States an upkeep wave."""
+        self.scene.dispatcher.wall_ms = self.scene.now_ms
+        due_ms = self.scene.now_ms + duration_ms
+        self.scene.dispatcher.record(OpenWave(1, machines, due_ms, count))
+
+    def wave(self):
+        """Returns the wave."""
+        return self.scene.dispatcher.state.upkeep.waves[1]
+
+
+@pytest.fixture
+def yard():
+    """Three machines in a pool and two in standby."""
+    return Yard(["m1", "m2", "m3"], ["s1", "s2"])
+
+
+def run_to_order(yard):
+    """Reserves a machine of the wave and returns its order."""
+    for name in ("m1", "m2", "m3"):
+        yard.beat(name)
+    yard.tick()
+    return yard.tick()
+
+
+def test_wave_keeps_its_bound(yard):
+    """No more machines of a wave may be down than it allows."""
+    yard.open_wave(["m1", "m2", "m3"], count=1)
+    (order,) = run_to_order(yard)
+    assert (order.purpose, order.target, order.fence) == ("upkeep", "1", 3)
+    yard.answer(order, EXECUTED)
+    yard.scene.now_ms += 500
+    assert yard.tick() == []
+    assert len(yard.wave().left) == 2
+
+
+def test_next_machine_follows_when_the_first_is_up(yard):
+    """A wave must go on when a machine is back, by a newer list only."""
+    yard.open_wave(["m1", "m2", "m3"], count=1)
+    (order,) = run_to_order(yard)
+    yard.answer(order, EXECUTED)
+    yard.tick()
+    assert yard.scene.dispatcher.state.upkeep.orders
+    yard.scene.now_ms += 2_500
+    yard.list_machines()
+    for name in ("m1", "m2", "m3"):
+        yard.beat(name)
+    yard.tick()
+    assert len(yard.tick()) == 1
+
+
+def test_machine_of_a_wave_is_emptied_first(yard):
+    """Running tasks must end before their machine is taken."""
+    yard.beat("m1")
+    yard.scene.submit(ONE)
+    yard.beat("m1")
+    yard.open_wave(["m1"])
+    for _ in range(2):
+        assert yard.tick() == []
+    task = f"{JOB}.0.0.0"
+    yard.beat("m1", ended=[(1, task, 1, "done")])
+    assert len(yard.tick()) == 1
+
+
+def test_lasting_tasks_stay_available_during_a_wave(yard):
+    """No more tasks of a step may be away than it allows."""
+    yard.scene.submit(LASTING)
+    tasks = {}
+    for name in ("m1", "m2"):
+        ((task, run),) = names(yard.beat(name))
+        tasks[name] = (task, run)
+        yard.beat(name, running=[(task, run, "", 100)])
+    yard.open_wave(["m1", "m2"], count=2)
+    yard.tick()
+    stops = []
+    for name in ("m1", "m2"):
+        row = (*tasks[name], "", 100)
+        stops += yard.beat(name, running=[row]).stops
+    assert len(stops) == 1
+
+
+def test_nothing_is_ordered_right_after_a_change_of_leader(yard):
+    """The former leader's last order may still be on its way."""
+    yard.open_wave(["m1"])
+    yard.beat("m1")
+    yard.manager.restart(yard.scene.now_ms)
+    yard.list_machines()
+    assert yard.tick() == []
+    assert yard.tick() == []
+
+
+def test_order_without_an_answer_is_sent_again(yard):
+    """A lost answer must not leave a machine out of its wave."""
+    yard.open_wave(["m1"])
+    yard.beat("m1")
+    yard.tick()
+    (order,) = yard.tick() or run_to_order(yard)
+    yard.answer(order, NO_ANSWER)
+    assert yard.tick() == []
+    yard.scene.now_ms += 800
+    assert yard.tick() == [order]
+
+
+def test_busy_machine_is_tried_again_later(yard):
+    """A refusal for the moment must not end the wave."""
+    yard.open_wave(["m1"])
+    yard.beat("m1")
+    yard.tick()
+    (order,) = yard.tick() or run_to_order(yard)
+    yard.answer(order, BUSY)
+    assert yard.wave().left == ["m1"]
+    yard.scene.now_ms += 800
+    yard.beat("m1")
+    yard.tick()
+    assert len(yard.tick()) == 1
+
+
+def test_machine_that_is_gone_leaves_the_wave(yard):
+    """A wave must not wait for a machine that does not exist."""
+    yard.open_wave(["m9"])
+    (order,) = yard.tick()
+    yard.answer(order, UNKNOWN_MACHINE)
+    assert yard.wave().left == []
+
+
+def test_pool_grows_when_its_jobs_would_be_late(yard):
+    """Standby machines must come when a pool is too small."""
+    yard.beat("m1", capacity=Room(4_000, 8_000, 0))
+    step = {"count": 16, "cpu_milli": 2_000, "estimated_ms": 2_000}
+    yard.scene.submit(step)
+    orders = yard.tick()
+    assert {order.machine for order in orders} == {"s1", "s2"}
+    assert all(order.target == "desk" for order in orders)
+
+
+def test_unused_pool_keeps_its_size(yard):
+    """A pool must not shrink before its demand is known."""
+    for _ in range(4):
+        for name in ("m1", "m2", "m3"):
+            yard.beat(name)
+        assert yard.tick() == []
+        yard.scene.now_ms += 1_000
+
+
+def test_calm_pool_shrinks_to_its_floor(yard):
+    """A machine that is not needed goes to standby."""
+    yard.beat("m1")
+    yard.scene.submit(ONE | {"estimated_ms": 100})
+    task = f"{JOB}.0.0.0"
+    yard.beat("m1")
+    yard.tick()
+    yard.beat("m1", ended=[(1, task, 1, "done")])
+    orders = []
+    for _ in range(8):
+        for name in ("m1", "m2", "m3"):
+            yard.beat(name)
+        orders += yard.tick()
+        yard.scene.now_ms += 700
+    assert len(orders) == 1
+    assert orders[0].target == "spare"
--- a/wigeonport/machine_managers.py
+++ b/wigeonport/machine_managers.py
@@ -89,6 +89,7 @@
         moving: Target pool by machine, for machines that are being emptied.
         calm_since: Since when a pool could spare a machine.
         sizes: Most machines of a pool in this term.
+        used: Services that have had timed jobs in this term.
         unsuitable: Pairs of machine and pool that the platform refused.
     """
 
@@ -108,6 +109,7 @@
         "moving",
         "calm_since",
         "sizes",
+        "used",
         "unsuitable",
     )
 
@@ -127,6 +129,7 @@
         self.moving = {}
         self.calm_since = {}
         self.sizes = {}
+        self.used = set()
         self.unsuitable = set()
 
     def restart(self, now_ms):
@@ -140,6 +143,7 @@
         self.moving = {}
         self.calm_since = {}
         self.sizes = {}
+        self.used = set()
 
     def stop(self):
         """Ends a term."""
--- a/wigeonport/pool_sizes.py
+++ b/wigeonport/pool_sizes.py
@@ -41,11 +41,19 @@
         service: Name.
         workers: Workers that take tasks.
         capacity: Thousandths of a core of these together.
+        lasting: Thousandths of a core that its lasting tasks use.
         needed: Thousandths of a core that its jobs need to be on time.
         least: Least number of machines.
     """
 
-    __slots__ = ("service", "workers", "capacity", "needed", "least")
+    __slots__ = (
+        "service",
+        "workers",
+        "capacity",
+        "lasting",
+        "needed",
+        "least",
+    )
 
     def __init__(self, service, workers):
         self.service = service
@@ -53,6 +61,7 @@
         self.capacity = sum(
             worker.report.capacity.cpu_milli for worker in workers
         )
+        self.lasting = 0
         self.needed = 0
         self.least = 0
 
@@ -89,6 +98,7 @@
         needed = max(needed, work / max(span_ms, SHORTEST_SPAN_MS))
         if wall_ms - claim.job.submitted_ms < ARRIVAL_MS:
             arrived += claim.work + claim.running
+    pool.lasting = lasting
     pool.needed = lasting + max(needed, arrived / ARRIVAL_MS)
     return pool
 
@@ -114,9 +124,13 @@
         if service not in standby
     ]
     for pool in pools:
+        if pool.needed > pool.lasting:
+            manager.used.add(pool.service)
         grow(manager, dispatcher, pool, standby, now_ms)
+    # A pool whose demand is not known yet keeps its size.
     for pool in pools:
-        shrink(manager, dispatcher, pool, standby[0], now_ms)
+        if pool.service in manager.used:
+            shrink(manager, dispatcher, pool, standby[0], now_ms)
 
 
 def grow(manager, dispatcher, pool, standby, now_ms):
