Keep the settings table and the commands in their usual places

Change: metrics_listen is an address; the programs read all addresses; RecordBatch stands with the other commands, and the property tests of the replicated state now draw batch operations too.

--- a/tests/test_program_signals.py
+++ b/tests/test_program_signals.py
@@ -6,7 +6,7 @@
 import trio
 
 from wigeonport.channels import DROP_OLDEST, Mailbox
-from wigeonport.programs import handle_signals
+from wigeonport.programs import reload_on_signal, stop_on_signal
 
 
 def test_reload_does_not_stop_the_program():
@@ -16,7 +16,8 @@
         stopping = trio.Event()
         reloads = Mailbox("reloads", 1, DROP_OLDEST)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(handle_signals, stopping, reloads)
+            nursery.start_soon(stop_on_signal, stopping)
+            nursery.start_soon(reload_on_signal, reloads)
             await trio.sleep(0.05)
             os.kill(os.getpid(), signal.SIGHUP)
             assert await reloads.get_within(1_000) == signal.SIGHUP
--- a/tests/test_states.py
+++ b/tests/test_states.py
@@ -7,6 +7,18 @@
 from hypothesis import strategies as st
 
 from wigeonport import state_commands
+from wigeonport.batch_commands import (
+    CancelJob,
+    ConfirmMachine,
+    EndRuns,
+    OpenWave,
+    OrderMachine,
+    SettleMachine,
+    StartRuns,
+    SubmitJob,
+)
+from wigeonport.batch_specs import JobSpec, Step
+from wigeonport.batch_states import encode_operations
 from wigeonport.codecs import codecs, message_kinds
 from wigeonport.fleets import SECTION_NAMES
 from wigeonport.records import Record
@@ -28,6 +40,36 @@
     "source": st.sampled_from(["p", "q"]),
     "target": st.sampled_from(["p", "q", None]),
 }
+JOBS = st.sampled_from(["00000000000000aa", "00000000000000bb"])
+TASKS = JOBS.map(lambda job: f"{job}.0.0.0")
+RUNS = st.integers(min_value=1, max_value=3)
+SPEC = JobSpec("text", [Step({"count": 2}), Step({"depends_on": [0]})])
+BATCH_OPERATIONS = st.one_of(
+    st.builds(SubmitJob, JOBS, NAMES, st.just(SPEC.to_json())),
+    st.builds(CancelJob, JOBS),
+    st.builds(
+        lambda task, run, worker: StartRuns([task], [run], worker),
+        TASKS,
+        RUNS,
+        NAMES,
+    ),
+    st.builds(
+        lambda task, run, outcome: EndRuns([task], [run], [outcome], [""]),
+        TASKS,
+        RUNS,
+        st.sampled_from(["done", "failed", "lost"]),
+    ),
+    st.builds(OpenWave, RUNS, st.lists(NAMES, max_size=3), SMALL, RUNS),
+    st.builds(OrderMachine, NAMES, st.just("upkeep"), RUNS.map(str)),
+    st.builds(ConfirmMachine, NAMES),
+    st.builds(SettleMachine, NAMES, st.booleans()),
+)
+SAMPLES |= {
+    "time_ms": SMALL,
+    "operations": st.lists(BATCH_OPERATIONS, max_size=3).map(
+        encode_operations
+    ),
+}
 OPERATIONS = st.one_of(
     st.builds(
         lambda worker, pool: {
--- a/wigeonport/batch_commands.py
+++ b/wigeonport/batch_commands.py
@@ -1,7 +1,7 @@
 """Commands that change batch jobs, routes and upkeep waves.
 
-The leader groups the operations of a moment into one RecordBatch, so that
-they become durable together.
+The leader groups the operations of a moment into one RecordBatch of
+``state_commands``, so that they become durable together.
 """
 
 from wigeonport.codecs import message_kinds
@@ -14,22 +14,6 @@
 MOVE = "move"
 
 
-@message_kinds.register("RecordBatch")
-class RecordBatch(Record):
-    """Applies operations in order.
-
-    Attributes:
-        time_ms: Wall time of the leader.
-        operations: Encoded operations.
-    """
-
-    __slots__ = ("time_ms", "operations")
-
-    def __init__(self, time_ms, operations):
-        self.time_ms = time_ms
-        self.operations = operations
-
-
 @message_kinds.register("BatchRecorded")
 class BatchRecorded(Record):
     """Answers a RecordBatch with the number of operations."""
--- a/wigeonport/batch_controllers.py
+++ b/wigeonport/batch_controllers.py
@@ -12,7 +12,7 @@
 
 from wigeonport.advisors import AdviceAnswered
 from wigeonport.batch_calls import NOT_LEADING, UNKNOWN, BatchReply
-from wigeonport.batch_commands import AdoptRoutes, OpenWave, RecordBatch
+from wigeonport.batch_commands import AdoptRoutes, OpenWave
 from wigeonport.batch_dispatchers import BatchDispatcher
 from wigeonport.batch_states import encode_operations
 from wigeonport.channels import WAIT, Mailbox, Reply, ask
@@ -27,6 +27,7 @@
 from wigeonport.registries import Registry
 from wigeonport.replica_events import COMMITTED, LEADER
 from wigeonport.replication_messages import node_of
+from wigeonport.state_commands import RecordBatch
 from wigeonport.states import PARTS, ReplicatedState
 
 logger = PartLogger("batch")
--- a/wigeonport/batch_programs.py
+++ b/wigeonport/batch_programs.py
@@ -10,7 +10,6 @@
 import trio
 
 from wigeonport.batch_calls import COUNT, BatchCall
-from wigeonport.batch_commands import RecordBatch
 from wigeonport.batch_controllers import (
     BatchController,
     CallReceived,
@@ -26,6 +25,7 @@
 from wigeonport.logs import PartLogger
 from wigeonport.peer_links import PeerLinks
 from wigeonport.servers import ProcessInfo, StatusApp, serve_http
+from wigeonport.state_commands import RecordBatch
 from wigeonport.states import ReplicatedState, state_from_document
 
 logger = PartLogger("batch")
@@ -127,11 +127,12 @@
 async def serve_metrics(program):
     """Serves ``/metrics`` until the program has stopped."""
     settings = program.settings
+    if settings.metrics_listen is None:
+        return
     info = ProcessInfo(program.metrics, program.events, program.stopping)
     await serve_http(
         StatusApp(info),
-        settings.host,
-        settings.metrics_port,
+        *split_address(settings.metrics_listen),
         program.stopping,
         METRICS_GRACE_MS,
     )
@@ -144,13 +145,12 @@
 
     Args:
         program: Program.
-        serve_edge: Async function ``(program, controller)`` that serves
-            workers and operators until the program stops.
+        serve_edge: Async function ``(program, controller, address)`` that
+            serves workers and operators until the program stops.
         load: Function that returns a Result of the present Settings.
-        make_machines: Function of the program that returns the
-            MachineManager, or None.
-        make_advisor: Function of the program that returns the Advisor, or
-            None.
+        make_machines: Function ``(program, url)`` that returns the
+            MachineManager.
+        make_advisor: Function ``(program, url)`` that returns the Advisor.
     """
     settings = program.settings
     inbound = Mailbox("deliveries", settings.mailbox_bound)
@@ -164,8 +164,11 @@
     consensus = make_batch_consensus(program, links)
     notices = Mailbox("notices", NOTICES_BOUND, DROP_OLDEST)
     consensus.observers.append(notices)
-    machines = make_machines(program) if make_machines else None
-    advisor = make_advisor(program) if make_advisor else None
+    machines = advisor = None
+    if make_machines is not None and settings.machines_url is not None:
+        machines = make_machines(program, settings.machines_url)
+    if make_advisor is not None and settings.advice_url is not None:
+        advisor = make_advisor(program, settings.advice_url)
     controller = BatchController(
         consensus.inbox,
         settings.node_id,
@@ -192,7 +195,9 @@
             nursery.start_soon(machines.run, controller.inbox)
         if advisor is not None:
             nursery.start_soon(advisor.run, controller.inbox)
-        await serve_edge(program, controller)
+        await serve_edge(
+            program, controller, split_address(settings.workers_listen)
+        )
         nursery.cancel_scope.cancel()
 
 
@@ -201,8 +206,8 @@
 
     Args:
         program: Program.
-        serve_edge: Async function ``(program, gateway)`` that serves
-            callers until the program stops.
+        serve_edge: Async function ``(program, gateway, edge)`` that serves
+            callers until ``edge.closing`` is set.
         load: Function that returns a Result of the present Settings.
     """
     settings = program.settings
@@ -221,10 +226,42 @@
         nursery.start_soon(serve_metrics, program)
         nursery.start_soon(gateway.run)
         nursery.start_soon(probe_leader, gateway, program.clock)
-        await serve_edge(program, gateway)
+        edge = EntryEdge(settings)
+        nursery.start_soon(close_after_notice, program, edge.closing)
+        await serve_edge(program, gateway, edge)
         nursery.cancel_scope.cancel()
 
 
+class EntryEdge:
+    """Where an entry serves, and until when.
+
+    Attributes:
+        callers: Host and port for callers.
+        readiness: Host and port for the balancer's checks.
+        closing: trio.Event that is set when the listeners close.
+    """
+
+    __slots__ = ("callers", "readiness", "closing")
+
+    def __init__(self, settings):
+        self.callers = split_address(settings.jobs_listen)
+        self.readiness = split_address(settings.readiness_listen)
+        self.closing = trio.Event()
+
+
+async def close_after_notice(program, closing):
+    """Closes the listeners once the balancer knows of the stop."""
+    await program.stopping.wait()
+    await program.clock.sleep(program.settings.drain_wait_ms)
+    closing.set()
+
+
+def split_address(text):
+    """Returns host and port of an address."""
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
 async def probe_leader(gateway, clock):
     """Asks the leader regularly, so that readiness is known."""
     while True:
--- a/wigeonport/batch_states.py
+++ b/wigeonport/batch_states.py
@@ -6,7 +6,6 @@
     CancelJob,
     EndRuns,
     OpenOccurrence,
-    RecordBatch,
     StartRuns,
     SubmitJob,
 )
@@ -14,7 +13,7 @@
 from wigeonport.batch_specs import job_spec_from_json, split_task_id
 from wigeonport.codecs import codecs
 from wigeonport.logs import PartLogger
-from wigeonport.state_commands import HANDLERS
+from wigeonport.state_commands import HANDLERS, RecordBatch
 
 logger = PartLogger("jobs")
 codec = codecs.get("thrift").ok()
--- a/wigeonport/programs.py
+++ b/wigeonport/programs.py
@@ -91,22 +91,27 @@
         )
 
 
-async def handle_signals(stopping, reloads):
+async def stop_on_signal(stopping):
     """Sets ``stopping`` at the first SIGTERM or SIGINT.
 
-    Later ones have no further effect; the bound on the shutdown is the
-    setting ``shutdown_grace_ms``. SIGHUP asks for a reload.
+    Later signals have no further effect; the bound on the shutdown is the
+    setting ``shutdown_grace_ms``.
     """
-    wanted = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    wanted = (signal.SIGTERM, signal.SIGINT)
     with trio.open_signal_receiver(*wanted) as signals:
         async for number in signals:
-            if number == signal.SIGHUP:
-                reloads.put_nowait(number)
-            elif stopping.is_set():
+            if stopping.is_set():
                 logger.info("Already stopping.", signal=number)
-            else:
-                logger.info("Stopping.", signal=number)
-                stopping.set()
+                continue
+            logger.info("Stopping.", signal=number)
+            stopping.set()
+
+
+async def reload_on_signal(reloads):
+    """Asks for a reload of the settings at each SIGHUP."""
+    with trio.open_signal_receiver(signal.SIGHUP) as signals:
+        async for number in signals:
+            reloads.put_nowait(number)
 
 
 def start(role, run, arguments):
@@ -154,9 +159,8 @@
                 program.metrics,
             )
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(
-                handle_signals, program.stopping, program.reloads
-            )
+            nursery.start_soon(stop_on_signal, program.stopping)
+            nursery.start_soon(reload_on_signal, program.reloads)
             await run(program)
             nursery.cancel_scope.cancel()
         program.events.record(STOP)
--- a/wigeonport/setting_tables.py
+++ b/wigeonport/setting_tables.py
@@ -264,14 +264,18 @@
         3_000,
         "Pause between the orders of two leaders to one machine.",
     ),
-    _ms("notice_ms", 4_500, "Time in which a moved task is back at work."),
     _ms(
         "drain_wait_ms",
         2_500,
         "An entry that stops takes requests for this long after it has told "
         "the balancer; two missed checks, 1 s apart, and a margin.",
     ),
-    _count("metrics_port", 8_086, "HTTP of `/metrics` for batch roles."),
+    Field(
+        "metrics_listen",
+        "text",
+        None,
+        text="Address `host:port` of `/metrics` for batch roles.",
+    ),
 )
 GROUPS = (
     ("Identity", IDENTITY),
--- a/wigeonport/state_commands.py
+++ b/wigeonport/state_commands.py
@@ -233,3 +233,19 @@
         self.scope = scope
         self.author = author
         self.reason = reason
+
+
+@message_kinds.register("RecordBatch")
+class RecordBatch(Record):
+    """Applies operations in order.
+
+    Attributes:
+        time_ms: Wall time of the leader.
+        operations: Encoded operations of ``batch_commands``.
+    """
+
+    __slots__ = ("time_ms", "operations")
+
+    def __init__(self, time_ms, operations):
+        self.time_ms = time_ms
+        self.operations = operations
