Log what was given up and how jobs end; compress routing tables

Cause: an entry of the log holds 512 KiB, and a routing table stood in it twice as plain text, so that a configuration with some thousand routes would be refused for good; a lasting task that starts slowly would be moved again and again; a failed request could not be traced from the front's line alone.

--- a/wigeonport/batch.thrift
+++ b/wigeonport/batch.thrift
@@ -39,7 +39,7 @@
 
 struct AdoptRoutes {
   1: required i64 version
-  2: required string document_json
+  2: required binary document
 }
 
 struct OpenWave {
--- a/wigeonport/batch_commands.py
+++ b/wigeonport/batch_commands.py
@@ -107,14 +107,15 @@
 
     Attributes:
         version: Number that the operator gave.
-        document_json: RouteTable as JSON.
+        document: RouteTable as compressed JSON; thousands of queues would
+            not fit into one entry of the log otherwise.
     """
 
-    __slots__ = ("version", "document_json")
+    __slots__ = ("version", "document")
 
-    def __init__(self, version, document_json):
+    def __init__(self, version, document):
         self.version = version
-        self.document_json = document_json
+        self.document = document
 
 
 @message_kinds.register("OpenWave")
--- a/wigeonport/batch_controllers.py
+++ b/wigeonport/batch_controllers.py
@@ -495,7 +495,7 @@
     logger.info("Routes stated.", version=table.version, current=current)
     if table.version > current:
         dispatcher.wall_ms = controller.clock.wall()
-        dispatcher.record(AdoptRoutes(table.version, table.to_json()))
+        dispatcher.record(AdoptRoutes(table.version, table.to_bytes()))
     return True
 
 
--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -212,6 +212,23 @@
             self.note_outcome(worker, end)
         if tasks:
             self.record(EndRuns(tasks, runs, outcomes, saved))
+            self.note_ended_jobs(tasks)
+
+    def note_ended_jobs(self, tasks):
+        """Logs the jobs that ended with these tasks."""
+        for job_id in {split_task_id(name)[0] for name in tasks}:
+            job = self.active.get(job_id)
+            if job is None or job.active:
+                continue
+            del self.active[job_id]
+            logger.info(
+                "Job ended.",
+                job=job_id,
+                state=job.state,
+                queue=job.queue,
+                age_ms=self.wall_ms - job.submitted_ms,
+                term=self.term,
+            )
 
     def note_outcome(self, worker, end):
         """Keeps where tasks failed, and logs each end."""
--- a/wigeonport/gateways.py
+++ b/wigeonport/gateways.py
@@ -102,6 +102,7 @@
         while True:
             now_ms = self.clock.now()
             if now_ms >= (request.deadline_ms if sent else search_until_ms):
+                self.note_end(request.call, sent, start_ms, now_ms)
                 return GatewayAnswer(None, sent)
             host, dialer = self.choose()
             if dialer is None:
@@ -140,6 +141,20 @@
                 return host, dialers[host]
         return "", None
 
+    def note_end(self, call, sent, start_ms, now_ms):
+        """Logs a call that is given up."""
+        answered_ms = self.answered_ms
+        ago_ms = None if answered_ms is None else now_ms - answered_ms
+        logger.warning(
+            "Call given up.",
+            request=call.request_id,
+            sent=sent,
+            waited_ms=now_ms - start_ms,
+            leader=self.leader or "none",
+            leader_answered_ms_ago=ago_ms,
+        )
+        self.metrics.count("gateway_calls_given_up")
+
     def note_failure(self, host, call, reason):
         """Turns away from a control that gave no answer."""
         logger.warning(
--- a/wigeonport/route_tables.py
+++ b/wigeonport/route_tables.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import zlib
 
 from wigeonport.batch_commands import OPERATIONS, AdoptRoutes
 from wigeonport.records import Record
@@ -173,9 +174,10 @@
             "source": self.source,
         }
 
-    def to_json(self):
-        """Returns the document as JSON text."""
-        return json.dumps(self.to_document(), separators=(",", ":"))
+    def to_bytes(self):
+        """Returns the document as compressed JSON."""
+        text = json.dumps(self.to_document(), separators=(",", ":"))
+        return zlib.compress(text.encode())
 
 
 def route_table_from_document(document):
@@ -214,11 +216,19 @@
         """Returns a queue, also one that was dropped, or None."""
         return self.table.queues.get(name) or self.former_queues.get(name)
 
-    def adopt(self, table):
-        """Puts a table of a higher version in force."""
-        for name, queue in self.table.queues.items():
-            if name not in table.queues:
-                self.former_queues[name] = queue
+    def adopt(self, table, in_use=()):
+        """Puts a table of a higher version in force.
+
+        Args:
+            table: RouteTable.
+            in_use: Names of the queues of known jobs, which are kept.
+        """
+        known = self.former_queues | self.table.queues
+        self.former_queues = {
+            name: queue
+            for name, queue in known.items()
+            if name in in_use and name not in table.queues
+        }
         self.table = table
 
     def to_document(self):
@@ -245,5 +255,6 @@
 def adopt_routes(state, operation, now_ms):
     """Adopts a table unless its version is not higher."""
     if operation.version > state.routes.table.version:
-        table = route_table_from_document(json.loads(operation.document_json))
-        state.routes.adopt(table)
+        document = json.loads(zlib.decompress(operation.document))
+        in_use = {job.queue for job in state.batch.jobs.values()}
+        state.routes.adopt(route_table_from_document(document), in_use)
--- a/wigeonport/worker_verdicts.py
+++ b/wigeonport/worker_verdicts.py
@@ -19,6 +19,9 @@
 # A run whose percent has not changed for so long stands still; a task of
 # 4 s advances by 1% in 40 ms, and a resumption takes up to 600 ms.
 STALL_MS = 1_600
+# The same for a lasting task that is not at work yet; its start-up shows no
+# progress and takes up to 1 s on a sound worker.
+LASTING_STALL_MS = 4_000
 # A run is slow when it will take this many times its estimate.
 SLOW_FACTOR = 4.0
 # Shortest age of a run whose speed counts.
@@ -80,7 +83,8 @@
             continue
         if step.lasting and progress.percent >= FULL_PERCENT:
             continue
-        if now_ms - progress.changed_ms > STALL_MS:
+        limit_ms = LASTING_STALL_MS if step.lasting else STALL_MS
+        if now_ms - progress.changed_ms > limit_ms:
             stalled.append(key)
     return stalled
 
