Split the batch controller and the dispatcher by role

Change: messages, inputs, callers' requests and evacuations are modules of their own; behaviour is the same.

--- a/tests/test_batch_controllers.py
+++ b/tests/test_batch_controllers.py
@@ -15,8 +15,8 @@
     UNKNOWN,
     BatchCall,
 )
-from wigeonport.batch_controllers import (
-    BatchController,
+from wigeonport.batch_controllers import BatchController
+from wigeonport.batch_messages import (
     CallReceived,
     Redirect,
     ReportReceived,
--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -6,19 +6,8 @@
 """
 
 from wigeonport.advice_tickets import Tickets
-from wigeonport.batch_calls import (
-    CANCEL,
-    COUNT,
-    INVALID,
-    NO_JOB,
-    NO_QUEUE,
-    OK,
-    STATE,
-    SUBMIT,
-    BatchReply,
-)
+from wigeonport.batch_calls import INVALID, NO_QUEUE, BatchReply
 from wigeonport.batch_commands import (
-    CancelJob,
     EndRuns,
     OpenOccurrence,
     StartRuns,
@@ -27,13 +16,12 @@
 from wigeonport.batch_jobs import (
     ENDED_FAILED,
     LOST,
-    QUEUED,
 )
+from wigeonport.batch_requests import call_handlers
 from wigeonport.batch_specs import split_task_id
 from wigeonport.batch_states import apply_operation
 from wigeonport.fill_pacers import pace_fills
 from wigeonport.logs import PartLogger
-from wigeonport.registries import Registry
 from wigeonport.task_placements import place_gangs, place_tasks
 from wigeonport.worker_reports import StartOrder, WorkerOrders
 from wigeonport.worker_tables import WorkerTable
@@ -45,10 +33,6 @@
 
 logger = PartLogger("dispatch")
 
-call_handlers = Registry("batch call")
-
-# Progress of a lasting task that is at work.
-FULL_PERCENT = 100
 # Steps whose tickets are kept.
 MAX_TICKET_STEPS = 4_096
 # Failed tasks whose workers are remembered; beyond, all are forgotten.
@@ -367,57 +351,6 @@
             ):
                 self.record(OpenOccurrence(job.job_id, job.opened))
 
-    def away_count(self, name):
-        """Returns how many other tasks of a task's step are not at work.
-
-        Only a run that its worker has reported at 100 percent counts as
-        at work.
-        """
-        _, step_run, _ = self.task_of(name)
-        prefix, _, own = name.rpartition(".")
-        away = 0
-        for index, task in enumerate(step_run.tasks):
-            if str(index) == own or task.done:
-                continue
-            away += not any(
-                self.is_at_work(f"{prefix}.{index}", run, worker)
-                for run, worker in task.runs.items()
-            )
-        return away
-
-    def is_at_work(self, name, run, incarnation):
-        """Returns whether a run is at full progress on a known worker."""
-        worker = self.workers.by_id.get(incarnation.partition("@")[0])
-        return (
-            worker is not None
-            and worker.incarnation == incarnation
-            and (name, run) not in worker.stopping
-            and (name, run) in worker.progress
-            and worker.progress[name, run].percent >= FULL_PERCENT
-        )
-
-    def may_stop(self, name, step):
-        """Returns whether stopping a run keeps its step available."""
-        if not step.lasting or not step.max_unavailable:
-            return True
-        return self.away_count(name) < step.max_unavailable
-
-    def evacuate(self, worker, stop_all):
-        """Wants the runs of a worker moved, as far as is allowed now.
-
-        Args:
-            worker: Worker that is to become empty.
-            stop_all: Whether tasks that would end by themselves are
-                stopped too.
-        """
-        for key, step in list(worker.runs.items()):
-            if key in worker.stopping or not (step.lasting or stop_all):
-                continue
-            if key not in worker.progress and step.lasting:
-                continue
-            if self.may_stop(key[0], step):
-                worker.stopping.add(key)
-
     def needs_ticket(self, job):
         """Returns whether the starts of a job carry tickets."""
         queue = self.state.routes.queue_of(job.queue)
@@ -461,39 +394,3 @@
         if handler.is_error():
             return BatchReply(INVALID, handler.error)
         return handler.ok(self, call, queue, rest)
-
-
-@call_handlers.register(SUBMIT)
-def submit(dispatcher, call, queue, job_id):
-    """Accepts a job; a resent one is accepted again without effect."""
-    if not dispatcher.state.batch.knows(job_id):
-        dispatcher.record(SubmitJob(job_id, queue.name, call.spec_json))
-    return BatchReply(OK)
-
-
-@call_handlers.register(STATE)
-def show_state(dispatcher, call, queue, job_id):
-    """Returns the state of a job."""
-    job = dispatcher.state.batch.jobs.get(job_id)
-    return BatchReply(OK, job.state) if job else BatchReply(NO_JOB)
-
-
-@call_handlers.register(CANCEL)
-def cancel(dispatcher, call, queue, job_id):
-    """Cancels a job."""
-    job = dispatcher.state.batch.jobs.get(job_id)
-    if job is None:
-        return BatchReply(NO_JOB)
-    if job.active:
-        dispatcher.record(CancelJob(job_id))
-    return BatchReply(OK, job.state)
-
-
-@call_handlers.register(COUNT)
-def count_waiting(dispatcher, call, queue, rest):
-    """Counts the accepted jobs of a queue of which no task has started."""
-    number = sum(
-        job.state == QUEUED and job.queue == queue.name
-        for job in dispatcher.active.values()
-    )
-    return BatchReply(OK, "", number)
--- /dev/null
+++ b/wigeonport/batch_inputs.py
@@ -0,0 +1,189 @@
+"""Handlers of what arrives in the inbox of the batch controller."""
+
+from wigeonport.advisors import AdviceAnswered
+from wigeonport.batch_calls import NOT_LEADING, BatchReply
+from wigeonport.batch_commands import AdoptRoutes, OpenWave
+from wigeonport.batch_dispatchers import BatchDispatcher
+from wigeonport.batch_messages import (
+    CallReceived,
+    Loaded,
+    ProposalEnded,
+    ReportReceived,
+    RoutesAsked,
+    RoutesStated,
+    WaveAsked,
+    WaveStated,
+)
+from wigeonport.consensus_requests import LeadershipNotice
+from wigeonport.logs import PartLogger
+from wigeonport.machine_orders import MachineAnswered, MachineListed
+from wigeonport.registries import Registry
+from wigeonport.replica_events import COMMITTED
+from wigeonport.replication_messages import node_of
+
+logger = PartLogger("batch")
+
+controller_inputs = Registry("batch controller input")
+
+
+def dispatch(controller, event):
+    """Handles an event; returns the answer to it, if any."""
+    return controller_inputs.entries[type(event)](controller, event)
+
+
+@controller_inputs.register(MachineListed)
+def on_machines_listed(controller, event):
+    """Takes in the platform's list of machines."""
+    if controller.machines is not None:
+        controller.machines.note_list(event)
+
+
+@controller_inputs.register(MachineAnswered)
+def on_machine_answered(controller, event):
+    """Takes in the platform's answer to an order."""
+    dispatcher = controller.dispatcher
+    if dispatcher is not None and event.term == controller.term:
+        dispatcher.wall_ms = controller.clock.wall()
+        controller.machines.note_answer(
+            dispatcher, event, controller.clock.now()
+        )
+
+
+@controller_inputs.register(AdviceAnswered)
+def on_advice(controller, event):
+    """Takes in the tickets of an answer."""
+    controller.advisor.note_answer(
+        controller.dispatcher, event, controller.clock.now()
+    )
+
+
+@controller_inputs.register(LeadershipNotice)
+def on_leadership(controller, notice):
+    """Learns who leads."""
+    controller.leader_node = (
+        node_of(notice.leader_id) if notice.leader_id else ""
+    )
+    if controller.dispatcher is not None and (
+        notice.term != controller.term
+        or controller.leader_node != controller.node
+    ):
+        controller.stand_down("another replica leads")
+    controller.term = notice.term
+    if controller.leader_node == controller.node:
+        controller.nursery.start_soon(controller.load, notice.term)
+
+
+@controller_inputs.register(Loaded)
+def on_loaded(controller, loaded):
+    """Starts to dispatch."""
+    if loaded.term != controller.term or controller.dispatcher is not None:
+        return
+    if controller.leader_node != controller.node:
+        return
+    now_ms = controller.clock.now()
+    controller.dispatcher = BatchDispatcher(
+        loaded.state, controller.settings, loaded.term, now_ms
+    )
+    controller.committed = controller.sequence
+    if controller.machines is not None:
+        controller.machines.restart(now_ms)
+    logger.info(
+        "Dispatching begins.",
+        term=loaded.term,
+        jobs=len(controller.dispatcher.active),
+        version=loaded.state.routes.table.version,
+    )
+
+
+@controller_inputs.register(ProposalEnded)
+def on_proposal_ended(controller, ended):
+    """Learns that a batch is durable."""
+    if ended.term != controller.term or controller.dispatcher is None:
+        return
+    if ended.outcome == COMMITTED:
+        controller.committed = max(controller.committed, ended.sequence)
+    elif ended.sequence > controller.committed:
+        controller.stand_down(f"{ended.outcome}: {ended.reason}")
+
+
+@controller_inputs.register(ReportReceived)
+def on_report(controller, event):
+    """Answers a heartbeat."""
+    if controller.dispatcher is None:
+        return controller.redirect()
+    controller.metrics.count("batch_heartbeats")
+    return controller.dispatcher.on_report(
+        event.report, controller.clock.now(), controller.clock.wall()
+    )
+
+
+@controller_inputs.register(CallReceived)
+def on_call(controller, event):
+    """Answers a caller's request."""
+    if controller.dispatcher is None:
+        return BatchReply(NOT_LEADING, leader=controller.redirect().host)
+    controller.metrics.count("batch_calls")
+    reply = controller.dispatcher.on_call(event.call, controller.clock.wall())
+    logger.info(
+        "Call decided.",
+        request=event.call.request_id,
+        verb=event.call.verb,
+        path=event.call.path,
+        outcome=reply.outcome,
+        detail=reply.detail,
+        version=controller.dispatcher.state.routes.table.version,
+        term=controller.term,
+    )
+    return reply
+
+
+@controller_inputs.register(RoutesStated)
+def on_routes_stated(controller, event):
+    """Adopts a routing table if its version is higher."""
+    dispatcher = controller.dispatcher
+    if dispatcher is None:
+        return controller.redirect()
+    table = event.table
+    current = dispatcher.state.routes.table.version
+    logger.info("Routes stated.", version=table.version, current=current)
+    if table.version > current:
+        dispatcher.wall_ms = controller.clock.wall()
+        dispatcher.record(AdoptRoutes(table.version, table.to_bytes()))
+    return True
+
+
+@controller_inputs.register(RoutesAsked)
+def on_routes_asked(controller, event):
+    """Returns the routing table in force."""
+    if controller.dispatcher is None:
+        return controller.redirect()
+    return controller.dispatcher.state.routes.table
+
+
+@controller_inputs.register(WaveStated)
+def on_wave_stated(controller, event):
+    """Accepts an upkeep wave."""
+    dispatcher = controller.dispatcher
+    if dispatcher is None:
+        return controller.redirect()
+    dispatcher.wall_ms = controller.clock.wall()
+    logger.info(
+        "Wave stated.", wave=event.number, machines=len(event.machines)
+    )
+    dispatcher.record(
+        OpenWave(
+            event.number,
+            event.machines,
+            dispatcher.wall_ms + event.duration_ms,
+            event.max_count,
+        )
+    )
+    return True
+
+
+@controller_inputs.register(WaveAsked)
+def on_wave_asked(controller, event):
+    """Returns a wave, or None."""
+    if controller.dispatcher is None:
+        return controller.redirect()
+    return controller.dispatcher.state.upkeep.waves.get(event.number)
--- a/wigeonport/batch_programs.py
+++ b/wigeonport/batch_programs.py
@@ -10,11 +10,8 @@
 import trio
 
 from wigeonport.batch_calls import COUNT, BatchCall
-from wigeonport.batch_controllers import (
-    BatchController,
-    CallReceived,
-    forward_leadership,
-)
+from wigeonport.batch_controllers import BatchController, forward_leadership
+from wigeonport.batch_messages import CallReceived
 from wigeonport.batch_settings import BatchSettings
 from wigeonport.channels import DROP_OLDEST, Mailbox, Reply
 from wigeonport.consensus import Consensus
@@ -92,6 +89,13 @@
     )
 
 
+def make_links(settings, context):
+    """Returns the links to the controls that the settings name."""
+    hosts = [peer.host for peer in settings.peers]
+    port = settings.control_links_port
+    return PeerLinks(context, settings.host, port, hosts)
+
+
 def batch_settings_of(settings):
     """Returns the BatchSettings of a program."""
     return BatchSettings(settings.max_hold_ms, settings.machine_lease_ms)
@@ -155,12 +159,7 @@
     settings = program.settings
     inbound = Mailbox("deliveries", settings.mailbox_bound)
     context = program.link_context(inbound)
-    links = PeerLinks(
-        context,
-        settings.host,
-        settings.control_links_port,
-        [peer.host for peer in settings.peers],
-    )
+    links = make_links(settings, context)
     consensus = make_batch_consensus(program, links)
     notices = Mailbox("notices", NOTICES_BOUND, DROP_OLDEST)
     consensus.observers.append(notices)
@@ -213,12 +212,7 @@
     settings = program.settings
     inbound = Mailbox("deliveries", settings.mailbox_bound, DROP_OLDEST)
     context = program.link_context(inbound)
-    links = PeerLinks(
-        context,
-        settings.host,
-        settings.control_links_port,
-        [peer.host for peer in settings.peers],
-    )
+    links = make_links(settings, context)
     gateway = Gateway(links, program.clock, program.metrics)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(links.run, nursery)
--- /dev/null
+++ b/wigeonport/batch_requests.py
@@ -0,0 +1,56 @@
+"""Handlers of callers' requests about jobs.
+
+Each takes the dispatcher, the BatchCall, its Queue and the rest of the
+path, and returns the BatchReply.
+"""
+
+from wigeonport.batch_calls import (
+    CANCEL,
+    COUNT,
+    NO_JOB,
+    OK,
+    STATE,
+    SUBMIT,
+    BatchReply,
+)
+from wigeonport.batch_commands import CancelJob, SubmitJob
+from wigeonport.batch_jobs import QUEUED
+from wigeonport.registries import Registry
+
+call_handlers = Registry("batch call")
+
+
+@call_handlers.register(SUBMIT)
+def submit(dispatcher, call, queue, job_id):
+    """Accepts a job; a resent one is accepted again without effect."""
+    if not dispatcher.state.batch.knows(job_id):
+        dispatcher.record(SubmitJob(job_id, queue.name, call.spec_json))
+    return BatchReply(OK)
+
+
+@call_handlers.register(STATE)
+def show_state(dispatcher, call, queue, job_id):
+    """Returns the state of a job."""
+    job = dispatcher.state.batch.jobs.get(job_id)
+    return BatchReply(OK, job.state) if job else BatchReply(NO_JOB)
+
+
+@call_handlers.register(CANCEL)
+def cancel(dispatcher, call, queue, job_id):
+    """Cancels a job."""
+    job = dispatcher.state.batch.jobs.get(job_id)
+    if job is None:
+        return BatchReply(NO_JOB)
+    if job.active:
+        dispatcher.record(CancelJob(job_id))
+    return BatchReply(OK, job.state)
+
+
+@call_handlers.register(COUNT)
+def count_waiting(dispatcher, call, queue, rest):
+    """Counts the accepted jobs of a queue of which no task has started."""
+    number = sum(
+        job.state == QUEUED and job.queue == queue.name
+        for job in dispatcher.active.values()
+    )
+    return BatchReply(OK, "", number)
--- a/wigeonport/machine_managers.py
+++ b/wigeonport/machine_managers.py
@@ -29,6 +29,7 @@
     PlannedOrder,
 )
 from wigeonport.pool_sizes import plan_moves
+from wigeonport.task_evacuations import evacuate
 
 logger = PartLogger("machines")
 
@@ -344,4 +345,4 @@
             if worker.reserved_ms is None:
                 continue
             late = now_ms - worker.reserved_ms > EMPTYING_MS
-            dispatcher.evacuate(worker, late)
+            evacuate(dispatcher, worker, late)
--- /dev/null
+++ b/wigeonport/task_evacuations.py
@@ -0,0 +1,60 @@
+"""Moves of running tasks that keep their steps available."""
+
+# Progress of a lasting task that is at work.
+FULL_PERCENT = 100
+
+
+def away_count(dispatcher, name):
+    """Returns how many other tasks of a task's step are not at work.
+
+    Only a run that its worker has reported at 100 percent counts as
+    at work.
+    """
+    _, step_run, _ = dispatcher.task_of(name)
+    prefix, _, own = name.rpartition(".")
+    away = 0
+    for index, task in enumerate(step_run.tasks):
+        if str(index) == own or task.done:
+            continue
+        away += not any(
+            is_at_work(dispatcher, f"{prefix}.{index}", run, worker)
+            for run, worker in task.runs.items()
+        )
+    return away
+
+
+def is_at_work(dispatcher, name, run, incarnation):
+    """Returns whether a run is at full progress on a known worker."""
+    worker = dispatcher.workers.by_id.get(incarnation.partition("@")[0])
+    return (
+        worker is not None
+        and worker.incarnation == incarnation
+        and (name, run) not in worker.stopping
+        and (name, run) in worker.progress
+        and worker.progress[name, run].percent >= FULL_PERCENT
+    )
+
+
+def may_stop(dispatcher, name, step):
+    """Returns whether stopping a run keeps its step available."""
+    if not step.lasting or not step.max_unavailable:
+        return True
+    return away_count(dispatcher, name) < step.max_unavailable
+
+
+def evacuate(dispatcher, worker, stop_all):
+    """Wants the runs of a worker moved, as far as is allowed now.
+
+    Args:
+        dispatcher: BatchDispatcher.
+        worker: Worker that is to become empty.
+        stop_all: Whether tasks that would end by themselves are
+            stopped too.
+    """
+    for key, step in list(worker.runs.items()):
+        if key in worker.stopping or not (step.lasting or stop_all):
+            continue
+        if key not in worker.progress and step.lasting:
+            continue
+        if may_stop(dispatcher, key[0], step):
+            worker.stopping.add(key)
--- a/wigeonport/worker_verdicts.py
+++ b/wigeonport/worker_verdicts.py
@@ -7,6 +7,7 @@
 
 from wigeonport.batch_jobs import DONE, ENDED_FAILED
 from wigeonport.logs import PartLogger
+from wigeonport.task_evacuations import FULL_PERCENT
 from wigeonport.worker_tables import RunProgress
 
 logger = PartLogger("verdicts")
@@ -28,7 +29,6 @@
 SLOW_AGE_MS = 700
 # Runs that must be slow together.
 SLOW_RUNS = 2
-FULL_PERCENT = 100
 # First and longest exclusion of a worker.
 FIRST_SHUN_MS = 2_500
 LAST_SHUN_MS = 8_000
