Keep the leader's process and its copy sound

Cause: found by reading the change. A fault in a decision ended the process; jobs were dropped while their runs could be live, which raised at their next heartbeat; a copy that was loaded again within a term could lack batches that were on their way to a quorum; a batch in several pieces went on after the lead was lost. Change: a fault costs the working copy only and is logged; jobs with live runs are kept; a load passes a barrier through the log first.

--- a/tests/test_batch_controllers.py
+++ b/tests/test_batch_controllers.py
@@ -225,12 +225,29 @@
         desk.consensus.outcome = REFUSED
         assert (await desk.call(SUBMIT)).ok.outcome == UNKNOWN
         desk.consensus.outcome = COMMITTED
-        await trio.sleep(0.1)
+        await trio.sleep(0.3)
         assert (await desk.call(SUBMIT)).ok.outcome == OK
 
     run_desk(check)
 
 
+def test_copy_contains_batches_that_were_on_their_way(run_desk):
+    """A copy without them would order runs that are recorded already."""
+
+    async def check(desk):
+        desk.consensus.outcome = None
+        await desk.call(SUBMIT, SHORT_MS)
+        desk.controller.stand_down("by the test")
+        await trio.sleep(0.05)
+        assert desk.controller.dispatcher is None
+        desk.consensus.outcome = COMMITTED
+        desk.consensus.settle()
+        await trio.sleep(0.2)
+        assert JOB in desk.controller.dispatcher.state.batch.jobs
+
+    run_desk(check)
+
+
 def test_nothing_is_answered_after_the_lease(run_desk):
     """A leader that was suspended must not answer for a former term."""
 
@@ -308,3 +325,15 @@
         assert desk.consensus.largest_payload < ReplicaSettings().payload_bytes
 
     run_desk(check)
+
+
+def test_event_that_cannot_be_handled_ends_nothing(run_desk):
+    """A fault in a decision must not end the process of the leader."""
+
+    async def check(desk):
+        answer = await desk.ask(lambda reply: ReportReceived(None, reply))
+        assert isinstance(answer.ok, Redirect)
+        await trio.sleep(0.1)
+        assert (await desk.call(SUBMIT)).ok.outcome == OK
+
+    run_desk(check)
--- a/tests/test_batch_dispatchers.py
+++ b/tests/test_batch_dispatchers.py
@@ -331,3 +331,19 @@
         orders = scene.beat("w1", running=[(TASK, 1, "", 100)])
         assert orders.stops == []
         scene.advance(1_000)
+
+
+def test_ended_job_is_kept_while_a_run_may_be_live(scene):
+    """A run of a dropped job could neither be stopped nor recorded."""
+    scene.submit(ONE)
+    scene.beat()
+    scene.cancel()
+    scene.now_ms += 400_000
+    scene.dispatcher.state.batch.prune(scene.now_ms)
+    assert scene.beat(running=[(TASK, 1)]).stops == [(TASK, 1)]
+    scene.beat(ended=[(1, TASK, 1, "stopped")])
+    scene.now_ms += 400_000
+    scene.dispatcher.state.batch.prune(scene.now_ms)
+    assert scene.call("state", JOB).outcome == NO_JOB
+    assert scene.submit(ONE).outcome == OK
+    assert names(scene.beat()) == []
--- a/wigeonport/batch_controllers.py
+++ b/wigeonport/batch_controllers.py
@@ -12,7 +12,12 @@
 
 from wigeonport import batch_inputs
 from wigeonport.batch_calls import UNKNOWN, BatchReply
-from wigeonport.batch_messages import Loaded, ProposalEnded, Redirect
+from wigeonport.batch_messages import (
+    CallReceived,
+    Loaded,
+    ProposalEnded,
+    Redirect,
+)
 from wigeonport.batch_states import encode_operations
 from wigeonport.channels import WAIT, Mailbox, Reply, ask
 from wigeonport.consensus_requests import (
@@ -22,7 +27,7 @@
     StatusRequest,
 )
 from wigeonport.logs import PartLogger
-from wigeonport.replica_events import LEADER
+from wigeonport.replica_events import COMMITTED, LEADER
 from wigeonport.state_commands import RecordBatch
 from wigeonport.states import PARTS, ReplicatedState
 
@@ -133,7 +138,7 @@
     def handle(self, events):
         """Handles events and collects their answers in ``round``."""
         for event in events:
-            answer = batch_inputs.dispatch(self, event)
+            answer = self.dispatch(event)
             reply = getattr(event, "reply", None)
             if reply is not None:
                 self.round.append((reply, answer))
@@ -143,6 +148,22 @@
             if self.dispatcher is not None:
                 self.tick(now_ms)
 
+    def dispatch(self, event):
+        """Handles one event; a fault costs the working copy, not more."""
+        try:
+            return batch_inputs.dispatch(self, event)
+        except Exception as fault:
+            logger.error(
+                "An event cannot be handled.",
+                event=type(event).__name__,
+                fault=repr(fault),
+            )
+            self.metrics.count("batch_faults")
+            self.stand_down("an event cannot be handled")
+            if isinstance(event, CallReceived):
+                return BatchReply(UNKNOWN, "the control failed")
+            return Redirect("")
+
     def tick(self, now_ms):
         """Fires the timers of the dispatcher and of what serves it."""
         self.dispatcher.on_tick(now_ms, self.clock.wall())
@@ -169,6 +190,8 @@
 
     def propose_chunk(self, chunk):
         """Proposes one batch and starts the wait for its outcome."""
+        if self.dispatcher is None:
+            return
         self.sequence += 1
         command = RecordBatch(self.dispatcher.wall_ms, chunk)
         reply = Reply()
@@ -246,6 +269,11 @@
     async def load(self, term):
         """Reads a copy of the state once this term has been confirmed."""
         while self.term == term and self.leader_node == self.node:
+            # An earlier batch of this term may still be on its way to a
+            # quorum; the copy has to contain it.
+            if not await self.pass_barrier():
+                await self.clock.sleep(RETRY_ACTIVATION_MS)
+                continue
             found = await ask(
                 self.consensus,
                 lambda reply: Read(copy_parts, reply, True),
@@ -258,6 +286,16 @@
             logger.warning("State is not ready.", reason=loaded.error)
             await self.clock.sleep(RETRY_ACTIVATION_MS)
 
+    async def pass_barrier(self):
+        """Returns whether all earlier batches have been decided."""
+        command = RecordBatch(self.clock.wall(), [])
+        answer = await ask(
+            self.consensus,
+            lambda reply: Proposal(command, reply),
+            READ_TIMEOUT_MS,
+        )
+        return answer.is_ok() and answer.ok.outcome == COMMITTED
+
     def redirect(self):
         """Returns where to turn to."""
         leads_elsewhere = self.leader_node != self.node
--- a/wigeonport/batch_states.py
+++ b/wigeonport/batch_states.py
@@ -54,7 +54,9 @@
         old = [
             job.job_id
             for job in self.jobs.values()
-            if job.finished_ms and now_ms - job.finished_ms > RETENTION_MS
+            if job.finished_ms
+            and now_ms - job.finished_ms > RETENTION_MS
+            and not any(job.live_runs())
         ]
         for job_id in old:
             del self.jobs[job_id]
