Keep steps available when orders leave, and machines with orders empty

Ruled out: two stops of one step by one leader within a round; a task that is being stopped counts as away. Change: silent workers count as away after 1.2 s; a stop is checked again when it leaves; machines with an order get no tasks, and an order waits until its machine is empty.

--- a/tests/test_machine_managers.py
+++ b/tests/test_machine_managers.py
@@ -3,7 +3,7 @@
 import pytest
 from batch_fixtures import JOB, Scene, make_queue, make_table, names
 
-from wigeonport.batch_commands import OpenWave
+from wigeonport.batch_commands import OpenWave, OrderMachine, StartRuns
 from wigeonport.batch_settings import BatchSettings
 from wigeonport.clocks import ManualClock
 from wigeonport.machine_managers import MachineManager
@@ -60,6 +60,7 @@
     def tick(self):
         """Returns the orders that are planned now."""
         self.scene.dispatcher.wall_ms = self.scene.now_ms
+        self.scene.dispatcher.now_ms = self.scene.now_ms
         planned = self.manager.on_tick(
             self.scene.dispatcher, self.scene.now_ms
         )
@@ -233,3 +234,55 @@
         yard.scene.now_ms += 700
     assert len(orders) == 1
     assert orders[0].target == "spare"
+
+
+def test_order_of_the_former_leader_waits_until_the_machine_is_empty(yard):
+    """An upkeep that a former leader recorded must not end running tasks."""
+    yard.open_wave(["m1"])
+    yard.scene.dispatcher.record(OrderMachine("m1", "upkeep", "1"))
+    task = f"{JOB}.0.0.0"
+    yard.beat("m1")
+    yard.scene.submit(ONE)
+    yard.scene.dispatcher.record(StartRuns([task], [1], "w-m1@50000"))
+    yard.beat("m1", running=[(task, 1, "", 10)])
+    assert yard.tick() == []
+    yard.beat("m1", ended=[(1, task, 1, "done")])
+    assert len(yard.tick()) == 1
+
+
+def test_ordered_machine_gets_no_task_before_the_pause_is_over(yard):
+    """A new leader must not fill a machine that is about to go down."""
+    yard.scene.dispatcher.record(OrderMachine("m1", "move", "spare"))
+    yard.scene.submit(ONE)
+    assert names(yard.beat("m1")) == []
+    assert len(names(yard.beat("m2"))) == 1
+
+
+def start_lasting(yard):
+    """Starts a lasting step of two tasks; returns their rows by machine."""
+    yard.scene.submit(LASTING)
+    rows = {}
+    for name in ("m1", "m2"):
+        ((task, run),) = names(yard.beat(name))
+        rows[name] = (task, run, "", 100)
+        yard.beat(name, running=[rows[name]])
+    return rows
+
+
+def test_stop_is_withheld_when_the_step_has_lost_a_task_since(yard):
+    """An order must be allowed when it leaves, not only when decided."""
+    rows = start_lasting(yard)
+    yard.open_wave(["m1"])
+    yard.tick()
+    yard.beat("m2", ended=[(1, *rows["m2"][:2], "failed")])
+    assert yard.beat("m1", running=[rows["m1"]]).stops == []
+
+
+def test_task_on_a_silent_worker_counts_as_away(yard):
+    """A worker that has crashed looks at work until its lease ends."""
+    rows = start_lasting(yard)
+    yard.open_wave(["m1"])
+    yard.scene.now_ms += 2_000
+    yard.beat("m1", running=[rows["m1"]])
+    yard.tick()
+    assert yard.beat("m1", running=[rows["m1"]]).stops == []
--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -22,6 +22,7 @@
 from wigeonport.batch_states import apply_operation
 from wigeonport.fill_pacers import pace_fills
 from wigeonport.logs import PartLogger
+from wigeonport.task_evacuations import withdraw_stops
 from wigeonport.task_placements import place_gangs, place_tasks
 from wigeonport.worker_reports import StartOrder, WorkerOrders
 from wigeonport.worker_tables import WorkerTable
@@ -57,6 +58,7 @@
         tickets: Tickets by name of a step, for queues with advice.
         waiting_since: First time at which a step waited for a near worker.
         wall_ms: Wall time of the current step.
+        now_ms: Monotonic time of the current step.
     """
 
     __slots__ = (
@@ -73,6 +75,7 @@
         "tickets",
         "waiting_since",
         "wall_ms",
+        "now_ms",
     )
 
     def __init__(self, state, settings, term, now_ms):
@@ -90,6 +93,7 @@
         self.tickets = {}
         self.waiting_since = {}
         self.wall_ms = 0
+        self.now_ms = now_ms
         for job in state.batch.jobs.values():
             if job.active:
                 self.active[job.job_id] = job
@@ -155,7 +159,7 @@
 
     def on_report(self, report, now_ms, wall_ms):
         """Takes in a heartbeat and returns the WorkerOrders."""
-        self.wall_ms = wall_ms
+        self.wall_ms, self.now_ms = wall_ms, now_ms
         orders = WorkerOrders(self.term, self.settings.retry_after_ms)
         worker, over = self.workers.admit(report, now_ms)
         for incarnation in over:
@@ -169,9 +173,12 @@
             return orders
         if report.capacity is None:
             return orders
+        if worker.reserved_ms is None and self.has_order(report.machine):
+            worker.reserved_ms = now_ms
         self.take_ends(worker, orders)
         self.take_progress(worker)
         review_worker(self, worker, now_ms)
+        withdraw_stops(self, worker)
         self.reconcile(worker, orders)
         pace_fills(worker, orders)
         if worker.accepts(now_ms, self.settings.silence_ms):
@@ -182,6 +189,10 @@
         worker.extend_lease(orders.hold_ms, now_ms)
         return orders
 
+    def has_order(self, machine):
+        """Returns whether a machine is about to be moved or maintained."""
+        return machine in self.state.upkeep.orders
+
     def take_ends(self, worker, orders):
         """Records the ends that a worker lists."""
         tasks, runs, outcomes, saved = [], [], [], []
@@ -326,7 +337,7 @@
 
     def on_tick(self, now_ms, wall_ms):
         """Notes workers whose leases have lapsed, and opens occurrences."""
-        self.wall_ms = wall_ms
+        self.wall_ms, self.now_ms = wall_ms, now_ms
         for worker in list(self.workers.by_id.values()):
             if now_ms > worker.lease_until_ms and (
                 now_ms - worker.heard_ms > self.settings.hold_ms
--- a/wigeonport/machine_managers.py
+++ b/wigeonport/machine_managers.py
@@ -221,6 +221,7 @@
 
     def on_tick(self, dispatcher, now_ms):
         """Returns pairs of reply channel and PlannedOrder."""
+        self.reserve_ordered(dispatcher, now_ms)
         early = now_ms - self.since_ms < self.settings.duty_wait_ms
         if early or now_ms < dispatcher.orphans_until_ms or not self.rows:
             return []
@@ -229,13 +230,32 @@
             if wave.left:
                 self.advance(dispatcher, wave, now_ms)
         plan_moves(self, dispatcher, now_ms)
+        self.reserve_ordered(dispatcher, now_ms)
         self.empty_reserved(dispatcher, now_ms)
         return [
             self.plan(dispatcher, machine, order)
             for machine, order in list(dispatcher.state.upkeep.orders.items())
-            if not order.begun and self.is_free(machine, now_ms)
+            if not order.begun
+            and self.is_free(machine, now_ms)
+            and self.is_empty(dispatcher, machine)
         ]
 
+    def is_empty(self, dispatcher, machine):
+        """Returns whether no run of a machine may be live.
+
+        An order of a former leader may meet a machine that has been given
+        tasks since.
+        """
+        worker = dispatcher.workers.by_machine.get(machine)
+        return worker is None or not worker.runs
+
+    def reserve_ordered(self, dispatcher, now_ms):
+        """Keeps new tasks away from machines with an order."""
+        for machine in dispatcher.state.upkeep.orders:
+            worker = dispatcher.workers.by_machine.get(machine)
+            if worker is not None and worker.reserved_ms is None:
+                worker.reserved_ms = now_ms
+
     def is_free(self, machine, now_ms):
         """Returns whether a machine may get an order now."""
         if machine in self.asked:
@@ -337,10 +357,6 @@
 
     def empty_reserved(self, dispatcher, now_ms):
         """Moves what runs on the machines that are being emptied."""
-        for machine in dispatcher.state.upkeep.orders:
-            worker = dispatcher.workers.by_machine.get(machine)
-            if worker is not None and worker.reserved_ms is None:
-                worker.reserved_ms = now_ms
         for worker in dispatcher.workers.by_id.values():
             if worker.reserved_ms is None:
                 continue
--- a/wigeonport/task_evacuations.py
+++ b/wigeonport/task_evacuations.py
@@ -2,6 +2,9 @@
 
 # Progress of a lasting task that is at work.
 FULL_PERCENT = 100
+# A worker that has been silent for longer may have crashed; three intervals
+# of heartbeats.
+FRESH_MS = 1_200
 
 
 def away_count(dispatcher, name):
@@ -29,6 +32,7 @@
     return (
         worker is not None
         and worker.incarnation == incarnation
+        and dispatcher.now_ms - worker.heard_ms <= FRESH_MS
         and (name, run) not in worker.stopping
         and (name, run) in worker.progress
         and worker.progress[name, run].percent >= FULL_PERCENT
@@ -42,6 +46,20 @@
     return away_count(dispatcher, name) < step.max_unavailable
 
 
+def withdraw_stops(dispatcher, worker):
+    """Gives up the stops that would now make a step unavailable.
+
+    Tasks of the step may have been lost since a stop was decided.
+    """
+    for key in list(worker.stopping):
+        step, progress = worker.runs.get(key), worker.progress.get(key)
+        if step is None or progress is None:
+            continue
+        at_work = progress.percent >= FULL_PERCENT
+        if at_work and not may_stop(dispatcher, key[0], step):
+            worker.stopping.discard(key)
+
+
 def evacuate(dispatcher, worker, stop_all):
     """Wants the runs of a worker moved, as far as is allowed now.
 
