--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN := $(VENV)/bin
 
-.PHONY: setup format lint test demo
+.PHONY: setup format lint test demo platform-demo
 
 $(VENV)/ready: requirements.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -25,3 +25,6 @@
 
 demo: setup
 	$(BIN)/python tools/demo.py
+
+platform-demo: setup
+	$(BIN)/python tools/platform_soak.py --seed 1 --seconds 10
