Rename 12 names: RankedJob, JobRanking and others

Cause: The names of the ranking of jobs said claim, which the entries use for idempotency keys; order also means an order to a machine. Change: JobClaim to RankedJob, OrderedClaims to JobRanking, claims_of to active_ranked_jobs, order_claims to rank_jobs, claim to ranked_job, claims to ranked_jobs, made_ms to created_ms, by_job to by_job_id, note_step to refresh_job, find_startable to update_startable, order_job to add_to_ranking, estimate_left to estimate_remaining; 128 uses in 7 files, by token.

--- a/wigeonport/advisors.py
+++ b/wigeonport/advisors.py
@@ -9,7 +9,7 @@
 
 from wigeonport.channels import REFUSE, Mailbox
 from wigeonport.logs import PartLogger
-from wigeonport.task_placements import claims_of
+from wigeonport.task_placements import active_ranked_jobs
 
 logger = PartLogger("advice")
 
@@ -96,31 +96,39 @@
     def on_tick(self, dispatcher, now_ms):
         """Asks for the workers of steps that are ready to run."""
         for service in dispatcher.services_with_advice():
-            for claim in claims_of(dispatcher, service, dispatcher.wall_ms):
-                if claim.queue.advice is None:
+            for ranked_job in active_ranked_jobs(
+                dispatcher, service, dispatcher.wall_ms
+            ):
+                if ranked_job.queue.advice is None:
                     continue
-                for occurrence, number, step_run in claim.job.ready_steps():
+                for (
+                    occurrence,
+                    number,
+                    step_run,
+                ) in ranked_job.job.ready_steps():
                     if self.open_calls >= MAX_OPEN_CALLS:
                         return
                     if step_run.waiting:
-                        step = f"{claim.job.job_id}.{occurrence}.{number}"
-                        self.consider(dispatcher, claim, step, now_ms)
+                        step = f"{ranked_job.job.job_id}.{occurrence}.{number}"
+                        self.consider(dispatcher, ranked_job, step, now_ms)
 
-    def consider(self, dispatcher, claim, step, now_ms):
+    def consider(self, dispatcher, ranked_job, step, now_ms):
         """Asks for the workers of one step that are not known yet."""
         tickets = dispatcher.tickets_of(step)
         if tickets.asked_ms is not None or now_ms < tickets.retry_ms:
             return
         workers = {
             worker.report.worker_id: worker.incarnation
-            for worker in dispatcher.workers.of_service(claim.queue.service)
+            for worker in dispatcher.workers.of_service(
+                ranked_job.queue.service
+            )
             if worker.accepts(now_ms, dispatcher.silence_ms())
             and not tickets.is_known(worker.incarnation, now_ms)
         }
         workers = dict(sorted(workers.items())[:MAX_WORKERS])
         if not workers:
             return
-        valid_ms = claim.queue.advice.valid_ms
+        valid_ms = ranked_job.queue.advice.valid_ms
         call = AdviceCall(step, workers, valid_ms, dispatcher.term)
         if self.calls.put_nowait(call):
             tickets.asked_ms = now_ms
--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -18,7 +18,7 @@
 from wigeonport.batch_specs import split_task_id
 from wigeonport.batch_states import apply_operation
 from wigeonport.fill_pacers import pace_fills
-from wigeonport.job_orders import JobClaim
+from wigeonport.job_orders import RankedJob
 from wigeonport.logs import PartLogger
 from wigeonport.run_orders import add_starts, reconcile
 from wigeonport.run_reports import take_ends, take_progress
@@ -50,7 +50,7 @@
         orphans_until_ms: Until when runs of workers that this leader has
             not heard of may live.
         failed_on: Time of the failure by worker id, by task.
-        claims: OrderedClaims by service.
+        ranked_jobs: OrderedClaims by service.
         tickets: Tickets by name of a step, for queues with advice.
         copies: Lists of the tasks that want a copy, by service.
         waiting_since: First time at which a step waited for a near worker.
@@ -69,7 +69,7 @@
         "operations",
         "orphans_until_ms",
         "failed_on",
-        "claims",
+        "ranked_jobs",
         "tickets",
         "copies",
         "waiting_since",
@@ -89,7 +89,7 @@
         # The former leader may have answered until this one was elected.
         self.orphans_until_ms = lease_end_ms(settings.hold_ms, now_ms)
         self.failed_on = {}
-        self.claims = {}
+        self.ranked_jobs = {}
         self.tickets = {}
         self.copies = {}
         self.waiting_since = {}
@@ -117,14 +117,14 @@
             job = self.state.batch.jobs.get(operation.job_id)
             if job is not None and job.active:
                 self.active[job.job_id] = job
-                self.order_job(job)
+                self.add_to_ranking(job)
 
-    def order_job(self, job):
+    def add_to_ranking(self, job):
         """Takes a new job into the order of its service, if that is kept."""
         queue = self.state.routes.queue_of(job.queue)
-        kept = self.claims.get(queue.service if queue else "")
+        kept = self.ranked_jobs.get(queue.service if queue else "")
         if kept is not None:
-            kept.add(JobClaim(job, queue))
+            kept.add(RankedJob(job, queue))
 
     def note_starts(self, operation):
         """Keeps the index of live runs."""
--- a/wigeonport/job_orders.py
+++ b/wigeonport/job_orders.py
@@ -8,7 +8,7 @@
 ESTIMATE_MARGIN = 1.25
 
 
-class JobClaim:
+class RankedJob:
     """What the order of jobs is decided on.
 
     Attributes:
@@ -48,48 +48,52 @@
             + queue.stretch * spec.chain_ms()
             + queue.target_latency_ms
         )
-        self.left_ms, self.work, self.running = estimate_left(job)
+        self.left_ms, self.work, self.running = estimate_remaining(job)
         self.startable = []
-        self.find_startable()
+        self.update_startable()
 
-    def find_startable(self):
+    def update_startable(self):
         """Looks for the steps that are ready."""
         self.startable = [
             ready for ready in self.job.ready_steps() if not ready[2].step.gang
         ]
 
 
-class OrderedClaims:
+class JobRanking:
     """The claims of a service in their order, kept for a moment.
 
     Attributes:
-        made_ms: Wall time of the order.
+        created_ms: Wall time of the order.
         order: Function that sorts claims.
-        claims: JobClaim list, in order.
-        by_job: JobClaim by job id.
+        ranked_jobs: JobClaim list, in order.
+        by_job_id: JobClaim by job id.
     """
 
-    __slots__ = ("made_ms", "order", "claims", "by_job")
+    __slots__ = ("created_ms", "order", "ranked_jobs", "by_job_id")
 
-    def __init__(self, claims, order, made_ms):
-        self.made_ms = made_ms
+    def __init__(self, ranked_jobs, order, created_ms):
+        self.created_ms = created_ms
         self.order = order
-        self.claims = order(claims, made_ms)
-        self.by_job = {claim.job.job_id: claim for claim in claims}
+        self.ranked_jobs = order(ranked_jobs, created_ms)
+        self.by_job_id = {
+            ranked_job.job.job_id: ranked_job for ranked_job in ranked_jobs
+        }
 
-    def add(self, claim):
+    def add(self, ranked_job):
         """Takes a new job in."""
-        self.by_job[claim.job.job_id] = claim
-        self.claims = self.order([*self.claims, claim], self.made_ms)
+        self.by_job_id[ranked_job.job.job_id] = ranked_job
+        self.ranked_jobs = self.order(
+            [*self.ranked_jobs, ranked_job], self.created_ms
+        )
 
-    def note_step(self, job_id):
+    def refresh_job(self, job_id):
         """Learns that a step of a job has ended."""
-        claim = self.by_job.get(job_id)
-        if claim is not None:
-            claim.find_startable()
+        ranked_job = self.by_job_id.get(job_id)
+        if ranked_job is not None:
+            ranked_job.update_startable()
 
 
-def estimate_left(job):
+def estimate_remaining(job):
     """Returns the longest chain, the waiting and the running work."""
     longest, work, running = 0, 0, 0
     for step_runs in job.occurrences.values():
@@ -107,11 +111,11 @@
 
 
 @job_orders.register("objective")
-def order_by_objective(claims, now_ms):
+def order_by_objective(ranked_jobs, now_ms):
     """Lasting jobs, then what can meet its objective, the nearest first."""
 
-    def key(claim):
-        late = now_ms + claim.left_ms > claim.objective_ms
-        return (not claim.lasting, late, claim.objective_ms)
+    def key(ranked_job):
+        late = now_ms + ranked_job.left_ms > ranked_job.objective_ms
+        return (not ranked_job.lasting, late, ranked_job.objective_ms)
 
-    return sorted(claims, key=key)
+    return sorted(ranked_jobs, key=key)
--- a/wigeonport/pool_sizes.py
+++ b/wigeonport/pool_sizes.py
@@ -12,7 +12,7 @@
 from wigeonport.job_orders import ESTIMATE_MARGIN
 from wigeonport.logs import PartLogger
 from wigeonport.machine_orders import UP
-from wigeonport.task_placements import claims_of
+from wigeonport.task_placements import active_ranked_jobs
 
 logger = PartLogger("pools")
 
@@ -96,22 +96,24 @@
     pool = Pool(service, workers)
     lasting = 0
     work, needed, arrived = 0, 0, 0
-    claims = claims_of(dispatcher, service, wall_ms)
-    for claim in sorted(claims, key=lambda claim: claim.objective_ms):
-        if claim.lasting:
-            steps = claim.job.spec.steps
+    ranked_jobs = active_ranked_jobs(dispatcher, service, wall_ms)
+    for ranked_job in sorted(
+        ranked_jobs, key=lambda ranked_job: ranked_job.objective_ms
+    ):
+        if ranked_job.lasting:
+            steps = ranked_job.job.spec.steps
             pool.least = max(pool.least, *map(machines_for, steps))
             lasting += sum(
                 step.count * step.cpu_milli for step in steps if not step.fills
             )
             continue
-        span_ms = claim.objective_ms - wall_ms - claim.left_ms / 2
-        if span_ms < claim.left_ms / 2:
+        span_ms = ranked_job.objective_ms - wall_ms - ranked_job.left_ms / 2
+        if span_ms < ranked_job.left_ms / 2:
             continue
-        work += claim.work * ESTIMATE_MARGIN
+        work += ranked_job.work * ESTIMATE_MARGIN
         needed = max(needed, work / max(span_ms, SHORTEST_SPAN_MS))
-        if wall_ms - claim.job.submitted_ms < ARRIVAL_MS:
-            arrived += claim.work + claim.running
+        if wall_ms - ranked_job.job.submitted_ms < ARRIVAL_MS:
+            arrived += ranked_job.work + ranked_job.running
     pool.lasting = lasting
     pool.needed = lasting + max(needed, arrived / ARRIVAL_MS)
     return pool
--- a/wigeonport/run_reports.py
+++ b/wigeonport/run_reports.py
@@ -32,11 +32,11 @@
 
 def note_ended_steps(dispatcher, worker, tasks):
     """Tells the order of jobs which of them may have steps that are ready."""
-    kept = dispatcher.claims.get(worker.report.service)
+    kept = dispatcher.ranked_jobs.get(worker.report.service)
     for name in tasks:
         found = dispatcher.task_of(name)
         if kept is not None and (found is None or not found[1].left):
-            kept.note_step(split_task_id(name)[0])
+            kept.refresh_job(split_task_id(name)[0])
 
 
 def note_ended_jobs(dispatcher, tasks):
--- a/wigeonport/task_copies.py
+++ b/wigeonport/task_copies.py
@@ -8,7 +8,7 @@
 from wigeonport.batch_specs import split_task_id
 from wigeonport.logs import PartLogger
 from wigeonport.machine_losses import SUSPECT_BEATS
-from wigeonport.task_placements import Spot, claims_of
+from wigeonport.task_placements import Spot, active_ranked_jobs
 
 logger = PartLogger("copies")
 
@@ -36,15 +36,15 @@
     if not names:
         return
     service = worker.report.service
-    claims = {
-        claim.job.job_id: claim
-        for claim in claims_of(dispatcher, service, wall_ms)
+    ranked_jobs = {
+        ranked_job.job.job_id: ranked_job
+        for ranked_job in active_ranked_jobs(dispatcher, service, wall_ms)
     }
     room = worker.room()
     for name in names:
         job_id, occurrence, number, index = split_task_id(name)
-        found, claim = dispatcher.task_of(name), claims.get(job_id)
-        if found is None or claim is None:
+        found, ranked_job = dispatcher.task_of(name), ranked_jobs.get(job_id)
+        if found is None or ranked_job is None:
             continue
         _, step_run, task = found
         if task.done or not 0 < len(task.runs) < MOST_RUNS:
@@ -52,7 +52,7 @@
         if worker.incarnation in task.runs.values():
             continue
         step = step_run.step
-        spot = Spot(dispatcher, worker, claim, occurrence, number)
+        spot = Spot(dispatcher, worker, ranked_job, occurrence, number)
         if not spot.suits(step, now_ms) or spot.failed_here(index):
             continue
         if spot.limit(step) < 1 or not room.fits(step):
--- a/wigeonport/task_placements.py
+++ b/wigeonport/task_placements.py
@@ -2,7 +2,7 @@
 
 from wigeonport.batch_commands import StartRuns
 from wigeonport.batch_specs import task_id
-from wigeonport.job_orders import JobClaim, OrderedClaims, job_orders
+from wigeonport.job_orders import JobRanking, RankedJob, job_orders
 
 # Most tasks started by one answer; bounds its size far below 4 MiB.
 MAX_STARTS = 64
@@ -18,42 +18,46 @@
 GANG_SILENT_BEATS = 2
 
 
-def claims_of(dispatcher, service, now_ms):
+def active_ranked_jobs(dispatcher, service, now_ms):
     """Returns the claims of the active jobs of a service, in order.
 
     They are kept for a moment, because each heartbeat asks for them.
     """
-    kept = dispatcher.claims.get(service)
-    if kept is None or not 0 <= now_ms - kept.made_ms < CLAIMS_MS:
-        kept = order_claims(dispatcher, service, now_ms)
-        dispatcher.claims[service] = kept
-    return [claim for claim in kept.claims if claim.job.active]
+    kept = dispatcher.ranked_jobs.get(service)
+    if kept is None or not 0 <= now_ms - kept.created_ms < CLAIMS_MS:
+        kept = rank_jobs(dispatcher, service, now_ms)
+        dispatcher.ranked_jobs[service] = kept
+    return [
+        ranked_job for ranked_job in kept.ranked_jobs if ranked_job.job.active
+    ]
 
 
-def order_claims(dispatcher, service, now_ms):
+def rank_jobs(dispatcher, service, now_ms):
     """Returns the OrderedClaims of a service."""
     routes = dispatcher.state.routes
-    claims = []
+    ranked_jobs = []
     for job in list(dispatcher.active.values()):
         if not job.active:
             del dispatcher.active[job.job_id]
             continue
         queue = routes.queue_of(job.queue)
         if queue is not None and queue.service == service:
-            claims.append(JobClaim(job, queue))
+            ranked_jobs.append(RankedJob(job, queue))
     order = job_orders.get(dispatcher.settings.job_order).ok
-    return OrderedClaims(claims, order, now_ms)
+    return JobRanking(ranked_jobs, order, now_ms)
 
 
 def place_tasks(dispatcher, worker, now_ms, wall_ms):
     """Starts tasks on a worker while they fit."""
     room = worker.room()
     tasks, runs = [], []
-    for claim in claims_of(dispatcher, worker.report.service, wall_ms):
-        for occurrence, number, step_run in claim.startable:
+    for ranked_job in active_ranked_jobs(
+        dispatcher, worker.report.service, wall_ms
+    ):
+        for occurrence, number, step_run in ranked_job.startable:
             if not step_run.waiting or not room.fits(step_run.step):
                 continue
-            spot = Spot(dispatcher, worker, claim, occurrence, number)
+            spot = Spot(dispatcher, worker, ranked_job, occurrence, number)
             if not spot.suits(step_run.step, now_ms):
                 continue
             for index in spot.choose(step_run, room):
@@ -71,24 +75,26 @@
     Attributes:
         dispatcher: BatchDispatcher.
         worker: Worker.
-        claim: JobClaim of the job.
+        ranked_job: JobClaim of the job.
         prefix: Common beginning of the names of the tasks.
     """
 
-    __slots__ = ("dispatcher", "worker", "claim", "prefix")
+    __slots__ = ("dispatcher", "worker", "ranked_job", "prefix")
 
-    def __init__(self, dispatcher, worker, claim, occurrence, number):
+    def __init__(self, dispatcher, worker, ranked_job, occurrence, number):
         self.dispatcher = dispatcher
         self.worker = worker
-        self.claim = claim
-        self.prefix = f"{claim.job.job_id}.{occurrence}.{number}."
+        self.ranked_job = ranked_job
+        self.prefix = f"{ranked_job.job.job_id}.{occurrence}.{number}."
 
     def suits(self, step, now_ms):
         """Returns whether tasks of the step may run on the worker now."""
         report = self.worker.report
         if step.required_label and step.required_label not in report.labels:
             return False
-        if self.claim.queue.advice is not None and not self.ticket(now_ms):
+        if self.ranked_job.queue.advice is not None and not self.ticket(
+            now_ms
+        ):
             return False
         if not step.data_rack or report.rack == step.data_rack:
             return True
@@ -150,23 +156,28 @@
 def place_gangs(dispatcher, now_ms, wall_ms):
     """Starts gangs for which there is room for all members at once."""
     for service in dispatcher.services_with_gangs():
-        for claim in claims_of(dispatcher, service, wall_ms):
-            for occurrence, number, step_run in claim.job.ready_steps():
+        for ranked_job in active_ranked_jobs(dispatcher, service, wall_ms):
+            for occurrence, number, step_run in ranked_job.job.ready_steps():
                 step = step_run.step
                 complete = len(step_run.waiting) == step.count
                 if step.gang and complete:
                     place_gang(
-                        dispatcher, claim, occurrence, number, step_run, now_ms
+                        dispatcher,
+                        ranked_job,
+                        occurrence,
+                        number,
+                        step_run,
+                        now_ms,
                     )
 
 
-def place_gang(dispatcher, claim, occurrence, number, step_run, now_ms):
+def place_gang(dispatcher, ranked_job, occurrence, number, step_run, now_ms):
     """Starts the members of one gang if there is room for all."""
     step = step_run.step
     silent_ms = GANG_SILENT_BEATS * dispatcher.interval_ms
     spots = [
         worker
-        for worker in dispatcher.workers.of_service(claim.queue.service)
+        for worker in dispatcher.workers.of_service(ranked_job.queue.service)
         if worker.accepts(now_ms, silent_ms)
     ]
     chosen = None
@@ -176,16 +187,16 @@
             continue
         near = [worker for worker in spots if worker.report.rack == rack]
         chosen = chosen or fill_gang(
-            dispatcher, claim, occurrence, number, step, near, now_ms
+            dispatcher, ranked_job, occurrence, number, step, near, now_ms
         )
     chosen = chosen or fill_gang(
-        dispatcher, claim, occurrence, number, step, spots, now_ms
+        dispatcher, ranked_job, occurrence, number, step, spots, now_ms
     )
     if chosen is None:
         return
     run = max(task.last_run for task in step_run.tasks) + 1
     names = [
-        task_id(claim.job.job_id, occurrence, number, index)
+        task_id(ranked_job.job.job_id, occurrence, number, index)
         for index in range(step.count)
     ]
     for worker, count in chosen:
@@ -195,11 +206,13 @@
         )
 
 
-def fill_gang(dispatcher, claim, occurrence, number, step, workers, now_ms):
+def fill_gang(
+    dispatcher, ranked_job, occurrence, number, step, workers, now_ms
+):
     """Returns pairs of worker and number of members, or None."""
     left, chosen = step.count, []
     for worker in workers:
-        spot = Spot(dispatcher, worker, claim, occurrence, number)
+        spot = Spot(dispatcher, worker, ranked_job, occurrence, number)
         if not spot.suits(step, now_ms):
             continue
         room, count = worker.room(), 0
