--- a/tests/batch_fixtures.py
+++ b/tests/batch_fixtures.py
@@ -46,7 +46,7 @@
     return RouteTable(version, queues, services, limits, "{}")
 
 
-class Scene:
+class DispatcherHarness:
     """A dispatcher with a clock and workers that tests drive.
 
     Attributes:
@@ -131,7 +131,7 @@
 @pytest.fixture
 def scene():
     """A scene with one queue and one service."""
-    return Scene()
+    return DispatcherHarness()
 
 
 def names(orders):
--- a/tests/test_advisors.py
+++ b/tests/test_advisors.py
@@ -1,7 +1,13 @@
 """Tests of advice on the workers of a step."""
 
 import pytest
-from batch_fixtures import JOB, Scene, make_queue, make_table, names
+from batch_fixtures import (
+    JOB,
+    DispatcherHarness,
+    make_queue,
+    make_table,
+    names,
+)
 
 from wigeonport.advisors import AdviceAnswered, Advisor
 from wigeonport.clocks import ManualClock
@@ -16,7 +22,7 @@
 def advised():
     """A scene whose queue needs advice, and its advisor."""
     terms = AdviceTerms(50, 5, VALID_MS)
-    scene = Scene(make_table(queues=[make_queue(advice=terms)]))
+    scene = DispatcherHarness(make_table(queues=[make_queue(advice=terms)]))
     return scene, Advisor(None, ManualClock())
 
 
@@ -29,7 +35,7 @@
 def answer(scene, advisor, call, tickets):
     """Passes an answer of the service."""
     event = AdviceAnswered(call, tickets, scene.now_ms)
-    advisor.note_answer(scene.dispatcher, event, scene.now_ms)
+    advisor.handle_answer(scene.dispatcher, event, scene.now_ms)
 
 
 def test_task_waits_for_a_ticket(advised):
--- a/tests/test_batch_dispatchers.py
+++ b/tests/test_batch_dispatchers.py
@@ -1,7 +1,14 @@
 """Tests of the decisions on batch jobs and workers."""
 
 import pytest
-from batch_fixtures import HOST, JOB, Scene, make_queue, make_table, names
+from batch_fixtures import (
+    HOST,
+    JOB,
+    DispatcherHarness,
+    make_queue,
+    make_table,
+    names,
+)
 
 from wigeonport.batch_calls import (
     NO_JOB,
@@ -240,7 +247,7 @@
 def test_tasks_run_on_workers_of_their_service_only():
     """A task on another service's worker breaks the routing."""
     queues = [make_queue(), make_queue("other", "else")]
-    scene = Scene(make_table(queues=queues))
+    scene = DispatcherHarness(make_table(queues=queues))
     scene.submit(ONE)
     assert names(scene.beat(service="else")) == []
     assert names(scene.beat("w2")) == [(TASK, 1)]
--- a/tests/test_task_copies.py
+++ b/tests/test_task_copies.py
@@ -1,7 +1,7 @@
 """Tests of copies of tasks, and of the moves of slow runs."""
 
 import pytest
-from batch_fixtures import JOB, Scene, names
+from batch_fixtures import JOB, DispatcherHarness, names
 
 ONE = {"count": 1, "cpu_milli": 1_000, "memory_mb": 100, "estimated_ms": 600}
 COPIED = ONE | {"duplicates": True}
@@ -11,7 +11,7 @@
 @pytest.fixture
 def pair():
     """A scene with two workers that have been heard."""
-    scene = Scene()
+    scene = DispatcherHarness()
     scene.beat("w1")
     scene.beat("w2")
     return scene
--- a/wigeonport/advisors.py
+++ b/wigeonport/advisors.py
@@ -122,7 +122,7 @@
             for worker in dispatcher.workers.of_service(
                 ranked_job.queue.service
             )
-            if worker.accepts(now_ms, dispatcher.silence_ms())
+            if worker.accepts(now_ms, dispatcher.max_silence_ms())
             and not tickets.is_known(worker.incarnation, now_ms)
         }
         workers = dict(sorted(workers.items())[:MAX_WORKERS])
@@ -134,7 +134,7 @@
             tickets.asked_ms = now_ms
             self.open_calls += 1
 
-    def note_answer(self, dispatcher, event, now_ms):
+    def handle_answer(self, dispatcher, event, now_ms):
         """Keeps the tickets of an answer."""
         self.open_calls -= 1
         if dispatcher is None or event.call.term != dispatcher.term:
--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -17,12 +17,12 @@
 from wigeonport.batch_requests import call_handlers
 from wigeonport.batch_specs import split_task_id
 from wigeonport.batch_states import apply_operation
-from wigeonport.fill_pacers import pace_fills
+from wigeonport.fill_pacers import update_fill_rates
 from wigeonport.job_orders import RankedJob
 from wigeonport.logs import PartLogger
 from wigeonport.run_orders import add_starts, reconcile
-from wigeonport.run_reports import take_ends, take_progress
-from wigeonport.task_copies import find_copies, place_copies
+from wigeonport.run_reports import record_ended_runs, record_reported_runs
+from wigeonport.task_copies import find_tasks_to_copy, start_copies
 from wigeonport.task_evacuations import withdraw_stops
 from wigeonport.task_placements import place_gangs, place_tasks
 from wigeonport.worker_reports import WorkerOrders
@@ -53,7 +53,7 @@
         ranked_jobs: OrderedClaims by service.
         tickets: Tickets by name of a step, for queues with advice.
         copies: Lists of the tasks that want a copy, by service.
-        waiting_since: First time at which a step waited for a near worker.
+        rack_wait_start_ms: First time at which a step waited for a near worker.
         wall_ms: Wall time of the current step.
         now_ms: Monotonic time of the current step.
     """
@@ -72,7 +72,7 @@
         "ranked_jobs",
         "tickets",
         "copies",
-        "waiting_since",
+        "rack_wait_start_ms",
         "wall_ms",
         "now_ms",
     )
@@ -92,7 +92,7 @@
         self.ranked_jobs = {}
         self.tickets = {}
         self.copies = {}
-        self.waiting_since = {}
+        self.rack_wait_start_ms = {}
         self.wall_ms = 0
         self.now_ms = now_ms
         for job in state.batch.jobs.values():
@@ -101,18 +101,18 @@
             for task, run, worker, step in job.live_runs():
                 self.workers.add_run(worker, task, run, step)
 
-    def silence_ms(self):
+    def max_silence_ms(self):
         """Returns the silence after which a worker gets no task."""
         return self.settings.silent_beats * self.interval_ms
 
     def record(self, operation):
         """Applies an operation to the working copy and hands it out."""
         if isinstance(operation, EndRuns):
-            self.drop_ended(operation)
+            self.unindex_ended_runs(operation)
         apply_operation(self.state, operation, self.wall_ms)
         self.operations.append(operation)
         if isinstance(operation, StartRuns):
-            self.note_starts(operation)
+            self.index_started_runs(operation)
         elif isinstance(operation, SubmitJob):
             job = self.state.batch.jobs.get(operation.job_id)
             if job is not None and job.active:
@@ -126,16 +126,16 @@
         if kept is not None:
             kept.add(RankedJob(job, queue))
 
-    def note_starts(self, operation):
+    def index_started_runs(self, operation):
         """Keeps the index of live runs."""
         for name, run in zip(operation.tasks, operation.runs, strict=True):
-            step = self.task_of(name)[1].step
+            step = self.find_task(name)[1].step
             self.workers.add_run(operation.worker, name, run, step)
 
-    def drop_ended(self, operation):
+    def unindex_ended_runs(self, operation):
         """Removes runs from the index of live runs before they end."""
         for name, run in zip(operation.tasks, operation.runs, strict=True):
-            found = self.task_of(name)
+            found = self.find_task(name)
             if found is not None:
                 worker = found[2].runs.get(run)
                 self.workers.drop_run(worker, name, run)
@@ -145,7 +145,7 @@
         operations, self.operations = self.operations, []
         return operations
 
-    def task_of(self, name):
+    def find_task(self, name):
         """Returns job, StepRun and Task of a name, or None."""
         try:
             job_id, *position = split_task_id(name)
@@ -157,7 +157,7 @@
 
     def is_wanted(self, name, run):
         """Returns whether a run is to go on."""
-        found = self.task_of(name)
+        found = self.find_task(name)
         if found is None:
             return False
         job, _, task = found
@@ -180,16 +180,16 @@
         if report.capacity is None:
             return orders
         self.reserve_ordered(worker, now_ms)
-        take_ends(self, worker, orders)
-        take_progress(self, worker)
+        record_ended_runs(self, worker, orders)
+        record_reported_runs(self, worker)
         review_worker(self, worker, now_ms)
         withdraw_stops(self, worker)
         reconcile(self, worker, orders)
-        pace_fills(worker, orders)
-        if worker.accepts(now_ms, self.silence_ms()):
+        update_fill_rates(worker, orders)
+        if worker.accepts(now_ms, self.max_silence_ms()):
             place_gangs(self, now_ms, wall_ms)
             place_tasks(self, worker, now_ms, wall_ms)
-            place_copies(self, worker, now_ms, wall_ms)
+            start_copies(self, worker, now_ms, wall_ms)
         add_starts(self, worker, orders)
         orders.hold_ms = self.settings.hold_ms
         worker.extend_lease(orders.hold_ms, now_ms)
@@ -201,19 +201,19 @@
         if ordered and worker.reserved_ms is None:
             worker.reserved_ms = now_ms
 
-    def drop_runs(self, keys):
+    def record_lost_runs(self, keys):
         """Records runs that are surely not live."""
         if keys:
             tasks = [task for task, _ in keys]
             runs = [run for _, run in keys]
             # Makes the newest checkpoint durable with the loss.
-            saved = [self.task_of(task)[2].saved for task in tasks]
+            saved = [self.find_task(task)[2].saved for task in tasks]
             self.record(EndRuns(tasks, runs, [LOST] * len(tasks), saved))
 
     def lose(self, incarnation, reason):
         """Records that all runs of a life of a worker are over."""
         keys = list(self.workers.runs.get(incarnation, ()))
-        self.drop_runs(keys)
+        self.record_lost_runs(keys)
         self.workers.runs.pop(incarnation, None)
         logger.warning(
             "Worker is lost.",
@@ -237,7 +237,7 @@
                 if incarnation not in known:
                     self.lose(incarnation, "no heartbeat in this term")
         self.interval_ms = self.settings.heartbeat_ms(len(self.workers.by_id))
-        self.copies = find_copies(self, now_ms)
+        self.copies = find_tasks_to_copy(self, now_ms)
         self.open_occurrences(wall_ms)
 
     def open_occurrences(self, wall_ms):
--- a/wigeonport/batch_inputs.py
+++ b/wigeonport/batch_inputs.py
@@ -38,7 +38,7 @@
     if controller.machines is not None:
         if controller.dispatcher is not None:
             controller.dispatcher.wall_ms = controller.clock.wall()
-        controller.machines.note_list(controller.dispatcher, event)
+        controller.machines.handle_machine_list(controller.dispatcher, event)
 
 
 @controller_inputs.register(MachineAnswered)
@@ -47,7 +47,7 @@
     dispatcher = controller.dispatcher
     if dispatcher is not None and event.term == controller.term:
         dispatcher.wall_ms = controller.clock.wall()
-        controller.machines.note_answer(
+        controller.machines.handle_answer(
             dispatcher, event, controller.clock.now()
         )
 
@@ -55,7 +55,7 @@
 @controller_inputs.register(AdviceAnswered)
 def on_advice(controller, event):
     """Takes in the tickets of an answer."""
-    controller.advisor.note_answer(
+    controller.advisor.handle_answer(
         controller.dispatcher, event, controller.clock.now()
     )
 
--- a/wigeonport/fill_pacers.py
+++ b/wigeonport/fill_pacers.py
@@ -17,7 +17,7 @@
 LEAST = 8
 
 
-def pace_fills(worker, orders):
+def update_fill_rates(worker, orders):
     """Sets the rate of the tasks that fill from the newest reading."""
     worst = 0.0
     fills = []
--- a/wigeonport/machine_losses.py
+++ b/wigeonport/machine_losses.py
@@ -9,7 +9,7 @@
 
 # A worker that has been silent for more intervals of heartbeats may have
 # crashed.
-SUSPECT_BEATS = 2.5
+SUSPECT_HEARTBEATS = 2.5
 # A worker must have been silent for so long before the list was asked for,
 # so that a list that lags cannot end a life that began after it.
 DOWN_SILENCE_MS = 1_000
@@ -17,7 +17,7 @@
 
 def has_silent_worker(dispatcher, now_ms):
     """Returns whether a worker with live runs may have crashed."""
-    silent_ms = SUSPECT_BEATS * dispatcher.interval_ms
+    silent_ms = SUSPECT_HEARTBEATS * dispatcher.interval_ms
     known = set()
     for worker in dispatcher.workers.by_id.values():
         known.add(worker.incarnation)
@@ -29,7 +29,7 @@
     )
 
 
-def lose_down_workers(dispatcher, listed):
+def end_runs_on_down_machines(dispatcher, listed):
     """Ends the runs on machines that are down.
 
     Args:
@@ -44,10 +44,10 @@
             dispatcher.workers.forget(worker)
             dispatcher.lose(worker.incarnation, "the machine is down")
     if dispatcher.since_ms <= silent_before_ms:
-        lose_unheard(dispatcher, {row.worker_id for row in down})
+        end_runs_of_unseen_workers(dispatcher, {row.worker_id for row in down})
 
 
-def lose_unheard(dispatcher, down_ids):
+def end_runs_of_unseen_workers(dispatcher, down_ids):
     """Ends the runs of workers that this leader has not heard."""
     known = dispatcher.workers.incarnations()
     for incarnation in list(dispatcher.workers.runs):
--- a/wigeonport/machine_managers.py
+++ b/wigeonport/machine_managers.py
@@ -17,7 +17,10 @@
 )
 from wigeonport.channels import REFUSE, Mailbox
 from wigeonport.logs import PartLogger
-from wigeonport.machine_losses import has_silent_worker, lose_down_workers
+from wigeonport.machine_losses import (
+    end_runs_on_down_machines,
+    has_silent_worker,
+)
 from wigeonport.machine_orders import (
     EXECUTED,
     NO_ANSWER,
@@ -74,18 +77,18 @@
         clock: Clock.
         calls: Mailbox of PlannedOrders that are durable.
         rows: MachineRow by machine.
-        rows_asked_ms: When that list was asked for.
+        rows_requested_ms: When that list was asked for.
         confirmed_ms: When an order was confirmed, by machine.
         since_ms: Start of the term.
-        pausing: Time until which a machine gets no order, by machine.
+        paused_until_ms: Time until which a machine gets no order, by machine.
         asked: Machines whose order is at the platform.
         owned: Machines that this leader has given an order in its term.
         leading: Whether this replica leads.
         moving: Target pool by machine, for machines that are being emptied.
-        calm_since: Since when a pool could spare a machine.
+        underused_since_ms: Since when a pool could spare a machine.
         sizes: Most machines of a pool in this term.
         used: Services that have had timed jobs in this term.
-        unsuitable: Pairs of machine and pool that the platform refused.
+        refused_moves: Pairs of machine and pool that the platform refused.
         silent_worker: Whether a worker with live runs may have crashed.
     """
 
@@ -96,18 +99,18 @@
         "clock",
         "calls",
         "rows",
-        "rows_asked_ms",
+        "rows_requested_ms",
         "confirmed_ms",
         "since_ms",
-        "pausing",
+        "paused_until_ms",
         "asked",
         "owned",
         "leading",
         "moving",
-        "calm_since",
+        "underused_since_ms",
         "sizes",
         "used",
-        "unsuitable",
+        "refused_moves",
         "silent_worker",
     )
 
@@ -118,31 +121,31 @@
         self.clock = clock
         self.calls = Mailbox("machine calls", CALLS_BOUND, REFUSE)
         self.rows = {}
-        self.rows_asked_ms = 0
+        self.rows_requested_ms = 0
         self.confirmed_ms = {}
         self.since_ms = 0
-        self.pausing = {}
+        self.paused_until_ms = {}
         self.asked = set()
         self.owned = set()
         self.leading = False
         self.moving = {}
-        self.calm_since = {}
+        self.underused_since_ms = {}
         self.sizes = {}
         self.used = set()
-        self.unsuitable = set()
+        self.refused_moves = set()
         self.silent_worker = False
 
     def restart(self, now_ms):
         """Begins a term."""
         self.since_ms = now_ms
-        self.pausing = {}
+        self.paused_until_ms = {}
         self.asked = set()
         self.owned = set()
         self.rows = {}
         self.confirmed_ms = {}
         self.leading = True
         self.moving = {}
-        self.calm_since = {}
+        self.underused_since_ms = {}
         self.sizes = {}
         self.used = set()
 
@@ -190,7 +193,7 @@
         busy = self.asked or self.confirmed_ms or self.silent_worker
         return BUSY_LIST_INTERVAL_MS if busy else LIST_INTERVAL_MS
 
-    def note_list(self, dispatcher, event):
+    def handle_machine_list(self, dispatcher, event):
         """Takes in the list of machines."""
         if {m: r.state for m, r in event.rows.items()} != {
             m: r.state for m, r in self.rows.items()
@@ -200,11 +203,11 @@
             )
             logger.info("Machines listed.", states=dict(states))
         self.rows = event.rows
-        self.rows_asked_ms = event.asked_ms
+        self.rows_requested_ms = event.asked_ms
         if dispatcher is not None:
-            lose_down_workers(dispatcher, event)
+            end_runs_on_down_machines(dispatcher, event)
 
-    def note_answer(self, dispatcher, event, now_ms):
+    def handle_answer(self, dispatcher, event, now_ms):
         """Takes in the answer to an order."""
         machine = event.order.machine
         self.asked.discard(machine)
@@ -214,7 +217,7 @@
             dispatcher.record(ConfirmMachine(machine))
             self.confirmed_ms[machine] = now_ms
             return
-        self.pausing[machine] = now_ms + REFUSED_PAUSE_MS
+        self.paused_until_ms[machine] = now_ms + REFUSED_PAUSE_MS
         if event.result == NO_ANSWER:
             # It may have been carried out; the same order is sent again.
             return
@@ -222,7 +225,7 @@
         if gone and event.order.purpose == MOVE:
             # The pool takes machines of another kind, or the machine is
             # gone; the next list tells which.
-            self.unsuitable.add((machine, event.order.target))
+            self.refused_moves.add((machine, event.order.target))
         dispatcher.record(SettleMachine(machine, gone))
         self.release(dispatcher, machine)
 
@@ -243,7 +246,7 @@
             self.plan(dispatcher, machine, order)
             for machine, order in list(dispatcher.state.upkeep.orders.items())
             if not order.begun
-            and self.is_free(dispatcher, machine, now_ms)
+            and self.may_order(dispatcher, machine, now_ms)
             and self.is_empty(dispatcher, machine, now_ms)
         ]
 
@@ -269,9 +272,11 @@
             if worker is not None:
                 dispatcher.reserve_ordered(worker, now_ms)
 
-    def is_free(self, dispatcher, machine, now_ms):
+    def may_order(self, dispatcher, machine, now_ms):
         """Returns whether a machine may get an order now."""
-        if machine in self.asked or now_ms < self.pausing.get(machine, 0):
+        if machine in self.asked or now_ms < self.paused_until_ms.get(
+            machine, 0
+        ):
             return False
         if machine in self.owned:
             return True
@@ -307,7 +312,7 @@
         """
         for machine, order in list(dispatcher.state.upkeep.orders.items()):
             since_ms = self.confirmed_ms.get(machine, self.since_ms)
-            if not order.begun or self.rows_asked_ms <= since_ms:
+            if not order.begun or self.rows_requested_ms <= since_ms:
                 continue
             row = self.rows.get(machine)
             if row is None or row.state == UP:
--- a/wigeonport/pool_sizes.py
+++ b/wigeonport/pool_sizes.py
@@ -68,9 +68,9 @@
         self.needed = 0
         self.least = 0
 
-    def can_spare(self):
+    def can_spare_machine(self):
         """Returns whether the pool does without one more machine."""
-        left = self.capacity - self.machine_milli
+        left = self.capacity - self.mean_machine_milli
         if len(self.workers) <= self.least + SPARE_MACHINES:
             return False
         return self.needed * SHRINK_MARGIN <= left
@@ -81,7 +81,7 @@
         self.capacity -= worker.report.capacity.cpu_milli
 
     @property
-    def machine_milli(self):
+    def mean_machine_milli(self):
         """Mean size of a machine of the pool."""
         return self.capacity / len(self.workers) if self.workers else 0
 
@@ -91,7 +91,7 @@
     workers = [
         worker
         for worker in dispatcher.workers.of_service(service)
-        if worker.accepts(now_ms, dispatcher.silence_ms())
+        if worker.accepts(now_ms, dispatcher.max_silence_ms())
     ]
     pool = Pool(service, workers)
     lasting = 0
@@ -156,7 +156,7 @@
     """
     if pool.needed <= pool.capacity or not pool.workers:
         return
-    missing = (pool.needed - pool.capacity) / pool.machine_milli
+    missing = (pool.needed - pool.capacity) / pool.mean_machine_milli
     most = max(MOST_ADDED, int(MOST_ADDED_SHARE * len(pool.workers)))
     wanted = min(most, math.ceil(missing))
     wanted -= count_coming(manager, dispatcher, pool.service)
@@ -168,10 +168,10 @@
         manager.record(dispatcher, machine, MOVE, pool.service)
         wanted -= 1
     for donor in sorted(pools, key=lambda each: each.needed - each.capacity):
-        while wanted > 0 and donor is not pool and donor.can_spare():
+        while wanted > 0 and donor is not pool and donor.can_spare_machine():
             worker = find_idle(manager, dispatcher, donor, now_ms)
             machine = worker.report.machine if worker else ""
-            if not worker or (machine, pool.service) in manager.unsuitable:
+            if not worker or (machine, pool.service) in manager.refused_moves:
                 break
             log_growth(pool, machine, donor.service)
             donor.give_up(worker)
@@ -197,8 +197,8 @@
         for machine, row in sorted(manager.rows.items())
         if row.pool in standby
         and machine not in orders
-        and (machine, service) not in manager.unsuitable
-        and manager.is_free(dispatcher, machine, now_ms)
+        and (machine, service) not in manager.refused_moves
+        and manager.may_order(dispatcher, machine, now_ms)
     ]
 
 
@@ -222,7 +222,7 @@
         if worker.report.machine
         and worker.reserved_ms is None
         and not any(step.lasting for step in worker.runs.values())
-        and manager.is_free(dispatcher, worker.report.machine, now_ms)
+        and manager.may_order(dispatcher, worker.report.machine, now_ms)
     ]
     return max(idle, key=lambda each: each.room().cpu_milli, default=None)
 
@@ -232,10 +232,10 @@
     most = max(len(pool.workers), manager.sizes.get(pool.service, 0))
     manager.sizes[pool.service] = most
     floor = math.ceil(FLOOR_SHARE * most)
-    if not pool.can_spare() or len(pool.workers) <= floor:
-        manager.calm_since.pop(pool.service, None)
+    if not pool.can_spare_machine() or len(pool.workers) <= floor:
+        manager.underused_since_ms.pop(pool.service, None)
         return
-    since_ms = manager.calm_since.setdefault(pool.service, now_ms)
+    since_ms = manager.underused_since_ms.setdefault(pool.service, now_ms)
     if now_ms - since_ms < CALM_MS:
         return
     worker = find_idle(manager, dispatcher, pool, now_ms)
@@ -250,7 +250,7 @@
     )
     worker.reserved_ms = now_ms
     manager.moving[worker.report.machine] = standby
-    manager.calm_since.pop(pool.service, None)
+    manager.underused_since_ms.pop(pool.service, None)
 
 
 def finish_moves(manager, dispatcher, now_ms):
--- a/wigeonport/run_orders.py
+++ b/wigeonport/run_orders.py
@@ -27,7 +27,7 @@
     for key in gone:
         # The stop makes the worker refuse a start that is on its way.
         orders.stops.append(key)
-    dispatcher.drop_runs(gone)
+    dispatcher.record_lost_runs(gone)
     worker.stopping &= set(worker.runs)
 
 
@@ -38,7 +38,7 @@
     for key in list(worker.runs):
         if key in listed or key in stopped:
             continue
-        job, _, task = dispatcher.task_of(key[0])
+        job, _, task = dispatcher.find_task(key[0])
         ticket = ""
         if dispatcher.needs_ticket(job):
             step = key[0].rpartition(".")[0]
--- a/wigeonport/run_reports.py
+++ b/wigeonport/run_reports.py
@@ -4,42 +4,42 @@
 from wigeonport.batch_jobs import ENDED_FAILED
 from wigeonport.batch_specs import split_task_id
 from wigeonport.logs import PartLogger
-from wigeonport.worker_verdicts import note_end, note_progress
+from wigeonport.worker_verdicts import note_end, update_progress
 
 logger = PartLogger("dispatch")
 
 # Failed tasks whose workers are remembered; beyond, all are forgotten.
-FAILED_ON_LIMIT = 4_096
+MAX_FAILED_TASKS = 4_096
 
 
-def take_ends(dispatcher, worker, orders):
+def record_ended_runs(dispatcher, worker, orders):
     """Records the ends that a worker lists."""
     tasks, runs, outcomes, saved = [], [], [], []
     for end in worker.report.ended:
         orders.acknowledged = max(orders.acknowledged, end.number)
-        if dispatcher.task_of(end.task) is None:
+        if dispatcher.find_task(end.task) is None:
             continue
         tasks.append(end.task)
         runs.append(end.run)
         outcomes.append(end.outcome)
         saved.append(end.saved)
-        note_outcome(dispatcher, worker, end)
+        record_outcome(dispatcher, worker, end)
     if tasks:
         dispatcher.record(EndRuns(tasks, runs, outcomes, saved))
-        note_ended_jobs(dispatcher, tasks)
-        note_ended_steps(dispatcher, worker, tasks)
+        remove_ended_jobs(dispatcher, tasks)
+        refresh_ended_steps(dispatcher, worker, tasks)
 
 
-def note_ended_steps(dispatcher, worker, tasks):
+def refresh_ended_steps(dispatcher, worker, tasks):
     """Tells the order of jobs which of them may have steps that are ready."""
     kept = dispatcher.ranked_jobs.get(worker.report.service)
     for name in tasks:
-        found = dispatcher.task_of(name)
+        found = dispatcher.find_task(name)
         if kept is not None and (found is None or not found[1].left):
             kept.refresh_job(split_task_id(name)[0])
 
 
-def note_ended_jobs(dispatcher, tasks):
+def remove_ended_jobs(dispatcher, tasks):
     """Logs the jobs that ended with these tasks."""
     for job_id in {split_task_id(name)[0] for name in tasks}:
         job = dispatcher.active.get(job_id)
@@ -56,10 +56,10 @@
         )
 
 
-def note_outcome(dispatcher, worker, end):
+def record_outcome(dispatcher, worker, end):
     """Keeps where tasks failed, and logs each end."""
     if end.outcome == ENDED_FAILED:
-        if len(dispatcher.failed_on) > FAILED_ON_LIMIT:
+        if len(dispatcher.failed_on) > MAX_FAILED_TASKS:
             dispatcher.failed_on.clear()
         places = dispatcher.failed_on.setdefault(end.task, {})
         places[worker.report.worker_id] = worker.heard_ms
@@ -74,14 +74,14 @@
     )
 
 
-def take_progress(dispatcher, worker):
+def record_reported_runs(dispatcher, worker):
     """Notes progress and checkpoints of the runs that are live."""
     listed = set()
     for row in worker.report.running:
         key = (row.task, row.run)
         if key in worker.runs:
             listed.add(key)
-            note_progress(worker, key, row.percent)
+            update_progress(worker, key, row.percent)
             if row.saved:
                 note_checkpoint(dispatcher, row)
     for key in set(worker.progress) - listed:
@@ -90,7 +90,7 @@
 
 def note_checkpoint(dispatcher, row):
     """Keeps the newest checkpoint for a start after a loss."""
-    found = dispatcher.task_of(row.task)
+    found = dispatcher.find_task(row.task)
     if found is not None:
         job, step_run, task = found
         job.keep_checkpoint(step_run, task, row.saved)
--- a/wigeonport/task_copies.py
+++ b/wigeonport/task_copies.py
@@ -7,22 +7,22 @@
 from wigeonport.batch_commands import StartRuns
 from wigeonport.batch_specs import split_task_id
 from wigeonport.logs import PartLogger
-from wigeonport.machine_losses import SUSPECT_BEATS
-from wigeonport.task_placements import Spot, active_ranked_jobs
+from wigeonport.machine_losses import SUSPECT_HEARTBEATS
+from wigeonport.task_placements import WorkerCandidate, active_ranked_jobs
 
 logger = PartLogger("copies")
 
 # Live runs of a task at the same time.
-MOST_RUNS = 2
+MAX_LIVE_RUNS = 2
 
 
-def find_copies(dispatcher, now_ms):
+def find_tasks_to_copy(dispatcher, now_ms):
     """Returns lists of the tasks that want a copy, by service."""
     wanted = {}
-    silent_ms = SUSPECT_BEATS * dispatcher.interval_ms
+    silent_ms = SUSPECT_HEARTBEATS * dispatcher.interval_ms
     for worker in dispatcher.workers.by_id.values():
         silent = now_ms - worker.heard_ms > silent_ms
-        if not silent and now_ms >= worker.shunned_until_ms:
+        if not silent and now_ms >= worker.excluded_until_ms:
             continue
         names = [name for (name, _), s in worker.runs.items() if s.duplicates]
         if names:
@@ -30,7 +30,7 @@
     return wanted
 
 
-def place_copies(dispatcher, worker, now_ms, wall_ms):
+def start_copies(dispatcher, worker, now_ms, wall_ms):
     """Starts copies on a worker while they fit."""
     names = dispatcher.copies.get(worker.report.service)
     if not names:
@@ -43,17 +43,19 @@
     room = worker.room()
     for name in names:
         job_id, occurrence, number, index = split_task_id(name)
-        found, ranked_job = dispatcher.task_of(name), ranked_jobs.get(job_id)
+        found, ranked_job = dispatcher.find_task(name), ranked_jobs.get(job_id)
         if found is None or ranked_job is None:
             continue
         _, step_run, task = found
-        if task.done or not 0 < len(task.runs) < MOST_RUNS:
+        if task.done or not 0 < len(task.runs) < MAX_LIVE_RUNS:
             continue
         if worker.incarnation in task.runs.values():
             continue
         step = step_run.step
-        spot = Spot(dispatcher, worker, ranked_job, occurrence, number)
-        if not spot.suits(step, now_ms) or spot.failed_here(index):
+        spot = WorkerCandidate(
+            dispatcher, worker, ranked_job, occurrence, number
+        )
+        if not spot.is_suitable(step, now_ms) or spot.failed_recently(index):
             continue
         if spot.limit(step) < 1 or not room.fits(step):
             continue
--- a/wigeonport/task_evacuations.py
+++ b/wigeonport/task_evacuations.py
@@ -6,36 +6,36 @@
 FULL_PERCENT = 100
 # A worker that has been silent for more intervals of heartbeats may have
 # crashed.
-FRESH_BEATS = 3
+MAX_SILENT_HEARTBEATS = 3
 
 
-def away_count(dispatcher, name):
+def count_unavailable(dispatcher, name):
     """Returns how many other tasks of a task's step are not at work.
 
     Only a run that its worker has reported at 100 percent counts as
     at work.
     """
-    _, step_run, _ = dispatcher.task_of(name)
+    _, step_run, _ = dispatcher.find_task(name)
     prefix, _, own = name.rpartition(".")
     away = 0
     for index, task in enumerate(step_run.tasks):
         if str(index) == own or task.done:
             continue
         away += not any(
-            is_at_work(dispatcher, f"{prefix}.{index}", run, worker)
+            is_available(dispatcher, f"{prefix}.{index}", run, worker)
             for run, worker in task.runs.items()
         )
     return away
 
 
-def is_at_work(dispatcher, name, run, incarnation):
+def is_available(dispatcher, name, run, incarnation):
     """Returns whether a run is at full progress on a known worker."""
     worker = dispatcher.workers.by_id.get(worker_id_of(incarnation))
     return (
         worker is not None
         and worker.incarnation == incarnation
         and dispatcher.now_ms - worker.heard_ms
-        <= FRESH_BEATS * dispatcher.interval_ms
+        <= MAX_SILENT_HEARTBEATS * dispatcher.interval_ms
         and (name, run) not in worker.stopping
         and (name, run) in worker.progress
         and worker.progress[name, run].percent >= FULL_PERCENT
@@ -46,7 +46,7 @@
     """Returns whether stopping a run keeps its step available."""
     if not step.lasting or not step.max_unavailable:
         return True
-    return away_count(dispatcher, name) < step.max_unavailable
+    return count_unavailable(dispatcher, name) < step.max_unavailable
 
 
 def withdraw_stops(dispatcher, worker):
--- a/wigeonport/task_placements.py
+++ b/wigeonport/task_placements.py
@@ -7,15 +7,15 @@
 # Most tasks started by one answer; bounds its size far below 4 MiB.
 MAX_STARTS = 64
 # Validity of a computed order of jobs; a new job waits this long at most.
-CLAIMS_MS = 50
+RANKING_VALID_MS = 50
 # Time for which a task that failed on a worker is left to the others; in a
 # pool all workers have sent a heartbeat by then.
-AVOID_MS = 1_000
+FAILED_WORKER_WAIT_MS = 1_000
 # A task waits this long, beyond its estimate, for a worker near its data.
 LOCALITY_WAIT_MS = 1_000
 # A worker that has been silent for more intervals of heartbeats gets no
 # member of a gang.
-GANG_SILENT_BEATS = 2
+GANG_MAX_SILENT_HEARTBEATS = 2
 
 
 def active_ranked_jobs(dispatcher, service, now_ms):
@@ -24,7 +24,7 @@
     They are kept for a moment, because each heartbeat asks for them.
     """
     kept = dispatcher.ranked_jobs.get(service)
-    if kept is None or not 0 <= now_ms - kept.created_ms < CLAIMS_MS:
+    if kept is None or not 0 <= now_ms - kept.created_ms < RANKING_VALID_MS:
         kept = rank_jobs(dispatcher, service, now_ms)
         dispatcher.ranked_jobs[service] = kept
     return [
@@ -57,8 +57,10 @@
         for occurrence, number, step_run in ranked_job.startable:
             if not step_run.waiting or not room.fits(step_run.step):
                 continue
-            spot = Spot(dispatcher, worker, ranked_job, occurrence, number)
-            if not spot.suits(step_run.step, now_ms):
+            spot = WorkerCandidate(
+                dispatcher, worker, ranked_job, occurrence, number
+            )
+            if not spot.is_suitable(step_run.step, now_ms):
                 continue
             for index in spot.choose(step_run, room):
                 tasks.append(f"{spot.prefix}{index}")
@@ -69,7 +71,7 @@
         dispatcher.record(StartRuns(tasks, runs, worker.incarnation))
 
 
-class Spot:
+class WorkerCandidate:
     """A worker as a place for the tasks of one step.
 
     Attributes:
@@ -87,7 +89,7 @@
         self.ranked_job = ranked_job
         self.prefix = f"{ranked_job.job.job_id}.{occurrence}.{number}."
 
-    def suits(self, step, now_ms):
+    def is_suitable(self, step, now_ms):
         """Returns whether tasks of the step may run on the worker now."""
         report = self.worker.report
         if step.required_label and step.required_label not in report.labels:
@@ -98,16 +100,16 @@
             return False
         if not step.data_rack or report.rack == step.data_rack:
             return True
-        return self.waited_for_rack(step, now_ms)
+        return self.may_leave_rack(step, now_ms)
 
     def ticket(self, now_ms):
         """Returns the worker's ticket for the step, or None."""
         tickets = self.dispatcher.tickets_of(self.prefix[:-1])
         return tickets.find(self.worker.incarnation, now_ms)
 
-    def waited_for_rack(self, step, now_ms):
+    def may_leave_rack(self, step, now_ms):
         """Returns whether a task may run away from its data."""
-        silent_ms = GANG_SILENT_BEATS * self.dispatcher.interval_ms
+        silent_ms = GANG_MAX_SILENT_HEARTBEATS * self.dispatcher.interval_ms
         near = any(
             other.report.rack == step.data_rack
             and other.accepts(now_ms, silent_ms)
@@ -115,7 +117,9 @@
                 self.worker.report.service
             )
         )
-        since = self.dispatcher.waiting_since.setdefault(self.prefix, now_ms)
+        since = self.dispatcher.rack_wait_start_ms.setdefault(
+            self.prefix, now_ms
+        )
         wait_ms = LOCALITY_WAIT_MS + step.estimated_ms
         return not near or now_ms - since > wait_ms
 
@@ -126,19 +130,19 @@
         for index in sorted(step_run.waiting):
             if len(chosen) >= most or not room.fits(step_run.step):
                 break
-            if self.failed_here(index):
+            if self.failed_recently(index):
                 continue
             room.take(step_run.step)
             chosen.append(index)
         return chosen
 
-    def failed_here(self, index):
+    def failed_recently(self, index):
         """Returns whether a task failed on the worker a moment ago."""
         places = self.dispatcher.failed_on.get(f"{self.prefix}{index}", {})
         failed_ms = places.get(self.worker.report.worker_id)
         return (
             failed_ms is not None
-            and self.worker.heard_ms - failed_ms < AVOID_MS
+            and self.worker.heard_ms - failed_ms < FAILED_WORKER_WAIT_MS
         )
 
     def limit(self, step):
@@ -174,7 +178,7 @@
 def place_gang(dispatcher, ranked_job, occurrence, number, step_run, now_ms):
     """Starts the members of one gang if there is room for all."""
     step = step_run.step
-    silent_ms = GANG_SILENT_BEATS * dispatcher.interval_ms
+    silent_ms = GANG_MAX_SILENT_HEARTBEATS * dispatcher.interval_ms
     spots = [
         worker
         for worker in dispatcher.workers.of_service(ranked_job.queue.service)
@@ -212,8 +216,10 @@
     """Returns pairs of worker and number of members, or None."""
     left, chosen = step.count, []
     for worker in workers:
-        spot = Spot(dispatcher, worker, ranked_job, occurrence, number)
-        if not spot.suits(step, now_ms):
+        spot = WorkerCandidate(
+            dispatcher, worker, ranked_job, occurrence, number
+        )
+        if not spot.is_suitable(step, now_ms):
             continue
         room, count = worker.room(), 0
         most = min(left, spot.limit(step))
--- a/wigeonport/upkeep_states.py
+++ b/wigeonport/upkeep_states.py
@@ -12,10 +12,10 @@
 
 # Waves that are over are kept for readers; an operator asks for a recent
 # one only.
-KEPT_WAVES = 200
+MAX_WAVES = 200
 # The end of an order is remembered for this long; far longer than a new
 # leader has to wait before it orders the same machine.
-SETTLED_MS = 60_000
+SETTLED_RETENTION_MS = 60_000
 
 
 class Wave(Record):
@@ -83,13 +83,13 @@
         self.orders = {}
         self.settled = {}
 
-    def note_settled(self, machine, now_ms):
+    def record_settled(self, machine, now_ms):
         """Notes the end of an order, and forgets old ends."""
         self.settled[machine] = now_ms
         self.settled = {
             name: end_ms
             for name, end_ms in self.settled.items()
-            if now_ms - end_ms <= SETTLED_MS
+            if now_ms - end_ms <= SETTLED_RETENTION_MS
         }
 
     def down(self, wave):
@@ -139,7 +139,7 @@
         machines,
     )
     over = [number for number, wave in waves.items() if not wave.left]
-    for number in over[: max(0, len(waves) - KEPT_WAVES)]:
+    for number in over[: max(0, len(waves) - MAX_WAVES)]:
         del waves[number]
 
 
@@ -158,19 +158,19 @@
     if order is not None:
         order.begun = True
         if order.purpose == UPKEEP:
-            strike_off(state, order.target, operation.machine)
+            remove_from_wave(state, order.target, operation.machine)
 
 
 @OPERATIONS.register(SettleMachine)
 def settle_machine(state, operation, now_ms):
     """Notes that an order is over."""
     order = state.upkeep.orders.pop(operation.machine, None)
-    state.upkeep.note_settled(operation.machine, now_ms)
+    state.upkeep.record_settled(operation.machine, now_ms)
     if operation.gone and order is not None and order.purpose == UPKEEP:
-        strike_off(state, order.target, operation.machine)
+        remove_from_wave(state, order.target, operation.machine)
 
 
-def strike_off(state, target, machine):
+def remove_from_wave(state, target, machine):
     """Removes a machine from what is left of a wave."""
     wave = state.upkeep.waves.get(int(target))
     if wave is not None and machine in wave.left:
--- a/wigeonport/upkeep_waves.py
+++ b/wigeonport/upkeep_waves.py
@@ -40,7 +40,7 @@
         if free <= 0:
             break
         worker = dispatcher.workers.by_machine[name]
-        if not worker.runs and manager.is_free(dispatcher, name, now_ms):
+        if not worker.runs and manager.may_order(dispatcher, name, now_ms):
             manager.record(dispatcher, name, UPKEEP, str(wave.number))
             free -= 1
 
@@ -64,7 +64,7 @@
     for name in rank(dispatcher, names):
         if free <= 0:
             return
-        if not manager.is_free(dispatcher, name, now_ms):
+        if not manager.may_order(dispatcher, name, now_ms):
             continue
         worker = dispatcher.workers.by_machine.get(name)
         if worker is None:
@@ -73,7 +73,7 @@
             if listed_up and now_ms >= dispatcher.orphans_until_ms:
                 manager.record(dispatcher, name, UPKEEP, str(wave.number))
                 free -= 1
-        elif slack_ms < 0 or is_calm(dispatcher, worker):
+        elif slack_ms < 0 or can_spare_worker(dispatcher, worker):
             worker.reserved_ms = now_ms
             free -= 1
 
@@ -90,7 +90,7 @@
     return sorted(names, key=work)
 
 
-def is_calm(dispatcher, worker):
+def can_spare_worker(dispatcher, worker):
     """Returns whether a pool can spare a worker now."""
     members = [
         other
--- a/wigeonport/worker_tables.py
+++ b/wigeonport/worker_tables.py
@@ -51,14 +51,14 @@
         heard_ms: When it arrived.
         lease_until_ms: Until when its runs may live at the latest.
         runs: Step by pair of task and run, for all that may be live.
-        shunned_until_ms: No task is placed on it before.
+        excluded_until_ms: No task is placed on it before.
         stopping: Pairs of task and run that the leader wants moved.
         fill_percent: Speed of the tasks that fill.
         reserved_ms: Since when it is being emptied for a machine order, or
             None.
         progress: RunProgress by pair of task and run.
         failed_jobs: Jobs that failed on it since its last success.
-        shun_ms: Length of its last exclusion.
+        exclusion_ms: Length of its last exclusion.
     """
 
     __slots__ = (
@@ -66,13 +66,13 @@
         "heard_ms",
         "lease_until_ms",
         "runs",
-        "shunned_until_ms",
+        "excluded_until_ms",
         "stopping",
         "fill_percent",
         "reserved_ms",
         "progress",
         "failed_jobs",
-        "shun_ms",
+        "exclusion_ms",
     )
 
     def __init__(self, report, now_ms):
@@ -80,13 +80,13 @@
         self.heard_ms = now_ms
         self.lease_until_ms = now_ms
         self.runs = {}
-        self.shunned_until_ms = 0
+        self.excluded_until_ms = 0
         self.stopping = set()
         self.fill_percent = 100
         self.reserved_ms = None
         self.progress = {}
         self.failed_jobs = set()
-        self.shun_ms = 0
+        self.exclusion_ms = 0
 
     @property
     def incarnation(self):
@@ -112,7 +112,7 @@
             self.report.capacity is not None
             and not self.report.draining
             and self.reserved_ms is None
-            and now_ms >= self.shunned_until_ms
+            and now_ms >= self.excluded_until_ms
             and now_ms - self.heard_ms <= silent_ms
         )
 
--- a/wigeonport/worker_verdicts.py
+++ b/wigeonport/worker_verdicts.py
@@ -16,7 +16,7 @@
 # rare, because a task fails by itself in 0.2% of its runs.
 FAILED_JOBS = 2
 # Failures on this many workers speak against the job.
-BLAMED_JOB_WORKERS = 2
+JOB_FAULT_WORKERS = 2
 # A run whose percent has not changed for so long stands still; a task of
 # 4 s advances by 1% in 40 ms, and a resumption takes up to 600 ms.
 STALL_MS = 1_600
@@ -37,15 +37,15 @@
 MOVE_MS = 600
 # Highest run number that is moved for slowness. A task whose estimate is
 # wrong is slow everywhere and must end somewhere.
-LAST_MOVED_RUN = 2
+MAX_MOVED_RUN = 2
 # First and longest exclusion of a worker.
-FIRST_SHUN_MS = 2_500
-LAST_SHUN_MS = 8_000
+MIN_EXCLUSION_MS = 2_500
+MAX_EXCLUSION_MS = 8_000
 # Share of a service's workers that may be excluded at a time.
-SHUNNED_SHARE = 0.34
+MAX_EXCLUDED_SHARE = 0.34
 
 
-def note_progress(worker, key, percent):
+def update_progress(worker, key, percent):
     """Takes in the progress of a run."""
     known = worker.progress.get(key)
     if known is None:
@@ -58,12 +58,12 @@
     """Takes in the end of a run."""
     if end.outcome == DONE:
         worker.failed_jobs.clear()
-        worker.shun_ms = 0
+        worker.exclusion_ms = 0
         return
-    found = dispatcher.task_of(end.task)
+    found = dispatcher.find_task(end.task)
     if end.outcome != ENDED_FAILED or found[1].step.lasting:
         return
-    if len(dispatcher.failed_on.get(end.task, ())) >= BLAMED_JOB_WORKERS:
+    if len(dispatcher.failed_on.get(end.task, ())) >= JOB_FAULT_WORKERS:
         return
     worker.failed_jobs.add(found[0].job_id)
 
@@ -74,9 +74,9 @@
     for key in stalled:
         worker.stopping.add(key)
     slow = find_slow(worker, now_ms)
-    if now_ms >= worker.shunned_until_ms:
+    if now_ms >= worker.excluded_until_ms:
         judge(dispatcher, worker, now_ms, stalled, slow)
-    if now_ms < worker.shunned_until_ms:
+    if now_ms < worker.excluded_until_ms:
         worker.stopping.update(
             key for key in slow if is_worth_moving(worker, key, now_ms)
         )
@@ -85,11 +85,11 @@
 def judge(dispatcher, worker, now_ms, stalled, slow):
     """Excludes a worker that shows a fault."""
     if stalled:
-        shun(dispatcher, worker, now_ms, f"{len(stalled)} runs stand still")
+        exclude(dispatcher, worker, now_ms, f"{len(stalled)} runs stand still")
     elif len(worker.failed_jobs) >= FAILED_JOBS:
-        shun(dispatcher, worker, now_ms, "it fails what it starts")
+        exclude(dispatcher, worker, now_ms, "it fails what it starts")
     elif len({name.partition(".")[0] for name, _ in slow}) >= SLOW_JOBS:
-        shun(dispatcher, worker, now_ms, "it is slow")
+        exclude(dispatcher, worker, now_ms, "it is slow")
 
 
 def find_stalled(worker, now_ms):
@@ -127,7 +127,7 @@
 def is_worth_moving(worker, key, now_ms):
     """Returns whether a slow run ends sooner if it starts elsewhere."""
     step = worker.runs[key]
-    if step.gang or step.fills or key[1] > LAST_MOVED_RUN:
+    if step.gang or step.fills or key[1] > MAX_MOVED_RUN:
         return False
     progress = worker.progress[key]
     anew_ms = step.estimated_ms
@@ -136,15 +136,17 @@
     return progress.left_ms(now_ms) > MOVE_FACTOR * (anew_ms + MOVE_MS)
 
 
-def shun(dispatcher, worker, now_ms, reason):
+def exclude(dispatcher, worker, now_ms, reason):
     """Keeps new tasks away from a worker, unless too many are excluded."""
     service = worker.report.service
     peers = dispatcher.workers.of_service(service)
-    shunned = sum(now_ms < other.shunned_until_ms for other in peers)
-    if shunned + 1 > max(1, SHUNNED_SHARE * len(peers)):
+    shunned = sum(now_ms < other.excluded_until_ms for other in peers)
+    if shunned + 1 > max(1, MAX_EXCLUDED_SHARE * len(peers)):
         return
-    worker.shun_ms = min(LAST_SHUN_MS, max(FIRST_SHUN_MS, 2 * worker.shun_ms))
-    worker.shunned_until_ms = now_ms + worker.shun_ms
+    worker.exclusion_ms = min(
+        MAX_EXCLUSION_MS, max(MIN_EXCLUSION_MS, 2 * worker.exclusion_ms)
+    )
+    worker.excluded_until_ms = now_ms + worker.exclusion_ms
     # After the exclusion one more failure is enough.
     worker.failed_jobs = set(list(worker.failed_jobs)[: FAILED_JOBS - 1])
     logger.warning(
@@ -152,6 +154,6 @@
         worker=worker.incarnation,
         service=service,
         reason=reason,
-        for_ms=worker.shun_ms,
+        for_ms=worker.exclusion_ms,
         sequence=worker.report.sequence,
     )
