--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -17,7 +17,7 @@
 from wigeonport.batch_requests import call_handlers
 from wigeonport.batch_specs import split_task_id
 from wigeonport.batch_states import apply_operation
-from wigeonport.fill_pacers import update_fill_rates
+from wigeonport.fill_rates import update_fill_rates
 from wigeonport.job_orders import RankedJob
 from wigeonport.logs import PartLogger
 from wigeonport.run_orders import add_starts, reconcile
@@ -25,9 +25,9 @@
 from wigeonport.task_copies import find_tasks_to_copy, start_copies
 from wigeonport.task_evacuations import withdraw_stops
 from wigeonport.task_placements import place_gangs, place_tasks
+from wigeonport.worker_evaluations import review_worker
 from wigeonport.worker_reports import WorkerOrders
 from wigeonport.worker_tables import WorkerTable, lease_end_ms
-from wigeonport.worker_verdicts import review_worker
 
 logger = PartLogger("dispatch")
 
--- a/wigeonport/run_reports.py
+++ b/wigeonport/run_reports.py
@@ -4,7 +4,7 @@
 from wigeonport.batch_jobs import ENDED_FAILED
 from wigeonport.batch_specs import split_task_id
 from wigeonport.logs import PartLogger
-from wigeonport.worker_verdicts import note_end, update_progress
+from wigeonport.worker_evaluations import note_end, update_progress
 
 logger = PartLogger("dispatch")
 
