Rename 4 names: last_heartbeat_ms, accepts_tasks and others

Cause: Names of a worker's record said in figures when it sent a heartbeat and what it has free. Change: heard_ms to last_heartbeat_ms, accepts to accepts_tasks, admit to record_heartbeat, forget to remove_worker; 27 uses in 11 files, by token.

--- a/wigeonport/advisors.py
+++ b/wigeonport/advisors.py
@@ -122,7 +122,7 @@
             for worker in dispatcher.workers.of_service(
                 ranked_job.queue.service
             )
-            if worker.accepts(now_ms, dispatcher.max_silence_ms())
+            if worker.accepts_tasks(now_ms, dispatcher.max_silence_ms())
             and not tickets.is_known(worker.incarnation, now_ms)
         }
         workers = dict(sorted(workers.items())[:MAX_WORKERS])
--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -167,7 +167,7 @@
         """Takes in a heartbeat and returns the WorkerOrders."""
         self.wall_ms, self.now_ms = wall_ms, now_ms
         orders = WorkerOrders(self.term, self.interval_ms)
-        worker, over = self.workers.admit(report, now_ms)
+        worker, over = self.workers.record_heartbeat(report, now_ms)
         for incarnation in over:
             self.lose(incarnation, "the worker has started anew")
         if worker is None:
@@ -186,7 +186,7 @@
         withdraw_stops(self, worker)
         reconcile(self, worker, orders)
         update_fill_rates(worker, orders)
-        if worker.accepts(now_ms, self.max_silence_ms()):
+        if worker.accepts_tasks(now_ms, self.max_silence_ms()):
             place_gangs(self, now_ms, wall_ms)
             place_tasks(self, worker, now_ms, wall_ms)
             start_copies(self, worker, now_ms, wall_ms)
@@ -227,9 +227,9 @@
         self.wall_ms, self.now_ms = wall_ms, now_ms
         for worker in list(self.workers.by_id.values()):
             if now_ms > worker.lease_until_ms and (
-                now_ms - worker.heard_ms > self.settings.hold_ms
+                now_ms - worker.last_heartbeat_ms > self.settings.hold_ms
             ):
-                self.workers.forget(worker)
+                self.workers.remove_worker(worker)
                 self.lose(worker.incarnation, "the lease has lapsed")
         if now_ms > self.orphans_until_ms:
             known = self.workers.incarnations()
--- a/wigeonport/machine_losses.py
+++ b/wigeonport/machine_losses.py
@@ -21,7 +21,7 @@
     known = set()
     for worker in dispatcher.workers.by_id.values():
         known.add(worker.incarnation)
-        if worker.runs and now_ms - worker.heard_ms > silent_ms:
+        if worker.runs and now_ms - worker.last_heartbeat_ms > silent_ms:
             return True
     return any(
         runs and incarnation not in known
@@ -40,8 +40,8 @@
     down = [row for row in listed.rows.values() if row.state == DOWN]
     for row in down:
         worker = dispatcher.workers.by_machine.get(row.machine)
-        if worker is not None and worker.heard_ms <= silent_before_ms:
-            dispatcher.workers.forget(worker)
+        if worker is not None and worker.last_heartbeat_ms <= silent_before_ms:
+            dispatcher.workers.remove_worker(worker)
             dispatcher.lose(worker.incarnation, "the machine is down")
     if dispatcher.since_ms <= silent_before_ms:
         end_runs_of_unseen_workers(dispatcher, {row.worker_id for row in down})
--- a/wigeonport/pool_sizes.py
+++ b/wigeonport/pool_sizes.py
@@ -91,7 +91,7 @@
     workers = [
         worker
         for worker in dispatcher.workers.of_service(service)
-        if worker.accepts(now_ms, dispatcher.max_silence_ms())
+        if worker.accepts_tasks(now_ms, dispatcher.max_silence_ms())
     ]
     pool = Pool(service, workers)
     lasting = 0
--- a/wigeonport/run_orders.py
+++ b/wigeonport/run_orders.py
@@ -43,7 +43,7 @@
         if dispatcher.needs_ticket(job):
             step = key[0].rpartition(".")[0]
             ticket = dispatcher.tickets_of(step).find(
-                worker.incarnation, worker.heard_ms
+                worker.incarnation, worker.last_heartbeat_ms
             )
             if ticket is None:
                 # The advisor asks again, and the start follows.
--- a/wigeonport/run_reports.py
+++ b/wigeonport/run_reports.py
@@ -62,7 +62,7 @@
         if len(dispatcher.failed_on) > MAX_FAILED_TASKS:
             dispatcher.failed_on.clear()
         places = dispatcher.failed_on.setdefault(end.task, {})
-        places[worker.report.worker_id] = worker.heard_ms
+        places[worker.report.worker_id] = worker.last_heartbeat_ms
     note_end(dispatcher, worker, end)
     logger.info(
         "Run ended.",
--- a/wigeonport/task_copies.py
+++ b/wigeonport/task_copies.py
@@ -21,7 +21,7 @@
     wanted = {}
     silent_ms = SUSPECT_HEARTBEATS * dispatcher.interval_ms
     for worker in dispatcher.workers.by_id.values():
-        silent = now_ms - worker.heard_ms > silent_ms
+        silent = now_ms - worker.last_heartbeat_ms > silent_ms
         if not silent and now_ms >= worker.excluded_until_ms:
             continue
         names = [name for (name, _), s in worker.runs.items() if s.duplicates]
--- a/wigeonport/task_evacuations.py
+++ b/wigeonport/task_evacuations.py
@@ -34,7 +34,7 @@
     return (
         worker is not None
         and worker.incarnation == incarnation
-        and dispatcher.now_ms - worker.heard_ms
+        and dispatcher.now_ms - worker.last_heartbeat_ms
         <= MAX_SILENT_HEARTBEATS * dispatcher.interval_ms
         and (name, run) not in worker.stopping
         and (name, run) in worker.progress
--- a/wigeonport/task_placements.py
+++ b/wigeonport/task_placements.py
@@ -112,7 +112,7 @@
         silent_ms = GANG_MAX_SILENT_HEARTBEATS * self.dispatcher.interval_ms
         near = any(
             other.report.rack == step.data_rack
-            and other.accepts(now_ms, silent_ms)
+            and other.accepts_tasks(now_ms, silent_ms)
             for other in self.dispatcher.workers.of_service(
                 self.worker.report.service
             )
@@ -142,7 +142,8 @@
         failed_ms = places.get(self.worker.report.worker_id)
         return (
             failed_ms is not None
-            and self.worker.heard_ms - failed_ms < FAILED_WORKER_WAIT_MS
+            and self.worker.last_heartbeat_ms - failed_ms
+            < FAILED_WORKER_WAIT_MS
         )
 
     def limit(self, step):
@@ -182,7 +183,7 @@
     spots = [
         worker
         for worker in dispatcher.workers.of_service(ranked_job.queue.service)
-        if worker.accepts(now_ms, silent_ms)
+        if worker.accepts_tasks(now_ms, silent_ms)
     ]
     chosen = None
     racks = {worker.report.rack for worker in spots}
--- a/wigeonport/worker_evaluations.py
+++ b/wigeonport/worker_evaluations.py
@@ -49,9 +49,9 @@
     """Takes in the progress of a run."""
     known = worker.progress.get(key)
     if known is None:
-        worker.progress[key] = RunProgress(percent, worker.heard_ms)
+        worker.progress[key] = RunProgress(percent, worker.last_heartbeat_ms)
     else:
-        known.note(percent, worker.heard_ms)
+        known.note(percent, worker.last_heartbeat_ms)
 
 
 def note_end(dispatcher, worker, end):
--- a/wigeonport/worker_tables.py
+++ b/wigeonport/worker_tables.py
@@ -48,7 +48,7 @@
 
     Attributes:
         report: Newest WorkerReport.
-        heard_ms: When it arrived.
+        last_heartbeat_ms: When it arrived.
         lease_until_ms: Until when its runs may live at the latest.
         runs: Step by pair of task and run, for all that may be live.
         excluded_until_ms: No task is placed on it before.
@@ -63,7 +63,7 @@
 
     __slots__ = (
         "report",
-        "heard_ms",
+        "last_heartbeat_ms",
         "lease_until_ms",
         "runs",
         "excluded_until_ms",
@@ -77,7 +77,7 @@
 
     def __init__(self, report, now_ms):
         self.report = report
-        self.heard_ms = now_ms
+        self.last_heartbeat_ms = now_ms
         self.lease_until_ms = now_ms
         self.runs = {}
         self.excluded_until_ms = 0
@@ -106,14 +106,14 @@
             room.take(step)
         return room
 
-    def accepts(self, now_ms, silent_ms):
+    def accepts_tasks(self, now_ms, silent_ms):
         """Returns whether new tasks may be placed on it."""
         return (
             self.report.capacity is not None
             and not self.report.draining
             and self.reserved_ms is None
             and now_ms >= self.excluded_until_ms
-            and now_ms - self.heard_ms <= silent_ms
+            and now_ms - self.last_heartbeat_ms <= silent_ms
         )
 
 
@@ -134,7 +134,7 @@
         self.by_machine = {}
         self.runs = {}
 
-    def admit(self, report, now_ms):
+    def record_heartbeat(self, report, now_ms):
         """Takes in a heartbeat.
 
         Returns:
@@ -153,10 +153,10 @@
                 return None, []
             if other.incarnation not in over:
                 over.append(other.incarnation)
-                self.forget(other)
+                self.remove_worker(other)
         if known is not None and known.incarnation == report.incarnation:
             known.report = report
-            known.heard_ms = now_ms
+            known.last_heartbeat_ms = now_ms
             return known, over
         worker = Worker(report, now_ms)
         worker.runs = self.runs.setdefault(report.incarnation, {})
@@ -165,7 +165,7 @@
             self.by_machine[report.machine] = worker
         return worker, over
 
-    def forget(self, worker):
+    def remove_worker(self, worker):
         """Removes a worker that is gone."""
         report = worker.report
         if self.by_id.get(report.worker_id) is worker:
