Rename room to free_capacity

Cause: A room is a figure for the free capacity of a worker. Change: room to free_capacity; 21 uses in 5 files, by token.

--- a/wigeonport/pool_sizes.py
+++ b/wigeonport/pool_sizes.py
@@ -224,7 +224,9 @@
         and not any(step.lasting for step in worker.runs.values())
         and manager.may_order(dispatcher, worker.report.machine, now_ms)
     ]
-    return max(idle, key=lambda each: each.room().cpu_milli, default=None)
+    return max(
+        idle, key=lambda each: each.free_capacity().cpu_milli, default=None
+    )
 
 
 def shrink(manager, dispatcher, pool, standby, now_ms):
--- a/wigeonport/task_copies.py
+++ b/wigeonport/task_copies.py
@@ -40,7 +40,7 @@
         ranked_job.job.job_id: ranked_job
         for ranked_job in active_ranked_jobs(dispatcher, service, wall_ms)
     }
-    room = worker.room()
+    free_capacity = worker.free_capacity()
     for name in names:
         job_id, occurrence, number, index = split_task_id(name)
         found, ranked_job = dispatcher.find_task(name), ranked_jobs.get(job_id)
@@ -57,9 +57,9 @@
         )
         if not spot.is_suitable(step, now_ms) or spot.failed_recently(index):
             continue
-        if spot.limit(step) < 1 or not room.fits(step):
+        if spot.limit(step) < 1 or not free_capacity.fits(step):
             continue
-        room.take(step)
+        free_capacity.take(step)
         run = task.last_run + 1
         dispatcher.record(StartRuns([name], [run], worker.incarnation))
         logger.info(
--- a/wigeonport/task_placements.py
+++ b/wigeonport/task_placements.py
@@ -49,20 +49,20 @@
 
 def place_tasks(dispatcher, worker, now_ms, wall_ms):
     """Starts tasks on a worker while they fit."""
-    room = worker.room()
+    free_capacity = worker.free_capacity()
     tasks, runs = [], []
     for ranked_job in active_ranked_jobs(
         dispatcher, worker.report.service, wall_ms
     ):
         for occurrence, number, step_run in ranked_job.startable:
-            if not step_run.waiting or not room.fits(step_run.step):
+            if not step_run.waiting or not free_capacity.fits(step_run.step):
                 continue
             spot = WorkerCandidate(
                 dispatcher, worker, ranked_job, occurrence, number
             )
             if not spot.is_suitable(step_run.step, now_ms):
                 continue
-            for index in spot.choose(step_run, room):
+            for index in spot.choose(step_run, free_capacity):
                 tasks.append(f"{spot.prefix}{index}")
                 runs.append(step_run.tasks[index].last_run + 1)
             if len(tasks) >= MAX_STARTS:
@@ -123,16 +123,16 @@
         wait_ms = LOCALITY_WAIT_MS + step.estimated_ms
         return not near or now_ms - since > wait_ms
 
-    def choose(self, step_run, room):
+    def choose(self, step_run, free_capacity):
         """Returns the indices of the tasks to start; takes their room."""
         chosen = []
         most = self.limit(step_run.step)
         for index in sorted(step_run.waiting):
-            if len(chosen) >= most or not room.fits(step_run.step):
+            if len(chosen) >= most or not free_capacity.fits(step_run.step):
                 break
             if self.failed_recently(index):
                 continue
-            room.take(step_run.step)
+            free_capacity.take(step_run.step)
             chosen.append(index)
         return chosen
 
@@ -222,10 +222,10 @@
         )
         if not spot.is_suitable(step, now_ms):
             continue
-        room, count = worker.room(), 0
+        free_capacity, count = worker.free_capacity(), 0
         most = min(left, spot.limit(step))
-        while count < most and room.fits(step):
-            room.take(step)
+        while count < most and free_capacity.fits(step):
+            free_capacity.take(step)
             count += 1
         if count:
             chosen.append((worker, count))
--- a/wigeonport/upkeep_waves.py
+++ b/wigeonport/upkeep_waves.py
@@ -101,7 +101,7 @@
     if taken + 1 > max(1, POOL_SHARE * len(members)):
         return False
     total = sum(other.report.capacity.cpu_milli for other in members)
-    free = sum(max(0, other.room().cpu_milli) for other in members)
+    free = sum(max(0, other.free_capacity().cpu_milli) for other in members)
     return total - free < CALM_USE * total
 
 
--- a/wigeonport/worker_tables.py
+++ b/wigeonport/worker_tables.py
@@ -98,13 +98,15 @@
         until_ms = lease_end_ms(hold_ms, now_ms)
         self.lease_until_ms = max(self.lease_until_ms, until_ms)
 
-    def room(self):
+    def free_capacity(self):
         """Returns what is free; what is being stopped still counts."""
         capacity = self.report.capacity
-        room = Room(capacity.cpu_milli, capacity.memory_mb, capacity.gpu)
+        free_capacity = Room(
+            capacity.cpu_milli, capacity.memory_mb, capacity.gpu
+        )
         for step in self.runs.values():
-            room.take(step)
-        return room
+            free_capacity.take(step)
+        return free_capacity
 
     def accepts_tasks(self, now_ms, silent_ms):
         """Returns whether new tasks may be placed on it."""
