Rename left_ms to remaining_ms

Cause: Left says neither what is left nor of what. Change: left_ms to remaining_ms; 8 uses in 4 files, by token.

--- a/wigeonport/job_orders.py
+++ b/wigeonport/job_orders.py
@@ -16,7 +16,7 @@
         queue: Queue of the job.
         lasting: Whether its tasks run until it is cancelled.
         objective_ms: Wall time by which the job has full value.
-        left_ms: Estimated run time of the longest chain that is left.
+        remaining_ms: Estimated run time of the longest chain that is left.
         work: Estimated work that is left, in thousandths of a core times
             ms.
         running: Estimated work of the tasks that run, in the same unit.
@@ -29,7 +29,7 @@
         "queue",
         "lasting",
         "objective_ms",
-        "left_ms",
+        "remaining_ms",
         "work",
         "running",
         "startable",
@@ -48,7 +48,7 @@
             + queue.stretch * spec.chain_ms()
             + queue.target_latency_ms
         )
-        self.left_ms, self.work, self.running = estimate_remaining(job)
+        self.remaining_ms, self.work, self.running = estimate_remaining(job)
         self.startable = []
         self.update_startable()
 
@@ -115,7 +115,7 @@
     """Lasting jobs, then what can meet its objective, the nearest first."""
 
     def key(ranked_job):
-        late = now_ms + ranked_job.left_ms > ranked_job.objective_ms
+        late = now_ms + ranked_job.remaining_ms > ranked_job.objective_ms
         return (not ranked_job.lasting, late, ranked_job.objective_ms)
 
     return sorted(ranked_jobs, key=key)
--- a/wigeonport/pool_sizes.py
+++ b/wigeonport/pool_sizes.py
@@ -107,8 +107,10 @@
                 step.count * step.cpu_milli for step in steps if not step.fills
             )
             continue
-        span_ms = ranked_job.objective_ms - wall_ms - ranked_job.left_ms / 2
-        if span_ms < ranked_job.left_ms / 2:
+        span_ms = (
+            ranked_job.objective_ms - wall_ms - ranked_job.remaining_ms / 2
+        )
+        if span_ms < ranked_job.remaining_ms / 2:
             continue
         work += ranked_job.work * ESTIMATE_MARGIN
         needed = max(needed, work / max(span_ms, SHORTEST_SPAN_MS))
--- a/wigeonport/worker_evaluations.py
+++ b/wigeonport/worker_evaluations.py
@@ -133,7 +133,7 @@
     anew_ms = step.estimated_ms
     if step.checkpoints:
         anew_ms *= (100 - progress.percent) / 100
-    return progress.left_ms(now_ms) > MOVE_FACTOR * (anew_ms + MOVE_MS)
+    return progress.remaining_ms(now_ms) > MOVE_FACTOR * (anew_ms + MOVE_MS)
 
 
 def exclude(dispatcher, worker, now_ms, reason):
--- a/wigeonport/worker_tables.py
+++ b/wigeonport/worker_tables.py
@@ -37,7 +37,7 @@
             self.percent = percent
             self.changed_ms = now_ms
 
-    def left_ms(self, now_ms):
+    def remaining_ms(self, now_ms):
         """Returns how long the run takes yet at its speed so far."""
         gained = max(1, self.percent - self.first_percent)
         return (100 - self.percent) * (now_ms - self.first_ms) / gained
