--- a/wigeonport/job_orders.py
+++ b/wigeonport/job_orders.py
@@ -17,9 +17,9 @@
         lasting: Whether its tasks run until it is cancelled.
         objective_ms: Wall time by which the job has full value.
         remaining_ms: Estimated run time of the longest chain that is left.
-        work: Estimated work that is left, in thousandths of a core times
+        waiting_work: Estimated work that is left, in thousandths of a core times
             ms.
-        running: Estimated work of the tasks that run, in the same unit.
+        running_work: Estimated work of the tasks that run, in the same unit.
         startable: Triples of occurrence, number and StepRun, of the steps
             whose tasks may be started one by one.
     """
@@ -30,8 +30,8 @@
         "lasting",
         "objective_ms",
         "remaining_ms",
-        "work",
-        "running",
+        "waiting_work",
+        "running_work",
         "startable",
     )
 
@@ -48,7 +48,9 @@
             + queue.stretch * spec.chain_ms()
             + queue.target_latency_ms
         )
-        self.remaining_ms, self.work, self.running = estimate_remaining(job)
+        self.remaining_ms, self.waiting_work, self.running_work = (
+            estimate_remaining(job)
+        )
         self.startable = []
         self.update_startable()
 
@@ -95,7 +97,7 @@
 
 def estimate_remaining(job):
     """Returns the longest chain, the waiting and the running work."""
-    longest, work, running = 0, 0, 0
+    longest, waiting_work, running_work = 0, 0, 0
     for step_runs in job.occurrences.values():
         finish = []
         for step_run in step_runs:
@@ -104,10 +106,10 @@
             before = [finish[each] for each in step.depends_on]
             finish.append(max(before, default=0) + own_ms)
             task_work = step.cpu_milli * own_ms
-            work += len(step_run.waiting) * task_work
-            running += (step_run.left - len(step_run.waiting)) * task_work
+            waiting_work += len(step_run.waiting) * task_work
+            running_work += (step_run.left - len(step_run.waiting)) * task_work
         longest = max(longest, *finish) if finish else longest
-    return longest, work, running
+    return longest, waiting_work, running_work
 
 
 @job_orders.register("objective")
--- a/wigeonport/pool_sizes.py
+++ b/wigeonport/pool_sizes.py
@@ -95,7 +95,7 @@
     ]
     pool = Pool(service, workers)
     lasting = 0
-    work, needed, arrived = 0, 0, 0
+    waiting_work, needed, arrived = 0, 0, 0
     ranked_jobs = active_ranked_jobs(dispatcher, service, wall_ms)
     for ranked_job in sorted(
         ranked_jobs, key=lambda ranked_job: ranked_job.objective_ms
@@ -112,10 +112,10 @@
         )
         if span_ms < ranked_job.remaining_ms / 2:
             continue
-        work += ranked_job.work * ESTIMATE_MARGIN
-        needed = max(needed, work / max(span_ms, SHORTEST_SPAN_MS))
+        waiting_work += ranked_job.waiting_work * ESTIMATE_MARGIN
+        needed = max(needed, waiting_work / max(span_ms, SHORTEST_SPAN_MS))
         if wall_ms - ranked_job.job.submitted_ms < ARRIVAL_MS:
-            arrived += ranked_job.work + ranked_job.running
+            arrived += ranked_job.waiting_work + ranked_job.running_work
     pool.lasting = lasting
     pool.needed = lasting + max(needed, arrived / ARRIVAL_MS)
     return pool
