--- a/wigeonport/job_orders.py
+++ b/wigeonport/job_orders.py
@@ -66,17 +66,17 @@
 
     Attributes:
         created_ms: Wall time of the order.
-        order: Function that sorts claims.
+        policy: Function that sorts claims.
         ranked_jobs: JobClaim list, in order.
         by_job_id: JobClaim by job id.
     """
 
-    __slots__ = ("created_ms", "order", "ranked_jobs", "by_job_id")
+    __slots__ = ("created_ms", "policy", "ranked_jobs", "by_job_id")
 
-    def __init__(self, ranked_jobs, order, created_ms):
+    def __init__(self, ranked_jobs, policy, created_ms):
         self.created_ms = created_ms
-        self.order = order
-        self.ranked_jobs = order(ranked_jobs, created_ms)
+        self.policy = policy
+        self.ranked_jobs = policy(ranked_jobs, created_ms)
         self.by_job_id = {
             ranked_job.job.job_id: ranked_job for ranked_job in ranked_jobs
         }
@@ -84,7 +84,7 @@
     def add(self, ranked_job):
         """Takes a new job in."""
         self.by_job_id[ranked_job.job.job_id] = ranked_job
-        self.ranked_jobs = self.order(
+        self.ranked_jobs = self.policy(
             [*self.ranked_jobs, ranked_job], self.created_ms
         )
 
--- a/wigeonport/task_placements.py
+++ b/wigeonport/task_placements.py
@@ -43,8 +43,8 @@
         queue = routes.queue_of(job.queue)
         if queue is not None and queue.service == service:
             ranked_jobs.append(RankedJob(job, queue))
-    order = job_orders.get(dispatcher.settings.job_order).ok
-    return JobRanking(ranked_jobs, order, now_ms)
+    policy = job_orders.get(dispatcher.settings.job_order).ok
+    return JobRanking(ranked_jobs, policy, now_ms)
 
 
 def place_tasks(dispatcher, worker, now_ms, wall_ms):
