Rename 3 names: failure_times, tasks_to_copy and others

Cause: The dispatcher's indexes didn't say what they hold, and losing a worker means recording its loss.

--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -49,10 +49,10 @@
         operations: Operations since the last ``take_operations``.
         orphans_until_ms: Until when runs of workers that this leader has
             not heard of may live.
-        failed_on: Time of the failure by worker id, by task.
+        failure_times: Time of the failure by worker id, by task.
         ranked_jobs: OrderedClaims by service.
         tickets: Tickets by name of a step, for queues with advice.
-        copies: Lists of the tasks that want a copy, by service.
+        tasks_to_copy: Lists of the tasks that want a copy, by service.
         rack_wait_start_ms: First time at which a step waited for a near worker.
         wall_ms: Wall time of the current step.
         now_ms: Monotonic time of the current step.
@@ -68,10 +68,10 @@
         "active",
         "operations",
         "orphans_until_ms",
-        "failed_on",
+        "failure_times",
         "ranked_jobs",
         "tickets",
-        "copies",
+        "tasks_to_copy",
         "rack_wait_start_ms",
         "wall_ms",
         "now_ms",
@@ -88,10 +88,10 @@
         self.operations = []
         # The former leader may have answered until this one was elected.
         self.orphans_until_ms = lease_end_ms(settings.hold_ms, now_ms)
-        self.failed_on = {}
+        self.failure_times = {}
         self.ranked_jobs = {}
         self.tickets = {}
-        self.copies = {}
+        self.tasks_to_copy = {}
         self.rack_wait_start_ms = {}
         self.wall_ms = 0
         self.now_ms = now_ms
@@ -169,7 +169,7 @@
         orders = WorkerOrders(self.term, self.interval_ms)
         worker, over = self.workers.record_heartbeat(report, now_ms)
         for incarnation in over:
-            self.lose(incarnation, "the worker has started anew")
+            self.record_lost_worker(incarnation, "the worker has started anew")
         if worker is None:
             logger.info(
                 "Heartbeat is outdated.",
@@ -210,7 +210,7 @@
             saved = [self.find_task(task)[2].saved for task in tasks]
             self.record(EndRuns(tasks, runs, [LOST] * len(tasks), saved))
 
-    def lose(self, incarnation, reason):
+    def record_lost_worker(self, incarnation, reason):
         """Records that all runs of a life of a worker are over."""
         keys = list(self.workers.runs.get(incarnation, ()))
         self.record_lost_runs(keys)
@@ -230,14 +230,18 @@
                 now_ms - worker.last_heartbeat_ms > self.settings.hold_ms
             ):
                 self.workers.remove_worker(worker)
-                self.lose(worker.incarnation, "the lease has lapsed")
+                self.record_lost_worker(
+                    worker.incarnation, "the lease has lapsed"
+                )
         if now_ms > self.orphans_until_ms:
             known = self.workers.incarnations()
             for incarnation in list(self.workers.runs):
                 if incarnation not in known:
-                    self.lose(incarnation, "no heartbeat in this term")
+                    self.record_lost_worker(
+                        incarnation, "no heartbeat in this term"
+                    )
         self.interval_ms = self.settings.heartbeat_ms(len(self.workers.by_id))
-        self.copies = find_tasks_to_copy(self, now_ms)
+        self.tasks_to_copy = find_tasks_to_copy(self, now_ms)
         self.open_occurrences(wall_ms)
 
     def open_occurrences(self, wall_ms):
--- a/wigeonport/machine_losses.py
+++ b/wigeonport/machine_losses.py
@@ -42,7 +42,9 @@
         worker = dispatcher.workers.by_machine.get(row.machine)
         if worker is not None and worker.last_heartbeat_ms <= silent_before_ms:
             dispatcher.workers.remove_worker(worker)
-            dispatcher.lose(worker.incarnation, "the machine is down")
+            dispatcher.record_lost_worker(
+                worker.incarnation, "the machine is down"
+            )
     if dispatcher.since_ms <= silent_before_ms:
         end_runs_of_unseen_workers(dispatcher, {row.worker_id for row in down})
 
@@ -52,4 +54,4 @@
     known = dispatcher.workers.incarnations()
     for incarnation in list(dispatcher.workers.runs):
         if incarnation not in known and worker_id_of(incarnation) in down_ids:
-            dispatcher.lose(incarnation, "the machine is down")
+            dispatcher.record_lost_worker(incarnation, "the machine is down")
--- a/wigeonport/run_reports.py
+++ b/wigeonport/run_reports.py
@@ -59,9 +59,9 @@
 def record_outcome(dispatcher, worker, end):
     """Keeps where tasks failed, and logs each end."""
     if end.outcome == ENDED_FAILED:
-        if len(dispatcher.failed_on) > MAX_FAILED_TASKS:
-            dispatcher.failed_on.clear()
-        places = dispatcher.failed_on.setdefault(end.task, {})
+        if len(dispatcher.failure_times) > MAX_FAILED_TASKS:
+            dispatcher.failure_times.clear()
+        places = dispatcher.failure_times.setdefault(end.task, {})
         places[worker.report.worker_id] = worker.last_heartbeat_ms
     note_end(dispatcher, worker, end)
     logger.info(
--- a/wigeonport/task_copies.py
+++ b/wigeonport/task_copies.py
@@ -32,7 +32,7 @@
 
 def start_copies(dispatcher, worker, now_ms, wall_ms):
     """Starts copies on a worker while they fit."""
-    names = dispatcher.copies.get(worker.report.service)
+    names = dispatcher.tasks_to_copy.get(worker.report.service)
     if not names:
         return
     service = worker.report.service
--- a/wigeonport/task_placements.py
+++ b/wigeonport/task_placements.py
@@ -138,7 +138,7 @@
 
     def failed_recently(self, index):
         """Returns whether a task failed on the worker a moment ago."""
-        places = self.dispatcher.failed_on.get(f"{self.prefix}{index}", {})
+        places = self.dispatcher.failure_times.get(f"{self.prefix}{index}", {})
         failed_ms = places.get(self.worker.report.worker_id)
         return (
             failed_ms is not None
--- a/wigeonport/worker_evaluations.py
+++ b/wigeonport/worker_evaluations.py
@@ -63,7 +63,7 @@
     found = dispatcher.find_task(end.task)
     if end.outcome != ENDED_FAILED or found[1].step.lasting:
         return
-    if len(dispatcher.failed_on.get(end.task, ())) >= JOB_FAULT_WORKERS:
+    if len(dispatcher.failure_times.get(end.task, ())) >= JOB_FAULT_WORKERS:
         return
     worker.failed_jobs.add(found[0].job_id)
 
