Rename 7 names: update_failures, update and others

Cause: The end of a run updates the failures of its worker; note says nothing. Change: note_end to update_failures, note to update, judge to evaluate, shunned to excluded, note_checkpoint to store_checkpoint, FAILED_JOBS to MIN_FAILED_JOBS, SLOW_JOBS to MIN_SLOW_JOBS; 16 uses in 3 files, by token.

--- a/wigeonport/run_reports.py
+++ b/wigeonport/run_reports.py
@@ -4,7 +4,7 @@
 from wigeonport.batch_jobs import ENDED_FAILED
 from wigeonport.batch_specs import split_task_id
 from wigeonport.logs import PartLogger
-from wigeonport.worker_evaluations import note_end, update_progress
+from wigeonport.worker_evaluations import update_failures, update_progress
 
 logger = PartLogger("dispatch")
 
@@ -63,7 +63,7 @@
             dispatcher.failure_times.clear()
         places = dispatcher.failure_times.setdefault(end.task, {})
         places[worker.report.worker_id] = worker.last_heartbeat_ms
-    note_end(dispatcher, worker, end)
+    update_failures(dispatcher, worker, end)
     logger.info(
         "Run ended.",
         task=end.task,
@@ -83,12 +83,12 @@
             listed.add(key)
             update_progress(worker, key, row.percent)
             if row.saved:
-                note_checkpoint(dispatcher, row)
+                store_checkpoint(dispatcher, row)
     for key in set(worker.progress) - listed:
         del worker.progress[key]
 
 
-def note_checkpoint(dispatcher, row):
+def store_checkpoint(dispatcher, row):
     """Keeps the newest checkpoint for a start after a loss."""
     found = dispatcher.find_task(row.task)
     if found is not None:
--- a/wigeonport/worker_evaluations.py
+++ b/wigeonport/worker_evaluations.py
@@ -14,7 +14,7 @@
 
 # Jobs that must have failed in a row. Two in a row on a sound worker are
 # rare, because a task fails by itself in 0.2% of its runs.
-FAILED_JOBS = 2
+MIN_FAILED_JOBS = 2
 # Failures on this many workers speak against the job.
 JOB_FAULT_WORKERS = 2
 # A run whose percent has not changed for so long stands still; a task of
@@ -30,7 +30,7 @@
 SLOW_AGE_MS = 700
 # Jobs whose runs must be slow together; the tasks of one job share its
 # estimate, which may be far off.
-SLOW_JOBS = 2
+MIN_SLOW_JOBS = 2
 # A slow run is moved if it would take longer than a new one by this factor.
 MOVE_FACTOR = 2.0
 # Time of a move: the stop, and the next heartbeat of another worker.
@@ -51,10 +51,10 @@
     if known is None:
         worker.progress[key] = RunProgress(percent, worker.last_heartbeat_ms)
     else:
-        known.note(percent, worker.last_heartbeat_ms)
+        known.update(percent, worker.last_heartbeat_ms)
 
 
-def note_end(dispatcher, worker, end):
+def update_failures(dispatcher, worker, end):
     """Takes in the end of a run."""
     if end.outcome == DONE:
         worker.failed_jobs.clear()
@@ -75,20 +75,20 @@
         worker.stopping.add(key)
     slow = find_slow(worker, now_ms)
     if now_ms >= worker.excluded_until_ms:
-        judge(dispatcher, worker, now_ms, stalled, slow)
+        evaluate(dispatcher, worker, now_ms, stalled, slow)
     if now_ms < worker.excluded_until_ms:
         worker.stopping.update(
             key for key in slow if is_worth_moving(worker, key, now_ms)
         )
 
 
-def judge(dispatcher, worker, now_ms, stalled, slow):
+def evaluate(dispatcher, worker, now_ms, stalled, slow):
     """Excludes a worker that shows a fault."""
     if stalled:
         exclude(dispatcher, worker, now_ms, f"{len(stalled)} runs stand still")
-    elif len(worker.failed_jobs) >= FAILED_JOBS:
+    elif len(worker.failed_jobs) >= MIN_FAILED_JOBS:
         exclude(dispatcher, worker, now_ms, "it fails what it starts")
-    elif len({name.partition(".")[0] for name, _ in slow}) >= SLOW_JOBS:
+    elif len({name.partition(".")[0] for name, _ in slow}) >= MIN_SLOW_JOBS:
         exclude(dispatcher, worker, now_ms, "it is slow")
 
 
@@ -140,15 +140,15 @@
     """Keeps new tasks away from a worker, unless too many are excluded."""
     service = worker.report.service
     peers = dispatcher.workers.of_service(service)
-    shunned = sum(now_ms < other.excluded_until_ms for other in peers)
-    if shunned + 1 > max(1, MAX_EXCLUDED_SHARE * len(peers)):
+    excluded = sum(now_ms < other.excluded_until_ms for other in peers)
+    if excluded + 1 > max(1, MAX_EXCLUDED_SHARE * len(peers)):
         return
     worker.exclusion_ms = min(
         MAX_EXCLUSION_MS, max(MIN_EXCLUSION_MS, 2 * worker.exclusion_ms)
     )
     worker.excluded_until_ms = now_ms + worker.exclusion_ms
     # After the exclusion one more failure is enough.
-    worker.failed_jobs = set(list(worker.failed_jobs)[: FAILED_JOBS - 1])
+    worker.failed_jobs = set(list(worker.failed_jobs)[: MIN_FAILED_JOBS - 1])
     logger.warning(
         "Worker is excluded.",
         worker=worker.incarnation,
--- a/wigeonport/worker_tables.py
+++ b/wigeonport/worker_tables.py
@@ -31,7 +31,7 @@
         self.first_percent = percent
         self.changed_ms = now_ms
 
-    def note(self, percent, now_ms):
+    def update(self, percent, now_ms):
         """Takes in a newer report."""
         if percent != self.percent:
             self.percent = percent
