Rename 5 names: candidate, candidates and others

Cause: A spot is a worker that is a candidate for a step. Change: spot to candidate, spots to candidates, choose to choose_tasks, limit to remaining_limit, most to maximum; 28 uses in 2 files, by token. Result: every touched file compiles; behaviour is unchanged.

--- a/wigeonport/task_copies.py
+++ b/wigeonport/task_copies.py
@@ -52,12 +52,14 @@
         if worker.incarnation in task.runs.values():
             continue
         step = step_run.step
-        spot = WorkerCandidate(
+        candidate = WorkerCandidate(
             dispatcher, worker, ranked_job, occurrence, number
         )
-        if not spot.is_suitable(step, now_ms) or spot.failed_recently(index):
+        if not candidate.is_suitable(
+            step, now_ms
+        ) or candidate.failed_recently(index):
             continue
-        if spot.limit(step) < 1 or not free_capacity.fits(step):
+        if candidate.remaining_limit(step) < 1 or not free_capacity.fits(step):
             continue
         free_capacity.take(step)
         run = task.last_run + 1
--- a/wigeonport/task_placements.py
+++ b/wigeonport/task_placements.py
@@ -57,13 +57,13 @@
         for occurrence, number, step_run in ranked_job.startable:
             if not step_run.waiting or not free_capacity.fits(step_run.step):
                 continue
-            spot = WorkerCandidate(
+            candidate = WorkerCandidate(
                 dispatcher, worker, ranked_job, occurrence, number
             )
-            if not spot.is_suitable(step_run.step, now_ms):
+            if not candidate.is_suitable(step_run.step, now_ms):
                 continue
-            for index in spot.choose(step_run, free_capacity):
-                tasks.append(f"{spot.prefix}{index}")
+            for index in candidate.choose_tasks(step_run, free_capacity):
+                tasks.append(f"{candidate.prefix}{index}")
                 runs.append(step_run.tasks[index].last_run + 1)
             if len(tasks) >= MAX_STARTS:
                 break
@@ -123,12 +123,12 @@
         wait_ms = LOCALITY_WAIT_MS + step.estimated_ms
         return not near or now_ms - since > wait_ms
 
-    def choose(self, step_run, free_capacity):
+    def choose_tasks(self, step_run, free_capacity):
         """Returns the indices of the tasks to start; takes their room."""
         chosen = []
-        most = self.limit(step_run.step)
+        maximum = self.remaining_limit(step_run.step)
         for index in sorted(step_run.waiting):
-            if len(chosen) >= most or not free_capacity.fits(step_run.step):
+            if len(chosen) >= maximum or not free_capacity.fits(step_run.step):
                 break
             if self.failed_recently(index):
                 continue
@@ -146,16 +146,16 @@
             < FAILED_WORKER_WAIT_MS
         )
 
-    def limit(self, step):
+    def remaining_limit(self, step):
         """Returns how many more tasks of the step the worker may run."""
         if step.fills and not step.max_per_worker:
-            most = self.dispatcher.settings.max_fills_per_step
+            maximum = self.dispatcher.settings.max_fills_per_step
         else:
-            most = step.max_per_worker or MAX_STARTS
+            maximum = step.max_per_worker or MAX_STARTS
         here = sum(
             task.startswith(self.prefix) for task, _ in self.worker.runs
         )
-        return most - here
+        return maximum - here
 
 
 def place_gangs(dispatcher, now_ms, wall_ms):
@@ -180,22 +180,22 @@
     """Starts the members of one gang if there is room for all."""
     step = step_run.step
     silent_ms = GANG_MAX_SILENT_HEARTBEATS * dispatcher.interval_ms
-    spots = [
+    candidates = [
         worker
         for worker in dispatcher.workers.of_service(ranked_job.queue.service)
         if worker.accepts_tasks(now_ms, silent_ms)
     ]
     chosen = None
-    racks = {worker.report.rack for worker in spots}
+    racks = {worker.report.rack for worker in candidates}
     for rack in sorted(racks) if step.same_rack or step.data_rack else ():
         if step.data_rack and rack != step.data_rack:
             continue
-        near = [worker for worker in spots if worker.report.rack == rack]
+        near = [worker for worker in candidates if worker.report.rack == rack]
         chosen = chosen or fill_gang(
             dispatcher, ranked_job, occurrence, number, step, near, now_ms
         )
     chosen = chosen or fill_gang(
-        dispatcher, ranked_job, occurrence, number, step, spots, now_ms
+        dispatcher, ranked_job, occurrence, number, step, candidates, now_ms
     )
     if chosen is None:
         return
@@ -217,14 +217,14 @@
     """Returns pairs of worker and number of members, or None."""
     left, chosen = step.count, []
     for worker in workers:
-        spot = WorkerCandidate(
+        candidate = WorkerCandidate(
             dispatcher, worker, ranked_job, occurrence, number
         )
-        if not spot.is_suitable(step, now_ms):
+        if not candidate.is_suitable(step, now_ms):
             continue
         free_capacity, count = worker.free_capacity(), 0
-        most = min(left, spot.limit(step))
-        while count < most and free_capacity.fits(step):
+        maximum = min(left, candidate.remaining_limit(step))
+        while count < maximum and free_capacity.fits(step):
             free_capacity.take(step)
             count += 1
         if count:
