--- a/tests/test_machine_managers.py
+++ b/tests/test_machine_managers.py
@@ -49,7 +49,7 @@
         self.manager = MachineManager(
             None, BatchSettings(), "node", ManualClock()
         )
-        self.manager.restart(self.scene.now_ms)
+        self.manager.start_term(self.scene.now_ms)
         self.states = dict.fromkeys(machines, ("desk", "up"))
         self.states |= dict.fromkeys(standby, ("spare", "up"))
         self.scene.now_ms += READY_MS
@@ -173,7 +173,7 @@
     cluster.scene.dispatcher = BatchDispatcher(
         state, BatchSettings(), 4, cluster.scene.now_ms
     )
-    cluster.manager.restart(cluster.scene.now_ms)
+    cluster.manager.start_term(cluster.scene.now_ms)
     cluster.scene.now_ms += 1_600
     cluster.list_machines()
 
@@ -432,24 +432,24 @@
     cluster.scene.submit(ONE)
     cluster.beat("m1")
     cluster.tick()
-    calm_ms = cluster.manager.list_interval_ms()
+    normal_interval_ms = cluster.manager.list_interval_ms()
     cluster.scene.now_ms += 1_500
     cluster.tick()
-    assert cluster.manager.list_interval_ms() < calm_ms
+    assert cluster.manager.list_interval_ms() < normal_interval_ms
 
 
 def test_machine_that_a_wave_has_taken_is_not_moved_as_well(cluster):
     """A second order for the machine would replace its upkeep."""
     for name in ("m1", "m2", "m3"):
         cluster.beat(name)
-    cluster.manager.moving["m1"] = "spare"
+    cluster.manager.pending_moves["m1"] = "spare"
     cluster.scene.dispatcher.record(OrderMachine("m1", "upkeep", "1"))
     cluster.open_wave(["m1"])
     cluster.tick()
     assert (
         cluster.scene.dispatcher.state.upkeep.orders["m1"].purpose == "upkeep"
     )
-    assert not cluster.manager.moving
+    assert not cluster.manager.pending_moves
 
 
 def test_machines_that_change_their_pool_do_not_join_a_wave(cluster):
@@ -460,7 +460,7 @@
     for name in ("m1", "m2"):
         worker = cluster.scene.dispatcher.workers.by_machine[name]
         worker.reserved_ms = cluster.scene.now_ms
-        cluster.manager.moving[name] = "spare"
+        cluster.manager.pending_moves[name] = "spare"
     for _ in range(2):
         cluster.tick()
     orders = cluster.scene.dispatcher.state.upkeep.orders
--- a/wigeonport/machine_managers.py
+++ b/wigeonport/machine_managers.py
@@ -81,13 +81,13 @@
         confirmed_ms: When an order was confirmed, by machine.
         since_ms: Start of the term.
         paused_until_ms: Time until which a machine gets no order, by machine.
-        asked: Machines whose order is at the platform.
-        owned: Machines that this leader has given an order in its term.
+        orders_in_flight: Machines whose order is at the platform.
+        ordered_in_term: Machines that this leader has given an order in its term.
         leading: Whether this replica leads.
-        moving: Target pool by machine, for machines that are being emptied.
+        pending_moves: Target pool by machine, for machines that are being emptied.
         underused_since_ms: Since when a pool could spare a machine.
-        sizes: Most machines of a pool in this term.
-        used: Services that have had timed jobs in this term.
+        peak_sizes: Most machines of a pool in this term.
+        used_services: Services that have had timed jobs in this term.
         refused_moves: Pairs of machine and pool that the platform refused.
         silent_worker: Whether a worker with live runs may have crashed.
     """
@@ -103,13 +103,13 @@
         "confirmed_ms",
         "since_ms",
         "paused_until_ms",
-        "asked",
-        "owned",
+        "orders_in_flight",
+        "ordered_in_term",
         "leading",
-        "moving",
+        "pending_moves",
         "underused_since_ms",
-        "sizes",
-        "used",
+        "peak_sizes",
+        "used_services",
         "refused_moves",
         "silent_worker",
     )
@@ -125,29 +125,29 @@
         self.confirmed_ms = {}
         self.since_ms = 0
         self.paused_until_ms = {}
-        self.asked = set()
-        self.owned = set()
+        self.orders_in_flight = set()
+        self.ordered_in_term = set()
         self.leading = False
-        self.moving = {}
+        self.pending_moves = {}
         self.underused_since_ms = {}
-        self.sizes = {}
-        self.used = set()
+        self.peak_sizes = {}
+        self.used_services = set()
         self.refused_moves = set()
         self.silent_worker = False
 
-    def restart(self, now_ms):
+    def start_term(self, now_ms):
         """Begins a term."""
         self.since_ms = now_ms
         self.paused_until_ms = {}
-        self.asked = set()
-        self.owned = set()
+        self.orders_in_flight = set()
+        self.ordered_in_term = set()
         self.rows = {}
         self.confirmed_ms = {}
         self.leading = True
-        self.moving = {}
+        self.pending_moves = {}
         self.underused_since_ms = {}
-        self.sizes = {}
-        self.used = set()
+        self.peak_sizes = {}
+        self.used_services = set()
 
     def stop(self):
         """Ends a term."""
@@ -190,7 +190,7 @@
         if not self.leading or not self.rows:
             # A new leader needs its first list soon.
             return BUSY_LIST_INTERVAL_MS
-        busy = self.asked or self.confirmed_ms or self.silent_worker
+        busy = self.orders_in_flight or self.confirmed_ms or self.silent_worker
         return BUSY_LIST_INTERVAL_MS if busy else LIST_INTERVAL_MS
 
     def handle_machine_list(self, dispatcher, event):
@@ -210,7 +210,7 @@
     def handle_answer(self, dispatcher, event, now_ms):
         """Takes in the answer to an order."""
         machine = event.order.machine
-        self.asked.discard(machine)
+        self.orders_in_flight.discard(machine)
         if event.result == EXECUTED:
             # What ran there is over once the new worker is heard; an order
             # that had been carried out before must not end its runs.
@@ -274,11 +274,12 @@
 
     def may_order(self, dispatcher, machine, now_ms):
         """Returns whether a machine may get an order now."""
-        if machine in self.asked or now_ms < self.paused_until_ms.get(
-            machine, 0
+        if (
+            machine in self.orders_in_flight
+            or now_ms < self.paused_until_ms.get(machine, 0)
         ):
             return False
-        if machine in self.owned:
+        if machine in self.ordered_in_term:
             return True
         if now_ms - self.since_ms >= self.settings.duty_wait_ms:
             return True
@@ -292,13 +293,13 @@
 
     def record(self, dispatcher, machine, purpose, target):
         """Records an order of this leader."""
-        self.owned.add(machine)
+        self.ordered_in_term.add(machine)
         dispatcher.record(OrderMachine(machine, purpose, target))
 
     def plan(self, dispatcher, machine, order):
         """Returns reply channel and PlannedOrder of a recorded order."""
-        self.asked.add(machine)
-        self.owned.add(machine)
+        self.orders_in_flight.add(machine)
+        self.ordered_in_term.add(machine)
         planned = PlannedOrder(
             machine, order.purpose, order.target, self.node, dispatcher.term
         )
--- a/wigeonport/pool_sizes.py
+++ b/wigeonport/pool_sizes.py
@@ -18,7 +18,7 @@
 
 # A pool shrinks when it could have spared a machine for this long: less
 # than a move and its way back cost, in seconds of a machine.
-CALM_MS = 2_000
+UNDERUSED_MS = 2_000
 # Spare capacity that a pool keeps when it shrinks.
 SHRINK_MARGIN = 1.35
 # Machines of a pool beyond what its lasting tasks need at least.
@@ -29,12 +29,12 @@
 ARRIVAL_MS = 1_500
 # Shortest time in which work is assumed to be done; bounds the demand of
 # jobs that are nearly late.
-SHORTEST_SPAN_MS = 1_000
+MIN_SPAN_MS = 1_000
 # Most machines that are on their way to one pool, and the same as a share of
 # a large pool. A move costs about as much as one second of a machine, a job
 # that is late as much as fifteen.
-MOST_ADDED = 6
-MOST_ADDED_SHARE = 1.0
+MAX_ADDED = 6
+MAX_ADDED_SHARE = 1.0
 
 
 class Pool:
@@ -113,7 +113,7 @@
         if span_ms < ranked_job.remaining_ms / 2:
             continue
         waiting_work += ranked_job.waiting_work * ESTIMATE_MARGIN
-        needed = max(needed, waiting_work / max(span_ms, SHORTEST_SPAN_MS))
+        needed = max(needed, waiting_work / max(span_ms, MIN_SPAN_MS))
         if wall_ms - ranked_job.job.submitted_ms < ARRIVAL_MS:
             arrived += ranked_job.waiting_work + ranked_job.running_work
     pool.lasting = lasting
@@ -143,11 +143,11 @@
     ]
     for pool in pools:
         if pool.needed > pool.lasting:
-            manager.used.add(pool.service)
+            manager.used_services.add(pool.service)
         grow(manager, dispatcher, pool, pools, now_ms)
     # A pool whose demand is not known yet keeps its size.
     for pool in pools:
-        if pool.service in manager.used:
+        if pool.service in manager.used_services:
             shrink(manager, dispatcher, pool, standby[0], now_ms)
 
 
@@ -159,9 +159,9 @@
     if pool.needed <= pool.capacity or not pool.workers:
         return
     missing = (pool.needed - pool.capacity) / pool.mean_machine_milli
-    most = max(MOST_ADDED, int(MOST_ADDED_SHARE * len(pool.workers)))
+    most = max(MAX_ADDED, int(MAX_ADDED_SHARE * len(pool.workers)))
     wanted = min(most, math.ceil(missing))
-    wanted -= count_coming(manager, dispatcher, pool.service)
+    wanted -= count_incoming(manager, dispatcher, pool.service)
     if wanted <= 0:
         return
     standby = find_standby(manager, dispatcher, pool.service, now_ms)
@@ -178,15 +178,17 @@
             log_growth(pool, machine, donor.service)
             donor.give_up(worker)
             worker.reserved_ms = now_ms
-            manager.moving[machine] = pool.service
+            manager.pending_moves[machine] = pool.service
             wanted -= 1
 
 
-def count_coming(manager, dispatcher, service):
+def count_incoming(manager, dispatcher, service):
     """Returns how many machines are on their way to a pool."""
     orders = dispatcher.state.upkeep.orders.values()
     ordered = sum(o.purpose == MOVE and o.target == service for o in orders)
-    leaving = sum(target == service for target in manager.moving.values())
+    leaving = sum(
+        target == service for target in manager.pending_moves.values()
+    )
     return ordered + leaving
 
 
@@ -233,14 +235,14 @@
 
 def shrink(manager, dispatcher, pool, standby, now_ms):
     """Reserves one machine of a calm pool for standby."""
-    most = max(len(pool.workers), manager.sizes.get(pool.service, 0))
-    manager.sizes[pool.service] = most
+    most = max(len(pool.workers), manager.peak_sizes.get(pool.service, 0))
+    manager.peak_sizes[pool.service] = most
     floor = math.ceil(FLOOR_SHARE * most)
     if not pool.can_spare_machine() or len(pool.workers) <= floor:
         manager.underused_since_ms.pop(pool.service, None)
         return
     since_ms = manager.underused_since_ms.setdefault(pool.service, now_ms)
-    if now_ms - since_ms < CALM_MS:
+    if now_ms - since_ms < UNDERUSED_MS:
         return
     worker = find_idle(manager, dispatcher, pool, now_ms)
     if worker is None:
@@ -253,19 +255,19 @@
         capacity_milli=pool.capacity,
     )
     worker.reserved_ms = now_ms
-    manager.moving[worker.report.machine] = standby
+    manager.pending_moves[worker.report.machine] = standby
     manager.underused_since_ms.pop(pool.service, None)
 
 
 def finish_moves(manager, dispatcher, now_ms):
     """Orders the moves of machines that are empty."""
-    for machine, target in list(manager.moving.items()):
+    for machine, target in list(manager.pending_moves.items()):
         worker = dispatcher.workers.by_machine.get(machine)
         row = manager.rows.get(machine)
         ordered = machine in dispatcher.state.upkeep.orders
         if ordered or worker is None or row is None or row.state != UP:
             # A wave may have taken the machine meanwhile.
-            del manager.moving[machine]
+            del manager.pending_moves[machine]
         elif not worker.runs:
             manager.record(dispatcher, machine, MOVE, target)
-            del manager.moving[machine]
+            del manager.pending_moves[machine]
--- a/wigeonport/upkeep_waves.py
+++ b/wigeonport/upkeep_waves.py
@@ -15,7 +15,7 @@
 # Share of a pool that a wave takes at a time while it is not pressed.
 POOL_SHARE = 0.34
 # Use of a pool's processors below which a wave may take machines early.
-CALM_USE = 0.5
+UNDERUSED_SHARE = 0.5
 
 
 def advance(manager, dispatcher, wave, now_ms):
@@ -25,7 +25,7 @@
     left = [
         name
         for name in wave.left
-        if name not in orders and name not in manager.moving
+        if name not in orders and name not in manager.pending_moves
     ]
     reserved = [
         name
@@ -102,7 +102,7 @@
         return False
     total = sum(other.report.capacity.cpu_milli for other in members)
     free = sum(max(0, other.free_capacity().cpu_milli) for other in members)
-    return total - free < CALM_USE * total
+    return total - free < UNDERUSED_SHARE * total
 
 
 def empty_reserved(dispatcher, now_ms):
