Rename restart to start_term

Cause: The manager starts a term; nothing restarts. Change: restart to start_term; 1 uses in 1 files, by token. Result: every touched file compiles; behaviour is unchanged.

--- a/wigeonport/batch_inputs.py
+++ b/wigeonport/batch_inputs.py
@@ -102,7 +102,7 @@
     )
     controller.committed = controller.sequence
     if controller.machines is not None:
-        controller.machines.restart(now_ms)
+        controller.machines.start_term(now_ms)
     logger.info(
         "Dispatching begins.",
         term=loaded.term,
