--- a/tests/batch_fixtures.py
+++ b/tests/batch_fixtures.py
@@ -39,8 +39,8 @@
 def make_table(version=1, queues=None, standby=()):
     """Returns a routing table."""
     queues = queues or [make_queue()]
-    names = {queue.service for queue in queues}
-    services = [RoutedService(name, True, False, "/") for name in names]
+    started_runs = {queue.service for queue in queues}
+    services = [RoutedService(name, True, False, "/") for name in started_runs]
     services += [RoutedService(name, True, True, "/") for name in standby]
     limits = QueueLimits(16_384, 262_144, 3_000, 15_000)
     return RouteTable(version, queues, services, limits, "{}")
@@ -90,7 +90,7 @@
         """Returns the number of jobs that have not begun."""
         return self.call(COUNT).number
 
-    def beat(self, worker="w1", running=(), ended=(), **values):
+    def heartbeat(self, worker="w1", running=(), ended=(), **values):
         """Returns the orders to a worker.
 
         Args:
@@ -129,11 +129,11 @@
 
 
 @pytest.fixture
-def scene():
+def harness():
     """A scene with one queue and one service."""
     return DispatcherHarness()
 
 
-def names(orders):
+def started_runs(orders):
     """Returns the pairs of task and run that orders start."""
     return [(start.task, start.run) for start in orders.starts]
--- a/tests/test_advisors.py
+++ b/tests/test_advisors.py
@@ -6,7 +6,7 @@
     DispatcherHarness,
     make_queue,
     make_table,
-    names,
+    started_runs,
 )
 
 from wigeonport.advisors import AdviceAnswered, Advisor
@@ -22,75 +22,77 @@
 def advised():
     """A scene whose queue needs advice, and its advisor."""
     terms = AdviceTerms(50, 5, VALID_MS)
-    scene = DispatcherHarness(make_table(queues=[make_queue(advice=terms)]))
-    return scene, Advisor(None, ManualClock())
+    harness = DispatcherHarness(make_table(queues=[make_queue(advice=terms)]))
+    return harness, Advisor(None, ManualClock())
 
 
-def ask(scene, advisor):
+def ask(harness, advisor):
     """Returns the calls that the advisor makes now."""
-    advisor.on_tick(scene.dispatcher, scene.now_ms)
+    advisor.on_tick(harness.dispatcher, harness.now_ms)
     return advisor.calls.drain(10)
 
 
-def answer(scene, advisor, call, tickets):
+def answer(harness, advisor, call, tickets):
     """Passes an answer of the service."""
-    event = AdviceAnswered(call, tickets, scene.now_ms)
-    advisor.handle_answer(scene.dispatcher, event, scene.now_ms)
+    event = AdviceAnswered(call, tickets, harness.now_ms)
+    advisor.handle_answer(harness.dispatcher, event, harness.now_ms)
 
 
 def test_task_waits_for_a_ticket(advised):
     """A start without a ticket would be rejected."""
-    scene, advisor = advised
-    scene.submit(ONE)
-    assert names(scene.beat("w1")) == []
-    (call,) = ask(scene, advisor)
+    harness, advisor = advised
+    harness.submit(ONE)
+    assert started_runs(harness.heartbeat("w1")) == []
+    (call,) = ask(harness, advisor)
     assert (call.step, list(call.workers)) == (STEP, ["w1"])
-    answer(scene, advisor, call, {"w1": "pass"})
-    (start,) = scene.beat("w1").starts
+    answer(harness, advisor, call, {"w1": "pass"})
+    (start,) = harness.heartbeat("w1").starts
     assert start.ticket == "pass"
 
 
 def test_worker_that_is_not_allowed_gets_no_task(advised):
     """The policy of the queue excludes workers for good."""
-    scene, advisor = advised
-    scene.submit(ONE)
-    scene.beat("w1")
-    (call,) = ask(scene, advisor)
-    answer(scene, advisor, call, {})
-    assert names(scene.beat("w1")) == []
-    assert ask(scene, advisor) == []
+    harness, advisor = advised
+    harness.submit(ONE)
+    harness.heartbeat("w1")
+    (call,) = ask(harness, advisor)
+    answer(harness, advisor, call, {})
+    assert started_runs(harness.heartbeat("w1")) == []
+    assert ask(harness, advisor) == []
 
 
 def test_expired_ticket_is_asked_for_again(advised):
     """A start must not carry a ticket that has run out."""
-    scene, advisor = advised
-    scene.submit(ONE)
-    scene.beat("w1")
-    (call,) = ask(scene, advisor)
-    answer(scene, advisor, call, {"w1": "pass"})
-    scene.now_ms += VALID_MS
-    assert names(scene.beat("w1")) == []
-    assert len(ask(scene, advisor)) == 1
+    harness, advisor = advised
+    harness.submit(ONE)
+    harness.heartbeat("w1")
+    (call,) = ask(harness, advisor)
+    answer(harness, advisor, call, {"w1": "pass"})
+    harness.now_ms += VALID_MS
+    assert started_runs(harness.heartbeat("w1")) == []
+    assert len(ask(harness, advisor)) == 1
 
 
 def test_new_life_of_a_worker_needs_a_new_ticket(advised):
     """A ticket holds for one life of a worker."""
-    scene, advisor = advised
-    scene.submit(ONE)
-    scene.beat("w1")
-    (call,) = ask(scene, advisor)
-    answer(scene, advisor, call, {"w1": "pass"})
-    assert names(scene.beat("w1", born_ms=60_000, sequence=1)) == []
+    harness, advisor = advised
+    harness.submit(ONE)
+    harness.heartbeat("w1")
+    (call,) = ask(harness, advisor)
+    answer(harness, advisor, call, {"w1": "pass"})
+    assert (
+        started_runs(harness.heartbeat("w1", born_ms=60_000, sequence=1)) == []
+    )
 
 
 def test_call_without_an_answer_is_made_again_later(advised):
     """A refused call must neither be lost nor repeated at once."""
-    scene, advisor = advised
-    scene.submit(ONE)
-    scene.beat("w1")
-    (call,) = ask(scene, advisor)
-    answer(scene, advisor, call, None)
-    assert ask(scene, advisor) == []
-    scene.now_ms += 600
-    scene.beat("w1")
-    assert len(ask(scene, advisor)) == 1
+    harness, advisor = advised
+    harness.submit(ONE)
+    harness.heartbeat("w1")
+    (call,) = ask(harness, advisor)
+    answer(harness, advisor, call, None)
+    assert ask(harness, advisor) == []
+    harness.now_ms += 600
+    harness.heartbeat("w1")
+    assert len(ask(harness, advisor)) == 1
