Rename 4 names: advance_wave, reserve_machines and others

Cause: advance, reserve, rank and down didn't say of what. Change: advance to advance_wave, reserve to reserve_machines, rank to sort_by_work, down to count_down; 10 uses in 3 files, by token.

--- a/wigeonport/machine_managers.py
+++ b/wigeonport/machine_managers.py
@@ -31,7 +31,7 @@
     PlannedOrder,
 )
 from wigeonport.pool_sizes import plan_moves
-from wigeonport.upkeep_waves import advance, empty_reserved
+from wigeonport.upkeep_waves import advance_wave, empty_reserved
 
 logger = PartLogger("machines")
 
@@ -238,7 +238,7 @@
         self.settle_returned(dispatcher)
         for wave in list(dispatcher.state.upkeep.waves.values()):
             if wave.left:
-                advance(self, dispatcher, wave, now_ms)
+                advance_wave(self, dispatcher, wave, now_ms)
         plan_moves(self, dispatcher, now_ms)
         self.reserve_ordered(dispatcher, now_ms)
         empty_reserved(dispatcher, now_ms)
--- a/wigeonport/upkeep_states.py
+++ b/wigeonport/upkeep_states.py
@@ -92,7 +92,7 @@
             if now_ms - end_ms <= SETTLED_RETENTION_MS
         }
 
-    def down(self, wave):
+    def count_down(self, wave):
         """Returns how many machines of a wave may be down for upkeep."""
         return sum(
             order.purpose == UPKEEP and order.target == str(wave.number)
--- a/wigeonport/upkeep_waves.py
+++ b/wigeonport/upkeep_waves.py
@@ -18,7 +18,7 @@
 UNDERUSED_SHARE = 0.5
 
 
-def advance(manager, dispatcher, wave, now_ms):
+def advance_wave(manager, dispatcher, wave, now_ms):
     """Reserves machines of a wave, and orders those that are empty."""
     orders = dispatcher.state.upkeep.orders
     # Machines that are emptied for another pool are reserved too.
@@ -34,8 +34,8 @@
         and worker.reserved_ms is not None
     ]
     others = [name for name in left if name not in reserved]
-    reserve(manager, dispatcher, wave, others, len(reserved), now_ms)
-    free = wave.max_count - dispatcher.state.upkeep.down(wave)
+    reserve_machines(manager, dispatcher, wave, others, len(reserved), now_ms)
+    free = wave.max_count - dispatcher.state.upkeep.count_down(wave)
     for name in reserved:
         if free <= 0:
             break
@@ -45,7 +45,7 @@
             free -= 1
 
 
-def reserve(manager, dispatcher, wave, names, reserved, now_ms):
+def reserve_machines(manager, dispatcher, wave, names, reserved, now_ms):
     """Reserves machines as far as the bound allows.
 
     A machine without a worker needs no emptying and is ordered at once.
@@ -60,8 +60,8 @@
     """
     rounds = math.ceil((len(names) + reserved) / max(1, wave.max_count))
     slack_ms = wave.due_ms - dispatcher.wall_ms - rounds * ROUND_MS
-    free = wave.max_count - dispatcher.state.upkeep.down(wave) - reserved
-    for name in rank(dispatcher, names):
+    free = wave.max_count - dispatcher.state.upkeep.count_down(wave) - reserved
+    for name in sort_by_work(dispatcher, names):
         if free <= 0:
             return
         if not manager.may_order(dispatcher, name, now_ms):
@@ -78,7 +78,7 @@
             free -= 1
 
 
-def rank(dispatcher, names):
+def sort_by_work(dispatcher, names):
     """Returns machines, those with the least work first."""
 
     def work(name):
