Rename 3 names: PoolLoad, min_machines and others

Cause: A pool's load isn't the pool; least and give up didn't say what. Change: Pool to PoolLoad, least to min_machines, give_up to remove_worker; 10 uses in 1 files, by token.

--- a/wigeonport/pool_sizes.py
+++ b/wigeonport/pool_sizes.py
@@ -37,7 +37,7 @@
 MAX_ADDED_SHARE = 1.0
 
 
-class Pool:
+class PoolLoad:
     """A pool as the plan sees it.
 
     Attributes:
@@ -46,7 +46,7 @@
         capacity: Thousandths of a core of these together.
         lasting: Thousandths of a core that its lasting tasks use.
         needed: Thousandths of a core that its jobs need to be on time.
-        least: Least number of machines.
+        min_machines: Least number of machines.
     """
 
     __slots__ = (
@@ -55,7 +55,7 @@
         "capacity",
         "lasting",
         "needed",
-        "least",
+        "min_machines",
     )
 
     def __init__(self, service, workers):
@@ -66,16 +66,16 @@
         )
         self.lasting = 0
         self.needed = 0
-        self.least = 0
+        self.min_machines = 0
 
     def can_spare_machine(self):
         """Returns whether the pool does without one more machine."""
         left = self.capacity - self.mean_machine_milli
-        if len(self.workers) <= self.least + SPARE_MACHINES:
+        if len(self.workers) <= self.min_machines + SPARE_MACHINES:
             return False
         return self.needed * SHRINK_MARGIN <= left
 
-    def give_up(self, worker):
+    def remove_worker(self, worker):
         """Counts a worker out."""
         self.workers.remove(worker)
         self.capacity -= worker.report.capacity.cpu_milli
@@ -93,7 +93,7 @@
         for worker in dispatcher.workers.of_service(service)
         if worker.accepts_tasks(now_ms, dispatcher.max_silence_ms())
     ]
-    pool = Pool(service, workers)
+    pool = PoolLoad(service, workers)
     lasting = 0
     waiting_work, needed, arrived = 0, 0, 0
     ranked_jobs = active_ranked_jobs(dispatcher, service, wall_ms)
@@ -102,7 +102,9 @@
     ):
         if ranked_job.lasting:
             steps = ranked_job.job.spec.steps
-            pool.least = max(pool.least, *map(machines_for, steps))
+            pool.min_machines = max(
+                pool.min_machines, *map(machines_for, steps)
+            )
             lasting += sum(
                 step.count * step.cpu_milli for step in steps if not step.fills
             )
@@ -176,7 +178,7 @@
             if not worker or (machine, pool.service) in manager.refused_moves:
                 break
             log_growth(pool, machine, donor.service)
-            donor.give_up(worker)
+            donor.remove_worker(worker)
             worker.reserved_ms = now_ms
             manager.pending_moves[machine] = pool.service
             wanted -= 1
