Rename knows to has_accepted

Cause: Whether a job was ever accepted; a state doesn't know. Change: knows to has_accepted; 3 uses in 2 files, by token.

--- a/wigeonport/batch_requests.py
+++ b/wigeonport/batch_requests.py
@@ -23,7 +23,7 @@
 @call_handlers.register(SUBMIT)
 def submit(dispatcher, call, queue, job_id):
     """Accepts a job; a resent one is accepted again without effect."""
-    if not dispatcher.state.batch.knows(job_id):
+    if not dispatcher.state.batch.has_accepted(job_id):
         dispatcher.record(SubmitJob(job_id, queue.name, call.spec_json))
     return BatchReply(OK)
 
--- a/wigeonport/batch_states.py
+++ b/wigeonport/batch_states.py
@@ -42,7 +42,7 @@
         self.remembered = {}
         self.next_prune_ms = 0
 
-    def knows(self, job_id):
+    def has_accepted(self, job_id):
         """Returns whether a job with this id was ever accepted."""
         return job_id in self.jobs or job_id in self.remembered
 
@@ -112,7 +112,7 @@
 @OPERATIONS.register(SubmitJob)
 def submit_job(state, operation, now_ms):
     """Adds a job unless its id is known."""
-    if state.batch.knows(operation.job_id):
+    if state.batch.has_accepted(operation.job_id):
         return
     queue = state.routes.queues.get(operation.queue)
     attempts = queue.attempts if queue else 1
