Rename 7 names: FULL_RATE_PERCENT, MIN_RATE_PERCENT and others

Cause: The names of the rates of tasks that fill were vague. Change: FULL to FULL_RATE_PERCENT, LEAST to MIN_RATE_PERCENT, SPEED_UP_STEP to SPEED_UP_PERCENT, worst to highest_share, FULL_PERCENT to FULL_PROGRESS_PERCENT, at_work to available, away to unavailable; 23 uses in 3 files, by token.

--- a/wigeonport/fill_rates.py
+++ b/wigeonport/fill_rates.py
@@ -11,15 +11,15 @@
 # Factor of the slow-down; three readings in a row nearly stop them.
 SLOW_DOWN_FACTOR = 0.5
 # Percent added by a reading that leaves room.
-SPEED_UP_STEP = 10
-FULL = 100
+SPEED_UP_PERCENT = 10
+FULL_RATE_PERCENT = 100
 # Below this the tasks that fill are stopped instead of slowed.
-LEAST = 8
+MIN_RATE_PERCENT = 8
 
 
 def update_fill_rates(worker, orders):
     """Sets the rate of the tasks that fill from the newest reading."""
-    worst = 0.0
+    highest_share = 0.0
     fills = []
     for row in worker.report.running:
         step = worker.runs.get((row.task, row.run))
@@ -28,16 +28,16 @@
         if step.fills:
             fills.append(row)
         elif step.target_ms:
-            worst = max(worst, row.gauge / step.target_ms)
+            highest_share = max(highest_share, row.gauge / step.target_ms)
     if not fills:
-        worker.fill_percent = FULL
+        worker.fill_percent = FULL_RATE_PERCENT
         return
     percent = worker.fill_percent
-    if worst > SLOW_DOWN_SHARE:
+    if highest_share > SLOW_DOWN_SHARE:
         percent = int(percent * SLOW_DOWN_FACTOR)
-        percent = percent if percent >= LEAST else 0
-    elif worst < SPEED_UP_SHARE:
-        percent = min(FULL, percent + SPEED_UP_STEP)
-    if percent != worker.fill_percent or percent != FULL:
+        percent = percent if percent >= MIN_RATE_PERCENT else 0
+    elif highest_share < SPEED_UP_SHARE:
+        percent = min(FULL_RATE_PERCENT, percent + SPEED_UP_PERCENT)
+    if percent != worker.fill_percent or percent != FULL_RATE_PERCENT:
         orders.rates += [(row.task, row.run, percent) for row in fills]
     worker.fill_percent = percent
--- a/wigeonport/task_evacuations.py
+++ b/wigeonport/task_evacuations.py
@@ -3,7 +3,7 @@
 from wigeonport.worker_reports import worker_id_of
 
 # Progress of a lasting task that is at work.
-FULL_PERCENT = 100
+FULL_PROGRESS_PERCENT = 100
 # A worker that has been silent for more intervals of heartbeats may have
 # crashed.
 MAX_SILENT_HEARTBEATS = 3
@@ -17,15 +17,15 @@
     """
     _, step_run, _ = dispatcher.find_task(name)
     prefix, _, own = name.rpartition(".")
-    away = 0
+    unavailable = 0
     for index, task in enumerate(step_run.tasks):
         if str(index) == own or task.done:
             continue
-        away += not any(
+        unavailable += not any(
             is_available(dispatcher, f"{prefix}.{index}", run, worker)
             for run, worker in task.runs.items()
         )
-    return away
+    return unavailable
 
 
 def is_available(dispatcher, name, run, incarnation):
@@ -38,7 +38,7 @@
         <= MAX_SILENT_HEARTBEATS * dispatcher.interval_ms
         and (name, run) not in worker.stopping
         and (name, run) in worker.progress
-        and worker.progress[name, run].percent >= FULL_PERCENT
+        and worker.progress[name, run].percent >= FULL_PROGRESS_PERCENT
     )
 
 
@@ -58,8 +58,8 @@
         step, progress = worker.runs.get(key), worker.progress.get(key)
         if step is None or progress is None:
             continue
-        at_work = progress.percent >= FULL_PERCENT
-        if at_work and not may_stop(dispatcher, key[0], step):
+        available = progress.percent >= FULL_PROGRESS_PERCENT
+        if available and not may_stop(dispatcher, key[0], step):
             worker.stopping.discard(key)
 
 
--- a/wigeonport/worker_evaluations.py
+++ b/wigeonport/worker_evaluations.py
@@ -7,7 +7,7 @@
 
 from wigeonport.batch_jobs import DONE, ENDED_FAILED
 from wigeonport.logs import PartLogger
-from wigeonport.task_evacuations import FULL_PERCENT
+from wigeonport.task_evacuations import FULL_PROGRESS_PERCENT
 from wigeonport.worker_tables import RunProgress
 
 logger = PartLogger("verdicts")
@@ -99,7 +99,7 @@
         step = worker.runs.get(key)
         if step is None or step.gang or step.fills:
             continue
-        if step.lasting and progress.percent >= FULL_PERCENT:
+        if step.lasting and progress.percent >= FULL_PROGRESS_PERCENT:
             continue
         limit_ms = LASTING_STALL_MS if step.lasting else STALL_MS
         if now_ms - progress.changed_ms > limit_ms:
