--- a/wigeonport/batch_states.py
+++ b/wigeonport/batch_states.py
@@ -18,21 +18,22 @@
 logger = PartLogger("jobs")
 codec = codecs.get("thrift").ok()
 
-# A finished job can be asked for at least this long; the platform's
-# settings ask for 120 s.
+# A finished job stays readable for at least this long; the platform's
+# settings require 120 s.
 RETENTION_MS = 300_000
-# Ids of jobs that were dropped; a submission that is resent later than
-# this many jobs after its end is not recognised. About 120 bytes each.
+# Maximum number of ids of dropped jobs, about 120 bytes each. They let a
+# resent submission be recognised; once this many later jobs have been
+# dropped too, it is accepted as a new job.
 REMEMBERED_IDS = 100_000
 
 
 class BatchState:
-    """All jobs that are active or can still be asked for.
+    """All jobs that are active or still readable.
 
     Attributes:
-        jobs: BatchJob by id, in order of acceptance.
-        remembered: Ids of dropped jobs, oldest first.
-        next_prune_ms: When finished jobs are looked through again.
+        jobs: Maps job id to BatchJob, in order of acceptance.
+        remembered: Ids of dropped jobs as the keys of a dict, oldest first.
+        next_prune_ms: Wall time of the next removal of expired jobs.
     """
 
     __slots__ = ("jobs", "remembered", "next_prune_ms")
@@ -43,29 +44,32 @@
         self.next_prune_ms = 0
 
     def has_accepted(self, job_id):
-        """Returns whether a job with this id was ever accepted."""
+        """Returns whether a job with this id has been accepted before."""
         return job_id in self.jobs or job_id in self.remembered
 
     def prune(self, now_ms):
-        """Drops jobs whose retention has passed."""
+        """Drops finished jobs that are older than ``RETENTION_MS``.
+
+        A job with a run that may still be live is kept.
+        """
         if now_ms < self.next_prune_ms:
             return
         self.next_prune_ms = now_ms + RETENTION_MS // 10
-        old = [
+        expired_ids = [
             job.job_id
             for job in self.jobs.values()
             if job.finished_ms
             and now_ms - job.finished_ms > RETENTION_MS
             and not any(job.live_runs())
         ]
-        for job_id in old:
+        for job_id in expired_ids:
             del self.jobs[job_id]
             self.remembered[job_id] = True
         while len(self.remembered) > REMEMBERED_IDS:
             del self.remembered[next(iter(self.remembered))]
 
     def to_document(self):
-        """Returns plain data."""
+        """Returns the state as a JSON-compatible dict."""
         return {
             "jobs": [job.to_document() for job in self.jobs.values()],
             "remembered": list(self.remembered),
@@ -74,7 +78,7 @@
 
 
 def batch_state_from_document(document):
-    """Reads what ``BatchState.to_document`` returned."""
+    """Rebuilds a BatchState from ``BatchState.to_document``."""
     state = BatchState()
     for row in document["jobs"]:
         job = job_from_document(row)
@@ -85,7 +89,7 @@
 
 
 def encode_operations(operations):
-    """Returns the encoded form of operations."""
+    """Returns the list of the encoded operations."""
     return [codec.encode(operation) for operation in operations]
 
 
@@ -96,13 +100,17 @@
 
 @HANDLERS.register(RecordBatch)
 def record_batch(state, command, now_ms):
-    """Applies the operations of a moment."""
+    """Applies a batch of operations that were decided together."""
     for data in command.operations:
         decoded = codec.decode(data)
         if decoded.is_error():
-            # Every replica skips it alike; the leader encodes only what
-            # it has built itself.
-            logger.error("Operation is unreadable.", reason=decoded.error)
+            # All replicas skip the same operation, so their states stay
+            # equal. The leader encodes only operations that it has built
+            # itself, so this is not expected.
+            logger.error(
+                "Skipped an operation that cannot be decoded.",
+                reason=decoded.error,
+            )
             continue
         apply_operation(state, decoded.ok, command.time_ms)
     state.batch.prune(command.time_ms)
@@ -111,7 +119,7 @@
 
 @OPERATIONS.register(SubmitJob)
 def submit_job(state, operation, now_ms):
-    """Adds a job unless its id is known."""
+    """Adds a job unless its id has been accepted before."""
     if state.batch.has_accepted(operation.job_id):
         return
     queue = state.routes.queues.get(operation.queue)
@@ -140,9 +148,9 @@
 
 @OPERATIONS.register(StartRuns)
 def start_runs(state, operation, now_ms):
-    """Notes runs that a worker is about to be told of."""
-    for name, run in zip(operation.tasks, operation.runs, strict=True):
-        job_id, *position = split_task_id(name)
+    """Records runs before their worker is ordered to start them."""
+    for task_name, run in zip(operation.tasks, operation.runs, strict=True):
+        job_id, *position = split_task_id(task_name)
         job = state.batch.jobs.get(job_id)
         if job is not None:
             job.start_run(position, run, operation.worker)
@@ -150,7 +158,7 @@
 
 @OPERATIONS.register(EndRuns)
 def end_runs(state, operation, now_ms):
-    """Notes ends of runs."""
+    """Records the outcomes and checkpoints of ended runs."""
     rows = zip(
         operation.tasks,
         operation.runs,
@@ -158,8 +166,8 @@
         operation.checkpoints,
         strict=True,
     )
-    for name, run, outcome, saved in rows:
-        job_id, *position = split_task_id(name)
+    for task_name, run, outcome, saved in rows:
+        job_id, *position = split_task_id(task_name)
         job = state.batch.jobs.get(job_id)
         if job is not None:
             job.end_run(position, run, outcome, saved, now_ms)
--- a/wigeonport/route_tables.py
+++ b/wigeonport/route_tables.py
@@ -1,7 +1,7 @@
 """The routing table: queues of jobs, services, and limits for callers.
 
-An operator states it whole, under a number of its own; the highest number
-is in force.
+An operator submits complete tables, each with a version number. The table
+with the highest version is in force.
 """
 
 import json
@@ -12,18 +12,19 @@
 
 
 class Queue(Record):
-    """A queue of jobs that callers reach under a host and a path.
+    """A queue of jobs that callers address by host and path prefix.
 
     Attributes:
         name: Unique name.
-        host: Host name that callers use.
-        path_prefix: Prefix of the paths of the queue.
-        service: Service whose workers run the jobs.
-        timeout_ms: Longest time for a response to a caller.
-        target_latency_ms: Latency objective beside the work itself.
-        priority: 0 comes first.
-        attempts: Failed runs of a task after which its job fails.
-        stretch: Factor of the longest chain of work in the objective.
+        host: Host name in the requests of callers.
+        path_prefix: Prefix of the request paths of the queue.
+        service: Name of the service whose workers run the jobs.
+        timeout_ms: Maximum time until a caller gets a response.
+        target_latency_ms: Latency objective, on top of the run time.
+        priority: Priority of the queue; 0 is the highest.
+        attempts: Number of failed runs of a task after which its job fails.
+        stretch: Factor by which the objective multiplies the estimated run
+            time of the longest chain of dependent steps.
         advice: AdviceTerms, or None if any worker may run the jobs.
     """
 
@@ -47,7 +48,7 @@
             self.advice = AdviceTerms(**self.advice)
 
     def to_document(self):
-        """Returns plain data."""
+        """Returns the queue as a JSON-compatible dict."""
         document = super().to_document()
         if self.advice is not None:
             document["advice"] = self.advice.to_document()
@@ -55,12 +56,13 @@
 
 
 class AdviceTerms(Record):
-    """Cost and validity of advice on the workers of a queue.
+    """Cost and validity of advice on which workers may run a queue's jobs.
 
     Attributes:
-        decision_ms: Time of a call.
-        per_worker_ms: Additional time for each worker named.
-        valid_ms: Validity of a ticket.
+        decision_ms: Base duration of a call to the advice service.
+        per_worker_ms: Additional duration for each worker in the call.
+        valid_ms: Validity of a ticket, the permission that the advice
+            service issues for a worker.
     """
 
     __slots__ = ("decision_ms", "per_worker_ms", "valid_ms")
@@ -72,13 +74,14 @@
 
 
 class RoutedService(Record):
-    """A service and the pool of machines of its name.
+    """A service and the pool of machines with the same name.
 
     Attributes:
         name: Unique name.
-        guards_capacity: Whether its workers refuse what does not fit.
+        guards_capacity: Whether its workers reject tasks that exceed their
+            capacity.
         standby: Whether the machines of its pool are switched off.
-        health_path: Path under which an endpoint answers probes.
+        health_path: Path at which an endpoint answers health probes.
     """
 
     __slots__ = ("name", "guards_capacity", "standby", "health_path")
@@ -94,10 +97,11 @@
     """Limits on the requests of callers.
 
     Attributes:
-        max_header_bytes: Largest head of a request.
-        max_body_bytes: Largest body.
-        header_timeout_ms: Longest wait for the head.
-        idle_timeout_ms: Longest time without a request.
+        max_header_bytes: Maximum size of the request line and headers.
+        max_body_bytes: Maximum size of a request body.
+        header_timeout_ms: Maximum time to receive the headers.
+        idle_timeout_ms: Maximum time that a connection may stay idle
+            between requests.
     """
 
     __slots__ = (
@@ -121,15 +125,16 @@
 
 
 class RouteTable:
-    """What an operator has stated under one version.
+    """One version of the routing table.
 
     Attributes:
-        version: Number, 0 before the first one.
-        queues: Queue by name.
-        services: RoutedService by name.
+        version: Version number; 0 until an operator has submitted a table.
+        queues: Maps name to Queue.
+        services: Maps name to RoutedService.
         limits: QueueLimits, or None.
-        source: The text that the operator sent, returned on a read.
-        by_host: Lists of queues by host, longest prefix first.
+        source: Text that the operator submitted, returned when the table
+            is read.
+        by_host: Maps host to its Queues, longest path prefix first.
     """
 
     __slots__ = (
@@ -152,22 +157,22 @@
         self.by_host = {}
         for queue in queues:
             self.by_host.setdefault(queue.host, []).append(queue)
-        for listed in self.by_host.values():
-            listed.sort(key=lambda queue: -len(queue.path_prefix))
+        for host_queues in self.by_host.values():
+            host_queues.sort(key=lambda queue: -len(queue.path_prefix))
 
     def resolve(self, host, path):
-        """Returns the queue with the longest prefix of a path, or None."""
+        """Returns the queue with the longest matching prefix, or None."""
         for queue in self.by_host.get(host, ()):
             if path.startswith(queue.path_prefix):
                 return queue
         return None
 
     def standby_services(self):
-        """Returns the names of the services whose machines are off."""
+        """Returns the names of the services whose machines are on standby."""
         return [s.name for s in self.services.values() if s.standby]
 
     def to_document(self):
-        """Returns plain data."""
+        """Returns the table as a JSON-compatible dict."""
         return {
             "version": self.version,
             "queues": [queue.to_document() for queue in self.queues.values()],
@@ -185,7 +190,7 @@
 
 
 def route_table_from_document(document):
-    """Reads what ``RouteTable.to_document`` returned."""
+    """Rebuilds a RouteTable from ``RouteTable.to_document``."""
     limits = document["limits"]
     return RouteTable(
         document["version"],
@@ -197,12 +202,13 @@
 
 
 class RouteState:
-    """The routing table in force, and where dropped queues led.
+    """The routing table in force, and removed queues that still have jobs.
 
     Attributes:
-        table: RouteTable.
-        former_queues: Last Queue by name of queues that were dropped;
-            their accepted jobs are still finished.
+        table: RouteTable in force.
+        former_queues: Maps name to the last Queue of that name, for queues
+            that are no longer in the table. Their accepted jobs are still
+            completed.
     """
 
     __slots__ = ("table", "former_queues")
@@ -213,30 +219,31 @@
 
     @property
     def queues(self):
-        """Queues of the table in force by name."""
+        """Maps name to Queue, for the queues of the table in force."""
         return self.table.queues
 
     def queue_of(self, name):
-        """Returns a queue, also one that was dropped, or None."""
+        """Returns the queue, including a removed one with jobs, or None."""
         return self.table.queues.get(name) or self.former_queues.get(name)
 
     def adopt(self, table, in_use=()):
-        """Puts a table of a higher version in force.
+        """Replaces the table in force.
 
         Args:
-            table: RouteTable.
-            in_use: Names of the queues of known jobs, which are kept.
+            table: RouteTable of a higher version.
+            in_use: Names of the queues that have jobs; if removed from the
+                table, they are kept in ``former_queues``.
         """
-        known = self.former_queues | self.table.queues
+        all_queues = self.former_queues | self.table.queues
         self.former_queues = {
             name: queue
-            for name, queue in known.items()
+            for name, queue in all_queues.items()
             if name in in_use and name not in table.queues
         }
         self.table = table
 
     def to_document(self):
-        """Returns plain data."""
+        """Returns the state as a JSON-compatible dict."""
         return {
             "table": self.table.to_document(),
             "former_queues": [
@@ -246,7 +253,7 @@
 
 
 def route_state_from_document(document):
-    """Reads what ``RouteState.to_document`` returned."""
+    """Rebuilds a RouteState from ``RouteState.to_document``."""
     state = RouteState()
     state.table = route_table_from_document(document["table"])
     state.former_queues = {
@@ -257,7 +264,7 @@
 
 @OPERATIONS.register(AdoptRoutes)
 def adopt_routes(state, operation, now_ms):
-    """Adopts a table unless its version is not higher."""
+    """Adopts a table if its version is higher than the one in force."""
     if operation.version > state.routes.table.version:
         document = json.loads(zlib.decompress(operation.document))
         in_use = {job.queue for job in state.batch.jobs.values()}
--- a/wigeonport/upkeep_states.py
+++ b/wigeonport/upkeep_states.py
@@ -1,4 +1,9 @@
-"""Replicated state of upkeep waves and of orders to machines."""
+"""Replicated state of upkeep waves and machine orders.
+
+An upkeep wave takes a list of machines down for upkeep, a limited number
+at a time. A machine order is a request to the platform to start the upkeep
+of one machine or to move it to another pool.
+"""
 
 from wigeonport.batch_commands import (
     OPERATIONS,
@@ -10,23 +15,26 @@
 )
 from wigeonport.records import Record
 
-# Waves that are over are kept for readers; an operator asks for a recent
-# one only.
+# Completed waves stay readable up to this number of waves; operators read
+# recent waves only.
 MAX_WAVES = 200
-# The end of an order is remembered for this long; far longer than a new
-# leader has to wait before it orders the same machine.
+# How long the end of an order is kept; far longer than a new leader has to
+# wait before it gives the same machine another order.
 SETTLED_RETENTION_MS = 60_000
 
 
 class Wave(Record):
-    """An upkeep wave that an operator has stated.
+    """An upkeep wave that an operator has submitted.
 
     Attributes:
         number: Number of the wave.
-        due_ms: Wall time by which all upkeeps must have begun.
-        opened_ms: Wall time of its acceptance.
-        max_count: Most machines of the wave that are down at a time.
-        left: Machines whose upkeep has not begun, in the operator's order.
+        due_ms: Wall time by which the upkeep of every machine must have
+            begun.
+        opened_ms: Wall time at which the wave was accepted.
+        max_count: Maximum number of machines of the wave that are down at
+            the same time.
+        left: Remaining machines, whose upkeep has not begun, in the
+            operator's order.
         machines: All machines of the wave.
     """
 
@@ -49,13 +57,14 @@
 
 
 class MachineOrder(Record):
-    """An order to a machine that may be in progress.
+    """An order for a machine that has not been completed.
 
     Attributes:
         purpose: ``upkeep`` or ``move``.
-        target: Number of the wave, or name of the pool.
-        ordered_ms: Wall time at which it was recorded.
-        begun: Whether the platform has confirmed it.
+        target: Number of the wave (upkeep) or name of the target pool
+            (move).
+        ordered_ms: Wall time at which the order was recorded.
+        begun: Whether the platform has confirmed the order.
     """
 
     __slots__ = ("purpose", "target", "ordered_ms", "begun")
@@ -68,12 +77,13 @@
 
 
 class UpkeepState:
-    """Waves and orders.
+    """Upkeep waves, and the orders given to machines.
 
     Attributes:
-        waves: Wave by number.
-        orders: MachineOrder by machine, for orders in progress.
-        settled: Wall time of the end of the last order, by machine.
+        waves: Maps wave number to Wave.
+        orders: Maps machine to the MachineOrder that is in progress.
+        settled: Maps machine to the wall time at which its last order
+            ended, in ms.
     """
 
     __slots__ = ("waves", "orders", "settled")
@@ -84,7 +94,7 @@
         self.settled = {}
 
     def record_settled(self, machine, now_ms):
-        """Notes the end of an order, and forgets old ends."""
+        """Records the end of an order and drops expired entries."""
         self.settled[machine] = now_ms
         self.settled = {
             name: end_ms
@@ -93,14 +103,18 @@
         }
 
     def count_down(self, wave):
-        """Returns how many machines of a wave may be down for upkeep."""
+        """Returns the number of machines of a wave with an upkeep order.
+
+        Each of them may be down already, whether or not the platform has
+        confirmed the order.
+        """
         return sum(
             order.purpose == UPKEEP and order.target == str(wave.number)
             for order in self.orders.values()
         )
 
     def to_document(self):
-        """Returns plain data."""
+        """Returns the state as a JSON-compatible dict."""
         return {
             "waves": [wave.to_document() for wave in self.waves.values()],
             "orders": {
@@ -112,20 +126,20 @@
 
 
 def upkeep_state_from_document(document):
-    """Reads what ``UpkeepState.to_document`` returned."""
+    """Rebuilds an UpkeepState from ``UpkeepState.to_document``."""
     state = UpkeepState()
     for values in document["waves"]:
         state.waves[values["number"]] = Wave(**values)
     for machine, values in document["orders"].items():
         state.orders[machine] = MachineOrder(**values)
-    # Snapshots of earlier versions do not hold it.
+    # Snapshots of earlier versions lack this key.
     state.settled = dict(document.get("settled", {}))
     return state
 
 
 @OPERATIONS.register(OpenWave)
 def open_wave(state, operation, now_ms):
-    """Adds a wave unless its number is known."""
+    """Adds a wave unless there is one with its number."""
     waves = state.upkeep.waves
     if operation.wave in waves:
         return
@@ -138,14 +152,14 @@
         list(machines),
         machines,
     )
-    over = [number for number, wave in waves.items() if not wave.left]
-    for number in over[: max(0, len(waves) - MAX_WAVES)]:
+    completed = [number for number, wave in waves.items() if not wave.left]
+    for number in completed[: max(0, len(waves) - MAX_WAVES)]:
         del waves[number]
 
 
 @OPERATIONS.register(OrderMachine)
 def order_machine(state, operation, now_ms):
-    """Notes an order before the platform is called."""
+    """Records an order before it is sent to the platform."""
     state.upkeep.orders[operation.machine] = MachineOrder(
         operation.purpose, operation.target, now_ms
     )
@@ -153,7 +167,7 @@
 
 @OPERATIONS.register(ConfirmMachine)
 def confirm_machine(state, operation, now_ms):
-    """Notes that an order is being carried out."""
+    """Records that the platform is carrying out an order."""
     order = state.upkeep.orders.get(operation.machine)
     if order is not None:
         order.begun = True
@@ -163,7 +177,10 @@
 
 @OPERATIONS.register(SettleMachine)
 def settle_machine(state, operation, now_ms):
-    """Notes that an order is over."""
+    """Records that an order has ended.
+
+    A machine that no longer exists is removed from its wave as well.
+    """
     order = state.upkeep.orders.pop(operation.machine, None)
     state.upkeep.record_settled(operation.machine, now_ms)
     if operation.gone and order is not None and order.purpose == UPKEEP:
@@ -171,7 +188,13 @@
 
 
 def remove_from_wave(state, target, machine):
-    """Removes a machine from what is left of a wave."""
+    """Removes a machine from the remaining machines of a wave.
+
+    Args:
+        state: ReplicatedState.
+        target: Wave number as text, from ``MachineOrder.target``.
+        machine: Machine name.
+    """
     wave = state.upkeep.waves.get(int(target))
     if wave is not None and machine in wave.left:
         wave.left.remove(machine)
