Reword the dispatcher, placements and evaluations of workers

Cause: docstrings, comments and local names were figurative or terse. Change: texts and local names in the dispatcher, its requests, reports, orders, tables, evaluations, rankings, placements, copies, evacuations, filler rates and tickets; five log sentences and reasons.

--- a/wigeonport/advice_tickets.py
+++ b/wigeonport/advice_tickets.py
@@ -1,13 +1,16 @@
-"""Tickets that let workers run a step."""
+"""Tickets: permissions for workers to run a step, from the advice service."""
 
 
 class Tickets:
-    """What the service has said of a step.
+    """The tickets that have been issued for a step.
+
+    Times are monotonic.
 
     Attributes:
-        by_worker: Ticket and its end by incarnation; an empty ticket means
-            that the worker may not run the step.
-        asked_ms: When the open call was made, or None.
+        by_worker: Maps worker incarnation to a pair of ticket and expiry
+            time; an empty ticket means that the worker may not run the
+            step.
+        asked_ms: Time of the call that has no answer yet, or None.
         retry_ms: Time before which no call is made.
     """
 
@@ -19,11 +22,15 @@
         self.retry_ms = 0
 
     def find(self, incarnation, now_ms):
-        """Returns a ticket that is valid for a while yet, or None."""
+        """Returns the valid ticket of a worker, or None."""
         ticket, until_ms = self.by_worker.get(incarnation, ("", 0))
         return ticket if ticket and now_ms < until_ms else None
 
     def is_known(self, incarnation, now_ms):
-        """Returns whether nothing has to be asked for a worker."""
-        known = self.by_worker.get(incarnation)
-        return known is not None and (not known[0] or now_ms < known[1])
+        """Returns whether no call is needed for a worker.
+
+        That is so while it has a valid ticket, or if it may not run the
+        step.
+        """
+        entry = self.by_worker.get(incarnation)
+        return entry is not None and (not entry[0] or now_ms < entry[1])
--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -1,8 +1,8 @@
 """Decisions of the leader on batch jobs and workers.
 
-The dispatcher holds a working copy of the replicated state. It applies
-each operation at once and hands it out in ``operations``; what it decides
-may be told to others only after these are committed.
+The dispatcher holds a working copy of the replicated state. It applies each
+operation to this copy at once and collects it in ``operations``. Answers to
+workers and callers may be sent only after these operations are committed.
 """
 
 from wigeonport.advice_tickets import Tickets
@@ -31,31 +31,36 @@
 
 logger = PartLogger("dispatch")
 
-# Steps whose tickets are kept.
+# Maximum number of steps whose tickets are kept.
 MAX_TICKET_STEPS = 4_096
 
 
 class BatchDispatcher:
-    """Decides for one term.
+    """Decides on jobs, tasks and workers during one term of the leader.
 
     Attributes:
         state: Working copy of the ReplicatedState.
         settings: BatchSettings.
-        term: Term of the leader, the fence of its orders.
-        since_ms: Monotonic start of the term at this replica.
+        term: Term of the leader, the fencing token of its orders.
+        since_ms: Monotonic time at which the term began at this replica.
         workers: WorkerTable.
-        interval_ms: Interval of heartbeats of a worker without news.
-        active: Job by id, of those whose tasks may be started.
+        interval_ms: Interval between the heartbeats of a worker that has
+            no event to report.
+        active: Maps job id to BatchJob, for jobs whose tasks may be started.
         operations: Operations since the last ``take_operations``.
-        orphans_until_ms: Until when runs of workers that this leader has
-            not heard of may live.
-        failure_times: Time of the failure by worker id, by task.
-        ranked_jobs: OrderedClaims by service.
-        tickets: Tickets by name of a step, for queues with advice.
-        tasks_to_copy: Lists of the tasks that want a copy, by service.
-        rack_wait_start_ms: First time at which a step waited for a near worker.
-        wall_ms: Wall time of the current step.
-        now_ms: Monotonic time of the current step.
+        orphans_until_ms: Monotonic time until which runs may be live on
+            workers that have sent no heartbeat to this leader.
+        failure_times: Maps task name to a dict from worker id to the
+            monotonic time of the last failure there, in ms.
+        ranked_jobs: Maps service to its JobRanking.
+        tickets: Maps step name to Tickets, for queues with advice.
+        tasks_to_copy: Maps service to the names of the tasks that need a
+            speculative copy.
+        rack_wait_start_ms: Maps the name prefix of a step's tasks to the
+            monotonic time at which the step began to wait for a worker in
+            the rack of its data.
+        wall_ms: Wall time of the event being handled.
+        now_ms: Monotonic time of the event being handled.
     """
 
     __slots__ = (
@@ -86,7 +91,7 @@
         self.interval_ms = settings.interval_ms
         self.active = {}
         self.operations = []
-        # The former leader may have answered until this one was elected.
+        # The former leader may have extended leases until this election.
         self.orphans_until_ms = lease_end_ms(settings.hold_ms, now_ms)
         self.failure_times = {}
         self.ranked_jobs = {}
@@ -102,11 +107,11 @@
                 self.workers.add_run(worker, task, run, step)
 
     def max_silence_ms(self):
-        """Returns the silence after which a worker gets no task."""
+        """Returns the silence, in ms, after which a worker gets no task."""
         return self.settings.silent_beats * self.interval_ms
 
     def record(self, operation):
-        """Applies an operation to the working copy and hands it out."""
+        """Applies an operation to the working copy and queues its commit."""
         if isinstance(operation, EndRuns):
             self.unindex_ended_runs(operation)
         apply_operation(self.state, operation, self.wall_ms)
@@ -120,25 +125,33 @@
                 self.add_to_ranking(job)
 
     def add_to_ranking(self, job):
-        """Takes a new job into the order of its service, if that is kept."""
+        """Adds a new job to the cached ranking of its service, if any."""
         queue = self.state.routes.queue_of(job.queue)
-        kept = self.ranked_jobs.get(queue.service if queue else "")
-        if kept is not None:
-            kept.add(RankedJob(job, queue))
+        ranking = self.ranked_jobs.get(queue.service if queue else "")
+        if ranking is not None:
+            ranking.add(RankedJob(job, queue))
 
     def index_started_runs(self, operation):
-        """Keeps the index of live runs."""
-        for name, run in zip(operation.tasks, operation.runs, strict=True):
-            step = self.find_task(name)[1].step
-            self.workers.add_run(operation.worker, name, run, step)
+        """Adds started runs to the index of live runs."""
+        for task_name, run in zip(
+            operation.tasks, operation.runs, strict=True
+        ):
+            step = self.find_task(task_name)[1].step
+            self.workers.add_run(operation.worker, task_name, run, step)
 
     def unindex_ended_runs(self, operation):
-        """Removes runs from the index of live runs before they end."""
-        for name, run in zip(operation.tasks, operation.runs, strict=True):
-            found = self.find_task(name)
-            if found is not None:
-                worker = found[2].runs.get(run)
-                self.workers.drop_run(worker, name, run)
+        """Removes runs from the index of live runs.
+
+        Must be called before the operation is applied, because that removes
+        the worker of each run from the task.
+        """
+        for task_name, run in zip(
+            operation.tasks, operation.runs, strict=True
+        ):
+            entry = self.find_task(task_name)
+            if entry is not None:
+                worker = entry[2].runs.get(run)
+                self.workers.drop_run(worker, task_name, run)
 
     def take_operations(self):
         """Returns and clears the operations to commit."""
@@ -146,33 +159,33 @@
         return operations
 
     def find_task(self, name):
-        """Returns job, StepRun and Task of a name, or None."""
+        """Returns BatchJob, StepRun and Task of a task name, or None."""
         try:
             job_id, *position = split_task_id(name)
         except ValueError:
             return None
         job = self.state.batch.jobs.get(job_id)
-        found = job.find(*position) if job else None
-        return (job, *found) if found else None
+        step_and_task = job.find(*position) if job else None
+        return (job, *step_and_task) if step_and_task else None
 
     def is_wanted(self, name, run):
-        """Returns whether a run is to go on."""
-        found = self.find_task(name)
-        if found is None:
+        """Returns whether a run should continue."""
+        entry = self.find_task(name)
+        if entry is None:
             return False
-        job, _, task = found
+        job, _, task = entry
         return job.active and not task.done and run in task.runs
 
     def on_report(self, report, now_ms, wall_ms):
-        """Takes in a heartbeat and returns the WorkerOrders."""
+        """Handles a heartbeat and returns the WorkerOrders in answer."""
         self.wall_ms, self.now_ms = wall_ms, now_ms
         orders = WorkerOrders(self.term, self.interval_ms)
-        worker, over = self.workers.record_heartbeat(report, now_ms)
-        for incarnation in over:
-            self.record_lost_worker(incarnation, "the worker has started anew")
+        worker, replaced = self.workers.record_heartbeat(report, now_ms)
+        for incarnation in replaced:
+            self.record_lost_worker(incarnation, "the worker has restarted")
         if worker is None:
             logger.info(
-                "Heartbeat is outdated.",
+                "Ignored an outdated heartbeat.",
                 worker=report.incarnation,
                 sequence=report.sequence,
             )
@@ -196,22 +209,26 @@
         return orders
 
     def reserve_ordered(self, worker, now_ms):
-        """Keeps new tasks away from a worker whose machine has an order."""
+        """Reserves a worker whose machine has an order, so it gets no task."""
         ordered = worker.report.machine in self.state.upkeep.orders
         if ordered and worker.reserved_ms is None:
             worker.reserved_ms = now_ms
 
     def record_lost_runs(self, keys):
-        """Records runs that are surely not live."""
+        """Records the end of runs that are certain not to be live.
+
+        Args:
+            keys: Pairs of task name and run number.
+        """
         if keys:
             tasks = [task for task, _ in keys]
             runs = [run for _, run in keys]
-            # Makes the newest checkpoint durable with the loss.
+            # Commits the newest checkpoint together with the loss.
             saved = [self.find_task(task)[2].saved for task in tasks]
             self.record(EndRuns(tasks, runs, [LOST] * len(tasks), saved))
 
     def record_lost_worker(self, incarnation, reason):
-        """Records that all runs of a life of a worker are over."""
+        """Records all runs of a worker incarnation as lost."""
         keys = list(self.workers.runs.get(incarnation, ()))
         self.record_lost_runs(keys)
         self.workers.runs.pop(incarnation, None)
@@ -223,7 +240,10 @@
         )
 
     def on_tick(self, now_ms, wall_ms):
-        """Notes workers whose leases have lapsed, and opens occurrences."""
+        """Records workers with expired leases and opens due occurrences.
+
+        Also adapts the heartbeat interval and finds the tasks to copy.
+        """
         self.wall_ms, self.now_ms = wall_ms, now_ms
         for worker in list(self.workers.by_id.values()):
             if now_ms > worker.lease_until_ms and (
@@ -234,9 +254,9 @@
                     worker.incarnation, "the lease has lapsed"
                 )
         if now_ms > self.orphans_until_ms:
-            known = self.workers.incarnations()
+            current = self.workers.incarnations()
             for incarnation in list(self.workers.runs):
-                if incarnation not in known:
+                if incarnation not in current:
                     self.record_lost_worker(
                         incarnation, "no heartbeat in this term"
                     )
@@ -245,7 +265,7 @@
         self.open_occurrences(wall_ms)
 
     def open_occurrences(self, wall_ms):
-        """Opens the occurrences that are due."""
+        """Opens the due occurrences of repeated jobs."""
         for job in list(self.active.values()):
             spec = job.spec
             while (
@@ -256,21 +276,21 @@
                 self.record(OpenOccurrence(job.job_id, job.opened))
 
     def needs_ticket(self, job):
-        """Returns whether the starts of a job carry tickets."""
+        """Returns whether the tasks of a job need a ticket to start."""
         queue = self.state.routes.queue_of(job.queue)
         return queue is not None and queue.advice is not None
 
     def tickets_of(self, step):
-        """Returns the Tickets of a step."""
-        found = self.tickets.get(step)
-        if found is None:
+        """Returns the Tickets of a step, creating them if necessary."""
+        step_tickets = self.tickets.get(step)
+        if step_tickets is None:
             if len(self.tickets) >= MAX_TICKET_STEPS:
                 self.tickets.pop(next(iter(self.tickets)))
-            found = self.tickets[step] = Tickets()
-        return found
+            step_tickets = self.tickets[step] = Tickets()
+        return step_tickets
 
     def services_with_advice(self):
-        """Returns the services with an active job that needs advice."""
+        """Returns the services with an active job that needs tickets."""
         services = set()
         for job in self.active.values():
             queue = self.state.routes.queue_of(job.queue)
--- a/wigeonport/batch_requests.py
+++ b/wigeonport/batch_requests.py
@@ -1,7 +1,8 @@
-"""Handlers of callers' requests about jobs.
+"""Handlers of callers' requests about jobs, registered by verb.
 
-Each takes the dispatcher, the BatchCall, its Queue and the rest of the
-path, and returns the BatchReply.
+Each takes the dispatcher, the BatchCall, its Queue and the rest of the path
+after the prefix of the queue (the job id, where there is one), and returns
+the BatchReply.
 """
 
 from wigeonport.batch_calls import (
@@ -22,7 +23,7 @@
 
 @call_handlers.register(SUBMIT)
 def submit(dispatcher, call, queue, job_id):
-    """Accepts a job; a resent one is accepted again without effect."""
+    """Accepts a job; accepting the same job id again has no effect."""
     if not dispatcher.state.batch.has_accepted(job_id):
         dispatcher.record(SubmitJob(job_id, queue.name, call.spec_json))
     return BatchReply(OK)
@@ -37,7 +38,7 @@
 
 @call_handlers.register(CANCEL)
 def cancel(dispatcher, call, queue, job_id):
-    """Cancels a job."""
+    """Cancels a job if it is active, and returns its state."""
     job = dispatcher.state.batch.jobs.get(job_id)
     if job is None:
         return BatchReply(NO_JOB)
@@ -48,7 +49,7 @@
 
 @call_handlers.register(COUNT)
 def count_waiting(dispatcher, call, queue, rest):
-    """Counts the accepted jobs of a queue of which no task has started."""
+    """Returns the number of jobs of a queue with no task started yet."""
     number = sum(
         job.state == QUEUED and job.queue == queue.name
         for job in dispatcher.active.values()
--- a/wigeonport/fill_rates.py
+++ b/wigeonport/fill_rates.py
@@ -1,24 +1,25 @@
-"""Pace of the tasks that fill, so that serving tasks keep their target.
+"""Rates of filler tasks, so that serving tasks meet their latency target.
 
-The reading of a serving task is a rough tail over the last half second,
-and a new rate takes effect about 100 ms after the answer.
+Filler tasks use the capacity that serving tasks leave idle. A serving task
+reports an approximate tail latency over the last half second, and a new rate
+takes effect about 100 ms after the answer.
 """
 
-# Share of the target above which filling tasks are slowed down.
+# Share of the latency target above which filler tasks are slowed down.
 SLOW_DOWN_SHARE = 0.85
-# Share of the target below which they are sped up again.
+# Share of the latency target below which they are sped up again.
 SPEED_UP_SHARE = 0.6
-# Factor of the slow-down; three readings in a row nearly stop them.
+# Factor on the rate at each slow-down; three in a row nearly stop them.
 SLOW_DOWN_FACTOR = 0.5
-# Percent added by a reading that leaves room.
+# Percentage points added to the rate at each speed-up.
 SPEED_UP_PERCENT = 10
 FULL_RATE_PERCENT = 100
-# Below this the tasks that fill are stopped instead of slowed.
+# Filler tasks are stopped instead of slowed down below this rate.
 MIN_RATE_PERCENT = 8
 
 
 def update_fill_rates(worker, orders):
-    """Sets the rate of the tasks that fill from the newest reading."""
+    """Sets the rate of a worker's filler tasks from its newest report."""
     highest_share = 0.0
     fills = []
     for row in worker.report.running:
--- a/wigeonport/job_orders.py
+++ b/wigeonport/job_orders.py
@@ -1,27 +1,29 @@
-"""Order in which the jobs of a service get room."""
+"""Policies for the order in which the jobs of a service get capacity."""
 
 from wigeonport.registries import Registry
 
 job_orders = Registry("job order")
 
-# Estimates are rough and the tasks of a step differ by about a third.
+# Factor on estimated work: estimates are rough, and the run times of the
+# tasks of a step differ by about a third.
 ESTIMATE_MARGIN = 1.25
 
 
 class RankedJob:
-    """What the order of jobs is decided on.
+    """An active job with the values that decide its rank.
 
     Attributes:
         job: BatchJob.
         queue: Queue of the job.
-        lasting: Whether its tasks run until it is cancelled.
-        objective_ms: Wall time by which the job has full value.
-        remaining_ms: Estimated run time of the longest chain that is left.
-        waiting_work: Estimated work that is left, in thousandths of a core times
-            ms.
-        running_work: Estimated work of the tasks that run, in the same unit.
-        startable: Triples of occurrence, number and StepRun, of the steps
-            whose tasks may be started one by one.
+        lasting: Whether it has tasks that run until the job is cancelled.
+        objective_ms: Wall time by which the job should be completed.
+        remaining_ms: Estimated run time of the longest remaining chain of
+            dependent steps.
+        waiting_work: Estimated work of its waiting tasks, in thousandths of
+            a core times ms.
+        running_work: Estimated work of its running tasks, in the same unit.
+        startable: Triples of occurrence, step number and StepRun, for the
+            steps whose tasks may be started one by one, so not for gangs.
     """
 
     __slots__ = (
@@ -55,20 +57,22 @@
         self.update_startable()
 
     def update_startable(self):
-        """Looks for the steps that are ready."""
+        """Recomputes the steps whose tasks may be started."""
         self.startable = [
-            ready for ready in self.job.ready_steps() if not ready[2].step.gang
+            triple
+            for triple in self.job.ready_steps()
+            if not triple[2].step.gang
         ]
 
 
 class JobRanking:
-    """The claims of a service in their order, kept for a moment.
+    """The ranked jobs of a service, cached for a short time.
 
     Attributes:
-        created_ms: Wall time of the order.
-        policy: Function that sorts claims.
-        ranked_jobs: JobClaim list, in order.
-        by_job_id: JobClaim by job id.
+        created_ms: Wall time for which the ranking was computed.
+        policy: Function from ``job_orders`` that sorts RankedJobs.
+        ranked_jobs: List of RankedJob, highest rank first.
+        by_job_id: Maps job id to RankedJob.
     """
 
     __slots__ = ("created_ms", "policy", "ranked_jobs", "by_job_id")
@@ -82,39 +86,45 @@
         }
 
     def add(self, ranked_job):
-        """Takes a new job in."""
+        """Adds a new job at its rank."""
         self.by_job_id[ranked_job.job.job_id] = ranked_job
         self.ranked_jobs = self.policy(
             [*self.ranked_jobs, ranked_job], self.created_ms
         )
 
     def refresh_job(self, job_id):
-        """Learns that a step of a job has ended."""
+        """Updates a job of which a step has ended."""
         ranked_job = self.by_job_id.get(job_id)
         if ranked_job is not None:
             ranked_job.update_startable()
 
 
 def estimate_remaining(job):
-    """Returns the longest chain, the waiting and the running work."""
-    longest, waiting_work, running_work = 0, 0, 0
+    """Returns the remaining time, the waiting and the running work of a job.
+
+    See ``RankedJob`` for the three values and their units.
+    """
+    longest_ms, waiting_work, running_work = 0, 0, 0
     for step_runs in job.occurrences.values():
-        finish = []
+        finish_ms = []
         for step_run in step_runs:
             step = step_run.step
             own_ms = step.estimated_ms if step_run.left else 0
-            before = [finish[each] for each in step.depends_on]
-            finish.append(max(before, default=0) + own_ms)
+            dependencies_ms = [finish_ms[each] for each in step.depends_on]
+            finish_ms.append(max(dependencies_ms, default=0) + own_ms)
             task_work = step.cpu_milli * own_ms
             waiting_work += len(step_run.waiting) * task_work
             running_work += (step_run.left - len(step_run.waiting)) * task_work
-        longest = max(longest, *finish) if finish else longest
-    return longest, waiting_work, running_work
+        longest_ms = max(longest_ms, *finish_ms) if finish_ms else longest_ms
+    return longest_ms, waiting_work, running_work
 
 
 @job_orders.register("objective")
 def order_by_objective(ranked_jobs, now_ms):
-    """Lasting jobs, then what can meet its objective, the nearest first."""
+    """Sorts lasting jobs first, then those that can meet their objective.
+
+    Within each group the job with the earliest objective is first.
+    """
 
     def key(ranked_job):
         late = now_ms + ranked_job.remaining_ms > ranked_job.objective_ms
--- a/wigeonport/run_orders.py
+++ b/wigeonport/run_orders.py
@@ -1,4 +1,4 @@
-"""Orders to workers about their runs, on the answers to heartbeats."""
+"""Start and stop orders in the answers to heartbeats."""
 
 from wigeonport.logs import PartLogger
 from wigeonport.worker_reports import StartOrder
@@ -7,36 +7,37 @@
 
 
 def reconcile(dispatcher, worker, orders):
-    """Stops what is not wanted, and drops what never started."""
-    listed = set()
+    """Stops unwanted runs, and records those that never started as lost."""
+    reported = set()
     for row in worker.report.running:
         key = (row.task, row.run)
-        listed.add(key)
+        reported.add(key)
         if (
             key not in worker.runs
             or not dispatcher.is_wanted(*key)
             or key in worker.stopping
         ):
             orders.stops.append(key)
-    gone = [
+    never_started = [
         key
         for key in worker.runs
-        if key not in listed
+        if key not in reported
         and (key in worker.stopping or not dispatcher.is_wanted(*key))
     ]
-    for key in gone:
-        # The stop makes the worker refuse a start that is on its way.
+    for key in never_started:
+        # The stop makes the worker reject a start order that is still in
+        # flight.
         orders.stops.append(key)
-    dispatcher.record_lost_runs(gone)
+    dispatcher.record_lost_runs(never_started)
     worker.stopping &= set(worker.runs)
 
 
 def add_starts(dispatcher, worker, orders):
-    """Adds the starts of all runs that the worker does not list."""
-    listed = {(row.task, row.run) for row in worker.report.running}
+    """Orders the start of all runs that the worker does not report."""
+    reported = {(row.task, row.run) for row in worker.report.running}
     stopped = set(orders.stops)
     for key in list(worker.runs):
-        if key in listed or key in stopped:
+        if key in reported or key in stopped:
             continue
         job, _, task = dispatcher.find_task(key[0])
         ticket = ""
@@ -46,7 +47,8 @@
                 worker.incarnation, worker.last_heartbeat_ms
             )
             if ticket is None:
-                # The advisor asks again, and the start follows.
+                # The ticket has expired. The advisor requests a new one, and
+                # the start follows with a later heartbeat.
                 continue
         orders.starts.append(
             StartOrder(*key, job.spec.payload, task.saved, ticket)
--- a/wigeonport/run_reports.py
+++ b/wigeonport/run_reports.py
@@ -1,4 +1,4 @@
-"""What the heartbeats of workers say of their runs."""
+"""Handling of the ended and live runs that heartbeats report."""
 
 from wigeonport.batch_commands import EndRuns
 from wigeonport.batch_jobs import ENDED_FAILED
@@ -8,12 +8,19 @@
 
 logger = PartLogger("dispatch")
 
-# Failed tasks whose workers are remembered; beyond, all are forgotten.
+# Maximum number of failed tasks whose failure times are kept; once it is
+# exceeded, all of them are dropped.
 MAX_FAILED_TASKS = 4_096
 
 
 def record_ended_runs(dispatcher, worker, orders):
-    """Records the ends that a worker lists."""
+    """Records the ended runs that a heartbeat lists.
+
+    Args:
+        dispatcher: BatchDispatcher.
+        worker: Worker that sent the heartbeat.
+        orders: WorkerOrders in answer, which acknowledge the ended runs.
+    """
     tasks, runs, outcomes, saved = [], [], [], []
     for end in worker.report.ended:
         orders.acknowledged = max(orders.acknowledged, end.number)
@@ -31,17 +38,17 @@
 
 
 def refresh_ended_steps(dispatcher, worker, tasks):
-    """Tells the order of jobs which of them may have steps that are ready."""
-    kept = dispatcher.ranked_jobs.get(worker.report.service)
-    for name in tasks:
-        found = dispatcher.find_task(name)
-        if kept is not None and (found is None or not found[1].left):
-            kept.refresh_job(split_task_id(name)[0])
+    """Updates the startable steps of jobs in which a step has ended."""
+    ranking = dispatcher.ranked_jobs.get(worker.report.service)
+    for task_name in tasks:
+        entry = dispatcher.find_task(task_name)
+        if ranking is not None and (entry is None or not entry[1].left):
+            ranking.refresh_job(split_task_id(task_name)[0])
 
 
 def remove_ended_jobs(dispatcher, tasks):
-    """Logs the jobs that ended with these tasks."""
-    for job_id in {split_task_id(name)[0] for name in tasks}:
+    """Logs the jobs that ended with these tasks and stops tracking them."""
+    for job_id in {split_task_id(task_name)[0] for task_name in tasks}:
         job = dispatcher.active.get(job_id)
         if job is None or job.active:
             continue
@@ -57,12 +64,12 @@
 
 
 def record_outcome(dispatcher, worker, end):
-    """Keeps where tasks failed, and logs each end."""
+    """Records the worker of a failed run, and logs the end of any run."""
     if end.outcome == ENDED_FAILED:
         if len(dispatcher.failure_times) > MAX_FAILED_TASKS:
             dispatcher.failure_times.clear()
-        places = dispatcher.failure_times.setdefault(end.task, {})
-        places[worker.report.worker_id] = worker.last_heartbeat_ms
+        failed_workers = dispatcher.failure_times.setdefault(end.task, {})
+        failed_workers[worker.report.worker_id] = worker.last_heartbeat_ms
     update_failures(dispatcher, worker, end)
     logger.info(
         "Run ended.",
@@ -75,22 +82,22 @@
 
 
 def record_reported_runs(dispatcher, worker):
-    """Notes progress and checkpoints of the runs that are live."""
-    listed = set()
+    """Records progress and checkpoints of the live runs."""
+    reported = set()
     for row in worker.report.running:
         key = (row.task, row.run)
         if key in worker.runs:
-            listed.add(key)
+            reported.add(key)
             update_progress(worker, key, row.percent)
             if row.saved:
                 store_checkpoint(dispatcher, row)
-    for key in set(worker.progress) - listed:
+    for key in set(worker.progress) - reported:
         del worker.progress[key]
 
 
 def store_checkpoint(dispatcher, row):
-    """Keeps the newest checkpoint for a start after a loss."""
-    found = dispatcher.find_task(row.task)
-    if found is not None:
-        job, step_run, task = found
+    """Keeps the newest checkpoint, from which a lost task is resumed."""
+    entry = dispatcher.find_task(row.task)
+    if entry is not None:
+        job, step_run, task = entry
         job.keep_checkpoint(step_run, task, row.saved)
--- a/wigeonport/task_copies.py
+++ b/wigeonport/task_copies.py
@@ -1,7 +1,7 @@
-"""Copies of tasks whose workers are silent or excluded.
+"""Speculative copies of tasks whose workers are silent or excluded.
 
-Only steps that allow copies get them; the first copy that is done counts,
-and the other is stopped.
+Only steps that allow duplicates get copies. The first run that is done
+counts, and the other is stopped.
 """
 
 from wigeonport.batch_commands import StartRuns
@@ -12,26 +12,30 @@
 
 logger = PartLogger("copies")
 
-# Live runs of a task at the same time.
+# Maximum number of live runs of a task at the same time.
 MAX_LIVE_RUNS = 2
 
 
 def find_tasks_to_copy(dispatcher, now_ms):
-    """Returns lists of the tasks that want a copy, by service."""
-    wanted = {}
+    """Returns a dict from service to the names of the tasks to copy."""
+    tasks_by_service = {}
     silent_ms = SUSPECT_HEARTBEATS * dispatcher.interval_ms
     for worker in dispatcher.workers.by_id.values():
         silent = now_ms - worker.last_heartbeat_ms > silent_ms
         if not silent and now_ms >= worker.excluded_until_ms:
             continue
-        names = [name for (name, _), s in worker.runs.items() if s.duplicates]
+        names = [
+            name for (name, _), step in worker.runs.items() if step.duplicates
+        ]
         if names:
-            wanted.setdefault(worker.report.service, []).extend(names)
-    return wanted
+            tasks_by_service.setdefault(worker.report.service, []).extend(
+                names
+            )
+    return tasks_by_service
 
 
 def start_copies(dispatcher, worker, now_ms, wall_ms):
-    """Starts copies on a worker while they fit."""
+    """Starts copies of tasks on a worker while they fit."""
     names = dispatcher.tasks_to_copy.get(worker.report.service)
     if not names:
         return
@@ -43,10 +47,10 @@
     free_capacity = worker.free_capacity()
     for name in names:
         job_id, occurrence, number, index = split_task_id(name)
-        found, ranked_job = dispatcher.find_task(name), ranked_jobs.get(job_id)
-        if found is None or ranked_job is None:
+        entry, ranked_job = dispatcher.find_task(name), ranked_jobs.get(job_id)
+        if entry is None or ranked_job is None:
             continue
-        _, step_run, task = found
+        _, step_run, task = entry
         if task.done or not 0 < len(task.runs) < MAX_LIVE_RUNS:
             continue
         if worker.incarnation in task.runs.values():
--- a/wigeonport/task_evacuations.py
+++ b/wigeonport/task_evacuations.py
@@ -1,25 +1,25 @@
-"""Moves of running tasks that keep their steps available."""
+"""Moves of running tasks within the availability limits of their steps."""
 
 from wigeonport.worker_reports import worker_id_of
 
-# Progress of a lasting task that is at work.
+# Progress of a lasting task that has started up and is available.
 FULL_PROGRESS_PERCENT = 100
-# A worker that has been silent for more intervals of heartbeats may have
-# crashed.
+# A worker that has been silent for more heartbeat intervals may have
+# crashed, so its tasks count as unavailable.
 MAX_SILENT_HEARTBEATS = 3
 
 
 def count_unavailable(dispatcher, name):
-    """Returns how many other tasks of a task's step are not at work.
+    """Returns how many other tasks of a task's step are unavailable.
 
-    Only a run that its worker has reported at 100 percent counts as
-    at work.
+    A task is available only if its worker has reported a run of it at 100
+    percent.
     """
     _, step_run, _ = dispatcher.find_task(name)
-    prefix, _, own = name.rpartition(".")
+    prefix, _, own_index = name.rpartition(".")
     unavailable = 0
     for index, task in enumerate(step_run.tasks):
-        if str(index) == own or task.done:
+        if str(index) == own_index or task.done:
             continue
         unavailable += not any(
             is_available(dispatcher, f"{prefix}.{index}", run, worker)
@@ -29,7 +29,7 @@
 
 
 def is_available(dispatcher, name, run, incarnation):
-    """Returns whether a run is at full progress on a known worker."""
+    """Returns whether a run is at full progress on a live worker."""
     worker = dispatcher.workers.by_id.get(worker_id_of(incarnation))
     return (
         worker is not None
@@ -43,16 +43,20 @@
 
 
 def may_stop(dispatcher, name, step):
-    """Returns whether stopping a run keeps its step available."""
+    """Returns whether a run may be stopped.
+
+    The tasks of a lasting step may be stopped as long as fewer than its
+    ``max_unavailable`` others are unavailable.
+    """
     if not step.lasting or not step.max_unavailable:
         return True
     return count_unavailable(dispatcher, name) < step.max_unavailable
 
 
 def withdraw_stops(dispatcher, worker):
-    """Gives up the stops that would now make a step unavailable.
+    """Withdraws the planned stops that are no longer allowed.
 
-    Tasks of the step may have been lost since a stop was decided.
+    Other tasks of the step may have been lost since a stop was decided.
     """
     for key in list(worker.stopping):
         step, progress = worker.runs.get(key), worker.progress.get(key)
@@ -64,13 +68,12 @@
 
 
 def evacuate(dispatcher, worker, stop_all):
-    """Wants the runs of a worker moved, as far as is allowed now.
+    """Plans to stop the runs of a worker, as far as is allowed now.
 
     Args:
         dispatcher: BatchDispatcher.
-        worker: Worker that is to become empty.
-        stop_all: Whether tasks that would end by themselves are
-            stopped too.
+        worker: Worker to be emptied.
+        stop_all: Whether to stop tasks that would end by themselves too.
     """
     for key, step in list(worker.runs.items()):
         if key in worker.stopping or not (step.lasting or stop_all):
--- a/wigeonport/task_placements.py
+++ b/wigeonport/task_placements.py
@@ -1,39 +1,51 @@
-"""Choice of the tasks that a worker with free room starts next."""
+"""Placement of waiting tasks on workers with free capacity."""
 
 from wigeonport.batch_commands import StartRuns
 from wigeonport.batch_specs import task_id
 from wigeonport.job_orders import JobRanking, RankedJob, job_orders
 
-# Most tasks started by one answer; bounds its size far below 4 MiB.
+# Maximum number of tasks started by one answer, which keeps its size far
+# below 4 MiB.
 MAX_STARTS = 64
-# Validity of a computed order of jobs; a new job waits this long at most.
+# How long a computed ranking is used; a change of the ranks takes effect
+# after this time at the latest.
 RANKING_VALID_MS = 50
-# Time for which a task that failed on a worker is left to the others; in a
-# pool all workers have sent a heartbeat by then.
+# Time for which a task is not placed again on a worker on which it failed; all
+# workers of a pool send a heartbeat within this time.
 FAILED_WORKER_WAIT_MS = 1_000
-# A task waits this long, beyond its estimate, for a worker near its data.
+# A task waits for a worker in the rack of its data for its estimated run
+# time plus this time.
 LOCALITY_WAIT_MS = 1_000
-# A worker that has been silent for more intervals of heartbeats gets no
-# member of a gang.
+# A worker that has been silent for more heartbeat intervals gets no member
+# of a gang, and no task waits for it because of its rack.
 GANG_MAX_SILENT_HEARTBEATS = 2
 
 
 def active_ranked_jobs(dispatcher, service, now_ms):
-    """Returns the claims of the active jobs of a service, in order.
+    """Returns the RankedJobs of the active jobs of a service, in order.
 
-    They are kept for a moment, because each heartbeat asks for them.
+    The ranking is cached for ``RANKING_VALID_MS``, because every heartbeat
+    needs it.
     """
-    kept = dispatcher.ranked_jobs.get(service)
-    if kept is None or not 0 <= now_ms - kept.created_ms < RANKING_VALID_MS:
-        kept = rank_jobs(dispatcher, service, now_ms)
-        dispatcher.ranked_jobs[service] = kept
+    ranking = dispatcher.ranked_jobs.get(service)
+    if (
+        ranking is None
+        or not 0 <= now_ms - ranking.created_ms < RANKING_VALID_MS
+    ):
+        ranking = rank_jobs(dispatcher, service, now_ms)
+        dispatcher.ranked_jobs[service] = ranking
     return [
-        ranked_job for ranked_job in kept.ranked_jobs if ranked_job.job.active
+        ranked_job
+        for ranked_job in ranking.ranked_jobs
+        if ranked_job.job.active
     ]
 
 
 def rank_jobs(dispatcher, service, now_ms):
-    """Returns the OrderedClaims of a service."""
+    """Returns a new JobRanking of a service.
+
+    Also removes ended jobs from the dispatcher's active jobs.
+    """
     routes = dispatcher.state.routes
     ranked_jobs = []
     for job in list(dispatcher.active.values()):
@@ -48,7 +60,7 @@
 
 
 def place_tasks(dispatcher, worker, now_ms, wall_ms):
-    """Starts tasks on a worker while they fit."""
+    """Starts waiting tasks on a worker while they fit."""
     free_capacity = worker.free_capacity()
     tasks, runs = [], []
     for ranked_job in active_ranked_jobs(
@@ -72,13 +84,13 @@
 
 
 class WorkerCandidate:
-    """A worker as a place for the tasks of one step.
+    """A worker that is considered for the tasks of one step.
 
     Attributes:
         dispatcher: BatchDispatcher.
         worker: Worker.
-        ranked_job: JobClaim of the job.
-        prefix: Common beginning of the names of the tasks.
+        ranked_job: RankedJob with the step.
+        prefix: Common prefix of the names of the step's tasks.
     """
 
     __slots__ = ("dispatcher", "worker", "ranked_job", "prefix")
@@ -103,12 +115,16 @@
         return self.may_leave_rack(step, now_ms)
 
     def ticket(self, now_ms):
-        """Returns the worker's ticket for the step, or None."""
+        """Returns the worker's valid ticket for the step, or None."""
         tickets = self.dispatcher.tickets_of(self.prefix[:-1])
         return tickets.find(self.worker.incarnation, now_ms)
 
     def may_leave_rack(self, step, now_ms):
-        """Returns whether a task may run away from its data."""
+        """Returns whether a task may run outside the rack of its data.
+
+        That is so if no worker in the rack accepts tasks, or if the step has
+        waited long enough for one.
+        """
         silent_ms = GANG_MAX_SILENT_HEARTBEATS * self.dispatcher.interval_ms
         near = any(
             other.report.rack == step.data_rack
@@ -117,14 +133,17 @@
                 self.worker.report.service
             )
         )
-        since = self.dispatcher.rack_wait_start_ms.setdefault(
+        start_ms = self.dispatcher.rack_wait_start_ms.setdefault(
             self.prefix, now_ms
         )
         wait_ms = LOCALITY_WAIT_MS + step.estimated_ms
-        return not near or now_ms - since > wait_ms
+        return not near or now_ms - start_ms > wait_ms
 
     def choose_tasks(self, step_run, free_capacity):
-        """Returns the indices of the tasks to start; takes their room."""
+        """Returns the indices of the tasks to start.
+
+        Subtracts what they use from ``free_capacity``.
+        """
         chosen = []
         maximum = self.remaining_limit(step_run.step)
         for index in sorted(step_run.waiting):
@@ -137,9 +156,11 @@
         return chosen
 
     def failed_recently(self, index):
-        """Returns whether a task failed on the worker a moment ago."""
-        places = self.dispatcher.failure_times.get(f"{self.prefix}{index}", {})
-        failed_ms = places.get(self.worker.report.worker_id)
+        """Returns whether a task has failed on the worker recently."""
+        failed_workers = self.dispatcher.failure_times.get(
+            f"{self.prefix}{index}", {}
+        )
+        failed_ms = failed_workers.get(self.worker.report.worker_id)
         return (
             failed_ms is not None
             and self.worker.last_heartbeat_ms - failed_ms
@@ -152,14 +173,14 @@
             maximum = self.dispatcher.settings.max_fills_per_step
         else:
             maximum = step.max_per_worker or MAX_STARTS
-        here = sum(
+        current = sum(
             task.startswith(self.prefix) for task, _ in self.worker.runs
         )
-        return maximum - here
+        return maximum - current
 
 
 def place_gangs(dispatcher, now_ms, wall_ms):
-    """Starts gangs for which there is room for all members at once."""
+    """Starts the gangs whose members all fit at the same time."""
     for service in dispatcher.services_with_gangs():
         for ranked_job in active_ranked_jobs(dispatcher, service, wall_ms):
             for occurrence, number, step_run in ranked_job.job.ready_steps():
@@ -177,7 +198,11 @@
 
 
 def place_gang(dispatcher, ranked_job, occurrence, number, step_run, now_ms):
-    """Starts the members of one gang if there is room for all."""
+    """Starts the members of one gang if all of them fit.
+
+    A gang that prefers a rack is placed in a single rack if possible, and
+    else across racks.
+    """
     step = step_run.step
     silent_ms = GANG_MAX_SILENT_HEARTBEATS * dispatcher.interval_ms
     candidates = [
@@ -200,22 +225,25 @@
     if chosen is None:
         return
     run = max(task.last_run for task in step_run.tasks) + 1
-    names = [
+    task_names = [
         task_id(ranked_job.job.job_id, occurrence, number, index)
         for index in range(step.count)
     ]
     for worker, count in chosen:
-        here, names = names[:count], names[count:]
+        members, task_names = task_names[:count], task_names[count:]
         dispatcher.record(
-            StartRuns(here, [run] * len(here), worker.incarnation)
+            StartRuns(members, [run] * len(members), worker.incarnation)
         )
 
 
 def fill_gang(
     dispatcher, ranked_job, occurrence, number, step, workers, now_ms
 ):
-    """Returns pairs of worker and number of members, or None."""
-    left, chosen = step.count, []
+    """Returns pairs of worker and number of members.
+
+    Returns None if the workers cannot run the whole gang.
+    """
+    remaining, chosen = step.count, []
     for worker in workers:
         candidate = WorkerCandidate(
             dispatcher, worker, ranked_job, occurrence, number
@@ -223,13 +251,13 @@
         if not candidate.is_suitable(step, now_ms):
             continue
         free_capacity, count = worker.free_capacity(), 0
-        maximum = min(left, candidate.remaining_limit(step))
+        maximum = min(remaining, candidate.remaining_limit(step))
         while count < maximum and free_capacity.fits(step):
             free_capacity.take(step)
             count += 1
         if count:
             chosen.append((worker, count))
-            left -= count
-        if not left:
+            remaining -= count
+        if not remaining:
             return chosen
     return None
--- a/wigeonport/worker_evaluations.py
+++ b/wigeonport/worker_evaluations.py
@@ -1,8 +1,8 @@
-"""Verdicts on workers that fail, stall or slow down what they run.
+"""Evaluation of workers whose runs fail, stall or are slow.
 
-A verdict keeps new tasks away from a worker for a while; stalled runs are
-moved. It is reversible: the worker is tried again, and a longer exclusion
-follows only if it fails again.
+A faulty worker is excluded: it gets no new tasks for a limited time. Stalled
+runs are moved to other workers. After the exclusion the worker gets tasks
+again, and a longer exclusion follows only if it fails again.
 """
 
 from wigeonport.batch_jobs import DONE, ENDED_FAILED
@@ -12,64 +12,85 @@
 
 logger = PartLogger("verdicts")
 
-# Jobs that must have failed in a row. Two in a row on a sound worker are
-# rare, because a task fails by itself in 0.2% of its runs.
+# Jobs that must have failed in a row before their worker is excluded. Two in
+# a row are rare on a healthy worker, because a task fails by itself in 0.2%
+# of its runs.
 MIN_FAILED_JOBS = 2
-# Failures on this many workers speak against the job.
+# A task that has failed on this many workers counts against its job and no
+# longer against a worker.
 JOB_FAULT_WORKERS = 2
-# A run whose percent has not changed for so long stands still; a task of
+# A run is stalled when its progress has not changed for this long. A task of
 # 4 s advances by 1% in 40 ms, and a resumption takes up to 600 ms.
 STALL_MS = 1_600
-# The same for a lasting task that is not at work yet; its start-up shows no
-# progress and takes up to 1 s on a sound worker.
+# The same for a lasting task that is still starting up, which shows no
+# progress and takes up to 1 s on a healthy worker.
 LASTING_STALL_MS = 4_000
-# A run is slow when it will take this many times its estimate. Estimates
-# are off by a fifth and run times spread by a third.
+# A run is slow when its progress is this many times below the progress that
+# its estimate predicts. Estimates are off by a fifth and run times vary by a
+# third.
 SLOW_FACTOR = 3.0
-# Shortest age of a run whose speed counts.
+# Minimum age of a run before its speed is evaluated.
 SLOW_AGE_MS = 700
-# Jobs whose runs must be slow together; the tasks of one job share its
-# estimate, which may be far off.
+# Number of jobs with slow runs before their worker is excluded. One job is
+# not enough: its tasks share one estimate, which may be far off.
 MIN_SLOW_JOBS = 2
-# A slow run is moved if it would take longer than a new one by this factor.
+# A slow run is moved if its remaining time exceeds the time of a move and a
+# new run by this factor.
 MOVE_FACTOR = 2.0
-# Time of a move: the stop, and the next heartbeat of another worker.
+# Duration of a move: the stop, and the next heartbeat of another worker.
 MOVE_MS = 600
-# Highest run number that is moved for slowness. A task whose estimate is
-# wrong is slow everywhere and must end somewhere.
+# Highest run number that is moved because it is slow. A task with a wrong
+# estimate is slow on every worker, and unlimited moves would keep it from
+# ever ending.
 MAX_MOVED_RUN = 2
-# First and longest exclusion of a worker.
+# Minimum and maximum duration of an exclusion; it doubles with each further
+# one until a run succeeds.
 MIN_EXCLUSION_MS = 2_500
 MAX_EXCLUSION_MS = 8_000
-# Share of a service's workers that may be excluded at a time.
+# Maximum share of a service's workers that are excluded at the same time.
 MAX_EXCLUDED_SHARE = 0.34
 
 
 def update_progress(worker, key, percent):
-    """Takes in the progress of a run."""
-    known = worker.progress.get(key)
-    if known is None:
+    """Records the reported progress of a run.
+
+    Args:
+        worker: Worker.
+        key: Pair of task name and run number.
+        percent: Progress.
+    """
+    progress = worker.progress.get(key)
+    if progress is None:
         worker.progress[key] = RunProgress(percent, worker.last_heartbeat_ms)
     else:
-        known.update(percent, worker.last_heartbeat_ms)
+        progress.update(percent, worker.last_heartbeat_ms)
 
 
 def update_failures(dispatcher, worker, end):
-    """Takes in the end of a run."""
+    """Updates a worker's failed jobs with the outcome of a run.
+
+    Args:
+        dispatcher: BatchDispatcher.
+        worker: Worker.
+        end: RunEnd.
+    """
     if end.outcome == DONE:
         worker.failed_jobs.clear()
         worker.exclusion_ms = 0
         return
-    found = dispatcher.find_task(end.task)
-    if end.outcome != ENDED_FAILED or found[1].step.lasting:
+    entry = dispatcher.find_task(end.task)
+    if end.outcome != ENDED_FAILED or entry[1].step.lasting:
         return
     if len(dispatcher.failure_times.get(end.task, ())) >= JOB_FAULT_WORKERS:
         return
-    worker.failed_jobs.add(found[0].job_id)
+    worker.failed_jobs.add(entry[0].job_id)
 
 
 def review_worker(dispatcher, worker, now_ms):
-    """Excludes a worker that shows a fault, and moves stalled runs."""
+    """Moves stalled runs and excludes a faulty worker.
+
+    Slow runs of an excluded worker are moved too where that is faster.
+    """
     stalled = find_stalled(worker, now_ms)
     for key in stalled:
         worker.stopping.add(key)
@@ -83,17 +104,21 @@
 
 
 def evaluate(dispatcher, worker, now_ms, stalled, slow):
-    """Excludes a worker that shows a fault."""
+    """Excludes a worker if its runs stall, fail or are slow."""
     if stalled:
-        exclude(dispatcher, worker, now_ms, f"{len(stalled)} runs stand still")
+        exclude(
+            dispatcher, worker, now_ms, f"{len(stalled)} runs make no progress"
+        )
     elif len(worker.failed_jobs) >= MIN_FAILED_JOBS:
-        exclude(dispatcher, worker, now_ms, "it fails what it starts")
+        exclude(dispatcher, worker, now_ms, "the runs of several jobs failed")
     elif len({name.partition(".")[0] for name, _ in slow}) >= MIN_SLOW_JOBS:
-        exclude(dispatcher, worker, now_ms, "it is slow")
+        exclude(
+            dispatcher, worker, now_ms, "the runs of several jobs are slow"
+        )
 
 
 def find_stalled(worker, now_ms):
-    """Returns the runs that have not advanced for a while."""
+    """Returns the runs whose progress has not changed for too long."""
     stalled = []
     for key, progress in worker.progress.items():
         step = worker.runs.get(key)
@@ -108,7 +133,7 @@
 
 
 def find_slow(worker, now_ms):
-    """Returns the runs that take far longer than estimated."""
+    """Returns the runs that are far slower than estimated."""
     slow = []
     for key, progress in worker.progress.items():
         step = worker.runs.get(key)
@@ -116,7 +141,7 @@
         if step is None or step.lasting or age_ms < SLOW_AGE_MS:
             continue
         if step.data_rack or step.same_rack:
-            # These are slower by their place, on a sound worker too.
+            # Their speed depends on the rack, also on a healthy worker.
             continue
         expected = 100 * age_ms / max(1, step.estimated_ms)
         if progress.percent * SLOW_FACTOR < min(100, expected):
@@ -125,19 +150,19 @@
 
 
 def is_worth_moving(worker, key, now_ms):
-    """Returns whether a slow run ends sooner if it starts elsewhere."""
+    """Returns whether a slow run would end much sooner on another worker."""
     step = worker.runs[key]
     if step.gang or step.fills or key[1] > MAX_MOVED_RUN:
         return False
     progress = worker.progress[key]
-    anew_ms = step.estimated_ms
+    new_run_ms = step.estimated_ms
     if step.checkpoints:
-        anew_ms *= (100 - progress.percent) / 100
-    return progress.remaining_ms(now_ms) > MOVE_FACTOR * (anew_ms + MOVE_MS)
+        new_run_ms *= (100 - progress.percent) / 100
+    return progress.remaining_ms(now_ms) > MOVE_FACTOR * (new_run_ms + MOVE_MS)
 
 
 def exclude(dispatcher, worker, now_ms, reason):
-    """Keeps new tasks away from a worker, unless too many are excluded."""
+    """Excludes a worker, unless too many of its service already are."""
     service = worker.report.service
     peers = dispatcher.workers.of_service(service)
     excluded = sum(now_ms < other.excluded_until_ms for other in peers)
@@ -147,7 +172,7 @@
         MAX_EXCLUSION_MS, max(MIN_EXCLUSION_MS, 2 * worker.exclusion_ms)
     )
     worker.excluded_until_ms = now_ms + worker.exclusion_ms
-    # After the exclusion one more failure is enough.
+    # After the exclusion one more failed job is enough.
     worker.failed_jobs = set(list(worker.failed_jobs)[: MIN_FAILED_JOBS - 1])
     logger.warning(
         "Worker is excluded.",
--- a/wigeonport/worker_tables.py
+++ b/wigeonport/worker_tables.py
@@ -1,15 +1,21 @@
-"""The leader's view of the workers; rebuilt from their heartbeats."""
+"""The leader's table of workers, rebuilt from their heartbeats each term."""
 
 from wigeonport.worker_reports import Room
 
-# Lease time that is added because the clock of a worker may be 2% slow.
+# Share added to the lease because the clock of a worker may be 2% slow.
 CLOCK_DRIFT = 0.03
-# Time in which a stop takes effect after a lease has lapsed (`stop-ms`).
+# Time that a worker needs to stop its runs once its lease has expired
+# (`stop-ms`).
 STOP_MARGIN_MS = 250
 
 
 def lease_end_ms(hold_ms, now_ms):
-    """Returns until when runs with a lease of now may live at the latest."""
+    """Returns the latest time at which a run may be live.
+
+    Args:
+        hold_ms: Lease that the answer to a heartbeat grants.
+        now_ms: Monotonic time of the answer.
+    """
     return now_ms + int(hold_ms * (1 + CLOCK_DRIFT)) + STOP_MARGIN_MS
 
 
@@ -17,10 +23,10 @@
     """Progress of a run as its worker has reported it.
 
     Attributes:
-        percent: Newest percent.
-        first_ms: When the run was reported first.
-        first_percent: Percent of that report.
-        changed_ms: When the percent changed last.
+        percent: Newest progress, in percent.
+        first_ms: Monotonic time of the first report.
+        first_percent: Progress in the first report.
+        changed_ms: Monotonic time of the last change of the progress.
     """
 
     __slots__ = ("percent", "first_ms", "first_percent", "changed_ms")
@@ -32,33 +38,38 @@
         self.changed_ms = now_ms
 
     def update(self, percent, now_ms):
-        """Takes in a newer report."""
+        """Records the progress of a newer report."""
         if percent != self.percent:
             self.percent = percent
             self.changed_ms = now_ms
 
     def remaining_ms(self, now_ms):
-        """Returns how long the run takes yet at its speed so far."""
+        """Returns the estimated remaining time at the mean speed so far."""
         gained = max(1, self.percent - self.first_percent)
         return (100 - self.percent) * (now_ms - self.first_ms) / gained
 
 
 class Worker:
-    """One life of a worker.
+    """One incarnation of a worker: its time between two restarts.
+
+    Times are monotonic.
 
     Attributes:
         report: Newest WorkerReport.
-        last_heartbeat_ms: When it arrived.
-        lease_until_ms: Until when its runs may live at the latest.
-        runs: Step by pair of task and run, for all that may be live.
-        excluded_until_ms: No task is placed on it before.
-        stopping: Pairs of task and run that the leader wants moved.
-        fill_percent: Speed of the tasks that fill.
-        reserved_ms: Since when it is being emptied for a machine order, or
-            None.
-        progress: RunProgress by pair of task and run.
-        failed_jobs: Jobs that failed on it since its last success.
-        exclusion_ms: Length of its last exclusion.
+        last_heartbeat_ms: Time at which that report arrived.
+        lease_until_ms: Latest time at which its runs may be live.
+        runs: Maps pairs of task and run to Step, for all runs that may be
+            live.
+        excluded_until_ms: Time before which no task is placed on it.
+        stopping: Pairs of task and run that are to be stopped, so that the
+            task starts on another worker.
+        fill_percent: Rate of its filler tasks, in percent of full speed.
+        reserved_ms: Time since which it gets no tasks because of an order
+            for its machine, or None.
+        progress: Maps pairs of task and run to RunProgress.
+        failed_jobs: Ids of the jobs with a task that failed on it since its
+            last success.
+        exclusion_ms: Duration of its last exclusion.
     """
 
     __slots__ = (
@@ -90,16 +101,16 @@
 
     @property
     def incarnation(self):
-        """Name of this life."""
+        """Worker id and start time, which identify the incarnation."""
         return self.report.incarnation
 
     def extend_lease(self, hold_ms, now_ms):
-        """Notes that an answer extends the lease of all that runs."""
+        """Records that an answer extends the lease of all its runs."""
         until_ms = lease_end_ms(hold_ms, now_ms)
         self.lease_until_ms = max(self.lease_until_ms, until_ms)
 
     def free_capacity(self):
-        """Returns what is free; what is being stopped still counts."""
+        """Returns the free capacity; runs being stopped still use theirs."""
         capacity = self.report.capacity
         free_capacity = Room(
             capacity.cpu_milli, capacity.memory_mb, capacity.gpu
@@ -120,13 +131,14 @@
 
 
 class WorkerTable:
-    """Workers by id, and the newest life of each machine.
+    """The newest incarnation of each worker, and the runs on all of them.
 
     Attributes:
-        by_id: Worker by worker id.
-        by_machine: Worker by machine.
-        runs: Dict of Step by pair of task and run, by incarnation; also
-            for incarnations that have not been heard by this leader.
+        by_id: Maps worker id to Worker.
+        by_machine: Maps machine to Worker.
+        runs: Maps incarnation to a dict from pairs of task and run to Step.
+            Includes incarnations that have sent no heartbeat to this
+            leader.
     """
 
     __slots__ = ("by_id", "by_machine", "runs")
@@ -137,38 +149,41 @@
         self.runs = {}
 
     def record_heartbeat(self, report, now_ms):
-        """Takes in a heartbeat.
+        """Records a heartbeat.
 
         Returns:
             The Worker, or None if the heartbeat is outdated, and the list
-            of the incarnations that it shows to be over.
+            of the incarnations that the sender has replaced: earlier ones
+            of the same worker or on the same machine.
         """
-        known = self.by_id.get(report.worker_id)
-        if known is not None and is_outdated(report, known.report):
+        previous = self.by_id.get(report.worker_id)
+        if previous is not None and is_outdated(report, previous.report):
             return None, []
-        over = []
-        twin = self.by_machine.get(report.machine) if report.machine else None
-        for other in (known, twin):
+        replaced = []
+        same_machine = (
+            self.by_machine.get(report.machine) if report.machine else None
+        )
+        for other in (previous, same_machine):
             if other is None or other.incarnation == report.incarnation:
                 continue
             if other.report.born_ms > report.born_ms:
                 return None, []
-            if other.incarnation not in over:
-                over.append(other.incarnation)
+            if other.incarnation not in replaced:
+                replaced.append(other.incarnation)
                 self.remove_worker(other)
-        if known is not None and known.incarnation == report.incarnation:
-            known.report = report
-            known.last_heartbeat_ms = now_ms
-            return known, over
+        if previous is not None and previous.incarnation == report.incarnation:
+            previous.report = report
+            previous.last_heartbeat_ms = now_ms
+            return previous, replaced
         worker = Worker(report, now_ms)
         worker.runs = self.runs.setdefault(report.incarnation, {})
         self.by_id[report.worker_id] = worker
         if report.machine:
             self.by_machine[report.machine] = worker
-        return worker, over
+        return worker, replaced
 
     def remove_worker(self, worker):
-        """Removes a worker that is gone."""
+        """Removes a worker from the indexes; its runs stay."""
         report = worker.report
         if self.by_id.get(report.worker_id) is worker:
             del self.by_id[report.worker_id]
@@ -176,11 +191,11 @@
             del self.by_machine[report.machine]
 
     def add_run(self, incarnation, task, run, step):
-        """Notes a run that may be live."""
+        """Records a run that may be live from now on."""
         self.runs.setdefault(incarnation, {})[task, run] = step
 
     def drop_run(self, incarnation, task, run):
-        """Notes that a run has ended."""
+        """Removes a run that has ended."""
         runs = self.runs.get(incarnation)
         if runs is not None:
             runs.pop((task, run), None)
@@ -194,12 +209,12 @@
         ]
 
     def incarnations(self):
-        """Returns the incarnations of all known lives."""
+        """Returns the incarnations that have sent a heartbeat."""
         return {worker.incarnation for worker in self.by_id.values()}
 
 
 def is_outdated(report, newest):
-    """Returns whether a heartbeat is older than the newest one."""
+    """Returns whether a heartbeat is not newer than the newest one."""
     if report.born_ms != newest.born_ms:
         return report.born_ms < newest.born_ms
     return report.sequence <= newest.sequence
