Reword machine orders, upkeep waves and pool sizes

Cause: docstrings, comments and local names were figurative or terse. Change: texts and local names in machine_managers, upkeep_waves, machine_losses and pool_sizes; one log sentence. Result: tests/test_batch_dispatchers.py, test_machine_managers.py, test_task_copies.py and test_advisors.py pass.

--- a/wigeonport/machine_losses.py
+++ b/wigeonport/machine_losses.py
@@ -1,36 +1,39 @@
-"""Workers whose machines are down, by the platform's list of machines.
+"""Loss of workers whose machines are down in the platform's list.
 
-What ran on such a machine is over. Without the list it would stay blocked
-until the lease of the worker has lapsed.
+The runs on such a machine have ended. Without the list, their tasks would be
+blocked until the lease of the worker has expired.
 """
 
 from wigeonport.machine_orders import DOWN
 from wigeonport.worker_reports import worker_id_of
 
-# A worker that has been silent for more intervals of heartbeats may have
-# crashed.
+# A worker that has been silent for more heartbeat intervals may have crashed.
 SUSPECT_HEARTBEATS = 2.5
-# A worker must have been silent for so long before the list was asked for,
-# so that a list that lags cannot end a life that began after it.
+# A worker is lost only if its last heartbeat came this long before the list
+# was requested, so that an outdated list can't end the runs of a worker that
+# has started since.
 DOWN_SILENCE_MS = 1_000
 
 
 def has_silent_worker(dispatcher, now_ms):
-    """Returns whether a worker with live runs may have crashed."""
+    """Returns whether a worker with live runs may have crashed.
+
+    Includes workers that have sent no heartbeat to this leader.
+    """
     silent_ms = SUSPECT_HEARTBEATS * dispatcher.interval_ms
-    known = set()
+    seen = set()
     for worker in dispatcher.workers.by_id.values():
-        known.add(worker.incarnation)
+        seen.add(worker.incarnation)
         if worker.runs and now_ms - worker.last_heartbeat_ms > silent_ms:
             return True
     return any(
-        runs and incarnation not in known
+        runs and incarnation not in seen
         for incarnation, runs in dispatcher.workers.runs.items()
     )
 
 
 def end_runs_on_down_machines(dispatcher, listed):
-    """Ends the runs on machines that are down.
+    """Records the runs on machines that are down as lost.
 
     Args:
         dispatcher: BatchDispatcher.
@@ -50,8 +53,13 @@
 
 
 def end_runs_of_unseen_workers(dispatcher, down_ids):
-    """Ends the runs of workers that this leader has not heard."""
-    known = dispatcher.workers.incarnations()
+    """Records runs on workers that this leader has no heartbeat of as lost.
+
+    Args:
+        dispatcher: BatchDispatcher.
+        down_ids: Ids of the workers whose machines are down.
+    """
+    seen = dispatcher.workers.incarnations()
     for incarnation in list(dispatcher.workers.runs):
-        if incarnation not in known and worker_id_of(incarnation) in down_ids:
+        if incarnation not in seen and worker_id_of(incarnation) in down_ids:
             dispatcher.record_lost_worker(incarnation, "the machine is down")
--- a/wigeonport/machine_managers.py
+++ b/wigeonport/machine_managers.py
@@ -1,8 +1,8 @@
-"""Upkeep of machines and their moves between pools.
+"""Orders to machines: upkeep, and moves between pools.
 
-An order is durable before the platform is called. After a change of
-leader a machine that had an order lately gets none for a while, because
-the former leader's last order may still be on its way.
+An order is committed before it is sent to the platform. After a change of
+leader, a machine with a recent order gets no new one for a while, because the
+last order of the former leader may still be in flight.
 """
 
 import collections
@@ -36,20 +36,23 @@
 logger = PartLogger("machines")
 
 CALLS_BOUND = 256
-# The list is needed for machines without a worker; each call is paid for.
+# Interval of reading the list of machines, which shows machines without a
+# worker. The platform charges for each call.
 LIST_INTERVAL_MS = 1_500
-# While an order is carried out; an upkeep takes 2 s.
+# The same interval while an order is carried out (an upkeep takes 2 s) or a
+# worker may have crashed.
 BUSY_LIST_INTERVAL_MS = 400
-# The time of day may jump by some seconds; an order is old only beyond it.
+# Margin for jumps of the wall clock when the age of an order is computed.
 CLOCK_JUMP_MS = 5_000
-# Time in which the workers find a new leader; before, pools look small.
+# Time in which all workers find a new leader. Until then nothing is planned,
+# because pools look smaller than they are.
 GATHERING_MS = 1_500
-# A refused order is tried again after this time.
+# A refused or unanswered order is sent again after this time.
 REFUSED_PAUSE_MS = 700
 
 
 class DurableOrder:
-    """Reply channel that passes an order on once it is durable.
+    """Reply channel that forwards an order once it is committed.
 
     Attributes:
         calls: Mailbox of the task that calls the platform.
@@ -61,33 +64,45 @@
         self.calls = calls
 
     def send(self, answer):
-        """Passes a PlannedOrder on; anything else means a lost lead."""
+        """Forwards a PlannedOrder.
+
+        Any other answer means that this replica no longer leads, and the
+        order is not sent.
+        """
         if isinstance(answer, PlannedOrder):
             return self.calls.put_nowait(answer)
         return False
 
 
 class MachineManager:
-    """Decides on orders to machines.
+    """Decides on orders to machines and sends them to the platform.
+
+    Times are monotonic.
 
     Attributes:
         cloud: Client of the platform with ``list_machines`` and ``order``.
         settings: BatchSettings.
-        node: Node of this replica, the holder of its orders.
+        node: Node of this replica, sent as the holder of its orders.
         clock: Clock.
-        calls: Mailbox of PlannedOrders that are durable.
-        rows: MachineRow by machine.
-        rows_requested_ms: When that list was asked for.
-        confirmed_ms: When an order was confirmed, by machine.
+        calls: Mailbox of committed PlannedOrders to send.
+        rows: Maps machine to MachineRow, from the platform's newest list.
+        rows_requested_ms: Time at which that list was requested.
+        confirmed_ms: Maps machine to the time at which the platform
+            confirmed its order.
         since_ms: Start of the term.
-        paused_until_ms: Time until which a machine gets no order, by machine.
-        orders_in_flight: Machines whose order is at the platform.
-        ordered_in_term: Machines that this leader has given an order in its term.
+        paused_until_ms: Maps machine to the time before which it gets no
+            order.
+        orders_in_flight: Machines whose order has no answer yet.
+        ordered_in_term: Machines that have got an order in this term.
         leading: Whether this replica leads.
-        pending_moves: Target pool by machine, for machines that are being emptied.
-        underused_since_ms: Since when a pool could spare a machine.
-        peak_sizes: Most machines of a pool in this term.
-        used_services: Services that have had timed jobs in this term.
+        pending_moves: Maps machine to target pool, for machines that are
+            being emptied to be moved.
+        underused_since_ms: Maps service to the time since which its pool
+            could spare a machine.
+        peak_sizes: Maps service to the maximum number of machines of its
+            pool in this term.
+        used_services: Services that have had jobs other than lasting ones
+            in this term.
         refused_moves: Pairs of machine and pool that the platform refused.
         silent_worker: Whether a worker with live runs may have crashed.
     """
@@ -136,7 +151,7 @@
         self.silent_worker = False
 
     def start_term(self, now_ms):
-        """Begins a term."""
+        """Resets the state at the start of a term as leader."""
         self.since_ms = now_ms
         self.paused_until_ms = {}
         self.orders_in_flight = set()
@@ -150,18 +165,22 @@
         self.used_services = set()
 
     def stop(self):
-        """Ends a term."""
+        """Stops reading the list of machines at the end of a term."""
         self.leading = False
 
     async def run(self, inbox):
-        """Calls the platform on behalf of the controller."""
+        """Sends orders to the platform and reads its list of machines.
+
+        Args:
+            inbox: Mailbox of the controller for the answers.
+        """
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.list_regularly, inbox)
             async for order in self.calls:
                 nursery.start_soon(self.call, order, inbox)
 
     async def call(self, order, inbox):
-        """Sends one order and reports the answer."""
+        """Sends one order and passes the answer to the controller."""
         result = await self.cloud.order(order)
         logger.info(
             "Machine ordered.",
@@ -174,7 +193,7 @@
         await inbox.put(MachineAnswered(order, result))
 
     async def list_regularly(self, inbox):
-        """Reads the list of machines while this replica leads."""
+        """Reads the list of machines periodically while this replica leads."""
         while True:
             if self.leading:
                 asked_ms = self.clock.now()
@@ -182,11 +201,13 @@
                 if rows.is_ok():
                     await inbox.put(MachineListed(rows.ok, asked_ms))
                 else:
-                    logger.warning("No list of machines.", reason=rows.error)
+                    logger.warning(
+                        "Listing the machines failed.", reason=rows.error
+                    )
             await self.clock.sleep(self.list_interval_ms())
 
     def list_interval_ms(self):
-        """Returns the pause before the list is read again."""
+        """Returns the time until the list is read again."""
         if not self.leading or not self.rows:
             # A new leader needs its first list soon.
             return BUSY_LIST_INTERVAL_MS
@@ -194,7 +215,7 @@
         return BUSY_LIST_INTERVAL_MS if busy else LIST_INTERVAL_MS
 
     def handle_machine_list(self, dispatcher, event):
-        """Takes in the list of machines."""
+        """Handles a new list of machines from the platform."""
         if {m: r.state for m, r in event.rows.items()} != {
             m: r.state for m, r in self.rows.items()
         }:
@@ -208,29 +229,36 @@
             end_runs_on_down_machines(dispatcher, event)
 
     def handle_answer(self, dispatcher, event, now_ms):
-        """Takes in the answer to an order."""
+        """Handles the platform's answer to an order."""
         machine = event.order.machine
         self.orders_in_flight.discard(machine)
         if event.result == EXECUTED:
-            # What ran there is over once the new worker is heard; an order
-            # that had been carried out before must not end its runs.
+            # The runs on the machine end with the first heartbeat of its
+            # new worker, not here: if the order had been carried out before,
+            # its runs are those of the new worker.
             dispatcher.record(ConfirmMachine(machine))
             self.confirmed_ms[machine] = now_ms
             return
         self.paused_until_ms[machine] = now_ms + REFUSED_PAUSE_MS
         if event.result == NO_ANSWER:
-            # It may have been carried out; the same order is sent again.
+            # The order may have been carried out, so the same one is sent
+            # again instead of a new one.
             return
         gone = event.result == UNKNOWN_MACHINE
         if gone and event.order.purpose == MOVE:
-            # The pool takes machines of another kind, or the machine is
-            # gone; the next list tells which.
+            # Either the pool takes another kind of machine, or the machine
+            # no longer exists; the next list shows which.
             self.refused_moves.add((machine, event.order.target))
         dispatcher.record(SettleMachine(machine, gone))
         self.release(dispatcher, machine)
 
     def on_tick(self, dispatcher, now_ms):
-        """Returns pairs of reply channel and PlannedOrder."""
+        """Plans waves and moves, and returns the orders to send.
+
+        Returns:
+            Pairs of reply channel and PlannedOrder. The channel gets the
+            order once it is committed.
+        """
         self.silent_worker = has_silent_worker(dispatcher, now_ms)
         self.reserve_ordered(dispatcher, now_ms)
         if now_ms - self.since_ms < GATHERING_MS or not self.rows:
@@ -253,8 +281,9 @@
     def is_empty(self, dispatcher, machine, now_ms):
         """Returns whether no run of a machine may be live.
 
-        An order of a former leader may meet a machine that has been given
-        tasks since, and a worker may not have found this leader yet.
+        This is checked before each order, because the machine may have got
+        tasks since a former leader recorded the order, and its worker may
+        not have sent a heartbeat to this leader yet.
         """
         worker = dispatcher.workers.by_machine.get(machine)
         if worker is not None:
@@ -266,7 +295,7 @@
         return now_ms >= dispatcher.orphans_until_ms
 
     def reserve_ordered(self, dispatcher, now_ms):
-        """Keeps new tasks away from machines with an order."""
+        """Reserves the workers on machines with an order."""
         for machine in dispatcher.state.upkeep.orders:
             worker = dispatcher.workers.by_machine.get(machine)
             if worker is not None:
@@ -283,7 +312,7 @@
             return True
         if now_ms - self.since_ms >= self.settings.duty_wait_ms:
             return True
-        # The former leader may have given it an order a moment ago.
+        # An order of the former leader may still be in flight.
         upkeep = dispatcher.state.upkeep
         if machine in upkeep.orders:
             return False
@@ -292,12 +321,12 @@
         return settled_ms is None or dispatcher.wall_ms - settled_ms > old_ms
 
     def record(self, dispatcher, machine, purpose, target):
-        """Records an order of this leader."""
+        """Records a new order."""
         self.ordered_in_term.add(machine)
         dispatcher.record(OrderMachine(machine, purpose, target))
 
     def plan(self, dispatcher, machine, order):
-        """Returns reply channel and PlannedOrder of a recorded order."""
+        """Returns the reply channel and PlannedOrder for a recorded order."""
         self.orders_in_flight.add(machine)
         self.ordered_in_term.add(machine)
         planned = PlannedOrder(
@@ -306,10 +335,11 @@
         return DurableOrder(self.calls), planned
 
     def settle_returned(self, dispatcher):
-        """Settles the orders whose machine is up again.
+        """Completes the orders whose machine is up again or gone.
 
-        Only a list that was asked for after the order was confirmed
-        counts; a heartbeat may be one of the former worker.
+        Only a list that was requested after the order was confirmed counts.
+        A heartbeat is not enough, because it may come from the machine's
+        former worker.
         """
         for machine, order in list(dispatcher.state.upkeep.orders.items()):
             since_ms = self.confirmed_ms.get(machine, self.since_ms)
@@ -322,7 +352,7 @@
                 self.release(dispatcher, machine)
 
     def release(self, dispatcher, machine):
-        """Lets a machine take tasks again."""
+        """Lets the worker on a machine get tasks again."""
         worker = dispatcher.workers.by_machine.get(machine)
         if worker is not None:
             worker.reserved_ms = None
--- a/wigeonport/pool_sizes.py
+++ b/wigeonport/pool_sizes.py
@@ -1,9 +1,9 @@
 """Sizes of the pools: which machines move between pools, and when.
 
-A machine in a pool is paid for by the second, in a standby pool it is
-not; a move costs about as much as two seconds in a pool, and the machine
-serves again after about two seconds. So a pool grows when its jobs cannot
-be on time together, and shrinks when it has been calm for a while.
+A machine in a pool costs money by the second, one in a standby pool doesn't.
+A move costs about as much as two seconds in a pool and takes about two
+seconds. So a pool grows when its jobs would miss their objectives, and shrinks
+when it has been underused for a while.
 """
 
 import math
@@ -16,37 +16,38 @@
 
 logger = PartLogger("pools")
 
-# A pool shrinks when it could have spared a machine for this long: less
-# than a move and its way back cost, in seconds of a machine.
+# A pool shrinks when it could have spared a machine for this long, which is
+# less than the cost of a move and the move back, in seconds of a machine.
 UNDERUSED_MS = 2_000
-# Spare capacity that a pool keeps when it shrinks.
+# Factor on the needed capacity that a pool keeps when it shrinks.
 SHRINK_MARGIN = 1.35
-# Machines of a pool beyond what its lasting tasks need at least.
+# Machines that a pool keeps beyond the minimum for its lasting tasks.
 SPARE_MACHINES = 1
-# A calm pool keeps this share of the most machines that it had.
+# Share of its peak size that an underused pool keeps.
 FLOOR_SHARE = 0.6
-# Window over which the arrival of work is measured.
+# Window over which the arrival rate of work is measured.
 ARRIVAL_MS = 1_500
-# Shortest time in which work is assumed to be done; bounds the demand of
-# jobs that are nearly late.
+# Minimum time in which work is assumed to be done; limits the capacity needed
+# for jobs that are nearly late.
 MIN_SPAN_MS = 1_000
-# Most machines that are on their way to one pool, and the same as a share of
-# a large pool. A move costs about as much as one second of a machine, a job
-# that is late as much as fifteen.
+# Maximum number of machines that are being moved to one pool, and the same as
+# a share of its workers; the larger one applies. A move costs about as much
+# as one second of a machine, a late job as much as fifteen.
 MAX_ADDED = 6
 MAX_ADDED_SHARE = 1.0
 
 
 class PoolLoad:
-    """A pool as the plan sees it.
+    """Capacity and demand of a pool.
 
     Attributes:
-        service: Name.
-        workers: Workers that take tasks.
-        capacity: Thousandths of a core of these together.
+        service: Name of the service, which is that of the pool.
+        workers: Workers that accept tasks.
+        capacity: Total capacity of these workers, in thousandths of a core.
         lasting: Thousandths of a core that its lasting tasks use.
-        needed: Thousandths of a core that its jobs need to be on time.
-        min_machines: Least number of machines.
+        needed: Thousandths of a core that its jobs need to meet their
+            objectives, including ``lasting``.
+        min_machines: Minimum number of machines for its lasting tasks.
     """
 
     __slots__ = (
@@ -69,25 +70,25 @@
         self.min_machines = 0
 
     def can_spare_machine(self):
-        """Returns whether the pool does without one more machine."""
-        left = self.capacity - self.mean_machine_milli
+        """Returns whether the pool can do without one machine."""
+        remaining = self.capacity - self.mean_machine_milli
         if len(self.workers) <= self.min_machines + SPARE_MACHINES:
             return False
-        return self.needed * SHRINK_MARGIN <= left
+        return self.needed * SHRINK_MARGIN <= remaining
 
     def remove_worker(self, worker):
-        """Counts a worker out."""
+        """Removes a worker and its capacity."""
         self.workers.remove(worker)
         self.capacity -= worker.report.capacity.cpu_milli
 
     @property
     def mean_machine_milli(self):
-        """Mean size of a machine of the pool."""
+        """Mean capacity of a worker of the pool, in thousandths of a core."""
         return self.capacity / len(self.workers) if self.workers else 0
 
 
 def measure_pool(dispatcher, service, now_ms, wall_ms):
-    """Returns the Pool of a service with its present demand."""
+    """Returns the PoolLoad of a service at present."""
     workers = [
         worker
         for worker in dispatcher.workers.of_service(service)
@@ -95,7 +96,7 @@
     ]
     pool = PoolLoad(service, workers)
     lasting = 0
-    waiting_work, needed, arrived = 0, 0, 0
+    waiting_work, needed, arrived_work = 0, 0, 0
     ranked_jobs = active_ranked_jobs(dispatcher, service, wall_ms)
     for ranked_job in sorted(
         ranked_jobs, key=lambda ranked_job: ranked_job.objective_ms
@@ -117,21 +118,24 @@
         waiting_work += ranked_job.waiting_work * ESTIMATE_MARGIN
         needed = max(needed, waiting_work / max(span_ms, MIN_SPAN_MS))
         if wall_ms - ranked_job.job.submitted_ms < ARRIVAL_MS:
-            arrived += ranked_job.waiting_work + ranked_job.running_work
+            arrived_work += ranked_job.waiting_work + ranked_job.running_work
     pool.lasting = lasting
-    pool.needed = lasting + max(needed, arrived / ARRIVAL_MS)
+    pool.needed = lasting + max(needed, arrived_work / ARRIVAL_MS)
     return pool
 
 
 def machines_for(step):
-    """Returns how many machines the tasks of a step need at least."""
+    """Returns the minimum number of machines for the tasks of a step."""
     if not step.lasting or not step.max_per_worker:
         return 1
     return math.ceil(step.count / step.max_per_worker)
 
 
 def plan_moves(manager, dispatcher, now_ms):
-    """Reserves machines that move, and orders those that are empty."""
+    """Plans the moves that adapt the pools to their demand.
+
+    Reserves the machines to move, and orders the moves of empty ones.
+    """
     finish_moves(manager, dispatcher, now_ms)
     table = dispatcher.state.routes.table
     standby = table.standby_services()
@@ -147,7 +151,8 @@
         if pool.needed > pool.lasting:
             manager.used_services.add(pool.service)
         grow(manager, dispatcher, pool, pools, now_ms)
-    # A pool whose demand is not known yet keeps its size.
+    # A pool that has had only lasting jobs in this term keeps its size,
+    # because its further demand is unknown.
     for pool in pools:
         if pool.service in manager.used_services:
             shrink(manager, dispatcher, pool, standby[0], now_ms)
@@ -156,13 +161,13 @@
 def grow(manager, dispatcher, pool, pools, now_ms):
     """Adds machines to a pool whose jobs would be late.
 
-    They come from standby, and else from the pools that can spare one.
+    They come from standby first, and then from pools that can spare one.
     """
     if pool.needed <= pool.capacity or not pool.workers:
         return
     missing = (pool.needed - pool.capacity) / pool.mean_machine_milli
-    most = max(MAX_ADDED, int(MAX_ADDED_SHARE * len(pool.workers)))
-    wanted = min(most, math.ceil(missing))
+    max_added = max(MAX_ADDED, int(MAX_ADDED_SHARE * len(pool.workers)))
+    wanted = min(max_added, math.ceil(missing))
     wanted -= count_incoming(manager, dispatcher, pool.service)
     if wanted <= 0:
         return
@@ -171,7 +176,7 @@
         log_growth(pool, machine, "standby")
         manager.record(dispatcher, machine, MOVE, pool.service)
         wanted -= 1
-    for donor in sorted(pools, key=lambda each: each.needed - each.capacity):
+    for donor in sorted(pools, key=lambda load: load.needed - load.capacity):
         while wanted > 0 and donor is not pool and donor.can_spare_machine():
             worker = find_idle(manager, dispatcher, donor, now_ms)
             machine = worker.report.machine if worker else ""
@@ -185,17 +190,17 @@
 
 
 def count_incoming(manager, dispatcher, service):
-    """Returns how many machines are on their way to a pool."""
+    """Returns the number of machines that are being moved to a pool."""
     orders = dispatcher.state.upkeep.orders.values()
     ordered = sum(o.purpose == MOVE and o.target == service for o in orders)
-    leaving = sum(
+    pending = sum(
         target == service for target in manager.pending_moves.values()
     )
-    return ordered + leaving
+    return ordered + pending
 
 
 def find_standby(manager, dispatcher, service, now_ms):
-    """Returns the machines in standby that may join a pool."""
+    """Returns the machines on standby that may be moved to a pool."""
     standby = dispatcher.state.routes.table.standby_services()
     orders = dispatcher.state.upkeep.orders
     return [
@@ -209,7 +214,7 @@
 
 
 def log_growth(pool, machine, source):
-    """Logs that a machine is to join a pool."""
+    """Logs that a machine is to be moved to a pool."""
     logger.info(
         "Pool grows.",
         pool=pool.service,
@@ -221,8 +226,11 @@
 
 
 def find_idle(manager, dispatcher, pool, now_ms):
-    """Returns the worker with the least work, none of it lasting."""
-    idle = [
+    """Returns the worker with the most free processors, or None.
+
+    Workers with lasting tasks are left out.
+    """
+    candidates = [
         worker
         for worker in pool.workers
         if worker.report.machine
@@ -231,16 +239,18 @@
         and manager.may_order(dispatcher, worker.report.machine, now_ms)
     ]
     return max(
-        idle, key=lambda each: each.free_capacity().cpu_milli, default=None
+        candidates,
+        key=lambda each: each.free_capacity().cpu_milli,
+        default=None,
     )
 
 
 def shrink(manager, dispatcher, pool, standby, now_ms):
-    """Reserves one machine of a calm pool for standby."""
-    most = max(len(pool.workers), manager.peak_sizes.get(pool.service, 0))
-    manager.peak_sizes[pool.service] = most
-    floor = math.ceil(FLOOR_SHARE * most)
-    if not pool.can_spare_machine() or len(pool.workers) <= floor:
+    """Reserves one machine of an underused pool for a move to standby."""
+    peak_size = max(len(pool.workers), manager.peak_sizes.get(pool.service, 0))
+    manager.peak_sizes[pool.service] = peak_size
+    min_size = math.ceil(FLOOR_SHARE * peak_size)
+    if not pool.can_spare_machine() or len(pool.workers) <= min_size:
         manager.underused_since_ms.pop(pool.service, None)
         return
     since_ms = manager.underused_since_ms.setdefault(pool.service, now_ms)
@@ -262,13 +272,16 @@
 
 
 def finish_moves(manager, dispatcher, now_ms):
-    """Orders the moves of machines that are empty."""
+    """Orders the pending moves of machines that are empty.
+
+    A move is dropped if the machine is not up or has another order.
+    """
     for machine, target in list(manager.pending_moves.items()):
         worker = dispatcher.workers.by_machine.get(machine)
         row = manager.rows.get(machine)
         ordered = machine in dispatcher.state.upkeep.orders
         if ordered or worker is None or row is None or row.state != UP:
-            # A wave may have taken the machine meanwhile.
+            # An upkeep wave may have ordered the machine in the meantime.
             del manager.pending_moves[machine]
         elif not worker.runs:
             manager.record(dispatcher, machine, MOVE, target)
--- a/wigeonport/upkeep_waves.py
+++ b/wigeonport/upkeep_waves.py
@@ -1,4 +1,4 @@
-"""Upkeep waves: which machines are taken, and when."""
+"""Progress of upkeep waves: which machines go down for upkeep, and when."""
 
 import math
 
@@ -6,34 +6,37 @@
 from wigeonport.machine_orders import UP
 from wigeonport.task_evacuations import evacuate
 
-# A machine that is to be emptied loses its remaining tasks after this time:
-# two mean run times of the longest kind of task.
+# Tasks that still run on a reserved machine after this time are stopped. It is
+# twice the mean run time of the longest kind of task.
 EMPTYING_MS = 4_000
-# Time of one upkeep for the pace of a wave: emptying, the upkeep of 2 s,
-# and the first heartbeat of the new worker.
+# Duration of one round of a wave, assumed for its deadline: emptying, the
+# upkeep of 2 s, and the first heartbeat of the new worker.
 ROUND_MS = 6_500
-# Share of a pool that a wave takes at a time while it is not pressed.
+# Maximum share of a pool that is reserved at the same time, unless a wave
+# would miss its deadline.
 POOL_SHARE = 0.34
-# Use of a pool's processors below which a wave may take machines early.
+# Share of a pool's processors in use below which a wave may reserve machines
+# ahead of its deadline.
 UNDERUSED_SHARE = 0.5
 
 
 def advance_wave(manager, dispatcher, wave, now_ms):
-    """Reserves machines of a wave, and orders those that are empty."""
+    """Reserves machines of a wave, and orders the upkeep of empty ones."""
     orders = dispatcher.state.upkeep.orders
-    # Machines that are emptied for another pool are reserved too.
-    left = [
+    # Machines that are being emptied for a move are reserved too, but not
+    # for this wave.
+    remaining_names = [
         name
         for name in wave.left
         if name not in orders and name not in manager.pending_moves
     ]
     reserved = [
         name
-        for name in left
+        for name in remaining_names
         if (worker := dispatcher.workers.by_machine.get(name)) is not None
         and worker.reserved_ms is not None
     ]
-    others = [name for name in left if name not in reserved]
+    others = [name for name in remaining_names if name not in reserved]
     reserve_machines(manager, dispatcher, wave, others, len(reserved), now_ms)
     free = wave.max_count - dispatcher.state.upkeep.count_down(wave)
     for name in reserved:
@@ -45,22 +48,28 @@
             free -= 1
 
 
-def reserve_machines(manager, dispatcher, wave, names, reserved, now_ms):
-    """Reserves machines as far as the bound allows.
+def reserve_machines(manager, dispatcher, wave, names, reserved_count, now_ms):
+    """Reserves machines up to the wave's maximum number.
 
     A machine without a worker needs no emptying and is ordered at once.
+    Others are reserved if the wave is short of time or their pool can spare
+    them.
 
     Args:
         manager: MachineManager.
         dispatcher: BatchDispatcher.
         wave: Wave.
         names: Machines that may be reserved.
-        reserved: Number of machines that are reserved already.
+        reserved_count: Number of machines that are reserved already.
         now_ms: Monotonic time.
     """
-    rounds = math.ceil((len(names) + reserved) / max(1, wave.max_count))
+    rounds = math.ceil((len(names) + reserved_count) / max(1, wave.max_count))
     slack_ms = wave.due_ms - dispatcher.wall_ms - rounds * ROUND_MS
-    free = wave.max_count - dispatcher.state.upkeep.count_down(wave) - reserved
+    free = (
+        wave.max_count
+        - dispatcher.state.upkeep.count_down(wave)
+        - reserved_count
+    )
     for name in sort_by_work(dispatcher, names):
         if free <= 0:
             return
@@ -79,7 +88,7 @@
 
 
 def sort_by_work(dispatcher, names):
-    """Returns machines, those with the least work first."""
+    """Returns machines sorted by the processors in use, fewest first."""
 
     def work(name):
         worker = dispatcher.workers.by_machine.get(name)
@@ -91,14 +100,14 @@
 
 
 def can_spare_worker(dispatcher, worker):
-    """Returns whether a pool can spare a worker now."""
+    """Returns whether the pool of a worker can do without it now."""
     members = [
         other
         for other in dispatcher.workers.of_service(worker.report.service)
         if other.report.capacity
     ]
-    taken = sum(other.reserved_ms is not None for other in members)
-    if taken + 1 > max(1, POOL_SHARE * len(members)):
+    reserved_count = sum(other.reserved_ms is not None for other in members)
+    if reserved_count + 1 > max(1, POOL_SHARE * len(members)):
         return False
     total = sum(other.report.capacity.cpu_milli for other in members)
     free = sum(max(0, other.free_capacity().cpu_milli) for other in members)
@@ -106,9 +115,9 @@
 
 
 def empty_reserved(dispatcher, now_ms):
-    """Moves what runs on the machines that are being emptied."""
+    """Moves the runs away from reserved workers."""
     for worker in dispatcher.workers.by_id.values():
         if worker.reserved_ms is None:
             continue
-        late = now_ms - worker.reserved_ms > EMPTYING_MS
-        evacuate(dispatcher, worker, late)
+        stop_all = now_ms - worker.reserved_ms > EMPTYING_MS
+        evacuate(dispatcher, worker, stop_all)
