Rename 4 names: MAX_REMEMBERED_IDS, MIN_SIZE_SHARE and others

Cause: The bounds and pauses had figurative or incomplete names. Change: REMEMBERED_IDS to MAX_REMEMBERED_IDS, FLOOR_SHARE to MIN_SIZE_SHARE, GATHERING_MS to TERM_START_WAIT_MS, is_wanted to should_continue; 9 uses in 5 files, by token. Result: every touched file compiles; behaviour is unchanged.

--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -168,7 +168,7 @@
         step_and_task = job.find(*position) if job else None
         return (job, *step_and_task) if step_and_task else None
 
-    def is_wanted(self, name, run):
+    def should_continue(self, name, run):
         """Returns whether a run should continue."""
         entry = self.find_task(name)
         if entry is None:
--- a/wigeonport/batch_states.py
+++ b/wigeonport/batch_states.py
@@ -24,7 +24,7 @@
 # Maximum number of ids of dropped jobs, about 120 bytes each. They let a
 # resent submission be recognised; once this many later jobs have been
 # dropped too, it is accepted as a new job.
-REMEMBERED_IDS = 100_000
+MAX_REMEMBERED_IDS = 100_000
 
 
 class BatchState:
@@ -65,7 +65,7 @@
         for job_id in expired_ids:
             del self.jobs[job_id]
             self.remembered[job_id] = True
-        while len(self.remembered) > REMEMBERED_IDS:
+        while len(self.remembered) > MAX_REMEMBERED_IDS:
             del self.remembered[next(iter(self.remembered))]
 
     def to_document(self):
--- a/wigeonport/machine_managers.py
+++ b/wigeonport/machine_managers.py
@@ -46,7 +46,7 @@
 CLOCK_JUMP_MS = 5_000
 # Time in which all workers find a new leader. Until then nothing is planned,
 # because pools look smaller than they are.
-GATHERING_MS = 1_500
+TERM_START_WAIT_MS = 1_500
 # A refused or unanswered order is sent again after this time.
 REFUSED_PAUSE_MS = 700
 
@@ -261,7 +261,7 @@
         """
         self.silent_worker = has_silent_worker(dispatcher, now_ms)
         self.reserve_ordered(dispatcher, now_ms)
-        if now_ms - self.since_ms < GATHERING_MS or not self.rows:
+        if now_ms - self.since_ms < TERM_START_WAIT_MS or not self.rows:
             return []
         self.settle_returned(dispatcher)
         for wave in list(dispatcher.state.upkeep.waves.values()):
--- a/wigeonport/pool_sizes.py
+++ b/wigeonport/pool_sizes.py
@@ -24,7 +24,7 @@
 # Machines that a pool keeps beyond the minimum for its lasting tasks.
 SPARE_MACHINES = 1
 # Share of its peak size that an underused pool keeps.
-FLOOR_SHARE = 0.6
+MIN_SIZE_SHARE = 0.6
 # Window over which the arrival rate of work is measured.
 ARRIVAL_MS = 1_500
 # Minimum time in which work is assumed to be done; limits the capacity needed
@@ -249,7 +249,7 @@
     """Reserves one machine of an underused pool for a move to standby."""
     peak_size = max(len(pool.workers), manager.peak_sizes.get(pool.service, 0))
     manager.peak_sizes[pool.service] = peak_size
-    min_size = math.ceil(FLOOR_SHARE * peak_size)
+    min_size = math.ceil(MIN_SIZE_SHARE * peak_size)
     if not pool.can_spare_machine() or len(pool.workers) <= min_size:
         manager.underused_since_ms.pop(pool.service, None)
         return
--- a/wigeonport/run_orders.py
+++ b/wigeonport/run_orders.py
@@ -14,7 +14,7 @@
         reported.add(key)
         if (
             key not in worker.runs
-            or not dispatcher.is_wanted(*key)
+            or not dispatcher.should_continue(*key)
             or key in worker.stopping
         ):
             orders.stops.append(key)
@@ -22,7 +22,7 @@
         key
         for key in worker.runs
         if key not in reported
-        and (key in worker.stopping or not dispatcher.is_wanted(*key))
+        and (key in worker.stopping or not dispatcher.should_continue(*key))
     ]
     for key in never_started:
         # The stop makes the worker reject a start order that is still in
