Rename CALLS_BOUND to MAX_QUEUED_CALLS

Cause: The bound is the maximum number of queued calls. Change: CALLS_BOUND to MAX_QUEUED_CALLS; 2 uses in 1 files, by token. Result: every touched file compiles; behaviour is unchanged.

--- a/wigeonport/machine_managers.py
+++ b/wigeonport/machine_managers.py
@@ -35,7 +35,7 @@
 
 logger = PartLogger("machines")
 
-CALLS_BOUND = 256
+MAX_QUEUED_CALLS = 256
 # Interval of reading the list of machines, which shows machines without a
 # worker. The platform charges for each call.
 LIST_INTERVAL_MS = 1_500
@@ -134,7 +134,7 @@
         self.settings = settings
         self.node = node
         self.clock = clock
-        self.calls = Mailbox("machine calls", CALLS_BOUND, REFUSE)
+        self.calls = Mailbox("machine calls", MAX_QUEUED_CALLS, REFUSE)
         self.rows = {}
         self.rows_requested_ms = 0
         self.confirmed_ms = {}
