Merge the wording of part batch-decisions

Change: comments, docstrings, log sentences, messages and names of the part; renames follow over the tree.

--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -1,8 +1,8 @@
 """Decisions of the leader on batch jobs and workers.
 
-The dispatcher holds a working copy of the replicated state. It applies
-each operation at once and hands it out in ``operations``; what it decides
-may be told to others only after these are committed.
+The dispatcher holds a working copy of the replicated state. It applies each
+operation to this copy at once and collects it in ``operations``. Answers to
+workers and callers may be sent only after these operations are committed.
 """
 
 from wigeonport.advice_tickets import Tickets
@@ -17,45 +17,50 @@
 from wigeonport.batch_requests import call_handlers
 from wigeonport.batch_specs import split_task_id
 from wigeonport.batch_states import apply_operation
-from wigeonport.fill_pacers import pace_fills
-from wigeonport.job_orders import JobClaim
+from wigeonport.fill_rates import update_fill_rates
+from wigeonport.job_orders import RankedJob
 from wigeonport.logs import PartLogger
 from wigeonport.run_orders import add_starts, reconcile
-from wigeonport.run_reports import take_ends, take_progress
-from wigeonport.task_copies import find_copies, place_copies
+from wigeonport.run_reports import record_ended_runs, record_reported_runs
+from wigeonport.task_copies import find_tasks_to_copy, start_copies
 from wigeonport.task_evacuations import withdraw_stops
 from wigeonport.task_placements import place_gangs, place_tasks
+from wigeonport.worker_evaluations import review_worker
 from wigeonport.worker_reports import WorkerOrders
 from wigeonport.worker_tables import WorkerTable, lease_end_ms
-from wigeonport.worker_verdicts import review_worker
 
 logger = PartLogger("dispatch")
 
-# Steps whose tickets are kept.
+# Maximum number of steps whose tickets are kept.
 MAX_TICKET_STEPS = 4_096
 
 
 class BatchDispatcher:
-    """Decides for one term.
+    """Decides on jobs, tasks and workers during one term of the leader.
 
     Attributes:
         state: Working copy of the ReplicatedState.
         settings: BatchSettings.
-        term: Term of the leader, the fence of its orders.
-        since_ms: Monotonic start of the term at this replica.
+        term: Term of the leader, the fencing token of its orders.
+        since_ms: Monotonic time at which the term began at this replica.
         workers: WorkerTable.
-        interval_ms: Interval of heartbeats of a worker without news.
-        active: Job by id, of those whose tasks may be started.
+        interval_ms: Interval between the heartbeats of a worker that has
+            no event to report.
+        active: Maps job id to BatchJob, for jobs whose tasks may be started.
         operations: Operations since the last ``take_operations``.
-        orphans_until_ms: Until when runs of workers that this leader has
-            not heard of may live.
-        failed_on: Time of the failure by worker id, by task.
-        claims: OrderedClaims by service.
-        tickets: Tickets by name of a step, for queues with advice.
-        copies: Lists of the tasks that want a copy, by service.
-        waiting_since: First time at which a step waited for a near worker.
-        wall_ms: Wall time of the current step.
-        now_ms: Monotonic time of the current step.
+        orphans_until_ms: Monotonic time until which runs may be live on
+            workers that have sent no heartbeat to this leader.
+        failure_times: Maps task name to a dict from worker id to the
+            monotonic time of the last failure there, in ms.
+        ranked_jobs: Maps service to its JobRanking.
+        tickets: Maps step name to Tickets, for queues with advice.
+        tasks_to_copy: Maps service to the names of the tasks that need a
+            speculative copy.
+        rack_wait_start_ms: Maps the name prefix of a step's tasks to the
+            monotonic time at which the step began to wait for a worker in
+            the rack of its data.
+        wall_ms: Wall time of the event being handled.
+        now_ms: Monotonic time of the event being handled.
     """
 
     __slots__ = (
@@ -68,11 +73,11 @@
         "active",
         "operations",
         "orphans_until_ms",
-        "failed_on",
-        "claims",
+        "failure_times",
+        "ranked_jobs",
         "tickets",
-        "copies",
-        "waiting_since",
+        "tasks_to_copy",
+        "rack_wait_start_ms",
         "wall_ms",
         "now_ms",
     )
@@ -86,13 +91,13 @@
         self.interval_ms = settings.interval_ms
         self.active = {}
         self.operations = []
-        # The former leader may have answered until this one was elected.
+        # The former leader may have extended leases until this election.
         self.orphans_until_ms = lease_end_ms(settings.hold_ms, now_ms)
-        self.failed_on = {}
-        self.claims = {}
+        self.failure_times = {}
+        self.ranked_jobs = {}
         self.tickets = {}
-        self.copies = {}
-        self.waiting_since = {}
+        self.tasks_to_copy = {}
+        self.rack_wait_start_ms = {}
         self.wall_ms = 0
         self.now_ms = now_ms
         for job in state.batch.jobs.values():
@@ -101,78 +106,86 @@
             for task, run, worker, step in job.live_runs():
                 self.workers.add_run(worker, task, run, step)
 
-    def silence_ms(self):
-        """Returns the silence after which a worker gets no task."""
+    def max_silence_ms(self):
+        """Returns the silence, in ms, after which a worker gets no task."""
         return self.settings.silent_beats * self.interval_ms
 
     def record(self, operation):
-        """Applies an operation to the working copy and hands it out."""
+        """Applies an operation to the working copy and queues its commit."""
         if isinstance(operation, EndRuns):
-            self.drop_ended(operation)
+            self.unindex_ended_runs(operation)
         apply_operation(self.state, operation, self.wall_ms)
         self.operations.append(operation)
         if isinstance(operation, StartRuns):
-            self.note_starts(operation)
+            self.index_started_runs(operation)
         elif isinstance(operation, SubmitJob):
             job = self.state.batch.jobs.get(operation.job_id)
             if job is not None and job.active:
                 self.active[job.job_id] = job
-                self.order_job(job)
+                self.add_to_ranking(job)
 
-    def order_job(self, job):
-        """Takes a new job into the order of its service, if that is kept."""
+    def add_to_ranking(self, job):
+        """Adds a new job to the cached ranking of its service, if any."""
         queue = self.state.routes.queue_of(job.queue)
-        kept = self.claims.get(queue.service if queue else "")
-        if kept is not None:
-            kept.add(JobClaim(job, queue))
+        ranking = self.ranked_jobs.get(queue.service if queue else "")
+        if ranking is not None:
+            ranking.add(RankedJob(job, queue))
 
-    def note_starts(self, operation):
-        """Keeps the index of live runs."""
-        for name, run in zip(operation.tasks, operation.runs, strict=True):
-            step = self.task_of(name)[1].step
-            self.workers.add_run(operation.worker, name, run, step)
+    def index_started_runs(self, operation):
+        """Adds started runs to the index of live runs."""
+        for task_name, run in zip(
+            operation.tasks, operation.runs, strict=True
+        ):
+            step = self.find_task(task_name)[1].step
+            self.workers.add_run(operation.worker, task_name, run, step)
 
-    def drop_ended(self, operation):
-        """Removes runs from the index of live runs before they end."""
-        for name, run in zip(operation.tasks, operation.runs, strict=True):
-            found = self.task_of(name)
-            if found is not None:
-                worker = found[2].runs.get(run)
-                self.workers.drop_run(worker, name, run)
+    def unindex_ended_runs(self, operation):
+        """Removes runs from the index of live runs.
+
+        Must be called before the operation is applied, because that removes
+        the worker of each run from the task.
+        """
+        for task_name, run in zip(
+            operation.tasks, operation.runs, strict=True
+        ):
+            entry = self.find_task(task_name)
+            if entry is not None:
+                worker = entry[2].runs.get(run)
+                self.workers.drop_run(worker, task_name, run)
 
     def take_operations(self):
         """Returns and clears the operations to commit."""
         operations, self.operations = self.operations, []
         return operations
 
-    def task_of(self, name):
-        """Returns job, StepRun and Task of a name, or None."""
+    def find_task(self, name):
+        """Returns BatchJob, StepRun and Task of a task name, or None."""
         try:
             job_id, *position = split_task_id(name)
         except ValueError:
             return None
         job = self.state.batch.jobs.get(job_id)
-        found = job.find(*position) if job else None
-        return (job, *found) if found else None
+        step_and_task = job.find(*position) if job else None
+        return (job, *step_and_task) if step_and_task else None
 
-    def is_wanted(self, name, run):
-        """Returns whether a run is to go on."""
-        found = self.task_of(name)
-        if found is None:
+    def should_continue(self, name, run):
+        """Returns whether a run should continue."""
+        entry = self.find_task(name)
+        if entry is None:
             return False
-        job, _, task = found
+        job, _, task = entry
         return job.active and not task.done and run in task.runs
 
     def on_report(self, report, now_ms, wall_ms):
-        """Takes in a heartbeat and returns the WorkerOrders."""
+        """Handles a heartbeat and returns the WorkerOrders in answer."""
         self.wall_ms, self.now_ms = wall_ms, now_ms
         orders = WorkerOrders(self.term, self.interval_ms)
-        worker, over = self.workers.admit(report, now_ms)
-        for incarnation in over:
-            self.lose(incarnation, "the worker has started anew")
+        worker, replaced = self.workers.record_heartbeat(report, now_ms)
+        for incarnation in replaced:
+            self.record_lost_worker(incarnation, "the worker has restarted")
         if worker is None:
             logger.info(
-                "Heartbeat is outdated.",
+                "Ignored an outdated heartbeat.",
                 worker=report.incarnation,
                 sequence=report.sequence,
             )
@@ -180,40 +193,44 @@
         if report.capacity is None:
             return orders
         self.reserve_ordered(worker, now_ms)
-        take_ends(self, worker, orders)
-        take_progress(self, worker)
+        record_ended_runs(self, worker, orders)
+        record_reported_runs(self, worker)
         review_worker(self, worker, now_ms)
         withdraw_stops(self, worker)
         reconcile(self, worker, orders)
-        pace_fills(worker, orders)
-        if worker.accepts(now_ms, self.silence_ms()):
+        update_fill_rates(worker, orders)
+        if worker.accepts_tasks(now_ms, self.max_silence_ms()):
             place_gangs(self, now_ms, wall_ms)
             place_tasks(self, worker, now_ms, wall_ms)
-            place_copies(self, worker, now_ms, wall_ms)
+            start_copies(self, worker, now_ms, wall_ms)
         add_starts(self, worker, orders)
         orders.hold_ms = self.settings.hold_ms
         worker.extend_lease(orders.hold_ms, now_ms)
         return orders
 
     def reserve_ordered(self, worker, now_ms):
-        """Keeps new tasks away from a worker whose machine has an order."""
+        """Reserves a worker whose machine has an order, so it gets no task."""
         ordered = worker.report.machine in self.state.upkeep.orders
         if ordered and worker.reserved_ms is None:
             worker.reserved_ms = now_ms
 
-    def drop_runs(self, keys):
-        """Records runs that are surely not live."""
+    def record_lost_runs(self, keys):
+        """Records the end of runs that are certain not to be live.
+
+        Args:
+            keys: Pairs of task name and run number.
+        """
         if keys:
             tasks = [task for task, _ in keys]
             runs = [run for _, run in keys]
-            # Makes the newest checkpoint durable with the loss.
-            saved = [self.task_of(task)[2].saved for task in tasks]
+            # Commits the newest checkpoint together with the loss.
+            saved = [self.find_task(task)[2].saved for task in tasks]
             self.record(EndRuns(tasks, runs, [LOST] * len(tasks), saved))
 
-    def lose(self, incarnation, reason):
-        """Records that all runs of a life of a worker are over."""
+    def record_lost_worker(self, incarnation, reason):
+        """Records all runs of a worker incarnation as lost."""
         keys = list(self.workers.runs.get(incarnation, ()))
-        self.drop_runs(keys)
+        self.record_lost_runs(keys)
         self.workers.runs.pop(incarnation, None)
         logger.warning(
             "Worker is lost.",
@@ -223,25 +240,32 @@
         )
 
     def on_tick(self, now_ms, wall_ms):
-        """Notes workers whose leases have lapsed, and opens occurrences."""
+        """Records workers with expired leases and opens due occurrences.
+
+        Also adapts the heartbeat interval and finds the tasks to copy.
+        """
         self.wall_ms, self.now_ms = wall_ms, now_ms
         for worker in list(self.workers.by_id.values()):
             if now_ms > worker.lease_until_ms and (
-                now_ms - worker.heard_ms > self.settings.hold_ms
+                now_ms - worker.last_heartbeat_ms > self.settings.hold_ms
             ):
-                self.workers.forget(worker)
-                self.lose(worker.incarnation, "the lease has lapsed")
+                self.workers.remove_worker(worker)
+                self.record_lost_worker(
+                    worker.incarnation, "the lease has lapsed"
+                )
         if now_ms > self.orphans_until_ms:
-            known = self.workers.incarnations()
+            current = self.workers.incarnations()
             for incarnation in list(self.workers.runs):
-                if incarnation not in known:
-                    self.lose(incarnation, "no heartbeat in this term")
+                if incarnation not in current:
+                    self.record_lost_worker(
+                        incarnation, "no heartbeat in this term"
+                    )
         self.interval_ms = self.settings.heartbeat_ms(len(self.workers.by_id))
-        self.copies = find_copies(self, now_ms)
+        self.tasks_to_copy = find_tasks_to_copy(self, now_ms)
         self.open_occurrences(wall_ms)
 
     def open_occurrences(self, wall_ms):
-        """Opens the occurrences that are due."""
+        """Opens the due occurrences of repeated jobs."""
         for job in list(self.active.values()):
             spec = job.spec
             while (
@@ -252,21 +276,21 @@
                 self.record(OpenOccurrence(job.job_id, job.opened))
 
     def needs_ticket(self, job):
-        """Returns whether the starts of a job carry tickets."""
+        """Returns whether the tasks of a job need a ticket to start."""
         queue = self.state.routes.queue_of(job.queue)
         return queue is not None and queue.advice is not None
 
     def tickets_of(self, step):
-        """Returns the Tickets of a step."""
-        found = self.tickets.get(step)
-        if found is None:
+        """Returns the Tickets of a step, creating them if necessary."""
+        step_tickets = self.tickets.get(step)
+        if step_tickets is None:
             if len(self.tickets) >= MAX_TICKET_STEPS:
                 self.tickets.pop(next(iter(self.tickets)))
-            found = self.tickets[step] = Tickets()
-        return found
+            step_tickets = self.tickets[step] = Tickets()
+        return step_tickets
 
     def services_with_advice(self):
-        """Returns the services with an active job that needs advice."""
+        """Returns the services with an active job that needs tickets."""
         services = set()
         for job in self.active.values():
             queue = self.state.routes.queue_of(job.queue)
--- a/wigeonport/job_orders.py
+++ b/wigeonport/job_orders.py
@@ -1,27 +1,29 @@
-"""Order in which the jobs of a service get room."""
+"""Policies for the order in which the jobs of a service get capacity."""
 
 from wigeonport.registries import Registry
 
 job_orders = Registry("job order")
 
-# Estimates are rough and the tasks of a step differ by about a third.
+# Factor on estimated work: estimates are rough, and the run times of the
+# tasks of a step differ by about a third.
 ESTIMATE_MARGIN = 1.25
 
 
-class JobClaim:
-    """What the order of jobs is decided on.
+class RankedJob:
+    """An active job with the values that decide its rank.
 
     Attributes:
         job: BatchJob.
         queue: Queue of the job.
-        lasting: Whether its tasks run until it is cancelled.
-        objective_ms: Wall time by which the job has full value.
-        left_ms: Estimated run time of the longest chain that is left.
-        work: Estimated work that is left, in thousandths of a core times
-            ms.
-        running: Estimated work of the tasks that run, in the same unit.
-        startable: Triples of occurrence, number and StepRun, of the steps
-            whose tasks may be started one by one.
+        lasting: Whether it has tasks that run until the job is cancelled.
+        objective_ms: Wall time by which the job should be completed.
+        remaining_ms: Estimated run time of the longest remaining chain of
+            dependent steps.
+        waiting_work: Estimated work of its waiting tasks, in thousandths of
+            a core times ms.
+        running_work: Estimated work of its running tasks, in the same unit.
+        startable: Triples of occurrence, step number and StepRun, for the
+            steps whose tasks may be started one by one, so not for gangs.
     """
 
     __slots__ = (
@@ -29,9 +31,9 @@
         "queue",
         "lasting",
         "objective_ms",
-        "left_ms",
-        "work",
-        "running",
+        "remaining_ms",
+        "waiting_work",
+        "running_work",
         "startable",
     )
 
@@ -48,70 +50,84 @@
             + queue.stretch * spec.chain_ms()
             + queue.target_latency_ms
         )
-        self.left_ms, self.work, self.running = estimate_left(job)
+        self.remaining_ms, self.waiting_work, self.running_work = (
+            estimate_remaining(job)
+        )
         self.startable = []
-        self.find_startable()
+        self.update_startable()
 
-    def find_startable(self):
-        """Looks for the steps that are ready."""
+    def update_startable(self):
+        """Recomputes the steps whose tasks may be started."""
         self.startable = [
-            ready for ready in self.job.ready_steps() if not ready[2].step.gang
+            triple
+            for triple in self.job.ready_steps()
+            if not triple[2].step.gang
         ]
 
 
-class OrderedClaims:
-    """The claims of a service in their order, kept for a moment.
+class JobRanking:
+    """The ranked jobs of a service, cached for a short time.
 
     Attributes:
-        made_ms: Wall time of the order.
-        order: Function that sorts claims.
-        claims: JobClaim list, in order.
-        by_job: JobClaim by job id.
+        created_ms: Wall time for which the ranking was computed.
+        policy: Function from ``job_orders`` that sorts RankedJobs.
+        ranked_jobs: List of RankedJob, highest rank first.
+        by_job_id: Maps job id to RankedJob.
     """
 
-    __slots__ = ("made_ms", "order", "claims", "by_job")
-
-    def __init__(self, claims, order, made_ms):
-        self.made_ms = made_ms
-        self.order = order
-        self.claims = order(claims, made_ms)
-        self.by_job = {claim.job.job_id: claim for claim in claims}
+    __slots__ = ("created_ms", "policy", "ranked_jobs", "by_job_id")
+
+    def __init__(self, ranked_jobs, policy, created_ms):
+        self.created_ms = created_ms
+        self.policy = policy
+        self.ranked_jobs = policy(ranked_jobs, created_ms)
+        self.by_job_id = {
+            ranked_job.job.job_id: ranked_job for ranked_job in ranked_jobs
+        }
+
+    def add(self, ranked_job):
+        """Adds a new job at its rank."""
+        self.by_job_id[ranked_job.job.job_id] = ranked_job
+        self.ranked_jobs = self.policy(
+            [*self.ranked_jobs, ranked_job], self.created_ms
+        )
 
-    def add(self, claim):
-        """Takes a new job in."""
-        self.by_job[claim.job.job_id] = claim
-        self.claims = self.order([*self.claims, claim], self.made_ms)
+    def refresh_job(self, job_id):
+        """Updates a job of which a step has ended."""
+        ranked_job = self.by_job_id.get(job_id)
+        if ranked_job is not None:
+            ranked_job.update_startable()
 
-    def note_step(self, job_id):
-        """Learns that a step of a job has ended."""
-        claim = self.by_job.get(job_id)
-        if claim is not None:
-            claim.find_startable()
 
+def estimate_remaining(job):
+    """Returns the remaining time, the waiting and the running work of a job.
 
-def estimate_left(job):
-    """Returns the longest chain, the waiting and the running work."""
-    longest, work, running = 0, 0, 0
+    See ``RankedJob`` for the three values and their units.
+    """
+    longest_ms, waiting_work, running_work = 0, 0, 0
     for step_runs in job.occurrences.values():
-        finish = []
+        finish_ms = []
         for step_run in step_runs:
             step = step_run.step
             own_ms = step.estimated_ms if step_run.left else 0
-            before = [finish[each] for each in step.depends_on]
-            finish.append(max(before, default=0) + own_ms)
+            dependencies_ms = [finish_ms[each] for each in step.depends_on]
+            finish_ms.append(max(dependencies_ms, default=0) + own_ms)
             task_work = step.cpu_milli * own_ms
-            work += len(step_run.waiting) * task_work
-            running += (step_run.left - len(step_run.waiting)) * task_work
-        longest = max(longest, *finish) if finish else longest
-    return longest, work, running
+            waiting_work += len(step_run.waiting) * task_work
+            running_work += (step_run.left - len(step_run.waiting)) * task_work
+        longest_ms = max(longest_ms, *finish_ms) if finish_ms else longest_ms
+    return longest_ms, waiting_work, running_work
 
 
 @job_orders.register("objective")
-def order_by_objective(claims, now_ms):
-    """Lasting jobs, then what can meet its objective, the nearest first."""
+def order_by_objective(ranked_jobs, now_ms):
+    """Sorts lasting jobs first, then those that can meet their objective.
+
+    Within each group the job with the earliest objective is first.
+    """
 
-    def key(claim):
-        late = now_ms + claim.left_ms > claim.objective_ms
-        return (not claim.lasting, late, claim.objective_ms)
+    def key(ranked_job):
+        late = now_ms + ranked_job.remaining_ms > ranked_job.objective_ms
+        return (not ranked_job.lasting, late, ranked_job.objective_ms)
 
-    return sorted(claims, key=key)
+    return sorted(ranked_jobs, key=key)
--- a/wigeonport/machine_managers.py
+++ b/wigeonport/machine_managers.py
@@ -1,8 +1,8 @@
-"""Upkeep of machines and their moves between pools.
+"""Orders to machines: upkeep, and moves between pools.
 
-An order is durable before the platform is called. After a change of
-leader a machine that had an order lately gets none for a while, because
-the former leader's last order may still be on its way.
+An order is committed before it is sent to the platform. After a change of
+leader, a machine with a recent order gets no new one for a while, because the
+last order of the former leader may still be in flight.
 """
 
 import collections
@@ -17,7 +17,10 @@
 )
 from wigeonport.channels import REFUSE, Mailbox
 from wigeonport.logs import PartLogger
-from wigeonport.machine_losses import has_silent_worker, lose_down_workers
+from wigeonport.machine_losses import (
+    end_runs_on_down_machines,
+    has_silent_worker,
+)
 from wigeonport.machine_orders import (
     EXECUTED,
     NO_ANSWER,
@@ -28,25 +31,28 @@
     PlannedOrder,
 )
 from wigeonport.pool_sizes import plan_moves
-from wigeonport.upkeep_waves import advance, empty_reserved
+from wigeonport.upkeep_waves import advance_wave, empty_reserved
 
 logger = PartLogger("machines")
 
-CALLS_BOUND = 256
-# The list is needed for machines without a worker; each call is paid for.
+MAX_QUEUED_CALLS = 256
+# Interval of reading the list of machines, which shows machines without a
+# worker. The platform charges for each call.
 LIST_INTERVAL_MS = 1_500
-# While an order is carried out; an upkeep takes 2 s.
+# The same interval while an order is carried out (an upkeep takes 2 s) or a
+# worker may have crashed.
 BUSY_LIST_INTERVAL_MS = 400
-# The time of day may jump by some seconds; an order is old only beyond it.
+# Margin for jumps of the wall clock when the age of an order is computed.
 CLOCK_JUMP_MS = 5_000
-# Time in which the workers find a new leader; before, pools look small.
-GATHERING_MS = 1_500
-# A refused order is tried again after this time.
+# Time in which all workers find a new leader. Until then nothing is planned,
+# because pools look smaller than they are.
+TERM_START_WAIT_MS = 1_500
+# A refused or unanswered order is sent again after this time.
 REFUSED_PAUSE_MS = 700
 
 
 class DurableOrder:
-    """Reply channel that passes an order on once it is durable.
+    """Reply channel that forwards an order once it is committed.
 
     Attributes:
         calls: Mailbox of the task that calls the platform.
@@ -58,34 +64,46 @@
         self.calls = calls
 
     def send(self, answer):
-        """Passes a PlannedOrder on; anything else means a lost lead."""
+        """Forwards a PlannedOrder.
+
+        Any other answer means that this replica no longer leads, and the
+        order is not sent.
+        """
         if isinstance(answer, PlannedOrder):
             return self.calls.put_nowait(answer)
         return False
 
 
 class MachineManager:
-    """Decides on orders to machines.
+    """Decides on orders to machines and sends them to the platform.
+
+    Times are monotonic.
 
     Attributes:
         cloud: Client of the platform with ``list_machines`` and ``order``.
         settings: BatchSettings.
-        node: Node of this replica, the holder of its orders.
+        node: Node of this replica, sent as the holder of its orders.
         clock: Clock.
-        calls: Mailbox of PlannedOrders that are durable.
-        rows: MachineRow by machine.
-        rows_asked_ms: When that list was asked for.
-        confirmed_ms: When an order was confirmed, by machine.
+        calls: Mailbox of committed PlannedOrders to send.
+        rows: Maps machine to MachineRow, from the platform's newest list.
+        rows_requested_ms: Time at which that list was requested.
+        confirmed_ms: Maps machine to the time at which the platform
+            confirmed its order.
         since_ms: Start of the term.
-        pausing: Time until which a machine gets no order, by machine.
-        asked: Machines whose order is at the platform.
-        owned: Machines that this leader has given an order in its term.
+        paused_until_ms: Maps machine to the time before which it gets no
+            order.
+        orders_in_flight: Machines whose order has no answer yet.
+        ordered_in_term: Machines that have got an order in this term.
         leading: Whether this replica leads.
-        moving: Target pool by machine, for machines that are being emptied.
-        calm_since: Since when a pool could spare a machine.
-        sizes: Most machines of a pool in this term.
-        used: Services that have had timed jobs in this term.
-        unsuitable: Pairs of machine and pool that the platform refused.
+        pending_moves: Maps machine to target pool, for machines that are
+            being emptied to be moved.
+        underused_since_ms: Maps service to the time since which its pool
+            could spare a machine.
+        peak_sizes: Maps service to the maximum number of machines of its
+            pool in this term.
+        used_services: Services that have had jobs other than lasting ones
+            in this term.
+        refused_moves: Pairs of machine and pool that the platform refused.
         silent_worker: Whether a worker with live runs may have crashed.
     """
 
@@ -96,18 +114,18 @@
         "clock",
         "calls",
         "rows",
-        "rows_asked_ms",
+        "rows_requested_ms",
         "confirmed_ms",
         "since_ms",
-        "pausing",
-        "asked",
-        "owned",
+        "paused_until_ms",
+        "orders_in_flight",
+        "ordered_in_term",
         "leading",
-        "moving",
-        "calm_since",
-        "sizes",
-        "used",
-        "unsuitable",
+        "pending_moves",
+        "underused_since_ms",
+        "peak_sizes",
+        "used_services",
+        "refused_moves",
         "silent_worker",
     )
 
@@ -116,49 +134,53 @@
         self.settings = settings
         self.node = node
         self.clock = clock
-        self.calls = Mailbox("machine calls", CALLS_BOUND, REFUSE)
+        self.calls = Mailbox("machine calls", MAX_QUEUED_CALLS, REFUSE)
         self.rows = {}
-        self.rows_asked_ms = 0
+        self.rows_requested_ms = 0
         self.confirmed_ms = {}
         self.since_ms = 0
-        self.pausing = {}
-        self.asked = set()
-        self.owned = set()
+        self.paused_until_ms = {}
+        self.orders_in_flight = set()
+        self.ordered_in_term = set()
         self.leading = False
-        self.moving = {}
-        self.calm_since = {}
-        self.sizes = {}
-        self.used = set()
-        self.unsuitable = set()
+        self.pending_moves = {}
+        self.underused_since_ms = {}
+        self.peak_sizes = {}
+        self.used_services = set()
+        self.refused_moves = set()
         self.silent_worker = False
 
-    def restart(self, now_ms):
-        """Begins a term."""
+    def start_term(self, now_ms):
+        """Resets the state at the start of a term as leader."""
         self.since_ms = now_ms
-        self.pausing = {}
-        self.asked = set()
-        self.owned = set()
+        self.paused_until_ms = {}
+        self.orders_in_flight = set()
+        self.ordered_in_term = set()
         self.rows = {}
         self.confirmed_ms = {}
         self.leading = True
-        self.moving = {}
-        self.calm_since = {}
-        self.sizes = {}
-        self.used = set()
+        self.pending_moves = {}
+        self.underused_since_ms = {}
+        self.peak_sizes = {}
+        self.used_services = set()
 
     def stop(self):
-        """Ends a term."""
+        """Stops reading the list of machines at the end of a term."""
         self.leading = False
 
     async def run(self, inbox):
-        """Calls the platform on behalf of the controller."""
+        """Sends orders to the platform and reads its list of machines.
+
+        Args:
+            inbox: Mailbox of the controller for the answers.
+        """
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.list_regularly, inbox)
             async for order in self.calls:
                 nursery.start_soon(self.call, order, inbox)
 
     async def call(self, order, inbox):
-        """Sends one order and reports the answer."""
+        """Sends one order and passes the answer to the controller."""
         result = await self.cloud.order(order)
         logger.info(
             "Machine ordered.",
@@ -171,7 +193,7 @@
         await inbox.put(MachineAnswered(order, result))
 
     async def list_regularly(self, inbox):
-        """Reads the list of machines while this replica leads."""
+        """Reads the list of machines periodically while this replica leads."""
         while True:
             if self.leading:
                 asked_ms = self.clock.now()
@@ -179,19 +201,21 @@
                 if rows.is_ok():
                     await inbox.put(MachineListed(rows.ok, asked_ms))
                 else:
-                    logger.warning("No list of machines.", reason=rows.error)
+                    logger.warning(
+                        "Listing the machines failed.", reason=rows.error
+                    )
             await self.clock.sleep(self.list_interval_ms())
 
     def list_interval_ms(self):
-        """Returns the pause before the list is read again."""
+        """Returns the time until the list is read again."""
         if not self.leading or not self.rows:
             # A new leader needs its first list soon.
             return BUSY_LIST_INTERVAL_MS
-        busy = self.asked or self.confirmed_ms or self.silent_worker
+        busy = self.orders_in_flight or self.confirmed_ms or self.silent_worker
         return BUSY_LIST_INTERVAL_MS if busy else LIST_INTERVAL_MS
 
-    def note_list(self, dispatcher, event):
-        """Takes in the list of machines."""
+    def handle_machine_list(self, dispatcher, event):
+        """Handles a new list of machines from the platform."""
         if {m: r.state for m, r in event.rows.items()} != {
             m: r.state for m, r in self.rows.items()
         }:
@@ -200,42 +224,49 @@
             )
             logger.info("Machines listed.", states=dict(states))
         self.rows = event.rows
-        self.rows_asked_ms = event.asked_ms
+        self.rows_requested_ms = event.asked_ms
         if dispatcher is not None:
-            lose_down_workers(dispatcher, event)
+            end_runs_on_down_machines(dispatcher, event)
 
-    def note_answer(self, dispatcher, event, now_ms):
-        """Takes in the answer to an order."""
+    def handle_answer(self, dispatcher, event, now_ms):
+        """Handles the platform's answer to an order."""
         machine = event.order.machine
-        self.asked.discard(machine)
+        self.orders_in_flight.discard(machine)
         if event.result == EXECUTED:
-            # What ran there is over once the new worker is heard; an order
-            # that had been carried out before must not end its runs.
+            # The runs on the machine end with the first heartbeat of its
+            # new worker, not here: if the order had been carried out before,
+            # its runs are those of the new worker.
             dispatcher.record(ConfirmMachine(machine))
             self.confirmed_ms[machine] = now_ms
             return
-        self.pausing[machine] = now_ms + REFUSED_PAUSE_MS
+        self.paused_until_ms[machine] = now_ms + REFUSED_PAUSE_MS
         if event.result == NO_ANSWER:
-            # It may have been carried out; the same order is sent again.
+            # The order may have been carried out, so the same one is sent
+            # again instead of a new one.
             return
         gone = event.result == UNKNOWN_MACHINE
         if gone and event.order.purpose == MOVE:
-            # The pool takes machines of another kind, or the machine is
-            # gone; the next list tells which.
-            self.unsuitable.add((machine, event.order.target))
+            # Either the pool takes another kind of machine, or the machine
+            # no longer exists; the next list shows which.
+            self.refused_moves.add((machine, event.order.target))
         dispatcher.record(SettleMachine(machine, gone))
         self.release(dispatcher, machine)
 
     def on_tick(self, dispatcher, now_ms):
-        """Returns pairs of reply channel and PlannedOrder."""
+        """Plans waves and moves, and returns the orders to send.
+
+        Returns:
+            Pairs of reply channel and PlannedOrder. The channel gets the
+            order once it is committed.
+        """
         self.silent_worker = has_silent_worker(dispatcher, now_ms)
         self.reserve_ordered(dispatcher, now_ms)
-        if now_ms - self.since_ms < GATHERING_MS or not self.rows:
+        if now_ms - self.since_ms < TERM_START_WAIT_MS or not self.rows:
             return []
         self.settle_returned(dispatcher)
         for wave in list(dispatcher.state.upkeep.waves.values()):
             if wave.left:
-                advance(self, dispatcher, wave, now_ms)
+                advance_wave(self, dispatcher, wave, now_ms)
         plan_moves(self, dispatcher, now_ms)
         self.reserve_ordered(dispatcher, now_ms)
         empty_reserved(dispatcher, now_ms)
@@ -243,15 +274,16 @@
             self.plan(dispatcher, machine, order)
             for machine, order in list(dispatcher.state.upkeep.orders.items())
             if not order.begun
-            and self.is_free(dispatcher, machine, now_ms)
+            and self.may_order(dispatcher, machine, now_ms)
             and self.is_empty(dispatcher, machine, now_ms)
         ]
 
     def is_empty(self, dispatcher, machine, now_ms):
         """Returns whether no run of a machine may be live.
 
-        An order of a former leader may meet a machine that has been given
-        tasks since, and a worker may not have found this leader yet.
+        This is checked before each order, because the machine may have got
+        tasks since a former leader recorded the order, and its worker may
+        not have sent a heartbeat to this leader yet.
         """
         worker = dispatcher.workers.by_machine.get(machine)
         if worker is not None:
@@ -263,21 +295,24 @@
         return now_ms >= dispatcher.orphans_until_ms
 
     def reserve_ordered(self, dispatcher, now_ms):
-        """Keeps new tasks away from machines with an order."""
+        """Reserves the workers on machines with an order."""
         for machine in dispatcher.state.upkeep.orders:
             worker = dispatcher.workers.by_machine.get(machine)
             if worker is not None:
                 dispatcher.reserve_ordered(worker, now_ms)
 
-    def is_free(self, dispatcher, machine, now_ms):
+    def may_order(self, dispatcher, machine, now_ms):
         """Returns whether a machine may get an order now."""
-        if machine in self.asked or now_ms < self.pausing.get(machine, 0):
+        if (
+            machine in self.orders_in_flight
+            or now_ms < self.paused_until_ms.get(machine, 0)
+        ):
             return False
-        if machine in self.owned:
+        if machine in self.ordered_in_term:
             return True
         if now_ms - self.since_ms >= self.settings.duty_wait_ms:
             return True
-        # The former leader may have given it an order a moment ago.
+        # An order of the former leader may still be in flight.
         upkeep = dispatcher.state.upkeep
         if machine in upkeep.orders:
             return False
@@ -286,28 +321,29 @@
         return settled_ms is None or dispatcher.wall_ms - settled_ms > old_ms
 
     def record(self, dispatcher, machine, purpose, target):
-        """Records an order of this leader."""
-        self.owned.add(machine)
+        """Records a new order."""
+        self.ordered_in_term.add(machine)
         dispatcher.record(OrderMachine(machine, purpose, target))
 
     def plan(self, dispatcher, machine, order):
-        """Returns reply channel and PlannedOrder of a recorded order."""
-        self.asked.add(machine)
-        self.owned.add(machine)
+        """Returns the reply channel and PlannedOrder for a recorded order."""
+        self.orders_in_flight.add(machine)
+        self.ordered_in_term.add(machine)
         planned = PlannedOrder(
             machine, order.purpose, order.target, self.node, dispatcher.term
         )
         return DurableOrder(self.calls), planned
 
     def settle_returned(self, dispatcher):
-        """Settles the orders whose machine is up again.
+        """Completes the orders whose machine is up again or gone.
 
-        Only a list that was asked for after the order was confirmed
-        counts; a heartbeat may be one of the former worker.
+        Only a list that was requested after the order was confirmed counts.
+        A heartbeat is not enough, because it may come from the machine's
+        former worker.
         """
         for machine, order in list(dispatcher.state.upkeep.orders.items()):
             since_ms = self.confirmed_ms.get(machine, self.since_ms)
-            if not order.begun or self.rows_asked_ms <= since_ms:
+            if not order.begun or self.rows_requested_ms <= since_ms:
                 continue
             row = self.rows.get(machine)
             if row is None or row.state == UP:
@@ -316,7 +352,7 @@
                 self.release(dispatcher, machine)
 
     def release(self, dispatcher, machine):
-        """Lets a machine take tasks again."""
+        """Lets the worker on a machine get tasks again."""
         worker = dispatcher.workers.by_machine.get(machine)
         if worker is not None:
             worker.reserved_ms = None
--- a/wigeonport/run_reports.py
+++ b/wigeonport/run_reports.py
@@ -1,47 +1,54 @@
-"""What the heartbeats of workers say of their runs."""
+"""Handling of the ended and live runs that heartbeats report."""
 
 from wigeonport.batch_commands import EndRuns
 from wigeonport.batch_jobs import ENDED_FAILED
 from wigeonport.batch_specs import split_task_id
 from wigeonport.logs import PartLogger
-from wigeonport.worker_verdicts import note_end, note_progress
+from wigeonport.worker_evaluations import update_failures, update_progress
 
 logger = PartLogger("dispatch")
 
-# Failed tasks whose workers are remembered; beyond, all are forgotten.
-FAILED_ON_LIMIT = 4_096
+# Maximum number of failed tasks whose failure times are kept; once it is
+# exceeded, all of them are dropped.
+MAX_FAILED_TASKS = 4_096
 
 
-def take_ends(dispatcher, worker, orders):
-    """Records the ends that a worker lists."""
+def record_ended_runs(dispatcher, worker, orders):
+    """Records the ended runs that a heartbeat lists.
+
+    Args:
+        dispatcher: BatchDispatcher.
+        worker: Worker that sent the heartbeat.
+        orders: WorkerOrders in answer, which acknowledge the ended runs.
+    """
     tasks, runs, outcomes, saved = [], [], [], []
     for end in worker.report.ended:
         orders.acknowledged = max(orders.acknowledged, end.number)
-        if dispatcher.task_of(end.task) is None:
+        if dispatcher.find_task(end.task) is None:
             continue
         tasks.append(end.task)
         runs.append(end.run)
         outcomes.append(end.outcome)
         saved.append(end.saved)
-        note_outcome(dispatcher, worker, end)
+        record_outcome(dispatcher, worker, end)
     if tasks:
         dispatcher.record(EndRuns(tasks, runs, outcomes, saved))
-        note_ended_jobs(dispatcher, tasks)
-        note_ended_steps(dispatcher, worker, tasks)
+        remove_ended_jobs(dispatcher, tasks)
+        refresh_ended_steps(dispatcher, worker, tasks)
 
 
-def note_ended_steps(dispatcher, worker, tasks):
-    """Tells the order of jobs which of them may have steps that are ready."""
-    kept = dispatcher.claims.get(worker.report.service)
-    for name in tasks:
-        found = dispatcher.task_of(name)
-        if kept is not None and (found is None or not found[1].left):
-            kept.note_step(split_task_id(name)[0])
+def refresh_ended_steps(dispatcher, worker, tasks):
+    """Updates the startable steps of jobs in which a step has ended."""
+    ranking = dispatcher.ranked_jobs.get(worker.report.service)
+    for task_name in tasks:
+        entry = dispatcher.find_task(task_name)
+        if ranking is not None and (entry is None or not entry[1].left):
+            ranking.refresh_job(split_task_id(task_name)[0])
 
 
-def note_ended_jobs(dispatcher, tasks):
-    """Logs the jobs that ended with these tasks."""
-    for job_id in {split_task_id(name)[0] for name in tasks}:
+def remove_ended_jobs(dispatcher, tasks):
+    """Logs the jobs that ended with these tasks and stops tracking them."""
+    for job_id in {split_task_id(task_name)[0] for task_name in tasks}:
         job = dispatcher.active.get(job_id)
         if job is None or job.active:
             continue
@@ -56,14 +63,14 @@
         )
 
 
-def note_outcome(dispatcher, worker, end):
-    """Keeps where tasks failed, and logs each end."""
+def record_outcome(dispatcher, worker, end):
+    """Records the worker of a failed run, and logs the end of any run."""
     if end.outcome == ENDED_FAILED:
-        if len(dispatcher.failed_on) > FAILED_ON_LIMIT:
-            dispatcher.failed_on.clear()
-        places = dispatcher.failed_on.setdefault(end.task, {})
-        places[worker.report.worker_id] = worker.heard_ms
-    note_end(dispatcher, worker, end)
+        if len(dispatcher.failure_times) > MAX_FAILED_TASKS:
+            dispatcher.failure_times.clear()
+        failed_workers = dispatcher.failure_times.setdefault(end.task, {})
+        failed_workers[worker.report.worker_id] = worker.last_heartbeat_ms
+    update_failures(dispatcher, worker, end)
     logger.info(
         "Run ended.",
         task=end.task,
@@ -74,23 +81,23 @@
     )
 
 
-def take_progress(dispatcher, worker):
-    """Notes progress and checkpoints of the runs that are live."""
-    listed = set()
+def record_reported_runs(dispatcher, worker):
+    """Records progress and checkpoints of the live runs."""
+    reported = set()
     for row in worker.report.running:
         key = (row.task, row.run)
         if key in worker.runs:
-            listed.add(key)
-            note_progress(worker, key, row.percent)
+            reported.add(key)
+            update_progress(worker, key, row.percent)
             if row.saved:
-                note_checkpoint(dispatcher, row)
-    for key in set(worker.progress) - listed:
+                store_checkpoint(dispatcher, row)
+    for key in set(worker.progress) - reported:
         del worker.progress[key]
 
 
-def note_checkpoint(dispatcher, row):
-    """Keeps the newest checkpoint for a start after a loss."""
-    found = dispatcher.task_of(row.task)
-    if found is not None:
-        job, step_run, task = found
+def store_checkpoint(dispatcher, row):
+    """Keeps the newest checkpoint, from which a lost task is resumed."""
+    entry = dispatcher.find_task(row.task)
+    if entry is not None:
+        job, step_run, task = entry
         job.keep_checkpoint(step_run, task, row.saved)
--- a/wigeonport/task_placements.py
+++ b/wigeonport/task_placements.py
@@ -1,63 +1,81 @@
-"""Choice of the tasks that a worker with free room starts next."""
+"""Placement of waiting tasks on workers with free capacity."""
 
 from wigeonport.batch_commands import StartRuns
 from wigeonport.batch_specs import task_id
-from wigeonport.job_orders import JobClaim, OrderedClaims, job_orders
+from wigeonport.job_orders import JobRanking, RankedJob, job_orders
 
-# Most tasks started by one answer; bounds its size far below 4 MiB.
+# Maximum number of tasks started by one answer, which keeps its size far
+# below 4 MiB.
 MAX_STARTS = 64
-# Validity of a computed order of jobs; a new job waits this long at most.
-CLAIMS_MS = 50
-# Time for which a task that failed on a worker is left to the others; in a
-# pool all workers have sent a heartbeat by then.
-AVOID_MS = 1_000
-# A task waits this long, beyond its estimate, for a worker near its data.
+# How long a computed ranking is used; a change of the ranks takes effect
+# after this time at the latest.
+RANKING_VALID_MS = 50
+# Time for which a task is not placed again on a worker on which it failed; all
+# workers of a pool send a heartbeat within this time.
+FAILED_WORKER_WAIT_MS = 1_000
+# A task waits for a worker in the rack of its data for its estimated run
+# time plus this time.
 LOCALITY_WAIT_MS = 1_000
-# A worker that has been silent for more intervals of heartbeats gets no
-# member of a gang.
-GANG_SILENT_BEATS = 2
+# A worker that has been silent for more heartbeat intervals gets no member
+# of a gang, and no task waits for it because of its rack.
+GANG_MAX_SILENT_HEARTBEATS = 2
 
 
-def claims_of(dispatcher, service, now_ms):
-    """Returns the claims of the active jobs of a service, in order.
+def active_ranked_jobs(dispatcher, service, now_ms):
+    """Returns the RankedJobs of the active jobs of a service, in order.
 
-    They are kept for a moment, because each heartbeat asks for them.
+    The ranking is cached for ``RANKING_VALID_MS``, because every heartbeat
+    needs it.
     """
-    kept = dispatcher.claims.get(service)
-    if kept is None or not 0 <= now_ms - kept.made_ms < CLAIMS_MS:
-        kept = order_claims(dispatcher, service, now_ms)
-        dispatcher.claims[service] = kept
-    return [claim for claim in kept.claims if claim.job.active]
+    ranking = dispatcher.ranked_jobs.get(service)
+    if (
+        ranking is None
+        or not 0 <= now_ms - ranking.created_ms < RANKING_VALID_MS
+    ):
+        ranking = rank_jobs(dispatcher, service, now_ms)
+        dispatcher.ranked_jobs[service] = ranking
+    return [
+        ranked_job
+        for ranked_job in ranking.ranked_jobs
+        if ranked_job.job.active
+    ]
+
 
+def rank_jobs(dispatcher, service, now_ms):
+    """Returns a new JobRanking of a service.
 
-def order_claims(dispatcher, service, now_ms):
-    """Returns the OrderedClaims of a service."""
+    Also removes ended jobs from the dispatcher's active jobs.
+    """
     routes = dispatcher.state.routes
-    claims = []
+    ranked_jobs = []
     for job in list(dispatcher.active.values()):
         if not job.active:
             del dispatcher.active[job.job_id]
             continue
         queue = routes.queue_of(job.queue)
         if queue is not None and queue.service == service:
-            claims.append(JobClaim(job, queue))
-    order = job_orders.get(dispatcher.settings.job_order).ok
-    return OrderedClaims(claims, order, now_ms)
+            ranked_jobs.append(RankedJob(job, queue))
+    policy = job_orders.get(dispatcher.settings.job_order).ok
+    return JobRanking(ranked_jobs, policy, now_ms)
 
 
 def place_tasks(dispatcher, worker, now_ms, wall_ms):
-    """Starts tasks on a worker while they fit."""
-    room = worker.room()
+    """Starts waiting tasks on a worker while they fit."""
+    free_capacity = worker.free_capacity()
     tasks, runs = [], []
-    for claim in claims_of(dispatcher, worker.report.service, wall_ms):
-        for occurrence, number, step_run in claim.startable:
-            if not step_run.waiting or not room.fits(step_run.step):
+    for ranked_job in active_ranked_jobs(
+        dispatcher, worker.report.service, wall_ms
+    ):
+        for occurrence, number, step_run in ranked_job.startable:
+            if not step_run.waiting or not free_capacity.fits(step_run.step):
                 continue
-            spot = Spot(dispatcher, worker, claim, occurrence, number)
-            if not spot.suits(step_run.step, now_ms):
+            candidate = WorkerCandidate(
+                dispatcher, worker, ranked_job, occurrence, number
+            )
+            if not candidate.is_suitable(step_run.step, now_ms):
                 continue
-            for index in spot.choose(step_run, room):
-                tasks.append(f"{spot.prefix}{index}")
+            for index in candidate.choose_tasks(step_run, free_capacity):
+                tasks.append(f"{candidate.prefix}{index}")
                 runs.append(step_run.tasks[index].last_run + 1)
             if len(tasks) >= MAX_STARTS:
                 break
@@ -65,151 +83,181 @@
         dispatcher.record(StartRuns(tasks, runs, worker.incarnation))
 
 
-class Spot:
-    """A worker as a place for the tasks of one step.
+class WorkerCandidate:
+    """A worker that is considered for the tasks of one step.
 
     Attributes:
         dispatcher: BatchDispatcher.
         worker: Worker.
-        claim: JobClaim of the job.
-        prefix: Common beginning of the names of the tasks.
+        ranked_job: RankedJob with the step.
+        prefix: Common prefix of the names of the step's tasks.
     """
 
-    __slots__ = ("dispatcher", "worker", "claim", "prefix")
+    __slots__ = ("dispatcher", "worker", "ranked_job", "prefix")
 
-    def __init__(self, dispatcher, worker, claim, occurrence, number):
+    def __init__(self, dispatcher, worker, ranked_job, occurrence, number):
         self.dispatcher = dispatcher
         self.worker = worker
-        self.claim = claim
-        self.prefix = f"{claim.job.job_id}.{occurrence}.{number}."
+        self.ranked_job = ranked_job
+        self.prefix = f"{ranked_job.job.job_id}.{occurrence}.{number}."
 
-    def suits(self, step, now_ms):
+    def is_suitable(self, step, now_ms):
         """Returns whether tasks of the step may run on the worker now."""
         report = self.worker.report
         if step.required_label and step.required_label not in report.labels:
             return False
-        if self.claim.queue.advice is not None and not self.ticket(now_ms):
+        if self.ranked_job.queue.advice is not None and not self.ticket(
+            now_ms
+        ):
             return False
         if not step.data_rack or report.rack == step.data_rack:
             return True
-        return self.waited_for_rack(step, now_ms)
+        return self.may_leave_rack(step, now_ms)
 
     def ticket(self, now_ms):
-        """Returns the worker's ticket for the step, or None."""
+        """Returns the worker's valid ticket for the step, or None."""
         tickets = self.dispatcher.tickets_of(self.prefix[:-1])
         return tickets.find(self.worker.incarnation, now_ms)
 
-    def waited_for_rack(self, step, now_ms):
-        """Returns whether a task may run away from its data."""
-        silent_ms = GANG_SILENT_BEATS * self.dispatcher.interval_ms
+    def may_leave_rack(self, step, now_ms):
+        """Returns whether a task may run outside the rack of its data.
+
+        That is so if no worker in the rack accepts tasks, or if the step has
+        waited long enough for one.
+        """
+        silent_ms = GANG_MAX_SILENT_HEARTBEATS * self.dispatcher.interval_ms
         near = any(
             other.report.rack == step.data_rack
-            and other.accepts(now_ms, silent_ms)
+            and other.accepts_tasks(now_ms, silent_ms)
             for other in self.dispatcher.workers.of_service(
                 self.worker.report.service
             )
         )
-        since = self.dispatcher.waiting_since.setdefault(self.prefix, now_ms)
+        start_ms = self.dispatcher.rack_wait_start_ms.setdefault(
+            self.prefix, now_ms
+        )
         wait_ms = LOCALITY_WAIT_MS + step.estimated_ms
-        return not near or now_ms - since > wait_ms
+        return not near or now_ms - start_ms > wait_ms
+
+    def choose_tasks(self, step_run, free_capacity):
+        """Returns the indices of the tasks to start.
 
-    def choose(self, step_run, room):
-        """Returns the indices of the tasks to start; takes their room."""
+        Subtracts what they use from ``free_capacity``.
+        """
         chosen = []
-        most = self.limit(step_run.step)
+        maximum = self.remaining_limit(step_run.step)
         for index in sorted(step_run.waiting):
-            if len(chosen) >= most or not room.fits(step_run.step):
+            if len(chosen) >= maximum or not free_capacity.fits(step_run.step):
                 break
-            if self.failed_here(index):
+            if self.failed_recently(index):
                 continue
-            room.take(step_run.step)
+            free_capacity.take(step_run.step)
             chosen.append(index)
         return chosen
 
-    def failed_here(self, index):
-        """Returns whether a task failed on the worker a moment ago."""
-        places = self.dispatcher.failed_on.get(f"{self.prefix}{index}", {})
-        failed_ms = places.get(self.worker.report.worker_id)
+    def failed_recently(self, index):
+        """Returns whether a task has failed on the worker recently."""
+        failed_workers = self.dispatcher.failure_times.get(
+            f"{self.prefix}{index}", {}
+        )
+        failed_ms = failed_workers.get(self.worker.report.worker_id)
         return (
             failed_ms is not None
-            and self.worker.heard_ms - failed_ms < AVOID_MS
+            and self.worker.last_heartbeat_ms - failed_ms
+            < FAILED_WORKER_WAIT_MS
         )
 
-    def limit(self, step):
+    def remaining_limit(self, step):
         """Returns how many more tasks of the step the worker may run."""
         if step.fills and not step.max_per_worker:
-            most = self.dispatcher.settings.max_fills_per_step
+            maximum = self.dispatcher.settings.max_fills_per_step
         else:
-            most = step.max_per_worker or MAX_STARTS
-        here = sum(
+            maximum = step.max_per_worker or MAX_STARTS
+        current = sum(
             task.startswith(self.prefix) for task, _ in self.worker.runs
         )
-        return most - here
+        return maximum - current
 
 
 def place_gangs(dispatcher, now_ms, wall_ms):
-    """Starts gangs for which there is room for all members at once."""
+    """Starts the gangs whose members all fit at the same time."""
     for service in dispatcher.services_with_gangs():
-        for claim in claims_of(dispatcher, service, wall_ms):
-            for occurrence, number, step_run in claim.job.ready_steps():
+        for ranked_job in active_ranked_jobs(dispatcher, service, wall_ms):
+            for occurrence, number, step_run in ranked_job.job.ready_steps():
                 step = step_run.step
                 complete = len(step_run.waiting) == step.count
                 if step.gang and complete:
                     place_gang(
-                        dispatcher, claim, occurrence, number, step_run, now_ms
+                        dispatcher,
+                        ranked_job,
+                        occurrence,
+                        number,
+                        step_run,
+                        now_ms,
                     )
 
 
-def place_gang(dispatcher, claim, occurrence, number, step_run, now_ms):
-    """Starts the members of one gang if there is room for all."""
+def place_gang(dispatcher, ranked_job, occurrence, number, step_run, now_ms):
+    """Starts the members of one gang if all of them fit.
+
+    A gang that prefers a rack is placed in a single rack if possible, and
+    else across racks.
+    """
     step = step_run.step
-    silent_ms = GANG_SILENT_BEATS * dispatcher.interval_ms
-    spots = [
+    silent_ms = GANG_MAX_SILENT_HEARTBEATS * dispatcher.interval_ms
+    candidates = [
         worker
-        for worker in dispatcher.workers.of_service(claim.queue.service)
-        if worker.accepts(now_ms, silent_ms)
+        for worker in dispatcher.workers.of_service(ranked_job.queue.service)
+        if worker.accepts_tasks(now_ms, silent_ms)
     ]
     chosen = None
-    racks = {worker.report.rack for worker in spots}
+    racks = {worker.report.rack for worker in candidates}
     for rack in sorted(racks) if step.same_rack or step.data_rack else ():
         if step.data_rack and rack != step.data_rack:
             continue
-        near = [worker for worker in spots if worker.report.rack == rack]
+        near = [worker for worker in candidates if worker.report.rack == rack]
         chosen = chosen or fill_gang(
-            dispatcher, claim, occurrence, number, step, near, now_ms
+            dispatcher, ranked_job, occurrence, number, step, near, now_ms
         )
     chosen = chosen or fill_gang(
-        dispatcher, claim, occurrence, number, step, spots, now_ms
+        dispatcher, ranked_job, occurrence, number, step, candidates, now_ms
     )
     if chosen is None:
         return
     run = max(task.last_run for task in step_run.tasks) + 1
-    names = [
-        task_id(claim.job.job_id, occurrence, number, index)
+    task_names = [
+        task_id(ranked_job.job.job_id, occurrence, number, index)
         for index in range(step.count)
     ]
     for worker, count in chosen:
-        here, names = names[:count], names[count:]
+        members, task_names = task_names[:count], task_names[count:]
         dispatcher.record(
-            StartRuns(here, [run] * len(here), worker.incarnation)
+            StartRuns(members, [run] * len(members), worker.incarnation)
         )
 
 
-def fill_gang(dispatcher, claim, occurrence, number, step, workers, now_ms):
-    """Returns pairs of worker and number of members, or None."""
-    left, chosen = step.count, []
+def fill_gang(
+    dispatcher, ranked_job, occurrence, number, step, workers, now_ms
+):
+    """Returns pairs of worker and number of members.
+
+    Returns None if the workers cannot run the whole gang.
+    """
+    remaining, chosen = step.count, []
     for worker in workers:
-        spot = Spot(dispatcher, worker, claim, occurrence, number)
-        if not spot.suits(step, now_ms):
+        candidate = WorkerCandidate(
+            dispatcher, worker, ranked_job, occurrence, number
+        )
+        if not candidate.is_suitable(step, now_ms):
             continue
-        room, count = worker.room(), 0
-        most = min(left, spot.limit(step))
-        while count < most and room.fits(step):
-            room.take(step)
+        free_capacity, count = worker.free_capacity(), 0
+        maximum = min(remaining, candidate.remaining_limit(step))
+        while count < maximum and free_capacity.fits(step):
+            free_capacity.take(step)
             count += 1
         if count:
             chosen.append((worker, count))
-            left -= count
-        if not left:
+            remaining -= count
+        if not remaining:
             return chosen
     return None
