--- a/tests/batch_fixtures.py
+++ b/tests/batch_fixtures.py
@@ -13,7 +13,12 @@
     RouteTable,
 )
 from wigeonport.states import ReplicatedState
-from wigeonport.worker_reports import Room, RunEnd, RunReport, WorkerReport
+from wigeonport.worker_reports import (
+    Resources,
+    RunEnd,
+    RunReport,
+    WorkerReport,
+)
 
 HOST = "jobs.example"
 JOB = "00000000000000aa"
@@ -112,7 +117,7 @@
             availability_zone="ikeja",
             rack=values.get("rack", "r1"),
             labels=("a", values.get("rack", "r1")),
-            capacity=values.get("capacity", Room(4_000, 8_000, 0)),
+            capacity=values.get("capacity", Resources(4_000, 8_000, 0)),
             draining=values.get("draining", False),
             drain_remaining_ms=0,
             running=[
--- a/tests/test_batch_dispatchers.py
+++ b/tests/test_batch_dispatchers.py
@@ -14,7 +14,7 @@
 from wigeonport.batch_commands import AdoptRoutes
 from wigeonport.batch_settings import BatchSettings
 from wigeonport.batch_specs import JobSpec, Step
-from wigeonport.worker_reports import Room
+from wigeonport.worker_reports import Resources
 
 ONE = {"count": 1, "cpu_milli": 1_000, "memory_mb": 100}
 TASK = f"{JOB}.0.0.0"
@@ -262,7 +262,9 @@
     assert names(orders) == []
 
 
-@pytest.mark.parametrize("free", [Room(500, 8_000, 0), Room(4_000, 50, 0)])
+@pytest.mark.parametrize(
+    "free", [Resources(500, 8_000, 0), Resources(4_000, 50, 0)]
+)
 def test_task_that_does_not_fit_waits(scene, free):
     """A worker must not be ordered beyond its capacity."""
     scene.submit(ONE)
--- a/tests/test_machine_managers.py
+++ b/tests/test_machine_managers.py
@@ -18,7 +18,7 @@
     MachineRow,
 )
 from wigeonport.upkeep_states import UpkeepState, upkeep_state_from_document
-from wigeonport.worker_reports import Room
+from wigeonport.worker_reports import Resources
 
 ONE = {"count": 1, "cpu_milli": 1_000, "memory_mb": 100}
 LASTING = ONE | {
@@ -195,7 +195,7 @@
 def test_new_leader_grows_a_pool_by_machines_without_a_recent_order(yard):
     """A pool at its peak must not wait for the pause of other machines."""
     change_leader(yard)
-    yard.beat("m1", capacity=Room(4_000, 8_000, 0))
+    yard.beat("m1", capacity=Resources(4_000, 8_000, 0))
     step = {"count": 16, "cpu_milli": 2_000, "estimated_ms": 2_000}
     yard.scene.submit(step)
     assert {order.machine for order in yard.tick()} == {"s1", "s2"}
@@ -205,7 +205,7 @@
     """A pool looks too small before its workers have been heard."""
     change_leader(yard)
     yard.manager.since_ms = yard.scene.now_ms
-    yard.beat("m1", capacity=Room(4_000, 8_000, 0))
+    yard.beat("m1", capacity=Resources(4_000, 8_000, 0))
     yard.scene.submit({"count": 16, "cpu_milli": 2_000, "estimated_ms": 2_000})
     assert yard.tick() == []
 
@@ -264,7 +264,7 @@
 
 def test_pool_grows_when_its_jobs_would_be_late(yard):
     """Standby machines must come when a pool is too small."""
-    yard.beat("m1", capacity=Room(4_000, 8_000, 0))
+    yard.beat("m1", capacity=Resources(4_000, 8_000, 0))
     step = {"count": 16, "cpu_milli": 2_000, "estimated_ms": 2_000}
     yard.scene.submit(step)
     orders = yard.tick()
@@ -278,7 +278,7 @@
     yard = Yard(["m1", "m2", "m3", "m4"], queues=queues)
     step = {"count": 16, "cpu_milli": 2_000, "estimated_ms": 2_000}
     yard.scene.submit(step)
-    yard.beat("m1", capacity=Room(4_000, 8_000, 0))
+    yard.beat("m1", capacity=Resources(4_000, 8_000, 0))
     for name in ("m2", "m3", "m4"):
         yard.beat(name, service="else")
     yard.tick()
--- a/wigeonport/batch_jobs.py
+++ b/wigeonport/batch_jobs.py
@@ -199,7 +199,7 @@
         step_run, task = found
         live = task.runs.pop(run, None) is not None
         if saved:
-            self.keep_checkpoint(step_run, task, saved)
+            self.store_checkpoint(step_run, task, saved)
         if outcome == DONE:
             self.finish_task(position, now_ms)
         elif live and outcome == ENDED_FAILED:
@@ -211,7 +211,7 @@
         self.drop_closed(position[0])
         return live or outcome == DONE
 
-    def keep_checkpoint(self, step_run, task, saved):
+    def store_checkpoint(self, step_run, task, saved):
         """Stores a checkpoint; that of a gang's member holds for all."""
         for each in step_run.tasks if step_run.step.gang else (task,):
             each.saved = saved
--- a/wigeonport/run_reports.py
+++ b/wigeonport/run_reports.py
@@ -93,4 +93,4 @@
     found = dispatcher.task_of(row.task)
     if found is not None:
         job, step_run, task = found
-        job.keep_checkpoint(step_run, task, row.saved)
+        job.store_checkpoint(step_run, task, row.saved)
--- a/wigeonport/worker_reports.py
+++ b/wigeonport/worker_reports.py
@@ -8,7 +8,7 @@
     return incarnation.partition("@")[0]
 
 
-class Room(Record):
+class Resources(Record):
     """Amounts of what tasks use.
 
     Attributes:
--- a/wigeonport/worker_tables.py
+++ b/wigeonport/worker_tables.py
@@ -1,6 +1,6 @@
 """The leader's view of the workers; rebuilt from their heartbeats."""
 
-from wigeonport.worker_reports import Room
+from wigeonport.worker_reports import Resources
 
 # Lease time that is added because the clock of a worker may be 2% slow.
 CLOCK_DRIFT = 0.03
@@ -101,7 +101,7 @@
     def room(self):
         """Returns what is free; what is being stopped still counts."""
         capacity = self.report.capacity
-        room = Room(capacity.cpu_milli, capacity.memory_mb, capacity.gpu)
+        room = Resources(capacity.cpu_milli, capacity.memory_mb, capacity.gpu)
         for step in self.runs.values():
             room.take(step)
         return room
