--- a/tests/test_batch_controllers.py
+++ b/tests/test_batch_controllers.py
@@ -272,7 +272,7 @@
     async def check(desk):
         desk.consensus.outcome = None
         await desk.call(SUBMIT, SHORT_MS)
-        desk.controller.stand_down("by the test")
+        desk.controller.stop_dispatching("by the test")
         await trio.sleep(0.05)
         assert desk.controller.dispatcher is None
         desk.consensus.outcome = COMMITTED
--- a/wigeonport/batch_controllers.py
+++ b/wigeonport/batch_controllers.py
@@ -163,7 +163,7 @@
                 fault=repr(fault),
             )
             self.metrics.count("batch_faults")
-            self.stand_down("an event cannot be handled")
+            self.stop_dispatching("an event cannot be handled")
             if isinstance(event, CallReceived):
                 return BatchReply(UNKNOWN, "the control failed")
             return Redirect("")
@@ -204,7 +204,7 @@
         command = RecordBatch(self.dispatcher.wall_ms, chunk)
         reply = Reply()
         if not self.consensus.put_nowait(Proposal(command, reply)):
-            self.stand_down("the consensus task is busy")
+            self.stop_dispatching("the consensus task is busy")
             return
         self.nursery.start_soon(
             self.await_outcome, self.term, self.sequence, reply
@@ -238,7 +238,7 @@
         if not self.waiting or self.waiting[0][0] > self.committed:
             return
         if not await self.confirm_lease():
-            self.stand_down("the lease has ended")
+            self.stop_dispatching("the lease has ended")
             return
         while self.waiting and self.waiting[0][0] <= self.committed:
             _, reply, answer = self.waiting.popleft()
@@ -256,7 +256,7 @@
             self.lease_until_ms = found.lease_until_ms
         return self.clock.now() < self.lease_until_ms
 
-    def stand_down(self, reason):
+    def stop_dispatching(self, reason):
         """Drops the working copy; what waits has an unknown outcome."""
         if self.dispatcher is None:
             return
--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -103,7 +103,7 @@
 
     def silence_ms(self):
         """Returns the silence after which a worker gets no task."""
-        return self.settings.silent_beats * self.interval_ms
+        return self.settings.max_silent_intervals * self.interval_ms
 
     def record(self, operation):
         """Applies an operation to the working copy and hands it out."""
--- a/wigeonport/batch_inputs.py
+++ b/wigeonport/batch_inputs.py
@@ -70,7 +70,7 @@
         notice.term != controller.term
         or controller.leader_node != controller.node
     ):
-        controller.stand_down("another replica leads")
+        controller.stop_dispatching("another replica leads")
     controller.term = notice.term
     if controller.leader_node != controller.node:
         return
@@ -85,7 +85,7 @@
     """Stops to dispatch and hands the lead over."""
     controller.stopping = True
     if controller.leader_node == controller.node:
-        controller.stand_down("the process stops")
+        controller.stop_dispatching("the process stops")
         controller.nursery.start_soon(controller.resign)
 
 
@@ -119,7 +119,7 @@
     if ended.outcome == COMMITTED:
         controller.committed = max(controller.committed, ended.sequence)
     elif ended.sequence > controller.committed:
-        controller.stand_down(f"{ended.outcome}: {ended.reason}")
+        controller.stop_dispatching(f"{ended.outcome}: {ended.reason}")
 
 
 @controller_inputs.register(ReportReceived)
--- a/wigeonport/batch_settings.py
+++ b/wigeonport/batch_settings.py
@@ -13,39 +13,41 @@
             tasks of a lost worker are blocked.
         interval_ms: Shortest interval of heartbeats of a worker without
             news.
-        worker_interval_ms: Interval of heartbeats for each worker; bounds
+        interval_per_worker_ms: Interval of heartbeats for each worker; bounds
             the heartbeats that one leader answers to 250 a second.
-        silent_beats: A worker that has been silent for more intervals gets
+        max_silent_intervals: A worker that has been silent for more intervals gets
             no task.
         job_order: Name in ``job_orders``.
-        max_fills_per_step: Most filling tasks of a step on one worker.
-        duty_wait_ms: Time after a change of leader without orders for a
+        max_filler_tasks_per_step: Most filling tasks of a step on one worker.
+        takeover_wait_ms: Time after a change of leader without orders for a
             machine to which the former leader may just have given one.
     """
 
     __slots__ = (
         "hold_ms",
         "interval_ms",
-        "worker_interval_ms",
-        "silent_beats",
+        "interval_per_worker_ms",
+        "max_silent_intervals",
         "job_order",
-        "max_fills_per_step",
-        "duty_wait_ms",
+        "max_filler_tasks_per_step",
+        "takeover_wait_ms",
     )
 
     def __init__(self, max_hold_ms=10_000, lease_ms=3_000):
         self.hold_ms = min(4_500, max_hold_ms)
         self.interval_ms = 400
-        self.worker_interval_ms = 4
-        self.silent_beats = 3.75
+        self.interval_per_worker_ms = 4
+        self.max_silent_intervals = 3.75
         self.job_order = "objective"
-        self.max_fills_per_step = 2
-        self.duty_wait_ms = lease_ms + 500
+        self.max_filler_tasks_per_step = 2
+        self.takeover_wait_ms = lease_ms + 500
 
     def heartbeat_ms(self, workers):
         """Returns the interval of heartbeats for a number of workers.
 
         Four heartbeats fit into a lease, however many workers there are.
         """
-        wanted_ms = max(self.interval_ms, self.worker_interval_ms * workers)
+        wanted_ms = max(
+            self.interval_ms, self.interval_per_worker_ms * workers
+        )
         return min(wanted_ms, self.hold_ms // 4)
--- a/wigeonport/batch_specs.py
+++ b/wigeonport/batch_specs.py
@@ -125,14 +125,14 @@
             return 0
         return self.first_ms + occurrence * self.interval_ms
 
-    def chain_ms(self):
+    def longest_chain_ms(self):
         """Returns the estimated run time of the longest chain of steps."""
         if self.longest_ms is None:
-            self.longest_ms = self.measure_chain()
+            self.longest_ms = self.compute_longest_chain()
         return self.longest_ms
 
-    def measure_chain(self):
-        """Computes what ``chain_ms`` returns."""
+    def compute_longest_chain(self):
+        """Computes what ``longest_chain_ms`` returns."""
         finish = []
         for step in self.steps:
             before = [finish[number] for number in step.depends_on]
--- a/wigeonport/job_orders.py
+++ b/wigeonport/job_orders.py
@@ -45,7 +45,7 @@
             start_ms = spec.due_ms(max(0, job.opened - 1))
         self.objective_ms = (
             start_ms
-            + queue.stretch * spec.chain_ms()
+            + queue.stretch * spec.longest_chain_ms()
             + queue.target_latency_ms
         )
         self.left_ms, self.work, self.running = estimate_left(job)
--- a/wigeonport/machine_managers.py
+++ b/wigeonport/machine_managers.py
@@ -275,14 +275,14 @@
             return False
         if machine in self.owned:
             return True
-        if now_ms - self.since_ms >= self.settings.duty_wait_ms:
+        if now_ms - self.since_ms >= self.settings.takeover_wait_ms:
             return True
         # The former leader may have given it an order a moment ago.
         upkeep = dispatcher.state.upkeep
         if machine in upkeep.orders:
             return False
         settled_ms = upkeep.settled.get(machine)
-        old_ms = self.settings.duty_wait_ms + CLOCK_JUMP_MS
+        old_ms = self.settings.takeover_wait_ms + CLOCK_JUMP_MS
         return settled_ms is None or dispatcher.wall_ms - settled_ms > old_ms
 
     def record(self, dispatcher, machine, purpose, target):
--- a/wigeonport/task_placements.py
+++ b/wigeonport/task_placements.py
@@ -138,7 +138,7 @@
     def limit(self, step):
         """Returns how many more tasks of the step the worker may run."""
         if step.fills and not step.max_per_worker:
-            most = self.dispatcher.settings.max_fills_per_step
+            most = self.dispatcher.settings.max_filler_tasks_per_step
         else:
             most = step.max_per_worker or MAX_STARTS
         here = sum(
