--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -207,8 +207,8 @@
             tasks = [task for task, _ in keys]
             runs = [run for _, run in keys]
             # Makes the newest checkpoint durable with the loss.
-            saved = [self.task_of(task)[2].saved for task in tasks]
-            self.record(EndRuns(tasks, runs, [LOST] * len(tasks), saved))
+            checkpoint = [self.task_of(task)[2].checkpoint for task in tasks]
+            self.record(EndRuns(tasks, runs, [LOST] * len(tasks), checkpoint))
 
     def lose(self, incarnation, reason):
         """Records that all runs of a life of a worker are over."""
--- a/wigeonport/batch_jobs.py
+++ b/wigeonport/batch_jobs.py
@@ -22,22 +22,24 @@
         last_run: Highest run number given out.
         failures: Runs that ended as failed.
         done: Whether a run has ended as done.
-        saved: Newest checkpoint, or "".
+        checkpoint: Newest checkpoint, or "".
     """
 
-    __slots__ = ("runs", "last_run", "failures", "done", "saved")
+    __slots__ = ("runs", "last_run", "failures", "done", "checkpoint")
 
-    def __init__(self, runs=None, last_run=0, failures=0, done=0, saved=""):
+    def __init__(
+        self, runs=None, last_run=0, failures=0, done=0, checkpoint=""
+    ):
         self.runs = runs or {}
         self.last_run = last_run
         self.failures = failures
         self.done = done
-        self.saved = saved
+        self.checkpoint = checkpoint
 
     def to_row(self):
         """Returns plain data."""
         runs = [[run, worker] for run, worker in self.runs.items()]
-        return [runs, self.last_run, self.failures, self.done, self.saved]
+        return [runs, self.last_run, self.failures, self.done, self.checkpoint]
 
     @classmethod
     def from_row(cls, row):
@@ -191,15 +193,15 @@
             self.state = RUNNING
         return True
 
-    def end_run(self, position, run, outcome, saved, now_ms):
+    def end_run(self, position, run, outcome, checkpoint, now_ms):
         """Notes the end of a run; returns whether anything changed."""
         found = self.find(*position)
         if found is None:
             return False
         step_run, task = found
         live = task.runs.pop(run, None) is not None
-        if saved:
-            self.store_checkpoint(step_run, task, saved)
+        if checkpoint:
+            self.store_checkpoint(step_run, task, checkpoint)
         if outcome == DONE:
             self.finish_task(position, now_ms)
         elif live and outcome == ENDED_FAILED:
@@ -211,10 +213,10 @@
         self.drop_closed(position[0])
         return live or outcome == DONE
 
-    def store_checkpoint(self, step_run, task, saved):
+    def store_checkpoint(self, step_run, task, checkpoint):
         """Stores a checkpoint; that of a gang's member holds for all."""
         for each in step_run.tasks if step_run.step.gang else (task,):
-            each.saved = saved
+            each.checkpoint = checkpoint
 
     def finish_task(self, position, now_ms):
         """Notes that a task is done and ends the job after the last one."""
--- a/wigeonport/batch_states.py
+++ b/wigeonport/batch_states.py
@@ -158,8 +158,8 @@
         operation.checkpoints,
         strict=True,
     )
-    for name, run, outcome, saved in rows:
+    for name, run, outcome, checkpoint in rows:
         job_id, *position = split_task_id(name)
         job = state.batch.jobs.get(job_id)
         if job is not None:
-            job.end_run(position, run, outcome, saved, now_ms)
+            job.end_run(position, run, outcome, checkpoint, now_ms)
--- a/wigeonport/run_orders.py
+++ b/wigeonport/run_orders.py
@@ -49,7 +49,7 @@
                 # The advisor asks again, and the start follows.
                 continue
         orders.starts.append(
-            StartOrder(*key, job.spec.payload, task.saved, ticket)
+            StartOrder(*key, job.spec.payload, task.checkpoint, ticket)
         )
         logger.info(
             "Run ordered.",
--- a/wigeonport/run_reports.py
+++ b/wigeonport/run_reports.py
@@ -14,7 +14,7 @@
 
 def take_ends(dispatcher, worker, orders):
     """Records the ends that a worker lists."""
-    tasks, runs, outcomes, saved = [], [], [], []
+    tasks, runs, outcomes, checkpoint = [], [], [], []
     for end in worker.report.ended:
         orders.acknowledged = max(orders.acknowledged, end.number)
         if dispatcher.task_of(end.task) is None:
@@ -22,10 +22,10 @@
         tasks.append(end.task)
         runs.append(end.run)
         outcomes.append(end.outcome)
-        saved.append(end.saved)
+        checkpoint.append(end.checkpoint)
         note_outcome(dispatcher, worker, end)
     if tasks:
-        dispatcher.record(EndRuns(tasks, runs, outcomes, saved))
+        dispatcher.record(EndRuns(tasks, runs, outcomes, checkpoint))
         note_ended_jobs(dispatcher, tasks)
         note_ended_steps(dispatcher, worker, tasks)
 
@@ -82,7 +82,7 @@
         if key in worker.runs:
             listed.add(key)
             note_progress(worker, key, row.percent)
-            if row.saved:
+            if row.checkpoint:
                 note_checkpoint(dispatcher, row)
     for key in set(worker.progress) - listed:
         del worker.progress[key]
@@ -93,4 +93,4 @@
     found = dispatcher.task_of(row.task)
     if found is not None:
         job, step_run, task = found
-        job.store_checkpoint(step_run, task, row.saved)
+        job.store_checkpoint(step_run, task, row.checkpoint)
--- a/wigeonport/worker_reports.py
+++ b/wigeonport/worker_reports.py
@@ -44,18 +44,18 @@
     Attributes:
         task: Name of the task.
         run: Number of the run.
-        saved: Newest checkpoint, or "".
+        checkpoint: Newest checkpoint, or "".
         percent: Progress, for a lasting task 100 when it is at work.
         gauge: Tail latency in ms of a serving task, else the thousandths
             of a core in use, over about half a second.
     """
 
-    __slots__ = ("task", "run", "saved", "percent", "gauge")
+    __slots__ = ("task", "run", "checkpoint", "percent", "gauge")
 
-    def __init__(self, task, run, saved, percent, gauge):
+    def __init__(self, task, run, checkpoint, percent, gauge):
         self.task = task
         self.run = run
-        self.saved = saved
+        self.checkpoint = checkpoint
         self.percent = percent
         self.gauge = gauge
 
@@ -68,17 +68,17 @@
         task: Name of the task.
         run: Number of the run.
         outcome: How it ended.
-        saved: Newest checkpoint, or "".
+        checkpoint: Newest checkpoint, or "".
     """
 
-    __slots__ = ("number", "task", "run", "outcome", "saved")
+    __slots__ = ("number", "task", "run", "outcome", "checkpoint")
 
-    def __init__(self, number, task, run, outcome, saved):
+    def __init__(self, number, task, run, outcome, checkpoint):
         self.number = number
         self.task = task
         self.run = run
         self.outcome = outcome
-        self.saved = saved
+        self.checkpoint = checkpoint
 
 
 class WorkerReport(Record):
@@ -133,17 +133,17 @@
         task: Name of the task.
         run: Number of the run.
         payload: Text that the task is started with.
-        saved: Checkpoint to resume from, or "".
+        checkpoint: Checkpoint to resume from, or "".
         ticket: Permission for this worker, or "".
     """
 
-    __slots__ = ("task", "run", "payload", "saved", "ticket")
+    __slots__ = ("task", "run", "payload", "checkpoint", "ticket")
 
-    def __init__(self, task, run, payload, saved, ticket=""):
+    def __init__(self, task, run, payload, checkpoint, ticket=""):
         self.task = task
         self.run = run
         self.payload = payload
-        self.saved = saved
+        self.checkpoint = checkpoint
         self.ticket = ticket
 
 
