Rename take to subtract

Cause: take suggests removal and return; the method subtracts the needs of a task Change: take to subtract; 5 uses in 4 files, by token.

--- a/wigeonport/task_copies.py
+++ b/wigeonport/task_copies.py
@@ -57,7 +57,7 @@
             continue
         if spot.limit(step) < 1 or not room.fits(step):
             continue
-        room.take(step)
+        room.subtract(step)
         run = task.last_run + 1
         dispatcher.record(StartRuns([name], [run], worker.incarnation))
         logger.info(
--- a/wigeonport/task_placements.py
+++ b/wigeonport/task_placements.py
@@ -122,7 +122,7 @@
                 break
             if self.failed_here(index):
                 continue
-            room.take(step_run.step)
+            room.subtract(step_run.step)
             chosen.append(index)
         return chosen
 
@@ -205,7 +205,7 @@
         room, count = worker.room(), 0
         most = min(left, spot.limit(step))
         while count < most and room.fits(step):
-            room.take(step)
+            room.subtract(step)
             count += 1
         if count:
             chosen.append((worker, count))
--- a/wigeonport/worker_reports.py
+++ b/wigeonport/worker_reports.py
@@ -24,7 +24,7 @@
         self.memory_mb = memory_mb
         self.gpu = gpu
 
-    def take(self, step):
+    def subtract(self, step):
         """Subtracts what a task of a step uses."""
         if not step.fills:
             self.cpu_milli -= step.cpu_milli
--- a/wigeonport/worker_tables.py
+++ b/wigeonport/worker_tables.py
@@ -103,7 +103,7 @@
         capacity = self.report.capacity
         room = Resources(capacity.cpu_milli, capacity.memory_mb, capacity.gpu)
         for step in self.runs.values():
-            room.take(step)
+            room.subtract(step)
         return room
 
     def accepts(self, now_ms, silent_ms):
