--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -161,7 +161,7 @@
     assert (report.rack, report.machine) == ("r1-3", "m-1")
     assert report.capacity.memory_mb == 32_768
     assert report.running[0].percent == 41
-    assert report.running[0].gauge == 7
+    assert report.running[0].measurement == 7
     assert (report.ended[0].number, report.ended[0].outcome) == (58, "done")
 
 
--- a/wigeonport/fill_pacers.py
+++ b/wigeonport/fill_pacers.py
@@ -28,7 +28,7 @@
         if step.fills:
             fills.append(row)
         elif step.target_ms:
-            worst = max(worst, row.gauge / step.target_ms)
+            worst = max(worst, row.measurement / step.target_ms)
     if not fills:
         worker.fill_percent = FULL
         return
--- a/wigeonport/worker_reports.py
+++ b/wigeonport/worker_reports.py
@@ -46,18 +46,18 @@
         run: Number of the run.
         checkpoint: Newest checkpoint, or "".
         percent: Progress, for a lasting task 100 when it is at work.
-        gauge: Tail latency in ms of a serving task, else the thousandths
+        measurement: Tail latency in ms of a serving task, else the thousandths
             of a core in use, over about half a second.
     """
 
-    __slots__ = ("task", "run", "checkpoint", "percent", "gauge")
+    __slots__ = ("task", "run", "checkpoint", "percent", "measurement")
 
-    def __init__(self, task, run, checkpoint, percent, gauge):
+    def __init__(self, task, run, checkpoint, percent, measurement):
         self.task = task
         self.run = run
         self.checkpoint = checkpoint
         self.percent = percent
-        self.gauge = gauge
+        self.measurement = measurement
 
 
 class RunEnd(Record):
