--- a/tests/batch_fixtures.py
+++ b/tests/batch_fixtures.py
@@ -110,7 +110,7 @@
         fill = ("", 0, 0)
         report = WorkerReport(
             worker_id=worker,
-            born_ms=values.get("born_ms", 50_000),
+            started_ms=values.get("born_ms", 50_000),
             sequence=values.get("sequence", self.sequences[worker]),
             service=values.get("service", "desk"),
             machine=values.get("machine", f"vm-{worker}"),
--- a/wigeonport/worker_reports.py
+++ b/wigeonport/worker_reports.py
@@ -86,7 +86,7 @@
 
     Attributes:
         worker_id: Id that the worker gave itself.
-        born_ms: Wall time of the start of this life.
+        started_ms: Wall time of the start of this life.
         sequence: Number that rises with each heartbeat of a life.
         service: Service whose pool it belongs to.
         machine: VM whose life it is, or "".
@@ -102,7 +102,7 @@
 
     __slots__ = (
         "worker_id",
-        "born_ms",
+        "started_ms",
         "sequence",
         "service",
         "machine",
@@ -123,7 +123,7 @@
     @property
     def incarnation(self):
         """Name of this life of the worker."""
-        return f"{self.worker_id}@{self.born_ms}"
+        return f"{self.worker_id}@{self.started_ms}"
 
 
 class StartOrder(Record):
--- a/wigeonport/worker_tables.py
+++ b/wigeonport/worker_tables.py
@@ -149,7 +149,7 @@
         for other in (known, twin):
             if other is None or other.incarnation == report.incarnation:
                 continue
-            if other.report.born_ms > report.born_ms:
+            if other.report.started_ms > report.started_ms:
                 return None, []
             if other.incarnation not in over:
                 over.append(other.incarnation)
@@ -198,6 +198,6 @@
 
 def is_outdated(report, newest):
     """Returns whether a heartbeat is older than the newest one."""
-    if report.born_ms != newest.born_ms:
-        return report.born_ms < newest.born_ms
+    if report.started_ms != newest.started_ms:
+        return report.started_ms < newest.started_ms
     return report.sequence <= newest.sequence
