--- a/tests/test_batch_dispatchers.py
+++ b/tests/test_batch_dispatchers.py
@@ -106,7 +106,7 @@
     scene.beat(born_ms=60_000)
     scene.submit(ONE)
     orders = scene.beat(born_ms=50_000, sequence=99)
-    assert orders.hold_ms == 0
+    assert orders.run_lease_ms == 0
     assert names(orders) == []
     assert names(scene.beat(born_ms=60_000)) == [(TASK, 1)]
 
@@ -117,7 +117,7 @@
     scene.beat()
     scene.beat(running=[(TASK, 1)])
     orders = scene.beat(sequence=1)
-    assert orders.hold_ms == 0
+    assert orders.run_lease_ms == 0
     assert names(orders) == []
 
 
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -192,7 +192,7 @@
 def test_orders_are_encoded():
     """Order and meaning of the fields of a row are the platform's."""
     orders = WorkerOrders(3, 400)
-    orders.hold_ms = 4_500
+    orders.run_lease_ms = 4_500
     orders.acknowledged = 58
     orders.starts = [
         StartOrder("t", 1, "text", ""),
--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -87,7 +87,7 @@
         self.active = {}
         self.operations = []
         # The former leader may have answered until this one was elected.
-        self.orphans_until_ms = lease_end_ms(settings.hold_ms, now_ms)
+        self.orphans_until_ms = lease_end_ms(settings.run_lease_ms, now_ms)
         self.failed_on = {}
         self.claims = {}
         self.tickets = {}
@@ -191,8 +191,8 @@
             place_tasks(self, worker, now_ms, wall_ms)
             place_copies(self, worker, now_ms, wall_ms)
         add_starts(self, worker, orders)
-        orders.hold_ms = self.settings.hold_ms
-        worker.extend_lease(orders.hold_ms, now_ms)
+        orders.run_lease_ms = self.settings.run_lease_ms
+        worker.extend_lease(orders.run_lease_ms, now_ms)
         return orders
 
     def reserve_ordered(self, worker, now_ms):
@@ -227,7 +227,7 @@
         self.wall_ms, self.now_ms = wall_ms, now_ms
         for worker in list(self.workers.by_id.values()):
             if now_ms > worker.lease_until_ms and (
-                now_ms - worker.heard_ms > self.settings.hold_ms
+                now_ms - worker.heard_ms > self.settings.run_lease_ms
             ):
                 self.workers.forget(worker)
                 self.lose(worker.incarnation, "the lease has lapsed")
--- a/wigeonport/batch_settings.py
+++ b/wigeonport/batch_settings.py
@@ -7,7 +7,7 @@
     """Settings of the dispatcher.
 
     Attributes:
-        hold_ms: Lease that an answer gives to what runs on a worker. It
+        run_lease_ms: Lease that an answer gives to what runs on a worker. It
             covers a change of leader (about 2.5 s, from the election
             timeout and a lost heartbeat) and bounds the time in which the
             tasks of a lost worker are blocked.
@@ -24,7 +24,7 @@
     """
 
     __slots__ = (
-        "hold_ms",
+        "run_lease_ms",
         "interval_ms",
         "interval_per_worker_ms",
         "max_silent_intervals",
@@ -34,7 +34,7 @@
     )
 
     def __init__(self, max_hold_ms=10_000, lease_ms=3_000):
-        self.hold_ms = min(4_500, max_hold_ms)
+        self.run_lease_ms = min(4_500, max_hold_ms)
         self.interval_ms = 400
         self.interval_per_worker_ms = 4
         self.max_silent_intervals = 3.75
@@ -50,4 +50,4 @@
         wanted_ms = max(
             self.interval_ms, self.interval_per_worker_ms * workers
         )
-        return min(wanted_ms, self.hold_ms // 4)
+        return min(wanted_ms, self.run_lease_ms // 4)
--- a/wigeonport/worker_reports.py
+++ b/wigeonport/worker_reports.py
@@ -154,7 +154,7 @@
         starts: List of StartOrder.
         stops: Pairs of task and run to stop.
         rates: Triples of task, run and percent of full speed.
-        hold_ms: Length of the lease of all that runs, counted from the
+        run_lease_ms: Length of the lease of all that runs, counted from the
             sending of the heartbeat; 0 extends nothing.
         acknowledged: Number up to which ends are durable.
         fence: Term of the leader that gives the orders.
@@ -165,7 +165,7 @@
         "starts",
         "stops",
         "rates",
-        "hold_ms",
+        "run_lease_ms",
         "acknowledged",
         "fence",
         "retry_after_ms",
@@ -175,7 +175,7 @@
         self.starts = []
         self.stops = []
         self.rates = []
-        self.hold_ms = 0
+        self.run_lease_ms = 0
         self.acknowledged = 0
         self.fence = fence
         self.retry_after_ms = retry_after_ms
--- a/wigeonport/worker_tables.py
+++ b/wigeonport/worker_tables.py
@@ -8,9 +8,9 @@
 STOP_MARGIN_MS = 250
 
 
-def lease_end_ms(hold_ms, now_ms):
+def lease_end_ms(run_lease_ms, now_ms):
     """Returns until when runs with a lease of now may live at the latest."""
-    return now_ms + int(hold_ms * (1 + CLOCK_DRIFT)) + STOP_MARGIN_MS
+    return now_ms + int(run_lease_ms * (1 + CLOCK_DRIFT)) + STOP_MARGIN_MS
 
 
 class RunProgress:
@@ -93,9 +93,9 @@
         """Name of this life."""
         return self.report.incarnation
 
-    def extend_lease(self, hold_ms, now_ms):
+    def extend_lease(self, run_lease_ms, now_ms):
         """Notes that an answer extends the lease of all that runs."""
-        until_ms = lease_end_ms(hold_ms, now_ms)
+        until_ms = lease_end_ms(run_lease_ms, now_ms)
         self.lease_until_ms = max(self.lease_until_ms, until_ms)
 
     def room(self):
