Rename interval_ms to heartbeat_interval_ms

Cause: interval_ms did not say that it is the interval of heartbeats Change: interval_ms to heartbeat_interval_ms; 16 uses in 6 files, by token.

--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -44,7 +44,7 @@
         term: Term of the leader, the fence of its orders.
         since_ms: Monotonic start of the term at this replica.
         workers: WorkerTable.
-        interval_ms: Interval of heartbeats of a worker without news.
+        heartbeat_interval_ms: Interval of heartbeats of a worker without news.
         active: Job by id, of those whose tasks may be started.
         operations: Operations since the last ``take_operations``.
         orphans_until_ms: Until when runs of workers that this leader has
@@ -64,7 +64,7 @@
         "term",
         "since_ms",
         "workers",
-        "interval_ms",
+        "heartbeat_interval_ms",
         "active",
         "operations",
         "orphans_until_ms",
@@ -83,7 +83,7 @@
         self.term = term
         self.since_ms = now_ms
         self.workers = WorkerTable()
-        self.interval_ms = settings.interval_ms
+        self.heartbeat_interval_ms = settings.heartbeat_interval_ms
         self.active = {}
         self.operations = []
         # The former leader may have answered until this one was elected.
@@ -103,7 +103,7 @@
 
     def silence_ms(self):
         """Returns the silence after which a worker gets no task."""
-        return self.settings.max_silent_intervals * self.interval_ms
+        return self.settings.max_silent_intervals * self.heartbeat_interval_ms
 
     def record(self, operation):
         """Applies an operation to the working copy and hands it out."""
@@ -166,7 +166,7 @@
     def on_report(self, report, now_ms, wall_ms):
         """Takes in a heartbeat and returns the WorkerOrders."""
         self.wall_ms, self.now_ms = wall_ms, now_ms
-        orders = WorkerOrders(self.term, self.interval_ms)
+        orders = WorkerOrders(self.term, self.heartbeat_interval_ms)
         worker, over = self.workers.admit(report, now_ms)
         for incarnation in over:
             self.lose(incarnation, "the worker has started anew")
@@ -236,7 +236,9 @@
             for incarnation in list(self.workers.runs):
                 if incarnation not in known:
                     self.lose(incarnation, "no heartbeat in this term")
-        self.interval_ms = self.settings.heartbeat_ms(len(self.workers.by_id))
+        self.heartbeat_interval_ms = self.settings.heartbeat_ms(
+            len(self.workers.by_id)
+        )
         self.copies = find_copies(self, now_ms)
         self.open_occurrences(wall_ms)
 
--- a/wigeonport/batch_settings.py
+++ b/wigeonport/batch_settings.py
@@ -11,7 +11,7 @@
             covers a change of leader (about 2.5 s, from the election
             timeout and a lost heartbeat) and bounds the time in which the
             tasks of a lost worker are blocked.
-        interval_ms: Shortest interval of heartbeats of a worker without
+        heartbeat_interval_ms: Shortest interval of heartbeats of a worker without
             news.
         interval_per_worker_ms: Interval of heartbeats for each worker; bounds
             the heartbeats that one leader answers to 250 a second.
@@ -25,7 +25,7 @@
 
     __slots__ = (
         "run_lease_ms",
-        "interval_ms",
+        "heartbeat_interval_ms",
         "interval_per_worker_ms",
         "max_silent_intervals",
         "job_order",
@@ -35,7 +35,7 @@
 
     def __init__(self, max_hold_ms=10_000, lease_ms=3_000):
         self.run_lease_ms = min(4_500, max_hold_ms)
-        self.interval_ms = 400
+        self.heartbeat_interval_ms = 400
         self.interval_per_worker_ms = 4
         self.max_silent_intervals = 3.75
         self.job_order = "objective"
@@ -48,6 +48,6 @@
         Four heartbeats fit into a lease, however many workers there are.
         """
         wanted_ms = max(
-            self.interval_ms, self.interval_per_worker_ms * workers
+            self.heartbeat_interval_ms, self.interval_per_worker_ms * workers
         )
         return min(wanted_ms, self.run_lease_ms // 4)
--- a/wigeonport/machine_losses.py
+++ b/wigeonport/machine_losses.py
@@ -17,7 +17,7 @@
 
 def has_silent_worker(dispatcher, now_ms):
     """Returns whether a worker with live runs may have crashed."""
-    silent_ms = SUSPECT_BEATS * dispatcher.interval_ms
+    silent_ms = SUSPECT_BEATS * dispatcher.heartbeat_interval_ms
     known = set()
     for worker in dispatcher.workers.by_id.values():
         known.add(worker.incarnation)
--- a/wigeonport/task_copies.py
+++ b/wigeonport/task_copies.py
@@ -19,7 +19,7 @@
 def find_copies(dispatcher, now_ms):
     """Returns lists of the tasks that want a copy, by service."""
     wanted = {}
-    silent_ms = SUSPECT_BEATS * dispatcher.interval_ms
+    silent_ms = SUSPECT_BEATS * dispatcher.heartbeat_interval_ms
     for worker in dispatcher.workers.by_id.values():
         silent = now_ms - worker.heard_ms > silent_ms
         if not silent and now_ms >= worker.shunned_until_ms:
--- a/wigeonport/task_evacuations.py
+++ b/wigeonport/task_evacuations.py
@@ -35,7 +35,7 @@
         worker is not None
         and worker.incarnation == incarnation
         and dispatcher.now_ms - worker.heard_ms
-        <= FRESH_BEATS * dispatcher.interval_ms
+        <= FRESH_BEATS * dispatcher.heartbeat_interval_ms
         and (name, run) not in worker.stopping
         and (name, run) in worker.progress
         and worker.progress[name, run].percent >= FULL_PERCENT
--- a/wigeonport/task_placements.py
+++ b/wigeonport/task_placements.py
@@ -101,7 +101,7 @@
 
     def waited_for_rack(self, step, now_ms):
         """Returns whether a task may run away from its data."""
-        silent_ms = GANG_SILENT_BEATS * self.dispatcher.interval_ms
+        silent_ms = GANG_SILENT_BEATS * self.dispatcher.heartbeat_interval_ms
         near = any(
             other.report.rack == step.data_rack
             and other.accepts(now_ms, silent_ms)
@@ -163,7 +163,7 @@
 def place_gang(dispatcher, claim, occurrence, number, step_run, now_ms):
     """Starts the members of one gang if there is room for all."""
     step = step_run.step
-    silent_ms = GANG_SILENT_BEATS * dispatcher.interval_ms
+    silent_ms = GANG_SILENT_BEATS * dispatcher.heartbeat_interval_ms
     spots = [
         worker
         for worker in dispatcher.workers.of_service(claim.queue.service)
