Rename heartbeat_ms to choose_heartbeat_interval

Cause: heartbeat_ms is a method that chooses the interval of heartbeats Change: heartbeat_ms to choose_heartbeat_interval; 3 uses in 3 files, by token.

--- a/tests/test_batch_dispatchers.py
+++ b/tests/test_batch_dispatchers.py
@@ -365,7 +365,7 @@
 )
 def test_interval_of_heartbeats_follows_the_workers(workers, interval_ms):
     """More heartbeats than a leader can answer end the leases of all."""
-    assert BatchSettings().heartbeat_ms(workers) == interval_ms
+    assert BatchSettings().choose_heartbeat_interval(workers) == interval_ms
 
 
 def test_worker_is_told_the_interval(scene):
--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -236,7 +236,7 @@
             for incarnation in list(self.workers.runs):
                 if incarnation not in known:
                     self.lose(incarnation, "no heartbeat in this term")
-        self.heartbeat_interval_ms = self.settings.heartbeat_ms(
+        self.heartbeat_interval_ms = self.settings.choose_heartbeat_interval(
             len(self.workers.by_id)
         )
         self.copies = find_copies(self, now_ms)
--- a/wigeonport/batch_settings.py
+++ b/wigeonport/batch_settings.py
@@ -42,7 +42,7 @@
         self.max_filler_tasks_per_step = 2
         self.takeover_wait_ms = lease_ms + 500
 
-    def heartbeat_ms(self, workers):
+    def choose_heartbeat_interval(self, workers):
         """Returns the interval of heartbeats for a number of workers.
 
         Four heartbeats fit into a lease, however many workers there are.
