Rename left to remaining

Cause: left is ambiguous; it counts what remains Change: left to remaining; 19 uses in 3 files, by token.

--- a/wigeonport/batch_jobs.py
+++ b/wigeonport/batch_jobs.py
@@ -54,10 +54,10 @@
         step: Step.
         tasks: Task by index.
         waiting: Indices of the tasks that are neither done nor running.
-        left: Number of tasks that are not done.
+        remaining: Number of tasks that are not done.
     """
 
-    __slots__ = ("step", "tasks", "waiting", "left")
+    __slots__ = ("step", "tasks", "waiting", "remaining")
 
     def __init__(self, step, tasks=None):
         self.step = step
@@ -67,7 +67,7 @@
             for index, task in enumerate(self.tasks)
             if not task.done and not task.runs
         }
-        self.left = sum(not task.done for task in self.tasks)
+        self.remaining = sum(not task.done for task in self.tasks)
 
     def start(self, index, run, worker):
         """Notes a new run of a task."""
@@ -89,7 +89,7 @@
             task = self.tasks[each]
             if not task.done:
                 task.done = 1
-                self.left -= 1
+                self.remaining -= 1
             self.waiting.discard(each)
 
 
@@ -107,7 +107,7 @@
         occurrences: List of StepRun by number of the occurrence, for the
             open ones.
         opened: Number of occurrences opened so far.
-        left: Number of occurrences that are not done.
+        remaining: Number of occurrences that are not done.
     """
 
     __slots__ = (
@@ -120,7 +120,7 @@
         "finished_ms",
         "occurrences",
         "opened",
-        "left",
+        "remaining",
     )
 
     def __init__(self, job_id, queue, spec, attempts, submitted_ms):
@@ -133,7 +133,7 @@
         self.finished_ms = 0
         self.occurrences = {}
         self.opened = 0
-        self.left = spec.occurrences()
+        self.remaining = spec.occurrences()
         if not spec.repeat_count:
             self.open_next()
 
@@ -163,10 +163,10 @@
         """Yields occurrence, number and StepRun of each step that may run."""
         for occurrence, step_runs in self.occurrences.items():
             for number, step_run in enumerate(step_runs):
-                if not step_run.left:
+                if not step_run.remaining:
                     continue
                 depends_on = step_run.step.depends_on
-                if all(not step_runs[each].left for each in depends_on):
+                if all(not step_runs[each].remaining for each in depends_on):
                     yield occurrence, number, step_run
 
     def live_runs(self):
@@ -222,17 +222,17 @@
         """Notes that a task is done and ends the job after the last one."""
         occurrence, step, index = position
         step_runs = self.occurrences[occurrence]
-        before = any(each.left for each in step_runs)
+        before = any(each.remaining for each in step_runs)
         step_runs[step].finish(index)
-        if before and not any(each.left for each in step_runs):
-            self.left -= 1
-        if self.left <= 0 and self.active:
+        if before and not any(each.remaining for each in step_runs):
+            self.remaining -= 1
+        if self.remaining <= 0 and self.active:
             self.end(COMPLETED, now_ms)
 
     def drop_closed(self, occurrence):
         """Forgets an occurrence that is done and has no live run."""
         step_runs = self.occurrences[occurrence]
-        if not self.spec.repeat_count or any(s.left for s in step_runs):
+        if not self.spec.repeat_count or any(s.remaining for s in step_runs):
             return
         if not any(task.runs for s in step_runs for task in s.tasks):
             del self.occurrences[occurrence]
@@ -248,7 +248,7 @@
             "state": self.state,
             "finished_ms": self.finished_ms,
             "opened": self.opened,
-            "left": self.left,
+            "left": self.remaining,
             "occurrences": [
                 [number, [[t.to_row() for t in s.tasks] for s in step_runs]]
                 for number, step_runs in self.occurrences.items()
@@ -269,7 +269,7 @@
     job.state = document["state"]
     job.finished_ms = document["finished_ms"]
     job.opened = document["opened"]
-    job.left = document["left"]
+    job.remaining = document["left"]
     job.occurrences = {
         number: [
             StepRun(step, [Task.from_row(row) for row in rows])
--- a/wigeonport/job_orders.py
+++ b/wigeonport/job_orders.py
@@ -96,12 +96,12 @@
         finish = []
         for step_run in step_runs:
             step = step_run.step
-            own_ms = step.estimated_ms if step_run.left else 0
+            own_ms = step.estimated_ms if step_run.remaining else 0
             before = [finish[each] for each in step.depends_on]
             finish.append(max(before, default=0) + own_ms)
             task_work = step.cpu_milli * own_ms
             work += len(step_run.waiting) * task_work
-            running += (step_run.left - len(step_run.waiting)) * task_work
+            running += (step_run.remaining - len(step_run.waiting)) * task_work
         longest = max(longest, *finish) if finish else longest
     return longest, work, running
 
--- a/wigeonport/run_reports.py
+++ b/wigeonport/run_reports.py
@@ -35,7 +35,7 @@
     kept = dispatcher.claims.get(worker.report.service)
     for name in tasks:
         found = dispatcher.task_of(name)
-        if kept is not None and (found is None or not found[1].left):
+        if kept is not None and (found is None or not found[1].remaining):
             kept.note_step(split_task_id(name)[0])
 
 
