--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -8,7 +8,7 @@
 from front import encode_answer
 from hypothesis import given
 from hypothesis import strategies as st
-from job_codec import FormError, decode_submission, split_path
+from job_codec import MalformedBodyError, decode_submission, split_path
 from route_codec import decode_configuration
 from worker_codec import decode_heartbeat, encode_orders
 
@@ -150,7 +150,7 @@
     """An entry of another writer must be refused as a whole."""
     try:
         decode_heartbeat("i-1", HEARTBEAT | {name: value})
-    except FormError as fault:
+    except MalformedBodyError as fault:
         assert str(fault)
 
 
@@ -177,7 +177,7 @@
 )
 def test_foreign_heartbeat_is_refused(change):
     """What is not understood names no worker to use."""
-    with pytest.raises(FormError):
+    with pytest.raises(MalformedBodyError):
         decode_heartbeat("i-1", HEARTBEAT | change)
 
 
