Rename 7 names: pending_answers, round_answers and others

Cause: the names did not say that they are answers, limits and retries Change: waiting to pending_answers, round to round_answers, release to send_durable_answers, BATCH_LIMIT to MAX_EVENTS_PER_ROUND, BATCH_BYTES to MAX_BATCH_BYTES, RETRY_ACTIVATION_MS to LOAD_RETRY_MS, pass_barrier to commit_barrier; 33 uses in 1 files, by token.

--- a/wigeonport/batch_controllers.py
+++ b/wigeonport/batch_controllers.py
@@ -35,13 +35,13 @@
 logger = PartLogger("batch")
 
 INBOX_BOUND = 4_096
-BATCH_LIMIT = 256
+MAX_EVENTS_PER_ROUND = 256
 TICK_MS = 100
 # Far below the largest payload of an entry, 512 KiB.
-BATCH_BYTES = 192 * 1024
+MAX_BATCH_BYTES = 192 * 1024
 STATUS_TIMEOUT_MS = 500
 READ_TIMEOUT_MS = 5_000
-RETRY_ACTIVATION_MS = 100
+LOAD_RETRY_MS = 100
 # Longer than an election; a call that is older has no reader any more.
 PROPOSAL_TIMEOUT_MS = 8_000
 COPIED_PARTS = ("batch", "routes", "upkeep")
@@ -64,8 +64,8 @@
         leader_node: Node of the leader, or "".
         sequence: Number of the newest proposed batch.
         committed: Number of the newest committed batch.
-        waiting: Triples of batch number, reply and answer, oldest first.
-        round: Pairs of reply and answer of the current round.
+        pending_answers: Triples of batch number, reply and answer, oldest first.
+        round_answers: Pairs of reply and answer of the current round.
         lease_until_ms: Until when this replica surely leads.
         stopping: Whether the process stops and must not lead any more.
         nursery: Runs the waits for proposals.
@@ -86,8 +86,8 @@
         "leader_node",
         "sequence",
         "committed",
-        "waiting",
-        "round",
+        "pending_answers",
+        "round_answers",
         "lease_until_ms",
         "stopping",
         "nursery",
@@ -117,8 +117,8 @@
         self.leader_node = ""
         self.sequence = 0
         self.committed = 0
-        self.waiting = collections.deque()
-        self.round = []
+        self.pending_answers = collections.deque()
+        self.round_answers = []
         self.lease_until_ms = 0
         self.stopping = False
         self.nursery = None
@@ -134,18 +134,18 @@
                     self.tick_due_ms - self.clock.now()
                 )
                 events = [] if first is None else [first]
-                events += self.inbox.drain(BATCH_LIMIT)
+                events += self.inbox.drain(MAX_EVENTS_PER_ROUND)
                 self.handle(events)
                 self.propose()
-                await self.release()
+                await self.send_durable_answers()
 
     def handle(self, events):
-        """Handles events and collects their answers in ``round``."""
+        """Handles events and collects their answers in ``round_answers``."""
         for event in events:
             answer = self.dispatch(event)
             reply = getattr(event, "reply", None)
             if reply is not None:
-                self.round.append((reply, answer))
+                self.round_answers.append((reply, answer))
         now_ms = self.clock.now()
         if now_ms >= self.tick_due_ms:
             self.tick_due_ms = now_ms + TICK_MS
@@ -172,7 +172,9 @@
         """Fires the timers of the dispatcher and of what serves it."""
         self.dispatcher.on_tick(now_ms, self.clock.wall())
         if self.machines is not None:
-            self.round += self.machines.on_tick(self.dispatcher, now_ms)
+            self.round_answers += self.machines.on_tick(
+                self.dispatcher, now_ms
+            )
         if self.advisor is not None:
             self.advisor.on_tick(self.dispatcher, now_ms)
 
@@ -189,7 +191,7 @@
             return
         chunk, size = [], 0
         for data in encode_operations(operations):
-            if chunk and size + len(data) > BATCH_BYTES:
+            if chunk and size + len(data) > MAX_BATCH_BYTES:
                 self.propose_chunk(chunk)
                 chunk, size = [], 0
             chunk.append(data)
@@ -222,26 +224,32 @@
         self.metrics.record("batch_commit_ms", self.clock.now() - start_ms)
         await self.inbox.put(ended)
 
-    async def release(self):
+    async def send_durable_answers(self):
         """Sends the answers that nothing holds back."""
         if self.dispatcher is None:
             # Only answers that name another replica are left.
-            for reply, answer in self.round:
+            for reply, answer in self.round_answers:
                 reply.send(answer)
-            self.round.clear()
+            self.round_answers.clear()
             return
         # What has not been proposed yet will be part of the next batch.
         needed = self.sequence + bool(self.dispatcher.operations)
-        for reply, answer in self.round:
-            self.waiting.append((needed, reply, answer))
-        self.round.clear()
-        if not self.waiting or self.waiting[0][0] > self.committed:
+        for reply, answer in self.round_answers:
+            self.pending_answers.append((needed, reply, answer))
+        self.round_answers.clear()
+        if (
+            not self.pending_answers
+            or self.pending_answers[0][0] > self.committed
+        ):
             return
         if not await self.confirm_lease():
             self.stop_dispatching("the lease has ended")
             return
-        while self.waiting and self.waiting[0][0] <= self.committed:
-            _, reply, answer = self.waiting.popleft()
+        while (
+            self.pending_answers
+            and self.pending_answers[0][0] <= self.committed
+        ):
+            _, reply, answer = self.pending_answers.popleft()
             reply.send(answer)
 
     async def confirm_lease(self):
@@ -265,14 +273,16 @@
         self.lease_until_ms = 0
         if self.machines is not None:
             self.machines.stop()
-        pending = [(reply, answer) for _, reply, answer in self.waiting]
-        for reply, answer in pending + self.round:
+        pending = [
+            (reply, answer) for _, reply, answer in self.pending_answers
+        ]
+        for reply, answer in pending + self.round_answers:
             if isinstance(answer, BatchReply):
                 reply.send(BatchReply(UNKNOWN, reason))
             else:
                 reply.send(Redirect(""))
-        self.waiting.clear()
-        self.round.clear()
+        self.pending_answers.clear()
+        self.round_answers.clear()
         if self.leader_node == self.node and not self.stopping:
             self.nursery.start_soon(self.load, self.term)
 
@@ -286,8 +296,8 @@
         while self.term == term and self.leader_node == self.node:
             # An earlier batch of this term may still be on its way to a
             # quorum; the copy has to contain it.
-            if not await self.pass_barrier():
-                await self.clock.sleep(RETRY_ACTIVATION_MS)
+            if not await self.commit_barrier():
+                await self.clock.sleep(LOAD_RETRY_MS)
                 continue
             found = await ask(
                 self.consensus,
@@ -299,9 +309,9 @@
                 await self.inbox.put(Loaded(term, loaded.ok))
                 return
             logger.warning("State is not ready.", reason=loaded.error)
-            await self.clock.sleep(RETRY_ACTIVATION_MS)
+            await self.clock.sleep(LOAD_RETRY_MS)
 
-    async def pass_barrier(self):
+    async def commit_barrier(self):
         """Returns whether all earlier batches have been decided."""
         command = RecordBatch(self.clock.wall(), [])
         answer = await ask(
