Rename 11 names: call_leader, choose_control and others

Cause: the names were figurative or did not say what is chosen, searched or followed Change: find_answer to call_leader, choose to choose_control, note_end to log_abandoned_call, note_failure to record_failure, turn_to to follow_redirect, SEARCH_MS to LEADER_SEARCH_MS, PAUSE_MS to RETRY_PAUSE_MS, FRESH_MS to LEADER_REACHABLE_MS, position to last_tried_index, answered_ms to leader_answered_ms, known to leader_dialer; 40 uses in 1 files, by token.

--- a/wigeonport/gateways.py
+++ b/wigeonport/gateways.py
@@ -13,10 +13,10 @@
 ATTEMPT_TIMEOUT_MS = 900
 # Longest search for a leader before a call that was not sent is refused:
 # a quarter of the smallest latency objective, less a margin.
-SEARCH_MS = 600
-PAUSE_MS = 60
+LEADER_SEARCH_MS = 600
+RETRY_PAUSE_MS = 60
 # A leader that answered within this time counts as reachable.
-FRESH_MS = 2_500
+LEADER_REACHABLE_MS = 2_500
 
 
 class GatewayCall:
@@ -60,8 +60,8 @@
         metrics: Metrics.
         inbox: Mailbox of GatewayCalls.
         leader: Address of the control that led last, or "".
-        answered_ms: When a leader answered last, or None.
-        position: Index of the control that is tried next without a leader.
+        leader_answered_ms: When a leader answered last, or None.
+        last_tried_index: Index of the control that is tried next without a leader.
     """
 
     __slots__ = (
@@ -70,8 +70,8 @@
         "metrics",
         "inbox",
         "leader",
-        "answered_ms",
-        "position",
+        "leader_answered_ms",
+        "last_tried_index",
     )
 
     def __init__(self, links, clock, metrics):
@@ -80,8 +80,8 @@
         self.metrics = metrics
         self.inbox = Mailbox("gateway", INBOX_BOUND, REFUSE)
         self.leader = ""
-        self.answered_ms = None
-        self.position = 0
+        self.leader_answered_ms = None
+        self.last_tried_index = 0
 
     async def run(self):
         """Handles calls concurrently."""
@@ -92,59 +92,61 @@
     async def handle(self, request):
         """Answers one call."""
         start_ms = self.clock.now()
-        request.reply.send(await self.find_answer(request, start_ms))
+        request.reply.send(await self.call_leader(request, start_ms))
         self.metrics.record("gateway_call_ms", self.clock.now() - start_ms)
 
-    async def find_answer(self, request, start_ms):
+    async def call_leader(self, request, start_ms):
         """Tries controls until one that leads has answered."""
         sent = False
-        search_until_ms = min(request.deadline_ms, start_ms + SEARCH_MS)
+        search_until_ms = min(request.deadline_ms, start_ms + LEADER_SEARCH_MS)
         while True:
             now_ms = self.clock.now()
             if now_ms >= (request.deadline_ms if sent else search_until_ms):
-                self.note_end(request.call, sent, start_ms, now_ms)
+                self.log_abandoned_call(request.call, sent, start_ms, now_ms)
                 return GatewayAnswer(None, sent)
-            host, dialer = self.choose()
+            host, dialer = self.choose_control()
             if dialer is None:
-                await self.clock.sleep(PAUSE_MS)
+                await self.clock.sleep(RETRY_PAUSE_MS)
                 continue
             timeout_ms = min(ATTEMPT_TIMEOUT_MS, request.deadline_ms - now_ms)
             answer = await dialer.ask(request.call, timeout_ms)
             if answer.is_error():
                 sent = sent or answer.error.sent
-                self.note_failure(host, request.call, answer.error)
-                await self.clock.sleep(PAUSE_MS)
+                self.record_failure(host, request.call, answer.error)
+                await self.clock.sleep(RETRY_PAUSE_MS)
                 continue
             reply = answer.ok
             if reply.outcome == NOT_LEADING:
-                await self.turn_to(host, reply.leader)
+                await self.follow_redirect(host, reply.leader)
             elif reply.outcome == UNKNOWN:
                 sent = True
-                self.note_failure(host, request.call, reply.detail)
-                await self.clock.sleep(PAUSE_MS)
+                self.record_failure(host, request.call, reply.detail)
+                await self.clock.sleep(RETRY_PAUSE_MS)
             else:
                 self.leader = host
-                self.answered_ms = self.clock.now()
+                self.leader_answered_ms = self.clock.now()
                 return GatewayAnswer(reply, True)
 
-    def choose(self):
+    def choose_control(self):
         """Returns address and dialer of the control to try, or Nones."""
         dialers = self.links.dialers
-        known = dialers.get(self.leader)
-        if known is not None and known.connected:
-            return self.leader, known
+        leader_dialer = dialers.get(self.leader)
+        if leader_dialer is not None and leader_dialer.connected:
+            return self.leader, leader_dialer
         hosts = sorted(dialers)
         for _ in hosts:
-            self.position = (self.position + 1) % len(hosts)
-            host = hosts[self.position]
+            self.last_tried_index = (self.last_tried_index + 1) % len(hosts)
+            host = hosts[self.last_tried_index]
             if dialers[host].connected:
                 return host, dialers[host]
         return "", None
 
-    def note_end(self, call, sent, start_ms, now_ms):
+    def log_abandoned_call(self, call, sent, start_ms, now_ms):
         """Logs a call that is given up."""
-        answered_ms = self.answered_ms
-        ago_ms = None if answered_ms is None else now_ms - answered_ms
+        leader_answered_ms = self.leader_answered_ms
+        ago_ms = (
+            None if leader_answered_ms is None else now_ms - leader_answered_ms
+        )
         logger.warning(
             "Call given up.",
             request=call.request_id,
@@ -155,7 +157,7 @@
         )
         self.metrics.count("gateway_calls_given_up")
 
-    def note_failure(self, host, call, reason):
+    def record_failure(self, host, call, reason):
         """Turns away from a control that gave no answer."""
         logger.warning(
             "Control gave no answer.",
@@ -167,7 +169,7 @@
         if self.leader == host:
             self.leader = ""
 
-    async def turn_to(self, host, leader):
+    async def follow_redirect(self, host, leader):
         """Follows the hint of a control that does not lead."""
         self.links.add(leader)
         dialer = self.links.dialers.get(leader)
@@ -176,13 +178,15 @@
                 logger.info("Leader changed.", leader=leader, said_by=host)
             self.leader = leader
             if not dialer.connected:
-                await self.clock.sleep(PAUSE_MS)
+                await self.clock.sleep(RETRY_PAUSE_MS)
             return
         self.leader = ""
-        await self.clock.sleep(PAUSE_MS)
+        await self.clock.sleep(RETRY_PAUSE_MS)
 
     def is_ready(self):
         """Returns whether calls are likely to be answered."""
-        if self.answered_ms is None:
+        if self.leader_answered_ms is None:
             return False
-        return self.clock.now() - self.answered_ms <= FRESH_MS
+        return (
+            self.clock.now() - self.leader_answered_ms <= LEADER_REACHABLE_MS
+        )
