Rename 5 names: route_batch_deliveries, EntryListeners and others

Cause: the names did not say what is routed and what listens Change: sort_batch_deliveries to route_batch_deliveries, EntryEdge to EntryListeners, edge to listeners, asked to reload_request, known to current; 13 uses in 1 files, by token.

--- a/wigeonport/batch_programs.py
+++ b/wigeonport/batch_programs.py
@@ -54,7 +54,7 @@
         return self.delivery.respond(message)
 
 
-async def sort_batch_deliveries(inbound, consensus, controller):
+async def route_batch_deliveries(inbound, consensus, controller):
     """Passes arrivals to the filter that handles them."""
     async for delivery in inbound:
         if isinstance(delivery, LinkClosed):
@@ -118,17 +118,17 @@
         links: PeerLinks.
         load: Function that returns a Result of Settings.
     """
-    known = program.settings
+    current = program.settings
     while True:
-        asked = await program.reloads.get_within(RELOAD_INTERVAL_MS)
+        reload_request = await program.reloads.get_within(RELOAD_INTERVAL_MS)
         loaded = load()
         if loaded.is_error():
             logger.error("Settings are unreadable.", reason=loaded.error)
             continue
-        if asked is None and loaded.ok == known:
+        if reload_request is None and loaded.ok == current:
             continue
-        known = loaded.ok
-        hosts = [peer.host for peer in known.peers]
+        current = loaded.ok
+        hosts = [peer.host for peer in current.peers]
         for host in hosts:
             links.add(host)
         logger.info("Settings reloaded.", controls=",".join(hosts))
@@ -195,7 +195,7 @@
             listen, context, settings.host, settings.control_links_port
         )
         nursery.start_soon(
-            sort_batch_deliveries, inbound, consensus.inbox, controller.inbox
+            route_batch_deliveries, inbound, consensus.inbox, controller.inbox
         )
         if machines is not None:
             nursery.start_soon(machines.run, controller.inbox)
@@ -227,13 +227,13 @@
         nursery.start_soon(serve_metrics, program)
         nursery.start_soon(gateway.run)
         nursery.start_soon(probe_leader, gateway, program.clock)
-        edge = EntryEdge(settings)
-        nursery.start_soon(close_after_notice, program, edge.closing)
-        await serve_edge(program, gateway, edge)
+        listeners = EntryListeners(settings)
+        nursery.start_soon(close_after_notice, program, listeners.closing)
+        await serve_edge(program, gateway, listeners)
         nursery.cancel_scope.cancel()
 
 
-class EntryEdge:
+class EntryListeners:
     """Where an entry serves, and until when.
 
     Attributes:
