--- a/wigeonport/batch_programs.py
+++ b/wigeonport/batch_programs.py
@@ -96,7 +96,7 @@
     return PeerLinks(context, settings.host, port, hosts)
 
 
-def batch_settings_of(settings):
+def make_batch_settings(settings):
     """Returns the BatchSettings of a program."""
     return BatchSettings(settings.max_hold_ms, settings.machine_lease_ms)
 
@@ -177,7 +177,7 @@
     controller = BatchController(
         consensus.inbox,
         settings.node_id,
-        batch_settings_of(settings),
+        make_batch_settings(settings),
         program.clock,
         program.metrics,
         machines,
