Rename 5 names: requeue, drop_finished_occurrence and others

Cause: release and drop_closed did not say what becomes of tasks and occurrences Change: release to requeue, drop_closed to drop_finished_occurrence, found to entry, spent to attempts_exhausted, live to was_live; 12 uses in 1 files, by token.

--- a/wigeonport/batch_jobs.py
+++ b/wigeonport/batch_jobs.py
@@ -76,7 +76,7 @@
         task.last_run = max(task.last_run, run)
         self.waiting.discard(index)
 
-    def release(self, index):
+    def requeue(self, index):
         """Makes a task eligible again if it is neither done nor running."""
         task = self.tasks[index]
         if not task.done and not task.runs:
@@ -195,23 +195,29 @@
 
     def end_run(self, position, run, outcome, checkpoint, now_ms):
         """Notes the end of a run; returns whether anything changed."""
-        found = self.find(*position)
-        if found is None:
+        entry = self.find(*position)
+        if entry is None:
             return False
-        step_run, task = found
-        live = task.runs.pop(run, None) is not None
+        step_run, task = entry
+        was_live = task.runs.pop(run, None) is not None
         if checkpoint:
             self.store_checkpoint(step_run, task, checkpoint)
         if outcome == DONE:
             self.finish_task(position, now_ms)
-        elif live and outcome == ENDED_FAILED:
+        elif was_live and outcome == ENDED_FAILED:
             task.failures += 1
-            spent = task.failures >= self.attempts and not task.done
-            if spent and not step_run.step.lasting and self.active:
+            attempts_exhausted = (
+                task.failures >= self.attempts and not task.done
+            )
+            if (
+                attempts_exhausted
+                and not step_run.step.lasting
+                and self.active
+            ):
                 self.end(FAILED, now_ms)
-        step_run.release(position[2])
-        self.drop_closed(position[0])
-        return live or outcome == DONE
+        step_run.requeue(position[2])
+        self.drop_finished_occurrence(position[0])
+        return was_live or outcome == DONE
 
     def store_checkpoint(self, step_run, task, checkpoint):
         """Stores a checkpoint; that of a gang's member holds for all."""
@@ -229,7 +235,7 @@
         if self.remaining <= 0 and self.active:
             self.end(COMPLETED, now_ms)
 
-    def drop_closed(self, occurrence):
+    def drop_finished_occurrence(self, occurrence):
         """Forgets an occurrence that is done and has no live run."""
         step_runs = self.occurrences[occurrence]
         if not self.spec.repeat_count or any(s.remaining for s in step_runs):
