Rename 6 names: ControllerHarness, run_controller and others

Cause: Desk is figurative for the controller under test Change: Desk to ControllerHarness, run_desk to run_controller, desk to harness, held to pending, settle to decide_pending, ask_view to answer_read; 121 uses in 1 files, by token.

--- a/tests/test_batch_controllers.py
+++ b/tests/test_batch_controllers.py
@@ -66,7 +66,7 @@
         clock: Clock.
         outcome: Outcome of proposals, or None to keep them waiting.
         lease_ms: Length of the lease that it reports.
-        held: Proposals that wait.
+        pending: Proposals that wait.
         index: Index of the newest entry.
         largest_payload: Size of the largest command, in bytes.
         resigned: Number of requests to hand the lead over.
@@ -78,7 +78,7 @@
         "clock",
         "outcome",
         "lease_ms",
-        "held",
+        "pending",
         "index",
         "largest_payload",
         "resigned",
@@ -90,7 +90,7 @@
         self.clock = Clock()
         self.outcome = COMMITTED
         self.lease_ms = 800
-        self.held = []
+        self.pending = []
         self.index = 0
         self.largest_payload = 0
         self.resigned = 0
@@ -99,7 +99,7 @@
         """Answers requests."""
         async for request in self.inbox:
             if isinstance(request, Read):
-                request.reply.send(ask_view(request, self.state))
+                request.reply.send(answer_read(request, self.state))
             elif isinstance(request, StatusRequest):
                 until_ms = self.clock.now() + self.lease_ms
                 request.reply.send(LeaseStatus(5, until_ms))
@@ -107,13 +107,13 @@
                 self.resigned += 1
                 request.reply.send(True)
             elif isinstance(request, Proposal):
-                self.held.append(request)
-                self.settle()
+                self.pending.append(request)
+                self.decide_pending()
 
-    def settle(self):
+    def decide_pending(self):
         """Decides the proposals that wait."""
-        while self.held and self.outcome is not None:
-            request = self.held.pop(0)
+        while self.pending and self.outcome is not None:
+            request = self.pending.pop(0)
             if self.outcome == COMMITTED:
                 self.index += 1
                 codec = codecs.get("thrift").ok()
@@ -124,12 +124,12 @@
             request.reply.send(ProposalAnswer(self.outcome, "by the test"))
 
 
-def ask_view(request, state):
+def answer_read(request, state):
     """Returns the Ok of a view."""
     return Ok(request.view(state))
 
 
-class Desk:
+class ControllerHarness:
     """A controller over a fake consensus task."""
 
     __slots__ = ("consensus", "controller")
@@ -168,20 +168,20 @@
 
 
 @pytest.fixture
-def run_desk():
+def run_controller():
     """Runs an async function with a Desk that leads."""
 
     def run(check, lead=True):
         async def main():
-            desk = Desk()
+            harness = ControllerHarness()
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(desk.consensus.run)
-                await nursery.start(desk.controller.run)
+                nursery.start_soon(harness.consensus.run)
+                await nursery.start(harness.controller.run)
                 if lead:
-                    await desk.lead()
+                    await harness.lead()
                     await trio.sleep(0.05)
-                    await desk.adopt(1)
-                await check(desk)
+                    await harness.adopt(1)
+                await check(harness)
                 nursery.cancel_scope.cancel()
 
         trio.run(main)
@@ -189,203 +189,205 @@
     return run
 
 
-def test_submission_is_answered_after_its_commit(run_desk):
+def test_submission_is_answered_after_its_commit(run_controller):
     """An accepted job must be durable before the caller learns of it."""
 
-    async def check(desk):
-        desk.consensus.outcome = None
-        answer = await desk.call(SUBMIT, SHORT_MS)
+    async def check(harness):
+        harness.consensus.outcome = None
+        answer = await harness.call(SUBMIT, SHORT_MS)
         assert answer.is_error()
-        assert not desk.consensus.state.batch.jobs
-        desk.consensus.outcome = COMMITTED
-        desk.consensus.settle()
-        assert (await desk.call(SUBMIT)).ok.outcome == OK
-        assert JOB in desk.consensus.state.batch.jobs
+        assert not harness.consensus.state.batch.jobs
+        harness.consensus.outcome = COMMITTED
+        harness.consensus.decide_pending()
+        assert (await harness.call(SUBMIT)).ok.outcome == OK
+        assert JOB in harness.consensus.state.batch.jobs
 
-    run_desk(check)
+    run_controller(check)
 
 
-def test_operations_gather_while_a_batch_is_committed(run_desk):
+def test_operations_gather_while_a_batch_is_committed(run_controller):
     """A commit for each heartbeat exhausts the leader of many workers."""
 
-    async def check(desk):
-        desk.consensus.outcome = None
+    async def check(harness):
+        harness.consensus.outcome = None
         answers = []
 
         async def submit(job_id):
             call = BatchCall(SUBMIT, "jobs.example", f"/plans/{job_id}", SPEC)
             answers.append(
-                await desk.ask(lambda reply: CallReceived(call, reply))
+                await harness.ask(lambda reply: CallReceived(call, reply))
             )
 
         async with trio.open_nursery() as nursery:
             for number in range(4):
                 nursery.start_soon(submit, f"{number:016x}")
                 await trio.sleep(0.01)
-            before = desk.consensus.index
-            assert len(desk.consensus.held) == 1
-            desk.consensus.outcome = COMMITTED
-            desk.consensus.settle()
+            before = harness.consensus.index
+            assert len(harness.consensus.pending) == 1
+            harness.consensus.outcome = COMMITTED
+            harness.consensus.decide_pending()
         assert [answer.ok.outcome for answer in answers] == [OK] * 4
-        assert desk.consensus.index - before == 2
+        assert harness.consensus.index - before == 2
 
-    run_desk(check)
+    run_controller(check)
 
 
-def test_state_is_shown_after_what_it_depends_on_is_durable(run_desk):
+def test_state_is_shown_after_what_it_depends_on_is_durable(run_controller):
     """A state that could still be lost must not be shown."""
 
-    async def check(desk):
-        desk.consensus.outcome = None
-        await desk.call(SUBMIT, SHORT_MS)
-        assert (await desk.call(STATE, SHORT_MS)).is_error()
+    async def check(harness):
+        harness.consensus.outcome = None
+        await harness.call(SUBMIT, SHORT_MS)
+        assert (await harness.call(STATE, SHORT_MS)).is_error()
 
-    run_desk(check)
+    run_controller(check)
 
 
-def test_failed_commit_leaves_the_outcome_unknown(run_desk):
+def test_failed_commit_leaves_the_outcome_unknown(run_controller):
     """A submission that may have been stored must not be denied."""
 
-    async def check(desk):
-        desk.consensus.outcome = "unknown"
-        assert (await desk.call(SUBMIT)).ok.outcome == UNKNOWN
+    async def check(harness):
+        harness.consensus.outcome = "unknown"
+        assert (await harness.call(SUBMIT)).ok.outcome == UNKNOWN
 
-    run_desk(check)
+    run_controller(check)
 
 
-def test_controller_leads_again_after_a_refused_batch(run_desk):
+def test_controller_leads_again_after_a_refused_batch(run_controller):
     """One refused batch must not end the service of a leader."""
 
-    async def check(desk):
-        desk.consensus.outcome = REFUSED
-        assert (await desk.call(SUBMIT)).ok.outcome == UNKNOWN
-        desk.consensus.outcome = COMMITTED
+    async def check(harness):
+        harness.consensus.outcome = REFUSED
+        assert (await harness.call(SUBMIT)).ok.outcome == UNKNOWN
+        harness.consensus.outcome = COMMITTED
         await trio.sleep(0.3)
-        assert (await desk.call(SUBMIT)).ok.outcome == OK
+        assert (await harness.call(SUBMIT)).ok.outcome == OK
 
-    run_desk(check)
+    run_controller(check)
 
 
-def test_copy_contains_batches_that_were_on_their_way(run_desk):
+def test_copy_contains_batches_that_were_on_their_way(run_controller):
     """A copy without them would order runs that are recorded already."""
 
-    async def check(desk):
-        desk.consensus.outcome = None
-        await desk.call(SUBMIT, SHORT_MS)
-        desk.controller.stop_dispatching("by the test")
+    async def check(harness):
+        harness.consensus.outcome = None
+        await harness.call(SUBMIT, SHORT_MS)
+        harness.controller.stop_dispatching("by the test")
         await trio.sleep(0.05)
-        assert desk.controller.dispatcher is None
-        desk.consensus.outcome = COMMITTED
-        desk.consensus.settle()
+        assert harness.controller.dispatcher is None
+        harness.consensus.outcome = COMMITTED
+        harness.consensus.decide_pending()
         await trio.sleep(0.2)
-        assert JOB in desk.controller.dispatcher.state.batch.jobs
+        assert JOB in harness.controller.dispatcher.state.batch.jobs
 
-    run_desk(check)
+    run_controller(check)
 
 
-def test_nothing_is_answered_after_the_lease(run_desk):
+def test_nothing_is_answered_after_the_lease(run_controller):
     """A leader that was suspended must not answer for a former term."""
 
-    async def check(desk):
-        desk.consensus.lease_ms = -1
-        desk.controller.lease_until_ms = 0
-        assert (await desk.call(STATE)).ok.outcome == UNKNOWN
+    async def check(harness):
+        harness.consensus.lease_ms = -1
+        harness.controller.lease_until_ms = 0
+        assert (await harness.call(STATE)).ok.outcome == UNKNOWN
 
-    run_desk(check)
+    run_controller(check)
 
 
-def test_follower_names_the_leader(run_desk):
+def test_follower_names_the_leader(run_controller):
     """Callers of a follower must learn where to turn to."""
 
-    async def check(desk):
-        await desk.lead(6, "10.0.0.2/bb")
-        answer = (await desk.call(SUBMIT)).ok
+    async def check(harness):
+        await harness.lead(6, "10.0.0.2/bb")
+        answer = (await harness.call(SUBMIT)).ok
         assert (answer.outcome, answer.leader) == (NOT_LEADING, "10.0.0.2")
-        answer = await desk.ask(lambda reply: ReportReceived(None, reply))
+        answer = await harness.ask(lambda reply: ReportReceived(None, reply))
         assert isinstance(answer.ok, Redirect)
         assert answer.ok.host == "10.0.0.2"
 
-    run_desk(check)
+    run_controller(check)
 
 
-def test_lost_lead_fails_what_waits(run_desk):
+def test_lost_lead_fails_what_waits(run_controller):
     """What waits for a commit gets an answer when the lead is lost."""
 
-    async def check(desk):
-        desk.consensus.outcome = None
+    async def check(harness):
+        harness.consensus.outcome = None
         reply = Reply()
         call = BatchCall(SUBMIT, "jobs.example", f"/plans/{JOB}", SPEC)
-        await desk.controller.inbox.put(CallReceived(call, reply))
+        await harness.controller.inbox.put(CallReceived(call, reply))
         await trio.sleep(0.05)
-        await desk.lead(6, "10.0.0.2/bb")
+        await harness.lead(6, "10.0.0.2/bb")
         assert (await reply.wait(WAIT_MS)).ok.outcome == UNKNOWN
 
-    run_desk(check)
+    run_controller(check)
 
 
-def test_controller_that_stops_hands_the_lead_over(run_desk):
+def test_controller_that_stops_hands_the_lead_over(run_controller):
     """A planned stop of the leader must not look like a lost one."""
 
-    async def check(desk):
-        await desk.controller.inbox.put(StopAsked())
+    async def check(harness):
+        await harness.controller.inbox.put(StopAsked())
         await trio.sleep(0.05)
-        assert desk.consensus.resigned == 1
-        assert desk.controller.dispatcher is None
-        assert (await desk.call(SUBMIT)).ok.outcome == NOT_LEADING
-        await desk.lead(7)
+        assert harness.consensus.resigned == 1
+        assert harness.controller.dispatcher is None
+        assert (await harness.call(SUBMIT)).ok.outcome == NOT_LEADING
+        await harness.lead(7)
         await trio.sleep(0.05)
-        assert desk.consensus.resigned == 2
-        assert desk.controller.dispatcher is None
+        assert harness.consensus.resigned == 2
+        assert harness.controller.dispatcher is None
 
-    run_desk(check)
+    run_controller(check)
 
 
-def test_lower_version_changes_nothing(run_desk):
+def test_lower_version_changes_nothing(run_controller):
     """An older configuration that arrives late is acknowledged only."""
 
-    async def check(desk):
-        assert (await desk.adopt(7)).ok is True
-        assert (await desk.adopt(3)).ok is True
-        table = (await desk.ask(RoutesAsked)).ok
+    async def check(harness):
+        assert (await harness.adopt(7)).ok is True
+        assert (await harness.adopt(3)).ok is True
+        table = (await harness.ask(RoutesAsked)).ok
         assert (table.version, table.source) == (7, "version 7")
 
-    run_desk(check)
+    run_controller(check)
 
 
-def test_other_content_under_the_same_version_changes_nothing(run_desk):
+def test_other_content_under_the_same_version_changes_nothing(run_controller):
     """The first content under a number stays in force."""
 
-    async def check(desk):
-        await desk.adopt(7)
+    async def check(harness):
+        await harness.adopt(7)
         table = make_table(7)
         table.source = "other"
-        await desk.ask(lambda reply: RoutesStated(table, reply))
-        assert (await desk.ask(RoutesAsked)).ok.source == "version 7"
+        await harness.ask(lambda reply: RoutesStated(table, reply))
+        assert (await harness.ask(RoutesAsked)).ok.source == "version 7"
 
-    run_desk(check)
+    run_controller(check)
 
 
-def test_table_of_many_queues_is_adopted(run_desk):
+def test_table_of_many_queues_is_adopted(run_controller):
     """A large configuration must fit into one entry of the log."""
 
-    async def check(desk):
+    async def check(harness):
         queues = [make_queue(f"queue-{n}") for n in range(5_000)]
         table = make_table(9, queues)
         table.source = json.dumps(table.to_document())
-        answer = await desk.ask(lambda reply: RoutesStated(table, reply))
+        answer = await harness.ask(lambda reply: RoutesStated(table, reply))
         assert answer.ok is True
-        assert desk.consensus.largest_payload < ReplicaSettings().payload_bytes
+        assert (
+            harness.consensus.largest_payload < ReplicaSettings().payload_bytes
+        )
 
-    run_desk(check)
+    run_controller(check)
 
 
-def test_event_that_cannot_be_handled_ends_nothing(run_desk):
+def test_event_that_cannot_be_handled_ends_nothing(run_controller):
     """A fault in a decision must not end the process of the leader."""
 
-    async def check(desk):
-        answer = await desk.ask(lambda reply: ReportReceived(None, reply))
+    async def check(harness):
+        answer = await harness.ask(lambda reply: ReportReceived(None, reply))
         assert isinstance(answer.ok, Redirect)
         await trio.sleep(0.1)
-        assert (await desk.call(SUBMIT)).ok.outcome == OK
+        assert (await harness.call(SUBMIT)).ok.outcome == OK
 
-    run_desk(check)
+    run_controller(check)
