Rename consider to request_tickets

Cause: consider did not say that it requests tickets Change: consider to request_tickets; 2 uses in 1 files, by token. Result: every touched file compiles; behaviour is unchanged.

--- a/wigeonport/advisors.py
+++ b/wigeonport/advisors.py
@@ -104,9 +104,9 @@
                         return
                     if step_run.waiting:
                         step = f"{claim.job.job_id}.{occurrence}.{number}"
-                        self.consider(dispatcher, claim, step, now_ms)
+                        self.request_tickets(dispatcher, claim, step, now_ms)
 
-    def consider(self, dispatcher, claim, step, now_ms):
+    def request_tickets(self, dispatcher, claim, step, now_ms):
         """Asks for the workers of one step that are not known yet."""
         tickets = dispatcher.tickets_of(step)
         if tickets.asked_ms is not None or now_ms < tickets.retry_ms:
