--- a/wigeonport/batch_calls.py
+++ b/wigeonport/batch_calls.py
@@ -1,4 +1,4 @@
-"""Calls of entries to the control that leads, and their replies."""
+"""Requests about batch jobs that entries send to the leader, and replies."""
 
 from wigeonport.codecs import message_kinds
 from wigeonport.records import Record
@@ -7,7 +7,7 @@
 STATE = "state"
 CANCEL = "cancel"
 COUNT = "count"
-# Asks only whether the control leads.
+# Only checks whether the control is the leader.
 PROBE = "probe"
 
 OK = "ok"
@@ -20,14 +20,14 @@
 
 @message_kinds.register("BatchCall")
 class BatchCall(Record):
-    """One request of a caller about batch jobs.
+    """A caller's request about batch jobs, as an entry forwards it.
 
     Attributes:
         verb: SUBMIT, STATE, CANCEL, COUNT or PROBE.
-        host: Host name that the caller used.
-        path: Path that the caller used.
-        spec_json: JobSpec as JSON for SUBMIT, else "".
-        request_id: Id of the request for the logs.
+        host: Host name of the caller's HTTP request; selects the queue.
+        path: Path of the caller's HTTP request; may end in the job id.
+        spec_json: JobSpec as JSON for SUBMIT, otherwise "".
+        request_id: Id that identifies the request in the logs.
     """
 
     __slots__ = ("verb", "host", "path", "spec_json", "request_id")
@@ -42,13 +42,13 @@
 
 @message_kinds.register("BatchReply")
 class BatchReply(Record):
-    """Reply to a BatchCall.
+    """The reply of a control to a BatchCall.
 
     Attributes:
         outcome: OK, NO_QUEUE, NO_JOB, NOT_LEADING, INVALID or UNKNOWN.
-        detail: State of the job, or a reason.
-        number: Number of waiting jobs for COUNT.
-        leader: Address of the control that leads, as far as known.
+        detail: State of the job, or the reason of a refusal.
+        number: For COUNT, the number of queued jobs.
+        leader: Address of the leader, or "" if it is not known.
     """
 
     __slots__ = ("outcome", "detail", "number", "leader")
--- a/wigeonport/batch_commands.py
+++ b/wigeonport/batch_commands.py
@@ -1,7 +1,7 @@
-"""Commands that change batch jobs, routes and upkeep waves.
+"""Operations on batch jobs, routes and upkeep waves in the replicated log.
 
-The leader groups the operations of a moment into one RecordBatch of
-``state_commands``, so that they become durable together.
+The leader collects pending operations into one RecordBatch (see
+``state_commands``), so that they are committed together.
 """
 
 from wigeonport.codecs import message_kinds
@@ -16,7 +16,7 @@
 
 @message_kinds.register("BatchRecorded")
 class BatchRecorded(Record):
-    """Answers a RecordBatch with the number of operations."""
+    """Result of applying a RecordBatch: its number of operations."""
 
     __slots__ = ("count",)
 
@@ -26,11 +26,11 @@
 
 @message_kinds.register("SubmitJob")
 class SubmitJob(Record):
-    """Accepts a job; without effect if its id is known.
+    """Accepts a job; has no effect if the job id already exists.
 
     Attributes:
         job_id: Id that the caller chose.
-        queue: Name of the queue.
+        queue: Name of the queue of the job.
         spec_json: JobSpec as JSON.
     """
 
@@ -44,7 +44,7 @@
 
 @message_kinds.register("CancelJob")
 class CancelJob(Record):
-    """Cancels a job; without effect if it has ended."""
+    """Cancels a job; has no effect if it has finished."""
 
     __slots__ = ("job_id",)
 
@@ -54,7 +54,7 @@
 
 @message_kinds.register("OpenOccurrence")
 class OpenOccurrence(Record):
-    """Makes the tasks of an occurrence that is due eligible."""
+    """Makes the tasks of an occurrence eligible to run once it is due."""
 
     __slots__ = ("job_id", "occurrence")
 
@@ -65,11 +65,11 @@
 
 @message_kinds.register("StartRuns")
 class StartRuns(Record):
-    """Assigns runs of tasks to a worker, before it is told.
+    """Assigns runs of tasks to a worker, before the worker gets the order.
 
     Attributes:
-        tasks: Names of the tasks.
-        runs: Number of the run of each.
+        tasks: Task ids.
+        runs: Run number of each task, in the same order.
         worker: Incarnation of the worker.
     """
 
@@ -83,13 +83,13 @@
 
 @message_kinds.register("EndRuns")
 class EndRuns(Record):
-    """Records how runs have ended.
+    """Records the outcomes of runs that have ended.
 
     Attributes:
-        tasks: Names of the tasks.
-        runs: Number of the run of each.
-        outcomes: How each has ended.
-        checkpoints: Newest checkpoint of each, or "".
+        tasks: Task ids.
+        runs: Run number of each task, in the same order.
+        outcomes: Outcome of each run, for example ``done`` or ``lost``.
+        checkpoints: Newest checkpoint of each task, or "" for none.
     """
 
     __slots__ = ("tasks", "runs", "outcomes", "checkpoints")
@@ -103,12 +103,12 @@
 
 @message_kinds.register("AdoptRoutes")
 class AdoptRoutes(Record):
-    """Replaces the routing table if the version is higher.
+    """Replaces the routing table if the new version is higher.
 
     Attributes:
-        version: Number that the operator gave.
-        document: RouteTable as compressed JSON; thousands of queues would
-            not fit into one entry of the log otherwise.
+        version: Version number that the operator gave.
+        document: RouteTable as compressed JSON; uncompressed, thousands of
+            queues would exceed the maximum size of a log entry.
     """
 
     __slots__ = ("version", "document")
@@ -120,13 +120,14 @@
 
 @message_kinds.register("OpenWave")
 class OpenWave(Record):
-    """Accepts an upkeep wave; without effect if its number is known.
+    """Accepts an upkeep wave; has no effect if its number already exists.
 
     Attributes:
         wave: Number that the operator gave.
-        machines: Machines that are due.
-        due_ms: Wall time by which all must have begun.
-        max_count: Most machines of the wave that are down at a time.
+        machines: Names of the machines that need upkeep.
+        due_ms: Wall time by which the upkeep of all must have begun.
+        max_count: Maximum number of machines of the wave that are down at
+            the same time.
     """
 
     __slots__ = ("wave", "machines", "due_ms", "max_count")
@@ -140,12 +141,12 @@
 
 @message_kinds.register("OrderMachine")
 class OrderMachine(Record):
-    """Records an order to a machine before the platform is called.
+    """Records an order for a machine before it is sent to the platform.
 
     Attributes:
-        machine: Machine.
+        machine: Name of the machine.
         purpose: UPKEEP or MOVE.
-        target: Number of the wave, or name of the pool.
+        target: Number of the wave for UPKEEP, name of the pool for MOVE.
     """
 
     __slots__ = ("machine", "purpose", "target")
@@ -158,7 +159,7 @@
 
 @message_kinds.register("ConfirmMachine")
 class ConfirmMachine(Record):
-    """Records that the platform has begun to carry out an order."""
+    """Records that the platform has begun to execute an order."""
 
     __slots__ = ("machine",)
 
@@ -168,11 +169,11 @@
 
 @message_kinds.register("SettleMachine")
 class SettleMachine(Record):
-    """Records that an order is over, carried out or refused.
+    """Records that an order is complete, whether executed or refused.
 
     Attributes:
-        machine: Machine.
-        gone: Whether the machine does not exist any more.
+        machine: Name of the machine.
+        gone: Whether the machine no longer exists.
     """
 
     __slots__ = ("machine", "gone")
--- a/wigeonport/batch_jobs.py
+++ b/wigeonport/batch_jobs.py
@@ -18,10 +18,11 @@
     """Progress of one task.
 
     Attributes:
-        runs: Worker incarnation by number of each run that may be live.
-        last_run: Highest run number given out.
-        failures: Runs that ended as failed.
-        done: Whether a run has ended as done.
+        runs: Maps the number of each run that may still be live to the
+            incarnation of its worker.
+        last_run: Highest run number assigned so far.
+        failures: Number of runs that failed.
+        done: 1 after a run has completed, otherwise 0.
         checkpoint: Newest checkpoint, or "".
     """
 
@@ -37,23 +38,24 @@
         self.checkpoint = checkpoint
 
     def to_row(self):
-        """Returns plain data."""
+        """Returns the progress as a JSON-compatible list."""
         runs = [[run, worker] for run, worker in self.runs.items()]
         return [runs, self.last_run, self.failures, self.done, self.checkpoint]
 
     @classmethod
     def from_row(cls, row):
-        """Reads what ``to_row`` returned."""
+        """Returns the Task of the data that ``to_row`` returned."""
         return cls(dict(map(tuple, row[0])), *row[1:])
 
 
 class StepRun:
-    """One occurrence of a step.
+    """Progress of a step in one occurrence of the job.
 
     Attributes:
         step: Step.
-        tasks: Task by index.
-        waiting: Indices of the tasks that are neither done nor running.
+        tasks: List of Task, by index.
+        waiting: Set of the indices of tasks that are neither done nor
+            running.
         remaining: Number of tasks that are not done.
     """
 
@@ -70,7 +72,7 @@
         self.remaining = sum(not task.done for task in self.tasks)
 
     def start(self, index, run, worker):
-        """Notes a new run of a task."""
+        """Records a new run of a task."""
         task = self.tasks[index]
         task.runs[run] = worker
         task.last_run = max(task.last_run, run)
@@ -83,7 +85,7 @@
             self.waiting.add(index)
 
     def finish(self, index):
-        """Notes that a task is done, or all tasks of a gang."""
+        """Marks a task as done; for a gang, all of its tasks."""
         indices = range(len(self.tasks)) if self.step.gang else (index,)
         for each in indices:
             task = self.tasks[each]
@@ -94,18 +96,18 @@
 
 
 class BatchJob:
-    """One accepted job.
+    """An accepted job.
 
     Attributes:
         job_id: Id that the caller chose.
         queue: Name of its queue.
         spec: JobSpec.
-        attempts: Failed runs of a task after which the job fails.
-        submitted_ms: Wall time of its acceptance.
-        state: One of the state names of this module.
-        finished_ms: Wall time of its end, or 0.
-        occurrences: List of StepRun by number of the occurrence, for the
-            open ones.
+        attempts: Number of failed runs of a task after which the job fails.
+        submitted_ms: Wall time at which the job was accepted.
+        state: QUEUED, RUNNING, COMPLETED, FAILED or CANCELLED.
+        finished_ms: Wall time at which the job finished, or 0.
+        occurrences: Maps the number of each open occurrence to its list of
+            StepRun.
         opened: Number of occurrences opened so far.
         remaining: Number of occurrences that are not done.
     """
@@ -143,14 +145,14 @@
         return self.state in ACTIVE
 
     def open_next(self):
-        """Opens the next occurrence."""
+        """Opens the next occurrence, so that its tasks may start."""
         self.occurrences[self.opened] = [
             StepRun(step) for step in self.spec.steps
         ]
         self.opened += 1
 
     def find(self, occurrence, step, index):
-        """Returns StepRun and Task, or None for an unknown task."""
+        """Returns the StepRun and Task of a task, or None if unknown."""
         step_runs = self.occurrences.get(occurrence)
         if step_runs is None or not 0 <= step < len(step_runs):
             return None
@@ -160,7 +162,11 @@
         return step_run, step_run.tasks[index]
 
     def ready_steps(self):
-        """Yields occurrence, number and StepRun of each step that may run."""
+        """Yields occurrence, step number and StepRun of each ready step.
+
+        A step is ready when it has unfinished tasks and all steps that it
+        depends on are done.
+        """
         for occurrence, step_runs in self.occurrences.items():
             for number, step_run in enumerate(step_runs):
                 if not step_run.remaining:
@@ -170,7 +176,7 @@
                     yield occurrence, number, step_run
 
     def live_runs(self):
-        """Yields task name, run number, worker and Step of each live run."""
+        """Yields task id, run number, worker and Step of each live run."""
         for occurrence, step_runs in self.occurrences.items():
             for number, step_run in enumerate(step_runs):
                 for index, task in enumerate(step_run.tasks):
@@ -179,12 +185,18 @@
                         yield name, run, worker, step_run.step
 
     def end(self, state, now_ms):
-        """Ends the job; live runs stay noted until they have ended."""
+        """Finishes the job; live runs stay recorded until they end."""
         self.state = state
         self.finished_ms = now_ms
 
     def start_run(self, position, run, worker):
-        """Notes a new run of the task at a position."""
+        """Records a new run of a task; returns False for an unknown task.
+
+        Args:
+            position: Occurrence, step and index of the task.
+            run: Number of the run.
+            worker: Incarnation of the worker.
+        """
         occurrence, step, index = position
         if self.find(*position) is None:
             return False
@@ -194,7 +206,7 @@
         return True
 
     def end_run(self, position, run, outcome, checkpoint, now_ms):
-        """Notes the end of a run; returns whether anything changed."""
+        """Records the end of a run; returns whether it changed anything."""
         entry = self.find(*position)
         if entry is None:
             return False
@@ -220,23 +232,23 @@
         return was_live or outcome == DONE
 
     def store_checkpoint(self, step_run, task, checkpoint):
-        """Stores a checkpoint; that of a gang's member holds for all."""
+        """Stores a checkpoint; in a gang it applies to every task."""
         for each in step_run.tasks if step_run.step.gang else (task,):
             each.checkpoint = checkpoint
 
     def finish_task(self, position, now_ms):
-        """Notes that a task is done and ends the job after the last one."""
+        """Marks a task as done; the last one completes the job."""
         occurrence, step, index = position
         step_runs = self.occurrences[occurrence]
-        before = any(each.remaining for each in step_runs)
+        had_remaining = any(each.remaining for each in step_runs)
         step_runs[step].finish(index)
-        if before and not any(each.remaining for each in step_runs):
+        if had_remaining and not any(each.remaining for each in step_runs):
             self.remaining -= 1
         if self.remaining <= 0 and self.active:
             self.end(COMPLETED, now_ms)
 
     def drop_finished_occurrence(self, occurrence):
-        """Forgets an occurrence that is done and has no live run."""
+        """Removes an occurrence that is done and has no live run."""
         step_runs = self.occurrences[occurrence]
         if not self.spec.repeat_count or any(s.remaining for s in step_runs):
             return
@@ -244,7 +256,7 @@
             del self.occurrences[occurrence]
 
     def to_document(self):
-        """Returns plain data."""
+        """Returns the job as JSON-compatible data."""
         return {
             "job_id": self.job_id,
             "queue": self.queue,
@@ -263,7 +275,7 @@
 
 
 def job_from_document(document):
-    """Reads what ``BatchJob.to_document`` returned."""
+    """Returns the BatchJob of the data that ``to_document`` returned."""
     spec = job_spec_from_document(document["spec"])
     job = BatchJob(
         document["job_id"],
--- a/wigeonport/batch_messages.py
+++ b/wigeonport/batch_messages.py
@@ -1,8 +1,8 @@
-"""Messages to the batch controller, and answers that are its own."""
+"""Messages to the batch controller, and replies that only it gives."""
 
 
 class ReportReceived:
-    """A heartbeat; answered by WorkerOrders or a Redirect."""
+    """A worker's heartbeat; the reply is WorkerOrders or a Redirect."""
 
     __slots__ = ("report", "reply")
 
@@ -12,7 +12,7 @@
 
 
 class CallReceived:
-    """A BatchCall; answered by a BatchReply."""
+    """A BatchCall that an entry forwarded; the reply is a BatchReply."""
 
     __slots__ = ("call", "reply")
 
@@ -22,13 +22,13 @@
 
 
 class StopAsked:
-    """Asks to hand the lead over, because the process stops."""
+    """Requests a transfer of leadership, because the process stops."""
 
     __slots__ = ()
 
 
 class RoutesStated:
-    """A RouteTable of the operator; answered by True or a Redirect."""
+    """A RouteTable from the operator; the reply is True or a Redirect."""
 
     __slots__ = ("table", "reply")
 
@@ -38,7 +38,7 @@
 
 
 class RoutesAsked:
-    """Asks for the RouteTable in force; answered by it or a Redirect."""
+    """Requests the RouteTable in force; the reply is it or a Redirect."""
 
     __slots__ = ("reply",)
 
@@ -47,7 +47,16 @@
 
 
 class WaveStated:
-    """An upkeep wave of the operator; answered by True or a Redirect."""
+    """An upkeep wave from the operator; the reply is True or a Redirect.
+
+    Attributes:
+        number: Number that the operator gave to the wave.
+        machines: Names of the machines that need upkeep.
+        duration_ms: Time within which the upkeep of all must have begun.
+        max_count: Maximum number of machines of the wave that are down at
+            the same time.
+        reply: Reply channel.
+    """
 
     __slots__ = ("number", "machines", "duration_ms", "max_count", "reply")
 
@@ -60,7 +69,7 @@
 
 
 class WaveAsked:
-    """Asks for a Wave; answered by it, None or a Redirect."""
+    """Requests a Wave by its number; the reply is it, None or a Redirect."""
 
     __slots__ = ("number", "reply")
 
@@ -70,10 +79,10 @@
 
 
 class Redirect:
-    """Tells the caller that this replica does not lead.
+    """Reply of a replica that is not the leader.
 
     Attributes:
-        host: Address of the leader, or "".
+        host: Address of the leader, or "" if it is not known.
     """
 
     __slots__ = ("host",)
@@ -83,7 +92,7 @@
 
 
 class Loaded:
-    """A copy of the state as of the start of a term."""
+    """A copy of the replicated state, read at the start of a term."""
 
     __slots__ = ("term", "state")
 
@@ -93,7 +102,14 @@
 
 
 class ProposalEnded:
-    """A batch was committed, or its outcome is not known."""
+    """The outcome of the proposal of a batch.
+
+    Attributes:
+        term: Term in which the batch was proposed.
+        sequence: Number of the batch.
+        outcome: COMMITTED, REFUSED or "unknown".
+        reason: Why the batch was not committed, or "".
+    """
 
     __slots__ = ("term", "sequence", "outcome", "reason")
 
--- a/wigeonport/batch_specs.py
+++ b/wigeonport/batch_specs.py
@@ -1,4 +1,4 @@
-"""What a caller asks a batch job to do: its steps and their needs."""
+"""Specification of a batch job: its steps and their requirements."""
 
 import json
 
@@ -27,28 +27,29 @@
 
 
 class Step(Record):
-    """Tasks of a job that need the same.
+    """A group of tasks of a job with the same requirements.
 
     Attributes:
         count: Number of tasks.
-        cpu_milli: Thousandths of a core that a task needs.
-        memory_mb: Memory that a task needs.
-        gpu: Accelerators that a task needs.
-        estimated_ms: Rough estimate of a task's run time.
-        depends_on: Numbers of the steps that must be done before.
-        checkpoints: Whether a task saves its progress.
-        gang: Whether the tasks work only together.
-        same_rack: Whether the tasks are slower on more than one rack.
+        cpu_milli: CPU that a task needs, in thousandths of a core.
+        memory_mb: Memory that a task needs, in MB.
+        gpu: Number of accelerators that a task needs.
+        estimated_ms: Rough estimate of the run time of a task.
+        depends_on: Numbers of the steps that must be done first.
+        checkpoints: Whether a task writes checkpoints of its progress.
+        gang: Whether all tasks must run at the same time (gang scheduling).
+        same_rack: Whether the tasks run slower when spread over racks.
         required_label: Label that the worker must have, or "".
-        data_rack: Rack of the data, or "".
-        max_per_worker: Most tasks of the step on one worker, 0 for any.
-        duplicates: Whether copies of a task may run in parallel.
+        data_rack: Rack that stores the input data, or "".
+        max_per_worker: Maximum number of tasks of the step on one worker,
+            0 for no limit.
+        duplicates: Whether several runs of a task may execute in parallel.
         lasting: Whether the tasks run until the job is cancelled.
-        image: Name of what the tasks run.
-        target_ms: Bound on the tail latency of a serving task, or 0.
-        fills: Whether the tasks use only what others leave unused.
-        max_unavailable: Most tasks of a lasting step that may be away
-            because of planned actions; 0 for no bound.
+        image: Name of the program image that the tasks run.
+        target_ms: Maximum tail latency of a serving task, or 0.
+        fills: Whether the tasks use only CPU that other tasks leave idle.
+        max_unavailable: Maximum number of tasks of a lasting step that
+            planned actions may take down at the same time; 0 for no limit.
     """
 
     __slots__ = tuple(STEP_DEFAULTS)
@@ -59,7 +60,7 @@
         self.depends_on = tuple(self.depends_on)
 
     def to_document(self):
-        """Returns the values that differ from the defaults."""
+        """Returns a dict of the values that differ from the defaults."""
         return {
             name: getattr(self, name)
             for name, default in STEP_DEFAULTS.items()
@@ -68,14 +69,16 @@
 
 
 class JobSpec(Record):
-    """Content of a submission.
+    """What a caller submits as a batch job.
 
     Attributes:
-        payload: Text that each task is started with.
+        payload: Text that each task gets as its input.
         steps: Tuple of Step.
-        repeat_count: Number of occurrences, or 0 for a job without times.
+        repeat_count: Number of occurrences of a periodic job, 0 for a job
+            that runs once.
         first_ms: Wall time at which the first occurrence is due.
         interval_ms: Time between two occurrences.
+        longest_ms: Cached result of ``longest_chain_ms``, or None.
     """
 
     __slots__ = (
@@ -98,7 +101,7 @@
         self.longest_ms = None
 
     def to_document(self):
-        """Returns plain data."""
+        """Returns the specification as JSON-compatible data."""
         document = {
             "payload": self.payload,
             "steps": [step.to_document() for step in self.steps],
@@ -112,36 +115,43 @@
         return document
 
     def to_json(self):
-        """Returns the document as JSON text."""
+        """Returns the specification as JSON text."""
         return json.dumps(self.to_document(), separators=(",", ":"))
 
     def occurrences(self):
-        """Returns how often the steps run."""
+        """Returns the number of occurrences, at least 1."""
         return max(1, self.repeat_count)
 
     def due_ms(self, occurrence):
-        """Returns the wall time at which an occurrence is due, or 0."""
+        """Returns the wall time at which an occurrence is due.
+
+        The result is 0 for a job that is not periodic.
+        """
         if not self.repeat_count:
             return 0
         return self.first_ms + occurrence * self.interval_ms
 
     def longest_chain_ms(self):
-        """Returns the estimated run time of the longest chain of steps."""
+        """Returns the estimated run time of the longest dependency chain."""
         if self.longest_ms is None:
             self.longest_ms = self.compute_longest_chain()
         return self.longest_ms
 
     def compute_longest_chain(self):
-        """Computes what ``longest_chain_ms`` returns."""
-        finish = []
+        """Computes the result of ``longest_chain_ms``."""
+        finish_times_ms = []
         for step in self.steps:
-            before = [finish[number] for number in step.depends_on]
-            finish.append(max(before, default=0) + step.estimated_ms)
-        return max(finish, default=0)
+            dependencies_ms = [
+                finish_times_ms[number] for number in step.depends_on
+            ]
+            finish_times_ms.append(
+                max(dependencies_ms, default=0) + step.estimated_ms
+            )
+        return max(finish_times_ms, default=0)
 
 
 def job_spec_from_document(document):
-    """Reads what ``to_document`` returned."""
+    """Returns the JobSpec of the data that ``to_document`` returned."""
     steps = [Step(values) for values in document["steps"]]
     return JobSpec(
         document["payload"],
@@ -153,20 +163,20 @@
 
 
 def job_spec_from_json(text):
-    """Reads what ``to_json`` returned."""
+    """Returns the JobSpec of the text that ``to_json`` returned."""
     return job_spec_from_document(json.loads(text))
 
 
 def task_id(job_id, occurrence, step, index):
-    """Returns the name of a task."""
+    """Returns the id of a task: ``job.occurrence.step.index``."""
     return f"{job_id}.{occurrence}.{step}.{index}"
 
 
 def split_task_id(name):
-    """Returns job id, occurrence, step and index of a task's name.
+    """Returns the job id, occurrence, step and index in a task id.
 
     Raises:
-        ValueError: If it is no name of a task.
+        ValueError: If the text is not a task id.
     """
     job_id, occurrence, step, index = name.rsplit(".", 3)
     return job_id, int(occurrence), int(step), int(index)
--- a/wigeonport/worker_reports.py
+++ b/wigeonport/worker_reports.py
@@ -1,20 +1,20 @@
-"""What workers report of themselves and of their runs, and their orders."""
+"""Heartbeats of workers with the state of their runs, and the orders sent."""
 
 from wigeonport.records import Record
 
 
 def worker_id_of(incarnation):
-    """Returns the worker id in the name of a life of a worker."""
+    """Returns the worker id that an incarnation name contains."""
     return incarnation.partition("@")[0]
 
 
 class Resources(Record):
-    """Amounts of what tasks use.
+    """Amounts of CPU, memory and accelerators.
 
     Attributes:
-        cpu_milli: Thousandths of a core.
-        memory_mb: Memory.
-        gpu: Accelerators.
+        cpu_milli: CPU in thousandths of a core.
+        memory_mb: Memory in MB.
+        gpu: Number of accelerators.
     """
 
     __slots__ = ("cpu_milli", "memory_mb", "gpu")
@@ -25,14 +25,14 @@
         self.gpu = gpu
 
     def subtract(self, step):
-        """Subtracts what a task of a step uses."""
+        """Subtracts what one task of a step uses."""
         if not step.fills:
             self.cpu_milli -= step.cpu_milli
         self.memory_mb -= step.memory_mb
         self.gpu -= step.gpu
 
     def fits(self, step):
-        """Returns whether a task of a step fits."""
+        """Returns whether one task of a step fits."""
         if step.memory_mb > self.memory_mb or step.gpu > self.gpu:
             return False
         return step.fills or step.cpu_milli <= self.cpu_milli
@@ -42,12 +42,12 @@
     """A run that a worker reports as live.
 
     Attributes:
-        task: Name of the task.
+        task: Task id.
         run: Number of the run.
         checkpoint: Newest checkpoint, or "".
-        percent: Progress, for a lasting task 100 when it is at work.
-        measurement: Tail latency in ms of a serving task, else the thousandths
-            of a core in use, over about half a second.
+        percent: Progress; 100 for a lasting task that is up and working.
+        measurement: Tail latency in ms for a serving task, otherwise the CPU
+            in use in thousandths of a core; over about half a second.
     """
 
     __slots__ = ("task", "run", "checkpoint", "percent", "measurement")
@@ -64,10 +64,10 @@
     """A run that a worker reports as ended.
 
     Attributes:
-        number: Number of the end in the life of the worker.
-        task: Name of the task.
+        number: Sequence number of this end in the worker's incarnation.
+        task: Task id.
         run: Number of the run.
-        outcome: How it ended.
+        outcome: Outcome of the run, as the worker names it.
         checkpoint: Newest checkpoint, or "".
     """
 
@@ -85,19 +85,21 @@
     """A heartbeat of a worker.
 
     Attributes:
-        worker_id: Id that the worker gave itself.
-        started_ms: Wall time of the start of this life.
-        sequence: Number that rises with each heartbeat of a life.
-        service: Service whose pool it belongs to.
-        machine: VM whose life it is, or "".
-        availability_zone: Its zone.
-        rack: Its rack, or "".
-        labels: All labels.
-        capacity: Room of the empty worker, or None if it runs no tasks.
-        draining: Whether it leaves.
-        drain_remaining_ms: Time that is left to it at least.
+        worker_id: Id that the worker chose for itself.
+        started_ms: Wall time at which this incarnation started.
+        sequence: Number that increases with each heartbeat of an
+            incarnation.
+        service: Service whose pool the worker belongs to.
+        machine: VM that the worker runs on, or "".
+        availability_zone: Zone of the worker.
+        rack: Rack of the worker, or "".
+        labels: All labels of the worker.
+        capacity: Resources of the worker without tasks, or None if it runs
+            no tasks.
+        draining: Whether the worker drains and is about to leave.
+        drain_remaining_ms: Minimum time until a draining worker stops.
         running: List of RunReport.
-        ended: List of RunEnd that were not acknowledged.
+        ended: List of RunEnd that are not acknowledged yet.
     """
 
     __slots__ = (
@@ -122,7 +124,7 @@
 
     @property
     def incarnation(self):
-        """Name of this life of the worker."""
+        """Name of this incarnation of the worker: ``id@start``."""
         return f"{self.worker_id}@{self.started_ms}"
 
 
@@ -130,11 +132,11 @@
     """Tells a worker to start a run.
 
     Attributes:
-        task: Name of the task.
+        task: Task id.
         run: Number of the run.
-        payload: Text that the task is started with.
+        payload: Text that the task gets as its input.
         checkpoint: Checkpoint to resume from, or "".
-        ticket: Permission for this worker, or "".
+        ticket: Ticket that permits this worker to run the task, or "".
     """
 
     __slots__ = ("task", "run", "payload", "checkpoint", "ticket")
@@ -148,17 +150,18 @@
 
 
 class WorkerOrders(Record):
-    """Answer to a heartbeat.
+    """The reply to a heartbeat.
 
     Attributes:
         starts: List of StartOrder.
-        stops: Pairs of task and run to stop.
-        rates: Triples of task, run and percent of full speed.
-        run_lease_ms: Length of the lease of all that runs, counted from the
-            sending of the heartbeat; 0 extends nothing.
-        acknowledged: Number up to which ends are durable.
-        fence: Term of the leader that gives the orders.
-        retry_after_ms: When the next heartbeat is wanted.
+        stops: List of pairs (task id, run) of the runs to stop.
+        rates: List of triples (task id, run, percent of full speed).
+        run_lease_ms: Length of the lease of all live runs, counted from the
+            sending of the heartbeat; 0 does not extend the lease.
+        acknowledged: Number up to which the reported ends are committed.
+        fence: Fencing token: the term of the leader that gives the orders.
+        retry_after_ms: Time until the worker should send its next
+            heartbeat.
     """
 
     __slots__ = (
