Describe the batch controller, gateway and platform edges plainly

Cause: comments, log sentences and error messages used private or translated turns. Change: texts, and locals that said nothing, of the batch controller, its inputs, the advisor, the gateway, the peer links, the programs and the platform's edges; limits are named in the messages.

--- a/wigeonport/advisors.py
+++ b/wigeonport/advisors.py
@@ -1,8 +1,8 @@
-"""Advice on the workers that may run a step, asked for ahead of time.
+"""Advice on which workers may run a step, requested ahead of time.
 
-The answer for a worker holds for its life; a ticket for a limited time.
-The service handles the calls of a machine one after the other, so that
-few are kept open.
+The decision on a worker holds for its incarnation; a ticket is valid for a
+limited time. The advice service handles the calls of one machine one after
+the other, so only a few calls are in flight at a time.
 """
 
 import trio
@@ -13,23 +13,23 @@
 
 logger = PartLogger("advice")
 
-# The service refuses calls when 32 are waiting.
+# The advice service refuses calls when 32 are queued.
 MAX_OPEN_CALLS = 4
 MAX_WORKERS = 100
-# A ticket that is about to expire is asked for again; a start reaches the
-# worker within a second.
+# A ticket is requested again this long before it expires; an order to start
+# reaches the worker within a second.
 TICKET_MARGIN_MS = 1_200
-# Pause after a call that had no answer.
+# Wait before a call without an answer is repeated.
 RETRY_MS = 500
 
 
 class AdviceCall:
-    """A question about the workers of a step.
+    """A request for the tickets of workers for a step.
 
     Attributes:
-        step: Name of the step.
-        workers: Incarnation by worker id.
-        valid_ms: Validity of the tickets, counted from the call.
+        step: Step as ``job.occurrence.number``.
+        workers: Maps worker id to incarnation.
+        valid_ms: Time for which the tickets are valid, counted from the call.
         term: Term of the leader.
     """
 
@@ -43,12 +43,13 @@
 
 
 class AdviceAnswered:
-    """Answer to an AdviceCall.
+    """Message: an AdviceCall has been answered or has failed.
 
     Attributes:
         call: AdviceCall.
-        tickets: Ticket by worker id, or None without an answer.
-        asked_ms: When it was asked.
+        tickets: Maps the id of each worker that may run the step to its
+            ticket; None if the call failed.
+        asked_ms: Monotonic time at which the call was made.
     """
 
     __slots__ = ("call", "tickets", "asked_ms")
@@ -60,14 +61,14 @@
 
 
 class Advisor:
-    """Asks the service and keeps the tickets in the dispatcher.
+    """Calls the advice service and stores its tickets in the dispatcher.
 
     Attributes:
         client: Has ``advise(step, worker_ids)``, which returns a Result of
-            tickets by worker id.
+            a dict from worker id to ticket.
         clock: Clock.
         calls: Mailbox of AdviceCalls.
-        open_calls: Number of calls without an answer.
+        open_calls: Number of calls in flight.
     """
 
     __slots__ = ("client", "clock", "calls", "open_calls")
@@ -79,22 +80,24 @@
         self.open_calls = 0
 
     async def run(self, inbox):
-        """Makes the calls."""
+        """Makes the queued calls concurrently."""
         async with trio.open_nursery() as nursery:
             async for call in self.calls:
                 nursery.start_soon(self.ask, call, inbox)
 
     async def ask(self, call, inbox):
-        """Makes one call and reports the answer."""
+        """Makes one call and sends the answer to the inbox."""
         asked_ms = self.clock.now()
-        found = await self.client.advise(call.step, list(call.workers))
-        if found.is_error():
-            logger.warning("No advice.", step=call.step, reason=found.error)
-        tickets = found.default_value(None)
+        answer = await self.client.advise(call.step, list(call.workers))
+        if answer.is_error():
+            logger.warning(
+                "Advice call failed.", step=call.step, reason=answer.error
+            )
+        tickets = answer.default_value(None)
         await inbox.put(AdviceAnswered(call, tickets, asked_ms))
 
     def on_tick(self, dispatcher, now_ms):
-        """Asks for the workers of steps that are ready to run."""
+        """Requests tickets for the steps that are ready to run."""
         for service in dispatcher.services_with_advice():
             for claim in claims_of(dispatcher, service, dispatcher.wall_ms):
                 if claim.queue.advice is None:
@@ -107,7 +110,7 @@
                         self.request_tickets(dispatcher, claim, step, now_ms)
 
     def request_tickets(self, dispatcher, claim, step, now_ms):
-        """Asks for the workers of one step that are not known yet."""
+        """Requests tickets of one step for workers without a valid answer."""
         tickets = dispatcher.tickets_of(step)
         if tickets.asked_ms is not None or now_ms < tickets.retry_ms:
             return
@@ -127,7 +130,7 @@
             self.open_calls += 1
 
     def note_answer(self, dispatcher, event, now_ms):
-        """Keeps the tickets of an answer."""
+        """Stores the tickets of an answer in the dispatcher."""
         self.open_calls -= 1
         if dispatcher is None or event.call.term != dispatcher.term:
             return
--- a/wigeonport/batch_controllers.py
+++ b/wigeonport/batch_controllers.py
@@ -1,8 +1,8 @@
-"""The task that runs the dispatcher while its replica leads.
+"""The task that runs the dispatcher while its replica is the leader.
 
-It owns the dispatcher. Everything reaches it as a message with a reply
-channel; an answer leaves when the operations that it depends on are
-committed and while the lease of the leader lasts.
+The task owns the dispatcher; requests reach it as messages with a reply
+channel. An answer is sent only after the operations that it depends on are
+committed, and only while the lease of the leader lasts.
 """
 
 import collections
@@ -37,18 +37,18 @@
 INBOX_BOUND = 4_096
 MAX_EVENTS_PER_ROUND = 256
 TICK_MS = 100
-# Far below the largest payload of an entry, 512 KiB.
+# Well below the maximum payload of a log entry, 512 KiB.
 MAX_BATCH_BYTES = 192 * 1024
 STATUS_TIMEOUT_MS = 500
 READ_TIMEOUT_MS = 5_000
 LOAD_RETRY_MS = 100
-# Longer than an election; a call that is older has no reader any more.
+# Longer than an election; after this time no caller waits for the answer.
 PROPOSAL_TIMEOUT_MS = 8_000
 COPIED_PARTS = ("batch", "routes", "upkeep")
 
 
 class BatchController:
-    """State of the controlling task.
+    """Runs the dispatcher and commits its operations.
 
     Attributes:
         consensus: Mailbox of the consensus task.
@@ -56,20 +56,23 @@
         settings: BatchSettings.
         clock: Clock.
         metrics: Metrics.
-        machines: MachineManager, or None without a cloud.
-        advisor: Advisor, or None without a service for advice.
+        machines: MachineManager, or None if the platform manages none.
+        advisor: Advisor, or None without an advice service.
         inbox: Mailbox of this task.
-        dispatcher: BatchDispatcher while this replica leads, else None.
+        dispatcher: BatchDispatcher while this replica is the leader,
+            otherwise None.
         term: Newest known term.
         leader_node: Node of the leader, or "".
         sequence: Number of the newest proposed batch.
         committed: Number of the newest committed batch.
-        pending_answers: Triples of batch number, reply and answer, oldest first.
-        round_answers: Pairs of reply and answer of the current round.
-        lease_until_ms: Until when this replica surely leads.
-        stopping: Whether the process stops and must not lead any more.
-        nursery: Runs the waits for proposals.
-        tick_due_ms: When timers are looked at again.
+        pending_answers: Triples (batch number, reply, answer) of the answers
+            that wait for a commit, oldest first.
+        round_answers: Pairs (reply, answer) of the current round.
+        lease_until_ms: Monotonic time until which the lease of this leader
+            is confirmed.
+        stopping: Whether the process stops and must not become the leader.
+        nursery: Runs the tasks that wait for the outcomes of proposals.
+        tick_due_ms: Monotonic time of the next tick.
     """
 
     __slots__ = (
@@ -125,7 +128,7 @@
         self.tick_due_ms = 0
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
-        """Handles messages in rounds; a batch has those of one or more."""
+        """Handles messages in rounds; a batch covers one or more rounds."""
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
             task_status.started()
@@ -153,23 +156,29 @@
                 self.tick(now_ms)
 
     def dispatch(self, event):
-        """Handles one event; a fault costs the working copy, not more."""
+        """Handles one event.
+
+        An exception drops the dispatcher with its copy of the state, which is
+        then loaded again; the process keeps running.
+        """
         try:
             return batch_inputs.dispatch(self, event)
         except Exception as fault:
             logger.error(
-                "An event cannot be handled.",
+                "Handling an event failed.",
                 event=type(event).__name__,
                 fault=repr(fault),
             )
             self.metrics.count("batch_faults")
-            self.stop_dispatching("an event cannot be handled")
+            self.stop_dispatching("handling an event failed")
             if isinstance(event, CallReceived):
-                return BatchReply(UNKNOWN, "the control failed")
+                return BatchReply(
+                    UNKNOWN, "the control failed to handle the request"
+                )
             return Redirect("")
 
     def tick(self, now_ms):
-        """Fires the timers of the dispatcher and of what serves it."""
+        """Runs the timers of dispatcher, machine manager and advisor."""
         self.dispatcher.on_tick(now_ms, self.clock.wall())
         if self.machines is not None:
             self.round_answers += self.machines.on_tick(
@@ -179,10 +188,10 @@
             self.advisor.on_tick(self.dispatcher, now_ms)
 
     def propose(self):
-        """Proposes what has gathered while the last batch was committed.
+        """Proposes the operations collected since the last proposal.
 
-        One batch at a time: under load its cost is shared by all that
-        arrives meanwhile.
+        Only one set of operations is in flight at a time: under load the
+        cost of a commit is shared by all operations that arrive during it.
         """
         if self.dispatcher is None or self.sequence > self.committed:
             return
@@ -199,43 +208,45 @@
         self.propose_chunk(chunk)
 
     def propose_chunk(self, chunk):
-        """Proposes one batch and starts the wait for its outcome."""
+        """Proposes one batch and starts a task that awaits its outcome."""
         if self.dispatcher is None:
             return
         self.sequence += 1
         command = RecordBatch(self.dispatcher.wall_ms, chunk)
         reply = Reply()
         if not self.consensus.put_nowait(Proposal(command, reply)):
-            self.stop_dispatching("the consensus task is busy")
+            self.stop_dispatching("the inbox of the consensus task is full")
             return
         self.nursery.start_soon(
             self.await_outcome, self.term, self.sequence, reply
         )
 
     async def await_outcome(self, term, sequence, reply):
-        """Passes the outcome of a proposal to the inbox."""
+        """Sends the outcome of a proposal to the inbox of the controller."""
         start_ms = self.clock.now()
         answer = await reply.wait(PROPOSAL_TIMEOUT_MS)
         if answer.is_error():
-            ended = ProposalEnded(term, sequence, "unknown", answer.error)
+            notice = ProposalEnded(term, sequence, "unknown", answer.error)
         else:
-            found = answer.ok
-            ended = ProposalEnded(term, sequence, found.outcome, found.reason)
+            result = answer.ok
+            notice = ProposalEnded(
+                term, sequence, result.outcome, result.reason
+            )
         self.metrics.record("batch_commit_ms", self.clock.now() - start_ms)
-        await self.inbox.put(ended)
+        await self.inbox.put(notice)
 
     async def send_durable_answers(self):
-        """Sends the answers that nothing holds back."""
+        """Sends the answers whose operations are committed."""
         if self.dispatcher is None:
-            # Only answers that name another replica are left.
+            # Without a dispatcher, every answer is a redirect or an error.
             for reply, answer in self.round_answers:
                 reply.send(answer)
             self.round_answers.clear()
             return
-        # What has not been proposed yet will be part of the next batch.
-        needed = self.sequence + bool(self.dispatcher.operations)
+        # Operations that are not proposed yet go into the next batch.
+        required_batch = self.sequence + bool(self.dispatcher.operations)
         for reply, answer in self.round_answers:
-            self.pending_answers.append((needed, reply, answer))
+            self.pending_answers.append((required_batch, reply, answer))
         self.round_answers.clear()
         if (
             not self.pending_answers
@@ -243,7 +254,7 @@
         ):
             return
         if not await self.confirm_lease():
-            self.stop_dispatching("the lease has ended")
+            self.stop_dispatching("the lease of the leader has expired")
             return
         while (
             self.pending_answers
@@ -253,19 +264,19 @@
             reply.send(answer)
 
     async def confirm_lease(self):
-        """Returns whether this replica surely leads at this moment."""
+        """Returns whether this replica holds the lease of the leader now."""
         if self.clock.now() < self.lease_until_ms:
             return True
         status = await ask(self.consensus, StatusRequest, STATUS_TIMEOUT_MS)
         if status.is_error():
             return False
-        found = status.ok
-        if found.role == LEADER and found.term == self.term:
-            self.lease_until_ms = found.lease_until_ms
+        replica = status.ok
+        if replica.role == LEADER and replica.term == self.term:
+            self.lease_until_ms = replica.lease_until_ms
         return self.clock.now() < self.lease_until_ms
 
     def stop_dispatching(self, reason):
-        """Drops the working copy; what waits has an unknown outcome."""
+        """Drops the dispatcher; calls that wait get an unknown outcome."""
         if self.dispatcher is None:
             return
         logger.warning("Dispatching ends.", term=self.term, reason=reason)
@@ -287,32 +298,37 @@
             self.nursery.start_soon(self.load, self.term)
 
     async def resign(self):
-        """Asks the consensus task to hand the lead over."""
+        """Asks the consensus task to transfer leadership."""
         answer = await ask(self.consensus, ResignRequest, STATUS_TIMEOUT_MS)
-        logger.info("Lead handed over.", term=self.term, done=answer.is_ok())
+        logger.info(
+            "Leadership handed over.", term=self.term, done=answer.is_ok()
+        )
 
     async def load(self, term):
-        """Reads a copy of the state once this term has been confirmed."""
+        """Loads a copy of the state once this term has committed an entry."""
         while self.term == term and self.leader_node == self.node:
-            # An earlier batch of this term may still be on its way to a
-            # quorum; the copy has to contain it.
+            # An earlier batch of this term may not have reached a quorum
+            # yet; the copy must contain it.
             if not await self.commit_barrier():
                 await self.clock.sleep(LOAD_RETRY_MS)
                 continue
-            found = await ask(
+            answer = await ask(
                 self.consensus,
                 lambda reply: Read(copy_parts, reply, True),
                 READ_TIMEOUT_MS,
             )
-            loaded = found.bind(lambda answer: answer)
+            loaded = answer.bind(lambda result: result)
             if loaded.is_ok():
                 await self.inbox.put(Loaded(term, loaded.ok))
                 return
-            logger.warning("State is not ready.", reason=loaded.error)
+            logger.warning("State could not be read.", reason=loaded.error)
             await self.clock.sleep(LOAD_RETRY_MS)
 
     async def commit_barrier(self):
-        """Returns whether all earlier batches have been decided."""
+        """Commits an empty batch; then all earlier batches have an outcome.
+
+        Returns whether the empty batch was committed.
+        """
         command = RecordBatch(self.clock.wall(), [])
         answer = await ask(
             self.consensus,
@@ -322,23 +338,23 @@
         return answer.is_ok() and answer.ok.outcome == COMMITTED
 
     def redirect(self):
-        """Returns where to turn to."""
+        """Returns a Redirect to the leader, if it is another node."""
         leads_elsewhere = self.leader_node != self.node
         return Redirect(self.leader_node if leads_elsewhere else "")
 
 
 def copy_parts(state):
-    """Returns a ReplicatedState with copies of the batch parts."""
+    """Returns a ReplicatedState with copies of the parts for batch jobs."""
     copy = ReplicatedState()
     for name in COPIED_PARTS:
-        _, read = PARTS.entries[name]
+        _, decode = PARTS.entries[name]
         document = json.dumps(getattr(state, name).to_document())
-        setattr(copy, name, read(json.loads(document)))
+        setattr(copy, name, decode(json.loads(document)))
     return copy
 
 
 async def forward_leadership(notices, inbox):
-    """Passes the notices of the consensus task on to the controller."""
+    """Forwards changes of leadership from the consensus task."""
     async for notice in notices:
         if isinstance(notice, LeadershipNotice):
             await inbox.put(notice)
--- a/wigeonport/batch_inputs.py
+++ b/wigeonport/batch_inputs.py
@@ -1,4 +1,4 @@
-"""Handlers of what arrives in the inbox of the batch controller."""
+"""Handlers of the messages to the batch controller."""
 
 from wigeonport.advisors import AdviceAnswered
 from wigeonport.batch_calls import NOT_LEADING, PROBE, BatchReply
@@ -28,13 +28,13 @@
 
 
 def dispatch(controller, event):
-    """Handles an event; returns the answer to it, if any."""
+    """Handles an event and returns its answer, or None."""
     return controller_inputs.entries[type(event)](controller, event)
 
 
 @controller_inputs.register(MachineListed)
 def on_machines_listed(controller, event):
-    """Takes in the platform's list of machines."""
+    """Passes the platform's list of machines to the MachineManager."""
     if controller.machines is not None:
         if controller.dispatcher is not None:
             controller.dispatcher.wall_ms = controller.clock.wall()
@@ -43,7 +43,7 @@
 
 @controller_inputs.register(MachineAnswered)
 def on_machine_answered(controller, event):
-    """Takes in the platform's answer to an order."""
+    """Passes the platform's answer to an order to the MachineManager."""
     dispatcher = controller.dispatcher
     if dispatcher is not None and event.term == controller.term:
         dispatcher.wall_ms = controller.clock.wall()
@@ -54,7 +54,7 @@
 
 @controller_inputs.register(AdviceAnswered)
 def on_advice(controller, event):
-    """Takes in the tickets of an answer."""
+    """Passes the tickets of an answer to the Advisor."""
     controller.advisor.note_answer(
         controller.dispatcher, event, controller.clock.now()
     )
@@ -62,7 +62,10 @@
 
 @controller_inputs.register(LeadershipNotice)
 def on_leadership(controller, notice):
-    """Learns who leads."""
+    """Records a new leader or term.
+
+    Starts to load the state if this node is the new leader.
+    """
     controller.leader_node = (
         node_of(notice.leader_id) if notice.leader_id else ""
     )
@@ -70,7 +73,7 @@
         notice.term != controller.term
         or controller.leader_node != controller.node
     ):
-        controller.stop_dispatching("another replica leads")
+        controller.stop_dispatching("another replica is the leader")
     controller.term = notice.term
     if controller.leader_node != controller.node:
         return
@@ -82,16 +85,16 @@
 
 @controller_inputs.register(StopAsked)
 def on_stop_asked(controller, event):
-    """Stops to dispatch and hands the lead over."""
+    """Stops dispatching and transfers leadership to another replica."""
     controller.stopping = True
     if controller.leader_node == controller.node:
-        controller.stop_dispatching("the process stops")
+        controller.stop_dispatching("the process is stopping")
         controller.nursery.start_soon(controller.resign)
 
 
 @controller_inputs.register(Loaded)
 def on_loaded(controller, loaded):
-    """Starts to dispatch."""
+    """Starts dispatching with the loaded copy of the state."""
     if loaded.term != controller.term or controller.dispatcher is not None:
         return
     if controller.leader_node != controller.node or controller.stopping:
@@ -113,7 +116,7 @@
 
 @controller_inputs.register(ProposalEnded)
 def on_proposal_ended(controller, ended):
-    """Learns that a batch is durable."""
+    """Records a commit; any other outcome stops dispatching."""
     if ended.term != controller.term or controller.dispatcher is None:
         return
     if ended.outcome == COMMITTED:
@@ -124,7 +127,7 @@
 
 @controller_inputs.register(ReportReceived)
 def on_report(controller, event):
-    """Answers a heartbeat."""
+    """Returns the orders for a worker that sent a heartbeat."""
     if controller.dispatcher is None:
         return controller.redirect()
     controller.metrics.count("batch_heartbeats")
@@ -135,7 +138,7 @@
 
 @controller_inputs.register(CallReceived)
 def on_call(controller, event):
-    """Answers a caller's request."""
+    """Handles a caller's request about batch jobs."""
     if controller.dispatcher is None:
         return BatchReply(NOT_LEADING, leader=controller.redirect().host)
     controller.metrics.count("batch_calls")
@@ -163,7 +166,9 @@
         return controller.redirect()
     table = event.table
     current = dispatcher.state.routes.table.version
-    logger.info("Routes stated.", version=table.version, current=current)
+    logger.info(
+        "Routing table received.", version=table.version, current=current
+    )
     if table.version > current:
         dispatcher.wall_ms = controller.clock.wall()
         dispatcher.record(AdoptRoutes(table.version, table.to_bytes()))
@@ -180,13 +185,15 @@
 
 @controller_inputs.register(WaveStated)
 def on_wave_stated(controller, event):
-    """Accepts an upkeep wave."""
+    """Records an upkeep wave of the operator."""
     dispatcher = controller.dispatcher
     if dispatcher is None:
         return controller.redirect()
     dispatcher.wall_ms = controller.clock.wall()
     logger.info(
-        "Wave stated.", wave=event.number, machines=len(event.machines)
+        "Upkeep wave received.",
+        wave=event.number,
+        machines=len(event.machines),
     )
     dispatcher.record(
         OpenWave(
@@ -201,7 +208,7 @@
 
 @controller_inputs.register(WaveAsked)
 def on_wave_asked(controller, event):
-    """Returns a wave, or None."""
+    """Returns the wave with a number, or None if there is none."""
     if controller.dispatcher is None:
         return controller.redirect()
     return controller.dispatcher.state.upkeep.waves.get(event.number)
--- a/wigeonport/batch_programs.py
+++ b/wigeonport/batch_programs.py
@@ -1,7 +1,7 @@
-"""Chains of the programs that serve batch jobs.
+"""The tasks of the programs that serve batch jobs, and their connections.
 
-The edges, which speak a wire format, are passed in; so another front end
-can use the same chains.
+The functions that speak a wire format are passed in as ``serve_edge``, so
+that another front end can use the same programs.
 """
 
 import pathlib
@@ -28,17 +28,17 @@
 logger = PartLogger("batch")
 
 NOTICES_BOUND = 1_024
-# The balancer asks for readiness each second; three probes fit into the time
-# for which an answer counts.
+# The load balancer checks readiness every second. Three probes fit into the
+# time for which an answer of the leader counts.
 PROBE_INTERVAL_MS = 800
 PROBE_TIMEOUT_MS = 1_000
-# The settings file may change without a signal.
+# The settings file may change without a SIGHUP, so it is also polled.
 RELOAD_INTERVAL_MS = 2_000
 METRICS_GRACE_MS = 500
 
 
 class LinkReply:
-    """Reply channel that answers a call over its link.
+    """Reply channel that sends the answer over the link of the call.
 
     Attributes:
         delivery: Delivery of the call.
@@ -50,12 +50,12 @@
         self.delivery = delivery
 
     def send(self, message):
-        """Answers the call; returns False if the link is gone."""
+        """Sends the answer; returns False if the link is closed."""
         return self.delivery.respond(message)
 
 
 async def route_batch_deliveries(inbound, consensus, controller):
-    """Passes arrivals to the filter that handles them."""
+    """Passes each message to the controller or to the consensus task."""
     async for delivery in inbound:
         if isinstance(delivery, LinkClosed):
             continue
@@ -84,7 +84,7 @@
         replica,
         random_source=random.Random(),
         snapshot_entries=settings.snapshot_entries,
-        # Batches come at the rate of the tasks and no observer needs them.
+        # Batches are as frequent as task starts, and no observer needs them.
         quiet=(RecordBatch,),
     )
 
@@ -97,33 +97,34 @@
 
 
 def make_batch_settings(settings):
-    """Returns the BatchSettings of a program."""
+    """Returns the BatchSettings for the Settings of a program."""
     return BatchSettings(settings.max_hold_ms, settings.machine_lease_ms)
 
 
 async def forward_stop(stopping, controller):
-    """Tells the controller once that the process stops."""
+    """Sends StopAsked to the controller when the process stops."""
     await stopping.wait()
     await controller.put(StopAsked())
 
 
 async def reload_settings(program, links, load):
-    """Reads the settings again when asked to, or when they have changed.
+    """Reads the settings again on request and at regular intervals.
 
-    New addresses of controls get links; what else has changed holds from
-    the next start.
+    New addresses of controls get links; all other changes take effect at
+    the next start of the process.
 
     Args:
         program: Program.
         links: PeerLinks.
-        load: Function that returns a Result of Settings.
+        load: Function that reads the settings and returns a Result of
+            Settings.
     """
     current = program.settings
     while True:
         reload_request = await program.reloads.get_within(RELOAD_INTERVAL_MS)
         loaded = load()
         if loaded.is_error():
-            logger.error("Settings are unreadable.", reason=loaded.error)
+            logger.error("Settings could not be read.", reason=loaded.error)
             continue
         if reload_request is None and loaded.ok == current:
             continue
@@ -135,7 +136,7 @@
 
 
 async def serve_metrics(program):
-    """Serves ``/metrics`` until the program has stopped."""
+    """Serves ``/metrics`` until the program stops, if configured."""
     settings = program.settings
     if settings.metrics_listen is None:
         return
@@ -156,11 +157,13 @@
     Args:
         program: Program.
         serve_edge: Async function ``(program, controller, address)`` that
-            serves workers and operators until the program stops.
-        load: Function that returns a Result of the present Settings.
+            serves workers and operators until the program has stopped.
+        load: Function that reads the settings again and returns a Result of
+            Settings.
         make_machines: Function ``(program, url)`` that returns the
-            MachineManager.
-        make_advisor: Function ``(program, url)`` that returns the Advisor.
+            MachineManager; called only if ``machines_url`` is set.
+        make_advisor: Function ``(program, url)`` that returns the Advisor;
+            called only if ``advice_url`` is set.
     """
     settings = program.settings
     inbound = Mailbox("deliveries", settings.mailbox_bound)
@@ -212,9 +215,10 @@
 
     Args:
         program: Program.
-        serve_edge: Async function ``(program, gateway, edge)`` that serves
-            callers until ``edge.closing`` is set.
-        load: Function that returns a Result of the present Settings.
+        serve_edge: Async function ``(program, gateway, listeners)`` that
+            serves callers until ``listeners.closing`` is set.
+        load: Function that reads the settings again and returns a Result of
+            Settings.
     """
     settings = program.settings
     inbound = Mailbox("deliveries", settings.mailbox_bound, DROP_OLDEST)
@@ -234,12 +238,13 @@
 
 
 class EntryListeners:
-    """Where an entry serves, and until when.
+    """The addresses on which an entry listens, and when it closes them.
 
     Attributes:
         callers: Host and port for callers.
-        readiness: Host and port for the balancer's checks.
-        closing: trio.Event that is set when the listeners close.
+        readiness: Host and port for the readiness checks of the load
+            balancer.
+        closing: trio.Event that is set when the listeners must close.
     """
 
     __slots__ = ("callers", "readiness", "closing")
@@ -251,20 +256,23 @@
 
 
 async def close_after_notice(program, closing):
-    """Closes the listeners once the balancer knows of the stop."""
+    """Closes the listeners after the stop is visible to the balancer.
+
+    Until then the load balancer still sends new requests here.
+    """
     await program.stopping.wait()
     await program.clock.sleep(program.settings.drain_wait_ms)
     closing.set()
 
 
 def split_address(text):
-    """Returns host and port of an address."""
+    """Returns the host and port of a ``host:port`` address."""
     host, _, port = text.rpartition(":")
     return host, int(port)
 
 
 async def probe_leader(gateway, clock):
-    """Asks the leader regularly, so that readiness is known."""
+    """Probes the leader regularly, so that readiness is up to date."""
     while True:
         reply = Reply()
         call = BatchCall(PROBE, "", "/", request_id="probe")
--- a/wigeonport/batch_settings.py
+++ b/wigeonport/batch_settings.py
@@ -1,4 +1,4 @@
-"""Figures that the decisions on batch jobs depend on."""
+"""Settings of the decisions on batch jobs."""
 
 from wigeonport.records import Record
 
@@ -7,20 +7,23 @@
     """Settings of the dispatcher.
 
     Attributes:
-        run_lease_ms: Lease that an answer gives to what runs on a worker. It
-            covers a change of leader (about 2.5 s, from the election
-            timeout and a lost heartbeat) and bounds the time in which the
-            tasks of a lost worker are blocked.
-        heartbeat_interval_ms: Shortest interval of heartbeats of a worker without
-            news.
-        interval_per_worker_ms: Interval of heartbeats for each worker; bounds
-            the heartbeats that one leader answers to 250 a second.
-        max_silent_intervals: A worker that has been silent for more intervals gets
-            no task.
-        job_order: Name in ``job_orders``.
-        max_filler_tasks_per_step: Most filling tasks of a step on one worker.
-        takeover_wait_ms: Time after a change of leader without orders for a
-            machine to which the former leader may just have given one.
+        run_lease_ms: Lease that the reply to a heartbeat gives to the runs
+            on a worker. It outlasts a change of leader (about 2.5 s: the
+            election timeout and a lost heartbeat) and limits how long the
+            tasks of a lost worker stay blocked.
+        heartbeat_interval_ms: Minimum interval between the heartbeats of a
+            worker that has no change to report.
+        interval_per_worker_ms: The interval of heartbeats is at least this
+            times the number of workers, so that one leader answers at most
+            250 heartbeats per second.
+        max_silent_intervals: Number of heartbeat intervals without a
+            heartbeat after which a worker gets no more tasks.
+        job_order: Name of the ordering of jobs, in ``job_orders``.
+        max_filler_tasks_per_step: Maximum number of tasks of a step with
+            ``fills`` on one worker.
+        takeover_wait_ms: Time after a change of leader in which a machine
+            gets no order, because the former leader may just have sent it
+            one.
     """
 
     __slots__ = (
@@ -43,9 +46,10 @@
         self.takeover_wait_ms = lease_ms + 500
 
     def choose_heartbeat_interval(self, workers):
-        """Returns the interval of heartbeats for a number of workers.
+        """Returns the interval of heartbeats, in ms, for a number of workers.
 
-        Four heartbeats fit into a lease, however many workers there are.
+        The result is at most a quarter of the lease, so that four heartbeats
+        fit into a lease, however many workers there are.
         """
         wanted_ms = max(
             self.heartbeat_interval_ms, self.interval_per_worker_ms * workers
--- a/wigeonport/gateways.py
+++ b/wigeonport/gateways.py
@@ -1,4 +1,4 @@
-"""The entry's way to the control that leads, for calls about jobs."""
+"""Forwards calls about batch jobs from an entry to the leading control."""
 
 import trio
 
@@ -9,22 +9,23 @@
 logger = PartLogger("gateway")
 
 INBOX_BOUND = 1_024
-# Longest wait for one control; a change of leader shows by then.
+# Timeout of one attempt; a change of leader is noticed within this time.
 ATTEMPT_TIMEOUT_MS = 900
-# Longest search for a leader before a call that was not sent is refused:
+# Maximum search for a leader before a call that was not sent is refused:
 # a quarter of the smallest latency objective, less a margin.
 LEADER_SEARCH_MS = 600
 RETRY_PAUSE_MS = 60
-# A leader that answered within this time counts as reachable.
+# The leader counts as reachable for this time after an answer.
 LEADER_REACHABLE_MS = 2_500
 
 
 class GatewayCall:
-    """A BatchCall with its deadline; answered by a GatewayAnswer.
+    """A BatchCall with its deadline; the reply is a GatewayAnswer.
 
     Attributes:
         call: BatchCall.
-        deadline_ms: Monotonic time after which no answer is of use.
+        deadline_ms: Monotonic time after which the caller discards an
+            answer.
         reply: Reply channel.
     """
 
@@ -37,11 +38,11 @@
 
 
 class GatewayAnswer:
-    """What became of a call.
+    """The outcome of a GatewayCall.
 
     Attributes:
         reply: BatchReply of the leader, or None.
-        sent: Whether the call may have reached a control that handled it.
+        sent: Whether a control may have received and handled the call.
     """
 
     __slots__ = ("reply", "sent")
@@ -52,16 +53,18 @@
 
 
 class Gateway:
-    """Passes calls to the control that leads.
+    """Forwards calls to the control that is the leader.
 
     Attributes:
         links: PeerLinks to the controls.
         clock: Clock.
         metrics: Metrics.
         inbox: Mailbox of GatewayCalls.
-        leader: Address of the control that led last, or "".
-        leader_answered_ms: When a leader answered last, or None.
-        last_tried_index: Index of the control that is tried next without a leader.
+        leader: Address of the last known leader, or "".
+        leader_answered_ms: Monotonic time of the last answer of a leader, or
+            None.
+        last_tried_index: Index of the control that was tried last while the
+            leader was not known.
     """
 
     __slots__ = (
@@ -90,13 +93,17 @@
                 nursery.start_soon(self.handle, request)
 
     async def handle(self, request):
-        """Answers one call."""
+        """Forwards one call and replies with its outcome."""
         start_ms = self.clock.now()
         request.reply.send(await self.call_leader(request, start_ms))
         self.metrics.record("gateway_call_ms", self.clock.now() - start_ms)
 
     async def call_leader(self, request, start_ms):
-        """Tries controls until one that leads has answered."""
+        """Tries controls until the leader has answered or time runs out.
+
+        A call that may have been sent is repeated until its deadline; one
+        that was surely not sent is given up after LEADER_SEARCH_MS.
+        """
         sent = False
         search_until_ms = min(request.deadline_ms, start_ms + LEADER_SEARCH_MS)
         while True:
@@ -128,7 +135,10 @@
                 return GatewayAnswer(reply, True)
 
     def choose_control(self):
-        """Returns address and dialer of the control to try, or Nones."""
+        """Returns address and dialer of the control to try.
+
+        Without a connected control, the result is ("", None).
+        """
         dialers = self.links.dialers
         leader_dialer = dialers.get(self.leader)
         if leader_dialer is not None and leader_dialer.connected:
@@ -142,7 +152,7 @@
         return "", None
 
     def log_abandoned_call(self, call, sent, start_ms, now_ms):
-        """Logs a call that is given up."""
+        """Logs and counts a call that is given up."""
         leader_answered_ms = self.leader_answered_ms
         ago_ms = (
             None if leader_answered_ms is None else now_ms - leader_answered_ms
@@ -158,7 +168,7 @@
         self.metrics.count("gateway_calls_given_up")
 
     def record_failure(self, host, call, reason):
-        """Turns away from a control that gave no answer."""
+        """Logs a failed attempt; its control is no longer taken as leader."""
         logger.warning(
             "Control gave no answer.",
             request=call.request_id,
@@ -170,7 +180,7 @@
             self.leader = ""
 
     async def follow_redirect(self, host, leader):
-        """Follows the hint of a control that does not lead."""
+        """Switches to the leader that another control has named."""
         self.links.add(leader)
         dialer = self.links.dialers.get(leader)
         if dialer is not None and leader != host:
@@ -184,7 +194,7 @@
         await self.clock.sleep(RETRY_PAUSE_MS)
 
     def is_ready(self):
-        """Returns whether calls are likely to be answered."""
+        """Returns whether a leader has answered recently."""
         if self.leader_answered_ms is None:
             return False
         return (
--- a/wigeonport/machine_orders.py
+++ b/wigeonport/machine_orders.py
@@ -1,4 +1,4 @@
-"""Orders to machines, and what the platform says of machines."""
+"""Orders for machines, and the platform's reports on machines."""
 
 from wigeonport.records import Record
 
@@ -16,11 +16,11 @@
     """A machine as the platform lists it.
 
     Attributes:
-        machine: Name.
-        pool: Service whose pool it is in.
+        machine: Name of the machine.
+        pool: Service whose pool the machine is in.
         state: ``up``, ``moving``, ``upkeep`` or ``down``.
-        availability_zone: Its zone.
-        rack: Its rack, or "".
+        availability_zone: Zone of the machine.
+        rack: Rack of the machine, or "".
         worker_id: Id of the worker that runs on it, or "".
     """
 
@@ -45,14 +45,15 @@
 
 
 class PlannedOrder(Record):
-    """An order that goes to the platform once it is durable.
+    """An order that is sent to the platform once it is committed.
 
     Attributes:
-        machine: Machine.
+        machine: Name of the machine.
         purpose: ``upkeep`` or ``move``.
-        target: Number of the wave, or name of the pool.
-        holder: Who gives the order.
-        fence: Term of the leader.
+        target: Number of the wave for ``upkeep``, name of the pool for
+            ``move``.
+        holder: Node that holds the lease under which the order is given.
+        fence: Fencing token: the term of the leader.
     """
 
     __slots__ = ("machine", "purpose", "target", "holder", "fence")
@@ -66,11 +67,11 @@
 
 
 class MachineListed:
-    """The platform's list of machines.
+    """Message: the platform has returned its list of machines.
 
     Attributes:
-        rows: MachineRow by machine.
-        asked_ms: When it was asked for.
+        rows: Maps the name of a machine to its MachineRow.
+        asked_ms: Monotonic time at which the list was requested.
     """
 
     __slots__ = ("rows", "asked_ms")
@@ -81,7 +82,7 @@
 
 
 class MachineAnswered:
-    """The platform's answer to a PlannedOrder.
+    """Message: the platform has answered a PlannedOrder.
 
     Attributes:
         order: PlannedOrder.
@@ -96,5 +97,5 @@
 
     @property
     def term(self):
-        """Term in which the order was given."""
+        """Term of the leader that gave the order."""
         return self.order.fence
--- a/wigeonport/peer_links.py
+++ b/wigeonport/peer_links.py
@@ -1,25 +1,26 @@
-"""Links to controls that are known by their addresses only.
+"""Links to controls that are identified by their IP addresses only.
 
-The node name of such a control is its IP address, and all controls of a
+The IP address of such a control is also its node name. All controls of a
 deployment listen for links on the same port.
 """
 
 from wigeonport.channels import REFUSE, Mailbox
 from wigeonport.dialers import Dialer
 
-# Controls of a deployment, also those that were replaced since the start.
+# Maximum number of controls of a deployment, including those that were
+# replaced since this process started.
 MAX_PEERS = 64
 
 
 class PeerLinks:
-    """Keeps a link open to each control that was named.
+    """Keeps a link to each control whose address was added.
 
     Attributes:
         context: LinkContext of the process.
         own_host: Address of this process.
-        port: TCP port of the links of all controls.
-        dialers: Dialer by address.
-        inbox: Mailbox of addresses that need a link.
+        port: TCP port on which all controls accept links.
+        dialers: Maps the address of a control to its Dialer.
+        inbox: Mailbox of Dialers that have not been started.
     """
 
     __slots__ = ("context", "own_host", "port", "dialers", "inbox")
@@ -34,7 +35,7 @@
             self.add(host)
 
     def add(self, host):
-        """Makes sure that there is a dialer for an address."""
+        """Creates a dialer for an address unless there is one."""
         if not host or host == self.own_host or host in self.dialers:
             return
         if len(self.dialers) >= MAX_PEERS:
@@ -44,12 +45,12 @@
             self.dialers[host] = dialer
 
     def post(self, host, message):
-        """Sends a message; returns False if it was surely not sent."""
+        """Sends a message; returns False if it was certainly not sent."""
         self.add(host)
         dialer = self.dialers.get(host)
         return dialer is not None and dialer.post(message)
 
     async def run(self, nursery):
-        """Starts the dialers."""
+        """Starts each new dialer in a nursery."""
         async for dialer in self.inbox:
             nursery.start_soon(dialer.run)
