Say which failure each test of the batch tasks guards against

Cause: test docstrings and names were riddles or named no failure. Result: names and docstrings only.

--- a/tests/test_advisors.py
+++ b/tests/test_advisors.py
@@ -1,4 +1,4 @@
-"""Tests of advice on the workers of a step."""
+"""Tests of the requests for tickets that let workers run a step."""
 
 import pytest
 from batch_fixtures import JOB, Scene, make_queue, make_table, names
@@ -14,26 +14,26 @@
 
 @pytest.fixture
 def advised():
-    """A scene whose queue needs advice, and its advisor."""
+    """A dispatcher whose queue needs advice, and its advisor."""
     terms = AdviceTerms(50, 5, VALID_MS)
     scene = Scene(make_table(queues=[make_queue(advice=terms)]))
     return scene, Advisor(None, ManualClock())
 
 
 def ask(scene, advisor):
-    """Returns the calls that the advisor makes now."""
+    """Runs a tick of the advisor; returns the calls that it makes."""
     advisor.on_tick(scene.dispatcher, scene.now_ms)
     return advisor.calls.drain(10)
 
 
 def answer(scene, advisor, call, tickets):
-    """Passes an answer of the service."""
+    """Passes an answer of the advice service to the advisor."""
     event = AdviceAnswered(call, tickets, scene.now_ms)
     advisor.note_answer(scene.dispatcher, event, scene.now_ms)
 
 
 def test_task_waits_for_a_ticket(advised):
-    """A start without a ticket would be rejected."""
+    """A task must not start without a ticket, since the worker rejects it."""
     scene, advisor = advised
     scene.submit(ONE)
     assert names(scene.beat("w1")) == []
@@ -45,7 +45,10 @@
 
 
 def test_worker_that_is_not_allowed_gets_no_task(advised):
-    """The policy of the queue excludes workers for good."""
+    """Guards against tasks and endless calls for an excluded worker.
+
+    A worker without a ticket in the answer is excluded for good.
+    """
     scene, advisor = advised
     scene.submit(ONE)
     scene.beat("w1")
@@ -55,8 +58,8 @@
     assert ask(scene, advisor) == []
 
 
-def test_expired_ticket_is_asked_for_again(advised):
-    """A start must not carry a ticket that has run out."""
+def test_expired_ticket_is_requested_again(advised):
+    """A task must not start with an expired ticket; a new one is requested."""
     scene, advisor = advised
     scene.submit(ONE)
     scene.beat("w1")
@@ -67,8 +70,8 @@
     assert len(ask(scene, advisor)) == 1
 
 
-def test_new_life_of_a_worker_needs_a_new_ticket(advised):
-    """A ticket holds for one life of a worker."""
+def test_new_incarnation_of_a_worker_needs_a_new_ticket(advised):
+    """A ticket must not be used for a later incarnation of its worker."""
     scene, advisor = advised
     scene.submit(ONE)
     scene.beat("w1")
@@ -77,8 +80,8 @@
     assert names(scene.beat("w1", born_ms=60_000, sequence=1)) == []
 
 
-def test_call_without_an_answer_is_made_again_later(advised):
-    """A refused call must neither be lost nor repeated at once."""
+def test_failed_call_is_repeated_after_a_pause(advised):
+    """A failed call must be repeated, but only after a pause."""
     scene, advisor = advised
     scene.submit(ONE)
     scene.beat("w1")
--- a/tests/test_batch_controllers.py
+++ b/tests/test_batch_controllers.py
@@ -1,4 +1,4 @@
-"""Tests of the task that runs the dispatcher."""
+"""Tests of the batch controller over a fake consensus task."""
 
 import json
 
@@ -47,7 +47,7 @@
 
 
 class LeaseStatus:
-    """Answer to a StatusRequest."""
+    """Answer to a StatusRequest that reports a leader and its lease."""
 
     __slots__ = ("role", "term", "lease_until_ms")
 
@@ -58,18 +58,18 @@
 
 
 class FakeConsensus:
-    """Stands in for the consensus task.
+    """Replaces the consensus task and commits to a state in memory.
 
     Attributes:
         inbox: Mailbox of requests.
         state: ReplicatedState to which commits are applied.
         clock: Clock.
-        outcome: Outcome of proposals, or None to keep them waiting.
-        lease_ms: Length of the lease that it reports.
-        pending: Proposals that wait.
-        index: Index of the newest entry.
-        largest_payload: Size of the largest command, in bytes.
-        resigned: Number of requests to hand the lead over.
+        outcome: Outcome of proposals, or None to keep them pending.
+        lease_ms: Length of the lease in answers to StatusRequests.
+        pending: Proposals without an outcome.
+        index: Index of the newest committed entry.
+        largest_payload: Size of the largest encoded command, in bytes.
+        resigned: Number of ResignRequests received.
     """
 
     __slots__ = (
@@ -96,7 +96,7 @@
         self.resigned = 0
 
     async def run(self):
-        """Answers requests."""
+        """Answers requests to the consensus task."""
         async for request in self.inbox:
             if isinstance(request, Read):
                 request.reply.send(answer_read(request, self.state))
@@ -111,7 +111,7 @@
                 self.decide_pending()
 
     def decide_pending(self):
-        """Decides the proposals that wait."""
+        """Gives the pending proposals their outcome, if one is set."""
         while self.pending and self.outcome is not None:
             request = self.pending.pop(0)
             if self.outcome == COMMITTED:
@@ -125,12 +125,12 @@
 
 
 def answer_read(request, state):
-    """Returns the Ok of a view."""
+    """Returns the Result of a Read on the state."""
     return Ok(request.view(state))
 
 
 class ControllerHarness:
-    """A controller over a fake consensus task."""
+    """A BatchController with a FakeConsensus, and calls to it."""
 
     __slots__ = ("consensus", "controller")
 
@@ -146,22 +146,22 @@
         )
 
     async def ask(self, make, timeout_ms=WAIT_MS):
-        """Returns the Result of a question to the controller."""
+        """Sends a message to the controller; returns the Result."""
         return await ask(self.controller.inbox, make, timeout_ms)
 
     async def call(self, verb, timeout_ms=WAIT_MS):
-        """Returns the Result of a caller's request about the job."""
+        """Sends a BatchCall about the job JOB; returns the Result."""
         call = BatchCall(verb, "jobs.example", f"/plans/{JOB}", SPEC)
         return await self.ask(
             lambda reply: CallReceived(call, reply), timeout_ms
         )
 
-    async def lead(self, term=5, leader="10.0.0.1/aa"):
-        """Tells who leads."""
+    async def announce_leader(self, term=5, leader="10.0.0.1/aa"):
+        """Sends a notice that names the leader of a term."""
         await self.controller.inbox.put(LeadershipNotice(term, leader))
 
-    async def adopt(self, version):
-        """States a routing table."""
+    async def send_routes(self, version):
+        """Sends a routing table, as the operator does."""
         table = make_table(version)
         table.source = f"version {version}"
         return await self.ask(lambda reply: RoutesStated(table, reply))
@@ -169,7 +169,7 @@
 
 @pytest.fixture
 def run_controller():
-    """Runs an async function with a Desk that leads."""
+    """Runs an async check with a controller that is the leader."""
 
     def run(check, lead=True):
         async def main():
@@ -178,9 +178,9 @@
                 nursery.start_soon(harness.consensus.run)
                 await nursery.start(harness.controller.run)
                 if lead:
-                    await harness.lead()
+                    await harness.announce_leader()
                     await trio.sleep(0.05)
-                    await harness.adopt(1)
+                    await harness.send_routes(1)
                 await check(harness)
                 nursery.cancel_scope.cancel()
 
@@ -190,7 +190,10 @@
 
 
 def test_submission_is_answered_after_its_commit(run_controller):
-    """An accepted job must be durable before the caller learns of it."""
+    """Guards against confirming a job that a change of leader can lose.
+
+    A submission must not be answered before it is committed.
+    """
 
     async def check(harness):
         harness.consensus.outcome = None
@@ -205,8 +208,11 @@
     run_controller(check)
 
 
-def test_operations_gather_while_a_batch_is_committed(run_controller):
-    """A commit for each heartbeat exhausts the leader of many workers."""
+def test_operations_during_a_commit_share_the_next_batch(run_controller):
+    """Guards against a leader that is overloaded by one commit per request.
+
+    Operations that arrive during a commit must share the next one.
+    """
 
     async def check(harness):
         harness.consensus.outcome = None
@@ -232,8 +238,11 @@
     run_controller(check)
 
 
-def test_state_is_shown_after_what_it_depends_on_is_durable(run_controller):
-    """A state that could still be lost must not be shown."""
+def test_state_is_answered_after_the_commits_it_depends_on(run_controller):
+    """Guards against reporting a job that a change of leader can lose.
+
+    Its submission is applied to the dispatcher before it is committed.
+    """
 
     async def check(harness):
         harness.consensus.outcome = None
@@ -244,7 +253,10 @@
 
 
 def test_failed_commit_leaves_the_outcome_unknown(run_controller):
-    """A submission that may have been stored must not be denied."""
+    """Guards against a caller that submits a stored job a second time.
+
+    A submission whose commit failed may still have been stored.
+    """
 
     async def check(harness):
         harness.consensus.outcome = "unknown"
@@ -254,7 +266,10 @@
 
 
 def test_controller_leads_again_after_a_refused_batch(run_controller):
-    """One refused batch must not end the service of a leader."""
+    """Guards against a leader that answers no call after a refused batch.
+
+    It drops its state then and must load it again.
+    """
 
     async def check(harness):
         harness.consensus.outcome = REFUSED
@@ -266,8 +281,11 @@
     run_controller(check)
 
 
-def test_copy_contains_batches_that_were_on_their_way(run_controller):
-    """A copy without them would order runs that are recorded already."""
+def test_loaded_copy_contains_batches_in_flight(run_controller):
+    """Guards against starting runs twice that are already recorded.
+
+    A copy of the state that misses a batch in flight lacks these runs.
+    """
 
     async def check(harness):
         harness.consensus.outcome = None
@@ -283,8 +301,11 @@
     run_controller(check)
 
 
-def test_nothing_is_answered_after_the_lease(run_controller):
-    """A leader that was suspended must not answer for a former term."""
+def test_nothing_is_answered_after_the_lease_expired(run_controller):
+    """Guards against answers from stale state after a process was suspended.
+
+    Its lease has expired, and another replica may be the leader.
+    """
 
     async def check(harness):
         harness.consensus.lease_ms = -1
@@ -295,10 +316,10 @@
 
 
 def test_follower_names_the_leader(run_controller):
-    """Callers of a follower must learn where to turn to."""
+    """A follower must name the leader, or its callers would not find it."""
 
     async def check(harness):
-        await harness.lead(6, "10.0.0.2/bb")
+        await harness.announce_leader(6, "10.0.0.2/bb")
         answer = (await harness.call(SUBMIT)).ok
         assert (answer.outcome, answer.leader) == (NOT_LEADING, "10.0.0.2")
         answer = await harness.ask(lambda reply: ReportReceived(None, reply))
@@ -308,8 +329,8 @@
     run_controller(check)
 
 
-def test_lost_lead_fails_what_waits(run_controller):
-    """What waits for a commit gets an answer when the lead is lost."""
+def test_lost_leadership_fails_pending_calls(run_controller):
+    """A call that waits for a commit must not hang when leadership is lost."""
 
     async def check(harness):
         harness.consensus.outcome = None
@@ -317,14 +338,17 @@
         call = BatchCall(SUBMIT, "jobs.example", f"/plans/{JOB}", SPEC)
         await harness.controller.inbox.put(CallReceived(call, reply))
         await trio.sleep(0.05)
-        await harness.lead(6, "10.0.0.2/bb")
+        await harness.announce_leader(6, "10.0.0.2/bb")
         assert (await reply.wait(WAIT_MS)).ok.outcome == UNKNOWN
 
     run_controller(check)
 
 
-def test_controller_that_stops_hands_the_lead_over(run_controller):
-    """A planned stop of the leader must not look like a lost one."""
+def test_stopping_controller_transfers_leadership(run_controller):
+    """Guards against an election timeout at each planned stop of a leader.
+
+    It must transfer leadership, and do so again if it is elected again.
+    """
 
     async def check(harness):
         await harness.controller.inbox.put(StopAsked())
@@ -332,7 +356,7 @@
         assert harness.consensus.resigned == 1
         assert harness.controller.dispatcher is None
         assert (await harness.call(SUBMIT)).ok.outcome == NOT_LEADING
-        await harness.lead(7)
+        await harness.announce_leader(7)
         await trio.sleep(0.05)
         assert harness.consensus.resigned == 2
         assert harness.controller.dispatcher is None
@@ -341,11 +365,14 @@
 
 
 def test_lower_version_changes_nothing(run_controller):
-    """An older configuration that arrives late is acknowledged only."""
+    """Guards against an older configuration that replaces a newer one.
+
+    It may arrive late; it is acknowledged but not adopted.
+    """
 
     async def check(harness):
-        assert (await harness.adopt(7)).ok is True
-        assert (await harness.adopt(3)).ok is True
+        assert (await harness.send_routes(7)).ok is True
+        assert (await harness.send_routes(3)).ok is True
         table = (await harness.ask(RoutesAsked)).ok
         assert (table.version, table.source) == (7, "version 7")
 
@@ -353,10 +380,13 @@
 
 
 def test_other_content_under_the_same_version_changes_nothing(run_controller):
-    """The first content under a number stays in force."""
+    """Guards against one version that stands for two configurations.
+
+    The first content that was adopted under a version stays in force.
+    """
 
     async def check(harness):
-        await harness.adopt(7)
+        await harness.send_routes(7)
         table = make_table(7)
         table.source = "other"
         await harness.ask(lambda reply: RoutesStated(table, reply))
@@ -366,7 +396,10 @@
 
 
 def test_table_of_many_queues_is_adopted(run_controller):
-    """A large configuration must fit into one entry of the log."""
+    """Guards against a large configuration that the log refuses.
+
+    5,000 queues fit into one log entry only in compressed form.
+    """
 
     async def check(harness):
         queues = [make_queue(f"queue-{n}") for n in range(5_000)]
@@ -381,8 +414,11 @@
     run_controller(check)
 
 
-def test_event_that_cannot_be_handled_ends_nothing(run_controller):
-    """A fault in a decision must not end the process of the leader."""
+def test_controller_survives_an_exception_in_a_handler(run_controller):
+    """Guards against an exception in a handler that ends the process.
+
+    The controller must load the state again and go on as the leader.
+    """
 
     async def check(harness):
         answer = await harness.ask(lambda reply: ReportReceived(None, reply))
--- a/tests/test_gateways.py
+++ b/tests/test_gateways.py
@@ -1,4 +1,4 @@
-"""Tests of the entry's way to the control that leads."""
+"""Tests of how an entry forwards calls to the leading control."""
 
 import pytest
 import trio
@@ -19,7 +19,7 @@
 
 
 class FakeDialer:
-    """Answers calls from a list; the last answer repeats."""
+    """Returns answers from a list in order, then repeats the last one."""
 
     __slots__ = ("connected", "answers", "calls")
 
@@ -29,7 +29,7 @@
         self.calls = 0
 
     async def ask(self, message, timeout_ms):
-        """Returns the next answer."""
+        """Returns the next answer of the list."""
         await trio.lowlevel.checkpoint()
         self.calls += 1
         if len(self.answers) > 1:
@@ -38,7 +38,7 @@
 
 
 class FakeLinks:
-    """Holds dialers by address."""
+    """Maps addresses to dialers; replaces PeerLinks."""
 
     __slots__ = ("dialers",)
 
@@ -46,12 +46,15 @@
         self.dialers = dialers
 
     def add(self, host):
-        """Does nothing; all addresses are known."""
+        """Does nothing, since the dialers are fixed."""
 
 
 @pytest.fixture
 def call_through():
-    """Returns a function that passes one call through a gateway."""
+    """Returns a function that sends one call through a gateway.
+
+    It returns the GatewayAnswer.
+    """
 
     def call(dialers, patience_ms=1_500):
         async def main():
@@ -86,7 +89,10 @@
 
 
 def test_unsent_call_is_given_up_early_as_not_sent(call_through):
-    """Without a control the caller learns at once that nothing ran."""
+    """Guards against a caller that waits in vain while no control is up.
+
+    The call was not sent, so it can be refused early as not executed.
+    """
     start_ms = Clock().now()
     dialers = {"a": FakeDialer(None, connected=False)}
     answer = call_through(dialers, patience_ms=3_000)
@@ -96,14 +102,20 @@
 
 
 def test_refusal_by_all_controls_counts_as_not_sent(call_through):
-    """A control that does not lead has run nothing."""
+    """Guards against an unknown outcome for a call that did not execute.
+
+    A control that is not the leader executes nothing.
+    """
     answer = call_through({"a": FakeDialer(Ok(BatchReply(NOT_LEADING)))})
     assert answer.reply is None
     assert not answer.sent
 
 
 def test_lost_answer_counts_as_sent(call_through):
-    """A call without an answer may have been stored."""
+    """Guards against calling a request not executed that may have run.
+
+    The connection broke after the call was sent.
+    """
     lost = Error(LinkError("connection reset", sent=True))
     answer = call_through({"a": FakeDialer(lost)}, patience_ms=300)
     assert answer.reply is None
@@ -111,7 +123,10 @@
 
 
 def test_call_is_repeated_after_a_lost_answer(call_through):
-    """Calls are idempotent, so the gateway asks again in time."""
+    """Guards against failing a call after one lost answer.
+
+    Calls are idempotent, so the gateway repeats them until the deadline.
+    """
     lost = Error(LinkError("connection reset", sent=True))
     dialer = FakeDialer(lost, Ok(BatchReply(UNKNOWN)), Ok(BatchReply(OK)))
     assert call_through({"a": dialer}).reply.outcome == OK
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -1,4 +1,4 @@
-"""Tests of the translation between the platform and the product."""
+"""Tests of the codecs between the platform's JSON and the product."""
 
 import json
 
@@ -85,12 +85,15 @@
 
 
 def encode(document):
-    """Returns a body."""
+    """Returns a document as a JSON body."""
     return json.dumps(document).encode()
 
 
-def test_submission_is_decoded_with_all_needs():
-    """A need that is lost on the way makes a task run in a wrong place."""
+def test_submission_is_decoded_with_all_requirements():
+    """Guards against tasks on workers that do not suit them.
+
+    A requirement that is lost in decoding has no effect on placement.
+    """
     step = {
         "count": 4,
         "cpu": 500,
@@ -126,28 +129,28 @@
     ],
 )
 def test_malformed_submission_is_refused(change):
-    """A submission that cannot be run as asked must not be accepted."""
+    """A job that cannot run as specified must not be accepted."""
     document = {"spec": "text", "steps": [{"count": 1}]} | change
     assert decode_submission(encode(document)).is_error()
 
 
 @given(ANY_JSON)
 def test_any_submission_is_decoded_or_refused(document):
-    """No body may raise."""
+    """Decoding a JSON body of any shape must not raise."""
     result = decode_submission(encode(document))
     assert result.is_ok() or result.error
 
 
 @given(st.binary())
 def test_any_bytes_are_decoded_or_refused(body):
-    """Unreadable bytes must be refused, not raised."""
+    """Decoding a body that is not JSON must not raise."""
     assert decode_submission(body).is_error()
     assert decode_configuration(body).is_error()
 
 
 @given(ANY_JSON, st.sampled_from(sorted(HEARTBEAT)))
 def test_any_heartbeat_is_decoded_or_refused(value, name):
-    """An entry of another writer must be refused as a whole."""
+    """A malformed field must raise MalformedBodyError and nothing else."""
     try:
         decode_heartbeat("i-1", HEARTBEAT | {name: value})
     except MalformedBodyError as fault:
@@ -155,7 +158,7 @@
 
 
 def test_heartbeat_is_decoded():
-    """Fields with poor names must land where the product expects them."""
+    """Each field must be decoded into the attribute with its meaning."""
     report = decode_heartbeat("i-1", HEARTBEAT)
     assert report.incarnation == "i-1@1700000000000"
     assert (report.rack, report.machine) == ("r1-3", "m-1")
@@ -175,14 +178,14 @@
         {"running": [["t"]]},
     ],
 )
-def test_foreign_heartbeat_is_refused(change):
-    """What is not understood names no worker to use."""
+def test_malformed_heartbeat_is_refused(change):
+    """A malformed heartbeat must not register a worker to use."""
     with pytest.raises(MalformedBodyError):
         decode_heartbeat("i-1", HEARTBEAT | change)
 
 
 def test_orders_without_a_lease_start_nothing():
-    """Without a lease no order may be understood as one."""
+    """A worker must not read a lease or an order where none is given."""
     assert encode_orders(WorkerOrders(3, 400), LEADER) == {
         "retry-after-ms": 400,
         "heartbeat-url": LEADER,
@@ -190,7 +193,7 @@
 
 
 def test_orders_are_encoded():
-    """Order and meaning of the fields of a row are the platform's."""
+    """The fields of a row must have the order of the platform's schema."""
     orders = WorkerOrders(3, 400)
     orders.run_lease_ms = 4_500
     orders.acknowledged = 58
@@ -213,7 +216,7 @@
 
 
 def test_configuration_is_decoded():
-    """Routes must be found by host, whatever its case, and prefix."""
+    """A route must match its host in any letter case, and its path prefix."""
     table = decode_configuration(encode(CONFIGURATION)).ok
     assert table.version == 7
     assert table.resolve("pule.example", "/p/00").name == "r-1"
@@ -222,7 +225,7 @@
 
 
 def routes(*changes):
-    """Returns a configuration with changed routes."""
+    """Returns a configuration with one route for each dict of changes."""
     return CONFIGURATION | {"routes": [ROUTE | change for change in changes]}
 
 
@@ -240,17 +243,17 @@
     ],
 )
 def test_invalid_configuration_is_refused(document):
-    """What is invalid must never be acknowledged."""
+    """An invalid configuration must never be acknowledged."""
     assert decode_configuration(encode(document)).is_error()
 
 
-def test_cut_configuration_is_refused():
-    """A body that ends early must not be taken for a shorter one."""
+def test_truncated_configuration_is_refused():
+    """A truncated body must not be accepted as a shorter configuration."""
     assert decode_configuration(encode(CONFIGURATION)[:-3]).is_error()
 
 
 def test_settings_are_translated():
-    """Fields to come are ignored; own address is no peer."""
+    """Unknown fields must be ignored, and a node must not be its own peer."""
     settings = translate_settings(SETTINGS).ok
     assert settings.node_id == "10.1.0.12"
     assert [peer.host for peer in settings.peers] == ["10.2.0.25", "10.3.0.43"]
@@ -261,8 +264,11 @@
     assert settings.replace_voter_ms == 2_000
 
 
-def test_voters_follow_the_losses_to_be_borne():
-    """Three voters stop for good where two disks are lost."""
+def test_voter_count_follows_the_fault_tolerance():
+    """Guards against three voters where two disks may be lost.
+
+    The remaining voter could never form a quorum again.
+    """
     document = SETTINGS | {
         "fault-tolerance": {"machines": 2, "zones": 1},
         "bounds": {"catch-up-s": 6},
@@ -272,8 +278,8 @@
     assert settings.replace_voter_ms == 3_000
 
 
-def test_incomplete_settings_are_a_finding():
-    """A missing field must be named."""
+def test_incomplete_settings_are_reported():
+    """The message must name the field that is missing."""
     incomplete = {k: v for k, v in SETTINGS.items() if k != "zone"}
     assert "zone" in str(translate_settings(incomplete).error)
 
@@ -288,7 +294,7 @@
     ],
 )
 def test_job_id_of_a_path(path, job_id):
-    """Only 16 lower-case hexadecimal digits are a job id."""
+    """Only 16 lower-case hexadecimal digits must be taken as a job id."""
     assert split_path(path) == job_id
 
 
@@ -305,15 +311,18 @@
     ],
 )
 def test_answer_to_a_client(verb, answer, status):
-    """Not accepted may be said only if the submission was never sent."""
+    """Guards against 503 for a submission that may have been accepted.
+
+    A client repeats it then; 503 is correct only if it was never sent.
+    """
     response = encode_answer(verb, answer)
     assert response.status == status
     if status == 503:
         assert dict(response.headers)[b"retry-after"]
 
 
-def test_foreign_machine_rows_are_skipped():
-    """A row without a name must not stop the reading of the list."""
+def test_malformed_machine_rows_are_skipped():
+    """A row without a name must not make the whole list unreadable."""
     assert decode_row({"machine": 5}) is None
     row = decode_row({"machine": "m-1", "pool": "desk", "state": "up"})
     assert (row.machine, row.pool, row.rack) == ("m-1", "desk", "")
--- a/tests/test_platform_programs.py
+++ b/tests/test_platform_programs.py
@@ -1,4 +1,4 @@
-"""Tests of the platform's programs as processes, without the bench."""
+"""Tests that run the platform's programs as processes."""
 
 import os
 import pathlib
@@ -16,7 +16,7 @@
 
 
 def ignores_reloads(pid):
-    """Returns whether a process ignores SIGHUP, by its status."""
+    """Returns whether a process ignores SIGHUP, as /proc shows it."""
     status = pathlib.Path(f"/proc/{pid}/status").read_text()
     (mask,) = [
         line.split()[1]
@@ -28,7 +28,7 @@
 
 @pytest.mark.parametrize("script", ["front", "core"])
 def test_reload_during_the_start_is_harmless(script, tmp_path):
-    """SIGHUP before the handler stood once ended the process."""
+    """A SIGHUP before its handler is installed must not end the process."""
     process = subprocess.Popen(
         [sys.executable, f"platform/{script}.py"],
         cwd=ROOT,
@@ -45,8 +45,11 @@
     assert b"cannot be read" in errors
 
 
-def test_disk_that_fails_ends_the_program_with_a_line(tmp_path):
-    """A full disk once printed a traceback at each start."""
+def test_unusable_disk_ends_the_program_with_a_log_line(tmp_path):
+    """Guards against a traceback at each start with an unusable disk.
+
+    The program must exit with status 1 after one log line.
+    """
     occupied = tmp_path / "data"
     occupied.write_text("a file where the folder has to be")
     path = tmp_path / "local.toml"
@@ -68,8 +71,8 @@
     assert b"Traceback" not in done.stderr
 
 
-def test_short_soak_holds_every_promise(tmp_path):
-    """The whole path under seeded faults, as real processes."""
+def test_short_soak_keeps_all_guarantees(tmp_path):
+    """Seeded faults of real processes must not break any guarantee."""
     soak = Soak(6, 8.0, tmp_path)
     violations = trio.run(soak.run)
     assert violations == []
