--- a/wigeonport/batch_messages.py
+++ b/wigeonport/batch_messages.py
@@ -92,7 +92,7 @@
 
 
 class Loaded:
-    """A copy of the replicated state, read at the start of a term."""
+    """A copy of the replicated state, from which dispatching starts."""
 
     __slots__ = ("term", "state")
 
