--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -8,7 +8,7 @@
 from front import encode_answer
 from hypothesis import given
 from hypothesis import strategies as st
-from job_codec import MalformedBodyError, decode_submission, split_path
+from job_codec import MalformedBodyError, decode_submission, job_id_from_path
 from route_codec import decode_configuration
 from worker_codec import decode_heartbeat, encode_orders
 
@@ -295,7 +295,7 @@
 )
 def test_job_id_of_a_path(path, job_id):
     """Only 16 lower-case hexadecimal digits must be taken as a job id."""
-    assert split_path(path) == job_id
+    assert job_id_from_path(path) == job_id
 
 
 @pytest.mark.parametrize(
