--- a/tests/test_batch_dispatchers.py
+++ b/tests/test_batch_dispatchers.py
@@ -21,7 +21,7 @@
 from wigeonport.batch_commands import AdoptRoutes
 from wigeonport.batch_settings import BatchSettings
 from wigeonport.batch_specs import JobSpec, Step
-from wigeonport.worker_reports import Room
+from wigeonport.worker_reports import Resources
 
 ONE = {"count": 1, "cpu_milli": 1_000, "memory_mb": 100}
 TASK = f"{JOB}.0.0.0"
@@ -135,7 +135,7 @@
     harness.heartbeat(born_ms=60_000)
     harness.submit(ONE)
     orders = harness.heartbeat(born_ms=50_000, sequence=99)
-    assert orders.hold_ms == 0
+    assert orders.run_lease_ms == 0
     assert started_runs(orders) == []
     assert started_runs(harness.heartbeat(born_ms=60_000)) == [(TASK, 1)]
 
@@ -149,7 +149,7 @@
     harness.heartbeat()
     harness.heartbeat(running=[(TASK, 1)])
     orders = harness.heartbeat(sequence=1)
-    assert orders.hold_ms == 0
+    assert orders.run_lease_ms == 0
     assert started_runs(orders) == []
 
 
@@ -318,7 +318,9 @@
     assert started_runs(orders) == []
 
 
-@pytest.mark.parametrize("free", [Room(500, 8_000, 0), Room(4_000, 50, 0)])
+@pytest.mark.parametrize(
+    "free", [Resources(500, 8_000, 0), Resources(4_000, 50, 0)]
+)
 def test_task_that_does_not_fit_waits(harness, free):
     """A worker must not get a task beyond its processors or its memory."""
     harness.submit(ONE)
@@ -440,7 +442,7 @@
 
     More heartbeats than a leader can answer would let all leases expire.
     """
-    assert BatchSettings().heartbeat_ms(workers) == interval_ms
+    assert BatchSettings().choose_heartbeat_interval(workers) == interval_ms
 
 
 def test_worker_is_told_the_interval(harness):
--- a/tests/test_machine_managers.py
+++ b/tests/test_machine_managers.py
@@ -24,7 +24,7 @@
     MachineRow,
 )
 from wigeonport.upkeep_states import UpkeepState, upkeep_state_from_document
-from wigeonport.worker_reports import Room
+from wigeonport.worker_reports import Resources
 
 ONE = {"count": 1, "cpu_milli": 1_000, "memory_mb": 100}
 LASTING = ONE | {
@@ -225,7 +225,7 @@
     Only machines with a recent order have to wait.
     """
     change_leader(cluster)
-    cluster.heartbeat("m1", capacity=Room(4_000, 8_000, 0))
+    cluster.heartbeat("m1", capacity=Resources(4_000, 8_000, 0))
     step = {"count": 16, "cpu_milli": 2_000, "estimated_ms": 2_000}
     cluster.harness.submit(step)
     assert {order.machine for order in cluster.tick()} == {"s1", "s2"}
@@ -238,7 +238,7 @@
     """
     change_leader(cluster)
     cluster.manager.since_ms = cluster.harness.now_ms
-    cluster.heartbeat("m1", capacity=Room(4_000, 8_000, 0))
+    cluster.heartbeat("m1", capacity=Resources(4_000, 8_000, 0))
     cluster.harness.submit(
         {"count": 16, "cpu_milli": 2_000, "estimated_ms": 2_000}
     )
@@ -305,7 +305,7 @@
 
 def test_pool_grows_when_its_jobs_would_be_late(cluster):
     """A pool that is too small for its jobs must get the standby machines."""
-    cluster.heartbeat("m1", capacity=Room(4_000, 8_000, 0))
+    cluster.heartbeat("m1", capacity=Resources(4_000, 8_000, 0))
     step = {"count": 16, "cpu_milli": 2_000, "estimated_ms": 2_000}
     cluster.harness.submit(step)
     orders = cluster.tick()
@@ -322,7 +322,7 @@
     cluster = MachineHarness(["m1", "m2", "m3", "m4"], queues=queues)
     step = {"count": 16, "cpu_milli": 2_000, "estimated_ms": 2_000}
     cluster.harness.submit(step)
-    cluster.heartbeat("m1", capacity=Room(4_000, 8_000, 0))
+    cluster.heartbeat("m1", capacity=Resources(4_000, 8_000, 0))
     for name in ("m2", "m3", "m4"):
         cluster.heartbeat(name, service="else")
     cluster.tick()
--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -44,7 +44,7 @@
         term: Term of the leader, the fencing token of its orders.
         since_ms: Monotonic time at which the term began at this replica.
         workers: WorkerTable.
-        interval_ms: Interval between the heartbeats of a worker that has
+        heartbeat_interval_ms: Interval between the heartbeats of a worker that has
             no event to report.
         active: Maps job id to BatchJob, for jobs whose tasks may be started.
         operations: Operations since the last ``take_operations``.
@@ -69,7 +69,7 @@
         "term",
         "since_ms",
         "workers",
-        "interval_ms",
+        "heartbeat_interval_ms",
         "active",
         "operations",
         "orphans_until_ms",
@@ -88,11 +88,11 @@
         self.term = term
         self.since_ms = now_ms
         self.workers = WorkerTable()
-        self.interval_ms = settings.interval_ms
+        self.heartbeat_interval_ms = settings.heartbeat_interval_ms
         self.active = {}
         self.operations = []
         # The former leader may have extended leases until this election.
-        self.orphans_until_ms = lease_end_ms(settings.hold_ms, now_ms)
+        self.orphans_until_ms = lease_end_ms(settings.run_lease_ms, now_ms)
         self.failure_times = {}
         self.ranked_jobs = {}
         self.tickets = {}
@@ -108,7 +108,7 @@
 
     def max_silence_ms(self):
         """Returns the silence, in ms, after which a worker gets no task."""
-        return self.settings.silent_beats * self.interval_ms
+        return self.settings.max_silent_intervals * self.heartbeat_interval_ms
 
     def record(self, operation):
         """Applies an operation to the working copy and queues its commit."""
@@ -179,7 +179,7 @@
     def on_report(self, report, now_ms, wall_ms):
         """Handles a heartbeat and returns the WorkerOrders in answer."""
         self.wall_ms, self.now_ms = wall_ms, now_ms
-        orders = WorkerOrders(self.term, self.interval_ms)
+        orders = WorkerOrders(self.term, self.heartbeat_interval_ms)
         worker, replaced = self.workers.record_heartbeat(report, now_ms)
         for incarnation in replaced:
             self.record_lost_worker(incarnation, "the worker has restarted")
@@ -204,8 +204,8 @@
             place_tasks(self, worker, now_ms, wall_ms)
             start_copies(self, worker, now_ms, wall_ms)
         add_starts(self, worker, orders)
-        orders.hold_ms = self.settings.hold_ms
-        worker.extend_lease(orders.hold_ms, now_ms)
+        orders.run_lease_ms = self.settings.run_lease_ms
+        worker.extend_lease(orders.run_lease_ms, now_ms)
         return orders
 
     def reserve_ordered(self, worker, now_ms):
@@ -224,8 +224,8 @@
             tasks = [task for task, _ in keys]
             runs = [run for _, run in keys]
             # Commits the newest checkpoint together with the loss.
-            saved = [self.find_task(task)[2].saved for task in tasks]
-            self.record(EndRuns(tasks, runs, [LOST] * len(tasks), saved))
+            checkpoint = [self.find_task(task)[2].checkpoint for task in tasks]
+            self.record(EndRuns(tasks, runs, [LOST] * len(tasks), checkpoint))
 
     def record_lost_worker(self, incarnation, reason):
         """Records all runs of a worker incarnation as lost."""
@@ -247,7 +247,7 @@
         self.wall_ms, self.now_ms = wall_ms, now_ms
         for worker in list(self.workers.by_id.values()):
             if now_ms > worker.lease_until_ms and (
-                now_ms - worker.last_heartbeat_ms > self.settings.hold_ms
+                now_ms - worker.last_heartbeat_ms > self.settings.run_lease_ms
             ):
                 self.workers.remove_worker(worker)
                 self.record_lost_worker(
@@ -260,7 +260,9 @@
                     self.record_lost_worker(
                         incarnation, "no heartbeat in this term"
                     )
-        self.interval_ms = self.settings.heartbeat_ms(len(self.workers.by_id))
+        self.heartbeat_interval_ms = self.settings.choose_heartbeat_interval(
+            len(self.workers.by_id)
+        )
         self.tasks_to_copy = find_tasks_to_copy(self, now_ms)
         self.open_occurrences(wall_ms)
 
--- a/wigeonport/fill_rates.py
+++ b/wigeonport/fill_rates.py
@@ -29,7 +29,9 @@
         if step.fills:
             fills.append(row)
         elif step.target_ms:
-            highest_share = max(highest_share, row.gauge / step.target_ms)
+            highest_share = max(
+                highest_share, row.measurement / step.target_ms
+            )
     if not fills:
         worker.fill_percent = FULL_RATE_PERCENT
         return
--- a/wigeonport/job_orders.py
+++ b/wigeonport/job_orders.py
@@ -47,7 +47,7 @@
             start_ms = spec.due_ms(max(0, job.opened - 1))
         self.objective_ms = (
             start_ms
-            + queue.stretch * spec.chain_ms()
+            + queue.stretch * spec.longest_chain_ms()
             + queue.target_latency_ms
         )
         self.remaining_ms, self.waiting_work, self.running_work = (
@@ -109,12 +109,14 @@
         finish_ms = []
         for step_run in step_runs:
             step = step_run.step
-            own_ms = step.estimated_ms if step_run.left else 0
+            own_ms = step.estimated_ms if step_run.remaining else 0
             dependencies_ms = [finish_ms[each] for each in step.depends_on]
             finish_ms.append(max(dependencies_ms, default=0) + own_ms)
             task_work = step.cpu_milli * own_ms
             waiting_work += len(step_run.waiting) * task_work
-            running_work += (step_run.left - len(step_run.waiting)) * task_work
+            running_work += (
+                step_run.remaining - len(step_run.waiting)
+            ) * task_work
         longest_ms = max(longest_ms, *finish_ms) if finish_ms else longest_ms
     return longest_ms, waiting_work, running_work
 
--- a/wigeonport/machine_losses.py
+++ b/wigeonport/machine_losses.py
@@ -20,7 +20,7 @@
 
     Includes workers that have sent no heartbeat to this leader.
     """
-    silent_ms = SUSPECT_HEARTBEATS * dispatcher.interval_ms
+    silent_ms = SUSPECT_HEARTBEATS * dispatcher.heartbeat_interval_ms
     seen = set()
     for worker in dispatcher.workers.by_id.values():
         seen.add(worker.incarnation)
--- a/wigeonport/run_orders.py
+++ b/wigeonport/run_orders.py
@@ -51,7 +51,7 @@
                 # one, and the start follows with a later heartbeat.
                 continue
         orders.starts.append(
-            StartOrder(*key, job.spec.payload, task.saved, ticket)
+            StartOrder(*key, job.spec.payload, task.checkpoint, ticket)
         )
         logger.info(
             "Run ordered.",
--- a/wigeonport/run_reports.py
+++ b/wigeonport/run_reports.py
@@ -21,7 +21,7 @@
         worker: Worker that sent the heartbeat.
         orders: WorkerOrders in answer, which acknowledge the ended runs.
     """
-    tasks, runs, outcomes, saved = [], [], [], []
+    tasks, runs, outcomes, checkpoint = [], [], [], []
     for end in worker.report.ended:
         orders.acknowledged = max(orders.acknowledged, end.number)
         if dispatcher.find_task(end.task) is None:
@@ -29,10 +29,10 @@
         tasks.append(end.task)
         runs.append(end.run)
         outcomes.append(end.outcome)
-        saved.append(end.saved)
+        checkpoint.append(end.checkpoint)
         record_outcome(dispatcher, worker, end)
     if tasks:
-        dispatcher.record(EndRuns(tasks, runs, outcomes, saved))
+        dispatcher.record(EndRuns(tasks, runs, outcomes, checkpoint))
         remove_ended_jobs(dispatcher, tasks)
         refresh_ended_steps(dispatcher, worker, tasks)
 
@@ -42,7 +42,7 @@
     ranking = dispatcher.ranked_jobs.get(worker.report.service)
     for task_name in tasks:
         entry = dispatcher.find_task(task_name)
-        if ranking is not None and (entry is None or not entry[1].left):
+        if ranking is not None and (entry is None or not entry[1].remaining):
             ranking.refresh_job(split_task_id(task_name)[0])
 
 
@@ -89,7 +89,7 @@
         if key in worker.runs:
             reported.add(key)
             update_progress(worker, key, row.percent)
-            if row.saved:
+            if row.checkpoint:
                 store_checkpoint(dispatcher, row)
     for key in set(worker.progress) - reported:
         del worker.progress[key]
@@ -100,4 +100,4 @@
     entry = dispatcher.find_task(row.task)
     if entry is not None:
         job, step_run, task = entry
-        job.keep_checkpoint(step_run, task, row.saved)
+        job.store_checkpoint(step_run, task, row.checkpoint)
--- a/wigeonport/task_copies.py
+++ b/wigeonport/task_copies.py
@@ -19,7 +19,7 @@
 def find_tasks_to_copy(dispatcher, now_ms):
     """Returns a dict from service to the names of the tasks to copy."""
     tasks_by_service = {}
-    silent_ms = SUSPECT_HEARTBEATS * dispatcher.interval_ms
+    silent_ms = SUSPECT_HEARTBEATS * dispatcher.heartbeat_interval_ms
     for worker in dispatcher.workers.by_id.values():
         silent = now_ms - worker.last_heartbeat_ms > silent_ms
         if not silent and now_ms >= worker.excluded_until_ms:
@@ -65,7 +65,7 @@
             continue
         if candidate.remaining_limit(step) < 1 or not free_capacity.fits(step):
             continue
-        free_capacity.take(step)
+        free_capacity.subtract(step)
         run = task.last_run + 1
         dispatcher.record(StartRuns([name], [run], worker.incarnation))
         logger.info(
--- a/wigeonport/task_evacuations.py
+++ b/wigeonport/task_evacuations.py
@@ -35,7 +35,7 @@
         worker is not None
         and worker.incarnation == incarnation
         and dispatcher.now_ms - worker.last_heartbeat_ms
-        <= MAX_SILENT_HEARTBEATS * dispatcher.interval_ms
+        <= MAX_SILENT_HEARTBEATS * dispatcher.heartbeat_interval_ms
         and (name, run) not in worker.stopping
         and (name, run) in worker.progress
         and worker.progress[name, run].percent >= FULL_PROGRESS_PERCENT
--- a/wigeonport/task_placements.py
+++ b/wigeonport/task_placements.py
@@ -125,7 +125,9 @@
         That is so if no worker in the rack accepts tasks, or if the step has
         waited long enough for one.
         """
-        silent_ms = GANG_MAX_SILENT_HEARTBEATS * self.dispatcher.interval_ms
+        silent_ms = (
+            GANG_MAX_SILENT_HEARTBEATS * self.dispatcher.heartbeat_interval_ms
+        )
         near = any(
             other.report.rack == step.data_rack
             and other.accepts_tasks(now_ms, silent_ms)
@@ -151,7 +153,7 @@
                 break
             if self.failed_recently(index):
                 continue
-            free_capacity.take(step_run.step)
+            free_capacity.subtract(step_run.step)
             chosen.append(index)
         return chosen
 
@@ -170,7 +172,7 @@
     def remaining_limit(self, step):
         """Returns how many more tasks of the step the worker may run."""
         if step.fills and not step.max_per_worker:
-            maximum = self.dispatcher.settings.max_fills_per_step
+            maximum = self.dispatcher.settings.max_filler_tasks_per_step
         else:
             maximum = step.max_per_worker or MAX_STARTS
         current = sum(
@@ -204,7 +206,7 @@
     else across racks.
     """
     step = step_run.step
-    silent_ms = GANG_MAX_SILENT_HEARTBEATS * dispatcher.interval_ms
+    silent_ms = GANG_MAX_SILENT_HEARTBEATS * dispatcher.heartbeat_interval_ms
     candidates = [
         worker
         for worker in dispatcher.workers.of_service(ranked_job.queue.service)
@@ -253,7 +255,7 @@
         free_capacity, count = worker.free_capacity(), 0
         maximum = min(remaining, candidate.remaining_limit(step))
         while count < maximum and free_capacity.fits(step):
-            free_capacity.take(step)
+            free_capacity.subtract(step)
             count += 1
         if count:
             chosen.append((worker, count))
--- a/wigeonport/worker_reports.py
+++ b/wigeonport/worker_reports.py
@@ -1,20 +1,20 @@
-"""What workers report of themselves and of their runs, and their orders."""
+"""Heartbeats of workers with the state of their runs, and the orders sent."""
 
 from wigeonport.records import Record
 
 
 def worker_id_of(incarnation):
-    """Returns the worker id in the name of a life of a worker."""
+    """Returns the worker id that an incarnation name contains."""
     return incarnation.partition("@")[0]
 
 
-class Room(Record):
-    """Amounts of what tasks use.
+class Resources(Record):
+    """Amounts of CPU, memory and accelerators.
 
     Attributes:
-        cpu_milli: Thousandths of a core.
-        memory_mb: Memory.
-        gpu: Accelerators.
+        cpu_milli: CPU in thousandths of a core.
+        memory_mb: Memory in MB.
+        gpu: Number of accelerators.
     """
 
     __slots__ = ("cpu_milli", "memory_mb", "gpu")
@@ -24,15 +24,15 @@
         self.memory_mb = memory_mb
         self.gpu = gpu
 
-    def take(self, step):
-        """Subtracts what a task of a step uses."""
+    def subtract(self, step):
+        """Subtracts what one task of a step uses."""
         if not step.fills:
             self.cpu_milli -= step.cpu_milli
         self.memory_mb -= step.memory_mb
         self.gpu -= step.gpu
 
     def fits(self, step):
-        """Returns whether a task of a step fits."""
+        """Returns whether one task of a step fits."""
         if step.memory_mb > self.memory_mb or step.gpu > self.gpu:
             return False
         return step.fills or step.cpu_milli <= self.cpu_milli
@@ -42,67 +42,69 @@
     """A run that a worker reports as live.
 
     Attributes:
-        task: Name of the task.
+        task: Task id.
         run: Number of the run.
-        saved: Newest checkpoint, or "".
-        percent: Progress, for a lasting task 100 when it is at work.
-        gauge: Tail latency in ms of a serving task, else the thousandths
-            of a core in use, over about half a second.
+        checkpoint: Newest checkpoint, or "".
+        percent: Progress; 100 for a lasting task that is up and working.
+        measurement: Tail latency in ms for a serving task, otherwise the CPU
+            in use in thousandths of a core; over about half a second.
     """
 
-    __slots__ = ("task", "run", "saved", "percent", "gauge")
+    __slots__ = ("task", "run", "checkpoint", "percent", "measurement")
 
-    def __init__(self, task, run, saved, percent, gauge):
+    def __init__(self, task, run, checkpoint, percent, measurement):
         self.task = task
         self.run = run
-        self.saved = saved
+        self.checkpoint = checkpoint
         self.percent = percent
-        self.gauge = gauge
+        self.measurement = measurement
 
 
 class RunEnd(Record):
     """A run that a worker reports as ended.
 
     Attributes:
-        number: Number of the end in the life of the worker.
-        task: Name of the task.
+        number: Sequence number of this end in the worker's incarnation.
+        task: Task id.
         run: Number of the run.
-        outcome: How it ended.
-        saved: Newest checkpoint, or "".
+        outcome: Outcome of the run, as the worker names it.
+        checkpoint: Newest checkpoint, or "".
     """
 
-    __slots__ = ("number", "task", "run", "outcome", "saved")
+    __slots__ = ("number", "task", "run", "outcome", "checkpoint")
 
-    def __init__(self, number, task, run, outcome, saved):
+    def __init__(self, number, task, run, outcome, checkpoint):
         self.number = number
         self.task = task
         self.run = run
         self.outcome = outcome
-        self.saved = saved
+        self.checkpoint = checkpoint
 
 
 class WorkerReport(Record):
     """A heartbeat of a worker.
 
     Attributes:
-        worker_id: Id that the worker gave itself.
-        born_ms: Wall time of the start of this life.
-        sequence: Number that rises with each heartbeat of a life.
-        service: Service whose pool it belongs to.
-        machine: VM whose life it is, or "".
-        availability_zone: Its zone.
-        rack: Its rack, or "".
-        labels: All labels.
-        capacity: Room of the empty worker, or None if it runs no tasks.
-        draining: Whether it leaves.
-        drain_remaining_ms: Time that is left to it at least.
+        worker_id: Id that the worker chose for itself.
+        started_ms: Wall time at which this incarnation started.
+        sequence: Number that increases with each heartbeat of an
+            incarnation.
+        service: Service whose pool the worker belongs to.
+        machine: VM that the worker runs on, or "".
+        availability_zone: Zone of the worker.
+        rack: Rack of the worker, or "".
+        labels: All labels of the worker.
+        capacity: Resources of the worker without tasks, or None if it runs
+            no tasks.
+        draining: Whether the worker drains and is about to leave.
+        drain_remaining_ms: Minimum time until a draining worker stops.
         running: List of RunReport.
-        ended: List of RunEnd that were not acknowledged.
+        ended: List of RunEnd that are not acknowledged yet.
     """
 
     __slots__ = (
         "worker_id",
-        "born_ms",
+        "started_ms",
         "sequence",
         "service",
         "machine",
@@ -122,50 +124,51 @@
 
     @property
     def incarnation(self):
-        """Name of this life of the worker."""
-        return f"{self.worker_id}@{self.born_ms}"
+        """Name of this incarnation of the worker: ``id@start``."""
+        return f"{self.worker_id}@{self.started_ms}"
 
 
 class StartOrder(Record):
     """Tells a worker to start a run.
 
     Attributes:
-        task: Name of the task.
+        task: Task id.
         run: Number of the run.
-        payload: Text that the task is started with.
-        saved: Checkpoint to resume from, or "".
-        ticket: Permission for this worker, or "".
+        payload: Text that the task gets as its input.
+        checkpoint: Checkpoint to resume from, or "".
+        ticket: Ticket that permits this worker to run the task, or "".
     """
 
-    __slots__ = ("task", "run", "payload", "saved", "ticket")
+    __slots__ = ("task", "run", "payload", "checkpoint", "ticket")
 
-    def __init__(self, task, run, payload, saved, ticket=""):
+    def __init__(self, task, run, payload, checkpoint, ticket=""):
         self.task = task
         self.run = run
         self.payload = payload
-        self.saved = saved
+        self.checkpoint = checkpoint
         self.ticket = ticket
 
 
 class WorkerOrders(Record):
-    """Answer to a heartbeat.
+    """The reply to a heartbeat.
 
     Attributes:
         starts: List of StartOrder.
-        stops: Pairs of task and run to stop.
-        rates: Triples of task, run and percent of full speed.
-        hold_ms: Length of the lease of all that runs, counted from the
-            sending of the heartbeat; 0 extends nothing.
-        acknowledged: Number up to which ends are durable.
-        fence: Term of the leader that gives the orders.
-        retry_after_ms: When the next heartbeat is wanted.
+        stops: List of pairs (task id, run) of the runs to stop.
+        rates: List of triples (task id, run, percent of full speed).
+        run_lease_ms: Length of the lease of all live runs, counted from the
+            sending of the heartbeat; 0 does not extend the lease.
+        acknowledged: Number up to which the reported ends are committed.
+        fence: Fencing token: the term of the leader that gives the orders.
+        retry_after_ms: Time until the worker should send its next
+            heartbeat.
     """
 
     __slots__ = (
         "starts",
         "stops",
         "rates",
-        "hold_ms",
+        "run_lease_ms",
         "acknowledged",
         "fence",
         "retry_after_ms",
@@ -175,7 +178,7 @@
         self.starts = []
         self.stops = []
         self.rates = []
-        self.hold_ms = 0
+        self.run_lease_ms = 0
         self.acknowledged = 0
         self.fence = fence
         self.retry_after_ms = retry_after_ms
--- a/wigeonport/worker_tables.py
+++ b/wigeonport/worker_tables.py
@@ -1,6 +1,6 @@
 """The leader's table of workers, rebuilt from their heartbeats each term."""
 
-from wigeonport.worker_reports import Room
+from wigeonport.worker_reports import Resources
 
 # Share added to the lease because the clock of a worker may be 2% slow.
 CLOCK_DRIFT = 0.03
@@ -9,14 +9,14 @@
 STOP_MARGIN_MS = 250
 
 
-def lease_end_ms(hold_ms, now_ms):
+def lease_end_ms(run_lease_ms, now_ms):
     """Returns the latest time at which a run may be live.
 
     Args:
-        hold_ms: Lease that the answer to a heartbeat grants.
+        run_lease_ms: Lease that the answer to a heartbeat grants.
         now_ms: Monotonic time of the answer.
     """
-    return now_ms + int(hold_ms * (1 + CLOCK_DRIFT)) + STOP_MARGIN_MS
+    return now_ms + int(run_lease_ms * (1 + CLOCK_DRIFT)) + STOP_MARGIN_MS
 
 
 class RunProgress:
@@ -104,19 +104,19 @@
         """Worker id and start time, which identify the incarnation."""
         return self.report.incarnation
 
-    def extend_lease(self, hold_ms, now_ms):
+    def extend_lease(self, run_lease_ms, now_ms):
         """Records that an answer extends the lease of all its runs."""
-        until_ms = lease_end_ms(hold_ms, now_ms)
+        until_ms = lease_end_ms(run_lease_ms, now_ms)
         self.lease_until_ms = max(self.lease_until_ms, until_ms)
 
     def free_capacity(self):
         """Returns the free capacity; runs being stopped still use theirs."""
         capacity = self.report.capacity
-        free_capacity = Room(
+        free_capacity = Resources(
             capacity.cpu_milli, capacity.memory_mb, capacity.gpu
         )
         for step in self.runs.values():
-            free_capacity.take(step)
+            free_capacity.subtract(step)
         return free_capacity
 
     def accepts_tasks(self, now_ms, silent_ms):
@@ -166,7 +166,7 @@
         for other in (previous, same_machine):
             if other is None or other.incarnation == report.incarnation:
                 continue
-            if other.report.born_ms > report.born_ms:
+            if other.report.started_ms > report.started_ms:
                 return None, []
             if other.incarnation not in replaced:
                 replaced.append(other.incarnation)
@@ -215,6 +215,6 @@
 
 def is_outdated(report, newest):
     """Returns whether a heartbeat is not newer than the newest one."""
-    if report.born_ms != newest.born_ms:
-        return report.born_ms < newest.born_ms
+    if report.started_ms != newest.started_ms:
+        return report.started_ms < newest.started_ms
     return report.sequence <= newest.sequence
