Rename 5 names: is_reported_alive, find_unrunnable_reason and others

Cause: is_heard was figurative for a VM in the latest zone report, and NEVER and find_never_reason did not say that the job cannot run on any worker Change: is_heard to is_reported_alive, find_never_reason to find_unrunnable_reason, NEVER to UNRUNNABLE, fleet_changed to requeue_unrunnable, vm_lost to mark_tasks_lost; 22 uses in 8 files, by token.

--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -3,7 +3,7 @@
 import pytest
 
 from wigeonport.estimates import Samples
-from wigeonport.job_tables import NEVER
+from wigeonport.job_tables import UNRUNNABLE
 from wigeonport.plan_events import (
     CommandConfirmed,
     CommandRefused,
@@ -189,10 +189,10 @@
     """Guards against a verdict that outlives the fleet it is about."""
     run = make_run()
     submit(run, make_job("a", cores=40))
-    assert run.view.jobs.ended["a"].state == NEVER
+    assert run.view.jobs.ended["a"].state == UNRUNNABLE
     for vm in planned_fleet.vms.values():
         vm.size = Size(64, 65_536)
-    run.view.jobs.fleet_changed(planned_fleet)
+    run.view.jobs.requeue_unrunnable(planned_fleet)
     assert [c.job for c in starts(run.tick())] == ["a"]
 
 
--- a/wigeonport/availabilities.py
+++ b/wigeonport/availabilities.py
@@ -3,7 +3,7 @@
 from wigeonport.views import READY
 
 
-def is_heard(view, vm, now_ms):
+def is_reported_alive(view, vm, now_ms):
     """Returns whether the VM was reported alive recently."""
     heard_ms = view.fleet.heard_ms[vm.zone]
     if heard_ms is None or vm.missing:
@@ -22,7 +22,7 @@
         and not vm.quarantined
         and vm.unsettled_until_ms <= now_ms
         and vm.name not in view.operations
-        and is_heard(view, vm, now_ms)
+        and is_reported_alive(view, vm, now_ms)
     )
 
 
--- a/wigeonport/fleet_events.py
+++ b/wigeonport/fleet_events.py
@@ -33,7 +33,7 @@
         if zone in event.fleet.heard_ms
     )
     restore_operations(view, event.grants, now_ms)
-    view.jobs.fleet_changed(event.fleet)
+    view.jobs.requeue_unrunnable(event.fleet)
     logger.info("Fleet version loaded.", version=event.fleet.version)
     granted = {view.fleet.vms[name].pool for name in view.operations}
     return sorted(find_changed_pools(old, event.fleet) | granted)
@@ -112,7 +112,7 @@
     was, vm.state = vm.state, event.state
     if event.state == FAILED and was != FAILED:
         view.wave.note_failure(now_ms)
-        view.jobs.vm_lost(vm.name)
+        view.jobs.mark_tasks_lost(vm.name)
     if event.state == READY and was in (FAILED, REBOOTING):
         vm.unsettled_until_ms = now_ms + view.settings.healthy_hold_ms
     return (vm.pool,)
--- a/wigeonport/job_events.py
+++ b/wigeonport/job_events.py
@@ -5,9 +5,9 @@
     CANCELLED,
     CANCELLING,
     FINISHED,
-    NEVER,
     RUNNING,
     STARTING,
+    UNRUNNABLE,
 )
 from wigeonport.plan_commands import CheckpointTask, StartTask, StopTask
 from wigeonport.plan_events import (
@@ -40,7 +40,7 @@
         return ()
     reason = find_unknown(view, event)
     if reason:
-        view.jobs.finish(job, NEVER, reason)
+        view.jobs.finish(job, UNRUNNABLE, reason)
         view.jobs.verdicts.append(job)
         return tuple(view.fleet.pools)[:1]
     others_wait = len(view.jobs.queue_of(job)) > 1
@@ -141,7 +141,7 @@
     view.jobs.unbind(job)
     reason = find_fault(view, job)
     if reason:
-        view.jobs.finish(job, NEVER, reason)
+        view.jobs.finish(job, UNRUNNABLE, reason)
         view.jobs.verdicts.append(job)
         return
     delay_ms = RETRY_BASE_MS * 2 ** (len(job.failed_on) - 1)
--- a/wigeonport/job_tables.py
+++ b/wigeonport/job_tables.py
@@ -10,7 +10,7 @@
 LOST = "lost"
 FINISHED = "finished"
 CANCELLED = "cancelled"
-NEVER = "never"
+UNRUNNABLE = "never"
 
 
 class Job:
@@ -236,7 +236,7 @@
                 until_ms = now_ms + self.settings.start_bound_ms
                 job.retry_ms = max(job.retry_ms, until_ms)
 
-    def vm_lost(self, vm_name):
+    def mark_tasks_lost(self, vm_name):
         """Stops waiting for reports of a failed worker.
 
         Its jobs run again only after their leases, because a worker that
@@ -247,12 +247,12 @@
             if job.state != CANCELLING:
                 job.state = LOST
 
-    def fleet_changed(self, fleet):
+    def requeue_unrunnable(self, fleet):
         """Reconsiders jobs that could never run on the earlier fleet."""
         never = [
             job
             for job in self.ended.values()
-            if job.state == NEVER
+            if job.state == UNRUNNABLE
             and job.submitted.pool in fleet.pools
             and job.submitted.team in fleet.teams
         ]
--- a/wigeonport/jobs.py
+++ b/wigeonport/jobs.py
@@ -1,6 +1,6 @@
 """Stage of the jobs: leases, cancellation, drains and placement."""
 
-from wigeonport.availabilities import is_heard
+from wigeonport.availabilities import is_reported_alive
 from wigeonport.estimates import estimate_run_ms
 from wigeonport.job_events import requeue
 from wigeonport.job_tables import ENDING, RUNNING, STARTING
@@ -97,7 +97,7 @@
     names = []
     for vm_name in pool.members:
         vm = view.fleet.vms[vm_name]
-        if vm.state == FAILED or not is_heard(view, vm, now_ms):
+        if vm.state == FAILED or not is_reported_alive(view, vm, now_ms):
             continue
         for job in jobs_on(view, vm):
             ends_soon = job.lease_until_ms - now_ms <= lease_ms // 2
--- a/wigeonport/placements.py
+++ b/wigeonport/placements.py
@@ -4,7 +4,7 @@
 
 from wigeonport.availabilities import available_vms
 from wigeonport.estimates import estimate_run_ms, estimate_size
-from wigeonport.job_tables import NEVER
+from wigeonport.job_tables import UNRUNNABLE
 from wigeonport.plan_commands import StartTask
 from wigeonport.plan_registries import placement_policies
 from wigeonport.preemptions import start_preemption
@@ -142,9 +142,9 @@
 
     def handle_no_room(self, job, size):
         """Names a job that can never run, or preempts for urgent work."""
-        reason = find_never_reason(self.view, self.pool, size)
+        reason = find_unrunnable_reason(self.view, self.pool, size)
         if reason:
-            self.view.jobs.finish(job, NEVER, reason)
+            self.view.jobs.finish(job, UNRUNNABLE, reason)
             self.view.jobs.verdicts.append(job)
             return
         job.reason = NO_ROOM
@@ -194,7 +194,7 @@
     )
 
 
-def find_never_reason(view, pool, size):
+def find_unrunnable_reason(view, pool, size):
     """Returns why a size fits on no VM of the pool even when idle, or ""."""
     vms = view.fleet.members(pool.name)
     if any(size.fits(vm.size) for vm in vms):
--- a/wigeonport/plan_drivers.py
+++ b/wigeonport/plan_drivers.py
@@ -1,6 +1,6 @@
 """Plan drivers: the task that owns the planner of a control."""
 
-from wigeonport.availabilities import is_available, is_heard
+from wigeonport.availabilities import is_available, is_reported_alive
 from wigeonport.channels import Reply, ask
 from wigeonport.consensus_requests import (
     Applied,
@@ -137,7 +137,7 @@
         unheard = [
             vm.name
             for vm in unavailable
-            if not vm.missing and not is_heard(view, vm, now_ms)
+            if not vm.missing and not is_reported_alive(view, vm, now_ms)
         ]
         return VmHealth([vm.name for vm in unavailable], unheard)
 
