--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -180,7 +180,7 @@
     run = make_run()
     jobs = [make_job(str(number), cores=16) for number in range(7)]
     assert len(submit(run, *jobs)) == 6
-    assert run.view.jobs.ended == {}
+    assert run.view.jobs.ended_jobs == {}
 
 
 def test_impossible_job_is_reconsidered_in_a_new_version(
@@ -189,7 +189,7 @@
     """Guards against a verdict that outlives the fleet it is about."""
     run = make_run()
     submit(run, make_job("a", cores=40))
-    assert run.view.jobs.ended["a"].state == UNRUNNABLE
+    assert run.view.jobs.ended_jobs["a"].state == UNRUNNABLE
     for vm in planned_fleet.vms.values():
         vm.size = Size(64, 65_536)
     run.view.jobs.requeue_unrunnable(planned_fleet)
@@ -227,7 +227,7 @@
 
 def let_finish(run, vm_name):
     """Records a success of a worker."""
-    run.view.faults.note_success(vm_name, run.clock.now())
+    run.view.faults.record_success(vm_name, run.clock.now())
 
 
 def test_quarantine_leaves_a_floor_of_workers(make_run):
@@ -239,7 +239,7 @@
     for name in names[:2]:
         for number in range(5):
             job = f"job-{number}"
-            run.view.faults.note_failure(name, job, run.clock.now())
+            run.view.faults.record_failure(name, job, run.clock.now())
     run.tick()
     assert sum(vm.quarantined for vm in run.view.fleet.vms.values()) == 1
 
@@ -249,7 +249,7 @@
     run = make_run()
     for vm in run.view.fleet.members("roster"):
         for number in range(5):
-            run.view.faults.note_failure(
+            run.view.faults.record_failure(
                 vm.name, f"job-{number}", run.clock.now()
             )
     run.tick()
--- a/wigeonport/fleet_events.py
+++ b/wigeonport/fleet_events.py
@@ -111,7 +111,7 @@
     vm.sequence = event.sequence
     was, vm.state = vm.state, event.state
     if event.state == FAILED and was != FAILED:
-        view.wave.note_failure(now_ms)
+        view.wave.record_failure(now_ms)
         view.jobs.mark_tasks_lost(vm.name)
     if event.state == READY and was in (FAILED, REBOOTING):
         vm.unsettled_until_ms = now_ms + view.settings.healthy_hold_ms
@@ -145,7 +145,7 @@
     if not missing:
         vm.unsettled_until_ms = now_ms + view.settings.healthy_hold_ms
     elif vm.state == READY:
-        view.wave.note_failure(now_ms)
+        view.wave.record_failure(now_ms)
 
 
 @event_handlers.register(LeadershipChanged)
--- a/wigeonport/job_events.py
+++ b/wigeonport/job_events.py
@@ -41,7 +41,7 @@
     reason = find_unknown(view, event)
     if reason:
         view.jobs.finish(job, UNRUNNABLE, reason)
-        view.jobs.verdicts.append(job)
+        view.jobs.unreported_unrunnable.append(job)
         return tuple(view.fleet.pools)[:1]
     others_wait = len(view.jobs.queue_of(job)) > 1
     # Behind others the job can wait for the next full plan.
@@ -125,7 +125,7 @@
 @task_reports.register(TASK_FINISHED)
 def note_finished(view, job, now_ms):
     """Ends a job that has run to its end."""
-    view.faults.note_success(job.vm, now_ms)
+    view.faults.record_success(job.vm, now_ms)
     learn_run(view.jobs, job, now_ms - job.started_ms)
     view.jobs.finish(job, FINISHED)
 
@@ -133,7 +133,7 @@
 @task_reports.register(TASK_FAILED)
 def note_failed(view, job, now_ms):
     """Retries a failed job elsewhere, or finds that it can never run."""
-    view.faults.note_failure(job.vm, job.name, now_ms)
+    view.faults.record_failure(job.vm, job.name, now_ms)
     if job.state == CANCELLING:
         view.jobs.finish(job, CANCELLED)
         return
@@ -142,7 +142,7 @@
     reason = find_fault(view, job)
     if reason:
         view.jobs.finish(job, UNRUNNABLE, reason)
-        view.jobs.verdicts.append(job)
+        view.jobs.unreported_unrunnable.append(job)
         return
     delay_ms = RETRY_BASE_MS * 2 ** (len(job.failed_on) - 1)
     job.retry_ms = now_ms + min(delay_ms, RETRY_LONGEST_MS)
@@ -154,7 +154,7 @@
 
     Only failures on workers that finish other jobs speak against it.
     """
-    trusted = sum(view.faults.is_trusted(vm) for vm in job.failed_on)
+    trusted = sum(view.faults.finishes_tasks(vm) for vm in job.failed_on)
     if trusted >= view.settings.job_failed_workers:
         return f"failed on {trusted} workers that finish other jobs"
     members = view.fleet.pools[job.submitted.pool].members
--- a/wigeonport/job_tables.py
+++ b/wigeonport/job_tables.py
@@ -75,7 +75,7 @@
     Attributes:
         settings: PlanSettings.
         jobs: Job by id.
-        ended: Ended jobs by id, oldest first; late reports still teach.
+        ended_jobs: Ended jobs by id, oldest first; late reports still teach.
         waiting: Ids of waiting jobs by pool, in order of submission.
         urgent: Ids of waiting urgent jobs by pool.
         on_vm: Ids of jobs by worker.
@@ -83,7 +83,7 @@
         team_cores: Cores held by team.
         used: Size reserved by worker.
         cancelled: Ids of cancelled jobs that still run.
-        verdicts: Jobs found never to run and not reported yet.
+        unreported_unrunnable: Jobs found never to run and not reported yet.
         histories: History by (team, kind), for estimates.
         preemptions: Preemption by worker.
         yielding: Ids of jobs whose tasks were asked to give way.
@@ -94,7 +94,7 @@
     __slots__ = (
         "settings",
         "jobs",
-        "ended",
+        "ended_jobs",
         "waiting",
         "urgent",
         "on_vm",
@@ -102,7 +102,7 @@
         "team_cores",
         "used",
         "cancelled",
-        "verdicts",
+        "unreported_unrunnable",
         "histories",
         "preemptions",
         "yielding",
@@ -113,7 +113,7 @@
     def __init__(self, settings):
         self.settings = settings
         self.jobs = {}
-        self.ended = {}
+        self.ended_jobs = {}
         self.waiting = {}
         self.urgent = {}
         self.on_vm = {}
@@ -121,7 +121,7 @@
         self.team_cores = {}
         self.used = {}
         self.cancelled = []
-        self.verdicts = []
+        self.unreported_unrunnable = []
         self.histories = {}
         self.preemptions = {}
         self.yielding = {}
@@ -130,7 +130,7 @@
 
     def add(self, submitted, now_ms):
         """Adds a job; returns None if its id was submitted before."""
-        if submitted.job in self.jobs or submitted.job in self.ended:
+        if submitted.job in self.jobs or submitted.job in self.ended_jobs:
             return None
         job = Job(submitted, now_ms)
         if submitted.may_run:
@@ -165,7 +165,7 @@
         self.used[vm_name] = self.used_on(vm_name).plus(size)
         self.hold_cores(job, size.cores)
 
-    def give_way(self, job, now_ms):
+    def mark_yielding(self, job, now_ms):
         """Records that a task was asked to save its state and end."""
         job.state = ENDING
         job.ending_ms = now_ms
@@ -206,13 +206,13 @@
         job.reason = reason
         self.jobs.pop(job.name, None)
         self.by_team[job.submitted.team].pop(job.name, None)
-        self.ended[job.name] = job
-        while len(self.ended) > self.settings.finished_jobs_kept:
-            del self.ended[next(iter(self.ended))]
+        self.ended_jobs[job.name] = job
+        while len(self.ended_jobs) > self.settings.finished_jobs_kept:
+            del self.ended_jobs[next(iter(self.ended_jobs))]
 
     def find(self, name):
         """Returns a job that may have ended, or None."""
-        return self.jobs.get(name) or self.ended.get(name)
+        return self.jobs.get(name) or self.ended_jobs.get(name)
 
     def tasks_on(self, vm_name):
         """Returns the ids of the jobs on a worker."""
@@ -251,13 +251,13 @@
         """Reconsiders jobs that could never run on the earlier fleet."""
         never = [
             job
-            for job in self.ended.values()
+            for job in self.ended_jobs.values()
             if job.state == UNRUNNABLE
             and job.submitted.pool in fleet.pools
             and job.submitted.team in fleet.teams
         ]
         for job in never:
-            del self.ended[job.name]
+            del self.ended_jobs[job.name]
             self.jobs[job.name] = job
             self.by_team.setdefault(job.submitted.team, {})[job.name] = None
             job.failed_on.clear()
--- a/wigeonport/jobs.py
+++ b/wigeonport/jobs.py
@@ -25,7 +25,7 @@
 def plan(view, now_ms, random):
     """Reviews workers, ends, renews and starts tasks."""
     commands = review_workers(view, now_ms)
-    commands.extend(report_verdicts(view))
+    commands.extend(report_unrunnable(view))
     commands.extend(cancel_running(view))
     expire_leases(view, now_ms)
     keep_stuck_tasks(view, now_ms)
@@ -39,9 +39,9 @@
     return commands
 
 
-def report_verdicts(view):
+def report_unrunnable(view):
     """Returns a report for each job found never to run."""
-    jobs, view.jobs.verdicts = view.jobs.verdicts, []
+    jobs, view.jobs.unreported_unrunnable = view.jobs.unreported_unrunnable, []
     return [ReportJob(job.name, job.state, job.reason) for job in jobs]
 
 
@@ -131,7 +131,7 @@
     for vm_name in view.operations:
         for job in jobs_on(view, view.fleet.vms[vm_name]):
             if outlasts_drain(view, job, now_ms):
-                view.jobs.give_way(job, now_ms)
+                view.jobs.mark_yielding(job, now_ms)
                 commands.append(CheckpointTask(job.name, vm_name, job.attempt))
     return commands
 
--- a/wigeonport/placements.py
+++ b/wigeonport/placements.py
@@ -145,7 +145,7 @@
         reason = find_unrunnable_reason(self.view, self.pool, size)
         if reason:
             self.view.jobs.finish(job, UNRUNNABLE, reason)
-            self.view.jobs.verdicts.append(job)
+            self.view.jobs.unreported_unrunnable.append(job)
             return
         job.reason = NO_ROOM
         if job.submitted.urgent:
@@ -242,7 +242,7 @@
     faults = placement.view.faults
     # Only a worker that finishes other jobs shows whose fault it is.
     trusted = [
-        worker for worker in untried if faults.is_trusted(worker.vm.name)
+        worker for worker in untried if faults.finishes_tasks(worker.vm.name)
     ]
     return trusted or untried or fitting
 
--- a/wigeonport/preemptions.py
+++ b/wigeonport/preemptions.py
@@ -63,7 +63,7 @@
 def command_first_step(view, victim, now_ms):
     """Returns the mildest command that a task supports."""
     if victim.submitted.can_checkpoint:
-        view.jobs.give_way(victim, now_ms)
+        view.jobs.mark_yielding(victim, now_ms)
         return CheckpointTask(victim.name, victim.vm, victim.attempt)
     return throttle(view, victim)
 
--- a/wigeonport/wave_states.py
+++ b/wigeonport/wave_states.py
@@ -30,11 +30,11 @@
         self.reported = ""
         self.completed = 0
 
-    def note_failure(self, now_ms):
+    def record_failure(self, now_ms):
         """Records the failure of a VM."""
         self.failures.append(now_ms)
 
-    def forget_failures(self, before_ms):
+    def drop_failures(self, before_ms):
         """Drops failures older than a time."""
         self.failures = [at for at in self.failures if at >= before_ms]
 
--- a/wigeonport/waves.py
+++ b/wigeonport/waves.py
@@ -33,7 +33,7 @@
     """Pauses on failures within the window; resumes after a quiet time."""
     settings, wave = view.settings, view.wave
     kept_ms = max(settings.wave_failure_window_ms, settings.wave_quiet_ms)
-    wave.forget_failures(now_ms - kept_ms)
+    wave.drop_failures(now_ms - kept_ms)
     window_start_ms = now_ms - settings.wave_failure_window_ms
     recent = sum(at >= window_start_ms for at in wave.failures)
     if not wave.pause_reason and recent >= settings.wave_pause_failures:
--- a/wigeonport/worker_faults.py
+++ b/wigeonport/worker_faults.py
@@ -38,17 +38,17 @@
         """Returns the record of a worker; creates it if new."""
         return self.records.setdefault(vm_name, WorkerRecord())
 
-    def note_success(self, vm_name, now_ms):
+    def record_success(self, vm_name, now_ms):
         """Records a finished task."""
         record = self.find(vm_name)
         record.succeeded_ms = now_ms
         record.failed.clear()
 
-    def note_failure(self, vm_name, job_name, now_ms):
+    def record_failure(self, vm_name, job_name, now_ms):
         """Records a failed task."""
         self.find(vm_name).failed[job_name] = now_ms
 
-    def is_trusted(self, vm_name):
+    def finishes_tasks(self, vm_name):
         """Returns whether a failure on this worker speaks against the job.
 
         Only a worker that finished a task, and failed at most this job
