--- a/tests/test_capacities.py
+++ b/tests/test_capacities.py
@@ -10,7 +10,7 @@
     VmReported,
 )
 from wigeonport.plan_settings import PlanSettings
-from wigeonport.reserves import find_basis, size_reserve
+from wigeonport.reserves import find_available, size_reserve
 from wigeonport.views import FAILED
 
 
@@ -20,12 +20,12 @@
     return Forecasts(PlanSettings())
 
 
-def demand(run, slots):
+def report_demand(run, slots):
     """Reports the demand of roster, measured now."""
     run.step(DemandReported("roster", slots, run.clock.now()))
 
 
-def moves(commands):
+def list_moves(commands):
     """Returns (VM, destination) of the requested moves."""
     return [
         (c.vm, c.destination)
@@ -34,11 +34,11 @@
     ]
 
 
-def find_reserve(run):
+def compute_reserve(run):
     """Returns the Reserve that a plan would size now."""
     now_ms = run.clock.now()
-    basis = find_basis(run.view, now_ms)
-    return size_reserve(run.view, basis, now_ms)
+    available_by_pool = find_available(run.view, now_ms)
+    return size_reserve(run.view, available_by_pool, now_ms)
 
 
 def test_forecast_extends_the_trend_over_the_lag(forecasts):
@@ -71,7 +71,7 @@
     run = make_run()
     # Rack ikeja-r1 holds two VMs of each pool, so its loss leaves both
     # services one VM short and takes two spare VMs with it.
-    shared = find_reserve(run)
+    shared = compute_reserve(run)
     assert (shared.needed, shared.held, shared.uncovered) == (4, 4, 0)
 
 
@@ -80,9 +80,9 @@
     run = make_run()
     for vm in run.view.fleet.vms.values():
         vm.rack = f"{vm.zone}-{vm.pool}"
-    shared = find_reserve(run)
+    shared = compute_reserve(run)
     run.view.settings.reserve_policy = "per_service"
-    separate = find_reserve(run)
+    separate = compute_reserve(run)
     assert (shared.needed, separate.needed) == (1, 2)
 
 
@@ -90,7 +90,7 @@
     """Guards against a zone loss that no one knew to be uncovered."""
     run = make_run()
     run.view.fleet.services["notices"].guaranteed = 5
-    reserve = find_reserve(run)
+    reserve = compute_reserve(run)
     assert reserve.uncovered == 2
 
 
@@ -98,8 +98,8 @@
     """Guards against a peak that spends the reserve for losses."""
     run = make_run(move_price_s=0.1)
     for _ in range(5):
-        demand(run, 100)
-        assert moves(run.tick(1_000)) == []
+        report_demand(run, 100)
+        assert list_moves(run.tick(1_000)) == []
 
 
 def test_lost_capacity_is_covered_from_the_reserve(make_run):
@@ -107,8 +107,8 @@
     run = make_run()
     run.step(VmReported("roster-ikeja-1", FAILED, 1))
     commands = run.step(VmReported("roster-ikeja-2", FAILED, 1))
-    assert [pool for _, pool in moves(commands)] == ["roster"]
-    assert moves(run.tick(1_000)) == []
+    assert [pool for _, pool in list_moves(commands)] == ["roster"]
+    assert list_moves(run.tick(1_000)) == []
 
 
 def test_borrowed_vm_is_spread_over_zones(make_run):
@@ -116,32 +116,32 @@
     run = make_run()
     run.step(VmReported("roster-ikeja-1", FAILED, 1))
     commands = run.step(VmReported("roster-ikeja-2", FAILED, 1))
-    ((vm, _),) = moves(commands)
+    ((vm, _),) = list_moves(commands)
     assert run.view.fleet.vms[vm].zone != "ikeja" or "ikeja" in vm
 
 
-def borrow(run, peak_s):
+def run_peak(run, peak_s):
     """Runs a peak of roster; returns the commands of each second."""
     run.view.fleet.services["crusade"].guaranteed = 0
     run.view.fleet.services["roster"].guaranteed = 0
     run.view.reserve_basis = None
-    seconds = []
+    commands_by_second = []
     for _ in range(peak_s):
-        demand(run, 60)
-        seconds.append(run.tick(1_000))
-    return seconds
+        report_demand(run, 60)
+        commands_by_second.append(run.tick(1_000))
+    return commands_by_second
 
 
 def test_peak_shorter_than_its_price_moves_nothing(make_run):
     """Guards against oscillation under rotating demand."""
     run = make_run(weight_rollout=1.0, move_price_s=10.0)
-    assert not any(moves(commands) for commands in borrow(run, 9))
+    assert not any(list_moves(commands) for commands in run_peak(run, 9))
 
 
 def test_peak_longer_than_its_price_borrows_once(make_run):
     """Guards against a pool that waits through a long peak."""
     run = make_run(weight_rollout=1.0, move_price_s=10.0)
-    moved = [moves(commands) for commands in borrow(run, 30)]
+    moved = [list_moves(commands) for commands in run_peak(run, 30)]
     # Requests that are not confirmed are repeated with the same VMs.
     assert len({each for second in moved for each in second}) == 2
     first = next(i for i, each in enumerate(moved) if each)
@@ -151,7 +151,7 @@
 def test_higher_weight_of_rollout_time_borrows_sooner(make_run):
     """Guards against weights that change nothing."""
     run = make_run(weight_rollout=5.0, move_price_s=10.0)
-    moved = [moves(commands) for commands in borrow(run, 10)]
+    moved = [list_moves(commands) for commands in run_peak(run, 10)]
     assert any(moved)
 
 
@@ -167,16 +167,16 @@
 
 def test_rest_of_a_peak_is_learned(peaks):
     """Guards against a move that arrives when the peak is over."""
-    assert peaks.expected_left_ms("roster", 200_000) is None
+    assert peaks.expected_remaining_ms("roster", 200_000) is None
     peaks.update("roster", True, 200_000)
-    assert peaks.expected_left_ms("roster", 205_000) == 15_000
-    assert peaks.expected_left_ms("roster", 230_000) is None
+    assert peaks.expected_remaining_ms("roster", 205_000) == 15_000
+    assert peaks.expected_remaining_ms("roster", 230_000) is None
 
 
 def test_new_pool_is_judged_by_the_peaks_of_others(peaks):
     """Guards against learning the same rotation once for each pool."""
     peaks.update("crusade", True, 200_000)
-    assert peaks.expected_left_ms("crusade", 201_000) == 19_000
+    assert peaks.expected_remaining_ms("crusade", 201_000) == 19_000
 
 
 def test_single_peak_of_another_pool_proves_nothing():
@@ -185,13 +185,13 @@
     records.update("roster", True, 0)
     records.update("roster", False, 20_000)
     records.update("crusade", True, 30_000)
-    assert records.expected_left_ms("crusade", 31_000) is None
+    assert records.expected_remaining_ms("crusade", 31_000) is None
 
 
 def test_hold_delays_the_return(make_run):
     """Guards against VMs that move back and forth."""
     run = make_run(weight_rollout=100.0, weight_buffer=100.0)
-    for commands in borrow(run, 5):
+    for commands in run_peak(run, 5):
         for command in commands:
             if command.kind == "request_grant":
                 run.step(CommandConfirmed(command.command_id))
@@ -203,8 +203,8 @@
         del run.view.operations[operation.vm]
     returned_after_s = None
     for second in range(60):
-        demand(run, 0)
-        if moves(run.tick(1_000)):
+        report_demand(run, 0)
+        if list_moves(run.tick(1_000)):
             returned_after_s = second
             break
     hold_s = run.view.settings.borrow_hold_ms / 1000
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -30,21 +30,21 @@
     return JobSubmitted(name, declared=Size(cores, memory_mb), **values)
 
 
-def starts(commands):
+def list_starts(commands):
     """Returns the start commands."""
     return [c for c in commands if c.kind == "start_task"]
 
 
 def submit(run, *jobs):
     """Submits jobs; returns their start commands."""
-    found = []
+    started = []
     for job in jobs:
-        found.extend(starts(run.step(job)))
-    found.extend(starts(run.tick()))
-    for command in found:
+        started.extend(list_starts(run.step(job)))
+    started.extend(list_starts(run.tick()))
+    for command in started:
         run.step(CommandConfirmed(command.command_id))
         report(run, command, "running")
-    return found
+    return started
 
 
 def report(run, start, state):
@@ -64,7 +64,7 @@
     """Guards against a late failure that ends the next attempt."""
     run = make_run()
     (first,) = submit(run, make_job("a"))
-    (second,) = starts(report(run, first, "stopped"))
+    (second,) = list_starts(report(run, first, "stopped"))
     assert second.attempt == 2
     assert run.step(TaskReported("a", first.vm, 1, "finished")) == []
     assert "a" in run.view.jobs.jobs
@@ -75,8 +75,8 @@
     run = make_run(task_lease_ms=10_000)
     (start,) = submit(run, make_job("a"))
     run.step(VmReported(start.vm, "failed", 1))
-    assert starts(run.tick(5_000)) == []
-    (again,) = starts(run.tick(6_000))
+    assert list_starts(run.tick(5_000)) == []
+    (again,) = list_starts(run.tick(6_000))
     assert (again.job, again.attempt) == ("a", 2)
     assert again.vm != start.vm
 
@@ -86,7 +86,7 @@
     run = make_run(task_lease_ms=10_000)
     (start,) = submit(run, make_job("a"))
     for _ in range(30):
-        assert starts(run.tick(1_000)) == []
+        assert list_starts(run.tick(1_000)) == []
     assert run.view.jobs.jobs["a"].attempt == start.attempt
 
 
@@ -96,7 +96,7 @@
     assert submit(run, make_job("a", may_run=True)) == []
     run.step(TaskReported("a", "roster-lekki-1", 4, "running"))
     for _ in range(8):
-        assert starts(run.tick(5_000)) == []
+        assert list_starts(run.tick(5_000)) == []
     job = run.view.jobs.jobs["a"]
     assert (job.vm, job.attempt) == ("roster-lekki-1", 4)
 
@@ -111,8 +111,8 @@
     run.step(TaskReported("b", "roster-lekki-1", 1, "finished"))
     clock.advance(100_000)
     run.lead(term=3)
-    assert starts(run.tick()) == []
-    assert starts(run.tick(10_000)) == []
+    assert list_starts(run.tick()) == []
+    assert list_starts(run.tick(10_000)) == []
     assert run.view.jobs.jobs["a"].vm == "roster-lekki-1"
     assert "b" not in run.view.jobs.jobs
 
@@ -123,16 +123,16 @@
     run.step(LeadershipChanged(2, 0))
     run.step(make_job("a"))
     run.lead(term=3)
-    assert starts(run.tick()) == []
-    assert len(starts(run.tick(6_000))) == 1
+    assert list_starts(run.tick()) == []
+    assert len(list_starts(run.tick(6_000))) == 1
 
 
 def test_refused_start_is_tried_again_at_once(make_run):
     """Guards against a job that waits a whole lease for nothing."""
     run = make_run()
-    (start,) = starts(run.step(make_job("a")))
+    (start,) = list_starts(run.step(make_job("a")))
     run.step(CommandRefused(start.command_id, "VM is draining"))
-    (again,) = starts(run.tick(1_000))
+    (again,) = list_starts(run.tick(1_000))
     assert again.attempt == 2
 
 
@@ -161,8 +161,8 @@
     """Guards against a job that is forgotten after a change of leader."""
     run = make_run(task_lease_ms=10_000)
     assert submit(run, make_job("a", may_run=True)) == []
-    assert starts(run.tick(9_000)) == []
-    assert len(starts(run.tick(2_000))) == 1
+    assert list_starts(run.tick(9_000)) == []
+    assert len(list_starts(run.tick(2_000))) == 1
 
 
 def test_quota_limits_a_team(make_run):
@@ -193,7 +193,7 @@
     for vm in planned_fleet.vms.values():
         vm.size = Size(64, 65_536)
     run.view.jobs.requeue_unrunnable(planned_fleet)
-    assert [c.job for c in starts(run.tick())] == ["a"]
+    assert [c.job for c in list_starts(run.tick())] == ["a"]
 
 
 def test_old_large_job_is_no_longer_overtaken(make_run):
@@ -208,24 +208,24 @@
     assert submit(run, make_job("late", cores=4)) == []
 
 
-def fail_on(run, vm_name, count):
+def fail_jobs_on(run, vm_name, count):
     """Lets jobs fail on one worker and finish on the others."""
     for number in range(count):
         name = f"{vm_name}-{run.clock.now()}-{number}"
         (start,) = submit(run, make_job(name))
         job = run.view.jobs.jobs[name]
-        bad = TaskReported(name, start.vm, start.attempt, "failed")
+        failure = TaskReported(name, start.vm, start.attempt, "failed")
         if start.vm != vm_name:
             # Moves the attempt to the worker under test.
             size = job.size
             run.view.jobs.unbind(job)
             run.view.jobs.bind(job, vm_name, size, run.clock.now())
-            bad = TaskReported(name, vm_name, job.attempt, "failed")
-        run.step(bad)
+            failure = TaskReported(name, vm_name, job.attempt, "failed")
+        run.step(failure)
         run.clock.advance(100)
 
 
-def let_finish(run, vm_name):
+def record_finished_task(run, vm_name):
     """Records a success of a worker."""
     run.view.faults.record_success(vm_name, run.clock.now())
 
@@ -235,7 +235,7 @@
     run = make_run()
     names = [vm.name for vm in run.view.fleet.members("roster")]
     for name in names[2:]:
-        let_finish(run, name)
+        record_finished_task(run, name)
     for name in names[:2]:
         for number in range(5):
             job = f"job-{number}"
@@ -259,24 +259,24 @@
 def test_failures_of_a_bad_worker_do_not_count_against_jobs(make_run):
     """Guards against jobs that are condemned by one faulty worker."""
     run = make_run()
-    bad, *others = [vm.name for vm in run.view.fleet.members("roster")]
+    faulty, *others = [vm.name for vm in run.view.fleet.members("roster")]
     for name in others:
-        let_finish(run, name)
-    fail_on(run, bad, 3)
-    assert run.view.fleet.vms[bad].quarantined
+        record_finished_task(run, name)
+    fail_jobs_on(run, faulty, 3)
+    assert run.view.fleet.vms[faulty].quarantined
     assert all(not job.failed_on for job in run.view.jobs.jobs.values())
 
 
 def test_quarantine_ends(make_run):
     """Guards against a repaired worker that stays excluded."""
     run = make_run(quarantine_ms=5_000)
-    bad, *others = [vm.name for vm in run.view.fleet.members("roster")]
+    faulty, *others = [vm.name for vm in run.view.fleet.members("roster")]
     for name in others:
-        let_finish(run, name)
-    fail_on(run, bad, 3)
+        record_finished_task(run, name)
+    fail_jobs_on(run, faulty, 3)
     kinds = [command.kind for command in run.tick(6_000)]
     assert "release_worker" in kinds
-    assert not run.view.fleet.vms[bad].quarantined
+    assert not run.view.fleet.vms[faulty].quarantined
 
 
 def test_cancellation_is_one_command(make_run):
--- a/tests/test_planners.py
+++ b/tests/test_planners.py
@@ -18,7 +18,7 @@
 from wigeonport.views import DRAINED, DRAINING, FAILED, READY, Size
 
 
-def kinds(commands):
+def list_kinds(commands):
     """Returns the kinds of commands without reports to operators."""
     return [c.kind for c in commands if c.target != "operators"]
 
@@ -48,8 +48,8 @@
 def test_all_bad_settings_are_reported_together():
     """Guards against one finding at a time."""
     bad = {"move_price": 1, "wave_parallel": 0, "borrow_hold_ms": "1"}
-    found = read_plan_settings(bad, "plan").error
-    assert len(found.items) == 3
+    findings = read_plan_settings(bad, "plan").error
+    assert len(findings.items) == 3
 
 
 def test_repeated_and_older_reports_change_nothing(make_run):
@@ -95,7 +95,7 @@
     repeats = [c for c in run.tick(2_000) if c.kind == "drain_vm"]
     assert [c.command_id for c in repeats] == [drain.command_id]
     run.step(CommandConfirmed(drain.command_id))
-    assert "drain_vm" not in kinds(run.tick(2_000))
+    assert "drain_vm" not in list_kinds(run.tick(2_000))
 
 
 def test_drain_that_takes_too_long_is_given_up(make_run):
@@ -104,16 +104,16 @@
     start_drain(run, "roster-ikeja-1")
     report(run, "roster-ikeja-1", DRAINING)
     commands = run.tick(6_000)
-    assert {"undrain_vm", "release_grant"} <= set(kinds(commands))
-    assert "reboot_vm" not in kinds(run.tick(1_000))
+    assert {"undrain_vm", "release_grant"} <= set(list_kinds(commands))
+    assert "reboot_vm" not in list_kinds(run.tick(1_000))
 
 
 def test_reboot_follows_only_a_confirmed_drain(make_run):
     """Guards against a planned stop that drops running work."""
     run = make_run()
     start_drain(run, "roster-ikeja-1")
-    assert kinds(run.tick(1_000)) == []
-    assert kinds(report(run, "roster-ikeja-1", DRAINED)) == ["reboot_vm"]
+    assert list_kinds(run.tick(1_000)) == []
+    assert list_kinds(report(run, "roster-ikeja-1", DRAINED)) == ["reboot_vm"]
 
 
 def test_expired_grant_returns_the_vm(make_run):
@@ -123,8 +123,8 @@
     renewals = [c for c in run.tick(7_000) if c.kind == "request_grant"]
     assert len(renewals) == 1
     commands = run.tick(4_000)
-    assert "undrain_vm" in kinds(commands)
-    assert "reboot_vm" not in kinds(
+    assert "undrain_vm" in list_kinds(commands)
+    assert "reboot_vm" not in list_kinds(
         report(run, "roster-ikeja-1", DRAINED) + run.tick(1_000)
     )
 
@@ -133,8 +133,8 @@
     """Guards against capacity that no one gives back."""
     run = make_run()
     commands = report(run, "roster-ikeja-1", DRAINED)
-    assert kinds(commands) == ["undrain_vm"]
-    assert kinds(run.tick(500)) == []
+    assert list_kinds(commands) == ["undrain_vm"]
+    assert list_kinds(run.tick(500)) == []
 
 
 def test_failed_vm_ends_its_operation(make_run):
@@ -151,9 +151,9 @@
     run = make_run()
     run.step(MaintenanceSteered("pause"))
     run.step(MaintenanceSteered("request", "roster-ikeja-1"))
-    assert "request_grant" not in kinds(run.tick(600_000))
+    assert "request_grant" not in list_kinds(run.tick(600_000))
     run.step(MaintenanceSteered("resume"))
-    assert "request_grant" in kinds(run.tick(1_000))
+    assert "request_grant" in list_kinds(run.tick(1_000))
 
 
 def test_pause_takes_back_a_drain(make_run):
@@ -162,7 +162,7 @@
     start_drain(run, "roster-ikeja-1")
     report(run, "crusade-lekki-1", FAILED)
     commands = report(run, "crusade-lekki-2", FAILED)
-    assert {"undrain_vm", "release_grant"} <= set(kinds(commands))
+    assert {"undrain_vm", "release_grant"} <= set(list_kinds(commands))
 
 
 def test_unknown_zone_blocks_grants(make_run, clock):
@@ -217,14 +217,14 @@
 def test_fence_admits_each_command_once_and_no_old_term():
     """Guards against a second effect and against a deposed leader."""
     fence = TermFence()
-    verdicts = [
+    answers = [
         fence.admit(2, "2-1"),
         fence.admit(2, "2-1"),
         fence.admit(1, "1-9"),
         fence.admit(3, "3-1"),
         fence.admit(2, "2-2"),
     ]
-    assert verdicts == [
+    assert answers == [
         "accepted",
         "repeated",
         "stale term",
--- a/tests/test_trace_outcomes.py
+++ b/tests/test_trace_outcomes.py
@@ -72,12 +72,12 @@
         ),
         (
             "never_jobs",
-            "wigeonport.job_events.find_fault",
+            "wigeonport.job_events.find_failure_cause",
             lambda view, job: "",
         ),
         (
             "never_jobs",
-            "wigeonport.placements.find_never_reason",
+            "wigeonport.placements.find_unrunnable_reason",
             lambda view, pool, size: "",
         ),
         (
@@ -87,7 +87,7 @@
         ),
         (
             "cancellation_wave",
-            "wigeonport.jobs.cancel_running",
+            "wigeonport.jobs.send_cancellations",
             lambda view: [],
         ),
     ],
--- a/wigeonport/availabilities.py
+++ b/wigeonport/availabilities.py
@@ -28,16 +28,16 @@
 
 def available_vms(view, pool_name, now_ms):
     """Returns the available VMs of a pool; the list must not be changed."""
-    known = view.available
-    if known is not None and pool_name in known:
-        return known[pool_name]
+    cache = view.available
+    if cache is not None and pool_name in cache:
+        return cache[pool_name]
     vms = [
         vm
         for vm in view.fleet.members(pool_name)
         if is_available(view, vm, now_ms)
     ]
-    if known is not None:
-        known[pool_name] = vms
+    if cache is not None:
+        cache[pool_name] = vms
     return vms
 
 
--- a/wigeonport/borrow_policies.py
+++ b/wigeonport/borrow_policies.py
@@ -6,7 +6,7 @@
     count_incoming,
     needed_vms,
 )
-from wigeonport.borrowings import LoanRequests, Supply
+from wigeonport.borrowings import LoanRequests, SpareSupply
 from wigeonport.level_scores import move_price, update_scores
 from wigeonport.plan_registries import borrow_policies
 
@@ -16,42 +16,42 @@
 
     Attributes:
         pool: PoolView.
-        own: Available VMs that are not borrowed.
-        have: Available VMs and those on their way.
-        need: VMs needed for guarantee and demand.
+        own_count: Available VMs that are not borrowed.
+        capacity: Available VMs and those on their way.
+        needed: VMs needed for guarantee and demand.
         scores: Score by level of capacity.
         idle: Borrowed VMs beyond the need.
     """
 
-    __slots__ = ("pool", "own", "have", "need", "scores", "idle")
+    __slots__ = ("pool", "own_count", "capacity", "needed", "scores", "idle")
 
     def __init__(self, view, pool, now_ms):
         self.pool = pool
         available = available_vms(view, pool.name, now_ms)
         borrowed = [vm for vm in available if vm.borrowed]
-        self.own = len(available) - len(borrowed)
-        self.have = len(available) + count_incoming(view, pool.name)
-        self.need = needed_vms(view, pool, now_ms)
+        self.own_count = len(available) - len(borrowed)
+        self.capacity = len(available) + count_incoming(view, pool.name)
+        self.needed = needed_vms(view, pool, now_ms)
         self.scores = view.borrow_scores.setdefault(pool.name, {})
-        self.idle = borrowed[: max(len(available) - self.need, 0)]
+        self.idle = borrowed[: max(len(available) - self.needed, 0)]
 
 
 def find_needs(view, now_ms):
     """Updates the scores and returns the PoolNeed of each pool."""
     elapsed_s = (now_ms - (view.scored_ms or now_ms)) / 1000
-    limit = len(Supply(view, now_ms, 0).vms)
+    max_borrowed = len(SpareSupply(view, now_ms, 0).vms)
     needs = [
         PoolNeed(view, pool, now_ms)
         for pool in view.fleet.pools.values()
         if not pool.spare and pool.services
     ]
-    for each in needs:
+    for pool_need in needs:
         update_scores(
             view.settings,
-            each.scores,
-            each.have,
-            each.need,
-            limit,
+            pool_need.scores,
+            pool_need.capacity,
+            pool_need.needed,
+            max_borrowed,
             elapsed_s,
         )
     return needs
@@ -61,33 +61,35 @@
 def break_even(view, now_ms):
     """Moves a VM once its absence has cost as much as the move."""
     requests = LoanRequests()
-    for each in find_needs(view, now_ms):
-        want_by_score(view, each, requests)
-        return_by_score(view, each, now_ms, requests)
+    for pool_need in find_needs(view, now_ms):
+        want_by_score(view, pool_need, requests)
+        return_by_score(view, pool_need, now_ms, requests)
     return requests
 
 
-def want_by_score(view, each, requests):
+def want_by_score(view, pool_need, requests):
     """Wants the levels whose score is at the upper bound."""
     price = move_price(view.settings)
     wanted = 0
-    while each.scores.get(each.have + wanted + 1, -price) >= price:
+    while (
+        pool_need.scores.get(pool_need.capacity + wanted + 1, -price) >= price
+    ):
         wanted += 1
     if wanted:
-        requests.wants[each.pool.name] = wanted
+        requests.wants[pool_need.pool.name] = wanted
 
 
-def return_by_score(view, each, now_ms, requests):
+def return_by_score(view, pool_need, now_ms, requests):
     """Returns idle VMs whose hold has passed, at the lower bound."""
     price = move_price(view.settings)
-    have = each.have
+    capacity = pool_need.capacity
     hold_ms = view.settings.borrow_hold_ms
-    for vm in each.idle:
-        if each.scores.get(have, -price) > -price:
+    for vm in pool_need.idle:
+        if pool_need.scores.get(capacity, -price) > -price:
             return
         if now_ms - (vm.moved_ms or 0) >= hold_ms:
             requests.returns.append(vm)
-            have -= 1
+            capacity -= 1
 
 
 @borrow_policies.register("learned_peaks")
@@ -101,41 +103,43 @@
     """
     requests = LoanRequests()
     needs = find_needs(view, now_ms)
-    for each in needs:
-        peaks = each.need > each.own
-        view.peaks.update(each.pool.name, peaks, now_ms)
-    for each in needs:
-        left_ms = view.peaks.expected_left_ms(each.pool.name, now_ms)
-        if left_ms is None:
-            want_by_score(view, each, requests)
-        elif each.need > each.have:
-            want_by_gain(view, each, left_ms, requests)
-        return_by_score(view, each, now_ms, requests)
+    for pool_need in needs:
+        in_peak = pool_need.needed > pool_need.own_count
+        view.peaks.update(pool_need.pool.name, in_peak, now_ms)
+    for pool_need in needs:
+        remaining_ms = view.peaks.expected_remaining_ms(
+            pool_need.pool.name, now_ms
+        )
+        if remaining_ms is None:
+            want_by_score(view, pool_need, requests)
+        elif pool_need.needed > pool_need.capacity:
+            want_by_gain(view, pool_need, remaining_ms, requests)
+        return_by_score(view, pool_need, now_ms, requests)
         requests.idle.extend(
-            vm for vm in each.idle if vm not in requests.returns
+            vm for vm in pool_need.idle if vm not in requests.returns
         )
     return requests
 
 
-def want_by_gain(view, each, left_ms, requests):
+def want_by_gain(view, pool_need, remaining_ms, requests):
     """Wants the missing VMs if the rest of the peak pays their moves.
 
     A VM of the spare pool is moved twice, there and back; one that is idle
     in another pool only once.
     """
     settings = view.settings
-    served_ms = max(left_ms - settings.move_lead_ms, 0)
+    served_ms = max(remaining_ms - settings.move_lead_ms, 0)
     gain = settings.weight_rollout * served_ms / 1000
     price = move_price(settings)
     if gain <= price:
         return
-    name = each.pool.name
-    requests.wants[name] = each.need - each.have
+    name = pool_need.pool.name
+    requests.wants[name] = pool_need.needed - pool_need.capacity
     if gain <= 2 * price:
         requests.only_transfers.add(name)
-    for level in range(each.have + 1, each.need + 1):
+    for level in range(pool_need.capacity + 1, pool_need.needed + 1):
         # The hold then applies to what is moved now.
-        each.scores[level] = price
+        pool_need.scores[level] = price
 
 
 @borrow_policies.register("follow_demand")
@@ -145,8 +149,8 @@
     for pool in view.fleet.pools.values():
         if pool.spare or not pool.services:
             continue
-        have = count_available(view, pool.name, now_ms)
-        surplus = have + count_incoming(view, pool.name)
+        available = count_available(view, pool.name, now_ms)
+        surplus = available + count_incoming(view, pool.name)
         surplus -= needed_vms(view, pool, now_ms)
         borrowed = [
             vm for vm in available_vms(view, pool.name, now_ms) if vm.borrowed
--- a/wigeonport/borrowings.py
+++ b/wigeonport/borrowings.py
@@ -40,19 +40,19 @@
         return None
 
 
-class Supply:
+class SpareSupply:
     """Spare VMs that may be lent in one plan.
 
     Attributes:
         vms: Available spare VMs beyond the guarantee, by name.
-        kept: Number of them that must not be lent.
+        reserved_count: Number of them that must not be lent.
     """
 
-    __slots__ = ("vms", "kept")
+    __slots__ = ("vms", "reserved_count")
 
-    def __init__(self, view, now_ms, kept):
+    def __init__(self, view, now_ms, reserved_count):
         self.vms = {}
-        self.kept = kept
+        self.reserved_count = reserved_count
         for pool in view.fleet.spare_pools():
             vms = available_vms(view, pool.name, now_ms)
             for vm in vms[: max(len(vms) - pool.required(), 0)]:
@@ -60,7 +60,7 @@
 
     def count(self):
         """Returns the number of VMs that may be lent."""
-        return max(len(self.vms) - self.kept, 0)
+        return max(len(self.vms) - self.reserved_count, 0)
 
     def take(self, view, pool_name):
         """Returns the VM that spreads the pool best, or None.
@@ -71,7 +71,7 @@
         if self.count() == 0:
             return None
         members = view.fleet.members(pool_name)
-        chosen = min(
+        best = min(
             self.vms.values(),
             key=lambda vm: (
                 sum(member.zone == vm.zone for member in members),
@@ -81,7 +81,7 @@
                 vm.name,
             ),
         )
-        return self.vms.pop(chosen.name)
+        return self.vms.pop(best.name)
 
 
 @stages.register("borrowings")
@@ -105,7 +105,7 @@
         missing = pool.guaranteed() - expected_vms(view, pool, now_ms)
         if pool.spare or missing <= 0:
             continue
-        supply = supply or Supply(view, now_ms, kept=0)
+        supply = supply or SpareSupply(view, now_ms, reserved_count=0)
         for _ in range(missing):
             vm = supply.take(view, pool.name)
             if vm is None:
@@ -146,8 +146,8 @@
 def start_moves(view, requests, now_ms):
     """Starts the moves; a VM that is idle elsewhere goes straight there."""
     commands = []
-    kept = view.reserve.needed if view.reserve else 0
-    supply = Supply(view, now_ms, kept)
+    reserved_count = view.reserve.needed if view.reserve else 0
+    supply = SpareSupply(view, now_ms, reserved_count)
     by_want = sorted(requests.wants.items(), key=lambda item: (-item[1], item))
     for pool_name, wanted in by_want:
         for _ in range(wanted):
--- a/wigeonport/estimates.py
+++ b/wigeonport/estimates.py
@@ -6,7 +6,7 @@
 SIZE_QUANTILE = 0.9
 SPREAD_QUANTILES = (0.1, 0.9)
 # Smallest divisor, for declarations of zero.
-LEAST_DECLARED = 0.001
+MIN_DECLARED = 0.001
 
 
 class Samples:
@@ -28,7 +28,7 @@
     def add(self, value, declared):
         """Adds a sample and drops the oldest beyond the bound."""
         self.values.append(value)
-        self.ratios.append(value / max(declared, LEAST_DECLARED))
+        self.ratios.append(value / max(declared, MIN_DECLARED))
         del self.values[: -self.bound]
         del self.ratios[: -self.bound]
 
@@ -38,7 +38,7 @@
         Declarations may be off by a constant factor or unrelated to the
         use. Of ratio and value the one that varies less is used.
         """
-        if spread(self.ratios) < spread(self.values):
+        if relative_spread(self.ratios) < relative_spread(self.values):
             return declared * find_quantile(self.ratios, quantile)
         return find_quantile(self.values, quantile)
 
@@ -49,10 +49,12 @@
     return ordered[min(int(quantile * len(ordered)), len(ordered) - 1)]
 
 
-def spread(values):
+def relative_spread(values):
     """Returns the ratio of a high to a low quantile."""
-    low, high = (find_quantile(values, each) for each in SPREAD_QUANTILES)
-    return high / max(low, LEAST_DECLARED)
+    low, high = (
+        find_quantile(values, quantile) for quantile in SPREAD_QUANTILES
+    )
+    return high / max(low, MIN_DECLARED)
 
 
 class History:
--- a/wigeonport/fleet_events.py
+++ b/wigeonport/fleet_events.py
@@ -25,7 +25,7 @@
     apply_fleet_settings(view)
     for name, vm in event.fleet.vms.items():
         if name in old.vms:
-            keep_reported(old.vms[name], vm)
+            copy_reported_state(old.vms[name], vm)
     event.fleet.missing.update(old.missing)
     event.fleet.heard_ms.update(
         (zone, heard_ms)
@@ -44,16 +44,16 @@
     changed = set()
     for name, pool in new.pools.items():
         before = old.pools.get(name)
-        if before is None or not same_pool(before, pool):
+        if before is None or not has_same_needs(before, pool):
             changed.add(name)
     for name, vm in new.vms.items():
         before = old.vms.get(name)
-        if before is None or not same_assignment(before, vm):
+        if before is None or not has_same_assignment(before, vm):
             changed.add(vm.pool)
     return changed
 
 
-def same_pool(old, new):
+def has_same_needs(old, new):
     """Returns whether a pool has the same use and the same needs."""
     return (old.spare, old.floor, old.guaranteed()) == (
         new.spare,
@@ -62,7 +62,7 @@
     )
 
 
-def same_assignment(old, new):
+def has_same_assignment(old, new):
     """Returns whether a VM is and belongs where it did."""
     return (old.pool, old.home_pool, old.lender) == (
         new.pool,
@@ -82,7 +82,7 @@
         view.settings.maintenance_period_ms = view.fleet.period_ms
 
 
-def keep_reported(old, new):
+def copy_reported_state(old, new):
     """Copies what the platform reported from the old view of a VM."""
     new.state = old.state
     new.sequence = old.sequence
@@ -93,11 +93,14 @@
     new.missing = old.missing
     new.quarantined = old.quarantined
     new.moved_ms = old.moved_ms
-    known_ms, told_ms = old.maintained_ms or 0, new.maintained_ms or 0
-    if told_ms < known_ms:
+    old_maintained_ms, new_maintained_ms = (
+        old.maintained_ms or 0,
+        new.maintained_ms or 0,
+    )
+    if new_maintained_ms < old_maintained_ms:
         # The end of this maintenance is still on its way to the log.
         new.maintained_ms, new.due_ms = old.maintained_ms, old.due_ms
-    elif told_ms == known_ms:
+    elif new_maintained_ms == old_maintained_ms:
         # Keeps what an operator has requested meanwhile.
         new.due_ms = min(old.due_ms, new.due_ms)
 
@@ -109,11 +112,11 @@
     if vm is None or event.sequence <= vm.sequence:
         return ()
     vm.sequence = event.sequence
-    was, vm.state = vm.state, event.state
-    if event.state == FAILED and was != FAILED:
+    old_state, vm.state = vm.state, event.state
+    if event.state == FAILED and old_state != FAILED:
         view.wave.record_failure(now_ms)
         view.jobs.mark_tasks_lost(vm.name)
-    if event.state == READY and was in (FAILED, REBOOTING):
+    if event.state == READY and old_state in (FAILED, REBOOTING):
         vm.unsettled_until_ms = now_ms + view.settings.healthy_hold_ms
     return (vm.pool,)
 
@@ -130,13 +133,13 @@
     missing = frozenset(event.missing)
     changed = missing ^ view.fleet.missing.get(event.zone, frozenset())
     view.fleet.missing[event.zone] = missing
-    touched = set()
+    changed_pools = set()
     for name in changed:
         vm = view.fleet.vms.get(name)
         if vm is not None and vm.zone == event.zone:
             change_missing(view, vm, name in missing, now_ms)
-            touched.add(vm.pool)
-    return sorted(touched)
+            changed_pools.add(vm.pool)
+    return sorted(changed_pools)
 
 
 def change_missing(view, vm, missing, now_ms):
--- a/wigeonport/forecasts.py
+++ b/wigeonport/forecasts.py
@@ -29,10 +29,10 @@
     def add(self, level, measured_ms, window_ms):
         """Applies a newer measurement."""
         elapsed_ms = measured_ms - self.measured_ms
-        share = 1 - math.exp(-elapsed_ms / window_ms)
+        weight = 1 - math.exp(-elapsed_ms / window_ms)
         # The earlier level held from its measurement until this one.
-        self.mean += (self.level - self.mean) * share
-        self.peak += (self.mean - self.peak) * share
+        self.mean += (self.level - self.mean) * weight
+        self.peak += (self.mean - self.peak) * weight
         self.peak = max(self.peak, level)
         self.slope = (level - self.level) / elapsed_ms
         self.level = level
--- a/wigeonport/job_events.py
+++ b/wigeonport/job_events.py
@@ -27,7 +27,7 @@
 from wigeonport.registries import Registry
 
 RETRY_BASE_MS = 1_000
-RETRY_LONGEST_MS = 60_000
+RETRY_MAX_MS = 60_000
 
 task_reports = Registry("task report")
 
@@ -38,7 +38,7 @@
     job = view.jobs.add(event, now_ms)
     if job is None:
         return ()
-    reason = find_unknown(view, event)
+    reason = find_unknown_name(view, event)
     if reason:
         view.jobs.finish(job, UNRUNNABLE, reason)
         view.jobs.unreported_unrunnable.append(job)
@@ -48,7 +48,7 @@
     return (event.pool,) if event.urgent or not others_wait else ()
 
 
-def find_unknown(view, submitted):
+def find_unknown_name(view, submitted):
     """Returns which name of a submission the fleet does not know, or ""."""
     if submitted.pool not in view.fleet.pools:
         return f"there is no pool {submitted.pool}"
@@ -94,14 +94,14 @@
     if job is None:
         return ()
     if event.attempt > job.attempt:
-        follow_attempt(view, job, event, now_ms)
+        adopt_attempt(view, job, event, now_ms)
     if (job.vm, job.attempt) != (event.vm, event.attempt):
         return ()
     task_reports.entries[event.state](view, job, now_ms)
     return (job.submitted.pool,)
 
 
-def follow_attempt(view, job, event, now_ms):
+def adopt_attempt(view, job, event, now_ms):
     """Records an attempt that another leader has started.
 
     Followers keep the reports too, so that a new leader knows the tasks.
@@ -115,7 +115,7 @@
 
 
 @task_reports.register(TASK_RUNNING)
-def note_running(view, job, now_ms):
+def handle_task_running(view, job, now_ms):
     """Records the start of a task."""
     if job.state == STARTING:
         job.state = RUNNING
@@ -123,7 +123,7 @@
 
 
 @task_reports.register(TASK_FINISHED)
-def note_finished(view, job, now_ms):
+def handle_task_finished(view, job, now_ms):
     """Ends a job that has run to its end."""
     view.faults.record_success(job.vm, now_ms)
     learn_run(view.jobs, job, now_ms - job.started_ms)
@@ -131,7 +131,7 @@
 
 
 @task_reports.register(TASK_FAILED)
-def note_failed(view, job, now_ms):
+def handle_task_failed(view, job, now_ms):
     """Retries a failed job elsewhere, or finds that it can never run."""
     view.faults.record_failure(job.vm, job.name, now_ms)
     if job.state == CANCELLING:
@@ -139,33 +139,33 @@
         return
     job.failed_on[job.vm] = None
     view.jobs.unbind(job)
-    reason = find_fault(view, job)
+    reason = find_failure_cause(view, job)
     if reason:
         view.jobs.finish(job, UNRUNNABLE, reason)
         view.jobs.unreported_unrunnable.append(job)
         return
     delay_ms = RETRY_BASE_MS * 2 ** (len(job.failed_on) - 1)
-    job.retry_ms = now_ms + min(delay_ms, RETRY_LONGEST_MS)
+    job.retry_ms = now_ms + min(delay_ms, RETRY_MAX_MS)
     view.jobs.enqueue(job)
 
 
-def find_fault(view, job):
+def find_failure_cause(view, job):
     """Returns why the failures of a job are its own, or "".
 
     Only failures on workers that finish other jobs speak against it.
     """
-    trusted = sum(view.faults.finishes_tasks(vm) for vm in job.failed_on)
-    if trusted >= view.settings.job_failed_workers:
-        return f"failed on {trusted} workers that finish other jobs"
+    proven_count = sum(view.faults.finishes_tasks(vm) for vm in job.failed_on)
+    if proven_count >= view.settings.job_failed_workers:
+        return f"failed on {proven_count} workers that finish other jobs"
     members = view.fleet.pools[job.submitted.pool].members
-    if trusted and job.failed_on.keys() >= members.keys():
+    if proven_count and job.failed_on.keys() >= members.keys():
         return "failed on every worker of its pool"
     return ""
 
 
 @task_reports.register(CHECKPOINTED)
 @task_reports.register(TASK_STOPPED)
-def note_ended(view, job, now_ms):
+def handle_task_stopped(view, job, now_ms):
     """Queues a job whose task gave way, or ends a cancelled one."""
     requeue(view, job)
 
@@ -180,7 +180,7 @@
 
 
 @task_reports.register(TASK_THROTTLED)
-def note_throttled(view, job, now_ms):
+def handle_task_throttled(view, job, now_ms):
     """Frees the processors of a throttled task."""
     apply_throttle(view, job)
 
--- a/wigeonport/jobs.py
+++ b/wigeonport/jobs.py
@@ -12,9 +12,9 @@
     ReportJob,
 )
 from wigeonport.plan_registries import stages
-from wigeonport.preemptions import advance_preemptions, restore_throttled
+from wigeonport.preemptions import advance_preemptions, unthrottle_tasks
 from wigeonport.views import FAILED
-from wigeonport.worker_faults import review_workers
+from wigeonport.worker_faults import update_quarantines
 
 RENEWALS_PER_LEASE = 6
 # A task that ends within this share of the drain bound is left to end.
@@ -24,16 +24,16 @@
 @stages.register("jobs")
 def plan(view, now_ms, random):
     """Reviews workers, ends, renews and starts tasks."""
-    commands = review_workers(view, now_ms)
+    commands = update_quarantines(view, now_ms)
     commands.extend(report_unrunnable(view))
-    commands.extend(cancel_running(view))
+    commands.extend(send_cancellations(view))
     expire_leases(view, now_ms)
-    keep_stuck_tasks(view, now_ms)
-    commands.extend(checkpoint_drained(view, now_ms))
+    resume_unyielded_tasks(view, now_ms)
+    commands.extend(checkpoint_draining(view, now_ms))
     commands.extend(advance_preemptions(view, now_ms))
     for pool in view.pools():
         commands.extend(place_waiting(view, pool, now_ms, random))
-    commands.extend(restore_throttled(view, now_ms))
+    commands.extend(unthrottle_tasks(view, now_ms))
     if view.is_full():
         commands.extend(renew_all_leases(view, now_ms))
     return commands
@@ -45,7 +45,7 @@
     return [ReportJob(job.name, job.state, job.reason) for job in jobs]
 
 
-def cancel_running(view):
+def send_cancellations(view):
     """Returns one command for all cancelled jobs that still run."""
     names, view.jobs.cancelled = view.jobs.cancelled, []
     running = tuple(name for name in names if name in view.jobs.jobs)
@@ -125,7 +125,7 @@
     return job.state in (RUNNING, ENDING)
 
 
-def checkpoint_drained(view, now_ms):
+def checkpoint_draining(view, now_ms):
     """Checkpoints tasks on draining workers that would outlast the drain."""
     commands = []
     for vm_name in view.operations:
@@ -136,7 +136,7 @@
     return commands
 
 
-def keep_stuck_tasks(view, now_ms):
+def resume_unyielded_tasks(view, now_ms):
     """Lets tasks go on that did not give way, once no one needs their room.
 
     Otherwise a task that ignores checkpoints would never be asked again.
@@ -157,7 +157,7 @@
     if job.state != RUNNING or not job.submitted.can_checkpoint:
         return False
     elapsed_ms = now_ms - job.started_ms
-    left_ms = estimate_run_ms(view.jobs, job) - elapsed_ms
+    remaining_ms = estimate_run_ms(view.jobs, job) - elapsed_ms
     bound_ms = view.settings.drain_bound_ms * DRAIN_WAIT_SHARE
     # A task that has outlasted its estimate may run for any time.
-    return left_ms > bound_ms or left_ms < 0
+    return remaining_ms > bound_ms or remaining_ms < 0
--- a/wigeonport/level_scores.py
+++ b/wigeonport/level_scores.py
@@ -14,14 +14,16 @@
     return settings.weight_moves * settings.move_price_s
 
 
-def update_scores(settings, scores, have, need, limit, elapsed_s):
+def update_scores(settings, scores, capacity, needed, max_borrowed, elapsed_s):
     """Raises the scores of needed levels and lowers those of idle ones."""
     price = move_price(settings)
     levels = set(scores)
-    levels.update(range(have + 1, min(need, have + limit) + 1))
+    levels.update(
+        range(capacity + 1, min(needed, capacity + max_borrowed) + 1)
+    )
     for level in levels:
         score = scores.get(level, -price)
-        if level <= need:
+        if level <= needed:
             score = min(score + settings.weight_rollout * elapsed_s, price)
         else:
             score -= settings.weight_buffer * elapsed_s
--- a/wigeonport/operation_answers.py
+++ b/wigeonport/operation_answers.py
@@ -24,10 +24,10 @@
     if operation.phase == GRANTING:
         operation.enter(STARTING, now_ms)
         if command.destination:
-            note_assignment(view, command)
+            record_assignment(view, command)
 
 
-def note_assignment(view, command):
+def record_assignment(view, command):
     """Records the pool that the log has assigned to a VM to be moved.
 
     A version that assigned the VM before was not written by the planner, so
--- a/wigeonport/operation_stages.py
+++ b/wigeonport/operation_stages.py
@@ -9,8 +9,8 @@
     RESTARTING,
     STARTING,
     Operation,
-    advance,
-    start_return,
+    advance_operation,
+    start_undrain,
 )
 from wigeonport.plan_registries import stages
 from wigeonport.views import DRAINED, DRAINING, PREPARING, REBOOTING
@@ -27,7 +27,7 @@
     """Advances the operations in scope."""
     commands = []
     for operation in operations_in_scope(view):
-        commands.extend(advance(view, operation, now_ms))
+        commands.extend(advance_operation(view, operation, now_ms))
     commands.extend(recover_orphans(view, now_ms))
     return commands
 
@@ -76,6 +76,6 @@
             orphaned = vm.state in (DRAINING, DRAINED, PREPARING)
             if orphaned and name not in view.operations:
                 commands.append(
-                    start_return(view, vm.name, ORPHAN_REASON, now_ms)
+                    start_undrain(view, vm.name, ORPHAN_REASON, now_ms)
                 )
     return commands
--- a/wigeonport/operations.py
+++ b/wigeonport/operations.py
@@ -81,7 +81,7 @@
         self.since_ms = now_ms
 
 
-def begin(view, operation):
+def add_operation(view, operation):
     """Records an operation; its VM is not available from now on."""
     view.operations[operation.vm] = operation
     view.forget_available(operation.vm)
@@ -90,7 +90,7 @@
 def start_maintenance(view, vm, now_ms):
     """Starts maintenance of a VM; returns the commands."""
     operation = Operation(vm.name, MAINTENANCE, GRANTING, now_ms)
-    begin(view, operation)
+    add_operation(view, operation)
     return [request_grant(view, operation, now_ms)]
 
 
@@ -99,7 +99,7 @@
     operation = Operation(
         vm.name, MOVE, GRANTING, now_ms, vm.pool, destination
     )
-    begin(view, operation)
+    add_operation(view, operation)
     return [request_grant(view, operation, now_ms)]
 
 
@@ -113,7 +113,7 @@
     )
 
 
-def end(view, operation, reason, healthy=True):
+def end_operation(view, operation, reason, healthy=True):
     """Ends an operation; returns the release of its lease if it has one."""
     view.operations.pop(operation.vm, None)
     view.forget_available(operation.vm)
@@ -127,29 +127,29 @@
     return [ReleaseGrant(operation.vm, healthy, reason)]
 
 
-def revoke(view, operation, reason, now_ms):
+def revoke_operation(view, operation, reason, now_ms):
     """Returns a VM to work that was not rebooted or moved yet."""
     drained = operation.phase == EMPTYING
-    commands = end(view, operation, reason)
+    commands = end_operation(view, operation, reason)
     if drained:
-        commands.insert(0, start_return(view, operation.vm, reason, now_ms))
+        commands.insert(0, start_undrain(view, operation.vm, reason, now_ms))
     return commands
 
 
-def start_return(view, vm_name, reason, now_ms):
+def start_undrain(view, vm_name, reason, now_ms):
     """Starts the return of a drained VM to work; returns the command."""
-    begin(view, Operation(vm_name, RECOVERY, RETURNING, now_ms))
+    add_operation(view, Operation(vm_name, RECOVERY, RETURNING, now_ms))
     return UndrainVm(vm_name, reason)
 
 
-def advance(view, operation, now_ms):
+def advance_operation(view, operation, now_ms):
     """Takes the next step of one operation, if its condition holds."""
     vm = view.fleet.vms[operation.vm]
     if vm.state == FAILED:
-        return end(view, operation, "the VM failed", healthy=False)
+        return end_operation(view, operation, "the VM failed", healthy=False)
     commands = renew_grant(view, operation, now_ms)
-    step = phases.entries[operation.phase]
-    commands.extend(step(view, operation, vm, now_ms))
+    phase_handler = phases.entries[operation.phase]
+    commands.extend(phase_handler(view, operation, vm, now_ms))
     return commands
 
 
@@ -172,7 +172,7 @@
     return [request_grant(view, operation, now_ms)]
 
 
-def grant_is_live(view, vm, now_ms):
+def is_grant_live(view, vm, now_ms):
     """Returns whether the lease on a VM has not expired."""
     grant = view.grants.get(vm.name)
     return grant is not None and now_ms < grant.until_ms
@@ -187,8 +187,8 @@
 @phases.register(STARTING)
 def start_drain(view, operation, vm, now_ms):
     """Drains a VM whose grant is live."""
-    if not grant_is_live(view, vm, now_ms):
-        return end(view, operation, "the grant expired")
+    if not is_grant_live(view, vm, now_ms):
+        return end_operation(view, operation, "the grant expired")
     operation.enter(EMPTYING, now_ms)
     return [DrainVm(vm.name, operation.kind)]
 
@@ -196,8 +196,8 @@
 @phases.register(EMPTYING)
 def await_drain(view, operation, vm, now_ms):
     """Waits for the drain; a drain that takes too long is given up."""
-    if not grant_is_live(view, vm, now_ms):
-        return revoke(view, operation, "the grant expired", now_ms)
+    if not is_grant_live(view, vm, now_ms):
+        return revoke_operation(view, operation, "the grant expired", now_ms)
     if vm.state == DRAINED:
         if operation.kind == MAINTENANCE:
             operation.enter(RESTARTING, now_ms)
@@ -206,7 +206,7 @@
         return [MoveVm(vm.name, operation.source, operation.destination)]
     if now_ms - operation.since_ms > view.settings.drain_bound_ms:
         reason = "the drain exceeded its bound"
-        return revoke(view, operation, reason, now_ms)
+        return revoke_operation(view, operation, reason, now_ms)
     return []
 
 
@@ -218,13 +218,13 @@
         vm.due_ms = now_ms + view.settings.maintenance_period_ms
         vm.unsettled_until_ms = now_ms + view.settings.healthy_hold_ms
         view.wave.completed += 1
-        return end(view, operation, "maintained")
+        return end_operation(view, operation, "maintained")
     if now_ms - operation.since_ms > view.settings.reboot_bound_ms:
         view.wave.pause(
             f"{vm.name} did not return from its reboot", by_operator=True
         )
         reason = "the reboot exceeded its bound"
-        return end(view, operation, reason, healthy=False)
+        return end_operation(view, operation, reason, healthy=False)
     return []
 
 
@@ -246,7 +246,7 @@
     """Waits until the VM is ready in its new pool."""
     overdue_ms = now_ms - operation.since_ms - view.settings.prepare_bound_ms
     if vm.state == READY or overdue_ms > 0:
-        return end(view, operation, "moved")
+        return end_operation(view, operation, "moved")
     return []
 
 
@@ -254,7 +254,7 @@
 def await_return(view, operation, vm, now_ms):
     """Waits until an orphaned VM is ready; asks again after the bound."""
     if vm.state == READY:
-        return end(view, operation, "returned")
+        return end_operation(view, operation, "returned")
     if now_ms - operation.since_ms > view.settings.prepare_bound_ms:
         operation.enter(RETURNING, now_ms)
         return [UndrainVm(vm.name, ORPHAN_REASON)]
--- a/wigeonport/operator_drains.py
+++ b/wigeonport/operator_drains.py
@@ -8,10 +8,10 @@
     HOLDING,
     OPERATOR_EMPTYING,
     OPERATOR_STARTING,
-    end,
-    grant_is_live,
+    end_operation,
+    is_grant_live,
     phases,
-    start_return,
+    start_undrain,
 )
 from wigeonport.plan_commands import ConfirmVmDrain, DrainVm
 from wigeonport.views import DRAINED
@@ -22,8 +22,8 @@
 @phases.register(OPERATOR_STARTING)
 def start_operator_drain(view, operation, vm, now_ms):
     """Drains the VM."""
-    if not grant_is_live(view, vm, now_ms):
-        return end(view, operation, ENDED_REASON)
+    if not is_grant_live(view, vm, now_ms):
+        return end_operation(view, operation, ENDED_REASON)
     operation.enter(OPERATOR_EMPTYING, now_ms)
     return [DrainVm(vm.name, operation.kind)]
 
@@ -31,8 +31,8 @@
 @phases.register(OPERATOR_EMPTYING)
 def await_operator_drain(view, operation, vm, now_ms):
     """Records the drain in the log; it has no bound but the lease."""
-    if not grant_is_live(view, vm, now_ms):
-        return give_back(view, operation, now_ms)
+    if not is_grant_live(view, vm, now_ms):
+        return end_operator_drain(view, operation, now_ms)
     if vm.state != DRAINED:
         return []
     operation.enter(HOLDING, now_ms)
@@ -42,13 +42,13 @@
 @phases.register(HOLDING)
 def hold_drained(view, operation, vm, now_ms):
     """Keeps the VM drained while the grant is live."""
-    if grant_is_live(view, vm, now_ms):
+    if is_grant_live(view, vm, now_ms):
         return []
-    return give_back(view, operation, now_ms)
+    return end_operator_drain(view, operation, now_ms)
 
 
-def give_back(view, operation, now_ms):
+def end_operator_drain(view, operation, now_ms):
     """Returns the VM to work."""
-    commands = end(view, operation, ENDED_REASON)
-    commands.append(start_return(view, operation.vm, ENDED_REASON, now_ms))
+    commands = end_operation(view, operation, ENDED_REASON)
+    commands.append(start_undrain(view, operation.vm, ENDED_REASON, now_ms))
     return commands
--- a/wigeonport/placements.py
+++ b/wigeonport/placements.py
@@ -12,14 +12,14 @@
 
 # Waiting jobs examined for one pool in one plan; bounds the planning time
 # when thousands of jobs wait.
-EXAMINED_JOBS = 500
+MAX_EXAMINED_JOBS = 500
 # A job that has waited this long for room is no longer overtaken.
-OVERTAKING_MS = 60_000
+MAX_OVERTAKEN_MS = 60_000
 # Urgent work may exceed its team's quota by this share.
 URGENT_EXTRA_SHARE = 0.25
 
 
-class Worker:
+class CandidateWorker:
     """A worker that may take tasks in this plan.
 
     Attributes:
@@ -66,7 +66,7 @@
         self.pool = pool
         self.now_ms = now_ms
         self.random = random
-        self.workers = list(find_workers(view, pool, now_ms))
+        self.workers = list(find_candidates(view, pool, now_ms))
         self.largest = find_largest(view, pool)
         self.blocked = []
         self.sizes = {}
@@ -77,14 +77,14 @@
         table = self.view.jobs
         urgent = table.urgent.get(self.pool.name, {})
         waiting = table.waiting.get(self.pool.name, {})
-        for name in list(islice(urgent, EXAMINED_JOBS)):
+        for name in list(islice(urgent, MAX_EXAMINED_JOBS)):
             self.place(table.jobs[name])
-        for name in list(islice(waiting, EXAMINED_JOBS)):
+        for name in list(islice(waiting, MAX_EXAMINED_JOBS)):
             job = table.jobs[name]
             placed = self.place(job)
             waited_ms = self.now_ms - job.submitted_ms
             no_room = not placed and job.reason == NO_ROOM
-            if no_room and waited_ms > OVERTAKING_MS:
+            if no_room and waited_ms > MAX_OVERTAKEN_MS:
                 break
         return self.commands
 
@@ -124,8 +124,8 @@
             return size
         margin = self.view.settings.estimate_margin
         return Size(
-            cut_margin(size.cores, self.largest.cores, margin),
-            cut_margin(size.memory_mb, self.largest.memory_mb, margin),
+            limit_margin(size.cores, self.largest.cores, margin),
+            limit_margin(size.memory_mb, self.largest.memory_mb, margin),
             size.accelerators,
         )
 
@@ -172,16 +172,18 @@
     return StartTask(job.name, vm.name, job.attempt, size, job.lease_until_ms)
 
 
-def cut_margin(amount, largest, margin):
+def limit_margin(amount, largest, margin):
     """Returns the largest amount if only the margin exceeds it."""
     return largest if amount / margin <= largest < amount else amount
 
 
-def find_workers(view, pool, now_ms):
+def find_candidates(view, pool, now_ms):
     """Yields the workers that may take tasks, with their room."""
     for vm in available_vms(view, pool.name, now_ms):
         if vm.name not in view.jobs.preemptions:
-            yield Worker(vm, vm.size.minus(view.jobs.used_on(vm.name)))
+            yield CandidateWorker(
+                vm, vm.size.minus(view.jobs.used_on(vm.name))
+            )
 
 
 def find_largest(view, pool):
@@ -221,12 +223,12 @@
         return max(fitting, key=lambda worker: worker.vm.due_ms)
     scores = [score_room_left(worker, size) for worker in fitting]
     best = min(scores)
-    equals = [
+    best_workers = [
         worker
         for worker, score in zip(fitting, scores, strict=True)
         if score == best
     ]
-    return placement.random.choice(equals)
+    return placement.random.choice(best_workers)
 
 
 def find_fitting(placement, job, size):
@@ -241,10 +243,10 @@
         return fitting
     faults = placement.view.faults
     # Only a worker that finishes other jobs shows whose fault it is.
-    trusted = [
+    proven = [
         worker for worker in untried if faults.finishes_tasks(worker.vm.name)
     ]
-    return trusted or untried or fitting
+    return proven or untried or fitting
 
 
 def score_room_left(worker, size):
--- a/wigeonport/preemptions.py
+++ b/wigeonport/preemptions.py
@@ -47,9 +47,11 @@
     for vm in view.fleet.members(pool.name):
         if vm.name in table.preemptions or not is_available(view, vm, now_ms):
             continue
-        found = find_victims(view, vm, size, now_ms)
-        if found is not None and (best is None or found[0] < best[0]):
-            best = (*found, vm)
+        cost_and_victims = find_victims(view, vm, size, now_ms)
+        if cost_and_victims is not None and (
+            best is None or cost_and_victims[0] < best[0]
+        ):
+            best = (*cost_and_victims, vm)
     if best is None:
         return []
     _, victims, vm = best
@@ -57,18 +59,18 @@
     table.preemptions[vm.name] = Preemption(
         vm.name, job.name, size, attempts, now_ms
     )
-    return [command_first_step(view, victim, now_ms) for victim in victims]
+    return [start_yielding(view, victim, now_ms) for victim in victims]
 
 
-def command_first_step(view, victim, now_ms):
+def start_yielding(view, victim, now_ms):
     """Returns the mildest command that a task supports."""
     if victim.submitted.can_checkpoint:
         view.jobs.mark_yielding(victim, now_ms)
         return CheckpointTask(victim.name, victim.vm, victim.attempt)
-    return throttle(view, victim)
+    return throttle_command(view, victim)
 
 
-def throttle(view, victim):
+def throttle_command(view, victim):
     """Returns the command that limits a task to its share."""
     share = view.settings.throttle_share
     return ThrottleTask(victim.name, victim.vm, victim.attempt, share)
@@ -83,19 +85,21 @@
         if not table.jobs[name].submitted.urgent
         and table.jobs[name].state in (STARTING, RUNNING)
     ]
-    candidates.sort(key=lambda job: (lost_work(view, job, now_ms), job.name))
+    candidates.sort(
+        key=lambda job: (lost_core_ms(view, job, now_ms), job.name)
+    )
     room = vm.size.minus(table.used_on(vm.name))
     cost, victims = 0, []
     for victim in candidates:
         if size.fits(room):
             break
         room = room.plus(victim.size)
-        cost += lost_work(view, victim, now_ms)
+        cost += lost_core_ms(view, victim, now_ms)
         victims.append(victim)
     return (cost, victims) if size.fits(room) else None
 
 
-def lost_work(view, job, now_ms):
+def lost_core_ms(view, job, now_ms):
     """Returns the core-ms lost when a task gives way."""
     if job.submitted.can_checkpoint:
         return view.settings.checkpoint_bound_ms * job.size.cores
@@ -110,16 +114,16 @@
         if vm is None:
             del view.jobs.preemptions[preemption.vm]
         else:
-            commands.extend(advance(view, vm, preemption, now_ms))
+            commands.extend(advance_preemption(view, vm, preemption, now_ms))
     return commands
 
 
-def advance(view, vm, preemption, now_ms):
+def advance_preemption(view, vm, preemption, now_ms):
     """Advances one preemption."""
     table = view.jobs
     job = table.jobs.get(preemption.job)
-    waits = job is not None and job.vm is None
-    if not waits or not is_available(view, vm, now_ms):
+    is_waiting = job is not None and job.vm is None
+    if not is_waiting or not is_available(view, vm, now_ms):
         del table.preemptions[vm.name]
         return []
     if preemption.size.fits(vm.size.minus(table.used_on(vm.name))):
@@ -139,20 +143,20 @@
         preemption.step = STOP
         return [
             StopTask(victim.name, victim.vm, victim.attempt)
-            for victim in remaining(view, preemption)
+            for victim in find_remaining(view, preemption)
         ]
     bound_ms = view.settings.checkpoint_bound_ms
     if elapsed_ms >= bound_ms and step == CHECKPOINT:
         preemption.step = THROTTLE
         return [
-            throttle(view, victim)
-            for victim in remaining(view, preemption)
+            throttle_command(view, victim)
+            for victim in find_remaining(view, preemption)
             if not victim.throttled
         ]
     return []
 
 
-def remaining(view, preemption):
+def find_remaining(view, preemption):
     """Returns the victims whose attempt still holds room."""
     jobs = (view.jobs.jobs.get(name) for name in preemption.victims)
     return [
@@ -176,7 +180,7 @@
         view.jobs.resize(job, limited)
 
 
-def restore_throttled(view, now_ms):
+def unthrottle_tasks(view, now_ms):
     """Removes the limit of tasks whose worker has room again."""
     commands = []
     for name in list(view.jobs.throttled):
@@ -184,11 +188,11 @@
         vm = view.fleet.vms.get(job.vm)
         reserved = job.vm in view.jobs.preemptions
         if job.state == RUNNING and not reserved and vm is not None:
-            commands.extend(restore(view, vm, job))
+            commands.extend(unthrottle(view, vm, job))
     return commands
 
 
-def restore(view, vm, job):
+def unthrottle(view, vm, job):
     """Removes the limit of one task if its full size fits."""
     size = job.size
     cores = size.cores / view.settings.throttle_share
--- a/wigeonport/reserves.py
+++ b/wigeonport/reserves.py
@@ -49,7 +49,7 @@
         losses = self.by_domain.setdefault(domain, {})
         losses[pool_name] = losses.get(pool_name, 0) + 1
 
-    def deficits(self, domain):
+    def find_deficits(self, domain):
         """Returns the VMs missing by pool after the loss of a domain.
 
         What is missing already is covered by borrowing and not counted.
@@ -60,7 +60,7 @@
             if name in self.slack and lost > self.slack[name]
         }
 
-    def spare_lost(self, domain):
+    def count_spare_lost(self, domain):
         """Returns the spare VMs that the domain takes with it."""
         return sum(
             lost
@@ -69,20 +69,20 @@
         )
 
 
-def find_losses(view, basis):
+def find_losses(view, available_by_pool):
     """Returns the DomainLosses of the racks and of the zones.
 
     Args:
         view: PlanView.
-        basis: Available VMs by pool.
+        available_by_pool: Available VMs by pool.
     """
     slack = {
-        pool.name: len(basis[pool.name]) - pool.guaranteed()
+        pool.name: len(available_by_pool[pool.name]) - pool.guaranteed()
         for pool in view.fleet.pools.values()
         if not pool.spare
     }
     racks, zones = DomainLosses(slack), DomainLosses(slack)
-    for name, vms in basis.items():
+    for name, vms in available_by_pool.items():
         for vm in vms:
             racks.add(vm.rack, name)
             zones.add(vm.zone, name)
@@ -97,9 +97,9 @@
     """
     worst = 0
     for rack in racks.by_domain:
-        deficit = sum(racks.deficits(rack).values())
+        deficit = sum(racks.find_deficits(rack).values())
         if deficit:
-            worst = max(worst, deficit + racks.spare_lost(rack))
+            worst = max(worst, deficit + racks.count_spare_lost(rack))
     return worst
 
 
@@ -108,9 +108,9 @@
     """Sizes a reserve for each pool's own worst rack and adds them up."""
     worst = {}
     for rack in racks.by_domain:
-        lost_too = racks.spare_lost(rack)
-        for name, deficit in racks.deficits(rack).items():
-            worst[name] = max(worst.get(name, 0), deficit + lost_too)
+        spare_lost = racks.count_spare_lost(rack)
+        for name, deficit in racks.find_deficits(rack).items():
+            worst[name] = max(worst.get(name, 0), deficit + spare_lost)
     return sum(worst.values())
 
 
@@ -122,29 +122,29 @@
     )
 
 
-def find_uncovered(zones, held):
+def count_uncovered(zones, held):
     """Returns the VMs that the loss of the worst zone leaves missing."""
     worst = 0
     for zone in zones.by_domain:
-        deficit = sum(zones.deficits(zone).values())
-        left = max(held - zones.spare_lost(zone), 0)
-        worst = max(worst, deficit - left)
+        deficit = sum(zones.find_deficits(zone).values())
+        remaining = max(held - zones.count_spare_lost(zone), 0)
+        worst = max(worst, deficit - remaining)
     return worst
 
 
-def find_basis(view, now_ms):
+def find_available(view, now_ms):
     """Returns the available VMs by pool, on which the size depends."""
     return {
         name: available_vms(view, name, now_ms) for name in view.fleet.pools
     }
 
 
-def size_reserve(view, basis, now_ms):
+def size_reserve(view, available_by_pool, now_ms):
     """Returns the Reserve by the policy of the settings."""
     policy = reserve_policies.entries[view.settings.reserve_policy]
-    racks, zones = find_losses(view, basis)
+    racks, zones = find_losses(view, available_by_pool)
     held = count_held(view, now_ms)
-    uncovered = find_uncovered(zones, held)
+    uncovered = count_uncovered(zones, held)
     return Reserve(policy(racks), held, uncovered)
 
 
@@ -153,11 +153,11 @@
     """Sizes the reserve in a full plan and reports a change."""
     if not view.is_full():
         return []
-    basis = find_basis(view, now_ms)
-    if basis == view.reserve_basis:
+    available_by_pool = find_available(view, now_ms)
+    if available_by_pool == view.reserve_basis:
         return []
-    view.reserve_basis = basis
-    reserve = size_reserve(view, basis, now_ms)
+    view.reserve_basis = available_by_pool
+    reserve = size_reserve(view, available_by_pool, now_ms)
     if reserve.equals(view.reserve):
         return []
     view.reserve = reserve
--- a/wigeonport/rollouts.py
+++ b/wigeonport/rollouts.py
@@ -18,7 +18,7 @@
         if not misplaced:
             continue
         available = len(available_vms(view, pool.name, now_ms))
-        free = available - pool.required()
-        for vm in misplaced[: max(free, 0)]:
+        movable_count = available - pool.required()
+        for vm in misplaced[: max(movable_count, 0)]:
             commands.extend(start_move(view, vm, vm.home_pool, now_ms))
     return commands
--- a/wigeonport/wave_states.py
+++ b/wigeonport/wave_states.py
@@ -36,7 +36,9 @@
 
     def drop_failures(self, before_ms):
         """Drops failures older than a time."""
-        self.failures = [at for at in self.failures if at >= before_ms]
+        self.failures = [
+            failed_ms for failed_ms in self.failures if failed_ms >= before_ms
+        ]
 
     def pause(self, reason, by_operator=False):
         """Pauses maintenance; an operator's pause outlasts others."""
--- a/wigeonport/waves.py
+++ b/wigeonport/waves.py
@@ -8,7 +8,7 @@
 from wigeonport.operations import (
     MAINTENANCE,
     REVOCABLE,
-    revoke,
+    revoke_operation,
     start_maintenance,
 )
 from wigeonport.plan_commands import ReportWave
@@ -25,17 +25,17 @@
         return commands
     commands.extend(revoke_under_load(view, now_ms))
     if view.is_full():
-        commands.extend(grant(view, now_ms))
+        commands.extend(start_due_maintenance(view, now_ms))
     return commands
 
 
 def update_pause(view, now_ms):
     """Pauses on failures within the window; resumes after a quiet time."""
     settings, wave = view.settings, view.wave
-    kept_ms = max(settings.wave_failure_window_ms, settings.wave_quiet_ms)
-    wave.drop_failures(now_ms - kept_ms)
+    retention_ms = max(settings.wave_failure_window_ms, settings.wave_quiet_ms)
+    wave.drop_failures(now_ms - retention_ms)
     window_start_ms = now_ms - settings.wave_failure_window_ms
-    recent = sum(at >= window_start_ms for at in wave.failures)
+    recent = sum(failed_ms >= window_start_ms for failed_ms in wave.failures)
     if not wave.pause_reason and recent >= settings.wave_pause_failures:
         seconds = settings.wave_failure_window_ms // 1000
         wave.pause(f"{recent} VMs failed within {seconds} s")
@@ -54,7 +54,7 @@
     return [ReportWave("resumed", "no failures within the quiet time")]
 
 
-def revocable(view):
+def find_revocable(view):
     """Returns the maintenance operations that can still be taken back."""
     return [
         operation
@@ -66,9 +66,9 @@
 def revoke_all(view, now_ms):
     """Takes back all grants whose VM was not rebooted yet."""
     commands = []
-    for operation in revocable(view):
+    for operation in find_revocable(view):
         reason = view.wave.pause_reason
-        commands.extend(revoke(view, operation, reason, now_ms))
+        commands.extend(revoke_operation(view, operation, reason, now_ms))
     return commands
 
 
@@ -76,7 +76,7 @@
     """Takes back grants in pools that need the VM for their demand."""
     commands = []
     in_scope = {pool.name for pool in view.pools()}
-    for operation in revocable(view):
+    for operation in find_revocable(view):
         vm = view.fleet.vms[operation.vm]
         pool = view.fleet.pools[vm.pool]
         if pool.name not in in_scope or is_overdue(view, vm, now_ms):
@@ -84,7 +84,7 @@
         available = count_available(view, pool.name, now_ms)
         if available < needed_vms(view, pool, now_ms):
             reason = "the pool needs the VM for its demand"
-            commands.extend(revoke(view, operation, reason, now_ms))
+            commands.extend(revoke_operation(view, operation, reason, now_ms))
     return commands
 
 
@@ -93,25 +93,25 @@
     return vm.due_ms - now_ms <= view.settings.wave_overdue_ms
 
 
-def grant(view, now_ms):
+def start_due_maintenance(view, now_ms):
     """Starts maintenance of as many VMs as the budgets allow."""
     running = sum(
         operation.kind == MAINTENANCE for operation in view.operations.values()
     )
-    free = view.settings.wave_parallel - running
-    if free <= 0:
+    free_slots = view.settings.wave_parallel - running
+    if free_slots <= 0:
         return []
     commands = []
-    for vm in find_order(view, now_ms):
+    for vm in find_due_vms(view, now_ms):
         if may_grant(view, vm, now_ms):
             commands.extend(start_maintenance(view, vm, now_ms))
-            free -= 1
-        if free == 0:
+            free_slots -= 1
+        if free_slots == 0:
             break
     return commands
 
 
-def find_order(view, now_ms):
+def find_due_vms(view, now_ms):
     """Returns the VMs that are due, in the order of the settings."""
     latest_ms = now_ms + view.settings.wave_lead_ms
     due = [
@@ -126,17 +126,17 @@
 def may_grant(view, vm, now_ms):
     """Returns whether the budget of the VM's pool allows one more grant."""
     pool = view.fleet.pools[vm.pool]
-    left = count_available(view, pool.name, now_ms) - 1
-    if left - find_headroom(view, pool) < pool.required():
+    remaining = count_available(view, pool.name, now_ms) - 1
+    if remaining - count_headroom(view, pool) < pool.required():
         return False
     if is_overdue(view, vm, now_ms):
         return True
     if pool.spare and view.reserve is not None:
         return view.reserve.held > view.reserve.needed
-    return left >= needed_vms(view, pool, now_ms)
+    return remaining >= needed_vms(view, pool, now_ms)
 
 
-def find_headroom(view, pool):
+def count_headroom(view, pool):
     """Returns the VMs kept for an unplanned loss during maintenance.
 
     A pool whose budget is a single VM has no headroom; it could never be
@@ -163,9 +163,9 @@
     if zones_in_maintenance(view) - {view.wave.zone}:
         # The previous zone ends before the next one starts.
         return overdue
-    in_zone = [vm for vm in due if vm.zone == view.wave.zone]
-    in_zone.sort(key=lambda vm: (vm.rack, vm.due_ms, vm.name))
-    return overdue + [vm for vm in in_zone if vm.due_ms > now_ms]
+    due_in_zone = [vm for vm in due if vm.zone == view.wave.zone]
+    due_in_zone.sort(key=lambda vm: (vm.rack, vm.due_ms, vm.name))
+    return overdue + [vm for vm in due_in_zone if vm.due_ms > now_ms]
 
 
 def zones_in_maintenance(view):
