--- a/wigeonport/availabilities.py
+++ b/wigeonport/availabilities.py
@@ -1,10 +1,14 @@
-"""Which VMs count as available; anything unknown does not."""
+"""Rules for which VMs count as available, and counts of them.
+
+A VM whose state is unknown, for example because its zone has stopped
+reporting, does not count.
+"""
 
 from wigeonport.views import READY
 
 
 def is_reported_alive(view, vm, now_ms):
-    """Returns whether the VM was reported alive recently."""
+    """Returns whether a recent report of its zone included the VM."""
     heard_ms = view.fleet.heard_ms[vm.zone]
     if heard_ms is None or vm.missing:
         return False
@@ -27,7 +31,11 @@
 
 
 def available_vms(view, pool_name, now_ms):
-    """Returns the available VMs of a pool; the list must not be changed."""
+    """Returns the available VMs of a pool.
+
+    The list is cached for the rest of the plan, so callers must not change
+    it.
+    """
     cache = view.available
     if cache is not None and pool_name in cache:
         return cache[pool_name]
@@ -47,7 +55,7 @@
 
 
 def count_incoming(view, pool_name):
-    """Returns the number of VMs on their way into a pool."""
+    """Returns the number of VMs that are being moved into a pool."""
     return sum(
         1
         for operation in view.operations.values()
@@ -56,7 +64,7 @@
 
 
 def needed_vms(view, pool, now_ms):
-    """Returns the VMs that a pool needs for its guarantee and demand."""
+    """Returns the higher of the VMs guaranteed and the VMs demanded."""
     demanded = sum(
         view.forecasts.needed_vms(service, now_ms) for service in pool.services
     )
--- a/wigeonport/borrow_policies.py
+++ b/wigeonport/borrow_policies.py
@@ -12,14 +12,14 @@
 
 
 class PoolNeed:
-    """Capacity and need of one pool in one plan.
+    """Capacity and need of one pool in the present plan.
 
     Attributes:
         pool: PoolView.
-        own_count: Available VMs that are not borrowed.
-        capacity: Available VMs and those on their way.
-        needed: VMs needed for guarantee and demand.
-        scores: Score by level of capacity.
+        own_count: Number of available VMs that are not borrowed.
+        capacity: Number of available VMs and of those moving in.
+        needed: Number of VMs needed for guarantee and demand.
+        scores: Maps level of capacity, in VMs, to its score.
         idle: Borrowed VMs beyond the need.
     """
 
@@ -37,7 +37,10 @@
 
 
 def find_needs(view, now_ms):
-    """Updates the scores and returns the PoolNeed of each pool."""
+    """Updates the scores; returns the PoolNeed of each pool with services.
+
+    Spare pools are left out.
+    """
     elapsed_s = (now_ms - (view.scored_ms or now_ms)) / 1000
     max_borrowed = len(SpareSupply(view, now_ms, 0).vms)
     needs = [
@@ -59,7 +62,10 @@
 
 @borrow_policies.register("break_even")
 def break_even(view, now_ms):
-    """Moves a VM once its absence has cost as much as the move."""
+    """Borrows a VM once the lack of it has cost as much as its move.
+
+    Returns it once its idle time has cost as much.
+    """
     requests = LoanRequests()
     for pool_need in find_needs(view, now_ms):
         want_by_score(view, pool_need, requests)
@@ -68,7 +74,7 @@
 
 
 def want_by_score(view, pool_need, requests):
-    """Wants the levels whose score is at the upper bound."""
+    """Requests the levels whose score has reached the upper bound."""
     price = move_price(view.settings)
     wanted = 0
     while (
@@ -80,7 +86,7 @@
 
 
 def return_by_score(view, pool_need, now_ms, requests):
-    """Returns idle VMs whose hold has passed, at the lower bound."""
+    """Returns idle VMs past their hold whose score is at the lower bound."""
     price = move_price(view.settings)
     capacity = pool_need.capacity
     hold_ms = view.settings.borrow_hold_ms
@@ -94,12 +100,13 @@
 
 @borrow_policies.register("learned_peaks")
 def learned_peaks(view, now_ms):
-    """Moves a VM at the start of a peak if the rest of it pays the move.
+    """Borrows at the start of a peak if its expected rest is worth the move.
 
-    The length of a peak is learned from those before. While nothing is
-    known, or the peak outlasts what is known, the break-even rule decides.
-    A VM that is idle after a peak stays until its hold and its score let it
-    return, but a pool whose peak has begun may take it at once.
+    The length of a peak is estimated from earlier ones. While there are none,
+    or once the peak has outlasted the estimate, the break-even rule decides.
+    A VM that is idle after a peak stays until its hold has passed and its
+    score is at the lower bound, but another pool whose peak has begun may
+    take it at once.
     """
     requests = LoanRequests()
     needs = find_needs(view, now_ms)
@@ -122,10 +129,10 @@
 
 
 def want_by_gain(view, pool_need, remaining_ms, requests):
-    """Wants the missing VMs if the rest of the peak pays their moves.
+    """Requests the missing VMs if the rest of the peak is worth their moves.
 
-    A VM of the spare pool is moved twice, there and back; one that is idle
-    in another pool only once.
+    A VM of a spare pool costs two moves, there and back; one that is idle in
+    another pool costs one.
     """
     settings = view.settings
     served_ms = max(remaining_ms - settings.move_lead_ms, 0)
@@ -138,13 +145,13 @@
     if gain <= 2 * price:
         requests.only_transfers.add(name)
     for level in range(pool_need.capacity + 1, pool_need.needed + 1):
-        # The hold then applies to what is moved now.
+        # A high score keeps the VMs moved now from being returned at once.
         pool_need.scores[level] = price
 
 
 @borrow_policies.register("follow_demand")
 def follow_demand(view, now_ms):
-    """Baseline: moves as many VMs as the demand differs, at once."""
+    """Baseline: follows the demand at once, without scores or hold."""
     requests = LoanRequests()
     for pool in view.fleet.pools.values():
         if pool.spare or not pool.services:
--- a/wigeonport/borrowings.py
+++ b/wigeonport/borrowings.py
@@ -1,4 +1,4 @@
-"""Lends VMs of the spare pools to other pools and takes them back."""
+"""Lends VMs of the spare pools to other pools and returns them."""
 
 from wigeonport.availabilities import (
     available_vms,
@@ -11,15 +11,16 @@
 
 
 class LoanRequests:
-    """What a borrowing policy asks for.
+    """Moves that a borrowing policy requests.
 
     Attributes:
-        wants: VMs wanted, by pool.
-        only_transfers: Pools whose want is worth one move, not two; they
-            take VMs that are idle in other pools, but none of the spare.
+        wants: Maps pool name to the number of VMs to borrow.
+        only_transfers: Names of pools for which a VM is worth one move but
+            not two: they take VMs that are idle in other pools, but none from
+            a spare pool, which must be moved back later.
         returns: Borrowed VMs that their pools no longer need.
-        idle: Borrowed VMs that other pools may take, but that stay if none
-            does.
+        idle: Borrowed VMs that other pools may take; if none does, they
+            stay where they are.
     """
 
     __slots__ = ("wants", "only_transfers", "returns", "idle")
@@ -31,7 +32,7 @@
         self.idle = []
 
     def take_idle(self, pool_name):
-        """Returns a VM that its pool does not need, or None."""
+        """Removes and returns a VM that is idle in another pool, or None."""
         for vms in (self.returns, self.idle):
             for vm in vms:
                 if vm.pool != pool_name:
@@ -44,7 +45,8 @@
     """Spare VMs that may be lent in one plan.
 
     Attributes:
-        vms: Available spare VMs beyond the guarantee, by name.
+        vms: Maps VM name to an available spare VM beyond what its pool
+            requires.
         reserved_count: Number of them that must not be lent.
     """
 
@@ -63,10 +65,11 @@
         return max(len(self.vms) - self.reserved_count, 0)
 
     def take(self, view, pool_name):
-        """Returns the VM that spreads the pool best, or None.
+        """Removes and returns the VM that spreads the pool best, or None.
 
-        The fewest members in its zone and rack come first, then VMs without
-        tasks, then those whose maintenance is due last.
+        Prefers the VM whose zone, then whose rack, holds the fewest members
+        of the pool; then the one with the fewest tasks; then the one whose
+        maintenance is due last.
         """
         if self.count() == 0:
             return None
@@ -86,7 +89,7 @@
 
 @stages.register("borrowings")
 def plan(view, now_ms, random):
-    """Covers guarantees first; in a full plan also follows demand."""
+    """Covers the guarantees; in a full plan also follows demand."""
     commands = cover_guarantees(view, now_ms)
     if not view.is_full():
         return commands
@@ -98,7 +101,7 @@
 
 
 def cover_guarantees(view, now_ms):
-    """Replaces VMs that a pool lost below its guarantee; uses the reserve."""
+    """Borrows for pools below their guarantee; may use up the reserve."""
     commands = []
     supply = None
     for pool in view.pools():
@@ -116,11 +119,12 @@
 
 
 def expected_vms(view, pool, now_ms):
-    """Returns available VMs plus those certain to return soon."""
+    """Returns the available VMs, those moving in and those returning soon."""
     available = available_vms(view, pool.name, now_ms)
     expected = len(available) + count_incoming(view, pool.name)
     if expected >= pool.guaranteed():
-        # Those that return make no difference then.
+        # The result is only compared with the guarantee, so the VMs that
+        # return soon need not be counted.
         return expected
     return expected + sum(
         is_returning(view, vm, now_ms)
@@ -130,7 +134,7 @@
 
 
 def is_returning(view, vm, now_ms):
-    """Returns whether a VM is in maintenance or in the hold after it."""
+    """Returns whether a VM is in maintenance, or in the hold when ready."""
     operation = view.operations.get(vm.name)
     if operation is not None:
         return operation.kind == MAINTENANCE
@@ -138,13 +142,20 @@
 
 
 def protect_levels(view, pool):
-    """Marks the guaranteed levels as needed, so that the hold applies."""
+    """Sets the guaranteed level's score to the upper bound.
+
+    The VMs just borrowed are then not returned before the score has fallen.
+    """
     scores = view.borrow_scores.setdefault(pool.name, {})
     scores[pool.guaranteed()] = move_price(view.settings)
 
 
 def start_moves(view, requests, now_ms):
-    """Starts the moves; a VM that is idle elsewhere goes straight there."""
+    """Starts the requested moves, the largest requests first.
+
+    A VM that is idle in another pool is moved directly; the spare pools
+    supply the others.
+    """
     commands = []
     reserved_count = view.reserve.needed if view.reserve else 0
     supply = SpareSupply(view, now_ms, reserved_count)
--- a/wigeonport/estimates.py
+++ b/wigeonport/estimates.py
@@ -1,19 +1,19 @@
-"""Sizes and run times of jobs, learned from usage reports that lag."""
+"""Estimates sizes and run times of jobs from delayed usage reports."""
 
 from wigeonport.plan_registries import estimate_policies
 from wigeonport.views import Size
 
 SIZE_QUANTILE = 0.9
 SPREAD_QUANTILES = (0.1, 0.9)
-# Smallest divisor, for declarations of zero.
+# Avoids a division by zero where zero was declared or measured.
 MIN_DECLARED = 0.001
 
 
 class Samples:
-    """Newest samples of one quantity, beside what had been declared.
+    """Newest samples of one quantity and their ratios to the declarations.
 
     Attributes:
-        bound: Largest number of samples kept.
+        bound: Maximum number of samples kept.
         values: Measured values, oldest first.
         ratios: Measured over declared values, oldest first.
     """
@@ -33,10 +33,11 @@
         del self.ratios[: -self.bound]
 
     def estimate(self, declared, quantile):
-        """Returns a quantile for a job with the given declaration.
+        """Estimates the quantity for a job from a quantile of the samples.
 
-        Declarations may be off by a constant factor or unrelated to the
-        use. Of ratio and value the one that varies less is used.
+        Declarations may be off by a constant factor or unrelated to the use.
+        In the first case the ratios vary less than the values, and the
+        estimate scales the declaration; else it is a quantile of the values.
         """
         if relative_spread(self.ratios) < relative_spread(self.values):
             return declared * find_quantile(self.ratios, quantile)
@@ -50,7 +51,7 @@
 
 
 def relative_spread(values):
-    """Returns the ratio of a high to a low quantile."""
+    """Returns the ratio of the high to the low quantile of a list."""
     low, high = (
         find_quantile(values, quantile) for quantile in SPREAD_QUANTILES
     )
@@ -75,7 +76,7 @@
 
 
 def find_history(table, job):
-    """Returns the History of a job's team and kind; creates it if new."""
+    """Returns the History of a job's team and kind; creates it if missing."""
     key = (job.submitted.team, job.submitted.job_kind)
     if key not in table.histories:
         table.histories[key] = History(table.settings.estimate_samples)
@@ -83,25 +84,26 @@
 
 
 def learn_usage(table, job, used):
-    """Adds a usage report."""
+    """Adds the usage of a job to its history."""
     history = find_history(table, job)
     history.cores.add(used.cores, job.submitted.declared.cores)
     history.memory.add(used.memory_mb, job.submitted.declared.memory_mb)
 
 
 def learn_run(table, job, run_ms):
-    """Adds the run time of a finished job."""
+    """Adds the run time of a finished job to its history."""
     history = find_history(table, job)
     history.run.add(run_ms, job.submitted.declared_run_ms)
 
 
 @estimate_policies.register("learned")
 def estimate_learned(table, job):
-    """Returns the size from the history once it has enough samples.
+    """Estimates the size from the history.
 
-    Too little memory fails the task while too few cores slow it down, so
-    memory is the highest sample and cores are a quantile, both with a
-    margin. Accelerators are taken as declared.
+    Too little memory makes the task fail while too few cores only slow it
+    down, so memory is estimated by the highest sample and cores by a
+    quantile, both with a margin. Accelerators are taken as declared, and so
+    is everything until there are ``estimate_min_samples``.
     """
     settings = table.settings
     declared = job.submitted.declared
@@ -124,14 +126,17 @@
 
 
 def estimate_size(table, job):
-    """Returns the estimated size by the policy of the settings."""
+    """Returns the size estimated by the policy in the settings."""
     return estimate_policies.entries[table.settings.estimate_policy](
         table, job
     )
 
 
 def estimate_run_ms(table, job):
-    """Returns the estimated run time."""
+    """Returns the estimated run time of a job in ms.
+
+    It is the declared one until there are ``estimate_min_samples``.
+    """
     run = find_history(table, job).run
     declared_ms = job.submitted.declared_run_ms
     if len(run.values) < table.settings.estimate_min_samples:
--- a/wigeonport/fleet_events.py
+++ b/wigeonport/fleet_events.py
@@ -1,4 +1,4 @@
-"""Effects of fleet versions, platform reports and leadership on the view."""
+"""Handlers that apply fleet, VM, zone and leadership events to the view."""
 
 from wigeonport.logs import PartLogger
 from wigeonport.operation_stages import restore_operations
@@ -18,7 +18,11 @@
 
 @event_handlers.register(FleetLoaded)
 def handle_fleet(view, event, now_ms):
-    """Takes over a fleet version and keeps what reports have shown."""
+    """Replaces the fleet by a new version and keeps the reported VM states.
+
+    Returns:
+        Names of the pools that differ and of those with operations.
+    """
     old = view.fleet
     view.fleet = event.fleet
     view.reserve_basis = None
@@ -40,7 +44,7 @@
 
 
 def find_changed_pools(old, new):
-    """Returns the pools that differ between two versions."""
+    """Returns the names of the pools whose needs or VMs differ."""
     changed = set()
     for name, pool in new.pools.items():
         before = old.pools.get(name)
@@ -54,7 +58,7 @@
 
 
 def has_same_needs(old, new):
-    """Returns whether a pool has the same use and the same needs."""
+    """Returns whether both versions of a pool need the same capacity."""
     return (old.spare, old.floor, old.guaranteed()) == (
         new.spare,
         new.floor,
@@ -63,7 +67,7 @@
 
 
 def has_same_assignment(old, new):
-    """Returns whether a VM is and belongs where it did."""
+    """Returns whether a VM has the same pool, home pool and lender."""
     return (old.pool, old.home_pool, old.lender) == (
         new.pool,
         new.home_pool,
@@ -72,7 +76,7 @@
 
 
 def apply_fleet_settings(view):
-    """Takes over the settings that the version in force carries."""
+    """Overrides the planner's settings by those of the version in force."""
     weights = view.fleet.weights
     if weights is not None:
         view.settings.weight_buffer = weights.buffer_cost
@@ -83,7 +87,7 @@
 
 
 def copy_reported_state(old, new):
-    """Copies what the platform reported from the old view of a VM."""
+    """Copies the state that the platform reported to the new view of a VM."""
     new.state = old.state
     new.sequence = old.sequence
     new.unsettled_until_ms = max(
@@ -98,16 +102,16 @@
         new.maintained_ms or 0,
     )
     if new_maintained_ms < old_maintained_ms:
-        # The end of this maintenance is still on its way to the log.
+        # The log has not recorded the end of the last maintenance yet.
         new.maintained_ms, new.due_ms = old.maintained_ms, old.due_ms
     elif new_maintained_ms == old_maintained_ms:
-        # Keeps what an operator has requested meanwhile.
+        # An operator may have requested earlier maintenance meanwhile.
         new.due_ms = min(old.due_ms, new.due_ms)
 
 
 @event_handlers.register(VmReported)
 def handle_vm(view, event, now_ms):
-    """Applies a report that is newer than the last one applied."""
+    """Applies a VM report; repeated and older reports are ignored."""
     vm = view.fleet.vms.get(event.vm)
     if vm is None or event.sequence <= vm.sequence:
         return ()
@@ -123,7 +127,7 @@
 
 @event_handlers.register(ZoneReported)
 def handle_zone(view, event, now_ms):
-    """Applies which VMs of a zone are alive; older reports are ignored."""
+    """Updates which VMs of a zone are missing; ignores older reports."""
     heard_ms = view.fleet.heard_ms.get(event.zone, 0)
     if event.zone not in view.fleet.heard_ms:
         return ()
@@ -143,7 +147,7 @@
 
 
 def change_missing(view, vm, missing, now_ms):
-    """Records that a VM went missing, or was found and has to settle."""
+    """Records whether a VM is missing; one that is back starts its hold."""
     vm.missing = missing
     if not missing:
         vm.unsettled_until_ms = now_ms + view.settings.healthy_hold_ms
@@ -153,14 +157,18 @@
 
 @event_handlers.register(LeadershipChanged)
 def handle_leadership(view, event, now_ms):
-    """Applies a newer lease, or the end of leadership by a higher term."""
+    """Extends the leader lease, or starts a higher term.
+
+    A lease end of 0 ends the leadership in this term; events of a lower term
+    are ignored.
+    """
     if event.term < view.term:
         return ()
     if event.term > view.term:
         view.term = event.term
         view.lease_until_ms = 0
-        # Another leader may have acted since; only what the log shows
-        # counts, and the operations are rebuilt from it.
+        # Another leader may have acted in between, so the operations are
+        # rebuilt from the grants in the log.
         view.jobs.take_over(now_ms)
         view.operations.clear()
         restore_operations(view, list(view.grants.values()), now_ms)
@@ -172,7 +180,7 @@
 
 @event_handlers.register(MaintenanceSteered)
 def handle_steering(view, event, now_ms):
-    """Pauses or resumes maintenance, or makes one VM due now."""
+    """Applies an operator's pause, resume or maintenance request."""
     if event.action == "pause":
         view.wave.pause("paused by an operator", by_operator=True)
     elif event.action == "resume":
@@ -187,4 +195,4 @@
 
 @event_handlers.register(Tick)
 def handle_tick(view, event, now_ms):
-    """Plans every pool: touches ``None``, which stands for all."""
+    """Requests a full plan: returns ``None``, which stands for all pools."""
--- a/wigeonport/forecasts.py
+++ b/wigeonport/forecasts.py
@@ -1,4 +1,4 @@
-"""Forecast of each service's demand from reports that lag."""
+"""Forecasts each service's present demand from delayed reports."""
 
 import math
 
@@ -10,10 +10,12 @@
     """Demand of one service.
 
     Attributes:
-        level: Slots at the last measurement.
+        level: Slots in use at the last measurement.
         slope: Change of the level in slots per ms.
-        mean: Time-weighted mean over about the demand window.
-        peak: Highest level, decaying towards the mean over the window.
+        mean: Exponentially weighted mean of the level in slots; the time
+            constant is the demand window.
+        peak: Highest level in slots, decaying towards the mean with the same
+            time constant.
         measured_ms: Time of the last measurement.
     """
 
@@ -40,11 +42,11 @@
 
 
 class Forecasts:
-    """Demand by service.
+    """Demand of all services.
 
     Attributes:
         settings: PlanSettings.
-        demands: ServiceDemand by name of the service.
+        demands: Maps service name to its ServiceDemand.
     """
 
     __slots__ = ("settings", "demands")
@@ -65,11 +67,12 @@
             demand.add(report.slots, report.measured_ms, window_ms)
 
     def slots(self, service_name, now_ms):
-        """Returns the slots expected now.
+        """Returns the slots that a service is expected to need now.
 
-        The level is extended by its slope over the lag of the report, within
-        zero and the peak seen. When reports stop, the demand is unknown and
-        the higher of level and mean is assumed.
+        The last level is extrapolated by its slope to the present and
+        clamped between zero and the peak. When reports have stopped for
+        longer than ``demand_stale_ms``, the demand is unknown and the higher
+        of level and mean is assumed.
         """
         demand = self.demands.get(service_name)
         if demand is None:
@@ -81,14 +84,17 @@
         return min(max(extended, 0.0), max(demand.peak, demand.level))
 
     def needed_vms(self, service, now_ms):
-        """Returns the VMs that the expected demand of a service fills."""
+        """Returns the number of VMs that serve the expected demand."""
         slots = self.slots(service.name, now_ms)
         return math.ceil(slots / service.slots_per_vm - 1e-9)
 
 
 @event_handlers.register(DemandReported)
 def handle_demand(view, event, now_ms):
-    """Applies a demand report; the pool is planned at the next tick."""
+    """Applies a demand report.
+
+    Triggers no plan: the next tick plans with the new demand.
+    """
     service = view.fleet.services.get(event.service)
     if service is not None:
         view.forecasts.add(event)
--- a/wigeonport/job_events.py
+++ b/wigeonport/job_events.py
@@ -1,4 +1,4 @@
-"""Effects of submissions, cancellations and task reports on the jobs."""
+"""Handlers for submissions, cancellations, task and usage reports."""
 
 from wigeonport.estimates import estimate_size, learn_run, learn_usage
 from wigeonport.job_tables import (
@@ -34,7 +34,7 @@
 
 @event_handlers.register(JobSubmitted)
 def handle_submission(view, event, now_ms):
-    """Adds a job; a repeated id has no effect."""
+    """Adds a job; a submission with a known id has no effect."""
     job = view.jobs.add(event, now_ms)
     if job is None:
         return ()
@@ -44,12 +44,12 @@
         view.jobs.unreported_unrunnable.append(job)
         return tuple(view.fleet.pools)[:1]
     others_wait = len(view.jobs.queue_of(job)) > 1
-    # Behind others the job can wait for the next full plan.
+    # A job behind others in its queue can wait for the next full plan.
     return (event.pool,) if event.urgent or not others_wait else ()
 
 
 def find_unknown_name(view, submitted):
-    """Returns which name of a submission the fleet does not know, or ""."""
+    """Returns which name in a submission is not in the fleet, or ""."""
     if submitted.pool not in view.fleet.pools:
         return f"there is no pool {submitted.pool}"
     if submitted.team not in view.fleet.teams:
@@ -59,7 +59,7 @@
 
 @event_handlers.register(JobsCancelled)
 def handle_cancellation(view, event, now_ms):
-    """Cancels jobs; the running ones are collected for one command."""
+    """Cancels waiting jobs at once; collects running ones for one command."""
     table = view.jobs
     names = list(event.jobs)
     if event.team:
@@ -80,7 +80,7 @@
 
 @event_handlers.register(UsageReported)
 def handle_usage(view, event, now_ms):
-    """Learns from a usage report, also after the job has ended."""
+    """Adds the usage of a job, which may have ended, to its history."""
     job = view.jobs.find(event.job)
     if job is not None:
         learn_usage(view.jobs, job, event.used)
@@ -89,7 +89,7 @@
 
 @event_handlers.register(TaskReported)
 def handle_task(view, event, now_ms):
-    """Applies a report about the current attempt; others are late."""
+    """Applies a task report; ignores those about earlier attempts."""
     job = view.jobs.jobs.get(event.job)
     if job is None:
         return ()
@@ -102,9 +102,10 @@
 
 
 def adopt_attempt(view, job, event, now_ms):
-    """Records an attempt that another leader has started.
+    """Records a later attempt, which another planner has started as leader.
 
-    Followers keep the reports too, so that a new leader knows the tasks.
+    Followers apply task reports too, so that a new leader knows the tasks
+    that its predecessor started.
     """
     if event.vm not in view.fleet.vms:
         return
@@ -116,7 +117,7 @@
 
 @task_reports.register(TASK_RUNNING)
 def handle_task_running(view, job, now_ms):
-    """Records the start of a task."""
+    """Records that a task has started to run."""
     if job.state == STARTING:
         job.state = RUNNING
         job.started_ms = now_ms
@@ -124,7 +125,7 @@
 
 @task_reports.register(TASK_FINISHED)
 def handle_task_finished(view, job, now_ms):
-    """Ends a job that has run to its end."""
+    """Finishes a job and records its run time."""
     view.faults.record_success(job.vm, now_ms)
     learn_run(view.jobs, job, now_ms - job.started_ms)
     view.jobs.finish(job, FINISHED)
@@ -132,7 +133,7 @@
 
 @task_reports.register(TASK_FAILED)
 def handle_task_failed(view, job, now_ms):
-    """Retries a failed job elsewhere, or finds that it can never run."""
+    """Queues a failed job again after a backoff, or ends it as unrunnable."""
     view.faults.record_failure(job.vm, job.name, now_ms)
     if job.state == CANCELLING:
         view.jobs.finish(job, CANCELLED)
@@ -150,9 +151,9 @@
 
 
 def find_failure_cause(view, job):
-    """Returns why the failures of a job are its own, or "".
+    """Returns the reason to blame a job for its failures, or "".
 
-    Only failures on workers that finish other jobs speak against it.
+    Only failures on workers that finish other jobs count against a job.
     """
     proven_count = sum(view.faults.finishes_tasks(vm) for vm in job.failed_on)
     if proven_count >= view.settings.job_failed_workers:
@@ -166,12 +167,12 @@
 @task_reports.register(CHECKPOINTED)
 @task_reports.register(TASK_STOPPED)
 def handle_task_stopped(view, job, now_ms):
-    """Queues a job whose task gave way, or ends a cancelled one."""
+    """Queues a job whose task was checkpointed or stopped."""
     requeue(view, job)
 
 
 def requeue(view, job):
-    """Frees the worker of a job that is to run again, if not cancelled."""
+    """Frees the worker of a job and queues it; ends a cancelled job."""
     if job.state == CANCELLING:
         view.jobs.finish(job, CANCELLED)
         return
@@ -181,7 +182,7 @@
 
 @task_reports.register(TASK_THROTTLED)
 def handle_task_throttled(view, job, now_ms):
-    """Frees the processors of a throttled task."""
+    """Releases the cores that a throttled task no longer uses."""
     apply_throttle(view, job)
 
 
@@ -189,7 +190,7 @@
 @refusals.register(CheckpointTask)
 @refusals.register(StopTask)
 def refuse_task(view, command, now_ms):
-    """Queues a job again whose task the platform says does not run."""
+    """Queues a job whose task, as the platform answers, is not running."""
     job = view.jobs.jobs.get(command.job)
     if job is None or (job.vm, job.attempt) != (command.vm, command.attempt):
         return
--- a/wigeonport/job_tables.py
+++ b/wigeonport/job_tables.py
@@ -14,22 +14,24 @@
 
 
 class Job:
-    """A job and its current attempt.
+    """A job and its latest attempt.
 
     Attributes:
         submitted: The JobSubmitted message.
-        state: One of the states above.
+        state: One of the states defined in this module.
         submitted_ms: Time of the submission.
-        reason: Why the job waits or can never run.
-        attempt: Number of the current attempt.
-        vm: Worker of the current attempt, or None.
+        reason: Why the job waits or is unrunnable, or "".
+        attempt: Number of the latest attempt, 0 before the first.
+        vm: Name of the worker on which the attempt runs, or None.
         size: Size reserved on the worker.
-        started_ms: Start of the attempt as reported, or of its command.
-        ending_ms: Time at which the task was asked to give way.
-        lease_until_ms: Latest end of the task's lease.
+        started_ms: Time at which the task was reported as running; until
+            then, the time of its start command.
+        ending_ms: Time at which the task was asked to yield its worker.
+        lease_until_ms: End of the task's lease; the task may run until then.
         retry_ms: Earliest time of the next attempt.
-        failed_on: Workers on which an attempt failed.
-        throttled: Whether the task is limited to a share.
+        failed_on: Names of the workers on which an attempt failed, as keys
+            in the order of the first failure.
+        throttled: Whether the task is limited to a share of its cores.
     """
 
     __slots__ = (
@@ -70,25 +72,28 @@
 
 
 class JobTable:
-    """All jobs that are not ended, and a bounded number that are.
+    """All jobs that have not ended, and the last ones that have.
 
     Attributes:
         settings: PlanSettings.
-        jobs: Job by id.
-        ended_jobs: Ended jobs by id, oldest first; late reports still teach.
-        waiting: Ids of waiting jobs by pool, in order of submission.
-        urgent: Ids of waiting urgent jobs by pool.
-        on_vm: Ids of jobs by worker.
-        by_team: Ids of jobs that are not ended, by team.
-        team_cores: Cores held by team.
-        used: Size reserved by worker.
-        cancelled: Ids of cancelled jobs that still run.
-        unreported_unrunnable: Jobs found never to run and not reported yet.
-        histories: History by (team, kind), for estimates.
-        preemptions: Preemption by worker.
-        yielding: Ids of jobs whose tasks were asked to give way.
-        throttled: Ids of jobs whose tasks are limited.
-        renewed_ms: Time of the last renewal of leases.
+        jobs: Maps id to each Job that has not ended.
+        ended_jobs: Maps id to an ended Job, oldest first; at most
+            ``finished_jobs_kept``, so that late usage reports still count.
+        waiting: Maps pool name to the ids of its waiting jobs that are not
+            urgent, in the order in which they were queued.
+        urgent: The same for waiting urgent jobs.
+        on_vm: Maps worker name to the ids of the jobs on it.
+        by_team: Maps team name to the ids of its jobs that have not ended.
+        team_cores: Maps team name to the cores reserved for its tasks.
+        used: Maps worker name to the Size reserved on it.
+        cancelled: Ids of cancelled jobs whose tasks are yet to be stopped.
+        unreported_unrunnable: Jobs found to be unrunnable and not yet
+            reported as such.
+        histories: Maps (team, job kind) to the History used for estimates.
+        preemptions: Maps worker name to its Preemption.
+        yielding: Ids of jobs whose tasks were asked to yield their worker.
+        throttled: Ids of jobs whose tasks are throttled.
+        renewed_ms: Time at which the task leases were last renewed.
     """
 
     __slots__ = (
@@ -141,17 +146,17 @@
         return job
 
     def queue_of(self, job):
-        """Returns the queue in which a job waits."""
+        """Returns the queue of a job's pool and urgency."""
         queues = self.urgent if job.submitted.urgent else self.waiting
         return queues.setdefault(job.submitted.pool, {})
 
     def enqueue(self, job):
-        """Makes a job wait for a worker."""
+        """Adds a job to its queue."""
         job.state = WAITING
         self.queue_of(job)[job.name] = None
 
     def bind(self, job, vm_name, size, now_ms):
-        """Reserves a worker for the next attempt of a job."""
+        """Reserves room on a worker for the next attempt of a job."""
         self.queue_of(job).pop(job.name, None)
         job.state = STARTING
         job.reason = ""
@@ -166,13 +171,13 @@
         self.hold_cores(job, size.cores)
 
     def mark_yielding(self, job, now_ms):
-        """Records that a task was asked to save its state and end."""
+        """Records that a task was asked to checkpoint and yield its worker."""
         job.state = ENDING
         job.ending_ms = now_ms
         self.yielding[job.name] = None
 
     def hold_cores(self, job, cores):
-        """Adds to the cores that the job's team holds."""
+        """Adds cores to those reserved for the job's team; may be negative."""
         team = job.submitted.team
         self.team_cores[team] = self.team_cores.get(team, 0) + cores
 
@@ -183,13 +188,13 @@
         job.size = size
 
     def unbind(self, job):
-        """Frees the worker of a job."""
+        """Releases what is reserved for a job on its worker, if anything."""
         if job.vm is None:
             return
         self.on_vm[job.vm].pop(job.name, None)
         self.used[job.vm] = self.used_on(job.vm).minus(job.size)
         if not self.on_vm[job.vm]:
-            # Removes the rounding residue of sums of fractions.
+            # Discards the rounding error of adding up fractional cores.
             del self.on_vm[job.vm]
             del self.used[job.vm]
         self.hold_cores(job, -job.size.cores)
@@ -199,7 +204,7 @@
         job.throttled = False
 
     def finish(self, job, state, reason=""):
-        """Ends a job and keeps it for late reports."""
+        """Ends a job; keeps it among the ended ones for late reports."""
         self.unbind(job)
         self.queue_of(job).pop(job.name, None)
         job.state = state
@@ -211,11 +216,11 @@
             del self.ended_jobs[next(iter(self.ended_jobs))]
 
     def find(self, name):
-        """Returns a job that may have ended, or None."""
+        """Returns a job, ended or not, or None if the id is unknown."""
         return self.jobs.get(name) or self.ended_jobs.get(name)
 
     def tasks_on(self, vm_name):
-        """Returns the ids of the jobs on a worker."""
+        """Returns the ids of the jobs whose tasks are on a worker."""
         return self.on_vm.get(vm_name, {})
 
     def used_on(self, vm_name):
@@ -223,10 +228,12 @@
         return self.used.get(vm_name) or Size(0, 0, 0)
 
     def take_over(self, now_ms):
-        """Prepares for decisions after an earlier leader's.
+        """Prepares the table for the decisions of a new leader.
 
-        Tasks that are known may have been renewed until just now. A start
-        that the earlier leader sent last may not have been reported yet.
+        The earlier leader may have renewed the lease of any running task
+        until just now, so each lease is assumed to have begun now. It may
+        also have started any waiting job without a report so far, so waiting
+        jobs start only after ``start_bound_ms``.
         """
         for job in self.jobs.values():
             if job.vm is not None:
@@ -237,10 +244,10 @@
                 job.retry_ms = max(job.retry_ms, until_ms)
 
     def mark_tasks_lost(self, vm_name):
-        """Stops waiting for reports of a failed worker.
+        """Marks the tasks of a failed worker as lost.
 
-        Its jobs run again only after their leases, because a worker that
-        was reported as failed may still run them.
+        Their jobs start again only after the leases expire, because a worker
+        that was reported as failed may still run them.
         """
         for name in self.tasks_on(vm_name):
             job = self.jobs[name]
@@ -248,7 +255,7 @@
                 job.state = LOST
 
     def requeue_unrunnable(self, fleet):
-        """Reconsiders jobs that could never run on the earlier fleet."""
+        """Queues the jobs that were unrunnable on the earlier fleet."""
         never = [
             job
             for job in self.ended_jobs.values()
--- a/wigeonport/jobs.py
+++ b/wigeonport/jobs.py
@@ -1,4 +1,4 @@
-"""Stage of the jobs: leases, cancellation, drains and placement."""
+"""Stage of the jobs: leases, cancellation, drains, placement, preemption."""
 
 from wigeonport.availabilities import is_reported_alive
 from wigeonport.estimates import estimate_run_ms
@@ -17,13 +17,14 @@
 from wigeonport.worker_faults import update_quarantines
 
 RENEWALS_PER_LEASE = 6
-# A task that ends within this share of the drain bound is left to end.
+# A task on a draining worker that is expected to end within this share of
+# ``drain_bound_ms`` is not checkpointed.
 DRAIN_WAIT_SHARE = 0.5
 
 
 @stages.register("jobs")
 def plan(view, now_ms, random):
-    """Reviews workers, ends, renews and starts tasks."""
+    """Updates quarantines, then stops, starts and renews tasks."""
     commands = update_quarantines(view, now_ms)
     commands.extend(report_unrunnable(view))
     commands.extend(send_cancellations(view))
@@ -40,20 +41,20 @@
 
 
 def report_unrunnable(view):
-    """Returns a report for each job found never to run."""
+    """Returns a report for each job newly found to be unrunnable."""
     jobs, view.jobs.unreported_unrunnable = view.jobs.unreported_unrunnable, []
     return [ReportJob(job.name, job.state, job.reason) for job in jobs]
 
 
 def send_cancellations(view):
-    """Returns one command for all cancelled jobs that still run."""
+    """Returns one command that cancels all the tasks still to be stopped."""
     names, view.jobs.cancelled = view.jobs.cancelled, []
     running = tuple(name for name in names if name in view.jobs.jobs)
     return [CancelJobs(running)] if running else []
 
 
 def place_waiting(view, pool, now_ms, random):
-    """Places the waiting jobs of a pool, if there are any."""
+    """Places the waiting jobs of a pool; returns the commands."""
     table = view.jobs
     if not table.waiting.get(pool.name) and not table.urgent.get(pool.name):
         return []
@@ -61,14 +62,14 @@
 
 
 def jobs_on(view, vm):
-    """Returns the jobs on a worker."""
+    """Returns the Jobs whose tasks are on a worker."""
     return [view.jobs.jobs[name] for name in view.jobs.tasks_on(vm.name)]
 
 
 def expire_leases(view, now_ms):
-    """Queues jobs again whose lease has ended; no worker runs them now."""
+    """Queues jobs whose task lease has expired; no worker runs them now."""
     if view.is_full():
-        # Includes workers that the present version no longer lists.
+        # Includes workers that the fleet version in force has removed.
         vm_names = list(view.jobs.on_vm)
     else:
         vm_names = [name for pool in view.pools() for name in pool.members]
@@ -80,7 +81,7 @@
 
 
 def renew_all_leases(view, now_ms):
-    """Renews the leases of all pools, a few times in the time of a lease."""
+    """Renews the task leases, ``RENEWALS_PER_LEASE`` times per lease time."""
     interval_ms = view.settings.task_lease_ms // RENEWALS_PER_LEASE
     if now_ms - view.jobs.renewed_ms < interval_ms:
         return []
@@ -92,7 +93,13 @@
 
 
 def renew_leases(view, pool, now_ms):
-    """Renews the leases in their second half by one command for a pool."""
+    """Renews a pool's task leases that are in their second half.
+
+    Leases on workers that have failed or are not reported alive run out.
+
+    Returns:
+        One command for all tasks of the pool, or none.
+    """
     lease_ms = view.settings.task_lease_ms
     names = []
     for vm_name in pool.members:
@@ -114,10 +121,10 @@
 
 
 def may_renew(view, job, now_ms):
-    """Returns whether a task still has a reason to run.
+    """Returns whether the lease of a task may be renewed.
 
-    A task that was never reported as running is not renewed, so that its
-    job is free to start elsewhere when the lease ends.
+    A task that is not reported as running within ``start_bound_ms`` isn't
+    renewed, so that its job can start elsewhere once the lease expires.
     """
     if job.state == STARTING:
         waited_ms = now_ms - job.started_ms
@@ -137,9 +144,11 @@
 
 
 def resume_unyielded_tasks(view, now_ms):
-    """Lets tasks go on that did not give way, once no one needs their room.
+    """Returns tasks that were to yield, but did not, to the running state.
 
-    Otherwise a task that ignores checkpoints would never be asked again.
+    This applies once the checkpoint bound has passed and neither a drain nor
+    a preemption needs their worker. Without it, a task that ignored one
+    checkpoint command would never get another.
     """
     table = view.jobs
     for name in list(table.yielding):
@@ -153,11 +162,11 @@
 
 
 def outlasts_drain(view, job, now_ms):
-    """Returns whether a task that can be checkpointed runs too long."""
+    """Returns whether a checkpointable task is likely to outlast a drain."""
     if job.state != RUNNING or not job.submitted.can_checkpoint:
         return False
     elapsed_ms = now_ms - job.started_ms
     remaining_ms = estimate_run_ms(view.jobs, job) - elapsed_ms
     bound_ms = view.settings.drain_bound_ms * DRAIN_WAIT_SHARE
-    # A task that has outlasted its estimate may run for any time.
+    # Once a task has outlasted its estimate, its end can't be predicted.
     return remaining_ms > bound_ms or remaining_ms < 0
--- a/wigeonport/operation_answers.py
+++ b/wigeonport/operation_answers.py
@@ -1,4 +1,4 @@
-"""Effects of the log's answers on the operations."""
+"""Handlers for the log's answers to requests for grants and moves."""
 
 from wigeonport.operations import (
     CHANGED,
@@ -14,7 +14,7 @@
 
 @confirmations.register(RequestVmGrant)
 def confirm_grant(view, command, now_ms):
-    """Starts the drain after the first grant; a renewal extends it."""
+    """Records a grant or its renewal; the first one lets the drain start."""
     operation = view.operations.get(command.vm)
     if operation is None or operation.kind != command.purpose:
         return
@@ -30,8 +30,9 @@
 def record_assignment(view, command):
     """Records the pool that the log has assigned to a VM to be moved.
 
-    A version that assigned the VM before was not written by the planner, so
-    the VM is not lent.
+    If the VM was assigned to this pool before, the assignment comes from an
+    operator's fleet version and not from the planner, so the VM isn't marked
+    as lent.
     """
     vm = view.fleet.vms[command.vm]
     if vm.home_pool == command.destination:
@@ -45,7 +46,7 @@
 
 @confirmations.register(MoveVm)
 def confirm_move(view, command, now_ms):
-    """Applies the committed change of pool."""
+    """Applies a change of pool, or a removal, that the log has committed."""
     vm = view.fleet.vms.get(command.vm)
     if vm is None:
         return
@@ -60,13 +61,16 @@
     vm.home_pool = command.destination
     if operation is not None and operation.phase == CHANGING:
         operation.enter(CHANGED, now_ms)
-        # The log ends the lease of a move together with the change.
+        # The log ends the grant of a move together with the change of pool.
         view.grants.pop(command.vm, None)
 
 
 @refusals.register(RequestVmGrant)
 def refuse_grant(view, command, now_ms):
-    """Drops maintenance whose grant the log refused, for some time."""
+    """Drops an operation whose grant the log refused.
+
+    Maintenance of the VM may be requested again after ``grant_retry_ms``.
+    """
     operation = view.operations.get(command.vm)
     if operation is not None and operation.phase == GRANTING:
         del view.operations[command.vm]
@@ -78,7 +82,7 @@
 
 @refusals.register(MoveVm)
 def refuse_move(view, command, now_ms):
-    """Drops a move that the log refused; the VM is then orphaned."""
+    """Drops a move that the log refused; the next plan undrains the VM."""
     operation = view.operations.get(command.vm)
     if operation is not None and operation.phase == CHANGING:
         del view.operations[command.vm]
--- a/wigeonport/operation_stages.py
+++ b/wigeonport/operation_stages.py
@@ -1,4 +1,4 @@
-"""Stage that advances the operations, and what a new leader takes over."""
+"""Stage that advances the operations, and their recovery by a new leader."""
 
 from wigeonport.operations import (
     EMPTYING,
@@ -24,7 +24,7 @@
 
 @stages.register("operations")
 def plan(view, now_ms, random):
-    """Advances the operations in scope."""
+    """Advances the operations in scope and recovers orphaned VMs."""
     commands = []
     for operation in operations_in_scope(view):
         commands.extend(advance_operation(view, operation, now_ms))
@@ -41,12 +41,16 @@
 
 
 def find_destination(grant):
-    """Returns the destination of a move, None for other purposes."""
+    """Returns the destination of a move, or None for other purposes."""
     return grant.destination if grant.purpose == MOVE else None
 
 
 def restore_operations(view, grants, now_ms):
-    """Rebuilds the operations from what the log and the platform show."""
+    """Rebuilds the operations from the grants in the log.
+
+    The phase of a rebuilt operation follows from the reported state of its
+    VM. Operations on VMs that no longer exist are dropped.
+    """
     view.grants = {grant.vm: grant for grant in grants}
     vms = view.fleet.vms
     for name in [name for name in view.operations if name not in vms]:
@@ -68,7 +72,11 @@
 
 
 def recover_orphans(view, now_ms):
-    """Returns VMs to work that an earlier leader left drained."""
+    """Undrains VMs that are out of service without an operation.
+
+    This happens if an earlier leader drained them, or if the log refuses the
+    move of a drained VM.
+    """
     commands = []
     for pool in view.pools():
         for name in pool.members:
--- a/wigeonport/operations.py
+++ b/wigeonport/operations.py
@@ -1,9 +1,13 @@
-"""Steps of maintenance, moves and operators' drains, one VM at a time.
+"""State machine of the operation on a VM; a VM has at most one at a time.
 
-Maintenance: grant, drain, reboot, ready. Move: grant, drain, confirm, change
-the pool in one step, prepare, ready. Drain: an operator's grant, drain, held
-until the operator ends the grant or it expires, ready. A VM has at most one
-operation.
+Each kind of operation passes through these steps:
+
+- Maintenance: grant, drain, reboot, ready.
+- Move: grant, drain, change of pool committed by the log, preparation,
+  ready.
+- Drain for an operator: the operator's grant, drain, held drained until the
+  operator ends the grant or it expires, undrain, ready.
+- Recovery: undrain of a VM that no other operation needs drained, ready.
 """
 
 from wigeonport.plan_commands import (
@@ -44,14 +48,14 @@
 
 
 class Operation:
-    """What is being done with one VM.
+    """An operation in progress on one VM.
 
     Attributes:
         vm: Name of the VM.
         kind: ``maintenance``, ``move``, ``drain`` or ``recovery``.
-        phase: Name in ``phases``.
-        since_ms: Start of the phase.
-        renewed_ms: Time of the last request for the lease.
+        phase: Current phase, a key of ``phases``.
+        since_ms: Time at which the phase began.
+        renewed_ms: Time of the last request for the grant or its renewal.
         source: Pool that a move leaves, or None.
         destination: Pool that a move enters, or None.
     """
@@ -76,26 +80,26 @@
         self.destination = destination
 
     def enter(self, phase, now_ms):
-        """Starts the next phase."""
+        """Enters a phase and records its start time."""
         self.phase = phase
         self.since_ms = now_ms
 
 
 def add_operation(view, operation):
-    """Records an operation; its VM is not available from now on."""
+    """Adds an operation; its VM is unavailable until the operation ends."""
     view.operations[operation.vm] = operation
     view.forget_available(operation.vm)
 
 
 def start_maintenance(view, vm, now_ms):
-    """Starts maintenance of a VM; returns the commands."""
+    """Starts maintenance of a VM; returns the request for its grant."""
     operation = Operation(vm.name, MAINTENANCE, GRANTING, now_ms)
     add_operation(view, operation)
     return [request_grant(view, operation, now_ms)]
 
 
 def start_move(view, vm, destination, now_ms):
-    """Starts the move of a VM; returns the commands."""
+    """Starts the move of a VM; returns the request for its grant."""
     operation = Operation(
         vm.name, MOVE, GRANTING, now_ms, vm.pool, destination
     )
@@ -104,7 +108,7 @@
 
 
 def request_grant(view, operation, now_ms):
-    """Returns the command that asks for, or renews, the lease."""
+    """Returns the command that requests or renews the grant of a VM."""
     return RequestVmGrant(
         operation.vm,
         operation.kind,
@@ -114,21 +118,22 @@
 
 
 def end_operation(view, operation, reason, healthy=True):
-    """Ends an operation; returns the release of its lease if it has one."""
+    """Ends an operation; returns the release of its grant, if needed."""
     view.operations.pop(operation.vm, None)
     view.forget_available(operation.vm)
     grant = view.grants.pop(operation.vm, None)
     if operation.kind == OPERATOR_DRAIN:
-        # Operators end their own leases.
+        # The grant of an operator's drain is ended by the operator.
         return []
-    # A request that is still on its way must not be granted later.
+    # While a grant request is in flight, the release keeps it from being
+    # granted later.
     if grant is None and operation.phase != GRANTING:
         return []
     return [ReleaseGrant(operation.vm, healthy, reason)]
 
 
 def revoke_operation(view, operation, reason, now_ms):
-    """Returns a VM to work that was not rebooted or moved yet."""
+    """Ends an operation before its reboot or move; undrains the VM."""
     drained = operation.phase == EMPTYING
     commands = end_operation(view, operation, reason)
     if drained:
@@ -137,13 +142,17 @@
 
 
 def start_undrain(view, vm_name, reason, now_ms):
-    """Starts the return of a drained VM to work; returns the command."""
+    """Starts the recovery of a drained VM; returns the undrain command."""
     add_operation(view, Operation(vm_name, RECOVERY, RETURNING, now_ms))
     return UndrainVm(vm_name, reason)
 
 
 def advance_operation(view, operation, now_ms):
-    """Takes the next step of one operation, if its condition holds."""
+    """Advances one operation by a step if the step's condition holds.
+
+    Returns:
+        The commands of the step and of a renewal of the grant.
+    """
     vm = view.fleet.vms[operation.vm]
     if vm.state == FAILED:
         return end_operation(view, operation, "the VM failed", healthy=False)
@@ -154,9 +163,10 @@
 
 
 def renew_grant(view, operation, now_ms):
-    """Renews the grant of an operation in its last third.
+    """Returns a renewal if the grant is in the last third of its lease.
 
-    The lease of an operator's drain is the operator's to renew.
+    The operator renews the grant of an operator's drain. An expired grant
+    isn't renewed while the operation can still be revoked.
     """
     if operation.kind == OPERATOR_DRAIN:
         return []
@@ -173,20 +183,20 @@
 
 
 def is_grant_live(view, vm, now_ms):
-    """Returns whether the lease on a VM has not expired."""
+    """Returns whether a VM has a grant that has not expired."""
     grant = view.grants.get(vm.name)
     return grant is not None and now_ms < grant.until_ms
 
 
 @phases.register(GRANTING)
 def await_grant(view, operation, vm, now_ms):
-    """Waits until the log has committed the grant."""
+    """Waits until the log confirms or refuses the grant."""
     return []
 
 
 @phases.register(STARTING)
 def start_drain(view, operation, vm, now_ms):
-    """Drains a VM whose grant is live."""
+    """Starts the drain, or ends the operation if the grant has expired."""
     if not is_grant_live(view, vm, now_ms):
         return end_operation(view, operation, "the grant expired")
     operation.enter(EMPTYING, now_ms)
@@ -195,7 +205,11 @@
 
 @phases.register(EMPTYING)
 def await_drain(view, operation, vm, now_ms):
-    """Waits for the drain; a drain that takes too long is given up."""
+    """Waits for the drain, then reboots or moves the VM.
+
+    Revokes the operation if the grant expires or the drain exceeds
+    ``drain_bound_ms``.
+    """
     if not is_grant_live(view, vm, now_ms):
         return revoke_operation(view, operation, "the grant expired", now_ms)
     if vm.state == DRAINED:
@@ -212,7 +226,11 @@
 
 @phases.register(RESTARTING)
 def await_reboot(view, operation, vm, now_ms):
-    """Waits for the reboot; one that takes too long counts as a failure."""
+    """Waits until the VM is ready after its reboot.
+
+    A reboot that exceeds ``reboot_bound_ms`` pauses maintenance until an
+    operator resumes it.
+    """
     if vm.state == READY:
         vm.maintained_ms = now_ms
         vm.due_ms = now_ms + view.settings.maintenance_period_ms
@@ -230,20 +248,20 @@
 
 @phases.register(CHANGING)
 def await_change(view, operation, vm, now_ms):
-    """Waits until the log has committed the change of pool."""
+    """Waits until the log confirms or refuses the change of pool."""
     return []
 
 
 @phases.register(CHANGED)
 def start_preparation(view, operation, vm, now_ms):
-    """Prepares a VM for its new pool."""
+    """Starts the preparation of a VM for its new pool."""
     operation.enter(SETTING_UP, now_ms)
     return [PrepareVm(vm.name, vm.pool)]
 
 
 @phases.register(SETTING_UP)
 def await_preparation(view, operation, vm, now_ms):
-    """Waits until the VM is ready in its new pool."""
+    """Waits until the VM is ready in its new pool, or the bound passes."""
     overdue_ms = now_ms - operation.since_ms - view.settings.prepare_bound_ms
     if vm.state == READY or overdue_ms > 0:
         return end_operation(view, operation, "moved")
@@ -252,7 +270,7 @@
 
 @phases.register(RETURNING)
 def await_return(view, operation, vm, now_ms):
-    """Waits until an orphaned VM is ready; asks again after the bound."""
+    """Waits until the VM is ready; repeats the undrain after each bound."""
     if vm.state == READY:
         return end_operation(view, operation, "returned")
     if now_ms - operation.since_ms > view.settings.prepare_bound_ms:
--- a/wigeonport/operator_drains.py
+++ b/wigeonport/operator_drains.py
@@ -1,7 +1,8 @@
-"""Drains that an operator asked for by a grant of the purpose ``drain``.
+"""Phases of a drain that an operator requested by a ``drain`` grant.
 
-The planner drains the VM, records that in the log and keeps it drained until
-the operator ends the grant or its lease expires; then it returns the VM.
+The planner drains the VM, confirms the drain in the log and keeps the VM
+drained until the operator ends the grant or it expires; then it undrains the
+VM.
 """
 
 from wigeonport.operations import (
@@ -21,7 +22,7 @@
 
 @phases.register(OPERATOR_STARTING)
 def start_operator_drain(view, operation, vm, now_ms):
-    """Drains the VM."""
+    """Starts the drain, or ends the operation if the grant has ended."""
     if not is_grant_live(view, vm, now_ms):
         return end_operation(view, operation, ENDED_REASON)
     operation.enter(OPERATOR_EMPTYING, now_ms)
@@ -30,7 +31,10 @@
 
 @phases.register(OPERATOR_EMPTYING)
 def await_operator_drain(view, operation, vm, now_ms):
-    """Records the drain in the log; it has no bound but the lease."""
+    """Waits for the drain, then confirms it in the log.
+
+    The drain has no time limit other than the grant.
+    """
     if not is_grant_live(view, vm, now_ms):
         return end_operator_drain(view, operation, now_ms)
     if vm.state != DRAINED:
@@ -48,7 +52,7 @@
 
 
 def end_operator_drain(view, operation, now_ms):
-    """Returns the VM to work."""
+    """Ends the operation and starts the undrain of the VM."""
     commands = end_operation(view, operation, ENDED_REASON)
     commands.append(start_undrain(view, operation.vm, ENDED_REASON, now_ms))
     return commands
--- a/wigeonport/peaks.py
+++ b/wigeonport/peaks.py
@@ -1,17 +1,22 @@
-"""Lengths of demand peaks, learned to judge whether a move still pays."""
+"""Records the lengths of demand peaks to estimate how long one will last.
+
+The estimate decides whether a move at the start of a peak is worth its price.
+"""
 
 MAX_PEAKS_PER_POOL = 5
 MAX_SHARED_PEAKS = 20
-# Peaks of other pools are used only when there are this many.
+# Fewer peaks of other pools say too little: a single unusual one would decide
+# for every pool.
 MIN_SHARED_PEAKS = 2
 
 
 class PeakRecord:
-    """Peaks of one pool: times in which it needs more than its own VMs.
+    """Peaks of one pool: periods in which it needs more than its own VMs.
 
     Attributes:
-        started_ms: Start of the present peak, or None.
-        lengths_ms: Lengths of the last peaks, oldest first.
+        started_ms: Start of the present peak, or None outside a peak.
+        lengths_ms: Lengths of the last ``MAX_PEAKS_PER_POOL`` peaks, oldest
+            first.
     """
 
     __slots__ = ("started_ms", "lengths_ms")
@@ -21,10 +26,10 @@
         self.lengths_ms = []
 
     def update(self, in_peak, now_ms):
-        """Notes whether the pool is in a peak.
+        """Records the start or end of a peak.
 
         Returns:
-            Length in ms of a peak that has ended just now, else None.
+            Length in ms of a peak that ends with this call, else None.
         """
         if in_peak and self.started_ms is None:
             self.started_ms = now_ms
@@ -37,10 +42,10 @@
 
 
 class PeakRecords:
-    """PeakRecord of each pool.
+    """Peaks of all pools.
 
     Attributes:
-        records: PeakRecord by pool.
+        records: Maps pool name to its PeakRecord.
         shared_lengths_ms: Lengths of the last ``MAX_SHARED_PEAKS`` peaks of
             all pools, oldest first.
     """
@@ -52,25 +57,26 @@
         self.shared_lengths_ms = []
 
     def update(self, pool_name, in_peak, now_ms):
-        """Notes whether a pool is in a peak."""
+        """Records whether a pool is in a peak now."""
         length_ms = self.find_or_create(pool_name).update(in_peak, now_ms)
         if length_ms is not None:
             self.shared_lengths_ms.append(length_ms)
             del self.shared_lengths_ms[:-MAX_SHARED_PEAKS]
 
     def find_or_create(self, pool_name):
-        """Returns the record of a pool; creates it if new."""
+        """Returns the record of a pool; creates it if there is none."""
         return self.records.setdefault(pool_name, PeakRecord())
 
     def expected_remaining_ms(self, pool_name, now_ms):
-        """Returns how long the present peak should still last.
+        """Returns the expected rest of the present peak of a pool.
 
-        A pool without peaks in its record is judged by those of the others,
-        because rotating demand gives peaks of similar length.
+        The expected length is the median of the pool's earlier peaks. For a
+        pool without earlier peaks, those of the other pools are used, because
+        rotating demand gives peaks of similar length.
 
         Returns:
-            Time in ms, or None if nothing was learned yet or the peak has
-            outlasted what was learned.
+            Time in ms, or None if the pool is not in a peak, there are too
+            few earlier peaks, or the peak has outlasted the expected length.
         """
         record = self.find_or_create(pool_name)
         if record.started_ms is None:
--- a/wigeonport/placements.py
+++ b/wigeonport/placements.py
@@ -10,21 +10,22 @@
 from wigeonport.preemptions import start_preemption
 from wigeonport.views import Size
 
-# Waiting jobs examined for one pool in one plan; bounds the planning time
-# when thousands of jobs wait.
+# Maximum number of waiting jobs examined per pool, queue and plan; bounds the
+# planning time when thousands of jobs wait.
 MAX_EXAMINED_JOBS = 500
-# A job that has waited this long for room is no longer overtaken.
+# Once a job has waited this long for room, no job behind it is placed before
+# it, so that small jobs don't starve a large one.
 MAX_OVERTAKEN_MS = 60_000
-# Urgent work may exceed its team's quota by this share.
+# Share of the quota by which urgent jobs may exceed it.
 URGENT_EXTRA_SHARE = 0.25
 
 
 class CandidateWorker:
-    """A worker that may take tasks in this plan.
+    """A worker that may take tasks in the present plan.
 
     Attributes:
         vm: The VmView.
-        room: Size that is free.
+        room: Size that is not reserved.
     """
 
     __slots__ = ("vm", "room")
@@ -35,18 +36,20 @@
 
 
 class PoolPlacement:
-    """One pass over the waiting jobs of a pool.
+    """Placement of the waiting jobs of one pool in one plan.
 
     Attributes:
         view: PlanView.
         pool: PoolView.
         now_ms: Time of the plan.
-        random: Source for choices between equals.
-        workers: Workers that may take tasks.
-        largest: Largest of each resource on any VM of the pool.
-        blocked: Sizes found to fit on no worker in this pass.
-        sizes: Size by team, kind and declaration, computed once in a pass.
-        commands: Commands so far.
+        random: Random source for choices between equally good workers.
+        workers: CandidateWorkers of the pool.
+        largest: Size with the maximum of each resource on any VM of the
+            pool.
+        blocked: Sizes found to fit on no worker in this plan.
+        sizes: Cache that maps (team, job kind, declared size) to the
+            estimated Size.
+        commands: Commands of the placement so far.
     """
 
     __slots__ = (
@@ -73,7 +76,7 @@
         self.commands = []
 
     def run(self):
-        """Places urgent jobs first; returns the commands."""
+        """Places the urgent jobs, then the others; returns the commands."""
         table = self.view.jobs
         urgent = table.urgent.get(self.pool.name, {})
         waiting = table.waiting.get(self.pool.name, {})
@@ -89,7 +92,7 @@
         return self.commands
 
     def place(self, job):
-        """Places one job; returns whether it got a worker."""
+        """Places one job if possible; returns whether it got a worker."""
         if job.retry_ms > self.now_ms:
             return False
         size = self.find_size(job)
@@ -110,7 +113,7 @@
         return True
 
     def find_size(self, job):
-        """Returns the estimated size, with the margin cut to the workers."""
+        """Returns the estimated size of a job from the cache."""
         submitted = job.submitted
         key = (submitted.team, submitted.job_kind, str(submitted.declared))
         if key not in self.sizes:
@@ -118,7 +121,7 @@
         return self.sizes[key]
 
     def compute_size(self, job):
-        """Computes the size for ``find_size``."""
+        """Estimates the size; limits its margin to the largest worker."""
         size = estimate_size(self.view.jobs, job)
         if size is job.submitted.declared:
             return size
@@ -130,7 +133,7 @@
         )
 
     def exceeds_quota(self, job, size):
-        """Returns whether the team would exceed its quota."""
+        """Returns whether the job would exceed the quota of its team."""
         team = self.view.fleet.teams.get(job.submitted.team)
         if team is None:
             return True
@@ -141,7 +144,7 @@
         return held + size.cores > quota
 
     def handle_no_room(self, job, size):
-        """Names a job that can never run, or preempts for urgent work."""
+        """Ends an unrunnable job, or starts a preemption for an urgent one."""
         reason = find_unrunnable_reason(self.view, self.pool, size)
         if reason:
             self.view.jobs.finish(job, UNRUNNABLE, reason)
@@ -156,7 +159,7 @@
             self.blocked.append(size)
 
     def start(self, job, worker, size):
-        """Reserves the worker and returns the start command."""
+        """Reserves room on the worker and adds the start command."""
         worker.room = worker.room.minus(size)
         self.commands.append(
             start_task(self.view, job, worker.vm, size, self.now_ms)
@@ -167,18 +170,22 @@
 
 
 def start_task(view, job, vm, size, now_ms):
-    """Binds a job to a worker; returns the command."""
+    """Reserves a worker for a job; returns the start command."""
     view.jobs.bind(job, vm.name, size, now_ms)
     return StartTask(job.name, vm.name, job.attempt, size, job.lease_until_ms)
 
 
 def limit_margin(amount, largest, margin):
-    """Returns the largest amount if only the margin exceeds it."""
+    """Returns the amount, or the largest if only the margin exceeds that.
+
+    Without this, a job that fits the largest worker would seem unrunnable
+    because of the margin of its estimate.
+    """
     return largest if amount / margin <= largest < amount else amount
 
 
 def find_candidates(view, pool, now_ms):
-    """Yields the workers that may take tasks, with their room."""
+    """Yields a CandidateWorker for each available VM without a preemption."""
     for vm in available_vms(view, pool.name, now_ms):
         if vm.name not in view.jobs.preemptions:
             yield CandidateWorker(
@@ -187,7 +194,7 @@
 
 
 def find_largest(view, pool):
-    """Returns the largest of each resource on any VM of the pool."""
+    """Returns a Size with the maximum of each resource on any VM."""
     sizes = [vm.size for vm in view.fleet.members(pool.name)]
     return Size(
         max((size.cores for size in sizes), default=0),
@@ -197,7 +204,10 @@
 
 
 def find_unrunnable_reason(view, pool, size):
-    """Returns why a size fits on no VM of the pool even when idle, or ""."""
+    """Returns why a size fits on no VM of the pool, even an idle one.
+
+    Returns "" if it fits on one.
+    """
     vms = view.fleet.members(pool.name)
     if any(size.fits(vm.size) for vm in vms):
         return ""
@@ -207,10 +217,10 @@
 
 @placement_policies.register("estimated_best_fit")
 def choose_best_fit(placement, job, size):
-    """Returns the fitting worker with the least room left over.
+    """Returns the worker with the least room remaining, or None.
 
-    A task that can neither end nor be checkpointed within a drain goes to
-    the worker whose maintenance is due last.
+    A task that can't be checkpointed and runs longer than a drain may take
+    goes to the worker whose maintenance is due last.
     """
     fitting = find_fitting(placement, job, size)
     if not fitting:
@@ -221,7 +231,7 @@
         and estimate_run_ms(placement.view.jobs, job) > bound_ms
     ):
         return max(fitting, key=lambda worker: worker.vm.due_ms)
-    scores = [score_room_left(worker, size) for worker in fitting]
+    scores = [score_remaining_room(worker, size) for worker in fitting]
     best = min(scores)
     best_workers = [
         worker
@@ -232,7 +242,11 @@
 
 
 def find_fitting(placement, job, size):
-    """Returns the workers with room, without those that failed the job."""
+    """Returns the workers with room for a job.
+
+    After a failure, workers that finish other tasks and on which the job has
+    not failed yet are preferred, then others on which it has not failed.
+    """
     fitting = [
         worker for worker in placement.workers if size.fits(worker.room)
     ]
@@ -242,30 +256,31 @@
     if not job.failed_on:
         return fitting
     faults = placement.view.faults
-    # Only a worker that finishes other jobs shows whose fault it is.
+    # Only on a worker that finishes other jobs does another failure show that
+    # the job is at fault.
     proven = [
         worker for worker in untried if faults.finishes_tasks(worker.vm.name)
     ]
     return proven or untried or fitting
 
 
-def score_room_left(worker, size):
-    """Returns the share of the worker left over, summed over resources.
+def score_remaining_room(worker, size):
+    """Scores the room that a task of a size would leave; lower is better.
 
-    Accelerators weigh most, so that tasks without them avoid workers that
-    have some.
+    Sums the remaining shares of cores and memory. Each remaining accelerator
+    adds 10, so that tasks without accelerators avoid workers that have some.
     """
-    left = worker.room.minus(size)
+    remaining = worker.room.minus(size)
     return (
-        left.accelerators * 10
-        + left.cores / worker.vm.size.cores
-        + left.memory_mb / worker.vm.size.memory_mb
+        remaining.accelerators * 10
+        + remaining.cores / worker.vm.size.cores
+        + remaining.memory_mb / worker.vm.size.memory_mb
     )
 
 
 @placement_policies.register("first_fit")
 def choose_first_fit(placement, job, size):
-    """Baseline: returns the first worker with room."""
+    """Baseline: returns the first worker with room, or None."""
     fitting = (
         worker for worker in placement.workers if size.fits(worker.room)
     )
--- a/wigeonport/preemptions.py
+++ b/wigeonport/preemptions.py
@@ -1,4 +1,4 @@
-"""Makes room for urgent work: checkpoint, then throttle, then stop."""
+"""Preempts tasks for urgent jobs: checkpoints, then throttles, then stops."""
 
 from wigeonport.availabilities import is_available
 from wigeonport.job_tables import RUNNING, STARTING
@@ -16,15 +16,16 @@
 
 
 class Preemption:
-    """A worker kept for an urgent job while its tasks give way.
+    """A worker reserved for an urgent job until its victims have yielded.
 
     Attributes:
         vm: Name of the worker.
         job: Id of the urgent job.
         size: Size that the job needs.
-        victims: Attempt by id of the jobs that give way.
+        victims: Maps the id of each job to be preempted to the number of its
+            attempt.
         started_ms: Start of the preemption.
-        step: ``checkpoint``, ``throttle`` or ``stop``.
+        step: Last step taken: ``checkpoint``, ``throttle`` or ``stop``.
     """
 
     __slots__ = ("vm", "job", "size", "victims", "started_ms", "step")
@@ -39,9 +40,16 @@
 
 
 def start_preemption(view, pool, job, size, now_ms):
-    """Starts on the worker that loses the least work."""
+    """Starts a preemption on the worker on which the least work is lost.
+
+    Returns:
+        The first command for each victim; none if no worker has enough tasks
+        to preempt or the job has a preemption already.
+    """
     table = view.jobs
-    if any(each.job == job.name for each in table.preemptions.values()):
+    if any(
+        preemption.job == job.name for preemption in table.preemptions.values()
+    ):
         return []
     best = None
     for vm in view.fleet.members(pool.name):
@@ -63,7 +71,7 @@
 
 
 def start_yielding(view, victim, now_ms):
-    """Returns the mildest command that a task supports."""
+    """Returns a checkpoint command, or a throttle if the task can't."""
     if victim.submitted.can_checkpoint:
         view.jobs.mark_yielding(victim, now_ms)
         return CheckpointTask(victim.name, victim.vm, victim.attempt)
@@ -71,13 +79,17 @@
 
 
 def throttle_command(view, victim):
-    """Returns the command that limits a task to its share."""
+    """Returns the command that limits a task to a share of its cores."""
     share = view.settings.throttle_share
     return ThrottleTask(victim.name, victim.vm, victim.attempt, share)
 
 
 def find_victims(view, vm, size, now_ms):
-    """Returns cost and victims that free enough room, or None."""
+    """Returns the lost core-ms and the victims that free enough room.
+
+    Returns None if the tasks that may be preempted don't free enough. Those
+    that lose the least work are chosen first.
+    """
     table = view.jobs
     candidates = [
         table.jobs[name]
@@ -100,14 +112,14 @@
 
 
 def lost_core_ms(view, job, now_ms):
-    """Returns the core-ms lost when a task gives way."""
+    """Returns the core-ms that are lost if a task is preempted."""
     if job.submitted.can_checkpoint:
         return view.settings.checkpoint_bound_ms * job.size.cores
     return (now_ms - job.started_ms) * job.size.cores
 
 
 def advance_preemptions(view, now_ms):
-    """Starts urgent jobs that have room, or takes the next step."""
+    """Advances all preemptions; drops those on removed workers."""
     commands = []
     for preemption in list(view.jobs.preemptions.values()):
         vm = view.fleet.vms.get(preemption.vm)
@@ -119,7 +131,11 @@
 
 
 def advance_preemption(view, vm, preemption, now_ms):
-    """Advances one preemption."""
+    """Starts the urgent job if it has room, else escalates.
+
+    Drops the preemption if the job no longer waits or the worker is no longer
+    available.
+    """
     table = view.jobs
     job = table.jobs.get(preemption.job)
     is_waiting = job is not None and job.vm is None
@@ -136,7 +152,7 @@
 
 
 def escalate(view, preemption, now_ms):
-    """Throttles, then stops the tasks that have not given way in time."""
+    """Throttles, then stops the victims that have not yielded in time."""
     elapsed_ms = now_ms - preemption.started_ms
     step = preemption.step
     if elapsed_ms >= view.settings.preempt_bound_ms and step != STOP:
@@ -157,7 +173,7 @@
 
 
 def find_remaining(view, preemption):
-    """Returns the victims whose attempt still holds room."""
+    """Returns the victims whose attempt is still on the worker."""
     jobs = (view.jobs.jobs.get(name) for name in preemption.victims)
     return [
         job
@@ -169,7 +185,7 @@
 
 
 def apply_throttle(view, job):
-    """Frees the processors that a throttled task no longer uses."""
+    """Releases the cores that a throttled task no longer uses."""
     if not job.throttled:
         job.throttled = True
         view.jobs.throttled[job.name] = None
@@ -181,7 +197,7 @@
 
 
 def unthrottle_tasks(view, now_ms):
-    """Removes the limit of tasks whose worker has room again."""
+    """Returns throttled tasks to full speed where the worker has room."""
     commands = []
     for name in list(view.jobs.throttled):
         job = view.jobs.jobs[name]
@@ -193,7 +209,7 @@
 
 
 def unthrottle(view, vm, job):
-    """Removes the limit of one task if its full size fits."""
+    """Returns one task to full speed if its full size fits."""
     size = job.size
     cores = size.cores / view.settings.throttle_share
     full = Size(cores, size.memory_mb, size.accelerators)
--- a/wigeonport/reserves.py
+++ b/wigeonport/reserves.py
@@ -1,4 +1,8 @@
-"""Size of the reserve: idle VMs of the spare pools kept for losses."""
+"""Sizes the reserve: VMs of the spare pools that are kept for failures.
+
+The reserve is sized so that the guarantees hold after the loss of any one
+rack. What the loss of a whole zone would leave uncovered is only reported.
+"""
 
 from wigeonport.availabilities import available_vms, count_available
 from wigeonport.plan_commands import ReportReserve
@@ -6,12 +10,13 @@
 
 
 class Reserve:
-    """The reserve as last sized.
+    """Result of sizing the reserve.
 
     Attributes:
-        needed: VMs that must stay unlent for the loss of a rack.
-        held: Available VMs of the spare pools beyond their own guarantee.
-        uncovered: VMs missing after the loss of the worst zone.
+        needed: VMs that must not be lent, to cover the loss of a rack.
+        held: Available VMs of the spare pools beyond what those require.
+        uncovered: VMs by which the guarantees would be missed after the loss
+            of the worst zone.
     """
 
     __slots__ = ("needed", "held", "uncovered")
@@ -22,7 +27,7 @@
         self.uncovered = uncovered
 
     def equals(self, other):
-        """Returns whether all figures are the same."""
+        """Returns whether another Reserve, or None, has the same figures."""
         return other is not None and (
             self.needed,
             self.held,
@@ -31,11 +36,13 @@
 
 
 class DomainLosses:
-    """VMs that each failure domain would take from each pool.
+    """VMs that each pool would lose with each failure domain.
 
     Attributes:
-        slack: Available VMs beyond the guarantee, by pool that is not spare.
-        by_domain: Lost VMs by pool, by domain.
+        slack: Maps the name of each pool that is not spare to its available
+            VMs beyond the guarantee; negative if it falls short.
+        by_domain: Maps domain to a map from pool name to the number of its
+            available VMs in the domain.
     """
 
     __slots__ = ("slack", "by_domain")
@@ -50,9 +57,10 @@
         losses[pool_name] = losses.get(pool_name, 0) + 1
 
     def find_deficits(self, domain):
-        """Returns the VMs missing by pool after the loss of a domain.
+        """Maps pool name to the VMs short after the loss of a domain.
 
-        What is missing already is covered by borrowing and not counted.
+        VMs that are short before the loss aren't counted, because borrowing
+        covers them.
         """
         return {
             name: min(lost - self.slack[name], lost)
@@ -61,7 +69,7 @@
         }
 
     def count_spare_lost(self, domain):
-        """Returns the spare VMs that the domain takes with it."""
+        """Returns the number of spare VMs lost with the domain."""
         return sum(
             lost
             for name, lost in self.by_domain[domain].items()
@@ -74,7 +82,7 @@
 
     Args:
         view: PlanView.
-        available_by_pool: Available VMs by pool.
+        available_by_pool: Maps pool name to its available VMs.
     """
     slack = {
         pool.name: len(available_by_pool[pool.name]) - pool.guaranteed()
@@ -91,9 +99,9 @@
 
 @reserve_policies.register("shared_rack")
 def size_shared(racks):
-    """Sizes one reserve for the worst rack; services share it.
+    """Sizes one reserve, shared by all pools, for the worst rack.
 
-    Spare VMs in the same rack are lost with it, so they are added.
+    Spare VMs in the same rack would be lost with it and are added.
     """
     worst = 0
     for rack in racks.by_domain:
@@ -105,7 +113,7 @@
 
 @reserve_policies.register("per_service")
 def size_per_service(racks):
-    """Sizes a reserve for each pool's own worst rack and adds them up."""
+    """Sums a separate reserve for each pool's own worst rack."""
     worst = {}
     for rack in racks.by_domain:
         spare_lost = racks.count_spare_lost(rack)
@@ -115,7 +123,7 @@
 
 
 def count_held(view, now_ms):
-    """Returns the available spare VMs beyond the spare pools' guarantee."""
+    """Returns the available spare VMs beyond what their pools require."""
     return sum(
         max(count_available(view, pool.name, now_ms) - pool.required(), 0)
         for pool in view.fleet.spare_pools()
@@ -123,7 +131,7 @@
 
 
 def count_uncovered(zones, held):
-    """Returns the VMs that the loss of the worst zone leaves missing."""
+    """Returns the VMs short after the worst zone loss, reserve included."""
     worst = 0
     for zone in zones.by_domain:
         deficit = sum(zones.find_deficits(zone).values())
@@ -133,14 +141,14 @@
 
 
 def find_available(view, now_ms):
-    """Returns the available VMs by pool, on which the size depends."""
+    """Maps pool name to its available VMs; the size depends on these only."""
     return {
         name: available_vms(view, name, now_ms) for name in view.fleet.pools
     }
 
 
 def size_reserve(view, available_by_pool, now_ms):
-    """Returns the Reserve by the policy of the settings."""
+    """Returns the Reserve sized by the policy in the settings."""
     policy = reserve_policies.entries[view.settings.reserve_policy]
     racks, zones = find_losses(view, available_by_pool)
     held = count_held(view, now_ms)
@@ -150,7 +158,7 @@
 
 @stages.register("reserves")
 def plan(view, now_ms, random):
-    """Sizes the reserve in a full plan and reports a change."""
+    """Sizes the reserve in a full plan and reports it if it changed."""
     if not view.is_full():
         return []
     available_by_pool = find_available(view, now_ms)
--- a/wigeonport/rollouts.py
+++ b/wigeonport/rollouts.py
@@ -1,4 +1,4 @@
-"""Moves VMs to the pool that the version in force names for them."""
+"""Moves VMs to the pool that the fleet version in force assigns to them."""
 
 from wigeonport.availabilities import available_vms
 from wigeonport.operations import start_move
@@ -7,7 +7,7 @@
 
 @stages.register("rollouts")
 def plan(view, now_ms, random):
-    """Starts moves of misplaced VMs within the guarantee of their pools."""
+    """Moves misplaced VMs as far as their pools stay at the required size."""
     commands = []
     for pool in view.pools():
         misplaced = [
--- a/wigeonport/wave_states.py
+++ b/wigeonport/wave_states.py
@@ -1,16 +1,16 @@
-"""State of the maintenance wave and the failures seen in it."""
+"""State of the maintenance wave: pause, present zone, recent failures."""
 
 
 class WaveState:
-    """Pause, resume and recent failures.
+    """Pause, present zone and recent failures of the maintenance wave.
 
     Attributes:
         failures: Times of recent VM failures in ms.
         pause_reason: Why maintenance is paused, or "".
-        by_operator: Whether only an operator ends the pause.
-        zone: Zone in maintenance, or None.
-        reported: Pause reason last reported to operators.
-        completed: Number of VMs maintained.
+        by_operator: Whether only an operator can end the pause.
+        zone: Zone whose VMs are maintained now, or None.
+        reported: Pause reason last reported to operators, or "" if none.
+        completed: Number of VMs maintained so far.
     """
 
     __slots__ = (
@@ -35,13 +35,13 @@
         self.failures.append(now_ms)
 
     def drop_failures(self, before_ms):
-        """Drops failures older than a time."""
+        """Drops the failures before a time."""
         self.failures = [
             failed_ms for failed_ms in self.failures if failed_ms >= before_ms
         ]
 
     def pause(self, reason, by_operator=False):
-        """Pauses maintenance; an operator's pause outlasts others."""
+        """Pauses maintenance; keeps a pause that only an operator can end."""
         if self.pause_reason and self.by_operator:
             return
         self.pause_reason = reason
--- a/wigeonport/waves.py
+++ b/wigeonport/waves.py
@@ -1,4 +1,4 @@
-"""Maintenance waves: which VM gets a grant next, when to pause, resume."""
+"""Stage of maintenance waves: chooses VMs, pauses and resumes."""
 
 from wigeonport.availabilities import (
     available_vms,
@@ -17,7 +17,7 @@
 
 @stages.register("waves")
 def plan(view, now_ms, random):
-    """Pauses or resumes, revokes, and in a full plan grants."""
+    """Updates the pause, revokes grants, and in a full plan starts VMs."""
     update_pause(view, now_ms)
     commands = report_change(view)
     if view.wave.pause_reason:
@@ -30,7 +30,7 @@
 
 
 def update_pause(view, now_ms):
-    """Pauses on failures within the window; resumes after a quiet time."""
+    """Pauses on repeated failures; resumes after a time without any."""
     settings, wave = view.settings, view.wave
     retention_ms = max(settings.wave_failure_window_ms, settings.wave_quiet_ms)
     wave.drop_failures(now_ms - retention_ms)
@@ -44,7 +44,7 @@
 
 
 def report_change(view):
-    """Returns a report if the pause changed since the last report."""
+    """Returns a report if the pause has changed since the last report."""
     wave = view.wave
     if wave.reported == wave.pause_reason:
         return []
@@ -55,7 +55,7 @@
 
 
 def find_revocable(view):
-    """Returns the maintenance operations that can still be taken back."""
+    """Returns the maintenance operations that can still be revoked."""
     return [
         operation
         for operation in view.operations.values()
@@ -64,7 +64,7 @@
 
 
 def revoke_all(view, now_ms):
-    """Takes back all grants whose VM was not rebooted yet."""
+    """Revokes all maintenance whose VM is not being rebooted yet."""
     commands = []
     for operation in find_revocable(view):
         reason = view.wave.pause_reason
@@ -73,7 +73,10 @@
 
 
 def revoke_under_load(view, now_ms):
-    """Takes back grants in pools that need the VM for their demand."""
+    """Revokes maintenance in pools that need the VM for their demand.
+
+    Overdue maintenance goes on.
+    """
     commands = []
     in_scope = {pool.name for pool in view.pools()}
     for operation in find_revocable(view):
@@ -89,12 +92,12 @@
 
 
 def is_overdue(view, vm, now_ms):
-    """Returns whether maintenance can no longer wait for low demand."""
+    """Returns whether maintenance is due too soon to wait for low demand."""
     return vm.due_ms - now_ms <= view.settings.wave_overdue_ms
 
 
 def start_due_maintenance(view, now_ms):
-    """Starts maintenance of as many VMs as the budgets allow."""
+    """Starts as much maintenance as the budgets and the parallelism allow."""
     running = sum(
         operation.kind == MAINTENANCE for operation in view.operations.values()
     )
@@ -112,7 +115,7 @@
 
 
 def find_due_vms(view, now_ms):
-    """Returns the VMs that are due, in the order of the settings."""
+    """Returns the VMs due for maintenance, in the order of the settings."""
     latest_ms = now_ms + view.settings.wave_lead_ms
     due = [
         vm
@@ -124,7 +127,11 @@
 
 
 def may_grant(view, vm, now_ms):
-    """Returns whether the budget of the VM's pool allows one more grant."""
+    """Returns whether the VM's pool can do without it during maintenance.
+
+    Overdue VMs need to leave the required VMs and the headroom only; others
+    also the reserve, in a spare pool, or the VMs that the demand needs.
+    """
     pool = view.fleet.pools[vm.pool]
     remaining = count_available(view, pool.name, now_ms) - 1
     if remaining - count_headroom(view, pool) < pool.required():
@@ -137,10 +144,10 @@
 
 
 def count_headroom(view, pool):
-    """Returns the VMs kept for an unplanned loss during maintenance.
+    """Returns the VMs kept back for an unplanned loss during maintenance.
 
-    A pool whose budget is a single VM has no headroom; it could never be
-    maintained otherwise.
+    A pool whose budget is a single VM has no headroom, because with any it
+    could never be maintained.
     """
     budget = len(pool.members) - pool.required()
     return max(min(view.settings.wave_headroom, budget - 1), 0)
@@ -148,10 +155,10 @@
 
 @wave_orders.register("zone_rack")
 def order_by_zone_and_rack(view, due, now_ms):
-    """One zone at a time, and in it one rack after the other.
+    """Orders VMs by one zone at a time, and within it rack by rack.
 
-    The loss of another zone then meets no VM in maintenance there, and a
-    rack is finished before the next is touched. VMs that cannot wait come
+    The loss of another zone then meets no VM in maintenance there, and a rack
+    is finished before the next one starts. VMs past their due time come
     first, whatever their zone.
     """
     overdue = [vm for vm in due if vm.due_ms <= now_ms]
@@ -161,7 +168,7 @@
         first = min(due, key=lambda vm: (vm.due_ms, vm.zone), default=None)
         view.wave.zone = first.zone if first else None
     if zones_in_maintenance(view) - {view.wave.zone}:
-        # The previous zone ends before the next one starts.
+        # Maintenance in the previous zone must end first.
         return overdue
     due_in_zone = [vm for vm in due if vm.zone == view.wave.zone]
     due_in_zone.sort(key=lambda vm: (vm.rack, vm.due_ms, vm.name))
@@ -179,5 +186,5 @@
 
 @wave_orders.register("oldest_first")
 def order_by_due_time(view, due, now_ms):
-    """Baseline: the earliest due VM first, in any zone."""
+    """Baseline: orders VMs by due time, in any zone."""
     return sorted(due, key=lambda vm: (vm.due_ms, vm.name))
--- a/wigeonport/worker_faults.py
+++ b/wigeonport/worker_faults.py
@@ -1,4 +1,7 @@
-"""Finds workers that fail every task, without blaming the jobs."""
+"""Quarantines workers that fail tasks which other workers would finish.
+
+Failures on such a worker don't count against the jobs.
+"""
 
 from wigeonport.plan_commands import QuarantineWorker, ReleaseWorker
 
@@ -9,7 +12,8 @@
     """Recent outcomes of the tasks of one worker.
 
     Attributes:
-        failures_ms: Time of the last failure by job, since the last success.
+        failures_ms: Maps job id to the time of its last failure, for failures
+            since the last success.
         succeeded_ms: Time of the last success, or None.
         quarantined_ms: Start of the quarantine, or None.
     """
@@ -23,10 +27,10 @@
 
 
 class WorkerFaults:
-    """Records of all workers that ran tasks.
+    """Recent task outcomes of all workers that ran tasks.
 
     Attributes:
-        records: WorkerRecord by VM.
+        records: Maps VM name to its WorkerRecord.
     """
 
     __slots__ = ("records",)
@@ -35,11 +39,11 @@
         self.records = {}
 
     def find_or_create(self, vm_name):
-        """Returns the record of a worker; creates it if new."""
+        """Returns the record of a worker; creates it if there is none."""
         return self.records.setdefault(vm_name, WorkerRecord())
 
     def record_success(self, vm_name, now_ms):
-        """Records a finished task."""
+        """Records a finished task; clears the failures of the worker."""
         record = self.find_or_create(vm_name)
         record.succeeded_ms = now_ms
         record.failures_ms.clear()
@@ -49,17 +53,17 @@
         self.find_or_create(vm_name).failures_ms[job_name] = now_ms
 
     def finishes_tasks(self, vm_name):
-        """Returns whether a failure on this worker speaks against the job.
+        """Returns whether the worker is known to finish tasks.
 
-        Only a worker that finished a task, and failed at most this job
-        since, is known to be sound.
+        That is so if it finished one and at most one job failed on it since;
+        only then does a failure on it count against the job.
         """
         record = self.find_or_create(vm_name)
         return record.succeeded_ms is not None and len(record.failures_ms) <= 1
 
 
 def update_quarantines(view, now_ms):
-    """Quarantines and releases workers of the pools in scope."""
+    """Quarantines faulty workers and releases those after their quarantine."""
     commands = []
     for pool in view.pools():
         for name in pool.members:
@@ -74,7 +78,7 @@
 
 
 def is_faulty(view, vm, now_ms):
-    """Returns whether a worker fails what other workers finish."""
+    """Returns whether a worker fails jobs while others finish theirs."""
     settings = view.settings
     start_ms = now_ms - settings.worker_failure_window_ms
     failures_ms = view.faults.find_or_create(vm.name).failures_ms
@@ -91,17 +95,21 @@
         if name != vm.name and name in view.faults.records
     ]
     succeeded = sum(succeeded_since(record, start_ms) for record in others)
-    # When most workers fail, the cause is not in this worker.
+    # If most workers fail, they share a cause that is not in this worker.
     return succeeded > 0 and 2 * succeeded >= len(others)
 
 
 def succeeded_since(record, start_ms):
-    """Returns whether a worker finished a task in the window."""
+    """Returns whether a worker has finished a task since a time."""
     return record.succeeded_ms is not None and record.succeeded_ms >= start_ms
 
 
 def may_quarantine(view, pool):
-    """Returns whether the floor allows one more quarantine in a pool."""
+    """Returns whether one more worker of a pool may be quarantined.
+
+    At most ``quarantine_share`` of the workers may be, but at least one in a
+    pool of ``MIN_POOL_SIZE_FOR_QUARANTINE`` or more.
+    """
     count = sum(vm.quarantined for vm in view.fleet.members(pool.name))
     size = len(pool.members)
     allowed = int(size * view.settings.quarantine_share)
@@ -111,7 +119,7 @@
 
 
 def quarantine(view, vm, now_ms):
-    """Excludes a worker and takes its failures back from the jobs."""
+    """Quarantines a worker; its failures no longer count against the jobs."""
     vm.quarantined = True
     view.forget_available(vm.name)
     record = view.faults.find_or_create(vm.name)
@@ -128,7 +136,7 @@
 
 
 def release_after_quarantine(view, vm, now_ms):
-    """Gives a worker tasks again after the quarantine."""
+    """Releases a worker whose quarantine is over; returns the commands."""
     record = view.faults.find_or_create(vm.name)
     if now_ms - record.quarantined_ms < view.settings.quarantine_ms:
         return []
