State in the planner tests which failure each guards against

Cause: the heads of the tests began with Guards against and did not say how the failure comes about; some names were figurative (proves nothing, takes back, called impossible). Change: docstrings of planning_fixtures, test_capacities, test_jobs and test_planners; ten test names; four docstrings of jobs and preemptions. No assertion, bound, seed or literal changed.

--- a/tests/planning_fixtures.py
+++ b/tests/planning_fixtures.py
@@ -1,4 +1,4 @@
-"""Fixtures for the decisions."""
+"""Fixtures for tests of the planner and its stages."""
 
 import pathlib
 import random
@@ -30,7 +30,7 @@
 
 
 class PlannerRun:
-    """A planner with a clock; every event is one step."""
+    """A planner driven by a clock and one event at a time."""
 
     __slots__ = ("planner", "clock", "random")
 
@@ -42,22 +42,26 @@
 
     @property
     def view(self):
-        """State of the planner."""
+        """PlanView of the planner."""
         return self.planner.view
 
     def step(self, event):
-        """Feeds one event."""
+        """Passes one event to the planner; returns its commands."""
         return self.planner.step(event, self.clock.now(), self.random)
 
     def lead(self, term=1, lease_ms=3_600_000):
-        """Gives the planner a leader lease and reports of all zones."""
+        """Gives the planner a leader lease, and a report of each zone."""
         now_ms = self.clock.now()
         self.step(LeadershipChanged(term, now_ms + lease_ms))
         for zone in ZONES:
             self.step(ZoneReported(zone, now_ms))
 
     def tick(self, elapsed_ms=0):
-        """Advances the clock; returns the commands of a full plan."""
+        """Advances the clock and reports all zones.
+
+        Returns:
+            The commands of a full plan.
+        """
         self.clock.advance(elapsed_ms)
         for zone in ZONES:
             self.step(ZoneReported(zone, self.clock.now()))
@@ -65,7 +69,10 @@
 
 
 def make_fleet():
-    """Returns two pools and a spare pool, two VMs in each zone."""
+    """Returns a fleet of two pools and a spare pool.
+
+    Each pool has two VMs in each of three zones.
+    """
     size = Size(16, 32_768)
     vms = [
         VmView(f"{pool}-{zone}-{n}", pool, f"{zone}-r1", zone, size, FAR_MS)
@@ -88,13 +95,13 @@
 
 @pytest.fixture
 def planned_fleet():
-    """A small fleet with a spare pool."""
+    """Fleet of two pools and a spare pool."""
     return make_fleet()
 
 
 @pytest.fixture
 def make_run(clock, planned_fleet):
-    """Makes a leading PlannerRun with overridden settings."""
+    """Makes a PlannerRun that leads, with overridden settings."""
 
     def make(**overrides):
         run = PlannerRun(PlanSettings(**overrides), clock, planned_fleet)
--- a/tests/test_capacities.py
+++ b/tests/test_capacities.py
@@ -21,12 +21,12 @@
 
 
 def report_demand(run, slots):
-    """Reports the demand of roster, measured now."""
+    """Reports the demand of the service roster, measured now."""
     run.step(DemandReported("roster", slots, run.clock.now()))
 
 
 def list_moves(commands):
-    """Returns (VM, destination) of the requested moves."""
+    """Returns the (VM name, destination) of each move requested."""
     return [
         (c.vm, c.destination)
         for c in commands
@@ -35,14 +35,17 @@
 
 
 def compute_reserve(run):
-    """Returns the Reserve that a plan would size now."""
+    """Returns the Reserve that a full plan would size now."""
     now_ms = run.clock.now()
     available_by_pool = find_available(run.view, now_ms)
     return size_reserve(run.view, available_by_pool, now_ms)
 
 
 def test_forecast_extends_the_trend_over_the_lag(forecasts):
-    """Guards against capacity that is always one lag too late."""
+    """Capacity must not trail the demand by the delay of the reports.
+
+    It does if the forecast is the last measurement and not its trend.
+    """
     forecasts.add(DemandReported("roster", 60, 0))
     forecasts.add(DemandReported("roster", 10, 1_000))
     forecasts.add(DemandReported("roster", 20, 2_000))
@@ -51,15 +54,18 @@
 
 
 def test_forecast_ignores_older_reports(forecasts):
-    """Guards against a reordered report that lowers the demand."""
+    """A reordered or repeated report must not lower the demand."""
     forecasts.add(DemandReported("roster", 40, 2_000))
     forecasts.add(DemandReported("roster", 0, 1_000))
     forecasts.add(DemandReported("roster", 0, 2_000))
     assert forecasts.slots("roster", 2_000) == 40
 
 
-def test_silent_service_is_not_taken_for_idle(forecasts):
-    """Guards against returning VMs because reports stopped."""
+def test_service_that_stops_reporting_is_not_idle(forecasts):
+    """VMs must not be returned just because reports have stopped.
+
+    The last report before the silence may show no demand by chance.
+    """
     for second in range(60):
         forecasts.add(DemandReported("roster", 40, second * 1_000))
     forecasts.add(DemandReported("roster", 0, 60_000))
@@ -67,7 +73,10 @@
 
 
 def test_shared_reserve_covers_the_worst_rack(make_run):
-    """Guards against a reserve that the loss of one rack exhausts."""
+    """The loss of one rack must not exhaust the reserve.
+
+    It does if the spare VMs that are lost with the rack are not added.
+    """
     run = make_run()
     # Rack ikeja-r1 holds two VMs of each pool, so its loss leaves both
     # services one VM short and takes two spare VMs with it.
@@ -76,7 +85,10 @@
 
 
 def test_shared_reserve_is_smaller_than_one_for_each(make_run):
-    """Guards against a shared reserve that saves nothing."""
+    """A shared reserve must save VMs where pools have separate racks.
+
+    It saves none if the deficits of racks that fail apart are added up.
+    """
     run = make_run()
     for vm in run.view.fleet.vms.values():
         vm.rack = f"{vm.zone}-{vm.pool}"
@@ -87,7 +99,10 @@
 
 
 def test_uncovered_zone_is_reported(make_run):
-    """Guards against a zone loss that no one knew to be uncovered."""
+    """Operators must learn of a zone whose loss the reserve can't cover.
+
+    Here the guarantee of the spare pool's own service shrinks the reserve.
+    """
     run = make_run()
     run.view.fleet.services["notices"].guaranteed = 5
     reserve = compute_reserve(run)
@@ -95,7 +110,7 @@
 
 
 def test_reserve_is_not_lent_for_demand(make_run):
-    """Guards against a peak that spends the reserve for losses."""
+    """A peak of demand must not use up the reserve for failures."""
     run = make_run(move_price_s=0.1)
     for _ in range(5):
         report_demand(run, 100)
@@ -103,7 +118,10 @@
 
 
 def test_lost_capacity_is_covered_from_the_reserve(make_run):
-    """Guards against a guarantee that is broken beside idle VMs."""
+    """A guarantee must not stay broken while spare VMs are idle.
+
+    Only the VM by which the guarantee is missed is borrowed, and only once.
+    """
     run = make_run()
     run.step(VmReported("roster-ikeja-1", FAILED, 1))
     commands = run.step(VmReported("roster-ikeja-2", FAILED, 1))
@@ -112,7 +130,7 @@
 
 
 def test_borrowed_vm_is_spread_over_zones(make_run):
-    """Guards against replacing a lost zone by a VM of another's rack."""
+    """A pool that lost VMs in a zone must not be packed into another."""
     run = make_run()
     run.step(VmReported("roster-ikeja-1", FAILED, 1))
     commands = run.step(VmReported("roster-ikeja-2", FAILED, 1))
@@ -121,7 +139,11 @@
 
 
 def run_peak(run, peak_s):
-    """Runs a peak of roster; returns the commands of each second."""
+    """Runs a peak of roster with no VMs guaranteed to any service.
+
+    Returns:
+        The commands of each second.
+    """
     run.view.fleet.services["crusade"].guaranteed = 0
     run.view.fleet.services["roster"].guaranteed = 0
     run.view.reserve_basis = None
@@ -133,13 +155,16 @@
 
 
 def test_peak_shorter_than_its_price_moves_nothing(make_run):
-    """Guards against oscillation under rotating demand."""
+    """Rotating demand must not make VMs move back and forth.
+
+    It does if a peak causes a move before it has cost as much as the move.
+    """
     run = make_run(weight_rollout=1.0, move_price_s=10.0)
     assert not any(list_moves(commands) for commands in run_peak(run, 9))
 
 
 def test_peak_longer_than_its_price_borrows_once(make_run):
-    """Guards against a pool that waits through a long peak."""
+    """A pool must not go short for the whole of a long peak."""
     run = make_run(weight_rollout=1.0, move_price_s=10.0)
     moved = [list_moves(commands) for commands in run_peak(run, 30)]
     # Requests that are not confirmed are repeated with the same VMs.
@@ -149,7 +174,10 @@
 
 
 def test_higher_weight_of_rollout_time_borrows_sooner(make_run):
-    """Guards against weights that change nothing."""
+    """A higher weight must make the score reach its bound sooner.
+
+    With the weight ignored, a peak of 10 s would move nothing.
+    """
     run = make_run(weight_rollout=5.0, move_price_s=10.0)
     moved = [list_moves(commands) for commands in run_peak(run, 10)]
     assert any(moved)
@@ -165,22 +193,29 @@
     return records
 
 
-def test_rest_of_a_peak_is_learned(peaks):
-    """Guards against a move that arrives when the peak is over."""
+def test_rest_of_a_peak_follows_from_earlier_peaks(peaks):
+    """A VM must not be moved so late that it arrives after the peak.
+
+    The expected rest comes from the peaks before; there is none outside a
+    peak, or once the peak has outlasted them.
+    """
     assert peaks.expected_remaining_ms("roster", 200_000) is None
     peaks.update("roster", True, 200_000)
     assert peaks.expected_remaining_ms("roster", 205_000) == 15_000
     assert peaks.expected_remaining_ms("roster", 230_000) is None
 
 
-def test_new_pool_is_judged_by_the_peaks_of_others(peaks):
-    """Guards against learning the same rotation once for each pool."""
+def test_new_pool_uses_the_peaks_of_others(peaks):
+    """A pool must not wait for peaks of its own before it can estimate.
+
+    Rotating demand gives all pools peaks of similar length.
+    """
     peaks.update("crusade", True, 200_000)
     assert peaks.expected_remaining_ms("crusade", 201_000) == 19_000
 
 
-def test_single_peak_of_another_pool_proves_nothing():
-    """Guards against one odd peak that steers all pools."""
+def test_single_peak_of_another_pool_is_not_used():
+    """One unusual peak must not decide for the moves of all pools."""
     records = PeakRecords()
     records.update("roster", True, 0)
     records.update("roster", False, 20_000)
@@ -189,7 +224,7 @@
 
 
 def test_hold_delays_the_return(make_run):
-    """Guards against VMs that move back and forth."""
+    """A VM must not move straight back when the demand drops."""
     run = make_run(weight_rollout=100.0, weight_buffer=100.0)
     for commands in run_peak(run, 5):
         for command in commands:
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -19,7 +19,7 @@
 
 
 def make_job(name, cores=1, memory_mb=1_024, **fields):
-    """Returns a submission to the pool roster."""
+    """Returns a JobSubmitted for the pool roster."""
     values = {
         "team": "planners",
         "pool": "roster",
@@ -31,12 +31,16 @@
 
 
 def list_starts(commands):
-    """Returns the start commands."""
+    """Returns the start commands among the commands."""
     return [c for c in commands if c.kind == "start_task"]
 
 
 def submit(run, *jobs):
-    """Submits jobs; returns their start commands."""
+    """Submits jobs, confirms their starts and reports them as running.
+
+    Returns:
+        The start commands.
+    """
     started = []
     for job in jobs:
         started.extend(list_starts(run.step(job)))
@@ -48,12 +52,12 @@
 
 
 def report(run, start, state):
-    """Reports a state of the attempt of a start command."""
+    """Reports a state of the attempt that a start command began."""
     return run.step(TaskReported(start.job, start.vm, start.attempt, state))
 
 
 def test_repeated_submission_starts_once(make_run):
-    """Guards against a resent job that runs twice."""
+    """A job that is resent because a reply was lost must run only once."""
     run = make_run()
     (start,) = submit(run, make_job("a"), make_job("a"))
     report(run, start, "finished")
@@ -61,7 +65,7 @@
 
 
 def test_report_of_an_earlier_attempt_is_ignored(make_run):
-    """Guards against a late failure that ends the next attempt."""
+    """A late report of the first attempt must not end the second one."""
     run = make_run()
     (first,) = submit(run, make_job("a"))
     (second,) = list_starts(report(run, first, "stopped"))
@@ -71,7 +75,10 @@
 
 
 def test_job_of_a_lost_worker_waits_for_its_lease(make_run):
-    """Guards against a task that runs twice at the same time."""
+    """A task must not run twice at the same time.
+
+    A worker reported as failed may still run its task until the lease ends.
+    """
     run = make_run(task_lease_ms=10_000)
     (start,) = submit(run, make_job("a"))
     run.step(VmReported(start.vm, "failed", 1))
@@ -82,7 +89,7 @@
 
 
 def test_running_task_keeps_its_lease(make_run):
-    """Guards against a task that ends for lack of renewal."""
+    """A running task must not lose its lease for lack of a renewal."""
     run = make_run(task_lease_ms=10_000)
     (start,) = submit(run, make_job("a"))
     for _ in range(30):
@@ -91,7 +98,10 @@
 
 
 def test_task_of_an_earlier_leader_is_taken_over(make_run):
-    """Guards against a second run of a task after a change of leader."""
+    """A new leader must not start a task that runs already.
+
+    The report of an attempt that it did not start tells it of the task.
+    """
     run = make_run()
     assert submit(run, make_job("a", may_run=True)) == []
     run.step(TaskReported("a", "roster-lekki-1", 4, "running"))
@@ -102,7 +112,10 @@
 
 
 def test_follower_knows_the_tasks_of_the_leader(make_run, clock):
-    """Guards against a new leader that starts running jobs again."""
+    """A new leader must not start jobs again that run or have finished.
+
+    It does if followers ignore task reports.
+    """
     run = make_run()
     run.step(LeadershipChanged(2, 0))
     run.step(make_job("a"))
@@ -118,7 +131,10 @@
 
 
 def test_new_leader_waits_for_reports_before_it_starts(make_run):
-    """Guards against a start beside one that was not reported yet."""
+    """A new leader must not start a job twice.
+
+    The earlier leader may have started it without a report so far.
+    """
     run = make_run()
     run.step(LeadershipChanged(2, 0))
     run.step(make_job("a"))
@@ -128,7 +144,7 @@
 
 
 def test_refused_start_is_tried_again_at_once(make_run):
-    """Guards against a job that waits a whole lease for nothing."""
+    """A job whose start was refused must not wait for a whole lease."""
     run = make_run()
     (start,) = list_starts(run.step(make_job("a")))
     run.step(CommandRefused(start.command_id, "VM is draining"))
@@ -137,7 +153,10 @@
 
 
 def test_jobs_are_read_from_the_platform():
-    """Guards against fields of a submission that get lost."""
+    """No field of a submission or cancellation must get lost in parsing.
+
+    A submission without a required field is refused with its name.
+    """
     document = {
         "kind": "job",
         "job": "a",
@@ -158,7 +177,10 @@
 
 
 def test_job_without_a_task_starts_after_the_lease(make_run):
-    """Guards against a job that is forgotten after a change of leader."""
+    """A job must not wait forever after a change of leader.
+
+    It is submitted as possibly running, but no task report ever arrives.
+    """
     run = make_run(task_lease_ms=10_000)
     assert submit(run, make_job("a", may_run=True)) == []
     assert list_starts(run.tick(9_000)) == []
@@ -166,7 +188,7 @@
 
 
 def test_quota_limits_a_team(make_run):
-    """Guards against one team that takes the whole pool."""
+    """One team must not take the whole pool."""
     run = make_run()
     run.view.fleet.teams["planners"].quota_cores = 20
     jobs = [make_job(str(number), cores=8) for number in range(4)]
@@ -175,18 +197,21 @@
     assert "the quota of the team is used" in reasons
 
 
-def test_waiting_job_is_not_called_impossible(make_run):
-    """Guards against a verdict on a job that only has to wait."""
+def test_waiting_job_is_not_unrunnable(make_run):
+    """A job that fits an idle worker must wait, not end as unrunnable."""
     run = make_run()
     jobs = [make_job(str(number), cores=16) for number in range(7)]
     assert len(submit(run, *jobs)) == 6
     assert run.view.jobs.ended_jobs == {}
 
 
-def test_impossible_job_is_reconsidered_in_a_new_version(
+def test_unrunnable_job_is_queued_again_in_a_new_version(
     make_run, planned_fleet
 ):
-    """Guards against a verdict that outlives the fleet it is about."""
+    """An unrunnable job must be queued again once the fleet can run it.
+
+    It would stay ended if the finding outlived the fleet it was based on.
+    """
     run = make_run()
     submit(run, make_job("a", cores=40))
     assert run.view.jobs.ended_jobs["a"].state == UNRUNNABLE
@@ -197,7 +222,10 @@
 
 
 def test_old_large_job_is_no_longer_overtaken(make_run):
-    """Guards against a large job that small ones starve."""
+    """Small jobs must not starve a large one.
+
+    They do if they always take the room before enough of it is free.
+    """
     run = make_run()
     for vm in run.view.fleet.members("roster")[1:]:
         vm.quarantined = True
@@ -209,7 +237,7 @@
 
 
 def fail_jobs_on(run, vm_name, count):
-    """Lets jobs fail on one worker and finish on the others."""
+    """Submits jobs and reports each as failed on one worker."""
     for number in range(count):
         name = f"{vm_name}-{run.clock.now()}-{number}"
         (start,) = submit(run, make_job(name))
@@ -226,12 +254,15 @@
 
 
 def record_finished_task(run, vm_name):
-    """Records a success of a worker."""
+    """Records that a worker has finished a task."""
     run.view.faults.record_success(vm_name, run.clock.now())
 
 
 def test_quarantine_leaves_a_floor_of_workers(make_run):
-    """Guards against a pool whose workers are all quarantined."""
+    """A pool must not lose all its workers to the quarantine.
+
+    Here two of six workers are faulty, and only one may be quarantined.
+    """
     run = make_run()
     names = [vm.name for vm in run.view.fleet.members("roster")]
     for name in names[2:]:
@@ -245,7 +276,7 @@
 
 
 def test_common_fault_quarantines_no_one(make_run):
-    """Guards against blaming workers for a fault that all share."""
+    """A fault that all workers share must not quarantine any of them."""
     run = make_run()
     for vm in run.view.fleet.members("roster"):
         for number in range(5):
@@ -256,8 +287,8 @@
     assert not any(vm.quarantined for vm in run.view.fleet.vms.values())
 
 
-def test_failures_of_a_bad_worker_do_not_count_against_jobs(make_run):
-    """Guards against jobs that are condemned by one faulty worker."""
+def test_failures_of_a_faulty_worker_do_not_count_against_jobs(make_run):
+    """One faulty worker must not make jobs end as unrunnable."""
     run = make_run()
     faulty, *others = [vm.name for vm in run.view.fleet.members("roster")]
     for name in others:
@@ -268,7 +299,7 @@
 
 
 def test_quarantine_ends(make_run):
-    """Guards against a repaired worker that stays excluded."""
+    """A worker that was repaired must not stay excluded."""
     run = make_run(quarantine_ms=5_000)
     faulty, *others = [vm.name for vm in run.view.fleet.members("roster")]
     for name in others:
@@ -280,7 +311,7 @@
 
 
 def test_cancellation_is_one_command(make_run):
-    """Guards against a message for each of thousands of jobs."""
+    """Cancelling thousands of jobs must not send a command for each."""
     run = make_run()
     submit(run, *(make_job(str(number)) for number in range(50)))
     names = tuple(map(str, range(50)))
@@ -291,7 +322,7 @@
 
 
 def test_cancelled_task_holds_its_room_until_it_ends(make_run):
-    """Guards against two tasks in the room of one."""
+    """A new task must not get the room of one that is still stopping."""
     run = make_run()
     (start,) = submit(run, make_job("a", cores=16))
     run.step(JobsCancelled(("a",)))
@@ -303,7 +334,10 @@
 
 @pytest.mark.parametrize("factor", [0.2, 5])
 def test_sizes_are_learned_from_late_reports(make_run, factor):
-    """Guards against placing by declarations that are far off."""
+    """Jobs must not be placed by declarations that are far off.
+
+    The usage reports arrive only after the jobs have finished.
+    """
     run = make_run()
     for number in range(3):
         (start,) = submit(run, make_job(str(number), cores=2 * factor))
@@ -314,7 +348,10 @@
 
 
 def test_ratio_is_used_when_declarations_scale():
-    """Guards against one size for jobs that differ by a known factor."""
+    """Jobs that declare a fixed multiple of their use differ in size.
+
+    An estimate from the values alone would give all of them one size.
+    """
     samples = Samples(32)
     for declared in (1, 2, 4, 8, 16):
         samples.add(declared / 2, declared)
@@ -322,7 +359,7 @@
 
 
 def test_value_is_used_when_declarations_are_noise():
-    """Guards against scaling by declarations that mean nothing."""
+    """An estimate must not scale with declarations unrelated to the use."""
     samples = Samples(32)
     for declared in (1, 20, 4, 50, 16):
         samples.add(3, declared)
--- a/tests/test_planners.py
+++ b/tests/test_planners.py
@@ -19,7 +19,7 @@
 
 
 def list_kinds(commands):
-    """Returns the kinds of commands without reports to operators."""
+    """Returns the kinds of commands, without the reports to operators."""
     return [c.kind for c in commands if c.target != "operators"]
 
 
@@ -33,27 +33,30 @@
 
 
 def report(run, vm_name, state):
-    """Feeds the next report about a VM."""
+    """Reports a state of a VM with the next sequence number."""
     sequence = run.view.fleet.vms[vm_name].sequence + 1
     return run.step(VmReported(vm_name, state, sequence))
 
 
-def test_unknown_policy_is_a_finding_with_its_place():
-    """Guards against a mistyped policy that fails at the first plan."""
+def test_unknown_policy_is_reported_with_its_setting():
+    """A mistyped policy must be found at start, not in the first plan.
+
+    The finding names the setting and the known policies.
+    """
     built = build_planner(PlanSettings(borrow_policy="eager"), "plan")
     assert "plan.borrow_policy" in str(built.error)
     assert "break_even" in str(built.error)
 
 
 def test_all_bad_settings_are_reported_together():
-    """Guards against one finding at a time."""
+    """An operator must not have to restart once for each bad setting."""
     bad = {"move_price": 1, "wave_parallel": 0, "borrow_hold_ms": "1"}
     findings = read_plan_settings(bad, "plan").error
     assert len(findings.items) == 3
 
 
 def test_repeated_and_older_reports_change_nothing(make_run):
-    """Guards against a late report that revives a failed VM."""
+    """A late or repeated report must not make a failed VM ready again."""
     run = make_run()
     vm = run.view.fleet.vms["roster-ikeja-1"]
     run.step(VmReported(vm.name, FAILED, 5))
@@ -64,7 +67,7 @@
 
 
 def test_older_zone_report_changes_nothing(make_run, clock):
-    """Guards against a reordered report that hides missing VMs."""
+    """A reordered zone report must not hide the VMs that are missing."""
     run = make_run()
     vm = run.view.fleet.vms["roster-ikeja-1"]
     run.step(ZoneReported("ikeja", clock.now() + 2, (vm.name,)))
@@ -73,7 +76,7 @@
 
 
 def test_older_term_changes_nothing(make_run, clock):
-    """Guards against a delayed lease that revives an old leadership."""
+    """A delayed lease of an earlier term must not restore leadership."""
     run = make_run()
     run.step(LeadershipChanged(3, 0))
     run.step(LeadershipChanged(1, clock.now() + 10_000))
@@ -81,7 +84,10 @@
 
 
 def test_stale_term_at_the_platform_ends_leadership(make_run, clock):
-    """Guards against a deposed leader that keeps on commanding."""
+    """A deposed leader must stop sending commands.
+
+    It learns of the newer leader when the platform refuses its term.
+    """
     run = make_run()
     drain = start_drain(run, "roster-ikeja-1")
     run.step(CommandRefused(drain.command_id, "stale term"))
@@ -89,7 +95,10 @@
 
 
 def test_unconfirmed_command_is_repeated_with_its_id(make_run):
-    """Guards against a lost command and against a second effect of it."""
+    """A lost command must be sent again, but take effect only once.
+
+    The platform recognises the repetition by the same command id.
+    """
     run = make_run()
     drain = start_drain(run, "roster-ikeja-1")
     repeats = [c for c in run.tick(2_000) if c.kind == "drain_vm"]
@@ -98,8 +107,8 @@
     assert "drain_vm" not in list_kinds(run.tick(2_000))
 
 
-def test_drain_that_takes_too_long_is_given_up(make_run):
-    """Guards against a VM that is drained for good without a reboot."""
+def test_drain_that_takes_too_long_is_revoked(make_run):
+    """A VM must not stay drained for good if its drain never completes."""
     run = make_run(drain_bound_ms=5_000)
     start_drain(run, "roster-ikeja-1")
     report(run, "roster-ikeja-1", DRAINING)
@@ -109,7 +118,7 @@
 
 
 def test_reboot_follows_only_a_confirmed_drain(make_run):
-    """Guards against a planned stop that drops running work."""
+    """A reboot must not stop work that is still running on the VM."""
     run = make_run()
     start_drain(run, "roster-ikeja-1")
     assert list_kinds(run.tick(1_000)) == []
@@ -117,7 +126,10 @@
 
 
 def test_expired_grant_returns_the_vm(make_run):
-    """Guards against work on a VM whose lease another may hold."""
+    """The planner must not reboot a VM whose grant another may hold.
+
+    Once a renewal is not confirmed, the grant expires during the drain.
+    """
     run = make_run(grant_lease_ms=9_000)
     start_drain(run, "roster-ikeja-1")
     renewals = [c for c in run.tick(7_000) if c.kind == "request_grant"]
@@ -130,7 +142,7 @@
 
 
 def test_orphaned_vm_of_an_earlier_leader_returns(make_run):
-    """Guards against capacity that no one gives back."""
+    """A VM that an earlier leader drained must not stay out of service."""
     run = make_run()
     commands = report(run, "roster-ikeja-1", DRAINED)
     assert list_kinds(commands) == ["undrain_vm"]
@@ -138,7 +150,7 @@
 
 
 def test_failed_vm_ends_its_operation(make_run):
-    """Guards against a grant that is held for a VM that is gone."""
+    """The grant of a VM that has failed must not be held any longer."""
     run = make_run()
     start_drain(run, "roster-ikeja-1")
     commands = report(run, "roster-ikeja-1", FAILED)
@@ -147,7 +159,7 @@
 
 
 def test_operators_pause_outlasts_the_quiet_time(make_run):
-    """Guards against maintenance that restarts by itself."""
+    """Maintenance that an operator paused must not resume by itself."""
     run = make_run()
     run.step(MaintenanceSteered("pause"))
     run.step(MaintenanceSteered("request", "roster-ikeja-1"))
@@ -156,8 +168,8 @@
     assert "request_grant" in list_kinds(run.tick(1_000))
 
 
-def test_pause_takes_back_a_drain(make_run):
-    """Guards against VMs kept away while failures arrive."""
+def test_pause_revokes_a_drain(make_run):
+    """VMs must not be kept in maintenance while others fail."""
     run = make_run()
     start_drain(run, "roster-ikeja-1")
     report(run, "crusade-lekki-1", FAILED)
@@ -166,7 +178,7 @@
 
 
 def test_unknown_zone_blocks_grants(make_run, clock):
-    """Guards against grants based on VMs that no one has heard of."""
+    """A grant must not rely on VMs of a zone that no longer reports."""
     run = make_run()
     run.step(MaintenanceSteered("request", "roster-ikeja-1"))
     clock.advance(6_000)
@@ -182,7 +194,11 @@
 
 @pytest.mark.parametrize("budget", [1, 2, 3])
 def test_wave_keeps_headroom_for_a_loss(make_run, budget):
-    """Guards against a wave that spends the whole budget at once."""
+    """A wave must not use up the whole budget of a pool.
+
+    An unplanned loss would then break the guarantee. A budget of one VM is
+    used, because the pool could never be maintained otherwise.
+    """
     run = make_run()
     run.view.fleet.services["roster"].guaranteed = 6 - budget
     for zone in ("ikeja", "lekki", "yaba"):
@@ -194,7 +210,10 @@
 
 
 def test_later_command_replaces_the_repetition_of_an_earlier():
-    """Guards against a repeated start after its cancellation."""
+    """A job must not be started again after its cancellation.
+
+    It is if the unconfirmed start command is still repeated.
+    """
     ledger = CommandLedger(1_000)
     ledger.start_term(1)
     ledger.stamp(StartTask("job", "vm", 1, Size(1, 1), 9_000), 0)
@@ -203,7 +222,7 @@
 
 
 def test_commands_of_an_old_term_are_not_repeated():
-    """Guards against commands of an earlier leadership."""
+    """A new leadership must not repeat the commands of an earlier one."""
     ledger = CommandLedger(1_000)
     ledger.start_term(1)
     old = ledger.stamp(DrainVm("vm", "maintenance"), 0)
@@ -215,7 +234,7 @@
 
 
 def test_fence_admits_each_command_once_and_no_old_term():
-    """Guards against a second effect and against a deposed leader."""
+    """A command must not take effect twice, nor one of a deposed leader."""
     fence = TermFence()
     answers = [
         fence.admit(2, "2-1"),
--- a/wigeonport/job_tables.py
+++ b/wigeonport/job_tables.py
@@ -134,7 +134,11 @@
         self.renewed_ms = 0
 
     def add(self, submitted, now_ms):
-        """Adds a job; returns None if its id was submitted before."""
+        """Adds a job; returns None if its id was submitted before.
+
+        A job of which a task may be running already is not started before
+        the time of a lease has passed.
+        """
         if submitted.job in self.jobs or submitted.job in self.ended_jobs:
             return None
         job = Job(submitted, now_ms)
@@ -168,7 +172,7 @@
         job.throttled = False
         self.on_vm.setdefault(vm_name, {})[job.name] = None
         self.used[vm_name] = self.used_on(vm_name).plus(size)
-        self.hold_cores(job, size.cores)
+        self.add_team_cores(job, size.cores)
 
     def mark_yielding(self, job, now_ms):
         """Records that a task was asked to checkpoint and yield its worker."""
@@ -176,7 +180,7 @@
         job.ending_ms = now_ms
         self.yielding[job.name] = None
 
-    def hold_cores(self, job, cores):
+    def add_team_cores(self, job, cores):
         """Adds cores to those reserved for the job's team; may be negative."""
         team = job.submitted.team
         self.team_cores[team] = self.team_cores.get(team, 0) + cores
@@ -184,7 +188,7 @@
     def resize(self, job, size):
         """Changes the size reserved for a job."""
         self.used[job.vm] = self.used_on(job.vm).plus(size).minus(job.size)
-        self.hold_cores(job, size.cores - job.size.cores)
+        self.add_team_cores(job, size.cores - job.size.cores)
         job.size = size
 
     def unbind(self, job):
@@ -197,7 +201,7 @@
             # Discards the rounding error of adding up fractional cores.
             del self.on_vm[job.vm]
             del self.used[job.vm]
-        self.hold_cores(job, -job.size.cores)
+        self.add_team_cores(job, -job.size.cores)
         self.yielding.pop(job.name, None)
         self.throttled.pop(job.name, None)
         job.vm = None
--- a/wigeonport/jobs.py
+++ b/wigeonport/jobs.py
@@ -16,7 +16,7 @@
 from wigeonport.views import FAILED
 from wigeonport.worker_faults import update_quarantines
 
-RENEWALS_PER_LEASE = 6
+RENEWAL_CHECKS_PER_LEASE = 6
 # A task on a draining worker that is expected to end within this share of
 # ``drain_bound_ms`` is not checkpointed.
 DRAIN_WAIT_SHARE = 0.5
@@ -29,7 +29,7 @@
     commands.extend(report_unrunnable(view))
     commands.extend(send_cancellations(view))
     expire_leases(view, now_ms)
-    resume_unyielded_tasks(view, now_ms)
+    reset_unyielded_tasks(view, now_ms)
     commands.extend(checkpoint_draining(view, now_ms))
     commands.extend(advance_preemptions(view, now_ms))
     for pool in view.pools():
@@ -81,8 +81,11 @@
 
 
 def renew_all_leases(view, now_ms):
-    """Renews the task leases, ``RENEWALS_PER_LEASE`` times per lease time."""
-    interval_ms = view.settings.task_lease_ms // RENEWALS_PER_LEASE
+    """Renews the task leases that need it.
+
+    Looks for them ``RENEWAL_CHECKS_PER_LEASE`` times per lease time.
+    """
+    interval_ms = view.settings.task_lease_ms // RENEWAL_CHECKS_PER_LEASE
     if now_ms - view.jobs.renewed_ms < interval_ms:
         return []
     view.jobs.renewed_ms = now_ms
@@ -143,8 +146,8 @@
     return commands
 
 
-def resume_unyielded_tasks(view, now_ms):
-    """Returns tasks that were to yield, but did not, to the running state.
+def reset_unyielded_tasks(view, now_ms):
+    """Resets tasks that did not yield in time to the running state.
 
     This applies once the checkpoint bound has passed and neither a drain nor
     a preemption needs their worker. Without it, a task that ignored one
--- a/wigeonport/preemptions.py
+++ b/wigeonport/preemptions.py
@@ -197,7 +197,7 @@
 
 
 def unthrottle_tasks(view, now_ms):
-    """Returns throttled tasks to full speed where the worker has room."""
+    """Restores throttled tasks to full speed where the worker has room."""
     commands = []
     for name in list(view.jobs.throttled):
         job = view.jobs.jobs[name]
@@ -209,7 +209,7 @@
 
 
 def unthrottle(view, vm, job):
-    """Returns one task to full speed if its full size fits."""
+    """Restores one task to full speed if its full size fits."""
     size = job.size
     cores = size.cores / view.settings.throttle_share
     full = Size(cores, size.memory_mb, size.accelerators)
