Rename used to reserved

Cause: used and used_on hold the size reserved on a worker, which may differ from what its tasks use Change: used to reserved; 8 uses in 1 files, by token.

--- a/wigeonport/job_tables.py
+++ b/wigeonport/job_tables.py
@@ -85,7 +85,7 @@
         on_vm: Maps worker name to the ids of the jobs on it.
         by_team: Maps team name to the ids of its jobs that have not ended.
         team_cores: Maps team name to the cores reserved for its tasks.
-        used: Maps worker name to the Size reserved on it.
+        reserved: Maps worker name to the Size reserved on it.
         cancelled: Ids of cancelled jobs whose tasks are yet to be stopped.
         unreported_unrunnable: Jobs found to be unrunnable and not yet
             reported as such.
@@ -105,7 +105,7 @@
         "on_vm",
         "by_team",
         "team_cores",
-        "used",
+        "reserved",
         "cancelled",
         "unreported_unrunnable",
         "histories",
@@ -124,7 +124,7 @@
         self.on_vm = {}
         self.by_team = {}
         self.team_cores = {}
-        self.used = {}
+        self.reserved = {}
         self.cancelled = []
         self.unreported_unrunnable = []
         self.histories = {}
@@ -171,7 +171,7 @@
         job.lease_until_ms = now_ms + self.settings.task_lease_ms
         job.throttled = False
         self.on_vm.setdefault(vm_name, {})[job.name] = None
-        self.used[vm_name] = self.used_on(vm_name).plus(size)
+        self.reserved[vm_name] = self.used_on(vm_name).plus(size)
         self.add_team_cores(job, size.cores)
 
     def mark_yielding(self, job, now_ms):
@@ -187,7 +187,7 @@
 
     def resize(self, job, size):
         """Changes the size reserved for a job."""
-        self.used[job.vm] = self.used_on(job.vm).plus(size).minus(job.size)
+        self.reserved[job.vm] = self.used_on(job.vm).plus(size).minus(job.size)
         self.add_team_cores(job, size.cores - job.size.cores)
         job.size = size
 
@@ -196,11 +196,11 @@
         if job.vm is None:
             return
         self.on_vm[job.vm].pop(job.name, None)
-        self.used[job.vm] = self.used_on(job.vm).minus(job.size)
+        self.reserved[job.vm] = self.used_on(job.vm).minus(job.size)
         if not self.on_vm[job.vm]:
             # Discards the rounding error of adding up fractional cores.
             del self.on_vm[job.vm]
-            del self.used[job.vm]
+            del self.reserved[job.vm]
         self.add_team_cores(job, -job.size.cores)
         self.yielding.pop(job.name, None)
         self.throttled.pop(job.name, None)
@@ -229,7 +229,7 @@
 
     def used_on(self, vm_name):
         """Returns the size reserved on a worker."""
-        return self.used.get(vm_name) or Size(0, 0, 0)
+        return self.reserved.get(vm_name) or Size(0, 0, 0)
 
     def take_over(self, now_ms):
         """Prepares the table for the decisions of a new leader.
