Rename used_on to reserved_on

Cause: the method returns the size reserved on a worker, which may differ from what its tasks use Change: used_on to reserved_on; 11 uses in 5 files, by token.

--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -326,9 +326,9 @@
     run = make_run()
     (start,) = submit(run, make_job("a", cores=16))
     run.step(JobsCancelled(("a",)))
-    assert run.view.jobs.used_on(start.vm).cores == 16
+    assert run.view.jobs.reserved_on(start.vm).cores == 16
     report(run, start, "stopped")
-    assert run.view.jobs.used_on(start.vm).cores == 0
+    assert run.view.jobs.reserved_on(start.vm).cores == 0
     assert "a" not in run.view.jobs.jobs
 
 
--- a/tests/test_random_traces.py
+++ b/tests/test_random_traces.py
@@ -142,7 +142,7 @@
     idle = [name for name, job in table.jobs.items() if job.vm is None]
     assert sorted(waiting) == sorted(idle)
     for vm_name in table.on_vm:
-        used = table.used_on(vm_name)
+        used = table.reserved_on(vm_name)
         cores = sum(
             table.jobs[name].size.cores for name in table.on_vm[vm_name]
         )
--- a/wigeonport/job_tables.py
+++ b/wigeonport/job_tables.py
@@ -171,7 +171,7 @@
         job.lease_until_ms = now_ms + self.settings.task_lease_ms
         job.throttled = False
         self.on_vm.setdefault(vm_name, {})[job.name] = None
-        self.reserved[vm_name] = self.used_on(vm_name).plus(size)
+        self.reserved[vm_name] = self.reserved_on(vm_name).plus(size)
         self.add_team_cores(job, size.cores)
 
     def mark_yielding(self, job, now_ms):
@@ -187,7 +187,9 @@
 
     def resize(self, job, size):
         """Changes the size reserved for a job."""
-        self.reserved[job.vm] = self.used_on(job.vm).plus(size).minus(job.size)
+        self.reserved[job.vm] = (
+            self.reserved_on(job.vm).plus(size).minus(job.size)
+        )
         self.add_team_cores(job, size.cores - job.size.cores)
         job.size = size
 
@@ -196,7 +198,7 @@
         if job.vm is None:
             return
         self.on_vm[job.vm].pop(job.name, None)
-        self.reserved[job.vm] = self.used_on(job.vm).minus(job.size)
+        self.reserved[job.vm] = self.reserved_on(job.vm).minus(job.size)
         if not self.on_vm[job.vm]:
             # Discards the rounding error of adding up fractional cores.
             del self.on_vm[job.vm]
@@ -227,7 +229,7 @@
         """Returns the ids of the jobs whose tasks are on a worker."""
         return self.on_vm.get(vm_name, {})
 
-    def used_on(self, vm_name):
+    def reserved_on(self, vm_name):
         """Returns the size reserved on a worker."""
         return self.reserved.get(vm_name) or Size(0, 0, 0)
 
--- a/wigeonport/placements.py
+++ b/wigeonport/placements.py
@@ -189,7 +189,7 @@
     for vm in available_vms(view, pool.name, now_ms):
         if vm.name not in view.jobs.preemptions:
             yield CandidateWorker(
-                vm, vm.size.minus(view.jobs.used_on(vm.name))
+                vm, vm.size.minus(view.jobs.reserved_on(vm.name))
             )
 
 
--- a/wigeonport/preemptions.py
+++ b/wigeonport/preemptions.py
@@ -100,7 +100,7 @@
     candidates.sort(
         key=lambda job: (lost_core_ms(view, job, now_ms), job.name)
     )
-    room = vm.size.minus(table.used_on(vm.name))
+    room = vm.size.minus(table.reserved_on(vm.name))
     cost, victims = 0, []
     for victim in candidates:
         if size.fits(room):
@@ -142,7 +142,7 @@
     if not is_waiting or not is_available(view, vm, now_ms):
         del table.preemptions[vm.name]
         return []
-    if preemption.size.fits(vm.size.minus(table.used_on(vm.name))):
+    if preemption.size.fits(vm.size.minus(table.reserved_on(vm.name))):
         del table.preemptions[vm.name]
         table.bind(job, vm.name, preemption.size, now_ms)
         until_ms = job.lease_until_ms
@@ -213,7 +213,7 @@
     size = job.size
     cores = size.cores / view.settings.throttle_share
     full = Size(cores, size.memory_mb, size.accelerators)
-    room = vm.size.minus(view.jobs.used_on(vm.name)).plus(size)
+    room = vm.size.minus(view.jobs.reserved_on(vm.name)).plus(size)
     if not full.fits(room):
         return []
     view.jobs.resize(job, full)
