Name the recovery, leadership and return of VMs plainly

Cause: take_over, drained, proven and want_by_score said too little, and the docstring of return_by_score read as a return value.

--- a/wigeonport/borrow_policies.py
+++ b/wigeonport/borrow_policies.py
@@ -68,12 +68,12 @@
     """
     requests = LoanRequests()
     for pool_need in find_needs(view, now_ms):
-        want_by_score(view, pool_need, requests)
+        request_by_score(view, pool_need, requests)
         return_by_score(view, pool_need, now_ms, requests)
     return requests
 
 
-def want_by_score(view, pool_need, requests):
+def request_by_score(view, pool_need, requests):
     """Requests the levels whose score has reached the upper bound."""
     price = move_price(view.settings)
     wanted = 0
@@ -86,7 +86,11 @@
 
 
 def return_by_score(view, pool_need, now_ms, requests):
-    """Returns idle VMs past their hold whose score is at the lower bound."""
+    """Requests the return of idle VMs whose hold and score allow it.
+
+    The hold must have passed, and the score of the pool's capacity must be at
+    the lower bound.
+    """
     price = move_price(view.settings)
     capacity = pool_need.capacity
     hold_ms = view.settings.borrow_hold_ms
@@ -118,9 +122,9 @@
             pool_need.pool.name, now_ms
         )
         if remaining_ms is None:
-            want_by_score(view, pool_need, requests)
+            request_by_score(view, pool_need, requests)
         elif pool_need.needed > pool_need.capacity:
-            want_by_gain(view, pool_need, remaining_ms, requests)
+            request_by_gain(view, pool_need, remaining_ms, requests)
         return_by_score(view, pool_need, now_ms, requests)
         requests.idle.extend(
             vm for vm in pool_need.idle if vm not in requests.returns
@@ -128,7 +132,7 @@
     return requests
 
 
-def want_by_gain(view, pool_need, remaining_ms, requests):
+def request_by_gain(view, pool_need, remaining_ms, requests):
     """Requests the missing VMs if the rest of the peak is worth their moves.
 
     A VM of a spare pool costs two moves, there and back; one that is idle in
--- a/wigeonport/fleet_events.py
+++ b/wigeonport/fleet_events.py
@@ -169,7 +169,7 @@
         view.lease_until_ms = 0
         # Another leader may have acted in between, so the operations are
         # rebuilt from the grants in the log.
-        view.jobs.take_over(now_ms)
+        view.jobs.begin_leadership(now_ms)
         view.operations.clear()
         restore_operations(view, list(view.grants.values()), now_ms)
     if event.lease_until_ms == 0:
--- a/wigeonport/job_events.py
+++ b/wigeonport/job_events.py
@@ -155,11 +155,13 @@
 
     Only failures on workers that finish other jobs count against a job.
     """
-    proven_count = sum(view.faults.finishes_tasks(vm) for vm in job.failed_on)
-    if proven_count >= view.settings.job_failed_workers:
-        return f"failed on {proven_count} workers that finish other jobs"
+    succeeding_count = sum(
+        view.faults.finishes_tasks(vm) for vm in job.failed_on
+    )
+    if succeeding_count >= view.settings.job_failed_workers:
+        return f"failed on {succeeding_count} workers that finish other jobs"
     members = view.fleet.pools[job.submitted.pool].members
-    if proven_count and job.failed_on.keys() >= members.keys():
+    if succeeding_count and job.failed_on.keys() >= members.keys():
         return "failed on every worker of its pool"
     return ""
 
--- a/wigeonport/job_tables.py
+++ b/wigeonport/job_tables.py
@@ -233,7 +233,7 @@
         """Returns the size reserved on a worker."""
         return self.reserved.get(vm_name) or Size(0, 0, 0)
 
-    def take_over(self, now_ms):
+    def begin_leadership(self, now_ms):
         """Prepares the table for the decisions of a new leader.
 
         The earlier leader may have renewed the lease of any running task
--- a/wigeonport/operations.py
+++ b/wigeonport/operations.py
@@ -134,9 +134,9 @@
 
 def revoke_operation(view, operation, reason, now_ms):
     """Ends an operation before its reboot or move; undrains the VM."""
-    drained = operation.phase == EMPTYING
+    drain_started = operation.phase == EMPTYING
     commands = end_operation(view, operation, reason)
-    if drained:
+    if drain_started:
         commands.insert(0, start_undrain(view, operation.vm, reason, now_ms))
     return commands
 
--- a/wigeonport/placements.py
+++ b/wigeonport/placements.py
@@ -219,8 +219,8 @@
 def choose_best_fit(placement, job, size):
     """Returns the worker with the least room remaining, or None.
 
-    A task that can't be checkpointed and runs longer than a drain may take
-    goes to the worker whose maintenance is due last.
+    A task that can't be checkpointed and runs longer than a drain may
+    take goes to the worker whose maintenance is due last.
     """
     fitting = find_fitting(placement, job, size)
     if not fitting:
@@ -258,10 +258,10 @@
     faults = placement.view.faults
     # Only on a worker that finishes other jobs does another failure show that
     # the job is at fault.
-    proven = [
+    succeeding = [
         worker for worker in untried if faults.finishes_tasks(worker.vm.name)
     ]
-    return proven or untried or fitting
+    return succeeding or untried or fitting
 
 
 def score_remaining_room(worker, size):
