Merge the wording of part planner-stages

Change: comments, docstrings, log sentences, messages and names of the part; renames follow over the tree.

--- a/wigeonport/fleet_events.py
+++ b/wigeonport/fleet_events.py
@@ -1,4 +1,4 @@
-"""Effects of fleet versions, platform reports and leadership on the view."""
+"""Handlers that apply fleet, VM, zone and leadership events to the view."""
 
 from wigeonport.logs import PartLogger
 from wigeonport.operation_stages import restore_operations
@@ -18,14 +18,18 @@
 
 @event_handlers.register(FleetLoaded)
 def handle_fleet(view, event, now_ms):
-    """Takes over a fleet version and keeps what reports have shown."""
+    """Replaces the fleet by a new version and keeps the reported VM states.
+
+    Returns:
+        Names of the pools that differ and of those with operations.
+    """
     old = view.fleet
     view.fleet = event.fleet
     view.reserve_basis = None
     apply_fleet_settings(view)
     for name, vm in event.fleet.vms.items():
         if name in old.vms:
-            keep_reported(old.vms[name], vm)
+            copy_reported_state(old.vms[name], vm)
     event.fleet.missing.update(old.missing)
     event.fleet.heard_ms.update(
         (zone, heard_ms)
@@ -33,28 +37,28 @@
         if zone in event.fleet.heard_ms
     )
     restore_operations(view, event.grants, now_ms)
-    view.jobs.fleet_changed(event.fleet)
+    view.jobs.requeue_unrunnable(event.fleet)
     logger.info("Fleet version loaded.", version=event.fleet.version)
     granted = {view.fleet.vms[name].pool for name in view.operations}
     return sorted(find_changed_pools(old, event.fleet) | granted)
 
 
 def find_changed_pools(old, new):
-    """Returns the pools that differ between two versions."""
+    """Returns the names of the pools whose needs or VMs differ."""
     changed = set()
     for name, pool in new.pools.items():
         before = old.pools.get(name)
-        if before is None or not same_pool(before, pool):
+        if before is None or not has_same_needs(before, pool):
             changed.add(name)
     for name, vm in new.vms.items():
         before = old.vms.get(name)
-        if before is None or not same_assignment(before, vm):
+        if before is None or not has_same_assignment(before, vm):
             changed.add(vm.pool)
     return changed
 
 
-def same_pool(old, new):
-    """Returns whether a pool has the same use and the same needs."""
+def has_same_needs(old, new):
+    """Returns whether both versions of a pool need the same capacity."""
     return (old.spare, old.floor, old.guaranteed()) == (
         new.spare,
         new.floor,
@@ -62,8 +66,8 @@
     )
 
 
-def same_assignment(old, new):
-    """Returns whether a VM is and belongs where it did."""
+def has_same_assignment(old, new):
+    """Returns whether a VM has the same pool, home pool and lender."""
     return (old.pool, old.home_pool, old.lender) == (
         new.pool,
         new.home_pool,
@@ -72,7 +76,7 @@
 
 
 def apply_fleet_settings(view):
-    """Takes over the settings that the version in force carries."""
+    """Overrides the planner's settings by those of the version in force."""
     weights = view.fleet.weights
     if weights is not None:
         view.settings.weight_buffer = weights.buffer_cost
@@ -82,8 +86,8 @@
         view.settings.maintenance_period_ms = view.fleet.period_ms
 
 
-def keep_reported(old, new):
-    """Copies what the platform reported from the old view of a VM."""
+def copy_reported_state(old, new):
+    """Copies the state that the platform reported to the new view of a VM."""
     new.state = old.state
     new.sequence = old.sequence
     new.unsettled_until_ms = max(
@@ -93,34 +97,37 @@
     new.missing = old.missing
     new.quarantined = old.quarantined
     new.moved_ms = old.moved_ms
-    known_ms, told_ms = old.maintained_ms or 0, new.maintained_ms or 0
-    if told_ms < known_ms:
-        # The end of this maintenance is still on its way to the log.
+    old_maintained_ms, new_maintained_ms = (
+        old.maintained_ms or 0,
+        new.maintained_ms or 0,
+    )
+    if new_maintained_ms < old_maintained_ms:
+        # The log has not recorded the end of the last maintenance yet.
         new.maintained_ms, new.due_ms = old.maintained_ms, old.due_ms
-    elif told_ms == known_ms:
-        # Keeps what an operator has requested meanwhile.
+    elif new_maintained_ms == old_maintained_ms:
+        # An operator may have requested earlier maintenance meanwhile.
         new.due_ms = min(old.due_ms, new.due_ms)
 
 
 @event_handlers.register(VmReported)
 def handle_vm(view, event, now_ms):
-    """Applies a report that is newer than the last one applied."""
+    """Applies a VM report; repeated and older reports are ignored."""
     vm = view.fleet.vms.get(event.vm)
     if vm is None or event.sequence <= vm.sequence:
         return ()
     vm.sequence = event.sequence
-    was, vm.state = vm.state, event.state
-    if event.state == FAILED and was != FAILED:
-        view.wave.note_failure(now_ms)
-        view.jobs.vm_lost(vm.name)
-    if event.state == READY and was in (FAILED, REBOOTING):
+    old_state, vm.state = vm.state, event.state
+    if event.state == FAILED and old_state != FAILED:
+        view.wave.record_failure(now_ms)
+        view.jobs.mark_tasks_lost(vm.name)
+    if event.state == READY and old_state in (FAILED, REBOOTING):
         vm.unsettled_until_ms = now_ms + view.settings.healthy_hold_ms
     return (vm.pool,)
 
 
 @event_handlers.register(ZoneReported)
 def handle_zone(view, event, now_ms):
-    """Applies which VMs of a zone are alive; older reports are ignored."""
+    """Updates which VMs of a zone are missing; ignores older reports."""
     heard_ms = view.fleet.heard_ms.get(event.zone, 0)
     if event.zone not in view.fleet.heard_ms:
         return ()
@@ -130,35 +137,39 @@
     missing = frozenset(event.missing)
     changed = missing ^ view.fleet.missing.get(event.zone, frozenset())
     view.fleet.missing[event.zone] = missing
-    touched = set()
+    changed_pools = set()
     for name in changed:
         vm = view.fleet.vms.get(name)
         if vm is not None and vm.zone == event.zone:
             change_missing(view, vm, name in missing, now_ms)
-            touched.add(vm.pool)
-    return sorted(touched)
+            changed_pools.add(vm.pool)
+    return sorted(changed_pools)
 
 
 def change_missing(view, vm, missing, now_ms):
-    """Records that a VM went missing, or was found and has to settle."""
+    """Records whether a VM is missing; one that is back starts its hold."""
     vm.missing = missing
     if not missing:
         vm.unsettled_until_ms = now_ms + view.settings.healthy_hold_ms
     elif vm.state == READY:
-        view.wave.note_failure(now_ms)
+        view.wave.record_failure(now_ms)
 
 
 @event_handlers.register(LeadershipChanged)
 def handle_leadership(view, event, now_ms):
-    """Applies a newer lease, or the end of leadership by a higher term."""
+    """Extends the leader lease, or starts a higher term.
+
+    A lease end of 0 ends the leadership in this term; events of a lower term
+    are ignored.
+    """
     if event.term < view.term:
         return ()
     if event.term > view.term:
         view.term = event.term
         view.lease_until_ms = 0
-        # Another leader may have acted since; only what the log shows
-        # counts, and the operations are rebuilt from it.
-        view.jobs.take_over(now_ms)
+        # Another leader may have acted in between, so the operations are
+        # rebuilt from the grants in the log.
+        view.jobs.begin_leadership(now_ms)
         view.operations.clear()
         restore_operations(view, list(view.grants.values()), now_ms)
     if event.lease_until_ms == 0:
@@ -169,7 +180,7 @@
 
 @event_handlers.register(MaintenanceSteered)
 def handle_steering(view, event, now_ms):
-    """Pauses or resumes maintenance, or makes one VM due now."""
+    """Applies an operator's pause, resume or maintenance request."""
     if event.action == "pause":
         view.wave.pause("paused by an operator", by_operator=True)
     elif event.action == "resume":
@@ -184,4 +195,4 @@
 
 @event_handlers.register(Tick)
 def handle_tick(view, event, now_ms):
-    """Plans every pool: touches ``None``, which stands for all."""
+    """Requests a full plan: returns ``None``, which stands for all pools."""
--- a/wigeonport/operator_drains.py
+++ b/wigeonport/operator_drains.py
@@ -1,17 +1,18 @@
-"""Drains that an operator asked for by a grant of the purpose ``drain``.
+"""Phases of a drain that an operator requested by a ``drain`` grant.
 
-The planner drains the VM, records that in the log and keeps it drained until
-the operator ends the grant or its lease expires; then it returns the VM.
+The planner drains the VM, confirms the drain in the log and keeps the VM
+drained until the operator ends the grant or it expires; then it undrains the
+VM.
 """
 
 from wigeonport.operations import (
     HOLDING,
     OPERATOR_EMPTYING,
     OPERATOR_STARTING,
-    end,
-    grant_is_live,
+    end_operation,
+    is_grant_live,
     phases,
-    start_return,
+    start_undrain,
 )
 from wigeonport.plan_commands import ConfirmVmDrain, DrainVm
 from wigeonport.views import DRAINED
@@ -21,18 +22,21 @@
 
 @phases.register(OPERATOR_STARTING)
 def start_operator_drain(view, operation, vm, now_ms):
-    """Drains the VM."""
-    if not grant_is_live(view, vm, now_ms):
-        return end(view, operation, ENDED_REASON)
+    """Starts the drain, or ends the operation if the grant has ended."""
+    if not is_grant_live(view, vm, now_ms):
+        return end_operation(view, operation, ENDED_REASON)
     operation.enter(OPERATOR_EMPTYING, now_ms)
     return [DrainVm(vm.name, operation.kind)]
 
 
 @phases.register(OPERATOR_EMPTYING)
 def await_operator_drain(view, operation, vm, now_ms):
-    """Records the drain in the log; it has no bound but the lease."""
-    if not grant_is_live(view, vm, now_ms):
-        return give_back(view, operation, now_ms)
+    """Waits for the drain, then confirms it in the log.
+
+    The drain has no time limit other than the grant.
+    """
+    if not is_grant_live(view, vm, now_ms):
+        return end_operator_drain(view, operation, now_ms)
     if vm.state != DRAINED:
         return []
     operation.enter(HOLDING, now_ms)
@@ -42,13 +46,13 @@
 @phases.register(HOLDING)
 def hold_drained(view, operation, vm, now_ms):
     """Keeps the VM drained while the grant is live."""
-    if grant_is_live(view, vm, now_ms):
+    if is_grant_live(view, vm, now_ms):
         return []
-    return give_back(view, operation, now_ms)
+    return end_operator_drain(view, operation, now_ms)
 
 
-def give_back(view, operation, now_ms):
-    """Returns the VM to work."""
-    commands = end(view, operation, ENDED_REASON)
-    commands.append(start_return(view, operation.vm, ENDED_REASON, now_ms))
+def end_operator_drain(view, operation, now_ms):
+    """Ends the operation and starts the undrain of the VM."""
+    commands = end_operation(view, operation, ENDED_REASON)
+    commands.append(start_undrain(view, operation.vm, ENDED_REASON, now_ms))
     return commands
--- a/wigeonport/waves.py
+++ b/wigeonport/waves.py
@@ -1,4 +1,4 @@
-"""Maintenance waves: which VM gets a grant next, when to pause, resume."""
+"""Stage of maintenance waves: chooses VMs, pauses and resumes."""
 
 from wigeonport.availabilities import (
     available_vms,
@@ -8,7 +8,7 @@
 from wigeonport.operations import (
     MAINTENANCE,
     REVOCABLE,
-    revoke,
+    revoke_operation,
     start_maintenance,
 )
 from wigeonport.plan_commands import ReportWave
@@ -17,7 +17,7 @@
 
 @stages.register("waves")
 def plan(view, now_ms, random):
-    """Pauses or resumes, revokes, and in a full plan grants."""
+    """Updates the pause, revokes grants, and in a full plan starts VMs."""
     update_pause(view, now_ms)
     commands = report_change(view)
     if view.wave.pause_reason:
@@ -25,17 +25,17 @@
         return commands
     commands.extend(revoke_under_load(view, now_ms))
     if view.is_full():
-        commands.extend(grant(view, now_ms))
+        commands.extend(start_due_maintenance(view, now_ms))
     return commands
 
 
 def update_pause(view, now_ms):
-    """Pauses on failures within the window; resumes after a quiet time."""
+    """Pauses on repeated failures; resumes after a time without any."""
     settings, wave = view.settings, view.wave
-    kept_ms = max(settings.wave_failure_window_ms, settings.wave_quiet_ms)
-    wave.forget_failures(now_ms - kept_ms)
+    retention_ms = max(settings.wave_failure_window_ms, settings.wave_quiet_ms)
+    wave.drop_failures(now_ms - retention_ms)
     window_start_ms = now_ms - settings.wave_failure_window_ms
-    recent = sum(at >= window_start_ms for at in wave.failures)
+    recent = sum(failed_ms >= window_start_ms for failed_ms in wave.failures)
     if not wave.pause_reason and recent >= settings.wave_pause_failures:
         seconds = settings.wave_failure_window_ms // 1000
         wave.pause(f"{recent} VMs failed within {seconds} s")
@@ -44,7 +44,7 @@
 
 
 def report_change(view):
-    """Returns a report if the pause changed since the last report."""
+    """Returns a report if the pause has changed since the last report."""
     wave = view.wave
     if wave.reported == wave.pause_reason:
         return []
@@ -54,8 +54,8 @@
     return [ReportWave("resumed", "no failures within the quiet time")]
 
 
-def revocable(view):
-    """Returns the maintenance operations that can still be taken back."""
+def find_revocable(view):
+    """Returns the maintenance operations that can still be revoked."""
     return [
         operation
         for operation in view.operations.values()
@@ -64,19 +64,22 @@
 
 
 def revoke_all(view, now_ms):
-    """Takes back all grants whose VM was not rebooted yet."""
+    """Revokes all maintenance whose VM is not being rebooted yet."""
     commands = []
-    for operation in revocable(view):
+    for operation in find_revocable(view):
         reason = view.wave.pause_reason
-        commands.extend(revoke(view, operation, reason, now_ms))
+        commands.extend(revoke_operation(view, operation, reason, now_ms))
     return commands
 
 
 def revoke_under_load(view, now_ms):
-    """Takes back grants in pools that need the VM for their demand."""
+    """Revokes maintenance in pools that need the VM for their demand.
+
+    Overdue maintenance goes on.
+    """
     commands = []
     in_scope = {pool.name for pool in view.pools()}
-    for operation in revocable(view):
+    for operation in find_revocable(view):
         vm = view.fleet.vms[operation.vm]
         pool = view.fleet.pools[vm.pool]
         if pool.name not in in_scope or is_overdue(view, vm, now_ms):
@@ -84,35 +87,35 @@
         available = count_available(view, pool.name, now_ms)
         if available < needed_vms(view, pool, now_ms):
             reason = "the pool needs the VM for its demand"
-            commands.extend(revoke(view, operation, reason, now_ms))
+            commands.extend(revoke_operation(view, operation, reason, now_ms))
     return commands
 
 
 def is_overdue(view, vm, now_ms):
-    """Returns whether maintenance can no longer wait for low demand."""
+    """Returns whether maintenance is due too soon to wait for low demand."""
     return vm.due_ms - now_ms <= view.settings.wave_overdue_ms
 
 
-def grant(view, now_ms):
-    """Starts maintenance of as many VMs as the budgets allow."""
+def start_due_maintenance(view, now_ms):
+    """Starts as much maintenance as the budgets and the parallelism allow."""
     running = sum(
         operation.kind == MAINTENANCE for operation in view.operations.values()
     )
-    free = view.settings.wave_parallel - running
-    if free <= 0:
+    free_slots = view.settings.wave_parallel - running
+    if free_slots <= 0:
         return []
     commands = []
-    for vm in find_order(view, now_ms):
+    for vm in find_due_vms(view, now_ms):
         if may_grant(view, vm, now_ms):
             commands.extend(start_maintenance(view, vm, now_ms))
-            free -= 1
-        if free == 0:
+            free_slots -= 1
+        if free_slots == 0:
             break
     return commands
 
 
-def find_order(view, now_ms):
-    """Returns the VMs that are due, in the order of the settings."""
+def find_due_vms(view, now_ms):
+    """Returns the VMs due for maintenance, in the order of the settings."""
     latest_ms = now_ms + view.settings.wave_lead_ms
     due = [
         vm
@@ -124,23 +127,27 @@
 
 
 def may_grant(view, vm, now_ms):
-    """Returns whether the budget of the VM's pool allows one more grant."""
+    """Returns whether the VM's pool can do without it during maintenance.
+
+    Overdue VMs need to leave the required VMs and the headroom only; others
+    also the reserve, in a spare pool, or the VMs that the demand needs.
+    """
     pool = view.fleet.pools[vm.pool]
-    left = count_available(view, pool.name, now_ms) - 1
-    if left - find_headroom(view, pool) < pool.required():
+    remaining = count_available(view, pool.name, now_ms) - 1
+    if remaining - count_headroom(view, pool) < pool.required():
         return False
     if is_overdue(view, vm, now_ms):
         return True
     if pool.spare and view.reserve is not None:
         return view.reserve.held > view.reserve.needed
-    return left >= needed_vms(view, pool, now_ms)
+    return remaining >= needed_vms(view, pool, now_ms)
 
 
-def find_headroom(view, pool):
-    """Returns the VMs kept for an unplanned loss during maintenance.
+def count_headroom(view, pool):
+    """Returns the VMs kept back for an unplanned loss during maintenance.
 
-    A pool whose budget is a single VM has no headroom; it could never be
-    maintained otherwise.
+    A pool whose budget is a single VM has no headroom, because with any it
+    could never be maintained.
     """
     budget = len(pool.members) - pool.required()
     return max(min(view.settings.wave_headroom, budget - 1), 0)
@@ -148,10 +155,10 @@
 
 @wave_orders.register("zone_rack")
 def order_by_zone_and_rack(view, due, now_ms):
-    """One zone at a time, and in it one rack after the other.
+    """Orders VMs by one zone at a time, and within it rack by rack.
 
-    The loss of another zone then meets no VM in maintenance there, and a
-    rack is finished before the next is touched. VMs that cannot wait come
+    The loss of another zone then meets no VM in maintenance there, and a rack
+    is finished before the next one starts. VMs past their due time come
     first, whatever their zone.
     """
     overdue = [vm for vm in due if vm.due_ms <= now_ms]
@@ -161,11 +168,11 @@
         first = min(due, key=lambda vm: (vm.due_ms, vm.zone), default=None)
         view.wave.zone = first.zone if first else None
     if zones_in_maintenance(view) - {view.wave.zone}:
-        # The previous zone ends before the next one starts.
+        # Maintenance in the previous zone must end first.
         return overdue
-    in_zone = [vm for vm in due if vm.zone == view.wave.zone]
-    in_zone.sort(key=lambda vm: (vm.rack, vm.due_ms, vm.name))
-    return overdue + [vm for vm in in_zone if vm.due_ms > now_ms]
+    due_in_zone = [vm for vm in due if vm.zone == view.wave.zone]
+    due_in_zone.sort(key=lambda vm: (vm.rack, vm.due_ms, vm.name))
+    return overdue + [vm for vm in due_in_zone if vm.due_ms > now_ms]
 
 
 def zones_in_maintenance(view):
@@ -179,5 +186,5 @@
 
 @wave_orders.register("oldest_first")
 def order_by_due_time(view, due, now_ms):
-    """Baseline: the earliest due VM first, in any zone."""
+    """Baseline: orders VMs by due time, in any zone."""
     return sorted(due, key=lambda vm: (vm.due_ms, vm.name))
