Rename spare_budget to remaining_budget

Cause: spare_budget read as a budget of the spare pool, but it is what remains of an availability budget Change: spare_budget to remaining_budget; 5 uses in 3 files, by token.

--- a/wigeonport/budgets.py
+++ b/wigeonport/budgets.py
@@ -19,7 +19,7 @@
     return max([promised, *limits, 0])
 
 
-def spare_budget(fleet, pool, members, unavailable):
+def remaining_budget(fleet, pool, members, unavailable):
     """Returns how many more VMs of a pool may become unavailable.
 
     Args:
--- a/wigeonport/maintenance_states.py
+++ b/wigeonport/maintenance_states.py
@@ -1,6 +1,6 @@
 """Replicated part: maintenance grants as leases against the budgets."""
 
-from wigeonport.budgets import spare_budget
+from wigeonport.budgets import remaining_budget
 from wigeonport.records import Record
 from wigeonport.registries import Registry
 
@@ -246,7 +246,7 @@
     wanted = [w for w in command.workers if w not in away]
     for pool in sorted({pools[w] for w in wanted}):
         members = state.pools.members(pool)
-        spare = spare_budget(state.fleet.fleet, pool, members, unavailable)
+        spare = remaining_budget(state.fleet.fleet, pool, members, unavailable)
         known = [w for w in wanted if w not in unavailable]
         count = sum(pools[w] == pool for w in known)
         if count > spare:
--- a/wigeonport/state_queries.py
+++ b/wigeonport/state_queries.py
@@ -1,6 +1,6 @@
 """Queries that the owner of the replicated state evaluates."""
 
-from wigeonport.budgets import required_available, spare_budget
+from wigeonport.budgets import remaining_budget, required_available
 from wigeonport.fleet_states import parse_json
 from wigeonport.patches import patch_from_document
 from wigeonport.previews import preview
@@ -139,7 +139,7 @@
         "members": len(members),
         "unavailable": len(away & set(members)),
         "required": required_available(fleet, pool),
-        "spare": spare_budget(fleet, pool, members, away),
+        "spare": remaining_budget(fleet, pool, members, away),
     }
 
 
