Rename 2 names: MaintenanceControlled, MAINTENANCE_ACTIONS and others

Cause: Operators pause, resume or request maintenance; steering was figurative Change: MaintenanceSteered to MaintenanceControlled, STEERING_ACTIONS to MAINTENANCE_ACTIONS; 16 uses in 6 files, by token. Result: every touched file compiles; behaviour is unchanged.

--- a/tests/test_planners.py
+++ b/tests/test_planners.py
@@ -7,7 +7,7 @@
     CommandConfirmed,
     CommandRefused,
     LeadershipChanged,
-    MaintenanceSteered,
+    MaintenanceControlled,
     Tick,
     VmReported,
     ZoneReported,
@@ -25,7 +25,7 @@
 
 def start_drain(run, vm_name):
     """Makes a VM due and returns the drain command of its maintenance."""
-    run.step(MaintenanceSteered("request", vm_name))
+    run.step(MaintenanceControlled("request", vm_name))
     (request,) = (c for c in run.tick() if c.kind == "request_grant")
     (drain,) = run.step(CommandConfirmed(request.command_id))
     assert (drain.kind, drain.vm) == ("drain_vm", vm_name)
@@ -149,10 +149,10 @@
 def test_operators_pause_outlasts_the_quiet_time(make_run):
     """Guards against maintenance that restarts by itself."""
     run = make_run()
-    run.step(MaintenanceSteered("pause"))
-    run.step(MaintenanceSteered("request", "roster-ikeja-1"))
+    run.step(MaintenanceControlled("pause"))
+    run.step(MaintenanceControlled("request", "roster-ikeja-1"))
     assert "request_grant" not in kinds(run.tick(600_000))
-    run.step(MaintenanceSteered("resume"))
+    run.step(MaintenanceControlled("resume"))
     assert "request_grant" in kinds(run.tick(1_000))
 
 
@@ -168,7 +168,7 @@
 def test_unknown_zone_blocks_grants(make_run, clock):
     """Guards against grants based on VMs that no one has heard of."""
     run = make_run()
-    run.step(MaintenanceSteered("request", "roster-ikeja-1"))
+    run.step(MaintenanceControlled("request", "roster-ikeja-1"))
     clock.advance(6_000)
     for zone in ("ikeja", "lekki"):
         run.step(ZoneReported(zone, clock.now()))
@@ -188,7 +188,7 @@
     for zone in ("ikeja", "lekki", "yaba"):
         for number in (1, 2):
             vm = f"roster-{zone}-{number}"
-            run.step(MaintenanceSteered("request", vm))
+            run.step(MaintenanceControlled("request", vm))
     granted = [c for c in run.tick() if c.kind == "request_grant"]
     assert len(granted) == max(budget - 1, 1)
 
--- a/tools/generate_traces.py
+++ b/tools/generate_traces.py
@@ -391,7 +391,7 @@
     builder.start(due_ms=2 * 86_400_000)
     stuck = builder.vm(0, 0)
     builder.add(0, FaultsChanged(stuck_reboots=(stuck,)))
-    builder.add(200_000, events.MaintenanceSteered("resume"))
+    builder.add(200_000, events.MaintenanceControlled("resume"))
     builder.report_vm(210_000, stuck, READY)
     builder.add(210_000, FaultsChanged())
     return builder
--- a/wigeonport/fleet_events.py
+++ b/wigeonport/fleet_events.py
@@ -5,7 +5,7 @@
 from wigeonport.plan_events import (
     FleetLoaded,
     LeadershipChanged,
-    MaintenanceSteered,
+    MaintenanceControlled,
     Tick,
     VmReported,
     ZoneReported,
@@ -167,7 +167,7 @@
     return ()
 
 
-@event_handlers.register(MaintenanceSteered)
+@event_handlers.register(MaintenanceControlled)
 def handle_steering(view, event, now_ms):
     """Pauses or resumes maintenance, or makes one VM due now."""
     if event.action == "pause":
--- a/wigeonport/plan_drivers.py
+++ b/wigeonport/plan_drivers.py
@@ -17,7 +17,7 @@
 from wigeonport.plan_events import (
     DemandReported,
     LeadershipChanged,
-    MaintenanceSteered,
+    MaintenanceControlled,
     Tick,
 )
 from wigeonport.plan_proposals import PLANNER_GRANTS, find_returns
@@ -154,7 +154,7 @@
         """Follows what others than the planner changed in the state."""
         command, answer = notice.command, notice.answer
         if type(command) in STEERING and command.scope == "all":
-            await self.step(MaintenanceSteered(STEERING[type(command)]))
+            await self.step(MaintenanceControlled(STEERING[type(command)]))
         elif isinstance(answer, PatchAccepted):
             self.outdated = True
         elif isinstance(command, RequestGrant):
--- a/wigeonport/plan_events.py
+++ b/wigeonport/plan_events.py
@@ -17,7 +17,7 @@
 PAUSE = "pause"
 RESUME = "resume"
 REQUEST = "request"
-STEERING_ACTIONS = (PAUSE, RESUME, REQUEST)
+MAINTENANCE_ACTIONS = (PAUSE, RESUME, REQUEST)
 
 
 class FleetLoaded:
@@ -227,7 +227,7 @@
         self.measured_ms = measured_ms
 
 
-class MaintenanceSteered:
+class MaintenanceControlled:
     """An operator steers maintenance.
 
     Attributes:
--- a/wigeonport/trace_kinds.py
+++ b/wigeonport/trace_kinds.py
@@ -286,8 +286,8 @@
 )
 declare(
     "maintenance",
-    events.MaintenanceSteered,
-    Field("action", choice(events.STEERING_ACTIONS)),
+    events.MaintenanceControlled,
+    Field("action", choice(events.MAINTENANCE_ACTIONS)),
     Field("vm", TEXT, ""),
 )
 declare("tick", events.Tick)
