Rename is_full to plans_all_pools, scored_ms to scores_updated_ms

Cause: is_full did not say what is full, and scored_ms not what was scored Change: is_full to plans_all_pools, scored_ms to scores_updated_ms; 13 uses in 8 files, by token.

--- a/wigeonport/borrow_policies.py
+++ b/wigeonport/borrow_policies.py
@@ -38,7 +38,7 @@
 
 def find_needs(view, now_ms):
     """Updates the scores and returns the PoolNeed of each pool."""
-    elapsed_s = (now_ms - (view.scored_ms or now_ms)) / 1000
+    elapsed_s = (now_ms - (view.scores_updated_ms or now_ms)) / 1000
     limit = len(Supply(view, now_ms, 0).vms)
     needs = [
         PoolNeed(view, pool, now_ms)
--- a/wigeonport/borrowings.py
+++ b/wigeonport/borrowings.py
@@ -88,11 +88,11 @@
 def plan(view, now_ms, random):
     """Covers guarantees first; in a full plan also follows demand."""
     commands = cover_guarantees(view, now_ms)
-    if not view.is_full():
+    if not view.plans_all_pools():
         return commands
     policy = borrow_policies.entries[view.settings.borrow_policy]
     requests = policy(view, now_ms)
-    view.scored_ms = now_ms
+    view.scores_updated_ms = now_ms
     commands.extend(start_moves(view, requests, now_ms))
     return commands
 
--- a/wigeonport/jobs.py
+++ b/wigeonport/jobs.py
@@ -34,7 +34,7 @@
     for pool in view.pools():
         commands.extend(place_waiting(view, pool, now_ms, random))
     commands.extend(restore_throttled(view, now_ms))
-    if view.is_full():
+    if view.plans_all_pools():
         commands.extend(renew_all_leases(view, now_ms))
     return commands
 
@@ -67,7 +67,7 @@
 
 def expire_leases(view, now_ms):
     """Queues jobs again whose lease has ended; no worker runs them now."""
-    if view.is_full():
+    if view.plans_all_pools():
         # Includes workers that the present version no longer lists.
         vm_names = list(view.jobs.on_vm)
     else:
--- a/wigeonport/operation_stages.py
+++ b/wigeonport/operation_stages.py
@@ -34,7 +34,7 @@
 
 def operations_in_scope(view):
     """Returns the operations on VMs of the pools in scope."""
-    if view.is_full():
+    if view.plans_all_pools():
         return list(view.operations.values())
     names = [name for pool in view.pools() for name in pool.members]
     return [view.operations[name] for name in names if name in view.operations]
--- a/wigeonport/plan_views.py
+++ b/wigeonport/plan_views.py
@@ -26,7 +26,7 @@
         reserve_basis: Available VMs by pool for which the reserve was sized.
         borrow_scores: Score of each level of capacity, by service.
         peaks: PeakRecords of the pools.
-        scored_ms: Time of the last update of the scores.
+        scores_updated_ms: Time of the last update of the scores.
         scope: Names of the pools to plan, or None for all.
         available: Available VMs by pool while a plan runs, else None; what
             changes the availability of a VM calls ``forget_available``.
@@ -47,7 +47,7 @@
         "reserve_basis",
         "borrow_scores",
         "peaks",
-        "scored_ms",
+        "scores_updated_ms",
         "scope",
         "available",
     )
@@ -67,7 +67,7 @@
         self.reserve_basis = None
         self.borrow_scores = {}
         self.peaks = PeakRecords()
-        self.scored_ms = None
+        self.scores_updated_ms = None
         self.scope = None
         self.available = None
 
@@ -88,6 +88,6 @@
             return list(pools.values())
         return [pools[name] for name in self.scope if name in pools]
 
-    def is_full(self):
+    def plans_all_pools(self):
         """Returns whether every pool is planned."""
         return self.scope is None
--- a/wigeonport/planners.py
+++ b/wigeonport/planners.py
@@ -127,7 +127,7 @@
             commands.extend(plan_stage(view, now_ms, random))
         view.available = None
         commands = [self.ledger.stamp(each, now_ms) for each in commands]
-        if view.is_full():
+        if view.plans_all_pools():
             fresh = {command.command_id for command in commands}
             commands.extend(
                 command
--- a/wigeonport/reserves.py
+++ b/wigeonport/reserves.py
@@ -151,7 +151,7 @@
 @stages.register("reserves")
 def plan(view, now_ms, random):
     """Sizes the reserve in a full plan and reports a change."""
-    if not view.is_full():
+    if not view.plans_all_pools():
         return []
     basis = find_basis(view, now_ms)
     if basis == view.reserve_basis:
--- a/wigeonport/waves.py
+++ b/wigeonport/waves.py
@@ -24,7 +24,7 @@
         commands.extend(revoke_all(view, now_ms))
         return commands
     commands.extend(revoke_under_load(view, now_ms))
-    if view.is_full():
+    if view.plans_all_pools():
         commands.extend(grant(view, now_ms))
     return commands
 
