Rename act_on_plans to execute_commands

Cause: The filter executes the planner's commands; act on plans said neither Change: act_on_plans to execute_commands; 3 uses in 2 files, by token. Result: every touched file compiles; behaviour is unchanged.

--- a/wigeonport/control_main.py
+++ b/wigeonport/control_main.py
@@ -26,7 +26,7 @@
 from wigeonport.links import LinkClosed
 from wigeonport.logs import PartLogger
 from wigeonport.operators import OperatorApp, OperatorControl
-from wigeonport.plan_actors import PlanActor, act_on_plans
+from wigeonport.plan_actors import PlanActor, execute_commands
 from wigeonport.plan_drivers import (
     PlanDriver,
     answer_without_platform,
@@ -243,7 +243,7 @@
     nursery.start_soon(
         drive_plans, boxes.planner, driver, settings.plan_interval_ms
     )
-    nursery.start_soon(act_on_plans, boxes.plans, boxes.planner, actor)
+    nursery.start_soon(execute_commands, boxes.plans, boxes.planner, actor)
     nursery.start_soon(poll_reports, client, boxes.planner, logger)
 
 
--- a/wigeonport/plan_actors.py
+++ b/wigeonport/plan_actors.py
@@ -112,7 +112,7 @@
     return result
 
 
-async def act_on_plans(inbound, outbound, actor):
+async def execute_commands(inbound, outbound, actor):
     """Carries out commands concurrently.
 
     Commands on the same VM follow each other, because the planner waits for
