Rename heard_ms to last_report_ms

Cause: FleetView.heard_ms holds the time of a zone's last report; nothing is heard Change: heard_ms to last_report_ms; 21 uses in 4 files, by token.

--- a/bench/planning.py
+++ b/bench/planning.py
@@ -82,7 +82,7 @@
 
     def hear(self):
         """Feeds a report of every zone."""
-        for zone in self.planner.view.fleet.heard_ms:
+        for zone in self.planner.view.fleet.last_report_ms:
             self.step(events.ZoneReported(zone, self.now_ms))
 
     def pass_second(self):
@@ -124,7 +124,7 @@
     """Returns a ReplicatedState with the fleet of a bench."""
     view = bench.planner.view.fleet
     fleet = Fleet(1)
-    for zone in view.heard_ms:
+    for zone in view.last_report_ms:
         fleet.zones[zone] = AvailabilityZone(zone, "region")
     for pool in view.pools.values():
         fleet.pools[pool.name] = Pool(pool.name)
--- a/wigeonport/availabilities.py
+++ b/wigeonport/availabilities.py
@@ -5,10 +5,10 @@
 
 def is_heard(view, vm, now_ms):
     """Returns whether the VM was reported alive recently."""
-    heard_ms = view.fleet.heard_ms[vm.zone]
-    if heard_ms is None or vm.missing:
+    last_report_ms = view.fleet.last_report_ms[vm.zone]
+    if last_report_ms is None or vm.missing:
         return False
-    return now_ms - heard_ms <= view.settings.report_stale_ms
+    return now_ms - last_report_ms <= view.settings.report_stale_ms
 
 
 def is_available(view, vm, now_ms):
--- a/wigeonport/fleet_events.py
+++ b/wigeonport/fleet_events.py
@@ -27,10 +27,10 @@
         if name in old.vms:
             keep_reported(old.vms[name], vm)
     event.fleet.missing.update(old.missing)
-    event.fleet.heard_ms.update(
-        (zone, heard_ms)
-        for zone, heard_ms in old.heard_ms.items()
-        if zone in event.fleet.heard_ms
+    event.fleet.last_report_ms.update(
+        (zone, last_report_ms)
+        for zone, last_report_ms in old.last_report_ms.items()
+        if zone in event.fleet.last_report_ms
     )
     restore_operations(view, event.grants, now_ms)
     view.jobs.fleet_changed(event.fleet)
@@ -121,12 +121,12 @@
 @event_handlers.register(ZoneReported)
 def handle_zone(view, event, now_ms):
     """Applies which VMs of a zone are alive; older reports are ignored."""
-    heard_ms = view.fleet.heard_ms.get(event.zone, 0)
-    if event.zone not in view.fleet.heard_ms:
+    last_report_ms = view.fleet.last_report_ms.get(event.zone, 0)
+    if event.zone not in view.fleet.last_report_ms:
         return ()
-    if heard_ms is not None and event.measured_ms <= heard_ms:
+    if last_report_ms is not None and event.measured_ms <= last_report_ms:
         return ()
-    view.fleet.heard_ms[event.zone] = event.measured_ms
+    view.fleet.last_report_ms[event.zone] = event.measured_ms
     missing = frozenset(event.missing)
     changed = missing ^ view.fleet.missing.get(event.zone, frozenset())
     view.fleet.missing[event.zone] = missing
--- a/wigeonport/views.py
+++ b/wigeonport/views.py
@@ -237,7 +237,7 @@
         pools: PoolView by name.
         services: ServiceView by name.
         teams: TeamView by name.
-        heard_ms: Time of the last report of each zone.
+        last_report_ms: Time of the last report of each zone.
         missing: Names of the VMs missing in that report, by zone.
         weights: WeightsView of the version, or None to keep the settings.
         period_ms: Maintenance period, or None to keep the settings.
@@ -249,7 +249,7 @@
         "pools",
         "services",
         "teams",
-        "heard_ms",
+        "last_report_ms",
         "missing",
         "weights",
         "period_ms",
@@ -261,13 +261,13 @@
         self.pools = {pool.name: pool for pool in pools}
         self.services = {service.name: service for service in services}
         self.teams = {team.name: team for team in teams}
-        self.heard_ms = {}
+        self.last_report_ms = {}
         self.missing = {}
         self.weights = None
         self.period_ms = None
         for vm in vms:
             self.pools[vm.pool].members[vm.name] = None
-            self.heard_ms.setdefault(vm.zone, None)
+            self.last_report_ms.setdefault(vm.zone, None)
         for service in services:
             self.pools[service.pool].services.append(service)
 
