--- a/tests/test_view_builders.py
+++ b/tests/test_view_builders.py
@@ -9,7 +9,7 @@
     CommandRefused,
     VmReported,
 )
-from wigeonport.plan_proposals import make_proposals, read_refusal
+from wigeonport.plan_proposals import find_refusal_reason, make_proposals
 from wigeonport.state_commands import EndGrant, RequestGrant, SubmitPatch
 from wigeonport.states import Entry, ReplicatedState
 from wigeonport.view_builders import build_fleet_loaded, find_due_ms
@@ -44,7 +44,7 @@
             "operations": operations,
         }
         answer = self.apply(SubmitPatch(json.dumps(document)))
-        assert not read_refusal(answer), answer.findings
+        assert not find_refusal_reason(answer), answer.findings
 
 
 def fleet_operations():
@@ -101,7 +101,7 @@
         refusal = ""
         now_ms = run.clock.now()
         for item in make_proposals(command, run.view, log.state, now_ms):
-            refusal = read_refusal(log.apply(item))
+            refusal = find_refusal_reason(log.apply(item))
         for state in STATES.get(command.kind, ()):
             sequence = run.view.fleet.vms[command.vm].sequence + 1
             report = VmReported(command.vm, state, sequence)
@@ -212,7 +212,7 @@
     for item in make_proposals(
         request, logged_run.view, log.state, clock.now()
     ):
-        assert not read_refusal(log.apply(item))
+        assert not find_refusal_reason(log.apply(item))
     successor = make_run()
     commands = successor.step(build_fleet_loaded(log.state, 0))
     assert "drain_vm" in kinds(carry_out(successor, log, commands))
@@ -222,7 +222,7 @@
 def test_operators_drain_is_carried_out_and_kept(logged_run, log, clock):
     """Guards against a planner that undoes an operator's drain."""
     request = RequestGrant("g", ["roster-0"], "drain", "op", "", 60_000, [])
-    assert not read_refusal(log.apply(request))
+    assert not find_refusal_reason(log.apply(request))
     commands = logged_run.step(build_fleet_loaded(log.state, 0))
     assert "drain_vm" in kinds(carry_out(logged_run, log, commands))
     assert log.state.maintenance.grants["g"].drained == ["roster-0"]
@@ -302,7 +302,7 @@
             "by-hand", ["roster-0"], "drain", "ada", "disk", 60_000, []
         )
     )
-    assert not read_refusal(granted)
+    assert not find_refusal_reason(granted)
     started = logged_run.step(build_fleet_loaded(log.state, 0))
     done = kinds(carry_out(logged_run, log, started))
     done += kinds(carry_out(logged_run, log, logged_run.tick()))
--- a/wigeonport/budgets.py
+++ b/wigeonport/budgets.py
@@ -4,9 +4,10 @@
 def required_available(fleet, pool):
     """Returns how many workers of a pool must stay available.
 
-    It is the larger of the sum of the services' promised workers and, for
-    each service, the workers that the version assigns to the pool less the
-    service's budget. A pool without services needs none.
+    This is the maximum of the sum of the workers promised to the pool's
+    services and, for each service, the number of workers that the version
+    assigns to the pool minus the service's budget. It is 0 for a pool
+    without services.
 
     Args:
         fleet: The version in force.
@@ -29,7 +30,7 @@
         unavailable: Ids of VMs that are unavailable or in an unknown state.
 
     Returns:
-        The number, negative when the pool is below what it needs already.
+        The number; negative if fewer than the required VMs are available.
     """
     available = len(set(members) - set(unavailable))
     return available - required_available(fleet, pool)
--- a/wigeonport/fleet_changes.py
+++ b/wigeonport/fleet_changes.py
@@ -2,14 +2,14 @@
 
 from wigeonport.documents import Field, write_fields
 from wigeonport.fleet_records import SECTIONS, Weights
-from wigeonport.fleets import SCALARS, SECTION_NAMES
+from wigeonport.fleets import SCALAR_FIELDS, SECTION_NAMES
 
 WEIGHTS = "weights"
-SETTING_SECTION = "fleet"
+FLEET_SECTION = "fleet"
 
 
 class Change:
-    """One record or fleet-wide value that differs.
+    """A difference in one record or fleet-wide value.
 
     Attributes:
         section: Fleet section, or ``fleet`` for fleet-wide values.
@@ -33,7 +33,7 @@
         self.after = after
 
     def to_document(self):
-        """Returns plain data."""
+        """Returns the change as JSON data."""
         return write_fields(self.FIELDS, self)
 
     def reversed(self):
@@ -42,10 +42,10 @@
 
     def __str__(self):
         name = f"{self.section}.{self.id}"
-        if self.section == SETTING_SECTION:
+        if self.section == FLEET_SECTION:
             return f"{name}: {self.before} -> {self.after}"
         if self.before is None:
-            return f"{name}: added {_pairs(self.after)}".rstrip()
+            return f"{name}: added {_format_fields(self.after)}".rstrip()
         if self.after is None:
             return f"{name}: removed"
         fields = [
@@ -56,17 +56,17 @@
         return f"{name}: {', '.join(fields)}"
 
 
-def _pairs(document):
+def _format_fields(document):
     return " ".join(f"{k}={v}" for k, v in document.items() if k != "id")
 
 
 def diff(old, new):
     """Returns the changes from one fleet to another, in a fixed order."""
     changes = []
-    for name in (*(field.name for field in SCALARS), WEIGHTS):
-        before, after = _setting(old, name), _setting(new, name)
+    for name in (*(field.name for field in SCALAR_FIELDS), WEIGHTS):
+        before, after = _fleet_value(old, name), _fleet_value(new, name)
         if before != after:
-            changes.append(Change(SETTING_SECTION, name, before, after))
+            changes.append(Change(FLEET_SECTION, name, before, after))
     for name in SECTION_NAMES:
         changes.extend(_section_changes(name, old, new))
     return changes
@@ -76,7 +76,7 @@
     before, after = getattr(old, name), getattr(new, name)
     changes = []
     for id in sorted(before.keys() | after.keys()):
-        # Records are shared between versions, so most are identical.
+        # Versions share unchanged records, so most need no comparison.
         if before.get(id) is after.get(id):
             continue
         pair = (_document(before.get(id)), _document(after.get(id)))
@@ -89,7 +89,7 @@
     return record and write_fields(record.FIELDS, record)
 
 
-def _setting(fleet, name):
+def _fleet_value(fleet, name):
     value = getattr(fleet, name)
     return _document(value) if name == WEIGHTS else value
 
@@ -98,7 +98,7 @@
     """Returns a fleet with the changes applied, without checks."""
     result = fleet.copy(version)
     for change in changes:
-        if change.section == SETTING_SECTION:
+        if change.section == FLEET_SECTION:
             value = change.after
             if change.id == WEIGHTS:
                 value = Weights(**value)
@@ -114,7 +114,7 @@
 
 
 def merge_changes(changes):
-    """Joins successive changes of the same record into one each."""
+    """Merges successive changes of each record; drops those without effect."""
     merged = {}
     for change in changes:
         key = (change.section, change.id)
--- a/wigeonport/fleet_records.py
+++ b/wigeonport/fleet_records.py
@@ -1,4 +1,4 @@
-"""Records of a fleet version, each with its table of fields."""
+"""Records of a fleet version, each with a table of its fields."""
 
 from wigeonport.documents import Field
 from wigeonport.registries import Registry
@@ -8,8 +8,8 @@
 MINUTES_PER_DAY = 1_440
 DAYS = ("mon", "tue", "wed", "thu", "fri", "sat", "sun", "daily")
 MS_PER_MINUTE = 60_000
-# 1970-01-01 was a Thursday.
-FIRST_WEEKDAY = 3
+# Index in DAYS of 1970-01-01, which was a Thursday.
+EPOCH_WEEKDAY = 3
 
 
 @SECTIONS.register("regions")
@@ -164,14 +164,14 @@
         """Returns the budget as a number of workers of the pool."""
         if self.max_unavailable is not None:
             return min(self.max_unavailable, worker_count)
-        # Tolerates the rounding of shares such as 0.29 * 100.
+        # As a float, 0.29 * 100 is just below 29; int would return 28.
         return int((self.max_unavailable_share or 0) * worker_count + 1e-9)
 
     def allowed_unavailable(self, worker_count):
         """Returns how many of the pool's workers may be unavailable.
 
-        The promised capacity limits the budget: with fewer workers than
-        promised plus budget, fewer may be unavailable.
+        This is the budget, but never more than the number of workers
+        beyond the promised capacity.
         """
         spare = worker_count - self.capacity_workers
         return max(0, min(self.budget(worker_count), spare))
@@ -225,24 +225,35 @@
         self.duration_minutes = duration_minutes
 
     def contains(self, wall_ms):
-        """Returns whether the window is open at a time since the epoch."""
+        """Returns whether the window is open.
+
+        Args:
+            wall_ms: Time since the epoch in ms.
+        """
         day, minute = divmod(wall_ms // MS_PER_MINUTE, MINUTES_PER_DAY)
-        weekday = (day + FIRST_WEEKDAY) % 7
-        since = minute - self.start_minute
-        if 0 <= since < self.duration_minutes:
+        weekday = (day + EPOCH_WEEKDAY) % 7
+        elapsed_minutes = minute - self.start_minute
+        if 0 <= elapsed_minutes < self.duration_minutes:
             return self._opens_on(weekday)
-        since += MINUTES_PER_DAY
-        if since < self.duration_minutes:
+        elapsed_minutes += MINUTES_PER_DAY
+        if elapsed_minutes < self.duration_minutes:
             return self._opens_on((weekday - 1) % 7)
         return False
 
     def next_opening(self, wall_ms):
-        """Returns when the window opens next, after a time."""
+        """Returns the time of the next opening, in ms since the epoch.
+
+        Args:
+            wall_ms: Time in ms after which the window must open.
+
+        Raises:
+            ValueError: If the window opens on no day of the week.
+        """
         day = wall_ms // MS_PER_DAY
-        for ahead in range(8):
-            opening = (day + ahead) * MS_PER_DAY
+        for days_ahead in range(8):
+            opening = (day + days_ahead) * MS_PER_DAY
             opening += self.start_minute * MS_PER_MINUTE
-            weekday = (day + ahead + FIRST_WEEKDAY) % 7
+            weekday = (day + days_ahead + EPOCH_WEEKDAY) % 7
             if opening > wall_ms and self._opens_on(weekday):
                 return opening
         raise ValueError(f"window {self.id!r} never opens")
@@ -252,7 +263,13 @@
 
 
 class Weights:
-    """Weights of the three measures that the policies minimize."""
+    """Weights of the three measures that the policies minimize.
+
+    Attributes:
+        buffer_cost: Weight of the VMs that stand idle.
+        roll_out_time: Weight of the time in which VMs are missing.
+        moves: Weight of moves of VMs between pools.
+    """
 
     __slots__ = ("buffer_cost", "roll_out_time", "moves")
     FIELDS = (
--- a/wigeonport/fleets.py
+++ b/wigeonport/fleets.py
@@ -1,4 +1,4 @@
-"""The numbered fleet version and its document form."""
+"""One numbered version of the fleet, its JSON form and its checks."""
 
 from expression import Result
 
@@ -24,42 +24,43 @@
 from wigeonport.registries import Registry
 
 FLEET_CHECKS = Registry("fleet check")
-DEFAULT_PERIOD_HOURS = 336
+DEFAULT_MAINTENANCE_PERIOD_HOURS = 336
 SECTION_NAMES = tuple(SECTIONS.entries)
-SCALARS = (
+SCALAR_FIELDS = (
     Field("spare_pool", "name", None),
     Field(
         "maintenance_period_hours",
         "whole",
-        DEFAULT_PERIOD_HOURS,
+        DEFAULT_MAINTENANCE_PERIOD_HOURS,
         least=1,
         most=24 * 366,
     ),
 )
 TOP_FIELDS = (
     Field("version", "whole", 0, least=0),
-    *SCALARS,
+    *SCALAR_FIELDS,
     Field("weights", "mapping", None),
     *(Field(name, "mappings", ()) for name in SECTION_NAMES),
 )
 
 
 class Fleet:
-    """One version of the fleet; its records are never changed in place.
+    """One version of the fleet; its records are replaced, never changed.
 
     Attributes:
         version: Number of this version; 0 is the empty fleet.
         spare_pool: Pool that lends workers, or None.
-        maintenance_period_hours: Every VM is maintained once in it.
-        weights: Weights of the measures.
-        regions: Region by id.
-        zones: AvailabilityZone by id.
-        racks: Rack by id.
-        workers: Worker by VM id.
-        pools: Pool by id.
-        services: Service by id.
-        teams: Team by id.
-        windows: MaintenanceWindow by id.
+        maintenance_period_hours: Period in which every VM is maintained
+            once.
+        weights: Weights of the measures that the policies minimize.
+        regions: Maps id to Region.
+        zones: Maps id to AvailabilityZone.
+        racks: Maps id to Rack.
+        workers: Maps VM id to Worker.
+        pools: Maps id to Pool.
+        services: Maps id to Service.
+        teams: Maps id to Team.
+        windows: Maps id to MaintenanceWindow.
     """
 
     __slots__ = (
@@ -73,13 +74,17 @@
     def __init__(self, version=0):
         self.version = version
         self.spare_pool = None
-        self.maintenance_period_hours = DEFAULT_PERIOD_HOURS
+        self.maintenance_period_hours = DEFAULT_MAINTENANCE_PERIOD_HOURS
         self.weights = Weights()
         for name in SECTION_NAMES:
             setattr(self, name, {})
 
     def copy(self, version=None):
-        """Returns a copy whose sections can be changed separately."""
+        """Returns a copy with its own sections; the records are shared.
+
+        Args:
+            version: Number of the copy, or None to keep this one.
+        """
         result = Fleet(self.version if version is None else version)
         result.spare_pool = self.spare_pool
         result.maintenance_period_hours = self.maintenance_period_hours
@@ -90,20 +95,20 @@
 
     def workers_of(self, pool):
         """Returns the workers of a pool, ordered by id."""
-        found = [w for w in self.workers.values() if w.pool == pool]
-        return sorted(found, key=lambda worker: worker.id)
+        workers = [w for w in self.workers.values() if w.pool == pool]
+        return sorted(workers, key=lambda worker: worker.id)
 
     def services_of(self, pool):
         """Returns the services that run on a pool, ordered by id."""
-        found = [s for s in self.services.values() if s.pool == pool]
-        return sorted(found, key=lambda service: service.id)
+        services = [s for s in self.services.values() if s.pool == pool]
+        return sorted(services, key=lambda service: service.id)
 
     def windows_of(self, zone):
         """Returns the maintenance windows of an availability zone."""
         return [w for w in self.windows.values() if w.zone == zone]
 
     def to_document(self):
-        """Returns plain data; equal fleets give equal documents."""
+        """Returns the fleet as JSON data; equal fleets give equal data."""
         document = {
             "version": self.version,
             "spare_pool": self.spare_pool,
@@ -118,26 +123,38 @@
         return document
 
 
-def replaced(record, **changes):
+def copy_with(record, **changes):
     """Returns a copy of a record with some attributes changed."""
     values = write_fields(record.FIELDS, record)
     return type(record)(**(values | changes))
 
 
 def read_record(record_class, document, path, reporter):
-    """Returns a record from its document, or None after findings."""
+    """Reads a record from its document.
+
+    Returns:
+        The record, or None if the reporter received findings.
+    """
     values = read_fields(record_class.FIELDS, document, path, reporter)
     return None if values is None else record_class(**values)
 
 
 def fleet_from_document(document, places=None) -> Result:
-    """Returns the Fleet, or all Findings with their key paths."""
+    """Reads and checks a fleet version.
+
+    Args:
+        document: JSON data of the fleet.
+        places: Maps key paths to places in the source, or None.
+
+    Returns:
+        The Fleet, or all Findings with their key paths.
+    """
     reporter = Reporter(places)
     values = read_fields(TOP_FIELDS, document, (), reporter)
     if values is None:
         return reporter.findings.result(None)
     fleet = Fleet(values["version"])
-    for field in SCALARS:
+    for field in SCALAR_FIELDS:
         setattr(fleet, field.name, values[field.name])
     if values["weights"] is not None:
         weights = read_record(
@@ -168,32 +185,38 @@
         FLEET_CHECKS.entries[name](fleet, reporter)
 
 
-def _refer(reporter, path, section, name, known):
+def _check_reference(reporter, path, section, name, records):
     """Reports a reference to a record that does not exist."""
-    if name is not None and name not in known:
+    if name is not None and name not in records:
         kind = section[:-1]
         reporter.add(path, f"{kind} {name!r} does not exist", (section, name))
 
 
 @FLEET_CHECKS.register("topology")
 def check_topology(fleet, reporter):
-    """Zones name regions, and racks name zones, that exist."""
+    """Checks that zones name existing regions, and racks existing zones."""
     for zone in fleet.zones.values():
         path = ("zones", zone.id, "region")
-        _refer(reporter, path, "regions", zone.region, fleet.regions)
+        _check_reference(reporter, path, "regions", zone.region, fleet.regions)
     for rack in fleet.racks.values():
         path = ("racks", rack.id, "zone")
-        _refer(reporter, path, "zones", rack.zone, fleet.zones)
+        _check_reference(reporter, path, "zones", rack.zone, fleet.zones)
 
 
 @FLEET_CHECKS.register("workers")
 def check_workers(fleet, reporter):
-    """Every worker is in an existing pool, zone and rack of that zone."""
+    """Checks that each worker's pool, zone and rack in the zone exist."""
     for worker in fleet.workers.values():
         path = ("workers", worker.id)
-        _refer(reporter, (*path, "pool"), "pools", worker.pool, fleet.pools)
-        _refer(reporter, (*path, "zone"), "zones", worker.zone, fleet.zones)
-        _refer(reporter, (*path, "rack"), "racks", worker.rack, fleet.racks)
+        _check_reference(
+            reporter, (*path, "pool"), "pools", worker.pool, fleet.pools
+        )
+        _check_reference(
+            reporter, (*path, "zone"), "zones", worker.zone, fleet.zones
+        )
+        _check_reference(
+            reporter, (*path, "rack"), "racks", worker.rack, fleet.racks
+        )
         rack = fleet.racks.get(worker.rack)
         if rack is not None and rack.zone != worker.zone:
             reporter.add(
@@ -206,21 +229,23 @@
 
 @FLEET_CHECKS.register("services")
 def check_services(fleet, reporter):
-    """Services name existing pools and exactly one form of budget."""
+    """Checks that services name existing pools and one form of budget."""
     for service in fleet.services.values():
         path = ("services", service.id)
-        _refer(reporter, (*path, "pool"), "pools", service.pool, fleet.pools)
+        _check_reference(
+            reporter, (*path, "pool"), "pools", service.pool, fleet.pools
+        )
         forms = (service.max_unavailable, service.max_unavailable_share)
         if sum(form is not None for form in forms) != 1:
             reporter.add(
                 path,
-                "give either max_unavailable or max_unavailable_share",
+                "set exactly one of max_unavailable and max_unavailable_share",
             )
 
 
 @FLEET_CHECKS.register("capacity")
 def check_capacity(fleet, reporter):
-    """The workers of a pool cover what its services are promised."""
+    """Checks that each pool has the workers promised to its services."""
     counts = {}
     for worker in fleet.workers.values():
         counts[worker.pool] = counts.get(worker.pool, 0) + 1
@@ -240,20 +265,22 @@
 
 @FLEET_CHECKS.register("teams")
 def check_teams(fleet, reporter):
-    """Pools name teams, and the spare pool is a pool, that exist."""
+    """Checks that the teams of pools, and the spare pool, exist."""
     for pool in fleet.pools.values():
         path = ("pools", pool.id, "team")
-        _refer(reporter, path, "teams", pool.team, fleet.teams)
+        _check_reference(reporter, path, "teams", pool.team, fleet.teams)
     path = ("spare_pool",)
-    _refer(reporter, path, "pools", fleet.spare_pool, fleet.pools)
+    _check_reference(reporter, path, "pools", fleet.spare_pool, fleet.pools)
 
 
 @FLEET_CHECKS.register("windows")
 def check_windows(fleet, reporter):
-    """Windows name existing zones and days of the week."""
+    """Checks that windows name existing zones and known days."""
     for window in fleet.windows.values():
         path = ("windows", window.id)
-        _refer(reporter, (*path, "zone"), "zones", window.zone, fleet.zones)
+        _check_reference(
+            reporter, (*path, "zone"), "zones", window.zone, fleet.zones
+        )
         if window.day not in DAYS:
             reporter.add((*path, "day"), f"use one of {', '.join(DAYS)}")
 
@@ -272,5 +299,5 @@
     "check_fleet",
     "fleet_from_document",
     "read_record",
-    "replaced",
+    "copy_with",
 ]
--- a/wigeonport/patch_files.py
+++ b/wigeonport/patch_files.py
@@ -1,4 +1,4 @@
-"""Patch files, as operators keep them in version control."""
+"""Patch files that operators keep in version control."""
 
 from expression import Error, Result
 
@@ -16,8 +16,8 @@
 def load_patch_file(path, id, against_version, author) -> Result:
     """Reads a patch file; returns a Patch or all Findings.
 
-    A file carries a reason, operations and perhaps an author, but neither id
-    nor version: both belong to one submission.
+    A file holds a reason, operations and optionally an author. It has no
+    patch id and no version, because these belong to one submission.
 
     Args:
         path: Name of the YAML file.
@@ -41,12 +41,12 @@
     submission = {"id": id, "against_version": against_version}
     submission |= values
     submission["author"] = values.get("author") or author
-    read = patch_from_document(submission, places)
+    patch = patch_from_document(submission, places)
     if not reporter.findings:
-        return read
-    if read.is_error():
-        known = set(reporter.findings.lines())
-        for item in read.error.items:
-            if str(item) not in known:
+        return patch
+    if patch.is_error():
+        reported_lines = set(reporter.findings.lines())
+        for item in patch.error.items:
+            if str(item) not in reported_lines:
                 reporter.findings.items.append(item)
     return Error(reporter.findings)
--- a/wigeonport/patch_operations.py
+++ b/wigeonport/patch_operations.py
@@ -8,11 +8,11 @@
 from wigeonport.documents import Field, write_fields
 from wigeonport.fleet_changes import diff
 from wigeonport.fleet_records import SECTIONS, Weights
-from wigeonport.fleets import replaced
+from wigeonport.fleets import copy_with
 from wigeonport.registries import Registry
 
 OPERATIONS = Registry("patch operation")
-SINGULAR = {name: name[:-1] for name in SECTIONS.entries}
+RECORD_KINDS = {name: name[:-1] for name in SECTIONS.entries}
 
 
 class Draft:
@@ -20,50 +20,66 @@
 
     Attributes:
         fleet: Copy that the operations change.
-        past: Function from a version number to its Fleet, or None.
+        find_version: Function from a version number to its Fleet, or None.
         reporter: Collects findings.
         path: Key path of the operation that is being applied.
-        touched: Path of the last operation by section and id.
+        operation_paths: Maps section and id of a record to the key path of
+            the last operation that changed it.
     """
 
-    __slots__ = ("fleet", "past", "reporter", "path", "touched")
+    __slots__ = (
+        "fleet",
+        "find_version",
+        "reporter",
+        "path",
+        "operation_paths",
+    )
 
-    def __init__(self, fleet, past, reporter):
+    def __init__(self, fleet, find_version, reporter):
         self.fleet = fleet
-        self.past = past
+        self.find_version = find_version
         self.reporter = reporter
         self.path = ()
-        self.touched = {}
+        self.operation_paths = {}
 
-    def refuse(self, key, text):
+    def add_finding(self, key, text):
         """Adds a finding at a key of the current operation."""
         self.reporter.add((*self.path, key), text)
 
-    def touch(self, section, id):
-        """Notes that the current operation changed a record."""
-        self.touched[(section, id)] = self.path
+    def record_change(self, section, id):
+        """Records that the current operation changed a record."""
+        self.operation_paths[(section, id)] = self.path
 
     def find(self, section, id, key):
-        """Returns a record, or None after a finding."""
+        """Returns a record of the draft.
+
+        Args:
+            section: Fleet section.
+            id: Id of the record.
+            key: Key of the operation that names the record.
+
+        Returns:
+            The record, or None after a finding if it does not exist.
+        """
         record = getattr(self.fleet, section).get(id)
         if record is None:
-            kind = SINGULAR[section]
-            self.refuse(key, f"{kind} {id!r} does not exist")
+            kind = RECORD_KINDS[section]
+            self.add_finding(key, f"{kind} {id!r} does not exist")
         return record
 
     def put(self, section, record):
         """Adds or replaces a record."""
         getattr(self.fleet, section)[record.id] = record
-        self.touch(section, record.id)
+        self.record_change(section, record.id)
 
     def set(self, name, value):
         """Sets a fleet-wide value."""
         setattr(self.fleet, name, value)
-        self.touch("fleet", name)
+        self.record_change("fleet", name)
 
 
 class AddRecord:
-    """Adds a record that does not exist yet."""
+    """Adds a record; its id must not exist yet."""
 
     __slots__ = ("record",)
     SECTION = ""
@@ -80,14 +96,16 @@
         """Adds the record to the draft."""
         section = getattr(draft.fleet, self.SECTION)
         if self.record.id in section:
-            kind = SINGULAR[self.SECTION]
-            draft.refuse("id", f"{kind} {self.record.id!r} exists already")
+            kind = RECORD_KINDS[self.SECTION]
+            draft.add_finding(
+                "id", f"{kind} {self.record.id!r} already exists"
+            )
             return
         draft.put(self.SECTION, self.record)
 
 
 class ReplaceRecord(AddRecord):
-    """Replaces a record that exists."""
+    """Replaces an existing record."""
 
     __slots__ = ()
 
@@ -98,7 +116,7 @@
 
 
 class Operation:
-    """Base of operations whose fields are their attributes."""
+    """Base class of operations whose attributes are their fields."""
 
     __slots__ = ()
     FIELDS = ()
@@ -122,7 +140,7 @@
         """Removes the record from the draft."""
         if draft.find(self.SECTION, self.id, "id") is not None:
             del getattr(draft.fleet, self.SECTION)[self.id]
-            draft.touch(self.SECTION, self.id)
+            draft.record_change(self.SECTION, self.id)
 
 
 def _register_record_operations():
@@ -133,7 +151,7 @@
             members = {"__slots__": (), "SECTION": section}
             if base is not RemoveRecord:
                 members["FIELDS"] = record_class.FIELDS
-            name = f"{verb}_{SINGULAR[section]}"
+            name = f"{verb}_{RECORD_KINDS[section]}"
             OPERATIONS.register(name)(type(name, (base,), members))
 
 
@@ -158,9 +176,11 @@
         if worker is None or pool is None:
             return
         if worker.pool == self.pool:
-            draft.refuse("pool", f"{self.worker!r} is in this pool already")
+            draft.add_finding(
+                "pool", f"worker {self.worker!r} is already in this pool"
+            )
             return
-        draft.put("workers", replaced(worker, pool=self.pool))
+        draft.put("workers", copy_with(worker, pool=self.pool))
 
 
 @OPERATIONS.register("set_service_capacity")
@@ -182,12 +202,14 @@
         service = draft.find("services", self.service, "service")
         if service is not None:
             capacity = self.capacity_workers
-            draft.put("services", replaced(service, capacity_workers=capacity))
+            draft.put(
+                "services", copy_with(service, capacity_workers=capacity)
+            )
 
 
 @OPERATIONS.register("set_service_budget")
 class SetServiceBudget(Operation):
-    """Sets how many, or what share, of the workers may be unavailable."""
+    """Sets the number or the share of workers that may be unavailable."""
 
     __slots__ = ("service", "max_unavailable", "max_unavailable_share")
     FIELDS = (
@@ -205,7 +227,7 @@
         """Changes the service in the draft."""
         service = draft.find("services", self.service, "service")
         if service is not None:
-            changed = replaced(
+            changed = copy_with(
                 service,
                 max_unavailable=self.max_unavailable,
                 max_unavailable_share=self.max_unavailable_share,
@@ -245,7 +267,7 @@
 
 @OPERATIONS.register("set_weights")
 class SetWeights(Operation):
-    """Sets the weights of the measures; absent ones become 1."""
+    """Sets the weights of the measures; those not given become 1."""
 
     __slots__ = Weights.__slots__
     FIELDS = Weights.FIELDS
@@ -265,7 +287,7 @@
 
 @OPERATIONS.register("restore")
 class Restore(Operation):
-    """Makes the content of an older version the next version."""
+    """Makes the next version a copy of an older one."""
 
     __slots__ = ("version",)
     FIELDS = (Field("version", "whole", least=0),)
@@ -275,12 +297,14 @@
 
     def apply(self, draft):
         """Replaces the content of the draft."""
-        past = draft.past(self.version) if draft.past else None
-        if past is None:
-            draft.refuse(
+        restored = (
+            draft.find_version(self.version) if draft.find_version else None
+        )
+        if restored is None:
+            draft.add_finding(
                 "version", f"version {self.version} is not in the history"
             )
             return
-        for change in diff(draft.fleet, past):
-            draft.touch(change.section, change.id)
-        draft.fleet = past.copy(draft.fleet.version)
+        for change in diff(draft.fleet, restored):
+            draft.record_change(change.section, change.id)
+        draft.fleet = restored.copy(draft.fleet.version)
--- a/wigeonport/patches.py
+++ b/wigeonport/patches.py
@@ -1,4 +1,4 @@
-"""Patches against a stated fleet version."""
+"""Patches: changes of the fleet against a stated version."""
 
 import hashlib
 import json
@@ -18,7 +18,7 @@
 from wigeonport.fleets import check_fleet
 from wigeonport.patch_operations import OPERATIONS, Draft
 
-LARGEST_OPERATION_COUNT = 20_000
+MAX_OPERATIONS = 20_000
 FIELDS = (
     Field("id", "name"),
     Field("against_version", "whole", least=0),
@@ -33,11 +33,11 @@
 
     Attributes:
         id: Chosen by the author; a resend carries the same id.
-        against_version: Version that the author had seen.
-        author: Who submits the patch.
-        reason: Why.
+        against_version: Version that the author has seen.
+        author: Name of the operator or policy.
+        reason: Why the fleet is changed, as a text.
         operations: Operations in order.
-        places: Maps key paths to places in the source.
+        places: Maps key paths to places in the source, for findings.
     """
 
     __slots__ = (
@@ -59,16 +59,16 @@
         self.operations = operations
         self.places = places or Places()
 
-    def apply(self, fleet, past=None) -> Result:
+    def apply(self, fleet, find_version=None) -> Result:
         """Returns the next Fleet version, or all Findings.
 
         Args:
             fleet: The current version; it is not changed.
-            past: Function from a version number to its Fleet, or None; the
-                operation ``restore`` needs it.
+            find_version: Function from a version number to its Fleet, or
+                None; the operation ``restore`` needs it.
         """
         reporter = Reporter(self.places)
-        draft = Draft(fleet.copy(fleet.version + 1), past, reporter)
+        draft = Draft(fleet.copy(fleet.version + 1), find_version, reporter)
         for index, operation in enumerate(self.operations):
             draft.path = ("operations", index)
             operation.apply(draft)
@@ -78,7 +78,7 @@
         return reporter.findings.result(draft.fleet)
 
     def to_document(self):
-        """Returns plain data."""
+        """Returns the patch as JSON data."""
         document = write_fields(FIELDS, self)
         document["operations"] = [
             {"operation": operation_name(item), **item.to_document()}
@@ -87,13 +87,13 @@
         return document
 
     def digest(self):
-        """Returns a digest of the content; equal patches have equal ones."""
+        """Returns the SHA-256 of the content; equal patches have the same."""
         text = json.dumps(self.to_document(), sort_keys=True)
         return hashlib.sha256(text.encode()).hexdigest()
 
 
 class _ResultReporter:
-    """Places findings about the resulting fleet at the operation at fault.
+    """Reports faults of the resulting fleet at the operations that cause them.
 
     Attributes:
         draft: The draft after all operations.
@@ -105,13 +105,22 @@
         self.draft = draft
 
     def add(self, path, text, refers=None):
-        """Adds a finding at the last operation on the records concerned."""
-        own = path[:2] if len(path) > 1 else ("fleet", path[0])
-        touched = self.draft.touched
-        operation = touched.get(tuple(own)) or touched.get(refers)
-        if operation is None:
-            operation = ("operations",)
-        place = self.draft.reporter.places.at(operation)
+        """Adds a finding at the last operation that changed the record.
+
+        If no operation changed the record, the finding is at the last one
+        that changed the record it refers to, else at the whole list.
+
+        Args:
+            path: Key path in the fleet.
+            text: What is wrong.
+            refers: Section and id of the record referred to, or None.
+        """
+        record_key = path[:2] if len(path) > 1 else ("fleet", path[0])
+        paths = self.draft.operation_paths
+        operation_path = paths.get(tuple(record_key)) or paths.get(refers)
+        if operation_path is None:
+            operation_path = ("operations",)
+        place = self.draft.reporter.places.at(operation_path)
         findings = self.draft.reporter.findings
         findings.add(f"{place}: {path_text(path)}", text)
 
@@ -128,7 +137,8 @@
     """Returns the Patch, or all Findings with their places."""
     reporter = Reporter(places)
     values = read_fields(FIELDS, document, (), reporter)
-    # Operations are read even after other faults, to report all of them.
+    # Operations are read even if another field is wrong, so that all faults
+    # are reported at once.
     operations = _read_operations(document, reporter)
     if values is None or reporter.findings:
         return reporter.findings.result(None)
@@ -137,14 +147,14 @@
 
 
 def _read_operations(document, reporter):
-    listed = isinstance(document, dict) and document.get("operations")
-    documents = listed if isinstance(listed, list) else None
+    value = isinstance(document, dict) and document.get("operations")
+    documents = value if isinstance(value, list) else None
     if documents is None:
         return []
     if not documents:
         reporter.add(("operations",), "the patch has no operations")
-    if len(documents) > LARGEST_OPERATION_COUNT:
-        text = f"more than {LARGEST_OPERATION_COUNT} operations"
+    if len(documents) > MAX_OPERATIONS:
+        text = f"the patch has more than {MAX_OPERATIONS} operations"
         reporter.add(("operations",), text)
         return []
     operations = []
--- a/wigeonport/plan_actors.py
+++ b/wigeonport/plan_actors.py
@@ -1,4 +1,4 @@
-"""Plan actors: carry out the planner's commands."""
+"""The plan actor: executes the planner's commands."""
 
 import trio
 
@@ -7,18 +7,18 @@
 from wigeonport.logs import PartLogger
 from wigeonport.plan_commands import LOG, PLATFORM
 from wigeonport.plan_events import CommandConfirmed, CommandRefused
-from wigeonport.plan_proposals import make_proposals, read_refusal
+from wigeonport.plan_proposals import find_refusal_reason, make_proposals
 from wigeonport.registries import Registry
 from wigeonport.state_requests import COMMITTED
 
 logger = PartLogger("planner")
-targets = Registry("command target")
+target_handlers = Registry("command target")
 
 READ_TIMEOUT_MS = 1_000
 
 
 class PlannedCommand:
-    """A command and the view that it was planned on."""
+    """A command and the PlanView from which it was planned."""
 
     __slots__ = ("command", "view")
 
@@ -28,7 +28,7 @@
 
 
 class PlanActor:
-    """Carries out one command at a time for each VM.
+    """Executes commands in the replicated log and on the platform.
 
     Attributes:
         consensus: Mailbox of the consensus task.
@@ -47,31 +47,37 @@
         self.events = events
         self.clock = clock
 
-    async def act(self, planned, outbound):
-        """Carries out a command and reports what became of it."""
+    async def execute(self, planned, outbound):
+        """Executes a command and reports the result to the planner.
+
+        Args:
+            planned: PlannedCommand.
+            outbound: Mailbox for CommandConfirmed or CommandRefused. Nothing
+                is sent if the result is unknown.
+        """
         command = planned.command
         self.events.record(
             f"plan.{command.kind}",
             id=command.command_id,
             text=str(command),
         )
-        carry_out = targets.entries.get(command.target)
-        if carry_out is None:
+        handler = target_handlers.entries.get(command.target)
+        if handler is None:
             logger.info("Planner reports.", report=command)
             return
-        result = await carry_out(self, planned)
+        result = await handler(self, planned)
         if result is not None:
             await outbound.put(result)
 
     async def propose(self, planned):
-        """Proposes what a command needs in the log.
+        """Proposes the log commands that a command needs.
 
         Returns:
-            The CommandRefused, True if all was committed, or None if that
-            is unknown; the command is then sent again.
+            The CommandRefused, True if all were committed, or None if that
+            is unknown; the planner then repeats the command.
         """
         command = planned.command
-        found = await ask(
+        result = await ask(
             self.consensus,
             lambda reply: Read(
                 lambda state: make_proposals(
@@ -82,30 +88,30 @@
             ),
             READ_TIMEOUT_MS,
         )
-        if found.is_error() or found.ok.is_error():
+        if result.is_error() or result.ok.is_error():
             return None
-        for proposal in found.ok.ok:
+        for proposal in result.ok.ok:
             decision = await self.adapter.decide(proposal)
             if decision.outcome != COMMITTED:
                 return None
-            reason = read_refusal(decision.answer)
+            reason = find_refusal_reason(decision.answer)
             if reason:
                 return CommandRefused(command.command_id, reason)
         return True
 
 
-@targets.register(LOG)
-async def change_log(actor, planned):
-    """Commits a command to the log."""
+@target_handlers.register(LOG)
+async def commit_command(actor, planned):
+    """Commits a command to the replicated log."""
     result = await actor.propose(planned)
     if result is True:
         return CommandConfirmed(planned.command.command_id)
     return result
 
 
-@targets.register(PLATFORM)
-async def command_platform(actor, planned):
-    """Records what the log must know first, then tells the platform."""
+@target_handlers.register(PLATFORM)
+async def execute_on_platform(actor, planned):
+    """Commits a command's proposals, then sends it to the platform."""
     result = await actor.propose(planned)
     if result is True:
         return await actor.platform.execute(planned.command)
@@ -113,11 +119,11 @@
 
 
 async def execute_commands(inbound, outbound, actor):
-    """Carries out commands concurrently.
+    """Executes commands concurrently.
 
-    Commands on the same VM follow each other, because the planner waits for
-    the answer to one before it issues the next.
+    Commands on the same VM run one after the other, because the planner
+    waits for the answer to one before it issues the next.
     """
     async with trio.open_nursery() as nursery:
         async for planned in inbound:
-            nursery.start_soon(actor.act, planned, outbound)
+            nursery.start_soon(actor.execute, planned, outbound)
--- a/wigeonport/plan_commands.py
+++ b/wigeonport/plan_commands.py
@@ -10,13 +10,13 @@
 
 
 class Command:
-    """Base of all commands; the planner sets id and term.
+    """Base class of all commands; the planner sets id and term.
 
     Attributes:
         command_id: ``term-number``; a repeated id has no second effect.
         term: Term of the leader that issued the command.
         kind: Name in ``command_kinds``.
-        target: ``log``, ``platform`` or ``operators``.
+        target: Receiver: ``log``, ``platform`` or ``operators``.
     """
 
     __slots__ = ("command_id", "term")
@@ -37,7 +37,12 @@
 
 
 def register(kind, target):
-    """Returns a decorator that registers a command class."""
+    """Returns a decorator that registers a command class.
+
+    Args:
+        kind: Name of the command in traces and at the platform.
+        target: ``log``, ``platform`` or ``operators``.
+    """
 
     def decorate(command_class):
         command_class.kind = kind
@@ -64,21 +69,21 @@
 
 @register("drain_vm", PLATFORM)
 class DrainVm(VmCommand):
-    """Stops new work on a VM and lets the running work end."""
+    """Stops new work on a VM and lets running work finish."""
 
     __slots__ = ()
 
 
 @register("undrain_vm", PLATFORM)
 class UndrainVm(VmCommand):
-    """Returns a drained or draining VM to work."""
+    """Lets a drained or draining VM take new work again."""
 
     __slots__ = ()
 
 
 @register("confirm_drain", LOG)
 class ConfirmVmDrain(VmCommand):
-    """Records that a VM runs nothing any more."""
+    """Records that a draining VM has no running work left."""
 
     __slots__ = ()
 
@@ -92,24 +97,24 @@
 
 @register("quarantine_worker", OPERATORS)
 class QuarantineWorker(VmCommand):
-    """Reports that a worker gets no more tasks."""
+    """Reports that a worker is quarantined and gets no new tasks."""
 
     __slots__ = ()
 
 
 @register("release_worker", OPERATORS)
 class ReleaseWorker(VmCommand):
-    """Reports that a worker gets tasks again."""
+    """Reports that a worker left quarantine and gets tasks again."""
 
     __slots__ = ()
 
 
 @register("request_grant", LOG)
 class RequestVmGrant(Command):
-    """Asks for, or renews, a lease that permits to take a VM away.
+    """Requests or renews a lease that permits taking a VM out of service.
 
     Attributes:
-        vm: The VM.
+        vm: Name of the VM.
         purpose: ``maintenance`` or ``move``.
         destination: Pool that a move enters, else "".
         until_ms: End of the lease.
@@ -127,7 +132,7 @@
 
 @register("release_grant", LOG)
 class ReleaseGrant(Command):
-    """Ends a lease; the VM is back if it is healthy."""
+    """Ends the lease of a VM and tells whether the VM is healthy."""
 
     __slots__ = ("vm", "healthy", "reason")
 
@@ -195,7 +200,7 @@
     The platform reports a listed task that does not run as stopped.
 
     Attributes:
-        pool: The pool.
+        pool: Name of the pool.
         jobs: Ids of the jobs.
         vms: Worker of each job, in the same order.
         attempts: Attempt of each job, in the same order.
@@ -238,7 +243,7 @@
 
 @register("stop_task", PLATFORM)
 class StopTask(TaskCommand):
-    """Ends a task; its progress is lost."""
+    """Ends a task without a checkpoint; its progress is lost."""
 
     __slots__ = ()
 
@@ -270,7 +275,7 @@
 
 @register("report_job", OPERATORS)
 class ReportJob(Command):
-    """Reports that a job can never run, and why."""
+    """Reports that a job can never run, with the reason."""
 
     __slots__ = ("job", "verdict", "reason")
 
@@ -283,7 +288,7 @@
 
 @register("report_wave", OPERATORS)
 class ReportWave(Command):
-    """Reports that maintenance paused or resumed, and why."""
+    """Reports that maintenance paused or resumed, with the reason."""
 
     __slots__ = ("state", "reason")
 
--- a/wigeonport/plan_drivers.py
+++ b/wigeonport/plan_drivers.py
@@ -1,4 +1,4 @@
-"""Plan drivers: the task that owns the planner of a control."""
+"""The task that owns the planner of a control process."""
 
 from wigeonport.availabilities import is_available, is_heard
 from wigeonport.channels import Reply, ask
@@ -20,7 +20,10 @@
     MaintenanceControlled,
     Tick,
 )
-from wigeonport.plan_proposals import PLANNER_GRANTS, find_returns
+from wigeonport.plan_proposals import (
+    PLANNER_GRANT_PREFIX,
+    make_return_proposals,
+)
 from wigeonport.state_answers import PatchAccepted
 from wigeonport.state_commands import (
     EndGrant,
@@ -36,30 +39,31 @@
 logger = PartLogger("planner")
 
 READ_TIMEOUT_MS = 2_000
-# The view knows the windows as they were when the fleet was read.
+# The planner's view holds the next opening of each maintenance window as of
+# the last load, so the fleet is also reloaded when no version has changed.
 RELOAD_INTERVAL_MS = 60_000
-STEERING = {PauseMaintenance: "pause", ResumeMaintenance: "resume"}
+ACTION_BY_COMMAND = {PauseMaintenance: "pause", ResumeMaintenance: "resume"}
 
 
 class PlanDriver:
-    """Feeds the planner and hands its commands to the actor.
+    """Feeds events to the planner and passes its commands to the plan actor.
 
-    Only the leader plans; every control keeps the platform's reports, so
+    Only the leader plans. Every control applies the platform's reports, so
     that a new leader knows the state of the VMs at once.
 
     Attributes:
-        planner: Planner.
+        planner: Planner that this task owns.
         consensus: Mailbox of the consensus task.
         actor: Mailbox of the plan actor.
-        dialers: Dialers to the other controls by node id.
+        dialers: Maps the node id of each other control to its Dialer.
         clock: Time source.
         random: Random source.
         recorder: TraceRecorder, or None if nothing is recorded.
-        demands: DemandTable of all entries.
-        leader: Node id of the leader, or "".
+        demands: DemandTable of the reports of all entries.
+        leader: Node id of the leader, or "" if it is unknown.
         leading: Whether this control leads and its state is complete.
-        outdated: Whether the fleet has to be read again.
-        loaded_ms: When the fleet was read last.
+        fleet_outdated: Whether the fleet has to be read again.
+        loaded_ms: Time of the last read of the fleet.
     """
 
     __slots__ = (
@@ -73,7 +77,7 @@
         "demands",
         "leader",
         "leading",
-        "outdated",
+        "fleet_outdated",
         "loaded_ms",
     )
 
@@ -97,11 +101,11 @@
         self.demands = DemandTable()
         self.leader = ""
         self.leading = False
-        self.outdated = True
+        self.fleet_outdated = True
         self.loaded_ms = clock.now()
 
     async def step(self, event):
-        """Feeds one event and passes the commands on."""
+        """Feeds one event to the planner and passes its commands on."""
         now_ms = self.clock.now()
         if self.recorder is not None:
             self.recorder.record(event, now_ms)
@@ -112,19 +116,19 @@
     async def handle(self, message):
         """Handles one message."""
         if isinstance(message, UnavailableQuery):
-            message.reply.send(self.find_unavailable())
+            message.reply.send(self.find_vm_health())
         elif isinstance(message, Delivery):
-            self.take_demand(message.message)
+            self.add_demand_report(message.message)
         elif isinstance(message, Installed):
-            self.outdated = True
+            self.fleet_outdated = True
         elif isinstance(message, LeadershipNotice):
             await self.tick()
         elif isinstance(message, Applied):
-            await self.take_applied(message)
+            await self.handle_applied(message)
         else:
             await self.step(message)
 
-    def find_unavailable(self):
+    def find_vm_health(self):
         """Returns the VmHealth, or None if this control does not lead."""
         if not self.leading:
             return None
@@ -141,8 +145,8 @@
         ]
         return VmHealth([vm.name for vm in unavailable], unheard)
 
-    def take_demand(self, report):
-        """Keeps a report of an entry and passes it on to the leader."""
+    def add_demand_report(self, report):
+        """Adds an entry's report and forwards it to the leader."""
         if not isinstance(report, DemandReport):
             return
         self.demands.add(report, self.clock.now())
@@ -150,68 +154,76 @@
         if dialer is not None:
             dialer.post(report)
 
-    async def take_applied(self, notice):
-        """Follows what others than the planner changed in the state."""
+    async def handle_applied(self, notice):
+        """Reacts to state changes that others than the planner made.
+
+        A pause or resume of all maintenance becomes an event; changes of the
+        fleet, its grants or its workers cause the fleet to be read again.
+        """
         command, answer = notice.command, notice.answer
-        if type(command) in STEERING and command.scope == "all":
-            await self.step(MaintenanceControlled(STEERING[type(command)]))
+        if type(command) in ACTION_BY_COMMAND and command.scope == "all":
+            await self.step(
+                MaintenanceControlled(ACTION_BY_COMMAND[type(command)])
+            )
         elif isinstance(answer, PatchAccepted):
-            self.outdated = True
+            self.fleet_outdated = True
         elif isinstance(command, RequestGrant):
-            self.outdated |= command.author != PLANNER_AUTHOR
+            self.fleet_outdated |= command.author != PLANNER_AUTHOR
         elif isinstance(command, EndGrant | RenewGrant):
-            self.outdated |= not command.grant.startswith(PLANNER_GRANTS)
+            self.fleet_outdated |= not command.grant.startswith(
+                PLANNER_GRANT_PREFIX
+            )
         elif isinstance(command, ReturnWorker):
-            self.outdated = True
+            self.fleet_outdated = True
 
     async def tick(self):
-        """Renews the lease of the planner, then plans every pool."""
-        status = await ask(
+        """Renews the planner's leader lease, then plans every pool."""
+        answer = await ask(
             self.consensus, ReplicaStatusRequest, READ_TIMEOUT_MS
         )
-        if status.is_error():
+        if answer.is_error():
             return
-        found = status.ok
-        self.leader = found.leader_id.partition("/")[0]
-        was_leading, self.leading = self.leading, found.ready
+        status = answer.ok
+        self.leader = status.leader_id.partition("/")[0]
+        was_leading, self.leading = self.leading, status.ready
         if not self.leading:
             if was_leading:
-                await self.step(LeadershipChanged(found.term, 0))
+                await self.step(LeadershipChanged(status.term, 0))
             return
         if not was_leading:
-            logger.info("Planning as the leader.", term=found.term)
-            self.outdated = True
-        event = LeadershipChanged(found.term, found.lease_until_ms)
+            logger.info("Planning as the leader.", term=status.term)
+            self.fleet_outdated = True
+        event = LeadershipChanged(status.term, status.lease_until_ms)
         await self.step(event)
         age_ms = self.clock.now() - self.loaded_ms
-        if self.outdated or age_ms >= RELOAD_INTERVAL_MS:
+        if self.fleet_outdated or age_ms >= RELOAD_INTERVAL_MS:
             await self.load_fleet()
         await self.report_demand()
         await self.step(Tick())
-        await self.return_workers()
+        await self.propose_returns()
 
-    async def return_workers(self):
-        """Tells the log of VMs that it misses and that are back."""
+    async def propose_returns(self):
+        """Proposes the return of missing VMs that are available again."""
         view, now_ms = self.planner.view, self.clock.now()
-        found = await ask(
+        answer = await ask(
             self.consensus,
             lambda reply: Read(
-                lambda state: find_returns(view, state, now_ms),
+                lambda state: make_return_proposals(view, state, now_ms),
                 reply,
                 consistent=False,
             ),
             READ_TIMEOUT_MS,
         )
-        if found.is_error() or found.ok.is_error():
+        if answer.is_error() or answer.ok.is_error():
             return
-        for command in found.ok.ok:
-            # A return that is lost is proposed again at the next tick.
+        for command in answer.ok.ok:
+            # A proposal that is lost is repeated at the next tick.
             await self.consensus.put(Proposal(command, Reply()))
 
     async def load_fleet(self):
-        """Reads the version in force and the grants."""
+        """Reads the version in force and the grants from the local replica."""
         offset_ms = self.clock.now() - self.clock.wall()
-        found = await ask(
+        answer = await ask(
             self.consensus,
             lambda reply: Read(
                 lambda state: build_fleet_loaded(state, offset_ms),
@@ -220,21 +232,27 @@
             ),
             READ_TIMEOUT_MS,
         )
-        if found.is_error() or found.ok.is_error():
+        if answer.is_error() or answer.ok.is_error():
             return
-        self.outdated = False
+        self.fleet_outdated = False
         self.loaded_ms = self.clock.now()
-        await self.step(found.ok.ok)
+        await self.step(answer.ok.ok)
 
     async def report_demand(self):
-        """Feeds the demand of all entries."""
+        """Feeds the demand of each service, summed over the entries."""
         now_ms = self.clock.now()
         for service, slots in self.demands.totals(now_ms).items():
             await self.step(DemandReported(service, slots, now_ms))
 
 
 async def drive_plans(inbound, driver, interval_ms):
-    """Owns the planner; plans on each event and at a fixed interval."""
+    """Handles each message and ticks at a fixed interval.
+
+    Args:
+        inbound: Mailbox of events, reports and notices.
+        driver: PlanDriver.
+        interval_ms: Time from one tick to the next.
+    """
     due_ms = driver.clock.now()
     dropped = 0
     while True:
@@ -242,16 +260,16 @@
         if message is not None:
             await driver.handle(message)
         if inbound.dropped != dropped:
-            # A notice of a change may be among what was dropped.
+            # One of the dropped messages may have announced a fleet change.
             dropped = inbound.dropped
-            driver.outdated = True
+            driver.fleet_outdated = True
         if driver.clock.now() >= due_ms:
             due_ms = driver.clock.now() + interval_ms
             await driver.tick()
 
 
 async def answer_without_platform(inbound):
-    """Answers that the health of the VMs is not known."""
+    """Answers every query that the health of the VMs is unknown."""
     async for message in inbound:
         if isinstance(message, UnavailableQuery):
             message.reply.send(None)
--- a/wigeonport/plan_events.py
+++ b/wigeonport/plan_events.py
@@ -1,4 +1,4 @@
-"""Messages that reach the planner; one slotted class for each."""
+"""Events of the planner; one slotted class for each kind."""
 
 RUNNING = "running"
 FINISHED = "finished"
@@ -21,11 +21,11 @@
 
 
 class FleetLoaded:
-    """A fleet version is in force.
+    """The version in force was read from the replicated state.
 
     Attributes:
-        fleet: The FleetView.
-        grants: GrantView of every live lease.
+        fleet: FleetView of the version.
+        grants: GrantViews of the live leases.
     """
 
     __slots__ = ("fleet", "grants")
@@ -41,7 +41,7 @@
     Attributes:
         vm: Name of the VM.
         state: One of ``views.VM_STATES``.
-        sequence: Rises with each report about this VM.
+        sequence: Number that increases with each report about this VM.
     """
 
     __slots__ = ("vm", "state", "sequence")
@@ -53,12 +53,12 @@
 
 
 class ZoneReported:
-    """A zone was heard; every VM of it not listed as missing is alive.
+    """A zone sent its report; its VMs that are not missing are alive.
 
     Attributes:
         zone: Name of the zone.
         measured_ms: Time of the measurement.
-        missing: VMs that did not answer.
+        missing: Names of the VMs that did not answer.
     """
 
     __slots__ = ("zone", "measured_ms", "missing")
@@ -70,12 +70,12 @@
 
 
 class DemandReported:
-    """Demand of a service.
+    """The entries reported the demand of a service.
 
     Attributes:
         service: Name of the service.
-        slots: Requests running and queued.
-        measured_ms: Time of the measurement, before the report arrived.
+        slots: Number of requests running and queued.
+        measured_ms: Time of the measurement, not of the arrival.
     """
 
     __slots__ = ("service", "slots", "measured_ms")
@@ -87,7 +87,7 @@
 
 
 class LeadershipChanged:
-    """This process leads until a time, or follows.
+    """Tells whether this process leads, and until when.
 
     Attributes:
         term: Term of the replicated log.
@@ -115,7 +115,7 @@
 
     Attributes:
         command_id: Id of the command.
-        reason: Why, as a short text.
+        reason: Why it was refused, as a short text.
     """
 
     __slots__ = ("command_id", "reason")
@@ -130,9 +130,10 @@
 
     Attributes:
         job: Unique id.
-        team: Team that pays with its quota.
+        team: Team whose quota the job uses.
         pool: Pool whose workers may run the job.
-        job_kind: Class of jobs whose sizes and run times resemble each other.
+        job_kind: Kind of the job; jobs of a kind have similar sizes and run
+            times.
         declared: Declared Size.
         declared_run_ms: Declared run time.
         urgent: Whether the job must start within ``urgent_start_ms``.
@@ -177,7 +178,7 @@
 
 
 class JobsCancelled:
-    """Cancels the listed jobs and, if ``team`` is set, all of that team.
+    """The listed jobs and, if ``team`` is set, all of its jobs are cancelled.
 
     Attributes:
         jobs: Ids of jobs.
@@ -196,8 +197,8 @@
 
     Attributes:
         job: Id of the job.
-        vm: Worker.
-        attempt: Attempt that the report is about.
+        vm: Name of the worker.
+        attempt: Number of the attempt.
         state: One of ``TASK_STATES``.
     """
 
@@ -211,11 +212,11 @@
 
 
 class UsageReported:
-    """A worker reports what a task used; reports lag.
+    """A worker reports, with some delay, what a task used.
 
     Attributes:
         job: Id of the job.
-        used: Size used at the peak.
+        used: Peak usage as a Size.
         measured_ms: Time of the measurement.
     """
 
@@ -228,11 +229,12 @@
 
 
 class MaintenanceControlled:
-    """An operator steers maintenance.
+    """An operator paused, resumed or requested maintenance.
 
     Attributes:
-        action: ``pause`` or ``resume`` all, or ``request`` it for one VM.
-        vm: VM of a request, else "".
+        action: ``pause`` or ``resume`` for the whole fleet, or ``request``
+            for one VM.
+        vm: Name of the VM of a request, else "".
     """
 
     __slots__ = ("action", "vm")
--- a/wigeonport/plan_proposals.py
+++ b/wigeonport/plan_proposals.py
@@ -1,7 +1,7 @@
 """Translates the planner's commands to commands of the replicated log.
 
-One command may need several proposals; they are proposed in order, and the
-answer to the last one confirms or refuses the command.
+One command may need several proposals. They are proposed in order until one
+is refused; the command is confirmed once all are committed.
 """
 
 import json
@@ -31,31 +31,35 @@
 
 proposals = Registry("proposal")
 
-PLANNER_GRANTS = "plan-"
+PLANNER_GRANT_PREFIX = "plan-"
 
 
 def make_proposals(command, view, state, now_ms):
-    """Returns the log's commands for one command of the planner.
+    """Returns the log commands for one command of the planner.
 
     Args:
         command: The Command, with its id.
         view: PlanView of the planner.
-        state: ReplicatedState as applied here.
+        state: ReplicatedState of the local replica.
         now_ms: Time on the planner's clock.
     """
-    make = proposals.entries.get(type(command))
-    return [] if make is None else make(command, view, state, now_ms)
+    handler = proposals.entries.get(type(command))
+    return [] if handler is None else handler(command, view, state, now_ms)
 
 
 @proposals.register(RequestVmGrant)
 def propose_grant(command, view, state, now_ms):
-    """Renews a live grant, or asks for one; a loan is a patch first."""
+    """Renews the planner's live grant, or requests a new one.
+
+    A move to a pool that the version in force does not assign needs a patch
+    before the request.
+    """
     lease_ms = max(command.until_ms - now_ms, 1)
-    live = state.maintenance.grant_of(command.vm)
-    if live is not None and live.author == PLANNER_AUTHOR:
-        return [RenewGrant(live.id, lease_ms)]
+    live_grant = state.maintenance.grant_of(command.vm)
+    if live_grant is not None and live_grant.author == PLANNER_AUTHOR:
+        return [RenewGrant(live_grant.id, lease_ms)]
     request = RequestGrant(
-        f"{PLANNER_GRANTS}{command.command_id}",
+        f"{PLANNER_GRANT_PREFIX}{command.command_id}",
         [command.vm],
         command.purpose,
         PLANNER_AUTHOR,
@@ -68,7 +72,12 @@
 
 
 def make_patch(command, state):
-    """Returns the patch that assigns a VM to its destination, or None."""
+    """Returns the patch that assigns a VM to its destination.
+
+    Returns:
+        SubmitPatch, or None if there is no destination, the version already
+        assigns the VM to it, or the VM is not in the version.
+    """
     worker = state.fleet.fleet.workers.get(command.vm)
     if not command.destination or worker is None:
         return None
@@ -91,7 +100,7 @@
 
 
 def find_unavailable(view, vm_name, now_ms):
-    """Returns the other VMs of the pool that the planner cannot count."""
+    """Returns the names of the pool's other VMs that are unavailable."""
     pool_name = view.fleet.vms[vm_name].pool
     return [
         vm.name
@@ -103,14 +112,14 @@
 @proposals.register(ConfirmVmDrain)
 @proposals.register(RebootVm)
 def propose_drained(command, view, state, now_ms):
-    """Records a drain; a reboot goes to the platform only after it."""
+    """Confirms a drain; a reboot is sent to the platform only after that."""
     grant = state.maintenance.grant_of(command.vm)
     return [] if grant is None else [ConfirmDrain(grant.id, command.vm)]
 
 
 @proposals.register(MoveVm)
 def propose_move(command, view, state, now_ms):
-    """Records the drain and changes the pool in one step."""
+    """Confirms the drain and then changes the pool of the VM."""
     grant = state.maintenance.grant_of(command.vm)
     grant_id = "" if grant is None else grant.id
     return [
@@ -127,7 +136,7 @@
 
 @proposals.register(ReleaseGrant)
 def propose_release(command, view, state, now_ms):
-    """Ends the grant of a VM."""
+    """Ends the grant of a VM, if it still has one."""
     grant = state.maintenance.grant_of(command.vm)
     if grant is None:
         return []
@@ -135,8 +144,8 @@
     return [EndGrant(grant.id, healthy, view.settings.healthy_hold_ms)]
 
 
-def find_returns(view, state, now_ms):
-    """Returns proposals for VMs that the log misses and that are back."""
+def make_return_proposals(view, state, now_ms):
+    """Returns a ReturnWorker for each missing VM that is available again."""
     hold_ms = view.settings.healthy_hold_ms
     vms = view.fleet.vms
     return [
@@ -148,7 +157,7 @@
     ]
 
 
-def read_refusal(answer):
+def find_refusal_reason(answer):
     """Returns why the log refused a command, or "" if it did not."""
     if isinstance(answer, GrantRefused | MoveRefused | PatchRefused):
         return "; ".join(answer.findings) or "refused"
--- a/wigeonport/plan_registries.py
+++ b/wigeonport/plan_registries.py
@@ -1,8 +1,9 @@
-"""Registries through which the decisions are extended.
+"""Registries of the planner's stages, handlers and policies.
 
 A stage is ``plan(view, now_ms, random) -> list[Command]``. An event handler
-is ``handle(view, event, now_ms) -> pool names touched``. A confirmation is
-``confirm(view, command, now_ms)``, a refusal has the same form.
+is ``handle(view, event, now_ms) -> names of the pools to plan, or None for
+all``. A confirmation handler is ``confirm(view, command, now_ms)``; a refusal
+handler has the same parameters.
 """
 
 from wigeonport.registries import Registry
--- a/wigeonport/plan_settings.py
+++ b/wigeonport/plan_settings.py
@@ -1,4 +1,4 @@
-"""Settings of the decisions: one table of defaults and their checks."""
+"""Settings of the planner: a table of defaults, and the checks of values."""
 
 from expression import Result
 
@@ -18,18 +18,19 @@
     "weight_rollout": 3.0,
     "weight_moves": 1.0,
     # VM-seconds that one move costs at weight 1: it drains the VM, interrupts
-    # its tasks and leaves both pools without it meanwhile.
+    # its tasks, and neither pool can use the VM meanwhile.
     "move_price_s": 20.0,
     "borrow_hold_ms": 30_000,
-    # Time from the decision to move a VM until it serves in the new pool.
+    # Time from the decision to move a VM until it serves in its new pool.
     "move_lead_ms": 3_000,
     "demand_stale_ms": 10_000,
     "demand_window_ms": 120_000,
-    # A report older than this leaves its VMs unknown, thus unavailable.
+    # If the last report of a zone is older than this, the state of its VMs is
+    # unknown and they count as unavailable.
     "report_stale_ms": 5_000,
     "healthy_hold_ms": 30_000,
-    # A leader stops this long before its lease ends, so that a command in
-    # flight arrives before another leader can act.
+    # A leader stops planning this long before its lease ends, so that a
+    # command in flight arrives before another leader can act.
     "leader_margin_ms": 500,
     "maintenance_period_ms": 14 * DAY_MS,
     "wave_lead_ms": 3 * DAY_MS,
@@ -39,7 +40,7 @@
     "wave_pause_failures": 2,
     "wave_failure_window_ms": 60_000,
     "wave_quiet_ms": 60_000,
-    # A refused grant is not asked for again before this time.
+    # Time until a refused grant is requested again.
     "grant_retry_ms": 60_000,
     "grant_lease_ms": 120_000,
     "drain_bound_ms": 60_000,
@@ -49,8 +50,9 @@
     "task_lease_ms": 30_000,
     "start_bound_ms": 5_000,
     "urgent_start_ms": 4_000,
-    # With one plan a second a task is throttled 1 to 2 s and stopped 2 to 3 s
-    # after the urgent job came, which leaves 1 s for the report of its end.
+    # With one plan a second, a task is throttled 1 to 2 s and stopped 2 to 3 s
+    # after the urgent job arrived. This leaves 1 s of ``urgent_start_ms`` for
+    # the report that the task has ended.
     "checkpoint_bound_ms": 1_000,
     "preempt_bound_ms": 2_000,
     "throttle_share": 0.25,
@@ -66,11 +68,11 @@
     "quarantine_share": 0.2,
     "finished_jobs_kept": 10_000,
 }
-LEAST = {"wave_parallel": 1, "estimate_samples": 4, "job_failed_workers": 1}
+MINIMUMS = {"wave_parallel": 1, "estimate_samples": 4, "job_failed_workers": 1}
 
 
 class PlanSettings:
-    """Values of ``DEFAULTS``, each as an attribute."""
+    """Values of the settings; the attributes are the keys of ``DEFAULTS``."""
 
     __slots__ = tuple(DEFAULTS)
 
@@ -83,11 +85,11 @@
     """Checks a mapping of settings.
 
     Args:
-        document: Mapping from name to value.
-        place: Where the mapping stands, for findings.
+        document: Maps name to value; names left out keep their defaults.
+        place: Key path of the mapping, for findings.
 
     Returns:
-        PlanSettings, or Findings that name every fault.
+        PlanSettings, or Findings for every wrong name or value.
     """
     findings = Findings()
     for name, value in document.items():
@@ -100,16 +102,16 @@
 
 
 def find_fault(name, value):
-    """Returns what is wrong with one setting, or None."""
+    """Returns what is wrong with one setting, or None if it is valid."""
     if name not in DEFAULTS:
         return "is not a known setting"
     default = DEFAULTS[name]
     if isinstance(default, str):
-        return None if isinstance(value, str) else "must be a text"
+        return None if isinstance(value, str) else "must be a string"
     if isinstance(value, bool) or not isinstance(value, int | float):
         return "must be a number"
     if isinstance(default, int) and not isinstance(value, int):
         return "must be a whole number"
-    if value < LEAST.get(name, 0):
-        return f"must be at least {LEAST.get(name, 0)}"
+    if value < MINIMUMS.get(name, 0):
+        return f"must be at least {MINIMUMS.get(name, 0)}"
     return None
--- a/wigeonport/plan_views.py
+++ b/wigeonport/plan_views.py
@@ -1,4 +1,4 @@
-"""Everything that the stages of the planner read and update."""
+"""The state that the stages of the planner read and update."""
 
 from wigeonport.forecasts import Forecasts
 from wigeonport.job_tables import JobTable
@@ -16,20 +16,23 @@
         fleet: FleetView of the version in force.
         term: Highest term seen.
         lease_until_ms: End of this process's leader lease.
-        grants: GrantView by VM.
-        operations: Operation in progress, by VM.
-        forecasts: Demand by service.
+        grants: Maps VM name to its GrantView.
+        operations: Maps VM name to its operation in progress.
+        forecasts: Forecasts of the demand of each service.
         wave: State of the maintenance wave.
-        jobs: JobTable.
-        faults: Task outcomes of each worker.
+        jobs: JobTable of all jobs.
+        faults: WorkerFaults: the task outcomes of each worker.
         reserve: Latest Reserve, or None before the first full plan.
-        reserve_basis: Available VMs by pool for which the reserve was sized.
-        borrow_scores: Score of each level of capacity, by service.
+        reserve_basis: Maps pool name to the available VMs for which the
+            reserve was last sized; None to size it anew.
+        borrow_scores: Maps pool name to the scores of its capacity levels.
         peaks: PeakRecords of the pools.
-        scores_updated_ms: Time of the last update of the scores.
+        scores_updated_ms: Time of the last update of the borrow scores, or
+            None before the first.
         scope: Names of the pools to plan, or None for all.
-        available: Available VMs by pool while a plan runs, else None; what
-            changes the availability of a VM calls ``forget_available``.
+        available: Maps pool name to its available VMs while a plan runs, else
+            None. Code that changes the availability of a VM must call
+            ``forget_available``.
     """
 
     __slots__ = (
@@ -72,17 +75,17 @@
         self.available = None
 
     def leads(self, now_ms):
-        """Returns whether the leader lease is live, with the margin."""
+        """Returns whether the leader lease lasts longer than the margin."""
         return now_ms + self.settings.leader_margin_ms < self.lease_until_ms
 
     def forget_available(self, vm_name):
-        """Drops what was computed about the pool of a VM in this plan."""
+        """Discards the available VMs computed for the pool of a VM."""
         vm = self.fleet.vms.get(vm_name)
         if self.available and vm is not None:
             self.available.pop(vm.pool, None)
 
     def pools(self):
-        """Returns the PoolViews in scope."""
+        """Returns the PoolViews of the pools to plan."""
         pools = self.fleet.pools
         if self.scope is None:
             return list(pools.values())
--- a/wigeonport/planners.py
+++ b/wigeonport/planners.py
@@ -1,12 +1,12 @@
-"""The planner: events in, new state and commands out; no input or output.
+"""The planner: turns events into new state and commands.
 
-The control program feeds it the messages of the log and the platform, and
-replay feeds it a trace.
+It does no input or output. The control program feeds it events of the log
+and the platform, and a replay feeds it those of a trace.
 """
 
 from expression import Result
 
-from wigeonport import (  # noqa: F401 - the stages register themselves
+from wigeonport import (  # noqa: F401 - registers stages and handlers
     borrow_policies,
     borrowings,
     fleet_events,
@@ -50,9 +50,9 @@
     """Runs the stages in order for each event.
 
     Attributes:
-        view: PlanView.
-        ledger: CommandLedger.
-        stage_functions: Stages in order.
+        view: PlanView that the stages read and update.
+        ledger: CommandLedger of the commands without an answer.
+        stage_functions: Functions of the stages, in order.
     """
 
     __slots__ = ("view", "ledger", "stage_functions")
@@ -63,12 +63,15 @@
         self.stage_functions = [stages.entries[name] for name in stage_names]
 
     def step(self, event, now_ms, random):
-        """Applies an event and returns the commands that follow from it.
+        """Applies an event and plans the pools that it concerns.
 
         Args:
             event: A message of ``plan_events``.
             now_ms: Time on the planner's clock.
             random: A ``random.Random``.
+
+        Returns:
+            The commands of the stages.
         """
         pools = self.apply(event, now_ms)
         if pools is not None and not pools:
@@ -76,13 +79,17 @@
         return self.plan(pools, now_ms, random)
 
     def apply(self, event, now_ms):
-        """Applies an event; returns the pools to plan, None for all."""
+        """Applies an event to the view.
+
+        Returns:
+            Names of the pools to plan, or None for all.
+        """
         if isinstance(event, CommandConfirmed):
-            return self.settle(event.command_id, confirmations, now_ms)
+            return self.apply_answer(event.command_id, confirmations, now_ms)
         if isinstance(event, CommandRefused):
             return self.apply_refusal(event, now_ms)
-        handle = event_handlers.entries[type(event)]
-        pools = handle(self.view, event, now_ms)
+        handler = event_handlers.entries[type(event)]
+        pools = handler(self.view, event, now_ms)
         self.ledger.start_term(self.view.term)
         return pools
 
@@ -93,29 +100,44 @@
         )
         if event.reason == STALE_TERM:
             self.view.lease_until_ms = 0
-        return self.settle(event.command_id, refusals, now_ms)
+        return self.apply_answer(event.command_id, refusals, now_ms)
+
+    def apply_answer(self, command_id, handlers, now_ms):
+        """Applies the first answer to a command and ignores later ones.
+
+        Args:
+            command_id: Id of the command.
+            handlers: Registry ``confirmations`` or ``refusals``.
+            now_ms: Time on the planner's clock.
 
-    def settle(self, command_id, answers, now_ms):
-        """Applies the first answer to a command; returns its pools."""
+        Returns:
+            Names of the pools to plan.
+        """
         command = self.ledger.settle(command_id)
         if command is None:
             return ()
-        answer = answers.entries.get(type(command))
-        if answer is None:
+        handler = handlers.entries.get(type(command))
+        if handler is None:
             return ()
-        answer(self.view, command, now_ms)
-        return self.find_pools(command)
+        handler(self.view, command, now_ms)
+        return self.find_affected_pools(command)
 
-    def find_pools(self, command):
-        """Returns the pools that the answer to a command concerns."""
+    def find_affected_pools(self, command):
+        """Returns the names of the pools that an answer concerns."""
         vm = self.view.fleet.vms.get(getattr(command, "vm", None))
         return () if vm is None else (vm.pool,)
 
     def plan(self, pools, now_ms, random):
-        """Runs the stages over some pools, or all for None.
+        """Runs the stages and returns their commands.
+
+        Without a live leader lease there are none, because another leader
+        may already have granted the same budget. A plan of all pools also
+        repeats the commands whose answer is overdue.
 
-        Without a live leader lease nothing is decided: another leader may
-        already have granted the same budget.
+        Args:
+            pools: Names of the pools to plan, or None for all.
+            now_ms: Time on the planner's clock.
+            random: A ``random.Random``.
         """
         view = self.view
         if not view.leads(now_ms):
@@ -128,11 +150,11 @@
         view.available = None
         commands = [self.ledger.stamp(each, now_ms) for each in commands]
         if view.plans_all_pools():
-            fresh = {command.command_id for command in commands}
+            new_ids = {command.command_id for command in commands}
             commands.extend(
                 command
                 for command in self.ledger.overdue(now_ms)
-                if command.command_id not in fresh
+                if command.command_id not in new_ids
             )
         return commands
 
@@ -141,9 +163,9 @@
     """Returns a Planner, or findings about policies that do not exist."""
     findings = Findings()
     for setting, registry in POLICIES.items():
-        found = registry.get(getattr(settings, setting))
-        if found.is_error():
-            findings.add(f"{place}.{setting}", found.error)
+        policy = registry.get(getattr(settings, setting))
+        if policy.is_error():
+            findings.add(f"{place}.{setting}", policy.error)
     if findings:
         return findings.result(None)
     return findings.result(Planner(settings))
--- a/wigeonport/previews.py
+++ b/wigeonport/previews.py
@@ -1,4 +1,4 @@
-"""Preview of what a patch leads to before it is submitted."""
+"""Previews: the changes, moves and drains that a patch would cause."""
 
 from expression import Error, Ok, Result
 
@@ -24,7 +24,7 @@
         self.target = target
 
     def to_document(self):
-        """Returns plain data."""
+        """Returns the move as JSON data."""
         return {name: getattr(self, name) for name in self.__slots__}
 
     def __str__(self):
@@ -36,12 +36,17 @@
 
     Attributes:
         service: Service id.
-        workers_before: Workers of its pool before, and ``workers_after``.
-        capacity_before: Promised workers before, and ``capacity_after``.
-        allowed_before: VMs that may be unavailable, and ``allowed_after``.
-        drains: VMs that leave the pool and drain for it.
-        rounds: Rounds in which they can drain within the budget; None if
-            the budget permits no drain at all.
+        workers_before: Number of workers in the service's pool before the
+            patch.
+        workers_after: The same after the patch.
+        capacity_before: Number of workers promised before the patch.
+        capacity_after: The same after the patch.
+        allowed_before: Number of VMs that may be unavailable before the
+            patch.
+        allowed_after: The same after the patch.
+        drains: Number of VMs that drain and leave the pool.
+        rounds: Number of rounds in which they can drain within the budget;
+            None if the budget permits no drain.
     """
 
     __slots__ = (
@@ -62,7 +67,7 @@
             setattr(self, name, 0)
 
     def to_document(self):
-        """Returns plain data."""
+        """Returns the effect as JSON data."""
         return {name: getattr(self, name) for name in self.__slots__}
 
     def __str__(self):
@@ -80,14 +85,14 @@
 
 
 class Preview:
-    """Result of a dry run.
+    """Result of applying a patch to a copy of the fleet.
 
     Attributes:
         version: Version that the patch would create.
-        changes: Changes of records.
-        moves: VMs that change pools or leave.
+        changes: Changes of records and fleet-wide values.
+        moves: Move of each VM that changes pools or leaves the fleet.
         drains: Ids of the VMs that drain.
-        budgets: Effects on services.
+        budgets: BudgetEffect of each affected service.
     """
 
     __slots__ = ("version", "changes", "moves", "drains", "budgets")
@@ -100,7 +105,7 @@
         self.budgets = budgets
 
     def to_document(self):
-        """Returns plain data."""
+        """Returns the preview as JSON data."""
         return {
             "version": self.version,
             "changes": [change.to_document() for change in self.changes],
@@ -124,9 +129,19 @@
         return lines
 
 
-def preview(fleet, patch, past=None) -> Result:
-    """Applies a patch to a copy; returns a Preview or Findings."""
-    applied = patch.apply(fleet, past)
+def preview(fleet, patch, find_version=None) -> Result:
+    """Applies a patch to a copy of the fleet.
+
+    Args:
+        fleet: The current version; it is not changed.
+        patch: Patch.
+        find_version: Function from a version number to its Fleet, or None;
+            the operation ``restore`` needs it.
+
+    Returns:
+        The Preview, or Findings if the patch does not apply.
+    """
+    applied = patch.apply(fleet, find_version)
     if applied.is_error():
         return Error(applied.error)
     new = applied.ok
@@ -137,7 +152,7 @@
 
 
 def list_moves(old, new):
-    """Returns the VMs whose pool differs, without newly added ones."""
+    """Returns a Move for each old VM that changes pools or is removed."""
     moves = []
     for id in sorted(old.workers):
         after = new.workers.get(id)
@@ -148,7 +163,7 @@
 
 
 def list_budget_effects(old, new, moves):
-    """Returns the effects on every service that is affected."""
+    """Returns a BudgetEffect for each service that is affected."""
     effects = []
     for id in sorted(old.services.keys() | new.services.keys()):
         effect = BudgetEffect(id)
@@ -165,13 +180,13 @@
             effect.workers_after = count
             effect.capacity_after = after.capacity_workers
             effect.allowed_after = after.allowed_unavailable(count)
-        effect.rounds = _rounds(effect.drains, effect.allowed_before)
+        effect.rounds = _count_rounds(effect.drains, effect.allowed_before)
         if _is_affected(effect):
             effects.append(effect)
     return effects
 
 
-def _rounds(drains, allowed):
+def _count_rounds(drains, allowed):
     if drains == 0:
         return 0
     return None if allowed == 0 else -(-drains // allowed)
--- a/wigeonport/view_builders.py
+++ b/wigeonport/view_builders.py
@@ -17,20 +17,21 @@
     WeightsView,
 )
 
-# Author of the planner's patches; the history then shows which VMs are lent.
+# Author of the planner's patches; by it the history shows which VMs are lent.
 PLANNER_AUTHOR = "wigeonport-planner"
 MS_PER_HOUR = 3_600_000
 WORKERS = "workers"
 
 
-class PoolSlice:
+class PoolContents:
     """The part of a fleet version that concerns one pool.
 
-    It has what ``required_available`` reads, so that the requirement of one
-    pool does not cost a pass over the whole fleet.
+    It replaces the fleet as the argument of ``required_available``, which
+    would otherwise pass over all workers of the fleet for each pool.
 
     Attributes:
-        workers: Workers that the version assigns to the pool, by id.
+        workers: Maps id to Worker, for the workers that the version assigns
+            to the pool.
         services: Services of the pool.
     """
 
@@ -50,8 +51,8 @@
 
     Args:
         state: ReplicatedState.
-        offset_ms: Planner's clock minus wall clock, because the log's times
-            are wall times.
+        offset_ms: Planner's clock minus wall clock; the times in the log are
+            wall times.
     """
     fleet = build_fleet_view(state, offset_ms)
     grants = [
@@ -69,14 +70,14 @@
 
 
 def find_destination(state, grant, worker):
-    """Returns the pool that a move enters, or "" for maintenance."""
+    """Returns the pool that a move enters, or "" for other purposes."""
     if grant.purpose != "move":
         return ""
     return state.pools.target(state.fleet.fleet, worker) or ""
 
 
 def build_fleet_view(state, offset_ms):
-    """Returns the FleetView of a replicated state."""
+    """Returns the FleetView of a replicated state; see build_fleet_loaded."""
     fleet = state.fleet.fleet
     services = [
         ServiceView(
@@ -102,13 +103,13 @@
 
 
 def build_pools(fleet, vms):
-    """Returns the PoolViews, also of removed pools that still have VMs."""
-    slices = slice_by_pool(fleet)
+    """Returns the PoolViews, including removed pools that still have VMs."""
+    contents = group_by_pool(fleet)
     pools = [
         PoolView(
             pool.id,
             pool.id == fleet.spare_pool,
-            required_available(slices[pool.id], pool.id),
+            required_available(contents[pool.id], pool.id),
         )
         for pool in fleet.pools.values()
     ]
@@ -116,14 +117,14 @@
     return pools + [PoolView(name) for name in removed]
 
 
-def slice_by_pool(fleet):
-    """Returns a PoolSlice for each pool."""
-    slices = {name: PoolSlice() for name in fleet.pools}
+def group_by_pool(fleet):
+    """Returns a mapping from pool id to its PoolContents."""
+    contents = {name: PoolContents() for name in fleet.pools}
     for worker in fleet.workers.values():
-        slices[worker.pool].workers[worker.id] = worker
+        contents[worker.pool].workers[worker.id] = worker
     for service in fleet.services.values():
-        slices[service.pool].services.append(service)
-    return slices
+        contents[service.pool].services.append(service)
+    return contents
 
 
 class VmBuilder:
@@ -133,25 +134,26 @@
         state: ReplicatedState.
         offset_ms: Planner's clock minus wall clock.
         period_ms: Maintenance period.
-        lent: VMs that the planner has lent.
-        openings_ms: Wall time of the next window by zone; 0 if one is open.
+        lent: Ids of the VMs that the planner has lent.
+        next_openings_ms: Maps zone to the wall time at which its next window
+            opens, or to 0 if maintenance may run now.
     """
 
-    __slots__ = ("state", "offset_ms", "period_ms", "lent", "openings_ms")
+    __slots__ = ("state", "offset_ms", "period_ms", "lent", "next_openings_ms")
 
     def __init__(self, state, offset_ms):
         fleet = state.fleet.fleet
         self.state = state
         self.offset_ms = offset_ms
         self.period_ms = fleet.maintenance_period_hours * MS_PER_HOUR
-        self.lent = find_lent(state.fleet)
-        self.openings_ms = {
-            zone: find_opening(fleet.windows_of(zone), state.now_ms)
+        self.lent = find_lent_vms(state.fleet)
+        self.next_openings_ms = {
+            zone: find_next_opening(fleet.windows_of(zone), state.now_ms)
             for zone in fleet.zones
         }
 
     def build_all(self):
-        """Returns the VMs of the version and those still to be removed."""
+        """Returns the VmViews of the version and of VMs yet to be removed."""
         workers = self.state.fleet.fleet.workers
         members = self.state.pools.pools
         vms = [
@@ -159,11 +161,11 @@
             for worker in workers.values()
             if worker.id in members
         ]
-        leaving = members.keys() - workers.keys()
-        if not leaving:
+        removed_ids = members.keys() - workers.keys()
+        if not removed_ids:
             return vms
-        records = find_removed(self.state.fleet)
-        for worker_id in sorted(leaving & records.keys()):
+        records = find_removed_workers(self.state.fleet)
+        for worker_id in sorted(removed_ids & records.keys()):
             vm = self.build(records[worker_id])
             vm.home_pool = REMOVED
             vms.append(vm)
@@ -191,17 +193,17 @@
             vm.lender = spare_pool or ""
         if maintained_ms is not None:
             vm.maintained_ms = maintained_ms + self.offset_ms
-        closed_ms = self.openings_ms.get(worker.zone, 0)
-        if closed_ms:
-            vm.closed_until_ms = closed_ms + self.offset_ms
-        held_ms = maintenance.holds.get(worker.id)
-        if held_ms is not None:
-            vm.unsettled_until_ms = held_ms + self.offset_ms
+        opening_ms = self.next_openings_ms.get(worker.zone, 0)
+        if opening_ms:
+            vm.closed_until_ms = opening_ms + self.offset_ms
+        hold_until_ms = maintenance.holds.get(worker.id)
+        if hold_until_ms is not None:
+            vm.unsettled_until_ms = hold_until_ms + self.offset_ms
         return vm
 
 
-def find_removed(fleet_state):
-    """Returns the last Worker record of each removed VM, by id."""
+def find_removed_workers(fleet_state):
+    """Returns a mapping from the id of a removed VM to its last Worker."""
     return {
         change.id: Worker(**change.before)
         for record in fleet_state.history
@@ -213,25 +215,26 @@
 def find_due_ms(worker_id, joined_ms, maintained_ms, period_ms):
     """Returns the wall time by which a VM must be maintained.
 
-    VMs that were never maintained are spread over the period after they
-    joined by their names, so that a new fleet is not due all at once.
+    The due times of VMs that were never maintained are spread over the first
+    period after they joined, by a checksum of the id. Otherwise all VMs of a
+    new fleet would be due at the same time.
     """
     if maintained_ms is not None:
         return maintained_ms + period_ms
     return joined_ms + zlib.crc32(worker_id.encode()) % period_ms
 
 
-def find_opening(windows, now_ms):
+def find_next_opening(windows, now_ms):
     """Returns when the next window opens; 0 if one is open or none exists."""
     if not windows or any(window.contains(now_ms) for window in windows):
         return 0
     return min(window.next_opening(now_ms) for window in windows)
 
 
-def find_lent(fleet_state):
-    """Returns the VMs whose pool was last changed by the planner.
+def find_lent_vms(fleet_state):
+    """Returns the ids of the VMs whose pool the planner changed last.
 
-    Loans older than the retained history are taken as permanent.
+    A loan whose patch is no longer in the history counts as permanent.
     """
     lent = set()
     for record in fleet_state.history:
--- a/wigeonport/view_documents.py
+++ b/wigeonport/view_documents.py
@@ -1,4 +1,4 @@
-"""The form of a FleetView in a trace."""
+"""The JSON form of a FleetView and its grants in a trace."""
 
 from wigeonport.views import (
     VM_STATES,
@@ -14,7 +14,7 @@
 
 
 def size_from_document(document):
-    """Builds a Size.
+    """Builds a Size from JSON data.
 
     Raises:
         KeyError: If a part is missing.
@@ -28,7 +28,7 @@
 
 
 def size_to_document(size):
-    """Returns a Size as plain data."""
+    """Returns a Size as JSON data."""
     return {
         "cores": size.cores,
         "memory_mb": size.memory_mb,
@@ -37,7 +37,7 @@
 
 
 def fleet_from_document(document):
-    """Builds a FleetView.
+    """Builds a FleetView from JSON data.
 
     Raises:
         KeyError: If a field is missing, or a pool is not listed.
@@ -74,7 +74,15 @@
 
 
 def check_unique(kind, names):
-    """Raises ValueError if a name stands twice."""
+    """Checks that no name occurs twice.
+
+    Args:
+        kind: What the names denote, for the message.
+        names: Names.
+
+    Raises:
+        ValueError: If a name occurs twice.
+    """
     seen = set()
     for name in names:
         if name in seen:
@@ -83,7 +91,13 @@
 
 
 def vm_from_document(document):
-    """Builds a VmView."""
+    """Builds a VmView from JSON data.
+
+    Raises:
+        KeyError: If a field is missing.
+        TypeError: If a field has the wrong type.
+        ValueError: If the state is unknown.
+    """
     vm = VmView(
         document["name"],
         document["pool"],
@@ -104,7 +118,7 @@
 
 
 def fleet_to_document(fleet):
-    """Returns a FleetView as plain data."""
+    """Returns a FleetView as JSON data."""
     return {
         "version": fleet.version,
         "period_ms": fleet.period_ms,
@@ -131,14 +145,14 @@
 
 
 def weights_to_document(weights):
-    """Returns a WeightsView as plain data."""
+    """Returns a WeightsView as JSON data, or None without weights."""
     if weights is None:
         return None
     return {name: getattr(weights, name) for name in weights.__slots__}
 
 
 def vm_to_document(vm):
-    """Returns a VmView as plain data."""
+    """Returns a VmView as JSON data."""
     return {
         "name": vm.name,
         "pool": vm.pool,
@@ -156,12 +170,17 @@
 
 
 def copy_fleet(fleet):
-    """Returns an independent copy."""
+    """Returns a copy of a FleetView that shares nothing with it."""
     return fleet_from_document(fleet_to_document(fleet))
 
 
 def grants_from_document(document):
-    """Builds the GrantViews."""
+    """Builds a list of GrantViews from JSON data.
+
+    Raises:
+        KeyError: If a field is missing.
+        TypeError: If a field has the wrong type.
+    """
     return [
         GrantView(
             each["vm"],
@@ -174,7 +193,7 @@
 
 
 def grants_to_document(grants):
-    """Returns GrantViews as plain data."""
+    """Returns GrantViews as JSON data."""
     return [
         {
             "vm": grant.vm,
--- a/wigeonport/views.py
+++ b/wigeonport/views.py
@@ -1,4 +1,4 @@
-"""Views of the fleet that the decisions read; independent of its documents.
+"""Views of the fleet for the planner, independent of its documents.
 
 All times are integer milliseconds on the planner's clock.
 """
@@ -18,9 +18,9 @@
     """Resources of a task or a worker.
 
     Attributes:
-        cores: Processor cores, may be fractional.
+        cores: Number of processor cores; may be fractional.
         memory_mb: Memory in MB.
-        accelerators: Whole accelerators.
+        accelerators: Number of accelerators, always whole.
     """
 
     __slots__ = ("cores", "memory_mb", "accelerators")
@@ -46,12 +46,12 @@
             self.accelerators - other.accelerators,
         )
 
-    def fits(self, room):
-        """Returns whether this size fits into ``room``."""
+    def fits(self, free):
+        """Returns whether this size fits into the free resources."""
         return (
-            self.cores <= room.cores
-            and self.memory_mb <= room.memory_mb
-            and self.accelerators <= room.accelerators
+            self.cores <= free.cores
+            and self.memory_mb <= free.memory_mb
+            and self.accelerators <= free.accelerators
         )
 
     def __str__(self):
@@ -62,26 +62,27 @@
 
 
 class VmView:
-    """A worker VM as last reported.
+    """A worker VM with its assignment and its last reported state.
 
     Attributes:
         name: Unique name.
         pool: Pool that holds the VM now.
-        home_pool: Pool that the version in force assigns, or ``REMOVED``.
+        home_pool: Pool to which the version in force assigns the VM, or
+            ``REMOVED``.
         lender: Spare pool from which the planner has lent the VM, or "".
-        rack: Rack, unique across zones.
+        rack: Rack; its name is unique across zones.
         zone: Availability zone.
-        size: Resources for tasks.
+        size: Resources that tasks can use.
         state: One of ``VM_STATES``.
         sequence: Sequence number of the newest report applied.
         due_ms: Time by which the VM must have been maintained.
         maintained_ms: Time of the last maintenance, or None if unknown.
         moved_ms: Time of the last change of pool.
-        unsettled_until_ms: End of the hold after a repair or reboot.
+        unsettled_until_ms: End of the hold time after a repair or reboot.
         closed_until_ms: Time before which no maintenance may start, because
             no window is open or the log has just refused a grant.
         missing: Whether the zone's last report did not include the VM.
-        quarantined: Whether the worker is excluded from tasks.
+        quarantined: Whether the worker gets no new tasks.
     """
 
     __slots__ = (
@@ -123,7 +124,7 @@
 
     @property
     def borrowed(self):
-        """Whether the VM serves in another pool than its lender's."""
+        """Whether the VM is on loan in another pool than its lender."""
         return self.lender not in ("", self.pool)
 
 
@@ -134,9 +135,9 @@
         name: Unique name.
         spare: Whether other pools may borrow from this one.
         members: Names of the VMs in the pool, in insertion order.
-        services: Services that run in the pool.
-        floor: VMs below which planned work must not bring the pool; it may
-            be higher than what the services were guaranteed.
+        services: ServiceViews of the services that run in the pool.
+        floor: Minimum number of available VMs that planned work must leave;
+            may be higher than the number guaranteed to the services.
     """
 
     __slots__ = ("name", "spare", "members", "services", "floor")
@@ -149,23 +150,23 @@
         self.services = []
 
     def guaranteed(self):
-        """Returns the number of VMs that the services were guaranteed."""
+        """Returns the number of VMs guaranteed to the services."""
         return sum(service.guaranteed for service in self.services)
 
     def required(self):
-        """Returns the number of VMs that planned work must leave."""
+        """Returns the number of available VMs that planned work must leave."""
         return max(self.guaranteed(), self.floor)
 
 
 class ServiceView:
-    """A service and the capacity it was guaranteed.
+    """A service and its guaranteed capacity.
 
     Attributes:
         name: Unique name.
         pool: Pool that runs the service.
-        guaranteed: VMs that must stay available; the pool's declared size
-            minus this number is the availability budget.
-        slots_per_vm: Requests that one VM serves at a time.
+        guaranteed: Number of VMs that must stay available; the pool's
+            declared size minus this number is the availability budget.
+        slots_per_vm: Number of requests that one VM serves at a time.
     """
 
     __slots__ = ("name", "pool", "guaranteed", "slots_per_vm")
@@ -182,7 +183,8 @@
 
     Attributes:
         name: Unique name.
-        quota_cores: Most cores that the team's tasks may hold at a time.
+        quota_cores: Maximum number of cores that the team's tasks may hold at
+            a time.
     """
 
     __slots__ = ("name", "quota_cores")
@@ -193,11 +195,11 @@
 
 
 class GrantView:
-    """A live lease that permits to take a VM away.
+    """A live lease that permits taking a VM out of service.
 
     Attributes:
         vm: Name of the VM.
-        purpose: ``maintenance``, ``move`` or, of an operator, ``drain``.
+        purpose: ``maintenance``, ``move``, or ``drain`` for an operator.
         destination: Pool that a move enters, else "".
         until_ms: End of the lease.
     """
@@ -215,9 +217,9 @@
     """Weights of the measures.
 
     Attributes:
-        buffer_cost: Cost of an idle VM for a second.
-        rollout_time: Cost of a missing VM for a second.
-        moves: Factor of the price of a move.
+        buffer_cost: Cost of one idle VM per second.
+        rollout_time: Cost of one missing VM per second.
+        moves: Factor by which the price of a move is multiplied.
     """
 
     __slots__ = ("buffer_cost", "rollout_time", "moves")
@@ -229,18 +231,19 @@
 
 
 class FleetView:
-    """The fleet at one version, with the pools as an index of the VMs.
+    """The fleet at one version; the pools index the VMs.
 
     Attributes:
         version: Fleet version from which the view was built.
-        vms: VmView by name.
-        pools: PoolView by name.
-        services: ServiceView by name.
-        teams: TeamView by name.
-        last_report_ms: Time of the last report of each zone.
-        missing: Names of the VMs missing in that report, by zone.
+        vms: Maps name to VmView.
+        pools: Maps name to PoolView.
+        services: Maps name to ServiceView.
+        teams: Maps name to TeamView.
+        last_report_ms: Maps zone to the time of its last report, or to None
+            before the first.
+        missing: Maps zone to the names of the VMs missing in that report.
         weights: WeightsView of the version, or None to keep the settings.
-        period_ms: Maintenance period, or None to keep the settings.
+        period_ms: Maintenance period, or None to keep the setting.
     """
 
     __slots__ = (
@@ -277,7 +280,7 @@
         return [vms[name] for name in self.pools[pool_name].members]
 
     def spare_pools(self):
-        """Returns the pools that lend VMs."""
+        """Returns the PoolViews of the pools that lend VMs."""
         return [pool for pool in self.pools.values() if pool.spare]
 
     def remove(self, vm):
@@ -286,7 +289,7 @@
         del self.vms[vm.name]
 
     def move(self, vm, destination, now_ms):
-        """Moves a VM to another pool in one step."""
+        """Moves a VM from its pool to another one."""
         del self.pools[vm.pool].members[vm.name]
         self.pools[destination].members[vm.name] = None
         vm.pool = destination
