Keep the findings of patches as they were

The answer to a refused patch is stored in the replicated state with its findings. Replicas that run different releases would store different texts for the same log entry.

--- a/wigeonport/fleets.py
+++ b/wigeonport/fleets.py
@@ -239,7 +239,7 @@
         if sum(form is not None for form in forms) != 1:
             reporter.add(
                 path,
-                "set exactly one of max_unavailable and max_unavailable_share",
+                "give either max_unavailable or max_unavailable_share",
             )
 
 
--- a/wigeonport/patch_operations.py
+++ b/wigeonport/patch_operations.py
@@ -98,7 +98,7 @@
         if self.record.id in section:
             kind = RECORD_KINDS[self.SECTION]
             draft.add_finding(
-                "id", f"{kind} {self.record.id!r} already exists"
+                "id", f"{kind} {self.record.id!r} exists already"
             )
             return
         draft.put(self.SECTION, self.record)
@@ -177,7 +177,7 @@
             return
         if worker.pool == self.pool:
             draft.add_finding(
-                "pool", f"worker {self.worker!r} is already in this pool"
+                "pool", f"{self.worker!r} is in this pool already"
             )
             return
         draft.put("workers", copy_with(worker, pool=self.pool))
--- a/wigeonport/patches.py
+++ b/wigeonport/patches.py
@@ -154,7 +154,7 @@
     if not documents:
         reporter.add(("operations",), "the patch has no operations")
     if len(documents) > MAX_OPERATIONS:
-        text = f"the patch has more than {MAX_OPERATIONS} operations"
+        text = f"more than {MAX_OPERATIONS} operations"
         reporter.add(("operations",), text)
         return []
     operations = []
