State the failure that each test of fleets and patches guards against

The docstrings named an abstract danger ("Guards against ...") without what goes wrong or how it comes about. They now say when the test fails and, where it isn't plain, how the failure arises.

--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -15,14 +15,14 @@
 
 
 def settings_files(user):
-    """Returns the settings files of a user."""
+    """Returns the paths of a user's settings files."""
     files = sorted((EXAMPLES / user).glob("*.yaml"))
     return [path for path in files if path.name != "fleet.yaml"]
 
 
 @pytest.fixture(params=USERS)
 def user(request):
-    """Name of a user with examples."""
+    """Name of each user with examples, in turn."""
     return request.param
 
 
@@ -35,10 +35,14 @@
 
 
 def test_settings_pass_alone_and_together(user):
-    """Guards against examples that cannot be started."""
-    read = check_files(settings_files(user)).ok
+    """Fails if the programs would not start with the example settings.
+
+    That happens with too few voters, a voter without a data directory or a
+    port that is used twice.
+    """
+    settings_by_name = check_files(settings_files(user)).ok
     zones, voters, ports = {}, {}, []
-    for settings in read.values():
+    for settings in settings_by_name.values():
         zone = settings.availability_zone
         zones[zone] = zones.get(zone, 0) + 1
         voters[zone] = voters.get(zone, 0) + settings.is_voter()
@@ -54,7 +58,7 @@
 
 
 def test_first_patch_has_the_current_scale(example_fleet):
-    """Guards against an example that differs from the design page."""
+    """Fails if an example fleet differs in size from the design page."""
     assert example_fleet.version == 1
     assert len(example_fleet.zones) == 3
     assert len(example_fleet.services) == 5
@@ -70,7 +74,7 @@
 
 
 def test_no_rack_takes_more_of_a_pool_than_its_budget(example_fleet):
-    """Guards against a rack whose loss alone exceeds a budget (R1)."""
+    """Fails if the loss of one rack exceeds a service's budget (R1)."""
     for service in example_fleet.services.values():
         racks = {}
         for worker in example_fleet.workers_of(service.pool):
@@ -79,7 +83,10 @@
 
 
 def test_committed_files_equal_the_script():
-    """Guards against ports that drift apart when one file is edited."""
+    """Fails if an example was edited by hand and not in the script.
+
+    The ports in the files of one deployment would no longer agree.
+    """
     path = ROOT / "tools" / "write_examples.py"
     spec = importlib.util.spec_from_file_location("write_examples", path)
     module = importlib.util.module_from_spec(spec)
@@ -93,7 +100,7 @@
 
 
 def test_patch_file_reports_all_findings_with_lines(tmp_path):
-    """Guards against a patch file whose faults are found one by one."""
+    """Fails if the faults of a patch file are reported one at a time."""
     path = tmp_path / "p.yaml"
     path.write_text(
         "id: p-1\noperations:\n- operation: move_worker\n  worker: 3\n"
@@ -108,8 +115,8 @@
     assert len(lines) == len(set(lines)) == 4
 
 
-def test_patch_file_that_is_no_mapping_is_refused(tmp_path):
-    """Guards against a traceback on another kind of file."""
+def test_malformed_patch_file_is_refused(tmp_path):
+    """Fails if a file that is no patch raises an exception."""
     for text in ("", "- 1\n", "x\n", "operations: 3\nreason: []\n"):
         path = tmp_path / "p.yaml"
         path.write_text(text)
--- a/tests/test_fleets.py
+++ b/tests/test_fleets.py
@@ -19,17 +19,20 @@
 )
 
 
-def test_document_form_loses_nothing(fleet):
-    """Guards against a field that is lost in a snapshot."""
+def test_document_round_trip_keeps_every_field(fleet):
+    """Fails if a field is lost when a fleet is written and read again.
+
+    Snapshots store the fleet in this form.
+    """
     document = json.loads(json.dumps(fleet.to_document()))
-    again = fleet_from_document(document).ok
-    assert again.to_document() == document
-    assert again.services["notices"].max_unavailable_share == 0.5
-    assert again.workers["vm-3"].pool == "roster"
+    read_back = fleet_from_document(document).ok
+    assert read_back.to_document() == document
+    assert read_back.services["notices"].max_unavailable_share == 0.5
+    assert read_back.workers["vm-3"].pool == "roster"
 
 
 def test_all_faults_are_reported_with_their_key_paths(fleet_document):
-    """Guards against a check that stops at the first fault."""
+    """Fails if the checks stop at the first fault of a document."""
     fleet_document["workers"][0]["pool"] = "absent"
     fleet_document["workers"][1]["rack"] = "ikeja-r1"
     fleet_document["services"][0]["max_unavailable"] = None
@@ -47,7 +50,7 @@
 
 
 def test_unknown_key_names_the_nearest(fleet_document):
-    """Guards against a misspelt key that is silently ignored."""
+    """Fails if a misspelt key is silently ignored."""
     fleet_document["services"][0]["max_unavailabel"] = 1
     lines = fleet_from_document(fleet_document).error.lines()
     assert lines[0].startswith("services[0].max_unavailabel: unknown key")
@@ -55,15 +58,15 @@
 
 
 def test_vm_listed_twice_is_refused(fleet_document):
-    """Guards against a VM in two pools (R2)."""
+    """Fails if a fleet lists the same VM in two pools (R2)."""
     twice = dict(fleet_document["workers"][0], pool="notices")
     fleet_document["workers"].append(twice)
     text = str(fleet_from_document(fleet_document).error)
     assert "workers[8].id: 'vm-1' is defined twice" in text
 
 
-def test_capacity_above_the_pool_is_refused(fleet_document):
-    """Guards against promises that the pool can never keep (R1)."""
+def test_capacity_above_the_pool_size_is_refused(fleet_document):
+    """Fails if services are promised more workers than the pool has (R1)."""
     fleet_document["services"][0]["capacity_workers"] = 5
     text = str(fleet_from_document(fleet_document).error)
     assert "has 4 workers, its services are promised 5" in text
@@ -72,13 +75,16 @@
 @pytest.mark.parametrize(
     ("workers", "allowed"), [(4, 1), (3, 0), (2, 0), (40, 1)]
 )
-def test_budget_never_cuts_into_the_promise(fleet, workers, allowed):
-    """Guards against a budget that allows less than the promise (R1)."""
+def test_budget_never_cuts_into_the_promised_capacity(fleet, workers, allowed):
+    """Fails if the budget allows less than the promised capacity (R1).
+
+    With fewer workers than promised plus budget, fewer may be unavailable.
+    """
     assert fleet.services["roster"].allowed_unavailable(workers) == allowed
 
 
 def test_share_budget_rounds_down(fleet):
-    """Guards against rounding up, which would exceed the budget (R1)."""
+    """Fails if a share is rounded up to a larger budget than set (R1)."""
     service = fleet.services["notices"]
     assert [service.allowed_unavailable(n) for n in (0, 1, 3, 7)] == [
         0,
@@ -89,14 +95,14 @@
 
 
 def test_window_runs_past_midnight(fleet):
-    """Guards against a window that closes at the end of the day."""
+    """Fails if a window closes at the end of the day it opens."""
     window = fleet.windows["ikeja-night"]
     open_hours = [h for h in range(48) if window.contains(h * MS_PER_HOUR)]
     assert open_hours == [0, 23, 24, 47]
 
 
 def test_window_of_one_day_belongs_to_the_day_it_opens(fleet):
-    """Guards against a window that opens on the wrong day."""
+    """Fails if a window that runs past midnight opens on the wrong day."""
     window = fleet.windows["ikeja-night"]
     window.day = "thu"  # 1970-01-01 was a Thursday.
     open_hours = [h for h in range(7 * 24) if window.contains(h * MS_PER_HOUR)]
@@ -106,9 +112,9 @@
 @given(document=JSON)
 @settings(max_examples=100, derandomize=True, deadline=None)
 def test_any_document_gives_a_fleet_or_findings(document):
-    """Guards against a traceback on a malformed document."""
-    read = fleet_from_document(document)
-    assert read.is_ok() or read.error.lines()
+    """Fails if a malformed document raises an exception."""
+    result = fleet_from_document(document)
+    assert result.is_ok() or result.error.lines()
 
 
 @given(
@@ -118,14 +124,14 @@
 )
 @settings(max_examples=150, derandomize=True, deadline=None)
 def test_any_field_value_gives_a_fleet_or_findings(section, value, data):
-    """Guards against a traceback on one malformed value."""
-    document = SAMPLE[section]
+    """Fails if one malformed value in a record raises an exception."""
+    document = SAMPLE_RECORDS[section]
     key = data.draw(st.sampled_from(sorted(document)))
-    read = fleet_from_document({section: [dict(document, **{key: value})]})
-    assert read.is_ok() or read.error.lines()
+    result = fleet_from_document({section: [dict(document, **{key: value})]})
+    assert result.is_ok() or result.error.lines()
 
 
-SAMPLE = {
+SAMPLE_RECORDS = {
     "workers": {
         "id": "vm-1",
         "zone": "ikeja",
--- a/tests/test_patches.py
+++ b/tests/test_patches.py
@@ -29,7 +29,7 @@
 
 @pytest.fixture
 def make_patch():
-    """Returns a function that reads a patch from its operations."""
+    """Returns a function that builds a patch from operation documents."""
 
     def make(*operations, **fields):
         document = {
@@ -45,12 +45,12 @@
 
 
 def move(worker, pool):
-    """Returns the document of a move."""
+    """Returns the document of an operation ``move_worker``."""
     return {"operation": "move_worker", "worker": worker, "pool": pool}
 
 
 def test_patch_gives_the_next_version(fleet, make_patch):
-    """Guards against a patch that changes the version it applies to."""
+    """Fails if a patch changes the version to which it is applied."""
     before = fleet.to_document()
     new = make_patch(move("vm-5", "roster")).apply(fleet).ok
     assert (new.version, new.workers["vm-5"].pool) == (2, "roster")
@@ -58,7 +58,10 @@
 
 
 def test_all_findings_of_a_patch_have_places_in_its_file(fleet):
-    """Guards against a refusal that does not say which line is wrong."""
+    """Fails if a finding does not name the line of the faulty operation.
+
+    A fault of the resulting fleet counts for the operation that caused it.
+    """
     loaded = load_bytes(PATCH_YAML, "p.yaml").ok
     patch = patch_from_document(loaded.value, loaded.places).ok
     lines = patch.apply(fleet).error.lines()
@@ -66,7 +69,7 @@
         line.startswith("p.yaml:11: operations[2].worker: worker 'vm-99'")
         for line in lines
     )
-    # The worker that the removed pool leaves behind is the fault of line 9.
+    # Line 9 removes the pool of vm-1, which leaves the worker without one.
     assert any(
         line.startswith("p.yaml:9: operations[1]: workers.vm-1.pool: ")
         for line in lines
@@ -74,7 +77,7 @@
 
 
 def test_findings_without_a_file_name_the_operation(fleet, make_patch):
-    """Guards against findings without a place over HTTP."""
+    """Fails if the findings of a patch sent by HTTP name no operation."""
     lines = make_patch(move("vm-99", "x")).apply(fleet).error.lines()
     assert lines == [
         "operations[0].worker: worker 'vm-99' does not exist",
@@ -83,15 +86,18 @@
 
 
 def test_unknown_operation_names_the_nearest():
-    """Guards against an operation that is silently ignored."""
+    """Fails if a misspelt operation is silently ignored."""
     document = {"operations": [{"operation": "move_wroker"}]}
     text = str(patch_from_document(document).error)
     assert "did you mean 'move_worker'" in text
     assert "'against_version' is missing" in text
 
 
-def test_patch_document_loses_nothing(make_patch):
-    """Guards against a patch that changes on its way through the log."""
+def test_patch_round_trip_keeps_its_content(make_patch):
+    """Fails if a patch changes when it is written and read again.
+
+    The log carries patches in this form; a resend must have the same digest.
+    """
     patch = make_patch(
         move("vm-5", "roster"),
         {"operation": "set_weights", "buffer_cost": 4},
@@ -101,19 +107,19 @@
         {"operation": "restore", "version": 3},
     )
     document = json.loads(json.dumps(patch.to_document()))
-    again = patch_from_document(document).ok
-    assert again.to_document() == document
-    assert again.digest() == patch.digest()
+    read_back = patch_from_document(document).ok
+    assert read_back.to_document() == document
+    assert read_back.digest() == patch.digest()
 
 
 def test_patch_without_effect_is_refused(fleet, make_patch):
-    """Guards against version numbers without a change."""
+    """Fails if a patch that changes nothing makes a new version."""
     period = {"operation": "set_maintenance_period", "hours": 336}
     assert "changes nothing" in str(make_patch(period).apply(fleet).error)
 
 
 def test_removing_too_many_workers_is_refused(fleet, make_patch):
-    """Guards against a patch that breaks a promise (R1)."""
+    """Fails if a patch leaves a pool fewer workers than promised (R1)."""
     removals = [
         {"operation": "remove_worker", "id": f"vm-{n}"} for n in (1, 2)
     ]
@@ -121,8 +127,8 @@
     assert "pool 'roster' has 2 workers" in text
 
 
-def test_changes_lead_forth_and_back(fleet, make_patch):
-    """Guards against a history that cannot be reversed."""
+def test_changes_can_be_applied_and_reversed(fleet, make_patch):
+    """Fails if the changes between two versions cannot be reversed."""
     patch = make_patch(
         move("vm-5", "roster"),
         {"operation": "set_weights", "moves": 2},
@@ -137,21 +143,24 @@
         "workers.vm-8",
         "teams.t",
     ]
-    forth = apply_changes(fleet, changes, 2)
-    assert forth.to_document() == new.to_document()
+    applied = apply_changes(fleet, changes, 2)
+    assert applied.to_document() == new.to_document()
     back = [change.reversed() for change in changes]
     assert apply_changes(new, back, 1).to_document() == fleet.to_document()
 
 
 def test_changes_that_cancel_out_are_dropped(fleet, make_patch):
-    """Guards against a stale answer that lists what did not change."""
-    there = make_patch(move("vm-5", "roster")).apply(fleet).ok
-    back = make_patch(move("vm-5", "notices")).apply(there).ok
-    assert merge_changes(diff(fleet, there) + diff(there, back)) == []
+    """Fails if merged changes list a record that is as it was before.
+
+    The answer to a stale patch lists the merged changes since its version.
+    """
+    moved = make_patch(move("vm-5", "roster")).apply(fleet).ok
+    back = make_patch(move("vm-5", "notices")).apply(moved).ok
+    assert merge_changes(diff(fleet, moved) + diff(moved, back)) == []
 
 
 def test_restore_is_a_new_version(fleet, make_patch):
-    """Guards against a version number that goes back (R8)."""
+    """Fails if restoring an old version lowers the version number (R8)."""
     second = make_patch(move("vm-5", "roster")).apply(fleet).ok
     patch = make_patch({"operation": "restore", "version": 1})
     third = patch.apply(second, {1: fleet}.get).ok
@@ -161,7 +170,7 @@
 
 
 def test_preview_lists_moves_drains_and_budgets(fleet, make_patch):
-    """Guards against an automatic change that cannot be reviewed."""
+    """Fails if a preview omits moves, drains or effects on budgets."""
     patch = make_patch(
         move("vm-5", "roster"),
         move("vm-6", "roster"),
@@ -189,7 +198,7 @@
 @given(data=st.data())
 @settings(max_examples=200, derandomize=True, deadline=None)
 def test_any_operation_gives_a_patch_or_findings(data):
-    """Guards against a traceback on a malformed operation."""
+    """Fails if a malformed operation raises an exception."""
     name = data.draw(st.sampled_from(OPERATIONS.names()))
     keys = [field.name for field in OPERATIONS.entries[name].FIELDS]
     value = st.none() | st.integers() | st.text() | st.floats() | st.just([])
@@ -203,5 +212,5 @@
         "reason": "",
         "operations": [{**fields, "operation": name}],
     }
-    read = patch_from_document(document)
-    assert read.is_ok() or read.error.lines()
+    result = patch_from_document(document)
+    assert result.is_ok() or result.error.lines()
--- a/tests/test_view_builders.py
+++ b/tests/test_view_builders.py
@@ -1,4 +1,4 @@
-"""Tests of the planner on top of the replicated state."""
+"""Tests of the planner together with the replicated state."""
 
 import json
 
@@ -20,7 +20,7 @@
 
 
 class Log:
-    """A replicated state that applies proposals at once."""
+    """A replicated state that applies each proposal at once."""
 
     __slots__ = ("state", "clock")
 
@@ -48,7 +48,7 @@
 
 
 def fleet_operations():
-    """Returns the operations that build a small fleet."""
+    """Yields the operations of a patch that builds a small fleet."""
     yield {"operation": "add_region", "id": "lagos"}
     for zone in ZONES:
         yield {"operation": "add_zone", "id": zone, "region": "lagos"}
@@ -77,7 +77,7 @@
 
 @pytest.fixture
 def log(clock):
-    """A log with a small fleet."""
+    """A replicated state with a small fleet."""
     log = Log(clock)
     log.patch(list(fleet_operations()))
     return log
@@ -85,15 +85,18 @@
 
 @pytest.fixture
 def logged_run(make_run, log):
-    """A planner run whose fleet comes from the log."""
+    """A planner run whose fleet was read from the replicated state."""
     run = make_run()
     run.step(build_fleet_loaded(log.state, 0))
     run.tick()
     return run
 
 
-def carry_out(run, log, commands):
-    """Lets log and platform carry out commands until none follow."""
+def execute_commands(run, log, commands):
+    """Executes commands and all that follow from their answers.
+
+    Returns the commands and the reasons of refusals as texts, in order.
+    """
     done = []
     while commands:
         command = commands.pop(0)
@@ -102,7 +105,7 @@
         now_ms = run.clock.now()
         for item in make_proposals(command, run.view, log.state, now_ms):
             refusal = find_refusal_reason(log.apply(item))
-        for state in STATES.get(command.kind, ()):
+        for state in REPORTED_STATES.get(command.kind, ()):
             sequence = run.view.fleet.vms[command.vm].sequence + 1
             report = VmReported(command.vm, state, sequence)
             commands.extend(run.step(report))
@@ -114,7 +117,7 @@
     return done
 
 
-STATES = {
+REPORTED_STATES = {
     "drain_vm": (DRAINED,),
     "reboot_vm": ("rebooting", READY),
     "prepare_vm": (READY,),
@@ -123,15 +126,19 @@
 
 
 def kinds(texts):
-    """Returns the kinds of commands."""
+    """Returns the kinds of commands that are given as texts."""
     return [text.split()[0] for text in texts]
 
 
 def test_maintenance_goes_through_the_log(logged_run, log, clock):
-    """Guards against a reboot without a grant of the replicated state."""
+    """Fails if a VM is rebooted without a grant in the replicated state.
+
+    Other controls would not know that the VM is unavailable and could grant
+    the same budget again.
+    """
     vm = logged_run.view.fleet.vms["roster-0"]
     vm.due_ms = clock.now()
-    done = carry_out(logged_run, log, logged_run.tick())
+    done = execute_commands(logged_run, log, logged_run.tick())
     steps = [kind for kind in kinds(done) if kind != "report_reserve"]
     assert steps == ["request_grant", "drain_vm", "reboot_vm", "release_grant"]
     assert log.state.maintenance.maintained == {"roster-0": clock.now()}
@@ -139,11 +146,15 @@
 
 
 def test_loan_is_a_patch_and_a_move(logged_run, log):
-    """Guards against a loan that the fleet version does not show."""
+    """Fails if a borrowed VM keeps its old pool in the fleet version.
+
+    A planner that reads the version again would then send the VM back, or
+    would not know its lender.
+    """
     for number in (0, 1):
         report = VmReported(f"roster-{number}", "failed", 1)
         commands = logged_run.step(report)
-    carry_out(logged_run, log, commands)
+    execute_commands(logged_run, log, commands)
     lent = [
         worker
         for worker, pool in log.state.pools.pools.items()
@@ -156,7 +167,10 @@
 
 
 def test_operator_move_is_no_loan(log):
-    """Guards against the planner taking back what an operator moved."""
+    """Fails if a VM that an operator moved counts as lent by the planner.
+
+    The planner would return it to the spare pool, against the operator.
+    """
     log.patch(
         [{"operation": "move_worker", "worker": "notices-0", "pool": "roster"}]
     )
@@ -164,21 +178,25 @@
     assert (vm.pool, vm.home_pool, vm.lender) == ("notices", "roster", "")
 
 
-def test_version_is_rolled_out(logged_run, log):
-    """Guards against VMs that stay where an older version put them."""
+def test_vm_moves_to_the_pool_of_a_new_version(logged_run, log):
+    """Fails if a VM stays in its old pool after a version moves it."""
     log.patch(
         [{"operation": "move_worker", "worker": "notices-0", "pool": "roster"}]
     )
     commands = logged_run.step(build_fleet_loaded(log.state, 0))
-    carry_out(logged_run, log, commands)
+    execute_commands(logged_run, log, commands)
     assert log.state.pools.pools["notices-0"] == "roster"
 
 
 def test_removed_vm_is_drained_before_it_leaves(logged_run, log):
-    """Guards against a VM that a version removes while it still works."""
+    """Fails if a VM that a version removes leaves before it has drained.
+
+    Its running work would be cut off. It must not be prepared either, since
+    it enters no other pool.
+    """
     log.patch([{"operation": "remove_worker", "id": "notices-0"}])
     commands = logged_run.step(build_fleet_loaded(log.state, 0))
-    done = kinds(carry_out(logged_run, log, commands))
+    done = kinds(execute_commands(logged_run, log, commands))
     assert done.index("drain_vm") < done.index("move_vm")
     assert "prepare_vm" not in done
     assert "notices-0" not in log.state.pools.pools
@@ -187,7 +205,11 @@
 
 
 def test_pool_is_emptied_before_it_disappears(logged_run, log):
-    """Guards against VMs that are lost with a removed pool."""
+    """Fails if VMs are lost with a pool that a version removes.
+
+    The version no longer lists the pool while its VMs are still in it; they
+    have to move out first.
+    """
     operations = [
         {
             "operation": "move_worker",
@@ -201,12 +223,16 @@
     operations.append({"operation": "remove_pool", "id": "notices"})
     log.patch(operations)
     commands = logged_run.step(build_fleet_loaded(log.state, 0))
-    carry_out(logged_run, log, commands)
+    execute_commands(logged_run, log, commands)
     assert set(log.state.pools.pools.values()) == {"roster"}
 
 
 def test_new_leader_continues_live_grants(make_run, logged_run, log, clock):
-    """Guards against a VM that stays drained after a change of leader."""
+    """Fails if a granted VM is left as it is after a change of leader.
+
+    The former leader got the grant but did not drain the VM; the successor
+    knows only the replicated state.
+    """
     logged_run.view.fleet.vms["roster-0"].due_ms = clock.now()
     request = logged_run.tick()[0]
     for item in make_proposals(
@@ -215,21 +241,25 @@
         assert not find_refusal_reason(log.apply(item))
     successor = make_run()
     commands = successor.step(build_fleet_loaded(log.state, 0))
-    assert "drain_vm" in kinds(carry_out(successor, log, commands))
+    assert "drain_vm" in kinds(execute_commands(successor, log, commands))
     assert "roster-0" in log.state.maintenance.maintained
 
 
-def test_operators_drain_is_carried_out_and_kept(logged_run, log, clock):
-    """Guards against a planner that undoes an operator's drain."""
+def test_drain_is_kept_until_the_operator_ends_it(logged_run, log, clock):
+    """Fails if the planner ends a drain that an operator requested.
+
+    The VM must stay drained until the operator ends the grant, and must take
+    work again after that.
+    """
     request = RequestGrant("g", ["roster-0"], "drain", "op", "", 60_000, [])
     assert not find_refusal_reason(log.apply(request))
     commands = logged_run.step(build_fleet_loaded(log.state, 0))
-    assert "drain_vm" in kinds(carry_out(logged_run, log, commands))
+    assert "drain_vm" in kinds(execute_commands(logged_run, log, commands))
     assert log.state.maintenance.grants["g"].drained == ["roster-0"]
     assert "undrain_vm" not in kinds(as_texts(logged_run.tick(5_000)))
     log.apply(EndGrant("g", ["roster-0"], 0))
     commands = logged_run.step(build_fleet_loaded(log.state, 0))
-    done = kinds(carry_out(logged_run, log, commands))
+    done = kinds(execute_commands(logged_run, log, commands))
     assert "undrain_vm" in done
     assert "release_grant" not in done
 
@@ -240,7 +270,7 @@
 
 
 def test_refused_grant_frees_the_vm(logged_run, log, clock):
-    """Guards against an operation that waits for good for its grant."""
+    """Fails if an operation waits forever for a grant that was refused."""
     logged_run.view.fleet.vms["roster-0"].due_ms = clock.now()
     request = logged_run.tick()[0]
     logged_run.step(CommandRefused(request.command_id, "paused"))
@@ -248,7 +278,7 @@
 
 
 def test_weights_and_period_come_from_the_version(logged_run, log):
-    """Guards against weights that an operator set without any effect."""
+    """Fails if weights or a period set by an operator have no effect."""
     log.patch(
         [
             {"operation": "set_weights", "roll_out_time": 7.0},
@@ -261,18 +291,21 @@
     assert settings.maintenance_period_ms == 48 * 3_600_000
 
 
-def test_unknown_due_times_are_spread():
-    """Guards against a new fleet that is due all at once."""
+def test_due_times_of_new_vms_are_spread():
+    """Fails if all VMs of a new fleet are due for maintenance at once.
+
+    They were never maintained, so their due times come from their ids.
+    """
     period_ms = 14 * 86_400_000
     now_ms = 10 * period_ms
     due = [find_due_ms(f"vm-{n}", now_ms, None, period_ms) for n in range(100)]
     assert all(now_ms <= each < now_ms + period_ms for each in due)
-    halves = sum(each < now_ms + period_ms // 2 for each in due)
-    assert 30 < halves < 70
+    first_half_count = sum(each < now_ms + period_ms // 2 for each in due)
+    assert 30 < first_half_count < 70
 
 
 def test_closed_window_stops_requests_until_it_opens(logged_run, log, clock):
-    """Guards against a planner that asks each second for a refused grant."""
+    """Fails if a grant refused outside its window is requested each second."""
     minute = clock.now() // 60_000
     windows = [
         {
@@ -286,17 +319,21 @@
     ]
     log.patch(windows)
     logged_run.view.fleet.vms["roster-0"].due_ms = clock.now()
-    asked = kinds(carry_out(logged_run, log, logged_run.tick()))
+    asked = kinds(execute_commands(logged_run, log, logged_run.tick()))
     assert asked.count("request_grant") == 1
-    again = kinds(carry_out(logged_run, log, logged_run.tick(1_000)))
+    again = kinds(execute_commands(logged_run, log, logged_run.tick(1_000)))
     assert "request_grant" not in again
     logged_run.step(build_fleet_loaded(log.state, 0))
     vm = logged_run.view.fleet.vms["roster-0"]
     assert vm.closed_until_ms >= 60 * 60_000
 
 
-def test_operators_drain_is_carried_out_and_ended(logged_run, log, clock):
-    """Guards against a granted drain that nobody tells the platform of."""
+def test_operators_drain_ends_without_a_reboot(logged_run, log, clock):
+    """Fails if an operator's grant is not followed by a drain.
+
+    The VM must drain, stay drained while the grant is live, and return to
+    work without a reboot after the grant has ended.
+    """
     granted = log.apply(
         RequestGrant(
             "by-hand", ["roster-0"], "drain", "ada", "disk", 60_000, []
@@ -304,18 +341,18 @@
     )
     assert not find_refusal_reason(granted)
     started = logged_run.step(build_fleet_loaded(log.state, 0))
-    done = kinds(carry_out(logged_run, log, started))
-    done += kinds(carry_out(logged_run, log, logged_run.tick()))
+    done = kinds(execute_commands(logged_run, log, started))
+    done += kinds(execute_commands(logged_run, log, logged_run.tick()))
     assert [kind for kind in done if "report" not in kind] == [
         "drain_vm",
         "confirm_drain",
     ]
     assert log.state.maintenance.grants["by-hand"].drained == ["roster-0"]
-    held = kinds(carry_out(logged_run, log, logged_run.tick(1_000)))
+    held = kinds(execute_commands(logged_run, log, logged_run.tick(1_000)))
     assert "undrain_vm" not in held
     log.apply(EndGrant("by-hand", ["roster-0"], 0))
     ended = logged_run.step(build_fleet_loaded(log.state, 0))
-    done = kinds(carry_out(logged_run, log, ended))
-    done += kinds(carry_out(logged_run, log, logged_run.tick(1_000)))
+    done = kinds(execute_commands(logged_run, log, ended))
+    done += kinds(execute_commands(logged_run, log, logged_run.tick(1_000)))
     assert "undrain_vm" in done
     assert "reboot_vm" not in done
