--- a/wigeonport/borrow_policies.py
+++ b/wigeonport/borrow_policies.py
@@ -41,7 +41,7 @@
 
     Spare pools are left out.
     """
-    elapsed_s = (now_ms - (view.scored_ms or now_ms)) / 1000
+    elapsed_s = (now_ms - (view.scores_updated_ms or now_ms)) / 1000
     max_borrowed = len(SpareSupply(view, now_ms, 0).vms)
     needs = [
         PoolNeed(view, pool, now_ms)
--- a/wigeonport/jobs.py
+++ b/wigeonport/jobs.py
@@ -35,7 +35,7 @@
     for pool in view.pools():
         commands.extend(place_waiting(view, pool, now_ms, random))
     commands.extend(unthrottle_tasks(view, now_ms))
-    if view.is_full():
+    if view.plans_all_pools():
         commands.extend(renew_all_leases(view, now_ms))
     return commands
 
@@ -68,7 +68,7 @@
 
 def expire_leases(view, now_ms):
     """Queues jobs whose task lease has expired; no worker runs them now."""
-    if view.is_full():
+    if view.plans_all_pools():
         # Includes workers that the fleet version in force has removed.
         vm_names = list(view.jobs.on_vm)
     else:
--- a/wigeonport/reserves.py
+++ b/wigeonport/reserves.py
@@ -159,7 +159,7 @@
 @stages.register("reserves")
 def plan(view, now_ms, random):
     """Sizes the reserve in a full plan and reports it if it changed."""
-    if not view.is_full():
+    if not view.plans_all_pools():
         return []
     available_by_pool = find_available(view, now_ms)
     if available_by_pool == view.reserve_basis:
