Rename 12 names: RecoveredState, min_election_timeout_ms and others

Cause: Settings did not say which value is a maximum, an interval or a timeout Change: Recovered to RecoveredState, election_ms to min_election_timeout_ms, election_spread_ms to election_jitter_ms, payload_bytes to max_payload_bytes, keep_entries to retained_entries, may_form to may_form_cluster, forget_learner_ms to remove_learner_ms, append_bytes to max_append_bytes, window_entries to max_in_flight_entries, pending_entries to max_pending_entries, piece_bytes to snapshot_piece_bytes, join_ms to join_interval_ms; 69 uses in 19 files, by token.

--- a/tests/consensus_groups.py
+++ b/tests/consensus_groups.py
@@ -42,8 +42,11 @@
             if durable
             else open_memory("test", node)
         )
-        settings = ReplicaSettings(keep_entries=10)
-        settings.election_ms, settings.election_spread_ms = 300, 300
+        settings = ReplicaSettings(retained_entries=10)
+        settings.min_election_timeout_ms, settings.election_jitter_ms = (
+            300,
+            300,
+        )
         settings.lease_ms, settings.heartbeat_ms = 200, 50
         settings.learner_heartbeat_ms = 100
         consensus = Consensus(
--- a/tests/failure_schedules.py
+++ b/tests/failure_schedules.py
@@ -28,7 +28,7 @@
         # before the group has recovered, and each Append has one entry.
         self.is_storm = seed % 2 == 1
         if self.is_storm:
-            self.network.settings.append_bytes = 1
+            self.network.settings.max_append_bytes = 1
 
     def running(self):
         """Returns the nodes whose replica runs."""
--- a/tests/network_simulations.py
+++ b/tests/network_simulations.py
@@ -11,7 +11,7 @@
     COMMITTED,
     Outcome,
     Persisted,
-    Recovered,
+    RecoveredState,
     ReplicaSettings,
     Tick,
 )
@@ -28,7 +28,7 @@
     """What has survived: hard state, snapshot and entries."""
 
     def __init__(self):
-        self.recovered = Recovered()
+        self.recovered = RecoveredState()
 
     def write(self, persist):
         """Applies a Persist."""
@@ -52,7 +52,7 @@
         assert [e.index for e in entries] == list(
             range(base_index + 1, base_index + 1 + len(entries))
         )
-        return Recovered(kept.hard_state, kept.snapshot, entries)
+        return RecoveredState(kept.hard_state, kept.snapshot, entries)
 
 
 class Node:
@@ -90,14 +90,14 @@
         self.settings = settings or ReplicaSettings(len(self.voters), 5)
         self.settings.heartbeat_ms = 100
         self.settings.learner_heartbeat_ms = 400
-        self.settings.election_ms = 500
-        self.settings.election_spread_ms = 300
+        self.settings.min_election_timeout_ms = 500
+        self.settings.election_jitter_ms = 300
         self.settings.lease_ms = 400
-        self.settings.piece_bytes = 7
-        self.settings.append_bytes = 300
-        self.settings.window_entries = 8
+        self.settings.snapshot_piece_bytes = 7
+        self.settings.max_append_bytes = 300
+        self.settings.max_in_flight_entries = 8
         self.settings.replace_voter_ms = 8_000
-        self.settings.forget_learner_ms = 20_000
+        self.settings.remove_learner_ms = 20_000
         self.now_ms = 1_000
         self.queue = []
         self.counter = 1
--- a/tests/test_batch_controllers.py
+++ b/tests/test_batch_controllers.py
@@ -374,7 +374,10 @@
         table.source = json.dumps(table.to_document())
         answer = await desk.ask(lambda reply: RoutesStated(table, reply))
         assert answer.ok is True
-        assert desk.consensus.largest_payload < ReplicaSettings().payload_bytes
+        assert (
+            desk.consensus.largest_payload
+            < ReplicaSettings().max_payload_bytes
+        )
 
     run_desk(check)
 
--- a/tests/test_replica_rules.py
+++ b/tests/test_replica_rules.py
@@ -12,7 +12,7 @@
     Persisted,
     ProposalItem,
     Propose,
-    Recovered,
+    RecoveredState,
     RemoveReplica,
     Resign,
     Tick,
@@ -43,7 +43,9 @@
         voters = [Member(each, True, True) for each in IDS]
         members = Members([*voters, Member("s/1", False, True)])
         first = Entry(1, 1, MEMBERS, members.to_payload())
-        recovered = Recovered(HardState(term, vote), None, [first, *extra])
+        recovered = RecoveredState(
+            HardState(term, vote), None, [first, *extra]
+        )
         return Replica(
             replica_id,
             ("a", "b", "c"),
@@ -144,7 +146,7 @@
 def test_leader_with_a_hanging_disk_refuses_proposals(make_leader):
     """Guards against writes that pile up in memory."""
     leader = make_leader()
-    leader.settings.pending_entries = 3
+    leader.settings.max_pending_entries = 3
     outcomes = []
     for number in range(5):
         item = ProposalItem(number, b"x")
--- a/wigeonport/appends.py
+++ b/wigeonport/appends.py
@@ -100,13 +100,13 @@
 
 def _batch(replica, progress):
     settings = replica.settings
-    limit_index = progress.next_index + settings.window_entries - 1
+    limit_index = progress.next_index + settings.max_in_flight_entries - 1
     if progress.mode == REPLICATE:
-        limit_index = progress.match_index + settings.window_entries
+        limit_index = progress.match_index + settings.max_in_flight_entries
     if limit_index < progress.next_index:
         return []
     return replica.log.batch(
-        progress.next_index, limit_index, settings.append_bytes
+        progress.next_index, limit_index, settings.max_append_bytes
     )
 
 
--- a/wigeonport/batch_programs.py
+++ b/wigeonport/batch_programs.py
@@ -70,7 +70,7 @@
     """Returns the consensus task of a control for batch jobs."""
     settings = program.settings
     replica = make_replica_settings(settings)
-    replica.may_form = settings.forms_cluster
+    replica.may_form_cluster = settings.forms_cluster
     directory = settings.data_dir
     return Consensus(
         open_replica(settings),
--- a/wigeonport/consensus_inputs.py
+++ b/wigeonport/consensus_inputs.py
@@ -75,7 +75,7 @@
         number = consensus.calls.open(call, now_ms)
         logged = consensus.encode_command(payload)
         consensus.batch.append(ProposalItem(number, logged))
-    elif len(payload) > replica.settings.payload_bytes:
+    elif len(payload) > replica.settings.max_payload_bytes:
         call.finish(ProposalAnswer(REFUSED, "payload is too large"))
     elif replica.leader_id:
         leader_id = replica.leader_id
--- a/wigeonport/control_main.py
+++ b/wigeonport/control_main.py
@@ -153,8 +153,8 @@
     replica = ReplicaSettings(target_voters=wanted)
     replica.replace_voter_ms = settings.replace_voter_ms
     replica.heartbeat_ms = settings.replication_heartbeat_ms
-    replica.election_ms = settings.election_timeout_ms
-    replica.election_spread_ms = settings.election_timeout_ms * 6 // 10
+    replica.min_election_timeout_ms = settings.election_timeout_ms
+    replica.election_jitter_ms = settings.election_timeout_ms * 6 // 10
     replica.lease_ms = settings.election_timeout_ms * 8 // 10
     return replica
 
--- a/wigeonport/elections.py
+++ b/wigeonport/elections.py
@@ -33,7 +33,7 @@
     heard_ms = replica.quorum_value(
         replica.now_ms, lambda progress: progress.heard_ms
     )
-    if replica.now_ms - heard_ms <= replica.settings.election_ms:
+    if replica.now_ms - heard_ms <= replica.settings.min_election_timeout_ms:
         return True
     replica.become_follower(replica.term, "")
     return False
@@ -44,7 +44,7 @@
     if replica.role == LEADER:
         return replica.now_ms < replica.lease_until_ms()
     silent_ms = replica.now_ms - replica.leader_contact_ms
-    return silent_ms < replica.settings.election_ms
+    return silent_ms < replica.settings.min_election_timeout_ms
 
 
 def _is_up_to_date(replica, message):
--- a/wigeonport/handovers.py
+++ b/wigeonport/handovers.py
@@ -23,7 +23,7 @@
 
 def choose_successor(replica):
     """Returns the voter that was heard lately with the longest log, or ""."""
-    limit_ms = replica.now_ms - replica.settings.election_ms
+    limit_ms = replica.now_ms - replica.settings.min_election_timeout_ms
     heard = [
         (progress.match_index, voter)
         for voter in replica.members().voters
--- a/wigeonport/memberships.py
+++ b/wigeonport/memberships.py
@@ -194,7 +194,7 @@
     if message.leader_id:
         # The leader need not be one of the seeds.
         replica.leader_hint = node_of(message.leader_id)
-    if not replica.blank() or not replica.settings.may_form:
+    if not replica.blank() or not replica.settings.may_form_cluster:
         return
     if not replica.durable or replica.node != min(replica.seeds, default=""):
         return
@@ -222,7 +222,7 @@
     nodes.update(node_of(each) for each in replica.members().by_id)
     nodes.add(replica.leader_hint or replica.node)
     nodes.discard(replica.node)
-    alone = not nodes and replica.blank() and replica.settings.may_form
+    alone = not nodes and replica.blank() and replica.settings.may_form_cluster
     if alone and replica.seeds and replica.durable:
         found(replica)
     for node in sorted(nodes):
@@ -254,7 +254,7 @@
     """
     settings = replica.settings
     silent_voter = _silent(replica, True, settings.replace_voter_ms)
-    silent_learner = _silent(replica, False, settings.forget_learner_ms)
+    silent_learner = _silent(replica, False, settings.remove_learner_ms)
     ready = _ready_learner(replica, members)
     spare_count = len(members.voters) - settings.target_voters
     if ready and spare_count < (1 if silent_voter else 0):
--- a/wigeonport/persists.py
+++ b/wigeonport/persists.py
@@ -50,6 +50,6 @@
     if snapshot.index <= known or snapshot.index > replica.delivered_index:
         return
     replica.snapshot = snapshot
-    keep_from = snapshot.index - replica.settings.keep_entries
+    keep_from = snapshot.index - replica.settings.retained_entries
     replica.log.compact_to(max(keep_from, replica.log.base_index))
     replica.persist.compact_index = snapshot.index
--- a/wigeonport/proposals.py
+++ b/wigeonport/proposals.py
@@ -17,9 +17,9 @@
         reason = ""
         if not replica.is_leader():
             reason = "not leader"
-        elif waiting >= settings.pending_entries:
+        elif waiting >= settings.max_pending_entries:
             reason = "too many entries wait for commit or for the disk"
-        elif len(item.payload) > settings.payload_bytes:
+        elif len(item.payload) > settings.max_payload_bytes:
             reason = "payload is too large"
         if reason:
             replica.out.replies.append(
--- a/wigeonport/recoveries.py
+++ b/wigeonport/recoveries.py
@@ -23,7 +23,7 @@
     Segment,
 )
 from wigeonport.logs import PartLogger
-from wigeonport.replica_events import HardState, Recovered
+from wigeonport.replica_events import HardState, RecoveredState
 from wigeonport.snapshots import (
     DamageError,
     FormatError,
@@ -60,7 +60,7 @@
 def open_memory(cluster_id, node):
     """Returns an Opened for a node without a disk."""
     replica_id = draw_identity(cluster_id, node).replica_id()
-    return Opened(replica_id, False, MemoryJournal(), Recovered(), "")
+    return Opened(replica_id, False, MemoryJournal(), RecoveredState(), "")
 
 
 def open_directory(directory, cluster_id, node):
@@ -106,7 +106,9 @@
     write_identity(directory, identity)
     journal.start_segment()
     durable_files.sync_directory(directory.parent)
-    return Opened(identity.replica_id(), True, journal, Recovered(), damage)
+    return Opened(
+        identity.replica_id(), True, journal, RecoveredState(), damage
+    )
 
 
 def _set_aside(directory):
@@ -132,7 +134,7 @@
     if replay.missing_index > base_index:
         raise DamageError(f"entries up to {replay.missing_index} are missing")
     entries = _entries_after(snapshot, replay.entries)
-    recovered = Recovered(replay.hard_state, snapshot, entries)
+    recovered = RecoveredState(replay.hard_state, snapshot, entries)
     journal = Journal(
         directory, identity.identity, segments, replay.hard_state, lock
     )
--- a/wigeonport/replica_events.py
+++ b/wigeonport/replica_events.py
@@ -161,7 +161,7 @@
         self.checksum = zlib.crc32(data)
 
 
-class Recovered:
+class RecoveredState:
     """What a replica found on its disk.
 
     Attributes:
@@ -244,60 +244,60 @@
         heartbeat_ms: Interval of heartbeats to voters.
         learner_heartbeat_ms: Interval of heartbeats to learners; longer,
             because a learner holds no lease and starts no election.
-        election_ms: Shortest time without a leader before an election.
-        election_spread_ms: Random time added to ``election_ms``.
+        min_election_timeout_ms: Shortest time without a leader before an election.
+        election_jitter_ms: Random time added to ``min_election_timeout_ms``.
         lease_ms: Lease after an acknowledged heartbeat; shorter than
-            ``election_ms`` by more than clocks drift apart in that time.
-        join_ms: Interval of JoinRequests.
+            ``min_election_timeout_ms`` by more than clocks drift apart in that time.
+        join_interval_ms: Interval of JoinRequests.
         target_voters: Learners with a disk are promoted up to here.
         replace_voter_ms: A voter silent for so long is replaced when a
             learner with a disk is ready.
-        forget_learner_ms: A learner silent for so long is removed.
-        append_bytes: Largest payload of one Append.
-        window_entries: Most entries sent but not acknowledged by a peer.
-        pending_entries: Most entries that the leader has appended and
+        remove_learner_ms: A learner silent for so long is removed.
+        max_append_bytes: Largest payload of one Append.
+        max_in_flight_entries: Most entries sent but not acknowledged by a peer.
+        max_pending_entries: Most entries that the leader has appended and
             that are not yet committed and durable.
-        payload_bytes: Largest payload of a proposal; an Append must fit
+        max_payload_bytes: Largest payload of a proposal; an Append must fit
             into a frame of 1 MB.
-        piece_bytes: Size of a piece of a snapshot.
-        may_form: Whether a blank replica may form a new cluster.
-        keep_entries: Entries kept in memory behind a snapshot, so that
+        snapshot_piece_bytes: Size of a piece of a snapshot.
+        may_form_cluster: Whether a blank replica may form a new cluster.
+        retained_entries: Entries kept in memory behind a snapshot, so that
             a follower that lags a little needs no snapshot.
     """
 
     __slots__ = (
         "heartbeat_ms",
         "learner_heartbeat_ms",
-        "election_ms",
-        "election_spread_ms",
+        "min_election_timeout_ms",
+        "election_jitter_ms",
         "lease_ms",
-        "join_ms",
+        "join_interval_ms",
         "target_voters",
         "replace_voter_ms",
-        "forget_learner_ms",
-        "append_bytes",
-        "window_entries",
-        "pending_entries",
-        "payload_bytes",
-        "piece_bytes",
-        "may_form",
-        "keep_entries",
+        "remove_learner_ms",
+        "max_append_bytes",
+        "max_in_flight_entries",
+        "max_pending_entries",
+        "max_payload_bytes",
+        "snapshot_piece_bytes",
+        "may_form_cluster",
+        "retained_entries",
     )
 
-    def __init__(self, target_voters=3, keep_entries=500):
+    def __init__(self, target_voters=3, retained_entries=500):
         self.heartbeat_ms = 200
         self.learner_heartbeat_ms = 1_000
-        self.election_ms = 1_000
-        self.election_spread_ms = 600
+        self.min_election_timeout_ms = 1_000
+        self.election_jitter_ms = 600
         self.lease_ms = 800
-        self.join_ms = 500
+        self.join_interval_ms = 500
         self.target_voters = target_voters
         self.replace_voter_ms = 60_000
-        self.forget_learner_ms = 600_000
-        self.append_bytes = 256 * 1024
-        self.window_entries = 4_096
-        self.pending_entries = 20_000
-        self.payload_bytes = 512 * 1024
-        self.piece_bytes = 128 * 1024
-        self.may_form = True
-        self.keep_entries = keep_entries
+        self.remove_learner_ms = 600_000
+        self.max_append_bytes = 256 * 1024
+        self.max_in_flight_entries = 4_096
+        self.max_pending_entries = 20_000
+        self.max_payload_bytes = 512 * 1024
+        self.snapshot_piece_bytes = 128 * 1024
+        self.may_form_cluster = True
+        self.retained_entries = retained_entries
--- a/wigeonport/replicas.py
+++ b/wigeonport/replicas.py
@@ -69,7 +69,7 @@
         verified_index: Highest index that matches the leader's log.
         answered_round: Highest round of the leader that was answered.
         leader_contact_ms: When the leader was heard last; no vote is
-            given within ``election_ms`` of it, which protects the
+            given within ``min_election_timeout_ms`` of it, which protects the
             leader's lease. A restart counts as a contact, because the
             replica may have acknowledged a heartbeat just before it.
         election_deadline_ms: When the next election starts.
@@ -220,9 +220,9 @@
     def restart_timer(self):
         """Draws the time of the next election."""
         settings = self.settings
-        spread_ms = self.random.randrange(settings.election_spread_ms)
+        spread_ms = self.random.randrange(settings.election_jitter_ms)
         self.election_deadline_ms = (
-            self.now_ms + settings.election_ms + spread_ms
+            self.now_ms + settings.min_election_timeout_ms + spread_ms
         )
 
     def admit(self, message):
@@ -262,7 +262,7 @@
         """Returns until when no other leader can be elected, or 0.
 
         A quorum has acknowledged heartbeats sent at or after some time,
-        and gives no vote for ``election_ms`` after receiving them.
+        and gives no vote for ``min_election_timeout_ms`` after receiving them.
         """
         if not self.is_leader():
             return 0
--- a/wigeonport/ticks.py
+++ b/wigeonport/ticks.py
@@ -18,6 +18,8 @@
         if elections.may_campaign(replica):
             elections.start_pre_vote(replica)
     if replica.now_ms >= replica.join_due_ms:
-        replica.join_due_ms = replica.now_ms + replica.settings.join_ms
+        replica.join_due_ms = (
+            replica.now_ms + replica.settings.join_interval_ms
+        )
         if elections.is_abandoned(replica):
             memberships.ask_to_join(replica)
--- a/wigeonport/transfers.py
+++ b/wigeonport/transfers.py
@@ -45,7 +45,7 @@
 def _send_piece(replica, replica_id, progress):
     snapshot = progress.snapshot
     progress.piece_sent_ms = replica.now_ms
-    stop = progress.offset + replica.settings.piece_bytes
+    stop = progress.offset + replica.settings.snapshot_piece_bytes
     replica.send(
         SnapshotPiece(
             replica.term,
