Rename 22 names: hard_state_sequence, start_heartbeat_round and others

Cause: Figurative names (beat, promised, abandoned, heard, own) instead of the terms of Raft Change: hard_sequence to hard_state_sequence, beat_now to start_heartbeat_round, voter_beat_ms to next_voter_heartbeat_ms, learner_beat_ms to next_learner_heartbeat_ms, commit_due_ms to commit_notice_due_ms, sent_commit to sent_commit_index, answered_round to acknowledged_round, restart_timer to reset_election_timer, append_own to append_as_leader, _beat_peer to _send_heartbeat, _has_promised to _may_break_lease, is_abandoned to lacks_leader, _ask_voters to _request_votes, _silent to _first_silent_member, _least_heard to _longest_silent_voter, _keeps_quorum to _has_responsive_quorum, review to change_members_if_due, plan_tick to schedule_tick, is_storm to has_frequent_failures, quiet_until_ms to no_proposals_until_ms, deafen to block_one_link, lost_ids to lost_replica_ids; 94 uses in 11 files, by token.

--- a/tests/failure_schedules.py
+++ b/tests/failure_schedules.py
@@ -23,11 +23,11 @@
         self.network = network or Network(seed)
         self.random = random.Random(seed + 7)
         self.number = 0
-        self.quiet_until_ms = 0
+        self.no_proposals_until_ms = 0
         # Every second schedule is a storm: failures follow each other
         # before the group has recovered, and each Append has one entry.
-        self.is_storm = seed % 2 == 1
-        if self.is_storm:
+        self.has_frequent_failures = seed % 2 == 1
+        if self.has_frequent_failures:
             self.network.settings.max_append_bytes = 1
 
     def running(self):
@@ -39,14 +39,16 @@
         """Does one random thing and schedules the next."""
         choice = self.random.choices(
             [self.propose, self.read, self.snapshot, self.fail],
-            [50, 10, 8, 32] if self.is_storm else [60, 15, 10, 15],
+            [50, 10, 8, 32]
+            if self.has_frequent_failures
+            else [60, 15, 10, 15],
         )[0]
         choice()
         self.network.at(self.random.randrange(1, 100), self.act)
 
     def propose(self):
         """Proposes a small batch at a random node, often the leader."""
-        if self.network.now_ms < self.quiet_until_ms:
+        if self.network.now_ms < self.no_proposals_until_ms:
             return
         items = []
         for _ in range(self.random.randrange(1, 4)):
@@ -101,11 +103,11 @@
                 self.pause,
                 self.remove,
                 self.resign,
-                self.deafen,
+                self.block_one_link,
             ]
         )
         failure(self.random.choice(nodes))
-        limit_ms = 1_000 if self.is_storm else 4_000
+        limit_ms = 1_000 if self.has_frequent_failures else 4_000
         self.network.at(self.random.randrange(limit_ms), self.restart)
 
     def lose_messages(self, node):
@@ -137,7 +139,7 @@
         """Connects all nodes."""
         self.network.blocked = set()
 
-    def deafen(self, node):
+    def block_one_link(self, node):
         """Lets one node not hear another, which all others hear.
 
         Without new entries its log stays good enough for an election.
@@ -145,7 +147,7 @@
         self.network.blocked = {
             (node.name, self.random.choice(self.network.names))
         }
-        self.quiet_until_ms = self.network.now_ms + 2_000
+        self.no_proposals_until_ms = self.network.now_ms + 2_000
 
     def crash(self, node):
         """Crashes one node, at times all of them at once."""
@@ -175,7 +177,7 @@
         members = node.replica.members()
         # Removing a voter just after another lost its disk leaves no
         # quorum with data, as with any two such losses of three.
-        whole = not network.lost_ids & set(members.voters)
+        whole = not network.lost_replica_ids & set(members.voters)
         if whole and len(members.voters) >= 3:
             target = self.random.choice(sorted(members.by_id))
             network.step(node, RemoveReplica(REMOVAL_NUMBER, target))
--- a/tests/network_simulations.py
+++ b/tests/network_simulations.py
@@ -108,7 +108,7 @@
         self.digests = {0: b""}
         self.acked = {}
         self.reads = {}
-        self.lost_ids = set()
+        self.lost_replica_ids = set()
         self.known_members = None
         self.steps = 0
         self.installs = 0
@@ -157,7 +157,7 @@
         node.digest = b""
         if recovered.snapshot:
             self.install(node, recovered.snapshot)
-        self.plan_tick(node)
+        self.schedule_tick(node)
 
     def crash(self, node, lose_disk=False):
         """Stops the replica; unsynced writes survive in part."""
@@ -167,14 +167,14 @@
             for persist in node.unsynced[: self.random.randrange(4)]:
                 node.disk.write(persist)
         if lose_disk or not node.durable:
-            self.lost_ids.add(node.replica.replica_id)
+            self.lost_replica_ids.add(node.replica.replica_id)
             node.identity = 0
         node.replica = None
         node.epoch += 1
 
     def may_lose_disk(self, node):
         """Returns whether a quorum keeps its data in every known view."""
-        lost = self.lost_ids | {f"{node.name}/{node.identity}"}
+        lost = self.lost_replica_ids | {f"{node.name}/{node.identity}"}
         for other in self.nodes.values():
             if other.replica is None:
                 return False
@@ -207,14 +207,14 @@
         for reply in out.replies:
             self.answered(node, reply)
         self.check_leaders(node)
-        self.plan_tick(node)
+        self.schedule_tick(node)
 
     def later(self, node, epoch, event):
         """Runs a step unless the replica has crashed meanwhile."""
         if node.replica is not None and node.epoch == epoch:
             self.step(node, event)
 
-    def plan_tick(self, node):
+    def schedule_tick(self, node):
         """Schedules the next Tick."""
         due_ms = node.replica.next_deadline_ms() - node.offset_ms
         due_ms = max(int(due_ms / node.rate) + 1, self.now_ms + 1)
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -26,7 +26,7 @@
             raise AssertionError(f"schedule with seed {seed}") from error
         acked += len(network.acked)
         installs += network.installs
-        losses += len(network.lost_ids)
+        losses += len(network.lost_replica_ids)
         terms += len(network.leaders)
     with capsys.disabled():
         print(
--- a/wigeonport/appends.py
+++ b/wigeonport/appends.py
@@ -25,7 +25,7 @@
         heard_ms: When the peer was heard last.
         acked_sent_ms: Highest send time of an acknowledged Append.
         round: Highest acknowledged heartbeat round.
-        sent_commit: Highest commit index sent.
+        sent_commit_index: Highest commit index sent.
         snapshot: Snapshot being transferred, or None.
         offset: Bytes of it that the peer has received.
         piece_sent_ms: When the last piece was sent.
@@ -39,7 +39,7 @@
         "heard_ms",
         "acked_sent_ms",
         "round",
-        "sent_commit",
+        "sent_commit_index",
         "snapshot",
         "offset",
         "piece_sent_ms",
@@ -53,7 +53,7 @@
         self.heard_ms = now_ms
         self.acked_sent_ms = 0
         self.round = 0
-        self.sent_commit = 0
+        self.sent_commit_index = 0
         self.snapshot = None
         self.offset = 0
         self.piece_sent_ms = 0
@@ -116,7 +116,7 @@
     if progress.mode == SNAPSHOT or prev_term is None:
         # Index 0 matches every log, so this is a heartbeat only.
         prev_index, prev_term, entries = 0, 0, []
-    progress.sent_commit = replica.commit_index
+    progress.sent_commit_index = replica.commit_index
     replica.send(
         Append(
             replica.term,
@@ -136,36 +136,39 @@
     """Sends the heartbeats and commit notices that are due."""
     now_ms = replica.now_ms
     settings = replica.settings
-    voters_due = now_ms >= replica.voter_beat_ms
-    learners_due = now_ms >= replica.learner_beat_ms
+    voters_due = now_ms >= replica.next_voter_heartbeat_ms
+    learners_due = now_ms >= replica.next_learner_heartbeat_ms
     if voters_due or learners_due:
         replica.round += 1
     if voters_due:
-        replica.voter_beat_ms = now_ms + settings.heartbeat_ms
+        replica.next_voter_heartbeat_ms = now_ms + settings.heartbeat_ms
     if learners_due:
-        replica.learner_beat_ms = now_ms + settings.learner_heartbeat_ms
+        replica.next_learner_heartbeat_ms = (
+            now_ms + settings.learner_heartbeat_ms
+        )
     notice_due = (
-        replica.commit_due_ms is not None and now_ms >= replica.commit_due_ms
+        replica.commit_notice_due_ms is not None
+        and now_ms >= replica.commit_notice_due_ms
     )
     if notice_due:
-        replica.commit_due_ms = None
+        replica.commit_notice_due_ms = None
     members = replica.members()
     for replica_id, progress in replica.progress.items():
         due = voters_due if members.is_voter(replica_id) else learners_due
         if due:
-            _beat_peer(replica, replica_id, progress)
-        elif notice_due and progress.sent_commit < replica.commit_index:
+            _send_heartbeat(replica, replica_id, progress)
+        elif notice_due and progress.sent_commit_index < replica.commit_index:
             _send(replica, replica_id, progress, [])
 
 
-def beat_now(replica):
+def start_heartbeat_round(replica):
     """Starts a heartbeat round to all members at once."""
-    replica.voter_beat_ms = replica.now_ms
-    replica.learner_beat_ms = replica.now_ms
+    replica.next_voter_heartbeat_ms = replica.now_ms
+    replica.next_learner_heartbeat_ms = replica.now_ms
     beat(replica)
 
 
-def _beat_peer(replica, replica_id, progress):
+def _send_heartbeat(replica, replica_id, progress):
     """Sends one heartbeat, with entries if the peer lacks some."""
     if progress.mode == SNAPSHOT:
         _send(replica, replica_id, progress, [])
@@ -193,8 +196,8 @@
     if replica.log.term_at(index) != replica.term:
         return
     replica.commit_to(index)
-    if replica.commit_due_ms is None:
-        replica.commit_due_ms = replica.now_ms + COMMIT_NOTICE_MS
+    if replica.commit_notice_due_ms is None:
+        replica.commit_notice_due_ms = replica.now_ms + COMMIT_NOTICE_MS
     reads.answer(replica)
     members = replica.members()
     if replica.replica_id not in members.by_id and (
@@ -232,9 +235,9 @@
     replica.commit_to(min(message.commit_index, replica.verified_index))
     # New entries are acknowledged once, after their sync; only the first
     # Append of a round is answered at once, for the leader's lease.
-    if replica.persist.entries and message.round <= replica.answered_round:
+    if replica.persist.entries and message.round <= replica.acknowledged_round:
         return
-    replica.answered_round = max(replica.answered_round, message.round)
+    replica.acknowledged_round = max(replica.acknowledged_round, message.round)
     acknowledge(replica, message.round, message.sent_ms)
 
 
--- a/wigeonport/elections.py
+++ b/wigeonport/elections.py
@@ -21,7 +21,7 @@
     return replica.durable and replica.members().is_voter(replica.replica_id)
 
 
-def is_abandoned(replica):
+def lacks_leader(replica):
     """Returns whether no leader contacts this replica."""
     limit_ms = 2 * replica.settings.learner_heartbeat_ms
     silent_ms = replica.now_ms - replica.leader_contact_ms
@@ -39,7 +39,7 @@
     return False
 
 
-def _has_promised(replica):
+def _may_break_lease(replica):
     """Returns whether a vote now could break a leader's lease."""
     if replica.role == LEADER:
         return replica.now_ms < replica.lease_until_ms()
@@ -58,7 +58,7 @@
     replica.role = PRE_CANDIDATE
     replica.leader_id = ""
     replica.votes = {replica.replica_id}
-    _ask_voters(replica, PreVote, replica.term + 1, replica.send)
+    _request_votes(replica, PreVote, replica.term + 1, replica.send)
     _count(replica)
 
 
@@ -74,12 +74,12 @@
     replica.set_hard_state(replica.term + 1, replica.replica_id)
     replica.verified_index = replica.commit_index
     replica.incoming = None
-    replica.restart_timer()
+    replica.reset_election_timer()
     extra = (handed_over,)
-    _ask_voters(replica, Vote, replica.term, replica.send_durable, extra)
+    _request_votes(replica, Vote, replica.term, replica.send_durable, extra)
 
 
-def _ask_voters(replica, kind, term, send, extra=()):
+def _request_votes(replica, kind, term, send, extra=()):
     log = replica.log
     for voter in replica.members().voters:
         if voter != replica.replica_id:
@@ -99,7 +99,7 @@
     """Counts the candidate's own vote once it is durable."""
     if replica.role != CANDIDATE:
         return
-    if replica.hard_sequence <= replica.durable_sequence:
+    if replica.hard_state_sequence <= replica.durable_sequence:
         replica.votes.add(replica.replica_id)
         _count(replica)
 
@@ -127,8 +127,8 @@
     replica.votes = set()
     replica.term_start_index = replica.log.last_index() + 1
     appends.refresh_progress(replica)
-    replica.append_own(BLANK, b"")
-    appends.beat_now(replica)
+    replica.append_as_leader(BLANK, b"")
+    appends.start_heartbeat_round(replica)
 
 
 @handles(PreVote)
@@ -138,7 +138,7 @@
         return
     granted = (
         message.term > replica.term
-        and not _has_promised(replica)
+        and not _may_break_lease(replica)
         and _is_up_to_date(replica, message)
     )
     replica.send_durable(
@@ -175,7 +175,7 @@
     """
     if message.recipient != replica.replica_id or not replica.durable:
         return
-    bound = _has_promised(replica) and not message.handed_over
+    bound = _may_break_lease(replica) and not message.handed_over
     if bound or not replica.admit(message):
         return
     granted = (
@@ -186,7 +186,7 @@
     if granted:
         if not replica.vote:
             replica.set_hard_state(replica.term, message.sender)
-        replica.restart_timer()
+        replica.reset_election_timer()
     replica.send_durable(
         VoteReply(replica.term, replica.replica_id, message.sender, granted)
     )
--- a/wigeonport/handovers.py
+++ b/wigeonport/handovers.py
@@ -16,7 +16,7 @@
         return
     successor = choose_successor(replica)
     replica.become_follower(replica.term, "")
-    replica.restart_timer()
+    replica.reset_election_timer()
     if successor:
         replica.send(HandOver(replica.term, replica.replica_id, successor))
 
--- a/wigeonport/memberships.py
+++ b/wigeonport/memberships.py
@@ -105,10 +105,10 @@
 
 def change(replica, members):
     """Appends a change of members; the caller has asked may_change."""
-    replica.append_own(MEMBERS, members.to_payload())
+    replica.append_as_leader(MEMBERS, members.to_payload())
 
 
-def _keeps_quorum(replica, members):
+def _has_responsive_quorum(replica, members):
     """Returns whether a quorum of these voters answered recently.
 
     A change that only silent voters could commit would stop the log. The
@@ -132,7 +132,9 @@
     if (
         not may_change(replica)
         or event.replica_id not in members.by_id
-        or not _keeps_quorum(replica, members.without(event.replica_id))
+        or not _has_responsive_quorum(
+            replica, members.without(event.replica_id)
+        )
     ):
         replica.out.replies.append(
             Outcome(event.number, REFUSED, "cannot change members now", 0)
@@ -233,7 +235,7 @@
         )
 
 
-def review(replica):
+def change_members_if_due(replica):
     """On the leader: promotes, replaces and forgets members if due."""
     if not may_change(replica):
         return
@@ -241,7 +243,7 @@
     if replica.replica_id not in members.by_id:
         return
     wanted = _next_members(replica, members)
-    if wanted is not None and _keeps_quorum(replica, wanted):
+    if wanted is not None and _has_responsive_quorum(replica, wanted):
         change(replica, wanted)
 
 
@@ -253,20 +255,24 @@
     needs both remaining ones, and one may lose its disk just then.
     """
     settings = replica.settings
-    silent_voter = _silent(replica, True, settings.replace_voter_ms)
-    silent_learner = _silent(replica, False, settings.remove_learner_ms)
+    silent_voter = _first_silent_member(
+        replica, True, settings.replace_voter_ms
+    )
+    silent_learner = _first_silent_member(
+        replica, False, settings.remove_learner_ms
+    )
     ready = _ready_learner(replica, members)
     spare_count = len(members.voters) - settings.target_voters
     if ready and spare_count < (1 if silent_voter else 0):
         return members.with_member(Member(ready, True, True))
     if spare_count > 0:
-        return members.without(silent_voter or _least_heard(replica))
+        return members.without(silent_voter or _longest_silent_voter(replica))
     if silent_learner:
         return members.without(silent_learner)
     return None
 
 
-def _least_heard(replica):
+def _longest_silent_voter(replica):
     """Returns the voter whose last message is the oldest."""
     voters = [
         voter
@@ -291,7 +297,7 @@
     return None
 
 
-def _silent(replica, voter, limit_ms):
+def _first_silent_member(replica, voter, limit_ms):
     for replica_id, progress in sorted(replica.progress.items()):
         member = replica.members().by_id[replica_id]
         if member.voter == voter and (
--- a/wigeonport/proposals.py
+++ b/wigeonport/proposals.py
@@ -26,7 +26,7 @@
                 Outcome(item.number, REFUSED, reason, 0)
             )
             continue
-        replica.append_own(DATA, item.payload)
+        replica.append_as_leader(DATA, item.payload)
         replica.proposals[replica.log.last_index()] = item.number
         appended = True
     if appended:
--- a/wigeonport/reads.py
+++ b/wigeonport/reads.py
@@ -30,7 +30,7 @@
         )
         return
     replica.reads.append(PendingRead(event.number, replica.round + 1))
-    replica.beat_now()
+    replica.start_heartbeat_round()
     answer(replica)
 
 
--- a/wigeonport/replicas.py
+++ b/wigeonport/replicas.py
@@ -63,11 +63,11 @@
         persist: Persist of the current step.
         sequence: Sequence of the last Persist.
         pending: Persists in progress.
-        hard_sequence: Sequence of the last Persist with a hard state.
+        hard_state_sequence: Sequence of the last Persist with a hard state.
         durable_sequence: Sequence up to which all is durable.
-        deferred: Messages that wait for ``hard_sequence``.
+        deferred: Messages that wait for ``hard_state_sequence``.
         verified_index: Highest index that matches the leader's log.
-        answered_round: Highest round of the leader that was answered.
+        acknowledged_round: Highest round of the leader that was answered.
         leader_contact_ms: When the leader was heard last; no vote is
             given within ``min_election_timeout_ms`` of it, which protects the
             leader's lease. A restart counts as a contact, because the
@@ -79,9 +79,9 @@
         term_start_index: On the leader, index of its first entry.
         round: On the leader, number of the last heartbeat round.
         reads: On the leader, reads that wait for a round.
-        voter_beat_ms: When voters get the next heartbeat.
-        learner_beat_ms: When learners get the next heartbeat.
-        commit_due_ms: When to announce the commit index, or None.
+        next_voter_heartbeat_ms: When voters get the next heartbeat.
+        next_learner_heartbeat_ms: When learners get the next heartbeat.
+        commit_notice_due_ms: When to announce the commit index, or None.
         incoming: Snapshot being received, or None.
         join_due_ms: When to send the next JoinRequest.
         leader_hint: Node that is the leader according to a peer, or "".
@@ -108,11 +108,11 @@
         "persist",
         "sequence",
         "pending",
-        "hard_sequence",
+        "hard_state_sequence",
         "durable_sequence",
         "deferred",
         "verified_index",
-        "answered_round",
+        "acknowledged_round",
         "leader_contact_ms",
         "election_deadline_ms",
         "votes",
@@ -121,9 +121,9 @@
         "term_start_index",
         "round",
         "reads",
-        "voter_beat_ms",
-        "learner_beat_ms",
-        "commit_due_ms",
+        "next_voter_heartbeat_ms",
+        "next_learner_heartbeat_ms",
+        "commit_notice_due_ms",
         "incoming",
         "join_due_ms",
         "leader_hint",
@@ -145,12 +145,12 @@
         self.persist = None
         self.sequence = 0
         self.pending = []
-        self.hard_sequence = 0
+        self.hard_state_sequence = 0
         self.durable_sequence = 0
         self.deferred = []
         self.role = FOLLOWER
         self.leader_id = ""
-        self.answered_round = 0
+        self.acknowledged_round = 0
         self.leader_contact_ms = now_ms
         self.votes = set()
         self.progress = {}
@@ -158,14 +158,14 @@
         self.term_start_index = 0
         self.round = 0
         self.reads = []
-        self.voter_beat_ms = 0
-        self.learner_beat_ms = 0
-        self.commit_due_ms = None
+        self.next_voter_heartbeat_ms = 0
+        self.next_learner_heartbeat_ms = 0
+        self.commit_notice_due_ms = None
         self.incoming = None
         self.join_due_ms = now_ms
         self.leader_hint = ""
         self.blank_peers = {}
-        self.restart_timer()
+        self.reset_election_timer()
 
     def _recover(self, recovered):
         self.term = recovered.hard_state.term
@@ -217,7 +217,7 @@
         """Returns whether this replica has never had a part in a log."""
         return self.log.last_index() == 0 and self.term == 0
 
-    def restart_timer(self):
+    def reset_election_timer(self):
         """Draws the time of the next election."""
         settings = self.settings
         spread_ms = self.random.randrange(settings.election_jitter_ms)
@@ -256,7 +256,7 @@
             raise ConsistencyError(f"two leaders in term {self.term}")
         self.become_follower(self.term, leader_id)
         self.leader_contact_ms = self.now_ms
-        self.restart_timer()
+        self.reset_election_timer()
 
     def lease_until_ms(self):
         """Returns until when no other leader can be elected, or 0.
@@ -289,9 +289,11 @@
     def next_deadline_ms(self):
         """Returns when the next Tick is due."""
         if self.is_leader():
-            due = min(self.voter_beat_ms, self.learner_beat_ms)
-            if self.commit_due_ms is not None:
-                due = min(due, self.commit_due_ms)
+            due = min(
+                self.next_voter_heartbeat_ms, self.next_learner_heartbeat_ms
+            )
+            if self.commit_notice_due_ms is not None:
+                due = min(due, self.commit_notice_due_ms)
             return due
         due = self.join_due_ms
         if elections.may_campaign(self):
@@ -303,7 +305,7 @@
         self.term = term
         self.vote = vote
         self.persist.hard_state = HardState(term, vote)
-        self.hard_sequence = self.persist.sequence
+        self.hard_state_sequence = self.persist.sequence
 
     def send(self, message):
         """Sends a message at once."""
@@ -311,10 +313,10 @@
 
     def send_durable(self, message):
         """Sends a message once term and vote are durable."""
-        if self.hard_sequence <= self.durable_sequence:
+        if self.hard_state_sequence <= self.durable_sequence:
             self.send(message)
         else:
-            self.deferred.append((self.hard_sequence, message))
+            self.deferred.append((self.hard_state_sequence, message))
 
     def become_follower(self, term, leader_id):
         """Follows a leader, or waits for one if ``leader_id`` is ""."""
@@ -323,7 +325,7 @@
         if term > self.term:
             self.set_hard_state(term, "")
             self.verified_index = self.commit_index
-            self.answered_round = 0
+            self.acknowledged_round = 0
             self.incoming = None
         self.role = FOLLOWER
         self.leader_id = leader_id
@@ -337,9 +339,9 @@
             )
         self.proposals = {}
         self.progress = {}
-        self.commit_due_ms = None
+        self.commit_notice_due_ms = None
         reads.refuse_all(self)
-        self.restart_timer()
+        self.reset_election_timer()
 
     def append_local(self, term, kind, payload):
         """Adds an entry at the end of the log."""
@@ -347,7 +349,7 @@
         self.log.append(entry)
         self.persist.entries.append(entry)
 
-    def append_own(self, kind, payload):
+    def append_as_leader(self, kind, payload):
         """Adds an entry as the leader."""
         self.append_local(self.term, kind, payload)
         if kind == MEMBERS:
@@ -364,9 +366,9 @@
         for each in self.pending:
             each.last_index = min(each.last_index, index - 1)
 
-    def beat_now(self):
+    def start_heartbeat_round(self):
         """Starts a heartbeat round to all members."""
-        appends.beat_now(self)
+        appends.start_heartbeat_round(self)
 
     def broadcast(self):
         """Sends new entries to all peers."""
--- a/wigeonport/ticks.py
+++ b/wigeonport/ticks.py
@@ -11,15 +11,15 @@
         if not elections.check_quorum(replica):
             return
         appends.beat(replica)
-        memberships.review(replica)
+        memberships.change_members_if_due(replica)
         return
     if replica.now_ms >= replica.election_deadline_ms:
-        replica.restart_timer()
+        replica.reset_election_timer()
         if elections.may_campaign(replica):
             elections.start_pre_vote(replica)
     if replica.now_ms >= replica.join_due_ms:
         replica.join_due_ms = (
             replica.now_ms + replica.settings.join_interval_ms
         )
-        if elections.is_abandoned(replica):
+        if elections.lacks_leader(replica):
             memberships.ask_to_join(replica)
