--- a/tests/failure_schedules.py
+++ b/tests/failure_schedules.py
@@ -66,7 +66,7 @@
         if leaders:
             self.number += 1
             network = self.network
-            network.reads[self.number] = max(network.acked, default=0)
+            network.reads[self.number] = max(network.acknowledged, default=0)
             request = ReadRequest(self.number)
             network.step(self.random.choice(leaders), request)
 
--- a/tests/network_simulations.py
+++ b/tests/network_simulations.py
@@ -106,7 +106,7 @@
         self.leaders = {}
         self.committed = {}
         self.digests = {0: b""}
-        self.acked = {}
+        self.acknowledged = {}
         self.reads = {}
         self.lost_replica_ids = set()
         self.known_members = None
@@ -178,7 +178,7 @@
         for other in self.nodes.values():
             if other.replica is None:
                 return False
-            for _, members in other.replica.log.history:
+            for _, members in other.replica.log.members_history:
                 gone = len(lost & set(members.voters))
                 if gone > len(members.voters) - members.quorum():
                     return False
@@ -190,14 +190,14 @@
         self.steps += 1
         if self.now_ms < node.paused_until_ms:
             delay_ms = node.paused_until_ms - self.now_ms
-            self.at(delay_ms, self.later, node, node.epoch, event)
+            self.at(delay_ms, self.step_if_running, node, node.epoch, event)
             return
         out = replica.step(event, node.clock_ms(self.now_ms))
         if out.persist:
             node.unsynced.append(out.persist)
-            self.sync(node)
+            self.start_sync(node)
         for message in out.messages:
-            self.carry(node, message)
+            self.transmit(node, message)
         if out.install:
             assert out.install.index > node.applied_index
             self.installs += 1
@@ -205,11 +205,11 @@
         for entry in out.committed:
             self.apply(node, entry)
         for reply in out.replies:
-            self.answered(node, reply)
+            self.handle_reply(node, reply)
         self.check_leaders(node)
         self.schedule_tick(node)
 
-    def later(self, node, epoch, event):
+    def step_if_running(self, node, epoch, event):
         """Runs a step unless the replica has crashed meanwhile."""
         if node.replica is not None and node.epoch == epoch:
             self.step(node, event)
@@ -226,18 +226,18 @@
         """Fires a timer."""
         if node.epoch == epoch and node.tick_ms == due_ms:
             node.tick_ms = None
-            self.later(node, epoch, Tick())
+            self.step_if_running(node, epoch, Tick())
 
-    def sync(self, node):
+    def start_sync(self, node):
         """Starts an fsync of all that waits, unless one is running."""
         if node.syncing or not node.unsynced:
             return
         node.syncing = True
         delay_ms = self.random.choice([1, 2, 5, 30, 200])
         batch = list(node.unsynced)
-        self.at(delay_ms, self.synced, node, node.epoch, batch)
+        self.at(delay_ms, self.finish_sync, node, node.epoch, batch)
 
-    def synced(self, node, epoch, batch):
+    def finish_sync(self, node, epoch, batch):
         """Ends an fsync."""
         if node.epoch != epoch or node.replica is None:
             return
@@ -245,10 +245,10 @@
             node.disk.write(persist)
         node.unsynced = node.unsynced[len(batch) :]
         node.syncing = False
-        self.sync(node)
+        self.start_sync(node)
         self.step(node, Persisted(batch[-1].sequence))
 
-    def carry(self, node, message):
+    def transmit(self, node, message):
         """Delivers a message late, twice or never."""
         target = self.nodes[node_of(message.recipient)]
         copies = self.random.choices([0, 1, 2], [self.loss, 1, self.loss])[0]
@@ -256,9 +256,9 @@
             delay_ms = self.random.choice([1, 2, 3, 8])
             if self.random.random() < self.loss:
                 delay_ms = self.random.randrange(3_000)
-            self.at(delay_ms, self.arrive, node.name, target, message)
+            self.at(delay_ms, self.deliver, node.name, target, message)
 
-    def arrive(self, sender, target, message):
+    def deliver(self, sender, target, message):
         """Hands over a message if both are connected."""
         if target.replica and (sender, target.name) not in self.blocked:
             self.step(target, message)
@@ -280,14 +280,14 @@
         self.digests.setdefault(entry.index, node.digest)
         assert self.digests[entry.index] == node.digest
 
-    def answered(self, node, reply):
+    def handle_reply(self, node, reply):
         """Records an acknowledgement, or checks a read."""
         if not isinstance(reply, Outcome):
             if reply.index >= 0:
                 assert reply.index >= self.reads[reply.number], "stale read"
             return
         if reply.outcome == COMMITTED:
-            self.acked[reply.index] = reply.number
+            self.acknowledged[reply.index] = reply.number
 
     def check_leaders(self, node):
         """Checks election safety and the lease."""
@@ -307,14 +307,14 @@
     def check_end(self):
         """Checks that nothing acknowledged is missing anywhere."""
         logs = {}
-        last_index = max(self.acked, default=0)
+        last_index = max(self.acknowledged, default=0)
         for node in self.nodes.values():
             assert node.applied_index >= last_index, f"{node.name} is behind"
             for entry in node.replica.log.entries:
                 key = (entry.index, entry.term)
                 value = (entry.kind, entry.payload)
                 assert logs.setdefault(key, value) == value
-        for index, number in self.acked.items():
+        for index, number in self.acknowledged.items():
             kind_payload = self.committed[index][1]
             if number != REMOVAL_NUMBER:
                 assert kind_payload == b"%d" % number, f"lost {number}"
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -18,20 +18,20 @@
     """Guards against two leaders in a term, diverging logs and lost acks."""
     first_seed = int(os.environ.get("WIGEONPORT_FIRST_SEED", 0))
     count = int(os.environ.get("WIGEONPORT_SCHEDULES", CI_SCHEDULES))
-    acked = installs = losses = terms = 0
+    acknowledged = installs = losses = terms = 0
     for seed in range(first_seed, first_seed + count):
         try:
             network = Schedule(seed).run()
         except Exception as error:
             raise AssertionError(f"schedule with seed {seed}") from error
-        acked += len(network.acked)
+        acknowledged += len(network.acknowledged)
         installs += network.installs
         losses += len(network.lost_replica_ids)
         terms += len(network.leaders)
     with capsys.disabled():
         print(
-            f"\n{count} schedules: {acked} acknowledged proposals, "
+            f"\n{count} schedules: {acknowledged} acknowledged proposals, "
             f"{terms} terms, {installs} snapshots installed, "
             f"{losses} logs lost"
         )
-    assert min(acked, installs, losses, terms) >= count // 2
+    assert min(acknowledged, installs, losses, terms) >= count // 2
--- a/wigeonport/appends.py
+++ b/wigeonport/appends.py
@@ -22,7 +22,7 @@
         match_index: Highest index known to be durable there.
         next_index: Next index to send.
         probe_sent: Whether the Append of a probe awaits its answer.
-        heard_ms: When the peer was heard last.
+        last_reply_ms: When the peer was heard last.
         acked_sent_ms: Highest send time of an acknowledged Append.
         round: Highest acknowledged heartbeat round.
         sent_commit_index: Highest commit index sent.
@@ -36,7 +36,7 @@
         "match_index",
         "next_index",
         "probe_sent",
-        "heard_ms",
+        "last_reply_ms",
         "acked_sent_ms",
         "round",
         "sent_commit_index",
@@ -50,7 +50,7 @@
         self.match_index = 0
         self.next_index = next_index
         self.probe_sent = False
-        self.heard_ms = now_ms
+        self.last_reply_ms = now_ms
         self.acked_sent_ms = 0
         self.round = 0
         self.sent_commit_index = 0
@@ -132,7 +132,7 @@
     )
 
 
-def beat(replica):
+def send_due_heartbeats(replica):
     """Sends the heartbeats and commit notices that are due."""
     now_ms = replica.now_ms
     settings = replica.settings
@@ -165,7 +165,7 @@
     """Starts a heartbeat round to all members at once."""
     replica.next_voter_heartbeat_ms = replica.now_ms
     replica.next_learner_heartbeat_ms = replica.now_ms
-    beat(replica)
+    send_due_heartbeats(replica)
 
 
 def _send_heartbeat(replica, replica_id, progress):
@@ -210,9 +210,9 @@
 @handles(Append)
 def on_append(replica, message):
     """Takes entries from the leader."""
-    if not replica.admit(message):
+    if not replica.accept_message(message):
         return
-    replica.follow(message.sender)
+    replica.record_leader_contact(message.sender)
     log = replica.log
     prev_index = message.prev_index
     if prev_index >= log.base_index and (
@@ -280,12 +280,12 @@
 @handles(AppendReply)
 def on_append_reply(replica, message):
     """Advances the progress of a peer."""
-    if not replica.admit(message) or not replica.is_leader():
+    if not replica.accept_message(message) or not replica.is_leader():
         return
     progress = replica.progress.get(message.sender)
     if progress is None:
         return
-    progress.heard_ms = replica.now_ms
+    progress.last_reply_ms = replica.now_ms
     progress.round = max(progress.round, message.round)
     progress.acked_sent_ms = max(progress.acked_sent_ms, message.sent_ms)
     if message.success:
--- a/wigeonport/elections.py
+++ b/wigeonport/elections.py
@@ -30,10 +30,13 @@
 
 def check_quorum(replica):
     """Steps down and returns False if no quorum was heard recently."""
-    heard_ms = replica.quorum_value(
-        replica.now_ms, lambda progress: progress.heard_ms
+    last_reply_ms = replica.quorum_value(
+        replica.now_ms, lambda progress: progress.last_reply_ms
     )
-    if replica.now_ms - heard_ms <= replica.settings.min_election_timeout_ms:
+    if (
+        replica.now_ms - last_reply_ms
+        <= replica.settings.min_election_timeout_ms
+    ):
         return True
     replica.become_follower(replica.term, "")
     return False
@@ -59,7 +62,7 @@
     replica.leader_id = ""
     replica.votes = {replica.replica_id}
     _request_votes(replica, PreVote, replica.term + 1, replica.send)
-    _count(replica)
+    _tally_votes(replica)
 
 
 def start_election(replica, handed_over=False):
@@ -101,10 +104,10 @@
         return
     if replica.hard_state_sequence <= replica.durable_sequence:
         replica.votes.add(replica.replica_id)
-        _count(replica)
+        _tally_votes(replica)
 
 
-def _count(replica):
+def _tally_votes(replica):
     """Goes on to the next stage of the election if a quorum agreed."""
     members = replica.members()
     granted = replica.votes.intersection(members.voters)
@@ -113,10 +116,10 @@
     if replica.role == PRE_CANDIDATE:
         start_election(replica)
     elif replica.role == CANDIDATE:
-        start_term(replica)
+        become_leader(replica)
 
 
-def start_term(replica):
+def become_leader(replica):
     """Makes the winner of an election the leader."""
     replica.role = LEADER
     replica.leader_id = replica.replica_id
@@ -164,7 +167,7 @@
     # A voter that lags behind grants the pre-vote at a lower term.
     if message.granted and message.proposed_term == replica.term + 1:
         replica.votes.add(message.sender)
-        _count(replica)
+        _tally_votes(replica)
 
 
 @handles(Vote)
@@ -176,7 +179,7 @@
     if message.recipient != replica.replica_id or not replica.durable:
         return
     bound = _may_break_lease(replica) and not message.handed_over
-    if bound or not replica.admit(message):
+    if bound or not replica.accept_message(message):
         return
     granted = (
         replica.vote in ("", message.sender)
@@ -195,8 +198,8 @@
 @handles(VoteReply)
 def on_vote_reply(replica, message):
     """Counts a vote."""
-    if not replica.admit(message) or replica.role != CANDIDATE:
+    if not replica.accept_message(message) or replica.role != CANDIDATE:
         return
     if message.granted:
         replica.votes.add(message.sender)
-        _count(replica)
+        _tally_votes(replica)
--- a/wigeonport/handovers.py
+++ b/wigeonport/handovers.py
@@ -28,7 +28,7 @@
         (progress.match_index, voter)
         for voter in replica.members().voters
         if voter != replica.replica_id
-        and (progress := replica.progress[voter]).heard_ms >= limit_ms
+        and (progress := replica.progress[voter]).last_reply_ms >= limit_ms
     ]
     return max(heard, default=(0, ""))[1]
 
--- a/wigeonport/memberships.py
+++ b/wigeonport/memberships.py
@@ -177,7 +177,7 @@
     """
     limit_ms = replica.now_ms - replica.settings.learner_heartbeat_ms * 2
     return any(
-        progress.heard_ms > limit_ms
+        progress.last_reply_ms > limit_ms
         for replica_id, progress in replica.progress.items()
         if node_of(replica_id) == node
     )
@@ -279,7 +279,7 @@
         for voter in replica.members().voters
         if voter != replica.replica_id
     ]
-    return min(voters, key=lambda voter: replica.progress[voter].heard_ms)
+    return min(voters, key=lambda voter: replica.progress[voter].last_reply_ms)
 
 
 def _ready_learner(replica, members):
@@ -291,7 +291,7 @@
         if member.voter or not member.durable or progress is None:
             continue
         if progress.match_index >= replica.commit_index and (
-            progress.heard_ms >= recent_ms
+            progress.last_reply_ms >= recent_ms
         ):
             return replica_id
     return None
@@ -301,7 +301,7 @@
     for replica_id, progress in sorted(replica.progress.items()):
         member = replica.members().by_id[replica_id]
         if member.voter == voter and (
-            replica.now_ms - progress.heard_ms > limit_ms
+            replica.now_ms - progress.last_reply_ms > limit_ms
         ):
             return replica_id
     return None
--- a/wigeonport/persists.py
+++ b/wigeonport/persists.py
@@ -4,7 +4,7 @@
 from wigeonport.replica_events import Persisted, SnapshotTaken, handles
 
 
-class Pending:
+class PendingPersist:
     """A Persist that is not known to be durable yet.
 
     Attributes:
--- a/wigeonport/replica_logs.py
+++ b/wigeonport/replica_logs.py
@@ -12,7 +12,7 @@
         base_term: Term of the entry at ``base_index``.
         entries: Entries from ``base_index + 1`` on.
         durable_index: Highest index known to be synced.
-        history: Pairs of index and Members, oldest first; the first
+        members_history: Pairs of index and Members, oldest first; the first
             pair holds the members as of ``base_index`` or earlier.
     """
 
@@ -21,14 +21,14 @@
         "base_term",
         "entries",
         "durable_index",
-        "history",
+        "members_history",
     )
 
     def __init__(self, base_index, base_term, members, entries):
         self.base_index = base_index
         self.base_term = base_term
         self.entries = []
-        self.history = [(base_index, members)]
+        self.members_history = [(base_index, members)]
         for entry in entries:
             self.append(entry)
         self.durable_index = self.last_index()
@@ -54,16 +54,19 @@
         self.entries.append(entry)
         if entry.kind == MEMBERS:
             members = Members.from_payload(entry.payload)
-            self.history.append((entry.index, members))
+            self.members_history.append((entry.index, members))
 
     def truncate_from(self, index):
         """Removes the entries from ``index`` on."""
         del self.entries[index - self.base_index - 1 :]
-        while len(self.history) > 1 and self.history[-1][0] >= index:
-            self.history.pop()
+        while (
+            len(self.members_history) > 1
+            and self.members_history[-1][0] >= index
+        ):
+            self.members_history.pop()
         self.durable_index = min(self.durable_index, index - 1)
 
-    def between(self, first_index, last_index):
+    def entries_between(self, first_index, last_index):
         """Returns the entries of a range, both ends included."""
         start = first_index - self.base_index - 1
         return self.entries[start : last_index - self.base_index]
@@ -91,16 +94,16 @@
 
     def members(self):
         """Returns the newest members, committed or not."""
-        return self.history[-1][1]
+        return self.members_history[-1][1]
 
     def members_index(self):
         """Returns the index of the newest change of members."""
-        return self.history[-1][0]
+        return self.members_history[-1][0]
 
     def members_at(self, index):
         """Returns the members as of an index."""
-        found = self.history[0][1]
-        for position, members in self.history:
+        found = self.members_history[0][1]
+        for position, members in self.members_history:
             if position <= index:
                 found = members
         return found
@@ -114,15 +117,17 @@
         del self.entries[: index - self.base_index]
         self.base_index = index
         self.base_term = term
-        later = [pair for pair in self.history if pair[0] > index]
+        step_if_running = [
+            pair for pair in self.members_history if pair[0] > index
+        ]
         # The index of the newest change must survive, because a pending
         # change is recognized by it; a compacted one is committed.
-        self.history = [(index, members), *later]
+        self.members_history = [(index, members), *step_if_running]
 
     def reset(self, snapshot):
         """Replaces everything by the position of a snapshot."""
         self.base_index = snapshot.index
         self.base_term = snapshot.term
         self.entries = []
-        self.history = [(snapshot.index, snapshot.members)]
+        self.members_history = [(snapshot.index, snapshot.members)]
         self.durable_index = 0
--- a/wigeonport/replicas.py
+++ b/wigeonport/replicas.py
@@ -202,7 +202,7 @@
             last_index = persist.snapshot.index
         if persist.entries:
             last_index = persist.entries[-1].index
-        self.pending.append(persists.Pending(self.sequence, last_index))
+        self.pending.append(persists.PendingPersist(self.sequence, last_index))
         self.out.persist = persist
 
     def is_leader(self):
@@ -225,7 +225,7 @@
             self.now_ms + settings.min_election_timeout_ms + spread_ms
         )
 
-    def admit(self, message):
+    def accept_message(self, message):
         """Checks recipient and term; returns whether to handle it."""
         if message.recipient != self.replica_id:
             return False
@@ -250,7 +250,7 @@
             self.become_follower(message.term, leader_id)
         return True
 
-    def follow(self, leader_id):
+    def record_leader_contact(self, leader_id):
         """Notes that the leader of the current term was heard."""
         if self.is_leader():
             raise ConsistencyError(f"two leaders in term {self.term}")
@@ -381,7 +381,7 @@
         self.commit_index = index
         if index > self.log.last_index():
             raise ConsistencyError(f"commit index {index} is not in the log")
-        entries = self.log.between(self.delivered_index + 1, index)
+        entries = self.log.entries_between(self.delivered_index + 1, index)
         self.out.committed.extend(entries)
         self.delivered_index = index
         if not self.proposals:
--- a/wigeonport/ticks.py
+++ b/wigeonport/ticks.py
@@ -10,7 +10,7 @@
     if replica.is_leader():
         if not elections.check_quorum(replica):
             return
-        appends.beat(replica)
+        appends.send_due_heartbeats(replica)
         memberships.change_members_if_due(replica)
         return
     if replica.now_ms >= replica.election_deadline_ms:
--- a/wigeonport/transfers.py
+++ b/wigeonport/transfers.py
@@ -11,7 +11,7 @@
 )
 
 
-class Incoming:
+class IncomingSnapshot:
     """A snapshot that is being received.
 
     Attributes:
@@ -65,12 +65,12 @@
 @handles(SnapshotReply)
 def on_snapshot_reply(replica, message):
     """Sends the next piece."""
-    if not replica.admit(message) or not replica.is_leader():
+    if not replica.accept_message(message) or not replica.is_leader():
         return
     progress = replica.progress.get(message.sender)
     if progress is None:
         return
-    progress.heard_ms = replica.now_ms
+    progress.last_reply_ms = replica.now_ms
     snapshot = progress.snapshot
     if snapshot is None or snapshot.index != message.index:
         return
@@ -84,16 +84,16 @@
 @handles(SnapshotPiece)
 def on_snapshot_piece(replica, message):
     """Collects the pieces and installs the complete snapshot."""
-    if not replica.admit(message):
+    if not replica.accept_message(message):
         return
-    replica.follow(message.sender)
+    replica.record_leader_contact(message.sender)
     if message.index <= replica.commit_index:
         _acknowledge(replica)
         return
     incoming = replica.incoming
     key = (message.index, message.index_term)
     if incoming is None or (incoming.index, incoming.term) != key:
-        incoming = Incoming(*key)
+        incoming = IncomingSnapshot(*key)
         replica.incoming = incoming
     if message.offset == len(incoming.data):
         incoming.data += message.data
