Rename pending_reads, is_blank and form_cluster in the core

Cause: reads, blank and found did not say what they hold or do. Change: reads to pending_reads, blank() to is_blank(), found() to form_cluster(), by hand because the slot blank and the module reads keep theirs.

--- a/wigeonport/elections.py
+++ b/wigeonport/elections.py
@@ -25,7 +25,7 @@
     """Returns whether no leader contacts this replica."""
     limit_ms = 2 * replica.settings.learner_heartbeat_ms
     silent_ms = replica.now_ms - replica.leader_contact_ms
-    return replica.blank() or silent_ms >= limit_ms
+    return replica.is_blank() or silent_ms >= limit_ms
 
 
 def check_quorum(replica):
@@ -125,7 +125,7 @@
     replica.leader_id = replica.replica_id
     replica.progress = {}
     replica.proposals = {}
-    replica.reads = []
+    replica.pending_reads = []
     replica.round = 0
     replica.votes = set()
     replica.term_start_index = replica.log.last_index() + 1
--- a/wigeonport/memberships.py
+++ b/wigeonport/memberships.py
@@ -154,7 +154,7 @@
         replica.replica_id,
         message.sender,
         replica.durable,
-        replica.blank(),
+        replica.is_blank(),
         replica.leader_id,
     )
     replica.out.messages.append(reply)
@@ -196,7 +196,7 @@
     if message.leader_id:
         # The leader need not be one of the seeds.
         replica.leader_hint = node_of(message.leader_id)
-    if not replica.blank() or not replica.settings.may_form_cluster:
+    if not replica.is_blank() or not replica.settings.may_form_cluster:
         return
     if not replica.durable or replica.node != min(replica.seeds, default=""):
         return
@@ -207,10 +207,10 @@
     replica.blank_peers[node] = message.sender
     others = set(replica.seeds) - {replica.node}
     if others <= set(replica.blank_peers):
-        found(replica)
+        form_cluster(replica)
 
 
-def found(replica):
+def form_cluster(replica):
     """Writes the first entry, which names the initial voters."""
     ids = [replica.replica_id, *replica.blank_peers.values()]
     members = Members([Member(replica_id, True, True) for replica_id in ids])
@@ -224,13 +224,15 @@
     nodes.update(node_of(each) for each in replica.members().by_id)
     nodes.add(replica.leader_hint or replica.node)
     nodes.discard(replica.node)
-    alone = not nodes and replica.blank() and replica.settings.may_form_cluster
+    alone = (
+        not nodes and replica.is_blank() and replica.settings.may_form_cluster
+    )
     if alone and replica.seeds and replica.durable:
-        found(replica)
+        form_cluster(replica)
     for node in sorted(nodes):
         replica.out.messages.append(
             JoinRequest(
-                replica.replica_id, node, replica.durable, replica.blank()
+                replica.replica_id, node, replica.durable, replica.is_blank()
             )
         )
 
--- a/wigeonport/reads.py
+++ b/wigeonport/reads.py
@@ -29,7 +29,7 @@
             ReadReady(event.number, replica.commit_index)
         )
         return
-    replica.reads.append(PendingRead(event.number, replica.round + 1))
+    replica.pending_reads.append(PendingRead(event.number, replica.round + 1))
     replica.start_heartbeat_round()
     answer(replica)
 
@@ -43,7 +43,7 @@
 
 def answer(replica):
     """Answers the reads whose round a quorum has acknowledged."""
-    if not replica.reads:
+    if not replica.pending_reads:
         return
     if replica.commit_index < replica.term_start_index:
         return
@@ -51,18 +51,18 @@
         replica.round, lambda progress: progress.round
     )
     waiting = []
-    for read in replica.reads:
+    for read in replica.pending_reads:
         if read.round > round:
             waiting.append(read)
             continue
         replica.out.replies.append(
             ReadReady(read.number, replica.commit_index)
         )
-    replica.reads = waiting
+    replica.pending_reads = waiting
 
 
 def refuse_all(replica):
     """Refuses the waiting reads when the leadership ends."""
-    for read in replica.reads:
+    for read in replica.pending_reads:
         replica.out.replies.append(ReadReady(read.number, -1))
-    replica.reads = []
+    replica.pending_reads = []
--- a/wigeonport/replicas.py
+++ b/wigeonport/replicas.py
@@ -78,7 +78,7 @@
         proposals: On the leader, proposal number by index.
         term_start_index: On the leader, index of its first entry.
         round: On the leader, number of the last heartbeat round.
-        reads: On the leader, reads that wait for a round.
+        pending_reads: On the leader, reads that wait for a round.
         next_voter_heartbeat_ms: When voters get the next heartbeat.
         next_learner_heartbeat_ms: When learners get the next heartbeat.
         commit_notice_due_ms: When to announce the commit index, or None.
@@ -120,7 +120,7 @@
         "proposals",
         "term_start_index",
         "round",
-        "reads",
+        "pending_reads",
         "next_voter_heartbeat_ms",
         "next_learner_heartbeat_ms",
         "commit_notice_due_ms",
@@ -157,7 +157,7 @@
         self.proposals = {}
         self.term_start_index = 0
         self.round = 0
-        self.reads = []
+        self.pending_reads = []
         self.next_voter_heartbeat_ms = 0
         self.next_learner_heartbeat_ms = 0
         self.commit_notice_due_ms = None
@@ -213,7 +213,7 @@
         """Returns the newest members in the log."""
         return self.log.members()
 
-    def blank(self):
+    def is_blank(self):
         """Returns whether this replica has never had a part in a log."""
         return self.log.last_index() == 0 and self.term == 0
 
