--- a/wigeonport/replicas.py
+++ b/wigeonport/replicas.py
@@ -11,7 +11,7 @@
     appends,
     elections,
     handovers,  # noqa: F401, registers its handlers
-    persists,
+    persistence,
     proposals,  # noqa: F401, registers its handlers
     reads,
     ticks,  # noqa: F401, registers its handlers
@@ -202,7 +202,9 @@
             last_index = persist.snapshot.index
         if persist.entries:
             last_index = persist.entries[-1].index
-        self.pending.append(persists.PendingPersist(self.sequence, last_index))
+        self.pending.append(
+            persistence.PendingPersist(self.sequence, last_index)
+        )
         self.out.persist = persist
 
     def is_leader(self):
