--- a/wigeonport/appends.py
+++ b/wigeonport/appends.py
@@ -1,6 +1,6 @@
 """Replication of entries from the leader to the other members."""
 
-from wigeonport import reads, transfers
+from wigeonport import reads, snapshot_transfers
 from wigeonport.replica_events import handles
 from wigeonport.replication_messages import Append, AppendReply
 
@@ -83,7 +83,7 @@
         return
     if log.term_at(progress.next_index - 1) is None:
         progress.mode = SNAPSHOT
-        transfers.start(replica, replica_id, progress)
+        snapshot_transfers.start(replica, replica_id, progress)
         return
     if progress.mode == PROBE:
         if not progress.probe_sent and progress.next_index <= log.last_index():
@@ -172,7 +172,7 @@
     """Sends one heartbeat, with entries if the peer lacks some."""
     if progress.mode == SNAPSHOT:
         _send(replica, replica_id, progress, [])
-        transfers.resend(replica, replica_id, progress)
+        snapshot_transfers.resend(replica, replica_id, progress)
         return
     progress.probe_sent = False
     sent_count = len(replica.out.messages)
