Rename reads to linearizable_reads

Cause: The module makes reads linearizable Change: reads to linearizable_reads; 5 uses in 2 files, by token.

--- a/wigeonport/appends.py
+++ b/wigeonport/appends.py
@@ -1,6 +1,6 @@
 """Replication of entries from the leader to the other members."""
 
-from wigeonport import reads, snapshot_transfers
+from wigeonport import linearizable_reads, snapshot_transfers
 from wigeonport.replica_events import handles
 from wigeonport.replication_messages import Append, AppendReply
 
@@ -198,7 +198,7 @@
     replica.commit_to(index)
     if replica.commit_notice_due_ms is None:
         replica.commit_notice_due_ms = replica.now_ms + COMMIT_NOTICE_MS
-    reads.answer(replica)
+    linearizable_reads.answer(replica)
     members = replica.members()
     if replica.replica_id not in members.by_id and (
         replica.log.members_index() <= replica.commit_index
@@ -295,7 +295,7 @@
         _on_failure(progress, message)
     if not replica.is_leader():
         return
-    reads.answer(replica)
+    linearizable_reads.answer(replica)
     send_entries(replica, message.sender, progress)
 
 
--- a/wigeonport/replicas.py
+++ b/wigeonport/replicas.py
@@ -11,9 +11,9 @@
     appends,
     elections,
     handovers,  # noqa: F401, registers its handlers
+    linearizable_reads,
     persistence,
     proposals,  # noqa: F401, registers its handlers
-    reads,
     ticks,  # noqa: F401, registers its handlers
 )
 from wigeonport.memberships import Members
@@ -342,7 +342,7 @@
         self.proposals = {}
         self.progress = {}
         self.commit_notice_due_ms = None
-        reads.refuse_all(self)
+        linearizable_reads.refuse_all(self)
         self.reset_election_timer()
 
     def append_local(self, term, kind, payload):
