Reword the replica core, its messages and its timers

Cause: several docstrings restated a name or used figurative terms. Change: texts of replicas, replica_events, replica_logs, replication_messages, elections, handovers, ticks, proposals, persistence and linearizable_reads; a few locals renamed.

--- a/wigeonport/elections.py
+++ b/wigeonport/elections.py
@@ -1,4 +1,4 @@
-"""Elections, terms and the leader's lease."""
+"""Pre-votes, votes and the start of a leader's term."""
 
 from wigeonport import appends
 from wigeonport.replica_events import (
@@ -22,14 +22,14 @@
 
 
 def lacks_leader(replica):
-    """Returns whether no leader contacts this replica."""
+    """Returns whether this replica is blank or lost contact with a leader."""
     limit_ms = 2 * replica.settings.learner_heartbeat_ms
     silent_ms = replica.now_ms - replica.leader_contact_ms
     return replica.is_blank() or silent_ms >= limit_ms
 
 
 def check_quorum(replica):
-    """Steps down and returns False if no quorum was heard recently."""
+    """Returns whether a quorum replied recently; if not, steps down."""
     last_reply_ms = replica.quorum_value(
         replica.now_ms, lambda progress: progress.last_reply_ms
     )
@@ -51,13 +51,13 @@
 
 
 def _is_up_to_date(replica, message):
-    """Returns whether the candidate's log is not behind this one."""
+    """Returns whether the candidate's log is at least as new as this one."""
     own = (replica.log.last_term(), replica.log.last_index())
     return (message.last_term, message.last_index) >= own
 
 
 def start_pre_vote(replica):
-    """Asks the voters whether an election could be won."""
+    """Asks the voters for a pre-vote, without a change of the term."""
     replica.role = PRE_CANDIDATE
     replica.leader_id = ""
     replica.votes = {replica.replica_id}
@@ -70,7 +70,8 @@
 
     Args:
         replica: Replica.
-        handed_over: Whether the leader of this term has given up its lease.
+        handed_over: Whether the leader of the present term has given up
+            its lease and asked this replica to take over.
     """
     replica.role = CANDIDATE
     replica.votes = set()
@@ -78,22 +79,24 @@
     replica.verified_index = replica.commit_index
     replica.incoming = None
     replica.reset_election_timer()
-    extra = (handed_over,)
-    _request_votes(replica, Vote, replica.term, replica.send_durable, extra)
+    extra_fields = (handed_over,)
+    _request_votes(
+        replica, Vote, replica.term, replica.send_durable, extra_fields
+    )
 
 
-def _request_votes(replica, kind, term, send, extra=()):
+def _request_votes(replica, message_class, term, send, extra_fields=()):
     log = replica.log
     for voter in replica.members().voters:
         if voter != replica.replica_id:
             send(
-                kind(
+                message_class(
                     term,
                     replica.replica_id,
                     voter,
                     log.last_index(),
                     log.last_term(),
-                    *extra,
+                    *extra_fields,
                 )
             )
 
@@ -108,7 +111,10 @@
 
 
 def _tally_votes(replica):
-    """Goes on to the next stage of the election if a quorum agreed."""
+    """Enters the next stage of the election if a quorum has agreed.
+
+    A pre-candidate starts the election; a candidate becomes the leader.
+    """
     members = replica.members()
     granted = replica.votes.intersection(members.voters)
     if len(granted) < members.quorum():
@@ -120,7 +126,11 @@
 
 
 def become_leader(replica):
-    """Makes the winner of an election the leader."""
+    """Makes the winner of an election the leader.
+
+    Its first entry is blank: an entry of an earlier term is committed only
+    together with one of the current term (Raft, section 5.4.2).
+    """
     replica.role = LEADER
     replica.leader_id = replica.replica_id
     replica.progress = {}
@@ -136,7 +146,7 @@
 
 @handles(PreVote)
 def on_pre_vote(replica, message):
-    """Answers whether this replica would vote; changes no term."""
+    """Answers whether this replica would vote; does not change its term."""
     if message.recipient != replica.replica_id or not replica.durable:
         return
     granted = (
@@ -164,7 +174,8 @@
         replica.become_follower(message.term, "")
     if replica.role != PRE_CANDIDATE:
         return
-    # A voter that lags behind grants the pre-vote at a lower term.
+    # The reply may have a lower term than this replica: a voter that lags
+    # behind grants the pre-vote in its own term.
     if message.granted and message.proposed_term == replica.term + 1:
         replica.votes.add(message.sender)
         _tally_votes(replica)
@@ -172,14 +183,14 @@
 
 @handles(Vote)
 def on_vote(replica, message):
-    """Votes at most once in a term, and never against a live lease.
+    """Votes at most once in a term, and never while a leader may hold a lease.
 
-    A leader that has handed over its lead holds no lease any more.
+    A leader that has handed over its leadership has given up its lease.
     """
     if message.recipient != replica.replica_id or not replica.durable:
         return
-    bound = _may_break_lease(replica) and not message.handed_over
-    if bound or not replica.accept_message(message):
+    breaks_lease = _may_break_lease(replica) and not message.handed_over
+    if breaks_lease or not replica.accept_message(message):
         return
     granted = (
         replica.vote in ("", message.sender)
--- a/wigeonport/handovers.py
+++ b/wigeonport/handovers.py
@@ -1,7 +1,7 @@
-"""Hand-over of the lead by a leader that is about to stop.
+"""Transfer of the leadership from a leader that is about to stop.
 
-The leader gives up its lease before it asks a follower to take over, so
-that the promise to wait for the end of that lease protects nothing more.
+The leader gives up its lease before it asks a follower to take over.
+Voters therefore need not wait for the end of the lease before they vote.
 """
 
 from wigeonport import elections
@@ -11,7 +11,7 @@
 
 @handles(Resign)
 def on_resign(replica, event):
-    """Ends the lead and names the follower that is nearest to take over."""
+    """Steps down and asks the best successor, if any, to take over."""
     if not replica.is_leader():
         return
     successor = choose_successor(replica)
@@ -22,20 +22,24 @@
 
 
 def choose_successor(replica):
-    """Returns the voter that was heard lately with the longest log, or ""."""
-    limit_ms = replica.now_ms - replica.settings.min_election_timeout_ms
-    heard = [
+    """Returns the voter that has the longest log, or "".
+
+    Only voters that replied within the last election timeout count.
+    """
+    oldest_reply_ms = replica.now_ms - replica.settings.min_election_timeout_ms
+    candidates = [
         (progress.match_index, voter)
         for voter in replica.members().voters
         if voter != replica.replica_id
-        and (progress := replica.progress[voter]).last_reply_ms >= limit_ms
+        and (progress := replica.progress[voter]).last_reply_ms
+        >= oldest_reply_ms
     ]
-    return max(heard, default=(0, ""))[1]
+    return max(candidates, default=(0, ""))[1]
 
 
 @handles(HandOver)
 def on_hand_over(replica, message):
-    """Starts an election without the wait for the former lease."""
+    """Starts an election without waiting for the former leader's lease."""
     if message.recipient != replica.replica_id:
         return
     if message.term != replica.term or not elections.may_campaign(replica):
--- a/wigeonport/linearizable_reads.py
+++ b/wigeonport/linearizable_reads.py
@@ -1,4 +1,8 @@
-"""Read index: reads that see every acknowledged change."""
+"""Linearizable reads by the read index (Ongaro, 2014, section 6.4).
+
+A read that has applied the log up to the read index sees every change that
+was acknowledged before the read was requested.
+"""
 
 from wigeonport.replica_events import ReadReady, ReadRequest, handles
 
@@ -8,7 +12,7 @@
 
     Attributes:
         number: Number of the ReadRequest.
-        round: Round that a quorum must acknowledge.
+        round: Heartbeat round that a quorum must acknowledge first.
     """
 
     __slots__ = ("number", "round")
@@ -20,7 +24,10 @@
 
 @handles(ReadRequest)
 def on_read_request(replica, event):
-    """Answers under the lease, else after a heartbeat round."""
+    """Answers at once under a lease, else after a heartbeat round.
+
+    A replica that does not lead refuses the request.
+    """
     if not replica.is_leader():
         replica.out.replies.append(ReadReady(event.number, -1))
         return
@@ -42,27 +49,31 @@
 
 
 def answer(replica):
-    """Answers the reads whose round a quorum has acknowledged."""
+    """Answers the reads whose heartbeat round a quorum has acknowledged.
+
+    The leader answers no read before an entry of its own term is
+    committed, because until then its commit index may be too low.
+    """
     if not replica.pending_reads:
         return
     if replica.commit_index < replica.term_start_index:
         return
-    round = replica.quorum_value(
+    quorum_round = replica.quorum_value(
         replica.round, lambda progress: progress.round
     )
-    waiting = []
+    still_pending = []
     for read in replica.pending_reads:
-        if read.round > round:
-            waiting.append(read)
+        if read.round > quorum_round:
+            still_pending.append(read)
             continue
         replica.out.replies.append(
             ReadReady(read.number, replica.commit_index)
         )
-    replica.pending_reads = waiting
+    replica.pending_reads = still_pending
 
 
 def refuse_all(replica):
-    """Refuses the waiting reads when the leadership ends."""
+    """Refuses the pending reads when the leadership ends."""
     for read in replica.pending_reads:
         replica.out.replies.append(ReadReady(read.number, -1))
     replica.pending_reads = []
--- a/wigeonport/persistence.py
+++ b/wigeonport/persistence.py
@@ -1,4 +1,4 @@
-"""Progress of what a replica asked to make durable."""
+"""Handling of Persists that have become durable, and log compaction."""
 
 from wigeonport import appends, elections
 from wigeonport.replica_events import Persisted, SnapshotTaken, handles
@@ -8,8 +8,8 @@
     """A Persist that is not known to be durable yet.
 
     Attributes:
-        sequence: Its sequence.
-        last_index: Last index that it makes durable, or 0.
+        sequence: Sequence of the Persist.
+        last_index: Last log index that the Persist makes durable, or 0.
     """
 
     __slots__ = ("sequence", "last_index")
@@ -21,16 +21,20 @@
 
 @handles(Persisted)
 def on_persisted(replica, event):
-    """Learns that entries and hard states are durable."""
+    """Sends what waited for the disk, and counts or acknowledges entries.
+
+    A candidate counts its own vote, a leader advances its commit index and
+    a follower acknowledges the entries that are durable now.
+    """
     replica.durable_sequence = max(replica.durable_sequence, event.sequence)
     log = replica.log
-    before_index = log.durable_index
+    previous_durable_index = log.durable_index
     while replica.pending and replica.pending[0].sequence <= event.sequence:
-        done = replica.pending.pop(0)
-        log.durable_index = max(log.durable_index, done.last_index)
-    waiting = replica.deferred
+        persisted = replica.pending.pop(0)
+        log.durable_index = max(log.durable_index, persisted.last_index)
+    deferred_messages = replica.deferred
     replica.deferred = []
-    for sequence, message in waiting:
+    for sequence, message in deferred_messages:
         if sequence > event.sequence:
             replica.deferred.append((sequence, message))
         elif message.term == replica.term:
@@ -38,18 +42,26 @@
     elections.count_own_vote(replica)
     if replica.is_leader():
         appends.advance_commit(replica)
-    elif log.durable_index > before_index and replica.leader_id:
+    elif log.durable_index > previous_durable_index and replica.leader_id:
         appends.acknowledge(replica)
 
 
 @handles(SnapshotTaken)
 def on_snapshot_taken(replica, event):
-    """Compacts the log behind a durable snapshot of the local state."""
+    """Compacts the log after a snapshot of the local state is durable.
+
+    The newest ``retained_entries`` of the snapshot stay in memory. A
+    snapshot older than the present one, or beyond the delivered entries,
+    is ignored.
+    """
     snapshot = event.snapshot
-    known = replica.snapshot.index if replica.snapshot else 0
-    if snapshot.index <= known or snapshot.index > replica.delivered_index:
+    previous_index = replica.snapshot.index if replica.snapshot else 0
+    if (
+        snapshot.index <= previous_index
+        or snapshot.index > replica.delivered_index
+    ):
         return
     replica.snapshot = snapshot
-    keep_from = snapshot.index - replica.settings.retained_entries
-    replica.log.compact_to(max(keep_from, replica.log.base_index))
+    memory_base_index = snapshot.index - replica.settings.retained_entries
+    replica.log.compact_to(max(memory_base_index, replica.log.base_index))
     replica.persist.compact_index = snapshot.index
--- a/wigeonport/proposals.py
+++ b/wigeonport/proposals.py
@@ -6,18 +6,21 @@
 
 @handles(Propose)
 def on_propose(replica, event):
-    """Appends a batch of proposals, or refuses them."""
+    """Appends the proposals that can be accepted and refuses the others."""
     settings = replica.settings
     appended = False
     for item in event.items:
-        # Followers may commit without the leader's disk; if it hangs, the
-        # writes that wait for it must not grow without bound.
-        settled_index = min(replica.commit_index, replica.log.durable_index)
-        waiting = replica.log.last_index() - settled_index
+        # A quorum of followers commits entries that are not yet on the
+        # leader's disk. If that disk hangs, the backlog of writes must not
+        # grow without bound, so an entry is pending until it is durable too.
+        committed_durable_index = min(
+            replica.commit_index, replica.log.durable_index
+        )
+        pending = replica.log.last_index() - committed_durable_index
         reason = ""
         if not replica.is_leader():
             reason = "not leader"
-        elif waiting >= settings.max_pending_entries:
+        elif pending >= settings.max_pending_entries:
             reason = "too many entries wait for commit or for the disk"
         elif len(item.payload) > settings.max_payload_bytes:
             reason = "payload is too large"
--- a/wigeonport/replica_events.py
+++ b/wigeonport/replica_events.py
@@ -18,7 +18,7 @@
 
 
 class ConsistencyError(Exception):
-    """An invariant of the log does not hold; the replica must stop."""
+    """An invariant of the log is violated; the replica must stop."""
 
 
 def handles(kind):
@@ -27,13 +27,13 @@
 
 
 class Tick:
-    """Time has passed; fires the timers that are due."""
+    """Asks to fire the timers that are due."""
 
     __slots__ = ()
 
 
 class Persisted:
-    """Every Persist up to ``sequence`` is durable."""
+    """Reports that every Persist up to ``sequence`` is durable."""
 
     __slots__ = ("sequence",)
 
@@ -42,7 +42,12 @@
 
 
 class ProposalItem:
-    """A payload to append; ``number`` is chosen by the caller."""
+    """A payload to append.
+
+    Attributes:
+        number: Chosen by the caller; the Outcome carries it back.
+        payload: Bytes for the state machine.
+    """
 
     __slots__ = ("number", "payload")
 
@@ -52,7 +57,7 @@
 
 
 class Propose:
-    """Asks to append a batch of proposals."""
+    """Asks the leader to append ``items``, a list of ProposalItem."""
 
     __slots__ = ("items",)
 
@@ -61,7 +66,11 @@
 
 
 class ReadRequest:
-    """Asks for an index that is safe to read at."""
+    """Asks for the index up to which a linearizable read must apply the log.
+
+    Attributes:
+        number: Chosen by the caller; the ReadReady carries it back.
+    """
 
     __slots__ = ("number",)
 
@@ -70,7 +79,7 @@
 
 
 class SnapshotTaken:
-    """A snapshot of the local state has become durable."""
+    """Reports that a snapshot of the local state is durable."""
 
     __slots__ = ("snapshot",)
 
@@ -79,7 +88,7 @@
 
 
 class Resign:
-    """Asks a leader to give up its lead to a follower."""
+    """Asks a leader to step down and hand over to a follower."""
 
     __slots__ = ()
 
@@ -88,8 +97,8 @@
     """Asks the leader to remove a member.
 
     Attributes:
-        number: Number for the outcome.
-        replica_id: The member to remove.
+        number: Chosen by the caller; the Outcome carries it back.
+        replica_id: Replica id of the member to remove.
     """
 
     __slots__ = ("number", "replica_id")
@@ -100,14 +109,14 @@
 
 
 class Outcome:
-    """Answer to a proposal.
+    """Answer to a ProposalItem or a RemoveReplica.
 
     Attributes:
-        number: Number of the ProposalItem.
+        number: Number of the request.
         outcome: ``committed``, ``refused`` (never appended) or
             ``unknown`` (may still be committed).
-        reason: Why it is not committed.
-        index: Index of the entry, 0 if it was not appended.
+        reason: Why the entry is not known to be committed, or "".
+        index: Log index of the entry, or 0 if it was not appended.
     """
 
     __slots__ = ("number", "outcome", "reason", "index")
@@ -120,7 +129,13 @@
 
 
 class ReadReady:
-    """Answer to a ReadRequest; ``index`` is -1 if it was refused."""
+    """Answer to a ReadRequest.
+
+    Attributes:
+        number: Number of the ReadRequest.
+        index: Index that the reader must have applied before it reads, or
+            -1 if the request was refused.
+    """
 
     __slots__ = ("number", "index")
 
@@ -131,7 +146,14 @@
 
 @message_kinds.register("HardState")
 class HardState:
-    """Term and vote; durable before a message depends on them."""
+    """Current term and vote.
+
+    They must be durable before a message that depends on them is sent.
+
+    Attributes:
+        term: Current term.
+        vote: Replica id voted for in this term, or "".
+    """
 
     __slots__ = ("term", "vote")
 
@@ -144,10 +166,10 @@
     """State of the state machine at a log index.
 
     Attributes:
-        index: Last index contained.
-        term: Term of that entry.
-        members: Members as of that index.
-        data: Encoded state.
+        index: Last log index that the snapshot contains.
+        term: Term of the entry at ``index``.
+        members: Members as of ``index``.
+        data: Encoded state, as bytes.
         checksum: CRC-32 of ``data``.
     """
 
@@ -162,10 +184,10 @@
 
 
 class RecoveredState:
-    """What a replica found on its disk.
+    """State that a replica recovers from its disk at the start.
 
     Attributes:
-        hard_state: HardState, term 0 for a new disk.
+        hard_state: HardState; term 0 and no vote for a new disk.
         snapshot: Newest Snapshot, or None.
         entries: Entries after the snapshot.
     """
@@ -179,15 +201,17 @@
 
 
 class Persist:
-    """What to make durable, in order of ``sequence``.
+    """Changes to make durable; written in the order of ``sequence``.
 
     Attributes:
-        sequence: Reported back by Persisted.
+        sequence: Number of this Persist, from 1; Persisted reports it back.
         hard_state: New HardState, or None.
         snapshot: Snapshot received from the leader, or None.
-        entries: Entries to write; they replace what the journal holds
-            from the index of the first one.
-        compact_index: Entries up to here are in a durable snapshot.
+        entries: Entries to write; they replace the journal's entries
+            from the index of the first one on.
+        compact_index: Last index that a durable snapshot contains, or 0
+            if no snapshot was taken; the journal may drop the entries up
+            to it.
     """
 
     __slots__ = (
@@ -220,10 +244,10 @@
 
     Attributes:
         persist: Persist to write and sync, or None.
-        messages: Messages that may be sent at once.
-        install: Snapshot that replaces the state, or None; comes
-            before ``committed``.
-        committed: Newly committed entries in order.
+        messages: Messages to send; they need not wait for ``persist``.
+        install: Snapshot that replaces the state, or None; to be installed
+            before ``committed`` is applied.
+        committed: Newly committed entries, in log order.
         replies: Outcome and ReadReady objects.
     """
 
@@ -243,26 +267,37 @@
     Attributes:
         heartbeat_ms: Interval of heartbeats to voters.
         learner_heartbeat_ms: Interval of heartbeats to learners; longer,
-            because a learner holds no lease and starts no election.
-        min_election_timeout_ms: Shortest time without a leader before an election.
-        election_jitter_ms: Random time added to ``min_election_timeout_ms``.
-        lease_ms: Lease after an acknowledged heartbeat; shorter than
-            ``min_election_timeout_ms`` by more than clocks drift apart in that time.
+            because a learner neither supports the lease nor starts an
+            election.
+        min_election_timeout_ms: Minimum time without contact from a leader
+            before an election.
+        election_jitter_ms: Upper bound (exclusive) of the random time that
+            is added to ``min_election_timeout_ms``.
+        lease_ms: Length of the lease, counted from the time when an
+            acknowledged heartbeat was sent; shorter than
+            ``min_election_timeout_ms`` by more than the clocks drift apart
+            in that time.
         join_interval_ms: Interval of JoinRequests.
-        target_voters: Learners with a disk are promoted up to here.
-        replace_voter_ms: A voter silent for so long is replaced when a
-            learner with a disk is ready.
-        remove_learner_ms: A learner silent for so long is removed.
-        max_append_bytes: Largest payload of one Append.
-        max_in_flight_entries: Most entries sent but not acknowledged by a peer.
-        max_pending_entries: Most entries that the leader has appended and
-            that are not yet committed and durable.
-        max_payload_bytes: Largest payload of a proposal; an Append must fit
-            into a frame of 1 MB.
-        snapshot_piece_bytes: Size of a piece of a snapshot.
+        target_voters: Number of voters up to which learners with a disk
+            are promoted.
+        replace_voter_ms: Time without a reply after which a voter is
+            replaced, once a learner with a disk has caught up.
+        remove_learner_ms: Time without a reply after which a learner is
+            removed.
+        max_append_bytes: Maximum size of the entries in one Append; a
+            single larger entry is sent alone.
+        max_in_flight_entries: Maximum number of entries sent to a peer and
+            not yet acknowledged by it.
+        max_pending_entries: Maximum number of entries that the leader has
+            appended and that are not yet both committed and durable on
+            the leader's disk.
+        max_payload_bytes: Maximum size of the payload of a proposal; an
+            Append must fit into a frame of 1 MB.
+        snapshot_piece_bytes: Size of a SnapshotPiece's data.
         may_form_cluster: Whether a blank replica may form a new cluster.
-        retained_entries: Entries kept in memory behind a snapshot, so that
-            a follower that lags a little needs no snapshot.
+        retained_entries: Number of entries kept in memory that the newest
+            snapshot already contains, so that a follower that lags a
+            little needs no snapshot.
     """
 
     __slots__ = (
--- a/wigeonport/replica_logs.py
+++ b/wigeonport/replica_logs.py
@@ -5,15 +5,16 @@
 
 
 class ReplicaLog:
-    """Entries after a compacted prefix.
+    """Entries of the log after a compacted prefix.
 
     Attributes:
-        base_index: Last index that is not held any more.
+        base_index: Last index of the compacted prefix, 0 without one.
         base_term: Term of the entry at ``base_index``.
         entries: Entries from ``base_index + 1`` on.
-        durable_index: Highest index known to be synced.
-        members_history: Pairs of index and Members, oldest first; the first
-            pair holds the members as of ``base_index`` or earlier.
+        durable_index: Highest index known to be synced to disk.
+        members_history: Pairs of index and Members, oldest first. The first
+            pair has the members as of ``base_index``; each later one has
+            the index of a change of members.
     """
 
     __slots__ = (
@@ -42,7 +43,7 @@
         return self.entries[-1].term if self.entries else self.base_term
 
     def term_at(self, index):
-        """Returns the term at an index, or None if it is not held."""
+        """Returns the term of an index, or None if it is not in memory."""
         if index == self.base_index:
             return self.base_term
         if self.base_index < index <= self.last_index():
@@ -67,12 +68,16 @@
         self.durable_index = min(self.durable_index, index - 1)
 
     def entries_between(self, first_index, last_index):
-        """Returns the entries of a range, both ends included."""
+        """Returns the entries of a range of indexes, both ends included."""
         start = first_index - self.base_index - 1
         return self.entries[start : last_index - self.base_index]
 
     def batch(self, first_index, last_index, limit_bytes):
-        """Returns entries from ``first_index`` up to a size in bytes."""
+        """Returns entries of a range of indexes, up to a size in bytes.
+
+        The first entry is returned even if it is larger than
+        ``limit_bytes``. Each entry counts 64 bytes for its other fields.
+        """
         batch = []
         size_bytes = 0
         start = first_index - self.base_index - 1
@@ -86,7 +91,7 @@
         return batch
 
     def first_index_of_term(self, index):
-        """Returns the first held index with the same term as ``index``."""
+        """Returns the first index in memory with the term of ``index``."""
         term = self.term_at(index)
         while index - 1 > self.base_index and self.term_at(index - 1) == term:
             index -= 1
@@ -102,14 +107,14 @@
 
     def members_at(self, index):
         """Returns the members as of an index."""
-        found = self.members_history[0][1]
-        for position, members in self.members_history:
-            if position <= index:
-                found = members
-        return found
+        newest = self.members_history[0][1]
+        for change_index, members in self.members_history:
+            if change_index <= index:
+                newest = members
+        return newest
 
     def compact_to(self, index):
-        """Drops the entries up to ``index``."""
+        """Removes the entries up to ``index`` from memory."""
         if index <= self.base_index:
             return
         members = self.members_at(index)
@@ -120,12 +125,12 @@
         step_if_running = [
             pair for pair in self.members_history if pair[0] > index
         ]
-        # The index of the newest change must survive, because a pending
-        # change is recognized by it; a compacted one is committed.
+        # Later changes keep their index, by which an uncommitted change is
+        # recognized; a compacted change is committed.
         self.members_history = [(index, members), *step_if_running]
 
     def reset(self, snapshot):
-        """Replaces everything by the position of a snapshot."""
+        """Empties the log, which then continues after a snapshot."""
         self.base_index = snapshot.index
         self.base_term = snapshot.term
         self.entries = []
--- a/wigeonport/replicas.py
+++ b/wigeonport/replicas.py
@@ -1,8 +1,8 @@
-"""The pure consensus core.
+"""Consensus core: one replica as a state machine without input or output.
 
-``Replica.step(event, now_ms)`` takes a local event or a message of a
+``Replica.step(event, now_ms)`` takes a local event or a message from a
 peer and returns an Output. The core reads no clock, opens no file or
-socket and draws random numbers only from the source passed in. The
+socket and draws random numbers only from the generator passed in. The
 algorithm is Raft (Ongaro and Ousterhout, 2014) with pre-vote,
 check-quorum, leader leases and single-step membership changes.
 """
@@ -43,49 +43,64 @@
 class Replica:
     """One replica of the log.
 
+    All times are in ms on the local monotonic clock.
+
     Attributes:
         replica_id: ``node/identity`` of this replica.
         node: Node name.
         seeds: Names of the nodes that form a new cluster as voters.
-        durable: Whether there is a disk; without one it never votes.
+        durable: Whether the log is kept on a disk; a replica without a
+            disk never votes.
         settings: ReplicaSettings.
-        random: Source for election timeouts.
+        random: Random number generator for the election timeouts.
         term: Current term.
         vote: Replica id voted for in this term, or "".
-        role: One of the role names of this module.
-        leader_id: Leader of this term as far as known, or "".
+        role: ``FOLLOWER``, ``PRE_CANDIDATE``, ``CANDIDATE`` or ``LEADER``.
+        leader_id: Replica id of the leader of this term, or "" while it
+            is unknown.
         log: ReplicaLog.
         snapshot: Newest Snapshot, or None.
         commit_index: Highest index known to be committed.
-        delivered_index: Highest index given out in an Output.
+        delivered_index: Highest index returned in ``Output.committed`` or
+            contained in an installed snapshot.
         now_ms: Time of the current step.
         out: Output of the current step.
         persist: Persist of the current step.
         sequence: Sequence of the last Persist.
-        pending: Persists in progress.
+        pending: PendingPersist objects that are not durable yet, in order.
         hard_state_sequence: Sequence of the last Persist with a hard state.
-        durable_sequence: Sequence up to which all is durable.
-        deferred: Messages that wait for ``hard_state_sequence``.
-        verified_index: Highest index that matches the leader's log.
-        acknowledged_round: Highest round of the leader that was answered.
-        leader_contact_ms: When the leader was heard last; no vote is
-            given within ``min_election_timeout_ms`` of it, which protects the
-            leader's lease. A restart counts as a contact, because the
-            replica may have acknowledged a heartbeat just before it.
-        election_deadline_ms: When the next election starts.
+        durable_sequence: Highest sequence up to which every Persist is
+            durable.
+        deferred: Pairs of sequence and message; the message is sent once
+            the Persist with this sequence is durable.
+        verified_index: Highest index up to which the log is known to match
+            the leader's log.
+        acknowledged_round: Highest heartbeat round of the leader that this
+            replica has acknowledged.
+        leader_contact_ms: Time of the last message from the leader. The
+            replica grants no vote for ``min_election_timeout_ms`` after
+            it, which protects the leader's lease. A restart counts as a
+            contact, because the replica may have acknowledged a heartbeat
+            just before it.
+        election_deadline_ms: When the next election starts, unless the
+            leader makes contact before.
         votes: Replica ids that granted the vote or the pre-vote.
-        progress: On the leader, Progress by replica id.
-        proposals: On the leader, proposal number by index.
-        term_start_index: On the leader, index of its first entry.
+        progress: On the leader, maps replica id to Progress.
+        proposals: On the leader, maps log index to proposal number.
+        term_start_index: On the leader, index of the first entry of its
+            term.
         round: On the leader, number of the last heartbeat round.
-        pending_reads: On the leader, reads that wait for a round.
+        pending_reads: On the leader, PendingRead objects that wait for a
+            heartbeat round.
         next_voter_heartbeat_ms: When voters get the next heartbeat.
         next_learner_heartbeat_ms: When learners get the next heartbeat.
-        commit_notice_due_ms: When to announce the commit index, or None.
-        incoming: Snapshot being received, or None.
+        commit_notice_due_ms: When the leader announces its commit index
+            in a message of its own, or None.
+        incoming: IncomingSnapshot being received, or None.
         join_due_ms: When to send the next JoinRequest.
-        leader_hint: Node that is the leader according to a peer, or "".
-        blank_peers: Replica id by node of seeds with a blank log.
+        leader_hint: Node that leads according to a peer, or "".
+        blank_peers: Maps the node name of each seed with a blank log to
+            its replica id.
     """
 
     __slots__ = (
@@ -184,7 +199,11 @@
         self.verified_index = base_index
 
     def step(self, event, now_ms):
-        """Handles one event and returns the Output."""
+        """Handles one local event or message and returns the Output.
+
+        Raises:
+            ConsistencyError: An invariant of the log is violated.
+        """
         self.now_ms = max(self.now_ms, now_ms)
         self.out = Output()
         self.persist = Persist(self.sequence + 1)
@@ -212,15 +231,15 @@
         return self.role == LEADER
 
     def members(self):
-        """Returns the newest members in the log."""
+        """Returns the newest members in the log, committed or not."""
         return self.log.members()
 
     def is_blank(self):
-        """Returns whether this replica has never had a part in a log."""
+        """Returns whether this replica has no log and has seen no term."""
         return self.log.last_index() == 0 and self.term == 0
 
     def reset_election_timer(self):
-        """Draws the time of the next election."""
+        """Sets the election deadline after a new random timeout."""
         settings = self.settings
         spread_ms = self.random.randrange(settings.election_jitter_ms)
         self.election_deadline_ms = (
@@ -228,7 +247,11 @@
         )
 
     def accept_message(self, message):
-        """Checks recipient and term; returns whether to handle it."""
+        """Returns whether to handle a message, by its recipient and term.
+
+        A higher term makes this replica a follower in that term. A leader
+        with a lower term gets a reply with the current term.
+        """
         if message.recipient != self.replica_id:
             return False
         from_leader = isinstance(message, Append | SnapshotPiece)
@@ -253,18 +276,25 @@
         return True
 
     def record_leader_contact(self, leader_id):
-        """Notes that the leader of the current term was heard."""
+        """Follows the leader of the current term after a message from it.
+
+        Raises:
+            ConsistencyError: This replica leads the same term.
+        """
         if self.is_leader():
-            raise ConsistencyError(f"two leaders in term {self.term}")
+            raise ConsistencyError(
+                f"{leader_id} and this replica both lead term {self.term}"
+            )
         self.become_follower(self.term, leader_id)
         self.leader_contact_ms = self.now_ms
         self.reset_election_timer()
 
     def lease_until_ms(self):
-        """Returns until when no other leader can be elected, or 0.
+        """Returns the end of this leader's lease in ms, or 0 without a lease.
 
-        A quorum has acknowledged heartbeats sent at or after some time,
-        and gives no vote for ``min_election_timeout_ms`` after receiving them.
+        No other leader can be elected before the end: a quorum has
+        acknowledged heartbeats sent at or after the start of the lease, and
+        grants no vote for ``min_election_timeout_ms`` after receiving them.
         """
         if not self.is_leader():
             return 0
@@ -277,8 +307,9 @@
         """Returns the highest value that a quorum of voters has reached.
 
         Args:
-            own: Value of the leader itself.
-            value_of: Returns the value of a Progress.
+            own: Value of this replica.
+            value_of: Function that returns the value of a peer, given its
+                Progress.
         """
         members = self.members()
         values = [
@@ -289,7 +320,7 @@
         return values[members.quorum() - 1] if values else 0
 
     def next_deadline_ms(self):
-        """Returns when the next Tick is due."""
+        """Returns the time of the next Tick in ms."""
         if self.is_leader():
             due = min(
                 self.next_voter_heartbeat_ms, self.next_learner_heartbeat_ms
@@ -303,25 +334,25 @@
         return due
 
     def set_hard_state(self, term, vote):
-        """Changes term and vote and asks to persist them."""
+        """Changes term and vote and adds them to the current Persist."""
         self.term = term
         self.vote = vote
         self.persist.hard_state = HardState(term, vote)
         self.hard_state_sequence = self.persist.sequence
 
     def send(self, message):
-        """Sends a message at once."""
+        """Sends a message without waiting for the disk."""
         self.out.messages.append(message)
 
     def send_durable(self, message):
-        """Sends a message once term and vote are durable."""
+        """Sends a message once the current term and vote are durable."""
         if self.hard_state_sequence <= self.durable_sequence:
             self.send(message)
         else:
             self.deferred.append((self.hard_state_sequence, message))
 
     def become_follower(self, term, leader_id):
-        """Follows a leader, or waits for one if ``leader_id`` is ""."""
+        """Becomes a follower in ``term``; ``leader_id`` is "" if unknown."""
         if self.is_leader():
             self._drop_leadership()
         if term > self.term:
@@ -334,7 +365,7 @@
         self.votes = set()
 
     def _drop_leadership(self):
-        """Answers all waiting proposals and reads."""
+        """Answers the pending proposals with unknown and refuses the reads."""
         for index, number in self.proposals.items():
             self.out.replies.append(
                 Outcome(number, UNKNOWN, "leader changed", index)
@@ -346,43 +377,57 @@
         self.reset_election_timer()
 
     def append_local(self, term, kind, payload):
-        """Adds an entry at the end of the log."""
+        """Appends an entry to the log and to the current Persist."""
         entry = Entry(self.log.last_index() + 1, term, kind, payload)
         self.log.append(entry)
         self.persist.entries.append(entry)
 
     def append_as_leader(self, kind, payload):
-        """Adds an entry as the leader."""
+        """Appends an entry of the current term; only for the leader."""
         self.append_local(self.term, kind, payload)
         if kind == MEMBERS:
             appends.refresh_progress(self)
 
     def truncate_from(self, index):
-        """Removes uncommitted entries that conflict with the leader."""
+        """Removes the entries from ``index`` on.
+
+        They are not committed and conflict with the leader's log.
+
+        Raises:
+            ConsistencyError: The entry at ``index`` is committed.
+        """
         if index <= self.commit_index:
             raise ConsistencyError(
-                f"entry {index} is committed and conflicts with the leader"
+                f"committed entry {index} conflicts with the leader's log"
             )
         self.log.truncate_from(index)
         self.verified_index = min(self.verified_index, index - 1)
-        for each in self.pending:
-            each.last_index = min(each.last_index, index - 1)
+        for pending_persist in self.pending:
+            pending_persist.last_index = min(
+                pending_persist.last_index, index - 1
+            )
 
     def start_heartbeat_round(self):
-        """Starts a heartbeat round to all members."""
+        """Sends a heartbeat to every other member at once."""
         appends.start_heartbeat_round(self)
 
     def broadcast(self):
-        """Sends new entries to all peers."""
+        """Sends the entries that the peers lack, within their windows."""
         appends.send_all(self)
 
     def commit_to(self, index):
-        """Advances the commit index and gives out the entries."""
+        """Advances the commit index and delivers the newly committed entries.
+
+        Raises:
+            ConsistencyError: ``index`` is beyond the end of the log.
+        """
         if index <= self.commit_index:
             return
         self.commit_index = index
         if index > self.log.last_index():
-            raise ConsistencyError(f"commit index {index} is not in the log")
+            raise ConsistencyError(
+                f"commit index {index} is beyond the end of the log"
+            )
         entries = self.log.entries_between(self.delivered_index + 1, index)
         self.out.committed.extend(entries)
         self.delivered_index = index
--- a/wigeonport/replication_messages.py
+++ b/wigeonport/replication_messages.py
@@ -1,8 +1,11 @@
 """Messages between replicas.
 
-A replica id is ``node/identity``. The identity is drawn when the data
-directory is created, so that a node that lost its disk has another
-replica id and is not counted as the voter that it replaces.
+A replica id is ``node/identity``. The identity is drawn at random when the
+data directory is created. A node that has lost its disk therefore has
+another replica id and does not count as the voter that it was before.
+
+In every message ``sender`` and ``recipient`` are replica ids and ``term`` is
+the sender's term, unless the class says otherwise.
 """
 
 from wigeonport.codecs import message_kinds
@@ -39,7 +42,13 @@
 
 @message_kinds.register("PreVote")
 class PreVote:
-    """Asks whether an election at ``term`` could be won."""
+    """Asks whether the recipient would vote for the sender.
+
+    Attributes:
+        term: Term that the sender would stand for election in.
+        last_index: Index of the sender's last entry.
+        last_term: Term of the sender's last entry.
+    """
 
     __slots__ = ("term", "sender", "recipient", "last_index", "last_term")
 
@@ -53,7 +62,12 @@
 
 @message_kinds.register("PreVoteReply")
 class PreVoteReply:
-    """Answers a PreVote; ``proposed_term`` is the term that it named."""
+    """Answers a PreVote.
+
+    Attributes:
+        proposed_term: ``term`` of the PreVote.
+        granted: Whether the sender would vote for the recipient.
+    """
 
     __slots__ = ("term", "sender", "recipient", "proposed_term", "granted")
 
@@ -74,8 +88,9 @@
         sender: The candidate.
         recipient: The voter.
         last_index: Index of the candidate's last entry.
-        last_term: Its term.
-        handed_over: Whether the former leader has given up its lease.
+        last_term: Term of the candidate's last entry.
+        handed_over: Whether the former leader has given up its lease and
+            asked the candidate to take over.
     """
 
     __slots__ = (
@@ -106,7 +121,7 @@
 
 @message_kinds.register("HandOver")
 class HandOver:
-    """Asks the recipient to lead; the sender led ``term`` until now."""
+    """Asks the recipient to succeed the sender, the leader of ``term``."""
 
     __slots__ = ("term", "sender", "recipient")
 
@@ -118,7 +133,7 @@
 
 @message_kinds.register("VoteReply")
 class VoteReply:
-    """Answers a Vote; sent only once the vote is durable."""
+    """Answers a Vote; sent once the sender's term and vote are durable."""
 
     __slots__ = ("term", "sender", "recipient", "granted")
 
@@ -136,9 +151,11 @@
     Attributes:
         prev_index: Index before the first entry.
         prev_term: Term of the entry at ``prev_index``.
+        entries: List of Entry, in log order.
         commit_index: Commit index of the leader.
         round: Number of the leader's heartbeat round.
-        sent_ms: Leader's monotonic time, returned unchanged.
+        sent_ms: Time of sending on the leader's monotonic clock, in ms;
+            the reply returns it unchanged.
     """
 
     __slots__ = (
@@ -181,10 +198,12 @@
     """Answers an Append.
 
     Attributes:
-        success: False if ``prev_index`` did not match.
-        match_index: Highest index that matches the leader's log and is
-            durable; on failure the index from which to try again.
-        prev_index: On failure, the index that did not match.
+        success: False if the log differs from the leader's log at
+            ``prev_index``, or if the term of the Append is too old.
+        match_index: Highest index up to which the sender's log matches
+            the leader's log and is durable; on failure, the index to try
+            as the next ``prev_index``.
+        prev_index: On failure, ``prev_index`` of the Append; otherwise 0.
         round: Copied from the Append.
         sent_ms: Copied from the Append.
     """
@@ -275,7 +294,12 @@
 
 @message_kinds.register("SnapshotReply")
 class SnapshotReply:
-    """Names the offset from which the follower wants the next piece."""
+    """Answers a SnapshotPiece while the snapshot is incomplete.
+
+    Attributes:
+        index: Last log index that the snapshot contains.
+        offset: Number of bytes received, where the next piece starts.
+    """
 
     __slots__ = ("term", "sender", "recipient", "index", "offset")
 
@@ -289,10 +313,11 @@
 
 @message_kinds.register("JoinRequest")
 class JoinRequest:
-    """A replica that no leader contacts makes itself known.
+    """Asks to become a member; sent by a replica without a leader.
 
     Attributes:
-        recipient: Node name; the identity there is not known.
+        recipient: Node name, because the sender does not know the identity
+            of the replica on that node.
         durable: Whether the sender keeps its log on a disk.
         blank: Whether the sender's log has never held an entry.
     """
@@ -313,7 +338,7 @@
     Attributes:
         durable: Whether the sender keeps its log on a disk.
         blank: Whether the sender's log has never held an entry.
-        leader_id: Leader that the sender knows, or "".
+        leader_id: Replica id of the leader that the sender follows, or "".
     """
 
     __slots__ = ("sender", "recipient", "durable", "blank", "leader_id")
@@ -328,7 +353,12 @@
 
 @message_kinds.register("ProposeForward")
 class ProposeForward:
-    """A proposal that a follower forwards to the leader."""
+    """A proposal that a follower forwards to the leader.
+
+    Attributes:
+        number: Chosen by the sender; the ProposeReply carries it back.
+        payload: Bytes for the state machine.
+    """
 
     __slots__ = ("sender", "recipient", "number", "payload")
 
@@ -341,7 +371,15 @@
 
 @message_kinds.register("ProposeReply")
 class ProposeReply:
-    """Answers a ProposeForward; ``answer`` is encoded by the state."""
+    """Answers a ProposeForward.
+
+    Attributes:
+        number: Number of the ProposeForward.
+        outcome: ``committed``, ``refused`` or ``unknown``, as in Outcome.
+        reason: Why the entry is not known to be committed, or "".
+        index: Log index of the entry, or 0 if it was not appended.
+        answer: Answer of the state machine, encoded by it.
+    """
 
     __slots__ = (
         "sender",
@@ -367,7 +405,11 @@
 
 @message_kinds.register("ReadIndex")
 class ReadIndex:
-    """Asks the leader for an index that a read must wait for."""
+    """Asks the leader for the index that a read must wait for.
+
+    Attributes:
+        number: Chosen by the sender; the ReadIndexReply carries it back.
+    """
 
     __slots__ = ("sender", "recipient", "number")
 
@@ -379,7 +421,13 @@
 
 @message_kinds.register("ReadIndexReply")
 class ReadIndexReply:
-    """Answers a ReadIndex; ``index`` is -1 if it cannot be given."""
+    """Answers a ReadIndex.
+
+    Attributes:
+        number: Number of the ReadIndex.
+        index: Index that the reader must have applied, or -1 if the sender
+            cannot tell it.
+    """
 
     __slots__ = ("sender", "recipient", "number", "index")
 
--- a/wigeonport/ticks.py
+++ b/wigeonport/ticks.py
@@ -6,7 +6,7 @@
 
 @handles(Tick)
 def on_tick(replica, event):
-    """Fires the timers that are due."""
+    """Starts the heartbeats, elections and JoinRequests that are due."""
     if replica.is_leader():
         if not elections.check_quorum(replica):
             return
