--- a/wigeonport/appends.py
+++ b/wigeonport/appends.py
@@ -1,4 +1,4 @@
-"""Replication of entries from the leader to the other members."""
+"""Replication of entries and heartbeats from the leader to its peers."""
 
 from wigeonport import linearizable_reads, snapshot_transfers
 from wigeonport.replica_events import handles
@@ -8,27 +8,31 @@
 REPLICATE = "replicate"
 SNAPSHOT = "snapshot"
 
-# Delay before the leader announces a new commit index by itself; under
-# load the next Append carries it and no extra message is needed.
+# Delay before the leader announces a new commit index in a message of its
+# own; under load the next Append carries it and none is needed.
 COMMIT_NOTICE_MS = 20
 
 
 class Progress:
-    """What the leader knows of one peer.
+    """State of the replication to one peer, kept by the leader.
+
+    All times are in ms on the leader's monotonic clock.
 
     Attributes:
-        mode: ``probe`` (searching the last matching entry, one Append
+        mode: ``probe`` (searches for the last matching entry, one Append
             at a time), ``replicate`` (pipelined) or ``snapshot``.
-        match_index: Highest index known to be durable there.
-        next_index: Next index to send.
-        probe_sent: Whether the Append of a probe awaits its answer.
-        last_reply_ms: When the peer was heard last.
-        acked_sent_ms: Highest send time of an acknowledged Append.
-        round: Highest acknowledged heartbeat round.
-        sent_commit_index: Highest commit index sent.
+        match_index: Highest index known to match and to be durable on the
+            peer.
+        next_index: Index of the next entry to send.
+        probe_sent: Whether a probe awaits its reply.
+        last_reply_ms: When the last reply arrived; at first, when this
+            Progress was created.
+        acked_sent_ms: When the latest acknowledged Append was sent.
+        round: Highest heartbeat round that the peer has acknowledged.
+        sent_commit_index: Commit index that the last Append carried.
         snapshot: Snapshot being transferred, or None.
-        offset: Bytes of it that the peer has received.
-        piece_sent_ms: When the last piece was sent.
+        offset: Number of bytes of ``snapshot`` that the peer has received.
+        piece_sent_ms: When the last SnapshotPiece was sent.
     """
 
     __slots__ = (
@@ -60,24 +64,28 @@
 
 
 def refresh_progress(replica):
-    """Keeps one Progress for each other member."""
-    wanted = set(replica.members().by_id) - {replica.replica_id}
-    for replica_id in set(replica.progress) - wanted:
+    """Adds and removes Progress so that each other member has one."""
+    peer_ids = set(replica.members().by_id) - {replica.replica_id}
+    for replica_id in set(replica.progress) - peer_ids:
         del replica.progress[replica_id]
-    for replica_id in sorted(wanted - set(replica.progress)):
+    for replica_id in sorted(peer_ids - set(replica.progress)):
         replica.progress[replica_id] = Progress(
             max(1, replica.log.last_index()), replica.now_ms
         )
 
 
 def send_all(replica):
-    """Sends waiting entries to every peer."""
+    """Sends to every peer the entries that its window permits."""
     for replica_id, progress in replica.progress.items():
         send_entries(replica, replica_id, progress)
 
 
 def send_entries(replica, replica_id, progress):
-    """Sends what the window of one peer permits."""
+    """Sends to one peer the entries that its window permits.
+
+    Starts the transfer of a snapshot if the entries that the peer lacks
+    are compacted.
+    """
     log = replica.log
     if progress.mode == SNAPSHOT:
         return
@@ -114,7 +122,8 @@
     prev_index = progress.next_index - 1
     prev_term = replica.log.term_at(prev_index)
     if progress.mode == SNAPSHOT or prev_term is None:
-        # Index 0 matches every log, so this is a heartbeat only.
+        # The entry before next_index is compacted. Index 0 matches every
+        # log, so the Append serves as a heartbeat only.
         prev_index, prev_term, entries = 0, 0, []
     progress.sent_commit_index = replica.commit_index
     replica.send(
@@ -133,7 +142,7 @@
 
 
 def send_due_heartbeats(replica):
-    """Sends the heartbeats and commit notices that are due."""
+    """Sends the heartbeats and commit indexes that are due."""
     now_ms = replica.now_ms
     settings = replica.settings
     voters_due = now_ms >= replica.next_voter_heartbeat_ms
@@ -162,14 +171,14 @@
 
 
 def start_heartbeat_round(replica):
-    """Starts a heartbeat round to all members at once."""
+    """Sends a heartbeat to every other member at once."""
     replica.next_voter_heartbeat_ms = replica.now_ms
     replica.next_learner_heartbeat_ms = replica.now_ms
     send_due_heartbeats(replica)
 
 
 def _send_heartbeat(replica, replica_id, progress):
-    """Sends one heartbeat, with entries if the peer lacks some."""
+    """Sends one heartbeat, with the entries that the peer lacks, if any."""
     if progress.mode == SNAPSHOT:
         _send(replica, replica_id, progress, [])
         snapshot_transfers.resend(replica, replica_id, progress)
@@ -182,10 +191,11 @@
 
 
 def advance_commit(replica):
-    """Commits what a quorum has made durable.
+    """Commits the entries that a quorum has made durable.
 
-    Only an entry of the current term is committed by counting; earlier
-    ones are committed with it (Raft, section 5.4.2).
+    Only an entry of the current term is committed by counting replicas;
+    earlier entries are committed with it (Raft, section 5.4.2). A leader
+    steps down once its own removal is committed.
     """
     index = replica.quorum_value(
         replica.log.durable_index,
@@ -209,7 +219,11 @@
 
 @handles(Append)
 def on_append(replica, message):
-    """Takes entries from the leader."""
+    """Appends the leader's entries and acknowledges them.
+
+    Entries that conflict with the leader's are removed first. If the entry
+    before the first one does not match, the Append is rejected.
+    """
     if not replica.accept_message(message):
         return
     replica.record_leader_contact(message.sender)
@@ -233,8 +247,9 @@
     last_index = prev_index + len(message.entries)
     replica.verified_index = max(replica.verified_index, last_index)
     replica.commit_to(min(message.commit_index, replica.verified_index))
-    # New entries are acknowledged once, after their sync; only the first
-    # Append of a round is answered at once, for the leader's lease.
+    # New entries are acknowledged once, after they are synced. Only the
+    # first Append of a heartbeat round is acknowledged at once as well,
+    # since it extends the leader's lease.
     if replica.persist.entries and message.round <= replica.acknowledged_round:
         return
     replica.acknowledged_round = max(replica.acknowledged_round, message.round)
@@ -242,7 +257,13 @@
 
 
 def acknowledge(replica, round=0, sent_ms=0):
-    """Tells the leader what is durable here."""
+    """Tells the leader up to which index the log is verified and durable.
+
+    Args:
+        replica: Replica.
+        round: Round of the Append that is acknowledged, or 0 for none.
+        sent_ms: ``sent_ms`` of that Append, or 0.
+    """
     replica.send_durable(
         AppendReply(
             replica.term,
@@ -258,7 +279,10 @@
 
 
 def _reject(replica, message):
-    """Names the index from which the leader should try again."""
+    """Rejects an Append and names the index that the leader should try next.
+
+    The hint skips all entries of the conflicting term.
+    """
     log = replica.log
     hint_index = log.last_index()
     if message.prev_index <= hint_index:
@@ -279,7 +303,7 @@
 
 @handles(AppendReply)
 def on_append_reply(replica, message):
-    """Advances the progress of a peer."""
+    """Updates the progress of a peer and sends it the next entries."""
     if not replica.accept_message(message) or not replica.is_leader():
         return
     progress = replica.progress.get(message.sender)
@@ -313,7 +337,7 @@
 
 
 def _on_failure(progress, message):
-    """Goes back to the follower's hint, unless the answer is stale."""
+    """Goes back to the follower's hint, unless the reply is outdated."""
     if progress.mode == SNAPSHOT:
         return
     if message.prev_index <= progress.match_index:
--- a/wigeonport/memberships.py
+++ b/wigeonport/memberships.py
@@ -1,4 +1,4 @@
-"""Members of the replicated log and changes to them, one at a time."""
+"""Members of the replicated log and single-step changes to them."""
 
 import json
 
@@ -17,11 +17,11 @@
 
 
 class Member:
-    """One replica.
+    """One member of the replicated log.
 
     Attributes:
         replica_id: ``node/identity``.
-        voter: Whether it counts towards a quorum.
+        voter: Whether it counts towards a quorum; others are learners.
         durable: Whether it keeps its log on a disk.
     """
 
@@ -37,7 +37,7 @@
     """An immutable set of members.
 
     Attributes:
-        by_id: Member by replica id.
+        by_id: Maps replica id to Member.
         voters: Sorted replica ids of the voters.
     """
 
@@ -57,17 +57,17 @@
         return member is not None and member.voter
 
     def with_member(self, member):
-        """Returns members in which ``member`` replaces its node's."""
+        """Returns Members with ``member`` in place of others on its node."""
         node = node_of(member.replica_id)
-        kept = [
+        others = [
             other
             for other in self.by_id.values()
             if node_of(other.replica_id) != node
         ]
-        return Members([*kept, member])
+        return Members([*others, member])
 
     def without(self, replica_id):
-        """Returns members without one replica."""
+        """Returns Members without one replica."""
         return Members(
             [
                 member
@@ -86,15 +86,15 @@
 
     @classmethod
     def from_payload(cls, payload):
-        """Reads the bytes that ``to_payload`` wrote."""
+        """Decodes the bytes that ``to_payload`` returned."""
         return cls([Member(*row) for row in json.loads(payload or b"[]")])
 
 
 def may_change(replica):
-    """Returns whether the leader may append a change of members.
+    """Returns whether this replica may append a change of members.
 
-    Single-step changes are safe only if one is pending at a time and
-    the leader has committed an entry of its own term.
+    Only the leader may. Single-step changes are safe only if at most one
+    is uncommitted and the leader has committed an entry of its own term.
     """
     return (
         replica.is_leader()
@@ -104,30 +104,31 @@
 
 
 def change(replica, members):
-    """Appends a change of members; the caller has asked may_change."""
+    """Appends a change of members; requires that may_change is true."""
     replica.append_as_leader(MEMBERS, members.to_payload())
 
 
 def _has_responsive_quorum(replica, members):
-    """Returns whether a quorum of these voters answered recently.
+    """Returns whether a quorum of ``members`` replied recently.
 
-    A change that only silent voters could commit would stop the log. The
-    time of the request counts: a leader that was stopped for a while
-    reads old answers when it goes on.
+    A change that needs the vote of a silent voter to commit would stop the
+    log. The send time of the acknowledged Append counts, not the arrival
+    of the reply: a leader that was paused receives outdated replies when
+    it resumes.
     """
-    limit_ms = replica.now_ms - 2 * replica.settings.learner_heartbeat_ms
-    heard = [
+    oldest_sent_ms = replica.now_ms - 2 * replica.settings.learner_heartbeat_ms
+    responsive = [
         voter
         for voter in members.voters
         if voter == replica.replica_id
-        or replica.progress[voter].acked_sent_ms >= limit_ms
+        or replica.progress[voter].acked_sent_ms >= oldest_sent_ms
     ]
-    return len(heard) >= members.quorum()
+    return len(responsive) >= members.quorum()
 
 
 @handles(RemoveReplica)
 def on_remove(replica, event):
-    """Removes a member, or refuses while another change is pending."""
+    """Removes a member, or refuses if that is impossible or unsafe now."""
     members = replica.members()
     if (
         not may_change(replica)
@@ -147,7 +148,7 @@
 
 @handles(JoinRequest)
 def on_join_request(replica, message):
-    """Answers a replica without a leader; the leader adds it."""
+    """Answers a JoinRequest; the leader adds the sender as a learner."""
     if message.recipient != replica.node:
         return
     reply = JoinReply(
@@ -170,14 +171,16 @@
 
 
 def _node_is_active(replica, node):
-    """Returns whether a present member of the node was heard recently.
+    """Returns whether a member on the node replied recently.
 
     A delayed JoinRequest of an earlier identity must not replace the
     current one.
     """
-    limit_ms = replica.now_ms - replica.settings.learner_heartbeat_ms * 2
+    oldest_reply_ms = (
+        replica.now_ms - replica.settings.learner_heartbeat_ms * 2
+    )
     return any(
-        progress.last_reply_ms > limit_ms
+        progress.last_reply_ms > oldest_reply_ms
         for replica_id, progress in replica.progress.items()
         if node_of(replica_id) == node
     )
@@ -185,16 +188,16 @@
 
 @handles(JoinReply)
 def on_join_reply(replica, message):
-    """Forms a new cluster once every initial voter has a blank log.
+    """Forms a new cluster once every seed has replied with a blank log.
 
-    Only the first node of the sorted list does so, and only with the
-    answers of all: a node that lost its disk finds a peer with a log
-    and joins instead.
+    Only the first seed by name does so, and only after replies from all
+    others. If it has merely lost its disk, a peer replies with a log that
+    is not blank, and it joins the existing cluster instead.
     """
     if message.recipient != replica.replica_id:
         return
     if message.leader_id:
-        # The leader need not be one of the seeds.
+        # The leader may be a node that is not a seed.
         replica.leader_hint = node_of(message.leader_id)
     if not replica.is_blank() or not replica.settings.may_form_cluster:
         return
@@ -205,29 +208,34 @@
         replica.blank_peers.pop(node, None)
         return
     replica.blank_peers[node] = message.sender
-    others = set(replica.seeds) - {replica.node}
-    if others <= set(replica.blank_peers):
+    other_seeds = set(replica.seeds) - {replica.node}
+    if other_seeds <= set(replica.blank_peers):
         form_cluster(replica)
 
 
 def form_cluster(replica):
-    """Writes the first entry, which names the initial voters."""
-    ids = [replica.replica_id, *replica.blank_peers.values()]
-    members = Members([Member(replica_id, True, True) for replica_id in ids])
+    """Appends the first entry of a new log, which names the initial voters."""
+    voter_ids = [replica.replica_id, *replica.blank_peers.values()]
+    members = Members(
+        [Member(replica_id, True, True) for replica_id in voter_ids]
+    )
     replica.become_follower(1, "")
     replica.append_local(1, MEMBERS, members.to_payload())
 
 
 def ask_to_join(replica):
-    """Sends JoinRequests to the known nodes while there is no leader."""
+    """Sends JoinRequests to the seeds, the members and the supposed leader.
+
+    A blank replica that is the only seed forms a cluster by itself.
+    """
     nodes = set(replica.seeds)
-    nodes.update(node_of(each) for each in replica.members().by_id)
+    nodes.update(node_of(replica_id) for replica_id in replica.members().by_id)
     nodes.add(replica.leader_hint or replica.node)
     nodes.discard(replica.node)
-    alone = (
+    is_only_node = (
         not nodes and replica.is_blank() and replica.settings.may_form_cluster
     )
-    if alone and replica.seeds and replica.durable:
+    if is_only_node and replica.seeds and replica.durable:
         form_cluster(replica)
     for node in sorted(nodes):
         replica.out.messages.append(
@@ -238,23 +246,26 @@
 
 
 def change_members_if_due(replica):
-    """On the leader: promotes, replaces and forgets members if due."""
+    """Promotes, replaces or removes one member if due; only on the leader."""
     if not may_change(replica):
         return
     members = replica.members()
     if replica.replica_id not in members.by_id:
         return
-    wanted = _next_members(replica, members)
-    if wanted is not None and _has_responsive_quorum(replica, wanted):
-        change(replica, wanted)
+    next_members = _next_members(replica, members)
+    if next_members is not None and _has_responsive_quorum(
+        replica, next_members
+    ):
+        change(replica, next_members)
 
 
 def _next_members(replica, members):
     """Returns the members after the next change that is due, or None.
 
-    A silent voter is removed only after its replacement was promoted. The
-    other order could stop the log for good: with three voters the change
-    needs both remaining ones, and one may lose its disk just then.
+    A silent voter is removed only after its replacement has been promoted.
+    The other order could stop the log for good: with three voters, both
+    remaining ones must acknowledge the removal, and one of them may lose
+    its disk at that moment.
     """
     settings = replica.settings
     silent_voter = _first_silent_member(
@@ -263,11 +274,11 @@
     silent_learner = _first_silent_member(
         replica, False, settings.remove_learner_ms
     )
-    ready = _ready_learner(replica, members)
-    spare_count = len(members.voters) - settings.target_voters
-    if ready and spare_count < (1 if silent_voter else 0):
-        return members.with_member(Member(ready, True, True))
-    if spare_count > 0:
+    ready_learner = _ready_learner(replica, members)
+    surplus_count = len(members.voters) - settings.target_voters
+    if ready_learner and surplus_count < (1 if silent_voter else 0):
+        return members.with_member(Member(ready_learner, True, True))
+    if surplus_count > 0:
         return members.without(silent_voter or _longest_silent_voter(replica))
     if silent_learner:
         return members.without(silent_learner)
@@ -275,7 +286,7 @@
 
 
 def _longest_silent_voter(replica):
-    """Returns the voter whose last message is the oldest."""
+    """Returns the other voter whose last reply is the oldest."""
     voters = [
         voter
         for voter in replica.members().voters
@@ -285,15 +296,17 @@
 
 
 def _ready_learner(replica, members):
-    """Returns a learner with a disk that has caught up, or None."""
-    recent_ms = replica.now_ms - 2 * replica.settings.learner_heartbeat_ms
+    """Returns a responsive learner with a disk that has caught up, or None."""
+    oldest_reply_ms = (
+        replica.now_ms - 2 * replica.settings.learner_heartbeat_ms
+    )
     for replica_id in sorted(members.by_id):
         member = members.by_id[replica_id]
         progress = replica.progress.get(replica_id)
         if member.voter or not member.durable or progress is None:
             continue
         if progress.match_index >= replica.commit_index and (
-            progress.last_reply_ms >= recent_ms
+            progress.last_reply_ms >= oldest_reply_ms
         ):
             return replica_id
     return None
--- a/wigeonport/snapshot_transfers.py
+++ b/wigeonport/snapshot_transfers.py
@@ -1,4 +1,4 @@
-"""Transfer of a snapshot from the leader, one piece at a time."""
+"""Transfer of a snapshot from the leader to a peer, piece by piece."""
 
 import zlib
 
@@ -15,8 +15,8 @@
     """A snapshot that is being received.
 
     Attributes:
-        index: Its log index.
-        term: Its term.
+        index: Last log index that the snapshot contains.
+        term: Term of the entry at ``index``.
         data: Bytes received so far.
     """
 
@@ -29,14 +29,14 @@
 
 
 def start(replica, replica_id, progress):
-    """Starts a transfer of the newest snapshot."""
+    """Starts the transfer of the newest snapshot to one peer."""
     progress.snapshot = replica.snapshot
     progress.offset = 0
     _send_piece(replica, replica_id, progress)
 
 
 def resend(replica, replica_id, progress):
-    """Sends the piece again that was not acknowledged for a while."""
+    """Sends the last piece again if no reply came for a heartbeat interval."""
     waited_ms = replica.now_ms - progress.piece_sent_ms
     if waited_ms >= replica.settings.heartbeat_ms:
         _send_piece(replica, replica_id, progress)
@@ -45,7 +45,7 @@
 def _send_piece(replica, replica_id, progress):
     snapshot = progress.snapshot
     progress.piece_sent_ms = replica.now_ms
-    stop = progress.offset + replica.settings.snapshot_piece_bytes
+    end = progress.offset + replica.settings.snapshot_piece_bytes
     replica.send(
         SnapshotPiece(
             replica.term,
@@ -57,14 +57,14 @@
             progress.offset,
             len(snapshot.data),
             snapshot.checksum,
-            snapshot.data[progress.offset : stop],
+            snapshot.data[progress.offset : end],
         )
     )
 
 
 @handles(SnapshotReply)
 def on_snapshot_reply(replica, message):
-    """Sends the next piece."""
+    """Sends the piece that the peer asks for next."""
     if not replica.accept_message(message) or not replica.is_leader():
         return
     progress = replica.progress.get(message.sender)
@@ -83,7 +83,10 @@
 
 @handles(SnapshotPiece)
 def on_snapshot_piece(replica, message):
-    """Collects the pieces and installs the complete snapshot."""
+    """Collects the pieces and installs the complete snapshot.
+
+    If the checksum of the snapshot is wrong, the transfer starts again.
+    """
     if not replica.accept_message(message):
         return
     replica.record_leader_contact(message.sender)
@@ -91,9 +94,9 @@
         _acknowledge(replica)
         return
     incoming = replica.incoming
-    key = (message.index, message.index_term)
-    if incoming is None or (incoming.index, incoming.term) != key:
-        incoming = IncomingSnapshot(*key)
+    position = (message.index, message.index_term)
+    if incoming is None or (incoming.index, incoming.term) != position:
+        incoming = IncomingSnapshot(*position)
         replica.incoming = incoming
     if message.offset == len(incoming.data):
         incoming.data += message.data
@@ -131,7 +134,11 @@
 
 
 def _install(replica, message, data):
-    """Replaces state and log, unless the log holds the position."""
+    """Replaces state and log by the snapshot.
+
+    If the log already has the last entry of the snapshot, the log is kept
+    and committed up to it.
+    """
     members = Members.from_payload(message.members)
     if replica.log.term_at(message.index) == message.index_term:
         replica.verified_index = max(replica.verified_index, message.index)
@@ -141,8 +148,8 @@
     snapshot = Snapshot(message.index, message.index_term, members, data)
     replica.snapshot = snapshot
     replica.log.reset(snapshot)
-    for each in replica.pending:
-        each.last_index = 0
+    for pending_persist in replica.pending:
+        pending_persist.last_index = 0
     replica.persist.snapshot = snapshot
     replica.out.install = snapshot
     replica.commit_index = snapshot.index
