Reword the simulation and the tests of the replica core

Cause: test heads named no failure, and names such as at, kept, known, gone, bound and seen did not say what they hold.

--- a/tests/failure_schedules.py
+++ b/tests/failure_schedules.py
@@ -1,4 +1,4 @@
-"""Random schedules of work and failures for a simulated network."""
+"""Random schedules of requests and failures for a simulated network."""
 
 import heapq
 import random
@@ -17,15 +17,15 @@
 
 
 class Schedule:
-    """Injects proposals, reads and failures at random."""
+    """Injects proposals, reads, snapshots and failures at random."""
 
     def __init__(self, seed, network=None):
         self.network = network or Network(seed)
         self.random = random.Random(seed + 7)
         self.number = 0
         self.no_proposals_until_ms = 0
-        # Every second schedule is a storm: failures follow each other
-        # before the group has recovered, and each Append has one entry.
+        # In every second schedule, failures follow each other before the
+        # replicas have recovered, and each Append has one entry.
         self.has_frequent_failures = seed % 2 == 1
         if self.has_frequent_failures:
             self.network.settings.max_append_bytes = 1
@@ -36,15 +36,15 @@
         return [node for node in nodes if node.replica is not None]
 
     def act(self):
-        """Does one random thing and schedules the next."""
-        choice = self.random.choices(
+        """Takes one random action and schedules the next."""
+        action = self.random.choices(
             [self.propose, self.read, self.snapshot, self.fail],
             [50, 10, 8, 32]
             if self.has_frequent_failures
             else [60, 15, 10, 15],
         )[0]
-        choice()
-        self.network.at(self.random.randrange(1, 100), self.act)
+        action()
+        self.network.call_after(self.random.randrange(1, 100), self.act)
 
     def propose(self):
         """Proposes a small batch at a random node, often the leader."""
@@ -81,12 +81,14 @@
         term = log.term_at(index)
         if term is None or index <= log.base_index:
             return
-        taken = Snapshot(index, term, log.members_at(index), node.digest)
-        node.disk.recovered.snapshot = taken
-        self.network.step(node, SnapshotTaken(taken))
+        new_snapshot = Snapshot(
+            index, term, log.members_at(index), node.digest
+        )
+        node.disk.recovered.snapshot = new_snapshot
+        self.network.step(node, SnapshotTaken(new_snapshot))
 
     def fail(self):
-        """Injects or heals one failure; stopped nodes restart later."""
+        """Injects or ends one failure; stopped nodes restart later."""
         nodes = list(self.network.nodes.values())
         leaders = [n for n in self.running() if n.replica.is_leader()]
         if leaders and self.random.random() < 0.4:
@@ -108,31 +110,31 @@
         )
         failure(self.random.choice(nodes))
         limit_ms = 1_000 if self.has_frequent_failures else 4_000
-        self.network.at(self.random.randrange(limit_ms), self.restart)
+        self.network.call_after(self.random.randrange(limit_ms), self.restart)
 
     def lose_messages(self, node):
-        """Sets the rate of loss, duplication and long delays."""
+        """Sets the rate of lost, duplicated and delayed messages."""
         self.network.loss = self.random.choice([0.0, 0.05, 0.3])
 
     def block_pairs(self, node):
-        """Blocks random pairs of nodes, each in one direction."""
+        """Blocks random links, each in one direction."""
         names = self.network.names
         self.network.blocked = {
-            (one, two)
-            for one in names
-            for two in names
+            (sender, recipient)
+            for sender in names
+            for recipient in names
             if self.random.random() < 0.3
         }
 
     def partition(self, node):
-        """Separates the nodes into two sides."""
+        """Partitions the network into two sides."""
         names = self.network.names
         side = {name for name in names if self.random.random() < 0.5}
         self.network.blocked = {
-            (one, two)
-            for one in names
-            for two in names
-            if (one in side) != (two in side)
+            (sender, recipient)
+            for sender in names
+            for recipient in names
+            if (sender in side) != (recipient in side)
         }
 
     def heal(self, node):
@@ -140,9 +142,11 @@
         self.network.blocked = set()
 
     def block_one_link(self, node):
-        """Lets one node not hear another, which all others hear.
+        """Blocks the messages from one node to one other node.
 
-        Without new entries its log stays good enough for an election.
+        All others still receive them. No proposals are made for 2 s, so that
+        the log of a node that misses the leader's heartbeats stays new
+        enough to win an election.
         """
         self.network.blocked = {
             (node.name, self.random.choice(self.network.names))
@@ -150,56 +154,62 @@
         self.no_proposals_until_ms = self.network.now_ms + 2_000
 
     def crash(self, node):
-        """Crashes one node, at times all of them at once."""
+        """Crashes one node, or with a probability of 0.3 all of them."""
         self.network.crash(node)
         if self.random.random() < 0.3:
             for other in self.network.nodes.values():
                 self.network.crash(other)
 
     def lose_disk(self, node):
-        """Crashes a node whose disk is empty afterwards."""
+        """Crashes a node and empties its disk, if a quorum keeps its data."""
         if self.network.may_lose_disk(node):
             self.network.crash(node, lose_disk=True)
 
     def pause(self, node):
-        """Stops a node for a while, as SIGSTOP does."""
+        """Pauses a node for a while, as SIGSTOP does."""
         duration_ms = self.random.randrange(4_000)
         node.paused_until_ms = self.network.now_ms + duration_ms
 
     def remove(self, node):
-        """Removes a member, if the node leads."""
+        """Removes a random member, if the node leads."""
         network = self.network
         if not node.replica or not node.replica.is_leader():
             return
-        # A stopped leader would handle the request after the check below.
+        # A paused leader would handle the request only after it resumes,
+        # when the check below may no longer hold.
         if network.now_ms < node.paused_until_ms:
             return
         members = node.replica.members()
-        # Removing a voter just after another lost its disk leaves no
-        # quorum with data, as with any two such losses of three.
-        whole = not network.lost_replica_ids & set(members.voters)
-        if whole and len(members.voters) >= 3:
+        # If one of three voters has lost its disk, the removal of another
+        # leaves no quorum with data, like the loss of two disks.
+        all_disks_intact = not network.lost_replica_ids & set(members.voters)
+        if all_disks_intact and len(members.voters) >= 3:
             target = self.random.choice(sorted(members.by_id))
             network.step(node, RemoveReplica(REMOVAL_NUMBER, target))
 
     def resign(self, node):
-        """Lets a leader hand its lead over."""
+        """Asks a replica to hand over its leadership."""
         if node.replica and self.network.now_ms >= node.paused_until_ms:
             self.network.step(node, Resign())
 
     def restart(self):
-        """Starts what is stopped."""
+        """Starts every node that is stopped."""
         for node in self.network.nodes.values():
             if node.replica is None:
                 self.network.start(node)
 
-    def run(self, duration_ms=15_000, settle_ms=25_000):
-        """Runs the schedule, heals everything and checks the end."""
+    def run(self, duration_ms=15_000, recovery_ms=25_000):
+        """Runs the schedule, ends all failures and checks the final state.
+
+        Args:
+            duration_ms: Time with injected failures.
+            recovery_ms: Time without failures before the final check.
+        """
         network = self.network
         for node in network.nodes.values():
             network.start(node)
             network.counter += 1
-        network.at(3_000, self.act)
+        network.call_after(3_000, self.act)
         network.run_until(network.now_ms + duration_ms)
         network.queue = [
             item for item in network.queue if item[2].__name__ != "act"
@@ -208,6 +218,6 @@
         network.loss = 0.0
         network.blocked = set()
         self.restart()
-        network.run_until(network.now_ms + settle_ms)
-        network.check_end()
+        network.run_until(network.now_ms + recovery_ms)
+        network.check_final_state()
         return network
--- a/tests/network_simulations.py
+++ b/tests/network_simulations.py
@@ -1,6 +1,7 @@
-"""A deterministic network of replicas with injected failures.
+"""A simulated network of replicas with injected failures.
 
-Each check raises AssertionError at the step that violates it.
+A seed determines the whole run. The checks run at each step and raise
+AssertionError at the first step that violates an invariant.
 """
 
 import hashlib
@@ -25,42 +26,62 @@
 
 
 class Disk:
-    """What has survived: hard state, snapshot and entries."""
+    """What is durable on a node: hard state, snapshot and entries."""
 
     def __init__(self):
         self.recovered = RecoveredState()
 
     def write(self, persist):
         """Applies a Persist."""
-        kept = self.recovered
+        stored = self.recovered
         if persist.hard_state:
-            kept.hard_state = persist.hard_state
+            stored.hard_state = persist.hard_state
         if persist.snapshot:
-            kept.snapshot = persist.snapshot
-            kept.entries = []
+            stored.snapshot = persist.snapshot
+            stored.entries = []
         entries = persist.entries
         if entries:
             first_index = entries[0].index
-            kept.entries = [e for e in kept.entries if e.index < first_index]
-            kept.entries += entries
+            stored.entries = [
+                e for e in stored.entries if e.index < first_index
+            ]
+            stored.entries += entries
 
     def read(self):
-        """Returns what a replica finds after a restart."""
-        kept = self.recovered
-        base_index = kept.snapshot.index if kept.snapshot else 0
-        entries = [e for e in kept.entries if e.index > base_index]
+        """Returns what a replica recovers after a restart."""
+        stored = self.recovered
+        base_index = stored.snapshot.index if stored.snapshot else 0
+        entries = [e for e in stored.entries if e.index > base_index]
         assert [e.index for e in entries] == list(
             range(base_index + 1, base_index + 1 + len(entries))
         )
-        return RecoveredState(kept.hard_state, kept.snapshot, entries)
+        return RecoveredState(stored.hard_state, stored.snapshot, entries)
 
 
 class Node:
-    """One VM: disk, clock and at times a running replica."""
-
-    def __init__(self, name, rate, offset_ms):
+    """One VM with a disk, a clock and, unless it has crashed, a replica.
+
+    Attributes:
+        name: Node name.
+        clock_rate: Speed of the node's clock relative to simulated time.
+        offset_ms: Offset of the node's clock.
+        durable: Whether the node keeps its log on the disk.
+        disk: Disk.
+        identity: Identity of the replica, or 0 if the next start draws a
+            new one.
+        replica: Running Replica, or None.
+        epoch: Number of crashes; events from before a crash are dropped.
+        unsynced: Persists that are not durable yet, in order.
+        syncing: Whether an fsync is running.
+        tick_ms: Simulated time of the next Tick, or None.
+        digest: Hash over the applied entries; it stands for the state.
+        applied_index: Index of the last applied entry.
+        paused_until_ms: Simulated time until which the node is paused.
+    """
+
+    def __init__(self, name, clock_rate, offset_ms):
         self.name = name
-        self.rate = rate
+        self.clock_rate = clock_rate
         self.offset_ms = offset_ms
         self.durable = name != DISKLESS
         self.disk = Disk()
@@ -76,11 +97,35 @@
 
     def clock_ms(self, now_ms):
         """Returns the drifting monotonic time of this node."""
-        return int(now_ms * self.rate) + self.offset_ms
+        return int(now_ms * self.clock_rate) + self.offset_ms
 
 
 class Network:
-    """Runs one seeded schedule and checks the invariants."""
+    """Simulates the nodes and the messages and checks the invariants.
+
+    Attributes:
+        random: Source of all random decisions.
+        voters: Names of the nodes that form the cluster.
+        names: Names of all nodes.
+        settings: ReplicaSettings of all replicas.
+        now_ms: Simulated time.
+        queue: Heap of scheduled calls.
+        counter: Number of scheduled calls; orders calls of the same time.
+        loss: Weight of loss and duplication, and probability of a long
+            delay, of a message.
+        blocked: Pairs of sender and recipient names that are disconnected.
+        leaders: Maps term to the replica id of its leader.
+        committed: Maps index to term and payload of the committed entry.
+        digests: Maps index to the state's digest after that entry.
+        acknowledged: Maps index to the number of the proposal that was
+            acknowledged as committed.
+        reads: Maps the number of a read to the highest index acknowledged
+            before the read.
+        lost_replica_ids: Replica ids that have lost their log.
+        steps: Number of steps so far.
+        installs: Number of snapshots installed from a leader.
+        nodes: Maps node name to Node.
+    """
 
     def __init__(self, seed, settings=None):
         self.random = random.Random(seed)
@@ -120,8 +165,8 @@
             for name in self.names
         }
 
-    def at(self, delay_ms, action, *arguments):
-        """Schedules a call."""
+    def call_after(self, delay_ms, action, *arguments):
+        """Schedules a call of ``action`` after a delay."""
         self.counter += 1
         heapq.heappush(
             self.queue,
@@ -136,7 +181,7 @@
         self.now_ms = end_ms
 
     def start(self, node):
-        """Starts the replica from what its disk holds."""
+        """Starts a replica that recovers from the node's disk."""
         if not node.durable or node.identity == 0:
             node.identity = self.counter
             node.disk = Disk()
@@ -160,7 +205,7 @@
         self.schedule_tick(node)
 
     def crash(self, node, lose_disk=False):
-        """Stops the replica; unsynced writes survive in part."""
+        """Stops the replica; a prefix of the unsynced writes may survive."""
         if node.replica is None:
             return
         if self.random.random() < 0.5:
@@ -173,14 +218,18 @@
         node.epoch += 1
 
     def may_lose_disk(self, node):
-        """Returns whether a quorum keeps its data in every known view."""
+        """Returns whether enough voters keep their log if this one is lost.
+
+        That must hold for every set of members in the log of any replica.
+        Returns False while any node is stopped, since its log is not checked.
+        """
         lost = self.lost_replica_ids | {f"{node.name}/{node.identity}"}
         for other in self.nodes.values():
             if other.replica is None:
                 return False
             for _, members in other.replica.log.members_history:
-                gone = len(lost & set(members.voters))
-                if gone > len(members.voters) - members.quorum():
+                lost_count = len(lost & set(members.voters))
+                if lost_count > len(members.voters) - members.quorum():
                     return False
         return True
 
@@ -190,7 +239,9 @@
         self.steps += 1
         if self.now_ms < node.paused_until_ms:
             delay_ms = node.paused_until_ms - self.now_ms
-            self.at(delay_ms, self.step_if_running, node, node.epoch, event)
+            self.call_after(
+                delay_ms, self.step_if_running, node, node.epoch, event
+            )
             return
         out = replica.step(event, node.clock_ms(self.now_ms))
         if out.persist:
@@ -210,17 +261,19 @@
         self.schedule_tick(node)
 
     def step_if_running(self, node, epoch, event):
-        """Runs a step unless the replica has crashed meanwhile."""
+        """Runs a step unless the replica has crashed in the meantime."""
         if node.replica is not None and node.epoch == epoch:
             self.step(node, event)
 
     def schedule_tick(self, node):
         """Schedules the next Tick."""
         due_ms = node.replica.next_deadline_ms() - node.offset_ms
-        due_ms = max(int(due_ms / node.rate) + 1, self.now_ms + 1)
+        due_ms = max(int(due_ms / node.clock_rate) + 1, self.now_ms + 1)
         if node.tick_ms is None or due_ms < node.tick_ms:
             node.tick_ms = due_ms
-            self.at(due_ms - self.now_ms, self.tick, node, node.epoch, due_ms)
+            self.call_after(
+                due_ms - self.now_ms, self.tick, node, node.epoch, due_ms
+            )
 
     def tick(self, node, epoch, due_ms):
         """Fires a timer."""
@@ -229,16 +282,16 @@
             self.step_if_running(node, epoch, Tick())
 
     def start_sync(self, node):
-        """Starts an fsync of all that waits, unless one is running."""
+        """Starts an fsync of all unsynced writes, unless one is running."""
         if node.syncing or not node.unsynced:
             return
         node.syncing = True
         delay_ms = self.random.choice([1, 2, 5, 30, 200])
         batch = list(node.unsynced)
-        self.at(delay_ms, self.finish_sync, node, node.epoch, batch)
+        self.call_after(delay_ms, self.finish_sync, node, node.epoch, batch)
 
     def finish_sync(self, node, epoch, batch):
-        """Ends an fsync."""
+        """Completes an fsync and reports it to the replica."""
         if node.epoch != epoch or node.replica is None:
             return
         for persist in batch:
@@ -249,17 +302,17 @@
         self.step(node, Persisted(batch[-1].sequence))
 
     def transmit(self, node, message):
-        """Delivers a message late, twice or never."""
+        """Sends a message, which may be lost, duplicated or delayed."""
         target = self.nodes[node_of(message.recipient)]
         copies = self.random.choices([0, 1, 2], [self.loss, 1, self.loss])[0]
         for _ in range(copies):
             delay_ms = self.random.choice([1, 2, 3, 8])
             if self.random.random() < self.loss:
                 delay_ms = self.random.randrange(3_000)
-            self.at(delay_ms, self.deliver, node.name, target, message)
+            self.call_after(delay_ms, self.deliver, node.name, target, message)
 
     def deliver(self, sender, target, message):
-        """Hands over a message if both are connected."""
+        """Delivers a message if the two nodes are connected."""
         if target.replica and (sender, target.name) not in self.blocked:
             self.step(target, message)
 
@@ -270,18 +323,18 @@
         assert self.digests[snapshot.index] == snapshot.data
 
     def apply(self, node, entry):
-        """Applies an entry and compares it with the other nodes."""
+        """Applies an entry and checks that all nodes apply the same one."""
         assert entry.index == node.applied_index + 1
         node.applied_index = entry.index
         key = (entry.term, entry.payload)
-        known = self.committed.setdefault(entry.index, key)
-        assert known == key, f"index {entry.index} has two entries"
+        first_key = self.committed.setdefault(entry.index, key)
+        assert first_key == key, f"index {entry.index} has two entries"
         node.digest = hashlib.sha256(node.digest + entry.payload).digest()
         self.digests.setdefault(entry.index, node.digest)
         assert self.digests[entry.index] == node.digest
 
     def handle_reply(self, node, reply):
-        """Records an acknowledgement, or checks a read."""
+        """Records an acknowledged proposal, or checks that a read is fresh."""
         if not isinstance(reply, Outcome):
             if reply.index >= 0:
                 assert reply.index >= self.reads[reply.number], "stale read"
@@ -290,12 +343,14 @@
             self.acknowledged[reply.index] = reply.number
 
     def check_leaders(self, node):
-        """Checks election safety and the lease."""
+        """Checks that a term has one leader and no older lease is in force."""
         replica = node.replica
         if not replica.is_leader():
             return
-        first = self.leaders.setdefault(replica.term, replica.replica_id)
-        assert first == replica.replica_id, f"two leaders in {replica.term}"
+        leader_id = self.leaders.setdefault(replica.term, replica.replica_id)
+        assert leader_id == replica.replica_id, (
+            f"two leaders in {replica.term}"
+        )
         for other in self.nodes.values():
             if other.replica is None or not other.replica.is_leader():
                 continue
@@ -304,8 +359,8 @@
                 until_ms = other.replica.lease_until_ms()
                 assert now_ms >= until_ms, "lease outlives an election"
 
-    def check_end(self):
-        """Checks that nothing acknowledged is missing anywhere."""
+    def check_final_state(self):
+        """Checks that every node has all acknowledged proposals."""
         logs = {}
         last_index = max(self.acknowledged, default=0)
         for node in self.nodes.values():
@@ -315,6 +370,6 @@
                 value = (entry.kind, entry.payload)
                 assert logs.setdefault(key, value) == value
         for index, number in self.acknowledged.items():
-            kind_payload = self.committed[index][1]
+            committed_payload = self.committed[index][1]
             if number != REMOVAL_NUMBER:
-                assert kind_payload == b"%d" % number, f"lost {number}"
+                assert committed_payload == b"%d" % number, f"lost {number}"
--- a/tests/test_replica_rules.py
+++ b/tests/test_replica_rules.py
@@ -1,4 +1,7 @@
-"""Single rules of the consensus core that schedules violate rarely."""
+"""Rules of the consensus core whose violation random schedules rarely show.
+
+Each test drives the replica c/1 of the voters a/1, b/1 and c/1 step by step.
+"""
 
 import random
 
@@ -37,7 +40,10 @@
 
 @pytest.fixture
 def make_replica():
-    """Makes c/1 of three voters and a learner, restarted at START_MS."""
+    """Makes a replica in a group of three voters and a learner.
+
+    It is c/1 by default and has restarted at START_MS.
+    """
 
     def make(term=1, vote="", extra=(), durable=True, replica_id="c/1"):
         voters = [Member(each, True, True) for each in IDS]
@@ -91,7 +97,11 @@
 
 
 def test_vote_is_sent_once_durable_and_kept_over_a_restart(make_replica):
-    """Guards against two votes of one replica in a term."""
+    """A replica that crashed after its vote could vote twice in a term.
+
+    The vote must be sent only after it is durable and must survive a restart,
+    or two candidates could win the same term.
+    """
     replica = make_replica()
     vote = Vote(2, "a/1", "c/1", 1, 1)
     out = replica.step(vote, START_MS + 2_000)
@@ -106,14 +116,20 @@
 
 
 def test_no_vote_right_after_a_restart(make_replica):
-    """Guards a lease that was acknowledged just before a crash."""
+    """A vote right after a restart could break a leader's lease.
+
+    The replica may have acknowledged a heartbeat just before its crash.
+    """
     replica = make_replica()
     out = replica.step(Vote(2, "a/1", "c/1", 9, 1), START_MS + 100)
     assert (out.messages, replica.term) == ([], 1)
 
 
 def test_no_vote_without_a_disk(make_replica):
-    """Guards against the vote of a replica that forgets it."""
+    """A replica without a disk forgets its vote in a restart.
+
+    It could then vote twice in one term.
+    """
     replica = make_replica(durable=False)
     for kind in (PreVote, Vote):
         out = replica.step(kind(2, "a/1", "c/1", 9, 1), START_MS + 5_000)
@@ -121,14 +137,20 @@
 
 
 def test_vote_for_an_earlier_identity_is_not_given(make_replica):
-    """Guards against a new disk that votes for the old one."""
+    """A replica on a new disk does not know the votes of the lost disk.
+
+    If it answered requests to the earlier identity, it could vote twice.
+    """
     replica = make_replica(replica_id="c/2")
     out = replica.step(Vote(2, "a/1", "c/1", 9, 1), START_MS + 5_000)
     assert (out.messages, replica.term) == ([], 1)
 
 
 def test_earlier_term_is_not_committed_by_counting(make_leader):
-    """Guards against committing an entry that can still be replaced."""
+    """An entry of an earlier term on a quorum can still be replaced.
+
+    It may be committed only together with an entry of the current term.
+    """
     leader = make_leader(2, [Entry(2, 2, DATA, b"old")])
     leader.step(Persisted(leader.sequence), leader.now_ms)
     assert not ack(leader, 2).committed
@@ -136,7 +158,11 @@
 
 
 def test_leader_does_not_count_its_unsynced_entry(make_leader):
-    """Guards against a commit that one disk holds."""
+    """An unsynced entry of the leader is lost if the leader crashes.
+
+    If it counted towards the commit, only one follower would have the entry
+    after the crash, and the other could be elected without it.
+    """
     leader = make_leader()
     assert not ack(leader, 2).committed
     out = leader.step(Persisted(leader.sequence), leader.now_ms)
@@ -144,7 +170,10 @@
 
 
 def test_leader_with_a_hanging_disk_refuses_proposals(make_leader):
-    """Guards against writes that pile up in memory."""
+    """Guards against a backlog of writes that grows without bound.
+
+    Followers commit the entries while the leader's disk hangs.
+    """
     leader = make_leader()
     leader.settings.max_pending_entries = 3
     outcomes = []
@@ -161,7 +190,10 @@
 
 
 def test_one_change_of_members_at_a_time(make_leader):
-    """Guards against two changes whose quorums do not overlap."""
+    """Two pending changes of members could have disjoint quorums.
+
+    Each quorum could then commit its own entries.
+    """
     leader = make_leader()
     ack(leader, 1)
     out = leader.step(RemoveReplica(1, "b/1"), leader.now_ms)
@@ -175,9 +207,12 @@
 
 
 def test_replacement_is_promoted_before_a_voter_is_removed(make_leader):
-    """Guards against a log that one more lost disk stops for good."""
+    """If the silent voter went first, one more lost disk would stop the log.
+
+    The two remaining voters must both acknowledge the removal.
+    """
     leader = make_leader()
-    seen = []
+    voter_sets = []
     for now_ms in range(leader.now_ms, leader.now_ms + 70_000, 200):
         leader.step(Tick(), now_ms)
         leader.step(Persisted(leader.sequence), now_ms)
@@ -188,9 +223,9 @@
             )
             leader.step(reply, now_ms)
         voters = leader.members().voters
-        if voters not in seen:
-            seen.append(voters)
-    assert seen == [
+        if voters not in voter_sets:
+            voter_sets.append(voters)
+    assert voter_sets == [
         ["a/1", "b/1", "c/1"],
         ["a/1", "b/1", "c/1", "s/1"],
         ["a/1", "c/1", "s/1"],
@@ -198,15 +233,18 @@
 
 
 def test_late_sync_does_not_cover_replaced_entries(make_replica):
-    """Guards against acknowledging entries that are not yet synced."""
+    """The sync of replaced entries must not acknowledge their replacements.
+
+    A new leader replaces entries while their fsync is still running.
+    """
     replica = make_replica()
     now_ms = START_MS + 10
     old = [Entry(index, 1, DATA, b"old") for index in (2, 3)]
     replica.step(append(1, "a/1", (1, 1), old), now_ms)
-    first = replica.sequence
+    first_sequence = replica.sequence
     new = [Entry(index, 2, DATA, b"new") for index in (2, 3)]
     replica.step(append(2, "b/1", (1, 1), new), now_ms)
-    out = replica.step(Persisted(first), now_ms)
+    out = replica.step(Persisted(first_sequence), now_ms)
     assert replica.log.durable_index == 1
     assert all(reply.match_index <= 1 for reply in out.messages)
     out = replica.step(Persisted(replica.sequence), now_ms)
@@ -214,7 +252,10 @@
 
 
 def test_isolated_replica_does_not_raise_its_term(make_replica):
-    """Guards against a returning replica that ends a working term."""
+    """A returning replica with a higher term would depose a working leader.
+
+    Without pre-votes, an isolated replica raises its term at each timeout.
+    """
     replica = make_replica()
     for second in range(5, 60):
         replica.step(Tick(), START_MS + second * 1_000)
@@ -222,21 +263,27 @@
 
 
 def test_leader_hands_over_to_the_voter_with_the_longest_log(make_leader):
-    """A planned stop must not cost the wait for an election."""
+    """Without a successor, a planned stop costs an election timeout.
+
+    A successor with a shorter log than another voter could lose the election.
+    """
     leader = make_leader()
     ack(leader, 2)
     out = leader.step(Resign(), leader.now_ms)
-    (asked,) = [m for m in out.messages if isinstance(m, HandOver)]
-    assert (asked.recipient, asked.term) == ("a/1", leader.term)
+    (hand_over,) = [m for m in out.messages if isinstance(m, HandOver)]
+    assert (hand_over.recipient, hand_over.term) == ("a/1", leader.term)
     assert not leader.is_leader()
 
 
 def test_voter_gives_a_handed_over_vote_at_once(make_replica):
-    """The promise to a leader ends when it gives up its lease."""
+    """A voter that waited for the end of a lease would delay a hand-over.
+
+    The former leader has given up its lease, so the vote breaks none.
+    """
     replica = make_replica()
     replica.step(Append(1, "a/1", "c/1", 1, 1, [], 1, 1, 1), START_MS + 5_000)
-    bound = replica.step(Vote(2, "b/1", "c/1", 1, 1), START_MS + 5_010)
-    assert not bound.messages
+    refused = replica.step(Vote(2, "b/1", "c/1", 1, 1), START_MS + 5_010)
+    assert not refused.messages
     vote = Vote(2, "b/1", "c/1", 1, 1, True)
     replica.step(vote, START_MS + 5_020)
     out = replica.step(Persisted(replica.sequence), START_MS + 5_021)
@@ -244,7 +291,7 @@
 
 
 def test_follower_that_is_asked_starts_an_election(make_replica):
-    """The successor must not wait for its own timeout."""
+    """A successor that waited for its own timeout would delay a hand-over."""
     replica = make_replica()
     replica.step(Append(1, "a/1", "c/1", 1, 1, [], 1, 1, 1), START_MS + 5_000)
     replica.step(HandOver(1, "a/1", "c/1"), START_MS + 5_010)
@@ -255,7 +302,7 @@
 
 
 def test_late_hand_over_of_a_former_term_changes_nothing(make_replica):
-    """A delayed request must not disturb a later leader."""
+    """A delayed HandOver of an earlier term would depose a later leader."""
     replica = make_replica(term=3)
     out = replica.step(HandOver(2, "a/1", "c/1"), START_MS + 5_000)
     assert (out.messages, replica.term) == ([], 3)
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -1,6 +1,6 @@
-"""Seeded schedules of the consensus core with injected failures.
+"""Random schedules of requests and failures against the consensus core.
 
-A long run of 20,000 schedules from seed 1,000 on:
+A longer run, of 20,000 schedules from seed 1,000 on:
 
     WIGEONPORT_FIRST_SEED=1000 WIGEONPORT_SCHEDULES=20000 \
         python -m pytest tests/test_replicas.py -s
@@ -10,12 +10,16 @@
 
 from failure_schedules import Schedule
 
-# About 0.1 s each; CI runs all of its tests on every change.
+# A schedule takes about 0.1 s, and CI runs all tests on every change.
 CI_SCHEDULES = 60
 
 
 def test_schedules_keep_every_acknowledged_proposal(capsys):
-    """Guards against two leaders in a term, diverging logs and lost acks."""
+    """Guards against two leaders in a term, diverging logs and lost proposals.
+
+    They come about when crashes, lost disks, partitions, pauses and message
+    loss meet elections, snapshots and changes of members.
+    """
     first_seed = int(os.environ.get("WIGEONPORT_FIRST_SEED", 0))
     count = int(os.environ.get("WIGEONPORT_SCHEDULES", CI_SCHEDULES))
     acknowledged = installs = losses = terms = 0
--- a/wigeonport/appends.py
+++ b/wigeonport/appends.py
@@ -96,13 +96,15 @@
     if progress.mode == PROBE:
         if not progress.probe_sent and progress.next_index <= log.last_index():
             progress.probe_sent = True
-            _send(replica, replica_id, progress, _batch(replica, progress))
+            _send_append(
+                replica, replica_id, progress, _batch(replica, progress)
+            )
         return
     while progress.next_index <= log.last_index():
         batch = _batch(replica, progress)
         if not batch:
             return
-        _send(replica, replica_id, progress, batch)
+        _send_append(replica, replica_id, progress, batch)
         progress.next_index += len(batch)
 
 
@@ -118,7 +120,7 @@
     )
 
 
-def _send(replica, replica_id, progress, entries):
+def _send_append(replica, replica_id, progress, entries):
     prev_index = progress.next_index - 1
     prev_term = replica.log.term_at(prev_index)
     if progress.mode == SNAPSHOT or prev_term is None:
@@ -167,7 +169,7 @@
         if due:
             _send_heartbeat(replica, replica_id, progress)
         elif notice_due and progress.sent_commit_index < replica.commit_index:
-            _send(replica, replica_id, progress, [])
+            _send_append(replica, replica_id, progress, [])
 
 
 def start_heartbeat_round(replica):
@@ -180,14 +182,14 @@
 def _send_heartbeat(replica, replica_id, progress):
     """Sends one heartbeat, with the entries that the peer lacks, if any."""
     if progress.mode == SNAPSHOT:
-        _send(replica, replica_id, progress, [])
+        _send_append(replica, replica_id, progress, [])
         snapshot_transfers.resend(replica, replica_id, progress)
         return
     progress.probe_sent = False
     sent_count = len(replica.out.messages)
     send_entries(replica, replica_id, progress)
     if len(replica.out.messages) == sent_count:
-        _send(replica, replica_id, progress, [])
+        _send_append(replica, replica_id, progress, [])
 
 
 def advance_commit(replica):
--- a/wigeonport/memberships.py
+++ b/wigeonport/memberships.py
@@ -103,7 +103,7 @@
     )
 
 
-def change(replica, members):
+def append_change(replica, members):
     """Appends a change of members; requires that may_change is true."""
     replica.append_as_leader(MEMBERS, members.to_payload())
 
@@ -111,10 +111,10 @@
 def _has_responsive_quorum(replica, members):
     """Returns whether a quorum of ``members`` replied recently.
 
-    A change that needs the vote of a silent voter to commit would stop the
-    log. The send time of the acknowledged Append counts, not the arrival
-    of the reply: a leader that was paused receives outdated replies when
-    it resumes.
+    A change that only silent voters could commit would stop the log. The
+    send time of the acknowledged Append counts, not the arrival of the
+    reply: a leader that was paused receives outdated replies when it
+    resumes.
     """
     oldest_sent_ms = replica.now_ms - 2 * replica.settings.learner_heartbeat_ms
     responsive = [
@@ -141,7 +141,7 @@
             Outcome(event.number, REFUSED, "cannot change members now", 0)
         )
         return
-    change(replica, members.without(event.replica_id))
+    append_change(replica, members.without(event.replica_id))
     replica.proposals[replica.log.last_index()] = event.number
     replica.broadcast()
 
@@ -166,7 +166,7 @@
     if node == replica.node or _node_is_active(replica, node):
         return
     learner = Member(message.sender, False, message.durable)
-    change(replica, members.with_member(learner))
+    append_change(replica, members.with_member(learner))
     replica.broadcast()
 
 
@@ -256,7 +256,7 @@
     if next_members is not None and _has_responsive_quorum(
         replica, next_members
     ):
-        change(replica, next_members)
+        append_change(replica, next_members)
 
 
 def _next_members(replica, members):
--- a/wigeonport/replicas.py
+++ b/wigeonport/replicas.py
@@ -322,16 +322,16 @@
     def next_deadline_ms(self):
         """Returns the time of the next Tick in ms."""
         if self.is_leader():
-            due = min(
+            due_ms = min(
                 self.next_voter_heartbeat_ms, self.next_learner_heartbeat_ms
             )
             if self.commit_notice_due_ms is not None:
-                due = min(due, self.commit_notice_due_ms)
-            return due
-        due = self.join_due_ms
+                due_ms = min(due_ms, self.commit_notice_due_ms)
+            return due_ms
+        due_ms = self.join_due_ms
         if elections.may_campaign(self):
-            due = min(due, self.election_deadline_ms)
-        return due
+            due_ms = min(due_ms, self.election_deadline_ms)
+        return due_ms
 
     def set_hard_state(self, term, vote):
         """Changes term and vote and adds them to the current Persist."""
