--- a/tests/test_batch_controllers.py
+++ b/tests/test_batch_controllers.py
@@ -408,7 +408,8 @@
         answer = await harness.ask(lambda reply: RoutesStated(table, reply))
         assert answer.ok is True
         assert (
-            harness.consensus.largest_payload < ReplicaSettings().payload_bytes
+            harness.consensus.largest_payload
+            < ReplicaSettings().max_payload_bytes
         )
 
     run_controller(check)
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -1,6 +1,6 @@
-"""Seeded schedules of the consensus core with injected failures.
+"""Random schedules of requests and failures against the consensus core.
 
-A long run of 20,000 schedules from seed 1,000 on:
+A longer run, of 20,000 schedules from seed 1,000 on:
 
     WIGEONPORT_FIRST_SEED=1000 WIGEONPORT_SCHEDULES=20000 \
         python -m pytest tests/test_replicas.py -s
@@ -10,28 +10,32 @@
 
 from failure_schedules import Schedule
 
-# About 0.1 s each; CI runs all of its tests on every change.
+# A schedule takes about 0.1 s, and CI runs all tests on every change.
 CI_SCHEDULES = 60
 
 
 def test_schedules_keep_every_acknowledged_proposal(capsys):
-    """Guards against two leaders in a term, diverging logs and lost acks."""
+    """Guards against two leaders in a term, diverging logs and lost proposals.
+
+    They come about when crashes, lost disks, partitions, pauses and message
+    loss meet elections, snapshots and changes of members.
+    """
     first_seed = int(os.environ.get("WIGEONPORT_FIRST_SEED", 0))
     count = int(os.environ.get("WIGEONPORT_SCHEDULES", CI_SCHEDULES))
-    acked = installs = losses = terms = 0
+    acknowledged = installs = losses = terms = 0
     for seed in range(first_seed, first_seed + count):
         try:
             network = Schedule(seed).run()
         except Exception as error:
             raise AssertionError(f"schedule with seed {seed}") from error
-        acked += len(network.acked)
+        acknowledged += len(network.acknowledged)
         installs += network.installs
-        losses += len(network.lost_ids)
+        losses += len(network.lost_replica_ids)
         terms += len(network.leaders)
     with capsys.disabled():
         print(
-            f"\n{count} schedules: {acked} acknowledged proposals, "
+            f"\n{count} schedules: {acknowledged} acknowledged proposals, "
             f"{terms} terms, {installs} snapshots installed, "
             f"{losses} logs lost"
         )
-    assert min(acked, installs, losses, terms) >= count // 2
+    assert min(acknowledged, installs, losses, terms) >= count // 2
--- a/wigeonport/replica_logs.py
+++ b/wigeonport/replica_logs.py
@@ -5,15 +5,16 @@
 
 
 class ReplicaLog:
-    """Entries after a compacted prefix.
+    """Entries of the log after a compacted prefix.
 
     Attributes:
-        base_index: Last index that is not held any more.
+        base_index: Last index of the compacted prefix, 0 without one.
         base_term: Term of the entry at ``base_index``.
         entries: Entries from ``base_index + 1`` on.
-        durable_index: Highest index known to be synced.
-        history: Pairs of index and Members, oldest first; the first
-            pair holds the members as of ``base_index`` or earlier.
+        durable_index: Highest index known to be synced to disk.
+        members_history: Pairs of index and Members, oldest first. The first
+            pair has the members as of ``base_index``; each later one has
+            the index of a change of members.
     """
 
     __slots__ = (
@@ -21,14 +22,14 @@
         "base_term",
         "entries",
         "durable_index",
-        "history",
+        "members_history",
     )
 
     def __init__(self, base_index, base_term, members, entries):
         self.base_index = base_index
         self.base_term = base_term
         self.entries = []
-        self.history = [(base_index, members)]
+        self.members_history = [(base_index, members)]
         for entry in entries:
             self.append(entry)
         self.durable_index = self.last_index()
@@ -42,7 +43,7 @@
         return self.entries[-1].term if self.entries else self.base_term
 
     def term_at(self, index):
-        """Returns the term at an index, or None if it is not held."""
+        """Returns the term of an index, or None if it is not in memory."""
         if index == self.base_index:
             return self.base_term
         if self.base_index < index <= self.last_index():
@@ -54,22 +55,29 @@
         self.entries.append(entry)
         if entry.kind == MEMBERS:
             members = Members.from_payload(entry.payload)
-            self.history.append((entry.index, members))
+            self.members_history.append((entry.index, members))
 
     def truncate_from(self, index):
         """Removes the entries from ``index`` on."""
         del self.entries[index - self.base_index - 1 :]
-        while len(self.history) > 1 and self.history[-1][0] >= index:
-            self.history.pop()
+        while (
+            len(self.members_history) > 1
+            and self.members_history[-1][0] >= index
+        ):
+            self.members_history.pop()
         self.durable_index = min(self.durable_index, index - 1)
 
-    def between(self, first_index, last_index):
-        """Returns the entries of a range, both ends included."""
+    def entries_between(self, first_index, last_index):
+        """Returns the entries of a range of indexes, both ends included."""
         start = first_index - self.base_index - 1
         return self.entries[start : last_index - self.base_index]
 
     def batch(self, first_index, last_index, limit_bytes):
-        """Returns entries from ``first_index`` up to a size in bytes."""
+        """Returns entries of a range of indexes, up to a size in bytes.
+
+        The first entry is returned even if it is larger than
+        ``limit_bytes``. Each entry counts 64 bytes for its other fields.
+        """
         batch = []
         size_bytes = 0
         start = first_index - self.base_index - 1
@@ -83,7 +91,7 @@
         return batch
 
     def first_index_of_term(self, index):
-        """Returns the first held index with the same term as ``index``."""
+        """Returns the first index in memory with the term of ``index``."""
         term = self.term_at(index)
         while index - 1 > self.base_index and self.term_at(index - 1) == term:
             index -= 1
@@ -91,22 +99,22 @@
 
     def members(self):
         """Returns the newest members, committed or not."""
-        return self.history[-1][1]
+        return self.members_history[-1][1]
 
     def members_index(self):
         """Returns the index of the newest change of members."""
-        return self.history[-1][0]
+        return self.members_history[-1][0]
 
     def members_at(self, index):
         """Returns the members as of an index."""
-        found = self.history[0][1]
-        for position, members in self.history:
-            if position <= index:
-                found = members
-        return found
+        newest = self.members_history[0][1]
+        for change_index, members in self.members_history:
+            if change_index <= index:
+                newest = members
+        return newest
 
     def compact_to(self, index):
-        """Drops the entries up to ``index``."""
+        """Removes the entries up to ``index`` from memory."""
         if index <= self.base_index:
             return
         members = self.members_at(index)
@@ -114,15 +122,17 @@
         del self.entries[: index - self.base_index]
         self.base_index = index
         self.base_term = term
-        later = [pair for pair in self.history if pair[0] > index]
-        # The index of the newest change must survive, because a pending
-        # change is recognized by it; a compacted one is committed.
-        self.history = [(index, members), *later]
+        step_if_running = [
+            pair for pair in self.members_history if pair[0] > index
+        ]
+        # Later changes keep their index, by which an uncommitted change is
+        # recognized; a compacted change is committed.
+        self.members_history = [(index, members), *step_if_running]
 
     def reset(self, snapshot):
-        """Replaces everything by the position of a snapshot."""
+        """Empties the log, which then continues after a snapshot."""
         self.base_index = snapshot.index
         self.base_term = snapshot.term
         self.entries = []
-        self.history = [(snapshot.index, snapshot.members)]
+        self.members_history = [(snapshot.index, snapshot.members)]
         self.durable_index = 0
