Wrap a docstring line that a rename made too long

Cause: a rename of another part lengthened the line past 79 columns. Change: the line is wrapped, its words stay.

--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -44,8 +44,8 @@
         term: Term of the leader, the fencing token of its orders.
         since_ms: Monotonic time at which the term began at this replica.
         workers: WorkerTable.
-        heartbeat_interval_ms: Interval between the heartbeats of a worker that has
-            no event to report.
+        heartbeat_interval_ms: Interval between the heartbeats of a worker
+            that has no event to report.
         active: Maps job id to BatchJob, for jobs whose tasks may be started.
         operations: Operations since the last ``take_operations``.
         orphans_until_ms: Monotonic time until which runs may be live on
