Rename Applied to EntryApplied, Installed to SnapshotInstalled

Cause: Applied and Installed did not say what was applied or installed Change: Applied to EntryApplied, Installed to SnapshotInstalled; 20 uses in 6 files, by token.

--- a/tests/test_histories.py
+++ b/tests/test_histories.py
@@ -5,7 +5,7 @@
 
 from wigeonport.channels import Mailbox
 from wigeonport.clocks import LamportCounter
-from wigeonport.consensus_requests import Applied, LeadershipNotice
+from wigeonport.consensus_requests import EntryApplied, LeadershipNotice
 from wigeonport.endpoints import EndpointChanged, EndpointLost, EndpointRecord
 from wigeonport.events import EventLog
 from wigeonport.histories import record_history
@@ -55,7 +55,7 @@
 
 def test_committed_patches_and_leaders_are_recorded(record):
     """Guards against a time line without the cause of a new version."""
-    applied = Applied(7, 2, SubmitPatch("{}"), PatchAccepted("p1", 3))
+    applied = EntryApplied(7, 2, SubmitPatch("{}"), PatchAccepted("p1", 3))
     (kind, fields), (change, leader) = record(
         applied, LeadershipNotice(2, "a/1")
     )
--- a/wigeonport/consensus.py
+++ b/wigeonport/consensus.py
@@ -17,11 +17,11 @@
 from wigeonport.codecs import codecs
 from wigeonport.consensus_calls import Calls
 from wigeonport.consensus_requests import (
-    Applied,
-    Installed,
+    EntryApplied,
     LeadershipNotice,
     LoggedCommand,
     ProposalAnswer,
+    SnapshotInstalled,
 )
 from wigeonport.consensus_writers import write_journal, write_snapshots
 from wigeonport.logs import PartLogger
@@ -296,7 +296,7 @@
             reply.outcome = UNKNOWN
             self.settle(reply)
         self.decided.clear()
-        self.notify(Installed(snapshot.index))
+        self.notify(SnapshotInstalled(snapshot.index))
         self.calls.applied(snapshot.index, self.state)
 
     def apply(self, entry):
@@ -310,7 +310,7 @@
             StateEntry(entry.index, logged.time_ms, command)
         )
         if not isinstance(command, self.quiet):
-            self.notify(Applied(entry.index, entry.term, command, answer))
+            self.notify(EntryApplied(entry.index, entry.term, command, answer))
         return answer
 
     def notify(self, notice):
--- a/wigeonport/consensus_requests.py
+++ b/wigeonport/consensus_requests.py
@@ -153,7 +153,7 @@
         self.members = [by_id[key] for key in sorted(by_id)]
 
 
-class Applied:
+class EntryApplied:
     """Tells observers that an entry was applied.
 
     Attributes:
@@ -172,7 +172,7 @@
         self.answer = answer
 
 
-class Installed:
+class SnapshotInstalled:
     """Tells observers that a snapshot replaced the state."""
 
     __slots__ = ("index",)
--- a/wigeonport/histories.py
+++ b/wigeonport/histories.py
@@ -1,9 +1,9 @@
 """Histories: record what a process learns as its events."""
 
 from wigeonport.consensus_requests import (
-    Applied,
-    Installed,
+    EntryApplied,
     LeadershipNotice,
+    SnapshotInstalled,
 )
 from wigeonport.endpoints import EndpointChanged, EndpointLost
 from wigeonport.registries import Registry
@@ -23,13 +23,13 @@
     events.record("leader.changed", term=notice.term, leader=notice.leader_id)
 
 
-@records(Installed)
+@records(SnapshotInstalled)
 def record_install(events, notice):
     """Records that a snapshot replaced the state."""
     events.record("snapshot.installed", index=notice.index)
 
 
-@records(Applied)
+@records(EntryApplied)
 def record_applied(events, notice):
     """Records a committed command and what became of it."""
     answer = notice.answer
--- a/wigeonport/plan_drivers.py
+++ b/wigeonport/plan_drivers.py
@@ -3,11 +3,11 @@
 from wigeonport.availabilities import is_available, is_reported_alive
 from wigeonport.channels import Reply, ask
 from wigeonport.consensus_requests import (
-    Applied,
-    Installed,
+    EntryApplied,
     LeadershipNotice,
     Proposal,
     Read,
+    SnapshotInstalled,
 )
 from wigeonport.consensus_requests import StatusRequest as ReplicaStatusRequest
 from wigeonport.demands import DemandReport, DemandTable
@@ -119,11 +119,11 @@
             message.reply.send(self.find_vm_health())
         elif isinstance(message, Delivery):
             self.add_demand_report(message.message)
-        elif isinstance(message, Installed):
+        elif isinstance(message, SnapshotInstalled):
             self.fleet_outdated = True
         elif isinstance(message, LeadershipNotice):
             await self.tick()
-        elif isinstance(message, Applied):
+        elif isinstance(message, EntryApplied):
             await self.handle_applied(message)
         else:
             await self.step(message)
--- a/wigeonport/version_watchers.py
+++ b/wigeonport/version_watchers.py
@@ -3,7 +3,7 @@
 import json
 
 from wigeonport.channels import ask
-from wigeonport.consensus_requests import Applied, Installed, Read
+from wigeonport.consensus_requests import EntryApplied, Read, SnapshotInstalled
 from wigeonport.publishers import VersionAccepted
 from wigeonport.state_answers import PatchAccepted
 
@@ -19,9 +19,9 @@
 
 def changes_version(notice):
     """Returns whether a notice of the consensus task may bring a version."""
-    if isinstance(notice, Installed):
+    if isinstance(notice, SnapshotInstalled):
         return True
-    return isinstance(notice, Applied) and isinstance(
+    return isinstance(notice, EntryApplied) and isinstance(
         notice.answer, PatchAccepted
     )
 
