--- a/wigeonport/batch_programs.py
+++ b/wigeonport/batch_programs.py
@@ -85,7 +85,7 @@
         random_source=random.Random(),
         snapshot_entries=settings.snapshot_entries,
         # Batches are as frequent as task starts, and no observer needs them.
-        quiet=(RecordBatch,),
+        unobserved_commands=(RecordBatch,),
     )
 
 
--- a/wigeonport/consensus.py
+++ b/wigeonport/consensus.py
@@ -77,7 +77,7 @@
             is being written.
         snapshotting: Whether the snapshot filter is busy.
         snapshot_entries: Entries between two snapshots.
-        quiet: Classes of commands that observers are not told about.
+        unobserved_commands: Classes of commands that observers are not told about.
         leadership: Pair of term and leader id at the last round.
         applied_index: Index of the last entry applied to the state.
         unapplied: Committed entries that are not applied yet.
@@ -105,7 +105,7 @@
         "snapshot_index",
         "snapshotting",
         "snapshot_entries",
-        "quiet",
+        "unobserved_commands",
         "leadership",
         "applied_index",
         "unapplied",
@@ -126,7 +126,7 @@
         settings=None,
         random_source=None,
         snapshot_entries=SNAPSHOT_ENTRIES,
-        quiet=(),
+        unobserved_commands=(),
     ):
         self.replica = Replica(
             opened.replica_id,
@@ -155,7 +155,7 @@
         self.snapshot_index = 0
         self.snapshotting = False
         self.snapshot_entries = snapshot_entries
-        self.quiet = quiet
+        self.unobserved_commands = unobserved_commands
         self.leadership = (0, "")
         self.applied_index = 0
         self.unapplied = collections.deque()
@@ -309,7 +309,7 @@
         answer = self.state.apply(
             StateEntry(entry.index, logged.time_ms, command)
         )
-        if not isinstance(command, self.quiet):
+        if not isinstance(command, self.unobserved_commands):
             self.notify(EntryApplied(entry.index, entry.term, command, answer))
         return answer
 
--- a/wigeonport/control_main.py
+++ b/wigeonport/control_main.py
@@ -181,7 +181,7 @@
         random_source=random.Random(),
         snapshot_entries=settings.snapshot_entries,
         # Claims come at the rate of the requests and no observer needs them.
-        quiet=CLAIM_COMMANDS,
+        unobserved_commands=CLAIM_COMMANDS,
     )
 
 
