--- a/tests/test_quorum_recoveries.py
+++ b/tests/test_quorum_recoveries.py
@@ -10,7 +10,7 @@
 from wigeonport.probes import ReplicaReport
 from wigeonport.quorum_recoveries import (
     find_objections,
-    give_up_quorum,
+    make_sole_voter,
     open_survivor,
 )
 from wigeonport.settings import settings_from_document
@@ -109,7 +109,7 @@
         found = open_survivor(make_settings(tmp_path / leader, leader)).ok
         assert found.last_index >= max(acked)
         assert len(found.describe()) == 4
-        give_up_quorum(found)
+        make_sole_voter(found)
         found.opened.journal.close()
         await group.start(leader)
         assert await group.leader() == leader
--- a/wigeonport/commands/recovery.py
+++ b/wigeonport/commands/recovery.py
@@ -10,9 +10,9 @@
 )
 from wigeonport.credentials import load_keys
 from wigeonport.quorum_recoveries import (
+    collect_reports,
     find_objections,
-    find_reports,
-    give_up_quorum,
+    make_sole_voter,
     open_survivor,
 )
 from wigeonport.settings import load_settings
@@ -50,7 +50,7 @@
 
     def decide(self, settings, keys, survivor):
         """Checks the other controls, then recovers if that is accepted."""
-        reports = find_reports(settings, keys)
+        reports = collect_reports(settings, keys)
         objections = find_objections(survivor, reports)
         if objections:
             return self.refuse(objections)
@@ -58,7 +58,7 @@
             self.print(line)
         if not self.option("accept-loss"):
             return self.refuse(["nothing was changed; use --accept-loss"])
-        give_up_quorum(survivor)
+        make_sole_voter(survivor)
         self.print("recovered; start the control, then the others")
         return EXIT_DONE
 
--- a/wigeonport/quorum_recoveries.py
+++ b/wigeonport/quorum_recoveries.py
@@ -144,7 +144,7 @@
     return objections
 
 
-def give_up_quorum(survivor):
+def make_sole_voter(survivor):
     """Appends the member list that names only the survivor."""
     term = survivor.term + 1
     alone = Members([Member(survivor.replica_id, True, True)])
@@ -156,6 +156,6 @@
     survivor.opened.journal.write([persist])
 
 
-def find_reports(settings, keys):
+def collect_reports(settings, keys):
     """Returns the ReplicaReports of the other controls."""
     return trio.run(probe_peers, settings, keys)
