--- a/tests/consensus_groups.py
+++ b/tests/consensus_groups.py
@@ -37,7 +37,7 @@
     async def start(self, node, durable=True):
         """Starts a node from its data directory."""
         directory = self.directory / node
-        opened = (
+        storage = (
             open_directory(directory, "test", node)
             if durable
             else open_memory("test", node)
@@ -50,7 +50,7 @@
         settings.lease_ms, settings.heartbeat_ms = 200, 50
         settings.learner_heartbeat_ms = 100
         consensus = Consensus(
-            opened,
+            storage,
             directory,
             SEEDS,
             ReplicatedState(),
--- a/tests/test_journals.py
+++ b/tests/test_journals.py
@@ -36,9 +36,9 @@
     return made
 
 
-def pairs(opened):
+def pairs(storage):
     """Returns the recovered (index, term) pairs."""
-    return [(e.index, e.term) for e in opened.recovered.entries]
+    return [(e.index, e.term) for e in storage.recovered.entries]
 
 
 @pytest.fixture
@@ -55,18 +55,18 @@
 
 def reopen(path, node="a"):
     """Opens a directory and closes its files again."""
-    opened = open_directory(path, "test", node)
-    opened.journal.close()
-    return opened
+    storage = open_directory(path, "test", node)
+    storage.journal.close()
+    return storage
 
 
 def test_reopening_returns_what_was_synced(directory):
     """Guards against losing entries, term or vote in a restart."""
     for _ in range(3):
-        opened = reopen(directory)
-        assert pairs(opened) == [(1, 1), (2, 1), (3, 1)]
-        assert opened.recovered.hard_state.vote == "b/1"
-        assert not opened.damage
+        storage = reopen(directory)
+        assert pairs(storage) == [(1, 1), (2, 1), (3, 1)]
+        assert storage.recovered.hard_state.vote == "b/1"
+        assert not storage.damage
 
 
 def test_write_cut_off_at_each_byte_is_dropped(directory, tmp_path):
@@ -78,11 +78,11 @@
         copy = tmp_path / f"copy{size}"
         shutil.copytree(directory, copy)
         (copy / segment.name).write_bytes(data[:size])
-        opened = open_directory(copy, "test", "a")
-        assert not opened.damage, f"cut at byte {size}"
-        assert pairs(opened) == [(1, 1), (2, 1)]
-        opened.journal.write([persist([(3, 2)])])
-        opened.journal.close()
+        storage = open_directory(copy, "test", "a")
+        assert not storage.damage, f"cut at byte {size}"
+        assert pairs(storage) == [(1, 1), (2, 1)]
+        storage.journal.write([persist([(3, 2)])])
+        storage.journal.close()
         assert pairs(reopen(copy)) == [(1, 1), (2, 1), (3, 2)]
 
 
@@ -97,11 +97,11 @@
         damaged = bytearray(data)
         damaged[position] ^= 0x10
         (copy / segment.name).write_bytes(damaged)
-        opened = reopen(copy)
-        assert opened.damage, f"bit flipped at byte {position}"
-        assert opened.replica_id != before.replica_id
-        assert pairs(opened) == []
-        assert opened.recovered.hard_state.term == 0
+        storage = reopen(copy)
+        assert storage.damage, f"bit flipped at byte {position}"
+        assert storage.replica_id != before.replica_id
+        assert pairs(storage) == []
+        assert storage.recovered.hard_state.term == 0
         assert (copy / "damaged" / segment.name).exists()
 
 
@@ -153,31 +153,31 @@
     """Guards against a partly lost directory that still votes."""
     before = reopen(directory)
     damage(directory)
-    opened = reopen(directory)
-    assert opened.damage
-    assert opened.durable
-    assert opened.replica_id != before.replica_id
-    assert (pairs(opened), opened.recovered.snapshot) == ([], None)
-    assert reopen(directory).replica_id == opened.replica_id
+    storage = reopen(directory)
+    assert storage.damage
+    assert storage.durable
+    assert storage.replica_id != before.replica_id
+    assert (pairs(storage), storage.recovered.snapshot) == ([], None)
+    assert reopen(directory).replica_id == storage.replica_id
 
 
 def test_swapped_directory_is_left_alone_without_a_vote(directory):
     """Guards against one disk that counts as two voters."""
     before = reopen(directory)
     files = {path: path.read_bytes() for path in directory.iterdir()}
-    opened = reopen(directory, "b")
-    assert not opened.durable
-    assert opened.replica_id.startswith("b/")
+    storage = reopen(directory, "b")
+    assert not storage.durable
+    assert storage.replica_id.startswith("b/")
     assert files == {p: p.read_bytes() for p in directory.iterdir()}
     assert reopen(directory).replica_id == before.replica_id
 
 
 def test_directory_in_use_is_refused(directory):
     """Guards against two processes that write one journal."""
-    opened = open_directory(directory, "test", "a")
+    storage = open_directory(directory, "test", "a")
     with pytest.raises(BlockingIOError):
         open_directory(directory, "test", "a")
-    opened.journal.close()
+    storage.journal.close()
 
 
 def test_newer_format_is_refused_and_kept(directory):
@@ -193,7 +193,7 @@
 @pytest.mark.parametrize("name", ["write_all", "sync_file"])
 def test_failed_write_is_never_retried(directory, monkeypatch, name):
     """Guards against a second sync that reports success falsely."""
-    opened = open_directory(directory, "test", "a")
+    storage = open_directory(directory, "test", "a")
     calls = []
 
     def fail(*arguments):
@@ -203,18 +203,18 @@
     monkeypatch.setattr(durable_files, name, fail)
     for _ in range(2):
         with pytest.raises(JournalError):
-            opened.journal.write([persist([(4, 1)])])
+            storage.journal.write([persist([(4, 1)])])
     assert len(calls) == 1
-    opened.journal.close()
+    storage.journal.close()
 
 
 def test_snapshot_without_its_segment_drops_a_log_that_conflicts(directory):
     """Guards a crash between a received snapshot and the new segment."""
     write_snapshot(directory, Snapshot(2, 9, MEMBERS, b"state"))
-    opened = open_directory(directory, "test", "a")
-    assert pairs(opened) == []
-    opened.journal.write([persist([(3, 9)])])
-    opened.journal.close()
+    storage = open_directory(directory, "test", "a")
+    assert pairs(storage) == []
+    storage.journal.write([persist([(3, 9)])])
+    storage.journal.close()
     assert pairs(reopen(directory)) == [(3, 9)]
 
 
@@ -259,21 +259,21 @@
     source = random.Random(seed)
     model = Model()
     path = tmp_path / "data"
-    opened = open_directory(path, "test", "a")
+    storage = open_directory(path, "test", "a")
     for _ in range(60):
         made = model.random_persist(source)
         if made is None:
             write_snapshot(path, Snapshot(*model.base, MEMBERS, b"state"))
             made = persist(compact_index=model.base[0])
-        opened.journal.write([made])
+        storage.journal.write([made])
         if source.random() < 0.2:
-            opened.journal.close()
-            opened = open_directory(path, "test", "a")
-            assert not opened.damage
-            assert pairs(opened) == model.entries
-            assert opened.recovered.hard_state.term == model.hard_state.term
+            storage.journal.close()
+            storage = open_directory(path, "test", "a")
+            assert not storage.damage
+            assert pairs(storage) == model.entries
+            assert storage.recovered.hard_state.term == model.hard_state.term
     assert len(list(path.glob("snapshot-*"))) <= 1
-    opened.journal.close()
+    storage.journal.close()
 
 
 @pytest.mark.parametrize("count", [0, 1, 100, 101, 250])
--- a/tests/test_quorum_recoveries.py
+++ b/tests/test_quorum_recoveries.py
@@ -34,18 +34,18 @@
 def survivor(tmp_path, monkeypatch):
     """A survivor among three voters whose log ends at index 10."""
 
-    class Opened:
+    class OpenedStorage:
         """Stands for the parts of a Survivor that the checks read."""
 
         __slots__ = ("replica_id", "last_index", "members")
 
-    opened = Opened()
-    opened.replica_id = "a/1"
-    opened.last_index = 10
-    opened.members = Members(
+    storage = OpenedStorage()
+    storage.replica_id = "a/1"
+    storage.last_index = 10
+    storage.members = Members(
         [Member(f"{node}/1", True, True) for node in SEEDS]
     )
-    return opened
+    return storage
 
 
 def test_refuses_where_a_quorum_may_live(survivor):
@@ -110,7 +110,7 @@
         assert found.last_index >= max(acked)
         assert len(found.describe()) == 4
         make_sole_voter(found)
-        found.opened.journal.close()
+        found.storage.journal.close()
         await group.start(leader)
         assert await group.leader() == leader
         assert await group.index(leader) >= max(acked)
--- a/wigeonport/commands/recovery.py
+++ b/wigeonport/commands/recovery.py
@@ -46,7 +46,7 @@
         try:
             return self.decide(settings.ok, keys.ok, survivor.ok)
         finally:
-            survivor.ok.opened.journal.close()
+            survivor.ok.storage.journal.close()
 
     def decide(self, settings, keys, survivor):
         """Checks the other controls, then recovers if that is accepted."""
--- a/wigeonport/consensus.py
+++ b/wigeonport/consensus.py
@@ -115,7 +115,7 @@
 
     def __init__(
         self,
-        opened,
+        storage,
         directory,
         seeds,
         state,
@@ -129,16 +129,16 @@
         unobserved_commands=(),
     ):
         self.replica = Replica(
-            opened.replica_id,
+            storage.replica_id,
             seeds,
-            opened.durable,
-            opened.recovered,
+            storage.durable,
+            storage.recovered,
             clock.now(),
             random_source or random.Random(),
             settings,
         )
-        self.journal = opened.journal
-        self.directory = directory if opened.durable else None
+        self.journal = storage.journal
+        self.directory = directory if storage.durable else None
         self.state = state
         self.read_state = read_state
         self.send = send
@@ -161,8 +161,8 @@
         self.unapplied = collections.deque()
         self.decided = {}
         self.postponed = False
-        if opened.recovered.snapshot:
-            self.install(opened.recovered.snapshot)
+        if storage.recovered.snapshot:
+            self.install(storage.recovered.snapshot)
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Runs until cancelled or until the disk fails.
--- a/wigeonport/quorum_recoveries.py
+++ b/wigeonport/quorum_recoveries.py
@@ -32,7 +32,7 @@
         last_index: Last index of its log.
         version: Fleet version after all its entries.
         members: Its Members.
-        opened: Opened data directory.
+        storage: Opened data directory.
     """
 
     __slots__ = (
@@ -41,11 +41,11 @@
         "last_index",
         "version",
         "members",
-        "opened",
+        "storage",
     )
 
-    def __init__(self, opened):
-        recovered = opened.recovered
+    def __init__(self, storage):
+        recovered = storage.recovered
         snapshot = recovered.snapshot
         log = ReplicaLog(
             snapshot.index if snapshot else 0,
@@ -53,12 +53,12 @@
             snapshot.members if snapshot else Members(),
             recovered.entries,
         )
-        self.replica_id = opened.replica_id
+        self.replica_id = storage.replica_id
         self.term = recovered.hard_state.term
         self.last_index = log.last_index()
         self.version = read_state(recovered).fleet.fleet.version
         self.members = log.members()
-        self.opened = opened
+        self.storage = storage
 
     def describe(self):
         """Returns the lines that an operator reads before deciding."""
@@ -101,16 +101,16 @@
             settings.node_id,
         ):
             return Error(f"{directory} belongs to another node")
-        opened = open_directory(
+        storage = open_directory(
             directory, settings.cluster_id, settings.node_id
         )
     except (DamageError, FormatError) as fault:
         return Error(f"{directory} is damaged: {fault}")
     except OSError as fault:
         return Error(f"{directory} cannot be opened: {fault}")
-    if opened.damage:
-        return Error(f"{directory} is damaged: {opened.damage}")
-    return Ok(Survivor(opened))
+    if storage.damage:
+        return Error(f"{directory} is damaged: {storage.damage}")
+    return Ok(Survivor(storage))
 
 
 def find_objections(survivor, reports):
@@ -153,7 +153,7 @@
     persist.entries = [
         Entry(survivor.last_index + 1, term, MEMBERS, alone.to_payload())
     ]
-    survivor.opened.journal.write([persist])
+    survivor.storage.journal.write([persist])
 
 
 def collect_reports(settings, keys):
--- a/wigeonport/recoveries.py
+++ b/wigeonport/recoveries.py
@@ -36,7 +36,7 @@
 DAMAGED = "damaged"
 
 
-class Opened:
+class OpenedStorage:
     """A data directory that is ready for use.
 
     Attributes:
@@ -60,7 +60,9 @@
 def open_memory(cluster_id, node):
     """Returns an Opened for a node without a disk."""
     replica_id = draw_identity(cluster_id, node).replica_id()
-    return Opened(replica_id, False, MemoryJournal(), RecoveredState(), "")
+    return OpenedStorage(
+        replica_id, False, MemoryJournal(), RecoveredState(), ""
+    )
 
 
 def open_directory(directory, cluster_id, node):
@@ -88,10 +90,10 @@
         if (identity.cluster_id, identity.node) != (cluster_id, node):
             owner = f"{identity.cluster_id}/{identity.node}"
             logger.error("Data belongs to another node.", owner=owner)
-            opened = open_memory(cluster_id, node)
-            opened.journal.lock = lock
-            opened.damage = f"the data directory belongs to {owner}"
-            return opened
+            storage = open_memory(cluster_id, node)
+            storage.journal.lock = lock
+            storage.damage = f"the data directory belongs to {owner}"
+            return storage
         return _recover(directory, identity, lock)
     except DamageError as error:
         logger.error("Data is damaged and is set aside.", reason=error)
@@ -106,7 +108,7 @@
     write_identity(directory, identity)
     journal.start_segment()
     durable_files.sync_directory(directory.parent)
-    return Opened(
+    return OpenedStorage(
         identity.replica_id(), True, journal, RecoveredState(), damage
     )
 
@@ -144,7 +146,7 @@
         journal.last_index = snapshot.index
     starts_anew = snapshot is not None and not entries
     journal.start_segment(starts_anew)
-    return Opened(identity.replica_id(), True, journal, recovered, "")
+    return OpenedStorage(identity.replica_id(), True, journal, recovered, "")
 
 
 class Replay:
