--- a/tests/test_snapshot_encoding.py
+++ b/tests/test_snapshot_encoding.py
@@ -6,8 +6,8 @@
 from hypothesis import strategies as st
 
 from wigeonport.snapshots import (
-    SLICE_ITEMS,
-    SLICED_DEPTH,
+    MAX_SLICE_ITEMS,
+    MAX_SLICED_DEPTH,
     decode_state,
     encode_slices,
     encode_state,
@@ -29,7 +29,7 @@
     """Guards against a snapshot that loses or changes state."""
     whole = {"list": [document] * repeats, "one": document}
     assert decode_state(encode_state(whole)) == whole
-    text = "".join(encode_slices(whole, SLICED_DEPTH))
+    text = "".join(encode_slices(whole, MAX_SLICED_DEPTH))
     assert text == json.dumps(whole, separators=(",", ":"))
 
 
@@ -37,6 +37,6 @@
     """Guards against one call that holds up the event loop."""
     document = {"claims": {"rows": [["x" * 100]] * 10_000}}
     longest = max(
-        len(piece) for piece in encode_slices(document, SLICED_DEPTH)
+        len(piece) for piece in encode_slices(document, MAX_SLICED_DEPTH)
     )
-    assert longest < 2 * SLICE_ITEMS * 105
+    assert longest < 2 * MAX_SLICE_ITEMS * 105
--- a/wigeonport/consensus.py
+++ b/wigeonport/consensus.py
@@ -45,10 +45,10 @@
 codec = codecs.get("thrift").ok()
 INBOX_BOUND = 4_096
 # Largest number of messages handled before the journal gets its batch.
-BATCH_LIMIT = 512
+MAX_BATCH_MESSAGES = 512
 SNAPSHOT_ENTRIES = 5_000
 # Far below the heartbeat interval.
-APPLY_LIMIT_MS = 20
+MAX_APPLY_MS = 20
 
 
 class Consensus:
@@ -198,7 +198,7 @@
                 wait_ms = 0
             first = await self.inbox.get_within(wait_ms)
             events = [] if first is None else [first]
-            events += self.inbox.drain(BATCH_LIMIT - len(events))
+            events += self.inbox.drain(MAX_BATCH_MESSAGES - len(events))
             for event in events:
                 consensus_inputs.dispatch(self, event)
             self.append_batch()
@@ -269,7 +269,7 @@
         """
         if not self.unapplied:
             return
-        stop_ms = self.clock.now() + APPLY_LIMIT_MS
+        stop_ms = self.clock.now() + MAX_APPLY_MS
         while self.unapplied and self.clock.now() <= stop_ms:
             entry = self.unapplied.popleft()
             answer = self.apply(entry)
--- a/wigeonport/disk_identities.py
+++ b/wigeonport/disk_identities.py
@@ -40,7 +40,7 @@
         return f"{self.node}/{self.identity}"
 
 
-def draw_identity(cluster_id, node):
+def create_identity(cluster_id, node):
     """Returns a new identity for a node."""
     return DiskIdentity(cluster_id, node, secrets.token_hex(8))
 
--- a/wigeonport/journal_records.py
+++ b/wigeonport/journal_records.py
@@ -12,7 +12,7 @@
 from wigeonport.codecs import codecs, message_kinds
 
 MARKER = b"WGJ\x01"
-HEAD = struct.Struct("<4sII")
+RECORD_HEADER = struct.Struct("<4sII")
 
 
 @message_kinds.register("SegmentHeader")
@@ -102,15 +102,15 @@
 def encode_record(message):
     """Returns the bytes of a record."""
     body = codec.encode(message)
-    return HEAD.pack(MARKER, len(body), zlib.crc32(body)) + body
+    return RECORD_HEADER.pack(MARKER, len(body), zlib.crc32(body)) + body
 
 
 def read_body(data, offset):
     """Returns the body of the record at an offset, or None."""
-    if offset + HEAD.size > len(data):
+    if offset + RECORD_HEADER.size > len(data):
         return None
-    marker, size, checksum = HEAD.unpack_from(data, offset)
-    start = offset + HEAD.size
+    marker, size, checksum = RECORD_HEADER.unpack_from(data, offset)
+    start = offset + RECORD_HEADER.size
     if marker != MARKER or start + size > len(data):
         return None
     body = data[start : start + size]
@@ -134,7 +134,7 @@
         if decoded.is_error():
             break
         messages.append(decoded.ok)
-        offset += HEAD.size + len(body)
+        offset += RECORD_HEADER.size + len(body)
     return messages, offset
 
 
--- a/wigeonport/journals.py
+++ b/wigeonport/journals.py
@@ -14,7 +14,7 @@
     encode_record,
 )
 from wigeonport.replica_events import HardState
-from wigeonport.snapshots import remove_older, write_snapshot
+from wigeonport.snapshots import remove_older_snapshots, write_snapshot
 
 FORMAT = 1
 PREFIX = "segment-"
@@ -105,7 +105,7 @@
             if persist.snapshot:
                 self._append(batch)
                 batch = JournalBatch(None, [])
-                self._install(persist)
+                self._install_snapshot(persist)
             if persist.hard_state:
                 batch.hard_state = persist.hard_state
             batch.entries.extend(persist.entries)
@@ -129,14 +129,14 @@
             segment.last_index = max(segment.last_index, entry.index)
             self.last_index = entry.index
 
-    def _install(self, persist):
+    def _install_snapshot(self, persist):
         """Writes a received snapshot and starts the log after it."""
         self.hard_state = persist.hard_state or self.hard_state
         write_snapshot(self.directory, persist.snapshot)
         self.last_index = persist.snapshot.index
         self.start_segment(starts_anew=True)
         self._remove(self.segments[:-1])
-        remove_older(self.directory)
+        remove_older_snapshots(self.directory)
 
     def _compact(self, index):
         """Removes the oldest segments that a snapshot covers."""
@@ -148,7 +148,7 @@
                 break
             covered.append(segment)
         self._remove(covered)
-        remove_older(self.directory)
+        remove_older_snapshots(self.directory)
 
     def _remove(self, segments):
         # Oldest first, so that a crash in between leaves no gap.
@@ -195,7 +195,7 @@
         self.descriptor = self.lock = -1
 
 
-class MemoryJournal:
+class NullJournal:
     """Stands in for a journal where there is no disk.
 
     Attributes:
--- a/wigeonport/recoveries.py
+++ b/wigeonport/recoveries.py
@@ -5,7 +5,7 @@
 
 from wigeonport import durable_files
 from wigeonport.disk_identities import (
-    draw_identity,
+    create_identity,
     read_identity,
     write_identity,
 )
@@ -19,7 +19,7 @@
     FORMAT,
     PREFIX,
     Journal,
-    MemoryJournal,
+    NullJournal,
     Segment,
 )
 from wigeonport.logs import PartLogger
@@ -28,7 +28,7 @@
     DamageError,
     FormatError,
     list_snapshots,
-    read_newest,
+    read_newest_snapshot,
 )
 
 logger = PartLogger("journal")
@@ -59,9 +59,9 @@
 
 def open_memory(cluster_id, node):
     """Returns an Opened for a node without a disk."""
-    replica_id = draw_identity(cluster_id, node).replica_id()
+    replica_id = create_identity(cluster_id, node).replica_id()
     return OpenedStorage(
-        replica_id, False, MemoryJournal(), RecoveredState(), ""
+        replica_id, False, NullJournal(), RecoveredState(), ""
     )
 
 
@@ -97,12 +97,12 @@
         return _recover(directory, identity, lock)
     except DamageError as error:
         logger.error("Data is damaged and is set aside.", reason=error)
-        _set_aside(directory)
+        _move_aside(directory)
         return _create(directory, cluster_id, node, str(error), lock)
 
 
 def _create(directory, cluster_id, node, damage, lock):
-    identity = draw_identity(cluster_id, node)
+    identity = create_identity(cluster_id, node)
     journal = Journal(directory, identity.identity, [], None, lock)
     # The identity comes first: a segment without it counts as damage.
     write_identity(directory, identity)
@@ -113,7 +113,7 @@
     )
 
 
-def _set_aside(directory):
+def _move_aside(directory):
     """Moves everything into a subdirectory for inspection."""
     target = directory / DAMAGED
     if target.exists():
@@ -127,14 +127,16 @@
 
 
 def _recover(directory, identity, lock):
-    snapshot = read_newest(directory)
+    snapshot = read_newest_snapshot(directory)
     replay = Replay()
     segments = _read_segments(directory, identity, replay)
     if not segments:
         raise DamageError("there is no segment")
     base_index = snapshot.index if snapshot else 0
-    if replay.missing_index > base_index:
-        raise DamageError(f"entries up to {replay.missing_index} are missing")
+    if replay.last_missing_index > base_index:
+        raise DamageError(
+            f"entries up to {replay.last_missing_index} are missing"
+        )
     entries = _entries_after(snapshot, replay.entries)
     recovered = RecoveredState(replay.hard_state, snapshot, entries)
     journal = Journal(
@@ -155,16 +157,16 @@
     Attributes:
         entries: Entries of the log.
         hard_state: Newest HardState.
-        missing_index: Last index that only a snapshot may hold.
+        last_missing_index: Last index that only a snapshot may hold.
         is_first: Whether no segment has been read yet.
     """
 
-    __slots__ = ("entries", "hard_state", "missing_index", "is_first")
+    __slots__ = ("entries", "hard_state", "last_missing_index", "is_first")
 
     def __init__(self):
         self.entries = []
         self.hard_state = HardState(0, "")
-        self.missing_index = 0
+        self.last_missing_index = 0
         self.is_first = True
 
     def take(self, record):
@@ -176,7 +178,7 @@
         if isinstance(record, SegmentHeader):
             self.hard_state = record.hard_state
             if self.is_first or record.starts_anew:
-                self.missing_index = record.last_index
+                self.last_missing_index = record.last_index
             if record.starts_anew:
                 self.entries = []
             self.is_first = False
@@ -210,7 +212,7 @@
         if records or not is_last:
             _check_header(path, records, number, identity, segments)
         if offset < len(data):
-            _repair(path, data, offset, is_last)
+            _truncate_interrupted_write(path, data, offset, is_last)
         if not records:
             path.unlink()
             durable_files.sync_directory(directory)
@@ -225,7 +227,7 @@
     return segments
 
 
-def _repair(path, data, offset, is_last):
+def _truncate_interrupted_write(path, data, offset, is_last):
     """Cuts off an interrupted write at the end of the last segment."""
     if not is_last or has_record_after(data, offset):
         raise DamageError(f"{path.name}: damage at byte {offset}")
--- a/wigeonport/snapshots.py
+++ b/wigeonport/snapshots.py
@@ -6,7 +6,7 @@
 
 from wigeonport.durable_files import replace_file, sync_directory
 from wigeonport.journal_records import (
-    HEAD,
+    RECORD_HEADER,
     SnapshotHeader,
     encode_record,
     read_body,
@@ -21,8 +21,8 @@
 # default level at a fraction of the time.
 COMPRESSION_LEVEL = 1
 # A state has sections, each with some tables of many rows.
-SLICED_DEPTH = 2
-SLICE_ITEMS = 100
+MAX_SLICED_DEPTH = 2
+MAX_SLICE_ITEMS = 100
 encode_json = json.JSONEncoder(separators=(",", ":")).encode
 
 
@@ -39,7 +39,7 @@
     compressor = zlib.compressobj(COMPRESSION_LEVEL)
     parts = [
         compressor.compress(text.encode())
-        for text in encode_slices(document, SLICED_DEPTH)
+        for text in encode_slices(document, MAX_SLICED_DEPTH)
     ]
     return b"".join([*parts, compressor.flush()])
 
@@ -57,11 +57,11 @@
             yield from encode_slices(item, depth - 1)
             mark = ","
         yield "}"
-    elif isinstance(value, dict | list) and len(value) > SLICE_ITEMS:
+    elif isinstance(value, dict | list) and len(value) > MAX_SLICE_ITEMS:
         first, last = "{}" if isinstance(value, dict) else "[]"
         items = value.items() if isinstance(value, dict) else value
         source = iter(items)
-        while part := list(itertools.islice(source, SLICE_ITEMS)):
+        while part := list(itertools.islice(source, MAX_SLICE_ITEMS)):
             text = encode_json(type(value)(part))
             yield first + text[1:-1]
             first = ","
@@ -98,7 +98,7 @@
     replace_file(path, [encode_record(header), snapshot.data])
 
 
-def read_newest(directory):
+def read_newest_snapshot(directory):
     """Returns the newest Snapshot, or None if there is no file.
 
     Raises:
@@ -118,7 +118,7 @@
     header = decoded.ok
     if header.format != FORMAT:
         raise FormatError(f"{paths[-1].name}: format {header.format}")
-    content = data[HEAD.size + len(body) :]
+    content = data[RECORD_HEADER.size + len(body) :]
     if len(content) != header.size_bytes or (
         zlib.crc32(content) != header.checksum
     ):
@@ -134,7 +134,7 @@
     )
 
 
-def remove_older(directory):
+def remove_older_snapshots(directory):
     """Removes all snapshots but the newest one."""
     older = list_snapshots(directory)[:-1]
     for path in older:
