--- a/wigeonport/consensus.py
+++ b/wigeonport/consensus.py
@@ -59,7 +59,7 @@
         journal: Journal or MemoryJournal.
         directory: Data directory, or None without a disk.
         state: Current state object.
-        read_state: Function from a document to a Result of a state.
+        state_from_document: Function from a document to a Result of a state.
         send: Function ``(node, message)`` that does not wait; it returns
             False only if the message was surely not sent.
         clock: Clock.
@@ -69,20 +69,20 @@
         observers: Mailboxes that get Applied, Installed and
             LeadershipNotice; each must refuse or drop when full.
         batch: Proposals to append in the current round.
-        unwritten: Persists that the writer has not got yet.
-        writing: Whether the writer is busy.
-        writes: Mailbox of the writer.
-        documents: Mailbox of the snapshot filter.
+        pending_persists: Persists that the writer has not got yet.
+        write_in_progress: Whether the writer is busy.
+        write_requests: Mailbox of the writer.
+        snapshot_requests: Mailbox of the snapshot filter.
         snapshot_index: Index of the newest snapshot, or of the one that
             is being written.
-        snapshotting: Whether the snapshot filter is busy.
+        snapshot_in_progress: Whether the snapshot filter is busy.
         snapshot_entries: Entries between two snapshots.
         unobserved_commands: Classes of commands that observers are not told about.
         leadership: Pair of term and leader id at the last round.
         applied_index: Index of the last entry applied to the state.
-        unapplied: Committed entries that are not applied yet.
-        decided: Outcome by index of proposals among them.
-        postponed: Whether due timers waited for the inbox once.
+        unapplied_entries: Committed entries that are not applied yet.
+        committed_outcomes: Outcome by index of proposals among them.
+        tick_postponed: Whether due timers waited for the inbox once.
     """
 
     __slots__ = (
@@ -90,7 +90,7 @@
         "journal",
         "directory",
         "state",
-        "read_state",
+        "state_from_document",
         "send",
         "clock",
         "metrics",
@@ -98,19 +98,19 @@
         "calls",
         "observers",
         "batch",
-        "unwritten",
-        "writing",
-        "writes",
-        "documents",
+        "pending_persists",
+        "write_in_progress",
+        "write_requests",
+        "snapshot_requests",
         "snapshot_index",
-        "snapshotting",
+        "snapshot_in_progress",
         "snapshot_entries",
         "unobserved_commands",
         "leadership",
         "applied_index",
-        "unapplied",
-        "decided",
-        "postponed",
+        "unapplied_entries",
+        "committed_outcomes",
+        "tick_postponed",
     )
 
     def __init__(
@@ -119,7 +119,7 @@
         directory,
         seeds,
         state,
-        read_state,
+        state_from_document,
         send,
         clock,
         metrics,
@@ -140,7 +140,7 @@
         self.journal = storage.journal
         self.directory = directory if storage.durable else None
         self.state = state
-        self.read_state = read_state
+        self.state_from_document = state_from_document
         self.send = send
         self.clock = clock
         self.metrics = metrics
@@ -148,19 +148,19 @@
         self.calls = Calls()
         self.observers = []
         self.batch = []
-        self.unwritten = []
-        self.writing = False
-        self.writes = Mailbox("journal writer", 1, WAIT)
-        self.documents = Mailbox("snapshot writer", 1, WAIT)
+        self.pending_persists = []
+        self.write_in_progress = False
+        self.write_requests = Mailbox("journal writer", 1, WAIT)
+        self.snapshot_requests = Mailbox("snapshot writer", 1, WAIT)
         self.snapshot_index = 0
-        self.snapshotting = False
+        self.snapshot_in_progress = False
         self.snapshot_entries = snapshot_entries
         self.unobserved_commands = unobserved_commands
         self.leadership = (0, "")
         self.applied_index = 0
-        self.unapplied = collections.deque()
-        self.decided = {}
-        self.postponed = False
+        self.unapplied_entries = collections.deque()
+        self.committed_outcomes = {}
+        self.tick_postponed = False
         if storage.recovered.snapshot:
             self.install(storage.recovered.snapshot)
 
@@ -176,13 +176,16 @@
                 nursery.start_soon(
                     write_journal,
                     self.journal,
-                    self.writes,
+                    self.write_requests,
                     self.inbox,
                     self.clock,
                     self.metrics,
                 )
                 nursery.start_soon(
-                    write_snapshots, self.directory, self.documents, self.inbox
+                    write_snapshots,
+                    self.directory,
+                    self.snapshot_requests,
+                    self.inbox,
                 )
                 task_status.started()
                 await self.serve()
@@ -194,7 +197,7 @@
         """Handles messages in rounds; one round forms one batch."""
         while True:
             wait_ms = self.replica.next_deadline_ms() - self.clock.now()
-            if self.unapplied:
+            if self.unapplied_entries:
                 wait_ms = 0
             first = await self.inbox.get_within(wait_ms)
             events = [] if first is None else [first]
@@ -202,7 +205,7 @@
             for event in events:
                 consensus_inputs.dispatch(self, event)
             self.append_batch()
-            self.apply_some()
+            self.apply_committed()
             self.tick_if_due()
             self.end_round(self.clock.now())
 
@@ -213,11 +216,11 @@
         so that a replica that was busy first reads what has arrived.
         """
         if self.clock.now() < self.replica.next_deadline_ms():
-            self.postponed = False
-        elif self.inbox.depth() and not self.postponed:
-            self.postponed = True
+            self.tick_postponed = False
+        elif self.inbox.depth() and not self.tick_postponed:
+            self.tick_postponed = True
         else:
-            self.postponed = False
+            self.tick_postponed = False
             self.step(Tick())
 
     def append_batch(self):
@@ -228,16 +231,16 @@
 
     def end_round(self, now_ms):
         """Starts writes, and ends calls that cannot succeed any more."""
-        self.consider_snapshot()
-        if self.unwritten and not self.writing:
-            self.writing = True
-            persists, self.unwritten = self.unwritten, []
-            self.writes.put_nowait(persists)
+        self.start_snapshot_if_due()
+        if self.pending_persists and not self.write_in_progress:
+            self.write_in_progress = True
+            persists, self.pending_persists = self.pending_persists, []
+            self.write_requests.put_nowait(persists)
         leadership = (self.replica.term, self.replica.leader_id)
         if leadership != self.leadership:
             self.leadership = leadership
             self.notify(LeadershipNotice(*leadership))
-            self.calls.leave(self.replica.leader_id)
+            self.calls.abandon_stale_forwards(self.replica.leader_id)
             logger.info(
                 "Leadership changed.",
                 term=leadership[0],
@@ -249,63 +252,63 @@
         """Runs one step of the core and handles its Output."""
         out = self.replica.step(event, self.clock.now())
         if out.persist:
-            self.unwritten.append(out.persist)
+            self.pending_persists.append(out.persist)
         for message in out.messages:
             self.send(node_of(message.recipient), message)
         if out.install:
             self.install(out.install)
-        self.unapplied.extend(out.committed)
+        self.unapplied_entries.extend(out.committed)
         for reply in out.replies:
             if isinstance(reply, Outcome) and reply.outcome == COMMITTED:
-                self.decided[reply.index] = reply
+                self.committed_outcomes[reply.index] = reply
             else:
-                self.settle(reply)
+                self.finish_call(reply)
 
-    def apply_some(self):
+    def apply_committed(self):
         """Applies committed entries for a bounded time.
 
         After a restart thousands of entries are committed at once; the
         heartbeats must not wait for all of them.
         """
-        if not self.unapplied:
+        if not self.unapplied_entries:
             return
         stop_ms = self.clock.now() + MAX_APPLY_MS
-        while self.unapplied and self.clock.now() <= stop_ms:
-            entry = self.unapplied.popleft()
+        while self.unapplied_entries and self.clock.now() <= stop_ms:
+            entry = self.unapplied_entries.popleft()
             answer = self.apply(entry)
             self.applied_index = entry.index
-            reply = self.decided.pop(entry.index, None)
+            reply = self.committed_outcomes.pop(entry.index, None)
             if reply is not None:
-                self.settle(reply, answer)
+                self.finish_call(reply, answer)
         self.metrics.set("consensus_applied_index", self.applied_index)
         voters = len(self.replica.members().voters)
         self.metrics.set("consensus_voters", voters)
-        self.calls.applied(self.applied_index, self.state)
+        self.calls.answer_applied_reads(self.applied_index, self.state)
 
     def install(self, snapshot):
         """Replaces the state by that of a snapshot."""
-        found = self.read_state(decode_state(snapshot.data))
+        found = self.state_from_document(decode_state(snapshot.data))
         if found.is_error():
             raise ConsistencyError(f"snapshot is unreadable: {found.error}")
         self.state = found.ok
         self.snapshot_index = snapshot.index
         self.applied_index = snapshot.index
-        self.unapplied.clear()
-        for reply in self.decided.values():
+        self.unapplied_entries.clear()
+        for reply in self.committed_outcomes.values():
             # The snapshot contains the effect, but not the answer.
             reply.outcome = UNKNOWN
-            self.settle(reply)
-        self.decided.clear()
+            self.finish_call(reply)
+        self.committed_outcomes.clear()
         self.notify(SnapshotInstalled(snapshot.index))
-        self.calls.applied(snapshot.index, self.state)
+        self.calls.answer_applied_reads(snapshot.index, self.state)
 
     def apply(self, entry):
         """Applies a committed entry and returns the state's answer."""
         if entry.kind != DATA:
             self.state.apply(StateEntry(entry.index, 0, None))
             return None
-        logged = decode_known(entry.payload)
-        command = decode_known(logged.command)
+        logged = decode_log_message(entry.payload)
+        command = decode_log_message(logged.command)
         answer = self.state.apply(
             StateEntry(entry.index, logged.time_ms, command)
         )
@@ -318,13 +321,13 @@
         for observer in self.observers:
             observer.put_nowait(notice)
 
-    def settle(self, reply, answer=None):
+    def finish_call(self, reply, answer=None):
         """Ends the call of an Outcome or a ReadReady."""
-        call = self.calls.take(reply.number)
+        call = self.calls.pop(reply.number)
         if call is None:
             return
         if not isinstance(reply, Outcome):
-            consensus_inputs.end_read(self, call, reply.index)
+            consensus_inputs.finish_read(self, call, reply.index)
             return
         call.finish(
             ProposalAnswer(reply.outcome, reply.reason, reply.index, answer)
@@ -334,26 +337,28 @@
         """Returns the payload of an entry for an encoded command."""
         return codec.encode(LoggedCommand(self.clock.wall(), command))
 
-    def consider_snapshot(self):
+    def start_snapshot_if_due(self):
         """Hands a document to the snapshot filter when one is due."""
         index = self.applied_index
         due = index - self.snapshot_index >= self.snapshot_entries
         term = self.replica.log.term_at(index)
-        if self.snapshotting or not due or term is None:
+        if self.snapshot_in_progress or not due or term is None:
             return
         members = self.replica.log.members_at(index)
         self.snapshot_index = index
-        make = functools.partial(Snapshot, index, term, members)
+        make_snapshot = functools.partial(Snapshot, index, term, members)
         if self.directory is None:
             # A learner without a disk never leads, so that nobody asks
             # for its snapshot; only its log is compacted.
-            self.step(SnapshotTaken(make(b"")))
+            self.step(SnapshotTaken(make_snapshot(b"")))
             return
-        self.snapshotting = True
-        self.documents.put_nowait((make, self.state.to_document()))
+        self.snapshot_in_progress = True
+        self.snapshot_requests.put_nowait(
+            (make_snapshot, self.state.to_document())
+        )
 
 
-def decode_known(data):
+def decode_log_message(data):
     """Decodes a message of the log.
 
     Raises:
--- a/wigeonport/consensus_calls.py
+++ b/wigeonport/consensus_calls.py
@@ -167,15 +167,15 @@
         next_number: Number of the next call. It starts at random, so that
             a late answer from before a restart matches no call.
         by_number: OpenCall by number, oldest first.
-        reads: Pairs of index and LocalRead that wait until it is applied.
+        waiting_reads: Pairs of index and LocalRead that wait until it is applied.
     """
 
-    __slots__ = ("next_number", "by_number", "reads")
+    __slots__ = ("next_number", "by_number", "waiting_reads")
 
     def __init__(self):
         self.next_number = secrets.randbits(40) << 20
         self.by_number = {}
-        self.reads = []
+        self.waiting_reads = []
 
     def open(self, call, now_ms, leader_id=""):
         """Adds a call and returns its number."""
@@ -186,7 +186,7 @@
         )
         return self.next_number
 
-    def take(self, number):
+    def pop(self, number):
         """Removes a call and returns it, or None."""
         found = self.by_number.pop(number, None)
         return found.call if found else None
@@ -197,9 +197,9 @@
             number = next(iter(self.by_number))
             if self.by_number[number].deadline_ms > now_ms:
                 return
-            self.take(number).abandon("no answer in time")
+            self.pop(number).abandon("no answer in time")
 
-    def leave(self, leader_id):
+    def abandon_stale_forwards(self, leader_id):
         """Abandons the calls forwarded to another leader than this."""
         stale = [
             number
@@ -207,28 +207,28 @@
             if each.leader_id and each.leader_id != leader_id
         ]
         for number in stale:
-            self.take(number).abandon("leader changed")
+            self.pop(number).abandon("leader changed")
 
     def abandon_all(self, reason):
         """Abandons every call, at the end of the process."""
         for number in list(self.by_number):
-            self.take(number).abandon(reason)
-        for _, read in self.reads:
+            self.pop(number).abandon(reason)
+        for _, read in self.waiting_reads:
             read.abandon(reason)
-        self.reads = []
+        self.waiting_reads = []
 
-    def wait_applied(self, index, read):
+    def add_waiting_read(self, index, read):
         """Keeps a read until an index is applied."""
-        self.reads.append((index, read))
+        self.waiting_reads.append((index, read))
 
-    def applied(self, index, state):
+    def answer_applied_reads(self, index, state):
         """Answers the reads that waited for an index."""
-        if not self.reads:
+        if not self.waiting_reads:
             return
         waiting = []
-        for wanted, read in self.reads:
+        for wanted, read in self.waiting_reads:
             if wanted <= index:
                 read.finish(state)
             else:
                 waiting.append((wanted, read))
-        self.reads = waiting
+        self.waiting_reads = waiting
--- a/wigeonport/consensus_inputs.py
+++ b/wigeonport/consensus_inputs.py
@@ -11,7 +11,7 @@
     Proposal,
     ProposalAnswer,
     Read,
-    Removal,
+    RemovalRequest,
     ResignRequest,
     Status,
     StatusRequest,
@@ -84,7 +84,7 @@
             replica.replica_id, leader_id, number, payload
         )
         if not consensus.send(node_of(leader_id), forward):
-            consensus.calls.take(number)
+            consensus.calls.pop(number)
             call.finish(ProposalAnswer(REFUSED, "the leader is unreachable"))
     else:
         call.finish(ProposalAnswer(REFUSED, "there is no leader"))
@@ -114,7 +114,7 @@
     """Passes the leader's answer to the proposer."""
     if message.recipient != consensus.replica.replica_id:
         return
-    call = consensus.calls.take(message.number)
+    call = consensus.calls.pop(message.number)
     if call is None:
         return
     answer = None
@@ -168,12 +168,12 @@
     """Reads once the index that the leader named is applied."""
     if message.recipient != consensus.replica.replica_id:
         return
-    call = consensus.calls.take(message.number)
+    call = consensus.calls.pop(message.number)
     if call is not None:
-        end_read(consensus, call, message.index)
+        finish_read(consensus, call, message.index)
 
 
-def end_read(consensus, call, index):
+def finish_read(consensus, call, index):
     """Answers a read when its index is known."""
     if isinstance(call, RemoteRead):
         call.answer(index)
@@ -182,10 +182,10 @@
     elif index <= consensus.applied_index:
         call.finish(consensus.state)
     else:
-        consensus.calls.wait_applied(index, call)
+        consensus.calls.add_waiting_read(index, call)
 
 
-@handles_input(Removal)
+@handles_input(RemovalRequest)
 def on_removal(consensus, request):
     """Removes a replica if this one leads."""
     call = LocalProposal(request.reply)
@@ -211,7 +211,7 @@
 @handles_input(Persisted)
 def on_persisted(consensus, event):
     """Learns that the writer is free again."""
-    consensus.writing = False
+    consensus.write_in_progress = False
     consensus.append_batch()
     consensus.step(event)
 
@@ -219,5 +219,5 @@
 @handles_input(SnapshotTaken)
 def on_snapshot_taken(consensus, event):
     """Learns that a snapshot is durable."""
-    consensus.snapshotting = False
+    consensus.snapshot_in_progress = False
     consensus.step(event)
--- a/wigeonport/consensus_requests.py
+++ b/wigeonport/consensus_requests.py
@@ -73,7 +73,7 @@
         self.consistent = consistent
 
 
-class Removal:
+class RemovalRequest:
     """Asks to remove a replica; answered by a ProposalAnswer.
 
     Attributes:
--- a/wigeonport/consensus_writers.py
+++ b/wigeonport/consensus_writers.py
@@ -6,12 +6,12 @@
 from wigeonport.snapshots import encode_state, write_snapshot
 
 
-async def write_journal(journal, writes, inbox, clock, metrics):
+async def write_journal(journal, write_requests, inbox, clock, metrics):
     """Writes and syncs batches in a worker thread.
 
     Args:
         journal: Journal or MemoryJournal.
-        writes: Mailbox of lists of Persists.
+        write_requests: Mailbox of lists of Persists.
         inbox: Mailbox that gets a Persisted for each list.
         clock: Clock.
         metrics: Metrics.
@@ -20,31 +20,31 @@
         JournalError: If the disk failed; nothing of the list may count
             as durable.
     """
-    async for persists in writes:
+    async for persists in write_requests:
         started_ms = clock.now()
         await trio.to_thread.run_sync(journal.write, persists)
         metrics.record("journal_write_ms", clock.now() - started_ms)
         await inbox.put(Persisted(persists[-1].sequence))
 
 
-async def write_snapshots(directory, documents, inbox):
+async def write_snapshots(directory, snapshot_requests, inbox):
     """Encodes and writes snapshots in a worker thread.
 
     Args:
         directory: Data directory.
-        documents: Mailbox of pairs of a function, which makes a Snapshot
+        snapshot_requests: Mailbox of pairs of a function, which makes a Snapshot
             of encoded bytes, and the document of the state.
         inbox: Mailbox that gets a SnapshotTaken for each.
     """
-    async for make, document in documents:
+    async for make_snapshot, document in snapshot_requests:
         snapshot = await trio.to_thread.run_sync(
-            save_snapshot, directory, make, document
+            save_snapshot, directory, make_snapshot, document
         )
         await inbox.put(SnapshotTaken(snapshot))
 
 
-def save_snapshot(directory, make, document):
+def save_snapshot(directory, make_snapshot, document):
     """Writes a document as a durable snapshot and returns it."""
-    snapshot = make(encode_state(document))
+    snapshot = make_snapshot(encode_state(document))
     write_snapshot(directory, snapshot)
     return snapshot
