--- a/tests/consensus_groups.py
+++ b/tests/consensus_groups.py
@@ -31,8 +31,8 @@
 
     def send(self, node, message):
         """Delivers a message, or loses it if the target is stopped."""
-        target = self.tasks.get(node)
-        return target is not None and target.inbox.put_nowait(message)
+        recipient = self.tasks.get(node)
+        return recipient is not None and recipient.inbox.put_nowait(message)
 
     async def start(self, node, durable=True):
         """Starts a node from its data directory."""
@@ -95,16 +95,16 @@
         """Proposes a claim at a node and returns the ProposalAnswer."""
         command = ClaimKey(key, "digest", attempt)
         inbox = self.tasks[node].inbox
-        found = await ask(inbox, lambda r: Proposal(command, r), 5_000)
-        return found.ok
+        result = await ask(inbox, lambda r: Proposal(command, r), 5_000)
+        return result.ok
 
-    async def index(self, node):
+    async def read_applied_index(self, node):
         """Returns the applied index that a consistent read sees."""
         inbox = self.tasks[node].inbox
-        found = await ask(
+        result = await ask(
             inbox, lambda r: Read(lambda s: s.applied_index, r), 5_000
         )
-        return found.ok.ok
+        return result.ok.ok
 
 
 @pytest.fixture
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -16,26 +16,30 @@
     async def scenario(group):
         for node in SEEDS:
             await group.start(node)
-        first = await group.leader()
-        follower = next(node for node in SEEDS if node != first)
-        acked = [
+        first_leader = await group.leader()
+        follower = next(node for node in SEEDS if node != first_leader)
+        acknowledged_indexes = [
             (await group.claim(node, f"{number}")).index
             for number in range(60)
-            for node in (first, follower)
+            for node in (first_leader, follower)
         ]
-        await group.stop(first)
-        second = await group.leader()
-        assert second != first
-        assert await group.index(second) >= max(acked)
-        answer = await group.claim(second, "7", "other")
+        await group.stop(first_leader)
+        second_leader = await group.leader()
+        assert second_leader != first_leader
+        assert await group.read_applied_index(second_leader) >= max(
+            acknowledged_indexes
+        )
+        answer = await group.claim(second_leader, "7", "other")
         assert type(answer.answer).__name__ == "ClaimInProgress"
         for node in list(group.tasks):
             await group.stop(node)
         for node in SEEDS:
             await group.start(node)
-        third = await group.leader()
-        assert await group.index(third) >= max(acked)
-        answer = await group.claim(third, "59", "other")
+        third_leader = await group.leader()
+        assert await group.read_applied_index(third_leader) >= max(
+            acknowledged_indexes
+        )
+        answer = await group.claim(third_leader, "59", "other")
         assert type(answer.answer).__name__ == "ClaimInProgress"
 
     run_group(scenario)
@@ -49,11 +53,11 @@
             await group.start(node)
         leader = await group.leader()
         inbox = group.tasks[leader].inbox
-        found = await ask(
+        result = await ask(
             inbox, lambda r: Read(lambda state: state.missing, r), 5_000
         )
-        assert "the view failed" in found.ok.error
-        assert await group.index(leader) >= 1
+        assert "the view failed" in result.ok.error
+        assert await group.read_applied_index(leader) >= 1
 
     run_group(scenario)
 
@@ -68,12 +72,12 @@
         leader = await group.leader()
         for number in range(80):
             await group.claim(leader, f"{number}")
-        lost = next(node for node in SEEDS if node != leader)
-        old_id = (await group.status(lost)).replica_id
-        await group.stop(lost)
+        emptied_node = next(node for node in SEEDS if node != leader)
+        old_id = (await group.status(emptied_node)).replica_id
+        await group.stop(emptied_node)
         await trio.sleep(0.5)
-        (group.directory / lost).rename(group.directory / "gone")
-        await group.start(lost)
+        (group.directory / emptied_node).rename(group.directory / "gone")
+        await group.start(emptied_node)
         while True:
             members = (await group.status(leader)).members
             voters = {m.replica_id for m in members if m.voter}
@@ -82,8 +86,8 @@
                 break
             await trio.sleep(0.05)
         assert not any(voter.startswith("m/") for voter in voters)
-        for node in (lost, "m"):
-            assert await group.index(node) >= 80
+        for node in (emptied_node, "m"):
+            assert await group.read_applied_index(node) >= 80
 
     run_group(scenario)
 
--- a/tests/test_journals.py
+++ b/tests/test_journals.py
@@ -23,20 +23,20 @@
 MEMBERS = Members([Member("a/1", True, True)])
 
 
-def persist(entries=(), hard_state=None, snapshot=None, compact_index=0):
+def make_persist(entries=(), hard_state=None, snapshot=None, compact_index=0):
     """Returns a Persist of (index, term) pairs."""
-    made = Persist(1)
-    made.entries = [
+    persist = Persist(1)
+    persist.entries = [
         Entry(index, term, DATA, b"entry %d" % index)
         for index, term in entries
     ]
-    made.hard_state = hard_state
-    made.snapshot = snapshot
-    made.compact_index = compact_index
-    return made
+    persist.hard_state = hard_state
+    persist.snapshot = snapshot
+    persist.compact_index = compact_index
+    return persist
 
 
-def pairs(storage):
+def index_term_pairs(storage):
     """Returns the recovered (index, term) pairs."""
     return [(e.index, e.term) for e in storage.recovered.entries]
 
@@ -46,9 +46,9 @@
     """A data directory with a vote and three synced batches."""
     path = tmp_path / "data"
     journal = open_directory(path, "test", "a").journal
-    journal.write([persist(hard_state=HardState(3, "b/1"))])
+    journal.write([make_persist(hard_state=HardState(3, "b/1"))])
     for index in (1, 2, 3):
-        journal.write([persist([(index, 1)])])
+        journal.write([make_persist([(index, 1)])])
     journal.close()
     return path
 
@@ -64,7 +64,7 @@
     """Guards against losing entries, term or vote in a restart."""
     for _ in range(3):
         storage = reopen(directory)
-        assert pairs(storage) == [(1, 1), (2, 1), (3, 1)]
+        assert index_term_pairs(storage) == [(1, 1), (2, 1), (3, 1)]
         assert storage.recovered.hard_state.vote == "b/1"
         assert not storage.damage
 
@@ -80,10 +80,10 @@
         (copy / segment.name).write_bytes(data[:size])
         storage = open_directory(copy, "test", "a")
         assert not storage.damage, f"cut at byte {size}"
-        assert pairs(storage) == [(1, 1), (2, 1)]
-        storage.journal.write([persist([(3, 2)])])
+        assert index_term_pairs(storage) == [(1, 1), (2, 1)]
+        storage.journal.write([make_persist([(3, 2)])])
         storage.journal.close()
-        assert pairs(reopen(copy)) == [(1, 1), (2, 1), (3, 2)]
+        assert index_term_pairs(reopen(copy)) == [(1, 1), (2, 1), (3, 2)]
 
 
 def test_flipped_bit_in_the_middle_costs_the_identity(directory, tmp_path):
@@ -100,7 +100,7 @@
         storage = reopen(copy)
         assert storage.damage, f"bit flipped at byte {position}"
         assert storage.replica_id != before.replica_id
-        assert pairs(storage) == []
+        assert index_term_pairs(storage) == []
         assert storage.recovered.hard_state.term == 0
         assert (copy / "damaged" / segment.name).exists()
 
@@ -157,7 +157,10 @@
     assert storage.damage
     assert storage.durable
     assert storage.replica_id != before.replica_id
-    assert (pairs(storage), storage.recovered.snapshot) == ([], None)
+    assert (index_term_pairs(storage), storage.recovered.snapshot) == (
+        [],
+        None,
+    )
     assert reopen(directory).replica_id == storage.replica_id
 
 
@@ -203,7 +206,7 @@
     monkeypatch.setattr(durable_files, name, fail)
     for _ in range(2):
         with pytest.raises(JournalError):
-            storage.journal.write([persist([(4, 1)])])
+            storage.journal.write([make_persist([(4, 1)])])
     assert len(calls) == 1
     storage.journal.close()
 
@@ -212,10 +215,10 @@
     """Guards a crash between a received snapshot and the new segment."""
     write_snapshot(directory, Snapshot(2, 9, MEMBERS, b"state"))
     storage = open_directory(directory, "test", "a")
-    assert pairs(storage) == []
-    storage.journal.write([persist([(3, 9)])])
+    assert index_term_pairs(storage) == []
+    storage.journal.write([make_persist([(3, 9)])])
     storage.journal.close()
-    assert pairs(reopen(directory)) == [(3, 9)]
+    assert index_term_pairs(reopen(directory)) == [(3, 9)]
 
 
 class Model:
@@ -232,7 +235,7 @@
         kind = source.randrange(10)
         if kind == 0:
             self.hard_state = HardState(self.hard_state.term + 1, "b/1")
-            return persist(hard_state=self.hard_state)
+            return make_persist(hard_state=self.hard_state)
         if kind == 1 and self.entries:
             self.base = source.choice(self.entries)
             self.entries = [e for e in self.entries if e > self.base]
@@ -240,14 +243,18 @@
         if kind == 2:
             self.base = (last[0] + source.randrange(1, 9), last[1] + 1)
             self.entries = []
-            return persist(snapshot=Snapshot(*self.base, MEMBERS, b"state"))
+            return make_persist(
+                snapshot=Snapshot(*self.base, MEMBERS, b"state")
+            )
         first, term = last[0] + 1, last[1]
         if kind < 5 and self.entries:
             first = source.choice(self.entries)[0]
             term += 1
-        new = [(first + step, term) for step in range(source.randrange(1, 5))]
+        new = [
+            (first + offset, term) for offset in range(source.randrange(1, 5))
+        ]
         self.entries = [e for e in self.entries if e[0] < first] + new
-        return persist(new)
+        return make_persist(new)
 
 
 @pytest.mark.parametrize("seed", range(12))
@@ -261,16 +268,16 @@
     path = tmp_path / "data"
     storage = open_directory(path, "test", "a")
     for _ in range(60):
-        made = model.random_persist(source)
-        if made is None:
+        persist = model.random_persist(source)
+        if persist is None:
             write_snapshot(path, Snapshot(*model.base, MEMBERS, b"state"))
-            made = persist(compact_index=model.base[0])
-        storage.journal.write([made])
+            persist = make_persist(compact_index=model.base[0])
+        storage.journal.write([persist])
         if source.random() < 0.2:
             storage.journal.close()
             storage = open_directory(path, "test", "a")
             assert not storage.damage
-            assert pairs(storage) == model.entries
+            assert index_term_pairs(storage) == model.entries
             assert storage.recovered.hard_state.term == model.hard_state.term
     assert len(list(path.glob("snapshot-*"))) <= 1
     storage.journal.close()
--- a/tests/test_quorum_recoveries.py
+++ b/tests/test_quorum_recoveries.py
@@ -113,7 +113,7 @@
         found.storage.journal.close()
         await group.start(leader)
         assert await group.leader() == leader
-        assert await group.index(leader) >= max(acked)
+        assert await group.read_applied_index(leader) >= max(acked)
         for node in SEEDS:
             if node != leader:
                 await group.start(node)
--- a/tests/test_replication_processes.py
+++ b/tests/test_replication_processes.py
@@ -7,10 +7,10 @@
 from operators_client import OperatorsClient, load_fleet_patch
 
 ATTEMPT_INTERVAL_S = 0.1
-PATCHES_BETWEEN = 8
+PATCHES_PER_STEP = 8
 
 
-class Writer:
+class PatchWriter:
     """Submits patches one after the other until they are answered.
 
     Attributes:
@@ -53,9 +53,9 @@
             operation = {"operation": "set_weights", **weights}
             await self.submit(f"p-{number}", [operation])
 
-    async def wait_for_more(self):
+    async def wait_for_patches(self):
         """Waits until some more patches were accepted."""
-        wanted = len(self.accepted) + PATCHES_BETWEEN
+        wanted = len(self.accepted) + PATCHES_PER_STEP
         while len(self.accepted) < wanted:
             await trio.sleep(0.05)
 
@@ -75,35 +75,35 @@
 async def fail_controls(runner, client, writer):
     """Kills and stops leaders, and then kills all controls at once."""
     controls = runner.processes
-    await writer.wait_for_more()
+    await writer.wait_for_patches()
     leader = await find_leader(client, writer.nodes)
     await controls[f"control/{leader}"].kill()
-    await writer.wait_for_more()
+    await writer.wait_for_patches()
     await controls[f"control/{leader}"].start()
     leader = await find_leader(client, writer.nodes)
     controls[f"control/{leader}"].freeze()
     await trio.sleep(5)
     controls[f"control/{leader}"].thaw()
-    await writer.wait_for_more()
+    await writer.wait_for_patches()
     for process in controls.values():
         await process.kill()
     for process in controls.values():
         await process.start()
-    await writer.wait_for_more()
+    await writer.wait_for_patches()
 
 
 async def check_history(client, writer):
     """Checks that every control shows every accepted patch, once."""
     for node in writer.nodes:
         path = "/v1/history?limit=1000"
-        shown = []
-        while len(shown) < len(writer.accepted):
+        rows = []
+        while len(rows) < len(writer.accepted):
             await trio.sleep(ATTEMPT_INTERVAL_S)
             answer = await client.send(node, "GET", path)
             if answer is not None and answer.status == 200:
-                shown = answer.document["versions"]
-        versions = {row["patch"]: row["version"] for row in shown}
-        assert len(versions) == len(shown)
+                rows = answer.document["versions"]
+        versions = {row["patch"]: row["version"] for row in rows}
+        assert len(versions) == len(rows)
         assert writer.accepted.items() <= versions.items()
 
 
@@ -126,7 +126,7 @@
             path = controls.settings_path(node)
             arguments = ["-m", "wigeonport.control_main", path]
             runner.add(f"control/{node.node_id}", arguments)
-        writer = Writer(client, list(controls.nodes))
+        writer = PatchWriter(client, list(controls.nodes))
         try:
             await runner.start()
             with trio.fail_after(90):
--- a/wigeonport/consensus.py
+++ b/wigeonport/consensus.py
@@ -199,8 +199,8 @@
             wait_ms = self.replica.next_deadline_ms() - self.clock.now()
             if self.unapplied_entries:
                 wait_ms = 0
-            first = await self.inbox.get_within(wait_ms)
-            events = [] if first is None else [first]
+            first_event = await self.inbox.get_within(wait_ms)
+            events = [] if first_event is None else [first_event]
             events += self.inbox.drain(MAX_BATCH_MESSAGES - len(events))
             for event in events:
                 consensus_inputs.dispatch(self, event)
@@ -250,15 +250,15 @@
 
     def step(self, event):
         """Runs one step of the core and handles its Output."""
-        out = self.replica.step(event, self.clock.now())
-        if out.persist:
-            self.pending_persists.append(out.persist)
-        for message in out.messages:
+        output = self.replica.step(event, self.clock.now())
+        if output.persist:
+            self.pending_persists.append(output.persist)
+        for message in output.messages:
             self.send(node_of(message.recipient), message)
-        if out.install:
-            self.install(out.install)
-        self.unapplied_entries.extend(out.committed)
-        for reply in out.replies:
+        if output.install:
+            self.install(output.install)
+        self.unapplied_entries.extend(output.committed)
+        for reply in output.replies:
             if isinstance(reply, Outcome) and reply.outcome == COMMITTED:
                 self.committed_outcomes[reply.index] = reply
             else:
@@ -272,8 +272,8 @@
         """
         if not self.unapplied_entries:
             return
-        stop_ms = self.clock.now() + MAX_APPLY_MS
-        while self.unapplied_entries and self.clock.now() <= stop_ms:
+        deadline_ms = self.clock.now() + MAX_APPLY_MS
+        while self.unapplied_entries and self.clock.now() <= deadline_ms:
             entry = self.unapplied_entries.popleft()
             answer = self.apply(entry)
             self.applied_index = entry.index
@@ -287,10 +287,10 @@
 
     def install(self, snapshot):
         """Replaces the state by that of a snapshot."""
-        found = self.state_from_document(decode_state(snapshot.data))
-        if found.is_error():
-            raise ConsistencyError(f"snapshot is unreadable: {found.error}")
-        self.state = found.ok
+        result = self.state_from_document(decode_state(snapshot.data))
+        if result.is_error():
+            raise ConsistencyError(f"snapshot is unreadable: {result.error}")
+        self.state = result.ok
         self.snapshot_index = snapshot.index
         self.applied_index = snapshot.index
         self.unapplied_entries.clear()
--- a/wigeonport/consensus_calls.py
+++ b/wigeonport/consensus_calls.py
@@ -188,8 +188,8 @@
 
     def pop(self, number):
         """Removes a call and returns it, or None."""
-        found = self.by_number.pop(number, None)
-        return found.call if found else None
+        open_call = self.by_number.pop(number, None)
+        return open_call.call if open_call else None
 
     def expire(self, now_ms):
         """Abandons the calls whose deadline has passed."""
@@ -203,8 +203,8 @@
         """Abandons the calls forwarded to another leader than this."""
         stale = [
             number
-            for number, each in self.by_number.items()
-            if each.leader_id and each.leader_id != leader_id
+            for number, open_call in self.by_number.items()
+            if open_call.leader_id and open_call.leader_id != leader_id
         ]
         for number in stale:
             self.pop(number).abandon("leader changed")
@@ -225,10 +225,10 @@
         """Answers the reads that waited for an index."""
         if not self.waiting_reads:
             return
-        waiting = []
-        for wanted, read in self.waiting_reads:
-            if wanted <= index:
+        still_waiting = []
+        for read_index, read in self.waiting_reads:
+            if read_index <= index:
                 read.finish(state)
             else:
-                waiting.append((wanted, read))
-        self.waiting_reads = waiting
+                still_waiting.append((read_index, read))
+        self.waiting_reads = still_waiting
--- a/wigeonport/disk_identities.py
+++ b/wigeonport/disk_identities.py
@@ -1,8 +1,8 @@
 """Identity of a data directory.
 
-The identity is drawn when a directory is first used and is part of the
-replica id. A new, a damaged and a swapped directory therefore never
-count as the voter whose data they lack.
+A random identity is written when a directory is first used, and it is part
+of the replica id. A replica whose directory is new, damaged or swapped
+therefore never counts as the voter whose data it lacks.
 """
 
 import secrets
@@ -21,9 +21,9 @@
     """Content of the identity file.
 
     Attributes:
-        format: Version of the format of the directory.
+        format: Version of the format of the identity file.
         cluster_id: Name of the deployment.
-        node: Node that the directory was created for.
+        node: Id of the node that the directory was created for.
         identity: Random hexadecimal digits.
     """
 
@@ -36,12 +36,12 @@
         self.identity = identity
 
     def replica_id(self):
-        """Returns the replica id of the directory."""
+        """Returns the id of the replica that uses the directory."""
         return f"{self.node}/{self.identity}"
 
 
 def create_identity(cluster_id, node):
-    """Returns a new identity for a node."""
+    """Returns a new random DiskIdentity for a node."""
     return DiskIdentity(cluster_id, node, secrets.token_hex(8))
 
 
@@ -51,11 +51,11 @@
 
 
 def read_identity(directory):
-    """Returns the DiskIdentity, or None if there is no file.
+    """Returns the DiskIdentity, or None if there is no identity file.
 
     Raises:
         DamageError: If the file is damaged.
-        FormatError: If its format is unknown.
+        FormatError: If this version does not read its format.
     """
     path = directory / FILE_NAME
     if not path.exists():
--- a/wigeonport/durable_files.py
+++ b/wigeonport/durable_files.py
@@ -1,8 +1,8 @@
-"""Files that are durable once a call returns.
+"""File operations that are durable once the call returns.
 
-A failed sync leaves it unknown which pages reached the disk, and a second
-call may report success although they did not (fsyncgate, 2018). No caller
-may therefore retry; each treats the error as fatal.
+After a failed sync it is unknown which pages reached the disk, and a second
+sync may report success although they did not (fsyncgate, 2018). Callers
+therefore never retry a failed call and treat its error as fatal.
 """
 
 import fcntl
@@ -12,10 +12,13 @@
 
 
 def lock_directory(path):
-    """Returns a descriptor that holds the lock of a data directory.
+    """Locks a data directory.
+
+    Returns:
+        The descriptor that holds the lock until it is closed.
 
     Raises:
-        BlockingIOError: If another process holds it.
+        BlockingIOError: If another process holds the lock.
     """
     descriptor = os.open(path / LOCK_NAME, os.O_RDWR | os.O_CREAT, 0o600)
     try:
@@ -27,12 +30,12 @@
 
 
 def sync_file(descriptor):
-    """Makes the written data of an open file durable."""
+    """Makes the data written to an open file durable."""
     os.fdatasync(descriptor)
 
 
 def sync_directory(path):
-    """Makes created, renamed and removed names durable."""
+    """Makes the creation, renaming and removal of its files durable."""
     descriptor = os.open(path, os.O_RDONLY | os.O_DIRECTORY)
     try:
         os.fsync(descriptor)
@@ -41,22 +44,24 @@
 
 
 def write_all(descriptor, data):
-    """Writes all bytes; a short write is continued."""
+    """Writes all bytes, with further calls after a short write."""
     view = memoryview(data)
     while view:
         view = view[os.write(descriptor, view) :]
 
 
 def replace_file(path, parts):
-    """Writes a file under a temporary name, syncs and renames it.
+    """Replaces a file durably and at once.
+
+    The content is written under a temporary name, synced and renamed.
 
     Args:
         path: Final path.
         parts: Byte strings that form the content.
 
     Raises:
-        OSError: If any step fails; the final name is then unchanged or
-            holds the complete content.
+        OSError: If any step fails. The file at the final path is then
+            either unchanged or has the whole new content.
     """
     temporary = path.with_name(path.name + ".tmp")
     flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC
--- a/wigeonport/journal_records.py
+++ b/wigeonport/journal_records.py
@@ -1,9 +1,9 @@
-"""Records of journal files: a checksum around one thrift message.
+"""Records of journal files: one thrift message each, with a checksum.
 
-A record is a marker, the length and the CRC-32 of the body, and the body.
-Everything that is synced at once is one record. An invalid record that a
-valid one follows was therefore synced before, so it is damage and not the
-trace of an interrupted write.
+A record consists of a marker, the length and the CRC-32 of the body, and the
+body. All that one sync makes durable is one record. A record followed by a
+valid one was therefore synced earlier; if it is invalid, the file is damaged,
+and the cause is not an interrupted write.
 """
 
 import struct
@@ -23,10 +23,11 @@
         format: Version of the journal's format.
         number: Number of the segment, from 1.
         identity: Identity of the data directory.
-        hard_state: Term and vote when the segment was started.
-        last_index: Last index of the log when the segment was started;
-            shows whether an earlier segment is missing.
-        starts_anew: Whether the earlier segments hold no part of the log.
+        hard_state: HardState when the segment was started.
+        last_index: Last index of the log when the segment was started; it
+            shows whether entries before this segment are missing.
+        starts_anew: Whether the entries of all earlier segments are
+            obsolete, because a snapshot replaced them.
     """
 
     __slots__ = (
@@ -51,11 +52,12 @@
 
 @message_kinds.register("JournalBatch")
 class JournalBatch:
-    """What one sync makes durable.
+    """Changes that one sync makes durable.
 
     Attributes:
         hard_state: New HardState, or None.
-        entries: Entries; each replaces the log from its index on.
+        entries: Entries to append; each replaces the earlier entries at
+            its index and above.
     """
 
     __slots__ = ("hard_state", "entries")
@@ -70,12 +72,12 @@
     """First record of a snapshot file.
 
     Attributes:
-        format: Version of the format.
-        index: Last index contained.
+        format: Version of the snapshot's format.
+        index: Index of the last entry that the state contains.
         term: Term of that entry.
-        members: Encoded members.
-        size_bytes: Size of the data that follows.
-        checksum: CRC-32 of that data.
+        members: Encoded Members as of that entry.
+        size_bytes: Size of the encoded state that follows the header.
+        checksum: CRC-32 of the encoded state.
     """
 
     __slots__ = (
@@ -100,13 +102,13 @@
 
 
 def encode_record(message):
-    """Returns the bytes of a record."""
+    """Returns the bytes of the record for a message."""
     body = codec.encode(message)
     return RECORD_HEADER.pack(MARKER, len(body), zlib.crc32(body)) + body
 
 
 def read_body(data, offset):
-    """Returns the body of the record at an offset, or None."""
+    """Returns the body of the record at an offset, or None if invalid."""
     if offset + RECORD_HEADER.size > len(data):
         return None
     marker, size, checksum = RECORD_HEADER.unpack_from(data, offset)
@@ -118,11 +120,11 @@
 
 
 def read_records(data):
-    """Returns the messages up to the first invalid record, and its offset.
+    """Decodes the records up to the first invalid one.
 
     Returns:
-        A list of messages and the offset at which reading ended; it is
-        the length of ``data`` if all of it is valid.
+        A list of messages and the offset of the first invalid record, which
+        is the length of ``data`` if all records are valid.
     """
     messages = []
     offset = 0
@@ -140,9 +142,9 @@
 
 def has_record_after(data, offset):
     """Returns whether a valid record starts after an offset."""
-    found = data.find(MARKER, offset + 1)
-    while found >= 0:
-        if read_body(data, found) is not None:
+    position = data.find(MARKER, offset + 1)
+    while position >= 0:
+        if read_body(data, position) is not None:
             return True
-        found = data.find(MARKER, found + 1)
+        position = data.find(MARKER, position + 1)
     return False
--- a/wigeonport/journals.py
+++ b/wigeonport/journals.py
@@ -1,8 +1,8 @@
-"""The journal: durable entries, term and vote of a replica.
+"""The journal keeps the log entries, term and vote of a replica durable.
 
-The data directory holds the identity file, numbered segment files and
-the newest snapshot. Segments are only appended to; an entry replaces
-what the log held from its index on.
+The data directory holds the identity file, numbered segment files and the
+newest snapshot. Segments are append-only: an entry that is written again
+replaces every earlier entry at its index and above.
 """
 
 import os
@@ -19,22 +19,23 @@
 FORMAT = 1
 PREFIX = "segment-"
 SEGMENT_BYTES = 8 * 1024 * 1024
-# A compaction starts a new segment above this size, so that a restart
-# does not read entries that a snapshot contains.
+# A compaction starts a new segment if the newest one is larger, because the
+# newest segment is never removed and a restart would read entries in it that
+# the snapshot already contains.
 COMPACT_BYTES = 256 * 1024
 
 
 class JournalError(Exception):
-    """The disk failed; nothing more may be acknowledged."""
+    """A write failed; the replica must not acknowledge anything more."""
 
 
 class Segment:
     """A segment file.
 
     Attributes:
-        number: Number in the file name.
+        number: Number in the file name, from 1.
         path: Path of the file.
-        last_index: Highest index of an entry in it, 0 without entries.
+        last_index: Highest index of its entries, or 0 without entries.
     """
 
     __slots__ = ("number", "path", "last_index")
@@ -46,18 +47,20 @@
 
 
 class Journal:
-    """Appends to the newest segment; owned by one task at a time.
+    """Writes to the segments of a data directory.
+
+    Only one task may use it at a time.
 
     Attributes:
         directory: Data directory.
-        identity: Identity in the segment headers.
+        identity: Identity to write into the segment headers.
         segments: Segments, oldest first.
-        hard_state: Last durable HardState.
+        hard_state: Newest durable HardState.
         last_index: Last durable index of the log.
-        descriptor: Open file of the newest segment.
+        descriptor: Descriptor of the newest segment, or -1.
         size_bytes: Size of the newest segment.
         failed: Whether a write failed; the journal is then unusable.
-        lock: Descriptor that keeps other processes out.
+        lock: Descriptor that holds the lock of the directory, or -1.
     """
 
     __slots__ = (
@@ -84,19 +87,24 @@
         self.lock = lock
 
     def write(self, persists):
-        """Makes a list of Persists durable with one sync if possible.
+        """Makes a list of Persists durable.
+
+        They share one sync unless one of them holds a received snapshot.
 
         Raises:
-            JournalError: If a write or a sync failed. The journal stays
-                unusable, because a repeated sync could hide the loss.
+            JournalError: If a write or a sync failed, now or before. The
+                journal stays unusable, because a repeated sync may succeed
+                although data was lost.
         """
         if self.failed:
-            raise JournalError("the journal has failed before")
+            raise JournalError("an earlier write to the journal failed")
         try:
             self._write(persists)
         except OSError as error:
             self.failed = True
-            raise JournalError(f"disk failed: {error}") from error
+            raise JournalError(
+                f"writing the journal failed: {error}"
+            ) from error
 
     def _write(self, persists):
         batch = JournalBatch(None, [])
@@ -130,7 +138,7 @@
             self.last_index = entry.index
 
     def _install_snapshot(self, persist):
-        """Writes a received snapshot and starts the log after it."""
+        """Replaces the log by a snapshot received from the leader."""
         self.hard_state = persist.hard_state or self.hard_state
         write_snapshot(self.directory, persist.snapshot)
         self.last_index = persist.snapshot.index
@@ -139,7 +147,11 @@
         remove_older_snapshots(self.directory)
 
     def _compact(self, index):
-        """Removes the oldest segments that a snapshot covers."""
+        """Removes the segments whose entries a snapshot contains.
+
+        Args:
+            index: Last index that a durable snapshot contains.
+        """
         if self.size_bytes > COMPACT_BYTES:
             self.start_segment()
         covered = []
@@ -151,7 +163,7 @@
         remove_older_snapshots(self.directory)
 
     def _remove(self, segments):
-        # Oldest first, so that a crash in between leaves no gap.
+        # Oldest first, so that a crash in between leaves no gap in the log.
         for segment in segments:
             segment.path.unlink()
             self.segments.remove(segment)
@@ -162,8 +174,8 @@
         """Starts a new segment file.
 
         Args:
-            starts_anew: Whether the log continues a snapshot and no
-                earlier segment.
+            starts_anew: Whether the entries follow a snapshot, so that the
+                entries of all earlier segments are obsolete.
         """
         number = self.segments[-1].number + 1 if self.segments else 1
         path = self.directory / f"{PREFIX}{number:010d}"
@@ -196,10 +208,11 @@
 
 
 class NullJournal:
-    """Stands in for a journal where there is no disk.
+    """Journal of a replica without a disk; it stores nothing.
 
     Attributes:
-        lock: Descriptor of the lock of a directory left unused, or -1.
+        lock: Descriptor that holds the lock of a data directory that the
+            replica must not use, or -1.
     """
 
     __slots__ = ("lock",)
@@ -208,10 +221,14 @@
         self.lock = -1
 
     def write(self, persists):
-        """Forgets what it is given; a learner without a disk restarts."""
+        """Discards the Persists.
+
+        A replica without a disk is a learner and starts with an empty log
+        after each restart.
+        """
 
     def close(self):
-        """Releases the lock."""
+        """Releases the lock of the data directory."""
         if self.lock >= 0:
             os.close(self.lock)
             self.lock = -1
--- a/wigeonport/probes.py
+++ b/wigeonport/probes.py
@@ -50,13 +50,13 @@
         if status.is_error():
             delivery.respond(Failure(status.error))
             continue
-        found = status.ok
+        replica_status = status.ok
         delivery.respond(
             ReplicaReport(
-                found.replica_id,
-                found.leader_id,
-                found.term,
-                found.last_index,
+                replica_status.replica_id,
+                replica_status.leader_id,
+                replica_status.term,
+                replica_status.last_index,
             )
         )
 
@@ -83,16 +83,16 @@
 
 async def probe(context, peer, reports):
     """Adds the report of one peer."""
-    opened = trio.Event()
+    link_opened = trio.Event()
     dialer = Dialer(
         context,
         peer.host,
         peer.control_links_port,
-        lambda _: opened.set(),
+        lambda _: link_opened.set(),
     )
     async with trio.open_nursery() as nursery:
         nursery.start_soon(dialer.run)
-        await opened.wait()
+        await link_opened.wait()
         answer = await dialer.ask(ReplicaProbe(), PROBE_TIMEOUT_MS)
         if answer.is_ok() and isinstance(answer.ok, ReplicaReport):
             reports.append(answer.ok)
--- a/wigeonport/quorum_recoveries.py
+++ b/wigeonport/quorum_recoveries.py
@@ -1,8 +1,8 @@
-"""Quorum recoveries: let one replica go on when the quorum is lost for good.
+"""Quorum recoveries: one voter goes on alone after a permanent quorum loss.
 
-The surviving replica appends a member list that names only itself. Entries
-that the lost voters had committed and that this replica never received are
-lost; entries that it received and that were never committed take effect.
+The surviving replica appends a member list that names only itself. Committed
+entries that it never received are lost; entries that it received take effect
+even if they were never committed.
 """
 
 import pathlib
@@ -24,15 +24,15 @@
 
 
 class Survivor:
-    """What the data directory of the surviving replica holds.
+    """The surviving replica, read from its data directory.
 
     Attributes:
-        replica_id: The replica.
-        term: Its term.
+        replica_id: Id of the replica.
+        term: Its current term.
         last_index: Last index of its log.
-        version: Fleet version after all its entries.
-        members: Its Members.
-        storage: Opened data directory.
+        version: Fleet version after all entries of its log.
+        members: Members of the group according to its log.
+        storage: OpenedStorage of the replica.
     """
 
     __slots__ = (
@@ -61,7 +61,7 @@
         self.storage = storage
 
     def describe(self):
-        """Returns the lines that an operator reads before deciding."""
+        """Returns what a recovery loses, as lines for the operator."""
         lost = [v for v in self.members.voters if v != self.replica_id]
         return [
             f"replica {self.replica_id} holds fleet version {self.version}",
@@ -72,7 +72,7 @@
 
 
 def read_state(recovered):
-    """Returns the ReplicatedState after all entries."""
+    """Returns the ReplicatedState after all entries of a RecoveredState."""
     state = ReplicatedState()
     if recovered.snapshot:
         document = decode_state(recovered.snapshot.data)
@@ -88,9 +88,13 @@
 
 
 def open_survivor(settings) -> Result:
-    """Returns the Survivor of a stopped control, or why there is none."""
+    """Opens the data directory of a stopped control.
+
+    Returns:
+        Ok of a Survivor, or Error of the reason why there is none.
+    """
     if settings.data_dir is None:
-        return Error("this VM has no data_dir")
+        return Error("the settings of this VM have no data_dir")
     directory = pathlib.Path(settings.data_dir)
     try:
         identity = read_identity(directory) if directory.is_dir() else None
@@ -114,11 +118,14 @@
 
 
 def find_objections(survivor, reports):
-    """Returns why the quorum must not be given up.
+    """Returns the reasons why the survivor must not go on alone.
 
     Args:
         survivor: The Survivor.
         reports: ReplicaReports of the other controls that answered.
+
+    Returns:
+        A list of sentences, empty if there is no reason.
     """
     members = survivor.members
     if not members.is_voter(survivor.replica_id):
@@ -128,11 +135,11 @@
         for report in reports
         if report.leader_id
     ]
-    living = {r.replica_id for r in reports} & set(members.voters)
-    if len(living) + 1 >= members.quorum():
+    live_voters = {r.replica_id for r in reports} & set(members.voters)
+    if len(live_voters) + 1 >= members.quorum():
         objections.append(
-            f"{len(living) + 1} of {len(members.voters)} voters live, which "
-            "is a quorum; start this control"
+            f"{len(live_voters) + 1} of {len(members.voters)} voters live, "
+            "which is a quorum; start this control"
         )
     objections += [
         f"{report.replica_id} holds a longer log (term {report.term}, index "
@@ -145,17 +152,20 @@
 
 
 def make_sole_voter(survivor):
-    """Appends the member list that names only the survivor."""
+    """Appends a member list that names only the survivor.
+
+    The entry gets a new term for which the survivor has voted for itself.
+    """
     term = survivor.term + 1
-    alone = Members([Member(survivor.replica_id, True, True)])
+    sole_member = Members([Member(survivor.replica_id, True, True)])
     persist = Persist(1)
     persist.hard_state = HardState(term, survivor.replica_id)
     persist.entries = [
-        Entry(survivor.last_index + 1, term, MEMBERS, alone.to_payload())
+        Entry(survivor.last_index + 1, term, MEMBERS, sole_member.to_payload())
     ]
     survivor.storage.journal.write([persist])
 
 
 def collect_reports(settings, keys):
-    """Returns the ReplicaReports of the other controls."""
+    """Returns the ReplicaReports of the other controls that answer."""
     return trio.run(probe_peers, settings, keys)
--- a/wigeonport/recoveries.py
+++ b/wigeonport/recoveries.py
@@ -1,4 +1,4 @@
-"""Start of a replica from its data directory."""
+"""Recovery of a replica from its data directory when it starts."""
 
 import os
 import shutil
@@ -37,14 +37,15 @@
 
 
 class OpenedStorage:
-    """A data directory that is ready for use.
+    """Storage of a replica that is about to start.
 
     Attributes:
-        replica_id: Replica id to run under.
-        durable: False if the replica must run in memory only.
-        journal: Journal or MemoryJournal.
-        recovered: What the replica starts from.
-        damage: Why older data was set aside, or "".
+        replica_id: Id of the replica.
+        durable: Whether there is a disk; False if the replica must run in
+            memory only.
+        journal: Journal or NullJournal.
+        recovered: RecoveredState that the replica starts from.
+        damage: Why the data of the directory is not used, or "".
     """
 
     __slots__ = ("replica_id", "durable", "journal", "recovered", "damage")
@@ -58,7 +59,7 @@
 
 
 def open_memory(cluster_id, node):
-    """Returns an Opened for a node without a disk."""
+    """Returns the OpenedStorage of a node without a disk."""
     replica_id = create_identity(cluster_id, node).replica_id()
     return OpenedStorage(
         replica_id, False, NullJournal(), RecoveredState(), ""
@@ -68,10 +69,13 @@
 def open_directory(directory, cluster_id, node):
     """Opens or creates the data directory of a node.
 
-    Damaged data is moved aside and the replica starts under a new
-    identity, so that it does not vote before it has been rebuilt from its
-    peers. A directory that belongs to another node or cluster is left as
-    it is, and the replica runs in memory without a vote.
+    Damaged data is moved aside and the replica starts under a new identity,
+    so that it cannot vote before it has been rebuilt from its peers. A
+    directory that belongs to another node or cluster stays unchanged, and
+    the replica runs in memory without a vote.
+
+    Returns:
+        An OpenedStorage.
 
     Raises:
         FormatError: If the data was written by a newer version.
@@ -89,14 +93,18 @@
             return _create(directory, cluster_id, node, "", lock)
         if (identity.cluster_id, identity.node) != (cluster_id, node):
             owner = f"{identity.cluster_id}/{identity.node}"
-            logger.error("Data belongs to another node.", owner=owner)
+            logger.error(
+                "Data directory belongs to another node.", owner=owner
+            )
             storage = open_memory(cluster_id, node)
             storage.journal.lock = lock
             storage.damage = f"the data directory belongs to {owner}"
             return storage
         return _recover(directory, identity, lock)
     except DamageError as error:
-        logger.error("Data is damaged and is set aside.", reason=error)
+        logger.error(
+            "Data directory is damaged; moving its files aside.", reason=error
+        )
         _move_aside(directory)
         return _create(directory, cluster_id, node, str(error), lock)
 
@@ -104,7 +112,8 @@
 def _create(directory, cluster_id, node, damage, lock):
     identity = create_identity(cluster_id, node)
     journal = Journal(directory, identity.identity, [], None, lock)
-    # The identity comes first: a segment without it counts as damage.
+    # The identity file is written first: a directory that has a segment but
+    # no identity file counts as damaged.
     write_identity(directory, identity)
     journal.start_segment()
     durable_files.sync_directory(directory.parent)
@@ -114,7 +123,10 @@
 
 
 def _move_aside(directory):
-    """Moves everything into a subdirectory for inspection."""
+    """Moves all files but the lock into a subdirectory for inspection.
+
+    The files of an earlier move are deleted.
+    """
     target = directory / DAMAGED
     if target.exists():
         shutil.rmtree(target)
@@ -131,11 +143,11 @@
     replay = Replay()
     segments = _read_segments(directory, identity, replay)
     if not segments:
-        raise DamageError("there is no segment")
+        raise DamageError("the journal has no segment")
     base_index = snapshot.index if snapshot else 0
     if replay.last_missing_index > base_index:
         raise DamageError(
-            f"entries up to {replay.last_missing_index} are missing"
+            f"entries up to index {replay.last_missing_index} are missing"
         )
     entries = _entries_after(snapshot, replay.entries)
     recovered = RecoveredState(replay.hard_state, snapshot, entries)
@@ -157,8 +169,9 @@
     Attributes:
         entries: Entries of the log.
         hard_state: Newest HardState.
-        last_missing_index: Last index that only a snapshot may hold.
-        is_first: Whether no segment has been read yet.
+        last_missing_index: Index up to which the segments lack the entries,
+            so that a snapshot must contain them.
+        is_first: Whether no segment header has been read yet.
     """
 
     __slots__ = ("entries", "hard_state", "last_missing_index", "is_first")
@@ -169,11 +182,11 @@
         self.last_missing_index = 0
         self.is_first = True
 
-    def take(self, record):
-        """Applies a record.
+    def apply(self, record):
+        """Applies the next record of the segments.
 
         Raises:
-            DamageError: If an entry is missing.
+            DamageError: If entries before those of the record are missing.
         """
         if isinstance(record, SegmentHeader):
             self.hard_state = record.hard_state
@@ -185,23 +198,34 @@
             return
         self.hard_state = record.hard_state or self.hard_state
         for entry in record.entries:
-            self.add(entry)
+            self.append_entry(entry)
 
-    def add(self, entry):
-        """Adds an entry, which replaces the log from its index on."""
+    def append_entry(self, entry):
+        """Appends an entry in place of those at its index and above."""
         if self.entries:
             position = entry.index - self.entries[0].index
             if position < 0:
                 self.entries = []
             elif position > len(self.entries):
-                raise DamageError(f"entries before {entry.index} are missing")
+                raise DamageError(
+                    f"entries before index {entry.index} are missing"
+                )
             else:
                 del self.entries[position:]
         self.entries.append(entry)
 
 
 def _read_segments(directory, identity, replay):
-    """Feeds all records to the replay; returns the valid segments."""
+    """Reads the segments and applies their records to the replay.
+
+    Returns:
+        The Segments, oldest first.
+
+    Raises:
+        DamageError: If a segment is damaged or missing.
+        FormatError: If this version does not read the format of a segment.
+        OSError: If the disk fails.
+    """
     paths = sorted(directory.glob(f"{PREFIX}*"))
     segments = []
     for position, path in enumerate(paths):
@@ -219,7 +243,7 @@
             continue
         segment = Segment(number, path)
         for record in records:
-            replay.take(record)
+            replay.apply(record)
             if isinstance(record, JournalBatch):
                 for entry in record.entries:
                     segment.last_index = max(segment.last_index, entry.index)
@@ -228,11 +252,16 @@
 
 
 def _truncate_interrupted_write(path, data, offset, is_last):
-    """Cuts off an interrupted write at the end of the last segment."""
+    """Removes an interrupted write from the end of the last segment.
+
+    Raises:
+        DamageError: If the invalid record cannot come from an interrupted
+            write, because a valid one follows.
+    """
     if not is_last or has_record_after(data, offset):
-        raise DamageError(f"{path.name}: damage at byte {offset}")
+        raise DamageError(f"{path.name}: damaged record at byte {offset}")
     logger.warning(
-        "An interrupted write is cut off.", file=path.name, offset=offset
+        "Truncating an interrupted write.", file=path.name, offset=offset
     )
     descriptor = os.open(path, os.O_WRONLY)
     try:
@@ -245,29 +274,32 @@
 def _check_header(path, records, number, identity, segments):
     header = records[0] if records else None
     if not isinstance(header, SegmentHeader):
-        raise DamageError(f"{path.name}: header is missing")
+        raise DamageError(f"{path.name}: segment header is missing")
     if header.format != FORMAT:
-        raise FormatError(f"{path.name}: format {header.format}")
+        raise FormatError(
+            f"{path.name}: format {header.format} is not {FORMAT}"
+        )
     if header.identity != identity.identity or header.number != number:
-        raise DamageError(f"{path.name}: belongs to another directory")
+        raise DamageError(f"{path.name}: segment belongs to another directory")
     if segments and number != segments[-1].number + 1:
-        raise DamageError(f"{path.name}: an earlier segment is missing")
+        raise DamageError(f"{path.name}: the segment before it is missing")
 
 
 def _entries_after(snapshot, entries):
-    """Returns the entries that continue the snapshot.
+    """Returns the entries of the log that follow the snapshot.
 
     Raises:
-        DamageError: If entries between the two are missing.
+        DamageError: If entries between the snapshot and the log are missing.
     """
     base_index = snapshot.index if snapshot else 0
     if not entries or entries[-1].index < base_index:
         return []
     first_index = entries[0].index
     if first_index > base_index + 1:
-        raise DamageError(f"entries before {first_index} are missing")
+        raise DamageError(f"entries before index {first_index} are missing")
     position = base_index + 1 - first_index
     if position > 0 and entries[position - 1].term != snapshot.term:
-        # The snapshot came from the leader and the log did not match it.
+        # The log conflicts with the snapshot: the leader sent the snapshot,
+        # and the process ended before the journal started a new segment.
         return []
     return entries[position:]
--- a/wigeonport/snapshots.py
+++ b/wigeonport/snapshots.py
@@ -1,4 +1,4 @@
-"""Snapshot files: one complete state at a log index."""
+"""Snapshot files: the whole replicated state as of one log index."""
 
 import itertools
 import json
@@ -17,10 +17,11 @@
 
 FORMAT = 1
 PREFIX = "snapshot-"
-# Level 1 compresses a state of repeated keys nearly as well as the
-# default level at a fraction of the time.
+# The documents repeat their keys, so that level 1 compresses them nearly as
+# well as the default level in a fraction of the time.
 COMPRESSION_LEVEL = 1
-# A state has sections, each with some tables of many rows.
+# Levels of objects of a state's document that are always encoded item by item:
+# the document holds sections, and a section holds tables of many rows.
 MAX_SLICED_DEPTH = 2
 MAX_SLICE_ITEMS = 100
 encode_json = json.JSONEncoder(separators=(",", ":")).encode
@@ -35,7 +36,7 @@
 
 
 def encode_state(document):
-    """Returns the bytes of a state's document."""
+    """Returns a state's document as compressed JSON."""
     compressor = zlib.compressobj(COMPRESSION_LEVEL)
     parts = [
         compressor.compress(text.encode())
@@ -47,31 +48,35 @@
 def encode_slices(value, depth):
     """Yields the JSON text of plain data in short pieces.
 
-    The JSON encoder holds the interpreter lock for the whole of a call, so
-    that one call for a large state would stop the heartbeats.
+    The JSON encoder holds the interpreter lock throughout a call, so that
+    encoding a large state in one call would delay the heartbeats.
+
+    Args:
+        value: The data.
+        depth: Number of levels of objects to encode item by item.
     """
     if isinstance(value, dict) and depth and value:
-        mark = "{"
+        prefix = "{"
         for key, item in value.items():
-            yield f"{mark}{encode_json(str(key))}:"
+            yield f"{prefix}{encode_json(str(key))}:"
             yield from encode_slices(item, depth - 1)
-            mark = ","
+            prefix = ","
         yield "}"
     elif isinstance(value, dict | list) and len(value) > MAX_SLICE_ITEMS:
-        first, last = "{}" if isinstance(value, dict) else "[]"
+        slice_prefix, closing = "{}" if isinstance(value, dict) else "[]"
         items = value.items() if isinstance(value, dict) else value
         source = iter(items)
         while part := list(itertools.islice(source, MAX_SLICE_ITEMS)):
             text = encode_json(type(value)(part))
-            yield first + text[1:-1]
-            first = ","
-        yield last
+            yield slice_prefix + text[1:-1]
+            slice_prefix = ","
+        yield closing
     else:
         yield encode_json(value)
 
 
 def decode_state(data):
-    """Returns the document from its bytes."""
+    """Returns the document that ``encode_state`` encoded."""
     return json.loads(zlib.decompress(data))
 
 
@@ -99,11 +104,11 @@
 
 
 def read_newest_snapshot(directory):
-    """Returns the newest Snapshot, or None if there is no file.
+    """Returns the newest Snapshot, or None if there is no snapshot file.
 
     Raises:
         DamageError: If the newest file is damaged.
-        FormatError: If its format is unknown.
+        FormatError: If this version does not read its format.
     """
     paths = list_snapshots(directory)
     if not paths:
@@ -117,7 +122,9 @@
         raise FormatError(f"{paths[-1].name}: {decoded.error}")
     header = decoded.ok
     if header.format != FORMAT:
-        raise FormatError(f"{paths[-1].name}: format {header.format}")
+        raise FormatError(
+            f"{paths[-1].name}: format {header.format} is not {FORMAT}"
+        )
     content = data[RECORD_HEADER.size + len(body) :]
     if len(content) != header.size_bytes or (
         zlib.crc32(content) != header.checksum
@@ -128,14 +135,14 @@
 
 
 def list_snapshots(directory):
-    """Returns the paths of the snapshots, oldest first."""
+    """Returns the paths of the snapshot files, oldest first."""
     return sorted(
         path for path in directory.glob(f"{PREFIX}*") if path.suffix != ".tmp"
     )
 
 
 def remove_older_snapshots(directory):
-    """Removes all snapshots but the newest one."""
+    """Removes all snapshot files but the newest."""
     older = list_snapshots(directory)[:-1]
     for path in older:
         path.unlink()
