Reword the consensus task, its requests and the probes

Cause: docstrings in private turns (names an index, learns that the writer is free) and attribute lines without key and value. Change: texts of consensus, consensus_inputs, _requests, _calls, _writers and probes.

--- a/wigeonport/consensus.py
+++ b/wigeonport/consensus.py
@@ -1,9 +1,8 @@
 """The task that owns a replica, its journal and the replicated state.
 
-Filters around it: links deliver messages of peers into ``inbox``; the
-writer makes Persists durable in a worker thread; the snapshot filter
-encodes and writes snapshots in another. Each returns its result through
-``inbox``.
+The filters around it put their results into its ``inbox``: the links deliver
+the messages of peers, the journal writer makes Persists durable in a worker
+thread, and the snapshot writer encodes and writes snapshots in another.
 """
 
 import collections
@@ -44,45 +43,50 @@
 
 codec = codecs.get("thrift").ok()
 INBOX_BOUND = 4_096
-# Largest number of messages handled before the journal gets its batch.
+# Messages handled in one round, before the journal writer gets its batch.
 MAX_BATCH_MESSAGES = 512
 SNAPSHOT_ENTRIES = 5_000
-# Far below the heartbeat interval.
+# Far below the heartbeat interval, so that applying entries delays no
+# heartbeat.
 MAX_APPLY_MS = 20
 
 
 class Consensus:
-    """One replica of the replicated state.
+    """The task of one replica.
 
     Attributes:
-        replica: The consensus core.
-        journal: Journal or MemoryJournal.
+        replica: Consensus core of the replica.
+        journal: Journal or NullJournal.
         directory: Data directory, or None without a disk.
-        state: Current state object.
-        state_from_document: Function from a document to a Result of a state.
+        state: Replicated state after the last applied entry.
+        state_from_document: Function that returns a Result of a state from
+            the document of a snapshot.
         send: Function ``(node, message)`` that does not wait; it returns
-            False only if the message was surely not sent.
+            False only if the message was certainly not sent.
         clock: Clock.
         metrics: Metrics.
-        inbox: Mailbox for messages of peers and for requests.
+        inbox: Mailbox of messages from peers and of requests.
         calls: Open proposals and reads.
-        observers: Mailboxes that get Applied, Installed and
-            LeadershipNotice; each must refuse or drop when full.
-        batch: Proposals to append in the current round.
-        pending_persists: Persists that the writer has not got yet.
-        write_in_progress: Whether the writer is busy.
-        write_requests: Mailbox of the writer.
-        snapshot_requests: Mailbox of the snapshot filter.
+        observers: Mailboxes that get each EntryApplied, SnapshotInstalled
+            and LeadershipNotice; each must refuse or drop when full.
+        batch: ProposalItems to append in the current round.
+        pending_persists: Persists to hand to the journal writer next.
+        write_in_progress: Whether the journal writer is busy.
+        write_requests: Mailbox of the journal writer.
+        snapshot_requests: Mailbox of the snapshot writer.
         snapshot_index: Index of the newest snapshot, or of the one that
             is being written.
-        snapshot_in_progress: Whether the snapshot filter is busy.
-        snapshot_entries: Entries between two snapshots.
-        unobserved_commands: Classes of commands that observers are not told about.
-        leadership: Pair of term and leader id at the last round.
+        snapshot_in_progress: Whether the snapshot writer is busy.
+        snapshot_entries: Number of entries to apply between two snapshots.
+        unobserved_commands: Classes of the commands for which observers
+            get no EntryApplied.
+        leadership: Pair of term and leader id after the last round.
         applied_index: Index of the last entry applied to the state.
-        unapplied_entries: Committed entries that are not applied yet.
-        committed_outcomes: Outcome by index of proposals among them.
-        tick_postponed: Whether due timers waited for the inbox once.
+        unapplied_entries: Committed entries to apply next.
+        committed_outcomes: Maps the index of an unapplied entry to the
+            Outcome of its proposal, if this replica proposed it.
+        tick_postponed: Whether the timers are due and one round has already
+            handled the inbox first.
     """
 
     __slots__ = (
@@ -165,10 +169,10 @@
             self.install(storage.recovered.snapshot)
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
-        """Runs until cancelled or until the disk fails.
+        """Runs until it is cancelled or the disk fails.
 
         Raises:
-            JournalError: If the disk failed; the process must end.
+            JournalError: If the disk failed; the process must then end.
             ConsistencyError: If an invariant of the log is violated.
         """
         try:
@@ -194,7 +198,10 @@
             self.journal.close()
 
     async def serve(self):
-        """Handles messages in rounds; one round forms one batch."""
+        """Handles the inbox in rounds.
+
+        The proposals of a round are appended together.
+        """
         while True:
             wait_ms = self.replica.next_deadline_ms() - self.clock.now()
             if self.unapplied_entries:
@@ -210,10 +217,11 @@
             self.end_round(self.clock.now())
 
     def tick_if_due(self):
-        """Fires due timers.
+        """Fires the timers that are due.
 
-        A heartbeat that waits in the inbox may move the election timer,
-        so that a replica that was busy first reads what has arrived.
+        After a busy time a heartbeat that resets the election timer may
+        still be in the inbox. Due timers therefore wait once until a round
+        has handled the inbox.
         """
         if self.clock.now() < self.replica.next_deadline_ms():
             self.tick_postponed = False
@@ -224,13 +232,17 @@
             self.step(Tick())
 
     def append_batch(self):
-        """Proposes the collected proposals at once."""
+        """Appends the collected proposals in one step of the core."""
         if self.batch:
             items, self.batch = self.batch, []
             self.step(Propose(items))
 
     def end_round(self, now_ms):
-        """Starts writes, and ends calls that cannot succeed any more."""
+        """Starts writes and ends calls that get no answer any more.
+
+        Those are the calls forwarded to a former leader and the calls whose
+        deadline has passed.
+        """
         self.start_snapshot_if_due()
         if self.pending_persists and not self.write_in_progress:
             self.write_in_progress = True
@@ -249,7 +261,7 @@
         self.calls.expire(now_ms)
 
     def step(self, event):
-        """Runs one step of the core and handles its Output."""
+        """Passes an event to the core and handles its Output."""
         output = self.replica.step(event, self.clock.now())
         if output.persist:
             self.pending_persists.append(output.persist)
@@ -265,10 +277,10 @@
                 self.finish_call(reply)
 
     def apply_committed(self):
-        """Applies committed entries for a bounded time.
+        """Applies committed entries for at most ``MAX_APPLY_MS``.
 
-        After a restart thousands of entries are committed at once; the
-        heartbeats must not wait for all of them.
+        After a restart thousands of entries are committed at once, and
+        applying all of them in one round would delay the heartbeats.
         """
         if not self.unapplied_entries:
             return
@@ -286,16 +298,21 @@
         self.calls.answer_applied_reads(self.applied_index, self.state)
 
     def install(self, snapshot):
-        """Replaces the state by that of a snapshot."""
+        """Replaces the state by that of a snapshot.
+
+        Raises:
+            ConsistencyError: If this version cannot read the snapshot.
+        """
         result = self.state_from_document(decode_state(snapshot.data))
         if result.is_error():
-            raise ConsistencyError(f"snapshot is unreadable: {result.error}")
+            raise ConsistencyError(f"cannot read the snapshot: {result.error}")
         self.state = result.ok
         self.snapshot_index = snapshot.index
         self.applied_index = snapshot.index
         self.unapplied_entries.clear()
         for reply in self.committed_outcomes.values():
-            # The snapshot contains the effect, but not the answer.
+            # The snapshot contains the effect of the command, but not the
+            # answer of the state.
             reply.outcome = UNKNOWN
             self.finish_call(reply)
         self.committed_outcomes.clear()
@@ -303,7 +320,11 @@
         self.calls.answer_applied_reads(snapshot.index, self.state)
 
     def apply(self, entry):
-        """Applies a committed entry and returns the state's answer."""
+        """Applies a committed entry and returns the state's answer.
+
+        Raises:
+            ConsistencyError: If this version cannot read the entry.
+        """
         if entry.kind != DATA:
             self.state.apply(StateEntry(entry.index, 0, None))
             return None
@@ -317,12 +338,17 @@
         return answer
 
     def notify(self, notice):
-        """Passes a notice to the observers."""
+        """Passes a notice to all observers."""
         for observer in self.observers:
             observer.put_nowait(notice)
 
     def finish_call(self, reply, answer=None):
-        """Ends the call of an Outcome or a ReadReady."""
+        """Answers the call of an Outcome or a ReadReady.
+
+        Args:
+            reply: The Outcome or ReadReady.
+            answer: Answer of the state to a committed command, else None.
+        """
         call = self.calls.pop(reply.number)
         if call is None:
             return
@@ -334,11 +360,11 @@
         )
 
     def encode_command(self, command):
-        """Returns the payload of an entry for an encoded command."""
+        """Returns the entry payload for an encoded command."""
         return codec.encode(LoggedCommand(self.clock.wall(), command))
 
     def start_snapshot_if_due(self):
-        """Hands a document to the snapshot filter when one is due."""
+        """Requests a snapshot of the state if one is due."""
         index = self.applied_index
         due = index - self.snapshot_index >= self.snapshot_entries
         term = self.replica.log.term_at(index)
@@ -348,8 +374,8 @@
         self.snapshot_index = index
         make_snapshot = functools.partial(Snapshot, index, term, members)
         if self.directory is None:
-            # A learner without a disk never leads, so that nobody asks
-            # for its snapshot; only its log is compacted.
+            # A replica without a disk is a learner and never leads, so that
+            # no replica needs its snapshot. The empty one compacts its log.
             self.step(SnapshotTaken(make_snapshot(b"")))
             return
         self.snapshot_in_progress = True
@@ -359,13 +385,13 @@
 
 
 def decode_log_message(data):
-    """Decodes a message of the log.
+    """Decodes a message from the log.
 
     Raises:
-        ConsistencyError: If this version does not know it. Skipping it
+        ConsistencyError: If this version cannot decode it. Skipping it
             would make the states of the replicas differ.
     """
     decoded = codec.decode(data)
     if decoded.is_error():
-        raise ConsistencyError(f"entry is unreadable: {decoded.error}")
+        raise ConsistencyError(f"cannot decode a log entry: {decoded.error}")
     return decoded.ok
--- a/wigeonport/consensus_calls.py
+++ b/wigeonport/consensus_calls.py
@@ -18,13 +18,13 @@
 
 codec = codecs.get("thrift").ok()
 
-# Longer than an election, so that most calls end by an answer; callers
-# set their own shorter deadlines.
+# Longer than an election, so that most calls are answered; callers set their
+# own, shorter deadlines.
 CALL_TIMEOUT_MS = 10_000
 
 
 class LocalProposal:
-    """A proposal of this process.
+    """A proposal made by this process.
 
     Attributes:
         reply: Reply channel for a ProposalAnswer.
@@ -36,20 +36,20 @@
         self.reply = reply
 
     def finish(self, answer):
-        """Answers the proposer."""
+        """Sends a ProposalAnswer to the proposer."""
         self.reply.send(answer)
 
     def abandon(self, reason):
-        """Answers that the outcome is unknown."""
+        """Answers that the outcome is unknown, with the reason."""
         self.reply.send(ProposalAnswer(UNKNOWN, reason))
 
 
 class RemoteProposal:
-    """A proposal that another replica forwarded.
+    """A proposal that another replica forwarded to this one.
 
     Attributes:
         message: The ProposeForward.
-        send: Function ``(node, message)``.
+        send: Function ``(node, message)`` that does not wait.
     """
 
     __slots__ = ("message", "send")
@@ -59,7 +59,7 @@
         self.send = send
 
     def finish(self, answer):
-        """Sends the answer to the replica that forwarded."""
+        """Sends a ProposalAnswer to the replica that forwarded it."""
         message = self.message
         encoded = b""
         if answer.answer is not None:
@@ -78,16 +78,16 @@
         )
 
     def abandon(self, reason):
-        """Sends that the outcome is unknown."""
+        """Answers that the outcome is unknown, with the reason."""
         self.finish(ProposalAnswer(UNKNOWN, reason))
 
 
 class LocalRead:
-    """A read of this process.
+    """A read requested by this process.
 
     Attributes:
-        view: Function of the state.
-        reply: Reply channel for Ok or Error.
+        view: Function that returns the view of a state.
+        reply: Reply channel for an Ok or an Error.
     """
 
     __slots__ = ("view", "reply")
@@ -97,29 +97,34 @@
         self.reply = reply
 
     def finish(self, state):
-        """Answers with the view of the state.
+        """Answers with the view of a state.
 
-        A view comes from another filter; its fault must not end the task
-        that owns the log.
+        The function is code of another filter, so that an exception of it
+        must not end the task that owns the log.
         """
         try:
             answer = Ok(self.view(state))
         except Exception as fault:
-            logger.error("A view of the state failed.", fault=repr(fault))
+            logger.error(
+                "A view of the state raised an exception.", fault=repr(fault)
+            )
             answer = Error(f"the view failed: {fault!r}")
         self.reply.send(answer)
 
     def abandon(self, reason):
-        """Answers with an error; a read has no effect."""
+        """Answers with an error.
+
+        A read has no effect, so that its outcome is never unknown.
+        """
         self.reply.send(Error(reason))
 
 
 class RemoteRead:
-    """A ReadIndex of another replica.
+    """A read index requested by another replica.
 
     Attributes:
         message: The ReadIndex.
-        send: Function ``(node, message)``.
+        send: Function ``(node, message)`` that does not wait.
     """
 
     __slots__ = ("message", "send")
@@ -129,7 +134,7 @@
         self.send = send
 
     def answer(self, index):
-        """Sends the index, or -1 if there is none."""
+        """Sends the read index, or -1 if there is none."""
         message = self.message
         self.send(
             node_of(message.sender),
@@ -139,17 +144,17 @@
         )
 
     def abandon(self, reason):
-        """Sends that there is no index."""
+        """Answers that there is no read index."""
         self.answer(-1)
 
 
 class OpenCall:
-    """A call that awaits its end.
+    """A call that has not been answered yet.
 
     Attributes:
-        call: One of the classes above.
-        deadline_ms: When it is abandoned.
-        leader_id: Leader that it was forwarded to, or "".
+        call: LocalProposal, RemoteProposal, LocalRead or RemoteRead.
+        deadline_ms: Monotonic time at which it is abandoned.
+        leader_id: Id of the leader that it was forwarded to, or "".
     """
 
     __slots__ = ("call", "deadline_ms", "leader_id")
@@ -161,13 +166,15 @@
 
 
 class Calls:
-    """Open calls by number.
+    """The open calls.
 
     Attributes:
-        next_number: Number of the next call. It starts at random, so that
-            a late answer from before a restart matches no call.
-        by_number: OpenCall by number, oldest first.
-        waiting_reads: Pairs of index and LocalRead that wait until it is applied.
+        next_number: Number of the last call opened. It starts at a random
+            value, so that a late answer to a call from before a restart
+            matches no open call.
+        by_number: Maps the number of a call to its OpenCall, oldest first.
+        waiting_reads: Pairs of a read index and the LocalRead that waits
+            until this index is applied.
     """
 
     __slots__ = ("next_number", "by_number", "waiting_reads")
@@ -178,7 +185,13 @@
         self.waiting_reads = []
 
     def open(self, call, now_ms, leader_id=""):
-        """Adds a call and returns its number."""
+        """Adds a call and returns its number.
+
+        Args:
+            call: LocalProposal, RemoteProposal, LocalRead or RemoteRead.
+            now_ms: Current monotonic time.
+            leader_id: Id of the leader that it is forwarded to, or "".
+        """
         self.next_number += 1
         deadline_ms = now_ms + CALL_TIMEOUT_MS
         self.by_number[self.next_number] = OpenCall(
@@ -187,7 +200,7 @@
         return self.next_number
 
     def pop(self, number):
-        """Removes a call and returns it, or None."""
+        """Removes a call and returns it, or None if it is not open."""
         open_call = self.by_number.pop(number, None)
         return open_call.call if open_call else None
 
@@ -197,20 +210,20 @@
             number = next(iter(self.by_number))
             if self.by_number[number].deadline_ms > now_ms:
                 return
-            self.pop(number).abandon("no answer in time")
+            self.pop(number).abandon("no answer within the call timeout")
 
     def abandon_stale_forwards(self, leader_id):
-        """Abandons the calls forwarded to another leader than this."""
+        """Abandons the calls that were forwarded to any other leader."""
         stale = [
             number
             for number, open_call in self.by_number.items()
             if open_call.leader_id and open_call.leader_id != leader_id
         ]
         for number in stale:
-            self.pop(number).abandon("leader changed")
+            self.pop(number).abandon("the leader changed before it answered")
 
     def abandon_all(self, reason):
-        """Abandons every call, at the end of the process."""
+        """Abandons all calls when the process stops."""
         for number in list(self.by_number):
             self.pop(number).abandon(reason)
         for _, read in self.waiting_reads:
@@ -218,11 +231,11 @@
         self.waiting_reads = []
 
     def add_waiting_read(self, index, read):
-        """Keeps a read until an index is applied."""
+        """Keeps a LocalRead until an index is applied."""
         self.waiting_reads.append((index, read))
 
     def answer_applied_reads(self, index, state):
-        """Answers the reads that waited for an index."""
+        """Answers the reads that waited for this or a lower index."""
         if not self.waiting_reads:
             return
         still_waiting = []
--- a/wigeonport/consensus_inputs.py
+++ b/wigeonport/consensus_inputs.py
@@ -1,4 +1,4 @@
-"""Handlers of what arrives in the inbox of the consensus task."""
+"""Handlers of the messages in the inbox of the consensus task."""
 
 from wigeonport.codecs import codecs
 from wigeonport.consensus_calls import (
@@ -45,28 +45,31 @@
 
 
 def handles_input(kind):
-    """Registers a function ``(consensus, message)`` for a class."""
+    """Registers a function ``(consensus, message)`` for a message class."""
     return inputs.register(kind)
 
 
 def dispatch(consensus, message):
-    """Handles a request, or passes a message to the core."""
+    """Calls the handler of a message, or passes the message to the core."""
     handler = inputs.entries.get(type(message))
     if handler is not None:
         handler(consensus, message)
         return
     kind = type(message).__name__
     if kind not in handlers.entries:
-        logger.warning("Message is not for the consensus task.", kind=kind)
+        logger.warning(
+            "No handler for this kind of message in the consensus task.",
+            kind=kind,
+        )
         return
-    # Messages keep their order: what came before must be in the log.
+    # Proposals that arrived before the message must be in the log first.
     consensus.append_batch()
     consensus.step(message)
 
 
 @handles_input(Proposal)
 def on_proposal(consensus, request):
-    """Appends a proposal, or forwards it to the leader."""
+    """Appends a proposal on the leader; forwards it on another replica."""
     replica = consensus.replica
     payload = codec.encode(request.command)
     call = LocalProposal(request.reply)
@@ -98,7 +101,9 @@
         return
     call = RemoteProposal(message, consensus.send)
     if not replica.is_leader():
-        call.finish(ProposalAnswer(REFUSED, "not leader"))
+        call.finish(
+            ProposalAnswer(REFUSED, "the addressed replica is not the leader")
+        )
         return
     decoded = codec.decode(message.payload)
     if decoded.is_error():
@@ -111,7 +116,7 @@
 
 @handles_input(ProposeReply)
 def on_propose_reply(consensus, message):
-    """Passes the leader's answer to the proposer."""
+    """Passes the leader's answer to the proposer of this process."""
     if message.recipient != consensus.replica.replica_id:
         return
     call = consensus.calls.pop(message.number)
@@ -131,7 +136,11 @@
 
 @handles_input(Read)
 def on_read(consensus, request):
-    """Reads the local state, after the leader named an index if asked."""
+    """Answers a read of this process.
+
+    A consistent read first asks the leader for the read index; any other
+    read uses the local state at once.
+    """
     replica = consensus.replica
     call = LocalRead(request.view, request.reply)
     now_ms = consensus.clock.now()
@@ -154,7 +163,7 @@
 
 @handles_input(ReadIndex)
 def on_read_index(consensus, message):
-    """Names an index to another replica."""
+    """Determines the read index for another replica."""
     if message.recipient != consensus.replica.replica_id:
         return
     call = RemoteRead(message, consensus.send)
@@ -165,7 +174,7 @@
 
 @handles_input(ReadIndexReply)
 def on_read_index_reply(consensus, message):
-    """Reads once the index that the leader named is applied."""
+    """Reads as soon as the read index from the leader is applied."""
     if message.recipient != consensus.replica.replica_id:
         return
     call = consensus.calls.pop(message.number)
@@ -174,11 +183,14 @@
 
 
 def finish_read(consensus, call, index):
-    """Answers a read when its index is known."""
+    """Answers a read whose read index is known, or -1 without one.
+
+    A read of this process waits until the read index is applied.
+    """
     if isinstance(call, RemoteRead):
         call.answer(index)
     elif index < 0:
-        call.abandon("the leader could not confirm its term")
+        call.abandon("the leader could not confirm that it still leads")
     elif index <= consensus.applied_index:
         call.finish(consensus.state)
     else:
@@ -187,7 +199,7 @@
 
 @handles_input(RemovalRequest)
 def on_removal(consensus, request):
-    """Removes a replica if this one leads."""
+    """Asks the core to remove a replica; only the leader does so."""
     call = LocalProposal(request.reply)
     number = consensus.calls.open(call, consensus.clock.now())
     consensus.append_batch()
@@ -196,7 +208,7 @@
 
 @handles_input(ResignRequest)
 def on_resign(consensus, request):
-    """Hands the lead over before the process stops."""
+    """Hands the leadership over before the process stops."""
     consensus.append_batch()
     consensus.step(Resign())
     request.reply.send(True)
@@ -204,13 +216,13 @@
 
 @handles_input(StatusRequest)
 def on_status(consensus, request):
-    """Reports the condition of the replica."""
+    """Answers with the Status of the replica."""
     request.reply.send(Status(consensus.replica, consensus.applied_index))
 
 
 @handles_input(Persisted)
 def on_persisted(consensus, event):
-    """Learns that the writer is free again."""
+    """Marks the journal writer as idle and tells the core."""
     consensus.write_in_progress = False
     consensus.append_batch()
     consensus.step(event)
@@ -218,6 +230,6 @@
 
 @handles_input(SnapshotTaken)
 def on_snapshot_taken(consensus, event):
-    """Learns that a snapshot is durable."""
+    """Marks the snapshot writer as idle and tells the core."""
     consensus.snapshot_in_progress = False
     consensus.step(event)
--- a/wigeonport/consensus_requests.py
+++ b/wigeonport/consensus_requests.py
@@ -5,10 +5,10 @@
 
 @message_kinds.register("LoggedCommand")
 class LoggedCommand:
-    """Payload of an entry.
+    """Payload of a log entry that holds a command.
 
     Attributes:
-        time_ms: Wall time at which the leader appended it.
+        time_ms: Wall time at which the leader appended the entry.
         command: The encoded command.
     """
 
@@ -35,14 +35,14 @@
 
 
 class ProposalAnswer:
-    """What became of a proposal.
+    """Answer to a Proposal or a RemovalRequest.
 
     Attributes:
         outcome: ``committed``, ``refused`` (it never takes effect) or
-            ``unknown`` (it may take effect).
-        reason: Why it is not committed, or "".
-        index: Index of the entry, or 0.
-        answer: Answer of the state if committed, else None.
+            ``unknown`` (it may still take effect).
+        reason: Why it is not known to be committed, or "".
+        index: Index of the entry, or 0 if it is not known.
+        answer: Answer of the state to a committed command, else None.
     """
 
     __slots__ = ("outcome", "reason", "index", "answer")
@@ -55,14 +55,15 @@
 
 
 class Read:
-    """Asks for a view of the state; answered by Ok or Error.
+    """Asks for a view of the state; answered by an Ok or an Error.
 
     Attributes:
-        view: Function of the state; it must not change it and must not
-            return a part of it that changes later.
+        view: Function that returns the view of a state. It must not change
+            the state and must not return a part of it that changes later.
         reply: Reply channel.
         consistent: Whether the view must show every change that was
-            acknowledged before; otherwise the local state is used.
+            acknowledged before the read. If not, it shows the local state,
+            which may lag behind.
     """
 
     __slots__ = ("view", "reply", "consistent")
@@ -77,7 +78,7 @@
     """Asks to remove a replica; answered by a ProposalAnswer.
 
     Attributes:
-        replica_id: Replica to remove.
+        replica_id: Id of the replica to remove.
         reply: Reply channel.
     """
 
@@ -89,7 +90,10 @@
 
 
 class ResignRequest:
-    """Asks the replica to hand over its lead; answered when it has."""
+    """Asks the replica to hand over its leadership.
+
+    Answered by True when the hand-over has been started.
+    """
 
     __slots__ = ("reply",)
 
@@ -98,7 +102,7 @@
 
 
 class StatusRequest:
-    """Asks for a Status."""
+    """Asks for the Status of the replica."""
 
     __slots__ = ("reply",)
 
@@ -107,21 +111,21 @@
 
 
 class Status:
-    """Condition of the replica.
+    """Status of the replica of this process.
 
     Attributes:
-        replica_id: Replica id of this process.
-        role: Role in the current term.
+        replica_id: Id of the replica.
+        role: Role of the replica in the current term.
         term: Current term.
         leader_id: Replica id of the leader, or "".
-        lease_until_ms: On the leader, monotonic time until which no
-            other leader can be elected, else 0.
-        ready: Whether the leader has applied an entry of its term, so
-            that its state contains all acknowledged changes.
+        lease_until_ms: On the leader, monotonic time until which no other
+            leader can be elected; 0 on other replicas.
+        ready: Whether the replica leads and has applied an entry of its
+            term, so that its state contains all acknowledged changes.
         applied_index: Index of the last applied entry.
         commit_index: Highest committed index known.
         last_index: Last index of the log.
-        members: Member objects, sorted by replica id.
+        members: Members of the group, sorted by replica id.
     """
 
     __slots__ = (
@@ -154,13 +158,13 @@
 
 
 class EntryApplied:
-    """Tells observers that an entry was applied.
+    """Tells observers that a command was applied to the state.
 
     Attributes:
-        index: Index of the entry.
-        term: Term of the entry.
+        index: Index of its entry.
+        term: Term of its entry.
         command: The command.
-        answer: Answer of the state.
+        answer: Answer of the state to the command.
     """
 
     __slots__ = ("index", "term", "command", "answer")
@@ -173,7 +177,11 @@
 
 
 class SnapshotInstalled:
-    """Tells observers that a snapshot replaced the state."""
+    """Tells observers that a snapshot replaced the state.
+
+    Attributes:
+        index: Index of the last entry that the snapshot contains.
+    """
 
     __slots__ = ("index",)
 
--- a/wigeonport/consensus_writers.py
+++ b/wigeonport/consensus_writers.py
@@ -1,4 +1,4 @@
-"""Filters that make the output of the consensus task durable."""
+"""The journal writer and the snapshot writer of the consensus task."""
 
 import trio
 
@@ -7,18 +7,18 @@
 
 
 async def write_journal(journal, write_requests, inbox, clock, metrics):
-    """Writes and syncs batches in a worker thread.
+    """Writes and syncs lists of Persists in a worker thread.
 
     Args:
-        journal: Journal or MemoryJournal.
+        journal: Journal or NullJournal.
         write_requests: Mailbox of lists of Persists.
         inbox: Mailbox that gets a Persisted for each list.
         clock: Clock.
         metrics: Metrics.
 
     Raises:
-        JournalError: If the disk failed; nothing of the list may count
-            as durable.
+        JournalError: If the disk failed; no Persist of the list may then
+            count as durable.
     """
     async for persists in write_requests:
         started_ms = clock.now()
@@ -32,9 +32,9 @@
 
     Args:
         directory: Data directory.
-        snapshot_requests: Mailbox of pairs of a function, which makes a Snapshot
-            of encoded bytes, and the document of the state.
-        inbox: Mailbox that gets a SnapshotTaken for each.
+        snapshot_requests: Mailbox of pairs of a function, which returns a
+            Snapshot for the encoded state, and the document of the state.
+        inbox: Mailbox that gets a SnapshotTaken for each request.
     """
     async for make_snapshot, document in snapshot_requests:
         snapshot = await trio.to_thread.run_sync(
@@ -44,7 +44,7 @@
 
 
 def save_snapshot(directory, make_snapshot, document):
-    """Writes a document as a durable snapshot and returns it."""
+    """Writes a document as a durable Snapshot and returns the Snapshot."""
     snapshot = make_snapshot(encode_state(document))
     write_snapshot(directory, snapshot)
     return snapshot
--- a/wigeonport/probes.py
+++ b/wigeonport/probes.py
@@ -1,4 +1,4 @@
-"""Probes: ask a control for the condition of its replica."""
+"""Probes: short-lived links that ask controls for a ReplicaReport."""
 
 import trio
 
@@ -25,12 +25,12 @@
 
 @message_kinds.register("ReplicaReport")
 class ReplicaReport:
-    """Condition of a replica.
+    """Status of a replica.
 
     Attributes:
-        replica_id: The replica.
-        leader_id: Leader that it follows or is, or "".
-        term: Its term.
+        replica_id: Id of the replica.
+        leader_id: Id of the leader that it follows or that it is, or "".
+        term: Its current term.
         last_index: Last index of its log.
     """
 
@@ -44,7 +44,12 @@
 
 
 async def answer_probes(inbound, consensus):
-    """Answers the probes that reach a control."""
+    """Answers the probes that a control receives.
+
+    Args:
+        inbound: Mailbox of the deliveries.
+        consensus: Inbox of the consensus task.
+    """
     async for delivery in inbound:
         status = await ask(consensus, StatusRequest, STATUS_TIMEOUT_MS)
         if status.is_error():
@@ -82,7 +87,7 @@
 
 
 async def probe(context, peer, reports):
-    """Adds the report of one peer."""
+    """Appends the ReplicaReport of one peer to ``reports``."""
     link_opened = trio.Event()
     dialer = Dialer(
         context,
