Rename next_number to last_number, Calls to OpenCalls

Cause: next_number held the number of the last call, and Calls holds the open ones Change: next_number to last_number, Calls to OpenCalls; 9 uses in 2 files, by token. Result: every touched file compiles; behaviour is unchanged.

--- a/wigeonport/consensus.py
+++ b/wigeonport/consensus.py
@@ -14,7 +14,7 @@
 from wigeonport import consensus_inputs
 from wigeonport.channels import WAIT, Mailbox
 from wigeonport.codecs import codecs
-from wigeonport.consensus_calls import Calls
+from wigeonport.consensus_calls import OpenCalls
 from wigeonport.consensus_requests import (
     EntryApplied,
     LeadershipNotice,
@@ -149,7 +149,7 @@
         self.clock = clock
         self.metrics = metrics
         self.inbox = Mailbox("consensus", INBOX_BOUND, WAIT)
-        self.calls = Calls()
+        self.calls = OpenCalls()
         self.observers = []
         self.batch = []
         self.pending_persists = []
--- a/wigeonport/consensus_calls.py
+++ b/wigeonport/consensus_calls.py
@@ -165,11 +165,11 @@
         self.leader_id = leader_id
 
 
-class Calls:
+class OpenCalls:
     """The open calls.
 
     Attributes:
-        next_number: Number of the last call opened. It starts at a random
+        last_number: Number of the last call opened. It starts at a random
             value, so that a late answer to a call from before a restart
             matches no open call.
         by_number: Maps the number of a call to its OpenCall, oldest first.
@@ -177,10 +177,10 @@
             until this index is applied.
     """
 
-    __slots__ = ("next_number", "by_number", "waiting_reads")
+    __slots__ = ("last_number", "by_number", "waiting_reads")
 
     def __init__(self):
-        self.next_number = secrets.randbits(40) << 20
+        self.last_number = secrets.randbits(40) << 20
         self.by_number = {}
         self.waiting_reads = []
 
@@ -192,12 +192,12 @@
             now_ms: Current monotonic time.
             leader_id: Id of the leader that it is forwarded to, or "".
         """
-        self.next_number += 1
+        self.last_number += 1
         deadline_ms = now_ms + CALL_TIMEOUT_MS
-        self.by_number[self.next_number] = OpenCall(
+        self.by_number[self.last_number] = OpenCall(
             call, deadline_ms, leader_id
         )
-        return self.next_number
+        return self.last_number
 
     def pop(self, number):
         """Removes a call and returns it, or None if it is not open."""
