--- a/tests/consensus_groups.py
+++ b/tests/consensus_groups.py
@@ -1,4 +1,4 @@
-"""Groups of consensus tasks that tests run in one process."""
+"""Groups of consensus tasks that run in the process of a test."""
 
 import random
 
@@ -19,7 +19,16 @@
 
 
 class Group:
-    """Consensus tasks that hand messages to each other directly."""
+    """Consensus tasks that pass messages to each other without links.
+
+    Attributes:
+        directory: Parent of the data directories.
+        nursery: Nursery of the tasks.
+        snapshot_entries: Entries between two snapshots of a replica.
+        tasks: Maps a running node to its Consensus.
+        scopes: Maps a node to the cancel scope of its last task.
+        stopped: Maps a Consensus to the event set when its task has ended.
+    """
 
     def __init__(self, directory, nursery, snapshot_entries=50):
         self.directory = directory
@@ -30,12 +39,18 @@
         self.stopped = {}
 
     def send(self, node, message):
-        """Delivers a message, or loses it if the target is stopped."""
+        """Delivers a message, or drops it if the recipient is stopped."""
         recipient = self.tasks.get(node)
         return recipient is not None and recipient.inbox.put_nowait(message)
 
     async def start(self, node, durable=True):
-        """Starts a node from its data directory."""
+        """Starts a node.
+
+        Args:
+            node: Id of the node.
+            durable: Whether it uses its data directory; otherwise it runs
+                in memory.
+        """
         directory = self.directory / node
         storage = (
             open_directory(directory, "test", node)
@@ -69,7 +84,7 @@
         return consensus
 
     async def run(self, consensus, scope, task_status):
-        """Runs a task inside its own scope."""
+        """Runs a task in its cancel scope and sets its event at the end."""
         with scope:
             await consensus.run(task_status)
         self.stopped[consensus].set()
@@ -84,7 +99,7 @@
         return (await ask(self.tasks[node].inbox, StatusRequest, 2_000)).ok
 
     async def leader(self):
-        """Waits until a leader is ready and returns its node."""
+        """Waits until a leader is ready and returns its node id."""
         while True:
             for node in list(self.tasks):
                 if (await self.status(node)).ready:
@@ -92,14 +107,14 @@
             await trio.sleep(0.02)
 
     async def claim(self, node, key, attempt="first"):
-        """Proposes a claim at a node and returns the ProposalAnswer."""
+        """Proposes a ClaimKey at a node and returns the ProposalAnswer."""
         command = ClaimKey(key, "digest", attempt)
         inbox = self.tasks[node].inbox
         result = await ask(inbox, lambda r: Proposal(command, r), 5_000)
         return result.ok
 
     async def read_applied_index(self, node):
-        """Returns the applied index that a consistent read sees."""
+        """Returns the applied index from a consistent read at a node."""
         inbox = self.tasks[node].inbox
         result = await ask(
             inbox, lambda r: Read(lambda s: s.applied_index, r), 5_000
@@ -109,7 +124,7 @@
 
 @pytest.fixture
 def run_group(tmp_path):
-    """Runs a scenario with a Group and a bound on its time."""
+    """Function that runs a scenario with a Group, for at most 30 s."""
 
     def run(scenario):
         async def main():
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -11,7 +11,10 @@
 
 
 def test_proposals_survive_a_leader_change_and_a_full_restart(run_group):
-    """Guards against losing an acknowledged command."""
+    """Fails if an acknowledged command is lost.
+
+    First the leader stops, then all replicas stop and start again.
+    """
 
     async def scenario(group):
         for node in SEEDS:
@@ -46,7 +49,7 @@
 
 
 def test_view_that_raises_does_not_end_the_task(run_group):
-    """Guards against a fault of another filter that stops the replica."""
+    """Fails if an exception in the view of a read stops the replica."""
 
     async def scenario(group):
         for node in SEEDS:
@@ -63,7 +66,12 @@
 
 
 def test_lost_disk_and_diskless_node_join_as_learners(run_group):
-    """Guards against a vote of a replica that lost its data."""
+    """Fails if a replica that lost its data votes under its old id.
+
+    Its directory is empty when it starts again, so that it must join under
+    a new id and become a voter after it has caught up. A node without a
+    disk must never become a voter.
+    """
 
     async def scenario(group):
         for node in SEEDS:
@@ -93,7 +101,7 @@
 
 
 def test_failed_sync_ends_the_task(run_group, monkeypatch):
-    """Guards against acknowledging after a sync that failed."""
+    """Fails if the replica acknowledges a command after a failed sync."""
 
     async def scenario(group):
         for node in SEEDS:
--- a/tests/test_journals.py
+++ b/tests/test_journals.py
@@ -1,4 +1,4 @@
-"""Tests that damage, lose or swap the files of a replica."""
+"""Tests of the journal and of the recovery from damaged or lost files."""
 
 import errno
 import random
@@ -24,7 +24,7 @@
 
 
 def make_persist(entries=(), hard_state=None, snapshot=None, compact_index=0):
-    """Returns a Persist of (index, term) pairs."""
+    """Returns a Persist with an entry for each (index, term) pair."""
     persist = Persist(1)
     persist.entries = [
         Entry(index, term, DATA, b"entry %d" % index)
@@ -37,13 +37,13 @@
 
 
 def index_term_pairs(storage):
-    """Returns the recovered (index, term) pairs."""
+    """Returns the (index, term) pairs of the recovered entries."""
     return [(e.index, e.term) for e in storage.recovered.entries]
 
 
 @pytest.fixture
 def directory(tmp_path):
-    """A data directory with a vote and three synced batches."""
+    """A closed data directory with a vote and three synced entries."""
     path = tmp_path / "data"
     journal = open_directory(path, "test", "a").journal
     journal.write([make_persist(hard_state=HardState(3, "b/1"))])
@@ -54,14 +54,14 @@
 
 
 def reopen(path, node="a"):
-    """Opens a directory and closes its files again."""
+    """Opens a directory, closes its files and returns the storage."""
     storage = open_directory(path, "test", node)
     storage.journal.close()
     return storage
 
 
 def test_reopening_returns_what_was_synced(directory):
-    """Guards against losing entries, term or vote in a restart."""
+    """Fails if a restart loses entries, the term or the vote."""
     for _ in range(3):
         storage = reopen(directory)
         assert index_term_pairs(storage) == [(1, 1), (2, 1), (3, 1)]
@@ -70,7 +70,11 @@
 
 
 def test_write_cut_off_at_each_byte_is_dropped(directory, tmp_path):
-    """Guards against half a record being read or taken for damage."""
+    """Fails if a crash in the middle of a write counts as damage.
+
+    The incomplete record must not be read either, and the journal must go
+    on after it.
+    """
     segment = sorted(directory.glob("segment-*"))[-1]
     data = segment.read_bytes()
     start = data.rfind(b"WGJ")
@@ -86,8 +90,12 @@
         assert index_term_pairs(reopen(copy)) == [(1, 1), (2, 1), (3, 2)]
 
 
-def test_flipped_bit_in_the_middle_costs_the_identity(directory, tmp_path):
-    """Guards against a vote of a replica that lost acknowledged entries."""
+def test_flipped_bit_in_the_middle_gives_a_new_identity(directory, tmp_path):
+    """Fails if a replica that lost acknowledged entries can still vote.
+
+    A flipped bit before the last record damages entries that were synced.
+    The replica must start empty and under a new id.
+    """
     segment = sorted(directory.glob("segment-*"))[-1]
     data = segment.read_bytes()
     before = reopen(directory)
@@ -106,7 +114,7 @@
 
 
 def remove_segment(path):
-    """Removes the oldest segment."""
+    """Removes the oldest segment file."""
     sorted(path.glob("segment-*"))[0].unlink()
 
 
@@ -116,7 +124,7 @@
 
 
 def damage_snapshot(path):
-    """Flips a bit at the end of the newest snapshot."""
+    """Writes a snapshot and flips a bit in its last byte."""
     snapshot = Snapshot(3, 1, MEMBERS, b"state")
     write_snapshot(path, snapshot)
     file = sorted(path.glob("snapshot-*"))[-1]
@@ -126,14 +134,14 @@
 
 
 def remove_snapshot(path):
-    """Removes the snapshot that the log continues."""
+    """Removes the snapshot whose entries the log no longer holds."""
     write_snapshot(path, Snapshot(9, 1, MEMBERS, b"state"))
     reopen(path)
     sorted(path.glob("snapshot-*"))[-1].unlink()
 
 
 def replace_identity(path):
-    """Puts the identity of another directory in place."""
+    """Replaces the identity file by that of another directory."""
     other = path.with_name("other")
     reopen(other)
     shutil.copy(other / "identity", path / "identity")
@@ -149,8 +157,11 @@
         replace_identity,
     ],
 )
-def test_lost_files_cost_the_identity(directory, damage):
-    """Guards against a partly lost directory that still votes."""
+def test_lost_files_give_a_new_identity(directory, damage):
+    """Fails if a replica that lost part of its files can still vote.
+
+    It must start empty, on its disk and under a new id, and keep that id.
+    """
     before = reopen(directory)
     damage(directory)
     storage = reopen(directory)
@@ -164,8 +175,11 @@
     assert reopen(directory).replica_id == storage.replica_id
 
 
-def test_swapped_directory_is_left_alone_without_a_vote(directory):
-    """Guards against one disk that counts as two voters."""
+def test_directory_of_another_node_stays_unchanged_and_unused(directory):
+    """Fails if one disk counts as two voters after it was swapped.
+
+    Another node must not use or change the directory.
+    """
     before = reopen(directory)
     files = {path: path.read_bytes() for path in directory.iterdir()}
     storage = reopen(directory, "b")
@@ -176,7 +190,7 @@
 
 
 def test_directory_in_use_is_refused(directory):
-    """Guards against two processes that write one journal."""
+    """Fails if two processes can write to one journal."""
     storage = open_directory(directory, "test", "a")
     with pytest.raises(BlockingIOError):
         open_directory(directory, "test", "a")
@@ -184,7 +198,10 @@
 
 
 def test_newer_format_is_refused_and_kept(directory):
-    """Guards against a downgrade that sets data aside."""
+    """Fails if an older release moves the data of a newer one aside.
+
+    After a downgrade the format is unknown, which is not damage.
+    """
     segment = sorted(directory.glob("segment-*"))[-1]
     header = SegmentHeader(99, 1, "x", HardState(0, ""), 0, False)
     segment.write_bytes(encode_record(header))
@@ -195,7 +212,10 @@
 
 @pytest.mark.parametrize("name", ["write_all", "sync_file"])
 def test_failed_write_is_never_retried(directory, monkeypatch, name):
-    """Guards against a second sync that reports success falsely."""
+    """Fails if the journal writes or syncs again after an error.
+
+    A second sync may report success although data was lost.
+    """
     storage = open_directory(directory, "test", "a")
     calls = []
 
@@ -212,7 +232,11 @@
 
 
 def test_snapshot_without_its_segment_drops_a_log_that_conflicts(directory):
-    """Guards a crash between a received snapshot and the new segment."""
+    """Fails if entries that conflict with a received snapshot survive.
+
+    The process crashed after it wrote the snapshot and before it started
+    the new segment, so that the old segment still holds the entries.
+    """
     write_snapshot(directory, Snapshot(2, 9, MEMBERS, b"state"))
     storage = open_directory(directory, "test", "a")
     assert index_term_pairs(storage) == []
@@ -222,7 +246,13 @@
 
 
 class Model:
-    """What the journal must return after any writes."""
+    """Model of the log that the journal must recover.
+
+    Attributes:
+        entries: Pairs (index, term) of the entries after the snapshot.
+        hard_state: Newest HardState.
+        base: Pair (index, term) of the snapshot.
+    """
 
     def __init__(self):
         self.entries = []
@@ -230,7 +260,10 @@
         self.base = (0, 0)
 
     def random_persist(self, source):
-        """Returns a random Persist and applies it to the model."""
+        """Returns a random Persist and applies it to the model.
+
+        None asks for a snapshot at ``base`` and the compaction up to it.
+        """
         last = self.entries[-1] if self.entries else self.base
         kind = source.randrange(10)
         if kind == 0:
@@ -261,7 +294,10 @@
 def test_random_writes_and_restarts_agree_with_a_model(
     tmp_path, monkeypatch, seed
 ):
-    """Guards against compaction or replacement that loses entries."""
+    """Fails if compaction or replacement of entries loses other entries.
+
+    Small segments make the random writes start and remove many of them.
+    """
     monkeypatch.setattr(journals, "SEGMENT_BYTES", 300)
     source = random.Random(seed)
     model = Model()
@@ -285,7 +321,7 @@
 
 @pytest.mark.parametrize("count", [0, 1, 100, 101, 250])
 def test_sliced_state_reads_back(count):
-    """Guards against a separator lost between two slices of a snapshot."""
+    """Fails if the encoding loses a separator between two slices."""
     rows = {f"key-{number}": {"row": number} for number in range(count)}
     document = {
         "format": 1,
--- a/tests/test_quorum_recoveries.py
+++ b/tests/test_quorum_recoveries.py
@@ -1,4 +1,4 @@
-"""Tests of the recovery from a quorum that is lost for good."""
+"""Tests of the recovery from a permanent loss of the quorum."""
 
 import shutil
 
@@ -32,50 +32,67 @@
 
 @pytest.fixture
 def survivor(tmp_path, monkeypatch):
-    """A survivor among three voters whose log ends at index 10."""
+    """One of three voters; its log ends at index 10."""
 
-    class OpenedStorage:
-        """Stands for the parts of a Survivor that the checks read."""
+    class FakeSurvivor:
+        """The attributes of a Survivor that find_objections reads."""
 
         __slots__ = ("replica_id", "last_index", "members")
 
-    storage = OpenedStorage()
-    storage.replica_id = "a/1"
-    storage.last_index = 10
-    storage.members = Members(
+    fake_survivor = FakeSurvivor()
+    fake_survivor.replica_id = "a/1"
+    fake_survivor.last_index = 10
+    fake_survivor.members = Members(
         [Member(f"{node}/1", True, True) for node in SEEDS]
     )
-    return storage
+    return fake_survivor
 
 
-def test_refuses_where_a_quorum_may_live(survivor):
-    """Guards against two groups that both accept changes."""
+def test_refuses_where_a_quorum_may_be_alive(survivor):
+    """Fails if a recovery forms a second group that accepts changes.
+
+    It must be refused if a control follows a leader or if the live voters
+    form a quorum.
+    """
     assert find_objections(survivor, []) == []
-    follows = find_objections(survivor, [ReplicaReport("m/1", "b/1", 3, 9)])
-    assert follows == ["m/1 follows the leader b/1"]
-    living = find_objections(survivor, [ReplicaReport("b/1", "", 3, 9)])
-    assert "2 of 3 voters live" in living[0]
+    with_leader = find_objections(
+        survivor, [ReplicaReport("m/1", "b/1", 3, 9)]
+    )
+    assert with_leader == ["m/1 follows the leader b/1"]
+    with_quorum = find_objections(survivor, [ReplicaReport("b/1", "", 3, 9)])
+    assert "2 of 3 voters live" in with_quorum[0]
 
 
-def test_refuses_where_another_voter_holds_more(survivor):
-    """Guards against the loss of changes that a living voter holds."""
+def test_refuses_where_another_voter_has_a_longer_log(survivor):
+    """Fails if a recovery loses entries that another live voter holds."""
     survivor.members = Members(
         [Member(f"{node}/1", True, True) for node in "abcde"]
     )
-    longer = find_objections(survivor, [ReplicaReport("b/1", "", 3, 11)])
-    assert "recover on b" in longer[0]
-    shorter = find_objections(survivor, [ReplicaReport("b/1", "", 3, 10)])
-    assert shorter == []
+    with_longer_log = find_objections(
+        survivor, [ReplicaReport("b/1", "", 3, 11)]
+    )
+    assert "recover on b" in with_longer_log[0]
+    with_equal_log = find_objections(
+        survivor, [ReplicaReport("b/1", "", 3, 10)]
+    )
+    assert with_equal_log == []
 
 
 def test_refuses_on_a_learner(survivor):
-    """Guards against a recovery from a replica that may lag at will."""
+    """Fails if a recovery can start from a learner.
+
+    No quorum waits for a learner, so that its log may lag without limit.
+    """
     survivor.replica_id = "m/1"
     assert find_objections(survivor, []) == ["m/1 is not a voter"]
 
 
 def test_refuses_a_running_or_missing_replica(run_group, tmp_path):
-    """Guards against changing the data of a control that runs."""
+    """Fails if a recovery opens data that it must not change.
+
+    That is the directory of a running control, that of another node, and a
+    directory that does not exist, which it must not create.
+    """
     missing = open_survivor(make_settings(tmp_path / "gone", "a"))
     assert "holds no replica" in missing.error
     assert not (tmp_path / "gone").exists()
@@ -91,13 +108,17 @@
 
 
 def test_survivor_goes_on_and_others_join_again(run_group, tmp_path):
-    """Guards against a recovery that loses what the survivor holds."""
+    """Fails if a recovery loses acknowledged entries of the survivor.
+
+    It must lead alone, and the other nodes must join again as voters with
+    empty directories.
+    """
 
     async def scenario(group):
         for node in SEEDS:
             await group.start(node)
         leader = await group.leader()
-        acked = [
+        acknowledged_indexes = [
             (await group.claim(leader, f"{number}")).index
             for number in range(60)
         ]
@@ -106,14 +127,16 @@
         for node in SEEDS:
             if node != leader:
                 shutil.rmtree(tmp_path / node)
-        found = open_survivor(make_settings(tmp_path / leader, leader)).ok
-        assert found.last_index >= max(acked)
-        assert len(found.describe()) == 4
-        make_sole_voter(found)
-        found.storage.journal.close()
+        survivor = open_survivor(make_settings(tmp_path / leader, leader)).ok
+        assert survivor.last_index >= max(acknowledged_indexes)
+        assert len(survivor.describe()) == 4
+        make_sole_voter(survivor)
+        survivor.storage.journal.close()
         await group.start(leader)
         assert await group.leader() == leader
-        assert await group.read_applied_index(leader) >= max(acked)
+        assert await group.read_applied_index(leader) >= max(
+            acknowledged_indexes
+        )
         for node in SEEDS:
             if node != leader:
                 await group.start(node)
--- a/tests/test_replication_processes.py
+++ b/tests/test_replication_processes.py
@@ -1,4 +1,4 @@
-"""Real control processes that are killed and stopped under patches."""
+"""Tests that kill and freeze control processes while patches arrive."""
 
 import pytest
 import trio
@@ -11,13 +11,13 @@
 
 
 class PatchWriter:
-    """Submits patches one after the other until they are answered.
+    """Submits patches one after another, each until it is accepted.
 
     Attributes:
         client: OperatorsClient.
         nodes: Ids of the controls, used in turn.
-        accepted: Version by id of each accepted patch.
-        version: Version that the next patch is written against.
+        accepted: Maps the id of an accepted patch to its fleet version.
+        version: Fleet version that the next patch is written against.
         attempts: Number of requests sent.
     """
 
@@ -29,7 +29,11 @@
         self.attempts = 0
 
     async def submit(self, patch_id, operations):
-        """Submits a patch and repeats it while the outcome is not known."""
+        """Submits a patch and repeats it until it is accepted.
+
+        A control may answer 503 or 504 or not at all; any other answer
+        fails the test.
+        """
         while True:
             self.attempts += 1
             node = self.nodes[self.attempts % len(self.nodes)]
@@ -45,7 +49,7 @@
             await trio.sleep(ATTEMPT_INTERVAL_S)
 
     async def run(self):
-        """Submits patches until it is cancelled."""
+        """Submits the fleet and then patches until it is cancelled."""
         await self.submit("first", load_fleet_patch()["operations"])
         while True:
             number = len(self.accepted)
@@ -54,7 +58,7 @@
             await self.submit(f"p-{number}", [operation])
 
     async def wait_for_patches(self):
-        """Waits until some more patches were accepted."""
+        """Waits until ``PATCHES_PER_STEP`` more patches are accepted."""
         wanted = len(self.accepted) + PATCHES_PER_STEP
         while len(self.accepted) < wanted:
             await trio.sleep(0.05)
@@ -73,7 +77,7 @@
 
 
 async def fail_controls(runner, client, writer):
-    """Kills and stops leaders, and then kills all controls at once."""
+    """Kills one leader, freezes one for 5 s, then kills all controls."""
     controls = runner.processes
     await writer.wait_for_patches()
     leader = await find_leader(client, writer.nodes)
@@ -93,7 +97,7 @@
 
 
 async def check_history(client, writer):
-    """Checks that every control shows every accepted patch, once."""
+    """Asserts that each control lists each accepted patch exactly once."""
     for node in writer.nodes:
         path = "/v1/history?limit=1000"
         rows = []
@@ -109,7 +113,7 @@
 
 @pytest.fixture
 def controls(tmp_path):
-    """A deployment of three voting controls, without other programs."""
+    """A deployment of three controls that vote, with no other programs."""
     zones = {"ikeja": 3}
     deployment = Deployment(tmp_path, zones, zones)
     deployment.write()
@@ -117,7 +121,11 @@
 
 
 def test_killed_and_stopped_controls_keep_every_patch(controls):
-    """Guards against a patch lost to kill -9, SIGSTOP or a full restart."""
+    """Fails if an accepted patch is lost or listed twice.
+
+    The causes are a leader killed by SIGKILL, a leader frozen by SIGSTOP and
+    a restart of all controls.
+    """
 
     async def scenario():
         runner = FleetRunner(controls)
--- a/tests/test_snapshot_encoding.py
+++ b/tests/test_snapshot_encoding.py
@@ -1,4 +1,4 @@
-"""Tests of the bytes of a snapshot's document."""
+"""Tests of the encoding of a state's document in a snapshot."""
 
 import json
 
@@ -26,7 +26,7 @@
 @given(document=DOCUMENTS, repeats=st.sampled_from([1, 127, 128, 129, 400]))
 @settings(max_examples=100, derandomize=True, deadline=None)
 def test_pieces_form_the_same_document(document, repeats):
-    """Guards against a snapshot that loses or changes state."""
+    """Fails if the encoding in pieces loses or changes part of the state."""
     whole = {"list": [document] * repeats, "one": document}
     assert decode_state(encode_state(whole)) == whole
     text = "".join(encode_slices(whole, MAX_SLICED_DEPTH))
@@ -34,7 +34,10 @@
 
 
 def test_long_lists_are_encoded_in_short_pieces():
-    """Guards against one call that holds up the event loop."""
+    """Fails if one call of the JSON encoder gets a long list as a whole.
+
+    Such a call holds the interpreter lock and delays the heartbeats.
+    """
     document = {"claims": {"rows": [["x" * 100]] * 10_000}}
     longest = max(
         len(piece) for piece in encode_slices(document, MAX_SLICED_DEPTH)
