Name the logged command and the entry payload

Cause: logged stood for a LoggedCommand in two files and for its bytes in a third. Change: three locals; the docstring of finish_read names the value -1.

--- a/wigeonport/consensus.py
+++ b/wigeonport/consensus.py
@@ -277,7 +277,7 @@
                 self.finish_call(reply)
 
     def apply_committed(self):
-        """Applies committed entries for at most ``MAX_APPLY_MS``.
+        """Applies committed entries for about ``MAX_APPLY_MS``.
 
         After a restart thousands of entries are committed at once, and
         applying all of them in one round would delay the heartbeats.
@@ -328,10 +328,10 @@
         if entry.kind != DATA:
             self.state.apply(StateEntry(entry.index, 0, None))
             return None
-        logged = decode_log_message(entry.payload)
-        command = decode_log_message(logged.command)
+        logged_command = decode_log_message(entry.payload)
+        command = decode_log_message(logged_command.command)
         answer = self.state.apply(
-            StateEntry(entry.index, logged.time_ms, command)
+            StateEntry(entry.index, logged_command.time_ms, command)
         )
         if not isinstance(command, self.unobserved_commands):
             self.notify(EntryApplied(entry.index, entry.term, command, answer))
--- a/wigeonport/consensus_inputs.py
+++ b/wigeonport/consensus_inputs.py
@@ -76,8 +76,8 @@
     now_ms = consensus.clock.now()
     if replica.is_leader():
         number = consensus.calls.open(call, now_ms)
-        logged = consensus.encode_command(payload)
-        consensus.batch.append(ProposalItem(number, logged))
+        entry_payload = consensus.encode_command(payload)
+        consensus.batch.append(ProposalItem(number, entry_payload))
     elif len(payload) > replica.settings.max_payload_bytes:
         call.finish(ProposalAnswer(REFUSED, "payload is too large"))
     elif replica.leader_id:
@@ -110,8 +110,8 @@
         call.finish(ProposalAnswer(REFUSED, str(decoded.error)))
         return
     number = consensus.calls.open(call, consensus.clock.now())
-    logged = consensus.encode_command(message.payload)
-    consensus.batch.append(ProposalItem(number, logged))
+    entry_payload = consensus.encode_command(message.payload)
+    consensus.batch.append(ProposalItem(number, entry_payload))
 
 
 @handles_input(ProposeReply)
@@ -183,9 +183,15 @@
 
 
 def finish_read(consensus, call, index):
-    """Answers a read whose read index is known, or -1 without one.
+    """Answers a read whose read index has been determined.
 
     A read of this process waits until the read index is applied.
+
+    Args:
+        consensus: The Consensus.
+        call: LocalRead or RemoteRead.
+        index: The read index, or -1 if there is none because the leader
+            could not confirm its leadership.
     """
     if isinstance(call, RemoteRead):
         call.answer(index)
--- a/wigeonport/quorum_recoveries.py
+++ b/wigeonport/quorum_recoveries.py
@@ -81,8 +81,11 @@
     for entry in recovered.entries:
         command, time_ms = None, 0
         if entry.kind == DATA:
-            logged = codec.decode(entry.payload).ok
-            command, time_ms = codec.decode(logged.command).ok, logged.time_ms
+            logged_command = codec.decode(entry.payload).ok
+            command, time_ms = (
+                codec.decode(logged_command.command).ok,
+                logged_command.time_ms,
+            )
         state.apply(StateEntry(entry.index, time_ms, command))
     return state
 
