--- a/tests/test_replication_processes.py
+++ b/tests/test_replication_processes.py
@@ -1,4 +1,4 @@
-"""Real control processes that are killed and stopped under patches."""
+"""Tests that kill and freeze control processes while patches arrive."""
 
 import pytest
 import trio
@@ -7,17 +7,17 @@
 from operators_client import OperatorsClient, load_fleet_patch
 
 ATTEMPT_INTERVAL_S = 0.1
-PATCHES_BETWEEN = 8
+PATCHES_PER_STEP = 8
 
 
-class Writer:
-    """Submits patches one after the other until they are answered.
+class PatchWriter:
+    """Submits patches one after another, each until it is accepted.
 
     Attributes:
         client: OperatorsClient.
         nodes: Ids of the controls, used in turn.
-        accepted: Version by id of each accepted patch.
-        version: Version that the next patch is written against.
+        accepted: Maps the id of an accepted patch to its fleet version.
+        version: Fleet version that the next patch is written against.
         attempts: Number of requests sent.
     """
 
@@ -29,7 +29,11 @@
         self.attempts = 0
 
     async def submit(self, patch_id, operations):
-        """Submits a patch and repeats it while the outcome is not known."""
+        """Submits a patch and repeats it until it is accepted.
+
+        A control may answer 503 or 504 or not at all; any other answer
+        fails the test.
+        """
         while True:
             self.attempts += 1
             node = self.nodes[self.attempts % len(self.nodes)]
@@ -45,7 +49,7 @@
             await trio.sleep(ATTEMPT_INTERVAL_S)
 
     async def run(self):
-        """Submits patches until it is cancelled."""
+        """Submits the fleet and then patches until it is cancelled."""
         await self.submit("first", load_fleet_patch()["operations"])
         while True:
             number = len(self.accepted)
@@ -53,9 +57,9 @@
             operation = {"operation": "set_weights", **weights}
             await self.submit(f"p-{number}", [operation])
 
-    async def wait_for_more(self):
-        """Waits until some more patches were accepted."""
-        wanted = len(self.accepted) + PATCHES_BETWEEN
+    async def wait_for_patches(self):
+        """Waits until ``PATCHES_PER_STEP`` more patches are accepted."""
+        wanted = len(self.accepted) + PATCHES_PER_STEP
         while len(self.accepted) < wanted:
             await trio.sleep(0.05)
 
@@ -73,43 +77,43 @@
 
 
 async def fail_controls(runner, client, writer):
-    """Kills and stops leaders, and then kills all controls at once."""
+    """Kills one leader, freezes one for 5 s, then kills all controls."""
     controls = runner.processes
-    await writer.wait_for_more()
+    await writer.wait_for_patches()
     leader = await find_leader(client, writer.nodes)
     await controls[f"control/{leader}"].kill()
-    await writer.wait_for_more()
+    await writer.wait_for_patches()
     await controls[f"control/{leader}"].start()
     leader = await find_leader(client, writer.nodes)
     controls[f"control/{leader}"].freeze()
     await trio.sleep(5)
     controls[f"control/{leader}"].thaw()
-    await writer.wait_for_more()
+    await writer.wait_for_patches()
     for process in controls.values():
         await process.kill()
     for process in controls.values():
         await process.start()
-    await writer.wait_for_more()
+    await writer.wait_for_patches()
 
 
 async def check_history(client, writer):
-    """Checks that every control shows every accepted patch, once."""
+    """Asserts that each control lists each accepted patch exactly once."""
     for node in writer.nodes:
         path = "/v1/history?limit=1000"
-        shown = []
-        while len(shown) < len(writer.accepted):
+        rows = []
+        while len(rows) < len(writer.accepted):
             await trio.sleep(ATTEMPT_INTERVAL_S)
             answer = await client.send(node, "GET", path)
             if answer is not None and answer.status == 200:
-                shown = answer.document["versions"]
-        versions = {row["patch"]: row["version"] for row in shown}
-        assert len(versions) == len(shown)
+                rows = answer.document["versions"]
+        versions = {row["patch"]: row["version"] for row in rows}
+        assert len(versions) == len(rows)
         assert writer.accepted.items() <= versions.items()
 
 
 @pytest.fixture
 def controls(tmp_path):
-    """A deployment of three voting controls, without other programs."""
+    """A deployment of three controls that vote, with no other programs."""
     zones = {"ikeja": 3}
     deployment = Deployment(tmp_path, zones, zones)
     deployment.write()
@@ -117,7 +121,11 @@
 
 
 def test_killed_and_stopped_controls_keep_every_patch(controls):
-    """Guards against a patch lost to kill -9, SIGSTOP or a full restart."""
+    """Fails if an accepted patch is lost or listed twice.
+
+    The causes are a leader killed by SIGKILL, a leader frozen by SIGSTOP and
+    a restart of all controls.
+    """
 
     async def scenario():
         runner = FleetRunner(controls)
@@ -126,7 +134,7 @@
             path = controls.settings_path(node)
             arguments = ["-m", "wigeonport.control_main", path]
             runner.add(f"control/{node.node_id}", arguments)
-        writer = Writer(client, list(controls.nodes))
+        writer = PatchWriter(client, list(controls.nodes))
         try:
             await runner.start()
             with trio.fail_after(90):
--- a/wigeonport/consensus.py
+++ b/wigeonport/consensus.py
@@ -1,9 +1,8 @@
 """The task that owns a replica, its journal and the replicated state.
 
-Filters around it: links deliver messages of peers into ``inbox``; the
-writer makes Persists durable in a worker thread; the snapshot filter
-encodes and writes snapshots in another. Each returns its result through
-``inbox``.
+The filters around it put their results into its ``inbox``: the links deliver
+the messages of peers, the journal writer makes Persists durable in a worker
+thread, and the snapshot writer encodes and writes snapshots in another.
 """
 
 import collections
@@ -15,13 +14,13 @@
 from wigeonport import consensus_inputs
 from wigeonport.channels import WAIT, Mailbox
 from wigeonport.codecs import codecs
-from wigeonport.consensus_calls import Calls
+from wigeonport.consensus_calls import OpenCalls
 from wigeonport.consensus_requests import (
-    Applied,
-    Installed,
+    EntryApplied,
     LeadershipNotice,
     LoggedCommand,
     ProposalAnswer,
+    SnapshotInstalled,
 )
 from wigeonport.consensus_writers import write_journal, write_snapshots
 from wigeonport.logs import PartLogger
@@ -44,45 +43,50 @@
 
 codec = codecs.get("thrift").ok()
 INBOX_BOUND = 4_096
-# Largest number of messages handled before the journal gets its batch.
-BATCH_LIMIT = 512
+# Messages handled in one round, before the journal writer gets its batch.
+MAX_BATCH_MESSAGES = 512
 SNAPSHOT_ENTRIES = 5_000
-# Far below the heartbeat interval.
-APPLY_LIMIT_MS = 20
+# Far below the heartbeat interval, so that applying entries delays no
+# heartbeat.
+MAX_APPLY_MS = 20
 
 
 class Consensus:
-    """One replica of the replicated state.
+    """The task of one replica.
 
     Attributes:
-        replica: The consensus core.
-        journal: Journal or MemoryJournal.
+        replica: Consensus core of the replica.
+        journal: Journal or NullJournal.
         directory: Data directory, or None without a disk.
-        state: Current state object.
-        read_state: Function from a document to a Result of a state.
+        state: Replicated state after the last applied entry.
+        state_from_document: Function that returns a Result of a state from
+            the document of a snapshot.
         send: Function ``(node, message)`` that does not wait; it returns
-            False only if the message was surely not sent.
+            False only if the message was certainly not sent.
         clock: Clock.
         metrics: Metrics.
-        inbox: Mailbox for messages of peers and for requests.
+        inbox: Mailbox of messages from peers and of requests.
         calls: Open proposals and reads.
-        observers: Mailboxes that get Applied, Installed and
-            LeadershipNotice; each must refuse or drop when full.
-        batch: Proposals to append in the current round.
-        unwritten: Persists that the writer has not got yet.
-        writing: Whether the writer is busy.
-        writes: Mailbox of the writer.
-        documents: Mailbox of the snapshot filter.
+        observers: Mailboxes that get each EntryApplied, SnapshotInstalled
+            and LeadershipNotice; each must refuse or drop when full.
+        batch: ProposalItems to append in the current round.
+        pending_persists: Persists to hand to the journal writer next.
+        write_in_progress: Whether the journal writer is busy.
+        write_requests: Mailbox of the journal writer.
+        snapshot_requests: Mailbox of the snapshot writer.
         snapshot_index: Index of the newest snapshot, or of the one that
             is being written.
-        snapshotting: Whether the snapshot filter is busy.
-        snapshot_entries: Entries between two snapshots.
-        quiet: Classes of commands that observers are not told about.
-        leadership: Pair of term and leader id at the last round.
+        snapshot_in_progress: Whether the snapshot writer is busy.
+        snapshot_entries: Number of entries to apply between two snapshots.
+        unobserved_commands: Classes of the commands for which observers
+            get no EntryApplied.
+        leadership: Pair of term and leader id after the last round.
         applied_index: Index of the last entry applied to the state.
-        unapplied: Committed entries that are not applied yet.
-        decided: Outcome by index of proposals among them.
-        postponed: Whether due timers waited for the inbox once.
+        unapplied_entries: Committed entries to apply next.
+        committed_outcomes: Maps the index of an unapplied entry to the
+            Outcome of its proposal, if this replica proposed it.
+        tick_postponed: Whether the timers are due and one round has already
+            handled the inbox first.
     """
 
     __slots__ = (
@@ -90,7 +94,7 @@
         "journal",
         "directory",
         "state",
-        "read_state",
+        "state_from_document",
         "send",
         "clock",
         "metrics",
@@ -98,77 +102,77 @@
         "calls",
         "observers",
         "batch",
-        "unwritten",
-        "writing",
-        "writes",
-        "documents",
+        "pending_persists",
+        "write_in_progress",
+        "write_requests",
+        "snapshot_requests",
         "snapshot_index",
-        "snapshotting",
+        "snapshot_in_progress",
         "snapshot_entries",
-        "quiet",
+        "unobserved_commands",
         "leadership",
         "applied_index",
-        "unapplied",
-        "decided",
-        "postponed",
+        "unapplied_entries",
+        "committed_outcomes",
+        "tick_postponed",
     )
 
     def __init__(
         self,
-        opened,
+        storage,
         directory,
         seeds,
         state,
-        read_state,
+        state_from_document,
         send,
         clock,
         metrics,
         settings=None,
         random_source=None,
         snapshot_entries=SNAPSHOT_ENTRIES,
-        quiet=(),
+        unobserved_commands=(),
     ):
         self.replica = Replica(
-            opened.replica_id,
+            storage.replica_id,
             seeds,
-            opened.durable,
-            opened.recovered,
+            storage.durable,
+            storage.recovered,
             clock.now(),
             random_source or random.Random(),
             settings,
         )
-        self.journal = opened.journal
-        self.directory = directory if opened.durable else None
+        self.journal = storage.journal
+        self.directory = directory if storage.durable else None
         self.state = state
-        self.read_state = read_state
+        self.state_from_document = state_from_document
         self.send = send
         self.clock = clock
         self.metrics = metrics
         self.inbox = Mailbox("consensus", INBOX_BOUND, WAIT)
-        self.calls = Calls()
+        self.calls = OpenCalls()
         self.observers = []
         self.batch = []
-        self.unwritten = []
-        self.writing = False
-        self.writes = Mailbox("journal writer", 1, WAIT)
-        self.documents = Mailbox("snapshot writer", 1, WAIT)
+        self.pending_persists = []
+        self.write_in_progress = False
+        self.write_requests = Mailbox("journal writer", 1, WAIT)
+        self.snapshot_requests = Mailbox("snapshot writer", 1, WAIT)
         self.snapshot_index = 0
-        self.snapshotting = False
+        self.snapshot_in_progress = False
         self.snapshot_entries = snapshot_entries
-        self.quiet = quiet
+        self.unobserved_commands = unobserved_commands
         self.leadership = (0, "")
         self.applied_index = 0
-        self.unapplied = collections.deque()
-        self.decided = {}
-        self.postponed = False
-        if opened.recovered.snapshot:
-            self.install(opened.recovered.snapshot)
+        self.unapplied_entries = collections.deque()
+        self.committed_outcomes = {}
+        self.tick_postponed = False
+        if storage.recovered.snapshot:
+            self.install(storage.recovered.snapshot)
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
-        """Runs until cancelled or until the disk fails.
+        """Runs until it is cancelled or the disk fails.
 
         Raises:
-            JournalError: If the disk failed; the process must end.
+            JournalError: If the disk failed; the process must then end.
             ConsistencyError: If an invariant of the log is violated.
         """
         try:
@@ -176,13 +180,16 @@
                 nursery.start_soon(
                     write_journal,
                     self.journal,
-                    self.writes,
+                    self.write_requests,
                     self.inbox,
                     self.clock,
                     self.metrics,
                 )
                 nursery.start_soon(
-                    write_snapshots, self.directory, self.documents, self.inbox
+                    write_snapshots,
+                    self.directory,
+                    self.snapshot_requests,
+                    self.inbox,
                 )
                 task_status.started()
                 await self.serve()
@@ -191,53 +198,61 @@
             self.journal.close()
 
     async def serve(self):
-        """Handles messages in rounds; one round forms one batch."""
+        """Handles the inbox in rounds.
+
+        The proposals of a round are appended together.
+        """
         while True:
             wait_ms = self.replica.next_deadline_ms() - self.clock.now()
-            if self.unapplied:
+            if self.unapplied_entries:
                 wait_ms = 0
-            first = await self.inbox.get_within(wait_ms)
-            events = [] if first is None else [first]
-            events += self.inbox.drain(BATCH_LIMIT - len(events))
+            first_event = await self.inbox.get_within(wait_ms)
+            events = [] if first_event is None else [first_event]
+            events += self.inbox.drain(MAX_BATCH_MESSAGES - len(events))
             for event in events:
                 consensus_inputs.dispatch(self, event)
             self.append_batch()
-            self.apply_some()
+            self.apply_committed()
             self.tick_if_due()
             self.end_round(self.clock.now())
 
     def tick_if_due(self):
-        """Fires due timers.
+        """Fires the timers that are due.
 
-        A heartbeat that waits in the inbox may move the election timer,
-        so that a replica that was busy first reads what has arrived.
+        After a busy time a heartbeat that resets the election timer may
+        still be in the inbox. Due timers therefore wait once until a round
+        has handled the inbox.
         """
         if self.clock.now() < self.replica.next_deadline_ms():
-            self.postponed = False
-        elif self.inbox.depth() and not self.postponed:
-            self.postponed = True
+            self.tick_postponed = False
+        elif self.inbox.depth() and not self.tick_postponed:
+            self.tick_postponed = True
         else:
-            self.postponed = False
+            self.tick_postponed = False
             self.step(Tick())
 
     def append_batch(self):
-        """Proposes the collected proposals at once."""
+        """Appends the collected proposals in one step of the core."""
         if self.batch:
             items, self.batch = self.batch, []
             self.step(Propose(items))
 
     def end_round(self, now_ms):
-        """Starts writes, and ends calls that cannot succeed any more."""
-        self.consider_snapshot()
-        if self.unwritten and not self.writing:
-            self.writing = True
-            persists, self.unwritten = self.unwritten, []
-            self.writes.put_nowait(persists)
+        """Starts writes and ends calls that get no answer any more.
+
+        Those are the calls forwarded to a former leader and the calls whose
+        deadline has passed.
+        """
+        self.start_snapshot_if_due()
+        if self.pending_persists and not self.write_in_progress:
+            self.write_in_progress = True
+            persists, self.pending_persists = self.pending_persists, []
+            self.write_requests.put_nowait(persists)
         leadership = (self.replica.term, self.replica.leader_id)
         if leadership != self.leadership:
             self.leadership = leadership
             self.notify(LeadershipNotice(*leadership))
-            self.calls.leave(self.replica.leader_id)
+            self.calls.abandon_stale_forwards(self.replica.leader_id)
             logger.info(
                 "Leadership changed.",
                 term=leadership[0],
@@ -246,121 +261,137 @@
         self.calls.expire(now_ms)
 
     def step(self, event):
-        """Runs one step of the core and handles its Output."""
-        out = self.replica.step(event, self.clock.now())
-        if out.persist:
-            self.unwritten.append(out.persist)
-        for message in out.messages:
+        """Passes an event to the core and handles its Output."""
+        output = self.replica.step(event, self.clock.now())
+        if output.persist:
+            self.pending_persists.append(output.persist)
+        for message in output.messages:
             self.send(node_of(message.recipient), message)
-        if out.install:
-            self.install(out.install)
-        self.unapplied.extend(out.committed)
-        for reply in out.replies:
+        if output.install:
+            self.install(output.install)
+        self.unapplied_entries.extend(output.committed)
+        for reply in output.replies:
             if isinstance(reply, Outcome) and reply.outcome == COMMITTED:
-                self.decided[reply.index] = reply
+                self.committed_outcomes[reply.index] = reply
             else:
-                self.settle(reply)
+                self.finish_call(reply)
 
-    def apply_some(self):
-        """Applies committed entries for a bounded time.
+    def apply_committed(self):
+        """Applies committed entries for about ``MAX_APPLY_MS``.
 
-        After a restart thousands of entries are committed at once; the
-        heartbeats must not wait for all of them.
+        After a restart thousands of entries are committed at once, and
+        applying all of them in one round would delay the heartbeats.
         """
-        if not self.unapplied:
+        if not self.unapplied_entries:
             return
-        stop_ms = self.clock.now() + APPLY_LIMIT_MS
-        while self.unapplied and self.clock.now() <= stop_ms:
-            entry = self.unapplied.popleft()
+        deadline_ms = self.clock.now() + MAX_APPLY_MS
+        while self.unapplied_entries and self.clock.now() <= deadline_ms:
+            entry = self.unapplied_entries.popleft()
             answer = self.apply(entry)
             self.applied_index = entry.index
-            reply = self.decided.pop(entry.index, None)
+            reply = self.committed_outcomes.pop(entry.index, None)
             if reply is not None:
-                self.settle(reply, answer)
+                self.finish_call(reply, answer)
         self.metrics.set("consensus_applied_index", self.applied_index)
         voters = len(self.replica.members().voters)
         self.metrics.set("consensus_voters", voters)
-        self.calls.applied(self.applied_index, self.state)
+        self.calls.answer_applied_reads(self.applied_index, self.state)
 
     def install(self, snapshot):
-        """Replaces the state by that of a snapshot."""
-        found = self.read_state(decode_state(snapshot.data))
-        if found.is_error():
-            raise ConsistencyError(f"snapshot is unreadable: {found.error}")
-        self.state = found.ok
+        """Replaces the state by that of a snapshot.
+
+        Raises:
+            ConsistencyError: If this version cannot read the snapshot.
+        """
+        result = self.state_from_document(decode_state(snapshot.data))
+        if result.is_error():
+            raise ConsistencyError(f"cannot read the snapshot: {result.error}")
+        self.state = result.ok
         self.snapshot_index = snapshot.index
         self.applied_index = snapshot.index
-        self.unapplied.clear()
-        for reply in self.decided.values():
-            # The snapshot contains the effect, but not the answer.
+        self.unapplied_entries.clear()
+        for reply in self.committed_outcomes.values():
+            # The snapshot contains the effect of the command, but not the
+            # answer of the state.
             reply.outcome = UNKNOWN
-            self.settle(reply)
-        self.decided.clear()
-        self.notify(Installed(snapshot.index))
-        self.calls.applied(snapshot.index, self.state)
+            self.finish_call(reply)
+        self.committed_outcomes.clear()
+        self.notify(SnapshotInstalled(snapshot.index))
+        self.calls.answer_applied_reads(snapshot.index, self.state)
 
     def apply(self, entry):
-        """Applies a committed entry and returns the state's answer."""
+        """Applies a committed entry and returns the state's answer.
+
+        Raises:
+            ConsistencyError: If this version cannot read the entry.
+        """
         if entry.kind != DATA:
             self.state.apply(StateEntry(entry.index, 0, None))
             return None
-        logged = decode_known(entry.payload)
-        command = decode_known(logged.command)
+        logged_command = decode_log_message(entry.payload)
+        command = decode_log_message(logged_command.command)
         answer = self.state.apply(
-            StateEntry(entry.index, logged.time_ms, command)
+            StateEntry(entry.index, logged_command.time_ms, command)
         )
-        if not isinstance(command, self.quiet):
-            self.notify(Applied(entry.index, entry.term, command, answer))
+        if not isinstance(command, self.unobserved_commands):
+            self.notify(EntryApplied(entry.index, entry.term, command, answer))
         return answer
 
     def notify(self, notice):
-        """Passes a notice to the observers."""
+        """Passes a notice to all observers."""
         for observer in self.observers:
             observer.put_nowait(notice)
 
-    def settle(self, reply, answer=None):
-        """Ends the call of an Outcome or a ReadReady."""
-        call = self.calls.take(reply.number)
+    def finish_call(self, reply, answer=None):
+        """Answers the call of an Outcome or a ReadReady.
+
+        Args:
+            reply: The Outcome or ReadReady.
+            answer: Answer of the state to a committed command, else None.
+        """
+        call = self.calls.pop(reply.number)
         if call is None:
             return
         if not isinstance(reply, Outcome):
-            consensus_inputs.end_read(self, call, reply.index)
+            consensus_inputs.finish_read(self, call, reply.index)
             return
         call.finish(
             ProposalAnswer(reply.outcome, reply.reason, reply.index, answer)
         )
 
     def encode_command(self, command):
-        """Returns the payload of an entry for an encoded command."""
+        """Returns the entry payload for an encoded command."""
         return codec.encode(LoggedCommand(self.clock.wall(), command))
 
-    def consider_snapshot(self):
-        """Hands a document to the snapshot filter when one is due."""
+    def start_snapshot_if_due(self):
+        """Requests a snapshot of the state if one is due."""
         index = self.applied_index
         due = index - self.snapshot_index >= self.snapshot_entries
         term = self.replica.log.term_at(index)
-        if self.snapshotting or not due or term is None:
+        if self.snapshot_in_progress or not due or term is None:
             return
         members = self.replica.log.members_at(index)
         self.snapshot_index = index
-        make = functools.partial(Snapshot, index, term, members)
+        make_snapshot = functools.partial(Snapshot, index, term, members)
         if self.directory is None:
-            # A learner without a disk never leads, so that nobody asks
-            # for its snapshot; only its log is compacted.
-            self.step(SnapshotTaken(make(b"")))
+            # A replica without a disk is a learner and never leads, so that
+            # no replica needs its snapshot. The empty one compacts its log.
+            self.step(SnapshotTaken(make_snapshot(b"")))
             return
-        self.snapshotting = True
-        self.documents.put_nowait((make, self.state.to_document()))
+        self.snapshot_in_progress = True
+        self.snapshot_requests.put_nowait(
+            (make_snapshot, self.state.to_document())
+        )
 
 
-def decode_known(data):
-    """Decodes a message of the log.
+def decode_log_message(data):
+    """Decodes a message from the log.
 
     Raises:
-        ConsistencyError: If this version does not know it. Skipping it
+        ConsistencyError: If this version cannot decode it. Skipping it
             would make the states of the replicas differ.
     """
     decoded = codec.decode(data)
     if decoded.is_error():
-        raise ConsistencyError(f"entry is unreadable: {decoded.error}")
+        raise ConsistencyError(f"cannot decode a log entry: {decoded.error}")
     return decoded.ok
--- a/wigeonport/quorum_recoveries.py
+++ b/wigeonport/quorum_recoveries.py
@@ -1,8 +1,8 @@
-"""Quorum recoveries: let one replica go on when the quorum is lost for good.
+"""Quorum recoveries: one voter goes on alone after a permanent quorum loss.
 
-The surviving replica appends a member list that names only itself. Entries
-that the lost voters had committed and that this replica never received are
-lost; entries that it received and that were never committed take effect.
+The surviving replica appends a member list that names only itself. Committed
+entries that it never received are lost; entries that it received take effect
+even if they were never committed.
 """
 
 import pathlib
@@ -24,15 +24,15 @@
 
 
 class Survivor:
-    """What the data directory of the surviving replica holds.
+    """The surviving replica, read from its data directory.
 
     Attributes:
-        replica_id: The replica.
-        term: Its term.
+        replica_id: Id of the replica.
+        term: Its current term.
         last_index: Last index of its log.
-        version: Fleet version after all its entries.
-        members: Its Members.
-        opened: Opened data directory.
+        version: Fleet version after all entries of its log.
+        members: Members of the group according to its log.
+        storage: OpenedStorage of the replica.
     """
 
     __slots__ = (
@@ -41,11 +41,11 @@
         "last_index",
         "version",
         "members",
-        "opened",
+        "storage",
     )
 
-    def __init__(self, opened):
-        recovered = opened.recovered
+    def __init__(self, storage):
+        recovered = storage.recovered
         snapshot = recovered.snapshot
         log = ReplicaLog(
             snapshot.index if snapshot else 0,
@@ -53,15 +53,15 @@
             snapshot.members if snapshot else Members(),
             recovered.entries,
         )
-        self.replica_id = opened.replica_id
+        self.replica_id = storage.replica_id
         self.term = recovered.hard_state.term
         self.last_index = log.last_index()
         self.version = read_state(recovered).fleet.fleet.version
         self.members = log.members()
-        self.opened = opened
+        self.storage = storage
 
     def describe(self):
-        """Returns the lines that an operator reads before deciding."""
+        """Returns what a recovery loses, as lines for the operator."""
         lost = [v for v in self.members.voters if v != self.replica_id]
         return [
             f"replica {self.replica_id} holds fleet version {self.version}",
@@ -72,7 +72,7 @@
 
 
 def read_state(recovered):
-    """Returns the ReplicatedState after all entries."""
+    """Returns the ReplicatedState after all entries of a RecoveredState."""
     state = ReplicatedState()
     if recovered.snapshot:
         document = decode_state(recovered.snapshot.data)
@@ -81,16 +81,23 @@
     for entry in recovered.entries:
         command, time_ms = None, 0
         if entry.kind == DATA:
-            logged = codec.decode(entry.payload).ok
-            command, time_ms = codec.decode(logged.command).ok, logged.time_ms
+            logged_command = codec.decode(entry.payload).ok
+            command, time_ms = (
+                codec.decode(logged_command.command).ok,
+                logged_command.time_ms,
+            )
         state.apply(StateEntry(entry.index, time_ms, command))
     return state
 
 
 def open_survivor(settings) -> Result:
-    """Returns the Survivor of a stopped control, or why there is none."""
+    """Opens the data directory of a stopped control.
+
+    Returns:
+        Ok of a Survivor, or Error of the reason why there is none.
+    """
     if settings.data_dir is None:
-        return Error("this VM has no data_dir")
+        return Error("the settings of this VM have no data_dir")
     directory = pathlib.Path(settings.data_dir)
     try:
         identity = read_identity(directory) if directory.is_dir() else None
@@ -101,24 +108,27 @@
             settings.node_id,
         ):
             return Error(f"{directory} belongs to another node")
-        opened = open_directory(
+        storage = open_directory(
             directory, settings.cluster_id, settings.node_id
         )
     except (DamageError, FormatError) as fault:
         return Error(f"{directory} is damaged: {fault}")
     except OSError as fault:
         return Error(f"{directory} cannot be opened: {fault}")
-    if opened.damage:
-        return Error(f"{directory} is damaged: {opened.damage}")
-    return Ok(Survivor(opened))
+    if storage.damage:
+        return Error(f"{directory} is damaged: {storage.damage}")
+    return Ok(Survivor(storage))
 
 
 def find_objections(survivor, reports):
-    """Returns why the quorum must not be given up.
+    """Returns the reasons why the survivor must not go on alone.
 
     Args:
         survivor: The Survivor.
         reports: ReplicaReports of the other controls that answered.
+
+    Returns:
+        A list of sentences, empty if there is no reason.
     """
     members = survivor.members
     if not members.is_voter(survivor.replica_id):
@@ -128,11 +138,11 @@
         for report in reports
         if report.leader_id
     ]
-    living = {r.replica_id for r in reports} & set(members.voters)
-    if len(living) + 1 >= members.quorum():
+    live_voters = {r.replica_id for r in reports} & set(members.voters)
+    if len(live_voters) + 1 >= members.quorum():
         objections.append(
-            f"{len(living) + 1} of {len(members.voters)} voters live, which "
-            "is a quorum; start this control"
+            f"{len(live_voters) + 1} of {len(members.voters)} voters live, "
+            "which is a quorum; start this control"
         )
     objections += [
         f"{report.replica_id} holds a longer log (term {report.term}, index "
@@ -144,18 +154,21 @@
     return objections
 
 
-def give_up_quorum(survivor):
-    """Appends the member list that names only the survivor."""
+def make_sole_voter(survivor):
+    """Appends a member list that names only the survivor.
+
+    The entry gets a new term for which the survivor has voted for itself.
+    """
     term = survivor.term + 1
-    alone = Members([Member(survivor.replica_id, True, True)])
+    sole_member = Members([Member(survivor.replica_id, True, True)])
     persist = Persist(1)
     persist.hard_state = HardState(term, survivor.replica_id)
     persist.entries = [
-        Entry(survivor.last_index + 1, term, MEMBERS, alone.to_payload())
+        Entry(survivor.last_index + 1, term, MEMBERS, sole_member.to_payload())
     ]
-    survivor.opened.journal.write([persist])
+    survivor.storage.journal.write([persist])
 
 
-def find_reports(settings, keys):
-    """Returns the ReplicaReports of the other controls."""
+def collect_reports(settings, keys):
+    """Returns the ReplicaReports of the other controls that answer."""
     return trio.run(probe_peers, settings, keys)
