Rename 6 names: ShareManager, manager and others

Cause: 'book' is figurative, 'keep' says nothing of the task loop, and 'settle' hid that it delays the first grant Change: ShareBook to ShareManager, book to manager, OwnTable to LocalTable, keep_table to run_table_exchange, keep_shares to run_share_manager, settle_ms to first_grant_delay_ms; 70 uses in 7 files, by token.

--- a/bench/table_exchange.py
+++ b/bench/table_exchange.py
@@ -14,10 +14,10 @@
 from wigeonport.clocks import Clock, LamportCounter
 from wigeonport.dialers import Dialer, listen
 from wigeonport.endpoints import READY, Announced, EndpointRecord
-from wigeonport.exchanges import TableExchange, keep_table
+from wigeonport.exchanges import TableExchange, run_table_exchange
 from wigeonport.links import Identity, LinkContext
 from wigeonport.metrics import Metrics
-from wigeonport.shares import ShareBook, ShareDemand, keep_shares
+from wigeonport.shares import ShareDemand, ShareManager, run_share_manager
 from wigeonport.subscriptions import sort_deliveries
 
 HOST = "127.0.0.1"
@@ -38,7 +38,7 @@
         self.context = LinkContext(
             identity, self.inbound, Clock(), self.metrics, LamportCounter()
         )
-        self.book = ShareBook(self.name, 2_000, 1_200)
+        self.manager = ShareManager(self.name, 2_000, 1_200)
         self.exchange = TableExchange(self.name, 1, 2_500, digest_ms)
         self.dialers = {}
         self.port = 0
@@ -63,7 +63,7 @@
             self.shares,
         )
         nursery.start_soon(
-            keep_table,
+            run_table_exchange,
             self.tables,
             [self.shares],
             self.exchange,
@@ -72,10 +72,10 @@
             TICK_MS,
         )
         nursery.start_soon(
-            keep_shares,
+            run_share_manager,
             self.shares,
             self.routing,
-            self.book,
+            self.manager,
             self.dialers,
             Clock(),
             20,
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -7,7 +7,7 @@
 from wigeonport.endpoints import EndpointChanged
 from wigeonport.share_ledgers import SlotLedger, share_by_demand
 from wigeonport.share_messages import GrantedShare, ShareGrant, ShareWant
-from wigeonport.shares import ShareBook, ShareChanged, ShareDemand
+from wigeonport.shares import ShareChanged, ShareDemand, ShareManager
 
 SLOTS = 8
 STEP_MS = 20
@@ -18,7 +18,7 @@
     """One entry: its book and its running work."""
 
     def __init__(self, node_id):
-        self.book = ShareBook(node_id, LEASE_MS, 100)
+        self.manager = ShareManager(node_id, LEASE_MS, 100)
         self.slots = 0
         self.until_ms = 0
         self.ends = []
@@ -53,7 +53,7 @@
         """Tells the entries who owns the endpoint."""
         for entry in self.entries.values():
             change = EndpointChanged(self.record, owner, replaced_ms)
-            entry.book.step(change, self.now_ms)
+            entry.manager.step(change, self.now_ms)
 
     def kill(self, node_id):
         """Ends an entry; its running work goes on at the endpoint."""
@@ -66,13 +66,13 @@
             arrived, self.mail = self.mail, []
             for target, message in arrived:
                 if target in self.entries:
-                    book = self.entries[target].book
-                    self.perform(target, book.step(message, self.now_ms))
+                    manager = self.entries[target].manager
+                    self.perform(target, manager.step(message, self.now_ms))
             for node_id, entry in list(self.entries.items()):
                 entry.demand = demand.get(node_id, 0)
                 wish = entry.work(self.now_ms, self.chance, self.work_ms)
-                self.perform(node_id, entry.book.step(wish, self.now_ms))
-                self.perform(node_id, entry.book.tick(self.now_ms))
+                self.perform(node_id, entry.manager.step(wish, self.now_ms))
+                self.perform(node_id, entry.manager.tick(self.now_ms))
             self.most = max(self.most, self.used())
 
     def perform(self, source, commands):
@@ -168,10 +168,10 @@
     """Guards against a larger share used after a smaller one arrived."""
     group = make_group()
     group.run(1_000, {"n3": 8})
-    book = group.entries["n3"].book
+    manager = group.entries["n3"].manager
     older = ShareGrant("n0", 900, LEASE_MS, [GrantedShare("e1", 1, SLOTS, 1)])
-    book.sent[900] = (group.now_ms, "n0")
-    assert book.step(older, group.now_ms) == []
+    manager.sent[900] = (group.now_ms, "n0")
+    assert manager.step(older, group.now_ms) == []
 
 
 def test_smaller_grant_frees_slots_only_when_confirmed(make_record):
--- a/wigeonport/endpoint_tables.py
+++ b/wigeonport/endpoint_tables.py
@@ -23,7 +23,7 @@
 LEFT_MEMORY_MS = 30_000
 
 
-class OwnTable:
+class LocalTable:
     """The endpoints that announce to this entry.
 
     Attributes:
--- a/wigeonport/entry_main.py
+++ b/wigeonport/entry_main.py
@@ -23,13 +23,13 @@
     make_router,
     make_share_book,
 )
-from wigeonport.exchanges import keep_table
+from wigeonport.exchanges import run_table_exchange
 from wigeonport.histories import record_history
 from wigeonport.programs import start
 from wigeonport.receivers import CallerApp
 from wigeonport.routers import route
 from wigeonport.servers import ProcessInfo, StatusApp, serve_http
-from wigeonport.shares import keep_shares
+from wigeonport.shares import run_share_manager
 from wigeonport.subscriptions import sort_deliveries
 
 TICK_MS = 100
@@ -90,7 +90,7 @@
     for dialer in peers.values():
         nursery.start_soon(dialer.run)
     nursery.start_soon(
-        keep_table,
+        run_table_exchange,
         boxes.peers,
         [boxes.shares, boxes.routing, boxes.history],
         make_exchange(program, context),
@@ -99,7 +99,7 @@
         TICK_MS,
     )
     nursery.start_soon(
-        keep_shares,
+        run_share_manager,
         boxes.shares,
         boxes.routing,
         make_share_book(program, context),
--- a/wigeonport/entry_parts.py
+++ b/wigeonport/entry_parts.py
@@ -9,7 +9,7 @@
 from wigeonport.receivers import CallerLimits
 from wigeonport.router_messages import RouterLimits
 from wigeonport.routers import Router
-from wigeonport.shares import ShareBook
+from wigeonport.shares import ShareManager
 from wigeonport.subscriptions import ControlLinks
 
 ENDPOINT_CONNECTIONS = 64
@@ -130,11 +130,11 @@
     wait until others are heard.
     """
     settings = program.settings
-    settle_ms = settings.table_digest_ms + SETTLE_MARGIN_MS
-    return ShareBook(
+    first_grant_delay_ms = settings.table_digest_ms + SETTLE_MARGIN_MS
+    return ShareManager(
         context.identity.node_id,
         settings.share_lease_ms,
-        settle_ms if settings.peers else 0,
+        first_grant_delay_ms if settings.peers else 0,
         settings.share_policy,
     )
 
--- a/wigeonport/exchanges.py
+++ b/wigeonport/exchanges.py
@@ -5,7 +5,7 @@
 Heartbeats of endpoints are never passed on.
 """
 
-from wigeonport.endpoint_tables import MergedView, OwnTable, PeerTable
+from wigeonport.endpoint_tables import LocalTable, MergedView, PeerTable
 from wigeonport.exchange_messages import TablePiece, TableRequest
 from wigeonport.links import Delivery
 from wigeonport.registries import Registry
@@ -50,7 +50,7 @@
     __slots__ = ("own", "peers", "view", "digest_ms", "next_digest_ms")
 
     def __init__(self, node_id, epoch, expiry_ms, digest_ms):
-        self.own = OwnTable(node_id, epoch, expiry_ms)
+        self.own = LocalTable(node_id, epoch, expiry_ms)
         self.peers = {}
         self.view = MergedView()
         self.digest_ms = digest_ms
@@ -168,7 +168,9 @@
     return exchange.refresh(touched | set(peer.entries), now_ms)
 
 
-async def keep_table(inbound, outbounds, exchange, dialers, clock, tick_ms):
+async def run_table_exchange(
+    inbound, outbounds, exchange, dialers, clock, tick_ms
+):
     """Owns the endpoint table.
 
     Args:
--- a/wigeonport/shares.py
+++ b/wigeonport/shares.py
@@ -99,13 +99,13 @@
         self.slots = 0
 
 
-class ShareBook:
+class ShareManager:
     """Both sides of the leases of one entry; no sockets.
 
     Attributes:
         node_id: This entry.
         lease_ms: Length of a lease.
-        settle_ms: Time until an endpoint's first grant, in which all
+        first_grant_delay_ms: Time until an endpoint's first grant, in which all
             entries learn who its owner is.
         policy: Share policy.
         ledgers: SlotLedger by endpoint id, of owned endpoints.
@@ -119,7 +119,7 @@
     __slots__ = (
         "node_id",
         "lease_ms",
-        "settle_ms",
+        "first_grant_delay_ms",
         "policy",
         "ledgers",
         "held",
@@ -129,10 +129,12 @@
         "urgent",
     )
 
-    def __init__(self, node_id, lease_ms, settle_ms, policy="demand"):
+    def __init__(
+        self, node_id, lease_ms, first_grant_delay_ms, policy="demand"
+    ):
         self.node_id = node_id
         self.lease_ms = lease_ms
-        self.settle_ms = settle_ms
+        self.first_grant_delay_ms = first_grant_delay_ms
         self.policy = share_policies.get(policy).ok
         self.ledgers = {}
         self.held = {}
@@ -241,71 +243,73 @@
 
 
 @handlers.register("EndpointChanged")
-def follow_endpoint(book, change, now_ms):
+def follow_endpoint(manager, change, now_ms):
     """An endpoint appeared, changed, or has another owner."""
     record, endpoint_id = change.record, change.record.endpoint_id
-    held = book.held.get(endpoint_id)
+    held = manager.held.get(endpoint_id)
     known = held is not None and held.owner == change.owner
     if known and held.record.incarnation == record.incarnation:
         held.record = record
     else:
-        book.held[endpoint_id] = HeldShare(record, change.owner)
-    ledger = book.ledgers.get(endpoint_id)
-    if change.owner != book.node_id:
-        book.ledgers.pop(endpoint_id, None)
+        manager.held[endpoint_id] = HeldShare(record, change.owner)
+    ledger = manager.ledgers.get(endpoint_id)
+    if change.owner != manager.node_id:
+        manager.ledgers.pop(endpoint_id, None)
     elif ledger and ledger.record.incarnation == record.incarnation:
         ledger.record = record
     else:
-        wait_ms = book.settle_ms
+        wait_ms = manager.first_grant_delay_ms
         if change.replaced_ms is not None:
-            wait_ms = change.replaced_ms + book.lease_ms - now_ms
-        book.ledgers[endpoint_id] = SlotLedger(
-            record, book.lease_ms, now_ms + wait_ms, book.policy
+            wait_ms = change.replaced_ms + manager.lease_ms - now_ms
+        manager.ledgers[endpoint_id] = SlotLedger(
+            record, manager.lease_ms, now_ms + wait_ms, manager.policy
         )
     return []
 
 
 @handlers.register("EndpointLost")
-def drop_endpoint(book, change, now_ms):
+def drop_endpoint(manager, change, now_ms):
     """An endpoint is gone."""
-    book.ledgers.pop(change.endpoint_id, None)
-    book.held.pop(change.endpoint_id, None)
+    manager.ledgers.pop(change.endpoint_id, None)
+    manager.held.pop(change.endpoint_id, None)
     return []
 
 
 @handlers.register("ShareDemand")
-def follow_demand(book, demand, now_ms):
+def follow_demand(manager, demand, now_ms):
     """The router reports what it could use."""
-    book.urgent = demand.urgent
-    for held in book.held.values():
+    manager.urgent = demand.urgent
+    for held in manager.held.values():
         held.interested, held.wanted, held.in_use = False, 0, 0
     for endpoint_id, wanted, in_use in demand.items:
-        held = book.held.get(endpoint_id)
+        held = manager.held.get(endpoint_id)
         if held is not None:
             held.interested = True
             held.wanted, held.in_use = wanted, in_use
-    return book.tick(now_ms) if demand.urgent else []
+    return manager.tick(now_ms) if demand.urgent else []
 
 
 @handlers.register("ShareRequest")
-def answer_request(book, request, now_ms):
+def answer_request(manager, request, now_ms):
     """Another entry asks for shares."""
-    return [SendShare(request.origin, book.make_grant(request, now_ms))]
+    return [SendShare(request.origin, manager.make_grant(request, now_ms))]
 
 
 @handlers.register("ShareGrant")
-def apply_grant(book, grant, now_ms):
+def apply_grant(manager, grant, now_ms):
     """An owner answered."""
-    return book.take_grant(grant, now_ms)
+    return manager.take_grant(grant, now_ms)
 
 
-async def keep_shares(inbound, outbound, book, dialers, clock, tick_ms):
+async def run_share_manager(
+    inbound, outbound, manager, dialers, clock, tick_ms
+):
     """Owns the leases of this entry.
 
     Args:
         inbound: Mailbox of endpoint changes, demand and deliveries.
         outbound: Mailbox of the router.
-        book: The ShareBook.
+        manager: The ShareBook.
         dialers: Dialers to the other entries by node id.
         clock: Time source.
         tick_ms: Longest time between two checks for due requests while
@@ -313,18 +317,18 @@
     """
     ticked_ms = clock.now()
     while True:
-        wait_ms = tick_ms if book.urgent else 5 * tick_ms
+        wait_ms = tick_ms if manager.urgent else 5 * tick_ms
         message = await inbound.get_within(wait_ms)
         now_ms = clock.now()
         commands = []
         if isinstance(message, Delivery):
             if message.peer.node_id == message.message.origin:
-                commands += book.step(message.message, now_ms)
+                commands += manager.step(message.message, now_ms)
         elif message is not None:
-            commands += book.step(message, now_ms)
+            commands += manager.step(message, now_ms)
         if message is None or now_ms - ticked_ms >= tick_ms:
             ticked_ms = now_ms
-            commands += book.tick(now_ms)
+            commands += manager.tick(now_ms)
         for command in commands:
             if isinstance(command, ShareChanged):
                 await outbound.put(command)
