Rename sort_deliveries to route_deliveries

Cause: it routes deliveries by message type, without any order Change: sort_deliveries to route_deliveries; 5 uses in 3 files, by token.

--- a/bench/table_exchange.py
+++ b/bench/table_exchange.py
@@ -18,7 +18,7 @@
 from wigeonport.links import Identity, LinkContext
 from wigeonport.metrics import Metrics
 from wigeonport.shares import ShareDemand, ShareManager, run_share_manager
-from wigeonport.subscriptions import sort_deliveries
+from wigeonport.subscriptions import route_deliveries
 
 HOST = "127.0.0.1"
 TICK_MS = 100
@@ -56,7 +56,7 @@
                 self.dialers[node.name] = dialer
                 nursery.start_soon(dialer.run)
         nursery.start_soon(
-            sort_deliveries,
+            route_deliveries,
             self.inbound,
             self.tables,
             self.tables,
--- a/wigeonport/entry_main.py
+++ b/wigeonport/entry_main.py
@@ -30,7 +30,7 @@
 from wigeonport.routers import route
 from wigeonport.servers import ProcessInfo, StatusApp, serve_http
 from wigeonport.shares import run_share_manager
-from wigeonport.subscriptions import sort_deliveries
+from wigeonport.subscriptions import route_deliveries
 
 TICK_MS = 100
 SHARE_TICK_MS = 20
@@ -114,7 +114,7 @@
     settings, clock = program.settings, program.clock
     router = make_router(settings)
     nursery.start_soon(
-        sort_deliveries,
+        route_deliveries,
         boxes.deliveries,
         boxes.configurations,
         boxes.peers,
--- a/wigeonport/subscriptions.py
+++ b/wigeonport/subscriptions.py
@@ -56,7 +56,7 @@
         return [dialer for dialer in self.dialers if dialer.connected]
 
 
-async def sort_deliveries(inbound, configurations, entries, shares):
+async def route_deliveries(inbound, configurations, entries, shares):
     """Passes arrivals to the filter that handles them.
 
     Args:
