Rename heard_ms to last_seen_ms

Cause: 'heard' hid that it is the time at which a process was last seen alive Change: heard_ms to last_seen_ms; 11 uses in 4 files, by token.

--- a/tests/operator_fakes.py
+++ b/tests/operator_fakes.py
@@ -115,8 +115,8 @@
 
     def report(self, process, version, silent_ms=0):
         """Adds a report of a process."""
-        heard_ms = self.app.control.clock.now() - silent_ms
-        status = ProcessStatus(process, "ikeja", 1, version, heard_ms)
+        last_seen_ms = self.app.control.clock.now() - silent_ms
+        status = ProcessStatus(process, "ikeja", 1, version, last_seen_ms)
         self.statuses.append(status)
 
     async def call(self, method, target, body=None, token=TOKEN, headers=()):
--- a/tests/test_publishers.py
+++ b/tests/test_publishers.py
@@ -106,8 +106,8 @@
     deliver(publisher, session, Subscribe("entry/b", "ikeja", 1, 5), 1)
     names = [r.node_id for r in publisher.own_reports(6_000)]
     assert names == ["control/a", "entry/b"]
-    assert publisher.statuses["entry/b"].heard_ms == 6_000
+    assert publisher.statuses["entry/b"].last_seen_ms == 6_000
     handle(publisher, LinkClosed("entry/b", session), 7_000)
     names = [r.node_id for r in publisher.own_reports(11_000)]
     assert names == ["control/a"]
-    assert publisher.statuses["entry/b"].heard_ms == 6_000
+    assert publisher.statuses["entry/b"].last_seen_ms == 6_000
--- a/wigeonport/publishers.py
+++ b/wigeonport/publishers.py
@@ -45,7 +45,7 @@
         availability_zone: Its zone.
         run_ms: Wall time at which it started.
         version: Highest version that it reported in this run.
-        heard_ms: Monotonic time of the report.
+        last_seen_ms: Monotonic time of the report.
     """
 
     __slots__ = (
@@ -53,15 +53,17 @@
         "availability_zone",
         "run_ms",
         "version",
-        "heard_ms",
+        "last_seen_ms",
     )
 
-    def __init__(self, node_id, availability_zone, run_ms, version, heard_ms):
+    def __init__(
+        self, node_id, availability_zone, run_ms, version, last_seen_ms
+    ):
         self.node_id = node_id
         self.availability_zone = availability_zone
         self.run_ms = run_ms
         self.version = version
-        self.heard_ms = heard_ms
+        self.last_seen_ms = last_seen_ms
 
 
 class Publisher:
@@ -143,7 +145,7 @@
         reports = []
         for node_id in sorted(own | {self.report.node_id}):
             status = self.statuses[node_id]
-            status.heard_ms = now_ms
+            status.last_seen_ms = now_ms
             reports.append(
                 VersionReport(
                     status.node_id,
--- a/wigeonport/status_routes.py
+++ b/wigeonport/status_routes.py
@@ -53,7 +53,7 @@
             lag = "has not reported since this control started"
             lines.append(ProcessLine(process, zone, None, None, lag))
             continue
-        silent_ms = now_ms - status.heard_ms
+        silent_ms = now_ms - status.last_seen_ms
         lag = explain_lag(status.version, version, silent_ms)
         zone = status.availability_zone
         lines.append(
