Reword announcements and endpoint tables

Cause: names such as hear, shown, left and age, and texts such as "heard by an entry", were figurative or private to this project. Change: comments, docstrings, local names and attributes of the announcement server, the endpoint tables and their exchange use the terms of the field (tombstone, revision, digest interval). The error of a stopping entry reads "this entry is stopping". Behaviour, log lines and wire names stay.

--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -1,4 +1,4 @@
-"""The announcement edge."""
+"""Tests of the HTTP server for announcements."""
 
 import json
 
@@ -26,26 +26,30 @@
 
 @pytest.fixture
 def mailbox():
-    """The mailbox of the endpoint table."""
+    """Mailbox of the endpoint table."""
     return Mailbox("announcements", 8)
 
 
-def test_open_stream_ends_when_the_entry_has_drained(mailbox):
-    """Guards against a stop that waits for endless announcements."""
-    sent, ending = [], trio.Event()
+def test_long_lived_request_ends_with_503_when_the_entry_stops(mailbox):
+    """The stop of an entry must not wait for a long-lived request.
+
+    An endpoint never ends that request, so waiting for it would use up the
+    whole grace period.
+    """
+    sent, stopping = [], trio.Event()
     line = json.dumps(ANNOUNCEMENT).encode() + b"\n"
     events = [{"type": "http.request", "body": line, "more_body": True}]
 
     async def receive():
         if events:
             return events.pop()
-        ending.set()
+        stopping.set()
         return await trio.sleep_forever()
 
     async def send(event):
         sent.append(event)
 
-    app = AnnouncementApp(mailbox, Metrics(), ending)
+    app = AnnouncementApp(mailbox, Metrics(), stopping)
     trio.run(app, SCOPE, receive, send)
     assert sent[0]["status"] == 503
     assert mailbox.depth() == 1
--- a/wigeonport/announcements.py
+++ b/wigeonport/announcements.py
@@ -1,7 +1,7 @@
-"""Announcements: the HTTP edge towards endpoints.
+"""HTTP server for the announcements of endpoints.
 
-An endpoint sends one JSON object a line, either as one long-lived request or
-as a short request for each announcement.
+An endpoint sends one JSON object per line, either in one long-lived request
+or in a short request for each announcement.
 """
 
 import ipaddress
@@ -24,7 +24,7 @@
 MAX_PORT = 65_535
 MAX_COUNTER = 2**53
 TEXT_FIELDS = ("endpoint_id", "service", "availability_zone", "host")
-# Fields of an announcement, in the order of EndpointRecord.
+# Fields of an announcement in the order of EndpointRecord's parameters.
 FIELDS = (
     "endpoint_id",
     "service",
@@ -46,11 +46,16 @@
 }
 
 
-def parse_announcement(line) -> Result:
-    """Returns the EndpointRecord of a JSON line, or Findings."""
+def parse_announcement(text) -> Result:
+    """Parses and validates one announcement.
+
+    Returns:
+        A Result with the EndpointRecord of the JSON text, or with Findings
+        that name each invalid field.
+    """
     findings = Findings()
     try:
-        document = json.loads(line)
+        document = json.loads(text)
     except (ValueError, RecursionError):
         findings.add("announcement", "is not JSON")
         return findings.result(None)
@@ -64,15 +69,15 @@
 
 
 def check_fields(document, findings):
-    """Adds a finding for each wrong field."""
+    """Adds a finding for each missing, invalid or unknown field."""
     for name in TEXT_FIELDS:
         value = document.get(name)
         if not isinstance(value, str) or not 0 < len(value) <= 255:
             findings.add(name, "must be a text of 1 to 255 characters")
-    for name, (smallest, largest) in NUMBER_FIELDS.items():
+    for name, (minimum, maximum) in NUMBER_FIELDS.items():
         value = document.get(name)
-        if type(value) is not int or not smallest <= value <= largest:
-            findings.add(name, f"must be a number, {smallest} to {largest}")
+        if type(value) is not int or not minimum <= value <= maximum:
+            findings.add(name, f"must be a number, {minimum} to {maximum}")
     if document.get("state") not in STATES:
         findings.add("state", f"must be one of {', '.join(STATES)}")
     for name in sorted(document.keys() - set(FIELDS)):
@@ -81,34 +86,35 @@
 
 
 def check_host(host, findings):
-    """Adds a finding if the host is no IP address."""
+    """Adds a finding if the host is not an IP address."""
     try:
         ipaddress.ip_address(host)
     except ValueError:
         findings.add("host", "must be an IP address")
 
 
-async def cancel_at(event, scope):
-    """Cancels a scope when an event is set."""
+async def cancel_when_set(event, scope):
+    """Cancels a scope as soon as an event is set."""
     await event.wait()
     scope.cancel()
 
 
 class AnnouncementApp:
-    """ASGI app of the path that endpoints announce to.
+    """ASGI application that receives the announcements of endpoints.
 
     Attributes:
-        outbound: Mailbox of the endpoint table.
+        outbound: Mailbox of the endpoint table, which receives Announced.
         metrics: Metrics of the process.
-        ending: trio.Event that ends the long-lived requests.
+        stopping: trio.Event, set when the entry stops; it ends the
+            long-lived requests.
     """
 
-    __slots__ = ("outbound", "metrics", "ending")
+    __slots__ = ("outbound", "metrics", "stopping")
 
-    def __init__(self, outbound, metrics, ending):
+    def __init__(self, outbound, metrics, stopping):
         self.outbound = outbound
         self.metrics = metrics
-        self.ending = ending
+        self.stopping = stopping
 
     async def __call__(self, scope, receive, send):
         """Handles one ASGI connection scope."""
@@ -122,45 +128,59 @@
         if scope["method"] != "POST":
             response = respond_json(405, {"error": "use POST"})
             return await send_response(send, response)
-        return await self.read_until_ending(receive, send)
+        return await self.read_until_stop(receive, send)
 
-    async def read_until_ending(self, receive, send):
-        """Reads the lines of one request until it or the edge ends.
+    async def read_until_stop(self, receive, send):
+        """Reads one request until it ends or the entry stops.
 
-        An endpoint never ends its long-lived request, so a stop that waited
-        for it would always take the whole grace period.
+        An endpoint never ends its long-lived request, so an entry that
+        waited for it on shutdown would always use up the whole grace period.
+        A request that the stop interrupts is answered with 503.
         """
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(cancel_at, self.ending, nursery.cancel_scope)
+            nursery.start_soon(
+                cancel_when_set, self.stopping, nursery.cancel_scope
+            )
             await self.read_lines(receive, send)
             nursery.cancel_scope.cancel()
             return
-        response = respond_json(503, {"error": "this entry stops"})
+        response = respond_json(503, {"error": "this entry is stopping"})
         await send_response(send, response)
 
     async def read_lines(self, receive, send):
-        """Reads the lines of one request as they arrive."""
-        rest, more, accepted = b"", True, 0
+        """Handles each line of one request as soon as it is complete.
+
+        The first invalid line ends the request with 400. Otherwise the
+        answer is the number of accepted announcements.
+        """
+        partial_line, more, accepted = b"", True, 0
         while more:
             event = await receive()
             if event["type"] != "http.request":
                 return None
             more = event.get("more_body", False)
-            *lines, rest = (rest + event.get("body", b"")).split(b"\n")
-            if not more and rest:
-                lines.append(rest)
+            *lines, partial_line = (
+                partial_line + event.get("body", b"")
+            ).split(b"\n")
+            if not more and partial_line:
+                lines.append(partial_line)
             for line in lines:
-                findings = await self.take(line)
+                findings = await self.accept_announcement(line)
                 if findings:
                     return await self.refuse(send, findings)
                 accepted += 1
-            if len(rest) > MAX_LINE_BYTES:
+            if len(partial_line) > MAX_LINE_BYTES:
                 return await self.refuse(send, ["announcement: is too long"])
         response = respond_json(200, {"accepted": accepted})
         return await send_response(send, response)
 
-    async def take(self, line):
-        """Passes one announcement on; returns the lines of its findings."""
+    async def accept_announcement(self, line):
+        """Forwards a valid announcement to the endpoint table.
+
+        Returns:
+            The findings of an invalid announcement as texts, or an empty
+            list.
+        """
         parsed = parse_announcement(line)
         if parsed.is_error():
             return parsed.error.lines()
@@ -169,7 +189,7 @@
         return []
 
     async def refuse(self, send, findings):
-        """Answers with all findings."""
+        """Answers with 400 and all findings."""
         self.metrics.count("announcements_refused")
         logger.warning("Announcement refused.", reason="; ".join(findings))
         await send_response(send, respond_json(400, {"findings": findings}))
--- a/wigeonport/endpoint_tables.py
+++ b/wigeonport/endpoint_tables.py
@@ -1,14 +1,15 @@
-"""Endpoint tables: what one entry hears, and what all of them hear together.
+"""Endpoint tables of this entry and its peers, and the view merged from them.
 
-Every entry is the authority for the endpoints that announce to it. The
-merged view takes the newest record of all entries that are alive.
+Each entry is authoritative for the endpoints that announce to it. An endpoint
+may announce to several entries; the merged view uses its newest record among
+the tables of all entries that are alive.
 """
 
 from wigeonport.endpoints import (
     LEAVING,
     EndpointChanged,
     EndpointLost,
-    is_same,
+    equal_except_sequence,
 )
 from wigeonport.exchange_messages import (
     LOST,
@@ -18,9 +19,9 @@
     checksum_entries,
 )
 
-# An endpoint that left stays hidden for this long, so that an older record
-# of another entry does not bring it back.
-LEFT_MEMORY_MS = 30_000
+# While the tombstone of an endpoint that left is kept, an older record from
+# another entry does not bring the endpoint back.
+TOMBSTONE_RETENTION_MS = 30_000
 
 
 class LocalTable:
@@ -28,11 +29,13 @@
 
     Attributes:
         origin: Node id of this entry.
-        epoch: Start of this process.
-        expiry_ms: Time without an announcement after which one is lost.
+        epoch: Wall time at which this process started, in ms.
+        expiry_ms: Time without an announcement after which an endpoint is
+            lost.
         number: Number of the latest change.
-        entries: TableEntry by endpoint id.
-        heard_ms: Time of the last announcement by endpoint id.
+        entries: Maps endpoint id to TableEntry.
+        last_announced_ms: Maps endpoint id to the time of its last
+            announcement.
     """
 
     __slots__ = (
@@ -41,7 +44,7 @@
         "expiry_ms",
         "number",
         "entries",
-        "heard_ms",
+        "last_announced_ms",
     )
 
     def __init__(self, origin, epoch, expiry_ms):
@@ -50,45 +53,55 @@
         self.expiry_ms = expiry_ms
         self.number = 0
         self.entries = {}
-        self.heard_ms = {}
+        self.last_announced_ms = {}
 
     def announce(self, record, now_ms):
-        """Takes an announcement; returns the updates for other entries."""
-        known = self.entries.get(record.endpoint_id)
-        if known is not None and record.age <= known.record.age:
+        """Records an announcement; returns the updates for other entries.
+
+        An announcement that changes nothing but its sequence is a heartbeat
+        and yields no update. One that is not newer than the recorded one is
+        ignored.
+        """
+        previous = self.entries.get(record.endpoint_id)
+        if (
+            previous is not None
+            and record.revision <= previous.record.revision
+        ):
             return []
-        same = known is not None and is_same(known.record, record)
-        first = record.sequence
-        if known and known.record.incarnation == record.incarnation:
-            first = known.first_sequence
-        entry = TableEntry(record, first)
+        unchanged = previous is not None and equal_except_sequence(
+            previous.record, record
+        )
+        first_sequence = record.sequence
+        if previous and previous.record.incarnation == record.incarnation:
+            first_sequence = previous.first_sequence
+        entry = TableEntry(record, first_sequence)
         self.entries[record.endpoint_id] = entry
-        self.heard_ms[record.endpoint_id] = now_ms
-        return [] if same else [self.update(record.state, entry)]
+        self.last_announced_ms[record.endpoint_id] = now_ms
+        return [] if unchanged else [self.make_update(record.state, entry)]
 
     def expire(self, now_ms):
-        """Removes silent endpoints; returns the updates."""
+        """Removes silent endpoints; returns the updates for other entries."""
         silent = [
             endpoint_id
-            for endpoint_id, heard_ms in self.heard_ms.items()
-            if now_ms - heard_ms > self.expiry_ms
+            for endpoint_id, time_ms in self.last_announced_ms.items()
+            if now_ms - time_ms > self.expiry_ms
         ]
         updates = []
         for endpoint_id in silent:
-            del self.heard_ms[endpoint_id]
+            del self.last_announced_ms[endpoint_id]
             entry = self.entries.pop(endpoint_id)
-            updates.append(self.update(LOST, entry))
+            updates.append(self.make_update(LOST, entry))
         return updates
 
-    def update(self, change, entry):
-        """Numbers a change."""
+    def make_update(self, change, entry):
+        """Returns an EndpointUpdate with the next number."""
         self.number += 1
         return EndpointUpdate(
             self.origin, self.epoch, self.number, change, entry
         )
 
     def digest(self):
-        """Returns the digest of the table."""
+        """Returns a TableDigest of the current table."""
         return TableDigest(
             self.origin,
             self.epoch,
@@ -99,39 +112,41 @@
 
 
 class PeerTable:
-    """What another entry hears, as far as it is known here.
+    """Copy of the table of another entry.
 
     Attributes:
-        epoch: Start of that entry.
-        number: Number of its latest change that was applied.
-        entries: TableEntry by endpoint id.
-        heard_ms: When it was heard last.
-        asked_ms: When its table was asked for last.
-        parts: Parts of a table that is being received, by number.
-        parts_mark: Epoch and number of that table.
+        epoch: Epoch of that entry, -1 before its first table arrived.
+        number: Number of its latest change that was applied here.
+        entries: Maps endpoint id to TableEntry.
+        last_message_ms: Time of the last message from that entry.
+        last_request_ms: Time at which its table was last requested, or
+            None.
+        parts: Maps part number to the entries of that part, for a table of
+            which parts are still missing.
+        parts_version: Epoch and number of that table, or None.
     """
 
     __slots__ = (
         "epoch",
         "number",
         "entries",
-        "heard_ms",
-        "asked_ms",
+        "last_message_ms",
+        "last_request_ms",
         "parts",
-        "parts_mark",
+        "parts_version",
     )
 
     def __init__(self, now_ms):
         self.epoch = -1
         self.number = -1
         self.entries = {}
-        self.heard_ms = now_ms
-        self.asked_ms = None
+        self.last_message_ms = now_ms
+        self.last_request_ms = None
         self.parts = {}
-        self.parts_mark = None
+        self.parts_version = None
 
-    def take_update(self, update):
-        """Applies an update; returns False if one before it is missing."""
+    def apply_update(self, update):
+        """Applies an update; returns False if an earlier one is missing."""
         if update.epoch == self.epoch and update.number <= self.number:
             return True
         if (update.epoch, update.number) != (self.epoch, self.number + 1):
@@ -153,117 +168,129 @@
             and digest.checksum == checksum_entries(self.entries)
         )
 
-    def take_piece(self, piece):
-        """Adds a part; replaces the table once all parts are there.
+    def add_part(self, piece):
+        """Adds a part; replaces the table once all parts have arrived.
 
-        Epochs are compared for equality only: the wall clock of an entry
-        may have been set back before it restarted.
+        Epochs are compared for equality only, because the wall clock of an
+        entry may have been set back before the entry restarted.
         """
         if piece.epoch == self.epoch and piece.number < self.number:
             return
-        mark = (piece.epoch, piece.number)
-        if self.parts_mark != mark:
-            self.parts, self.parts_mark = {}, mark
+        version = (piece.epoch, piece.number)
+        if self.parts_version != version:
+            self.parts, self.parts_version = {}, version
         self.parts[piece.part] = piece.entries
         if len(self.parts) < piece.parts:
             return
-        self.epoch, self.number = mark
+        self.epoch, self.number = version
         self.entries = {
             entry.record.endpoint_id: entry
             for entries in self.parts.values()
             for entry in entries
         }
-        self.parts, self.parts_mark = {}, None
+        self.parts, self.parts_version = {}, None
 
 
 class MergedView:
-    """The endpoints as the filters of this entry see them.
+    """The endpoints as published to the filters of this entry.
 
     Attributes:
-        shown: EndpointChanged that was sent last, by endpoint id.
-        left: Age and time of the last leaving record by endpoint id.
-        gone_ms: Time until which an entry that is now silent may have been
-            alive, by node id.
+        published: Maps endpoint id to the EndpointChanged that was published
+            last.
+        tombstones: Maps endpoint id to the revision of its newest leaving
+            record and the time at which that record was last seen.
+        alive_until_ms: Maps the node id of an entry that is now silent to
+            the time until which it may have been alive.
     """
 
-    __slots__ = ("shown", "left", "gone_ms")
+    __slots__ = ("published", "tombstones", "alive_until_ms")
 
     def __init__(self):
-        self.shown = {}
-        self.left = {}
-        self.gone_ms = {}
+        self.published = {}
+        self.tombstones = {}
+        self.alive_until_ms = {}
 
     def refresh(self, tables, endpoint_ids, now_ms):
-        """Returns the changes after some endpoints may have changed.
+        """Merges the records of some endpoints; returns what changed.
 
         Args:
-            tables: Entries by endpoint id, by node id of live entries.
-            endpoint_ids: Endpoints to look at.
+            tables: Maps the node id of each live entry to its TableEntry
+                objects by endpoint id.
+            endpoint_ids: Ids of the endpoints that may have changed.
             now_ms: Monotonic time.
+
+        Returns:
+            EndpointChanged and EndpointLost objects.
         """
         changes = []
         for endpoint_id in sorted(endpoint_ids):
             change = self.merge(tables, endpoint_id, now_ms)
             if change is not None:
                 changes.append(change)
-        self.forget_left(now_ms)
+        self.expire_tombstones(now_ms)
         return changes
 
     def merge(self, tables, endpoint_id, now_ms):
-        """Returns the change of one endpoint, or None."""
-        heard = {
+        """Returns the change of one endpoint, or None if nothing changed."""
+        candidates = {
             node_id: entries[endpoint_id]
             for node_id, entries in tables.items()
             if endpoint_id in entries
         }
-        shown = self.shown.get(endpoint_id)
+        published = self.published.get(endpoint_id)
         newest = max(
-            (entry.record for entry in heard.values()),
-            key=lambda record: record.age,
+            (entry.record for entry in candidates.values()),
+            key=lambda record: record.revision,
             default=None,
         )
         if newest is not None and newest.state == LEAVING:
-            self.left[endpoint_id] = (newest.age, now_ms)
-        left_age, _ = self.left.get(endpoint_id, ((-1, -1), 0))
-        if newest is None or newest.age < left_age:
-            if shown is None:
+            self.tombstones[endpoint_id] = (newest.revision, now_ms)
+        tombstone_revision, _ = self.tombstones.get(endpoint_id, ((-1, -1), 0))
+        if newest is None or newest.revision < tombstone_revision:
+            if published is None:
                 return None
-            del self.shown[endpoint_id]
-            return EndpointLost(endpoint_id, shown.record.service_id)
-        owner = choose_owner(heard, newest.incarnation)
+            del self.published[endpoint_id]
+            return EndpointLost(endpoint_id, published.record.service_id)
+        owner = choose_owner(candidates, newest.incarnation)
         if (
-            shown is not None
-            and shown.owner == owner
-            and is_same(shown.record, newest)
+            published is not None
+            and published.owner == owner
+            and equal_except_sequence(published.record, newest)
         ):
             return None
         replaced_ms = None
         if (
-            shown is not None
-            and shown.owner != owner
-            and shown.record.incarnation == newest.incarnation
+            published is not None
+            and published.owner != owner
+            and published.record.incarnation == newest.incarnation
         ):
-            replaced_ms = self.gone_ms.get(shown.owner, now_ms)
+            replaced_ms = self.alive_until_ms.get(published.owner, now_ms)
         change = EndpointChanged(newest, owner, replaced_ms)
-        self.shown[endpoint_id] = change
+        self.published[endpoint_id] = change
         return change
 
-    def forget_left(self, now_ms):
-        """Forgets endpoints that left long ago."""
-        for endpoint_id, (_, time_ms) in list(self.left.items()):
-            if now_ms - time_ms > LEFT_MEMORY_MS:
-                del self.left[endpoint_id]
+    def expire_tombstones(self, now_ms):
+        """Removes tombstones older than TOMBSTONE_RETENTION_MS."""
+        for endpoint_id, (_, time_ms) in list(self.tombstones.items()):
+            if now_ms - time_ms > TOMBSTONE_RETENTION_MS:
+                del self.tombstones[endpoint_id]
 
 
-def choose_owner(heard, incarnation):
+def choose_owner(candidates, incarnation):
     """Returns the node id of the entry that grants an endpoint's slots.
 
-    The entry that has heard this run of the endpoint from its earliest
-    announcement on. An entry that hears it later does not take over, so
-    the owner changes only when the owner loses the endpoint.
+    The owner is the entry with the smallest first sequence: it has received
+    the announcements of this incarnation for the longest time without a gap.
+    The smaller node id breaks a tie. An entry to which the endpoint announces
+    later does not take over, so the owner changes only when the owner loses
+    the endpoint.
+
+    Args:
+        candidates: Maps node id to the TableEntry of that entry.
+        incarnation: Incarnation of the endpoint's newest record.
     """
     return min(
         (entry.first_sequence, node_id)
-        for node_id, entry in heard.items()
+        for node_id, entry in candidates.items()
         if entry.record.incarnation == incarnation
     )[1]
--- a/wigeonport/endpoints.py
+++ b/wigeonport/endpoints.py
@@ -1,4 +1,4 @@
-"""Endpoints: what they announce, and which of them announce to this entry."""
+"""Announcements of endpoints and the changes that the filters receive."""
 
 from wigeonport.codecs import message_kinds
 
@@ -12,16 +12,17 @@
     """One announcement of an endpoint.
 
     Attributes:
-        endpoint_id: Unique name of the endpoint's process.
-        service_id: Service that it runs.
-        availability_zone: Its zone.
+        endpoint_id: Unique id of the endpoint's process.
+        service_id: Id of the service that it runs.
+        availability_zone: Zone in which it runs.
         host: IP address.
         port: TCP port.
-        slots: Requests that it runs at the same time.
-        connections: Connections that it accepts.
+        slots: Number of requests that it handles concurrently.
+        connections: Number of connections that it accepts.
         state: READY or LEAVING.
-        incarnation: Larger after each restart.
-        sequence: Larger with each announcement of an incarnation.
+        incarnation: Number that increases with each restart of the endpoint.
+        sequence: Number that increases with each announcement of one
+            incarnation.
     """
 
     __slots__ = (
@@ -62,13 +63,17 @@
         self.sequence = sequence
 
     @property
-    def age(self):
-        """Orders the announcements of one endpoint."""
+    def revision(self):
+        """Orders the announcements of one endpoint; larger is newer."""
         return (self.incarnation, self.sequence)
 
 
 class Announced:
-    """A valid announcement arrived at this entry."""
+    """An endpoint sent a valid announcement to this entry.
+
+    Attributes:
+        record: The EndpointRecord.
+    """
 
     __slots__ = ("record",)
 
@@ -77,13 +82,13 @@
 
 
 class EndpointChanged:
-    """An endpoint became usable or changed.
+    """An endpoint appeared, changed its record or got another owner.
 
     Attributes:
-        record: Its latest record.
+        record: Its latest EndpointRecord.
         owner: Node id of the entry that grants its slots.
-        replaced_ms: Until when an earlier owner may have granted slots, or
-            None if there was none.
+        replaced_ms: Time until which a previous owner may have granted
+            slots, or None if there was no previous owner.
     """
 
     __slots__ = ("record", "owner", "replaced_ms")
@@ -95,11 +100,11 @@
 
 
 class EndpointLost:
-    """An endpoint must get no new work.
+    """An endpoint is gone and must get no new requests.
 
     Attributes:
-        endpoint_id: The endpoint.
-        service: Its service.
+        endpoint_id: Id of the endpoint.
+        service: Id of its service.
     """
 
     __slots__ = ("endpoint_id", "service")
@@ -109,10 +114,10 @@
         self.service = service
 
 
-def is_same(old, new):
-    """Returns whether a newer record changes nothing but its sequence."""
+def equal_except_sequence(previous, current):
+    """Returns whether two records differ in nothing but the sequence."""
     return all(
-        getattr(old, name) == getattr(new, name)
+        getattr(previous, name) == getattr(current, name)
         for name in EndpointRecord.__slots__
         if name != "sequence"
     )
--- a/wigeonport/exchange_messages.py
+++ b/wigeonport/exchange_messages.py
@@ -1,4 +1,4 @@
-"""Messages by which entries exchange what their endpoints announced."""
+"""Messages by which entries exchange their endpoint tables."""
 
 import zlib
 
@@ -6,20 +6,20 @@
 from wigeonport.endpoints import EndpointRecord
 
 LOST = "lost"
-CHECKED_FIELDS = tuple(
+CHECKSUM_FIELDS = tuple(
     name for name in EndpointRecord.__slots__ if name != "sequence"
 )
 
 
 @message_kinds.register("TableEntry")
 class TableEntry:
-    """An endpoint as one entry hears it.
+    """An endpoint in the table of one entry.
 
     Attributes:
-        record: Its latest EndpointRecord.
-        first_sequence: Sequence of the first announcement that this entry
-            heard without a gap longer than the expiry. The entry with the
-            smallest one grants the slots.
+        record: EndpointRecord of its latest announcement to that entry.
+        first_sequence: Sequence of the first announcement since which the
+            entry has received announcements without a gap longer than the
+            expiry. The entry with the smallest one grants the slots.
     """
 
     __slots__ = ("record", "first_sequence")
@@ -31,12 +31,13 @@
 
 @message_kinds.register("EndpointUpdate")
 class EndpointUpdate:
-    """One change of the endpoints that announce to the sender.
+    """One change of the sender's own table.
 
     Attributes:
         origin: Node id of the sender.
-        epoch: Start of the sender; numbers begin again after a restart.
-        number: Number of the change.
+        epoch: Wall time at which the sender started, in ms; the numbers
+            begin again after a restart.
+        number: Number of the change; consecutive within an epoch.
         change: ``ready``, ``leaving`` or ``lost``.
         entry: TableEntry after the change, or the last one before the loss.
     """
@@ -53,14 +54,14 @@
 
 @message_kinds.register("TableDigest")
 class TableDigest:
-    """State of the sender's own table, to detect lost updates.
+    """Digest of the sender's own table, by which lost updates are detected.
 
     Attributes:
         origin: Node id of the sender.
-        epoch: Start of the sender.
+        epoch: Epoch of the sender, as in EndpointUpdate.
         number: Number of the latest change.
-        count: Number of endpoints.
-        checksum: Checksum of their entries.
+        count: Number of endpoints in the table.
+        checksum: CRC-32 of the entries, see checksum_entries.
     """
 
     __slots__ = ("origin", "epoch", "number", "count", "checksum")
@@ -75,7 +76,11 @@
 
 @message_kinds.register("TableRequest")
 class TableRequest:
-    """Asks for the whole table of the receiver."""
+    """Requests the whole table of the receiver.
+
+    Attributes:
+        origin: Node id of the sender.
+    """
 
     __slots__ = ("origin",)
 
@@ -89,10 +94,10 @@
 
     Attributes:
         origin: Node id of the sender.
-        epoch: Start of the sender.
+        epoch: Epoch of the sender, as in EndpointUpdate.
         number: Number of the latest change in the table.
         part: Number of this part, from 0.
-        parts: Number of all parts.
+        parts: Number of parts of the table.
         entries: TableEntry objects.
     """
 
@@ -108,11 +113,15 @@
 
 
 def checksum_entries(entries):
-    """Returns a checksum that does not change with each heartbeat."""
+    """Returns the CRC-32 of a table; heartbeats do not change it.
+
+    Args:
+        entries: Maps endpoint id to TableEntry.
+    """
     checksum = 0
     for endpoint_id in sorted(entries):
         entry = entries[endpoint_id]
-        values = [getattr(entry.record, name) for name in CHECKED_FIELDS]
+        values = [getattr(entry.record, name) for name in CHECKSUM_FIELDS]
         text = repr((values, entry.first_sequence))
         checksum = zlib.crc32(text.encode(), checksum)
     return checksum
