Reword shares and their ledgers

Cause: ask, take, forget and interested did not say what is requested, applied or removed, and attribute texts left out keys and units. Change: names and docstrings of the share manager, its ledgers and messages use request, grant, pending and superseded; mappings are described from key to value. Behaviour and wire names stay.

--- a/wigeonport/share_ledgers.py
+++ b/wigeonport/share_ledgers.py
@@ -1,8 +1,9 @@
-"""Share ledgers: the owner's side of the slots of one endpoint.
+"""Share ledgers: the grants that the owner of an endpoint has made.
 
-The slots of all unexpired grants together never exceed the slots of the
-endpoint. A smaller grant frees the difference only when its holder confirms
-it or the larger one expires, because the message may be lost.
+The unexpired grants together never exceed the slots of the endpoint. A grant
+smaller than the one before frees the difference only when its holder confirms
+it or the larger grant expires, because the message with the smaller grant may
+be lost.
 """
 
 from wigeonport.registries import Registry
@@ -14,22 +15,28 @@
     """An entry that leases slots.
 
     Attributes:
-        wanted: Slots that it wanted last.
-        in_use: Slots that it used then.
-        heard_ms: When it asked last.
-        grants: Slots and end of the lease by number of the grant.
+        wanted: Number of slots wanted in its last request.
+        in_use: Number of slots in use at its last request.
+        last_request_ms: Time of its last request.
+        grants: Maps the number of a grant to its slots and the end of its
+            lease.
     """
 
-    __slots__ = ("wanted", "in_use", "heard_ms", "grants")
+    __slots__ = ("wanted", "in_use", "last_request_ms", "grants")
 
     def __init__(self):
         self.wanted = 0
         self.in_use = 0
-        self.heard_ms = 0
+        self.last_request_ms = 0
         self.grants = {}
 
-    def confirm(self, applied, now_ms):
-        """Forgets grants that were replaced or have expired."""
+    def drop_superseded_grants(self, applied, now_ms):
+        """Removes grants that have expired or that a later one replaced.
+
+        Args:
+            applied: Number of the latest grant that the holder has applied.
+            now_ms: Monotonic time.
+        """
         self.grants = {
             number: (slots, until_ms)
             for number, (slots, until_ms) in self.grants.items()
@@ -37,10 +44,10 @@
         }
 
     def outstanding(self, now_ms):
-        """Returns the slots that the holder may use at most.
+        """Returns the maximum number of slots that the holder may be using.
 
-        Work that runs when a grant is made smaller goes on, so the slots
-        that were in use count until the holder reports fewer.
+        Requests that run when a grant is reduced continue, so the slots that
+        were in use count until the holder reports fewer.
         """
         slots = [
             slots
@@ -55,11 +62,12 @@
 
     Attributes:
         record: EndpointRecord of the endpoint.
-        lease_ms: Length of a lease.
-        not_before_ms: Time of the first grant; a lease of an earlier owner
-            may last until then.
-        policy: Function of wants by node id and slots; returns the shares.
-        holders: Holder by node id.
+        lease_ms: Duration of a lease.
+        not_before_ms: Earliest time of a grant; a lease from a previous
+            owner may last until then.
+        policy: Share policy: a function that takes the wanted slots by node
+            id and the number of slots, and returns the shares by node id.
+        holders: Maps node id to Holder.
     """
 
     __slots__ = ("record", "lease_ms", "not_before_ms", "policy", "holders")
@@ -72,14 +80,24 @@
         self.holders = {}
 
     def grant(self, node_id, want, number, now_ms):
-        """Returns the slots granted to an entry until the lease ends."""
+        """Grants slots to an entry for the duration of a lease.
+
+        Args:
+            node_id: Node id of the entry.
+            want: ShareWant of the entry for this endpoint.
+            number: Number of the grant.
+            now_ms: Monotonic time.
+
+        Returns:
+            The number of slots granted; 0 before not_before_ms.
+        """
         holder = self.holders.setdefault(node_id, Holder())
         holder.wanted, holder.in_use = want.wanted, want.in_use
-        holder.heard_ms = now_ms
-        holder.confirm(want.applied, now_ms)
+        holder.last_request_ms = now_ms
+        holder.drop_superseded_grants(want.applied, now_ms)
         if now_ms < self.not_before_ms:
             return 0
-        self.forget_silent(now_ms)
+        self.remove_silent_holders(now_ms)
         others = sum(
             other.outstanding(now_ms)
             for other_id, other in self.holders.items()
@@ -93,10 +111,10 @@
         holder.grants[number] = (slots, now_ms + self.lease_ms)
         return slots
 
-    def forget_silent(self, now_ms):
-        """Takes back the share of entries that stopped asking."""
+    def remove_silent_holders(self, now_ms):
+        """Removes entries without a request for the duration of a lease."""
         for node_id, holder in list(self.holders.items()):
-            if now_ms - holder.heard_ms > self.lease_ms:
+            if now_ms - holder.last_request_ms > self.lease_ms:
                 del self.holders[node_id]
 
 
@@ -104,22 +122,27 @@
 def share_by_demand(wants, slots):
     """Divides slots by max-min fairness.
 
-    What an entry does not want goes to the others in equal parts. What
-    nobody wants is held ready in equal parts, so that the next request
-    need not wait for a grant.
+    Slots that an entry does not want go to the other entries in equal parts.
+    Slots that no entry wants are granted in equal parts as well, so that the
+    next request of a caller does not wait for a grant.
     """
-    shares, left = {}, slots
+    shares, remaining = {}, slots
     ranked = sorted(wants, key=lambda node_id: (wants[node_id], node_id))
     for position, node_id in enumerate(ranked):
-        shares[node_id] = min(wants[node_id], left // (len(ranked) - position))
-        left -= shares[node_id]
-    spare, rest = divmod(left, len(ranked))
+        shares[node_id] = min(
+            wants[node_id], remaining // (len(ranked) - position)
+        )
+        remaining -= shares[node_id]
+    equal_part, remainder = divmod(remaining, len(ranked))
     for position, node_id in enumerate(ranked):
-        shares[node_id] += spare + (position < rest)
+        shares[node_id] += equal_part + (position < remainder)
     return shares
 
 
 @share_policies.register("even")
 def share_evenly(wants, slots):
-    """Divides slots into equal parts whatever is wanted."""
+    """Divides slots into equal parts, regardless of the wanted slots.
+
+    Each share is at least 1.
+    """
     return dict.fromkeys(wants, max(1, slots // len(wants)))
--- a/wigeonport/share_messages.py
+++ b/wigeonport/share_messages.py
@@ -5,14 +5,14 @@
 
 @message_kinds.register("ShareWant")
 class ShareWant:
-    """What one entry wants of one endpoint.
+    """The slots of one endpoint that an entry wants.
 
     Attributes:
-        endpoint_id: The endpoint.
-        incarnation: Its incarnation.
-        wanted: Slots that the entry could use now.
-        in_use: Slots that it uses now.
-        applied: Number of the latest grant that it applies, 0 for none.
+        endpoint_id: Id of the endpoint.
+        incarnation: Incarnation of the endpoint.
+        wanted: Number of slots that the entry could use now.
+        in_use: Number of slots that it uses now.
+        applied: Number of the latest grant that it has applied, 0 for none.
     """
 
     __slots__ = ("endpoint_id", "incarnation", "wanted", "in_use", "applied")
@@ -27,7 +27,7 @@
 
 @message_kinds.register("ShareRequest")
 class ShareRequest:
-    """Asks an owner for shares of some of its endpoints.
+    """Requests shares of some endpoints from their owner.
 
     Attributes:
         origin: Node id of the sender.
@@ -45,7 +45,14 @@
 
 @message_kinds.register("GrantedShare")
 class GrantedShare:
-    """Slots of one endpoint; the number orders the grants to one entry."""
+    """Slots granted to one entry at one endpoint.
+
+    Attributes:
+        endpoint_id: Id of the endpoint.
+        incarnation: Incarnation of the endpoint.
+        slots: Number of slots granted.
+        number: Number of the grant; orders the grants to one entry.
+    """
 
     __slots__ = ("endpoint_id", "incarnation", "slots", "number")
 
@@ -63,8 +70,9 @@
     Attributes:
         origin: Node id of the owner.
         number: Number of the request.
-        lease_ms: Length of the lease; it counts from the moment at which
-            the request was sent, so that it ends at the holder first.
+        lease_ms: Duration of the lease. The holder counts it from the moment
+            at which it sent the request, so that the lease ends at the
+            holder before it ends at the owner.
         shares: GrantedShare objects.
     """
 
--- a/wigeonport/shares.py
+++ b/wigeonport/shares.py
@@ -1,8 +1,9 @@
-"""Shares: leases of the slots of all endpoints, both sides of an entry.
+"""Shares: leases of endpoint slots, granted and held by this entry.
 
-The owner of an endpoint is the entry that has heard it from its earliest
-announcement on. It grants leases; every entry, also the owner itself, sends
-work only within the lease it holds.
+The owner of an endpoint is the entry that has received its announcements for
+the longest time without a gap. The owner leases the slots of the endpoint;
+each entry, including the owner, sends requests to the endpoint only within the
+lease that it holds.
 """
 
 from wigeonport.endpoints import LEAVING
@@ -18,22 +19,22 @@
 
 handlers = Registry("share message")
 
-RENEWALS_A_LEASE = 4
-# No work starts in the last part of a lease, so that requests of up to this
-# length have ended before another entry gets the slots. For longer ones the
-# endpoint's own refusal is the fallback.
-GUARD_PART = 4
-# Shortest time between two requests to the same owner.
-ASK_INTERVAL_MS = 20
-MAX_OPEN_REQUESTS = 64
+RENEWALS_PER_LEASE = 4
+# No request starts in the last 1/GUARD_DIVISOR of a lease, so that requests of
+# up to this duration have ended before another entry gets the slots. Longer
+# ones may overlap; the endpoint then refuses what exceeds its slots.
+GUARD_DIVISOR = 4
+# Minimum time between two requests to the same owner.
+MIN_REQUEST_INTERVAL_MS = 20
+MAX_PENDING_REQUESTS = 64
 
 
 class ShareDemand:
-    """What the router could use now.
+    """The slots that the router could use now.
 
     Attributes:
-        items: Tuples of endpoint id, slots wanted and slots in use, for
-            all endpoints to which the router may send work.
+        items: Tuples of endpoint id, slots wanted and slots in use, one for
+            each endpoint to which the router may send requests.
         urgent: Whether requests wait for a slot.
     """
 
@@ -45,7 +46,14 @@
 
 
 class ShareChanged:
-    """Tells the router which slots it may use until when."""
+    """Tells the router how many slots of an endpoint it may use.
+
+    Attributes:
+        endpoint_id: Id of the endpoint.
+        service: Id of its service.
+        slots: Number of slots that the router may use.
+        until_ms: Time until which it may start requests on them.
+    """
 
     __slots__ = ("endpoint_id", "service", "slots", "until_ms")
 
@@ -57,7 +65,7 @@
 
 
 class SendShare:
-    """Command: send a message to another entry."""
+    """Command to send a message to another entry."""
 
     __slots__ = ("node_id", "message")
 
@@ -71,18 +79,18 @@
 
     Attributes:
         record: EndpointRecord of the endpoint.
-        owner: Node id of the entry that grants.
-        interested: Whether the router may send work to it.
-        wanted: Slots that the router could use.
-        in_use: Slots that it uses.
+        owner: Node id of the entry that grants the slots.
+        routable: Whether the router may send requests to the endpoint.
+        wanted: Number of slots that the router could use.
+        in_use: Number of slots that it uses.
         number: Number of the latest grant, 0 for none.
-        slots: Slots of that grant.
+        slots: Number of slots of that grant.
     """
 
     __slots__ = (
         "record",
         "owner",
-        "interested",
+        "routable",
         "wanted",
         "in_use",
         "number",
@@ -92,7 +100,7 @@
     def __init__(self, record, owner):
         self.record = record
         self.owner = owner
-        self.interested = False
+        self.routable = False
         self.wanted = 0
         self.in_use = 0
         self.number = 0
@@ -100,18 +108,23 @@
 
 
 class ShareManager:
-    """Both sides of the leases of one entry; no sockets.
+    """Grants the leases of owned endpoints and requests those of all.
+
+    It has no sockets: its methods return the commands and changes.
 
     Attributes:
-        node_id: This entry.
-        lease_ms: Length of a lease.
-        first_grant_delay_ms: Time until an endpoint's first grant, in which all
-            entries learn who its owner is.
-        policy: Share policy.
-        ledgers: SlotLedger by endpoint id, of owned endpoints.
-        held: HeldShare by endpoint id.
-        sent: Time and owner of the open requests by number.
-        asked_ms: Time of the last request by owner.
+        node_id: Node id of this entry.
+        lease_ms: Duration of a lease.
+        first_grant_delay_ms: Time from the appearance of an endpoint to its
+            first grant, in which all entries learn who its owner is.
+        policy: Share policy, see share_ledgers.
+        ledgers: Maps endpoint id to SlotLedger, for endpoints that this
+            entry owns.
+        held: Maps endpoint id to HeldShare.
+        pending: Maps the number of each unanswered request to the time at
+            which it was sent and the owner.
+        last_request_ms: Maps the node id of an owner to the time of the last
+            request to it.
         next_number: Number of the next request or grant.
         urgent: Whether requests wait for a slot.
     """
@@ -123,8 +136,8 @@
         "policy",
         "ledgers",
         "held",
-        "sent",
-        "asked_ms",
+        "pending",
+        "last_request_ms",
         "next_number",
         "urgent",
     )
@@ -138,41 +151,48 @@
         self.policy = share_policies.get(policy).ok
         self.ledgers = {}
         self.held = {}
-        self.sent = {}
-        self.asked_ms = {}
+        self.pending = {}
+        self.last_request_ms = {}
         self.next_number = 1
         self.urgent = False
 
     def step(self, message, now_ms):
-        """Handles a message; returns commands and changes."""
+        """Handles a message; returns SendShare commands and ShareChanged."""
         handler = handlers.get(type(message).__name__)
         if handler.is_error():
             return []
         return handler.ok(self, message, now_ms)
 
     def tick(self, now_ms):
-        """Returns the requests that are due."""
-        interval_ms = ASK_INTERVAL_MS
+        """Sends the requests that are due; returns commands and changes."""
+        interval_ms = MIN_REQUEST_INTERVAL_MS
         if not self.urgent:
-            interval_ms = self.lease_ms // RENEWALS_A_LEASE
+            interval_ms = self.lease_ms // RENEWALS_PER_LEASE
         due = {}
         for held in self.held.values():
-            asked_ms = self.asked_ms.get(held.owner)
-            waits = asked_ms is None or now_ms - asked_ms >= interval_ms
-            if waits and (held.interested or held.in_use):
+            last_request_ms = self.last_request_ms.get(held.owner)
+            is_due = (
+                last_request_ms is None
+                or now_ms - last_request_ms >= interval_ms
+            )
+            if is_due and (held.routable or held.in_use):
                 due.setdefault(held.owner, []).append(held)
         commands = []
-        for owner, helds in due.items():
-            commands += self.ask(owner, helds, now_ms)
+        for owner, held_shares in due.items():
+            commands += self.request_shares(owner, held_shares, now_ms)
         return commands
 
-    def ask(self, owner, helds, now_ms):
-        """Asks one owner; answers itself if this entry is the owner."""
-        self.asked_ms[owner] = now_ms
-        number = self.take_number()
-        self.sent[number] = (now_ms, owner)
-        while len(self.sent) > MAX_OPEN_REQUESTS:
-            del self.sent[next(iter(self.sent))]
+    def request_shares(self, owner, held_shares, now_ms):
+        """Requests shares from one owner.
+
+        If this entry is the owner, the request is answered at once without
+        a message.
+        """
+        self.last_request_ms[owner] = now_ms
+        number = self.allocate_number()
+        self.pending[number] = (now_ms, owner)
+        while len(self.pending) > MAX_PENDING_REQUESTS:
+            del self.pending[next(iter(self.pending))]
         wants = [
             ShareWant(
                 held.record.endpoint_id,
@@ -181,20 +201,24 @@
                 held.in_use,
                 held.number,
             )
-            for held in helds
+            for held in held_shares
         ]
         request = ShareRequest(self.node_id, number, wants)
         if owner != self.node_id:
             return [SendShare(owner, request)]
-        return self.take_grant(self.make_grant(request, now_ms), now_ms)
+        return self.accept_grant(self.make_grant(request, now_ms), now_ms)
 
-    def take_number(self):
-        """Returns the next number."""
+    def allocate_number(self):
+        """Returns the next number for a request or a grant."""
         self.next_number += 1
         return self.next_number - 1
 
     def make_grant(self, request, now_ms):
-        """Answers a request from the ledgers of owned endpoints."""
+        """Returns the ShareGrant that answers a request.
+
+        Endpoints that this entry does not own, other incarnations and
+        leaving endpoints are left out.
+        """
         shares = []
         for want in request.wants:
             ledger = self.ledgers.get(want.endpoint_id)
@@ -204,19 +228,23 @@
                 or ledger.record.state == LEAVING
             ):
                 continue
-            number = self.take_number()
+            number = self.allocate_number()
             slots = ledger.grant(request.origin, want, number, now_ms)
             shares.append(
                 GrantedShare(want.endpoint_id, want.incarnation, slots, number)
             )
         return ShareGrant(self.node_id, request.number, self.lease_ms, shares)
 
-    def take_grant(self, grant, now_ms):
-        """Applies a grant; returns the changes for the router."""
-        sent_ms, owner = self.sent.pop(grant.number, (None, None))
+    def accept_grant(self, grant, now_ms):
+        """Applies a grant; returns the changes for the router.
+
+        A grant without a pending request to its sender is ignored, and so is
+        a share that is not newer than the one held.
+        """
+        sent_ms, owner = self.pending.pop(grant.number, (None, None))
         if sent_ms is None or owner != grant.origin:
             return []
-        until_ms = sent_ms + grant.lease_ms - grant.lease_ms // GUARD_PART
+        until_ms = sent_ms + grant.lease_ms - grant.lease_ms // GUARD_DIVISOR
         changes = []
         for share in grant.shares:
             held = self.held.get(share.endpoint_id)
@@ -228,8 +256,9 @@
             ):
                 continue
             if share.slots < held.slots:
-                # Confirms at once, so that others can have the difference.
-                self.asked_ms.pop(owner, None)
+                # Makes the next request due at once: it confirms the smaller
+                # share, so that the owner can grant the difference to others.
+                self.last_request_ms.pop(owner, None)
             held.number, held.slots = share.number, share.slots
             changes.append(
                 ShareChanged(
@@ -243,12 +272,16 @@
 
 
 @handlers.register("EndpointChanged")
-def follow_endpoint(manager, change, now_ms):
-    """An endpoint appeared, changed, or has another owner."""
+def handle_endpoint_changed(manager, change, now_ms):
+    """Updates the held share and the ledger of a changed endpoint.
+
+    A new owner grants nothing before the leases of the previous owner have
+    expired.
+    """
     record, endpoint_id = change.record, change.record.endpoint_id
     held = manager.held.get(endpoint_id)
-    known = held is not None and held.owner == change.owner
-    if known and held.record.incarnation == record.incarnation:
+    same_owner = held is not None and held.owner == change.owner
+    if same_owner and held.record.incarnation == record.incarnation:
         held.record = record
     else:
         manager.held[endpoint_id] = HeldShare(record, change.owner)
@@ -268,54 +301,54 @@
 
 
 @handlers.register("EndpointLost")
-def drop_endpoint(manager, change, now_ms):
-    """An endpoint is gone."""
+def handle_endpoint_lost(manager, change, now_ms):
+    """Drops the ledger and the held share of a lost endpoint."""
     manager.ledgers.pop(change.endpoint_id, None)
     manager.held.pop(change.endpoint_id, None)
     return []
 
 
 @handlers.register("ShareDemand")
-def follow_demand(manager, demand, now_ms):
-    """The router reports what it could use."""
+def handle_demand(manager, demand, now_ms):
+    """Records the demand of the router; requests shares if it is urgent."""
     manager.urgent = demand.urgent
     for held in manager.held.values():
-        held.interested, held.wanted, held.in_use = False, 0, 0
+        held.routable, held.wanted, held.in_use = False, 0, 0
     for endpoint_id, wanted, in_use in demand.items:
         held = manager.held.get(endpoint_id)
         if held is not None:
-            held.interested = True
+            held.routable = True
             held.wanted, held.in_use = wanted, in_use
     return manager.tick(now_ms) if demand.urgent else []
 
 
 @handlers.register("ShareRequest")
-def answer_request(manager, request, now_ms):
-    """Another entry asks for shares."""
+def handle_request(manager, request, now_ms):
+    """Answers the request of another entry."""
     return [SendShare(request.origin, manager.make_grant(request, now_ms))]
 
 
 @handlers.register("ShareGrant")
-def apply_grant(manager, grant, now_ms):
-    """An owner answered."""
-    return manager.take_grant(grant, now_ms)
+def handle_grant(manager, grant, now_ms):
+    """Applies the grant of an owner."""
+    return manager.accept_grant(grant, now_ms)
 
 
 async def run_share_manager(
     inbound, outbound, manager, dialers, clock, tick_ms
 ):
-    """Owns the leases of this entry.
+    """Runs the task that owns the leases of this entry.
 
     Args:
-        inbound: Mailbox of endpoint changes, demand and deliveries.
+        inbound: Mailbox of endpoint changes, ShareDemand and Deliveries.
         outbound: Mailbox of the router.
-        manager: The ShareBook.
-        dialers: Dialers to the other entries by node id.
+        manager: The ShareManager.
+        dialers: Maps node id to the Dialer to that entry.
         clock: Time source.
-        tick_ms: Longest time between two checks for due requests while
+        tick_ms: Maximum time between two checks for due requests while
             requests wait for a slot; five times as long otherwise.
     """
-    ticked_ms = clock.now()
+    last_tick_ms = clock.now()
     while True:
         wait_ms = tick_ms if manager.urgent else 5 * tick_ms
         message = await inbound.get_within(wait_ms)
@@ -326,8 +359,8 @@
                 commands += manager.step(message.message, now_ms)
         elif message is not None:
             commands += manager.step(message, now_ms)
-        if message is None or now_ms - ticked_ms >= tick_ms:
-            ticked_ms = now_ms
+        if message is None or now_ms - last_tick_ms >= tick_ms:
+            last_tick_ms = now_ms
             commands += manager.tick(now_ms)
         for command in commands:
             if isinstance(command, ShareChanged):
