Reword demands, publishers and configurations

Cause: hold, settle, known and found said little, and several docstrings only restated a name. Change: candidate versions are kept and applied under those names, and docstrings say what is reported, when and to whom. Test heads name the failure that they guard against. Behaviour and wire names stay.

--- a/tests/test_demands.py
+++ b/tests/test_demands.py
@@ -10,7 +10,11 @@
 
 
 def test_totals_add_entries_and_drop_silent_ones(clock):
-    """Guards against demand that stays high after an entry has died."""
+    """Reports older than STALE_MS do not count.
+
+    Otherwise the demand would stay high after an entry has died, because its
+    last report is never replaced.
+    """
     table = DemandTable()
     table.add(DemandReport("entry/a", [Demand("roster", 3, 2)]), clock.now())
     clock.advance(STALE_MS)
@@ -21,24 +25,28 @@
 
 
 class RecordingDialer:
-    """Keeps what was posted."""
+    """Dialer that records the posted messages."""
 
     def __init__(self):
         self.posted = []
 
     def post(self, message):
-        """Takes a message."""
+        """Records a message."""
         self.posted.append(message)
         return True
 
 
-def test_follower_passes_demand_on_to_the_leader(clock):
-    """Guards against a leader that sees the demand of its own VM only."""
+def test_follower_forwards_demand_to_the_leader(clock):
+    """A control that is not the leader forwards demand reports to it.
+
+    An entry reports to one control only, usually that of its own VM, so the
+    leader would otherwise miss the demand of all other VMs.
+    """
 
     async def scenario():
         dialers = {"lekki-1": RecordingDialer(), "yaba-1": RecordingDialer()}
-        box = Mailbox("any", 1)
-        driver = PlanDriver(None, box, box, dialers, clock, None)
+        mailbox = Mailbox("any", 1)
+        driver = PlanDriver(None, mailbox, mailbox, dialers, clock, None)
         driver.leader = "lekki-1"
         report = DemandReport("entry/a", [Demand("roster", 3, 2)])
         await driver.handle(Delivery(report, None, None, 0))
--- a/tests/test_publishers.py
+++ b/tests/test_publishers.py
@@ -1,4 +1,4 @@
-"""Tests of the publisher and of how versions are applied."""
+"""Tests of the publisher and of the Configuration that applies versions."""
 
 import pytest
 
@@ -15,20 +15,20 @@
 
 
 class RecordingSession:
-    """Keeps the messages that were pushed over a link."""
+    """Session that records the messages pushed over a link."""
 
     def __init__(self):
         self.pushed = []
 
     def submit(self, outgoing):
-        """Takes a message."""
+        """Records a message."""
         self.pushed.append(outgoing.message)
         return True
 
 
 @pytest.fixture
 def publisher():
-    """The publisher of a control that knows version 5."""
+    """Publisher of a control that knows version 5."""
     publisher = Publisher(VersionReport("control/a", "ikeja", 1, 0))
     publisher.accept(VersionAccepted(5, b"{}"))
     return publisher
@@ -36,19 +36,23 @@
 
 @pytest.fixture
 def session():
-    """A link to an entry."""
+    """Session of the link to an entry."""
     return RecordingSession()
 
 
 def deliver(publisher, session, message, now_ms=1):
-    """Hands a message of the link to the publisher."""
+    """Passes a message of the link to the publisher."""
     return handle(publisher, Delivery(message, None, session, 0), now_ms)
 
 
 def test_restarted_process_is_not_shown_with_its_old_version(
     publisher, session
 ):
-    """Guards against a status that hides that a process lags (R8)."""
+    """The status shows that a restarted process lags (R8).
+
+    A report of its previous run, before or after the restart, must not hide
+    that the new run applies no version yet.
+    """
     deliver(publisher, session, VersionReport("entry/b", "ikeja", 10, 5))
     deliver(publisher, session, Subscribe("entry/b", "ikeja", 20, 0))
     assert publisher.statuses["entry/b"].version == 0
@@ -56,15 +60,25 @@
     assert publisher.statuses["entry/b"].version == 0
 
 
-def test_reports_that_overtake_each_other_do_not_go_back(publisher, session):
-    """Guards against a status that flaps between two controls' reports."""
+def test_late_report_does_not_lower_the_version_of_a_process(
+    publisher, session
+):
+    """A lower version in a late report of the same run is ignored.
+
+    Reports arrive through several controls, so the status would otherwise
+    alternate between their versions.
+    """
     deliver(publisher, session, VersionReport("entry/b", "ikeja", 10, 5))
     deliver(publisher, session, VersionReport("entry/b", "ikeja", 10, 4))
     assert publisher.statuses["entry/b"].version == 5
 
 
-def test_control_without_memory_learns_from_an_entry(session):
-    """Guards against a cut-off zone that forgets the version in force."""
+def test_control_without_state_requests_the_version_of_an_entry(session):
+    """A control without state obtains the version in force from an entry.
+
+    Otherwise a zone without connection to the others would lose that version
+    when its control restarts.
+    """
     publisher = Publisher(VersionReport("control/a", "ikeja", 1, 0))
     deliver(publisher, session, Subscribe("entry/b", "ikeja", 20, 7))
     assert isinstance(session.pushed[0], ConfigRequest)
@@ -73,15 +87,15 @@
     assert publisher.newest.stale
 
 
-def test_publisher_never_goes_back(publisher, session):
-    """Guards against a lower version that reaches a subscriber."""
+def test_publisher_ignores_a_lower_version(publisher, session):
+    """A version lower than the newest is not pushed to subscribers."""
     deliver(publisher, session, Subscribe("entry/b", "ikeja", 20, 0))
     handle(publisher, VersionAccepted(4, b"{}"), 2)
     assert [update.version for update in session.pushed] == [5]
 
 
-def test_version_in_force_never_goes_back():
-    """Guards against a revert by a control that is behind (R8)."""
+def test_version_in_force_never_decreases():
+    """A lagging control cannot revert the version in force (R8)."""
     configuration = Configuration()
     assert configuration.offer(ConfigUpdate(5, b"{}", False), 0).version == 5
     assert configuration.offer(ConfigUpdate(4, b"{}", False), 0) is None
@@ -89,25 +103,30 @@
 
 
 def test_stale_version_waits_for_a_higher_one():
-    """Guards against a start with a version below one that is at hand."""
+    """A process without a version applies the highest stale one offered.
+
+    Applying the first offer at once would start the process with a lower
+    version than a reachable control knows.
+    """
     configuration = Configuration()
     assert configuration.offer(ConfigUpdate(4, b"{}", True), 0) is None
     assert configuration.offer(ConfigUpdate(6, b"{}", True), 10) is None
-    assert configuration.settle(STALE_WAIT_MS - 1) is None
-    assert configuration.settle(STALE_WAIT_MS).version == 6
+    assert configuration.apply_candidate(STALE_WAIT_MS - 1) is None
+    assert configuration.apply_candidate(STALE_WAIT_MS).version == 6
     assert configuration.stale
 
 
 def test_dead_process_is_not_reported_by_the_controls(publisher, session):
-    """Guards against a dead entry that never shows as silent (R8).
+    """A dead entry is not reported as alive (R8).
 
-    Two controls that reported it to each other kept its status fresh.
+    Two controls that reported it to each other kept updating its
+    last_seen_ms, so that it never appeared as silent.
     """
     deliver(publisher, session, Subscribe("entry/b", "ikeja", 1, 5), 1)
-    names = [r.node_id for r in publisher.own_reports(6_000)]
+    names = [r.node_id for r in publisher.local_reports(6_000)]
     assert names == ["control/a", "entry/b"]
     assert publisher.statuses["entry/b"].last_seen_ms == 6_000
     handle(publisher, LinkClosed("entry/b", session), 7_000)
-    names = [r.node_id for r in publisher.own_reports(11_000)]
+    names = [r.node_id for r in publisher.local_reports(11_000)]
     assert names == ["control/a"]
     assert publisher.statuses["entry/b"].last_seen_ms == 6_000
--- a/wigeonport/configurations.py
+++ b/wigeonport/configurations.py
@@ -1,4 +1,4 @@
-"""Distribution of the fleet version to the processes that apply it."""
+"""Distribution of fleet versions to the processes that apply them."""
 
 import json
 
@@ -8,18 +8,19 @@
 logger = PartLogger("config")
 
 STALE_WAIT_MS = 1_000
-SETTLE_INTERVAL_MS = 500
+CANDIDATE_CHECK_INTERVAL_MS = 500
 
 
 @message_kinds.register("Subscribe")
 class Subscribe:
-    """Asks a control for updates from a version on.
+    """Subscribes to the updates of a control.
 
     Attributes:
-        node_id: The subscriber.
-        availability_zone: Its zone.
-        run_ms: Wall time at which the process started; tells its runs apart.
-        version: Version that it applies, 0 for none.
+        node_id: Node id of the subscriber.
+        availability_zone: Zone of the subscriber.
+        run_ms: Wall time at which the process started; distinguishes its
+            runs.
+        version: Number of the version that it applies, 0 for none.
     """
 
     __slots__ = ("node_id", "availability_zone", "run_ms", "version")
@@ -33,12 +34,13 @@
 
 @message_kinds.register("ConfigUpdate")
 class ConfigUpdate:
-    """An accepted fleet version.
+    """A committed fleet version.
 
     Attributes:
         version: Number of the version.
-        document: The fleet in JSON.
-        stale: Whether no quorum confirmed that it is the newest.
+        document: The fleet in JSON, as bytes.
+        stale: Whether the version may be outdated, because no quorum has
+            confirmed that it is the newest.
     """
 
     __slots__ = ("version", "document", "stale")
@@ -51,7 +53,10 @@
 
 @message_kinds.register("VersionReport")
 class VersionReport:
-    """Reports the version that a process applies; fields as in Subscribe."""
+    """Reports the version that a process applies.
+
+    The attributes are those of Subscribe.
+    """
 
     __slots__ = ("node_id", "availability_zone", "run_ms", "version")
 
@@ -64,13 +69,13 @@
 
 @message_kinds.register("ConfigRequest")
 class ConfigRequest:
-    """Asks a process for the version that it applies.
+    """Requests the version that a process applies.
 
-    A control that lost its memory during a partition learns the newest
-    version of its zone in this way.
+    A control that restarts without state during a partition obtains the
+    newest version of its zone in this way.
 
     Attributes:
-        above: Only a higher version is of use.
+        above: The process answers only if its version is higher than this.
     """
 
     __slots__ = ("above",)
@@ -80,11 +85,11 @@
 
 
 class FleetApplied:
-    """Tells the filters of a process about a newly applied version.
+    """Notifies the filters of a process that a version was applied.
 
     Attributes:
         version: Number of the version.
-        document: The fleet as plain data.
+        document: The fleet, decoded from JSON.
     """
 
     __slots__ = ("version", "document")
@@ -95,57 +100,61 @@
 
 
 class Configuration:
-    """Decides which updates are applied; versions never go back.
+    """Decides which updates are applied; the version never decreases.
 
-    The first version is applied at once if a quorum confirmed it. A stale
-    one waits for STALE_WAIT_MS, so that of the versions that the reachable
-    controls know the highest is applied.
+    The first version is applied at once if a quorum has confirmed it. If it is
+    stale, it is applied only after STALE_WAIT_MS, so that the highest of the
+    versions known to the reachable controls is the one applied.
 
     Attributes:
-        version: Version in force, 0 before the first.
+        version: Number of the version in force, 0 before the first.
         stale: Whether it may be outdated.
         update: ConfigUpdate in force, or None.
-        candidate: Highest stale update so far, or None.
-        apply_ms: When the candidate is applied.
+        candidate: Highest stale update received before the first version is
+            in force, or None.
+        candidate_due_ms: Time at which the candidate is applied.
     """
 
-    __slots__ = ("version", "stale", "update", "candidate", "apply_ms")
+    __slots__ = ("version", "stale", "update", "candidate", "candidate_due_ms")
 
     def __init__(self):
         self.version = 0
         self.stale = True
         self.update = None
         self.candidate = None
-        self.apply_ms = 0
+        self.candidate_due_ms = 0
 
     def offer(self, update, now_ms):
-        """Returns a FleetApplied if the update is to be applied now."""
+        """Applies an update if it is due; returns a FleetApplied or None."""
         if update.version <= self.version:
             if update.version == self.version:
                 self.stale = self.stale and update.stale
             return None
         if self.version == 0 and update.stale:
-            self.hold(update, now_ms)
+            self.keep_candidate(update, now_ms)
             return None
         return self.apply(update)
 
-    def hold(self, update, now_ms):
-        """Keeps the highest stale update until its time."""
+    def keep_candidate(self, update, now_ms):
+        """Keeps an update as candidate if it is the highest stale one."""
         if self.candidate is None:
-            self.apply_ms = now_ms + STALE_WAIT_MS
+            self.candidate_due_ms = now_ms + STALE_WAIT_MS
             self.candidate = update
         elif update.version > self.candidate.version:
             self.candidate = update
 
-    def settle(self, now_ms):
-        """Returns a FleetApplied if the candidate's time has come."""
-        if self.candidate is None or now_ms < self.apply_ms:
+    def apply_candidate(self, now_ms):
+        """Applies the candidate if it is due; returns a FleetApplied or None.
+
+        The candidate is dropped if another version is in force by then.
+        """
+        if self.candidate is None or now_ms < self.candidate_due_ms:
             return None
         candidate, self.candidate = self.candidate, None
         return self.apply(candidate) if self.version == 0 else None
 
     def apply(self, update):
-        """Puts an update in force."""
+        """Puts an update in force; returns the FleetApplied."""
         document = json.loads(update.document)
         self.version = update.version
         self.stale = update.stale
@@ -156,22 +165,25 @@
 async def apply_updates(
     inbound, outbounds, configuration, report, clock, metrics, events
 ):
-    """Applies ConfigUpdates in order and reports the version in force.
+    """Runs the task that applies updates and reports the version in force.
 
     Args:
         inbound: Mailbox of Deliveries of ConfigUpdate and ConfigRequest.
         outbounds: Mailboxes that receive each FleetApplied.
         configuration: The Configuration of this process.
-        report: Called with the version after it is applied.
+        report: Function that is called with each version after it is applied.
         clock: Time source.
         metrics: Metrics of the process.
         events: EventLog of the process.
     """
     while True:
-        delivery = await inbound.get_within(SETTLE_INTERVAL_MS)
-        applied = configuration.settle(clock.now())
+        delivery = await inbound.get_within(CANDIDATE_CHECK_INTERVAL_MS)
+        applied = configuration.apply_candidate(clock.now())
         if delivery is not None:
-            applied = take(configuration, delivery, clock.now()) or applied
+            applied = (
+                handle_delivery(configuration, delivery, clock.now())
+                or applied
+            )
         if applied is None:
             continue
         for outbound in outbounds:
@@ -190,12 +202,16 @@
         report(applied.version)
 
 
-def take(configuration, delivery, now_ms):
-    """Handles one message; returns a FleetApplied or None."""
+def handle_delivery(configuration, delivery, now_ms):
+    """Handles a ConfigUpdate or answers a ConfigRequest.
+
+    Returns:
+        A FleetApplied if a version was applied, or else None.
+    """
     message = delivery.message
     if isinstance(message, ConfigUpdate):
         return configuration.offer(message, now_ms)
-    known = configuration.update
-    if known is not None and known.version > message.above:
-        delivery.push(ConfigUpdate(known.version, known.document, True))
+    current = configuration.update
+    if current is not None and current.version > message.above:
+        delivery.push(ConfigUpdate(current.version, current.document, True))
     return None
--- a/wigeonport/demand_reporters.py
+++ b/wigeonport/demand_reporters.py
@@ -1,4 +1,4 @@
-"""Demand reporters: tell a control what each service asks for here."""
+"""Demand reporters: send the demand at this entry to a control."""
 
 from wigeonport.channels import ask
 from wigeonport.demands import DemandReport, ServiceDemand
@@ -8,10 +8,10 @@
 
 
 class DemandQuery:
-    """Asks the router for the demand of each service.
+    """Queries the router for the demand of each service.
 
     Attributes:
-        reply: Reply channel of a list of ServiceDemand.
+        reply: Reply channel, which receives a list of ServiceDemand.
     """
 
     __slots__ = ("reply",)
@@ -22,7 +22,7 @@
 
 @handlers.register("DemandQuery")
 def count_demands(router, query, now_ms, random):
-    """Counts what runs and what waits."""
+    """Replies with the running and queued requests of each service."""
     demands = [
         ServiceDemand(
             name,
@@ -36,11 +36,11 @@
 
 
 async def report_demands(router, links, clock):
-    """Reports the demand at a fixed interval.
+    """Reports the demand every REPORT_INTERVAL_MS.
 
     Args:
         router: Mailbox of the router.
-        links: ControlLinks; the nearest control passes the report on to the
+        links: ControlLinks; the preferred control forwards the report to the
             leader.
         clock: Time source.
     """
--- a/wigeonport/demands.py
+++ b/wigeonport/demands.py
@@ -1,4 +1,4 @@
-"""Demands: how many requests of each service run and wait at the entries."""
+"""Demands: numbers of running and queued requests by service and entry."""
 
 from wigeonport.codecs import message_kinds
 
@@ -10,9 +10,9 @@
     """Demand of one service at one entry.
 
     Attributes:
-        service_id: The service.
-        running: Requests that occupy a slot.
-        queued: Requests that wait for one.
+        service_id: Id of the service.
+        running: Number of requests that occupy a slot.
+        queued: Number of requests that wait for a slot.
     """
 
     __slots__ = ("service_id", "running", "queued")
@@ -25,11 +25,11 @@
 
 @message_kinds.register("DemandReport")
 class DemandReport:
-    """Demand at one entry.
+    """Demand of all services at one entry.
 
     Attributes:
-        node_id: The entry.
-        demands: A ServiceDemand for each service in use.
+        node_id: Node id of the entry.
+        demands: ServiceDemand objects, one for each service in use.
     """
 
     __slots__ = ("node_id", "demands")
@@ -40,10 +40,11 @@
 
 
 class DemandTable:
-    """Latest reports of the entries.
+    """Latest demand reports of all entries.
 
     Attributes:
-        reports: Pair of time in ms and DemandReport by entry.
+        reports: Maps the node id of an entry to the time at which its latest
+            DemandReport arrived, in ms, and that report.
     """
 
     __slots__ = ("reports",)
@@ -52,18 +53,18 @@
         self.reports = {}
 
     def add(self, report, now_ms):
-        """Replaces the report of an entry."""
+        """Replaces the previous report of the same entry."""
         self.reports[report.node_id] = (now_ms, report)
 
     def totals(self, now_ms):
-        """Returns the slots asked for by service over all entries.
+        """Returns the number of wanted slots by service id over all entries.
 
-        Entries that were not heard for STALE_MS are left out; their callers
-        go to other entries.
+        Entries without a report in the last STALE_MS are left out, because
+        their callers go to other entries.
         """
         totals = {}
-        for heard_ms, report in self.reports.values():
-            if now_ms - heard_ms > STALE_MS:
+        for reported_ms, report in self.reports.values():
+            if now_ms - reported_ms > STALE_MS:
                 continue
             for demand in report.demands:
                 slots = demand.running + demand.queued
--- a/wigeonport/publishers.py
+++ b/wigeonport/publishers.py
@@ -1,4 +1,4 @@
-"""Publishers: push accepted fleet versions and track who applies them."""
+"""Publishers: push committed fleet versions and track who applies them."""
 
 from wigeonport.configurations import (
     ConfigRequest,
@@ -12,12 +12,13 @@
 
 
 class VersionAccepted:
-    """A fleet version was committed by the replicated log.
+    """The replicated log committed a fleet version.
 
     Attributes:
         version: Number of the version.
         document: The fleet in JSON, as bytes.
-        stale: Whether no quorum confirmed that it is the newest.
+        stale: Whether the version may be outdated, because no quorum has
+            confirmed that it is the newest.
     """
 
     __slots__ = ("version", "document", "stale")
@@ -29,7 +30,11 @@
 
 
 class StatusQuery:
-    """Asks for the ProcessStatus of all known processes."""
+    """Queries the ProcessStatus of all known processes.
+
+    Attributes:
+        reply: Reply channel, which receives a list of ProcessStatus.
+    """
 
     __slots__ = ("reply",)
 
@@ -38,14 +43,15 @@
 
 
 class ProcessStatus:
-    """What is known of one process.
+    """Fleet version and last sign of life of one process.
 
     Attributes:
-        node_id: The process.
-        availability_zone: Its zone.
-        run_ms: Wall time at which it started.
-        version: Highest version that it reported in this run.
-        last_seen_ms: Monotonic time of the report.
+        node_id: Node id of the process.
+        availability_zone: Zone of the process.
+        run_ms: Wall time at which this run of the process started.
+        version: Highest version that it has reported in this run.
+        last_seen_ms: Monotonic time of its last report, or at which its link
+            was last seen open.
     """
 
     __slots__ = (
@@ -67,12 +73,12 @@
 
 
 class Publisher:
-    """Keeps the subscriptions of one control.
+    """Pushes versions to the subscribers of one control.
 
     Attributes:
         newest: VersionAccepted with the highest version, or None.
-        subscribers: Delivery of the Subscribe by session.
-        statuses: ProcessStatus by node id.
+        subscribers: Maps session to the Delivery of its Subscribe.
+        statuses: Maps node id to ProcessStatus.
         report: VersionReport of this control itself.
     """
 
@@ -85,7 +91,11 @@
         self.statuses = {}
 
     def accept(self, accepted):
-        """Pushes a version that is higher than all before."""
+        """Pushes a version to all subscribers.
+
+        A lower version than the newest is ignored, and so is the same
+        version if it is stale.
+        """
         if self.newest is not None:
             if accepted.version < self.newest.version:
                 return
@@ -103,27 +113,32 @@
         )
 
     def subscribe(self, delivery, now_ms):
-        """Adds a subscriber and brings it up to date."""
+        """Adds a subscriber and pushes the newest version to it.
+
+        If the subscriber applies a higher version than this control knows,
+        it is asked for that version instead.
+        """
         message = delivery.message
         self.subscribers[delivery.session] = delivery
-        self.record(message, now_ms)
-        known = 0 if self.newest is None else self.newest.version
-        if known > 0 and known >= message.version:
+        self.record_report(message, now_ms)
+        newest_version = 0 if self.newest is None else self.newest.version
+        if newest_version > 0 and newest_version >= message.version:
             self.push(delivery)
-        elif message.version > known:
-            delivery.push(ConfigRequest(known))
+        elif message.version > newest_version:
+            delivery.push(ConfigRequest(newest_version))
 
-    def record(self, report, now_ms):
-        """Keeps the highest version that a run of a process has reported.
+    def record_report(self, report, now_ms):
+        """Records the highest version that a run of a process has reported.
 
-        Reports come over several controls and may overtake each other.
+        Reports arrive through several controls and may overtake each other;
+        those of an earlier run are ignored.
         """
-        known = self.statuses.get(report.node_id)
+        previous = self.statuses.get(report.node_id)
         version = report.version
-        if known is not None and known.run_ms > report.run_ms:
+        if previous is not None and previous.run_ms > report.run_ms:
             return
-        if known is not None and known.run_ms == report.run_ms:
-            version = max(version, known.version)
+        if previous is not None and previous.run_ms == report.run_ms:
+            version = max(version, previous.version)
         self.statuses[report.node_id] = ProcessStatus(
             report.node_id,
             report.availability_zone,
@@ -132,18 +147,19 @@
             now_ms,
         )
 
-    def own_reports(self, now_ms):
+    def local_reports(self, now_ms):
         """Returns the reports of this control and of its subscribers.
 
-        An open link shows that its process lives; a closed one vouches for
-        nothing, so that a dead process becomes silent everywhere.
+        An open link shows that its process is alive. Processes without a link
+        to this control are not reported, so that the last_seen_ms of a dead
+        process stops advancing at every control.
         """
         self.report.version = self.newest.version if self.newest else 0
-        self.record(self.report, now_ms)
-        links = self.subscribers.values()
-        own = {delivery.message.node_id for delivery in links}
+        self.record_report(self.report, now_ms)
+        deliveries = self.subscribers.values()
+        subscriber_ids = {delivery.message.node_id for delivery in deliveries}
         reports = []
-        for node_id in sorted(own | {self.report.node_id}):
+        for node_id in sorted(subscriber_ids | {self.report.node_id}):
             status = self.statuses[node_id]
             status.last_seen_ms = now_ms
             reports.append(
@@ -158,28 +174,29 @@
 
 
 async def publish(inbound, publisher, clock, dialers):
-    """Owns the publisher.
+    """Runs the task that owns the publisher.
 
     Args:
-        inbound: Mailbox of VersionAccepted, StatusQuery and link messages.
+        inbound: Mailbox of VersionAccepted, StatusQuery, LinkClosed and
+            Deliveries.
         publisher: The Publisher.
         clock: Time source.
-        dialers: Dialers of the other controls, which get the reports.
+        dialers: Dialers to the other controls, which receive the reports.
     """
-    reported_ms = clock.now()
+    last_report_ms = clock.now()
     while True:
         message = await inbound.get_within(REPORT_INTERVAL_MS)
         now_ms = clock.now()
-        changed = handle(publisher, message, now_ms)
-        if changed or now_ms - reported_ms >= REPORT_INTERVAL_MS:
-            reported_ms = now_ms
-            for report in publisher.own_reports(now_ms):
+        is_report_due = handle(publisher, message, now_ms)
+        if is_report_due or now_ms - last_report_ms >= REPORT_INTERVAL_MS:
+            last_report_ms = now_ms
+            for report in publisher.local_reports(now_ms):
                 for dialer in dialers:
                     dialer.post(report)
 
 
 def handle(publisher, message, now_ms):
-    """Handles one message; returns whether reports are to be sent."""
+    """Handles one message; returns whether reports must be sent now."""
     if isinstance(message, VersionAccepted):
         publisher.accept(message)
         return True
@@ -193,7 +210,11 @@
 
 
 def handle_delivery(publisher, delivery, now_ms):
-    """Handles a message of another process."""
+    """Handles a message from another process.
+
+    Returns:
+        Whether reports must be sent now.
+    """
     if isinstance(delivery.message, Subscribe):
         publisher.subscribe(delivery, now_ms)
         return True
@@ -203,6 +224,6 @@
             VersionAccepted(update.version, update.document, True)
         )
         return False
-    own = delivery.session in publisher.subscribers
-    publisher.record(delivery.message, now_ms)
-    return own
+    is_subscriber = delivery.session in publisher.subscribers
+    publisher.record_report(delivery.message, now_ms)
+    return is_subscriber
--- a/wigeonport/subscriptions.py
+++ b/wigeonport/subscriptions.py
@@ -1,4 +1,4 @@
-"""Subscriptions: an entry's links to the controls."""
+"""Subscriptions: the links of an entry to the controls."""
 
 from wigeonport.configurations import (
     ConfigRequest,
@@ -11,10 +11,11 @@
 
 
 class ControlLinks:
-    """Dialers to the controls, those of the own VM and zone first.
+    """Dialers to the controls.
 
     Attributes:
-        dialers: Dialers in order of preference.
+        dialers: Dialers in order of preference: to the control of the own
+            VM, then to one in the own zone, then to one in another zone.
         identity: Identity of this process.
         configuration: Configuration of this process.
         run_ms: Wall time at which this process started.
@@ -29,7 +30,7 @@
         self.run_ms = run_ms
 
     def subscribe(self, dialer):
-        """Subscribes over a link that was just opened."""
+        """Subscribes to updates over a newly opened link."""
         dialer.post(
             Subscribe(
                 self.identity.node_id,
@@ -57,13 +58,13 @@
 
 
 async def route_deliveries(inbound, configurations, entries, shares):
-    """Passes arrivals to the filter that handles them.
+    """Forwards each delivery to the filter that handles its message type.
 
     Args:
         inbound: Mailbox of all links of the process.
-        configurations: Mailbox for ConfigUpdates and ConfigRequests.
-        entries: Mailbox for the messages of other entries.
-        shares: Mailbox for the ShareRequests and ShareGrants of others.
+        configurations: Mailbox for ConfigUpdate and ConfigRequest.
+        entries: Mailbox for all other messages.
+        shares: Mailbox for ShareRequest and ShareGrant.
     """
     async for delivery in inbound:
         if not isinstance(delivery, Delivery):
--- a/wigeonport/version_watchers.py
+++ b/wigeonport/version_watchers.py
@@ -1,4 +1,4 @@
-"""Version watchers: pass committed fleet versions on to the publisher."""
+"""Version watchers: forward committed fleet versions to the publisher."""
 
 import json
 
@@ -12,13 +12,13 @@
 
 
 def read_version(state):
-    """Returns the version number and the fleet in JSON."""
+    """Returns the number of the fleet version and the fleet in JSON."""
     fleet = state.fleet.fleet
     return fleet.version, json.dumps(fleet.to_document()).encode()
 
 
-def changes_version(notice):
-    """Returns whether a notice of the consensus task may bring a version."""
+def may_change_version(notice):
+    """Returns whether a consensus notice may contain a new fleet version."""
     if isinstance(notice, Installed):
         return True
     return isinstance(notice, Applied) and isinstance(
@@ -27,11 +27,11 @@
 
 
 async def watch_versions(notices, consensus, publisher):
-    """Publishes the version at the start and after each change.
+    """Publishes the fleet version at the start and after each change.
 
-    Until a quorum has confirmed the state of this node once, the version is
-    published as stale, because newer ones may have been accepted while the
-    process was down.
+    Until a quorum has confirmed the state of this node for the first time, the
+    version is published as stale, because newer versions may have been
+    committed while the process was down.
 
     Args:
         notices: Mailbox of Applied and Installed.
@@ -46,21 +46,32 @@
             await publish_version(consensus, publisher, False)
             await notices.get_within(RETRY_INTERVAL_MS)
             continue
-        if changes_version(await notices.get()):
+        if may_change_version(await notices.get()):
             await publish_version(consensus, publisher, True, local=True)
 
 
 async def publish_version(consensus, publisher, fresh, local=False):
-    """Reads and publishes the version; returns whether it was read."""
+    """Reads and publishes the fleet version.
+
+    Args:
+        consensus: Mailbox of the consensus task.
+        publisher: Mailbox of the publisher.
+        fresh: Whether the version is published as confirmed, not as stale.
+        local: Whether a fresh version is read from the state of this node
+            without a confirmation by the quorum.
+
+    Returns:
+        False if the read failed or timed out.
+    """
     consistent = fresh and not local
-    found = await ask(
+    result = await ask(
         consensus,
         lambda reply: Read(read_version, reply, consistent),
         READ_TIMEOUT_MS,
     )
-    if found.is_error() or found.ok.is_error():
+    if result.is_error() or result.ok.is_error():
         return False
-    version, document = found.ok.ok
+    version, document = result.ok.ok
     if version:
         await publisher.put(VersionAccepted(version, document, not fresh))
     return True
