Rename 13 names: MAX_LEASE_MS, MAX_HOLD_MS and others

Cause: superlatives stood for limits, X_of for look-ups; a port is a TCP port elsewhere, and the answer to UnavailableQuery is a VmHealth Change: LONGEST_LEASE_MS to MAX_LEASE_MS, LONGEST_HOLD_MS to MAX_HOLD_MS, grant_of to find_grant, pause_of to find_pause, StatePort to StateClient, UnavailableQuery to VmHealthQuery, LARGEST_RESPONSE_BYTES to MAX_STORED_RESPONSE_BYTES, ENDED_RETENTION_MS to ENDED_GRANT_RETENTION_MS, leave_grant to remove_from_grant, list_due to list_maintenance_due, full_bytes to unreduced_bytes, ADDED_PARTS to OPTIONAL_PARTS, in_file_order to swap_if_big_endian; 66 uses in 16 files, by token.

--- a/tests/operator_fakes.py
+++ b/tests/operator_fakes.py
@@ -17,7 +17,7 @@
     NOT_RUN,
     Decision,
     ReadState,
-    StatePort,
+    StateClient,
     StateRead,
     VmHealth,
 )
@@ -57,7 +57,7 @@
         settings = Settings({"node_id": "ikeja-1", "cluster_id": "lagos"})
         settings.availability_zone = "ikeja"
         clock = ManualClock(1_000_000, 1_700_000_000_000)
-        port = StatePort(self.consensus, timeout_ms)
+        port = StateClient(self.consensus, timeout_ms)
         control = OperatorControl(
             settings, clock, port, self.publisher, self.health
         )
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -5,7 +5,7 @@
 from expression import Error, Ok
 
 from wigeonport.channels import Mailbox
-from wigeonport.claim_states import LARGEST_RESPONSE_BYTES, ClaimState
+from wigeonport.claim_states import MAX_STORED_RESPONSE_BYTES, ClaimState
 from wigeonport.claims import Claimer, ClaimLimits, claim_keys
 from wigeonport.clocks import Clock
 from wigeonport.codecs import codecs
@@ -40,7 +40,7 @@
         """Applies a command as the log would."""
         self.commands.append(type(command))
         if isinstance(command, CompleteClaim):
-            assert len(command.response) <= LARGEST_RESPONSE_BYTES
+            assert len(command.response) <= MAX_STORED_RESPONSE_BYTES
         handler = HANDLERS.get(type(command)).ok
         answer = handler(self, command, 1_000)
         if type(command) in self.lost:
--- a/wigeonport/claim_states.py
+++ b/wigeonport/claim_states.py
@@ -22,7 +22,7 @@
 )
 
 RETENTION_MS = 24 * 3_600_000
-LARGEST_RESPONSE_BYTES = 8 * 1024
+MAX_STORED_RESPONSE_BYTES = 8 * 1024
 # A snapshot needs about four times this in memory while it is written or
 # installed; a control node has 256 MB.
 LARGEST_TOTAL_BYTES = 32 * 1024 * 1024
@@ -71,7 +71,7 @@
             claim that arrives after its release is refused.
         reduced_keys: Keys of reduced claims.
         reduced_attempts: Keys with attempts of reduced releases.
-        full_bytes: Counted size of everything that is not reduced.
+        unreduced_bytes: Counted size of everything that is not reduced.
     """
 
     __slots__ = (
@@ -80,7 +80,7 @@
         "released",
         "reduced_keys",
         "reduced_attempts",
-        "full_bytes",
+        "unreduced_bytes",
     )
 
     def __init__(self):
@@ -89,12 +89,14 @@
         self.released = {}
         self.reduced_keys = KeySet(RETENTION_MS)
         self.reduced_attempts = KeySet(RETENTION_MS)
-        self.full_bytes = 0
+        self.unreduced_bytes = 0
 
     def total_bytes(self):
         """Returns the counted size of everything."""
         reduced = (self.reduced_keys, self.reduced_attempts)
-        return self.full_bytes + sum(keys.size_bytes() for keys in reduced)
+        return self.unreduced_bytes + sum(
+            keys.size_bytes() for keys in reduced
+        )
 
     def claim(self, key, digest, attempt, now_ms):
         """Claims a key for an attempt; returns the answer."""
@@ -112,7 +114,7 @@
         if not self._make_room(size, now_ms):
             return ClaimRefused(key, "full")
         self.claims[key] = Claim(digest, attempt, now_ms, False, None)
-        self.full_bytes += size
+        self.unreduced_bytes += size
         return ClaimGranted(key, attempt)
 
     def complete(self, key, attempt, response, now_ms):
@@ -122,10 +124,10 @@
         if claim is None or claim.attempt != attempt:
             return ClaimRefused(key, "not held")
         if not claim.completed:
-            fits = len(response) <= LARGEST_RESPONSE_BYTES
+            fits = len(response) <= MAX_STORED_RESPONSE_BYTES
             if fits and self._make_room(len(response), now_ms):
                 claim.response = bytes(response)
-                self.full_bytes += len(response)
+                self.unreduced_bytes += len(response)
             claim.completed = True
             self.completed[key] = None
         return ClaimCompleted(key, claim.response is not None)
@@ -142,7 +144,7 @@
             self._forget(key)
         if not self._is_released(key, attempt):
             self.released[key, attempt] = now_ms
-            self.full_bytes += _size(key, attempt)
+            self.unreduced_bytes += _size(key, attempt)
             self._make_room(0, now_ms)
         return ClaimReleased(key, attempt)
 
@@ -181,12 +183,12 @@
     def _forget(self, key):
         claim = self.claims.pop(key)
         self.completed.pop(key, None)
-        self.full_bytes -= _size(key, claim.digest, claim.attempt)
-        self.full_bytes -= len(claim.response or b"")
+        self.unreduced_bytes -= _size(key, claim.digest, claim.attempt)
+        self.unreduced_bytes -= len(claim.response or b"")
 
     def _forget_release(self, pair):
         del self.released[pair]
-        self.full_bytes -= _size(*pair)
+        self.unreduced_bytes -= _size(*pair)
 
     def _expire(self, now_ms):
         oldest_ms = now_ms - RETENTION_MS
@@ -239,11 +241,11 @@
         state.claims[key] = Claim(
             digest, attempt, claimed_ms, completed, response
         )
-        state.full_bytes += _size(key, digest, attempt)
-        state.full_bytes += len(response or b"")
+        state.unreduced_bytes += _size(key, digest, attempt)
+        state.unreduced_bytes += len(response or b"")
     for key, attempt, time_ms in document["released"]:
         state.released[key, attempt] = time_ms
-        state.full_bytes += _size(key, attempt)
+        state.unreduced_bytes += _size(key, attempt)
     state.completed = dict.fromkeys(document["completed"])
     for name in ("reduced_keys", "reduced_attempts"):
         keys = key_set_from_document(document[name], RETENTION_MS)
--- a/wigeonport/claims.py
+++ b/wigeonport/claims.py
@@ -15,7 +15,7 @@
     scope_key,
     store_answer,
 )
-from wigeonport.claim_states import LARGEST_RESPONSE_BYTES
+from wigeonport.claim_states import MAX_STORED_RESPONSE_BYTES
 from wigeonport.logs import PartLogger
 from wigeonport.messages import Failure
 from wigeonport.registries import Registry
@@ -114,7 +114,7 @@
     """Returns the command that settles a granted claim, or None."""
     if answer.outcome == COMPLETED:
         stored = store_answer(codec, answer)
-        if len(stored) > LARGEST_RESPONSE_BYTES:
+        if len(stored) > MAX_STORED_RESPONSE_BYTES:
             stored = b""
         return CompleteClaim(key, attempt, stored)
     if answer.outcome == NOT_RUN:
--- a/wigeonport/control_main.py
+++ b/wigeonport/control_main.py
@@ -42,7 +42,7 @@
 from wigeonport.replica_events import ReplicaSettings
 from wigeonport.servers import ProcessInfo, serve_http
 from wigeonport.state_adapters import StateAdapter, adapt_requests
-from wigeonport.state_requests import StatePort
+from wigeonport.state_requests import StateClient
 from wigeonport.states import ReplicatedState, state_from_document
 from wigeonport.trace_recorders import open_recorder
 from wigeonport.version_watchers import watch_versions
@@ -259,7 +259,7 @@
     control = OperatorControl(
         settings,
         program.clock,
-        StatePort(boxes.requests, settings.propose_timeout_ms),
+        StateClient(boxes.requests, settings.propose_timeout_ms),
         boxes.publisher,
         boxes.health,
     )
--- a/wigeonport/health_brokers.py
+++ b/wigeonport/health_brokers.py
@@ -6,7 +6,7 @@
 from wigeonport.codecs import message_kinds
 from wigeonport.consensus_requests import StatusRequest
 from wigeonport.links import Delivery
-from wigeonport.state_requests import UnavailableQuery, VmHealth
+from wigeonport.state_requests import VmHealth, VmHealthQuery
 
 TIMEOUT_MS = 1_000
 
@@ -75,7 +75,7 @@
 
     async def ask_planner(self):
         """Returns the VmHealth, or None if this control can't say."""
-        found = await ask(self.planner, UnavailableQuery, TIMEOUT_MS)
+        found = await ask(self.planner, VmHealthQuery, TIMEOUT_MS)
         return found.default_value(None)
 
     async def find(self):
--- a/wigeonport/key_sets.py
+++ b/wigeonport/key_sets.py
@@ -108,7 +108,7 @@
         rows = []
         for hour, bucket in sorted(self.buckets.items()):
             bucket.merge()
-            data = in_file_order(bucket.hashes).tobytes()
+            data = swap_if_big_endian(bucket.hashes).tobytes()
             rows.append([hour, base64.b64encode(data).decode()])
         return rows
 
@@ -120,13 +120,13 @@
         bucket = Bucket()
         hashes = array("Q")
         hashes.frombytes(base64.b64decode(text))
-        bucket.hashes = in_file_order(hashes)
+        bucket.hashes = swap_if_big_endian(hashes)
         keys.buckets[hour] = bucket
         keys.count += len(bucket)
     return keys
 
 
-def in_file_order(hashes):
+def swap_if_big_endian(hashes):
     """Returns hashes in little-endian order; on most machines unchanged."""
     if sys.byteorder == "little":
         return hashes
--- a/wigeonport/maintenance_handlers.py
+++ b/wigeonport/maintenance_handlers.py
@@ -9,8 +9,8 @@
     WorkerReturned,
 )
 from wigeonport.maintenance_states import (
-    LONGEST_HOLD_MS,
-    LONGEST_LEASE_MS,
+    MAX_HOLD_MS,
+    MAX_LEASE_MS,
     Grant,
     Pause,
     grant_findings,
@@ -77,8 +77,8 @@
     grant = state.maintenance.grants.get(command.grant)
     if grant is None:
         return _not_live(command.grant)
-    if not 0 < command.lease_ms <= LONGEST_LEASE_MS:
-        text = f"a lease takes 1 to {LONGEST_LEASE_MS} ms"
+    if not 0 < command.lease_ms <= MAX_LEASE_MS:
+        text = f"a lease takes 1 to {MAX_LEASE_MS} ms"
         return GrantRefused(command.grant, [text])
     grant.expires_ms = max(grant.expires_ms, now_ms + command.lease_ms)
     return GrantGiven(grant.id, list(grant.workers), grant.expires_ms)
@@ -103,8 +103,8 @@
     """Ends a lease; VMs that are not back count as unavailable."""
     if command.grant not in state.maintenance.grants:
         return _not_live(command.grant)
-    if not 0 <= command.hold_ms <= LONGEST_HOLD_MS:
-        text = f"a hold takes 0 to {LONGEST_HOLD_MS} ms"
+    if not 0 <= command.hold_ms <= MAX_HOLD_MS:
+        text = f"a hold takes 0 to {MAX_HOLD_MS} ms"
         return GrantRefused(command.grant, [text])
     missing = state.maintenance.end(
         command.grant, set(command.healthy), command.hold_ms, now_ms
@@ -117,8 +117,8 @@
     """Takes a missing VM back after its hold time."""
     if command.worker not in state.maintenance.missing:
         return CommandRefused(f"VM {command.worker!r} is not missing")
-    if not 0 <= command.hold_ms <= LONGEST_HOLD_MS:
-        return CommandRefused(f"a hold takes 0 to {LONGEST_HOLD_MS} ms")
+    if not 0 <= command.hold_ms <= MAX_HOLD_MS:
+        return CommandRefused(f"a hold takes 0 to {MAX_HOLD_MS} ms")
     until_ms = now_ms + command.hold_ms
     state.maintenance.hold(command.worker, until_ms)
     return WorkerReturned(command.worker, until_ms)
--- a/wigeonport/maintenance_routes.py
+++ b/wigeonport/maintenance_routes.py
@@ -4,7 +4,7 @@
 from wigeonport.documents import Field, Reporter, read_fields
 from wigeonport.fleet_states import parse_json
 from wigeonport.maintenance_answers import GrantRefused
-from wigeonport.maintenance_states import ALL, LONGEST_HOLD_MS
+from wigeonport.maintenance_states import ALL, MAX_HOLD_MS
 from wigeonport.operator_routes import (
     operator_routes,
     respond_read,
@@ -26,7 +26,7 @@
     COMMITTED,
     NOT_RUN,
     Decision,
-    UnavailableQuery,
+    VmHealthQuery,
 )
 
 PAUSE_FIELDS = (
@@ -44,11 +44,11 @@
 END_FIELDS = (
     Field("grant", "name"),
     Field("healthy", "names", ()),
-    Field("hold_ms", "whole", None, least=0, most=LONGEST_HOLD_MS),
+    Field("hold_ms", "whole", None, least=0, most=MAX_HOLD_MS),
 )
 RETURN_FIELDS = (
     Field("worker", "name"),
-    Field("hold_ms", "whole", None, least=0, most=LONGEST_HOLD_MS),
+    Field("hold_ms", "whole", None, least=0, most=MAX_HOLD_MS),
 )
 
 
@@ -118,7 +118,7 @@
 async def grant(control, request, values):
     """Requests a grant with what the planner knows of the VMs' health."""
     unavailable = await ask(
-        control.health, UnavailableQuery, control.port.timeout_ms
+        control.health, VmHealthQuery, control.port.timeout_ms
     )
     known = unavailable.default_value(None)
     if known is None:
--- a/wigeonport/maintenance_states.py
+++ b/wigeonport/maintenance_states.py
@@ -6,10 +6,10 @@
 
 PURPOSES = Registry("grant purpose")
 ALL = "all"
-LONGEST_LEASE_MS = 6 * 3_600_000
-LONGEST_HOLD_MS = 24 * 3_600_000
+MAX_LEASE_MS = 6 * 3_600_000
+MAX_HOLD_MS = 24 * 3_600_000
 # Longer than any resend of a request for a grant.
-ENDED_RETENTION_MS = 24 * 3_600_000
+ENDED_GRANT_RETENTION_MS = 24 * 3_600_000
 
 
 class Grant(Record):
@@ -119,7 +119,7 @@
             del self.holds[worker]
         while self.ended:
             id, time_ms = next(iter(self.ended.items()))
-            if time_ms > now_ms - ENDED_RETENTION_MS:
+            if time_ms > now_ms - ENDED_GRANT_RETENTION_MS:
                 break
             del self.ended[id]
 
@@ -128,7 +128,7 @@
         granted = {w for g in self.grants.values() for w in g.workers}
         return granted | self.missing.keys() | self.holds.keys()
 
-    def grant_of(self, worker):
+    def find_grant(self, worker):
         """Returns the live grant that covers a VM, or None."""
         for grant in self.grants.values():
             if worker in grant.workers:
@@ -155,7 +155,7 @@
         self.missing.pop(worker, None)
         self.holds[worker] = max(until_ms, self.holds.get(worker, 0))
 
-    def leave_grant(self, id, worker, now_ms):
+    def remove_from_grant(self, id, worker, now_ms):
         """Takes a moved VM out of its lease; an empty lease ends."""
         grant = self.grants[id]
         grant.workers.remove(worker)
@@ -170,7 +170,7 @@
         for table in tables:
             table.pop(worker, None)
 
-    def pause_of(self, pools):
+    def find_pause(self, pools):
         """Returns scope and Pause of the first pause that applies."""
         for scope in (ALL, *sorted(pools)):
             if scope in self.pauses:
@@ -221,12 +221,12 @@
     findings = []
     if not command.workers or len(set(command.workers)) < len(command.workers):
         findings.append("name every VM once, and at least one")
-    if not 0 < command.lease_ms <= LONGEST_LEASE_MS:
-        findings.append(f"a lease takes 1 to {LONGEST_LEASE_MS} ms")
+    if not 0 < command.lease_ms <= MAX_LEASE_MS:
+        findings.append(f"a lease takes 1 to {MAX_LEASE_MS} ms")
     for worker in command.workers:
         if worker not in state.pools.pools:
             findings.append(f"VM {worker!r} does not exist")
-        grant = state.maintenance.grant_of(worker)
+        grant = state.maintenance.find_grant(worker)
         if grant is not None:
             findings.append(f"VM {worker!r} is in grant {grant.id!r}")
     return findings
@@ -263,7 +263,7 @@
     findings = []
     fleet = state.fleet.fleet
     pools = {state.pools.pools[worker] for worker in command.workers}
-    pause = state.maintenance.pause_of(pools)
+    pause = state.maintenance.find_pause(pools)
     if pause is not None:
         scope, record = pause
         findings.append(
--- a/wigeonport/plan_drivers.py
+++ b/wigeonport/plan_drivers.py
@@ -33,7 +33,7 @@
     ResumeMaintenance,
     ReturnWorker,
 )
-from wigeonport.state_requests import UnavailableQuery, VmHealth
+from wigeonport.state_requests import VmHealth, VmHealthQuery
 from wigeonport.view_builders import PLANNER_AUTHOR, build_fleet_loaded
 
 logger = PartLogger("planner")
@@ -115,7 +115,7 @@
 
     async def handle(self, message):
         """Handles one message."""
-        if isinstance(message, UnavailableQuery):
+        if isinstance(message, VmHealthQuery):
             message.reply.send(self.find_vm_health())
         elif isinstance(message, Delivery):
             self.add_demand_report(message.message)
@@ -271,5 +271,5 @@
 async def answer_without_platform(inbound):
     """Answers every query that the health of the VMs is unknown."""
     async for message in inbound:
-        if isinstance(message, UnavailableQuery):
+        if isinstance(message, VmHealthQuery):
             message.reply.send(None)
--- a/wigeonport/plan_proposals.py
+++ b/wigeonport/plan_proposals.py
@@ -55,7 +55,7 @@
     before the request.
     """
     lease_ms = max(command.until_ms - now_ms, 1)
-    live_grant = state.maintenance.grant_of(command.vm)
+    live_grant = state.maintenance.find_grant(command.vm)
     if live_grant is not None and live_grant.author == PLANNER_AUTHOR:
         return [RenewGrant(live_grant.id, lease_ms)]
     request = RequestGrant(
@@ -113,14 +113,14 @@
 @proposals.register(RebootVm)
 def propose_drained(command, view, state, now_ms):
     """Confirms a drain; a reboot is sent to the platform only after that."""
-    grant = state.maintenance.grant_of(command.vm)
+    grant = state.maintenance.find_grant(command.vm)
     return [] if grant is None else [ConfirmDrain(grant.id, command.vm)]
 
 
 @proposals.register(MoveVm)
 def propose_move(command, view, state, now_ms):
     """Confirms the drain and then changes the pool of the VM."""
-    grant = state.maintenance.grant_of(command.vm)
+    grant = state.maintenance.find_grant(command.vm)
     grant_id = "" if grant is None else grant.id
     return [
         ConfirmDrain(grant_id, command.vm),
@@ -137,7 +137,7 @@
 @proposals.register(ReleaseGrant)
 def propose_release(command, view, state, now_ms):
     """Ends the grant of a VM, if it still has one."""
-    grant = state.maintenance.grant_of(command.vm)
+    grant = state.maintenance.find_grant(command.vm)
     if grant is None:
         return []
     healthy = [command.vm] if command.healthy else []
--- a/wigeonport/pool_states.py
+++ b/wigeonport/pool_states.py
@@ -71,7 +71,7 @@
     if findings:
         return MoveRefused(worker, findings)
     state.pools.move(worker, command.target)
-    state.maintenance.leave_grant(command.grant, worker, now_ms)
+    state.maintenance.remove_from_grant(command.grant, worker, now_ms)
     if command.target is None:
         state.maintenance.forget(worker)
     else:
--- a/wigeonport/state_queries.py
+++ b/wigeonport/state_queries.py
@@ -122,7 +122,7 @@
         document["pools"] = [
             pool_document(state, pool) for pool in sorted(fleet.pools)
         ]
-        document["due"] = list_due(state)
+        document["due"] = list_maintenance_due(state)
         return document
 
 
@@ -143,7 +143,7 @@
     }
 
 
-def list_due(state):
+def list_maintenance_due(state):
     """Returns the VMs that were not maintained within the period."""
     fleet = state.fleet.fleet
     period_ms = fleet.maintenance_period_hours * MS_PER_HOUR
--- a/wigeonport/state_requests.py
+++ b/wigeonport/state_requests.py
@@ -93,7 +93,7 @@
         self.unheard = unheard
 
 
-class UnavailableQuery(Record):
+class VmHealthQuery(Record):
     """Asks for the VMs that are unavailable or in an unknown state.
 
     Attributes:
@@ -106,7 +106,7 @@
         self.reply = reply
 
 
-class StatePort:
+class StateClient:
     """How other tasks reach the task that owns the replicated state.
 
     Attributes:
--- a/wigeonport/states.py
+++ b/wigeonport/states.py
@@ -31,7 +31,7 @@
 PARTS.register("routes")((RouteState, route_state_from_document))
 PARTS.register("upkeep")((UpkeepState, upkeep_state_from_document))
 # Parts that snapshots of earlier versions lack; they start empty.
-ADDED_PARTS = ("batch", "routes", "upkeep")
+OPTIONAL_PARTS = ("batch", "routes", "upkeep")
 
 
 class Entry:
@@ -128,7 +128,7 @@
         state.applied_index = int(document["applied_index"])
         state.now_ms = int(document["now_ms"])
         for name, (_, read) in PARTS.entries.items():
-            if name in document or name not in ADDED_PARTS:
+            if name in document or name not in OPTIONAL_PARTS:
                 setattr(state, name, read(document[name]))
     except (AttributeError, KeyError, TypeError, ValueError) as fault:
         findings.add("snapshot", f"{type(fault).__name__}: {fault}")
