--- a/bench/planning.py
+++ b/bench/planning.py
@@ -147,7 +147,7 @@
         )
     state = ReplicatedState()
     state.fleet.fleet = fleet
-    state.pools.adopt(fleet)
+    state.pools.add_new_workers(fleet)
     return state
 
 
--- a/wigeonport/fleet_states.py
+++ b/wigeonport/fleet_states.py
@@ -256,6 +256,6 @@
     """Applies a patch and lets new VMs join their pools."""
     answer = state.fleet.submit(command.document_json, now_ms)
     if isinstance(answer, PatchAccepted):
-        joined = state.pools.adopt(state.fleet.fleet)
+        joined = state.pools.add_new_workers(state.fleet.fleet)
         state.maintenance.joined.update(dict.fromkeys(joined, now_ms))
     return answer
--- a/wigeonport/pool_states.py
+++ b/wigeonport/pool_states.py
@@ -20,7 +20,7 @@
     def __init__(self):
         self.pools = {}
 
-    def adopt(self, fleet):
+    def add_new_workers(self, fleet):
         """Lets VMs that are new in a version join; returns their ids."""
         joined = [w for w in fleet.workers.values() if w.id not in self.pools]
         for worker in joined:
