Rename past to fleet_at_version

Cause: past did not say that it returns the fleet at a version Change: past to fleet_at_version; 3 uses in 2 files, by token. Result: every touched file compiles; behaviour is unchanged.

--- a/wigeonport/fleet_states.py
+++ b/wigeonport/fleet_states.py
@@ -126,7 +126,7 @@
     def _decide(self, patch, now_ms):
         if patch.against_version != self.fleet.version:
             return self._stale(patch)
-        applied = patch.apply(self.fleet, self.past)
+        applied = patch.apply(self.fleet, self.fleet_at_version)
         if applied.is_error():
             return self._refusal(patch.id, "invalid", applied.error)
         changes = diff(self.fleet, applied.ok)
@@ -195,7 +195,7 @@
             return None
         return merge_changes(c for record in newer for c in record.changes)
 
-    def past(self, version):
+    def fleet_at_version(self, version):
         """Returns a retained version as a Fleet, or None."""
         if version == self.fleet.version:
             return self.fleet
--- a/wigeonport/state_queries.py
+++ b/wigeonport/state_queries.py
@@ -88,7 +88,7 @@
             stated = patch.against_version
             text = f"written against version {stated}, not {fleet.version}"
             return _refused("stale", fleet, [text])
-        result = preview(fleet, patch, state.fleet.past)
+        result = preview(fleet, patch, state.fleet.fleet_at_version)
         if result.is_error():
             return _refused("invalid", fleet, result.error.lines())
         document = {"outcome": "preview", **result.ok.to_document()}
