Rename forget to remove_worker

Cause: forget did not say of what Change: forget to remove_worker; 2 uses in 2 files, by token. Result: every touched file compiles; behaviour is unchanged.

--- a/wigeonport/maintenance_states.py
+++ b/wigeonport/maintenance_states.py
@@ -164,7 +164,7 @@
             del self.grants[id]
             self.ended[id] = now_ms
 
-    def forget(self, worker):
+    def remove_worker(self, worker):
         """Drops what is remembered about a VM that left the fleet."""
         tables = (self.missing, self.holds, self.joined, self.maintained)
         for table in tables:
--- a/wigeonport/pool_states.py
+++ b/wigeonport/pool_states.py
@@ -73,7 +73,7 @@
     state.pools.move(worker, command.target)
     state.maintenance.remove_from_grant(command.grant, worker, now_ms)
     if command.target is None:
-        state.maintenance.forget(worker)
+        state.maintenance.remove_worker(worker)
     else:
         state.maintenance.hold(worker, now_ms + command.hold_ms)
     return MoveFinished(worker, command.source, command.target)
