--- a/wigeonport/maintenance_routes.py
+++ b/wigeonport/maintenance_routes.py
@@ -4,7 +4,7 @@
 from wigeonport.documents import Field, Reporter, read_fields
 from wigeonport.fleet_states import parse_json
 from wigeonport.maintenance_answers import GrantRefused
-from wigeonport.maintenance_states import ALL, MAX_HOLD_MS
+from wigeonport.maintenance_states import ALL_POOLS, MAX_HOLD_MS
 from wigeonport.operator_routes import (
     operator_routes,
     respond_read,
@@ -30,7 +30,7 @@
 )
 
 PAUSE_FIELDS = (
-    Field("scope", "name", ALL),
+    Field("scope", "name", ALL_POOLS),
     Field("reason", "text", ""),
 )
 GRANT_FIELDS = (
--- a/wigeonport/maintenance_states.py
+++ b/wigeonport/maintenance_states.py
@@ -5,7 +5,7 @@
 from wigeonport.registries import Registry
 
 PURPOSES = Registry("grant purpose")
-ALL = "all"
+ALL_POOLS = "all"
 MAX_LEASE_MS = 6 * 3_600_000
 MAX_HOLD_MS = 24 * 3_600_000
 # Longer than any resend of a request for a grant.
@@ -172,7 +172,7 @@
 
     def find_pause(self, pools):
         """Returns scope and Pause of the first pause that applies."""
-        for scope in (ALL, *sorted(pools)):
+        for scope in (ALL_POOLS, *sorted(pools)):
             if scope in self.pauses:
                 return scope, self.pauses[scope]
         return None
