Rename decide to request_decision

Cause: the adapter does not decide; it proposes and returns the Decision Change: decide to request_decision; 4 uses in 2 files, by token. Result: every touched file compiles; behaviour is unchanged.

--- a/wigeonport/plan_actors.py
+++ b/wigeonport/plan_actors.py
@@ -91,7 +91,7 @@
         if result.is_error() or result.ok.is_error():
             return None
         for proposal in result.ok.ok:
-            decision = await self.adapter.decide(proposal)
+            decision = await self.adapter.request_decision(proposal)
             if decision.outcome != COMMITTED:
                 return None
             reason = find_refusal_reason(decision.answer)
--- a/wigeonport/state_adapters.py
+++ b/wigeonport/state_adapters.py
@@ -36,11 +36,11 @@
     async def handle(self, request):
         """Answers a ProposeCommand or a ReadState."""
         if isinstance(request, ProposeCommand):
-            request.reply.send(await self.decide(request.command))
+            request.reply.send(await self.request_decision(request.command))
         else:
             request.reply.send(await self.read(request.query))
 
-    async def decide(self, command):
+    async def request_decision(self, command):
         """Returns the Decision on a command."""
         reply = Reply()
         delivered = False
@@ -55,7 +55,7 @@
 
     async def propose(self, command, timeout_ms) -> Result:
         """Returns the answer to a command, or the reason for none."""
-        decision = await self.decide(command)
+        decision = await self.request_decision(command)
         if decision.outcome == DECIDED:
             return Ok(decision.answer)
         return Error(f"{decision.outcome}: {decision.reason}")
