Rename find to find_health

Cause: find did not say of what Change: find to find_health; 3 uses in 2 files, by token. Result: every touched file compiles; behaviour is unchanged.

--- a/tests/test_health_brokers.py
+++ b/tests/test_health_brokers.py
@@ -63,7 +63,7 @@
             Answerer(None),
             {"leader": LeaderLink(leader)},
         )
-        return trio.run(follower.find)
+        return trio.run(follower.find_health)
 
     return ask
 
--- a/wigeonport/health_brokers.py
+++ b/wigeonport/health_brokers.py
@@ -71,14 +71,14 @@
         if isinstance(message, Delivery):
             message.respond(to_reply(await self.ask_planner()))
         else:
-            message.reply.send(await self.find())
+            message.reply.send(await self.find_health())
 
     async def ask_planner(self):
         """Returns the VmHealth, or None if this control can't say."""
         found = await ask(self.planner, VmHealthQuery, TIMEOUT_MS)
         return found.default_value(None)
 
-    async def find(self):
+    async def find_health(self):
         """Returns the VmHealth, or None if nobody can say."""
         found = await self.ask_planner()
         if found is not None:
