--- a/tests/operator_fakes.py
+++ b/tests/operator_fakes.py
@@ -48,7 +48,7 @@
         self.mode = "commit"
         self.refusals = -1
         self.unavailable = []
-        self.unheard = []
+        self.not_reporting = []
         self.statuses = []
         self.index = 0
         self.consensus = Mailbox("consensus", 8)
@@ -110,7 +110,7 @@
         async for message in self.health:
             health = None
             if self.unavailable is not None:
-                health = VmHealth(self.unavailable, self.unheard)
+                health = VmHealth(self.unavailable, self.not_reporting)
             message.reply.send(health)
 
     def report(self, process, version, silent_ms=0):
--- a/tests/test_health_brokers.py
+++ b/tests/test_health_brokers.py
@@ -76,7 +76,7 @@
     """
     health = ask_follower(VmHealth(["vm-1", "vm-2"], ["vm-2"]))
     assert health.unavailable == ["vm-1", "vm-2"]
-    assert health.unheard == ["vm-2"]
+    assert health.not_reporting == ["vm-2"]
 
 
 def test_unknown_health_stays_unknown(ask_follower):
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -231,8 +231,8 @@
         assert (status, document["version"]) == (200, 1)
         assert document["in_force_everywhere"] is False
         lags = {p["process"]: p["lag"] for p in document["processes"]}
-        unheard = lags.pop("control/ikeja-1")
-        assert unheard.startswith("has not reported")
+        not_reporting = lags.pop("control/ikeja-1")
+        assert not_reporting.startswith("has not reported")
         assert lags == {
             "entry/ikeja-1": "applies version 0, 1 behind",
             "entry/lekki-1": "silent for 60000 ms",
@@ -290,7 +290,7 @@
 
     async def scenario():
         grant = {"grant": "g-1", "workers": ["vm-1"]}
-        control.unavailable = control.unheard = ["vm-1"]
+        control.unavailable = control.not_reporting = ["vm-1"]
         status, document = await control.call(
             "POST", "/v1/maintenance/grant", grant
         )
--- a/wigeonport/health_brokers.py
+++ b/wigeonport/health_brokers.py
@@ -40,7 +40,7 @@
     """Returns the HealthReply for a VmHealth or None."""
     if health is None:
         return HealthReply(False, [], [])
-    return HealthReply(True, health.unavailable, health.unheard)
+    return HealthReply(True, health.unavailable, health.not_reporting)
 
 
 def to_health(reply):
--- a/wigeonport/maintenance_routes.py
+++ b/wigeonport/maintenance_routes.py
@@ -124,9 +124,9 @@
     if known is None:
         reason = "the health of the VMs is not known to this control"
         return Decision(NOT_RUN, reason=reason)
-    unheard = sorted(set(values["workers"]) & set(known.unheard))
-    if unheard:
-        reason = f"there is no recent report of {', '.join(unheard)}"
+    not_reporting = sorted(set(values["workers"]) & set(known.not_reporting))
+    if not_reporting:
+        reason = f"there is no recent report of {', '.join(not_reporting)}"
         return Decision(NOT_RUN, reason=reason)
     lease_ms = values["lease_ms"] or control.settings.grant_lease_ms
     return RequestGrant(
--- a/wigeonport/plan_drivers.py
+++ b/wigeonport/plan_drivers.py
@@ -138,12 +138,12 @@
             for vm in view.fleet.vms.values()
             if not is_available(view, vm, now_ms)
         ]
-        unheard = [
+        not_reporting = [
             vm.name
             for vm in unavailable
             if not vm.missing and not is_reported_alive(view, vm, now_ms)
         ]
-        return VmHealth([vm.name for vm in unavailable], unheard)
+        return VmHealth([vm.name for vm in unavailable], not_reporting)
 
     def add_demand_report(self, report):
         """Adds an entry's report and forwards it to the leader."""
--- a/wigeonport/state_requests.py
+++ b/wigeonport/state_requests.py
@@ -82,15 +82,15 @@
 
     Attributes:
         unavailable: VMs that are not known to be available.
-        unheard: Those of them of which there is no recent report. They may
+        not_reporting: Those of them of which there is no recent report. They may
             run work, so taking one away may cost capacity.
     """
 
-    __slots__ = ("unavailable", "unheard")
+    __slots__ = ("unavailable", "not_reporting")
 
-    def __init__(self, unavailable, unheard):
+    def __init__(self, unavailable, not_reporting):
         self.unavailable = unavailable
-        self.unheard = unheard
+        self.not_reporting = not_reporting
 
 
 class VmHealthQuery(Record):
