--- a/tests/test_claim_states.py
+++ b/tests/test_claim_states.py
@@ -130,7 +130,7 @@
 
 def test_oldest_completed_claims_are_reduced(apply, monkeypatch):
     """Guards against unbounded memory and against a second run (R5)."""
-    monkeypatch.setattr(claim_states, "LARGEST_TOTAL_BYTES", 3_000)
+    monkeypatch.setattr(claim_states, "MAX_TOTAL_BYTES", 3_000)
     for n in range(20):
         granted = apply(ClaimKey(f"k{n}", "d", "a"))
         assert granted == ClaimGranted(f"k{n}", "a")
@@ -144,7 +144,7 @@
 
 def test_reduced_release_still_prevents_its_claim(apply, monkeypatch):
     """Guards against a late claim after not-run, under load (R4)."""
-    monkeypatch.setattr(claim_states, "LARGEST_TOTAL_BYTES", 1_000)
+    monkeypatch.setattr(claim_states, "MAX_TOTAL_BYTES", 1_000)
     for n in range(20):
         apply(ReleaseClaim(f"k{n}", "a"))
     assert len(apply.state.claims.released) < 20
@@ -159,12 +159,12 @@
     apply, monkeypatch
 ):
     """Guards against running claims that are dropped for new ones (R5)."""
-    monkeypatch.setattr(claim_states, "LARGEST_TOTAL_BYTES", 700)
+    monkeypatch.setattr(claim_states, "MAX_TOTAL_BYTES", 700)
     answers = [apply(ClaimKey(f"k{n}", "d", "a")) for n in range(3)]
     assert answers[2] == ClaimRefused("k2", "full")
     assert apply(ClaimKey("k0", "d", "b")) == ClaimInProgress("k0", 1)
     assert apply(ReleaseClaim("k9", "a")) == ClaimReleased("k9", "a")
-    hour_ms = claim_states.ABANDONED_MS
+    hour_ms = claim_states.ABANDONED_AFTER_MS
     answer = apply(ClaimKey("k3", "d", "a"), after_ms=hour_ms)
     assert answer == ClaimGranted("k3", "a")
     assert apply(ClaimKey("k0", "d", "b")) == ClaimUnknown("k0")
@@ -172,7 +172,7 @@
 
 def test_reduced_keys_are_kept_for_a_day(apply, monkeypatch):
     """Guards against reduced keys that are kept for good."""
-    monkeypatch.setattr(claim_states, "LARGEST_TOTAL_BYTES", 700)
+    monkeypatch.setattr(claim_states, "MAX_TOTAL_BYTES", 700)
     for n in range(3):
         apply(ClaimKey(f"k{n}", "d", "a"))
         apply(CompleteClaim(f"k{n}", "a", b""))
@@ -200,5 +200,5 @@
     restart(apply)
     assert apply.state.claims.total_bytes() == before
     apply(ClaimKey("new", "d", "a"), after_ms=2 * DAY_MS)
-    only = claim_states.RECORD_BYTES + len("new" + "d" + "a")
+    only = claim_states.RECORD_OVERHEAD_BYTES + len("new" + "d" + "a")
     assert apply.state.claims.total_bytes() == only
--- a/tests/test_fleet_states.py
+++ b/tests/test_fleet_states.py
@@ -95,7 +95,7 @@
 
 def test_number_of_answers_is_bounded(live, submit, monkeypatch):
     """Guards against answers that fill the memory."""
-    monkeypatch.setattr(fleet_states, "RETAINED_ANSWERS", 3)
+    monkeypatch.setattr(fleet_states, "MAX_RETAINED_ANSWERS", 3)
     for n in range(5):
         submit(f"q-{n}", 9, move("vm-5", "roster"))
     assert list(live.state.fleet.answers) == ["q-2", "q-3", "q-4"]
@@ -114,7 +114,7 @@
 
 def test_history_is_bounded_and_says_what_it_forgot(live, submit, monkeypatch):
     """Guards against an unbounded history and a partial difference."""
-    monkeypatch.setattr(fleet_states, "RETAINED_VERSIONS", 2)
+    monkeypatch.setattr(fleet_states, "MAX_RETAINED_VERSIONS", 2)
     for n in range(1, 4):
         hours = {"operation": "set_maintenance_period", "hours": n}
         submit(f"q-{n}", n, hours)
@@ -127,7 +127,7 @@
 
 def test_long_difference_is_cut_and_marked(live, submit, monkeypatch):
     """Guards against an answer that exceeds a frame."""
-    monkeypatch.setattr(fleet_states, "LISTED_CHANGES", 1)
+    monkeypatch.setattr(fleet_states, "MAX_LISTED_CHANGES", 1)
     submit("p-2", 1, move("vm-5", "roster"), move("vm-6", "roster"))
     answer = submit("p-3", 1, move("vm-7", "roster"))
     assert len(json.loads(answer.changes_json)) == 1
--- a/tests/test_key_sets.py
+++ b/tests/test_key_sets.py
@@ -37,7 +37,7 @@
 
 def test_many_keys_are_merged(monkeypatch):
     """Guards against keys that get lost when a bucket is merged."""
-    monkeypatch.setattr(key_sets, "PENDING_BOUND", 16)
+    monkeypatch.setattr(key_sets, "MIN_MERGE_HASHES", 16)
     keys = KeySet(DAY_MS)
     for number in range(1_000):
         keys.add(hash_key(str(number)), 0)
--- a/wigeonport/claim_states.py
+++ b/wigeonport/claim_states.py
@@ -25,13 +25,13 @@
 MAX_STORED_RESPONSE_BYTES = 8 * 1024
 # A snapshot needs about four times this in memory while it is written or
 # installed; a control node has 256 MB.
-LARGEST_TOTAL_BYTES = 32 * 1024 * 1024
-LARGEST_TEXT_BYTES = 512
+MAX_TOTAL_BYTES = 32 * 1024 * 1024
+MAX_TEXT_BYTES = 512
 # Memory of a record besides its texts and its response.
-RECORD_BYTES = 320
+RECORD_OVERHEAD_BYTES = 320
 # A claim that was not completed by then is taken for abandoned: its outcome
 # is unknown for good, and only its key has to be remembered.
-ABANDONED_MS = 3_600_000
+ABANDONED_AFTER_MS = 3_600_000
 
 
 class Claim(Record):
@@ -155,7 +155,7 @@
 
     def _make_room(self, size, now_ms):
         """Reduces the oldest records until ``size`` more bytes fit."""
-        while self.total_bytes() + size > LARGEST_TOTAL_BYTES:
+        while self.total_bytes() + size > MAX_TOTAL_BYTES:
             if not self._reduce_one(now_ms):
                 return False
         return True
@@ -171,7 +171,7 @@
             self._forget_release(pair)
             return True
         key, claim = next(iter(self.claims.items()), (None, None))
-        if claim is None or claim.claimed_ms > now_ms - ABANDONED_MS:
+        if claim is None or claim.claimed_ms > now_ms - ABANDONED_AFTER_MS:
             return False
         self._reduce_claim(key)
         return True
@@ -269,13 +269,13 @@
     if not isinstance(text, str) or text == "":
         return False
     try:
-        return len(text.encode()) <= LARGEST_TEXT_BYTES
+        return len(text.encode()) <= MAX_TEXT_BYTES
     except UnicodeEncodeError:
         return False
 
 
 def _size(*texts):
-    return RECORD_BYTES + sum(len(text.encode()) for text in texts)
+    return RECORD_OVERHEAD_BYTES + sum(len(text.encode()) for text in texts)
 
 
 @HANDLERS.register(ClaimKey)
--- a/wigeonport/fleet_states.py
+++ b/wigeonport/fleet_states.py
@@ -19,15 +19,15 @@
 from wigeonport.state_commands import HANDLERS, SubmitPatch
 
 # Two days at 1,900 configuration changes a day.
-RETAINED_VERSIONS = 4_000
-RETAINED_CHANGES = 200_000
+MAX_RETAINED_VERSIONS = 4_000
+MAX_RETAINED_CHANGES = 200_000
 # An accepted patch can never be accepted again, because the version it names
 # stays stale. Answers only tell a resend what happened; a week covers an
 # operator's absence.
 ANSWER_RETENTION_MS = 7 * 24 * 3_600_000
-RETAINED_ANSWERS = 20_000
-LISTED_CHANGES = 200
-LISTED_VERSIONS = 100
+MAX_RETAINED_ANSWERS = 20_000
+MAX_LISTED_CHANGES = 200
+MAX_LISTED_VERSIONS = 100
 
 
 class VersionRecord(Record):
@@ -119,7 +119,7 @@
             return self._refusal(patch.id, "conflict", [text])
         answer = self._decide(patch, now_ms)
         self.answers[patch.id] = StoredAnswer(digest, answer, now_ms)
-        if len(self.answers) > RETAINED_ANSWERS:
+        if len(self.answers) > MAX_RETAINED_ANSWERS:
             del self.answers[next(iter(self.answers))]
         return answer
 
@@ -147,8 +147,8 @@
         self.history.append(record)
         self.change_count += len(record.changes)
         while len(self.history) > 1 and (
-            len(self.history) > RETAINED_VERSIONS
-            or self.change_count > RETAINED_CHANGES
+            len(self.history) > MAX_RETAINED_VERSIONS
+            or self.change_count > MAX_RETAINED_CHANGES
         ):
             self.change_count -= len(self.history.popleft().changes)
 
@@ -165,11 +165,14 @@
         changes = self.changes_since(stated)
         answer.complete = changes is not None
         listed = changes or []
-        documents = [c.to_document() for c in listed[:LISTED_CHANGES]]
+        documents = [c.to_document() for c in listed[:MAX_LISTED_CHANGES]]
         answer.changes_json = json.dumps(documents)
         newer = [r.summary() for r in self.history if r.version > stated]
-        answer.versions_json = json.dumps(newer[-LISTED_VERSIONS:])
-        if len(listed) > LISTED_CHANGES or len(newer) > LISTED_VERSIONS:
+        answer.versions_json = json.dumps(newer[-MAX_LISTED_VERSIONS:])
+        if (
+            len(listed) > MAX_LISTED_CHANGES
+            or len(newer) > MAX_LISTED_VERSIONS
+        ):
             answer.complete = False
         return answer
 
--- a/wigeonport/key_sets.py
+++ b/wigeonport/key_sets.py
@@ -10,8 +10,8 @@
 MS_PER_HOUR = 3_600_000
 # Merging costs a pass over the bucket, so hashes are merged in groups that
 # grow with the bucket.
-PENDING_BOUND = 1_024
-PENDING_SHARE = 8
+MIN_MERGE_HASHES = 1_024
+MERGE_DIVISOR = 8
 
 
 def hash_key(*texts):
@@ -41,7 +41,7 @@
     def add(self, value):
         """Adds a hash that is not in the bucket."""
         self.pending.add(value)
-        bound = max(PENDING_BOUND, len(self.hashes) // PENDING_SHARE)
+        bound = max(MIN_MERGE_HASHES, len(self.hashes) // MERGE_DIVISOR)
         if len(self.pending) >= bound:
             self.merge()
 
