Reword the replicated state, its commands and answers

Cause: docstrings restated names or described mappings by their values. Change: attributes say what they hold, mappings are described key to value; local names follow.

--- a/wigeonport/fleet_states.py
+++ b/wigeonport/fleet_states.py
@@ -1,4 +1,4 @@
-"""Replicated part: fleet versions, their history and patch answers."""
+"""Replicated part: fleet versions, their history and answers to patches."""
 
 import json
 from collections import deque
@@ -18,12 +18,12 @@
 from wigeonport.state_answers import PatchAccepted, PatchRefused
 from wigeonport.state_commands import HANDLERS, SubmitPatch
 
-# Two days at 1,900 configuration changes a day.
+# Two days of history at 1,900 configuration changes a day.
 MAX_RETAINED_VERSIONS = 4_000
 MAX_RETAINED_CHANGES = 200_000
-# An accepted patch can never be accepted again, because the version it names
-# stays stale. Answers only tell a resend what happened; a week covers an
-# operator's absence.
+# Stored answers only tell the sender of a resent patch what happened: a patch
+# is not accepted twice without them either, because the version it was
+# written against stays stale. A week covers an operator's absence.
 ANSWER_RETENTION_MS = 7 * 24 * 3_600_000
 MAX_RETAINED_ANSWERS = 20_000
 MAX_LISTED_CHANGES = 200
@@ -31,15 +31,15 @@
 
 
 class VersionRecord(Record):
-    """How a version came about.
+    """Origin and changes of a fleet version.
 
     Attributes:
         version: Version number.
         patch: Patch id.
         author: Who submitted the patch.
-        reason: Why.
-        time_ms: Wall time at which the leader proposed it.
-        changes: Changes from the version before.
+        reason: Why the patch was submitted.
+        time_ms: Wall time at which the leader proposed the patch.
+        changes: Changes from the previous version.
     """
 
     __slots__ = ("version", "patch", "author", "reason", "time_ms", "changes")
@@ -53,13 +53,13 @@
         self.changes = changes
 
     def to_document(self):
-        """Returns plain data."""
+        """Returns the record as plain data."""
         document = super().to_document()
         document["changes"] = [c.to_document() for c in self.changes]
         return document
 
     def summary(self):
-        """Returns plain data without the changes."""
+        """Returns plain data with the number of changes in their place."""
         document = super().to_document()
         document["changes"] = len(self.changes)
         return document
@@ -69,8 +69,8 @@
     """The first answer to a patch id.
 
     Attributes:
-        digest: Digest of the patch's content.
-        answer: The answer.
+        digest: Digest of the content of the patch.
+        answer: PatchAccepted or PatchRefused.
         time_ms: Wall time of the first submission.
     """
 
@@ -83,12 +83,12 @@
 
 
 class FleetState:
-    """Current fleet version, history and answers.
+    """Fleet version in force, its history and answers to patches.
 
     Attributes:
-        fleet: The version in force.
-        history: VersionRecord of the retained versions, oldest first.
-        answers: StoredAnswer by patch id, oldest first.
+        fleet: Fleet of the version in force.
+        history: VersionRecords of the retained versions, oldest first.
+        answers: Maps patch id to StoredAnswer, oldest first.
         change_count: Number of changes in the history.
     """
 
@@ -101,15 +101,17 @@
         self.change_count = 0
 
     def submit(self, document_json, now_ms):
-        """Applies a patch, given as JSON text; returns the answer."""
+        """Applies a patch, given as JSON text, and returns the answer."""
         self._expire_answers(now_ms)
         parsed = parse_json(document_json)
         if parsed.is_error():
             return self._refusal("", "invalid", [parsed.error])
-        read = patch_from_document(parsed.ok)
-        if read.is_error():
-            return self._refusal(_id_of(parsed.ok), "invalid", read.error)
-        patch = read.ok
+        decoded = patch_from_document(parsed.ok)
+        if decoded.is_error():
+            return self._refusal(
+                _find_patch_id(parsed.ok), "invalid", decoded.error
+            )
+        patch = decoded.ok
         digest = patch.digest()
         stored = self.answers.get(patch.id)
         if stored is not None:
@@ -125,13 +127,13 @@
 
     def _decide(self, patch, now_ms):
         if patch.against_version != self.fleet.version:
-            return self._stale(patch)
+            return self._refuse_stale(patch)
         applied = patch.apply(self.fleet, self.fleet_at_version)
         if applied.is_error():
             return self._refusal(patch.id, "invalid", applied.error)
         changes = diff(self.fleet, applied.ok)
         self.fleet = applied.ok
-        self._remember(
+        self._append_to_history(
             VersionRecord(
                 self.fleet.version,
                 patch.id,
@@ -143,7 +145,7 @@
         )
         return PatchAccepted(patch.id, self.fleet.version)
 
-    def _remember(self, record):
+    def _append_to_history(self, record):
         self.history.append(record)
         self.change_count += len(record.changes)
         while len(self.history) > 1 and (
@@ -152,7 +154,7 @@
         ):
             self.change_count -= len(self.history.popleft().changes)
 
-    def _stale(self, patch):
+    def _refuse_stale(self, patch):
         stated, current = patch.against_version, self.fleet.version
         text = (
             f"written against version {stated}, version {current} is current"
@@ -192,24 +194,27 @@
             del self.answers[id]
 
     def changes_since(self, version):
-        """Returns merged changes since a version, or None if forgotten."""
+        """Returns the merged changes since a version.
+
+        None if a version since then is no longer in the history.
+        """
         newer = [r for r in self.history if r.version > version]
         if len(newer) != self.fleet.version - version:
             return None
         return merge_changes(c for record in newer for c in record.changes)
 
     def fleet_at_version(self, version):
-        """Returns a retained version as a Fleet, or None."""
+        """Returns the Fleet of a version, or None if it is not retained."""
         if version == self.fleet.version:
             return self.fleet
         changes = self.changes_since(version)
         if changes is None or version > self.fleet.version:
             return None
-        back = [change.reversed() for change in changes]
-        return apply_changes(self.fleet, back, version)
+        reversed_changes = [change.reversed() for change in changes]
+        return apply_changes(self.fleet, reversed_changes, version)
 
     def to_document(self):
-        """Returns plain data."""
+        """Returns the state as plain data."""
         return {
             "fleet": self.fleet.to_document(),
             "history": [record.to_document() for record in self.history],
@@ -245,18 +250,18 @@
     """Returns the value of a JSON text, or an error text."""
     try:
         return Ok(json.loads(text))
-    except (ValueError, RecursionError) as fault:
-        return Error(f"the document is not JSON: {fault}")
+    except (ValueError, RecursionError) as error:
+        return Error(f"the document is not JSON: {error}")
 
 
-def _id_of(document):
+def _find_patch_id(document):
     id = document.get("id") if isinstance(document, dict) else None
     return id if isinstance(id, str) else ""
 
 
 @HANDLERS.register(SubmitPatch)
 def handle_submit_patch(state, command, now_ms):
-    """Applies a patch and lets new VMs join their pools."""
+    """Applies a patch and adds VMs that are new to their pools."""
     answer = state.fleet.submit(command.document_json, now_ms)
     if isinstance(answer, PatchAccepted):
         joined = state.pools.add_new_workers(state.fleet.fleet)
--- a/wigeonport/state_answers.py
+++ b/wigeonport/state_answers.py
@@ -1,4 +1,4 @@
-"""Answers about patches and claims."""
+"""Answers of the state machine to patches and claims."""
 
 from wigeonport.codecs import message_kinds
 from wigeonport.records import Record
@@ -6,11 +6,11 @@
 
 @message_kinds.register("PatchAccepted")
 class PatchAccepted(Record):
-    """The patch created a version.
+    """The patch created a new fleet version.
 
     Attributes:
         patch: Patch id.
-        version: The new version number.
+        version: Number of the new version.
     """
 
     __slots__ = ("patch", "version")
@@ -22,18 +22,18 @@
 
 @message_kinds.register("PatchRefused")
 class PatchRefused(Record):
-    """The patch changed nothing.
+    """The patch was refused and changed nothing.
 
     Attributes:
         patch: Patch id.
         why: ``stale``, ``invalid`` or ``conflict``.
-        version: Version in force when the patch was applied.
-        findings: Texts of all findings, with places.
-        changes_json: Documents of the changes since the stated
-            version, as a JSON list.
-        versions_json: Documents of the versions since the stated one,
-            without their changes, as a JSON list.
-        complete: Whether changes and versions are listed in full.
+        version: Fleet version in force when the patch was refused.
+        findings: Texts of all findings; each names its place in the patch.
+        changes_json: Documents of the changes since the version that the
+            patch names, as a JSON list.
+        versions_json: Documents of the versions since then, without their
+            changes, as a JSON list.
+        complete: Whether both lists are complete.
     """
 
     __slots__ = (
@@ -83,7 +83,7 @@
 
 @message_kinds.register("ClaimRepeat")
 class ClaimRepeat(Record):
-    """The request was completed before.
+    """The request was completed before; its response is repeated.
 
     Attributes:
         key: Idempotency key.
@@ -99,11 +99,11 @@
 
 @message_kinds.register("ClaimInProgress")
 class ClaimInProgress(Record):
-    """Another attempt holds the key; its outcome is unknown.
+    """Another attempt holds the key; its outcome is not known yet.
 
     Attributes:
         key: Idempotency key.
-        claimed_ms: Wall time of that claim.
+        claimed_ms: Wall time at which that attempt claimed the key.
     """
 
     __slots__ = ("key", "claimed_ms")
@@ -115,7 +115,7 @@
 
 @message_kinds.register("ClaimUnknown")
 class ClaimUnknown(Record):
-    """The request was completed, its response is not stored.
+    """The key was used, but no response to the request is stored.
 
     Attributes:
         key: Idempotency key.
@@ -129,7 +129,7 @@
 
 @message_kinds.register("ClaimConflict")
 class ClaimConflict(Record):
-    """The key was used for another request.
+    """The key was used for a request with another digest.
 
     Attributes:
         key: Idempotency key.
@@ -143,7 +143,7 @@
 
 @message_kinds.register("ClaimRefused")
 class ClaimRefused(Record):
-    """The attempt does not hold the key.
+    """The command on the key was refused.
 
     Attributes:
         key: Idempotency key.
@@ -164,7 +164,7 @@
 
     Attributes:
         key: Idempotency key.
-        stored: Whether the response is stored for repeats.
+        stored: Whether the response is stored, to answer repeats.
     """
 
     __slots__ = ("key", "stored")
@@ -176,7 +176,7 @@
 
 @message_kinds.register("ClaimReleased")
 class ClaimReleased(Record):
-    """The attempt does not and will not hold the key.
+    """The attempt does not hold the key and can no longer claim it.
 
     Attributes:
         key: Idempotency key.
@@ -192,10 +192,10 @@
 
 @message_kinds.register("CommandRefused")
 class CommandRefused(Record):
-    """The command was not understood or not permitted.
+    """The command has no handler or is not permitted.
 
     Attributes:
-        why: Reason.
+        why: Why the command was refused.
     """
 
     __slots__ = ("why",)
--- a/wigeonport/state_commands.py
+++ b/wigeonport/state_commands.py
@@ -9,10 +9,10 @@
 
 @message_kinds.register("SubmitPatch")
 class SubmitPatch(Record):
-    """Submits a patch against a stated fleet version.
+    """Submits a patch that names the fleet version it was written against.
 
     Attributes:
-        document_json: Document form of the patch as JSON text.
+        document_json: Document of the patch, as JSON text.
     """
 
     __slots__ = ("document_json",)
@@ -27,7 +27,7 @@
 
     Attributes:
         key: Idempotency key.
-        digest: Digest of method, path and body.
+        digest: Digest of the request's method, path and body.
         attempt: Attempt id, unique for each attempt.
     """
 
@@ -46,7 +46,7 @@
     Attributes:
         key: Idempotency key.
         attempt: Attempt that holds the claim.
-        response: Encoded response; its form is up to the entries.
+        response: Encoded response; only the entries interpret it.
     """
 
     __slots__ = ("key", "attempt", "response")
@@ -59,7 +59,7 @@
 
 @message_kinds.register("ReleaseClaim")
 class ReleaseClaim(Record):
-    """Gives up an attempt that never was and never will be dispatched.
+    """Releases an attempt that was not and will not be dispatched.
 
     Attributes:
         key: Idempotency key.
@@ -75,14 +75,14 @@
 
 @message_kinds.register("RequestGrant")
 class RequestGrant(Record):
-    """Asks for a lease on VMs that are to be drained.
+    """Requests a lease on VMs that are to be drained.
 
     Attributes:
-        grant: Grant id; a resend carries the same one.
+        grant: Grant id; a resend of the request carries the same id.
         workers: VM ids.
         purpose: Name in ``PURPOSES``.
-        author: Who asks.
-        reason: Why.
+        author: Who requests the lease.
+        reason: Why the VMs are to be drained.
         lease_ms: Length of the lease.
         unavailable: VMs that the sender knows or assumes to be
             unavailable.
@@ -112,11 +112,11 @@
 
 @message_kinds.register("RenewGrant")
 class RenewGrant(Record):
-    """Extends a live lease from now on.
+    """Extends a live lease.
 
     Attributes:
         grant: Grant id.
-        lease_ms: Length of the lease.
+        lease_ms: New length of the lease, counted from now.
     """
 
     __slots__ = ("grant", "lease_ms")
@@ -128,7 +128,7 @@
 
 @message_kinds.register("ConfirmDrain")
 class ConfirmDrain(Record):
-    """Reports that a VM runs nothing any more.
+    """Reports that a granted VM no longer runs any work.
 
     Attributes:
         grant: Grant id.
@@ -148,7 +148,8 @@
 
     Attributes:
         grant: Grant id.
-        healthy: VMs that are back; the others count as unavailable.
+        healthy: VMs that are back in service; the others count as
+            unavailable until they are reported back.
         hold_ms: How long the VMs that are back still count as
             unavailable.
     """
@@ -163,11 +164,11 @@
 
 @message_kinds.register("ReturnWorker")
 class ReturnWorker(Record):
-    """Reports that a VM of an expired or ended lease is back.
+    """Reports that a VM of an expired or ended lease is back in service.
 
     Attributes:
         worker: VM id.
-        hold_ms: How long it still counts as unavailable.
+        hold_ms: How long the VM still counts as unavailable.
     """
 
     __slots__ = ("worker", "hold_ms")
@@ -179,14 +180,15 @@
 
 @message_kinds.register("FinishMove")
 class FinishMove(Record):
-    """Moves a drained VM to the pool that the version assigns.
+    """Moves a drained VM to the pool that the fleet version assigns it to.
 
     Attributes:
         grant: Grant id.
         worker: VM id.
         source: Pool that the VM leaves.
-        target: Pool that it joins, or None if the version removed it.
-        hold_ms: How long it counts as unavailable in its new pool.
+        target: Pool that the VM joins, or None if the fleet version removed
+            it.
+        hold_ms: How long the VM counts as unavailable in its new pool.
     """
 
     __slots__ = ("grant", "worker", "source", "target", "hold_ms")
@@ -205,7 +207,7 @@
 
     Attributes:
         scope: Pool id, or ``all``.
-        author: Who pauses.
+        author: Who pauses maintenance.
         reason: Why.
     """
 
@@ -223,7 +225,7 @@
 
     Attributes:
         scope: Pool id, or ``all``.
-        author: Who resumes.
+        author: Who resumes maintenance.
         reason: Why.
     """
 
@@ -237,7 +239,7 @@
 
 @message_kinds.register("RecordBatch")
 class RecordBatch(Record):
-    """Applies operations in order.
+    """Applies operations on the batch jobs in order.
 
     Attributes:
         time_ms: Wall time of the leader.
--- a/wigeonport/states.py
+++ b/wigeonport/states.py
@@ -2,7 +2,7 @@
 
 from expression import Error, Ok, Result
 
-# The modules of the parts register their handlers when they are imported.
+# Importing the module of a part registers the handlers of its commands.
 from wigeonport import maintenance_handlers
 from wigeonport.batch_states import BatchState, batch_state_from_document
 from wigeonport.claim_states import ClaimState, claim_state_from_document
@@ -30,17 +30,18 @@
 PARTS.register("batch")((BatchState, batch_state_from_document))
 PARTS.register("routes")((RouteState, route_state_from_document))
 PARTS.register("upkeep")((UpkeepState, upkeep_state_from_document))
-# Parts that snapshots of earlier versions lack; they start empty.
+# Snapshots of earlier releases lack these parts; they start empty.
 OPTIONAL_PARTS = ("batch", "routes", "upkeep")
 
 
 class Entry:
-    """A committed entry as the state machine sees it.
+    """A committed log entry that the state machine applies.
 
     Attributes:
         index: Position in the log.
         time_ms: Wall time at which the leader proposed the entry.
-        command: A command, or None for an entry without effect.
+        command: A command, or None; such an entry only advances index and
+            time.
     """
 
     __slots__ = ("index", "time_ms", "command")
@@ -52,19 +53,19 @@
 
 
 class ReplicatedState:
-    """State that is equal on all nodes that applied the same entries.
+    """State that is identical on all nodes that applied the same entries.
 
     Attributes:
         applied_index: Index of the last applied entry.
-        now_ms: Latest time of any entry; it never goes back, although the
-            clock of a new leader may be behind.
-        fleet: FleetState.
-        pools: PoolState.
-        claims: ClaimState.
-        maintenance: MaintenanceState.
-        batch: BatchState.
-        routes: RouteState.
-        upkeep: UpkeepState.
+        now_ms: Latest time of any applied entry. It never goes back, although
+            the clock of a new leader may be behind.
+        fleet: FleetState with the fleet versions and answers to patches.
+        pools: PoolState with the pool that each VM is in.
+        claims: ClaimState with the claims of idempotency keys.
+        maintenance: MaintenanceState with grants, holds and pauses.
+        batch: BatchState with the batch jobs.
+        routes: RouteState with the route table.
+        upkeep: UpkeepState with the upkeep waves and machine orders.
     """
 
     __slots__ = (
@@ -86,11 +87,11 @@
             setattr(self, name, part())
 
     def apply(self, entry):
-        """Applies an entry; returns the answer to its command.
+        """Applies an entry and returns the answer to its command.
 
         Args:
-            entry: Has ``index``, ``time_ms`` and ``command``. An entry that
-                was applied before is refused and has no effect.
+            entry: Entry. One that was applied before is refused and has no
+                effect.
         """
         if entry.index <= self.applied_index:
             return CommandRefused(f"entry {entry.index} was applied before")
@@ -106,7 +107,7 @@
         return handler(self, entry.command, self.now_ms)
 
     def to_document(self):
-        """Returns plain data for a snapshot."""
+        """Returns the state as plain data for a snapshot."""
         document = {
             "format": FORMAT,
             "applied_index": self.applied_index,
@@ -127,11 +128,11 @@
     try:
         state.applied_index = int(document["applied_index"])
         state.now_ms = int(document["now_ms"])
-        for name, (_, read) in PARTS.entries.items():
+        for name, (_, decode) in PARTS.entries.items():
             if name in document or name not in OPTIONAL_PARTS:
-                setattr(state, name, read(document[name]))
-    except (AttributeError, KeyError, TypeError, ValueError) as fault:
-        findings.add("snapshot", f"{type(fault).__name__}: {fault}")
+                setattr(state, name, decode(document[name]))
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        findings.add("snapshot", f"{type(error).__name__}: {error}")
         return Error(findings)
     return Ok(state)
 
