Reword the parts for pools, grants and maintenance

Cause: away, wanted, spare and live did not say which VMs or grants they held; rules were told in figures. Change: names and texts in the terms of the field; findings that a replica answers stay letter for letter.

--- a/wigeonport/maintenance_answers.py
+++ b/wigeonport/maintenance_answers.py
@@ -1,4 +1,4 @@
-"""Answers about grants, drains and moves of VMs."""
+"""Answers of the state machine about grants, drains and moves of VMs."""
 
 from wigeonport.codecs import message_kinds
 from wigeonport.records import Record
@@ -24,7 +24,7 @@
 
 @message_kinds.register("GrantRefused")
 class GrantRefused(Record):
-    """Nothing was granted or changed.
+    """The command on a grant was refused and changed nothing.
 
     Attributes:
         grant: Grant id.
@@ -40,7 +40,7 @@
 
 @message_kinds.register("GrantEnded")
 class GrantEnded(Record):
-    """The lease ended.
+    """The lease was ended.
 
     Attributes:
         grant: Grant id.
@@ -72,7 +72,7 @@
 
 @message_kinds.register("WorkerReturned")
 class WorkerReturned(Record):
-    """The VM counts as available after the hold time.
+    """The VM is back and counts as available after its hold.
 
     Attributes:
         worker: VM id.
@@ -88,12 +88,12 @@
 
 @message_kinds.register("MoveFinished")
 class MoveFinished(Record):
-    """The VM is in its new pool.
+    """The VM was moved to its new pool or removed.
 
     Attributes:
         worker: VM id.
-        source: Pool it was in.
-        target: Pool it is in, or None.
+        source: Pool that the VM left.
+        target: Pool that the VM joined, or None if it was removed.
     """
 
     __slots__ = ("worker", "source", "target")
@@ -106,7 +106,7 @@
 
 @message_kinds.register("MoveRefused")
 class MoveRefused(Record):
-    """The VM stays in its pool.
+    """The move was refused; the VM stays in its pool.
 
     Attributes:
         worker: VM id.
--- a/wigeonport/maintenance_handlers.py
+++ b/wigeonport/maintenance_handlers.py
@@ -1,4 +1,4 @@
-"""Handlers of the commands about grants, drains and pauses."""
+"""Handlers of the commands that concern grants, drains and pauses."""
 
 from wigeonport.maintenance_answers import (
     DrainConfirmed,
@@ -30,11 +30,11 @@
 
 @HANDLERS.register(RequestGrant)
 def handle_request_grant(state, command, now_ms):
-    """Grants a lease if every pool can spare the VMs."""
+    """Grants a lease if every pool stays within its availability budget."""
     maintenance = state.maintenance
-    live = maintenance.grants.get(command.grant)
-    if live is not None:
-        return _answer_to_repeat(live, command)
+    existing = maintenance.grants.get(command.grant)
+    if existing is not None:
+        return _answer_resend(existing, command)
     if command.grant in maintenance.ended:
         text = f"grant {command.grant!r} ended before"
         return GrantRefused(command.grant, [text])
@@ -55,19 +55,21 @@
     return GrantGiven(command.grant, sorted(command.workers), expires_ms)
 
 
-def _answer_to_repeat(live, command):
-    same = (
-        live.purpose == command.purpose
-        and live.author == command.author
-        and set(live.workers) <= set(command.workers)
+def _answer_resend(existing, command):
+    is_same_request = (
+        existing.purpose == command.purpose
+        and existing.author == command.author
+        and set(existing.workers) <= set(command.workers)
     )
-    if same:
-        return GrantGiven(live.id, list(live.workers), live.expires_ms)
-    text = f"grant id {live.id!r} was used for another request"
-    return GrantRefused(live.id, [text])
+    if is_same_request:
+        return GrantGiven(
+            existing.id, list(existing.workers), existing.expires_ms
+        )
+    text = f"grant id {existing.id!r} was used for another request"
+    return GrantRefused(existing.id, [text])
 
 
-def _not_live(id):
+def _refuse_not_live(id):
     return GrantRefused(id, [f"grant {id!r} is not live"])
 
 
@@ -76,7 +78,7 @@
     """Extends a lease that has not expired."""
     grant = state.maintenance.grants.get(command.grant)
     if grant is None:
-        return _not_live(command.grant)
+        return _refuse_not_live(command.grant)
     if not 0 < command.lease_ms <= MAX_LEASE_MS:
         text = f"a lease takes 1 to {MAX_LEASE_MS} ms"
         return GrantRefused(command.grant, [text])
@@ -86,10 +88,10 @@
 
 @HANDLERS.register(ConfirmDrain)
 def handle_confirm_drain(state, command, now_ms):
-    """Records that a VM of a live lease runs nothing any more."""
+    """Records that a VM of a live lease no longer runs any work."""
     grant = state.maintenance.grants.get(command.grant)
     if grant is None:
-        return _not_live(command.grant)
+        return _refuse_not_live(command.grant)
     if command.worker not in grant.workers:
         text = f"VM {command.worker!r} is not in grant {grant.id!r}"
         return GrantRefused(grant.id, [text])
@@ -100,9 +102,9 @@
 
 @HANDLERS.register(EndGrant)
 def handle_end_grant(state, command, now_ms):
-    """Ends a lease; VMs that are not back count as unavailable."""
+    """Ends a lease; its VMs that are not back count as unavailable."""
     if command.grant not in state.maintenance.grants:
-        return _not_live(command.grant)
+        return _refuse_not_live(command.grant)
     if not 0 <= command.hold_ms <= MAX_HOLD_MS:
         text = f"a hold takes 0 to {MAX_HOLD_MS} ms"
         return GrantRefused(command.grant, [text])
@@ -114,7 +116,7 @@
 
 @HANDLERS.register(ReturnWorker)
 def handle_return_worker(state, command, now_ms):
-    """Takes a missing VM back after its hold time."""
+    """Replaces the missing state of a VM by a hold, after which it counts."""
     if command.worker not in state.maintenance.missing:
         return CommandRefused(f"VM {command.worker!r} is not missing")
     if not 0 <= command.hold_ms <= MAX_HOLD_MS:
@@ -126,7 +128,7 @@
 
 @HANDLERS.register(PauseMaintenance)
 def handle_pause(state, command, now_ms):
-    """Stops new maintenance grants; live leases go on."""
+    """Stops new maintenance grants; live leases are not affected."""
     pause = Pause(command.author, command.reason, now_ms)
     state.maintenance.pauses.setdefault(command.scope, pause)
     return MaintenanceChanged(command.scope, True)
--- a/wigeonport/maintenance_states.py
+++ b/wigeonport/maintenance_states.py
@@ -1,4 +1,4 @@
-"""Replicated part: maintenance grants as leases against the budgets."""
+"""Replicated part: grants, which lease VMs out of availability budgets."""
 
 from wigeonport.budgets import remaining_budget
 from wigeonport.records import Record
@@ -8,19 +8,20 @@
 ALL_POOLS = "all"
 MAX_LEASE_MS = 6 * 3_600_000
 MAX_HOLD_MS = 24 * 3_600_000
-# Longer than any resend of a request for a grant.
+# The id of an ended grant is kept for longer than a request for it may be
+# resent.
 ENDED_GRANT_RETENTION_MS = 24 * 3_600_000
 
 
 class Grant(Record):
-    """A lease that permits to take VMs away.
+    """A lease that permits draining VMs.
 
     Attributes:
         id: Grant id.
         workers: Ids of the VMs that still belong to the lease.
         purpose: Name in ``PURPOSES``.
-        author: Who asked.
-        reason: Why.
+        author: Who requested the grant.
+        reason: Why the VMs are drained.
         granted_ms: Wall time of the grant.
         expires_ms: Wall time at which the lease expires.
         drained: Ids of the VMs whose drain is confirmed.
@@ -59,12 +60,12 @@
 
 
 class Pause(Record):
-    """A pause of maintenance.
+    """A pause of maintenance in one pool or in all pools.
 
     Attributes:
-        author: Who paused.
+        author: Who paused maintenance.
         reason: Why.
-        time_ms: Wall time.
+        time_ms: Wall time at which the pause began.
     """
 
     __slots__ = ("author", "reason", "time_ms")
@@ -76,19 +77,21 @@
 
 
 class MaintenanceState:
-    """Grants, VMs that are not back, hold times and pauses.
+    """Grants, missing VMs, hold times and pauses.
 
     Attributes:
-        grants: Live Grant by id.
-        ended: Wall time of the end by grant id, in order.
-        missing: Grant id by VM whose lease ended or expired before the VM
-            was reported back; it counts as unavailable.
-        holds: Wall time until which a VM that is back counts as
+        grants: Maps grant id to Grant; holds the live grants only.
+        ended: Maps the id of an ended grant to the wall time of its end, in
+            order.
+        missing: Maps VM id to the id of its last grant, for VMs whose lease
+            ended or expired before they were reported back. They count as
             unavailable.
-        pauses: Pause by pool id or ``all``.
-        joined: Wall time by VM at which it joined the fleet.
-        maintained: Wall time by VM at which its last maintenance was
-            finished.
+        holds: Maps VM id to the wall time until which the VM, although it
+            is back, counts as unavailable.
+        pauses: Maps pool id or ``all`` to Pause.
+        joined: Maps VM id to the wall time at which the VM joined the fleet.
+        maintained: Maps VM id to the wall time at which the last maintenance
+            of the VM was finished.
     """
 
     __slots__ = (
@@ -111,7 +114,7 @@
         self.maintained = {}
 
     def expire(self, now_ms):
-        """Ends leases, holds and memories whose time has come."""
+        """Ends expired leases and holds, drops the ids of old ended grants."""
         for grant in list(self.grants.values()):
             if grant.expires_ms <= now_ms:
                 self.end(grant.id, [], 0, now_ms)
@@ -124,19 +127,19 @@
             del self.ended[id]
 
     def unavailable(self):
-        """Returns the VMs that leases, holds and missing VMs take away."""
+        """Returns the VMs that are granted, missing or held."""
         granted = {w for g in self.grants.values() for w in g.workers}
         return granted | self.missing.keys() | self.holds.keys()
 
     def find_grant(self, worker):
-        """Returns the live grant that covers a VM, or None."""
+        """Returns the live grant that includes a VM, or None."""
         for grant in self.grants.values():
             if worker in grant.workers:
                 return grant
         return None
 
     def end(self, id, healthy, hold_ms, now_ms):
-        """Ends a lease; returns the VMs that are not back."""
+        """Ends a lease; returns the VMs that are not in ``healthy``."""
         grant = self.grants.pop(id)
         self.ended[id] = now_ms
         missing = []
@@ -151,12 +154,15 @@
         return missing
 
     def hold(self, worker, until_ms):
-        """Counts a VM that is back as unavailable for some time more."""
+        """Counts a VM that is back as unavailable until a wall time.
+
+        A hold that ends later stays.
+        """
         self.missing.pop(worker, None)
         self.holds[worker] = max(until_ms, self.holds.get(worker, 0))
 
     def remove_from_grant(self, id, worker, now_ms):
-        """Takes a moved VM out of its lease; an empty lease ends."""
+        """Removes a moved VM from its lease; a lease without VMs ends."""
         grant = self.grants[id]
         grant.workers.remove(worker)
         grant.drained.remove(worker)
@@ -165,20 +171,20 @@
             self.ended[id] = now_ms
 
     def remove_worker(self, worker):
-        """Drops what is remembered about a VM that left the fleet."""
+        """Drops the records of a VM that left the fleet."""
         tables = (self.missing, self.holds, self.joined, self.maintained)
         for table in tables:
             table.pop(worker, None)
 
     def find_pause(self, pools):
-        """Returns scope and Pause of the first pause that applies."""
+        """Returns scope and Pause of the first pause that applies, or None."""
         for scope in (ALL_POOLS, *sorted(pools)):
             if scope in self.pauses:
                 return scope, self.pauses[scope]
         return None
 
     def to_document(self):
-        """Returns plain data."""
+        """Returns the state as plain data."""
         return {
             "grants": [g.to_document() for g in self.grants.values()],
             "ended": [list(item) for item in self.ended.items()],
@@ -206,7 +212,7 @@
 
 
 def grant_findings(state, command, now_ms):
-    """Returns all reasons against a grant; none means that it is given."""
+    """Returns all reasons to refuse a grant; an empty list grants it."""
     findings = _request_findings(state, command)
     check = PURPOSES.entries.get(command.purpose)
     if check is None:
@@ -233,25 +239,31 @@
 
 
 def _budget_findings(state, command):
-    """Checks the pools of the VMs.
+    """Returns the pools whose budget the grant would exceed.
 
-    A VM that the log has taken away costs none. One that the sender does not
-    know to be available may still serve, so it is taken away only if its
-    pool keeps the budget without it.
+    A VM that is granted, missing or held already does not count against the
+    budget. A VM that only the sender reports as unavailable may still run
+    work: it is granted only if its pool is within the budget without it.
     """
     findings = []
     pools = state.pools.pools
-    away = state.maintenance.unavailable()
-    unavailable = away | set(command.unavailable)
-    wanted = [w for w in command.workers if w not in away]
-    for pool in sorted({pools[w] for w in wanted}):
+    already_unavailable = state.maintenance.unavailable()
+    unavailable = already_unavailable | set(command.unavailable)
+    newly_unavailable = [
+        w for w in command.workers if w not in already_unavailable
+    ]
+    for pool in sorted({pools[w] for w in newly_unavailable}):
         members = state.pools.members(pool)
-        spare = remaining_budget(state.fleet.fleet, pool, members, unavailable)
-        known = [w for w in wanted if w not in unavailable]
-        count = sum(pools[w] == pool for w in known)
-        if count > spare:
+        remaining = remaining_budget(
+            state.fleet.fleet, pool, members, unavailable
+        )
+        known_available = [
+            w for w in newly_unavailable if w not in unavailable
+        ]
+        count = sum(pools[w] == pool for w in known_available)
+        if count > remaining:
             findings.append(
-                f"pool {pool!r} can spare {max(spare, 0)} more VMs, "
+                f"pool {pool!r} can spare {max(remaining, 0)} more VMs, "
                 f"{count} were requested"
             )
     return findings
@@ -259,7 +271,7 @@
 
 @PURPOSES.register("maintenance")
 def check_maintenance(state, command, now_ms):
-    """Maintenance waits for its window and for the end of a pause."""
+    """Requires an open maintenance window and no pause."""
     findings = []
     fleet = state.fleet.fleet
     pools = {state.pools.pools[worker] for worker in command.workers}
@@ -280,7 +292,7 @@
 
 @PURPOSES.register("move")
 def check_move(state, command, now_ms):
-    """A move drains only VMs that the version assigns elsewhere."""
+    """Requires that the version assigns each VM to another pool."""
     pending = {item[0] for item in state.pools.pending(state.fleet.fleet)}
     return [
         f"VM {worker!r} is where the version says"
@@ -291,5 +303,5 @@
 
 @PURPOSES.register("drain")
 def check_drain(state, command, now_ms):
-    """An operator may drain outside windows and during a pause."""
+    """Requires nothing: drains are allowed outside windows and in pauses."""
     return []
--- a/wigeonport/pool_states.py
+++ b/wigeonport/pool_states.py
@@ -1,4 +1,4 @@
-"""Replicated part: the one pool in which each VM is."""
+"""Replicated part: the pool that each VM is in."""
 
 from wigeonport.maintenance_answers import MoveFinished, MoveRefused
 from wigeonport.state_commands import HANDLERS, FinishMove
@@ -7,12 +7,13 @@
 class PoolState:
     """Pool membership of the VMs.
 
-    The fleet version assigns a VM to a pool; the membership follows in one
-    step after a confirmed drain. A VM that a version removes stays a member
-    until then. Each VM is one key, so it is in exactly one pool.
+    A fleet version assigns each VM to a pool; a VM changes its pool in one
+    step, after its drain is confirmed. A VM that a version removes stays a
+    member of its pool until then. The VM id is the key, so each VM is in
+    exactly one pool.
 
     Attributes:
-        pools: Pool id by VM id.
+        pools: Maps VM id to pool id.
     """
 
     __slots__ = ("pools",)
@@ -21,23 +22,25 @@
         self.pools = {}
 
     def add_new_workers(self, fleet):
-        """Lets VMs that are new in a version join; returns their ids."""
-        joined = [w for w in fleet.workers.values() if w.id not in self.pools]
-        for worker in joined:
+        """Adds VMs that are new in a version; returns their ids."""
+        new_workers = [
+            w for w in fleet.workers.values() if w.id not in self.pools
+        ]
+        for worker in new_workers:
             self.pools[worker.id] = worker.pool
-        return [worker.id for worker in joined]
+        return [worker.id for worker in new_workers]
 
     def members(self, pool):
-        """Returns the ids of the VMs in a pool, ordered."""
+        """Returns the sorted ids of the VMs in a pool."""
         return sorted(id for id, name in self.pools.items() if name == pool)
 
     def target(self, fleet, worker):
-        """Returns the pool that the version assigns, None if removed."""
+        """Returns the pool that a version assigns a VM to, None if removed."""
         record = fleet.workers.get(worker)
         return None if record is None else record.pool
 
     def pending(self, fleet):
-        """Returns VM, present and assigned pool of all pending moves."""
+        """Returns (VM id, current pool, assigned pool) of pending moves."""
         return [
             (id, pool, self.target(fleet, id))
             for id, pool in sorted(self.pools.items())
@@ -45,14 +48,14 @@
         ]
 
     def move(self, worker, target):
-        """Moves a VM in one step; None removes it."""
+        """Moves a VM to a pool; the target None removes the VM."""
         if target is None:
             del self.pools[worker]
         else:
             self.pools[worker] = target
 
     def to_document(self):
-        """Returns plain data."""
+        """Returns the state as plain data."""
         return {"pools": dict(sorted(self.pools.items()))}
 
 
@@ -65,7 +68,7 @@
 
 @HANDLERS.register(FinishMove)
 def handle_finish_move(state, command, now_ms):
-    """Moves a drained VM to the pool that the version assigns to it."""
+    """Moves a drained VM to the pool that the version assigns it to."""
     worker = command.worker
     findings = _move_findings(state, command)
     if findings:
@@ -81,13 +84,13 @@
 
 def _move_findings(state, command):
     findings = []
-    present = state.pools.pools.get(command.worker)
-    if present is None:
+    current_pool = state.pools.pools.get(command.worker)
+    if current_pool is None:
         return [f"VM {command.worker!r} is in no pool"]
-    if present != command.source:
-        findings.append(f"the VM is in pool {present!r}")
+    if current_pool != command.source:
+        findings.append(f"the VM is in pool {current_pool!r}")
     target = state.pools.target(state.fleet.fleet, command.worker)
-    if target != command.target or target == present:
+    if target != command.target or target == current_pool:
         findings.append(f"the version assigns the VM to {target!r}")
     grant = state.maintenance.grants.get(command.grant)
     if grant is None:
