Reword the requests to the state and the brokers

Cause: docstrings such as 'how other tasks reach' and 'takes one Decision' needed a second reading; two refusals did not say that a mailbox was full.

--- a/wigeonport/claim_brokers.py
+++ b/wigeonport/claim_brokers.py
@@ -1,4 +1,4 @@
-"""Claim brokers: a control's filter between entries and the log."""
+"""Claim brokers: propose the claim commands of entries to the log."""
 
 import trio
 
@@ -10,12 +10,12 @@
 
 
 class ClaimBroker:
-    """Proposes the claim commands of the entries.
+    """Proposes claim commands and answers the entries that sent them.
 
     Attributes:
         propose: Async function of a command and a timeout in ms; returns a
             Result with the answer of the state machine.
-        timeout_ms: Longest wait for a proposal.
+        timeout_ms: Maximum wait for a proposal.
         metrics: Metrics of the process.
     """
 
@@ -27,7 +27,7 @@
         self.metrics = metrics
 
     async def handle(self, delivery):
-        """Answers one command of an entry."""
+        """Proposes one command of an entry and responds with its answer."""
         answer = await self.propose(delivery.message, self.timeout_ms)
         if answer.is_error():
             self.metrics.count("claims_not_proposed")
@@ -37,7 +37,7 @@
 
 
 async def broker_claims(inbound, broker):
-    """Starts a proposal for each command, so that the log can group them."""
+    """Proposes commands concurrently, so that the log can batch them."""
     async with trio.open_nursery() as nursery:
         async for delivery in inbound:
             if not isinstance(delivery.message, CLAIM_COMMANDS):
--- a/wigeonport/health_brokers.py
+++ b/wigeonport/health_brokers.py
@@ -13,7 +13,7 @@
 
 @message_kinds.register("HealthRequest")
 class HealthRequest:
-    """Asks the leader for the unavailable VMs."""
+    """Asks the leader for the health of the VMs."""
 
     __slots__ = ()
 
@@ -24,8 +24,8 @@
 
     Attributes:
         known: Whether the control leads and knows the health of the VMs.
-        unavailable: As in VmHealth.
-        unheard: As in VmHealth.
+        unavailable: ``unavailable`` of VmHealth.
+        unheard: ``not_reporting`` of VmHealth.
     """
 
     __slots__ = ("known", "unavailable", "unheard")
@@ -37,26 +37,26 @@
 
 
 def to_reply(health):
-    """Returns the HealthReply for a VmHealth or None."""
+    """Returns the HealthReply for a VmHealth; None means not known."""
     if health is None:
         return HealthReply(False, [], [])
     return HealthReply(True, health.unavailable, health.not_reporting)
 
 
 def to_health(reply):
-    """Returns the VmHealth of a HealthReply, or None if it has none."""
+    """Returns the VmHealth of a HealthReply, or None if it carries none."""
     if not reply.known:
         return None
     return VmHealth(reply.unavailable, reply.unheard)
 
 
 class HealthBroker:
-    """Answers queries here if this control leads, else at the leader.
+    """Answers health queries from the local planner or from the leader.
 
     Attributes:
         consensus: Mailbox of the consensus task.
         planner: Mailbox of the planner.
-        dialers: Dialers to the other controls by node id.
+        dialers: Maps node id to the Dialer of another control.
     """
 
     __slots__ = ("consensus", "planner", "dialers")
@@ -67,22 +67,29 @@
         self.dialers = dialers
 
     async def handle(self, message):
-        """Answers a query of this process or of another control."""
+        """Answers a query of this process or of another control.
+
+        Another control's query is not forwarded.
+        """
         if isinstance(message, Delivery):
             message.respond(to_reply(await self.ask_planner()))
         else:
             message.reply.send(await self.find_health())
 
     async def ask_planner(self):
-        """Returns the VmHealth, or None if this control can't say."""
-        found = await ask(self.planner, VmHealthQuery, TIMEOUT_MS)
-        return found.default_value(None)
+        """Returns the VmHealth of this control, None if it does not lead."""
+        answer = await ask(self.planner, VmHealthQuery, TIMEOUT_MS)
+        return answer.default_value(None)
 
     async def find_health(self):
-        """Returns the VmHealth, or None if nobody can say."""
-        found = await self.ask_planner()
-        if found is not None:
-            return found
+        """Returns the VmHealth of this control or else of the leader.
+
+        None if this control does not lead and the leader is not known or
+        does not answer.
+        """
+        health = await self.ask_planner()
+        if health is not None:
+            return health
         status = await ask(self.consensus, StatusRequest, TIMEOUT_MS)
         if status.is_error():
             return None
@@ -97,7 +104,7 @@
 
 
 async def broker_health(inbound, broker):
-    """Handles queries concurrently."""
+    """Answers queries concurrently."""
     async with trio.open_nursery() as nursery:
         async for message in inbound:
             nursery.start_soon(broker.handle, message)
--- a/wigeonport/state_adapters.py
+++ b/wigeonport/state_adapters.py
@@ -1,4 +1,4 @@
-"""State adapters: turn requests to the state into consensus requests."""
+"""State adapters: turn state requests into requests to the consensus task."""
 
 import trio
 from expression import Error, Ok, Result
@@ -6,7 +6,7 @@
 from wigeonport.channels import Reply, ask
 from wigeonport.consensus_requests import Proposal, Read, StatusRequest
 from wigeonport.replica_events import COMMITTED, REFUSED
-from wigeonport.state_requests import COMMITTED as DECIDED
+from wigeonport.state_requests import COMMITTED as COMMAND_COMMITTED
 from wigeonport.state_requests import (
     NOT_RUN,
     UNKNOWN,
@@ -20,11 +20,12 @@
 
 
 class StateAdapter:
-    """Asks the consensus task on behalf of other filters.
+    """Sends proposals and reads of other filters to the consensus task.
 
     Attributes:
         consensus: Mailbox of the consensus task.
-        timeout_ms: Longest wait for a proposal.
+        timeout_ms: Maximum wait until the consensus task takes a proposal,
+            and again until it answers it.
     """
 
     __slots__ = ("consensus", "timeout_ms")
@@ -41,61 +42,67 @@
             request.reply.send(await self.read(request.query))
 
     async def request_decision(self, command):
-        """Returns the Decision on a command."""
+        """Proposes a command and returns the Decision on it."""
         reply = Reply()
         delivered = False
         with trio.move_on_after(self.timeout_ms / 1000):
             delivered = await self.consensus.put(Proposal(command, reply))
         if not delivered:
-            return Decision(NOT_RUN, reason="the consensus task is busy")
+            return Decision(
+                NOT_RUN, reason="the mailbox of the consensus task is full"
+            )
         answer = await reply.wait(self.timeout_ms)
         if answer.is_error():
             return Decision(UNKNOWN, reason=answer.error)
         return to_decision(answer.ok)
 
     async def propose(self, command, timeout_ms) -> Result:
-        """Returns the answer to a command, or the reason for none."""
+        """Proposes a command; returns its answer or why there is none.
+
+        Waits as ``timeout_ms`` of the adapter says; the parameter is unused.
+        """
         decision = await self.request_decision(command)
-        if decision.outcome == DECIDED:
+        if decision.outcome == COMMAND_COMMITTED:
             return Ok(decision.answer)
         return Error(f"{decision.outcome}: {decision.reason}")
 
     async def read(self, query):
-        """Returns the StateRead of a query.
+        """Returns the StateRead for a query.
 
-        A quorum confirms the state if there is one; else the local state
-        is read, whose role and leader tell that it may be outdated.
+        The read is linearizable if a quorum answers. Otherwise the local
+        state is read, which may be outdated; role and leader in the
+        StateRead tell.
         """
-        document = await self.view(query, True)
+        document = await self.evaluate(query, True)
         if document.is_error():
-            document = await self.view(query, False)
+            document = await self.evaluate(query, False)
         status = await ask(self.consensus, StatusRequest, READ_TIMEOUT_MS)
         if status.is_error() or document.is_error():
             return StateRead(None, "unknown", "", 0)
-        found = status.ok
-        leader = found.leader_id.partition("/")[0]
-        return StateRead(document.ok, found.role, leader, found.term)
+        replica = status.ok
+        leader = replica.leader_id.partition("/")[0]
+        return StateRead(document.ok, replica.role, leader, replica.term)
 
-    async def view(self, query, consistent) -> Result:
-        """Returns what a query reads."""
-        found = await ask(
+    async def evaluate(self, query, consistent) -> Result:
+        """Returns the document that a query reads, or an error text."""
+        result = await ask(
             self.consensus,
             lambda reply: Read(query.read, reply, consistent),
             READ_TIMEOUT_MS,
         )
-        return found.bind(lambda answer: answer)
+        return result.bind(lambda answer: answer)
 
 
 def to_decision(answer):
     """Returns the Decision of a ProposalAnswer."""
     if answer.outcome == COMMITTED:
-        return Decision(DECIDED, answer.answer)
+        return Decision(COMMAND_COMMITTED, answer.answer)
     outcome = NOT_RUN if answer.outcome == REFUSED else UNKNOWN
     return Decision(outcome, reason=answer.reason)
 
 
 async def adapt_requests(inbound, adapter):
-    """Handles requests concurrently, so that the log can group them."""
+    """Handles requests concurrently, so that the log can batch them."""
     limiter = trio.CapacityLimiter(MAX_OPEN_REQUESTS)
 
     async def handle(request):
--- a/wigeonport/state_queries.py
+++ b/wigeonport/state_queries.py
@@ -1,4 +1,4 @@
-"""Queries that the owner of the replicated state evaluates."""
+"""Queries that the task that owns the replicated state evaluates."""
 
 from wigeonport.budgets import remaining_budget, required_available
 from wigeonport.fleet_states import parse_json
@@ -10,12 +10,12 @@
 
 
 class FleetQuery(Record):
-    """Reads the version in force."""
+    """Reads the fleet of the version in force."""
 
     __slots__ = ()
 
     def read(self, state):
-        """Returns the fleet document."""
+        """Returns the document of the fleet."""
         return state.fleet.fleet.to_document()
 
 
@@ -25,7 +25,7 @@
     __slots__ = ()
 
     def read(self, state):
-        """Returns version and applied index."""
+        """Returns the version number and the last applied log index."""
         return {
             "version": state.fleet.fleet.version,
             "applied_index": state.applied_index,
@@ -36,8 +36,9 @@
     """Reads the newest versions of the history.
 
     Attributes:
-        limit: Largest number of versions.
-        version: One version to show with its changes, or None.
+        limit: Maximum number of versions.
+        version: Number of the one version to return, with its changes; None
+            for the newest versions.
     """
 
     __slots__ = ("limit", "version")
@@ -47,11 +48,11 @@
         self.version = version
 
     def read(self, state):
-        """Returns versions, newest first."""
+        """Returns the versions as plain data, newest first."""
         history = state.fleet.history
         if self.version is not None:
-            chosen = [r for r in history if r.version == self.version]
-            versions = [record.to_document() for record in chosen]
+            matching = [r for r in history if r.version == self.version]
+            versions = [record.to_document() for record in matching]
         else:
             newest = list(history)[-self.limit :]
             versions = [record.summary() for record in reversed(newest)]
@@ -63,10 +64,10 @@
 
 
 class PreviewQuery(Record):
-    """Runs a patch on the version in force without submitting it.
+    """Applies a patch to a copy of the version in force for a preview.
 
     Attributes:
-        document_json: Document form of the patch as JSON text.
+        document_json: Document of the patch, as JSON text.
     """
 
     __slots__ = ("document_json",)
@@ -79,23 +80,23 @@
         fleet = state.fleet.fleet
         parsed = parse_json(self.document_json)
         if parsed.is_error():
-            return _refused("invalid", fleet, [parsed.error])
-        read = patch_from_document(parsed.ok)
-        if read.is_error():
-            return _refused("invalid", fleet, read.error.lines())
-        patch = read.ok
+            return _refusal_document("invalid", fleet, [parsed.error])
+        decoded = patch_from_document(parsed.ok)
+        if decoded.is_error():
+            return _refusal_document("invalid", fleet, decoded.error.lines())
+        patch = decoded.ok
         if patch.against_version != fleet.version:
             stated = patch.against_version
             text = f"written against version {stated}, not {fleet.version}"
-            return _refused("stale", fleet, [text])
+            return _refusal_document("stale", fleet, [text])
         result = preview(fleet, patch, state.fleet.fleet_at_version)
         if result.is_error():
-            return _refused("invalid", fleet, result.error.lines())
+            return _refusal_document("invalid", fleet, result.error.lines())
         document = {"outcome": "preview", **result.ok.to_document()}
         return document | {"lines": result.ok.lines()}
 
 
-def _refused(why, fleet, findings):
+def _refusal_document(why, fleet, findings):
     return {
         "outcome": "refused",
         "why": why,
@@ -127,29 +128,33 @@
 
 
 def pool_document(state, pool):
-    """Returns members, need and budget of a pool.
+    """Returns members, required VMs and remaining budget of a pool.
 
-    VMs that only the planner knows to be unavailable are not counted here.
+    VMs that only the planner knows to be unavailable count as available.
     """
     fleet = state.fleet.fleet
     members = state.pools.members(pool)
-    away = state.maintenance.unavailable()
+    unavailable = state.maintenance.unavailable()
     return {
         "pool": pool,
         "members": len(members),
-        "unavailable": len(away & set(members)),
+        "unavailable": len(unavailable & set(members)),
         "required": required_available(fleet, pool),
-        "spare": remaining_budget(fleet, pool, members, away),
+        "spare": remaining_budget(fleet, pool, members, unavailable),
     }
 
 
 def list_maintenance_due(state):
-    """Returns the VMs that were not maintained within the period."""
+    """Returns the ids of the VMs whose maintenance is due.
+
+    The maintenance period counts from the last maintenance of a VM, or from
+    its joining the fleet.
+    """
     fleet = state.fleet.fleet
     period_ms = fleet.maintenance_period_hours * MS_PER_HOUR
-    since = state.maintenance.joined | state.maintenance.maintained
+    counted_from_ms = state.maintenance.joined | state.maintenance.maintained
     return [
         id
         for id in sorted(fleet.workers)
-        if state.now_ms - since.get(id, 0) > period_ms
+        if state.now_ms - counted_from_ms.get(id, 0) > period_ms
     ]
--- a/wigeonport/state_requests.py
+++ b/wigeonport/state_requests.py
@@ -1,4 +1,4 @@
-"""Messages to the task that owns the replicated state, and its replies."""
+"""Messages to the task that owns the replicated state, with the replies."""
 
 import trio
 from expression import Result
@@ -16,7 +16,7 @@
 
     Attributes:
         command: The command.
-        reply: Takes one Decision.
+        reply: Reply that receives one Decision.
     """
 
     __slots__ = ("command", "reply")
@@ -27,12 +27,14 @@
 
 
 class Decision(Record):
-    """What became of a command.
+    """Outcome of a proposed command.
 
     Attributes:
         outcome: ``committed``, ``not-run`` or ``unknown``.
-        answer: Answer of the state machine if it was committed, else None.
-        reason: Why it was not committed, or why that is unknown.
+        answer: Answer of the state machine if the command was committed,
+            else None.
+        reason: Why the command was not committed, or why the outcome is
+            unknown.
     """
 
     __slots__ = ("outcome", "answer", "reason")
@@ -48,7 +50,7 @@
 
     Attributes:
         query: Has a method ``read(state)`` that returns plain data.
-        reply: Takes one StateRead.
+        reply: Reply that receives one StateRead.
     """
 
     __slots__ = ("query", "reply")
@@ -62,9 +64,9 @@
     """Result of a query.
 
     Attributes:
-        document: What the query returned, or None if it failed.
-        role: Role of the replica: ``leader``, ``follower`` and so on.
-        leader: Node id of the known leader, or an empty text.
+        document: Plain data that the query returned, or None if it failed.
+        role: Role of the replica, for example ``leader`` or ``follower``.
+        leader: Node id of the leader, or an empty text if it is not known.
         term: Term of the replica.
     """
 
@@ -78,12 +80,12 @@
 
 
 class VmHealth(Record):
-    """What the planner knows of the VMs.
+    """Health of the VMs as known to the planner.
 
     Attributes:
-        unavailable: VMs that are not known to be available.
-        not_reporting: Those of them of which there is no recent report. They may
-            run work, so taking one away may cost capacity.
+        unavailable: Ids of the VMs that are not known to be available.
+        not_reporting: Ids of those of them without a recent report. They may
+            still run work, so draining one may cost capacity.
     """
 
     __slots__ = ("unavailable", "not_reporting")
@@ -97,7 +99,8 @@
     """Asks for the VMs that are unavailable or in an unknown state.
 
     Attributes:
-        reply: Takes a VmHealth, or None if this node does not know.
+        reply: Reply that receives a VmHealth, or None if this node does not
+            know.
     """
 
     __slots__ = ("reply",)
@@ -107,11 +110,12 @@
 
 
 class StateClient:
-    """How other tasks reach the task that owns the replicated state.
+    """Sends commands and queries to the task that owns the replicated state.
 
     Attributes:
         mailbox: Mailbox of that task.
-        timeout_ms: Longest wait for a reply.
+        timeout_ms: Maximum wait: for a command once until it is delivered
+            and once for the reply, for a query in total.
     """
 
     __slots__ = ("mailbox", "timeout_ms")
@@ -128,19 +132,21 @@
     async def propose(self, command):
         """Returns the Decision on a command.
 
-        A command that was not delivered did not run; the outcome of one
-        that was delivered and not answered is unknown.
+        A command that could not be delivered has not run. The outcome of a
+        command that was delivered but not answered is unknown.
         """
         reply = Reply()
         if not await self._deliver(ProposeCommand(command, reply)):
-            return Decision(NOT_RUN, reason=f"{self.mailbox.name} is full")
+            return Decision(
+                NOT_RUN, reason=f"the mailbox {self.mailbox.name} is full"
+            )
         answer = await reply.wait(self.timeout_ms)
         if answer.is_error():
             return Decision(UNKNOWN, reason=answer.error)
         return answer.ok
 
     async def read(self, query) -> Result:
-        """Returns the StateRead of a query, or an error text."""
+        """Returns the StateRead for a query, or an error text."""
         return await ask(
             self.mailbox,
             lambda reply: ReadState(query, reply),
