--- a/tests/test_fleet_states.py
+++ b/tests/test_fleet_states.py
@@ -11,18 +11,18 @@
 
 
 def move(worker, pool):
-    """Returns the document of a move."""
+    """Returns the document of an operation that moves a VM."""
     return {"operation": "move_worker", "worker": worker, "pool": pool}
 
 
-def restart(apply):
-    """Replaces the state by its own snapshot."""
+def reload_from_snapshot(apply):
+    """Replaces the state by the one that is read from its snapshot."""
     document = json.loads(json.dumps(apply.state.to_document()))
     apply.state = state_from_document(document).ok
 
 
 def test_first_patch_builds_the_fleet(live, fleet):
-    """Guards against an example fleet that differs from its patch."""
+    """The tests' first patch must build exactly the example fleet."""
     assert live.state.fleet.fleet.to_document() == fleet.to_document()
     assert live.state.pools.members("roster") == [
         "vm-1",
@@ -33,7 +33,10 @@
 
 
 def test_stale_patch_is_refused_with_the_changes(live, submit):
-    """Guards against a stale patch that overwrites newer changes."""
+    """A patch against an old version must not overwrite newer changes.
+
+    The refusal lists them, so that the operator can rewrite the patch.
+    """
     submit("p-2", 1, move("vm-5", "roster"), author="bayo")
     before = live.state.fleet.fleet
     answer = submit("p-3", 1, move("vm-5", "notices"))
@@ -46,47 +49,50 @@
 
 
 def test_only_one_of_two_concurrent_patches_is_accepted(live, submit):
-    """Guards against two patches accepted against one version."""
+    """Two patches against the same version must not both be accepted."""
     answers = [submit(f"p-{n}", 1, move(f"vm-{n}", "roster")) for n in (5, 6)]
     assert [type(a) for a in answers] == [PatchAccepted, PatchRefused]
 
 
-def test_version_from_the_future_is_refused(live, submit):
-    """Guards against a patch for a version that nobody has seen."""
+def test_patch_against_a_later_version_is_refused(live, submit):
+    """A patch against a version that does not exist must be refused."""
     answer = submit("p-2", 7, move("vm-5", "roster"))
     assert answer.why == "stale"
     assert "version 7 does not exist" in answer.findings[0]
 
 
 def test_resent_patch_gets_its_first_answer(live, submit):
-    """Guards against a resend that is applied twice or called stale."""
+    """A resent patch must not be applied twice or refused as stale."""
     first = submit("p-2", 1, move("vm-5", "roster"))
     submit("p-3", 2, move("vm-6", "roster"))
-    restart(live)
+    reload_from_snapshot(live)
     assert submit("p-2", 1, move("vm-5", "roster")) == first
     assert first == PatchAccepted("p-2", 2)
     assert live.state.fleet.fleet.version == 3
 
 
 def test_resent_refusal_is_unchanged(live, submit):
-    """Guards against a refusal that turns into an acceptance later."""
+    """A refused patch must stay refused when it is sent again.
+
+    Its version may exist by then, although the sender has given it up.
+    """
     first = submit("p-2", 2, move("vm-5", "roster"))
     submit("p-3", 1, move("vm-6", "roster"))
-    restart(live)
+    reload_from_snapshot(live)
     assert submit("p-2", 2, move("vm-5", "roster")) == first
     assert first.why == "stale"
 
 
 def test_patch_id_with_other_content_is_a_conflict(live, submit):
-    """Guards against an answer that belongs to another patch."""
+    """A reused patch id must not return the answer to another patch."""
     submit("p-2", 1, move("vm-5", "roster"))
     answer = submit("p-2", 1, move("vm-6", "roster"))
     assert answer.why == "conflict"
     assert live.state.fleet.fleet.version == 2
 
 
-def test_forgotten_patch_is_still_not_applied_twice(live, submit):
-    """Guards against a resend after the answer's retention."""
+def test_patch_with_expired_answer_is_not_applied_twice(live, submit):
+    """A resend after its stored answer expired must not be applied again."""
     submit("p-2", 1, move("vm-5", "roster"))
     live.now_ms += WEEK_MS + 1
     answer = submit("p-2", 1, move("vm-5", "roster"))
@@ -94,7 +100,7 @@
 
 
 def test_number_of_answers_is_bounded(live, submit, monkeypatch):
-    """Guards against answers that fill the memory."""
+    """Stored answers must not grow without bound."""
     monkeypatch.setattr(fleet_states, "MAX_RETAINED_ANSWERS", 3)
     for n in range(5):
         submit(f"q-{n}", 9, move("vm-5", "roster"))
@@ -102,18 +108,23 @@
 
 
 def test_restore_goes_back_as_a_new_version(live, submit, fleet):
-    """Guards against a restore that loses records or reuses a number."""
+    """A restore must not lose records or reuse a version number."""
     submit("p-2", 1, move("vm-5", "roster"))
     submit("p-3", 2, {"operation": "remove_worker", "id": "vm-8"})
-    restart(live)
+    reload_from_snapshot(live)
     answer = submit("p-4", 3, {"operation": "restore", "version": 1})
     assert answer == PatchAccepted("p-4", 4)
     expected = fleet.to_document() | {"version": 4}
     assert live.state.fleet.fleet.to_document() == expected
 
 
-def test_history_is_bounded_and_says_what_it_forgot(live, submit, monkeypatch):
-    """Guards against an unbounded history and a partial difference."""
+def test_history_is_bounded_and_marks_missing_versions(
+    live, submit, monkeypatch
+):
+    """Changes since a dropped version must not be reported as complete.
+
+    The history must not grow without bound, so old versions are dropped.
+    """
     monkeypatch.setattr(fleet_states, "MAX_RETAINED_VERSIONS", 2)
     for n in range(1, 4):
         hours = {"operation": "set_maintenance_period", "hours": n}
@@ -126,7 +137,10 @@
 
 
 def test_long_difference_is_cut_and_marked(live, submit, monkeypatch):
-    """Guards against an answer that exceeds a frame."""
+    """A long list of changes must be cut, and marked as incomplete.
+
+    Uncut, the answer could exceed the maximum size of a frame.
+    """
     monkeypatch.setattr(fleet_states, "MAX_LISTED_CHANGES", 1)
     submit("p-2", 1, move("vm-5", "roster"), move("vm-6", "roster"))
     answer = submit("p-3", 1, move("vm-7", "roster"))
@@ -135,7 +149,10 @@
 
 
 def test_malformed_patch_in_the_log_is_refused(live):
-    """Guards against a command that stops every replica."""
+    """A malformed patch in the log must not stop the replicas.
+
+    Every replica would fail at the same entry.
+    """
     for text in ("", "[", "[]", "{}", '{"id": 3}', "[" * 100_000, "NaN"):
         answer = live(SubmitPatch(text))
         assert answer.why == "invalid"
--- a/tests/test_health_brokers.py
+++ b/tests/test_health_brokers.py
@@ -1,4 +1,4 @@
-"""Tests of the health of the VMs that followers ask the leader for."""
+"""Tests of health brokers: followers ask the leader for VM health."""
 
 import pytest
 import trio
@@ -12,8 +12,8 @@
 CODEC = codecs.get("thrift").ok()
 
 
-class Answerer:
-    """A mailbox that answers each message at once."""
+class FixedReplyMailbox:
+    """Mailbox that answers each message at once with the same value."""
 
     name = "answerer"
 
@@ -21,31 +21,31 @@
         self.answer = answer
 
     async def put(self, message):
-        """Answers a message."""
+        """Answers a message and reports it as delivered."""
         message.reply.send(self.answer)
         return True
 
 
 class LeaderStatus:
-    """Stands for the Status of a follower."""
+    """Stands for the status of a follower, which names the leader."""
 
     leader_id = "leader/1"
 
 
 class LeaderLink:
-    """A dialer whose messages pass through the codec."""
+    """Dialer to the leader that encodes and decodes each message."""
 
     def __init__(self, broker):
         self.broker = broker
         self.response = None
 
     def submit(self, outgoing):
-        """Takes the response of the leader."""
+        """Receives the response of the leader."""
         self.response = CODEC.decode(CODEC.encode(outgoing.message)).ok
         return True
 
     async def ask(self, message, timeout_ms):
-        """Hands a call to the leader's broker; returns its response."""
+        """Passes a call to the leader's broker; returns its response."""
         sent = CODEC.decode(CODEC.encode(message)).ok
         assert isinstance(sent, HealthRequest)
         await self.broker.handle(Delivery(sent, None, self, 1))
@@ -54,13 +54,18 @@
 
 @pytest.fixture
 def ask_follower():
-    """Returns what a follower learns of a leader's health."""
+    """Returns a function that gives a follower's view of a leader's health.
+
+    The function takes the VmHealth that the leader's planner answers.
+    """
 
     def ask(health):
-        leader = HealthBroker(Answerer(None), Answerer(health), {})
+        leader = HealthBroker(
+            FixedReplyMailbox(None), FixedReplyMailbox(health), {}
+        )
         follower = HealthBroker(
-            Answerer(LeaderStatus()),
-            Answerer(None),
+            FixedReplyMailbox(LeaderStatus()),
+            FixedReplyMailbox(None),
             {"leader": LeaderLink(leader)},
         )
         return trio.run(follower.find_health)
@@ -69,10 +74,11 @@
 
 
 def test_follower_learns_the_health_from_the_leader(ask_follower):
-    """Guards against a reply that cannot be sent and ends the leader.
+    """A reply that cannot be encoded must not stop the leader.
 
-    Asking a control that did not lead for a grant ended the control that
-    did, because the reply held an object where the wire has texts.
+    This happened: a control that did not lead was asked for a grant and asked
+    the leader, whose reply held an object where the thrift struct has texts.
+    The leader's process ended.
     """
     health = ask_follower(VmHealth(["vm-1", "vm-2"], ["vm-2"]))
     assert health.unavailable == ["vm-1", "vm-2"]
@@ -80,5 +86,5 @@
 
 
 def test_unknown_health_stays_unknown(ask_follower):
-    """Guards against a grant that takes unknown VMs for healthy ones."""
+    """VMs of unknown health must not be granted as if they were healthy."""
     assert ask_follower(None) is None
--- a/tests/test_histories.py
+++ b/tests/test_histories.py
@@ -1,4 +1,4 @@
-"""Tests of the events that a process records of what it learns."""
+"""Tests of the events that a process records from notices."""
 
 import pytest
 import trio
@@ -15,7 +15,7 @@
 
 @pytest.fixture
 def record(clock):
-    """Returns a function that records notices and returns the events."""
+    """Returns a function that records notices and returns their events."""
 
     def run(*notices):
         events = EventLog("entry/a", clock, LamportCounter(), 100)
@@ -34,7 +34,10 @@
 
 
 def test_changes_of_endpoints_are_recorded(record):
-    """Guards against a time line that hides why work stopped."""
+    """An endpoint that leaves or is lost must appear in the time line.
+
+    Otherwise an operator can't see why its work stopped.
+    """
     leaving = EndpointRecord(
         "e1", "roster", "ikeja", "127.0.0.1", 1, 8, 64, "leaving", 1, 2
     )
@@ -54,7 +57,10 @@
 
 
 def test_committed_patches_and_leaders_are_recorded(record):
-    """Guards against a time line without the cause of a new version."""
+    """The patch that made a version must appear in the time line.
+
+    So must the election of a leader.
+    """
     applied = Applied(7, 2, SubmitPatch("{}"), PatchAccepted("p1", 3))
     (kind, fields), (change, leader) = record(
         applied, LeadershipNotice(2, "a/1")
@@ -67,6 +73,6 @@
     assert (change, leader["term"]) == ("leader.changed", 2)
 
 
-def test_unknown_notices_are_passed_over(record):
-    """Guards against a notice without a recorder that ends the task."""
+def test_notices_without_a_recorder_are_ignored(record):
+    """A notice without a recorder must not end the task."""
     assert record(object()) == []
--- a/tests/test_key_sets.py
+++ b/tests/test_key_sets.py
@@ -1,4 +1,4 @@
-"""Tests of the compact sets of keys."""
+"""Tests of the compact sets of key hashes."""
 
 import json
 
@@ -16,27 +16,30 @@
     items=st.lists(
         st.tuples(st.integers(0, 300), st.integers(0, 30)), max_size=80
     ),
-    later=st.integers(0, 60),
+    expiry_hour=st.integers(0, 60),
 )
 @settings(max_examples=100, derandomize=True, deadline=None)
-def test_set_agrees_with_a_plain_one(items, later):
-    """Guards against keys that are lost by merging or by a snapshot."""
+def test_set_agrees_with_a_model(items, expiry_hour):
+    """Merges, expiry and snapshots must not lose keys or keep old ones.
+
+    A dict serves as the model.
+    """
     keys, model = KeySet(DAY_MS), {}
     for number, hour in items:
         keys.add(hash_key(str(number)), hour * HOUR_MS)
         model.setdefault(number, hour)
-    keys.expire(later * HOUR_MS)
-    kept = {n for n, hour in model.items() if hour >= later - 24}
+    keys.expire(expiry_hour * HOUR_MS)
+    kept = {n for n, hour in model.items() if hour >= expiry_hour - 24}
     document = json.loads(json.dumps(keys.to_document()))
-    again = key_set_from_document(document, DAY_MS)
-    for found in (keys, again):
-        assert found.count == len(kept)
-        assert {n for n in range(301) if hash_key(str(n)) in found} == kept
-    assert again.to_document() == document
+    reloaded = key_set_from_document(document, DAY_MS)
+    for key_set in (keys, reloaded):
+        assert key_set.count == len(kept)
+        assert {n for n in range(301) if hash_key(str(n)) in key_set} == kept
+    assert reloaded.to_document() == document
 
 
 def test_many_keys_are_merged(monkeypatch):
-    """Guards against keys that get lost when a bucket is merged."""
+    """Merging a bucket must not lose keys or count a key twice."""
     monkeypatch.setattr(key_sets, "MIN_MERGE_HASHES", 16)
     keys = KeySet(DAY_MS)
     for number in range(1_000):
@@ -49,6 +52,6 @@
 
 
 def test_hash_separates_its_texts():
-    """Guards against two pairs that look the same when joined."""
+    """Two pairs whose joined texts are equal must have different hashes."""
     assert hash_key("ab", "c") != hash_key("a", "bc")
     assert hash_key("ab") != hash_key("ab", "")
--- a/tests/test_maintenance_states.py
+++ b/tests/test_maintenance_states.py
@@ -27,7 +27,7 @@
 
 @pytest.fixture
 def grant(live):
-    """Returns a function that requests a grant."""
+    """Returns a function that requests a grant for some VMs."""
 
     def request(id, *workers, purpose="drain", unavailable=()):
         return live(
@@ -46,7 +46,7 @@
 
 
 def test_grant_stays_within_the_budget(live, grant):
-    """Guards against a wave that exceeds the budget (R1)."""
+    """A second grant must not exceed the pool's budget (R1)."""
     first = grant("g-1", "vm-1")
     assert first == GrantGiven("g-1", ["vm-1"], live.now_ms + LEASE_MS)
     refused = grant("g-2", "vm-2")
@@ -54,18 +54,21 @@
 
 
 def test_unknown_vms_count_as_unavailable(grant):
-    """Guards against a grant that trusts VMs nobody hears of (R1)."""
+    """A VM that the sender does not know to be available uses budget (R1)."""
     assert isinstance(grant("g-1", "vm-1", unavailable=["vm-2"]), GrantRefused)
 
 
-def test_vm_that_is_away_already_costs_no_budget(grant):
-    """Guards against a broken VM that can never be repaired."""
+def test_vm_that_is_already_unavailable_costs_no_budget(grant):
+    """A VM that is already unavailable must be grantable for its repair.
+
+    If it counted against the budget again, it could not be repaired.
+    """
     answer = grant("g-1", "vm-1", unavailable=["vm-1"])
     assert isinstance(answer, GrantGiven)
 
 
 def test_resent_request_gets_the_same_grant(live, grant):
-    """Guards against a resend that takes a second VM or is refused."""
+    """A resent request must not be refused or be granted a second VM."""
     first = grant("g-1", "vm-1")
     assert grant("g-1", "vm-1") == first
     assert isinstance(grant("g-1", "vm-2"), GrantRefused)
@@ -73,10 +76,10 @@
     assert "ended before" in grant("g-1", "vm-1").findings[0]
 
 
-def test_vms_of_unknown_state_are_not_granted_for_nothing(grant):
-    """Guards against a grant for a whole pool that nobody has heard of.
+def test_vms_of_unknown_state_are_not_granted_beyond_the_budget(grant):
+    """A whole pool of VMs in an unknown state must not be granted.
 
-    The demo found it: three VMs that the planner did not know to be
+    This happened in the demo: three VMs that the planner did not know to be
     available were granted, although the budget is two.
     """
     names = ["vm-1", "vm-2", "vm-3"]
@@ -84,7 +87,10 @@
 
 
 def test_vm_of_an_expired_lease_counts_as_unavailable(live, grant):
-    """Guards against a lease whose end frees budget by itself (R1)."""
+    """The expiry of a lease must not free budget (R1).
+
+    The VM is unavailable until it is reported back and its hold has ended.
+    """
     grant("g-1", "vm-1")
     live.now_ms += LEASE_MS
     assert isinstance(grant("g-2", "vm-2"), GrantRefused)
@@ -97,7 +103,10 @@
 
 
 def test_repaired_vm_is_held_before_it_counts(live, grant):
-    """Guards against a second VM lost right after a repair (R1)."""
+    """Budget must not be freed before the hold of a returned VM ends (R1).
+
+    If the VM failed right after its repair, a second one would be lost.
+    """
     grant("g-1", "vm-1")
     live(EndGrant("g-1", ["vm-1"], HOLD_MS))
     assert isinstance(grant("g-2", "vm-2"), GrantRefused)
@@ -106,22 +115,22 @@
 
 
 def test_vm_that_is_not_back_stays_missing(live, grant):
-    """Guards against a VM that is counted before it is back (R1)."""
+    """A VM must not count as available before it is reported back (R1)."""
     grant("g-1", "vm-1")
     assert live(EndGrant("g-1", [], 0)) == GrantEnded("g-1", ["vm-1"])
     assert isinstance(grant("g-2", "vm-2"), GrantRefused)
 
 
 def test_renewal_never_shortens_a_lease(live, grant):
-    """Guards against a renewal that ends a lease early."""
+    """A renewal with a shorter lease must not end the lease early."""
     first = grant("g-1", "vm-1")
     assert live(RenewGrant("g-1", 1)).expires_ms == first.expires_ms
     longer = live(RenewGrant("g-1", LEASE_MS))
     assert longer.expires_ms == live.now_ms + LEASE_MS
 
 
-def test_maintenance_waits_for_its_window_and_for_a_pause(live, grant):
-    """Guards against maintenance while it is paused or outside windows."""
+def test_maintenance_waits_for_its_window_and_the_end_of_a_pause(live, grant):
+    """Maintenance must not start outside its windows or during a pause."""
     live.now_ms = 12 * 3_600_000
     closed = grant("g-1", "vm-1", purpose="maintenance")
     assert closed.findings == ["no window of VM 'vm-1' is open"]
@@ -135,8 +144,11 @@
     assert isinstance(answer, GrantGiven)
 
 
-def test_finished_maintenance_is_remembered(live, grant):
-    """Guards against a VM that is maintained twice or never."""
+def test_finished_maintenance_is_recorded(live, grant):
+    """Only a VM whose maintenance is finished counts as maintained.
+
+    Otherwise VMs would be maintained twice or not at all.
+    """
     grant("g-1", "vm-2", purpose="maintenance")
     live(ConfirmDrain("g-1", "vm-2"))
     live(EndGrant("g-1", ["vm-2"], 0))
@@ -147,13 +159,13 @@
 
 
 def test_unknown_purpose_names_the_known_ones(grant):
-    """Guards against a purpose that skips every check."""
+    """A grant with an unknown purpose must not skip the checks."""
     text = grant("g-1", "vm-1", purpose="fun").findings[0]
     assert "known: drain, maintenance, move" in text
 
 
 def test_vm_moves_in_one_step_after_its_drain(live, submit, grant):
-    """Guards against a VM in two pools or none (R2), or undrained (R7)."""
+    """A VM must not be in two pools or none (R2), or move undrained (R7)."""
     submit("p-2", 1, MOVE)
     finish = FinishMove("g-1", "vm-5", "notices", "roster", HOLD_MS)
     assert isinstance(live(finish), MoveRefused)
@@ -169,7 +181,10 @@
 
 
 def test_move_that_a_newer_version_withdrew_is_refused(live, submit, grant):
-    """Guards against a VM that is not where the version says."""
+    """A move that a newer version withdrew must not be finished.
+
+    The VM would end up in a pool that the version does not assign.
+    """
     submit("p-2", 1, MOVE)
     grant("g-1", "vm-5", purpose="move")
     live(ConfirmDrain("g-1", "vm-5"))
@@ -180,7 +195,7 @@
 
 
 def test_removed_vm_stays_a_member_until_it_is_drained(live, submit, grant):
-    """Guards against running work that is cut off by a removal (R7)."""
+    """The removal of a VM must not cut off its running work (R7)."""
     submit("p-2", 1, {"operation": "remove_worker", "id": "vm-8"})
     assert live.state.pools.pending(live.state.fleet.fleet) == [
         ("vm-8", "notices", None)
@@ -192,7 +207,7 @@
 
 
 def test_move_grant_needs_a_pending_move(grant):
-    """Guards against a drain without a cause."""
+    """A VM without a pending move must not be drained for one."""
     text = grant("g-1", "vm-5", purpose="move").findings[0]
     assert text == "VM 'vm-5' is where the version says"
 
@@ -200,7 +215,7 @@
 def test_incoming_vms_do_not_free_budget_before_they_arrive(
     live, submit, grant
 ):
-    """Guards against budget counted on VMs that are elsewhere (R1)."""
+    """A VM must not add to the budget of a pool before it has moved (R1)."""
     submit(
         "p-2",
         1,
--- a/tests/test_states.py
+++ b/tests/test_states.py
@@ -27,22 +27,22 @@
 from wigeonport.states import Entry, ReplicatedState, state_from_document
 
 NAMES = st.sampled_from(["vm-1", "vm-2", "vm-3", "g-1", "g-2", "k", "a"])
-SMALL = st.integers(min_value=-1, max_value=50_000_000)
-SAMPLES = {
+TIMES_MS = st.integers(min_value=-1, max_value=50_000_000)
+FIELD_STRATEGIES = {
     "workers": st.lists(NAMES, max_size=3),
     "unavailable": st.lists(NAMES, max_size=2),
     "healthy": st.lists(NAMES, max_size=2),
     "purpose": st.sampled_from(["maintenance", "drain", "move", "x"]),
     "scope": st.sampled_from(["all", "p", "q"]),
-    "lease_ms": SMALL,
-    "hold_ms": SMALL,
+    "lease_ms": TIMES_MS,
+    "hold_ms": TIMES_MS,
     "response": st.binary(max_size=20),
     "source": st.sampled_from(["p", "q"]),
     "target": st.sampled_from(["p", "q", None]),
 }
 JOBS = st.sampled_from(["00000000000000aa", "00000000000000bb"])
 TASKS = JOBS.map(lambda job: f"{job}.0.0.0")
-RUNS = st.integers(min_value=1, max_value=3)
+COUNTS = st.integers(min_value=1, max_value=3)
 SPEC = JobSpec("text", [Step({"count": 2}), Step({"depends_on": [0]})])
 BATCH_OPERATIONS = st.one_of(
     st.builds(SubmitJob, JOBS, NAMES, st.just(SPEC.to_json())),
@@ -50,22 +50,22 @@
     st.builds(
         lambda task, run, worker: StartRuns([task], [run], worker),
         TASKS,
-        RUNS,
+        COUNTS,
         NAMES,
     ),
     st.builds(
         lambda task, run, outcome: EndRuns([task], [run], [outcome], [""]),
         TASKS,
-        RUNS,
+        COUNTS,
         st.sampled_from(["done", "failed", "lost"]),
     ),
-    st.builds(OpenWave, RUNS, st.lists(NAMES, max_size=3), SMALL, RUNS),
-    st.builds(OrderMachine, NAMES, st.just("upkeep"), RUNS.map(str)),
+    st.builds(OpenWave, COUNTS, st.lists(NAMES, max_size=3), TIMES_MS, COUNTS),
+    st.builds(OrderMachine, NAMES, st.just("upkeep"), COUNTS.map(str)),
     st.builds(ConfirmMachine, NAMES),
     st.builds(SettleMachine, NAMES, st.booleans()),
 )
-SAMPLES |= {
-    "time_ms": SMALL,
+FIELD_STRATEGIES |= {
+    "time_ms": TIMES_MS,
     "operations": st.lists(BATCH_OPERATIONS, max_size=3).map(
         encode_operations
     ),
@@ -106,17 +106,17 @@
 
 
 def commands():
-    """Returns a strategy of commands of all kinds."""
+    """Returns a strategy that draws commands of all registered kinds."""
     special = {"SubmitPatch": PATCHES.map(state_commands.SubmitPatch)}
     kinds = []
     for kind in HANDLERS.entries:
-        fields = [SAMPLES.get(name, NAMES) for name in kind.__slots__]
+        fields = [FIELD_STRATEGIES.get(name, NAMES) for name in kind.__slots__]
         kinds.append(special.get(kind.__name__, st.builds(kind, *fields)))
     return st.one_of(kinds)
 
 
 def first_patch():
-    """Returns the command that builds a fleet of two pools."""
+    """Returns the command that builds a fleet of two pools, p and q."""
     place = {"zone": "z", "rack": "r", "processors": 1, "memory_mb": 1}
     records = {
         "regions": [{"id": "e"}],
@@ -151,56 +151,74 @@
 
 
 @given(
-    steps=st.lists(st.tuples(commands(), SMALL, st.booleans()), max_size=25)
+    steps=st.lists(st.tuples(commands(), TIMES_MS, st.booleans()), max_size=25)
 )
 @settings(max_examples=150, derandomize=True, deadline=None)
 def test_replicas_and_snapshots_agree(steps):
-    """Guards against replicas that diverge or snapshots that lose state."""
+    """Replicas must not diverge, and a snapshot must not lose state.
+
+    One replica applies the commands as they are. The other applies them after
+    encoding and decoding, and is sometimes replaced by the one read from its
+    snapshot.
+    """
     codec = codecs.get("thrift").ok()
-    one, other = ReplicatedState(), ReplicatedState()
+    replica, reloaded = ReplicatedState(), ReplicatedState()
     now_ms = 0
     steps = [(first_patch(), 1, False), *steps]
-    for index, (command, pass_ms, restart) in enumerate(steps, start=1):
-        now_ms += pass_ms
+    for index, (command, elapsed_ms, reload) in enumerate(steps, start=1):
+        now_ms += elapsed_ms
         sent = codec.decode(codec.encode(command)).ok
-        answer = one.apply(Entry(index, now_ms, command))
-        assert other.apply(Entry(index, now_ms, sent)) == answer
+        answer = replica.apply(Entry(index, now_ms, command))
+        assert reloaded.apply(Entry(index, now_ms, sent)) == answer
         assert codec.decode(codec.encode(answer)).ok == answer
-        if restart:
-            document = json.loads(json.dumps(other.to_document()))
-            other = state_from_document(document).ok
-        assert one.to_document() == other.to_document()
-        assert one.claims.total_bytes() == other.claims.total_bytes()
+        if reload:
+            document = json.loads(json.dumps(reloaded.to_document()))
+            reloaded = state_from_document(document).ok
+        assert replica.to_document() == reloaded.to_document()
+        assert replica.claims.total_bytes() == reloaded.claims.total_bytes()
 
 
 @given(
-    steps=st.lists(st.tuples(commands(), SMALL), max_size=30),
+    steps=st.lists(st.tuples(commands(), TIMES_MS), max_size=30),
 )
 @settings(max_examples=150, derandomize=True, deadline=None)
 def test_every_vm_keeps_exactly_one_pool_and_grants_keep_the_budget(steps):
-    """Guards R1 and R2 against any order of commands."""
+    """No order of commands may put a VM in no pool or exceed the budget.
+
+    Rules R1 (budget) and R2 (one pool for each VM). Service s is promised one
+    available VM of pool p.
+    """
     state = ReplicatedState()
     now_ms = 0
     steps = [(first_patch(), 1), *steps]
-    for index, (command, pass_ms) in enumerate(steps, start=1):
-        now_ms += pass_ms
+    for index, (command, elapsed_ms) in enumerate(steps, start=1):
+        now_ms += elapsed_ms
         before = dict(state.pools.pools)
-        taken = state.maintenance.unavailable()
+        unavailable_before = state.maintenance.unavailable()
         state.apply(Entry(index, now_ms, command))
         for worker in before.keys() - state.pools.pools.keys():
             assert worker not in state.fleet.fleet.workers
         for worker in state.fleet.fleet.workers:
             assert state.pools.pools[worker] in ("p", "q")
-        newly = state.maintenance.unavailable() - taken
-        if isinstance(command, state_commands.RequestGrant) and newly:
+        newly_unavailable = (
+            state.maintenance.unavailable() - unavailable_before
+        )
+        if (
+            isinstance(command, state_commands.RequestGrant)
+            and newly_unavailable
+        ):
             members = set(state.pools.members("p"))
             away = state.maintenance.unavailable() & members
-            if newly & members:
+            if newly_unavailable & members:
                 assert len(members - away) >= 1
 
 
 def test_time_never_goes_back(apply):
-    """Guards against a leader whose clock is behind."""
+    """A new leader whose clock is behind must not turn the time back.
+
+    Records expire in order of their times, so one with an earlier time than
+    the records before it would be kept too long.
+    """
     apply.state.apply(Entry(1, 5_000, ClaimKey("k", "d", "a")))
     apply.state.apply(Entry(2, 1_000, ClaimKey("l", "d", "a")))
     assert apply.state.now_ms == 5_000
@@ -208,7 +226,7 @@
 
 
 def test_entry_applied_twice_has_no_effect(apply):
-    """Guards against an entry that is replayed after a snapshot."""
+    """An entry that is replayed after a snapshot must not run twice."""
     entry = Entry(1, 1, ClaimKey("k", "d", "a"))
     apply.state.apply(entry)
     before = apply.state.to_document()
@@ -217,18 +235,18 @@
 
 
 def test_entry_without_command_only_advances(apply):
-    """Guards against a leader's first entry that is taken for an error."""
+    """The empty entry of a new leader must not be treated as an error."""
     assert apply(None) is None
     assert apply.state.applied_index == 1
 
 
 def test_command_without_handler_is_refused(apply):
-    """Guards against a newer command that stops an older replica."""
+    """A command of a newer release must not stop an older replica."""
     assert apply(object()) == CommandRefused("no handler for object")
 
 
 def test_every_command_has_a_handler_and_a_layout():
-    """Guards against a command that cannot be encoded or applied."""
+    """A command without handler or thrift struct could not be replicated."""
     defined = [
         value
         for value in vars(state_commands).values()
@@ -247,17 +265,17 @@
     "document", [None, [], {}, {"format": 2}, {"format": 1}]
 )
 def test_malformed_snapshot_is_a_finding(document):
-    """Guards against a traceback, or half a state, from a bad snapshot."""
+    """A malformed snapshot must not raise or be read in part."""
     assert state_from_document(document).error.lines()
 
 
 @given(name=st.sampled_from(sorted(ReplicatedState.__slots__)), data=st.data())
 @settings(max_examples=80, derandomize=True, deadline=None)
 def test_damaged_part_of_a_snapshot_is_a_finding(name, data):
-    """Guards against a traceback from a damaged snapshot."""
+    """One damaged part of a snapshot must not raise an exception."""
     document = ReplicatedState().to_document()
     document[name] = data.draw(
         st.none() | st.text() | st.lists(st.none(), max_size=2) | st.just({})
     )
-    read = state_from_document(document)
-    assert read.is_ok() or read.error.lines()
+    result = state_from_document(document)
+    assert result.is_ok() or result.error.lines()
