Sharpen six docstrings of the state and its brokers

Cause: a second reading found sentences that left out when None is returned or what a finding is for. Change: docstrings, one comment and one test local.

--- a/tests/test_states.py
+++ b/tests/test_states.py
@@ -183,7 +183,7 @@
 )
 @settings(max_examples=150, derandomize=True, deadline=None)
 def test_every_vm_keeps_exactly_one_pool_and_grants_keep_the_budget(steps):
-    """No order of commands may put a VM in no pool or exceed the budget.
+    """No order of commands may leave a VM without a pool or exceed a budget.
 
     Rules R1 (budget) and R2 (one pool for each VM). Service s is promised one
     available VM of pool p.
@@ -208,9 +208,9 @@
             and newly_unavailable
         ):
             members = set(state.pools.members("p"))
-            away = state.maintenance.unavailable() & members
+            unavailable = state.maintenance.unavailable() & members
             if newly_unavailable & members:
-                assert len(members - away) >= 1
+                assert len(members - unavailable) >= 1
 
 
 def test_time_never_goes_back(apply):
--- a/wigeonport/fleet_states.py
+++ b/wigeonport/fleet_states.py
@@ -21,8 +21,8 @@
 # Two days of history at 1,900 configuration changes a day.
 MAX_RETAINED_VERSIONS = 4_000
 MAX_RETAINED_CHANGES = 200_000
-# Stored answers only tell the sender of a resent patch what happened: a patch
-# is not accepted twice without them either, because the version it was
+# Stored answers only tell the sender of a resent patch what happened. Even
+# without them a patch can't be accepted twice, because the version it was
 # written against stays stale. A week covers an operator's absence.
 ANSWER_RETENTION_MS = 7 * 24 * 3_600_000
 MAX_RETAINED_ANSWERS = 20_000
--- a/wigeonport/health_brokers.py
+++ b/wigeonport/health_brokers.py
@@ -77,7 +77,10 @@
             message.reply.send(await self.find_health())
 
     async def ask_planner(self):
-        """Returns the VmHealth of this control, None if it does not lead."""
+        """Returns the VmHealth of the local planner.
+
+        None if this control does not lead or its planner does not answer.
+        """
         answer = await ask(self.planner, VmHealthQuery, TIMEOUT_MS)
         return answer.default_value(None)
 
--- a/wigeonport/maintenance_handlers.py
+++ b/wigeonport/maintenance_handlers.py
@@ -116,7 +116,7 @@
 
 @HANDLERS.register(ReturnWorker)
 def handle_return_worker(state, command, now_ms):
-    """Replaces the missing state of a VM by a hold, after which it counts."""
+    """Marks a missing VM as back; it counts as available after its hold."""
     if command.worker not in state.maintenance.missing:
         return CommandRefused(f"VM {command.worker!r} is not missing")
     if not 0 <= command.hold_ms <= MAX_HOLD_MS:
--- a/wigeonport/maintenance_states.py
+++ b/wigeonport/maintenance_states.py
@@ -1,4 +1,4 @@
-"""Replicated part: grants, which lease VMs out of availability budgets."""
+"""Replicated part: maintenance grants, leases limited by the budgets."""
 
 from wigeonport.budgets import remaining_budget
 from wigeonport.records import Record
@@ -239,7 +239,7 @@
 
 
 def _budget_findings(state, command):
-    """Returns the pools whose budget the grant would exceed.
+    """Returns a finding for each pool whose budget the grant would exceed.
 
     A VM that is granted, missing or held already does not count against the
     budget. A VM that only the sender reports as unavailable may still run
--- a/wigeonport/state_adapters.py
+++ b/wigeonport/state_adapters.py
@@ -70,8 +70,8 @@
         """Returns the StateRead for a query.
 
         The read is linearizable if a quorum answers. Otherwise the local
-        state is read, which may be outdated; role and leader in the
-        StateRead tell.
+        state is read, which may be outdated; the role and the leader in
+        the StateRead show that.
         """
         document = await self.evaluate(query, True)
         if document.is_error():
