--- a/tests/operator_fakes.py
+++ b/tests/operator_fakes.py
@@ -17,7 +17,7 @@
     NOT_RUN,
     Decision,
     ReadState,
-    StatePort,
+    StateClient,
     StateRead,
     VmHealth,
 )
@@ -48,7 +48,7 @@
         self.mode = "commit"
         self.refusals = -1
         self.unavailable = []
-        self.unheard = []
+        self.not_reporting = []
         self.statuses = []
         self.index = 0
         self.consensus = Mailbox("consensus", 8)
@@ -57,7 +57,7 @@
         settings = Settings({"node_id": "ikeja-1", "cluster_id": "lagos"})
         settings.availability_zone = "ikeja"
         clock = ManualClock(1_000_000, 1_700_000_000_000)
-        port = StatePort(self.consensus, timeout_ms)
+        port = StateClient(self.consensus, timeout_ms)
         control = OperatorControl(
             settings, clock, port, self.publisher, self.health
         )
@@ -110,7 +110,7 @@
         async for message in self.health:
             health = None
             if self.unavailable is not None:
-                health = VmHealth(self.unavailable, self.unheard)
+                health = VmHealth(self.unavailable, self.not_reporting)
             message.reply.send(health)
 
     def report(self, process, version, silent_ms=0):
--- a/wigeonport/plan_drivers.py
+++ b/wigeonport/plan_drivers.py
@@ -33,7 +33,7 @@
     ResumeMaintenance,
     ReturnWorker,
 )
-from wigeonport.state_requests import UnavailableQuery, VmHealth
+from wigeonport.state_requests import VmHealth, VmHealthQuery
 from wigeonport.view_builders import PLANNER_AUTHOR, build_fleet_loaded
 
 logger = PartLogger("planner")
@@ -115,7 +115,7 @@
 
     async def handle(self, message):
         """Handles one message."""
-        if isinstance(message, UnavailableQuery):
+        if isinstance(message, VmHealthQuery):
             message.reply.send(self.find_vm_health())
         elif isinstance(message, Delivery):
             self.add_demand_report(message.message)
@@ -138,12 +138,12 @@
             for vm in view.fleet.vms.values()
             if not is_available(view, vm, now_ms)
         ]
-        unheard = [
+        not_reporting = [
             vm.name
             for vm in unavailable
             if not vm.missing and not is_reported_alive(view, vm, now_ms)
         ]
-        return VmHealth([vm.name for vm in unavailable], unheard)
+        return VmHealth([vm.name for vm in unavailable], not_reporting)
 
     def add_demand_report(self, report):
         """Adds an entry's report and forwards it to the leader."""
@@ -271,5 +271,5 @@
 async def answer_without_platform(inbound):
     """Answers every query that the health of the VMs is unknown."""
     async for message in inbound:
-        if isinstance(message, UnavailableQuery):
+        if isinstance(message, VmHealthQuery):
             message.reply.send(None)
