--- a/tests/test_patches.py
+++ b/tests/test_patches.py
@@ -63,7 +63,7 @@
     A fault of the resulting fleet counts for the operation that caused it.
     """
     loaded = load_bytes(PATCH_YAML, "p.yaml").ok
-    patch = patch_from_document(loaded.value, loaded.places).ok
+    patch = patch_from_document(loaded.value, loaded.source_map).ok
     lines = patch.apply(fleet).error.lines()
     assert any(
         line.startswith("p.yaml:11: operations[2].worker: worker 'vm-99'")
--- a/tests/test_yaml_documents.py
+++ b/tests/test_yaml_documents.py
@@ -11,8 +11,8 @@
     """Guards against findings that point at the wrong line."""
     loaded = load_bytes(b"# note\na:\n  - b: 1\n  - {c: 2}\n", "x").ok
     assert loaded.value == {"a": [{"b": 1}, {"c": 2}]}
-    assert loaded.places.at(("a", 1, "c")) == "x:4: a[1].c"
-    assert loaded.places.at(("a", 0, "absent")) == "x:3: a[0].absent"
+    assert loaded.source_map.at(("a", 1, "c")) == "x:4: a[1].c"
+    assert loaded.source_map.at(("a", 0, "absent")) == "x:3: a[0].absent"
 
 
 @pytest.mark.parametrize(
--- a/wigeonport/commands/fleet.py
+++ b/wigeonport/commands/fleet.py
@@ -158,9 +158,9 @@
         answer = self.ask("POST", path, document)
         findings = answer.document.get("findings")
         if findings:
-            places = patch.places
+            source_map = patch.source_map
             answer.document["findings"] = [
-                locate(text, places) for text in findings
+                locate(text, source_map) for text in findings
             ]
         show = self.show_preview if dry_run else self.show_accepted
         resend = f"Resending with --id {patch.id} is safe."
@@ -191,7 +191,7 @@
             self.print_error("  The list of changes is not complete.")
 
 
-def locate(text, places):
+def locate(text, source_map):
     """Puts file and line before a finding about an operation."""
     match = OPERATION_PATH.match(text)
     if match is None:
@@ -199,4 +199,4 @@
     path = ("operations", int(match.group(1)))
     if match.group(2):
         path = (*path, match.group(2))
-    return f"{places.file}:{places.line(path)}: {text}"
+    return f"{source_map.file}:{source_map.line(path)}: {text}"
--- a/wigeonport/documents.py
+++ b/wigeonport/documents.py
@@ -52,7 +52,7 @@
         self.text = text
 
 
-class Places:
+class SourceMap:
     """Maps key paths to places for findings.
 
     Attributes:
@@ -68,7 +68,7 @@
 
     def at(self, path):
         """Returns file, line and key path as one text."""
-        name = path_text(path)
+        name = format_path(path)
         line = self.line(path)
         if line is not None:
             return f"{self.file}:{line}: {name}"
@@ -87,29 +87,29 @@
 
     Attributes:
         findings: The collection.
-        places: Maps key paths to places.
+        source_map: Maps key paths to places.
     """
 
-    __slots__ = ("findings", "places")
+    __slots__ = ("findings", "source_map")
 
-    def __init__(self, places=None):
+    def __init__(self, source_map=None):
         self.findings = Findings()
-        self.places = places or Places()
+        self.source_map = source_map or SourceMap()
 
-    def add(self, path, text, refers=None):
+    def add(self, path, text, related_record=None):
         """Adds a finding.
 
         Args:
             path: Key path as a tuple.
             text: What is wrong.
-            refers: Section and id of another record that the finding is
+            related_record: Section and id of another record that the finding is
                 about, or None.
         """
-        del refers
-        self.findings.add(self.places.at(path), text)
+        del related_record
+        self.findings.add(self.source_map.at(path), text)
 
 
-def path_text(path):
+def format_path(path):
     """Renders a key path: names joined by dots, indices in brackets."""
     text = ""
     for part in path:
@@ -133,7 +133,7 @@
     good = True
     for key in document:
         if key not in known:
-            reporter.add((*path, str(key)), unknown_key(key, known))
+            reporter.add((*path, str(key)), describe_unknown_key(key, known))
             good = False
     values = {}
     for field in fields:
@@ -158,7 +158,7 @@
     return read
 
 
-def unknown_key(key, known):
+def describe_unknown_key(key, known):
     """Returns the text of a finding that names the nearest known key."""
     near = difflib.get_close_matches(str(key), [str(k) for k in known], 1, 0.5)
     hint = f"; did you mean {near[0]!r}?" if near else ""
--- a/wigeonport/fleets.py
+++ b/wigeonport/fleets.py
@@ -139,17 +139,17 @@
     return None if values is None else record_class(**values)
 
 
-def fleet_from_document(document, places=None) -> Result:
+def fleet_from_document(document, source_map=None) -> Result:
     """Reads and checks a fleet version.
 
     Args:
         document: JSON data of the fleet.
-        places: Maps key paths to places in the source, or None.
+        source_map: Maps key paths to places in the source, or None.
 
     Returns:
         The Fleet, or all Findings with their key paths.
     """
-    reporter = Reporter(places)
+    reporter = Reporter(source_map)
     values = read_fields(TOP_FIELDS, document, (), reporter)
     if values is None:
         return reporter.findings.result(None)
--- a/wigeonport/patch_files.py
+++ b/wigeonport/patch_files.py
@@ -28,8 +28,8 @@
     loaded = load_file(path)
     if loaded.is_error():
         return loaded
-    document, places = loaded.ok.value, loaded.ok.places
-    reporter = Reporter(places)
+    document, source_map = loaded.ok.value, loaded.ok.source_map
+    reporter = Reporter(source_map)
     values = read_fields(FIELDS, document, (), reporter)
     if values is None:
         document = document if isinstance(document, dict) else {}
@@ -41,7 +41,7 @@
     submission = {"id": id, "against_version": against_version}
     submission |= values
     submission["author"] = values.get("author") or author
-    patch = patch_from_document(submission, places)
+    patch = patch_from_document(submission, source_map)
     if not reporter.findings:
         return patch
     if patch.is_error():
--- a/wigeonport/patches.py
+++ b/wigeonport/patches.py
@@ -7,11 +7,11 @@
 
 from wigeonport.documents import (
     Field,
-    Places,
     Reporter,
-    path_text,
+    SourceMap,
+    describe_unknown_key,
+    format_path,
     read_fields,
-    unknown_key,
     write_fields,
 )
 from wigeonport.fleet_changes import diff
@@ -37,7 +37,7 @@
         author: Name of the operator or policy.
         reason: Why the fleet is changed, as a text.
         operations: Operations in order.
-        places: Maps key paths to places in the source, for findings.
+        source_map: Maps key paths to places in the source, for findings.
     """
 
     __slots__ = (
@@ -46,18 +46,18 @@
         "author",
         "reason",
         "operations",
-        "places",
+        "source_map",
     )
 
     def __init__(
-        self, id, against_version, author, reason, operations, places=None
+        self, id, against_version, author, reason, operations, source_map=None
     ):
         self.id = id
         self.against_version = against_version
         self.author = author
         self.reason = reason
         self.operations = operations
-        self.places = places or Places()
+        self.source_map = source_map or SourceMap()
 
     def apply(self, fleet, find_version=None) -> Result:
         """Returns the next Fleet version, or all Findings.
@@ -67,7 +67,7 @@
             find_version: Function from a version number to its Fleet, or
                 None; the operation ``restore`` needs it.
         """
-        reporter = Reporter(self.places)
+        reporter = Reporter(self.source_map)
         draft = Draft(fleet.copy(fleet.version + 1), find_version, reporter)
         for index, operation in enumerate(self.operations):
             draft.path = ("operations", index)
@@ -104,7 +104,7 @@
     def __init__(self, draft):
         self.draft = draft
 
-    def add(self, path, text, refers=None):
+    def add(self, path, text, related_record=None):
         """Adds a finding at the last operation that changed the record.
 
         If no operation changed the record, the finding is at the last one
@@ -113,16 +113,18 @@
         Args:
             path: Key path in the fleet.
             text: What is wrong.
-            refers: Section and id of the record referred to, or None.
+            related_record: Section and id of the record referred to, or None.
         """
         record_key = path[:2] if len(path) > 1 else ("fleet", path[0])
         paths = self.draft.operation_paths
-        operation_path = paths.get(tuple(record_key)) or paths.get(refers)
+        operation_path = paths.get(tuple(record_key)) or paths.get(
+            related_record
+        )
         if operation_path is None:
             operation_path = ("operations",)
-        place = self.draft.reporter.places.at(operation_path)
+        place = self.draft.reporter.source_map.at(operation_path)
         findings = self.draft.reporter.findings
-        findings.add(f"{place}: {path_text(path)}", text)
+        findings.add(f"{place}: {format_path(path)}", text)
 
 
 def operation_name(operation):
@@ -133,9 +135,9 @@
     raise KeyError(type(operation).__name__)
 
 
-def patch_from_document(document, places=None) -> Result:
+def patch_from_document(document, source_map=None) -> Result:
     """Returns the Patch, or all Findings with their places."""
-    reporter = Reporter(places)
+    reporter = Reporter(source_map)
     values = read_fields(FIELDS, document, (), reporter)
     # Operations are read even if another field is wrong, so that all faults
     # are reported at once.
@@ -143,7 +145,7 @@
     if values is None or reporter.findings:
         return reporter.findings.result(None)
     values["operations"] = operations
-    return reporter.findings.result(Patch(**values, places=places))
+    return reporter.findings.result(Patch(**values, source_map=source_map))
 
 
 def _read_operations(document, reporter):
@@ -173,7 +175,7 @@
         reporter.add(path, "the key 'operation' is missing")
         return None
     if not isinstance(name, str) or name not in OPERATIONS.entries:
-        text = unknown_key(name, OPERATIONS.entries)
+        text = describe_unknown_key(name, OPERATIONS.entries)
         text = text.replace("unknown key", "unknown operation")
         reporter.add((*path, "operation"), text)
         return None
--- a/wigeonport/settings.py
+++ b/wigeonport/settings.py
@@ -72,12 +72,12 @@
     loaded = load_file(path)
     if loaded.is_error():
         return loaded
-    return settings_from_document(loaded.ok.value, loaded.ok.places)
+    return settings_from_document(loaded.ok.value, loaded.ok.source_map)
 
 
-def settings_from_document(document, places=None) -> Result:
+def settings_from_document(document, source_map=None) -> Result:
     """Returns Settings, or all Findings with their places."""
-    reporter = Reporter(places)
+    reporter = Reporter(source_map)
     values = read_fields(TABLE, document, (), reporter)
     listed = document.get("peers") if isinstance(document, dict) else None
     peers = _read_peers(listed, reporter)
--- a/wigeonport/timelines.py
+++ b/wigeonport/timelines.py
@@ -3,7 +3,7 @@
 import heapq
 import json
 
-from wigeonport.documents import Field, Places, Reporter, read_fields
+from wigeonport.documents import Field, Reporter, SourceMap, read_fields
 from wigeonport.events import GAP, Event, gap_before
 
 LARGEST_LINE_BYTES = 1_048_576
@@ -46,7 +46,7 @@
     except (ValueError, RecursionError) as fault:
         findings.add(place, f"is not JSON: {fault}")
         return None
-    reporter = Reporter(Places(place))
+    reporter = Reporter(SourceMap(place))
     values = read_fields(FIELDS, document, (), reporter)
     findings.extend(reporter.findings)
     return None if values is None else Event(**values)
--- a/wigeonport/yaml_documents.py
+++ b/wigeonport/yaml_documents.py
@@ -9,7 +9,7 @@
 from ruamel.yaml.events import CollectionEndEvent, CollectionStartEvent
 from ruamel.yaml.nodes import MappingNode, ScalarNode
 
-from wigeonport.documents import Places
+from wigeonport.documents import SourceMap
 from wigeonport.findings import Findings
 from wigeonport.registries import Registry
 
@@ -26,14 +26,14 @@
 
     Attributes:
         value: Plain dict, list or scalar.
-        places: Line by key path.
+        source_map: Line by key path.
     """
 
-    __slots__ = ("value", "places")
+    __slots__ = ("value", "source_map")
 
-    def __init__(self, value, places):
+    def __init__(self, value, source_map):
         self.value = value
-        self.places = places
+        self.source_map = source_map
 
 
 def load_file(path) -> Result:
@@ -95,16 +95,16 @@
     """Turns the parser's nodes into plain data and notes the lines.
 
     Attributes:
-        places: Line by key path.
+        source_map: Line by key path.
         findings: Faults found on the way.
         count: Number of nodes visited, aliases included.
         open_nodes: Ids of the nodes that contain the current one.
     """
 
-    __slots__ = ("places", "findings", "count", "open_nodes")
+    __slots__ = ("source_map", "findings", "count", "open_nodes")
 
     def __init__(self, name):
-        self.places = Places(name, {(): 1})
+        self.source_map = SourceMap(name, {(): 1})
         self.findings = Findings()
         self.count = 0
         self.open_nodes = set()
@@ -112,7 +112,7 @@
     def convert(self, tree):
         """Returns the YamlDocument or the findings."""
         value = None if tree is None else self.plain(tree, ())
-        return self.findings.result(YamlDocument(value, self.places))
+        return self.findings.result(YamlDocument(value, self.source_map))
 
     def plain(self, node, path):
         """Returns the plain value of a node."""
@@ -140,7 +140,7 @@
         for key, value in node.value:
             name = str(key.value) if isinstance(key, ScalarNode) else "?"
             below = (*path, name)
-            self.places.lines.setdefault(below, key.start_mark.line + 1)
+            self.source_map.lines.setdefault(below, key.start_mark.line + 1)
             if key.tag != f"{TAG}str":
                 self.report(below, "the key is not a text; put it in quotes")
             elif name in result:
@@ -157,7 +157,7 @@
             return result
         for index, value in enumerate(node.value):
             below = (*path, index)
-            self.places.lines.setdefault(below, value.start_mark.line + 1)
+            self.source_map.lines.setdefault(below, value.start_mark.line + 1)
             result.append(self.plain(value, below))
         return result
 
@@ -182,7 +182,7 @@
 
     def report(self, path, text):
         """Adds a finding at a key path."""
-        self.findings.add(self.places.at(path), text)
+        self.findings.add(self.source_map.at(path), text)
 
 
 @SCALARS.register("null")
