Rename place to location

Cause: a finding's place is a file, line and key path, which the field calls its location Change: place to location; 20 uses in 4 files, by token.

--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -129,7 +129,7 @@
         "a:start",
         "a:three",
     ]
-    assert [item.place for item in findings.items] == [f"{path}:4"]
+    assert [item.location for item in findings.items] == [f"{path}:4"]
 
 
 def test_slow_writer_leaves_a_gap_in_the_file(tmp_path, clock, monkeypatch):
@@ -216,7 +216,7 @@
     findings = Findings()
     assert read_lines("x", lines, findings) == []
     kept = [line for line in lines if line.strip()]
-    places = {item.place.split(":")[1] for item in findings.items}
+    places = {item.location.split(":")[1] for item in findings.items}
     assert len(places) == len(kept)
 
 
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -45,8 +45,8 @@
         '{"at_ms":9,"kind":"fleet","fleet":{"version":1}}',
         "[]",
     )
-    places = [finding.place for finding in result.error.items]
-    lines = {int(place.split(":")[1]) for place in places}
+    places = [finding.location for finding in result.error.items]
+    lines = {int(location.split(":")[1]) for location in places}
     assert lines == {2, 3, 4, 5, 7, 8, 9, 10}
 
 
@@ -136,7 +136,7 @@
         '{"expect":"measure","name":"moves","at_mots":1}\n'
     )
     found = read_expectations(path).error
-    lines = [int(f.place.split("expect:")[1][0]) for f in found.items]
+    lines = [int(f.location.split("expect:")[1][0]) for f in found.items]
     assert lines == [1, 2, 3, 4]
 
 
--- a/wigeonport/findings.py
+++ b/wigeonport/findings.py
@@ -7,18 +7,18 @@
     """One fault and where it stands.
 
     Attributes:
-        place: For example ``file.yaml:12: entry.port``.
+        location: For example ``file.yaml:12: entry.port``.
         text: What is wrong, as a short sentence.
     """
 
-    __slots__ = ("place", "text")
+    __slots__ = ("location", "text")
 
-    def __init__(self, place, text):
-        self.place = place
+    def __init__(self, location, text):
+        self.location = location
         self.text = text
 
     def __str__(self):
-        return f"{self.place}: {self.text}"
+        return f"{self.location}: {self.text}"
 
 
 class Findings:
@@ -29,9 +29,9 @@
     def __init__(self):
         self.items = []
 
-    def add(self, place, text):
+    def add(self, location, text):
         """Adds a finding."""
-        self.items.append(Finding(place, text))
+        self.items.append(Finding(location, text))
 
     def extend(self, other):
         """Adds the findings of another collection."""
--- a/wigeonport/timelines.py
+++ b/wigeonport/timelines.py
@@ -28,25 +28,25 @@
     """
     events = []
     for number, line in enumerate(lines, start=1):
-        place = f"{name}:{number}"
+        location = f"{name}:{number}"
         if not line.strip():
             continue
-        event = _read_line(place, line, findings)
+        event = _read_line(location, line, findings)
         if event is not None:
             events.append(event)
     return events
 
 
-def _read_line(place, line, findings):
+def _read_line(location, line, findings):
     if len(line) > LARGEST_LINE_BYTES:
-        findings.add(place, f"is longer than {LARGEST_LINE_BYTES} bytes")
+        findings.add(location, f"is longer than {LARGEST_LINE_BYTES} bytes")
         return None
     try:
         document = json.loads(line)
     except (ValueError, RecursionError) as fault:
-        findings.add(place, f"is not JSON: {fault}")
+        findings.add(location, f"is not JSON: {fault}")
         return None
-    reporter = Reporter(SourceMap(place))
+    reporter = Reporter(SourceMap(location))
     values = read_fields(FIELDS, document, (), reporter)
     findings.extend(reporter.findings)
     return None if values is None else Event(**values)
