Rename set_up to configure_logging

Cause: set_up did not say what it sets up Change: set_up to configure_logging; 5 uses in 3 files, by token.

--- a/bench/replica_process.py
+++ b/bench/replica_process.py
@@ -17,7 +17,7 @@
 from wigeonport.consensus_requests import Proposal, StatusRequest
 from wigeonport.dialers import Dialer, listen
 from wigeonport.links import Delivery, Identity, LinkContext
-from wigeonport.logs import set_up
+from wigeonport.logs import configure_logging
 from wigeonport.metrics import Metrics
 from wigeonport.recoveries import open_directory
 from wigeonport.registries import Registry
@@ -133,7 +133,7 @@
 
 async def main():
     """Runs the replica until standard input ends."""
-    set_up("warning")
+    configure_logging("warning")
     setup = json.loads(sys.argv[1])
     clock, metrics = Clock(), Metrics()
     inbound = Mailbox("deliveries", 1_024)
--- a/wigeonport/logs.py
+++ b/wigeonport/logs.py
@@ -151,7 +151,7 @@
         self.writer.write(line, int(record.time.timestamp()))
 
 
-def set_up(level):
+def configure_logging(level):
     """Sends records of ``level`` and above to standard output."""
     sys.stdout.flush()
     writer = LineWriter(STDOUT)
--- a/wigeonport/programs.py
+++ b/wigeonport/programs.py
@@ -12,7 +12,7 @@
 from wigeonport.events import EventLog, write_events
 from wigeonport.journals import JournalError
 from wigeonport.links import Identity, LinkContext
-from wigeonport.logs import PartLogger, set_up
+from wigeonport.logs import PartLogger, configure_logging
 from wigeonport.metrics import Metrics
 from wigeonport.settings import load_settings
 from wigeonport.snapshots import FormatError
@@ -143,7 +143,7 @@
     if keys.is_error():
         print(keys.error, file=sys.stderr)
         return EXIT_FAILED
-    set_up(settings.ok.log_level)
+    configure_logging(settings.ok.log_level)
     return run_to_end(role, run, settings.ok, keys.ok)
 
 
