--- a/wigeonport/programs.py
+++ b/wigeonport/programs.py
@@ -131,10 +131,10 @@
     if len(arguments) != 1:
         print(f"usage: wigeonport-{role} SETTINGS", file=sys.stderr)
         return EXIT_USAGE
-    return start_with(role, run, load_settings(arguments[0]))
+    return start_with_settings(role, run, load_settings(arguments[0]))
 
 
-def start_with(role, run, settings):
+def start_with_settings(role, run, settings):
     """Runs a program with a Result of Settings; returns the exit status."""
     if settings.is_error():
         print(settings.error, file=sys.stderr)
@@ -144,27 +144,27 @@
         print(keys.error, file=sys.stderr)
         return EXIT_FAILED
     configure_logging(settings.ok.log_level)
-    return run_to_end(role, run, settings.ok, keys.ok)
+    return run_and_log_faults(role, run, settings.ok, keys.ok)
 
 
-def run_to_end(role, run, settings, keys):
+def run_and_log_faults(role, run, settings, keys):
     """Runs a program; a disk or an address that fails ends it with 1."""
     faults = []
     try:
         trio.run(run_until_stopped, role, run, settings, keys)
     except* (OSError, JournalError, FormatError) as group:
-        faults = list_faults(group)
+        faults = flatten_faults(group)
     for fault in faults:
         logger.error("The program cannot go on.", role=role, reason=fault)
     return EXIT_FAILED if faults else EXIT_DONE
 
 
-def list_faults(group):
+def flatten_faults(group):
     """Returns the exceptions of a group and of the groups within it."""
     faults = []
     for fault in group.exceptions:
         nested = isinstance(fault, BaseExceptionGroup)
-        faults += list_faults(fault) if nested else [fault]
+        faults += flatten_faults(fault) if nested else [fault]
     return faults
 
 
