Rename 11 names: SETTING_FIELDS, SETTING_GROUPS and others

Cause: TABLE, GROUPS and the names of the groups did not say that they hold the fields of the settings Change: TABLE to SETTING_FIELDS, GROUPS to SETTING_GROUPS, PORTS to PORT_FIELDS, IDENTITY to IDENTITY_FIELDS, CLUSTER to CLUSTER_FIELDS, STORAGE to STORAGE_FIELDS, REQUEST_LIMITS to LIMIT_FIELDS, INTERVALS to INTERVAL_FIELDS, BATCH to BATCH_FIELDS, PORT to PORT_RANGE, LONGEST_MS to MAX_DURATION_MS; 37 uses in 6 files, by token.

--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -12,7 +12,7 @@
 from wigeonport.documents import REQUIRED
 from wigeonport.patch_operations import OPERATIONS
 from wigeonport.patches import patch_from_document
-from wigeonport.setting_tables import TABLE
+from wigeonport.setting_tables import SETTING_FIELDS
 from wigeonport.yaml_documents import load_bytes
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -41,7 +41,7 @@
         for path in (ROOT / "wigeonport").glob("*.py")
         if path.name not in ("settings.py", "setting_tables.py")
     )
-    for field in TABLE:
+    for field in SETTING_FIELDS:
         assert re.search(rf"settings(\.ok)?\.{field.name}\b", sources), (
             field.name
         )
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -6,7 +6,7 @@
 
 from wigeonport.control_main import make_replica_settings
 from wigeonport.credentials import load_keys, load_tokens
-from wigeonport.setting_tables import TABLE
+from wigeonport.setting_tables import SETTING_FIELDS
 from wigeonport.settings import (
     check_files,
     key_id,
@@ -59,7 +59,7 @@
     """Guards against a default that the reader would refuse."""
     defaults = {
         field.name: field.default
-        for field in TABLE
+        for field in SETTING_FIELDS
         if field.name not in document
     }
     defaults["peers"] = []
@@ -130,7 +130,7 @@
 
 @given(
     changes=st.dictionaries(
-        st.sampled_from([field.name for field in TABLE]),
+        st.sampled_from([field.name for field in SETTING_FIELDS]),
         st.none()
         | st.booleans()
         | st.integers()
--- a/tools/deployments.py
+++ b/tools/deployments.py
@@ -10,7 +10,7 @@
 import secrets
 import socket
 
-from wigeonport.setting_tables import PORTS
+from wigeonport.setting_tables import PORT_FIELDS
 from wigeonport.yaml_documents import dump
 
 HOST = "127.0.0.1"
@@ -19,7 +19,7 @@
 SERVICES = ("routedesk", "roster", "cortege", "crusade", "notices")
 # Below the range from which Linux takes the ports of outgoing connections.
 FIRST_PORT, LAST_PORT = 20_000, 32_000
-PORT_NAMES = tuple(field.name for field in PORTS)
+PORT_NAMES = tuple(field.name for field in PORT_FIELDS)
 LINK_PORTS = ("entry_links_port", "control_links_port")
 
 
--- a/tools/write_references.py
+++ b/tools/write_references.py
@@ -8,7 +8,7 @@
 import pathlib
 
 from wigeonport.documents import REQUIRED
-from wigeonport.setting_tables import GROUPS, PEER_FIELDS
+from wigeonport.setting_tables import PEER_FIELDS, SETTING_GROUPS
 
 PAGE = pathlib.Path(__file__).resolve().parent.parent / "docs/settings.md"
 INTRODUCTION = """\
@@ -87,7 +87,7 @@
 def make_page():
     """Returns the whole page."""
     parts = [INTRODUCTION]
-    for title, fields in GROUPS:
+    for title, fields in SETTING_GROUPS:
         parts.append(f"## {title}\n\n{render_table(fields)}")
     parts.append(f"## Keys of a peer\n\n{render_table(PEER_FIELDS)}")
     parts.append(CHECKS)
--- a/wigeonport/setting_tables.py
+++ b/wigeonport/setting_tables.py
@@ -2,29 +2,29 @@
 
 from wigeonport.documents import REQUIRED, Field
 
-PORT = {"least": 1, "most": 65_535}
-LONGEST_MS = 24 * 3_600_000
+PORT_RANGE = {"least": 1, "most": 65_535}
+MAX_DURATION_MS = 24 * 3_600_000
 
 
 def _port(name, default, text):
-    return Field(name, "whole", default, text=text, **PORT)
+    return Field(name, "whole", default, text=text, **PORT_RANGE)
 
 
 def _ms(name, default, text, least=1):
-    return Field(name, "whole", default, least, LONGEST_MS, text)
+    return Field(name, "whole", default, least, MAX_DURATION_MS, text)
 
 
 def _count(name, default, text, most=1_000_000):
     return Field(name, "whole", default, 1, most, text)
 
 
-IDENTITY = (
+IDENTITY_FIELDS = (
     Field("node_id", "name", REQUIRED, text="Unique name of the VM."),
     Field("cluster_id", "name", REQUIRED, text="Name of the deployment."),
     Field("availability_zone", "name", REQUIRED, text="Zone of the VM."),
     Field("host", "text", "127.0.0.1", text="Address on which ports listen."),
 )
-PORTS = (
+PORT_FIELDS = (
     _port("callers_port", 8_080, "HTTP of callers; entry."),
     _port("announcements_port", 8_081, "HTTP of announcing endpoints; entry."),
     _port("entry_links_port", 8_082, "Links to the entry program."),
@@ -36,7 +36,7 @@
     _port("control_links_port", 8_084, "Links to the control program."),
     _port("operators_port", 8_085, "HTTP of operators; control."),
 )
-CLUSTER = (
+CLUSTER_FIELDS = (
     Field(
         "peers",
         "mappings",
@@ -72,7 +72,7 @@
         text="Address of the platform, such as `http://10.0.0.1:9000`.",
     ),
 )
-STORAGE = (
+STORAGE_FIELDS = (
     Field(
         "data_dir",
         "text",
@@ -108,7 +108,7 @@
     ),
     _count("snapshot_entries", 10_000, "Entries between two snapshots."),
 )
-REQUEST_LIMITS = (
+LIMIT_FIELDS = (
     _count("max_body_bytes", 1_048_576, "Largest body of a request.", 2**30),
     _count(
         "max_response_bytes",
@@ -188,7 +188,7 @@
         "Retries a second that are allowed besides the share.",
     ),
 )
-INTERVALS = (
+INTERVAL_FIELDS = (
     _ms(
         "endpoint_expiry_ms",
         2_500,
@@ -226,7 +226,7 @@
         least=0,
     ),
 )
-BATCH = (
+BATCH_FIELDS = (
     Field(
         "jobs_listen",
         "text",
@@ -291,16 +291,18 @@
         text="Address `host:port` of `/metrics` for batch roles.",
     ),
 )
-GROUPS = (
-    ("Identity", IDENTITY),
-    ("Ports", PORTS),
-    ("Cluster", CLUSTER),
-    ("Storage and logs", STORAGE),
-    ("Limits", REQUEST_LIMITS),
-    ("Intervals", INTERVALS),
-    ("Batch jobs", BATCH),
+SETTING_GROUPS = (
+    ("Identity", IDENTITY_FIELDS),
+    ("Ports", PORT_FIELDS),
+    ("Cluster", CLUSTER_FIELDS),
+    ("Storage and logs", STORAGE_FIELDS),
+    ("Limits", LIMIT_FIELDS),
+    ("Intervals", INTERVAL_FIELDS),
+    ("Batch jobs", BATCH_FIELDS),
+)
+SETTING_FIELDS = tuple(
+    field for _, fields in SETTING_GROUPS for field in fields
 )
-TABLE = tuple(field for _, fields in GROUPS for field in fields)
 PEER_FIELDS = (
     Field("node_id", "name", text="Unique name of the VM."),
     Field("availability_zone", "name", text="Its zone."),
--- a/wigeonport/settings.py
+++ b/wigeonport/settings.py
@@ -7,7 +7,7 @@
 from wigeonport.queues import disciplines
 from wigeonport.records import Record
 from wigeonport.registries import Registry
-from wigeonport.setting_tables import PEER_FIELDS, PORTS, TABLE
+from wigeonport.setting_tables import PEER_FIELDS, PORT_FIELDS, SETTING_FIELDS
 from wigeonport.share_ledgers import share_policies
 from wigeonport.yaml_documents import load_file
 
@@ -45,15 +45,15 @@
 
 
 class Settings(Record):
-    """Settings of one VM; the attributes are the rows of ``TABLE``.
+    """Settings of one VM; the attributes are the rows of ``SETTING_FIELDS``.
 
     Paths are relative to the working directory of the program.
     """
 
-    __slots__ = tuple(field.name for field in TABLE)
+    __slots__ = tuple(field.name for field in SETTING_FIELDS)
 
     def __init__(self, values):
-        for field in TABLE:
+        for field in SETTING_FIELDS:
             setattr(self, field.name, values.get(field.name, field.default))
 
     def is_voter(self):
@@ -78,7 +78,7 @@
 def settings_from_document(document, source_map=None) -> Result:
     """Returns Settings, or all Findings with their places."""
     reporter = Reporter(source_map)
-    values = read_fields(TABLE, document, (), reporter)
+    values = read_fields(SETTING_FIELDS, document, (), reporter)
     listed = document.get("peers") if isinstance(document, dict) else None
     peers = _read_peers(listed, reporter)
     if values is None or reporter.findings:
@@ -124,7 +124,7 @@
 def check_ports(settings, reporter):
     """The ports of a VM differ."""
     users = {}
-    for field in PORTS:
+    for field in PORT_FIELDS:
         port = getattr(settings, field.name)
         if port in users:
             text = f"port {port} is used by {users[port]!r} too"
