--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -120,7 +120,7 @@
 
 
 @pytest.fixture
-def live(apply, submit, fleet_document):
+def apply_to_fleet(apply, submit, fleet_document):
     """``apply`` after the patch p-1 that made ``fleet`` version 1."""
     submit("p-1", 0, *add_operations(fleet_document))
     return apply
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -137,10 +137,10 @@
 
 
 @pytest.fixture
-def bench(tmp_path, live):
+def bench(tmp_path, apply_to_fleet):
     """A bench whose control has version 1 of the sample fleet."""
     control = FakeControl(tmp_path / "tokens", timeout_ms=500)
-    control.state, control.index = live.state, live.index
+    control.state, control.index = apply_to_fleet.state, apply_to_fleet.index
     return Bench(control, tmp_path)
 
 
--- a/tests/test_fleet_states.py
+++ b/tests/test_fleet_states.py
@@ -21,10 +21,12 @@
     apply.state = state_from_document(document).ok
 
 
-def test_first_patch_builds_the_fleet(live, fleet):
+def test_first_patch_builds_the_fleet(apply_to_fleet, fleet):
     """Guards against an example fleet that differs from its patch."""
-    assert live.state.fleet.fleet.to_document() == fleet.to_document()
-    assert live.state.pools.members("roster") == [
+    assert (
+        apply_to_fleet.state.fleet.fleet.to_document() == fleet.to_document()
+    )
+    assert apply_to_fleet.state.pools.members("roster") == [
         "vm-1",
         "vm-2",
         "vm-3",
@@ -32,12 +34,12 @@
     ]
 
 
-def test_stale_patch_is_refused_with_the_changes(live, submit):
+def test_stale_patch_is_refused_with_the_changes(apply_to_fleet, submit):
     """Guards against a stale patch that overwrites newer changes."""
     submit("p-2", 1, move("vm-5", "roster"), author="bayo")
-    before = live.state.fleet.fleet
+    before = apply_to_fleet.state.fleet.fleet
     answer = submit("p-3", 1, move("vm-5", "notices"))
-    assert live.state.fleet.fleet is before
+    assert apply_to_fleet.state.fleet.fleet is before
     assert (answer.why, answer.version, answer.complete) == ("stale", 2, True)
     (change,) = json.loads(answer.changes_json)
     assert (change["id"], change["after"]["pool"]) == ("vm-5", "roster")
@@ -45,87 +47,96 @@
     assert (version["author"], version["reason"]) == ("bayo", "reason of p-2")
 
 
-def test_only_one_of_two_concurrent_patches_is_accepted(live, submit):
+def test_only_one_of_two_concurrent_patches_is_accepted(
+    apply_to_fleet, submit
+):
     """Guards against two patches accepted against one version."""
     answers = [submit(f"p-{n}", 1, move(f"vm-{n}", "roster")) for n in (5, 6)]
     assert [type(a) for a in answers] == [PatchAccepted, PatchRefused]
 
 
-def test_version_from_the_future_is_refused(live, submit):
+def test_version_from_the_future_is_refused(apply_to_fleet, submit):
     """Guards against a patch for a version that nobody has seen."""
     answer = submit("p-2", 7, move("vm-5", "roster"))
     assert answer.why == "stale"
     assert "version 7 does not exist" in answer.findings[0]
 
 
-def test_resent_patch_gets_its_first_answer(live, submit):
+def test_resent_patch_gets_its_first_answer(apply_to_fleet, submit):
     """Guards against a resend that is applied twice or called stale."""
     first = submit("p-2", 1, move("vm-5", "roster"))
     submit("p-3", 2, move("vm-6", "roster"))
-    restart(live)
+    restart(apply_to_fleet)
     assert submit("p-2", 1, move("vm-5", "roster")) == first
     assert first == PatchAccepted("p-2", 2)
-    assert live.state.fleet.fleet.version == 3
+    assert apply_to_fleet.state.fleet.fleet.version == 3
 
 
-def test_resent_refusal_is_unchanged(live, submit):
+def test_resent_refusal_is_unchanged(apply_to_fleet, submit):
     """Guards against a refusal that turns into an acceptance later."""
     first = submit("p-2", 2, move("vm-5", "roster"))
     submit("p-3", 1, move("vm-6", "roster"))
-    restart(live)
+    restart(apply_to_fleet)
     assert submit("p-2", 2, move("vm-5", "roster")) == first
     assert first.why == "stale"
 
 
-def test_patch_id_with_other_content_is_a_conflict(live, submit):
+def test_patch_id_with_other_content_is_a_conflict(apply_to_fleet, submit):
     """Guards against an answer that belongs to another patch."""
     submit("p-2", 1, move("vm-5", "roster"))
     answer = submit("p-2", 1, move("vm-6", "roster"))
     assert answer.why == "conflict"
-    assert live.state.fleet.fleet.version == 2
+    assert apply_to_fleet.state.fleet.fleet.version == 2
 
 
-def test_forgotten_patch_is_still_not_applied_twice(live, submit):
+def test_forgotten_patch_is_still_not_applied_twice(apply_to_fleet, submit):
     """Guards against a resend after the answer's retention."""
     submit("p-2", 1, move("vm-5", "roster"))
-    live.now_ms += WEEK_MS + 1
+    apply_to_fleet.now_ms += WEEK_MS + 1
     answer = submit("p-2", 1, move("vm-5", "roster"))
-    assert (answer.why, live.state.fleet.fleet.version) == ("stale", 2)
+    assert (answer.why, apply_to_fleet.state.fleet.fleet.version) == (
+        "stale",
+        2,
+    )
 
 
-def test_number_of_answers_is_bounded(live, submit, monkeypatch):
+def test_number_of_answers_is_bounded(apply_to_fleet, submit, monkeypatch):
     """Guards against answers that fill the memory."""
     monkeypatch.setattr(fleet_states, "RETAINED_ANSWERS", 3)
     for n in range(5):
         submit(f"q-{n}", 9, move("vm-5", "roster"))
-    assert list(live.state.fleet.answers) == ["q-2", "q-3", "q-4"]
+    assert list(apply_to_fleet.state.fleet.answers) == ["q-2", "q-3", "q-4"]
 
 
-def test_restore_goes_back_as_a_new_version(live, submit, fleet):
+def test_restore_goes_back_as_a_new_version(apply_to_fleet, submit, fleet):
     """Guards against a restore that loses records or reuses a number."""
     submit("p-2", 1, move("vm-5", "roster"))
     submit("p-3", 2, {"operation": "remove_worker", "id": "vm-8"})
-    restart(live)
+    restart(apply_to_fleet)
     answer = submit("p-4", 3, {"operation": "restore", "version": 1})
     assert answer == PatchAccepted("p-4", 4)
     expected = fleet.to_document() | {"version": 4}
-    assert live.state.fleet.fleet.to_document() == expected
+    assert apply_to_fleet.state.fleet.fleet.to_document() == expected
 
 
-def test_history_is_bounded_and_says_what_it_forgot(live, submit, monkeypatch):
+def test_history_is_bounded_and_says_what_it_forgot(
+    apply_to_fleet, submit, monkeypatch
+):
     """Guards against an unbounded history and a partial difference."""
     monkeypatch.setattr(fleet_states, "RETAINED_VERSIONS", 2)
     for n in range(1, 4):
         hours = {"operation": "set_maintenance_period", "hours": n}
         submit(f"q-{n}", n, hours)
-    assert [r.version for r in live.state.fleet.history] == [3, 4]
+    assert [r.version for r in apply_to_fleet.state.fleet.history] == [3, 4]
     answer = submit("p-9", 1, move("vm-5", "roster"))
     assert (answer.complete, answer.changes_json) == (False, "[]")
     restored = submit("p-10", 4, {"operation": "restore", "version": 1})
     assert "not in the history" in restored.findings[0]
 
 
-def test_long_difference_is_cut_and_marked(live, submit, monkeypatch):
+def test_long_difference_is_cut_and_marked(
+    apply_to_fleet, submit, monkeypatch
+):
     """Guards against an answer that exceeds a frame."""
     monkeypatch.setattr(fleet_states, "LISTED_CHANGES", 1)
     submit("p-2", 1, move("vm-5", "roster"), move("vm-6", "roster"))
@@ -134,9 +145,9 @@
     assert answer.complete is False
 
 
-def test_malformed_patch_in_the_log_is_refused(live):
+def test_malformed_patch_in_the_log_is_refused(apply_to_fleet):
     """Guards against a command that stops every replica."""
     for text in ("", "[", "[]", "{}", '{"id": 3}', "[" * 100_000, "NaN"):
-        answer = live(SubmitPatch(text))
+        answer = apply_to_fleet(SubmitPatch(text))
         assert answer.why == "invalid"
         assert answer.findings
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -10,10 +10,10 @@
 
 
 @pytest.fixture
-def control(tmp_path, live):
+def control(tmp_path, apply_to_fleet):
     """A fake control whose state is version 1 of the sample fleet."""
     fake = FakeControl(tmp_path / "tokens")
-    fake.state, fake.index = live.state, live.index
+    fake.state, fake.index = apply_to_fleet.state, apply_to_fleet.index
     return fake
 
 
