Rename full to when_full, wait_within to receive_within

Cause: full did not say that it is the behaviour of a full mailbox Change: full to when_full, wait_within to receive_within; 9 uses in 1 files, by token.

--- a/wigeonport/channels.py
+++ b/wigeonport/channels.py
@@ -14,22 +14,22 @@
     Attributes:
         name: Name for log lines and metrics.
         bound: Largest number of waiting messages.
-        full: ``wait``, ``refuse`` or ``drop_oldest``.
+        when_full: ``wait``, ``refuse`` or ``drop_oldest``.
         dropped: Number of messages dropped or refused.
     """
 
-    __slots__ = ("name", "bound", "full", "dropped", "sender", "receiver")
+    __slots__ = ("name", "bound", "when_full", "dropped", "sender", "receiver")
 
-    def __init__(self, name, bound, full=WAIT):
+    def __init__(self, name, bound, when_full=WAIT):
         self.name = name
         self.bound = bound
-        self.full = full
+        self.when_full = when_full
         self.dropped = 0
         self.sender, self.receiver = trio.open_memory_channel(bound)
 
     async def put(self, message):
         """Adds a message; returns False if it was refused."""
-        if self.full == WAIT:
+        if self.when_full == WAIT:
             await self.sender.send(message)
             return True
         return self.put_nowait(message)
@@ -41,7 +41,7 @@
             return True
         except trio.WouldBlock:
             self.dropped += 1
-        if self.full != DROP_OLDEST:
+        if self.when_full != DROP_OLDEST:
             return False
         self.receiver.receive_nowait()
         self.sender.send_nowait(message)
@@ -60,12 +60,12 @@
         try:
             message = self.receiver.receive_nowait()
         except trio.WouldBlock:
-            return await self.wait_within(timeout_ms)
+            return await self.receive_within(timeout_ms)
         # Lets other tasks run; a cancellation here would lose the message.
         await trio.lowlevel.cancel_shielded_checkpoint()
         return message
 
-    async def wait_within(self, timeout_ms):
+    async def receive_within(self, timeout_ms):
         """Waits for the next message; returns None after the timeout."""
         with trio.move_on_after(max(timeout_ms, 0) / 1000):
             return await self.receiver.receive()
