Rename gap_before to make_gap_event

Cause: gap_before read as a number; the function makes the event that records a gap Change: gap_before to make_gap_event; 5 uses in 2 files, by token.

--- a/wigeonport/events.py
+++ b/wigeonport/events.py
@@ -120,7 +120,7 @@
     def _pass_on(self, event):
         line = event.line()
         if self.lost:
-            line = gap_before(event, self.lost).line() + "\n" + line
+            line = make_gap_event(event, self.lost).line() + "\n" + line
         if self.writer.put_nowait(line):
             self.lost = 0
         else:
@@ -131,11 +131,11 @@
         events = list(self.ring)
         dropped = self.sequence - len(events)
         if dropped and events:
-            events.insert(0, gap_before(events[0], dropped))
+            events.insert(0, make_gap_event(events[0], dropped))
         return [event.line() for event in events]
 
 
-def gap_before(event, lost):
+def make_gap_event(event, lost):
     """Returns the record of events that were lost before an event."""
     return Event(
         event.node,
--- a/wigeonport/timelines.py
+++ b/wigeonport/timelines.py
@@ -4,7 +4,7 @@
 import json
 
 from wigeonport.documents import Field, Reporter, SourceMap, read_fields
-from wigeonport.events import GAP, Event, gap_before
+from wigeonport.events import GAP, Event, make_gap_event
 
 LARGEST_LINE_BYTES = 1_048_576
 FIELDS = (
@@ -89,7 +89,7 @@
         if event.run != run:
             run, expected = event.run, 1
         if event.sequence > expected:
-            result.append(gap_before(event, event.sequence - expected))
+            result.append(make_gap_event(event, event.sequence - expected))
         result.append(event)
         expected = event.sequence + 1
     return result
