Rename private names of the programs and foundations

Change: they have the names that the field uses; all stay within their own files. Result: the tests of these files, and those of patches, traces, operators and the command line, pass; behaviour is unchanged.

--- a/wigeonport/cli_main.py
+++ b/wigeonport/cli_main.py
@@ -44,11 +44,11 @@
         3 when the outcome is unknown.
     """
     application = make_application()
-    source = ArgvInput(["wigeonport", *arguments])
+    argv_input = ArgvInput(["wigeonport", *arguments])
     try:
-        return application.run(source, output, error_output)
-    except (CleoError, UsageError) as fault:
-        print(f"usage: {fault}", file=sys.stderr)
+        return application.run(argv_input, output, error_output)
+    except (CleoError, UsageError) as error:
+        print(f"usage: {error}", file=sys.stderr)
         return EXIT_USAGE
     except KeyboardInterrupt:
         print("Interrupted; the outcome is unknown.", file=sys.stderr)
--- a/wigeonport/control_main.py
+++ b/wigeonport/control_main.py
@@ -49,9 +49,9 @@
 
 logger = PartLogger("control")
 
-HISTORY_BOUND = 4_096
-PLANNER_BOUND = 4_096
-PUBLISHED = (Subscribe, VersionReport, ConfigUpdate)
+HISTORY_MAILBOX_BOUND = 4_096
+PLANNER_MAILBOX_BOUND = 4_096
+PUBLISHER_MESSAGES = (Subscribe, VersionReport, ConfigUpdate)
 
 
 class ControlMailboxes:
@@ -91,32 +91,32 @@
         self.requests = Mailbox("state requests", bound, REFUSE)
         # A dropped notice does no harm: the watcher reads the state.
         self.notices = Mailbox("notices", bound, DROP_OLDEST)
-        self.history = Mailbox("history", HISTORY_BOUND, DROP_OLDEST)
+        self.history = Mailbox("history", HISTORY_MAILBOX_BOUND, DROP_OLDEST)
         self.health = Mailbox("health", bound, REFUSE)
         self.probes = Mailbox("probes", bound, REFUSE)
         # What the planner misses it reads again: it is resent by the
         # platform or found in the state at the next tick.
-        self.planner = Mailbox("planner", PLANNER_BOUND, DROP_OLDEST)
-        self.plans = Mailbox("plans", PLANNER_BOUND, DROP_OLDEST)
+        self.planner = Mailbox("planner", PLANNER_MAILBOX_BOUND, DROP_OLDEST)
+        self.plans = Mailbox("plans", PLANNER_MAILBOX_BOUND, DROP_OLDEST)
 
 
-async def sort_deliveries(inbound, boxes, consensus):
+async def sort_deliveries(inbound, mailboxes, consensus):
     """Passes arrivals to the filter that handles them."""
     async for delivery in inbound:
         if isinstance(delivery, LinkClosed):
-            await boxes.publisher.put(delivery)
+            await mailboxes.publisher.put(delivery)
             continue
         message = delivery.message
-        if isinstance(message, PUBLISHED):
-            await boxes.publisher.put(delivery)
+        if isinstance(message, PUBLISHER_MESSAGES):
+            await mailboxes.publisher.put(delivery)
         elif isinstance(message, DemandReport):
-            await boxes.planner.put(delivery)
+            await mailboxes.planner.put(delivery)
         elif isinstance(message, HealthRequest):
-            await boxes.health.put(delivery)
+            await mailboxes.health.put(delivery)
         elif isinstance(message, ReplicaProbe):
-            await boxes.probes.put(delivery)
+            await mailboxes.probes.put(delivery)
         elif isinstance(message, CLAIM_COMMANDS):
-            await boxes.claims.put(delivery)
+            await mailboxes.claims.put(delivery)
         else:
             await consensus.put(message)
 
@@ -149,14 +149,16 @@
     The lease ends before another replica may start an election; the
     difference covers the drift of the clocks.
     """
-    wanted = max(settings.voter_count, len(settings.voters))
-    replica = ReplicaSettings(target_voters=wanted)
-    replica.replace_voter_ms = settings.replace_voter_ms
-    replica.heartbeat_ms = settings.replication_heartbeat_ms
-    replica.min_election_timeout_ms = settings.election_timeout_ms
-    replica.election_jitter_ms = settings.election_timeout_ms * 6 // 10
-    replica.lease_ms = settings.election_timeout_ms * 8 // 10
-    return replica
+    target_voters = max(settings.voter_count, len(settings.voters))
+    replica_settings = ReplicaSettings(target_voters=target_voters)
+    replica_settings.replace_voter_ms = settings.replace_voter_ms
+    replica_settings.heartbeat_ms = settings.replication_heartbeat_ms
+    replica_settings.min_election_timeout_ms = settings.election_timeout_ms
+    replica_settings.election_jitter_ms = (
+        settings.election_timeout_ms * 6 // 10
+    )
+    replica_settings.lease_ms = settings.election_timeout_ms * 8 // 10
+    return replica_settings
 
 
 def make_consensus(program, dialers):
@@ -185,7 +187,7 @@
     )
 
 
-def start_filters(nursery, program, boxes, consensus, dialers):
+def start_filters(nursery, program, mailboxes, consensus, dialers):
     """Starts the filters of the chain."""
     settings = program.settings
     adapter = StateAdapter(consensus.inbox, settings.propose_timeout_ms)
@@ -193,32 +195,32 @@
         adapter.propose, settings.claim_timeout_ms, program.metrics
     )
     nursery.start_soon(
-        sort_deliveries, boxes.deliveries, boxes, consensus.inbox
+        sort_deliveries, mailboxes.deliveries, mailboxes, consensus.inbox
     )
     nursery.start_soon(
         publish,
-        boxes.publisher,
+        mailboxes.publisher,
         Publisher(make_report(program)),
         program.clock,
         list(dialers.values()),
     )
     nursery.start_soon(
-        watch_versions, boxes.notices, consensus.inbox, boxes.publisher
+        watch_versions, mailboxes.notices, consensus.inbox, mailboxes.publisher
     )
-    nursery.start_soon(record_history, boxes.history, program.events)
-    nursery.start_soon(broker_claims, boxes.claims, broker)
-    nursery.start_soon(adapt_requests, boxes.requests, adapter)
-    nursery.start_soon(answer_probes, boxes.probes, consensus.inbox)
-    health = HealthBroker(consensus.inbox, boxes.planner, dialers)
-    nursery.start_soon(broker_health, boxes.health, health)
-    start_planner(nursery, program, boxes, consensus, dialers, adapter)
+    nursery.start_soon(record_history, mailboxes.history, program.events)
+    nursery.start_soon(broker_claims, mailboxes.claims, broker)
+    nursery.start_soon(adapt_requests, mailboxes.requests, adapter)
+    nursery.start_soon(answer_probes, mailboxes.probes, consensus.inbox)
+    health = HealthBroker(consensus.inbox, mailboxes.planner, dialers)
+    nursery.start_soon(broker_health, mailboxes.health, health)
+    start_planner(nursery, program, mailboxes, consensus, dialers, adapter)
 
 
-def start_planner(nursery, program, boxes, consensus, dialers, adapter):
+def start_planner(nursery, program, mailboxes, consensus, dialers, adapter):
     """Starts the planner, its actor and the platform's reports."""
     settings, clock = program.settings, program.clock
     if settings.platform_url is None:
-        nursery.start_soon(answer_without_platform, boxes.planner)
+        nursery.start_soon(answer_without_platform, mailboxes.planner)
         return
     client = PlatformClient(settings.platform_url, clock, program.metrics)
     plan_settings = PlanSettings()
@@ -233,7 +235,7 @@
     driver = PlanDriver(
         planner.ok,
         consensus.inbox,
-        boxes.plans,
+        mailboxes.plans,
         dialers,
         clock,
         random.Random(seed),
@@ -241,31 +243,35 @@
     )
     actor = PlanActor(consensus.inbox, adapter, client, program.events, clock)
     nursery.start_soon(
-        drive_plans, boxes.planner, driver, settings.plan_interval_ms
+        drive_plans, mailboxes.planner, driver, settings.plan_interval_ms
+    )
+    nursery.start_soon(
+        execute_commands, mailboxes.plans, mailboxes.planner, actor
     )
-    nursery.start_soon(execute_commands, boxes.plans, boxes.planner, actor)
-    nursery.start_soon(poll_reports, client, boxes.planner, logger)
+    nursery.start_soon(poll_reports, client, mailboxes.planner, logger)
 
 
-async def serve_operators(program, boxes):
+async def serve_operators(program, mailboxes):
     """Serves the operators' HTTP until the program stops."""
     settings = program.settings
     tokens = None
     if settings.operator_token_file is not None:
-        loaded = load_tokens(settings.operator_token_file)
-        if loaded.is_error():
-            logger.error("Operators are refused.", reason=loaded.error)
-        tokens = loaded.default_value(None)
+        loaded_tokens = load_tokens(settings.operator_token_file)
+        if loaded_tokens.is_error():
+            logger.error("Operators are refused.", reason=loaded_tokens.error)
+        tokens = loaded_tokens.default_value(None)
     control = OperatorControl(
         settings,
         program.clock,
-        StatePort(boxes.requests, settings.propose_timeout_ms),
-        boxes.publisher,
-        boxes.health,
+        StatePort(mailboxes.requests, settings.propose_timeout_ms),
+        mailboxes.publisher,
+        mailboxes.health,
+    )
+    process_info = ProcessInfo(
+        program.metrics, program.events, program.stopping
     )
-    info = ProcessInfo(program.metrics, program.events, program.stopping)
     await serve_http(
-        OperatorApp(control, tokens, info),
+        OperatorApp(control, tokens, process_info),
         settings.host,
         settings.operators_port,
         program.stopping,
@@ -276,11 +282,15 @@
 async def run_control(program):
     """Runs the control until it has stopped."""
     settings = program.settings
-    boxes = ControlMailboxes(settings)
-    context = program.link_context(boxes.deliveries)
+    mailboxes = ControlMailboxes(settings)
+    context = program.link_context(mailboxes.deliveries)
     dialers = make_dialers(settings, context)
     consensus = make_consensus(program, dialers)
-    consensus.observers += [boxes.notices, boxes.history, boxes.planner]
+    consensus.observers += [
+        mailboxes.notices,
+        mailboxes.history,
+        mailboxes.planner,
+    ]
     async with trio.open_nursery() as nursery:
         await nursery.start(consensus.run)
         await nursery.start(
@@ -288,8 +298,8 @@
         )
         for dialer in dialers.values():
             nursery.start_soon(dialer.run)
-        start_filters(nursery, program, boxes, consensus, dialers)
-        await serve_operators(program, boxes)
+        start_filters(nursery, program, mailboxes, consensus, dialers)
+        await serve_operators(program, mailboxes)
         nursery.cancel_scope.cancel()
 
 
--- a/wigeonport/credentials.py
+++ b/wigeonport/credentials.py
@@ -9,8 +9,8 @@
 from wigeonport.findings import Findings
 from wigeonport.settings import key_id
 
-LARGEST_FILE_BYTES = 65_536
-SHORTEST_SECRET_BYTES = 16
+MAX_FILE_BYTES = 65_536
+MIN_SECRET_BYTES = 16
 
 
 class OperatorTokens:
@@ -28,11 +28,11 @@
     def find(self, token):
         """Returns the operator's name, or None for an unknown token."""
         digest = hashlib.sha256(token.encode("utf-8", "replace")).digest()
-        found = None
-        for known, name in self.names.items():
-            if hmac.compare_digest(known, digest):
-                found = name
-        return found
+        operator = None
+        for stored_digest, name in self.names.items():
+            if hmac.compare_digest(stored_digest, digest):
+                operator = name
+        return operator
 
 
 def load_keys(paths) -> Result:
@@ -41,8 +41,8 @@
     keys = {}
     for path in paths:
         data = _read(path, findings)
-        if data is not None and len(data.strip()) < SHORTEST_SECRET_BYTES:
-            text = f"the key is shorter than {SHORTEST_SECRET_BYTES} bytes"
+        if data is not None and len(data.strip()) < MIN_SECRET_BYTES:
+            text = f"the key is shorter than {MIN_SECRET_BYTES} bytes"
             findings.add(path, text)
         elif data is not None:
             keys[key_id(path)] = data.strip()
@@ -61,11 +61,11 @@
         words = line.split()
         if not words or line.startswith("#"):
             continue
-        if len(words) != 2 or len(words[1].encode()) < SHORTEST_SECRET_BYTES:
+        if len(words) != 2 or len(words[1].encode()) < MIN_SECRET_BYTES:
             findings.add(
                 f"{path}:{number}",
                 "expected a name and a token of at least "
-                f"{SHORTEST_SECRET_BYTES} bytes",
+                f"{MIN_SECRET_BYTES} bytes",
             )
             continue
         names[hashlib.sha256(words[1].encode()).digest()] = words[0]
@@ -77,12 +77,12 @@
 def _read(path, findings):
     try:
         with pathlib.Path(path).open("rb") as source:
-            data = source.read(LARGEST_FILE_BYTES + 1)
-    except (OSError, ValueError) as fault:
-        reason = getattr(fault, "strerror", None) or str(fault)
+            data = source.read(MAX_FILE_BYTES + 1)
+    except (OSError, ValueError) as error:
+        reason = getattr(error, "strerror", None) or str(error)
         findings.add(path, f"cannot be read: {reason}")
         return None
-    if len(data) > LARGEST_FILE_BYTES:
-        findings.add(path, f"is larger than {LARGEST_FILE_BYTES} bytes")
+    if len(data) > MAX_FILE_BYTES:
+        findings.add(path, f"is larger than {MAX_FILE_BYTES} bytes")
         return None
     return data
--- a/wigeonport/documents.py
+++ b/wigeonport/documents.py
@@ -9,10 +9,10 @@
 from wigeonport.findings import Findings
 from wigeonport.registries import Registry
 
-KINDS = Registry("kind of value")
+VALUE_READERS = Registry("kind of value")
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,127}")
-LARGEST_WHOLE = 2**53
-LARGEST_TEXT_BYTES = 4_096
+MAX_INTEGER = 2**53
+MAX_TEXT_BYTES = 4_096
 
 
 class Required:
@@ -32,7 +32,7 @@
 
     Attributes:
         name: The key.
-        kind: Name in ``KINDS``.
+        kind: Name in ``VALUE_READERS``.
         default: Value when the key is absent; ``REQUIRED`` if there is none.
         least: Smallest number, or None.
         most: Largest number, or None.
@@ -102,8 +102,8 @@
         Args:
             path: Key path as a tuple.
             text: What is wrong.
-            related_record: Section and id of another record that the finding is
-                about, or None.
+            related_record: Section and id of another record that the
+                finding is about, or None.
         """
         del related_record
         self.findings.add(self.source_map.at(path), text)
@@ -112,11 +112,11 @@
 def format_path(path):
     """Renders a key path: names joined by dots, indices in brackets."""
     text = ""
-    for part in path:
-        if isinstance(part, int):
-            text += f"[{part}]"
+    for segment in path:
+        if isinstance(segment, int):
+            text += f"[{segment}]"
         else:
-            text += f".{part}" if text else str(part)
+            text += f".{segment}" if text else str(segment)
     return text or "document"
 
 
@@ -129,18 +129,20 @@
     if not isinstance(document, dict):
         reporter.add(path, f"expected a mapping, found {type_name(document)}")
         return None
-    known = {field.name: field for field in fields}
-    good = True
+    fields_by_name = {field.name: field for field in fields}
+    is_valid = True
     for key in document:
-        if key not in known:
-            reporter.add((*path, str(key)), describe_unknown_key(key, known))
-            good = False
+        if key not in fields_by_name:
+            reporter.add(
+                (*path, str(key)), describe_unknown_key(key, fields_by_name)
+            )
+            is_valid = False
     values = {}
     for field in fields:
         value = _read_field(field, document, path, reporter)
-        good = good and value.is_ok()
+        is_valid = is_valid and value.is_ok()
         values[field.name] = value.default_value(None)
-    return values if good else None
+    return values if is_valid else None
 
 
 def _read_field(field, document, path, reporter):
@@ -152,16 +154,18 @@
     value = document[field.name]
     if value is None and field.default is None:
         return Ok(None)
-    read = KINDS.entries[field.kind](value, field)
-    if read.is_error():
-        reporter.add((*path, field.name), read.error)
-    return read
+    result = VALUE_READERS.entries[field.kind](value, field)
+    if result.is_error():
+        reporter.add((*path, field.name), result.error)
+    return result
 
 
-def describe_unknown_key(key, known):
+def describe_unknown_key(key, fields_by_name):
     """Returns the text of a finding that names the nearest known key."""
-    near = difflib.get_close_matches(str(key), [str(k) for k in known], 1, 0.5)
-    hint = f"; did you mean {near[0]!r}?" if near else ""
+    close_matches = difflib.get_close_matches(
+        str(key), [str(k) for k in fields_by_name], 1, 0.5
+    )
+    hint = f"; did you mean {close_matches[0]!r}?" if close_matches else ""
     return f"unknown key {str(key)[:80]!r}{hint}"
 
 
@@ -172,7 +176,7 @@
 
 def type_name(value):
     """Returns a value's type in the words of YAML."""
-    names = {
+    names_by_type = {
         dict: "a mapping",
         list: "a list",
         str: "a text",
@@ -181,13 +185,15 @@
         float: "a number",
         type(None): "nothing",
     }
-    return names.get(type(value), f"a {type(value).__name__}")
+    return names_by_type.get(type(value), f"a {type(value).__name__}")
 
 
 def _expected(what, value):
-    shown = repr(value)
-    shown = shown if len(shown) <= 60 else shown[:57] + "..."
-    return Error(f"expected {what}, found {type_name(value)} {shown}")
+    value_text = repr(value)
+    value_text = (
+        value_text if len(value_text) <= 60 else value_text[:57] + "..."
+    )
+    return Error(f"expected {what}, found {type_name(value)} {value_text}")
 
 
 def _in_range(value, field):
@@ -198,7 +204,7 @@
     return Ok(value)
 
 
-@KINDS.register("name")
+@VALUE_READERS.register("name")
 def read_name(value, field) -> Result:
     """Accepts an identifier."""
     if isinstance(value, str) and NAME.fullmatch(value):
@@ -206,43 +212,43 @@
     return _expected("a name of letters, digits and . _ : -", value)
 
 
-@KINDS.register("text")
+@VALUE_READERS.register("text")
 def read_text(value, field) -> Result:
     """Accepts a text that can be encoded in UTF-8."""
     if not isinstance(value, str):
         return _expected("a text", value)
     try:
-        size = len(value.encode())
+        size_bytes = len(value.encode())
     except UnicodeEncodeError:
         return Error("the text cannot be encoded in UTF-8")
-    if size > LARGEST_TEXT_BYTES:
-        return Error(f"the text is longer than {LARGEST_TEXT_BYTES} bytes")
+    if size_bytes > MAX_TEXT_BYTES:
+        return Error(f"the text is longer than {MAX_TEXT_BYTES} bytes")
     return Ok(value)
 
 
-@KINDS.register("whole")
+@VALUE_READERS.register("whole")
 def read_whole(value, field) -> Result:
     """Accepts a whole number in range; true and false are not numbers."""
     if not isinstance(value, int) or isinstance(value, bool):
         return _expected("a whole number", value)
-    if abs(value) > LARGEST_WHOLE:
-        return Error(f"the number is beyond {LARGEST_WHOLE}")
+    if abs(value) > MAX_INTEGER:
+        return Error(f"the number is beyond {MAX_INTEGER}")
     return _in_range(value, field)
 
 
-@KINDS.register("number")
+@VALUE_READERS.register("number")
 def read_number(value, field) -> Result:
     """Accepts a finite number in range."""
     if not isinstance(value, int | float) or isinstance(value, bool):
         return _expected("a number", value)
-    if isinstance(value, int) and abs(value) > LARGEST_WHOLE:
-        return Error(f"the number is beyond {LARGEST_WHOLE}")
+    if isinstance(value, int) and abs(value) > MAX_INTEGER:
+        return Error(f"the number is beyond {MAX_INTEGER}")
     if not math.isfinite(value):
         return _expected("a finite number", value)
     return _in_range(float(value), field)
 
 
-@KINDS.register("flag")
+@VALUE_READERS.register("flag")
 def read_flag(value, field) -> Result:
     """Accepts true or false."""
     if isinstance(value, bool):
@@ -250,33 +256,33 @@
     return _expected("true or false", value)
 
 
-@KINDS.register("names")
+@VALUE_READERS.register("names")
 def read_names(value, field) -> Result:
     """Accepts a list of different names."""
     if not isinstance(value, list):
         return _expected("a list of names", value)
     for item in value:
-        read = read_name(item, field)
-        if read.is_error():
-            return read
+        result = read_name(item, field)
+        if result.is_error():
+            return result
     if len(set(value)) < len(value):
         return Error("the list contains a name twice")
     return Ok(list(value))
 
 
-@KINDS.register("texts")
+@VALUE_READERS.register("texts")
 def read_texts(value, field) -> Result:
     """Accepts a list of texts."""
     if not isinstance(value, list):
         return _expected("a list of texts", value)
     for item in value:
-        read = read_text(item, field)
-        if read.is_error():
-            return read
+        result = read_text(item, field)
+        if result.is_error():
+            return result
     return Ok(list(value))
 
 
-@KINDS.register("mappings")
+@VALUE_READERS.register("mappings")
 def read_mappings(value, field) -> Result:
     """Accepts a list; the caller reads its items."""
     if not isinstance(value, list):
@@ -284,7 +290,7 @@
     return Ok(value)
 
 
-@KINDS.register("mapping")
+@VALUE_READERS.register("mapping")
 def read_mapping(value, field) -> Result:
     """Accepts a mapping; the caller reads its fields."""
     if not isinstance(value, dict):
@@ -292,7 +298,7 @@
     return Ok(value)
 
 
-@KINDS.register("any")
+@VALUE_READERS.register("any")
 def read_any(value, field) -> Result:
     """Accepts any value; the caller reads it."""
     return Ok(value)
--- a/wigeonport/entry_main.py
+++ b/wigeonport/entry_main.py
@@ -32,10 +32,10 @@
 from wigeonport.shares import keep_shares
 from wigeonport.subscriptions import sort_deliveries
 
-TICK_MS = 100
+TABLE_TICK_MS = 100
 SHARE_TICK_MS = 20
 # Time for the last answers before the bound on the shutdown.
-LAST_ANSWERS_MS = 500
+FINAL_ANSWERS_MS = 500
 
 
 class EntryMailboxes:
@@ -70,38 +70,38 @@
     )
 
     def __init__(self, settings):
-        bound = settings.mailbox_bound
+        mailbox_bound = settings.mailbox_bound
         in_flight = settings.max_requests_in_flight
-        self.deliveries = Mailbox("deliveries", bound)
-        self.configurations = Mailbox("configurations", bound)
-        self.peers = Mailbox("peers", bound)
+        self.deliveries = Mailbox("deliveries", mailbox_bound)
+        self.configurations = Mailbox("configurations", mailbox_bound)
+        self.peers = Mailbox("peers", mailbox_bound)
         self.admissions = Mailbox("admissions", in_flight)
-        self.claims = Mailbox("claims", bound)
-        self.routing = Mailbox("routing", in_flight + bound)
-        self.shares = Mailbox("shares", bound)
+        self.claims = Mailbox("claims", mailbox_bound)
+        self.routing = Mailbox("routing", in_flight + mailbox_bound)
+        self.shares = Mailbox("shares", mailbox_bound)
         self.dispatches = Mailbox("dispatches", in_flight)
-        self.history = Mailbox("history", bound, DROP_OLDEST)
+        self.history = Mailbox("history", mailbox_bound, DROP_OLDEST)
 
 
-def start_table(nursery, program, boxes, context):
+def start_endpoint_table(nursery, program, mailboxes, context):
     """Starts the endpoint table and the links to the other entries."""
-    nursery.start_soon(record_history, boxes.history, program.events)
+    nursery.start_soon(record_history, mailboxes.history, program.events)
     peers = make_peer_links(program, context)
     for dialer in peers.values():
         nursery.start_soon(dialer.run)
     nursery.start_soon(
         keep_table,
-        boxes.peers,
-        [boxes.shares, boxes.routing, boxes.history],
+        mailboxes.peers,
+        [mailboxes.shares, mailboxes.routing, mailboxes.history],
         make_exchange(program, context),
         peers,
         program.clock,
-        TICK_MS,
+        TABLE_TICK_MS,
     )
     nursery.start_soon(
         keep_shares,
-        boxes.shares,
-        boxes.routing,
+        mailboxes.shares,
+        mailboxes.routing,
         make_share_book(program, context),
         peers,
         program.clock,
@@ -109,21 +109,21 @@
     )
 
 
-def start_filters(nursery, program, boxes, configuration, links):
+def start_filters(nursery, program, mailboxes, configuration, links):
     """Starts the filters of the chain."""
     settings, clock = program.settings, program.clock
     router = make_router(settings)
     nursery.start_soon(
         sort_deliveries,
-        boxes.deliveries,
-        boxes.configurations,
-        boxes.peers,
-        boxes.shares,
+        mailboxes.deliveries,
+        mailboxes.configurations,
+        mailboxes.peers,
+        mailboxes.shares,
     )
     nursery.start_soon(
         apply_updates,
-        boxes.configurations,
-        [boxes.admissions],
+        mailboxes.configurations,
+        [mailboxes.admissions],
         configuration,
         links.report,
         clock,
@@ -132,51 +132,57 @@
     )
     nursery.start_soon(
         admit,
-        boxes.admissions,
-        boxes.claims,
+        mailboxes.admissions,
+        mailboxes.claims,
         Admission(settings.max_requests_in_flight, settings.max_held_bytes),
         clock,
         program.metrics,
     )
-    claimer = make_claimer(program, boxes, links)
-    nursery.start_soon(claim_keys, boxes.claims, claimer)
+    claimer = make_claimer(program, mailboxes, links)
+    nursery.start_soon(claim_keys, mailboxes.claims, claimer)
     nursery.start_soon(
         route,
-        boxes.routing,
-        boxes.dispatches,
-        boxes.shares,
+        mailboxes.routing,
+        mailboxes.dispatches,
+        mailboxes.shares,
         router,
         clock,
         random.Random(),
         program.metrics,
     )
-    nursery.start_soon(report_demands, boxes.routing, links, clock)
+    nursery.start_soon(report_demands, mailboxes.routing, links, clock)
     nursery.start_soon(
-        dispatch, boxes.dispatches, make_dispatcher(program, boxes)
+        dispatch, mailboxes.dispatches, make_dispatcher(program, mailboxes)
     )
 
 
-async def serve_edges(program, boxes):
+async def serve_http_ports(program, mailboxes):
     """Serves the HTTP edges until the program stops."""
     settings = program.settings
-    info = ProcessInfo(program.metrics, program.events, program.stopping)
+    process_info = ProcessInfo(
+        program.metrics, program.events, program.stopping
+    )
     limits = make_caller_limits(settings)
-    callers = CallerApp(boxes.admissions, info, limits, program.clock)
+    callers = CallerApp(
+        mailboxes.admissions, process_info, limits, program.clock
+    )
     closing, drained = trio.Event(), trio.Event()
-    announcements = AnnouncementApp(boxes.peers, program.metrics, drained)
-    others = (
+    announcements = AnnouncementApp(mailboxes.peers, program.metrics, drained)
+    other_servers = (
         (announcements, settings.announcements_port),
-        (StatusApp(info), settings.entry_status_port),
+        (StatusApp(process_info), settings.entry_status_port),
     )
     grace_ms = settings.shutdown_grace_ms
     async with trio.open_nursery() as nursery:
-        for app, port in others:
+        for app, port in other_servers:
             nursery.start_soon(
                 serve_http, app, settings.host, port, drained, grace_ms
             )
         # Waiting requests need the endpoints' announcements until the end.
-        async with trio.open_nursery() as ending:
-            ending.start_soon(end_in_steps, program, boxes, closing)
+        async with trio.open_nursery() as shutdown_nursery:
+            shutdown_nursery.start_soon(
+                shut_down_in_steps, program, mailboxes, closing
+            )
             await serve_http(
                 callers,
                 settings.host,
@@ -184,11 +190,11 @@
                 closing,
                 grace_ms,
             )
-            ending.cancel_scope.cancel()
+            shutdown_nursery.cancel_scope.cancel()
         drained.set()
 
 
-async def end_in_steps(program, boxes, closing):
+async def shut_down_in_steps(program, mailboxes, closing):
     """Closes the callers' port, and answers all before the time is up.
 
     For a moment after the stop the port stays open, so that callers whose
@@ -201,16 +207,16 @@
     await program.clock.sleep(min(settings.stop_refuse_ms, grace_ms // 2))
     closing.set()
     spent_ms = program.clock.now() - stopped_ms
-    margin_ms = min(LAST_ANSWERS_MS, grace_ms // 4)
+    margin_ms = min(FINAL_ANSWERS_MS, grace_ms // 4)
     await program.clock.sleep(max(grace_ms - margin_ms - spent_ms, 0))
-    await boxes.admissions.put(CutOff())
+    await mailboxes.admissions.put(CutOff())
 
 
 async def run_entry(program):
     """Runs the entry until it has stopped."""
     settings = program.settings
-    boxes = EntryMailboxes(settings)
-    context = program.link_context(boxes.deliveries)
+    mailboxes = EntryMailboxes(settings)
+    context = program.link_context(mailboxes.deliveries)
     configuration = Configuration()
     links = make_control_links(program, context, configuration)
     async with trio.open_nursery() as nursery:
@@ -219,9 +225,9 @@
         )
         for dialer in links.dialers:
             nursery.start_soon(dialer.run)
-        start_table(nursery, program, boxes, context)
-        start_filters(nursery, program, boxes, configuration, links)
-        await serve_edges(program, boxes)
+        start_endpoint_table(nursery, program, mailboxes, context)
+        start_filters(nursery, program, mailboxes, configuration, links)
+        await serve_http_ports(program, mailboxes)
         nursery.cancel_scope.cancel()
 
 
--- a/wigeonport/entry_parts.py
+++ b/wigeonport/entry_parts.py
@@ -12,8 +12,8 @@
 from wigeonport.shares import ShareBook
 from wigeonport.subscriptions import ControlLinks
 
-ENDPOINT_CONNECTIONS = 64
-SETTLE_MARGIN_MS = 200
+MAX_IDLE_CONNECTIONS = 64
+SETTLING_MARGIN_MS = 200
 
 
 def make_control_links(program, context, configuration):
@@ -43,17 +43,20 @@
     position = vms.index(settings)
     others = vms[position + 1 :] + vms[:position]
     own_zone = settings.availability_zone
-    near = [vm for vm in others if vm.availability_zone == own_zone]
-    far = [vm for vm in others if vm.availability_zone != own_zone]
-    turn = position % len(far) if far else 0
-    far = far[turn:] + far[:turn]
-    chosen = [[settings]]
+    same_zone = [vm for vm in others if vm.availability_zone == own_zone]
+    other_zones = [vm for vm in others if vm.availability_zone != own_zone]
+    rotation = position % len(other_zones) if other_zones else 0
+    other_zones = other_zones[rotation:] + other_zones[:rotation]
+    candidates_by_link = [[settings]]
     if others:
-        chosen += [near + far, far + near]
-    return chosen
+        candidates_by_link += [
+            same_zone + other_zones,
+            other_zones + same_zone,
+        ]
+    return candidates_by_link
 
 
-def make_claimer(program, boxes, links):
+def make_claimer(program, mailboxes, links):
     """Returns the claimer of keyed requests."""
     settings = program.settings
     limits = ClaimLimits(
@@ -63,7 +66,7 @@
     )
     return Claimer(
         ControlCaller(links, program.clock),
-        boxes.routing,
+        mailboxes.routing,
         codecs.get("thrift").ok(),
         limits,
         program.clock,
@@ -71,7 +74,7 @@
     )
 
 
-def make_dispatcher(program, boxes):
+def make_dispatcher(program, mailboxes):
     """Returns the dispatcher; the entries divide the connections evenly."""
     settings = program.settings
     entries = len(settings.peers) + 1
@@ -81,8 +84,8 @@
         settings.max_response_bytes,
     )
     return Dispatcher(
-        IdleConnections(max(1, ENDPOINT_CONNECTIONS // entries)),
-        boxes.routing,
+        IdleConnections(max(1, MAX_IDLE_CONNECTIONS // entries)),
+        mailboxes.routing,
         program.clock,
         program.metrics,
         limits,
@@ -130,11 +133,11 @@
     wait until others are heard.
     """
     settings = program.settings
-    settle_ms = settings.table_digest_ms + SETTLE_MARGIN_MS
+    settling_ms = settings.table_digest_ms + SETTLING_MARGIN_MS
     return ShareBook(
         context.identity.node_id,
         settings.share_lease_ms,
-        settle_ms if settings.peers else 0,
+        settling_ms if settings.peers else 0,
         settings.share_policy,
     )
 
--- a/wigeonport/events.py
+++ b/wigeonport/events.py
@@ -15,7 +15,7 @@
 GAP = "gap"
 START = "start"
 WRITER_BOUND = 4_096
-LARGEST_FILE_BYTES = 32 * 1024 * 1024
+MAX_FILE_BYTES = 32 * 1024 * 1024
 
 
 class Event(Record):
@@ -114,10 +114,10 @@
         )
         self.ring.append(event)
         if self.writer is not None:
-            self._pass_on(event)
+            self._send_to_writer(event)
         return event
 
-    def _pass_on(self, event):
+    def _send_to_writer(self, event):
         line = event.line()
         if self.lost:
             line = make_gap_event(event, self.lost).line() + "\n" + line
@@ -148,10 +148,10 @@
     )
 
 
-async def write_events(log, path, metrics, limit_bytes=LARGEST_FILE_BYTES):
+async def write_events(log, path, metrics, max_file_bytes=MAX_FILE_BYTES):
     """Owns the event file: appends lines until the writer is closed.
 
-    At ``limit_bytes`` the file becomes ``PATH.1`` and a new one starts. A
+    At ``max_file_bytes`` the file becomes ``PATH.1`` and a new one starts. A
     write that fails is logged and counted, and its events are lost; the
     sequence numbers show it.
 
@@ -159,22 +159,22 @@
         log: EventLog with a writer.
         path: Name of the file.
         metrics: Metrics of the process.
-        limit_bytes: Size at which a new file starts.
+        max_file_bytes: Size at which a new file starts.
     """
     path = pathlib.Path(path)
     async for line in log.writer:
         lines = [line]
         while log.writer.depth():
             lines.append(await log.writer.get())
-        data = "".join(item + "\n" for item in lines).encode()
+        data = "".join(text + "\n" for text in lines).encode()
         try:
-            await trio.to_thread.run_sync(append, path, data, limit_bytes)
-        except OSError as fault:
+            await trio.to_thread.run_sync(append, path, data, max_file_bytes)
+        except OSError as error:
             metrics.count("events_lost", len(lines))
-            logger.error("Events were not written.", reason=fault.strerror)
+            logger.error("Events were not written.", reason=error.strerror)
 
 
-def append(path, data, limit_bytes):
+def append(path, data, max_file_bytes):
     """Appends lines to a file; starts a new file when it is full.
 
     Raises:
@@ -183,13 +183,13 @@
     path.parent.mkdir(parents=True, exist_ok=True)
     with path.open("a+b") as target:
         size = target.seek(0, 2)
-        if size and size + len(data) > limit_bytes:
+        if size and size + len(data) > max_file_bytes:
             path.replace(path.with_name(path.name + ".1"))
         elif size:
             target.seek(size - 1)
             # A crash may have cut the last line.
-            whole = target.read(1) == b"\n"
-            target.write(data if whole else b"\n" + data)
+            ends_with_newline = target.read(1) == b"\n"
+            target.write(data if ends_with_newline else b"\n" + data)
             return
     with path.open("ab") as target:
         target.write(data)
--- a/wigeonport/logs.py
+++ b/wigeonport/logs.py
@@ -14,9 +14,9 @@
 
 STDOUT = 1
 # Lines kept while the reader of the output is slow.
-BUFFER_LINES = 2_000
+MAX_PENDING_LINES = 2_000
 # Lines a second; far above the decisions of a busy leader, about 600.
-LINES_PER_SECOND = 3_000
+MAX_LINES_PER_SECOND = 3_000
 
 
 class PartLogger:
@@ -71,7 +71,7 @@
         dropped: Lines dropped since the last one that was written.
         dropped_total: Lines dropped since the start.
         second: Second of the newest line.
-        lines: Lines in that second.
+        lines_in_second: Lines in that second.
     """
 
     __slots__ = (
@@ -80,7 +80,7 @@
         "dropped",
         "dropped_total",
         "second",
-        "lines",
+        "lines_in_second",
     )
 
     def __init__(self, descriptor):
@@ -90,14 +90,17 @@
         self.dropped = 0
         self.dropped_total = 0
         self.second = 0
-        self.lines = 0
+        self.lines_in_second = 0
 
     def write(self, line, second):
         """Writes a line, or drops it if the output is stuck or too fast."""
         if second != self.second:
-            self.second, self.lines = second, 0
-        self.lines += 1
-        if self.lines > LINES_PER_SECOND or len(self.pending) >= BUFFER_LINES:
+            self.second, self.lines_in_second = second, 0
+        self.lines_in_second += 1
+        if (
+            self.lines_in_second > MAX_LINES_PER_SECOND
+            or len(self.pending) >= MAX_PENDING_LINES
+        ):
             self.dropped += 1
             self.dropped_total += 1
         else:
@@ -122,14 +125,14 @@
                 return
             self.pending.popleft()
         if self.dropped:
-            note = {
+            notice = {
                 "level": "warning",
                 "part": "logs",
                 "dropped": self.dropped,
             }
-            note["message"] = "Log lines were dropped."
+            notice["message"] = "Log lines were dropped."
             self.dropped = 0
-            self.pending.append(json.dumps(note).encode() + b"\n")
+            self.pending.append(json.dumps(notice).encode() + b"\n")
 
 
 class LineHandler(logbook.Handler):
--- a/wigeonport/metrics.py
+++ b/wigeonport/metrics.py
@@ -2,7 +2,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-LARGEST_VALUE = 3_600_000_000
+MAX_HISTOGRAM_VALUE = 3_600_000_000
 SIGNIFICANT_FIGURES = 2
 PERCENTILES = (50.0, 99.0, 99.9)
 
@@ -35,9 +35,11 @@
         """Records a whole number in a histogram."""
         histogram = self.histograms.get(name)
         if histogram is None:
-            histogram = HdrHistogram(1, LARGEST_VALUE, SIGNIFICANT_FIGURES)
+            histogram = HdrHistogram(
+                1, MAX_HISTOGRAM_VALUE, SIGNIFICANT_FIGURES
+            )
             self.histograms[name] = histogram
-        histogram.record_value(max(1, min(int(value), LARGEST_VALUE)))
+        histogram.record_value(max(1, min(int(value), MAX_HISTOGRAM_VALUE)))
 
     def to_document(self):
         """Returns all metrics as plain data."""
--- a/wigeonport/programs.py
+++ b/wigeonport/programs.py
@@ -99,21 +99,21 @@
     Later signals have no further effect; the bound on the shutdown is the
     setting ``shutdown_grace_ms``.
     """
-    wanted = (signal.SIGTERM, signal.SIGINT)
-    with trio.open_signal_receiver(*wanted) as signals:
-        async for number in signals:
+    stop_signals = (signal.SIGTERM, signal.SIGINT)
+    with trio.open_signal_receiver(*stop_signals) as signals:
+        async for signal_number in signals:
             if stopping.is_set():
-                logger.info("Already stopping.", signal=number)
+                logger.info("Already stopping.", signal=signal_number)
                 continue
-            logger.info("Stopping.", signal=number)
+            logger.info("Stopping.", signal=signal_number)
             stopping.set()
 
 
 async def reload_on_signal(reloads):
     """Asks for a reload of the settings at each SIGHUP."""
     with trio.open_signal_receiver(signal.SIGHUP) as signals:
-        async for number in signals:
-            reloads.put_nowait(number)
+        async for signal_number in signals:
+            reloads.put_nowait(signal_number)
 
 
 def start(role, run, arguments):
--- a/wigeonport/registries.py
+++ b/wigeonport/registries.py
@@ -40,8 +40,8 @@
         """Returns the entry, or an error text that lists the names."""
         if name in self.entries:
             return Ok(self.entries[name])
-        known = ", ".join(map(str, self.names()))
-        return Error(f"no {self.kind} {name!r}; known: {known}")
+        registered = ", ".join(map(str, self.names()))
+        return Error(f"no {self.kind} {name!r}; known: {registered}")
 
     def names(self):
         """Returns the registered names in alphabetical order."""
--- a/wigeonport/settings.py
+++ b/wigeonport/settings.py
@@ -79,8 +79,10 @@
     """Returns Settings, or all Findings with their places."""
     reporter = Reporter(source_map)
     values = read_fields(SETTING_FIELDS, document, (), reporter)
-    listed = document.get("peers") if isinstance(document, dict) else None
-    peers = _read_peers(listed, reporter)
+    peer_documents = (
+        document.get("peers") if isinstance(document, dict) else None
+    )
+    peers = _read_peers(peer_documents, reporter)
     if values is None or reporter.findings:
         return Error(reporter.findings)
     settings = Settings(values | {"peers": peers})
@@ -108,28 +110,28 @@
         The Settings by path, or all Findings.
     """
     findings = Findings()
-    read = {}
+    settings_by_path = {}
     for path in paths:
         loaded = load_settings(path)
         if loaded.is_ok():
-            read[str(path)] = loaded.ok
+            settings_by_path[str(path)] = loaded.ok
         else:
             findings.extend(loaded.error)
     for name in CLUSTER_CHECKS.names():
-        CLUSTER_CHECKS.entries[name](read, findings)
-    return Error(findings) if findings else Ok(read)
+        CLUSTER_CHECKS.entries[name](settings_by_path, findings)
+    return Error(findings) if findings else Ok(settings_by_path)
 
 
 @SETTINGS_CHECKS.register("ports")
 def check_ports(settings, reporter):
     """The ports of a VM differ."""
-    users = {}
+    fields_by_port = {}
     for field in PORT_FIELDS:
         port = getattr(settings, field.name)
-        if port in users:
-            text = f"port {port} is used by {users[port]!r} too"
+        if port in fields_by_port:
+            text = f"port {port} is used by {fields_by_port[port]!r} too"
             reporter.add((field.name,), text)
-        users.setdefault(port, field.name)
+        fields_by_port.setdefault(port, field.name)
 
 
 @SETTINGS_CHECKS.register("peers")
@@ -171,9 +173,9 @@
     """Links are always authenticated; key ids differ."""
     if not settings.key_files:
         reporter.add(("key_files",), "name at least one key file")
-    ids = [key_id(path) for path in settings.key_files]
-    for index, name in enumerate(ids):
-        if name in ids[:index]:
+    key_ids = [key_id(path) for path in settings.key_files]
+    for index, name in enumerate(key_ids):
+        if name in key_ids[:index]:
             text = f"the key id {name!r} is used twice"
             reporter.add(("key_files", index), text)
 
@@ -202,40 +204,45 @@
         ("share_policy", share_policies),
     )
     for name, registry in policies:
-        found = registry.get(getattr(settings, name))
-        if found.is_error():
-            reporter.add((name,), found.error)
+        policy = registry.get(getattr(settings, name))
+        if policy.is_error():
+            reporter.add((name,), policy.error)
 
 
 @CLUSTER_CHECKS.register("agreement")
-def check_agreement(read, findings):
+def check_agreement(settings_by_path, findings):
     """Files of one cluster agree on voters and name different nodes."""
-    first, nodes = {}, {}
-    for path, settings in read.items():
+    first_paths, paths_by_node = {}, {}
+    for path, settings in settings_by_path.items():
         node = (settings.cluster_id, settings.node_id)
-        if node in nodes:
-            text = f"{settings.node_id!r} stands in {nodes[node]} too"
+        if node in paths_by_node:
+            text = f"{settings.node_id!r} stands in {paths_by_node[node]} too"
             findings.add(f"{path}: node_id", text)
-        nodes.setdefault(node, path)
-        other = first.setdefault(settings.cluster_id, path)
-        if set(read[other].voters) != set(settings.voters):
+        paths_by_node.setdefault(node, path)
+        other = first_paths.setdefault(settings.cluster_id, path)
+        if set(settings_by_path[other].voters) != set(settings.voters):
             findings.add(f"{path}: voters", f"differ from {other}")
 
 
 @CLUSTER_CHECKS.register("addresses")
-def check_addresses(read, findings):
+def check_addresses(settings_by_path, findings):
     """What a file says of a peer equals what the peer's own file says."""
-    own = {(s.cluster_id, s.node_id): s for s in read.values()}
+    settings_by_node = {
+        (s.cluster_id, s.node_id): s for s in settings_by_path.values()
+    }
     keys = Peer.__slots__
-    for path, settings in read.items():
+    for path, settings in settings_by_path.items():
         for index, peer in enumerate(settings.peers):
-            other = own.get((settings.cluster_id, peer.node_id))
+            other = settings_by_node.get((settings.cluster_id, peer.node_id))
             for key in keys if other is not None else ():
-                said, real = getattr(peer, key), getattr(other, key)
-                if said != real:
+                listed, actual = (
+                    getattr(peer, key),
+                    getattr(other, key),
+                )
+                if listed != actual:
                     findings.add(
                         f"{path}: peers[{index}].{key}",
-                        f"is {said}, but {peer.node_id!r} has {real}",
+                        f"is {listed}, but {peer.node_id!r} has {actual}",
                     )
 
 
--- a/wigeonport/timelines.py
+++ b/wigeonport/timelines.py
@@ -6,7 +6,7 @@
 from wigeonport.documents import Field, Reporter, SourceMap, read_fields
 from wigeonport.events import GAP, Event, make_gap_event
 
-LARGEST_LINE_BYTES = 1_048_576
+MAX_LINE_BYTES = 1_048_576
 FIELDS = (
     Field("node", "text"),
     Field("run", "whole"),
@@ -38,13 +38,13 @@
 
 
 def _read_line(location, line, findings):
-    if len(line) > LARGEST_LINE_BYTES:
-        findings.add(location, f"is longer than {LARGEST_LINE_BYTES} bytes")
+    if len(line) > MAX_LINE_BYTES:
+        findings.add(location, f"is longer than {MAX_LINE_BYTES} bytes")
         return None
     try:
         document = json.loads(line)
-    except (ValueError, RecursionError) as fault:
-        findings.add(location, f"is not JSON: {fault}")
+    except (ValueError, RecursionError) as error:
+        findings.add(location, f"is not JSON: {error}")
         return None
     reporter = Reporter(SourceMap(location))
     values = read_fields(FIELDS, document, (), reporter)
@@ -66,32 +66,37 @@
         if event.kind != GAP:
             key = (event.run, event.sequence)
             streams.setdefault(event.node, {}).setdefault(key, event)
-    ordered = [
-        _number(_with_gaps([stream[key] for key in sorted(stream)]))
+    keyed_streams = [
+        _with_sort_keys(_with_gaps([stream[key] for key in sorted(stream)]))
         for _, stream in sorted(streams.items())
     ]
-    return [event for _, event in heapq.merge(*ordered, key=lambda p: p[0])]
+    return [
+        event
+        for _, event in heapq.merge(*keyed_streams, key=lambda keyed: keyed[0])
+    ]
 
 
-def _number(events):
+def _with_sort_keys(events):
     """Returns sort keys that never fall within a process."""
-    numbered, highest = [], 0
+    keyed_events, max_lamport = [], 0
     for event in events:
-        highest = max(highest, event.lamport)
-        numbered.append(((highest, event.node), event))
-    return numbered
+        max_lamport = max(max_lamport, event.lamport)
+        keyed_events.append(((max_lamport, event.node), event))
+    return keyed_events
 
 
 def _with_gaps(events):
     """Inserts a gap wherever sequence numbers of a run are missing."""
-    result, run, expected = [], None, 1
+    result, run, next_sequence = [], None, 1
     for event in events:
         if event.run != run:
-            run, expected = event.run, 1
-        if event.sequence > expected:
-            result.append(make_gap_event(event, event.sequence - expected))
+            run, next_sequence = event.run, 1
+        if event.sequence > next_sequence:
+            result.append(
+                make_gap_event(event, event.sequence - next_sequence)
+            )
         result.append(event)
-        expected = event.sequence + 1
+        next_sequence = event.sequence + 1
     return result
 
 
--- a/wigeonport/yaml_documents.py
+++ b/wigeonport/yaml_documents.py
@@ -13,12 +13,12 @@
 from wigeonport.findings import Findings
 from wigeonport.registries import Registry
 
-SCALARS = Registry("YAML scalar")
+SCALAR_READERS = Registry("YAML scalar")
 TAG = "tag:yaml.org,2002:"
-LARGEST_FILE_BYTES = 4 * 1024 * 1024
+MAX_FILE_BYTES = 4 * 1024 * 1024
 # Aliases can expand a small file without limit.
-LARGEST_NODE_COUNT = 200_000
-LARGEST_DEPTH = 32
+MAX_NODES = 200_000
+MAX_DEPTH = 32
 
 
 class YamlDocument:
@@ -40,41 +40,45 @@
     """Reads a YAML file; returns a YamlDocument or Findings."""
     try:
         with pathlib.Path(path).open("rb") as source:
-            data = source.read(LARGEST_FILE_BYTES + 1)
-    except (OSError, ValueError) as fault:
-        reason = getattr(fault, "strerror", None) or str(fault)
-        return _fault(str(path), f"cannot be read: {reason}")
+            data = source.read(MAX_FILE_BYTES + 1)
+    except (OSError, ValueError) as error:
+        reason = getattr(error, "strerror", None) or str(error)
+        return _finding_error(str(path), f"cannot be read: {reason}")
     return load_bytes(data, str(path))
 
 
 def load_bytes(data, name) -> Result:
     """Parses YAML; returns a YamlDocument or Findings."""
-    if len(data) > LARGEST_FILE_BYTES:
-        return _fault(name, f"is larger than {LARGEST_FILE_BYTES} bytes")
+    if len(data) > MAX_FILE_BYTES:
+        return _finding_error(name, f"is larger than {MAX_FILE_BYTES} bytes")
     try:
         text = data.decode()
-    except UnicodeDecodeError as fault:
-        return _fault(name, f"is not UTF-8 at byte {fault.start}")
+    except UnicodeDecodeError as error:
+        return _finding_error(name, f"is not UTF-8 at byte {error.start}")
     try:
         if _is_too_deep(text):
-            return _fault(name, f"is nested deeper than {LARGEST_DEPTH}")
+            return _finding_error(name, f"is nested deeper than {MAX_DEPTH}")
         tree = YAML(typ="rt").compose(io.StringIO(text))
-    except MarkedYAMLError as fault:
-        mark = fault.problem_mark or fault.context_mark
+    except MarkedYAMLError as error:
+        mark = error.problem_mark or error.context_mark
         line = mark.line + 1 if mark else 1
-        return _fault(f"{name}:{line}", f"is not valid YAML: {fault.problem}")
-    except YAMLError as fault:
-        first = (str(fault).splitlines() or ["unknown fault"])[0]
-        return _fault(name, f"is not valid YAML: {first}")
-    except Exception as fault:
+        return _finding_error(
+            f"{name}:{line}", f"is not valid YAML: {error.problem}"
+        )
+    except YAMLError as error:
+        first = (str(error).splitlines() or ["unknown fault"])[0]
+        return _finding_error(name, f"is not valid YAML: {first}")
+    except Exception as error:
         # The parser raises assorted built-in errors on malformed input.
-        return _fault(name, f"is not valid YAML: {type(fault).__name__}")
+        return _finding_error(
+            name, f"is not valid YAML: {type(error).__name__}"
+        )
     return _Converter(name).convert(tree)
 
 
-def _fault(place, text):
+def _finding_error(location, text):
     findings = Findings()
-    findings.add(place, text)
+    findings.add(location, text)
     return Error(findings)
 
 
@@ -86,7 +90,7 @@
             depth += 1
         elif isinstance(event, CollectionEndEvent):
             depth -= 1
-        if depth > LARGEST_DEPTH:
+        if depth > MAX_DEPTH:
             return True
     return False
 
@@ -97,39 +101,41 @@
     Attributes:
         source_map: Line by key path.
         findings: Faults found on the way.
-        count: Number of nodes visited, aliases included.
-        open_nodes: Ids of the nodes that contain the current one.
+        visited_nodes: Number of nodes visited, aliases included.
+        ancestor_ids: Ids of the nodes that contain the current one.
     """
 
-    __slots__ = ("source_map", "findings", "count", "open_nodes")
+    __slots__ = ("source_map", "findings", "visited_nodes", "ancestor_ids")
 
     def __init__(self, name):
         self.source_map = SourceMap(name, {(): 1})
         self.findings = Findings()
-        self.count = 0
-        self.open_nodes = set()
+        self.visited_nodes = 0
+        self.ancestor_ids = set()
 
     def convert(self, tree):
         """Returns the YamlDocument or the findings."""
-        value = None if tree is None else self.plain(tree, ())
+        value = None if tree is None else self.to_plain(tree, ())
         return self.findings.result(YamlDocument(value, self.source_map))
 
-    def plain(self, node, path):
+    def to_plain(self, node, path):
         """Returns the plain value of a node."""
-        self.count += 1
-        if self.count > LARGEST_NODE_COUNT:
-            if self.count == LARGEST_NODE_COUNT + 1:
+        self.visited_nodes += 1
+        if self.visited_nodes > MAX_NODES:
+            if self.visited_nodes == MAX_NODES + 1:
                 self.report(path, "the document is too large")
             return None
         if isinstance(node, ScalarNode):
             return self.scalar(node, path)
-        if id(node) in self.open_nodes:
+        if id(node) in self.ancestor_ids:
             self.report(path, "the alias refers to what contains it")
             return None
-        self.open_nodes.add(id(node))
-        read = self.mapping if isinstance(node, MappingNode) else self.sequence
-        value = read(node, path)
-        self.open_nodes.discard(id(node))
+        self.ancestor_ids.add(id(node))
+        convert_collection = (
+            self.mapping if isinstance(node, MappingNode) else self.sequence
+        )
+        value = convert_collection(node, path)
+        self.ancestor_ids.discard(id(node))
         return value
 
     def mapping(self, node, path):
@@ -139,15 +145,19 @@
             return result
         for key, value in node.value:
             name = str(key.value) if isinstance(key, ScalarNode) else "?"
-            below = (*path, name)
-            self.source_map.lines.setdefault(below, key.start_mark.line + 1)
+            child_path = (*path, name)
+            self.source_map.lines.setdefault(
+                child_path, key.start_mark.line + 1
+            )
             if key.tag != f"{TAG}str":
-                self.report(below, "the key is not a text; put it in quotes")
+                self.report(
+                    child_path, "the key is not a text; put it in quotes"
+                )
             elif name in result:
                 line = key.start_mark.line + 1
-                self.report(below, f"the key is repeated at line {line}")
+                self.report(child_path, f"the key is repeated at line {line}")
             else:
-                result[name] = self.plain(value, below)
+                result[name] = self.to_plain(value, child_path)
         return result
 
     def sequence(self, node, path):
@@ -156,14 +166,16 @@
         if not self.has_tag(node, path, "seq"):
             return result
         for index, value in enumerate(node.value):
-            below = (*path, index)
-            self.source_map.lines.setdefault(below, value.start_mark.line + 1)
-            result.append(self.plain(value, below))
+            child_path = (*path, index)
+            self.source_map.lines.setdefault(
+                child_path, value.start_mark.line + 1
+            )
+            result.append(self.to_plain(value, child_path))
         return result
 
     def scalar(self, node, path):
         """Returns a text, number, truth value or None."""
-        reader = SCALARS.entries.get(str(node.tag).removeprefix(TAG))
+        reader = SCALAR_READERS.entries.get(str(node.tag).removeprefix(TAG))
         if reader is None:
             self.report(path, f"has the unsupported type {node.tag}; quote it")
             return None
@@ -185,18 +197,18 @@
         self.findings.add(self.source_map.at(path), text)
 
 
-@SCALARS.register("null")
+@SCALAR_READERS.register("null")
 def read_null(text):
     """Returns None."""
 
 
-@SCALARS.register("str")
+@SCALAR_READERS.register("str")
 def read_str(text):
     """Returns the text itself."""
     return str(text)
 
 
-@SCALARS.register("bool")
+@SCALAR_READERS.register("bool")
 def read_bool(text):
     """Returns the truth value."""
     if text.lower() not in ("true", "false"):
@@ -204,7 +216,7 @@
     return text.lower() == "true"
 
 
-@SCALARS.register("int")
+@SCALAR_READERS.register("int")
 def read_int(text):
     """Returns a whole number; the prefixes 0o and 0x are understood."""
     digits = text.replace("_", "")
@@ -213,7 +225,7 @@
     return int(digits)
 
 
-@SCALARS.register("float")
+@SCALAR_READERS.register("float")
 def read_float(text):
     """Returns a number, also for ``.inf`` and ``.nan``."""
     return float(
