Rename NAME to NAME_PATTERN

Cause: NAME did not say that it is the pattern of an identifier Change: NAME to NAME_PATTERN; 4 uses in 2 files, by token. Result: every touched file compiles; behaviour is unchanged.

--- a/wigeonport/commands/fleet.py
+++ b/wigeonport/commands/fleet.py
@@ -12,7 +12,7 @@
     ServerCommand,
     UsageError,
 )
-from wigeonport.documents import NAME
+from wigeonport.documents import NAME_PATTERN
 from wigeonport.fleet_changes import Change
 from wigeonport.patch_files import load_patch_file
 
@@ -139,7 +139,7 @@
             id = PREVIEW_ID
         if against is None or id is None:
             raise UsageError("--against and --id are required")
-        if not NAME.fullmatch(id):
+        if not NAME_PATTERN.fullmatch(id):
             raise UsageError(f"{id!r} is not a name")
         read = load_patch_file(self.argument("file"), id, against, "")
         if read.is_error():
--- a/wigeonport/documents.py
+++ b/wigeonport/documents.py
@@ -10,7 +10,7 @@
 from wigeonport.registries import Registry
 
 VALUE_READERS = Registry("kind of value")
-NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,127}")
+NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,127}")
 MAX_INTEGER = 2**53
 MAX_TEXT_BYTES = 4_096
 
@@ -207,7 +207,7 @@
 @VALUE_READERS.register("name")
 def read_name(value, field) -> Result:
     """Accepts an identifier."""
-    if isinstance(value, str) and NAME.fullmatch(value):
+    if isinstance(value, str) and NAME_PATTERN.fullmatch(value):
         return Ok(value)
     return _expected("a name of letters, digits and . _ : -", value)
 
