Rename make_report to make_initial_version_report

Cause: make_report did not say which report it makes Change: make_report to make_initial_version_report; 4 uses in 2 files, by token. Result: every touched file compiles; behaviour is unchanged.

--- a/tools/standins/control_publisher.py
+++ b/tools/standins/control_publisher.py
@@ -10,7 +10,7 @@
 import trio
 
 from wigeonport.channels import Mailbox
-from wigeonport.control_main import make_report
+from wigeonport.control_main import make_initial_version_report
 from wigeonport.dialers import listen
 from wigeonport.programs import start
 from wigeonport.publishers import Publisher, VersionAccepted, publish
@@ -22,7 +22,7 @@
     """Publishes the document as version 1 until the program stops."""
     settings = program.settings
     inbound = Mailbox("deliveries", DELIVERIES_BOUND)
-    publisher = Publisher(make_report(program))
+    publisher = Publisher(make_initial_version_report(program))
     publisher.accept(VersionAccepted(1, document))
     context = program.link_context(inbound)
     async with trio.open_nursery() as nursery:
--- a/wigeonport/control_main.py
+++ b/wigeonport/control_main.py
@@ -121,7 +121,7 @@
             await consensus.put(message)
 
 
-def make_report(program):
+def make_initial_version_report(program):
     """Returns the VersionReport of this control before any version."""
     zone = program.settings.availability_zone
     return VersionReport(program.node_id, zone, program.events.run, 0)
@@ -200,7 +200,7 @@
     nursery.start_soon(
         publish,
         mailboxes.publisher,
-        Publisher(make_report(program)),
+        Publisher(make_initial_version_report(program)),
         program.clock,
         list(dialers.values()),
     )
