Describe the settings and their checks plainly

Cause: texts such as "Longest wait for a decision" and "HTTP of callers; entry", and findings such as "'x' stands in FILE too", needed a second reading.

--- a/wigeonport/setting_tables.py
+++ b/wigeonport/setting_tables.py
@@ -1,4 +1,4 @@
-"""The one table of settings, with their defaults and meanings."""
+"""Tables of all settings, with their kinds, defaults and descriptions."""
 
 from wigeonport.documents import REQUIRED, Field
 
@@ -21,20 +21,36 @@
 IDENTITY_FIELDS = (
     Field("node_id", "name", REQUIRED, text="Unique name of the VM."),
     Field("cluster_id", "name", REQUIRED, text="Name of the deployment."),
-    Field("availability_zone", "name", REQUIRED, text="Zone of the VM."),
-    Field("host", "text", "127.0.0.1", text="Address on which ports listen."),
+    Field(
+        "availability_zone",
+        "name",
+        REQUIRED,
+        text="Availability zone of the VM.",
+    ),
+    Field(
+        "host",
+        "text",
+        "127.0.0.1",
+        text="Address on which the programs listen.",
+    ),
 )
 PORT_FIELDS = (
-    _port("callers_port", 8_080, "HTTP of callers; entry."),
-    _port("announcements_port", 8_081, "HTTP of announcing endpoints; entry."),
-    _port("entry_links_port", 8_082, "Links to the entry program."),
+    _port("callers_port", 8_080, "HTTP port of the entry for callers."),
+    _port(
+        "announcements_port",
+        8_081,
+        "HTTP port of the entry for announcements of endpoints.",
+    ),
+    _port("entry_links_port", 8_082, "Port on which the entry accepts links."),
     _port(
         "entry_status_port",
         8_083,
-        "HTTP of `/metrics`, `/events` and `/healthz`; entry.",
+        "HTTP port of the entry for `/metrics`, `/events` and `/healthz`.",
+    ),
+    _port(
+        "control_links_port", 8_084, "Port on which the control accepts links."
     ),
-    _port("control_links_port", 8_084, "Links to the control program."),
-    _port("operators_port", 8_085, "HTTP of operators; control."),
+    _port("operators_port", 8_085, "HTTP port of the control for operators."),
 )
 CLUSTER_FIELDS = (
     Field(
@@ -55,7 +71,7 @@
         "key_files",
         "texts",
         (),
-        text="Files with the keys of the links. The first signs, all are "
+        text="Files with the keys of the links. The first key signs, all are "
         "accepted; the key id is the file name without its suffix.",
     ),
     Field(
@@ -63,7 +79,7 @@
         "text",
         None,
         text="File with the bearer tokens of operators, one line each: name "
-        "and token. Without it operators are refused.",
+        "and token. Without the file all operators are refused.",
     ),
     Field(
         "platform_url",
@@ -77,27 +93,28 @@
         "data_dir",
         "text",
         None,
-        text="Folder of the journal and snapshots; a control without it "
+        text="Folder of the journal and snapshots. A control without it "
         "never votes.",
     ),
     Field(
         "event_log",
         "text",
         None,
-        text="File of the event log; without it, a ring in memory.",
+        text="File of the event log. Without it only the latest events are "
+        "kept, in memory.",
     ),
-    _count("event_ring_bound", 10_000, "Events that the ring holds."),
+    _count("event_ring_bound", 10_000, "Events that are kept in memory."),
     Field(
         "trace_file",
         "text",
         None,
-        text="File to which a control records what reaches its planner; "
+        text="File to which a control records the inputs of its planner; "
         "`wigeonport replay` reads it. Without it nothing is recorded.",
     ),
     _count(
         "trace_max_bytes",
         64 * 1024 * 1024,
-        "Size at which the recording ends.",
+        "Size of the trace file at which the recording ends.",
         2**40,
     ),
     Field(
@@ -106,7 +123,7 @@
         "info",
         text="`debug`, `info`, `warning` or `error`.",
     ),
-    _count("snapshot_entries", 10_000, "Entries between two snapshots."),
+    _count("snapshot_entries", 10_000, "Log entries between two snapshots."),
 )
 LIMIT_FIELDS = (
     _count("max_body_bytes", 1_048_576, "Largest body of a request.", 2**30),
@@ -125,51 +142,60 @@
     _count(
         "max_requests_in_flight",
         1_024,
-        "Requests of callers that an entry handles at a time.",
+        "Requests of callers that an entry handles at the same time.",
     ),
     _count(
         "max_held_bytes",
         64 * 1024 * 1024,
-        "Bodies of requests that an entry holds together.",
+        "Total size of the request bodies that an entry holds.",
         2**33,
     ),
     _ms("receive_timeout_ms", 10_000, "Longest wait for a request's body."),
-    _count("queue_bound", 512, "Requests that wait for one service."),
-    _count("mailbox_bound", 256, "Messages that wait for one task."),
+    _count("queue_bound", 512, "Largest queue of requests for one service."),
+    _count("mailbox_bound", 256, "Largest queue of messages for one task."),
     _ms("queue_wait_ms", 2_000, "Longest wait of a request for a slot."),
     _ms("max_deadline_ms", 60_000, "Longest deadline of a request."),
-    _ms("connect_timeout_ms", 500, "Longest wait for a connection."),
+    _ms(
+        "connect_timeout_ms",
+        500,
+        "Longest wait for a connection to an endpoint.",
+    ),
     _ms(
         "attempt_timeout_ms",
         2_000,
-        "Longest wait for the answer to a repeatable request over a used "
-        "connection.",
+        "Longest wait for the answer to a repeatable request over a reused "
+        "connection, which may be dead.",
+    ),
+    _ms("claim_timeout_ms", 1_000, "Longest wait for the claim of a key."),
+    _ms(
+        "propose_timeout_ms",
+        3_000,
+        "Longest wait until a proposed command is committed.",
     ),
-    _ms("claim_timeout_ms", 1_000, "Longest wait for a claim."),
-    _ms("propose_timeout_ms", 3_000, "Longest wait for a decision."),
     _ms(
         "shutdown_grace_ms",
         30_000,
-        "Longest graceful shutdown; running requests get this time.",
+        "Longest graceful shutdown, in which running requests may finish.",
     ),
     _ms(
         "stop_refuse_ms",
         500,
-        "An entry that stops still accepts connections for this long and "
-        "answers that nothing was run.",
+        "For this long an entry that stops still accepts connections, and "
+        "answers that the request was not run.",
     ),
     Field(
         "queue_discipline",
         "name",
         "adaptive",
-        text="Order of waiting requests: `adaptive`, `fifo`, `lifo` or "
+        text="Order of the waiting requests: `adaptive`, `fifo`, `lifo` or "
         "`deadline`.",
     ),
     Field(
         "share_policy",
         "name",
         "demand",
-        text="Division of an endpoint's slots: `demand` or `even`.",
+        text="Division of an endpoint's slots between entries: `demand` or "
+        "`even`.",
     ),
     Field(
         "retry_budget_share",
@@ -177,7 +203,7 @@
         0.1,
         0,
         1,
-        "Retries allowed, as a share of the requests.",
+        "Allowed retries as a share of the requests.",
     ),
     Field(
         "retry_budget_floor",
@@ -185,44 +211,48 @@
         10,
         0,
         1_000_000,
-        "Retries a second that are allowed besides the share.",
+        "Retries per second that are allowed in addition to the share.",
     ),
 )
 INTERVAL_FIELDS = (
     _ms(
         "endpoint_expiry_ms",
         2_500,
-        "An endpoint without an announcement for this long is dropped.",
+        "An endpoint that sends no announcement for this long is removed.",
     ),
     _ms(
         "table_digest_ms",
         1_000,
-        "Time between two digests of the endpoint table.",
+        "Interval of the digests of the endpoint table.",
     ),
-    _ms("share_lease_ms", 2_000, "Length of a lease on an endpoint's slots."),
+    _ms("share_lease_ms", 2_000, "Duration of a lease on slots of endpoints."),
     _ms(
         "replication_heartbeat_ms",
         200,
-        "Time between two messages of the leader to its followers.",
+        "Interval of the leader's messages to its followers.",
     ),
     _ms(
         "election_timeout_ms",
         1_000,
-        "A voter that hears no leader for this long, and up to twice as "
-        "long, starts an election.",
+        "A voter starts an election when it gets no message of the leader "
+        "for this long, and up to twice as long.",
     ),
     _ms(
         "replace_voter_ms",
         60_000,
-        "A voter that is silent for this long is replaced when a learner "
-        "with a disk is ready.",
+        "A voter that does not answer for this long is replaced once a "
+        "learner with a disk is ready.",
+    ),
+    _ms("plan_interval_ms", 1_000, "Time between two runs of the planner."),
+    _ms(
+        "grant_lease_ms",
+        600_000,
+        "Duration of the lease of a maintenance grant.",
     ),
-    _ms("plan_interval_ms", 1_000, "Time between two plans."),
-    _ms("grant_lease_ms", 600_000, "Length of a maintenance grant."),
     _ms(
         "return_hold_ms",
         60_000,
-        "A VM that is back counts as unavailable for this long.",
+        "Time after its return in which a VM still counts as unavailable.",
         least=0,
     ),
 )
@@ -231,40 +261,42 @@
         "jobs_listen",
         "text",
         None,
-        text="Address `host:port` of callers of batch jobs; entry.",
+        text="Address `host:port` of the entry for callers of batch jobs.",
     ),
     Field(
         "readiness_listen",
         "text",
         None,
-        text="Address `host:port` of the balancer's checks; entry.",
+        text="Address `host:port` of the entry for the checks of the load "
+        "balancer.",
     ),
     Field(
         "workers_listen",
         "text",
         None,
-        text="Address `host:port` of workers and operators of batch jobs; "
-        "control.",
+        text="Address `host:port` of the control for workers and operators of "
+        "batch jobs.",
     ),
     Field(
         "machines_url",
         "text",
         None,
-        text="Address at which machines are listed and ordered.",
+        text="URL of the service that lists machines and takes orders for "
+        "them.",
     ),
     Field(
         "advice_url",
         "text",
         None,
-        text="Address of the service that advises on workers.",
+        text="URL of the service that advises on the choice of workers.",
     ),
     Field(
         "voter_count",
         "whole",
         0,
         least=0,
-        text="Voters to which the log grows as learners with a disk are "
-        "ready; 0 for as many as `voters` names.",
+        text="Number of voters up to which learners with a disk become "
+        "voters; 0 for the number of `voters`.",
     ),
     Field(
         "forms_cluster",
@@ -272,17 +304,18 @@
         True,
         text="Whether a control with an empty disk may form a new cluster.",
     ),
-    _ms("max_hold_ms", 10_000, "Longest lease that a worker accepts."),
+    _ms("max_hold_ms", 10_000, "Longest lease on runs that a worker accepts."),
     _ms(
         "machine_lease_ms",
         3_000,
-        "Pause between the orders of two leaders to one machine.",
+        "Time after a change of leader in which a machine gets no order.",
     ),
     _ms(
         "drain_wait_ms",
         2_500,
-        "An entry that stops takes requests for this long after it has told "
-        "the balancer; two missed checks, 1 s apart, and a margin.",
+        "An entry that stops still takes requests for this long after it "
+        "has told the load balancer; covers two checks, 1 s apart, and a "
+        "margin.",
     ),
     Field(
         "metrics_listen",
@@ -305,8 +338,10 @@
 )
 PEER_FIELDS = (
     Field("node_id", "name", text="Unique name of the VM."),
-    Field("availability_zone", "name", text="Its zone."),
-    Field("host", "text", "127.0.0.1", text="Its address."),
-    _port("entry_links_port", 8_082, "Links to its entry program."),
-    _port("control_links_port", 8_084, "Links to its control program."),
+    Field("availability_zone", "name", text="Availability zone of the VM."),
+    Field("host", "text", "127.0.0.1", text="Address of the VM."),
+    _port("entry_links_port", 8_082, "Port on which its entry accepts links."),
+    _port(
+        "control_links_port", 8_084, "Port on which its control accepts links."
+    ),
 )
--- a/wigeonport/settings.py
+++ b/wigeonport/settings.py
@@ -1,4 +1,4 @@
-"""Settings of the entry and control programs."""
+"""Settings of the entry and control programs, and their checks."""
 
 from expression import Error, Ok, Result
 
@@ -11,20 +11,22 @@
 from wigeonport.share_ledgers import share_policies
 from wigeonport.yaml_documents import load_file
 
+# Functions ``(settings, reporter)`` that check one settings file.
 SETTINGS_CHECKS = Registry("settings check")
+# Functions ``(settings_by_path, findings)`` that compare settings files.
 CLUSTER_CHECKS = Registry("cluster settings check")
 LOG_LEVELS = ("debug", "info", "warning", "error")
 
 
 class Peer(Record):
-    """Another VM of the system.
+    """Another VM of the cluster, as a settings file lists it.
 
     Attributes:
         node_id: Unique name of the VM.
-        availability_zone: Its zone.
-        host: Its address.
-        entry_links_port: Port of the links to its entry program.
-        control_links_port: Port of the links to its control program.
+        availability_zone: Zone of the VM.
+        host: Address of the VM.
+        entry_links_port: Port on which its entry program accepts links.
+        control_links_port: Port on which its control program accepts links.
     """
 
     __slots__ = tuple(field.name for field in PEER_FIELDS)
@@ -45,9 +47,10 @@
 
 
 class Settings(Record):
-    """Settings of one VM; the attributes are the rows of ``SETTING_FIELDS``.
+    """Settings of one VM, with one attribute per field of the table.
 
-    Paths are relative to the working directory of the program.
+    ``SETTING_FIELDS`` describes the attributes. Paths are relative to the
+    working directory of the program.
     """
 
     __slots__ = tuple(field.name for field in SETTING_FIELDS)
@@ -57,11 +60,11 @@
             setattr(self, field.name, values.get(field.name, field.default))
 
     def is_voter(self):
-        """Returns whether this VM's control program may vote."""
+        """Returns whether this VM's control votes at the first start."""
         return self.node_id in self.voters
 
     def to_document(self):
-        """Returns plain data."""
+        """Returns the settings as plain data, peers included."""
         document = super().to_document()
         document["peers"] = [peer.to_document() for peer in self.peers]
         return document
@@ -76,7 +79,12 @@
 
 
 def settings_from_document(document, source_map=None) -> Result:
-    """Returns Settings, or all Findings with their places."""
+    """Checks a plain document; returns Settings or all Findings.
+
+    Args:
+        document: Plain data of a settings file.
+        source_map: SourceMap of the file, or None.
+    """
     reporter = Reporter(source_map)
     values = read_fields(SETTING_FIELDS, document, (), reporter)
     peer_documents = (
@@ -104,10 +112,10 @@
 
 
 def check_files(paths) -> Result:
-    """Checks settings files alone and against each other.
+    """Checks settings files, each alone and against the others.
 
     Returns:
-        The Settings by path, or all Findings.
+        A dict of path to Settings, or all Findings.
     """
     findings = Findings()
     settings_by_path = {}
@@ -124,7 +132,7 @@
 
 @SETTINGS_CHECKS.register("ports")
 def check_ports(settings, reporter):
-    """The ports of a VM differ."""
+    """Reports a port that two settings use."""
     fields_by_port = {}
     for field in PORT_FIELDS:
         port = getattr(settings, field.name)
@@ -136,26 +144,32 @@
 
 @SETTINGS_CHECKS.register("peers")
 def check_peers(settings, reporter):
-    """Peers differ from each other and from this VM."""
+    """Reports node ids and addresses that occur twice."""
     names = {settings.node_id: "this VM"}
     addresses = {}
     for index, peer in enumerate(settings.peers):
         path = ("peers", index)
         if peer.node_id in names:
-            text = f"{peer.node_id!r} is {names[peer.node_id]} already"
+            text = (
+                f"{peer.node_id!r} is also the node id of "
+                f"{names[peer.node_id]}"
+            )
             reporter.add((*path, "node_id"), text)
         names.setdefault(peer.node_id, f"peers[{index}]")
         for key in ("entry_links_port", "control_links_port"):
             address = (peer.host, getattr(peer, key))
             if address in addresses:
-                text = f"{address[0]}:{address[1]} is {addresses[address]}"
+                text = (
+                    f"{address[0]}:{address[1]} is also the address of "
+                    f"{addresses[address]}"
+                )
                 reporter.add((*path, key), text)
             addresses.setdefault(address, f"peers[{index}].{key}")
 
 
 @SETTINGS_CHECKS.register("voters")
 def check_voters(settings, reporter):
-    """One, three or five known VMs vote, each with a disk."""
+    """Reports voters unless they are 1, 3 or 5 known VMs with a disk."""
     known = {peer.node_id for peer in settings.peers} | {settings.node_id}
     for index, voter in enumerate(settings.voters):
         if voter not in known:
@@ -170,7 +184,10 @@
 
 @SETTINGS_CHECKS.register("secrets")
 def check_secrets(settings, reporter):
-    """Links are always authenticated; key ids differ."""
+    """Reports missing key files and key ids that occur twice.
+
+    Without a key the links could not be authenticated.
+    """
     if not settings.key_files:
         reporter.add(("key_files",), "name at least one key file")
     key_ids = [key_id(path) for path in settings.key_files]
@@ -182,7 +199,10 @@
 
 @SETTINGS_CHECKS.register("election")
 def check_election(settings, reporter):
-    """A voter may miss a heartbeat without starting an election."""
+    """Reports an election timeout below two heartbeat intervals.
+
+    Otherwise one lost heartbeat would start an election.
+    """
     if settings.election_timeout_ms < 2 * settings.replication_heartbeat_ms:
         text = "must be at least twice replication_heartbeat_ms"
         reporter.add(("election_timeout_ms",), text)
@@ -190,7 +210,7 @@
 
 @SETTINGS_CHECKS.register("log_level")
 def check_log_level(settings, reporter):
-    """The log level is a known one."""
+    """Reports an unknown log level."""
     if settings.log_level not in LOG_LEVELS:
         text = f"use one of {', '.join(LOG_LEVELS)}"
         reporter.add(("log_level",), text)
@@ -198,7 +218,7 @@
 
 @SETTINGS_CHECKS.register("policies")
 def check_policies(settings, reporter):
-    """Named policies are registered."""
+    """Reports policies that are not registered."""
     policies = (
         ("queue_discipline", disciplines),
         ("share_policy", share_policies),
@@ -211,22 +231,24 @@
 
 @CLUSTER_CHECKS.register("agreement")
 def check_agreement(settings_by_path, findings):
-    """Files of one cluster agree on voters and name different nodes."""
+    """Reports files of one cluster with the same node id or other voters."""
     first_paths, paths_by_node = {}, {}
     for path, settings in settings_by_path.items():
         node = (settings.cluster_id, settings.node_id)
         if node in paths_by_node:
-            text = f"{settings.node_id!r} stands in {paths_by_node[node]} too"
+            text = (
+                f"{settings.node_id!r} is also the id in {paths_by_node[node]}"
+            )
             findings.add(f"{path}: node_id", text)
         paths_by_node.setdefault(node, path)
         other = first_paths.setdefault(settings.cluster_id, path)
         if set(settings_by_path[other].voters) != set(settings.voters):
-            findings.add(f"{path}: voters", f"differ from {other}")
+            findings.add(f"{path}: voters", f"differ from those in {other}")
 
 
 @CLUSTER_CHECKS.register("addresses")
 def check_addresses(settings_by_path, findings):
-    """What a file says of a peer equals what the peer's own file says."""
+    """Reports a peer that differs from the settings of that VM."""
     settings_by_node = {
         (s.cluster_id, s.node_id): s for s in settings_by_path.values()
     }
