Describe the entry and control programs plainly

Cause: docstrings spoke of chains, edges, boxes and arrivals without naming the tasks and mailboxes.

--- a/wigeonport/cli_main.py
+++ b/wigeonport/cli_main.py
@@ -1,4 +1,4 @@
-"""The command line of operators."""
+"""The operators' command line ``wigeonport``."""
 
 import importlib
 import pkgutil
@@ -19,7 +19,7 @@
 
 
 def load_commands():
-    """Imports every module of the package, which register the commands."""
+    """Imports every module of ``wigeonport.commands``, to register them."""
     package = wigeonport.commands
     for module in pkgutil.iter_modules(package.__path__):
         importlib.import_module(f"{package.__name__}.{module.name}")
@@ -37,11 +37,16 @@
 
 
 def run(arguments, output=None, error_output=None):
-    """Runs a command line without the program's name.
+    """Runs one command.
+
+    Args:
+        arguments: Command line without the program's name.
+        output: Output of cleo; standard output if None.
+        error_output: Error output of cleo; standard error if None.
 
     Returns:
-        0 when done, 1 when refused or violated, 2 for a wrong command line,
-        3 when the outcome is unknown.
+        The exit status: 0 on success, 1 if the request was refused or a check
+        found faults, 2 for a wrong command line, 3 if the outcome is unknown.
     """
     application = make_application()
     argv_input = ArgvInput(["wigeonport", *arguments])
@@ -51,7 +56,10 @@
         print(f"usage: {error}", file=sys.stderr)
         return EXIT_USAGE
     except KeyboardInterrupt:
-        print("Interrupted; the outcome is unknown.", file=sys.stderr)
+        print(
+            "Interrupted; whether the command took effect is unknown.",
+            file=sys.stderr,
+        )
         return EXIT_UNKNOWN
 
 
--- a/wigeonport/control_main.py
+++ b/wigeonport/control_main.py
@@ -1,4 +1,4 @@
-"""The control program: builds the chain around the replicated state."""
+"""The control program: starts the tasks around the replicated state."""
 
 import pathlib
 import random
@@ -55,19 +55,20 @@
 
 
 class ControlMailboxes:
-    """The channels of the control, each with its bound.
+    """The bounded mailboxes between the tasks of the control.
 
     Attributes:
-        deliveries: From the links to the sorter.
-        publisher: To the publisher.
+        deliveries: From the links to the task that sorts their messages.
+        publisher: Subscriptions, version reports, fleet versions and closed
+            links, for the publisher.
         claims: From the sorter to the claim broker.
-        requests: From the operators' edge to the state adapter.
+        requests: From the operators' port to the state adapter.
         notices: From the consensus task to the version watcher.
         history: From the consensus task to the event recorder.
-        health: Queries for unavailable VMs.
-        probes: Queries for the condition of the replica.
+        health: Queries for the unavailable VMs.
+        probes: Queries for the leader, term and log position of the replica.
         planner: Notices, reports, results and queries for the planner.
-        plans: From the planner to its actor.
+        plans: Commands from the planner to the task that executes them.
     """
 
     __slots__ = (
@@ -89,19 +90,20 @@
         self.publisher = Mailbox("publisher", bound)
         self.claims = Mailbox("claims", settings.max_requests_in_flight)
         self.requests = Mailbox("state requests", bound, REFUSE)
-        # A dropped notice does no harm: the watcher reads the state.
+        # A notice may be dropped, because at the next one the watcher reads
+        # the newest version from the state.
         self.notices = Mailbox("notices", bound, DROP_OLDEST)
         self.history = Mailbox("history", HISTORY_MAILBOX_BOUND, DROP_OLDEST)
         self.health = Mailbox("health", bound, REFUSE)
         self.probes = Mailbox("probes", bound, REFUSE)
-        # What the planner misses it reads again: it is resent by the
-        # platform or found in the state at the next tick.
+        # A message may be dropped: the platform resends its reports, and the
+        # planner reads the state again at the next tick.
         self.planner = Mailbox("planner", PLANNER_MAILBOX_BOUND, DROP_OLDEST)
         self.plans = Mailbox("plans", PLANNER_MAILBOX_BOUND, DROP_OLDEST)
 
 
 async def sort_deliveries(inbound, mailboxes, consensus):
-    """Passes arrivals to the filter that handles them."""
+    """Passes each message of the links to the task that handles it."""
     async for delivery in inbound:
         if isinstance(delivery, LinkClosed):
             await mailboxes.publisher.put(delivery)
@@ -122,13 +124,13 @@
 
 
 def make_initial_version_report(program):
-    """Returns the VersionReport of this control before any version."""
+    """Returns the report of this control before it has any fleet version."""
     zone = program.settings.availability_zone
     return VersionReport(program.node_id, zone, program.events.run, 0)
 
 
 def make_dialers(settings, context):
-    """Returns the dialers to the other controls by node id."""
+    """Returns a dict of node id to the Dialer of another control."""
     return {
         peer.node_id: Dialer(context, peer.host, peer.control_links_port)
         for peer in settings.peers
@@ -136,7 +138,7 @@
 
 
 def open_replica(settings):
-    """Returns what the data directory holds, or an empty memory."""
+    """Opens the data directory, or an empty in-memory log without one."""
     if settings.data_dir is None:
         return open_memory(settings.cluster_id, settings.node_id)
     directory = pathlib.Path(settings.data_dir)
@@ -144,10 +146,11 @@
 
 
 def make_replica_settings(settings):
-    """Returns the timers of the replica.
+    """Returns the number of voters and the timers of the replica.
 
-    The lease ends before another replica may start an election; the
-    difference covers the drift of the clocks.
+    The leader lease is 80 % of the election timeout, so that it ends before
+    another replica may start an election; the difference covers the drift of
+    the clocks.
     """
     target_voters = max(settings.voter_count, len(settings.voters))
     replica_settings = ReplicaSettings(target_voters=target_voters)
@@ -162,7 +165,7 @@
 
 
 def make_consensus(program, dialers):
-    """Returns the consensus task."""
+    """Returns the Consensus, which replicates the state over the links."""
     settings = program.settings
 
     def send(node, message):
@@ -182,13 +185,13 @@
         make_replica_settings(settings),
         random_source=random.Random(),
         snapshot_entries=settings.snapshot_entries,
-        # Claims come at the rate of the requests and no observer needs them.
+        # Claims arrive at the rate of the requests, and no observer uses them.
         quiet=CLAIM_COMMANDS,
     )
 
 
 def start_filters(nursery, program, mailboxes, consensus, dialers):
-    """Starts the filters of the chain."""
+    """Starts the tasks that read the mailboxes."""
     settings = program.settings
     adapter = StateAdapter(consensus.inbox, settings.propose_timeout_ms)
     broker = ClaimBroker(
@@ -217,7 +220,14 @@
 
 
 def start_planner(nursery, program, mailboxes, consensus, dialers, adapter):
-    """Starts the planner, its actor and the platform's reports."""
+    """Starts the planner, the executor of its commands and the polling.
+
+    Without ``platform_url`` there is no planner, and queries for unavailable
+    VMs are answered as unknown.
+
+    Raises:
+        ValueError: If the plan settings name an unknown policy.
+    """
     settings, clock = program.settings, program.clock
     if settings.platform_url is None:
         nursery.start_soon(answer_without_platform, mailboxes.planner)
@@ -227,7 +237,7 @@
     planner = build_planner(plan_settings)
     if planner.is_error():
         raise ValueError(str(planner.error))
-    # A replay repeats the choices between equals from the recorded seed.
+    # The seed is recorded, so that a replay breaks ties in the same way.
     seed = random.randrange(2**32)
     recorder = open_recorder(
         settings.trace_file, settings.trace_max_bytes, plan_settings, seed
@@ -252,7 +262,7 @@
 
 
 async def serve_operators(program, mailboxes):
-    """Serves the operators' HTTP until the program stops."""
+    """Serves the operators' HTTP port until the program has stopped."""
     settings = program.settings
     tokens = None
     if settings.operator_token_file is not None:
@@ -280,7 +290,7 @@
 
 
 async def run_control(program):
-    """Runs the control until it has stopped."""
+    """Runs the tasks of the control until the program has stopped."""
     settings = program.settings
     mailboxes = ControlMailboxes(settings)
     context = program.link_context(mailboxes.deliveries)
--- a/wigeonport/entry_main.py
+++ b/wigeonport/entry_main.py
@@ -1,4 +1,4 @@
-"""The entry program: builds the chain from callers to endpoints."""
+"""The entry program: starts the tasks between callers and endpoints."""
 
 import random
 import sys
@@ -34,25 +34,28 @@
 
 TABLE_TICK_MS = 100
 SHARE_TICK_MS = 20
-# Time for the last answers before the bound on the shutdown.
+# The requests that still wait are answered this long before the grace period
+# of the shutdown ends.
 FINAL_ANSWERS_MS = 500
 
 
 class EntryMailboxes:
-    """The channels of the entry, each with its bound.
+    """The bounded mailboxes between the tasks of the entry.
 
     Attributes:
-        deliveries: From the links to the sorter.
-        configurations: From the sorter to the configuration filter.
-        peers: From the sorter and the announcement edge to the endpoint
+        deliveries: From the links to the task that sorts their messages.
+        configurations: From the sorter to the task that applies fleet
+            versions.
+        peers: From the sorter and the announcements port to the endpoint
             table.
-        admissions: From the receivers to the admission filter. Callers are
-            refused when it is full; the ends of requests wait.
-        claims: From the admission filter to the claims filter.
-        routing: From all filters to the router.
+        admissions: From the receivers to the admission task. A new request
+            is refused when it is full; a report that a request has ended
+            waits until there is room.
+        claims: From the admission task to the claims task.
+        routing: From all tasks to the router.
         shares: From the router, the endpoint table and the sorter to the
-            shares. The router does not wait: its demand is dropped when
-            the mailbox is full, and reported again soon after.
+            task that leases slots. The router does not wait: its demand is
+            dropped when the mailbox is full, and reported again soon after.
         dispatches: From the router to the dispatcher.
         history: From the endpoint table to the event recorder.
     """
@@ -84,7 +87,7 @@
 
 
 def start_endpoint_table(nursery, program, mailboxes, context):
-    """Starts the endpoint table and the links to the other entries."""
+    """Starts the endpoint table, the slot leases and the links to entries."""
     nursery.start_soon(record_history, mailboxes.history, program.events)
     peers = make_peer_links(program, context)
     for dialer in peers.values():
@@ -110,7 +113,7 @@
 
 
 def start_filters(nursery, program, mailboxes, configuration, links):
-    """Starts the filters of the chain."""
+    """Starts the tasks that handle requests, from admission to dispatch."""
     settings, clock = program.settings, program.clock
     router = make_router(settings)
     nursery.start_soon(
@@ -157,7 +160,7 @@
 
 
 async def serve_http_ports(program, mailboxes):
-    """Serves the HTTP edges until the program stops."""
+    """Serves the HTTP ports until the program has stopped."""
     settings = program.settings
     process_info = ProcessInfo(
         program.metrics, program.events, program.stopping
@@ -178,7 +181,8 @@
             nursery.start_soon(
                 serve_http, app, settings.host, port, drained, grace_ms
             )
-        # Waiting requests need the endpoints' announcements until the end.
+        # The other ports close after the callers' port, because requests that
+        # still wait for a slot need the endpoints' announcements.
         async with trio.open_nursery() as shutdown_nursery:
             shutdown_nursery.start_soon(
                 shut_down_in_steps, program, mailboxes, closing
@@ -195,10 +199,11 @@
 
 
 async def shut_down_in_steps(program, mailboxes, closing):
-    """Closes the callers' port, and answers all before the time is up.
+    """Closes the callers' port and answers the remaining requests in time.
 
-    For a moment after the stop the port stays open, so that callers whose
-    connection is on its way are told that nothing was run.
+    The port stays open for ``stop_refuse_ms`` after the stop, so that callers
+    that are just connecting are told that their request was not run. Shortly
+    before ``shutdown_grace_ms`` ends, all waiting requests are answered.
     """
     settings = program.settings
     await program.stopping.wait()
@@ -213,7 +218,7 @@
 
 
 async def run_entry(program):
-    """Runs the entry until it has stopped."""
+    """Runs the tasks of the entry until the program has stopped."""
     settings = program.settings
     mailboxes = EntryMailboxes(settings)
     context = program.link_context(mailboxes.deliveries)
--- a/wigeonport/entry_parts.py
+++ b/wigeonport/entry_parts.py
@@ -1,4 +1,4 @@
-"""Parts of the entry program, made from its settings."""
+"""Builds the parts of the entry program from its settings."""
 
 from wigeonport.claims import Claimer, ClaimLimits, ControlCaller
 from wigeonport.codecs import codecs
@@ -12,12 +12,14 @@
 from wigeonport.shares import ShareBook
 from wigeonport.subscriptions import ControlLinks
 
-MAX_IDLE_CONNECTIONS = 64
+# Connections to one endpoint, idle or in use, by all entries together.
+MAX_CONNECTIONS_PER_ENDPOINT = 64
+# Time for a table digest to reach all entries.
 SETTLING_MARGIN_MS = 200
 
 
 def make_control_links(program, context, configuration):
-    """Returns links to some controls, those nearest first."""
+    """Returns the links to controls; the link to the own VM is the first."""
     links = ControlLinks(context.identity, configuration, program.events.run)
     for first, *others in choose_controls(program.settings):
         dialer = Dialer(
@@ -32,12 +34,12 @@
 
 
 def choose_controls(settings):
-    """Returns for each link the VMs whose controls it tries, in order.
+    """Returns, for each link, the VMs whose controls it tries, in order.
 
-    The first link is to the own VM. The second prefers the own zone and the
-    third another zone, so that one is left when the own control or the
-    whole zone has none. The order differs between the entries, so that no
-    control serves all of them.
+    The first link is to the control on the own VM. The second prefers the
+    own zone and the third another zone, so that the entry still has a link
+    when its own control or all controls of its zone fail. The order differs
+    between the entries, so that no control serves all of them.
     """
     vms = sorted([settings, *settings.peers], key=lambda vm: vm.node_id)
     position = vms.index(settings)
@@ -57,7 +59,7 @@
 
 
 def make_claimer(program, mailboxes, links):
-    """Returns the claimer of keyed requests."""
+    """Returns the Claimer, which claims the idempotency keys of requests."""
     settings = program.settings
     limits = ClaimLimits(
         claim_timeout_ms=settings.claim_timeout_ms,
@@ -75,7 +77,10 @@
 
 
 def make_dispatcher(program, mailboxes):
-    """Returns the dispatcher; the entries divide the connections evenly."""
+    """Returns the dispatcher.
+
+    The entries divide the connections to an endpoint evenly.
+    """
     settings = program.settings
     entries = len(settings.peers) + 1
     limits = DispatchLimits(
@@ -84,7 +89,7 @@
         settings.max_response_bytes,
     )
     return Dispatcher(
-        IdleConnections(max(1, MAX_IDLE_CONNECTIONS // entries)),
+        IdleConnections(max(1, MAX_CONNECTIONS_PER_ENDPOINT // entries)),
         mailboxes.routing,
         program.clock,
         program.metrics,
@@ -93,7 +98,7 @@
 
 
 def make_peer_links(program, context):
-    """Returns dialers to the other entries by node id."""
+    """Returns a dict of node id to the Dialer of another entry."""
     return {
         f"entry/{peer.node_id}": Dialer(
             context, peer.host, peer.entry_links_port
@@ -103,7 +108,7 @@
 
 
 def make_exchange(program, context):
-    """Returns the exchange of endpoint tables."""
+    """Returns the TableExchange, which replicates the endpoint table."""
     settings = program.settings
     return TableExchange(
         context.identity.node_id,
@@ -114,7 +119,7 @@
 
 
 def make_router(settings):
-    """Returns the router."""
+    """Returns the Router with the limits of the settings."""
     limits = RouterLimits(
         queue_bound=settings.queue_bound,
         queue_wait_ms=settings.queue_wait_ms,
@@ -127,10 +132,10 @@
 
 
 def make_share_book(program, context):
-    """Returns both sides of the leases of slots.
+    """Returns the ShareBook, which grants and holds leases on slots.
 
-    An entry without peers is the only owner there can be, so it need not
-    wait until others are heard.
+    An entry without peers owns all endpoints, so it grants at once. Others
+    wait until all entries have had time to learn who owns an endpoint.
     """
     settings = program.settings
     settling_ms = settings.table_digest_ms + SETTLING_MARGIN_MS
@@ -143,7 +148,7 @@
 
 
 def make_caller_limits(settings):
-    """Returns the limits at the callers' edge."""
+    """Returns the limits on the requests of callers."""
     return CallerLimits(
         settings.max_body_bytes,
         settings.max_deadline_ms,
--- a/wigeonport/programs.py
+++ b/wigeonport/programs.py
@@ -1,4 +1,4 @@
-"""What the entry and the control program share at start and stop."""
+"""Start, signals and stop of the entry and control programs."""
 
 import pathlib
 import signal
@@ -26,18 +26,18 @@
 
 
 class Program:
-    """A started program.
+    """State and services of a running program.
 
     Attributes:
         role: ``entry`` or ``control``.
         settings: Settings of the VM.
-        keys: Keys of the links by key id.
-        clock: Time source.
+        keys: Maps key id to the key that authenticates links.
+        clock: Clock of the VM.
         metrics: Metrics of the process.
         lamport: LamportCounter of the process.
         events: EventLog of the process.
-        stopping: trio.Event that is set when a stop was asked for.
-        reloads: Mailbox of requests to read the settings again.
+        stopping: trio.Event that is set by the first SIGTERM or SIGINT.
+        reloads: Mailbox that gets a message for each SIGHUP.
     """
 
     __slots__ = (
@@ -71,17 +71,21 @@
 
     @property
     def node_id(self):
-        """Name of this process on links and in events."""
+        """Name of this process on links and in events: role and VM."""
         return f"{self.role}/{self.settings.node_id}"
 
     @property
     def event_path(self):
-        """Event file of this process; the programs of a VM differ in it."""
+        """Path of the event file.
+
+        Its name ends in the role, because the programs of a VM share the
+        setting ``event_log``.
+        """
         path = pathlib.Path(self.settings.event_log)
         return path.with_name(f"{path.stem}-{self.role}{path.suffix}")
 
     def link_context(self, inbound):
-        """Returns the LinkContext whose arrivals go to ``inbound``."""
+        """Returns a LinkContext that puts received messages in ``inbound``."""
         identity = Identity(
             self.node_id,
             self.settings.availability_zone,
@@ -96,8 +100,8 @@
 async def stop_on_signal(stopping):
     """Sets ``stopping`` at the first SIGTERM or SIGINT.
 
-    Later signals have no further effect; the bound on the shutdown is the
-    setting ``shutdown_grace_ms``.
+    Later signals have no further effect; ``shutdown_grace_ms`` limits how
+    long the shutdown takes.
     """
     stop_signals = (signal.SIGTERM, signal.SIGINT)
     with trio.open_signal_receiver(*stop_signals) as signals:
@@ -110,7 +114,7 @@
 
 
 async def reload_on_signal(reloads):
-    """Asks for a reload of the settings at each SIGHUP."""
+    """Puts a message in ``reloads`` at each SIGHUP."""
     with trio.open_signal_receiver(signal.SIGHUP) as signals:
         async for signal_number in signals:
             reloads.put_nowait(signal_number)
@@ -126,7 +130,8 @@
         arguments: Command line without the program's name.
 
     Returns:
-        The exit status.
+        The exit status: 0 after a stop, 1 after an error, 2 for a wrong
+        command line.
     """
     if len(arguments) != 1:
         print(f"usage: wigeonport-{role} SETTINGS", file=sys.stderr)
@@ -135,7 +140,13 @@
 
 
 def start_with_settings(role, run, settings):
-    """Runs a program with a Result of Settings; returns the exit status."""
+    """Runs a program with settings that were read; returns the exit status.
+
+    Args:
+        role: ``entry`` or ``control``.
+        run: Async function that takes the Program.
+        settings: Result of Settings or Findings.
+    """
     if settings.is_error():
         print(settings.error, file=sys.stderr)
         return EXIT_FAILED
@@ -148,7 +159,7 @@
 
 
 def run_and_log_faults(role, run, settings, keys):
-    """Runs a program; a disk or an address that fails ends it with 1."""
+    """Runs a program; returns 1 if a file, disk or address failed."""
     faults = []
     try:
         trio.run(run_until_stopped, role, run, settings, keys)
@@ -160,7 +171,7 @@
 
 
 def flatten_faults(group):
-    """Returns the exceptions of a group and of the groups within it."""
+    """Returns the exceptions of a group, nested groups included."""
     faults = []
     for fault in group.exceptions:
         nested = isinstance(fault, BaseExceptionGroup)
@@ -169,7 +180,7 @@
 
 
 async def run_until_stopped(role, run, settings, keys):
-    """Runs a program with its signal handler and its event file."""
+    """Runs a program with its signal handlers and its event file."""
     program = Program(role, settings, keys)
     logger.info("Starting.", role=role, node_id=settings.node_id)
     async with trio.open_nursery() as writers:
