Describe clocks, channels, documents, logs and events plainly

Cause: many docstrings described mappings backwards ("Line by key path") or in words of this project. Change: reworded docstrings, comments and a few error texts of the foundations; findings that the replicated state stores are unchanged.

--- a/wigeonport/channels.py
+++ b/wigeonport/channels.py
@@ -9,13 +9,17 @@
 
 
 class Mailbox:
-    """A bounded queue of messages with a stated behaviour when full.
+    """A bounded queue of messages, with one of three policies when full.
 
     Attributes:
-        name: Name for log lines and metrics.
-        bound: Largest number of waiting messages.
-        when_full: ``wait``, ``refuse`` or ``drop_oldest``.
-        dropped: Number of messages dropped or refused.
+        name: Name for error texts.
+        bound: Maximum number of queued messages.
+        when_full: Policy of a full mailbox: ``wait`` blocks the sender,
+            ``refuse`` rejects the new message, ``drop_oldest`` drops the
+            message at the head of the queue.
+        dropped: Number of messages dropped or refused so far.
+        sender: Sending end of the trio memory channel.
+        receiver: Receiving end of the trio memory channel.
     """
 
     __slots__ = ("name", "bound", "when_full", "dropped", "sender", "receiver")
@@ -54,14 +58,15 @@
     async def get_within(self, timeout_ms):
         """Returns the next message, or None after the timeout.
 
-        A message that waits already needs no deadline, whose scope would
-        cost more than the rest of the call.
+        A message that is already queued is returned without a deadline
+        scope, which would cost more than the rest of the call.
         """
         try:
             message = self.receiver.receive_nowait()
         except trio.WouldBlock:
             return await self.receive_within(timeout_ms)
-        # Lets other tasks run; a cancellation here would lose the message.
+        # Lets other tasks run. The checkpoint is shielded because a
+        # cancellation here would lose the message.
         await trio.lowlevel.cancel_shielded_checkpoint()
         return message
 
@@ -72,7 +77,7 @@
         return None
 
     def drain(self, limit):
-        """Returns up to ``limit`` messages that wait already."""
+        """Returns up to ``limit`` queued messages without waiting."""
         messages = []
         while len(messages) < limit:
             try:
@@ -82,11 +87,11 @@
         return messages
 
     def close(self):
-        """Ends the iteration of the reader after the waiting messages."""
+        """Closes the sending end; readers still get the queued messages."""
         self.sender.close()
 
     def depth(self):
-        """Returns the number of waiting messages."""
+        """Returns the number of queued messages."""
         return self.sender.statistics().current_buffer_used
 
     def __aiter__(self):
@@ -100,7 +105,7 @@
 
 
 class Reply:
-    """A reply channel that takes one answer; later ones are dropped."""
+    """A channel for one answer; later answers are dropped."""
 
     __slots__ = ("sender", "receiver")
 
@@ -108,7 +113,11 @@
         self.sender, self.receiver = trio.open_memory_channel(1)
 
     def send(self, message):
-        """Delivers the answer; returns False if one was there already."""
+        """Delivers the answer.
+
+        Returns:
+            False if an answer was sent before or the receiver is closed.
+        """
         try:
             self.sender.send_nowait(message)
             return True
@@ -123,16 +132,20 @@
 
 
 async def ask(mailbox, make_message, timeout_ms) -> Result:
-    """Sends a message that carries a reply channel and awaits the answer.
+    """Sends a request and waits for its answer.
 
     Args:
         mailbox: Mailbox of the task that answers.
-        make_message: Called with the Reply, returns the message.
-        timeout_ms: Longest wait for delivery and answer together.
+        make_message: Function from the Reply to the request that carries it.
+        timeout_ms: Maximum wait for delivery and answer together.
+
+    Returns:
+        The answer, or an error text if the mailbox refused the request or no
+        answer came in time.
     """
     reply = Reply()
     with trio.move_on_after(max(timeout_ms, 0) / 1000):
         if not await mailbox.put(make_message(reply)):
-            return Error(f"{mailbox.name} is full")
+            return Error(f"the mailbox {mailbox.name} is full")
         return Ok(await reply.receiver.receive())
     return Error(f"no answer from {mailbox.name} within {timeout_ms} ms")
--- a/wigeonport/clocks.py
+++ b/wigeonport/clocks.py
@@ -1,4 +1,4 @@
-"""Time in integer milliseconds."""
+"""Clocks in integer milliseconds, and the Lamport counter."""
 
 import time
 
@@ -8,8 +8,9 @@
 class Clock:
     """Reads the clocks of this VM.
 
-    CLOCK_MONOTONIC stands still while a VM is suspended, so that a leader
-    lease would outlive its time; CLOCK_BOOTTIME goes on.
+    The monotonic time is CLOCK_BOOTTIME, which goes on while a VM is
+    suspended. CLOCK_MONOTONIC stops, so that a leader lease would still seem
+    valid after it expired.
     """
 
     __slots__ = ()
@@ -23,16 +24,16 @@
         return time.time_ns() // 1_000_000
 
     async def sleep(self, duration_ms):
-        """Waits for a number of milliseconds."""
+        """Sleeps for ``duration_ms``; other tasks run meanwhile."""
         await trio.sleep(duration_ms / 1000)
 
 
 class ManualClock(Clock):
-    """A clock that moves only when told to; for replay and tests.
+    """A clock that moves only by ``advance``; for replays and tests.
 
     Attributes:
-        now_ms: Current monotonic time.
-        offset_ms: Difference between wall time and monotonic time.
+        now_ms: Current monotonic time in ms.
+        offset_ms: Wall time minus monotonic time, in ms.
     """
 
     __slots__ = ("now_ms", "offset_ms")
@@ -50,18 +51,18 @@
         return self.now_ms + self.offset_ms
 
     def advance(self, duration_ms):
-        """Moves the clock forward."""
+        """Moves the clock forward by ``duration_ms``."""
         self.now_ms += duration_ms
 
 
 class LamportCounter:
-    """Counts events so that a message is numbered after its cause.
+    """Numbers events so that an effect has a higher number than its cause.
 
     Source: L. Lamport, "Time, Clocks, and the Ordering of Events in a
     Distributed System", 1978.
 
     Attributes:
-        value: Number of the latest event.
+        value: Lamport number of the latest event.
     """
 
     __slots__ = ("value",)
@@ -70,10 +71,10 @@
         self.value = 0
 
     def tick(self):
-        """Returns the number of a new event of this process."""
+        """Returns the Lamport number of a new event of this process."""
         self.value += 1
         return self.value
 
     def observe(self, value):
-        """Moves past the number on a received message."""
+        """Raises the counter above the number of a received message."""
         self.value = max(self.value, value) + 1
--- a/wigeonport/credentials.py
+++ b/wigeonport/credentials.py
@@ -1,4 +1,4 @@
-"""Keys of the links and tokens of the operators, read from files."""
+"""Reads the keys of the links and the tokens of the operators."""
 
 import hashlib
 import hmac
@@ -14,10 +14,10 @@
 
 
 class OperatorTokens:
-    """Digests of the operators' tokens.
+    """The operators' tokens, of which only the digests are kept.
 
     Attributes:
-        names: Operator's name by SHA-256 digest of the token.
+        names: Maps SHA-256 digest of the token to operator's name.
     """
 
     __slots__ = ("names",)
@@ -26,7 +26,11 @@
         self.names = names
 
     def find(self, token):
-        """Returns the operator's name, or None for an unknown token."""
+        """Returns the operator's name, or None for an unknown token.
+
+        All digests are compared in constant time, so that the duration says
+        nothing about them.
+        """
         digest = hashlib.sha256(token.encode("utf-8", "replace")).digest()
         operator = None
         for stored_digest, name in self.names.items():
@@ -36,7 +40,11 @@
 
 
 def load_keys(paths) -> Result:
-    """Returns the keys by key id in the order of the files, or Findings."""
+    """Reads key files.
+
+    Returns:
+        A dict of key id to key in the order of the files, or Findings.
+    """
     findings = Findings()
     keys = {}
     for path in paths:
@@ -50,7 +58,7 @@
 
 
 def load_tokens(path) -> Result:
-    """Returns the OperatorTokens of a file, or Findings."""
+    """Reads a token file; returns OperatorTokens or Findings."""
     findings = Findings()
     data = _read(path, findings)
     if data is None:
@@ -70,7 +78,7 @@
             continue
         names[hashlib.sha256(words[1].encode()).digest()] = words[0]
     if not names and not findings:
-        findings.add(path, "the file has no tokens")
+        findings.add(path, "the file contains no tokens")
     return findings.result(OperatorTokens(names))
 
 
--- a/wigeonport/documents.py
+++ b/wigeonport/documents.py
@@ -1,4 +1,4 @@
-"""Reading of plain documents by field tables, with key paths."""
+"""Readers that check plain documents against tables of fields."""
 
 import difflib
 import math
@@ -9,14 +9,16 @@
 from wigeonport.findings import Findings
 from wigeonport.registries import Registry
 
+# Functions ``(value, field)`` that return a Result of the checked value.
 VALUE_READERS = Registry("kind of value")
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,127}")
+# JSON readers that use doubles keep integers exact up to this size.
 MAX_INTEGER = 2**53
 MAX_TEXT_BYTES = 4_096
 
 
 class Required:
-    """Type of the marker for fields without a default."""
+    """Type of ``REQUIRED``, which marks a field without a default."""
 
     __slots__ = ()
 
@@ -32,11 +34,11 @@
 
     Attributes:
         name: The key.
-        kind: Name in ``VALUE_READERS``.
+        kind: Kind of the value, a name in ``VALUE_READERS``.
         default: Value when the key is absent; ``REQUIRED`` if there is none.
-        least: Smallest number, or None.
-        most: Largest number, or None.
-        text: Meaning, for the reference pages.
+        least: Minimum of a number, or None.
+        most: Maximum of a number, or None.
+        text: Description for the reference pages.
     """
 
     __slots__ = ("name", "kind", "default", "least", "most", "text")
@@ -53,11 +55,12 @@
 
 
 class SourceMap:
-    """Maps key paths to places for findings.
+    """Maps key paths of a document to locations in its source file.
 
     Attributes:
-        file: Name of the source, or an empty text.
-        lines: Line number by key path, where known.
+        file: Name of the source file, or an empty text.
+        lines: Maps key path to line number; empty if the document was not
+            read from a file.
     """
 
     __slots__ = ("file", "lines")
@@ -67,7 +70,7 @@
         self.lines = lines or {}
 
     def at(self, path):
-        """Returns file, line and key path as one text."""
+        """Returns file, line and key path as one text, where they exist."""
         name = format_path(path)
         line = self.line(path)
         if line is not None:
@@ -75,7 +78,7 @@
         return f"{self.file}: {name}" if self.file else name
 
     def line(self, path):
-        """Returns the line of the path or of its nearest ancestor."""
+        """Returns the line of the path or of its nearest known ancestor."""
         path = tuple(path)
         while path and path not in self.lines:
             path = path[:-1]
@@ -86,8 +89,8 @@
     """Collects findings at key paths.
 
     Attributes:
-        findings: The collection.
-        source_map: Maps key paths to places.
+        findings: The Findings reported so far.
+        source_map: SourceMap of the document.
     """
 
     __slots__ = ("findings", "source_map")
@@ -101,9 +104,10 @@
 
         Args:
             path: Key path as a tuple.
-            text: What is wrong.
-            related_record: Section and id of another record that the
-                finding is about, or None.
+            text: Description of the fault.
+            related_record: Section and id of another record that is involved
+                in the fault, or None; unused here, but reporters of patches
+                locate the finding by it.
         """
         del related_record
         self.findings.add(self.source_map.at(path), text)
@@ -123,8 +127,14 @@
 def read_fields(fields, document, path, reporter):
     """Reads the fields of a mapping and reports every fault.
 
+    Args:
+        fields: Fields that the mapping may have.
+        document: The mapping; any other value is a fault.
+        path: Key path of the mapping, as a tuple.
+        reporter: Gets the findings.
+
     Returns:
-        The values by field name, or None if anything was wrong.
+        A dict of field name to value, or None if there was any fault.
     """
     if not isinstance(document, dict):
         reporter.add(path, f"expected a mapping, found {type_name(document)}")
@@ -161,7 +171,7 @@
 
 
 def describe_unknown_key(key, fields_by_name):
-    """Returns the text of a finding that names the nearest known key."""
+    """Returns the text of a finding that suggests the closest valid key."""
     close_matches = difflib.get_close_matches(
         str(key), [str(k) for k in fields_by_name], 1, 0.5
     )
@@ -170,12 +180,12 @@
 
 
 def write_fields(fields, record):
-    """Returns the document form of a record."""
+    """Returns a dict of field name to the record's attribute."""
     return {field.name: getattr(record, field.name) for field in fields}
 
 
 def type_name(value):
-    """Returns a value's type in the words of YAML."""
+    """Returns the type of a value in words, such as ``a mapping``."""
     names_by_type = {
         dict: "a mapping",
         list: "a list",
@@ -206,7 +216,7 @@
 
 @VALUE_READERS.register("name")
 def read_name(value, field) -> Result:
-    """Accepts an identifier."""
+    """Accepts an identifier that matches ``NAME_PATTERN``."""
     if isinstance(value, str) and NAME_PATTERN.fullmatch(value):
         return Ok(value)
     return _expected("a name of letters, digits and . _ : -", value)
@@ -214,7 +224,7 @@
 
 @VALUE_READERS.register("text")
 def read_text(value, field) -> Result:
-    """Accepts a text that can be encoded in UTF-8."""
+    """Accepts a text of at most ``MAX_TEXT_BYTES`` bytes in UTF-8."""
     if not isinstance(value, str):
         return _expected("a text", value)
     try:
@@ -228,7 +238,7 @@
 
 @VALUE_READERS.register("whole")
 def read_whole(value, field) -> Result:
-    """Accepts a whole number in range; true and false are not numbers."""
+    """Accepts an integer within the field's range; booleans are refused."""
     if not isinstance(value, int) or isinstance(value, bool):
         return _expected("a whole number", value)
     if abs(value) > MAX_INTEGER:
@@ -238,7 +248,7 @@
 
 @VALUE_READERS.register("number")
 def read_number(value, field) -> Result:
-    """Accepts a finite number in range."""
+    """Accepts a finite number within the field's range."""
     if not isinstance(value, int | float) or isinstance(value, bool):
         return _expected("a number", value)
     if isinstance(value, int) and abs(value) > MAX_INTEGER:
@@ -258,7 +268,7 @@
 
 @VALUE_READERS.register("names")
 def read_names(value, field) -> Result:
-    """Accepts a list of different names."""
+    """Accepts a list of names without duplicates."""
     if not isinstance(value, list):
         return _expected("a list of names", value)
     for item in value:
--- a/wigeonport/events.py
+++ b/wigeonport/events.py
@@ -1,4 +1,4 @@
-"""Event log of a process: JSON Lines with Lamport numbers."""
+"""Event log of a process, in JSON Lines, with Lamport numbers."""
 
 import json
 import pathlib
@@ -23,13 +23,13 @@
 
     Attributes:
         node: Node id of the process.
-        run: Wall time in ms at which the process started; tells the runs of
-            a process apart.
-        sequence: Number of the event in its run, from 1 without holes.
+        run: Wall time in ms at which the process started; identifies one run
+            of the process.
+        sequence: Number of the event in its run, from 1 without gaps.
         lamport: Lamport number; an effect has a higher one than its cause.
-        wall_ms: Wall time on the clock of that VM.
-        kind: What happened.
-        fields: Details as plain data.
+        wall_ms: Wall time in ms on the clock of that VM.
+        kind: Name of the kind of event.
+        fields: Details as plain data, by name.
     """
 
     __slots__ = (
@@ -57,22 +57,23 @@
 
 
 class EventLog:
-    """Numbers events and keeps the latest in a ring.
+    """Numbers events and keeps the latest ones in a ring buffer.
 
-    A log with a file also passes every line to the task that owns the file.
-    What does not fit, there or in the ring, is counted and recorded as a
-    gap.
+    With a file, every line also goes to the task that owns the file. Events
+    that the ring or the mailbox of that task has no room for are counted, and
+    a gap event takes their place.
 
     Attributes:
         node: Node id of the process.
-        run: Wall time at which the log was made.
-        clock: Time source.
+        run: Wall time in ms at which the log was created.
+        clock: Clock of the VM.
         lamport: LamportCounter of the process. It starts at the wall time,
-            so that a restarted process does not number below its past.
-        sequence: Number of the last event.
-        ring: The latest events.
+            so that the events of a restarted process get higher numbers than
+            those of its earlier runs.
+        sequence: Sequence number of the last event.
+        ring: The latest events, oldest first.
         writer: Mailbox of the task that owns the file, or None.
-        lost: Events that the file misses since the last recorded gap.
+        lost: Number of events that the writer refused since its last line.
     """
 
     __slots__ = (
@@ -127,7 +128,7 @@
             self.lost += 1
 
     def lines(self):
-        """Returns the lines of the ring, with a gap for what it dropped."""
+        """Returns the lines of the ring, after a gap for those it dropped."""
         events = list(self.ring)
         dropped = self.sequence - len(events)
         if dropped and events:
@@ -136,7 +137,7 @@
 
 
 def make_gap_event(event, lost):
-    """Returns the record of events that were lost before an event."""
+    """Returns a gap event that stands for ``lost`` events before an event."""
     return Event(
         event.node,
         event.run,
@@ -151,15 +152,15 @@
 async def write_events(log, path, metrics, max_file_bytes=MAX_FILE_BYTES):
     """Owns the event file: appends lines until the writer is closed.
 
-    At ``max_file_bytes`` the file becomes ``PATH.1`` and a new one starts. A
-    write that fails is logged and counted, and its events are lost; the
-    sequence numbers show it.
+    Before the file exceeds ``max_file_bytes`` it is renamed to ``PATH.1`` and
+    a new one starts. If a write fails, its events are lost: the error is
+    logged and counted, and a reader sees a gap in the sequence numbers.
 
     Args:
         log: EventLog with a writer.
-        path: Name of the file.
+        path: Path of the file.
         metrics: Metrics of the process.
-        max_file_bytes: Size at which a new file starts.
+        max_file_bytes: Maximum size of the file.
     """
     path = pathlib.Path(path)
     async for line in log.writer:
@@ -175,7 +176,7 @@
 
 
 def append(path, data, max_file_bytes):
-    """Appends lines to a file; starts a new file when it is full.
+    """Appends lines to a file; starts a new one if it would be too large.
 
     Raises:
         OSError: If the file cannot be written.
@@ -187,7 +188,7 @@
             path.replace(path.with_name(path.name + ".1"))
         elif size:
             target.seek(size - 1)
-            # A crash may have cut the last line.
+            # After a crash the last line may be incomplete.
             ends_with_newline = target.read(1) == b"\n"
             target.write(data if ends_with_newline else b"\n" + data)
             return
--- a/wigeonport/findings.py
+++ b/wigeonport/findings.py
@@ -1,14 +1,15 @@
-"""Findings of checks, collected with their place."""
+"""Findings: the faults that a check reports, with their locations."""
 
 from expression import Error, Ok, Result
 
 
 class Finding:
-    """One fault and where it stands.
+    """One fault in an input.
 
     Attributes:
-        location: For example ``file.yaml:12: entry.port``.
-        text: What is wrong, as a short sentence.
+        location: File, line and key path, where they exist; for example
+            ``file.yaml:12: entry.port``.
+        text: Description of the fault, in a few words.
     """
 
     __slots__ = ("location", "text")
@@ -22,7 +23,11 @@
 
 
 class Findings:
-    """Collects findings, so that one run reports all of them."""
+    """Collects findings, so that a check reports all faults at once.
+
+    Attributes:
+        items: List of Finding.
+    """
 
     __slots__ = ("items",)
 
@@ -30,7 +35,7 @@
         self.items = []
 
     def add(self, location, text):
-        """Adds a finding."""
+        """Adds a finding at a location."""
         self.items.append(Finding(location, text))
 
     def extend(self, other):
@@ -38,11 +43,11 @@
         self.items.extend(other.items)
 
     def result(self, value) -> Result:
-        """Returns the value, or these findings if there are any."""
+        """Returns Ok of the value, or Error of these findings if any."""
         return Error(self) if self.items else Ok(value)
 
     def lines(self):
-        """Returns one text for each finding."""
+        """Returns the findings as a list of texts."""
         return [str(item) for item in self.items]
 
     def __bool__(self):
--- a/wigeonport/histories.py
+++ b/wigeonport/histories.py
@@ -1,4 +1,4 @@
-"""Histories: record what a process learns as its events."""
+"""Event recorders: turn the notices of a process into its events."""
 
 from wigeonport.consensus_requests import (
     Applied,
@@ -13,13 +13,17 @@
 
 
 def records(kind):
-    """Registers a function ``(events, notice)`` for a class of notices."""
+    """Returns a decorator that registers a recorder of a class of notices.
+
+    Args:
+        kind: Class of notices; the recorder takes the EventLog and a notice.
+    """
     return recorders.register(kind)
 
 
 @records(LeadershipNotice)
 def record_leadership(events, notice):
-    """Records a new term or leader."""
+    """Records that the term or the leader changed."""
     events.record("leader.changed", term=notice.term, leader=notice.leader_id)
 
 
@@ -31,7 +35,7 @@
 
 @records(Applied)
 def record_applied(events, notice):
-    """Records a committed command and what became of it."""
+    """Records a committed command with its answer."""
     answer = notice.answer
     fields = {"index": notice.index, "answer": type(answer).__name__}
     if isinstance(answer, PatchAccepted):
@@ -43,7 +47,7 @@
 
 @records(EndpointChanged)
 def record_endpoint(events, notice):
-    """Records that an endpoint became usable, leaves or changed."""
+    """Records the new state of an endpoint."""
     record = notice.record
     events.record(
         f"endpoint.{record.state}",
@@ -56,12 +60,12 @@
 
 @records(EndpointLost)
 def record_loss(events, notice):
-    """Records that an endpoint gets no more work."""
+    """Records that an endpoint was lost and gets no more requests."""
     events.record("endpoint.lost", endpoint=notice.endpoint_id)
 
 
 async def record_history(inbound, events):
-    """Records notices of other filters of the process."""
+    """Records the notices of other tasks; ignores those without a recorder."""
     async for notice in inbound:
         recorder = recorders.entries.get(type(notice))
         if recorder is not None:
--- a/wigeonport/logs.py
+++ b/wigeonport/logs.py
@@ -1,8 +1,8 @@
-"""Structured logs: one JSON object a line on standard output.
+"""Structured logs: one JSON object per line on standard output.
 
 A record has a time, a level, the part that wrote it, a short sentence and
-fields. Writing never waits: what the reader of the output does not take in
-time is dropped and counted.
+fields. Writing never waits: if the reader of the output is too slow, lines
+are dropped and counted.
 """
 
 import collections
@@ -13,17 +13,17 @@
 import logbook
 
 STDOUT = 1
-# Lines kept while the reader of the output is slow.
+# Lines that are buffered while the reader of the output is slow.
 MAX_PENDING_LINES = 2_000
-# Lines a second; far above the decisions of a busy leader, about 600.
+# A busy leader logs about 600 lines a second.
 MAX_LINES_PER_SECOND = 3_000
 
 
 class PartLogger:
-    """Writes short sentences with the name of a part and fields.
+    """Logs sentences with fields under the name of a part.
 
     Attributes:
-        logger: The logbook logger that carries the name.
+        logger: logbook.Logger with the name of the part.
     """
 
     __slots__ = ("logger",)
@@ -63,15 +63,17 @@
 
 
 class LineWriter:
-    """Writes lines to a descriptor without ever waiting.
+    """Writes lines to a file descriptor without waiting.
 
     Attributes:
         descriptor: File descriptor in non-blocking mode.
-        pending: Bytes that the descriptor has not taken yet.
-        dropped: Lines dropped since the last one that was written.
+        pending: Lines that are not written yet, as bytes; the first may be
+            the rest of a line.
+        dropped: Lines dropped since the last notice about dropped lines.
         dropped_total: Lines dropped since the start.
-        second: Second of the newest line.
-        lines_in_second: Lines in that second.
+        second: Unix time in s of the newest line.
+        lines_in_second: Number of lines in that second, dropped ones
+            included.
     """
 
     __slots__ = (
@@ -93,7 +95,12 @@
         self.lines_in_second = 0
 
     def write(self, line, second):
-        """Writes a line, or drops it if the output is stuck or too fast."""
+        """Writes a line; drops it above the rate limit or if too many wait.
+
+        Args:
+            line: Text without a line end.
+            second: Unix time of the line in whole s.
+        """
         if second != self.second:
             self.second, self.lines_in_second = second, 0
         self.lines_in_second += 1
@@ -108,7 +115,7 @@
         self.flush()
 
     def flush(self):
-        """Hands on what the descriptor takes now."""
+        """Writes as many pending bytes as the descriptor accepts now."""
         while self.pending:
             data = self.pending[0]
             try:
@@ -116,7 +123,7 @@
             except BlockingIOError:
                 return
             except OSError:
-                # The reader is gone; there is nowhere to report it.
+                # The output is closed, so the error cannot be logged.
                 self.dropped_total += len(self.pending)
                 self.pending.clear()
                 return
@@ -136,7 +143,7 @@
 
 
 class LineHandler(logbook.Handler):
-    """Passes records to a LineWriter.
+    """A logbook handler that passes records to a LineWriter.
 
     Attributes:
         writer: LineWriter.
@@ -155,7 +162,11 @@
 
 
 def configure_logging(level):
-    """Sends records of ``level`` and above to standard output."""
+    """Sends records of ``level`` and above to standard output.
+
+    Returns:
+        The LineWriter.
+    """
     sys.stdout.flush()
     writer = LineWriter(STDOUT)
     handler = LineHandler(writer, level.upper())
--- a/wigeonport/metrics.py
+++ b/wigeonport/metrics.py
@@ -2,18 +2,19 @@
 
 from hdrh.histogram import HdrHistogram
 
+# An hour in microseconds, the smallest unit that metrics have.
 MAX_HISTOGRAM_VALUE = 3_600_000_000
 SIGNIFICANT_FIGURES = 2
 PERCENTILES = (50.0, 99.0, 99.9)
 
 
 class Metrics:
-    """Holds the metrics of a process; names follow ``part_what_unit``.
+    """The metrics of a process; names have the form ``part_what_unit``.
 
     Attributes:
-        counters: Counts by name.
-        gauges: Latest values by name.
-        histograms: HdrHistogram by name.
+        counters: Maps name to count.
+        gauges: Maps name to latest value.
+        histograms: Maps name to HdrHistogram.
     """
 
     __slots__ = ("counters", "gauges", "histograms")
@@ -24,7 +25,7 @@
         self.histograms = {}
 
     def count(self, name, amount=1):
-        """Adds to a counter."""
+        """Adds ``amount`` to a counter."""
         self.counters[name] = self.counters.get(name, 0) + amount
 
     def set(self, name, value):
@@ -32,7 +33,7 @@
         self.gauges[name] = value
 
     def record(self, name, value):
-        """Records a whole number in a histogram."""
+        """Records a value as an integer from 1 to ``MAX_HISTOGRAM_VALUE``."""
         histogram = self.histograms.get(name)
         if histogram is None:
             histogram = HdrHistogram(
--- a/wigeonport/records.py
+++ b/wigeonport/records.py
@@ -1,13 +1,13 @@
-"""Base of plain records with slots."""
+"""Base class of plain records with slots."""
 
 
 class Record:
-    """Compares and prints by its slots; holds no behaviour of its own."""
+    """A plain record: compared, printed and converted by its slots."""
 
     __slots__ = ()
 
     def to_document(self):
-        """Returns plain data by slot name."""
+        """Returns a dict of slot name to value."""
         return {name: getattr(self, name) for name in self.__slots__}
 
     def __eq__(self, other):
--- a/wigeonport/registries.py
+++ b/wigeonport/registries.py
@@ -1,4 +1,4 @@
-"""Registries that decorators fill."""
+"""Registries: named functions and classes, added by decorators."""
 
 from expression import Error, Ok, Result
 
@@ -11,8 +11,8 @@
     """Maps names to the functions or classes registered under them.
 
     Attributes:
-        kind: What the entries are, for error messages.
-        entries: The registered objects by name.
+        kind: Noun for one entry, used in error messages.
+        entries: Maps name to registered object.
     """
 
     __slots__ = ("kind", "entries")
@@ -25,19 +25,21 @@
         """Returns a decorator that registers its target as ``name``.
 
         Raises:
-            DuplicateNameError: If the name is taken.
+            DuplicateNameError: If the name is registered already.
         """
 
         def decorate(target):
             if name in self.entries:
-                raise DuplicateNameError(f"{self.kind} {name!r} exists")
+                raise DuplicateNameError(
+                    f"{self.kind} {name!r} is registered already"
+                )
             self.entries[name] = target
             return target
 
         return decorate
 
     def get(self, name) -> Result:
-        """Returns the entry, or an error text that lists the names."""
+        """Returns the entry, or an error text that lists the valid names."""
         if name in self.entries:
             return Ok(self.entries[name])
         registered = ", ".join(map(str, self.names()))
--- a/wigeonport/timelines.py
+++ b/wigeonport/timelines.py
@@ -1,4 +1,4 @@
-"""Merge of the event logs of several processes in causal order."""
+"""Merges the event logs of several processes in causal order."""
 
 import heapq
 import json
@@ -19,12 +19,12 @@
 
 
 def read_lines(name, lines, findings):
-    """Returns the Events of JSON Lines; malformed lines become findings.
+    """Returns the Events of JSON Lines; reports malformed lines.
 
     Args:
         name: Name of the source, for the findings.
         lines: Iterable of bytes or texts.
-        findings: Findings to add to.
+        findings: Findings to which the malformed lines are added.
     """
     events = []
     for number, line in enumerate(lines, start=1):
@@ -53,12 +53,12 @@
 
 
 def merge(events):
-    """Returns all events in causal order, with the gaps in between.
+    """Returns all events in causal order, with a gap event for each hole.
 
-    The order keeps the sequence of each process, over all its runs, and puts
-    an event after every event of another process that caused it, because a
-    message raises the Lamport number of its receiver. Wall times are not
-    compared between VMs. An event that occurs in several sources is listed
+    The events of a process stay in sequence, over all its runs. An event
+    comes after every event of another process that caused it, because a
+    message raises the Lamport number of its receiver. Wall times of different
+    VMs are not compared. An event that occurs in several sources is returned
     once.
     """
     streams = {}
@@ -77,7 +77,10 @@
 
 
 def _with_sort_keys(events):
-    """Returns sort keys that never fall within a process."""
+    """Returns pairs of a sort key and an event of one process.
+
+    The keys never decrease, so that the merge keeps the order of the events.
+    """
     keyed_events, max_lamport = [], 0
     for event in events:
         max_lamport = max(max_lamport, event.lamport)
@@ -86,7 +89,7 @@
 
 
 def _with_gaps(events):
-    """Inserts a gap wherever sequence numbers of a run are missing."""
+    """Inserts a gap event where sequence numbers of a run are missing."""
     result, run, next_sequence = [], None, 1
     for event in events:
         if event.run != run:
@@ -101,7 +104,7 @@
 
 
 def render(event):
-    """Returns an event as one line for people."""
+    """Returns an event as one readable line."""
     fields = " ".join(
         f"{key}={json.dumps(value)}" for key, value in event.fields.items()
     )
--- a/wigeonport/yaml_documents.py
+++ b/wigeonport/yaml_documents.py
@@ -1,4 +1,4 @@
-"""YAML files as plain documents, with the line of every key."""
+"""Reads YAML files as plain data, with the line of every key."""
 
 import io
 import pathlib
@@ -13,20 +13,22 @@
 from wigeonport.findings import Findings
 from wigeonport.registries import Registry
 
+# Functions from the text of a scalar to its value, by YAML tag.
 SCALAR_READERS = Registry("YAML scalar")
 TAG = "tag:yaml.org,2002:"
 MAX_FILE_BYTES = 4 * 1024 * 1024
-# Aliases can expand a small file without limit.
+# Nodes after the expansion of aliases, which can turn a small file into
+# gigabytes.
 MAX_NODES = 200_000
 MAX_DEPTH = 32
 
 
 class YamlDocument:
-    """A plain document and the places of its keys.
+    """A plain document and the locations of its keys.
 
     Attributes:
         value: Plain dict, list or scalar.
-        source_map: Line by key path.
+        source_map: SourceMap of the file.
     """
 
     __slots__ = ("value", "source_map")
@@ -57,7 +59,9 @@
         return _finding_error(name, f"is not UTF-8 at byte {error.start}")
     try:
         if _is_too_deep(text):
-            return _finding_error(name, f"is nested deeper than {MAX_DEPTH}")
+            return _finding_error(
+                name, f"is nested deeper than {MAX_DEPTH} levels"
+            )
         tree = YAML(typ="rt").compose(io.StringIO(text))
     except MarkedYAMLError as error:
         mark = error.problem_mark or error.context_mark
@@ -69,7 +73,8 @@
         first = (str(error).splitlines() or ["unknown fault"])[0]
         return _finding_error(name, f"is not valid YAML: {first}")
     except Exception as error:
-        # The parser raises assorted built-in errors on malformed input.
+        # On malformed input the parser also raises built-in errors, such as
+        # ValueError.
         return _finding_error(
             name, f"is not valid YAML: {type(error).__name__}"
         )
@@ -83,7 +88,11 @@
 
 
 def _is_too_deep(text):
-    """Reads the events first: composing recurses once for each level."""
+    """Returns whether the nesting exceeds ``MAX_DEPTH``.
+
+    The parser's events are read without recursion; composing the document
+    recurses once for each level.
+    """
     depth = 0
     for event in YAML(typ="rt").parse(io.StringIO(text)):
         if isinstance(event, CollectionStartEvent):
@@ -96,11 +105,11 @@
 
 
 class _Converter:
-    """Turns the parser's nodes into plain data and notes the lines.
+    """Converts the parser's nodes into plain data and records their lines.
 
     Attributes:
-        source_map: Line by key path.
-        findings: Faults found on the way.
+        source_map: SourceMap of the file; the lines are added to it.
+        findings: Faults found so far.
         visited_nodes: Number of nodes visited, aliases included.
         ancestor_ids: Ids of the nodes that contain the current one.
     """
@@ -114,12 +123,12 @@
         self.ancestor_ids = set()
 
     def convert(self, tree):
-        """Returns the YamlDocument or the findings."""
+        """Returns the YamlDocument of a node tree, or Findings."""
         value = None if tree is None else self.to_plain(tree, ())
         return self.findings.result(YamlDocument(value, self.source_map))
 
     def to_plain(self, node, path):
-        """Returns the plain value of a node."""
+        """Returns a node as plain data; None if it is refused."""
         self.visited_nodes += 1
         if self.visited_nodes > MAX_NODES:
             if self.visited_nodes == MAX_NODES + 1:
@@ -128,7 +137,7 @@
         if isinstance(node, ScalarNode):
             return self.scalar(node, path)
         if id(node) in self.ancestor_ids:
-            self.report(path, "the alias refers to what contains it")
+            self.report(path, "the alias refers to a node that contains it")
             return None
         self.ancestor_ids.add(id(node))
         convert_collection = (
@@ -139,7 +148,7 @@
         return value
 
     def mapping(self, node, path):
-        """Returns a dict; reports keys that are not texts or repeated."""
+        """Returns a mapping as a dict; reports repeated and non-text keys."""
         result = {}
         if not self.has_tag(node, path, "map"):
             return result
@@ -161,7 +170,7 @@
         return result
 
     def sequence(self, node, path):
-        """Returns a list."""
+        """Returns a sequence as a list."""
         result = []
         if not self.has_tag(node, path, "seq"):
             return result
@@ -174,10 +183,12 @@
         return result
 
     def scalar(self, node, path):
-        """Returns a text, number, truth value or None."""
+        """Returns a scalar as a text, number, boolean or None."""
         reader = SCALAR_READERS.entries.get(str(node.tag).removeprefix(TAG))
         if reader is None:
-            self.report(path, f"has the unsupported type {node.tag}; quote it")
+            self.report(
+                path, f"has the unsupported type {node.tag}; put it in quotes"
+            )
             return None
         try:
             return reader(node.value)
@@ -186,7 +197,7 @@
             return None
 
     def has_tag(self, node, path, name):
-        """Returns whether a collection is a plain one; reports if not."""
+        """Returns whether a node has the standard tag; reports other tags."""
         if node.tag == f"{TAG}{name}":
             return True
         self.report(path, f"has the unsupported type {node.tag}")
@@ -199,18 +210,22 @@
 
 @SCALAR_READERS.register("null")
 def read_null(text):
-    """Returns None."""
+    """Returns None for a null value."""
 
 
 @SCALAR_READERS.register("str")
 def read_str(text):
-    """Returns the text itself."""
+    """Returns the text unchanged."""
     return str(text)
 
 
 @SCALAR_READERS.register("bool")
 def read_bool(text):
-    """Returns the truth value."""
+    """Returns a boolean.
+
+    Raises:
+        ValueError: If the text is neither true nor false.
+    """
     if text.lower() not in ("true", "false"):
         raise ValueError(text)
     return text.lower() == "true"
@@ -218,7 +233,11 @@
 
 @SCALAR_READERS.register("int")
 def read_int(text):
-    """Returns a whole number; the prefixes 0o and 0x are understood."""
+    """Returns an integer, also with the prefixes 0o and 0x.
+
+    Raises:
+        ValueError: If the text is not an integer.
+    """
     digits = text.replace("_", "")
     if "0o" in digits or "0x" in digits:
         return int(digits, 0)
@@ -227,7 +246,11 @@
 
 @SCALAR_READERS.register("float")
 def read_float(text):
-    """Returns a number, also for ``.inf`` and ``.nan``."""
+    """Returns a float, also for ``.inf`` and ``.nan``.
+
+    Raises:
+        ValueError: If the text is not a number.
+    """
     return float(
         text.replace("_", "")
         .lower()
