State the failure that each test of the foundations guards against

Cause: heads such as "Guards against a table row without a usable default" named neither the failure nor how it comes about.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -14,7 +14,7 @@
 from wigeonport.states import Entry, ReplicatedState
 
 HOST = "127.0.0.1"
-NUMBERS = itertools.count(1)
+REQUEST_NUMBERS = itertools.count(1)
 pytest_plugins = [
     "planning_fixtures",
     "entry_fixtures",
@@ -25,7 +25,7 @@
 
 @pytest.fixture
 def clock():
-    """A manual clock that starts at 1 s, so that 0 is in the past."""
+    """A manual clock that starts at 1 s, so that time 0 is in the past."""
     return ManualClock(now_ms=1_000)
 
 
@@ -87,10 +87,11 @@
 
 @pytest.fixture
 def apply():
-    """Returns a function that applies commands to a new state.
+    """Returns a function that applies a command to a new ReplicatedState.
 
-    The function takes a command and how much time passes before it; its
-    attribute ``state`` is the state, which a test may replace.
+    The function takes a command and the time in ms that passes before it, and
+    returns the answer. Its attributes ``state``, ``now_ms`` and ``index`` may
+    be replaced by a test.
     """
 
     def run(command, after_ms=1):
@@ -104,7 +105,7 @@
 
 @pytest.fixture
 def submit(apply):
-    """Returns a function that submits a patch of some operations."""
+    """Returns a function that submits a patch with the given operations."""
 
     def run(id, against, *operations, author="ada"):
         document = {
@@ -121,13 +122,13 @@
 
 @pytest.fixture
 def apply_to_fleet(apply, submit, fleet_document):
-    """``apply`` after the patch p-1 that made ``fleet`` version 1."""
+    """``apply`` on a state in which the patch p-1 has created ``fleet``."""
     submit("p-1", 0, *add_operations(fleet_document))
     return apply
 
 
 def add_operations(document):
-    """Returns the operations that build a fleet document."""
+    """Returns the patch operations that create a fleet from its document."""
     operations = [
         {"operation": f"add_{section[:-1]}", **record}
         for section in SECTION_NAMES
@@ -139,13 +140,13 @@
 
 @pytest.fixture
 def make_request():
-    """Makes callers' requests with a far deadline."""
+    """Returns a function that makes a CallerRequest, due in 5 s by default."""
 
     def make(method="GET", key=None, body=b"", deadline_ms=None, **changes):
         if deadline_ms is None:
             deadline_ms = Clock().now() + 5_000
         request = CallerRequest(
-            request_id=changes.pop("request_id", f"r{next(NUMBERS)}"),
+            request_id=changes.pop("request_id", f"r{next(REQUEST_NUMBERS)}"),
             service="roster",
             method=method,
             path=changes.pop("path", b"/sends"),
@@ -166,7 +167,7 @@
 
 @pytest.fixture
 def make_record():
-    """Makes announcements of endpoints."""
+    """Returns a function that makes the EndpointRecord of a ready endpoint."""
 
     def make(endpoint_id="e1", port=1, **changes):
         record = EndpointRecord(
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -1,4 +1,4 @@
-"""Tests of the event log and of the merged timeline."""
+"""Tests of the event log and the merged timeline."""
 
 import json
 import random
@@ -23,7 +23,7 @@
 
 
 def events_of(*logs):
-    """Returns the events of several logs, by way of their lines."""
+    """Returns the events read from the lines of several logs."""
     findings = Findings()
     events = []
     for log in logs:
@@ -33,12 +33,15 @@
 
 
 def kinds(events):
-    """Returns node and kind of every event."""
+    """Returns a text ``NODE:KIND`` for every event."""
     return [f"{event.node}:{event.kind}" for event in events]
 
 
 def test_effect_follows_its_cause_although_clocks_differ():
-    """Guards against a timeline ordered by wall times."""
+    """An effect must come after its cause although its clock is behind.
+
+    The wall clocks of VMs differ, so an order by wall time would be wrong.
+    """
     ahead = make_log("a", ManualClock(9_000_000))
     behind = make_log("b", ManualClock(1_000))
     cause = ahead.record("sent")
@@ -58,7 +61,10 @@
 
 
 def test_restarted_process_stays_behind_its_past():
-    """Guards against a new run that is listed before the old one."""
+    """Events of a new run must come after those of the earlier run.
+
+    A Lamport counter that restarts at 0 would number them below.
+    """
     clock = ManualClock(1_000)
     first = make_log("a", clock)
     first.lamport.observe(50_000)
@@ -71,7 +77,7 @@
 
 
 def test_full_ring_records_a_gap(clock):
-    """Guards against lost events that nobody notices."""
+    """Events that a full ring drops must be shown as a gap, not omitted."""
     log = make_log("a", clock, ring_bound=2)
     for number in range(5):
         log.record("step", number=number)
@@ -83,7 +89,7 @@
 
 
 def test_several_sources_of_one_process_are_joined(clock):
-    """Guards against events that are listed twice."""
+    """An event that two sources of a process contain is listed once."""
     log = make_log("a", clock)
     log.record("one")
     before = events_of(log)
@@ -93,7 +99,7 @@
 
 
 def test_missing_sequence_numbers_become_a_gap(clock):
-    """Guards against a hole in the middle of a source."""
+    """Events that are missing in the middle must be shown as a gap."""
     log = make_log("a", clock)
     for _ in range(3):
         log.record("step")
@@ -104,7 +110,11 @@
 
 
 def test_file_holds_every_event_over_restarts(tmp_path, clock):
-    """Guards against events that are lost when a process stops."""
+    """No event may be lost when a process stops or crashes.
+
+    A crash leaves an incomplete last line; the next run must not append to
+    it, and a reader reports that line only.
+    """
     path = tmp_path / "deep" / "events.jsonl"
 
     async def run(*names):
@@ -133,7 +143,7 @@
 
 
 def test_slow_writer_leaves_a_gap_in_the_file(tmp_path, clock, monkeypatch):
-    """Guards against a full channel that loses events silently."""
+    """Events that the full mailbox of the writer refuses become a gap."""
     monkeypatch.setattr(events_module, "WRITER_BOUND", 2)
     path = tmp_path / "events.jsonl"
 
@@ -153,7 +163,7 @@
 
 
 def test_full_file_starts_a_new_one(tmp_path):
-    """Guards against an event file that fills the disk."""
+    """The event file must not grow without limit and fill the disk."""
     path = tmp_path / "events.jsonl"
     for number in range(4):
         append(path, b"%d" % number * 8 + b"\n", 20)
@@ -163,7 +173,10 @@
 
 
 def test_unwritable_file_is_counted(tmp_path, clock):
-    """Guards against a full disk that stops the process."""
+    """A file that cannot be written must not stop the process.
+
+    The lost events are counted.
+    """
     (tmp_path / "file").write_text("")
 
     async def run():
@@ -178,7 +191,7 @@
 
 @pytest.mark.parametrize("seed", range(20))
 def test_merge_is_causal_for_random_exchanges(seed):
-    """Guards against an effect before its cause in any order of sources."""
+    """Every effect must follow its cause, in any order of the sources."""
     source = random.Random(seed)
     clocks = [ManualClock(source.randrange(10**6)) for _ in range(4)]
     logs = [make_log(f"n{i}", clock) for i, clock in enumerate(clocks)]
@@ -212,16 +225,19 @@
 )
 @settings(max_examples=100, derandomize=True, deadline=None)
 def test_malformed_lines_are_findings(lines):
-    """Guards against a traceback, or a silent loss, on a damaged source."""
+    """Every malformed line must be a finding.
+
+    It must neither raise an error nor be skipped silently.
+    """
     findings = Findings()
     assert read_lines("x", lines, findings) == []
-    kept = [line for line in lines if line.strip()]
-    places = {item.location.split(":")[1] for item in findings.items}
-    assert len(places) == len(kept)
+    nonblank_lines = [line for line in lines if line.strip()]
+    line_numbers = {item.location.split(":")[1] for item in findings.items}
+    assert len(line_numbers) == len(nonblank_lines)
 
 
 def test_rendered_line_is_readable(clock):
-    """Guards against output that cannot be searched."""
+    """A line must show node, kind and fields, so that it can be searched."""
     log = make_log("a", clock)
     line = render(log.record("moved", worker="vm-1", ok=True))
     assert line.endswith('a moved worker="vm-1" ok=true')
--- a/tests/test_foundations.py
+++ b/tests/test_foundations.py
@@ -9,7 +9,7 @@
 
 
 def test_registry_rejects_duplicate_name():
-    """Guards against one entry silently replacing another."""
+    """A second entry of the same name must not silently replace the first."""
     registry = Registry("policy")
     registry.register("first")(object())
     with pytest.raises(DuplicateNameError):
@@ -17,14 +17,17 @@
 
 
 def test_registry_names_the_known_entries():
-    """Guards against an error that leaves the operator guessing."""
+    """The error for an unknown name must list the valid names.
+
+    Otherwise an operator cannot see what to write instead.
+    """
     registry = Registry("policy")
     registry.register("first")(object())
     assert "first" in registry.get("second").error
 
 
 def test_full_mailbox_refuses_or_drops_the_oldest():
-    """Guards against unbounded growth and against losing the newest."""
+    """A full mailbox must not grow; ``drop_oldest`` keeps the new message."""
 
     async def scenario():
         refusing = Mailbox("refusing", 1, REFUSE)
@@ -38,7 +41,7 @@
 
 
 def test_ask_ends_at_its_deadline():
-    """Guards against a caller that waits for good for a lost answer."""
+    """A task that never answers must not block the caller forever."""
 
     async def scenario():
         mailbox = Mailbox("silent", 1)
@@ -49,7 +52,7 @@
 
 
 def test_reply_takes_one_answer():
-    """Guards against a late answer overwriting the first."""
+    """A second answer must not replace the first one."""
 
     async def scenario():
         reply = Reply()
@@ -61,7 +64,7 @@
 
 
 def test_findings_are_reported_together():
-    """Guards against a check that stops at the first fault."""
+    """A check must report all of its findings, not only the first."""
     findings = Findings()
     findings.add("a.yaml:1: x", "is missing")
     findings.add("a.yaml:2: y", "is not a number")
--- a/tests/test_modules.py
+++ b/tests/test_modules.py
@@ -1,4 +1,4 @@
-"""Tests that compare the map of the modules with the package."""
+"""Tests that compare ``docs/modules.md`` with the package."""
 
 import pathlib
 import re
@@ -7,7 +7,7 @@
 
 
 def test_every_module_is_on_the_map():
-    """Guards against modules that a newcomer cannot place."""
+    """The page must list every module, and no module that is gone."""
     page = (ROOT / "docs" / "modules.md").read_text()
     table = page.split("## Where to look")[0].split("| --- | --- |")[1]
     named = re.findall(r"`([a-z_]+)`", table)
@@ -16,7 +16,7 @@
 
 
 def test_symptoms_name_modules_that_exist():
-    """Guards against a symptom that points to a module that has gone."""
+    """The table of symptoms must only refer to modules that exist."""
     page = (ROOT / "docs" / "modules.md").read_text()
     rows = re.findall(
         r"\| ([^|]+) \|$", page.split("## Where to look")[1], re.M
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -20,12 +20,12 @@
 
 @pytest.fixture(scope="module")
 def command_page():
-    """Text of the page about the command line."""
+    """Text of the page that describes the command line."""
     return (ROOT / "docs" / "command_line.md").read_text()
 
 
 def test_settings_page_equals_its_table():
-    """Guards against a key that the page lacks or describes wrongly."""
+    """The page must list every setting as the code defines it."""
     path = ROOT / "tools" / "write_references.py"
     spec = importlib.util.spec_from_file_location("write_references", path)
     module = importlib.util.module_from_spec(spec)
@@ -35,7 +35,7 @@
 
 
 def test_every_setting_is_used():
-    """Guards against a setting that has no effect."""
+    """A setting that no module reads would have no effect."""
     sources = "".join(
         path.read_text()
         for path in (ROOT / "wigeonport").glob("*.py")
@@ -48,7 +48,7 @@
 
 
 def test_every_command_and_option_is_described(command_page):
-    """Guards against commands that the page lacks."""
+    """The page must describe every command and each of its options."""
     load_commands()
     titles = set(re.findall(r"^## `wigeonport ([a-z ]+)", command_page, re.M))
     described = {title.strip() for title in titles}
@@ -66,7 +66,7 @@
 
 
 def test_every_operation_and_key_is_described(command_page):
-    """Guards against operations that the page lacks."""
+    """The page must list every patch operation with keys and defaults."""
     rows = {}
     for line in command_page.splitlines():
         cells = line.split("|")
@@ -87,7 +87,7 @@
 
 
 def test_example_patch_of_the_page_is_valid(command_page):
-    """Guards against an example that is refused."""
+    """The example patch on the page must be accepted."""
     text = command_page.split("```yaml\n")[1].split("```")[0]
     document = load_bytes(text.encode(), "page").ok.value
     document |= {"id": "p-1", "against_version": 1, "author": "ada"}
--- a/tests/test_program_signals.py
+++ b/tests/test_program_signals.py
@@ -1,4 +1,4 @@
-"""Tests of the signals of the programs."""
+"""Tests of how the programs handle signals."""
 
 import os
 import signal
@@ -10,7 +10,7 @@
 
 
 def test_reload_does_not_stop_the_program():
-    """SIGHUP must ask for a reload only; it once stopped the program."""
+    """SIGHUP must only request a reload; it once stopped the program."""
 
     async def main():
         stopping = trio.Event()
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -46,17 +46,20 @@
 
 
 def test_defaults_fill_what_is_absent(document):
-    """Guards against a table row without a usable default."""
-    read = settings_from_document(document).ok
-    assert read.callers_port == 8_080
-    assert read.peers[0].control_links_port == 8_084
-    assert read.is_voter()
-    again = settings_from_document(read.to_document()).ok
-    assert again == read
+    """A field without a usable default would be missing at run time.
+
+    The settings are also written out and read again without a change.
+    """
+    loaded = settings_from_document(document).ok
+    assert loaded.callers_port == 8_080
+    assert loaded.peers[0].control_links_port == 8_084
+    assert loaded.is_voter()
+    reloaded = settings_from_document(loaded.to_document()).ok
+    assert reloaded == loaded
 
 
 def test_defaults_of_the_table_pass_their_own_kinds(document):
-    """Guards against a default that the reader would refuse."""
+    """A default that its own field refuses would break written settings."""
     defaults = {
         field.name: field.default
         for field in SETTING_FIELDS
@@ -67,7 +70,10 @@
 
 
 def test_all_findings_carry_file_line_and_key_path(tmp_path, document):
-    """Guards against one finding a run, or findings without a place."""
+    """All faults of a file must be reported at once, each with its line.
+
+    Otherwise an operator needs one run per fault, and has to search for it.
+    """
     document["callers_prot"] = 1
     document["queue_bound"] = "many"
     document["peers"][0]["port"] = 3
@@ -97,12 +103,18 @@
     ],
 )
 def test_checks_refuse_what_cannot_work(document, change, text):
-    """Guards against settings that fail only when the program runs."""
+    """Settings that contradict each other must be refused at the start.
+
+    Otherwise they fail only when the program uses them.
+    """
     assert text in str(settings_from_document(document | change).error)
 
 
 def test_files_of_one_cluster_are_compared(tmp_path, document):
-    """Guards against VMs that disagree about each other."""
+    """Files of one cluster must agree on voters, node ids and addresses.
+
+    Otherwise VMs form different clusters or cannot reach each other.
+    """
     other = document | {
         "node_id": "lekki-1",
         "availability_zone": "lekki",
@@ -119,11 +131,11 @@
     text = str(check_files(paths).error)
     assert f"{paths[1]}: voters: differ from those in {paths[0]}" in text
     assert "peers[0].control_links_port: is 8084, but 'lekki-1' has" in text
-    assert f"'lekki-1' is also the id in {paths[1]}" in text
+    assert f"'lekki-1' is also the node id in {paths[1]}" in text
 
 
 def test_missing_file_is_one_finding(tmp_path):
-    """Guards against a traceback for a wrong file name."""
+    """A wrong file name must be a finding, not a traceback."""
     text = str(check_files([tmp_path / "absent.yaml"]).error)
     assert "No such file" in text
 
@@ -143,21 +155,25 @@
 )
 @settings(max_examples=300, derandomize=True, deadline=None)
 def test_any_value_gives_settings_or_findings(changes):
-    """Guards against a traceback on a malformed value."""
+    """A malformed value must be a finding, not a traceback."""
     base = {"node_id": "a", "cluster_id": "c", "availability_zone": "z"}
-    read = settings_from_document(base | changes)
-    assert read.is_ok() or read.error.lines()
+    loaded = settings_from_document(base | changes)
+    assert loaded.is_ok() or loaded.error.lines()
 
 
 @given(value=st.none() | st.text() | st.lists(st.none()) | st.integers())
 @settings(max_examples=30, derandomize=True, deadline=None)
 def test_any_top_level_value_gives_findings(value):
-    """Guards against a traceback on a file that is no mapping."""
+    """A file that holds no mapping must be a finding, not a traceback."""
     assert settings_from_document(value).error.lines()
 
 
 def test_keys_keep_the_order_of_rotation(tmp_path):
-    """Guards against a rotation that signs with the wrong key."""
+    """The keys must keep the order of their files.
+
+    The first one signs. In another order a rotation would sign with a key
+    that other VMs may not have yet.
+    """
     for name in ("links-2.key", "links-1.key"):
         (tmp_path / name).write_text(f"{SECRET}-{name}\n")
     paths = [str(tmp_path / n) for n in ("links-2.key", "links-1.key")]
@@ -167,7 +183,10 @@
 
 
 def test_short_or_missing_keys_are_findings(tmp_path):
-    """Guards against links that anybody can join."""
+    """A short or missing key must be a finding.
+
+    Otherwise a link could be joined by guessing its key.
+    """
     (tmp_path / "short.key").write_text("short")
     paths = [str(tmp_path / n) for n in ("short.key", "absent.key")]
     assert len(load_keys(paths).error.items) == 2
@@ -178,12 +197,16 @@
     [("run/a.key", "a"), ("a", "a"), (".key", ".key"), ("x/a.b.c", "a.b")],
 )
 def test_key_id_is_the_file_name(path, expected):
-    """Guards against key ids that differ between VMs."""
+    """The key id must depend on the file name only.
+
+    VMs keep the same key in different folders; with different key ids they
+    would refuse each other.
+    """
     assert key_id(path) == expected
 
 
 def test_tokens_name_their_operator(tmp_path):
-    """Guards against an unknown token that is accepted."""
+    """Only a whole known token may be accepted, for its own operator."""
     path = tmp_path / "tokens"
     path.write_text(f"# operators\nada {SECRET}\n\nbayo {SECRET}2\n")
     tokens = load_tokens(str(path)).ok
@@ -195,14 +218,21 @@
 
 @pytest.mark.parametrize("text", ["", "ada\n", "ada short\n", "a b c\n"])
 def test_malformed_token_file_is_refused(tmp_path, text):
-    """Guards against an empty file that lets everybody in."""
+    """A token file that is empty or malformed must be refused.
+
+    Otherwise an empty or short token would be accepted.
+    """
     path = tmp_path / "tokens"
     path.write_text(text)
     assert load_tokens(str(path)).is_error()
 
 
 def test_voters_of_the_log_follow_the_settings(document):
-    """Three voters and a dead one that stands lost accepted jobs."""
+    """The replica must use ``voter_count`` and ``replace_voter_ms``.
+
+    With three voters, of which a failed one was not replaced, accepted jobs
+    were lost.
+    """
     small = make_replica_settings(settings_from_document(document).ok)
     assert small.target_voters == len(document["voters"])
     assert small.replace_voter_ms == 60_000
--- a/tests/test_yaml_documents.py
+++ b/tests/test_yaml_documents.py
@@ -1,4 +1,4 @@
-"""Tests of YAML reading with line numbers."""
+"""Tests of the YAML reader and its line numbers."""
 
 import pytest
 from hypothesis import given, settings
@@ -8,7 +8,10 @@
 
 
 def test_lines_are_kept():
-    """Guards against findings that point at the wrong line."""
+    """Findings must point at the line of their key.
+
+    A key that is missing points at the line of its parent.
+    """
     loaded = load_bytes(b"# note\na:\n  - b: 1\n  - {c: 2}\n", "x").ok
     assert loaded.value == {"a": [{"b": 1}, {"c": 2}]}
     assert loaded.source_map.at(("a", 1, "c")) == "x:4: a[1].c"
@@ -33,23 +36,23 @@
     ],
 )
 def test_malformed_yaml_is_a_finding(data, text):
-    """Guards against a traceback, or endless work, on malformed YAML."""
+    """Malformed YAML must be a finding, not a traceback or endless work."""
     loaded = load_bytes(data, "x")
     assert text in str(loaded.error)
 
 
 def test_expanding_aliases_are_refused():
-    """Guards against a small file that expands to gigabytes."""
+    """Nested aliases could expand a small file to gigabytes."""
     lines = ["a0: &a0 [1, 1, 1, 1, 1, 1, 1, 1, 1]"]
     for n in range(1, 9):
-        items = ", ".join([f"*a{n - 1}"] * 9)
-        lines.append(f"a{n}: &a{n} [{items}]")
+        aliases = ", ".join([f"*a{n - 1}"] * 9)
+        lines.append(f"a{n}: &a{n} [{aliases}]")
     loaded = load_bytes("\n".join(lines).encode(), "x")
     assert "too large" in str(loaded.error)
 
 
 def test_missing_file_is_a_finding(tmp_path):
-    """Guards against a traceback for a wrong file name."""
+    """A wrong file name must be a finding, not a traceback."""
     name = str(tmp_path / "absent.yaml")
     assert "No such file" in str(load_file(name).error)
 
@@ -57,7 +60,7 @@
 @given(data=st.binary(max_size=60))
 @settings(max_examples=150, derandomize=True, deadline=None)
 def test_any_bytes_give_a_document_or_findings(data):
-    """Guards against a traceback on arbitrary bytes."""
+    """Arbitrary bytes must give findings at worst, not a traceback."""
     loaded = load_bytes(data, "x")
     assert loaded.is_ok() or loaded.error.lines()
 
@@ -65,7 +68,7 @@
 @given(text=st.text(alphabet="ab:-[]{}&*!|>'\"#%@? \n01~", max_size=40))
 @settings(max_examples=200, derandomize=True, deadline=None)
 def test_any_text_gives_a_document_or_findings(text):
-    """Guards against a traceback on text that is almost YAML."""
+    """Text that is almost YAML must give findings, not a traceback."""
     loaded = load_bytes(text.encode(), "x")
     assert loaded.is_ok() or loaded.error.lines()
 
@@ -83,7 +86,7 @@
 )
 @settings(max_examples=60, derandomize=True, deadline=None)
 def test_dumped_yaml_reads_the_same(value):
-    """Guards against text that is lost in a written file."""
+    """A value that is written as YAML must read back unchanged."""
     assert load_bytes(dump({"a": value}).encode(), "x").ok.value == {
         "a": value
     }
--- a/wigeonport/setting_tables.py
+++ b/wigeonport/setting_tables.py
@@ -166,7 +166,11 @@
         "Longest wait for the answer to a repeatable request over a reused "
         "connection, which may be dead.",
     ),
-    _ms("claim_timeout_ms", 1_000, "Longest wait for the claim of a key."),
+    _ms(
+        "claim_timeout_ms",
+        1_000,
+        "Longest wait for the claim of an idempotency key.",
+    ),
     _ms(
         "propose_timeout_ms",
         3_000,
@@ -314,8 +318,8 @@
         "drain_wait_ms",
         2_500,
         "An entry that stops still takes requests for this long after it "
-        "has told the load balancer; covers two checks, 1 s apart, and a "
-        "margin.",
+        "has told the load balancer; covers two failed checks, 1 s apart, "
+        "and a margin.",
     ),
     Field(
         "metrics_listen",
--- a/wigeonport/settings.py
+++ b/wigeonport/settings.py
@@ -236,9 +236,7 @@
     for path, settings in settings_by_path.items():
         node = (settings.cluster_id, settings.node_id)
         if node in paths_by_node:
-            text = (
-                f"{settings.node_id!r} is also the id in {paths_by_node[node]}"
-            )
+            text = f"{settings.node_id!r} is also the node id in {paths_by_node[node]}"
             findings.add(f"{path}: node_id", text)
         paths_by_node.setdefault(node, path)
         other = first_paths.setdefault(settings.cluster_id, path)
