Name the locals of the settings checks plainly

Cause: known, other and first did not say what they hold. Change: node_ids, peer_settings and first_path_by_cluster, and a docstring and a finding wrapped to 79 columns.

--- a/wigeonport/programs.py
+++ b/wigeonport/programs.py
@@ -174,8 +174,8 @@
     """Returns the exceptions of a group, nested groups included."""
     faults = []
     for fault in group.exceptions:
-        nested = isinstance(fault, BaseExceptionGroup)
-        faults += flatten_faults(fault) if nested else [fault]
+        is_group = isinstance(fault, BaseExceptionGroup)
+        faults += flatten_faults(fault) if is_group else [fault]
     return faults
 
 
--- a/wigeonport/settings.py
+++ b/wigeonport/settings.py
@@ -169,10 +169,10 @@
 
 @SETTINGS_CHECKS.register("voters")
 def check_voters(settings, reporter):
-    """Reports voters unless they are 1, 3 or 5 known VMs with a disk."""
-    known = {peer.node_id for peer in settings.peers} | {settings.node_id}
+    """Reports unknown voters, a wrong number of them, and a missing disk."""
+    node_ids = {peer.node_id for peer in settings.peers} | {settings.node_id}
     for index, voter in enumerate(settings.voters):
-        if voter not in known:
+        if voter not in node_ids:
             text = f"{voter!r} is neither this VM nor a peer"
             reporter.add(("voters", index), text)
     if len(settings.voters) not in (1, 3, 5):
@@ -232,16 +232,23 @@
 @CLUSTER_CHECKS.register("agreement")
 def check_agreement(settings_by_path, findings):
     """Reports files of one cluster with the same node id or other voters."""
-    first_paths, paths_by_node = {}, {}
+    first_path_by_cluster, paths_by_node = {}, {}
     for path, settings in settings_by_path.items():
         node = (settings.cluster_id, settings.node_id)
         if node in paths_by_node:
-            text = f"{settings.node_id!r} is also the node id in {paths_by_node[node]}"
+            text = (
+                f"{settings.node_id!r} is also the node id in "
+                f"{paths_by_node[node]}"
+            )
             findings.add(f"{path}: node_id", text)
         paths_by_node.setdefault(node, path)
-        other = first_paths.setdefault(settings.cluster_id, path)
-        if set(settings_by_path[other].voters) != set(settings.voters):
-            findings.add(f"{path}: voters", f"differ from those in {other}")
+        first_path = first_path_by_cluster.setdefault(
+            settings.cluster_id, path
+        )
+        if set(settings_by_path[first_path].voters) != set(settings.voters):
+            findings.add(
+                f"{path}: voters", f"differ from those in {first_path}"
+            )
 
 
 @CLUSTER_CHECKS.register("addresses")
@@ -253,11 +260,13 @@
     keys = Peer.__slots__
     for path, settings in settings_by_path.items():
         for index, peer in enumerate(settings.peers):
-            other = settings_by_node.get((settings.cluster_id, peer.node_id))
-            for key in keys if other is not None else ():
+            peer_settings = settings_by_node.get(
+                (settings.cluster_id, peer.node_id)
+            )
+            for key in keys if peer_settings is not None else ():
                 listed, actual = (
                     getattr(peer, key),
-                    getattr(other, key),
+                    getattr(peer_settings, key),
                 )
                 if listed != actual:
                     findings.add(
--- a/wigeonport/yaml_documents.py
+++ b/wigeonport/yaml_documents.py
@@ -70,8 +70,8 @@
             f"{name}:{line}", f"is not valid YAML: {error.problem}"
         )
     except YAMLError as error:
-        first = (str(error).splitlines() or ["unknown fault"])[0]
-        return _finding_error(name, f"is not valid YAML: {first}")
+        first_line = (str(error).splitlines() or ["unknown fault"])[0]
+        return _finding_error(name, f"is not valid YAML: {first_line}")
     except Exception as error:
         # On malformed input the parser also raises built-in errors, such as
         # ValueError.
