--- a/wigeonport/control_main.py
+++ b/wigeonport/control_main.py
@@ -1,4 +1,4 @@
-"""The control program: builds the chain around the replicated state."""
+"""The control program: starts the tasks around the replicated state."""
 
 import pathlib
 import random
@@ -49,25 +49,26 @@
 
 logger = PartLogger("control")
 
-HISTORY_BOUND = 4_096
-PLANNER_BOUND = 4_096
-PUBLISHED = (Subscribe, VersionReport, ConfigUpdate)
+HISTORY_MAILBOX_BOUND = 4_096
+PLANNER_MAILBOX_BOUND = 4_096
+PUBLISHER_MESSAGES = (Subscribe, VersionReport, ConfigUpdate)
 
 
 class ControlMailboxes:
-    """The channels of the control, each with its bound.
+    """The bounded mailboxes between the tasks of the control.
 
     Attributes:
-        deliveries: From the links to the sorter.
-        publisher: To the publisher.
+        deliveries: From the links to the task that sorts their messages.
+        publisher: Subscriptions, version reports, fleet versions and closed
+            links, for the publisher.
         claims: From the sorter to the claim broker.
-        requests: From the operators' edge to the state adapter.
+        requests: From the operators' port to the state adapter.
         notices: From the consensus task to the version watcher.
         history: From the consensus task to the event recorder.
-        health: Queries for unavailable VMs.
-        probes: Queries for the condition of the replica.
+        health: Queries for the unavailable VMs.
+        probes: Queries for the leader, term and log position of the replica.
         planner: Notices, reports, results and queries for the planner.
-        plans: From the planner to its actor.
+        plans: Commands from the planner to the task that executes them.
     """
 
     __slots__ = (
@@ -89,46 +90,47 @@
         self.publisher = Mailbox("publisher", bound)
         self.claims = Mailbox("claims", settings.max_requests_in_flight)
         self.requests = Mailbox("state requests", bound, REFUSE)
-        # A dropped notice does no harm: the watcher reads the state.
+        # A notice may be dropped, because at the next one the watcher reads
+        # the newest version from the state.
         self.notices = Mailbox("notices", bound, DROP_OLDEST)
-        self.history = Mailbox("history", HISTORY_BOUND, DROP_OLDEST)
+        self.history = Mailbox("history", HISTORY_MAILBOX_BOUND, DROP_OLDEST)
         self.health = Mailbox("health", bound, REFUSE)
         self.probes = Mailbox("probes", bound, REFUSE)
-        # What the planner misses it reads again: it is resent by the
-        # platform or found in the state at the next tick.
-        self.planner = Mailbox("planner", PLANNER_BOUND, DROP_OLDEST)
-        self.plans = Mailbox("plans", PLANNER_BOUND, DROP_OLDEST)
+        # A message may be dropped: the platform resends its reports, and the
+        # planner reads the state again at the next tick.
+        self.planner = Mailbox("planner", PLANNER_MAILBOX_BOUND, DROP_OLDEST)
+        self.plans = Mailbox("plans", PLANNER_MAILBOX_BOUND, DROP_OLDEST)
 
 
-async def sort_deliveries(inbound, boxes, consensus):
-    """Passes arrivals to the filter that handles them."""
+async def sort_deliveries(inbound, mailboxes, consensus):
+    """Passes each message of the links to the task that handles it."""
     async for delivery in inbound:
         if isinstance(delivery, LinkClosed):
-            await boxes.publisher.put(delivery)
+            await mailboxes.publisher.put(delivery)
             continue
         message = delivery.message
-        if isinstance(message, PUBLISHED):
-            await boxes.publisher.put(delivery)
+        if isinstance(message, PUBLISHER_MESSAGES):
+            await mailboxes.publisher.put(delivery)
         elif isinstance(message, DemandReport):
-            await boxes.planner.put(delivery)
+            await mailboxes.planner.put(delivery)
         elif isinstance(message, HealthRequest):
-            await boxes.health.put(delivery)
+            await mailboxes.health.put(delivery)
         elif isinstance(message, ReplicaProbe):
-            await boxes.probes.put(delivery)
+            await mailboxes.probes.put(delivery)
         elif isinstance(message, CLAIM_COMMANDS):
-            await boxes.claims.put(delivery)
+            await mailboxes.claims.put(delivery)
         else:
             await consensus.put(message)
 
 
-def make_report(program):
-    """Returns the VersionReport of this control before any version."""
+def make_initial_version_report(program):
+    """Returns the report of this control before it has any fleet version."""
     zone = program.settings.availability_zone
     return VersionReport(program.node_id, zone, program.events.run, 0)
 
 
 def make_dialers(settings, context):
-    """Returns the dialers to the other controls by node id."""
+    """Returns a dict of node id to the Dialer of another control."""
     return {
         peer.node_id: Dialer(context, peer.host, peer.control_links_port)
         for peer in settings.peers
@@ -136,7 +138,7 @@
 
 
 def open_replica(settings):
-    """Returns what the data directory holds, or an empty memory."""
+    """Opens the data directory, or an empty in-memory log without one."""
     if settings.data_dir is None:
         return open_memory(settings.cluster_id, settings.node_id)
     directory = pathlib.Path(settings.data_dir)
@@ -144,23 +146,26 @@
 
 
 def make_replica_settings(settings):
-    """Returns the timers of the replica.
+    """Returns the number of voters and the timers of the replica.
 
-    The lease ends before another replica may start an election; the
-    difference covers the drift of the clocks.
+    The leader lease is 80 % of the election timeout, so that it ends before
+    another replica may start an election; the difference covers the drift of
+    the clocks.
     """
-    wanted = max(settings.voter_count, len(settings.voters))
-    replica = ReplicaSettings(target_voters=wanted)
-    replica.replace_voter_ms = settings.replace_voter_ms
-    replica.heartbeat_ms = settings.replication_heartbeat_ms
-    replica.min_election_timeout_ms = settings.election_timeout_ms
-    replica.election_jitter_ms = settings.election_timeout_ms * 6 // 10
-    replica.lease_ms = settings.election_timeout_ms * 8 // 10
-    return replica
+    target_voters = max(settings.voter_count, len(settings.voters))
+    replica_settings = ReplicaSettings(target_voters=target_voters)
+    replica_settings.replace_voter_ms = settings.replace_voter_ms
+    replica_settings.heartbeat_ms = settings.replication_heartbeat_ms
+    replica_settings.min_election_timeout_ms = settings.election_timeout_ms
+    replica_settings.election_jitter_ms = (
+        settings.election_timeout_ms * 6 // 10
+    )
+    replica_settings.lease_ms = settings.election_timeout_ms * 8 // 10
+    return replica_settings
 
 
 def make_consensus(program, dialers):
-    """Returns the consensus task."""
+    """Returns the Consensus, which replicates the state over the links."""
     settings = program.settings
 
     def send(node, message):
@@ -180,52 +185,59 @@
         make_replica_settings(settings),
         random_source=random.Random(),
         snapshot_entries=settings.snapshot_entries,
-        # Claims come at the rate of the requests and no observer needs them.
+        # Claims arrive at the rate of the requests, and no observer uses them.
         unobserved_commands=CLAIM_COMMANDS,
     )
 
 
-def start_filters(nursery, program, boxes, consensus, dialers):
-    """Starts the filters of the chain."""
+def start_filters(nursery, program, mailboxes, consensus, dialers):
+    """Starts the tasks that read the mailboxes."""
     settings = program.settings
     adapter = StateAdapter(consensus.inbox, settings.propose_timeout_ms)
     broker = ClaimBroker(
         adapter.propose, settings.claim_timeout_ms, program.metrics
     )
     nursery.start_soon(
-        sort_deliveries, boxes.deliveries, boxes, consensus.inbox
+        sort_deliveries, mailboxes.deliveries, mailboxes, consensus.inbox
     )
     nursery.start_soon(
         publish,
-        boxes.publisher,
-        Publisher(make_report(program)),
+        mailboxes.publisher,
+        Publisher(make_initial_version_report(program)),
         program.clock,
         list(dialers.values()),
     )
     nursery.start_soon(
-        watch_versions, boxes.notices, consensus.inbox, boxes.publisher
+        watch_versions, mailboxes.notices, consensus.inbox, mailboxes.publisher
     )
-    nursery.start_soon(record_history, boxes.history, program.events)
-    nursery.start_soon(broker_claims, boxes.claims, broker)
-    nursery.start_soon(adapt_requests, boxes.requests, adapter)
-    nursery.start_soon(answer_probes, boxes.probes, consensus.inbox)
-    health = HealthBroker(consensus.inbox, boxes.planner, dialers)
-    nursery.start_soon(broker_health, boxes.health, health)
-    start_planner(nursery, program, boxes, consensus, dialers, adapter)
+    nursery.start_soon(record_history, mailboxes.history, program.events)
+    nursery.start_soon(broker_claims, mailboxes.claims, broker)
+    nursery.start_soon(adapt_requests, mailboxes.requests, adapter)
+    nursery.start_soon(answer_probes, mailboxes.probes, consensus.inbox)
+    health = HealthBroker(consensus.inbox, mailboxes.planner, dialers)
+    nursery.start_soon(broker_health, mailboxes.health, health)
+    start_planner(nursery, program, mailboxes, consensus, dialers, adapter)
+
 
+def start_planner(nursery, program, mailboxes, consensus, dialers, adapter):
+    """Starts the planner, the executor of its commands and the polling.
 
-def start_planner(nursery, program, boxes, consensus, dialers, adapter):
-    """Starts the planner, its actor and the platform's reports."""
+    Without ``platform_url`` there is no planner, and queries for unavailable
+    VMs are answered as unknown.
+
+    Raises:
+        ValueError: If the plan settings name an unknown policy.
+    """
     settings, clock = program.settings, program.clock
     if settings.platform_url is None:
-        nursery.start_soon(answer_without_platform, boxes.planner)
+        nursery.start_soon(answer_without_platform, mailboxes.planner)
         return
     client = PlatformClient(settings.platform_url, clock, program.metrics)
     plan_settings = PlanSettings()
     planner = build_planner(plan_settings)
     if planner.is_error():
         raise ValueError(str(planner.error))
-    # A replay repeats the choices between equals from the recorded seed.
+    # The seed is recorded, so that a replay breaks ties in the same way.
     seed = random.randrange(2**32)
     recorder = open_recorder(
         settings.trace_file, settings.trace_max_bytes, plan_settings, seed
@@ -233,7 +245,7 @@
     driver = PlanDriver(
         planner.ok,
         consensus.inbox,
-        boxes.plans,
+        mailboxes.plans,
         dialers,
         clock,
         random.Random(seed),
@@ -241,31 +253,35 @@
     )
     actor = PlanActor(consensus.inbox, adapter, client, program.events, clock)
     nursery.start_soon(
-        drive_plans, boxes.planner, driver, settings.plan_interval_ms
+        drive_plans, mailboxes.planner, driver, settings.plan_interval_ms
     )
-    nursery.start_soon(execute_commands, boxes.plans, boxes.planner, actor)
-    nursery.start_soon(poll_reports, client, boxes.planner, logger)
+    nursery.start_soon(
+        execute_commands, mailboxes.plans, mailboxes.planner, actor
+    )
+    nursery.start_soon(poll_reports, client, mailboxes.planner, logger)
 
 
-async def serve_operators(program, boxes):
-    """Serves the operators' HTTP until the program stops."""
+async def serve_operators(program, mailboxes):
+    """Serves the operators' HTTP port until the program has stopped."""
     settings = program.settings
     tokens = None
     if settings.operator_token_file is not None:
-        loaded = load_tokens(settings.operator_token_file)
-        if loaded.is_error():
-            logger.error("Operators are refused.", reason=loaded.error)
-        tokens = loaded.default_value(None)
+        loaded_tokens = load_tokens(settings.operator_token_file)
+        if loaded_tokens.is_error():
+            logger.error("Operators are refused.", reason=loaded_tokens.error)
+        tokens = loaded_tokens.default_value(None)
     control = OperatorControl(
         settings,
         program.clock,
-        StateClient(boxes.requests, settings.propose_timeout_ms),
-        boxes.publisher,
-        boxes.health,
+        StateClient(mailboxes.requests, settings.propose_timeout_ms),
+        mailboxes.publisher,
+        mailboxes.health,
+    )
+    process_info = ProcessInfo(
+        program.metrics, program.events, program.stopping
     )
-    info = ProcessInfo(program.metrics, program.events, program.stopping)
     await serve_http(
-        OperatorApp(control, tokens, info),
+        OperatorApp(control, tokens, process_info),
         settings.host,
         settings.operators_port,
         program.stopping,
@@ -274,13 +290,17 @@
 
 
 async def run_control(program):
-    """Runs the control until it has stopped."""
+    """Runs the tasks of the control until the program has stopped."""
     settings = program.settings
-    boxes = ControlMailboxes(settings)
-    context = program.link_context(boxes.deliveries)
+    mailboxes = ControlMailboxes(settings)
+    context = program.link_context(mailboxes.deliveries)
     dialers = make_dialers(settings, context)
     consensus = make_consensus(program, dialers)
-    consensus.observers += [boxes.notices, boxes.history, boxes.planner]
+    consensus.observers += [
+        mailboxes.notices,
+        mailboxes.history,
+        mailboxes.planner,
+    ]
     async with trio.open_nursery() as nursery:
         await nursery.start(consensus.run)
         await nursery.start(
@@ -288,8 +308,8 @@
         )
         for dialer in dialers.values():
             nursery.start_soon(dialer.run)
-        start_filters(nursery, program, boxes, consensus, dialers)
-        await serve_operators(program, boxes)
+        start_filters(nursery, program, mailboxes, consensus, dialers)
+        await serve_operators(program, mailboxes)
         nursery.cancel_scope.cancel()
 
 
--- a/wigeonport/credentials.py
+++ b/wigeonport/credentials.py
@@ -1,4 +1,4 @@
-"""Keys of the links and tokens of the operators, read from files."""
+"""Reads the keys of the links and the tokens of the operators."""
 
 import hashlib
 import hmac
@@ -9,15 +9,15 @@
 from wigeonport.findings import Findings
 from wigeonport.settings import key_id
 
-LARGEST_FILE_BYTES = 65_536
-SHORTEST_SECRET_BYTES = 16
+MAX_FILE_BYTES = 65_536
+MIN_SECRET_BYTES = 16
 
 
 class OperatorTokens:
-    """Digests of the operators' tokens.
+    """The operators' tokens, of which only the digests are kept.
 
     Attributes:
-        names: Operator's name by SHA-256 digest of the token.
+        names: Maps SHA-256 digest of the token to operator's name.
     """
 
     __slots__ = ("names",)
@@ -26,23 +26,31 @@
         self.names = names
 
     def find(self, token):
-        """Returns the operator's name, or None for an unknown token."""
+        """Returns the operator's name, or None for an unknown token.
+
+        All digests are compared in constant time, so that the duration says
+        nothing about them.
+        """
         digest = hashlib.sha256(token.encode("utf-8", "replace")).digest()
-        found = None
-        for known, name in self.names.items():
-            if hmac.compare_digest(known, digest):
-                found = name
-        return found
+        operator = None
+        for stored_digest, name in self.names.items():
+            if hmac.compare_digest(stored_digest, digest):
+                operator = name
+        return operator
 
 
 def load_keys(paths) -> Result:
-    """Returns the keys by key id in the order of the files, or Findings."""
+    """Reads key files.
+
+    Returns:
+        A dict of key id to key in the order of the files, or Findings.
+    """
     findings = Findings()
     keys = {}
     for path in paths:
         data = _read(path, findings)
-        if data is not None and len(data.strip()) < SHORTEST_SECRET_BYTES:
-            text = f"the key is shorter than {SHORTEST_SECRET_BYTES} bytes"
+        if data is not None and len(data.strip()) < MIN_SECRET_BYTES:
+            text = f"the key is shorter than {MIN_SECRET_BYTES} bytes"
             findings.add(path, text)
         elif data is not None:
             keys[key_id(path)] = data.strip()
@@ -50,7 +58,7 @@
 
 
 def load_tokens(path) -> Result:
-    """Returns the OperatorTokens of a file, or Findings."""
+    """Reads a token file; returns OperatorTokens or Findings."""
     findings = Findings()
     data = _read(path, findings)
     if data is None:
@@ -61,28 +69,28 @@
         words = line.split()
         if not words or line.startswith("#"):
             continue
-        if len(words) != 2 or len(words[1].encode()) < SHORTEST_SECRET_BYTES:
+        if len(words) != 2 or len(words[1].encode()) < MIN_SECRET_BYTES:
             findings.add(
                 f"{path}:{number}",
                 "expected a name and a token of at least "
-                f"{SHORTEST_SECRET_BYTES} bytes",
+                f"{MIN_SECRET_BYTES} bytes",
             )
             continue
         names[hashlib.sha256(words[1].encode()).digest()] = words[0]
     if not names and not findings:
-        findings.add(path, "the file has no tokens")
+        findings.add(path, "the file contains no tokens")
     return findings.result(OperatorTokens(names))
 
 
 def _read(path, findings):
     try:
         with pathlib.Path(path).open("rb") as source:
-            data = source.read(LARGEST_FILE_BYTES + 1)
-    except (OSError, ValueError) as fault:
-        reason = getattr(fault, "strerror", None) or str(fault)
+            data = source.read(MAX_FILE_BYTES + 1)
+    except (OSError, ValueError) as error:
+        reason = getattr(error, "strerror", None) or str(error)
         findings.add(path, f"cannot be read: {reason}")
         return None
-    if len(data) > LARGEST_FILE_BYTES:
-        findings.add(path, f"is larger than {LARGEST_FILE_BYTES} bytes")
+    if len(data) > MAX_FILE_BYTES:
+        findings.add(path, f"is larger than {MAX_FILE_BYTES} bytes")
         return None
     return data
--- a/wigeonport/entry_parts.py
+++ b/wigeonport/entry_parts.py
@@ -1,4 +1,4 @@
-"""Parts of the entry program, made from its settings."""
+"""Builds the parts of the entry program from its settings."""
 
 from wigeonport.claims import Claimer, ClaimLimits, ControlCaller
 from wigeonport.codecs import codecs
@@ -12,12 +12,14 @@
 from wigeonport.shares import ShareManager
 from wigeonport.subscriptions import ControlLinks
 
-ENDPOINT_CONNECTIONS = 64
-SETTLE_MARGIN_MS = 200
+# Connections to one endpoint, idle or in use, by all entries together.
+MAX_CONNECTIONS_PER_ENDPOINT = 64
+# Time for a table digest to reach all entries.
+SETTLING_MARGIN_MS = 200
 
 
 def make_control_links(program, context, configuration):
-    """Returns links to some controls, those nearest first."""
+    """Returns the links to controls; the link to the own VM is the first."""
     links = ControlLinks(context.identity, configuration, program.events.run)
     for first, *others in choose_controls(program.settings):
         dialer = Dialer(
@@ -32,29 +34,32 @@
 
 
 def choose_controls(settings):
-    """Returns for each link the VMs whose controls it tries, in order.
+    """Returns, for each link, the VMs whose controls it tries, in order.
 
-    The first link is to the own VM. The second prefers the own zone and the
-    third another zone, so that one is left when the own control or the
-    whole zone has none. The order differs between the entries, so that no
-    control serves all of them.
+    The first link is to the control on the own VM. The second prefers the
+    own zone and the third another zone, so that the entry still has a link
+    when its own control or all controls of its zone fail. The order differs
+    between the entries, so that no control serves all of them.
     """
     vms = sorted([settings, *settings.peers], key=lambda vm: vm.node_id)
     position = vms.index(settings)
     others = vms[position + 1 :] + vms[:position]
     own_zone = settings.availability_zone
-    near = [vm for vm in others if vm.availability_zone == own_zone]
-    far = [vm for vm in others if vm.availability_zone != own_zone]
-    turn = position % len(far) if far else 0
-    far = far[turn:] + far[:turn]
-    chosen = [[settings]]
+    same_zone = [vm for vm in others if vm.availability_zone == own_zone]
+    other_zones = [vm for vm in others if vm.availability_zone != own_zone]
+    rotation = position % len(other_zones) if other_zones else 0
+    other_zones = other_zones[rotation:] + other_zones[:rotation]
+    candidates_by_link = [[settings]]
     if others:
-        chosen += [near + far, far + near]
-    return chosen
+        candidates_by_link += [
+            same_zone + other_zones,
+            other_zones + same_zone,
+        ]
+    return candidates_by_link
 
 
-def make_claimer(program, boxes, links):
-    """Returns the claimer of keyed requests."""
+def make_claimer(program, mailboxes, links):
+    """Returns the Claimer, which claims the idempotency keys of requests."""
     settings = program.settings
     limits = ClaimLimits(
         claim_timeout_ms=settings.claim_timeout_ms,
@@ -63,7 +68,7 @@
     )
     return Claimer(
         ControlCaller(links, program.clock),
-        boxes.routing,
+        mailboxes.routing,
         codecs.get("thrift").ok(),
         limits,
         program.clock,
@@ -71,8 +76,11 @@
     )
 
 
-def make_dispatcher(program, boxes):
-    """Returns the dispatcher; the entries divide the connections evenly."""
+def make_dispatcher(program, mailboxes):
+    """Returns the dispatcher.
+
+    The entries divide the connections to an endpoint evenly.
+    """
     settings = program.settings
     entries = len(settings.peers) + 1
     limits = DispatchLimits(
@@ -81,8 +89,8 @@
         settings.max_response_bytes,
     )
     return Dispatcher(
-        IdleConnections(max(1, ENDPOINT_CONNECTIONS // entries)),
-        boxes.routing,
+        IdleConnections(max(1, MAX_CONNECTIONS_PER_ENDPOINT // entries)),
+        mailboxes.routing,
         program.clock,
         program.metrics,
         limits,
@@ -90,7 +98,7 @@
 
 
 def make_peer_links(program, context):
-    """Returns dialers to the other entries by node id."""
+    """Returns a dict of node id to the Dialer of another entry."""
     return {
         f"entry/{peer.node_id}": Dialer(
             context, peer.host, peer.entry_links_port
@@ -100,7 +108,7 @@
 
 
 def make_exchange(program, context):
-    """Returns the exchange of endpoint tables."""
+    """Returns the TableExchange, which replicates the endpoint table."""
     settings = program.settings
     return TableExchange(
         context.identity.node_id,
@@ -111,7 +119,7 @@
 
 
 def make_router(settings):
-    """Returns the router."""
+    """Returns the Router with the limits of the settings."""
     limits = RouterLimits(
         queue_bound=settings.queue_bound,
         queue_wait_ms=settings.queue_wait_ms,
@@ -124,23 +132,23 @@
 
 
 def make_share_book(program, context):
-    """Returns both sides of the leases of slots.
+    """Returns the ShareBook, which grants and holds leases on slots.
 
-    An entry without peers is the only owner there can be, so it need not
-    wait until others are heard.
+    An entry without peers owns all endpoints, so it grants at once. Others
+    wait until all entries have had time to learn who owns an endpoint.
     """
     settings = program.settings
-    first_grant_delay_ms = settings.table_digest_ms + SETTLE_MARGIN_MS
+    settling_ms = settings.table_digest_ms + SETTLING_MARGIN_MS
     return ShareManager(
         context.identity.node_id,
         settings.share_lease_ms,
-        first_grant_delay_ms if settings.peers else 0,
+        settling_ms if settings.peers else 0,
         settings.share_policy,
     )
 
 
 def make_caller_limits(settings):
-    """Returns the limits at the callers' edge."""
+    """Returns the limits on the requests of callers."""
     return CallerLimits(
         settings.max_body_bytes,
         settings.max_deadline_ms,
--- a/wigeonport/findings.py
+++ b/wigeonport/findings.py
@@ -1,48 +1,53 @@
-"""Findings of checks, collected with their place."""
+"""Findings: the faults that a check reports, with their locations."""
 
 from expression import Error, Ok, Result
 
 
 class Finding:
-    """One fault and where it stands.
+    """One fault in an input.
 
     Attributes:
-        place: For example ``file.yaml:12: entry.port``.
-        text: What is wrong, as a short sentence.
+        location: File, line and key path, where they exist; for example
+            ``file.yaml:12: entry.port``.
+        text: Description of the fault, in a few words.
     """
 
-    __slots__ = ("place", "text")
+    __slots__ = ("location", "text")
 
-    def __init__(self, place, text):
-        self.place = place
+    def __init__(self, location, text):
+        self.location = location
         self.text = text
 
     def __str__(self):
-        return f"{self.place}: {self.text}"
+        return f"{self.location}: {self.text}"
 
 
 class Findings:
-    """Collects findings, so that one run reports all of them."""
+    """Collects findings, so that a check reports all faults at once.
+
+    Attributes:
+        items: List of Finding.
+    """
 
     __slots__ = ("items",)
 
     def __init__(self):
         self.items = []
 
-    def add(self, place, text):
-        """Adds a finding."""
-        self.items.append(Finding(place, text))
+    def add(self, location, text):
+        """Adds a finding at a location."""
+        self.items.append(Finding(location, text))
 
     def extend(self, other):
         """Adds the findings of another collection."""
         self.items.extend(other.items)
 
     def result(self, value) -> Result:
-        """Returns the value, or these findings if there are any."""
+        """Returns Ok of the value, or Error of these findings if any."""
         return Error(self) if self.items else Ok(value)
 
     def lines(self):
-        """Returns one text for each finding."""
+        """Returns the findings as a list of texts."""
         return [str(item) for item in self.items]
 
     def __bool__(self):
--- a/wigeonport/logs.py
+++ b/wigeonport/logs.py
@@ -1,8 +1,8 @@
-"""Structured logs: one JSON object a line on standard output.
+"""Structured logs: one JSON object per line on standard output.
 
 A record has a time, a level, the part that wrote it, a short sentence and
-fields. Writing never waits: what the reader of the output does not take in
-time is dropped and counted.
+fields. Writing never waits: if the reader of the output is too slow, lines
+are dropped and counted.
 """
 
 import collections
@@ -13,17 +13,17 @@
 import logbook
 
 STDOUT = 1
-# Lines kept while the reader of the output is slow.
-BUFFER_LINES = 2_000
-# Lines a second; far above the decisions of a busy leader, about 600.
-LINES_PER_SECOND = 3_000
+# Lines that are buffered while the reader of the output is slow.
+MAX_PENDING_LINES = 2_000
+# A busy leader logs about 600 lines a second.
+MAX_LINES_PER_SECOND = 3_000
 
 
 class PartLogger:
-    """Writes short sentences with the name of a part and fields.
+    """Logs sentences with fields under the name of a part.
 
     Attributes:
-        logger: The logbook logger that carries the name.
+        logger: logbook.Logger with the name of the part.
     """
 
     __slots__ = ("logger",)
@@ -63,15 +63,17 @@
 
 
 class LineWriter:
-    """Writes lines to a descriptor without ever waiting.
+    """Writes lines to a file descriptor without waiting.
 
     Attributes:
         descriptor: File descriptor in non-blocking mode.
-        pending: Bytes that the descriptor has not taken yet.
-        dropped: Lines dropped since the last one that was written.
+        pending: Lines that are not written yet, as bytes; the first may be
+            the rest of a line.
+        dropped: Lines dropped since the last notice about dropped lines.
         dropped_total: Lines dropped since the start.
-        second: Second of the newest line.
-        lines: Lines in that second.
+        second: Unix time in s of the newest line.
+        lines_in_second: Number of lines in that second, dropped ones
+            included.
     """
 
     __slots__ = (
@@ -80,7 +82,7 @@
         "dropped",
         "dropped_total",
         "second",
-        "lines",
+        "lines_in_second",
     )
 
     def __init__(self, descriptor):
@@ -90,14 +92,22 @@
         self.dropped = 0
         self.dropped_total = 0
         self.second = 0
-        self.lines = 0
+        self.lines_in_second = 0
 
     def write(self, line, second):
-        """Writes a line, or drops it if the output is stuck or too fast."""
+        """Writes a line; drops it above the rate limit or if too many wait.
+
+        Args:
+            line: Text without a line end.
+            second: Unix time of the line in whole s.
+        """
         if second != self.second:
-            self.second, self.lines = second, 0
-        self.lines += 1
-        if self.lines > LINES_PER_SECOND or len(self.pending) >= BUFFER_LINES:
+            self.second, self.lines_in_second = second, 0
+        self.lines_in_second += 1
+        if (
+            self.lines_in_second > MAX_LINES_PER_SECOND
+            or len(self.pending) >= MAX_PENDING_LINES
+        ):
             self.dropped += 1
             self.dropped_total += 1
         else:
@@ -105,7 +115,7 @@
         self.flush()
 
     def flush(self):
-        """Hands on what the descriptor takes now."""
+        """Writes as many pending bytes as the descriptor accepts now."""
         while self.pending:
             data = self.pending[0]
             try:
@@ -113,7 +123,7 @@
             except BlockingIOError:
                 return
             except OSError:
-                # The reader is gone; there is nowhere to report it.
+                # The output is closed, so the error cannot be logged.
                 self.dropped_total += len(self.pending)
                 self.pending.clear()
                 return
@@ -122,18 +132,18 @@
                 return
             self.pending.popleft()
         if self.dropped:
-            note = {
+            notice = {
                 "level": "warning",
                 "part": "logs",
                 "dropped": self.dropped,
             }
-            note["message"] = "Log lines were dropped."
+            notice["message"] = "Log lines were dropped."
             self.dropped = 0
-            self.pending.append(json.dumps(note).encode() + b"\n")
+            self.pending.append(json.dumps(notice).encode() + b"\n")
 
 
 class LineHandler(logbook.Handler):
-    """Passes records to a LineWriter.
+    """A logbook handler that passes records to a LineWriter.
 
     Attributes:
         writer: LineWriter.
@@ -151,8 +161,12 @@
         self.writer.write(line, int(record.time.timestamp()))
 
 
-def set_up(level):
-    """Sends records of ``level`` and above to standard output."""
+def configure_logging(level):
+    """Sends records of ``level`` and above to standard output.
+
+    Returns:
+        The LineWriter.
+    """
     sys.stdout.flush()
     writer = LineWriter(STDOUT)
     handler = LineHandler(writer, level.upper())
--- a/wigeonport/programs.py
+++ b/wigeonport/programs.py
@@ -1,4 +1,4 @@
-"""What the entry and the control program share at start and stop."""
+"""Start, signals and stop of the entry and control programs."""
 
 import pathlib
 import signal
@@ -12,7 +12,7 @@
 from wigeonport.events import EventLog, write_events
 from wigeonport.journals import JournalError
 from wigeonport.links import Identity, LinkContext
-from wigeonport.logs import PartLogger, set_up
+from wigeonport.logs import PartLogger, configure_logging
 from wigeonport.metrics import Metrics
 from wigeonport.settings import load_settings
 from wigeonport.snapshots import FormatError
@@ -26,18 +26,18 @@
 
 
 class Program:
-    """A started program.
+    """State and services of a running program.
 
     Attributes:
         role: ``entry`` or ``control``.
         settings: Settings of the VM.
-        keys: Keys of the links by key id.
-        clock: Time source.
+        keys: Maps key id to the key that authenticates links.
+        clock: Clock of the VM.
         metrics: Metrics of the process.
         lamport: LamportCounter of the process.
         events: EventLog of the process.
-        stopping: trio.Event that is set when a stop was asked for.
-        reloads: Mailbox of requests to read the settings again.
+        stopping: trio.Event that is set by the first SIGTERM or SIGINT.
+        reloads: Mailbox that gets a message for each SIGHUP.
     """
 
     __slots__ = (
@@ -71,17 +71,21 @@
 
     @property
     def node_id(self):
-        """Name of this process on links and in events."""
+        """Name of this process on links and in events: role and VM."""
         return f"{self.role}/{self.settings.node_id}"
 
     @property
     def event_path(self):
-        """Event file of this process; the programs of a VM differ in it."""
+        """Path of the event file.
+
+        Its name ends in the role, because the programs of a VM share the
+        setting ``event_log``.
+        """
         path = pathlib.Path(self.settings.event_log)
         return path.with_name(f"{path.stem}-{self.role}{path.suffix}")
 
     def link_context(self, inbound):
-        """Returns the LinkContext whose arrivals go to ``inbound``."""
+        """Returns a LinkContext that puts received messages in ``inbound``."""
         identity = Identity(
             self.node_id,
             self.settings.availability_zone,
@@ -96,24 +100,24 @@
 async def stop_on_signal(stopping):
     """Sets ``stopping`` at the first SIGTERM or SIGINT.
 
-    Later signals have no further effect; the bound on the shutdown is the
-    setting ``shutdown_grace_ms``.
+    Later signals have no further effect; ``shutdown_grace_ms`` limits how
+    long the shutdown takes.
     """
-    wanted = (signal.SIGTERM, signal.SIGINT)
-    with trio.open_signal_receiver(*wanted) as signals:
-        async for number in signals:
+    stop_signals = (signal.SIGTERM, signal.SIGINT)
+    with trio.open_signal_receiver(*stop_signals) as signals:
+        async for signal_number in signals:
             if stopping.is_set():
-                logger.info("Already stopping.", signal=number)
+                logger.info("Already stopping.", signal=signal_number)
                 continue
-            logger.info("Stopping.", signal=number)
+            logger.info("Stopping.", signal=signal_number)
             stopping.set()
 
 
 async def reload_on_signal(reloads):
-    """Asks for a reload of the settings at each SIGHUP."""
+    """Puts a message in ``reloads`` at each SIGHUP."""
     with trio.open_signal_receiver(signal.SIGHUP) as signals:
-        async for number in signals:
-            reloads.put_nowait(number)
+        async for signal_number in signals:
+            reloads.put_nowait(signal_number)
 
 
 def start(role, run, arguments):
@@ -126,16 +130,23 @@
         arguments: Command line without the program's name.
 
     Returns:
-        The exit status.
+        The exit status: 0 after a stop, 1 after an error, 2 for a wrong
+        command line.
     """
     if len(arguments) != 1:
         print(f"usage: wigeonport-{role} SETTINGS", file=sys.stderr)
         return EXIT_USAGE
-    return start_with(role, run, load_settings(arguments[0]))
+    return start_with_settings(role, run, load_settings(arguments[0]))
+
 
+def start_with_settings(role, run, settings):
+    """Runs a program with settings that were read; returns the exit status.
 
-def start_with(role, run, settings):
-    """Runs a program with a Result of Settings; returns the exit status."""
+    Args:
+        role: ``entry`` or ``control``.
+        run: Async function that takes the Program.
+        settings: Result of Settings or Findings.
+    """
     if settings.is_error():
         print(settings.error, file=sys.stderr)
         return EXIT_FAILED
@@ -143,33 +154,33 @@
     if keys.is_error():
         print(keys.error, file=sys.stderr)
         return EXIT_FAILED
-    set_up(settings.ok.log_level)
-    return run_to_end(role, run, settings.ok, keys.ok)
+    configure_logging(settings.ok.log_level)
+    return run_and_log_faults(role, run, settings.ok, keys.ok)
 
 
-def run_to_end(role, run, settings, keys):
-    """Runs a program; a disk or an address that fails ends it with 1."""
+def run_and_log_faults(role, run, settings, keys):
+    """Runs a program; returns 1 if a file, disk or address failed."""
     faults = []
     try:
         trio.run(run_until_stopped, role, run, settings, keys)
     except* (OSError, JournalError, FormatError) as group:
-        faults = list_faults(group)
+        faults = flatten_faults(group)
     for fault in faults:
         logger.error("The program cannot go on.", role=role, reason=fault)
     return EXIT_FAILED if faults else EXIT_DONE
 
 
-def list_faults(group):
-    """Returns the exceptions of a group and of the groups within it."""
+def flatten_faults(group):
+    """Returns the exceptions of a group, nested groups included."""
     faults = []
     for fault in group.exceptions:
-        nested = isinstance(fault, BaseExceptionGroup)
-        faults += list_faults(fault) if nested else [fault]
+        is_group = isinstance(fault, BaseExceptionGroup)
+        faults += flatten_faults(fault) if is_group else [fault]
     return faults
 
 
 async def run_until_stopped(role, run, settings, keys):
-    """Runs a program with its signal handler and its event file."""
+    """Runs a program with its signal handlers and its event file."""
     program = Program(role, settings, keys)
     logger.info("Starting.", role=role, node_id=settings.node_id)
     async with trio.open_nursery() as writers:
--- a/wigeonport/timelines.py
+++ b/wigeonport/timelines.py
@@ -1,12 +1,12 @@
-"""Merge of the event logs of several processes in causal order."""
+"""Merges the event logs of several processes in causal order."""
 
 import heapq
 import json
 
-from wigeonport.documents import Field, Places, Reporter, read_fields
-from wigeonport.events import GAP, Event, gap_before
+from wigeonport.documents import Field, Reporter, SourceMap, read_fields
+from wigeonport.events import GAP, Event, make_gap_event
 
-LARGEST_LINE_BYTES = 1_048_576
+MAX_LINE_BYTES = 1_048_576
 FIELDS = (
     Field("node", "text"),
     Field("run", "whole"),
@@ -19,46 +19,46 @@
 
 
 def read_lines(name, lines, findings):
-    """Returns the Events of JSON Lines; malformed lines become findings.
+    """Returns the Events of JSON Lines; reports malformed lines.
 
     Args:
         name: Name of the source, for the findings.
         lines: Iterable of bytes or texts.
-        findings: Findings to add to.
+        findings: Findings to which the malformed lines are added.
     """
     events = []
     for number, line in enumerate(lines, start=1):
-        place = f"{name}:{number}"
+        location = f"{name}:{number}"
         if not line.strip():
             continue
-        event = _read_line(place, line, findings)
+        event = _read_line(location, line, findings)
         if event is not None:
             events.append(event)
     return events
 
 
-def _read_line(place, line, findings):
-    if len(line) > LARGEST_LINE_BYTES:
-        findings.add(place, f"is longer than {LARGEST_LINE_BYTES} bytes")
+def _read_line(location, line, findings):
+    if len(line) > MAX_LINE_BYTES:
+        findings.add(location, f"is longer than {MAX_LINE_BYTES} bytes")
         return None
     try:
         document = json.loads(line)
-    except (ValueError, RecursionError) as fault:
-        findings.add(place, f"is not JSON: {fault}")
+    except (ValueError, RecursionError) as error:
+        findings.add(location, f"is not JSON: {error}")
         return None
-    reporter = Reporter(Places(place))
+    reporter = Reporter(SourceMap(location))
     values = read_fields(FIELDS, document, (), reporter)
     findings.extend(reporter.findings)
     return None if values is None else Event(**values)
 
 
 def merge(events):
-    """Returns all events in causal order, with the gaps in between.
+    """Returns all events in causal order, with a gap event for each hole.
 
-    The order keeps the sequence of each process, over all its runs, and puts
-    an event after every event of another process that caused it, because a
-    message raises the Lamport number of its receiver. Wall times are not
-    compared between VMs. An event that occurs in several sources is listed
+    The events of a process stay in sequence, over all its runs. An event
+    comes after every event of another process that caused it, because a
+    message raises the Lamport number of its receiver. Wall times of different
+    VMs are not compared. An event that occurs in several sources is returned
     once.
     """
     streams = {}
@@ -66,37 +66,45 @@
         if event.kind != GAP:
             key = (event.run, event.sequence)
             streams.setdefault(event.node, {}).setdefault(key, event)
-    ordered = [
-        _number(_with_gaps([stream[key] for key in sorted(stream)]))
+    keyed_streams = [
+        _with_sort_keys(_with_gaps([stream[key] for key in sorted(stream)]))
         for _, stream in sorted(streams.items())
     ]
-    return [event for _, event in heapq.merge(*ordered, key=lambda p: p[0])]
+    return [
+        event
+        for _, event in heapq.merge(*keyed_streams, key=lambda keyed: keyed[0])
+    ]
+
 
+def _with_sort_keys(events):
+    """Returns pairs of a sort key and an event of one process.
 
-def _number(events):
-    """Returns sort keys that never fall within a process."""
-    numbered, highest = [], 0
+    The keys never decrease, so that the merge keeps the order of the events.
+    """
+    keyed_events, max_lamport = [], 0
     for event in events:
-        highest = max(highest, event.lamport)
-        numbered.append(((highest, event.node), event))
-    return numbered
+        max_lamport = max(max_lamport, event.lamport)
+        keyed_events.append(((max_lamport, event.node), event))
+    return keyed_events
 
 
 def _with_gaps(events):
-    """Inserts a gap wherever sequence numbers of a run are missing."""
-    result, run, expected = [], None, 1
+    """Inserts a gap event where sequence numbers of a run are missing."""
+    result, run, next_sequence = [], None, 1
     for event in events:
         if event.run != run:
-            run, expected = event.run, 1
-        if event.sequence > expected:
-            result.append(gap_before(event, event.sequence - expected))
+            run, next_sequence = event.run, 1
+        if event.sequence > next_sequence:
+            result.append(
+                make_gap_event(event, event.sequence - next_sequence)
+            )
         result.append(event)
-        expected = event.sequence + 1
+        next_sequence = event.sequence + 1
     return result
 
 
 def render(event):
-    """Returns an event as one line for people."""
+    """Returns an event as one readable line."""
     fields = " ".join(
         f"{key}={json.dumps(value)}" for key, value in event.fields.items()
     )
