Rename states_deadline to deadline_from_caller

Cause: states_deadline read like a list of states. Change: states_deadline to deadline_from_caller; 6 uses in 4 files, by token.

--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -284,7 +284,7 @@
         make_request("POST", key, deadline_ms=9_000)
         for key in (None, None, "k")
     )
-    default.states_deadline = False
+    default.deadline_from_caller = False
     for request in (stated, default, keyed):
         assert admission.admit(request, 0) is None
     assert (stated.deadline_ms, default.deadline_ms) == (9_000, 500)
--- a/wigeonport/admissions.py
+++ b/wigeonport/admissions.py
@@ -131,7 +131,7 @@
 def apply_service(request, service):
     """Applies the service's deadline where the caller stated none."""
     default_ms = service.get("default_deadline_ms")
-    if default_ms is not None and not request.states_deadline:
+    if default_ms is not None and not request.deadline_from_caller:
         deadline_ms = request.received_ms + default_ms
         request.deadline_ms = min(request.deadline_ms, deadline_ms)
 
--- a/wigeonport/receivers.py
+++ b/wigeonport/receivers.py
@@ -189,7 +189,7 @@
         priority=priority,
         reply=Reply(),
     )
-    request.states_deadline = DEADLINE_HEADER in headers
+    request.deadline_from_caller = DEADLINE_HEADER in headers
     return request
 
 
--- a/wigeonport/requests.py
+++ b/wigeonport/requests.py
@@ -25,7 +25,7 @@
         may_have_run: Whether an earlier attempt may have run. A request that
             waits for its retry must not be reported as not run.
         queued_ms: When it began to wait for a slot.
-        states_deadline: Whether the caller stated the deadline.
+        deadline_from_caller: Whether the caller stated the deadline.
         reply: Reply channel of the receiver.
     """
 
@@ -43,7 +43,7 @@
         "attempts",
         "may_have_run",
         "queued_ms",
-        "states_deadline",
+        "deadline_from_caller",
         "reply",
     )
 
@@ -74,7 +74,7 @@
         self.attempts = 0
         self.may_have_run = False
         self.queued_ms = received_ms
-        self.states_deadline = True
+        self.deadline_from_caller = True
         self.reply = reply
 
     @property
