Rename 7 names: ControlClient, max_open_claims and others

Cause: ControlCaller was a client of the controls although a caller is a user of the entry; max_open and the settle limits did not say what they bound; CutOff and leave_unknown were figurative.

--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -15,7 +15,7 @@
     NOT_RUN,
     UNKNOWN,
     CallerAnswer,
-    leave_unknown,
+    answer_unknown,
     refuse,
 )
 from wigeonport.state_commands import (
@@ -62,7 +62,7 @@
 
         async def scenario():
             inbound, outbound = Mailbox("claims", 8), Mailbox("router", 8)
-            limits = ClaimLimits(settle_wait_ms=50, settle_limit_ms=200)
+            limits = ClaimLimits(close_wait_ms=50, close_timeout_ms=200)
             codec = codecs.get("thrift").ok()
             claimer = Claimer(
                 control, outbound, codec, limits, Clock(), Metrics()
@@ -99,7 +99,7 @@
 def test_unknown_outcome_is_never_run_again(run_claims, make_request):
     """Guards against a second run after an attempt that may have run."""
     requests = [make_request("POST", "k") for _ in range(2)]
-    answers = [leave_unknown(502, "lost"), DONE]
+    answers = [answer_unknown(502, "lost"), DONE]
     dispatched, results = run_claims(FakeControl(), answers, requests)
     assert len(dispatched) == 1
     assert [result.outcome for result in results] == [UNKNOWN, UNKNOWN]
--- a/wigeonport/admissions.py
+++ b/wigeonport/admissions.py
@@ -8,7 +8,7 @@
 """
 
 from wigeonport.configurations import FleetApplied
-from wigeonport.requests import leave_unknown, refuse
+from wigeonport.requests import answer_unknown, refuse
 
 RETRY_AFTER_MS = 1_000
 # Counted for each request besides its body.
@@ -24,7 +24,7 @@
         self.request = request
 
 
-class CutOff:
+class ShutdownDeadline:
     """The bound on the shutdown is near: all callers need an answer now."""
 
     __slots__ = ()
@@ -121,11 +121,11 @@
         if not held.count:
             del self.by_service[request.service]
 
-    def cut_off(self):
+    def answer_all(self):
         """Answers all held requests; a request takes its first answer."""
         for request in self.requests.values():
             text = "the entry stopped before the answer arrived"
-            request.reply.send(leave_unknown(503, text))
+            request.reply.send(answer_unknown(503, text))
 
 
 def apply_service(request, service):
@@ -148,8 +148,8 @@
             admission.configure(message)
         elif isinstance(message, RequestEnded):
             admission.release(message.request)
-        elif isinstance(message, CutOff):
-            admission.cut_off()
+        elif isinstance(message, ShutdownDeadline):
+            admission.answer_all()
         else:
             refusal = admission.admit(message, clock.now())
             if refusal is not None:
--- a/wigeonport/claims.py
+++ b/wigeonport/claims.py
@@ -19,7 +19,7 @@
 from wigeonport.logs import PartLogger
 from wigeonport.messages import Failure
 from wigeonport.registries import Registry
-from wigeonport.requests import COMPLETED, NOT_RUN, leave_unknown, refuse
+from wigeonport.requests import COMPLETED, NOT_RUN, answer_unknown, refuse
 from wigeonport.state_commands import ClaimKey, CompleteClaim, ReleaseClaim
 
 logger = PartLogger("claims")
@@ -36,32 +36,32 @@
     Attributes:
         claim_timeout_ms: Longest wait for a claim, over all controls.
         try_timeout_ms: Longest wait for one control.
-        settle_wait_ms: How long an answer waits until its claim is settled.
-        settle_limit_ms: How long settling is tried in the background.
-        max_open: Keyed requests and claims being settled at a time.
+        close_wait_ms: How long an answer waits until its claim is settled.
+        close_timeout_ms: How long settling is tried in the background.
+        max_open_claims: Keyed requests and claims being settled at a time.
     """
 
     __slots__ = (
         "claim_timeout_ms",
         "try_timeout_ms",
-        "settle_wait_ms",
-        "settle_limit_ms",
-        "max_open",
+        "close_wait_ms",
+        "close_timeout_ms",
+        "max_open_claims",
     )
 
     def __init__(
         self,
         claim_timeout_ms=2_000,
         try_timeout_ms=800,
-        settle_wait_ms=500,
-        settle_limit_ms=60_000,
-        max_open=1_024,
+        close_wait_ms=500,
+        close_timeout_ms=60_000,
+        max_open_claims=1_024,
     ):
         self.claim_timeout_ms = claim_timeout_ms
         self.try_timeout_ms = try_timeout_ms
-        self.settle_wait_ms = settle_wait_ms
-        self.settle_limit_ms = settle_limit_ms
-        self.max_open = max_open
+        self.close_wait_ms = close_wait_ms
+        self.close_timeout_ms = close_timeout_ms
+        self.max_open_claims = max_open_claims
 
 
 def judge_claim(codec, answer):
@@ -82,20 +82,20 @@
     """The request was completed before; its answer is given again."""
     stored = restore_answer(codec, answer.response)
     if stored is None:
-        return leave_unknown(409, "completed before; its answer is not kept")
+        return answer_unknown(409, "completed before; its answer is not kept")
     return stored
 
 
 @verdicts.register("ClaimUnknown")
 def admit_loss(codec, answer):
     """The request was completed, but its answer was too large or old."""
-    return leave_unknown(409, "completed before; its answer is not kept")
+    return answer_unknown(409, "completed before; its answer is not kept")
 
 
 @verdicts.register("ClaimInProgress")
 def avoid_second_run(codec, answer):
     """Another attempt holds the key and may have run."""
-    return leave_unknown(409, "another attempt with this key may have run")
+    return answer_unknown(409, "another attempt with this key may have run")
 
 
 @verdicts.register("ClaimConflict")
@@ -122,7 +122,7 @@
     return None
 
 
-class ControlCaller:
+class ControlClient:
     """Asks the controls, the preferred one first.
 
     Attributes:
@@ -229,7 +229,7 @@
         left_ms = request.deadline_ms - self.clock.now() + ANSWER_MARGIN_MS
         answer = await reply.wait(left_ms)
         if answer.is_error():
-            return leave_unknown(504, "no answer within the deadline")
+            return answer_unknown(504, "no answer within the deadline")
         return answer.ok
 
     async def settle(self, command, nursery):
@@ -240,12 +240,12 @@
         """
         settled = trio.Event()
         nursery.start_soon(self.settle_finally, command, settled)
-        with trio.move_on_after(self.limits.settle_wait_ms / 1000):
+        with trio.move_on_after(self.limits.close_wait_ms / 1000):
             await settled.wait()
 
     async def settle_finally(self, command, settled):
         """Repeats the command until a control answers."""
-        end_ms = self.clock.now() + self.limits.settle_limit_ms
+        end_ms = self.clock.now() + self.limits.close_timeout_ms
         backoff_ms = FIRST_BACKOFF_MS
         try_ms = self.limits.try_timeout_ms
         while True:
@@ -279,7 +279,7 @@
                 if not await claimer.outbound.put(request):
                     answer = refuse(503, "the entry is overloaded", 1_000)
                     request.reply.send(answer)
-            elif len(nursery.child_tasks) >= claimer.limits.max_open:
+            elif len(nursery.child_tasks) >= claimer.limits.max_open_claims:
                 claimer.metrics.count("claims_refused")
                 answer = refuse(503, "too many keyed requests", 1_000)
                 request.reply.send(answer)
--- a/wigeonport/entry_main.py
+++ b/wigeonport/entry_main.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from wigeonport.admissions import Admission, CutOff, admit
+from wigeonport.admissions import Admission, ShutdownDeadline, admit
 from wigeonport.announcements import AnnouncementApp
 from wigeonport.channels import DROP_OLDEST, Mailbox
 from wigeonport.claims import claim_keys
@@ -203,7 +203,7 @@
     spent_ms = program.clock.now() - stopped_ms
     margin_ms = min(LAST_ANSWERS_MS, grace_ms // 4)
     await program.clock.sleep(max(grace_ms - margin_ms - spent_ms, 0))
-    await boxes.admissions.put(CutOff())
+    await boxes.admissions.put(ShutdownDeadline())
 
 
 async def run_entry(program):
--- a/wigeonport/entry_parts.py
+++ b/wigeonport/entry_parts.py
@@ -1,6 +1,6 @@
 """Parts of the entry program, made from its settings."""
 
-from wigeonport.claims import Claimer, ClaimLimits, ControlCaller
+from wigeonport.claims import Claimer, ClaimLimits, ControlClient
 from wigeonport.codecs import codecs
 from wigeonport.connections import IdleConnections
 from wigeonport.dialers import Dialer
@@ -59,10 +59,10 @@
     limits = ClaimLimits(
         claim_timeout_ms=settings.claim_timeout_ms,
         try_timeout_ms=max(1, settings.claim_timeout_ms // 2),
-        max_open=settings.max_requests_in_flight,
+        max_open_claims=settings.max_requests_in_flight,
     )
     return Claimer(
-        ControlCaller(links, program.clock),
+        ControlClient(links, program.clock),
         boxes.routing,
         codecs.get("thrift").ok(),
         limits,
--- a/wigeonport/receivers.py
+++ b/wigeonport/receivers.py
@@ -11,7 +11,7 @@
 from wigeonport.requests import (
     CallerAnswer,
     CallerRequest,
-    leave_unknown,
+    answer_unknown,
     refuse,
 )
 from wigeonport.servers import BodyReader, answer_lifespan
@@ -152,7 +152,7 @@
         answer = await request.reply.wait(left_ms)
         if answer.is_ok():
             return answer.ok
-        return leave_unknown(504, "no answer within the deadline")
+        return answer_unknown(504, "no answer within the deadline")
 
 
 def make_request(scope, body, received_ms, limits):
--- a/wigeonport/requests.py
+++ b/wigeonport/requests.py
@@ -124,10 +124,10 @@
 def give_up(request, status, reason, retry_after_ms=None):
     """Returns the answer to a request that gets no further attempt."""
     if request.may_have_run:
-        return leave_unknown(status, reason)
+        return answer_unknown(status, reason)
     return refuse(status, reason, retry_after_ms)
 
 
-def leave_unknown(status, reason):
+def answer_unknown(status, reason):
     """Returns the answer to a request that may or may not have run."""
     return CallerAnswer(status, [], f"{reason}\n".encode(), UNKNOWN, reason)
