Rename spent_ms to duration_ms, ran to possibly_ran

Cause: ran was also True for an attempt that may not have run, and spent_ms did not say that it is the duration of the attempt.

--- a/bench/overload.py
+++ b/bench/overload.py
@@ -138,9 +138,9 @@
             ended = AttemptEnded(
                 request, command.record.endpoint_id, answer, True, ""
             )
-            spent_ms = self.chance.expovariate(1 / self.options.service_ms)
-            ended.spent_ms = max(1, int(spent_ms))
-            end_ms = now_ms + ended.spent_ms
+            duration_ms = self.chance.expovariate(1 / self.options.service_ms)
+            ended.duration_ms = max(1, int(duration_ms))
+            end_ms = now_ms + ended.duration_ms
             self.push(end_ms, ended)
             if end_ms <= request.deadline_ms:
                 self.good.append((end_ms, end_ms - request.received_ms))
--- a/tests/test_dispatchers.py
+++ b/tests/test_dispatchers.py
@@ -133,7 +133,7 @@
     limits = DispatchLimits(max_answer_bytes=50)
     (end,) = run_attempts(endpoint, [make_request("POST")], limits)
     assert end.answer is None
-    assert end.ran
+    assert end.possibly_ran
 
 
 def test_surplus_bytes_never_answer_the_next_request(
@@ -155,7 +155,7 @@
     first, second = make_request(), make_request()
     ends = run_attempts(endpoint, [first, second, second])
     assert ends[1].answer is None
-    assert ends[1].ran
+    assert ends[1].possibly_ran
     assert ends[2].answer.body == b"ok"
     assert endpoint.connections == 2
 
@@ -181,7 +181,7 @@
     """Guards against calling a request unknown that was never sent."""
     (end,) = run_attempts(ScriptedEndpoint([]), [make_request("POST")], port=1)
     assert end.answer is None
-    assert not end.ran
+    assert not end.possibly_ran
 
 
 def test_explicit_refusal_has_not_run(run_attempts, make_request):
@@ -190,5 +190,5 @@
         b"content-length", b"wigeonport-refused: leaving\r\ncontent-length"
     )
     (end,) = run_attempts(ScriptedEndpoint([refusal]), [make_request("POST")])
-    assert (end.answer, end.ran) == (None, False)
+    assert (end.answer, end.possibly_ran) == (None, False)
     assert "leaving" in end.reason
--- a/tests/test_overloads.py
+++ b/tests/test_overloads.py
@@ -30,13 +30,24 @@
         """Steps the router."""
         return self.router.step(message, self.now_ms, self.chance)
 
-    def end(self, dispatch, status=200, ran=True, spent_ms=100, refusal=None):
+    def end(
+        self,
+        dispatch,
+        status=200,
+        possibly_ran=True,
+        duration_ms=100,
+        refusal=None,
+    ):
         """Ends an attempt; no status stands for no whole answer."""
         answer = CallerAnswer(status, [], b"", COMPLETED) if status else None
         ended = AttemptEnded(
-            dispatch.request, dispatch.record.endpoint_id, answer, ran, "lost"
+            dispatch.request,
+            dispatch.record.endpoint_id,
+            answer,
+            possibly_ran,
+            "lost",
         )
-        ended.spent_ms, ended.refusal = spent_ms, refusal
+        ended.duration_ms, ended.refusal = duration_ms, refusal
         commands = self.send(ended)
         self.health += [c for c in commands if isinstance(c, HealthChanged)]
         return [c for c in commands if not isinstance(c, HealthChanged)]
@@ -89,7 +100,7 @@
     """Guards against callers that wait for an answer that comes too late."""
     bench = make_bench(1)
     (first,) = bench.send(far(make_request))
-    bench.end(first, spent_ms=1_000)
+    bench.end(first, duration_ms=1_000)
     bench.send(far(make_request))
     for _ in range(2):
         assert bench.send(far(make_request, deadline_ms=9_000)) == []
@@ -104,7 +115,7 @@
     """Guards against a service that refuses everything for good."""
     bench = make_bench(1)
     (first,) = bench.send(far(make_request))
-    bench.end(first, spent_ms=30_000)
+    bench.end(first, duration_ms=30_000)
     (running,) = bench.send(
         far(make_request, received_ms=0, deadline_ms=1_400)
     )
@@ -228,9 +239,9 @@
     """Guards against a planned drain that uses up the retries."""
     bench = make_bench(2, slots=8, retry_floor=0, retry_share=0.0)
     (first,) = bench.send(far(make_request, method="POST"))
-    (again,) = bench.end(first, None, ran=False, refusal="leaving")
+    (again,) = bench.end(first, None, possibly_ran=False, refusal="leaving")
     assert again.record.endpoint_id != first.record.endpoint_id
-    (failed,) = bench.end(again, None, ran=False)
+    (failed,) = bench.end(again, None, possibly_ran=False)
     assert failed.answer.outcome == NOT_RUN
 
 
--- a/wigeonport/dispatchers.py
+++ b/wigeonport/dispatchers.py
@@ -155,7 +155,7 @@
             AnswerError,
         ) as error:
             ended.reason = f"no whole answer: {error or type(error).__name__}"
-        ended.ran = ended.ran and attempt.sent
+        ended.possibly_ran = ended.possibly_ran and attempt.sent
         self.note_end(attempt, ended, started_ms)
         kept = attempt.connection if attempt.reusable else None
         if kept is None:
@@ -167,11 +167,13 @@
 
     def note_end(self, attempt, ended, started_ms):
         """Records time and kind of an attempt's end."""
-        ended.spent_ms = self.clock.now() - started_ms
-        self.metrics.record("dispatchers_service_us", ended.spent_ms * 1_000)
+        ended.duration_ms = self.clock.now() - started_ms
+        self.metrics.record(
+            "dispatchers_service_us", ended.duration_ms * 1_000
+        )
         if ended.answer is not None:
             kind = "answered"
-        elif not ended.ran:
+        elif not ended.possibly_ran:
             kind = "not_run"
         else:
             kind = "silent" if attempt.silent else "incomplete"
@@ -212,7 +214,7 @@
         )
         refusal = find_refusal(response.headers)
         if refusal is not None:
-            ended.ran = False
+            ended.possibly_ran = False
             ended.refusal = refusal
             ended.reason = f"the endpoint refused: {refusal}"
             return
--- a/wigeonport/router_messages.py
+++ b/wigeonport/router_messages.py
@@ -8,30 +8,30 @@
         request: The request.
         endpoint_id: Where it was tried.
         answer: CallerAnswer, or None if no whole answer arrived.
-        ran: False if the endpoint certainly did not run it.
+        possibly_ran: False if the endpoint certainly did not run it.
         reason: Why there is no answer.
         refusal: Reason that the endpoint gave for not running it, or None.
-        spent_ms: Time of the attempt.
+        duration_ms: Time of the attempt.
     """
 
     __slots__ = (
         "request",
         "endpoint_id",
         "answer",
-        "ran",
+        "possibly_ran",
         "reason",
         "refusal",
-        "spent_ms",
+        "duration_ms",
     )
 
-    def __init__(self, request, endpoint_id, answer, ran, reason):
+    def __init__(self, request, endpoint_id, answer, possibly_ran, reason):
         self.request = request
         self.endpoint_id = endpoint_id
         self.answer = answer
-        self.ran = ran
+        self.possibly_ran = possibly_ran
         self.reason = reason
         self.refusal = None
-        self.spent_ms = 0
+        self.duration_ms = 0
 
 
 class Dispatch:
--- a/wigeonport/routers.py
+++ b/wigeonport/routers.py
@@ -249,7 +249,7 @@
     request = ended.request
     service = router.service(request.service)
     target = service.targets.get(ended.endpoint_id)
-    request.may_have_run = request.may_have_run or ended.ran
+    request.may_have_run = request.may_have_run or ended.possibly_ran
     commands = []
     if target is not None and note_end(service, target, ended, now_ms):
         quarantined = target.health.quarantined
@@ -297,7 +297,7 @@
         may_quarantine = service.may_quarantine()
         return target.health.note_failure(now_ms, may_quarantine)
     else:
-        service.times.note(ended.spent_ms)
+        service.times.note(ended.duration_ms)
         return target.health.note_success()
     return False
 
--- a/wigeonport/targets.py
+++ b/wigeonport/targets.py
@@ -102,11 +102,11 @@
     def __init__(self):
         self.mean_ms = None
 
-    def note(self, spent_ms):
+    def note(self, duration_ms):
         """Adds the time of one attempt."""
         if self.mean_ms is None:
-            self.mean_ms = float(spent_ms)
-        self.mean_ms += MEAN_WEIGHT * (spent_ms - self.mean_ms)
+            self.mean_ms = float(duration_ms)
+        self.mean_ms += MEAN_WEIGHT * (duration_ms - self.mean_ms)
 
     def margin(self, request):
         """Returns the time in ms that a request needs after its wait.
