--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -36,7 +36,7 @@
         self.lost = set()
         self.commands = []
 
-    async def ask(self, command, timeout_ms, try_timeout_ms):
+    async def ask(self, command, timeout_ms, control_timeout_ms):
         """Applies a command as the log would."""
         self.commands.append(type(command))
         if isinstance(command, CompleteClaim):
--- a/wigeonport/claims.py
+++ b/wigeonport/claims.py
@@ -35,7 +35,7 @@
 
     Attributes:
         claim_timeout_ms: Longest wait for a claim, over all controls.
-        try_timeout_ms: Longest wait for one control.
+        control_timeout_ms: Longest wait for one control.
         close_wait_ms: How long an answer waits until its claim is settled.
         close_timeout_ms: How long settling is tried in the background.
         max_open_claims: Keyed requests and claims being settled at a time.
@@ -43,7 +43,7 @@
 
     __slots__ = (
         "claim_timeout_ms",
-        "try_timeout_ms",
+        "control_timeout_ms",
         "close_wait_ms",
         "close_timeout_ms",
         "max_open_claims",
@@ -52,13 +52,13 @@
     def __init__(
         self,
         claim_timeout_ms=2_000,
-        try_timeout_ms=800,
+        control_timeout_ms=800,
         close_wait_ms=500,
         close_timeout_ms=60_000,
         max_open_claims=1_024,
     ):
         self.claim_timeout_ms = claim_timeout_ms
-        self.try_timeout_ms = try_timeout_ms
+        self.control_timeout_ms = control_timeout_ms
         self.close_wait_ms = close_wait_ms
         self.close_timeout_ms = close_timeout_ms
         self.max_open_claims = max_open_claims
@@ -136,7 +136,7 @@
         self.links = links
         self.clock = clock
 
-    async def ask(self, command, timeout_ms, try_timeout_ms) -> Result:
+    async def ask(self, command, timeout_ms, control_timeout_ms) -> Result:
         """Returns the first answer of a control, or an error text.
 
         Every command of the claims may be repeated: the state machine gives
@@ -148,7 +148,9 @@
             left_ms = end_ms - self.clock.now()
             if left_ms <= 0:
                 break
-            answer = await dialer.ask(command, min(left_ms, try_timeout_ms))
+            answer = await dialer.ask(
+                command, min(left_ms, control_timeout_ms)
+            )
             if answer.is_error():
                 error = str(answer.error)
             elif isinstance(answer.ok, Failure):
@@ -207,7 +209,7 @@
         timeout_ms = min(self.limits.claim_timeout_ms, left_ms)
         command = ClaimKey(key, digest_request(request), attempt)
         answer = await self.caller.ask(
-            command, timeout_ms, self.limits.try_timeout_ms
+            command, timeout_ms, self.limits.control_timeout_ms
         )
         spent_ms = self.clock.now() - started_ms
         self.metrics.record("claims_wait_us", spent_ms * 1_000)
@@ -247,7 +249,7 @@
         """Repeats the command until a control answers."""
         end_ms = self.clock.now() + self.limits.close_timeout_ms
         backoff_ms = FIRST_BACKOFF_MS
-        try_ms = self.limits.try_timeout_ms
+        try_ms = self.limits.control_timeout_ms
         while True:
             left_ms = end_ms - self.clock.now()
             answer = await self.caller.ask(command, left_ms, try_ms)
--- a/wigeonport/entry_parts.py
+++ b/wigeonport/entry_parts.py
@@ -58,7 +58,7 @@
     settings = program.settings
     limits = ClaimLimits(
         claim_timeout_ms=settings.claim_timeout_ms,
-        try_timeout_ms=max(1, settings.claim_timeout_ms // 2),
+        control_timeout_ms=max(1, settings.claim_timeout_ms // 2),
         max_open_claims=settings.max_requests_in_flight,
     )
     return Claimer(
