Reword receivers, requests and admissions

Cause: names such as Held, made or last and several docstrings needed a second reading; 413 did not state the limit. Change: plain names, docstrings, comments and messages; no behaviour.

--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -1,4 +1,4 @@
-"""Tests of admission, the limits at the callers' edge, and the stop."""
+"""Tests of admission, the limits of callers' requests, and the stop."""
 
 import json
 import os
@@ -30,14 +30,14 @@
 
 @pytest.fixture
 def admission():
-    """An admission of 8 requests and 100 kB in all."""
+    """An Admission with a limit of 8 requests and 100 kB."""
     admission = Admission(8, 100_000)
     admission.configure(FleetApplied(1, FLEET))
     return admission
 
 
 def fill(admission, make_request, service, count, body=b""):
-    """Offers requests; returns those that were admitted."""
+    """Offers requests of a service; returns those that were admitted."""
     requests = [make_request(body=body) for _ in range(count)]
     for request in requests:
         request.service = service
@@ -45,23 +45,35 @@
 
 
 def test_peak_of_a_service_leaves_room_for_others(admission, make_request):
-    """Guards against one service that takes the whole entry."""
+    """A peak of one service must leave capacity for other services.
+
+    With a fixed limit alone, the first service would take all of it and the
+    others would be refused.
+    """
     assert len(fill(admission, make_request, "roster", 40)) == 4
     assert len(fill(admission, make_request, "notices", 40)) == 2
 
 
 def test_bodies_are_bounded_and_freed(admission, make_request):
-    """Guards against memory that grows with the bodies, or never shrinks."""
-    held = fill(admission, make_request, "roster", 8, b"x" * 30_000)
-    assert len(held) == 1
-    for request in (*held, *held):
+    """Bodies must count towards the limit, and only until their release.
+
+    It fails if only requests are counted, so that large bodies exhaust the
+    memory, or if a second release is subtracted twice.
+    """
+    admitted = fill(admission, make_request, "roster", 8, b"x" * 30_000)
+    assert len(admitted) == 1
+    for request in (*admitted, *admitted):
         admission.release(request)
     assert admission.total.size_bytes == 0
-    assert admission.by_service == {}
+    assert admission.usage_by_service == {}
+
 
+def test_ended_request_is_no_longer_counted(make_request):
+    """A request must be released when its receiver reports its end.
 
-def test_end_of_a_request_frees_its_place(make_request):
-    """Guards against an entry that fills up with answered requests."""
+    It fails if answered requests stay counted: the entry would refuse all
+    requests after the first few.
+    """
 
     async def scenario():
         inbound, outbound = Mailbox("in", 8), Mailbox("out", 64)
@@ -81,8 +93,8 @@
     trio.run(scenario)
 
 
-async def talk(cluster, data, rest=(), pause_s=0.0):
-    """Sends raw bytes; returns all that the entry answers."""
+async def send_raw(cluster, data, rest=(), pause_s=0.0):
+    """Sends raw bytes, in pieces if given; returns the entry's answer."""
     port = cluster.programs[0].settings.callers_port
     stream = await trio.open_tcp_stream(HOST, port)
     received = b""
@@ -103,8 +115,12 @@
     return received
 
 
-def test_limits_at_the_callers_edge(run_cluster):
-    """Guards against large, endless and slow requests."""
+def test_limits_of_request_bodies_and_headers(run_cluster):
+    """Oversized and slow requests must be refused without a run.
+
+    Without these limits, large or endless bodies and headers would exhaust
+    the memory, and slow callers would occupy the entry.
+    """
     head = b"POST /roster/x HTTP/1.1\r\nhost: a\r\n"
 
     async def scenario(cluster):
@@ -112,18 +128,18 @@
         await cluster.add_endpoint("e1")
         await cluster.wait_ready()
         runs = len(cluster.runs())
-        large = await talk(cluster, head + b"content-length: 2000\r\n\r\n")
+        large = await send_raw(cluster, head + b"content-length: 2000\r\n\r\n")
         assert large.startswith(b"HTTP/1.1 413")
         chunk = b"400\r\n" + b"x" * 1_024 + b"\r\n"
         chunked = head + b"transfer-encoding: chunked\r\n\r\n" + chunk * 2
-        assert (await talk(cluster, chunked)).startswith(b"HTTP/1.1 413")
-        slow = await talk(
+        assert (await send_raw(cluster, chunked)).startswith(b"HTTP/1.1 413")
+        slow = await send_raw(
             cluster, head + b"content-length: 9\r\n\r\n", [b"x"] * 9, 0.1
         )
         assert slow.startswith(b"HTTP/1.1 408")
         assert b"wigeonport-outcome: not-run" in slow
-        wide = head + b"x-wide: " + b"x" * 200_000 + b"\r\n\r\n"
-        assert b"200 OK" not in await talk(cluster, wide)
+        large_head = head + b"x-wide: " + b"x" * 200_000 + b"\r\n\r\n"
+        assert b"200 OK" not in await send_raw(cluster, large_head)
         assert len(cluster.runs()) == runs
         assert (await cluster.call()).status == 200
 
@@ -131,7 +147,11 @@
 
 
 def test_stop_finishes_running_requests_and_refuses_new_ones(run_cluster):
-    """Guards against a planned stop that drops work or takes more."""
+    """A planned stop must finish running requests and refuse new ones.
+
+    It fails if the stop cancels requests in flight, or if a request that
+    arrives after the signal is run.
+    """
 
     async def scenario(cluster):
         await cluster.start(1, shutdown_grace_ms=5_000)
@@ -162,8 +182,12 @@
     run_cluster(scenario)
 
 
-def test_bound_on_the_stop_answers_unknown(run_cluster):
-    """Guards against callers left without an answer at the bound."""
+def test_shutdown_deadline_answers_unknown(run_cluster):
+    """Requests still running at the shutdown deadline are answered unknown.
+
+    It fails if the process exits and closes their connections without an
+    answer.
+    """
 
     async def scenario(cluster):
         await cluster.start(1, shutdown_grace_ms=1_000)
@@ -183,7 +207,11 @@
 
 
 def test_caller_that_does_not_read_cannot_hold_up_the_stop(run_cluster):
-    """Guards against answers held, and a stop delayed, for good."""
+    """A caller that does not read its answer must not block the stop.
+
+    Its full receive buffer blocks the send of a large answer, and the stop
+    would wait for that send forever.
+    """
 
     async def scenario(cluster):
         await cluster.start(1, shutdown_grace_ms=1_000)
@@ -204,7 +232,11 @@
 
 
 def test_second_signal_has_no_further_effect():
-    """Guards against an impatient operator who kills running requests."""
+    """A second signal during the stop must not end the process at once.
+
+    It fails if the signal handler is removed after the first signal: the
+    second would then kill the requests in flight.
+    """
 
     async def scenario():
         stopping = trio.Event()
@@ -234,7 +266,10 @@
     | JSON_VALUES
 )
 def test_any_announcement_is_checked(document):
-    """Guards against an announcement that ends the receiving task."""
+    """A malformed announcement must give an error text, never an exception.
+
+    An exception would end the task that receives all announcements.
+    """
     parsed = parse_announcement(json.dumps(document).encode())
     assert parsed.is_error()
     assert parsed.error.lines()
@@ -252,7 +287,11 @@
     st.text(max_size=20),
 )
 def test_any_request_head_is_checked(headers, target, path):
-    """Guards against heads that raise or exceed the limits."""
+    """Any request head must be accepted within the limits or refused.
+
+    It fails if a header value raises an exception, or if a deadline or
+    priority above the limit is accepted.
+    """
     scope = {
         "method": "GET",
         "path": "/" + path,
@@ -260,23 +299,31 @@
         "query_string": b"",
         "headers": headers,
     }
-    made = make_request(scope, b"", 0, CallerLimits(1_000, 60_000))
-    if not isinstance(made, str):
-        assert 0 <= made.deadline_ms <= 60_000
-        assert 0 <= made.priority <= MAX_PRIORITY
-        assert made.key is None or made.key.isascii()
+    request = make_request(scope, b"", 0, CallerLimits(1_000, 60_000))
+    if not isinstance(request, str):
+        assert 0 <= request.deadline_ms <= 60_000
+        assert 0 <= request.priority <= MAX_PRIORITY
+        assert request.key is None or request.key.isascii()
 
 
 def test_deadline_is_capped_by_the_setting():
-    """Guards against requests held for longer than the operator allows."""
+    """A stated deadline above the setting must be reduced to the setting.
+
+    Otherwise a caller could hold a request for longer than the operator
+    allows.
+    """
     scope = {"method": "GET", "path": "/roster", "raw_path": b"/roster"}
     scope |= {"query_string": b"", "headers": [(DEADLINE_HEADER, b"90000")]}
-    made = make_request(scope, b"", 0, CallerLimits(1_000, 60_000))
-    assert made.deadline_ms == 60_000
+    request = make_request(scope, b"", 0, CallerLimits(1_000, 60_000))
+    assert request.deadline_ms == 60_000
 
 
 def test_service_sets_deadline_but_not_repeatability(make_request):
-    """Guards against an unused deadline and against a POST run twice."""
+    """A service's default deadline applies only where none was stated.
+
+    It fails if the default is ignored or overrides a stated deadline, or if
+    the service settings make a POST or keyed request repeatable.
+    """
     admission = Admission(8, 100_000)
     service = {"id": "roster", "default_deadline_ms": 500}
     admission.configure(FleetApplied(1, {"services": [service]}))
--- a/wigeonport/admissions.py
+++ b/wigeonport/admissions.py
@@ -1,8 +1,8 @@
-"""Admissions: bound what the entry holds and refuse what cannot be served.
+"""Admissions: bound the requests and bytes that the entry holds.
 
 A service with a sudden peak must not take the capacity of the others: it may
-hold at most as much as is still free, so that one service alone gets half,
-two get a third each, and so on.
+hold at most as much as is still free. A single busy service gets half of the
+limit, two busy services get a third each, and so on.
 Source: A. Choudhury, E. Hahne, "Dynamic Queue Length Thresholds for
 Shared-Memory Packet Switches", 1998.
 """
@@ -11,12 +11,12 @@
 from wigeonport.requests import answer_unknown, refuse
 
 RETRY_AFTER_MS = 1_000
-# Counted for each request besides its body.
-REQUEST_BYTES = 4_096
+# Counted for each request in addition to its body.
+REQUEST_OVERHEAD_BYTES = 4_096
 
 
 class RequestEnded:
-    """The caller of an admitted request has its answer."""
+    """The receiver no longer waits for the answer to a request."""
 
     __slots__ = ("request",)
 
@@ -25,13 +25,13 @@
 
 
 class ShutdownDeadline:
-    """The bound on the shutdown is near: all callers need an answer now."""
+    """The shutdown deadline is near: all requests must be answered now."""
 
     __slots__ = ()
 
 
-class Held:
-    """What is held of one service, or of all."""
+class Usage:
+    """Number and size of the requests held for one service or for all."""
 
     __slots__ = ("count", "size_bytes")
 
@@ -40,22 +40,24 @@
         self.size_bytes = 0
 
     def add(self, sign, size_bytes):
-        """Adds or removes one request."""
+        """Adds one request (sign 1) or subtracts one (sign -1)."""
         self.count += sign
         self.size_bytes += sign * size_bytes
 
 
 class Admission:
-    """Decides which requests go on.
+    """Decides which requests are admitted.
 
     Attributes:
         max_requests: Largest number of requests in the entry.
-        max_bytes: Largest size of their bodies together.
-        services: Documents of the services of the version in force by
-            name, or None before the first version.
-        total: Held of all services.
-        by_service: Held by service.
-        requests: Admitted requests without an answer by id.
+        max_bytes: Largest size of all requests together, each counted with
+            REQUEST_OVERHEAD_BYTES and its body.
+        services: Maps service name to its document in the fleet version in
+            force; None before the first version.
+        total: Usage of all services together.
+        usage_by_service: Maps service name to its Usage.
+        requests: Maps request id to each admitted request that its receiver
+            still waits for.
     """
 
     __slots__ = (
@@ -63,7 +65,7 @@
         "max_bytes",
         "services",
         "total",
-        "by_service",
+        "usage_by_service",
         "requests",
     )
 
@@ -71,24 +73,24 @@
         self.max_requests = max_requests
         self.max_bytes = max_bytes
         self.services = None
-        self.total = Held()
-        self.by_service = {}
+        self.total = Usage()
+        self.usage_by_service = {}
         self.requests = {}
 
     def configure(self, applied):
-        """Takes over a newly applied version."""
+        """Replaces the services by those of a newly applied version."""
         self.services = {
             service["id"]: service for service in applied.document["services"]
         }
 
     def admit(self, request, now_ms):
-        """Holds a request; returns its refusal, or None."""
+        """Admits a request and counts it; returns its refusal, or None."""
         refusal = self.check(request, now_ms)
         if refusal is None:
             apply_service(request, self.services[request.service])
-            held = self.by_service.setdefault(request.service, Held())
-            for each in (held, self.total):
-                each.add(1, measure(request))
+            usage = self.usage_by_service.setdefault(request.service, Usage())
+            for counter in (usage, self.total):
+                counter.add(1, measure_request(request))
             self.requests[request.request_id] = request
         return refusal
 
@@ -98,51 +100,64 @@
             text = "no fleet version is in force yet"
             return refuse(503, text, RETRY_AFTER_MS)
         if request.service not in self.services:
-            return refuse(404, f"service {request.service!r} is not known")
+            return refuse(404, f"service {request.service!r} does not exist")
         if now_ms >= request.deadline_ms:
             return refuse(504, "the deadline has passed")
-        held = self.by_service.get(request.service, Held())
+        usage = self.usage_by_service.get(request.service, Usage())
         free_count = self.max_requests - self.total.count
         free_bytes = self.max_bytes - self.total.size_bytes
-        if held.count >= free_count or (
-            held.size_bytes + measure(request) > free_bytes
+        if usage.count >= free_count or (
+            usage.size_bytes + measure_request(request) > free_bytes
         ):
-            text = "the service holds its part of the entry"
+            text = "the service has reached its share of the entry's limits"
             return refuse(503, text, RETRY_AFTER_MS)
         return None
 
     def release(self, request):
-        """Stops holding a request."""
+        """Stops counting a request; does nothing if it is not held."""
         if self.requests.pop(request.request_id, None) is None:
             return
-        held = self.by_service[request.service]
-        for each in (held, self.total):
-            each.add(-1, measure(request))
-        if not held.count:
-            del self.by_service[request.service]
+        usage = self.usage_by_service[request.service]
+        for counter in (usage, self.total):
+            counter.add(-1, measure_request(request))
+        if not usage.count:
+            del self.usage_by_service[request.service]
 
     def answer_all(self):
-        """Answers all held requests; a request takes its first answer."""
+        """Answers all held requests as unknown.
+
+        A reply channel keeps its first answer, so that a request that is
+        answered already is not affected.
+        """
         for request in self.requests.values():
             text = "the entry stopped before the answer arrived"
             request.reply.send(answer_unknown(503, text))
 
 
 def apply_service(request, service):
-    """Applies the service's deadline where the caller stated none."""
+    """Applies the default deadline if the caller stated none."""
     default_ms = service.get("default_deadline_ms")
     if default_ms is not None and not request.deadline_from_caller:
         deadline_ms = request.received_ms + default_ms
         request.deadline_ms = min(request.deadline_ms, deadline_ms)
 
 
-def measure(request):
-    """Returns the size that is counted for a request."""
-    return REQUEST_BYTES + len(request.body)
+def measure_request(request):
+    """Returns the size in bytes that is counted for a request."""
+    return REQUEST_OVERHEAD_BYTES + len(request.body)
 
 
 async def admit(inbound, outbound, admission, clock, metrics):
-    """Forwards admitted requests and answers the others."""
+    """Forwards admitted requests and refuses the others.
+
+    Args:
+        inbound: Mailbox of requests, their ends, applied fleet versions and
+            the shutdown deadline.
+        outbound: Mailbox of the claims filter.
+        admission: The Admission, which this task owns.
+        clock: Time source.
+        metrics: Metrics of the process.
+    """
     async for message in inbound:
         if isinstance(message, FleetApplied):
             admission.configure(message)
--- a/wigeonport/receivers.py
+++ b/wigeonport/receivers.py
@@ -1,4 +1,4 @@
-"""Receivers: the HTTP edge towards callers."""
+"""Receivers: accept the HTTP requests of callers and send the answers."""
 
 import re
 import uuid
@@ -19,31 +19,34 @@
 DEADLINE_HEADER = b"wigeonport-deadline-ms"
 PRIORITY_HEADER = b"wigeonport-priority"
 KEY_HEADER = b"idempotency-key"
-MAX_DEADLINE_MS = 600_000
+MAX_DEADLINE_HEADER_MS = 600_000
 MAX_KEY_BYTES = 256
 KEY_PATTERN = re.compile(rb"[!-~]{1,%d}" % MAX_KEY_BYTES)
 MAX_PRIORITY = 9
+# Added to a request's deadline for the work of the later filters, so that
+# their own answer at the deadline still arrives.
 REPLY_MARGIN_MS = 200
 RETRY_AFTER_MS = 1_000
 
 
 class CallerLimits:
-    """Limits at the callers' edge.
+    """Limits of the requests that callers send.
 
     Attributes:
         max_body_bytes: Largest body of a request.
-        max_deadline_ms: Longest deadline, and that of a request that states
-            none.
+        max_deadline_ms: Longest time from arrival to deadline, which also
+            applies to a request that states no deadline.
         receive_timeout_ms: Longest wait for the body of a request.
-        max_receiving: Largest number of bodies that arrive in pieces at
-            the same time; bounds the memory of what is not admitted yet.
+        max_partial_bodies: Largest number of bodies that arrive in several
+            pieces at the same time. It bounds the memory of requests that
+            are not yet admitted.
     """
 
     __slots__ = (
         "max_body_bytes",
         "max_deadline_ms",
         "receive_timeout_ms",
-        "max_receiving",
+        "max_partial_bodies",
     )
 
     def __init__(
@@ -51,24 +54,25 @@
         max_body_bytes,
         max_deadline_ms,
         receive_timeout_ms=10_000,
-        max_receiving=64,
+        max_partial_bodies=64,
     ):
         self.max_body_bytes = max_body_bytes
         self.max_deadline_ms = max_deadline_ms
         self.receive_timeout_ms = receive_timeout_ms
-        self.max_receiving = max_receiving
+        self.max_partial_bodies = max_partial_bodies
 
 
 class CallerApp:
-    """ASGI app that turns HTTP into CallerRequests.
+    """ASGI app that turns HTTP requests into CallerRequests.
 
     Attributes:
         admissions: Mailbox of the admission filter.
-        info: ProcessInfo of the process.
+        info: ProcessInfo; tells whether the process is stopping.
         limits: CallerLimits.
         clock: Time source.
         metrics: Metrics of the process.
-        receiving: Limiter of the bodies that arrive in pieces.
+        body_slots: Limits the number of bodies that arrive in several
+            pieces at the same time.
     """
 
     __slots__ = (
@@ -77,7 +81,7 @@
         "limits",
         "clock",
         "metrics",
-        "receiving",
+        "body_slots",
     )
 
     def __init__(self, admissions, info, limits, clock):
@@ -86,7 +90,7 @@
         self.limits = limits
         self.clock = clock
         self.metrics = info.metrics
-        self.receiving = trio.CapacityLimiter(limits.max_receiving)
+        self.body_slots = trio.CapacityLimiter(limits.max_partial_bodies)
 
     async def __call__(self, scope, receive, send):
         """Handles one ASGI connection scope."""
@@ -94,69 +98,72 @@
             return await answer_lifespan(receive, send)
         if scope["type"] != "http":
             return None
-        answer, whole = await self.handle(scope, receive)
+        answer, body_complete = await self.handle(scope, receive)
         self.metrics.count(f"receivers_{answer.outcome}")
-        last = not whole or self.info.stopping.is_set()
-        return await send_answer(send, answer, last)
+        close_connection = not body_complete or self.info.stopping.is_set()
+        return await send_answer(send, answer, close_connection)
 
     async def handle(self, scope, receive):
-        """Returns the answer, and whether the request was read whole."""
+        """Returns the answer, and whether the whole body was read."""
         received_ms = self.clock.now()
         if self.info.stopping.is_set():
             return refuse(503, "the entry is stopping", RETRY_AFTER_MS), False
         body = await self.receive_body(scope, receive)
         if isinstance(body, CallerAnswer):
             return body, False
-        made = make_request(scope, body, received_ms, self.limits)
-        if isinstance(made, str):
-            return refuse(400, made), True
-        if not self.admissions.put_nowait(made):
+        request = make_request(scope, body, received_ms, self.limits)
+        if isinstance(request, str):
+            return refuse(400, request), True
+        if not self.admissions.put_nowait(request):
             text = "too many requests are waiting"
             return refuse(503, text, RETRY_AFTER_MS), True
         try:
-            answer = await self.wait(made)
+            answer = await self.wait_for_answer(request)
         finally:
-            if not self.admissions.put_nowait(RequestEnded(made)):
-                await self.admissions.put(RequestEnded(made))
-        spent_us = (self.clock.now() - received_ms) * 1_000
-        self.metrics.record("receivers_total_us", spent_us)
+            if not self.admissions.put_nowait(RequestEnded(request)):
+                await self.admissions.put(RequestEnded(request))
+        elapsed_us = (self.clock.now() - received_ms) * 1_000
+        self.metrics.record("receivers_total_us", elapsed_us)
         return answer, True
 
     async def receive_body(self, scope, receive):
-        """Returns the body, or the refusal of the request."""
+        """Returns the body, or the CallerAnswer that refuses the request."""
         reader = BodyReader(receive, self.limits.max_body_bytes)
         length = dict(scope["headers"]).get(b"content-length", b"0")
         if length.isdigit() and int(length) > self.limits.max_body_bytes:
-            return refuse(413, "the body is too large")
+            return refuse(
+                413,
+                f"the body is larger than {self.limits.max_body_bytes} bytes",
+            )
         with trio.move_on_after(self.limits.receive_timeout_ms / 1000):
             await reader.read_piece()
             if reader.more:
                 try:
-                    self.receiving.acquire_nowait()
+                    self.body_slots.acquire_nowait()
                 except trio.WouldBlock:
                     text = "too many requests are arriving"
                     return refuse(503, text, RETRY_AFTER_MS)
                 try:
                     await reader.read_rest()
                 finally:
-                    self.receiving.release()
+                    self.body_slots.release()
         if reader.whole:
             return b"".join(reader.pieces)
         if reader.more:
-            return refuse(408, "the request did not arrive in time")
-        return refuse(413, "the body is too large or cut short")
+            return refuse(408, "the body did not arrive in time")
+        return refuse(413, "the body is too large or incomplete")
 
-    async def wait(self, request):
-        """Returns the answer; the margin covers the filters' own work."""
-        left_ms = request.deadline_ms - self.clock.now() + REPLY_MARGIN_MS
-        answer = await request.reply.wait(left_ms)
+    async def wait_for_answer(self, request):
+        """Returns the answer, or an unknown outcome after the deadline."""
+        remaining_ms = request.deadline_ms - self.clock.now() + REPLY_MARGIN_MS
+        answer = await request.reply.wait(remaining_ms)
         if answer.is_ok():
             return answer.ok
         return answer_unknown(504, "no answer within the deadline")
 
 
 def make_request(scope, body, received_ms, limits):
-    """Returns a CallerRequest, or the text of what is wrong."""
+    """Returns a CallerRequest, or an error text for a malformed request."""
     headers = dict(scope["headers"])
     target = scope["raw_path"]
     if scope["query_string"]:
@@ -165,7 +172,10 @@
     if not service:
         return "the path names no service"
     deadline_ms = parse_number(
-        headers, DEADLINE_HEADER, limits.max_deadline_ms, MAX_DEADLINE_MS
+        headers,
+        DEADLINE_HEADER,
+        limits.max_deadline_ms,
+        MAX_DEADLINE_HEADER_MS,
     )
     priority = parse_number(headers, PRIORITY_HEADER, 0, MAX_PRIORITY)
     for value in (deadline_ms, priority):
@@ -173,9 +183,11 @@
             return value
     key = headers.get(KEY_HEADER)
     if key is not None and not KEY_PATTERN.fullmatch(key):
-        return f"Idempotency-Key must be 1 to {MAX_KEY_BYTES} ASCII bytes"
+        return (
+            f"Idempotency-Key must be 1 to {MAX_KEY_BYTES} visible ASCII bytes"
+        )
     if sum(name == KEY_HEADER for name, _ in scope["headers"]) > 1:
-        return "Idempotency-Key is given twice"
+        return "Idempotency-Key is given more than once"
     request = CallerRequest(
         request_id=uuid.uuid4().hex,
         service=service,
@@ -193,33 +205,33 @@
     return request
 
 
-def parse_number(headers, name, default, largest):
-    """Returns the number in a header, or the text of what is wrong."""
+def parse_number(headers, name, default, maximum):
+    """Returns the number in a header, or an error text if it is invalid."""
     text = headers.get(name)
     if text is None:
         return default
-    if not text.isdigit() or int(text) > largest:
-        return f"{name.decode()} must be a number from 0 to {largest}"
+    if not text.isdigit() or int(text) > maximum:
+        return f"{name.decode()} must be a number from 0 to {maximum}"
     return int(text)
 
 
-async def send_answer(send, answer, last):
-    """Sends a whole answer over ASGI.
+async def send_answer(send, answer, close_connection):
+    """Sends an answer over ASGI.
 
     Args:
         send: Send function of ASGI.
         answer: The CallerAnswer.
-        last: Whether the connection ends after it.
+        close_connection: Whether the connection is closed after it.
     """
     headers = [
         *answer.headers,
         (b"wigeonport-outcome", answer.outcome.encode()),
     ]
-    sized = any(name.lower() == b"content-length" for name, _ in headers)
-    if not sized and answer.status not in BODILESS_STATUSES:
+    has_length = any(name.lower() == b"content-length" for name, _ in headers)
+    if not has_length and answer.status not in BODILESS_STATUSES:
         length = str(len(answer.body)).encode()
         headers.append((b"content-length", length))
-    if last:
+    if close_connection:
         headers.append((b"connection", b"close"))
     if answer.reason:
         headers.append((b"wigeonport-reason", answer.reason.encode()))
--- a/wigeonport/requests.py
+++ b/wigeonport/requests.py
@@ -1,4 +1,4 @@
-"""Requests of callers and their answers."""
+"""Requests of callers and the answers that they get."""
 
 COMPLETED = "completed"
 NOT_RUN = "not-run"
@@ -14,17 +14,17 @@
         request_id: Unique id; the endpoint returns it unchanged.
         service: First segment of the path.
         method: HTTP method.
-        path: Path and query below the service, as bytes.
+        path: Path after the service segment, with the query, as bytes.
         headers: Pairs of header name and value, as bytes.
         body: The whole body.
         key: Idempotency key, or None.
-        deadline_ms: Monotonic time after which the answer is useless.
+        deadline_ms: Monotonic time after which the caller no longer waits.
         received_ms: Monotonic time of arrival.
-        priority: Larger is more urgent.
+        priority: A larger number is more urgent.
         attempts: Number of attempts made.
-        may_have_run: Whether an earlier attempt may have run. A request that
-            waits for its retry must not be reported as not run.
-        queued_ms: When it began to wait for a slot.
+        may_have_run: Whether an earlier attempt may have run. Such a request
+            must not be reported as not run while it waits for a retry.
+        queued_ms: Monotonic time when it began to wait for a slot.
         deadline_from_caller: Whether the caller stated the deadline.
         reply: Reply channel of the receiver.
     """
@@ -79,20 +79,24 @@
 
     @property
     def repeatable(self):
-        """Whether a second run does no harm."""
+        """Whether the entry may run the request again after a failure.
+
+        A keyed request is excluded: it runs at most once, also if its
+        method is idempotent.
+        """
         return self.key is None and self.method in IDEMPOTENT_METHODS
 
 
 class CallerAnswer:
-    """The whole answer to a request.
+    """The answer to a request.
 
     Attributes:
         status: HTTP status.
         headers: Pairs of header name and value, as bytes.
         body: The whole body.
         outcome: COMPLETED, NOT_RUN or UNKNOWN.
-        reason: Why it is not completed, else an empty text.
-        retry_after_ms: When a retry makes sense, or None.
+        reason: Why the request was not completed, or "" if it was.
+        retry_after_ms: Time after which the caller should retry, or None.
     """
 
     __slots__ = (
@@ -122,7 +126,10 @@
 
 
 def give_up(request, status, reason, retry_after_ms=None):
-    """Returns the answer to a request that gets no further attempt."""
+    """Returns the answer to a request that gets no further attempt.
+
+    The outcome is UNKNOWN if an earlier attempt may have run, else NOT_RUN.
+    """
     if request.may_have_run:
         return answer_unknown(status, reason)
     return refuse(status, reason, retry_after_ms)
