Reword the claims of keyed requests

Cause: settle, verdict, go_on and admit_loss are not terms of the field. Change: plain names, docstrings, comments and messages; no behaviour.

--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -1,4 +1,4 @@
-"""Tests of at most one run for each key."""
+"""Tests that a request runs at most once for each idempotency key."""
 
 import pytest
 import trio
@@ -29,7 +29,7 @@
 
 
 class FakeControl:
-    """Applies the claim commands; may lose answers after applying them."""
+    """Applies claim commands; drops the answers of command types in lost."""
 
     def __init__(self):
         self.claims = ClaimState()
@@ -37,7 +37,7 @@
         self.commands = []
 
     async def ask(self, command, timeout_ms, control_timeout_ms):
-        """Applies a command as the log would."""
+        """Applies a command as the replicated state would."""
         self.commands.append(type(command))
         if isinstance(command, CompleteClaim):
             assert len(command.response) <= LARGEST_RESPONSE_BYTES
@@ -50,7 +50,10 @@
 
 @pytest.fixture
 def run_claims(make_request):
-    """Runs keyed requests one after the other against one control."""
+    """Runs keyed requests one after the other against one control.
+
+    The function returns the dispatched requests and the answers to callers.
+    """
 
     def run(control, answers, requests):
         dispatched, results = [], []
@@ -83,7 +86,11 @@
 
 
 def test_repeat_gets_the_stored_answer(run_claims, make_request):
-    """Guards against a second run of a completed request."""
+    """A repeat of a completed request must not be dispatched a second time.
+
+    It fails if the answer is not stored with the claim, or if the repeat is
+    dispatched without regard to the stored claim.
+    """
     requests = [make_request("POST", "k", b"x") for _ in range(2)]
     dispatched, results = run_claims(FakeControl(), [DONE, DONE], requests)
     assert len(dispatched) == 1
@@ -97,7 +104,10 @@
 
 
 def test_unknown_outcome_is_never_run_again(run_claims, make_request):
-    """Guards against a second run after an attempt that may have run."""
+    """A repeat must not run the request while its first outcome is unknown.
+
+    It fails if the claim is released after an attempt that may have run.
+    """
     requests = [make_request("POST", "k") for _ in range(2)]
     answers = [answer_unknown(502, "lost"), DONE]
     dispatched, results = run_claims(FakeControl(), answers, requests)
@@ -106,7 +116,11 @@
 
 
 def test_request_that_did_not_run_can_be_repeated(run_claims, make_request):
-    """Guards against a key that is spent by a refused request."""
+    """A request that was refused must not use up its key.
+
+    It fails if the claim stays open although nothing ran: the caller could
+    then never run the request under this key.
+    """
     requests = [make_request("POST", "k") for _ in range(2)]
     answers = [refuse(503, "full"), DONE]
     dispatched, results = run_claims(FakeControl(), answers, requests)
@@ -115,7 +129,11 @@
 
 
 def test_unanswered_claim_is_released_and_never_run(run_claims, make_request):
-    """Guards against a run that the caller was told did not happen."""
+    """A claim whose answer was lost must be released and not dispatched.
+
+    The claim is applied although the caller is told ``not-run``. A dispatch
+    would contradict that answer; a claim left open would block the repeat.
+    """
     control = FakeControl()
     control.lost = {ClaimKey}
     requests = [make_request("POST", "k")]
@@ -130,7 +148,10 @@
 
 
 def test_other_body_with_the_same_key_is_refused(run_claims, make_request):
-    """Guards against the answer of another request."""
+    """A key reused for another body must not return the first answer.
+
+    It fails if the claim is matched by key alone, without the digest.
+    """
     requests = [make_request("POST", "k", body) for body in (b"a", b"b")]
     dispatched, results = run_claims(FakeControl(), [DONE, DONE], requests)
     assert len(dispatched) == 1
@@ -138,7 +159,11 @@
 
 
 def test_answer_too_large_to_store_is_unknown_later(run_claims, make_request):
-    """Guards against a repeat that gets a cut answer."""
+    """A repeat must not get a truncated answer or run the request again.
+
+    An answer above the storage limit is not stored, so the repeat is told
+    ``unknown``.
+    """
     large = CallerAnswer(200, [], b"x" * 9_000, COMPLETED)
     requests = [make_request("POST", "k") for _ in range(2)]
     dispatched, results = run_claims(FakeControl(), [large] * 2, requests)
--- a/wigeonport/claim_messages.py
+++ b/wigeonport/claim_messages.py
@@ -1,8 +1,8 @@
-"""Stored form of the answers of keyed requests.
+"""Encoding of the stored answers of keyed requests, and of claimed keys.
 
-The claims themselves travel as the state commands ``ClaimKey``,
-``CompleteClaim`` and ``ReleaseClaim`` and are answered with the state
-answers; a second set of messages would only copy their fields.
+The claims themselves are sent as the state commands ``ClaimKey``,
+``CompleteClaim`` and ``ReleaseClaim`` and answered with the state answers,
+because separate messages would only copy their fields.
 """
 
 import hashlib
@@ -24,7 +24,7 @@
 
 @message_kinds.register("StoredAnswer")
 class StoredAnswer:
-    """A completed answer as the replicated state keeps it."""
+    """A completed answer as it is stored in the replicated state."""
 
     __slots__ = ("status", "headers", "body")
 
@@ -35,13 +35,13 @@
 
 
 def store_answer(codec, answer):
-    """Returns the bytes that are stored for a completed answer."""
+    """Returns a completed answer encoded as a StoredAnswer."""
     pairs = [HeaderPair(name, value) for name, value in answer.headers]
     return codec.encode(StoredAnswer(answer.status, pairs, answer.body))
 
 
 def restore_answer(codec, data):
-    """Returns the CallerAnswer of stored bytes, or None."""
+    """Returns the CallerAnswer in stored bytes, or None if malformed."""
     decoded = codec.decode(data)
     if decoded.is_error() or not isinstance(decoded.ok, StoredAnswer):
         return None
@@ -54,7 +54,7 @@
     """Returns the digest of method, path and body.
 
     Each part is preceded by its length, so that two requests whose parts
-    only join to the same bytes differ.
+    differ but concatenate to the same bytes get different digests.
     """
     digest = hashlib.sha256()
     for part in (request.method.encode(), request.path, request.body):
@@ -64,5 +64,8 @@
 
 
 def scope_key(request):
-    """Returns the claimed key; callers of two services never share one."""
+    """Returns the key to claim, prefixed with the service.
+
+    The prefix keeps equal idempotency keys of two services apart.
+    """
     return f"{request.service}/{request.key}"
--- a/wigeonport/claims.py
+++ b/wigeonport/claims.py
@@ -1,8 +1,9 @@
 """Claims: at most one run for each idempotency key.
 
-A keyed request is claimed before it is queued. Its answer settles the claim:
-a completed answer is stored, a request that did not run is released, and
-anything else leaves the claim open, so that a repeat is told ``unknown``.
+The key of a request is claimed in the replicated state before the request is
+queued. The answer of a completed request closes the claim and is stored with
+it. A request that did not run releases its claim. In all other cases the
+claim stays open, and a repeat with the same key is told ``unknown``.
 """
 
 import trio
@@ -23,22 +24,25 @@
 from wigeonport.state_commands import ClaimKey, CompleteClaim, ReleaseClaim
 
 logger = PartLogger("claims")
-verdicts = Registry("claim answer")
+claim_answer_handlers = Registry("claim answer")
 
 ANSWER_MARGIN_MS = 100
-FIRST_BACKOFF_MS = 50
-LAST_BACKOFF_MS = 2_000
+INITIAL_BACKOFF_MS = 50
+MAX_BACKOFF_MS = 2_000
 
 
 class ClaimLimits:
     """Limits of the claims filter.
 
     Attributes:
-        claim_timeout_ms: Longest wait for a claim, over all controls.
+        claim_timeout_ms: Longest wait for a claim, over all controls tried.
         control_timeout_ms: Longest wait for one control.
-        close_wait_ms: How long an answer waits until its claim is settled.
-        close_timeout_ms: How long settling is tried in the background.
-        max_open_claims: Keyed requests and claims being settled at a time.
+        close_wait_ms: How long an answer is held back until its claim is
+            closed.
+        close_timeout_ms: How long closing a claim is retried in the
+            background.
+        max_open_claims: Largest number of keyed requests in flight and
+            claims being closed, together.
     """
 
     __slots__ = (
@@ -64,54 +68,60 @@
         self.max_open_claims = max_open_claims
 
 
-def judge_claim(codec, answer):
+def handle_claim_answer(codec, answer):
     """Returns None if the request may be dispatched, else its answer."""
-    verdict = verdicts.get(type(answer).__name__)
-    if verdict.is_error():
-        return refuse(503, "the claim was not understood", 1_000)
-    return verdict.ok(codec, answer)
+    handler = claim_answer_handlers.get(type(answer).__name__)
+    if handler.is_error():
+        return refuse(503, "the answer to the claim was not understood", 1_000)
+    return handler.ok(codec, answer)
 
 
-@verdicts.register("ClaimGranted")
-def go_on(codec, answer):
-    """The attempt holds the key."""
+@claim_answer_handlers.register("ClaimGranted")
+def allow_dispatch(codec, answer):
+    """The attempt holds the key: the request is dispatched."""
 
 
-@verdicts.register("ClaimRepeat")
-def repeat_answer(codec, answer):
-    """The request was completed before; its answer is given again."""
+@claim_answer_handlers.register("ClaimRepeat")
+def return_stored_answer(codec, answer):
+    """The request was completed before: its stored answer is returned."""
     stored = restore_answer(codec, answer.response)
     if stored is None:
-        return answer_unknown(409, "completed before; its answer is not kept")
+        return answer_unknown(
+            409, "completed before; its answer is not stored"
+        )
     return stored
 
 
-@verdicts.register("ClaimUnknown")
-def admit_loss(codec, answer):
+@claim_answer_handlers.register("ClaimUnknown")
+def report_missing_answer(codec, answer):
     """The request was completed, but its answer was too large or old."""
-    return answer_unknown(409, "completed before; its answer is not kept")
+    return answer_unknown(409, "completed before; its answer is not stored")
 
 
-@verdicts.register("ClaimInProgress")
-def avoid_second_run(codec, answer):
+@claim_answer_handlers.register("ClaimInProgress")
+def report_open_claim(codec, answer):
     """Another attempt holds the key and may have run."""
     return answer_unknown(409, "another attempt with this key may have run")
 
 
-@verdicts.register("ClaimConflict")
-def refuse_conflict(codec, answer):
+@claim_answer_handlers.register("ClaimConflict")
+def refuse_reused_key(codec, answer):
     """The key was used for another request."""
-    return refuse(422, "the key was used for another request")
+    return refuse(422, "the idempotency key was used for another request")
 
 
-@verdicts.register("ClaimRefused")
+@claim_answer_handlers.register("ClaimRefused")
 def refuse_claim(codec, answer):
-    """The state machine did not accept the claim."""
+    """The replicated state refused the claim."""
     return refuse(503, f"the claim was refused: {answer.why}", 1_000)
 
 
-def settlement(codec, key, attempt, answer):
-    """Returns the command that settles a granted claim, or None."""
+def make_closing_command(codec, key, attempt, answer):
+    """Returns the command that ends a granted claim, or None.
+
+    None leaves the claim open, because the request may have run. An answer
+    that is too large is stored empty, so that a repeat is told ``unknown``.
+    """
     if answer.outcome == COMPLETED:
         stored = store_answer(codec, answer)
         if len(stored) > LARGEST_RESPONSE_BYTES:
@@ -123,7 +133,7 @@
 
 
 class ControlClient:
-    """Asks the controls, the preferred one first.
+    """Sends commands to the controls, the preferred one first.
 
     Attributes:
         links: ControlLinks of the entry.
@@ -139,17 +149,22 @@
     async def ask(self, command, timeout_ms, control_timeout_ms) -> Result:
         """Returns the first answer of a control, or an error text.
 
-        Every command of the claims may be repeated: the state machine gives
-        the same attempt the same answer.
+        Trying several controls is safe: claim commands are idempotent, since
+        the replicated state gives the same attempt the same answer.
+
+        Args:
+            command: The claim command.
+            timeout_ms: Longest wait over all controls.
+            control_timeout_ms: Longest wait for one control.
         """
         end_ms = self.clock.now() + timeout_ms
         error = "no control is connected"
         for dialer in self.links.preferred():
-            left_ms = end_ms - self.clock.now()
-            if left_ms <= 0:
+            remaining_ms = end_ms - self.clock.now()
+            if remaining_ms <= 0:
                 break
             answer = await dialer.ask(
-                command, min(left_ms, control_timeout_ms)
+                command, min(remaining_ms, control_timeout_ms)
             )
             if answer.is_error():
                 error = str(answer.error)
@@ -161,10 +176,11 @@
 
 
 class Claimer:
-    """Runs the keyed requests through their claims.
+    """Claims the key of each keyed request around its dispatch.
 
     Attributes:
-        caller: ControlCaller, or anything with the same ``ask``.
+        control_client: ControlClient, or an object with the same
+            ``ask``.
         outbound: Mailbox of the router.
         codec: Codec of the stored answers.
         limits: ClaimLimits.
@@ -172,10 +188,19 @@
         metrics: Metrics of the process.
     """
 
-    __slots__ = ("caller", "outbound", "codec", "limits", "clock", "metrics")
+    __slots__ = (
+        "control_client",
+        "outbound",
+        "codec",
+        "limits",
+        "clock",
+        "metrics",
+    )
 
-    def __init__(self, caller, outbound, codec, limits, clock, metrics):
-        self.caller = caller
+    def __init__(
+        self, control_client, outbound, codec, limits, clock, metrics
+    ):
+        self.control_client = control_client
         self.outbound = outbound
         self.codec = codec
         self.limits = limits
@@ -183,89 +208,98 @@
         self.metrics = metrics
 
     async def run(self, request, nursery):
-        """Answers one keyed request."""
+        """Claims the key, forwards the request and sends its answer."""
         key, attempt = scope_key(request), request.request_id
-        claimed = await self.claim(request, key, attempt)
-        if claimed.is_error():
-            answer = claimed.error
-            await self.settle(ReleaseClaim(key, attempt), nursery)
-        elif claimed.ok is not None:
-            answer = claimed.ok
+        claim_result = await self.claim(request, key, attempt)
+        if claim_result.is_error():
+            answer = claim_result.error
+            await self.close_claim(ReleaseClaim(key, attempt), nursery)
+        elif claim_result.ok is not None:
+            answer = claim_result.ok
         else:
             answer = await self.forward(request)
-            command = settlement(self.codec, key, attempt, answer)
+            command = make_closing_command(self.codec, key, attempt, answer)
             if command is not None:
-                await self.settle(command, nursery)
+                await self.close_claim(command, nursery)
         request.reply.send(answer)
 
     async def claim(self, request, key, attempt) -> Result:
-        """Returns None if granted, else the answer of the request.
+        """Returns Ok(None) if granted, else Ok or Error with the answer.
 
-        The result is an error if no control answered: the claim may be in
-        the log, and has to be released.
+        It is an Error if no control answered. The claim may be in the
+        replicated log nevertheless and has to be released.
         """
         started_ms = self.clock.now()
-        left_ms = request.deadline_ms - started_ms
-        timeout_ms = min(self.limits.claim_timeout_ms, left_ms)
+        remaining_ms = request.deadline_ms - started_ms
+        timeout_ms = min(self.limits.claim_timeout_ms, remaining_ms)
         command = ClaimKey(key, digest_request(request), attempt)
-        answer = await self.caller.ask(
+        answer = await self.control_client.ask(
             command, timeout_ms, self.limits.control_timeout_ms
         )
-        spent_ms = self.clock.now() - started_ms
-        self.metrics.record("claims_wait_us", spent_ms * 1_000)
+        elapsed_ms = self.clock.now() - started_ms
+        self.metrics.record("claims_wait_us", elapsed_ms * 1_000)
         if answer.is_error():
             self.metrics.count("claims_unanswered")
             logger.warning("Claim unanswered.", reason=answer.error)
-            text = "the key could not be claimed"
+            text = "the idempotency key could not be claimed"
             return Error(refuse(503, text, 1_000))
         name = type(answer.ok).__name__
         self.metrics.count(f"claims_{name}")
-        return Ok(judge_claim(self.codec, answer.ok))
+        return Ok(handle_claim_answer(self.codec, answer.ok))
 
     async def forward(self, request):
-        """Sends a claimed request on and returns its answer."""
+        """Forwards a claimed request and returns its answer."""
         reply = Reply()
-        inner = copy_request(request, reply)
-        if not await self.outbound.put(inner):
+        forwarded = copy_request(request, reply)
+        if not await self.outbound.put(forwarded):
             return refuse(503, "the entry is overloaded", 1_000)
-        left_ms = request.deadline_ms - self.clock.now() + ANSWER_MARGIN_MS
-        answer = await reply.wait(left_ms)
+        remaining_ms = (
+            request.deadline_ms - self.clock.now() + ANSWER_MARGIN_MS
+        )
+        answer = await reply.wait(remaining_ms)
         if answer.is_error():
             return answer_unknown(504, "no answer within the deadline")
         return answer.ok
 
-    async def settle(self, command, nursery):
-        """Settles a claim; waits for it only for a short time.
+    async def close_claim(self, command, nursery):
+        """Ends a claim in the background and waits briefly for the result.
 
-        A caller that repeats right after its answer then meets the settled
-        claim. When the controls do not answer, the caller is not held up.
+        Because of the wait, a caller that repeats its request right after
+        the answer normally finds the claim closed. The wait is bounded, so
+        that controls that do not answer do not delay the caller for long.
         """
-        settled = trio.Event()
-        nursery.start_soon(self.settle_finally, command, settled)
+        closed = trio.Event()
+        nursery.start_soon(self.retry_until_closed, command, closed)
         with trio.move_on_after(self.limits.close_wait_ms / 1000):
-            await settled.wait()
+            await closed.wait()
 
-    async def settle_finally(self, command, settled):
-        """Repeats the command until a control answers."""
+    async def retry_until_closed(self, command, closed):
+        """Repeats the command until a control answers or time is up.
+
+        The claim stays open if no control answers within
+        ``close_timeout_ms``.
+        """
         end_ms = self.clock.now() + self.limits.close_timeout_ms
-        backoff_ms = FIRST_BACKOFF_MS
+        backoff_ms = INITIAL_BACKOFF_MS
         try_ms = self.limits.control_timeout_ms
         while True:
-            left_ms = end_ms - self.clock.now()
-            answer = await self.caller.ask(command, left_ms, try_ms)
+            remaining_ms = end_ms - self.clock.now()
+            answer = await self.control_client.ask(
+                command, remaining_ms, try_ms
+            )
             if answer.is_ok():
-                return settled.set()
+                return closed.set()
             if self.clock.now() + backoff_ms >= end_ms:
                 break
             await self.clock.sleep(backoff_ms)
-            backoff_ms = min(backoff_ms * 2, LAST_BACKOFF_MS)
+            backoff_ms = min(backoff_ms * 2, MAX_BACKOFF_MS)
         self.metrics.count("claims_left_open")
         logger.warning("Claim left open.", key=command.key)
-        return settled.set()
+        return closed.set()
 
 
 def copy_request(request, reply):
-    """Returns the same request with a reply channel of its own."""
+    """Returns a copy of a request with another reply channel."""
     copied = object.__new__(type(request))
     for name in type(request).__slots__:
         setattr(copied, name, getattr(request, name))
@@ -274,7 +308,7 @@
 
 
 async def claim_keys(inbound, claimer):
-    """Claims keyed requests and passes the others on."""
+    """Runs keyed requests through the claimer and forwards the others."""
     async with trio.open_nursery() as nursery:
         async for request in inbound:
             if request.key is None:
@@ -283,7 +317,9 @@
                     request.reply.send(answer)
             elif len(nursery.child_tasks) >= claimer.limits.max_open_claims:
                 claimer.metrics.count("claims_refused")
-                answer = refuse(503, "too many keyed requests", 1_000)
+                answer = refuse(
+                    503, "too many requests with an idempotency key", 1_000
+                )
                 request.reply.send(answer)
             else:
                 nursery.start_soon(claimer.run, request, nursery)
