Reword routers, queues, retries and quarantines

Cause: names such as note_end, watch, share or floor and log sentences such as 'set aside' were figurative or vague. Change: plain names, docstrings, comments and messages; no behaviour.

--- a/tests/test_routers.py
+++ b/tests/test_routers.py
@@ -1,4 +1,4 @@
-"""Tests of the router's decisions."""
+"""Tests of the router's decisions on retries and outcomes."""
 
 import random
 
@@ -17,19 +17,23 @@
 
 @pytest.fixture
 def router(make_record):
-    """A router that knows one endpoint."""
+    """A router with one endpoint."""
     router = Router("ikeja", RouterLimits(queue_bound=10, leased=False))
     router.step(EndpointChanged(make_record()), 0, random.Random(1))
     return router
 
 
 def step(router, message, now_ms=0):
-    """Steps with a fixed random source."""
+    """Passes a message to the router with a fixed random source."""
     return router.step(message, now_ms, random.Random(1))
 
 
 def test_waiting_retry_is_never_reported_as_not_run(router, make_request):
-    """Guards against "not run" after an attempt that may have run."""
+    """A request that expires while it waits for a retry is unknown.
+
+    Its first attempt may have run; it fails if only the queue time decides
+    and the caller is told ``not-run``.
+    """
     request = make_request(deadline_ms=100)
     (dispatched,) = step(router, request)
     assert isinstance(dispatched, Dispatch)
@@ -53,7 +57,10 @@
 def test_retries_are_only_safe_ones(
     router, make_request, method, key, ran, expected
 ):
-    """Guards against a second run of a request that is not repeatable."""
+    """Only an attempt that did not run or a repeatable request is retried.
+
+    Retrying a POST or keyed request that may have run could run it twice.
+    """
     request = make_request(method, key)
     step(router, request)
     (command,) = step(router, AttemptEnded(request, "e1", None, ran, "lost"))
@@ -63,23 +70,30 @@
         assert isinstance(command, expected)
 
 
-def test_attempts_end_and_refusals_stay_not_run(router, make_request):
-    """Guards against endless retries and against an outcome made worse."""
+def test_attempts_are_bounded_and_refusals_stay_not_run(router, make_request):
+    """Refused attempts stop at the maximum and leave the outcome not run.
+
+    It fails if retries have no limit, or if the last of several refusals is
+    reported as unknown.
+    """
     request = make_request("POST")
     step(router, request)
     for _ in range(2):
         step(router, AttemptEnded(request, "e1", None, False, "refused"))
-    ended = AttemptEnded(request, "e1", None, False, "refused")
-    (command,) = step(router, ended)
+    result = AttemptEnded(request, "e1", None, False, "refused")
+    (command,) = step(router, result)
     assert command.answer.outcome == NOT_RUN
 
 
 def test_refused_retry_does_not_hide_an_earlier_run(router, make_request):
-    """Guards against "not run" from the last attempt alone."""
+    """A refusal after an attempt that may have run is unknown.
+
+    It fails if the outcome is taken from the last attempt alone.
+    """
     request = make_request("GET")
     step(router, request)
     for ran in (True, False):
         step(router, AttemptEnded(request, "e1", None, ran, "failed"))
-    ended = AttemptEnded(request, "e1", None, False, "refused")
-    (command,) = step(router, ended)
+    result = AttemptEnded(request, "e1", None, False, "refused")
+    (command,) = step(router, result)
     assert command.answer.outcome == UNKNOWN
--- a/wigeonport/quarantines.py
+++ b/wigeonport/quarantines.py
@@ -1,89 +1,100 @@
-"""Quarantines: endpoints that fail everything get no work for a while."""
+"""Quarantines: endpoints that keep failing get only occasional probes."""
 
-FAILURES_IN_A_ROW = 5
-FIRST_PROBE_MS = 1_000
-LAST_PROBE_MS = 30_000
+QUARANTINE_FAILURES = 5
+INITIAL_PROBE_INTERVAL_MS = 1_000
+MAX_PROBE_INTERVAL_MS = 30_000
 # Largest share of a service's endpoints in quarantine. When more of them
-# fail, the fault is more likely in the requests or in the service.
-LARGEST_SHARE = 1 / 3
+# fail, the cause is more likely the requests or the service as a whole.
+MAX_QUARANTINED_SHARE = 1 / 3
 
 
 class Health:
-    """Failures of one endpoint as this entry sees them.
+    """Failures of one endpoint as observed by this entry.
 
     Attributes:
-        failures: Failures since the last success.
-        quarantined: Whether it gets probes only.
-        probe_ms: When the next probe may be sent.
-        interval_ms: Time between two probes.
-        probing: Whether a probe is under way.
+        consecutive_failures: Number of failures since the last success.
+        quarantined: Whether it gets only probes.
+        next_probe_ms: Monotonic time when the next probe may be sent.
+        probe_interval_ms: Time between two probes; doubles with each
+            failed probe.
+        probing: Whether a probe is in flight.
     """
 
     __slots__ = (
-        "failures",
+        "consecutive_failures",
         "quarantined",
-        "probe_ms",
-        "interval_ms",
+        "next_probe_ms",
+        "probe_interval_ms",
         "probing",
     )
 
     def __init__(self):
-        self.release()
+        self.reset()
 
-    def release(self):
-        """Starts afresh."""
-        self.failures = 0
+    def reset(self):
+        """Clears all failures and ends the quarantine."""
+        self.consecutive_failures = 0
         self.quarantined = False
-        self.probe_ms = 0
-        self.interval_ms = FIRST_PROBE_MS
+        self.next_probe_ms = 0
+        self.probe_interval_ms = INITIAL_PROBE_INTERVAL_MS
         self.probing = False
 
     def accepts(self, request, now_ms):
-        """Returns whether a request may be sent.
+        """Returns whether a request may be sent to the endpoint.
 
-        A probe is a repeatable request: if it fails, another endpoint can
-        still answer it. A service without such requests is probed with any
-        request once the interval has passed twice.
+        A probe should be a repeatable request: if it fails, another endpoint
+        can still answer it. If no such request has come for a further
+        interval after the probe was due, any request serves as the probe.
         """
         if not self.quarantined:
             return True
-        if self.probing or now_ms < self.probe_ms:
+        if self.probing or now_ms < self.next_probe_ms:
             return False
-        late = now_ms >= self.probe_ms + self.interval_ms
-        return request.repeatable or late
+        probe_overdue = now_ms >= self.next_probe_ms + self.probe_interval_ms
+        return request.repeatable or probe_overdue
 
-    def note_sent(self):
-        """Notes that a request was sent."""
+    def record_dispatch(self):
+        """Marks a request sent to a quarantined endpoint as its probe."""
         self.probing = self.quarantined
 
-    def note_success(self):
-        """Notes a whole answer; returns whether a quarantine ended."""
-        ended = self.quarantined
-        self.release()
-        return ended
+    def record_success(self):
+        """Records a complete answer; returns whether a quarantine ended."""
+        was_quarantined = self.quarantined
+        self.reset()
+        return was_quarantined
 
-    def note_failure(self, now_ms, may_quarantine):
-        """Notes a failure; returns whether a quarantine began.
+    def record_failure(self, now_ms, may_quarantine):
+        """Records a failure; returns whether a quarantine began.
 
         Args:
             now_ms: Monotonic time.
-            may_quarantine: Whether the floor allows one more.
+            may_quarantine: Whether one more endpoint of the service may be
+                quarantined.
         """
-        self.failures += 1
+        self.consecutive_failures += 1
         if self.quarantined:
             self.probing = False
-            self.interval_ms = min(self.interval_ms * 2, LAST_PROBE_MS)
-            self.probe_ms = now_ms + self.interval_ms
+            self.probe_interval_ms = min(
+                self.probe_interval_ms * 2, MAX_PROBE_INTERVAL_MS
+            )
+            self.next_probe_ms = now_ms + self.probe_interval_ms
             return False
-        if self.failures < FAILURES_IN_A_ROW or not may_quarantine:
+        if (
+            self.consecutive_failures < QUARANTINE_FAILURES
+            or not may_quarantine
+        ):
             return False
         self.quarantined = True
-        self.interval_ms = FIRST_PROBE_MS
-        self.probe_ms = now_ms + self.interval_ms
+        self.probe_interval_ms = INITIAL_PROBE_INTERVAL_MS
+        self.next_probe_ms = now_ms + self.probe_interval_ms
         return True
 
 
 def may_quarantine(healths):
-    """Returns whether one more of a service's endpoints may be set aside."""
+    """Returns whether one more endpoint of a service may be quarantined.
+
+    Args:
+        healths: Health of each endpoint of the service.
+    """
     count = sum(health.quarantined for health in healths)
-    return count + 1 <= len(healths) * LARGEST_SHARE
+    return count + 1 <= len(healths) * MAX_QUARANTINED_SHARE
--- a/wigeonport/queues.py
+++ b/wigeonport/queues.py
@@ -1,4 +1,4 @@
-"""Queues: the waiting requests of one service, bounded and ordered."""
+"""Queues: hold the waiting requests of one service, bounded and ordered."""
 
 from collections import deque
 
@@ -6,58 +6,60 @@
 
 disciplines = Registry("queue discipline")
 
-# A queue whose shortest wait in this time exceeds the target is standing:
-# it no longer absorbs bursts.
+# A queue whose shortest wait within a window of this length exceeds the target
+# wait is a standing queue: it no longer absorbs bursts.
 # Source: K. Nichols, V. Jacobson, "Controlling Queue Delay", 2012.
-WINDOW_MS = 200
+STANDING_WINDOW_MS = 200
 TARGET_WAIT_MS = 50
-# Above every priority of a caller: retries go first, and are bounded by the
-# retry budget.
+# Higher than every priority that a caller can state: retries go first. The
+# retry budget bounds their number.
 RETRY_PRIORITY = 10
 
 
 class ServiceQueue:
-    """Waiting requests by priority.
+    """Requests that wait for a slot, by priority.
 
     Attributes:
-        bound: Largest number of waiting requests.
-        longest_wait_ms: Longest wait of a request.
-        choose: Queue discipline.
-        waiting: Deques of requests by priority, oldest first.
+        max_size: Largest number of waiting requests.
+        max_wait_ms: Longest wait of a request.
+        choose_position: Queue discipline; a function that returns the index
+            of the next request within the requests of one priority.
+        waiting: Maps priority to a deque of requests, oldest first.
         size: Number of waiting requests.
-        window_ms: Start of the current window.
-        shortest_ms: Shortest wait of the oldest request in the window, or
-            None.
-        standing: Whether the queue was standing in the last window.
+        window_start_ms: Monotonic time when the current window began.
+        window_min_wait_ms: Shortest wait of the oldest request seen in the
+            current window, or None.
+        standing: Whether the queue was standing in the previous window.
     """
 
     __slots__ = (
-        "bound",
-        "longest_wait_ms",
-        "choose",
+        "max_size",
+        "max_wait_ms",
+        "choose_position",
         "waiting",
         "size",
-        "window_ms",
-        "shortest_ms",
+        "window_start_ms",
+        "window_min_wait_ms",
         "standing",
     )
 
-    def __init__(self, bound, longest_wait_ms, discipline):
-        self.bound = bound
-        self.longest_wait_ms = longest_wait_ms
-        self.choose = disciplines.get(discipline).ok
+    def __init__(self, max_size, max_wait_ms, discipline):
+        self.max_size = max_size
+        self.max_wait_ms = max_wait_ms
+        self.choose_position = disciplines.get(discipline).ok
         self.waiting = {}
         self.size = 0
-        self.window_ms = 0
-        self.shortest_ms = None
+        self.window_start_ms = 0
+        self.window_min_wait_ms = None
         self.standing = False
 
     def push(self, request, now_ms):
-        """Adds a request; returns the one that has to go, or None.
+        """Adds a request; returns the evicted one, or None.
 
-        A full queue gives up the youngest request of the lowest priority.
+        A full queue evicts the newest request of the lowest priority. That
+        is the given request if none has a lower priority.
         """
-        if self.size >= self.bound:
+        if self.size >= self.max_size:
             lowest = min(self.waiting)
             if lowest >= request.priority:
                 return request
@@ -69,17 +71,19 @@
         self.size += 1
         return evicted
 
-    def put_back(self, request, now_ms):
-        """Adds a request that was tried before, ahead of all others."""
+    def requeue(self, request, now_ms):
+        """Adds a request for a retry, ahead of all first attempts."""
         request.queued_ms = now_ms
         self.waiting.setdefault(RETRY_PRIORITY, deque()).append(request)
         self.size += 1
 
     def find_next(self, now_ms):
-        """Returns priority and position of the next request."""
-        self.watch(now_ms)
+        """Returns the priority and position of the request to send next."""
+        self.update_standing(now_ms)
         priority = max(self.waiting)
-        return priority, self.choose(self, self.waiting[priority], now_ms)
+        return priority, self.choose_position(
+            self, self.waiting[priority], now_ms
+        )
 
     def take(self, priority, position):
         """Removes and returns one request."""
@@ -91,44 +95,56 @@
         self.size -= 1
         return request
 
-    def watch(self, now_ms):
-        """Decides at the end of each window whether the queue stands."""
+    def update_standing(self, now_ms):
+        """Updates, once per window, whether the queue is standing."""
         wait_ms = max(
             (now_ms - queue[0].queued_ms for queue in self.waiting.values()),
             default=0,
         )
-        if self.shortest_ms is None or wait_ms < self.shortest_ms:
-            self.shortest_ms = wait_ms
-        if now_ms - self.window_ms >= WINDOW_MS:
-            self.standing = self.shortest_ms > TARGET_WAIT_MS
-            self.window_ms = now_ms
-            self.shortest_ms = None
-
-    def expire(self, now_ms, margin):
-        """Removes and returns the requests that waited too long.
+        if (
+            self.window_min_wait_ms is None
+            or wait_ms < self.window_min_wait_ms
+        ):
+            self.window_min_wait_ms = wait_ms
+        if now_ms - self.window_start_ms >= STANDING_WINDOW_MS:
+            self.standing = self.window_min_wait_ms > TARGET_WAIT_MS
+            self.window_start_ms = now_ms
+            self.window_min_wait_ms = None
+
+    def expire(self, now_ms, estimate_service_ms):
+        """Removes and returns the requests that can no longer be served.
+
+        Such a request has waited for the longest wait, or would be answered
+        after its deadline.
 
         Args:
             now_ms: Monotonic time.
-            margin: Function of a request; returns the time in ms that its
-                answer will take once it has a slot.
+            estimate_service_ms: Function of a request that returns the
+                time in ms from getting a slot to its answer.
         """
         expired = []
         for priority, requests in list(self.waiting.items()):
-            kept = deque()
+            remaining = deque()
             for request in requests:
-                late = now_ms - request.queued_ms >= self.longest_wait_ms
-                if late or now_ms + margin(request) >= request.deadline_ms:
+                waited_too_long = (
+                    now_ms - request.queued_ms >= self.max_wait_ms
+                )
+                if (
+                    waited_too_long
+                    or now_ms + estimate_service_ms(request)
+                    >= request.deadline_ms
+                ):
                     expired.append(request)
                 else:
-                    kept.append(request)
-            self.waiting[priority] = kept
-            if not kept:
+                    remaining.append(request)
+            self.waiting[priority] = remaining
+            if not remaining:
                 del self.waiting[priority]
         self.size -= len(expired)
         return expired
 
-    def ahead(self, priority):
-        """Returns how many requests go before a new one of a priority."""
+    def count_ahead(self, priority):
+        """Returns the number of requests ahead of a new one of a priority."""
         return sum(
             len(requests)
             for other, requests in self.waiting.items()
@@ -137,29 +153,32 @@
 
 
 @disciplines.register("fifo")
-def take_oldest(queue, requests, now_ms):
+def choose_oldest(queue, requests, now_ms):
     """Serves in the order of arrival."""
     return 0
 
 
 @disciplines.register("lifo")
-def take_youngest(queue, requests, now_ms):
-    """Serves the latest arrival first."""
+def choose_newest(queue, requests, now_ms):
+    """Serves the newest request first."""
     return -1
 
 
 @disciplines.register("deadline")
-def take_earliest_deadline(queue, requests, now_ms):
-    """Serves the request whose deadline is nearest."""
-    return min(range(len(requests)), key=lambda at: requests[at].deadline_ms)
+def choose_earliest_deadline(queue, requests, now_ms):
+    """Serves the request with the earliest deadline first."""
+    return min(
+        range(len(requests)),
+        key=lambda position: requests[position].deadline_ms,
+    )
 
 
 @disciplines.register("adaptive")
-def take_by_load(queue, requests, now_ms):
-    """Serves in order, but the latest first while the queue stands.
+def choose_by_load(queue, requests, now_ms):
+    """Serves the oldest first, but the newest first in a standing queue.
 
-    In overload some requests are refused in any order. Serving the latest
-    first answers those that are served at once, instead of all of them
-    shortly before their deadline.
+    In overload some requests are refused whatever the order. Serving the
+    newest first answers the served requests without delay; serving the
+    oldest first would answer each of them shortly before its deadline.
     """
     return -1 if queue.standing else 0
--- a/wigeonport/router_messages.py
+++ b/wigeonport/router_messages.py
@@ -1,4 +1,4 @@
-"""What the router takes in and gives out, and its limits."""
+"""Messages to the router, its commands and its limits."""
 
 
 class AttemptEnded:
@@ -6,12 +6,12 @@
 
     Attributes:
         request: The request.
-        endpoint_id: Where it was tried.
-        answer: CallerAnswer, or None if no whole answer arrived.
+        endpoint_id: Endpoint to which it was sent.
+        answer: CallerAnswer, or None if no complete answer arrived.
         possibly_ran: False if the endpoint certainly did not run it.
-        reason: Why there is no answer.
+        reason: Why there is no answer, or "" if there is one.
         refusal: Reason that the endpoint gave for not running it, or None.
-        duration_ms: Time of the attempt.
+        duration_ms: Duration of the attempt.
     """
 
     __slots__ = (
@@ -35,7 +35,7 @@
 
 
 class Dispatch:
-    """Command: try a request at an endpoint."""
+    """Command: send a request to an endpoint."""
 
     __slots__ = ("request", "record")
 
@@ -45,7 +45,7 @@
 
 
 class Respond:
-    """Command: answer a request; the cause is for the metrics."""
+    """Command: answer a request; the cause names the metric to count."""
 
     __slots__ = ("request", "answer", "cause")
 
@@ -56,7 +56,7 @@
 
 
 class HealthChanged:
-    """Command: report that an endpoint is set aside, or used again."""
+    """Command: report that an endpoint's quarantine began or ended."""
 
     __slots__ = ("endpoint_id", "quarantined")
 
@@ -71,12 +71,14 @@
     Attributes:
         queue_bound: Largest number of waiting requests of a service.
         queue_wait_ms: Longest wait for a slot.
-        max_attempts: Attempts for one request.
-        retry_share: Retries as a share of the requests of a service.
-        retry_floor: Retries a second besides the share.
+        max_attempts: Largest number of attempts for one request.
+        retry_share: Retries allowed per request of a service, 0.1 being one
+            retry for ten requests.
+        retry_floor: Retries per second allowed in addition to the share.
         discipline: Name of the queue discipline.
-        leased: Whether slots are used only within leases.
-        entries: Number of entries that share the connections.
+        leased: Whether slots may be used only within a lease.
+        entries: Number of entries that share the connections of an
+            endpoint.
     """
 
     __slots__ = (
--- a/wigeonport/routers.py
+++ b/wigeonport/routers.py
@@ -1,4 +1,8 @@
-"""Routers: choose an endpoint for each request and bound the queues."""
+"""Routers: choose an endpoint for each request and bound the queues.
+
+The Router decides without sockets or a clock of its own; ``route`` is the
+task that owns it and executes its commands.
+"""
 
 from wigeonport.logs import PartLogger
 from wigeonport.quarantines import may_quarantine
@@ -9,7 +13,7 @@
 from wigeonport.router_messages import Dispatch, HealthChanged, Respond
 from wigeonport.shares import ShareDemand
 from wigeonport.targets import (
-    FULL_PAUSE_MS,
+    REFUSAL_PAUSE_MS,
     ServiceTimes,
     Target,
     choose_target,
@@ -23,26 +27,26 @@
 EXPIRE_INTERVAL_MS = 20
 IDLE_INTERVAL_MS = 100
 DEMAND_INTERVAL_MS = 100
-REPORT_INTERVAL_MS = 500
+DEMAND_REPEAT_INTERVAL_MS = 500
 # A service without requests for this long holds no leases: renewing them
-# costs more than the one wait of its next request.
-IDLE_SERVICE_MS = 10_000
-URGENT_INTERVAL_MS = 10
-SERVER_ERROR = 500
+# costs more than the wait of its next request for a new lease.
+SERVICE_IDLE_MS = 10_000
+URGENT_DEMAND_INTERVAL_MS = 10
+MIN_SERVER_ERROR_STATUS = 500
 
 
-class Service:
-    """What the router keeps of one service.
+class ServiceState:
+    """Endpoints, queue and statistics of one service in the router.
 
     Attributes:
-        targets: Target by endpoint id.
-        queue: Its waiting requests.
+        targets: Maps endpoint id to Target.
+        queue: ServiceQueue of the requests that wait for a slot.
         budget: RetryBudget.
         times: ServiceTimes.
-        requested_ms: Time of its latest request, or None.
+        last_request_ms: Monotonic time of its latest request, or None.
     """
 
-    __slots__ = ("targets", "queue", "budget", "times", "requested_ms")
+    __slots__ = ("targets", "queue", "budget", "times", "last_request_ms")
 
     def __init__(self, limits):
         self.targets = {}
@@ -51,92 +55,105 @@
         )
         self.budget = RetryBudget(limits.retry_share, limits.retry_floor)
         self.times = ServiceTimes()
-        self.requested_ms = None
+        self.last_request_ms = None
 
     def is_idle(self, now_ms):
-        """Returns whether no leases are in use or to be held ready."""
-        if self.requested_ms is None:
+        """Returns whether the service needs no leases.
+
+        It needs them while requests wait or run, and for SERVICE_IDLE_MS
+        after its latest request.
+        """
+        if self.last_request_ms is None:
             return True
-        if now_ms - self.requested_ms <= IDLE_SERVICE_MS:
+        if now_ms - self.last_request_ms <= SERVICE_IDLE_MS:
             return False
         running = any(target.in_flight for target in self.targets.values())
         return not self.queue.size and not running
 
     def slots(self, now_ms):
-        """Returns the slots that this entry may use."""
+        """Returns the number of slots that this entry may use."""
         return sum(target.slots(now_ms) for target in self.targets.values())
 
     def may_quarantine(self):
-        """Returns whether one more endpoint may be set aside."""
+        """Returns whether one more endpoint may be quarantined."""
         return may_quarantine([t.health for t in self.targets.values()])
 
 
 class Router:
-    """Routes requests; a pure decision without sockets.
+    """Decides which endpoint gets which request, without any I/O.
 
     Attributes:
         zone: Availability zone of this entry.
         limits: RouterLimits.
-        services: Service by name.
-        expired_ms: When waiting requests were checked last.
-        demand_ms: When the demand was looked at last.
-        reported: Items of the last report.
-        reported_ms: When it was made.
+        services: Maps service name to ServiceState.
+        last_expiry_ms: Monotonic time when waiting requests were last
+            checked for expiry.
+        last_demand_check_ms: Monotonic time when the demand was last
+            computed.
+        last_demand: Items of the last ShareDemand.
+        last_demand_ms: Monotonic time of the last ShareDemand.
     """
 
     __slots__ = (
         "zone",
         "limits",
         "services",
-        "expired_ms",
-        "demand_ms",
-        "reported",
-        "reported_ms",
+        "last_expiry_ms",
+        "last_demand_check_ms",
+        "last_demand",
+        "last_demand_ms",
     )
 
     def __init__(self, zone, limits):
         self.zone = zone
         self.limits = limits
         self.services = {}
-        self.expired_ms = 0
-        self.demand_ms = 0
-        self.reported = []
-        self.reported_ms = 0
+        self.last_expiry_ms = 0
+        self.last_demand_check_ms = 0
+        self.last_demand = []
+        self.last_demand_ms = 0
 
     def step(self, message, now_ms, random):
-        """Handles a message; returns the commands that follow."""
+        """Handles a message; returns the commands to execute.
+
+        Raises:
+            TypeError: If no handler is registered for the message.
+        """
         handler = handlers.get(type(message).__name__)
         if handler.is_error():
             raise TypeError(handler.error)
         return handler.ok(self, message, now_ms, random)
 
     def service(self, name):
-        """Returns the Service of a name."""
+        """Returns the ServiceState of a name, which is made if missing."""
         if name not in self.services:
-            self.services[name] = Service(self.limits)
+            self.services[name] = ServiceState(self.limits)
         return self.services[name]
 
     def tick(self, now_ms, random):
-        """Answers requests that waited too long; uses slots that came up."""
-        if now_ms - self.expired_ms < EXPIRE_INTERVAL_MS:
+        """Answers requests that waited too long and dispatches others.
+
+        It does nothing within EXPIRE_INTERVAL_MS of the last check.
+        """
+        if now_ms - self.last_expiry_ms < EXPIRE_INTERVAL_MS:
             return []
-        self.expired_ms = now_ms
+        self.last_expiry_ms = now_ms
         commands = []
         for service in self.services.values():
-            margin = service.times.margin
-            for request in service.queue.expire(now_ms, margin):
+            estimate_service_ms = service.times.estimate_service_ms
+            for request in service.queue.expire(now_ms, estimate_service_ms):
                 commands.append(respond_late(request))
-            commands += self.drain(service, now_ms, random)
+            commands += self.dispatch_waiting(service, now_ms, random)
         return commands
 
-    def drain(self, service, now_ms, random):
+    def dispatch_waiting(self, service, now_ms, random):
         """Dispatches waiting requests while there are free slots."""
         commands = []
         queue = service.queue
         while queue.size:
             priority, position = queue.find_next(now_ms)
             request = queue.waiting[priority][position]
-            if is_late(service, request, now_ms):
+            if is_too_late(service, request, now_ms):
                 queue.take(priority, position)
                 commands.append(respond_late(request))
                 continue
@@ -147,18 +164,24 @@
                 break
             queue.take(priority, position)
             target.in_flight += 1
-            target.health.note_sent()
+            target.health.record_dispatch()
             request.attempts += 1
             commands.append(Dispatch(request, target.record))
         return commands
 
     def demand(self, now_ms):
-        """Returns the ShareDemand that is due, or None."""
+        """Returns the ShareDemand to send now, or None.
+
+        While no request waits, an unchanged demand is sent only once in
+        DEMAND_REPEAT_INTERVAL_MS.
+        """
         urgent = self.has_waiting()
-        interval_ms = URGENT_INTERVAL_MS if urgent else DEMAND_INTERVAL_MS
-        if now_ms - self.demand_ms < interval_ms:
+        interval_ms = (
+            URGENT_DEMAND_INTERVAL_MS if urgent else DEMAND_INTERVAL_MS
+        )
+        if now_ms - self.last_demand_check_ms < interval_ms:
             return None
-        self.demand_ms = now_ms
+        self.last_demand_check_ms = now_ms
         items = []
         for service in self.services.values():
             if service.is_idle(now_ms):
@@ -169,10 +192,10 @@
                 self.zone,
                 now_ms,
             )
-        recent = now_ms - self.reported_ms < REPORT_INTERVAL_MS
-        if items == self.reported and recent and not urgent:
+        recent = now_ms - self.last_demand_ms < DEMAND_REPEAT_INTERVAL_MS
+        if items == self.last_demand and recent and not urgent:
             return None
-        self.reported, self.reported_ms = items, now_ms
+        self.last_demand, self.last_demand_ms = items, now_ms
         return ShareDemand(items, urgent)
 
     def has_waiting(self):
@@ -182,18 +205,22 @@
 
 @handlers.register("CallerRequest")
 def queue_request(router, request, now_ms, random):
-    """Queues a request, or refuses it when it would wait too long."""
+    """Queues a request, or refuses it if it would wait too long."""
     service = router.service(request.service)
-    service.budget.note_request()
-    service.requested_ms = now_ms
+    service.budget.add_request_tokens()
+    service.last_request_ms = now_ms
     queue = service.queue
-    wait_ms = service.times.estimate_wait(
-        queue.ahead(request.priority), service.slots(now_ms)
+    wait_ms = service.times.estimate_wait_ms(
+        queue.count_ahead(request.priority), service.slots(now_ms)
+    )
+    remaining_ms = (
+        request.deadline_ms
+        - now_ms
+        - service.times.estimate_service_ms(request)
     )
-    left_ms = request.deadline_ms - now_ms - service.times.margin(request)
-    left_ms = min(left_ms, queue.longest_wait_ms)
-    if wait_ms and wait_ms > left_ms:
-        text = f"the wait would be about {wait_ms:.0f} ms"
+    remaining_ms = min(remaining_ms, queue.max_wait_ms)
+    if wait_ms and wait_ms > remaining_ms:
+        text = f"the wait for a slot would be about {wait_ms:.0f} ms"
         answer = refuse(503, text, wait_ms)
         return [Respond(request, answer, "early")]
     evicted = queue.push(request, now_ms)
@@ -202,12 +229,15 @@
         text = "the queue of the service is full"
         answer = give_up(evicted, 503, text, wait_ms or 1_000)
         commands.append(Respond(evicted, answer, "full"))
-    return commands + router.drain(service, now_ms, random)
+    return commands + router.dispatch_waiting(service, now_ms, random)
 
 
 @handlers.register("EndpointChanged")
 def update_target(router, change, now_ms, random):
-    """Takes over the latest record of an endpoint."""
+    """Adds an endpoint or updates its record.
+
+    A new incarnation starts without failures and without a lease.
+    """
     record, limits = change.record, router.limits
     service = router.service(record.service_id)
     target = service.targets.get(record.endpoint_id)
@@ -215,106 +245,125 @@
         target = Target(record, limits.leased, limits.entries)
         service.targets[record.endpoint_id] = target
     elif target.record.incarnation != record.incarnation:
-        target.health.release()
-        target.share_until_ms = 0
-    target.follow(record, limits.entries)
-    return router.drain(service, now_ms, random)
+        target.health.reset()
+        target.lease_end_ms = 0
+    target.update_record(record, limits.entries)
+    return router.dispatch_waiting(service, now_ms, random)
 
 
 @handlers.register("EndpointLost")
 def remove_target(router, change, now_ms, random):
-    """Stops sending work to an endpoint."""
+    """Stops sending requests to an endpoint that was lost."""
     service = router.service(change.service)
     target = service.targets.get(change.endpoint_id)
     if target is not None:
         target.lost = True
-        forget_lost(service, target)
+        remove_lost_target(service, target)
     return []
 
 
 @handlers.register("ShareChanged")
 def update_share(router, change, now_ms, random):
-    """Takes over a lease."""
+    """Records the lease that this entry now holds at an endpoint."""
     service = router.service(change.service)
     target = service.targets.get(change.endpoint_id)
-    if target is None or target.share is None:
+    if target is None or target.leased_slots is None:
         return []
-    target.share, target.share_until_ms = change.slots, change.until_ms
-    return router.drain(service, now_ms, random)
+    target.leased_slots, target.lease_end_ms = change.slots, change.until_ms
+    return router.dispatch_waiting(service, now_ms, random)
 
 
 @handlers.register("AttemptEnded")
-def finish_attempt(router, ended, now_ms, random):
-    """Answers the request, or tries it again where that is safe."""
-    request = ended.request
+def finish_attempt(router, result, now_ms, random):
+    """Answers the request, or queues it again if a retry is allowed."""
+    request = result.request
     service = router.service(request.service)
-    target = service.targets.get(ended.endpoint_id)
-    request.may_have_run = request.may_have_run or ended.possibly_ran
+    target = service.targets.get(result.endpoint_id)
+    request.may_have_run = request.may_have_run or result.possibly_ran
     commands = []
-    if target is not None and note_end(service, target, ended, now_ms):
+    if target is not None and record_attempt(service, target, result, now_ms):
         quarantined = target.health.quarantined
-        commands.append(HealthChanged(ended.endpoint_id, quarantined))
-    if ended.answer is not None:
-        commands.append(Respond(request, ended.answer, "answered"))
-    elif may_retry(router, service, ended, now_ms):
-        service.queue.put_back(request, now_ms)
+        commands.append(HealthChanged(result.endpoint_id, quarantined))
+    if result.answer is not None:
+        commands.append(Respond(request, result.answer, "answered"))
+    elif may_retry(router, service, result, now_ms):
+        service.queue.requeue(request, now_ms)
     else:
         status = 502 if request.may_have_run else 503
-        answer = give_up(request, status, ended.reason, 1_000)
+        answer = give_up(request, status, result.reason, 1_000)
         commands.append(Respond(request, answer, "failed"))
-    return commands + router.drain(service, now_ms, random)
+    return commands + router.dispatch_waiting(service, now_ms, random)
 
 
-def is_late(service, request, now_ms):
-    """Returns whether a request can no longer be served in time.
+def is_too_late(service, request, now_ms):
+    """Returns whether a request can no longer be answered in time.
 
-    One that has not waited is always tried, because the mean time of a
-    service says little about a single request.
+    A request that has not waited is tried as long as its deadline has not
+    passed, because the mean time of a service says little about a single
+    request.
     """
     if request.queued_ms == now_ms:
         return now_ms >= request.deadline_ms
-    return now_ms + service.times.margin(request) >= request.deadline_ms
+    return (
+        now_ms + service.times.estimate_service_ms(request)
+        >= request.deadline_ms
+    )
 
 
 def respond_late(request):
-    """Answers a request that can no longer be served in time."""
-    text = "no slot of an endpoint was free in time"
+    """Returns the Respond for a request that waited too long for a slot."""
+    text = "no endpoint had a free slot in time"
     answer = give_up(request, 503, text, 1_000)
     return Respond(request, answer, "waited")
 
 
-def note_end(service, target, ended, now_ms):
-    """Notes an attempt; returns whether a quarantine began or ended."""
+def record_attempt(service, target, result, now_ms):
+    """Updates a target after an attempt that ended on it.
+
+    A target that refused the request gets no requests for a while, and ten
+    times as long if it is leaving.
+
+    Returns:
+        Whether a quarantine began or ended.
+    """
     target.in_flight -= 1
-    forget_lost(service, target)
-    if ended.refusal == LEAVING_REFUSAL:
-        target.paused_until_ms = now_ms + 10 * FULL_PAUSE_MS
+    remove_lost_target(service, target)
+    if result.refusal == LEAVING_REFUSAL:
+        target.paused_until_ms = now_ms + 10 * REFUSAL_PAUSE_MS
         target.health.probing = False
-    elif ended.refusal is not None:
-        target.paused_until_ms = now_ms + FULL_PAUSE_MS
+    elif result.refusal is not None:
+        target.paused_until_ms = now_ms + REFUSAL_PAUSE_MS
         target.health.probing = False
-    elif ended.answer is None or ended.answer.status >= SERVER_ERROR:
+    elif (
+        result.answer is None
+        or result.answer.status >= MIN_SERVER_ERROR_STATUS
+    ):
         may_quarantine = service.may_quarantine()
-        return target.health.note_failure(now_ms, may_quarantine)
+        return target.health.record_failure(now_ms, may_quarantine)
     else:
-        service.times.note(ended.duration_ms)
-        return target.health.note_success()
+        service.times.add_sample(result.duration_ms)
+        return target.health.record_success()
     return False
 
 
-def forget_lost(service, target):
-    """Removes a lost endpoint once nothing runs on it."""
+def remove_lost_target(service, target):
+    """Removes a lost endpoint once none of its requests is in flight.
+
+    Until then its slots in use stay counted, in case it comes back.
+    """
     if target.lost and not target.in_flight:
         service.targets.pop(target.record.endpoint_id, None)
 
 
-def may_retry(router, service, ended, now_ms):
-    """Returns whether another attempt is safe, useful and affordable.
+def may_retry(router, service, result, now_ms):
+    """Returns whether the request may be tried again.
 
-    A refusal by a leaving endpoint costs nothing: the endpoint gets no
-    further work, so these retries cannot become a storm.
+    A retry must be safe, before the deadline, within the maximum number of
+    attempts and within the retry budget. A refusal by a leaving endpoint
+    does not count against the budget: the endpoint gets no further work, so
+    these retries cannot become a retry storm.
     """
-    request = ended.request
+    request = result.request
     safe = not request.may_have_run or request.repeatable
     in_time = now_ms < request.deadline_ms
     if (
@@ -323,17 +372,19 @@
         or request.attempts >= (router.limits.max_attempts)
     ):
         return False
-    return ended.refusal == LEAVING_REFUSAL or service.budget.take(now_ms)
+    return result.refusal == LEAVING_REFUSAL or service.budget.take(now_ms)
 
 
 async def route(inbound, outbound, shares, router, clock, random, metrics):
-    """Owns the router; answers requests and sends on dispatches.
+    """Task that owns the router and executes its commands.
 
     Args:
-        inbound: Mailbox of requests, endpoint changes and ends of attempts.
+        inbound: Mailbox of requests, endpoint and lease changes, and
+            attempt results.
         outbound: Mailbox of the dispatcher.
-        shares: Mailbox of the shares. The demand is dropped when it is
-            full: waiting could block both tasks, and the next is due soon.
+        shares: Mailbox of the task that leases slots. When it is full the
+            demand is dropped: waiting could deadlock both tasks, and the
+            next demand is due soon.
         router: The Router.
         clock: Time source.
         random: Random source.
@@ -348,7 +399,7 @@
         if message is not None:
             commands += router.step(message, now_ms, random)
         for command in commands:
-            if not report(command, metrics):
+            if not execute_command(command, metrics):
                 wait_ms = now_ms - command.request.queued_ms
                 metrics.record("routers_wait_us", wait_ms * 1_000)
                 await outbound.put(command)
@@ -357,17 +408,25 @@
             shares.put_nowait(demand)
 
 
-def report(command, metrics):
-    """Answers callers and logs changes; returns False for a Dispatch."""
+def execute_command(command, metrics):
+    """Executes a Respond or HealthChanged.
+
+    Returns:
+        False for a Dispatch, which is left to the dispatcher.
+    """
     if isinstance(command, Respond):
         metrics.count(f"routers_{command.cause}")
         command.request.reply.send(command.answer)
     elif isinstance(command, HealthChanged):
         if command.quarantined:
             metrics.count("routers_quarantines")
-            logger.warning("Endpoint set aside.", endpoint=command.endpoint_id)
+            logger.warning(
+                "Endpoint quarantined.", endpoint=command.endpoint_id
+            )
         else:
-            logger.info("Endpoint used again.", endpoint=command.endpoint_id)
+            logger.info(
+                "Endpoint quarantine ended.", endpoint=command.endpoint_id
+            )
     else:
         return False
     return True
--- a/wigeonport/targets.py
+++ b/wigeonport/targets.py
@@ -1,33 +1,36 @@
-"""Targets: endpoints as the router of one entry sees them."""
+"""Targets: the endpoints as seen by the router of one entry."""
 
 from wigeonport.endpoints import READY
 from wigeonport.quarantines import Health
 
-# Weight of the newest service time in the mean.
+# Weight of the newest service time in the exponential moving average.
 MEAN_WEIGHT = 0.1
-FULL_PAUSE_MS = 50
+# An endpoint that refused a request gets no requests for this long.
+REFUSAL_PAUSE_MS = 50
 
 
 class Target:
-    """An endpoint and what this entry may send to it.
+    """An endpoint with the slots and connections this entry may use.
 
     Attributes:
-        record: Its latest record.
-        in_flight: Requests of this entry that run on it.
-        lost: Whether it must get no new work.
-        share: Leased slots, or None if leases are not used.
-        share_until_ms: When the lease ends.
-        max_connections: Connections of this entry to it.
-        paused_until_ms: Until when it is taken for full.
-        health: Its failures.
+        record: Its latest EndpointRecord.
+        in_flight: Number of requests of this entry that run on it.
+        lost: Whether it was lost and must get no new requests.
+        leased_slots: Slots that this entry holds by lease, or None if
+            leases are not used.
+        lease_end_ms: Monotonic time when the lease ends.
+        max_connections: Largest number of connections from this entry.
+        paused_until_ms: Monotonic time until which it gets no requests,
+            because it refused one.
+        health: Health; failures and quarantine.
     """
 
     __slots__ = (
         "record",
         "in_flight",
         "lost",
-        "share",
-        "share_until_ms",
+        "leased_slots",
+        "lease_end_ms",
         "max_connections",
         "paused_until_ms",
         "health",
@@ -36,40 +39,41 @@
     def __init__(self, record, leased, entries):
         self.in_flight = 0
         self.lost = False
-        self.share = 0 if leased else None
-        self.share_until_ms = 0
+        self.leased_slots = 0 if leased else None
+        self.lease_end_ms = 0
         self.paused_until_ms = 0
         self.health = Health()
-        self.follow(record, entries)
+        self.update_record(record, entries)
 
-    def follow(self, record, entries):
-        """Takes over a newer record."""
+    def update_record(self, record, entries):
+        """Replaces the record by a newer one and divides its connections."""
         self.record = record
         self.lost = False
         self.max_connections = max(1, record.connections // entries)
 
     def slots(self, now_ms):
-        """Returns the slots that this entry may use now."""
+        """Returns the number of slots that this entry may use now."""
         if self.lost or self.record.state != READY:
             return 0
         slots = self.record.slots
-        if self.share is not None:
-            slots = self.share if now_ms < self.share_until_ms else 0
+        if self.leased_slots is not None:
+            slots = self.leased_slots if now_ms < self.lease_end_ms else 0
         return min(slots, self.max_connections)
 
     def free_slots(self, now_ms):
-        """Returns the slots that are free for a new request."""
+        """Returns the number of slots that are free for new requests."""
         if now_ms < self.paused_until_ms:
             return 0
         return max(self.slots(now_ms) - self.in_flight, 0)
 
 
 def choose_target(targets, request, zone, now_ms, random):
-    """Returns the target for a request, or None.
+    """Returns the target for a request, or None if no slot is free.
 
-    Endpoints of the own zone go first; the others are used when none of
-    those is free. Among the candidates two are drawn at random and the one
-    with more free slots wins; an endpoint whose probe is due goes first.
+    A quarantined endpoint that is due for a probe is chosen first. Otherwise
+    the candidates are the free endpoints of the own zone or, if there are
+    none, those of other zones. Two candidates are sampled at random and the
+    one with more free slots is chosen.
     Source: M. Mitzenmacher, "The Power of Two Choices in Randomized Load
     Balancing", 2001.
     """
@@ -82,19 +86,20 @@
     probes = [target for target in usable if target.health.quarantined]
     if probes:
         return probes[0]
-    near = [t for t in usable if t.record.availability_zone == zone]
-    candidates = near or usable
+    same_zone = [t for t in usable if t.record.availability_zone == zone]
+    candidates = same_zone or usable
     if not candidates:
         return None
-    drawn = random.sample(candidates, min(2, len(candidates)))
-    return max(drawn, key=lambda target: target.free_slots(now_ms))
+    sampled = random.sample(candidates, min(2, len(candidates)))
+    return max(sampled, key=lambda target: target.free_slots(now_ms))
 
 
 class ServiceTimes:
-    """Mean time of the attempts of one service.
+    """Mean duration of the successful attempts of one service.
 
     Attributes:
-        mean_ms: Moving average, or None before the first attempt.
+        mean_ms: Exponential moving average, or None before the first
+            attempt.
     """
 
     __slots__ = ("mean_ms",)
@@ -102,47 +107,60 @@
     def __init__(self):
         self.mean_ms = None
 
-    def note(self, duration_ms):
-        """Adds the time of one attempt."""
+    def add_sample(self, duration_ms):
+        """Adds the duration of one attempt to the mean."""
         if self.mean_ms is None:
             self.mean_ms = float(duration_ms)
         self.mean_ms += MEAN_WEIGHT * (duration_ms - self.mean_ms)
 
-    def margin(self, request):
-        """Returns the time in ms that a request needs after its wait.
+    def estimate_service_ms(self, request):
+        """Returns the expected time in ms from getting a slot to the answer.
 
-        At most half of the time that its caller allows: requests of one
-        service differ, and a long mean must not refuse all short ones.
+        It is at most half of the time that the caller allows: requests of
+        one service differ in length, and a long mean must not cause all
+        short requests to be refused.
         """
         allowed_ms = request.deadline_ms - request.received_ms
         return min(self.mean_ms or 0, allowed_ms / 2)
 
-    def estimate_wait(self, ahead, slots):
-        """Returns the wait in ms behind others, or None if not known."""
+    def estimate_wait_ms(self, requests_ahead, slots):
+        """Returns the expected wait for a slot in ms, or None if unknown.
+
+        Args:
+            requests_ahead: Number of waiting requests that go first.
+            slots: Number of slots that this entry may use.
+        """
         if self.mean_ms is None or not slots:
             return None
-        return self.mean_ms * ahead / slots
+        return self.mean_ms * requests_ahead / slots
 
 
 def list_demand(targets, waiting, zone, now_ms):
-    """Returns what a service could use: (endpoint id, wanted, in use).
+    """Returns the slots that a service could use now.
+
+    Endpoints of other zones are included only while requests wait and the
+    own zone has no free slot, or if the own zone has no endpoint.
 
-    Endpoints of other zones are asked for only while requests wait and the
-    own zone has no free slot.
+    Returns:
+        Tuples of endpoint id, slots wanted and slots in use.
     """
-    live = [t for t in targets if not t.lost and t.record.state == READY]
-    near = [t for t in live if t.record.availability_zone == zone]
-    full = not any(t.free_slots(now_ms) for t in near)
-    chosen = live if waiting and full or not near else near
-    chosen = chosen + [t for t in live if t.in_flight and t not in chosen]
-    if not chosen:
+    ready = [t for t in targets if not t.lost and t.record.state == READY]
+    same_zone = [t for t in ready if t.record.availability_zone == zone]
+    zone_is_full = not any(t.free_slots(now_ms) for t in same_zone)
+    requested = (
+        ready if waiting and zone_is_full or not same_zone else same_zone
+    )
+    requested = requested + [
+        t for t in ready if t.in_flight and t not in requested
+    ]
+    if not requested:
         return []
-    each = -(-waiting // len(chosen))
+    extra_slots = -(-waiting // len(requested))
     return [
         (
             target.record.endpoint_id,
-            min(target.in_flight + each, target.record.slots),
+            min(target.in_flight + extra_slots, target.record.slots),
             target.in_flight,
         )
-        for target in chosen
+        for target in requested
     ]
