--- a/tests/test_dispatchers.py
+++ b/tests/test_dispatchers.py
@@ -1,4 +1,4 @@
-"""Tests of attempts against an endpoint that fails in chosen ways."""
+"""Tests of attempts against an endpoint with scripted failures."""
 
 import re
 
@@ -22,8 +22,9 @@
 class ScriptedEndpoint:
     """Answers the n-th request with the n-th template of its script.
 
-    ``None`` stands for silence and ``b""`` for closing the connection. A
-    template is sent as one write; ``close`` after it ends the connection.
+    For ``None`` it does not answer, for ``b""`` it closes the connection. A
+    template is sent in one write, with ``%s`` replaced by the request id. With
+    ``close`` the connection is closed after each answer.
     """
 
     def __init__(self, script, close=False):
@@ -54,7 +55,7 @@
                     return
 
     async def answer(self, stream, head):
-        """Answers one request; returns whether the connection goes on."""
+        """Answers one request; returns whether the connection stays open."""
         template = self.script[len(self.requests)]
         request_id = re.search(rb"wigeonport-request-id: (\S+)", head)[1]
         self.requests.append(request_id)
@@ -69,7 +70,7 @@
 
 @pytest.fixture
 def run_attempts(make_record):
-    """Makes attempts one after the other; returns their ends."""
+    """Makes attempts one after the other; returns their AttemptEnded."""
 
     def run(endpoint, requests, limits=None, port=None):
         ends = []
@@ -87,8 +88,8 @@
                 listeners = await nursery.start(
                     trio.serve_tcp, endpoint.serve, 0
                 )
-                number = listeners[0].socket.getsockname()[1]
-                record = make_record(port=number if port is None else port)
+                bound_port = listeners[0].socket.getsockname()[1]
+                record = make_record(port=bound_port if port is None else port)
                 nursery.start_soon(dispatch, inbound, dispatcher)
                 for request in requests:
                     request.attempts += 1
@@ -105,7 +106,10 @@
 
 
 def test_whole_answers_reuse_the_connection(run_attempts, make_request):
-    """Guards against a chain that opens a connection each time."""
+    """Three requests answered in full must share one connection.
+
+    It fails if a connection is not returned to the idle connections.
+    """
     endpoint = ScriptedEndpoint([WHOLE] * 3)
     ends = run_attempts(endpoint, [make_request() for _ in range(3)])
     assert [end.answer.body for end in ends] == [b"ok"] * 3
@@ -128,7 +132,11 @@
 def test_partial_or_foreign_answer_is_unknown(
     run_attempts, make_request, template
 ):
-    """Guards against partial answers and answers to other requests."""
+    """An unusable answer must end as possibly run, without an answer.
+
+    The caller would otherwise get a truncated answer or that of another
+    request, or be told that a request did not run although it may have.
+    """
     endpoint = ScriptedEndpoint([template], close=True)
     limits = DispatchLimits(max_answer_bytes=50)
     (end,) = run_attempts(endpoint, [make_request("POST")], limits)
@@ -139,7 +147,11 @@
 def test_surplus_bytes_never_answer_the_next_request(
     run_attempts, make_request
 ):
-    """Guards against a late answer taken by the next caller."""
+    """Bytes after an answer must not be taken as the next answer.
+
+    The endpoint sends a second response that nobody asked for. On a reused
+    connection the next request would read it as its own.
+    """
     foreign = b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nbad"
     endpoint = ScriptedEndpoint([WHOLE + foreign, WHOLE, WHOLE])
     ends = run_attempts(endpoint, [make_request() for _ in range(2)])
@@ -150,7 +162,11 @@
 def test_silent_connection_is_closed_and_a_retry_is_new(
     run_attempts, make_request
 ):
-    """Guards against waiting for good on a dead connection."""
+    """After a timeout on a dead connection, the retry must use a new one.
+
+    The endpoint answers once on the connection and then stays silent. Without
+    the timeout the attempt would wait until the deadline of the request.
+    """
     endpoint = ScriptedEndpoint([WHOLE, None, WHOLE])
     first, second = make_request(), make_request()
     ends = run_attempts(endpoint, [first, second, second])
@@ -163,7 +179,11 @@
 def test_non_repeatable_requests_use_new_connections(
     run_attempts, make_request
 ):
-    """Guards against an order lost on a connection that died idle."""
+    """A POST or keyed request must not be sent over a reused connection.
+
+    If the connection died while idle, the request would end as unknown and
+    could not be retried.
+    """
     endpoint = ScriptedEndpoint([WHOLE] * 3)
     requests = [make_request(), make_request("POST"), make_request(key="k")]
     run_attempts(endpoint, requests)
@@ -171,21 +191,32 @@
 
 
 def test_connection_closed_while_idle_is_not_used(run_attempts, make_request):
-    """Guards against an unknown outcome where a new connection works."""
+    """A connection that the endpoint closed while idle must not be reused.
+
+    A request sent over it would fail although a new connection works.
+    """
     endpoint = ScriptedEndpoint([WHOLE, WHOLE], close=True)
     ends = run_attempts(endpoint, [make_request(), make_request()])
     assert [end.answer.body for end in ends] == [b"ok", b"ok"]
 
 
 def test_unreachable_endpoint_has_not_run(run_attempts, make_request):
-    """Guards against calling a request unknown that was never sent."""
+    """A request that was never sent must be reported as not run.
+
+    It fails if a connection error counts as a possible run: the caller could
+    then not safely repeat the request.
+    """
     (end,) = run_attempts(ScriptedEndpoint([]), [make_request("POST")], port=1)
     assert end.answer is None
     assert not end.possibly_ran
 
 
 def test_explicit_refusal_has_not_run(run_attempts, make_request):
-    """Guards against giving up on a request that an endpoint refused."""
+    """A request that the endpoint refused must be reported as not run.
+
+    It fails if the refusal header is ignored: the request would then not be
+    retried at another endpoint.
+    """
     refusal = WHOLE.replace(
         b"content-length", b"wigeonport-refused: leaving\r\ncontent-length"
     )
--- a/wigeonport/answers.py
+++ b/wigeonport/answers.py
@@ -1,14 +1,14 @@
-"""Answers: whole answers of endpoints, or the fault that makes them unusable.
+"""Answers: check responses of endpoints and turn them into CallerAnswers.
 
-Only the head and the body of one response are looked at here; connections
-belong to the dispatchers.
+This module handles the head and the body of a single response; connections are
+handled by the dispatchers.
 """
 
 from wigeonport.requests import COMPLETED, CallerAnswer
 
 REQUEST_ID = b"wigeonport-request-id"
 REFUSED = b"wigeonport-refused"
-OWN_PREFIX = b"wigeonport-"
+RESERVED_PREFIX = b"wigeonport-"
 HOP_BY_HOP = frozenset(
     {
         b"connection",
@@ -29,11 +29,15 @@
 
 
 class AnswerError(Exception):
-    """An answer is too large, unbounded or belongs to another request."""
+    """A response is not usable as the answer to a request.
+
+    It is too large, its length or its request id is missing, or it belongs
+    to another request.
+    """
 
 
-def listed_names(headers):
-    """Returns the header names that a Connection header lists."""
+def connection_header_names(headers):
+    """Returns the lower-case names that Connection headers list."""
     return {
         name.strip().lower()
         for header, value in headers
@@ -43,8 +47,13 @@
 
 
 def forward_headers(request):
-    """Returns the headers that go to the endpoint."""
-    dropped = HOP_BY_HOP | listed_names(request.headers) | {REQUEST_ID}
+    """Returns the headers to send to the endpoint.
+
+    Hop-by-hop headers are dropped, and the request id is added.
+    """
+    dropped = (
+        HOP_BY_HOP | connection_header_names(request.headers) | {REQUEST_ID}
+    )
     headers = [
         (name, value)
         for name, value in request.headers
@@ -55,39 +64,43 @@
     return headers
 
 
-def check_head(request, status, headers, fresh):
+def check_head(request, status, headers, is_new_connection):
     """Checks the head of a response before its body is read.
 
     A response without a request id is accepted only over a new connection:
-    over a used one it may be the late answer to an earlier request. A body
-    that ends with the connection is refused, because its end cannot be told
-    from the death of the endpoint.
+    over a reused one it may be the late answer to an earlier request. A body
+    without a length, which ends when the connection closes, is rejected,
+    because its end cannot be told from a crash of the endpoint.
 
     Raises:
-        AnswerError: If the response cannot be the whole answer.
+        AnswerError: If the response cannot be the complete answer.
     """
     values = {}
     for name, value in headers:
         values.setdefault(name.lower(), value)
-    answered = values.get(REQUEST_ID)
-    if answered is None and not fresh:
-        raise AnswerError("the answer names no request")
-    if answered not in (None, request.request_id.encode()):
+    answered_id = values.get(REQUEST_ID)
+    if answered_id is None and not is_new_connection:
+        raise AnswerError("the answer has no request id")
+    if answered_id not in (None, request.request_id.encode()):
         raise AnswerError("the answer belongs to another request")
     bodiless = request.method == "HEAD" or status in BODILESS_STATUSES
-    framed = b"content-length" in values or b"transfer-encoding" in values
-    if not bodiless and not framed:
-        raise AnswerError("the length of the answer is not known")
+    has_length = b"content-length" in values or b"transfer-encoding" in values
+    if not bodiless and not has_length:
+        raise AnswerError("the answer has no length and is not chunked")
 
 
 def make_answer(request, status, headers, body):
-    """Returns the CallerAnswer of a whole response."""
-    dropped = HOP_BY_HOP | listed_names(headers)
+    """Returns the CallerAnswer of a complete response.
+
+    Hop-by-hop and internal headers are dropped. The content-length is kept
+    only for HEAD, where it cannot be computed from the body.
+    """
+    dropped = HOP_BY_HOP | connection_header_names(headers)
     kept = [
         (name, value)
         for name, value in headers
         if name.lower() not in dropped
-        and not name.lower().startswith(OWN_PREFIX)
+        and not name.lower().startswith(RESERVED_PREFIX)
     ]
     if request.method == "HEAD":
         kept += [
@@ -106,6 +119,6 @@
     return None
 
 
-def names_request(headers):
-    """Returns whether a response names a request."""
+def has_request_id(headers):
+    """Returns whether a response has a request id."""
     return any(name.lower() == REQUEST_ID for name, _ in headers)
--- a/wigeonport/connections.py
+++ b/wigeonport/connections.py
@@ -1,6 +1,6 @@
-"""Connections: those to endpoints that wait for their next request.
+"""Connections: the pool of idle connections to endpoints.
 
-The dispatch task owns the idle connections. It hands a connection over to an
+The dispatch task owns the idle connections. It hands a connection to an
 attempt, which owns it until it returns or closes it.
 """
 
@@ -10,90 +10,104 @@
 
 
 class ConnectionReturned:
-    """An attempt ended; its connection may be used again.
+    """An attempt ended and returns its connection.
 
     Attributes:
         record: EndpointRecord of the attempt.
-        connection: The connection, or None if it was closed.
-        suspect: Whether the other connections to the endpoint may be dead.
+        connection: The connection to reuse, or None if it was closed.
+        others_suspect: Whether the other idle connections to the endpoint
+            may be dead, and have to be closed.
     """
 
-    __slots__ = ("record", "connection", "suspect")
+    __slots__ = ("record", "connection", "others_suspect")
 
-    def __init__(self, record, connection, suspect):
+    def __init__(self, record, connection, others_suspect):
         self.record = record
         self.connection = connection
-        self.suspect = suspect
+        self.others_suspect = others_suspect
 
 
 class IdleConnections:
-    """Idle connections by endpoint, bounded together with those in use.
+    """Idle connections by endpoint, with a limit for each endpoint.
 
     Attributes:
-        max_each: Connections that this entry may hold to one endpoint.
-        idle: Lists of connections by endpoint id; the last was used last.
-        in_use: Number of connections in use by endpoint id.
+        max_per_endpoint: Largest number of connections to one endpoint, idle
+            and in use together.
+        idle: Maps endpoint id to its idle connections, the most recently
+            used one last.
+        in_use: Maps endpoint id to its number of connections in use.
     """
 
-    __slots__ = ("max_each", "idle", "in_use")
+    __slots__ = ("max_per_endpoint", "idle", "in_use")
 
-    def __init__(self, max_each):
-        self.max_each = max_each
+    def __init__(self, max_per_endpoint):
+        self.max_per_endpoint = max_per_endpoint
         self.idle = {}
         self.in_use = {}
 
-    def take(self, record, fresh):
-        """Returns a usable connection or None, and those to close.
+    def take(self, record, new_only):
+        """Returns an idle connection or None, and a list of those to close.
 
-        A connection that the endpoint closed is never handed out: bytes
-        sent over it could not be told from a request that ran.
+        A connection that the endpoint has closed is never handed out: a
+        request sent over it could not be told from one that ran.
+
+        Args:
+            record: EndpointRecord of the endpoint.
+            new_only: Whether only a new connection will do, so that None is
+                returned. The new one counts towards the limit; the oldest
+                idle ones are closed if it is exceeded.
         """
         endpoint_id = record.endpoint_id
         self.in_use[endpoint_id] = self.in_use.get(endpoint_id, 0) + 1
         idle = self.idle.get(endpoint_id, [])
         closing = []
-        while idle and not fresh:
+        while idle and not new_only:
             connection = idle.pop()
             if is_usable(connection, record):
                 return connection, closing
             closing.append(connection)
-        while idle and self.total(endpoint_id) > self.max_each:
+        while (
+            idle
+            and self.count_connections(endpoint_id) > self.max_per_endpoint
+        ):
             closing.append(idle.pop(0))
         return None, closing
 
-    def give_back(self, returned):
-        """Keeps a returned connection; returns those to close."""
+    def put_back(self, returned):
+        """Keeps a returned connection if possible; returns those to close."""
         endpoint_id = returned.record.endpoint_id
         self.in_use[endpoint_id] -= 1
         if not self.in_use[endpoint_id]:
             del self.in_use[endpoint_id]
         closing = []
-        if returned.suspect:
+        if returned.others_suspect:
             closing += self.idle.pop(endpoint_id, [])
         connection = returned.connection
         if connection is None:
             return closing
         idle = self.idle.setdefault(endpoint_id, [])
-        if self.total(endpoint_id) < self.max_each:
+        if self.count_connections(endpoint_id) < self.max_per_endpoint:
             idle.append(connection)
         else:
             closing.append(connection)
         return closing
 
-    def sweep(self):
-        """Returns the expired connections of all endpoints to close."""
+    def remove_expired(self):
+        """Removes expired connections of all endpoints; returns them."""
         closing = []
         for endpoint_id, idle in list(self.idle.items()):
-            kept = [c for c in idle if c.is_idle() and not c.has_expired()]
-            closing += [c for c in idle if c not in kept]
-            if kept:
-                self.idle[endpoint_id] = kept
+            remaining = [
+                c for c in idle if c.is_idle() and not c.has_expired()
+            ]
+            closing += [c for c in idle if c not in remaining]
+            if remaining:
+                self.idle[endpoint_id] = remaining
             else:
                 del self.idle[endpoint_id]
         return closing
 
-    def total(self, endpoint_id):
-        """Returns the connections to one endpoint, idle and in use."""
+    def count_connections(self, endpoint_id):
+        """Returns the number of connections, idle and in use together."""
         idle = self.idle.get(endpoint_id, ())
         return len(idle) + self.in_use.get(endpoint_id, 0)
 
@@ -108,12 +122,12 @@
 
 
 def make_origin(record):
-    """Returns the origin of an endpoint."""
+    """Returns the HTTP origin (scheme, host and port) of an endpoint."""
     return httpcore.Origin(b"http", record.host.encode(), record.port)
 
 
 def open_connection(record):
-    """Returns a new connection; it connects with its first request."""
+    """Returns a new connection, which connects with its first request."""
     return httpcore.AsyncHTTPConnection(
         make_origin(record), keepalive_expiry=KEEP_ALIVE_S, retries=0
     )
