Reword the tests of complete entries and of the outcome checker

Cause: the heads of the tests named no failure. Change: plain names, docstrings, comments and messages; no behaviour.

--- a/tests/entry_fixtures.py
+++ b/tests/entry_fixtures.py
@@ -1,7 +1,7 @@
-"""Fixtures that run whole entries in this process.
+"""Fixtures that run complete entries in the process of the test.
 
-The control is a stand-in that pushes one fleet version and applies claim
-commands to a ClaimState without a log.
+The control is a stand-in: it pushes one fleet version and applies claim
+commands to a ClaimState without a replicated log.
 """
 
 import argparse
@@ -40,7 +40,7 @@
 
 
 def free_ports(count):
-    """Returns ports that are free now."""
+    """Returns port numbers that are free at the time of the call."""
     sockets = [socket.socket() for _ in range(count)]
     for item in sockets:
         item.bind((HOST, 0))
@@ -51,18 +51,18 @@
 
 
 class StandInControl:
-    """Answers entries like a control with one voter."""
+    """Answers entries like a control in a cluster with one voter."""
 
     def __init__(self):
         self.claims = ClaimState()
 
     async def propose(self, command, timeout_ms):
-        """Applies a claim command."""
+        """Applies a claim command and returns its answer."""
         handler = HANDLERS.get(type(command)).ok
         return Ok(handler(self, command, Clock().wall()))
 
     async def run(self, port, task_status):
-        """Serves the links of entries."""
+        """Serves the links from entries."""
         inbound, claims = Mailbox("control", 64), Mailbox("claims", 64)
         context = LinkContext(
             Identity("control/c", "ikeja", "lagos", KEYS),
@@ -87,7 +87,16 @@
 
 
 class Cluster:
-    """Entries, one control and endpoints in this process."""
+    """Entries, one stand-in control and endpoints in this process.
+
+    Attributes:
+        nursery: Nursery of all their tasks.
+        log_path: File in which the endpoints log their runs.
+        programs: Program of each entry.
+        scopes: Cancel scope of each entry. Cancelling it kills the entry;
+            it is also cancelled after the entry has stopped.
+        control: The StandInControl.
+    """
 
     def __init__(self, nursery, log_path):
         self.nursery = nursery
@@ -97,7 +106,12 @@
         self.control = StandInControl()
 
     async def start(self, count, **changes):
-        """Starts the control and a number of entries."""
+        """Starts the control and a number of entries.
+
+        Args:
+            count: Number of entries.
+            changes: Settings that differ from the defaults.
+        """
         ports = [
             dict(zip(PORT_NAMES, free_ports(6), strict=True))
             for _ in range(count)
@@ -130,16 +144,16 @@
             scope = trio.CancelScope()
             self.programs.append(program)
             self.scopes.append(scope)
-            self.nursery.start_soon(self.run_one, program, scope)
+            self.nursery.start_soon(self.run_until_stopped, program, scope)
 
-    async def run_one(self, program, scope):
-        """Runs one entry until it stops or is killed."""
+    async def run_until_stopped(self, program, scope):
+        """Runs one entry until it stops or its scope is cancelled."""
         with scope:
             await run_entry(program)
         scope.cancel()
 
     async def add_endpoint(self, endpoint_id, entries=(0,), slots=8):
-        """Starts a stand-in endpoint that announces to some entries."""
+        """Starts a stand-in endpoint that announces itself to some entries."""
         (port,) = free_ports(1)
         options = argparse.Namespace(
             id=endpoint_id,
@@ -187,14 +201,17 @@
                 await trio.sleep(0.05)
 
     def runs(self):
-        """Returns the runs that the endpoints have logged."""
+        """Returns the runs that the endpoints have logged so far."""
         with open(self.log_path, encoding="utf-8") as stream:
             return [json.loads(line) for line in stream]
 
 
 @pytest.fixture
 def run_cluster(tmp_path):
-    """Runs a scenario with a Cluster and stops everything after it."""
+    """Returns a function that runs a scenario with a new Cluster.
+
+    All tasks of the cluster are cancelled when the scenario returns.
+    """
 
     def run(scenario):
         async def main():
@@ -210,5 +227,5 @@
 
 
 def outcome(response):
-    """Returns the outcome that a caller was told."""
+    """Returns the outcome that a response states."""
     return dict(response.headers).get(b"wigeonport-outcome", b"").decode()
--- a/tests/test_entry_chains.py
+++ b/tests/test_entry_chains.py
@@ -1,11 +1,14 @@
-"""Tests of a whole entry between callers and endpoints."""
+"""Tests of complete entries between callers and endpoints."""
 
 import trio
 from entry_fixtures import outcome
 
 
 def test_keyed_request_runs_once_over_two_entries(run_cluster):
-    """Guards against a second run when a caller repeats elsewhere."""
+    """A keyed request repeated at another entry must run only once.
+
+    It fails if claims are known to one entry only.
+    """
 
     async def scenario(cluster):
         await cluster.start(2)
@@ -25,8 +28,12 @@
     run_cluster(scenario)
 
 
-def test_dead_endpoint_leaves_post_unknown_and_get_retried(run_cluster):
-    """Guards against a partial answer and against a hidden second run."""
+def test_failed_endpoint_leaves_post_unknown_and_run_once(run_cluster):
+    """A POST whose endpoint fails during the answer must end as unknown.
+
+    The endpoint closes the connection before or within its answer. It fails
+    if the caller gets a partial answer, or if the entry runs the POST again.
+    """
 
     async def scenario(cluster):
         await cluster.start(1)
@@ -43,7 +50,11 @@
 
 
 def test_answers_reach_their_own_callers(run_cluster):
-    """Guards against answers mixed up between concurrent callers."""
+    """Each of 30 concurrent callers must get the answer to its own request.
+
+    It fails if a reused connection delivers a late answer to the next
+    request.
+    """
 
     async def scenario(cluster):
         await cluster.start(1)
@@ -64,7 +75,11 @@
 
 
 def test_entries_share_the_slots_of_an_endpoint(run_cluster):
-    """Guards against three entries that overrun one endpoint."""
+    """Three entries must not send more than the endpoint has slots.
+
+    Without leases each entry would use all 8 slots, and the endpoint would
+    refuse the requests above that number.
+    """
 
     async def scenario(cluster):
         await cluster.start(3)
@@ -94,7 +109,11 @@
 
 
 def test_leaving_endpoint_gets_no_work_from_any_entry(run_cluster):
-    """Guards against work sent to an endpoint long after it left."""
+    """No entry may send requests to an endpoint 3 s after it began to leave.
+
+    It fails if the announced state does not reach an entry, or if an entry
+    keeps using its lease.
+    """
 
     async def scenario(cluster):
         await cluster.start(3)
@@ -117,7 +136,10 @@
 
 
 def test_endpoints_of_a_dead_entry_stay_usable(run_cluster):
-    """Guards against endpoints lost with the entry that grants slots."""
+    """Endpoints must stay usable when the entry that leases their slots dies.
+
+    It fails if no other entry takes over as owner of the endpoint.
+    """
 
     async def scenario(cluster):
         await cluster.start(2)
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -1,4 +1,4 @@
-"""The checker finds each kind of violation in a small log."""
+"""Tests that the outcome checker finds each kind of violation."""
 
 import json
 
@@ -7,7 +7,7 @@
 
 
 def sending(tag, outcome="completed", **changes):
-    """Returns a caller's line."""
+    """Returns a log line of a caller."""
     return {
         "tag": tag,
         "key": "",
@@ -25,7 +25,7 @@
 
 
 def event(kind, wall_ms=1_020, tag="", endpoint="roster-1"):
-    """Returns an endpoint's line."""
+    """Returns a log line of an endpoint."""
     return {
         "endpoint": endpoint,
         "event": kind,
@@ -35,13 +35,13 @@
 
 
 def keyed(tag, **changes):
-    """Returns a caller's line of a request with a key."""
+    """Returns a log line of a caller for a request with a key."""
     return sending(tag, **({"key": f"k-{tag}", "method": "POST"} | changes))
 
 
 @pytest.fixture
-def sound():
-    """Logs in which every guarantee holds, with each permitted oddity."""
+def valid_logs():
+    """Logs that keep every guarantee and contain each permitted exception."""
     sendings = [
         sending("plain"),
         sending("refused", "not-run"),
@@ -70,15 +70,19 @@
     return sendings, events, faults
 
 
-def broken(sendings, events, faults):
+def broken_guarantees(sendings, events, faults):
     """Returns the names of the broken guarantees."""
     verdict = outcomes.judge(outcomes.Evidence(sendings, events, faults))
     return [name for name, violations in verdict.items() if violations]
 
 
-def test_sound_logs_pass(sound):
-    """Guards against false alarms."""
-    assert broken(*sound) == []
+def test_valid_logs_pass(valid_logs):
+    """Logs that keep all guarantees must give no violation.
+
+    It fails if the checker reports a permitted exception, for example a
+    second run of a repeatable request.
+    """
+    assert broken_guarantees(*valid_logs) == []
 
 
 INJECTED = {
@@ -144,17 +148,25 @@
 
 
 @pytest.mark.parametrize("name", INJECTED)
-def test_injected_violation_is_found(sound, name):
-    """Guards against a checker that overlooks a broken guarantee."""
-    sendings, events, faults = sound
+def test_injected_violation_is_found(valid_logs, name):
+    """Each injected violation must be reported under its guarantee.
+
+    It fails if the checker overlooks it: load tests would then pass although
+    a guarantee is broken.
+    """
+    sendings, events, faults = valid_logs
     more_sendings, more_events, guarantee = INJECTED[name]
     logs = (sendings + more_sendings, events + more_events, faults)
-    assert broken(*logs) == [guarantee]
+    assert broken_guarantees(*logs) == [guarantee]
+
 
+def test_exit_code_names_the_guarantee(valid_logs, tmp_path, capsys):
+    """A broken guarantee must give exit code 1 and be named on stderr.
 
-def test_exit_code_names_the_guarantee(sound, tmp_path, capsys):
-    """Guards against a failing check that a script does not notice."""
-    sendings, events, _ = sound
+    It fails if the exit code is 0, or if an incomplete last line stops the
+    check: a script would then not notice the failure.
+    """
+    sendings, events, _ = valid_logs
     callers, endpoints = tmp_path / "callers", tmp_path / "endpoints"
     callers.write_text("\n".join(map(json.dumps, sendings)))
     endpoints.write_text("\n".join(map(json.dumps, events)) + '\n{"cut')
