--- a/wigeonport/entry_main.py
+++ b/wigeonport/entry_main.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from wigeonport.admissions import Admission, CutOff, admit
+from wigeonport.admissions import Admission, ShutdownDeadline, admit
 from wigeonport.announcements import AnnouncementApp
 from wigeonport.channels import DROP_OLDEST, Mailbox
 from wigeonport.claims import claim_keys
@@ -214,7 +214,7 @@
     spent_ms = program.clock.now() - stopped_ms
     margin_ms = min(FINAL_ANSWERS_MS, grace_ms // 4)
     await program.clock.sleep(max(grace_ms - margin_ms - spent_ms, 0))
-    await mailboxes.admissions.put(CutOff())
+    await mailboxes.admissions.put(ShutdownDeadline())
 
 
 async def run_entry(program):
--- a/wigeonport/entry_parts.py
+++ b/wigeonport/entry_parts.py
@@ -1,6 +1,6 @@
 """Builds the parts of the entry program from its settings."""
 
-from wigeonport.claims import Claimer, ClaimLimits, ControlCaller
+from wigeonport.claims import Claimer, ClaimLimits, ControlClient
 from wigeonport.codecs import codecs
 from wigeonport.connections import IdleConnections
 from wigeonport.dialers import Dialer
@@ -63,11 +63,11 @@
     settings = program.settings
     limits = ClaimLimits(
         claim_timeout_ms=settings.claim_timeout_ms,
-        try_timeout_ms=max(1, settings.claim_timeout_ms // 2),
-        max_open=settings.max_requests_in_flight,
+        control_timeout_ms=max(1, settings.claim_timeout_ms // 2),
+        max_open_claims=settings.max_requests_in_flight,
     )
     return Claimer(
-        ControlCaller(links, program.clock),
+        ControlClient(links, program.clock),
         mailboxes.routing,
         codecs.get("thrift").ok(),
         limits,
