--- a/wigeonport/receivers.py
+++ b/wigeonport/receivers.py
@@ -94,9 +94,9 @@
             return await answer_lifespan(receive, send)
         if scope["type"] != "http":
             return None
-        answer, whole = await self.handle(scope, receive)
+        answer, complete = await self.handle(scope, receive)
         self.metrics.count(f"receivers_{answer.outcome}")
-        last = not whole or self.info.stopping.is_set()
+        last = not complete or self.info.stopping.is_set()
         return await send_answer(send, answer, last)
 
     async def handle(self, scope, receive):
@@ -129,8 +129,8 @@
         if length.isdigit() and int(length) > self.limits.max_body_bytes:
             return refuse(413, "the body is too large")
         with trio.move_on_after(self.limits.receive_timeout_ms / 1000):
-            await reader.read_piece()
-            if reader.more:
+            await reader.read_chunk()
+            if reader.more_expected:
                 try:
                     self.receiving.acquire_nowait()
                 except trio.WouldBlock:
@@ -140,9 +140,9 @@
                     await reader.read_rest()
                 finally:
                     self.receiving.release()
-        if reader.whole:
-            return b"".join(reader.pieces)
-        if reader.more:
+        if reader.complete:
+            return b"".join(reader.chunks)
+        if reader.more_expected:
             return refuse(408, "the request did not arrive in time")
         return refuse(413, "the body is too large or cut short")
 
--- a/wigeonport/servers.py
+++ b/wigeonport/servers.py
@@ -142,45 +142,52 @@
     Attributes:
         receive: Receive function of ASGI.
         limit_bytes: Largest size.
-        pieces: The pieces so far.
+        chunks: The pieces so far.
         size: Their size.
-        more: Whether more pieces are expected.
-        whole: Whether the body is complete.
+        more_expected: Whether more pieces are expected.
+        complete: Whether the body is complete.
     """
 
-    __slots__ = ("receive", "limit_bytes", "pieces", "size", "more", "whole")
+    __slots__ = (
+        "receive",
+        "limit_bytes",
+        "chunks",
+        "size",
+        "more_expected",
+        "complete",
+    )
 
     def __init__(self, receive, limit_bytes):
         self.receive = receive
         self.limit_bytes = limit_bytes
-        self.pieces = []
+        self.chunks = []
         self.size = 0
-        self.more = True
-        self.whole = False
+        self.more_expected = True
+        self.complete = False
 
-    async def read_piece(self):
+    async def read_chunk(self):
         """Reads the next piece."""
         event = await self.receive()
         piece = event.get("body", b"")
         self.size += len(piece)
         if event["type"] != "http.request" or self.size > self.limit_bytes:
-            self.more, self.pieces = False, []
+            self.more_expected, self.chunks = False, []
             return
-        self.pieces.append(piece)
-        self.more = event.get("more_body", False)
-        self.whole = not self.more
+        self.chunks.append(piece)
+        self.more_expected = event.get("more_body", False)
+        self.complete = not self.more_expected
 
     async def read_rest(self):
         """Reads the remaining pieces."""
-        while self.more:
-            await self.read_piece()
+        while self.more_expected:
+            await self.read_chunk()
 
 
 async def read_body(receive, limit_bytes):
     """Returns the whole body, or None if it is too large or cut short."""
     reader = BodyReader(receive, limit_bytes)
     await reader.read_rest()
-    return b"".join(reader.pieces) if reader.whole else None
+    return b"".join(reader.chunks) if reader.complete else None
 
 
 class ServerConfig(Config):
