Rename port to state_client

Cause: the attribute holds a StateClient; 'port' read like a TCP port Change: port to state_client; 14 uses in 6 files, by token.

--- a/tests/operator_fakes.py
+++ b/tests/operator_fakes.py
@@ -57,9 +57,9 @@
         settings = Settings({"node_id": "ikeja-1", "cluster_id": "lagos"})
         settings.availability_zone = "ikeja"
         clock = ManualClock(1_000_000, 1_700_000_000_000)
-        port = StateClient(self.consensus, timeout_ms)
+        state_client = StateClient(self.consensus, timeout_ms)
         control = OperatorControl(
-            settings, clock, port, self.publisher, self.health
+            settings, clock, state_client, self.publisher, self.health
         )
         info = ProcessInfo(Metrics(), None, trio.Event())
         tokens = load_tokens(str(tokens_path)).ok
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -200,10 +200,10 @@
     async def scenario():
         while control.consensus.depth() < control.consensus.bound:
             control.consensus.put_nowait(None)
-        decision = await control.app.control.port.propose(None)
+        decision = await control.app.control.state_client.propose(None)
         assert decision.outcome == "not-run"
 
-    control.app.control.port.timeout_ms = 20
+    control.app.control.state_client.timeout_ms = 20
     trio.run(scenario)
 
 
--- a/wigeonport/maintenance_routes.py
+++ b/wigeonport/maintenance_routes.py
@@ -87,7 +87,7 @@
 
 async def propose(control, command):
     """Proposes a command and returns the response to its answer."""
-    decision = await control.port.propose(command)
+    decision = await control.state_client.propose(command)
     if decision.outcome != COMMITTED:
         return respond_undecided(decision)
     answer = decision.answer
@@ -118,7 +118,7 @@
 async def grant(control, request, values):
     """Requests a grant with what the planner knows of the VMs' health."""
     unavailable = await ask(
-        control.health, VmHealthQuery, control.port.timeout_ms
+        control.health, VmHealthQuery, control.state_client.timeout_ms
     )
     known = unavailable.default_value(None)
     if known is None:
--- a/wigeonport/operator_routes.py
+++ b/wigeonport/operator_routes.py
@@ -61,7 +61,7 @@
 
 async def read_state(control, query) -> Result:
     """Returns the StateRead of a query, or the response of a failure."""
-    read = await control.port.read(query)
+    read = await control.state_client.read(query)
     reason = "" if read.is_ok() else read.error
     if read.is_ok() and read.ok.document is None:
         reason = "the replicated state does not answer"
@@ -130,7 +130,7 @@
     text = json.dumps(read.ok.to_document(), separators=(",", ":"))
     if request.query.get("dry_run") == "1":
         return await respond_read(control, PreviewQuery(text))
-    decision = await control.port.propose(SubmitPatch(text))
+    decision = await control.state_client.propose(SubmitPatch(text))
     if decision.outcome != COMMITTED:
         return respond_undecided(decision)
     return respond_to_patch(decision.answer)
--- a/wigeonport/operators.py
+++ b/wigeonport/operators.py
@@ -30,17 +30,17 @@
     Attributes:
         settings: Settings of the VM.
         clock: Time source.
-        port: StatePort of the task that owns the replicated state.
+        state_client: StatePort of the task that owns the replicated state.
         publisher: Mailbox that answers StatusQuery.
         health: Mailbox that answers UnavailableQuery.
     """
 
-    __slots__ = ("settings", "clock", "port", "publisher", "health")
+    __slots__ = ("settings", "clock", "state_client", "publisher", "health")
 
-    def __init__(self, settings, clock, port, publisher, health):
+    def __init__(self, settings, clock, state_client, publisher, health):
         self.settings = settings
         self.clock = clock
-        self.port = port
+        self.state_client = state_client
         self.publisher = publisher
         self.health = health
 
--- a/wigeonport/status_routes.py
+++ b/wigeonport/status_routes.py
@@ -84,7 +84,7 @@
         return read.error
     found = read.ok
     statuses = await ask(
-        control.publisher, StatusQuery, control.port.timeout_ms
+        control.publisher, StatusQuery, control.state_client.timeout_ms
     )
     version = found.document["version"]
     lines = list_processes(
