Rename 6 names: record_sent, record_answer and others

Cause: the names of the command ledger did not say what happens to the commands Change: stamp to record_sent, settle to record_answer, overdue to take_due_resends, forget to stop_resending, subjects to command_ids_by_subject, number to last_number; 31 uses in 3 files, by token.

--- a/tests/test_planners.py
+++ b/tests/test_planners.py
@@ -202,8 +202,8 @@
     run = make_run()
     run.view.fleet.services["roster"].guaranteed = 6 - budget
     for zone in ("ikeja", "lekki", "yaba"):
-        for number in (1, 2):
-            vm = f"roster-{zone}-{number}"
+        for last_number in (1, 2):
+            vm = f"roster-{zone}-{last_number}"
             run.step(MaintenanceControlled("request", vm))
     granted = [c for c in run.tick() if c.kind == "request_grant"]
     assert len(granted) == max(budget - 1, 1)
@@ -216,20 +216,20 @@
     """
     ledger = CommandLedger(1_000)
     ledger.start_term(1)
-    ledger.stamp(StartTask("job", "vm", 1, Size(1, 1), 9_000), 0)
-    cancel = ledger.stamp(CancelJobs(("job",)), 10)
-    assert ledger.overdue(5_000) == [cancel]
+    ledger.record_sent(StartTask("job", "vm", 1, Size(1, 1), 9_000), 0)
+    cancel = ledger.record_sent(CancelJobs(("job",)), 10)
+    assert ledger.take_due_resends(5_000) == [cancel]
 
 
 def test_commands_of_an_old_term_are_not_repeated():
     """A new leadership must not repeat the commands of an earlier one."""
     ledger = CommandLedger(1_000)
     ledger.start_term(1)
-    old = ledger.stamp(DrainVm("vm", "maintenance"), 0)
+    old = ledger.record_sent(DrainVm("vm", "maintenance"), 0)
     ledger.start_term(2)
-    assert ledger.overdue(5_000) == []
-    assert ledger.settle(old.command_id) is None
-    new = ledger.stamp(DrainVm("vm", "maintenance"), 0)
+    assert ledger.take_due_resends(5_000) == []
+    assert ledger.record_answer(old.command_id) is None
+    new = ledger.record_sent(DrainVm("vm", "maintenance"), 0)
     assert (new.command_id, new.term) == ("2-1", 2)
 
 
--- a/wigeonport/planners.py
+++ b/wigeonport/planners.py
@@ -113,7 +113,7 @@
         Returns:
             Names of the pools to plan.
         """
-        command = self.ledger.settle(command_id)
+        command = self.ledger.record_answer(command_id)
         if command is None:
             return ()
         handler = handlers.entries.get(type(command))
@@ -148,12 +148,12 @@
         for plan_stage in self.stage_functions:
             commands.extend(plan_stage(view, now_ms, random))
         view.available = None
-        commands = [self.ledger.stamp(each, now_ms) for each in commands]
+        commands = [self.ledger.record_sent(each, now_ms) for each in commands]
         if view.plans_all_pools():
             new_ids = {command.command_id for command in commands}
             commands.extend(
                 command
-                for command in self.ledger.overdue(now_ms)
+                for command in self.ledger.take_due_resends(now_ms)
                 if command.command_id not in new_ids
             )
         return commands
--- a/wigeonport/platforms.py
+++ b/wigeonport/platforms.py
@@ -38,62 +38,68 @@
     Attributes:
         resend_ms: Time after which an unconfirmed command is sent again.
         term: Term of the commands.
-        number: Number of the last command.
+        last_number: Number of the last command.
         sent: SentCommand by command id, in the order of sending.
-        subjects: Command id of the newest unconfirmed command by subject.
+        command_ids_by_subject: Command id of the newest unconfirmed command by subject.
     """
 
-    __slots__ = ("resend_ms", "term", "number", "sent", "subjects")
+    __slots__ = (
+        "resend_ms",
+        "term",
+        "last_number",
+        "sent",
+        "command_ids_by_subject",
+    )
 
     def __init__(self, resend_ms):
         self.resend_ms = resend_ms
         self.term = 0
-        self.number = 0
+        self.last_number = 0
         self.sent = {}
-        self.subjects = {}
+        self.command_ids_by_subject = {}
 
     def start_term(self, term):
         """Forgets the commands of earlier terms."""
         if term != self.term:
             self.term = term
-            self.number = 0
+            self.last_number = 0
             self.sent.clear()
-            self.subjects.clear()
+            self.command_ids_by_subject.clear()
 
-    def stamp(self, command, now_ms):
+    def record_sent(self, command, now_ms):
         """Gives a command its id and term and records it as sent."""
-        self.number += 1
+        self.last_number += 1
         command.term = self.term
-        command.command_id = f"{self.term}-{self.number}"
+        command.command_id = f"{self.term}-{self.last_number}"
         if command.target == OPERATORS:
             return command
         if isinstance(command, CancelJobs):
             for job in command.jobs:
-                self.forget((command.target, "job", job))
+                self.stop_resending((command.target, "job", job))
         subject = find_subject(command)
         # A replaced command must not be repeated after its successor.
-        self.forget(subject)
-        self.subjects[subject] = command.command_id
+        self.stop_resending(subject)
+        self.command_ids_by_subject[subject] = command.command_id
         self.sent[command.command_id] = SentCommand(command, now_ms)
         return command
 
-    def forget(self, subject):
+    def stop_resending(self, subject):
         """Stops the repetition of the command about a subject."""
-        command_id = self.subjects.pop(subject, None)
+        command_id = self.command_ids_by_subject.pop(subject, None)
         if command_id is not None:
             self.sent.pop(command_id, None)
 
-    def settle(self, command_id):
+    def record_answer(self, command_id):
         """Returns the command of a first answer, or None for a repeat."""
         sent = self.sent.pop(command_id, None)
         if sent is None:
             return None
         subject = find_subject(sent.command)
-        if self.subjects.get(subject) == command_id:
-            del self.subjects[subject]
+        if self.command_ids_by_subject.get(subject) == command_id:
+            del self.command_ids_by_subject[subject]
         return sent.command
 
-    def overdue(self, now_ms):
+    def take_due_resends(self, now_ms):
         """Returns the commands to send again, with their first ids."""
         commands = []
         for sent in self.sent.values():
