Rename seen to seen_ids

Cause: 'seen' and 'fence' state did not say what was seen Change: seen to seen_ids; 7 uses in 2 files, by token.

--- a/wigeonport/platforms.py
+++ b/wigeonport/platforms.py
@@ -114,14 +114,14 @@
 
     Attributes:
         term: Highest term seen.
-        seen: Command ids of that term.
+        seen_ids: Command ids of that term.
     """
 
-    __slots__ = ("term", "seen")
+    __slots__ = ("term", "seen_ids")
 
     def __init__(self):
         self.term = 0
-        self.seen = set()
+        self.seen_ids = set()
 
     def admit(self, term, command_id):
         """Returns ``accepted``, ``repeated`` or ``stale term``."""
@@ -129,8 +129,8 @@
             return STALE_TERM
         if term > self.term:
             self.term = term
-            self.seen = set()
-        if command_id in self.seen:
+            self.seen_ids = set()
+        if command_id in self.seen_ids:
             return REPEATED
-        self.seen.add(command_id)
+        self.seen_ids.add(command_id)
         return ACCEPTED
--- a/wigeonport/replay_platforms.py
+++ b/wigeonport/replay_platforms.py
@@ -130,7 +130,7 @@
     """Learns a term, as the platform does from another leader."""
     if event.term > platform.fence.term:
         platform.fence.term = event.term
-        platform.fence.seen = set()
+        platform.fence.seen_ids = set()
 
 
 @observers.register(VmReported)
