Rename Greeter to Handshake, perform to run_handshake

Cause: Greeter is the handshake itself Change: Greeter to Handshake, perform to run_handshake; 8 uses in 2 files, by token.

--- a/wigeonport/dialers.py
+++ b/wigeonport/dialers.py
@@ -6,7 +6,7 @@
 from expression import Error, Result
 
 from wigeonport.channels import Reply
-from wigeonport.handshakes import Greeter, perform
+from wigeonport.handshakes import Handshake, run_handshake
 from wigeonport.links import LinkClosed, LinkError, Outgoing
 from wigeonport.logs import PartLogger
 from wigeonport.messages import CALL, ONEWAY
@@ -95,7 +95,7 @@
 
     async def serve(self, stream):
         """Runs a session; returns whether one was established."""
-        session = await perform(Greeter(stream, self.context).dial)
+        session = await run_handshake(Handshake(stream, self.context).dial)
         if session.is_error():
             await trio.aclose_forcefully(stream)
             logger.warning(
@@ -145,7 +145,7 @@
 
 async def accept(context, stream):
     """Runs the session of an accepted connection."""
-    session = await perform(Greeter(stream, context).accept)
+    session = await run_handshake(Handshake(stream, context).accept)
     if session.is_error():
         context.metrics.count("links_refused_handshakes")
         logger.warning("Link refused.", reason=session.error)
--- a/wigeonport/handshakes.py
+++ b/wigeonport/handshakes.py
@@ -31,7 +31,7 @@
     """The other side did not authenticate itself."""
 
 
-class Greeter:
+class Handshake:
     """Runs one handshake over a stream.
 
     Attributes:
@@ -143,7 +143,7 @@
     return result.ok
 
 
-async def perform(handshake) -> Result:
+async def run_handshake(handshake) -> Result:
     """Runs a handshake within its deadline.
 
     Returns:
