Rename 3 names: parse_whole_number, describe_error and others

Cause: names of the operators' client that said too little Change: parse_whole to parse_whole_number, describe to describe_error, RETRY_MS to DEFAULT_RETRY_MS; 14 uses in 4 files, by token.

--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -14,7 +14,7 @@
     NOT_RUN,
     UNKNOWN,
     parse_server,
-    parse_whole,
+    parse_whole_number,
     read_answer,
 )
 from wigeonport.clocks import LamportCounter
@@ -381,5 +381,5 @@
     """Guards against a traceback on a malformed argument."""
     server = parse_server(text)
     assert server is None or server.rpartition(":")[2].isdigit()
-    value = parse_whole(text)
+    value = parse_whole_number(text)
     assert value is None or value >= 0
--- a/wigeonport/clients.py
+++ b/wigeonport/clients.py
@@ -28,7 +28,7 @@
 )
 CONNECT_TIMEOUT_MS = 2_000
 # A lost leader is replaced within 3 s.
-RETRY_MS = 4_000
+DEFAULT_RETRY_MS = 4_000
 PAUSE_MS = 250
 
 
@@ -111,7 +111,7 @@
 
     __slots__ = ("servers", "token", "timeout_ms", "retry_ms")
 
-    def __init__(self, servers, token, timeout_ms, retry_ms=RETRY_MS):
+    def __init__(self, servers, token, timeout_ms, retry_ms=DEFAULT_RETRY_MS):
         self.servers = servers
         self.token = token
         self.timeout_ms = timeout_ms
@@ -147,9 +147,9 @@
             try:
                 return await self.exchange(server, method, path, body)
             except UNDELIVERED as fault:
-                return Answer(NOT_RUN, reasons=[describe(fault)])
+                return Answer(NOT_RUN, reasons=[describe_error(fault)])
             except LOST as fault:
-                return Answer(UNKNOWN, reasons=[describe(fault)])
+                return Answer(UNKNOWN, reasons=[describe_error(fault)])
         return Answer(UNKNOWN, reasons=[f"no answer within {limit_s:g} s"])
 
     async def exchange(self, server, method, path, body):
@@ -213,7 +213,7 @@
             return response.status, response.content
 
 
-def describe(fault):
+def describe_error(fault):
     """Returns a short text for a failed exchange."""
     text = str(fault) or type(fault).__name__
     return text.splitlines()[0]
@@ -228,7 +228,7 @@
     return f"{host}:{port}"
 
 
-def parse_whole(text):
+def parse_whole_number(text):
     """Returns a whole number, or None if the text is not one."""
     if text is None or not (text.isascii() and text.isdigit()):
         return None
--- a/wigeonport/commands/options.py
+++ b/wigeonport/commands/options.py
@@ -10,11 +10,11 @@
 
 from wigeonport.clients import (
     ANSWERED,
-    RETRY_MS,
+    DEFAULT_RETRY_MS,
     UNKNOWN,
     OperatorClient,
     parse_server,
-    parse_whole,
+    parse_whole_number,
 )
 
 EXIT_DONE = 0
@@ -52,7 +52,7 @@
         None,
         "How long to try again while the servers run nothing.",
         flag=False,
-        default=str(RETRY_MS),
+        default=str(DEFAULT_RETRY_MS),
     ),
     JSON_OPTION,
 ]
@@ -86,7 +86,7 @@
         text = self.option(name)
         if text is None:
             return None
-        value = parse_whole(text)
+        value = parse_whole_number(text)
         if value is None:
             raise UsageError(f"--{name} takes a whole number, not {text!r}")
         return value
--- a/wigeonport/commands/timeline.py
+++ b/wigeonport/commands/timeline.py
@@ -4,7 +4,7 @@
 import trio
 from cleo.helpers import argument
 
-from wigeonport.clients import describe, fetch
+from wigeonport.clients import describe_error, fetch
 from wigeonport.commands import commands
 from wigeonport.commands.options import (
     EXIT_DONE,
@@ -77,7 +77,7 @@
         OSError,
         ValueError,
     ) as fault:
-        findings.add(url, f"cannot be read: {describe(fault)}")
+        findings.add(url, f"cannot be read: {describe_error(fault)}")
         return []
     if status != 200:
         findings.add(url, f"answered with status {status}")
