Rename 5 names: read_whole_number, report_answer and others

Cause: names of the command base class that said too little Change: whole to read_whole_number, finish to report_answer, SwitchCommand to PauseScopeCommand, SET_AGAIN to RESEND_IS_SAFE, left_s to remaining_s; 26 uses in 3 files, by token.

--- a/wigeonport/commands/fleet.py
+++ b/wigeonport/commands/fleet.py
@@ -30,7 +30,7 @@
 
     def handle(self):
         """Prints version, services and pools."""
-        return self.finish(self.ask("GET", "/v1/fleet"), self.show)
+        return self.report_answer(self.ask("GET", "/v1/fleet"), self.show)
 
     def show(self, fleet):
         """Prints a summary of the fleet."""
@@ -67,12 +67,15 @@
     def handle(self):
         """Prints the newest versions first."""
         path = "/v1/history"
-        version, limit = self.whole("changes-of"), self.whole("limit")
+        version, limit = (
+            self.read_whole_number("changes-of"),
+            self.read_whole_number("limit"),
+        )
         if version is not None:
             path += f"?version={version}"
         elif limit is not None:
             path += f"?limit={limit}"
-        return self.finish(self.ask("GET", path), self.show)
+        return self.report_answer(self.ask("GET", path), self.show)
 
     def show(self, history):
         """Prints one line for each version, and its changes if given."""
@@ -99,7 +102,7 @@
 
     def handle(self):
         """Prints one line for each process."""
-        return self.finish(self.ask("GET", "/v1/status"), self.show)
+        return self.report_answer(self.ask("GET", "/v1/status"), self.show)
 
     def show(self, status):
         """Prints version, leader and processes."""
@@ -134,7 +137,7 @@
     def handle(self):
         """Reads the file, submits it and prints the answer."""
         dry_run = self.option("dry-run")
-        against, id = self.whole("against"), self.option("id")
+        against, id = self.read_whole_number("against"), self.option("id")
         if dry_run and id is None:
             id = PREVIEW_ID
         if against is None or id is None:
@@ -164,7 +167,7 @@
             ]
         show = self.show_preview if dry_run else self.show_accepted
         resend = f"Resending with --id {patch.id} is safe."
-        return self.finish(answer, show, "" if dry_run else resend)
+        return self.report_answer(answer, show, "" if dry_run else resend)
 
     def show_preview(self, document):
         """Prints the result of a dry run."""
--- a/wigeonport/commands/maintenance.py
+++ b/wigeonport/commands/maintenance.py
@@ -10,7 +10,7 @@
 MS_PER_MINUTE = 60_000
 SCOPE = argument("scope", "Pool, or all.", optional=True, default="all")
 REASON = option("reason", "r", "Why.", flag=False, default="")
-SET_AGAIN = "Sending it again is safe."
+RESEND_IS_SAFE = "Sending it again is safe."
 
 
 @commands.register("maintenance list")
@@ -23,7 +23,9 @@
 
     def handle(self):
         """Prints one line for each item."""
-        return self.finish(self.ask("GET", "/v1/maintenance"), self.show)
+        return self.report_answer(
+            self.ask("GET", "/v1/maintenance"), self.show
+        )
 
     def show(self, document):
         """Prints everything that takes VMs away or may do so."""
@@ -31,17 +33,17 @@
         for scope, pause in document["pauses"].items():
             self.print(f"paused {scope}: {pause['author']}: {pause['reason']}")
         for grant in document["grants"]:
-            left_s = max(grant["expires_ms"] - now_ms, 0) // 1_000
+            remaining_s = max(grant["expires_ms"] - now_ms, 0) // 1_000
             self.print(
                 f"grant {grant['id']} ({grant['purpose']}): "
                 f"{' '.join(grant['workers'])}, {len(grant['drained'])} "
-                f"drained, {left_s} s left: {grant['reason']}"
+                f"drained, {remaining_s} s left: {grant['reason']}"
             )
         for worker, grant in document["missing"].items():
             self.print(f"missing {worker} since grant {grant}")
         for worker, until_ms in document["holds"].items():
-            left_s = max(until_ms - now_ms, 0) // 1_000
-            self.print(f"held {worker}: {left_s} s left")
+            remaining_s = max(until_ms - now_ms, 0) // 1_000
+            self.print(f"held {worker}: {remaining_s} s left")
         for move in document["moves"]:
             target = move["target"] or "removed"
             self.print(f"move {move['worker']}: {move['source']} -> {target}")
@@ -54,7 +56,7 @@
         self.print(f"{len(document['due'])} VMs are due for maintenance")
 
 
-class SwitchCommand(ServerCommand):
+class PauseScopeCommand(ServerCommand):
     """Base of the commands that pause and resume."""
 
     path = ""
@@ -69,7 +71,7 @@
             "reason": self.option("reason"),
         }
         answer = self.ask("POST", self.path, document)
-        return self.finish(answer, self.show, SET_AGAIN)
+        return self.report_answer(answer, self.show, RESEND_IS_SAFE)
 
     def show(self, document):
         """Prints what was changed."""
@@ -77,7 +79,7 @@
 
 
 @commands.register("maintenance pause")
-class MaintenancePauseCommand(SwitchCommand):
+class MaintenancePauseCommand(PauseScopeCommand):
     """Stops new maintenance grants."""
 
     name = "maintenance pause"
@@ -87,7 +89,7 @@
 
 
 @commands.register("maintenance resume")
-class MaintenanceResumeCommand(SwitchCommand):
+class MaintenanceResumeCommand(PauseScopeCommand):
     """Allows maintenance grants again."""
 
     name = "maintenance resume"
@@ -118,12 +120,12 @@
             "workers": [self.argument("vm")],
             "reason": self.option("reason"),
         }
-        minutes = self.whole("lease-minutes")
+        minutes = self.read_whole_number("lease-minutes")
         if minutes is not None:
             document["lease_ms"] = minutes * MS_PER_MINUTE
         answer = self.ask("POST", "/v1/maintenance/grant", document)
         resend = f"Resending with --id {id} is safe."
-        return self.finish(answer, self.show, resend)
+        return self.report_answer(answer, self.show, resend)
 
     def show(self, document):
         """Prints the grant."""
@@ -151,7 +153,7 @@
         }
         answer = self.ask("POST", "/v1/maintenance/end", document)
         resend = "Look at `maintenance list` before sending it again."
-        return self.finish(answer, self.show, resend)
+        return self.report_answer(answer, self.show, resend)
 
     def show(self, document):
         """Prints the end of the grant."""
@@ -174,7 +176,7 @@
         document = {"worker": self.argument("vm")}
         answer = self.ask("POST", "/v1/maintenance/return", document)
         resend = "Look at `maintenance list` before sending it again."
-        return self.finish(answer, self.show, resend)
+        return self.report_answer(answer, self.show, resend)
 
     def show(self, document):
         """Prints that the VM is back."""
--- a/wigeonport/commands/options.py
+++ b/wigeonport/commands/options.py
@@ -77,7 +77,7 @@
         """Prints a document as JSON."""
         self.print(json.dumps(document, indent=2))
 
-    def whole(self, name):
+    def read_whole_number(self, name):
         """Returns an option as a whole number, or None if it is absent.
 
         Raises:
@@ -113,8 +113,8 @@
             if server is None:
                 raise UsageError(f"{name!r} is not an address host:port")
             servers.append(server)
-        timeout_ms = self.whole("timeout-ms") or TIMEOUT_MS
-        retry_ms = self.whole("retry-ms")
+        timeout_ms = self.read_whole_number("timeout-ms") or TIMEOUT_MS
+        retry_ms = self.read_whole_number("retry-ms")
         return OperatorClient(servers, self.read_token(), timeout_ms, retry_ms)
 
     def read_token(self):
@@ -140,7 +140,7 @@
         """Returns the Answer of the servers."""
         return self.make_client().call(method, path, document)
 
-    def finish(self, answer, show, resend=""):
+    def report_answer(self, answer, show, resend=""):
         """Prints an answer and returns the exit code.
 
         Args:
