Rename LENGTH to LENGTH_FORMAT, COUNTER to MAC_PREFIX_FORMAT

Cause: LENGTH and COUNTER are struct layouts, not values Change: LENGTH to LENGTH_FORMAT, COUNTER to MAC_PREFIX_FORMAT; 12 uses in 2 files, by token.

--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -8,7 +8,7 @@
 from wigeonport.frames import (
     ACCEPTOR,
     DIALER,
-    LENGTH,
+    LENGTH_FORMAT,
     MAX_FRAME_BYTES,
     FrameBuffer,
     FrameSealer,
@@ -71,7 +71,7 @@
 @pytest.mark.parametrize("length", [0, 31, MAX_FRAME_BYTES + 1, 2**32 - 1])
 def test_invalid_length_is_refused(length):
     """Guards against a wrong length that makes the reader wait or grow."""
-    assert FrameBuffer().feed(LENGTH.pack(length)).is_error()
+    assert FrameBuffer().feed(LENGTH_FORMAT.pack(length)).is_error()
 
 
 def test_envelope_keeps_binary_payload(codec):
--- a/wigeonport/frames.py
+++ b/wigeonport/frames.py
@@ -12,8 +12,8 @@
 from expression import Error, Ok, Result
 
 MAX_FRAME_BYTES = 1 << 20
-LENGTH = struct.Struct(">I")
-COUNTER = struct.Struct(">BQ")
+LENGTH_FORMAT = struct.Struct(">I")
+MAC_PREFIX_FORMAT = struct.Struct(">BQ")
 MAC_BYTES = 32
 DIALER = 0
 ACCEPTOR = 1
@@ -47,14 +47,18 @@
         """Returns the list of whole frames, or a FrameError."""
         self.data += received
         frames = []
-        while len(self.data) >= LENGTH.size:
-            (length,) = LENGTH.unpack_from(self.data)
+        while len(self.data) >= LENGTH_FORMAT.size:
+            (length,) = LENGTH_FORMAT.unpack_from(self.data)
             if not MAC_BYTES <= length <= MAX_FRAME_BYTES:
                 return Error(FrameError(f"frame length {length} is invalid"))
-            if len(self.data) < LENGTH.size + length:
+            if len(self.data) < LENGTH_FORMAT.size + length:
                 break
-            frames.append(bytes(self.data[LENGTH.size : LENGTH.size + length]))
-            del self.data[: LENGTH.size + length]
+            frames.append(
+                bytes(
+                    self.data[LENGTH_FORMAT.size : LENGTH_FORMAT.size + length]
+                )
+            )
+            del self.data[: LENGTH_FORMAT.size + length]
         return Ok(frames)
 
 
@@ -80,7 +84,7 @@
         """Returns the frame of a payload."""
         mac = self.compute_mac(self.side, self.sent, payload)
         self.sent += 1
-        return LENGTH.pack(MAC_BYTES + len(payload)) + mac + payload
+        return LENGTH_FORMAT.pack(MAC_BYTES + len(payload)) + mac + payload
 
     def open(self, frame) -> Result:
         """Returns the payload of a frame, or a FrameError."""
@@ -93,7 +97,7 @@
 
     def compute_mac(self, side, number, payload):
         """Returns the HMAC of a payload at its place in the stream."""
-        counter = COUNTER.pack(side, number)
+        counter = MAC_PREFIX_FORMAT.pack(side, number)
         return hmac.digest(self.key, counter + payload, hashlib.sha256)
 
 
