Rename last_number to number

Cause: the loop variable counts VMs; the rename of the command ledger's last number caught it by mistake Change: last_number to number; 2 uses in 1 files, by token. Result: every touched file compiles; behaviour is unchanged.

--- a/tests/test_planners.py
+++ b/tests/test_planners.py
@@ -202,8 +202,8 @@
     run = make_run()
     run.view.fleet.services["roster"].guaranteed = 6 - budget
     for zone in ("ikeja", "lekki", "yaba"):
-        for last_number in (1, 2):
-            vm = f"roster-{zone}-{last_number}"
+        for number in (1, 2):
+            vm = f"roster-{zone}-{number}"
             run.step(MaintenanceControlled("request", vm))
     granted = [c for c in run.tick() if c.kind == "request_grant"]
     assert len(granted) == max(budget - 1, 1)
