Reword messages, codecs and frames

Change: docstrings, comments, error texts and names of the message codec, the frames and the link types; head comments of their tests. The texts on the wire and the thrift layout stay.

--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -26,14 +26,18 @@
 
 
 def test_message_survives_a_round_trip(codec):
-    """Guards against fields lost or changed by the codec."""
+    """Encoding and decoding must not lose or change a field."""
     decoded = codec.decode(codec.encode(HELLO)).ok
     for name in Hello.__slots__:
         assert getattr(decoded, name) == getattr(HELLO, name)
 
 
 def test_every_truncation_is_refused(codec):
-    """Guards against a partial message taken for a whole one."""
+    """A message cut off at any byte, or with a byte added, must be refused.
+
+    Reading past the end of the buffer of thriftpy2 gives uninitialized
+    memory as the missing fields.
+    """
     data = codec.encode(HELLO)
     for length in range(len(data)):
         assert codec.decode(data[:length]).is_error()
@@ -41,7 +45,7 @@
 
 
 def test_invalid_utf8_is_refused(codec):
-    """Guards against bytes passed on where text is expected."""
+    """A text field with bytes that are not UTF-8 must not be decoded."""
     data = codec.encode(HELLO).replace(b"ikeja", b"\xff\xff\xff\xff\xff")
     assert codec.decode(data).is_error()
 
@@ -49,15 +53,18 @@
 @settings(max_examples=300, derandomize=True, deadline=None)
 @given(st.binary(max_size=200), st.integers(0, 60))
 def test_arbitrary_bytes_never_raise(data, position):
-    """Guards against an exception that ends the receiving task."""
+    """Malformed bytes must give an error: an exception ends the session."""
     codec = codecs.get("thrift").ok()
     codec.decode(data)
-    whole = codec.encode(HELLO)
-    codec.decode(whole[:position] + data + whole[position:])
+    encoded = codec.encode(HELLO)
+    codec.decode(encoded[:position] + data + encoded[position:])
 
 
 def test_frames_are_split_and_checked():
-    """Guards against frames merged, replayed or taken from another side."""
+    """Joined frames must be split; replayed and reordered ones are refused.
+
+    A frame that a side sent itself must be refused too.
+    """
     dialer, acceptor = FrameSealer(b"k", DIALER), FrameSealer(b"k", ACCEPTOR)
     first, second = dialer.seal(b"one"), dialer.seal(b"two")
     frames = FrameBuffer().feed(first + second).ok
@@ -70,11 +77,14 @@
 
 @pytest.mark.parametrize("length", [0, 31, MAX_FRAME_BYTES + 1, 2**32 - 1])
 def test_invalid_length_is_refused(length):
-    """Guards against a wrong length that makes the reader wait or grow."""
+    """An invalid length must be refused at once.
+
+    Else the reader waits for bytes that never come, or buffers up to 4 GiB.
+    """
     assert FrameBuffer().feed(LENGTH_FORMAT.pack(length)).is_error()
 
 
 def test_envelope_keeps_binary_payload(codec):
-    """Guards against payload bytes decoded as text."""
+    """The payload of an envelope must come back as bytes, not as text."""
     envelope = Envelope(ONEWAY, 0, 7, b"text")
     assert codec.decode(codec.encode(envelope)).ok.payload == b"text"
--- a/wigeonport/codecs.py
+++ b/wigeonport/codecs.py
@@ -1,8 +1,8 @@
 """Codecs between typed messages and bytes.
 
-A message is a plain slotted class registered in ``message_kinds`` under its
-class name. Its thrift struct has the same name and the same field names and
-stands in one of the package's ``.thrift`` files.
+A message is a plain class with slots that is registered in ``message_kinds``
+under its class name. Its thrift struct is defined in one of the package's
+``.thrift`` files and has the same name and the same field names.
 """
 
 import functools
@@ -21,7 +21,7 @@
 message_kinds = Registry("message kind")
 
 PACKAGE_DIR = pathlib.Path(__file__).parent
-PLAIN_TYPES = {
+PYTHON_TYPES = {
     TType.BOOL: bool,
     TType.BYTE: int,
     TType.I16: int,
@@ -37,7 +37,7 @@
     """Why bytes could not be decoded.
 
     Attributes:
-        text: A short sentence.
+        text: The reason, as a short text.
     """
 
     __slots__ = ("text",)
@@ -54,18 +54,19 @@
     """Encodes messages in the thrift binary protocol.
 
     Each encoded message starts with a thrift message header that names its
-    kind, so that stored bytes describe themselves.
+    kind, so that stored bytes can be decoded without further information.
 
     Attributes:
-        structs: Thrift structs of all ``.thrift`` files by name.
-        bound: Classes whose thrift layout was attached already.
+        structs: Maps struct name to the thrift struct, for all ``.thrift``
+            files.
+        bound_classes: Message classes that already have a thrift layout.
     """
 
-    __slots__ = ("structs", "bound")
+    __slots__ = ("structs", "bound_classes")
 
     def __init__(self):
         self.structs = load_structs()
-        self.bound = set()
+        self.bound_classes = set()
 
     def encode(self, message):
         """Returns the bytes of a registered message."""
@@ -82,75 +83,88 @@
         """Returns the message, or a DecodeError for malformed bytes."""
         try:
             return self.decode_checked(data)
-        except Exception as error:  # the codec raises many types on bad bytes
+        except Exception as error:  # thriftpy2 raises many types on bad bytes
             return Error(DecodeError(f"{type(error).__name__}: {error}"))
 
     def decode_checked(self, data) -> Result:
-        """Decodes; raises whatever the library raises on bad bytes."""
-        transport = TCyBufferedTransport(ByteSource(data))
+        """Decodes a message and checks its fields.
+
+        Raises:
+            Exception: Whatever thriftpy2 raises on malformed bytes.
+        """
+        transport = TCyBufferedTransport(ByteReader(data))
         protocol = TCyBinaryProtocol(transport)
         kind, _, _ = protocol.read_message_begin()
-        found = message_kinds.get(kind)
-        if found.is_error():
-            return Error(DecodeError(found.error))
-        message_class = found.ok
+        lookup = message_kinds.get(kind)
+        if lookup.is_error():
+            return Error(DecodeError(lookup.error))
+        message_class = lookup.ok
         self.bind(message_class)
-        message = blank(message_class)
+        message = make_blank(message_class)
         protocol.read_struct(message)
-        if has_more(transport):
-            return Error(DecodeError(f"bytes follow the {kind}"))
-        fault = find_fault(message)
+        if has_remaining_bytes(transport):
+            return Error(
+                DecodeError(f"{kind}: unexpected bytes after the message")
+            )
+        fault = find_message_fault(message)
         if fault:
             return Error(DecodeError(f"{kind}: {fault}"))
         return Ok(message)
 
     def bind(self, message_class):
-        """Attaches the thrift layout to a class and to those it nests."""
-        if message_class in self.bound:
+        """Attaches the thrift layout to a class and to the classes it nests.
+
+        Raises:
+            KeyError: If no thrift struct has the name of the class.
+            TypeError: If the slots of the class and the fields differ.
+        """
+        if message_class in self.bound_classes:
             return
         name = message_class.__name__
         struct = self.structs[name]
-        self.bound.add(message_class)
+        self.bound_classes.add(message_class)
         message_class.thrift_spec = {
             number: self.bind_field(field)
             for number, field in struct.thrift_spec.items()
         }
-        declared = {field[1] for field in struct.thrift_spec.values()}
-        if declared != set(message_class.__slots__):
-            raise TypeError(f"{name}: slots and thrift fields differ")
+        field_names = {field[1] for field in struct.thrift_spec.values()}
+        if field_names != set(message_class.__slots__):
+            raise TypeError(
+                f"{name}: class slots and thrift struct fields differ"
+            )
 
     def bind_field(self, field):
-        """Returns a field description that refers to our classes."""
+        """Returns a field specification that refers to message classes."""
         kind, name, *nested, required = field
         if not nested:
             return field
         return (kind, name, self.bind_nested(kind, nested[0]), required)
 
     def bind_nested(self, kind, spec):
-        """Replaces thrift struct classes inside a type description."""
+        """Replaces thrift struct classes inside a type specification."""
         if kind == TType.STRUCT:
-            return self.factory(spec)
+            return self.make_factory(spec)
         if kind in (TType.LIST, TType.SET):
             if isinstance(spec, tuple):
                 return (spec[0], self.bind_nested(spec[0], spec[1]))
             return spec
         return spec
 
-    def factory(self, struct):
-        """Returns a maker of blank messages that carries the layout."""
+    def make_factory(self, struct):
+        """Returns the factory that stands for a nested struct."""
         message_class = message_kinds.get(struct.__name__).ok
         self.bind(message_class)
-        return BlankFactory(message_class)
+        return BlankMessageFactory(message_class)
 
 
-class ByteSource:
-    """Feeds bytes to the thrift reader and raises at their end.
+class ByteReader:
+    """Supplies bytes to the thrift reader and raises at their end.
 
-    The library's own memory buffer returns uninitialized memory when it is
-    read past its end.
+    Reading past the end of thriftpy2's own memory buffer returns
+    uninitialized memory.
 
     Attributes:
-        stream: The remaining bytes.
+        stream: Stream over the bytes.
     """
 
     __slots__ = ("stream",)
@@ -162,7 +176,7 @@
         """Returns up to ``size`` bytes.
 
         Raises:
-            EOFError: If no byte is left.
+            EOFError: If no bytes remain.
         """
         data = self.stream.read(size)
         if not data:
@@ -170,20 +184,21 @@
         return data
 
 
-def has_more(transport):
-    """Returns whether bytes are left."""
+def has_remaining_bytes(transport):
+    """Returns whether unread bytes remain."""
     try:
         return bool(transport.read(1))
     except EOFError:
         return False
 
 
-class BlankFactory:
-    """Makes blank messages for the thrift reader.
+class BlankMessageFactory:
+    """Creates empty messages for the thrift reader to fill.
 
     Attributes:
         message_class: Class of the messages.
-        thrift_spec: Layout that the reader and the writer look up.
+        thrift_spec: Thrift layout of the class; the reader and the writer
+            look it up here.
     """
 
     __slots__ = ("message_class", "thrift_spec")
@@ -194,15 +209,18 @@
 
     def __call__(self):
         """Returns a message with all fields None."""
-        return blank(self.message_class)
+        return make_blank(self.message_class)
 
 
 @functools.cache
 def load_structs():
-    """Returns the structs of all ``.thrift`` files by name.
+    """Returns a dict of struct name to struct for all ``.thrift`` files.
+
+    The files are parsed as one text, because thriftpy2 builds a new parser
+    for each call, which takes about 30 ms.
 
-    The files are parsed as one, because the library builds its parser anew,
-    in about 30 ms, for each call.
+    Raises:
+        TypeError: If two structs have the same name.
     """
     paths = sorted(PACKAGE_DIR.glob("*.thrift"))
     text = "\n".join(path.read_text() for path in paths)
@@ -210,12 +228,12 @@
     structs = {}
     for struct in module.__thrift_meta__["structs"]:
         if struct.__name__ in structs:
-            raise TypeError(f"struct {struct.__name__} stands twice")
+            raise TypeError(f"struct {struct.__name__} is defined twice")
         structs[struct.__name__] = struct
     return structs
 
 
-def blank(message_class):
+def make_blank(message_class):
     """Returns a message with all fields None."""
     message = object.__new__(message_class)
     for name in message_class.__slots__:
@@ -223,8 +241,8 @@
     return message
 
 
-def find_fault(message):
-    """Returns why a decoded message is unusable, or None."""
+def find_message_fault(message):
+    """Returns why a decoded message is invalid, or None if it is valid."""
     for kind, name, *nested, required in message.thrift_spec.values():
         value = getattr(message, name)
         if value is None:
@@ -238,12 +256,12 @@
 
 
 def find_value_fault(kind, value, nested):
-    """Returns why a value does not have its declared type, or None."""
-    expected = PLAIN_TYPES.get(kind)
+    """Returns why a value lacks its declared type, or None if it has it."""
+    expected = PYTHON_TYPES.get(kind)
     if expected is not None:
-        return None if isinstance(value, expected) else "has a wrong type"
+        return None if isinstance(value, expected) else "has the wrong type"
     if kind == TType.STRUCT:
-        return find_fault(value)
+        return find_message_fault(value)
     if kind == TType.LIST:
         item_kind, item_nested = (
             nested if isinstance(nested, tuple) else (nested, None)
--- a/wigeonport/links.py
+++ b/wigeonport/links.py
@@ -1,17 +1,19 @@
-"""Types shared by the links between processes."""
+"""Types shared by the modules that implement links between processes."""
 
 from wigeonport.codecs import codecs
 from wigeonport.messages import ONEWAY, REPLY
 
 
 class Identity:
-    """Who this process is on its links.
+    """Identifies this process to the processes that it is linked to.
 
     Attributes:
         node_id: Unique name of the process.
         availability_zone: Zone of its VM.
-        cluster_id: Name of the deployment; others are refused.
-        keys: Shared keys by key id; the first one signs outgoing links.
+        cluster_id: Name of the deployment; processes of another one are
+            refused.
+        keys: Maps key id to shared key; the first key signs the links that
+            this process opens.
     """
 
     __slots__ = ("node_id", "availability_zone", "cluster_id", "keys")
@@ -24,10 +26,10 @@
 
 
 class LinkError:
-    """Why a call has no answer.
+    """Why a link was not established or a call got no answer.
 
     Attributes:
-        text: A short sentence.
+        text: The reason, as a short text.
         sent: Whether the call may have reached the other side.
     """
 
@@ -48,7 +50,7 @@
         message: The decoded message.
         peer: Hello of the other side.
         session: Session over which it came.
-        sequence: Number of the call, 0 if no answer is expected.
+        sequence: Number of the call, or 0 if no answer is expected.
     """
 
     __slots__ = ("message", "peer", "session", "sequence")
@@ -60,16 +62,24 @@
         self.sequence = sequence
 
     def respond(self, message):
-        """Answers the call; returns False if the link is gone."""
+        """Answers the call; returns False if the link cannot send it."""
         return self.session.submit(Outgoing(message, REPLY, self.sequence))
 
     def push(self, message):
-        """Sends a message of its own over the same link."""
+        """Sends a message that is no answer over the same link.
+
+        Returns False if the link cannot send it.
+        """
         return self.session.submit(Outgoing(message, ONEWAY, 0))
 
 
 class LinkClosed:
-    """Tells the inbound mailbox that a session ended."""
+    """Tells the inbound mailbox that a session ended.
+
+    Attributes:
+        peer: Hello of the other side.
+        session: The session.
+    """
 
     __slots__ = ("peer", "session")
 
@@ -84,8 +94,8 @@
     Attributes:
         message: The message.
         exchange: CALL, REPLY or ONEWAY.
-        sequence: Number of the call that is answered, else 0.
-        reply: Reply channel of a CALL, else None.
+        sequence: For a REPLY the number of the call, else 0.
+        reply: For a CALL the Reply that gets the answer, else None.
     """
 
     __slots__ = ("message", "exchange", "sequence", "reply")
@@ -98,7 +108,7 @@
 
 
 class Received:
-    """An envelope and its decoded message, from the reader to the owner."""
+    """An envelope and its decoded message, sent from reader to owner."""
 
     __slots__ = ("envelope", "message")
 
@@ -108,11 +118,11 @@
 
 
 class LinkContext:
-    """What all links of a process share.
+    """Objects that all links of a process share.
 
     Attributes:
         identity: Identity of this process.
-        inbound: Mailbox for deliveries.
+        inbound: Mailbox that gets every Delivery and LinkClosed.
         clock: Time source.
         metrics: Metrics of the process.
         lamport: LamportCounter of the process.
--- a/wigeonport/messages.py
+++ b/wigeonport/messages.py
@@ -1,4 +1,7 @@
-"""Messages of the links themselves; other modules add their own kinds."""
+"""Messages of the link layer: envelope, handshake, keep-alive and failure.
+
+Other modules register the messages of their own protocols.
+"""
 
 from wigeonport.codecs import message_kinds
 
@@ -13,11 +16,11 @@
     """Carries one encoded message over a link.
 
     Attributes:
-        format: Version of the frame format.
+        format: Version of the envelope format, ``FORMAT``.
         exchange: CALL, REPLY or ONEWAY.
-        sequence: Number of the call that is made or answered, else 0.
+        sequence: Number of the call that is made or answered; 0 for ONEWAY.
         lamport: Lamport counter of the sender.
-        payload: The encoded message.
+        payload: The encoded message, as bytes.
     """
 
     __slots__ = ("format", "exchange", "sequence", "lamport", "payload")
@@ -32,7 +35,13 @@
 
 @message_kinds.register("Challenge")
 class Challenge:
-    """First frame of the accepting side; its nonce prevents replay."""
+    """First frame of the accepting side.
+
+    Attributes:
+        format: Version of the link protocol, ``FORMAT``.
+        nonce: Random bytes that enter the session key, so that a recorded
+            handshake cannot be replayed.
+    """
 
     __slots__ = ("format", "nonce")
 
@@ -43,7 +52,15 @@
 
 @message_kinds.register("Hello")
 class Hello:
-    """Names a side of the link and the key that it signs with."""
+    """Names a side of the link and the key that it signs with.
+
+    Attributes:
+        node_id: Unique name of the process.
+        availability_zone: Zone of its VM.
+        cluster_id: Name of the deployment.
+        key_id: Id of the shared key.
+        nonce: Nonce of this side, as bytes.
+    """
 
     __slots__ = (
         "node_id",
@@ -63,7 +80,11 @@
 
 @message_kinds.register("Ping")
 class Ping:
-    """Shows that a side lives that had nothing else to send."""
+    """Keep-alive of a side that had nothing else to send.
+
+    Attributes:
+        sent_ms: Time of sending on the sender's clock.
+    """
 
     __slots__ = ("sent_ms",)
 
@@ -73,7 +94,11 @@
 
 @message_kinds.register("Failure")
 class Failure:
-    """Answers a call that could not be handled."""
+    """Answers a call that could not be handled.
+
+    Attributes:
+        reason: Why, as a short text.
+    """
 
     __slots__ = ("reason",)
 
