Reword handshakes, sessions and dialers

Cause: the tasks and counters of a link had names such as own, take and heard, and a refused handshake did not say which value was expected.

--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -15,7 +15,7 @@
 
 @pytest.fixture
 def make_context():
-    """Makes link contexts of one cluster."""
+    """Returns a function that makes the LinkContext of a process."""
 
     def make(node_id, key=b"secret", cluster_id="lagos"):
         identity = Identity(node_id, "ikeja", cluster_id, {"k1": key})
@@ -28,7 +28,7 @@
 
 
 async def answer_calls(context):
-    """Answers each call with the reason that it carried."""
+    """Answers each call with the text that it carried."""
     async for delivery in context.inbound:
         if isinstance(delivery, Delivery):
             delivery.respond(Failure(f"echo {delivery.message.reason}"))
@@ -51,7 +51,10 @@
 
 
 def test_calls_are_answered_to_their_own_caller(make_context):
-    """Guards against answers that reach another call."""
+    """Each of 50 concurrent calls must get the answer to its own message.
+
+    All share one link, where only the sequence numbers tell them apart.
+    """
 
     async def scenario():
         server, client = make_context("control-1"), make_context("entry-1")
@@ -79,7 +82,10 @@
     "key, cluster_id", [(b"other", "lagos"), (b"secret", "kroumirie")]
 )
 def test_unauthenticated_peer_is_refused(make_context, key, cluster_id):
-    """Guards against messages from a process without the key."""
+    """A process with another key or cluster id must get no link.
+
+    Calls to it must report that they were not sent.
+    """
 
     async def scenario():
         server = make_context("control-1")
@@ -97,9 +103,10 @@
 
 
 def test_silent_connection_is_replaced(make_context):
-    """Guards against a link that went silent and is never closed.
+    """A connection without frames must be closed and opened again.
 
-    A relay in between stops forwarding on the first connection only.
+    A partition can leave a connection open on which nothing arrives. Here a
+    relay accepts the first connection and forwards nothing.
     """
 
     async def scenario():
@@ -111,11 +118,11 @@
             if len(accepted) == 1:
                 await trio.sleep_forever()
             upstream = await trio.open_tcp_stream(HOST, port)
-            async with trio.open_nursery() as pumps:
-                pumps.start_soon(pump, stream, upstream)
-                pumps.start_soon(pump, upstream, stream)
+            async with trio.open_nursery() as directions:
+                directions.start_soon(forward, stream, upstream)
+                directions.start_soon(forward, upstream, stream)
 
-        async def pump(source, target):
+        async def forward(source, target):
             async for data in source:
                 await target.send_all(data)
 
@@ -133,8 +140,12 @@
     trio.run(scenario)
 
 
-def test_dialer_turns_to_the_next_address(make_context):
-    """Guards against an entry whose only reachable control is not tried."""
+def test_dialer_tries_the_next_address(make_context):
+    """A dialer must try all its addresses.
+
+    Else an entry stays without a control while the first ones in its list
+    are down.
+    """
 
     async def scenario():
         server, client = make_context("control-1"), make_context("entry-1")
@@ -143,9 +154,13 @@
             port = listeners[0].socket.getsockname()[1]
             with trio.socket.socket() as unused:
                 await unused.bind((HOST, 0))
-                dead = unused.getsockname()[1]
+                unused_port = unused.getsockname()[1]
                 dialer = Dialer(
-                    client, HOST, dead, None, [(HOST, dead), (HOST, port)]
+                    client,
+                    HOST,
+                    unused_port,
+                    None,
+                    [(HOST, unused_port), (HOST, port)],
                 )
                 nursery.start_soon(dialer.run)
                 await wait_until(lambda: dialer.connected)
--- a/wigeonport/dialers.py
+++ b/wigeonport/dialers.py
@@ -1,4 +1,4 @@
-"""Dialers and listeners: the two ends at which links are opened."""
+"""Dialers open links to other processes; listeners accept them."""
 
 import random
 
@@ -14,38 +14,46 @@
 logger = PartLogger("links")
 
 CONNECT_TIMEOUT_MS = 2_000
-FIRST_BACKOFF_MS = 50
-LAST_BACKOFF_MS = 1_000
+INITIAL_BACKOFF_MS = 50
+MAX_BACKOFF_MS = 1_000
 MAX_ACCEPTED_LINKS = 256
 
 
 class Dialer:
     """Keeps one link to another process open.
 
-    A dialer with several addresses tries the next one after a failure, and
-    starts with the first again when a link has ended.
+    A dialer with several addresses tries the next one after each failure to
+    connect. When an established link has ended, it starts with the first
+    address again.
 
     Attributes:
         context: LinkContext of the process.
-        addresses: Pairs of IP address and TCP port, the preferred one first.
-        position: Index of the address in use.
+        addresses: Pairs of IP address and TCP port, the preferred pair first.
+        address_index: Index of the address in use.
         session: The open session, or None.
-        opened: Called with the dialer after each connect, or None.
+        on_connect: Function that is called with the dialer after each
+            handshake, or None.
     """
 
-    __slots__ = ("context", "addresses", "position", "session", "opened")
+    __slots__ = (
+        "context",
+        "addresses",
+        "address_index",
+        "session",
+        "on_connect",
+    )
 
-    def __init__(self, context, host, port, opened=None, fallbacks=()):
+    def __init__(self, context, host, port, on_connect=None, fallbacks=()):
         self.context = context
         self.addresses = [(host, port), *fallbacks]
-        self.position = 0
+        self.address_index = 0
         self.session = None
-        self.opened = opened
+        self.on_connect = on_connect
 
     @property
     def address(self):
         """The address in use."""
-        return self.addresses[self.position]
+        return self.addresses[self.address_index]
 
     @property
     def connected(self):
@@ -53,13 +61,17 @@
         return self.session is not None
 
     def post(self, message):
-        """Sends a message that has no answer; False if not connected."""
+        """Sends a message that has no answer.
+
+        Returns:
+            False if there is no link or it cannot send.
+        """
         if self.session is None:
             return False
         return self.session.submit(Outgoing(message, ONEWAY))
 
     async def ask(self, message, timeout_ms) -> Result:
-        """Returns the answer to a call, or a LinkError."""
+        """Sends a call; returns the answer to it, or a LinkError."""
         if self.session is None:
             return Error(LinkError("not connected", sent=False))
         reply = Reply()
@@ -71,21 +83,23 @@
         return answer.ok
 
     async def run(self):
-        """Connects again whenever the link ends."""
-        backoff_ms = FIRST_BACKOFF_MS
+        """Connects, runs the session and connects again when it ends."""
+        backoff_ms = INITIAL_BACKOFF_MS
         while True:
             stream = await self.connect()
-            if stream is not None and await self.serve(stream):
-                backoff_ms = FIRST_BACKOFF_MS
-                self.position = 0
+            if stream is not None and await self.run_session(stream):
+                backoff_ms = INITIAL_BACKOFF_MS
+                self.address_index = 0
             else:
-                self.position = (self.position + 1) % len(self.addresses)
+                self.address_index = (self.address_index + 1) % len(
+                    self.addresses
+                )
             jitter = random.uniform(0.5, 1.0)
             await self.context.clock.sleep(backoff_ms * jitter)
-            backoff_ms = min(backoff_ms * 2, LAST_BACKOFF_MS)
+            backoff_ms = min(backoff_ms * 2, MAX_BACKOFF_MS)
 
     async def connect(self):
-        """Returns a TCP stream, or None."""
+        """Returns a TCP stream to the address in use, or None on failure."""
         with trio.move_on_after(CONNECT_TIMEOUT_MS / 1000):
             try:
                 return await trio.open_tcp_stream(*self.address)
@@ -93,8 +107,12 @@
                 return None
         return None
 
-    async def serve(self, stream):
-        """Runs a session; returns whether one was established."""
+    async def run_session(self, stream):
+        """Runs a session until it ends.
+
+        Returns:
+            Whether the handshake succeeded.
+        """
         session = await run_handshake(Handshake(stream, self.context).dial)
         if session.is_error():
             await trio.aclose_forcefully(stream)
@@ -105,18 +123,18 @@
             )
             return False
         self.session = session.ok
-        if self.opened is not None:
-            self.opened(self)
+        if self.on_connect is not None:
+            self.on_connect(self)
         try:
             await session.ok.run()
         finally:
             self.session = None
-        await report_end(session.ok)
+        await report_closed(session.ok)
         return True
 
 
-async def report_end(session):
-    """Logs the end of a session and tells the inbound mailbox."""
+async def report_closed(session):
+    """Logs the end of a session and sends a LinkClosed to the mailbox."""
     logger.info(
         "Link ended.",
         peer=session.peer.node_id,
@@ -126,7 +144,10 @@
 
 
 async def listen(context, host, port, task_status=trio.TASK_STATUS_IGNORED):
-    """Accepts links until cancelled."""
+    """Accepts links until cancelled.
+
+    Connections beyond MAX_ACCEPTED_LINKS are closed at once and counted.
+    """
     limiter = trio.CapacityLimiter(MAX_ACCEPTED_LINKS)
 
     async def handle(stream):
@@ -144,11 +165,11 @@
 
 
 async def accept(context, stream):
-    """Runs the session of an accepted connection."""
+    """Runs the handshake and the session of an accepted connection."""
     session = await run_handshake(Handshake(stream, context).accept)
     if session.is_error():
         context.metrics.count("links_refused_handshakes")
         logger.warning("Link refused.", reason=session.error)
         return
     await session.ok.run()
-    await report_end(session.ok)
+    await report_closed(session.ok)
--- a/wigeonport/handshakes.py
+++ b/wigeonport/handshakes.py
@@ -1,8 +1,9 @@
 """Handshakes: each side proves that it knows a shared key.
 
-The acceptor sends a Challenge, the dialer a Hello, and the acceptor a Hello
-of its own. The session key depends on both nonces, so frames of one
-connection are refused on another.
+The acceptor sends a Challenge. The dialer sends its Hello twice: first to
+name its key and nonce, then signed with the session key. The acceptor
+answers with its own Hello, signed too. The session key depends on both
+nonces, so frames of one connection are refused on another.
 """
 
 import hmac
@@ -24,11 +25,12 @@
 
 NONCE_BYTES = 16
 HANDSHAKE_TIMEOUT_MS = 2_000
-CHALLENGE_KEY = b"challenge"
+# Not a secret: signs the frames that come before the session key exists.
+INITIAL_KEY = b"challenge"
 
 
 class HandshakeError(Exception):
-    """The other side did not authenticate itself."""
+    """The other side was not authenticated, or does not match this one."""
 
 
 class Handshake:
@@ -38,7 +40,7 @@
         stream: The TCP stream.
         context: LinkContext of the process.
         buffer: Splits received bytes.
-        frames: Whole frames not handled yet.
+        frames: Complete frames that were not handled yet.
     """
 
     __slots__ = ("stream", "context", "buffer", "frames")
@@ -50,49 +52,60 @@
         self.frames = []
 
     async def dial(self):
-        """Returns a Session as the side that connected.
+        """Returns the Session of a connection that this process opened.
 
         Raises:
             HandshakeError: If the other side is refused.
         """
-        unkeyed = FrameSealer(CHALLENGE_KEY, DIALER)
-        challenge = await self.receive(unkeyed, Challenge)
+        initial_sealer = FrameSealer(INITIAL_KEY, DIALER)
+        challenge = await self.receive(initial_sealer, Challenge)
         if challenge.format != FORMAT:
-            raise HandshakeError(f"format {challenge.format} is not known")
+            raise HandshakeError(
+                f"link format is {challenge.format}, not {FORMAT}"
+            )
         nonce = secrets.token_bytes(NONCE_BYTES)
         identity = self.context.identity
         key_id, key = next(iter(identity.keys.items()))
-        hello = self.hello(key_id, nonce)
-        await self.send(unkeyed, hello)
-        sealer = self.sealer(key, challenge.nonce, nonce, DIALER)
+        hello = self.make_hello(key_id, nonce)
+        await self.send(initial_sealer, hello)
+        sealer = self.make_sealer(key, challenge.nonce, nonce, DIALER)
         await self.send(sealer, hello)
         peer = await self.receive(sealer, Hello)
-        return self.session(peer, sealer)
+        return self.make_session(peer, sealer)
 
     async def accept(self):
-        """Returns a Session as the side that was connected to.
+        """Returns the Session of a connection that this process accepted.
 
         Raises:
             HandshakeError: If the other side is refused.
         """
         nonce = secrets.token_bytes(NONCE_BYTES)
-        unkeyed = FrameSealer(CHALLENGE_KEY, ACCEPTOR)
-        await self.send(unkeyed, Challenge(nonce))
-        claimed = await self.receive(unkeyed, Hello)
-        key = self.context.identity.keys.get(claimed.key_id)
+        initial_sealer = FrameSealer(INITIAL_KEY, ACCEPTOR)
+        await self.send(initial_sealer, Challenge(nonce))
+        unverified_hello = await self.receive(initial_sealer, Hello)
+        key = self.context.identity.keys.get(unverified_hello.key_id)
         if key is None:
-            raise HandshakeError(f"key {claimed.key_id!r} is not known")
-        if claimed.cluster_id != self.context.identity.cluster_id:
-            raise HandshakeError(f"cluster {claimed.cluster_id!r} is another")
-        sealer = self.sealer(key, nonce, claimed.nonce, ACCEPTOR)
+            raise HandshakeError(
+                f"key id {unverified_hello.key_id!r} is not in the key files"
+            )
+        if unverified_hello.cluster_id != self.context.identity.cluster_id:
+            raise HandshakeError(
+                f"cluster id {unverified_hello.cluster_id!r} is not that of "
+                "this process"
+            )
+        sealer = self.make_sealer(key, nonce, unverified_hello.nonce, ACCEPTOR)
         peer = await self.receive(sealer, Hello)
-        if not hmac.compare_digest(peer.nonce, claimed.nonce):
-            raise HandshakeError("nonces differ")
-        await self.send(sealer, self.hello(claimed.key_id, nonce))
-        return self.session(peer, sealer)
+        if not hmac.compare_digest(peer.nonce, unverified_hello.nonce):
+            raise HandshakeError(
+                "the two Hello messages of the dialer have different nonces"
+            )
+        await self.send(
+            sealer, self.make_hello(unverified_hello.key_id, nonce)
+        )
+        return self.make_session(peer, sealer)
 
-    def hello(self, key_id, nonce):
-        """Returns the Hello of this process."""
+    def make_hello(self, key_id, nonce):
+        """Returns the Hello that names this process."""
         identity = self.context.identity
         return Hello(
             identity.node_id,
@@ -102,49 +115,68 @@
             nonce,
         )
 
-    def sealer(self, key, acceptor_nonce, dialer_nonce, side):
-        """Returns the sealer of the new session."""
+    def make_sealer(self, key, acceptor_nonce, dialer_nonce, side):
+        """Returns the FrameSealer with the session key."""
         cluster_id = self.context.identity.cluster_id
         session_key = derive_session_key(
             key, cluster_id, acceptor_nonce, dialer_nonce
         )
         return FrameSealer(session_key, side)
 
-    def session(self, peer, sealer):
-        """Returns the session; frames that came early stay in its buffer."""
+    def make_session(self, peer, sealer):
+        """Returns the session.
+
+        Frames that arrived during the handshake but were not handled are put
+        back into its buffer.
+        """
         for frame in reversed(self.frames):
             length = len(frame).to_bytes(4, "big")
             self.buffer.data[:0] = length + frame
         return Session(self.stream, peer, sealer, self.buffer, self.context)
 
     async def send(self, sealer, message):
-        """Sends one message."""
+        """Sends one message as a frame."""
         payload = self.context.codec.encode(message)
         await self.stream.send_all(sealer.seal(payload))
 
     async def receive(self, sealer, message_class):
-        """Returns the next message, which must be of the given class."""
+        """Returns the next message.
+
+        Raises:
+            HandshakeError: If the connection ends, the frame is malformed
+                or the message is not of the given class.
+        """
         while not self.frames:
             data = await self.stream.receive_some(READ_BYTES)
             if not data:
                 raise HandshakeError("closed by the other side")
-            self.frames = unwrap(self.buffer.feed(data))
-        payload = unwrap(sealer.open(self.frames.pop(0)))
-        message = unwrap(self.context.codec.decode(payload))
+            self.frames = unwrap_or_raise(self.buffer.feed(data))
+        payload = unwrap_or_raise(sealer.open(self.frames.pop(0)))
+        message = unwrap_or_raise(self.context.codec.decode(payload))
         if not isinstance(message, message_class):
-            raise HandshakeError(f"unexpected {type(message).__name__}")
+            raise HandshakeError(
+                f"expected {message_class.__name__}, "
+                f"got {type(message).__name__}"
+            )
         return message
 
 
-def unwrap(result):
-    """Returns the value of a result or raises its error."""
+def unwrap_or_raise(result):
+    """Returns the value of a result.
+
+    Raises:
+        HandshakeError: If the result is an error.
+    """
     if result.is_error():
         raise HandshakeError(str(result.error))
     return result.ok
 
 
 async def run_handshake(handshake) -> Result:
-    """Runs a handshake within its deadline.
+    """Runs a handshake under HANDSHAKE_TIMEOUT_MS.
+
+    Args:
+        handshake: ``dial`` or ``accept`` of a Handshake.
 
     Returns:
         The Session, or a LinkError.
@@ -157,4 +189,6 @@
     except trio.TooSlowError:
         return Error(LinkError("handshake timed out", sent=False))
     except (trio.BrokenResourceError, trio.ClosedResourceError):
-        return Error(LinkError("connection reset", sent=False))
+        return Error(
+            LinkError("connection reset during the handshake", sent=False)
+        )
--- a/wigeonport/sessions.py
+++ b/wigeonport/sessions.py
@@ -1,8 +1,8 @@
 """Sessions: established, authenticated connections.
 
 A session is a chain of three tasks: the reader decodes frames, the owner
-holds the open calls and the liveness state, and the writer encodes and sends.
-The owner receives everything through one mailbox.
+holds the pending calls and the liveness state, and the writer encodes and
+sends. The owner receives everything through one mailbox.
 """
 
 import trio
@@ -17,11 +17,11 @@
 SILENCE_LIMIT_MS = 2_000
 SEND_TIMEOUT_MS = 2_000
 OUTBOX_BOUND = 1_024
-MAX_OPEN_CALLS = 4_096
+MAX_PENDING_CALLS = 4_096
 
 
 class Received:
-    """An envelope and its decoded message, from the reader to the owner."""
+    """An envelope and its decoded message, sent from reader to owner."""
 
     __slots__ = ("envelope", "message")
 
@@ -31,7 +31,7 @@
 
 
 class Session:
-    """One established connection.
+    """One established, authenticated connection.
 
     Attributes:
         identity: Identity of this process.
@@ -39,18 +39,18 @@
         stream: The TCP stream.
         sealer: Signs and checks frames.
         buffer: Splits received bytes.
-        inbound: Mailbox for the messages of the other side.
+        inbound: Mailbox that gets the messages of the other side.
         clock: Time source.
         metrics: Metrics of the process.
         lamport: LamportCounter of the process.
         codec: Codec of the payloads.
-        events: Mailbox of the owner task.
+        inbox: Mailbox of the owner task.
         outbox: Mailbox of the writer task.
-        calls: Reply channels of the open calls by sequence.
+        pending_calls: Maps the sequence of each unanswered call to its Reply.
         next_sequence: Number of the next call.
-        heard_ms: When the last frame arrived.
-        sent_ms: When the last frame was queued.
-        close_reason: Why the session ended, or None.
+        last_received_ms: Time at which the last frame arrived.
+        last_sent_ms: Time at which the last frame was queued.
+        close_reason: Why the session ended, or None while it is open.
     """
 
     __slots__ = (
@@ -64,12 +64,12 @@
         "metrics",
         "lamport",
         "codec",
-        "events",
+        "inbox",
         "outbox",
-        "calls",
+        "pending_calls",
         "next_sequence",
-        "heard_ms",
-        "sent_ms",
+        "last_received_ms",
+        "last_sent_ms",
         "close_reason",
     )
 
@@ -84,69 +84,77 @@
         self.metrics = context.metrics
         self.lamport = context.lamport
         self.codec = context.codec
-        self.events = Mailbox("link owner", OUTBOX_BOUND, REFUSE)
+        self.inbox = Mailbox("link owner", OUTBOX_BOUND, REFUSE)
         self.outbox = Mailbox("link writer", OUTBOX_BOUND, REFUSE)
-        self.calls = {}
+        self.pending_calls = {}
         self.next_sequence = 1
-        self.heard_ms = self.clock.now()
-        self.sent_ms = self.heard_ms
+        self.last_received_ms = self.clock.now()
+        self.last_sent_ms = self.last_received_ms
         self.close_reason = None
 
     def submit(self, outgoing):
-        """Hands a message to the owner task; returns False if refused."""
+        """Hands a message to the owner task.
+
+        Returns:
+            False if the session has ended or its queue is full.
+        """
         if self.close_reason is not None:
             return False
-        return self.events.put_nowait(outgoing)
+        return self.inbox.put_nowait(outgoing)
 
     async def run(self):
         """Runs the three tasks until the connection ends."""
         try:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self.read, nursery.cancel_scope)
-                nursery.start_soon(self.write, nursery.cancel_scope)
-                await self.own()
+                nursery.start_soon(self.run_reader, nursery.cancel_scope)
+                nursery.start_soon(self.run_writer, nursery.cancel_scope)
+                await self.run_owner()
                 nursery.cancel_scope.cancel()
         finally:
             self.close_reason = self.close_reason or "cancelled"
             await trio.aclose_forcefully(self.stream)
-            self.fail_calls()
+            self.fail_pending_calls()
 
-    def end(self, scope, reason):
-        """Ends the session with a reason for the log."""
+    def close(self, scope, reason):
+        """Ends the session; the first reason given is the one logged."""
         self.close_reason = self.close_reason or reason
         scope.cancel()
 
-    async def read(self, scope):
+    async def run_reader(self, scope):
         """Receives, checks and decodes frames."""
         try:
             while True:
                 data = await self.stream.receive_some(READ_BYTES)
                 if not data:
-                    return self.end(scope, "closed by the other side")
-                fault = await self.take(data)
+                    return self.close(scope, "closed by the other side")
+                fault = await self.decode_frames(data)
                 if fault:
                     self.metrics.count("links_bad_frames")
-                    return self.end(scope, fault)
+                    return self.close(scope, fault)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
-            return self.end(scope, "connection reset")
+            return self.close(scope, "connection reset")
+
+    async def decode_frames(self, data):
+        """Decodes complete frames and passes them to the owner.
 
-    async def take(self, data):
-        """Passes whole frames on; returns the fault of a bad one."""
+        Returns:
+            Why the session must end, or None.
+        """
         frames = self.buffer.feed(data)
         if frames.is_error():
             return str(frames.error)
         for frame in frames.ok:
-            received = open_frame(self.sealer, self.codec, frame)
+            received = decode_frame(self.sealer, self.codec, frame)
             if received.is_error():
                 return str(received.error)
-            if not self.events.put_nowait(received.ok):
+            if not self.inbox.put_nowait(received.ok):
                 return "receive queue is full"
         return None
 
-    async def own(self):
-        """Handles outgoing messages, arrivals and liveness."""
+    async def run_owner(self):
+        """Handles outgoing and received messages and checks liveness."""
         while self.close_reason is None:
-            event = await self.events.get_within(PING_INTERVAL_MS)
+            event = await self.inbox.get_within(PING_INTERVAL_MS)
             if isinstance(event, Received):
                 await self.handle_received(event)
             elif event is not None:
@@ -154,32 +162,39 @@
             self.check_liveness()
 
     def check_liveness(self):
-        """Pings if nothing was sent; closes after the silence limit.
+        """Sends a Ping if idle; closes the session after the silence limit.
 
-        Each side shows by itself that it lives, so a Ping has no answer. A
-        check is at most one interval late, so that a Ping follows the last
-        frame after less than two intervals, half of the silence limit.
+        Both sides send their own Pings, so a Ping has no answer. A check is
+        at most one interval late, so a Ping follows the last frame after
+        less than two intervals, which is half of the silence limit.
         """
         now_ms = self.clock.now()
-        if now_ms - self.heard_ms > SILENCE_LIMIT_MS:
+        if now_ms - self.last_received_ms > SILENCE_LIMIT_MS:
             self.close_reason = "no frame within the silence limit"
-        elif now_ms - self.sent_ms >= PING_INTERVAL_MS:
-            self.write_later(Ping(now_ms), ONEWAY, 0)
+        elif now_ms - self.last_sent_ms >= PING_INTERVAL_MS:
+            self.queue_envelope(Ping(now_ms), ONEWAY, 0)
 
     def handle_outgoing(self, outgoing):
-        """Numbers a call and hands the message to the writer."""
+        """Numbers a call and queues the message for the writer.
+
+        Beyond MAX_PENDING_CALLS the oldest call is dropped; its Reply gets
+        no answer.
+        """
         sequence = outgoing.sequence
         if outgoing.exchange == CALL:
             sequence = self.next_sequence
             self.next_sequence += 1
-            self.calls[sequence] = outgoing.reply
-            if len(self.calls) > MAX_OPEN_CALLS:
-                del self.calls[next(iter(self.calls))]
-        self.write_later(outgoing.message, outgoing.exchange, sequence)
-
-    def write_later(self, message, exchange, sequence):
-        """Queues an envelope; a peer that cannot keep up is cut off."""
-        self.sent_ms = self.clock.now()
+            self.pending_calls[sequence] = outgoing.reply
+            if len(self.pending_calls) > MAX_PENDING_CALLS:
+                del self.pending_calls[next(iter(self.pending_calls))]
+        self.queue_envelope(outgoing.message, outgoing.exchange, sequence)
+
+    def queue_envelope(self, message, exchange, sequence):
+        """Queues an envelope for the writer.
+
+        A full queue means that the peer cannot keep up; it ends the session.
+        """
+        self.last_sent_ms = self.clock.now()
         payload = self.codec.encode(message)
         lamport = self.lamport.tick()
         envelope = Envelope(exchange, sequence, lamport, payload)
@@ -187,14 +202,17 @@
             self.close_reason = "send queue is full"
 
     async def handle_received(self, event):
-        """Resolves calls and passes on what is no Ping."""
-        self.heard_ms = self.clock.now()
+        """Completes the call that a REPLY answers; delivers other messages.
+
+        A Ping is not delivered.
+        """
+        self.last_received_ms = self.clock.now()
         envelope, message = event.envelope, event.message
         self.lamport.observe(envelope.lamport)
         if isinstance(message, Ping):
             pass
         elif envelope.exchange == REPLY:
-            reply = self.calls.pop(envelope.sequence, None)
+            reply = self.pending_calls.pop(envelope.sequence, None)
             if reply is not None:
                 reply.send(Ok(message))
         else:
@@ -202,7 +220,7 @@
             if not await self.inbound.put(delivery):
                 self.metrics.count("links_refused_messages")
 
-    async def write(self, scope):
+    async def run_writer(self, scope):
         """Encodes, seals and sends envelopes."""
         async for envelope in self.outbox:
             frame = self.sealer.seal(self.codec.encode(envelope))
@@ -212,20 +230,20 @@
                 with trio.fail_after(SEND_TIMEOUT_MS / 1000):
                     await self.stream.send_all(frame)
             except trio.TooSlowError:
-                return self.end(scope, "send timed out")
+                return self.close(scope, "send timed out")
             except (trio.BrokenResourceError, trio.ClosedResourceError):
-                return self.end(scope, "connection reset")
+                return self.close(scope, "connection reset")
         return None
 
-    def fail_calls(self):
-        """Answers the open calls with an error."""
-        for reply in self.calls.values():
+    def fail_pending_calls(self):
+        """Answers the pending calls with an error."""
+        for reply in self.pending_calls.values():
             reply.send(Error(LinkError("connection lost", sent=True)))
-        self.calls.clear()
+        self.pending_calls.clear()
 
 
-def open_frame(sealer, codec, frame) -> Result:
-    """Returns the Received of a frame, or the error of its first fault."""
+def decode_frame(sealer, codec, frame) -> Result:
+    """Returns the Received of a frame, or the first error found in it."""
     payload = sealer.open(frame)
     if payload.is_error():
         return payload
@@ -233,7 +251,9 @@
     if envelope.is_error():
         return envelope
     if not isinstance(envelope.ok, Envelope):
-        return Error(LinkError("frame carries no envelope", sent=False))
+        return Error(
+            LinkError("payload of the frame is not an Envelope", sent=False)
+        )
     message = codec.decode(envelope.ok.payload)
     if message.is_error():
         return message
