Reword the command ledger and the platform client

Cause: docstrings described the ledger in private terms, and errors of the platform named neither the limit nor the request. Change: docstrings, error texts and names. Result: test_planners, test_jobs and test_platform_codecs pass.

--- a/wigeonport/platform_clients.py
+++ b/wigeonport/platform_clients.py
@@ -1,4 +1,4 @@
-"""Platform clients: HTTP towards the platform."""
+"""Client of the platform's HTTP interface."""
 
 import json
 
@@ -14,9 +14,9 @@
 POLL_INTERVAL_MS = 500
 MAX_CONNECTIONS = 8
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
-ACCEPTED = 200
-STALE = 409
-REFUSED = 422
+STATUS_OK = 200
+STATUS_STALE_TERM = 409
+STATUS_REFUSED = 422
 
 
 class PlatformClient:
@@ -42,7 +42,12 @@
     async def exchange(
         self, method, path, document=None, headers=None
     ) -> Result:
-        """Returns status and JSON document of a response, or an error."""
+        """Sends one request.
+
+        Returns:
+            Pair of status and JSON document of the response, or the text of
+            the error.
+        """
         content = None if document is None else json.dumps(document).encode()
         try:
             with trio.fail_after(REQUEST_TIMEOUT_MS / 1000):
@@ -52,7 +57,9 @@
                     body = await read_bounded(response)
             return Ok((response.status, json.loads(body) if body else {}))
         except trio.TooSlowError:
-            return Error("the platform did not answer in time")
+            return Error(
+                f"no answer from the platform within {REQUEST_TIMEOUT_MS} ms"
+            )
         except (
             httpcore.NetworkError,
             httpcore.ProtocolError,
@@ -62,10 +69,14 @@
             return Error(f"{type(error).__name__}: {error}")
 
     async def execute(self, command):
-        """Sends a command; returns its event, None if that is unknown.
+        """Sends a command.
 
         An unanswered command is sent again later with the same id, and the
         platform executes each id once.
+
+        Returns:
+            CommandConfirmed or CommandRefused, or None if there was no
+            answer.
         """
         document = {name: getattr(command, name) for name in command.fields()}
         document |= {
@@ -80,21 +91,24 @@
             self.metrics.count("platform_unanswered_commands")
             return None
         status, body = answer.ok
-        if status == ACCEPTED:
+        if status == STATUS_OK:
             return CommandConfirmed(command.command_id)
-        if status == STALE:
+        if status == STATUS_STALE_TERM:
             return CommandRefused(command.command_id, STALE_TERM)
         reason = str(body.get("reason", status))
         return CommandRefused(command.command_id, reason)
 
     async def fetch_reports(self, after) -> Result:
-        """Returns the reports with a higher sequence than ``after``."""
+        """Returns the list of reports whose sequence is above ``after``."""
         answer = await self.exchange("GET", f"/v1/reports?after={after}")
         if answer.is_error():
             return answer
         status, document = answer.ok
-        if status != ACCEPTED or not isinstance(document, dict):
-            return Error(f"the platform answered with status {status}")
+        if status != STATUS_OK or not isinstance(document, dict):
+            return Error(
+                f"expected status {STATUS_OK} with a JSON object from GET "
+                f"/v1/reports, got status {status}"
+            )
         return Ok(document.get("reports", []))
 
 
@@ -102,26 +116,34 @@
     """Returns the body of a response.
 
     Raises:
-        ValueError: If it is too large.
+        ValueError: If it is larger than MAX_RESPONSE_BYTES.
     """
     chunks, size = [], 0
     async for chunk in response.aiter_stream():
         size += len(chunk)
         if size > MAX_RESPONSE_BYTES:
-            raise ValueError("the platform's response is too large")
+            raise ValueError(
+                f"response is larger than {MAX_RESPONSE_BYTES} bytes"
+            )
         chunks.append(chunk)
     return b"".join(chunks)
 
 
 async def poll_reports(client, outbound, logger):
-    """Reads the platform's reports and passes them on as planner events."""
-    after = 0
+    """Polls the platform's reports and sends them on as planner events.
+
+    Args:
+        client: PlatformClient.
+        outbound: Mailbox that gets the events.
+        logger: Logger of failed polls and malformed reports.
+    """
+    last_sequence = 0
     while True:
-        fetched = await client.fetch_reports(after)
-        if fetched.is_error():
+        reports = await client.fetch_reports(last_sequence)
+        if reports.is_error():
             client.metrics.count("platform_unanswered_polls")
-            logger.warning("Platform not reached.", reason=fetched.error)
-        for document in fetched.default_value([]):
+            logger.warning("Platform not reached.", reason=reports.error)
+        for document in reports.default_value([]):
             offset_ms = client.clock.now() - client.clock.wall()
             event = read_report(document, offset_ms)
             if event.is_error():
@@ -130,5 +152,7 @@
             else:
                 await outbound.put(event.ok)
             if isinstance(document, dict):
-                after = max(after, int(document.get("sequence", after)))
+                last_sequence = max(
+                    last_sequence, int(document.get("sequence", last_sequence))
+                )
         await client.clock.sleep(POLL_INTERVAL_MS)
--- a/wigeonport/platform_reports.py
+++ b/wigeonport/platform_reports.py
@@ -1,4 +1,4 @@
-"""Platform reports: JSON documents of the platform as planner events."""
+"""Conversion of the platform's JSON reports to planner events."""
 
 from expression import Error, Ok, Result
 
@@ -14,22 +14,22 @@
 from wigeonport.registries import Registry
 from wigeonport.views import VM_STATES, Size
 
-readers = Registry("platform report")
+report_readers = Registry("platform report")
 
 
-@readers.register("vm")
+@report_readers.register("vm")
 def read_vm(document, offset_ms):
     """Reads the state of a VM."""
     if document["state"] not in VM_STATES:
-        raise ValueError(f"state {document['state']!r} is not known")
+        raise ValueError(f"unknown state {document['state']!r}")
     return VmReported(
         str(document["vm"]), document["state"], int(document["sequence"])
     )
 
 
-@readers.register("zone")
+@report_readers.register("zone")
 def read_zone(document, offset_ms):
-    """Reads which VMs of a zone are alive."""
+    """Reads the report of a zone with the VMs that did not answer."""
     return ZoneReported(
         str(document["zone"]),
         int(document["measured_ms"]) + offset_ms,
@@ -37,11 +37,11 @@
     )
 
 
-@readers.register("task")
+@report_readers.register("task")
 def read_task(document, offset_ms):
     """Reads the state of a task."""
     if document["state"] not in TASK_STATES:
-        raise ValueError(f"state {document['state']!r} is not known")
+        raise ValueError(f"unknown state {document['state']!r}")
     return TaskReported(
         str(document["job"]),
         str(document["vm"]),
@@ -50,16 +50,16 @@
     )
 
 
-@readers.register("usage")
+@report_readers.register("usage")
 def read_usage(document, offset_ms):
-    """Reads what a task used."""
+    """Reads the resources that a task used."""
     measured_ms = int(document["measured_ms"]) + offset_ms
     return UsageReported(
         str(document["job"]), read_size(document), measured_ms
     )
 
 
-@readers.register("job")
+@report_readers.register("job")
 def read_job(document, offset_ms):
     """Reads a job that a team submitted."""
     return JobSubmitted(
@@ -84,26 +84,26 @@
     )
 
 
-@readers.register("cancel")
+@report_readers.register("cancel")
 def read_cancellation(document, offset_ms):
-    """Reads which jobs were cancelled, and the team if it is all of it."""
+    """Reads the cancelled jobs, or the team whose jobs are all cancelled."""
     jobs = tuple(str(name) for name in document.get("jobs", ()))
     return JobsCancelled(jobs, str(document.get("team", "")))
 
 
 def read_report(document, offset_ms) -> Result:
-    """Returns the planner event of a report, or why it is malformed.
+    """Returns the planner event of a report, or the text of an error.
 
     Args:
         document: A JSON object with ``kind`` and the fields of the kind.
-        offset_ms: Planner's clock minus wall clock.
+        offset_ms: The planner's clock minus the wall clock, in ms.
     """
     if not isinstance(document, dict):
-        return Error("report is not an object")
-    reader = readers.get(document.get("kind"))
+        return Error("report is not a JSON object")
+    reader = report_readers.get(document.get("kind"))
     if reader.is_error():
         return reader
     try:
         return Ok(reader.ok(document, offset_ms))
-    except (KeyError, TypeError, ValueError) as fault:
-        return Error(f"{document['kind']} report: {fault!r}")
+    except (KeyError, TypeError, ValueError) as error:
+        return Error(f"{document['kind']} report: {error!r}")
--- a/wigeonport/platforms.py
+++ b/wigeonport/platforms.py
@@ -1,4 +1,4 @@
-"""Commands to the log and the platform: ids, terms and repetition."""
+"""Commands to the log and the platform: ids, terms and resending."""
 
 from wigeonport.plan_commands import OPERATORS, CancelJobs
 
@@ -8,7 +8,10 @@
 
 
 def find_subject(command):
-    """Returns what a command is about; a later one replaces an earlier."""
+    """Returns the key of what a command acts on.
+
+    A later command about the same subject replaces an earlier one.
+    """
     fields = command.fields()
     if "job" in fields:
         return (command.target, "job", command.job)
@@ -18,11 +21,11 @@
 
 
 class SentCommand:
-    """A command that was not confirmed yet.
+    """A command that was not answered yet.
 
     Attributes:
         command: The command.
-        sent_ms: Time of the last sending.
+        sent_ms: Time at which it was last sent.
     """
 
     __slots__ = ("command", "sent_ms")
@@ -33,14 +36,16 @@
 
 
 class CommandLedger:
-    """Numbers the commands of a term and repeats unconfirmed ones.
+    """Numbers the commands of a term and resends unanswered ones.
 
     Attributes:
-        resend_ms: Time after which an unconfirmed command is sent again.
+        resend_ms: Time after which an unanswered command is sent again.
         term: Term of the commands.
         last_number: Number of the last command.
-        sent: SentCommand by command id, in the order of sending.
-        command_ids_by_subject: Command id of the newest unconfirmed command by subject.
+        sent: Maps command id to the SentCommand, in the order in which they
+            were first sent.
+        command_ids_by_subject: Maps subject to the id of its newest
+            unanswered command.
     """
 
     __slots__ = (
@@ -59,7 +64,7 @@
         self.command_ids_by_subject = {}
 
     def start_term(self, term):
-        """Forgets the commands of earlier terms."""
+        """Drops the commands of the earlier term if the term is a new one."""
         if term != self.term:
             self.term = term
             self.last_number = 0
@@ -67,7 +72,10 @@
             self.command_ids_by_subject.clear()
 
     def record_sent(self, command, now_ms):
-        """Gives a command its id and term and records it as sent."""
+        """Gives a command its id and term and records it as sent.
+
+        A command to the operators has no answer and is not recorded.
+        """
         self.last_number += 1
         command.term = self.term
         command.command_id = f"{self.term}-{self.last_number}"
@@ -77,20 +85,25 @@
             for job in command.jobs:
                 self.stop_resending((command.target, "job", job))
         subject = find_subject(command)
-        # A replaced command must not be repeated after its successor.
+        # A replaced command must not be resent after its successor.
         self.stop_resending(subject)
         self.command_ids_by_subject[subject] = command.command_id
         self.sent[command.command_id] = SentCommand(command, now_ms)
         return command
 
     def stop_resending(self, subject):
-        """Stops the repetition of the command about a subject."""
+        """Removes the unanswered command about a subject, if any."""
         command_id = self.command_ids_by_subject.pop(subject, None)
         if command_id is not None:
             self.sent.pop(command_id, None)
 
     def record_answer(self, command_id):
-        """Returns the command of a first answer, or None for a repeat."""
+        """Removes and returns the command that was answered.
+
+        Returns:
+            None if the command was answered before, replaced or of an
+            earlier term.
+        """
         sent = self.sent.pop(command_id, None)
         if sent is None:
             return None
@@ -100,7 +113,10 @@
         return sent.command
 
     def take_due_resends(self, now_ms):
-        """Returns the commands to send again, with their first ids."""
+        """Returns the commands to resend, under the ids that they have.
+
+        Their time of sending becomes ``now_ms``.
+        """
         commands = []
         for sent in self.sent.values():
             if now_ms - sent.sent_ms >= self.resend_ms:
@@ -110,11 +126,11 @@
 
 
 class TermFence:
-    """Receiving side: admits each command once and no older term.
+    """Receiving side: accepts each command once and refuses older terms.
 
     Attributes:
         term: Highest term seen.
-        seen_ids: Command ids of that term.
+        seen_ids: Command ids of that term that were accepted.
     """
 
     __slots__ = ("term", "seen_ids")
