Reword the HTTP servers and the routes for operators

Change: docstrings, findings and names of the servers, the operators' interface and its routes; head comments of their tests. Keys, outcomes, statuses and log sentences stay.

--- a/tests/operator_fakes.py
+++ b/tests/operator_fakes.py
@@ -1,4 +1,4 @@
-"""A control program whose replicated log is replaced by one local state."""
+"""A control program with one local state instead of a replicated log."""
 
 import json
 
@@ -32,11 +32,14 @@
 
     Attributes:
         state: The state.
-        mode: ``commit``, ``lose`` (commits and never answers), ``ignore``
-            (neither), or ``refuse`` (no quorum).
-        refusals: How often ``refuse`` refuses before it commits; negative
-            for always.
-        unavailable: VMs that the planner reports, or None.
+        mode: ``commit`` (commits and answers), ``lose`` (commits without an
+            answer), ``ignore`` (does neither) or ``refuse`` (answers that
+            there is no quorum).
+        refusals: Number of proposals that ``refuse`` refuses before it
+            commits; negative for all.
+        unavailable: Ids of the VMs that the planner reports as unavailable,
+            or None if it does not know their health.
+        not_reporting: Ids of those without a recent report.
         statuses: ProcessStatus list of the publisher.
         app: The OperatorApp under test.
     """
@@ -69,12 +72,12 @@
     async def run(self):
         """Answers messages until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.own_state)
+            nursery.start_soon(self.run_state)
             nursery.start_soon(self.publish)
             nursery.start_soon(self.report_health)
 
-    async def own_state(self):
-        """Plays the task that owns the replicated state."""
+    async def run_state(self):
+        """Answers reads and proposals in place of the consensus task."""
         async for message in self.consensus:
             if isinstance(message, ReadState):
                 document = None
@@ -86,7 +89,7 @@
             self.decide(message)
 
     def decide(self, message):
-        """Answers a proposal as the mode says."""
+        """Answers a proposal according to the mode."""
         if self.mode == "refuse" and self.refusals != 0:
             self.refusals -= 1
             message.reply.send(Decision(NOT_RUN, reason="no quorum"))
@@ -101,12 +104,12 @@
             message.reply.send(Decision(COMMITTED, answer))
 
     async def publish(self):
-        """Plays the publisher."""
+        """Answers in place of the publisher."""
         async for message in self.publisher:
             message.reply.send(self.statuses)
 
     async def report_health(self):
-        """Plays the planner."""
+        """Answers health queries in place of the planner."""
         async for message in self.health:
             health = None
             if self.unavailable is not None:
@@ -114,7 +117,7 @@
             message.reply.send(health)
 
     def report(self, process, version, silent_ms=0):
-        """Adds a report of a process."""
+        """Adds the report of a process, received ``silent_ms`` ago."""
         last_seen_ms = self.app.control.clock.now() - silent_ms
         status = ProcessStatus(process, "ikeja", 1, version, last_seen_ms)
         self.statuses.append(status)
@@ -122,20 +125,22 @@
     async def call(self, method, target, body=None, token=TOKEN, headers=()):
         """Sends one ASGI request; returns status and document."""
         path, _, query = target.partition("?")
-        sent = [(b"authorization", f"Bearer {token}".encode())]
+        token_header = [(b"authorization", f"Bearer {token}".encode())]
         scope = {
             "type": "http",
             "method": method,
             "path": path,
             "query_string": query.encode(),
-            "headers": [*(sent if token else []), *headers],
+            "headers": [*(token_header if token else []), *headers],
             "client": ("127.0.0.1", 1),
         }
-        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        content = (
+            body if isinstance(body, bytes) else json.dumps(body).encode()
+        )
         events = []
 
         async def receive():
-            return {"type": "http.request", "body": data}
+            return {"type": "http.request", "body": content}
 
         async def send(event):
             events.append(event)
@@ -145,7 +150,7 @@
 
 
 def run_with(control, scenario):
-    """Runs a scenario while the fake control answers."""
+    """Runs an async function while the fake control answers."""
 
     async def main():
         async with trio.open_nursery() as nursery:
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -1,4 +1,4 @@
-"""Tests of the operators' HTTP interface."""
+"""Tests of the HTTP interface for operators."""
 
 import pytest
 import trio
@@ -40,7 +40,10 @@
     ],
 )
 def test_access_without_a_valid_token_is_refused(control, token, headers):
-    """Guards against strangers who read or change the fleet."""
+    """No route may answer a request without exactly one valid token.
+
+    Else anyone who reaches the port could read or change the fleet.
+    """
 
     async def scenario():
         for method, path in operator_routes.entries:
@@ -48,7 +51,9 @@
                 method, path, patch("p-2", 1), token, headers
             )
             assert (status, document["outcome"]) == (401, "refused")
-        count = control.app.info.metrics.counters["operators_access_refused"]
+        count = control.app.process_info.metrics.counters[
+            "operators_access_refused"
+        ]
         assert count == len(operator_routes.entries)
         assert control.state.fleet.fleet.version == 1
 
@@ -56,7 +61,7 @@
 
 
 def test_without_a_token_file_everybody_is_refused(control):
-    """Guards against a missing file that opens the interface."""
+    """A control without a token file must refuse everybody."""
     control.app.tokens = None
 
     async def scenario():
@@ -67,7 +72,7 @@
 
 
 def test_common_routes_need_no_token(control):
-    """Guards against a health check that needs a secret."""
+    """Health checks and metrics collectors have no token."""
 
     async def scenario():
         status, document = await control.call("GET", "/healthz", token=None)
@@ -77,7 +82,7 @@
 
 
 def test_patch_is_accepted_and_shown(control):
-    """Guards against an accepted patch without effect or author."""
+    """An accepted patch must change the fleet and name its author."""
 
     async def scenario():
         status, document = await control.call(
@@ -98,7 +103,10 @@
 
 
 def test_author_is_what_the_token_says(control):
-    """Guards against a history that names the wrong operator."""
+    """The history must name the operator of the token.
+
+    A patch file may name another author; then it names both.
+    """
 
     async def scenario():
         await control.call(
@@ -115,7 +123,10 @@
 
 
 def test_stale_patch_gets_the_changes(control):
-    """Guards against a refusal that does not say what changed."""
+    """The refusal of a stale patch must list the changes since its version.
+
+    Without them the operator cannot rewrite the patch.
+    """
 
     async def scenario():
         await control.call("POST", "/v1/patches", patch("p-2", 1))
@@ -130,12 +141,14 @@
 
 
 def test_invalid_patch_is_refused_before_it_is_proposed(control):
-    """Guards against malformed commands in the log."""
+    """A malformed patch must get findings and never reach the log."""
 
     async def scenario():
         for body, status in ((b"{", 400), ({"id": "p"}, 422), ([], 422)):
-            found, document = await control.call("POST", "/v1/patches", body)
-            assert found == status
+            actual_status, document = await control.call(
+                "POST", "/v1/patches", body
+            )
+            assert actual_status == status
             assert document["findings"]
         assert control.index == 1
 
@@ -143,7 +156,7 @@
 
 
 def test_dry_run_changes_nothing(control):
-    """Guards against a preview that takes effect."""
+    """A dry run must report moves and refusals and change nothing."""
 
     async def scenario():
         target = "/v1/patches?dry_run=1"
@@ -162,7 +175,11 @@
 
 
 def test_lost_answer_is_unknown_and_resending_is_safe(control):
-    """Guards against a lost answer that is reported as a refusal."""
+    """A patch whose answer is lost is unknown; its resend must not run twice.
+
+    Here it was committed. An operator who is told that it was refused would
+    submit it under another id.
+    """
 
     async def scenario():
         control.mode = "lose"
@@ -181,7 +198,7 @@
 
 
 def test_without_quorum_nothing_was_run(control):
-    """Guards against an uncertain answer where nothing was proposed."""
+    """Without a quorum the answer must say that nothing was run, and why."""
 
     async def scenario():
         control.mode = "refuse"
@@ -195,7 +212,7 @@
 
 
 def test_full_mailbox_means_not_run(control):
-    """Guards against an unknown outcome for a command never delivered."""
+    """A command that did not fit into the mailbox must count as not run."""
 
     async def scenario():
         while control.consensus.depth() < control.consensus.bound:
@@ -208,7 +225,7 @@
 
 
 def test_reads_without_an_answer_are_unavailable(control):
-    """Guards against a traceback while the log does not answer."""
+    """A read must get a 503 while the replicated state gives no document."""
     control.mode = "ignore"
 
     async def scenario():
@@ -220,7 +237,7 @@
 
 
 def test_status_says_who_lags_and_why(control):
-    """Guards against a process that lags unnoticed (R8)."""
+    """The status must name each process behind, silent or ahead (R8)."""
     control.report("entry/ikeja-1", 0)
     control.report("entry/lekki-1", 1, silent_ms=60_000)
     control.report("entry/yaba-1", 1)
@@ -244,7 +261,11 @@
 
 
 def test_status_names_expected_processes_that_never_reported(control):
-    """Guards against a process that is forgotten after a restart."""
+    """The status must list processes that never reported.
+
+    A restarted control has no reports; a process that is down would be
+    missing from the list.
+    """
 
     async def scenario():
         _, document = await control.call("GET", "/v1/status")
@@ -257,7 +278,7 @@
 
 
 def test_maintenance_is_paused_granted_and_ended(control):
-    """Guards against steps of maintenance without effect."""
+    """A pause must block grants, and a grant must be ended after its drain."""
     grant = {"grant": "g-1", "workers": ["vm-1"], "reason": "disk"}
 
     async def scenario():
@@ -286,7 +307,10 @@
 
 
 def test_no_grant_for_a_vm_without_reports(control):
-    """Guards against draining VMs that only seem to be away (R1)."""
+    """A VM without a recent report must get no grant (R1).
+
+    It counts as unavailable already, but may still run tasks.
+    """
 
     async def scenario():
         grant = {"grant": "g-1", "workers": ["vm-1"]}
@@ -301,7 +325,10 @@
 
 
 def test_grant_counts_what_the_planner_reports(control):
-    """Guards against a drain on top of failures (R1)."""
+    """A grant must count VMs that failed, and needs their health (R1).
+
+    Else a drain on top of a failure exceeds the budget of the pool.
+    """
 
     async def scenario():
         grant = {"grant": "g-1", "workers": ["vm-1"]}
@@ -329,18 +356,18 @@
     ],
 )
 def test_wrong_requests_are_refused(control, method, path, status):
-    """Guards against a traceback for a wrong request."""
+    """An invalid request must get a 4xx status with findings."""
 
     async def scenario():
-        found, document = await control.call(method, path, b"\xff")
-        assert found == status
+        actual_status, document = await control.call(method, path, b"\xff")
+        assert actual_status == status
         assert document["findings"]
 
     run_with(control, scenario)
 
 
 def test_large_body_is_refused(control):
-    """Guards against a patch that does not fit into the log."""
+    """A body over max_patch_bytes must be refused: the log cannot hold it."""
 
     async def scenario():
         limit = control.app.control.settings.max_patch_bytes
@@ -366,7 +393,7 @@
 )
 @settings(max_examples=150, derandomize=True, deadline=None)
 def test_any_body_gets_an_answer(tmp_path_factory, path, body):
-    """Guards against a traceback on a malformed body."""
+    """Any JSON body must get an answer with a known status and outcome."""
     control = FakeControl(tmp_path_factory.getbasetemp() / "tokens")
 
     async def scenario():
--- a/wigeonport/maintenance_routes.py
+++ b/wigeonport/maintenance_routes.py
@@ -1,4 +1,4 @@
-"""Routes by which operators see and steer maintenance."""
+"""Routes by which operators read and control maintenance."""
 
 from wigeonport.channels import ask
 from wigeonport.documents import Field, Reporter, read_fields
@@ -54,15 +54,20 @@
 
 @operator_routes.register(("GET", "/v1/maintenance"))
 async def show_maintenance(control, request):
-    """Returns grants, pauses, pending moves and budgets."""
+    """Returns grants, pauses, pending moves and availability budgets."""
     return await respond_read(control, MaintenanceQuery())
 
 
 def maintenance_route(path, fields):
-    """Registers a function that makes a command from a read body.
+    """Returns a decorator that registers a POST route under /v1/maintenance/.
 
-    The function takes the control, the request and the values of the fields,
-    and returns a command, or a Decision that nothing was proposed.
+    The decorated function makes a command from a validated body. It takes
+    the control, the request and the values of the fields, and returns the
+    command to propose, or a Decision that nothing is proposed.
+
+    Args:
+        path: Last part of the path.
+        fields: Field list of the JSON body.
     """
 
     def decorate(make_command):
@@ -86,7 +91,7 @@
 
 
 async def propose(control, command):
-    """Proposes a command and returns the response to its answer."""
+    """Proposes a command and returns the HTTP response to its answer."""
     decision = await control.state_client.propose(command)
     if decision.outcome != COMMITTED:
         return respond_undecided(decision)
@@ -116,17 +121,21 @@
 
 @maintenance_route("grant", GRANT_FIELDS)
 async def grant(control, request, values):
-    """Requests a grant with what the planner knows of the VMs' health."""
-    unavailable = await ask(
+    """Requests a grant; the command lists the VMs known as unavailable.
+
+    Nothing is proposed without the planner's report on the health of the
+    VMs, or for a VM without a recent report.
+    """
+    health_answer = await ask(
         control.health, VmHealthQuery, control.state_client.timeout_ms
     )
-    known = unavailable.default_value(None)
-    if known is None:
-        reason = "the health of the VMs is not known to this control"
+    health = health_answer.default_value(None)
+    if health is None:
+        reason = "this control has no report on the health of the VMs"
         return Decision(NOT_RUN, reason=reason)
-    not_reporting = sorted(set(values["workers"]) & set(known.not_reporting))
+    not_reporting = sorted(set(values["workers"]) & set(health.not_reporting))
     if not_reporting:
-        reason = f"there is no recent report of {', '.join(not_reporting)}"
+        reason = f"VMs without a recent report: {', '.join(not_reporting)}"
         return Decision(NOT_RUN, reason=reason)
     lease_ms = values["lease_ms"] or control.settings.grant_lease_ms
     return RequestGrant(
@@ -136,30 +145,30 @@
         request.operator,
         values["reason"],
         lease_ms,
-        sorted(known.unavailable),
+        sorted(health.unavailable),
     )
 
 
 @maintenance_route("drained", DRAINED_FIELDS)
 async def confirm_drain(control, request, values):
-    """Reports that a VM runs nothing any more."""
+    """Reports that a VM is drained: no task runs on it any more."""
     return ConfirmDrain(values["grant"], values["worker"])
 
 
 @maintenance_route("end", END_FIELDS)
 async def end(control, request, values):
-    """Ends a grant."""
-    hold_ms = _hold_ms(control, values)
+    """Ends a grant; VMs not named as healthy stay missing."""
+    hold_ms = _read_hold_ms(control, values)
     return EndGrant(values["grant"], list(values["healthy"]), hold_ms)
 
 
 @maintenance_route("return", RETURN_FIELDS)
 async def return_worker(control, request, values):
     """Reports that a missing VM is back."""
-    return ReturnWorker(values["worker"], _hold_ms(control, values))
+    return ReturnWorker(values["worker"], _read_hold_ms(control, values))
 
 
-def _hold_ms(control, values):
+def _read_hold_ms(control, values):
     if values["hold_ms"] is None:
         return control.settings.return_hold_ms
     return values["hold_ms"]
--- a/wigeonport/operator_routes.py
+++ b/wigeonport/operator_routes.py
@@ -17,7 +17,7 @@
 operator_routes = Registry("operator route")
 
 HISTORY_LIMIT = 50
-LARGEST_HISTORY_LIMIT = 1_000
+MAX_HISTORY_LIMIT = 1_000
 STATUS_BY_REFUSAL = {"stale": 409, "conflict": 409, "invalid": 422}
 
 
@@ -28,7 +28,7 @@
         operator: Name of the operator, from the token.
         method: HTTP method.
         path: Path without the query.
-        query: First value by name.
+        query: Maps query parameter to its first value.
         body: Bytes of the body.
     """
 
@@ -43,16 +43,19 @@
 
 
 def respond_refused(status, findings, **fields):
-    """Returns a refusal with all its findings."""
+    """Returns a refusal that lists all findings."""
     document = {"outcome": "refused", "findings": list(findings), **fields}
     return respond_json(status, document)
 
 
 def respond_undecided(decision):
-    """Returns the response to a command without an answer.
+    """Returns the response to a command that got no answer.
 
     ``not-run`` is certain: nothing was or will be changed. ``unknown`` means
     that the command may still take effect; resending it is safe.
+
+    Args:
+        decision: Decision whose outcome is not ``COMMITTED``.
     """
     status = 504 if decision.outcome == UNKNOWN else 503
     document = {"outcome": decision.outcome, "reason": decision.reason}
@@ -60,59 +63,72 @@
 
 
 async def read_state(control, query) -> Result:
-    """Returns the StateRead of a query, or the response of a failure."""
-    read = await control.state_client.read(query)
-    reason = "" if read.is_ok() else read.error
-    if read.is_ok() and read.ok.document is None:
-        reason = "the replicated state does not answer"
+    """Returns the StateRead of a query, or the 503 response of a failure."""
+    result = await control.state_client.read(query)
+    reason = "" if result.is_ok() else result.error
+    if result.is_ok() and result.ok.document is None:
+        reason = "the replicated state gave no answer to the query"
     if reason:
         document = {"outcome": "unavailable", "reason": reason}
         return Error(respond_json(503, document))
-    return read
+    return result
 
 
 async def respond_read(control, query):
     """Returns the response to a query of the replicated state."""
-    read = await read_state(control, query)
-    if read.is_error():
-        return read.error
-    found = read.ok
+    result = await read_state(control, query)
+    if result.is_error():
+        return result.error
+    state_read = result.ok
     replica = {
-        "role": found.role,
-        "leader": found.leader,
-        "term": found.term,
+        "role": state_read.role,
+        "leader": state_read.leader,
+        "term": state_read.term,
     }
     status = 200
-    if found.document.get("outcome") == "refused":
-        status = STATUS_BY_REFUSAL[found.document["why"]]
-    return respond_json(status, {**found.document, "replica": replica})
+    if state_read.document.get("outcome") == "refused":
+        status = STATUS_BY_REFUSAL[state_read.document["why"]]
+    return respond_json(status, {**state_read.document, "replica": replica})
+
 
+def read_number(request, name, default, maximum):
+    """Returns a whole number from the query parameters.
 
-def read_number(request, name, default, most):
-    """Returns a whole number from the query, or None if it is malformed."""
+    Args:
+        request: OperatorRequest.
+        name: Name of the parameter.
+        default: Value of an absent parameter.
+        maximum: Larger numbers become this one.
+
+    Returns:
+        The number, or None if it is malformed.
+    """
     text = request.query.get(name)
     if text is None:
         return default
     if not (text.isascii() and text.isdigit() and len(text) < 16):
         return None
-    return min(int(text), most)
+    return min(int(text), maximum)
 
 
 @operator_routes.register(("GET", "/v1/fleet"))
 async def show_fleet(control, request):
-    """Returns the version in force."""
+    """Returns the fleet in the version in force."""
     return await respond_read(control, FleetQuery())
 
 
 @operator_routes.register(("GET", "/v1/history"))
 async def show_history(control, request):
-    """Returns the newest versions, or one with its changes."""
-    limit = read_number(request, "limit", HISTORY_LIMIT, LARGEST_HISTORY_LIMIT)
+    """Returns the newest versions, or one version with its changes."""
+    limit = read_number(request, "limit", HISTORY_LIMIT, MAX_HISTORY_LIMIT)
     version = read_number(request, "version", -1, 2**53)
     if limit is None or version is None:
-        return respond_refused(400, ["limit and version are whole numbers"])
-    chosen = None if version < 0 else version
-    return await respond_read(control, HistoryQuery(limit, chosen))
+        return respond_refused(
+            400,
+            ["limit and version must be whole numbers of less than 16 digits"],
+        )
+    requested_version = None if version < 0 else version
+    return await respond_read(control, HistoryQuery(limit, requested_version))
 
 
 @operator_routes.register(("POST", "/v1/patches"))
@@ -123,11 +139,11 @@
         return respond_refused(400, [parsed.error])
     document = parsed.ok
     if isinstance(document, dict):
-        document = attribute(document, request.operator)
-    read = patch_from_document(document)
-    if read.is_error():
-        return respond_refused(422, read.error.lines(), why="invalid")
-    text = json.dumps(read.ok.to_document(), separators=(",", ":"))
+        document = set_author(document, request.operator)
+    patch = patch_from_document(document)
+    if patch.is_error():
+        return respond_refused(422, patch.error.lines(), why="invalid")
+    text = json.dumps(patch.ok.to_document(), separators=(",", ":"))
     if request.query.get("dry_run") == "1":
         return await respond_read(control, PreviewQuery(text))
     decision = await control.state_client.propose(SubmitPatch(text))
@@ -136,11 +152,11 @@
     return respond_to_patch(decision.answer)
 
 
-def attribute(document, operator):
-    """Returns the patch document with an author that the token confirms.
+def set_author(document, operator):
+    """Returns the patch document with the operator of the token as author.
 
-    A file may name its author; if another operator submits it, the history
-    shows both.
+    A patch file may name its author; if another operator submits it, the
+    author names both.
     """
     author = document.get("author")
     if author is None or author == operator:
@@ -149,7 +165,7 @@
 
 
 def respond_to_patch(answer):
-    """Returns the response to the state machine's answer."""
+    """Returns the response to the state machine's answer to a patch."""
     if isinstance(answer, PatchAccepted):
         document = {"outcome": "accepted", **answer.to_document()}
         return respond_json(200, document)
--- a/wigeonport/servers.py
+++ b/wigeonport/servers.py
@@ -1,4 +1,4 @@
-"""HTTP servers: hypercorn set-up and the routes that every process has."""
+"""HTTP servers: hypercorn configuration and the routes of every process."""
 
 import json
 import socket
@@ -18,13 +18,13 @@
 
 
 class HttpResponse:
-    """A small response of our own.
+    """A response with a small body that this process makes itself.
 
     Attributes:
         status: HTTP status.
         body: Bytes of the body.
         content_type: Media type.
-        headers: Further pairs of name and value, as bytes.
+        headers: Additional headers, as pairs of name and value in bytes.
     """
 
     __slots__ = ("status", "body", "content_type", "headers")
@@ -45,12 +45,12 @@
 
 
 class ProcessInfo:
-    """What the common routes report.
+    """What the common routes report about the process.
 
     Attributes:
         metrics: Metrics of the process.
         events: EventLog of the process, or None.
-        stopping: trio.Event that is set when a stop was asked for.
+        stopping: trio.Event that is set when the process was told to stop.
     """
 
     __slots__ = ("metrics", "events", "stopping")
@@ -62,25 +62,27 @@
 
 
 @common_routes.register("/metrics")
-def show_metrics(info):
+def show_metrics(process_info):
     """Returns the metrics as JSON."""
-    return respond_json(200, info.metrics.to_document())
+    return respond_json(200, process_info.metrics.to_document())
 
 
 @common_routes.register("/healthz")
-def show_health(info):
+def show_health(process_info):
     """Returns 200, or 503 while the process stops."""
-    if info.stopping.is_set():
+    if process_info.stopping.is_set():
         return respond_json(503, {"state": "stopping"})
     return respond_json(200, {"state": "serving"})
 
 
 @common_routes.register("/events")
-def show_events(info):
+def show_events(process_info):
     """Returns the latest events as JSON Lines."""
-    if info.events is None:
+    if process_info.events is None:
         return respond_json(404, {"error": "this process records no events"})
-    body = "".join(line + "\n" for line in info.events.lines()).encode()
+    body = "".join(
+        line + "\n" for line in process_info.events.lines()
+    ).encode()
     return HttpResponse(200, body, "application/jsonl")
 
 
@@ -88,13 +90,13 @@
     """ASGI app of the common routes.
 
     Attributes:
-        info: ProcessInfo of the process.
+        process_info: ProcessInfo of the process.
     """
 
-    __slots__ = ("info",)
+    __slots__ = ("process_info",)
 
-    def __init__(self, info):
-        self.info = info
+    def __init__(self, process_info):
+        self.process_info = process_info
 
     async def __call__(self, scope, receive, send):
         """Handles one ASGI connection scope."""
@@ -106,7 +108,7 @@
         if route.is_error():
             response = respond_json(404, {"error": route.error})
         else:
-            response = route.ok(self.info)
+            response = route.ok(self.process_info)
         return await send_response(send, response)
 
 
@@ -137,15 +139,16 @@
 
 
 class BodyReader:
-    """Reads a body of bounded size piece by piece.
+    """Reads a body of bounded size chunk by chunk.
 
     Attributes:
         receive: Receive function of ASGI.
-        limit_bytes: Largest size.
-        chunks: The pieces so far.
-        size: Their size.
-        more_expected: Whether more pieces are expected.
-        complete: Whether the body is complete.
+        limit_bytes: Maximum size of the body.
+        chunks: The chunks read so far; empty if the body is too large or
+            was cut short.
+        size: Number of bytes read so far.
+        more_expected: Whether more chunks are expected.
+        complete: Whether the whole body was read.
     """
 
     __slots__ = (
@@ -166,7 +169,7 @@
         self.complete = False
 
     async def read_chunk(self):
-        """Reads the next piece."""
+        """Reads the next chunk."""
         event = await self.receive()
         piece = event.get("body", b"")
         self.size += len(piece)
@@ -178,7 +181,7 @@
         self.complete = not self.more_expected
 
     async def read_rest(self):
-        """Reads the remaining pieces."""
+        """Reads the remaining chunks."""
         while self.more_expected:
             await self.read_chunk()
 
@@ -191,14 +194,15 @@
 
 
 class ServerConfig(Config):
-    """Configuration of hypercorn that also bounds stalled connections.
+    """Configuration of hypercorn that also closes stalled connections.
 
-    The server's sends cannot be cancelled, so a client that stops reading
-    would hold its answer, and the stop of the process, for good.
+    The sends of hypercorn cannot be cancelled, so without a timeout of the
+    socket a client that stops reading would block its answer, and the
+    shutdown of the process, forever.
 
     Attributes:
-        stalled_timeout_ms: Longest time in which sent data stays
-            unacknowledged.
+        stalled_timeout_ms: Time after which a connection with
+            unacknowledged data is closed.
     """
 
     __slots__ = ("stalled_timeout_ms",)
@@ -208,10 +212,10 @@
         self.stalled_timeout_ms = stalled_timeout_ms
 
     def create_sockets(self):
-        """Returns the listening sockets; accepted ones inherit the bound."""
+        """Returns the listening sockets; accepted ones inherit the timeout."""
         sockets = super().create_sockets()
-        for item in sockets.insecure_sockets:
-            item.setsockopt(
+        for listener in sockets.insecure_sockets:
+            listener.setsockopt(
                 socket.IPPROTO_TCP,
                 socket.TCP_USER_TIMEOUT,
                 self.stalled_timeout_ms,
@@ -220,7 +224,14 @@
 
 
 def make_config(host, port, grace_ms, keep_alive_s=KEEP_ALIVE_S):
-    """Returns the hypercorn configuration of one listener."""
+    """Returns the hypercorn configuration of one listener.
+
+    Args:
+        host: IP address to listen on.
+        port: TCP port.
+        grace_ms: Time that requests in progress get at a stop.
+        keep_alive_s: Time after which an idle connection is closed.
+    """
     config = ServerConfig(min(STALLED_TIMEOUT_MS, grace_ms))
     config.bind = [f"{host}:{port}"]
     config.backlog = BACKLOG
@@ -243,7 +254,10 @@
     keep_alive_s=KEEP_ALIVE_S,
     task_status=trio.TASK_STATUS_IGNORED,
 ):
-    """Serves an ASGI app until ``stopping`` is set, then drains."""
+    """Serves an ASGI app until ``stopping`` is set.
+
+    Requests in progress then get ``grace_ms`` to finish.
+    """
     await hypercorn.trio.serve(
         app,
         make_config(host, port, grace_ms, keep_alive_s),
--- a/wigeonport/status_routes.py
+++ b/wigeonport/status_routes.py
@@ -1,4 +1,4 @@
-"""Route that shows which processes apply which version."""
+"""Route that shows which fleet version each process applies."""
 
 from wigeonport.channels import ask
 from wigeonport.operator_routes import operator_routes, read_state
@@ -7,20 +7,21 @@
 from wigeonport.servers import respond_json
 from wigeonport.state_queries import VersionQuery
 
-# Processes report at least every 5 s.
-SILENT_MS = 12_000
+# Every process reports at least every 5 s.
+MAX_REPORT_AGE_MS = 12_000
 ROLES = ("control", "entry")
 
 
 class ProcessLine(Record):
-    """What is known of one process.
+    """What this control knows about one process.
 
     Attributes:
         process: Node id of the process on its links, ``role/vm``.
-        availability_zone: Its zone, or an empty text.
-        version: Version that it applies, or None if it never reported.
-        silent_ms: Time since its last report, or None.
-        lag: Why it does not apply the version in force; empty if it does.
+        availability_zone: Its zone, or the empty string.
+        version: Fleet version that it applies, or None if it never reported.
+        silent_ms: Time since its last report, or None if it never reported.
+        lag: Why it does not apply the version in force, or the empty string
+            if it does.
     """
 
     __slots__ = ("process", "availability_zone", "version", "silent_ms", "lag")
@@ -33,8 +34,8 @@
         self.lag = lag
 
 
-def list_expected(settings):
-    """Returns zone by process for the programs of all VMs."""
+def map_expected_zones(settings):
+    """Returns a dict of process name to zone for the programs of all VMs."""
     return {
         f"{role}/{vm.node_id}": vm.availability_zone
         for role in ROLES
@@ -42,28 +43,42 @@
     }
 
 
-def list_processes(expected, statuses, version, now_ms):
-    """Returns a ProcessLine for every expected or reporting process."""
+def list_processes(expected_zones, statuses, version, now_ms):
+    """Returns a ProcessLine for every expected or reporting process.
+
+    Args:
+        expected_zones: Maps the name of each expected process to its zone.
+        statuses: ProcessStatus of each process that reported.
+        version: Fleet version in force.
+        now_ms: Time on the clock of this control.
+    """
     reported = {status.node_id: status for status in statuses}
-    lines = []
-    for process in sorted(expected.keys() | reported.keys()):
+    rows = []
+    for process in sorted(expected_zones.keys() | reported.keys()):
         status = reported.get(process)
         if status is None:
-            zone = expected[process]
+            zone = expected_zones[process]
             lag = "has not reported since this control started"
-            lines.append(ProcessLine(process, zone, None, None, lag))
+            rows.append(ProcessLine(process, zone, None, None, lag))
             continue
         silent_ms = now_ms - status.last_seen_ms
         lag = explain_lag(status.version, version, silent_ms)
         zone = status.availability_zone
-        lines.append(
-            ProcessLine(process, zone, status.version, silent_ms, lag)
-        )
-    return lines
+        rows.append(ProcessLine(process, zone, status.version, silent_ms, lag))
+    return rows
 
 
 def explain_lag(applied, version, silent_ms):
-    """Returns why a process does not apply the version, or no text."""
+    """Returns why a process does not apply the version in force.
+
+    Args:
+        applied: Version that the process applies.
+        version: Version in force as this control knows it.
+        silent_ms: Time since the last report of the process.
+
+    Returns:
+        The reasons as one text, empty if there are none.
+    """
     reasons = []
     if applied < version:
         reasons.append(
@@ -71,35 +86,35 @@
         )
     if applied > version:
         reasons.append(f"this control is {applied - version} versions behind")
-    if silent_ms > SILENT_MS:
+    if silent_ms > MAX_REPORT_AGE_MS:
         reasons.append(f"silent for {silent_ms} ms")
     return "; ".join(reasons)
 
 
 @operator_routes.register(("GET", "/v1/status"))
 async def show_status(control, request):
-    """Returns the version that every process applies."""
-    read = await read_state(control, VersionQuery())
-    if read.is_error():
-        return read.error
-    found = read.ok
+    """Returns the fleet version in force and the one each process applies."""
+    result = await read_state(control, VersionQuery())
+    if result.is_error():
+        return result.error
+    state_read = result.ok
     statuses = await ask(
         control.publisher, StatusQuery, control.state_client.timeout_ms
     )
-    version = found.document["version"]
-    lines = list_processes(
-        list_expected(control.settings),
+    version = state_read.document["version"]
+    rows = list_processes(
+        map_expected_zones(control.settings),
         statuses.default_value([]),
         version,
         control.clock.now(),
     )
     document = {
-        **found.document,
-        "role": found.role,
-        "leader": found.leader,
-        "term": found.term,
-        "in_force_everywhere": not any(line.lag for line in lines),
-        "processes": [line.to_document() for line in lines],
+        **state_read.document,
+        "role": state_read.role,
+        "leader": state_read.leader,
+        "term": state_read.term,
+        "in_force_everywhere": not any(row.lag for row in rows),
+        "processes": [row.to_document() for row in rows],
     }
     if statuses.is_error():
         document["reason"] = statuses.error
