Reword the client and the commands of the command line

Cause: help texts and usage errors left out units, values seen or what is accepted, such as 'Does it; else only tells what is lost.' Change: help texts, usage errors, docstrings and names. Names of commands and options, exit codes and JSON output stay.

--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -31,20 +31,21 @@
 SHUTDOWN_MS = 100
 
 
-class Bench:
+class CommandLineHarness:
     """Runs commands while servers answer.
 
     Attributes:
         control: The FakeControl.
-        folder: Folder for files.
+        folder: Folder for patch and token files.
+        token_path: Path of the token file of the client.
     """
 
     def __init__(self, control, folder):
         """Writes the token file of the client."""
         self.control = control
         self.folder = folder
-        self.token = folder / "token"
-        self.token.write_text(f"{TOKEN}\n")
+        self.token_path = folder / "token"
+        self.token_path.write_text(f"{TOKEN}\n")
 
     def patch(self, worker="vm-5"):
         """Writes a patch file and returns its name."""
@@ -56,24 +57,25 @@
         """Returns the exit codes of commands, run one after another.
 
         Args:
+            commands: Lists of arguments without those of SERVER_OPTIONS.
+            servers: Kind of server for each --server: ``control``, ``lost``
+                (reads the request and closes), ``denied`` (answers 401) or
+                ``absent`` (does not listen).
             retry_ms: Value of --retry-ms.
-            commands: Lists of arguments without the options of servers.
-            servers: ``control``, ``lost`` (reads and closes), ``denied``
-                (answers 401) or ``absent`` for each --server.
         """
 
         async def main():
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self.control.run)
-                options = ["--token-file", str(self.token)]
+                options = ["--token-file", str(self.token_path)]
                 options += ["--retry-ms", str(retry_ms)]
                 for kind in servers:
                     port = await nursery.start(SERVERS[kind], self.control)
                     options += ["--server", f"127.0.0.1:{port}"]
                 codes = []
                 for command in commands:
-                    line = [*command, *options]
-                    codes.append(await trio.to_thread.run_sync(run, line))
+                    arguments = [*command, *options]
+                    codes.append(await trio.to_thread.run_sync(run, arguments))
                 nursery.cancel_scope.cancel()
             return codes
 
@@ -95,7 +97,7 @@
 
 
 async def serve_raw(answer, task_status):
-    """Serves connections that get the same bytes after their request."""
+    """Answers each connection with the same bytes, then closes it."""
 
     async def handle(stream):
         await stream.receive_some(65_536)
@@ -109,12 +111,12 @@
 
 
 async def serve_lost(control, task_status):
-    """Serves a control that dies after it received a request."""
+    """Serves a control that closes the connection after the request."""
     await serve_raw(b"", task_status)
 
 
 async def serve_denied(control, task_status):
-    """Serves a control with other tokens."""
+    """Serves a control that does not know the token."""
     body = b'{"outcome": "refused", "findings": ["token"]}'
     head = b"HTTP/1.1 401 Unauthorized\r\nContent-Length: %d\r\n\r\n"
     await serve_raw(head % len(body) + body, task_status)
@@ -137,26 +139,26 @@
 
 
 @pytest.fixture
-def bench(tmp_path, live):
-    """A bench whose control has version 1 of the sample fleet."""
+def harness(tmp_path, live):
+    """A harness whose control has version 1 of the sample fleet."""
     control = FakeControl(tmp_path / "tokens", timeout_ms=500)
     control.state, control.index = live.state, live.index
-    return Bench(control, tmp_path)
+    return CommandLineHarness(control, tmp_path)
 
 
-def patch_command(bench, worker="vm-5", against="1", id="p-2", *options):
+def patch_command(harness, worker="vm-5", against="1", id="p-2", *options):
     """Returns the arguments that submit a patch."""
-    name = bench.patch(worker)
+    name = harness.patch(worker)
     return [
         *("fleet", "patch", name, "--against", against, "--id", id),
         *options,
     ]
 
 
-def test_patch_is_accepted_and_shown(bench, capsys):
-    """Guards against commands that do not fit the interface."""
-    codes = bench.run(
-        patch_command(bench),
+def test_patch_is_accepted_and_shown(harness, capsys):
+    """A patch must be accepted, then appear in fleet and history."""
+    codes = harness.run(
+        patch_command(harness),
         ["fleet", "show"],
         ["fleet", "history"],
         ["fleet", "history", "--changes-of", "2"],
@@ -169,10 +171,10 @@
     assert "workers.vm-5: pool notices -> roster" in out
 
 
-def test_stale_patch_is_refused_with_what_changed(bench, capsys):
-    """Guards against a refusal that leaves the operator guessing."""
-    codes = bench.run(
-        patch_command(bench), patch_command(bench, "vm-6", "1", "p-3")
+def test_stale_patch_is_refused_with_what_changed(harness, capsys):
+    """The refusal of a stale patch must print the changes it missed."""
+    codes = harness.run(
+        patch_command(harness), patch_command(harness, "vm-6", "1", "p-3")
     )
     captured = capsys.readouterr()
     assert codes == [0, 1]
@@ -181,36 +183,42 @@
     assert "workers.vm-5: pool notices -> roster" in captured.err
 
 
-def test_findings_of_the_control_name_file_and_line(bench, capsys):
-    """Guards against places that get lost over HTTP."""
-    (code,) = bench.run(patch_command(bench, "vm-99"))
+def test_findings_of_the_control_name_file_and_line(harness, capsys):
+    """A finding of the control must name the place in the patch file.
+
+    The control gets JSON without lines; the command line adds file and line.
+    """
+    (code,) = harness.run(patch_command(harness, "vm-99"))
     error = capsys.readouterr().err
     assert code == 1
-    name = bench.folder / "vm-99.yaml"
+    name = harness.folder / "vm-99.yaml"
     assert f"{name}:4: operations[0].worker: worker 'vm-99'" in error
 
 
-def test_dry_run_previews_and_changes_nothing(bench, capsys):
-    """Guards against a dry run that takes effect."""
-    codes = bench.run(
-        ["fleet", "patch", bench.patch(), "--against", "1", "--dry-run"],
+def test_dry_run_previews_and_changes_nothing(harness, capsys):
+    """A dry run must print the moves and change nothing."""
+    codes = harness.run(
+        ["fleet", "patch", harness.patch(), "--against", "1", "--dry-run"],
     )
     out = capsys.readouterr().out
     assert codes == [0]
     assert "vm-5: notices -> roster" in out
-    assert bench.control.state.fleet.fleet.version == 1
+    assert harness.control.state.fleet.fleet.version == 1
+
 
+def test_lost_answer_is_unknown_and_a_resend_is_safe(harness, capsys):
+    """A lost answer must give exit code 3, and a resend must not run twice.
 
-def test_lost_answer_is_unknown_and_a_resend_is_safe(bench, capsys):
-    """Guards against a lost answer that is reported as done or refused."""
-    bench.control.mode = "lose"
-    (code,) = bench.run(patch_command(bench))
+    Here the patch was committed before its answer was lost.
+    """
+    harness.control.mode = "lose"
+    (code,) = harness.run(patch_command(harness))
     error = capsys.readouterr().err
     assert code == 3
     assert "The outcome is unknown. Resending with --id p-2 is safe." in error
-    bench.control.mode = "commit"
-    (code,) = bench.run(patch_command(bench))
-    assert (code, bench.control.state.fleet.fleet.version) == (0, 2)
+    harness.control.mode = "commit"
+    (code,) = harness.run(patch_command(harness))
+    assert (code, harness.control.state.fleet.fleet.version) == (0, 2)
 
 
 @pytest.mark.parametrize(
@@ -225,35 +233,42 @@
         (("lost", "control"), 0),
     ],
 )
-def test_servers_are_tried_in_turn(bench, servers, expected):
-    """Guards against an unknown outcome that is called not run."""
-    (code,) = bench.run(patch_command(bench), servers=servers)
+def test_servers_are_tried_in_turn(harness, servers, expected):
+    """Servers are tried in turn until one of them decides.
+
+    After a lost answer, a refused connection or token on another server must
+    not turn the unknown outcome into exit code 1.
+    """
+    (code,) = harness.run(patch_command(harness), servers=servers)
     assert code == expected
     versions = 2 if "control" in servers else 1
-    assert bench.control.state.fleet.fleet.version == versions
+    assert harness.control.state.fleet.fleet.version == versions
 
 
-def test_control_without_quorum_runs_nothing(bench, capsys):
-    """Guards against exit code 3 where the outcome is certain."""
-    bench.control.mode = "refuse"
-    (code,) = bench.run(patch_command(bench))
+def test_control_without_quorum_runs_nothing(harness, capsys):
+    """Without a quorum nothing ran, so the exit code must be 1, not 3."""
+    harness.control.mode = "refuse"
+    (code,) = harness.run(patch_command(harness))
     error = capsys.readouterr().err
     assert code == 1
     assert "no quorum" in error
     assert "nothing was changed" in error
 
 
-def test_change_of_the_leader_is_waited_for(bench):
-    """Guards against a patch that fails while a leader is replaced."""
-    bench.control.mode = "refuse"
-    bench.control.refusals = 2
-    (code,) = bench.run(patch_command(bench), retry_ms=60_000)
-    assert (code, bench.control.state.fleet.fleet.version) == (0, 2)
+def test_patch_is_retried_while_the_leader_changes(harness):
+    """A patch must be tried again while the leader is being replaced."""
+    harness.control.mode = "refuse"
+    harness.control.refusals = 2
+    (code,) = harness.run(patch_command(harness), retry_ms=60_000)
+    assert (code, harness.control.state.fleet.fleet.version) == (0, 2)
 
 
-def test_maintenance_commands(bench, capsys):
-    """Guards against commands that do not fit the interface."""
-    codes = bench.run(
+def test_maintenance_commands_match_their_routes(harness, capsys):
+    """Each maintenance command must match the route that it calls.
+
+    Here the budget of the pool allows one drain, so the second is refused.
+    """
+    codes = harness.run(
         ["maintenance", "pause", "roster", "--reason", "crusade"],
         ["maintenance", "drain", "vm-1", "--id", "g-1", "-r", "disk"],
         ["maintenance", "drain", "vm-2"],
@@ -271,10 +286,10 @@
     assert "pool 'roster' can spare 0 more VMs" in captured.err
 
 
-def test_status_shows_who_lags(bench, capsys):
-    """Guards against a lagging process that stays unnoticed (R8)."""
-    bench.control.report("entry/ikeja-1", 0)
-    assert bench.run(["fleet", "status"]) == [0]
+def test_status_shows_who_lags(harness, capsys):
+    """The status must print which process lags, and why (R8)."""
+    harness.control.report("entry/ikeja-1", 0)
+    assert harness.run(["fleet", "status"]) == [0]
     out = capsys.readouterr().out
     assert "in force everywhere: no" in out
     assert "entry/ikeja-1 ikeja version 0: applies version 0, 1 behind" in out
@@ -290,9 +305,9 @@
         ["maintenance", "pause"],
     ],
 )
-def test_json_option_prints_only_json(bench, capsys, command):
-    """Guards against output that programs cannot read."""
-    assert bench.run([*command, "--json"]) == [0]
+def test_json_option_prints_only_json(harness, capsys, command):
+    """With --json, standard output must be one JSON object."""
+    assert harness.run([*command, "--json"]) == [0]
     assert json.loads(capsys.readouterr().out)["outcome"]
 
 
@@ -314,7 +329,10 @@
     ],
 )
 def test_wrong_command_line_is_a_usage_error(arguments, capsys, monkeypatch):
-    """Guards against a traceback, or exit code 1, for a wrong command."""
+    """An invalid command line must give a usage message and exit code 2.
+
+    Exit code 1 would look like a refusal by the control.
+    """
     monkeypatch.delenv("WIGEONPORT_SERVERS", raising=False)
     monkeypatch.delenv("WIGEONPORT_TOKEN_FILE", raising=False)
     assert run(arguments) == 2
@@ -322,7 +340,7 @@
 
 
 def test_settings_check_lists_every_finding(tmp_path, capsys):
-    """Guards against a check that hides findings or its exit code."""
+    """The check must print all findings with their lines and exit with 1."""
     path = tmp_path / "a.yaml"
     path.write_text("node_idd: a\n<info>: 1\n")
     assert run(["settings", "check", str(path)]) == 1
@@ -332,7 +350,7 @@
 
 
 def test_timeline_merges_files(tmp_path, capsys, clock):
-    """Guards against a damaged source that hides the others."""
+    """A damaged source must be reported and the others still printed."""
     paths = []
     for node in ("a", "b"):
         log = EventLog(node, clock, LamportCounter(), 10)
@@ -371,14 +389,18 @@
     ],
 )
 def test_answers_are_classified(status, content, outcome):
-    """Guards against an outcome that claims more than is known."""
+    """A response must not give a more certain outcome than it proves.
+
+    An answer other than a JSON object may come from a proxy, and a status
+    from 500 on may follow a committed change.
+    """
     assert read_answer(status, content).outcome == outcome
 
 
 @given(text=st.text(max_size=20))
 @settings(max_examples=200, derandomize=True, deadline=None)
 def test_any_address_or_number_is_read_or_refused(text):
-    """Guards against a traceback on a malformed argument."""
+    """Any text must be read as address or number, or refused."""
     server = parse_server(text)
     assert server is None or server.rpartition(":")[2].isdigit()
     value = parse_whole_number(text)
--- a/wigeonport/clients.py
+++ b/wigeonport/clients.py
@@ -1,4 +1,4 @@
-"""Client of the operators' HTTP interface."""
+"""Client of the HTTP interface for operators."""
 
 import json
 import math
@@ -12,34 +12,36 @@
 NOT_RUN = "not-run"
 UNKNOWN = "unknown"
 
-# Statuses of answers that the replicated state decided.
-DECIDED = (200, 409, 422)
-UNDELIVERED = (
+# HTTP statuses of answers that the replicated state decided.
+DECIDED_STATUSES = (200, 409, 422)
+# The request was not sent, so it had no effect.
+NOT_SENT_ERRORS = (
     httpcore.ConnectError,
     httpcore.ConnectTimeout,
     httpcore.PoolTimeout,
     httpcore.UnsupportedProtocol,
 )
-LOST = (
+# The request may have been sent, so it may have taken effect.
+UNCERTAIN_ERRORS = (
     httpcore.NetworkError,
     httpcore.ProtocolError,
     httpcore.TimeoutException,
     OSError,
 )
 CONNECT_TIMEOUT_MS = 2_000
-# A lost leader is replaced within 3 s.
+# Longer than the 3 s within which a failed leader is replaced.
 DEFAULT_RETRY_MS = 4_000
-PAUSE_MS = 250
+RETRY_PAUSE_MS = 250
 
 
 class Answer(Record):
-    """What became of a request.
+    """Result of a request.
 
     Attributes:
         outcome: ``answered``, ``not-run`` or ``unknown``.
         status: HTTP status of the answer, else 0.
-        document: Document of the answer, else an empty one.
-        reasons: Why the servers gave no answer, one text for each attempt.
+        document: JSON object of the answer, else an empty one.
+        reasons: Texts that say why servers gave no answer.
     """
 
     __slots__ = ("outcome", "status", "document", "reasons")
@@ -51,45 +53,46 @@
         self.reasons = list(reasons)
 
 
-class Course:
-    """What the attempts at one request have shown so far.
+class RequestAttempts:
+    """Results of the attempts at one request so far.
 
-    Once an outcome is unknown, only an answer that the replicated state
-    decided resolves it: another server cannot know that the first one did
-    not run the request.
+    Once the outcome of an attempt is unknown, only an answer that the
+    replicated state decided is final: another server cannot know whether the
+    first one ran the request.
 
     Attributes:
-        reasons: Why servers gave no answer, without repetitions.
+        reasons: Why servers gave no answer, without duplicates.
         unknown: Whether an attempt may have taken effect.
-        busy: Whether a server answered that it ran nothing.
-        document: Document of the last such answer.
+        may_retry: Whether a server answered in this round that it ran
+            nothing, so that another round may succeed.
+        document: JSON object of the last such answer.
     """
 
-    __slots__ = ("reasons", "unknown", "busy", "document")
+    __slots__ = ("reasons", "unknown", "may_retry", "document")
 
     def __init__(self):
         self.reasons = []
         self.unknown = False
-        self.busy = False
+        self.may_retry = False
         self.document = {}
 
-    def ends_with(self, server, answer):
-        """Takes an Answer; returns whether it is the final one."""
-        decided = answer.status in DECIDED
+    def record_answer(self, server, answer):
+        """Records the Answer of a server; returns whether it is final."""
+        decided = answer.status in DECIDED_STATUSES
         if answer.outcome == ANSWERED and (decided or not self.unknown):
             answer.reasons = self.reasons
             return True
         self.unknown = self.unknown or answer.outcome == UNKNOWN
         if answer.document:
-            self.busy, self.document = True, answer.document
+            self.may_retry, self.document = True, answer.document
         for text in answer.reasons:
-            line = f"{server}: {text}"
-            if line not in self.reasons:
-                self.reasons.append(line)
+            reason = f"{server}: {text}"
+            if reason not in self.reasons:
+                self.reasons.append(reason)
         return False
 
-    def conclude(self, method):
-        """Returns the Answer when no server has given a final one."""
+    def make_final_answer(self, method):
+        """Returns the Answer to report if no server gave a final one."""
         if self.unknown and method != "GET":
             return Answer(UNKNOWN, reasons=self.reasons)
         return Answer(NOT_RUN, 0, self.document, self.reasons)
@@ -98,15 +101,15 @@
 class OperatorClient:
     """Sends requests to several control programs in turn.
 
-    A request that changes something carries an id of its own or sets a
-    state, so that sending it again to another control is safe.
+    A request that changes the state carries an id or is idempotent, so it
+    may be sent again to another control.
 
     Attributes:
         servers: Addresses, ``host:port``.
         token: Bearer token.
-        timeout_ms: Longest wait for one server.
-        retry_ms: How long the servers are tried again while one of them
-            answers that it ran nothing.
+        timeout_ms: Maximum wait for the answer of one server.
+        retry_ms: Time during which the servers are tried again while one of
+            them answers that it ran nothing.
     """
 
     __slots__ = ("servers", "token", "timeout_ms", "retry_ms")
@@ -118,39 +121,45 @@
         self.retry_ms = retry_ms
 
     def call(self, method, path, document=None):
-        """Returns the Answer of the first server that decides."""
+        """Sends a request and returns the final Answer.
+
+        Args:
+            method: HTTP method.
+            path: Path with the query.
+            document: JSON object of the body, or None.
+        """
         return trio.run(self.request, method, path, document)
 
     async def request(self, method, path, document=None):
         """Tries the servers in turn; see ``call``.
 
         While a server answers that it ran nothing, for example because the
-        leader is being replaced, all are tried again for some seconds.
+        leader is being replaced, all are tried again for ``retry_ms``.
         """
         body = b"" if document is None else json.dumps(document).encode()
-        course = Course()
-        ends_s = trio.current_time() + self.retry_ms / 1000
+        attempts = RequestAttempts()
+        deadline_s = trio.current_time() + self.retry_ms / 1000
         while True:
-            course.busy = False
+            attempts.may_retry = False
             for server in self.servers:
                 answer = await self.attempt(server, method, path, body)
-                if course.ends_with(server, answer):
+                if attempts.record_answer(server, answer):
                     return answer
-            if not course.busy or trio.current_time() >= ends_s:
-                return course.conclude(method)
-            await trio.sleep(PAUSE_MS / 1000)
+            if not attempts.may_retry or trio.current_time() >= deadline_s:
+                return attempts.make_final_answer(method)
+            await trio.sleep(RETRY_PAUSE_MS / 1000)
 
     async def attempt(self, server, method, path, body):
-        """Returns the Answer of one server."""
-        limit_s = (self.timeout_ms + CONNECT_TIMEOUT_MS) / 1000
-        with trio.move_on_after(limit_s):
+        """Sends the request to one server and returns its Answer."""
+        timeout_s = (self.timeout_ms + CONNECT_TIMEOUT_MS) / 1000
+        with trio.move_on_after(timeout_s):
             try:
                 return await self.exchange(server, method, path, body)
-            except UNDELIVERED as fault:
-                return Answer(NOT_RUN, reasons=[describe_error(fault)])
-            except LOST as fault:
-                return Answer(UNKNOWN, reasons=[describe_error(fault)])
-        return Answer(UNKNOWN, reasons=[f"no answer within {limit_s:g} s"])
+            except NOT_SENT_ERRORS as error:
+                return Answer(NOT_RUN, reasons=[describe_error(error)])
+            except UNCERTAIN_ERRORS as error:
+                return Answer(UNKNOWN, reasons=[describe_error(error)])
+        return Answer(UNKNOWN, reasons=[f"no answer within {timeout_s:g} s"])
 
     async def exchange(self, server, method, path, body):
         """Sends one request and returns the Answer.
@@ -181,13 +190,13 @@
 
 
 def read_answer(status, content):
-    """Returns the Answer in a response."""
+    """Returns the Answer for the status and body of a response."""
     try:
         document = json.loads(content)
     except (ValueError, RecursionError):
         document = None
     if not isinstance(document, dict):
-        text = f"status {status} without a JSON document"
+        text = f"status {status} without a JSON object"
         outcome = UNKNOWN if status < 400 or status >= 500 else NOT_RUN
         return Answer(outcome, reasons=[text])
     reason = document.get("reason") or f"status {status}"
@@ -213,17 +222,23 @@
             return response.status, response.content
 
 
-def describe_error(fault):
-    """Returns a short text for a failed exchange."""
-    text = str(fault) or type(fault).__name__
+def describe_error(error):
+    """Returns the first line of an error's text, or the name of its type."""
+    text = str(error) or type(error).__name__
     return text.splitlines()[0]
 
 
 def parse_server(text):
     """Returns ``host:port`` if the text has this form, else None."""
     host, _, port = text.removeprefix("http://").rstrip("/").rpartition(":")
-    good = port.isascii() and port.isdigit() and 0 < int(port) < 65_536
-    if not host or not good or any(c in host for c in "/@?# "):
+    port_is_valid = (
+        port.isascii() and port.isdigit() and 0 < int(port) < 65_536
+    )
+    if (
+        not host
+        or not port_is_valid
+        or any(character in host for character in "/@?# ")
+    ):
         return None
     return f"{host}:{port}"
 
--- a/wigeonport/commands/__init__.py
+++ b/wigeonport/commands/__init__.py
@@ -1,4 +1,4 @@
-"""The operators' commands, each registered under its name."""
+"""Commands of ``wigeonport``; each is registered under its name."""
 
 from wigeonport.registries import Registry
 
--- a/wigeonport/commands/fleet.py
+++ b/wigeonport/commands/fleet.py
@@ -25,7 +25,7 @@
     """Shows the version in force."""
 
     name = "fleet show"
-    description = "Shows the version in force."
+    description = "Shows services and pools of the fleet version in force."
     options = SERVER_OPTIONS
 
     def handle(self):
@@ -55,12 +55,17 @@
     """Shows who changed what and why."""
 
     name = "fleet history"
-    description = "Shows who changed what and why."
+    description = "Shows the author, reason and number of changes of versions."
     options = [
         *SERVER_OPTIONS,
-        option("limit", None, "Number of versions.", flag=False),
         option(
-            "changes-of", None, "One version, with its changes.", flag=False
+            "limit", None, "Number of newest versions to show.", flag=False
+        ),
+        option(
+            "changes-of",
+            None,
+            "Shows this version with its changes.",
+            flag=False,
         ),
     ]
 
@@ -81,11 +86,11 @@
         """Prints one line for each version, and its changes if given."""
         for item in history["versions"]:
             moment = time.gmtime(item["time_ms"] / 1000)
-            stamp = time.strftime("%Y-%m-%dT%H:%M:%SZ", moment)
+            time_text = time.strftime("%Y-%m-%dT%H:%M:%SZ", moment)
             changes = item["changes"]
             count = changes if isinstance(changes, int) else len(changes)
             self.print(
-                f"{item['version']} {stamp} {item['author']} "
+                f"{item['version']} {time_text} {item['author']} "
                 f"[{item['patch']}] {count} changes: {item['reason']}"
             )
             for change in changes if isinstance(changes, list) else ():
@@ -97,7 +102,9 @@
     """Shows which processes apply which version."""
 
     name = "fleet status"
-    description = "Shows which processes apply which version, and who lags."
+    description = (
+        "Shows which version each process applies, and which ones lag."
+    )
     options = SERVER_OPTIONS
 
     def handle(self):
@@ -129,9 +136,21 @@
     arguments = [argument("file", "Patch file in YAML.")]
     options = [
         *SERVER_OPTIONS,
-        option("against", None, "Version that you have seen.", flag=False),
-        option("id", None, "Patch id; keep it for a resend.", flag=False),
-        option("dry-run", None, "Shows what the patch leads to."),
+        option(
+            "against",
+            None,
+            "Version that the patch was written against.",
+            flag=False,
+        ),
+        option(
+            "id",
+            None,
+            "Patch id; use the same one to send the patch again.",
+            flag=False,
+        ),
+        option(
+            "dry-run", None, "Shows the effects of the patch; changes nothing."
+        ),
     ]
 
     def handle(self):
@@ -141,21 +160,23 @@
         if dry_run and id is None:
             id = PREVIEW_ID
         if against is None or id is None:
-            raise UsageError("--against and --id are required")
+            raise UsageError("fleet patch needs --against VERSION and --id ID")
         if not NAME.fullmatch(id):
-            raise UsageError(f"{id!r} is not a name")
-        read = load_patch_file(self.argument("file"), id, against, "")
-        if read.is_error():
-            for line in read.error.lines():
+            raise UsageError(
+                f"--id must be a name that matches {NAME.pattern}, not {id!r}"
+            )
+        patch = load_patch_file(self.argument("file"), id, against, "")
+        if patch.is_error():
+            for line in patch.error.lines():
                 self.print_error(line)
             return EXIT_REFUSED
-        return self.submit(read.ok, dry_run)
+        return self.submit(patch.ok, dry_run)
 
     def submit(self, patch, dry_run):
         """Sends the patch; returns the exit code."""
         document = patch.to_document()
         if not document["author"]:
-            # The control takes the name that belongs to the token.
+            # The control fills in the operator to whom the token belongs.
             document["author"] = None
         path = "/v1/patches?dry_run=1" if dry_run else "/v1/patches"
         answer = self.ask("POST", path, document)
@@ -163,7 +184,7 @@
         if findings:
             places = patch.places
             answer.document["findings"] = [
-                locate(text, places) for text in findings
+                add_file_position(text, places) for text in findings
             ]
         show = self.show_preview if dry_run else self.show_accepted
         resend = f"Resending with --id {patch.id} is safe."
@@ -194,8 +215,8 @@
             self.print_error("  The list of changes is not complete.")
 
 
-def locate(text, places):
-    """Puts file and line before a finding about an operation."""
+def add_file_position(text, places):
+    """Returns a finding about an operation with file and line before it."""
     match = OPERATION_PATH.match(text)
     if match is None:
         return text
--- a/wigeonport/commands/maintenance.py
+++ b/wigeonport/commands/maintenance.py
@@ -1,4 +1,4 @@
-"""Commands that show and steer maintenance."""
+"""Commands that show and control maintenance."""
 
 import uuid
 
@@ -8,7 +8,12 @@
 from wigeonport.commands.options import SERVER_OPTIONS, ServerCommand
 
 MS_PER_MINUTE = 60_000
-SCOPE = argument("scope", "Pool, or all.", optional=True, default="all")
+SCOPE = argument(
+    "scope",
+    "Name of a pool, or all for every pool.",
+    optional=True,
+    default="all",
+)
 REASON = option("reason", "r", "Why.", flag=False, default="")
 RESEND_IS_SAFE = "Sending it again is safe."
 
@@ -28,7 +33,7 @@
         )
 
     def show(self, document):
-        """Prints everything that takes VMs away or may do so."""
+        """Prints everything that makes VMs unavailable or may do so."""
         now_ms = document["now_ms"]
         for scope, pause in document["pauses"].items():
             self.print(f"paused {scope}: {pause['author']}: {pause['reason']}")
@@ -60,7 +65,7 @@
     """Base of the commands that pause and resume."""
 
     path = ""
-    done = ""
+    new_state = ""
     arguments = [SCOPE]
     options = [*SERVER_OPTIONS, REASON]
 
@@ -75,7 +80,7 @@
 
     def show(self, document):
         """Prints what was changed."""
-        self.print(f"maintenance of {document['scope']} is {self.done}")
+        self.print(f"maintenance of {document['scope']} is {self.new_state}")
 
 
 @commands.register("maintenance pause")
@@ -83,9 +88,9 @@
     """Stops new maintenance grants."""
 
     name = "maintenance pause"
-    description = "Stops new maintenance grants; live ones go on."
+    description = "Stops new maintenance grants; grants already given go on."
     path = "/v1/maintenance/pause"
-    done = "paused"
+    new_state = "paused"
 
 
 @commands.register("maintenance resume")
@@ -95,7 +100,7 @@
     name = "maintenance resume"
     description = "Allows maintenance grants again."
     path = "/v1/maintenance/resume"
-    done = "allowed"
+    new_state = "allowed"
 
 
 @commands.register("maintenance drain")
@@ -103,13 +108,25 @@
     """Requests a grant to drain a VM."""
 
     name = "maintenance drain"
-    description = "Drains a VM if the budgets allow it."
-    arguments = [argument("vm", "VM id.")]
+    description = (
+        "Requests a grant to drain a VM; refused if a budget forbids it."
+    )
+    arguments = [argument("vm", "Id of the VM.")]
     options = [
         *SERVER_OPTIONS,
         REASON,
-        option("id", None, "Grant id; keep it for a resend.", flag=False),
-        option("lease-minutes", None, "Length of the lease.", flag=False),
+        option(
+            "id",
+            None,
+            "Grant id; use the same one to send the request again.",
+            flag=False,
+        ),
+        option(
+            "lease-minutes",
+            None,
+            "Length of the lease, in minutes.",
+            flag=False,
+        ),
     ]
 
     def handle(self):
@@ -138,15 +155,20 @@
     """Ends a grant."""
 
     name = "maintenance end"
-    description = "Ends a grant; VMs that are not named stay unavailable."
+    description = "Ends a grant; its VMs that are not named count as missing."
     arguments = [
-        argument("grant", "Grant id."),
-        argument("vms", "VMs that are back.", optional=True, multiple=True),
+        argument("grant", "Id of the grant."),
+        argument(
+            "vms",
+            "Ids of the VMs that are healthy again.",
+            optional=True,
+            multiple=True,
+        ),
     ]
     options = SERVER_OPTIONS
 
     def handle(self):
-        """Sends the request and prints what is missing."""
+        """Sends the request and prints the VMs that are missing."""
         document = {
             "grant": self.argument("grant"),
             "healthy": self.argument("vms") or [],
@@ -168,7 +190,7 @@
 
     name = "maintenance return"
     description = "Reports that a missing VM is back."
-    arguments = [argument("vm", "VM id.")]
+    arguments = [argument("vm", "Id of the VM.")]
     options = SERVER_OPTIONS
 
     def handle(self):
--- a/wigeonport/commands/options.py
+++ b/wigeonport/commands/options.py
@@ -1,4 +1,4 @@
-"""What the commands share: exit codes, output and the client."""
+"""Shared by the commands: exit codes, options, output and the client."""
 
 import json
 import os
@@ -25,32 +25,32 @@
 TIMEOUT_MS = 10_000
 SERVERS_VARIABLE = "WIGEONPORT_SERVERS"
 TOKEN_VARIABLE = "WIGEONPORT_TOKEN_FILE"
-JSON_OPTION = option("json", None, "Prints JSON.")
+JSON_OPTION = option("json", None, "Prints the result as JSON.")
 SERVER_OPTIONS = [
     option(
         "server",
         "s",
-        f"Address of a control, host:port; else {SERVERS_VARIABLE}.",
+        f"Address of a control as host:port; default: {SERVERS_VARIABLE}.",
         flag=False,
         multiple=True,
     ),
     option(
         "token-file",
         None,
-        f"File with the bearer token; else {TOKEN_VARIABLE}.",
+        f"File with the bearer token; default: {TOKEN_VARIABLE}.",
         flag=False,
     ),
     option(
         "timeout-ms",
         None,
-        "Longest wait for one server.",
+        "Maximum wait for the answer of one server, in ms.",
         flag=False,
         default=str(TIMEOUT_MS),
     ),
     option(
         "retry-ms",
         None,
-        "How long to try again while the servers run nothing.",
+        "Time to try again while no server can run the request, in ms.",
         flag=False,
         default=str(DEFAULT_RETRY_MS),
     ),
@@ -59,14 +59,14 @@
 
 
 class UsageError(Exception):
-    """The command line is wrong; nothing was sent."""
+    """The command line is invalid; nothing was sent."""
 
 
 class PlainCommand(Command):
-    """Base of the commands: prints texts as they are."""
+    """Base of the commands: prints text without interpreting markup."""
 
     def print(self, text):
-        """Prints a line without interpreting markup in it."""
+        """Prints a line to standard output."""
         self.io.write_line(text, type=Type.RAW)
 
     def print_error(self, text):
@@ -81,37 +81,39 @@
         """Returns an option as a whole number, or None if it is absent.
 
         Raises:
-            UsageError: If it is not a whole number.
+            UsageError: If it is not a whole number of at most 2**53.
         """
         text = self.option(name)
         if text is None:
             return None
         value = parse_whole_number(text)
         if value is None:
-            raise UsageError(f"--{name} takes a whole number, not {text!r}")
+            raise UsageError(f"--{name} must be a whole number, not {text!r}")
         return value
 
 
 class ServerCommand(PlainCommand):
-    """Base of the commands that talk to a control program."""
+    """Base of the commands that send a request to a control program."""
 
     def make_client(self):
         """Returns the client for the options and the environment.
 
         Raises:
-            UsageError: If servers or token are missing or malformed.
+            UsageError: If an option or variable is missing or malformed.
         """
         names = self.option("server")
         if not names:
             names = os.environ.get(SERVERS_VARIABLE, "").split(",")
         names = [name.strip() for name in names if name.strip()]
         if not names:
-            raise UsageError(f"name a --server or set {SERVERS_VARIABLE}")
+            raise UsageError(
+                f"no server: give --server host:port or set {SERVERS_VARIABLE}"
+            )
         servers = []
         for name in names:
             server = parse_server(name)
             if server is None:
-                raise UsageError(f"{name!r} is not an address host:port")
+                raise UsageError(f"server must be host:port, not {name!r}")
             servers.append(server)
         timeout_ms = self.read_whole_number("timeout-ms") or TIMEOUT_MS
         retry_ms = self.read_whole_number("retry-ms")
@@ -125,19 +127,23 @@
         """
         path = self.option("token-file") or os.environ.get(TOKEN_VARIABLE)
         if not path:
-            raise UsageError(f"name a --token-file or set {TOKEN_VARIABLE}")
+            raise UsageError(
+                f"no token: give --token-file FILE or set {TOKEN_VARIABLE}"
+            )
         try:
             lines = pathlib.Path(path).read_text().splitlines()
-        except (OSError, ValueError) as fault:
-            raise UsageError(f"{path}: cannot be read: {fault}") from fault
+        except (OSError, ValueError) as error:
+            raise UsageError(
+                f"token file {path} cannot be read: {error}"
+            ) from error
         lines = [line for line in lines if line.strip() and line[0] != "#"]
         token = lines[0].split()[-1] if lines else ""
         if not token or not token.isascii():
-            raise UsageError(f"{path}: has no token")
+            raise UsageError(f"token file {path} has no token in ASCII")
         return token
 
     def ask(self, method, path, document=None):
-        """Returns the Answer of the servers."""
+        """Sends a request to the servers and returns the Answer."""
         return self.make_client().call(method, path, document)
 
     def report_answer(self, answer, show, resend=""):
@@ -145,8 +151,9 @@
 
         Args:
             answer: The Answer.
-            show: Function that prints the document of a good answer.
-            resend: What to do after a lost answer, as a sentence.
+            show: Function that prints the document of a status 200.
+            resend: Sentence that is printed after an unknown outcome: what
+                the operator should do.
         """
         if self.option("json"):
             document = {"outcome": answer.outcome, **answer.document}
@@ -159,7 +166,7 @@
             self.print_error(f"The outcome is unknown. {resend}".rstrip())
             return EXIT_UNKNOWN
         if answer.outcome != ANSWERED:
-            self.print_error("No server ran it; nothing was changed.")
+            self.print_error("No server ran the request; nothing was changed.")
             return EXIT_REFUSED
         if answer.status != 200:
             self.print_refusal(answer)
--- a/wigeonport/commands/recovery.py
+++ b/wigeonport/commands/recovery.py
@@ -20,20 +20,28 @@
 
 @commands.register("recover")
 class RecoverCommand(PlainCommand):
-    """Lets one replica go on when the quorum is lost for good."""
+    """Makes one replica the only voter when the quorum is lost for good."""
 
     name = "recover"
     description = (
-        "Lets the replica of a stopped control go on alone when the other "
-        "voters are lost for good. Refuses where a quorum may live."
+        "Makes the replica of a stopped control the only voter when the "
+        "other voters are lost for good. Refuses if a quorum may still exist."
     )
-    arguments = [argument("settings", "Settings file of the VM.")]
+    arguments = [
+        argument(
+            "settings", "Settings file of the VM with the surviving replica."
+        )
+    ]
     options = [
-        option("accept-loss", None, "Does it; else only tells what is lost.")
+        option(
+            "accept-loss",
+            None,
+            "Makes the change; else only shows what may be lost.",
+        )
     ]
 
     def handle(self):
-        """Prints what may be lost and, if accepted, writes the change."""
+        """Shows what may be lost; makes the change if the loss is accepted."""
         settings = load_settings(self.argument("settings"))
         if settings.is_error():
             return self.refuse(settings.error.lines())
@@ -49,7 +57,7 @@
             survivor.ok.storage.journal.close()
 
     def decide(self, settings, keys, survivor):
-        """Checks the other controls, then recovers if that is accepted."""
+        """Checks the other controls, then recovers if the loss is accepted."""
         reports = collect_reports(settings, keys)
         objections = find_objections(survivor, reports)
         if objections:
@@ -57,9 +65,11 @@
         for line in survivor.describe():
             self.print(line)
         if not self.option("accept-loss"):
-            return self.refuse(["nothing was changed; use --accept-loss"])
+            return self.refuse(
+                ["nothing was changed; give --accept-loss to recover"]
+            )
         make_sole_voter(survivor)
-        self.print("recovered; start the control, then the others")
+        self.print("recovered; start this control first, then the others")
         return EXIT_DONE
 
     def refuse(self, lines):
--- a/wigeonport/commands/replays.py
+++ b/wigeonport/commands/replays.py
@@ -11,26 +11,34 @@
 from wigeonport.replays import replay_trace
 from wigeonport.traces import read_trace
 
-DONE = 0
-DIFFERENT = 1
+EXIT_SAME = 0
+EXIT_DIFFERENT = 1
 
 
 @commands.register("replay")
 class ReplayCommand(Command):
-    """Runs the decisions on a trace and compares the outcomes."""
+    """Replays a trace through the planner and compares the outcomes."""
 
     name = "replay"
     description = "Replays a trace and reports outcomes that differ."
     arguments = [argument("trace", "Trace file (JSON Lines).")]
     options = [
-        option("expect", None, "File of expected outcomes.", flag=False),
         option(
-            "record", None, "Writes the outcomes as an expect file.", False
+            "expect",
+            None,
+            "Compares the outcomes with those of this file.",
+            flag=False,
+        ),
+        option(
+            "record",
+            None,
+            "Writes the outcomes to this file, for use with --expect.",
+            False,
         ),
         option(
             "set",
             None,
-            "Overrides a setting of the trace, as NAME=VALUE.",
+            "Overrides a setting of the trace; takes NAME=VALUE.",
             flag=False,
             multiple=True,
         ),
@@ -38,7 +46,7 @@
     ]
 
     def handle(self):
-        """Returns 0, or 1 if a finding or a difference was reported."""
+        """Returns exit code 0, or 1 if it reported a finding or difference."""
         findings = Findings()
         trace = read_or_collect(read_trace, self.argument("trace"), findings)
         expected = []
@@ -61,10 +69,10 @@
         else:
             for text in findings.lines():
                 self.line_error(text)
-        return DIFFERENT
+        return EXIT_DIFFERENT
 
     def report(self, record, expected):
-        """Prints measures and differences; writes the record."""
+        """Writes the outcomes if asked to; prints measures and differences."""
         if self.option("record"):
             with open(self.option("record"), "w", encoding="utf-8") as file:
                 record.write_outcomes(file)
@@ -77,11 +85,11 @@
             for difference in differences:
                 self.line_error(str(difference))
             self.line(f"{len(differences)} outcomes differ")
-        return DIFFERENT if differences else DONE
+        return EXIT_DIFFERENT if differences else EXIT_SAME
 
 
 def make_document(record, differences):
-    """Returns the result as plain data."""
+    """Returns the result as a JSON object."""
     return {
         "measures": record.measures.to_document(),
         "differences": [
@@ -91,7 +99,7 @@
 
 
 def read_or_collect(read, path, findings):
-    """Returns what was read; adds the findings of a failure."""
+    """Returns what ``read`` gives, or None after adding its findings."""
     result = read(path)
     if result.is_error():
         findings.extend(result.error)
@@ -100,12 +108,15 @@
 
 
 def read_overrides(texts, findings):
-    """Returns settings by name; values are JSON or plain texts."""
+    """Returns a dict of setting name to value.
+
+    A value that is not JSON is taken as text.
+    """
     overrides = {}
     for text in texts:
         name, separator, value = text.partition("=")
         if not separator:
-            findings.add(f"--set {text}", "must be NAME=VALUE")
+            findings.add(f"--set {text}", "expected NAME=VALUE")
             continue
         try:
             overrides[name] = json.loads(value)
--- a/wigeonport/commands/settings.py
+++ b/wigeonport/commands/settings.py
@@ -14,11 +14,19 @@
 
 @commands.register("settings check")
 class SettingsCheckCommand(PlainCommand):
-    """Checks settings files alone and against each other."""
+    """Checks each settings file, and the files against each other."""
 
     name = "settings check"
-    description = "Checks settings files alone and against each other."
-    arguments = [argument("files", "Settings files.", multiple=True)]
+    description = (
+        "Checks each settings file, and the files against each other."
+    )
+    arguments = [
+        argument(
+            "files",
+            "Settings files, usually those of all VMs of a cluster.",
+            multiple=True,
+        )
+    ]
     options = [JSON_OPTION]
 
     def handle(self):
--- a/wigeonport/commands/timeline.py
+++ b/wigeonport/commands/timeline.py
@@ -15,16 +15,16 @@
 from wigeonport.findings import Findings
 from wigeonport.timelines import merge, read_lines, render
 
-TIMEOUT_MS = 10_000
-URL_START = "http://"
+FETCH_TIMEOUT_MS = 10_000
+URL_PREFIX = "http://"
 
 
 @commands.register("timeline")
 class TimelineCommand(PlainCommand):
-    """Prints one timeline of several event logs."""
+    """Prints the events of several logs as one timeline."""
 
     name = "timeline"
-    description = "Merges event logs in causal order."
+    description = "Merges event logs into one timeline in causal order."
     arguments = [
         argument(
             "sources",
@@ -35,7 +35,7 @@
     options = [JSON_OPTION]
 
     def handle(self):
-        """Prints the events, then what could not be read."""
+        """Prints the events, then the sources and lines it could not read."""
         findings = Findings()
         events = []
         for source in self.argument("sources"):
@@ -54,20 +54,20 @@
 
 def read_source(source, findings):
     """Returns the events of a file or of a running process."""
-    if source.startswith(URL_START):
+    if source.startswith(URL_PREFIX):
         return read_url(source, findings)
     try:
         with open(source, "rb") as lines:
             return read_lines(source, lines, findings)
-    except OSError as fault:
-        findings.add(source, f"cannot be read: {fault.strerror}")
+    except OSError as error:
+        findings.add(source, f"cannot be read: {error.strerror}")
         return []
 
 
 def read_url(url, findings):
     """Returns the events that a running process serves."""
     try:
-        status, content = trio.run(fetch, url, TIMEOUT_MS)
+        status, content = trio.run(fetch, url, FETCH_TIMEOUT_MS)
     except (
         httpcore.NetworkError,
         httpcore.ProtocolError,
@@ -76,10 +76,10 @@
         trio.TooSlowError,
         OSError,
         ValueError,
-    ) as fault:
-        findings.add(url, f"cannot be read: {describe_error(fault)}")
+    ) as error:
+        findings.add(url, f"cannot be read: {describe_error(error)}")
         return []
     if status != 200:
-        findings.add(url, f"answered with status {status}")
+        findings.add(url, f"answered with HTTP status {status}, not 200")
         return []
     return read_lines(url, content.splitlines(), findings)
