Rename clients to operator_clients

Cause: 'clients' did not say whose; the module holds the client of the operators' HTTP interface Change: clients to operator_clients; 3 uses in 3 files, by token.

--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -9,7 +9,9 @@
 from operator_fakes import TOKEN, FakeControl
 
 from wigeonport.cli_main import run
-from wigeonport.clients import (
+from wigeonport.clocks import LamportCounter
+from wigeonport.events import EventLog
+from wigeonport.operator_clients import (
     ANSWERED,
     NOT_RUN,
     UNKNOWN,
@@ -17,8 +19,6 @@
     parse_whole_number,
     read_answer,
 )
-from wigeonport.clocks import LamportCounter
-from wigeonport.events import EventLog
 from wigeonport.servers import serve_http
 
 PATCH = """\
--- a/wigeonport/commands/options.py
+++ b/wigeonport/commands/options.py
@@ -8,7 +8,7 @@
 from cleo.helpers import option
 from cleo.io.outputs.output import Type
 
-from wigeonport.clients import (
+from wigeonport.operator_clients import (
     ANSWERED,
     DEFAULT_RETRY_MS,
     UNKNOWN,
--- a/wigeonport/commands/timeline.py
+++ b/wigeonport/commands/timeline.py
@@ -4,7 +4,6 @@
 import trio
 from cleo.helpers import argument
 
-from wigeonport.clients import describe_error, fetch
 from wigeonport.commands import commands
 from wigeonport.commands.options import (
     EXIT_DONE,
@@ -13,6 +12,7 @@
     PlainCommand,
 )
 from wigeonport.findings import Findings
+from wigeonport.operator_clients import describe_error, fetch
 from wigeonport.timelines import merge, read_lines, render
 
 FETCH_TIMEOUT_MS = 10_000
