Rename platforms to command_ledgers

Cause: the module holds the command ledger and the term fence, not platforms Change: platforms to command_ledgers; 4 uses in 4 files, by token.

--- a/tests/test_planners.py
+++ b/tests/test_planners.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from wigeonport.command_ledgers import CommandLedger, TermFence
 from wigeonport.plan_commands import CancelJobs, DrainVm, StartTask
 from wigeonport.plan_events import (
     CommandConfirmed,
@@ -14,7 +15,6 @@
 )
 from wigeonport.plan_settings import PlanSettings, read_plan_settings
 from wigeonport.planners import build_planner
-from wigeonport.platforms import CommandLedger, TermFence
 from wigeonport.views import DRAINED, DRAINING, FAILED, READY, Size
 
 
--- a/wigeonport/planners.py
+++ b/wigeonport/planners.py
@@ -19,6 +19,7 @@
     rollouts,
     waves,
 )
+from wigeonport.command_ledgers import STALE_TERM, CommandLedger
 from wigeonport.findings import Findings
 from wigeonport.logs import PartLogger
 from wigeonport.plan_events import CommandConfirmed, CommandRefused
@@ -30,7 +31,6 @@
     stages,
 )
 from wigeonport.plan_views import PlanView
-from wigeonport.platforms import STALE_TERM, CommandLedger
 
 logger = PartLogger("planner")
 
--- a/wigeonport/platform_clients.py
+++ b/wigeonport/platform_clients.py
@@ -6,9 +6,9 @@
 import trio
 from expression import Error, Ok, Result
 
+from wigeonport.command_ledgers import STALE_TERM
 from wigeonport.plan_events import CommandConfirmed, CommandRefused
 from wigeonport.platform_reports import read_report
-from wigeonport.platforms import STALE_TERM
 
 REQUEST_TIMEOUT_MS = 2_000
 POLL_INTERVAL_MS = 500
--- a/wigeonport/replay_platforms.py
+++ b/wigeonport/replay_platforms.py
@@ -6,6 +6,7 @@
 
 import heapq
 
+from wigeonport.command_ledgers import REPEATED, STALE_TERM, TermFence
 from wigeonport.plan_commands import LOG
 from wigeonport.plan_events import (
     CommandConfirmed,
@@ -15,7 +16,6 @@
     LeadershipChanged,
     VmReported,
 )
-from wigeonport.platforms import REPEATED, STALE_TERM, TermFence
 from wigeonport.registries import Registry
 from wigeonport.trace_kinds import ActualJob, FaultsChanged
 from wigeonport.views import DRAINED, FAILED, READY, REBOOTING
