Name the bound of whole numbers on the command line

Cause: the docstring of parse_whole_number didn't name its bound of 2**53. Change: the docstring names it.

--- a/wigeonport/operator_clients.py
+++ b/wigeonport/operator_clients.py
@@ -244,7 +244,7 @@
 
 
 def parse_whole_number(text):
-    """Returns a whole number, or None if the text is not one."""
+    """Returns a whole number of at most 2**53, or None if it is not one."""
     if text is None or not (text.isascii() and text.isdigit()):
         return None
     value = int(text) if len(text) < 17 else math.inf
