Merge the wording of part links-operators

Change: comments, docstrings, log sentences, messages and names of the part; renames follow over the tree.

--- a/tests/test_planners.py
+++ b/tests/test_planners.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from wigeonport.command_ledgers import CommandLedger, TermFence
 from wigeonport.plan_commands import CancelJobs, DrainVm, StartTask
 from wigeonport.plan_events import (
     CommandConfirmed,
@@ -14,7 +15,6 @@
 )
 from wigeonport.plan_settings import PlanSettings, read_plan_settings
 from wigeonport.planners import build_planner
-from wigeonport.platforms import CommandLedger, TermFence
 from wigeonport.views import DRAINED, DRAINING, FAILED, READY, Size
 
 
@@ -216,20 +216,20 @@
     """
     ledger = CommandLedger(1_000)
     ledger.start_term(1)
-    ledger.stamp(StartTask("job", "vm", 1, Size(1, 1), 9_000), 0)
-    cancel = ledger.stamp(CancelJobs(("job",)), 10)
-    assert ledger.overdue(5_000) == [cancel]
+    ledger.record_sent(StartTask("job", "vm", 1, Size(1, 1), 9_000), 0)
+    cancel = ledger.record_sent(CancelJobs(("job",)), 10)
+    assert ledger.take_due_resends(5_000) == [cancel]
 
 
 def test_commands_of_an_old_term_are_not_repeated():
     """A new leadership must not repeat the commands of an earlier one."""
     ledger = CommandLedger(1_000)
     ledger.start_term(1)
-    old = ledger.stamp(DrainVm("vm", "maintenance"), 0)
+    old = ledger.record_sent(DrainVm("vm", "maintenance"), 0)
     ledger.start_term(2)
-    assert ledger.overdue(5_000) == []
-    assert ledger.settle(old.command_id) is None
-    new = ledger.stamp(DrainVm("vm", "maintenance"), 0)
+    assert ledger.take_due_resends(5_000) == []
+    assert ledger.record_answer(old.command_id) is None
+    new = ledger.record_sent(DrainVm("vm", "maintenance"), 0)
     assert (new.command_id, new.term) == ("2-1", 2)
 
 
--- a/wigeonport/commands/maintenance.py
+++ b/wigeonport/commands/maintenance.py
@@ -1,4 +1,4 @@
-"""Commands that show and steer maintenance."""
+"""Commands that show and control maintenance."""
 
 import uuid
 
@@ -8,9 +8,14 @@
 from wigeonport.commands.options import SERVER_OPTIONS, ServerCommand
 
 MS_PER_MINUTE = 60_000
-SCOPE = argument("scope", "Pool, or all.", optional=True, default="all")
+SCOPE = argument(
+    "scope",
+    "Name of a pool, or all for every pool.",
+    optional=True,
+    default="all",
+)
 REASON = option("reason", "r", "Why.", flag=False, default="")
-SET_AGAIN = "Sending it again is safe."
+RESEND_IS_SAFE = "Sending it again is safe."
 
 
 @commands.register("maintenance list")
@@ -23,25 +28,27 @@
 
     def handle(self):
         """Prints one line for each item."""
-        return self.finish(self.ask("GET", "/v1/maintenance"), self.show)
+        return self.report_answer(
+            self.ask("GET", "/v1/maintenance"), self.show
+        )
 
     def show(self, document):
-        """Prints everything that takes VMs away or may do so."""
+        """Prints everything that makes VMs unavailable or may do so."""
         now_ms = document["now_ms"]
         for scope, pause in document["pauses"].items():
             self.print(f"paused {scope}: {pause['author']}: {pause['reason']}")
         for grant in document["grants"]:
-            left_s = max(grant["expires_ms"] - now_ms, 0) // 1_000
+            remaining_s = max(grant["expires_ms"] - now_ms, 0) // 1_000
             self.print(
                 f"grant {grant['id']} ({grant['purpose']}): "
                 f"{' '.join(grant['workers'])}, {len(grant['drained'])} "
-                f"drained, {left_s} s left: {grant['reason']}"
+                f"drained, {remaining_s} s left: {grant['reason']}"
             )
         for worker, grant in document["missing"].items():
             self.print(f"missing {worker} since grant {grant}")
         for worker, until_ms in document["holds"].items():
-            left_s = max(until_ms - now_ms, 0) // 1_000
-            self.print(f"held {worker}: {left_s} s left")
+            remaining_s = max(until_ms - now_ms, 0) // 1_000
+            self.print(f"held {worker}: {remaining_s} s left")
         for move in document["moves"]:
             target = move["target"] or "removed"
             self.print(f"move {move['worker']}: {move['source']} -> {target}")
@@ -54,11 +61,11 @@
         self.print(f"{len(document['due'])} VMs are due for maintenance")
 
 
-class SwitchCommand(ServerCommand):
+class PauseScopeCommand(ServerCommand):
     """Base of the commands that pause and resume."""
 
     path = ""
-    done = ""
+    new_state = ""
     arguments = [SCOPE]
     options = [*SERVER_OPTIONS, REASON]
 
@@ -69,31 +76,31 @@
             "reason": self.option("reason"),
         }
         answer = self.ask("POST", self.path, document)
-        return self.finish(answer, self.show, SET_AGAIN)
+        return self.report_answer(answer, self.show, RESEND_IS_SAFE)
 
     def show(self, document):
         """Prints what was changed."""
-        self.print(f"maintenance of {document['scope']} is {self.done}")
+        self.print(f"maintenance of {document['scope']} is {self.new_state}")
 
 
 @commands.register("maintenance pause")
-class MaintenancePauseCommand(SwitchCommand):
+class MaintenancePauseCommand(PauseScopeCommand):
     """Stops new maintenance grants."""
 
     name = "maintenance pause"
-    description = "Stops new maintenance grants; live ones go on."
+    description = "Stops new maintenance grants; grants already given go on."
     path = "/v1/maintenance/pause"
-    done = "paused"
+    new_state = "paused"
 
 
 @commands.register("maintenance resume")
-class MaintenanceResumeCommand(SwitchCommand):
+class MaintenanceResumeCommand(PauseScopeCommand):
     """Allows maintenance grants again."""
 
     name = "maintenance resume"
     description = "Allows maintenance grants again."
     path = "/v1/maintenance/resume"
-    done = "allowed"
+    new_state = "allowed"
 
 
 @commands.register("maintenance drain")
@@ -101,13 +108,25 @@
     """Requests a grant to drain a VM."""
 
     name = "maintenance drain"
-    description = "Drains a VM if the budgets allow it."
-    arguments = [argument("vm", "VM id.")]
+    description = (
+        "Requests a grant to drain a VM; refused if a budget forbids it."
+    )
+    arguments = [argument("vm", "Id of the VM.")]
     options = [
         *SERVER_OPTIONS,
         REASON,
-        option("id", None, "Grant id; keep it for a resend.", flag=False),
-        option("lease-minutes", None, "Length of the lease.", flag=False),
+        option(
+            "id",
+            None,
+            "Grant id; use the same one to send the request again.",
+            flag=False,
+        ),
+        option(
+            "lease-minutes",
+            None,
+            "Length of the lease, in minutes.",
+            flag=False,
+        ),
     ]
 
     def handle(self):
@@ -118,12 +137,12 @@
             "workers": [self.argument("vm")],
             "reason": self.option("reason"),
         }
-        minutes = self.whole("lease-minutes")
+        minutes = self.read_whole_number("lease-minutes")
         if minutes is not None:
             document["lease_ms"] = minutes * MS_PER_MINUTE
         answer = self.ask("POST", "/v1/maintenance/grant", document)
         resend = f"Resending with --id {id} is safe."
-        return self.finish(answer, self.show, resend)
+        return self.report_answer(answer, self.show, resend)
 
     def show(self, document):
         """Prints the grant."""
@@ -136,22 +155,27 @@
     """Ends a grant."""
 
     name = "maintenance end"
-    description = "Ends a grant; VMs that are not named stay unavailable."
+    description = "Ends a grant; its VMs that are not named count as missing."
     arguments = [
-        argument("grant", "Grant id."),
-        argument("vms", "VMs that are back.", optional=True, multiple=True),
+        argument("grant", "Id of the grant."),
+        argument(
+            "vms",
+            "Ids of the VMs that are healthy again.",
+            optional=True,
+            multiple=True,
+        ),
     ]
     options = SERVER_OPTIONS
 
     def handle(self):
-        """Sends the request and prints what is missing."""
+        """Sends the request and prints the VMs that are missing."""
         document = {
             "grant": self.argument("grant"),
             "healthy": self.argument("vms") or [],
         }
         answer = self.ask("POST", "/v1/maintenance/end", document)
         resend = "Look at `maintenance list` before sending it again."
-        return self.finish(answer, self.show, resend)
+        return self.report_answer(answer, self.show, resend)
 
     def show(self, document):
         """Prints the end of the grant."""
@@ -166,7 +190,7 @@
 
     name = "maintenance return"
     description = "Reports that a missing VM is back."
-    arguments = [argument("vm", "VM id.")]
+    arguments = [argument("vm", "Id of the VM.")]
     options = SERVER_OPTIONS
 
     def handle(self):
@@ -174,7 +198,7 @@
         document = {"worker": self.argument("vm")}
         answer = self.ask("POST", "/v1/maintenance/return", document)
         resend = "Look at `maintenance list` before sending it again."
-        return self.finish(answer, self.show, resend)
+        return self.report_answer(answer, self.show, resend)
 
     def show(self, document):
         """Prints that the VM is back."""
--- a/wigeonport/planners.py
+++ b/wigeonport/planners.py
@@ -19,6 +19,7 @@
     rollouts,
     waves,
 )
+from wigeonport.command_ledgers import STALE_TERM, CommandLedger
 from wigeonport.findings import Findings
 from wigeonport.logs import PartLogger
 from wigeonport.plan_events import CommandConfirmed, CommandRefused
@@ -30,7 +31,6 @@
     stages,
 )
 from wigeonport.plan_views import PlanView
-from wigeonport.platforms import STALE_TERM, CommandLedger
 
 logger = PartLogger("planner")
 
@@ -113,7 +113,7 @@
         Returns:
             Names of the pools to plan.
         """
-        command = self.ledger.settle(command_id)
+        command = self.ledger.record_answer(command_id)
         if command is None:
             return ()
         handler = handlers.entries.get(type(command))
@@ -148,12 +148,12 @@
         for plan_stage in self.stage_functions:
             commands.extend(plan_stage(view, now_ms, random))
         view.available = None
-        commands = [self.ledger.stamp(each, now_ms) for each in commands]
+        commands = [self.ledger.record_sent(each, now_ms) for each in commands]
         if view.plans_all_pools():
             new_ids = {command.command_id for command in commands}
             commands.extend(
                 command
-                for command in self.ledger.overdue(now_ms)
+                for command in self.ledger.take_due_resends(now_ms)
                 if command.command_id not in new_ids
             )
         return commands
--- a/wigeonport/receivers.py
+++ b/wigeonport/receivers.py
@@ -136,8 +136,8 @@
                 f"the body is larger than {self.limits.max_body_bytes} bytes",
             )
         with trio.move_on_after(self.limits.receive_timeout_ms / 1000):
-            await reader.read_piece()
-            if reader.more:
+            await reader.read_chunk()
+            if reader.more_expected:
                 try:
                     self.body_slots.acquire_nowait()
                 except trio.WouldBlock:
@@ -147,9 +147,9 @@
                     await reader.read_rest()
                 finally:
                     self.body_slots.release()
-        if reader.whole:
-            return b"".join(reader.pieces)
-        if reader.more:
+        if reader.complete:
+            return b"".join(reader.chunks)
+        if reader.more_expected:
             return refuse(408, "the body did not arrive in time")
         return refuse(413, "the body is too large or incomplete")
 
