Word the invariants and trace recording in plain terms

Cause: names such as taken, sent, heard_ms and BoundedFile did not say what they hold. Change: reword docstrings and messages; rename attributes to withdrawn, unconfirmed, zone_reported_ms, hold_until_ms, missing_vms and the class to CountingFile.

--- a/wigeonport/invariants.py
+++ b/wigeonport/invariants.py
@@ -1,7 +1,7 @@
-"""Invariants that replay checks after every event.
+"""Invariants that a replay checks after every event.
 
-The checker keeps its own record of what the log, the platform and the
-commands have shown, so that a fault in the planner's view does not hide.
+The checker derives its own state from the events and the planner's commands,
+so that a fault in the planner's view cannot hide a violation.
 """
 
 from wigeonport.plan_commands import (
@@ -24,26 +24,31 @@
 GRANTED = "granted"
 DRAINED = "drained"
 
-observers = Registry("observer of the checker")
+observers = Registry("event observer of the invariant checker")
 invariants = Registry("invariant")
 
 
 class InvariantChecker:
-    """Record of the checks.
+    """State against which the invariants are checked.
 
     Attributes:
-        hold_ms: Hold after a repair that the trace requires.
-        stale_ms: Age of a zone's report that leaves its VMs unknown.
-        fleet: FleetView last loaded; only its fixed parts are read.
-        pools: Pool by VM, as the log has committed it.
-        states: State by VM, as reported.
-        sequences: Sequence of the last report by VM.
-        settled_ms: End of the hold by VM.
-        missing: VMs that their zone's last report did not include.
-        heard_ms: Time of the last report by zone.
-        taken: How the planner has taken a VM, by VM.
-        grants: End of the lease by VM.
-        sent: Commands to the log by id.
+        hold_ms: Time for which a VM must stay healthy after a repair before
+            it counts as available.
+        stale_ms: Age above which a zone's report is stale, so that none of
+            the zone's VMs counts as available.
+        fleet: FleetView last loaded. Only the parts that the planner does
+            not modify are read.
+        pools: Maps VM to the pool that the log has committed for it.
+        states: Maps VM to its last reported state.
+        sequences: Maps VM to the sequence number of its last report.
+        hold_until_ms: Maps VM to the end of its hold.
+        missing_vms: Maps zone to the VMs missing from its last report.
+        zone_reported_ms: Maps zone to the measuring time of its last report.
+        withdrawn: Maps VM that the planner has withdrawn from service to
+            ``GRANTED`` or ``DRAINED``.
+        grants: Maps VM to the end of its grant's lease.
+        unconfirmed: Maps id to the command sent to the log and not yet
+            confirmed.
         term: Highest term seen.
         lease_until_ms: End of the leader lease.
     """
@@ -55,12 +60,12 @@
         "pools",
         "states",
         "sequences",
-        "settled_ms",
-        "missing",
-        "heard_ms",
-        "taken",
+        "hold_until_ms",
+        "missing_vms",
+        "zone_reported_ms",
+        "withdrawn",
         "grants",
-        "sent",
+        "unconfirmed",
         "term",
         "lease_until_ms",
     )
@@ -72,43 +77,47 @@
         self.pools = {}
         self.states = {}
         self.sequences = {}
-        self.settled_ms = {}
-        self.missing = {}
-        self.heard_ms = {}
-        self.taken = {}
+        self.hold_until_ms = {}
+        self.missing_vms = {}
+        self.zone_reported_ms = {}
+        self.withdrawn = {}
         self.grants = {}
-        self.sent = {}
+        self.unconfirmed = {}
         self.term = 0
         self.lease_until_ms = 0
 
     def observe(self, event, now_ms):
-        """Records an event before the planner gets it."""
-        observe = observers.entries.get(type(event))
-        if observe is not None:
-            observe(self, event, now_ms)
+        """Updates the state with an event, before the planner receives it."""
+        observer = observers.entries.get(type(event))
+        if observer is not None:
+            observer(self, event, now_ms)
 
     def check(self, view, commands, now_ms):
-        """Returns a text for each violation after an event."""
+        """Returns a description of each violation after an event."""
         violations = []
         for check in invariants.entries.values():
             violations.extend(check(self, view, commands, now_ms))
         return violations
 
     def is_available(self, vm_name, now_ms):
-        """Returns whether a VM counts towards a guarantee."""
+        """Returns whether a VM counts as available in its pool.
+
+        It must be ready, in service, included in a report of its zone that
+        is not stale, and past its hold.
+        """
         zone = self.fleet.vms[vm_name].zone
-        heard_ms = self.heard_ms.get(zone)
+        zone_reported_ms = self.zone_reported_ms.get(zone)
         return (
             self.states.get(vm_name) == READY
-            and vm_name not in self.taken
-            and vm_name not in self.missing.get(zone, ())
-            and self.settled_ms.get(vm_name, 0) <= now_ms
-            and heard_ms is not None
-            and now_ms - heard_ms <= self.stale_ms
+            and vm_name not in self.withdrawn
+            and vm_name not in self.missing_vms.get(zone, ())
+            and self.hold_until_ms.get(vm_name, 0) <= now_ms
+            and zone_reported_ms is not None
+            and now_ms - zone_reported_ms <= self.stale_ms
         )
 
     def count_available(self, now_ms):
-        """Returns the number of available VMs by pool."""
+        """Returns a mapping of pool to its number of available VMs."""
         counts = dict.fromkeys(self.fleet.pools, 0)
         for vm_name, pool in self.pools.items():
             if vm_name in self.fleet.vms:
@@ -118,48 +127,58 @@
 
 @observers.register(FleetLoaded)
 def observe_fleet(checker, event, now_ms):
-    """Takes over the pools and the states of a version."""
+    """Records the pools and grants of a fleet version.
+
+    The state of a VM is taken only from the version that adds the VM; later
+    reports are newer.
+    """
     checker.fleet = event.fleet
     for vm in event.fleet.vms.values():
         checker.pools[vm.name] = vm.pool
         checker.states.setdefault(vm.name, vm.state)
     for grant in event.grants:
         checker.grants[grant.vm] = grant.until_ms
-        checker.taken[grant.vm] = GRANTED
+        checker.withdrawn[grant.vm] = GRANTED
 
 
 @observers.register(VmReported)
 def observe_vm(checker, event, now_ms):
-    """Records a report that is newer than the last one."""
+    """Records a VM's state; ignores a report older than the last one.
+
+    A VM that returns from a failure or a reboot starts its hold.
+    """
     if event.sequence <= checker.sequences.get(event.vm, 0):
         return
     checker.sequences[event.vm] = event.sequence
-    was = checker.states.get(event.vm)
+    previous_state = checker.states.get(event.vm)
     checker.states[event.vm] = event.state
     if event.state == READY:
-        if checker.taken.get(event.vm) == DRAINED:
-            del checker.taken[event.vm]
-        if was in (FAILED, REBOOTING):
-            checker.settled_ms[event.vm] = now_ms + checker.hold_ms
+        if checker.withdrawn.get(event.vm) == DRAINED:
+            del checker.withdrawn[event.vm]
+        if previous_state in (FAILED, REBOOTING):
+            checker.hold_until_ms[event.vm] = now_ms + checker.hold_ms
     elif event.state == FAILED:
-        checker.taken.pop(event.vm, None)
+        checker.withdrawn.pop(event.vm, None)
 
 
 @observers.register(ZoneReported)
 def observe_zone(checker, event, now_ms):
-    """Records which VMs of a zone were heard."""
-    if event.measured_ms <= (checker.heard_ms.get(event.zone) or -1):
+    """Records which VMs a zone's report does not include.
+
+    A VM that the report includes again starts its hold.
+    """
+    if event.measured_ms <= (checker.zone_reported_ms.get(event.zone) or -1):
         return
-    checker.heard_ms[event.zone] = event.measured_ms
+    checker.zone_reported_ms[event.zone] = event.measured_ms
     missing = set(event.missing)
-    for vm in checker.missing.get(event.zone, set()) - missing:
-        checker.settled_ms[vm] = now_ms + checker.hold_ms
-    checker.missing[event.zone] = missing
+    for vm in checker.missing_vms.get(event.zone, set()) - missing:
+        checker.hold_until_ms[vm] = now_ms + checker.hold_ms
+    checker.missing_vms[event.zone] = missing
 
 
 @observers.register(LeadershipChanged)
 def observe_leadership(checker, event, now_ms):
-    """Records the highest term and the lease."""
+    """Records the highest term and the end of its leader lease."""
     if event.term < checker.term:
         return
     if event.term > checker.term or event.lease_until_ms == 0:
@@ -171,8 +190,8 @@
 
 @observers.register(CommandConfirmed)
 def observe_confirmation(checker, event, now_ms):
-    """Records what the log has committed."""
-    command = checker.sent.pop(event.command_id, None)
+    """Records the grant or move that the log has committed."""
+    command = checker.unconfirmed.pop(event.command_id, None)
     if isinstance(command, RequestVmGrant):
         checker.grants[command.vm] = command.until_ms
     elif isinstance(command, MoveVm):
@@ -181,7 +200,7 @@
 
 @invariants.register("one pool")
 def check_one_pool(checker, view, commands, now_ms):
-    """Each VM is in exactly one pool, the one that the log names."""
+    """Each VM is in exactly one pool, the one committed by the log."""
     violations = []
     counts = dict.fromkeys(view.fleet.vms, 0)
     for pool in view.fleet.pools.values():
@@ -200,17 +219,17 @@
 
 @invariants.register("availability budget")
 def check_budget(checker, view, commands, now_ms):
-    """No command takes a VM away from a pool that cannot spare it."""
+    """No command leaves a pool fewer available VMs than it must keep."""
     violations = []
-    taking = [
+    withdrawals = [
         command
         for command in commands
         if isinstance(command, RequestVmGrant | DrainVm)
     ]
-    if not taking:
+    if not withdrawals:
         return violations
     counts = checker.count_available(now_ms)
-    for command in taking:
+    for command in withdrawals:
         pool_name = checker.pools[command.vm]
         if checker.is_available(command.vm, now_ms):
             counts[pool_name] -= 1
@@ -221,23 +240,23 @@
                     f"{counts[pool_name]} of {required} required VMs "
                     f"available in {pool_name}"
                 )
-        note_taken(checker, command)
+        record_withdrawal(checker, command)
     return violations
 
 
-def note_taken(checker, command):
-    """Records that a command takes a VM away."""
+def record_withdrawal(checker, command):
+    """Records that a command withdraws a VM from service."""
     if isinstance(command, DrainVm):
-        checker.taken[command.vm] = DRAINED
+        checker.withdrawn[command.vm] = DRAINED
     else:
-        checker.taken.setdefault(command.vm, GRANTED)
+        checker.withdrawn.setdefault(command.vm, GRANTED)
 
 
 @invariants.register("live lease")
 def check_lease(checker, view, commands, now_ms):
-    """A VM is drained or rebooted only under a live lease."""
+    """A VM is drained, rebooted or moved only while its grant is live."""
     violations = [
-        f"{command.kind} of {command.vm} without a live lease"
+        f"{command.kind} of {command.vm} without a live grant lease"
         for command in commands
         if isinstance(command, DrainVm | RebootVm | MoveVm)
         and now_ms >= checker.grants.get(command.vm, 0)
@@ -245,20 +264,20 @@
     for command in commands:
         if isinstance(command, ReleaseGrant):
             checker.grants.pop(command.vm, None)
-            if checker.taken.get(command.vm) == GRANTED:
-                del checker.taken[command.vm]
+            if checker.withdrawn.get(command.vm) == GRANTED:
+                del checker.withdrawn[command.vm]
     return violations
 
 
 @invariants.register("live leader")
 def check_leader(checker, view, commands, now_ms):
-    """Commands are issued only by a leader, in the newest term."""
+    """Commands are issued only under a leader lease, in the newest term."""
     violations = []
     for command in commands:
         if now_ms >= checker.lease_until_ms:
-            violations.append(f"{command.kind} without a leader lease")
+            violations.append(f"{command.kind} without a live leader lease")
         if command.term < checker.term:
-            violations.append(f"{command.kind} with the old {command.term=}")
+            violations.append(f"{command.kind} with the stale {command.term=}")
         if command.target == "log":
-            checker.sent[command.command_id] = command
+            checker.unconfirmed[command.command_id] = command
     return violations
--- a/wigeonport/trace_recorders.py
+++ b/wigeonport/trace_recorders.py
@@ -1,4 +1,4 @@
-"""Records what reaches a planner as a trace that can be replayed."""
+"""Records the events that a planner receives as a trace for replay."""
 
 from wigeonport.logs import PartLogger
 from wigeonport.plan_events import Tick
@@ -8,8 +8,8 @@
 logger = PartLogger("trace")
 
 
-class BoundedFile:
-    """Counts the bytes written to a text file.
+class CountingFile:
+    """Text file that counts the bytes written to it.
 
     Attributes:
         file: The text file.
@@ -23,28 +23,29 @@
         self.size_bytes = 0
 
     def write(self, text):
-        """Writes a text of ASCII characters."""
+        """Writes ASCII text, whose length equals its size in bytes."""
         self.size_bytes += len(text)
         self.file.write(text)
 
 
 class TraceRecorder:
-    """Writes each event of a planner with the time of its arrival.
+    """Writes each event that a planner receives with its arrival time.
 
-    The trace holds the answers of the log and the platform as they came, so
-    its header has no ``answers`` and no added ticks.
+    The trace contains the answers of the replicated log and the platform as
+    they arrived and the planner's own ticks, so its header has no
+    ``answers`` and the replay adds no ticks.
 
     Attributes:
-        output: BoundedFile.
+        output: CountingFile.
         writer: TraceWriter.
-        max_bytes: Size after which nothing more is recorded.
-        full: Whether that size was reached.
+        max_bytes: Size in bytes at which the recording ends.
+        full: Whether ``max_bytes`` has been reached.
     """
 
     __slots__ = ("output", "writer", "max_bytes", "full")
 
     def __init__(self, file, max_bytes, settings, seed, deployment=""):
-        self.output = BoundedFile(file)
+        self.output = CountingFile(file)
         self.writer = TraceWriter(self.output)
         self.max_bytes = max_bytes
         self.full = False
@@ -60,7 +61,11 @@
         )
 
     def record(self, event, now_ms):
-        """Writes an event; a trace that is full ends with a log line."""
+        """Writes an event unless the trace has reached ``max_bytes``.
+
+        The event that reaches the limit is still written, followed by a
+        warning in the log.
+        """
         if self.full:
             return
         self.writer.write(now_ms, event)
@@ -69,17 +74,20 @@
         if self.output.size_bytes >= self.max_bytes:
             self.full = True
             self.output.file.flush()
-            logger.warning("Trace is full.", bytes=self.output.size_bytes)
+            logger.warning(
+                "Trace reached its maximum size; recording ends.",
+                bytes=self.output.size_bytes,
+            )
 
 
 def open_recorder(path, max_bytes, plan_settings, seed):
-    """Returns the TraceRecorder of a new file, None without a path.
+    """Returns the TraceRecorder of a new file, or None if ``path`` is None.
 
     Raises:
-        OSError: If the file cannot be written.
+        OSError: If the file cannot be opened for writing.
     """
     if path is None:
         return None
-    # The file stays open as long as the program runs.
+    # The recorder writes to the file until the process exits.
     file = open(path, "w", encoding="utf-8")  # noqa: SIM115
     return TraceRecorder(file, max_bytes, plan_settings, seed)
