Word the trace fleets in plain terms

Cause: FAR_MS, per_pool and in_zone did not say what they count. Change: rename them to DISTANT_DUE_MS, workers_per_pool and workers_in_zone; reword docstrings.

--- a/tools/trace_fleets.py
+++ b/tools/trace_fleets.py
@@ -1,4 +1,4 @@
-"""Fleets of the two deployments and of any size, for traces and benches."""
+"""Fleets of the two deployments and of any size, for traces and benchmarks."""
 
 from wigeonport.views import (
     FleetView,
@@ -9,7 +9,7 @@
     VmView,
 )
 
-FAR_MS = 14 * 86_400_000
+DISTANT_DUE_MS = 14 * 86_400_000
 SLOTS_PER_VM = 8
 POOL_SIZE = 6
 RACK_SIZE = 4
@@ -24,8 +24,8 @@
         name: Name of the deployment.
         zones: Names of the zones.
         pools: Names of the pools and services; the last is the spare pool.
-        size: Size of a worker.
-        weights: Settings that differ between the deployments.
+        size: Size of each worker.
+        weights: Planner settings that differ between the deployments.
     """
 
     __slots__ = ("name", "zones", "pools", "size", "weights")
@@ -56,11 +56,12 @@
 }
 
 
-def build_fleet(deployment, due_ms=FAR_MS):
-    """Returns the fleet of a deployment at its present scale.
+def build_fleet(deployment, due_ms=DISTANT_DUE_MS):
+    """Returns the fleet of a deployment at its current scale.
 
     Each pool has two VMs in each zone. A rack holds four VMs, the two of
-    one pool and the two of the next, so its loss takes two VMs of two pools.
+    one pool and the two of the next, so the loss of a rack costs each of
+    these pools two VMs.
     """
     vms = []
     for zone in deployment.zones:
@@ -89,10 +90,10 @@
 
 
 def build_large_fleet(random, worker_count, pool_count, zone_count):
-    """Returns a fleet of any size; each zone has a spare pool.
+    """Returns a fleet of any size with as many spare pools as zones.
 
     Args:
-        random: Source of the workers' sizes.
+        random: Random number generator for worker sizes and due times.
         worker_count: Number of workers.
         pool_count: Number of pools, the spare ones included.
         zone_count: Number of zones.
@@ -101,19 +102,21 @@
     for index in range(pool_count):
         spare = index < zone_count
         pools.append(PoolView(f"pool-{index}", spare))
-        per_pool = worker_count // pool_count
-        guaranteed = per_pool // 3 if spare else max(per_pool - 1, 1)
+        workers_per_pool = worker_count // pool_count
+        guaranteed = (
+            workers_per_pool // 3 if spare else max(workers_per_pool - 1, 1)
+        )
         services.append(
             ServiceView(
                 f"service-{index}", f"pool-{index}", guaranteed, SLOTS_PER_VM
             )
         )
     vms = []
-    in_zone = [0] * zone_count
+    workers_in_zone = [0] * zone_count
     for index in range(worker_count):
         zone = (index // pool_count + index) % zone_count
-        rack = in_zone[zone] // RACK_SIZE
-        in_zone[zone] += 1
+        rack = workers_in_zone[zone] // RACK_SIZE
+        workers_in_zone[zone] += 1
         cores = random.choice((8, 16, 32))
         vms.append(
             VmView(
@@ -122,7 +125,7 @@
                 f"zone-{zone}-r{rack}",
                 f"zone-{zone}",
                 Size(cores, cores * 2_048),
-                random.randrange(FAR_MS),
+                random.randrange(DISTANT_DUE_MS),
             )
         )
     cores = sum(vm.size.cores for vm in vms)
