--- a/tests/test_random_traces.py
+++ b/tests/test_random_traces.py
@@ -1,4 +1,4 @@
-"""Random faults, demand and jobs must not break an invariant."""
+"""Replays random faults, demand and jobs and checks the invariants."""
 
 import random
 
@@ -11,7 +11,7 @@
 from wigeonport.planners import Planner
 from wigeonport.replays import Replay
 from wigeonport.trace_kinds import FaultsChanged
-from wigeonport.traces import ANSWERS, TraceEvent, TraceHeader
+from wigeonport.traces import DEFAULT_ANSWER_DELAYS, TraceEvent, TraceHeader
 from wigeonport.views import FAILED, READY, Size
 
 END_MS = 180_000
@@ -21,9 +21,9 @@
     """Builds random events that a platform could send.
 
     Attributes:
-        random: Seeded source.
-        fleet: The FleetView.
-        events: TraceEvents, unsorted.
+        random: Random number generator with the test's seed.
+        fleet: FleetView of the trace.
+        events: TraceEvents, unsorted until ``build`` returns.
     """
 
     __slots__ = ("random", "fleet", "events")
@@ -36,11 +36,11 @@
         self.events = []
 
     def add(self, at_ms, event):
-        """Adds an event."""
+        """Adds an event that reaches the planner at ``at_ms``."""
         self.events.append(TraceEvent(1, at_ms, event))
 
     def build(self):
-        """Returns the events in order of time."""
+        """Adds all events; returns them in order of time."""
         self.add(0, events.FleetLoaded(self.fleet))
         self.add_leadership()
         self.add_zones()
@@ -61,7 +61,7 @@
                 self.add(at_ms, lease)
 
     def add_zones(self):
-        """Adds zone reports; some are lost, some VMs are missing."""
+        """Adds delayed zone reports; some are lost, some lack a VM."""
         for zone in ("ikeja", "lekki", "yaba"):
             for at_ms in range(0, END_MS, 2_000):
                 names = [
@@ -70,12 +70,12 @@
                     if vm.zone == zone and self.random.random() < 0.003
                 ]
                 if self.random.random() < 0.9:
-                    late_ms = self.random.randrange(1_500)
+                    delay_ms = self.random.randrange(1_500)
                     report = events.ZoneReported(zone, at_ms, tuple(names))
-                    self.add(at_ms + late_ms, report)
+                    self.add(at_ms + delay_ms, report)
 
     def add_failures(self):
-        """Adds failures and repairs, each report once or twice."""
+        """Adds failures and repairs; each report arrives once or twice."""
         for name in self.random.sample(sorted(self.fleet.vms), 6):
             failed_ms = self.random.randrange(END_MS)
             repaired_ms = failed_ms + self.random.randrange(60_000)
@@ -85,7 +85,7 @@
                     self.add(at_ms, report)
 
     def add_demand(self):
-        """Adds demand that jumps between low and high."""
+        """Adds demand that jumps between levels; reports may arrive late."""
         level = 10
         for at_ms in range(0, END_MS, 1_000):
             for service in self.fleet.services:
@@ -96,7 +96,7 @@
                 self.add(at_ms + lag_ms, report)
 
     def add_jobs(self):
-        """Adds jobs of any size, faults and cancellations."""
+        """Adds jobs of random size, faults, and one batch of cancellations."""
         names = []
         for number in range(120):
             name = f"job-{number}"
@@ -127,7 +127,7 @@
 
 
 def check_tables(view):
-    """Asserts that the indices of the job table agree with its jobs."""
+    """Asserts that the job table's indexes and reserved sizes fit its jobs."""
     table = view.jobs
     on_vm = {name: vm for vm, names in table.on_vm.items() for name in names}
     assert on_vm == {
@@ -150,9 +150,9 @@
 
 
 def check_no_stale_jobs(replay):
-    """Asserts that no job is held long after its task has ended.
+    """Asserts that no job keeps its worker long after its task has ended.
 
-    A job on a lost worker is held until its lease ends, not longer.
+    A job on a lost worker keeps it until its lease ends, and not longer.
     """
     table = replay.planner.view.jobs
     lease_ms = table.settings.task_lease_ms
@@ -161,21 +161,23 @@
         if job.vm is None or name in replay.platform.tasks:
             continue
         expired = END_MS - job.lease_until_ms > lease_ms // 2
-        held_ms = END_MS - job.started_ms
-        forgotten = job.state != LOST and held_ms > 2 * lease_ms
-        if expired or forgotten:
+        assigned_ms = END_MS - job.started_ms
+        not_released = job.state != LOST and assigned_ms > 2 * lease_ms
+        if expired or not_released:
             stale_jobs.append(name)
     assert stale_jobs == []
 
 
 @pytest.mark.parametrize("seed", range(12))
 def test_random_trace_keeps_the_invariants(seed):
-    """Guards against combinations of faults that no one listed."""
+    """A combination of faults without a scenario can break an invariant."""
     settings = PlanSettings(
         weight_rollout=3.0 if seed % 2 else 30.0,
         move_price_s=2.0 if seed % 3 else 20.0,
     )
-    header = TraceHeader("", seed, 1_000, END_MS, settings, ANSWERS)
+    header = TraceHeader(
+        "", seed, 1_000, END_MS, settings, DEFAULT_ANSWER_DELAYS
+    )
     replay = Replay(header, Planner(settings))
     record = replay.run(RandomTrace(seed).build())
     assert [str(each) for each in record.violations] == []
--- a/tools/trace_expectations.py
+++ b/tools/trace_expectations.py
@@ -1,10 +1,10 @@
-"""Stated outcomes of the generated traces."""
+"""Expected outcomes of the generated traces."""
 
 import json
 
 from wigeonport.registries import Registry
 
-stated = Registry("stated outcome")
+expected_outcomes = Registry("expected outcome")
 
 
 def commands(command, **fields):
@@ -18,28 +18,28 @@
 
 
 def write_expectations(path, scenario, builder):
-    """Writes the expect file of a scenario."""
-    lines = stated.entries[scenario](builder)
+    """Writes the expect file of a scenario's trace."""
+    documents = expected_outcomes.entries[scenario](builder)
     with open(path, "w", encoding="utf-8") as file:
-        for line in lines:
-            file.write(json.dumps(line) + "\n")
+        for document in documents:
+            file.write(json.dumps(document) + "\n")
 
 
-@stated.register("rotation")
-def state_rotation(builder):
-    """Peaks of 8 s are shorter than what a move costs."""
+@expected_outcomes.register("rotation")
+def expect_rotation(builder):
+    """Few VMs move, since peaks of 8 s are too short to repay a move."""
     return [
         measure("moves", at_most=4),
         measure("buffer_vm_s", at_most=500),
     ]
 
 
-@stated.register("long_rotation")
-def state_long_rotation(builder):
-    """VMs follow the peaks where the weights make that worth it.
+@expected_outcomes.register("long_rotation")
+def expect_long_rotation(builder):
+    """VMs follow the peaks if shortage outweighs idle VMs in the weights.
 
-    Without moves 779 VM-seconds are short; with a move at every change of
-    the demand there are 117 to 130 moves.
+    Without moves, the shortage is 779 VM-seconds; with a move at every
+    change of the demand, there are 117 to 130 moves.
     """
     if builder.settings["weight_rollout"] > builder.settings["weight_buffer"]:
         return [
@@ -49,9 +49,12 @@
     return [measure("moves", at_most=20), measure("buffer_vm_s", at_most=1200)]
 
 
-@stated.register("sustained_peak")
-def state_sustained_peak(builder):
-    """Two VMs are lent within 30 s and return after the peak."""
+@expected_outcomes.register("sustained_peak")
+def expect_sustained_peak(builder):
+    """Two spare VMs are lent within 50 s of the peak's start and return later.
+
+    The returns must follow the end of the peak by at least 10 s.
+    """
     pool = builder.pools[1]
     spare = builder.pools[-1]
     return [
@@ -72,9 +75,9 @@
     ]
 
 
-@stated.register("burst_in_wave")
-def state_burst_in_wave(builder):
-    """No VM of the bursting pool is taken; the wave still completes."""
+@expected_outcomes.register("burst_in_wave")
+def expect_burst_in_wave(builder):
+    """During the burst no VM of the pool is maintained; the wave completes."""
     pool = builder.pools[1]
     return [
         commands(
@@ -89,9 +92,9 @@
     ]
 
 
-@stated.register("failures_in_wave")
-def state_failures_in_wave(builder):
-    """The wave pauses at once, nothing is granted, and it resumes."""
+@expected_outcomes.register("failures_in_wave")
+def expect_failures_in_wave(builder):
+    """The wave pauses at once, grants nothing, and resumes after repairs."""
     return [
         commands("report_wave", match={"state": "paused"}, before_ms=31_200),
         commands(
@@ -112,9 +115,9 @@
     ]
 
 
-@stated.register("second_loss")
-def state_second_loss(builder):
-    """No grant in the pool until the repaired VM has held for 30 s."""
+@expected_outcomes.register("second_loss")
+def expect_second_loss(builder):
+    """The pool gets no grant until the VM has been healthy for 30 s."""
     pool = builder.pools[1]
     return [
         commands(
@@ -125,25 +128,28 @@
     ]
 
 
-@stated.register("isolated_leader")
-def state_isolated_leader(builder):
-    """Nothing is commanded without a lease; the next term completes."""
-    silent = {"after_ms": 31_000, "before_ms": 149_999, "equals": 0}
+@expected_outcomes.register("isolated_leader")
+def expect_isolated_leader(builder):
+    """No commands are issued without a lease; the next term ends the wave."""
+    no_commands = {"after_ms": 31_000, "before_ms": 149_999, "equals": 0}
     return [
-        commands("request_grant", **silent),
-        commands("drain_vm", **silent),
-        commands("reboot_vm", **silent),
-        commands("release_grant", **silent),
+        commands("request_grant", **no_commands),
+        commands("drain_vm", **no_commands),
+        commands("reboot_vm", **no_commands),
+        commands("release_grant", **no_commands),
         measure("maintained", equals=30),
     ]
 
 
-@stated.register("bad_workers")
-def state_bad_workers(builder):
-    """The worker is quarantined, and no job is blamed or lost."""
-    bad = builder.vm(0, 0)
+@expected_outcomes.register("bad_workers")
+def expect_bad_workers(builder):
+    """The failing worker is quarantined; no job is reported as failing.
+
+    All jobs finish, and few tasks fail before the quarantine.
+    """
+    failing_worker = builder.vm_name(0, 0)
     return [
-        commands("quarantine_worker", match={"vm": bad}, equals=1),
+        commands("quarantine_worker", match={"vm": failing_worker}, equals=1),
         commands("quarantine_worker", equals=1),
         commands("report_job", equals=0),
         measure("finished_jobs", equals=100),
@@ -151,9 +157,9 @@
     ]
 
 
-@stated.register("never_jobs")
-def state_never_jobs(builder):
-    """Each job that can never run is named with its reason."""
+@expected_outcomes.register("never_jobs")
+def expect_never_jobs(builder):
+    """Each job that can never run is reported with the reason."""
     reasons = {
         "too-large": "needs",
         "no-device": "needs",
@@ -175,9 +181,9 @@
     ]
 
 
-@stated.register("cancellation_wave")
-def state_cancellation_wave(builder):
-    """One command ends the running tasks; nothing of the team starts."""
+@expected_outcomes.register("cancellation_wave")
+def expect_cancellation_wave(builder):
+    """One command ends the team's tasks, and none of its jobs start later."""
     return [
         commands("cancel_jobs", equals=1),
         commands("stop_task", equals=0),
@@ -191,9 +197,9 @@
     ]
 
 
-@stated.register("urgent_work")
-def state_urgent_work(builder):
-    """Every urgent job starts within 4 s, also beside stuck tasks."""
+@expected_outcomes.register("urgent_work")
+def expect_urgent_work(builder):
+    """Every urgent job starts within 4 s, even if tasks ignore checkpoints."""
     return [
         measure("urgent_start_ms", at_most=4_000),
         measure("unstarted_urgent", equals=0),
@@ -203,9 +209,9 @@
     ]
 
 
-@stated.register("wrong_sizes")
-def state_wrong_sizes(builder):
-    """Sizes are learned: short waits and few tasks out of memory."""
+@expected_outcomes.register("wrong_sizes")
+def expect_wrong_sizes(builder):
+    """Sizes are learned: waits stay short, few tasks run out of memory."""
     return [
         measure("finished_jobs", equals=90),
         measure("wait_s", at_most=30),
@@ -214,17 +220,17 @@
     ]
 
 
-@stated.register("scattered_wave")
-def state_scattered_wave(builder):
-    """The wave completes and touches one zone at a time."""
+@expected_outcomes.register("scattered_wave")
+def expect_scattered_wave(builder):
+    """The wave completes with maintenance in one zone at a time."""
     return [
         measure("maintained", equals=30),
         measure("mixed_zones_ms", equals=0),
     ]
 
 
-@stated.register("version_rollout")
-def state_version_rollout(builder):
+@expected_outcomes.register("version_rollout")
+def expect_version_rollout(builder):
     """The four VMs are in their new pools within 12 s."""
     return [
         measure("moves", equals=4),
@@ -236,13 +242,13 @@
     ]
 
 
-@stated.register("stuck_reboot")
-def state_stuck_reboot(builder):
-    """The wave pauses until an operator resumes it, then completes."""
+@expected_outcomes.register("stuck_reboot")
+def expect_stuck_reboot(builder):
+    """The wave pauses until an operator resumes it, and then completes."""
     return [
         commands(
             "report_wave",
-            match={"state": "paused", "reason": builder.vm(0, 0)},
+            match={"state": "paused", "reason": builder.vm_name(0, 0)},
             before_ms=110_000,
         ),
         commands(
--- a/wigeonport/expectations.py
+++ b/wigeonport/expectations.py
@@ -1,4 +1,4 @@
-"""Expected outcomes of a replay: one JSON object a line."""
+"""Expected outcomes of a replay, read from JSON Lines."""
 
 import json
 
@@ -7,17 +7,17 @@
 from wigeonport.findings import Findings
 from wigeonport.plan_commands import command_kinds
 from wigeonport.registries import Registry
-from wigeonport.trace_kinds import is_number, is_whole
+from wigeonport.trace_kinds import is_integer, is_number
 
 expectations = Registry("kind of expectation")
 
 
 class Difference:
-    """One outcome that differs from the expectation.
+    """Unmet expectation or violated invariant of a replay.
 
     Attributes:
-        line: Line of the trace event.
-        text: What differs.
+        line: Line number of the trace event to which it belongs.
+        text: Expected and actual outcome, or the violation.
     """
 
     __slots__ = ("line", "text")
@@ -34,9 +34,9 @@
     """One line of an expect file.
 
     Attributes:
-        place: File and line, for reports.
-        kind: Name in ``expectations``.
-        fields: The fields of the line.
+        place: File and line number, for reports.
+        kind: Name in the registry ``expectations``.
+        fields: The JSON fields of the line except ``expect``.
     """
 
     __slots__ = ("place", "kind", "fields")
@@ -47,12 +47,18 @@
         self.fields = fields
 
     def check(self, record):
-        """Returns the Differences from a ReplayRecord."""
+        """Returns the Differences of a ReplayRecord from the expectation."""
         return expectations.entries[self.kind](self, record)
 
 
-class FieldCheck:
-    """Allowed fields of a kind of expectation and which are required."""
+class FieldRules:
+    """Fields that a kind of expectation allows and requires.
+
+    Attributes:
+        checks: Maps name of an allowed field to the predicate that its value
+            must satisfy.
+        required: Names of the required fields.
+    """
 
     __slots__ = ("checks", "required")
 
@@ -61,44 +67,53 @@
         self.required = required
 
 
-def is_text(value):
-    """Returns whether a value is a text."""
+def is_string(value):
+    """Returns whether a value is a string."""
     return isinstance(value, str)
 
 
 def is_command(value):
-    """Returns whether a value names a kind of command."""
+    """Returns whether a value is the name of a command kind."""
     return value in command_kinds.entries
 
 
-def is_match(value):
-    """Returns whether a value maps fields to expected values."""
+def is_mapping(value):
+    """Returns whether a value is a JSON object."""
     return isinstance(value, dict)
 
 
-def is_commands(value):
-    """Returns whether a value is a list of command texts."""
-    return isinstance(value, list) and all(map(is_text, value))
+def is_command_list(value):
+    """Returns whether a value is a list of commands as strings."""
+    return isinstance(value, list) and all(map(is_string, value))
 
 
-WINDOW = {"after_ms": is_whole, "before_ms": is_whole}
-BOUNDS = {"at_least": is_number, "at_most": is_number, "equals": is_number}
-COMMAND = {"command": is_command, "match": is_match, **WINDOW, **BOUNDS}
-FIELD_CHECKS = {
-    "commands": FieldCheck(COMMAND, ("command",)),
-    "measure": FieldCheck(
-        {"name": is_text, "key": is_text, **BOUNDS}, ("name",)
+WINDOW_FIELDS = {"after_ms": is_integer, "before_ms": is_integer}
+BOUND_FIELDS = {
+    "at_least": is_number,
+    "at_most": is_number,
+    "equals": is_number,
+}
+COMMAND_FIELDS = {
+    "command": is_command,
+    "match": is_mapping,
+    **WINDOW_FIELDS,
+    **BOUND_FIELDS,
+}
+FIELD_RULES = {
+    "commands": FieldRules(COMMAND_FIELDS, ("command",)),
+    "measure": FieldRules(
+        {"name": is_string, "key": is_string, **BOUND_FIELDS}, ("name",)
     ),
-    "outcome": FieldCheck(
-        {"line": is_whole, "commands": is_commands}, ("line", "commands")
+    "outcome": FieldRules(
+        {"line": is_integer, "commands": is_command_list}, ("line", "commands")
     ),
 }
 
 
 def read_expectations(path) -> Result:
-    """Reads an expect file; returns Expectations or Findings."""
+    """Reads an expect file; returns a list of Expectations, or Findings."""
     findings = Findings()
-    found = []
+    expected = []
     try:
         with open(path, encoding="utf-8") as file:
             lines = file.read().splitlines()
@@ -108,12 +123,12 @@
     for number, line in enumerate(lines, 1):
         if line.strip():
             place = f"{path}:{number}"
-            found.append(read_expectation(line, findings, place))
-    return findings.result(found)
+            expected.append(read_expectation(line, findings, place))
+    return findings.result(expected)
 
 
 def read_expectation(line, findings, place):
-    """Returns the Expectation of a line, or None after adding findings."""
+    """Returns the Expectation of a line; adds findings if it is bad."""
     try:
         document = json.loads(line)
     except ValueError as error:
@@ -123,28 +138,30 @@
         findings.add(place, "must be a JSON object")
         return None
     kind = document.pop("expect", None)
-    found = expectations.get(kind)
-    if found.is_error():
-        findings.add(f"{place}: expect", found.error)
+    kind_result = expectations.get(kind)
+    if kind_result.is_error():
+        findings.add(f"{place}: expect", kind_result.error)
         return None
-    check_fields(FIELD_CHECKS[kind], document, findings, place)
+    check_fields(FIELD_RULES[kind], document, findings, place)
     return Expectation(place, kind, document)
 
 
-def check_fields(field_check, document, findings, place):
-    """Adds a finding for each wrong or missing field."""
+def check_fields(field_rules, document, findings, place):
+    """Adds a finding for each unknown, invalid or missing field."""
     for name, value in document.items():
-        if name not in field_check.checks:
+        if name not in field_rules.checks:
             findings.add(f"{place}: {name}", "is not a known field")
-        elif not field_check.checks[name](value):
-            findings.add(f"{place}: {name}", f"has the wrong value {value!r}")
-    for name in field_check.required:
+        elif not field_rules.checks[name](value):
+            findings.add(
+                f"{place}: {name}", f"has the invalid value {value!r}"
+            )
+    for name in field_rules.required:
         if name not in document:
             findings.add(f"{place}: {name}", "is missing")
 
 
-def find_breach(fields, value):
-    """Returns how a value breaks its bounds, or ""."""
+def describe_breach(fields, value):
+    """Returns the bound that a value breaks, as text, or ""."""
     if "equals" in fields and value != fields["equals"]:
         return f"expected {fields['equals']}"
     if value < fields.get("at_least", value):
@@ -156,32 +173,38 @@
 
 @expectations.register("commands")
 def check_commands(expectation, record):
-    """Compares the number of matching commands within a time window."""
+    """Checks the number of matching commands in a time window.
+
+    Without bounds, at least one command must match.
+    """
     fields = expectation.fields
-    if not BOUNDS.keys() & fields.keys():
+    if not BOUND_FIELDS.keys() & fields.keys():
         fields = {"at_least": 1, **fields}
     matching = [
         outcome
         for outcome in record.outcomes
         if matches(outcome.command, outcome.at_ms, fields)
     ]
-    breach = find_breach(fields, len(matching))
+    breach = describe_breach(fields, len(matching))
     if not breach:
         return []
     before_ms = fields.get("before_ms")
     line = matching[-1].line if matching else record.line_at(before_ms)
-    wanted = " ".join(
+    description = " ".join(
         (
             fields["command"],
             *(f"{k}={v}" for k, v in fields.get("match", {}).items()),
         )
     )
-    text = f"{len(matching)} times {wanted}, {breach}"
+    text = f"{len(matching)} commands match {description}, {breach}"
     return [Difference(line, f"{text} ({expectation.place})")]
 
 
 def matches(command, at_ms, fields):
-    """Returns whether a command meets the conditions of an expectation."""
+    """Returns whether a command has the expected kind, time and fields.
+
+    A field matches if its text begins with the expected value.
+    """
     if command.kind != fields["command"]:
         return False
     if at_ms < fields.get("after_ms", at_ms):
@@ -196,7 +219,7 @@
 
 @expectations.register("measure")
 def check_measure(expectation, record):
-    """Compares a measure at the end of the replay."""
+    """Checks a measure at the end of the replay; a list counts its items."""
     fields = expectation.fields
     value = record.measures.to_document().get(fields["name"])
     if isinstance(value, dict):
@@ -204,9 +227,9 @@
     elif isinstance(value, list):
         value = len(value)
     if value is None:
-        breach = "which is not a measure"
+        breach = "there is no such measure"
     else:
-        breach = find_breach(fields, value)
+        breach = describe_breach(fields, value)
     if not breach:
         return []
     name = " ".join((fields["name"], fields.get("key", ""))).strip()
@@ -216,14 +239,14 @@
 
 @expectations.register("outcome")
 def check_outcome(expectation, record):
-    """Compares all commands that followed from one line of the trace."""
+    """Compares the commands that one line of the trace led to."""
     line = expectation.fields["line"]
-    got = [str(o.command) for o in record.outcomes if o.line == line]
-    wanted = expectation.fields["commands"]
-    if got == wanted:
+    actual = [str(o.command) for o in record.outcomes if o.line == line]
+    expected = expectation.fields["commands"]
+    if actual == expected:
         return []
-    missing = [text for text in wanted if text not in got]
-    extra = [text for text in got if text not in wanted]
+    missing = [text for text in expected if text not in actual]
+    extra = [text for text in actual if text not in expected]
     if not missing and not extra:
         missing = ["the same commands in another order or number"]
     text = f"missing {missing}, unexpected {extra} ({expectation.place})"
--- a/wigeonport/replay_measures.py
+++ b/wigeonport/replay_measures.py
@@ -1,4 +1,4 @@
-"""Measures of a replay: buffer cost, roll-out time, moves and others."""
+"""Measures of a replay, such as idle VM time, roll-out time and moves."""
 
 import math
 
@@ -15,32 +15,36 @@
 
 
 class Measures:
-    """Sums over a replay.
+    """Totals and extremes over a replay.
 
     Attributes:
-        moves: Moves of VMs between pools.
+        moves: Number of VMs moved between pools.
         buffer_vm_s: VM-seconds held idle: the reserve, and the borrowed VMs
             that their pool does not need.
         shortage_vm_s: VM-seconds by which pools were short of their demand.
-        rollout_ms: Longest time from a version until all VMs are placed.
-        move_ms: Longest time from the request of a move until the VM serves
-            in its new pool.
-        maintained: VMs maintained.
+        rollout_ms: Longest time from the arrival of a fleet version until
+            every VM is in its home pool.
+        move_ms: Longest time from the grant request for a move until the
+            VM serves in its new pool.
+        maintained: Number of VMs maintained so far.
         mixed_zones_ms: Time with maintenance in more than one zone.
-        lowest_available: Fewest available VMs by pool.
-        below_guarantee_ms: Time below the guarantee by pool.
+        lowest_available: Maps pool to its lowest number of available VMs.
+        below_guarantee_ms: Maps pool to the time for which it had fewer
+            available VMs than guaranteed.
         urgent_start_ms: Longest time from the submission of an urgent job
             to its start command.
-        wait_s: Time that all jobs together waited for their first start.
+        wait_s: Sum of the times that jobs waited for their first start.
         finished_jobs: Number of jobs finished.
         failed_tasks: Number of tasks failed.
-        commands: Number of commands by kind.
-        at_ms: Time of the last update.
-        version_ms: Time of the last version that is not rolled out, or None.
-        urgent_ms: Time of submission by urgent job that has not started.
-        waiting_ms: Time of submission by job that has not started.
-        moving_ms: Time of the request by VM that is being moved.
-        demand: Slots last reported by service, not forecast.
+        commands: Maps kind of command to the number issued.
+        at_ms: Time up to which the totals are complete, or None.
+        version_ms: Arrival time of the version being rolled out, or None.
+        urgent_ms: Maps urgent job that has not started to its submission
+            time.
+        waiting_ms: Maps job that has not started to its submission time.
+        moving_ms: Maps VM that is being moved to the time of its grant
+            request.
+        demand: Maps service to the slots last reported, not forecast.
     """
 
     __slots__ = (
@@ -88,8 +92,8 @@
         self.moving_ms = {}
         self.demand = {}
 
-    def pass_time(self, view, now_ms):
-        """Adds the time since the last update to the sums."""
+    def add_elapsed_time(self, view, now_ms):
+        """Adds the time since the last update to the time-weighted totals."""
         elapsed_ms = now_ms - (now_ms if self.at_ms is None else self.at_ms)
         self.at_ms = now_ms
         if elapsed_ms == 0:
@@ -104,7 +108,10 @@
             self.measure_pool(view, pool, elapsed_ms, now_ms)
 
     def measure_pool(self, view, pool, elapsed_ms, now_ms):
-        """Adds the time of one pool."""
+        """Adds the elapsed time to the totals of one pool.
+
+        Spare pools count only towards ``below_guarantee_ms``.
+        """
         available = count_available(view, pool.name, now_ms)
         if available < pool.guaranteed():
             below_ms = self.below_guarantee_ms.get(pool.name, 0)
@@ -118,12 +125,12 @@
         shortage = max(needed - available, 0)
         self.shortage_vm_s += shortage * elapsed_ms / 1000
         borrowed = sum(vm.borrowed for vm in view.fleet.members(pool.name))
-        floor = max(needed, pool.guaranteed())
-        idle = min(borrowed, max(available - floor, 0))
+        required_vms = max(needed, pool.guaranteed())
+        idle = min(borrowed, max(available - required_vms, 0))
         self.buffer_vm_s += idle * elapsed_ms / 1000
 
-    def note_event(self, event, now_ms):
-        """Counts an event that the planner applies."""
+    def record_event(self, event, now_ms):
+        """Updates the measures with an event that the planner will apply."""
         if isinstance(event, FleetLoaded) and self.version_ms is None:
             self.version_ms = now_ms
         elif isinstance(event, JobSubmitted):
@@ -136,58 +143,65 @@
             self.finished_jobs += event.state == FINISHED
             self.failed_tasks += event.state == "failed"
 
-    def note_commands(self, view, commands, now_ms):
-        """Counts commands and updates what the view shows after them."""
+    def record_commands(self, view, commands, now_ms):
+        """Updates the measures with new commands and the resulting view."""
         for command in commands:
             count = self.commands.get(command.kind, 0)
             self.commands[command.kind] = count + 1
             if isinstance(command, StartTask):
-                self.note_start(command.job, now_ms)
+                self.record_start(command.job, now_ms)
             elif isinstance(command, PrepareVm):
                 self.moves += 1
             elif isinstance(command, RequestVmGrant) and command.destination:
                 self.moving_ms.setdefault(command.vm, now_ms)
         self.maintained = view.wave.completed
-        self.note_moves(view, now_ms)
-        self.note_rollout(view, now_ms)
+        self.record_moves(view, now_ms)
+        self.record_rollout(view, now_ms)
         if view.reserve is not None:
-            self.note_available(view, now_ms)
+            self.record_lowest_available(view, now_ms)
+
+    def record_lowest_available(self, view, now_ms):
+        """Updates the lowest number of available VMs of each pool.
 
-    def note_available(self, view, now_ms):
-        """Records the fewest available VMs since the first full plan."""
+        Called from the first full plan on, that is, once a reserve exists.
+        """
         for pool in view.fleet.pools:
             available = count_available(view, pool, now_ms)
             lowest = self.lowest_available.get(pool, available)
             self.lowest_available[pool] = min(lowest, available)
 
-    def note_start(self, job, now_ms):
-        """Records how long a job has waited."""
+    def record_start(self, job, now_ms):
+        """Adds the wait of a started job; a restart adds none."""
         submitted_ms = self.waiting_ms.pop(job, now_ms)
         self.wait_s += (now_ms - submitted_ms) / 1000
         if job in self.urgent_ms:
             waited_ms = now_ms - self.urgent_ms.pop(job)
             self.urgent_start_ms = max(self.urgent_start_ms, waited_ms)
 
-    def note_moves(self, view, now_ms):
-        """Records how long moves took that have ended."""
-        ended = [vm for vm in self.moving_ms if vm not in view.operations]
-        for vm in ended:
+    def record_moves(self, view, now_ms):
+        """Updates the longest move with the moves that have ended."""
+        completed_vms = [
+            vm for vm in self.moving_ms if vm not in view.operations
+        ]
+        for vm in completed_vms:
             moved_ms = now_ms - self.moving_ms.pop(vm)
             self.move_ms = max(self.move_ms, moved_ms)
 
-    def note_rollout(self, view, now_ms):
-        """Records the end of a roll-out."""
+    def record_rollout(self, view, now_ms):
+        """Ends the roll-out once every VM is in its home pool."""
         if self.version_ms is None:
             return
-        placed = all(vm.pool == vm.home_pool for vm in view.fleet.vms.values())
-        if placed:
+        all_placed = all(
+            vm.pool == vm.home_pool for vm in view.fleet.vms.values()
+        )
+        if all_placed:
             rollout_ms = now_ms - self.version_ms
             self.rollout_ms = max(self.rollout_ms, rollout_ms)
             self.version_ms = None
 
     def to_document(self):
-        """Returns the measures as plain data."""
-        hidden = (
+        """Returns the measures as JSON values, without the working state."""
+        internal_names = (
             "at_ms",
             "version_ms",
             "urgent_ms",
@@ -198,7 +212,7 @@
         document = {
             name: getattr(self, name)
             for name in self.__slots__
-            if name not in hidden
+            if name not in internal_names
         }
         document["unstarted_urgent"] = sorted(self.urgent_ms)
         return document
--- a/wigeonport/replay_platforms.py
+++ b/wigeonport/replay_platforms.py
@@ -1,7 +1,8 @@
-"""Stand-in of the log and the platform for replay.
+"""Simulation of the replicated log and the platform for replays.
 
-It answers the planner's commands after the fixed delays of the trace's
-header. It knows what jobs really use and which parts are faulty.
+It answers the planner's commands after fixed delays, which the header of the
+trace gives. From the trace it knows the actual usage of jobs and the faults
+to inject.
 """
 
 import heapq
@@ -20,114 +21,127 @@
 from wigeonport.trace_kinds import ActualJob, FaultsChanged
 from wigeonport.views import DRAINED, FAILED, READY, REBOOTING
 
-# Sequence numbers of one millisecond.
+# Size of the range of sequence numbers reserved for each millisecond.
 SEQUENCES_PER_MS = 1_000
 
-answers = Registry("answer of the stand-in")
-observers = Registry("observer of the stand-in")
+command_handlers = Registry("command handler of the simulated platform")
+observers = Registry("event observer of the simulated platform")
 
 
-class AnswerPlatform:
-    """Answers commands after fixed delays.
+class SimulatedPlatform:
+    """Simulated log and platform that answer commands after fixed delays.
 
     Attributes:
-        delays: Delay by answer in ms.
-        due: Heap of (time, number, guard, event).
-        number: Number of the last entry, to keep the order of equals.
+        delays_ms: Maps kind of delay to the delay in ms.
+        pending_answers: Heap of (time in ms, entry number, guard, event).
+        entry_count: Number of entries scheduled so far. As entry number it
+            keeps answers of the same time in the order of scheduling.
         fence: TermFence of the platform.
         fleet: FleetView last loaded, for the sizes of the VMs.
-        down: VMs that have failed.
-        draining: Earliest end of the drain by VM.
-        tasks: Task by job.
-        actual: ActualJob by job.
-        submitted: JobSubmitted by job.
+        failed_vms: Names of the VMs that have failed and not recovered.
+        drain_end_ms: Maps name of a draining VM to the earliest end of the
+            drain.
+        tasks: Maps job id to its Task.
+        actual_jobs: Maps job id to its ActualJob.
+        submitted_jobs: Maps job id to its JobSubmitted.
         faults: FaultsChanged in force.
     """
 
     __slots__ = (
-        "delays",
-        "due",
-        "number",
+        "delays_ms",
+        "pending_answers",
+        "entry_count",
         "fence",
         "fleet",
-        "down",
-        "draining",
+        "failed_vms",
+        "drain_end_ms",
         "tasks",
-        "actual",
-        "submitted",
+        "actual_jobs",
+        "submitted_jobs",
         "faults",
     )
 
-    def __init__(self, delays):
-        self.delays = delays
-        self.due = []
-        self.number = 0
+    def __init__(self, delays_ms):
+        self.delays_ms = delays_ms
+        self.pending_answers = []
+        self.entry_count = 0
         self.fence = TermFence()
         self.fleet = None
-        self.down = set()
-        self.draining = {}
+        self.failed_vms = set()
+        self.drain_end_ms = {}
         self.tasks = {}
-        self.actual = {}
-        self.submitted = {}
+        self.actual_jobs = {}
+        self.submitted_jobs = {}
         self.faults = FaultsChanged()
 
     def observe(self, event, now_ms):
-        """Takes note of an event of the trace."""
-        observe = observers.entries.get(type(event))
-        if observe is not None:
-            observe(self, event, now_ms)
+        """Passes an event of the trace to its registered observer, if any."""
+        observer = observers.entries.get(type(event))
+        if observer is not None:
+            observer(self, event, now_ms)
 
     def send(self, command, now_ms):
-        """Accepts or refuses a command and schedules its answers."""
+        """Accepts or refuses a command and schedules the answers to it.
+
+        A repeated command is confirmed again but not executed again.
+        """
         verdict = self.fence.admit(command.term, command.command_id)
         delay = "commit_ms" if command.target == LOG else "accept_ms"
-        at_ms = now_ms + self.delays[delay]
+        at_ms = now_ms + self.delays_ms[delay]
         if verdict == STALE_TERM:
             refused = CommandRefused(command.command_id, STALE_TERM)
             self.schedule(at_ms, refused)
             return
         self.schedule(at_ms, CommandConfirmed(command.command_id))
-        answer = answers.entries.get(command.kind)
-        if verdict != REPEATED and answer is not None:
-            answer(self, command, at_ms)
+        handler = command_handlers.entries.get(command.kind)
+        if verdict != REPEATED and handler is not None:
+            handler(self, command, at_ms)
 
     def schedule(self, at_ms, event, guard=None):
-        """Schedules an event; it is dropped if its guard is false then."""
-        self.number += 1
-        entry = (at_ms, self.number, guard, event)
-        heapq.heappush(self.due, entry)
-
-    def next_ms(self):
-        """Returns the time of the next answer, or None."""
-        return self.due[0][0] if self.due else None
-
-    def take(self):
-        """Returns the next answer, or None if it was dropped."""
-        at_ms, _, guard, event = heapq.heappop(self.due)
+        """Schedules an event.
+
+        It is dropped if ``guard``, called with the time, is false then.
+        """
+        self.entry_count += 1
+        entry = (at_ms, self.entry_count, guard, event)
+        heapq.heappush(self.pending_answers, entry)
+
+    def next_answer_ms(self):
+        """Returns the time of the next pending answer, or None."""
+        return self.pending_answers[0][0] if self.pending_answers else None
+
+    def pop_answer(self):
+        """Removes and returns the next answer; None if its guard drops it."""
+        at_ms, _, guard, event = heapq.heappop(self.pending_answers)
         if guard is not None and not guard(at_ms):
             return None
         return event
 
     def report_vm(self, vm, state, at_ms, guard=None):
-        """Schedules a report about a VM, dropped if it is down then."""
-        sequence = at_ms * SEQUENCES_PER_MS + self.number % SEQUENCES_PER_MS
+        """Schedules a VM report, dropped if the VM has failed by then."""
+        sequence = (
+            at_ms * SEQUENCES_PER_MS + self.entry_count % SEQUENCES_PER_MS
+        )
         report = VmReported(vm, state, sequence)
 
-        def holds(time_ms):
-            return vm not in self.down and (guard is None or guard())
+        def is_valid(time_ms):
+            return vm not in self.failed_vms and (guard is None or guard())
 
-        self.schedule(at_ms, report, holds)
+        self.schedule(at_ms, report, is_valid)
 
 
 @observers.register(FleetLoaded)
 def observe_fleet(platform, event, now_ms):
-    """Keeps the sizes of the VMs."""
+    """Replaces the fleet."""
     platform.fleet = event.fleet
 
 
 @observers.register(LeadershipChanged)
 def observe_leadership(platform, event, now_ms):
-    """Learns a term, as the platform does from another leader."""
+    """Raises the fence to a newer term.
+
+    The platform would learn that term from another leader's commands.
+    """
     if event.term > platform.fence.term:
         platform.fence.term = event.term
         platform.fence.seen = set()
@@ -135,75 +149,75 @@
 
 @observers.register(VmReported)
 def observe_vm(platform, event, now_ms):
-    """Keeps which VMs are down."""
+    """Records that a VM has failed, with its tasks, or has recovered."""
     if event.state == FAILED:
-        platform.down.add(event.vm)
-        platform.draining.pop(event.vm, None)
+        platform.failed_vms.add(event.vm)
+        platform.drain_end_ms.pop(event.vm, None)
         for job in [j for j, t in platform.tasks.items() if t.vm == event.vm]:
             del platform.tasks[job]
     else:
-        platform.down.discard(event.vm)
+        platform.failed_vms.discard(event.vm)
 
 
 @observers.register(JobSubmitted)
 def observe_job(platform, event, now_ms):
-    """Keeps what a job declared, for jobs without an actual size."""
-    platform.submitted[event.job] = event
+    """Records a job; what it declares applies if it has no ActualJob."""
+    platform.submitted_jobs[event.job] = event
 
 
 @observers.register(ActualJob)
 def observe_actual(platform, event, now_ms):
-    """Keeps what a job really uses."""
-    platform.actual[event.job] = event
+    """Records the actual usage of a job."""
+    platform.actual_jobs[event.job] = event
 
 
 @observers.register(FaultsChanged)
 def observe_faults(platform, event, now_ms):
-    """Replaces the faults in force."""
+    """Replaces the injected faults."""
     platform.faults = event
 
 
-@answers.register("drain_vm")
-def answer_drain(platform, command, at_ms):
-    """Reports a VM as drained once its tasks have ended."""
-    drained_ms = at_ms + platform.delays["drain_ms"]
-    platform.draining[command.vm] = drained_ms
-    report_if_empty(platform, command.vm, at_ms)
+@command_handlers.register("drain_vm")
+def handle_drain(platform, command, at_ms):
+    """Reports a VM as drained after the delay, once its tasks have ended."""
+    drained_ms = at_ms + platform.delays_ms["drain_ms"]
+    platform.drain_end_ms[command.vm] = drained_ms
+    report_drained_if_idle(platform, command.vm, at_ms)
 
 
-def report_if_empty(platform, vm, now_ms):
-    """Schedules the end of a drain if no task runs on the VM."""
-    if vm not in platform.draining:
+def report_drained_if_idle(platform, vm, now_ms):
+    """Schedules the drained report of a draining VM without tasks."""
+    if vm not in platform.drain_end_ms:
         return
     if any(task.vm == vm for task in platform.tasks.values()):
         return
-    drained_ms = max(platform.draining[vm], now_ms)
+    drained_ms = max(platform.drain_end_ms[vm], now_ms)
     platform.report_vm(
-        vm, DRAINED, drained_ms, lambda: vm in platform.draining
+        vm, DRAINED, drained_ms, lambda: vm in platform.drain_end_ms
     )
 
 
-@answers.register("undrain_vm")
-def answer_undrain(platform, command, at_ms):
-    """Reports a VM as ready."""
-    platform.draining.pop(command.vm, None)
-    ready_ms = at_ms + platform.delays["undrain_ms"]
+@command_handlers.register("undrain_vm")
+def handle_undrain(platform, command, at_ms):
+    """Ends the drain of a VM and reports it as ready."""
+    platform.drain_end_ms.pop(command.vm, None)
+    ready_ms = at_ms + platform.delays_ms["undrain_ms"]
     platform.report_vm(command.vm, READY, ready_ms)
 
 
-@answers.register("reboot_vm")
-def answer_reboot(platform, command, at_ms):
-    """Reports a VM as rebooting, then as ready."""
-    platform.draining.pop(command.vm, None)
+@command_handlers.register("reboot_vm")
+def handle_reboot(platform, command, at_ms):
+    """Reports a VM as rebooting and later as ready, unless it is stuck."""
+    platform.drain_end_ms.pop(command.vm, None)
     platform.report_vm(command.vm, REBOOTING, at_ms)
     if command.vm not in platform.faults.stuck_reboots:
-        ready_ms = at_ms + platform.delays["reboot_ms"]
+        ready_ms = at_ms + platform.delays_ms["reboot_ms"]
         platform.report_vm(command.vm, READY, ready_ms)
 
 
-@answers.register("prepare_vm")
-def answer_prepare(platform, command, at_ms):
-    """Reports a VM as ready after its preparation."""
-    platform.draining.pop(command.vm, None)
-    ready_ms = at_ms + platform.delays["prepare_ms"]
+@command_handlers.register("prepare_vm")
+def handle_prepare(platform, command, at_ms):
+    """Reports a VM as ready in its new pool after the preparation."""
+    platform.drain_end_ms.pop(command.vm, None)
+    ready_ms = at_ms + platform.delays_ms["prepare_ms"]
     platform.report_vm(command.vm, READY, ready_ms)
--- a/wigeonport/trace_kinds.py
+++ b/wigeonport/trace_kinds.py
@@ -1,4 +1,4 @@
-"""Kinds of events in a trace, with the checks of their fields."""
+"""Event kinds of a trace and the validation of their fields."""
 
 from wigeonport import plan_events as events
 from wigeonport.registries import Registry
@@ -18,12 +18,15 @@
 
 
 class ActualJob:
-    """What a job really uses; only the stand-in of the platform reads it.
+    """Actual resource usage of a job, which only the simulated platform reads.
+
+    The planner sees the declared size and learns the usage from reports.
 
     Attributes:
         job: Id of the job.
-        used: Size that it uses.
-        run_ms: Time that it runs at full speed.
+        used: Size that the job actually uses.
+        run_ms: Run time when neither throttled nor slowed down by an
+            overloaded worker.
     """
 
     __slots__ = ("job", "used", "run_ms")
@@ -35,10 +38,12 @@
 
 
 class FaultsChanged:
-    """Faults that only the stand-in of the platform knows.
+    """Faults that the simulated platform injects from now on.
+
+    They replace those of the previous event; the planner does not see them.
 
     Attributes:
-        failing_workers: Workers that fail every task.
+        failing_workers: Workers on which every task fails.
         failing_jobs: Jobs that fail on every worker.
         stuck_jobs: Jobs that ignore checkpoint commands.
         stuck_reboots: VMs that do not return from a reboot.
@@ -65,41 +70,43 @@
 
 
 class FieldType:
-    """How one type of field is checked and converted.
+    """Validation and conversion of one type of field.
 
     Attributes:
-        text: Description for findings.
-        accepts: Returns whether plain data has the type.
-        decode: Converts plain data to the value.
-        encode: Converts the value to plain data.
+        requirement: Text of the finding about a value of another type.
+        accepts: Predicate that tells whether a JSON value has the type.
+        decode: Converts a JSON value to the field's value; unchanged by
+            default.
+        encode: Converts the field's value to a JSON value; unchanged by
+            default.
     """
 
-    __slots__ = ("text", "accepts", "decode", "encode")
+    __slots__ = ("requirement", "accepts", "decode", "encode")
 
-    def __init__(self, text, accepts, decode=None, encode=None):
-        self.text = text
+    def __init__(self, requirement, accepts, decode=None, encode=None):
+        self.requirement = requirement
         self.accepts = accepts
-        self.decode = decode or keep
-        self.encode = encode or keep
+        self.decode = decode or identity
+        self.encode = encode or identity
 
 
-def keep(value):
+def identity(value):
     """Returns the value unchanged."""
     return value
 
 
-def is_whole(value):
-    """Returns whether a value is a whole number."""
+def is_integer(value):
+    """Returns whether a value is an int other than a bool."""
     return isinstance(value, int) and not isinstance(value, bool)
 
 
 def is_number(value):
-    """Returns whether a value is a number."""
+    """Returns whether a value is an int or float other than a bool."""
     return isinstance(value, int | float) and not isinstance(value, bool)
 
 
-def is_texts(value):
-    """Returns whether a value is a list of texts."""
+def is_string_list(value):
+    """Returns whether a value is a list of strings."""
     return isinstance(value, list) and all(
         isinstance(each, str) for each in value
     )
@@ -110,10 +117,10 @@
     return isinstance(value, list)
 
 
-def choice(values):
-    """Returns the type of a text out of a list."""
-    text = f"must be one of {', '.join(values)}"
-    return FieldType(text, values.__contains__)
+def one_of(values):
+    """Returns the FieldType of a string that must be one of ``values``."""
+    requirement = f"must be one of {', '.join(values)}"
+    return FieldType(requirement, values.__contains__)
 
 
 def is_mapping(value):
@@ -121,11 +128,11 @@
     return isinstance(value, dict)
 
 
-TEXT = FieldType("must be a text", lambda value: isinstance(value, str))
-WHOLE = FieldType("must be a whole number", is_whole)
+STRING = FieldType("must be a string", lambda value: isinstance(value, str))
+INTEGER = FieldType("must be a whole number", is_integer)
 NUMBER = FieldType("must be a number", is_number)
-FLAG = FieldType("must be true or false", lambda v: isinstance(v, bool))
-TEXTS = FieldType("must be a list of texts", is_texts, tuple, list)
+BOOLEAN = FieldType("must be true or false", lambda v: isinstance(v, bool))
+STRINGS = FieldType("must be a list of strings", is_string_list, tuple, list)
 GRANTS = FieldType(
     "must be a list of grants",
     is_list,
@@ -133,18 +140,21 @@
     grants_to_document,
 )
 SIZE = FieldType(
-    "must have cores and memory_mb",
+    "must be an object with cores and memory_mb",
     is_mapping,
     size_from_document,
     size_to_document,
 )
 FLEET = FieldType(
-    "must be a fleet", is_mapping, fleet_from_document, fleet_to_document
+    "must be a fleet object",
+    is_mapping,
+    fleet_from_document,
+    fleet_to_document,
 )
 
 
 class Field:
-    """One field of a kind of event."""
+    """One field of an event kind: its name, type and default value."""
 
     __slots__ = ("name", "type", "default")
 
@@ -155,7 +165,7 @@
 
 
 class TraceKind:
-    """One kind of event: its class and its fields."""
+    """One event kind: its class and the fields that a trace line holds."""
 
     __slots__ = ("event_class", "fields")
 
@@ -164,10 +174,10 @@
         self.fields = fields
 
     def decode(self, document, findings, place):
-        """Returns the event, or None after adding findings."""
+        """Returns the event; adds findings and returns None if it is bad."""
         before = len(findings.items)
-        known = {field.name for field in self.fields}
-        for name in document.keys() - known - {"kind", "at_ms"}:
+        field_names = {field.name for field in self.fields}
+        for name in document.keys() - field_names - {"kind", "at_ms"}:
             findings.add(f"{place}: {name}", "is not a known field")
         values = {
             field.name: decode_field(field, document, findings, place)
@@ -178,7 +188,7 @@
         return self.event_class(**values)
 
     def encode(self, event):
-        """Returns the fields of an event as plain data."""
+        """Returns the fields of an event as JSON values."""
         return {
             field.name: field.type.encode(getattr(event, field.name))
             for field in self.fields
@@ -186,7 +196,7 @@
 
 
 def decode_field(field, document, findings, place):
-    """Returns the value of one field; adds a finding if it is wrong."""
+    """Returns the value or default of a field; adds a finding if bad."""
     where = f"{place}: {field.name}"
     if field.name not in document:
         if field.default is REQUIRED:
@@ -194,115 +204,117 @@
         return field.default
     value = document[field.name]
     if not field.type.accepts(value):
-        findings.add(where, field.type.text)
+        findings.add(where, field.type.requirement)
         return None
     try:
         return field.type.decode(value)
     except KeyError as error:
-        findings.add(where, f"lacks, or does not list, {error}")
+        findings.add(where, f"has no field or entry {error}")
     except (TypeError, ValueError, AttributeError) as error:
-        findings.add(where, f"{field.type.text}: {error}")
+        findings.add(where, f"{field.type.requirement}: {error}")
     return None
 
 
-def declare(kind, event_class, *fields):
-    """Registers a kind of event."""
+def register_event(kind, event_class, *fields):
+    """Registers the TraceKind of an event class under its kind name."""
     trace_kinds.register(kind)(TraceKind(event_class, fields))
 
 
-declare(
+register_event(
     "fleet",
     events.FleetLoaded,
     Field("fleet", FLEET),
     Field("grants", GRANTS, ()),
 )
-declare(
+register_event(
     "vm",
     events.VmReported,
-    Field("vm", TEXT),
-    Field("state", choice(VM_STATES)),
-    Field("sequence", WHOLE),
+    Field("vm", STRING),
+    Field("state", one_of(VM_STATES)),
+    Field("sequence", INTEGER),
 )
-declare(
+register_event(
     "zone",
     events.ZoneReported,
-    Field("zone", TEXT),
-    Field("measured_ms", WHOLE),
-    Field("missing", TEXTS, ()),
+    Field("zone", STRING),
+    Field("measured_ms", INTEGER),
+    Field("missing", STRINGS, ()),
 )
-declare(
+register_event(
     "demand",
     events.DemandReported,
-    Field("service", TEXT),
+    Field("service", STRING),
     Field("slots", NUMBER),
-    Field("measured_ms", WHOLE),
+    Field("measured_ms", INTEGER),
 )
-declare(
+register_event(
     "leadership",
     events.LeadershipChanged,
-    Field("term", WHOLE),
-    Field("lease_until_ms", WHOLE),
+    Field("term", INTEGER),
+    Field("lease_until_ms", INTEGER),
+)
+register_event(
+    "confirmed", events.CommandConfirmed, Field("command_id", STRING)
 )
-declare("confirmed", events.CommandConfirmed, Field("command_id", TEXT))
-declare(
+register_event(
     "refused",
     events.CommandRefused,
-    Field("command_id", TEXT),
-    Field("reason", TEXT),
+    Field("command_id", STRING),
+    Field("reason", STRING),
 )
-declare(
+register_event(
     "job",
     events.JobSubmitted,
-    Field("job", TEXT),
-    Field("team", TEXT),
-    Field("pool", TEXT),
-    Field("job_kind", TEXT),
+    Field("job", STRING),
+    Field("team", STRING),
+    Field("pool", STRING),
+    Field("job_kind", STRING),
     Field("declared", SIZE),
-    Field("declared_run_ms", WHOLE),
-    Field("urgent", FLAG, False),
-    Field("can_checkpoint", FLAG, True),
-    Field("may_run", FLAG, False),
+    Field("declared_run_ms", INTEGER),
+    Field("urgent", BOOLEAN, False),
+    Field("can_checkpoint", BOOLEAN, True),
+    Field("may_run", BOOLEAN, False),
 )
-declare(
+register_event(
     "cancel",
     events.JobsCancelled,
-    Field("jobs", TEXTS, ()),
-    Field("team", TEXT, ""),
+    Field("jobs", STRINGS, ()),
+    Field("team", STRING, ""),
 )
-declare(
+register_event(
     "task",
     events.TaskReported,
-    Field("job", TEXT),
-    Field("vm", TEXT),
-    Field("attempt", WHOLE),
-    Field("state", choice(events.TASK_STATES)),
+    Field("job", STRING),
+    Field("vm", STRING),
+    Field("attempt", INTEGER),
+    Field("state", one_of(events.TASK_STATES)),
 )
-declare(
+register_event(
     "usage",
     events.UsageReported,
-    Field("job", TEXT),
+    Field("job", STRING),
     Field("used", SIZE),
-    Field("measured_ms", WHOLE),
+    Field("measured_ms", INTEGER),
 )
-declare(
+register_event(
     "maintenance",
     events.MaintenanceControlled,
-    Field("action", choice(events.MAINTENANCE_ACTIONS)),
-    Field("vm", TEXT, ""),
+    Field("action", one_of(events.MAINTENANCE_ACTIONS)),
+    Field("vm", STRING, ""),
 )
-declare("tick", events.Tick)
-declare(
+register_event("tick", events.Tick)
+register_event(
     "actual",
     ActualJob,
-    Field("job", TEXT),
+    Field("job", STRING),
     Field("used", SIZE),
-    Field("run_ms", WHOLE),
+    Field("run_ms", INTEGER),
 )
-declare(
+register_event(
     "faults",
     FaultsChanged,
-    Field("failing_workers", TEXTS, ()),
-    Field("failing_jobs", TEXTS, ()),
-    Field("stuck_jobs", TEXTS, ()),
-    Field("stuck_reboots", TEXTS, ()),
+    Field("failing_workers", STRINGS, ()),
+    Field("failing_jobs", STRINGS, ()),
+    Field("stuck_jobs", STRINGS, ()),
+    Field("stuck_reboots", STRINGS, ()),
 )
--- a/wigeonport/traces.py
+++ b/wigeonport/traces.py
@@ -1,4 +1,4 @@
-"""Reader and writer of traces: JSON Lines, one event a line."""
+"""Reads and writes planner traces: JSON Lines with one event per line."""
 
 import json
 
@@ -6,11 +6,11 @@
 
 from wigeonport.findings import Findings
 from wigeonport.plan_settings import PlanSettings, read_plan_settings
-from wigeonport.trace_kinds import is_whole, trace_kinds
+from wigeonport.trace_kinds import is_integer, trace_kinds
 
 FORMAT = 1
 HEADER_KIND = "header"
-ANSWERS = {
+DEFAULT_ANSWER_DELAYS = {
     "commit_ms": 20,
     "accept_ms": 10,
     "drain_ms": 1_000,
@@ -31,12 +31,14 @@
 
     Attributes:
         deployment: Name of the deployment, for reports.
-        seed: Seed of the random source.
-        tick_ms: Interval of added ticks, or 0 if the trace has its own.
+        seed: Seed of the planner's random number generator.
+        tick_ms: Interval of the ticks that the replay adds, or 0 if the
+            trace contains its own ticks.
         end_ms: Time at which the replay ends.
         settings: PlanSettings.
-        answers: Delay by answer in ms with which the replay answers commands
-            itself, or None if the trace holds the recorded answers.
+        answer_delays: Maps kind of delay to the delay in ms with which the
+            replay answers commands itself, or None if the trace contains
+            the recorded answers.
     """
 
     __slots__ = (
@@ -45,25 +47,27 @@
         "tick_ms",
         "end_ms",
         "settings",
-        "answers",
+        "answer_delays",
     )
 
-    def __init__(self, deployment, seed, tick_ms, end_ms, settings, answers):
+    def __init__(
+        self, deployment, seed, tick_ms, end_ms, settings, answer_delays
+    ):
         self.deployment = deployment
         self.seed = seed
         self.tick_ms = tick_ms
         self.end_ms = end_ms
         self.settings = settings
-        self.answers = answers
+        self.answer_delays = answer_delays
 
 
 class TraceEvent:
-    """One line of a trace.
+    """One event of a trace.
 
     Attributes:
-        line: Line number, from 1.
+        line: Line number in the trace file, from 1.
         at_ms: Time at which the event reached the planner.
-        event: The message.
+        event: Event object of one of the registered trace kinds.
     """
 
     __slots__ = ("line", "at_ms", "event")
@@ -75,7 +79,7 @@
 
 
 class Trace:
-    """A whole trace."""
+    """Header and events of a trace, in file order."""
 
     __slots__ = ("header", "events")
 
@@ -85,14 +89,14 @@
 
 
 class TraceReader:
-    """Reads lines and collects a finding for every bad one.
+    """Decodes the lines of a trace and collects a finding for each bad line.
 
     Attributes:
-        name: Name of the source, for findings.
+        name: Name of the source, used as the place of findings.
         findings: Findings so far.
-        header: TraceHeader, or None before it was read.
+        header: TraceHeader, or None until the first line was read.
         events: TraceEvents so far.
-        at_ms: Time of the last event.
+        at_ms: Time of the last event, which the next may not precede.
     """
 
     __slots__ = ("name", "findings", "header", "events", "at_ms")
@@ -105,17 +109,19 @@
         self.at_ms = 0
 
     def read(self, lines) -> Result:
-        """Returns the Trace, or Findings with their line numbers."""
-        for number, line in enumerate(lines, 1):
+        """Returns the Trace, or Findings whose places name the lines."""
+        for line_number, line in enumerate(lines, 1):
             if line.strip():
-                self.read_line(number, line)
+                self.read_line(line_number, line)
         if self.header is None and not self.findings:
-            self.findings.add(f"{self.name}:1", "the header is missing")
+            self.findings.add(
+                f"{self.name}:1", "the trace is empty: the header is missing"
+            )
         return self.findings.result(Trace(self.header, self.events))
 
-    def read_line(self, number, line):
-        """Reads one line."""
-        place = f"{self.name}:{number}"
+    def read_line(self, line_number, line):
+        """Decodes one line as the header or an event."""
+        place = f"{self.name}:{line_number}"
         try:
             document = json.loads(line)
         except ValueError as error:
@@ -126,50 +132,54 @@
         elif self.header is None:
             self.read_header(document, place)
         else:
-            self.read_event(number, document, place)
+            self.read_event(line_number, document, place)
 
     def read_header(self, document, place):
-        """Reads the first line."""
+        """Decodes the first line, which must be the header."""
         if document.get("kind") != HEADER_KIND:
-            self.findings.add(place, "the first line must be the header")
+            self.findings.add(
+                place, 'the first line must be the header (kind "header")'
+            )
         elif document.get("format") != FORMAT:
             self.findings.add(f"{place}: format", f"must be {FORMAT}")
         self.header = decode_header(document, self.findings, place)
 
-    def read_event(self, number, document, place):
-        """Reads any other line."""
-        found = trace_kinds.get(document.get("kind"))
-        if found.is_error():
-            self.findings.add(f"{place}: kind", found.error)
+    def read_event(self, line_number, document, place):
+        """Decodes an event; events must be in order of time."""
+        kind_result = trace_kinds.get(document.get("kind"))
+        if kind_result.is_error():
+            self.findings.add(f"{place}: kind", kind_result.error)
             return
         at_ms = document.get("at_ms")
-        if not is_whole(at_ms):
+        if not is_integer(at_ms):
             self.findings.add(f"{place}: at_ms", "must be a whole number")
             return
         if at_ms < self.at_ms:
-            earlier = f"is before the previous event at {self.at_ms}"
-            self.findings.add(f"{place}: at_ms", earlier)
-        event = found.ok.decode(document, self.findings, place)
+            reason = f"is before the previous event at {self.at_ms}"
+            self.findings.add(f"{place}: at_ms", reason)
+        event = kind_result.ok.decode(document, self.findings, place)
         self.at_ms = at_ms
-        self.events.append(TraceEvent(number, at_ms, event))
+        self.events.append(TraceEvent(line_number, at_ms, event))
 
 
 def decode_header(document, findings, place):
-    """Returns the TraceHeader; adds findings about its fields."""
+    """Returns the TraceHeader; adds a finding for each bad field."""
     numbers = {"seed": 0, "tick_ms": 1_000, "end_ms": 0}
     for name, default in numbers.items():
         numbers[name] = document.get(name, default)
-        if not is_whole(numbers[name]) or numbers[name] < 0:
+        if not is_integer(numbers[name]) or numbers[name] < 0:
             findings.add(f"{place}: {name}", "must be a whole number, >= 0")
     settings = PlanSettings()
-    read = read_plan_settings(
+    settings_result = read_plan_settings(
         document.get("settings", {}), f"{place}: settings"
     )
-    if read.is_error():
-        findings.extend(read.error)
+    if settings_result.is_error():
+        findings.extend(settings_result.error)
     else:
-        settings = read.ok
-    answers = decode_answers(document.get("answers"), findings, place)
+        settings = settings_result.ok
+    answer_delays = decode_answer_delays(
+        document.get("answers"), findings, place
+    )
     deployment = str(document.get("deployment", ""))
     return TraceHeader(
         deployment,
@@ -177,27 +187,27 @@
         numbers["tick_ms"],
         numbers["end_ms"],
         settings,
-        answers,
+        answer_delays,
     )
 
 
-def decode_answers(document, findings, place):
-    """Returns the delays of the answers, or None."""
+def decode_answer_delays(document, findings, place):
+    """Returns the delays, defaults included; None if ``document`` is None."""
     if document is None:
         return None
-    answers = dict(ANSWERS)
+    answer_delays = dict(DEFAULT_ANSWER_DELAYS)
     for name, value in document.items():
-        if name not in ANSWERS:
-            findings.add(f"{place}: answers.{name}", "is not a known answer")
-        elif not is_whole(value) or value < 0:
+        if name not in DEFAULT_ANSWER_DELAYS:
+            findings.add(f"{place}: answers.{name}", "is not a known delay")
+        elif not is_integer(value) or value < 0:
             where = f"{place}: answers.{name}"
             findings.add(where, "must be a whole number, >= 0")
-        answers[name] = value
-    return answers
+        answer_delays[name] = value
+    return answer_delays
 
 
 def read_trace(path) -> Result:
-    """Reads a file; returns a Trace or Findings."""
+    """Reads a trace file; returns a Trace or Findings."""
     try:
         with open(path, encoding="utf-8") as file:
             return TraceReader(str(path)).read(file)
@@ -208,11 +218,11 @@
 
 
 class TraceWriter:
-    """Writes a trace, one event at a time.
+    """Writes a trace line by line.
 
     Attributes:
         file: Text file, or any object with ``write``.
-        kinds: Kind by class of event.
+        kinds: Maps event class to the name of its trace kind.
     """
 
     __slots__ = ("file", "kinds")
@@ -225,16 +235,16 @@
         }
 
     def write_header(self, document):
-        """Writes the first line; ``document`` holds fields of the header."""
-        line = {"kind": HEADER_KIND, "format": FORMAT, **document}
-        self.write_line(line)
+        """Writes the header line with the fields in ``document``."""
+        header = {"kind": HEADER_KIND, "format": FORMAT, **document}
+        self.write_line(header)
 
     def write(self, at_ms, event):
-        """Writes one event with the time at which it arrived."""
+        """Writes one event with the time at which the planner received it."""
         name = self.kinds[type(event)]
         fields = trace_kinds.entries[name].encode(event)
         self.write_line({"at_ms": at_ms, "kind": name, **fields})
 
     def write_line(self, document):
-        """Writes one line."""
+        """Writes a JSON object as one compact line."""
         self.file.write(json.dumps(document, separators=(",", ":")) + "\n")
