State the failure that each trace test guards against

Cause: the heads of the trace tests named no failure or only hinted at it. Change: reword docstrings and rename four tests and some locals; no assertion changes.

--- a/tests/test_trace_outcomes.py
+++ b/tests/test_trace_outcomes.py
@@ -1,4 +1,4 @@
-"""Replays every trace against its stated outcomes."""
+"""Replays every trace and checks it against its expected outcomes."""
 
 import pytest
 from planning_fixtures import TRACES
@@ -19,7 +19,7 @@
 
 
 def test_both_deployments_have_all_traces():
-    """Guards against a scenario that is proved for one user only."""
+    """A scenario added for one deployment only is not tested for the other."""
     stems = [name.split("_", 1) for name in NAMES]
     lagos = {stem for deployment, stem in stems if deployment == "lagos"}
     kroumirie = {s for deployment, s in stems if deployment == "kroumirie"}
@@ -29,7 +29,7 @@
 
 @pytest.mark.parametrize("name", NAMES)
 def test_trace_meets_its_outcomes(replay, name):
-    """Guards against decisions that break an invariant or an outcome."""
+    """A change of the planner can violate an invariant or an expectation."""
     differences = find_differences(replay(name), name)
     assert not differences, "\n".join(map(str, differences))
 
@@ -51,8 +51,11 @@
         ("stuck_reboot", {"reboot_bound_ms": 500_000}),
     ],
 )
-def test_outcome_needs_the_mechanism(replay, scenario, overrides):
-    """Guards against an expect file that holds without the mechanism."""
+def test_expectations_fail_without_the_mechanism(replay, scenario, overrides):
+    """An expect file that holds with the mechanism switched off is useless.
+
+    The overrides switch off or weaken the mechanism that the scenario needs.
+    """
     record = replay(f"lagos_{scenario}", **overrides)
     assert find_differences(record, f"lagos_{scenario}")
 
@@ -92,24 +95,27 @@
         ),
     ],
 )
-def test_outcome_needs_the_check(
+def test_expectations_fail_without_the_check(
     replay, monkeypatch, scenario, target, replacement
 ):
-    """Guards against a check whose removal no trace would show."""
+    """The removal of a check from the planner must show in its scenario."""
     monkeypatch.setattr(target, replacement)
     record = replay(f"lagos_{scenario}")
     assert find_differences(record, f"lagos_{scenario}")
 
 
 def test_recorded_run_shows_other_decisions(replay):
-    """Guards against a recorded run that any decisions would satisfy."""
+    """A replay that decides differently than the recorded run must show it.
+
+    The recording answers command 2-4, which a longer leader margin prevents.
+    """
     record = replay("recorded_lagos_demo", leader_margin_ms=5_000)
     texts = [difference.text for difference in record.violations]
     assert "command 2-4 is answered but not issued" in texts
 
 
 def test_difference_names_the_line(replay):
-    """Guards against a difference that cannot be found in the trace."""
+    """Without the right line, a difference cannot be found in the trace."""
     record = replay("lagos_second_loss", healthy_hold_ms=0)
     first = find_differences(record, "lagos_second_loss")[0]
     lines = (TRACES / "lagos_second_loss.jsonl").read_text().splitlines()
@@ -118,7 +124,7 @@
 
 
 def test_replay_is_deterministic(replay):
-    """Guards against decisions that depend on more than their input."""
+    """Decisions that depend on more than events and seed would vary."""
     first, second = (replay("lagos_bad_workers") for _ in range(2))
     texts = [
         [str(o.command) for o in record.outcomes] for record in (first, second)
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -1,4 +1,4 @@
-"""Tests of the trace format and of the replay command."""
+"""Tests of the trace format, trace recording and the replay command."""
 
 import io
 import json
@@ -26,14 +26,14 @@
 TICK = '{"at_ms":5,"kind":"tick"}'
 
 
-def read(*lines):
-    """Reads the lines of a trace."""
+def read_lines(*lines):
+    """Decodes trace lines; returns a Result of a Trace."""
     return TraceReader("t").read(lines)
 
 
 def test_every_bad_line_is_a_finding_with_its_number():
-    """Guards against a reader that stops at the first bad line."""
-    result = read(
+    """A reader that stops at the first bad line hides the later ones."""
+    result = read_lines(
         HEADER,
         "{",
         '{"at_ms":1,"kind":"unknown"}',
@@ -61,23 +61,26 @@
     ],
 )
 def test_bad_header_is_a_finding(header):
-    """Guards against a replay with other settings than recorded."""
-    assert str(read(header, TICK).error).startswith("t:1")
+    """A header accepted in spite of a fault would replay other settings.
+
+    A mistyped setting, for example, would silently keep its default.
+    """
+    assert str(read_lines(header, TICK).error).startswith("t:1")
 
 
 def test_empty_trace_is_a_finding():
-    """Guards against an empty file that passes as a good replay."""
-    assert read().is_error()
+    """An empty trace has no violations, so it would pass as a good replay."""
+    assert read_lines().is_error()
 
 
 def test_written_events_are_read_back():
-    """Guards against fields that the writer loses."""
+    """A field that the writer omits or the reader misplaces would be lost."""
     file = io.StringIO()
     writer = TraceWriter(file)
     writer.write_header({"seed": 3})
     writer.write(7, VmReported("vm-1", "ready", 2))
     writer.write(8, DemandReported("roster", 1.5, 6))
-    trace = read(*file.getvalue().splitlines()).ok
+    trace = read_lines(*file.getvalue().splitlines()).ok
     assert trace.header.seed == 3
     first, second = trace.events
     assert (first.at_ms, first.line) == (7, 2)
@@ -85,8 +88,11 @@
     assert (second.event.slots, second.event.measured_ms) == (1.5, 6)
 
 
-def test_generated_traces_are_stable_under_rewriting():
-    """Guards against an event whose written form differs from the read."""
+def test_generated_trace_is_unchanged_by_reading_and_writing():
+    """Decoding and encoding must be inverse for every kind in the trace.
+
+    Otherwise an event changes when a replayed trace is written again.
+    """
     path = TRACES / "lagos_urgent_work.jsonl"
     trace = read_trace(path).ok
     file = io.StringIO()
@@ -97,27 +103,27 @@
 
 
 def test_recorded_run_replays_to_the_same_commands(tmp_path):
-    """Guards against decisions that a recorded trace does not reproduce."""
-    closed = read_trace(TRACES / "lagos_failures_in_wave.jsonl").ok
+    """A recording that misses an event would replay to other commands."""
+    original = read_trace(TRACES / "lagos_failures_in_wave.jsonl").ok
     path = tmp_path / "open.jsonl"
     with path.open("w") as file:
-        settings = closed.header.settings
-        recorder = TraceRecorder(file, 10**8, settings, closed.header.seed)
-        replay = Replay(closed.header, Planner(settings), recorder)
-        first = replay.run(closed.events)
-    opened = read_trace(path)
-    assert opened.is_ok(), str(opened.error)
-    second = replay_trace(opened.ok).ok
+        settings = original.header.settings
+        recorder = TraceRecorder(file, 10**8, settings, original.header.seed)
+        replay = Replay(original.header, Planner(settings), recorder)
+        first = replay.run(original.events)
+    recorded = read_trace(path)
+    assert recorded.is_ok(), str(recorded.error)
+    second = replay_trace(recorded.ok).ok
     assert second.violations == []
-    texts = [
+    command_texts = [
         [f"{o.at_ms} {o.command.command_id} {o.command}" for o in r.outcomes]
         for r in (first, second)
     ]
-    assert texts[0] == texts[1]
+    assert command_texts[0] == command_texts[1]
 
 
-def test_recording_ends_at_its_bound():
-    """Guards against a trace that fills the disk."""
+def test_recording_ends_at_its_maximum_size():
+    """A recording that runs past its maximum size would fill the disk."""
     file = io.StringIO()
     recorder = TraceRecorder(file, 2_500, PlanSettings(), 1)
     for second in range(1_000):
@@ -127,7 +133,7 @@
 
 
 def test_bad_expectations_are_findings(tmp_path):
-    """Guards against a mistyped expectation that always holds."""
+    """An accepted typo would make an expectation that always holds."""
     path = tmp_path / "expect"
     path.write_text(
         '{"expect":"commands","command":"dance"}\n'
@@ -135,14 +141,14 @@
         '{"expect":"nothing"}\n'
         '{"expect":"measure","name":"moves","at_mots":1}\n'
     )
-    found = read_expectations(path).error
-    lines = [int(f.place.split("expect:")[1][0]) for f in found.items]
+    findings = read_expectations(path).error
+    lines = [int(f.place.split("expect:")[1][0]) for f in findings.items]
     assert lines == [1, 2, 3, 4]
 
 
 @pytest.fixture
 def run_command():
-    """Runs the replay command; returns exit code and output."""
+    """Runs the replay command; returns exit code, output and errors."""
 
     def run(arguments):
         command = ReplayCommand()
@@ -155,7 +161,7 @@
 
 
 def test_command_exits_zero_and_prints_json(run_command):
-    """Guards against an exit code that hides the result."""
+    """A replay that meets its expectations must not look like a failure."""
     trace = TRACES / "lagos_rotation.jsonl"
     expect = TRACES / "lagos_rotation.expect.jsonl"
     code, output, _ = run_command(f"{trace} --expect {expect} --json")
@@ -164,7 +170,7 @@
 
 
 def test_command_reports_differences(run_command):
-    """Guards against a difference that is printed but not signalled."""
+    """A script would miss a difference that leaves the exit code at 0."""
     trace = TRACES / "lagos_rotation.jsonl"
     expect = TRACES / "lagos_rotation.expect.jsonl"
     code, _, error = run_command(
@@ -175,7 +181,7 @@
 
 
 def test_command_reports_all_findings(run_command, tmp_path):
-    """Guards against findings of one file hiding those of the other."""
+    """Findings of the trace must not hide those of the other arguments."""
     bad = tmp_path / "bad"
     bad.write_text("{\n[]\n")
     code, _, error = run_command(f"{bad} --expect {bad} --set x")
@@ -184,7 +190,7 @@
 
 
 def test_recorded_outcomes_hold_on_replay(run_command, tmp_path):
-    """Guards against a record that its own trace does not meet."""
+    """A written expect file must hold for the trace that it comes from."""
     trace = TRACES / "lagos_second_loss.jsonl"
     record = tmp_path / "record.jsonl"
     assert run_command(f"{trace} --record {record}")[0] == 0
@@ -192,7 +198,7 @@
 
 
 def test_traces_are_those_of_the_generator(tmp_path):
-    """Guards against traces that no longer fit their generator."""
+    """The traces and their generator could diverge if only one is changed."""
     script = ROOT / "tools" / "generate_traces.py"
     environment = os.environ | {"PYTHONPATH": str(ROOT)}
     subprocess.run(
