Rename 22 names: RunChecker, checker and others

Cause: The class checks the guarantees on runs of tasks; a ledger, beats, a life and a deaf worker are figures of speech for checker, heartbeats, state and lost answers. Change: Ledger to RunChecker, ledger to checker, note_start to record_start, note_end to record_end, beat to send_heartbeat, BEAT_TIMEOUT_S to HEARTBEAT_TIMEOUT_S, FAULTS to CALL_ERRORS, REDIRECTS to MAX_REDIRECTS, begin_life to reset_state, born to started_ms, end_due to end_due_runs, deaf to answers_lost, carry_out to apply_answer, CANCEL_S to CANCEL_GRACE_S, turn to restart_lock, wanted to must_run, LEAST_JOBS to MIN_JOBS, SETTLE_S to RECOVERY_TIMEOUT_S, settle to wait_for_recovery, is_lasting to has_long_running_run, keep_running to restart_ended_processes, play_job to submit_job; 114 uses in 6 files, by token.

--- a/bench/leader_load.py
+++ b/bench/leader_load.py
@@ -16,7 +16,7 @@
 import trio
 from hdrh.histogram import HdrHistogram
 from measures import read_cpu_s
-from platform_emulator import FAULTS, Client, EmulatedWorker, Ledger
+from platform_emulator import CALL_ERRORS, Client, EmulatedWorker, RunChecker
 from platform_fleet import PlatformFleet
 from platform_soak import HOST, PREFIX, Operator
 
@@ -47,11 +47,11 @@
     async def run(self):
         """Sends heartbeats until cancelled."""
         while True:
-            self.end_due()
+            self.end_due_runs()
             started_ns = time.monotonic_ns()
             try:
-                await self.beat()
-            except FAULTS:
+                await self.send_heartbeat()
+            except CALL_ERRORS:
                 self.target = self.random.choice(self.controls)
                 self.wait_s = AFTER_END_S
             spent_us = (time.monotonic_ns() - started_ns) // 1_000
@@ -59,7 +59,7 @@
             due = time.monotonic() + self.wait_s
             while time.monotonic() < due and not self.ended:
                 await trio.sleep(AFTER_END_S)
-                self.end_due()
+                self.end_due_runs()
 
 
 async def submit(client, answers):
@@ -70,7 +70,7 @@
 async def play_round(count, seconds):
     """Prints the figures of one number of workers."""
     source = random.Random(count)
-    ledger = Ledger()
+    checker = RunChecker()
     fleet = PlatformFleet(tempfile.mkdtemp(), NET, cores=3, fronts=1)
     latency_us = HdrHistogram(1, LARGEST_LATENCY_US, 3)
     client = Client(fleet.front_addresses, HOST, PREFIX, source)
@@ -81,18 +81,18 @@
             addresses = fleet.control_addresses
             for number in range(count):
                 worker = SteadyWorker(
-                    f"w{number}", "desk", addresses, ledger, source
+                    f"w{number}", "desk", addresses, checker, source
                 )
                 # A pool looks through all of its connections for each call.
                 worker.pool = httpcore.AsyncConnectionPool()
                 worker.latency_us = latency_us
                 nursery.start_soon(worker.run)
-            await Operator(addresses, source, ledger).state(1)
+            await Operator(addresses, source, checker).state(1)
             await trio.sleep(WARM_UP_S)
             latency_us.reset()
             processes = [*fleet.cores, *fleet.fronts]
             before = [read_cpu_s(each.process.pid) for each in processes]
-            starts, begun = ledger.starts, time.monotonic()
+            starts, begun = checker.starts, time.monotonic()
             while time.monotonic() - begun < seconds:
                 nursery.start_soon(submit, client, answers)
                 await trio.sleep(1 / (JOBS_PER_WORKER_S * count))
@@ -106,11 +106,11 @@
                 f"{count} workers: leader {max(cores[:-1]):.2f} and followers "
                 f"{min(cores[:-1]):.2f} of a core, front {cores[-1]:.2f}; "
                 f"{latency_us.get_total_count() / spent_s:.0f} heartbeats and "
-                f"{(ledger.starts - starts) / spent_s:.0f} starts a second; "
+                f"{(checker.starts - starts) / spent_s:.0f} starts a second; "
                 f"heartbeat p50 {read_ms(latency_us, 50):.0f} and p99 "
                 f"{read_ms(latency_us, 99):.0f} ms; {accepted} of "
                 f"{len(answers)} answered jobs accepted; "
-                f"{len(ledger.violations)} broken promises"
+                f"{len(checker.violations)} broken promises"
             )
             nursery.cancel_scope.cancel()
         finally:
--- a/tests/test_platform_programs.py
+++ b/tests/test_platform_programs.py
@@ -76,4 +76,4 @@
     soak = Soak(6, 8.0, tmp_path)
     violations = trio.run(soak.run)
     assert violations == []
-    assert soak.ledger.starts > 0
+    assert soak.checker.starts > 0
--- a/tools/platform_emulator.py
+++ b/tools/platform_emulator.py
@@ -11,10 +11,10 @@
 import httpcore
 import trio
 
-BEAT_TIMEOUT_S = 1.0
+HEARTBEAT_TIMEOUT_S = 1.0
 CALL_TIMEOUT_S = 3.0
-REDIRECTS = 2
-FAULTS = (
+MAX_REDIRECTS = 2
+CALL_ERRORS = (
     httpcore.NetworkError,
     httpcore.ProtocolError,
     httpcore.TimeoutException,
@@ -22,7 +22,7 @@
 )
 
 
-class Ledger:
+class RunChecker:
     """What all workers have seen of the runs of tasks.
 
     Attributes:
@@ -36,7 +36,7 @@
     __slots__ = ("live", "done", "cancelled", "starts", "violations")
 
     # A start is late this long after an acknowledged cancel.
-    CANCEL_S = 3.0
+    CANCEL_GRACE_S = 3.0
 
     def __init__(self):
         self.live = {}
@@ -45,7 +45,7 @@
         self.starts = 0
         self.violations = []
 
-    def note_start(self, task, run, worker):
+    def record_start(self, task, run, worker):
         """Checks and notes a start."""
         self.starts += 1
         if task in self.live:
@@ -55,12 +55,12 @@
             self.violations.append(f"{task} run {run} starts after its end")
         cancelled = self.cancelled.get(task.partition(".")[0])
         if cancelled is not None and (
-            time.monotonic() - cancelled > self.CANCEL_S
+            time.monotonic() - cancelled > self.CANCEL_GRACE_S
         ):
             self.violations.append(f"{task} starts after the cancel")
         self.live[task] = worker
 
-    def note_end(self, task, worker, outcome):
+    def record_end(self, task, worker, outcome):
         """Notes the end of a run."""
         if self.live.get(task) == worker:
             del self.live[task]
@@ -82,7 +82,7 @@
             )
     content = None if document is None else json.dumps(document).encode()
     head = [("Content-Type", "application/json"), *headers]
-    for _ in range(REDIRECTS + 1):
+    for _ in range(MAX_REDIRECTS + 1):
         with trio.fail_after(timeout_s):
             response = await pool.request(
                 method, url, headers=head, content=content
@@ -125,12 +125,12 @@
         worker_id: Its id.
         service: Its service.
         controls: Addresses of the controls.
-        ledger: Ledger.
+        checker: Ledger.
         random: Source of run times and choices.
         runs: Run by task.
         ended: Rows of ends that are not acknowledged.
         lease_until: Monotonic time at which all that runs is killed.
-        deaf: Whether answers to heartbeats are lost on their way.
+        answers_lost: Whether answers to heartbeats are lost on their way.
         pool: httpcore pool that keeps connections, or None.
     """
 
@@ -138,11 +138,11 @@
         "worker_id",
         "service",
         "controls",
-        "ledger",
+        "checker",
         "random",
         "runs",
         "ended",
-        "born",
+        "started_ms",
         "sequence",
         "number",
         "fence",
@@ -150,26 +150,26 @@
         "target",
         "last_runs",
         "wait_s",
-        "deaf",
+        "answers_lost",
         "pool",
     )
 
-    def __init__(self, worker_id, service, controls, ledger, random):
+    def __init__(self, worker_id, service, controls, checker, random):
         self.worker_id = worker_id
         self.service = service
         self.controls = controls
-        self.ledger = ledger
+        self.checker = checker
         self.random = random
         self.target = random.choice(controls)
-        self.deaf = False
+        self.answers_lost = False
         self.pool = None
-        self.begin_life()
+        self.reset_state()
 
-    def begin_life(self):
+    def reset_state(self):
         """Starts anew and knows nothing of before."""
         self.runs = {}
         self.ended = []
-        self.born = time.time_ns() // 1_000_000
+        self.started_ms = time.time_ns() // 1_000_000
         self.sequence = 0
         self.number = 0
         self.fence = 0
@@ -185,23 +185,23 @@
         """
         for _, task, _, outcome, _ in self.ended:
             if outcome == "done":
-                self.ledger.done.discard(task)
+                self.checker.done.discard(task)
         for task in list(self.runs):
-            self.ledger.note_end(task, self.worker_id, "crashed")
-        self.begin_life()
+            self.checker.record_end(task, self.worker_id, "crashed")
+        self.reset_state()
 
     async def run(self):
         """Sends heartbeats until cancelled."""
         while True:
-            self.end_due()
+            self.end_due_runs()
             try:
-                await self.beat()
-            except FAULTS:
+                await self.send_heartbeat()
+            except CALL_ERRORS:
                 self.target = self.random.choice(self.controls)
                 self.wait_s = 0.1
             await trio.sleep(self.wait_s)
 
-    def end_due(self):
+    def end_due_runs(self):
         """Ends the runs that are done, or whose lease has lapsed."""
         now = time.monotonic()
         lapsed = now >= self.lease_until
@@ -219,7 +219,7 @@
         self.runs.pop(task, None)
         self.number += 1
         self.ended.append([self.number, task, number, outcome, ""])
-        self.ledger.note_end(task, self.worker_id, outcome)
+        self.checker.record_end(task, self.worker_id, outcome)
 
     def report(self):
         """Returns the body of a heartbeat."""
@@ -234,7 +234,7 @@
             "capacity": {"cpu": 8_000, "mem-mb": 16_000, "gpu": 0},
             "labels": ["a", "r1"],
             "machine": f"m-{self.worker_id}",
-            "born": self.born,
+            "born": self.started_ms,
             "seq": self.sequence,
             "running": [
                 [task, run.number, "", run.percent(), 0]
@@ -243,24 +243,29 @@
             "ended": self.ended[:500],
         }
 
-    async def beat(self):
+    async def send_heartbeat(self):
         """Sends one heartbeat and carries the answer out."""
-        sent, born = time.monotonic(), self.born
+        sent, started_ms = time.monotonic(), self.started_ms
         status, orders = await exchange(
             "PUT",
             f"http://{self.target}/v1/instances/{self.worker_id}",
             self.report(),
-            timeout_s=BEAT_TIMEOUT_S,
+            timeout_s=HEARTBEAT_TIMEOUT_S,
             pool=self.pool,
         )
-        late = time.monotonic() - sent > BEAT_TIMEOUT_S
-        if status != 200 or late or self.deaf or born != self.born:
+        late = time.monotonic() - sent > HEARTBEAT_TIMEOUT_S
+        if (
+            status != 200
+            or late
+            or self.answers_lost
+            or started_ms != self.started_ms
+        ):
             self.target = self.random.choice(self.controls)
             return
         self.target = orders.get("heartbeat-url", self.target)
-        self.carry_out(orders, sent)
+        self.apply_answer(orders, sent)
 
-    def carry_out(self, orders, sent):
+    def apply_answer(self, orders, sent):
         """Does what an answer says."""
         self.wait_s = orders.get("retry-after-ms", 500) / 1000
         if "hold-ms" not in orders or orders["fence"] < self.fence:
@@ -282,7 +287,7 @@
         if number <= self.last_runs.get(task, 0):
             return
         self.last_runs[task] = number
-        self.ledger.note_start(task, number, self.worker_id)
+        self.checker.record_start(task, number, self.worker_id)
         lasts = payload.startswith("lasting")
         length = None if lasts else self.random.uniform(0.1, 0.8)
         self.runs[task] = Run(number, length)
@@ -317,7 +322,7 @@
             return await exchange(
                 method, url, document, headers, CALL_TIMEOUT_S
             )
-        except FAULTS:
+        except CALL_ERRORS:
             return None
 
     async def submit(self, steps, payload="timed", tries=12):
--- a/tools/platform_faults.py
+++ b/tools/platform_faults.py
@@ -19,7 +19,7 @@
 async def kill_core(soak):
     """Kills a control and starts it again with its disk."""
     core = soak.random.choice(soak.fleet.cores)
-    async with core.turn:
+    async with core.restart_lock:
         await core.stop()
         await trio.sleep(soak.random.uniform(0.1, 1.5))
         await core.start()
@@ -38,7 +38,7 @@
 async def stop_core(soak):
     """Stops a control gracefully and starts it again."""
     core = soak.random.choice(soak.fleet.cores)
-    async with core.turn:
+    async with core.restart_lock:
         await core.stop(signal.SIGTERM)
         await core.start()
 
@@ -49,7 +49,7 @@
     if soak.faults.count("wipe_core") > 1:
         return
     core = soak.random.choice(soak.fleet.cores)
-    async with core.turn:
+    async with core.restart_lock:
         await core.stop()
         core.lose_disk()
         await core.start()
@@ -60,9 +60,9 @@
     """Kills all controls at once."""
     async with contextlib.AsyncExitStack() as stack:
         for core in soak.fleet.cores:
-            await stack.enter_async_context(core.turn)
+            await stack.enter_async_context(core.restart_lock)
         for core in soak.fleet.cores:
-            core.wanted = False
+            core.must_run = False
             core.send(signal.SIGKILL)
         for core in soak.fleet.cores:
             await core.stop()
@@ -73,7 +73,7 @@
 async def kill_front(soak):
     """Kills a front and starts it again."""
     front = soak.random.choice(soak.fleet.fronts)
-    async with front.turn:
+    async with front.restart_lock:
         await front.stop()
         await front.start()
 
@@ -130,7 +130,7 @@
 async def tear_journal(soak):
     """Kills a control and leaves a torn write at the end of its journal."""
     core = soak.random.choice(soak.fleet.cores)
-    async with core.turn:
+    async with core.restart_lock:
         await core.stop()
         core.append_garbage(soak.random.randbytes(soak.random.randint(1, 90)))
         await core.start()
@@ -140,14 +140,14 @@
 async def fill_disk(soak):
     """Lets the files of a control grow no more for a while."""
     core = soak.random.choice(soak.fleet.cores)
-    async with core.turn:
+    async with core.restart_lock:
         # A control whose disk fails may end; the platform restarts it.
-        core.wanted = False
+        core.must_run = False
         core.limit_files(0)
         await trio.sleep(soak.random.uniform(0.5, 2.5))
         core.limit_files(resource.RLIM_INFINITY)
         if core.process.poll() is None:
-            core.wanted = True
+            core.must_run = True
         else:
             await core.start()
 
@@ -156,9 +156,9 @@
 async def deafen_worker(soak):
     """Lets a worker miss the answers to its heartbeats."""
     worker = soak.random.choice(soak.workers)
-    worker.deaf = True
+    worker.answers_lost = True
     await trio.sleep(soak.random.uniform(0.5, 6.0))
-    worker.deaf = False
+    worker.answers_lost = False
 
 
 @faults.register("crash_worker")
--- a/tools/platform_fleet.py
+++ b/tools/platform_fleet.py
@@ -25,8 +25,8 @@
         host: Loopback address of its machine.
         links_port: Port on which it listens for links, and dials them.
         process: The running process, or None.
-        wanted: Whether it has to run.
-        turn: Held by the fault that stops and starts it.
+        must_run: Whether it has to run.
+        restart_lock: Held by the fault that stops and starts it.
     """
 
     __slots__ = (
@@ -35,8 +35,8 @@
         "host",
         "links_port",
         "process",
-        "wanted",
-        "turn",
+        "must_run",
+        "restart_lock",
     )
 
     def __init__(self, fleet, script, host, links_port):
@@ -45,13 +45,13 @@
         self.host = host
         self.links_port = links_port
         self.process = None
-        self.wanted = False
-        self.turn = trio.Lock()
+        self.must_run = False
+        self.restart_lock = trio.Lock()
 
     @property
     def ended(self):
         """Whether it has ended although it has to run."""
-        return self.wanted and self.process.poll() is not None
+        return self.must_run and self.process.poll() is not None
 
     @property
     def folder(self):
@@ -73,7 +73,7 @@
                 env=environment,
                 cwd=ROOT,
             )
-        self.wanted = True
+        self.must_run = True
 
     def send(self, number):
         """Sends a signal to this process only."""
@@ -82,7 +82,7 @@
 
     async def stop(self, number=signal.SIGKILL):
         """Ends the process and waits for it."""
-        self.wanted = False
+        self.must_run = False
         self.send(signal.SIGCONT)
         self.send(number)
         if self.process is not None:
--- a/tools/platform_soak.py
+++ b/tools/platform_soak.py
@@ -15,7 +15,13 @@
 import time
 
 import trio
-from platform_emulator import FAULTS, Client, EmulatedWorker, Ledger, exchange
+from platform_emulator import (
+    CALL_ERRORS,
+    Client,
+    EmulatedWorker,
+    RunChecker,
+    exchange,
+)
 from platform_faults import faults
 from platform_fleet import PlatformFleet
 
@@ -23,9 +29,9 @@
 PREFIX = "/plans/"
 WORKERS = 5
 # Time after the last fault in which all accepted jobs must end.
-SETTLE_S = 30.0
+RECOVERY_TIMEOUT_S = 30.0
 # Jobs that must be accepted after the last fault.
-LEAST_JOBS = 5
+MIN_JOBS = 5
 
 
 def make_configuration(version):
@@ -62,12 +68,12 @@
         acknowledged: Highest acknowledged version.
     """
 
-    __slots__ = ("addresses", "random", "ledger", "acknowledged")
+    __slots__ = ("addresses", "random", "checker", "acknowledged")
 
-    def __init__(self, addresses, source, ledger):
+    def __init__(self, addresses, source, checker):
         self.addresses = addresses
         self.random = source
-        self.ledger = ledger
+        self.checker = checker
         self.acknowledged = 0
 
     async def call(self, method, document=None):
@@ -76,7 +82,7 @@
         url = f"http://{address}/v1/config"
         try:
             return await exchange(method, url, document, timeout_s=3.0)
-        except FAULTS:
+        except CALL_ERRORS:
             return None
 
     async def state(self, version):
@@ -105,7 +111,7 @@
             shown = answer[1]["version"]
             if shown < known:
                 text = f"version {shown} was read after {known}"
-                self.ledger.violations.append(text)
+                self.checker.violations.append(text)
 
 
 class Soak:
@@ -115,7 +121,7 @@
         random: Source of the choices of faults, which repeat with the seed.
         traffic: Source of the choices of workers, clients and operator.
         fleet: PlatformFleet.
-        ledger: Ledger.
+        checker: Ledger.
         faults: Names of the injected faults.
     """
 
@@ -125,7 +131,7 @@
         "random",
         "traffic",
         "fleet",
-        "ledger",
+        "checker",
         "workers",
         "client",
         "operator",
@@ -138,18 +144,18 @@
         self.random = random.Random(seed)
         self.traffic = random.Random(seed + 1)
         self.fleet = PlatformFleet(folder, 16 + seed % 200)
-        self.ledger = Ledger()
+        self.checker = RunChecker()
         controls = self.fleet.control_addresses
         self.workers = [
             EmulatedWorker(
-                f"w{n}", "desk", controls, self.ledger, self.traffic
+                f"w{n}", "desk", controls, self.checker, self.traffic
             )
             for n in range(WORKERS)
         ]
         self.client = Client(
             self.fleet.front_addresses, HOST, PREFIX, self.traffic
         )
-        self.operator = Operator(controls, self.traffic, self.ledger)
+        self.operator = Operator(controls, self.traffic, self.checker)
         self.faults = []
 
     async def run(self):
@@ -159,28 +165,28 @@
                 await self.fleet.start(nursery)
                 for worker in self.workers:
                     nursery.start_soon(worker.run)
-                with trio.fail_after(SETTLE_S):
+                with trio.fail_after(RECOVERY_TIMEOUT_S):
                     await self.operator.state(1)
-                nursery.start_soon(self.keep_running)
+                nursery.start_soon(self.restart_ended_processes)
                 async with trio.open_nursery() as active:
                     active.start_soon(self.submit)
                     active.start_soon(self.operator.run)
                     await self.inject()
                     active.cancel_scope.cancel()
-                await self.settle()
+                await self.wait_for_recovery()
                 nursery.cancel_scope.cancel()
         finally:
             with trio.CancelScope(shield=True):
                 await self.fleet.stop()
-        return self.ledger.violations
+        return self.checker.violations
 
-    async def keep_running(self):
+    async def restart_ended_processes(self):
         """Notes and restarts processes that end by themselves."""
         while True:
             for process in (*self.fleet.cores, *self.fleet.fronts):
                 if process.ended:
                     text = f"{process.script} on {process.host} has ended"
-                    self.ledger.violations.append(text)
+                    self.checker.violations.append(text)
                     await process.start()
             await trio.sleep(0.2)
 
@@ -188,10 +194,10 @@
         """Submits and sometimes cancels jobs until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
-                nursery.start_soon(self.play_job)
+                nursery.start_soon(self.submit_job)
                 await trio.sleep(self.traffic.uniform(0.1, 0.5))
 
-    async def play_job(self):
+    async def submit_job(self):
         """Submits one job and perhaps cancels it."""
         first = {"count": self.traffic.randint(1, 4), "cpu": 1_000}
         second = {"count": 2, "cpu": 500, "depends-on": [0]}
@@ -206,7 +212,7 @@
         if job_id and (lasting or self.traffic.random() < 0.1):
             answer = await self.client.call("DELETE", job_id)
             if answer is not None and answer[0] == 200:
-                self.ledger.cancelled[job_id] = time.monotonic()
+                self.checker.cancelled[job_id] = time.monotonic()
 
     async def inject(self):
         """Injects faults one after the other, some of them overlapping."""
@@ -218,35 +224,35 @@
                 nursery.start_soon(faults.entries[name], self)
                 await trio.sleep(self.random.uniform(0.5, 3.0))
 
-    async def settle(self):
+    async def wait_for_recovery(self):
         """Waits until jobs are accepted again and all of them have ended."""
         before = len(self.client.accepted)
-        with trio.move_on_after(SETTLE_S):
-            while len(self.client.accepted) - before < LEAST_JOBS:
+        with trio.move_on_after(RECOVERY_TIMEOUT_S):
+            while len(self.client.accepted) - before < MIN_JOBS:
                 await self.client.submit([{"count": 1, "cpu": 500}])
-        if len(self.client.accepted) - before < LEAST_JOBS:
+        if len(self.client.accepted) - before < MIN_JOBS:
             text = "no jobs are accepted after the faults"
-            self.ledger.violations.append(text)
+            self.checker.violations.append(text)
         open_jobs = set(self.client.accepted)
-        with trio.move_on_after(SETTLE_S):
+        with trio.move_on_after(RECOVERY_TIMEOUT_S):
             while open_jobs:
                 for job_id in list(open_jobs):
                     state = await self.client.state(job_id)
                     if state == "unknown":
                         text = f"accepted job {job_id} is not known"
-                        self.ledger.violations.append(text)
+                        self.checker.violations.append(text)
                     if (
                         state in ("completed", "cancelled", "unknown")
                         or state == "running"
-                        and self.is_lasting(job_id)
+                        and self.has_long_running_run(job_id)
                     ):
                         open_jobs.discard(job_id)
                 await trio.sleep(0.2)
         for job_id in open_jobs:
-            self.ledger.violations.append(f"job {job_id} did not end")
+            self.checker.violations.append(f"job {job_id} did not end")
         await self.operator.read()
 
-    def is_lasting(self, job_id):
+    def has_long_running_run(self, job_id):
         """Returns whether a run of a job is live without an end."""
         return any(
             run.duration_s is None
@@ -271,7 +277,7 @@
     violations = trio.run(soak.run)
     print(
         f"seed {seed}: {len(soak.client.accepted)} jobs, "
-        f"{soak.ledger.starts} starts, faults {' '.join(soak.faults)}"
+        f"{soak.checker.starts} starts, faults {' '.join(soak.faults)}"
     )
     for text in violations:
         print(f"VIOLATION: {text}")
