Rename ended to unacknowledged_ends

Cause: The list holds the ends of runs that no control has acknowledged yet. Change: ended to unacknowledged_ends; 9 uses in 2 files, by token.

--- a/bench/leader_load.py
+++ b/bench/leader_load.py
@@ -57,7 +57,7 @@
             spent_us = (time.monotonic_ns() - started_ns) // 1_000
             self.latency_us.record_value(spent_us)
             due = time.monotonic() + self.wait_s
-            while time.monotonic() < due and not self.ended:
+            while time.monotonic() < due and not self.unacknowledged_ends:
                 await trio.sleep(AFTER_END_S)
                 self.end_due_runs()
 
--- a/tools/platform_emulator.py
+++ b/tools/platform_emulator.py
@@ -128,7 +128,7 @@
         checker: Ledger.
         random: Source of run times and choices.
         runs: Run by task.
-        ended: Rows of ends that are not acknowledged.
+        unacknowledged_ends: Rows of ends that are not acknowledged.
         lease_until: Monotonic time at which all that runs is killed.
         answers_lost: Whether answers to heartbeats are lost on their way.
         pool: httpcore pool that keeps connections, or None.
@@ -141,7 +141,7 @@
         "checker",
         "random",
         "runs",
-        "ended",
+        "unacknowledged_ends",
         "started_ms",
         "sequence",
         "number",
@@ -168,7 +168,7 @@
     def reset_state(self):
         """Starts anew and knows nothing of before."""
         self.runs = {}
-        self.ended = []
+        self.unacknowledged_ends = []
         self.started_ms = time.time_ns() // 1_000_000
         self.sequence = 0
         self.number = 0
@@ -183,7 +183,7 @@
         Nobody has taken note of such an end, so that its task may start
         again.
         """
-        for _, task, _, outcome, _ in self.ended:
+        for _, task, _, outcome, _ in self.unacknowledged_ends:
             if outcome == "done":
                 self.checker.done.discard(task)
         for task in list(self.runs):
@@ -218,7 +218,9 @@
         """Ends a run and lists it."""
         self.runs.pop(task, None)
         self.number += 1
-        self.ended.append([self.number, task, number, outcome, ""])
+        self.unacknowledged_ends.append(
+            [self.number, task, number, outcome, ""]
+        )
         self.checker.record_end(task, self.worker_id, outcome)
 
     def report(self):
@@ -240,7 +242,7 @@
                 [task, run.number, "", run.percent(), 0]
                 for task, run in self.runs.items()
             ],
-            "ended": self.ended[:500],
+            "ended": self.unacknowledged_ends[:500],
         }
 
     async def send_heartbeat(self):
@@ -274,7 +276,9 @@
         until = sent + orders["hold-ms"] / 1000
         self.lease_until = max(self.lease_until, until)
         through = orders.get("acked-through", 0)
-        self.ended = [row for row in self.ended if row[0] > through]
+        self.unacknowledged_ends = [
+            row for row in self.unacknowledged_ends if row[0] > through
+        ]
         for task, number in orders.get("stop", ()):
             self.last_runs[task] = max(self.last_runs.get(task, 0), number)
             if task in self.runs and self.runs[task].number == number:
