Rename ended to ended_unexpectedly

Cause: The property tells that a process ended although it must run. Change: ended to ended_unexpectedly; 2 uses in 2 files, by token. Result: every touched file compiles; behaviour is unchanged.

--- a/tools/platform_fleet.py
+++ b/tools/platform_fleet.py
@@ -49,7 +49,7 @@
         self.restart_lock = trio.Lock()
 
     @property
-    def ended(self):
+    def ended_unexpectedly(self):
         """Whether it has ended although it has to run."""
         return self.must_run and self.process.poll() is not None
 
--- a/tools/platform_soak.py
+++ b/tools/platform_soak.py
@@ -184,7 +184,7 @@
         """Notes and restarts processes that end by themselves."""
         while True:
             for process in (*self.fleet.cores, *self.fleet.fronts):
-                if process.ended:
+                if process.ended_unexpectedly:
                     text = f"{process.script} on {process.host} has ended"
                     self.checker.violations.append(text)
                     await process.start()
