Rename 22 names: SubmitAttempt, attempts and others

Cause: One request with a patch is an attempt to submit it, made against a base version; judge, pick and locks named like lists hide what the functions and locks do. Change: Sending to SubmitAttempt, sendings to attempts, sending to attempt, make_sending to make_attempt, Applied to AppliedVersion, Polled to PolledVersion, to_applied to to_applied_version, by_patch to attempts_by_patch, judge to find_violations, judge_soak to check_properties, check_kept to check_acknowledged_kept, check_single to check_one_patch_per_version, _runs_since to _is_up_between, NEIGHBOUR_MS to NEIGHBOUR_UPDATE_MS, disks to disk_lock, cuts to cut_lock, pick to reserve, pick_leader to reserve_leader, read_answer to record_answer, operate to submit_until_stopped, accepted to accepted_version, broken to violations; 182 uses in 7 files, by token.

--- a/tests/test_patch_histories.py
+++ b/tests/test_patch_histories.py
@@ -8,22 +8,22 @@
     DOWN,
     NOT_RUN,
     STALE,
-    Applied,
+    AppliedVersion,
     Fault,
     PatchHistory,
-    Polled,
-    Sending,
+    PolledVersion,
+    SubmitAttempt,
 )
 
 
-def make_sending(patch, against, outcome, version=0, **fields):
+def make_attempt(patch, against, outcome, version=0, **fields):
     """Returns a Sending with an answer."""
-    sending = Sending(patch, against, int(patch[1:]), 0)
-    sending.outcome, sending.version = outcome, version
-    sending.body = f"{outcome} {patch} {version}"
+    attempt = SubmitAttempt(patch, against, int(patch[1:]), 0)
+    attempt.outcome, attempt.version = outcome, version
+    attempt.body = f"{outcome} {patch} {version}"
     for name, value in fields.items():
-        setattr(sending, name, value)
-    return sending
+        setattr(attempt, name, value)
+    return attempt
 
 
 @pytest.fixture
@@ -32,19 +32,21 @@
     recorded = PatchHistory(["entry/a-1", "entry/a-2"], 12_000)
     recorded.final = [(1, "p10"), (2, "p11"), (3, "p12")]
     for version, patch in recorded.final:
-        sending = make_sending(patch, version - 1, ACCEPTED, version)
-        recorded.sendings += [sending, sending]
+        attempt = make_attempt(patch, version - 1, ACCEPTED, version)
+        recorded.attempts += [attempt, attempt]
     since = {"since": recorded.final[1:], "before": 10, "after": 12}
-    recorded.sendings += [
-        make_sending("p13", 1, STALE, 3, complete=True, **since),
-        make_sending("p14", 3, NOT_RUN),
+    recorded.attempts += [
+        make_attempt("p13", 1, STALE, 3, complete=True, **since),
+        make_attempt("p14", 3, NOT_RUN),
     ]
     for process in recorded.processes:
         for number in (1, 2, 3):
             recorded.applied.append(
-                Applied(process, "a", 1, number, number, False, number * 1_000)
+                AppliedVersion(
+                    process, "a", 1, number, number, False, number * 1_000
+                )
             )
-            poll = Polled(process, "metrics 1", number, number * 1_000)
+            poll = PolledVersion(process, "metrics 1", number, number * 1_000)
             recorded.polled.append(poll)
     recorded.ended_ms = 4_000
     return recorded
@@ -52,7 +54,7 @@
 
 def broken_properties(history):
     """Returns the names of the properties that the history violates."""
-    verdict = patch_histories.judge(history)
+    verdict = patch_histories.find_violations(history)
     return [name for name, texts in verdict.items() if texts]
 
 
@@ -62,7 +64,7 @@
     The entry starts with the given version.
     """
     history.applied.append(
-        Applied("entry/a-1", "a", 9_000, 1, version, stale, 10_000)
+        AppliedVersion("entry/a-1", "a", 9_000, 1, version, stale, 10_000)
     )
 
 
@@ -77,14 +79,14 @@
     The final history has another patch in place of one that was accepted.
     """
     history.final[2] = (3, "p99")
-    history.sendings = history.sendings[:6]
+    history.attempts = history.attempts[:6]
     assert broken_properties(history) == ["acknowledged patches are kept"]
 
 
 def test_two_patches_against_a_version_are_found(history):
     """Fails if two patches accepted against one version go unnoticed."""
     history.final.append((4, "p15"))
-    history.sendings.append(make_sending("p15", 2, ACCEPTED, 4))
+    history.attempts.append(make_attempt("p15", 2, ACCEPTED, 4))
     assert "one patch for each version" in broken_properties(history)
 
 
@@ -100,7 +102,7 @@
 
     The state must return the stored answer, not decide on the patch again.
     """
-    history.sendings[1] = make_sending("p10", 0, ACCEPTED, 1, body="other")
+    history.attempts[1] = make_attempt("p10", 0, ACCEPTED, 1, body="other")
     assert broken_properties(history) == ["resends get the same answer"]
 
 
@@ -116,7 +118,7 @@
 )
 def test_wrong_changes_since_are_found(history, fields):
     """Fails if a stale answer with wrong or missing changes goes unnoticed."""
-    stale = next(s for s in history.sendings if s.outcome == STALE)
+    stale = next(s for s in history.attempts if s.outcome == STALE)
     for name, value in fields.items():
         setattr(stale, name, value)
     names = broken_properties(history)
@@ -139,19 +141,21 @@
     Another attempt had an unknown outcome, so the patch may have been applied.
     """
     history.final.append((4, "p14"))
-    history.sendings.append(make_sending("p14", 3, "unknown"))
+    history.attempts.append(make_attempt("p14", 3, "unknown"))
     assert "refused patches never appear" not in broken_properties(history)
 
 
 def test_applied_version_that_goes_back_is_found(history):
     """Fails if an entry that applies an older version goes unnoticed."""
-    history.applied.append(Applied("entry/a-1", "a", 1, 4, 2, False, 4_000))
+    history.applied.append(
+        AppliedVersion("entry/a-1", "a", 1, 4, 2, False, 4_000)
+    )
     assert broken_properties(history) == ["versions never go back in a run"]
 
 
 def test_polled_version_that_goes_back_is_found(history):
     """Fails if a poll that shows an older version goes unnoticed."""
-    history.polled.append(Polled("entry/a-1", "metrics 1", 2, 4_000))
+    history.polled.append(PolledVersion("entry/a-1", "metrics 1", 2, 4_000))
     assert broken_properties(history) == ["versions never go back in a run"]
 
 
--- a/tools/patch_failures.py
+++ b/tools/patch_failures.py
@@ -30,9 +30,9 @@
         client: OperatorsClient.
         faults: List of Faults of the history.
         random: Source of the choices.
-        disks: trio.Lock of the failures of disks: a second one before the
+        disk_lock: trio.Lock of the failures of disks: a second one before the
             first disk was replaced may lose what was acknowledged.
-        cuts: trio.Lock of the failures of zones.
+        cut_lock: trio.Lock of the failures of zones.
         skipped: Failures that found no free VM and did nothing.
     """
 
@@ -41,8 +41,8 @@
         "client",
         "faults",
         "random",
-        "disks",
-        "cuts",
+        "disk_lock",
+        "cut_lock",
         "skipped",
     )
 
@@ -51,8 +51,8 @@
         self.client = client
         self.faults = faults
         self.random = random
-        self.disks = trio.Lock()
-        self.cuts = trio.Lock()
+        self.disk_lock = trio.Lock()
+        self.cut_lock = trio.Lock()
         self.skipped = 0
 
     @contextlib.contextmanager
@@ -65,7 +65,7 @@
         finally:
             fault.until_ms = wall_ms()
 
-    def pick(self, count=1, voters=False, zone=None):
+    def reserve(self, count=1, voters=False, zone=None):
         """Reserves nodes that no other failure uses; may be fewer."""
         free = [
             node.node_id
@@ -83,7 +83,7 @@
         """Ends the reservation of nodes."""
         self.runner.busy.difference_update(chosen)
 
-    async def pick_leader(self):
+    async def reserve_leader(self):
         """Reserves the leader; returns an empty list if it is in use."""
         leader = await self.find_leader()
         if leader is None or leader in self.runner.busy:
@@ -131,7 +131,7 @@
 @failures.register("kill leader")
 async def kill_leader(injector, hold_s):
     """Kills the leader while patches are in flight."""
-    for node_id in (chosen := await injector.pick_leader()):
+    for node_id in (chosen := await injector.reserve_leader()):
         await injector.kill(f"control/{node_id}", hold_s)
     injector.release(chosen)
 
@@ -139,7 +139,7 @@
 @failures.register("kill control")
 async def kill_control(injector, hold_s):
     """Kills any control."""
-    for node_id in (chosen := injector.pick()):
+    for node_id in (chosen := injector.reserve()):
         await injector.kill(f"control/{node_id}", hold_s)
     injector.release(chosen)
 
@@ -147,7 +147,7 @@
 @failures.register("kill entry")
 async def kill_entry(injector, hold_s):
     """Kills an entry."""
-    for node_id in (chosen := injector.pick()):
+    for node_id in (chosen := injector.reserve()):
         await injector.kill(f"entry/{node_id}", hold_s)
     injector.release(chosen)
 
@@ -155,7 +155,7 @@
 @failures.register("freeze leader")
 async def freeze_leader(injector, hold_s):
     """Stops the leader without its knowledge, then lets it go on."""
-    for node_id in (chosen := await injector.pick_leader()):
+    for node_id in (chosen := await injector.reserve_leader()):
         name = f"control/{node_id}"
         with injector.fault(DOWN, name):
             injector.runner.processes[name].freeze()
@@ -179,16 +179,16 @@
 @failures.register("cut zone")
 async def cut_zone(injector, hold_s):
     """Closes all links from and to a zone, then heals them."""
-    async with injector.cuts, cut(injector, injector.random.choice(ZONES)):
+    async with injector.cut_lock, cut(injector, injector.random.choice(ZONES)):
         await trio.sleep(hold_s)
 
 
 @failures.register("restart entry in a cut zone")
 async def restart_in_cut_zone(injector, hold_s):
     """Restarts an entry while its zone is cut off."""
-    async with injector.cuts:
+    async with injector.cut_lock:
         zone = injector.random.choice(ZONES)
-        chosen = injector.pick(zone=zone)
+        chosen = injector.reserve(zone=zone)
         async with cut(injector, zone):
             await trio.sleep(hold_s)
             for node_id in chosen:
@@ -201,8 +201,8 @@
 @failures.register("lose disk")
 async def lose_disk(injector, hold_s):
     """Deletes the data of a stopped control and starts it again."""
-    async with injector.disks:
-        for node_id in (chosen := injector.pick(voters=True)):
+    async with injector.disk_lock:
+        for node_id in (chosen := injector.reserve(voters=True)):
             process = injector.runner.processes[f"control/{node_id}"]
             with injector.fault(DOWN, process.name):
                 await process.stop(STOP_TIMEOUT_S)
@@ -217,8 +217,8 @@
 @failures.register("swap disks")
 async def swap_disks(injector, hold_s):
     """Starts two controls with each other's data, then swaps it back."""
-    async with injector.disks:
-        chosen = injector.pick(2, voters=True)
+    async with injector.disk_lock:
+        chosen = injector.reserve(2, voters=True)
         if len(chosen) == 2:
             await swap(injector, chosen)
             await trio.sleep(hold_s)
@@ -249,8 +249,8 @@
     """Kills all controls and entries at once and starts them again."""
     runner = injector.runner
     # Failures in progress restart their own processes.
-    async with injector.disks, injector.cuts:
-        chosen = injector.pick(len(runner.deployment.nodes))
+    async with injector.disk_lock, injector.cut_lock:
+        chosen = injector.reserve(len(runner.deployment.nodes))
         names = [
             f"{role}/{node_id}"
             for role in ("control", "entry")
--- a/tools/patch_histories.py
+++ b/tools/patch_histories.py
@@ -14,27 +14,27 @@
 
 # A neighbour passes its version on at the next subscription; one that has
 # applied it less than this before cannot be asked in time.
-NEIGHBOUR_MS = 2_000
+NEIGHBOUR_UPDATE_MS = 2_000
 
 
 @properties.register("acknowledged patches are kept")
-def check_kept(history):
+def check_acknowledged_kept(history):
     """Each acknowledged patch is in the final history, as acknowledged."""
     final = set(history.final)
     return [
         f"{s.patch}: acknowledged as version {s.version}, which is not there"
-        for s in history.sendings
+        for s in history.attempts
         if s.outcome == ACCEPTED and (s.version, s.patch) not in final
     ]
 
 
 @properties.register("one patch for each version")
-def check_single(history):
+def check_one_patch_per_version(history):
     """No two patches were accepted against the same version."""
     against = defaultdict(set)
-    for sending in history.sendings:
-        if sending.outcome == ACCEPTED:
-            against[sending.against].add(sending.patch)
+    for attempt in history.attempts:
+        if attempt.outcome == ACCEPTED:
+            against[attempt.against].add(attempt.patch)
     return [
         f"version {version}: {', '.join(sorted(patches))}"
         for version, patches in sorted(against.items())
@@ -53,7 +53,7 @@
     texts += [f"{p}: {n} versions" for p, n in counts.items() if n > 1]
     texts += [
         f"{s.patch}: version {s.version} against {s.against}"
-        for s in history.sendings
+        for s in history.attempts
         if s.outcome == ACCEPTED and s.version != s.against + 1
     ]
     return texts
@@ -63,8 +63,8 @@
 def check_resends(history):
     """All decided answers to one patch are equal."""
     texts = []
-    for patch, sendings in history.by_patch().items():
-        bodies = {s.body for s in sendings if s.outcome in DECIDED}
+    for patch, attempts in history.attempts_by_patch().items():
+        bodies = {s.body for s in attempts if s.outcome in DECIDED}
         if len(bodies) > 1:
             texts.append(f"{patch}: {' / '.join(sorted(bodies))[:300]}")
     return texts
@@ -73,23 +73,23 @@
 @properties.register("stale patches get the changes since")
 def check_stale(history):
     """A stale answer lists the versions since and their joint change."""
-    values = {s.patch: s.value for s in history.sendings}
+    values = {s.patch: s.value for s in history.attempts}
     value_of = {v: values.get(patch) for v, patch in history.final}
     texts = []
-    for sending in history.sendings:
-        if sending.outcome != STALE:
+    for attempt in history.attempts:
+        if attempt.outcome != STALE:
             continue
         since = [
             pair
             for pair in history.final
-            if sending.against < pair[0] <= sending.version
+            if attempt.against < pair[0] <= attempt.version
         ]
-        pair = (sending.before, sending.after)
-        wanted = (value_of.get(sending.against), value_of.get(sending.version))
-        if not sending.complete or not since or sending.since != since:
-            texts.append(f"{sending.patch}: got {sending.since}, not {since}")
+        pair = (attempt.before, attempt.after)
+        wanted = (value_of.get(attempt.against), value_of.get(attempt.version))
+        if not attempt.complete or not since or attempt.since != since:
+            texts.append(f"{attempt.patch}: got {attempt.since}, not {since}")
         elif None not in wanted and pair != wanted:
-            texts.append(f"{sending.patch}: change {pair}, not {wanted}")
+            texts.append(f"{attempt.patch}: change {pair}, not {wanted}")
     return texts
 
 
@@ -98,8 +98,8 @@
     """A patch that was refused or not run is not in the history."""
     appeared = {patch for _, patch in history.final}
     texts = []
-    for patch, sendings in history.by_patch().items():
-        outcomes = {s.outcome for s in sendings}
+    for patch, attempts in history.attempts_by_patch().items():
+        outcomes = {s.outcome for s in attempts}
         certain = outcomes == {NOT_RUN} or outcomes & {STALE, INVALID}
         if certain and patch in appeared:
             texts.append(f"{patch}: told {sorted(outcomes)}, but it appeared")
@@ -149,9 +149,9 @@
     cut = history.is_faulty(CUT, first.zone, first.wall_ms)
     if not cut or not first.stale:
         return False
-    before_ms = first.wall_ms - NEIGHBOUR_MS
+    before_ms = first.wall_ms - NEIGHBOUR_UPDATE_MS
     return not any(
-        other.version > first.version and _runs_since(history, other, first)
+        other.version > first.version and _is_up_between(history, other, first)
         for other in history.applied
         if other.zone == first.zone
         and other.process != first.process
@@ -159,7 +159,7 @@
     )
 
 
-def _runs_since(history, other, first):
+def _is_up_between(history, other, first):
     """Returns whether a process ran on from its event until another one."""
     return not any(
         fault.kind == DOWN
@@ -186,7 +186,7 @@
     ]
 
 
-def judge(history):
+def find_violations(history):
     """Returns the violations by property."""
     return {
         name: properties.get(name).ok(history) for name in properties.names()
@@ -195,18 +195,18 @@
 
 def count(history):
     """Returns the counts that are printed."""
-    patches = history.by_patch().values()
+    patches = history.attempts_by_patch().values()
     return {
         "patches": len(patches),
         "accepted": sum(
-            any(s.outcome == ACCEPTED for s in sendings)
-            for sendings in patches
+            any(s.outcome == ACCEPTED for s in attempts)
+            for attempts in patches
         ),
         "stale": sum(
-            any(s.outcome == STALE for s in sendings) for sendings in patches
+            any(s.outcome == STALE for s in attempts) for attempts in patches
         ),
-        "resent": sum(len(sendings) > 1 for sendings in patches),
-        "answers": dict(Counter(s.outcome for s in history.sendings)),
+        "resent": sum(len(attempts) > 1 for attempts in patches),
+        "answers": dict(Counter(s.outcome for s in history.attempts)),
         "versions": len(history.final),
         "applied_events": len(history.applied),
         "polls": len(history.polled),
--- a/tools/patch_measures.py
+++ b/tools/patch_measures.py
@@ -41,7 +41,7 @@
     return await operators.send(
         node_id,
         f"p{value}",
-        operators.accepted,
+        operators.accepted_version,
         value,
         [to_operation(value)],
     )
@@ -56,14 +56,14 @@
     operators, accepted_ms = soak.operators, {}
     while len(accepted_ms) < PATCHES:
         node_id = operators.nodes[len(accepted_ms) % len(operators.nodes)]
-        sending = await submit_next(operators, node_id)
-        if sending.outcome == ACCEPTED:
-            accepted_ms[sending.version] = sending
+        attempt = await submit_next(operators, node_id)
+        if attempt.outcome == ACCEPTED:
+            accepted_ms[attempt.version] = attempt
         await trio.sleep(PATCH_INTERVAL_S)
     await trio.sleep(SETTLE_S)
     applied = read_applied(soak.runner.deployment)
     from_sent, from_answer, missing = [], [], 0
-    for version, sending in accepted_ms.items():
+    for version, attempt in accepted_ms.items():
         times = {}
         for item in applied:
             if item.version >= version:
@@ -73,8 +73,8 @@
             missing += 1
             continue
         last_ms = max(times.values())
-        from_sent.append(last_ms - sending.sent_ms)
-        from_answer.append(max(0, last_ms - sending.ended_ms))
+        from_sent.append(last_ms - attempt.sent_ms)
+        from_answer.append(max(0, last_ms - attempt.ended_ms))
     return {
         "from_sent_ms": summarize(from_sent),
         "from_answer_ms": summarize(from_answer),
@@ -112,11 +112,13 @@
 async def retry(operators, node_id, nursery, done):
     """Submits patches to one control until one of any is accepted."""
     while not done:
-        sending = await submit_next(operators, node_id)
-        if sending.outcome == ACCEPTED and not done:
-            done.append(sending.ended_ms)
+        attempt = await submit_next(operators, node_id)
+        if attempt.outcome == ACCEPTED and not done:
+            done.append(attempt.ended_ms)
             nursery.cancel_scope.cancel()
-        operators.accepted = max(operators.accepted, sending.version)
+        operators.accepted_version = max(
+            operators.accepted_version, attempt.version
+        )
         await trio.sleep(RETRY_S)
 
 
@@ -127,10 +129,12 @@
     without are killed in turn.
     """
     operators = soak.operators
-    while operators.accepted < RESTART_CHANGES:
-        sending = await submit_next(operators, operators.nodes[0])
-        operators.accepted = max(operators.accepted, sending.version)
-    result = {"versions": operators.accepted}
+    while operators.accepted_version < RESTART_CHANGES:
+        attempt = await submit_next(operators, operators.nodes[0])
+        operators.accepted_version = max(
+            operators.accepted_version, attempt.version
+        )
+    result = {"versions": operators.accepted_version}
     for node_id in ("lekki-1", "ikeja-3"):
         durations = []
         for _ in range(RESTARTS):
--- a/tools/patch_operators.py
+++ b/tools/patch_operators.py
@@ -12,9 +12,9 @@
     NOT_RUN,
     STALE,
     UNKNOWN,
-    Applied,
-    Polled,
-    Sending,
+    AppliedVersion,
+    PolledVersion,
+    SubmitAttempt,
 )
 
 from wigeonport.findings import Findings
@@ -55,26 +55,26 @@
     return int(weights["moves"]) * VALUE_BASE + int(weights["buffer_cost"])
 
 
-def read_answer(sending, answer):
+def record_answer(attempt, answer):
     """Notes in a Sending what the operator was told."""
     if answer is None:
         return
     document = answer.document
     if answer.status == 503:
-        sending.outcome = NOT_RUN
+        attempt.outcome = NOT_RUN
     if answer.status not in (200, 409, 422):
         return
-    sending.body = json.dumps(document, sort_keys=True)
-    sending.version = document.get("version", 0)
-    sending.outcome = {200: ACCEPTED, 409: STALE}.get(answer.status, INVALID)
-    if sending.outcome != STALE:
+    attempt.body = json.dumps(document, sort_keys=True)
+    attempt.version = document.get("version", 0)
+    attempt.outcome = {200: ACCEPTED, 409: STALE}.get(answer.status, INVALID)
+    if attempt.outcome != STALE:
         return
-    sending.complete = document["complete"]
-    sending.since = [(v["version"], v["patch"]) for v in document["versions"]]
+    attempt.complete = document["complete"]
+    attempt.since = [(v["version"], v["patch"]) for v in document["versions"]]
     for change in document["changes"]:
         if change["id"] == "weights":
-            sending.before = to_value(change["before"])
-            sending.after = to_value(change["after"])
+            attempt.before = to_value(change["before"])
+            attempt.after = to_value(change["after"])
 
 
 class Operators:
@@ -87,7 +87,7 @@
         number: Number of the last patch; its value, too.
         stopping: Whether no new patches are wanted.
         nodes: Ids of all controls.
-        accepted: Highest version of an answer.
+        accepted_version: Highest version of an answer.
     """
 
     __slots__ = (
@@ -97,7 +97,7 @@
         "number",
         "stopping",
         "nodes",
-        "accepted",
+        "accepted_version",
     )
 
     def __init__(self, runner, history):
@@ -107,30 +107,30 @@
         self.number = FIRST_NUMBER
         self.stopping = False
         self.nodes = list(runner.deployment.nodes)
-        self.accepted = 0
+        self.accepted_version = 0
 
     async def send(self, node_id, patch, against, value, operations):
         """Sends a patch once; returns the recorded Sending."""
-        sending = Sending(patch, against, value, wall_ms())
-        self.history.sendings.append(sending)
+        attempt = SubmitAttempt(patch, against, value, wall_ms())
+        self.history.attempts.append(attempt)
         answer = await self.client.submit(
             node_id, patch, against, "soak", operations
         )
-        sending.ended_ms = wall_ms()
-        read_answer(sending, answer)
-        if sending.outcome == ACCEPTED:
-            self.accepted = max(self.accepted, sending.version)
-        return sending
+        attempt.ended_ms = wall_ms()
+        record_answer(attempt, answer)
+        if attempt.outcome == ACCEPTED:
+            self.accepted_version = max(self.accepted_version, attempt.version)
+        return attempt
 
     async def submit_first(self):
         """Submits the first description of the fleet."""
         operations = load_fleet_patch()["operations"]
         with trio.fail_after(FIRST_VERSION_S):
             while True:
-                sending = await self.send(
+                attempt = await self.send(
                     self.nodes[0], FIRST_PATCH, 0, FIRST_VALUE, operations
                 )
-                if sending.outcome == ACCEPTED:
+                if attempt.outcome == ACCEPTED:
                     return
                 await trio.sleep(POLL_S)
 
@@ -143,20 +143,20 @@
         with trio.move_on_after(RESEND_S):
             while True:
                 node_id = source.choice(self.nodes)
-                sending = await self.send(
+                attempt = await self.send(
                     node_id, patch, against, value, operations
                 )
-                unknown = unknown or sending.outcome == UNKNOWN
-                if sending.outcome == NOT_RUN and not unknown:
+                unknown = unknown or attempt.outcome == UNKNOWN
+                if attempt.outcome == NOT_RUN and not unknown:
                     return
-                if sending.outcome in DECIDED:
+                if attempt.outcome in DECIDED:
                     break
                 await trio.sleep(POLL_S)
         if source.random() < RESEND_SHARE:
             node_id = source.choice(self.nodes)
             await self.send(node_id, patch, against, value, operations)
 
-    async def operate(self, source):
+    async def submit_until_stopped(self, source):
         """Reads a version and submits against it, again and again.
 
         In a share of the turns two patches race against the version.
@@ -200,7 +200,7 @@
         if metrics is not None and runner.processes[name].pid == pid:
             version = metrics["gauges"].get("config_version", 0)
             operators.history.polled.append(
-                Polled(name, f"metrics of {pid}", version, wall_ms())
+                PolledVersion(name, f"metrics of {pid}", version, wall_ms())
             )
         await trio.sleep(POLL_S)
 
@@ -222,7 +222,7 @@
             first_s = seen_s.setdefault(pair, time.monotonic())
             if first_s <= settled_s and line["version"]:
                 operators.history.polled.append(
-                    Polled(
+                    PolledVersion(
                         line["process"],
                         f"status of {pair[0]} on {pair[1]}",
                         line["version"],
@@ -244,14 +244,14 @@
             lines = path.read_bytes().splitlines()
             for event in read_lines(path.name, lines, findings):
                 if event.kind == "config.applied":
-                    found.append(to_applied(event, node.zone))
+                    found.append(to_applied_version(event, node.zone))
     return found
 
 
-def to_applied(event, zone):
+def to_applied_version(event, zone):
     """Returns the Applied of an event."""
     fields = event.fields
-    return Applied(
+    return AppliedVersion(
         event.node,
         zone,
         event.run,
--- a/tools/patch_records.py
+++ b/tools/patch_records.py
@@ -10,7 +10,7 @@
 CUT, DOWN = "cut", "down"
 
 
-class Sending(Record):
+class SubmitAttempt(Record):
     """One sending of a patch and what the operator was told.
 
     Attributes:
@@ -58,7 +58,7 @@
         self.after = None
 
 
-class Applied(Record):
+class AppliedVersion(Record):
     """A process put a version in force, from its events.
 
     Attributes:
@@ -91,7 +91,7 @@
         self.wall_ms = wall_ms
 
 
-class Polled(Record):
+class PolledVersion(Record):
     """A version that a poll showed.
 
     Attributes:
@@ -133,7 +133,7 @@
     """Everything that was recorded in one run.
 
     Attributes:
-        sendings: All Sendings.
+        attempts: All Sendings.
         final: Pairs (version, patch) of the final history, oldest first.
         applied: All Applied.
         polled: All Polled, in the order of the answers.
@@ -144,7 +144,7 @@
     """
 
     __slots__ = (
-        "sendings",
+        "attempts",
         "final",
         "applied",
         "polled",
@@ -155,7 +155,7 @@
     )
 
     def __init__(self, processes, limit_ms):
-        self.sendings = []
+        self.attempts = []
         self.final = []
         self.applied = []
         self.polled = []
@@ -164,11 +164,11 @@
         self.ended_ms = 0
         self.limit_ms = limit_ms
 
-    def by_patch(self):
+    def attempts_by_patch(self):
         """Returns the sendings of each patch."""
         grouped = defaultdict(list)
-        for sending in self.sendings:
-            grouped[sending.patch].append(sending)
+        for attempt in self.attempts:
+            grouped[attempt.patch].append(attempt)
         return grouped
 
     def runs(self):
--- a/tools/patch_soak.py
+++ b/tools/patch_soak.py
@@ -17,7 +17,7 @@
 from deployments import Deployment
 from fleet_runner import FleetRunner, HealthError
 from patch_failures import Injector, failures
-from patch_histories import count, judge
+from patch_histories import count, find_violations
 from patch_measures import measure
 from patch_operators import (
     Operators,
@@ -63,7 +63,7 @@
         names: Failures to choose from.
         hold_range_s: Shortest and longest hold of a failure.
         kinds: Counter of the failures by kind.
-        broken: Texts of what did not hold.
+        violations: Texts of what did not hold.
         started_s: Monotonic time of the start.
     """
 
@@ -76,7 +76,7 @@
         "names",
         "hold_range_s",
         "kinds",
-        "broken",
+        "violations",
         "started_s",
     )
 
@@ -97,7 +97,7 @@
         self.names = failures.names()
         self.hold_range_s = HOLD_S
         self.kinds = Counter()
-        self.broken = []
+        self.violations = []
         self.started_s = time.monotonic()
 
     def note(self, text):
@@ -159,26 +159,26 @@
         async with trio.open_nursery() as nursery:
             for _ in range(OPERATORS):
                 source = random.Random(soak.random.random())
-                nursery.start_soon(soak.operators.operate, source)
+                nursery.start_soon(soak.operators.submit_until_stopped, source)
             nursery.start_soon(run_failures, soak, seconds)
         await wait_in_force(soak, await soak.operators.read_final())
         observers.cancel_scope.cancel()
     await soak.operators.read_final()
 
 
-def judge_soak(soak):
+def check_properties(soak):
     """Prints the counts and adds the broken properties."""
     soak.history.applied = read_applied(soak.runner.deployment)
     counts = count(soak.history)
     counts["failures"] = dict(soak.kinds)
     counts["failures_without_a_free_vm"] = soak.injector.skipped
     print(json.dumps(counts, indent=2))
-    for name, texts in judge(soak.history).items():
+    for name, texts in find_violations(soak.history).items():
         print(f"{name}: {len(texts)} violations")
         for text in texts[:PRINTED_VIOLATIONS]:
             print(f"  {text}")
         if texts:
-            soak.broken.append(f"{name}: {texts[0]}")
+            soak.violations.append(f"{name}: {texts[0]}")
 
 
 async def main_task(folder, seed, run, within_ms):
@@ -194,7 +194,7 @@
         await run(soak)
         await runner.stop()
     except (HealthError, trio.TooSlowError, BaseExceptionGroup) as fault:
-        soak.broken.append(f"run: {fault!r}")
+        soak.violations.append(f"run: {fault!r}")
     finally:
         runner.kill_all()
     return soak
@@ -228,11 +228,11 @@
             main_task, folder, options.seed, run, options.within_ms
         )
         if not options.measure:
-            judge_soak(soak)
-    print(f"seed {options.seed}: {len(soak.broken)} broken")
-    for text in soak.broken:
+            check_properties(soak)
+    print(f"seed {options.seed}: {len(soak.violations)} broken")
+    for text in soak.violations:
         print(f"broken: {text}", file=sys.stderr)
-    return 1 if soak.broken else 0
+    return 1 if soak.violations else 0
 
 
 if __name__ == "__main__":
