--- a/bench/leader_load.py
+++ b/bench/leader_load.py
@@ -87,7 +87,7 @@
                 worker.pool = httpcore.AsyncConnectionPool()
                 worker.latency_us = latency_us
                 nursery.start_soon(worker.run)
-            await Operator(addresses, source, checker).state(1)
+            await Operator(addresses, source, checker).put_configuration(1)
             await trio.sleep(WARM_UP_S)
             latency_us.reset()
             processes = [*fleet.cores, *fleet.fronts]
--- a/tools/platform_soak.py
+++ b/tools/platform_soak.py
@@ -85,7 +85,7 @@
         except CALL_ERRORS:
             return None
 
-    async def state(self, version):
+    async def put_configuration(self, version):
         """Sends a configuration until it is acknowledged."""
         while True:
             answer = await self.call("PUT", make_configuration(version))
@@ -99,7 +99,7 @@
         version = self.acknowledged
         while True:
             version += self.random.randint(1, 9)
-            await self.state(version)
+            await self.put_configuration(version)
             await self.read()
             await trio.sleep(self.random.uniform(0.2, 1.5))
 
@@ -166,7 +166,7 @@
                 for worker in self.workers:
                     nursery.start_soon(worker.run)
                 with trio.fail_after(RECOVERY_TIMEOUT_S):
-                    await self.operator.state(1)
+                    await self.operator.put_configuration(1)
                 nursery.start_soon(self.restart_ended_processes)
                 async with trio.open_nursery() as active:
                     active.start_soon(self.submit)
