--- a/tests/test_patch_histories.py
+++ b/tests/test_patch_histories.py
@@ -48,7 +48,7 @@
             )
             poll = PolledVersion(process, "metrics 1", number, number * 1_000)
             recorded.polled.append(poll)
-    recorded.ended_ms = 4_000
+    recorded.failures_ended_ms = 4_000
     return recorded
 
 
@@ -201,6 +201,6 @@
     history.applied = [a for a in history.applied if a.process != late]
     for poll in history.polled:
         if poll.process == late and poll.version == 3:
-            poll.wall_ms = history.ended_ms + history.limit_ms + 1
+            poll.wall_ms = history.failures_ended_ms + history.limit_ms + 1
     names = broken_properties(history)
     assert names == ["every process has the last version in time"]
--- a/tools/patch_histories.py
+++ b/tools/patch_histories.py
@@ -174,7 +174,7 @@
 def check_reached(history):
     """All processes have the last version soon after the failures."""
     last = max((version for version, _ in history.final), default=0)
-    deadline_ms = history.ended_ms + history.limit_ms
+    deadline_ms = history.failures_ended_ms + history.limit_ms
     reached = {
         item.process
         for item in (*history.applied, *history.polled)
--- a/tools/patch_records.py
+++ b/tools/patch_records.py
@@ -139,7 +139,7 @@
         polled: All Polled, in the order of the answers.
         faults: All Faults.
         processes: Processes that must reach the last version.
-        ended_ms: Wall time at which the last failure was undone.
+        failures_ended_ms: Wall time at which the last failure was undone.
         limit_ms: Time that a process then has for the last version.
     """
 
@@ -150,7 +150,7 @@
         "polled",
         "faults",
         "processes",
-        "ended_ms",
+        "failures_ended_ms",
         "limit_ms",
     )
 
@@ -161,7 +161,7 @@
         self.polled = []
         self.faults = []
         self.processes = processes
-        self.ended_ms = 0
+        self.failures_ended_ms = 0
         self.limit_ms = limit_ms
 
     def attempts_by_patch(self):
--- a/tools/patch_soak.py
+++ b/tools/patch_soak.py
@@ -132,14 +132,16 @@
 async def run_failures(soak, seconds):
     """Runs operators and failures, then waits for the last version."""
     await inject(soak, seconds)
-    soak.history.ended_ms = wall_ms()
+    soak.history.failures_ended_ms = wall_ms()
     soak.note("no more failures")
     soak.operators.stopping = True
 
 
 async def wait_in_force(soak, version):
     """Waits until all processes have a version or the time is up."""
-    limit_s = soak.history.limit_ms / 1000 + soak.history.ended_ms / 1000
+    limit_s = (
+        soak.history.limit_ms / 1000 + soak.history.failures_ended_ms / 1000
+    )
     missing = set(soak.history.processes)
     while missing and time.time() < limit_s:
         polled = soak.history.polled
