Name the patches by base version in the checker

Cause: the local mapping had the name of the field that is its key. Change: against to patches_by_base in check_one_patch_per_version. Result: behaviour is unchanged.

--- a/tools/patch_histories.py
+++ b/tools/patch_histories.py
@@ -31,13 +31,13 @@
 @properties.register("one patch for each version")
 def check_one_patch_per_version(history):
     """No two patches were accepted against the same version."""
-    against = defaultdict(set)
+    patches_by_base = defaultdict(set)
     for attempt in history.attempts:
         if attempt.outcome == ACCEPTED:
-            against[attempt.against].add(attempt.patch)
+            patches_by_base[attempt.against].add(attempt.patch)
     return [
         f"version {version}: {', '.join(sorted(patches))}"
-        for version, patches in sorted(against.items())
+        for version, patches in sorted(patches_by_base.items())
         if len(patches) > 1
     ]
 
