Rename 21 names: print_progress, violations and others

Cause: Names of violations, progress and timeouts instead of broken, note and bare seconds. Change: note to print_progress, broken to violations, accepted to accepted_version, fail to inject_failure, is_everywhere to is_in_force_everywhere, judge_soak to check_guarantees, FIRST_VERSION_S to FIRST_VERSION_TIMEOUT_S, RECOVERY_S to RECOVERY_TIMEOUT_S, POLL_S to POLL_INTERVAL_S, PAUSE_S to PAUSE_RANGE_S, HOLD_S to HOLD_RANGE_S, SHORT_HOLD_S to SHORT_HOLD_RANGE_S, PAIR_SHARE to PAIR_PROBABILITY, TURN_MS to PEAK_MS, STATUS_POLLERS to POLLED_CONTROLS, WITHIN_MS to LAST_VERSION_LIMIT_MS, PRINTED_VIOLATIONS to MAX_PRINTED_VIOLATIONS, SHORT_SECONDS to SHORT_DURATION_S, names to failure_names, kinds to failure_counts, bag to remaining; 93 uses in 2 files, by token.

--- a/tools/patch_soak.py
+++ b/tools/patch_soak.py
@@ -28,15 +28,15 @@
 )
 from patch_records import PatchHistory
 
-WITHIN_MS = 12_000
+LAST_VERSION_LIMIT_MS = 12_000
 OPERATORS = 4
-STATUS_POLLERS = ("ikeja-1", "yaba-2")
-PAUSE_S = (0.3, 1.5)
-HOLD_S = (0.5, 4.0)
-SHORT_SECONDS, SHORT_HOLD_S = 7, (0.3, 0.8)
+POLLED_CONTROLS = ("ikeja-1", "yaba-2")
+PAUSE_RANGE_S = (0.3, 1.5)
+HOLD_RANGE_S = (0.5, 4.0)
+SHORT_DURATION_S, SHORT_HOLD_RANGE_S = 7, (0.3, 0.8)
 SHORT_FAILURES = ("kill leader", "kill entry", "restart entry in a cut zone")
-PAIR_SHARE = 0.4
-PRINTED_VIOLATIONS = 5
+PAIR_PROBABILITY = 0.4
+MAX_PRINTED_VIOLATIONS = 5
 
 
 class PatchDeployment(Deployment):
@@ -60,9 +60,9 @@
         operators: Operators.
         injector: Injector.
         random: Source of the failures.
-        names: Failures to choose from.
+        failure_names: Failures to choose from.
         hold_range_s: Shortest and longest hold of a failure.
-        kinds: Counter of the failures by kind.
+        failure_counts: Counter of the failures by kind.
         violations: Texts of what did not hold.
         started_s: Monotonic time of the start.
     """
@@ -73,9 +73,9 @@
         "operators",
         "injector",
         "random",
-        "names",
+        "failure_names",
         "hold_range_s",
-        "kinds",
+        "failure_counts",
         "violations",
         "started_s",
     )
@@ -94,13 +94,13 @@
             self.history.faults,
             random.Random(self.random.random()),
         )
-        self.names = failures.names()
-        self.hold_range_s = HOLD_S
-        self.kinds = Counter()
+        self.failure_names = failures.failure_names()
+        self.hold_range_s = HOLD_RANGE_S
+        self.failure_counts = Counter()
         self.violations = []
         self.started_s = time.monotonic()
 
-    def note(self, text):
+    def print_progress(self, text):
         """Prints a line with the time since the start."""
         print(f"{time.monotonic() - self.started_s:7.2f} s  {text}")
         sys.stdout.flush()
@@ -111,29 +111,31 @@
 
     All kinds come once in random order before any comes again.
     """
-    source, bag = soak.random, []
+    source, remaining = soak.random, []
     deadline_s = time.monotonic() + seconds
     while time.monotonic() < deadline_s:
-        pair = 2 if source.random() < PAIR_SHARE else 1
+        pair = 2 if source.random() < PAIR_PROBABILITY else 1
         async with trio.open_nursery() as nursery:
             for _ in range(pair):
-                if not bag:
-                    bag = source.sample(soak.names, len(soak.names))
-                name = bag.pop()
+                if not remaining:
+                    remaining = source.sample(
+                        soak.failure_names, len(soak.failure_names)
+                    )
+                name = remaining.pop()
                 hold_s = source.uniform(*soak.hold_range_s)
-                soak.note(f"{name} for {hold_s:.1f} s")
-                soak.kinds[name] += 1
+                soak.print_progress(f"{name} for {hold_s:.1f} s")
+                soak.failure_counts[name] += 1
                 failure = failures.get(name).ok
                 nursery.start_soon(failure, soak.injector, hold_s)
-                await trio.sleep(source.uniform(*PAUSE_S))
-        await trio.sleep(source.uniform(*PAUSE_S))
+                await trio.sleep(source.uniform(*PAUSE_RANGE_S))
+        await trio.sleep(source.uniform(*PAUSE_RANGE_S))
 
 
 async def run_failures(soak, seconds):
     """Runs operators and failures, then waits for the last version."""
     await inject(soak, seconds)
     soak.history.failures_ended_ms = wall_ms()
-    soak.note("no more failures")
+    soak.print_progress("no more failures")
     soak.operators.stopping = True
 
 
@@ -147,16 +149,18 @@
         polled = soak.history.polled
         missing -= {p.process for p in polled if p.version >= version}
         await trio.sleep(0.1)
-    soak.note(f"version {version} is shown by all but {len(missing)}")
+    soak.print_progress(
+        f"version {version} is shown by all but {len(missing)}"
+    )
 
 
 async def run_soak(soak, seconds):
     """Runs operators, observers and failures beside each other."""
-    soak.note("version 1 is accepted; failures begin")
+    soak.print_progress("version 1 is accepted; failures begin")
     async with trio.open_nursery() as observers:
         for node_id in soak.operators.nodes:
             observers.start_soon(poll_entry, soak.operators, node_id)
-        for node_id in STATUS_POLLERS:
+        for node_id in POLLED_CONTROLS:
             observers.start_soon(poll_status, soak.operators, node_id)
         async with trio.open_nursery() as nursery:
             for _ in range(OPERATORS):
@@ -172,12 +176,12 @@
     """Prints the counts and adds the broken properties."""
     soak.history.applied = read_applied(soak.runner.deployment)
     counts = count(soak.history)
-    counts["failures"] = dict(soak.kinds)
+    counts["failures"] = dict(soak.failure_counts)
     counts["failures_without_a_free_vm"] = soak.injector.skipped
     print(json.dumps(counts, indent=2))
     for name, texts in find_violations(soak.history).items():
         print(f"{name}: {len(texts)} violations")
-        for text in texts[:PRINTED_VIOLATIONS]:
+        for text in texts[:MAX_PRINTED_VIOLATIONS]:
             print(f"  {text}")
         if texts:
             soak.violations.append(f"{name}: {texts[0]}")
@@ -207,7 +211,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=int, default=120)
-    parser.add_argument("--within-ms", type=int, default=WITHIN_MS)
+    parser.add_argument("--within-ms", type=int, default=LAST_VERSION_LIMIT_MS)
     parser.add_argument("--short", action="store_true")
     parser.add_argument("--measure", action="store_true")
     parser.add_argument("--keep", help="folder for all files; it is kept")
@@ -219,9 +223,9 @@
             return
         seconds = options.seconds
         if options.short:
-            seconds = SHORT_SECONDS
-            soak.names = SHORT_FAILURES
-            soak.hold_range_s = SHORT_HOLD_S
+            seconds = SHORT_DURATION_S
+            soak.failure_names = SHORT_FAILURES
+            soak.hold_range_s = SHORT_HOLD_RANGE_S
         await run_soak(soak, seconds)
 
     with tempfile.TemporaryDirectory(prefix="wigeonport-patch-") as folder:
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -21,16 +21,16 @@
 from operators_client import OperatorsClient, load_fleet_patch
 from outcomes import Evidence, judge, print_judgement, read_lines
 
-FIRST_VERSION_S = 20.0
-RECOVERY_S = 20.0
-POLL_S = 0.2
-PAUSE_S = (0.3, 1.5)
-HOLD_S = (0.5, 5.0)
+FIRST_VERSION_TIMEOUT_S = 20.0
+RECOVERY_TIMEOUT_S = 20.0
+POLL_INTERVAL_S = 0.2
+PAUSE_RANGE_S = (0.3, 1.5)
+HOLD_RANGE_S = (0.5, 5.0)
 PATCH_INTERVAL_S = 2.0
-SHORT_SECONDS = 14
-PAIR_SHARE = 0.4
+SHORT_DURATION_S = 14
+PAIR_PROBABILITY = 0.4
 RATE_PER_SERVICE = 4
-TURN_MS = 3_000
+PEAK_MS = 3_000
 
 
 class Soak:
@@ -40,8 +40,8 @@
         runner: FleetRunner.
         operators: OperatorsClient.
         random: Source of the failures.
-        broken: Texts of what did not hold.
-        accepted: Highest version that an operator was told is accepted.
+        violations: Texts of what did not hold.
+        accepted_version: Highest version that an operator was told is accepted.
         started_s: Monotonic time of the start.
     """
 
@@ -49,8 +49,8 @@
         "runner",
         "operators",
         "random",
-        "broken",
-        "accepted",
+        "violations",
+        "accepted_version",
         "started_s",
     )
 
@@ -58,11 +58,11 @@
         self.runner = runner
         self.operators = OperatorsClient(runner)
         self.random = random.Random(seed)
-        self.broken = []
-        self.accepted = 0
+        self.violations = []
+        self.accepted_version = 0
         self.started_s = time.monotonic()
 
-    def note(self, text):
+    def print_progress(self, text):
         """Prints a line with the time since the start."""
         print(f"{time.monotonic() - self.started_s:7.2f} s  {text}")
         sys.stdout.flush()
@@ -71,28 +71,30 @@
 async def apply_first_version(soak):
     """Submits the first patch until it is accepted."""
     patch = load_fleet_patch()
-    with trio.move_on_after(FIRST_VERSION_S):
+    with trio.move_on_after(FIRST_VERSION_TIMEOUT_S):
         while True:
             answer = await soak.operators.submit(
                 "ikeja-1", "first", 0, patch["reason"], patch["operations"]
             )
             if answer is not None and answer.status == 200:
-                soak.accepted = answer.document["version"]
+                soak.accepted_version = answer.document["version"]
                 break
-            await trio.sleep(POLL_S)
-        while not await is_everywhere(soak):
-            await trio.sleep(POLL_S)
+            await trio.sleep(POLL_INTERVAL_S)
+        while not await is_in_force_everywhere(soak):
+            await trio.sleep(POLL_INTERVAL_S)
         return
-    soak.broken.append("start: the first version is not in force everywhere")
+    soak.violations.append(
+        "start: the first version is not in force everywhere"
+    )
 
 
-async def is_everywhere(soak):
+async def is_in_force_everywhere(soak):
     """Returns whether every entry applies the newest accepted version."""
     for node_id in soak.runner.deployment.nodes:
         metrics = await soak.runner.metrics(f"entry/{node_id}")
         if metrics is None:
             return False
-        if metrics["gauges"].get("config_version", 0) < soak.accepted:
+        if metrics["gauges"].get("config_version", 0) < soak.accepted_version:
             return False
     return True
 
@@ -125,9 +127,11 @@
             answers.append(answer)
         node_id = source.choice(sorted(soak.runner.deployment.nodes))
     if len({answer.body for answer in answers}) > 1:
-        soak.broken.append(f"R8: patch p{number} got different answers")
+        soak.violations.append(f"R8: patch p{number} got different answers")
     if answers and answers[0].status == 200:
-        soak.accepted = max(soak.accepted, answers[0].document["version"])
+        soak.accepted_version = max(
+            soak.accepted_version, answers[0].document["version"]
+        )
 
 
 async def watch_versions(soak):
@@ -142,49 +146,53 @@
                 continue
             version = metrics["gauges"].get("config_version", 0)
             if version < seen.get((name, pid), 0):
-                soak.broken.append(f"R8: {name} went back to {version}")
+                soak.violations.append(f"R8: {name} went back to {version}")
             seen[(name, pid)] = version
-        await trio.sleep(POLL_S)
+        await trio.sleep(POLL_INTERVAL_S)
 
 
-async def fail(soak, name, source, hold_s):
+async def inject_failure(soak, name, source, hold_s):
     """Runs one failure; it is left out if every VM is in use."""
     try:
         await failures.get(name).ok(soak.runner, source, hold_s)
     except BusyError as fault:
-        soak.note(f"{name} left out: {fault}")
+        soak.print_progress(f"{name} left out: {fault}")
 
 
 async def inject(soak, seconds):
     """Injects failures, singly or two together, for some seconds."""
-    names = failures.names()
+    failure_names = failures.failure_names()
     source = soak.random
     deadline_s = time.monotonic() + seconds
     while time.monotonic() < deadline_s:
-        count = 2 if source.random() < PAIR_SHARE else 1
-        chosen = source.sample(names, count)
+        count = 2 if source.random() < PAIR_PROBABILITY else 1
+        chosen = source.sample(failure_names, count)
         async with trio.open_nursery() as nursery:
             for name in chosen:
-                hold_s = source.uniform(*HOLD_S)
+                hold_s = source.uniform(*HOLD_RANGE_S)
                 part = random.Random(source.random())
-                soak.note(f"{name} for {hold_s:.1f} s")
-                nursery.start_soon(fail, soak, name, part, hold_s)
-                await trio.sleep(source.uniform(*PAUSE_S))
-        await trio.sleep(source.uniform(*PAUSE_S))
+                soak.print_progress(f"{name} for {hold_s:.1f} s")
+                nursery.start_soon(inject_failure, soak, name, part, hold_s)
+                await trio.sleep(source.uniform(*PAUSE_RANGE_S))
+        await trio.sleep(source.uniform(*PAUSE_RANGE_S))
 
 
 async def run_faults(soak, seconds):
     """Runs failures, then waits for the recovery."""
     await inject(soak, seconds)
-    soak.note("no more failures")
-    with trio.move_on_after(RECOVERY_S) as waiting:
+    soak.print_progress("no more failures")
+    with trio.move_on_after(RECOVERY_TIMEOUT_S) as waiting:
         await soak.runner.wait_healthy()
-        while not await is_everywhere(soak):
-            await trio.sleep(POLL_S)
+        while not await is_in_force_everywhere(soak):
+            await trio.sleep(POLL_INTERVAL_S)
     if waiting.cancelled_caught:
-        text = f"version {soak.accepted} is not in force on all entries"
-        soak.broken.append(f"R8: {text}")
-    soak.note(f"version {soak.accepted} is in force on all entries")
+        text = (
+            f"version {soak.accepted_version} is not in force on all entries"
+        )
+        soak.violations.append(f"R8: {text}")
+    soak.print_progress(
+        f"version {soak.accepted_version} is in force on all entries"
+    )
 
 
 async def run_soak(soak, seconds, seed):
@@ -199,7 +207,7 @@
         SERVICES,
         seconds * 1_000,
         RATE_PER_SERVICE,
-        TURN_MS,
+        PEAK_MS,
         random.Random(seed),
     )
     async with trio.open_nursery() as nursery:
@@ -212,7 +220,7 @@
         nursery.cancel_scope.cancel()
 
 
-def judge_soak(soak):
+def check_guarantees(soak):
     """Adds the broken guarantees of the logs."""
     deployment = soak.runner.deployment
     runs = sorted(deployment.folder.joinpath("runs").glob("*.jsonl"))
@@ -223,7 +231,7 @@
     )
     verdict = judge(evidence)
     for name in print_judgement(evidence, verdict):
-        soak.broken.append(f"{name}: {verdict[name][0]}")
+        soak.violations.append(f"{name}: {verdict[name][0]}")
 
 
 async def main_task(folder, seconds, seed):
@@ -234,17 +242,17 @@
     try:
         await runner.start()
         await apply_first_version(soak)
-        soak.note("version 1 is in force; failures begin")
+        soak.print_progress("version 1 is in force; failures begin")
         await run_soak(soak, seconds, seed)
         statuses = await runner.stop()
         wrong = {name: code for name, code in statuses.items() if code != 0}
         if wrong:
-            soak.broken.append(f"R7: exit codes {json.dumps(wrong)}")
+            soak.violations.append(f"R7: exit codes {json.dumps(wrong)}")
     except HealthError as fault:
-        soak.broken.append(f"health: {fault}")
+        soak.violations.append(f"health: {fault}")
     finally:
         runner.kill_all()
-    judge_soak(soak)
+    check_guarantees(soak)
     return soak
 
 
@@ -256,13 +264,13 @@
     parser.add_argument("--short", action="store_true")
     parser.add_argument("--keep", help="folder for all files; it is kept")
     options = parser.parse_args(arguments)
-    seconds = SHORT_SECONDS if options.short else options.seconds
+    seconds = SHORT_DURATION_S if options.short else options.seconds
     with tempfile.TemporaryDirectory(prefix="wigeonport-soak-") as folder:
         folder = options.keep or folder
         soak = trio.run(main_task, folder, seconds, options.seed)
-    for text in soak.broken:
+    for text in soak.violations:
         print(f"broken: {text}", file=sys.stderr)
-    return 1 if soak.broken else 0
+    return 1 if soak.violations else 0
 
 
 if __name__ == "__main__":
