--- a/tools/relays.py
+++ b/tools/relays.py
@@ -43,18 +43,18 @@
 
     Attributes:
         connections: Open connections.
-        refused: Zones whose new connections are refused.
-        held: Zones whose new connections carry nothing.
+        refused_zones: Zones whose new connections are refused.
+        held_zones: Zones whose new connections carry nothing.
     """
 
-    __slots__ = ("connections", "refused", "held")
+    __slots__ = ("connections", "refused_zones", "held_zones")
 
     def __init__(self):
         self.connections = set()
-        self.refused = set()
-        self.held = set()
+        self.refused_zones = set()
+        self.held_zones = set()
 
-    def of_zone(self, zone):
+    def connections_of(self, zone):
         """Returns the open connections from and to a zone."""
         return [c for c in self.connections if zone in c.zones]
 
@@ -62,30 +62,30 @@
 @commands.register("cut")
 def cut(relays, zone):
     """Closes the zone's connections and refuses new ones."""
-    relays.refused.add(zone)
-    for connection in relays.of_zone(zone):
+    relays.refused_zones.add(zone)
+    for connection in relays.connections_of(zone):
         connection.scope.cancel()
 
 
 @commands.register("hold")
 def hold(relays, zone):
     """Stops the traffic of all connections, old and new."""
-    relays.held.add(zone)
+    relays.held_zones.add(zone)
     silence(relays, zone)
 
 
 @commands.register("silence")
 def silence(relays, zone):
     """Stops the traffic of the open connections."""
-    for connection in relays.of_zone(zone):
+    for connection in relays.connections_of(zone):
         connection.silent.set()
 
 
 @commands.register("heal")
 def heal(relays, zone):
     """Lets new connections work again."""
-    relays.refused.discard(zone)
-    relays.held.discard(zone)
+    relays.refused_zones.discard(zone)
+    relays.held_zones.discard(zone)
 
 
 async def copy(source, target, connection):
@@ -103,9 +103,9 @@
     connection.scope.cancel()
 
 
-async def carry(relays, zones, target_port, stream):
+async def relay_connection(relays, zones, target_port, stream):
     """Relays one accepted connection."""
-    if relays.refused & zones:
+    if relays.refused_zones & zones:
         return
     try:
         target = await trio.open_tcp_stream(HOST, target_port)
@@ -113,7 +113,7 @@
         return
     async with target, trio.open_nursery() as nursery:
         connection = Connection(zones, nursery.cancel_scope)
-        if relays.held & zones:
+        if relays.held_zones & zones:
             connection.silent.set()
         relays.connections.add(connection)
         nursery.start_soon(copy, stream, target, connection)
@@ -126,17 +126,17 @@
     port, target_port, *zones = argument.split(":")
 
     async def handle(stream):
-        await carry(relays, set(zones), int(target_port), stream)
+        await relay_connection(relays, set(zones), int(target_port), stream)
 
     await trio.serve_tcp(handle, int(port), host=HOST)
 
 
 async def read_commands(relays, scope):
     """Executes the commands on standard input; its end ends the process."""
-    rest = b""
+    incomplete = b""
     stream = trio.lowlevel.FdStream(sys.stdin.fileno())
     while data := await stream.receive_some(READ_BYTES):
-        *lines, rest = (rest + data).split(b"\n")
+        *lines, incomplete = (incomplete + data).split(b"\n")
         for line in lines:
             name, zone = line.decode().split()
             commands.get(name).ok(relays, zone)
