Rename 7 names: Direction, outbound and others

Cause: The proxy has two directions, seen from the caller; the event is set while bytes flow. Change: Way to Direction, there to outbound, back to inbound, free to flowing, way to direction, break_off to reset_connections, carry to relay_connection; 32 uses in 2 files, by token.

--- a/tools/fault_proxies.py
+++ b/tools/fault_proxies.py
@@ -14,25 +14,25 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
-class Way:
+class Direction:
     """One direction of the traffic of a proxy.
 
     Attributes:
         delay_s: Time that each piece is late.
-        free: trio.Event that is set while bytes pass; what arrives
+        flowing: trio.Event that is set while bytes pass; what arrives
             meanwhile is held and passes later, as behind a cut.
     """
 
-    __slots__ = ("delay_s", "free")
+    __slots__ = ("delay_s", "flowing")
 
     def __init__(self):
         self.delay_s = 0.0
-        self.free = trio.Event()
-        self.free.set()
+        self.flowing = trio.Event()
+        self.flowing.set()
 
     def hold(self):
         """Holds what arrives from now on."""
-        self.free = trio.Event()
+        self.flowing = trio.Event()
 
 
 class FaultProxy:
@@ -41,28 +41,28 @@
     Attributes:
         listen: Host and port on which it accepts.
         target: Host and port to which it connects.
-        there: Way of what the caller sends.
-        back: Way of what the caller receives.
+        outbound: Way of what the caller sends.
+        inbound: Way of what the caller receives.
         scopes: CancelScope by silence event, for each open connection.
     """
 
-    __slots__ = ("listen", "target", "there", "back", "scopes")
+    __slots__ = ("listen", "target", "outbound", "inbound", "scopes")
 
     def __init__(self, listen, target):
         self.listen = listen
         self.target = target
-        self.there = Way()
-        self.back = Way()
+        self.outbound = Direction()
+        self.inbound = Direction()
         self.scopes = {}
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Accepts connections until cancelled."""
         host, port = self.listen
         await trio.serve_tcp(
-            self.carry, port, host=host, task_status=task_status
+            self.relay_connection, port, host=host, task_status=task_status
         )
 
-    async def carry(self, stream):
+    async def relay_connection(self, stream):
         """Relays one connection until one side ends."""
         try:
             target = await trio.open_tcp_stream(*self.target)
@@ -87,10 +87,10 @@
         """Carries bytes in one direction."""
         try:
             while data := await source.receive_some(READ_BYTES):
-                way = getattr(self, name)
-                if way.delay_s:
-                    await trio.sleep(way.delay_s)
-                await way.free.wait()
+                direction = getattr(self, name)
+                if direction.delay_s:
+                    await trio.sleep(direction.delay_s)
+                await direction.flowing.wait()
                 if silent.is_set():
                     await trio.sleep_forever()
                 await sink.send_all(data)
@@ -103,16 +103,16 @@
         for silent in self.scopes:
             silent.set()
 
-    def break_off(self):
+    def reset_connections(self):
         """Resets the open connections."""
         for scope in self.scopes.values():
             scope.cancel()
 
     def heal(self):
         """Lets everything pass again."""
-        for way in (self.there, self.back):
-            way.delay_s = 0.0
-            way.free.set()
+        for direction in (self.outbound, self.inbound):
+            direction.delay_s = 0.0
+            direction.flowing.set()
 
 
 def reset(stream):
--- a/tools/platform_faults.py
+++ b/tools/platform_faults.py
@@ -91,7 +91,7 @@
     proxies = soak.fleet.proxies_of(soak.random.choice(soak.fleet.cores).host)
     delay_s = soak.random.uniform(0.02, 0.4)
     for proxy in proxies:
-        proxy.there.delay_s = proxy.back.delay_s = delay_s
+        proxy.outbound.delay_s = proxy.inbound.delay_s = delay_s
     await trio.sleep(soak.random.uniform(1.0, 4.0))
     for proxy in proxies:
         proxy.heal()
@@ -104,7 +104,9 @@
     sends = soak.random.random() < 0.5
     for (caller, _), proxy in soak.fleet.proxies.items():
         if proxy in soak.fleet.proxies_of(host):
-            (proxy.there if (caller == host) == sends else proxy.back).hold()
+            (
+                proxy.outbound if (caller == host) == sends else proxy.inbound
+            ).hold()
     await trio.sleep(soak.random.uniform(0.5, 5.0))
     for proxy in soak.fleet.proxies_of(host):
         proxy.heal()
@@ -123,7 +125,7 @@
     """Resets the open links of a process."""
     process = soak.random.choice((*soak.fleet.cores, *soak.fleet.fronts))
     for proxy in soak.fleet.proxies_of(process.host):
-        proxy.break_off()
+        proxy.reset_connections()
 
 
 @faults.register("tear_journal")
