Rename 19 names: node_ids, LEADER_TIMEOUT_S and others

Cause: Timeouts, intervals and ranges say what they are; what is reserved are node ids. Change: chosen to node_ids, LEADER_S to LEADER_TIMEOUT_S, JOIN_S to JOIN_DELAY_S, VOTERS_S to VOTERS_TIMEOUT_S, VOTERS to VOTER_COUNT, FREEZE_S to FREEZE_DURATION_S, FIRST_VERSION_S to FIRST_VERSION_TIMEOUT_S, REPORTED_S to MIN_RUN_S, PAUSE_S to PAUSE_RANGE_S, RACE_SHARE to RACE_PROBABILITY, RESEND_SHARE to RESEND_PROBABILITY, RESEND_S to RESEND_TIMEOUT_S, POLL_S to POLL_INTERVAL_S, LIMIT_S to TIMEOUT_S, SETTLE_S to SETTLE_DELAY_S, RETRY_S to RETRY_INTERVAL_S, KILLS to LEADER_KILLS, PATCHES to PATCH_COUNT, RESTART_CHANGES to RESTART_VERSIONS; 80 uses in 3 files, by token.

--- a/tools/patch_failures.py
+++ b/tools/patch_failures.py
@@ -12,14 +12,14 @@
 
 failures = Registry("patch failure")
 
-VOTERS = 5
-LEADER_S = 20.0
-POLL_S = 0.1
+VOTER_COUNT = 5
+LEADER_TIMEOUT_S = 20.0
+POLL_INTERVAL_S = 0.1
 # Longer than the longest election timeout, 1.6 s, and the lease.
-FREEZE_S = 4.0
+FREEZE_DURATION_S = 4.0
 # A learner joins once its former identity was silent for 2 s.
-JOIN_S = 4.0
-VOTERS_S = 60.0
+JOIN_DELAY_S = 4.0
+VOTERS_TIMEOUT_S = 60.0
 
 
 class Injector:
@@ -74,14 +74,14 @@
             and (node.votes or not voters)
             and zone in (None, node.zone)
         ]
-        chosen = self.random.sample(free, min(count, len(free)))
-        self.skipped += not chosen
-        self.runner.busy.update(chosen)
-        return chosen
+        node_ids = self.random.sample(free, min(count, len(free)))
+        self.skipped += not node_ids
+        self.runner.busy.update(node_ids)
+        return node_ids
 
-    def release(self, chosen):
+    def release(self, node_ids):
         """Ends the reservation of nodes."""
-        self.runner.busy.difference_update(chosen)
+        self.runner.busy.difference_update(node_ids)
 
     async def reserve_leader(self):
         """Reserves the leader; returns an empty list if it is in use."""
@@ -94,13 +94,13 @@
 
     async def find_leader(self):
         """Returns the id of the leader, or None after a while."""
-        with trio.move_on_after(LEADER_S):
+        with trio.move_on_after(LEADER_TIMEOUT_S):
             while True:
                 for node_id in self.runner.deployment.nodes:
                     status = await self.client.status(node_id)
                     if status is not None and status["role"] == "leader":
                         return node_id
-                await trio.sleep(POLL_S)
+                await trio.sleep(POLL_INTERVAL_S)
         return None
 
     async def kill(self, name, hold_s):
@@ -122,46 +122,46 @@
         Raises:
             trio.TooSlowError: If the disk was not replaced in time.
         """
-        await trio.sleep(JOIN_S)
-        with trio.fail_after(VOTERS_S):
-            while await self.count_voters() != VOTERS:
-                await trio.sleep(POLL_S)
+        await trio.sleep(JOIN_DELAY_S)
+        with trio.fail_after(VOTERS_TIMEOUT_S):
+            while await self.count_voters() != VOTER_COUNT:
+                await trio.sleep(POLL_INTERVAL_S)
 
 
 @failures.register("kill leader")
 async def kill_leader(injector, hold_s):
     """Kills the leader while patches are in flight."""
-    for node_id in (chosen := await injector.reserve_leader()):
+    for node_id in (node_ids := await injector.reserve_leader()):
         await injector.kill(f"control/{node_id}", hold_s)
-    injector.release(chosen)
+    injector.release(node_ids)
 
 
 @failures.register("kill control")
 async def kill_control(injector, hold_s):
     """Kills any control."""
-    for node_id in (chosen := injector.reserve()):
+    for node_id in (node_ids := injector.reserve()):
         await injector.kill(f"control/{node_id}", hold_s)
-    injector.release(chosen)
+    injector.release(node_ids)
 
 
 @failures.register("kill entry")
 async def kill_entry(injector, hold_s):
     """Kills an entry."""
-    for node_id in (chosen := injector.reserve()):
+    for node_id in (node_ids := injector.reserve()):
         await injector.kill(f"entry/{node_id}", hold_s)
-    injector.release(chosen)
+    injector.release(node_ids)
 
 
 @failures.register("freeze leader")
 async def freeze_leader(injector, hold_s):
     """Stops the leader without its knowledge, then lets it go on."""
-    for node_id in (chosen := await injector.reserve_leader()):
+    for node_id in (node_ids := await injector.reserve_leader()):
         name = f"control/{node_id}"
         with injector.fault(DOWN, name):
             injector.runner.processes[name].freeze()
-            await trio.sleep(FREEZE_S)
+            await trio.sleep(FREEZE_DURATION_S)
             injector.runner.processes[name].thaw()
-    injector.release(chosen)
+    injector.release(node_ids)
 
 
 @contextlib.asynccontextmanager
@@ -188,21 +188,21 @@
     """Restarts an entry while its zone is cut off."""
     async with injector.cut_lock:
         zone = injector.random.choice(ZONES)
-        chosen = injector.reserve(zone=zone)
+        node_ids = injector.reserve(zone=zone)
         async with cut(injector, zone):
             await trio.sleep(hold_s)
-            for node_id in chosen:
-                await injector.kill(f"entry/{node_id}", POLL_S)
+            for node_id in node_ids:
+                await injector.kill(f"entry/{node_id}", POLL_INTERVAL_S)
             # The stale version is applied after a second.
             await trio.sleep(hold_s)
-        injector.release(chosen)
+        injector.release(node_ids)
 
 
 @failures.register("lose disk")
 async def lose_disk(injector, hold_s):
     """Deletes the data of a stopped control and starts it again."""
     async with injector.disk_lock:
-        for node_id in (chosen := injector.reserve(voters=True)):
+        for node_id in (node_ids := injector.reserve(voters=True)):
             process = injector.runner.processes[f"control/{node_id}"]
             with injector.fault(DOWN, process.name):
                 await process.stop(STOP_TIMEOUT_S)
@@ -210,7 +210,7 @@
                 await trio.sleep(hold_s)
                 await process.start()
                 await injector.runner.wait_healthy([process.name])
-        injector.release(chosen)
+        injector.release(node_ids)
         await injector.wait_for_voters()
 
 
@@ -218,20 +218,20 @@
 async def swap_disks(injector, hold_s):
     """Starts two controls with each other's data, then swaps it back."""
     async with injector.disk_lock:
-        chosen = injector.reserve(2, voters=True)
-        if len(chosen) == 2:
-            await swap(injector, chosen)
+        node_ids = injector.reserve(2, voters=True)
+        if len(node_ids) == 2:
+            await swap(injector, node_ids)
             await trio.sleep(hold_s)
-            await swap(injector, chosen)
-        injector.skipped += len(chosen) == 1
-        injector.release(chosen)
+            await swap(injector, node_ids)
+        injector.skipped += len(node_ids) == 1
+        injector.release(node_ids)
         await injector.wait_for_voters()
 
 
-async def swap(injector, chosen):
+async def swap(injector, node_ids):
     """Stops two controls, exchanges their data and starts them."""
-    names = [f"control/{node_id}" for node_id in chosen]
-    first, second = [data_path(injector, node_id) for node_id in chosen]
+    names = [f"control/{node_id}" for node_id in node_ids]
+    first, second = [data_path(injector, node_id) for node_id in node_ids]
     with injector.fault(DOWN, names[0]), injector.fault(DOWN, names[1]):
         for name in names:
             await injector.runner.processes[name].stop(STOP_TIMEOUT_S)
@@ -250,16 +250,16 @@
     runner = injector.runner
     # Failures in progress restart their own processes.
     async with injector.disk_lock, injector.cut_lock:
-        chosen = injector.reserve(len(runner.deployment.nodes))
+        node_ids = injector.reserve(len(runner.deployment.nodes))
         names = [
             f"{role}/{node_id}"
             for role in ("control", "entry")
-            for node_id in chosen
+            for node_id in node_ids
         ]
         async with trio.open_nursery() as nursery:
             for name in names:
                 nursery.start_soon(injector.kill, name, hold_s)
-        injector.release(chosen)
+        injector.release(node_ids)
 
 
 def data_path(injector, node_id):
--- a/tools/patch_measures.py
+++ b/tools/patch_measures.py
@@ -4,17 +4,22 @@
 import time
 
 import trio
-from patch_operators import POLL_S, read_applied, to_operation, wall_ms
+from patch_operators import (
+    POLL_INTERVAL_S,
+    read_applied,
+    to_operation,
+    wall_ms,
+)
 from patch_records import ACCEPTED
 
-PATCHES = 200
+PATCH_COUNT = 200
 PATCH_INTERVAL_S = 0.1
-KILLS = 8
-RESTART_CHANGES = 500
+LEADER_KILLS = 8
+RESTART_VERSIONS = 500
 RESTARTS = 5
-RETRY_S = 0.02
-SETTLE_S = 3.0
-LIMIT_S = 60.0
+RETRY_INTERVAL_S = 0.02
+SETTLE_DELAY_S = 3.0
+TIMEOUT_S = 60.0
 
 
 def quantile(values, share):
@@ -54,13 +59,13 @@
     apply a version before that, which counts as 0 ms.
     """
     operators, accepted_ms = soak.operators, {}
-    while len(accepted_ms) < PATCHES:
+    while len(accepted_ms) < PATCH_COUNT:
         node_id = operators.nodes[len(accepted_ms) % len(operators.nodes)]
         attempt = await submit_next(operators, node_id)
         if attempt.outcome == ACCEPTED:
             accepted_ms[attempt.version] = attempt
         await trio.sleep(PATCH_INTERVAL_S)
-    await trio.sleep(SETTLE_S)
+    await trio.sleep(SETTLE_DELAY_S)
     applied = read_applied(soak.runner.deployment)
     from_sent, from_answer, missing = [], [], 0
     for version, attempt in accepted_ms.items():
@@ -89,14 +94,14 @@
     the lost leader does not delay the others.
     """
     durations = []
-    for _ in range(KILLS):
+    for _ in range(LEADER_KILLS):
         leader = await soak.injector.find_leader()
         process = soak.runner.processes[f"control/{leader}"]
         others = [n for n in soak.operators.nodes if n != leader]
         from_ms = wall_ms()
         await process.kill()
         done = []
-        with trio.fail_after(LIMIT_S):
+        with trio.fail_after(TIMEOUT_S):
             async with trio.open_nursery() as nursery:
                 for node_id in others:
                     nursery.start_soon(
@@ -105,7 +110,7 @@
         durations.append(done[0] - from_ms)
         await process.start()
         await soak.runner.wait_healthy([process.name])
-        await trio.sleep(SETTLE_S)
+        await trio.sleep(SETTLE_DELAY_S)
     return {"durations_ms": durations, **summarize(durations)}
 
 
@@ -119,7 +124,7 @@
         operators.accepted_version = max(
             operators.accepted_version, attempt.version
         )
-        await trio.sleep(RETRY_S)
+        await trio.sleep(RETRY_INTERVAL_S)
 
 
 async def measure_restart(soak):
@@ -129,7 +134,7 @@
     without are killed in turn.
     """
     operators = soak.operators
-    while operators.accepted_version < RESTART_CHANGES:
+    while operators.accepted_version < RESTART_VERSIONS:
         attempt = await submit_next(operators, operators.nodes[0])
         operators.accepted_version = max(
             operators.accepted_version, attempt.version
@@ -142,7 +147,7 @@
             await process.kill()
             from_s = time.monotonic()
             await process.start()
-            with trio.fail_after(LIMIT_S):
+            with trio.fail_after(TIMEOUT_S):
                 await wait_applied(soak, node_id)
             durations.append(round((time.monotonic() - from_s) * 1000))
         result[node_id] = {"durations_ms": durations, **summarize(durations)}
@@ -161,7 +166,7 @@
             gauges = metrics["gauges"]
             if gauges.get("consensus_applied_index", 0) >= index:
                 return
-        await trio.sleep(POLL_S / 10)
+        await trio.sleep(POLL_INTERVAL_S / 10)
 
 
 async def measure(soak):
--- a/tools/patch_operators.py
+++ b/tools/patch_operators.py
@@ -21,14 +21,14 @@
 from wigeonport.timelines import read_lines
 
 FIRST_PATCH, FIRST_VALUE = "first", 1_001
-FIRST_VERSION_S = 40.0
-POLL_S = 0.2
+FIRST_VERSION_TIMEOUT_S = 40.0
+POLL_INTERVAL_S = 0.2
 # Processes report their version at least every 5 s.
-REPORTED_S = 7.0
-PAUSE_S = (0.05, 0.4)
-RACE_SHARE = 0.4
-RESEND_SHARE = 0.3
-RESEND_S = 20.0
+MIN_RUN_S = 7.0
+PAUSE_RANGE_S = (0.05, 0.4)
+RACE_PROBABILITY = 0.4
+RESEND_PROBABILITY = 0.3
+RESEND_TIMEOUT_S = 20.0
 # A value is one whole number in two weights of at most this.
 VALUE_BASE = 1_000
 FIRST_NUMBER = 2_000
@@ -125,14 +125,14 @@
     async def submit_first(self):
         """Submits the first description of the fleet."""
         operations = load_fleet_patch()["operations"]
-        with trio.fail_after(FIRST_VERSION_S):
+        with trio.fail_after(FIRST_VERSION_TIMEOUT_S):
             while True:
                 attempt = await self.send(
                     self.nodes[0], FIRST_PATCH, 0, FIRST_VALUE, operations
                 )
                 if attempt.outcome == ACCEPTED:
                     return
-                await trio.sleep(POLL_S)
+                await trio.sleep(POLL_INTERVAL_S)
 
     async def submit(self, source, base_version):
         """Submits a new patch and resends it while its answer is lost."""
@@ -140,7 +140,7 @@
         value, patch = self.number, f"p{self.number}"
         operations = [to_operation(value)]
         unknown = False
-        with trio.move_on_after(RESEND_S):
+        with trio.move_on_after(RESEND_TIMEOUT_S):
             while True:
                 node_id = source.choice(self.nodes)
                 attempt = await self.send(
@@ -151,8 +151,8 @@
                     return
                 if attempt.outcome in DECIDED:
                     break
-                await trio.sleep(POLL_S)
-        if source.random() < RESEND_SHARE:
+                await trio.sleep(POLL_INTERVAL_S)
+        if source.random() < RESEND_PROBABILITY:
             node_id = source.choice(self.nodes)
             await self.send(node_id, patch, base_version, value, operations)
 
@@ -164,17 +164,17 @@
         while not self.stopping:
             status = await self.client.status(source.choice(self.nodes))
             if status is not None and status["version"]:
-                count = 2 if source.random() < RACE_SHARE else 1
+                count = 2 if source.random() < RACE_PROBABILITY else 1
                 async with trio.open_nursery() as nursery:
                     for _ in range(count):
                         nursery.start_soon(
                             self.submit, source, status["version"]
                         )
-            await trio.sleep(source.uniform(*PAUSE_S))
+            await trio.sleep(source.uniform(*PAUSE_RANGE_S))
 
     async def read_final(self):
         """Reads the final history; raises trio.TooSlowError if it fails."""
-        with trio.fail_after(FIRST_VERSION_S):
+        with trio.fail_after(FIRST_VERSION_TIMEOUT_S):
             while True:
                 for node_id in self.nodes:
                     answer = await self.client.send(
@@ -188,7 +188,7 @@
                         pairs = [(r["version"], r["patch"]) for r in rows]
                         self.history.final = pairs[::-1]
                         return newest
-                await trio.sleep(POLL_S)
+                await trio.sleep(POLL_INTERVAL_S)
 
 
 async def poll_entry(operators, node_id):
@@ -202,7 +202,7 @@
             operators.history.polled.append(
                 PolledVersion(name, f"metrics of {pid}", version, wall_ms())
             )
-        await trio.sleep(POLL_S)
+        await trio.sleep(POLL_INTERVAL_S)
 
 
 async def poll_status(operators, node_id):
@@ -216,7 +216,7 @@
     while True:
         pids = {n: p.pid for n, p in runner.processes.items()}
         status = await operators.client.status(node_id)
-        settled_s = time.monotonic() - REPORTED_S
+        settled_s = time.monotonic() - MIN_RUN_S
         for line in (status or {"processes": ()})["processes"]:
             pair = (pids[own], pids[line["process"]])
             first_s = seen_s.setdefault(pair, time.monotonic())
@@ -229,7 +229,7 @@
                         wall_ms(),
                     )
                 )
-        await trio.sleep(POLL_S)
+        await trio.sleep(POLL_INTERVAL_S)
 
 
 def read_applied(deployment):
