Reword the platform soak, its emulator and its faults

Cause: texts spoke of promises, lives and what workers know; Attributes lacked units and left slots out; messages did not name what failed. Change: docstrings, comments, violation texts and names in tools/platform_*.py.

--- a/tools/platform_emulator.py
+++ b/tools/platform_emulator.py
@@ -1,7 +1,7 @@
-"""Workers, clients and an operator that speak the platform's protocol.
+"""Emulated workers and clients that speak the platform's protocol.
 
-They stand in for the platform in tests and in the fault soak, and check
-the promises on runs of tasks from what they see themselves.
+They stand in for the platform in tests, benches and the fault soak. From
+what the workers see, a RunChecker checks the guarantees on runs of tasks.
 """
 
 import json
@@ -23,19 +23,24 @@
 
 
 class RunChecker:
-    """What all workers have seen of the runs of tasks.
+    """Checks the guarantees on the runs of all workers.
+
+    A task never has two live runs, and does not start again once a run of
+    it is done or its job is cancelled.
 
     Attributes:
-        live: Worker by task, of the runs that are live.
-        done: Tasks of which a run has ended as done.
-        cancelled: Monotonic time of the acknowledged cancel by job.
-        starts: Number of starts.
-        violations: Texts of broken promises.
+        live: Maps the task of each live run to the id of its worker.
+        done: Tasks of which a run has ended with outcome ``done``.
+        cancelled: Maps a job id to the monotonic time, in s, at which its
+            cancellation was acknowledged.
+        starts: Number of runs that were started.
+        violations: Texts of the violated guarantees.
     """
 
     __slots__ = ("live", "done", "cancelled", "starts", "violations")
 
-    # A start is late this long after an acknowledged cancel.
+    # Time after an acknowledged cancellation in which a task of the job may
+    # still start.
     CANCEL_GRACE_S = 3.0
 
     def __init__(self):
@@ -46,22 +51,29 @@
         self.violations = []
 
     def record_start(self, task, run, worker):
-        """Checks and notes a start."""
+        """Checks and records the start of a run."""
         self.starts += 1
         if task in self.live:
             other = self.live[task]
-            self.violations.append(f"{task} runs on {other} and {worker}")
+            self.violations.append(
+                f"task {task} runs on {other} and {worker} at once"
+            )
         if task in self.done:
-            self.violations.append(f"{task} run {run} starts after its end")
+            self.violations.append(
+                f"task {task} starts run {run} although it is done"
+            )
         cancelled = self.cancelled.get(task.partition(".")[0])
         if cancelled is not None and (
             time.monotonic() - cancelled > self.CANCEL_GRACE_S
         ):
-            self.violations.append(f"{task} starts after the cancel")
+            self.violations.append(
+                f"task {task} starts more than {self.CANCEL_GRACE_S} s after "
+                "its job was cancelled"
+            )
         self.live[task] = worker
 
     def record_end(self, task, worker, outcome):
-        """Notes the end of a run."""
+        """Records the end of a run."""
         if self.live.get(task) == worker:
             del self.live[task]
         if outcome == "done":
@@ -71,9 +83,18 @@
 async def exchange(
     method, url, document=None, headers=(), timeout_s=1.0, pool=None
 ):
-    """Returns status and document of a call that follows redirects.
-
-    Without a pool each call opens a connection of its own.
+    """Calls a URL and follows redirects; returns (status, document).
+
+    Args:
+        method: HTTP method.
+        url: URL of the call.
+        document: Body that is sent as JSON, or None.
+        headers: Pairs of further headers.
+        timeout_s: Timeout of each request, in s.
+        pool: httpcore pool; without one, each call opens a connection.
+
+    Raises:
+        CALL_ERRORS: One of these errors, if there is no answer.
     """
     if pool is None:
         async with httpcore.AsyncConnectionPool() as own:
@@ -95,12 +116,12 @@
 
 
 class Run:
-    """A live run.
+    """A live run of a task.
 
     Attributes:
         number: Run number.
-        started: Monotonic time of its start.
-        duration_s: Its length; None for a task that lasts.
+        started: Monotonic time of its start, in s.
+        duration_s: Its duration, or None for a long-running task.
     """
 
     __slots__ = ("number", "started", "duration_s")
@@ -111,7 +132,7 @@
         self.duration_s = duration_s
 
     def percent(self):
-        """Returns its progress."""
+        """Returns its progress in percent."""
         if self.duration_s is None:
             return 100
         age_s = time.monotonic() - self.started
@@ -123,15 +144,25 @@
 
     Attributes:
         worker_id: Its id.
-        service: Its service.
+        service: Name of its service.
         controls: Addresses of the controls.
-        checker: Ledger.
-        random: Source of run times and choices.
-        runs: Run by task.
-        unacknowledged_ends: Rows of ends that are not acknowledged.
-        lease_until: Monotonic time at which all that runs is killed.
-        answers_lost: Whether answers to heartbeats are lost on their way.
-        pool: httpcore pool that keeps connections, or None.
+        checker: RunChecker.
+        random: Source of the random durations and choices.
+        runs: Maps the task of each live run to its Run.
+        unacknowledged_ends: Rows of the ends of runs that no answer has
+            acknowledged yet, as a heartbeat lists them.
+        started_ms: Wall time of the last start of the worker; identifies
+            its incarnation.
+        sequence: Number of the last heartbeat of this incarnation.
+        end_number: Number of the last end of this incarnation.
+        fence: Highest fencing number that an answer has had.
+        lease_until: Monotonic time, in s, at which all runs are killed.
+        target: Address to which the next heartbeat is sent.
+        last_runs: Maps a task to the highest run number that was started
+            or stopped.
+        wait_s: Time until the next heartbeat.
+        answers_lost: Whether the answers to heartbeats get lost.
+        pool: httpcore pool that keeps connections open, or None.
     """
 
     __slots__ = (
@@ -144,7 +175,7 @@
         "unacknowledged_ends",
         "started_ms",
         "sequence",
-        "number",
+        "end_number",
         "fence",
         "lease_until",
         "target",
@@ -166,22 +197,22 @@
         self.reset_state()
 
     def reset_state(self):
-        """Starts anew and knows nothing of before."""
+        """Begins a new incarnation without any state of the last one."""
         self.runs = {}
         self.unacknowledged_ends = []
         self.started_ms = time.time_ns() // 1_000_000
         self.sequence = 0
-        self.number = 0
+        self.end_number = 0
         self.fence = 0
         self.lease_until = 0.0
         self.last_runs = {}
         self.wait_s = 0.1
 
     def crash(self):
-        """Ends this life; what ran, and ends not acknowledged, are gone.
+        """Ends this incarnation; its runs and unacknowledged ends are lost.
 
-        Nobody has taken note of such an end, so that its task may start
-        again.
+        A task whose end is lost may start again, since no control has
+        recorded the end.
         """
         for _, task, _, outcome, _ in self.unacknowledged_ends:
             if outcome == "done":
@@ -202,29 +233,29 @@
             await trio.sleep(self.wait_s)
 
     def end_due_runs(self):
-        """Ends the runs that are done, or whose lease has lapsed."""
+        """Ends the runs that are done; ends all once the lease has lapsed."""
         now = time.monotonic()
         lapsed = now >= self.lease_until
         for task, run in list(self.runs.items()):
-            over = run.duration_s is not None and (
+            is_done = run.duration_s is not None and (
                 now - run.started >= run.duration_s
             )
-            if over:
+            if is_done:
                 self.end(task, run.number, "done")
             elif lapsed:
                 self.end(task, run.number, "lapsed")
 
     def end(self, task, number, outcome):
-        """Ends a run and lists it."""
+        """Ends a run and lists its end for the next heartbeat."""
         self.runs.pop(task, None)
-        self.number += 1
+        self.end_number += 1
         self.unacknowledged_ends.append(
-            [self.number, task, number, outcome, ""]
+            [self.end_number, task, number, outcome, ""]
         )
         self.checker.record_end(task, self.worker_id, outcome)
 
     def report(self):
-        """Returns the body of a heartbeat."""
+        """Returns the document of the next heartbeat."""
         self.sequence += 1
         return {
             "service": self.service,
@@ -246,7 +277,11 @@
         }
 
     async def send_heartbeat(self):
-        """Sends one heartbeat and carries the answer out."""
+        """Sends one heartbeat and applies the answer.
+
+        An answer that is late, lost or for an earlier incarnation is
+        ignored.
+        """
         sent, started_ms = time.monotonic(), self.started_ms
         status, orders = await exchange(
             "PUT",
@@ -268,16 +303,22 @@
         self.apply_answer(orders, sent)
 
     def apply_answer(self, orders, sent):
-        """Does what an answer says."""
+        """Applies an answer to a heartbeat that was sent at a given time.
+
+        An answer without a lease, or with a lower fencing number than an
+        earlier one, only sets the time of the next heartbeat.
+        """
         self.wait_s = orders.get("retry-after-ms", 500) / 1000
         if "hold-ms" not in orders or orders["fence"] < self.fence:
             return
         self.fence = orders["fence"]
         until = sent + orders["hold-ms"] / 1000
         self.lease_until = max(self.lease_until, until)
-        through = orders.get("acked-through", 0)
+        acknowledged_through = orders.get("acked-through", 0)
         self.unacknowledged_ends = [
-            row for row in self.unacknowledged_ends if row[0] > through
+            row
+            for row in self.unacknowledged_ends
+            if row[0] > acknowledged_through
         ]
         for task, number in orders.get("stop", ()):
             self.last_runs[task] = max(self.last_runs.get(task, 0), number)
@@ -287,24 +328,32 @@
             self.start(task, number, payload)
 
     def start(self, task, number, payload):
-        """Starts a run unless a newer one was here."""
+        """Starts a run unless a run with this or a higher number was known.
+
+        Args:
+            task: Id of the task, which begins with the id of its job.
+            number: Run number; later runs of a task have higher numbers.
+            payload: Text of the job; ``lasting`` makes a run without end.
+        """
         if number <= self.last_runs.get(task, 0):
             return
         self.last_runs[task] = number
         self.checker.record_start(task, number, self.worker_id)
-        lasts = payload.startswith("lasting")
-        length = None if lasts else self.random.uniform(0.1, 0.8)
-        self.runs[task] = Run(number, length)
+        long_running = payload.startswith("lasting")
+        duration_s = None if long_running else self.random.uniform(0.1, 0.8)
+        self.runs[task] = Run(number, duration_s)
 
 
 class Client:
-    """Submits jobs and follows them to their end.
+    """Submits jobs and reads their states.
 
     Attributes:
         fronts: Addresses of the fronts.
-        host: Host name of the queue.
-        prefix: Path prefix of the queue.
+        host: Host name of the route.
+        prefix: Path prefix of the route.
+        random: Source of the choice of a front.
         accepted: Ids of the accepted jobs.
+        refused: Number of submissions that were refused or not answered.
     """
 
     __slots__ = ("fronts", "host", "prefix", "random", "accepted", "refused")
@@ -317,11 +366,11 @@
         self.accepted = []
         self.refused = 0
 
-    async def call(self, method, rest, document=None):
-        """Returns status and document, or None without an answer."""
+    async def call(self, method, job_id, document=None):
+        """Returns the status and document of an answer, or None."""
         front = self.random.choice(self.fronts)
         headers = [("Host", self.host), ("X-Deadline-Ms", "3000")]
-        url = f"http://{front}{self.prefix}{rest}"
+        url = f"http://{front}{self.prefix}{job_id}"
         try:
             return await exchange(
                 method, url, document, headers, CALL_TIMEOUT_S
@@ -343,7 +392,7 @@
         return None
 
     async def state(self, job_id):
-        """Returns the state of a job, or None."""
+        """Returns the state of a job, or None without a usable answer."""
         answer = await self.call("GET", job_id)
         if answer is None or answer[0] not in (200, 410):
             return None
--- a/tools/platform_faults.py
+++ b/tools/platform_faults.py
@@ -1,7 +1,7 @@
 """Faults that the soak injects into the platform's programs from outside.
 
-Each is a function of the Soak that undoes what it has done; several may be
-in progress at once.
+Each is a registered function that takes the Soak, injects the fault and
+undoes it. Several faults may be in progress at once.
 """
 
 import contextlib
@@ -17,7 +17,7 @@
 
 @faults.register("kill_core")
 async def kill_core(soak):
-    """Kills a control and starts it again with its disk."""
+    """Kills a control and restarts it on the same disk."""
     core = soak.random.choice(soak.fleet.cores)
     async with core.restart_lock:
         await core.stop()
@@ -27,7 +27,7 @@
 
 @faults.register("pause_core")
 async def pause_core(soak):
-    """Pauses a control for longer than its lease."""
+    """Pauses a control, possibly for longer than its leader lease lasts."""
     core = soak.random.choice(soak.fleet.cores)
     core.send(signal.SIGSTOP)
     await trio.sleep(soak.random.uniform(0.5, 4.0))
@@ -36,7 +36,7 @@
 
 @faults.register("stop_core")
 async def stop_core(soak):
-    """Stops a control gracefully and starts it again."""
+    """Stops a control gracefully and restarts it."""
     core = soak.random.choice(soak.fleet.cores)
     async with core.restart_lock:
         await core.stop(signal.SIGTERM)
@@ -45,8 +45,8 @@
 
 @faults.register("wipe_core")
 async def wipe_core(soak):
-    """Replaces the disk of a control, one at a time."""
-    if soak.faults.count("wipe_core") > 1:
+    """Restarts a control on an empty disk; at most once in a run."""
+    if soak.injected_faults.count("wipe_core") > 1:
         return
     core = soak.random.choice(soak.fleet.cores)
     async with core.restart_lock:
@@ -57,7 +57,7 @@
 
 @faults.register("kill_all")
 async def kill_all(soak):
-    """Kills all controls at once."""
+    """Kills all controls at once and restarts them."""
     async with contextlib.AsyncExitStack() as stack:
         for core in soak.fleet.cores:
             await stack.enter_async_context(core.restart_lock)
@@ -71,7 +71,7 @@
 
 @faults.register("kill_front")
 async def kill_front(soak):
-    """Kills a front and starts it again."""
+    """Kills a front and restarts it."""
     front = soak.random.choice(soak.fleet.fronts)
     async with front.restart_lock:
         await front.stop()
@@ -80,7 +80,7 @@
 
 @faults.register("reload_all")
 async def reload_all(soak):
-    """Asks all programs to read their settings again."""
+    """Lets all programs reload their settings, by SIGHUP."""
     for process in (*soak.fleet.cores, *soak.fleet.fronts):
         process.send(signal.SIGHUP)
 
@@ -99,7 +99,7 @@
 
 @faults.register("cut_one_way")
 async def cut_one_way(soak):
-    """Holds what a control sends, or what it receives, until it heals."""
+    """Holds what a control sends, or what it receives, for a while."""
     host = soak.random.choice(soak.fleet.cores).host
     sends = soak.random.random() < 0.5
     for (caller, _), proxy in soak.fleet.proxies.items():
@@ -114,7 +114,10 @@
 
 @faults.register("silence_links")
 async def silence_links(soak):
-    """Silences the open links of a control for good."""
+    """Stops the traffic of a control's open links without closing them.
+
+    They stay silent; new links work.
+    """
     host = soak.random.choice(soak.fleet.cores).host
     for proxy in soak.fleet.proxies_of(host):
         proxy.silence()
@@ -130,7 +133,7 @@
 
 @faults.register("tear_journal")
 async def tear_journal(soak):
-    """Kills a control and leaves a torn write at the end of its journal."""
+    """Kills a control and appends a torn write to its journal."""
     core = soak.random.choice(soak.fleet.cores)
     async with core.restart_lock:
         await core.stop()
@@ -140,10 +143,10 @@
 
 @faults.register("fill_disk")
 async def fill_disk(soak):
-    """Lets the files of a control grow no more for a while."""
+    """Makes the writes of a control fail for a while, as on a full disk."""
     core = soak.random.choice(soak.fleet.cores)
     async with core.restart_lock:
-        # A control whose disk fails may end; the platform restarts it.
+        # A control may exit when its disk fails; the platform restarts it.
         core.must_run = False
         core.limit_files(0)
         await trio.sleep(soak.random.uniform(0.5, 2.5))
@@ -156,7 +159,7 @@
 
 @faults.register("deafen_worker")
 async def deafen_worker(soak):
-    """Lets a worker miss the answers to its heartbeats."""
+    """Drops the answers to the heartbeats of a worker for a while."""
     worker = soak.random.choice(soak.workers)
     worker.answers_lost = True
     await trio.sleep(soak.random.uniform(0.5, 6.0))
@@ -165,5 +168,5 @@
 
 @faults.register("crash_worker")
 async def crash_worker(soak):
-    """Crashes a worker, which starts again under its id."""
+    """Crashes a worker, which restarts with the same id."""
     soak.random.choice(soak.workers).crash()
--- a/tools/platform_fleet.py
+++ b/tools/platform_fleet.py
@@ -11,7 +11,7 @@
 from fault_proxies import FaultProxy
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-PORT = 8_623
+CONTROL_PORT = 8_623
 LINKS_PORT = 7_060
 FRONT_PORT = 8_624
 READY_PORT = 8_622
@@ -23,10 +23,11 @@
     Attributes:
         script: ``front`` or ``core``.
         host: Loopback address of its machine.
-        links_port: Port on which it listens for links, and dials them.
-        process: The running process, or None.
-        must_run: Whether it has to run.
-        restart_lock: Held by the fault that stops and starts it.
+        links_port: Port on which it listens for links, and to which it
+            connects on the address of another process.
+        process: The process that was started last, or None.
+        must_run: Whether its end would be unexpected.
+        restart_lock: trio.Lock held by the fault that stops and starts it.
     """
 
     __slots__ = (
@@ -50,19 +51,23 @@
 
     @property
     def ended_unexpectedly(self):
-        """Whether it has ended although it has to run."""
+        """Whether it has ended although no fault stopped it."""
         return self.must_run and self.process.poll() is not None
 
     @property
     def folder(self):
-        """Folder of its files."""
+        """Folder of its settings, data and log."""
         return self.fleet.folder / self.host
 
-    async def start(self, first=False):
-        """Starts the program."""
+    async def start(self, bootstrap=False):
+        """Starts the program.
+
+        Args:
+            bootstrap: Whether a control may form a new cluster.
+        """
         self.folder.mkdir(parents=True, exist_ok=True)
         path = self.folder / "local.toml"
-        path.write_text(self.fleet.settings(self, first))
+        path.write_text(self.fleet.settings(self, bootstrap))
         environment = os.environ | {"WIGEONPORT_BOOT": str(path)}
         with open(self.folder / "log", "ab") as log:
             self.process = await trio.lowlevel.open_process(
@@ -75,28 +80,31 @@
             )
         self.must_run = True
 
-    def send(self, number):
+    def send(self, signal_number):
         """Sends a signal to this process only."""
         if self.process is not None and self.process.poll() is None:
-            self.process.send_signal(number)
+            self.process.send_signal(signal_number)
+
+    async def stop(self, signal_number=signal.SIGKILL):
+        """Ends the process with a signal and waits for it.
 
-    async def stop(self, number=signal.SIGKILL):
-        """Ends the process and waits for it."""
+        A paused process is resumed before it gets the signal.
+        """
         self.must_run = False
         self.send(signal.SIGCONT)
-        self.send(number)
+        self.send(signal_number)
         if self.process is not None:
             await self.process.wait()
 
     def append_garbage(self, data):
-        """Adds bytes to the newest journal file of a stopped process."""
+        """Appends bytes to the newest journal file of a stopped process."""
         files = sorted((self.folder / "data").glob("segment-*"))
         if files:
             with open(files[-1], "ab") as file:
                 file.write(data)
 
     def limit_files(self, size_bytes):
-        """Bounds the size to which files of the process may grow."""
+        """Limits the size of the files that the process writes."""
         if self.process is not None and self.process.poll() is None:
             hard = resource.RLIM_INFINITY
             resource.prlimit(
@@ -104,7 +112,7 @@
             )
 
     def lose_disk(self):
-        """Removes the data of a stopped process."""
+        """Deletes the data of a stopped process."""
         shutil.rmtree(self.folder / "data", ignore_errors=True)
 
 
@@ -113,11 +121,13 @@
 
     Attributes:
         folder: Folder for settings, data and logs.
-        cores: PlatformProcess list.
-        fronts: PlatformProcess list.
-        proxies: FaultProxy by pair of the hosts that it leads from and to.
-            Each process dials links on the port on which it listens
-            itself, and there a proxy stands for each core.
+        net: Second byte of the addresses.
+        cores: List of PlatformProcess.
+        fronts: List of PlatformProcess.
+        proxies: Maps (host of the caller, host of the core) to the
+            FaultProxy of the links between them. Each process connects to
+            its own links port on the address of a core; the proxy listens
+            there and relays to the core's own port.
     """
 
     __slots__ = ("folder", "net", "cores", "fronts", "proxies")
@@ -148,27 +158,27 @@
 
     @property
     def control_addresses(self):
-        """Addresses of the workers' and the operator's calls."""
-        return [f"{core.host}:{PORT}" for core in self.cores]
+        """Addresses that workers and the operator call."""
+        return [f"{core.host}:{CONTROL_PORT}" for core in self.cores]
 
     @property
     def front_addresses(self):
-        """Addresses of the clients' calls."""
+        """Addresses that clients call."""
         return [f"{front.host}:{FRONT_PORT}" for front in self.fronts]
 
-    def settings(self, process, first):
-        """Returns the settings file of a process."""
+    def settings(self, process, bootstrap):
+        """Returns the content of the settings file of a process."""
         seeds = ", ".join(f'"{each}"' for each in self.control_addresses)
         lines = [
             f'ip = "{process.host}"',
             'zone = "ikeja"',
             f"port-range = [{process.links_port}, {process.links_port}]",
             f"seeds = [{seeds}]",
-            f"bootstrap = {'true' if first else 'false'}",
+            f"bootstrap = {'true' if bootstrap else 'false'}",
         ]
         if process.script == "core":
             lines.append(f'data-dir = "{process.folder / "data"}"')
-            lines += ["[listen]", f'control = "{process.host}:{PORT}"']
+            lines += ["[listen]", f'control = "{process.host}:{CONTROL_PORT}"']
         else:
             lines += [
                 "[listen]",
@@ -178,7 +188,7 @@
         return "\n".join(lines) + "\n"
 
     def proxies_of(self, host):
-        """Returns the proxies that lead from or to a host."""
+        """Returns the proxies of the links from and to a host."""
         return [p for pair, p in self.proxies.items() if host in pair]
 
     async def start(self, nursery):
@@ -186,7 +196,7 @@
         for proxy in self.proxies.values():
             await nursery.start(proxy.run)
         for process in (*self.cores, *self.fronts):
-            await process.start(first=True)
+            await process.start(bootstrap=True)
 
     async def stop(self):
         """Ends all programs."""
--- a/tools/platform_soak.py
+++ b/tools/platform_soak.py
@@ -3,8 +3,9 @@
 Usage: platform_soak.py [--seed N] [--seconds S] [--folder DIR]
 
 Real processes on loopback addresses are killed, paused, stopped, reloaded
-and lose their disks by turns, while emulated workers and clients check
-the promises. Exit status 0 only if all of them held.
+and lose their disks and connections at random, while emulated workers,
+clients and an operator check the guarantees. The exit status is 0 if all
+guarantees held, else 1.
 """
 
 import argparse
@@ -28,14 +29,15 @@
 HOST = "jobs.example"
 PREFIX = "/plans/"
 WORKERS = 5
-# Time after the last fault in which all accepted jobs must end.
+# After the last fault, new jobs must be accepted within this time, and then
+# all accepted jobs must end within the same time again.
 RECOVERY_TIMEOUT_S = 30.0
-# Jobs that must be accepted after the last fault.
+# Number of jobs that must be accepted after the last fault.
 MIN_JOBS = 5
 
 
 def make_configuration(version):
-    """Returns a configuration with one queue."""
+    """Returns a configuration with one route to one service."""
     route = {
         "name": "r-1",
         "host": HOST,
@@ -62,10 +64,13 @@
 
 
 class Operator:
-    """States configurations and checks that none is forgotten.
+    """Changes the configuration and checks that no change is lost.
 
     Attributes:
-        acknowledged: Highest acknowledged version.
+        addresses: Addresses of the controls.
+        random: Source of the random choices.
+        checker: RunChecker that collects the violations.
+        acknowledged: Highest acknowledged version of the configuration.
     """
 
     __slots__ = ("addresses", "random", "checker", "acknowledged")
@@ -77,7 +82,7 @@
         self.acknowledged = 0
 
     async def call(self, method, document=None):
-        """Returns status and document, or None without an answer."""
+        """Returns the status and document of an answer, or None."""
         address = self.random.choice(self.addresses)
         url = f"http://{address}/v1/config"
         try:
@@ -104,13 +109,16 @@
             await trio.sleep(self.random.uniform(0.2, 1.5))
 
     async def read(self):
-        """Checks that a read is not older than an acknowledgement."""
-        known = self.acknowledged
+        """Checks that a read shows every version acknowledged before it."""
+        acknowledged = self.acknowledged
         answer = await self.call("GET")
         if answer is not None and answer[0] == 200:
-            shown = answer[1]["version"]
-            if shown < known:
-                text = f"version {shown} was read after {known}"
+            version = answer[1]["version"]
+            if version < acknowledged:
+                text = (
+                    f"a read shows configuration version {version} although "
+                    f"version {acknowledged} is acknowledged"
+                )
                 self.checker.violations.append(text)
 
 
@@ -118,11 +126,16 @@
     """One seeded run.
 
     Attributes:
+        seed: Seed of the random choices.
+        seconds: Time during which faults are injected, in s.
         random: Source of the choices of faults, which repeat with the seed.
-        traffic: Source of the choices of workers, clients and operator.
+        traffic: Source of the choices of workers, client and operator.
         fleet: PlatformFleet.
-        checker: Ledger.
-        faults: Names of the injected faults.
+        checker: RunChecker.
+        workers: List of EmulatedWorker.
+        client: Client.
+        operator: Operator.
+        injected_faults: Names of the injected faults, in order.
     """
 
     __slots__ = (
@@ -135,7 +148,7 @@
         "workers",
         "client",
         "operator",
-        "faults",
+        "injected_faults",
     )
 
     def __init__(self, seed, seconds, folder):
@@ -156,10 +169,10 @@
             self.fleet.front_addresses, HOST, PREFIX, self.traffic
         )
         self.operator = Operator(controls, self.traffic, self.checker)
-        self.faults = []
+        self.injected_faults = []
 
     async def run(self):
-        """Plays the run; returns the broken promises."""
+        """Runs the soak; returns the texts of the violated guarantees."""
         try:
             async with trio.open_nursery() as nursery:
                 await self.fleet.start(nursery)
@@ -169,7 +182,7 @@
                     await self.operator.put_configuration(1)
                 nursery.start_soon(self.restart_ended_processes)
                 async with trio.open_nursery() as active:
-                    active.start_soon(self.submit)
+                    active.start_soon(self.submit_jobs)
                     active.start_soon(self.operator.run)
                     await self.inject()
                     active.cancel_scope.cancel()
@@ -181,57 +194,66 @@
         return self.checker.violations
 
     async def restart_ended_processes(self):
-        """Notes and restarts processes that end by themselves."""
+        """Records and restarts processes that end without a fault."""
         while True:
             for process in (*self.fleet.cores, *self.fleet.fronts):
                 if process.ended_unexpectedly:
-                    text = f"{process.script} on {process.host} has ended"
+                    text = (
+                        f"{process.script} on {process.host} ended "
+                        "unexpectedly"
+                    )
                     self.checker.violations.append(text)
                     await process.start()
             await trio.sleep(0.2)
 
-    async def submit(self):
-        """Submits and sometimes cancels jobs until cancelled."""
+    async def submit_jobs(self):
+        """Submits jobs, and cancels some of them, until the faults end."""
         async with trio.open_nursery() as nursery:
             while True:
                 nursery.start_soon(self.submit_job)
                 await trio.sleep(self.traffic.uniform(0.1, 0.5))
 
     async def submit_job(self):
-        """Submits one job and perhaps cancels it."""
+        """Submits one job and cancels it with some probability."""
         first = {"count": self.traffic.randint(1, 4), "cpu": 1_000}
         second = {"count": 2, "cpu": 500, "depends-on": [0]}
         for step in (first, second):
             step |= {"mem-mb": 100, "estimated-ms": 500}
-        lasting = self.traffic.random() < 0.1
-        if lasting:
+        long_running = self.traffic.random() < 0.1
+        if long_running:
             steps = [first | {"long-running": True}]
             job_id = await self.client.submit(steps, "lasting")
         else:
             job_id = await self.client.submit([first, second])
-        if job_id and (lasting or self.traffic.random() < 0.1):
+        if job_id and (long_running or self.traffic.random() < 0.1):
             answer = await self.client.call("DELETE", job_id)
             if answer is not None and answer[0] == 200:
                 self.checker.cancelled[job_id] = time.monotonic()
 
     async def inject(self):
-        """Injects faults one after the other, some of them overlapping."""
+        """Injects random faults, which may overlap, then awaits their end."""
         end = time.monotonic() + self.seconds
         async with trio.open_nursery() as nursery:
             while time.monotonic() < end:
                 name = self.random.choice(sorted(faults.entries))
-                self.faults.append(name)
+                self.injected_faults.append(name)
                 nursery.start_soon(faults.entries[name], self)
                 await trio.sleep(self.random.uniform(0.5, 3.0))
 
     async def wait_for_recovery(self):
-        """Waits until jobs are accepted again and all of them have ended."""
-        before = len(self.client.accepted)
+        """Checks that jobs are accepted again and that all jobs end.
+
+        A long-running job counts as ended once it runs.
+        """
+        accepted_before = len(self.client.accepted)
         with trio.move_on_after(RECOVERY_TIMEOUT_S):
-            while len(self.client.accepted) - before < MIN_JOBS:
+            while len(self.client.accepted) - accepted_before < MIN_JOBS:
                 await self.client.submit([{"count": 1, "cpu": 500}])
-        if len(self.client.accepted) - before < MIN_JOBS:
-            text = "no jobs are accepted after the faults"
+        if len(self.client.accepted) - accepted_before < MIN_JOBS:
+            text = (
+                f"fewer than {MIN_JOBS} jobs were accepted within "
+                f"{RECOVERY_TIMEOUT_S} s after the last fault"
+            )
             self.checker.violations.append(text)
         open_jobs = set(self.client.accepted)
         with trio.move_on_after(RECOVERY_TIMEOUT_S):
@@ -239,7 +261,9 @@
                 for job_id in list(open_jobs):
                     state = await self.client.state(job_id)
                     if state == "unknown":
-                        text = f"accepted job {job_id} is not known"
+                        text = (
+                            f"accepted job {job_id} is unknown to the service"
+                        )
                         self.checker.violations.append(text)
                     if (
                         state in ("completed", "cancelled", "unknown")
@@ -249,11 +273,14 @@
                         open_jobs.discard(job_id)
                 await trio.sleep(0.2)
         for job_id in open_jobs:
-            self.checker.violations.append(f"job {job_id} did not end")
+            self.checker.violations.append(
+                f"accepted job {job_id} did not end within "
+                f"{RECOVERY_TIMEOUT_S} s"
+            )
         await self.operator.read()
 
     def has_long_running_run(self, job_id):
-        """Returns whether a run of a job is live without an end."""
+        """Returns whether a long-running run of the job is live."""
         return any(
             run.duration_s is None
             for worker in self.workers
@@ -263,7 +290,7 @@
 
 
 def main(arguments):
-    """Returns the exit status."""
+    """Runs the soak and prints its result; returns the exit status."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=None)
     parser.add_argument("--seconds", type=float, default=20.0)
@@ -276,12 +303,17 @@
     soak = Soak(seed, options.seconds, pathlib.Path(folder))
     violations = trio.run(soak.run)
     print(
-        f"seed {seed}: {len(soak.client.accepted)} jobs, "
-        f"{soak.checker.starts} starts, faults {' '.join(soak.faults)}"
+        f"seed {seed}: {len(soak.client.accepted)} jobs accepted, "
+        f"{soak.checker.starts} runs started, "
+        f"injected faults: {' '.join(soak.injected_faults)}"
     )
     for text in violations:
         print(f"VIOLATION: {text}")
-    print("every promise held" if not violations else f"logs in {folder}")
+    print(
+        "all guarantees held"
+        if not violations
+        else f"{len(violations)} violations; the logs are in {folder}"
+    )
     return 1 if violations else 0
 
 
