Reword the soak, its failures and its relays

Cause: ways that carry bytes, sendings and what did not hold needed a second reading; progress lines did not say what the names in them are. Change: docstrings, comments, output lines and names in soak.py, failures.py, relays.py, fault_proxies.py and tests/test_soak.py. The two attribute names that FaultProxy looks up by text follow their attributes.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,4 +1,4 @@
-"""The short soak over real processes."""
+"""Tests of the soak of requests over real processes."""
 
 import pathlib
 
@@ -7,55 +7,55 @@
 
 
 def test_short_soak_breaks_no_guarantee():
-    """Guards against lost, doubled or invented outcomes under failures.
+    """Fails if a request is lost, run twice or answered without a run.
 
-    The seed fixes the failures; no assertion depends on how long a step
-    took.
+    The failures are kills, suspensions and network partitions. The seed
+    fixes their order; no assertion depends on how long a step took.
     """
     assert soak.main(["--short", "--seed", "44"]) == 0
 
 
-class QuietDeployment:
+class EmptyDeployment:
     """A deployment without processes."""
 
     def entries(self):
-        """Returns no entry."""
+        """Returns the addresses of the entries, of which there are none."""
         return []
 
     def path(self, name):
-        """Returns a file name."""
+        """Returns the path of a file."""
         return pathlib.Path(name)
 
 
-class QuietSoak:
-    """A soak whose parts are replaced."""
+class StubSoak:
+    """State of a soak whose tasks the test replaces."""
 
     def __init__(self):
         self.runner = self
-        self.deployment = QuietDeployment()
+        self.deployment = EmptyDeployment()
 
 
-def test_callers_end_before_the_soak(monkeypatch):
-    """Guards against sendings that are cancelled and leave no line.
+def test_soak_waits_for_callers_after_the_failures(monkeypatch):
+    """Fails if open requests are cancelled at the end of the failures.
 
-    Under load a soak named R4 for a run whose sending had been cancelled
-    when the failures were over.
+    A cancelled request leaves no line. Under load, the checker reported a
+    violation of R4 for the run of such a request.
     """
     ended = []
 
-    async def forever(*arguments):
+    async def run_until_cancelled(*arguments):
         await trio.sleep_forever()
 
-    async def at_once(*arguments):
+    async def end_failures(*arguments):
         ended.append("failures")
 
-    async def later(*arguments):
+    async def end_callers_later(*arguments):
         await trio.sleep(0.05)
         ended.append("callers")
 
-    monkeypatch.setattr(soak, "submit_patches", forever)
-    monkeypatch.setattr(soak, "watch_versions", forever)
-    monkeypatch.setattr(soak, "run_faults", at_once)
-    monkeypatch.setattr(soak, "run_load", later)
-    trio.run(soak.run_soak, QuietSoak(), 1, 1)
+    monkeypatch.setattr(soak, "submit_patches", run_until_cancelled)
+    monkeypatch.setattr(soak, "watch_versions", run_until_cancelled)
+    monkeypatch.setattr(soak, "run_faults", end_failures)
+    monkeypatch.setattr(soak, "run_load", end_callers_later)
+    trio.run(soak.run_soak, StubSoak(), 1, 1)
     assert ended == ["failures", "callers"]
--- a/tools/failures.py
+++ b/tools/failures.py
@@ -1,4 +1,8 @@
-"""Failures that the soak injects; each is undone after a while."""
+"""Failures that the soak injects into a fleet; each is undone later.
+
+Each failure is a registered function of the FleetRunner, the source of its
+random choices, and the time in s for which it lasts.
+"""
 
 import contextlib
 import signal
@@ -14,15 +18,18 @@
 
 
 class BusyError(Exception):
-    """No VM is free for a failure."""
+    """Other failures use every VM."""
 
 
 @contextlib.contextmanager
 def reserve_node(runner, random):
-    """Picks a VM that no other failure is using.
+    """Reserves a random VM that no other failure uses; yields its id.
+
+    If two failures restarted the same program, two copies of it would run
+    and one of them would never be stopped.
 
-    Two failures that both restart a program would leave one copy of it
-    without an owner.
+    Raises:
+        BusyError: If other failures use every VM.
     """
     free = sorted(runner.deployment.nodes.keys() - runner.busy)
     if not free:
@@ -36,7 +43,7 @@
 
 
 async def kill_and_restart(runner, name, hold_s):
-    """Kills a program and starts it again."""
+    """Kills a program, restarts it after a while, waits for its health."""
     process = runner.processes[name]
     await process.kill()
     await trio.sleep(hold_s)
@@ -46,7 +53,7 @@
 
 @failures.register("kill entry")
 async def kill_entry(runner, random, hold_s):
-    """Kills an entry."""
+    """Kills an entry and restarts it."""
     with reserve_node(runner, random) as node_id:
         fault = runner.begin_fault("kill", [node_id])
         await kill_and_restart(runner, f"entry/{node_id}", hold_s)
@@ -55,14 +62,14 @@
 
 @failures.register("kill control")
 async def kill_control(runner, random, hold_s):
-    """Kills a control."""
+    """Kills a control and restarts it."""
     with reserve_node(runner, random) as node_id:
         await kill_and_restart(runner, f"control/{node_id}", hold_s)
 
 
 @failures.register("freeze entry")
 async def freeze_entry(runner, random, hold_s):
-    """Stops an entry without its knowledge."""
+    """Suspends an entry and resumes it."""
     with reserve_node(runner, random) as node_id:
         process = runner.processes[f"entry/{node_id}"]
         fault = runner.begin_fault("freeze", [node_id])
@@ -74,7 +81,7 @@
 
 @failures.register("freeze control")
 async def freeze_control(runner, random, hold_s):
-    """Stops a control without its knowledge, a leader for example."""
+    """Suspends a control, which may be the leader, and resumes it."""
     with reserve_node(runner, random) as node_id:
         process = runner.processes[f"control/{node_id}"]
         process.freeze()
@@ -93,7 +100,7 @@
 
 @failures.register("hold zone")
 async def hold_zone(runner, random, hold_s):
-    """Lets a zone's links stay open without carrying anything."""
+    """Stops the traffic of a zone's links without closing them."""
     zone = random.choice(ZONES)
     await runner.relay(f"hold {zone}")
     await trio.sleep(hold_s)
@@ -102,14 +109,14 @@
 
 @failures.register("silence connections")
 async def silence_connections(runner, random, hold_s):
-    """Silences a zone's open links for good; new ones work."""
+    """Stops the traffic of a zone's open links; new links work."""
     await runner.relay(f"silence {random.choice(ZONES)}")
     await trio.sleep(hold_s)
 
 
 @failures.register("endpoint leaves")
 async def leave_endpoint(runner, random, hold_s):
-    """Lets an endpoint of a zone leave and come back."""
+    """Lets an endpoint of a zone leave and return."""
     zone = random.choice(ZONES)
     runner.processes[f"endpoints/{zone}"].send(signal.SIGUSR1)
     await trio.sleep(hold_s)
@@ -117,9 +124,10 @@
 
 @failures.register("stop entry")
 async def stop_entry(runner, random, hold_s):
-    """Stops an entry gracefully and starts it again.
+    """Stops an entry gracefully and restarts it.
 
-    No fault is recorded: a planned stop must not lose a request.
+    No fault is recorded, since a planned stop must not lose a request: the
+    checker excuses lost requests only while a fault is recorded.
     """
     with reserve_node(runner, random) as node_id:
         process = runner.processes[f"entry/{node_id}"]
@@ -131,7 +139,10 @@
 
 @failures.register("kill all controls")
 async def kill_all_controls(runner, random, hold_s):
-    """Kills every control that is not in use at once; the log has to last."""
+    """Kills all controls that no other failure uses, and restarts them.
+
+    The replicated log must survive on the disks.
+    """
     with contextlib.ExitStack() as stack:
         node_ids = []
         while runner.deployment.nodes.keys() - runner.busy:
--- a/tools/fault_proxies.py
+++ b/tools/fault_proxies.py
@@ -1,7 +1,7 @@
-"""Loopback proxies between processes that delay, hold, silence or reset.
+"""TCP proxies between processes that delay, hold, stop or reset traffic.
 
-A proxy stands for one direction of calls, from the process that opens the
-connections to the one that accepts them.
+A proxy relays the connections that one process, the caller, opens to
+another one, the target, over loopback addresses.
 """
 
 import socket
@@ -10,7 +10,7 @@
 import trio
 
 READ_BYTES = 65_536
-# Closes with a reset instead of an orderly end.
+# Value of SO_LINGER that makes close() send a reset instead of a FIN.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -18,9 +18,10 @@
     """One direction of the traffic of a proxy.
 
     Attributes:
-        delay_s: Time that each piece is late.
-        flowing: trio.Event that is set while bytes pass; what arrives
-            meanwhile is held and passes later, as behind a cut.
+        delay_s: Delay of each chunk of bytes, in s.
+        flowing: trio.Event that is set while bytes are forwarded. While it
+            is not set, bytes that arrive are held; they are forwarded
+            later, as TCP does after a network partition.
     """
 
     __slots__ = ("delay_s", "flowing")
@@ -31,7 +32,7 @@
         self.flowing.set()
 
     def hold(self):
-        """Holds what arrives from now on."""
+        """Holds the bytes that arrive from now on until ``heal``."""
         self.flowing = trio.Event()
 
 
@@ -41,9 +42,10 @@
     Attributes:
         listen: Host and port on which it accepts.
         target: Host and port to which it connects.
-        outbound: Way of what the caller sends.
-        inbound: Way of what the caller receives.
-        scopes: CancelScope by silence event, for each open connection.
+        outbound: Direction of what the caller sends.
+        inbound: Direction of what the caller receives.
+        scopes: Maps the event that silences an open connection to the
+            CancelScope that ends it.
     """
 
     __slots__ = ("listen", "target", "outbound", "inbound", "scopes")
@@ -63,7 +65,7 @@
         )
 
     async def relay_connection(self, stream):
-        """Relays one connection until one side ends."""
+        """Relays one connection until one side closes it."""
         try:
             target = await trio.open_tcp_stream(*self.target)
         except OSError:
@@ -72,22 +74,30 @@
         silent = trio.Event()
         async with trio.open_nursery() as nursery:
             self.scopes[silent] = nursery.cancel_scope
-            for source, sink, name in (
-                (stream, target, "there"),
-                (target, stream, "back"),
+            for source, sink, direction_name in (
+                (stream, target, "outbound"),
+                (target, stream, "inbound"),
             ):
                 nursery.start_soon(
-                    self.copy, source, sink, name, silent, nursery
+                    self.copy, source, sink, direction_name, silent, nursery
                 )
         del self.scopes[silent]
         reset(stream)
         reset(target)
 
-    async def copy(self, source, sink, name, silent, nursery):
-        """Carries bytes in one direction."""
+    async def copy(self, source, sink, direction_name, silent, nursery):
+        """Forwards bytes in one direction until one side closes.
+
+        Args:
+            source: Stream that is read.
+            sink: Stream that is written.
+            direction_name: Attribute that holds the Direction.
+            silent: trio.Event after which nothing is forwarded.
+            nursery: Nursery of the connection, cancelled at the end.
+        """
         try:
             while data := await source.receive_some(READ_BYTES):
-                direction = getattr(self, name)
+                direction = getattr(self, direction_name)
                 if direction.delay_s:
                     await trio.sleep(direction.delay_s)
                 await direction.flowing.wait()
@@ -99,7 +109,10 @@
         nursery.cancel_scope.cancel()
 
     def silence(self):
-        """Stops the open connections for good; new ones work."""
+        """Stops forwarding on the open connections without closing them.
+
+        They never forward again; new connections do.
+        """
         for silent in self.scopes:
             silent.set()
 
@@ -109,17 +122,17 @@
             scope.cancel()
 
     def heal(self):
-        """Lets everything pass again."""
+        """Ends delays and holds in both directions."""
         for direction in (self.outbound, self.inbound):
             direction.delay_s = 0.0
             direction.flowing.set()
 
 
 def reset(stream):
-    """Makes the close of a stream a reset."""
+    """Closes a stream with a reset."""
     try:
         stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         stream.socket.close()
     except OSError:
-        # The other side has closed it already.
+        # The stream is closed already.
         pass
--- a/tools/relays.py
+++ b/tools/relays.py
@@ -1,12 +1,16 @@
-"""TCP relays that can hold or drop the traffic between two zones.
-
-Arguments name the relays as ``port:target_port:source_zone:target_zone``.
-Commands arrive on standard input, one a line:
-
-- ``cut ZONE``: close all connections from and to the zone; refuse new ones.
-- ``hold ZONE``: connections stay open, but carry nothing any more.
-- ``silence ZONE``: open connections carry nothing, new ones work.
-- ``heal ZONE``: ends the above; held connections stay dead.
+"""TCP relays between zones that can cut or stop the traffic.
+
+Each argument describes one relay:
+``port:target_port:source_zone:target_zone``. Commands are read from standard
+input, one per line:
+
+- ``cut ZONE``: closes all connections from and to the zone; refuses new ones.
+- ``hold ZONE``: keeps the zone's connections, open and new ones, without
+  forwarding anything.
+- ``silence ZONE``: stops forwarding on the open connections without closing
+  them; new ones work.
+- ``heal ZONE``: lets new connections work again. Connections that were held
+  or silenced never forward again.
 """
 
 import sys
@@ -25,9 +29,9 @@
     """One relayed connection.
 
     Attributes:
-        zones: The zones at its two ends.
-        scope: Cancels the connection.
-        silent: trio.Event; once set, nothing is carried any more.
+        zones: Set of the zones of its two ends.
+        scope: CancelScope that ends the connection.
+        silent: trio.Event; once it is set, nothing is forwarded any more.
     """
 
     __slots__ = ("zones", "scope", "silent")
@@ -42,9 +46,9 @@
     """State of all relays.
 
     Attributes:
-        connections: Open connections.
+        connections: Set of the open Connections.
         refused_zones: Zones whose new connections are refused.
-        held_zones: Zones whose new connections carry nothing.
+        held_zones: Zones whose new connections forward nothing.
     """
 
     __slots__ = ("connections", "refused_zones", "held_zones")
@@ -69,27 +73,27 @@
 
 @commands.register("hold")
 def hold(relays, zone):
-    """Stops the traffic of all connections, old and new."""
+    """Stops the traffic of the zone's connections, open and new ones."""
     relays.held_zones.add(zone)
     silence(relays, zone)
 
 
 @commands.register("silence")
 def silence(relays, zone):
-    """Stops the traffic of the open connections."""
+    """Stops the traffic of the zone's open connections."""
     for connection in relays.connections_of(zone):
         connection.silent.set()
 
 
 @commands.register("heal")
 def heal(relays, zone):
-    """Lets new connections work again."""
+    """Lets new connections of the zone work again."""
     relays.refused_zones.discard(zone)
     relays.held_zones.discard(zone)
 
 
 async def copy(source, target, connection):
-    """Carries bytes in one direction until one side ends."""
+    """Forwards bytes in one direction until one side closes."""
     try:
         while True:
             data = await source.receive_some(READ_BYTES)
@@ -132,7 +136,7 @@
 
 
 async def read_commands(relays, scope):
-    """Executes the commands on standard input; its end ends the process."""
+    """Executes commands from standard input; ends the process at EOF."""
     incomplete = b""
     stream = trio.lowlevel.FdStream(sys.stdin.fileno())
     while data := await stream.receive_some(READ_BYTES):
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -1,7 +1,7 @@
 """Soak: callers and patches under random failures, then the checker.
 
-Failures come singly and two together. The seed fixes which failures come in
-which order and what the callers send; the exact times depend on the machine.
+Failures are injected one at a time or in overlapping pairs. The seed fixes
+their order and what the callers send; the exact times depend on the machine.
 """
 
 import argparse
@@ -39,10 +39,11 @@
     Attributes:
         runner: FleetRunner.
         operators: OperatorsClient.
-        random: Source of the failures.
-        violations: Texts of what did not hold.
-        accepted_version: Highest version that an operator was told is accepted.
-        started_s: Monotonic time of the start.
+        random: Source of the choices of failures.
+        violations: Texts of the violated guarantees and of errors that
+            ended the run.
+        accepted_version: Highest fleet version of an accepting answer.
+        started_s: Monotonic time of the start, in s.
     """
 
     __slots__ = (
@@ -63,13 +64,13 @@
         self.started_s = time.monotonic()
 
     def print_progress(self, text):
-        """Prints a line with the time since the start."""
+        """Prints a text after the time since the start, in s."""
         print(f"{time.monotonic() - self.started_s:7.2f} s  {text}")
         sys.stdout.flush()
 
 
 async def apply_first_version(soak):
-    """Submits the first patch until it is accepted."""
+    """Submits the first patch and waits until it is in force everywhere."""
     patch = load_fleet_patch()
     with trio.move_on_after(FIRST_VERSION_TIMEOUT_S):
         while True:
@@ -84,12 +85,13 @@
             await trio.sleep(POLL_INTERVAL_S)
         return
     soak.violations.append(
-        "start: the first version is not in force everywhere"
+        f"start: the first version is not in force on all entries within "
+        f"{FIRST_VERSION_TIMEOUT_S} s"
     )
 
 
 async def is_in_force_everywhere(soak):
-    """Returns whether every entry applies the newest accepted version."""
+    """Returns whether all entries have applied the newest version."""
     for node_id in soak.runner.deployment.nodes:
         metrics = await soak.runner.metrics(f"entry/{node_id}")
         if metrics is None:
@@ -100,7 +102,7 @@
 
 
 async def submit_patches(soak, source):
-    """Submits patches to random controls; some are sent twice."""
+    """Submits patches to random controls until cancelled."""
     number = 0
     while True:
         number += 1
@@ -112,7 +114,10 @@
 
 
 async def submit_patch(soak, source, node_id, number, status):
-    """Submits one patch and, if its answer is lost, submits it again."""
+    """Submits one patch one to three times to random controls.
+
+    All answers that decide on the patch have to be equal.
+    """
     operation = {
         "operation": "set_service_capacity",
         "service": "notices",
@@ -127,7 +132,9 @@
             answers.append(answer)
         node_id = source.choice(sorted(soak.runner.deployment.nodes))
     if len({answer.body for answer in answers}) > 1:
-        soak.violations.append(f"R8: patch p{number} got different answers")
+        soak.violations.append(
+            f"R8: patch p{number} got different answers when it was resent"
+        )
     if answers and answers[0].status == 200:
         soak.accepted_version = max(
             soak.accepted_version, answers[0].document["version"]
@@ -135,8 +142,8 @@
 
 
 async def watch_versions(soak):
-    """Notes entries whose version goes back while they run."""
-    seen = {}
+    """Records a violation if the version of a running entry goes back."""
+    last_versions = {}
     while True:
         for node_id in soak.runner.deployment.nodes:
             name = f"entry/{node_id}"
@@ -145,23 +152,25 @@
             if metrics is None:
                 continue
             version = metrics["gauges"].get("config_version", 0)
-            if version < seen.get((name, pid), 0):
-                soak.violations.append(f"R8: {name} went back to {version}")
-            seen[(name, pid)] = version
+            if version < last_versions.get((name, pid), 0):
+                soak.violations.append(
+                    f"R8: {name} went back to version {version}"
+                )
+            last_versions[(name, pid)] = version
         await trio.sleep(POLL_INTERVAL_S)
 
 
 async def inject_failure(soak, name, source, hold_s):
-    """Runs one failure; it is left out if every VM is in use."""
+    """Runs one failure; skips it if another failure uses every VM."""
     try:
         await failures.get(name).ok(soak.runner, source, hold_s)
     except BusyError as fault:
-        soak.print_progress(f"{name} left out: {fault}")
+        soak.print_progress(f"failure '{name}' skipped: {fault}")
 
 
 async def inject(soak, seconds):
-    """Injects failures, singly or two together, for some seconds."""
-    failure_names = failures.failure_names()
+    """Injects single failures and pairs of them for some seconds."""
+    failure_names = failures.names()
     source = soak.random
     deadline_s = time.monotonic() + seconds
     while time.monotonic() < deadline_s:
@@ -170,17 +179,19 @@
         async with trio.open_nursery() as nursery:
             for name in chosen:
                 hold_s = source.uniform(*HOLD_RANGE_S)
-                part = random.Random(source.random())
-                soak.print_progress(f"{name} for {hold_s:.1f} s")
-                nursery.start_soon(inject_failure, soak, name, part, hold_s)
+                failure_random = random.Random(source.random())
+                soak.print_progress(f"failure '{name}' for {hold_s:.1f} s")
+                nursery.start_soon(
+                    inject_failure, soak, name, failure_random, hold_s
+                )
                 await trio.sleep(source.uniform(*PAUSE_RANGE_S))
         await trio.sleep(source.uniform(*PAUSE_RANGE_S))
 
 
 async def run_faults(soak, seconds):
-    """Runs failures, then waits for the recovery."""
+    """Injects failures, then waits until all programs have recovered."""
     await inject(soak, seconds)
-    soak.print_progress("no more failures")
+    soak.print_progress("all failures are over")
     with trio.move_on_after(RECOVERY_TIMEOUT_S) as waiting:
         await soak.runner.wait_healthy()
         while not await is_in_force_everywhere(soak):
@@ -196,10 +207,10 @@
 
 
 async def run_soak(soak, seconds, seed):
-    """Runs callers, patches and failures beside each other.
+    """Runs callers, patches and failures concurrently.
 
-    The callers end by themselves: a sending that is cancelled leaves no
-    line, and its run would look like one that no sending caused.
+    The callers are not cancelled: a cancelled request leaves no line, and
+    its run would look to the checker like one that no request caused.
     """
     deployment = soak.runner.deployment
     options = CallerOptions(deployment.entries(), fail_share=0.03)
@@ -221,7 +232,7 @@
 
 
 def check_guarantees(soak):
-    """Adds the broken guarantees of the logs."""
+    """Checks the logs and adds the guarantees that they violate."""
     deployment = soak.runner.deployment
     runs = sorted(deployment.folder.joinpath("runs").glob("*.jsonl"))
     evidence = Evidence(
@@ -245,9 +256,11 @@
         soak.print_progress("version 1 is in force; failures begin")
         await run_soak(soak, seconds, seed)
         statuses = await runner.stop()
-        wrong = {name: code for name, code in statuses.items() if code != 0}
-        if wrong:
-            soak.violations.append(f"R7: exit codes {json.dumps(wrong)}")
+        nonzero = {name: code for name, code in statuses.items() if code != 0}
+        if nonzero:
+            soak.violations.append(
+                f"R7: exit statuses other than 0: {json.dumps(nonzero)}"
+            )
     except HealthError as fault:
         soak.violations.append(f"health: {fault}")
     finally:
@@ -262,14 +275,16 @@
     parser.add_argument("--seconds", type=int, default=180)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--short", action="store_true")
-    parser.add_argument("--keep", help="folder for all files; it is kept")
+    parser.add_argument(
+        "--keep", help="folder for all files, which is not deleted at the end"
+    )
     options = parser.parse_args(arguments)
     seconds = SHORT_DURATION_S if options.short else options.seconds
     with tempfile.TemporaryDirectory(prefix="wigeonport-soak-") as folder:
         folder = options.keep or folder
         soak = trio.run(main_task, folder, seconds, options.seed)
     for text in soak.violations:
-        print(f"broken: {text}", file=sys.stderr)
+        print(f"failed check: {text}", file=sys.stderr)
     return 1 if soak.violations else 0
 
 
