Reword the soak of patches, its checker and its records

Cause: sendings, neighbours and told operators are words of this project, and texts of violations did not say patch, base version or unit. Names of properties and failures, JSON keys and flags stay.

--- a/tests/test_patch_histories.py
+++ b/tests/test_patch_histories.py
@@ -17,7 +17,7 @@
 
 
 def make_attempt(patch, base_version, outcome, version=0, **fields):
-    """Returns a Sending with an answer."""
+    """Returns a SubmitAttempt with an answer."""
     attempt = SubmitAttempt(patch, base_version, int(patch[1:]), 0)
     attempt.outcome, attempt.version = outcome, version
     attempt.body = f"{outcome} {patch} {version}"
--- a/tools/patch_failures.py
+++ b/tools/patch_failures.py
@@ -1,4 +1,8 @@
-"""Failures that the soak of patches injects; each is undone in the end."""
+"""Failures that the soak of patches injects; each is undone at its end.
+
+Each failure is a registered function of the Injector and the time in s for
+which it lasts.
+"""
 
 import contextlib
 import shutil
@@ -15,25 +19,27 @@
 VOTER_COUNT = 5
 LEADER_TIMEOUT_S = 20.0
 POLL_INTERVAL_S = 0.1
-# Longer than the longest election timeout, 1.6 s, and the lease.
+# Longer than the leader lease and the longest election timeout, 1.6 s, so
+# that another leader is elected meanwhile.
 FREEZE_DURATION_S = 4.0
-# A learner joins once its former identity was silent for 2 s.
+# A control that lost its disk joins as a learner once its former identity
+# has been silent for 2 s.
 JOIN_DELAY_S = 4.0
 VOTERS_TIMEOUT_S = 60.0
 
 
 class Injector:
-    """What the failures need.
+    """Chooses the VMs of failures and records the faults.
 
     Attributes:
         runner: FleetRunner.
         client: OperatorsClient.
-        faults: List of Faults of the history.
-        random: Source of the choices.
-        disk_lock: trio.Lock of the failures of disks: a second one before the
-            first disk was replaced may lose what was acknowledged.
-        cut_lock: trio.Lock of the failures of zones.
-        skipped: Failures that found no free VM and did nothing.
+        faults: List of the Faults of the history.
+        random: Source of the random choices.
+        disk_lock: trio.Lock held during a failure of disks. A second one
+            before the first disk is replaced may lose acknowledged patches.
+        cut_lock: trio.Lock held while a zone is cut off.
+        skipped: Number of failures that found no free VM and did nothing.
     """
 
     __slots__ = (
@@ -57,7 +63,7 @@
 
     @contextlib.contextmanager
     def fault(self, kind, name):
-        """Records a fault from here to the end of the block."""
+        """Records a Fault that lasts as long as the ``with`` block."""
         fault = Fault(kind, name, wall_ms(), 2**53)
         self.faults.append(fault)
         try:
@@ -66,7 +72,16 @@
             fault.until_ms = wall_ms()
 
     def reserve(self, count=1, voters=False, zone=None):
-        """Reserves nodes that no other failure uses; may be fewer."""
+        """Reserves random VMs that no other failure uses.
+
+        Args:
+            count: Number of VMs; if fewer are free, these are reserved.
+            voters: Whether only VMs with a voter are chosen.
+            zone: Zone to choose from, or None for all.
+
+        Returns:
+            List of node ids.
+        """
         free = [
             node.node_id
             for node in self.runner.deployment.nodes.values()
@@ -80,11 +95,16 @@
         return node_ids
 
     def release(self, node_ids):
-        """Ends the reservation of nodes."""
+        """Ends the reservation of VMs."""
         self.runner.busy.difference_update(node_ids)
 
     async def reserve_leader(self):
-        """Reserves the leader; returns an empty list if it is in use."""
+        """Reserves the VM of the leader.
+
+        Returns:
+            List of its node id; empty if another failure uses the VM or no
+            leader was found.
+        """
         leader = await self.find_leader()
         if leader is None or leader in self.runner.busy:
             self.skipped += 1
@@ -93,7 +113,7 @@
         return [leader]
 
     async def find_leader(self):
-        """Returns the id of the leader, or None after a while."""
+        """Returns the leader's node id, or None after LEADER_TIMEOUT_S."""
         with trio.move_on_after(LEADER_TIMEOUT_S):
             while True:
                 for node_id in self.runner.deployment.nodes:
@@ -104,12 +124,12 @@
         return None
 
     async def kill(self, name, hold_s):
-        """Kills a program and starts it again."""
+        """Kills a program, restarts it after a while, records the Fault."""
         with self.fault(DOWN, name):
             await kill_and_restart(self.runner, name, hold_s)
 
     async def count_voters(self):
-        """Returns the number of voters that the leader knows, or 0."""
+        """Returns the number of voters by the leader's metrics, or 0."""
         leader = await self.find_leader()
         if leader is None:
             return 0
@@ -117,10 +137,10 @@
         return (metrics or {"gauges": {}})["gauges"].get("consensus_voters", 0)
 
     async def wait_for_voters(self):
-        """Waits until all voters are members again.
+        """Waits until the cluster has all of its voters again.
 
         Raises:
-            trio.TooSlowError: If the disk was not replaced in time.
+            trio.TooSlowError: If no replacement became a voter in time.
         """
         await trio.sleep(JOIN_DELAY_S)
         with trio.fail_after(VOTERS_TIMEOUT_S):
@@ -130,7 +150,7 @@
 
 @failures.register("kill leader")
 async def kill_leader(injector, hold_s):
-    """Kills the leader while patches are in flight."""
+    """Kills the leader while patches are in flight and restarts it."""
     for node_id in (node_ids := await injector.reserve_leader()):
         await injector.kill(f"control/{node_id}", hold_s)
     injector.release(node_ids)
@@ -138,7 +158,7 @@
 
 @failures.register("kill control")
 async def kill_control(injector, hold_s):
-    """Kills any control."""
+    """Kills a control and restarts it."""
     for node_id in (node_ids := injector.reserve()):
         await injector.kill(f"control/{node_id}", hold_s)
     injector.release(node_ids)
@@ -146,7 +166,7 @@
 
 @failures.register("kill entry")
 async def kill_entry(injector, hold_s):
-    """Kills an entry."""
+    """Kills an entry and restarts it."""
     for node_id in (node_ids := injector.reserve()):
         await injector.kill(f"entry/{node_id}", hold_s)
     injector.release(node_ids)
@@ -154,7 +174,7 @@
 
 @failures.register("freeze leader")
 async def freeze_leader(injector, hold_s):
-    """Stops the leader without its knowledge, then lets it go on."""
+    """Suspends the leader past the end of its lease and resumes it."""
     for node_id in (node_ids := await injector.reserve_leader()):
         name = f"control/{node_id}"
         with injector.fault(DOWN, name):
@@ -166,7 +186,7 @@
 
 @contextlib.asynccontextmanager
 async def cut(injector, zone):
-    """Cuts a zone off within the block."""
+    """Cuts a zone off for as long as the ``async with`` block lasts."""
     with injector.fault(CUT, zone):
         await injector.runner.relay(f"cut {zone}")
         try:
@@ -178,7 +198,7 @@
 
 @failures.register("cut zone")
 async def cut_zone(injector, hold_s):
-    """Closes all links from and to a zone, then heals them."""
+    """Closes all links from and to a zone for a while."""
     async with injector.cut_lock, cut(injector, injector.random.choice(ZONES)):
         await trio.sleep(hold_s)
 
@@ -193,14 +213,14 @@
             await trio.sleep(hold_s)
             for node_id in node_ids:
                 await injector.kill(f"entry/{node_id}", POLL_INTERVAL_S)
-            # The stale version is applied after a second.
+            # Without a quorum the entry applies a stale version after 1 s.
             await trio.sleep(hold_s)
         injector.release(node_ids)
 
 
 @failures.register("lose disk")
 async def lose_disk(injector, hold_s):
-    """Deletes the data of a stopped control and starts it again."""
+    """Deletes the data of a stopped control and restarts it."""
     async with injector.disk_lock:
         for node_id in (node_ids := injector.reserve(voters=True)):
             process = injector.runner.processes[f"control/{node_id}"]
@@ -216,7 +236,7 @@
 
 @failures.register("swap disks")
 async def swap_disks(injector, hold_s):
-    """Starts two controls with each other's data, then swaps it back."""
+    """Restarts two controls on each other's data, then swaps it back."""
     async with injector.disk_lock:
         node_ids = injector.reserve(2, voters=True)
         if len(node_ids) == 2:
@@ -229,16 +249,16 @@
 
 
 async def swap(injector, node_ids):
-    """Stops two controls, exchanges their data and starts them."""
+    """Stops two controls, swaps their data and starts them again."""
     names = [f"control/{node_id}" for node_id in node_ids]
     first, second = [data_path(injector, node_id) for node_id in node_ids]
     with injector.fault(DOWN, names[0]), injector.fault(DOWN, names[1]):
         for name in names:
             await injector.runner.processes[name].stop(STOP_TIMEOUT_S)
-        spare = first.with_name("swapped")
-        first.rename(spare)
+        temporary = first.with_name("swapped")
+        first.rename(temporary)
         second.rename(first)
-        spare.rename(second)
+        temporary.rename(second)
         for name in names:
             await injector.runner.processes[name].start()
         await injector.runner.wait_healthy(names)
@@ -246,9 +266,10 @@
 
 @failures.register("restart all")
 async def restart_all(injector, hold_s):
-    """Kills all controls and entries at once and starts them again."""
+    """Kills all controls and entries at once and restarts them."""
     runner = injector.runner
-    # Failures in progress restart their own processes.
+    # Waits for failures of disks and zones, which restart their processes
+    # themselves.
     async with injector.disk_lock, injector.cut_lock:
         node_ids = injector.reserve(len(runner.deployment.nodes))
         names = [
--- a/tools/patch_histories.py
+++ b/tools/patch_histories.py
@@ -1,7 +1,8 @@
-"""Checker of recorded patch histories; a pure function of its input.
+"""Checker of recorded patch histories, without input or output.
 
-It compares what operators were told about their patches with the final
-history of the fleet and with the versions that the processes applied.
+It compares the answers that operators got for their patches with the final
+history of the fleet and with the versions that the processes applied. Each
+property is a registered function that returns the texts of its violations.
 """
 
 from collections import Counter, defaultdict
@@ -12,17 +13,19 @@
 
 properties = Registry("property")
 
-# A neighbour passes its version on at the next subscription; one that has
-# applied it less than this before cannot be asked in time.
+# An entry learns the version of another entry of its zone with the next
+# subscription. A version that the other one applied within this time before
+# may not have reached it yet.
 NEIGHBOUR_UPDATE_MS = 2_000
 
 
 @properties.register("acknowledged patches are kept")
 def check_acknowledged_kept(history):
-    """Each acknowledged patch is in the final history, as acknowledged."""
+    """Each accepted patch has its acknowledged version in the history."""
     final = set(history.final)
     return [
-        f"{s.patch}: acknowledged as version {s.version}, which is not there"
+        f"patch {s.patch}: acknowledged as version {s.version}, but not in "
+        f"the final history as such"
         for s in history.attempts
         if s.outcome == ACCEPTED and (s.version, s.patch) not in final
     ]
@@ -36,7 +39,8 @@
         if attempt.outcome == ACCEPTED:
             patches_by_base[attempt.base_version].add(attempt.patch)
     return [
-        f"version {version}: {', '.join(sorted(patches))}"
+        f"base version {version}: patches {', '.join(sorted(patches))} were "
+        f"accepted"
         for version, patches in sorted(patches_by_base.items())
         if len(patches) > 1
     ]
@@ -44,15 +48,16 @@
 
 @properties.register("versions are dense")
 def check_dense(history):
-    """The history counts from 1 without holes and lists a patch once."""
+    """Versions count from 1 without gaps, and each patch has one version."""
     versions = [version for version, _ in history.final]
     texts = []
     if versions != list(range(1, len(versions) + 1)):
-        texts.append(f"the final history holds {versions}")
+        texts.append(f"the versions of the final history are {versions}")
     counts = Counter(patch for _, patch in history.final)
-    texts += [f"{p}: {n} versions" for p, n in counts.items() if n > 1]
+    texts += [f"patch {p}: {n} versions" for p, n in counts.items() if n > 1]
     texts += [
-        f"{s.patch}: version {s.version} against {s.base_version}"
+        f"patch {s.patch}: accepted as version {s.version} against base "
+        f"version {s.base_version}"
         for s in history.attempts
         if s.outcome == ACCEPTED and s.version != s.base_version + 1
     ]
@@ -61,18 +66,20 @@
 
 @properties.register("resends get the same answer")
 def check_resends(history):
-    """All decided answers to one patch are equal."""
+    """All answers that decide on a patch are equal."""
     texts = []
     for patch, attempts in history.attempts_by_patch().items():
         bodies = {s.body for s in attempts if s.outcome in DECIDED}
         if len(bodies) > 1:
-            texts.append(f"{patch}: {' / '.join(sorted(bodies))[:300]}")
+            texts.append(
+                f"patch {patch}: answers {' / '.join(sorted(bodies))[:300]}"
+            )
     return texts
 
 
 @properties.register("stale patches get the changes since")
 def check_stale(history):
-    """A stale answer lists the versions since and their joint change."""
+    """A stale answer lists the later versions and their combined change."""
     values = {s.patch: s.value for s in history.attempts}
     value_of = {v: values.get(patch) for v, patch in history.final}
     texts = []
@@ -85,56 +92,71 @@
             if attempt.base_version < pair[0] <= attempt.version
         ]
         pair = (attempt.before, attempt.after)
-        wanted = (
+        expected = (
             value_of.get(attempt.base_version),
             value_of.get(attempt.version),
         )
         if not attempt.complete or not since or attempt.since != since:
-            texts.append(f"{attempt.patch}: got {attempt.since}, not {since}")
-        elif None not in wanted and pair != wanted:
-            texts.append(f"{attempt.patch}: change {pair}, not {wanted}")
+            texts.append(
+                f"patch {attempt.patch}: the answer lists {attempt.since}, "
+                f"expected {since}"
+            )
+        elif None not in expected and pair != expected:
+            texts.append(
+                f"patch {attempt.patch}: the change from and to is {pair}, "
+                f"expected {expected}"
+            )
     return texts
 
 
 @properties.register("refused patches never appear")
 def check_refused(history):
-    """A patch that was refused or not run is not in the history."""
+    """A patch that was refused or not run is not in the final history."""
     appeared = {patch for _, patch in history.final}
     texts = []
     for patch, attempts in history.attempts_by_patch().items():
         outcomes = {s.outcome for s in attempts}
-        certain = outcomes == {NOT_RUN} or outcomes & {STALE, INVALID}
-        if certain and patch in appeared:
-            texts.append(f"{patch}: told {sorted(outcomes)}, but it appeared")
+        was_refused = outcomes == {NOT_RUN} or outcomes & {STALE, INVALID}
+        if was_refused and patch in appeared:
+            texts.append(
+                f"patch {patch}: answered {sorted(outcomes)}, but it is in "
+                f"the final history"
+            )
     return texts
 
 
 @properties.register("versions never go back in a run")
 def check_runs(history):
-    """The versions of a run rise, as events and as polls show them."""
+    """In one run of a process, versions never go back.
+
+    Each event must show a higher version than the one before, each poll at
+    least the version that the polls of the same source showed before.
+    """
     texts = []
     for process, runs in history.runs().items():
         for run in runs.values():
             for before, after in zip(run, run[1:], strict=False):
                 if after.version <= before.version:
                     step = f"{before.version} to {after.version}"
-                    texts.append(f"{process}: applied {step}")
+                    texts.append(f"{process}: went from version {step}")
     highest = {}
     for poll in history.polled:
-        known = highest.get((poll.process, poll.source), 0)
-        if poll.version < known:
-            text = f"{known} to {poll.version} at {poll.wall_ms}"
-            texts.append(f"{poll.process}: {poll.source} from {text}")
-        highest[poll.process, poll.source] = max(known, poll.version)
+        highest_polled = highest.get((poll.process, poll.source), 0)
+        if poll.version < highest_polled:
+            text = f"{highest_polled} to {poll.version} at {poll.wall_ms} ms"
+            texts.append(
+                f"{poll.process}: {poll.source} went from version {text}"
+            )
+        highest[poll.process, poll.source] = max(highest_polled, poll.version)
     return texts
 
 
 @properties.register("versions never go back over a restart")
 def check_restarts(history):
-    """A run does not start below its past if more could be known.
+    """A process does not restart below the versions of its earlier runs.
 
-    Only in a cut zone may a version that no quorum confirmed be lower, and
-    only if no running entry of the zone applies a higher one.
+    A lower version is excused only if no quorum confirmed it, the zone is
+    cut off, and no running entry of the zone has applied a higher one.
     """
     texts = []
     for process, runs in history.runs().items():
@@ -142,13 +164,19 @@
         for run in runs.values():
             first = run[0]
             if first.version < highest and not _is_excused(history, first):
-                step = f"{highest} to {first.version} at {first.wall_ms}"
-                texts.append(f"{process}: restarted from {step}")
+                step = f"{highest} to {first.version} at {first.wall_ms} ms"
+                texts.append(f"{process}: restart from version {step}")
             highest = max(highest, *(item.version for item in run))
     return texts
 
 
 def _is_excused(history, first):
+    """Returns whether a process may restart with this lower version.
+
+    Args:
+        history: PatchHistory.
+        first: First AppliedVersion of the run.
+    """
     cut = history.is_faulty(CUT, first.zone, first.wall_ms)
     if not cut or not first.stale:
         return False
@@ -163,7 +191,13 @@
 
 
 def _is_up_between(history, other, first):
-    """Returns whether a process ran on from its event until another one."""
+    """Returns whether a process was never down between two events.
+
+    Args:
+        history: PatchHistory.
+        other: AppliedVersion of the process, the earlier event.
+        first: AppliedVersion of another process, the later event.
+    """
     return not any(
         fault.kind == DOWN
         and fault.name == other.process
@@ -175,7 +209,7 @@
 
 @properties.register("every process has the last version in time")
 def check_reached(history):
-    """All processes have the last version soon after the failures."""
+    """All processes have the last version in time after the failures."""
     last = max((version for version, _ in history.final), default=0)
     deadline_ms = history.failures_ended_ms + history.limit_ms
     reached = {
@@ -184,20 +218,26 @@
         if item.version >= last and item.wall_ms <= deadline_ms
     }
     return [
-        f"{process}: not at version {last} within {history.limit_ms} ms"
+        f"{process}: not at version {last} within {history.limit_ms} ms "
+        f"after the last failure"
         for process in sorted(set(history.processes) - reached)
     ]
 
 
 def find_violations(history):
-    """Returns the violations by property."""
+    """Checks all properties of a history.
+
+    Returns:
+        Dict that maps the name of a property to the list of the texts of
+        its violations.
+    """
     return {
         name: properties.get(name).ok(history) for name in properties.names()
     }
 
 
-def count(history):
-    """Returns the counts that are printed."""
+def count_outcomes(history):
+    """Returns the counts of a history that the soak prints."""
     patches = history.attempts_by_patch().values()
     return {
         "patches": len(patches),
--- a/tools/patch_measures.py
+++ b/tools/patch_measures.py
@@ -1,4 +1,4 @@
-"""Measurements of the fleet versions: roll-out, fail-over and restart."""
+"""Measurements of fleet versions: roll-out, fail-over and restart."""
 
 import json
 import time
@@ -22,25 +22,34 @@
 TIMEOUT_S = 60.0
 
 
-def quantile(values, share):
-    """Returns the smallest value that a share of the values do not exceed."""
+def percentile(values, percent):
+    """Returns a percentile by the nearest-rank method.
+
+    Args:
+        values: Non-empty sequence of numbers.
+        percent: Percentile, from 0 to 100.
+    """
     ordered = sorted(values)
-    index = max(0, -(-len(ordered) * share // 100) - 1)
+    index = max(0, -(-len(ordered) * percent // 100) - 1)
     return ordered[int(index)]
 
 
 def summarize(values):
-    """Returns count, median, 99th percentile and largest value."""
+    """Returns count, median, 99th percentile and maximum of values."""
     return {
         "count": len(values),
-        "p50": quantile(values, 50),
-        "p99": quantile(values, 99),
+        "p50": percentile(values, 50),
+        "p99": percentile(values, 99),
         "most": max(values),
     }
 
 
 async def submit_next(operators, node_id):
-    """Submits one patch against the newest version; returns the Sending."""
+    """Submits one patch against the newest version once.
+
+    Returns:
+        SubmitAttempt.
+    """
     operators.number += 1
     value = operators.number
     return await operators.send(
@@ -53,73 +62,83 @@
 
 
 async def measure_rollout(soak):
-    """Returns ms from accept to in force on all entries, by version.
+    """Returns how long versions take until in force on all entries, in ms.
 
-    Accepted is the time at which the operator has the answer; an entry may
-    apply a version before that, which counts as 0 ms.
+    The time is measured once from the request and once from the answer that
+    accepts the patch. An entry may apply a version before the operator has
+    the answer, which counts as 0 ms.
     """
-    operators, accepted_ms = soak.operators, {}
-    while len(accepted_ms) < PATCH_COUNT:
-        node_id = operators.nodes[len(accepted_ms) % len(operators.nodes)]
+    operators, attempts_by_version = soak.operators, {}
+    while len(attempts_by_version) < PATCH_COUNT:
+        node_id = operators.nodes[
+            len(attempts_by_version) % len(operators.nodes)
+        ]
         attempt = await submit_next(operators, node_id)
         if attempt.outcome == ACCEPTED:
-            accepted_ms[attempt.version] = attempt
+            attempts_by_version[attempt.version] = attempt
         await trio.sleep(PATCH_INTERVAL_S)
     await trio.sleep(SETTLE_DELAY_S)
     applied = read_applied(soak.runner.deployment)
-    from_sent, from_answer, missing = [], [], 0
-    for version, attempt in accepted_ms.items():
-        times = {}
+    from_sent_ms, from_answer_ms, missing = [], [], 0
+    for version, attempt in attempts_by_version.items():
+        applied_ms = {}
         for item in applied:
             if item.version >= version:
-                known = times.get(item.process, item.wall_ms)
-                times[item.process] = min(known, item.wall_ms)
-        if len(times) < len(operators.nodes):
+                earliest_ms = applied_ms.get(item.process, item.wall_ms)
+                applied_ms[item.process] = min(earliest_ms, item.wall_ms)
+        if len(applied_ms) < len(operators.nodes):
             missing += 1
             continue
-        last_ms = max(times.values())
-        from_sent.append(last_ms - attempt.sent_ms)
-        from_answer.append(max(0, last_ms - attempt.ended_ms))
+        last_ms = max(applied_ms.values())
+        from_sent_ms.append(last_ms - attempt.sent_ms)
+        from_answer_ms.append(max(0, last_ms - attempt.ended_ms))
     return {
-        "from_sent_ms": summarize(from_sent),
-        "from_answer_ms": summarize(from_answer),
+        "from_sent_ms": summarize(from_sent_ms),
+        "from_answer_ms": summarize(from_answer_ms),
         "not_in_force": missing,
     }
 
 
 async def measure_failover(soak):
-    """Returns ms from a kill of the leader to the next accepted patch.
+    """Returns the ms from a kill of the leader to the next accepted patch.
 
-    All other controls are asked at once, so that a request that waits for
-    the lost leader does not delay the others.
+    Patches are submitted to all other controls at once, so that a request
+    that waits for the lost leader does not delay the others.
     """
-    durations = []
+    durations_ms = []
     for _ in range(LEADER_KILLS):
         leader = await soak.injector.find_leader()
         process = soak.runner.processes[f"control/{leader}"]
         others = [n for n in soak.operators.nodes if n != leader]
         from_ms = wall_ms()
         await process.kill()
-        done = []
+        accepted_at_ms = []
         with trio.fail_after(TIMEOUT_S):
             async with trio.open_nursery() as nursery:
                 for node_id in others:
                     nursery.start_soon(
-                        retry, soak.operators, node_id, nursery, done
+                        retry, soak.operators, node_id, nursery, accepted_at_ms
                     )
-        durations.append(done[0] - from_ms)
+        durations_ms.append(accepted_at_ms[0] - from_ms)
         await process.start()
         await soak.runner.wait_healthy([process.name])
         await trio.sleep(SETTLE_DELAY_S)
-    return {"durations_ms": durations, **summarize(durations)}
+    return {"durations_ms": durations_ms, **summarize(durations_ms)}
+
 
+async def retry(operators, node_id, nursery, accepted_at_ms):
+    """Submits patches to one control until any control accepts one.
 
-async def retry(operators, node_id, nursery, done):
-    """Submits patches to one control until one of any is accepted."""
-    while not done:
+    Args:
+        operators: Operators.
+        node_id: Id of the control.
+        nursery: Nursery of the retries to all controls; it is cancelled.
+        accepted_at_ms: List to which the time of the acceptance is added.
+    """
+    while not accepted_at_ms:
         attempt = await submit_next(operators, node_id)
-        if attempt.outcome == ACCEPTED and not done:
-            done.append(attempt.ended_ms)
+        if attempt.outcome == ACCEPTED and not accepted_at_ms:
+            accepted_at_ms.append(attempt.ended_ms)
             nursery.cancel_scope.cancel()
         operators.accepted_version = max(
             operators.accepted_version, attempt.version
@@ -128,10 +147,10 @@
 
 
 async def measure_restart(soak):
-    """Returns ms until a restarted control shows the newest version.
+    """Returns the ms until a restarted control has the newest version.
 
-    Before that many changes are accepted; a control with a disk and one
-    without are killed in turn.
+    First, patches are submitted up to version RESTART_VERSIONS. Then a
+    control with a disk and one without are each killed several times.
     """
     operators = soak.operators
     while operators.accepted_version < RESTART_VERSIONS:
@@ -141,7 +160,7 @@
         )
     result = {"versions": operators.accepted_version}
     for node_id in ("lekki-1", "ikeja-3"):
-        durations = []
+        durations_ms = []
         for _ in range(RESTARTS):
             process = soak.runner.processes[f"control/{node_id}"]
             await process.kill()
@@ -149,17 +168,20 @@
             await process.start()
             with trio.fail_after(TIMEOUT_S):
                 await wait_applied(soak, node_id)
-            durations.append(round((time.monotonic() - from_s) * 1000))
-        result[node_id] = {"durations_ms": durations, **summarize(durations)}
+            durations_ms.append(round((time.monotonic() - from_s) * 1000))
+        result[node_id] = {
+            "durations_ms": durations_ms,
+            **summarize(durations_ms),
+        }
     return result
 
 
 async def wait_applied(soak, node_id):
-    """Waits until a control itself has applied all that was accepted."""
+    """Waits until a control has applied what the leader has applied."""
     leader = await soak.injector.find_leader()
     name = f"control/{leader}"
-    wanted = (await soak.runner.metrics(name))["gauges"]
-    index = wanted["consensus_applied_index"]
+    leader_gauges = (await soak.runner.metrics(name))["gauges"]
+    index = leader_gauges["consensus_applied_index"]
     while True:
         metrics = await soak.runner.metrics(f"control/{node_id}")
         if metrics is not None:
@@ -170,10 +192,10 @@
 
 
 async def measure(soak):
-    """Prints all measurements."""
-    for name, part in (
-        ("rollout", measure_rollout),
-        ("failover", measure_failover),
-        ("restart", measure_restart),
+    """Runs and prints all measurements."""
+    for title, measurement in (
+        ("roll-out, durations in ms:", measure_rollout),
+        ("fail-over, durations in ms:", measure_failover),
+        ("restart, durations in ms:", measure_restart),
     ):
-        print(name, json.dumps(await part(soak), indent=2))
+        print(title, json.dumps(await measurement(soak), indent=2))
--- a/tools/patch_operators.py
+++ b/tools/patch_operators.py
@@ -1,4 +1,4 @@
-"""Operators that race each other, and observers of the versions."""
+"""Operators that submit competing patches, and observers of versions."""
 
 import json
 import time
@@ -23,25 +23,27 @@
 FIRST_PATCH, FIRST_VALUE = "first", 1_001
 FIRST_VERSION_TIMEOUT_S = 40.0
 POLL_INTERVAL_S = 0.2
-# Processes report their version at least every 5 s.
+# A process reports its version at least every 5 s, so after this time the
+# status shows a report of its current run.
 MIN_RUN_S = 7.0
 PAUSE_RANGE_S = (0.05, 0.4)
 RACE_PROBABILITY = 0.4
 RESEND_PROBABILITY = 0.3
 RESEND_TIMEOUT_S = 20.0
-# A value is one whole number in two weights of at most this.
+# A value is one integer, moves * VALUE_BASE + buffer_cost, so that each of the
+# two weights is at most VALUE_BASE.
 VALUE_BASE = 1_000
-FIRST_NUMBER = 2_000
+FIRST_PATCH_NUMBER = 2_000
 HISTORY_PATH = "/v1/history?limit=1000"
 
 
 def wall_ms():
-    """Returns the wall time."""
+    """Returns the wall time in ms."""
     return time.time_ns() // 1_000_000
 
 
 def to_operation(value):
-    """Returns the operation that sets a value."""
+    """Returns the set_weights operation that writes a value."""
     moves, buffer_cost = divmod(value, VALUE_BASE)
     return {
         "operation": "set_weights",
@@ -51,12 +53,16 @@
 
 
 def to_value(weights):
-    """Returns the value in a document of weights."""
+    """Returns the value that a document of weights holds."""
     return int(weights["moves"]) * VALUE_BASE + int(weights["buffer_cost"])
 
 
 def record_answer(attempt, answer):
-    """Notes in a Sending what the operator was told."""
+    """Records an answer in its SubmitAttempt.
+
+    Without an answer, or with one that decides nothing, the outcome stays
+    unknown.
+    """
     if answer is None:
         return
     document = answer.document
@@ -78,16 +84,16 @@
 
 
 class Operators:
-    """Several operators beside each other.
+    """Concurrent operators that share one history.
 
     Attributes:
         runner: FleetRunner.
         client: OperatorsClient.
-        history: PatchHistory that the sendings are added to.
-        number: Number of the last patch; its value, too.
-        stopping: Whether no new patches are wanted.
-        nodes: Ids of all controls.
-        accepted_version: Highest version of an answer.
+        history: PatchHistory to which the attempts are added.
+        number: Number of the last patch, which is also its value.
+        stopping: Whether the operators stop submitting new patches.
+        nodes: Node ids of all controls.
+        accepted_version: Highest version of an accepting answer.
     """
 
     __slots__ = (
@@ -104,13 +110,24 @@
         self.runner = runner
         self.client = OperatorsClient(runner)
         self.history = history
-        self.number = FIRST_NUMBER
+        self.number = FIRST_PATCH_NUMBER
         self.stopping = False
         self.nodes = list(runner.deployment.nodes)
         self.accepted_version = 0
 
     async def send(self, node_id, patch, base_version, value, operations):
-        """Sends a patch once; returns the recorded Sending."""
+        """Sends a patch once.
+
+        Args:
+            node_id: Id of the control.
+            patch: Patch id.
+            base_version: Version against which the patch is made.
+            value: Value that the patch sets.
+            operations: Operations of the patch.
+
+        Returns:
+            SubmitAttempt, already added to the history.
+        """
         attempt = SubmitAttempt(patch, base_version, value, wall_ms())
         self.history.attempts.append(attempt)
         answer = await self.client.submit(
@@ -123,7 +140,11 @@
         return attempt
 
     async def submit_first(self):
-        """Submits the first description of the fleet."""
+        """Submits the first fleet version until it is accepted.
+
+        Raises:
+            trio.TooSlowError: If it was not accepted in time.
+        """
         operations = load_fleet_patch()["operations"]
         with trio.fail_after(FIRST_VERSION_TIMEOUT_S):
             while True:
@@ -135,7 +156,12 @@
                 await trio.sleep(POLL_INTERVAL_S)
 
     async def submit(self, source, base_version):
-        """Submits a new patch and resends it while its answer is lost."""
+        """Submits a new patch and resends it until an answer decides on it.
+
+        While no answer is lost, an answer that the patch was not run ends
+        the resends as well. With RESEND_PROBABILITY the patch is sent once
+        more, so that the checker can compare the answers.
+        """
         self.number += 1
         value, patch = self.number, f"p{self.number}"
         operations = [to_operation(value)]
@@ -157,9 +183,10 @@
             await self.send(node_id, patch, base_version, value, operations)
 
     async def submit_until_stopped(self, source):
-        """Reads a version and submits against it, again and again.
+        """Repeatedly reads the version and submits patches against it.
 
-        In a share of the turns two patches race against the version.
+        With RACE_PROBABILITY, two patches are submitted concurrently
+        against the same version.
         """
         while not self.stopping:
             status = await self.client.status(source.choice(self.nodes))
@@ -173,7 +200,11 @@
             await trio.sleep(source.uniform(*PAUSE_RANGE_S))
 
     async def read_final(self):
-        """Reads the final history; raises trio.TooSlowError if it fails."""
+        """Reads the final history from the leader; returns its last version.
+
+        Raises:
+            trio.TooSlowError: If no leader answered in time.
+        """
         with trio.fail_after(FIRST_VERSION_TIMEOUT_S):
             while True:
                 for node_id in self.nodes:
@@ -192,7 +223,7 @@
 
 
 async def poll_entry(operators, node_id):
-    """Records the version metric of an entry while it runs."""
+    """Polls and records the version metric of an entry until cancelled."""
     runner, name = operators.runner, f"entry/{node_id}"
     while True:
         pid = runner.processes[name].pid
@@ -206,26 +237,27 @@
 
 
 async def poll_status(operators, node_id):
-    """Records the versions that the status of a control shows.
+    """Polls and records the versions that the status of a control shows.
 
-    Only processes that have run for a while count: until its first report
-    arrives, the status shows what the last run of a process reported.
+    A version is recorded only once the control and the process have both
+    run for MIN_RUN_S: until the first report of a run arrives, the status
+    shows the version that the previous run of the process reported.
     """
-    runner, own = operators.runner, f"control/{node_id}"
-    seen_s = {}
+    runner, control_name = operators.runner, f"control/{node_id}"
+    first_seen_s = {}
     while True:
         pids = {n: p.pid for n, p in runner.processes.items()}
         status = await operators.client.status(node_id)
-        settled_s = time.monotonic() - MIN_RUN_S
-        for line in (status or {"processes": ()})["processes"]:
-            pair = (pids[own], pids[line["process"]])
-            first_s = seen_s.setdefault(pair, time.monotonic())
-            if first_s <= settled_s and line["version"]:
+        latest_first_s = time.monotonic() - MIN_RUN_S
+        for row in (status or {"processes": ()})["processes"]:
+            pid_pair = (pids[control_name], pids[row["process"]])
+            first_s = first_seen_s.setdefault(pid_pair, time.monotonic())
+            if first_s <= latest_first_s and row["version"]:
                 operators.history.polled.append(
                     PolledVersion(
-                        line["process"],
-                        f"status of {pair[0]} on {pair[1]}",
-                        line["version"],
+                        row["process"],
+                        f"status of {pid_pair[0]} on {pid_pair[1]}",
+                        row["version"],
                         wall_ms(),
                     )
                 )
@@ -233,23 +265,23 @@
 
 
 def read_applied(deployment):
-    """Returns the Applied of all event files of a deployment.
+    """Returns the AppliedVersions in all event files of a deployment.
 
-    Lines that a kill has cut short are passed over.
+    Lines that were truncated by a kill are skipped.
     """
-    found, findings = [], Findings()
+    applied, findings = [], Findings()
     for node in deployment.nodes.values():
         folder = deployment.path(node.node_id, "x").parent
         for path in sorted(folder.glob("ev-entry.jsonl*")):
             lines = path.read_bytes().splitlines()
             for event in read_lines(path.name, lines, findings):
                 if event.kind == "config.applied":
-                    found.append(to_applied_version(event, node.zone))
-    return found
+                    applied.append(to_applied_version(event, node.zone))
+    return applied
 
 
 def to_applied_version(event, zone):
-    """Returns the Applied of an event."""
+    """Returns the AppliedVersion of a ``config.applied`` event."""
     fields = event.fields
     return AppliedVersion(
         event.node,
--- a/tools/patch_records.py
+++ b/tools/patch_records.py
@@ -1,4 +1,4 @@
-"""Records of what operators and processes saw of the fleet versions."""
+"""Records of the answers to patches and of the versions of processes."""
 
 from collections import defaultdict
 
@@ -11,21 +11,22 @@
 
 
 class SubmitAttempt(Record):
-    """One sending of a patch and what the operator was told.
+    """One request that submits a patch, and the answer to it.
 
     Attributes:
         patch: Patch id.
-        base_version: Version that the patch names.
+        base_version: Version against which the patch is made.
         value: Value that the patch sets; each patch sets another one.
         sent_ms: Wall time before the request.
         ended_ms: Wall time after the answer.
-        outcome: One of the outcomes of this module.
+        outcome: ACCEPTED, STALE, INVALID, NOT_RUN or UNKNOWN.
         version: Version in the answer, or 0.
-        body: Body of the answer as text.
-        since: List of (version, patch) that a stale answer lists.
-        complete: Whether that list is complete.
-        before: Value before the listed changes, or None.
-        after: Value after the listed changes, or None.
+        body: Answer as JSON with sorted keys, or empty.
+        since: List of (version, patch) that a stale answer lists: the
+            versions after the base version.
+        complete: Whether a stale answer says that this list is complete.
+        before: Value before the listed versions, or None.
+        after: Value after the listed versions, or None.
     """
 
     __slots__ = (
@@ -59,16 +60,16 @@
 
 
 class AppliedVersion(Record):
-    """A process put a version in force, from its events.
+    """A version that a process put in force, as its event says.
 
     Attributes:
-        process: ``role/vm``.
-        zone: Its availability zone.
-        run: Start time of the run.
+        process: Name of the process, ``role/vm``.
+        zone: Availability zone of the process.
+        run: Start time of the run of the process.
         sequence: Number of the event in the run.
-        version: The version.
-        stale: Whether no quorum had confirmed it.
-        wall_ms: When.
+        version: Fleet version.
+        stale: Whether no quorum had confirmed the version.
+        wall_ms: Wall time of the event.
     """
 
     __slots__ = (
@@ -92,13 +93,14 @@
 
 
 class PolledVersion(Record):
-    """A version that a poll showed.
+    """A version of a process that a poll showed.
 
     Attributes:
-        process: The process whose version it is.
-        source: What showed it: a kind of poll and the runs concerned.
-        version: The version.
-        wall_ms: When the answer arrived.
+        process: Name of the process whose version it is, ``role/vm``.
+        source: Kind of the poll and process ids of the runs concerned; the
+            polls of one source must not show lower versions later.
+        version: Fleet version.
+        wall_ms: Wall time at which the answer arrived.
     """
 
     __slots__ = ("process", "source", "version", "wall_ms")
@@ -111,13 +113,13 @@
 
 
 class Fault(Record):
-    """An injected failure that limits what a process can know.
+    """An injected failure that keeps processes from learning a version.
 
     Attributes:
         kind: ``cut`` for a zone, ``down`` for a process.
-        name: The zone or the process.
-        from_ms: Start.
-        until_ms: End.
+        name: Name of the zone or the process.
+        from_ms: Wall time of its start.
+        until_ms: Wall time of its end.
     """
 
     __slots__ = ("kind", "name", "from_ms", "until_ms")
@@ -130,17 +132,18 @@
 
 
 class PatchHistory(Record):
-    """Everything that was recorded in one run.
+    """Everything that was recorded in one run of the soak.
 
     Attributes:
-        attempts: All Sendings.
+        attempts: List of SubmitAttempts, in the order of the requests.
         final: Pairs (version, patch) of the final history, oldest first.
-        applied: All Applied.
-        polled: All Polled, in the order of the answers.
-        faults: All Faults.
-        processes: Processes that must reach the last version.
+        applied: List of AppliedVersions.
+        polled: List of PolledVersions, in the order of the answers.
+        faults: List of Faults.
+        processes: Names of the processes that must reach the last version.
         failures_ended_ms: Wall time at which the last failure was undone.
-        limit_ms: Time that a process then has for the last version.
+        limit_ms: Time after that in which a process must reach the last
+            version.
     """
 
     __slots__ = (
@@ -165,21 +168,26 @@
         self.limit_ms = limit_ms
 
     def attempts_by_patch(self):
-        """Returns the sendings of each patch."""
+        """Returns a dict of patch id to the attempts to submit the patch."""
         grouped = defaultdict(list)
         for attempt in self.attempts:
             grouped[attempt.patch].append(attempt)
         return grouped
 
     def runs(self):
-        """Returns the Applied of each run by process, runs in order."""
+        """Returns the AppliedVersions grouped by process and run.
+
+        Returns:
+            Dict of process to dict of run to its AppliedVersions, both runs
+            and versions in the order of time.
+        """
         grouped = defaultdict(lambda: defaultdict(list))
         for item in sorted(self.applied, key=lambda a: (a.run, a.sequence)):
             grouped[item.process][item.run].append(item)
         return grouped
 
     def is_faulty(self, kind, name, wall_ms):
-        """Returns whether a fault of a kind was in effect."""
+        """Returns whether a fault of a kind was in effect at a wall time."""
         return any(
             fault.kind == kind
             and fault.name == name
--- a/tools/patch_soak.py
+++ b/tools/patch_soak.py
@@ -1,8 +1,8 @@
-"""Soak of the fleet versions: racing operators under random failures.
+"""Soak of the fleet versions: concurrent operators under random failures.
 
-Failures come singly and two together. The seed fixes which failures come in
-which order; the exact times depend on the machine. ``--measure`` measures
-how long changes and restarts take in place of the soak.
+Failures are injected one at a time or in overlapping pairs. The seed fixes
+their order; the exact times depend on the machine. With ``--measure``, the
+tool measures how long roll-out, fail-over and restart take instead.
 """
 
 import argparse
@@ -17,7 +17,7 @@
 from deployments import Deployment
 from fleet_runner import FleetRunner, HealthError
 from patch_failures import Injector, failures
-from patch_histories import count, find_violations
+from patch_histories import count_outcomes, find_violations
 from patch_measures import measure
 from patch_operators import (
     Operators,
@@ -40,7 +40,7 @@
 
 
 class PatchDeployment(Deployment):
-    """A deployment in which all processes write their events to files."""
+    """A deployment whose processes write their events to files."""
 
     __slots__ = ()
 
@@ -59,12 +59,13 @@
         history: PatchHistory.
         operators: Operators.
         injector: Injector.
-        random: Source of the failures.
-        failure_names: Failures to choose from.
-        hold_range_s: Shortest and longest hold of a failure.
-        failure_counts: Counter of the failures by kind.
-        violations: Texts of what did not hold.
-        started_s: Monotonic time of the start.
+        random: Source of the choices of failures.
+        failure_names: Names of the failures to choose from.
+        hold_range_s: Minimum and maximum duration of a failure, in s.
+        failure_counts: Counter of the injected failures by name.
+        violations: Texts of the violated properties and of errors that
+            ended the run.
+        started_s: Monotonic time of the start, in s.
     """
 
     __slots__ = (
@@ -80,12 +81,12 @@
         "started_s",
     )
 
-    def __init__(self, runner, seed, within_ms):
+    def __init__(self, runner, seed, limit_ms):
         roles = ("entry", "control")
         nodes = runner.deployment.nodes
         processes = [f"{role}/{node}" for role in roles for node in nodes]
         self.runner = runner
-        self.history = PatchHistory(processes, within_ms)
+        self.history = PatchHistory(processes, limit_ms)
         self.operators = Operators(runner, self.history)
         self.random = random.Random(seed)
         self.injector = Injector(
@@ -94,36 +95,37 @@
             self.history.faults,
             random.Random(self.random.random()),
         )
-        self.failure_names = failures.failure_names()
+        self.failure_names = failures.names()
         self.hold_range_s = HOLD_RANGE_S
         self.failure_counts = Counter()
         self.violations = []
         self.started_s = time.monotonic()
 
     def print_progress(self, text):
-        """Prints a line with the time since the start."""
+        """Prints a text after the time since the start, in s."""
         print(f"{time.monotonic() - self.started_s:7.2f} s  {text}")
         sys.stdout.flush()
 
 
 async def inject(soak, seconds):
-    """Injects failures, singly or two together, for some seconds.
+    """Injects single failures and pairs of them for some seconds.
 
-    All kinds come once in random order before any comes again.
+    Every failure is injected once, in random order, before any is injected
+    again.
     """
     source, remaining = soak.random, []
     deadline_s = time.monotonic() + seconds
     while time.monotonic() < deadline_s:
-        pair = 2 if source.random() < PAIR_PROBABILITY else 1
+        count = 2 if source.random() < PAIR_PROBABILITY else 1
         async with trio.open_nursery() as nursery:
-            for _ in range(pair):
+            for _ in range(count):
                 if not remaining:
                     remaining = source.sample(
                         soak.failure_names, len(soak.failure_names)
                     )
                 name = remaining.pop()
                 hold_s = source.uniform(*soak.hold_range_s)
-                soak.print_progress(f"{name} for {hold_s:.1f} s")
+                soak.print_progress(f"failure '{name}' for {hold_s:.1f} s")
                 soak.failure_counts[name] += 1
                 failure = failures.get(name).ok
                 nursery.start_soon(failure, soak.injector, hold_s)
@@ -132,15 +134,15 @@
 
 
 async def run_failures(soak, seconds):
-    """Runs operators and failures, then waits for the last version."""
+    """Injects failures, then stops the operators."""
     await inject(soak, seconds)
     soak.history.failures_ended_ms = wall_ms()
-    soak.print_progress("no more failures")
+    soak.print_progress("all failures are over")
     soak.operators.stopping = True
 
 
 async def wait_in_force(soak, version):
-    """Waits until all processes have a version or the time is up."""
+    """Waits until all processes have a version or their time limit ends."""
     limit_s = (
         soak.history.limit_ms / 1000 + soak.history.failures_ended_ms / 1000
     )
@@ -150,12 +152,12 @@
         missing -= {p.process for p in polled if p.version >= version}
         await trio.sleep(0.1)
     soak.print_progress(
-        f"version {version} is shown by all but {len(missing)}"
+        f"version {version} is reported by all but {len(missing)} processes"
     )
 
 
 async def run_soak(soak, seconds):
-    """Runs operators, observers and failures beside each other."""
+    """Runs operators, observers and failures concurrently."""
     soak.print_progress("version 1 is accepted; failures begin")
     async with trio.open_nursery() as observers:
         for node_id in soak.operators.nodes:
@@ -173,9 +175,9 @@
 
 
 def check_properties(soak):
-    """Prints the counts and adds the broken properties."""
+    """Checks the history, prints the results and adds the violations."""
     soak.history.applied = read_applied(soak.runner.deployment)
-    counts = count(soak.history)
+    counts = count_outcomes(soak.history)
     counts["failures"] = dict(soak.failure_counts)
     counts["failures_without_a_free_vm"] = soak.injector.skipped
     print(json.dumps(counts, indent=2))
@@ -188,7 +190,17 @@
 
 
 async def main_task(folder, seed, run, within_ms):
-    """Runs the soak or a measurement in a folder; returns the PatchSoak."""
+    """Runs the soak or the measurements in a folder.
+
+    Args:
+        folder: Folder of the deployment.
+        seed: Seed of the failures.
+        run: Async function of the PatchSoak that runs on the fleet.
+        within_ms: Time limit for the last version, in ms.
+
+    Returns:
+        PatchSoak.
+    """
     runner = FleetRunner(PatchDeployment(folder))
     runner.plan(endpoints_per_zone=0)
     for zone in ("ikeja", "lekki", "yaba"):
@@ -207,14 +219,16 @@
 
 
 def main(arguments=None):
-    """Runs the soak or a measurement; returns the exit status."""
+    """Runs the soak or the measurements; returns the exit status."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=int, default=120)
     parser.add_argument("--within-ms", type=int, default=LAST_VERSION_LIMIT_MS)
     parser.add_argument("--short", action="store_true")
     parser.add_argument("--measure", action="store_true")
-    parser.add_argument("--keep", help="folder for all files; it is kept")
+    parser.add_argument(
+        "--keep", help="folder for all files, which is not deleted at the end"
+    )
     options = parser.parse_args(arguments)
 
     async def run(soak):
@@ -235,9 +249,9 @@
         )
         if not options.measure:
             check_properties(soak)
-    print(f"seed {options.seed}: {len(soak.violations)} broken")
+    print(f"seed {options.seed}: {len(soak.violations)} checks failed")
     for text in soak.violations:
-        print(f"broken: {text}", file=sys.stderr)
+        print(f"failed check: {text}", file=sys.stderr)
     return 1 if soak.violations else 0
 
 
