--- a/tools/patch_soak.py
+++ b/tools/patch_soak.py
@@ -1,8 +1,8 @@
-"""Soak of the fleet versions: racing operators under random failures.
+"""Soak of the fleet versions: concurrent operators under random failures.
 
-Failures come singly and two together. The seed fixes which failures come in
-which order; the exact times depend on the machine. ``--measure`` measures
-how long changes and restarts take in place of the soak.
+Failures are injected one at a time or in overlapping pairs. The seed fixes
+their order; the exact times depend on the machine. With ``--measure``, the
+tool measures how long roll-out, fail-over and restart take instead.
 """
 
 import argparse
@@ -17,7 +17,7 @@
 from deployments import Deployment
 from fleet_runner import FleetRunner, HealthError
 from patch_failures import Injector, failures
-from patch_histories import count, judge
+from patch_histories import count_outcomes, find_violations
 from patch_measures import measure
 from patch_operators import (
     Operators,
@@ -28,19 +28,19 @@
 )
 from patch_records import PatchHistory
 
-WITHIN_MS = 12_000
+LAST_VERSION_LIMIT_MS = 12_000
 OPERATORS = 4
-STATUS_POLLERS = ("ikeja-1", "yaba-2")
-PAUSE_S = (0.3, 1.5)
-HOLD_S = (0.5, 4.0)
-SHORT_SECONDS, SHORT_HOLD_S = 7, (0.3, 0.8)
+POLLED_CONTROLS = ("ikeja-1", "yaba-2")
+PAUSE_RANGE_S = (0.3, 1.5)
+HOLD_RANGE_S = (0.5, 4.0)
+SHORT_DURATION_S, SHORT_HOLD_RANGE_S = 7, (0.3, 0.8)
 SHORT_FAILURES = ("kill leader", "kill entry", "restart entry in a cut zone")
-PAIR_SHARE = 0.4
-PRINTED_VIOLATIONS = 5
+PAIR_PROBABILITY = 0.4
+MAX_PRINTED_VIOLATIONS = 5
 
 
 class PatchDeployment(Deployment):
-    """A deployment in which all processes write their events to files."""
+    """A deployment whose processes write their events to files."""
 
     __slots__ = ()
 
@@ -59,12 +59,13 @@
         history: PatchHistory.
         operators: Operators.
         injector: Injector.
-        random: Source of the failures.
-        names: Failures to choose from.
-        hold_range_s: Shortest and longest hold of a failure.
-        kinds: Counter of the failures by kind.
-        broken: Texts of what did not hold.
-        started_s: Monotonic time of the start.
+        random: Source of the choices of failures.
+        failure_names: Names of the failures to choose from.
+        hold_range_s: Minimum and maximum duration of a failure, in s.
+        failure_counts: Counter of the injected failures by name.
+        violations: Texts of the violated properties and of errors that
+            ended the run.
+        started_s: Monotonic time of the start, in s.
     """
 
     __slots__ = (
@@ -73,19 +74,19 @@
         "operators",
         "injector",
         "random",
-        "names",
+        "failure_names",
         "hold_range_s",
-        "kinds",
-        "broken",
+        "failure_counts",
+        "violations",
         "started_s",
     )
 
-    def __init__(self, runner, seed, within_ms):
+    def __init__(self, runner, seed, limit_ms):
         roles = ("entry", "control")
         nodes = runner.deployment.nodes
         processes = [f"{role}/{node}" for role in roles for node in nodes]
         self.runner = runner
-        self.history = PatchHistory(processes, within_ms)
+        self.history = PatchHistory(processes, limit_ms)
         self.operators = Operators(runner, self.history)
         self.random = random.Random(seed)
         self.injector = Injector(
@@ -94,95 +95,112 @@
             self.history.faults,
             random.Random(self.random.random()),
         )
-        self.names = failures.names()
-        self.hold_range_s = HOLD_S
-        self.kinds = Counter()
-        self.broken = []
+        self.failure_names = failures.names()
+        self.hold_range_s = HOLD_RANGE_S
+        self.failure_counts = Counter()
+        self.violations = []
         self.started_s = time.monotonic()
 
-    def note(self, text):
-        """Prints a line with the time since the start."""
+    def print_progress(self, text):
+        """Prints a text after the time since the start, in s."""
         print(f"{time.monotonic() - self.started_s:7.2f} s  {text}")
         sys.stdout.flush()
 
 
 async def inject(soak, seconds):
-    """Injects failures, singly or two together, for some seconds.
+    """Injects single failures and pairs of them for some seconds.
 
-    All kinds come once in random order before any comes again.
+    Every failure is injected once, in random order, before any is injected
+    again.
     """
-    source, bag = soak.random, []
+    source, remaining = soak.random, []
     deadline_s = time.monotonic() + seconds
     while time.monotonic() < deadline_s:
-        pair = 2 if source.random() < PAIR_SHARE else 1
+        count = 2 if source.random() < PAIR_PROBABILITY else 1
         async with trio.open_nursery() as nursery:
-            for _ in range(pair):
-                if not bag:
-                    bag = source.sample(soak.names, len(soak.names))
-                name = bag.pop()
+            for _ in range(count):
+                if not remaining:
+                    remaining = source.sample(
+                        soak.failure_names, len(soak.failure_names)
+                    )
+                name = remaining.pop()
                 hold_s = source.uniform(*soak.hold_range_s)
-                soak.note(f"{name} for {hold_s:.1f} s")
-                soak.kinds[name] += 1
+                soak.print_progress(f"failure '{name}' for {hold_s:.1f} s")
+                soak.failure_counts[name] += 1
                 failure = failures.get(name).ok
                 nursery.start_soon(failure, soak.injector, hold_s)
-                await trio.sleep(source.uniform(*PAUSE_S))
-        await trio.sleep(source.uniform(*PAUSE_S))
+                await trio.sleep(source.uniform(*PAUSE_RANGE_S))
+        await trio.sleep(source.uniform(*PAUSE_RANGE_S))
 
 
 async def run_failures(soak, seconds):
-    """Runs operators and failures, then waits for the last version."""
+    """Injects failures, then stops the operators."""
     await inject(soak, seconds)
-    soak.history.ended_ms = wall_ms()
-    soak.note("no more failures")
+    soak.history.failures_ended_ms = wall_ms()
+    soak.print_progress("all failures are over")
     soak.operators.stopping = True
 
 
 async def wait_in_force(soak, version):
-    """Waits until all processes have a version or the time is up."""
-    limit_s = soak.history.limit_ms / 1000 + soak.history.ended_ms / 1000
+    """Waits until all processes have a version or their time limit ends."""
+    limit_s = (
+        soak.history.limit_ms / 1000 + soak.history.failures_ended_ms / 1000
+    )
     missing = set(soak.history.processes)
     while missing and time.time() < limit_s:
         polled = soak.history.polled
         missing -= {p.process for p in polled if p.version >= version}
         await trio.sleep(0.1)
-    soak.note(f"version {version} is shown by all but {len(missing)}")
+    soak.print_progress(
+        f"version {version} is reported by all but {len(missing)} processes"
+    )
 
 
 async def run_soak(soak, seconds):
-    """Runs operators, observers and failures beside each other."""
-    soak.note("version 1 is accepted; failures begin")
+    """Runs operators, observers and failures concurrently."""
+    soak.print_progress("version 1 is accepted; failures begin")
     async with trio.open_nursery() as observers:
         for node_id in soak.operators.nodes:
             observers.start_soon(poll_entry, soak.operators, node_id)
-        for node_id in STATUS_POLLERS:
+        for node_id in POLLED_CONTROLS:
             observers.start_soon(poll_status, soak.operators, node_id)
         async with trio.open_nursery() as nursery:
             for _ in range(OPERATORS):
                 source = random.Random(soak.random.random())
-                nursery.start_soon(soak.operators.operate, source)
+                nursery.start_soon(soak.operators.submit_until_stopped, source)
             nursery.start_soon(run_failures, soak, seconds)
         await wait_in_force(soak, await soak.operators.read_final())
         observers.cancel_scope.cancel()
     await soak.operators.read_final()
 
 
-def judge_soak(soak):
-    """Prints the counts and adds the broken properties."""
+def check_properties(soak):
+    """Checks the history, prints the results and adds the violations."""
     soak.history.applied = read_applied(soak.runner.deployment)
-    counts = count(soak.history)
-    counts["failures"] = dict(soak.kinds)
+    counts = count_outcomes(soak.history)
+    counts["failures"] = dict(soak.failure_counts)
     counts["failures_without_a_free_vm"] = soak.injector.skipped
     print(json.dumps(counts, indent=2))
-    for name, texts in judge(soak.history).items():
+    for name, texts in find_violations(soak.history).items():
         print(f"{name}: {len(texts)} violations")
-        for text in texts[:PRINTED_VIOLATIONS]:
+        for text in texts[:MAX_PRINTED_VIOLATIONS]:
             print(f"  {text}")
         if texts:
-            soak.broken.append(f"{name}: {texts[0]}")
+            soak.violations.append(f"{name}: {texts[0]}")
 
 
 async def main_task(folder, seed, run, within_ms):
-    """Runs the soak or a measurement in a folder; returns the PatchSoak."""
+    """Runs the soak or the measurements in a folder.
+
+    Args:
+        folder: Folder of the deployment.
+        seed: Seed of the failures.
+        run: Async function of the PatchSoak that runs on the fleet.
+        within_ms: Time limit for the last version, in ms.
+
+    Returns:
+        PatchSoak.
+    """
     runner = FleetRunner(PatchDeployment(folder))
     runner.plan(endpoints_per_zone=0)
     for zone in ("ikeja", "lekki", "yaba"):
@@ -194,21 +212,23 @@
         await run(soak)
         await runner.stop()
     except (HealthError, trio.TooSlowError, BaseExceptionGroup) as fault:
-        soak.broken.append(f"run: {fault!r}")
+        soak.violations.append(f"run: {fault!r}")
     finally:
         runner.kill_all()
     return soak
 
 
 def main(arguments=None):
-    """Runs the soak or a measurement; returns the exit status."""
+    """Runs the soak or the measurements; returns the exit status."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=int, default=120)
-    parser.add_argument("--within-ms", type=int, default=WITHIN_MS)
+    parser.add_argument("--within-ms", type=int, default=LAST_VERSION_LIMIT_MS)
     parser.add_argument("--short", action="store_true")
     parser.add_argument("--measure", action="store_true")
-    parser.add_argument("--keep", help="folder for all files; it is kept")
+    parser.add_argument(
+        "--keep", help="folder for all files, which is not deleted at the end"
+    )
     options = parser.parse_args(arguments)
 
     async def run(soak):
@@ -217,9 +237,9 @@
             return
         seconds = options.seconds
         if options.short:
-            seconds = SHORT_SECONDS
-            soak.names = SHORT_FAILURES
-            soak.hold_range_s = SHORT_HOLD_S
+            seconds = SHORT_DURATION_S
+            soak.failure_names = SHORT_FAILURES
+            soak.hold_range_s = SHORT_HOLD_RANGE_S
         await run_soak(soak, seconds)
 
     with tempfile.TemporaryDirectory(prefix="wigeonport-patch-") as folder:
@@ -228,11 +248,11 @@
             main_task, folder, options.seed, run, options.within_ms
         )
         if not options.measure:
-            judge_soak(soak)
-    print(f"seed {options.seed}: {len(soak.broken)} broken")
-    for text in soak.broken:
-        print(f"broken: {text}", file=sys.stderr)
-    return 1 if soak.broken else 0
+            check_properties(soak)
+    print(f"seed {options.seed}: {len(soak.violations)} checks failed")
+    for text in soak.violations:
+        print(f"failed check: {text}", file=sys.stderr)
+    return 1 if soak.violations else 0
 
 
 if __name__ == "__main__":
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -1,7 +1,7 @@
 """Soak: callers and patches under random failures, then the checker.
 
-Failures come singly and two together. The seed fixes which failures come in
-which order and what the callers send; the exact times depend on the machine.
+Failures are injected one at a time or in overlapping pairs. The seed fixes
+their order and what the callers send; the exact times depend on the machine.
 """
 
 import argparse
@@ -21,16 +21,16 @@
 from operators_client import OperatorsClient, load_fleet_patch
 from outcomes import Evidence, judge, print_judgement, read_lines
 
-FIRST_VERSION_S = 20.0
-RECOVERY_S = 20.0
-POLL_S = 0.2
-PAUSE_S = (0.3, 1.5)
-HOLD_S = (0.5, 5.0)
+FIRST_VERSION_TIMEOUT_S = 20.0
+RECOVERY_TIMEOUT_S = 20.0
+POLL_INTERVAL_S = 0.2
+PAUSE_RANGE_S = (0.3, 1.5)
+HOLD_RANGE_S = (0.5, 5.0)
 PATCH_INTERVAL_S = 2.0
-SHORT_SECONDS = 14
-PAIR_SHARE = 0.4
+SHORT_DURATION_S = 14
+PAIR_PROBABILITY = 0.4
 RATE_PER_SERVICE = 4
-TURN_MS = 3_000
+PEAK_MS = 3_000
 
 
 class Soak:
@@ -39,18 +39,19 @@
     Attributes:
         runner: FleetRunner.
         operators: OperatorsClient.
-        random: Source of the failures.
-        broken: Texts of what did not hold.
-        accepted: Highest version that an operator was told is accepted.
-        started_s: Monotonic time of the start.
+        random: Source of the choices of failures.
+        violations: Texts of the violated guarantees and of errors that
+            ended the run.
+        accepted_version: Highest fleet version of an accepting answer.
+        started_s: Monotonic time of the start, in s.
     """
 
     __slots__ = (
         "runner",
         "operators",
         "random",
-        "broken",
-        "accepted",
+        "violations",
+        "accepted_version",
         "started_s",
     )
 
@@ -58,47 +59,50 @@
         self.runner = runner
         self.operators = OperatorsClient(runner)
         self.random = random.Random(seed)
-        self.broken = []
-        self.accepted = 0
+        self.violations = []
+        self.accepted_version = 0
         self.started_s = time.monotonic()
 
-    def note(self, text):
-        """Prints a line with the time since the start."""
+    def print_progress(self, text):
+        """Prints a text after the time since the start, in s."""
         print(f"{time.monotonic() - self.started_s:7.2f} s  {text}")
         sys.stdout.flush()
 
 
 async def apply_first_version(soak):
-    """Submits the first patch until it is accepted."""
+    """Submits the first patch and waits until it is in force everywhere."""
     patch = load_fleet_patch()
-    with trio.move_on_after(FIRST_VERSION_S):
+    with trio.move_on_after(FIRST_VERSION_TIMEOUT_S):
         while True:
             answer = await soak.operators.submit(
                 "ikeja-1", "first", 0, patch["reason"], patch["operations"]
             )
             if answer is not None and answer.status == 200:
-                soak.accepted = answer.document["version"]
+                soak.accepted_version = answer.document["version"]
                 break
-            await trio.sleep(POLL_S)
-        while not await is_everywhere(soak):
-            await trio.sleep(POLL_S)
+            await trio.sleep(POLL_INTERVAL_S)
+        while not await is_in_force_everywhere(soak):
+            await trio.sleep(POLL_INTERVAL_S)
         return
-    soak.broken.append("start: the first version is not in force everywhere")
+    soak.violations.append(
+        f"start: the first version is not in force on all entries within "
+        f"{FIRST_VERSION_TIMEOUT_S} s"
+    )
 
 
-async def is_everywhere(soak):
-    """Returns whether every entry applies the newest accepted version."""
+async def is_in_force_everywhere(soak):
+    """Returns whether all entries have applied the newest version."""
     for node_id in soak.runner.deployment.nodes:
         metrics = await soak.runner.metrics(f"entry/{node_id}")
         if metrics is None:
             return False
-        if metrics["gauges"].get("config_version", 0) < soak.accepted:
+        if metrics["gauges"].get("config_version", 0) < soak.accepted_version:
             return False
     return True
 
 
 async def submit_patches(soak, source):
-    """Submits patches to random controls; some are sent twice."""
+    """Submits patches to random controls until cancelled."""
     number = 0
     while True:
         number += 1
@@ -110,7 +114,10 @@
 
 
 async def submit_patch(soak, source, node_id, number, status):
-    """Submits one patch and, if its answer is lost, submits it again."""
+    """Submits one patch one to three times to random controls.
+
+    All answers that decide on the patch have to be equal.
+    """
     operation = {
         "operation": "set_service_capacity",
         "service": "notices",
@@ -125,14 +132,18 @@
             answers.append(answer)
         node_id = source.choice(sorted(soak.runner.deployment.nodes))
     if len({answer.body for answer in answers}) > 1:
-        soak.broken.append(f"R8: patch p{number} got different answers")
+        soak.violations.append(
+            f"R8: patch p{number} got different answers when it was resent"
+        )
     if answers and answers[0].status == 200:
-        soak.accepted = max(soak.accepted, answers[0].document["version"])
+        soak.accepted_version = max(
+            soak.accepted_version, answers[0].document["version"]
+        )
 
 
 async def watch_versions(soak):
-    """Notes entries whose version goes back while they run."""
-    seen = {}
+    """Records a violation if the version of a running entry goes back."""
+    last_versions = {}
     while True:
         for node_id in soak.runner.deployment.nodes:
             name = f"entry/{node_id}"
@@ -141,57 +152,65 @@
             if metrics is None:
                 continue
             version = metrics["gauges"].get("config_version", 0)
-            if version < seen.get((name, pid), 0):
-                soak.broken.append(f"R8: {name} went back to {version}")
-            seen[(name, pid)] = version
-        await trio.sleep(POLL_S)
+            if version < last_versions.get((name, pid), 0):
+                soak.violations.append(
+                    f"R8: {name} went back to version {version}"
+                )
+            last_versions[(name, pid)] = version
+        await trio.sleep(POLL_INTERVAL_S)
 
 
-async def fail(soak, name, source, hold_s):
-    """Runs one failure; it is left out if every VM is in use."""
+async def inject_failure(soak, name, source, hold_s):
+    """Runs one failure; skips it if another failure uses every VM."""
     try:
         await failures.get(name).ok(soak.runner, source, hold_s)
     except BusyError as fault:
-        soak.note(f"{name} left out: {fault}")
+        soak.print_progress(f"failure '{name}' skipped: {fault}")
 
 
 async def inject(soak, seconds):
-    """Injects failures, singly or two together, for some seconds."""
-    names = failures.names()
+    """Injects single failures and pairs of them for some seconds."""
+    failure_names = failures.names()
     source = soak.random
     deadline_s = time.monotonic() + seconds
     while time.monotonic() < deadline_s:
-        count = 2 if source.random() < PAIR_SHARE else 1
-        chosen = source.sample(names, count)
+        count = 2 if source.random() < PAIR_PROBABILITY else 1
+        chosen = source.sample(failure_names, count)
         async with trio.open_nursery() as nursery:
             for name in chosen:
-                hold_s = source.uniform(*HOLD_S)
-                part = random.Random(source.random())
-                soak.note(f"{name} for {hold_s:.1f} s")
-                nursery.start_soon(fail, soak, name, part, hold_s)
-                await trio.sleep(source.uniform(*PAUSE_S))
-        await trio.sleep(source.uniform(*PAUSE_S))
+                hold_s = source.uniform(*HOLD_RANGE_S)
+                failure_random = random.Random(source.random())
+                soak.print_progress(f"failure '{name}' for {hold_s:.1f} s")
+                nursery.start_soon(
+                    inject_failure, soak, name, failure_random, hold_s
+                )
+                await trio.sleep(source.uniform(*PAUSE_RANGE_S))
+        await trio.sleep(source.uniform(*PAUSE_RANGE_S))
 
 
 async def run_faults(soak, seconds):
-    """Runs failures, then waits for the recovery."""
+    """Injects failures, then waits until all programs have recovered."""
     await inject(soak, seconds)
-    soak.note("no more failures")
-    with trio.move_on_after(RECOVERY_S) as waiting:
+    soak.print_progress("all failures are over")
+    with trio.move_on_after(RECOVERY_TIMEOUT_S) as waiting:
         await soak.runner.wait_healthy()
-        while not await is_everywhere(soak):
-            await trio.sleep(POLL_S)
+        while not await is_in_force_everywhere(soak):
+            await trio.sleep(POLL_INTERVAL_S)
     if waiting.cancelled_caught:
-        text = f"version {soak.accepted} is not in force on all entries"
-        soak.broken.append(f"R8: {text}")
-    soak.note(f"version {soak.accepted} is in force on all entries")
+        text = (
+            f"version {soak.accepted_version} is not in force on all entries"
+        )
+        soak.violations.append(f"R8: {text}")
+    soak.print_progress(
+        f"version {soak.accepted_version} is in force on all entries"
+    )
 
 
 async def run_soak(soak, seconds, seed):
-    """Runs callers, patches and failures beside each other.
+    """Runs callers, patches and failures concurrently.
 
-    The callers end by themselves: a sending that is cancelled leaves no
-    line, and its run would look like one that no sending caused.
+    The callers are not cancelled: a cancelled request leaves no line, and
+    its run would look to the checker like one that no request caused.
     """
     deployment = soak.runner.deployment
     options = CallerOptions(deployment.entries(), fail_share=0.03)
@@ -199,7 +218,7 @@
         SERVICES,
         seconds * 1_000,
         RATE_PER_SERVICE,
-        TURN_MS,
+        PEAK_MS,
         random.Random(seed),
     )
     async with trio.open_nursery() as nursery:
@@ -212,8 +231,8 @@
         nursery.cancel_scope.cancel()
 
 
-def judge_soak(soak):
-    """Adds the broken guarantees of the logs."""
+def check_guarantees(soak):
+    """Checks the logs and adds the guarantees that they violate."""
     deployment = soak.runner.deployment
     runs = sorted(deployment.folder.joinpath("runs").glob("*.jsonl"))
     evidence = Evidence(
@@ -223,7 +242,7 @@
     )
     verdict = judge(evidence)
     for name in print_judgement(evidence, verdict):
-        soak.broken.append(f"{name}: {verdict[name][0]}")
+        soak.violations.append(f"{name}: {verdict[name][0]}")
 
 
 async def main_task(folder, seconds, seed):
@@ -234,17 +253,19 @@
     try:
         await runner.start()
         await apply_first_version(soak)
-        soak.note("version 1 is in force; failures begin")
+        soak.print_progress("version 1 is in force; failures begin")
         await run_soak(soak, seconds, seed)
         statuses = await runner.stop()
-        wrong = {name: code for name, code in statuses.items() if code != 0}
-        if wrong:
-            soak.broken.append(f"R7: exit codes {json.dumps(wrong)}")
+        nonzero = {name: code for name, code in statuses.items() if code != 0}
+        if nonzero:
+            soak.violations.append(
+                f"R7: exit statuses other than 0: {json.dumps(nonzero)}"
+            )
     except HealthError as fault:
-        soak.broken.append(f"health: {fault}")
+        soak.violations.append(f"health: {fault}")
     finally:
         runner.kill_all()
-    judge_soak(soak)
+    check_guarantees(soak)
     return soak
 
 
@@ -254,15 +275,17 @@
     parser.add_argument("--seconds", type=int, default=180)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--short", action="store_true")
-    parser.add_argument("--keep", help="folder for all files; it is kept")
+    parser.add_argument(
+        "--keep", help="folder for all files, which is not deleted at the end"
+    )
     options = parser.parse_args(arguments)
-    seconds = SHORT_SECONDS if options.short else options.seconds
+    seconds = SHORT_DURATION_S if options.short else options.seconds
     with tempfile.TemporaryDirectory(prefix="wigeonport-soak-") as folder:
         folder = options.keep or folder
         soak = trio.run(main_task, folder, seconds, options.seed)
-    for text in soak.broken:
-        print(f"broken: {text}", file=sys.stderr)
-    return 1 if soak.broken else 0
+    for text in soak.violations:
+        print(f"failed check: {text}", file=sys.stderr)
+    return 1 if soak.violations else 0
 
 
 if __name__ == "__main__":
