Rename 5 names: check_guarantees, print_results and others

Cause: judge, judgement and evidence are figurative, and read_lines says neither what it reads nor returns Change: judge to check_guarantees, print_judgement to print_results, evidence to logs, Evidence to RunLogs, is_excused to entry_was_faulty; 60 uses in 4 files, by token.

--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -72,7 +72,9 @@
 
 def broken(sendings, events, faults):
     """Returns the names of the broken guarantees."""
-    verdict = outcomes.judge(outcomes.Evidence(sendings, events, faults))
+    verdict = outcomes.check_guarantees(
+        outcomes.RunLogs(sendings, events, faults)
+    )
     return [name for name, violations in verdict.items() if violations]
 
 
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -14,7 +14,7 @@
 from deployments import SERVICES, Deployment
 from fleet_runner import FleetRunner, HealthError
 from operators_client import OperatorsClient, load_fleet_patch
-from outcomes import Evidence, judge, print_judgement, read_lines
+from outcomes import RunLogs, check_guarantees, print_results, read_lines
 
 SEED = 7
 LOAD_SECONDS = 16
@@ -61,14 +61,12 @@
     deployment = demo.runner.deployment
     runs = sorted(deployment.folder.joinpath("runs").glob("*.jsonl"))
     callers = deployment.path("callers.jsonl")
-    evidence = Evidence(
-        read_lines([callers]), read_lines(runs), demo.runner.faults
-    )
-    verdict = judge(evidence)
-    for name in print_judgement(evidence, verdict):
+    logs = RunLogs(read_lines([callers]), read_lines(runs), demo.runner.faults)
+    verdict = check_guarantees(logs)
+    for name in print_results(logs, verdict):
         demo.broken.append((name, verdict[name][0]))
     demo.checked |= {name.split()[0] for name in verdict}
-    if not evidence.sendings:
+    if not logs.sendings:
         demo.broken.append(("R7", "no caller sent anything"))
 
 
--- a/tools/outcomes.py
+++ b/tools/outcomes.py
@@ -23,7 +23,7 @@
 COMPLETED, NOT_RUN, NO_OUTCOME = "completed", "not-run", "none"
 
 
-class Evidence:
+class RunLogs:
     """The logs of one run.
 
     Attributes:
@@ -51,7 +51,7 @@
             by_tag[sending["tag"]].append(sending)
         return by_tag
 
-    def is_excused(self, sending):
+    def entry_was_faulty(self, sending):
         """Returns whether its entry was faulty while the request was open.
 
         A caller whose entry dies sees a closed connection; that is not an
@@ -66,37 +66,37 @@
 
 
 @guarantees.register("R3 whole responses")
-def check_responses(evidence):
+def check_responses(logs):
     """A completed response is whole and belongs to its request."""
     return [
         f"{sending['tag']}: the body is {sending['check']}"
-        for sending in evidence.sendings
+        for sending in logs.sendings
         if sending["outcome"] == COMPLETED and sending["check"] != "whole"
     ]
 
 
 @guarantees.register("R3 completed requests ran")
-def check_completed(evidence):
+def check_completed(logs):
     """A request that completed did run."""
     return [
         f"{sending['tag']}: completed, but no endpoint ran it"
-        for sending in evidence.sendings
+        for sending in logs.sendings
         if sending["outcome"] == COMPLETED
-        and not evidence.runs.get(sending["tag"])
+        and not logs.runs.get(sending["tag"])
     ]
 
 
 @guarantees.register("R4 not-run did not run")
-def check_not_run(evidence):
+def check_not_run(logs):
     """Each run has a sending that may have caused it.
 
     A sending whose outcome is not-run causes no run. A keyed request that
     was not run at first may run because of a later sending.
     """
     violations = []
-    for tag, sendings in evidence.sendings_by_tag().items():
+    for tag, sendings in logs.sendings_by_tag().items():
         causes = [s for s in sendings if s["outcome"] != NOT_RUN]
-        for run in evidence.runs.get(tag, ()):
+        for run in logs.runs.get(tag, ()):
             latest_ms = run["wall_ms"] + CLOCK_SLACK_MS
             if not any(cause["sent_ms"] <= latest_ms for cause in causes):
                 violations.append(
@@ -106,23 +106,23 @@
 
 
 @guarantees.register("R5 at most one run")
-def check_single_runs(evidence):
+def check_single_runs(logs):
     """A request with a key and a POST without one run at most once."""
     violations = []
-    for tag, sendings in evidence.sendings_by_tag().items():
+    for tag, sendings in logs.sendings_by_tag().items():
         if not sendings[0]["key"] and sendings[0]["method"] != "POST":
             continue
-        places = [run["endpoint"] for run in evidence.runs.get(tag, ())]
+        places = [run["endpoint"] for run in logs.runs.get(tag, ())]
         if len(places) > 1:
             violations.append(f"{tag}: ran at {', '.join(places)}")
     return violations
 
 
 @guarantees.register("R6 no work for leaving endpoints")
-def check_leaving(evidence):
+def check_leaving(logs):
     """No work arrives 3 s after an endpoint announced that it leaves."""
     violations, leaving_ms = [], {}
-    for event in evidence.events:
+    for event in logs.events:
         endpoint, kind = event["endpoint"], event["event"]
         if kind == "leaving":
             leaving_ms[endpoint] = event["wall_ms"]
@@ -136,36 +136,34 @@
 
 
 @guarantees.register("R7 every request has an outcome")
-def check_outcomes(evidence):
+def check_outcomes(logs):
     """Every request that reached a working entry has an outcome."""
     return [
         f"{sending['tag']}: no outcome from {sending['entry']}: "
         f"{sending['reason']}"
-        for sending in evidence.sendings
+        for sending in logs.sendings
         if sending["outcome"] == NO_OUTCOME
-        and not evidence.is_excused(sending)
+        and not logs.entry_was_faulty(sending)
     ]
 
 
-def judge(evidence):
+def check_guarantees(logs):
     """Returns the violations by guarantee."""
-    return {
-        name: guarantees.get(name).ok(evidence) for name in guarantees.names()
-    }
+    return {name: guarantees.get(name).ok(logs) for name in guarantees.names()}
 
 
-def count(evidence):
+def count(logs):
     """Returns the counts that are printed."""
-    outcomes = Counter(s["outcome"] for s in evidence.sendings)
-    kinds = Counter(event["event"] for event in evidence.events)
+    outcomes = Counter(s["outcome"] for s in logs.sendings)
+    kinds = Counter(event["event"] for event in logs.events)
     excused = sum(
         1
-        for sending in evidence.sendings
-        if sending["outcome"] == NO_OUTCOME and evidence.is_excused(sending)
+        for sending in logs.sendings
+        if sending["outcome"] == NO_OUTCOME and logs.entry_was_faulty(sending)
     )
     return {
-        "requests": len(evidence.sendings_by_tag()),
-        "sendings": len(evidence.sendings),
+        "requests": len(logs.sendings_by_tag()),
+        "sendings": len(logs.sendings),
         "outcomes": dict(outcomes),
         "endpoint_events": dict(kinds),
         "without_outcome_at_a_faulty_entry": excused,
@@ -189,9 +187,9 @@
     return documents
 
 
-def print_judgement(evidence, verdict):
+def print_results(logs, verdict):
     """Prints counts and violations; returns the names of the broken."""
-    print(json.dumps(count(evidence), indent=2))
+    print(json.dumps(count(logs), indent=2))
     for name, violations in verdict.items():
         state = "broken" if violations else "held"
         print(f"{name}: {state}, {len(violations)} violations")
@@ -208,12 +206,12 @@
     parser.add_argument("--endpoints", required=True, **paths)
     parser.add_argument("--faults", default=[], **paths)
     options = parser.parse_args(arguments)
-    evidence = Evidence(
+    logs = RunLogs(
         read_lines(options.callers),
         read_lines(options.endpoints),
         read_lines(options.faults),
     )
-    broken = print_judgement(evidence, judge(evidence))
+    broken = print_results(logs, check_guarantees(logs))
     for name in broken:
         print(f"broken: {name}", file=sys.stderr)
     return 1 if broken else 0
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -19,7 +19,7 @@
 from fleet_runner import FleetRunner, HealthError
 from load import run_load
 from operators_client import OperatorsClient, load_fleet_patch
-from outcomes import Evidence, judge, print_judgement, read_lines
+from outcomes import RunLogs, check_guarantees, print_results, read_lines
 
 FIRST_VERSION_S = 20.0
 RECOVERY_S = 20.0
@@ -216,13 +216,13 @@
     """Adds the broken guarantees of the logs."""
     deployment = soak.runner.deployment
     runs = sorted(deployment.folder.joinpath("runs").glob("*.jsonl"))
-    evidence = Evidence(
+    logs = RunLogs(
         read_lines([deployment.path("callers.jsonl")]),
         read_lines(runs),
         soak.runner.faults,
     )
-    verdict = judge(evidence)
-    for name in print_judgement(evidence, verdict):
+    verdict = check_guarantees(logs)
+    for name in print_results(logs, verdict):
         soak.broken.append(f"{name}: {verdict[name][0]}")
 
 
