Rename Ports to PortAllocator, take to allocate, votes to is_voter

Cause: take and Ports do not say that a free port is allocated, and votes reads like a count Change: Ports to PortAllocator, take to allocate, votes to is_voter; 31 uses in 7 files, by token.

--- a/bench/claim_latency.py
+++ b/bench/claim_latency.py
@@ -21,7 +21,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT / "tools"))
 
-from deployments import HOST, Deployment, Ports  # noqa: E402
+from deployments import HOST, Deployment, PortAllocator  # noqa: E402
 from processes import ManagedProcess  # noqa: E402
 
 from wigeonport.channels import Mailbox  # noqa: E402
@@ -134,14 +134,14 @@
     deployment = Deployment(folder, {"ikeja": CONTROLS}, {"ikeja": CONTROLS})
     deployment.write()
     key_path = deployment.path("links-1.key")
-    ports, processes, memory_ports = Ports(), [], []
+    ports, processes, memory_ports = PortAllocator(), [], []
     for node in deployment.nodes.values():
         path = str(deployment.settings_path(node))
         arguments = ["-m", "wigeonport.control_main", path]
         log_path = deployment.path("logs", node.node_id)
         processes.append(ManagedProcess(node.node_id, arguments, log_path))
     for number in range(QUORUM_NODES):
-        port = ports.take()
+        port = ports.allocate()
         memory_ports.append(port)
         own = [str(pathlib.Path(__file__).resolve()), "--serve", str(port)]
         arguments = [*own, "--key", str(key_path)]
--- a/bench/commit_latency.py
+++ b/bench/commit_latency.py
@@ -22,7 +22,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 sys.path[:0] = [str(ROOT), str(ROOT / "tools")]
 
-from deployments import Ports  # noqa: E402
+from deployments import PortAllocator  # noqa: E402
 from piped_processes import PipedProcess  # noqa: E402
 from processes import ManagedProcess  # noqa: E402
 
@@ -33,7 +33,7 @@
 
 async def measure_baseline(folder, count):
     """Returns the latencies of a sync plus a round trip, in us."""
-    port = Ports().take()
+    port = PortAllocator().allocate()
     echo = ManagedProcess(
         "echo", [str(BENCH / "echo_process.py"), str(port)], folder / "echo"
     )
@@ -72,8 +72,8 @@
     __slots__ = ("processes", "opened_ms")
 
     def __init__(self, folder, count, snapshot_entries):
-        ports = Ports()
-        nodes = {f"n{number}": ports.take() for number in range(count)}
+        ports = PortAllocator()
+        nodes = {f"n{number}": ports.allocate() for number in range(count)}
         self.opened_ms = {}
         self.processes = {}
         for node in nodes:
--- a/bench/entry_throughput.py
+++ b/bench/entry_throughput.py
@@ -48,7 +48,7 @@
     ports = {"entry": node.ports["callers_port"]}
     target = None
     for number in range(endpoints):
-        port = deployment.ports.take()
+        port = deployment.ports.allocate()
         target = target or port
         member = f"{SERVICE}-{number}"
         runner.add(
@@ -61,7 +61,7 @@
             ],
         )
     for name in ("direct", "relay"):
-        ports[name] = deployment.ports.take()
+        ports[name] = deployment.ports.allocate()
         arguments = [HERE / "plain_apps.py", name, ports[name], target]
         runner.add(name, arguments)
     return ports
--- a/bench/footprint.py
+++ b/bench/footprint.py
@@ -61,7 +61,7 @@
         for number in range(endpoints):
             service = SERVICES[number % len(SERVICES)]
             member = f"{service}-{node.node_id}-{number}"
-            port = deployment.ports.take()
+            port = deployment.ports.allocate()
             arguments += ["--member", f"{member}:{service}:{node.zone}:{port}"]
         arguments += ["--entry", node.address("announcements_port")]
         arguments += ["--log", runner.run_log(node.node_id)]
@@ -123,8 +123,8 @@
         return role
     if node_id == leader:
         return "leader"
-    votes = runner.deployment.nodes[node_id].votes
-    return "follower" if votes else "learner"
+    is_voter = runner.deployment.nodes[node_id].is_voter
+    return "follower" if is_voter else "learner"
 
 
 def summarize(runner, usages, leader):
--- a/tools/deployments.py
+++ b/tools/deployments.py
@@ -30,16 +30,16 @@
         node_id: Its name.
         zone: Its availability zone.
         ports: Port by name of the setting.
-        votes: Whether its control votes.
+        is_voter: Whether its control votes.
     """
 
-    __slots__ = ("node_id", "zone", "ports", "votes")
+    __slots__ = ("node_id", "zone", "ports", "is_voter")
 
-    def __init__(self, node_id, zone, ports, votes):
+    def __init__(self, node_id, zone, ports, is_voter):
         self.node_id = node_id
         self.zone = zone
         self.ports = ports
-        self.votes = votes
+        self.is_voter = is_voter
 
     def address(self, name):
         """Returns ``host:port`` of one of its ports."""
@@ -72,7 +72,7 @@
         )
 
 
-class Ports:
+class PortAllocator:
     """Hands out free ports, each once."""
 
     __slots__ = ("next",)
@@ -81,7 +81,7 @@
         # Several deployments on one machine start in different places.
         self.next = random.SystemRandom().randrange(FIRST_PORT, LAST_PORT)
 
-    def take(self):
+    def allocate(self):
         """Returns a port on which nobody listens."""
         while True:
             port = self.next
@@ -119,21 +119,21 @@
 
     def __init__(self, folder, zones=None, voters=None, overrides=None):
         self.folder = pathlib.Path(folder)
-        self.ports = Ports()
+        self.ports = PortAllocator()
         self.nodes = {}
         self.relays = {}
         self.token = secrets.token_hex(16)
-        self.platform_port = self.ports.take()
+        self.platform_port = self.ports.allocate()
         self.overrides = overrides or {}
         voters = voters or VOTERS
         for zone, count in (zones or ZONES).items():
             for number in range(1, count + 1):
                 self.add_node(zone, number, number <= voters[zone])
 
-    def add_node(self, zone, number, votes):
+    def add_node(self, zone, number, is_voter):
         """Adds a VM with ports of its own."""
-        ports = {name: self.ports.take() for name in PORT_NAMES}
-        node = Node(f"{zone}-{number}", zone, ports, votes)
+        ports = {name: self.ports.allocate() for name in PORT_NAMES}
+        node = Node(f"{zone}-{number}", zone, ports, is_voter)
         self.nodes[node.node_id] = node
 
     def path(self, *parts):
@@ -163,7 +163,7 @@
             "availability_zone": node.zone,
             "host": HOST,
             **node.ports,
-            "voters": [other.node_id for other in nodes if other.votes],
+            "voters": [other.node_id for other in nodes if other.is_voter],
             "key_files": [str(self.path("links-1.key"))],
             "operator_token_file": str(self.path("operators.tokens")),
             "platform_url": f"http://{HOST}:{self.platform_port}",
@@ -172,7 +172,7 @@
             ],
             **self.overrides,
         }
-        if node.votes:
+        if node.is_voter:
             folder = self.path(node.node_id, "data")
             document["data_dir"] = str(folder)
             document["event_log"] = str(self.path(node.node_id, "ev.jsonl"))
@@ -197,7 +197,7 @@
             return port
         relay = self.relays.get((zone, port))
         if relay is None:
-            relay = Relay(self.ports.take(), port, zone, other.zone)
+            relay = Relay(self.ports.allocate(), port, zone, other.zone)
             self.relays[(zone, port)] = relay
         return relay.port
 
--- a/tools/fleet_runner.py
+++ b/tools/fleet_runner.py
@@ -110,7 +110,7 @@
         for service in SERVICES:
             for number in range(1, count + 1):
                 name = f"{service}-{zone}-{number}"
-                port = deployment.ports.take()
+                port = deployment.ports.allocate()
                 arguments += ["--member", f"{name}:{service}:{zone}:{port}"]
         for address in deployment.announcement_addresses(zone):
             arguments += ["--entry", address]
--- a/tools/patch_failures.py
+++ b/tools/patch_failures.py
@@ -71,7 +71,7 @@
             node.node_id
             for node in self.runner.deployment.nodes.values()
             if node.node_id not in self.runner.busy
-            and (node.votes or not voters)
+            and (node.is_voter or not voters)
             and zone in (None, node.zone)
         ]
         chosen = self.random.sample(free, min(count, len(free)))
