Rename 5 names: add_processes, faulted_nodes and others

Cause: plan, busy and relay do not say what the runner does or holds Change: plan to add_processes, busy to faulted_nodes, relay to send_relay_command, run_log to run_log_path, of_role to processes_of_role; 35 uses in 9 files, by token.

--- a/bench/config_rollout.py
+++ b/bench/config_rollout.py
@@ -132,7 +132,7 @@
 async def main_task(options, folder):
     """Runs the benchmark in a folder."""
     runner = FleetRunner(Deployment(folder))
-    runner.plan(endpoints_per_zone=1)
+    runner.add_processes(endpoints_per_zone=1)
     try:
         await runner.start()
         await apply_first_version(runner)
--- a/bench/footprint.py
+++ b/bench/footprint.py
@@ -50,10 +50,10 @@
         self.sent_bytes_per_s = sent_bytes_per_s
 
 
-def plan(runner, endpoints):
+def add_processes(runner, endpoints):
     """Adds the programs and, for each entry, its endpoints."""
     deployment = runner.deployment
-    runner.plan(endpoints_per_zone=0)
+    runner.add_processes(endpoints_per_zone=0)
     for name in [n for n in runner.processes if n.startswith("endpoints/")]:
         del runner.processes[name]
     for node in deployment.nodes.values():
@@ -64,7 +64,7 @@
             port = deployment.ports.allocate()
             arguments += ["--member", f"{member}:{service}:{node.zone}:{port}"]
         arguments += ["--entry", node.address("announcements_port")]
-        arguments += ["--log", runner.run_log(node.node_id)]
+        arguments += ["--log", runner.run_log_path(node.node_id)]
         runner.add(f"endpoints/{node.node_id}", arguments)
 
 
@@ -177,7 +177,7 @@
     """Returns the idle Usage by role at one size."""
     voters = VOTERS if vms >= SMALLEST_WITH_FIVE_VOTERS else ONE_VOTER_EACH
     runner = FleetRunner(Deployment(folder, spread(vms, ZONES), voters))
-    plan(runner, endpoints)
+    add_processes(runner, endpoints)
     size = f"{vms:>3} VMs, {endpoints:>4} endpoints an entry"
     try:
         await runner.start()
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -81,7 +81,7 @@
 async def main_task(folder):
     """Runs the demo in a folder; returns the Demo."""
     runner = FleetRunner(Deployment(folder))
-    runner.plan(vms=list_vms(load_fleet_patch()))
+    runner.add_processes(vms=list_vms(load_fleet_patch()))
     demo = Demo(runner, OperatorsClient(runner), random.Random(SEED))
     options = CallerOptions(runner.deployment.entries(), fail_share=0.05)
     try:
--- a/tools/demo_steps.py
+++ b/tools/demo_steps.py
@@ -264,7 +264,7 @@
 @steps.register("09 let an endpoint leave")
 async def leave_endpoint(demo):
     """Lets one endpoint of each zone announce that it leaves."""
-    for process in demo.runner.of_role("endpoints"):
+    for process in demo.runner.processes_of_role("endpoints"):
         process.send(signal.SIGUSR1)
     demo.note("one endpoint in each zone announces that it leaves")
     await trio.sleep(1)
--- a/tools/failures.py
+++ b/tools/failures.py
@@ -24,15 +24,15 @@
     Two failures that both restart a program would leave one copy of it
     without an owner.
     """
-    free = sorted(runner.deployment.nodes.keys() - runner.busy)
+    free = sorted(runner.deployment.nodes.keys() - runner.faulted_nodes)
     if not free:
         raise BusyError("every VM is used by another failure")
     node_id = random.choice(free)
-    runner.busy.add(node_id)
+    runner.faulted_nodes.add(node_id)
     try:
         yield node_id
     finally:
-        runner.busy.discard(node_id)
+        runner.faulted_nodes.discard(node_id)
 
 
 async def kill_and_restart(runner, name, hold_s):
@@ -86,24 +86,24 @@
 async def cut_zone(runner, random, hold_s):
     """Closes all links from and to a zone."""
     zone = random.choice(ZONES)
-    await runner.relay(f"cut {zone}")
+    await runner.send_relay_command(f"cut {zone}")
     await trio.sleep(hold_s)
-    await runner.relay(f"heal {zone}")
+    await runner.send_relay_command(f"heal {zone}")
 
 
 @failures.register("hold zone")
 async def hold_zone(runner, random, hold_s):
     """Lets a zone's links stay open without carrying anything."""
     zone = random.choice(ZONES)
-    await runner.relay(f"hold {zone}")
+    await runner.send_relay_command(f"hold {zone}")
     await trio.sleep(hold_s)
-    await runner.relay(f"heal {zone}")
+    await runner.send_relay_command(f"heal {zone}")
 
 
 @failures.register("silence connections")
 async def silence_connections(runner, random, hold_s):
     """Silences a zone's open links for good; new ones work."""
-    await runner.relay(f"silence {random.choice(ZONES)}")
+    await runner.send_relay_command(f"silence {random.choice(ZONES)}")
     await trio.sleep(hold_s)
 
 
@@ -134,7 +134,7 @@
     """Kills every control that is not in use at once; the log has to last."""
     with contextlib.ExitStack() as stack:
         node_ids = []
-        while runner.deployment.nodes.keys() - runner.busy:
+        while runner.deployment.nodes.keys() - runner.faulted_nodes:
             reserved = reserve_node(runner, random)
             node_ids.append(stack.enter_context(reserved))
         async with trio.open_nursery() as nursery:
--- a/tools/fleet_runner.py
+++ b/tools/fleet_runner.py
@@ -44,17 +44,17 @@
         deployment: The Deployment.
         processes: ManagedProcess by name, ``entry/ikeja-1`` for example.
         faults: Injected faults, as the checker of outcomes reads them.
-        busy: VMs that a failure is using.
+        faulted_nodes: VMs that a failure is using.
         pool: HTTP connections of the tool.
     """
 
-    __slots__ = ("deployment", "processes", "faults", "busy", "pool")
+    __slots__ = ("deployment", "processes", "faults", "faulted_nodes", "pool")
 
     def __init__(self, deployment):
         self.deployment = deployment
         self.processes = {}
         self.faults = []
-        self.busy = set()
+        self.faulted_nodes = set()
         self.pool = httpcore.AsyncConnectionPool(max_connections=64)
 
     def add(self, name, arguments, piped=False):
@@ -66,7 +66,7 @@
         self.processes[name] = process
         return process
 
-    def plan(
+    def add_processes(
         self, endpoints_per_zone=ENDPOINTS_PER_ZONE, vms=(), document=None
     ):
         """Adds all processes of the deployment.
@@ -114,14 +114,14 @@
                 arguments += ["--member", f"{name}:{service}:{zone}:{port}"]
         for address in deployment.announcement_addresses(zone):
             arguments += ["--entry", address]
-        arguments += ["--log", self.run_log(zone)]
+        arguments += ["--log", self.run_log_path(zone)]
         self.add(f"endpoints/{zone}", arguments)
 
-    def run_log(self, zone):
+    def run_log_path(self, zone):
         """Returns the path of the run log of a zone's endpoints."""
         return self.deployment.path("runs", f"{zone}.jsonl")
 
-    def of_role(self, role):
+    def processes_of_role(self, role):
         """Returns the processes of a role."""
         return [
             process
@@ -223,7 +223,7 @@
         for part in fault:
             part["until_ms"] = time.time_ns() // 1_000_000
 
-    async def relay(self, line):
+    async def send_relay_command(self, line):
         """Sends a command to the relays."""
         await self.processes["relays"].command(line)
 
@@ -235,7 +235,7 @@
         statuses = {}
         for role in ("entry", "endpoints", "control", "platform"):
             async with trio.open_nursery() as nursery:
-                for process in self.of_role(role):
+                for process in self.processes_of_role(role):
                     nursery.start_soon(self.stop_one, process, statuses)
         await self.processes["relays"].kill()
         return statuses
@@ -257,7 +257,7 @@
     """Runs a deployment until standard input ends."""
     with tempfile.TemporaryDirectory(prefix="wigeonport-") as folder:
         runner = FleetRunner(Deployment(folder))
-        runner.plan()
+        runner.add_processes()
         try:
             await runner.start()
             print("folder:", folder)
--- a/tools/patch_failures.py
+++ b/tools/patch_failures.py
@@ -70,26 +70,26 @@
         free = [
             node.node_id
             for node in self.runner.deployment.nodes.values()
-            if node.node_id not in self.runner.busy
+            if node.node_id not in self.runner.faulted_nodes
             and (node.is_voter or not voters)
             and zone in (None, node.zone)
         ]
         chosen = self.random.sample(free, min(count, len(free)))
         self.skipped += not chosen
-        self.runner.busy.update(chosen)
+        self.runner.faulted_nodes.update(chosen)
         return chosen
 
     def release(self, chosen):
         """Ends the reservation of nodes."""
-        self.runner.busy.difference_update(chosen)
+        self.runner.faulted_nodes.difference_update(chosen)
 
     async def pick_leader(self):
         """Reserves the leader; returns an empty list if it is in use."""
         leader = await self.find_leader()
-        if leader is None or leader in self.runner.busy:
+        if leader is None or leader in self.runner.faulted_nodes:
             self.skipped += 1
             return []
-        self.runner.busy.add(leader)
+        self.runner.faulted_nodes.add(leader)
         return [leader]
 
     async def find_leader(self):
@@ -168,12 +168,12 @@
 async def cut(injector, zone):
     """Cuts a zone off within the block."""
     with injector.fault(CUT, zone):
-        await injector.runner.relay(f"cut {zone}")
+        await injector.runner.send_relay_command(f"cut {zone}")
         try:
             yield
         finally:
             with trio.CancelScope(shield=True):
-                await injector.runner.relay(f"heal {zone}")
+                await injector.runner.send_relay_command(f"heal {zone}")
 
 
 @failures.register("cut zone")
--- a/tools/patch_soak.py
+++ b/tools/patch_soak.py
@@ -184,7 +184,7 @@
 async def main_task(folder, seed, run, within_ms):
     """Runs the soak or a measurement in a folder; returns the PatchSoak."""
     runner = FleetRunner(PatchDeployment(folder))
-    runner.plan(endpoints_per_zone=0)
+    runner.add_processes(endpoints_per_zone=0)
     for zone in ("ikeja", "lekki", "yaba"):
         del runner.processes[f"endpoints/{zone}"]
     soak = PatchSoak(runner, seed, within_ms)
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -229,7 +229,7 @@
 async def main_task(folder, seconds, seed):
     """Runs the soak in a folder; returns the Soak."""
     runner = FleetRunner(Deployment(folder))
-    runner.plan()
+    runner.add_processes()
     soak = Soak(runner, seed)
     try:
         await runner.start()
