--- a/bench/entry_throughput.py
+++ b/bench/entry_throughput.py
@@ -44,7 +44,7 @@
     path.write_text(make_document())
     deployment.write()
     node = next(iter(deployment.nodes.values()))
-    runner.plan_node(node, path)
+    runner.add_node_processes(node, path)
     ports = {"entry": node.ports["callers_port"]}
     target = None
     for number in range(endpoints):
--- a/tools/fleet_runner.py
+++ b/tools/fleet_runner.py
@@ -89,11 +89,11 @@
             ],
         )
         for node in deployment.nodes.values():
-            self.plan_node(node, document)
+            self.add_node_processes(node, document)
         for zone in dict.fromkeys(n.zone for n in deployment.nodes.values()):
-            self.plan_endpoints(zone, endpoints_per_zone)
+            self.add_endpoint_processes(zone, endpoints_per_zone)
 
-    def plan_node(self, node, document):
+    def add_node_processes(self, node, document):
         """Adds the programs of a VM."""
         path = self.deployment.settings_path(node)
         control = ["-m", "wigeonport.control_main", path]
@@ -103,7 +103,7 @@
         entry = ["-m", "wigeonport.entry_main", path]
         self.add(f"entry/{node.node_id}", entry)
 
-    def plan_endpoints(self, zone, count):
+    def add_endpoint_processes(self, zone, count):
         """Adds the process with the endpoint stand-ins of a zone."""
         deployment = self.deployment
         arguments = [STANDINS / "endpoint_group.py"]
