--- a/tools/demands.py
+++ b/tools/demands.py
@@ -31,7 +31,7 @@
     return mean_per_s * (PEAK_FACTOR if peaking else LOW_FACTOR)
 
 
-def list_arrivals(services, duration_ms, mean_per_s, turn_ms, random):
+def generate_arrivals(services, duration_ms, mean_per_s, turn_ms, random):
     """Yields Arrivals of a Poisson process whose rate rotates.
 
     Args:
--- a/tools/demo_steps.py
+++ b/tools/demo_steps.py
@@ -5,7 +5,7 @@
 import time
 
 import trio
-from demands import list_arrivals
+from demands import generate_arrivals
 from load import run_load
 from operators_client import load_fleet_patch
 
@@ -144,7 +144,9 @@
 async def run_callers(demo, services, seconds, options):
     """Runs the callers of all later steps; returns their summary."""
     await demo.documents["load"].wait()
-    arrivals = list_arrivals(services, seconds * 1_000, 4, 3_000, demo.random)
+    arrivals = generate_arrivals(
+        services, seconds * 1_000, 4, 3_000, demo.random
+    )
     path = demo.runner.deployment.path("callers.jsonl")
     return await run_load(arrivals, options, path, 1)
 
--- a/tools/deployments.py
+++ b/tools/deployments.py
@@ -151,10 +151,10 @@
         self.path("links-1.key").write_text(secrets.token_hex(32) + "\n")
         self.path("operators.tokens").write_text(f"demo {self.token}\n")
         for node in self.nodes.values():
-            document = self.settings_of(node)
+            document = self.make_settings(node)
             self.settings_path(node).write_text(dump(document))
 
-    def settings_of(self, node):
+    def make_settings(self, node):
         """Returns the settings document of a VM."""
         nodes = self.nodes.values()
         document = {
--- a/tools/load.py
+++ b/tools/load.py
@@ -15,7 +15,7 @@
 import httpcore
 import trio
 from callers import CallerOptions, make_call, perform
-from demands import list_arrivals
+from demands import generate_arrivals
 from hdrh.histogram import HdrHistogram
 
 from wigeonport.channels import Mailbox
@@ -148,7 +148,7 @@
         options.fail_share,
         options.delay_ms,
     )
-    arrivals = list_arrivals(
+    arrivals = generate_arrivals(
         options.service or list(SERVICES),
         options.seconds * 1_000,
         options.rate,
--- a/tools/patch_soak.py
+++ b/tools/patch_soak.py
@@ -44,9 +44,9 @@
 
     __slots__ = ()
 
-    def settings_of(self, node):
+    def make_settings(self, node):
         """Returns the settings document of a VM."""
-        document = super().settings_of(node)
+        document = super().make_settings(node)
         document["event_log"] = str(self.path(node.node_id, "ev.jsonl"))
         return document
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -13,7 +13,7 @@
 
 import trio
 from callers import CallerOptions
-from demands import list_arrivals
+from demands import generate_arrivals
 from deployments import SERVICES, Deployment
 from failures import BusyError, failures
 from fleet_runner import FleetRunner, HealthError
@@ -195,7 +195,7 @@
     """
     deployment = soak.runner.deployment
     options = CallerOptions(deployment.entries(), fail_share=0.03)
-    arrivals = list_arrivals(
+    arrivals = generate_arrivals(
         SERVICES,
         seconds * 1_000,
         RATE_PER_SERVICE,
