Reword the callers, the load and the checker of outcomes

Cause: names such as Sent, again, perform and verdict and docstrings such as 'What the caller was told' needed a second reading. Change: plain names and docstrings; violations name what was seen. No behaviour changes.

--- a/tools/callers.py
+++ b/tools/callers.py
@@ -1,4 +1,7 @@
-"""Callers: make requests, send them to entries and check what they get."""
+"""HTTP callers: make requests, send them to entries, check the responses.
+
+A sending is one transmission of a request; a request may be sent repeatedly.
+"""
 
 import json
 import time
@@ -12,8 +15,8 @@
 
 OUTCOME = b"wigeonport-outcome"
 REASON = b"wigeonport-reason"
-CALLER_MARGIN_MS = 3_000
-LARGEST_DELAY_MS = 40
+RESPONSE_MARGIN_MS = 3_000
+MAX_DELAY_MS = 40
 SIZES_BYTES = (0, 200, 2_000, 20_000)
 DEADLINES_MS = (1_000, 3_000, 5_000)
 FAILURES = ("close", "short", "foreign")
@@ -25,15 +28,16 @@
 
 
 class CallerOptions:
-    """What the requests are like.
+    """Properties of the generated requests.
 
     Attributes:
         entries: Addresses ``host:port`` of the callers' ports.
         keyed_share: Share of requests with an Idempotency-Key.
         post_share: Share of POST requests without a key.
-        resend_share: Share of completed keyed requests sent once more.
-        fail_share: Share of requests that make the endpoint fail.
-        delay_ms: Largest run time of a request.
+        resend_share: Share of requests that are sent once more after they
+            completed, if they have a key.
+        fail_share: Share of requests that ask the endpoint stand-in to fail.
+        delay_ms: Maximum run time of a request at the endpoint.
     """
 
     __slots__ = (
@@ -52,7 +56,7 @@
         post_share=0.2,
         resend_share=0.1,
         fail_share=0.0,
-        delay_ms=LARGEST_DELAY_MS,
+        delay_ms=MAX_DELAY_MS,
     ):
         self.entries = entries
         self.keyed_share = keyed_share
@@ -66,15 +70,16 @@
     """One request of a caller, which may be sent several times.
 
     Attributes:
-        tag: Unique; the endpoint puts it into its response.
-        key: Idempotency key, or an empty text.
-        service: Service that is called.
+        tag: Unique identifier that the endpoint returns in its response.
+        key: Idempotency key, or an empty string.
+        service: Id of the called service.
         method: HTTP method.
         headers: Pairs of header name and value.
-        body: Body that is sent.
-        size_bytes: Least length of the response's body.
-        deadline_ms: Deadline that the caller states.
-        again: Whether a completed keyed request is sent once more.
+        body: Body of the request.
+        size_bytes: Minimum length of the response body.
+        deadline_ms: Deadline that the request states, from its start.
+        resend_completed: Whether the request is sent once more after it
+            completed, if it has a key.
     """
 
     __slots__ = (
@@ -86,7 +91,7 @@
         "body",
         "size_bytes",
         "deadline_ms",
-        "again",
+        "resend_completed",
     )
 
     def __init__(self, tag, service, random, options):
@@ -97,7 +102,7 @@
         self.body = b""
         self.size_bytes = random.choice(SIZES_BYTES)
         self.deadline_ms = random.choice(DEADLINES_MS)
-        self.again = random.random() < options.resend_share
+        self.resend_completed = random.random() < options.resend_share
         self.headers = [
             ("host", "callers"),
             ("x-tag", tag),
@@ -109,20 +114,21 @@
             self.headers.append(("x-fail", random.choice(FAILURES)))
 
 
-class Sent:
-    """What the caller was told about one sending of a Call.
+class Sending:
+    """Result of one sending of a Call, as the caller saw it.
 
     Attributes:
         call: The Call.
         entry: Address of the entry.
-        sent_ms: Wall time at the start.
-        ended_ms: Wall time at the end.
-        status: HTTP status, or 0.
-        outcome: Value of the outcome header, NO_OUTCOME, or ABANDONED if the
-            caller itself closed the connection.
-        reason: Reason of the entry, or what went wrong on the way.
-        check: WHOLE, PARTIAL, FOREIGN or ABSENT.
-        number: 1 for the first sending of the Call.
+        sent_ms: Wall-clock time at the start.
+        ended_ms: Wall-clock time at the end.
+        status: HTTP status, or 0 without a response.
+        outcome: Value of the outcome header, NO_OUTCOME if there was none, or
+            ABANDONED if the caller itself closed the connection.
+        reason: Value of the reason header, or the connection error.
+        check: WHOLE, PARTIAL or FOREIGN for the body of a completed request;
+            otherwise ABSENT.
+        number: Number of this sending, 1 for the first one of the Call.
     """
 
     __slots__ = (
@@ -149,7 +155,7 @@
         self.check = ABSENT
 
     def to_line(self):
-        """Returns the JSON line of the callers' log."""
+        """Returns the result as a JSON line of the callers' log."""
         document = {
             "tag": self.call.tag,
             "key": self.call.key,
@@ -166,30 +172,30 @@
 
 @shapes.register("get")
 def shape_get(call):
-    """A request that may be repeated."""
+    """Leaves the call a GET, which may be repeated."""
 
 
 @shapes.register("post")
 def shape_post(call):
-    """A request that must not be repeated and has no key."""
+    """Makes the call a POST without a key, which must not be repeated."""
     call.method = "POST"
     call.body = json.dumps({"tag": call.tag}).encode()
 
 
 @shapes.register("keyed")
 def shape_keyed(call):
-    """A request that must not be repeated and has a key."""
+    """Makes the call a POST with an idempotency key."""
     shape_post(call)
     call.key = f"key-{call.tag}"
     call.headers.append(("idempotency-key", call.key))
 
 
 def make_call(tag, service, random, options):
-    """Returns a Call of a random shape."""
+    """Returns a Call whose shape follows the shares of the options."""
     call = Call(tag, service, random, options)
-    plain = 1 - options.keyed_share - options.post_share
+    get_share = 1 - options.keyed_share - options.post_share
     weights = {
-        "get": plain,
+        "get": get_share,
         "post": options.post_share,
         "keyed": options.keyed_share,
     }
@@ -200,7 +206,10 @@
 
 
 def check_body(call, body):
-    """Returns whether a body is the whole response to this call."""
+    """Returns WHOLE, PARTIAL or FOREIGN for the body of a response.
+
+    FOREIGN is a response to another request, by its tag.
+    """
     try:
         tag = json.loads(body)["tag"]
     except (ValueError, KeyError, TypeError):
@@ -214,86 +223,98 @@
     """Sends a call to one entry.
 
     Returns:
-        The Sent, or None if the entry accepts no connection; the platform's
-        balancer turns to another entry then.
+        The Sending, or None if the entry accepts no connection; a load
+        balancer of the platform would choose another entry then.
     """
-    sent = Sent(call, entry, number)
+    sending = Sending(call, entry, number)
     url = f"http://{entry}/{call.service}/work"
-    timeout_ms = call.deadline_ms + CALLER_MARGIN_MS
+    timeout_ms = call.deadline_ms + RESPONSE_MARGIN_MS
     try:
         with trio.fail_after(timeout_ms / 1_000):
             response = await pool.request(
                 call.method, url, headers=call.headers, content=call.body
             )
-        read_response(sent, response)
+        record_response(sending, response)
     except (httpcore.ConnectError, httpcore.ConnectTimeout):
         return None
     except trio.TooSlowError:
-        sent.reason = "no response"
+        sending.reason = "no response"
     except (
         httpcore.NetworkError,
         httpcore.ProtocolError,
         httpcore.TimeoutException,
-    ) as fault:
-        sent.reason = f"{type(fault).__name__}: {fault}"
-        if is_local(fault):
-            sent.outcome = ABANDONED
-    sent.ended_ms = time.time_ns() // 1_000_000
-    return sent
+    ) as error:
+        sending.reason = f"{type(error).__name__}: {error}"
+        if closed_by_caller(error):
+            sending.outcome = ABANDONED
+    sending.ended_ms = time.time_ns() // 1_000_000
+    return sending
 
 
-def is_local(fault):
-    """Returns whether this side closed the connection.
+def closed_by_caller(error):
+    """Returns whether the caller itself closed the connection.
 
-    The connection pool sometimes closes a connection that a request has just
-    been given; the entry has no part in that.
+    The connection pool sometimes closes a connection that it has just
+    assigned to a request. Such a failure is not one of the entry.
     """
-    while fault is not None:
-        if isinstance(fault, trio.ClosedResourceError):
+    while error is not None:
+        if isinstance(error, trio.ClosedResourceError):
             return True
-        fault = fault.__cause__ or fault.__context__
+        error = error.__cause__ or error.__context__
     return False
 
 
-def read_response(sent, response):
-    """Fills in what the response says."""
+def record_response(sending, response):
+    """Stores status, outcome, reason and body check of a response."""
     headers = dict(response.headers)
     headers = {name.lower(): value for name, value in headers.items()}
-    sent.status = response.status
-    sent.outcome = headers.get(OUTCOME, NO_OUTCOME.encode()).decode()
-    sent.reason = headers.get(REASON, b"").decode("latin-1")
-    if sent.outcome == "completed":
-        sent.check = check_body(sent.call, response.content)
+    sending.status = response.status
+    sending.outcome = headers.get(OUTCOME, NO_OUTCOME.encode()).decode()
+    sending.reason = headers.get(REASON, b"").decode("latin-1")
+    if sending.outcome == "completed":
+        sending.check = check_body(sending.call, response.content)
 
 
-def wants_resend(sent):
-    """Returns whether a caller sends its request once more.
+def should_resend(sending):
+    """Returns whether the caller sends the request once more.
 
-    Only a key makes a second sending safe, so only keyed requests are sent
-    again. Each goes through another entry.
+    Only an idempotency key makes a repeated sending safe, so only requests
+    with a key are sent again, each time through another entry.
     """
-    call = sent.call
-    if not call.key or sent.number >= MAX_SENDS:
+    call = sending.call
+    if not call.key or sending.number >= MAX_SENDS:
         return False
-    if sent.outcome == "completed":
-        return call.again and sent.number == 1
+    if sending.outcome == "completed":
+        return call.resend_completed and sending.number == 1
     return True
 
 
-async def perform(pool, call, random, options, report):
-    """Sends a call until its outcome is known; reports each sending."""
-    number, last, unreachable = 1, None, 0
+async def perform_call(pool, call, random, options, report):
+    """Sends a call until no resend is due; reports each sending.
+
+    Gives up after MAX_UNREACHABLE refused connections.
+
+    Args:
+        pool: HTTP connection pool.
+        call: The Call.
+        random: Source of random numbers.
+        options: CallerOptions.
+        report: Async function that receives each Sending.
+    """
+    number, last_entry, unreachable_count = 1, None, 0
     while True:
-        others = [entry for entry in options.entries if entry != last]
-        last = random.choice(others or options.entries)
-        sent = await send_once(pool, call, last, number)
-        if sent is None:
-            unreachable += 1
-            if unreachable > MAX_UNREACHABLE:
+        other_entries = [
+            entry for entry in options.entries if entry != last_entry
+        ]
+        last_entry = random.choice(other_entries or options.entries)
+        sending = await send_once(pool, call, last_entry, number)
+        if sending is None:
+            unreachable_count += 1
+            if unreachable_count > MAX_UNREACHABLE:
                 return
             continue
         number += 1
-        await report(sent)
-        if not wants_resend(sent):
+        await report(sending)
+        if not should_resend(sending):
             return
         await trio.sleep(0.1 * number)
--- a/tools/demands.py
+++ b/tools/demands.py
@@ -1,15 +1,15 @@
-"""Rotating demand: each service peaks in turn."""
+"""Request arrivals under a rotating demand: each service peaks in turn."""
 
 PEAK_FACTOR = 5.0
 LOW_FACTOR = 1 / 20
 
 
 class Arrival:
-    """One request that is due.
+    """Arrival of one request.
 
     Attributes:
-        at_ms: Time since the start.
-        service: Service that is called.
+        at_ms: Time since the start of the run.
+        service: Id of the called service.
     """
 
     __slots__ = ("at_ms", "service")
@@ -19,35 +19,42 @@
         self.service = service
 
 
-def rate_of(service_index, service_count, at_ms, mean_per_s, turn_ms):
-    """Returns the requests a second of a service at a time.
+def request_rate(service_index, service_count, at_ms, mean_per_s, peak_ms):
+    """Returns the request rate of a service at a time, in requests per second.
 
-    The service whose turn it is has about five times the mean, the others a
-    twentieth of it. A single service has the mean throughout.
+    The service at its peak has PEAK_FACTOR times the mean rate, the others
+    have LOW_FACTOR times the mean. A single service always has the mean.
+
+    Args:
+        service_index: Position of the service in the order of the peaks.
+        service_count: Number of services.
+        at_ms: Time since the start of the run.
+        mean_per_s: Mean rate of one service.
+        peak_ms: Length of a peak.
     """
     if service_count == 1:
         return mean_per_s
-    peaking = int(at_ms // turn_ms) % service_count == service_index
-    return mean_per_s * (PEAK_FACTOR if peaking else LOW_FACTOR)
+    at_peak = int(at_ms // peak_ms) % service_count == service_index
+    return mean_per_s * (PEAK_FACTOR if at_peak else LOW_FACTOR)
 
 
-def generate_arrivals(services, duration_ms, mean_per_s, turn_ms, random):
-    """Yields Arrivals of a Poisson process whose rate rotates.
+def generate_arrivals(services, duration_ms, mean_per_s, peak_ms, random):
+    """Yields the Arrivals of Poisson processes with rotating rates.
 
     Args:
-        services: Names of the services.
+        services: Ids of the services, in the order of their peaks.
         duration_ms: Length of the run.
         mean_per_s: Mean rate of one service.
-        turn_ms: Length of a service's turn at its peak.
+        peak_ms: Length of a peak; the next service peaks after it.
         random: Source of random numbers.
     """
     at_ms = 0.0
     while True:
-        rates = [
-            rate_of(index, len(services), at_ms, mean_per_s, turn_ms)
+        rates_per_s = [
+            request_rate(index, len(services), at_ms, mean_per_s, peak_ms)
             for index in range(len(services))
         ]
-        at_ms += random.expovariate(sum(rates)) * 1_000
+        at_ms += random.expovariate(sum(rates_per_s)) * 1_000
         if at_ms >= duration_ms:
             return
-        yield Arrival(at_ms, random.choices(services, rates)[0])
+        yield Arrival(at_ms, random.choices(services, rates_per_s)[0])
--- a/tools/load.py
+++ b/tools/load.py
@@ -1,7 +1,8 @@
-"""Load tool: HTTP callers with rotating demand.
+"""Load generator: HTTP callers with rotating demand.
 
-Every sending of a request becomes one JSON line with what the caller was
-told. ``outcomes.py`` compares these lines with the endpoints' run logs.
+Writes one JSON line for each sending of a request, with the outcome that the
+caller received. ``outcomes.py`` compares these lines with the run logs of
+the endpoints.
 """
 
 import argparse
@@ -14,28 +15,29 @@
 
 import httpcore
 import trio
-from callers import CallerOptions, make_call, perform
+from callers import CallerOptions, make_call, perform_call
 from demands import generate_arrivals
 from hdrh.histogram import HdrHistogram
 
 from wigeonport.channels import Mailbox
 
 SERVICES = ("routedesk", "roster", "cortege", "crusade", "notices")
-RESULTS_BOUND = 1_024
+MAX_QUEUED_RESULTS = 1_024
 MAX_OPEN_CALLS = 1_000
-LARGEST_LATENCY_US = 600_000_000
+MAX_LATENCY_US = 600_000_000
 SIGNIFICANT_FIGURES = 3
 PERCENTILES = (50, 90, 99, 99.9)
 
 
 class Summary:
-    """Counts and latency of a run.
+    """Counts and latencies of a run.
 
     Attributes:
-        outcomes: Sendings by outcome.
-        reasons: Sendings by outcome and reason, if not completed.
-        latency_us: Histogram of the latency of completed requests.
-        unsent: Arrivals dropped because too many calls were open.
+        outcomes: Maps an outcome to its number of sendings.
+        reasons: Maps outcome and reason to their number of sendings, without
+            the completed ones.
+        latency_us: Histogram of the latency of completed sendings.
+        unsent: Arrivals that were dropped because MAX_OPEN_CALLS were open.
     """
 
     __slots__ = ("outcomes", "reasons", "latency_us", "unsent")
@@ -43,22 +45,20 @@
     def __init__(self):
         self.outcomes = Counter()
         self.reasons = Counter()
-        self.latency_us = HdrHistogram(
-            1, LARGEST_LATENCY_US, SIGNIFICANT_FIGURES
-        )
+        self.latency_us = HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_FIGURES)
         self.unsent = 0
 
-    def add(self, sent):
-        """Adds one sending."""
-        self.outcomes[sent.outcome] += 1
-        if sent.outcome == "completed":
-            spent_us = (sent.ended_ms - sent.sent_ms) * 1_000
-            self.latency_us.record_value(max(1, spent_us))
+    def add(self, sending):
+        """Adds the result of one sending."""
+        self.outcomes[sending.outcome] += 1
+        if sending.outcome == "completed":
+            elapsed_us = (sending.ended_ms - sending.sent_ms) * 1_000
+            self.latency_us.record_value(max(1, elapsed_us))
         else:
-            self.reasons[f"{sent.outcome}: {sent.reason}"] += 1
+            self.reasons[f"{sending.outcome}: {sending.reason}"] += 1
 
     def to_document(self):
-        """Returns plain data."""
+        """Returns the summary as JSON-compatible data."""
         latency_ms = {
             f"p{percentile:g}": self.latency_us.get_value_at_percentile(
                 percentile
@@ -75,52 +75,63 @@
 
 
 async def record_results(inbound, path, summary):
-    """Owns the callers' log; writes one line for each sending."""
+    """Writes each sending to the callers' log, and adds it to the summary.
+
+    This task is the only one that owns the file.
+    """
     with open(path, "a", encoding="utf-8", buffering=1) as stream:
-        async for sent in inbound:
-            summary.add(sent)
-            stream.write(sent.to_line())
+        async for sending in inbound:
+            summary.add(sending)
+            stream.write(sending.to_line())
 
 
 async def run_load(arrivals, options, path, seed):
-    """Sends the arrivals; returns the Summary.
+    """Sends a request at each arrival; returns the Summary.
 
     Args:
-        arrivals: Arrivals in order.
+        arrivals: Arrivals in order of time.
         options: CallerOptions.
-        path: File of the callers' log.
-        seed: Seed of everything random about the requests.
+        path: Path of the callers' log.
+        seed: Seed of the random properties of the requests.
     """
-    results = Mailbox("results", RESULTS_BOUND)
+    results = Mailbox("results", MAX_QUEUED_RESULTS)
     summary = Summary()
     pool = httpcore.AsyncConnectionPool(
         max_connections=MAX_OPEN_CALLS, keepalive_expiry=5.0
     )
     start_ms = time.monotonic() * 1_000
-    # Tags stay unique over several runs into the same logs.
+    # Keeps the tags unique if several runs write to the same logs.
     run_id = f"{time.time_ns() // 1_000_000:x}-{seed}"
     async with trio.open_nursery() as nursery:
         nursery.start_soon(record_results, results, path, summary)
-        async with pool, trio.open_nursery() as calls:
+        async with pool, trio.open_nursery() as call_nursery:
             for number, arrival in enumerate(arrivals):
                 wait_ms = start_ms + arrival.at_ms - time.monotonic() * 1_000
                 await trio.sleep(max(wait_ms, 0) / 1_000)
-                if len(calls.child_tasks) >= MAX_OPEN_CALLS:
+                if len(call_nursery.child_tasks) >= MAX_OPEN_CALLS:
                     summary.unsent += 1
                     continue
-                source = random.Random(f"{seed}-{number}")
+                request_random = random.Random(f"{seed}-{number}")
                 call = make_call(
-                    f"{run_id}-{number}", arrival.service, source, options
+                    f"{run_id}-{number}",
+                    arrival.service,
+                    request_random,
+                    options,
                 )
-                calls.start_soon(
-                    perform, pool, call, source, options, results.put
+                call_nursery.start_soon(
+                    perform_call,
+                    pool,
+                    call,
+                    request_random,
+                    options,
+                    results.put,
                 )
         results.close()
     return summary
 
 
 def parse_options(arguments):
-    """Returns the options of the command line."""
+    """Returns the parsed command line options."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--entry", action="append", required=True)
     parser.add_argument("--service", action="append")
--- a/tools/outcomes.py
+++ b/tools/outcomes.py
@@ -1,8 +1,8 @@
-"""Checker: compares what callers were told with what endpoints ran.
+"""Checks the guarantees of the requests against the logs of a run.
 
-It reads the callers' lines of ``load.py``, the run logs of the endpoint
-stand-ins and, if given, the list of injected faults, and exits 1 naming each
-guarantee that was broken.
+Compares the outcomes in the callers' log of ``load.py`` with the run logs of
+the endpoint stand-ins and, if given, the list of injected faults. Exits 1 if
+a guarantee was broken and names each of these.
 """
 
 import argparse
@@ -16,21 +16,22 @@
 guarantees = Registry("guarantee")
 
 LEAVING_GRACE_MS = 3_000
-# The stand-ins and the callers read the same clock, one at the start and one
-# at the end of a step, so neighbouring times may differ by a rounding.
-CLOCK_SLACK_MS = 5
-PRINTED_VIOLATIONS = 5
+# Endpoints and callers read the same clock, but round to whole milliseconds
+# and read it before or after a step, so that times may seem reversed.
+CLOCK_TOLERANCE_MS = 5
+MAX_PRINTED_VIOLATIONS = 5
 COMPLETED, NOT_RUN, NO_OUTCOME = "completed", "not-run", "none"
 
 
 class RunLogs:
-    """The logs of one run.
+    """Logs of one run of the system.
 
     Attributes:
-        sendings: Lines of the callers.
-        runs: Runs of the endpoints by tag.
-        events: All lines of the endpoints in order of time.
-        faults: Faults with ``process``, ``from_ms`` and ``until_ms``.
+        sendings: Documents of the callers' log, one per sending of a request.
+        runs: Maps the tag of a request to its runs at endpoints.
+        events: Documents of the endpoints' logs, in order of time.
+        faults: Injected faults; each has ``process`` (address of an entry),
+            ``from_ms`` and ``until_ms``.
     """
 
     __slots__ = ("sendings", "runs", "events", "faults")
@@ -45,17 +46,17 @@
                 self.runs[event["tag"]].append(event)
 
     def sendings_by_tag(self):
-        """Returns the sendings of each request."""
+        """Returns a mapping of the tag of a request to its sendings."""
         by_tag = defaultdict(list)
         for sending in self.sendings:
             by_tag[sending["tag"]].append(sending)
         return by_tag
 
     def entry_was_faulty(self, sending):
-        """Returns whether its entry was faulty while the request was open.
+        """Returns whether a fault hit the entry while the request was open.
 
-        A caller whose entry dies sees a closed connection; that is not an
-        answer that wigeonport can give.
+        If an entry process dies, its callers see a closed connection; no
+        outcome can be sent to them then.
         """
         return any(
             fault["process"] == sending["entry"]
@@ -67,9 +68,9 @@
 
 @guarantees.register("R3 whole responses")
 def check_responses(logs):
-    """A completed response is whole and belongs to its request."""
+    """Finds completed responses that are cut short or of another request."""
     return [
-        f"{sending['tag']}: the body is {sending['check']}"
+        f"{sending['tag']}: the response body is {sending['check']}"
         for sending in logs.sendings
         if sending["outcome"] == COMPLETED and sending["check"] != "whole"
     ]
@@ -77,7 +78,7 @@
 
 @guarantees.register("R3 completed requests ran")
 def check_completed(logs):
-    """A request that completed did run."""
+    """Finds requests that completed without a run."""
     return [
         f"{sending['tag']}: completed, but no endpoint ran it"
         for sending in logs.sendings
@@ -88,39 +89,43 @@
 
 @guarantees.register("R4 not-run did not run")
 def check_not_run(logs):
-    """Each run has a sending that may have caused it.
+    """Finds runs that no sending of the request can have caused.
 
-    A sending whose outcome is not-run causes no run. A keyed request that
-    was not run at first may run because of a later sending.
+    A sending with the outcome not-run must not cause a run. A request with a
+    key that was first answered not-run may run because of a later sending.
     """
     violations = []
     for tag, sendings in logs.sendings_by_tag().items():
-        causes = [s for s in sendings if s["outcome"] != NOT_RUN]
+        possible_causes = [s for s in sendings if s["outcome"] != NOT_RUN]
         for run in logs.runs.get(tag, ()):
-            latest_ms = run["wall_ms"] + CLOCK_SLACK_MS
-            if not any(cause["sent_ms"] <= latest_ms for cause in causes):
+            latest_ms = run["wall_ms"] + CLOCK_TOLERANCE_MS
+            if not any(
+                cause["sent_ms"] <= latest_ms for cause in possible_causes
+            ):
                 violations.append(
-                    f"{tag}: told not-run, but {run['endpoint']} ran it"
+                    f"{tag}: outcome not-run, but {run['endpoint']} ran it"
                 )
     return violations
 
 
 @guarantees.register("R5 at most one run")
 def check_single_runs(logs):
-    """A request with a key and a POST without one run at most once."""
+    """Finds POST requests, with or without a key, that ran repeatedly."""
     violations = []
     for tag, sendings in logs.sendings_by_tag().items():
         if not sendings[0]["key"] and sendings[0]["method"] != "POST":
             continue
-        places = [run["endpoint"] for run in logs.runs.get(tag, ())]
-        if len(places) > 1:
-            violations.append(f"{tag}: ran at {', '.join(places)}")
+        endpoints = [run["endpoint"] for run in logs.runs.get(tag, ())]
+        if len(endpoints) > 1:
+            violations.append(
+                f"{tag}: ran more than once: {', '.join(endpoints)}"
+            )
     return violations
 
 
 @guarantees.register("R6 no work for leaving endpoints")
 def check_leaving(logs):
-    """No work arrives 3 s after an endpoint announced that it leaves."""
+    """Finds requests to endpoints that announced to leave over 3 s before."""
     violations, leaving_ms = [], {}
     for event in logs.events:
         endpoint, kind = event["endpoint"], event["event"]
@@ -131,13 +136,15 @@
         elif endpoint in leaving_ms:
             late_ms = event["wall_ms"] - leaving_ms[endpoint]
             if late_ms > LEAVING_GRACE_MS:
-                violations.append(f"{endpoint}: work after {late_ms} ms")
+                violations.append(
+                    f"{endpoint}: work {late_ms} ms after leaving"
+                )
     return violations
 
 
 @guarantees.register("R7 every request has an outcome")
 def check_outcomes(logs):
-    """Every request that reached a working entry has an outcome."""
+    """Finds sendings to an entry without a fault that got no outcome."""
     return [
         f"{sending['tag']}: no outcome from {sending['entry']}: "
         f"{sending['reason']}"
@@ -148,15 +155,15 @@
 
 
 def check_guarantees(logs):
-    """Returns the violations by guarantee."""
+    """Returns a mapping of guarantee to the texts of its violations."""
     return {name: guarantees.get(name).ok(logs) for name in guarantees.names()}
 
 
-def count(logs):
-    """Returns the counts that are printed."""
-    outcomes = Counter(s["outcome"] for s in logs.sendings)
-    kinds = Counter(event["event"] for event in logs.events)
-    excused = sum(
+def summarize_logs(logs):
+    """Returns counts of requests, outcomes and endpoint events."""
+    outcome_counts = Counter(s["outcome"] for s in logs.sendings)
+    event_counts = Counter(event["event"] for event in logs.events)
+    unanswered_count = sum(
         1
         for sending in logs.sendings
         if sending["outcome"] == NO_OUTCOME and logs.entry_was_faulty(sending)
@@ -164,16 +171,19 @@
     return {
         "requests": len(logs.sendings_by_tag()),
         "sendings": len(logs.sendings),
-        "outcomes": dict(outcomes),
-        "endpoint_events": dict(kinds),
-        "without_outcome_at_a_faulty_entry": excused,
+        "outcomes": dict(outcome_counts),
+        "endpoint_events": dict(event_counts),
+        "without_outcome_at_a_faulty_entry": unanswered_count,
     }
 
 
 def read_lines(paths):
     """Returns the documents of JSON Lines files.
 
-    A process that was killed may leave a last line cut short; it is skipped.
+    Skips an incomplete last line, as a killed process may leave it.
+
+    Raises:
+        ValueError: If any other line is not JSON.
     """
     documents = []
     for path in paths:
@@ -187,19 +197,23 @@
     return documents
 
 
-def print_results(logs, verdict):
-    """Prints counts and violations; returns the names of the broken."""
-    print(json.dumps(count(logs), indent=2))
-    for name, violations in verdict.items():
+def print_results(logs, violations_by_guarantee):
+    """Prints counts and violations; returns the broken guarantees."""
+    print(json.dumps(summarize_logs(logs), indent=2))
+    for name, violations in violations_by_guarantee.items():
         state = "broken" if violations else "held"
         print(f"{name}: {state}, {len(violations)} violations")
-        for violation in violations[:PRINTED_VIOLATIONS]:
+        for violation in violations[:MAX_PRINTED_VIOLATIONS]:
             print(f"  {violation}")
-    return [name for name, violations in verdict.items() if violations]
+    return [
+        name
+        for name, violations in violations_by_guarantee.items()
+        if violations
+    ]
 
 
 def main(arguments=None):
-    """Reads the logs and exits 1 if a guarantee is broken."""
+    """Checks the logs; returns 1 if a guarantee is broken, otherwise 0."""
     parser = argparse.ArgumentParser(description=__doc__)
     paths = {"type": pathlib.Path, "nargs": "+"}
     parser.add_argument("--callers", required=True, **paths)
@@ -211,10 +225,10 @@
         read_lines(options.endpoints),
         read_lines(options.faults),
     )
-    broken = print_results(logs, check_guarantees(logs))
-    for name in broken:
+    broken_guarantees = print_results(logs, check_guarantees(logs))
+    for name in broken_guarantees:
         print(f"broken: {name}", file=sys.stderr)
-    return 1 if broken else 0
+    return 1 if broken_guarantees else 0
 
 
 if __name__ == "__main__":
