--- a/tools/demo.py
+++ b/tools/demo.py
@@ -1,6 +1,6 @@
-"""The demo: three zones as separate processes, with every guarantee checked.
+"""Demo: runs three zones as separate processes and checks R1 to R8.
 
-It exits 0 only if all checks held.
+Exits 0 only if every guarantee was checked and every check held.
 """
 
 import json
@@ -17,13 +17,13 @@
 from outcomes import RunLogs, check_guarantees, print_results, read_lines
 
 SEED = 7
-LOAD_SECONDS = 16
-LONGEST_RUN_S = 100
+LOAD_S = 16
+MAX_RUN_S = 100
 GUARANTEES = ("R1", "R2", "R3", "R4", "R5", "R6", "R7", "R8")
 
 
 def list_vms(patch):
-    """Returns ``VM@ZONE`` of the workers that a patch adds."""
+    """Returns ``VM@ZONE`` for each worker that a patch adds."""
     return [
         f"{operation['id']}@{operation['zone']}"
         for operation in patch["operations"]
@@ -31,85 +31,87 @@
     ]
 
 
-async def run_steps(demo, done):
-    """Runs all steps in order; the load ends by itself."""
+async def run_steps(demo, load_ended):
+    """Runs all steps in order, then waits until the load has ended."""
     for name in steps.names():
-        demo.note(f"-- {name[3:]}")
+        demo.log(f"-- {name[3:]}")
         await steps.get(name).ok(demo)
-    await done.wait()
+    await load_ended.wait()
 
 
 async def run_demo(demo, options):
-    """Runs the steps beside the callers."""
-    demo.documents["load"] = trio.Event()
-    done = trio.Event()
+    """Runs the steps and the callers concurrently."""
+    demo.step_values["load"] = trio.Event()
+    load_ended = trio.Event()
 
     async def call():
-        demo.documents["summary"] = await run_callers(
-            demo, SERVICES, LOAD_SECONDS, options
+        demo.step_values["summary"] = await run_callers(
+            demo, SERVICES, LOAD_S, options
         )
-        demo.note("the callers are done")
-        done.set()
+        demo.log("every request of the callers has ended")
+        load_ended.set()
 
     async with trio.open_nursery() as nursery:
         nursery.start_soon(call)
-        await run_steps(demo, done)
+        await run_steps(demo, load_ended)
 
 
-def judge_outcomes(demo):
-    """Compares what callers were told with what endpoints ran."""
+def check_logs(demo):
+    """Compares the outcomes of the callers with the runs of the endpoints."""
     deployment = demo.runner.deployment
     runs = sorted(deployment.folder.joinpath("runs").glob("*.jsonl"))
     callers = deployment.path("callers.jsonl")
     logs = RunLogs(read_lines([callers]), read_lines(runs), demo.runner.faults)
-    verdict = check_guarantees(logs)
-    for name in print_results(logs, verdict):
-        demo.broken.append((name, verdict[name][0]))
-    demo.checked |= {name.split()[0] for name in verdict}
+    violations_by_guarantee = check_guarantees(logs)
+    for name in print_results(logs, violations_by_guarantee):
+        demo.violations.append((name, violations_by_guarantee[name][0]))
+    demo.checked |= {name.split()[0] for name in violations_by_guarantee}
     if not logs.sendings:
-        demo.broken.append(("R7", "no caller sent anything"))
+        demo.violations.append(("R7", "the callers sent no request"))
 
 
 async def stop_all(demo):
-    """Stops the rest and checks the exit codes."""
+    """Stops the remaining processes and checks their exit statuses."""
     statuses = await demo.runner.stop()
-    wrong = {name: code for name, code in statuses.items() if code != 0}
-    text = f"all {len(statuses)} remaining processes exit 0 {wrong or ''}"
-    demo.check("R7", not wrong, text)
+    failed = {name: code for name, code in statuses.items() if code != 0}
+    text = f"{len(statuses)} other processes exit with status 0 {failed or ''}"
+    demo.check("R7", not failed, text)
 
 
 async def main_task(folder):
-    """Runs the demo in a folder; returns the Demo."""
+    """Runs the demo with its files in a folder; returns the Demo."""
     runner = FleetRunner(Deployment(folder))
     runner.add_processes(vms=list_vms(load_fleet_patch()))
     demo = Demo(runner, OperatorsClient(runner), random.Random(SEED))
     options = CallerOptions(runner.deployment.entries(), fail_share=0.05)
     try:
-        with trio.fail_after(LONGEST_RUN_S):
+        with trio.fail_after(MAX_RUN_S):
             await run_demo(demo, options)
             await stop_all(demo)
-    except HealthError as fault:
-        demo.broken.append(("start", str(fault)))
+    except HealthError as error:
+        demo.violations.append(("start", str(error)))
     except trio.TooSlowError:
-        demo.broken.append(("time", f"not done within {LONGEST_RUN_S} s"))
+        demo.violations.append(
+            ("time", f"the demo did not end within {MAX_RUN_S} s")
+        )
     finally:
         runner.kill_all()
-    judge_outcomes(demo)
+    check_logs(demo)
     return demo
 
 
 def print_result(demo):
-    """Prints the callers' view and the verdict; returns the exit status."""
-    summary = demo.documents.get("summary")
+    """Prints the callers' summary and the result; returns the exit status."""
+    summary = demo.step_values.get("summary")
     if summary is not None:
         print(json.dumps(summary.to_document(), indent=2))
     unchecked = sorted(set(GUARANTEES) - demo.checked)
-    print("checked:", *sorted(demo.checked))
-    print("not checked:", *(unchecked or ["none"]))
-    for guarantee, text in demo.broken:
+    print("guarantees checked:", *sorted(demo.checked))
+    print("guarantees not checked:", *(unchecked or ["none"]))
+    for guarantee, text in demo.violations:
         print(f"broken: {guarantee}: {text}", file=sys.stderr)
-    print("verdict:", "broken" if demo.broken else "every check held")
-    return 1 if demo.broken or unchecked else 0
+    print("result:", "broken" if demo.violations else "every check held")
+    return 1 if demo.violations or unchecked else 0
 
 
 def main():
