Reword the deployments and the launcher of processes

Cause: mappings were described as 'Node by id', and names such as relayed, peer_of and command say little. Change: plain names, mappings as key to value, and error messages that name what ended.

--- a/tools/deployments.py
+++ b/tools/deployments.py
@@ -1,8 +1,8 @@
-"""Deployments: the settings of a small fleet on 127.0.0.1.
+"""Settings, ports and relays of a small deployment on 127.0.0.1.
 
-All files are written below one folder; the ports are free at the time of
-the call. Links between zones lead through relays, so that a zone can be cut
-off without tools that need root.
+All files stand below one folder. Each port is free when it is allocated.
+Links between zones pass through relays, so that a zone can be cut off
+without tools that need root.
 """
 
 import pathlib
@@ -17,20 +17,20 @@
 ZONES = {"ikeja": 3, "lekki": 2, "yaba": 2}
 VOTERS = {"ikeja": 2, "lekki": 2, "yaba": 1}
 SERVICES = ("routedesk", "roster", "cortege", "crusade", "notices")
-# Below the range from which Linux takes the ports of outgoing connections.
+# Below the default range of the ephemeral ports of Linux.
 FIRST_PORT, LAST_PORT = 20_000, 32_000
 PORT_NAMES = tuple(field.name for field in PORTS)
 LINK_PORTS = ("entry_links_port", "control_links_port")
 
 
 class Node:
-    """One VM of the system.
+    """One VM with its control and its entry.
 
     Attributes:
-        node_id: Its name.
+        node_id: Id of the VM.
         zone: Its availability zone.
-        ports: Port by name of the setting.
-        is_voter: Whether its control votes.
+        ports: Maps the name of a port setting to the port.
+        is_voter: Whether its control is a voter of the replicated log.
     """
 
     __slots__ = ("node_id", "zone", "ports", "is_voter")
@@ -42,7 +42,7 @@
         self.is_voter = is_voter
 
     def address(self, name):
-        """Returns ``host:port`` of one of its ports."""
+        """Returns ``host:port`` of the port with this setting name."""
         return f"{HOST}:{self.ports[name]}"
 
 
@@ -50,10 +50,10 @@
     """A relay from the VMs of one zone to one port in another.
 
     Attributes:
-        port: Port on which it listens.
+        port: Port on which the relay listens.
         target_port: Port to which it connects.
-        source_zone: Zone whose VMs use it.
-        target_zone: Zone of the target.
+        source_zone: Zone whose VMs connect to it.
+        target_zone: Zone of the VM with the target port.
     """
 
     __slots__ = ("port", "target_port", "source_zone", "target_zone")
@@ -65,7 +65,7 @@
         self.target_zone = target_zone
 
     def to_argument(self):
-        """Returns the argument of ``relays.py``."""
+        """Returns the argument of ``relays.py`` for this relay."""
         return (
             f"{self.port}:{self.target_port}"
             f":{self.source_zone}:{self.target_zone}"
@@ -73,19 +73,19 @@
 
 
 class PortAllocator:
-    """Hands out free ports, each once."""
+    """Allocates free ports in ascending order."""
 
-    __slots__ = ("next",)
+    __slots__ = ("next_port",)
 
     def __init__(self):
-        # Several deployments on one machine start in different places.
-        self.next = random.SystemRandom().randrange(FIRST_PORT, LAST_PORT)
+        # A random start keeps deployments on one machine from colliding.
+        self.next_port = random.SystemRandom().randrange(FIRST_PORT, LAST_PORT)
 
     def allocate(self):
-        """Returns a port on which nobody listens."""
+        """Returns a port that can be bound at the time of the call."""
         while True:
-            port = self.next
-            self.next = port + 1 if port + 1 < LAST_PORT else FIRST_PORT
+            port = self.next_port
+            self.next_port = port + 1 if port + 1 < LAST_PORT else FIRST_PORT
             with socket.socket() as probe:
                 try:
                     probe.bind((HOST, port))
@@ -95,16 +95,16 @@
 
 
 class Deployment:
-    """The VMs, relays and files of one deployment.
+    """VMs, relays and files of one deployment.
 
     Attributes:
         folder: Folder of all files.
-        ports: Source of free ports.
-        nodes: Node by id.
-        relays: All Relays.
+        ports: PortAllocator.
+        nodes: Maps node id to Node.
+        relays: Maps source zone and target port to Relay.
         token: Bearer token of the operator ``demo``.
         platform_port: Port of the platform stand-in.
-        overrides: Settings that differ from the defaults.
+        overrides: Settings that replace those of every VM, by name.
     """
 
     __slots__ = (
@@ -131,23 +131,23 @@
                 self.add_node(zone, number, number <= voters[zone])
 
     def add_node(self, zone, number, is_voter):
-        """Adds a VM with ports of its own."""
+        """Adds a VM with newly allocated ports."""
         ports = {name: self.ports.allocate() for name in PORT_NAMES}
         node = Node(f"{zone}-{number}", zone, ports, is_voter)
         self.nodes[node.node_id] = node
 
     def path(self, *parts):
-        """Returns a path below the folder; its parent exists."""
+        """Returns a path below the folder; creates its parent folder."""
         path = self.folder.joinpath(*parts)
         path.parent.mkdir(parents=True, exist_ok=True)
         return path
 
     def settings_path(self, node):
-        """Returns the path of a VM's settings."""
+        """Returns the path of the settings file of a VM."""
         return self.path("settings", f"{node.node_id}.yaml")
 
     def write(self):
-        """Writes the settings, the key and the operator's token."""
+        """Writes the settings, the key of the links and the token file."""
         self.path("links-1.key").write_text(secrets.token_hex(32) + "\n")
         self.path("operators.tokens").write_text(f"demo {self.token}\n")
         for node in self.nodes.values():
@@ -168,7 +168,7 @@
             "operator_token_file": str(self.path("operators.tokens")),
             "platform_url": f"http://{HOST}:{self.platform_port}",
             "peers": [
-                self.peer_of(node, other) for other in nodes if other != node
+                self.make_peer(node, other) for other in nodes if other != node
             ],
             **self.overrides,
         }
@@ -178,10 +178,11 @@
             document["event_log"] = str(self.path(node.node_id, "ev.jsonl"))
         return document
 
-    def peer_of(self, node, other):
-        """Returns how a VM reaches another one."""
+    def make_peer(self, node, other):
+        """Returns the ``peers`` item by which a VM reaches another one."""
         ports = {
-            name: self.relayed(node.zone, other, name) for name in LINK_PORTS
+            name: self.port_from_zone(node.zone, other, name)
+            for name in LINK_PORTS
         }
         return {
             "node_id": other.node_id,
@@ -190,8 +191,11 @@
             **ports,
         }
 
-    def relayed(self, zone, other, name):
-        """Returns the port by which a zone reaches a port of a VM."""
+    def port_from_zone(self, zone, other, name):
+        """Returns the port by which VMs of a zone reach a port of a VM.
+
+        Within the zone this is the port itself, otherwise that of a relay.
+        """
         port = other.ports[name]
         if zone == other.zone:
             return port
@@ -202,7 +206,7 @@
         return relay.port
 
     def entries(self, zone=None):
-        """Returns the addresses of the callers' ports."""
+        """Returns the entries' addresses for callers, in a zone or in all."""
         return [
             node.address("callers_port")
             for node in self.nodes.values()
@@ -210,7 +214,7 @@
         ]
 
     def announcement_addresses(self, zone):
-        """Returns where the endpoints of a zone announce themselves."""
+        """Returns the addresses to which endpoints of a zone announce."""
         return [
             node.address("announcements_port")
             for node in self.nodes.values()
--- a/tools/fleet_runner.py
+++ b/tools/fleet_runner.py
@@ -1,4 +1,8 @@
-"""Launcher of a deployment's processes for the demo, soak and benchmarks."""
+"""Starts and stops the processes of a deployment on this machine.
+
+The demo, the soaks, tests and benchmarks use it. Run as a script, it starts
+a deployment and stops it when standard input ends.
+"""
 
 import json
 import sys
@@ -19,11 +23,11 @@
 
 
 class HealthError(Exception):
-    """A process ended or did not get healthy in time."""
+    """A process ended or did not become healthy in time."""
 
 
 class HttpAnswer:
-    """Status and body of a response to a tool."""
+    """Status and body of an HTTP response."""
 
     __slots__ = ("status", "body")
 
@@ -33,19 +37,20 @@
 
     @property
     def document(self):
-        """The JSON body."""
+        """The parsed JSON body."""
         return json.loads(self.body)
 
 
 class FleetRunner:
-    """Runs the processes of a deployment.
+    """Starts, queries and stops the processes of a deployment.
 
     Attributes:
         deployment: The Deployment.
-        processes: ManagedProcess by name, ``entry/ikeja-1`` for example.
-        faults: Injected faults, as the checker of outcomes reads them.
-        faulted_nodes: VMs that a failure is using.
-        pool: HTTP connections of the tool.
+        processes: Maps a name such as ``entry/ikeja-1`` to its
+            ManagedProcess.
+        faults: Injected faults in the format of ``outcomes.py``.
+        faulted_nodes: Ids of the VMs under an injected failure.
+        pool: HTTP connection pool for requests of the tool.
     """
 
     __slots__ = ("deployment", "processes", "faults", "faulted_nodes", "pool")
@@ -58,10 +63,13 @@
         self.pool = httpcore.AsyncConnectionPool(max_connections=64)
 
     def add(self, name, arguments, piped=False):
-        """Adds a process that is not started yet."""
+        """Adds a process without starting it; returns it."""
         log_path = self.deployment.path("logs", name.replace("/", "-"))
         process = ManagedProcess(
-            name, [str(part) for part in arguments], log_path, piped
+            name,
+            [str(argument) for argument in arguments],
+            log_path,
+            piped,
         )
         self.processes[name] = process
         return process
@@ -73,9 +81,10 @@
 
         Args:
             endpoints_per_zone: Endpoints of each service in each zone.
-            vms: Workers that the platform stand-in knows.
-            document: Path of a fixed fleet version. If given, a publisher
-                of this version runs in place of each control.
+            vms: ``VM@ZONE`` of each worker of the platform stand-in.
+            document: Path of the JSON document of a fleet version, or None.
+                If given, a stand-in that publishes this version runs in
+                place of each control.
         """
         deployment = self.deployment
         deployment.write()
@@ -94,7 +103,7 @@
             self.add_endpoint_processes(zone, endpoints_per_zone)
 
     def add_node_processes(self, node, document):
-        """Adds the programs of a VM."""
+        """Adds the control and the entry of a VM."""
         path = self.deployment.settings_path(node)
         control = ["-m", "wigeonport.control_main", path]
         if document is not None:
@@ -118,11 +127,11 @@
         self.add(f"endpoints/{zone}", arguments)
 
     def run_log_path(self, zone):
-        """Returns the path of the run log of a zone's endpoints."""
+        """Returns the path of the run log of the endpoints of a zone."""
         return self.deployment.path("runs", f"{zone}.jsonl")
 
     def processes_of_role(self, role):
-        """Returns the processes of a role."""
+        """Returns the processes whose name begins with a role."""
         return [
             process
             for name, process in self.processes.items()
@@ -136,10 +145,13 @@
         await self.wait_healthy()
 
     async def wait_healthy(self, names=None):
-        """Waits until the programs answer their health check.
+        """Waits until the programs answer their health checks.
+
+        Args:
+            names: Names of the programs; by default all entries and controls.
 
         Raises:
-            HealthError: If a process ended or the time is up.
+            HealthError: If a process ended, or after HEALTH_TIMEOUT_S.
         """
         wanted = names or [
             name
@@ -152,17 +164,19 @@
                     self.check_running(name)
                     await trio.sleep(HEALTH_INTERVAL_S)
             return
-        raise HealthError(f"not healthy within {HEALTH_TIMEOUT_S} s")
+        raise HealthError(
+            f"some programs are not healthy after {HEALTH_TIMEOUT_S} s"
+        )
 
     def check_running(self, name):
         """Raises HealthError if the process has ended."""
         process = self.processes[name]
         if not process.running:
             tail = "\n".join(process.log_tail())
-            raise HealthError(f"{name} ended:\n{tail}")
+            raise HealthError(f"{name} ended; its last log lines:\n{tail}")
 
     def status_port(self, name):
-        """Returns the port that serves health and metrics of a program."""
+        """Returns the port on which a program serves health and metrics."""
         role, node_id = name.split("/")
         ports = self.deployment.nodes[node_id].ports
         if role == "entry":
@@ -170,16 +184,19 @@
         return ports["operators_port"]
 
     async def is_healthy(self, name):
-        """Returns whether a program answers that it serves."""
+        """Returns whether the health check of a program answers 200."""
         answer = await self.get(name, "/healthz")
         return answer is not None and answer.status == 200
 
     async def get(self, name, path):
-        """Returns the HttpAnswer of a program, or None."""
+        """Sends a GET to a program; returns the HttpAnswer, or None."""
         return await self.request("GET", self.status_port(name), path)
 
     async def request(self, method, port, path, headers=(), body=b""):
-        """Returns an HttpAnswer, or None if there was none."""
+        """Sends a request to a local port; returns the HttpAnswer.
+
+        Returns None after a connection error or HTTP_TIMEOUT_S.
+        """
         try:
             with trio.fail_after(HTTP_TIMEOUT_S):
                 response = await self.pool.request(
@@ -198,12 +215,16 @@
         return HttpAnswer(response.status, response.content)
 
     async def metrics(self, name):
-        """Returns the metrics document of a program, or None."""
+        """Returns the metrics document of a program, None if unreachable."""
         answer = await self.get(name, "/metrics")
         return None if answer is None else answer.document
 
     def begin_fault(self, kind, node_ids):
-        """Records the start of a fault of some entries."""
+        """Records the start of a fault of the entries of some VMs.
+
+        Returns:
+            The fault, for end_fault.
+        """
         fault = []
         for node_id in node_ids:
             node = self.deployment.nodes[node_id]
@@ -219,49 +240,50 @@
         return fault
 
     def end_fault(self, fault):
-        """Records the end of a fault."""
-        for part in fault:
-            part["until_ms"] = time.time_ns() // 1_000_000
+        """Records the end of a fault that begin_fault returned."""
+        for entry_fault in fault:
+            entry_fault["until_ms"] = time.time_ns() // 1_000_000
 
     async def send_relay_command(self, line):
-        """Sends a command to the relays."""
-        await self.processes["relays"].command(line)
+        """Sends a command line to the process of all relays."""
+        await self.processes["relays"].write_command(line)
 
     async def stop(self):
-        """Stops all processes; returns the exit status by name.
+        """Stops all processes; returns a mapping of name to exit status.
 
-        Callers' side first: entries, endpoints, controls, then the rest.
+        Stops entries, endpoints, controls and the platform in this order,
+        then kills the relays, which have no status in the result.
         """
         statuses = {}
         for role in ("entry", "endpoints", "control", "platform"):
             async with trio.open_nursery() as nursery:
                 for process in self.processes_of_role(role):
-                    nursery.start_soon(self.stop_one, process, statuses)
+                    nursery.start_soon(self.stop_process, process, statuses)
         await self.processes["relays"].kill()
         return statuses
 
-    async def stop_one(self, process, statuses):
-        """Stops one process and notes its exit status."""
+    async def stop_process(self, process, statuses):
+        """Stops a running process and adds its exit status to statuses."""
         if process.running:
             process.thaw()
             statuses[process.name] = await process.stop(STOP_TIMEOUT_S)
 
     def kill_all(self):
-        """Ends whatever still runs; for use when a tool fails."""
+        """Kills all running processes without waiting for their end."""
         for process in self.processes.values():
             if process.running:
                 process.process.kill()
 
 
-async def run_until_enter():
-    """Runs a deployment until standard input ends."""
+async def run_until_input_ends():
+    """Runs a deployment until standard input ends; prints exit statuses."""
     with tempfile.TemporaryDirectory(prefix="wigeonport-") as folder:
         runner = FleetRunner(Deployment(folder))
         runner.add_processes()
         try:
             await runner.start()
-            print("folder:", folder)
-            print("entries:", *runner.deployment.entries())
+            print("folder of the files:", folder)
+            print("addresses of the entries:", *runner.deployment.entries())
             await trio.to_thread.run_sync(sys.stdin.read)
             print(json.dumps(await runner.stop(), indent=2))
         finally:
@@ -269,4 +291,4 @@
 
 
 if __name__ == "__main__":
-    trio.run(run_until_enter)
+    trio.run(run_until_input_ends)
--- a/tools/operators_client.py
+++ b/tools/operators_client.py
@@ -1,4 +1,4 @@
-"""Operators' requests of the tools, over the HTTP interface."""
+"""HTTP client of the tools for the operators' interface of controls."""
 
 import json
 
@@ -29,7 +29,10 @@
         self.runner = runner
 
     async def send(self, node_id, method, path, document=None):
-        """Returns the HttpAnswer of a control, or None."""
+        """Sends a request to a control; returns its HttpAnswer.
+
+        Returns None if the control does not answer.
+        """
         deployment = self.runner.deployment
         port = deployment.nodes[node_id].ports["operators_port"]
         body = b"" if document is None else json.dumps(document).encode()
@@ -39,11 +42,13 @@
         ]
         return await self.runner.request(method, port, path, headers, body)
 
-    async def submit(self, node_id, patch_id, against, reason, operations):
-        """Submits a patch to one control."""
+    async def submit(
+        self, node_id, patch_id, against_version, reason, operations
+    ):
+        """Submits a patch to a control; returns its HttpAnswer, or None."""
         document = {
             "id": patch_id,
-            "against_version": against,
+            "against_version": against_version,
             "reason": reason,
             "operations": operations,
         }
--- a/tools/piped_processes.py
+++ b/tools/piped_processes.py
@@ -1,4 +1,4 @@
-"""Processes that a tool commands over their standard streams."""
+"""Processes that a tool controls over their standard input and output."""
 
 import os
 import subprocess
@@ -9,12 +9,12 @@
 
 
 class PipedProcess(ManagedProcess):
-    """A process that answers each line on its standard input by one."""
+    """A process that answers each input line with one output line."""
 
     __slots__ = ()
 
     async def start(self):
-        """Starts the process with pipes."""
+        """Starts the process with pipes for standard input and output."""
         with open(self.log_path, "ab") as log:
             self.process = await trio.lowlevel.open_process(
                 [sys.executable, *self.arguments],
@@ -26,16 +26,20 @@
             )
 
     async def read_line(self):
-        """Returns the next line of its standard output."""
+        """Returns the next line of its standard output.
+
+        Raises:
+            EOFError: If standard output ends before a whole line.
+        """
         line = b""
         while not line.endswith(b"\n"):
             data = await self.process.stdout.receive_some(1)
             if not data:
-                raise EOFError(f"{self.name} has ended")
+                raise EOFError(f"{self.name} ended its output without a line")
             line += data
         return line
 
     async def call(self, line):
-        """Sends a line and returns the answer."""
+        """Sends a line and returns the line that answers it."""
         await self.process.stdin.send_all(line.encode() + b"\n")
         return await self.read_line()
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -1,4 +1,4 @@
-"""Processes that a tool starts, signals and waits for by id."""
+"""Child processes that a tool starts, signals and waits for."""
 
 import os
 import pathlib
@@ -9,18 +9,18 @@
 import trio
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-KILL_AFTER_S = 5.0
+KILL_TIMEOUT_S = 5.0
 
 
 class ManagedProcess:
-    """One started process.
+    """A Python child process and the log file of its output.
 
     Attributes:
-        name: Name in messages and of the log file.
-        arguments: Command line after the interpreter.
-        log_path: File with its standard error and output.
+        name: Name in messages.
+        arguments: Command line after the Python interpreter.
+        log_path: File to which standard output and error are appended.
         process: trio.Process, or None before the start.
-        piped: Whether the tool writes to its standard input.
+        piped: Whether standard input is a pipe from the tool.
     """
 
     __slots__ = ("name", "arguments", "log_path", "process", "piped")
@@ -33,7 +33,7 @@
         self.piped = piped
 
     async def start(self):
-        """Starts the process, or starts it again after its end."""
+        """Starts the process, or restarts it after it has ended."""
         environment = os.environ | {"PYTHONPATH": str(ROOT)}
         pipe = subprocess.PIPE if self.piped else None
         with open(self.log_path, "ab") as log:
@@ -48,35 +48,38 @@
 
     @property
     def running(self):
-        """Whether it was started and has not ended."""
+        """Whether the process was started and has not ended."""
         return self.process is not None and self.process.poll() is None
 
     @property
     def pid(self):
-        """Its process id."""
+        """Process id."""
         return self.process.pid
 
-    def send(self, number):
-        """Sends a signal if it runs."""
+    def send(self, signal_number):
+        """Sends a signal if the process runs."""
         if self.running:
-            self.process.send_signal(number)
+            self.process.send_signal(signal_number)
 
     def freeze(self):
-        """Stops it without its knowledge."""
+        """Suspends the process with SIGSTOP, which it cannot handle."""
         self.send(signal.SIGSTOP)
 
     def thaw(self):
-        """Lets a frozen process go on."""
+        """Resumes a suspended process."""
         self.send(signal.SIGCONT)
 
     async def wait(self, timeout_s):
-        """Returns its exit status, or None after the time-out."""
+        """Returns the exit status, or None after the timeout."""
         with trio.move_on_after(timeout_s):
             return await self.process.wait()
         return None
 
     async def stop(self, timeout_s):
-        """Asks it to stop; returns the exit status, None if it had to die."""
+        """Sends SIGTERM; returns the exit status.
+
+        After the timeout it kills the process and returns None.
+        """
         self.send(signal.SIGTERM)
         status = await self.wait(timeout_s)
         if status is None:
@@ -84,15 +87,15 @@
         return status
 
     async def kill(self):
-        """Ends it at once."""
+        """Kills the process and waits up to KILL_TIMEOUT_S for its end."""
         self.send(signal.SIGKILL)
-        await self.wait(KILL_AFTER_S)
+        await self.wait(KILL_TIMEOUT_S)
 
-    async def command(self, line):
+    async def write_command(self, line):
         """Sends a line to the standard input of a piped process."""
         await self.process.stdin.send_all(line.encode() + b"\n")
 
     def log_tail(self, count=20):
-        """Returns the last lines of its log."""
+        """Returns the last lines of the log file."""
         text = self.log_path.read_text(encoding="utf-8", errors="replace")
         return text.splitlines()[-count:]
