--- a/tools/write_examples.py
+++ b/tools/write_examples.py
@@ -1,8 +1,9 @@
-"""Writes the settings and first patches under examples/.
+"""Writes the example settings and first patches of both users.
 
 Usage: write_examples.py [FOLDER]
 
-The files are committed; this script keeps their ports consistent.
+The default folder is ``examples``. Its files are committed; this script
+keeps their ports consistent.
 """
 
 import pathlib
@@ -54,21 +55,24 @@
 
 
 def list_nodes(user):
-    """Returns node id, zone, ports and whether it votes, for each VM."""
+    """Returns a tuple of node id, zone, ports and is_voter for each VM.
+
+    The ports map the name of a port setting to the port.
+    """
     nodes = []
     for zone, count, voters in zip(
         user["zones"], VMS_PER_ZONE, VOTERS_PER_ZONE, strict=True
     ):
         for number in range(1, count + 1):
-            first = user["first_port"] + 10 * len(nodes)
-            ports = {n: first + i for i, n in enumerate(PORT_NAMES)}
+            first_port = user["first_port"] + 10 * len(nodes)
+            ports = {n: first_port + i for i, n in enumerate(PORT_NAMES)}
             nodes.append((f"{zone}-{number}", zone, ports, number <= voters))
     return nodes
 
 
 def make_settings(name, node, nodes):
     """Returns the settings document of one VM."""
-    node_id, zone, ports, votes = node
+    node_id, zone, ports, is_voter = node
     folder = f"run/{name}/{node_id}"
     document = {
         "node_id": node_id,
@@ -91,14 +95,14 @@
             if other[0] != node_id
         ],
     }
-    if votes:
+    if is_voter:
         document["data_dir"] = f"{folder}/data"
         document["event_log"] = f"{folder}/events.jsonl"
     return document
 
 
 def list_workers(user):
-    """Returns racks and workers; a pool is spread over all zones."""
+    """Returns racks and workers; each pool is spread over all zones."""
     pools = user["services"]
     counts = dict.fromkeys(user["zones"], 0)
     racks, workers = {}, []
@@ -122,7 +126,7 @@
 
 
 def make_fleet(user):
-    """Returns the first patch of a user."""
+    """Returns the first patch of a user, which describes the whole fleet."""
     racks, workers = list_workers(user)
     total = len(workers)
     team = {
@@ -154,7 +158,7 @@
 
 
 def make_service(user, name):
-    """Returns a service that may miss two of its six workers."""
+    """Returns the service of a pool; two of its six workers may be missing."""
     return {
         "id": name,
         "pool": name,
@@ -167,7 +171,7 @@
 
 
 def list_windows(user):
-    """Returns one window a night for each zone, one after another."""
+    """Returns a nightly maintenance window per zone, without overlaps."""
     return [
         {
             "id": f"{zone}-night",
@@ -181,7 +185,7 @@
 
 
 def list_files():
-    """Returns the text of every example file by its relative path."""
+    """Returns a mapping of relative path to text for all example files."""
     files = {}
     for name, user in USERS.items():
         nodes = list_nodes(user)
@@ -193,7 +197,7 @@
 
 
 def main(arguments):
-    """Writes all files below a folder."""
+    """Writes all files below the folder of the command line."""
     folder = pathlib.Path(arguments[0]) if arguments else ROOT / "examples"
     for path, text in list_files().items():
         target = folder / path
--- a/tools/write_references.py
+++ b/tools/write_references.py
@@ -1,8 +1,8 @@
-"""Writes docs/settings.md from the table of settings.
+"""Writes docs/settings.md from the tables of settings.
 
 Usage: write_references.py
 
-A test compares the committed page with this script.
+A test compares the committed page with the output of this script.
 """
 
 import pathlib
@@ -55,7 +55,7 @@
 
 
 def render_value(field):
-    """Returns the default of a field as the page shows it."""
+    """Returns the default of a setting as Markdown."""
     if field.default is REQUIRED:
         return "required"
     if field.default is None:
@@ -66,7 +66,7 @@
 
 
 def render_kind(field):
-    """Returns kind and range of a field."""
+    """Returns the kind of a setting and, if limited, its range."""
     kind = field.kind
     if field.least is not None or field.most is not None:
         kind += f", {field.least} to {field.most}"
@@ -74,7 +74,7 @@
 
 
 def render_table(fields):
-    """Returns a table of fields."""
+    """Returns a Markdown table of settings."""
     lines = ["| key | kind | default | meaning |", "| --- | --- | --- | --- |"]
     lines += [
         f"| `{field.name}` | {render_kind(field)} | {render_value(field)} "
@@ -85,7 +85,7 @@
 
 
 def make_page():
-    """Returns the whole page."""
+    """Returns the text of docs/settings.md."""
     parts = [INTRODUCTION]
     for title, fields in GROUPS:
         parts.append(f"## {title}\n\n{render_table(fields)}")
