Reword the stand-ins

Cause: names such as take_command, change, find and seen, and refusals that did not name the expected state. Change: plain names and docstrings; a refusal names the state that it expects.

--- a/tools/standins/control_publisher.py
+++ b/tools/standins/control_publisher.py
@@ -1,7 +1,10 @@
 """Stand-in for a control: publishes one fixed fleet version.
 
-It lets entries be measured and tried without the replicated log. Usage:
-``control_publisher.py SETTINGS DOCUMENT``, with the fleet in JSON.
+With it, entries can be run and measured without the replicated log.
+
+Usage: control_publisher.py SETTINGS DOCUMENT
+
+DOCUMENT is the path of the fleet as JSON.
 """
 
 import pathlib
@@ -18,12 +21,12 @@
 DELIVERIES_BOUND = 256
 
 
-async def run_publisher(program, document):
-    """Publishes the document as version 1 until the program stops."""
+async def run_publisher(program, fleet_json):
+    """Publishes the fleet as version 1 until the program stops."""
     settings = program.settings
     inbound = Mailbox("deliveries", DELIVERIES_BOUND)
     publisher = Publisher(make_report(program))
-    publisher.accept(VersionAccepted(1, document))
+    publisher.accept(VersionAccepted(1, fleet_json))
     context = program.link_context(inbound)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(publish, inbound, publisher, program.clock, [])
@@ -35,11 +38,11 @@
 
 
 def main():
-    """Reads the document and runs."""
-    document = pathlib.Path(sys.argv[2]).read_bytes()
+    """Reads the fleet and publishes it; returns the exit status."""
+    fleet_json = pathlib.Path(sys.argv[2]).read_bytes()
 
     async def run(program):
-        await run_publisher(program, document)
+        await run_publisher(program, fleet_json)
 
     return start("control", run, [sys.argv[1]])
 
--- a/tools/standins/endpoint.py
+++ b/tools/standins/endpoint.py
@@ -1,11 +1,15 @@
-"""Stand-in for a service's endpoint.
+"""Stand-in for an endpoint of a service.
 
-Announces itself to the entries, runs requests, and appends one JSON line to
-its run log before it answers, so that a check can compare runs with the
-outcomes that callers were told.
+Announces itself to the entries and serves requests. Before it answers a
+request it appends a JSON line to its run log, so that ``outcomes.py`` can
+compare the runs with the outcomes that callers received.
 
-Behaviour is asked for by headers of the request: ``x-delay-ms``,
-``x-fail`` (``close``, ``short``, ``foreign``) and ``x-size``.
+Headers of a request control its run:
+
+- ``x-delay-ms``: run time.
+- ``x-size``: minimum length of the response body in bytes.
+- ``x-fail``: ``close`` closes the connection without a response, ``short``
+  sends half of the body, ``foreign`` answers with another request id and tag.
 """
 
 import argparse
@@ -23,7 +27,15 @@
 
 
 class Endpoint:
-    """State of the stand-in."""
+    """State of the stand-in.
+
+    Attributes:
+        options: Options of the command line.
+        state: ``ready`` or ``leaving``.
+        sequence: Number of the last announcement.
+        incarnation: Wall-clock time of the start in ms.
+        running: Number of requests that are running.
+    """
 
     __slots__ = ("options", "state", "sequence", "incarnation", "running")
 
@@ -52,7 +64,7 @@
         return json.dumps(document).encode() + b"\n"
 
     def log_event(self, event):
-        """Appends an event that is no run to the log."""
+        """Appends an event other than a run to the log."""
         self.append_record(
             {
                 "endpoint": self.options.id,
@@ -62,7 +74,7 @@
         )
 
     def log_run(self, request_id, headers, body):
-        """Appends a run to the log."""
+        """Appends the run of a request to the log."""
         record = {
             "endpoint": self.options.id,
             "event": "run",
@@ -82,7 +94,7 @@
 
 
 async def announce(endpoint, host, port):
-    """Streams announcements to one entry over one HTTP request."""
+    """Keeps a stream of announcements to one entry open, with reconnects."""
     while True:
         with trio.move_on_after(60):
             with contextlib.suppress(OSError, trio.BrokenResourceError):
@@ -91,7 +103,7 @@
 
 
 async def stream_announcements(endpoint, host, port):
-    """Sends chunks until the connection breaks."""
+    """Sends announcements as chunks of one HTTP request until it ends."""
     stream = await trio.open_tcp_stream(host, port)
     async with stream:
         connection = h11.Connection(h11.CLIENT)
@@ -106,22 +118,22 @@
             await stream.send_all(connection.send(data))
             with trio.move_on_after(ANNOUNCE_INTERVAL_S):
                 await stream.receive_some(READ_BYTES)
-                return  # An early answer or the end of the connection.
+                return  # The entry answered early or closed the connection.
 
 
 async def serve(endpoint, stream):
-    """Serves one connection."""
+    """Serves the requests of one connection."""
     connection = h11.Connection(h11.SERVER)
     async with stream:
         try:
-            while await serve_one(endpoint, stream, connection):
+            while await serve_request(endpoint, stream, connection):
                 connection.start_next_cycle()
         except (trio.BrokenResourceError, h11.ProtocolError):
             return
 
 
 async def next_event(stream, connection):
-    """Returns the next HTTP event."""
+    """Returns the next h11 event; reads from the stream if necessary."""
     while True:
         event = connection.next_event()
         if event is not h11.NEED_DATA:
@@ -129,8 +141,11 @@
         connection.receive_data(await stream.receive_some(READ_BYTES))
 
 
-async def serve_one(endpoint, stream, connection):
-    """Serves one request; returns whether the connection goes on."""
+async def serve_request(endpoint, stream, connection):
+    """Serves one request; returns whether the connection stays open.
+
+    Refuses the request if the endpoint leaves or all slots are in use.
+    """
     request = await next_event(stream, connection)
     if not isinstance(request, h11.Request):
         return False
@@ -159,37 +174,41 @@
         return connection.our_state is h11.DONE
     endpoint.running += 1
     try:
-        return await run(endpoint, stream, connection, headers, body)
+        return await run_request(endpoint, stream, connection, headers, body)
     finally:
         endpoint.running -= 1
 
 
-async def run(endpoint, stream, connection, headers, body):
-    """Runs one request and answers it."""
+async def run_request(endpoint, stream, connection, headers, body):
+    """Runs one request and answers it as its headers demand.
+
+    Returns:
+        Whether the connection stays open.
+    """
     request_id = headers.get("wigeonport-request-id", "")
     endpoint.log_run(request_id, headers, body)
     await trio.sleep(int(headers.get("x-delay-ms", "0")) / 1000)
     failure = headers.get("x-fail", "")
     if failure == "close":
         return False
-    size = int(headers.get("x-size", "0"))
+    min_size_bytes = int(headers.get("x-size", "0"))
     content = json.dumps(
         {"endpoint": endpoint.options.id, "tag": headers.get("x-tag", "")}
     ).encode()
-    content += b" " * max(0, size - len(content))
-    extra = [("content-type", "application/json")]
+    content += b" " * max(0, min_size_bytes - len(content))
+    extra_headers = [("content-type", "application/json")]
     if failure == "foreign":
         headers["wigeonport-request-id"] = f"not-{request_id}"
         content = content.replace(b'"tag": "', b'"tag": "not-')
     if failure == "short":
         await reply_short(stream, connection, headers, content)
         return False
-    await reply(stream, connection, headers, 200, content, extra)
+    await reply(stream, connection, headers, 200, content, extra_headers)
     return connection.our_state is h11.DONE
 
 
-def response_head(headers, status, content, extra):
-    """Returns the head of a response with the request's id."""
+def response_head(headers, status, content, extra_headers):
+    """Returns the head of a response, with the id of the request."""
     return h11.Response(
         status_code=status,
         headers=[
@@ -198,14 +217,14 @@
                 "wigeonport-request-id",
                 headers.get("wigeonport-request-id", ""),
             ),
-            *extra,
+            *extra_headers,
         ],
     )
 
 
-async def reply(stream, connection, headers, status, content, extra):
+async def reply(stream, connection, headers, status, content, extra_headers):
     """Sends a whole response."""
-    head = response_head(headers, status, content, extra)
+    head = response_head(headers, status, content, extra_headers)
     data = connection.send(head)
     data += connection.send(h11.Data(data=content))
     data += connection.send(h11.EndOfMessage())
@@ -213,14 +232,18 @@
 
 
 async def reply_short(stream, connection, headers, content):
-    """Sends the head and half of the body."""
+    """Sends the head and only half of the announced body."""
     data = connection.send(response_head(headers, 200, content, []))
     half = content[: len(content) // 2]
     await stream.send_all(data + connection.send(h11.Data(data=half)))
 
 
 async def leave_on_signal(endpoint, scope):
-    """Announces that it leaves on SIGTERM, then ends."""
+    """Leaves on SIGTERM: announces it, then ends when no request runs.
+
+    Stays at least ``linger_s``, since entries may still send requests, and
+    ends after 10 s at the latest.
+    """
     with trio.open_signal_receiver(signal.SIGTERM) as signals:
         async for _ in signals:
             endpoint.state = "leaving"
@@ -233,7 +256,7 @@
 
 
 async def main_task(options):
-    """Runs the stand-in."""
+    """Announces the endpoint and serves requests until SIGTERM."""
     endpoint = Endpoint(options)
     endpoint.log_event("ready")
     async with trio.open_nursery() as nursery:
@@ -249,7 +272,7 @@
 
 
 def main():
-    """Parses the options and runs."""
+    """Parses the options and runs the stand-in."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--id", required=True)
     parser.add_argument("--service", required=True)
--- a/tools/standins/endpoint_group.py
+++ b/tools/standins/endpoint_group.py
@@ -1,8 +1,8 @@
 """Several endpoint stand-ins in one process.
 
-Each member is a task of its own with its own port, announcements and slots.
-SIGTERM lets all of them leave; SIGUSR1 lets the next one in turn leave and
-come back as a new incarnation after it lingered.
+Each member has its own task, port, announcements and slots. On SIGTERM all
+members leave. On each SIGUSR1 the next member in turn leaves and returns as
+a new incarnation.
 """
 
 import argparse
@@ -12,12 +12,12 @@
 from endpoint import Endpoint, announce, serve
 
 RETURN_AFTER_S = 1.0
-LONGEST_LEAVE_S = 20.0
+MAX_LEAVE_S = 20.0
 IDLE_CHECK_S = 0.05
 
 
 def make_member_options(options, text):
-    """Returns the options of one member, ``id:service:zone:port``."""
+    """Returns the options of a member given as ``id:service:zone:port``."""
     member_id, service, zone, port = text.split(":")
     return argparse.Namespace(
         id=member_id,
@@ -33,12 +33,12 @@
 
 
 class Member:
-    """One member and its present incarnation.
+    """A member of the group and its current incarnation.
 
     Attributes:
-        options: Its options.
-        endpoint: The Endpoint that runs, or None.
-        scope: Cancels the incarnation.
+        options: Options of the member.
+        endpoint: Endpoint of the incarnation, or None before the first one.
+        scope: Cancel scope of the incarnation.
     """
 
     __slots__ = ("options", "endpoint", "scope")
@@ -66,44 +66,48 @@
             )
 
     async def leave(self):
-        """Announces that it leaves, lingers and ends the incarnation."""
+        """Announces that the member leaves and ends the incarnation.
+
+        Ends it after ``linger_s`` and when no request runs, or after
+        MAX_LEAVE_S.
+        """
         endpoint = self.endpoint
         if endpoint is None or endpoint.state == "leaving":
             return
         endpoint.state = "leaving"
         endpoint.log_event("leaving")
-        with trio.move_on_after(LONGEST_LEAVE_S):
+        with trio.move_on_after(MAX_LEAVE_S):
             await trio.sleep(self.options.linger_s)
             while endpoint.running:
                 await trio.sleep(IDLE_CHECK_S)
         self.scope.cancel()
 
     async def leave_and_return(self):
-        """Leaves and starts the next incarnation."""
+        """Leaves, then starts the next incarnation."""
         await self.leave()
         await trio.sleep(RETURN_AFTER_S)
         await self.run()
 
 
 async def handle_signals(members, nursery):
-    """Lets one member leave at SIGUSR1 and all at SIGTERM."""
-    turn = 0
-    wanted = (signal.SIGTERM, signal.SIGUSR1)
-    with trio.open_signal_receiver(*wanted) as signals:
-        async for number in signals:
-            if number == signal.SIGTERM:
+    """Makes one member leave on SIGUSR1 and all on SIGTERM."""
+    leave_count = 0
+    handled_signals = (signal.SIGTERM, signal.SIGUSR1)
+    with trio.open_signal_receiver(*handled_signals) as signals:
+        async for signal_number in signals:
+            if signal_number == signal.SIGTERM:
                 break
-            member = members[turn % len(members)]
-            turn += 1
+            member = members[leave_count % len(members)]
+            leave_count += 1
             nursery.start_soon(member.leave_and_return)
-    async with trio.open_nursery() as leaving:
+    async with trio.open_nursery() as leave_nursery:
         for member in members:
-            leaving.start_soon(member.leave)
+            leave_nursery.start_soon(member.leave)
     nursery.cancel_scope.cancel()
 
 
 async def main_task(options):
-    """Runs all members."""
+    """Runs all members until SIGTERM."""
     members = [
         Member(make_member_options(options, text)) for text in options.member
     ]
@@ -114,7 +118,7 @@
 
 
 def main():
-    """Parses the options and runs."""
+    """Parses the options and runs the group."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--member", action="append", required=True)
     parser.add_argument("--entry", action="append", required=True)
--- a/tools/standins/platform_server.py
+++ b/tools/standins/platform_server.py
@@ -1,14 +1,14 @@
-"""Stand-in for the platform that runs the workers, over HTTP.
+"""HTTP stand-in for the platform that runs the workers.
 
 - ``POST /v1/commands``: one command as a JSON object with ``kind``,
   ``command_id``, ``term`` and the fields of the kind. 200 ``accepted`` or
   ``repeated``, 409 ``stale term``, 422 refused with a reason.
-- ``GET /v1/reports?after=N``: the visible reports with a higher sequence.
-- ``GET /v1/workers``: the present state, for checks.
+- ``GET /v1/reports?after=N``: the visible reports with a sequence above N.
+- ``GET /v1/workers``: the current states of VMs and tasks, for checks.
 - ``POST /v1/faults``: ``{"vm": ..., "fault": "refuse"|"fail"|"down"|"none"}``.
 
-The module is not called ``platform``, because its folder is first on the
-path of the scripts in it and would hide the module of the standard library.
+The module is not called ``platform``, since its folder is the first one on
+the path of the scripts in it and would hide the standard library's module.
 """
 
 import argparse
@@ -35,10 +35,10 @@
 MAX_BODY_BYTES = 1_048_576
 REPORT_BATCH = 2_000
 TICK_MS = 100
-MEASURE_TICKS = 10
+TICKS_PER_MEASUREMENT = 10
 ASK_TIMEOUT_MS = 2_000
 MAILBOX_BOUND = 256
-GRACE_MS = 2_000
+STOP_GRACE_MS = 2_000
 
 
 class Query:
@@ -46,9 +46,9 @@
 
     Attributes:
         route: Method and path.
-        arguments: Arguments of the query, a list of texts by name.
+        arguments: Maps a query parameter to the list of its values.
         document: JSON body, or None.
-        reply: Reply channel of an HttpResponse.
+        reply: Reply channel for the HttpResponse.
     """
 
     __slots__ = ("route", "arguments", "document", "reply")
@@ -61,14 +61,14 @@
 
 
 @routes.register("POST /v1/commands")
-def take_command(platform, query, now_ms):
-    """Executes a command."""
+def execute_command(platform, query, now_ms):
+    """Executes a command and returns its result."""
     return respond_json(*platform.execute(query.document, now_ms))
 
 
 @routes.register("GET /v1/reports")
 def show_reports(platform, query, now_ms):
-    """Returns the reports that are visible by now."""
+    """Returns the visible reports, at most REPORT_BATCH of them."""
     after = int(query.arguments.get("after", ["0"])[0])
     visible = [
         report
@@ -81,8 +81,8 @@
 
 @routes.register("GET /v1/workers")
 def show_workers(platform, query, now_ms):
-    """Returns the present state of every VM."""
-    states = {vm.vm: vm.state for vm in platform.vms.values()}
+    """Returns the state of every VM and the jobs of all tasks."""
+    states = {vm.name: vm.state for vm in platform.vms.values()}
     tasks = [task.job for task in platform.tasks.values()]
     document = {"term": platform.term, "workers": states, "tasks": tasks}
     return respond_json(200, document)
@@ -90,30 +90,37 @@
 
 @routes.register("POST /v1/faults")
 def set_fault(platform, query, now_ms):
-    """Makes a VM refuse commands, fail its tasks or be well again."""
+    """Sets or clears the fault of a VM.
+
+    ``refuse`` refuses commands, ``fail`` fails tasks at their start, ``down``
+    fails the VM, and any other value clears the fault.
+    """
     vm = platform.vms.get(query.document.get("vm"))
     if vm is None:
         return respond_json(404, {"error": "no such VM"})
     vm.fault = query.document["fault"]
     if vm.fault == "down":
-        platform.change(vm, FAILED, now_ms)
+        platform.set_vm_state(vm, FAILED, now_ms)
     elif vm.state == FAILED:
-        platform.change(vm, READY, now_ms)
-    return respond_json(200, {"vm": vm.vm, "fault": vm.fault})
+        platform.set_vm_state(vm, READY, now_ms)
+    return respond_json(200, {"vm": vm.name, "fault": vm.fault})
+
 
+async def run_platform(inbound, platform):
+    """Answers queries, and ends drains, reboots and leases that are due.
 
-async def own_platform(inbound, platform):
-    """Owns the state; answers queries and lets time pass."""
-    ticks, ticked_ms = 0, 0
+    This task is the only one that owns the state.
+    """
+    ticks, last_tick_ms = 0, 0
     while True:
         query = await inbound.get_within(TICK_MS)
         now_ms = time.time_ns() // 1_000_000
-        if now_ms - ticked_ms >= TICK_MS:
-            ticked_ms = now_ms
+        if now_ms - last_tick_ms >= TICK_MS:
+            last_tick_ms = now_ms
             ticks += 1
             platform.tick(now_ms)
-            if ticks % MEASURE_TICKS == 0:
-                platform.measure(now_ms)
+            if ticks % TICKS_PER_MEASUREMENT == 0:
+                platform.report_usage(now_ms)
                 platform.report_zones(now_ms)
         if query is not None:
             route = routes.get(query.route)
@@ -125,7 +132,7 @@
 
 
 class PlatformApp:
-    """ASGI app that hands requests to the owner of the state."""
+    """ASGI app that sends requests to the task that owns the state."""
 
     __slots__ = ("outbound",)
 
@@ -163,19 +170,21 @@
 
 
 async def main_task(options):
-    """Runs the stand-in until it is told to stop."""
+    """Runs the stand-in until SIGTERM or SIGINT."""
     inbound = Mailbox("platform", MAILBOX_BOUND)
     stopping = trio.Event()
     async with trio.open_nursery() as nursery:
         nursery.start_soon(stop_on_signal, stopping)
-        nursery.start_soon(own_platform, inbound, Platform(options))
+        nursery.start_soon(run_platform, inbound, Platform(options))
         app = PlatformApp(inbound)
-        await serve_http(app, "127.0.0.1", options.port, stopping, GRACE_MS)
+        await serve_http(
+            app, "127.0.0.1", options.port, stopping, STOP_GRACE_MS
+        )
         nursery.cancel_scope.cancel()
 
 
 def main():
-    """Parses the options and runs."""
+    """Parses the options and runs the stand-in."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--port", type=int, required=True)
     parser.add_argument(
--- a/tools/standins/platform_states.py
+++ b/tools/standins/platform_states.py
@@ -1,7 +1,7 @@
 """State of the platform stand-in: VMs, tasks under leases, and reports.
 
-It is no simulator: apart from the lag of the reports and the fixed times of
-a drain and a reboot, nothing takes time.
+Only three things take time: the lag until a report is visible, a drain and
+a reboot. Their times are fixed; work is not simulated.
 """
 
 from collections import deque
@@ -16,19 +16,26 @@
 
 
 class Vm:
-    """State of one VM; ``due_ms`` ends a drain or a reboot."""
+    """State of one VM.
 
-    __slots__ = ("vm", "state", "due_ms", "fault")
+    Attributes:
+        name: Name of the VM.
+        state: READY, DRAINING, DRAINED, REBOOTING or FAILED.
+        due_ms: Wall-clock time at which a drain or a reboot ends, or None.
+        fault: ``none``, ``refuse``, ``fail`` or ``down``.
+    """
 
-    def __init__(self, vm):
-        self.vm = vm
+    __slots__ = ("name", "state", "due_ms", "fault")
+
+    def __init__(self, name):
+        self.name = name
         self.state = READY
         self.due_ms = None
         self.fault = "none"
 
 
 class Task:
-    """One attempt of a job under a lease."""
+    """One attempt of a job on a VM; its lease ends at ``until_ms``."""
 
     __slots__ = ("job", "vm", "attempt", "until_ms", "cores", "memory_mb")
 
@@ -42,16 +49,16 @@
 
 
 class Platform:
-    """State of the platform; owned by one task.
+    """State of the platform; one task owns it.
 
     Attributes:
         options: Options of the command line.
-        vms: Vm by name.
-        zones: Availability zone by name of the VM.
-        tasks: Task by job.
-        term: Newest term seen.
-        seen: Command ids of that term.
-        reports: Reports in order, each with ``visible_ms``.
+        vms: Maps the name of a VM to its Vm.
+        zones: Maps the name of a VM to its availability zone.
+        tasks: Maps the id of a job to its Task.
+        term: Highest term of a command so far.
+        seen_command_ids: Ids of the commands accepted in that term.
+        reports: Reports in order, each with its ``visible_ms``.
         sequence: Sequence of the last report.
     """
 
@@ -61,24 +68,24 @@
         "zones",
         "tasks",
         "term",
-        "seen",
+        "seen_command_ids",
         "reports",
         "sequence",
     )
 
     def __init__(self, options):
         self.options = options
-        placed = [text.partition("@") for text in options.vms]
-        self.vms = {name: Vm(name) for name, _, _ in placed}
-        self.zones = {name: zone for name, _, zone in placed}
+        vm_parts = [text.partition("@") for text in options.vms]
+        self.vms = {name: Vm(name) for name, _, _ in vm_parts}
+        self.zones = {name: zone for name, _, zone in vm_parts}
         self.tasks = {}
         self.term = 0
-        self.seen = set()
+        self.seen_command_ids = set()
         self.reports = deque(maxlen=MAX_REPORTS)
         self.sequence = 0
 
     def report(self, kind, now_ms, **fields):
-        """Adds a report that becomes visible after the lag."""
+        """Adds a report that becomes visible after ``lag_ms``."""
         self.sequence += 1
         document = {
             "sequence": self.sequence,
@@ -89,11 +96,11 @@
         }
         self.reports.append(document)
 
-    def change(self, vm, state, now_ms, due_ms=None):
-        """Moves a VM to a state and reports it."""
+    def set_vm_state(self, vm, state, now_ms, due_ms=None):
+        """Sets the state of a VM and reports it."""
         vm.state = state
         vm.due_ms = due_ms
-        self.report("vm", now_ms, vm=vm.vm, state=state)
+        self.report("vm", now_ms, vm=vm.name, state=state)
 
     def end_task(self, task, state, now_ms):
         """Removes a task and reports how it ended."""
@@ -119,21 +126,21 @@
         for vm in self.vms.values():
             if vm.due_ms is None or now_ms < vm.due_ms:
                 continue
-            if vm.state == DRAINING and not self.tasks_of(vm.vm):
-                self.change(vm, DRAINED, now_ms)
+            if vm.state == DRAINING and not self.tasks_of(vm.name):
+                self.set_vm_state(vm, DRAINED, now_ms)
             elif vm.state == REBOOTING:
-                self.change(vm, READY, now_ms)
+                self.set_vm_state(vm, READY, now_ms)
 
     def report_zones(self, now_ms):
-        """Reports for each zone which of its VMs do not answer."""
+        """Reports the failed VMs of each zone as missing."""
         missing = {zone: [] for zone in self.zones.values()}
         for vm in self.vms.values():
             if vm.state == FAILED:
-                missing[self.zones[vm.vm]].append(vm.vm)
+                missing[self.zones[vm.name]].append(vm.name)
         for zone, names in missing.items():
             self.report("zone", now_ms, zone=zone, missing=names)
 
-    def measure(self, now_ms):
+    def report_usage(self, now_ms):
         """Reports the usage of every task."""
         for task in self.tasks.values():
             self.report(
@@ -146,97 +153,101 @@
             )
 
     def execute(self, document, now_ms):
-        """Returns the HTTP status and the answer to a command."""
-        kind = commands.get(document.get("kind"))
+        """Executes a command; returns the HTTP status and the answer.
+
+        A command with an older term is refused, and a repeated command id has
+        no effect.
+        """
+        handler = commands.get(document.get("kind"))
         term, command_id = document.get("term"), document.get("command_id")
-        if kind.is_error() or type(term) is not int or not command_id:
+        if handler.is_error() or type(term) is not int or not command_id:
             return 400, {"result": "refused", "reason": "malformed command"}
         if term < self.term:
             return 409, {"result": "stale term", "term": self.term}
         if term > self.term:
-            self.term, self.seen = term, set()
-        if command_id in self.seen:
+            self.term, self.seen_command_ids = term, set()
+        if command_id in self.seen_command_ids:
             return 200, {"result": "repeated"}
         try:
-            reason = kind.ok(self, document, now_ms)
-        except (KeyError, TypeError) as fault:
-            reason = f"bad field: {fault}"
+            reason = handler.ok(self, document, now_ms)
+        except (KeyError, TypeError) as error:
+            reason = f"missing or invalid field: {error}"
         if reason is not None:
             return 422, {"result": "refused", "reason": reason}
-        self.seen.add(command_id)
+        self.seen_command_ids.add(command_id)
         return 200, {"result": "accepted"}
 
-    def find(self, name):
-        """Returns a VM that takes commands, or the text of a refusal."""
+    def find_available_vm(self, name):
+        """Returns the Vm if it accepts commands, otherwise the refusal."""
         vm = self.vms.get(name)
         if vm is None:
             return f"VM {name!r} is not known"
         if vm.fault == "refuse" or vm.state == FAILED:
-            return f"VM {name!r} does not take commands"
+            return f"VM {name!r} does not accept commands"
         return vm
 
 
 @commands.register("drain_vm")
 def drain_vm(platform, document, now_ms):
-    """Stops new work on a VM; it is drained when its tasks ended."""
-    vm = platform.find(document["vm"])
+    """Drains a VM; the drain ends after ``drain_ms`` and its last task."""
+    vm = platform.find_available_vm(document["vm"])
     if isinstance(vm, str):
         return vm
     if vm.state in (DRAINING, DRAINED):
         return None
     if vm.state != READY:
-        return f"VM is {vm.state}"
+        return f"VM is {vm.state}, not ready"
     due_ms = now_ms + platform.options.drain_ms
-    platform.change(vm, DRAINING, now_ms, due_ms)
+    platform.set_vm_state(vm, DRAINING, now_ms, due_ms)
     return None
 
 
 @commands.register("undrain_vm")
 def undrain_vm(platform, document, now_ms):
-    """Returns a draining or drained VM to work."""
-    vm = platform.find(document["vm"])
+    """Makes a draining or drained VM ready again."""
+    vm = platform.find_available_vm(document["vm"])
     if isinstance(vm, str):
         return vm
     if vm.state not in (DRAINING, DRAINED, READY):
-        return f"VM is {vm.state}"
+        return f"VM is {vm.state}, not draining or drained"
     if vm.state != READY:
-        platform.change(vm, READY, now_ms)
+        platform.set_vm_state(vm, READY, now_ms)
     return None
 
 
 @commands.register("reboot_vm")
 def reboot_vm(platform, document, now_ms):
     """Reboots a drained VM."""
-    vm = platform.find(document["vm"])
+    vm = platform.find_available_vm(document["vm"])
     if isinstance(vm, str):
         return vm
     if vm.state != DRAINED:
         return f"VM is {vm.state}, not drained"
     due_ms = now_ms + platform.options.reboot_ms
-    platform.change(vm, REBOOTING, now_ms, due_ms)
+    platform.set_vm_state(vm, REBOOTING, now_ms, due_ms)
     return None
 
 
 @commands.register("prepare_vm")
 def prepare_vm(platform, document, now_ms):
-    """Prepares a drained VM for its new pool."""
-    vm = platform.find(document["vm"])
+    """Prepares a drained VM for another pool, which takes no time."""
+    vm = platform.find_available_vm(document["vm"])
     if isinstance(vm, str):
         return vm
     if vm.state != DRAINED:
         return f"VM is {vm.state}, not drained"
-    platform.change(vm, READY, now_ms)
+    platform.set_vm_state(vm, READY, now_ms)
     return None
 
 
 @commands.register("start_task")
 def start_task(platform, document, now_ms):
-    """Starts an attempt of a job under a lease."""
-    vm = platform.find(document["vm"])
+    """Starts an attempt of a job on a ready VM, under a lease."""
+    vm = platform.find_available_vm(document["vm"])
     if isinstance(vm, str):
         return vm
     if vm.state != READY:
-        return f"VM is {vm.state}"
+        return f"VM is {vm.state}, not ready"
     task = Task(*(document[name] for name in Task.__slots__))
     platform.tasks[task.job] = task
     platform.report(
@@ -254,10 +265,13 @@
 
 @commands.register("renew_tasks")
 def renew_tasks(platform, document, now_ms):
-    """Extends the leases of the listed tasks, reports others as stopped."""
+    """Renews the leases of the listed tasks.
+
+    Reports a task as stopped if this attempt of its job is not running.
+    """
     names = ("jobs", "vms", "attempts")
-    renewed = zip(*(document[name] for name in names), strict=True)
-    for job, vm, attempt in renewed:
+    leases = zip(*(document[name] for name in names), strict=True)
+    for job, vm, attempt in leases:
         task = platform.tasks.get(job)
         if task is not None and task.attempt == attempt:
             task.until_ms = document["until_ms"]
@@ -272,29 +286,29 @@
             )
 
 
-def register_end(kind, state):
-    """Registers a command that ends one task."""
+def register_task_end(kind, state):
+    """Registers a command that ends a task and reports it in a state."""
 
     def end(platform, document, now_ms):
         task = platform.tasks.get(document["job"])
         if task is None or task.attempt != document["attempt"]:
-            return "the task does not run"
+            return "the task is not running"
         platform.end_task(task, state, now_ms)
         return None
 
     commands.register(kind)(end)
 
 
-register_end("checkpoint_task", "checkpointed")
-register_end("stop_task", "stopped")
+register_task_end("checkpoint_task", "checkpointed")
+register_task_end("stop_task", "stopped")
 
 
 @commands.register("throttle_task")
 def throttle_task(platform, document, now_ms):
-    """Limits a task to a share of its processors."""
+    """Reduces the processors of a task to a share of them."""
     task = platform.tasks.get(document["job"])
     if task is None:
-        return "the task does not run"
+        return "the task is not running"
     task.cores *= document["share"]
     platform.report(
         "task",
@@ -309,7 +323,7 @@
 
 @commands.register("cancel_jobs")
 def cancel_jobs(platform, document, now_ms):
-    """Ends the tasks of all listed jobs."""
+    """Stops the tasks of the listed jobs."""
     for job in document["jobs"]:
         if job in platform.tasks:
             platform.end_task(platform.tasks[job], "stopped", now_ms)
