Reword the remaining texts of the demo and its tools

Cause: a second reading found a parameter named document that holds a path, event rows without a heading of their columns and a final line that read as if the opposite were broken. Change: fleet_path, a heading with columns and units, and the failed check in parentheses. No behaviour changes.

--- a/tools/demo.py
+++ b/tools/demo.py
@@ -109,7 +109,7 @@
     print("guarantees checked:", *sorted(demo.checked))
     print("guarantees not checked:", *(unchecked or ["none"]))
     for guarantee, text in demo.violations:
-        print(f"broken: {guarantee}: {text}", file=sys.stderr)
+        print(f"broken: {guarantee} ({text})", file=sys.stderr)
     print("result:", "broken" if demo.violations else "every check held")
     return 1 if demo.violations or unchecked else 0
 
--- a/tools/demo_steps.py
+++ b/tools/demo_steps.py
@@ -32,7 +32,7 @@
         operators: OperatorsClient.
         started_s: Monotonic time at the start.
         timeline: Pairs of a time, in ms since the start, and a text.
-        violations: Pairs of a guarantee and the requirement that was not met.
+        violations: Pairs of a guarantee and the check that failed.
         checked: Names of the guarantees that were checked.
         random: Source of random numbers.
         step_values: Maps a name to a value that one step leaves to others.
@@ -297,7 +297,9 @@
     """Stops one entry with SIGTERM while it serves."""
     process = demo.runner.processes["entry/lekki-2"]
     status = await process.stop(STOP_TIMEOUT_S)
-    demo.check("R7", status == 0, "entry/lekki-2 exits with 0 after SIGTERM")
+    demo.check(
+        "R7", status == 0, "entry/lekki-2 exits with status 0 after SIGTERM"
+    )
 
 
 @steps.register("11 kill an entry")
@@ -348,7 +350,10 @@
         if answer is not None and answer.status == 200:
             events += read_lines(name, answer.body.splitlines(), findings)
     merged = merge(events)
-    demo.log(f"{len(merged)} events of the running programs; the last ones:")
+    demo.log(
+        f"{len(merged)} events of the running programs; the last ones, "
+        "as Lamport time, wall-clock time in ms, program and event:"
+    )
     for event in merged[-MAX_PRINTED_EVENTS:]:
         print(f"            {render(event)}"[:MAX_PRINTED_WIDTH])
     for line in findings.lines():
--- a/tools/deployments.py
+++ b/tools/deployments.py
@@ -78,7 +78,7 @@
     __slots__ = ("next_port",)
 
     def __init__(self):
-        # A random start keeps deployments on one machine from colliding.
+        # Random, so that deployments on one machine rarely get the same ports.
         self.next_port = random.SystemRandom().randrange(FIRST_PORT, LAST_PORT)
 
     def allocate(self):
--- a/tools/fleet_runner.py
+++ b/tools/fleet_runner.py
@@ -75,14 +75,14 @@
         return process
 
     def add_processes(
-        self, endpoints_per_zone=ENDPOINTS_PER_ZONE, vms=(), document=None
+        self, endpoints_per_zone=ENDPOINTS_PER_ZONE, vms=(), fleet_path=None
     ):
         """Adds all processes of the deployment.
 
         Args:
             endpoints_per_zone: Endpoints of each service in each zone.
             vms: ``VM@ZONE`` of each worker of the platform stand-in.
-            document: Path of the JSON document of a fleet version, or None.
+            fleet_path: Path of a fleet version as JSON, or None.
                 If given, a stand-in that publishes this version runs in
                 place of each control.
         """
@@ -98,16 +98,16 @@
             ],
         )
         for node in deployment.nodes.values():
-            self.add_node_processes(node, document)
+            self.add_node_processes(node, fleet_path)
         for zone in dict.fromkeys(n.zone for n in deployment.nodes.values()):
             self.add_endpoint_processes(zone, endpoints_per_zone)
 
-    def add_node_processes(self, node, document):
+    def add_node_processes(self, node, fleet_path):
         """Adds the control and the entry of a VM."""
         path = self.deployment.settings_path(node)
         control = ["-m", "wigeonport.control_main", path]
-        if document is not None:
-            control = [STANDINS / "control_publisher.py", path, document]
+        if fleet_path is not None:
+            control = [STANDINS / "control_publisher.py", path, fleet_path]
         self.add(f"control/{node.node_id}", control)
         entry = ["-m", "wigeonport.entry_main", path]
         self.add(f"entry/{node.node_id}", entry)
@@ -283,7 +283,10 @@
         try:
             await runner.start()
             print("folder of the files:", folder)
-            print("addresses of the entries:", *runner.deployment.entries())
+            print(
+                "addresses of the entries:",
+                *runner.deployment.entries(),
+            )
             await trio.to_thread.run_sync(sys.stdin.read)
             print(json.dumps(await runner.stop(), indent=2))
         finally:
--- a/tools/outcomes.py
+++ b/tools/outcomes.py
@@ -16,8 +16,8 @@
 guarantees = Registry("guarantee")
 
 LEAVING_GRACE_MS = 3_000
-# Endpoints and callers read the same clock, but round to whole milliseconds
-# and read it before or after a step, so that times may seem reversed.
+# Callers and endpoints read the same clock, one before and the other after a
+# step, and round to milliseconds, so that close times may seem out of order.
 CLOCK_TOLERANCE_MS = 5
 MAX_PRINTED_VIOLATIONS = 5
 COMPLETED, NOT_RUN, NO_OUTCOME = "completed", "not-run", "none"
@@ -125,7 +125,7 @@
 
 @guarantees.register("R6 no work for leaving endpoints")
 def check_leaving(logs):
-    """Finds requests to endpoints that announced to leave over 3 s before."""
+    """Finds work at endpoints that announced over 3 s ago that they leave."""
     violations, leaving_ms = [], {}
     for event in logs.events:
         endpoint, kind = event["endpoint"], event["event"]
@@ -137,7 +137,7 @@
             late_ms = event["wall_ms"] - leaving_ms[endpoint]
             if late_ms > LEAVING_GRACE_MS:
                 violations.append(
-                    f"{endpoint}: work {late_ms} ms after leaving"
+                    f"{endpoint}: work {late_ms} ms after it began to leave"
                 )
     return violations
 
--- a/tools/piped_processes.py
+++ b/tools/piped_processes.py
@@ -35,7 +35,9 @@
         while not line.endswith(b"\n"):
             data = await self.process.stdout.receive_some(1)
             if not data:
-                raise EOFError(f"{self.name} ended its output without a line")
+                raise EOFError(
+                    f"{self.name} closed its output before a whole line"
+                )
             line += data
         return line
 
--- a/tools/standins/endpoint.py
+++ b/tools/standins/endpoint.py
@@ -94,7 +94,7 @@
 
 
 async def announce(endpoint, host, port):
-    """Keeps a stream of announcements to one entry open, with reconnects."""
+    """Announces the endpoint to one entry; reconnects at least every 60 s."""
     while True:
         with trio.move_on_after(60):
             with contextlib.suppress(OSError, trio.BrokenResourceError):
@@ -107,12 +107,12 @@
     stream = await trio.open_tcp_stream(host, port)
     async with stream:
         connection = h11.Connection(h11.CLIENT)
-        start = h11.Request(
+        request = h11.Request(
             method="POST",
             target="/v1/announcements",
             headers=[("host", host), ("transfer-encoding", "chunked")],
         )
-        await stream.send_all(connection.send(start))
+        await stream.send_all(connection.send(request))
         while True:
             data = h11.Data(data=endpoint.announcement())
             await stream.send_all(connection.send(data))
