Rename entries to entry_addresses

Cause: entries() returns addresses, as announcement_addresses() does Change: entries to entry_addresses; 6 uses in 6 files, by token. Result: every touched file compiles; behaviour is unchanged.

--- a/bench/footprint.py
+++ b/bench/footprint.py
@@ -160,7 +160,7 @@
 async def load_entries(runner, seconds):
     """Sends a paced load to every entry."""
     async with trio.open_nursery() as nursery:
-        for address in runner.deployment.entries():
+        for address in runner.deployment.entry_addresses():
             url = f"http://{address}/{SERVICE}/work"
             nursery.start_soon(load_paced, url, LOAD_PER_ENTRY_PER_S, seconds)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,7 +18,7 @@
 class QuietDeployment:
     """A deployment without processes."""
 
-    def entries(self):
+    def entry_addresses(self):
         """Returns no entry."""
         return []
 
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -83,7 +83,9 @@
     runner = FleetRunner(Deployment(folder))
     runner.add_processes(vms=list_vms(load_fleet_patch()))
     demo = Demo(runner, OperatorsClient(runner), random.Random(SEED))
-    options = CallerOptions(runner.deployment.entries(), fail_share=0.05)
+    options = CallerOptions(
+        runner.deployment.entry_addresses(), fail_share=0.05
+    )
     try:
         with trio.fail_after(MAX_RUN_S):
             await run_demo(demo, options)
--- a/tools/deployments.py
+++ b/tools/deployments.py
@@ -205,7 +205,7 @@
             self.relays[(zone, port)] = relay
         return relay.port
 
-    def entries(self, zone=None):
+    def entry_addresses(self, zone=None):
         """Returns the entries' addresses for callers, in a zone or in all."""
         return [
             node.address("callers_port")
--- a/tools/fleet_runner.py
+++ b/tools/fleet_runner.py
@@ -285,7 +285,7 @@
             print("folder of the files:", folder)
             print(
                 "addresses of the entries:",
-                *runner.deployment.entries(),
+                *runner.deployment.entry_addresses(),
             )
             await trio.to_thread.run_sync(sys.stdin.read)
             print(json.dumps(await runner.stop(), indent=2))
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -194,7 +194,7 @@
     line, and its run would look like one that no sending caused.
     """
     deployment = soak.runner.deployment
-    options = CallerOptions(deployment.entries(), fail_share=0.03)
+    options = CallerOptions(deployment.entry_addresses(), fail_share=0.03)
     arrivals = generate_arrivals(
         SERVICES,
         seconds * 1_000,
