--- a/bench/entry_throughput.py
+++ b/bench/entry_throughput.py
@@ -44,11 +44,11 @@
     path.write_text(make_document())
     deployment.write()
     node = next(iter(deployment.nodes.values()))
-    runner.plan_node(node, path)
+    runner.add_node_processes(node, path)
     ports = {"entry": node.ports["callers_port"]}
     target = None
     for number in range(endpoints):
-        port = deployment.ports.take()
+        port = deployment.ports.allocate()
         target = target or port
         member = f"{SERVICE}-{number}"
         runner.add(
@@ -61,7 +61,7 @@
             ],
         )
     for name in ("direct", "relay"):
-        ports[name] = deployment.ports.take()
+        ports[name] = deployment.ports.allocate()
         arguments = [HERE / "plain_apps.py", name, ports[name], target]
         runner.add(name, arguments)
     return ports
--- a/bench/footprint.py
+++ b/bench/footprint.py
@@ -50,10 +50,10 @@
         self.sent_bytes_per_s = sent_bytes_per_s
 
 
-def plan(runner, endpoints):
+def add_processes(runner, endpoints):
     """Adds the programs and, for each entry, its endpoints."""
     deployment = runner.deployment
-    runner.plan(endpoints_per_zone=0)
+    runner.add_processes(endpoints_per_zone=0)
     for name in [n for n in runner.processes if n.startswith("endpoints/")]:
         del runner.processes[name]
     for node in deployment.nodes.values():
@@ -61,10 +61,10 @@
         for number in range(endpoints):
             service = SERVICES[number % len(SERVICES)]
             member = f"{service}-{node.node_id}-{number}"
-            port = deployment.ports.take()
+            port = deployment.ports.allocate()
             arguments += ["--member", f"{member}:{service}:{node.zone}:{port}"]
         arguments += ["--entry", node.address("announcements_port")]
-        arguments += ["--log", runner.run_log(node.node_id)]
+        arguments += ["--log", runner.run_log_path(node.node_id)]
         runner.add(f"endpoints/{node.node_id}", arguments)
 
 
@@ -123,8 +123,8 @@
         return role
     if node_id == leader:
         return "leader"
-    votes = runner.deployment.nodes[node_id].votes
-    return "follower" if votes else "learner"
+    is_voter = runner.deployment.nodes[node_id].is_voter
+    return "follower" if is_voter else "learner"
 
 
 def summarize(runner, usages, leader):
@@ -160,7 +160,7 @@
 async def load_entries(runner, seconds):
     """Sends a paced load to every entry."""
     async with trio.open_nursery() as nursery:
-        for address in runner.deployment.entries():
+        for address in runner.deployment.entry_addresses():
             url = f"http://{address}/{SERVICE}/work"
             nursery.start_soon(load_paced, url, LOAD_PER_ENTRY_PER_S, seconds)
 
@@ -177,7 +177,7 @@
     """Returns the idle Usage by role at one size."""
     voters = VOTERS if vms >= SMALLEST_WITH_FIVE_VOTERS else ONE_VOTER_EACH
     runner = FleetRunner(Deployment(folder, spread(vms, ZONES), voters))
-    plan(runner, endpoints)
+    add_processes(runner, endpoints)
     size = f"{vms:>3} VMs, {endpoints:>4} endpoints an entry"
     try:
         await runner.start()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,7 +18,7 @@
 class EmptyDeployment:
     """A deployment without processes."""
 
-    def entries(self):
+    def entry_addresses(self):
         """Returns the addresses of the entries, of which there are none."""
         return []
 
--- a/tools/failures.py
+++ b/tools/failures.py
@@ -31,15 +31,15 @@
     Raises:
         BusyError: If other failures use every VM.
     """
-    free = sorted(runner.deployment.nodes.keys() - runner.busy)
+    free = sorted(runner.deployment.nodes.keys() - runner.faulted_nodes)
     if not free:
         raise BusyError("every VM is used by another failure")
     node_id = random.choice(free)
-    runner.busy.add(node_id)
+    runner.faulted_nodes.add(node_id)
     try:
         yield node_id
     finally:
-        runner.busy.discard(node_id)
+        runner.faulted_nodes.discard(node_id)
 
 
 async def kill_and_restart(runner, name, hold_s):
@@ -93,24 +93,24 @@
 async def cut_zone(runner, random, hold_s):
     """Closes all links from and to a zone."""
     zone = random.choice(ZONES)
-    await runner.relay(f"cut {zone}")
+    await runner.send_relay_command(f"cut {zone}")
     await trio.sleep(hold_s)
-    await runner.relay(f"heal {zone}")
+    await runner.send_relay_command(f"heal {zone}")
 
 
 @failures.register("hold zone")
 async def hold_zone(runner, random, hold_s):
     """Stops the traffic of a zone's links without closing them."""
     zone = random.choice(ZONES)
-    await runner.relay(f"hold {zone}")
+    await runner.send_relay_command(f"hold {zone}")
     await trio.sleep(hold_s)
-    await runner.relay(f"heal {zone}")
+    await runner.send_relay_command(f"heal {zone}")
 
 
 @failures.register("silence connections")
 async def silence_connections(runner, random, hold_s):
     """Stops the traffic of a zone's open links; new links work."""
-    await runner.relay(f"silence {random.choice(ZONES)}")
+    await runner.send_relay_command(f"silence {random.choice(ZONES)}")
     await trio.sleep(hold_s)
 
 
@@ -145,7 +145,7 @@
     """
     with contextlib.ExitStack() as stack:
         node_ids = []
-        while runner.deployment.nodes.keys() - runner.busy:
+        while runner.deployment.nodes.keys() - runner.faulted_nodes:
             reserved = reserve_node(runner, random)
             node_ids.append(stack.enter_context(reserved))
         async with trio.open_nursery() as nursery:
--- a/tools/outcomes.py
+++ b/tools/outcomes.py
@@ -1,8 +1,8 @@
-"""Checker: compares what callers were told with what endpoints ran.
+"""Checks the guarantees of the requests against the logs of a run.
 
-It reads the callers' lines of ``load.py``, the run logs of the endpoint
-stand-ins and, if given, the list of injected faults, and exits 1 naming each
-guarantee that was broken.
+Compares the outcomes in the callers' log of ``load.py`` with the run logs of
+the endpoint stand-ins and, if given, the list of injected faults. Exits 1 if
+a guarantee was broken and names each of these.
 """
 
 import argparse
@@ -16,21 +16,22 @@
 guarantees = Registry("guarantee")
 
 LEAVING_GRACE_MS = 3_000
-# The stand-ins and the callers read the same clock, one at the start and one
-# at the end of a step, so neighbouring times may differ by a rounding.
-CLOCK_SLACK_MS = 5
-PRINTED_VIOLATIONS = 5
+# Callers and endpoints read the same clock, one before and the other after a
+# step, and round to milliseconds, so that close times may seem out of order.
+CLOCK_TOLERANCE_MS = 5
+MAX_PRINTED_VIOLATIONS = 5
 COMPLETED, NOT_RUN, NO_OUTCOME = "completed", "not-run", "none"
 
 
-class Evidence:
-    """The logs of one run.
+class RunLogs:
+    """Logs of one run of the system.
 
     Attributes:
-        sendings: Lines of the callers.
-        runs: Runs of the endpoints by tag.
-        events: All lines of the endpoints in order of time.
-        faults: Faults with ``process``, ``from_ms`` and ``until_ms``.
+        sendings: Documents of the callers' log, one per sending of a request.
+        runs: Maps the tag of a request to its runs at endpoints.
+        events: Documents of the endpoints' logs, in order of time.
+        faults: Injected faults; each has ``process`` (address of an entry),
+            ``from_ms`` and ``until_ms``.
     """
 
     __slots__ = ("sendings", "runs", "events", "faults")
@@ -45,17 +46,17 @@
                 self.runs[event["tag"]].append(event)
 
     def sendings_by_tag(self):
-        """Returns the sendings of each request."""
+        """Returns a mapping of the tag of a request to its sendings."""
         by_tag = defaultdict(list)
         for sending in self.sendings:
             by_tag[sending["tag"]].append(sending)
         return by_tag
 
-    def is_excused(self, sending):
-        """Returns whether its entry was faulty while the request was open.
+    def entry_was_faulty(self, sending):
+        """Returns whether a fault hit the entry while the request was open.
 
-        A caller whose entry dies sees a closed connection; that is not an
-        answer that wigeonport can give.
+        If an entry process dies, its callers see a closed connection; no
+        outcome can be sent to them then.
         """
         return any(
             fault["process"] == sending["entry"]
@@ -66,63 +67,67 @@
 
 
 @guarantees.register("R3 whole responses")
-def check_responses(evidence):
-    """A completed response is whole and belongs to its request."""
+def check_responses(logs):
+    """Finds completed responses that are cut short or of another request."""
     return [
-        f"{sending['tag']}: the body is {sending['check']}"
-        for sending in evidence.sendings
+        f"{sending['tag']}: the response body is {sending['check']}"
+        for sending in logs.sendings
         if sending["outcome"] == COMPLETED and sending["check"] != "whole"
     ]
 
 
 @guarantees.register("R3 completed requests ran")
-def check_completed(evidence):
-    """A request that completed did run."""
+def check_completed(logs):
+    """Finds requests that completed without a run."""
     return [
         f"{sending['tag']}: completed, but no endpoint ran it"
-        for sending in evidence.sendings
+        for sending in logs.sendings
         if sending["outcome"] == COMPLETED
-        and not evidence.runs.get(sending["tag"])
+        and not logs.runs.get(sending["tag"])
     ]
 
 
 @guarantees.register("R4 not-run did not run")
-def check_not_run(evidence):
-    """Each run has a sending that may have caused it.
+def check_not_run(logs):
+    """Finds runs that no sending of the request can have caused.
 
-    A sending whose outcome is not-run causes no run. A keyed request that
-    was not run at first may run because of a later sending.
+    A sending with the outcome not-run must not cause a run. A request with a
+    key that was first answered not-run may run because of a later sending.
     """
     violations = []
-    for tag, sendings in evidence.sendings_by_tag().items():
-        causes = [s for s in sendings if s["outcome"] != NOT_RUN]
-        for run in evidence.runs.get(tag, ()):
-            latest_ms = run["wall_ms"] + CLOCK_SLACK_MS
-            if not any(cause["sent_ms"] <= latest_ms for cause in causes):
+    for tag, sendings in logs.sendings_by_tag().items():
+        possible_causes = [s for s in sendings if s["outcome"] != NOT_RUN]
+        for run in logs.runs.get(tag, ()):
+            latest_ms = run["wall_ms"] + CLOCK_TOLERANCE_MS
+            if not any(
+                cause["sent_ms"] <= latest_ms for cause in possible_causes
+            ):
                 violations.append(
-                    f"{tag}: told not-run, but {run['endpoint']} ran it"
+                    f"{tag}: outcome not-run, but {run['endpoint']} ran it"
                 )
     return violations
 
 
 @guarantees.register("R5 at most one run")
-def check_single_runs(evidence):
-    """A request with a key and a POST without one run at most once."""
+def check_single_runs(logs):
+    """Finds POST requests, with or without a key, that ran repeatedly."""
     violations = []
-    for tag, sendings in evidence.sendings_by_tag().items():
+    for tag, sendings in logs.sendings_by_tag().items():
         if not sendings[0]["key"] and sendings[0]["method"] != "POST":
             continue
-        places = [run["endpoint"] for run in evidence.runs.get(tag, ())]
-        if len(places) > 1:
-            violations.append(f"{tag}: ran at {', '.join(places)}")
+        endpoints = [run["endpoint"] for run in logs.runs.get(tag, ())]
+        if len(endpoints) > 1:
+            violations.append(
+                f"{tag}: ran more than once: {', '.join(endpoints)}"
+            )
     return violations
 
 
 @guarantees.register("R6 no work for leaving endpoints")
-def check_leaving(evidence):
-    """No work arrives 3 s after an endpoint announced that it leaves."""
+def check_leaving(logs):
+    """Finds work at endpoints that announced over 3 s ago that they leave."""
     violations, leaving_ms = [], {}
-    for event in evidence.events:
+    for event in logs.events:
         endpoint, kind = event["endpoint"], event["event"]
         if kind == "leaving":
             leaving_ms[endpoint] = event["wall_ms"]
@@ -131,51 +136,54 @@
         elif endpoint in leaving_ms:
             late_ms = event["wall_ms"] - leaving_ms[endpoint]
             if late_ms > LEAVING_GRACE_MS:
-                violations.append(f"{endpoint}: work after {late_ms} ms")
+                violations.append(
+                    f"{endpoint}: work {late_ms} ms after it began to leave"
+                )
     return violations
 
 
 @guarantees.register("R7 every request has an outcome")
-def check_outcomes(evidence):
-    """Every request that reached a working entry has an outcome."""
+def check_outcomes(logs):
+    """Finds sendings to an entry without a fault that got no outcome."""
     return [
         f"{sending['tag']}: no outcome from {sending['entry']}: "
         f"{sending['reason']}"
-        for sending in evidence.sendings
+        for sending in logs.sendings
         if sending["outcome"] == NO_OUTCOME
-        and not evidence.is_excused(sending)
+        and not logs.entry_was_faulty(sending)
     ]
 
 
-def judge(evidence):
-    """Returns the violations by guarantee."""
-    return {
-        name: guarantees.get(name).ok(evidence) for name in guarantees.names()
-    }
+def check_guarantees(logs):
+    """Returns a mapping of guarantee to the texts of its violations."""
+    return {name: guarantees.get(name).ok(logs) for name in guarantees.names()}
 
 
-def count(evidence):
-    """Returns the counts that are printed."""
-    outcomes = Counter(s["outcome"] for s in evidence.sendings)
-    kinds = Counter(event["event"] for event in evidence.events)
-    excused = sum(
+def summarize_logs(logs):
+    """Returns counts of requests, outcomes and endpoint events."""
+    outcome_counts = Counter(s["outcome"] for s in logs.sendings)
+    event_counts = Counter(event["event"] for event in logs.events)
+    unanswered_count = sum(
         1
-        for sending in evidence.sendings
-        if sending["outcome"] == NO_OUTCOME and evidence.is_excused(sending)
+        for sending in logs.sendings
+        if sending["outcome"] == NO_OUTCOME and logs.entry_was_faulty(sending)
     )
     return {
-        "requests": len(evidence.sendings_by_tag()),
-        "sendings": len(evidence.sendings),
-        "outcomes": dict(outcomes),
-        "endpoint_events": dict(kinds),
-        "without_outcome_at_a_faulty_entry": excused,
+        "requests": len(logs.sendings_by_tag()),
+        "sendings": len(logs.sendings),
+        "outcomes": dict(outcome_counts),
+        "endpoint_events": dict(event_counts),
+        "without_outcome_at_a_faulty_entry": unanswered_count,
     }
 
 
 def read_lines(paths):
     """Returns the documents of JSON Lines files.
 
-    A process that was killed may leave a last line cut short; it is skipped.
+    Skips an incomplete last line, as a killed process may leave it.
+
+    Raises:
+        ValueError: If any other line is not JSON.
     """
     documents = []
     for path in paths:
@@ -189,34 +197,38 @@
     return documents
 
 
-def print_judgement(evidence, verdict):
-    """Prints counts and violations; returns the names of the broken."""
-    print(json.dumps(count(evidence), indent=2))
-    for name, violations in verdict.items():
+def print_results(logs, violations_by_guarantee):
+    """Prints counts and violations; returns the broken guarantees."""
+    print(json.dumps(summarize_logs(logs), indent=2))
+    for name, violations in violations_by_guarantee.items():
         state = "broken" if violations else "held"
         print(f"{name}: {state}, {len(violations)} violations")
-        for violation in violations[:PRINTED_VIOLATIONS]:
+        for violation in violations[:MAX_PRINTED_VIOLATIONS]:
             print(f"  {violation}")
-    return [name for name, violations in verdict.items() if violations]
+    return [
+        name
+        for name, violations in violations_by_guarantee.items()
+        if violations
+    ]
 
 
 def main(arguments=None):
-    """Reads the logs and exits 1 if a guarantee is broken."""
+    """Checks the logs; returns 1 if a guarantee is broken, otherwise 0."""
     parser = argparse.ArgumentParser(description=__doc__)
     paths = {"type": pathlib.Path, "nargs": "+"}
     parser.add_argument("--callers", required=True, **paths)
     parser.add_argument("--endpoints", required=True, **paths)
     parser.add_argument("--faults", default=[], **paths)
     options = parser.parse_args(arguments)
-    evidence = Evidence(
+    logs = RunLogs(
         read_lines(options.callers),
         read_lines(options.endpoints),
         read_lines(options.faults),
     )
-    broken = print_judgement(evidence, judge(evidence))
-    for name in broken:
+    broken_guarantees = print_results(logs, check_guarantees(logs))
+    for name in broken_guarantees:
         print(f"broken: {name}", file=sys.stderr)
-    return 1 if broken else 0
+    return 1 if broken_guarantees else 0
 
 
 if __name__ == "__main__":
--- a/tools/patch_failures.py
+++ b/tools/patch_failures.py
@@ -85,18 +85,18 @@
         free = [
             node.node_id
             for node in self.runner.deployment.nodes.values()
-            if node.node_id not in self.runner.busy
-            and (node.votes or not voters)
+            if node.node_id not in self.runner.faulted_nodes
+            and (node.is_voter or not voters)
             and zone in (None, node.zone)
         ]
         node_ids = self.random.sample(free, min(count, len(free)))
         self.skipped += not node_ids
-        self.runner.busy.update(node_ids)
+        self.runner.faulted_nodes.update(node_ids)
         return node_ids
 
     def release(self, node_ids):
         """Ends the reservation of VMs."""
-        self.runner.busy.difference_update(node_ids)
+        self.runner.faulted_nodes.difference_update(node_ids)
 
     async def reserve_leader(self):
         """Reserves the VM of the leader.
@@ -106,10 +106,10 @@
             leader was found.
         """
         leader = await self.find_leader()
-        if leader is None or leader in self.runner.busy:
+        if leader is None or leader in self.runner.faulted_nodes:
             self.skipped += 1
             return []
-        self.runner.busy.add(leader)
+        self.runner.faulted_nodes.add(leader)
         return [leader]
 
     async def find_leader(self):
@@ -188,12 +188,12 @@
 async def cut(injector, zone):
     """Cuts a zone off for as long as the ``async with`` block lasts."""
     with injector.fault(CUT, zone):
-        await injector.runner.relay(f"cut {zone}")
+        await injector.runner.send_relay_command(f"cut {zone}")
         try:
             yield
         finally:
             with trio.CancelScope(shield=True):
-                await injector.runner.relay(f"heal {zone}")
+                await injector.runner.send_relay_command(f"heal {zone}")
 
 
 @failures.register("cut zone")
--- a/tools/patch_soak.py
+++ b/tools/patch_soak.py
@@ -44,9 +44,9 @@
 
     __slots__ = ()
 
-    def settings_of(self, node):
+    def make_settings(self, node):
         """Returns the settings document of a VM."""
-        document = super().settings_of(node)
+        document = super().make_settings(node)
         document["event_log"] = str(self.path(node.node_id, "ev.jsonl"))
         return document
 
@@ -202,7 +202,7 @@
         PatchSoak.
     """
     runner = FleetRunner(PatchDeployment(folder))
-    runner.plan(endpoints_per_zone=0)
+    runner.add_processes(endpoints_per_zone=0)
     for zone in ("ikeja", "lekki", "yaba"):
         del runner.processes[f"endpoints/{zone}"]
     soak = PatchSoak(runner, seed, within_ms)
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -13,13 +13,13 @@
 
 import trio
 from callers import CallerOptions
-from demands import list_arrivals
+from demands import generate_arrivals
 from deployments import SERVICES, Deployment
 from failures import BusyError, failures
 from fleet_runner import FleetRunner, HealthError
 from load import run_load
 from operators_client import OperatorsClient, load_fleet_patch
-from outcomes import Evidence, judge, print_judgement, read_lines
+from outcomes import RunLogs, check_guarantees, print_results, read_lines
 
 FIRST_VERSION_TIMEOUT_S = 20.0
 RECOVERY_TIMEOUT_S = 20.0
@@ -213,8 +213,8 @@
     its run would look to the checker like one that no request caused.
     """
     deployment = soak.runner.deployment
-    options = CallerOptions(deployment.entries(), fail_share=0.03)
-    arrivals = list_arrivals(
+    options = CallerOptions(deployment.entry_addresses(), fail_share=0.03)
+    arrivals = generate_arrivals(
         SERVICES,
         seconds * 1_000,
         RATE_PER_SERVICE,
@@ -235,20 +235,20 @@
     """Checks the logs and adds the guarantees that they violate."""
     deployment = soak.runner.deployment
     runs = sorted(deployment.folder.joinpath("runs").glob("*.jsonl"))
-    evidence = Evidence(
+    logs = RunLogs(
         read_lines([deployment.path("callers.jsonl")]),
         read_lines(runs),
         soak.runner.faults,
     )
-    verdict = judge(evidence)
-    for name in print_judgement(evidence, verdict):
+    verdict = check_guarantees(logs)
+    for name in print_results(logs, verdict):
         soak.violations.append(f"{name}: {verdict[name][0]}")
 
 
 async def main_task(folder, seconds, seed):
     """Runs the soak in a folder; returns the Soak."""
     runner = FleetRunner(Deployment(folder))
-    runner.plan()
+    runner.add_processes()
     soak = Soak(runner, seed)
     try:
         await runner.start()
