Tell the soak's check from the check of outcomes

A rename lengthened a line of the fleet command. Change: the soak's function is check_soak_guarantees; the line is wrapped.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -231,7 +231,7 @@
         nursery.cancel_scope.cancel()
 
 
-def check_guarantees(soak):
+def check_soak_guarantees(soak):
     """Checks the logs and adds the guarantees that they violate."""
     deployment = soak.runner.deployment
     runs = sorted(deployment.folder.joinpath("runs").glob("*.jsonl"))
@@ -265,7 +265,7 @@
         soak.violations.append(f"health: {fault}")
     finally:
         runner.kill_all()
-    check_guarantees(soak)
+    check_soak_guarantees(soak)
     return soak
 
 
--- a/wigeonport/commands/fleet.py
+++ b/wigeonport/commands/fleet.py
@@ -163,7 +163,8 @@
             raise UsageError("fleet patch needs --against VERSION and --id ID")
         if not NAME_PATTERN.fullmatch(id):
             raise UsageError(
-                f"--id must be a name that matches {NAME_PATTERN.pattern}, not {id!r}"
+                f"--id must be a name that matches {NAME_PATTERN.pattern},"
+                f" not {id!r}"
             )
         patch = load_patch_file(self.argument("file"), id, against, "")
         if patch.is_error():
