--- a/bench/claim_latency.py
+++ b/bench/claim_latency.py
@@ -34,7 +34,7 @@
 from wigeonport.state_answers import ClaimGranted  # noqa: E402
 from wigeonport.state_commands import ClaimKey  # noqa: E402
 
-CONTROLS = 5
+CONTROL_COUNT = 5
 QUORUM_NODES = 7
 TIMEOUT_MS = 3_000
 START_TIMEOUT_S = 30
@@ -49,14 +49,14 @@
 
 async def serve(port, key_path):
     """Keeps claims in memory and answers them."""
-    inbound, claims = Mailbox("claims", 1_024), ClaimState()
+    inbound, claim_state = Mailbox("claims", 1_024), ClaimState()
     context = make_context(f"memory-{port}", key_path, inbound)
     async with trio.open_nursery() as nursery:
         await nursery.start(listen, context, HOST, port)
         async for delivery in inbound:
             if isinstance(delivery, Delivery):
                 message = delivery.message
-                answer = claims.claim(
+                answer = claim_state.claim(
                     message.key, message.digest, message.attempt, 0
                 )
                 delivery.respond(answer)
@@ -91,34 +91,34 @@
     return len(granted) > len(dialers) // 2
 
 
-async def claim_nothing(dialers):
+async def skip_claim(dialers):
     """Stands for a request without a key."""
     await trio.lowlevel.checkpoint()
     return True
 
 
-async def measure(name, claim, dialers, count, at_a_time):
+async def measure(name, claim, dialers, count, concurrency):
     """Prints percentiles and the rate of one way."""
-    times_us, failed = [], []
-    started = time.perf_counter()
+    times_us, failed_calls = [], []
+    run_started = time.perf_counter()
 
-    async def work():
-        for _ in range(count // at_a_time):
-            began = time.perf_counter()
+    async def send_claims():
+        for _ in range(count // concurrency):
+            call_started = time.perf_counter()
             if not await claim(dialers):
-                failed.append(name)
-            times_us.append((time.perf_counter() - began) * 1e6)
+                failed_calls.append(name)
+            times_us.append((time.perf_counter() - call_started) * 1e6)
 
     async with trio.open_nursery() as nursery:
-        for _ in range(at_a_time):
-            nursery.start_soon(work)
-    rate = len(times_us) / (time.perf_counter() - started)
+        for _ in range(concurrency):
+            nursery.start_soon(send_claims)
+    rate = len(times_us) / (time.perf_counter() - run_started)
     times_us.sort()
     p50 = times_us[len(times_us) // 2] / 1000
     p99 = times_us[int(len(times_us) * 0.99)] / 1000
     print(
-        f"{name:22} {at_a_time:3} at a time: p50 {p50:7.3f} ms, "
-        f"p99 {p99:7.3f} ms, {rate:7.0f}/s, failed {len(failed)}"
+        f"{name:22} {concurrency:3} at a time: p50 {p50:7.3f} ms, "
+        f"p99 {p99:7.3f} ms, {rate:7.0f}/s, failed {len(failed_calls)}"
     )
 
 
@@ -131,7 +131,9 @@
 
 async def main_task(options, folder):
     """Starts the processes, measures, and ends them."""
-    deployment = Deployment(folder, {"ikeja": CONTROLS}, {"ikeja": CONTROLS})
+    deployment = Deployment(
+        folder, {"ikeja": CONTROL_COUNT}, {"ikeja": CONTROL_COUNT}
+    )
     deployment.write()
     key_path = deployment.path("links-1.key")
     ports, processes, memory_ports = Ports(), [], []
@@ -143,8 +145,12 @@
     for number in range(QUORUM_NODES):
         port = ports.take()
         memory_ports.append(port)
-        own = [str(pathlib.Path(__file__).resolve()), "--serve", str(port)]
-        arguments = [*own, "--key", str(key_path)]
+        serve_arguments = [
+            str(pathlib.Path(__file__).resolve()),
+            "--serve",
+            str(port),
+        ]
+        arguments = [*serve_arguments, "--key", str(key_path)]
         log_path = deployment.path("logs", f"memory-{number}")
         processes.append(ManagedProcess(f"m{number}", arguments, log_path))
     inbound = Mailbox("bench", 1_024)
@@ -152,24 +158,24 @@
     control_ports = [
         node.ports["control_links_port"] for node in deployment.nodes.values()
     ]
-    controls = [Dialer(context, HOST, port) for port in control_ports]
-    memories = [Dialer(context, HOST, port) for port in memory_ports]
+    control_dialers = [Dialer(context, HOST, port) for port in control_ports]
+    memory_dialers = [Dialer(context, HOST, port) for port in memory_ports]
     try:
         for process in processes:
             await process.start()
         async with trio.open_nursery() as nursery:
-            for dialer in (*controls, *memories):
+            for dialer in (*control_dialers, *memory_dialers):
                 nursery.start_soon(dialer.run)
-            await wait_for(lambda: claim_in_log(controls))
-            await wait_for(lambda: claim_in_memory(memories))
-            for at_a_time in (1, 32):
+            await wait_for(lambda: claim_in_log(control_dialers))
+            await wait_for(lambda: claim_in_memory(memory_dialers))
+            for concurrency in (1, 32):
                 count = options.count
                 for name, claim, dialers in (
-                    ("no key", claim_nothing, []),
-                    ("memory of a quorum", claim_in_memory, memories),
-                    ("replicated log", claim_in_log, controls),
+                    ("no key", skip_claim, []),
+                    ("memory of a quorum", claim_in_memory, memory_dialers),
+                    ("replicated log", claim_in_log, control_dialers),
                 ):
-                    await measure(name, claim, dialers, count, at_a_time)
+                    await measure(name, claim, dialers, count, concurrency)
             nursery.cancel_scope.cancel()
     finally:
         with trio.CancelScope(shield=True):
--- a/bench/commit_latency.py
+++ b/bench/commit_latency.py
@@ -28,7 +28,7 @@
 
 BENCH = ROOT / "bench"
 RECORD = b"r" * 350
-NO_SNAPSHOT = 1_000_000_000
+NO_SNAPSHOT_ENTRIES = 1_000_000_000
 
 
 async def measure_baseline(folder, count):
@@ -47,34 +47,34 @@
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
     descriptor = os.open(folder / "baseline", flags)
-    latencies = []
+    latencies_us = []
     for _ in range(count):
         started_ns = time.monotonic_ns()
         os.write(descriptor, RECORD)
         os.fdatasync(descriptor)
         connection.sendall(RECORD)
         connection.recv(4_096)
-        latencies.append((time.monotonic_ns() - started_ns) / 1e3)
+        latencies_us.append((time.monotonic_ns() - started_ns) / 1e3)
     os.close(descriptor)
     connection.close()
     await echo.wait(5)
-    return latencies
+    return latencies_us
 
 
-class Group:
+class ReplicaGroup:
     """Replica processes of one measurement.
 
     Attributes:
         processes: ManagedProcess by node.
-        opened_ms: Time to open the data directory by node.
+        open_duration_ms: Time to open the data directory by node.
     """
 
-    __slots__ = ("processes", "opened_ms")
+    __slots__ = ("processes", "open_duration_ms")
 
     def __init__(self, folder, count, snapshot_entries):
         ports = Ports()
         nodes = {f"n{number}": ports.take() for number in range(count)}
-        self.opened_ms = {}
+        self.open_duration_ms = {}
         self.processes = {}
         for node in nodes:
             setup = {
@@ -93,11 +93,11 @@
         for process in self.processes.values():
             await process.start()
         for node, process in self.processes.items():
-            first = await process.read_line()
-            self.opened_ms[node] = json.loads(first)["opened_ms"]
+            first_line = await process.read_line()
+            self.open_duration_ms[node] = json.loads(first_line)["opened_ms"]
         while True:
             for process in self.processes.values():
-                status = await call(process, "status")
+                status = await run_command(process, "status")
                 if status["ready"]:
                     return process
             await trio.sleep(0.1)
@@ -108,14 +108,14 @@
             await process.kill()
 
 
-async def call(process, line):
+async def run_command(process, command):
     """Runs a command in a replica."""
-    return json.loads(await process.call(line))
+    return json.loads(await process.call(command))
 
 
-def report(name, latencies):
+def print_percentiles(name, latencies_us):
     """Prints percentiles and returns the median."""
-    ordered = sorted(latencies)
+    ordered = sorted(latencies_us)
     median = statistics.median(ordered)
     p99 = ordered[int(len(ordered) * 0.99)]
     print(f"{name}: median {median:.0f} us, p99 {p99:.0f} us")
@@ -125,44 +125,46 @@
 async def measure_replicas(folder, replicas, count):
     """Measures latency against the baseline, and group commit."""
     folder.mkdir()
-    before = await measure_baseline(folder, count)
-    group = Group(folder, replicas, NO_SNAPSHOT)
+    baseline_before = await measure_baseline(folder, count)
+    group = ReplicaGroup(folder, replicas, NO_SNAPSHOT_ENTRIES)
     leader = await group.start()
-    latencies = await call(leader, f"latency {count}")
-    grouped = []
+    latencies_us = await run_command(leader, f"latency {count}")
+    throughput_results = []
     for tasks in (16, 128, 512):
-        grouped.append((tasks, await call(leader, f"throughput 4096 {tasks}")))
+        throughput_results.append(
+            (tasks, await run_command(leader, f"throughput 4096 {tasks}"))
+        )
     await group.stop()
-    after = await measure_baseline(folder, count)
-    baseline = report("baseline", before + after)
-    median = report(f"commit, {replicas} replicas", latencies)
+    baseline_after = await measure_baseline(folder, count)
+    baseline = print_percentiles("baseline", baseline_before + baseline_after)
+    median = print_percentiles(f"commit, {replicas} replicas", latencies_us)
     print(f"ratio of the medians: {median / baseline:.1f}")
-    for tasks, result in grouped:
-        rate = result["proposals"] / result["seconds"]
-        batch = result["proposals"] / max(1, result["syncs"])
+    for tasks, result in throughput_results:
+        commits_per_s = result["proposals"] / result["seconds"]
+        commits_per_sync = result["proposals"] / max(1, result["syncs"])
         print(
-            f"{tasks} proposers: {rate:.0f} commits/s, "
-            f"{batch:.1f} commits for each sync"
+            f"{tasks} proposers: {commits_per_s:.0f} commits/s, "
+            f"{commits_per_sync:.1f} commits for each sync"
         )
 
 
 async def measure_restart(folder, entries, snapshot_entries):
     """Measures how long a full restart takes after many entries."""
     folder.mkdir()
-    group = Group(folder, 3, snapshot_entries)
+    group = ReplicaGroup(folder, 3, snapshot_entries)
     leader = await group.start()
-    await call(leader, f"throughput {entries} 500")
+    await run_command(leader, f"throughput {entries} 500")
     await group.stop()
     started = time.monotonic()
     leader = await group.start()
     ready_s = time.monotonic() - started
-    status = await call(leader, "status")
+    status = await run_command(leader, "status")
     assert status["commit_index"] >= entries
     await group.stop()
-    opened_ms = max(group.opened_ms.values())
+    open_duration_ms = max(group.open_duration_ms.values())
     print(
         f"restart after {entries} entries, a snapshot every "
-        f"{snapshot_entries}: data read in {opened_ms:.0f} ms, "
+        f"{snapshot_entries}: data read in {open_duration_ms:.0f} ms, "
         f"leader ready after {ready_s:.1f} s"
     )
 
@@ -182,9 +184,9 @@
                 folder / f"commit{replicas}", replicas, options.count
             )
         for entries in options.restart:
-            for every in (5_000, NO_SNAPSHOT):
-                path = folder / f"restart{entries}-{every}"
-                await measure_restart(path, entries, every)
+            for snapshot_entries in (5_000, NO_SNAPSHOT_ENTRIES):
+                path = folder / f"restart{entries}-{snapshot_entries}"
+                await measure_restart(path, entries, snapshot_entries)
 
 
 if __name__ == "__main__":
--- a/bench/config_rollout.py
+++ b/bench/config_rollout.py
@@ -2,7 +2,7 @@
 
 Patches go to a random control, one after another. Acceptance is the moment
 at which the operator is told; the moment at which an entry applies a version
-is the time of its event ``config.applied``. All processes share the clock of
+is the time of its event ``config.applied_by_entry``. All processes share the clock of
 one machine. Run with ``PYTHONPATH=tools:.``.
 """
 
@@ -20,9 +20,9 @@
 from measures import describe_machine
 from operators_client import OperatorsClient
 
-LARGEST_US = 600_000_000
+MAX_DURATION_US = 600_000_000
 SIGNIFICANT_FIGURES = 3
-PAUSE_S = 0.2
+PATCH_INTERVAL_S = 0.2
 SETTLE_S = 3.0
 PERCENTILES = (50, 90, 99, 100)
 
@@ -49,7 +49,7 @@
     return time.time_ns() // 1_000_000
 
 
-async def submit_all(runner, count, source):
+async def submit_all(runner, count, rng):
     """Submits patches; returns their Rollouts."""
     operators = OperatorsClient(runner)
     nodes = sorted(runner.deployment.nodes)
@@ -62,7 +62,7 @@
         }
         sent_ms = wall_ms()
         answer = await operators.submit(
-            source.choice(nodes),
+            rng.choice(nodes),
             f"rollout-{number}",
             version,
             "benchmark",
@@ -72,61 +72,69 @@
         if answer is not None and answer.status == 200:
             version = answer.document["version"]
             rollouts.append(Rollout(version, sent_ms, accepted_ms))
-        await trio.sleep(PAUSE_S)
+        await trio.sleep(PATCH_INTERVAL_S)
     await trio.sleep(SETTLE_S)
     return rollouts
 
 
-async def read_applied(runner):
+async def read_applied_versions(runner):
     """Returns by entry the wall time at which it applied each version."""
-    applied = {}
+    applied_by_entry = {}
     for node_id in runner.deployment.nodes:
         answer = await runner.get(f"entry/{node_id}", "/events")
         events = [json.loads(line) for line in answer.body.splitlines()]
-        applied[node_id] = {
+        applied_by_entry[node_id] = {
             event["fields"]["version"]: event["wall_ms"]
             for event in events
             if event["kind"] == "config.applied"
         }
-    return applied
+    return applied_by_entry
 
 
-def time_in_force(version, by_version):
+def find_applied_ms(version, applied_ms_by_version):
     """Returns when an entry applied this version or a later one."""
-    times = [at for other, at in by_version.items() if other >= version]
-    return min(times) if times else None
+    times_ms = [
+        time_ms
+        for applied_version, time_ms in applied_ms_by_version.items()
+        if applied_version >= version
+    ]
+    return min(times_ms) if times_ms else None
 
 
-def print_percentiles(name, values_ms):
+def print_percentiles(name, durations_ms):
     """Prints the percentiles of some durations."""
-    histogram = HdrHistogram(1, LARGEST_US, SIGNIFICANT_FIGURES)
-    for value_ms in values_ms:
-        histogram.record_value(max(1, value_ms * 1_000))
+    histogram = HdrHistogram(1, MAX_DURATION_US, SIGNIFICANT_FIGURES)
+    for duration_ms in durations_ms:
+        histogram.record_value(max(1, duration_ms * 1_000))
     figures = ", ".join(
         f"p{percentile} "
         f"{histogram.get_value_at_percentile(percentile) / 1_000:.0f} ms"
         for percentile in PERCENTILES
     )
-    print(f"{name}: {len(values_ms)} patches, {figures}")
+    print(f"{name}: {len(durations_ms)} patches, {figures}")
 
 
-def report(rollouts, applied):
+def print_report(rollouts, applied_by_entry):
     """Prints the figures; returns the number that never got in force."""
-    accepted, everywhere, missing = [], [], 0
+    acceptance_durations_ms, rollout_durations_ms, incomplete_count = [], [], 0
     for rollout in rollouts:
-        times = [
-            time_in_force(rollout.version, by_version)
-            for by_version in applied.values()
+        times_ms = [
+            find_applied_ms(rollout.version, applied_ms_by_version)
+            for applied_ms_by_version in applied_by_entry.values()
         ]
-        accepted.append(rollout.accepted_ms - rollout.sent_ms)
-        if None in times:
-            missing += 1
+        acceptance_durations_ms.append(rollout.accepted_ms - rollout.sent_ms)
+        if None in times_ms:
+            incomplete_count += 1
             continue
-        everywhere.append(max(0, max(times) - rollout.accepted_ms))
-    print_percentiles("sent to accepted", accepted)
-    print_percentiles("accepted to in force on all entries", everywhere)
-    print(f"not in force everywhere at the end: {missing}")
-    return missing
+        rollout_durations_ms.append(
+            max(0, max(times_ms) - rollout.accepted_ms)
+        )
+    print_percentiles("sent to accepted", acceptance_durations_ms)
+    print_percentiles(
+        "accepted to in force on all entries", rollout_durations_ms
+    )
+    print(f"not in force everywhere at the end: {incomplete_count}")
+    return incomplete_count
 
 
 async def main_task(options, folder):
@@ -136,9 +144,9 @@
     try:
         await runner.start()
         await apply_first_version(runner)
-        source = random.Random(options.seed)
-        rollouts = await submit_all(runner, options.patches, source)
-        return report(rollouts, await read_applied(runner))
+        rng = random.Random(options.seed)
+        rollouts = await submit_all(runner, options.patches, rng)
+        return print_report(rollouts, await read_applied_versions(runner))
     finally:
         runner.kill_all()
 
--- a/bench/document_costs.py
+++ b/bench/document_costs.py
@@ -8,7 +8,7 @@
 import statistics
 import time
 
-from measures import describe_machine, fit_slope
+from measures import describe_machine, fit_line
 
 from wigeonport.codecs import codecs
 from wigeonport.configurations import ConfigUpdate
@@ -25,7 +25,7 @@
 from wigeonport.patches import patch_from_document
 
 SIZES = ((450, 84, 3), (900, 168, 5), (1_800, 335, 10))
-TEAMS = 56
+TEAM_COUNT = 56
 WORKERS_PER_RACK = 4
 REPEATS = 15
 NS_PER_MS = 1e6
@@ -34,20 +34,24 @@
 def build_fleet(worker_count, pool_count, zone_count):
     """Returns a Fleet; every pool has one service."""
     fleet = Fleet(1)
-    add(fleet, "regions", Region("region-1"))
+    add_record(fleet, "regions", Region("region-1"))
     for number in range(zone_count):
         zone = AvailabilityZone(f"zone-{number}", "region-1")
-        add(fleet, "zones", zone)
-    for number in range(TEAMS):
+        add_record(fleet, "zones", zone)
+    for number in range(TEAM_COUNT):
         team = Team(
             id=f"team-{number}",
             processors=1_000,
             memory_mb=1_000_000,
             accelerators=0,
         )
-        add(fleet, "teams", team)
+        add_record(fleet, "teams", team)
     for number in range(pool_count):
-        add(fleet, "pools", Pool(f"pool-{number}", f"team-{number % TEAMS}"))
+        add_record(
+            fleet,
+            "pools",
+            Pool(f"pool-{number}", f"team-{number % TEAM_COUNT}"),
+        )
         service = Service(
             id=f"service-{number}",
             pool=f"pool-{number}",
@@ -58,13 +62,13 @@
             connections_per_endpoint=64,
             default_deadline_ms=5_000,
         )
-        add(fleet, "services", service)
+        add_record(fleet, "services", service)
     for number in range(worker_count):
         add_worker(fleet, number, pool_count, zone_count)
     return fleet
 
 
-def add(fleet, section, record):
+def add_record(fleet, section, record):
     """Adds a record."""
     getattr(fleet, section)[record.id] = record
 
@@ -83,25 +87,25 @@
         0,
         f"pool-{number % pool_count}",
     )
-    add(fleet, "workers", worker)
+    add_record(fleet, "workers", worker)
 
 
-def time_ms(function):
+def measure_cpu_ms(function):
     """Returns the median processor time of a call in ms."""
-    spent = []
+    durations_ns = []
     for _ in range(REPEATS):
         started_ns = time.process_time_ns()
         function()
-        spent.append(time.process_time_ns() - started_ns)
-    return statistics.median(spent) / NS_PER_MS
+        durations_ns.append(time.process_time_ns() - started_ns)
+    return statistics.median(durations_ns) / NS_PER_MS
 
 
 def measure(worker_count, pool_count, zone_count):
     """Returns the figures of one size by name."""
     fleet = build_fleet(worker_count, pool_count, zone_count)
-    text = json.dumps(fleet.to_document()).encode()
+    version_json = json.dumps(fleet.to_document()).encode()
     codec = codecs.get("thrift").ok()
-    frame = codec.encode(ConfigUpdate(1, text, False))
+    frame = codec.encode(ConfigUpdate(1, version_json, False))
     operation = {
         "operation": "set_service_capacity",
         "service": "service-1",
@@ -117,29 +121,33 @@
         }
     ).ok
     return {
-        "version in bytes": len(text),
-        "apply a patch (ms)": time_ms(lambda: patch.apply(fleet)),
-        "write a version (ms)": time_ms(
+        "version in bytes": len(version_json),
+        "apply a patch (ms)": measure_cpu_ms(lambda: patch.apply(fleet)),
+        "write a version (ms)": measure_cpu_ms(
             lambda: json.dumps(fleet.to_document())
         ),
-        "encode an update (ms)": time_ms(
-            lambda: codec.encode(ConfigUpdate(1, text, False))
+        "encode an update (ms)": measure_cpu_ms(
+            lambda: codec.encode(ConfigUpdate(1, version_json, False))
+        ),
+        "decode an update (ms)": measure_cpu_ms(lambda: codec.decode(frame)),
+        "read a version (ms)": measure_cpu_ms(
+            lambda: json.loads(version_json)
         ),
-        "decode an update (ms)": time_ms(lambda: codec.decode(frame)),
-        "read a version (ms)": time_ms(lambda: json.loads(text)),
     }
 
 
 def main():
     """Measures all sizes."""
     print("before:", describe_machine())
-    rows = {size[0]: measure(*size) for size in SIZES}
-    for workers, row in rows.items():
-        for name, value in row.items():
+    figures_by_size = {size[0]: measure(*size) for size in SIZES}
+    for workers, figures in figures_by_size.items():
+        for name, value in figures.items():
             print(f"{workers:>5} workers, {name:<22} {value:10.2f}")
-    for name in rows[SIZES[0][0]]:
-        slope, base = fit_slope([(w, row[name]) for w, row in rows.items()])
-        print(f"{name:<22} {base:10.2f} + {slope:.4f} for each worker")
+    for name in figures_by_size[SIZES[0][0]]:
+        slope, intercept = fit_line(
+            [(w, figures[name]) for w, figures in figures_by_size.items()]
+        )
+        print(f"{name:<22} {intercept:10.2f} + {slope:.4f} for each worker")
     print("after:", describe_machine())
 
 
--- a/bench/entry_throughput.py
+++ b/bench/entry_throughput.py
@@ -15,21 +15,21 @@
 import trio
 from deployments import Deployment
 from fleet_runner import STANDINS, FleetRunner
-from measures import Series, describe_machine, load_closed, load_paced
+from measures import Series, describe_machine, run_closed_loop, run_fixed_rate
 from operators_client import load_fleet_patch
 
 from wigeonport.fleets import Fleet
 from wigeonport.patches import patch_from_document
 
-HERE = pathlib.Path(__file__).resolve().parent
+BENCH_DIR = pathlib.Path(__file__).resolve().parent
 CALLERS = 16
 SLOTS = 1_000
 WARM_UP_S = 2.0
-CONTENDERS = ("direct", "relay", "entry")
+VARIANTS = ("direct", "relay", "entry")
 SERVICE = "routedesk"
 
 
-def make_document():
+def make_fleet_json():
     """Returns the fleet of the Lagos example in JSON."""
     patch = load_fleet_patch()
     patch |= {"id": "bench", "against_version": 0, "author": "bench"}
@@ -37,37 +37,42 @@
     return json.dumps(fleet.to_document())
 
 
-def plan(runner, endpoints):
+def add_processes(runner, endpoints):
     """Adds the processes; returns the callers' port by contender."""
     deployment = runner.deployment
     path = deployment.path("fleet.json")
-    path.write_text(make_document())
+    path.write_text(make_fleet_json())
     deployment.write()
     node = next(iter(deployment.nodes.values()))
     runner.plan_node(node, path)
     ports = {"entry": node.ports["callers_port"]}
-    target = None
+    target_port = None
     for number in range(endpoints):
         port = deployment.ports.take()
-        target = target or port
-        member = f"{SERVICE}-{number}"
+        target_port = target_port or port
+        endpoint_id = f"{SERVICE}-{number}"
         runner.add(
             f"endpoints/{number}",
             [
                 STANDINS / "endpoint.py",
-                *("--id", member, "--service", SERVICE),
+                *("--id", endpoint_id, "--service", SERVICE),
                 *("--zone", node.zone, "--port", port, "--slots", SLOTS),
                 *("--entry", node.address("announcements_port")),
             ],
         )
     for name in ("direct", "relay"):
         ports[name] = deployment.ports.take()
-        arguments = [HERE / "plain_apps.py", name, ports[name], target]
+        arguments = [
+            BENCH_DIR / "plain_apps.py",
+            name,
+            ports[name],
+            target_port,
+        ]
         runner.add(name, arguments)
     return ports
 
 
-class Figures:
+class VariantResult:
     """Series of one contender."""
 
     __slots__ = ("rate_per_s", "p50_ms", "p99_ms", "failed", "reasons")
@@ -80,53 +85,53 @@
         self.reasons = Counter()
 
 
-async def measure(url, figures, half_rate, seconds):
+async def measure(url, result, half_rate_per_s, seconds):
     """Runs one round of a contender: full load, then half load."""
-    full = await load_closed(url, CALLERS, seconds)
-    figures.rate_per_s.values.append(full.rate_per_s)
-    rate = half_rate or full.rate_per_s / 2
-    half = await load_paced(url, rate, seconds)
-    figures.p50_ms.values.append(half.percentile_ms(50))
-    figures.p99_ms.values.append(half.percentile_ms(99))
-    figures.failed += full.failed + half.failed
-    figures.reasons += full.reasons + half.reasons
+    full_load = await run_closed_loop(url, CALLERS, seconds)
+    result.rate_per_s.values.append(full_load.rate_per_s)
+    rate = half_rate_per_s or full_load.rate_per_s / 2
+    half_load = await run_fixed_rate(url, rate, seconds)
+    result.p50_ms.values.append(half_load.percentile_ms(50))
+    result.p99_ms.values.append(half_load.percentile_ms(99))
+    result.failed += full_load.failed + half_load.failed
+    result.reasons += full_load.reasons + half_load.reasons
     return rate
 
 
 async def run_rounds(urls, rounds, seconds):
     """Returns the Figures by contender; all get the relay's half load."""
-    figures = {name: Figures() for name in CONTENDERS}
-    for name in CONTENDERS:
-        await load_closed(urls[name], CALLERS, WARM_UP_S)
-    first = await load_closed(urls["relay"], CALLERS, WARM_UP_S)
-    half_rate = first.rate_per_s / 2
+    results = {name: VariantResult() for name in VARIANTS}
+    for name in VARIANTS:
+        await run_closed_loop(urls[name], CALLERS, WARM_UP_S)
+    relay_load = await run_closed_loop(urls["relay"], CALLERS, WARM_UP_S)
+    half_rate_per_s = relay_load.rate_per_s / 2
     for number in range(rounds):
         # The order turns, so that no contender always comes first.
-        turn = number % len(CONTENDERS)
-        for name in CONTENDERS[turn:] + CONTENDERS[:turn]:
-            await measure(urls[name], figures[name], half_rate, seconds)
-    print(f"half load: {half_rate:.0f} requests a second")
-    return figures
+        offset = number % len(VARIANTS)
+        for name in VARIANTS[offset:] + VARIANTS[:offset]:
+            await measure(urls[name], results[name], half_rate_per_s, seconds)
+    print(f"half load: {half_rate_per_s:.0f} requests a second")
+    return results
 
 
-def print_figures(figures):
+def print_results(results):
     """Prints medians with their spread, and the ratios to the relay."""
-    relay = figures["relay"]
-    for name, row in figures.items():
+    relay = results["relay"]
+    for name, result in results.items():
         print(
-            f"{name:>6}: {row.rate_per_s} requests/s, at half load p50 "
-            f"{row.p50_ms} ms, p99 {row.p99_ms} ms, failed {row.failed}"
+            f"{name:>6}: {result.rate_per_s} requests/s, at half load p50 "
+            f"{result.p50_ms} ms, p99 {result.p99_ms} ms, failed {result.failed}"
         )
-        for reason, count in row.reasons.most_common():
+        for reason, count in result.reasons.most_common():
             print(f"        {count} failed: {reason}")
     for name in ("direct", "entry"):
-        row = figures[name]
-        rate = row.rate_per_s.median / relay.rate_per_s.median
-        p50 = row.p50_ms.median / relay.p50_ms.median
-        p99 = row.p99_ms.median / relay.p99_ms.median
+        result = results[name]
+        throughput_ratio = result.rate_per_s.median / relay.rate_per_s.median
+        p50_ratio = result.p50_ms.median / relay.p50_ms.median
+        p99_ratio = result.p99_ms.median / relay.p99_ms.median
         print(
-            f"{name} / relay: throughput {rate:.2f}, p50 {p50:.2f}, "
-            f"p99 {p99:.2f}"
+            f"{name} / relay: throughput {throughput_ratio:.2f}, p50 {p50_ratio:.2f}, "
+            f"p99 {p99_ratio:.2f}"
         )
 
 
@@ -134,7 +139,7 @@
     """Runs the benchmark in a folder."""
     deployment = Deployment(folder, {"ikeja": 1}, {"ikeja": 1})
     runner = FleetRunner(deployment)
-    ports = plan(runner, options.endpoints)
+    ports = add_processes(runner, options.endpoints)
     print("before:", describe_machine())
     try:
         for process in runner.processes.values():
@@ -146,13 +151,13 @@
             name: f"http://127.0.0.1:{port}/{SERVICE}/work"
             for name, port in ports.items()
         }
-        figures = await run_rounds(urls, options.rounds, options.seconds)
+        results = await run_rounds(urls, options.rounds, options.seconds)
     finally:
         runner.kill_all()
     print("after:", describe_machine())
     print(f"rounds: {options.rounds} of {options.seconds} s + half load")
-    print_figures(figures)
-    return all(row.failed == 0 for row in figures.values())
+    print_results(results)
+    return all(result.failed == 0 for result in results.values())
 
 
 def main():
@@ -163,8 +168,8 @@
     parser.add_argument("--endpoints", type=int, default=2)
     options = parser.parse_args()
     with tempfile.TemporaryDirectory(prefix="wigeonport-bench-") as folder:
-        valid = trio.run(main_task, options, folder)
-    if not valid:
+        all_succeeded = trio.run(main_task, options, folder)
+    if not all_succeeded:
         sys.exit("requests failed; the figures compare nothing")
 
 
--- a/bench/footprint.py
+++ b/bench/footprint.py
@@ -15,20 +15,20 @@
 from fleet_runner import STANDINS, FleetRunner
 from measures import (
     describe_machine,
-    fit_slope,
-    load_paced,
+    fit_line,
     read_cpu_s,
     read_resident_mb,
+    run_fixed_rate,
 )
 from operators_client import OperatorsClient, load_fleet_patch
 
 SETTLE_S = 6.0
-POLL_S = 0.3
-START_S = 30.0
+POLL_INTERVAL_S = 0.3
+START_TIMEOUT_S = 30.0
 LOAD_PER_ENTRY_PER_S = 10
 SERVICE = SERVICES[0]
-ONE_VOTER_EACH = dict.fromkeys(ZONES, 1)
-SMALLEST_WITH_FIVE_VOTERS = 5
+ONE_VOTER_PER_ZONE = dict.fromkeys(ZONES, 1)
+MIN_VMS_FOR_FIVE_VOTERS = 5
 
 
 class Usage:
@@ -50,7 +50,7 @@
         self.sent_bytes_per_s = sent_bytes_per_s
 
 
-def plan(runner, endpoints):
+def add_processes(runner, endpoints):
     """Adds the programs and, for each entry, its endpoints."""
     deployment = runner.deployment
     runner.plan(endpoints_per_zone=0)
@@ -60,9 +60,12 @@
         arguments = [STANDINS / "endpoint_group.py"]
         for number in range(endpoints):
             service = SERVICES[number % len(SERVICES)]
-            member = f"{service}-{node.node_id}-{number}"
+            endpoint_id = f"{service}-{node.node_id}-{number}"
             port = deployment.ports.take()
-            arguments += ["--member", f"{member}:{service}:{node.zone}:{port}"]
+            arguments += [
+                "--member",
+                f"{endpoint_id}:{service}:{node.zone}:{port}",
+            ]
         arguments += ["--entry", node.address("announcements_port")]
         arguments += ["--log", runner.run_log(node.node_id)]
         runner.add(f"endpoints/{node.node_id}", arguments)
@@ -72,21 +75,21 @@
     """Submits the first patch until it is accepted."""
     operators = OperatorsClient(runner)
     patch = load_fleet_patch()
-    with trio.fail_after(START_S):
+    with trio.fail_after(START_TIMEOUT_S):
         while True:
             answer = await operators.submit(
                 "ikeja-1", "bench", 0, patch["reason"], patch["operations"]
             )
             if answer is not None and answer.status == 200:
                 break
-            await trio.sleep(POLL_S)
+            await trio.sleep(POLL_INTERVAL_S)
         status = None
         while status is None:
             status = await operators.status("ikeja-1")
     return status["leader"].split("/")[0]
 
 
-async def read_sent(runner, name):
+async def read_sent_bytes(runner, name):
     """Returns the bytes that a program has sent over links."""
     metrics = await runner.metrics(name)
     return metrics["counters"].get("links_sent_bytes", 0)
@@ -99,24 +102,26 @@
         for name in runner.processes
         if name.startswith(("entry/", "control/"))
     ]
-    sent = {name: await read_sent(runner, name) for name in names}
+    sent_bytes = {name: await read_sent_bytes(runner, name) for name in names}
     pids = {name: runner.processes[name].pid for name in names}
     cpu_s = {name: read_cpu_s(pid) for name, pid in pids.items()}
     started_s = time.monotonic()
     await trio.sleep(seconds)
-    spent_s = time.monotonic() - started_s
+    elapsed_s = time.monotonic() - started_s
     usages = []
     for name, pid in pids.items():
-        cpu = (read_cpu_s(pid) - cpu_s[name]) / spent_s * 100
+        cpu_percent = (read_cpu_s(pid) - cpu_s[name]) / elapsed_s * 100
         resident_mb = read_resident_mb(pid)
-        usages.append(Usage(name, cpu, resident_mb, 0.0))
+        usages.append(Usage(name, cpu_percent, resident_mb, 0.0))
     for usage in usages:
-        total = await read_sent(runner, usage.name) - sent[usage.name]
-        usage.sent_bytes_per_s = total / (time.monotonic() - started_s)
+        new_bytes = (
+            await read_sent_bytes(runner, usage.name) - sent_bytes[usage.name]
+        )
+        usage.sent_bytes_per_s = new_bytes / (time.monotonic() - started_s)
     return usages
 
 
-def role_of(runner, name, leader):
+def get_role(runner, name, leader):
     """Returns ``entry``, ``leader``, ``follower`` or ``learner``."""
     role, node_id = name.split("/")
     if role == "entry":
@@ -129,28 +134,30 @@
 
 def summarize(runner, usages, leader):
     """Returns the median Usage by role."""
-    by_role = {}
+    usage_by_role = {}
     for usage in usages:
-        role = role_of(runner, usage.name, leader)
-        by_role.setdefault(role, []).append(usage)
+        role = get_role(runner, usage.name, leader)
+        usage_by_role.setdefault(role, []).append(usage)
     return {
         role: Usage(
             role,
             *(
-                statistics.median(getattr(usage, field) for usage in listed)
+                statistics.median(
+                    getattr(usage, field) for usage in role_usages
+                )
                 for field in Usage.__slots__[1:]
             ),
         )
-        for role, listed in by_role.items()
+        for role, role_usages in usage_by_role.items()
     }
 
 
-def print_usages(size, state, by_role):
+def print_usages(label, state, usage_by_role):
     """Prints one line for each role."""
-    for role in sorted(by_role):
-        usage = by_role[role]
+    for role in sorted(usage_by_role):
+        usage = usage_by_role[role]
         print(
-            f"{size}, {state:<4} {role:<8} "
+            f"{label}, {state:<4} {role:<8} "
             f"cpu {usage.cpu_percent:6.2f} % of a core, "
             f"memory {usage.resident_mb:6.1f} MB, "
             f"links {usage.sent_bytes_per_s / 1_000:6.2f} KB/s"
@@ -162,10 +169,12 @@
     async with trio.open_nursery() as nursery:
         for address in runner.deployment.entries():
             url = f"http://{address}/{SERVICE}/work"
-            nursery.start_soon(load_paced, url, LOAD_PER_ENTRY_PER_S, seconds)
+            nursery.start_soon(
+                run_fixed_rate, url, LOAD_PER_ENTRY_PER_S, seconds
+            )
 
 
-def spread(vms, zones):
+def distribute(vms, zones):
     """Returns how many of the VMs are in each zone, the first get more."""
     return {
         zone: vms // len(zones) + (index < vms % len(zones))
@@ -175,37 +184,39 @@
 
 async def measure_size(endpoints, vms, seconds, folder):
     """Returns the idle Usage by role at one size."""
-    voters = VOTERS if vms >= SMALLEST_WITH_FIVE_VOTERS else ONE_VOTER_EACH
-    runner = FleetRunner(Deployment(folder, spread(vms, ZONES), voters))
-    plan(runner, endpoints)
-    size = f"{vms:>3} VMs, {endpoints:>4} endpoints an entry"
+    voters = VOTERS if vms >= MIN_VMS_FOR_FIVE_VOTERS else ONE_VOTER_PER_ZONE
+    runner = FleetRunner(Deployment(folder, distribute(vms, ZONES), voters))
+    add_processes(runner, endpoints)
+    label = f"{vms:>3} VMs, {endpoints:>4} endpoints an entry"
     try:
         await runner.start()
         leader = await apply_first_version(runner)
         await trio.sleep(SETTLE_S)
         idle = summarize(runner, await observe(runner, seconds), leader)
-        print_usages(size, "idle", idle)
+        print_usages(label, "idle", idle)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(load_entries, runner, seconds)
             loaded = await observe(runner, seconds)
-        print_usages(size, "load", summarize(runner, loaded, leader))
+        print_usages(label, "load", summarize(runner, loaded, leader))
     finally:
         runner.kill_all()
     return idle
 
 
-def print_slopes(sizes, unit):
+def print_slopes(usage_by_size, unit):
     """Prints how the figures grow with the size."""
-    roles = set.intersection(*(set(by_role) for by_role in sizes.values()))
+    roles = set.intersection(
+        *(set(usage_by_role) for usage_by_role in usage_by_size.values())
+    )
     for role in sorted(roles):
         for field in Usage.__slots__[1:]:
             points = [
-                (size, getattr(by_role[role], field))
-                for size, by_role in sizes.items()
+                (size, getattr(usage_by_role[role], field))
+                for size, usage_by_role in usage_by_size.items()
             ]
-            slope, base = fit_slope(points)
+            slope, intercept = fit_line(points)
             print(
-                f"{role:<8} {field:<17} {base:10.3f} + "
+                f"{role:<8} {field:<17} {intercept:10.3f} + "
                 f"{slope:.5f} for each {unit}"
             )
 
@@ -221,16 +232,16 @@
     options = parser.parse_args()
     print("before:", describe_machine())
     print(f"load: {LOAD_PER_ENTRY_PER_S} requests/s at each entry")
-    by_vms = len(options.vms) > 1
-    sizes = {}
+    vary_vms = len(options.vms) > 1
+    usage_by_size = {}
     for vms in options.vms:
         for endpoints in options.endpoints:
             with tempfile.TemporaryDirectory(prefix="wigeonport-") as folder:
                 idle = trio.run(
                     measure_size, endpoints, vms, options.seconds, folder
                 )
-            sizes[vms if by_vms else endpoints] = idle
-    print_slopes(sizes, "VM" if by_vms else "endpoint of an entry")
+            usage_by_size[vms if vary_vms else endpoints] = idle
+    print_slopes(usage_by_size, "VM" if vary_vms else "endpoint of an entry")
     print("after:", describe_machine())
 
 
--- a/bench/job_waves.py
+++ b/bench/job_waves.py
@@ -6,25 +6,25 @@
 them at once. Processor time of this process is measured, on one core.
 """
 
-from planning import SIZES, Bench
+from planning import SIZES, PlannerBench
 
 from wigeonport import plan_events as events
 from wigeonport.views import Size
 
 JOB_COUNTS = (1_000, 5_000, 10_000)
-POOLS = 20
+POOL_COUNT = 20
 TEAM = "team-0"
 
 
 def submit(bench, count):
     """Submits jobs; returns the time in us."""
-    pools = list(bench.planner.view.fleet.pools)[:POOLS]
+    pools = list(bench.planner.view.fleet.pools)[:POOL_COUNT]
     total_us = 0
     for number in range(count):
         job = events.JobSubmitted(
             f"wave-{number}",
             TEAM,
-            pools[number % POOLS],
+            pools[number % POOL_COUNT],
             "wave",
             Size(4, 8_192),
             60_000,
@@ -37,19 +37,21 @@
 
 def measure(count):
     """Prints one row of the table."""
-    bench = Bench(*SIZES[-1])
-    idle_us = bench.pass_second()
+    bench = PlannerBench(*SIZES[-1])
+    plan_without_jobs_us = bench.advance_second()
     submit_us = submit(bench, count)
-    plan_us = bench.pass_second()
+    plan_with_jobs_us = bench.advance_second()
     commands, cancel_us = bench.step(events.JobsCancelled(team=TEAM))
-    cancels = sum(command.kind == "cancel_jobs" for command in commands)
+    cancel_command_count = sum(
+        command.kind == "cancel_jobs" for command in commands
+    )
     cells = (
         count,
         f"{submit_us / count:.0f}",
-        f"{idle_us / 1000:.1f}",
-        f"{plan_us / 1000:.1f}",
+        f"{plan_without_jobs_us / 1000:.1f}",
+        f"{plan_with_jobs_us / 1000:.1f}",
         f"{cancel_us / 1000:.1f}",
-        cancels,
+        cancel_command_count,
     )
     print("| " + " | ".join(map(str, cells)) + " |")
 
--- a/bench/leader_load.py
+++ b/bench/leader_load.py
@@ -21,7 +21,7 @@
 from platform_soak import HOST, PREFIX, Operator
 
 # Address block of the round, apart from those of the soak.
-NET = 240
+NETWORK_NUMBER = 240
 # A job of 12 tasks for each ten workers and second, as in a peak of the
 # grown deployments.
 JOBS_PER_WORKER_S = 0.28
@@ -30,12 +30,12 @@
     {"count": 4, "cpu": 1_500, "estimated-ms": 450, "depends-on": [0]},
 ]
 # Workers send a heartbeat this long after an end.
-AFTER_END_S = 0.05
+HEARTBEAT_AFTER_END_S = 0.05
 WARM_UP_S = 2.0
-LARGEST_LATENCY_US = 60_000_000
+MAX_LATENCY_US = 60_000_000
 
 
-class SteadyWorker(EmulatedWorker):
+class PromptReportWorker(EmulatedWorker):
     """A worker that reports ends at once.
 
     Attributes:
@@ -53,12 +53,12 @@
                 await self.beat()
             except FAULTS:
                 self.target = self.random.choice(self.controls)
-                self.wait_s = AFTER_END_S
-            spent_us = (time.monotonic_ns() - started_ns) // 1_000
-            self.latency_us.record_value(spent_us)
-            due = time.monotonic() + self.wait_s
-            while time.monotonic() < due and not self.ended:
-                await trio.sleep(AFTER_END_S)
+                self.wait_s = HEARTBEAT_AFTER_END_S
+            elapsed_us = (time.monotonic_ns() - started_ns) // 1_000
+            self.latency_us.record_value(elapsed_us)
+            heartbeat_due_s = time.monotonic() + self.wait_s
+            while time.monotonic() < heartbeat_due_s and not self.ended:
+                await trio.sleep(HEARTBEAT_AFTER_END_S)
                 self.end_due()
 
 
@@ -67,48 +67,54 @@
     answers.append(await client.submit(STEPS, tries=1))
 
 
-async def play_round(count, seconds):
+async def run_round(count, seconds):
     """Prints the figures of one number of workers."""
-    source = random.Random(count)
+    rng = random.Random(count)
     ledger = Ledger()
-    fleet = PlatformFleet(tempfile.mkdtemp(), NET, cores=3, fronts=1)
-    latency_us = HdrHistogram(1, LARGEST_LATENCY_US, 3)
-    client = Client(fleet.front_addresses, HOST, PREFIX, source)
+    fleet = PlatformFleet(
+        tempfile.mkdtemp(), NETWORK_NUMBER, cores=3, fronts=1
+    )
+    latency_us = HdrHistogram(1, MAX_LATENCY_US, 3)
+    client = Client(fleet.front_addresses, HOST, PREFIX, rng)
     answers = []
     async with trio.open_nursery() as nursery:
         try:
             await fleet.start(nursery)
             addresses = fleet.control_addresses
             for number in range(count):
-                worker = SteadyWorker(
-                    f"w{number}", "desk", addresses, ledger, source
+                worker = PromptReportWorker(
+                    f"w{number}", "desk", addresses, ledger, rng
                 )
                 # A pool looks through all of its connections for each call.
                 worker.pool = httpcore.AsyncConnectionPool()
                 worker.latency_us = latency_us
                 nursery.start_soon(worker.run)
-            await Operator(addresses, source, ledger).state(1)
+            await Operator(addresses, rng, ledger).state(1)
             await trio.sleep(WARM_UP_S)
             latency_us.reset()
             processes = [*fleet.cores, *fleet.fronts]
-            before = [read_cpu_s(each.process.pid) for each in processes]
-            starts, begun = ledger.starts, time.monotonic()
-            while time.monotonic() - begun < seconds:
+            all_cpu_before_s = [
+                read_cpu_s(handle.process.pid) for handle in processes
+            ]
+            starts_before, started_s = ledger.starts, time.monotonic()
+            while time.monotonic() - started_s < seconds:
                 nursery.start_soon(submit, client, answers)
                 await trio.sleep(1 / (JOBS_PER_WORKER_S * count))
-            spent_s = time.monotonic() - begun
-            cores = [
-                (read_cpu_s(each.process.pid) - used) / spent_s
-                for each, used in zip(processes, before, strict=True)
+            elapsed_s = time.monotonic() - started_s
+            core_shares = [
+                (read_cpu_s(handle.process.pid) - cpu_before_s) / elapsed_s
+                for handle, cpu_before_s in zip(
+                    processes, all_cpu_before_s, strict=True
+                )
             ]
             accepted = sum(answer is not None for answer in answers)
             print(
-                f"{count} workers: leader {max(cores[:-1]):.2f} and followers "
-                f"{min(cores[:-1]):.2f} of a core, front {cores[-1]:.2f}; "
-                f"{latency_us.get_total_count() / spent_s:.0f} heartbeats and "
-                f"{(ledger.starts - starts) / spent_s:.0f} starts a second; "
-                f"heartbeat p50 {read_ms(latency_us, 50):.0f} and p99 "
-                f"{read_ms(latency_us, 99):.0f} ms; {accepted} of "
+                f"{count} workers: leader {max(core_shares[:-1]):.2f} and followers "
+                f"{min(core_shares[:-1]):.2f} of a core, front {core_shares[-1]:.2f}; "
+                f"{latency_us.get_total_count() / elapsed_s:.0f} heartbeats and "
+                f"{(ledger.starts - starts_before) / elapsed_s:.0f} starts a second; "
+                f"heartbeat p50 {get_percentile_ms(latency_us, 50):.0f} and p99 "
+                f"{get_percentile_ms(latency_us, 99):.0f} ms; {accepted} of "
                 f"{len(answers)} answered jobs accepted; "
                 f"{len(ledger.violations)} broken promises"
             )
@@ -118,7 +124,7 @@
                 await fleet.stop()
 
 
-def read_ms(histogram, percentile):
+def get_percentile_ms(histogram, percentile):
     """Returns a percentile in ms."""
     return histogram.get_value_at_percentile(percentile) / 1_000
 
@@ -130,7 +136,7 @@
     parser.add_argument("--seconds", type=float, default=10.0)
     options = parser.parse_args()
     for count in options.workers:
-        trio.run(play_round, count, options.seconds)
+        trio.run(run_round, count, options.seconds)
 
 
 if __name__ == "__main__":
--- a/bench/measures.py
+++ b/bench/measures.py
@@ -10,10 +10,10 @@
 import trio
 from hdrh.histogram import HdrHistogram
 
-LARGEST_LATENCY_US = 60_000_000
+MAX_LATENCY_US = 60_000_000
 SIGNIFICANT_FIGURES = 3
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
-TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
 class LoadResult:
@@ -30,9 +30,7 @@
 
     def __init__(self):
         self.rate_per_s = 0.0
-        self.latency_us = HdrHistogram(
-            1, LARGEST_LATENCY_US, SIGNIFICANT_FIGURES
-        )
+        self.latency_us = HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_FIGURES)
         self.failed = 0
         self.reasons = Counter()
 
@@ -50,11 +48,11 @@
         result.failed += 1
         reason = dict(response.headers).get(b"wigeonport-reason", b"")
         result.reasons[f"{response.status} {reason.decode('latin-1')}"] += 1
-    spent_us = (time.monotonic_ns() - started_ns) // 1_000
-    result.latency_us.record_value(max(1, spent_us))
+    elapsed_us = (time.monotonic_ns() - started_ns) // 1_000
+    result.latency_us.record_value(max(1, elapsed_us))
 
 
-async def load_closed(url, callers, seconds):
+async def run_closed_loop(url, callers, seconds):
     """Lets a number of callers send one request after another."""
     result = LoadResult()
     started_s = time.monotonic()
@@ -67,12 +65,12 @@
     async with pool, trio.open_nursery() as nursery:
         for _ in range(callers):
             nursery.start_soon(call, pool)
-    spent_s = time.monotonic() - started_s
-    result.rate_per_s = result.latency_us.get_total_count() / spent_s
+    elapsed_s = time.monotonic() - started_s
+    result.rate_per_s = result.latency_us.get_total_count() / elapsed_s
     return result
 
 
-async def load_paced(url, rate_per_s, seconds, max_connections=64):
+async def run_fixed_rate(url, rate_per_s, seconds, max_connections=64):
     """Sends requests at fixed times, whatever their answers take."""
     result = LoadResult()
     count = int(rate_per_s * seconds)
@@ -113,7 +111,7 @@
     text = pathlib.Path(f"/proc/{pid}/stat").read_text()
     fields = text.rsplit(")", 1)[1].split()
     # User and system time are fields 14 and 15 of the line.
-    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_PER_S
 
 
 def read_resident_mb(pid):
@@ -128,9 +126,9 @@
     return f"{os.cpu_count()} cores, load averages {loads}"
 
 
-def fit_slope(points):
+def fit_line(points):
     """Returns slope and intercept of pairs by least squares."""
-    fit = statistics.linear_regression(
+    regression = statistics.linear_regression(
         [x for x, _ in points], [y for _, y in points]
     )
-    return fit.slope, fit.intercept
+    return regression.slope, regression.intercept
--- a/bench/overload.py
+++ b/bench/overload.py
@@ -24,35 +24,37 @@
 
 ENDPOINTS = 6
 SLOTS = 8
-PEAK = (10_000, 20_000)
+PEAK_MS = (10_000, 20_000)
 END_MS = 30_000
 
 
-class PlainEntry:
+class UnboundedFifoEntry:
     """First in, first out, without limits."""
 
     def __init__(self):
         self.queue = deque()
-        self.free = ENDPOINTS * SLOTS
+        self.free_slots = ENDPOINTS * SLOTS
 
-    def step(self, message, now_ms, chance):
+    def step(self, message, now_ms, rng):
         """Queues a request or frees a slot."""
         if isinstance(message, AttemptEnded):
-            self.free += 1
+            self.free_slots += 1
         else:
             self.queue.append(message)
         commands = []
-        while self.queue and self.free:
-            self.free -= 1
-            commands.append(Dispatch(self.queue.popleft(), RECORDS[0]))
+        while self.queue and self.free_slots:
+            self.free_slots -= 1
+            commands.append(
+                Dispatch(self.queue.popleft(), ENDPOINT_RECORDS[0])
+            )
         return commands
 
-    def tick(self, now_ms, chance):
+    def tick(self, now_ms, rng):
         """Never gives up."""
         return []
 
 
-RECORDS = [
+ENDPOINT_RECORDS = [
     EndpointRecord(
         f"e{n}", "roster", "ikeja", "10.0.0.1", 9_000, SLOTS, 64, READY, 1, 1
     )
@@ -63,10 +65,10 @@
 def make_entry(name):
     """Returns an entry with a discipline, or the plain one."""
     if name == "plain":
-        return PlainEntry()
+        return UnboundedFifoEntry()
     limits = RouterLimits(leased=False, discipline=name)
     router = Router("ikeja", limits)
-    for record in RECORDS:
+    for record in ENDPOINT_RECORDS:
         router.step(EndpointChanged(record), 0, random.Random(1))
     return router
 
@@ -88,72 +90,74 @@
     )
 
 
-class Run:
+class Simulation:
     """One run of an entry under the same demand."""
 
     def __init__(self, name, options):
-        self.chance = random.Random(options.seed)
+        self.rng = random.Random(options.seed)
         self.entry = make_entry(name)
         self.options = options
         self.events = []
-        self.numbers = itertools.count()
-        self.good = []
-        self.late = 0
-        self.refused = []
+        self.sequence_numbers = itertools.count()
+        self.in_time = []
+        self.late_count = 0
+        self.refusal_waits_ms = []
 
     def push(self, time_ms, message):
         """Schedules an event."""
-        heapq.heappush(self.events, (time_ms, next(self.numbers), message))
+        heapq.heappush(
+            self.events, (time_ms, next(self.sequence_numbers), message)
+        )
 
-    def arrive(self):
+    def schedule_arrivals(self):
         """Schedules all arrivals."""
-        mean = self.options.mean
+        mean_rate_per_s = self.options.mean
         now_ms = 0.0
         while now_ms < END_MS:
-            peak = PEAK[0] <= now_ms < PEAK[1]
-            rate = mean * (5 if peak else 1)
-            now_ms += self.chance.expovariate(rate / 1000)
-            deadline_ms = self.chance.choice(self.options.deadlines)
+            in_peak = PEAK_MS[0] <= now_ms < PEAK_MS[1]
+            rate_per_s = mean_rate_per_s * (5 if in_peak else 1)
+            now_ms += self.rng.expovariate(rate_per_s / 1000)
+            deadline_ms = self.rng.choice(self.options.deadlines)
             request = make_request(
-                next(self.numbers), int(now_ms), deadline_ms
+                next(self.sequence_numbers), int(now_ms), deadline_ms
             )
             self.push(int(now_ms), request)
 
     def run(self):
         """Runs until nothing is left to do."""
-        self.arrive()
+        self.schedule_arrivals()
         now_ms = 0
         while self.events:
             now_ms, _, message = heapq.heappop(self.events)
-            for command in self.entry.tick(now_ms, self.chance):
-                self.perform(command, now_ms)
-            for command in self.entry.step(message, now_ms, self.chance):
-                self.perform(command, now_ms)
+            for command in self.entry.tick(now_ms, self.rng):
+                self.execute(command, now_ms)
+            for command in self.entry.step(message, now_ms, self.rng):
+                self.execute(command, now_ms)
 
-    def perform(self, command, now_ms):
+    def execute(self, command, now_ms):
         """Starts an attempt or notes an answer."""
         request = command.request
         if isinstance(command, Dispatch):
             answer = CallerAnswer(200, [], b"", COMPLETED)
-            ended = AttemptEnded(
+            attempt_ended = AttemptEnded(
                 request, command.record.endpoint_id, answer, True, ""
             )
-            spent_ms = self.chance.expovariate(1 / self.options.service_ms)
-            ended.spent_ms = max(1, int(spent_ms))
-            end_ms = now_ms + ended.spent_ms
-            self.push(end_ms, ended)
+            spent_ms = self.rng.expovariate(1 / self.options.service_ms)
+            attempt_ended.spent_ms = max(1, int(spent_ms))
+            end_ms = now_ms + attempt_ended.spent_ms
+            self.push(end_ms, attempt_ended)
             if end_ms <= request.deadline_ms:
-                self.good.append((end_ms, end_ms - request.received_ms))
+                self.in_time.append((end_ms, end_ms - request.received_ms))
             else:
-                self.late += 1
+                self.late_count += 1
         elif command.answer.outcome != COMPLETED:
-            self.refused.append(now_ms - request.received_ms)
+            self.refusal_waits_ms.append(now_ms - request.received_ms)
 
 
 def percentile(values, share):
     """Returns a percentile of a list, or 0 for an empty one."""
-    ranked = sorted(values)
-    return ranked[int(share * (len(ranked) - 1))] if ranked else 0
+    ordered = sorted(values)
+    return ordered[int(share * (len(ordered) - 1))] if ordered else 0
 
 
 def main():
@@ -166,28 +170,30 @@
         "--deadlines", type=int, nargs="+", default=[500, 1_000, 2_000]
     )
     options = parser.parse_args()
-    capacity = ENDPOINTS * SLOTS / options.service_ms * 1000
+    capacity_per_s = ENDPOINTS * SLOTS / options.service_ms * 1000
     print(
         f"mean {options.mean:.0f}/s, peak {5 * options.mean:.0f}/s for 10 s, "
-        f"capacity {capacity:.0f}/s, deadlines {options.deadlines} ms"
+        f"capacity {capacity_per_s:.0f}/s, deadlines {options.deadlines} ms"
     )
     print("name      goodput/s  after/s  late  refused  p50  p99  refuse p99")
     for name in ("plain", "fifo", "lifo", "deadline", "adaptive"):
-        run = Run(name, options)
+        run = Simulation(name, options)
         run.run()
-        peak = [
-            spent
-            for end_ms, spent in run.good
-            if PEAK[0] <= end_ms - spent < PEAK[1]
+        peak_latencies_ms = [
+            latency_ms
+            for end_ms, latency_ms in run.in_time
+            if PEAK_MS[0] <= end_ms - latency_ms < PEAK_MS[1]
         ]
-        after = [
-            spent for end_ms, spent in run.good if end_ms - spent >= PEAK[1]
+        after_peak_latencies_ms = [
+            latency_ms
+            for end_ms, latency_ms in run.in_time
+            if end_ms - latency_ms >= PEAK_MS[1]
         ]
         print(
-            f"{name:9} {len(peak) / 10:9.1f} {len(after) / 10:8.1f} "
-            f"{run.late:5} {len(run.refused):8} "
-            f"{percentile(peak, 0.5):4} {percentile(peak, 0.99):4} "
-            f"{percentile(run.refused, 0.99):6}"
+            f"{name:9} {len(peak_latencies_ms) / 10:9.1f} {len(after_peak_latencies_ms) / 10:8.1f} "
+            f"{run.late_count:5} {len(run.refusal_waits_ms):8} "
+            f"{percentile(peak_latencies_ms, 0.5):4} {percentile(peak_latencies_ms, 0.99):4} "
+            f"{percentile(run.refusal_waits_ms, 0.99):6}"
         )
 
 
--- a/bench/plain_apps.py
+++ b/bench/plain_apps.py
@@ -15,23 +15,23 @@
 
 BODY = b'{"endpoint": "plain", "tag": ""}'
 MAX_CONNECTIONS = 64
-GRACE_MS = 1_000
+SHUTDOWN_GRACE_MS = 1_000
 
 
-async def send_whole(send, status, headers, body):
+async def send_response(send, status, headers, body):
     """Sends a whole response over ASGI."""
     start = {"type": "http.response.start", "status": status}
     await send({**start, "headers": headers})
     await send({"type": "http.response.body", "body": body})
 
 
-async def read_whole(receive):
+async def read_body(receive):
     """Returns the whole body of a request."""
-    body, more = b"", True
-    while more:
+    body, more_body = b"", True
+    while more_body:
         event = await receive()
         body += event.get("body", b"")
-        more = event.get("more_body", False)
+        more_body = event.get("more_body", False)
     return body
 
 
@@ -42,9 +42,11 @@
     async def app(scope, receive, send):
         if scope["type"] == "lifespan":
             return await answer_lifespan(receive, send)
-        await read_whole(receive)
+        await read_body(receive)
         length = str(len(BODY)).encode()
-        return await send_whole(send, 200, [(b"content-length", length)], BODY)
+        return await send_response(
+            send, 200, [(b"content-length", length)], BODY
+        )
 
     return app
 
@@ -60,12 +62,12 @@
     async def app(scope, receive, send):
         if scope["type"] == "lifespan":
             return await answer_lifespan(receive, send)
-        body = await read_whole(receive)
+        body = await read_body(receive)
         url = f"http://127.0.0.1:{target_port}" + scope["path"]
         response = await pool.request(
             scope["method"], url, headers=scope["headers"], content=body
         )
-        return await send_whole(
+        return await send_response(
             send, response.status, response.headers, response.content
         )
 
@@ -77,7 +79,14 @@
     name, port, *target = sys.argv[1:]
     app = apps.get(name).ok(int(target[0]) if target else None)
     # The server has the same settings as that of an entry.
-    trio.run(serve_http, app, "127.0.0.1", int(port), trio.Event(), GRACE_MS)
+    trio.run(
+        serve_http,
+        app,
+        "127.0.0.1",
+        int(port),
+        trio.Event(),
+        SHUTDOWN_GRACE_MS,
+    )
 
 
 if __name__ == "__main__":
--- a/bench/planning.py
+++ b/bench/planning.py
@@ -26,13 +26,13 @@
 
 SIZES = ((450, 84, 3), (900, 168, 5), (1_800, 335, 10))
 SEED = 7
-FULL_PLANS = 30
-VM_CHANGES = 300
+FULL_PLAN_COUNT = 30
+VM_CHANGE_COUNT = 300
 LEASE_MS = 10**9
-LARGEST_US = 60_000_000
+MAX_DURATION_US = 60_000_000
 
 
-class Bench:
+class PlannerBench:
     """A planner with a loaded fleet.
 
     Attributes:
@@ -53,7 +53,7 @@
         )
         self.step(events.FleetLoaded(fleet))
         self.step(events.LeadershipChanged(1, LEASE_MS))
-        self.load()
+        self.start_tasks()
 
     def step(self, event):
         """Feeds one event; returns commands and processor time in us."""
@@ -61,11 +61,11 @@
         commands = self.planner.step(event, self.now_ms, self.random)
         return commands, (time.process_time_ns() - started_ns) // 1000
 
-    def load(self):
+    def start_tasks(self):
         """Adds tasks to every pool and runs until they are started."""
         fleet = self.planner.view.fleet
         teams = list(fleet.teams)
-        self.hear()
+        self.report_zones()
         self.step(events.Tick())
         for pool in fleet.pools:
             for number in range(8):
@@ -78,17 +78,17 @@
                     600_000,
                 )
                 self.step(job)
-        self.pass_second()
+        self.advance_second()
 
-    def hear(self):
+    def report_zones(self):
         """Feeds a report of every zone."""
         for zone in self.planner.view.fleet.last_report_ms:
             self.step(events.ZoneReported(zone, self.now_ms))
 
-    def pass_second(self):
+    def advance_second(self):
         """Feeds demand of all services; returns a full plan's time in us."""
         self.now_ms += 1_000
-        self.hear()
+        self.report_zones()
         for service in self.planner.view.fleet.services:
             slots = self.random.choice((0, 10, 20, 60))
             demand = events.DemandReported(service, slots, self.now_ms)
@@ -100,8 +100,8 @@
     def confirm(self, commands):
         """Confirms commands, so that repetitions do not add up."""
         for command in commands:
-            answer = events.CommandConfirmed(command.command_id)
-            self.confirm(self.step(answer)[0])
+            confirmation = events.CommandConfirmed(command.command_id)
+            self.confirm(self.step(confirmation)[0])
 
     def change_vm(self):
         """Lets one VM fail or return; returns the time in us."""
@@ -112,7 +112,7 @@
         self.confirm(commands)
         return elapsed_us
 
-    def reload(self):
+    def load_new_version(self):
         """Loads a version that moves one VM; returns the time in us."""
         fleet = copy_fleet(self.planner.view.fleet)
         vm = self.random.choice(list(fleet.vms.values()))
@@ -158,9 +158,9 @@
     return (time.process_time_ns() - started_ns) // 1000
 
 
-def record(values):
+def build_histogram(values):
     """Returns a histogram of times in us."""
-    histogram = HdrHistogram(1, LARGEST_US, 3)
+    histogram = HdrHistogram(1, MAX_DURATION_US, 3)
     for value in values:
         histogram.record_value(max(int(value), 1))
     return histogram
@@ -174,8 +174,8 @@
 def measure_memory(size):
     """Returns MB allocated for fleet and planner."""
     tracemalloc.start()
-    bench = Bench(*size)
-    bench.pass_second()
+    bench = PlannerBench(*size)
+    bench.advance_second()
     current, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     return current / 2**20
@@ -183,20 +183,28 @@
 
 def measure(size):
     """Prints one row of the table."""
-    bench = Bench(*size)
-    full = record(bench.pass_second() for _ in range(FULL_PLANS))
-    changes = record(bench.change_vm() for _ in range(VM_CHANGES))
-    reloads = record(bench.reload() for _ in range(FULL_PLANS))
+    bench = PlannerBench(*size)
+    full_plans = build_histogram(
+        bench.advance_second() for _ in range(FULL_PLAN_COUNT)
+    )
+    vm_changes = build_histogram(
+        bench.change_vm() for _ in range(VM_CHANGE_COUNT)
+    )
+    version_plans = build_histogram(
+        bench.load_new_version() for _ in range(FULL_PLAN_COUNT)
+    )
     state = build_state(bench)
-    builds = record(measure_build(state) for _ in range(FULL_PLANS))
+    view_builds = build_histogram(
+        measure_build(state) for _ in range(FULL_PLAN_COUNT)
+    )
     cells = (
         *size,
-        format_ms(full, 50),
-        format_ms(full, 100),
-        format_ms(changes, 50),
-        format_ms(changes, 100),
-        format_ms(builds, 50),
-        format_ms(reloads, 50),
+        format_ms(full_plans, 50),
+        format_ms(full_plans, 100),
+        format_ms(vm_changes, 50),
+        format_ms(vm_changes, 100),
+        format_ms(view_builds, 50),
+        format_ms(version_plans, 50),
         f"{measure_memory(size):.1f}",
     )
     print("| " + " | ".join(map(str, cells)) + " |")
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -25,7 +25,7 @@
     "own reserves (baseline)": {"reserve_policy": "per_service"},
     "never borrow": {"borrow_policy": "break_even", "move_price_s": 1e9},
 }
-ORDERS = ("zone_rack", "oldest_first")
+WAVE_ORDERS = ("zone_rack", "oldest_first")
 PLACEMENTS = {
     "chosen": {},
     "first fit, declared (baseline)": {
@@ -33,34 +33,34 @@
         "estimate_policy": "declared",
     },
 }
-PEAKS_S = (8, 20, 40)
-RESERVE = 2
+PEAK_DURATIONS_S = (8, 20, 40)
+RESERVE_VMS = 2
 
 
-class Case:
+class TraceCase:
     """One demand to replay.
 
     Attributes:
         name: Name for the table.
-        text: The trace as text.
+        trace_text: The trace as text.
     """
 
-    __slots__ = ("name", "text")
+    __slots__ = ("name", "trace_text")
 
     def __init__(self, name, builder):
         file = io.StringIO()
         builder.write_to(file)
         self.name = name
-        self.text = file.getvalue()
+        self.trace_text = file.getvalue()
 
-    def read(self):
+    def read_trace(self):
         """Returns the Trace."""
-        return TraceReader(self.name).read(self.text.splitlines()).ok
+        return TraceReader(self.name).read(self.trace_text.splitlines()).ok
 
 
 def replay(case, overrides):
     """Returns the settings and the measures of one replay."""
-    trace = case.read()
+    trace = case.read_trace()
     result = replay_trace(trace, overrides)
     if result.is_error():
         raise SystemExit(str(result.error))
@@ -69,7 +69,7 @@
     return trace.header.settings, result.ok.measures
 
 
-def find_cost(settings, buffer_vm_s, shortage_vm_s, moves):
+def weighted_cost(settings, buffer_vm_s, shortage_vm_s, moves):
     """Returns the weighted cost in VM-seconds."""
     return (
         settings.weight_buffer * buffer_vm_s
@@ -78,21 +78,26 @@
     )
 
 
-def read_needs(trace):
+def read_required_vms(trace):
     """Returns the VMs that each pool needs in each second."""
-    spare = [
+    spare_pools = [
         pool.name
         for pool in trace.events[0].event.fleet.pools.values()
-        if pool.spare
+        if pool.spare_pools
     ]
-    needs = {}
+    required_vms = {}
     for item in trace.events:
         event = item.event
-        if isinstance(event, DemandReported) and event.service not in spare:
+        if (
+            isinstance(event, DemandReported)
+            and event.service not in spare_pools
+        ):
             second = event.measured_ms // 1000
-            need = math.ceil(event.slots / SLOTS_PER_VM)
-            needs.setdefault(second, {})[event.service] = need
-    return [list(needs[second].values()) for second in sorted(needs)]
+            required = math.ceil(event.slots / SLOTS_PER_VM)
+            required_vms.setdefault(second, {})[event.service] = required
+    return [
+        list(required_vms[second].values()) for second in sorted(required_vms)
+    ]
 
 
 def find_optimum(trace):
@@ -102,46 +107,53 @@
     are tried after all states of the second before.
     """
     settings = trace.header.settings
-    needs = read_needs(trace)
-    lendable = POOL_SIZE - SPARE_GUARANTEED - RESERVE
+    required_vms = read_required_vms(trace)
+    lendable = POOL_SIZE - SPARE_GUARANTEED - RESERVE_VMS
     states = [
         state
         for state in itertools.product(
-            range(lendable + 1), repeat=len(needs[0])
+            range(lendable + 1), repeat=len(required_vms[0])
         )
         if sum(state) <= lendable
     ]
-    best = {tuple([0] * len(needs[0])): (0.0, 0, 0, 0)}
-    for need in needs:
-        best = advance(settings, states, best, need)
-    cost, idle, short, moves = min(best.values())
-    return RESERVE * len(needs) + idle, short, moves
+    best_by_state = {tuple([0] * len(required_vms[0])): (0.0, 0, 0, 0)}
+    for required in required_vms:
+        best_by_state = extend_by_second(
+            settings, states, best_by_state, required
+        )
+    cost, idle, missing, moves = min(best_by_state.values())
+    return RESERVE_VMS * len(required_vms) + idle, missing, moves
 
 
-def advance(settings, states, best, need):
+def extend_by_second(settings, states, best_by_state, required):
     """Returns the best way to each state after one more second."""
-    reached = {}
+    best_after = {}
     for state in states:
-        idle, short = count_idle_and_short(state, need)
-        ways = []
-        for before, (_, idle_before, short_before, moves) in best.items():
+        idle, missing = count_idle_and_missing(state, required)
+        candidates = []
+        for before, (
+            _,
+            idle_before,
+            missing_before,
+            moves,
+        ) in best_by_state.items():
             total = (
                 idle_before + idle,
-                short_before + short,
+                missing_before + missing,
                 moves + count_moves(before, state),
             )
-            ways.append((find_cost(settings, *total), *total))
-        reached[state] = min(ways)
-    return reached
+            candidates.append((weighted_cost(settings, *total), *total))
+        best_after[state] = min(candidates)
+    return best_after
 
 
-def count_idle_and_short(state, need):
+def count_idle_and_missing(state, required):
     """Returns the idle borrowed VMs and the missing VMs of one second."""
-    idle = short = 0
-    for lent, needed in zip(state, need, strict=True):
+    idle = missing = 0
+    for lent, needed in zip(state, required, strict=True):
         idle += min(lent, max(POOL_SIZE + lent - max(needed, 5), 0))
-        short += max(needed - POOL_SIZE - lent, 0)
-    return idle, short
+        missing += max(needed - POOL_SIZE - lent, 0)
+    return idle, missing
 
 
 def count_moves(before, after):
@@ -176,15 +188,15 @@
         "weighted cost",
     )
     cases = [
-        Case(f"rotation, {s} s", build_rotation(deployment, 1, s * 1000))
-        for s in PEAKS_S
+        TraceCase(f"rotation, {s} s", build_rotation(deployment, 1, s * 1000))
+        for s in PEAK_DURATIONS_S
     ]
     build = scenarios.entries["sustained_peak"]
-    cases.append(Case("one peak, 100 s", build(deployment, 1)))
+    cases.append(TraceCase("one peak, 100 s", build(deployment, 1)))
     for case in cases:
         for policy, overrides in POLICIES.items():
             settings, measures = replay(case, overrides)
-            sums = (
+            cost_terms = (
                 measures.buffer_vm_s,
                 measures.shortage_vm_s,
                 measures.moves,
@@ -192,21 +204,21 @@
             print_row(
                 case.name,
                 policy,
-                round(sums[0]),
-                round(sums[1]),
+                round(cost_terms[0]),
+                round(cost_terms[1]),
                 round(measures.move_ms / 1000, 1),
-                sums[2],
-                round(find_cost(settings, *sums)),
+                cost_terms[2],
+                round(weighted_cost(settings, *cost_terms)),
             )
-        settings = case.read().header.settings
-        optimum = find_optimum(case.read())
-        cost = find_cost(settings, *optimum)
-        buffer_vm_s, short, moves = optimum
+        settings = case.read_trace().header.settings
+        optimum = find_optimum(case.read_trace())
+        cost = weighted_cost(settings, *optimum)
+        buffer_vm_s, missing, moves = optimum
         print_row(
             case.name,
             "optimum in hindsight",
             buffer_vm_s,
-            short,
+            missing,
             0,
             moves,
             round(cost),
@@ -223,8 +235,10 @@
         "lowest available",
         "commands",
     )
-    case = Case("wave", scenarios.entries["scattered_wave"](deployment, 1))
-    for order in ORDERS:
+    case = TraceCase(
+        "wave", scenarios.entries["scattered_wave"](deployment, 1)
+    )
+    for order in WAVE_ORDERS:
         _, measures = replay(case, {"wave_order": order})
         print_row(
             order,
@@ -242,7 +256,7 @@
         "trace", "placement", "wait of all jobs (s)", "failed", "finished"
     )
     for name in ("wrong_sizes", "bad_workers"):
-        case = Case(name, scenarios.entries[name](deployment, 1))
+        case = TraceCase(name, scenarios.entries[name](deployment, 1))
         for placement, overrides in PLACEMENTS.items():
             _, measures = replay(case, overrides)
             print_row(
--- a/bench/replica_process.py
+++ b/bench/replica_process.py
@@ -27,7 +27,7 @@
 
 commands = Registry("command")
 HOST = "127.0.0.1"
-WARM_UP = 50
+WARM_UP_PROPOSALS = 50
 
 
 def make_consensus(setup, clock, metrics, dialers):
@@ -52,8 +52,8 @@
         ReplicaSettings(len(setup["ports"])),
         snapshot_entries=setup["snapshot_entries"],
     )
-    opened_ms = (time.monotonic_ns() - started_ns) / 1e6
-    print(json.dumps({"opened_ms": opened_ms}), flush=True)
+    open_duration_ms = (time.monotonic_ns() - started_ns) / 1e6
+    print(json.dumps({"opened_ms": open_duration_ms}), flush=True)
     return consensus
 
 
@@ -67,7 +67,7 @@
 
 
 @commands.register("status")
-async def show_status(consensus, arguments):
+async def read_status(consensus, arguments):
     """Returns whether this replica leads, and its indexes."""
     status = (await ask(consensus.inbox, StatusRequest, 5_000)).ok
     voters = sum(member.voter for member in status.members)
@@ -81,13 +81,13 @@
 @commands.register("latency")
 async def measure_latency(consensus, arguments):
     """Proposes one after the other; returns the latencies in us."""
-    latencies = []
-    for number in range(int(arguments[0]) + WARM_UP):
+    latencies_us = []
+    for number in range(int(arguments[0]) + WARM_UP_PROPOSALS):
         started_ns = time.monotonic_ns()
         assert await propose(consensus, f"{started_ns}")
-        if number >= WARM_UP:
-            latencies.append((time.monotonic_ns() - started_ns) / 1e3)
-    return latencies
+        if number >= WARM_UP_PROPOSALS:
+            latencies_us.append((time.monotonic_ns() - started_ns) / 1e3)
+    return latencies_us
 
 
 @commands.register("throughput")
@@ -98,13 +98,13 @@
     syncs = histogram.get_total_count()
     started_ns = time.monotonic_ns()
 
-    async def work(task):
+    async def propose_all(task):
         for number in range(count // tasks):
             assert await propose(consensus, f"{started_ns}/{task}/{number}")
 
     async with trio.open_nursery() as nursery:
         for task in range(tasks):
-            nursery.start_soon(work, task)
+            nursery.start_soon(propose_all, task)
     seconds = (time.monotonic_ns() - started_ns) / 1e9
     syncs = histogram.get_total_count() - syncs
     return {"seconds": seconds, "proposals": count, "syncs": syncs}
@@ -124,7 +124,7 @@
                 print(json.dumps(answer), flush=True)
 
 
-async def sort_deliveries(inbound, consensus):
+async def forward_deliveries(inbound, consensus):
     """Passes the messages of the links to the consensus task."""
     async for delivery in inbound:
         if isinstance(delivery, Delivery):
@@ -152,7 +152,7 @@
         )
         for dialer in dialers.values():
             nursery.start_soon(dialer.run)
-        nursery.start_soon(sort_deliveries, inbound, consensus)
+        nursery.start_soon(forward_deliveries, inbound, consensus)
         await serve_commands(consensus)
         nursery.cancel_scope.cancel()
 
--- a/bench/table_exchange.py
+++ b/bench/table_exchange.py
@@ -24,7 +24,7 @@
 TICK_MS = 100
 
 
-class Node:
+class EntryNode:
     """One entry's table and its links."""
 
     def __init__(self, number, digest_ms):
@@ -38,7 +38,7 @@
         self.context = LinkContext(
             identity, self.inbound, Clock(), self.metrics, LamportCounter()
         )
-        self.manager = ShareManager(self.name, 2_000, 1_200)
+        self.share_manager = ShareManager(self.name, 2_000, 1_200)
         self.exchange = TableExchange(self.name, 1, 2_500, digest_ms)
         self.dialers = {}
         self.port = 0
@@ -75,21 +75,21 @@
             run_share_manager,
             self.shares,
             self.routing,
-            self.manager,
+            self.share_manager,
             self.dialers,
             Clock(),
             20,
         )
 
 
-async def announce(nodes, endpoints, changes):
+async def announce(nodes, endpoints, changing):
     """Lets each endpoint announce to two entries each second."""
     sequence = 0
     while True:
         sequence += 1
         for number in range(endpoints):
             slots = 8
-            if changes[0] and number == sequence % endpoints:
+            if changing[0] and number == sequence % endpoints:
                 slots = 9 + sequence
             record = EndpointRecord(
                 f"endpoint-{number}",
@@ -109,12 +109,12 @@
         await trio.sleep(1)
 
 
-async def want_shares(nodes, endpoints):
+async def request_shares(nodes, endpoints):
     """Lets each entry ask for shares of all endpoints without demand."""
-    items = [(f"endpoint-{number}", 0, 0) for number in range(endpoints)]
+    share_items = [(f"endpoint-{number}", 0, 0) for number in range(endpoints)]
     while True:
         for node in nodes:
-            node.shares.put_nowait(ShareDemand(items, False))
+            node.shares.put_nowait(ShareDemand(share_items, False))
         await trio.sleep(0.5)
 
 
@@ -126,22 +126,22 @@
         for name in names
     }
     await trio.sleep(seconds)
-    figures = [
+    rates = [
         (sum(n.metrics.counters.get(name, 0) for n in nodes) - before[name])
         / seconds
         / len(nodes)
         for name in names
     ]
     print(
-        f"{label}: {figures[0]:.1f} frames/s, {figures[1]:.0f} bytes/s "
+        f"{label}: {rates[0]:.1f} frames/s, {rates[1]:.0f} bytes/s "
         f"sent by one of {len(nodes)} entries"
     )
 
 
 async def main_task(options):
     """Runs the measurements."""
-    nodes = [Node(n, options.digest_ms) for n in range(options.entries)]
-    changes = [False]
+    nodes = [EntryNode(n, options.digest_ms) for n in range(options.entries)]
+    changing = [False]
     async with trio.open_nursery() as nursery:
         for node in nodes:
             await node.listen(nursery)
@@ -149,13 +149,13 @@
             node.start(nursery, nodes)
         await trio.sleep(2)
         await measure(nodes, options.seconds, "no endpoints")
-        nursery.start_soon(announce, nodes, options.endpoints, changes)
+        nursery.start_soon(announce, nodes, options.endpoints, changing)
         await trio.sleep(2)
         await measure(nodes, options.seconds, "heartbeats only")
-        changes[0] = True
+        changing[0] = True
         await measure(nodes, options.seconds, "two changes a second")
-        changes[0] = False
-        nursery.start_soon(want_shares, nodes, options.endpoints)
+        changing[0] = False
+        nursery.start_soon(request_shares, nodes, options.endpoints)
         await trio.sleep(3)
         await measure(nodes, options.seconds, "shares of all endpoints")
         nursery.cancel_scope.cancel()
