--- a/bench/claim_latency.py
+++ b/bench/claim_latency.py
@@ -1,12 +1,17 @@
-"""Measures what a claim of an idempotency key costs, in one run.
+"""Measures the latency and throughput of claims of idempotency keys.
 
-Three ways: in the replicated log of five control processes, in the memory
-of a quorum of seven processes, and no claim. Each way sends the same number
-of requests from one process, one after the other and 32 at a time. The time
-is that of the claim alone; a request also pays for its completion, which
-takes as long again.
+One run compares three variants: claims in the replicated log of five control
+processes, claims in the memory of a majority of seven processes, and no
+claim. Each variant sends ``--count`` claims from one process, first one at a
+time, then 32 at a time.
 
-``--serve`` runs one process of the quorum; the bench starts it by itself.
+Each row of the output gives the variant, the number of claims in flight, the
+p50 and p99 of the latency of one claim in ms, the claims a second, and the
+number of claims that were not granted. A request with a key also pays for
+the completion of its claim, which takes as long again and is not included.
+
+``--serve`` and ``--key`` run one of the seven processes; the benchmark
+starts them itself.
 """
 
 import argparse
@@ -41,14 +46,14 @@
 
 
 def make_context(name, key_path, inbound):
-    """Returns the LinkContext of a process of the bench."""
+    """Returns the LinkContext of a process of the benchmark."""
     keys = load_keys([str(key_path)]).ok
     identity = Identity(name, "ikeja", "lagos", keys)
     return LinkContext(identity, inbound, Clock(), Metrics(), LamportCounter())
 
 
 async def serve(port, key_path):
-    """Keeps claims in memory and answers them."""
+    """Answers claims from a state in memory, on one port."""
     inbound, claim_state = Mailbox("claims", 1_024), ClaimState()
     context = make_context(f"memory-{port}", key_path, inbound)
     async with trio.open_nursery() as nursery:
@@ -63,19 +68,19 @@
 
 
 def make_claim():
-    """Returns a claim of a new key."""
+    """Returns a claim of a key that was not used before."""
     key = uuid.uuid4().hex
     return ClaimKey(f"roster/{key}", "0" * 64, key)
 
 
 async def claim_in_log(dialers):
-    """Claims through the first control."""
+    """Claims a key through the first control; returns whether granted."""
     answer = await dialers[0].ask(make_claim(), TIMEOUT_MS)
     return answer.is_ok() and isinstance(answer.ok, ClaimGranted)
 
 
 async def claim_in_memory(dialers):
-    """Claims at all processes; done when a majority has granted."""
+    """Claims a key at all processes; returns whether a majority granted."""
     claim, granted = make_claim(), []
     async with trio.open_nursery() as nursery:
 
@@ -92,13 +97,13 @@
 
 
 async def skip_claim(dialers):
-    """Stands for a request without a key."""
+    """Does nothing, as for a request without an idempotency key."""
     await trio.lowlevel.checkpoint()
     return True
 
 
 async def measure(name, claim, dialers, count, concurrency):
-    """Prints percentiles and the rate of one way."""
+    """Sends ``count`` claims of one variant and prints its row."""
     times_us, failed_calls = [], []
     run_started = time.perf_counter()
 
@@ -118,19 +123,24 @@
     p99 = times_us[int(len(times_us) * 0.99)] / 1000
     print(
         f"{name:22} {concurrency:3} at a time: p50 {p50:7.3f} ms, "
-        f"p99 {p99:7.3f} ms, {rate:7.0f}/s, failed {len(failed_calls)}"
+        f"p99 {p99:7.3f} ms, {rate:7.0f} claims/s, "
+        f"not granted {len(failed_calls)}"
     )
 
 
 async def wait_for(condition):
-    """Waits until an async condition holds."""
+    """Polls an async condition until it holds.
+
+    Raises:
+        trio.TooSlowError: If it does not hold within START_TIMEOUT_S.
+    """
     with trio.fail_after(START_TIMEOUT_S):
         while not await condition():
             await trio.sleep(0.1)
 
 
 async def main_task(options, folder):
-    """Starts the processes, measures, and ends them."""
+    """Starts the processes, measures all variants and kills the processes."""
     deployment = Deployment(
         folder, {"ikeja": CONTROL_COUNT}, {"ikeja": CONTROL_COUNT}
     )
@@ -184,7 +194,7 @@
 
 
 def main():
-    """Parses the options and runs."""
+    """Runs the benchmark, or one process of the quorum with ``--serve``."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--count", type=int, default=640)
     parser.add_argument("--serve", type=int)
--- a/bench/commit_latency.py
+++ b/bench/commit_latency.py
@@ -1,10 +1,19 @@
-"""Commit latency, group commit and restart of the replicated log.
+"""Measures commit latency, group commit and restart of the replicated log.
 
     python bench/commit_latency.py --directory DIR --replicas 3 5
 
-The baseline of each run is one write with fdatasync of a record of the
-same size, and one round trip to another process over loopback TCP, on the
-same disk just before and just after the measurement.
+For each number of replicas, the output gives the median and p99 latency in us
+of a baseline operation and of one commit, the ratio of the two medians, and
+for several numbers of concurrent proposers the commits a second and the
+commits per sync of the leader's journal.
+
+The baseline operation writes a record as large as that of a commit, syncs
+it with fdatasync, and does one round trip to another process over loopback
+TCP. It runs on the same disk, just before and just after the commits, so that
+the load of the machine affects both alike.
+
+``--restart ENTRIES`` measures how long three replicas take to restart after
+that many entries, with and without snapshots.
 """
 
 import argparse
@@ -28,11 +37,12 @@
 
 BENCH = ROOT / "bench"
 RECORD = b"r" * 350
+# More entries than a run writes, so that no replica takes a snapshot.
 NO_SNAPSHOT_ENTRIES = 1_000_000_000
 
 
 async def measure_baseline(folder, count):
-    """Returns the latencies of a sync plus a round trip, in us."""
+    """Returns the latencies of the baseline operation, in us."""
     port = Ports().take()
     echo = ManagedProcess(
         "echo", [str(BENCH / "echo_process.py"), str(port)], folder / "echo"
@@ -62,11 +72,12 @@
 
 
 class ReplicaGroup:
-    """Replica processes of one measurement.
+    """The replica processes of one measurement.
 
     Attributes:
-        processes: ManagedProcess by node.
-        open_duration_ms: Time to open the data directory by node.
+        processes: Maps the name of a node to its PipedProcess.
+        open_duration_ms: Maps the name of a node to the time that it took to
+            open its data directory, in ms.
     """
 
     __slots__ = ("processes", "open_duration_ms")
@@ -89,7 +100,7 @@
             )
 
     async def start(self):
-        """Starts all replicas and returns the leader's process."""
+        """Starts all replicas and returns the process of the ready leader."""
         for process in self.processes.values():
             await process.start()
         for node, process in self.processes.items():
@@ -103,18 +114,18 @@
             await trio.sleep(0.1)
 
     async def stop(self):
-        """Ends all replicas."""
+        """Kills all replicas."""
         for process in self.processes.values():
             await process.kill()
 
 
 async def run_command(process, command):
-    """Runs a command in a replica."""
+    """Runs a command in a replica process and returns its JSON answer."""
     return json.loads(await process.call(command))
 
 
 def print_percentiles(name, latencies_us):
-    """Prints percentiles and returns the median."""
+    """Prints the median and p99 of latencies; returns the median in us."""
     ordered = sorted(latencies_us)
     median = statistics.median(ordered)
     p99 = ordered[int(len(ordered) * 0.99)]
@@ -123,7 +134,7 @@
 
 
 async def measure_replicas(folder, replicas, count):
-    """Measures latency against the baseline, and group commit."""
+    """Prints commit latency, its ratio to the baseline, and group commit."""
     folder.mkdir()
     baseline_before = await measure_baseline(folder, count)
     group = ReplicaGroup(folder, replicas, NO_SNAPSHOT_ENTRIES)
@@ -138,18 +149,18 @@
     baseline_after = await measure_baseline(folder, count)
     baseline = print_percentiles("baseline", baseline_before + baseline_after)
     median = print_percentiles(f"commit, {replicas} replicas", latencies_us)
-    print(f"ratio of the medians: {median / baseline:.1f}")
+    print(f"ratio of the medians, commit to baseline: {median / baseline:.1f}")
     for tasks, result in throughput_results:
         commits_per_s = result["proposals"] / result["seconds"]
         commits_per_sync = result["proposals"] / max(1, result["syncs"])
         print(
             f"{tasks} proposers: {commits_per_s:.0f} commits/s, "
-            f"{commits_per_sync:.1f} commits for each sync"
+            f"{commits_per_sync:.1f} commits per sync"
         )
 
 
 async def measure_restart(folder, entries, snapshot_entries):
-    """Measures how long a full restart takes after many entries."""
+    """Prints how long a restart of all three replicas takes."""
     folder.mkdir()
     group = ReplicaGroup(folder, 3, snapshot_entries)
     leader = await group.start()
@@ -164,13 +175,13 @@
     open_duration_ms = max(group.open_duration_ms.values())
     print(
         f"restart after {entries} entries, a snapshot every "
-        f"{snapshot_entries}: data read in {open_duration_ms:.0f} ms, "
-        f"leader ready after {ready_s:.1f} s"
+        f"{snapshot_entries} entries: slowest data directory opened in "
+        f"{open_duration_ms:.0f} ms, leader ready after {ready_s:.1f} s"
     )
 
 
 async def main():
-    """Runs all measurements."""
+    """Measures each number of replicas and each number of entries."""
     parser = argparse.ArgumentParser()
     parser.add_argument("--directory", default=None)
     parser.add_argument("--replicas", type=int, nargs="*", default=[3, 5])
--- a/bench/config_rollout.py
+++ b/bench/config_rollout.py
@@ -1,9 +1,15 @@
-"""Time from the acceptance of a patch until it is in force on all entries.
-
-Patches go to a random control, one after another. Acceptance is the moment
-at which the operator is told; the moment at which an entry applies a version
-is the time of its event ``config.applied_by_entry``. All processes share the clock of
-one machine. Run with ``PYTHONPATH=tools:.``.
+"""Measures how long a patch takes until all entries have applied it.
+
+Run with ``PYTHONPATH=tools:.``. Patches are sent one after another, each to a
+control chosen at random. A patch counts as accepted when the answer reaches
+the operator, and as applied by an entry at the wall time of the event
+``config.applied`` of this version or a later one. All processes run on one
+machine, so their wall clocks are the same.
+
+The output gives p50, p90, p99 and p100, in ms, of two durations: from sending
+a patch to its acceptance, and from its acceptance until the last entry has
+applied it. It ends with the number of accepted patches that some entry had
+not applied by then.
 """
 
 import argparse
@@ -23,6 +29,7 @@
 MAX_DURATION_US = 600_000_000
 SIGNIFICANT_FIGURES = 3
 PATCH_INTERVAL_S = 0.2
+# Time for the entries to apply the last patch.
 SETTLE_S = 3.0
 PERCENTILES = (50, 90, 99, 100)
 
@@ -31,9 +38,9 @@
     """One accepted patch.
 
     Attributes:
-        version: Its version.
-        sent_ms: Wall time at which it was sent.
-        accepted_ms: Wall time at which the answer arrived.
+        version: Fleet version that the patch made.
+        sent_ms: Wall time at which the patch was sent, in ms.
+        accepted_ms: Wall time at which the answer arrived, in ms.
     """
 
     __slots__ = ("version", "sent_ms", "accepted_ms")
@@ -45,12 +52,12 @@
 
 
 def wall_ms():
-    """Returns the wall time in ms."""
+    """Returns the wall time in ms since the epoch."""
     return time.time_ns() // 1_000_000
 
 
 async def submit_all(runner, count, rng):
-    """Submits patches; returns their Rollouts."""
+    """Submits patches; returns a Rollout for each accepted one."""
     operators = OperatorsClient(runner)
     nodes = sorted(runner.deployment.nodes)
     rollouts, version = [], 1
@@ -78,7 +85,11 @@
 
 
 async def read_applied_versions(runner):
-    """Returns by entry the wall time at which it applied each version."""
+    """Returns when each entry applied each version.
+
+    Returns:
+        Maps node id to a mapping of version to wall time in ms.
+    """
     applied_by_entry = {}
     for node_id in runner.deployment.nodes:
         answer = await runner.get(f"entry/{node_id}", "/events")
@@ -92,7 +103,11 @@
 
 
 def find_applied_ms(version, applied_ms_by_version):
-    """Returns when an entry applied this version or a later one."""
+    """Returns the wall time in ms at which an entry had applied a version.
+
+    A later version contains the earlier ones, so it counts too. Returns None
+    if the entry applied neither.
+    """
     times_ms = [
         time_ms
         for applied_version, time_ms in applied_ms_by_version.items()
@@ -102,7 +117,7 @@
 
 
 def print_percentiles(name, durations_ms):
-    """Prints the percentiles of some durations."""
+    """Prints the percentiles of the durations of patches."""
     histogram = HdrHistogram(1, MAX_DURATION_US, SIGNIFICANT_FIGURES)
     for duration_ms in durations_ms:
         histogram.record_value(max(1, duration_ms * 1_000))
@@ -115,7 +130,7 @@
 
 
 def print_report(rollouts, applied_by_entry):
-    """Prints the figures; returns the number that never got in force."""
+    """Prints both durations; returns the number of incomplete roll-outs."""
     acceptance_durations_ms, rollout_durations_ms, incomplete_count = [], [], 0
     for rollout in rollouts:
         times_ms = [
@@ -131,14 +146,14 @@
         )
     print_percentiles("sent to accepted", acceptance_durations_ms)
     print_percentiles(
-        "accepted to in force on all entries", rollout_durations_ms
+        "accepted to applied by all entries", rollout_durations_ms
     )
-    print(f"not in force everywhere at the end: {incomplete_count}")
+    print(f"patches not applied by all entries: {incomplete_count}")
     return incomplete_count
 
 
 async def main_task(options, folder):
-    """Runs the benchmark in a folder."""
+    """Runs a deployment in a folder and measures roll-outs in it."""
     runner = FleetRunner(Deployment(folder))
     runner.plan(endpoints_per_zone=1)
     try:
@@ -152,7 +167,7 @@
 
 
 def main():
-    """Parses the options and runs."""
+    """Runs the benchmark."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--patches", type=int, default=150)
     parser.add_argument("--seed", type=int, default=1)
--- a/bench/document_costs.py
+++ b/bench/document_costs.py
@@ -1,7 +1,13 @@
-"""Size and processor time of a fleet version at several sizes.
+"""Measures size and processor time of a fleet version at several sizes.
 
-A version is written once by each control, sent to its subscribers and read
-by each entry. Run with ``PYTHONPATH=tools:.``.
+Run with ``PYTHONPATH=tools:.``. Each control writes a version once as JSON
+and sends it to its subscribers in an update message; each entry reads it.
+
+The output gives for each number of workers the size of the version as JSON in
+bytes, and the median processor time in ms of applying a patch, writing the
+version as JSON, encoding and decoding the update, and parsing the JSON. The
+last rows give each figure as a straight line fitted over the number of
+workers: value at 0 workers + increase per worker.
 """
 
 import json
@@ -24,6 +30,7 @@
 from wigeonport.fleets import Fleet
 from wigeonport.patches import patch_from_document
 
+# Workers, pools and availability zones of each size.
 SIZES = ((450, 84, 3), (900, 168, 5), (1_800, 335, 10))
 TEAM_COUNT = 56
 WORKERS_PER_RACK = 4
@@ -32,7 +39,7 @@
 
 
 def build_fleet(worker_count, pool_count, zone_count):
-    """Returns a Fleet; every pool has one service."""
+    """Returns a Fleet of the given size; every pool has one service."""
     fleet = Fleet(1)
     add_record(fleet, "regions", Region("region-1"))
     for number in range(zone_count):
@@ -69,12 +76,12 @@
 
 
 def add_record(fleet, section, record):
-    """Adds a record."""
+    """Adds a record to a section of the fleet under its id."""
     getattr(fleet, section)[record.id] = record
 
 
 def add_worker(fleet, number, pool_count, zone_count):
-    """Adds a worker and its rack."""
+    """Adds a worker, and its rack if the rack is new."""
     zone = f"zone-{number % zone_count}"
     rack = f"{zone}-rack-{number // zone_count // WORKERS_PER_RACK}"
     fleet.racks.setdefault(rack, Rack(rack, zone))
@@ -91,7 +98,7 @@
 
 
 def measure_cpu_ms(function):
-    """Returns the median processor time of a call in ms."""
+    """Returns the median processor time of REPEATS calls, in ms."""
     durations_ns = []
     for _ in range(REPEATS):
         started_ns = time.process_time_ns()
@@ -101,7 +108,7 @@
 
 
 def measure(worker_count, pool_count, zone_count):
-    """Returns the figures of one size by name."""
+    """Returns the figures of one size; maps row label to value."""
     fleet = build_fleet(worker_count, pool_count, zone_count)
     version_json = json.dumps(fleet.to_document()).encode()
     codec = codecs.get("thrift").ok()
@@ -137,7 +144,7 @@
 
 
 def main():
-    """Measures all sizes."""
+    """Prints the figures of all sizes and the fitted lines."""
     print("before:", describe_machine())
     figures_by_size = {size[0]: measure(*size) for size in SIZES}
     for workers, figures in figures_by_size.items():
@@ -147,7 +154,7 @@
         slope, intercept = fit_line(
             [(w, figures[name]) for w, figures in figures_by_size.items()]
         )
-        print(f"{name:<22} {intercept:10.2f} + {slope:.4f} for each worker")
+        print(f"{name:<22} {intercept:10.2f} + {slope:.4f} per worker")
     print("after:", describe_machine())
 
 
--- a/bench/entry_throughput.py
+++ b/bench/entry_throughput.py
@@ -1,8 +1,17 @@
 """Compares an entry with an app that answers directly and a bare relay.
 
-All are loaded by the same generator in alternating rounds of one run. The
-relay and the entry pass requests on to the same kind of endpoint stand-in.
-Run with ``PYTHONPATH=tools:.``.
+Run with ``PYTHONPATH=tools:.``. The three variants are ``direct`` and
+``relay`` of plain_apps.py, and an entry. The relay and the entry pass requests
+on to the same kind of endpoint stand-in. In each round every variant gets a
+closed-loop load by the same number of callers, which gives its throughput,
+and then requests at a fixed rate, which gives its latency. The fixed rate is
+the same for all variants: half of the relay's throughput in a first load.
+
+Each row of the output gives the median over the rounds, with the minimum and
+maximum, of throughput in requests a second and of the p50 and p99 latency in
+ms at the fixed rate, and the number of requests without status 200. The last
+rows give the ratios of these medians to those of the relay. If a request
+fails, the exit status is 1, because the figures are then not comparable.
 """
 
 import argparse
@@ -30,7 +39,7 @@
 
 
 def make_fleet_json():
-    """Returns the fleet of the Lagos example in JSON."""
+    """Returns the fleet of the Lagos example as JSON text."""
     patch = load_fleet_patch()
     patch |= {"id": "bench", "against_version": 0, "author": "bench"}
     fleet = patch_from_document(patch).ok.apply(Fleet()).ok
@@ -38,7 +47,11 @@
 
 
 def add_processes(runner, endpoints):
-    """Adds the processes; returns the callers' port by contender."""
+    """Adds all processes to the runner, without starting them.
+
+    Returns:
+        Maps the name of a variant to the port for its callers.
+    """
     deployment = runner.deployment
     path = deployment.path("fleet.json")
     path.write_text(make_fleet_json())
@@ -73,7 +86,16 @@
 
 
 class VariantResult:
-    """Series of one contender."""
+    """Figures of one variant over all rounds.
+
+    Attributes:
+        rate_per_s: Series of the closed-loop throughput, in requests a
+            second.
+        p50_ms: Series of the median latency at the fixed rate.
+        p99_ms: Series of the p99 latency at the fixed rate.
+        failed: Number of requests with a status other than 200.
+        reasons: Counter of the failed requests by status and reason.
+    """
 
     __slots__ = ("rate_per_s", "p50_ms", "p99_ms", "failed", "reasons")
 
@@ -86,7 +108,7 @@
 
 
 async def measure(url, result, half_rate_per_s, seconds):
-    """Runs one round of a contender: full load, then half load."""
+    """Runs one round of a variant: closed-loop load, then a fixed rate."""
     full_load = await run_closed_loop(url, CALLERS, seconds)
     result.rate_per_s.values.append(full_load.rate_per_s)
     rate = half_rate_per_s or full_load.rate_per_s / 2
@@ -99,28 +121,33 @@
 
 
 async def run_rounds(urls, rounds, seconds):
-    """Returns the Figures by contender; all get the relay's half load."""
+    """Runs warm-up and rounds.
+
+    Returns:
+        Maps the name of a variant to its VariantResult.
+    """
     results = {name: VariantResult() for name in VARIANTS}
     for name in VARIANTS:
         await run_closed_loop(urls[name], CALLERS, WARM_UP_S)
     relay_load = await run_closed_loop(urls["relay"], CALLERS, WARM_UP_S)
     half_rate_per_s = relay_load.rate_per_s / 2
     for number in range(rounds):
-        # The order turns, so that no contender always comes first.
+        # The order rotates, so that no variant always comes first.
         offset = number % len(VARIANTS)
         for name in VARIANTS[offset:] + VARIANTS[:offset]:
             await measure(urls[name], results[name], half_rate_per_s, seconds)
-    print(f"half load: {half_rate_per_s:.0f} requests a second")
+    print(f"half load: {half_rate_per_s:.0f} requests/s to each variant")
     return results
 
 
 def print_results(results):
-    """Prints medians with their spread, and the ratios to the relay."""
+    """Prints a row for each variant, and the ratios to the relay."""
     relay = results["relay"]
     for name, result in results.items():
         print(
             f"{name:>6}: {result.rate_per_s} requests/s, at half load p50 "
-            f"{result.p50_ms} ms, p99 {result.p99_ms} ms, failed {result.failed}"
+            f"{result.p50_ms} ms, p99 {result.p99_ms} ms, "
+            f"failed {result.failed}"
         )
         for reason, count in result.reasons.most_common():
             print(f"        {count} failed: {reason}")
@@ -130,13 +157,13 @@
         p50_ratio = result.p50_ms.median / relay.p50_ms.median
         p99_ratio = result.p99_ms.median / relay.p99_ms.median
         print(
-            f"{name} / relay: throughput {throughput_ratio:.2f}, p50 {p50_ratio:.2f}, "
-            f"p99 {p99_ratio:.2f}"
+            f"{name} / relay: throughput {throughput_ratio:.2f}, "
+            f"p50 {p50_ratio:.2f}, p99 {p99_ratio:.2f}"
         )
 
 
 async def main_task(options, folder):
-    """Runs the benchmark in a folder."""
+    """Runs the benchmark in a folder; returns whether no request failed."""
     deployment = Deployment(folder, {"ikeja": 1}, {"ikeja": 1})
     runner = FleetRunner(deployment)
     ports = add_processes(runner, options.endpoints)
@@ -155,13 +182,16 @@
     finally:
         runner.kill_all()
     print("after:", describe_machine())
-    print(f"rounds: {options.rounds} of {options.seconds} s + half load")
+    print(
+        f"rounds: {options.rounds}, each with {options.seconds} s of full "
+        "load and as long of half load for each variant"
+    )
     print_results(results)
     return all(result.failed == 0 for result in results.values())
 
 
 def main():
-    """Parses the options and runs."""
+    """Runs the benchmark."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--rounds", type=int, default=5)
     parser.add_argument("--seconds", type=float, default=4)
@@ -170,7 +200,7 @@
     with tempfile.TemporaryDirectory(prefix="wigeonport-bench-") as folder:
         all_succeeded = trio.run(main_task, options, folder)
     if not all_succeeded:
-        sys.exit("requests failed; the figures compare nothing")
+        sys.exit("some requests failed, so the figures are not comparable")
 
 
 if __name__ == "__main__":
--- a/bench/footprint.py
+++ b/bench/footprint.py
@@ -1,8 +1,17 @@
-"""Memory, processor time and bytes of each process, at several sizes.
-
-Each size is a number of endpoints that announce themselves to each entry, or
-with ``--vms`` a number of VMs. After it settled, every process is observed
-idle, then the entries under a paced load. Run with ``PYTHONPATH=tools:.``.
+"""Measures memory, processor time and link traffic at several sizes.
+
+Run with ``PYTHONPATH=tools:.``. The size is the number of endpoints that
+announce themselves to each entry, or with several values of ``--vms`` the
+number of VMs. At each size, all entries and controls are observed for
+``--seconds`` while idle, then again while requests arrive at each entry at a
+fixed rate.
+
+Each row of the output gives the medians over the processes of one role:
+processor time in percent of one core, resident memory in MB (2**20 bytes) at
+the end, and kilobytes (1,000 bytes) a second sent over links. The roles are
+entry, and for controls leader, follower (another voter) or learner (no vote).
+The last rows give each idle figure as a straight line fitted over the sizes:
+value at size 0 + increase per VM or endpoint.
 """
 
 import argparse
@@ -22,6 +31,7 @@
 )
 from operators_client import OperatorsClient, load_fleet_patch
 
+# Time from the first version until the processes are observed.
 SETTLE_S = 6.0
 POLL_INTERVAL_S = 0.3
 START_TIMEOUT_S = 30.0
@@ -32,13 +42,13 @@
 
 
 class Usage:
-    """What one process used during a window.
+    """What one process used during an interval, or a median by role.
 
     Attributes:
-        name: Name of the process.
-        cpu_percent: Share of one core.
-        resident_mb: Resident memory at the end.
-        sent_bytes_per_s: Bytes a second that it sent over links.
+        name: Name of the process or of the role.
+        cpu_percent: Processor time, in percent of one core.
+        resident_mb: Resident memory at the end, in MB (2**20 bytes).
+        sent_bytes_per_s: Bytes a second sent over links.
     """
 
     __slots__ = ("name", "cpu_percent", "resident_mb", "sent_bytes_per_s")
@@ -51,7 +61,7 @@
 
 
 def add_processes(runner, endpoints):
-    """Adds the programs and, for each entry, its endpoints."""
+    """Adds all processes, with one group of endpoints for each entry."""
     deployment = runner.deployment
     runner.plan(endpoints_per_zone=0)
     for name in [n for n in runner.processes if n.startswith("endpoints/")]:
@@ -72,7 +82,14 @@
 
 
 async def apply_first_version(runner):
-    """Submits the first patch until it is accepted."""
+    """Submits the first patch until it is accepted.
+
+    Returns:
+        The node id of the leader.
+
+    Raises:
+        trio.TooSlowError: If it is not accepted within START_TIMEOUT_S.
+    """
     operators = OperatorsClient(runner)
     patch = load_fleet_patch()
     with trio.fail_after(START_TIMEOUT_S):
@@ -90,13 +107,13 @@
 
 
 async def read_sent_bytes(runner, name):
-    """Returns the bytes that a program has sent over links."""
+    """Returns the bytes that a process has sent over links so far."""
     metrics = await runner.metrics(name)
     return metrics["counters"].get("links_sent_bytes", 0)
 
 
 async def observe(runner, seconds):
-    """Returns the Usage of every program over some seconds."""
+    """Returns the Usage of every entry and control over some seconds."""
     names = [
         name
         for name in runner.processes
@@ -133,7 +150,7 @@
 
 
 def summarize(runner, usages, leader):
-    """Returns the median Usage by role."""
+    """Maps each role to a Usage of the medians over its processes."""
     usage_by_role = {}
     for usage in usages:
         role = get_role(runner, usage.name, leader)
@@ -153,7 +170,7 @@
 
 
 def print_usages(label, state, usage_by_role):
-    """Prints one line for each role."""
+    """Prints one row for each role."""
     for role in sorted(usage_by_role):
         usage = usage_by_role[role]
         print(
@@ -165,7 +182,7 @@
 
 
 async def load_entries(runner, seconds):
-    """Sends a paced load to every entry."""
+    """Sends requests to every entry at a fixed rate."""
     async with trio.open_nursery() as nursery:
         for address in runner.deployment.entries():
             url = f"http://{address}/{SERVICE}/work"
@@ -175,7 +192,7 @@
 
 
 def distribute(vms, zones):
-    """Returns how many of the VMs are in each zone, the first get more."""
+    """Maps each zone to its number of VMs; a remainder goes to the first."""
     return {
         zone: vms // len(zones) + (index < vms % len(zones))
         for index, zone in enumerate(zones)
@@ -183,11 +200,11 @@
 
 
 async def measure_size(endpoints, vms, seconds, folder):
-    """Returns the idle Usage by role at one size."""
+    """Prints the rows of one size; maps each role to its idle Usage."""
     voters = VOTERS if vms >= MIN_VMS_FOR_FIVE_VOTERS else ONE_VOTER_PER_ZONE
     runner = FleetRunner(Deployment(folder, distribute(vms, ZONES), voters))
     add_processes(runner, endpoints)
-    label = f"{vms:>3} VMs, {endpoints:>4} endpoints an entry"
+    label = f"{vms:>3} VMs, {endpoints:>4} endpoints per entry"
     try:
         await runner.start()
         leader = await apply_first_version(runner)
@@ -204,7 +221,7 @@
 
 
 def print_slopes(usage_by_size, unit):
-    """Prints how the figures grow with the size."""
+    """Prints a line fitted over the sizes for each role and figure."""
     roles = set.intersection(
         *(set(usage_by_role) for usage_by_role in usage_by_size.values())
     )
@@ -217,12 +234,12 @@
             slope, intercept = fit_line(points)
             print(
                 f"{role:<8} {field:<17} {intercept:10.3f} + "
-                f"{slope:.5f} for each {unit}"
+                f"{slope:.5f} per {unit}"
             )
 
 
 def main():
-    """Measures all sizes."""
+    """Measures all sizes and prints the fitted lines."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=15)
     parser.add_argument(
@@ -231,7 +248,7 @@
     parser.add_argument("--vms", type=int, nargs="+", default=[7])
     options = parser.parse_args()
     print("before:", describe_machine())
-    print(f"load: {LOAD_PER_ENTRY_PER_S} requests/s at each entry")
+    print(f"load: {LOAD_PER_ENTRY_PER_S} requests/s to each entry")
     vary_vms = len(options.vms) > 1
     usage_by_size = {}
     for vms in options.vms:
--- a/bench/job_waves.py
+++ b/bench/job_waves.py
@@ -1,9 +1,14 @@
-"""Measures a wave of submissions and its cancellation.
+"""Measures the planner when a team submits many jobs and cancels them.
 
 Usage: PYTHONPATH=.:tools:bench python bench/job_waves.py
 
 A team submits jobs to 20 pools of a fleet of 1,800 workers and cancels all of
-them at once. Processor time of this process is measured, on one core.
+them at once. All times are processor time of this process, on one core.
+
+Each row of the output gives the number of jobs, the time per submission in
+us, the time of a full plan in ms before the submissions and with the jobs,
+the time in ms to cancel all jobs, and the number of cancel commands that the
+planner returned.
 """
 
 from planning import SIZES, PlannerBench
@@ -17,7 +22,7 @@
 
 
 def submit(bench, count):
-    """Submits jobs; returns the time in us."""
+    """Submits jobs; returns the processor time of all together, in us."""
     pools = list(bench.planner.view.fleet.pools)[:POOL_COUNT]
     total_us = 0
     for number in range(count):
@@ -36,7 +41,7 @@
 
 
 def measure(count):
-    """Prints one row of the table."""
+    """Prints the row of one number of jobs."""
     bench = PlannerBench(*SIZES[-1])
     plan_without_jobs_us = bench.advance_second()
     submit_us = submit(bench, count)
@@ -59,8 +64,8 @@
 def main():
     """Prints the table."""
     print(
-        "| jobs | submission (us each) | full plan before (ms) "
-        "| full plan with them (ms) | cancellation of all (ms) "
+        "| jobs | submission (us per job) | full plan before (ms) "
+        "| full plan with the jobs (ms) | cancellation of all jobs (ms) "
         "| cancel commands |"
     )
     print("|" + " --- |" * 6)
--- a/bench/leader_load.py
+++ b/bench/leader_load.py
@@ -1,8 +1,13 @@
-"""Load of one leader by the number of workers, with the real programs.
+"""Measures the load of a leader by the number of workers.
 
-Emulated workers with short tasks keep their connections; each round runs
-three controls and one front on loopback addresses and prints the processor
-time of each, the rates, and the latency of a heartbeat.
+Each round starts three controls and one front, as real processes on loopback
+addresses, and emulated workers with short tasks that keep their connections.
+
+Each round prints one row: the processor time of the busiest control (the
+leader), of the least busy control and of the front, as a share of one core;
+heartbeats and task starts a second; p50 and p99 of the latency of a heartbeat
+in ms, failed ones included; how many of the answered submissions were
+accepted; and the number of invariants that the workers saw violated.
 
 Usage: PYTHONPATH=tools:. python bench/leader_load.py --workers 30 60 120
 """
@@ -20,26 +25,30 @@
 from platform_fleet import PlatformFleet
 from platform_soak import HOST, PREFIX, Operator
 
-# Address block of the round, apart from those of the soak.
+# Second byte of the loopback addresses, 127.240.x.x; the soak uses others.
 NETWORK_NUMBER = 240
-# A job of 12 tasks for each ten workers and second, as in a peak of the
+# Jobs submitted per worker and second, each of 12 tasks, as in a peak of the
 # grown deployments.
 JOBS_PER_WORKER_S = 0.28
 STEPS = [
     {"count": 8, "cpu": 1_500, "mem-mb": 900, "estimated-ms": 450},
     {"count": 4, "cpu": 1_500, "estimated-ms": 450, "depends-on": [0]},
 ]
-# Workers send a heartbeat this long after an end.
-HEARTBEAT_AFTER_END_S = 0.05
+# Interval at which a worker looks for ended runs; it reports them at once in a
+# heartbeat. After a failed heartbeat it tries another control this much later.
+END_POLL_INTERVAL_S = 0.05
 WARM_UP_S = 2.0
 MAX_LATENCY_US = 60_000_000
 
 
 class PromptReportWorker(EmulatedWorker):
-    """A worker that reports ends at once.
+    """An emulated worker that reports the end of a run without delay.
+
+    It does not wait for its next regular heartbeat.
 
     Attributes:
-        latency_us: Histogram that all workers share.
+        latency_us: Histogram of the latency of heartbeats, in us, which all
+            workers share.
     """
 
     __slots__ = ("latency_us",)
@@ -53,22 +62,22 @@
                 await self.beat()
             except FAULTS:
                 self.target = self.random.choice(self.controls)
-                self.wait_s = HEARTBEAT_AFTER_END_S
+                self.wait_s = END_POLL_INTERVAL_S
             elapsed_us = (time.monotonic_ns() - started_ns) // 1_000
             self.latency_us.record_value(elapsed_us)
             heartbeat_due_s = time.monotonic() + self.wait_s
             while time.monotonic() < heartbeat_due_s and not self.ended:
-                await trio.sleep(HEARTBEAT_AFTER_END_S)
+                await trio.sleep(END_POLL_INTERVAL_S)
                 self.end_due()
 
 
 async def submit(client, answers):
-    """Submits one job and notes whether it was accepted."""
+    """Submits one job and appends its id, or None if not accepted."""
     answers.append(await client.submit(STEPS, tries=1))
 
 
 async def run_round(count, seconds):
-    """Prints the figures of one number of workers."""
+    """Runs one round with a number of workers and prints its row."""
     rng = random.Random(count)
     ledger = Ledger()
     fleet = PlatformFleet(
@@ -85,7 +94,8 @@
                 worker = PromptReportWorker(
                     f"w{number}", "desk", addresses, ledger, rng
                 )
-                # A pool looks through all of its connections for each call.
+                # A connection pool scans all of its connections on each call,
+                # so that each worker has its own.
                 worker.pool = httpcore.AsyncConnectionPool()
                 worker.latency_us = latency_us
                 nursery.start_soon(worker.run)
@@ -109,14 +119,17 @@
             ]
             accepted = sum(answer is not None for answer in answers)
             print(
-                f"{count} workers: leader {max(core_shares[:-1]):.2f} and followers "
-                f"{min(core_shares[:-1]):.2f} of a core, front {core_shares[-1]:.2f}; "
-                f"{latency_us.get_total_count() / elapsed_s:.0f} heartbeats and "
-                f"{(ledger.starts - starts_before) / elapsed_s:.0f} starts a second; "
-                f"heartbeat p50 {get_percentile_ms(latency_us, 50):.0f} and p99 "
+                f"{count} workers: busiest control (leader) "
+                f"{max(core_shares[:-1]):.2f} of a core, least busy control "
+                f"{min(core_shares[:-1]):.2f} of a core, front "
+                f"{core_shares[-1]:.2f} of a core; "
+                f"{latency_us.get_total_count() / elapsed_s:.0f} heartbeats/s "
+                f"and {(ledger.starts - starts_before) / elapsed_s:.0f} task "
+                f"starts/s; heartbeat p50 "
+                f"{get_percentile_ms(latency_us, 50):.0f} ms and p99 "
                 f"{get_percentile_ms(latency_us, 99):.0f} ms; {accepted} of "
-                f"{len(answers)} answered jobs accepted; "
-                f"{len(ledger.violations)} broken promises"
+                f"{len(answers)} answered submissions accepted; "
+                f"{len(ledger.violations)} violated invariants"
             )
             nursery.cancel_scope.cancel()
         finally:
@@ -125,12 +138,12 @@
 
 
 def get_percentile_ms(histogram, percentile):
-    """Returns a percentile in ms."""
+    """Returns a percentile of a histogram in us, in ms."""
     return histogram.get_value_at_percentile(percentile) / 1_000
 
 
 def main():
-    """Runs the rounds one after the other."""
+    """Runs one round for each number of workers."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--workers", type=int, nargs="+", default=[30, 60])
     parser.add_argument("--seconds", type=float, default=10.0)
--- a/bench/measures.py
+++ b/bench/measures.py
@@ -1,4 +1,4 @@
-"""What the benchmarks share: load generators, medians, process figures."""
+"""Load generators, series and process figures for the benchmarks."""
 
 import os
 import pathlib
@@ -17,13 +17,14 @@
 
 
 class LoadResult:
-    """Result of one load.
+    """Result of one run of a load generator.
 
     Attributes:
-        rate_per_s: Completed requests a second.
-        latency_us: Histogram of the latency.
-        failed: Requests with a status other than 200.
-        reasons: Their number by status and reason.
+        rate_per_s: Requests a second: completed ones of a closed loop,
+            scheduled ones at a fixed rate.
+        latency_us: Histogram of the latency of all requests, in us.
+        failed: Number of requests with a status other than 200.
+        reasons: Counter of the failed requests by status and reason.
     """
 
     __slots__ = ("rate_per_s", "latency_us", "failed", "reasons")
@@ -41,7 +42,11 @@
 
 
 async def call_once(pool, url, result, due_ns=None):
-    """Sends one request; a late start counts into its latency."""
+    """Sends one request and records its latency.
+
+    The latency is counted from ``due_ns`` if given, so that it includes the
+    delay of a request that starts late.
+    """
     started_ns = time.monotonic_ns() if due_ns is None else due_ns
     response = await pool.request("GET", url)
     if response.status != 200:
@@ -53,7 +58,7 @@
 
 
 async def run_closed_loop(url, callers, seconds):
-    """Lets a number of callers send one request after another."""
+    """Runs callers that each send a request once the last is answered."""
     result = LoadResult()
     started_s = time.monotonic()
 
@@ -71,7 +76,7 @@
 
 
 async def run_fixed_rate(url, rate_per_s, seconds, max_connections=64):
-    """Sends requests at fixed times, whatever their answers take."""
+    """Sends requests at a fixed rate, without waiting for answers."""
     result = LoadResult()
     count = int(rate_per_s * seconds)
     async with httpcore.AsyncConnectionPool(
@@ -89,7 +94,13 @@
 
 
 class Series:
-    """Values of several rounds."""
+    """Values of one figure over several rounds.
+
+    Its text is the median with the minimum and maximum.
+
+    Attributes:
+        values: One value for each round.
+    """
 
     __slots__ = ("values",)
 
@@ -98,7 +109,7 @@
 
     @property
     def median(self):
-        """The median."""
+        """The median of the values."""
         return statistics.median(self.values)
 
     def __str__(self):
@@ -107,10 +118,11 @@
 
 
 def read_cpu_s(pid):
-    """Returns the processor time of a process so far in seconds."""
+    """Returns the processor time that a process has used, in seconds."""
     text = pathlib.Path(f"/proc/{pid}/stat").read_text()
     fields = text.rsplit(")", 1)[1].split()
-    # User and system time are fields 14 and 15 of the line.
+    # User and system time are fields 14 and 15 of the file; field 3 is the
+    # first one after the process name in parentheses.
     return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_PER_S
 
 
@@ -121,13 +133,17 @@
 
 
 def describe_machine():
-    """Returns the load of the machine at this moment."""
+    """Returns the number of cores and the load averages as text."""
     loads = ", ".join(f"{value:.1f}" for value in os.getloadavg())
     return f"{os.cpu_count()} cores, load averages {loads}"
 
 
 def fit_line(points):
-    """Returns slope and intercept of pairs by least squares."""
+    """Fits a line to (x, y) pairs by least squares.
+
+    Returns:
+        Slope and intercept.
+    """
     regression = statistics.linear_regression(
         [x for x, _ in points], [y for _, y in points]
     )
--- a/bench/plain_apps.py
+++ b/bench/plain_apps.py
@@ -1,4 +1,7 @@
-"""Apps without decisions, to compare an entry with.
+"""Baseline ASGI apps that entry_throughput.py compares an entry with.
+
+They make no routing decisions: ``direct`` answers by itself, ``relay`` passes
+each request on to one fixed endpoint.
 
 Usage: ``plain_apps.py direct|relay PORT [TARGET_PORT]``.
 """
@@ -19,7 +22,7 @@
 
 
 async def send_response(send, status, headers, body):
-    """Sends a whole response over ASGI."""
+    """Sends a response over ASGI, with its whole body in one event."""
     start = {"type": "http.response.start", "status": status}
     await send({**start, "headers": headers})
     await send({"type": "http.response.body", "body": body})
@@ -37,7 +40,7 @@
 
 @apps.register("direct")
 def make_direct(target_port):
-    """Returns an app that answers by itself."""
+    """Returns an app that answers each request itself with a fixed body."""
 
     async def app(scope, receive, send):
         if scope["type"] == "lifespan":
@@ -75,10 +78,10 @@
 
 
 def main():
-    """Serves the app."""
+    """Serves the app that the arguments name."""
     name, port, *target = sys.argv[1:]
     app = apps.get(name).ok(int(target[0]) if target else None)
-    # The server has the same settings as that of an entry.
+    # An entry uses the same server and settings, so only the apps differ.
     trio.run(
         serve_http,
         app,
