--- a/bench/overload.py
+++ b/bench/overload.py
@@ -1,9 +1,20 @@
-"""Compares queue disciplines under five-fold demand, in virtual time.
+"""Compares queue disciplines under a peak of demand, in virtual time.
 
 The router's own decision code runs without sockets against one service of 6
-endpoints with 8 slots each. ``plain`` is a first-in-first-out entry without
-limits: it queues everything and serves it in order, however late. Goodput
-counts the answers that arrive within the deadlines of their callers.
+endpoints with 8 slots each. ``plain`` is an entry with an unbounded
+first-in-first-out queue: it serves every request in order, however late.
+Requests arrive for 30 s at the mean rate ``--mean``, but from second 10 to 20
+at five times that rate.
+
+Each row of the output gives, for one discipline:
+
+    goodput/s   requests a second that arrive in the peak and are answered
+                within the deadline of the caller
+    after/s     the same for requests that arrive in the 10 s after the peak
+    late        number of answers after the deadline, in the whole run
+    refused     number of refused requests, in the whole run
+    p50, p99    latency in ms of the requests counted as goodput
+    refusal p99 time in ms from arrival to refusal
 """
 
 import argparse
@@ -24,19 +35,25 @@
 
 ENDPOINTS = 6
 SLOTS = 8
+# Start and end of the peak.
 PEAK_MS = (10_000, 20_000)
 END_MS = 30_000
 
 
 class UnboundedFifoEntry:
-    """First in, first out, without limits."""
+    """A baseline entry: an unbounded first-in-first-out queue.
+
+    Attributes:
+        queue: Requests that wait for a slot.
+        free_slots: Number of slots without a request.
+    """
 
     def __init__(self):
         self.queue = deque()
         self.free_slots = ENDPOINTS * SLOTS
 
     def step(self, message, now_ms, rng):
-        """Queues a request or frees a slot."""
+        """Queues a request or frees a slot; returns the dispatches."""
         if isinstance(message, AttemptEnded):
             self.free_slots += 1
         else:
@@ -50,7 +67,7 @@
         return commands
 
     def tick(self, now_ms, rng):
-        """Never gives up."""
+        """Returns no commands: a request is never refused."""
         return []
 
 
@@ -63,7 +80,7 @@
 
 
 def make_entry(name):
-    """Returns an entry with a discipline, or the plain one."""
+    """Returns a Router with a queue discipline, or the plain baseline."""
     if name == "plain":
         return UnboundedFifoEntry()
     limits = RouterLimits(leased=False, discipline=name)
@@ -74,7 +91,7 @@
 
 
 def make_request(number, now_ms, deadline_ms):
-    """Returns a repeatable request."""
+    """Returns a request that arrives now, with a relative deadline."""
     return CallerRequest(
         str(number),
         "roster",
@@ -91,7 +108,19 @@
 
 
 class Simulation:
-    """One run of an entry under the same demand."""
+    """One run of an entry under demand that depends only on the options.
+
+    Attributes:
+        rng: Seeded random source.
+        entry: Router or UnboundedFifoEntry.
+        options: Options of the command line.
+        events: Heap of (time in ms, sequence number, message).
+        sequence_numbers: Numbers that order events of the same time.
+        in_time: Pairs (end, latency) in ms, of answers within the deadline.
+        late_count: Number of answers after the deadline.
+        refusal_waits_ms: Time from arrival to refusal of each refused
+            request.
+    """
 
     def __init__(self, name, options):
         self.rng = random.Random(options.seed)
@@ -104,13 +133,13 @@
         self.refusal_waits_ms = []
 
     def push(self, time_ms, message):
-        """Schedules an event."""
+        """Schedules a message for the entry."""
         heapq.heappush(
             self.events, (time_ms, next(self.sequence_numbers), message)
         )
 
     def schedule_arrivals(self):
-        """Schedules all arrivals."""
+        """Schedules the arrivals of all requests."""
         mean_rate_per_s = self.options.mean
         now_ms = 0.0
         while now_ms < END_MS:
@@ -124,7 +153,7 @@
             self.push(int(now_ms), request)
 
     def run(self):
-        """Runs until nothing is left to do."""
+        """Runs until no event is pending."""
         self.schedule_arrivals()
         now_ms = 0
         while self.events:
@@ -135,7 +164,7 @@
                 self.execute(command, now_ms)
 
     def execute(self, command, now_ms):
-        """Starts an attempt or notes an answer."""
+        """Schedules the end of a dispatched attempt, or records a refusal."""
         request = command.request
         if isinstance(command, Dispatch):
             answer = CallerAnswer(200, [], b"", COMPLETED)
@@ -155,13 +184,13 @@
 
 
 def percentile(values, share):
-    """Returns a percentile of a list, or 0 for an empty one."""
+    """Returns the value at a share (0 to 1) of a list; 0 if it is empty."""
     ordered = sorted(values)
     return ordered[int(share * (len(ordered) - 1))] if ordered else 0
 
 
 def main():
-    """Runs all disciplines and prints one line each."""
+    """Runs all disciplines and prints one row each."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--mean", type=float, default=160.0)
     parser.add_argument("--service-ms", type=float, default=100.0)
@@ -175,7 +204,10 @@
         f"mean {options.mean:.0f}/s, peak {5 * options.mean:.0f}/s for 10 s, "
         f"capacity {capacity_per_s:.0f}/s, deadlines {options.deadlines} ms"
     )
-    print("name      goodput/s  after/s  late  refused  p50  p99  refuse p99")
+    print(
+        "p50, p99 and refusal p99 in ms\n"
+        "name      goodput/s  after/s  late  refused  p50  p99  refusal p99"
+    )
     for name in ("plain", "fifo", "lifo", "deadline", "adaptive"):
         run = Simulation(name, options)
         run.run()
@@ -190,9 +222,11 @@
             if end_ms - latency_ms >= PEAK_MS[1]
         ]
         print(
-            f"{name:9} {len(peak_latencies_ms) / 10:9.1f} {len(after_peak_latencies_ms) / 10:8.1f} "
+            f"{name:9} {len(peak_latencies_ms) / 10:9.1f} "
+            f"{len(after_peak_latencies_ms) / 10:8.1f} "
             f"{run.late_count:5} {len(run.refusal_waits_ms):8} "
-            f"{percentile(peak_latencies_ms, 0.5):4} {percentile(peak_latencies_ms, 0.99):4} "
+            f"{percentile(peak_latencies_ms, 0.5):4} "
+            f"{percentile(peak_latencies_ms, 0.99):4} "
             f"{percentile(run.refusal_waits_ms, 0.99):6}"
         )
 
--- a/bench/planning.py
+++ b/bench/planning.py
@@ -2,9 +2,17 @@
 
 Usage: PYTHONPATH=.:tools python bench/planning.py [WORKERS POOLS ZONES]
 
-Without arguments it runs the three sizes of ``SIZES``. The processor time of
-this process is measured, on one core. Memory is what Python allocates for
-fleet and planner, by tracemalloc, in a separate run.
+Without arguments it measures the three sizes of ``SIZES``. All times are
+processor time of this process in ms, on one core. Each row of the output gives
+the size of the fleet and then
+
+- p50 and maximum of a full plan, which a tick starts after every service has
+  reported its demand;
+- p50 and maximum of the plan after one VM failed or returned;
+- p50 of building the planner's view of a fleet version;
+- p50 of the plan after a new fleet version that moves one VM;
+- the memory in MB (2**20 bytes) that Python allocates for fleet and planner,
+  by tracemalloc in a separate run.
 """
 
 import random
@@ -24,6 +32,7 @@
 from wigeonport.view_documents import copy_fleet
 from wigeonport.views import FAILED, READY, Size
 
+# Workers, pools and availability zones of each size.
 SIZES = ((450, 84, 3), (900, 168, 5), (1_800, 335, 10))
 SEED = 7
 FULL_PLAN_COUNT = 30
@@ -33,11 +42,11 @@
 
 
 class PlannerBench:
-    """A planner with a loaded fleet.
+    """A planner that leads a fleet with running tasks in every pool.
 
     Attributes:
-        random: Seeded source.
-        planner: Planner.
+        random: Seeded random source.
+        planner: The Planner.
         now_ms: Time on the planner's clock.
     """
 
@@ -56,13 +65,13 @@
         self.start_tasks()
 
     def step(self, event):
-        """Feeds one event; returns commands and processor time in us."""
+        """Feeds one event; returns the commands and processor time in us."""
         started_ns = time.process_time_ns()
         commands = self.planner.step(event, self.now_ms, self.random)
         return commands, (time.process_time_ns() - started_ns) // 1000
 
     def start_tasks(self):
-        """Adds tasks to every pool and runs until they are started."""
+        """Submits eight jobs to every pool and lets the planner start them."""
         fleet = self.planner.view.fleet
         teams = list(fleet.teams)
         self.report_zones()
@@ -81,12 +90,18 @@
         self.advance_second()
 
     def report_zones(self):
-        """Feeds a report of every zone."""
+        """Feeds a report of every zone, so that its VMs count as available."""
         for zone in self.planner.view.fleet.last_report_ms:
             self.step(events.ZoneReported(zone, self.now_ms))
 
     def advance_second(self):
-        """Feeds demand of all services; returns a full plan's time in us."""
+        """Advances the clock by a second and runs a full plan.
+
+        The demand of all services is fed before the tick that plans.
+
+        Returns:
+            The processor time of the full plan in us.
+        """
         self.now_ms += 1_000
         self.report_zones()
         for service in self.planner.view.fleet.services:
@@ -98,13 +113,13 @@
         return elapsed_us
 
     def confirm(self, commands):
-        """Confirms commands, so that repetitions do not add up."""
+        """Confirms commands, so that the planner does not send them again."""
         for command in commands:
             confirmation = events.CommandConfirmed(command.command_id)
             self.confirm(self.step(confirmation)[0])
 
     def change_vm(self):
-        """Lets one VM fail or return; returns the time in us."""
+        """Lets one VM fail or return; returns the processor time in us."""
         vm = self.random.choice(list(self.planner.view.fleet.vms.values()))
         state = READY if vm.state == FAILED else FAILED
         report = events.VmReported(vm.name, state, vm.sequence + 1)
@@ -121,7 +136,7 @@
 
 
 def build_state(bench):
-    """Returns a ReplicatedState with the fleet of a bench."""
+    """Returns a ReplicatedState with the fleet of a PlannerBench."""
     view = bench.planner.view.fleet
     fleet = Fleet(1)
     for zone in view.last_report_ms:
@@ -152,14 +167,14 @@
 
 
 def measure_build(state):
-    """Returns the time in us to build the view of a new version."""
+    """Returns the processor time in us to build the view of a version."""
     started_ns = time.process_time_ns()
     build_fleet_loaded(state, 0)
     return (time.process_time_ns() - started_ns) // 1000
 
 
 def build_histogram(values):
-    """Returns a histogram of times in us."""
+    """Returns a histogram of durations in us."""
     histogram = HdrHistogram(1, MAX_DURATION_US, 3)
     for value in values:
         histogram.record_value(max(int(value), 1))
@@ -167,12 +182,12 @@
 
 
 def format_ms(histogram, percentile):
-    """Returns a percentile in ms as text."""
+    """Returns a percentile of a histogram in us, as text in ms."""
     return f"{histogram.get_value_at_percentile(percentile) / 1000:.2f}"
 
 
 def measure_memory(size):
-    """Returns MB allocated for fleet and planner."""
+    """Returns the MB (2**20 bytes) allocated for fleet and planner."""
     tracemalloc.start()
     bench = PlannerBench(*size)
     bench.advance_second()
@@ -182,7 +197,7 @@
 
 
 def measure(size):
-    """Prints one row of the table."""
+    """Prints the row of one size."""
     bench = PlannerBench(*size)
     full_plans = build_histogram(
         bench.advance_second() for _ in range(FULL_PLAN_COUNT)
@@ -211,11 +226,12 @@
 
 
 def main(arguments):
-    """Prints the table."""
+    """Prints the table of the given size, or of all sizes."""
     print(
-        "| workers | pools | zones | full plan p50 (ms) | max (ms) "
-        "| VM change p50 (ms) | max (ms) | view of a version p50 (ms) "
-        "| plan of it p50 (ms) | memory (MB) |"
+        "| workers | pools | zones | full plan p50 (ms) | full plan max (ms) "
+        "| VM change p50 (ms) | VM change max (ms) "
+        "| view of a version p50 (ms) | plan of a new version p50 (ms) "
+        "| memory (MB) |"
     )
     print("|" + " --- |" * 10)
     sizes = [tuple(map(int, arguments))] if arguments else SIZES
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -2,9 +2,13 @@
 
 Usage: PYTHONPATH=.:tools python bench/policies.py
 
-Every row is one replay. The optimum is the least cost that any choice of
-moves could have with the whole demand known in advance and moves that take no
-time; it is found by exhaustive search over all states of all seconds.
+Every row is one replay of a trace, except for the optimum: the least cost that
+any choice of moves could have with the whole demand known in advance and moves
+that take no time. It is found by exhaustive search over all states of all
+seconds.
+
+For each deployment three tables are printed: borrowing and reserve policies by
+their cost in VM-seconds, orders of a maintenance wave, and placements of jobs.
 """
 
 import io
@@ -18,6 +22,8 @@
 from wigeonport.replays import replay_trace
 from wigeonport.traces import TraceReader
 
+# Maps the label of a row to the settings that differ from those of the trace.
+# "chosen" keeps the settings of the trace.
 POLICIES = {
     "chosen": {},
     "break-even only": {"borrow_policy": "break_even"},
@@ -34,15 +40,16 @@
     },
 }
 PEAK_DURATIONS_S = (8, 20, 40)
+# VMs of the spare pool that the optimum holds in reserve and never lends.
 RESERVE_VMS = 2
 
 
 class TraceCase:
-    """One demand to replay.
+    """One trace to replay.
 
     Attributes:
-        name: Name for the table.
-        trace_text: The trace as text.
+        name: Label of the rows.
+        trace_text: The trace in its file format.
     """
 
     __slots__ = ("name", "trace_text")
@@ -54,12 +61,16 @@
         self.trace_text = file.getvalue()
 
     def read_trace(self):
-        """Returns the Trace."""
+        """Returns the parsed Trace."""
         return TraceReader(self.name).read(self.trace_text.splitlines()).ok
 
 
 def replay(case, overrides):
-    """Returns the settings and the measures of one replay."""
+    """Returns the settings and the Measures of one replay.
+
+    Raises:
+        SystemExit: If the replay failed or violated an invariant.
+    """
     trace = case.read_trace()
     result = replay_trace(trace, overrides)
     if result.is_error():
@@ -79,11 +90,11 @@
 
 
 def read_required_vms(trace):
-    """Returns the VMs that each pool needs in each second."""
+    """Returns for each second the list of VMs required by each pool."""
     spare_pools = [
         pool.name
         for pool in trace.events[0].event.fleet.pools.values()
-        if pool.spare_pools
+        if pool.spare
     ]
     required_vms = {}
     for item in trace.events:
@@ -101,10 +112,13 @@
 
 
 def find_optimum(trace):
-    """Returns buffer cost, shortage and moves of the best choice.
+    """Returns buffer cost, shortage and moves of the cheapest choice.
 
-    A state is the number of VMs lent to each pool. All states of a second
-    are tried after all states of the second before.
+    A state is the number of VMs lent to each pool. For each second, every
+    state is combined with every state of the second before.
+
+    Returns:
+        Buffer cost in VM-seconds, shortage in VM-seconds, number of moves.
     """
     settings = trace.header.settings
     required_vms = read_required_vms(trace)
@@ -125,18 +139,24 @@
     return RESERVE_VMS * len(required_vms) + idle, missing, moves
 
 
-def extend_by_second(settings, states, best_by_state, required):
-    """Returns the best way to each state after one more second."""
+def extend_by_second(settings, states, best, required):
+    """Extends the cheapest choices by one second.
+
+    Args:
+        settings: Settings with the weights.
+        states: All states.
+        best: Maps each state to the least cost to reach it, and its idle
+            VM-seconds, missing VM-seconds and moves.
+        required: VMs required by each pool in the second.
+
+    Returns:
+        The same mapping as ``best``, one second later.
+    """
     best_after = {}
     for state in states:
         idle, missing = count_idle_and_missing(state, required)
         candidates = []
-        for before, (
-            _,
-            idle_before,
-            missing_before,
-            moves,
-        ) in best_by_state.items():
+        for before, (_, idle_before, missing_before, moves) in best.items():
             total = (
                 idle_before + idle,
                 missing_before + missing,
@@ -148,7 +168,10 @@
 
 
 def count_idle_and_missing(state, required):
-    """Returns the idle borrowed VMs and the missing VMs of one second."""
+    """Returns the idle borrowed VMs and the missing VMs of one second.
+
+    A pool needs at least 5 VMs, its guarantee.
+    """
     idle = missing = 0
     for lent, needed in zip(state, required, strict=True):
         idle += min(lent, max(POOL_SIZE + lent - max(needed, 5), 0))
@@ -157,7 +180,7 @@
 
 
 def count_moves(before, after):
-    """Returns the moves between two states."""
+    """Returns the number of VM moves from one state to another."""
     changes = [new - old for old, new in zip(before, after, strict=True)]
     arriving = sum(change for change in changes if change > 0)
     leaving = -sum(change for change in changes if change < 0)
@@ -170,13 +193,13 @@
 
 
 def print_header(*cells):
-    """Prints the head of a table."""
+    """Prints the header of a table."""
     print_row(*cells)
     print_row(*("---" for _ in cells))
 
 
 def print_capacity(deployment):
-    """Prints the table of lending policies."""
+    """Prints the table of borrowing and reserve policies."""
     print(f"\n### Capacity, {deployment.name}\n")
     print_header(
         "demand",
@@ -185,7 +208,7 @@
         "shortage (VM-s)",
         "longest move (s)",
         "moves",
-        "weighted cost",
+        "weighted cost (VM-s)",
     )
     cases = [
         TraceCase(f"rotation, {s} s", build_rotation(deployment, 1, s * 1000))
@@ -226,13 +249,13 @@
 
 
 def print_waves(deployment):
-    """Prints the table of orders of a wave."""
+    """Prints the table of orders of a maintenance wave."""
     print(f"\n### Maintenance wave, {deployment.name}\n")
     print_header(
         "order",
         "VMs maintained",
-        "time in more than one zone (s)",
-        "lowest available",
+        "maintenance in more than one zone (s)",
+        "lowest available VMs of a pool",
         "commands",
     )
     case = TraceCase(
@@ -250,10 +273,14 @@
 
 
 def print_placements(deployment):
-    """Prints the table of placements."""
+    """Prints the table of job placement policies."""
     print(f"\n### Jobs, {deployment.name}\n")
     print_header(
-        "trace", "placement", "wait of all jobs (s)", "failed", "finished"
+        "trace",
+        "placement",
+        "total wait of all jobs (s)",
+        "failed tasks",
+        "finished jobs",
     )
     for name in ("wrong_sizes", "bad_workers"):
         case = TraceCase(name, scenarios.entries[name](deployment, 1))
@@ -269,7 +296,7 @@
 
 
 def main():
-    """Prints all tables."""
+    """Prints all tables of each deployment."""
     for deployment in DEPLOYMENTS.values():
         print_capacity(deployment)
         print_waves(deployment)
--- a/bench/replica_process.py
+++ b/bench/replica_process.py
@@ -1,7 +1,19 @@
-"""One replica of the benchmark: consensus and links, without HTTP.
-
-Takes a JSON document as its only argument and commands as lines on
-standard input; writes one JSON document a line in answer.
+"""A replica process for commit_latency.py: consensus and links, no HTTP.
+
+Takes a JSON document as its only argument, with the keys ``node`` (name of
+this replica), ``ports`` (maps the name of every replica to its port),
+``directory`` (data directory) and ``snapshot_entries`` (entries between two
+snapshots).
+
+Writes one JSON document a line to standard output: first the time that it took
+to open the data directory in ms, then the answer to each line of standard
+input, which is the name of a command and its arguments:
+
+    status                  whether this replica is the ready leader, the
+                            number of voters, and the commit index
+    latency COUNT           latencies in us of COUNT proposals, one at a time
+    throughput COUNT TASKS  seconds for COUNT proposals from TASKS concurrent
+                            tasks, and the number of journal syncs
 """
 
 import json
@@ -27,11 +39,15 @@
 
 commands = Registry("command")
 HOST = "127.0.0.1"
+# Proposals before the latencies are measured.
 WARM_UP_PROPOSALS = 50
 
 
 def make_consensus(setup, clock, metrics, dialers):
-    """Returns the consensus task of the process."""
+    """Opens the data directory and returns the Consensus of this replica.
+
+    Also writes the first line of the output.
+    """
 
     def send(node, message):
         dialer = dialers.get(node)
@@ -58,7 +74,7 @@
 
 
 async def propose(consensus, key):
-    """Proposes a claim; returns whether it was committed."""
+    """Proposes a claim of a key; returns whether it was committed."""
     reply = Reply()
     command = ClaimKey(key, "digest" * 8, key)
     await consensus.inbox.put(Proposal(command, reply))
@@ -68,7 +84,7 @@
 
 @commands.register("status")
 async def read_status(consensus, arguments):
-    """Returns whether this replica leads, and its indexes."""
+    """Returns readiness, number of voters and commit index."""
     status = (await ask(consensus.inbox, StatusRequest, 5_000)).ok
     voters = sum(member.voter for member in status.members)
     return {
@@ -80,7 +96,7 @@
 
 @commands.register("latency")
 async def measure_latency(consensus, arguments):
-    """Proposes one after the other; returns the latencies in us."""
+    """Proposes one claim after another; returns the latencies in us."""
     latencies_us = []
     for number in range(int(arguments[0]) + WARM_UP_PROPOSALS):
         started_ns = time.monotonic_ns()
@@ -92,7 +108,7 @@
 
 @commands.register("throughput")
 async def measure_throughput(consensus, arguments):
-    """Proposes from many tasks at once; returns seconds and syncs."""
+    """Proposes from concurrent tasks; returns seconds, count and syncs."""
     count, tasks = int(arguments[0]), int(arguments[1])
     histogram = consensus.metrics.histograms["journal_write_ms"]
     syncs = histogram.get_total_count()
@@ -111,7 +127,7 @@
 
 
 async def serve_commands(consensus):
-    """Runs the commands of standard input until its end."""
+    """Runs the commands of standard input, one a line, until it ends."""
     buffer = b""
     async with trio.lowlevel.FdStream(0) as stream:
         async for data in stream:
@@ -125,7 +141,7 @@
 
 
 async def forward_deliveries(inbound, consensus):
-    """Passes the messages of the links to the consensus task."""
+    """Forwards the messages of the links to the consensus task."""
     async for delivery in inbound:
         if isinstance(delivery, Delivery):
             await consensus.inbox.put(delivery.message)
--- a/bench/table_exchange.py
+++ b/bench/table_exchange.py
@@ -1,9 +1,18 @@
 """Measures the traffic of the endpoint tables between entries.
 
-Runs 7 entries' tables in one process, joined by real links on 127.0.0.1,
-with 30 endpoints that announce each second. Prints what one entry sends:
-idle links, heartbeats only, changes each second, and the leases of the
-slots when every entry asks for shares of all endpoints.
+Runs the endpoint tables and share managers of 7 entries in one process,
+connected by real links on 127.0.0.1. 30 endpoints announce themselves to two
+entries each second.
+
+Each row of the output gives the frames and bytes a second that one entry
+sends, as the mean over all entries:
+
+- no endpoints: only the traffic of idle links and empty tables;
+- heartbeats only: announcements that change nothing;
+- two changes a second: each second one endpoint changes its number of slots
+  and another one returns to its usual number;
+- shares of all endpoints: no changes, but every entry requests shares of the
+  slots of all endpoints.
 """
 
 import argparse
@@ -25,7 +34,7 @@
 
 
 class EntryNode:
-    """One entry's table and its links."""
+    """The endpoint table, share manager and links of one entry."""
 
     def __init__(self, number, digest_ms):
         self.name = f"entry/n{number}"
@@ -44,12 +53,12 @@
         self.port = 0
 
     async def listen(self, nursery):
-        """Starts listening."""
+        """Listens on a free port, which is then in ``port``."""
         listeners = await nursery.start(listen, self.context, HOST, 0)
         self.port = listeners[0].socket.getsockname()[1]
 
     def start(self, nursery, nodes):
-        """Connects to all other nodes and runs the table."""
+        """Connects to all other entries and runs the table and shares."""
         for node in nodes:
             if node is not self:
                 dialer = Dialer(self.context, HOST, node.port)
@@ -83,7 +92,14 @@
 
 
 async def announce(nodes, endpoints, changing):
-    """Lets each endpoint announce to two entries each second."""
+    """Lets each endpoint announce itself to two entries each second.
+
+    Args:
+        nodes: The entries.
+        endpoints: Number of endpoints.
+        changing: List of one bool: whether one endpoint a second, in turn,
+            announces another number of slots.
+    """
     sequence = 0
     while True:
         sequence += 1
@@ -110,7 +126,7 @@
 
 
 async def request_shares(nodes, endpoints):
-    """Lets each entry ask for shares of all endpoints without demand."""
+    """Lets each entry request shares of all endpoints, without demand."""
     share_items = [(f"endpoint-{number}", 0, 0) for number in range(endpoints)]
     while True:
         for node in nodes:
@@ -119,7 +135,7 @@
 
 
 async def measure(nodes, seconds, label):
-    """Prints frames and bytes that one entry sends each second."""
+    """Prints the frames and bytes that an entry sends a second (mean)."""
     names = ("links_sent_frames", "links_sent_bytes")
     before = {
         name: sum(n.metrics.counters.get(name, 0) for n in nodes)
@@ -134,12 +150,12 @@
     ]
     print(
         f"{label}: {rates[0]:.1f} frames/s, {rates[1]:.0f} bytes/s "
-        f"sent by one of {len(nodes)} entries"
+        f"sent by each of {len(nodes)} entries (mean)"
     )
 
 
 async def main_task(options):
-    """Runs the measurements."""
+    """Starts the entries and takes the measurements one after another."""
     nodes = [EntryNode(n, options.digest_ms) for n in range(options.entries)]
     changing = [False]
     async with trio.open_nursery() as nursery:
@@ -162,7 +178,7 @@
 
 
 def main():
-    """Parses the options and runs."""
+    """Runs the benchmark."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--entries", type=int, default=7)
     parser.add_argument("--endpoints", type=int, default=30)
