Merge the wording of part bench

Change: comments, docstrings, log sentences, messages and names of the part; renames follow over the tree.

--- a/bench/job_waves.py
+++ b/bench/job_waves.py
@@ -1,30 +1,35 @@
-"""Measures a wave of submissions and its cancellation.
+"""Measures the planner when a team submits many jobs and cancels them.
 
 Usage: PYTHONPATH=.:tools:bench python bench/job_waves.py
 
 A team submits jobs to 20 pools of a fleet of 1,800 workers and cancels all of
-them at once. Processor time of this process is measured, on one core.
+them at once. All times are processor time of this process, on one core.
+
+Each row of the output gives the number of jobs, the time per submission in
+us, the time of a full plan in ms before the submissions and with the jobs,
+the time in ms to cancel all jobs, and the number of cancel commands that the
+planner returned.
 """
 
-from planning import SIZES, Bench
+from planning import SIZES, PlannerBench
 
 from wigeonport import plan_events as events
 from wigeonport.views import Size
 
 JOB_COUNTS = (1_000, 5_000, 10_000)
-POOLS = 20
+POOL_COUNT = 20
 TEAM = "team-0"
 
 
 def submit(bench, count):
-    """Submits jobs; returns the time in us."""
-    pools = list(bench.planner.view.fleet.pools)[:POOLS]
+    """Submits jobs; returns the processor time of all together, in us."""
+    pools = list(bench.planner.view.fleet.pools)[:POOL_COUNT]
     total_us = 0
     for number in range(count):
         job = events.JobSubmitted(
             f"wave-{number}",
             TEAM,
-            pools[number % POOLS],
+            pools[number % POOL_COUNT],
             "wave",
             Size(4, 8_192),
             60_000,
@@ -36,20 +41,22 @@
 
 
 def measure(count):
-    """Prints one row of the table."""
-    bench = Bench(*SIZES[-1])
-    idle_us = bench.pass_second()
+    """Prints the row of one number of jobs."""
+    bench = PlannerBench(*SIZES[-1])
+    plan_without_jobs_us = bench.advance_second()
     submit_us = submit(bench, count)
-    plan_us = bench.pass_second()
+    plan_with_jobs_us = bench.advance_second()
     commands, cancel_us = bench.step(events.JobsCancelled(team=TEAM))
-    cancels = sum(command.kind == "cancel_jobs" for command in commands)
+    cancel_command_count = sum(
+        command.kind == "cancel_jobs" for command in commands
+    )
     cells = (
         count,
         f"{submit_us / count:.0f}",
-        f"{idle_us / 1000:.1f}",
-        f"{plan_us / 1000:.1f}",
+        f"{plan_without_jobs_us / 1000:.1f}",
+        f"{plan_with_jobs_us / 1000:.1f}",
         f"{cancel_us / 1000:.1f}",
-        cancels,
+        cancel_command_count,
     )
     print("| " + " | ".join(map(str, cells)) + " |")
 
@@ -57,8 +64,8 @@
 def main():
     """Prints the table."""
     print(
-        "| jobs | submission (us each) | full plan before (ms) "
-        "| full plan with them (ms) | cancellation of all (ms) "
+        "| jobs | submission (us per job) | full plan before (ms) "
+        "| full plan with the jobs (ms) | cancellation of all jobs (ms) "
         "| cancel commands |"
     )
     print("|" + " --- |" * 6)
--- a/bench/plain_apps.py
+++ b/bench/plain_apps.py
@@ -1,4 +1,7 @@
-"""Apps without decisions, to compare an entry with.
+"""Baseline ASGI apps that entry_throughput.py compares an entry with.
+
+They make no routing decisions: ``direct`` answers by itself, ``relay`` passes
+each request on to one fixed endpoint.
 
 Usage: ``plain_apps.py direct|relay PORT [TARGET_PORT]``.
 """
@@ -15,36 +18,38 @@
 
 BODY = b'{"endpoint": "plain", "tag": ""}'
 MAX_CONNECTIONS = 64
-GRACE_MS = 1_000
+SHUTDOWN_GRACE_MS = 1_000
 
 
-async def send_whole(send, status, headers, body):
-    """Sends a whole response over ASGI."""
+async def send_response(send, status, headers, body):
+    """Sends a response over ASGI, with its whole body in one event."""
     start = {"type": "http.response.start", "status": status}
     await send({**start, "headers": headers})
     await send({"type": "http.response.body", "body": body})
 
 
-async def read_whole(receive):
+async def read_body(receive):
     """Returns the whole body of a request."""
-    body, more = b"", True
-    while more:
+    body, more_body = b"", True
+    while more_body:
         event = await receive()
         body += event.get("body", b"")
-        more = event.get("more_body", False)
+        more_body = event.get("more_body", False)
     return body
 
 
 @apps.register("direct")
 def make_direct(target_port):
-    """Returns an app that answers by itself."""
+    """Returns an app that answers each request itself with a fixed body."""
 
     async def app(scope, receive, send):
         if scope["type"] == "lifespan":
             return await answer_lifespan(receive, send)
-        await read_whole(receive)
+        await read_body(receive)
         length = str(len(BODY)).encode()
-        return await send_whole(send, 200, [(b"content-length", length)], BODY)
+        return await send_response(
+            send, 200, [(b"content-length", length)], BODY
+        )
 
     return app
 
@@ -60,12 +65,12 @@
     async def app(scope, receive, send):
         if scope["type"] == "lifespan":
             return await answer_lifespan(receive, send)
-        body = await read_whole(receive)
+        body = await read_body(receive)
         url = f"http://127.0.0.1:{target_port}" + scope["path"]
         response = await pool.request(
             scope["method"], url, headers=scope["headers"], content=body
         )
-        return await send_whole(
+        return await send_response(
             send, response.status, response.headers, response.content
         )
 
@@ -73,11 +78,18 @@
 
 
 def main():
-    """Serves the app."""
+    """Serves the app that the arguments name."""
     name, port, *target = sys.argv[1:]
     app = apps.get(name).ok(int(target[0]) if target else None)
-    # The server has the same settings as that of an entry.
-    trio.run(serve_http, app, "127.0.0.1", int(port), trio.Event(), GRACE_MS)
+    # An entry uses the same server and settings, so only the apps differ.
+    trio.run(
+        serve_http,
+        app,
+        "127.0.0.1",
+        int(port),
+        trio.Event(),
+        SHUTDOWN_GRACE_MS,
+    )
 
 
 if __name__ == "__main__":
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -2,9 +2,13 @@
 
 Usage: PYTHONPATH=.:tools python bench/policies.py
 
-Every row is one replay. The optimum is the least cost that any choice of
-moves could have with the whole demand known in advance and moves that take no
-time; it is found by exhaustive search over all states of all seconds.
+Every row is one replay of a trace, except for the optimum: the least cost that
+any choice of moves could have with the whole demand known in advance and moves
+that take no time. It is found by exhaustive search over all states of all
+seconds.
+
+For each deployment three tables are printed: borrowing and reserve policies by
+their cost in VM-seconds, orders of a maintenance wave, and placements of jobs.
 """
 
 import io
@@ -18,6 +22,8 @@
 from wigeonport.replays import replay_trace
 from wigeonport.traces import TraceReader
 
+# Maps the label of a row to the settings that differ from those of the trace.
+# "chosen" keeps the settings of the trace.
 POLICIES = {
     "chosen": {},
     "break-even only": {"borrow_policy": "break_even"},
@@ -25,7 +31,7 @@
     "own reserves (baseline)": {"reserve_policy": "per_service"},
     "never borrow": {"borrow_policy": "break_even", "move_price_s": 1e9},
 }
-ORDERS = ("zone_rack", "oldest_first")
+WAVE_ORDERS = ("zone_rack", "oldest_first")
 PLACEMENTS = {
     "chosen": {},
     "first fit, declared (baseline)": {
@@ -33,34 +39,39 @@
         "estimate_policy": "declared",
     },
 }
-PEAKS_S = (8, 20, 40)
-RESERVE = 2
+PEAK_DURATIONS_S = (8, 20, 40)
+# VMs of the spare pool that the optimum holds in reserve and never lends.
+RESERVE_VMS = 2
 
 
-class Case:
-    """One demand to replay.
+class TraceCase:
+    """One trace to replay.
 
     Attributes:
-        name: Name for the table.
-        text: The trace as text.
+        name: Label of the rows.
+        trace_text: The trace in its file format.
     """
 
-    __slots__ = ("name", "text")
+    __slots__ = ("name", "trace_text")
 
     def __init__(self, name, builder):
         file = io.StringIO()
         builder.write_to(file)
         self.name = name
-        self.text = file.getvalue()
+        self.trace_text = file.getvalue()
 
-    def read(self):
-        """Returns the Trace."""
-        return TraceReader(self.name).read(self.text.splitlines()).ok
+    def read_trace(self):
+        """Returns the parsed Trace."""
+        return TraceReader(self.name).read(self.trace_text.splitlines()).ok
 
 
 def replay(case, overrides):
-    """Returns the settings and the measures of one replay."""
-    trace = case.read()
+    """Returns the settings and the Measures of one replay.
+
+    Raises:
+        SystemExit: If the replay failed or violated an invariant.
+    """
+    trace = case.read_trace()
     result = replay_trace(trace, overrides)
     if result.is_error():
         raise SystemExit(str(result.error))
@@ -69,7 +80,7 @@
     return trace.header.settings, result.ok.measures
 
 
-def find_cost(settings, buffer_vm_s, shortage_vm_s, moves):
+def weighted_cost(settings, buffer_vm_s, shortage_vm_s, moves):
     """Returns the weighted cost in VM-seconds."""
     return (
         settings.weight_buffer * buffer_vm_s
@@ -78,74 +89,98 @@
     )
 
 
-def read_needs(trace):
-    """Returns the VMs that each pool needs in each second."""
-    spare = [
+def read_required_vms(trace):
+    """Returns for each second the list of VMs required by each pool."""
+    spare_pools = [
         pool.name
         for pool in trace.events[0].event.fleet.pools.values()
         if pool.spare
     ]
-    needs = {}
+    required_vms = {}
     for item in trace.events:
         event = item.event
-        if isinstance(event, DemandReported) and event.service not in spare:
+        if (
+            isinstance(event, DemandReported)
+            and event.service not in spare_pools
+        ):
             second = event.measured_ms // 1000
-            need = math.ceil(event.slots / SLOTS_PER_VM)
-            needs.setdefault(second, {})[event.service] = need
-    return [list(needs[second].values()) for second in sorted(needs)]
+            required = math.ceil(event.slots / SLOTS_PER_VM)
+            required_vms.setdefault(second, {})[event.service] = required
+    return [
+        list(required_vms[second].values()) for second in sorted(required_vms)
+    ]
 
 
 def find_optimum(trace):
-    """Returns buffer cost, shortage and moves of the best choice.
+    """Returns buffer cost, shortage and moves of the cheapest choice.
+
+    A state is the number of VMs lent to each pool. For each second, every
+    state is combined with every state of the second before.
 
-    A state is the number of VMs lent to each pool. All states of a second
-    are tried after all states of the second before.
+    Returns:
+        Buffer cost in VM-seconds, shortage in VM-seconds, number of moves.
     """
     settings = trace.header.settings
-    needs = read_needs(trace)
-    lendable = POOL_SIZE - SPARE_GUARANTEED - RESERVE
+    required_vms = read_required_vms(trace)
+    lendable = POOL_SIZE - SPARE_GUARANTEED - RESERVE_VMS
     states = [
         state
         for state in itertools.product(
-            range(lendable + 1), repeat=len(needs[0])
+            range(lendable + 1), repeat=len(required_vms[0])
         )
         if sum(state) <= lendable
     ]
-    best = {tuple([0] * len(needs[0])): (0.0, 0, 0, 0)}
-    for need in needs:
-        best = advance(settings, states, best, need)
-    cost, idle, short, moves = min(best.values())
-    return RESERVE * len(needs) + idle, short, moves
+    best_by_state = {tuple([0] * len(required_vms[0])): (0.0, 0, 0, 0)}
+    for required in required_vms:
+        best_by_state = extend_by_second(
+            settings, states, best_by_state, required
+        )
+    cost, idle, missing, moves = min(best_by_state.values())
+    return RESERVE_VMS * len(required_vms) + idle, missing, moves
 
 
-def advance(settings, states, best, need):
-    """Returns the best way to each state after one more second."""
-    reached = {}
+def extend_by_second(settings, states, best, required):
+    """Extends the cheapest choices by one second.
+
+    Args:
+        settings: Settings with the weights.
+        states: All states.
+        best: Maps each state to the least cost to reach it, and its idle
+            VM-seconds, missing VM-seconds and moves.
+        required: VMs required by each pool in the second.
+
+    Returns:
+        The same mapping as ``best``, one second later.
+    """
+    best_after = {}
     for state in states:
-        idle, short = count_idle_and_short(state, need)
-        ways = []
-        for before, (_, idle_before, short_before, moves) in best.items():
+        idle, missing = count_idle_and_missing(state, required)
+        candidates = []
+        for before, (_, idle_before, missing_before, moves) in best.items():
             total = (
                 idle_before + idle,
-                short_before + short,
+                missing_before + missing,
                 moves + count_moves(before, state),
             )
-            ways.append((find_cost(settings, *total), *total))
-        reached[state] = min(ways)
-    return reached
+            candidates.append((weighted_cost(settings, *total), *total))
+        best_after[state] = min(candidates)
+    return best_after
 
 
-def count_idle_and_short(state, need):
-    """Returns the idle borrowed VMs and the missing VMs of one second."""
-    idle = short = 0
-    for lent, needed in zip(state, need, strict=True):
+def count_idle_and_missing(state, required):
+    """Returns the idle borrowed VMs and the missing VMs of one second.
+
+    A pool needs at least 5 VMs, its guarantee.
+    """
+    idle = missing = 0
+    for lent, needed in zip(state, required, strict=True):
         idle += min(lent, max(POOL_SIZE + lent - max(needed, 5), 0))
-        short += max(needed - POOL_SIZE - lent, 0)
-    return idle, short
+        missing += max(needed - POOL_SIZE - lent, 0)
+    return idle, missing
 
 
 def count_moves(before, after):
-    """Returns the moves between two states."""
+    """Returns the number of VM moves from one state to another."""
     changes = [new - old for old, new in zip(before, after, strict=True)]
     arriving = sum(change for change in changes if change > 0)
     leaving = -sum(change for change in changes if change < 0)
@@ -158,13 +193,13 @@
 
 
 def print_header(*cells):
-    """Prints the head of a table."""
+    """Prints the header of a table."""
     print_row(*cells)
     print_row(*("---" for _ in cells))
 
 
 def print_capacity(deployment):
-    """Prints the table of lending policies."""
+    """Prints the table of borrowing and reserve policies."""
     print(f"\n### Capacity, {deployment.name}\n")
     print_header(
         "demand",
@@ -173,18 +208,18 @@
         "shortage (VM-s)",
         "longest move (s)",
         "moves",
-        "weighted cost",
+        "weighted cost (VM-s)",
     )
     cases = [
-        Case(f"rotation, {s} s", build_rotation(deployment, 1, s * 1000))
-        for s in PEAKS_S
+        TraceCase(f"rotation, {s} s", build_rotation(deployment, 1, s * 1000))
+        for s in PEAK_DURATIONS_S
     ]
     build = scenarios.entries["sustained_peak"]
-    cases.append(Case("one peak, 100 s", build(deployment, 1)))
+    cases.append(TraceCase("one peak, 100 s", build(deployment, 1)))
     for case in cases:
         for policy, overrides in POLICIES.items():
             settings, measures = replay(case, overrides)
-            sums = (
+            cost_terms = (
                 measures.buffer_vm_s,
                 measures.shortage_vm_s,
                 measures.moves,
@@ -192,21 +227,21 @@
             print_row(
                 case.name,
                 policy,
-                round(sums[0]),
-                round(sums[1]),
+                round(cost_terms[0]),
+                round(cost_terms[1]),
                 round(measures.move_ms / 1000, 1),
-                sums[2],
-                round(find_cost(settings, *sums)),
+                cost_terms[2],
+                round(weighted_cost(settings, *cost_terms)),
             )
-        settings = case.read().header.settings
-        optimum = find_optimum(case.read())
-        cost = find_cost(settings, *optimum)
-        buffer_vm_s, short, moves = optimum
+        settings = case.read_trace().header.settings
+        optimum = find_optimum(case.read_trace())
+        cost = weighted_cost(settings, *optimum)
+        buffer_vm_s, missing, moves = optimum
         print_row(
             case.name,
             "optimum in hindsight",
             buffer_vm_s,
-            short,
+            missing,
             0,
             moves,
             round(cost),
@@ -214,17 +249,19 @@
 
 
 def print_waves(deployment):
-    """Prints the table of orders of a wave."""
+    """Prints the table of orders of a maintenance wave."""
     print(f"\n### Maintenance wave, {deployment.name}\n")
     print_header(
         "order",
         "VMs maintained",
-        "time in more than one zone (s)",
-        "lowest available",
+        "maintenance in more than one zone (s)",
+        "lowest available VMs of a pool",
         "commands",
     )
-    case = Case("wave", scenarios.entries["scattered_wave"](deployment, 1))
-    for order in ORDERS:
+    case = TraceCase(
+        "wave", scenarios.entries["scattered_wave"](deployment, 1)
+    )
+    for order in WAVE_ORDERS:
         _, measures = replay(case, {"wave_order": order})
         print_row(
             order,
@@ -236,13 +273,17 @@
 
 
 def print_placements(deployment):
-    """Prints the table of placements."""
+    """Prints the table of job placement policies."""
     print(f"\n### Jobs, {deployment.name}\n")
     print_header(
-        "trace", "placement", "wait of all jobs (s)", "failed", "finished"
+        "trace",
+        "placement",
+        "total wait of all jobs (s)",
+        "failed tasks",
+        "finished jobs",
     )
     for name in ("wrong_sizes", "bad_workers"):
-        case = Case(name, scenarios.entries[name](deployment, 1))
+        case = TraceCase(name, scenarios.entries[name](deployment, 1))
         for placement, overrides in PLACEMENTS.items():
             _, measures = replay(case, overrides)
             print_row(
@@ -255,7 +296,7 @@
 
 
 def main():
-    """Prints all tables."""
+    """Prints all tables of each deployment."""
     for deployment in DEPLOYMENTS.values():
         print_capacity(deployment)
         print_waves(deployment)
