Rename by_operator to operator_must_resume

Cause: the flag marks a pause that only an operator can end, also one that a failed reboot caused Change: by_operator to operator_must_resume; 11 uses in 4 files, by token. Result: every touched file compiles; behaviour is unchanged.

--- a/wigeonport/fleet_events.py
+++ b/wigeonport/fleet_events.py
@@ -182,7 +182,7 @@
 def handle_steering(view, event, now_ms):
     """Applies an operator's pause, resume or maintenance request."""
     if event.action == "pause":
-        view.wave.pause("paused by an operator", by_operator=True)
+        view.wave.pause("paused by an operator", operator_must_resume=True)
     elif event.action == "resume":
         view.wave.resume()
         view.wave.failures = []
--- a/wigeonport/operations.py
+++ b/wigeonport/operations.py
@@ -239,7 +239,8 @@
         return end_operation(view, operation, "maintained")
     if now_ms - operation.since_ms > view.settings.reboot_bound_ms:
         view.wave.pause(
-            f"{vm.name} did not return from its reboot", by_operator=True
+            f"{vm.name} did not return from its reboot",
+            operator_must_resume=True,
         )
         reason = "the reboot exceeded its bound"
         return end_operation(view, operation, reason, healthy=False)
--- a/wigeonport/wave_states.py
+++ b/wigeonport/wave_states.py
@@ -7,7 +7,7 @@
     Attributes:
         failures: Times of recent VM failures in ms.
         pause_reason: Why maintenance is paused, or "".
-        by_operator: Whether only an operator can end the pause.
+        operator_must_resume: Whether only an operator can end the pause.
         zone: Zone whose VMs are maintained now, or None.
         reported: Pause reason last reported to operators, or "" if none.
         completed: Number of VMs maintained so far.
@@ -16,7 +16,7 @@
     __slots__ = (
         "failures",
         "pause_reason",
-        "by_operator",
+        "operator_must_resume",
         "zone",
         "reported",
         "completed",
@@ -25,7 +25,7 @@
     def __init__(self):
         self.failures = []
         self.pause_reason = ""
-        self.by_operator = False
+        self.operator_must_resume = False
         self.zone = None
         self.reported = ""
         self.completed = 0
@@ -40,14 +40,14 @@
             failed_ms for failed_ms in self.failures if failed_ms >= before_ms
         ]
 
-    def pause(self, reason, by_operator=False):
+    def pause(self, reason, operator_must_resume=False):
         """Pauses maintenance; keeps a pause that only an operator can end."""
-        if self.pause_reason and self.by_operator:
+        if self.pause_reason and self.operator_must_resume:
             return
         self.pause_reason = reason
-        self.by_operator = by_operator
+        self.operator_must_resume = operator_must_resume
 
     def resume(self):
         """Ends a pause."""
         self.pause_reason = ""
-        self.by_operator = False
+        self.operator_must_resume = False
--- a/wigeonport/waves.py
+++ b/wigeonport/waves.py
@@ -39,7 +39,11 @@
     if not wave.pause_reason and recent >= settings.wave_pause_failures:
         seconds = settings.wave_failure_window_ms // 1000
         wave.pause(f"{recent} VMs failed within {seconds} s")
-    if wave.pause_reason and not wave.by_operator and not wave.failures:
+    if (
+        wave.pause_reason
+        and not wave.operator_must_resume
+        and not wave.failures
+    ):
         wave.resume()
 
 
