Rename handle_steering to handle_maintenance_control

Cause: the handler applies MaintenanceControlled events; steering is a word of no field Change: handle_steering to handle_maintenance_control; 1 uses in 1 files, by token. Result: every touched file compiles; behaviour is unchanged.

--- a/wigeonport/fleet_events.py
+++ b/wigeonport/fleet_events.py
@@ -179,7 +179,7 @@
 
 
 @event_handlers.register(MaintenanceControlled)
-def handle_steering(view, event, now_ms):
+def handle_maintenance_control(view, event, now_ms):
     """Applies an operator's pause, resume or maintenance request."""
     if event.action == "pause":
         view.wave.pause("paused by an operator", operator_must_resume=True)
