Rename reserve_basis to reserve_sized_for

Cause: the mapping holds the available VMs for which the reserve was sized Change: reserve_basis to reserve_sized_for; 7 uses in 4 files, by token.

--- a/tests/test_capacities.py
+++ b/tests/test_capacities.py
@@ -146,7 +146,7 @@
     """
     run.view.fleet.services["crusade"].guaranteed = 0
     run.view.fleet.services["roster"].guaranteed = 0
-    run.view.reserve_basis = None
+    run.view.reserve_sized_for = None
     commands_by_second = []
     for _ in range(peak_s):
         report_demand(run, 60)
--- a/wigeonport/fleet_events.py
+++ b/wigeonport/fleet_events.py
@@ -25,7 +25,7 @@
     """
     old = view.fleet
     view.fleet = event.fleet
-    view.reserve_basis = None
+    view.reserve_sized_for = None
     apply_fleet_settings(view)
     for name, vm in event.fleet.vms.items():
         if name in old.vms:
--- a/wigeonport/plan_views.py
+++ b/wigeonport/plan_views.py
@@ -23,7 +23,7 @@
         jobs: JobTable of all jobs.
         faults: WorkerFaults: the task outcomes of each worker.
         reserve: Latest Reserve, or None before the first full plan.
-        reserve_basis: Maps pool name to the available VMs for which the
+        reserve_sized_for: Maps pool name to the available VMs for which the
             reserve was last sized; None to size it anew.
         borrow_scores: Maps pool name to the scores of its capacity levels.
         peaks: PeakRecords of the pools.
@@ -47,7 +47,7 @@
         "jobs",
         "faults",
         "reserve",
-        "reserve_basis",
+        "reserve_sized_for",
         "borrow_scores",
         "peaks",
         "scores_updated_ms",
@@ -67,7 +67,7 @@
         self.jobs = JobTable(settings)
         self.faults = WorkerFaults()
         self.reserve = None
-        self.reserve_basis = None
+        self.reserve_sized_for = None
         self.borrow_scores = {}
         self.peaks = PeakRecords()
         self.scores_updated_ms = None
--- a/wigeonport/reserves.py
+++ b/wigeonport/reserves.py
@@ -162,9 +162,9 @@
     if not view.plans_all_pools():
         return []
     available_by_pool = find_available(view, now_ms)
-    if available_by_pool == view.reserve_basis:
+    if available_by_pool == view.reserve_sized_for:
         return []
-    view.reserve_basis = available_by_pool
+    view.reserve_sized_for = available_by_pool
     reserve = size_reserve(view, available_by_pool, now_ms)
     if reserve.equals(view.reserve):
         return []
