Rename forget_available to drop_available

Cause: the method drops cached entries, like drop_failures Change: forget_available to drop_available; 6 uses in 3 files, by token.

--- a/wigeonport/operations.py
+++ b/wigeonport/operations.py
@@ -88,7 +88,7 @@
 def add_operation(view, operation):
     """Adds an operation; its VM is unavailable until the operation ends."""
     view.operations[operation.vm] = operation
-    view.forget_available(operation.vm)
+    view.drop_available(operation.vm)
 
 
 def start_maintenance(view, vm, now_ms):
@@ -120,7 +120,7 @@
 def end_operation(view, operation, reason, healthy=True):
     """Ends an operation; returns the release of its grant, if needed."""
     view.operations.pop(operation.vm, None)
-    view.forget_available(operation.vm)
+    view.drop_available(operation.vm)
     grant = view.grants.pop(operation.vm, None)
     if operation.kind == OPERATOR_DRAIN:
         # The grant of an operator's drain is ended by the operator.
--- a/wigeonport/plan_views.py
+++ b/wigeonport/plan_views.py
@@ -32,7 +32,7 @@
         scope: Names of the pools to plan, or None for all.
         available: Maps pool name to its available VMs while a plan runs, else
             None. Code that changes the availability of a VM must call
-            ``forget_available``.
+            ``drop_available``.
     """
 
     __slots__ = (
@@ -78,7 +78,7 @@
         """Returns whether the leader lease lasts longer than the margin."""
         return now_ms + self.settings.leader_margin_ms < self.lease_until_ms
 
-    def forget_available(self, vm_name):
+    def drop_available(self, vm_name):
         """Discards the available VMs computed for the pool of a VM."""
         vm = self.fleet.vms.get(vm_name)
         if self.available and vm is not None:
--- a/wigeonport/worker_faults.py
+++ b/wigeonport/worker_faults.py
@@ -121,7 +121,7 @@
 def quarantine(view, vm, now_ms):
     """Quarantines a worker; its failures no longer count against the jobs."""
     vm.quarantined = True
-    view.forget_available(vm.name)
+    view.drop_available(vm.name)
     record = view.faults.find_or_create(vm.name)
     record.quarantined_ms = now_ms
     for name in record.failures_ms:
@@ -141,7 +141,7 @@
     if now_ms - record.quarantined_ms < view.settings.quarantine_ms:
         return []
     vm.quarantined = False
-    view.forget_available(vm.name)
+    view.drop_available(vm.name)
     record.failures_ms.clear()
     record.quarantined_ms = None
     return [ReleaseWorker(vm.name, "the quarantine has ended")]
