Rename protect_levels to protect_guaranteed_level

Cause: the function protects one level, that of the guarantee Change: protect_levels to protect_guaranteed_level; 2 uses in 1 files, by token. Result: every touched file compiles; behaviour is unchanged.

--- a/wigeonport/borrowings.py
+++ b/wigeonport/borrowings.py
@@ -114,7 +114,7 @@
             if vm is None:
                 return commands
             commands.extend(start_move(view, vm, pool.name, now_ms))
-        protect_levels(view, pool)
+        protect_guaranteed_level(view, pool)
     return commands
 
 
@@ -141,7 +141,7 @@
     return vm.state == READY and vm.unsettled_until_ms > now_ms
 
 
-def protect_levels(view, pool):
+def protect_guaranteed_level(view, pool):
     """Sets the guaranteed level's score to the upper bound.
 
     The VMs just borrowed are then not returned before the score has fallen.
