Rename propose_drained to propose_drain_confirmation

Cause: the proposal confirms a drain Change: propose_drained to propose_drain_confirmation; 1 uses in 1 files, by token. Result: every touched file compiles; behaviour is unchanged.

--- a/wigeonport/plan_proposals.py
+++ b/wigeonport/plan_proposals.py
@@ -111,7 +111,7 @@
 
 @proposals.register(ConfirmVmDrain)
 @proposals.register(RebootVm)
-def propose_drained(command, view, state, now_ms):
+def propose_drain_confirmation(command, view, state, now_ms):
     """Confirms a drain; a reboot is sent to the platform only after that."""
     grant = state.maintenance.find_grant(command.vm)
     return [] if grant is None else [ConfirmDrain(grant.id, command.vm)]
