Rename step to last_action

Cause: a step is a part of a job; the attribute names the last action of a preemption, which stays in memory Change: step to last_action; 9 uses in 1 files, by token.

--- a/wigeonport/preemptions.py
+++ b/wigeonport/preemptions.py
@@ -25,10 +25,10 @@
         victims: Maps the id of each job to be preempted to the number of its
             attempt.
         started_ms: Start of the preemption.
-        step: Last step taken: ``checkpoint``, ``throttle`` or ``stop``.
+        last_action: Last step taken: ``checkpoint``, ``throttle`` or ``stop``.
     """
 
-    __slots__ = ("vm", "job", "size", "victims", "started_ms", "step")
+    __slots__ = ("vm", "job", "size", "victims", "started_ms", "last_action")
 
     def __init__(self, vm, job, size, victims, started_ms):
         self.vm = vm
@@ -36,7 +36,7 @@
         self.size = size
         self.victims = victims
         self.started_ms = started_ms
-        self.step = CHECKPOINT
+        self.last_action = CHECKPOINT
 
 
 def start_preemption(view, pool, job, size, now_ms):
@@ -154,16 +154,16 @@
 def escalate(view, preemption, now_ms):
     """Throttles, then stops the victims that have not yielded in time."""
     elapsed_ms = now_ms - preemption.started_ms
-    step = preemption.step
-    if elapsed_ms >= view.settings.preempt_bound_ms and step != STOP:
-        preemption.step = STOP
+    last_action = preemption.last_action
+    if elapsed_ms >= view.settings.preempt_bound_ms and last_action != STOP:
+        preemption.last_action = STOP
         return [
             StopTask(victim.name, victim.vm, victim.attempt)
             for victim in find_remaining(view, preemption)
         ]
     bound_ms = view.settings.checkpoint_bound_ms
-    if elapsed_ms >= bound_ms and step == CHECKPOINT:
-        preemption.step = THROTTLE
+    if elapsed_ms >= bound_ms and last_action == CHECKPOINT:
+        preemption.last_action = THROTTLE
         return [
             throttle_command(view, victim)
             for victim in find_remaining(view, preemption)
