Correct planner docstrings that differ from the code

Cause: a second reading found docstrings that the code contradicts (the driver's reaction to applied commands, the confirmation of platform commands, the quota of a missing team, the data the reserve depends on) and terms used for two things (step, overdue, slots). Change: these docstrings, and a few long or figurative ones, say what the code does; local names follow.

--- a/wigeonport/borrow_policies.py
+++ b/wigeonport/borrow_policies.py
@@ -12,7 +12,7 @@
 
 
 class PoolNeed:
-    """Capacity and need of one pool in the present plan.
+    """Capacity and need of one pool in the current plan.
 
     Attributes:
         pool: PoolView.
--- a/wigeonport/borrowings.py
+++ b/wigeonport/borrowings.py
@@ -17,7 +17,7 @@
         wants: Maps pool name to the number of VMs to borrow.
         only_transfers: Names of pools for which a VM is worth one move but
             not two: they take VMs that are idle in other pools, but none from
-            a spare pool, which must be moved back later.
+            a spare pool, because those must be moved back later.
         returns: Borrowed VMs that their pools no longer need.
         idle: Borrowed VMs that other pools may take; if none does, they
             stay where they are.
--- a/wigeonport/fleet_events.py
+++ b/wigeonport/fleet_events.py
@@ -39,8 +39,8 @@
     restore_operations(view, event.grants, now_ms)
     view.jobs.requeue_unrunnable(event.fleet)
     logger.info("Fleet version loaded.", version=event.fleet.version)
-    granted = {view.fleet.vms[name].pool for name in view.operations}
-    return sorted(find_changed_pools(old, event.fleet) | granted)
+    in_operation = {view.fleet.vms[name].pool for name in view.operations}
+    return sorted(find_changed_pools(old, event.fleet) | in_operation)
 
 
 def find_changed_pools(old, new):
--- a/wigeonport/fleet_records.py
+++ b/wigeonport/fleet_records.py
@@ -179,7 +179,7 @@
 
 @SECTIONS.register("teams")
 class Team:
-    """A team and the resources that its jobs may claim."""
+    """A team and the resources that its jobs may use."""
 
     __slots__ = ("id", "processors", "memory_mb", "accelerators")
     FIELDS = (
--- a/wigeonport/forecasts.py
+++ b/wigeonport/forecasts.py
@@ -1,4 +1,4 @@
-"""Forecasts each service's present demand from delayed reports."""
+"""Forecasts each service's current demand from delayed reports."""
 
 import math
 
--- a/wigeonport/job_events.py
+++ b/wigeonport/job_events.py
@@ -49,7 +49,7 @@
 
 
 def find_unknown_name(view, submitted):
-    """Returns which name in a submission is not in the fleet, or ""."""
+    """Returns which pool or team of a job does not exist, as text, or ""."""
     if submitted.pool not in view.fleet.pools:
         return f"there is no pool {submitted.pool}"
     if submitted.team not in view.fleet.teams:
--- a/wigeonport/job_tables.py
+++ b/wigeonport/job_tables.py
@@ -181,7 +181,7 @@
         self.yielding[job.name] = None
 
     def add_team_cores(self, job, cores):
-        """Adds cores to those reserved for the job's team; may be negative."""
+        """Adds cores, maybe a negative number, to those of the job's team."""
         team = job.submitted.team
         self.team_cores[team] = self.team_cores.get(team, 0) + cores
 
@@ -261,15 +261,15 @@
                 job.state = LOST
 
     def requeue_unrunnable(self, fleet):
-        """Queues the jobs that were unrunnable on the earlier fleet."""
-        never = [
+        """Queues the unrunnable jobs whose pool and team the fleet has."""
+        unrunnable = [
             job
             for job in self.ended_jobs.values()
             if job.state == UNRUNNABLE
             and job.submitted.pool in fleet.pools
             and job.submitted.team in fleet.teams
         ]
-        for job in never:
+        for job in unrunnable:
             del self.ended_jobs[job.name]
             self.jobs[job.name] = job
             self.by_team.setdefault(job.submitted.team, {})[job.name] = None
--- a/wigeonport/operations.py
+++ b/wigeonport/operations.py
@@ -1,6 +1,6 @@
 """State machine of the operation on a VM; a VM has at most one at a time.
 
-Each kind of operation passes through these steps:
+Each kind of operation passes through these phases:
 
 - Maintenance: grant, drain, reboot, ready.
 - Move: grant, drain, change of pool committed by the log, preparation,
@@ -148,10 +148,10 @@
 
 
 def advance_operation(view, operation, now_ms):
-    """Advances one operation by a step if the step's condition holds.
+    """Advances an operation to its next phase if the current one is done.
 
     Returns:
-        The commands of the step and of a renewal of the grant.
+        The commands that follow, and a renewal of the grant if it is due.
     """
     vm = view.fleet.vms[operation.vm]
     if vm.state == FAILED:
--- a/wigeonport/patches.py
+++ b/wigeonport/patches.py
@@ -35,7 +35,7 @@
         id: Chosen by the author; a resend carries the same id.
         against_version: Version that the author has seen.
         author: Name of the operator or policy.
-        reason: Why the fleet is changed, as a text.
+        reason: Reason for the change.
         operations: Operations in order.
         source_map: Maps key paths to places in the source, for findings.
     """
--- a/wigeonport/peaks.py
+++ b/wigeonport/peaks.py
@@ -5,8 +5,7 @@
 
 MAX_PEAKS_PER_POOL = 5
 MAX_SHARED_PEAKS = 20
-# Fewer peaks of other pools say too little: a single unusual one would decide
-# for every pool.
+# A single unusual peak must not decide for all other pools.
 MIN_SHARED_PEAKS = 2
 
 
@@ -14,7 +13,7 @@
     """Peaks of one pool: periods in which it needs more than its own VMs.
 
     Attributes:
-        started_ms: Start of the present peak, or None outside a peak.
+        started_ms: Start of the current peak, or None outside a peak.
         lengths_ms: Lengths of the last ``MAX_PEAKS_PER_POOL`` peaks, oldest
             first.
     """
@@ -68,7 +67,7 @@
         return self.records.setdefault(pool_name, PeakRecord())
 
     def expected_remaining_ms(self, pool_name, now_ms):
-        """Returns the expected rest of the present peak of a pool.
+        """Returns the expected rest of the current peak of a pool.
 
         The expected length is the median of the pool's earlier peaks. For a
         pool without earlier peaks, those of the other pools are used, because
--- a/wigeonport/placements.py
+++ b/wigeonport/placements.py
@@ -21,7 +21,7 @@
 
 
 class CandidateWorker:
-    """A worker that may take tasks in the present plan.
+    """A worker that may take tasks in the current plan.
 
     Attributes:
         vm: The VmView.
@@ -113,7 +113,7 @@
         return True
 
     def find_size(self, job):
-        """Returns the estimated size of a job from the cache."""
+        """Returns the estimated size of a job; computes it once per plan."""
         submitted = job.submitted
         key = (submitted.team, submitted.job_kind, str(submitted.declared))
         if key not in self.sizes:
@@ -133,7 +133,10 @@
         )
 
     def exceeds_quota(self, job, size):
-        """Returns whether the job would exceed the quota of its team."""
+        """Returns whether the job would exceed its team's quota.
+
+        The quota of a team that no longer exists is exceeded.
+        """
         team = self.view.fleet.teams.get(job.submitted.team)
         if team is None:
             return True
@@ -204,10 +207,7 @@
 
 
 def find_unrunnable_reason(view, pool, size):
-    """Returns why a size fits on no VM of the pool, even an idle one.
-
-    Returns "" if it fits on one.
-    """
+    """Returns why a size fits on no VM of the pool, even when idle, or ""."""
     vms = view.fleet.members(pool.name)
     if any(size.fits(vm.size) for vm in vms):
         return ""
--- a/wigeonport/plan_commands.py
+++ b/wigeonport/plan_commands.py
@@ -10,7 +10,7 @@
 
 
 class Command:
-    """Base class of all commands; the planner sets id and term.
+    """Base class of all commands; the ledger sets id and term.
 
     Attributes:
         command_id: ``term-number``; a repeated id has no second effect.
@@ -145,7 +145,7 @@
 
 @register("move_vm", LOG)
 class MoveVm(Command):
-    """Changes the pool of a drained VM in one step."""
+    """Changes the pool of a drained VM, or removes the VM."""
 
     __slots__ = ("vm", "source", "destination")
 
@@ -250,7 +250,7 @@
 
 @register("throttle_task", PLATFORM)
 class ThrottleTask(Command):
-    """Limits a task to a share of its processors; 1 removes the limit."""
+    """Limits a task to a share of its cores; 1 removes the limit."""
 
     __slots__ = ("job", "vm", "attempt", "share")
 
--- a/wigeonport/plan_drivers.py
+++ b/wigeonport/plan_drivers.py
@@ -155,10 +155,11 @@
             dialer.post(report)
 
     async def handle_applied(self, notice):
-        """Reacts to state changes that others than the planner made.
+        """Reacts to a command that was applied to the replicated state.
 
-        A pause or resume of all maintenance becomes an event; changes of the
-        fleet, its grants or its workers cause the fleet to be read again.
+        A pause or resume of all maintenance becomes an event. A new fleet
+        version, the return of a worker, and a grant that is not the
+        planner's cause the fleet to be read again.
         """
         command, answer = notice.command, notice.answer
         if type(command) in ACTION_BY_COMMAND and command.scope == "all":
--- a/wigeonport/plan_proposals.py
+++ b/wigeonport/plan_proposals.py
@@ -1,7 +1,8 @@
 """Translates the planner's commands to commands of the replicated log.
 
-One command may need several proposals. They are proposed in order until one
-is refused; the command is confirmed once all are committed.
+One command may need several proposals. They are proposed in order, and the
+first refusal refuses the command. Once all are committed, a command for the
+log is confirmed, and one for the platform is sent to it.
 """
 
 import json
@@ -51,8 +52,8 @@
 def propose_grant(command, view, state, now_ms):
     """Renews the planner's live grant, or requests a new one.
 
-    A move to a pool that the version in force does not assign needs a patch
-    before the request.
+    If the version in force does not assign the VM to the destination of a
+    move, a patch that does is proposed first.
     """
     lease_ms = max(command.until_ms - now_ms, 1)
     live_grant = state.maintenance.find_grant(command.vm)
--- a/wigeonport/plan_registries.py
+++ b/wigeonport/plan_registries.py
@@ -1,9 +1,9 @@
 """Registries of the planner's stages, handlers and policies.
 
 A stage is ``plan(view, now_ms, random) -> list[Command]``. An event handler
-is ``handle(view, event, now_ms) -> names of the pools to plan, or None for
-all``. A confirmation handler is ``confirm(view, command, now_ms)``; a refusal
-handler has the same parameters.
+is ``handle(view, event, now_ms)``; it returns the names of the pools to plan,
+or None for all. A confirmation handler is ``confirm(view, command, now_ms)``;
+a refusal handler has the same parameters.
 """
 
 from wigeonport.registries import Registry
--- a/wigeonport/plan_settings.py
+++ b/wigeonport/plan_settings.py
@@ -40,7 +40,7 @@
     "wave_pause_failures": 2,
     "wave_failure_window_ms": 60_000,
     "wave_quiet_ms": 60_000,
-    # Time until a refused grant is requested again.
+    # A refused grant is not requested again before this time has passed.
     "grant_retry_ms": 60_000,
     "grant_lease_ms": 120_000,
     "drain_bound_ms": 60_000,
--- a/wigeonport/preemptions.py
+++ b/wigeonport/preemptions.py
@@ -25,7 +25,7 @@
         victims: Maps the id of each job to be preempted to the number of its
             attempt.
         started_ms: Start of the preemption.
-        last_action: Last step taken: ``checkpoint``, ``throttle`` or ``stop``.
+        last_action: ``checkpoint``, ``throttle`` or ``stop``.
     """
 
     __slots__ = ("vm", "job", "size", "victims", "started_ms", "last_action")
@@ -71,7 +71,7 @@
 
 
 def start_yielding(view, victim, now_ms):
-    """Returns a checkpoint command, or a throttle if the task can't."""
+    """Returns the command to checkpoint a task, else one to throttle it."""
     if victim.submitted.can_checkpoint:
         view.jobs.mark_yielding(victim, now_ms)
         return CheckpointTask(victim.name, victim.vm, victim.attempt)
@@ -87,7 +87,7 @@
 def find_victims(view, vm, size, now_ms):
     """Returns the lost core-ms and the victims that free enough room.
 
-    Returns None if the tasks that may be preempted don't free enough. Those
+    Returns None if the tasks that may be preempted don't free enough. Tasks
     that lose the least work are chosen first.
     """
     table = view.jobs
--- a/wigeonport/previews.py
+++ b/wigeonport/previews.py
@@ -152,7 +152,7 @@
 
 
 def list_moves(old, new):
-    """Returns a Move for each old VM that changes pools or is removed."""
+    """Returns a Move for each VM that changes pools or is removed."""
     moves = []
     for id in sorted(old.workers):
         after = new.workers.get(id)
--- a/wigeonport/reserves.py
+++ b/wigeonport/reserves.py
@@ -131,7 +131,7 @@
 
 
 def count_uncovered(zones, held):
-    """Returns the VMs short after the worst zone loss, reserve included."""
+    """Returns how many VMs the reserve lacks after the worst zone loss."""
     worst = 0
     for zone in zones.by_domain:
         deficit = sum(zones.find_deficits(zone).values())
@@ -141,7 +141,7 @@
 
 
 def find_available(view, now_ms):
-    """Maps pool name to its available VMs; the size depends on these only."""
+    """Maps pool name to its available VMs, on which the size depends."""
     return {
         name: available_vms(view, name, now_ms) for name in view.fleet.pools
     }
--- a/wigeonport/view_builders.py
+++ b/wigeonport/view_builders.py
@@ -17,7 +17,7 @@
     WeightsView,
 )
 
-# Author of the planner's patches; by it the history shows which VMs are lent.
+# Author of the planner's patches, by which lent VMs are found in the history.
 PLANNER_AUTHOR = "wigeonport-planner"
 MS_PER_HOUR = 3_600_000
 WORKERS = "workers"
--- a/wigeonport/wave_states.py
+++ b/wigeonport/wave_states.py
@@ -1,8 +1,8 @@
-"""State of the maintenance wave: pause, present zone, recent failures."""
+"""State of the maintenance wave."""
 
 
 class WaveState:
-    """Pause, present zone and recent failures of the maintenance wave.
+    """Pause, current zone and recent failures of the maintenance wave.
 
     Attributes:
         failures: Times of recent VM failures in ms.
--- a/wigeonport/waves.py
+++ b/wigeonport/waves.py
@@ -1,4 +1,4 @@
-"""Stage of maintenance waves: chooses VMs, pauses and resumes."""
+"""Stage that runs maintenance waves: chooses VMs, pauses and resumes."""
 
 from wigeonport.availabilities import (
     available_vms,
@@ -17,7 +17,7 @@
 
 @stages.register("waves")
 def plan(view, now_ms, random):
-    """Updates the pause, revokes grants, and in a full plan starts VMs."""
+    """Pauses, resumes, revokes and, in a full plan, starts maintenance."""
     update_pause(view, now_ms)
     commands = report_change(view)
     if view.wave.pause_reason:
@@ -105,15 +105,15 @@
     running = sum(
         operation.kind == MAINTENANCE for operation in view.operations.values()
     )
-    free_slots = view.settings.wave_parallel - running
-    if free_slots <= 0:
+    free_count = view.settings.wave_parallel - running
+    if free_count <= 0:
         return []
     commands = []
     for vm in find_due_vms(view, now_ms):
         if may_grant(view, vm, now_ms):
             commands.extend(start_maintenance(view, vm, now_ms))
-            free_slots -= 1
-        if free_slots == 0:
+            free_count -= 1
+        if free_count == 0:
             break
     return commands
 
@@ -159,24 +159,24 @@
 
 @wave_orders.register("zone_rack")
 def order_by_zone_and_rack(view, due, now_ms):
-    """Orders VMs by one zone at a time, and within it rack by rack.
+    """Orders VMs one zone at a time, and rack by rack within the zone.
 
     The loss of another zone then meets no VM in maintenance there, and a rack
     is finished before the next one starts. VMs past their due time come
     first, whatever their zone.
     """
-    overdue = [vm for vm in due if vm.due_ms <= now_ms]
-    overdue.sort(key=lambda vm: (vm.due_ms, vm.name))
+    past_due = [vm for vm in due if vm.due_ms <= now_ms]
+    past_due.sort(key=lambda vm: (vm.due_ms, vm.name))
     zones = {vm.zone for vm in due} | zones_in_maintenance(view)
     if view.wave.zone not in zones:
         first = min(due, key=lambda vm: (vm.due_ms, vm.zone), default=None)
         view.wave.zone = first.zone if first else None
     if zones_in_maintenance(view) - {view.wave.zone}:
         # Maintenance in the previous zone must end first.
-        return overdue
+        return past_due
     due_in_zone = [vm for vm in due if vm.zone == view.wave.zone]
     due_in_zone.sort(key=lambda vm: (vm.rack, vm.due_ms, vm.name))
-    return overdue + [vm for vm in due_in_zone if vm.due_ms > now_ms]
+    return past_due + [vm for vm in due_in_zone if vm.due_ms > now_ms]
 
 
 def zones_in_maintenance(view):
