Name the failure in docstrings of fleet and planner tests

Cause: some test docstrings named the accepted state and not the failure, or were ambiguous. Change: docstrings only.

--- a/tests/test_fleets.py
+++ b/tests/test_fleets.py
@@ -58,7 +58,7 @@
 
 
 def test_vm_listed_twice_is_refused(fleet_document):
-    """Fails if a fleet lists the same VM in two pools (R2)."""
+    """Fails if a fleet with the same VM in two pools is accepted (R2)."""
     twice = dict(fleet_document["workers"][0], pool="notices")
     fleet_document["workers"].append(twice)
     text = str(fleet_from_document(fleet_document).error)
@@ -66,7 +66,7 @@
 
 
 def test_capacity_above_the_pool_size_is_refused(fleet_document):
-    """Fails if services are promised more workers than the pool has (R1)."""
+    """Fails if more workers may be promised than the pool has (R1)."""
     fleet_document["services"][0]["capacity_workers"] = 5
     text = str(fleet_from_document(fleet_document).error)
     assert "has 4 workers, its services are promised 5" in text
@@ -76,7 +76,7 @@
     ("workers", "allowed"), [(4, 1), (3, 0), (2, 0), (40, 1)]
 )
 def test_budget_never_cuts_into_the_promised_capacity(fleet, workers, allowed):
-    """Fails if the budget allows less than the promised capacity (R1).
+    """Fails if the budget leaves less than the promised capacity (R1).
 
     With fewer workers than promised plus budget, fewer may be unavailable.
     """
@@ -95,7 +95,7 @@
 
 
 def test_window_runs_past_midnight(fleet):
-    """Fails if a window closes at the end of the day it opens."""
+    """Fails if a window closes at the end of the day on which it opens."""
     window = fleet.windows["ikeja-night"]
     open_hours = [h for h in range(48) if window.contains(h * MS_PER_HOUR)]
     assert open_hours == [0, 23, 24, 47]
--- a/tests/test_patch_histories.py
+++ b/tests/test_patch_histories.py
@@ -1,4 +1,4 @@
-"""The checker of patch histories finds each kind of violation."""
+"""Tests that the checker of patch histories finds each violation."""
 
 import patch_histories
 import pytest
--- a/tests/test_patches.py
+++ b/tests/test_patches.py
@@ -119,7 +119,7 @@
 
 
 def test_removing_too_many_workers_is_refused(fleet, make_patch):
-    """Fails if a patch leaves a pool fewer workers than promised (R1)."""
+    """Fails if a patch may leave a pool fewer workers than promised (R1)."""
     removals = [
         {"operation": "remove_worker", "id": f"vm-{n}"} for n in (1, 2)
     ]
--- a/tests/test_planners.py
+++ b/tests/test_planners.py
@@ -126,9 +126,10 @@
 
 
 def test_expired_grant_returns_the_vm(make_run):
-    """The planner must not reboot a VM whose grant another may hold.
+    """A VM must not be rebooted once its grant has expired.
 
-    Once a renewal is not confirmed, the grant expires during the drain.
+    Others may use its budget then. The grant expires during the drain,
+    because its renewal is not confirmed.
     """
     run = make_run(grant_lease_ms=9_000)
     start_drain(run, "roster-ikeja-1")
@@ -196,8 +197,8 @@
 def test_wave_keeps_headroom_for_a_loss(make_run, budget):
     """A wave must not use up the whole budget of a pool.
 
-    An unplanned loss would then break the guarantee. A budget of one VM is
-    used, because the pool could never be maintained otherwise.
+    An unplanned loss would then break the guarantee. A budget of a single VM
+    is the exception, because the pool could never be maintained otherwise.
     """
     run = make_run()
     run.view.fleet.services["roster"].guaranteed = 6 - budget
