Use one term for a grant and one for a full plan

Cause: the planner's docstrings called a grant also a lease, and the demand of a service also its use, although it includes queued requests; full plan and hold were not explained where they are defined. Change: docstrings only.

--- a/wigeonport/forecasts.py
+++ b/wigeonport/forecasts.py
@@ -10,7 +10,7 @@
     """Demand of one service.
 
     Attributes:
-        level: Slots in use at the last measurement.
+        level: Slots demanded at the last measurement.
         slope: Change of the level in slots per ms.
         mean: Exponentially weighted mean of the level in slots; the time
             constant is the demand window.
--- a/wigeonport/job_events.py
+++ b/wigeonport/job_events.py
@@ -151,7 +151,7 @@
 
 
 def find_failure_cause(view, job):
-    """Returns the reason to blame a job for its failures, or "".
+    """Returns why the failures of a job count as its own, or "".
 
     Only failures on workers that finish other jobs count against a job.
     """
--- a/wigeonport/plan_commands.py
+++ b/wigeonport/plan_commands.py
@@ -111,7 +111,7 @@
 
 @register("request_grant", LOG)
 class RequestVmGrant(Command):
-    """Requests or renews a lease that permits taking a VM out of service.
+    """Requests or renews a grant, which permits taking a VM out of service.
 
     Attributes:
         vm: Name of the VM.
@@ -132,7 +132,7 @@
 
 @register("release_grant", LOG)
 class ReleaseGrant(Command):
-    """Ends the lease of a VM and tells whether the VM is healthy."""
+    """Ends the grant of a VM and tells whether the VM is healthy."""
 
     __slots__ = ("vm", "healthy", "reason")
 
--- a/wigeonport/plan_events.py
+++ b/wigeonport/plan_events.py
@@ -25,7 +25,7 @@
 
     Attributes:
         fleet: FleetView of the version.
-        grants: GrantViews of the live leases.
+        grants: GrantViews of the live grants.
     """
 
     __slots__ = ("fleet", "grants")
--- a/wigeonport/plan_views.py
+++ b/wigeonport/plan_views.py
@@ -92,5 +92,5 @@
         return [pools[name] for name in self.scope if name in pools]
 
     def plans_all_pools(self):
-        """Returns whether every pool is planned."""
+        """Returns whether this is a full plan, which covers every pool."""
         return self.scope is None
--- a/wigeonport/views.py
+++ b/wigeonport/views.py
@@ -78,7 +78,8 @@
         due_ms: Time by which the VM must have been maintained.
         maintained_ms: Time of the last maintenance, or None if unknown.
         moved_ms: Time of the last change of pool.
-        unsettled_until_ms: End of the hold time after a repair or reboot.
+        unsettled_until_ms: End of the hold after a repair or reboot; until
+            then the VM does not count as available.
         closed_until_ms: Time before which no maintenance may start, because
             no window is open or the log has just refused a grant.
         missing: Whether the zone's last report did not include the VM.
@@ -195,7 +196,7 @@
 
 
 class GrantView:
-    """A live lease that permits taking a VM out of service.
+    """A live grant, which permits taking a VM out of service.
 
     Attributes:
         vm: Name of the VM.
