Rename reported to reported_reason

Cause: the attribute holds the pause reason that was reported last Change: reported to reported_reason; 5 uses in 2 files, by token.

--- a/wigeonport/wave_states.py
+++ b/wigeonport/wave_states.py
@@ -9,7 +9,7 @@
         pause_reason: Why maintenance is paused, or "".
         operator_must_resume: Whether only an operator can end the pause.
         zone: Zone whose VMs are maintained now, or None.
-        reported: Pause reason last reported to operators, or "" if none.
+        reported_reason: Pause reason last reported to operators, or "" if none.
         completed: Number of VMs maintained so far.
     """
 
@@ -18,7 +18,7 @@
         "pause_reason",
         "operator_must_resume",
         "zone",
-        "reported",
+        "reported_reason",
         "completed",
     )
 
@@ -27,7 +27,7 @@
         self.pause_reason = ""
         self.operator_must_resume = False
         self.zone = None
-        self.reported = ""
+        self.reported_reason = ""
         self.completed = 0
 
     def record_failure(self, now_ms):
--- a/wigeonport/waves.py
+++ b/wigeonport/waves.py
@@ -50,9 +50,9 @@
 def report_change(view):
     """Returns a report if the pause has changed since the last report."""
     wave = view.wave
-    if wave.reported == wave.pause_reason:
+    if wave.reported_reason == wave.pause_reason:
         return []
-    wave.reported = wave.pause_reason
+    wave.reported_reason = wave.pause_reason
     if wave.pause_reason:
         return [ReportWave("paused", wave.pause_reason)]
     return [ReportWave("resumed", "no failures within the quiet time")]
