--- a/wigeonport/wave_states.py
+++ b/wigeonport/wave_states.py
@@ -9,7 +9,7 @@
         pause_reason: Why maintenance is paused, or "".
         operator_must_resume: Whether only an operator can end the pause.
         zone: Zone whose VMs are maintained now, or None.
-        reported_reason: Pause reason last reported to operators, or "" if none.
+        reported_reason: Pause reason last reported to operators, or "".
         completed: Number of VMs maintained so far.
     """
 
