--- a/wigeonport/plan_drivers.py
+++ b/wigeonport/plan_drivers.py
@@ -157,9 +157,9 @@
     async def handle_applied(self, notice):
         """Reacts to a command that was applied to the replicated state.
 
-        A pause or resume of all maintenance becomes an event. A new fleet
-        version, the return of a worker, and a grant that is not the
-        planner's cause the fleet to be read again.
+        A pause or resume of all maintenance becomes an event. The fleet is
+        read again after a new version, the return of a worker, or a change
+        of a grant that is not the planner's.
         """
         command, answer = notice.command, notice.answer
         if type(command) in ACTION_BY_COMMAND and command.scope == "all":
