--- a/wigeonport/borrowings.py
+++ b/wigeonport/borrowings.py
@@ -17,7 +17,7 @@
         wants: Maps pool name to the number of VMs to borrow.
         only_transfers: Names of pools for which a VM is worth one move but
             not two: they take VMs that are idle in other pools, but none from
-            a spare pool, which must be moved back later.
+            a spare pool, because those must be moved back later.
         returns: Borrowed VMs that their pools no longer need.
         idle: Borrowed VMs that other pools may take; if none does, they
             stay where they are.
@@ -114,7 +114,7 @@
             if vm is None:
                 return commands
             commands.extend(start_move(view, vm, pool.name, now_ms))
-        protect_levels(view, pool)
+        protect_guaranteed_level(view, pool)
     return commands
 
 
@@ -141,7 +141,7 @@
     return vm.state == READY and vm.unsettled_until_ms > now_ms
 
 
-def protect_levels(view, pool):
+def protect_guaranteed_level(view, pool):
     """Sets the guaranteed level's score to the upper bound.
 
     The VMs just borrowed are then not returned before the score has fallen.
--- a/wigeonport/fleet_events.py
+++ b/wigeonport/fleet_events.py
@@ -25,7 +25,7 @@
     """
     old = view.fleet
     view.fleet = event.fleet
-    view.reserve_basis = None
+    view.reserve_sized_for = None
     apply_fleet_settings(view)
     for name, vm in event.fleet.vms.items():
         if name in old.vms:
@@ -39,8 +39,8 @@
     restore_operations(view, event.grants, now_ms)
     view.jobs.requeue_unrunnable(event.fleet)
     logger.info("Fleet version loaded.", version=event.fleet.version)
-    granted = {view.fleet.vms[name].pool for name in view.operations}
-    return sorted(find_changed_pools(old, event.fleet) | granted)
+    in_operation = {view.fleet.vms[name].pool for name in view.operations}
+    return sorted(find_changed_pools(old, event.fleet) | in_operation)
 
 
 def find_changed_pools(old, new):
@@ -179,10 +179,10 @@
 
 
 @event_handlers.register(MaintenanceControlled)
-def handle_steering(view, event, now_ms):
+def handle_maintenance_control(view, event, now_ms):
     """Applies an operator's pause, resume or maintenance request."""
     if event.action == "pause":
-        view.wave.pause("paused by an operator", by_operator=True)
+        view.wave.pause("paused by an operator", operator_must_resume=True)
     elif event.action == "resume":
         view.wave.resume()
         view.wave.failures = []
--- a/wigeonport/job_events.py
+++ b/wigeonport/job_events.py
@@ -49,7 +49,7 @@
 
 
 def find_unknown_name(view, submitted):
-    """Returns which name in a submission is not in the fleet, or ""."""
+    """Returns which pool or team of a job does not exist, as text, or ""."""
     if submitted.pool not in view.fleet.pools:
         return f"there is no pool {submitted.pool}"
     if submitted.team not in view.fleet.teams:
@@ -151,7 +151,7 @@
 
 
 def find_failure_cause(view, job):
-    """Returns the reason to blame a job for its failures, or "".
+    """Returns why the failures of a job count as its own, or "".
 
     Only failures on workers that finish other jobs count against a job.
     """
--- a/wigeonport/operations.py
+++ b/wigeonport/operations.py
@@ -1,6 +1,6 @@
 """State machine of the operation on a VM; a VM has at most one at a time.
 
-Each kind of operation passes through these steps:
+Each kind of operation passes through these phases:
 
 - Maintenance: grant, drain, reboot, ready.
 - Move: grant, drain, change of pool committed by the log, preparation,
@@ -88,7 +88,7 @@
 def add_operation(view, operation):
     """Adds an operation; its VM is unavailable until the operation ends."""
     view.operations[operation.vm] = operation
-    view.forget_available(operation.vm)
+    view.drop_available(operation.vm)
 
 
 def start_maintenance(view, vm, now_ms):
@@ -120,7 +120,7 @@
 def end_operation(view, operation, reason, healthy=True):
     """Ends an operation; returns the release of its grant, if needed."""
     view.operations.pop(operation.vm, None)
-    view.forget_available(operation.vm)
+    view.drop_available(operation.vm)
     grant = view.grants.pop(operation.vm, None)
     if operation.kind == OPERATOR_DRAIN:
         # The grant of an operator's drain is ended by the operator.
@@ -148,10 +148,10 @@
 
 
 def advance_operation(view, operation, now_ms):
-    """Advances one operation by a step if the step's condition holds.
+    """Advances an operation to its next phase if the current one is done.
 
     Returns:
-        The commands of the step and of a renewal of the grant.
+        The commands that follow, and a renewal of the grant if it is due.
     """
     vm = view.fleet.vms[operation.vm]
     if vm.state == FAILED:
@@ -239,7 +239,8 @@
         return end_operation(view, operation, "maintained")
     if now_ms - operation.since_ms > view.settings.reboot_bound_ms:
         view.wave.pause(
-            f"{vm.name} did not return from its reboot", by_operator=True
+            f"{vm.name} did not return from its reboot",
+            operator_must_resume=True,
         )
         reason = "the reboot exceeded its bound"
         return end_operation(view, operation, reason, healthy=False)
--- a/wigeonport/plan_views.py
+++ b/wigeonport/plan_views.py
@@ -23,7 +23,7 @@
         jobs: JobTable of all jobs.
         faults: WorkerFaults: the task outcomes of each worker.
         reserve: Latest Reserve, or None before the first full plan.
-        reserve_basis: Maps pool name to the available VMs for which the
+        reserve_sized_for: Maps pool name to the available VMs for which the
             reserve was last sized; None to size it anew.
         borrow_scores: Maps pool name to the scores of its capacity levels.
         peaks: PeakRecords of the pools.
@@ -32,7 +32,7 @@
         scope: Names of the pools to plan, or None for all.
         available: Maps pool name to its available VMs while a plan runs, else
             None. Code that changes the availability of a VM must call
-            ``forget_available``.
+            ``drop_available``.
     """
 
     __slots__ = (
@@ -47,7 +47,7 @@
         "jobs",
         "faults",
         "reserve",
-        "reserve_basis",
+        "reserve_sized_for",
         "borrow_scores",
         "peaks",
         "scores_updated_ms",
@@ -67,7 +67,7 @@
         self.jobs = JobTable(settings)
         self.faults = WorkerFaults()
         self.reserve = None
-        self.reserve_basis = None
+        self.reserve_sized_for = None
         self.borrow_scores = {}
         self.peaks = PeakRecords()
         self.scores_updated_ms = None
@@ -78,7 +78,7 @@
         """Returns whether the leader lease lasts longer than the margin."""
         return now_ms + self.settings.leader_margin_ms < self.lease_until_ms
 
-    def forget_available(self, vm_name):
+    def drop_available(self, vm_name):
         """Discards the available VMs computed for the pool of a VM."""
         vm = self.fleet.vms.get(vm_name)
         if self.available and vm is not None:
@@ -92,5 +92,5 @@
         return [pools[name] for name in self.scope if name in pools]
 
     def plans_all_pools(self):
-        """Returns whether every pool is planned."""
+        """Returns whether this is a full plan, which covers every pool."""
         return self.scope is None
--- a/wigeonport/reserves.py
+++ b/wigeonport/reserves.py
@@ -131,7 +131,7 @@
 
 
 def count_uncovered(zones, held):
-    """Returns the VMs short after the worst zone loss, reserve included."""
+    """Returns how many VMs the reserve lacks after the worst zone loss."""
     worst = 0
     for zone in zones.by_domain:
         deficit = sum(zones.find_deficits(zone).values())
@@ -141,7 +141,7 @@
 
 
 def find_available(view, now_ms):
-    """Maps pool name to its available VMs; the size depends on these only."""
+    """Maps pool name to its available VMs, on which the size depends."""
     return {
         name: available_vms(view, name, now_ms) for name in view.fleet.pools
     }
@@ -162,9 +162,9 @@
     if not view.plans_all_pools():
         return []
     available_by_pool = find_available(view, now_ms)
-    if available_by_pool == view.reserve_basis:
+    if available_by_pool == view.reserve_sized_for:
         return []
-    view.reserve_basis = available_by_pool
+    view.reserve_sized_for = available_by_pool
     reserve = size_reserve(view, available_by_pool, now_ms)
     if reserve.equals(view.reserve):
         return []
