Rename sort_deliveries to route_deliveries

Cause: the entry's task of the same purpose is called route_deliveries Change: sort_deliveries to route_deliveries; 2 uses in 1 files, by token. Result: every touched file compiles; behaviour is unchanged.

--- a/wigeonport/control_main.py
+++ b/wigeonport/control_main.py
@@ -102,7 +102,7 @@
         self.plans = Mailbox("plans", PLANNER_MAILBOX_BOUND, DROP_OLDEST)
 
 
-async def sort_deliveries(inbound, mailboxes, consensus):
+async def route_deliveries(inbound, mailboxes, consensus):
     """Passes each message of the links to the task that handles it."""
     async for delivery in inbound:
         if isinstance(delivery, LinkClosed):
@@ -198,7 +198,7 @@
         adapter.propose, settings.claim_timeout_ms, program.metrics
     )
     nursery.start_soon(
-        sort_deliveries, mailboxes.deliveries, mailboxes, consensus.inbox
+        route_deliveries, mailboxes.deliveries, mailboxes, consensus.inbox
     )
     nursery.start_soon(
         publish,
