Rename 3 names: make_share_manager, first_grant_delay_ms and others

Cause: the class is ShareManager, its parameter first_grant_delay_ms; the old names are those of a former class and parameter Change: make_share_book to make_share_manager, settling_ms to first_grant_delay_ms, SETTLING_MARGIN_MS to FIRST_GRANT_MARGIN_MS; 7 uses in 2 files, by token. Result: every touched file compiles; behaviour is unchanged.

--- a/wigeonport/entry_main.py
+++ b/wigeonport/entry_main.py
@@ -21,7 +21,7 @@
     make_exchange,
     make_peer_links,
     make_router,
-    make_share_book,
+    make_share_manager,
 )
 from wigeonport.exchanges import run_table_exchange
 from wigeonport.histories import record_history
@@ -105,7 +105,7 @@
         run_share_manager,
         mailboxes.shares,
         mailboxes.routing,
-        make_share_book(program, context),
+        make_share_manager(program, context),
         peers,
         program.clock,
         SHARE_TICK_MS,
--- a/wigeonport/entry_parts.py
+++ b/wigeonport/entry_parts.py
@@ -15,7 +15,7 @@
 # Connections to one endpoint, idle or in use, by all entries together.
 MAX_CONNECTIONS_PER_ENDPOINT = 64
 # Time for a table digest to reach all entries.
-SETTLING_MARGIN_MS = 200
+FIRST_GRANT_MARGIN_MS = 200
 
 
 def make_control_links(program, context, configuration):
@@ -131,18 +131,18 @@
     return Router(settings.availability_zone, limits)
 
 
-def make_share_book(program, context):
+def make_share_manager(program, context):
     """Returns the ShareBook, which grants and holds leases on slots.
 
     An entry without peers owns all endpoints, so it grants at once. Others
     wait until all entries have had time to learn who owns an endpoint.
     """
     settings = program.settings
-    settling_ms = settings.table_digest_ms + SETTLING_MARGIN_MS
+    first_grant_delay_ms = settings.table_digest_ms + FIRST_GRANT_MARGIN_MS
     return ShareManager(
         context.identity.node_id,
         settings.share_lease_ms,
-        settling_ms if settings.peers else 0,
+        first_grant_delay_ms if settings.peers else 0,
         settings.share_policy,
     )
 
