Rename places to locations

Cause: findings have a location Change: places to locations; 2 uses in 1 files, by token. Result: every touched file compiles; behaviour is unchanged.

--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -45,8 +45,8 @@
         '{"at_ms":9,"kind":"fleet","fleet":{"version":1}}',
         "[]",
     )
-    places = [finding.location for finding in result.error.items]
-    lines = {int(location.split(":")[1]) for location in places}
+    locations = [finding.location for finding in result.error.items]
+    lines = {int(location.split(":")[1]) for location in locations}
     assert lines == {2, 3, 4, 5, 7, 8, 9, 10}
 
 
