Rename 2 names: test_new_run_follows_the_earlier_run, test_checks_refuse_conflicting_settings and others

Cause: the names were figurative or vague Change: test_restarted_process_stays_behind_its_past to test_new_run_follows_the_earlier_run, test_checks_refuse_what_cannot_work to test_checks_refuse_conflicting_settings; 2 uses in 2 files, by token.

--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -60,7 +60,7 @@
     ]
 
 
-def test_restarted_process_stays_behind_its_past():
+def test_new_run_follows_the_earlier_run():
     """Events of a new run must come after those of the earlier run.
 
     A Lamport counter that restarts at 0 would number them below.
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -102,7 +102,7 @@
         ({"host": None}, "host: expected a text, found nothing"),
     ],
 )
-def test_checks_refuse_what_cannot_work(document, change, text):
+def test_checks_refuse_conflicting_settings(document, change, text):
     """Settings that contradict each other must be refused at the start.
 
     Otherwise they fail only when the program uses them.
