Rename place to location, where to field_location

Cause: findings have a location, so the parameter that becomes one should not be called a place Change: place to location, where to field_location; 58 uses in 5 files, by token.

--- a/wigeonport/expectations.py
+++ b/wigeonport/expectations.py
@@ -34,15 +34,15 @@
     """One line of an expect file.
 
     Attributes:
-        place: File and line number, for reports.
+        location: File and line number, for reports.
         kind: Name in the registry ``expectations``.
         fields: The JSON fields of the line except ``expect``.
     """
 
-    __slots__ = ("place", "kind", "fields")
+    __slots__ = ("location", "kind", "fields")
 
-    def __init__(self, place, kind, fields):
-        self.place = place
+    def __init__(self, location, kind, fields):
+        self.location = location
         self.kind = kind
         self.fields = fields
 
@@ -122,42 +122,42 @@
         return findings.result(None)
     for number, line in enumerate(lines, 1):
         if line.strip():
-            place = f"{path}:{number}"
-            expected.append(read_expectation(line, findings, place))
+            location = f"{path}:{number}"
+            expected.append(read_expectation(line, findings, location))
     return findings.result(expected)
 
 
-def read_expectation(line, findings, place):
+def read_expectation(line, findings, location):
     """Returns the Expectation of a line; adds findings if it is bad."""
     try:
         document = json.loads(line)
     except ValueError as error:
-        findings.add(place, f"is not JSON: {error}")
+        findings.add(location, f"is not JSON: {error}")
         return None
     if not isinstance(document, dict):
-        findings.add(place, "must be a JSON object")
+        findings.add(location, "must be a JSON object")
         return None
     kind = document.pop("expect", None)
     kind_result = expectations.get(kind)
     if kind_result.is_error():
-        findings.add(f"{place}: expect", kind_result.error)
+        findings.add(f"{location}: expect", kind_result.error)
         return None
-    check_fields(FIELD_RULES[kind], document, findings, place)
-    return Expectation(place, kind, document)
+    check_fields(FIELD_RULES[kind], document, findings, location)
+    return Expectation(location, kind, document)
 
 
-def check_fields(field_rules, document, findings, place):
+def check_fields(field_rules, document, findings, location):
     """Adds a finding for each unknown, invalid or missing field."""
     for name, value in document.items():
         if name not in field_rules.checks:
-            findings.add(f"{place}: {name}", "is not a known field")
+            findings.add(f"{location}: {name}", "is not a known field")
         elif not field_rules.checks[name](value):
             findings.add(
-                f"{place}: {name}", f"has the invalid value {value!r}"
+                f"{location}: {name}", f"has the invalid value {value!r}"
             )
     for name in field_rules.required:
         if name not in document:
-            findings.add(f"{place}: {name}", "is missing")
+            findings.add(f"{location}: {name}", "is missing")
 
 
 def describe_breach(fields, value):
@@ -197,7 +197,7 @@
         )
     )
     text = f"{len(matching)} commands match {description}, {breach}"
-    return [Difference(line, f"{text} ({expectation.place})")]
+    return [Difference(line, f"{text} ({expectation.location})")]
 
 
 def matches(command, at_ms, fields):
@@ -233,7 +233,7 @@
     if not breach:
         return []
     name = " ".join((fields["name"], fields.get("key", ""))).strip()
-    text = f"{name} is {value}, {breach} ({expectation.place})"
+    text = f"{name} is {value}, {breach} ({expectation.location})"
     return [Difference(record.line_at(None), text)]
 
 
@@ -249,5 +249,5 @@
     extra = [text for text in actual if text not in expected]
     if not missing and not extra:
         missing = ["the same commands in another order or number"]
-    text = f"missing {missing}, unexpected {extra} ({expectation.place})"
+    text = f"missing {missing}, unexpected {extra} ({expectation.location})"
     return [Difference(line, text)]
--- a/wigeonport/plan_settings.py
+++ b/wigeonport/plan_settings.py
@@ -81,12 +81,12 @@
             setattr(self, name, overrides.get(name, default))
 
 
-def read_plan_settings(document, place) -> Result:
+def read_plan_settings(document, location) -> Result:
     """Checks a mapping of settings.
 
     Args:
         document: Maps name to value; names left out keep their defaults.
-        place: Key path of the mapping, for findings.
+        location: Key path of the mapping, for findings.
 
     Returns:
         PlanSettings, or Findings for every wrong name or value.
@@ -95,7 +95,7 @@
     for name, value in document.items():
         fault = find_fault(name, value)
         if fault:
-            findings.add(f"{place}.{name}", fault)
+            findings.add(f"{location}.{name}", fault)
     if findings:
         return findings.result(None)
     return findings.result(PlanSettings(**document))
--- a/wigeonport/planners.py
+++ b/wigeonport/planners.py
@@ -159,13 +159,13 @@
         return commands
 
 
-def build_planner(settings, place="plan") -> Result:
+def build_planner(settings, location="plan") -> Result:
     """Returns a Planner, or findings about policies that do not exist."""
     findings = Findings()
     for setting, registry in POLICIES.items():
         policy = registry.get(getattr(settings, setting))
         if policy.is_error():
-            findings.add(f"{place}.{setting}", policy.error)
+            findings.add(f"{location}.{setting}", policy.error)
     if findings:
         return findings.result(None)
     return findings.result(Planner(settings))
--- a/wigeonport/trace_kinds.py
+++ b/wigeonport/trace_kinds.py
@@ -173,14 +173,14 @@
         self.event_class = event_class
         self.fields = fields
 
-    def decode(self, document, findings, place):
+    def decode(self, document, findings, location):
         """Returns the event; adds findings and returns None if it is bad."""
         before = len(findings.items)
         field_names = {field.name for field in self.fields}
         for name in document.keys() - field_names - {"kind", "at_ms"}:
-            findings.add(f"{place}: {name}", "is not a known field")
+            findings.add(f"{location}: {name}", "is not a known field")
         values = {
-            field.name: decode_field(field, document, findings, place)
+            field.name: decode_field(field, document, findings, location)
             for field in self.fields
         }
         if len(findings.items) > before:
@@ -195,23 +195,23 @@
         }
 
 
-def decode_field(field, document, findings, place):
+def decode_field(field, document, findings, location):
     """Returns the value or default of a field; adds a finding if bad."""
-    where = f"{place}: {field.name}"
+    field_location = f"{location}: {field.name}"
     if field.name not in document:
         if field.default is REQUIRED:
-            findings.add(where, "is missing")
+            findings.add(field_location, "is missing")
         return field.default
     value = document[field.name]
     if not field.type.accepts(value):
-        findings.add(where, field.type.requirement)
+        findings.add(field_location, field.type.requirement)
         return None
     try:
         return field.type.decode(value)
     except KeyError as error:
-        findings.add(where, f"has no field or entry {error}")
+        findings.add(field_location, f"has no field or entry {error}")
     except (TypeError, ValueError, AttributeError) as error:
-        findings.add(where, f"{field.type.requirement}: {error}")
+        findings.add(field_location, f"{field.type.requirement}: {error}")
     return None
 
 
--- a/wigeonport/traces.py
+++ b/wigeonport/traces.py
@@ -121,64 +121,64 @@
 
     def read_line(self, line_number, line):
         """Decodes one line as the header or an event."""
-        place = f"{self.name}:{line_number}"
+        location = f"{self.name}:{line_number}"
         try:
             document = json.loads(line)
         except ValueError as error:
-            self.findings.add(place, f"is not JSON: {error}")
+            self.findings.add(location, f"is not JSON: {error}")
             return
         if not isinstance(document, dict):
-            self.findings.add(place, "must be a JSON object")
+            self.findings.add(location, "must be a JSON object")
         elif self.header is None:
-            self.read_header(document, place)
+            self.read_header(document, location)
         else:
-            self.read_event(line_number, document, place)
+            self.read_event(line_number, document, location)
 
-    def read_header(self, document, place):
+    def read_header(self, document, location):
         """Decodes the first line, which must be the header."""
         if document.get("kind") != HEADER_KIND:
             self.findings.add(
-                place, 'the first line must be the header (kind "header")'
+                location, 'the first line must be the header (kind "header")'
             )
         elif document.get("format") != FORMAT:
-            self.findings.add(f"{place}: format", f"must be {FORMAT}")
-        self.header = decode_header(document, self.findings, place)
+            self.findings.add(f"{location}: format", f"must be {FORMAT}")
+        self.header = decode_header(document, self.findings, location)
 
-    def read_event(self, line_number, document, place):
+    def read_event(self, line_number, document, location):
         """Decodes an event; events must be in order of time."""
         kind_result = trace_kinds.get(document.get("kind"))
         if kind_result.is_error():
-            self.findings.add(f"{place}: kind", kind_result.error)
+            self.findings.add(f"{location}: kind", kind_result.error)
             return
         at_ms = document.get("at_ms")
         if not is_integer(at_ms):
-            self.findings.add(f"{place}: at_ms", "must be a whole number")
+            self.findings.add(f"{location}: at_ms", "must be a whole number")
             return
         if at_ms < self.at_ms:
             reason = f"is before the previous event at {self.at_ms}"
-            self.findings.add(f"{place}: at_ms", reason)
-        event = kind_result.ok.decode(document, self.findings, place)
+            self.findings.add(f"{location}: at_ms", reason)
+        event = kind_result.ok.decode(document, self.findings, location)
         self.at_ms = at_ms
         self.events.append(TraceEvent(line_number, at_ms, event))
 
 
-def decode_header(document, findings, place):
+def decode_header(document, findings, location):
     """Returns the TraceHeader; adds a finding for each bad field."""
     numbers = {"seed": 0, "tick_ms": 1_000, "end_ms": 0}
     for name, default in numbers.items():
         numbers[name] = document.get(name, default)
         if not is_integer(numbers[name]) or numbers[name] < 0:
-            findings.add(f"{place}: {name}", "must be a whole number, >= 0")
+            findings.add(f"{location}: {name}", "must be a whole number, >= 0")
     settings = PlanSettings()
     settings_result = read_plan_settings(
-        document.get("settings", {}), f"{place}: settings"
+        document.get("settings", {}), f"{location}: settings"
     )
     if settings_result.is_error():
         findings.extend(settings_result.error)
     else:
         settings = settings_result.ok
     answer_delays = decode_answer_delays(
-        document.get("answers"), findings, place
+        document.get("answers"), findings, location
     )
     deployment = str(document.get("deployment", ""))
     return TraceHeader(
@@ -191,17 +191,17 @@
     )
 
 
-def decode_answer_delays(document, findings, place):
+def decode_answer_delays(document, findings, location):
     """Returns the delays, defaults included; None if ``document`` is None."""
     if document is None:
         return None
     answer_delays = dict(DEFAULT_ANSWER_DELAYS)
     for name, value in document.items():
         if name not in DEFAULT_ANSWER_DELAYS:
-            findings.add(f"{place}: answers.{name}", "is not a known delay")
+            findings.add(f"{location}: answers.{name}", "is not a known delay")
         elif not is_integer(value) or value < 0:
-            where = f"{place}: answers.{name}"
-            findings.add(where, "must be a whole number, >= 0")
+            field_location = f"{location}: answers.{name}"
+            findings.add(field_location, "must be a whole number, >= 0")
         answer_delays[name] = value
     return answer_delays
 
