Mend reasons and terms in the foundations and the programs

Cause: a second reading found a lost purpose (SIGHUP asks for a reload of the settings), a comment on MAX_INTEGER and one on the margin before the first grant that the code does not support, a docstring that named a former class, and the word 'sorter' for route_deliveries. Change: comments and docstrings only.

--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -63,7 +63,7 @@
 def test_new_run_follows_the_earlier_run():
     """Events of a new run must come after those of the earlier run.
 
-    A Lamport counter that restarts at 0 would number them below.
+    With a Lamport counter that restarts at 0 they would come first.
     """
     clock = ManualClock(1_000)
     first = make_log("a", clock)
@@ -89,7 +89,7 @@
 
 
 def test_several_sources_of_one_process_are_joined(clock):
-    """An event that two sources of a process contain is listed once."""
+    """An event that two sources of a process contain must be listed once."""
     log = make_log("a", clock)
     log.record("one")
     before = events_of(log)
@@ -143,7 +143,10 @@
 
 
 def test_slow_writer_leaves_a_gap_in_the_file(tmp_path, clock, monkeypatch):
-    """Events that the full mailbox of the writer refuses become a gap."""
+    """Events that the writer's full mailbox refuses must not vanish silently.
+
+    A gap event takes their place in the file.
+    """
     monkeypatch.setattr(events_module, "WRITER_BOUND", 2)
     path = tmp_path / "events.jsonl"
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -185,7 +185,7 @@
 def test_short_or_missing_keys_are_findings(tmp_path):
     """A short or missing key must be a finding.
 
-    Otherwise a link could be joined by guessing its key.
+    Otherwise anybody could join a link, without a key or by guessing it.
     """
     (tmp_path / "short.key").write_text("short")
     paths = [str(tmp_path / n) for n in ("short.key", "absent.key")]
--- a/wigeonport/control_main.py
+++ b/wigeonport/control_main.py
@@ -58,10 +58,10 @@
     """The bounded mailboxes between the tasks of the control.
 
     Attributes:
-        deliveries: From the links to the task that sorts their messages.
+        deliveries: From the links to ``route_deliveries``.
         publisher: Subscriptions, version reports, fleet versions and closed
             links, for the publisher.
-        claims: From the sorter to the claim broker.
+        claims: From ``route_deliveries`` to the claim broker.
         requests: From the operators' port to the state adapter.
         notices: From the consensus task to the version watcher.
         history: From the consensus task to the event recorder.
--- a/wigeonport/documents.py
+++ b/wigeonport/documents.py
@@ -12,7 +12,7 @@
 # Functions ``(value, field)`` that return a Result of the checked value.
 VALUE_READERS = Registry("kind of value")
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,127}")
-# JSON readers that use doubles keep integers exact up to this size.
+# A float holds every integer up to this size exactly.
 MAX_INTEGER = 2**53
 MAX_TEXT_BYTES = 4_096
 
@@ -106,8 +106,8 @@
             path: Key path as a tuple.
             text: Description of the fault.
             related_record: Section and id of another record that is involved
-                in the fault, or None; unused here, but reporters of patches
-                locate the finding by it.
+                in the fault, or None. Only reporters of patches use it, to
+                locate the finding.
         """
         del related_record
         self.findings.add(self.source_map.at(path), text)
--- a/wigeonport/entry_main.py
+++ b/wigeonport/entry_main.py
@@ -34,8 +34,8 @@
 
 TABLE_TICK_MS = 100
 SHARE_TICK_MS = 20
-# The requests that still wait are answered this long before the grace period
-# of the shutdown ends.
+# Time before the end of the shutdown's grace period at which requests that
+# still wait are answered.
 FINAL_ANSWERS_MS = 500
 
 
@@ -43,19 +43,20 @@
     """The bounded mailboxes between the tasks of the entry.
 
     Attributes:
-        deliveries: From the links to the task that sorts their messages.
-        configurations: From the sorter to the task that applies fleet
-            versions.
-        peers: From the sorter and the announcements port to the endpoint
-            table.
+        deliveries: From the links to ``route_deliveries``.
+        configurations: From ``route_deliveries`` to the task that applies
+            fleet versions.
+        peers: From ``route_deliveries`` and the announcements port to the
+            endpoint table.
         admissions: From the receivers to the admission task. A new request
             is refused when it is full; a report that a request has ended
             waits until there is room.
         claims: From the admission task to the claims task.
         routing: From all tasks to the router.
-        shares: From the router, the endpoint table and the sorter to the
-            task that leases slots. The router does not wait: its demand is
-            dropped when the mailbox is full, and reported again soon after.
+        shares: From the router, the endpoint table and ``route_deliveries``
+            to the task that leases slots. The router does not wait: its
+            demand is dropped when the mailbox is full, and reported again
+            soon after.
         dispatches: From the router to the dispatcher.
         history: From the endpoint table to the event recorder.
     """
--- a/wigeonport/entry_parts.py
+++ b/wigeonport/entry_parts.py
@@ -14,7 +14,6 @@
 
 # Connections to one endpoint, idle or in use, by all entries together.
 MAX_CONNECTIONS_PER_ENDPOINT = 64
-# Time for a table digest to reach all entries.
 FIRST_GRANT_MARGIN_MS = 200
 
 
@@ -77,10 +76,7 @@
 
 
 def make_dispatcher(program, mailboxes):
-    """Returns the dispatcher.
-
-    The entries divide the connections to an endpoint evenly.
-    """
+    """Returns the Dispatcher, with an even share of the connections."""
     settings = program.settings
     entries = len(settings.peers) + 1
     limits = DispatchLimits(
@@ -132,10 +128,11 @@
 
 
 def make_share_manager(program, context):
-    """Returns the ShareBook, which grants and holds leases on slots.
+    """Returns the ShareManager, which grants and holds leases on slots.
 
     An entry without peers owns all endpoints, so it grants at once. Others
-    wait until all entries have had time to learn who owns an endpoint.
+    wait until all entries have had time to learn who owns an endpoint: one
+    interval of the table digests and a margin.
     """
     settings = program.settings
     first_grant_delay_ms = settings.table_digest_ms + FIRST_GRANT_MARGIN_MS
--- a/wigeonport/logs.py
+++ b/wigeonport/logs.py
@@ -15,7 +15,7 @@
 STDOUT = 1
 # Lines that are buffered while the reader of the output is slow.
 MAX_PENDING_LINES = 2_000
-# A busy leader logs about 600 lines a second.
+# Far above the rate of a busy leader, about 600 lines per second.
 MAX_LINES_PER_SECOND = 3_000
 
 
--- a/wigeonport/programs.py
+++ b/wigeonport/programs.py
@@ -37,7 +37,8 @@
         lamport: LamportCounter of the process.
         events: EventLog of the process.
         stopping: trio.Event that is set by the first SIGTERM or SIGINT.
-        reloads: Mailbox that gets a message for each SIGHUP.
+        reloads: Mailbox of requests to reload the settings, one for each
+            SIGHUP.
     """
 
     __slots__ = (
@@ -114,7 +115,7 @@
 
 
 async def reload_on_signal(reloads):
-    """Puts a message in ``reloads`` at each SIGHUP."""
+    """Requests a reload of the settings at each SIGHUP."""
     with trio.open_signal_receiver(signal.SIGHUP) as signals:
         async for signal_number in signals:
             reloads.put_nowait(signal_number)
@@ -159,7 +160,7 @@
 
 
 def run_and_log_faults(role, run, settings, keys):
-    """Runs a program; returns 1 if a file, disk or address failed."""
+    """Runs a program; returns 1 if a file, a disk or an address failed."""
     faults = []
     try:
         trio.run(run_until_stopped, role, run, settings, keys)
--- a/wigeonport/replay_platforms.py
+++ b/wigeonport/replay_platforms.py
@@ -21,7 +21,7 @@
 from wigeonport.trace_kinds import ActualJob, FaultsChanged
 from wigeonport.views import DRAINED, FAILED, READY, REBOOTING
 
-# Size of the range of sequence numbers reserved for each millisecond.
+# Sequence numbers reserved for each millisecond.
 SEQUENCES_PER_MS = 1_000
 
 command_handlers = Registry("command handler of the simulated platform")
--- a/wigeonport/replay_tasks.py
+++ b/wigeonport/replay_tasks.py
@@ -113,9 +113,10 @@
 
 
 def compute_run_ms(platform, task):
-    """Returns the run time, longer if the worker's tasks need more cores.
+    """Returns the run time, longer if the worker is overloaded.
 
-    It grows in proportion to the cores that they use above the worker's.
+    It then grows by the ratio of the cores that the worker's tasks use to
+    the cores that the worker has.
     """
     cores = sum(
         find_actual_job(platform, each.job).used.cores * each.share
--- a/wigeonport/replays.py
+++ b/wigeonport/replays.py
@@ -74,7 +74,7 @@
         return last_line
 
     def differences(self, expected):
-        """Returns violations and unmet Expectations, sorted by line."""
+        """Returns the violations and the unmet expectations, by line."""
         differences = list(self.violations)
         for expectation in expected:
             differences.extend(expectation.check(self))
--- a/wigeonport/settings.py
+++ b/wigeonport/settings.py
@@ -186,7 +186,7 @@
 def check_secrets(settings, reporter):
     """Reports missing key files and key ids that occur twice.
 
-    Without a key the links could not be authenticated.
+    Links are always authenticated, so at least one key is needed.
     """
     if not settings.key_files:
         reporter.add(("key_files",), "name at least one key file")
@@ -201,7 +201,7 @@
 def check_election(settings, reporter):
     """Reports an election timeout below two heartbeat intervals.
 
-    Otherwise one lost heartbeat would start an election.
+    With such a timeout, one lost heartbeat would start an election.
     """
     if settings.election_timeout_ms < 2 * settings.replication_heartbeat_ms:
         text = "must be at least twice replication_heartbeat_ms"
--- a/wigeonport/timelines.py
+++ b/wigeonport/timelines.py
@@ -53,7 +53,7 @@
 
 
 def merge(events):
-    """Returns all events in causal order, with a gap event for each hole.
+    """Returns all events in causal order, with gap events for missing ones.
 
     The events of a process stay in sequence, over all its runs. An event
     comes after every event of another process that caused it, because a
--- a/wigeonport/traces.py
+++ b/wigeonport/traces.py
@@ -92,7 +92,7 @@
     """Decodes the lines of a trace and collects a finding for each bad line.
 
     Attributes:
-        name: Name of the source, used as the place of findings.
+        name: Name of the source, with which the findings' locations begin.
         findings: Findings so far.
         header: TraceHeader, or None until the first line was read.
         events: TraceEvents so far.
@@ -109,7 +109,7 @@
         self.at_ms = 0
 
     def read(self, lines) -> Result:
-        """Returns the Trace, or Findings whose places name the lines."""
+        """Returns the Trace, or Findings located at their lines."""
         for line_number, line in enumerate(lines, 1):
             if line.strip():
                 self.read_line(line_number, line)
