--- a/wigeonport/setting_tables.py
+++ b/wigeonport/setting_tables.py
@@ -312,7 +312,8 @@
     _ms(
         "machine_lease_ms",
         3_000,
-        "Time after a change of leader in which a machine gets no order.",
+        "Time between the orders of two successive leaders to the same "
+        "machine.",
     ),
     _ms(
         "drain_wait_ms",
