Name the senders to the router and the version of the test fleet

Cause: the first reading lost that the patch p-1 creates version 1, and 'from all tasks' was not true of the router's mailbox. Change: two docstrings.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -122,7 +122,7 @@
 
 @pytest.fixture
 def apply_to_fleet(apply, submit, fleet_document):
-    """``apply`` on a state in which the patch p-1 has created ``fleet``."""
+    """``apply`` after the patch p-1, which creates version 1 of ``fleet``."""
     submit("p-1", 0, *add_operations(fleet_document))
     return apply
 
--- a/wigeonport/entry_main.py
+++ b/wigeonport/entry_main.py
@@ -52,7 +52,8 @@
             is refused when it is full; a report that a request has ended
             waits until there is room.
         claims: From the admission task to the claims task.
-        routing: From all tasks to the router.
+        routing: From the tasks for claims, dispatch, the endpoint table,
+            slot leases and demand reports to the router.
         shares: From the router, the endpoint table and ``route_deliveries``
             to the task that leases slots. The router does not wait: its
             demand is dropped when the mailbox is full, and reported again
