--- a/wigeonport/control_main.py
+++ b/wigeonport/control_main.py
@@ -58,10 +58,10 @@
     """The bounded mailboxes between the tasks of the control.
 
     Attributes:
-        deliveries: From the links to the task that sorts their messages.
+        deliveries: From the links to ``route_deliveries``.
         publisher: Subscriptions, version reports, fleet versions and closed
             links, for the publisher.
-        claims: From the sorter to the claim broker.
+        claims: From ``route_deliveries`` to the claim broker.
         requests: From the operators' port to the state adapter.
         notices: From the consensus task to the version watcher.
         history: From the consensus task to the event recorder.
@@ -102,7 +102,7 @@
         self.plans = Mailbox("plans", PLANNER_MAILBOX_BOUND, DROP_OLDEST)
 
 
-async def sort_deliveries(inbound, mailboxes, consensus):
+async def route_deliveries(inbound, mailboxes, consensus):
     """Passes each message of the links to the task that handles it."""
     async for delivery in inbound:
         if isinstance(delivery, LinkClosed):
@@ -198,7 +198,7 @@
         adapter.propose, settings.claim_timeout_ms, program.metrics
     )
     nursery.start_soon(
-        sort_deliveries, mailboxes.deliveries, mailboxes, consensus.inbox
+        route_deliveries, mailboxes.deliveries, mailboxes, consensus.inbox
     )
     nursery.start_soon(
         publish,
--- a/wigeonport/entry_parts.py
+++ b/wigeonport/entry_parts.py
@@ -14,8 +14,7 @@
 
 # Connections to one endpoint, idle or in use, by all entries together.
 MAX_CONNECTIONS_PER_ENDPOINT = 64
-# Time for a table digest to reach all entries.
-SETTLING_MARGIN_MS = 200
+FIRST_GRANT_MARGIN_MS = 200
 
 
 def make_control_links(program, context, configuration):
@@ -77,10 +76,7 @@
 
 
 def make_dispatcher(program, mailboxes):
-    """Returns the dispatcher.
-
-    The entries divide the connections to an endpoint evenly.
-    """
+    """Returns the Dispatcher, with an even share of the connections."""
     settings = program.settings
     entries = len(settings.peers) + 1
     limits = DispatchLimits(
@@ -131,18 +127,19 @@
     return Router(settings.availability_zone, limits)
 
 
-def make_share_book(program, context):
-    """Returns the ShareBook, which grants and holds leases on slots.
+def make_share_manager(program, context):
+    """Returns the ShareManager, which grants and holds leases on slots.
 
     An entry without peers owns all endpoints, so it grants at once. Others
-    wait until all entries have had time to learn who owns an endpoint.
+    wait until all entries have had time to learn who owns an endpoint: one
+    interval of the table digests and a margin.
     """
     settings = program.settings
-    settling_ms = settings.table_digest_ms + SETTLING_MARGIN_MS
+    first_grant_delay_ms = settings.table_digest_ms + FIRST_GRANT_MARGIN_MS
     return ShareManager(
         context.identity.node_id,
         settings.share_lease_ms,
-        settling_ms if settings.peers else 0,
+        first_grant_delay_ms if settings.peers else 0,
         settings.share_policy,
     )
 
