Say what a repeat without a stored answer means

A claim that was reduced to a hash gives ClaimUnknown too, and such a claim need not be completed. The docstring and the reason sent to the caller said that it was. They now say that the key was used before and that no answer is stored. Closing a claim is called closing throughout.

Tests of the part pass.

--- a/wigeonport/claims.py
+++ b/wigeonport/claims.py
@@ -72,7 +72,9 @@
     """Returns None if the request may be dispatched, else its answer."""
     handler = claim_answer_handlers.get(type(answer).__name__)
     if handler.is_error():
-        return refuse(503, "the answer to the claim was not understood", 1_000)
+        return refuse(
+            503, "the answer to the claim has an unknown type", 1_000
+        )
     return handler.ok(codec, answer)
 
 
@@ -86,16 +88,17 @@
     """The request was completed before: its stored answer is returned."""
     stored = restore_answer(codec, answer.response)
     if stored is None:
-        return answer_unknown(
-            409, "completed before; its answer is not stored"
-        )
+        return answer_unknown(409, "key used before; its answer is not stored")
     return stored
 
 
 @claim_answer_handlers.register("ClaimUnknown")
 def report_missing_answer(codec, answer):
-    """The request was completed, but its answer was too large or old."""
-    return answer_unknown(409, "completed before; its answer is not stored")
+    """The key was claimed before, but no answer is stored.
+
+    The answer was too large, or the claim was old and reduced to a hash.
+    """
+    return answer_unknown(409, "key used before; its answer is not stored")
 
 
 @claim_answer_handlers.register("ClaimInProgress")
@@ -117,7 +120,7 @@
 
 
 def make_closing_command(codec, key, attempt, answer):
-    """Returns the command that ends a granted claim, or None.
+    """Returns the command that closes a granted claim, or None.
 
     None leaves the claim open, because the request may have run. An answer
     that is too large is stored empty, so that a repeat is told ``unknown``.
@@ -224,10 +227,10 @@
         request.reply.send(answer)
 
     async def claim(self, request, key, attempt) -> Result:
-        """Returns Ok(None) if granted, else Ok or Error with the answer.
+        """Returns Ok(None) if granted, else the answer to the request.
 
-        It is an Error if no control answered. The claim may be in the
-        replicated log nevertheless and has to be released.
+        The answer is an Error if no control answered. The claim may be in
+        the replicated log nevertheless and has to be released.
         """
         started_ms = self.clock.now()
         remaining_ms = request.deadline_ms - started_ms
@@ -262,7 +265,7 @@
         return answer.ok
 
     async def close_claim(self, command, nursery):
-        """Ends a claim in the background and waits briefly for the result.
+        """Closes a claim in the background and waits briefly for the result.
 
         Because of the wait, a caller that repeats its request right after
         the answer normally finds the claim closed. The wait is bounded, so
