Correct docstrings that the code contradicts

list_demand also includes endpoints of other zones that run requests of this entry; the token is on the first line that has text and is no comment; the notices of version watchers are EntryApplied and SnapshotInstalled; a HandshakeError also follows a closed connection; open_link returns a dialer that is not connected yet. Docstrings only.

--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -35,7 +35,7 @@
 
 
 async def open_link(nursery, server, client):
-    """Returns a connected dialer."""
+    """Starts a listener; returns a running Dialer to it."""
     listeners = await nursery.start(listen, server, HOST, 0)
     port = listeners[0].socket.getsockname()[1]
     dialer = Dialer(client, HOST, port)
@@ -143,8 +143,8 @@
 def test_dialer_tries_the_next_address(make_context):
     """A dialer must try all its addresses.
 
-    Else an entry stays without a control while the first ones in its list
-    are down.
+    Otherwise an entry stays without a control while the first ones in its
+    list are down.
     """
 
     async def scenario():
--- a/wigeonport/commands/options.py
+++ b/wigeonport/commands/options.py
@@ -120,7 +120,9 @@
         return OperatorClient(servers, self.read_token(), timeout_ms, retry_ms)
 
     def read_token(self):
-        """Returns the token: the last word of the first line of its file.
+        """Returns the token: the last word of the first line with text.
+
+        Lines that begin with # are ignored.
 
         Raises:
             UsageError: If there is no usable token file.
--- a/wigeonport/handshakes.py
+++ b/wigeonport/handshakes.py
@@ -30,7 +30,7 @@
 
 
 class HandshakeError(Exception):
-    """The other side was not authenticated, or does not match this one."""
+    """The other side was refused, or it closed the connection."""
 
 
 class Handshake:
--- a/wigeonport/targets.py
+++ b/wigeonport/targets.py
@@ -71,7 +71,7 @@
     """Returns the target for a request, or None if no slot is free.
 
     A quarantined endpoint that is due for a probe is chosen first. Otherwise
-    the candidates are the free endpoints of the own zone or, if there are
+    the candidates are the free endpoints of the entry's zone or, if there are
     none, those of other zones. Two candidates are sampled at random and the
     one with more free slots is chosen.
     Source: M. Mitzenmacher, "The Power of Two Choices in Randomized Load
@@ -138,8 +138,9 @@
 def list_demand(targets, waiting, zone, now_ms):
     """Returns the slots that a service could use now.
 
-    Endpoints of other zones are included only while requests wait and the
-    own zone has no free slot, or if the own zone has no endpoint.
+    Endpoints of other zones are included while they run requests of this
+    entry, while requests wait and the entry's zone has no free slot, and if
+    the entry's zone has no ready endpoint.
 
     Returns:
         Tuples of endpoint id, slots wanted and slots in use.
--- a/wigeonport/version_watchers.py
+++ b/wigeonport/version_watchers.py
@@ -34,7 +34,7 @@
     committed while the process was down.
 
     Args:
-        notices: Mailbox of Applied and Installed.
+        notices: Mailbox of EntryApplied and SnapshotInstalled.
         consensus: Mailbox of the consensus task.
         publisher: Mailbox of the publisher.
     """
