--- a/wigeonport/admissions.py
+++ b/wigeonport/admissions.py
@@ -49,7 +49,7 @@
     """Decides which requests are admitted.
 
     Attributes:
-        max_requests: Largest number of requests in the entry.
+        max_requests: Largest number of requests that the entry holds.
         max_bytes: Largest size of all requests together, each counted with
             REQUEST_OVERHEAD_BYTES and its body.
         services: Maps service name to its document in the fleet version in
--- a/wigeonport/announcements.py
+++ b/wigeonport/announcements.py
@@ -100,7 +100,7 @@
 
 
 class AnnouncementApp:
-    """ASGI application that receives the announcements of endpoints.
+    """ASGI app that receives the announcements of endpoints.
 
     Attributes:
         outbound: Mailbox of the endpoint table, which receives Announced.
--- a/wigeonport/command_ledgers.py
+++ b/wigeonport/command_ledgers.py
@@ -1,4 +1,4 @@
-"""Commands to the log and the platform: ids, terms and resending."""
+"""Commands to the replicated log and the platform: ids, terms, resending."""
 
 from wigeonport.plan_commands import OPERATORS, CancelJobs
 
--- a/wigeonport/commands/fleet.py
+++ b/wigeonport/commands/fleet.py
@@ -217,7 +217,7 @@
 
 
 def add_file_position(text, source_map):
-    """Returns a finding about an operation with file and line before it."""
+    """Prefixes a finding about an operation with its file and line."""
     match = OPERATION_PATH.match(text)
     if match is None:
         return text
--- a/wigeonport/endpoint_tables.py
+++ b/wigeonport/endpoint_tables.py
@@ -214,8 +214,8 @@
         """Merges the records of some endpoints; returns what changed.
 
         Args:
-            tables: Maps the node id of each live entry to its TableEntry
-                objects by endpoint id.
+            tables: Maps the node id of each live entry to its table, which
+                maps endpoint id to TableEntry.
             endpoint_ids: Ids of the endpoints that may have changed.
             now_ms: Monotonic time.
 
--- a/wigeonport/operator_routes.py
+++ b/wigeonport/operator_routes.py
@@ -49,7 +49,7 @@
 
 
 def respond_undecided(decision):
-    """Returns the response to a command that got no answer.
+    """Returns the response to a command without a committed answer.
 
     ``not-run`` is certain: nothing was or will be changed. ``unknown`` means
     that the command may still take effect; resending it is safe.
@@ -165,7 +165,7 @@
 
 
 def respond_to_patch(answer):
-    """Returns the response to the state machine's answer to a patch."""
+    """Returns the response to the replicated state's answer to a patch."""
     if isinstance(answer, PatchAccepted):
         document = {"outcome": "accepted", **answer.to_document()}
         return respond_json(200, document)
--- a/wigeonport/operators.py
+++ b/wigeonport/operators.py
@@ -32,8 +32,8 @@
         clock: Time source.
         state_client: StateClient that proposes commands to the replicated
             state and reads it.
-        publisher: Mailbox that answers StatusQuery.
-        health: Mailbox that answers VmHealthQuery.
+        publisher: Mailbox that takes StatusQuery.
+        health: Mailbox that takes VmHealthQuery.
     """
 
     __slots__ = ("settings", "clock", "state_client", "publisher", "health")
--- a/wigeonport/queues.py
+++ b/wigeonport/queues.py
@@ -96,7 +96,7 @@
         return request
 
     def update_standing(self, now_ms):
-        """Updates, once per window, whether the queue is standing."""
+        """Tracks the shortest wait; sets ``standing`` once per window."""
         wait_ms = max(
             (now_ms - queue[0].queued_ms for queue in self.waiting.values()),
             default=0,
--- a/wigeonport/receivers.py
+++ b/wigeonport/receivers.py
@@ -221,7 +221,7 @@
     Args:
         send: Send function of ASGI.
         answer: The CallerAnswer.
-        close_connection: Whether the connection is closed after it.
+        close_connection: Whether the connection is closed after the answer.
     """
     headers = [
         *answer.headers,
--- a/wigeonport/requests.py
+++ b/wigeonport/requests.py
@@ -81,7 +81,7 @@
     def repeatable(self):
         """Whether the entry may run the request again after a failure.
 
-        A keyed request is excluded: it runs at most once, also if its
+        A keyed request is excluded: it runs at most once, even if its
         method is idempotent.
         """
         return self.key is None and self.method in IDEMPOTENT_METHODS
--- a/wigeonport/routers.py
+++ b/wigeonport/routers.py
@@ -125,7 +125,7 @@
         return handler.ok(self, message, now_ms, random)
 
     def service(self, name):
-        """Returns the ServiceState of a name, which is made if missing."""
+        """Returns the ServiceState of a service; creates it if missing."""
         if name not in self.services:
             self.services[name] = ServiceState(self.limits)
         return self.services[name]
--- a/wigeonport/share_ledgers.py
+++ b/wigeonport/share_ledgers.py
@@ -65,8 +65,9 @@
         lease_ms: Duration of a lease.
         not_before_ms: Earliest time of a grant; a lease from a previous
             owner may last until then.
-        policy: Share policy: a function that takes the wanted slots by node
-            id and the number of slots, and returns the shares by node id.
+        policy: Share policy: a function that takes a dict of node id to
+            wanted slots and the number of slots, and returns a dict of node
+            id to share.
         holders: Maps node id to Holder.
     """
 
--- a/wigeonport/shares.py
+++ b/wigeonport/shares.py
@@ -108,7 +108,7 @@
 
 
 class ShareManager:
-    """Grants the leases of owned endpoints and requests those of all.
+    """Requests leases on all endpoints and grants those on owned ones.
 
     It has no sockets: its methods return the commands and changes.
 
--- a/wigeonport/subscriptions.py
+++ b/wigeonport/subscriptions.py
@@ -14,8 +14,8 @@
     """Dialers to the controls.
 
     Attributes:
-        dialers: Dialers in order of preference: to the control of the own
-            VM, then to one in the own zone, then to one in another zone.
+        dialers: Dialers in order of preference: to the control on the VM of
+            this entry, to one in its zone, to one in another zone.
         identity: Identity of this process.
         configuration: Configuration of this process.
         run_ms: Wall time at which this process started.
