--- a/tests/operator_fakes.py
+++ b/tests/operator_fakes.py
@@ -39,7 +39,7 @@
             commits; negative for all.
         unavailable: Ids of the VMs that the planner reports as unavailable,
             or None if it does not know their health.
-        not_reporting: Ids of those without a recent report.
+        not_reporting: Ids of the VMs without a recent report.
         statuses: ProcessStatus list of the publisher.
         app: The OperatorApp under test.
     """
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -50,9 +50,9 @@
 
 @pytest.fixture
 def run_claims(make_request):
-    """Runs keyed requests one after the other against one control.
+    """Returns a function that runs keyed requests one after the other.
 
-    The function returns the dispatched requests and the answers to callers.
+    It returns the dispatched requests and the answers to callers.
     """
 
     def run(control, answers, requests):
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -79,7 +79,8 @@
 def test_invalid_length_is_refused(length):
     """An invalid length must be refused at once.
 
-    Else the reader waits for bytes that never come, or buffers up to 4 GiB.
+    Otherwise the reader waits for bytes that never come, or buffers up to
+    4 GiB.
     """
     assert FrameBuffer().feed(LENGTH_FORMAT.pack(length)).is_error()
 
--- a/tests/test_dispatchers.py
+++ b/tests/test_dispatchers.py
@@ -22,9 +22,9 @@
 class ScriptedEndpoint:
     """Answers the n-th request with the n-th template of its script.
 
-    For ``None`` it does not answer, for ``b""`` it closes the connection. A
-    template is sent in one write, with ``%s`` replaced by the request id. With
-    ``close`` the connection is closed after each answer.
+    For ``None`` it does not answer for 10 s, for ``b""`` it closes the
+    connection. A template is sent in one write, with ``%s`` replaced by the
+    request id. With ``close`` the connection is closed after each answer.
     """
 
     def __init__(self, script, close=False):
@@ -70,7 +70,10 @@
 
 @pytest.fixture
 def run_attempts(make_record):
-    """Makes attempts one after the other; returns their AttemptEnded."""
+    """Returns a function that makes attempts one after the other.
+
+    It returns the AttemptEnded of each attempt.
+    """
 
     def run(endpoint, requests, limits=None, port=None):
         ends = []
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -22,7 +22,8 @@
     Attributes:
         now_ms: Simulated time.
         exchanges: Maps node id to the TableExchange of that entry.
-        published: Maps node id to the latest EndpointChanged by endpoint id.
+        published: Maps node id to a dict of endpoint id to its latest
+            EndpointChanged.
         sent: All messages that were sent.
         drop: Function of source, target and message; returns whether the
             message is dropped.
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -42,7 +42,7 @@
 def test_access_without_a_valid_token_is_refused(control, token, headers):
     """No route may answer a request without exactly one valid token.
 
-    Else anyone who reaches the port could read or change the fleet.
+    Otherwise anyone who reaches the port could read or change the fleet.
     """
 
     async def scenario():
@@ -72,7 +72,10 @@
 
 
 def test_common_routes_need_no_token(control):
-    """Health checks and metrics collectors have no token."""
+    """The common routes must not refuse a request without a token.
+
+    Health checks and metrics collectors have none.
+    """
 
     async def scenario():
         status, document = await control.call("GET", "/healthz", token=None)
@@ -327,7 +330,7 @@
 def test_grant_counts_what_the_planner_reports(control):
     """A grant must count VMs that failed, and needs their health (R1).
 
-    Else a drain on top of a failure exceeds the budget of the pool.
+    Otherwise a drain on top of a failure exceeds the budget of the pool.
     """
 
     async def scenario():
--- a/tests/test_overloads.py
+++ b/tests/test_overloads.py
@@ -59,7 +59,7 @@
 
 @pytest.fixture
 def make_harness(make_record):
-    """Makes harnesses with endpoints e0, e1 and so on."""
+    """Returns a function that makes harnesses with endpoints e0, e1, ..."""
 
     def make(count, zones=("ikeja",), slots=1, **limits):
         harness = RouterHarness(**{"leased": False, **limits})
@@ -239,7 +239,7 @@
 def test_other_zones_serve_requests_when_the_own_zone_is_full(
     make_harness, make_request
 ):
-    """Requests must go to another zone when the own zone has no free slot.
+    """Requests must go to another zone when the entry's zone is full.
 
     It fails if they wait in the queue while another zone has free slots.
     """
--- a/tests/test_publishers.py
+++ b/tests/test_publishers.py
@@ -50,8 +50,8 @@
 ):
     """The status shows that a restarted process lags (R8).
 
-    A report of its previous run, before or after the restart, must not hide
-    that the new run applies no version yet.
+    A report of its previous run, received before or after the restart, must
+    not hide that the new run applies no version yet.
     """
     deliver(publisher, session, VersionReport("entry/b", "ikeja", 10, 5))
     deliver(publisher, session, Subscribe("entry/b", "ikeja", 20, 0))
@@ -88,7 +88,10 @@
 
 
 def test_publisher_ignores_a_lower_version(publisher, session):
-    """A version lower than the newest is not pushed to subscribers."""
+    """A version lower than the newest is not pushed to subscribers.
+
+    It fails if a control that is behind overwrites the newest version.
+    """
     deliver(publisher, session, Subscribe("entry/b", "ikeja", 20, 0))
     handle(publisher, VersionAccepted(4, b"{}"), 2)
     assert [update.version for update in session.pushed] == [5]
