--- a/tests/test_overloads.py
+++ b/tests/test_overloads.py
@@ -75,7 +75,7 @@
     return make
 
 
-def make_late_request(make_request, **changes):
+def make_unhurried_request(make_request, **changes):
     """Makes a request whose deadline is far in the future by default."""
     changes.setdefault("deadline_ms", 60_000)
     changes.setdefault("received_ms", 1_000)
@@ -89,7 +89,8 @@
     """
     harness = make_harness(1, queue_bound=2)
     requests = [
-        make_late_request(make_request, priority=p) for p in (0, 1, 0, 5, 1)
+        make_unhurried_request(make_request, priority=p)
+        for p in (0, 1, 0, 5, 1)
     ]
     commands = [harness.send(request) for request in requests]
     assert isinstance(commands[0][0], Dispatch)
@@ -107,16 +108,18 @@
     Queued, it would hold its caller until the deadline without an answer.
     """
     harness = make_harness(1)
-    (first,) = harness.send(make_late_request(make_request))
+    (first,) = harness.send(make_unhurried_request(make_request))
     harness.end(first, duration_ms=1_000)
-    harness.send(make_late_request(make_request))
+    harness.send(make_unhurried_request(make_request))
     for _ in range(2):
         assert (
-            harness.send(make_late_request(make_request, deadline_ms=9_000))
+            harness.send(
+                make_unhurried_request(make_request, deadline_ms=9_000)
+            )
             == []
         )
     (refused,) = harness.send(
-        make_late_request(make_request, deadline_ms=3_500)
+        make_unhurried_request(make_request, deadline_ms=3_500)
     )
     assert refused.answer.outcome == NOT_RUN
     assert refused.answer.retry_after_ms >= 1_000
@@ -132,13 +135,14 @@
     then on.
     """
     harness = make_harness(1)
-    (first,) = harness.send(make_late_request(make_request))
+    (first,) = harness.send(make_unhurried_request(make_request))
     harness.end(first, duration_ms=30_000)
     (running,) = harness.send(
-        make_late_request(make_request, received_ms=0, deadline_ms=1_400)
+        make_unhurried_request(make_request, received_ms=0, deadline_ms=1_400)
     )
     assert (
-        harness.send(make_late_request(make_request, deadline_ms=1_500)) == []
+        harness.send(make_unhurried_request(make_request, deadline_ms=1_500))
+        == []
     )
     harness.now_ms += 200
     _, command = harness.end(running, 404)
@@ -152,8 +156,8 @@
     deadline, or too late.
     """
     harness = make_harness(1, queue_wait_ms=20_000)
-    (running,) = harness.send(make_late_request(make_request))
-    waiting = [make_late_request(make_request) for _ in range(4)]
+    (running,) = harness.send(make_unhurried_request(make_request))
+    waiting = [make_unhurried_request(make_request) for _ in range(4)]
     for request in waiting[:2]:
         harness.send(request)
     _, running = harness.end(running)
@@ -177,7 +181,7 @@
     attempts = 0
     for number in range(500):
         harness.now_ms += 2
-        commands = harness.send(make_late_request(make_request))
+        commands = harness.send(make_unhurried_request(make_request))
         while commands and isinstance(commands[0], Dispatch):
             attempts += 1
             in_own_zone = commands[0].record.availability_zone == "ikeja"
@@ -199,7 +203,9 @@
     attempted_at = []
 
     def call(method="GET"):
-        commands = harness.send(make_late_request(make_request, method=method))
+        commands = harness.send(
+            make_unhurried_request(make_request, method=method)
+        )
         while isinstance(commands[0], Dispatch):
             endpoint_id = commands[0].record.endpoint_id
             attempted_at.append(endpoint_id)
@@ -230,7 +236,7 @@
     """
     harness = make_harness(6, slots=8)
     for _ in range(200):
-        (command,) = harness.send(make_late_request(make_request))
+        (command,) = harness.send(make_unhurried_request(make_request))
         harness.end(command, 500)
     targets = harness.router.service("roster").targets.values()
     assert sum(t.health.quarantined for t in targets) == 2
@@ -245,7 +251,7 @@
     """
     harness = make_harness(4, zones=("ikeja", "lekki"))
     zones = [
-        harness.send(make_late_request(make_request))[
+        harness.send(make_unhurried_request(make_request))[
             0
         ].record.availability_zone
         for _ in range(4)
@@ -260,13 +266,13 @@
     entry bound its slots even within a larger lease.
     """
     harness = make_harness(1, slots=8, leased=True, entries=32)
-    assert harness.send(make_late_request(make_request)) == []
+    assert harness.send(make_unhurried_request(make_request)) == []
     demand = harness.router.demand(harness.now_ms)
     assert (demand.items, demand.urgent) == ([("e0", 1, 0)], True)
     share = ShareChanged("e0", "roster", 8, harness.now_ms + 100)
     (first,) = harness.send(share)
-    (second,) = harness.send(make_late_request(make_request))
-    assert harness.send(make_late_request(make_request)) == []
+    (second,) = harness.send(make_unhurried_request(make_request))
+    assert harness.send(make_unhurried_request(make_request)) == []
     harness.now_ms += 100
     assert [type(c) for c in harness.end(first)] == [Respond]
 
@@ -278,12 +284,12 @@
     requests than the endpoint has slots.
     """
     harness = make_harness(1, slots=2)
-    (first,) = harness.send(make_late_request(make_request))
+    (first,) = harness.send(make_unhurried_request(make_request))
     record = first.record
     harness.send(EndpointLost("e0", "roster"))
-    assert harness.send(make_late_request(make_request)) == []
+    assert harness.send(make_unhurried_request(make_request)) == []
     (second,) = harness.send(EndpointChanged(record))
-    assert harness.send(make_late_request(make_request)) == []
+    assert harness.send(make_unhurried_request(make_request)) == []
     assert len(harness.end(first)) == 2
     harness.send(EndpointLost("e0", "roster"))
     harness.end(second)
@@ -296,7 +302,9 @@
     fail.
     """
     harness = make_harness(2, slots=8, retry_floor=0, retry_share=0.0)
-    (first,) = harness.send(make_late_request(make_request, method="POST"))
+    (first,) = harness.send(
+        make_unhurried_request(make_request, method="POST")
+    )
     (retried,) = harness.end(
         first, None, possibly_ran=False, refusal="leaving"
     )
@@ -313,7 +321,9 @@
     """
     harness = make_harness(2, slots=8, leased=True)
     assert harness.router.demand(harness.now_ms).items == []
-    request = make_late_request(make_request, deadline_ms=harness.now_ms + 100)
+    request = make_unhurried_request(
+        make_request, deadline_ms=harness.now_ms + 100
+    )
     harness.send(request)
     harness.now_ms += 1_000
     harness.router.tick(harness.now_ms, harness.random_source)
@@ -329,7 +339,7 @@
     its requests still runs: its slot would be leased to another entry.
     """
     harness = make_harness(1, slots=8, leased=True)
-    harness.send(make_late_request(make_request))
+    harness.send(make_unhurried_request(make_request))
     harness.send(ShareChanged("e0", "roster", 1, harness.now_ms + 100))
     harness.now_ms += 20_000
     assert harness.router.demand(harness.now_ms).items == [("e0", 1, 1)]
