Reword three texts in plain terms

The margin of the receiver, the status of a process and the grace period of a server are said in plain words. A comment and docstrings only.

--- a/wigeonport/publishers.py
+++ b/wigeonport/publishers.py
@@ -43,7 +43,7 @@
 
 
 class ProcessStatus:
-    """Fleet version and last sign of life of one process.
+    """Fleet version of one process, and when it was last known to be alive.
 
     Attributes:
         node_id: Node id of the process.
--- a/wigeonport/receivers.py
+++ b/wigeonport/receivers.py
@@ -23,8 +23,8 @@
 MAX_KEY_BYTES = 256
 KEY_PATTERN = re.compile(rb"[!-~]{1,%d}" % MAX_KEY_BYTES)
 MAX_PRIORITY = 9
-# Added to a request's deadline for the work of the later filters, so that
-# their own answer at the deadline still arrives.
+# The receiver waits this long beyond the deadline of a request, so that an
+# answer that a later filter gives at the deadline still arrives.
 REPLY_MARGIN_MS = 200
 RETRY_AFTER_MS = 1_000
 
--- a/wigeonport/servers.py
+++ b/wigeonport/servers.py
@@ -229,7 +229,7 @@
     Args:
         host: IP address to listen on.
         port: TCP port.
-        grace_ms: Time that requests in progress get at a stop.
+        grace_ms: Time that requests in progress have to finish at a stop.
         keep_alive_s: Time after which an idle connection is closed.
     """
     config = ServerConfig(min(STALLED_TIMEOUT_MS, grace_ms))
