Rename body_slots to body_limiter

Cause: slots are those of an endpoint; this is a capacity limiter Change: body_slots to body_limiter; 5 uses in 1 files, by token.

--- a/wigeonport/receivers.py
+++ b/wigeonport/receivers.py
@@ -71,7 +71,7 @@
         limits: CallerLimits.
         clock: Time source.
         metrics: Metrics of the process.
-        body_slots: Limits the number of bodies that arrive in several
+        body_limiter: Limits the number of bodies that arrive in several
             pieces at the same time.
     """
 
@@ -81,7 +81,7 @@
         "limits",
         "clock",
         "metrics",
-        "body_slots",
+        "body_limiter",
     )
 
     def __init__(self, admissions, info, limits, clock):
@@ -90,7 +90,7 @@
         self.limits = limits
         self.clock = clock
         self.metrics = info.metrics
-        self.body_slots = trio.CapacityLimiter(limits.max_partial_bodies)
+        self.body_limiter = trio.CapacityLimiter(limits.max_partial_bodies)
 
     async def __call__(self, scope, receive, send):
         """Handles one ASGI connection scope."""
@@ -139,14 +139,14 @@
             await reader.read_chunk()
             if reader.more_expected:
                 try:
-                    self.body_slots.acquire_nowait()
+                    self.body_limiter.acquire_nowait()
                 except trio.WouldBlock:
                     text = "too many requests are arriving"
                     return refuse(503, text, RETRY_AFTER_MS)
                 try:
                     await reader.read_rest()
                 finally:
-                    self.body_slots.release()
+                    self.body_limiter.release()
         if reader.complete:
             return b"".join(reader.chunks)
         if reader.more_expected:
