--- a/wigeonport/receivers.py
+++ b/wigeonport/receivers.py
@@ -23,8 +23,8 @@
 MAX_KEY_BYTES = 256
 KEY_PATTERN = re.compile(rb"[!-~]{1,%d}" % MAX_KEY_BYTES)
 MAX_PRIORITY = 9
-# Added to a request's deadline for the work of the later filters, so that
-# their own answer at the deadline still arrives.
+# The receiver waits this long beyond the deadline of a request, so that an
+# answer that a later filter gives at the deadline still arrives.
 REPLY_MARGIN_MS = 200
 RETRY_AFTER_MS = 1_000
 
@@ -71,7 +71,7 @@
         limits: CallerLimits.
         clock: Time source.
         metrics: Metrics of the process.
-        body_slots: Limits the number of bodies that arrive in several
+        body_limiter: Limits the number of bodies that arrive in several
             pieces at the same time.
     """
 
@@ -81,7 +81,7 @@
         "limits",
         "clock",
         "metrics",
-        "body_slots",
+        "body_limiter",
     )
 
     def __init__(self, admissions, info, limits, clock):
@@ -90,7 +90,7 @@
         self.limits = limits
         self.clock = clock
         self.metrics = info.metrics
-        self.body_slots = trio.CapacityLimiter(limits.max_partial_bodies)
+        self.body_limiter = trio.CapacityLimiter(limits.max_partial_bodies)
 
     async def __call__(self, scope, receive, send):
         """Handles one ASGI connection scope."""
@@ -139,14 +139,14 @@
             await reader.read_chunk()
             if reader.more_expected:
                 try:
-                    self.body_slots.acquire_nowait()
+                    self.body_limiter.acquire_nowait()
                 except trio.WouldBlock:
                     text = "too many requests are arriving"
                     return refuse(503, text, RETRY_AFTER_MS)
                 try:
                     await reader.read_rest()
                 finally:
-                    self.body_slots.release()
+                    self.body_limiter.release()
         if reader.complete:
             return b"".join(reader.chunks)
         if reader.more_expected:
@@ -221,7 +221,7 @@
     Args:
         send: Send function of ASGI.
         answer: The CallerAnswer.
-        close_connection: Whether the connection is closed after it.
+        close_connection: Whether the connection is closed after the answer.
     """
     headers = [
         *answer.headers,
