Name the dispatcher's rankings apart from their jobs

BatchDispatcher.ranked_jobs maps a service to its JobRanking, while JobRanking.ranked_jobs is the list of RankedJobs inside it: one name for two things. The attribute of the dispatcher is now called rankings.

--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -52,7 +52,7 @@
             workers that have sent no heartbeat to this leader.
         failure_times: Maps task name to a dict from worker id to the
             monotonic time of the last failure there, in ms.
-        ranked_jobs: Maps service to its JobRanking.
+        rankings: Maps service to its JobRanking.
         tickets: Maps step name to Tickets, for queues with advice.
         tasks_to_copy: Maps service to the names of the tasks that need a
             speculative copy.
@@ -74,7 +74,7 @@
         "operations",
         "orphans_until_ms",
         "failure_times",
-        "ranked_jobs",
+        "rankings",
         "tickets",
         "tasks_to_copy",
         "rack_wait_start_ms",
@@ -94,7 +94,7 @@
         # The former leader may have extended leases until this election.
         self.orphans_until_ms = lease_end_ms(settings.run_lease_ms, now_ms)
         self.failure_times = {}
-        self.ranked_jobs = {}
+        self.rankings = {}
         self.tickets = {}
         self.tasks_to_copy = {}
         self.rack_wait_start_ms = {}
@@ -127,7 +127,7 @@
     def add_to_ranking(self, job):
         """Adds a new job to the cached ranking of its service, if any."""
         queue = self.state.routes.queue_of(job.queue)
-        ranking = self.ranked_jobs.get(queue.service if queue else "")
+        ranking = self.rankings.get(queue.service if queue else "")
         if ranking is not None:
             ranking.add(RankedJob(job, queue))
 
--- a/wigeonport/run_reports.py
+++ b/wigeonport/run_reports.py
@@ -39,7 +39,7 @@
 
 def refresh_ended_steps(dispatcher, worker, tasks):
     """Updates the startable steps of jobs in which a step has ended."""
-    ranking = dispatcher.ranked_jobs.get(worker.report.service)
+    ranking = dispatcher.rankings.get(worker.report.service)
     for task_name in tasks:
         entry = dispatcher.find_task(task_name)
         if ranking is not None and (entry is None or not entry[1].remaining):
--- a/wigeonport/task_placements.py
+++ b/wigeonport/task_placements.py
@@ -27,13 +27,13 @@
     The ranking is cached for ``RANKING_VALID_MS``, because every heartbeat
     needs it.
     """
-    ranking = dispatcher.ranked_jobs.get(service)
+    ranking = dispatcher.rankings.get(service)
     if (
         ranking is None
         or not 0 <= now_ms - ranking.created_ms < RANKING_VALID_MS
     ):
         ranking = rank_jobs(dispatcher, service, now_ms)
-        dispatcher.ranked_jobs[service] = ranking
+        dispatcher.rankings[service] = ranking
     return [
         ranked_job
         for ranked_job in ranking.ranked_jobs
