Correct the texts of the batch part on a second reading

A second reader compared each comment and docstring with the code and with its older text. Some had lost a restriction (takeover_wait_ms holds for machines with a recent order only), said more than the code does (interval_per_worker_ms, MAX_STARTS, REFUSED_PAUSE_MS, may_stop, OPERATOR_TIMEOUT_MS), or used two terms for one thing (task name and task id, gauge and measurement). Local lists of checkpoints get a plural name. No code changes.

--- a/tests/batch_fixtures.py
+++ b/tests/batch_fixtures.py
@@ -110,10 +110,11 @@
         Args:
             worker: Worker id.
             running: Rows of the live runs: task, run and, optionally,
-                checkpoint, percent and gauge.
+                checkpoint, percent and measurement.
             ended: Rows of the ended runs: number, task, run, outcome and,
                 optionally, checkpoint.
-            values: Fields of the WorkerReport that differ from the defaults.
+            values: Fields of the WorkerReport that differ from the defaults;
+                ``born_ms`` sets ``started_ms``.
         """
         self.sequences[worker] = self.sequences.get(worker, 0) + 1
         defaults = ("", 0, 0)
--- a/tests/test_batch_controllers.py
+++ b/tests/test_batch_controllers.py
@@ -345,9 +345,9 @@
 
 
 def test_stopping_controller_transfers_leadership(run_controller):
-    """Guards against an election timeout at each planned stop of a leader.
+    """Guards against waiting for an election timeout at each planned stop.
 
-    It must transfer leadership, and do so again if it is elected again.
+    A leader must transfer leadership, also if it is elected again.
     """
 
     async def check(harness):
@@ -380,7 +380,7 @@
 
 
 def test_other_content_under_the_same_version_changes_nothing(run_controller):
-    """Guards against one version that stands for two configurations.
+    """Guards against two configurations in force under one version number.
 
     The first content that was adopted under a version stays in force.
     """
--- a/tests/test_gateways.py
+++ b/tests/test_gateways.py
@@ -112,7 +112,7 @@
 
 
 def test_lost_answer_counts_as_sent(call_through):
-    """Guards against calling a request not executed that may have run.
+    """Guards against reporting a call that may have run as not executed.
 
     The connection broke after the call was sent.
     """
--- a/tests/test_machine_managers.py
+++ b/tests/test_machine_managers.py
@@ -113,7 +113,7 @@
 
 
 def run_to_order(cluster):
-    """Sends heartbeats until the wave orders its machines; returns orders."""
+    """Sends heartbeats, runs two ticks; returns the orders of the second."""
     for name in ("m1", "m2", "m3"):
         cluster.heartbeat(name)
     cluster.tick()
@@ -512,7 +512,7 @@
 def test_machines_that_change_their_pool_do_not_join_a_wave(cluster):
     """A wave must not take machines that are being emptied for a move.
 
-    The wave took them all at once, beyond its maximum number.
+    Otherwise it takes all of them at once, beyond its maximum number.
     """
     cluster.open_wave(["m1", "m2", "m3"], count=1)
     for name in ("m1", "m2", "m3"):
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -179,7 +179,7 @@
     ],
 )
 def test_malformed_heartbeat_is_refused(change):
-    """A malformed heartbeat must not register a worker to use."""
+    """A malformed heartbeat must not register a worker."""
     with pytest.raises(MalformedBodyError):
         decode_heartbeat("i-1", HEARTBEAT | change)
 
--- a/tests/test_task_copies.py
+++ b/tests/test_task_copies.py
@@ -50,7 +50,7 @@
 def test_first_copy_that_is_done_stops_the_other(two_workers):
     """The other run must be stopped once one copy is done.
 
-    Its work would be wasted.
+    Its further work would be wasted.
     """
     two_workers.submit(COPIED)
     two_workers.heartbeat("w1")
@@ -66,7 +66,7 @@
 def test_failed_copies_end_the_job_after_the_attempts(two_workers):
     """Failed copies must count against the attempts of the task.
 
-    Else a task with copies could run more often than its queue allows.
+    Otherwise a task with copies could run more often than its queue allows.
     """
     two_workers.submit(COPIED)
     two_workers.heartbeat("w1")
--- a/wigeonport/advisors.py
+++ b/wigeonport/advisors.py
@@ -27,7 +27,7 @@
     """A request for the tickets of workers for a step.
 
     Attributes:
-        step: Step as ``job.occurrence.number``.
+        step: Step id, ``job.occurrence.step``.
         workers: Maps worker id to incarnation.
         valid_ms: Time for which the tickets are valid, counted from the call.
         term: Term of the leader.
--- a/wigeonport/batch_commands.py
+++ b/wigeonport/batch_commands.py
@@ -54,7 +54,7 @@
 
 @message_kinds.register("OpenOccurrence")
 class OpenOccurrence(Record):
-    """Makes the tasks of an occurrence eligible to run once it is due."""
+    """Makes the tasks of an occurrence that is due eligible to run."""
 
     __slots__ = ("job_id", "occurrence")
 
--- a/wigeonport/batch_controllers.py
+++ b/wigeonport/batch_controllers.py
@@ -325,9 +325,9 @@
             await self.clock.sleep(LOAD_RETRY_MS)
 
     async def commit_barrier(self):
-        """Commits an empty batch; then all earlier batches have an outcome.
+        """Commits an empty batch; returns whether that succeeded.
 
-        Returns whether the empty batch was committed.
+        All earlier batches then have an outcome.
         """
         command = RecordBatch(self.clock.wall(), [])
         answer = await ask(
--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -50,15 +50,15 @@
         operations: Operations since the last ``take_operations``.
         orphans_until_ms: Monotonic time until which runs may be live on
             workers that have sent no heartbeat to this leader.
-        failure_times: Maps task name to a dict from worker id to the
+        failure_times: Maps task id to a dict from worker id to the
             monotonic time of the last failure there, in ms.
         rankings: Maps service to its JobRanking.
-        tickets: Maps step name to Tickets, for queues with advice.
-        tasks_to_copy: Maps service to the names of the tasks that need a
+        tickets: Maps step id to Tickets, for queues with advice.
+        tasks_to_copy: Maps service to the ids of the tasks that need a
             speculative copy.
-        rack_wait_start_ms: Maps the name prefix of a step's tasks to the
-            monotonic time at which the step began to wait for a worker in
-            the rack of its data.
+        rack_wait_start_ms: Maps the common prefix of a step's task ids to
+            the monotonic time at which the step began to wait for a worker
+            in the rack of its data.
         wall_ms: Wall time of the event being handled.
         now_ms: Monotonic time of the event being handled.
     """
@@ -133,11 +133,9 @@
 
     def index_started_runs(self, operation):
         """Adds started runs to the index of live runs."""
-        for task_name, run in zip(
-            operation.tasks, operation.runs, strict=True
-        ):
-            step = self.find_task(task_name)[1].step
-            self.workers.add_run(operation.worker, task_name, run, step)
+        for task_id, run in zip(operation.tasks, operation.runs, strict=True):
+            step = self.find_task(task_id)[1].step
+            self.workers.add_run(operation.worker, task_id, run, step)
 
     def unindex_ended_runs(self, operation):
         """Removes runs from the index of live runs.
@@ -145,13 +143,11 @@
         Must be called before the operation is applied, because that removes
         the worker of each run from the task.
         """
-        for task_name, run in zip(
-            operation.tasks, operation.runs, strict=True
-        ):
-            entry = self.find_task(task_name)
+        for task_id, run in zip(operation.tasks, operation.runs, strict=True):
+            entry = self.find_task(task_id)
             if entry is not None:
                 worker = entry[2].runs.get(run)
-                self.workers.drop_run(worker, task_name, run)
+                self.workers.drop_run(worker, task_id, run)
 
     def take_operations(self):
         """Returns and clears the operations to commit."""
@@ -159,7 +155,7 @@
         return operations
 
     def find_task(self, name):
-        """Returns BatchJob, StepRun and Task of a task name, or None."""
+        """Returns BatchJob, StepRun and Task of a task id, or None."""
         try:
             job_id, *position = split_task_id(name)
         except ValueError:
@@ -218,14 +214,16 @@
         """Records the end of runs that are certain not to be live.
 
         Args:
-            keys: Pairs of task name and run number.
+            keys: Pairs of task id and run number.
         """
         if keys:
             tasks = [task for task, _ in keys]
             runs = [run for _, run in keys]
             # Commits the newest checkpoint together with the loss.
-            checkpoint = [self.find_task(task)[2].checkpoint for task in tasks]
-            self.record(EndRuns(tasks, runs, [LOST] * len(tasks), checkpoint))
+            checkpoints = [
+                self.find_task(task)[2].checkpoint for task in tasks
+            ]
+            self.record(EndRuns(tasks, runs, [LOST] * len(tasks), checkpoints))
 
     def record_lost_worker(self, incarnation, reason):
         """Records all runs of a worker incarnation as lost."""
@@ -240,9 +238,10 @@
         )
 
     def on_tick(self, now_ms, wall_ms):
-        """Records workers with expired leases and opens due occurrences.
+        """Runs the timers of workers and jobs.
 
-        Also adapts the heartbeat interval and finds the tasks to copy.
+        Records workers with expired leases as lost, adapts the heartbeat
+        interval, finds the tasks to copy, and opens due occurrences.
         """
         self.wall_ms, self.now_ms = wall_ms, now_ms
         for worker in list(self.workers.by_id.values()):
--- a/wigeonport/batch_messages.py
+++ b/wigeonport/batch_messages.py
@@ -52,7 +52,8 @@
     Attributes:
         number: Number that the operator gave to the wave.
         machines: Names of the machines that need upkeep.
-        duration_ms: Time within which the upkeep of all must have begun.
+        duration_ms: Time within which the upkeep of every machine must have
+            begun.
         max_count: Maximum number of machines of the wave that are down at
             the same time.
         reply: Reply channel.
--- a/wigeonport/batch_settings.py
+++ b/wigeonport/batch_settings.py
@@ -13,17 +13,17 @@
             tasks of a lost worker stay blocked.
         heartbeat_interval_ms: Minimum interval between the heartbeats of a
             worker that has no change to report.
-        interval_per_worker_ms: The interval of heartbeats is at least this
-            times the number of workers, so that one leader answers at most
-            250 heartbeats per second.
+        interval_per_worker_ms: Heartbeat interval per worker. It limits a
+            leader to 250 heartbeats per second, unless the interval would
+            exceed a quarter of the lease.
         max_silent_intervals: Number of heartbeat intervals without a
             heartbeat after which a worker gets no more tasks.
         job_order: Name of the ordering of jobs, in ``job_orders``.
         max_filler_tasks_per_step: Maximum number of tasks of a step with
             ``fills`` on one worker.
         takeover_wait_ms: Time after a change of leader in which a machine
-            gets no order, because the former leader may just have sent it
-            one.
+            with a recent order gets no new one, because the former leader
+            may just have sent it one.
     """
 
     __slots__ = (
@@ -46,7 +46,7 @@
         self.takeover_wait_ms = lease_ms + 500
 
     def choose_heartbeat_interval(self, workers):
-        """Returns the interval of heartbeats, in ms, for a number of workers.
+        """Returns the heartbeat interval, in ms, for a number of workers.
 
         The result is at most a quarter of the lease, so that four heartbeats
         fit into a lease, however many workers there are.
--- a/wigeonport/batch_specs.py
+++ b/wigeonport/batch_specs.py
@@ -47,7 +47,8 @@
         lasting: Whether the tasks run until the job is cancelled.
         image: Name of the program image that the tasks run.
         target_ms: Maximum tail latency of a serving task, or 0.
-        fills: Whether the tasks use only CPU that other tasks leave idle.
+        fills: Whether the tasks are filler tasks, which use only CPU that
+            other tasks leave idle.
         max_unavailable: Maximum number of tasks of a lasting step that
             planned actions may take down at the same time; 0 for no limit.
     """
--- a/wigeonport/batch_states.py
+++ b/wigeonport/batch_states.py
@@ -149,8 +149,8 @@
 @OPERATIONS.register(StartRuns)
 def start_runs(state, operation, now_ms):
     """Records runs before their worker is ordered to start them."""
-    for task_name, run in zip(operation.tasks, operation.runs, strict=True):
-        job_id, *position = split_task_id(task_name)
+    for task_id, run in zip(operation.tasks, operation.runs, strict=True):
+        job_id, *position = split_task_id(task_id)
         job = state.batch.jobs.get(job_id)
         if job is not None:
             job.start_run(position, run, operation.worker)
@@ -166,8 +166,8 @@
         operation.checkpoints,
         strict=True,
     )
-    for task_name, run, outcome, checkpoint in rows:
-        job_id, *position = split_task_id(task_name)
+    for task_id, run, outcome, checkpoint in rows:
+        job_id, *position = split_task_id(task_id)
         job = state.batch.jobs.get(job_id)
         if job is not None:
             job.end_run(position, run, outcome, checkpoint, now_ms)
--- a/wigeonport/gateways.py
+++ b/wigeonport/gateways.py
@@ -102,7 +102,7 @@
         """Tries controls until the leader has answered or time runs out.
 
         A call that may have been sent is repeated until its deadline; one
-        that was surely not sent is given up after LEADER_SEARCH_MS.
+        that was certainly not sent is given up after LEADER_SEARCH_MS.
         """
         sent = False
         search_until_ms = min(request.deadline_ms, start_ms + LEADER_SEARCH_MS)
@@ -168,7 +168,7 @@
         self.metrics.count("gateway_calls_given_up")
 
     def record_failure(self, host, call, reason):
-        """Logs a failed attempt; its control is no longer taken as leader."""
+        """Logs a failed attempt; its control no longer counts as leader."""
         logger.warning(
             "Control gave no answer.",
             request=call.request_id,
--- a/wigeonport/job_orders.py
+++ b/wigeonport/job_orders.py
@@ -69,7 +69,7 @@
     """The ranked jobs of a service, cached for a short time.
 
     Attributes:
-        created_ms: Wall time for which the ranking was computed.
+        created_ms: Wall time at which the ranking was computed.
         policy: Function from ``job_orders`` that sorts RankedJobs.
         ranked_jobs: List of RankedJob, highest rank first.
         by_job_id: Maps job id to RankedJob.
@@ -123,9 +123,10 @@
 
 @job_orders.register("objective")
 def order_by_objective(ranked_jobs, now_ms):
-    """Sorts lasting jobs first, then those that can meet their objective.
+    """Sorts by lasting, then by late, then by objective.
 
-    Within each group the job with the earliest objective is first.
+    Lasting jobs are first, then those that can still meet their objective,
+    then those that will be late; ties go to the earliest objective.
     """
 
     def key(ranked_job):
--- a/wigeonport/machine_managers.py
+++ b/wigeonport/machine_managers.py
@@ -47,7 +47,7 @@
 # Time in which all workers find a new leader. Until then nothing is planned,
 # because pools look smaller than they are.
 TERM_START_WAIT_MS = 1_500
-# A refused or unanswered order is sent again after this time.
+# A machine gets no order for this time after one was refused or unanswered.
 REFUSED_PAUSE_MS = 700
 
 
@@ -234,8 +234,8 @@
         self.orders_in_flight.discard(machine)
         if event.result == EXECUTED:
             # The runs on the machine end with the first heartbeat of its
-            # new worker, not here: if the order had been carried out before,
-            # its runs are those of the new worker.
+            # new worker, not here: if this order repeats one that had been
+            # carried out already, they may be runs of the new worker.
             dispatcher.record(ConfirmMachine(machine))
             self.confirmed_ms[machine] = now_ms
             return
--- a/wigeonport/run_reports.py
+++ b/wigeonport/run_reports.py
@@ -8,8 +8,8 @@
 
 logger = PartLogger("dispatch")
 
-# Maximum number of failed tasks whose failure times are kept; once it is
-# exceeded, all of them are dropped.
+# Maximum number of tasks whose failure times are kept; once it is exceeded,
+# all of them are dropped.
 MAX_FAILED_TASKS = 4_096
 
 
@@ -21,7 +21,7 @@
         worker: Worker that sent the heartbeat.
         orders: WorkerOrders in answer, which acknowledge the ended runs.
     """
-    tasks, runs, outcomes, checkpoint = [], [], [], []
+    tasks, runs, outcomes, checkpoints = [], [], [], []
     for end in worker.report.ended:
         orders.acknowledged = max(orders.acknowledged, end.number)
         if dispatcher.find_task(end.task) is None:
@@ -29,10 +29,10 @@
         tasks.append(end.task)
         runs.append(end.run)
         outcomes.append(end.outcome)
-        checkpoint.append(end.checkpoint)
+        checkpoints.append(end.checkpoint)
         record_outcome(dispatcher, worker, end)
     if tasks:
-        dispatcher.record(EndRuns(tasks, runs, outcomes, checkpoint))
+        dispatcher.record(EndRuns(tasks, runs, outcomes, checkpoints))
         remove_ended_jobs(dispatcher, tasks)
         refresh_ended_steps(dispatcher, worker, tasks)
 
@@ -40,15 +40,15 @@
 def refresh_ended_steps(dispatcher, worker, tasks):
     """Updates the startable steps of jobs in which a step has ended."""
     ranking = dispatcher.rankings.get(worker.report.service)
-    for task_name in tasks:
-        entry = dispatcher.find_task(task_name)
+    for task_id in tasks:
+        entry = dispatcher.find_task(task_id)
         if ranking is not None and (entry is None or not entry[1].remaining):
-            ranking.refresh_job(split_task_id(task_name)[0])
+            ranking.refresh_job(split_task_id(task_id)[0])
 
 
 def remove_ended_jobs(dispatcher, tasks):
     """Logs the jobs that ended with these tasks and stops tracking them."""
-    for job_id in {split_task_id(task_name)[0] for task_name in tasks}:
+    for job_id in {split_task_id(task_id)[0] for task_id in tasks}:
         job = dispatcher.active.get(job_id)
         if job is None or job.active:
             continue
--- a/wigeonport/task_copies.py
+++ b/wigeonport/task_copies.py
@@ -17,7 +17,7 @@
 
 
 def find_tasks_to_copy(dispatcher, now_ms):
-    """Returns a dict from service to the names of the tasks to copy."""
+    """Returns a dict from service to the ids of the tasks to copy."""
     tasks_by_service = {}
     silent_ms = SUSPECT_HEARTBEATS * dispatcher.heartbeat_interval_ms
     for worker in dispatcher.workers.by_id.values():
--- a/wigeonport/task_evacuations.py
+++ b/wigeonport/task_evacuations.py
@@ -45,8 +45,9 @@
 def may_stop(dispatcher, name, step):
     """Returns whether a run may be stopped.
 
-    A task of a lasting step may be stopped while fewer than
-    ``max_unavailable`` other tasks of the step are unavailable.
+    A task of a lasting step with ``max_unavailable`` may be stopped while
+    fewer other tasks of the step are unavailable; any other run may be
+    stopped at any time.
     """
     if not step.lasting or not step.max_unavailable:
         return True
--- a/wigeonport/task_placements.py
+++ b/wigeonport/task_placements.py
@@ -4,8 +4,9 @@
 from wigeonport.batch_specs import task_id
 from wigeonport.job_orders import JobRanking, RankedJob, job_orders
 
-# Maximum number of tasks started by one answer, which keeps its size far
-# below 4 MiB.
+# Once an answer starts this many tasks, each further job adds the tasks of at
+# most one step, which keeps the answer far below 4 MiB. Also the default for
+# the maximum number of tasks of a step on one worker.
 MAX_STARTS = 64
 # How long a computed ranking is used; a change of the ranks takes effect
 # after this time at the latest.
@@ -90,7 +91,7 @@
         dispatcher: BatchDispatcher.
         worker: Worker.
         ranked_job: RankedJob with the step.
-        prefix: Common prefix of the names of the step's tasks.
+        prefix: Common prefix of the step's task ids.
     """
 
     __slots__ = ("dispatcher", "worker", "ranked_job", "prefix")
@@ -128,7 +129,7 @@
         silent_ms = (
             GANG_MAX_SILENT_HEARTBEATS * self.dispatcher.heartbeat_interval_ms
         )
-        near = any(
+        rack_accepts_tasks = any(
             other.report.rack == step.data_rack
             and other.accepts_tasks(now_ms, silent_ms)
             for other in self.dispatcher.workers.of_service(
@@ -139,7 +140,7 @@
             self.prefix, now_ms
         )
         wait_ms = LOCALITY_WAIT_MS + step.estimated_ms
-        return not near or now_ms - start_ms > wait_ms
+        return not rack_accepts_tasks or now_ms - start_ms > wait_ms
 
     def choose_tasks(self, step_run, free_capacity):
         """Returns the indices of the tasks to start.
@@ -203,7 +204,7 @@
     """Starts the members of one gang if all of them fit.
 
     A gang that prefers a rack is placed in a single rack if possible, and
-    else across racks.
+    otherwise across racks.
     """
     step = step_run.step
     silent_ms = GANG_MAX_SILENT_HEARTBEATS * dispatcher.heartbeat_interval_ms
@@ -217,9 +218,17 @@
     for rack in sorted(racks) if step.same_rack or step.data_rack else ():
         if step.data_rack and rack != step.data_rack:
             continue
-        near = [worker for worker in candidates if worker.report.rack == rack]
+        rack_workers = [
+            worker for worker in candidates if worker.report.rack == rack
+        ]
         chosen = chosen or fill_gang(
-            dispatcher, ranked_job, occurrence, number, step, near, now_ms
+            dispatcher,
+            ranked_job,
+            occurrence,
+            number,
+            step,
+            rack_workers,
+            now_ms,
         )
     chosen = chosen or fill_gang(
         dispatcher, ranked_job, occurrence, number, step, candidates, now_ms
@@ -227,12 +236,12 @@
     if chosen is None:
         return
     run = max(task.last_run for task in step_run.tasks) + 1
-    task_names = [
+    task_ids = [
         task_id(ranked_job.job.job_id, occurrence, number, index)
         for index in range(step.count)
     ]
     for worker, count in chosen:
-        members, task_names = task_names[:count], task_names[count:]
+        members, task_ids = task_ids[:count], task_ids[count:]
         dispatcher.record(
             StartRuns(members, [run] * len(members), worker.incarnation)
         )
--- a/wigeonport/upkeep_waves.py
+++ b/wigeonport/upkeep_waves.py
@@ -9,8 +9,9 @@
 # Tasks that still run on a reserved machine after this time are stopped. It is
 # twice the mean run time of the longest kind of task.
 EMPTYING_MS = 4_000
-# Duration of one round of a wave, assumed for its deadline: emptying, the
-# upkeep of 2 s, and the first heartbeat of the new worker.
+# Assumed duration of one round of a wave, from which the latest start is
+# computed: emptying, the upkeep of 2 s, and the first heartbeat of the new
+# worker.
 ROUND_MS = 6_500
 # Maximum share of a pool that is reserved at the same time, unless a wave
 # would miss its deadline.
--- a/wigeonport/worker_evaluations.py
+++ b/wigeonport/worker_evaluations.py
@@ -12,9 +12,9 @@
 
 logger = PartLogger("verdicts")
 
-# Jobs that must have failed in a row before their worker is excluded. Two in
-# a row are rare on a healthy worker, because a task fails by itself in 0.2%
-# of its runs.
+# Number of jobs with failed runs on a worker, without a success in between,
+# before the worker is excluded. Two in a row are rare on a healthy worker,
+# because a task fails by itself in 0.2% of its runs.
 MIN_FAILED_JOBS = 2
 # A task that has failed on this many workers counts against its job and no
 # longer against a worker.
@@ -25,9 +25,8 @@
 # The same for a lasting task that is still starting up, which shows no
 # progress and takes up to 1 s on a healthy worker.
 LASTING_STALL_MS = 4_000
-# A run is slow when its progress is this many times below the progress that
-# its estimate predicts. Estimates are off by a fifth and run times vary by a
-# third.
+# A run is slow when its estimate predicts more than this many times its
+# progress. Estimates are off by a fifth and run times vary by a third.
 SLOW_FACTOR = 3.0
 # Minimum age of a run before its speed is evaluated.
 SLOW_AGE_MS = 700
@@ -56,8 +55,8 @@
 
     Args:
         worker: Worker.
-        key: Pair of task name and run number.
-        percent: Progress.
+        key: Pair of task id and run number.
+        percent: Reported progress.
     """
     progress = worker.progress.get(key)
     if progress is None:
--- a/wigeonport/worker_reports.py
+++ b/wigeonport/worker_reports.py
@@ -1,4 +1,4 @@
-"""Heartbeats of workers with the state of their runs, and the orders sent."""
+"""Heartbeats of workers, and the orders in the replies to them."""
 
 from wigeonport.records import Record
 
@@ -94,8 +94,8 @@
         availability_zone: Zone of the worker.
         rack: Rack of the worker, or "".
         labels: All labels of the worker.
-        capacity: Resources of the worker without tasks, or None if it runs
-            no tasks.
+        capacity: Total Resources of the worker, or None for a worker that
+            never runs tasks.
         draining: Whether the worker drains and is about to leave.
         drain_remaining_ms: Minimum time until a draining worker stops.
         running: List of RunReport.
--- a/wigeonport/worker_tables.py
+++ b/wigeonport/worker_tables.py
@@ -58,15 +58,15 @@
         report: Newest WorkerReport.
         last_heartbeat_ms: Time at which that report arrived.
         lease_until_ms: Latest time at which its runs may be live.
-        runs: Maps pairs of task and run to Step, for all runs that may be
-            live.
+        runs: Maps pairs of task id and run number to Step, for all runs
+            that may be live.
         excluded_until_ms: Time before which no task is placed on it.
-        stopping: Pairs of task and run that are to be stopped, so that the
-            task starts on another worker.
+        stopping: Pairs of task id and run number, for the runs to stop so
+            that their tasks start on other workers.
         fill_percent: Rate of its filler tasks, in percent of full speed.
         reserved_ms: Time since which it gets no tasks because its machine
             has an order or is being emptied for one, or None.
-        progress: Maps pairs of task and run to RunProgress.
+        progress: Maps pairs of task id and run number to RunProgress.
         failed_jobs: Ids of the jobs with a task that failed on it since its
             last success.
         exclusion_ms: Duration of its last exclusion.
@@ -136,9 +136,9 @@
     Attributes:
         by_id: Maps worker id to Worker.
         by_machine: Maps machine to Worker.
-        runs: Maps incarnation to a dict from pairs of task and run to Step.
-            Includes incarnations that have sent no heartbeat to this
-            leader.
+        runs: Maps incarnation to a dict from pairs of task id and run
+            number to Step. Includes incarnations that have sent no
+            heartbeat to this leader.
     """
 
     __slots__ = ("by_id", "by_machine", "runs")
