--- a/tests/test_gateways.py
+++ b/tests/test_gateways.py
@@ -56,12 +56,12 @@
     It returns the GatewayAnswer.
     """
 
-    def call(dialers, patience_ms=1_500):
+    def call(dialers, time_limit_ms=1_500):
         async def main():
             gateway = Gateway(FakeLinks(dialers), Clock(), Metrics())
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(gateway.run)
-                deadline_ms = gateway.clock.now() + patience_ms
+                deadline_ms = gateway.clock.now() + time_limit_ms
                 answer = await ask(
                     gateway.inbox,
                     lambda reply: GatewayCall(
@@ -77,7 +77,7 @@
     return call
 
 
-def test_gateway_follows_the_hint_of_a_follower(call_through):
+def test_gateway_follows_the_redirect_of_a_follower(call_through):
     """A call must reach the leader whichever control is tried first."""
     follower = Ok(BatchReply(NOT_LEADING, leader="b"))
     dialers = {
@@ -95,7 +95,7 @@
     """
     start_ms = Clock().now()
     dialers = {"a": FakeDialer(None, connected=False)}
-    answer = call_through(dialers, patience_ms=3_000)
+    answer = call_through(dialers, time_limit_ms=3_000)
     assert Clock().now() - start_ms < 1_500
     assert answer.reply is None
     assert not answer.sent
@@ -117,7 +117,7 @@
     The connection broke after the call was sent.
     """
     lost = Error(LinkError("connection reset", sent=True))
-    answer = call_through({"a": FakeDialer(lost)}, patience_ms=300)
+    answer = call_through({"a": FakeDialer(lost)}, time_limit_ms=300)
     assert answer.reply is None
     assert answer.sent
 
--- a/tests/test_machine_managers.py
+++ b/tests/test_machine_managers.py
@@ -112,7 +112,7 @@
     return MachineHarness(["m1", "m2", "m3"], ["s1", "s2"])
 
 
-def run_to_order(cluster):
+def order_after_heartbeats(cluster):
     """Sends heartbeats, runs two ticks; returns the orders of the second."""
     for name in ("m1", "m2", "m3"):
         cluster.heartbeat(name)
@@ -123,7 +123,7 @@
 def test_wave_keeps_its_maximum_of_machines_down(cluster):
     """A wave must not take down more machines at a time than ``max_count``."""
     cluster.open_wave(["m1", "m2", "m3"], count=1)
-    (order,) = run_to_order(cluster)
+    (order,) = order_after_heartbeats(cluster)
     assert (order.purpose, order.target, order.fence) == ("upkeep", "1", 3)
     cluster.answer(order, EXECUTED)
     cluster.harness.now_ms += 500
@@ -138,7 +138,7 @@
     first machine up; the list from before doesn't count.
     """
     cluster.open_wave(["m1", "m2", "m3"], count=1)
-    (order,) = run_to_order(cluster)
+    (order,) = order_after_heartbeats(cluster)
     cluster.answer(order, EXECUTED)
     cluster.tick()
     assert cluster.harness.dispatcher.state.upkeep.orders
@@ -201,7 +201,7 @@
     or completed in the state.
     """
     cluster.open_wave(["m1"])
-    (order,) = run_to_order(cluster)
+    (order,) = order_after_heartbeats(cluster)
     if settled:
         cluster.answer(order, EXECUTED)
         cluster.harness.now_ms += 100
@@ -274,7 +274,7 @@
     cluster.open_wave(["m1"])
     cluster.heartbeat("m1")
     cluster.tick()
-    (order,) = cluster.tick() or run_to_order(cluster)
+    (order,) = cluster.tick() or order_after_heartbeats(cluster)
     cluster.answer(order, NO_ANSWER)
     assert cluster.tick() == []
     cluster.harness.now_ms += 800
@@ -286,7 +286,7 @@
     cluster.open_wave(["m1"])
     cluster.heartbeat("m1")
     cluster.tick()
-    (order,) = cluster.tick() or run_to_order(cluster)
+    (order,) = cluster.tick() or order_after_heartbeats(cluster)
     cluster.answer(order, BUSY)
     assert cluster.wave().left == ["m1"]
     cluster.harness.now_ms += 800
--- a/wigeonport/advice_tickets.py
+++ b/wigeonport/advice_tickets.py
@@ -26,7 +26,7 @@
         ticket, until_ms = self.by_worker.get(incarnation, ("", 0))
         return ticket if ticket and now_ms < until_ms else None
 
-    def is_known(self, incarnation, now_ms):
+    def has_valid_answer(self, incarnation, now_ms):
         """Returns whether no call is needed for a worker.
 
         That is so while it has a valid ticket, or if it may not run the
--- a/wigeonport/advisors.py
+++ b/wigeonport/advisors.py
@@ -128,7 +128,7 @@
                 ranked_job.queue.service
             )
             if worker.accepts_tasks(now_ms, dispatcher.max_silence_ms())
-            and not tickets.is_known(worker.incarnation, now_ms)
+            and not tickets.has_valid_answer(worker.incarnation, now_ms)
         }
         workers = dict(sorted(workers.items())[:MAX_WORKERS])
         if not workers:
--- a/wigeonport/batch_programs.py
+++ b/wigeonport/batch_programs.py
@@ -232,7 +232,7 @@
         nursery.start_soon(gateway.run)
         nursery.start_soon(probe_leader, gateway, program.clock)
         listeners = EntryListeners(settings)
-        nursery.start_soon(close_after_notice, program, listeners.closing)
+        nursery.start_soon(close_after_drain_wait, program, listeners.closing)
         await serve_edge(program, gateway, listeners)
         nursery.cancel_scope.cancel()
 
@@ -255,7 +255,7 @@
         self.closing = trio.Event()
 
 
-async def close_after_notice(program, closing):
+async def close_after_drain_wait(program, closing):
     """Closes the listeners after the stop is visible to the balancer.
 
     Until then the load balancer still sends new requests here.
--- a/wigeonport/machine_managers.py
+++ b/wigeonport/machine_managers.py
@@ -51,7 +51,7 @@
 REFUSED_PAUSE_MS = 700
 
 
-class DurableOrder:
+class OrderForwarder:
     """Reply channel that forwards an order once it is committed.
 
     Attributes:
@@ -332,7 +332,7 @@
         planned = PlannedOrder(
             machine, order.purpose, order.target, self.node, dispatcher.term
         )
-        return DurableOrder(self.calls), planned
+        return OrderForwarder(self.calls), planned
 
     def settle_returned(self, dispatcher):
         """Completes the orders whose machine is up again or gone.
--- a/wigeonport/pool_sizes.py
+++ b/wigeonport/pool_sizes.py
@@ -136,7 +136,7 @@
 
     Reserves the machines to move, and orders the moves of empty ones.
     """
-    finish_moves(manager, dispatcher, now_ms)
+    order_pending_moves(manager, dispatcher, now_ms)
     table = dispatcher.state.routes.table
     standby = table.standby_services()
     if not standby:
@@ -178,7 +178,7 @@
         wanted -= 1
     for donor in sorted(pools, key=lambda load: load.needed - load.capacity):
         while wanted > 0 and donor is not pool and donor.can_spare_machine():
-            worker = find_idle(manager, dispatcher, donor, now_ms)
+            worker = find_least_used_worker(manager, dispatcher, donor, now_ms)
             machine = worker.report.machine if worker else ""
             if not worker or (machine, pool.service) in manager.refused_moves:
                 break
@@ -225,7 +225,7 @@
     )
 
 
-def find_idle(manager, dispatcher, pool, now_ms):
+def find_least_used_worker(manager, dispatcher, pool, now_ms):
     """Returns the worker with the most free processors, or None.
 
     Workers with lasting tasks are left out.
@@ -256,7 +256,7 @@
     since_ms = manager.underused_since_ms.setdefault(pool.service, now_ms)
     if now_ms - since_ms < UNDERUSED_MS:
         return
-    worker = find_idle(manager, dispatcher, pool, now_ms)
+    worker = find_least_used_worker(manager, dispatcher, pool, now_ms)
     if worker is None:
         return
     logger.info(
@@ -271,7 +271,7 @@
     manager.underused_since_ms.pop(pool.service, None)
 
 
-def finish_moves(manager, dispatcher, now_ms):
+def order_pending_moves(manager, dispatcher, now_ms):
     """Orders the pending moves of machines that are empty.
 
     A move is dropped if the machine is not up or has another order.
--- a/wigeonport/upkeep_states.py
+++ b/wigeonport/upkeep_states.py
@@ -102,7 +102,7 @@
             if now_ms - end_ms <= SETTLED_RETENTION_MS
         }
 
-    def count_down(self, wave):
+    def count_machines_down(self, wave):
         """Returns the number of machines of a wave with an upkeep order.
 
         Each of them may be down already, whether or not the platform has
--- a/wigeonport/upkeep_waves.py
+++ b/wigeonport/upkeep_waves.py
@@ -39,7 +39,7 @@
     ]
     others = [name for name in remaining_names if name not in reserved]
     reserve_machines(manager, dispatcher, wave, others, len(reserved), now_ms)
-    free = wave.max_count - dispatcher.state.upkeep.count_down(wave)
+    free = wave.max_count - dispatcher.state.upkeep.count_machines_down(wave)
     for name in reserved:
         if free <= 0:
             break
@@ -68,7 +68,7 @@
     slack_ms = wave.due_ms - dispatcher.wall_ms - rounds * ROUND_MS
     free = (
         wave.max_count
-        - dispatcher.state.upkeep.count_down(wave)
+        - dispatcher.state.upkeep.count_machines_down(wave)
         - reserved_count
     )
     for name in sort_by_work(dispatcher, names):
