--- a/wigeonport/batch_controllers.py
+++ b/wigeonport/batch_controllers.py
@@ -300,9 +300,7 @@
     async def resign(self):
         """Asks the consensus task to transfer leadership."""
         answer = await ask(self.consensus, ResignRequest, STATUS_TIMEOUT_MS)
-        logger.info(
-            "Leadership handed over.", term=self.term, done=answer.is_ok()
-        )
+        logger.info("Lead handed over.", term=self.term, done=answer.is_ok())
 
     async def load(self, term):
         """Loads a copy of the state once this term has committed an entry."""
