--- a/wigeonport/job_orders.py
+++ b/wigeonport/job_orders.py
@@ -123,10 +123,10 @@
 
 @job_orders.register("objective")
 def order_by_objective(ranked_jobs, now_ms):
-    """Sorts by lasting, then by late, then by objective.
+    """Sorts by objective, the earliest first.
 
-    Lasting jobs are first, then those that can still meet their objective,
-    then those that will be late; ties go to the earliest objective.
+    Lasting jobs precede all others, and jobs that can still meet their
+    objective precede those that will be late.
     """
 
     def key(ranked_job):
