--- a/wigeonport/advisors.py
+++ b/wigeonport/advisors.py
@@ -27,7 +27,7 @@
     """A request for the tickets of workers for a step.
 
     Attributes:
-        step: Step as ``job.occurrence.number``.
+        step: Step id, ``job.occurrence.step``.
         workers: Maps worker id to incarnation.
         valid_ms: Time for which the tickets are valid, counted from the call.
         term: Term of the leader.
@@ -128,7 +128,7 @@
                 ranked_job.queue.service
             )
             if worker.accepts_tasks(now_ms, dispatcher.max_silence_ms())
-            and not tickets.is_known(worker.incarnation, now_ms)
+            and not tickets.has_valid_answer(worker.incarnation, now_ms)
         }
         workers = dict(sorted(workers.items())[:MAX_WORKERS])
         if not workers:
--- a/wigeonport/batch_controllers.py
+++ b/wigeonport/batch_controllers.py
@@ -300,9 +300,7 @@
     async def resign(self):
         """Asks the consensus task to transfer leadership."""
         answer = await ask(self.consensus, ResignRequest, STATUS_TIMEOUT_MS)
-        logger.info(
-            "Leadership handed over.", term=self.term, done=answer.is_ok()
-        )
+        logger.info("Lead handed over.", term=self.term, done=answer.is_ok())
 
     async def load(self, term):
         """Loads a copy of the state once this term has committed an entry."""
@@ -325,9 +323,9 @@
             await self.clock.sleep(LOAD_RETRY_MS)
 
     async def commit_barrier(self):
-        """Commits an empty batch; then all earlier batches have an outcome.
+        """Commits an empty batch; returns whether that succeeded.
 
-        Returns whether the empty batch was committed.
+        All earlier batches then have an outcome.
         """
         command = RecordBatch(self.clock.wall(), [])
         answer = await ask(
--- a/wigeonport/upkeep_waves.py
+++ b/wigeonport/upkeep_waves.py
@@ -9,8 +9,9 @@
 # Tasks that still run on a reserved machine after this time are stopped. It is
 # twice the mean run time of the longest kind of task.
 EMPTYING_MS = 4_000
-# Duration of one round of a wave, assumed for its deadline: emptying, the
-# upkeep of 2 s, and the first heartbeat of the new worker.
+# Assumed duration of one round of a wave, from which the latest start is
+# computed: emptying, the upkeep of 2 s, and the first heartbeat of the new
+# worker.
 ROUND_MS = 6_500
 # Maximum share of a pool that is reserved at the same time, unless a wave
 # would miss its deadline.
@@ -38,7 +39,7 @@
     ]
     others = [name for name in remaining_names if name not in reserved]
     reserve_machines(manager, dispatcher, wave, others, len(reserved), now_ms)
-    free = wave.max_count - dispatcher.state.upkeep.count_down(wave)
+    free = wave.max_count - dispatcher.state.upkeep.count_machines_down(wave)
     for name in reserved:
         if free <= 0:
             break
@@ -67,7 +68,7 @@
     slack_ms = wave.due_ms - dispatcher.wall_ms - rounds * ROUND_MS
     free = (
         wave.max_count
-        - dispatcher.state.upkeep.count_down(wave)
+        - dispatcher.state.upkeep.count_machines_down(wave)
         - reserved_count
     )
     for name in sort_by_work(dispatcher, names):
