Rename step_if_running to later_changes

Cause: the list of later changes of members had got the name of a test function by mistake Change: step_if_running to later_changes; 2 uses in 1 files, by token. Result: every touched file compiles; behaviour is unchanged.

--- a/wigeonport/replica_logs.py
+++ b/wigeonport/replica_logs.py
@@ -122,12 +122,12 @@
         del self.entries[: index - self.base_index]
         self.base_index = index
         self.base_term = term
-        step_if_running = [
+        later_changes = [
             pair for pair in self.members_history if pair[0] > index
         ]
         # Later changes keep their index, by which an uncommitted change is
         # recognized; a compacted change is committed.
-        self.members_history = [(index, members), *step_if_running]
+        self.members_history = [(index, members), *later_changes]
 
     def reset(self, snapshot):
         """Empties the log, which then continues after a snapshot."""
