Rename view to make_view

Cause: the attribute holds the function that makes the view of a state, not a view Change: view to make_view; 13 uses in 4 files, by token.

--- a/tests/test_batch_controllers.py
+++ b/tests/test_batch_controllers.py
@@ -126,7 +126,7 @@
 
 def answer_read(request, state):
     """Returns the Result of a Read on the state."""
-    return Ok(request.view(state))
+    return Ok(request.make_view(state))
 
 
 class ControllerHarness:
--- a/wigeonport/consensus_calls.py
+++ b/wigeonport/consensus_calls.py
@@ -86,14 +86,14 @@
     """A read requested by this process.
 
     Attributes:
-        view: Function that returns the view of a state.
+        make_view: Function that returns the view of a state.
         reply: Reply channel for an Ok or an Error.
     """
 
-    __slots__ = ("view", "reply")
+    __slots__ = ("make_view", "reply")
 
-    def __init__(self, view, reply):
-        self.view = view
+    def __init__(self, make_view, reply):
+        self.make_view = make_view
         self.reply = reply
 
     def finish(self, state):
@@ -103,7 +103,7 @@
         must not end the task that owns the log.
         """
         try:
-            answer = Ok(self.view(state))
+            answer = Ok(self.make_view(state))
         except Exception as fault:
             logger.error(
                 "A view of the state raised an exception.", fault=repr(fault)
--- a/wigeonport/consensus_inputs.py
+++ b/wigeonport/consensus_inputs.py
@@ -142,7 +142,7 @@
     read uses the local state at once.
     """
     replica = consensus.replica
-    call = LocalRead(request.view, request.reply)
+    call = LocalRead(request.make_view, request.reply)
     now_ms = consensus.clock.now()
     if not request.consistent:
         call.finish(consensus.state)
--- a/wigeonport/consensus_requests.py
+++ b/wigeonport/consensus_requests.py
@@ -58,7 +58,7 @@
     """Asks for a view of the state; answered by an Ok or an Error.
 
     Attributes:
-        view: Function that returns the view of a state. It must not change
+        make_view: Function that returns the view of a state. It must not change
             the state and must not return a part of it that changes later.
         reply: Reply channel.
         consistent: Whether the view must show every change that was
@@ -66,10 +66,10 @@
             which may lag behind.
     """
 
-    __slots__ = ("view", "reply", "consistent")
+    __slots__ = ("make_view", "reply", "consistent")
 
-    def __init__(self, view, reply, consistent=True):
-        self.view = view
+    def __init__(self, make_view, reply, consistent=True):
+        self.make_view = make_view
         self.reply = reply
         self.consistent = consistent
 
