Give the same reason in the same words wherever a proposal is refused

Change: "the addressed replica is not the leader", "the payload is too large for a log entry" and "the member cannot be removed now".

--- a/wigeonport/consensus_inputs.py
+++ b/wigeonport/consensus_inputs.py
@@ -79,7 +79,9 @@
         entry_payload = consensus.encode_command(payload)
         consensus.batch.append(ProposalItem(number, entry_payload))
     elif len(payload) > replica.settings.max_payload_bytes:
-        call.finish(ProposalAnswer(REFUSED, "payload is too large"))
+        call.finish(
+            ProposalAnswer(REFUSED, "the payload is too large for a log entry")
+        )
     elif replica.leader_id:
         leader_id = replica.leader_id
         number = consensus.calls.open(call, now_ms, leader_id)
--- a/wigeonport/memberships.py
+++ b/wigeonport/memberships.py
@@ -138,7 +138,9 @@
         )
     ):
         replica.out.replies.append(
-            Outcome(event.number, REFUSED, "cannot change members now", 0)
+            Outcome(
+                event.number, REFUSED, "the member cannot be removed now", 0
+            )
         )
         return
     append_change(replica, members.without(event.replica_id))
--- a/wigeonport/proposals.py
+++ b/wigeonport/proposals.py
@@ -19,11 +19,11 @@
         pending = replica.log.last_index() - committed_durable_index
         reason = ""
         if not replica.is_leader():
-            reason = "not leader"
+            reason = "the addressed replica is not the leader"
         elif pending >= settings.max_pending_entries:
             reason = "too many entries wait for commit or for the disk"
         elif len(item.payload) > settings.max_payload_bytes:
-            reason = "payload is too large"
+            reason = "the payload is too large for a log entry"
         if reason:
             replica.out.replies.append(
                 Outcome(item.number, REFUSED, reason, 0)
