Shorten the docstring of Replica and name a change of leader alike

Change: five attributes described on one line each, without a fact lost; "the leader changed" in both places; is_blank says entry and term.

--- a/wigeonport/consensus_calls.py
+++ b/wigeonport/consensus_calls.py
@@ -99,8 +99,8 @@
     def finish(self, state):
         """Answers with the view of a state.
 
-        The function is code of another filter, so that an exception of it
-        must not end the task that owns the log.
+        The function belongs to another filter, so an exception in it must
+        not end the task that owns the log.
         """
         try:
             answer = Ok(self.make_view(state))
@@ -166,7 +166,7 @@
 
 
 class OpenCalls:
-    """The open calls.
+    """The calls that have not been answered yet.
 
     Attributes:
         last_number: Number of the last call opened. It starts at a random
@@ -220,7 +220,7 @@
             if open_call.leader_id and open_call.leader_id != leader_id
         ]
         for number in stale:
-            self.pop(number).abandon("the leader changed before it answered")
+            self.pop(number).abandon("the leader changed")
 
     def abandon_all(self, reason):
         """Abandons all calls when the process stops."""
--- a/wigeonport/replicas.py
+++ b/wigeonport/replicas.py
@@ -56,8 +56,7 @@
         term: Current term.
         vote: Replica id voted for in this term, or "".
         role: ``FOLLOWER``, ``PRE_CANDIDATE``, ``CANDIDATE`` or ``LEADER``.
-        leader_id: Replica id of the leader of this term, or "" while it
-            is unknown.
+        leader_id: Replica id of this term's leader, or "" while unknown.
         log: ReplicaLog.
         snapshot: Newest Snapshot, or None.
         commit_index: Highest index known to be committed.
@@ -69,12 +68,10 @@
         sequence: Sequence of the last Persist.
         pending: PendingPersist objects that are not durable yet, in order.
         hard_state_sequence: Sequence of the last Persist with a hard state.
-        durable_sequence: Highest sequence up to which every Persist is
-            durable.
+        durable_sequence: Every Persist up to this sequence is durable.
         deferred: Pairs of sequence and message; the message is sent once
             the Persist with this sequence is durable.
-        verified_index: Highest index up to which the log is known to match
-            the leader's log.
+        verified_index: Highest index known to match the leader's log.
         acknowledged_round: Highest heartbeat round of the leader that this
             replica has acknowledged.
         leader_contact_ms: Time of the last message from the leader. The
@@ -87,11 +84,9 @@
         votes: Replica ids that granted the vote or the pre-vote.
         progress: On the leader, maps replica id to Progress.
         proposals: On the leader, maps log index to proposal number.
-        term_start_index: On the leader, index of the first entry of its
-            term.
+        term_start_index: On the leader, first index of its term.
         round: On the leader, number of the last heartbeat round.
-        pending_reads: On the leader, PendingRead objects that wait for a
-            heartbeat round.
+        pending_reads: On the leader, PendingReads that wait for a round.
         next_voter_heartbeat_ms: When voters get the next heartbeat.
         next_learner_heartbeat_ms: When learners get the next heartbeat.
         commit_notice_due_ms: When the leader announces its commit index
@@ -235,7 +230,7 @@
         return self.log.members()
 
     def is_blank(self):
-        """Returns whether this replica has no log and has seen no term."""
+        """Returns whether this replica has no entry and has seen no term."""
         return self.log.last_index() == 0 and self.term == 0
 
     def reset_election_timer(self):
@@ -368,7 +363,7 @@
         """Answers the pending proposals with unknown and refuses the reads."""
         for index, number in self.proposals.items():
             self.out.replies.append(
-                Outcome(number, UNKNOWN, "leader changed", index)
+                Outcome(number, UNKNOWN, "the leader changed", index)
             )
         self.proposals = {}
         self.progress = {}
