Correct docstrings of the log and the state that misled a reader

Cause: some texts said less or other things than the code: a blank replica has also seen no term, a requested VM that is already unavailable uses no further budget, a description of a recovery also says what is kept, None from find_health has more causes, CommandRefused answers more than two cases.

--- a/tests/consensus_groups.py
+++ b/tests/consensus_groups.py
@@ -124,7 +124,7 @@
 
 @pytest.fixture
 def run_group(tmp_path):
-    """Function that runs a scenario with a Group, for at most 30 s."""
+    """Returns a function that runs a scenario with a Group for up to 30 s."""
 
     def run(scenario):
         async def main():
--- a/tests/network_simulations.py
+++ b/tests/network_simulations.py
@@ -110,9 +110,10 @@
         settings: ReplicaSettings of all replicas.
         now_ms: Simulated time.
         queue: Heap of scheduled calls.
-        counter: Number of scheduled calls; orders calls of the same time.
-        loss: Weight of loss and duplication, and probability of a long
-            delay, of a message.
+        counter: Number of scheduled calls; orders calls of the same time
+            and supplies the identities of new replicas.
+        loss: Weight of losing and of duplicating a message, against 1 for
+            neither; also the probability of a delay of up to 3 s.
         blocked: Pairs of sender and recipient names that are disconnected.
         leaders: Maps term to the replica id of its leader.
         committed: Maps index to term and payload of the committed entry.
--- a/tests/test_fleet_states.py
+++ b/tests/test_fleet_states.py
@@ -78,7 +78,7 @@
 def test_resent_refusal_is_unchanged(apply_to_fleet, submit):
     """A refused patch must stay refused when it is sent again.
 
-    Its version may exist by then, although the sender has given it up.
+    The version that it was written against may exist by then.
     """
     first = submit("p-2", 2, move("vm-5", "roster"))
     submit("p-3", 1, move("vm-6", "roster"))
--- a/tests/test_health_brokers.py
+++ b/tests/test_health_brokers.py
@@ -54,7 +54,7 @@
 
 @pytest.fixture
 def ask_follower():
-    """Returns a function that gives a follower's view of a leader's health.
+    """Returns a function that asks a follower for the health of the VMs.
 
     The function takes the VmHealth that the leader's planner answers.
     """
--- a/tests/test_replica_rules.py
+++ b/tests/test_replica_rules.py
@@ -207,7 +207,7 @@
 
 
 def test_replacement_is_promoted_before_a_voter_is_removed(make_leader):
-    """If the silent voter went first, one more lost disk would stop the log.
+    """If the silent voter were removed first, a lost disk would stop the log.
 
     The two remaining voters must both acknowledge the removal.
     """
--- a/wigeonport/claim_states.py
+++ b/wigeonport/claim_states.py
@@ -23,8 +23,8 @@
 
 RETENTION_MS = 24 * 3_600_000
 MAX_STORED_RESPONSE_BYTES = 8 * 1024
-# While a snapshot is written or installed it takes about four times this in
-# memory; a control node has 256 MB.
+# Writing or installing a snapshot takes about four times this in memory; a
+# control node has 256 MB.
 MAX_TOTAL_BYTES = 32 * 1024 * 1024
 MAX_TEXT_BYTES = 512
 # Memory that a record takes besides its texts and its response.
@@ -58,7 +58,7 @@
 class ClaimState:
     """Claims and released attempts of the last 24 h.
 
-    When the total size reaches 32 MiB, records are reduced to a hash of 8
+    When the total size would exceed 32 MiB, records are reduced to a hash of 8
     bytes each, oldest first: completed claims, then releases, then abandoned
     claims. A repeat of a reduced key is answered with ``ClaimUnknown``, and
     a claim of a reduced released attempt is still refused. A new claim is
--- a/wigeonport/consensus.py
+++ b/wigeonport/consensus.py
@@ -43,7 +43,8 @@
 
 codec = codecs.get("thrift").ok()
 INBOX_BOUND = 4_096
-# Messages handled in one round, before the journal writer gets its batch.
+# Maximum number of messages handled in a round; the journal writer gets its
+# batch at the end of the round.
 MAX_BATCH_MESSAGES = 512
 SNAPSHOT_ENTRIES = 5_000
 # Far below the heartbeat interval, so that applying entries delays no
@@ -85,8 +86,8 @@
         unapplied_entries: Committed entries to apply next.
         committed_outcomes: Maps the index of an unapplied entry to the
             Outcome of its proposal, if this replica proposed it.
-        tick_postponed: Whether the timers are due and one round has already
-            handled the inbox first.
+        tick_postponed: Whether the timers are due and have been put off
+            until the next round has handled the inbox.
     """
 
     __slots__ = (
--- a/wigeonport/consensus_requests.py
+++ b/wigeonport/consensus_requests.py
@@ -58,8 +58,8 @@
     """Asks for a view of the state; answered by an Ok or an Error.
 
     Attributes:
-        make_view: Function that returns the view of a state. It must not change
-            the state and must not return a part of it that changes later.
+        make_view: Function that returns the view of a state. It must not
+            change the state and must not return a part that changes later.
         reply: Reply channel.
         consistent: Whether the view must show every change that was
             acknowledged before the read. If not, it shows the local state,
--- a/wigeonport/durable_files.py
+++ b/wigeonport/durable_files.py
@@ -51,7 +51,7 @@
 
 
 def replace_file(path, parts):
-    """Replaces a file durably and at once.
+    """Replaces a file atomically and durably.
 
     The content is written under a temporary name, synced and renamed.
 
--- a/wigeonport/fleet_states.py
+++ b/wigeonport/fleet_states.py
@@ -38,7 +38,7 @@
         patch: Patch id.
         author: Who submitted the patch.
         reason: Why the patch was submitted.
-        time_ms: Wall time at which the leader proposed the patch.
+        time_ms: Wall time at which the leader appended the patch to the log.
         changes: Changes from the previous version.
     """
 
@@ -194,9 +194,9 @@
             del self.answers[id]
 
     def changes_since(self, version):
-        """Returns the merged changes since a version.
+        """Returns the merged changes since a version, or None.
 
-        None if a version since then is no longer in the history.
+        None if the history no longer has all versions since then.
         """
         newer = [r for r in self.history if r.version > version]
         if len(newer) != self.fleet.version - version:
@@ -261,7 +261,7 @@
 
 @HANDLERS.register(SubmitPatch)
 def handle_submit_patch(state, command, now_ms):
-    """Applies a patch and adds VMs that are new to their pools."""
+    """Applies a patch and adds new VMs to the pools it assigns them to."""
     answer = state.fleet.submit(command.document_json, now_ms)
     if isinstance(answer, PatchAccepted):
         joined = state.pools.add_new_workers(state.fleet.fleet)
--- a/wigeonport/health_brokers.py
+++ b/wigeonport/health_brokers.py
@@ -87,8 +87,7 @@
     async def find_health(self):
         """Returns the VmHealth of this control or else of the leader.
 
-        None if this control does not lead and the leader is not known or
-        does not answer.
+        None if neither knows it, or the leader is unknown or does not answer.
         """
         health = await self.ask_planner()
         if health is not None:
@@ -107,7 +106,7 @@
 
 
 async def broker_health(inbound, broker):
-    """Answers queries concurrently."""
+    """Answers health queries concurrently."""
     async with trio.open_nursery() as nursery:
         async for message in inbound:
             nursery.start_soon(broker.handle, message)
--- a/wigeonport/journals.py
+++ b/wigeonport/journals.py
@@ -1,4 +1,4 @@
-"""The journal keeps the log entries, term and vote of a replica durable.
+"""The journal: durable log entries, term and vote of a replica.
 
 The data directory holds the identity file, numbered segment files and the
 newest snapshot. Segments are append-only: an entry that is written again
--- a/wigeonport/maintenance_states.py
+++ b/wigeonport/maintenance_states.py
@@ -241,7 +241,7 @@
 def _budget_findings(state, command):
     """Returns a finding for each pool whose budget the grant would exceed.
 
-    A VM that is granted, missing or held already does not count against the
+    A requested VM that is granted, missing or held already uses no further
     budget. A VM that only the sender reports as unavailable may still run
     work: it is granted only if its pool is within the budget without it.
     """
--- a/wigeonport/persistence.py
+++ b/wigeonport/persistence.py
@@ -50,9 +50,9 @@
 def on_snapshot_taken(replica, event):
     """Compacts the log after a snapshot of the local state is durable.
 
-    The newest ``retained_entries`` of the snapshot stay in memory. A
-    snapshot older than the present one, or beyond the delivered entries,
-    is ignored.
+    The last ``retained_entries`` that the snapshot contains stay in memory.
+    A snapshot that is not newer than the present one, or is beyond the
+    delivered entries, is ignored.
     """
     snapshot = event.snapshot
     previous_index = replica.snapshot.index if replica.snapshot else 0
--- a/wigeonport/quorum_recoveries.py
+++ b/wigeonport/quorum_recoveries.py
@@ -61,7 +61,7 @@
         self.storage = storage
 
     def describe(self):
-        """Returns what a recovery loses, as lines for the operator."""
+        """Returns what a recovery keeps and loses, as lines to print."""
         lost = [v for v in self.members.voters if v != self.replica_id]
         return [
             f"replica {self.replica_id} holds fleet version {self.version}",
--- a/wigeonport/replication_messages.py
+++ b/wigeonport/replication_messages.py
@@ -319,7 +319,7 @@
         recipient: Node name, because the sender does not know the identity
             of the replica on that node.
         durable: Whether the sender keeps its log on a disk.
-        blank: Whether the sender's log has never held an entry.
+        blank: Whether the sender has no entry and has seen no term.
     """
 
     __slots__ = ("sender", "recipient", "durable", "blank")
@@ -337,7 +337,7 @@
 
     Attributes:
         durable: Whether the sender keeps its log on a disk.
-        blank: Whether the sender's log has never held an entry.
+        blank: Whether the sender has no entry and has seen no term.
         leader_id: Replica id of the leader that the sender follows, or "".
     """
 
--- a/wigeonport/snapshots.py
+++ b/wigeonport/snapshots.py
@@ -20,8 +20,8 @@
 # The documents repeat their keys, so that level 1 compresses them nearly as
 # well as the default level in a fraction of the time.
 COMPRESSION_LEVEL = 1
-# Levels of objects of a state's document that are always encoded item by item:
-# the document holds sections, and a section holds tables of many rows.
+# Levels of nesting at which objects are always encoded item by item: a state's
+# document holds sections, and a section holds tables of many rows.
 MAX_SLICED_DEPTH = 2
 MAX_SLICE_ITEMS = 100
 encode_json = json.JSONEncoder(separators=(",", ":")).encode
@@ -53,7 +53,7 @@
 
     Args:
         value: The data.
-        depth: Number of levels of objects to encode item by item.
+        depth: Number of levels of nested objects to encode item by item.
     """
     if isinstance(value, dict) and depth and value:
         prefix = "{"
--- a/wigeonport/state_adapters.py
+++ b/wigeonport/state_adapters.py
@@ -59,7 +59,7 @@
     async def propose(self, command, timeout_ms) -> Result:
         """Proposes a command; returns its answer or why there is none.
 
-        Waits as ``timeout_ms`` of the adapter says; the parameter is unused.
+        The parameter ``timeout_ms`` is ignored; that of the adapter applies.
         """
         decision = await self.request_decision(command)
         if decision.outcome == COMMAND_COMMITTED:
--- a/wigeonport/state_answers.py
+++ b/wigeonport/state_answers.py
@@ -192,7 +192,7 @@
 
 @message_kinds.register("CommandRefused")
 class CommandRefused(Record):
-    """The command has no handler or is not permitted.
+    """The command was refused and changed nothing.
 
     Attributes:
         why: Why the command was refused.
--- a/wigeonport/state_requests.py
+++ b/wigeonport/state_requests.py
@@ -84,8 +84,8 @@
 
     Attributes:
         unavailable: Ids of the VMs that are not known to be available.
-        not_reporting: Ids of those of them without a recent report. They may
-            still run work, so draining one may cost capacity.
+        not_reporting: Ids of the unavailable VMs without a recent report.
+            They may still run work, so draining one may cost capacity.
     """
 
     __slots__ = ("unavailable", "not_reporting")
@@ -114,8 +114,8 @@
 
     Attributes:
         mailbox: Mailbox of that task.
-        timeout_ms: Maximum wait: for a command once until it is delivered
-            and once for the reply, for a query in total.
+        timeout_ms: Maximum wait until a command is delivered, and again
+            until it is answered; for a query, maximum wait in total.
     """
 
     __slots__ = ("mailbox", "timeout_ms")
--- a/wigeonport/states.py
+++ b/wigeonport/states.py
@@ -39,7 +39,7 @@
 
     Attributes:
         index: Position in the log.
-        time_ms: Wall time at which the leader proposed the entry.
+        time_ms: Wall time at which the leader appended the entry.
         command: A command, or None; such an entry only advances index and
             time.
     """
