Name caught exceptions error, and tell which findings name a place

Cause: two modules of the log called a caught exception "fault", the other modules "error"; PatchRefused claimed a place in the patch for every finding, but those of a stale patch and of a reused id have none. Change: local variables and one docstring.

--- a/wigeonport/consensus_calls.py
+++ b/wigeonport/consensus_calls.py
@@ -104,11 +104,11 @@
         """
         try:
             answer = Ok(self.make_view(state))
-        except Exception as fault:
+        except Exception as error:
             logger.error(
-                "A view of the state raised an exception.", fault=repr(fault)
+                "A view of the state raised an exception.", fault=repr(error)
             )
-            answer = Error(f"the view failed: {fault!r}")
+            answer = Error(f"the view failed: {error!r}")
         self.reply.send(answer)
 
     def abandon(self, reason):
--- a/wigeonport/quorum_recoveries.py
+++ b/wigeonport/quorum_recoveries.py
@@ -111,10 +111,10 @@
         storage = open_directory(
             directory, settings.cluster_id, settings.node_id
         )
-    except (DamageError, FormatError) as fault:
-        return Error(f"{directory} is damaged: {fault}")
-    except OSError as fault:
-        return Error(f"{directory} cannot be opened: {fault}")
+    except (DamageError, FormatError) as error:
+        return Error(f"{directory} is damaged: {error}")
+    except OSError as error:
+        return Error(f"{directory} cannot be opened: {error}")
     if storage.damage:
         return Error(f"{directory} is damaged: {storage.damage}")
     return Ok(Survivor(storage))
--- a/wigeonport/state_answers.py
+++ b/wigeonport/state_answers.py
@@ -28,7 +28,8 @@
         patch: Patch id.
         why: ``stale``, ``invalid`` or ``conflict``.
         version: Fleet version in force when the patch was refused.
-        findings: Texts of all findings; each names its place in the patch.
+        findings: Texts of all findings; those against an invalid patch name
+            their place in it.
         changes_json: Documents of the changes since the version that the
             patch names, as a JSON list.
         versions_json: Documents of the versions since then, without their
