Merge the wording of part read-log

Change: comments, docstrings, log sentences, messages and names of the part; renames follow over the tree.

--- a/wigeonport/consensus_calls.py
+++ b/wigeonport/consensus_calls.py
@@ -86,29 +86,29 @@
     """A read requested by this process.
 
     Attributes:
-        view: Function that returns the view of a state.
+        make_view: Function that returns the view of a state.
         reply: Reply channel for an Ok or an Error.
     """
 
-    __slots__ = ("view", "reply")
+    __slots__ = ("make_view", "reply")
 
-    def __init__(self, view, reply):
-        self.view = view
+    def __init__(self, make_view, reply):
+        self.make_view = make_view
         self.reply = reply
 
     def finish(self, state):
         """Answers with the view of a state.
 
-        The function is code of another filter, so that an exception of it
-        must not end the task that owns the log.
+        The function belongs to another filter, so an exception in it must
+        not end the task that owns the log.
         """
         try:
-            answer = Ok(self.view(state))
-        except Exception as fault:
+            answer = Ok(self.make_view(state))
+        except Exception as error:
             logger.error(
-                "A view of the state raised an exception.", fault=repr(fault)
+                "A view of the state raised an exception.", fault=repr(error)
             )
-            answer = Error(f"the view failed: {fault!r}")
+            answer = Error(f"the view failed: {error!r}")
         self.reply.send(answer)
 
     def abandon(self, reason):
@@ -166,7 +166,7 @@
 
 
 class OpenCalls:
-    """The open calls.
+    """The calls that have not been answered yet.
 
     Attributes:
         last_number: Number of the last call opened. It starts at a random
@@ -220,7 +220,7 @@
             if open_call.leader_id and open_call.leader_id != leader_id
         ]
         for number in stale:
-            self.pop(number).abandon("the leader changed before it answered")
+            self.pop(number).abandon("the leader changed")
 
     def abandon_all(self, reason):
         """Abandons all calls when the process stops."""
--- a/wigeonport/consensus_inputs.py
+++ b/wigeonport/consensus_inputs.py
@@ -79,7 +79,9 @@
         entry_payload = consensus.encode_command(payload)
         consensus.batch.append(ProposalItem(number, entry_payload))
     elif len(payload) > replica.settings.max_payload_bytes:
-        call.finish(ProposalAnswer(REFUSED, "payload is too large"))
+        call.finish(
+            ProposalAnswer(REFUSED, "the payload is too large for a log entry")
+        )
     elif replica.leader_id:
         leader_id = replica.leader_id
         number = consensus.calls.open(call, now_ms, leader_id)
@@ -142,7 +144,7 @@
     read uses the local state at once.
     """
     replica = consensus.replica
-    call = LocalRead(request.view, request.reply)
+    call = LocalRead(request.make_view, request.reply)
     now_ms = consensus.clock.now()
     if not request.consistent:
         call.finish(consensus.state)
