Say what failed in the output of the demo, the soaks and the checkers

Cause: the demo and the checker of outcomes said "broken" where the soaks say "violated" and "failed check"; the soak printed that a version is in force also after the wait for it had failed; findings of the checker of patch histories did not say what is wrong ("the change from and to is"). The comment of JOBS_PER_WORKER_S compared the value with a peak that the code does not hold.

Change: one set of terms; the sentences name the finding. The line "broken: NAME" of outcomes.py stays, since tests/test_outcomes.py matches it.

--- a/bench/leader_load.py
+++ b/bench/leader_load.py
@@ -1,13 +1,14 @@
 """Measures the load of a leader by the number of workers.
 
 Each round starts three controls and one front, as real processes on loopback
-addresses, and emulated workers with short tasks that keep their connections.
+addresses, and emulated workers that keep their connections open and run short
+tasks.
 
 Each round prints one row: the processor time of the busiest control (the
 leader), of the least busy control and of the front, as a share of one core;
 heartbeats and task starts a second; p50 and p99 of the latency of a heartbeat
 in ms, failed ones included; how many of the answered submissions were
-accepted; and the number of invariants that the workers saw violated.
+accepted; and the number of violations of guarantees that were seen.
 
 Usage: PYTHONPATH=tools:. python bench/leader_load.py --workers 30 60 120
 """
@@ -27,8 +28,7 @@
 
 # Second byte of the loopback addresses, 127.240.x.x; the soak uses others.
 NETWORK_NUMBER = 240
-# Jobs submitted per worker and second, each of 12 tasks, as in a peak of the
-# grown deployments.
+# Jobs submitted per worker and second; each job has the 12 tasks of STEPS.
 JOBS_PER_WORKER_S = 0.28
 STEPS = [
     {"count": 8, "cpu": 1_500, "mem-mb": 900, "estimated-ms": 450},
@@ -132,7 +132,7 @@
                 f"{get_percentile_ms(latency_us, 50):.0f} ms and p99 "
                 f"{get_percentile_ms(latency_us, 99):.0f} ms; {accepted} of "
                 f"{len(answers)} answered submissions accepted; "
-                f"{len(checker.violations)} violated invariants"
+                f"{len(checker.violations)} violations of guarantees"
             )
             nursery.cancel_scope.cancel()
         finally:
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -111,8 +111,8 @@
     print("guarantees checked:", *sorted(demo.checked))
     print("guarantees not checked:", *(unchecked or ["none"]))
     for guarantee, text in demo.violations:
-        print(f"broken: {guarantee} ({text})", file=sys.stderr)
-    print("result:", "broken" if demo.violations else "every check held")
+        print(f"failed check: {guarantee} ({text})", file=sys.stderr)
+    print("result:", "failed" if demo.violations else "every check held")
     return 1 if demo.violations or unchecked else 0
 
 
--- a/tools/demo_steps.py
+++ b/tools/demo_steps.py
@@ -78,7 +78,7 @@
             self.log(f"{guarantee} held: {text}")
             return
         self.violations.append((guarantee, text))
-        self.log(f"{guarantee} BROKEN: expected that {text}")
+        self.log(f"{guarantee} VIOLATED: expected that {text}")
 
     async def wait_until(self, condition):
         """Polls an async function until its result is true; returns it.
@@ -96,7 +96,7 @@
 
 @steps.register("01 start the processes")
 async def start_processes(demo):
-    """Starts 7 VMs in three zones and the stand-ins they work with."""
+    """Starts the programs of 7 VMs in three zones, and the stand-ins."""
     await demo.runner.start()
     count = len(demo.runner.processes)
     demo.log(f"{count} processes run; all entries and controls are healthy")
@@ -333,7 +333,7 @@
 
 
 def list_pool_workers(document):
-    """Returns the id of each worker of the fleet document with a pool."""
+    """Returns the ids of the workers of a fleet document with a pool."""
     fleet = document.get("fleet", document)
     return [worker["id"] for worker in fleet["workers"] if worker["pool"]]
 
--- a/tools/outcomes.py
+++ b/tools/outcomes.py
@@ -2,7 +2,7 @@
 
 Compares the outcomes in the callers' log of ``load.py`` with the run logs of
 the endpoint stand-ins and, if given, the list of injected faults. Exits 1 if
-a guarantee was broken and names each of these.
+a guarantee was violated, and names each violated one.
 """
 
 import argparse
@@ -125,7 +125,7 @@
 
 @guarantees.register("R6 no work for leaving endpoints")
 def check_leaving(logs):
-    """Finds work at endpoints that announced over 3 s ago that they leave."""
+    """Finds requests at endpoints that announced over 3 s ago to leave."""
     violations, leaving_ms = [], {}
     for event in logs.events:
         endpoint, kind = event["endpoint"], event["event"]
@@ -137,7 +137,7 @@
             late_ms = event["wall_ms"] - leaving_ms[endpoint]
             if late_ms > LEAVING_GRACE_MS:
                 violations.append(
-                    f"{endpoint}: work {late_ms} ms after it began to leave"
+                    f"{endpoint}: request {late_ms} ms after it began to leave"
                 )
     return violations
 
@@ -198,10 +198,10 @@
 
 
 def print_results(logs, violations_by_guarantee):
-    """Prints counts and violations; returns the broken guarantees."""
+    """Prints counts and violations; returns the violated guarantees."""
     print(json.dumps(summarize_logs(logs), indent=2))
     for name, violations in violations_by_guarantee.items():
-        state = "broken" if violations else "held"
+        state = "violated" if violations else "held"
         print(f"{name}: {state}, {len(violations)} violations")
         for violation in violations[:MAX_PRINTED_VIOLATIONS]:
             print(f"  {violation}")
@@ -213,7 +213,7 @@
 
 
 def main(arguments=None):
-    """Checks the logs; returns 1 if a guarantee is broken, otherwise 0."""
+    """Checks the logs; returns 1 if a guarantee is violated, else 0."""
     parser = argparse.ArgumentParser(description=__doc__)
     paths = {"type": pathlib.Path, "nargs": "+"}
     parser.add_argument("--callers", required=True, **paths)
@@ -225,10 +225,10 @@
         read_lines(options.endpoints),
         read_lines(options.faults),
     )
-    broken_guarantees = print_results(logs, check_guarantees(logs))
-    for name in broken_guarantees:
+    violated_guarantees = print_results(logs, check_guarantees(logs))
+    for name in violated_guarantees:
         print(f"broken: {name}", file=sys.stderr)
-    return 1 if broken_guarantees else 0
+    return 1 if violated_guarantees else 0
 
 
 if __name__ == "__main__":
--- a/tools/patch_histories.py
+++ b/tools/patch_histories.py
@@ -1,4 +1,4 @@
-"""Checker of recorded patch histories, without input or output.
+"""Checker of recorded patch histories; a pure function of its input.
 
 It compares the answers that operators got for their patches with the final
 history of the fleet and with the versions that the processes applied. Each
@@ -13,9 +13,9 @@
 
 properties = Registry("property")
 
-# An entry learns the version of another entry of its zone with the next
-# subscription. A version that the other one applied within this time before
-# may not have reached it yet.
+# An entry learns the version of another entry of its zone only at the next
+# subscription, so that a version which the other one applied less than this
+# long before may not have reached it yet.
 NEIGHBOUR_UPDATE_MS = 2_000
 
 
@@ -24,8 +24,8 @@
     """Each accepted patch has its acknowledged version in the history."""
     final = set(history.final)
     return [
-        f"patch {s.patch}: acknowledged as version {s.version}, but not in "
-        f"the final history as such"
+        f"patch {s.patch}: acknowledged as version {s.version}, but the "
+        f"final history does not list it as this version"
         for s in history.attempts
         if s.outcome == ACCEPTED and (s.version, s.patch) not in final
     ]
@@ -72,7 +72,8 @@
         bodies = {s.body for s in attempts if s.outcome in DECIDED}
         if len(bodies) > 1:
             texts.append(
-                f"patch {patch}: answers {' / '.join(sorted(bodies))[:300]}"
+                f"patch {patch}: got different answers: "
+                f"{' / '.join(sorted(bodies))[:300]}"
             )
     return texts
 
@@ -103,8 +104,8 @@
             )
         elif None not in expected and pair != expected:
             texts.append(
-                f"patch {attempt.patch}: the change from and to is {pair}, "
-                f"expected {expected}"
+                f"patch {attempt.patch}: the values before and after are "
+                f"{pair}, expected {expected}"
             )
     return texts
 
@@ -137,8 +138,8 @@
         for run in runs.values():
             for before, after in zip(run, run[1:], strict=False):
                 if after.version <= before.version:
-                    step = f"{before.version} to {after.version}"
-                    texts.append(f"{process}: went from version {step}")
+                    change = f"{before.version} to {after.version}"
+                    texts.append(f"{process}: went from version {change}")
     highest = {}
     for poll in history.polled:
         highest_polled = highest.get((poll.process, poll.source), 0)
@@ -164,8 +165,8 @@
         for run in runs.values():
             first = run[0]
             if first.version < highest and not _is_excused(history, first):
-                step = f"{highest} to {first.version} at {first.wall_ms} ms"
-                texts.append(f"{process}: restart from version {step}")
+                change = f"{highest} to {first.version} at {first.wall_ms} ms"
+                texts.append(f"{process}: restart from version {change}")
             highest = max(highest, *(item.version for item in run))
     return texts
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -202,7 +202,7 @@
         )
         soak.violations.append(f"R8: {text}")
     soak.print_progress(
-        f"version {soak.accepted_version} is in force on all entries"
+        f"the wait for version {soak.accepted_version} on all entries is over"
     )
 
 
