Mend docstrings and a local name of the tools and benchmarks

Cause: a second reading found docstrings that were unclear, lacked a unit or said something else than the code, and one reason that had got lost: the callers' side of a fleet is stopped first. trace_fleets.py referred to "design, section 2.6" without the file.

Change: the texts are mended, the answer to a heartbeat is called `answer`, and the reference names docs/design.md.

--- a/bench/document_costs.py
+++ b/bench/document_costs.py
@@ -108,7 +108,7 @@
 
 
 def measure(worker_count, pool_count, zone_count):
-    """Returns the figures of one size; maps row label to value."""
+    """Returns a mapping of row label to figure for one size."""
     fleet = build_fleet(worker_count, pool_count, zone_count)
     version_json = json.dumps(fleet.to_document()).encode()
     codec = codecs.get("thrift").ok()
--- a/bench/footprint.py
+++ b/bench/footprint.py
@@ -150,7 +150,7 @@
 
 
 def summarize(runner, usages, leader):
-    """Maps each role to a Usage of the medians over its processes."""
+    """Returns a mapping of role to a Usage of medians over its processes."""
     usage_by_role = {}
     for usage in usages:
         role = get_role(runner, usage.name, leader)
@@ -192,7 +192,7 @@
 
 
 def distribute(vms, zones):
-    """Maps each zone to its number of VMs; a remainder goes to the first."""
+    """Returns a mapping of zone to VMs; the first zones may get one more."""
     return {
         zone: vms // len(zones) + (index < vms % len(zones))
         for index, zone in enumerate(zones)
@@ -200,7 +200,7 @@
 
 
 async def measure_size(endpoints, vms, seconds, folder):
-    """Prints the rows of one size; maps each role to its idle Usage."""
+    """Prints the rows of one size; returns a mapping of role to idle Usage."""
     voters = VOTERS if vms >= MIN_VMS_FOR_FIVE_VOTERS else ONE_VOTER_PER_ZONE
     runner = FleetRunner(Deployment(folder, distribute(vms, ZONES), voters))
     add_processes(runner, endpoints)
--- a/tests/test_patch_soak.py
+++ b/tests/test_patch_soak.py
@@ -4,7 +4,7 @@
 
 
 def test_short_soak_of_patches_breaks_no_property():
-    """Fails if an accepted patch is lost or applied twice, or is reverted.
+    """Fails if an accepted patch is lost or doubled, or a version goes back.
 
     The failures are kills of the leader and of entries, and restarts of an
     entry in a zone that is cut off; the seed fixes their order. The time
--- a/tools/callers.py
+++ b/tools/callers.py
@@ -255,7 +255,7 @@
     """Returns whether the caller itself closed the connection.
 
     The connection pool sometimes closes a connection that it has just
-    assigned to a request. Such a failure is not one of the entry.
+    assigned to a request. The entry does not cause such a failure.
     """
     while error is not None:
         if isinstance(error, trio.ClosedResourceError):
--- a/tools/fleet_runner.py
+++ b/tools/fleet_runner.py
@@ -251,8 +251,9 @@
     async def stop(self):
         """Stops all processes; returns a mapping of name to exit status.
 
-        Stops entries, endpoints, controls and the platform in this order,
-        then kills the relays, which have no status in the result.
+        The callers' side is stopped first: entries, endpoints, controls,
+        platform. Then the relays are killed; they have no status in the
+        result.
         """
         statuses = {}
         for role in ("entry", "endpoints", "control", "platform"):
--- a/tools/load.py
+++ b/tools/load.py
@@ -34,7 +34,7 @@
 
     Attributes:
         outcomes: Maps an outcome to its number of sendings.
-        reasons: Maps outcome and reason to their number of sendings, without
+        reasons: Maps ``OUTCOME: REASON`` to its number of sendings, without
             the completed ones.
         latency_us: Histogram of the latency of completed sendings.
         unsent: Arrivals that were dropped because MAX_OPEN_CALLS were open.
--- a/tools/patch_failures.py
+++ b/tools/patch_failures.py
@@ -39,7 +39,7 @@
         disk_lock: trio.Lock held during a failure of disks. A second one
             before the first disk is replaced may lose acknowledged patches.
         cut_lock: trio.Lock held while a zone is cut off.
-        skipped: Number of failures that found no free VM and did nothing.
+        skipped: Number of failures that found too few free VMs.
     """
 
     __slots__ = (
--- a/tools/patch_measures.py
+++ b/tools/patch_measures.py
@@ -62,7 +62,7 @@
 
 
 async def measure_rollout(soak):
-    """Returns how long versions take until in force on all entries, in ms.
+    """Returns how long versions take to be in force on all entries, in ms.
 
     The time is measured once from the request and once from the answer that
     accepts the patch. An entry may apply a version before the operator has
--- a/tools/patch_operators.py
+++ b/tools/patch_operators.py
@@ -158,9 +158,9 @@
     async def submit(self, source, base_version):
         """Submits a new patch and resends it until an answer decides on it.
 
-        While no answer is lost, an answer that the patch was not run ends
-        the resends as well. With RESEND_PROBABILITY the patch is sent once
-        more, so that the checker can compare the answers.
+        A not-run answer ends the resends as well, unless an earlier answer
+        was lost. With RESEND_PROBABILITY the patch is sent once more, so
+        that the checker can compare the answers.
         """
         self.number += 1
         value, patch = self.number, f"p{self.number}"
--- a/tools/platform_emulator.py
+++ b/tools/platform_emulator.py
@@ -1,6 +1,6 @@
 """Emulated workers and clients that speak the platform's protocol.
 
-They stand in for the platform in tests, benches and the fault soak. From
+They stand in for the platform in tests, benchmarks and the fault soak. From
 what the workers see, a RunChecker checks the guarantees on runs of tasks.
 """
 
@@ -151,16 +151,16 @@
         runs: Maps the task of each live run to its Run.
         unacknowledged_ends: Rows of the ends of runs that no answer has
             acknowledged yet, as a heartbeat lists them.
-        started_ms: Wall time of the last start of the worker; identifies
-            its incarnation.
+        started_ms: Wall time of the last start of the worker, in ms;
+            identifies its incarnation.
         sequence: Number of the last heartbeat of this incarnation.
         end_number: Number of the last end of this incarnation.
-        fence: Highest fencing number that an answer has had.
+        fence: Highest fencing number of an answer so far.
         lease_until: Monotonic time, in s, at which all runs are killed.
         target: Address to which the next heartbeat is sent.
         last_runs: Maps a task to the highest run number that was started
             or stopped.
-        wait_s: Time until the next heartbeat.
+        wait_s: Time until the next heartbeat, in s.
         answers_lost: Whether the answers to heartbeats get lost.
         pool: httpcore pool that keeps connections open, or None.
     """
@@ -283,7 +283,7 @@
         ignored.
         """
         sent, started_ms = time.monotonic(), self.started_ms
-        status, orders = await exchange(
+        status, answer = await exchange(
             "PUT",
             f"http://{self.target}/v1/instances/{self.worker_id}",
             self.report(),
@@ -299,32 +299,34 @@
         ):
             self.target = self.random.choice(self.controls)
             return
-        self.target = orders.get("heartbeat-url", self.target)
-        self.apply_answer(orders, sent)
+        self.target = answer.get("heartbeat-url", self.target)
+        self.apply_answer(answer, sent)
 
-    def apply_answer(self, orders, sent):
-        """Applies an answer to a heartbeat that was sent at a given time.
+    def apply_answer(self, answer, sent):
+        """Applies the answer to a heartbeat.
 
-        An answer without a lease, or with a lower fencing number than an
-        earlier one, only sets the time of the next heartbeat.
+        The lease begins at ``sent``, the monotonic time, in s, at which the
+        heartbeat was sent. An answer without a lease, or with a lower
+        fencing number than an earlier one, only sets the time of the next
+        heartbeat.
         """
-        self.wait_s = orders.get("retry-after-ms", 500) / 1000
-        if "hold-ms" not in orders or orders["fence"] < self.fence:
+        self.wait_s = answer.get("retry-after-ms", 500) / 1000
+        if "hold-ms" not in answer or answer["fence"] < self.fence:
             return
-        self.fence = orders["fence"]
-        until = sent + orders["hold-ms"] / 1000
+        self.fence = answer["fence"]
+        until = sent + answer["hold-ms"] / 1000
         self.lease_until = max(self.lease_until, until)
-        acknowledged_through = orders.get("acked-through", 0)
+        acknowledged_through = answer.get("acked-through", 0)
         self.unacknowledged_ends = [
             row
             for row in self.unacknowledged_ends
             if row[0] > acknowledged_through
         ]
-        for task, number in orders.get("stop", ()):
+        for task, number in answer.get("stop", ()):
             self.last_runs[task] = max(self.last_runs.get(task, 0), number)
             if task in self.runs and self.runs[task].number == number:
                 self.end(task, number, "stopped")
-        for task, number, payload, *_ in orders.get("start", ()):
+        for task, number, payload, *_ in answer.get("start", ()):
             self.start(task, number, payload)
 
     def start(self, task, number, payload):
--- a/tools/platform_fleet.py
+++ b/tools/platform_fleet.py
@@ -21,6 +21,7 @@
     """One program on one address.
 
     Attributes:
+        fleet: PlatformFleet that it belongs to.
         script: ``front`` or ``core``.
         host: Loopback address of its machine.
         links_port: Port on which it listens for links, and to which it
@@ -122,7 +123,7 @@
     Attributes:
         folder: Folder for settings, data and logs.
         net: Second byte of the addresses.
-        cores: List of PlatformProcess.
+        cores: List of PlatformProcess, the controls (``core.py``).
         fronts: List of PlatformProcess.
         proxies: Maps (host of the caller, host of the core) to the
             FaultProxy of the links between them. Each process connects to
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -62,11 +62,11 @@
             self.process.send_signal(signal_number)
 
     def freeze(self):
-        """Suspends the process with SIGSTOP, which it cannot handle."""
+        """Suspends the process with SIGSTOP, which it cannot catch."""
         self.send(signal.SIGSTOP)
 
     def thaw(self):
-        """Resumes a suspended process."""
+        """Resumes the process with SIGCONT; no effect if not suspended."""
         self.send(signal.SIGCONT)
 
     async def wait(self, timeout_s):
--- a/tools/trace_fleets.py
+++ b/tools/trace_fleets.py
@@ -18,7 +18,7 @@
 
 
 class Deployment:
-    """Names and sizes of one deployment (design, section 2.6).
+    """Names and sizes of one deployment (docs/design.md, section 2.6).
 
     Attributes:
         name: Name of the deployment.
