Make the log sentences of batch and machines uniform

Cause: some log sentences were in the present tense, figurative or unclear by themselves ('Task gets a copy.', 'Call decided.', 'Lead handed over.'). Change: they name the thing first, in the past tense; part, level and fields are the same. The log reason 'the lease has lapsed' is 'the lease has expired'; the stored outcome 'lapsed' stays.

--- a/wigeonport/batch_controllers.py
+++ b/wigeonport/batch_controllers.py
@@ -165,7 +165,7 @@
             return batch_inputs.dispatch(self, event)
         except Exception as fault:
             logger.error(
-                "Handling an event failed.",
+                "Event handling failed.",
                 event=type(event).__name__,
                 fault=repr(fault),
             )
@@ -279,7 +279,7 @@
         """Drops the dispatcher; calls that wait get an unknown outcome."""
         if self.dispatcher is None:
             return
-        logger.warning("Dispatching ends.", term=self.term, reason=reason)
+        logger.warning("Dispatching stopped.", term=self.term, reason=reason)
         self.dispatcher = None
         self.lease_until_ms = 0
         if self.machines is not None:
@@ -300,7 +300,9 @@
     async def resign(self):
         """Asks the consensus task to transfer leadership."""
         answer = await ask(self.consensus, ResignRequest, STATUS_TIMEOUT_MS)
-        logger.info("Lead handed over.", term=self.term, done=answer.is_ok())
+        logger.info(
+            "Leadership handed over.", term=self.term, done=answer.is_ok()
+        )
 
     async def load(self, term):
         """Loads a copy of the state once this term has committed an entry."""
--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -181,7 +181,7 @@
             self.record_lost_worker(incarnation, "the worker has restarted")
         if worker is None:
             logger.info(
-                "Ignored an outdated heartbeat.",
+                "Outdated heartbeat ignored.",
                 worker=report.incarnation,
                 sequence=report.sequence,
             )
@@ -231,7 +231,7 @@
         self.record_lost_runs(keys)
         self.workers.runs.pop(incarnation, None)
         logger.warning(
-            "Worker is lost.",
+            "Worker lost.",
             worker=incarnation,
             reason=reason,
             runs=len(keys),
@@ -250,7 +250,7 @@
             ):
                 self.workers.remove_worker(worker)
                 self.record_lost_worker(
-                    worker.incarnation, "the lease has lapsed"
+                    worker.incarnation, "the lease has expired"
                 )
         if now_ms > self.orphans_until_ms:
             current = self.workers.incarnations()
--- a/wigeonport/batch_inputs.py
+++ b/wigeonport/batch_inputs.py
@@ -107,7 +107,7 @@
     if controller.machines is not None:
         controller.machines.start_term(now_ms)
     logger.info(
-        "Dispatching begins.",
+        "Dispatching started.",
         term=loaded.term,
         jobs=len(controller.dispatcher.active),
         version=loaded.state.routes.table.version,
@@ -146,7 +146,7 @@
     if event.call.verb == PROBE:
         return reply
     logger.info(
-        "Call decided.",
+        "Batch call handled.",
         request=event.call.request_id,
         verb=event.call.verb,
         path=event.call.path,
--- a/wigeonport/batch_states.py
+++ b/wigeonport/batch_states.py
@@ -108,7 +108,7 @@
             # equal. The leader encodes only operations that it has built
             # itself, so this is not expected.
             logger.error(
-                "Skipped an operation that cannot be decoded.",
+                "Undecodable operation skipped.",
                 reason=decoded.error,
             )
             continue
--- a/wigeonport/machine_managers.py
+++ b/wigeonport/machine_managers.py
@@ -183,7 +183,7 @@
         """Sends one order and passes the answer to the controller."""
         result = await self.cloud.order(order)
         logger.info(
-            "Machine ordered.",
+            "Machine order answered.",
             machine=order.machine,
             purpose=order.purpose,
             target=order.target,
@@ -202,7 +202,7 @@
                     await inbox.put(MachineListed(rows.ok, asked_ms))
                 else:
                     logger.warning(
-                        "Listing the machines failed.", reason=rows.error
+                        "Machine list could not be read.", reason=rows.error
                     )
             await self.clock.sleep(self.list_interval_ms())
 
@@ -222,7 +222,7 @@
             states = collections.Counter(
                 f"{row.pool} {row.state}" for row in event.rows.values()
             )
-            logger.info("Machines listed.", states=dict(states))
+            logger.info("Machine states changed.", states=dict(states))
         self.rows = event.rows
         self.rows_requested_ms = event.asked_ms
         if dispatcher is not None:
--- a/wigeonport/pool_sizes.py
+++ b/wigeonport/pool_sizes.py
@@ -216,7 +216,7 @@
 def log_growth(pool, machine, source):
     """Logs that a machine is to be moved to a pool."""
     logger.info(
-        "Pool grows.",
+        "Pool growth started.",
         pool=pool.service,
         machine=machine,
         source=source,
@@ -260,7 +260,7 @@
     if worker is None:
         return
     logger.info(
-        "Pool shrinks.",
+        "Pool reduction started.",
         pool=pool.service,
         machine=worker.report.machine,
         needed_milli=int(pool.needed),
--- a/wigeonport/run_orders.py
+++ b/wigeonport/run_orders.py
@@ -54,7 +54,7 @@
             StartOrder(*key, job.spec.payload, task.checkpoint, ticket)
         )
         logger.info(
-            "Run ordered.",
+            "Run start ordered.",
             task=key[0],
             run=key[1],
             worker=worker.incarnation,
--- a/wigeonport/task_copies.py
+++ b/wigeonport/task_copies.py
@@ -69,7 +69,7 @@
         run = task.last_run + 1
         dispatcher.record(StartRuns([name], [run], worker.incarnation))
         logger.info(
-            "Task gets a copy.",
+            "Duplicate run scheduled.",
             task=name,
             run=run,
             worker=worker.incarnation,
--- a/wigeonport/worker_evaluations.py
+++ b/wigeonport/worker_evaluations.py
@@ -174,7 +174,7 @@
     # After the exclusion one more failed job is enough.
     worker.failed_jobs = set(list(worker.failed_jobs)[: MIN_FAILED_JOBS - 1])
     logger.warning(
-        "Worker is excluded.",
+        "Worker excluded.",
         worker=worker.incarnation,
         service=service,
         reason=reason,
