--- a/tests/test_platform_programs.py
+++ b/tests/test_platform_programs.py
@@ -67,7 +67,7 @@
         check=False,
     )
     assert done.returncode == 1
-    assert b"cannot go on" in done.stdout
+    assert b"Program failed." in done.stdout
     assert b"Traceback" not in done.stderr
 
 
--- a/wigeonport/claims.py
+++ b/wigeonport/claims.py
@@ -243,7 +243,7 @@
         self.metrics.record("claims_wait_us", elapsed_ms * 1_000)
         if answer.is_error():
             self.metrics.count("claims_unanswered")
-            logger.warning("Claim unanswered.", reason=answer.error)
+            logger.warning("Claim request failed.", reason=answer.error)
             text = "the idempotency key could not be claimed"
             return Error(refuse(503, text, 1_000))
         name = type(answer.ok).__name__
--- a/wigeonport/consensus_calls.py
+++ b/wigeonport/consensus_calls.py
@@ -105,9 +105,7 @@
         try:
             answer = Ok(self.make_view(state))
         except Exception as error:
-            logger.error(
-                "A view of the state raised an exception.", fault=repr(error)
-            )
+            logger.error("State view raised an exception.", fault=repr(error))
             answer = Error(f"the view failed: {error!r}")
         self.reply.send(answer)
 
--- a/wigeonport/consensus_inputs.py
+++ b/wigeonport/consensus_inputs.py
@@ -58,7 +58,7 @@
     kind = type(message).__name__
     if kind not in handlers.entries:
         logger.warning(
-            "No handler for this kind of message in the consensus task.",
+            "Message without a handler ignored.",
             kind=kind,
         )
         return
--- a/wigeonport/control_main.py
+++ b/wigeonport/control_main.py
@@ -268,7 +268,10 @@
     if settings.operator_token_file is not None:
         loaded_tokens = load_tokens(settings.operator_token_file)
         if loaded_tokens.is_error():
-            logger.error("Operators are refused.", reason=loaded_tokens.error)
+            logger.error(
+                "Operator tokens could not be read.",
+                reason=loaded_tokens.error,
+            )
         tokens = loaded_tokens.default_value(None)
     control = OperatorControl(
         settings,
--- a/wigeonport/gateways.py
+++ b/wigeonport/gateways.py
@@ -170,7 +170,7 @@
     def record_failure(self, host, call, reason):
         """Logs a failed attempt; its control no longer counts as leader."""
         logger.warning(
-            "Control gave no answer.",
+            "Call attempt failed.",
             request=call.request_id,
             control=host,
             reason=reason,
--- a/wigeonport/plan_actors.py
+++ b/wigeonport/plan_actors.py
@@ -63,7 +63,7 @@
         )
         handler = target_handlers.entries.get(command.target)
         if handler is None:
-            logger.info("Planner reports.", report=command)
+            logger.info("Planner report.", report=command)
             return
         result = await handler(self, planned)
         if result is not None:
--- a/wigeonport/plan_drivers.py
+++ b/wigeonport/plan_drivers.py
@@ -192,7 +192,7 @@
                 await self.step(LeadershipChanged(status.term, 0))
             return
         if not was_leading:
-            logger.info("Planning as the leader.", term=status.term)
+            logger.info("Planning started.", term=status.term)
             self.fleet_outdated = True
         event = LeadershipChanged(status.term, status.lease_until_ms)
         await self.step(event)
--- a/wigeonport/platform_clients.py
+++ b/wigeonport/platform_clients.py
@@ -142,13 +142,13 @@
         reports = await client.fetch_reports(last_sequence)
         if reports.is_error():
             client.metrics.count("platform_unanswered_polls")
-            logger.warning("Platform not reached.", reason=reports.error)
+            logger.warning("Platform poll failed.", reason=reports.error)
         for document in reports.default_value([]):
             offset_ms = client.clock.now() - client.clock.wall()
             event = read_report(document, offset_ms)
             if event.is_error():
                 client.metrics.count("platform_malformed_reports")
-                logger.warning("Report refused.", reason=event.error)
+                logger.warning("Platform report refused.", reason=event.error)
             else:
                 await outbound.put(event.ok)
             if isinstance(document, dict):
--- a/wigeonport/programs.py
+++ b/wigeonport/programs.py
@@ -167,7 +167,7 @@
     except* (OSError, JournalError, FormatError) as group:
         faults = flatten_faults(group)
     for fault in faults:
-        logger.error("The program cannot go on.", role=role, reason=fault)
+        logger.error("Program failed.", role=role, reason=fault)
     return EXIT_FAILED if faults else EXIT_DONE
 
 
--- a/wigeonport/recoveries.py
+++ b/wigeonport/recoveries.py
@@ -94,7 +94,7 @@
         if (identity.cluster_id, identity.node) != (cluster_id, node):
             owner = f"{identity.cluster_id}/{identity.node}"
             logger.error(
-                "Data directory belongs to another node.", owner=owner
+                "Data directory of another node refused.", owner=owner
             )
             storage = open_memory(cluster_id, node)
             storage.journal.lock = lock
@@ -103,7 +103,7 @@
         return _recover(directory, identity, lock)
     except DamageError as error:
         logger.error(
-            "Data directory is damaged; moving its files aside.", reason=error
+            "Data directory damaged; moving its files aside.", reason=error
         )
         _move_aside(directory)
         return _create(directory, cluster_id, node, str(error), lock)
--- a/wigeonport/trace_recorders.py
+++ b/wigeonport/trace_recorders.py
@@ -75,7 +75,7 @@
             self.full = True
             self.output.file.flush()
             logger.warning(
-                "Trace reached its maximum size; recording ends.",
+                "Trace recording stopped at the maximum size.",
                 bytes=self.output.size_bytes,
             )
 
