--- a/tools/write_references.py
+++ b/tools/write_references.py
@@ -15,7 +15,7 @@
 # Settings
 
 The programs `wigeonport-entry` and `wigeonport-control` of a VM read the
-same YAML file. Every key stands at the top level. An unknown key, a value of
+same YAML file. Every key is at the top level. An unknown key, a value of
 the wrong kind and settings that cannot work together are findings with file,
 line and key path; all of them are reported at once, and a program with
 findings does not start. `wigeonport settings check FILE...` checks files
@@ -24,7 +24,7 @@
 
 Names of keys end in their unit: `_ms` is milliseconds, `_bytes` is bytes.
 Paths are relative to the working directory of the program. Examples of both
-users stand under `examples/`; `tools/write_examples.py` writes them.
+users are in `examples/`; `tools/write_examples.py` writes them.
 
 This page is written by `tools/write_references.py` from the table in
 `wigeonport/setting_tables.py`.
