Reword leftovers: own VM, places, Why, anew, lapsed

Cause: a few docstrings, one help text and two locals used vague or figurative words. The outcome 'lapsed' stays.

--- a/tests/test_entry_parts.py
+++ b/tests/test_entry_parts.py
@@ -15,7 +15,7 @@
 def test_controls_of_two_zones_are_used(path):
     """An entry must have links to controls in two zones.
 
-    With links in its own zone only, it is cut off when that zone fails.
+    With links to its zone only, it loses all of them when the zone fails.
     """
     settings = load_settings(path).ok
     vms_by_link = choose_controls(settings)
--- a/tools/platform_emulator.py
+++ b/tools/platform_emulator.py
@@ -233,16 +233,16 @@
             await trio.sleep(self.wait_s)
 
     def end_due_runs(self):
-        """Ends the runs that are done; ends all once the lease has lapsed."""
+        """Ends the runs that are done; ends all once the lease has expired."""
         now = time.monotonic()
-        lapsed = now >= self.lease_until
+        lease_expired = now >= self.lease_until
         for task, run in list(self.runs.items()):
             is_done = run.duration_s is not None and (
                 now - run.started >= run.duration_s
             )
             if is_done:
                 self.end(task, run.number, "done")
-            elif lapsed:
+            elif lease_expired:
                 self.end(task, run.number, "lapsed")
 
     def end(self, task, number, outcome):
--- a/wigeonport/commands/maintenance.py
+++ b/wigeonport/commands/maintenance.py
@@ -14,7 +14,9 @@
     optional=True,
     default="all",
 )
-REASON = option("reason", "r", "Why.", flag=False, default="")
+REASON = option(
+    "reason", "r", "Reason, shown to other operators.", flag=False, default=""
+)
 RESEND_IS_SAFE = "Sending it again is safe."
 
 
--- a/wigeonport/entry_parts.py
+++ b/wigeonport/entry_parts.py
@@ -18,7 +18,7 @@
 
 
 def make_control_links(program, context, configuration):
-    """Returns the links to controls; the link to the own VM is the first."""
+    """Returns the links to controls; the first is to this VM's."""
     links = ControlLinks(context.identity, configuration, program.events.run)
     for first, *others in choose_controls(program.settings):
         dialer = Dialer(
@@ -35,10 +35,11 @@
 def choose_controls(settings):
     """Returns, for each link, the VMs whose controls it tries, in order.
 
-    The first link is to the control on the own VM. The second prefers the
-    own zone and the third another zone, so that the entry still has a link
-    when its own control or all controls of its zone fail. The order differs
-    between the entries, so that no control serves all of them.
+    The first link is to the control on the same VM. The second prefers a
+    control in the same zone and the third one in another zone, so that the
+    entry still has a link when the control of its VM or all controls of its
+    zone fail. The order differs between the entries, so that no control
+    serves all of them.
     """
     vms = sorted([settings, *settings.peers], key=lambda vm: vm.node_id)
     position = vms.index(settings)
--- a/wigeonport/fleets.py
+++ b/wigeonport/fleets.py
@@ -144,7 +144,7 @@
 
     Args:
         document: JSON data of the fleet.
-        source_map: Maps key paths to places in the source, or None.
+        source_map: Maps key paths to locations in the source, or None.
 
     Returns:
         The Fleet, or all Findings with their key paths.
--- a/wigeonport/maintenance_states.py
+++ b/wigeonport/maintenance_states.py
@@ -64,7 +64,7 @@
 
     Attributes:
         author: Who paused maintenance.
-        reason: Why.
+        reason: Reason for the pause.
         time_ms: Wall time at which the pause began.
     """
 
--- a/wigeonport/patches.py
+++ b/wigeonport/patches.py
@@ -37,7 +37,8 @@
         author: Name of the operator or policy.
         reason: Reason for the change.
         operations: Operations in order.
-        source_map: Maps key paths to places in the source, for findings.
+        source_map: Maps key paths to locations in the source, for
+            findings.
     """
 
     __slots__ = (
@@ -122,9 +123,9 @@
         )
         if operation_path is None:
             operation_path = ("operations",)
-        place = self.draft.reporter.source_map.at(operation_path)
+        location = self.draft.reporter.source_map.at(operation_path)
         findings = self.draft.reporter.findings
-        findings.add(f"{place}: {format_path(path)}", text)
+        findings.add(f"{location}: {format_path(path)}", text)
 
 
 def operation_name(operation):
@@ -136,7 +137,7 @@
 
 
 def patch_from_document(document, source_map=None) -> Result:
-    """Returns the Patch, or all Findings with their places."""
+    """Returns the Patch, or all Findings with their locations."""
     reporter = Reporter(source_map)
     values = read_fields(FIELDS, document, (), reporter)
     # Operations are read even if another field is wrong, so that all faults
--- a/wigeonport/plan_views.py
+++ b/wigeonport/plan_views.py
@@ -24,7 +24,7 @@
         faults: WorkerFaults: the task outcomes of each worker.
         reserve: Latest Reserve, or None before the first full plan.
         reserve_sized_for: Maps pool name to the available VMs for which the
-            reserve was last sized; None to size it anew.
+            reserve was last sized; None to size it again.
         borrow_scores: Maps pool name to the scores of its capacity levels.
         peaks: PeakRecords of the pools.
         scores_updated_ms: Time of the last update of the borrow scores, or
--- a/wigeonport/state_answers.py
+++ b/wigeonport/state_answers.py
@@ -29,7 +29,7 @@
         why: ``stale``, ``invalid`` or ``conflict``.
         version: Fleet version in force when the patch was refused.
         findings: Texts of all findings; those against an invalid patch name
-            their place in it.
+            their location in it.
         changes_json: Documents of the changes since the version that the
             patch names, as a JSON list.
         versions_json: Documents of the versions since then, without their
--- a/wigeonport/state_commands.py
+++ b/wigeonport/state_commands.py
@@ -208,7 +208,7 @@
     Attributes:
         scope: Pool id, or ``all``.
         author: Who pauses maintenance.
-        reason: Why.
+        reason: Reason for the pause.
     """
 
     __slots__ = ("scope", "author", "reason")
@@ -226,7 +226,7 @@
     Attributes:
         scope: Pool id, or ``all``.
         author: Who resumes maintenance.
-        reason: Why.
+        reason: Reason for the end of the pause.
     """
 
     __slots__ = ("scope", "author", "reason")
