--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -153,8 +153,8 @@
     """A malformed field must raise MalformedBodyError and nothing else."""
     try:
         decode_heartbeat("i-1", HEARTBEAT | {name: value})
-    except MalformedBodyError as fault:
-        assert str(fault)
+    except MalformedBodyError as error:
+        assert str(error)
 
 
 def test_heartbeat_is_decoded():
--- a/tools/patch_soak.py
+++ b/tools/patch_soak.py
@@ -211,8 +211,8 @@
         await soak.operators.submit_first()
         await run(soak)
         await runner.stop()
-    except (HealthError, trio.TooSlowError, BaseExceptionGroup) as fault:
-        soak.violations.append(f"run: {fault!r}")
+    except (HealthError, trio.TooSlowError, BaseExceptionGroup) as error:
+        soak.violations.append(f"run: {error!r}")
     finally:
         runner.kill_all()
     return soak
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -164,8 +164,8 @@
     """Runs one failure; skips it if another failure uses every VM."""
     try:
         await failures.get(name).ok(soak.runner, source, hold_s)
-    except BusyError as fault:
-        soak.print_progress(f"failure '{name}' skipped: {fault}")
+    except BusyError as error:
+        soak.print_progress(f"failure '{name}' skipped: {error}")
 
 
 async def inject(soak, seconds):
@@ -261,8 +261,8 @@
             soak.violations.append(
                 f"R7: exit statuses other than 0: {json.dumps(nonzero)}"
             )
-    except HealthError as fault:
-        soak.violations.append(f"health: {fault}")
+    except HealthError as error:
+        soak.violations.append(f"health: {error}")
     finally:
         runner.kill_all()
     check_soak_guarantees(soak)
--- a/wigeonport/batch_controllers.py
+++ b/wigeonport/batch_controllers.py
@@ -163,11 +163,11 @@
         """
         try:
             return batch_inputs.dispatch(self, event)
-        except Exception as fault:
+        except Exception as error:
             logger.error(
                 "Event handling failed.",
                 event=type(event).__name__,
-                fault=repr(fault),
+                fault=repr(error),
             )
             self.metrics.count("batch_faults")
             self.stop_dispatching("handling an event failed")
