--- a/wigeonport/consensus.py
+++ b/wigeonport/consensus.py
@@ -23,6 +23,7 @@
     SnapshotInstalled,
 )
 from wigeonport.consensus_writers import write_journal, write_snapshots
+from wigeonport.leader_absences import LeaderAbsence, describe_absence
 from wigeonport.logs import PartLogger
 from wigeonport.replica_events import (
     COMMITTED,
@@ -82,6 +83,7 @@
         unobserved_commands: Classes of the commands for which observers
             get no EntryApplied.
         leadership: Pair of term and leader id after the last round.
+        leader_absence: LeaderAbsence.
         applied_index: Index of the last entry applied to the state.
         unapplied_entries: Committed entries to apply next.
         committed_outcomes: Maps the index of an unapplied entry to the
@@ -112,6 +114,7 @@
         "snapshot_entries",
         "unobserved_commands",
         "leadership",
+        "leader_absence",
         "applied_index",
         "unapplied_entries",
         "committed_outcomes",
@@ -162,6 +165,8 @@
         self.snapshot_entries = snapshot_entries
         self.unobserved_commands = unobserved_commands
         self.leadership = (0, "")
+        self.leader_absence = LeaderAbsence(clock.now())
+        metrics.set("consensus_has_leader", 0)
         self.applied_index = 0
         self.unapplied_entries = collections.deque()
         self.committed_outcomes = {}
@@ -260,8 +265,20 @@
                 term=leadership[0],
                 leader=leadership[1] or "none",
             )
+            self.metrics.set("consensus_has_leader", int(bool(leadership[1])))
+        self.report_leader_absence(now_ms)
         self.calls.expire(now_ms)
 
+    def report_leader_absence(self, now_ms):
+        """Logs at intervals that the replica knows no leader, and why."""
+        absent_ms = self.leader_absence.update(self.replica.leader_id, now_ms)
+        if absent_ms is not None:
+            logger.warning(
+                "No leader known.",
+                absent_ms=absent_ms,
+                **describe_absence(self.replica),
+            )
+
     def step(self, event):
         """Passes an event to the core and handles its Output."""
         output = self.replica.step(event, self.clock.now())
--- a/wigeonport/recoveries.py
+++ b/wigeonport/recoveries.py
@@ -34,6 +34,9 @@
 logger = PartLogger("journal")
 
 DAMAGED = "damaged"
+# Compaction keeps fewer segments; restarts without a snapshot in between may
+# leave more.
+MAX_LOGGED_SEGMENTS = 16
 
 
 class OpenedStorage:
@@ -111,7 +114,9 @@
             storage.journal.lock = lock
             storage.damage = f"the data directory belongs to {owner}"
             return storage
-        return _recover(directory, identity, lock)
+        storage = _recover(directory, identity, lock)
+        log_recovered(storage)
+        return storage
     except DamageError as error:
         logger.error(
             "Data directory damaged; moving its files aside.", reason=error
@@ -128,11 +133,33 @@
     write_identity(directory, identity)
     journal.start_segment()
     durable_files.sync_directory(directory.parent)
+    logger.info(
+        "Data directory created.", replica=identity.replica_id(), damage=damage
+    )
     return OpenedStorage(
         identity.replica_id(), True, journal, RecoveredState(), damage
     )
 
 
+def log_recovered(storage):
+    """Logs what a replica starts from, to be compared with other starts."""
+    recovered = storage.recovered
+    entries = recovered.entries
+    segments = storage.journal.segments[-MAX_LOGGED_SEGMENTS:]
+    logger.info(
+        "Data directory recovered.",
+        replica=storage.replica_id,
+        term=recovered.hard_state.term,
+        vote=recovered.hard_state.vote,
+        snapshot=recovered.snapshot.index if recovered.snapshot else 0,
+        first=entries[0].index if entries else 0,
+        last=storage.journal.last_index,
+        segments=",".join(
+            f"{segment.number}:{segment.last_index}" for segment in segments
+        ),
+    )
+
+
 def _move_aside(directory):
     """Moves all files but the lock into a subdirectory for inspection.
 
@@ -219,7 +246,8 @@
                 self.entries = []
             elif position > len(self.entries):
                 raise DamageError(
-                    f"entries before index {entry.index} are missing"
+                    f"entries before index {entry.index} are missing after "
+                    f"index {self.entries[-1].index}"
                 )
             else:
                 del self.entries[position:]
@@ -250,7 +278,10 @@
             _truncate_interrupted_write(path, data, offset, is_last)
         segment = Segment(number, path)
         for record in records:
-            replay.apply(record)
+            try:
+                replay.apply(record)
+            except DamageError as error:
+                raise DamageError(f"{path.name}: {error}") from error
             if isinstance(record, JournalBatch):
                 for entry in record.entries:
                     segment.last_index = max(segment.last_index, entry.index)
@@ -297,7 +328,10 @@
     if not is_last or has_record_after(data, offset):
         raise DamageError(f"{path.name}: damaged record at byte {offset}")
     logger.warning(
-        "Truncating an interrupted write.", file=path.name, offset=offset
+        "Truncating an interrupted write.",
+        file=path.name,
+        offset=offset,
+        removed_bytes=len(data) - offset,
     )
     descriptor = os.open(path, os.O_WRONLY)
     try:
