Add a failing test: a recovered entry is lost with the power

A process is killed between the write and the sync of an entry; the next start reads the entry from the cache of the kernel, and the replica relies on it.

--- a/tests/test_journals.py
+++ b/tests/test_journals.py
@@ -243,6 +243,71 @@
     storage.journal.close()
 
 
+class ProcessKilledError(Exception):
+    """Ends a write at the point where the test kills the process."""
+
+
+class PowerSupply:
+    """Follows what the syncs of files cover, until the power is lost.
+
+    Attributes:
+        synced_bytes: Maps the path of a file to its size at its last sync.
+        kill_before_sync: Whether the next sync of a file is not reached.
+    """
+
+    def __init__(self, monkeypatch):
+        self.synced_bytes = {}
+        self.kill_before_sync = False
+        self.sync_file = durable_files.sync_file
+        monkeypatch.setattr(durable_files, "sync_file", self.sync)
+
+    def sync(self, descriptor):
+        """Syncs a file, unless the process is killed before."""
+        if self.kill_before_sync:
+            self.kill_before_sync = False
+            raise ProcessKilledError
+        self.sync_file(descriptor)
+        path = os.readlink(f"/proc/self/fd/{descriptor}")
+        self.synced_bytes[path] = os.fstat(descriptor).st_size
+
+    def lose(self, directory):
+        """Removes what was written to the segments after their last sync."""
+        for path in directory.glob("segment-*"):
+            os.truncate(path, self.synced_bytes.get(str(path), 0))
+
+
+@pytest.fixture
+def power_supply(monkeypatch):
+    """PowerSupply of the directories that the test opens after it."""
+    return PowerSupply(monkeypatch)
+
+
+@pytest.mark.parametrize("later_entries", [0, 1])
+def test_entry_recovered_after_a_kill_survives_a_power_loss(
+    power_supply, directory, later_entries
+):
+    """Fails if a replica acknowledges a recovered entry that is not synced.
+
+    The kill comes between the write and the sync of the entry.
+    """
+    journal = open_directory(directory, "test", "a").journal
+    power_supply.kill_before_sync = True
+    with pytest.raises(ProcessKilledError):
+        journal.write([make_persist([(4, 1)])])
+    journal.close()
+    restarted = open_directory(directory, "test", "a")
+    relied_on = index_term_pairs(restarted)
+    assert relied_on == [(1, 1), (2, 1), (3, 1), (4, 1)]
+    for index in range(5, 5 + later_entries):
+        restarted.journal.write([make_persist([(index, 1)])])
+        relied_on.append((index, 1))
+    restarted.journal.close()
+    power_supply.lose(directory)
+    storage = reopen(directory)
+    assert storage.damage == ""
+    assert index_term_pairs(storage) == relied_on
+
+
 class FillingDisk:
     """Makes calls that need space fail while the disk is full.
 
