--- a/tests/consensus_groups.py
+++ b/tests/consensus_groups.py
@@ -18,6 +18,13 @@
 SEEDS = ("a", "b", "c")
 
 
+class ProcessKilledError(Exception):
+    """Raised by a fixture to end the task of a node as SIGKILL does.
+
+    What the task has written stays in its files, synced or not.
+    """
+
+
 class Group:
     """Consensus tasks that pass messages to each other without links.
 
@@ -28,6 +35,8 @@
         tasks: Maps a running node to its Consensus.
         scopes: Maps a node to the cancel scope of its last task.
         stopped: Maps a Consensus to the event set when its task has ended.
+        damage: Maps a node to the reason why its last start did not use the
+            data of its directory, or to "".
     """
 
     def __init__(self, directory, nursery, snapshot_entries=50):
@@ -37,6 +46,7 @@
         self.tasks = {}
         self.scopes = {}
         self.stopped = {}
+        self.damage = {}
 
     def send(self, node, message):
         """Delivers a message, or drops it if the recipient is stopped."""
@@ -57,6 +67,7 @@
             if durable
             else open_memory("test", node)
         )
+        self.damage[node] = storage.damage
         settings = ReplicaSettings(retained_entries=10)
         settings.min_election_timeout_ms, settings.election_jitter_ms = (
             300,
@@ -85,8 +96,15 @@
 
     async def run(self, consensus, scope, task_status):
         """Runs a task in its cancel scope and sets its event at the end."""
-        with scope:
-            await consensus.run(task_status)
+        try:
+            with scope:
+                await consensus.run(task_status)
+        except* ProcessKilledError:
+            self.tasks = {
+                node: task
+                for node, task in self.tasks.items()
+                if task is not consensus
+            }
         self.stopped[consensus].set()
 
     async def stop(self, node):
