Sync the segments that a recovery has read

Cause: a control that is killed between the write and the sync of a record leaves the record in the cache of the kernel. The restarted control read it from there, acknowledged it and wrote on in a new segment, and nothing ever synced the old one. A loss of power removed the record. The directory then counted as damaged and the replica lost its vote, or, if no entry followed the record, it kept its vote with a shorter log than it had acknowledged. Together with one lost disk, which is allowed, the quorum was gone. Change: the recovery syncs each segment that it has read, before the replica starts. What a replica relies on is then durable, whoever wrote it.

--- a/wigeonport/durable_files.py
+++ b/wigeonport/durable_files.py
@@ -57,6 +57,15 @@
     os.fdatasync(descriptor)
 
 
+def sync_path(path):
+    """Makes the data in a closed file durable, whoever wrote it."""
+    descriptor = os.open(path, os.O_RDONLY)
+    try:
+        sync_file(descriptor)
+    finally:
+        os.close(descriptor)
+
+
 def sync_directory(path):
     """Makes the creation, renaming and removal of its files durable."""
     descriptor = os.open(path, os.O_RDONLY | os.O_DIRECTORY)
--- a/wigeonport/recoveries.py
+++ b/wigeonport/recoveries.py
@@ -257,6 +257,10 @@
 def _read_segments(directory, identity, replay):
     """Reads the segments and applies their records to the replay.
 
+    Each segment is synced: a process that was killed may have written its
+    last record without the sync, and the replica acknowledges what it has
+    recovered.
+
     Returns:
         The Segments, oldest first.
 
@@ -276,6 +280,7 @@
         _check_header(path, records, number, identity, segments)
         if offset < len(data):
             _truncate_interrupted_write(path, data, offset, is_last)
+        durable_files.sync_path(path)
         segment = Segment(number, path)
         for record in records:
             try:
