Simulate what a kill and a power loss leave of a data directory

Change: a simulated disk follows a real directory through the functions of the module os, ends the process at any operation and then keeps, loses or tears each change that no sync covers.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -20,6 +20,7 @@
     "entry_fixtures",
     "consensus_groups",
     "batch_fixtures",
+    "disk_simulations",
 ]
 
 
--- /dev/null
+++ b/tests/test_disk_losses.py
@@ -0,0 +1,119 @@
+"""Kills and power losses between and during the operations on a disk."""
+
+import itertools
+import shutil
+
+import pytest
+from disk_simulations import CrashError, losing
+from journal_models import make_persist, make_snapshot
+
+from wigeonport import journals
+from wigeonport.durable_files import sync_directory
+from wigeonport.recoveries import open_directory
+from wigeonport.replica_events import HardState
+from wigeonport.snapshots import write_snapshot
+
+LATER_ENTRIES = range(10, 13)
+
+
+def create_directory(disk, path):
+    """Creates a closed data directory with a vote and nine synced entries.
+
+    Segments 1 to 3 hold three entries each.
+    """
+    journal = open_directory(path, "test", "a").journal
+    journal.write([make_persist(hard_state=HardState(3, "b/1"))])
+    for first in (1, 4, 7):
+        if first > 1:
+            journal.start_segment()
+        journal.write([make_persist(range(first, first + 3))])
+    disk.kill()
+
+
+@pytest.fixture
+def directory(disk):
+    """The directory of ``create_directory``."""
+    path = disk.root / "data"
+    create_directory(disk, path)
+    return path
+
+
+def open_journal(path):
+    """Opens a directory that must not count as damaged."""
+    storage = open_directory(path, "test", "a")
+    assert not storage.damage
+    return storage
+
+
+def last_index(storage):
+    """Returns the last index of the recovered log."""
+    recovered = storage.recovered
+    if recovered.entries:
+        return recovered.entries[-1].index
+    return recovered.snapshot.index if recovered.snapshot else 0
+
+
+def compact(journal):
+    """Compacts the log up to its last entry."""
+    write_snapshot(journal.directory, make_snapshot(9))
+    journal.write([make_persist(compact_index=9)])
+
+
+def install_snapshot(journal):
+    """Replaces the log by a received snapshot."""
+    journal.write([make_persist(snapshot=make_snapshot(20, 4))])
+
+
+def replace_entries(journal):
+    """Replaces the last entries after a change of leader."""
+    journal.write([make_persist(range(8, 10), term=4)])
+
+
+def start_full_segment(journal):
+    """Appends entries when the newest segment is full."""
+    journal.size_bytes = journals.SEGMENT_BYTES
+    journal.write([make_persist(LATER_ENTRIES)])
+
+
+@pytest.mark.parametrize("loses_power", [False, True], ids=["kill", "power"])
+@pytest.mark.parametrize(
+    ("change", "index_after"),
+    [
+        (compact, 9),
+        (install_snapshot, 20),
+        (replace_entries, 9),
+        (start_full_segment, 12),
+    ],
+)
+def test_end_at_each_operation_leaves_the_log_before_or_after(
+    disk, change, index_after, loses_power
+):
+    """Fails if the journal writes a gap, or returns before it has synced.
+
+    The process is killed at each operation of a change, or loses power and
+    all that is not synced. The kills show gaps that need no power loss.
+    """
+    for steps in itertools.count(1):
+        path = disk.root / f"data{steps}"
+        create_directory(disk, path)
+        journal = open_journal(path).journal
+        disk.steps_left = steps
+        try:
+            change(journal)
+        except CrashError:
+            is_done = False
+        else:
+            is_done = True
+        if loses_power:
+            disk.lose_power(losing("*"))
+        else:
+            disk.kill()
+        for _ in range(2):
+            index = last_index(open_journal(path))
+            assert index in ({index_after} if is_done else {9, index_after})
+            disk.kill()
+        if is_done:
+            assert steps > 5
+            return
+        shutil.rmtree(path)
+        sync_directory(disk.root)
