Make the removal of each segment durable before the next

What callers saw: nothing yet. A power loss in between may undo some of the removals, which leaves a hole among the numbers of the segments. Change: the directory is synced after each removal. Result: test_power_loss_during_compaction_leaves_no_hole and test_power_loss_during_installation_leaves_no_hole failed before, with "the segment before it is missing", and pass now.

--- a/tests/test_disk_losses.py
+++ b/tests/test_disk_losses.py
@@ -117,3 +117,27 @@
             return
         shutil.rmtree(path)
         sync_directory(disk.root)
+
+
+def test_power_loss_during_compaction_leaves_no_hole(disk, directory):
+    """Fails if the removal of several segments can leave a hole.
+
+    The disk undoes the removals independently, and a segment between two
+    others must not be the one that is missing.
+    """
+    journal = open_journal(directory).journal
+    write_snapshot(directory, make_snapshot(9))
+    with disk.crash("after unlink segment-0000000003"):
+        journal.write([make_persist(compact_index=9)])
+    disk.lose_power(losing("unlink segment-0000000002"))
+    assert last_index(open_journal(directory)) == 9
+
+
+def test_power_loss_during_installation_leaves_no_hole(disk, directory):
+    """Fails if a received snapshot can leave a hole among older segments."""
+    journal = open_journal(directory).journal
+    persist = make_persist(snapshot=make_snapshot(20, 4))
+    with disk.crash("after unlink segment-0000000004"):
+        journal.write([persist])
+    disk.lose_power(losing("unlink segment-0000000003"))
+    assert last_index(open_journal(directory)) == 20
--- a/wigeonport/journals.py
+++ b/wigeonport/journals.py
@@ -181,12 +181,12 @@
         remove_older_snapshots(self.directory)
 
     def _remove(self, segments):
-        # Oldest first, so that a crash in between leaves no gap in the log.
+        # Oldest first and one at a time, so that a crash in between leaves no
+        # gap in the log: a power loss undoes unsynced removals independently.
         for segment in segments:
             segment.path.unlink()
-            self.segments.remove(segment)
-        if segments:
             durable_files.sync_directory(self.directory)
+            self.segments.remove(segment)
 
     def start_segment(self, starts_anew=False):
         """Starts a new segment file.
