Move the identity of damaged data aside first

What callers saw: nothing yet. Cause: the files of a damaged data directory were moved aside in any order, with one sync at the end. After a kill or a power loss in between, the directory could still hold the identity and the older segments, without the damaged one. The next start took that for sound data, and the replica voted under its old identity with a shorter log than it had acknowledged. Change: the identity is moved first, and the move is synced, before any other file is moved. Segments without an identity count as damaged.

--- a/tests/test_disk_losses.py
+++ b/tests/test_disk_losses.py
@@ -141,3 +141,47 @@
         journal.write([persist])
     disk.lose_power(losing("unlink segment-0000000003"))
     assert last_index(open_journal(directory)) == 20
+
+
+def check_old_identity_keeps_its_log(directory, before):
+    """Opens a directory whose damaged files were being moved aside."""
+    storage = open_directory(directory, "test", "a")
+    assert storage.replica_id != before.replica_id or last_index(
+        storage
+    ) == last_index(before)
+
+
+def test_power_loss_while_damaged_files_move_keeps_no_voter(disk, directory):
+    """Fails if the old identity can remain with a part of its log.
+
+    The replica would vote although it lacks entries that it acknowledged.
+    """
+    before = open_journal(directory)
+    disk.kill()
+    disk.corrupt(directory / "segment-0000000002", 20)
+    with disk.crash("before sync damaged"):
+        open_directory(directory, "test", "a")
+    disk.lose_power(losing("unlink identity", "unlink segment-0000000001"))
+    check_old_identity_keeps_its_log(directory, before)
+
+
+def test_kill_while_damaged_files_move_keeps_no_voter(
+    disk, directory, monkeypatch
+):
+    """Fails if a process that is killed leaves the old identity.
+
+    The order in which a directory lists its files is arbitrary; here the
+    newest segments come first.
+    """
+    before = open_journal(directory)
+    disk.kill()
+    disk.corrupt(directory / "segment-0000000002", 20)
+    iterdir = type(directory).iterdir
+    monkeypatch.setattr(
+        type(directory),
+        "iterdir",
+        lambda path: reversed(sorted(iterdir(path))),
+    )
+    with disk.crash("after rename segment-0000000002"):
+        open_directory(directory, "test", "a")
+    check_old_identity_keeps_its_log(directory, before)
--- a/wigeonport/recoveries.py
+++ b/wigeonport/recoveries.py
@@ -4,6 +4,7 @@
 import shutil
 
 from wigeonport import durable_files
+from wigeonport.disk_identities import FILE_NAME as IDENTITY_NAME
 from wigeonport.disk_identities import (
     create_identity,
     read_identity,
@@ -163,12 +164,19 @@
 def _move_aside(directory):
     """Moves all files but the lock into a subdirectory for inspection.
 
-    The files of an earlier move are deleted.
+    The identity is moved first and durably: segments without it count as
+    damaged, so that a crash in between leaves no voter with a part of its
+    log. The files of an earlier move are deleted.
     """
     target = directory / DAMAGED
     if target.exists():
         shutil.rmtree(target)
     target.mkdir()
+    identity_path = directory / IDENTITY_NAME
+    if identity_path.exists():
+        os.replace(identity_path, target / IDENTITY_NAME)
+        durable_files.sync_directory(target)
+        durable_files.sync_directory(directory)
     for path in directory.iterdir():
         if path not in (target, directory / durable_files.LOCK_NAME):
             os.replace(path, target / path.name)
