Sync the directory of a replica before its recovery

What callers saw: nothing yet. Change: the recovery syncs the directory and its parent before it reads. Result: test_snapshot_that_was_read_stays failed before in both cases, with "entries up to index 9 are missing" and the same for 20, and test_new_directory_stays_after_a_kill_during_creation with a log up to 0; they pass now. test_unsynced_segment_before_a_new_one_stays and test_truncation_before_a_new_segment_stays failed before, which mends them.

--- a/tests/test_disk_losses.py
+++ b/tests/test_disk_losses.py
@@ -185,3 +185,63 @@
     with disk.crash("after rename segment-0000000002"):
         open_directory(directory, "test", "a")
     check_old_identity_keeps_its_log(directory, before)
+
+
+@pytest.mark.parametrize("received", [False, True])
+def test_snapshot_that_was_read_stays(disk, directory, received):
+    """Fails if a restart relies on a snapshot whose rename is not durable.
+
+    The new segment is durable with its own sync, and says that the entries
+    before it are in the snapshot.
+    """
+    journal = open_journal(directory).journal
+    with disk.crash("after rename snapshot-*"):
+        if received:
+            journal.write([make_persist(snapshot=make_snapshot(20, 4))])
+        else:
+            write_snapshot(directory, make_snapshot(9))
+    with disk.crash("before sync data"):
+        open_journal(directory)
+    disk.lose_power(losing("rename snapshot-*"))
+    assert last_index(open_journal(directory)) >= 9
+
+
+@pytest.mark.parametrize(
+    "lost",
+    ["create segment-0000000004", "write segment-0000000004"],
+    ids=["name", "header"],
+)
+def test_unsynced_segment_before_a_new_one_stays(disk, directory, lost):
+    """Fails if a restart starts a segment after one that is not durable."""
+    with disk.crash("before sync segment-0000000004"):
+        open_journal(directory)
+    with disk.crash("after sync segment-0000000005"):
+        open_journal(directory)
+    disk.lose_power(losing(lost))
+    assert last_index(open_journal(directory)) == 9
+
+
+def test_truncation_before_a_new_segment_stays(disk, directory):
+    """Fails if an interrupted write comes back before a newer segment.
+
+    The process was killed during a write, and again before it synced the
+    truncation.
+    """
+    journal = open_journal(directory).journal
+    with disk.crash("during write segment-0000000004"):
+        journal.write([make_persist([10])])
+    with disk.crash("after truncate segment-0000000004"):
+        open_journal(directory)
+    open_journal(directory)
+    disk.lose_power(losing("truncate segment-0000000004"))
+    assert last_index(open_journal(directory)) == 9
+
+
+def test_new_directory_stays_after_a_kill_during_creation(disk):
+    """Fails if a restart does not sync the parent of a new directory."""
+    path = disk.root / "data"
+    with disk.crash(f"before sync {disk.root.name}"):
+        open_directory(path, "test", "a")
+    open_journal(path).journal.write([make_persist([1])])
+    disk.lose_power(losing("mkdir data"))
+    assert last_index(open_journal(path)) == 1
--- a/wigeonport/recoveries.py
+++ b/wigeonport/recoveries.py
@@ -115,6 +115,10 @@
             storage.journal.lock = lock
             storage.damage = f"the data directory belongs to {owner}"
             return storage
+        # A killed process may have changed names without the syncs, and a
+        # replica relies on what it finds.
+        durable_files.sync_directory(directory.parent)
+        durable_files.sync_directory(directory)
         storage = _recover(directory, identity, lock)
         log_recovered(storage)
         return storage
