Detect that the end of an earlier segment is missing

What callers saw: nothing yet. A loss at the border of two segments went unnoticed if an entry with the same index followed, or none. Change: the header of each later segment is compared with the entries before it. A replica that lacks some starts empty under a new identity, as for any other damage. That also covers directories written by earlier releases.

--- a/tests/test_journals.py
+++ b/tests/test_journals.py
@@ -143,6 +143,12 @@
     sorted(path.glob("snapshot-*"))[-1].unlink()
 
 
+def remove_last_record(path):
+    """Removes the last record of a segment that is not the newest."""
+    segment = sorted(path.glob("segment-*"))[-2]
+    os.truncate(segment, segment.read_bytes().rfind(b"WGJ"))
+
+
 def replace_identity(path):
     """Replaces the identity file by that of another directory."""
     other = path.with_name("other")
@@ -156,6 +162,7 @@
         remove_segment,
         remove_identity,
         remove_snapshot,
+        remove_last_record,
         damage_snapshot,
         replace_identity,
     ],
--- a/wigeonport/recoveries.py
+++ b/wigeonport/recoveries.py
@@ -221,15 +221,23 @@
         hard_state: Newest HardState.
         last_missing_index: Index up to which the segments lack the entries,
             so that a snapshot must contain them.
+        last_index: Last index of the log.
         is_first: Whether no segment header has been read yet.
     """
 
-    __slots__ = ("entries", "hard_state", "last_missing_index", "is_first")
+    __slots__ = (
+        "entries",
+        "hard_state",
+        "last_missing_index",
+        "last_index",
+        "is_first",
+    )
 
     def __init__(self):
         self.entries = []
         self.hard_state = HardState(0, "")
         self.last_missing_index = 0
+        self.last_index = 0
         self.is_first = True
 
     def apply(self, record):
@@ -242,6 +250,12 @@
             self.hard_state = record.hard_state
             if self.is_first or record.starts_anew:
                 self.last_missing_index = record.last_index
+                self.last_index = record.last_index
+            elif record.last_index > self.last_index:
+                raise DamageError(
+                    f"entries up to index {record.last_index} are missing "
+                    f"after index {self.last_index}"
+                )
             if record.starts_anew:
                 self.entries = []
             self.is_first = False
@@ -264,6 +278,7 @@
             else:
                 del self.entries[position:]
         self.entries.append(entry)
+        self.last_index = entry.index
 
 
 def _read_segments(directory, identity, replay):
