Write the identity of a new data directory last

What callers saw: nothing. A control that was killed while it created its data directory logged damage at the next start and moved the files aside, although nothing had been stored. Cause: the identity was written before the first segment, and an identity without a segment looks like a directory that has lost its segments. Change: the first segment is written before the identity. Without an identity, a first segment that has no entries is an interrupted creation and is replaced.

--- a/tests/test_disk_losses.py
+++ b/tests/test_disk_losses.py
@@ -245,3 +245,14 @@
     open_journal(path).journal.write([make_persist([1])])
     disk.lose_power(losing("mkdir data"))
     assert last_index(open_journal(path)) == 1
+
+
+def test_kill_during_creation_is_no_damage(disk):
+    """Fails if an identity without a segment counts as damage.
+
+    Nothing was acknowledged yet, and the identity must stay as it is.
+    """
+    path = disk.root / "data"
+    with disk.crash("before create segment-0000000001"):
+        open_directory(path, "test", "a")
+    open_journal(path)
--- a/wigeonport/recoveries.py
+++ b/wigeonport/recoveries.py
@@ -103,7 +103,7 @@
     try:
         identity = read_identity(directory)
         if identity is None:
-            if list(directory.glob(f"{PREFIX}*")) or list_snapshots(directory):
+            if not _is_unused(directory):
                 raise DamageError("the identity file is missing")
             return _create(directory, cluster_id, node, "", lock)
         if (identity.cluster_id, identity.node) != (cluster_id, node):
@@ -133,10 +133,10 @@
 def _create(directory, cluster_id, node, damage, lock):
     identity = create_identity(cluster_id, node)
     journal = Journal(directory, identity.identity, [], None, lock)
-    # The identity file is written first: a directory that has a segment but
-    # no identity file counts as damaged.
-    write_identity(directory, identity)
+    # The identity file is written last: with an identity but no segment, the
+    # directory would look like one that has lost its segments.
     journal.start_segment()
+    write_identity(directory, identity)
     durable_files.sync_directory(directory.parent)
     logger.info(
         "Data directory created.", replica=identity.replica_id(), damage=damage
@@ -146,6 +146,22 @@
     )
 
 
+def _is_unused(directory):
+    """Returns whether a directory without an identity holds no data.
+
+    An interrupted creation leaves a first segment without entries.
+    """
+    if list_snapshots(directory):
+        return False
+    for path in directory.glob(f"{PREFIX}*"):
+        data = path.read_bytes()
+        records, offset = read_records(data)
+        number = int(path.name.removeprefix(PREFIX))
+        if number > 1 or len(records) > 1 or has_record_after(data, offset):
+            return False
+    return True
+
+
 def log_recovered(storage):
     """Logs what a replica starts from, to be compared with other starts."""
     recovered = storage.recovered
