--- a/tests/test_disk_losses.py
+++ b/tests/test_disk_losses.py
@@ -1,11 +1,20 @@
-"""Kills and power losses between and during the operations on a disk."""
+"""Kills and power losses between and during the operations on a disk.
+
+A longer run of the random schedules, of 20,000 from seed 1,000 on:
+
+    WIGEONPORT_FIRST_SEED=1000 WIGEONPORT_SCHEDULES=20000 \
+        python -m pytest tests/test_disk_losses.py -k random
+"""
 
 import itertools
+import os
+import random
 import shutil
 
+import logbook
 import pytest
-from disk_simulations import CrashError, losing
-from journal_models import make_persist, make_snapshot
+from disk_simulations import CrashError, losing, random_fate
+from journal_models import JournalModel, make_persist, make_snapshot
 
 from wigeonport import journals
 from wigeonport.durable_files import sync_directory
@@ -14,6 +23,12 @@
 from wigeonport.snapshots import write_snapshot
 
 LATER_ENTRIES = range(10, 13)
+# A schedule takes about 0.1 s, and CI runs all tests on every change.
+CI_SCHEDULES = 60
+FIRST_SEED = int(os.environ.get("WIGEONPORT_FIRST_SEED", 0))
+COUNT = int(os.environ.get("WIGEONPORT_SCHEDULES", CI_SCHEDULES))
+SEEDS = range(FIRST_SEED, FIRST_SEED + COUNT)
+RUNS = 16
 
 
 def create_directory(disk, path):
@@ -256,3 +271,72 @@
     with disk.crash("before create segment-0000000001"):
         open_directory(path, "test", "a")
     open_journal(path)
+
+
+class Schedule:
+    """Runs of a process that end at random operations on the disk.
+
+    Attributes:
+        disk: Disk.
+        path: Path of the data directory.
+        random: Source of random numbers.
+        model: JournalModel.
+        replica_id: Replica id of the first run that opened the directory,
+            or "".
+    """
+
+    __slots__ = ("disk", "path", "random", "model", "replica_id")
+
+    def __init__(self, disk, seed):
+        self.disk = disk
+        self.path = disk.root / "data"
+        self.random = random.Random(seed)
+        self.model = JournalModel(self.random)
+        self.replica_id = ""
+
+    def run(self):
+        """Opens the directory and writes until the process ends."""
+        if self.random.random() < 0.4:
+            self.disk.steps_left = self.random.randrange(1, 30)
+        storage = open_journal(self.path)
+        assert storage.replica_id == (self.replica_id or storage.replica_id)
+        self.replica_id = storage.replica_id
+        self.model.recover(storage.recovered)
+        self.disk.steps_left = self.random.randrange(1, 100)
+        while True:
+            self.model.write(storage.journal, self.write_snapshot)
+
+    def write_snapshot(self, snapshot):
+        """Writes a snapshot of the local state."""
+        write_snapshot(self.path, snapshot)
+
+    def end(self):
+        """Ends the process by a kill or by a loss of power."""
+        if self.random.random() < 0.5:
+            self.disk.kill()
+        else:
+            self.disk.lose_power(random_fate(self.random))
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_random_losses_keep_what_a_replica_relies_on(disk, monkeypatch, seed):
+    """Fails if a kill or a power loss damages the directory or loses data.
+
+    A replica relies on what a write returned for and on what it recovered
+    when it started. Small segments make the writes start and remove many.
+    """
+    monkeypatch.setattr(journals, "SEGMENT_BYTES", 300)
+    monkeypatch.setattr(journals, "COMPACT_BYTES", 100)
+    schedule = Schedule(disk, seed)
+    for _ in range(RUNS):
+        with logbook.TestHandler() as log:
+            with pytest.raises(CrashError):
+                schedule.run()
+            # The process may also end while it moves damaged files aside.
+            errors = [
+                (r.message, r.extra)
+                for r in log.records
+                if r.level >= logbook.ERROR
+            ]
+        assert not errors, disk.history[-40:]
+        schedule.end()
