Sync the directory before the identity is read

What callers saw: nothing yet. Cause: a control that is killed right after it has moved the identity of damaged data aside leaves a move that is not durable. The next start found no identity and moved the segments too; a power loss could undo the first move and some of the others, so that the old identity kept its vote with a shorter log. Change: the directory and its parent are synced before anything in it is read. Result: test_second_move_of_damaged_files_keeps_no_voter failed before and passes now.

--- a/tests/test_disk_losses.py
+++ b/tests/test_disk_losses.py
@@ -6,6 +6,7 @@
         python -m pytest tests/test_disk_losses.py -k random
 """
 
+import contextlib
 import itertools
 import os
 import random
@@ -340,3 +341,61 @@
             ]
         assert not errors, disk.history[-40:]
         schedule.end()
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_random_losses_while_damaged_files_move_keep_no_voter(
+    disk, directory, monkeypatch, seed
+):
+    """Fails if the old identity opens once its directory is damaged.
+
+    Directories list their files in any order. A new identity that was
+    returned must stay.
+    """
+    source = random.Random(seed)
+    iterdir = type(directory).iterdir
+    monkeypatch.setattr(
+        type(directory),
+        "iterdir",
+        lambda path: source.sample(paths := sorted(iterdir(path)), len(paths)),
+    )
+    damaged_id = open_journal(directory).replica_id
+    disk.kill()
+    disk.corrupt(directory / f"segment-000000000{source.choice('23')}", 20)
+    new_id = ""
+    for _ in range(6):
+        disk.steps_left = source.randrange(1, 30)
+        with contextlib.suppress(CrashError):
+            storage = open_directory(directory, "test", "a")
+            assert storage.replica_id != damaged_id, disk.history[-40:]
+            assert storage.replica_id == (new_id or storage.replica_id)
+            new_id = storage.replica_id
+        if source.random() < 0.5:
+            disk.kill()
+        else:
+            disk.lose_power(random_fate(source))
+
+
+def test_second_move_of_damaged_files_keeps_no_voter(
+    disk, directory, monkeypatch
+):
+    """Fails if a restart relies on the unsynced move of the identity.
+
+    The process is killed after it has moved the identity file, and the power
+    fails after the restart has moved the segments.
+    """
+    before = open_journal(directory)
+    disk.kill()
+    disk.corrupt(directory / "segment-0000000002", 20)
+    iterdir = type(directory).iterdir
+    monkeypatch.setattr(
+        type(directory), "iterdir", lambda path: sorted(iterdir(path))
+    )
+    with disk.crash("after rename *identity*"):
+        open_directory(directory, "test", "a")
+    with disk.crash("before sync damaged"):
+        open_directory(directory, "test", "a")
+    disk.lose_power(
+        losing("* identity", "rename identity*", "unlink segment-0000000001")
+    )
+    check_old_identity_keeps_its_log(directory, before)
--- a/wigeonport/recoveries.py
+++ b/wigeonport/recoveries.py
@@ -98,6 +98,10 @@
 
 
 def _open_locked(directory, cluster_id, node, lock):
+    # A killed process may have changed names without the syncs, and a replica
+    # relies on what it finds.
+    durable_files.sync_directory(directory.parent)
+    durable_files.sync_directory(directory)
     for path in directory.glob("*.tmp"):
         path.unlink()
     try:
@@ -115,10 +119,6 @@
             storage.journal.lock = lock
             storage.damage = f"the data directory belongs to {owner}"
             return storage
-        # A killed process may have changed names without the syncs, and a
-        # replica relies on what it finds.
-        durable_files.sync_directory(directory.parent)
-        durable_files.sync_directory(directory)
         storage = _recover(directory, identity, lock)
         log_recovered(storage)
         return storage
@@ -137,7 +137,6 @@
     # directory would look like one that has lost its segments.
     journal.start_segment()
     write_identity(directory, identity)
-    durable_files.sync_directory(directory.parent)
     logger.info(
         "Data directory created.", replica=identity.replica_id(), damage=damage
     )
