Show that a restart relies on an entry that is not durable

Change: a directed test: write of entry 10, kill before its sync, restart, with and without entry 11, power loss, the write of entry 10 is lost.

--- a/tests/test_disk_losses.py
+++ b/tests/test_disk_losses.py
@@ -399,3 +399,21 @@
         losing("* identity", "rename identity*", "unlink segment-0000000001")
     )
     check_old_identity_keeps_its_log(directory, before)
+
+
+@pytest.mark.parametrize("continues", [False, True])
+def test_entry_that_was_read_stays(disk, directory, continues):
+    """Fails if a restart relies on an entry that is not durable.
+
+    The loss shows as damage only if a later entry was written after the
+    restart. Without one, the replica votes with a shorter log.
+    """
+    journal = open_journal(directory).journal
+    with disk.crash("before sync segment-0000000004"):
+        journal.write([make_persist([10])])
+    storage = open_journal(directory)
+    assert last_index(storage) == 10
+    if continues:
+        storage.journal.write([make_persist([11])])
+    disk.lose_power(losing("write segment-0000000004"))
+    assert last_index(open_journal(directory)) == (11 if continues else 10)
