--- a/tests/journal_models.py
+++ b/tests/journal_models.py
@@ -1,5 +1,7 @@
 """Model of what a data directory must return after a crash."""
 
+import functools
+
 from wigeonport.memberships import Member, Members
 from wigeonport.replica_events import HardState, Persist, Snapshot
 from wigeonport.replication_messages import DATA, Entry
@@ -137,30 +139,35 @@
 
         Args:
             journal: Journal.
-            write_snapshot: Function that writes a Snapshot.
+            write_snapshot: Function of a Snapshot to write and of a function
+                to call when it has its name, or None.
         """
         state = self.states[-1]
-        kind = self.random.randrange(6)
-        if kind == 0 and state.entries:
-            self._take_snapshot(write_snapshot, state)
-            persists = [make_persist(compact_index=self.states[-1].base[0])]
+        kind = self.random.randrange(7)
+        if kind < 2 and len(state.entries) > 1:
+            bases = sorted(e[:2] for e in self.random.sample(state.entries, 2))
+            persists = [make_persist(compact_index=bases[0][0])]
+            self._take_snapshot(write_snapshot, bases[0])
+            if kind == 0:
+                # The journal writer and the snapshot writer are concurrent.
+                compaction = functools.partial(journal.write, persists)
+                self._take_snapshot(write_snapshot, bases[1], compaction)
+                persists = [make_persist(compact_index=bases[1][0])]
         else:
             persists = self._random_persists(state)
-            if kind == 1:
+            after = states_of_write(state, persists)[-1]
+            if kind == 2 and after.entries and after.base == state.base:
                 # Entries may be applied before they are in the journal.
-                self._take_snapshot(write_snapshot, state, persists)
+                base = self.random.choice(after.entries)[:2]
+                self._take_snapshot(write_snapshot, base)
         self.states = states_of_write(self.states[-1], persists)
         journal.write(persists)
         del self.states[:-1]
 
-    def _take_snapshot(self, write_snapshot, state, persists=()):
-        """Writes a snapshot of the log or of entries to be written."""
-        after = states_of_write(state, persists)[-1]
-        if after.base != state.base or not after.entries:
-            return
-        base = self.random.choice(after.entries)[:2]
+    def _take_snapshot(self, write_snapshot, base, meanwhile=None):
+        state = self.states[-1]
         self.states = [state, state.with_snapshot(base)]
-        write_snapshot(make_snapshot(*base))
+        write_snapshot(make_snapshot(*base), meanwhile)
         del self.states[:-1]
 
     def _random_persists(self, state):
--- a/tests/test_disk_losses.py
+++ b/tests/test_disk_losses.py
@@ -7,6 +7,7 @@
 """
 
 import contextlib
+import functools
 import itertools
 import os
 import random
@@ -14,8 +15,10 @@
 
 import logbook
 import pytest
-from disk_simulations import CrashError, losing, random_fate
-from journal_models import JournalModel, make_persist, make_snapshot
+from disk_changes import losing, random_fate
+from disk_schedules import Schedule
+from disk_simulations import CrashError, after_rename
+from journal_models import make_persist, make_snapshot
 
 from wigeonport import journals
 from wigeonport.durable_files import sync_directory
@@ -216,7 +219,7 @@
             journal.write([make_persist(snapshot=make_snapshot(20, 4))])
         else:
             write_snapshot(directory, make_snapshot(9))
-    with disk.crash("before sync data"):
+    with disk.crash("after sync segment-0000000005"):
         open_journal(directory)
     disk.lose_power(losing("rename snapshot-*"))
     assert last_index(open_journal(directory)) >= 9
@@ -263,60 +266,35 @@
     assert last_index(open_journal(path)) == 1
 
 
-def test_kill_during_creation_is_no_damage(disk):
-    """Fails if an identity without a segment counts as damage.
-
-    Nothing was acknowledged yet, and the identity must stay as it is.
-    """
-    path = disk.root / "data"
-    with disk.crash("before create segment-0000000001"):
-        open_directory(path, "test", "a")
-    open_journal(path)
-
-
-class Schedule:
-    """Runs of a process that end at random operations on the disk.
+def test_end_at_each_operation_of_the_creation_is_no_damage(disk):
+    """Fails if a directory that was never in use counts as damaged.
 
-    Attributes:
-        disk: Disk.
-        path: Path of the data directory.
-        random: Source of random numbers.
-        model: JournalModel.
-        replica_id: Replica id of the first run that opened the directory,
-            or "".
+    Among others, the process ends between the creation of the identity file
+    and that of the first segment.
     """
-
-    __slots__ = ("disk", "path", "random", "model", "replica_id")
-
-    def __init__(self, disk, seed):
-        self.disk = disk
-        self.path = disk.root / "data"
-        self.random = random.Random(seed)
-        self.model = JournalModel(self.random)
-        self.replica_id = ""
-
-    def run(self):
-        """Opens the directory and writes until the process ends."""
-        if self.random.random() < 0.4:
-            self.disk.steps_left = self.random.randrange(1, 30)
-        storage = open_journal(self.path)
-        assert storage.replica_id == (self.replica_id or storage.replica_id)
-        self.replica_id = storage.replica_id
-        self.model.recover(storage.recovered)
-        self.disk.steps_left = self.random.randrange(1, 100)
-        while True:
-            self.model.write(storage.journal, self.write_snapshot)
-
-    def write_snapshot(self, snapshot):
-        """Writes a snapshot of the local state."""
-        write_snapshot(self.path, snapshot)
-
-    def end(self):
-        """Ends the process by a kill or by a loss of power."""
-        if self.random.random() < 0.5:
-            self.disk.kill()
-        else:
-            self.disk.lose_power(random_fate(self.random))
+    for steps in itertools.count(1):
+        for end in (
+            disk.kill,
+            functools.partial(disk.lose_power, losing("*")),
+        ):
+            path = disk.root / f"data{steps}"
+            disk.steps_left = steps
+            try:
+                open_journal(path)
+            except CrashError:
+                is_done = False
+            else:
+                is_done = True
+            end()
+            open_journal(path).journal.write([make_persist([1])])
+            disk.kill()
+            assert last_index(open_journal(path)) == 1
+            disk.kill()
+            shutil.rmtree(path)
+            sync_directory(disk.root)
+        if is_done:
+            assert steps > 10
+            return
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -417,3 +395,29 @@
         storage.journal.write([make_persist([11])])
     disk.lose_power(losing("write segment-0000000004"))
     assert last_index(open_journal(directory)) == (11 if continues else 10)
+
+
+def test_compaction_while_the_next_snapshot_is_written_keeps_one(
+    disk, directory
+):
+    """Fails if the older snapshot goes before the newer one is durable.
+
+    The snapshot writer and the journal writer have a thread each. Here the
+    compaction of one snapshot runs when the next one has its name, but the
+    directory is not synced yet.
+    """
+    journal = open_journal(directory).journal
+    compact(journal)
+    journal.write([make_persist(LATER_ENTRIES)])
+    write_snapshot(directory, make_snapshot(11))
+
+    compaction = functools.partial(
+        journal.write, [make_persist(compact_index=11)]
+    )
+    with (
+        disk.crash("before sync data"),
+        after_rename(disk, compaction),
+    ):
+        write_snapshot(directory, make_snapshot(12))
+    disk.lose_power(losing("rename snapshot-*"))
+    assert last_index(open_journal(directory)) == 12
--- a/tests/test_disk_simulations.py
+++ b/tests/test_disk_simulations.py
@@ -4,7 +4,8 @@
 import random
 
 import pytest
-from disk_simulations import CrashError, losing, random_fate
+from disk_changes import losing, random_fate
+from disk_simulations import CrashError
 
 from wigeonport.durable_files import (
     open_empty,
--- a/wigeonport/journals.py
+++ b/wigeonport/journals.py
@@ -159,7 +159,7 @@
         self.last_index = persist.snapshot.index
         self.start_segment(starts_anew=True)
         self._remove(self.segments[:-1])
-        remove_older_snapshots(self.directory)
+        remove_older_snapshots(self.directory, persist.snapshot.index)
 
     def _compact(self, index):
         """Removes the segments whose entries a snapshot contains.
@@ -178,7 +178,7 @@
                 break
             covered.append(segment)
         self._remove(covered)
-        remove_older_snapshots(self.directory)
+        remove_older_snapshots(self.directory, index)
 
     def _remove(self, segments):
         # Oldest first and one at a time, so that a crash in between leaves no
--- a/wigeonport/snapshots.py
+++ b/wigeonport/snapshots.py
@@ -141,9 +141,13 @@
     )
 
 
-def remove_older_snapshots(directory):
-    """Removes all snapshot files but the newest."""
-    older = list_snapshots(directory)[:-1]
+def remove_older_snapshots(directory, index):
+    """Removes the snapshot files below the index of a durable snapshot.
+
+    A newer file may exist whose name is not durable yet.
+    """
+    durable_path = snapshot_path(directory, index)
+    older = [path for path in list_snapshots(directory) if path < durable_path]
     for path in older:
         path.unlink()
     if older:
