Keep the share of the other failures in the random schedules

Cause: kills and losses of power took two of twelve kinds of failure where crashes had taken one of eleven, so that partitions, pauses and lost messages became rarer. Change: a crash is one kind of failure again, a kill or a loss of power with the same probability.

--- a/tests/failure_schedules.py
+++ b/tests/failure_schedules.py
@@ -101,8 +101,7 @@
                 self.partition,
                 self.heal,
                 self.heal,
-                self.kill,
-                self.lose_power,
+                self.crash,
                 self.lose_disk,
                 self.pause,
                 self.remove,
@@ -155,6 +154,10 @@
         }
         self.no_proposals_until_ms = self.network.now_ms + 2_000
 
+    def crash(self, node):
+        """Ends a process, or takes the power with the same probability."""
+        self.random.choice([self.kill, self.lose_power])(node)
+
     def affected(self, node):
         """Returns the node, or with a probability of 0.3 all nodes."""
         if self.random.random() < 0.3:
