Skip a malformed entry of the platform's lists instead of ending

Cause: the client of the platform let RecursionError out of json.loads, and a page token with half of a surrogate pair let out UnicodeEncodeError. Both ended the task that reads the list of machines, and with it the control; every control that led next read the same list and ended too. A number of 5,000 digits, or bytes that are not UTF-8, in one entry made the whole list unreadable for as long as it was there. Values of a wrong type were turned into text: a list as a pool, "None" as a worker. An entry with a state that does not exist replaced the valid entry of its machine.

Change: json_bodies decodes a body in which one value cannot be represented (nested over 32 levels, over 20 digits, not finite, not UTF-8): that value becomes UNREADABLE, which has none of JSON's types, so that the check of its field refuses it. Bodies that decode as usual take the same path as before. The entries of the list of machines and the rows of an advice answer are checked field by field, and a malformed one is skipped, with one log line for each list and a counter. A machine that only a malformed entry names stays known without a state: it gets no order and does not count as gone. If a field is named twice, the last value counts, as before.

--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -1,5 +1,6 @@
 """Tests of the codecs between the platform's JSON and the product."""
 
+import contextlib
 import json
 
 import pytest
@@ -25,8 +26,11 @@
     BatchReply,
 )
 from wigeonport.batch_specs import job_spec_from_json
+from wigeonport.clocks import ManualClock
 from wigeonport.gateways import GatewayAnswer
 from wigeonport.machine_orders import PlannedOrder
+from wigeonport.metrics import Metrics
+from wigeonport.platform_clients import PlatformClient
 from wigeonport.worker_reports import StartOrder, WorkerOrders
 
 LEADER = "10.1.0.12:8623"
@@ -353,13 +357,15 @@
     Attributes:
         status: HTTP status.
         document: JSON document.
+        metrics: Metrics.
     """
 
-    __slots__ = ("status", "document")
+    __slots__ = ("status", "document", "metrics")
 
     def __init__(self, status, document):
         self.status = status
         self.document = document
+        self.metrics = Metrics()
 
     async def exchange(self, method, path, document=None, headers=None):
         """Returns the answer."""
@@ -398,3 +404,132 @@
     """A field of another type must not end the task that reads the list."""
     rows = trio.run(CloudClient(FixedAnswer(200, document)).list_machines)
     assert rows.is_error() or set(rows.ok) <= {"m-1"}
+
+
+class FixedBody:
+    """A connection pool whose every response has the same body.
+
+    Attributes:
+        status: HTTP status.
+        body: Bytes of the body.
+    """
+
+    __slots__ = ("status", "body")
+
+    def __init__(self, body):
+        self.status = 200
+        self.body = body
+
+    @contextlib.asynccontextmanager
+    async def stream(self, method, url, headers, content):
+        """Yields the response."""
+        yield self
+
+    async def aiter_stream(self):
+        """Yields the body."""
+        yield self.body
+
+
+def make_client(body):
+    """Returns a PlatformClient whose every response has this body."""
+    client = PlatformClient("http://10.0.0.1:80", ManualClock(), Metrics())
+    client.pool = FixedBody(body)
+    return client
+
+
+GOOD_ROWS = [
+    b'{"machine":"m-1","pool":"desk","state":"up","zone":"ikeja",'
+    b'"labels":["a","r1-3"],"id":"w-1"}',
+    b'{"machine":"m-2","pool":"desk","state":"down"}',
+]
+# What a number, a text or a level of nesting may look like in an entry of
+# another writer.
+ODD_VALUES = {
+    "deep list": b"[" * 2_000 + b"]" * 2_000,
+    "very deep list": b"[" * 100_000 + b"]" * 100_000,
+    "deep object": b'{"a":' * 2_000 + b"1" + b"}" * 2_000,
+    "list that is just decoded": b"[" * 700 + b"]" * 700,
+    "number of 5000 digits": b"9" * 5_000,
+    "number of 4000 digits": b"9" * 4_000,
+    "number beyond a float": b"1e999",
+    "NaN": b"NaN",
+    "infinity": b"-Infinity",
+    "port out of range": b"70000",
+    "list": b"[[1]]",
+    "object": b'{"a":1}',
+    "truth value": b"true",
+    "half of a surrogate pair": b'"\\ud800"',
+    "bytes that are not UTF-8": b'"\xff\xfe"',
+}
+
+
+@pytest.fixture(params=ODD_VALUES.values(), ids=ODD_VALUES.keys())
+def odd_value(request):
+    """The JSON text of one value of another writer."""
+    return request.param
+
+
+@pytest.mark.parametrize(
+    "name", [b"machine", b"pool", b"state", b"zone", b"labels", b"id"]
+)
+def test_odd_entry_costs_only_itself(odd_value, name):
+    """Guards against processes that end when they read the list of machines.
+
+    Another writer's entry may hold any value; the others must be used.
+    """
+    odd_row = (
+        b'{"machine":"m-9","pool":"desk","state":"up","'
+        + name
+        + b'":'
+        + odd_value
+        + b"}"
+    )
+    rows = b",".join([GOOD_ROWS[0], odd_row, GOOD_ROWS[1]])
+    client = make_client(b'{"machines":[' + rows + b"]}")
+    listed = trio.run(CloudClient(client).list_machines).ok
+    assert listed["m-1"].worker_id == "w-1"
+    assert (listed["m-1"].pool, listed["m-2"].state) == ("desk", "down")
+    assert len([row for row in listed.values() if row.state]) == 2
+    assert client.metrics.counters == {"machines_odd_entries": 1}
+
+
+def test_odd_entry_does_not_replace_the_entry_of_its_machine():
+    """Guards against a machine that counts as gone by another's entry.
+
+    The order for it would be settled although its upkeep still runs.
+    """
+    rows = [
+        {"machine": "m-1", "pool": "desk", "state": "upkeep"},
+        {"machine": "m-1", "pool": "desk", "state": "asleep"},
+        {"machine": "m-2", "pool": 5, "state": "up"},
+    ]
+    client = FixedAnswer(200, {"machines": rows})
+    listed = trio.run(CloudClient(client).list_machines).ok
+    assert listed["m-1"].state == "upkeep"
+    assert (listed["m-2"].pool, listed["m-2"].state) == ("", "")
+
+
+def test_odd_page_token_is_an_error(odd_value):
+    """Guards against a process that ends by a token that is no text.
+
+    The rest of the list is then missing, so the list counts as unread.
+    """
+    body = b'{"machines":[],"next-token":' + odd_value + b"}"
+    listed = trio.run(CloudClient(make_client(body)).list_machines)
+    assert listed.is_error()
+
+
+def test_odd_row_of_advice_costs_only_itself(odd_value):
+    """Guards against steps that no worker may run because of one odd row."""
+    rows = b'["w-1","t-1"],["w-2",' + odd_value + b'],["w-3","t-3"]'
+    client = make_client(b'{"allowed":[' + rows + b"]}")
+    tickets = trio.run(AdviceClient(client).advise, "a.0.0", ["w-1"]).ok
+    assert tickets == {"w-1": "t-1", "w-3": "t-3"}
+
+
+@given(st.binary())
+def test_any_body_of_the_platform_is_handled(body):
+    """Bytes that are not JSON must be an error, not an exception."""
+    client = make_client(body)
+    answer = trio.run(client.exchange, "GET", "/v1/machines")
+    assert answer.is_error() or answer.ok[0] == 200
--- a/wigeonport/machine_orders.py
+++ b/wigeonport/machine_orders.py
@@ -9,7 +9,10 @@
 NO_ANSWER = "no-answer"
 
 UP = "up"
+MOVING = "moving"
+UPKEEP_STATE = "upkeep"
 DOWN = "down"
+MACHINE_STATES = (UP, MOVING, UPKEEP_STATE, DOWN)
 
 
 class MachineRow(Record):
@@ -17,8 +20,10 @@
 
     Attributes:
         machine: Name of the machine.
-        pool: Service whose pool the machine is in.
-        state: ``up``, ``moving``, ``upkeep`` or ``down``.
+        pool: Service whose pool the machine is in, or "" if its entry was
+            malformed.
+        state: ``up``, ``moving``, ``upkeep`` or ``down``, or "" if its entry
+            was malformed. Such a machine exists but gets no order.
         availability_zone: Zone of the machine.
         rack: Rack of the machine, or "".
         worker_id: Id of the worker that runs on it, or "".
--- a/wigeonport/platform_clients.py
+++ b/wigeonport/platform_clients.py
@@ -7,6 +7,7 @@
 from expression import Error, Ok, Result
 
 from wigeonport.command_ledgers import STALE_TERM
+from wigeonport.json_bodies import decode_json
 from wigeonport.plan_events import CommandConfirmed, CommandRefused
 from wigeonport.platform_reports import read_report
 
@@ -46,7 +47,7 @@
 
         Returns:
             Pair of status and JSON document of the response, or the text of
-            the error.
+            the error. Unreadable values of the document are UNREADABLE.
         """
         content = None if document is None else json.dumps(document).encode()
         try:
@@ -55,7 +56,6 @@
                     method, self.url + path, headers=headers, content=content
                 ) as response:
                     body = await read_bounded(response)
-            return Ok((response.status, json.loads(body) if body else {}))
         except trio.TooSlowError:
             return Error(
                 f"no answer from the platform within {REQUEST_TIMEOUT_MS} ms"
@@ -67,6 +67,10 @@
             ValueError,
         ) as error:
             return Error(f"{type(error).__name__}: {error}")
+        status = response.status
+        if not body:
+            return Ok((status, {}))
+        return decode_json(body).map(lambda document: (status, document))
 
     async def execute(self, command):
         """Sends a command.
