Divide the ends of runs among operations that fit into a log entry

Cause: all ends of one heartbeat, or of one lost worker, were one operation. With checkpoints of some kB it exceeded the 512 KiB of a log entry. The log refused it, the leader dropped its state, and the worker repeated the ends with its next heartbeat, so that the leader never dispatched again.

Change: an EndRuns has at most 100 ends; 100 checkpoints of 4,000 bytes take less than 420 kB.

--- a/tests/test_batch_dispatchers.py
+++ b/tests/test_batch_dispatchers.py
@@ -21,6 +21,8 @@
 from wigeonport.batch_commands import AdoptRoutes
 from wigeonport.batch_settings import BatchSettings
 from wigeonport.batch_specs import JobSpec, Step
+from wigeonport.batch_states import encode_operations
+from wigeonport.replica_events import ReplicaSettings
 from wigeonport.run_orders import STARTUP_INTERVAL_MS, STARTUP_MS
 from wigeonport.worker_reports import Resources
 
@@ -603,3 +605,30 @@
     harness.submit(filling, job_id="00000000000000bb")
     orders = harness.heartbeat("w1", running=[(TASK, 1)])
     assert len(started_runs(orders)) == 1
+
+
+def test_ends_with_long_checkpoints_fit_into_log_entries(harness):
+    """Guards against ends that the log refuses as too large.
+
+    The leader would drop its state and the worker repeat them, for ever.
+    """
+    harness.submit(ONE | {"count": 500, "cpu_milli": 1, "memory_mb": 1})
+    started = [
+        key
+        for number in range(8)
+        for key in started_runs(harness.heartbeat(f"w{number}"))
+    ]
+    harness.dispatcher.take_operations()
+    harness.heartbeat(
+        "w1",
+        ended=[
+            (number, task, run, "stopped", "c" * 4_000)
+            for number, (task, run) in enumerate(started, 1)
+        ],
+    )
+    sizes = [
+        len(data)
+        for data in encode_operations(harness.dispatcher.take_operations())
+    ]
+    assert len(started) == 500
+    assert max(sizes) < ReplicaSettings().max_payload_bytes
--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -32,6 +32,9 @@
 
 # Maximum number of steps whose tickets are kept.
 MAX_TICKET_STEPS = 4_096
+# Maximum number of ends in one operation: with checkpoints of 4,000 bytes it
+# still fits into a log entry.
+MAX_ENDS_PER_OPERATION = 100
 
 
 class BatchDispatcher:
@@ -234,9 +237,25 @@
             checkpoints = [
                 self.find_task(task)[2].checkpoint for task in tasks
             ]
-            self.record(EndRuns(tasks, runs, [LOST] * len(tasks), checkpoints))
+            self.record_ends(tasks, runs, [LOST] * len(tasks), checkpoints)
             self.include_requeued(tasks)
 
+    def record_ends(self, tasks, runs, outcomes, checkpoints):
+        """Records the outcomes of runs in as many EndRuns as needed.
+
+        The arguments are the fields of EndRuns.
+        """
+        for first in range(0, len(tasks), MAX_ENDS_PER_OPERATION):
+            part = slice(first, first + MAX_ENDS_PER_OPERATION)
+            self.record(
+                EndRuns(
+                    tasks[part],
+                    runs[part],
+                    outcomes[part],
+                    checkpoints[part],
+                )
+            )
+
     def include_requeued(self, tasks):
         """Tells the cached rankings of the tasks that wait again."""
         for name in tasks:
--- a/wigeonport/run_reports.py
+++ b/wigeonport/run_reports.py
@@ -1,6 +1,5 @@
 """Handling of the ended and live runs that heartbeats report."""
 
-from wigeonport.batch_commands import EndRuns
 from wigeonport.batch_jobs import DONE, ENDED_FAILED
 from wigeonport.batch_specs import split_task_id
 from wigeonport.job_orders import allowed_time_ms
@@ -33,7 +32,7 @@
         checkpoints.append(end.checkpoint)
         record_outcome(dispatcher, worker, end)
     if tasks:
-        dispatcher.record(EndRuns(tasks, runs, outcomes, checkpoints))
+        dispatcher.record_ends(tasks, runs, outcomes, checkpoints)
         remove_ended_jobs(dispatcher, tasks)
         dispatcher.include_requeued(
             [
