Let a malformed row of a heartbeat cost only that row

Cause: one malformed row among the live or ended runs refused the whole heartbeat with 400, so that the lease of the worker was not extended and all its runs lapsed. An outcome that was a list raised TypeError. A run number beyond 64 bits, a checkpoint that was no text or half of a surrogate pair was accepted: its operation could not be encoded, the leader dropped its state, and the next heartbeat repeated the row, so that it never dispatched again. A progress of 10**400 raised OverflowError in the evaluation of the worker.

A skipped end is acknowledged, or its worker would repeat it for ever in the place of others; its run is started again under its number, which the worker refuses, and that end counts. A number over 500 beyond the other ends is not acknowledged, because ends that have yet to be reported would be forgotten.

--- a/tests/batch_fixtures.py
+++ b/tests/batch_fixtures.py
@@ -135,6 +135,7 @@
                 RunReport(*row, *defaults[len(row) - 2 :]) for row in running
             ],
             ended=[RunEnd(*row, *("",)[len(row) - 4 :]) for row in ended],
+            skipped_ends=values.get("skipped_ends", ()),
         )
         return self.dispatcher.on_report(report, self.now_ms, self.now_ms)
 
--- a/tests/test_batch_controllers.py
+++ b/tests/test_batch_controllers.py
@@ -6,6 +6,7 @@
 import trio
 from batch_fixtures import JOB, make_queue, make_table
 from expression import Ok
+from worker_codec import decode_heartbeat
 
 from wigeonport.batch_calls import (
     NOT_LEADING,
@@ -520,3 +521,59 @@
         assert now_ms < order.valid_until_ms <= now_ms + 800
 
     run_controller(check)
+
+
+HEARTBEAT = {
+    "service": "desk",
+    "address": "10.0.0.9:80",
+    "zone": "ikeja",
+    "state": "ready",
+    "capacity": {"cpu": 4_000, "mem-mb": 8_000, "gpu": 0},
+    "labels": ["a", "r1"],
+    "born": 50_000,
+}
+
+
+@pytest.mark.parametrize(
+    "rows",
+    [
+        {"ended": [[1, f"{JOB}.0.0.0", 2**70, "done", ""]]},
+        {"ended": [[1, f"{JOB}.0.0.0", -(2**70), "done", ""]]},
+        {"ended": [[1, f"{JOB}.0.0.0", 1, "failed", 5]]},
+        {"ended": [[1, f"{JOB}.0.0.0", 1, "failed", ["c"]]]},
+        {"ended": [[1, f"{JOB}.0.0.0", 1, "failed", "\ud800"]]},
+        {"ended": [[1, f"{JOB}.0.0.0", 1, "failed", "c" * 600_000]]},
+        {"running": [[f"{JOB}.0.0.0", 1, "\ud800", 5, 0]]},
+        {"running": [[f"{JOB}.0.0.0", 1, "c", 10**400, 10**400]]},
+    ],
+)
+def test_odd_row_of_a_heartbeat_does_not_stop_dispatching(
+    run_controller, rows
+):
+    """Guards against a leader that never dispatches again.
+
+    An operation that cannot be encoded makes it load its state again, and
+    the next heartbeat of the worker repeats the row.
+    """
+
+    async def check(harness):
+        async def beat(sequence, **values):
+            document = HEARTBEAT | {"seq": sequence} | values
+            report = decode_heartbeat("w1", document)
+            return await harness.ask(
+                lambda reply: ReportReceived(report, reply)
+            )
+
+        await harness.call(SUBMIT)
+        dispatcher = harness.controller.dispatcher
+        assert (await beat(1)).ok.starts
+        for sequence in (2, 3):
+            orders = (await beat(sequence, **rows)).ok
+            assert orders.run_lease_ms
+        # The runs on a lost worker are recorded with their checkpoints.
+        dispatcher.record_lost_worker("w1@50000", "by the test")
+        assert (await harness.call(STATE)).ok.outcome == OK
+        assert harness.controller.dispatcher is dispatcher
+        assert "batch_faults" not in harness.controller.metrics.counters
+
+    run_controller(check)
--- a/tests/test_batch_dispatchers.py
+++ b/tests/test_batch_dispatchers.py
@@ -607,6 +607,48 @@
     assert len(started_runs(orders)) == 1
 
 
+def reported(harness, **values):
+    """Sends a heartbeat with these fields and returns the WorkerOrders."""
+    return harness.heartbeat("w1", **values)
+
+
+def test_malformed_end_is_acknowledged_with_its_neighbours(harness):
+    """Guards against a malformed end that a worker repeats for ever.
+
+    Ends are returned 500 at a time until they are acknowledged, so that
+    malformed ones would take the places of others.
+    """
+    orders = reported(
+        harness, ended=[(1, TASK, 1, "done")], skipped_ends=[2, 3]
+    )
+    assert orders.acknowledged == 3
+    assert reported(harness, skipped_ends=[4]).acknowledged == 4
+    assert reported(harness).acknowledged == 0
+
+
+def test_number_far_beyond_the_others_is_not_acknowledged(harness):
+    """Guards against ends that are forgotten before they are reported.
+
+    A malformed end may bear any number, and an acknowledgement covers all
+    ends up to it.
+    """
+    orders = reported(
+        harness, ended=[(1, TASK, 1, "done")], skipped_ends=[2**31 - 1]
+    )
+    assert orders.acknowledged == 1
+    assert reported(harness, skipped_ends=[2**31 - 1]).acknowledged == 1
+
+
+def test_run_without_readable_progress_is_not_stalled(harness):
+    """Guards against moving a run because its progress cannot be read."""
+    harness.submit(ONE)
+    ((task, run),) = started_runs(harness.heartbeat("w1"))
+    for _ in range(30):
+        harness.advance(200)
+        orders = harness.heartbeat("w1", running=[(task, run, "", None)])
+        assert orders.stops == []
+
+
 def test_ends_with_long_checkpoints_fit_into_log_entries(harness):
     """Guards against ends that the log refuses as too large.
 
--- a/wigeonport/run_reports.py
+++ b/wigeonport/run_reports.py
@@ -11,6 +11,8 @@
 # Maximum number of tasks whose failure times are kept; once it is exceeded,
 # all of them are dropped.
 MAX_FAILED_TASKS = 4_096
+# Number of ends that a worker returns at a time.
+MAX_LISTED_ENDS = 500
 
 
 def record_ended_runs(dispatcher, worker, orders):
@@ -22,8 +24,8 @@
         orders: WorkerOrders in answer, which acknowledge the ended runs.
     """
     tasks, runs, outcomes, checkpoints = [], [], [], []
+    acknowledge_ends(worker, orders)
     for end in worker.report.ended:
-        orders.acknowledged = max(orders.acknowledged, end.number)
         if dispatcher.find_task(end.task) is None:
             continue
         tasks.append(end.task)
@@ -44,6 +46,30 @@
         refresh_ended_steps(dispatcher, worker, tasks)
 
 
+def acknowledge_ends(worker, orders):
+    """Acknowledges the ends that a heartbeat lists.
+
+    A malformed end is acknowledged too, because its worker would repeat it
+    for ever, in the place of others. Its run is then started again under the
+    same number, which the worker refuses, and that end counts. A number far
+    beyond those of the other ends is not acknowledged, because ends that
+    have yet to be reported would be forgotten.
+
+    Args:
+        worker: Worker that sent the heartbeat.
+        orders: WorkerOrders in answer.
+    """
+    report = worker.report
+    if not report.ended and not report.skipped_ends:
+        return
+    numbers = [end.number for end in report.ended]
+    acknowledged = max([worker.acknowledged, *numbers])
+    for number in sorted(report.skipped_ends):
+        if number <= acknowledged + MAX_LISTED_ENDS:
+            acknowledged = max(acknowledged, number)
+    orders.acknowledged = worker.acknowledged = acknowledged
+
+
 def refresh_ended_steps(dispatcher, worker, tasks):
     """Updates the startable steps of jobs in which a step has ended."""
     ranking = dispatcher.rankings.get(worker.report.service)
@@ -97,8 +123,9 @@
     for row in worker.report.running:
         key = (row.task, row.run)
         if key in worker.runs:
-            reported.add(key)
-            update_progress(worker, key, row.percent)
+            if row.percent is not None:
+                reported.add(key)
+                update_progress(worker, key, row.percent)
             if row.checkpoint:
                 store_checkpoint(dispatcher, row)
     for key in set(worker.progress) - reported:
--- a/wigeonport/worker_reports.py
+++ b/wigeonport/worker_reports.py
@@ -64,7 +64,8 @@
         task: Task id.
         run: Number of the run.
         checkpoint: Newest checkpoint, or "".
-        percent: Progress; 100 for a lasting task that is up and working.
+        percent: Progress; 100 for a lasting task that is up and working;
+            None if it is not known.
         measurement: Tail latency in ms for a serving task, otherwise the CPU
             in use in thousandths of a core; over about half a second.
     """
@@ -121,6 +122,9 @@
             if it is not known.
         running: List of RunReport.
         ended: List of RunEnd that are not acknowledged yet.
+        skipped_rows: Number of malformed rows of live and ended runs.
+        skipped_ends: Numbers of the malformed rows of ended runs, as far as
+            they could be read.
     """
 
     __slots__ = (
@@ -138,9 +142,12 @@
         "clock_ms",
         "running",
         "ended",
+        "skipped_rows",
+        "skipped_ends",
     )
 
-    def __init__(self, **values):
+    def __init__(self, skipped_rows=0, skipped_ends=(), **values):
+        values |= {"skipped_rows": skipped_rows, "skipped_ends": skipped_ends}
         for name in self.__slots__:
             setattr(self, name, values[name])
 
--- a/wigeonport/worker_tables.py
+++ b/wigeonport/worker_tables.py
@@ -81,6 +81,8 @@
         failed_jobs: Ids of the jobs with a task that failed on it since its
             last success.
         exclusion_ms: Duration of its last exclusion.
+        acknowledged: Highest number of an end that an answer of this leader
+            acknowledged.
     """
 
     __slots__ = (
@@ -97,6 +99,7 @@
         "progress",
         "failed_jobs",
         "exclusion_ms",
+        "acknowledged",
     )
 
     def __init__(self, report, now_ms):
@@ -113,6 +116,7 @@
         self.progress = {}
         self.failed_jobs = set()
         self.exclusion_ms = 0
+        self.acknowledged = 0
 
     @property
     def incarnation(self):
