Refuse configurations and waves that the log cannot store

Cause: a version or an advice time beyond 64 bits, a name with half of a surrogate pair, a wave of 1e300 s or with such a machine, and a table or a wave that exceeds a log entry were passed on. The operation could not be encoded or was refused by the log; the leader dropped its state, and the operator sent the same order again. A stretch or a duration of 10**400 raised OverflowError; an infinite or not finite stretch was stored and decided the order of the jobs.

--- a/tests/test_batch_controllers.py
+++ b/tests/test_batch_controllers.py
@@ -1,6 +1,7 @@
 """Tests of the batch controller over a fake consensus task."""
 
 import json
+import random
 
 import pytest
 import trio
@@ -418,6 +419,29 @@
     run_controller(check)
 
 
+def test_table_that_no_log_entry_holds_is_refused(run_controller):
+    """Guards against a leader that drops its state for a large table.
+
+    The operator sends it again, and nothing is dispatched meanwhile.
+    """
+
+    async def check(harness):
+        dispatcher = harness.controller.dispatcher
+        table = make_table(9)
+        table.source = random.Random(1).randbytes(600_000).hex()
+        answer = await harness.ask(lambda reply: RoutesStated(table, reply))
+        assert answer.ok is False
+        assert (await harness.call(SUBMIT)).ok.outcome == OK
+        assert harness.controller.dispatcher is dispatcher
+        assert (await harness.ask(RoutesAsked)).ok.version == 1
+        assert (
+            harness.consensus.largest_payload
+            < ReplicaSettings().max_payload_bytes
+        )
+
+    run_controller(check)
+
+
 def test_controller_survives_an_exception_in_a_handler(run_controller):
     """Guards against an exception in a handler that ends the process.
 
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import re
 
 import pytest
 import trio
@@ -12,7 +13,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from job_codec import MalformedBodyError, decode_submission, job_id_from_path
-from route_codec import decode_configuration
+from route_codec import decode_configuration, read_wave
 from worker_codec import decode_heartbeat, encode_orders
 
 from wigeonport.batch_calls import (
@@ -400,6 +401,19 @@
         routes({"timeout-ms": 0}),
         routes({"host": 5}),
         routes({}, {"name": "r-2"}),
+        CONFIGURATION | {"version": 2**70},
+        CONFIGURATION | {"note": float("nan")},
+        CONFIGURATION | {"services": [{"name": "desk", "health-path": 5}]},
+        CONFIGURATION | {"services": [{"name": "desk", "standby": "no"}]},
+        routes({"name": "\ud800"}),
+        routes({"path-prefix": "/\ud800/"}),
+        routes({"stretch": float("inf")}),
+        routes({"stretch": 10**400}),
+        routes({"stretch": -1}),
+        routes({"stretch": True}),
+        routes({"attempts": 1e999}),
+        routes({"advice": {"valid-ms": 2**70}}),
+        routes({"advice": [5]}),
     ],
 )
 def test_invalid_configuration_is_refused(document):
@@ -407,6 +421,58 @@
     assert decode_configuration(encode(document)).is_error()
 
 
+def test_configuration_with_any_odd_value_is_refused(odd_value):
+    """Guards against a configuration of which one value has no meaning.
+
+    It must be refused as a whole, without an exception: the operator would
+    send it again and again, and no answer would ever be clear.
+    """
+    for name in (b'"version": ', b'"stretch": ', b'"host": '):
+        first, _, rest = encode(CONFIGURATION).partition(name)
+        rest = rest[re.match(rb'"[^"]*"|[0-9.]+', rest).end() :]
+        body = first + name + odd_value + rest
+        if odd_value != b"70000" or name == b'"host": ':
+            assert decode_configuration(body).is_error()
+
+
+WAVE = {"wave": 1, "machines": ["m-1"], "duration-s": 20, "max-count": 1}
+
+
+def test_wave_is_decoded():
+    """Each field must be decoded into the argument with its meaning."""
+    wave = read_wave(WAVE | {"duration-s": 0.5})
+    assert wave == (1, ["m-1"], 500, 1)
+
+
+@pytest.mark.parametrize(
+    "document",
+    [
+        None,
+        WAVE | {"wave": 2**70},
+        WAVE | {"wave": "1"},
+        WAVE | {"max-count": 0},
+        WAVE | {"machines": "m-1"},
+        WAVE | {"machines": ["m-1", 5]},
+        WAVE | {"machines": ["\ud800"]},
+        WAVE | {"machines": ["m" * 900] * 500},
+        WAVE | {"machines": [""] * 100_000},
+        WAVE | {"duration-s": 1e999},
+        WAVE | {"duration-s": 1e300},
+        WAVE | {"duration-s": 10**400},
+        WAVE | {"duration-s": -1},
+        WAVE | {"duration-s": True},
+        WAVE | {"duration-s": None},
+    ],
+)
+def test_malformed_wave_is_refused(document):
+    """Guards against a wave that the log cannot store.
+
+    The operator repeats it, and each time the leader drops its state.
+    """
+    with pytest.raises(MalformedBodyError):
+        read_wave(document)
+
+
 def test_truncated_configuration_is_refused():
     """A truncated body must not be accepted as a shorter configuration."""
     assert decode_configuration(encode(CONFIGURATION)[:-3]).is_error()
--- a/wigeonport/batch_inputs.py
+++ b/wigeonport/batch_inputs.py
@@ -24,6 +24,9 @@
 
 logger = PartLogger("batch")
 
+# Below the maximum payload of a log entry, 512 KiB, with the fields around it.
+MAX_TABLE_BYTES = 500 * 1024
+
 controller_inputs = Registry("batch controller input")
 
 
@@ -170,8 +173,17 @@
         "Routing table received.", version=table.version, current=current
     )
     if table.version > current:
+        data = table.to_bytes()
+        if len(data) > MAX_TABLE_BYTES:
+            logger.warning(
+                "Routing table refused.",
+                version=table.version,
+                reason="it is too large for the log",
+                size_bytes=len(data),
+            )
+            return False
         dispatcher.wall_ms = controller.clock.wall()
-        dispatcher.record(AdoptRoutes(table.version, table.to_bytes()))
+        dispatcher.record(AdoptRoutes(table.version, data))
     return True
 
 
--- a/wigeonport/batch_messages.py
+++ b/wigeonport/batch_messages.py
@@ -28,7 +28,11 @@
 
 
 class RoutesStated:
-    """A RouteTable from the operator; the reply is True or a Redirect."""
+    """A RouteTable from the operator.
+
+    The reply is True, False if the table is too large for the log, or a
+    Redirect.
+    """
 
     __slots__ = ("table", "reply")
 
