Limit the tasks in the open occurrences of a job

Cause: a submission may state up to 2**53 - 1 occurrences that are all due at once. The leader opened all of them in one tick, each with its tasks in memory, and would not have ended.

Change: a job has at most 10,000 tasks in open occurrences, the limit of the tasks of one occurrence, or one occurrence. The others are opened as earlier ones end.

Result: the leader opened 200 occurrences of 4,000 tasks at once before (test_occurrences_of_a_job_open_as_earlier_ones_end and test_large_occurrence_is_opened_alone failed); now two are open, and a third is opened when the first has ended.

--- a/tests/test_batch_dispatchers.py
+++ b/tests/test_batch_dispatchers.py
@@ -584,6 +584,36 @@
     assert harness.state() == "running"
 
 
+def test_occurrences_of_a_job_open_as_earlier_ones_end(harness):
+    """Guards against a leader that opens occurrences without an end.
+
+    A job may state any number of occurrences, all of them due at once.
+    """
+    step = Step(ONE | {"count": 4_000})
+    spec = JobSpec("text", [step], 200, 0, 0).to_json()
+    call = BatchCall(SUBMIT, HOST, f"/plans/{JOB}", spec)
+    harness.dispatcher.on_call(call, harness.now_ms)
+    harness.advance(100)
+    job = harness.dispatcher.state.batch.jobs[JOB]
+    assert list(job.occurrences) == [0, 1]
+    for number in range(4_000):
+        position, run = (0, 0, number), 1
+        job.end_run(position, run, "done", "", harness.now_ms)
+    harness.advance(100)
+    assert list(job.occurrences) == [1, 2]
+
+
+def test_large_occurrence_is_opened_alone(harness):
+    """Guards against a job of many tasks that is never started."""
+    step = Step(ONE | {"count": 10_000})
+    spec = JobSpec("text", [step, step], 3, 0, 0).to_json()
+    call = BatchCall(SUBMIT, HOST, f"/plans/{JOB}", spec)
+    harness.dispatcher.on_call(call, harness.now_ms)
+    harness.advance(100)
+    job = harness.dispatcher.state.batch.jobs[JOB]
+    assert list(job.occurrences) == [0]
+
+
 def test_task_that_waits_again_is_placed_at_once(harness):
     """A requeued task must not be missed while the ranking is cached.
 
--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -32,6 +32,10 @@
 
 # Maximum number of steps whose tickets are kept.
 MAX_TICKET_STEPS = 4_096
+# Maximum number of tasks in the open occurrences of a job, unless it has only
+# one. Due occurrences beyond it are opened as earlier ones end; all tasks of
+# a job are kept in memory.
+MAX_OPEN_TASKS = 10_000
 # Maximum number of ends in one operation: with checkpoints of 4,000 bytes it
 # still fits into a log entry.
 MAX_ENDS_PER_OPERATION = 100
@@ -315,9 +319,17 @@
                 job.active
                 and job.opened < spec.repeat_count
                 and spec.due_ms(job.opened) <= wall_ms
+                and self.may_open(job)
             ):
                 self.record(OpenOccurrence(job.job_id, job.opened))
 
+    def may_open(self, job):
+        """Returns whether one more occurrence of a job may be opened."""
+        if not job.occurrences:
+            return True
+        tasks = sum(step.count for step in job.spec.steps)
+        return (len(job.occurrences) + 1) * tasks <= MAX_OPEN_TASKS
+
     def needs_ticket(self, job):
         """Returns whether the tasks of a job need a ticket to start."""
         queue = self.state.routes.queue_of(job.queue)
