Refuse submissions that no log entry holds

Cause: the texts of a step had no limit, so that a body within the limit of 256 KiB could need over 512 KiB in the log, which escapes what is not ASCII. The log refused it, the leader dropped its state, and the client sent the job again. A dependency could be named 50,000 times and was looked at as often for each decision. X-Deadline-Ms of 5,000 digits raised ValueError, so that the job was answered with 500.

Repeated dependencies count once. A deadline is at most an hour; a number of over 18 digits counts as none.

--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -9,7 +9,7 @@
 from boot_settings import translate_settings
 from cloud_client import AdviceClient, CloudClient, decode_row
 from expression import Ok
-from front import encode_answer
+from front import encode_answer, read_deadline
 from hypothesis import given
 from hypothesis import strategies as st
 from job_codec import MalformedBodyError, decode_submission, job_id_from_path
@@ -138,6 +138,13 @@
         {"steps": [{"count": 1, "depends-on": [0]}]},
         {"steps": [{"count": 1, "gang": "yes"}]},
         {"steps": [{"count": 10_001}]},
+        {"steps": [{"count": 1, "image": "\u00e9" * 100_000}]},
+        {"steps": [{"count": 1, "image": "\ud800"}]},
+        {"steps": [{"count": 1, "data-rack": "r" * 3_900}] * 256},
+        {"spec": "\ud800"},
+        {"repeat-count": 2**53},
+        {"first-ms": float("inf")},
+        {"interval-ms": float("nan")},
     ],
 )
 def test_malformed_submission_is_refused(change):
@@ -146,6 +153,42 @@
     assert decode_submission(encode(document)).is_error()
 
 
+def test_step_that_names_a_dependency_often_depends_on_it_once():
+    """Guards against a body of zeros that costs time with each heartbeat."""
+    steps = [{"count": 1}, {"count": 1, "depends-on": [0] * 50_000}]
+    spec = decode_submission(encode({"spec": "", "steps": steps})).ok
+    assert spec.steps[1].depends_on == (0,)
+
+
+class HeadersOnly:
+    """A request that has only headers."""
+
+    __slots__ = ("headers",)
+
+    def __init__(self, **headers):
+        self.headers = {
+            name.replace("_", "-").encode(): value
+            for name, value in headers.items()
+        }
+
+
+@pytest.mark.parametrize(
+    ("text", "deadline_ms"),
+    [
+        (b"2000", 1_850),
+        (b"9" * 5_000, 2_850),
+        (b"9" * 400, 2_850),
+        (b"-5", 2_850),
+        (b"", 2_850),
+        (b"9999999", 3_600_000 - 150),
+    ],
+)
+def test_any_deadline_of_a_client_is_read(text, deadline_ms):
+    """Guards against an answer of 500 to a job that would be accepted."""
+    request = HeadersOnly(x_deadline_ms=text)
+    assert read_deadline(request) == deadline_ms
+
+
 @given(ANY_JSON)
 def test_any_submission_is_decoded_or_refused(document):
     """Decoding a JSON body of any shape must not raise."""
