Keep the settings in force when a changed file is malformed

Cause: a running process reads its settings file at regular intervals. A value nested too deeply (RecursionError), a section or a seed of another type (AttributeError) or an infinite number (OverflowError) ended the task, and with it the process; at a start it ended with a traceback. Addresses with a port out of range were accepted.

Change: these errors are findings like the others, and an address must be a host and a port from 1 to 65535. The running process logs the findings, counts settings_refused and goes on with the former settings.

--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -6,7 +6,11 @@
 
 import pytest
 import trio
-from boot_settings import translate_settings
+from boot_settings import (
+    BOOT_VARIABLE,
+    load_boot_settings,
+    translate_settings,
+)
 from cloud_client import AdviceClient, CloudClient, decode_row
 from expression import Ok
 from front import encode_answer, read_deadline
@@ -553,6 +557,59 @@
     assert "zone" in str(translate_settings(incomplete).error)
 
 
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"seeds": [5]},
+        {"seeds": ["10.1.0.12:8623", "10.2.0.25"]},
+        {"seeds": 5},
+        {"port-range": [70_000, 70_015]},
+        {"port-range": [2**70, 2**70]},
+        {"listen": 5},
+        {"listen": {"control": "10.1.0.12:70000"}},
+        {"listen": {"control": 5}},
+        {"cloud": "10.200.0.107:8621"},
+        {"cloud": {"address": "10.200.0.107:99999"}},
+        {"cloud": {"address": ["10.200.0.107:8621"]}},
+        {"advice": 5},
+        {"bounds": {"grace-s": float("inf")}},
+        {"bounds": {"max-hold-ms": float("nan")}},
+        {"bounds": {"max-hold-ms": 2**70}},
+        {"bounds": {"catch-up-s": 10**400}},
+        {"bounds": []},
+        {"fault-tolerance": {"machines": float("inf")}},
+        {"fault-tolerance": {"machines": 2**70}},
+        {"fault-tolerance": 1},
+        {"zone": 5},
+        {"ip": 5},
+    ],
+)
+def test_odd_settings_are_reported(change):
+    """Guards against a running process that ends when its settings change.
+
+    It reads them again at regular intervals and keeps the former ones.
+    """
+    assert str(translate_settings(SETTINGS | change).error)
+
+
+@given(ANY_JSON, st.sampled_from(sorted(SETTINGS)))
+def test_any_settings_are_translated_or_reported(value, name):
+    """A field of any type must not raise an exception."""
+    result = translate_settings(SETTINGS | {name: value})
+    assert result.is_ok() or str(result.error)
+
+
+@pytest.mark.parametrize(
+    "text", ["a = " + "[" * 5_000 + "]" * 5_000, "a = " + "9" * 5_000, "\0"]
+)
+def test_unreadable_settings_file_is_reported(tmp_path, monkeypatch, text):
+    """Guards against a running process that ends by its settings file."""
+    path = tmp_path / "settings.toml"
+    path.write_text(text)
+    monkeypatch.setenv(BOOT_VARIABLE, str(path))
+    assert str(path) in str(load_boot_settings().error)
+
+
 @pytest.mark.parametrize(
     ("path", "job_id"),
     [
--- a/wigeonport/batch_programs.py
+++ b/wigeonport/batch_programs.py
@@ -133,6 +133,7 @@
         reload_request = await program.reloads.get_within(RELOAD_INTERVAL_MS)
         loaded = load()
         if loaded.is_error():
+            program.metrics.count("settings_refused")
             logger.error("Settings could not be read.", reason=loaded.error)
             continue
         if reload_request is None and loaded.ok == current:
