Skip a malformed report of the platform instead of ending

Cause: a report with a kind that was a list, an infinite number, a sequence that was no number, or a list of reports of another type raised TypeError, OverflowError or ValueError in the task that polls the platform, and ended the control. The refusal of a command with a body that was not an object raised AttributeError. A sequence of 2**53 - 1 in a malformed report kept all later ones from being requested. Values of a wrong type were turned into text or passed on to the planner.

Change: each field is checked for its type and range. A malformed report is skipped, with one log line for each poll and the counter platform_malformed_reports, and does not raise the sequence above which reports are requested. A refusal without a readable reason has its status as the reason.

--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -2,10 +2,12 @@
 
 import contextlib
 import json
+import math
 import re
 
 import pytest
 import trio
+import trio.testing
 from boot_settings import (
     BOOT_VARIABLE,
     load_boot_settings,
@@ -33,13 +35,19 @@
 from wigeonport.batch_commands import EndRuns
 from wigeonport.batch_jobs import LOST
 from wigeonport.batch_specs import job_spec_from_json
+from wigeonport.channels import Mailbox
 from wigeonport.clocks import ManualClock
 from wigeonport.codecs import codecs
 from wigeonport.gateways import GatewayAnswer
 from wigeonport.json_bodies import decode_json
+from wigeonport.logs import PartLogger
 from wigeonport.machine_orders import PlannedOrder
 from wigeonport.metrics import Metrics
-from wigeonport.platform_clients import PlatformClient
+from wigeonport.platform_clients import (
+    POLL_INTERVAL_MS,
+    PlatformClient,
+    poll_reports,
+)
 from wigeonport.worker_reports import StartOrder, WorkerOrders
 
 LEADER = "10.1.0.12:8623"
@@ -827,3 +835,130 @@
     client = make_client(body)
     answer = trio.run(client.exchange, "GET", "/v1/machines")
     assert answer.is_error() or answer.ok[0] == 200
+
+
+REPORTS = {
+    "vm": {"vm": "vm-9", "state": "ready", "sequence": 3},
+    "zone": {"zone": "ikeja", "measured_ms": 5, "missing": ["vm-9"]},
+    "task": {"job": "a", "vm": "vm-9", "attempt": 1, "state": "running"},
+    "usage": {"job": "a", "measured_ms": 5, "cores": 1.5, "memory_mb": 9},
+    "job": {
+        "job": "a",
+        "team": "planners",
+        "pool": "roster",
+        "job_kind": "plan",
+        "declared": {"cores": 2, "memory_mb": 512, "accelerators": 1},
+        "declared_run_ms": 1_000,
+    },
+    "cancel": {"jobs": ["a"], "team": "planners"},
+}
+REPORT_FIELDS = [
+    (kind, name) for kind, row in REPORTS.items() for name in ["kind", *row]
+]
+TWO_POLLS_S = 1.5 * POLL_INTERVAL_MS / 1_000
+
+
+def run_quickly(main):
+    """Runs an async function on a clock that jumps over all sleeps."""
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def poll(body):
+    """Polls reports twice; returns the events and the PlatformClient."""
+    client, outbound = make_client(body), Mailbox("planner", 100)
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            logger = PartLogger("control")
+            nursery.start_soon(poll_reports, client, outbound, logger)
+            await trio.sleep(TWO_POLLS_S)
+            nursery.cancel_scope.cancel()
+
+    run_quickly(main)
+    return outbound.drain(100), client
+
+
+@pytest.mark.parametrize(("kind", "name"), REPORT_FIELDS)
+def test_odd_report_costs_only_itself(odd_value, kind, name):
+    """Guards against a control that ends when it reads the reports.
+
+    A report that is skipped must be neither passed on nor followed by
+    silence: the reports after it are read, and the next poll is made.
+    """
+    row = {"kind": kind, "sequence": 3} | REPORTS[kind]
+    values = {key: json.dumps(value).encode() for key, value in row.items()}
+    values[name] = odd_value
+    fields = [f'"{key}":'.encode() + text for key, text in values.items()]
+    good = b'{"kind":"vm","vm":"vm-%d","state":"ready","sequence":%d}'
+    rows = [good % (1, 1), b"{" + b",".join(fields) + b"}", good % (2, 4)]
+    events, client = poll(b'{"reports":[' + b",".join(rows) + b"]}")
+    seen = [getattr(event, "vm", None) for event in events]
+    assert seen.count("vm-1") == seen.count("vm-2") == 2
+    for event in events:
+        for slot in event.__slots__:
+            value = getattr(event, slot)
+            assert type(value) is not int or abs(value) < 2**54
+            assert not isinstance(value, float) or math.isfinite(value)
+    skipped = client.metrics.counters.get("platform_malformed_reports", 0)
+    assert len(events) + skipped == 6
+
+
+@pytest.mark.parametrize(
+    "body", [b"[]", b'{"reports":5}', b"5", b'{"reports":']
+)
+def test_unreadable_reports_are_an_unanswered_poll(body):
+    """Guards against a control that ends by reports of another type."""
+    events, client = poll(body)
+    assert events == []
+    assert client.metrics.counters == {"platform_unanswered_polls": 2}
+
+
+def test_odd_sequence_of_a_report_skips_no_later_report():
+    """Guards against later reports that are never requested.
+
+    Only reports above the highest sequence so far are.
+    """
+    rows = b'{"kind":"vm","vm":5,"state":"ready","sequence":9007199254740991}'
+    client = make_client(b'{"reports":[' + rows + b"]}")
+    requested = []
+
+    async def main():
+        outbound = Mailbox("planner", 100)
+        exchange = client.exchange
+
+        class Recorder:
+            """A client that records the paths of its requests."""
+
+            metrics, clock = client.metrics, client.clock
+
+            async def fetch_reports(self, after):
+                requested.append(after)
+                return Ok((await exchange("GET", "/")).ok[1]["reports"])
+
+        async with trio.open_nursery() as nursery:
+            logger = PartLogger("control")
+            nursery.start_soon(poll_reports, Recorder(), outbound, logger)
+            await trio.sleep(TWO_POLLS_S)
+            nursery.cancel_scope.cancel()
+
+    run_quickly(main)
+    assert requested == [0, 0]
+
+
+class FakeCommand:
+    """A command to the platform without fields."""
+
+    kind, command_id, term = "drain", "1", 3
+
+    def fields(self):
+        """Returns the names of its fields."""
+        return ()
+
+
+def test_any_refusal_of_a_command_is_handled(odd_value):
+    """Guards against a control that ends by the reason of a refusal."""
+    for body in (odd_value, b'{"reason":' + odd_value + b"}"):
+        client = make_client(body)
+        client.pool.status = 422
+        answer = trio.run(client.execute, FakeCommand())
+        assert answer is None or len(answer.reason) < 1_000
--- a/wigeonport/platform_clients.py
+++ b/wigeonport/platform_clients.py
@@ -7,7 +7,7 @@
 from expression import Error, Ok, Result
 
 from wigeonport.command_ledgers import STALE_TERM
-from wigeonport.json_bodies import decode_json
+from wigeonport.json_bodies import decode_json, is_count, is_text
 from wigeonport.plan_events import CommandConfirmed, CommandRefused
 from wigeonport.platform_reports import read_report
 
@@ -15,6 +15,8 @@
 POLL_INTERVAL_MS = 500
 MAX_CONNECTIONS = 8
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
+# Maximum length of the reason of a refusal.
+MAX_REASON_BYTES = 1_000
 STATUS_OK = 200
 STATUS_STALE_TERM = 409
 STATUS_REFUSED = 422
@@ -99,7 +101,9 @@
             return CommandConfirmed(command.command_id)
         if status == STATUS_STALE_TERM:
             return CommandRefused(command.command_id, STALE_TERM)
-        reason = str(body.get("reason", status))
+        reason = body.get("reason") if isinstance(body, dict) else None
+        if not is_text(reason, MAX_REASON_BYTES):
+            reason = str(status)
         return CommandRefused(command.command_id, reason)
 
     async def fetch_reports(self, after) -> Result:
@@ -113,7 +117,10 @@
                 f"expected status {STATUS_OK} with a JSON object from GET "
                 f"/v1/reports, got status {status}"
             )
-        return Ok(document.get("reports", []))
+        reports = document.get("reports", [])
+        if not isinstance(reports, list):
+            return Error("reports is not a list")
+        return Ok(reports)
 
 
 async def read_bounded(response):
@@ -136,6 +143,10 @@
 async def poll_reports(client, outbound, logger):
     """Polls the platform's reports and sends them on as planner events.
 
+    A malformed report costs only itself. It does not raise the sequence above
+    which reports are requested, because its sequence may be any number; it is
+    no longer listed once a later report has been read.
+
     Args:
         client: PlatformClient.
         outbound: Mailbox that gets the events.
@@ -143,6 +154,7 @@
     """
     last_sequence = 0
     while True:
+        reasons = []
         reports = await client.fetch_reports(last_sequence)
         if reports.is_error():
             client.metrics.count("platform_unanswered_polls")
@@ -151,12 +163,17 @@
             offset_ms = client.clock.now() - client.clock.wall()
             event = read_report(document, offset_ms)
             if event.is_error():
-                client.metrics.count("platform_malformed_reports")
-                logger.warning("Platform report refused.", reason=event.error)
-            else:
-                await outbound.put(event.ok)
-            if isinstance(document, dict):
-                last_sequence = max(
-                    last_sequence, int(document.get("sequence", last_sequence))
-                )
+                reasons.append(event.error)
+                continue
+            await outbound.put(event.ok)
+            sequence = document.get("sequence")
+            if is_count(sequence):
+                last_sequence = max(last_sequence, sequence)
+        if reasons:
+            client.metrics.count("platform_malformed_reports", len(reasons))
+            logger.warning(
+                "Platform reports refused.",
+                reports=len(reasons),
+                reason=reasons[0],
+            )
         await client.clock.sleep(POLL_INTERVAL_MS)
--- a/wigeonport/platform_reports.py
+++ b/wigeonport/platform_reports.py
@@ -2,6 +2,7 @@
 
 from expression import Error, Ok, Result
 
+from wigeonport.json_bodies import MAX_COUNT, is_count, is_text
 from wigeonport.plan_events import (
     TASK_STATES,
     JobsCancelled,
@@ -16,14 +17,16 @@
 
 report_readers = Registry("platform report")
 
+MAX_TEXT_BYTES = 1_000
+
 
 @report_readers.register("vm")
 def read_vm(document, offset_ms):
     """Reads the state of a VM."""
-    if document["state"] not in VM_STATES:
-        raise ValueError(f"unknown state {document['state']!r}")
     return VmReported(
-        str(document["vm"]), document["state"], int(document["sequence"])
+        read_text(document, "vm"),
+        read_choice(document, "state", VM_STATES),
+        read_count(document, "sequence"),
     )
 
 
@@ -31,31 +34,29 @@
 def read_zone(document, offset_ms):
     """Reads the report of a zone with the VMs that did not answer."""
     return ZoneReported(
-        str(document["zone"]),
-        int(document["measured_ms"]) + offset_ms,
-        tuple(str(name) for name in document["missing"]),
+        read_text(document, "zone"),
+        read_count(document, "measured_ms") + offset_ms,
+        read_texts(document, "missing"),
     )
 
 
 @report_readers.register("task")
 def read_task(document, offset_ms):
     """Reads the state of a task."""
-    if document["state"] not in TASK_STATES:
-        raise ValueError(f"unknown state {document['state']!r}")
     return TaskReported(
-        str(document["job"]),
-        str(document["vm"]),
-        int(document["attempt"]),
-        document["state"],
+        read_text(document, "job"),
+        read_text(document, "vm"),
+        read_count(document, "attempt"),
+        read_choice(document, "state", TASK_STATES),
     )
 
 
 @report_readers.register("usage")
 def read_usage(document, offset_ms):
     """Reads the resources that a task used."""
-    measured_ms = int(document["measured_ms"]) + offset_ms
+    measured_ms = read_count(document, "measured_ms") + offset_ms
     return UsageReported(
-        str(document["job"]), read_size(document), measured_ms
+        read_text(document, "job"), read_size(document), measured_ms
     )
 
 
@@ -63,32 +64,86 @@
 def read_job(document, offset_ms):
     """Reads a job that a team submitted."""
     return JobSubmitted(
-        str(document["job"]),
-        str(document["team"]),
-        str(document["pool"]),
-        str(document["job_kind"]),
+        read_text(document, "job"),
+        read_text(document, "team"),
+        read_text(document, "pool"),
+        read_text(document, "job_kind"),
         read_size(document["declared"]),
-        int(document["declared_run_ms"]),
-        bool(document.get("urgent", False)),
-        bool(document.get("can_checkpoint", True)),
-        bool(document.get("may_run", False)),
+        read_count(document, "declared_run_ms"),
+        read_flag(document, "urgent", False),
+        read_flag(document, "can_checkpoint", True),
+        read_flag(document, "may_run", False),
     )
 
 
+@report_readers.register("cancel")
+def read_cancellation(document, offset_ms):
+    """Reads the cancelled jobs, or the team whose jobs are all cancelled."""
+    fields = {"jobs": [], "team": ""} | document
+    return JobsCancelled(read_texts(fields, "jobs"), read_text(fields, "team"))
+
+
 def read_size(document):
     """Reads the resources of a task."""
+    if not isinstance(document, dict):
+        raise ValueError("the resources are not an object")
     return Size(
-        float(document["cores"]),
-        float(document["memory_mb"]),
-        int(document.get("accelerators", 0)),
+        read_amount(document, "cores"),
+        read_amount(document, "memory_mb"),
+        read_count({"accelerators": 0} | document, "accelerators"),
     )
 
 
-@report_readers.register("cancel")
-def read_cancellation(document, offset_ms):
-    """Reads the cancelled jobs, or the team whose jobs are all cancelled."""
-    jobs = tuple(str(name) for name in document.get("jobs", ()))
-    return JobsCancelled(jobs, str(document.get("team", "")))
+def read_text(document, name):
+    """Returns the text of a field."""
+    value = document[name]
+    if not is_text(value, MAX_TEXT_BYTES):
+        raise ValueError(f"{name} is not a text of {MAX_TEXT_BYTES} bytes")
+    return value
+
+
+def read_texts(document, name):
+    """Returns the texts of a field as a tuple."""
+    values = document[name]
+    if not isinstance(values, list) or not all(
+        is_text(value, MAX_TEXT_BYTES) for value in values
+    ):
+        raise ValueError(f"{name} is not a list of texts")
+    return tuple(values)
+
+
+def read_choice(document, name, choices):
+    """Returns the value of a field that has one of several values."""
+    value = read_text(document, name)
+    if value not in choices:
+        raise ValueError(f"{name} is not one of {', '.join(choices)}")
+    return value
+
+
+def read_count(document, name):
+    """Returns a whole number from 0 to 2**53 - 1."""
+    value = document[name]
+    if isinstance(value, float) and value.is_integer():
+        value = int(value)
+    if not is_count(value):
+        raise ValueError(f"{name} is not a whole number up to {MAX_COUNT}")
+    return value
+
+
+def read_amount(document, name):
+    """Returns a number from 0 to 2**53 - 1."""
+    value = document[name]
+    if type(value) not in (int, float) or not 0 <= value <= MAX_COUNT:
+        raise ValueError(f"{name} is not a number up to {MAX_COUNT}")
+    return float(value)
+
+
+def read_flag(document, name, default):
+    """Returns a truth value, or the default of an absent field."""
+    value = document.get(name, default)
+    if not isinstance(value, bool):
+        raise ValueError(f"{name} is not a truth value")
+    return value
 
 
 def read_report(document, offset_ms) -> Result:
@@ -100,10 +155,13 @@
     """
     if not isinstance(document, dict):
         return Error("report is not a JSON object")
-    reader = report_readers.get(document.get("kind"))
+    kind = document.get("kind")
+    if not is_text(kind, MAX_TEXT_BYTES):
+        return Error("report without a kind")
+    reader = report_readers.get(kind)
     if reader.is_error():
         return reader
     try:
         return Ok(reader.ok(document, offset_ms))
-    except (KeyError, TypeError, ValueError) as error:
-        return Error(f"{document['kind']} report: {error!r}")
+    except (KeyError, ValueError) as error:
+        return Error(f"{kind} report: {error!r}")
