Refuse numbers of many digits in the headers of callers

Cause: Python refuses to convert a number of over 4,300 digits, so that a caller whose deadline or priority had as many was answered with 500 instead of a reason.

Change: a number of over 18 digits is refused like any other above its limit.

Result: test_number_of_many_digits_is_refused failed before with ValueError for both headers; it passes now.

--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -306,6 +306,20 @@
         assert request.key is None or request.key.isascii()
 
 
+@pytest.mark.parametrize(
+    "name", [b"wigeonport-deadline-ms", b"wigeonport-priority"]
+)
+def test_number_of_many_digits_is_refused(name):
+    """Guards against an answer of 500 instead of a clear refusal.
+
+    Python converts no number of over 4,300 digits.
+    """
+    scope = {"method": "GET", "path": "/roster", "raw_path": b"/roster"}
+    scope |= {"query_string": b"", "headers": [(name, b"9" * 5_000)]}
+    request = make_request(scope, b"", 0, CallerLimits(1_000, 60_000))
+    assert "must be a number" in request
+
+
 def test_deadline_is_capped_by_the_setting():
     """A stated deadline above the setting must be reduced to the setting.
 
--- a/wigeonport/receivers.py
+++ b/wigeonport/receivers.py
@@ -23,6 +23,7 @@
 MAX_KEY_BYTES = 256
 KEY_PATTERN = re.compile(rb"[!-~]{1,%d}" % MAX_KEY_BYTES)
 MAX_PRIORITY = 9
+MAX_NUMBER_DIGITS = 18
 # The receiver waits this long beyond the deadline of a request, so that an
 # answer that a later filter gives at the deadline still arrives.
 REPLY_MARGIN_MS = 200
@@ -210,7 +211,9 @@
     text = headers.get(name)
     if text is None:
         return default
-    if not text.isdigit() or int(text) > maximum:
+    # int() refuses over 4,300 digits.
+    is_number = text.isdigit() and len(text) <= MAX_NUMBER_DIGITS
+    if not is_number or int(text) > maximum:
         return f"{name.decode()} must be a number from 0 to {maximum}"
     return int(text)
 
