Let a message that cannot be encoded cost only itself

Cause: an exception of the codec in the task that owns a session ended the session and the process. An announcement whose endpoint, service or zone had half of a surrogate pair was accepted and then passed on to the other entries, which no codec can do: one endpoint ended the entry that it announced itself to, and the next one that it turned to.

Change: announcements with text that has no encoding are refused. A session logs and counts a message that it cannot encode, answers its call as not sent, and goes on.

--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -5,7 +5,7 @@
 import pytest
 import trio
 
-from wigeonport.announcements import AnnouncementApp
+from wigeonport.announcements import AnnouncementApp, parse_announcement
 from wigeonport.channels import Mailbox
 from wigeonport.metrics import Metrics
 
@@ -53,3 +53,55 @@
     trio.run(app, SCOPE, receive, send)
     assert sent[0]["status"] == 503
     assert mailbox.depth() == 1
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"endpoint_id": "\ud800"},
+        {"service": "\ud800"},
+        {"service": []},
+        {"availability_zone": "\udfff"},
+        {"port": 70_000},
+        {"port": 0},
+        {"port": 2**70},
+        {"port": "9000"},
+        {"slots": True},
+        {"slots": 1e999},
+        {"connections": float("nan")},
+        {"incarnation": 2**63},
+        {"sequence": -1},
+        {"state": ["ready"]},
+        {"state": "asleep"},
+        {"host": 2_130_706_433},
+        {"host": ["127.0.0.1"]},
+        {"host": "127.0.0.1:80"},
+    ],
+)
+def test_odd_announcement_is_refused(change):
+    """Guards against an endpoint that other processes cannot be told of.
+
+    What is accepted is passed on over the links and has to encode there.
+    """
+    text = json.dumps(ANNOUNCEMENT | change)
+    assert parse_announcement(text).is_error()
+
+
+@pytest.mark.parametrize("value", ["[" * 2_000 + "]" * 2_000, "9" * 4_000])
+def test_odd_announcement_ends_only_its_own_request(mailbox, value):
+    """Guards against an entry that ends by one line of an endpoint."""
+    sent, app = [], AnnouncementApp(mailbox, Metrics(), trio.Event())
+    odd = json.dumps(ANNOUNCEMENT | {"slots": 0}).replace(": 0", f": {value}")
+    for text in (odd, json.dumps(ANNOUNCEMENT)):
+        events = [{"type": "http.request", "body": text.encode()}]
+
+        async def receive(events=events):
+            return events.pop()
+
+        async def send(event):
+            sent.append(event)
+
+        trio.run(app, SCOPE, receive, send)
+    statuses = [event["status"] for event in sent if "status" in event]
+    assert statuses == [400, 200]
+    assert mailbox.depth() == 1
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -140,6 +140,31 @@
     trio.run(scenario)
 
 
+@pytest.mark.parametrize("value", ["\ud800", 5, ["x"]])
+def test_message_that_cannot_be_encoded_costs_only_itself(make_context, value):
+    """Guards against a process that ends by one value in a message.
+
+    The codec refuses a value of the wrong type and text that has no encoding.
+    The sender of a call must learn at once that it was not sent.
+    """
+
+    async def scenario():
+        server, client = make_context("control-1"), make_context("entry-1")
+        async with trio.open_nursery() as nursery:
+            dialer = await open_link(nursery, server, client)
+            nursery.start_soon(answer_calls, server)
+            await wait_until(lambda: dialer.connected)
+            answer = await dialer.ask(Failure(value), 5_000)
+            assert answer.is_error() and not answer.error.sent
+            answer = await dialer.ask(Failure("next"), 5_000)
+            assert answer.ok.reason == "echo next"
+            assert client.metrics.counters["links_unencodable_messages"] == 1
+            assert server.metrics.counters.get("links_bad_frames") is None
+            nursery.cancel_scope.cancel()
+
+    trio.run(scenario)
+
+
 def test_dialer_tries_the_next_address(make_context):
     """A dialer must try all its addresses.
 
--- a/wigeonport/announcements.py
+++ b/wigeonport/announcements.py
@@ -12,6 +12,7 @@
 
 from wigeonport.endpoints import STATES, Announced, EndpointRecord
 from wigeonport.findings import Findings
+from wigeonport.json_bodies import is_text
 from wigeonport.logs import PartLogger
 from wigeonport.servers import answer_lifespan, respond_json, send_response
 
@@ -23,6 +24,7 @@
 MAX_CONNECTIONS = 100_000
 MAX_PORT = 65_535
 MAX_COUNTER = 2**53
+MAX_TEXT_BYTES = 255
 TEXT_FIELDS = ("endpoint_id", "service", "availability_zone", "host")
 # Fields of an announcement in the order of EndpointRecord's parameters.
 FIELDS = (
@@ -72,8 +74,8 @@
     """Adds a finding for each missing, invalid or unknown field."""
     for name in TEXT_FIELDS:
         value = document.get(name)
-        if not isinstance(value, str) or not 0 < len(value) <= 255:
-            findings.add(name, "must be a text of 1 to 255 characters")
+        if not value or not is_text(value, MAX_TEXT_BYTES):
+            findings.add(name, "must be a text of 1 to 255 bytes")
     for name, (minimum, maximum) in NUMBER_FIELDS.items():
         value = document.get(name)
         if type(value) is not int or not minimum <= value <= maximum:
--- a/wigeonport/sessions.py
+++ b/wigeonport/sessions.py
@@ -10,14 +10,19 @@
 
 from wigeonport.channels import REFUSE, Mailbox
 from wigeonport.links import Delivery, LinkError
+from wigeonport.logs import PartLogger
 from wigeonport.messages import CALL, ONEWAY, REPLY, Envelope, Ping
 
+logger = PartLogger("links")
+
 READ_BYTES = 65_536
 PING_INTERVAL_MS = 500
 SILENCE_LIMIT_MS = 2_000
 SEND_TIMEOUT_MS = 2_000
 OUTBOX_BOUND = 1_024
 MAX_PENDING_CALLS = 4_096
+# Maximum length of an error in the log; it quotes the value.
+MAX_FAULT_LENGTH = 300
 
 
 class Received:
@@ -172,7 +177,8 @@
         if now_ms - self.last_received_ms > SILENCE_LIMIT_MS:
             self.close_reason = "no frame within the silence limit"
         elif now_ms - self.last_sent_ms >= PING_INTERVAL_MS:
-            self.queue_envelope(Ping(now_ms), ONEWAY, 0)
+            ping = self.codec.encode(Ping(now_ms))
+            self.queue_envelope(ping, ONEWAY, 0)
 
     def handle_outgoing(self, outgoing):
         """Numbers a call and queues the message for the writer.
@@ -180,6 +186,11 @@
         Beyond MAX_PENDING_CALLS the oldest call is dropped; its Reply gets
         no answer.
         """
+        try:
+            payload = self.codec.encode(outgoing.message)
+        except Exception as error:  # thriftpy2 raises many types
+            self.drop_message(outgoing, error)
+            return
         sequence = outgoing.sequence
         if outgoing.exchange == CALL:
             sequence = self.next_sequence
@@ -187,15 +198,32 @@
             self.pending_calls[sequence] = outgoing.reply
             if len(self.pending_calls) > MAX_PENDING_CALLS:
                 del self.pending_calls[next(iter(self.pending_calls))]
-        self.queue_envelope(outgoing.message, outgoing.exchange, sequence)
+        self.queue_envelope(payload, outgoing.exchange, sequence)
+
+    def drop_message(self, outgoing, error):
+        """Logs and counts a message that cannot be encoded.
+
+        An exception would end the process, and the others that get the same
+        value.
+        """
+        kind = type(outgoing.message).__name__
+        self.metrics.count("links_unencodable_messages")
+        logger.error(
+            "Message not sent.",
+            peer=self.peer.node_id,
+            kind=kind,
+            fault=repr(error)[:MAX_FAULT_LENGTH],
+        )
+        if outgoing.reply is not None:
+            text = f"the {kind} cannot be encoded"
+            outgoing.reply.send(Error(LinkError(text, sent=False)))
 
-    def queue_envelope(self, message, exchange, sequence):
-        """Queues an envelope for the writer.
+    def queue_envelope(self, payload, exchange, sequence):
+        """Queues the envelope of an encoded message for the writer.
 
         A full queue means that the peer cannot keep up; it ends the session.
         """
         self.last_sent_ms = self.clock.now()
-        payload = self.codec.encode(message)
         lamport = self.lamport.tick()
         envelope = Envelope(exchange, sequence, lamport, payload)
         if not self.outbox.put_nowait(envelope):
