Treat an exception of the machine API as a call without an answer

Cause: any exception in the client of the machine API ended the task that calls it, and the control. The next leader made the same call and ended too.

Change: an exception while the list is read is a list that could not be read, and the next one is read; an exception in an order is an order without an answer, which is sent again.

Result: test_exception_while_reading_the_list_is_a_failed_call and test_exception_in_an_order_leaves_its_outcome_unknown failed before with these exceptions; both pass now.

--- a/tests/test_machine_managers.py
+++ b/tests/test_machine_managers.py
@@ -2,6 +2,7 @@
 
 import pytest
 import trio
+import trio.testing
 from batch_fixtures import (
     JOB,
     DispatcherHarness,
@@ -9,6 +10,7 @@
     make_table,
     started_runs,
 )
+from expression import Ok
 
 from wigeonport.batch_commands import OpenWave, OrderMachine, StartRuns
 from wigeonport.batch_dispatchers import BatchDispatcher
@@ -742,3 +744,65 @@
         assert len(cloud.orders) == (result == EXECUTED)
 
     trio.run(main)
+
+
+class FailingCloud:
+    """A platform client that raises an exception in every other call.
+
+    Attributes:
+        calls: Number of calls.
+    """
+
+    __slots__ = ("calls",)
+
+    def __init__(self):
+        self.calls = 0
+
+    async def order(self, order):
+        """Raises an exception."""
+        raise RecursionError("by the test")
+
+    async def list_machines(self):
+        """Raises an exception, or returns an empty list."""
+        self.calls += 1
+        if self.calls % 2:
+            raise OverflowError("by the test")
+        return Ok({})
+
+
+def test_exception_while_reading_the_list_is_a_failed_call():
+    """Guards against a control that ends by the list of machines.
+
+    The next list must be read and passed on.
+    """
+
+    async def main():
+        manager = MachineManager(
+            FailingCloud(), BatchSettings(), "node", ManualClock()
+        )
+        manager.leading = True
+        lists = Mailbox("lists", 1)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(manager.list_regularly, lists)
+            assert (await lists.get()).rows == {}
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_exception_in_an_order_leaves_its_outcome_unknown():
+    """Guards against a control that ends by the answer to an order.
+
+    The platform may have carried it out, so the same order is sent again.
+    """
+
+    async def main():
+        clock = ManualClock(1_000)
+        manager = MachineManager(FailingCloud(), BatchSettings(), "n", clock)
+        order = PlannedOrder("m-1", "move", "desk", "node", 3)
+        order.valid_until_ms = clock.now() + 800
+        answers = Mailbox("answers", 1)
+        await manager.call(order, answers, trio.CapacityLimiter(1))
+        assert (await answers.get()).result == NO_ANSWER
+
+    trio.run(main)
--- a/wigeonport/machine_managers.py
+++ b/wigeonport/machine_managers.py
@@ -8,6 +8,7 @@
 import collections
 
 import trio
+from expression import Error, Result
 
 from wigeonport.batch_commands import (
     MOVE,
@@ -51,6 +52,8 @@
 CLOCK_JUMP_MS = 5_000
 # A machine gets no order for this time after one was refused or unanswered.
 REFUSED_PAUSE_MS = 700
+# Maximum length of an error in the log; it may quote a value.
+MAX_FAULT_LENGTH = 300
 
 
 class OrderForwarder:
@@ -185,7 +188,7 @@
         """
         async with limiter:
             if self.clock.now() < order.valid_until_ms:
-                result = await self.cloud.order(order)
+                result = await self.send(order)
             else:
                 result = NO_ANSWER
         logger.info(
@@ -198,12 +201,35 @@
         )
         await inbox.put(MachineAnswered(order, result))
 
+    async def send(self, order):
+        """Sends one order and returns its result.
+
+        An exception would end the process, and that of the next leader, which
+        sends the same order; the order may have been carried out.
+        """
+        try:
+            return await self.cloud.order(order)
+        except Exception as error:
+            logger.error(
+                "Machine order failed.",
+                machine=order.machine,
+                fault=repr(error)[:MAX_FAULT_LENGTH],
+            )
+            return NO_ANSWER
+
+    async def read_list(self) -> Result:
+        """Returns the Result of reading the list; an exception is an error."""
+        try:
+            return await self.cloud.list_machines()
+        except Exception as error:
+            return Error(repr(error)[:MAX_FAULT_LENGTH])
+
     async def list_regularly(self, inbox):
         """Reads the list of machines periodically while this replica leads."""
         while True:
             if self.leading:
                 asked_ms = self.clock.now()
-                rows = await self.cloud.list_machines()
+                rows = await self.read_list()
                 if rows.is_ok():
                     await inbox.put(MachineListed(rows.ok, asked_ms))
                 else:
