Ask again for workers whose row of advice was malformed

Cause: a worker without a ticket in an answer of the advice service is excluded from the step for good, also if its row was malformed. An exception in a call ended the control.

Change: if a row of an answer is malformed, the workers without a ticket count as not answered and are asked for again after the pause for failed calls. An exception in a call is a failed call.

--- a/tests/test_advisors.py
+++ b/tests/test_advisors.py
@@ -1,6 +1,7 @@
 """Tests of the requests for tickets that let workers run a step."""
 
 import pytest
+import trio
 from batch_fixtures import (
     JOB,
     DispatcherHarness,
@@ -10,6 +11,7 @@
 )
 
 from wigeonport.advisors import AdviceAnswered, Advisor
+from wigeonport.channels import Mailbox
 from wigeonport.clocks import ManualClock
 from wigeonport.route_tables import AdviceTerms
 
@@ -99,3 +101,46 @@
     harness.now_ms += 600
     harness.heartbeat("w1")
     assert len(ask(harness, advisor)) == 1
+
+
+def test_worker_without_a_readable_answer_is_asked_for_again(advised):
+    """Guards against a worker that is excluded by a malformed row.
+
+    A worker without a ticket in the answer is excluded for good.
+    """
+    harness, advisor = advised
+    harness.submit(ONE)
+    harness.heartbeat("w1")
+    (call,) = ask(harness, advisor)
+    answer(harness, advisor, call, {"w1": None})
+    assert started_runs(harness.heartbeat("w1")) == []
+    assert ask(harness, advisor) == []
+    harness.now_ms += 600
+    harness.heartbeat("w1")
+    (call,) = ask(harness, advisor)
+    answer(harness, advisor, call, {"w1": "pass"})
+    assert len(harness.heartbeat("w1").starts) == 1
+
+
+class FailingAdvice:
+    """An advice client that raises an exception."""
+
+    async def advise(self, step, worker_ids):
+        """Raises an exception."""
+        raise RecursionError("by the test")
+
+
+def test_exception_in_a_call_is_a_failed_call(advised):
+    """Guards against a control that ends by an answer of the service."""
+    harness, advisor = advised
+    advisor.client = FailingAdvice()
+    harness.submit(ONE)
+    harness.heartbeat("w1")
+    (call,) = ask(harness, advisor)
+
+    async def main():
+        answers = Mailbox("answers", 1)
+        await advisor.ask(call, answers)
+        return await answers.get()
+
+    assert trio.run(main).tickets is None
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -825,8 +825,8 @@
     """Guards against steps that no worker may run because of one odd row."""
     rows = b'["w-1","t-1"],["w-2",' + odd_value + b'],["w-3","t-3"]'
     client = make_client(b'{"allowed":[' + rows + b"]}")
-    tickets = trio.run(AdviceClient(client).advise, "a.0.0", ["w-1"]).ok
-    assert tickets == {"w-1": "t-1", "w-3": "t-3"}
+    tickets = trio.run(AdviceClient(client).advise, "a.0.0", ["w-1", "w-2"]).ok
+    assert tickets == {"w-1": "t-1", "w-2": None, "w-3": "t-3"}
 
 
 @given(st.binary())
--- a/wigeonport/advisors.py
+++ b/wigeonport/advisors.py
@@ -6,6 +6,7 @@
 """
 
 import trio
+from expression import Error
 
 from wigeonport.channels import REFUSE, Mailbox
 from wigeonport.logs import PartLogger
@@ -21,6 +22,8 @@
 TICKET_MARGIN_MS = 1_200
 # Wait before a call without an answer is repeated.
 RETRY_MS = 500
+# Maximum length of an error in the log; it may quote a value.
+MAX_FAULT_LENGTH = 300
 
 
 class AdviceCall:
@@ -48,7 +51,8 @@
     Attributes:
         call: AdviceCall.
         tickets: Maps the id of each worker that may run the step to its
-            ticket; None if the call failed.
+            ticket, or to None if the answer about it could not be read; None
+            if the call failed.
         asked_ms: Monotonic time at which the call was made.
     """
 
@@ -88,7 +92,11 @@
     async def ask(self, call, inbox):
         """Makes one call and sends the answer to the inbox."""
         asked_ms = self.clock.now()
-        answer = await self.client.advise(call.step, list(call.workers))
+        try:
+            answer = await self.client.advise(call.step, list(call.workers))
+        except Exception as error:
+            # An exception would end the process, and the next leader's.
+            answer = Error(repr(error)[:MAX_FAULT_LENGTH])
         if answer.is_error():
             logger.warning(
                 "Advice call failed.", step=call.step, reason=answer.error
@@ -152,4 +160,7 @@
         until_ms = event.asked_ms + event.call.valid_ms - TICKET_MARGIN_MS
         for worker_id, incarnation in event.call.workers.items():
             ticket = event.tickets.get(worker_id, "")
+            if ticket is None:
+                tickets.retry_ms = now_ms + RETRY_MS
+                continue
             tickets.by_worker[incarnation] = (ticket, until_ms)
