Refuse a job that the leader cannot decode

Cause: a submission that an entry passes on is decoded when the leader applies it. An entry of another version may encode it differently; the exception made the leader drop its state, and the entry repeats the call.

Change: such a call is answered as invalid, with a log line; the job is not added.

--- a/tests/test_batch_dispatchers.py
+++ b/tests/test_batch_dispatchers.py
@@ -11,6 +11,7 @@
 )
 
 from wigeonport.batch_calls import (
+    INVALID,
     NO_JOB,
     NO_QUEUE,
     OK,
@@ -704,3 +705,19 @@
     ]
     assert len(started) == 500
     assert max(sizes) < ReplicaSettings().max_payload_bytes
+
+
+@pytest.mark.parametrize(
+    "spec_json",
+    ["", "5", "{}", "[" * 2_000 + "]" * 2_000, '{"payload":"","steps":[5]}'],
+)
+def test_malformed_job_of_an_entry_is_refused(harness, spec_json):
+    """Guards against a leader that drops its state for each repeated call.
+
+    An entry of another version may encode a job differently.
+    """
+    call = BatchCall(SUBMIT, HOST, f"/plans/{JOB}", spec_json)
+    reply = harness.dispatcher.on_call(call, harness.now_ms)
+    assert reply.outcome == INVALID
+    assert JOB not in harness.dispatcher.state.batch.jobs
+    assert harness.dispatcher.take_operations() == []
--- a/wigeonport/batch_requests.py
+++ b/wigeonport/batch_requests.py
@@ -8,6 +8,7 @@
 from wigeonport.batch_calls import (
     CANCEL,
     COUNT,
+    INVALID,
     NO_JOB,
     OK,
     STATE,
@@ -16,16 +17,29 @@
 )
 from wigeonport.batch_commands import CancelJob, SubmitJob
 from wigeonport.batch_jobs import QUEUED
+from wigeonport.logs import PartLogger
 from wigeonport.registries import Registry
 
+logger = PartLogger("dispatch")
+
 call_handlers = Registry("batch call")
 
+# What decoding the specification of a job raises if it is malformed; the job
+# has not been added then.
+SPEC_ERRORS = (AttributeError, KeyError, RecursionError, TypeError, ValueError)
+
 
 @call_handlers.register(SUBMIT)
 def submit(dispatcher, call, queue, job_id):
     """Accepts a job; accepting the same job id again has no effect."""
     if not dispatcher.state.batch.has_accepted(job_id):
-        dispatcher.record(SubmitJob(job_id, queue.name, call.spec_json))
+        try:
+            dispatcher.record(SubmitJob(job_id, queue.name, call.spec_json))
+        except SPEC_ERRORS as error:
+            logger.warning(
+                "Job refused.", job=job_id, fault=type(error).__name__
+            )
+            return BatchReply(INVALID, "the job cannot be decoded")
     return BatchReply(OK)
 
 
