Name the line of a trace that cannot be represented

Cause: a line of a trace or of expectations that was nested too deeply raised RecursionError, and a kind that was a list raised TypeError, so that the replay ended without naming the line.

Change: both are findings with their line; a registry has no entry under a name that is a list or an object.

--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -68,6 +68,23 @@
     assert str(read_lines(header, TICK).error).startswith("t:1")
 
 
+@pytest.mark.parametrize(
+    "line",
+    [
+        "[" * 5_000 + "]" * 5_000,
+        "9" * 5_000,
+        '{"at_ms":1,"kind":["vm"]}',
+        '{"at_ms":1,"kind":{}}',
+        '{"at_ms":1e999,"kind":"tick"}',
+    ],
+)
+def test_line_that_cannot_be_represented_is_a_finding(line):
+    """Guards against a replay that ends without naming the line."""
+    result = read_lines('{"kind":"header","format":1}', line)
+    (finding,) = result.error.items
+    assert finding.location.startswith("t:2")
+
+
 def test_empty_trace_is_a_finding():
     """An empty trace has no violations, so it would pass as a good replay."""
     assert read_lines().is_error()
@@ -140,10 +157,13 @@
         '{"expect":"measure"}\n'
         '{"expect":"nothing"}\n'
         '{"expect":"measure","name":"moves","at_mots":1}\n'
+        + "[" * 5_000
+        + "]" * 5_000
+        + '\n{"expect":["measure"]}\n'
     )
     findings = read_expectations(path).error
     lines = [int(f.location.split("expect:")[1][0]) for f in findings.items]
-    assert lines == [1, 2, 3, 4]
+    assert lines == [1, 2, 3, 4, 5, 6]
 
 
 @pytest.fixture
--- a/wigeonport/commands/replays.py
+++ b/wigeonport/commands/replays.py
@@ -120,6 +120,6 @@
             continue
         try:
             overrides[name] = json.loads(value)
-        except ValueError:
+        except (ValueError, RecursionError):
             overrides[name] = value
     return overrides
--- a/wigeonport/expectations.py
+++ b/wigeonport/expectations.py
@@ -131,7 +131,7 @@
     """Returns the Expectation of a line; adds findings if it is bad."""
     try:
         document = json.loads(line)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         findings.add(location, f"is not JSON: {error}")
         return None
     if not isinstance(document, dict):
--- a/wigeonport/registries.py
+++ b/wigeonport/registries.py
@@ -40,8 +40,13 @@
 
     def get(self, name) -> Result:
         """Returns the entry, or an error text that lists the valid names."""
-        if name in self.entries:
+        try:
             return Ok(self.entries[name])
+        except KeyError:
+            pass
+        except TypeError:
+            # Names come from decoded messages too, where one may be a list.
+            return Error(f"no {self.kind} has a {type(name).__name__} as name")
         registered = ", ".join(map(str, self.names()))
         return Error(f"no {self.kind} {name!r}; known: {registered}")
 
--- a/wigeonport/traces.py
+++ b/wigeonport/traces.py
@@ -124,7 +124,7 @@
         location = f"{self.name}:{line_number}"
         try:
             document = json.loads(line)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             self.findings.add(location, f"is not JSON: {error}")
             return
         if not isinstance(document, dict):
