Acknowledge to a worker only the ends of its own heartbeat

Cause: the number up to which ends are acknowledged was kept from one heartbeat to the next, so that a malformed end of another writer under the id of a worker was acknowledged to the worker itself, which then forgot ends that it had yet to report. Change: an answer acknowledges the ends of the heartbeat that it answers. The kept number only decides which numbers of malformed ends are plausible. Result: test_end_of_another_writer_is_not_acknowledged_to_the_worker failed before and passes now. test_number_far_beyond_the_others_is_not_acknowledged expected the repeated number 1 in the second answer, which lists no other end; it expects no acknowledgement now.

--- a/wigeonport/run_reports.py
+++ b/wigeonport/run_reports.py
@@ -60,14 +60,16 @@
         orders: WorkerOrders in answer.
     """
     report = worker.report
-    if not report.ended and not report.skipped_ends:
-        return
     numbers = [end.number for end in report.ended]
-    acknowledged = max([worker.acknowledged, *numbers])
+    highest = max([worker.acknowledged, *numbers])
     for number in sorted(report.skipped_ends):
-        if number <= acknowledged + MAX_LISTED_ENDS:
-            acknowledged = max(acknowledged, number)
-    orders.acknowledged = worker.acknowledged = acknowledged
+        if number <= highest + MAX_LISTED_ENDS:
+            highest = max(highest, number)
+            numbers.append(number)
+    # Only ends of this heartbeat are acknowledged: an earlier one under the
+    # same id may have come from another writer.
+    orders.acknowledged = max(numbers, default=0)
+    worker.acknowledged = highest
 
 
 def refresh_ended_steps(dispatcher, worker, tasks):
