Keep a synced file that replaced an unsynced one on the simulated disk

Cause: the sync of a new file keeps its name at once, and a later sync of the directory then applied the older removal of the same name to it. Change: changes of a name that precede the sync of its new file have no effect on that name any more, and a test of the simulation covers it.

--- a/tests/disk_changes.py
+++ b/tests/disk_changes.py
@@ -97,6 +97,12 @@
         self.removed = removed
         self.added = added
 
+    def forget(self, path):
+        """Makes this change leave a path as it is."""
+        if path is not None:
+            self.added = None if self.added == path else self.added
+            self.removed = None if self.removed == path else self.removed
+
     def apply(self, names):
         """Changes a dict of path to File."""
         if self.removed and names.get(self.removed) is self.file:
--- a/tests/disk_simulations.py
+++ b/tests/disk_simulations.py
@@ -308,6 +308,9 @@
                 change.file is file and change.label.startswith("create")
             ):
                 change.apply(self.synced_names)
+                # An earlier change of the name must not follow this one.
+                for earlier in left:
+                    earlier.forget(change.added)
             else:
                 left.append(change)
         self.name_changes = left
--- a/tests/test_disk_simulations.py
+++ b/tests/test_disk_simulations.py
@@ -60,6 +60,19 @@
     assert not unsynced.exists()
 
 
+def test_power_loss_keeps_a_synced_file_that_replaced_an_unsynced_one(disk):
+    """Fails if an earlier removal of the name takes the new file."""
+    path = disk.root / "file"
+    os.close(open_empty(path))
+    path.unlink()
+    descriptor = open_empty(path)
+    sync_file(descriptor)
+    os.close(descriptor)
+    sync_directory(disk.root)
+    disk.lose_power(losing("nothing"))
+    assert path.exists()
+
+
 def test_kill_keeps_writes_that_a_power_loss_then_undoes(disk, path):
     """Fails if a killed process counts as a sync."""
     descriptor = open_empty(path, append=True)
