Show the operations on the simulated disk when a test fails

Cause: a failed check of the recovered log did not show what the disk had done. Change: the fixture prints the last operations, which pytest shows for a failed test, and closes the files that the simulated process left open.

--- a/tests/disk_simulations.py
+++ b/tests/disk_simulations.py
@@ -44,7 +44,10 @@
     """A simulated disk below an existing, empty directory."""
     disk = Disk(tmp_path)
     disk.install(monkeypatch)
-    return disk
+    yield disk
+    # Captured, and shown if the test fails.
+    print(*disk.history[-60:], sep="\n")
+    disk.close_files()
 
 
 class CrashError(Exception):
@@ -128,14 +131,18 @@
     def kill(self):
         """Ends the process; all that it has written stays."""
         self.history.append(f"kill {self.reached}")
-        for descriptor in self.open_files:
-            self.real["close"](descriptor)
-        self.open_files = {}
+        self.close_files()
         self.point = ""
         self.steps_left = None
         self.reached = ""
         self.check_that_names_agree()
 
+    def close_files(self):
+        """Closes the files that the process has left open."""
+        for descriptor in self.open_files:
+            self.real["close"](descriptor)
+        self.open_files = {}
+
     def lose_power(self, fate):
         """Ends the process and leaves what the disk has of its changes.
 
--- a/tests/test_disk_losses.py
+++ b/tests/test_disk_losses.py
@@ -317,7 +317,7 @@
                 for r in log.records
                 if r.level >= logbook.ERROR
             ]
-        assert not errors, disk.history[-40:]
+        assert not errors
         schedule.end()
 
 
@@ -345,7 +345,7 @@
         disk.steps_left = source.randrange(1, 30)
         with contextlib.suppress(CrashError):
             storage = open_directory(directory, "test", "a")
-            assert storage.replica_id != damaged_id, disk.history[-40:]
+            assert storage.replica_id != damaged_id
             assert storage.replica_id == (new_id or storage.replica_id)
             new_id = storage.replica_id
         if source.random() < 0.5:
