Sync the parent of a data directory only when it is made

Since every start synced the parent, so that a control whose parent directory it may not open, or that cannot be synced, no longer started. Of several directories that are made together, only the last one was synced. Change: each directory that is made is synced in its parent, and the parent is synced again before an identity is written. A directory with an identity is therefore durable.

--- a/tests/test_disk_losses.py
+++ b/tests/test_disk_losses.py
@@ -266,6 +266,14 @@
     assert last_index(open_journal(path)) == 1
 
 
+def test_parent_that_is_made_with_a_directory_stays(disk):
+    """Fails if a power loss removes a parent of a new directory."""
+    path = disk.root / "lib" / "data"
+    open_directory(path, "test", "a").journal.write([make_persist([1])])
+    disk.lose_power(losing("mkdir *"))
+    assert last_index(open_journal(path)) == 1
+
+
 def test_end_at_each_operation_of_the_creation_is_no_damage(disk):
     """Fails if a directory that was never in use counts as damaged.
 
--- a/tests/test_journals.py
+++ b/tests/test_journals.py
@@ -199,6 +199,22 @@
     assert reopen(directory).replica_id == before.replica_id
 
 
+@pytest.mark.parametrize("error_number", [errno.EACCES, errno.EINVAL])
+def test_parent_that_cannot_be_synced_stops_no_start(
+    directory, monkeypatch, error_number
+):
+    """Fails if a restart needs more rights than to its own directory."""
+    open_file = os.open
+
+    def refuse(path, *arguments, **keywords):
+        if os.fspath(path) == os.fspath(directory.parent):
+            raise OSError(error_number, os.strerror(error_number))
+        return open_file(path, *arguments, **keywords)
+
+    monkeypatch.setattr(os, "open", refuse)
+    assert index_term_pairs(reopen(directory)) == [(1, 1), (2, 1), (3, 1)]
+
+
 def test_directory_in_use_is_refused(directory):
     """Fails if two processes can write to one journal."""
     storage = open_directory(directory, "test", "a")
--- a/wigeonport/durable_files.py
+++ b/wigeonport/durable_files.py
@@ -108,6 +108,20 @@
         return os.open(path, flags | (os.O_APPEND if append else 0), 0o600)
 
 
+def make_directory(path):
+    """Makes a directory and its parents durably if they do not exist.
+
+    Raises:
+        DiskFullError: If there is no space.
+    """
+    if path.is_dir():
+        return
+    make_directory(path.parent)
+    with report_full_disk():
+        path.mkdir(exist_ok=True)
+    sync_directory(path.parent)
+
+
 def replace_file(path, parts):
     """Replaces a file atomically and durably.
 
--- a/wigeonport/recoveries.py
+++ b/wigeonport/recoveries.py
@@ -86,8 +86,7 @@
         DiskFullError: If there is no space; the call may be repeated.
         OSError: If the disk fails or another process uses the directory.
     """
-    with durable_files.report_full_disk():
-        directory.mkdir(parents=True, exist_ok=True)
+    durable_files.make_directory(directory)
     lock = durable_files.lock_directory(directory)
     try:
         return _open_locked(directory, cluster_id, node, lock)
@@ -98,9 +97,8 @@
 
 
 def _open_locked(directory, cluster_id, node, lock):
-    # A killed process may have changed names without the syncs, and a replica
+    # A killed process may have changed names without the sync, and a replica
     # relies on what it finds.
-    durable_files.sync_directory(directory.parent)
     durable_files.sync_directory(directory)
     for path in directory.glob("*.tmp"):
         path.unlink()
@@ -133,6 +131,8 @@
 def _create(directory, cluster_id, node, damage, lock):
     identity = create_identity(cluster_id, node)
     journal = Journal(directory, identity.identity, [], None, lock)
+    # A killed process may have made the directory without the sync.
+    durable_files.sync_directory(directory.parent)
     # The identity file is written last: with an identity but no segment, the
     # directory would look like one that has lost its segments.
     journal.start_segment()
