Cut off a partial record before a new segment is started

On a full disk a write may leave a part of a record in the newest segment. Change: a partial record is cut off and synced before a new segment is started.

--- a/tests/test_disk_losses.py
+++ b/tests/test_disk_losses.py
@@ -314,6 +314,40 @@
     assert last_index(open_journal(directory)) == 20
 
 
+@pytest.mark.parametrize(
+    "point",
+    ["before unlink segment-0000000005", "after sync segment-0000000006"],
+)
+def test_partial_record_on_a_full_disk_is_cut_off_before_a_new_segment(
+    disk, directory, monkeypatch, point
+):
+    """Fails if a partial record stays in a segment before the newest.
+
+    The entry after a received snapshot has found no space. The repeat
+    installs the snapshot again and starts a segment after the partial record.
+    """
+    journal = open_journal(directory).journal
+    persists = [
+        make_persist(snapshot=make_snapshot(20, 4)),
+        make_persist([21], term=4),
+    ]
+    write_all = durable_files.write_all
+
+    def write_part(descriptor, data):
+        if b"entry 21 4" in bytes(data):
+            write_all(descriptor, data[: len(data) // 2])
+            raise DiskFullError(errno.ENOSPC, "no space")
+        write_all(descriptor, data)
+
+    with monkeypatch.context() as patch:
+        patch.setattr(durable_files, "write_all", write_part)
+        with pytest.raises(DiskFullError):
+            journal.write(persists)
+    with disk.crash(point):
+        journal.write(persists)
+    assert last_index(open_journal(directory)) >= 20
+
+
 def test_parent_that_is_made_with_a_directory_stays(disk):
     """Fails if a power loss removes a parent of a new directory."""
     path = disk.root / "lib" / "data"
--- a/wigeonport/journals.py
+++ b/wigeonport/journals.py
@@ -198,6 +198,11 @@
         Raises:
             DiskFullError: If there is no space; the newest segment stays.
         """
+        if self.has_partial_record:
+            # A recovery accepts a partial record only in the newest segment.
+            durable_files.truncate(self.descriptor, self.size_bytes)
+            durable_files.sync_file(self.descriptor)
+            self.has_partial_record = False
         number = self.segments[-1].number + 1 if self.segments else 1
         path = self.directory / f"{PREFIX}{number:010d}"
         header = SegmentHeader(
