Keep damaged files and the damage over a kill during their move

A start after a kill during the move of damaged files deleted those that had been moved, which after a lost quorum may be the last copy of acknowledged entries. After a kill at the end of the move, the next start looked like the first one on a new disk. Change: the files of an earlier move are deleted only if the directory has an identity, thus has been in use since. A directory without an identity whose damaged files have been moved aside counts as damaged.

--- a/tests/test_disk_losses.py
+++ b/tests/test_disk_losses.py
@@ -208,6 +208,28 @@
     check_old_identity_keeps_its_log(directory, before)
 
 
+def test_kill_while_damaged_files_move_keeps_the_files(disk, directory):
+    """Fails if the next start deletes the files that were moved already.
+
+    After a lost quorum they may be the last copy of acknowledged entries.
+    """
+    names = {path.name for path in directory.iterdir()} - {"lock"}
+    disk.corrupt(directory / "segment-0000000002", 20)
+    with disk.crash("after rename segment-0000000003"):
+        open_directory(directory, "test", "a")
+    assert open_directory(directory, "test", "a").damage
+    moved = {path.name for path in (directory / "damaged").iterdir()}
+    assert moved == names
+
+
+def test_kill_after_damaged_files_have_moved_keeps_the_damage(disk, directory):
+    """Fails if the next start looks like the first one on a new disk."""
+    disk.corrupt(directory / "segment-0000000002", 20)
+    with disk.crash("before create segment-0000000001"):
+        open_directory(directory, "test", "a")
+    assert open_directory(directory, "test", "a").damage
+
+
 @pytest.mark.parametrize("received", [False, True])
 def test_snapshot_that_was_read_stays(disk, directory, received):
     """Fails if a restart relies on a snapshot whose rename is not durable.
--- a/wigeonport/recoveries.py
+++ b/wigeonport/recoveries.py
@@ -107,6 +107,8 @@
         if identity is None:
             if not _is_unused(directory):
                 raise DamageError("the identity file is missing")
+            if (directory / DAMAGED).exists():
+                raise DamageError("damaged files have been moved aside")
             return _create(directory, cluster_id, node, "", lock)
         if (identity.cluster_id, identity.node) != (cluster_id, node):
             owner = f"{identity.cluster_id}/{identity.node}"
@@ -185,13 +187,14 @@
 
     The identity is moved first and durably: segments without it count as
     damaged, so that a crash in between leaves no voter with a part of its
-    log. The files of an earlier move are deleted.
+    log. The files of an earlier move are deleted; without an identity, they
+    are the first files of this move, which was interrupted.
     """
     target = directory / DAMAGED
-    if target.exists():
-        shutil.rmtree(target)
-    target.mkdir()
     identity_path = directory / IDENTITY_NAME
+    if identity_path.exists() and target.exists():
+        shutil.rmtree(target)
+    target.mkdir(exist_ok=True)
     if identity_path.exists():
         os.replace(identity_path, target / IDENTITY_NAME)
         durable_files.sync_directory(target)
