Report a learner that has lost contact as one without a leader

A learner holds no election and keeps the name of its last leader, so that consensus_has_leader stayed 1 on a control that is cut off and does not vote. Change: a replica has a leader if it leads or has had contact within the time after which it asks to join.

--- a/tests/test_leader_absences.py
+++ b/tests/test_leader_absences.py
@@ -1,5 +1,6 @@
 """Tests of the reports of a replica that knows no leader."""
 
+import random
 import shutil
 
 import logbook
@@ -7,7 +8,20 @@
 import trio
 from consensus_groups import SEEDS
 
-from wigeonport.leader_absences import REPORT_INTERVAL_MS, LeaderAbsence
+from wigeonport.leader_absences import (
+    REPORT_INTERVAL_MS,
+    LeaderAbsence,
+    has_leader,
+)
+from wigeonport.memberships import Member, Members
+from wigeonport.replica_events import (
+    HardState,
+    RecoveredState,
+    Snapshot,
+    Tick,
+)
+from wigeonport.replicas import Replica
+from wigeonport.replication_messages import Append
 
 
 @pytest.fixture
@@ -27,7 +41,7 @@
     """Fails if a lasting absence is silent, or reported at each round."""
     absence = LeaderAbsence(1_000)
     reports = [
-        (now_ms, absence.update("", now_ms))
+        (now_ms, absence.update(False, now_ms))
         for now_ms in range(1_000, 1_000 + 3 * REPORT_INTERVAL_MS, 100)
     ]
     due = [(now_ms, length) for now_ms, length in reports if length]
@@ -35,11 +49,33 @@
         (1_000 + REPORT_INTERVAL_MS, REPORT_INTERVAL_MS),
         (1_000 + 2 * REPORT_INTERVAL_MS, 2 * REPORT_INTERVAL_MS),
     ]
-    assert absence.update("a/1", 20_000) is None
-    assert absence.update("", 20_100) is None
-    assert absence.update("", 20_100 + REPORT_INTERVAL_MS - 1) is None
+    assert absence.update(True, 20_000) is None
+    assert absence.update(False, 20_100) is None
+    assert absence.update(False, 20_100 + REPORT_INTERVAL_MS - 1) is None
     last_ms = 20_100 + REPORT_INTERVAL_MS
-    assert absence.update("", last_ms) == REPORT_INTERVAL_MS
+    assert absence.update(False, last_ms) == REPORT_INTERVAL_MS
+
+
+@pytest.mark.parametrize("durable", [True, False])
+def test_learner_without_contact_has_no_leader(durable):
+    """Fails if a learner that is cut off counts as one with a leader."""
+    learner = Member("d/1", False, durable)
+    voters = [Member(f"{node}/1", True, True) for node in SEEDS]
+    snapshot = Snapshot(9, 1, Members([*voters, learner]), b"")
+    replica = Replica(
+        "d/1",
+        SEEDS,
+        durable,
+        RecoveredState(HardState(1, ""), snapshot, []),
+        0,
+        random.Random(1),
+        None,
+    )
+    replica.step(Append(1, "a/1", "d/1", 9, 1, [], 9, 1, 0), 0)
+    assert has_leader(replica)
+    for now_ms in range(0, 5_000, 50):
+        replica.step(Tick(), now_ms)
+    assert not has_leader(replica)
 
 
 def test_lost_quorum_names_the_voters_and_what_they_start_from(
--- a/wigeonport/consensus.py
+++ b/wigeonport/consensus.py
@@ -23,7 +23,11 @@
     SnapshotInstalled,
 )
 from wigeonport.consensus_writers import write_journal, write_snapshots
-from wigeonport.leader_absences import LeaderAbsence, describe_absence
+from wigeonport.leader_absences import (
+    LeaderAbsence,
+    describe_absence,
+    has_leader,
+)
 from wigeonport.logs import PartLogger
 from wigeonport.replica_events import (
     COMMITTED,
@@ -166,7 +170,6 @@
         self.unobserved_commands = unobserved_commands
         self.leadership = (0, "")
         self.leader_absence = LeaderAbsence(clock.now())
-        metrics.set("consensus_has_leader", 0)
         self.applied_index = 0
         self.unapplied_entries = collections.deque()
         self.committed_outcomes = {}
@@ -265,13 +268,14 @@
                 term=leadership[0],
                 leader=leadership[1] or "none",
             )
-            self.metrics.set("consensus_has_leader", int(bool(leadership[1])))
         self.report_leader_absence(now_ms)
         self.calls.expire(now_ms)
 
     def report_leader_absence(self, now_ms):
         """Logs at intervals that the replica knows no leader, and why."""
-        absent_ms = self.leader_absence.update(self.replica.leader_id, now_ms)
+        has_leader_now = has_leader(self.replica)
+        self.metrics.set("consensus_has_leader", int(has_leader_now))
+        absent_ms = self.leader_absence.update(has_leader_now, now_ms)
         if absent_ms is not None:
             logger.warning(
                 "No leader known.",
--- a/wigeonport/leader_absences.py
+++ b/wigeonport/leader_absences.py
@@ -1,5 +1,7 @@
 """Reports of a replica that knows no leader."""
 
+from wigeonport import elections
+
 # An election takes less than 2 s, so a longer absence needs attention.
 REPORT_INTERVAL_MS = 3_000
 
@@ -20,17 +22,17 @@
         self.since_ms = now_ms
         self.next_report_ms = now_ms + REPORT_INTERVAL_MS
 
-    def update(self, leader_id, now_ms):
+    def update(self, has_leader, now_ms):
         """Records whether a leader is known.
 
         Args:
-            leader_id: Replica id of the leader, or "".
+            has_leader: Whether one is known.
             now_ms: Time of the observation.
 
         Returns:
             The length of the absence in ms if a report is due, else None.
         """
-        if leader_id:
+        if has_leader:
             self.since_ms = None
             return None
         if self.since_ms is None:
@@ -42,6 +44,17 @@
         return now_ms - self.since_ms
 
 
+def has_leader(replica):
+    """Returns whether a replica leads or has had contact with its leader.
+
+    A learner holds no election and keeps the name of a leader that it has
+    lost contact with.
+    """
+    if replica.is_leader():
+        return True
+    return bool(replica.leader_id) and not elections.lacks_leader(replica)
+
+
 def describe_absence(replica):
     """Returns the fields of a report: why the replica has no leader.
 
