--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -263,6 +263,12 @@
         decode_heartbeat("i-1", HEARTBEAT | change)
 
 
+def test_number_that_is_not_used_may_be_any_number():
+    """Guards against a worker that is refused for what nobody reads."""
+    document = HEARTBEAT | {"slots": None, "cold-remaining-ms": -0.5}
+    assert decode_heartbeat("i-1", document).incarnation
+
+
 @pytest.mark.parametrize("worker_id", ["", "\ud800", "i" * 1_001])
 def test_heartbeat_without_an_id_is_refused(worker_id):
     """Guards against a worker whose name cannot be stored with its runs."""
