Keep the highest index that segment headers state

The check of the end of the log took the newest header. After an entry had been lost under an earlier release, the header of the next start hid the loss, and the replica kept its vote. Change: a header can only raise the index at which the log must end; an entry sets it. Result: test_loss_that_an_earlier_release_has_missed_is_damage failed before and passes now; the tests of replaced entries and of interrupted installations still pass.

--- a/tests/test_disk_losses.py
+++ b/tests/test_disk_losses.py
@@ -24,7 +24,7 @@
 from wigeonport import durable_files, journals
 from wigeonport.durable_files import DiskFullError, sync_directory
 from wigeonport.journals import Journal
-from wigeonport.recoveries import open_directory
+from wigeonport.recoveries import Replay, open_directory
 from wigeonport.replica_events import HardState
 from wigeonport.snapshots import write_snapshot
 
@@ -309,6 +309,28 @@
     assert last_index(open_journal(directory)) == 11
 
 
+def test_loss_that_an_earlier_release_has_missed_is_damage(
+    disk, directory, monkeypatch
+):
+    """Fails if the header of a later segment hides a lost entry.
+
+    An earlier release has acknowledged an entry that was not synced, and has
+    started again without it after the power loss.
+    """
+    before = open_journal(directory)
+    with disk.crash("before sync segment-*"):
+        before.journal.write([make_persist([10])])
+    with monkeypatch.context() as patch:
+        patch.setattr(durable_files, "sync_path", lambda path: None)
+        patch.setattr(Replay, "check_end", lambda *arguments: None)
+        assert last_index(open_journal(directory)) == 10
+        disk.lose_power(losing("write segment-0000000004"))
+        assert last_index(open_journal(directory)) == 9
+        disk.kill()
+    after = open_directory(directory, "test", "a")
+    assert after.replica_id != before.replica_id
+
+
 def test_repeated_installation_on_a_full_disk_is_no_damage(
     disk, directory, monkeypatch
 ):
--- a/wigeonport/recoveries.py
+++ b/wigeonport/recoveries.py
@@ -241,8 +241,8 @@
         last_missing_index: Index up to which the segments lack the entries,
             so that a snapshot must contain them.
         last_index: Last index of the log.
-        stated_index: Last index of the log according to the newest segment
-            header or entry.
+        stated_index: Last index of the log according to the newest entry and
+            the segment headers after it.
         is_first: Whether no segment header has been read yet.
     """
 
@@ -271,10 +271,13 @@
         """
         if isinstance(record, SegmentHeader):
             self.hard_state = record.hard_state
-            self.stated_index = record.last_index
             if self.is_first or record.starts_anew:
                 self.last_missing_index = record.last_index
                 self.last_index = record.last_index
+                self.stated_index = record.last_index
+            # A lower index without an entry means that entries were lost
+            # before the segment was started.
+            self.stated_index = max(self.stated_index, record.last_index)
             if record.starts_anew:
                 self.entries = []
             self.is_first = False
@@ -300,7 +303,7 @@
         self.last_index = self.stated_index = entry.index
 
     def check_end(self, base_index):
-        """Checks that the log ends where the newest header says.
+        """Checks that the log ends where the headers say.
 
         Entries that a later segment replaces need not be there.
 
