--- a/wigeonport/durable_files.py
+++ b/wigeonport/durable_files.py
@@ -58,7 +58,7 @@
 
 
 def sync_path(path):
-    """Makes the data in a closed file durable, whoever wrote it."""
+    """Makes the data in a file durable, also that of other processes."""
     descriptor = os.open(path, os.O_RDONLY)
     try:
         sync_file(descriptor)
--- a/wigeonport/leader_absences.py
+++ b/wigeonport/leader_absences.py
@@ -2,7 +2,7 @@
 
 from wigeonport import elections
 
-# An election takes less than 2 s, so a longer absence needs attention.
+# With the default timeouts an election takes less than 2 s.
 REPORT_INTERVAL_MS = 3_000
 
 
@@ -58,9 +58,9 @@
 def describe_absence(replica):
     """Returns the fields of a report: why the replica has no leader.
 
-    ``votes`` names the voters that support it in its present or last attempt
-    to be elected. A voter that is missing there is unreachable, is refused
-    by the rules of the election, or runs under another identity.
+    ``votes`` names the voters that support its present attempt to be elected.
+    A voter that is missing there is unreachable, refuses by the rules of the
+    election, or runs under another identity.
     """
     return {
         "replica": replica.replica_id,
--- a/wigeonport/recoveries.py
+++ b/wigeonport/recoveries.py
@@ -35,8 +35,8 @@
 logger = PartLogger("journal")
 
 DAMAGED = "damaged"
-# Compaction keeps fewer segments; restarts without a snapshot in between may
-# leave more.
+# Bounds the length of the line; each restart adds a segment until the next
+# snapshot.
 MAX_LOGGED_SEGMENTS = 16
 
 
@@ -186,7 +186,8 @@
         first=entries[0].index if entries else 0,
         last=storage.journal.last_index,
         segments=",".join(
-            f"{segment.number}:{segment.last_index}" for segment in segments
+            f"{segment.number}:{segment.last_index or 'none'}"
+            for segment in segments
         ),
     )
 
