Divide the recovery and the decoding of heartbeats

Change: the reading of segments is a module of its own, journal_replays, and the checks of the head of a heartbeat are a function. Behaviour is unchanged.

--- a/tests/test_disk_losses.py
+++ b/tests/test_disk_losses.py
@@ -23,8 +23,9 @@
 
 from wigeonport import durable_files, journals
 from wigeonport.durable_files import DiskFullError, sync_directory
+from wigeonport.journal_replays import Replay
 from wigeonport.journals import Journal
-from wigeonport.recoveries import Replay, open_directory
+from wigeonport.recoveries import open_directory
 from wigeonport.replica_events import HardState
 from wigeonport.snapshots import write_snapshot
 
