Test odd rows in heartbeats against running programs

Change: a run of the real programs whose workers send rows that are nested 900 levels deep, hold numbers of 400 digits, infinities or other types. All jobs have to be accepted and to end, and no process may end.

--- a/tests/test_platform_programs.py
+++ b/tests/test_platform_programs.py
@@ -1,5 +1,6 @@
 """Tests that run the platform's programs as processes."""
 
+import functools
 import os
 import pathlib
 import signal
@@ -9,9 +10,20 @@
 
 import pytest
 import trio
+from platform_emulator import EmulatedWorker
 from platform_soak import Soak
 
 START_S = 10.0
+NESTED = functools.reduce(lambda inner, _: [inner], range(900), [])
+# Rows of another writer: nested, out of range, of other types, too short.
+ODD_ROWS = [
+    NESTED,
+    [NESTED, NESTED, NESTED, NESTED, NESTED],
+    [10**400, "0123456789abcdef.0.0.0", 10**400, "done", 10**400],
+    ["0123456789abcdef.0.0.0", 2**70, {}, float("inf")],
+    [float("nan"), None],
+    10**400,
+]
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 
 
@@ -77,3 +89,51 @@
     violations = trio.run(soak.run)
     assert violations == []
     assert soak.checker.starts > 0
+
+
+class OddWorker(EmulatedWorker):
+    """A worker whose heartbeats hold rows of another writer."""
+
+    __slots__ = ()
+
+    def report(self):
+        """Returns the document of the next heartbeat."""
+        document = super().report()
+        document["running"] = [*ODD_ROWS, *document["running"]]
+        document["ended"] = [*document["ended"], *ODD_ROWS]
+        return document
+
+
+class QuietSoak(Soak):
+    """A run with jobs and without faults."""
+
+    __slots__ = ()
+
+    async def inject(self):
+        """Waits while jobs are submitted."""
+        await trio.sleep(self.seconds)
+
+
+def test_odd_rows_in_heartbeats_stop_no_control(tmp_path):
+    """Guards against controls that end, or stop, at an odd row of a worker.
+
+    All jobs must still be accepted and end.
+    """
+    soak = QuietSoak(107, 3.0, tmp_path)
+    soak.workers = [
+        OddWorker(
+            worker.worker_id,
+            "desk",
+            soak.fleet.control_addresses,
+            soak.checker,
+            soak.traffic,
+        )
+        for worker in soak.workers
+    ]
+    violations = trio.run(soak.run)
+    assert violations == []
+    assert soak.checker.starts > 0
+    logs = "".join(
+        (core.folder / "log").read_text() for core in soak.fleet.cores
+    )
+    assert "Heartbeat rows skipped." in logs
