--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -78,7 +78,7 @@
         {"host": "127.0.0.1:80"},
     ],
 )
-def test_odd_announcement_is_refused(change):
+def test_malformed_announcement_is_refused(change):
     """Guards against an endpoint that other processes cannot be told of.
 
     What is accepted is passed on over the links and has to encode there.
@@ -88,11 +88,13 @@
 
 
 @pytest.mark.parametrize("value", ["[" * 2_000 + "]" * 2_000, "9" * 4_000])
-def test_odd_announcement_ends_only_its_own_request(mailbox, value):
+def test_malformed_announcement_ends_only_its_own_request(mailbox, value):
     """Guards against an entry that ends by one line of an endpoint."""
     sent, app = [], AnnouncementApp(mailbox, Metrics(), trio.Event())
-    odd = json.dumps(ANNOUNCEMENT | {"slots": 0}).replace(": 0", f": {value}")
-    for text in (odd, json.dumps(ANNOUNCEMENT)):
+    malformed = json.dumps(ANNOUNCEMENT | {"slots": 0}).replace(
+        ": 0", f": {value}"
+    )
+    for text in (malformed, json.dumps(ANNOUNCEMENT)):
         events = [{"type": "http.request", "body": text.encode()}]
 
         async def receive(events=events):
--- a/tests/test_batch_controllers.py
+++ b/tests/test_batch_controllers.py
@@ -571,7 +571,7 @@
         {"running": [[f"{JOB}.0.0.0", 1, "c", 10**400, 10**400]]},
     ],
 )
-def test_odd_row_of_a_heartbeat_does_not_stop_dispatching(
+def test_malformed_row_of_a_heartbeat_does_not_stop_dispatching(
     run_controller, rows
 ):
     """Guards against a leader that never dispatches again.
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -285,7 +285,7 @@
 
 # What a number, a text or a level of nesting may look like in an entry of
 # another writer.
-ODD_VALUES = {
+MALFORMED_VALUES = {
     "deep list": b"[" * 2_000 + b"]" * 2_000,
     "very deep list": b"[" * 100_000 + b"]" * 100_000,
     "deep object": b'{"a":' * 2_000 + b"1" + b"}" * 2_000,
@@ -304,8 +304,8 @@
 }
 
 
-@pytest.fixture(params=ODD_VALUES.values(), ids=ODD_VALUES.keys())
-def odd_value(request):
+@pytest.fixture(params=MALFORMED_VALUES.values(), ids=MALFORMED_VALUES.keys())
+def malformed_value(request):
     """The JSON text of one value of another writer."""
     return request.param
 
@@ -315,33 +315,35 @@
 END_ROW = [57, TASK, 1, "done", "cc"]
 
 
-def read_odd_heartbeat(name, row, position, odd_value):
-    """Returns the report of a heartbeat with an odd row before the others.
+def read_malformed_heartbeat(name, row, position, malformed_value):
+    """Returns the report of a heartbeat with a malformed row before others.
 
     Args:
         name: ``running`` or ``ended``.
         row: A valid row.
         position: Index of the value to replace, or None for the whole row.
-        odd_value: JSON text of the value, as bytes.
+        malformed_value: JSON text of the value, as bytes.
     """
     values = [json.dumps(value).encode() for value in row]
     if position is not None:
-        values[position] = odd_value
-    odd_row = b"[" + b",".join(values) + b"]"
+        values[position] = malformed_value
+    malformed_row = b"[" + b",".join(values) + b"]"
     if position is None:
-        odd_row = odd_value
+        malformed_row = malformed_value
     mark = f'"{name}": ['.encode()
-    body = encode(HEARTBEAT).replace(mark, mark + odd_row + b",")
+    body = encode(HEARTBEAT).replace(mark, mark + malformed_row + b",")
     return decode_heartbeat("i-1", decode_json(body).ok)
 
 
 @pytest.mark.parametrize("position", [None, 0, 1, 2, 3, 4])
-def test_odd_row_of_running_costs_only_itself(odd_value, position):
+def test_malformed_row_of_running_costs_only_itself(malformed_value, position):
     """Guards against a worker whose runs all lapse because of one row.
 
     Its lease is not extended if the heartbeat is refused.
     """
-    report = read_odd_heartbeat("running", RUNNING_ROW, position, odd_value)
+    report = read_malformed_heartbeat(
+        "running", RUNNING_ROW, position, malformed_value
+    )
     assert report.running[-1].task == HEARTBEAT["running"][0][0]
     for row in report.running[:-1]:
         assert 0 <= row.run < 2**53
@@ -360,12 +362,14 @@
 
 
 @pytest.mark.parametrize("position", [None, 0, 1, 2, 3, 4])
-def test_odd_row_of_ended_costs_only_itself(odd_value, position):
+def test_malformed_row_of_ended_costs_only_itself(malformed_value, position):
     """Guards against ends that a worker repeats for ever.
 
     What decodes here must encode as an operation of the log.
     """
-    report = read_odd_heartbeat("ended", END_ROW, position, odd_value)
+    report = read_malformed_heartbeat(
+        "ended", END_ROW, position, malformed_value
+    )
     assert report.ended[-1].number == 58
     assert report.skipped_rows == 2 - len(report.ended)
     has_number = position not in (None, 0)
@@ -493,7 +497,7 @@
     assert decode_configuration(encode(document)).is_error()
 
 
-def test_configuration_with_any_odd_value_is_refused(odd_value):
+def test_configuration_with_any_malformed_value_is_refused(malformed_value):
     """Guards against a configuration of which one value has no meaning.
 
     It must be refused as a whole, without an exception: the operator would
@@ -502,8 +506,8 @@
     for name in (b'"version": ', b'"stretch": ', b'"host": '):
         first, _, rest = encode(CONFIGURATION).partition(name)
         rest = rest[re.match(rb'"[^"]*"|[0-9.]+', rest).end() :]
-        body = first + name + odd_value + rest
-        if odd_value != b"70000" or name == b'"host": ':
+        body = first + name + malformed_value + rest
+        if malformed_value != b"70000" or name == b'"host": ':
             assert decode_configuration(body).is_error()
 
 
@@ -609,7 +613,7 @@
         {"ip": 5},
     ],
 )
-def test_odd_settings_are_reported(change):
+def test_malformed_settings_are_reported(change):
     """Guards against a running process that ends when its settings change.
 
     It reads them again at regular intervals and keeps the former ones.
@@ -791,28 +795,28 @@
 @pytest.mark.parametrize(
     "name", [b"machine", b"pool", b"state", b"zone", b"labels", b"id"]
 )
-def test_odd_entry_costs_only_itself(odd_value, name):
+def test_malformed_entry_costs_only_itself(malformed_value, name):
     """Guards against processes that end when they read the list of machines.
 
     Another writer's entry may hold any value; the others must be used.
     """
-    odd_row = (
+    malformed_row = (
         b'{"machine":"m-9","pool":"desk","state":"up","'
         + name
         + b'":'
-        + odd_value
+        + malformed_value
         + b"}"
     )
-    rows = b",".join([GOOD_ROWS[0], odd_row, GOOD_ROWS[1]])
+    rows = b",".join([GOOD_ROWS[0], malformed_row, GOOD_ROWS[1]])
     client = make_client(b'{"machines":[' + rows + b"]}")
     listed = trio.run(CloudClient(client).list_machines).ok
     assert listed["m-1"].worker_id == "w-1"
     assert (listed["m-1"].pool, listed["m-2"].state) == ("desk", "down")
     assert len([row for row in listed.values() if row.state]) == 2
-    assert client.metrics.counters == {"machines_odd_entries": 1}
+    assert client.metrics.counters == {"machines_malformed_entries": 1}
 
 
-def test_odd_entry_does_not_replace_the_entry_of_its_machine():
+def test_malformed_entry_does_not_replace_the_entry_of_its_machine():
     """Guards against a machine that counts as gone by another's entry.
 
     The order for it would be settled although its upkeep still runs.
@@ -828,19 +832,19 @@
     assert (listed["m-2"].pool, listed["m-2"].state) == ("", "")
 
 
-def test_odd_page_token_is_an_error(odd_value):
+def test_malformed_page_token_is_an_error(malformed_value):
     """Guards against a process that ends by a token that is no text.
 
     The rest of the list is then missing, so the list counts as unread.
     """
-    body = b'{"machines":[],"next-token":' + odd_value + b"}"
+    body = b'{"machines":[],"next-token":' + malformed_value + b"}"
     listed = trio.run(CloudClient(make_client(body)).list_machines)
     assert listed.is_error()
 
 
-def test_odd_row_of_advice_costs_only_itself(odd_value):
-    """Guards against steps that no worker may run because of one odd row."""
-    rows = b'["w-1","t-1"],["w-2",' + odd_value + b'],["w-3","t-3"]'
+def test_malformed_row_of_advice_costs_only_itself(malformed_value):
+    """Guards against steps that no worker may run for one malformed row."""
+    rows = b'["w-1","t-1"],["w-2",' + malformed_value + b'],["w-3","t-3"]'
     client = make_client(b'{"allowed":[' + rows + b"]}")
     tickets = trio.run(AdviceClient(client).advise, "a.0.0", ["w-1", "w-2"]).ok
     assert tickets == {"w-1": "t-1", "w-2": None, "w-3": "t-3"}
@@ -896,7 +900,7 @@
 
 
 @pytest.mark.parametrize(("kind", "name"), REPORT_FIELDS)
-def test_odd_report_costs_only_itself(odd_value, kind, name):
+def test_malformed_report_costs_only_itself(malformed_value, kind, name):
     """Guards against a control that ends when it reads the reports.
 
     A report that is skipped must be neither passed on nor followed by
@@ -904,7 +908,7 @@
     """
     row = {"kind": kind, "sequence": 3} | REPORTS[kind]
     values = {key: json.dumps(value).encode() for key, value in row.items()}
-    values[name] = odd_value
+    values[name] = malformed_value
     fields = [f'"{key}":'.encode() + text for key, text in values.items()]
     good = b'{"kind":"vm","vm":"vm-%d","state":"ready","sequence":%d}'
     rows = [good % (1, 1), b"{" + b",".join(fields) + b"}", good % (2, 4)]
@@ -930,7 +934,7 @@
     assert client.metrics.counters == {"platform_unanswered_polls": 2}
 
 
-def test_odd_sequence_of_a_report_skips_no_later_report():
+def test_malformed_sequence_of_a_report_skips_no_later_report():
     """Guards against later reports that are never requested.
 
     Only reports above the highest sequence so far are.
@@ -972,9 +976,9 @@
         return ()
 
 
-def test_any_refusal_of_a_command_is_handled(odd_value):
+def test_any_refusal_of_a_command_is_handled(malformed_value):
     """Guards against a control that ends by the reason of a refusal."""
-    for body in (odd_value, b'{"reason":' + odd_value + b"}"):
+    for body in (malformed_value, b'{"reason":' + malformed_value + b"}"):
         client = make_client(body)
         client.pool.status = 422
         answer = trio.run(client.execute, FakeCommand())
--- a/tests/test_platform_programs.py
+++ b/tests/test_platform_programs.py
@@ -16,7 +16,7 @@
 START_S = 10.0
 NESTED = functools.reduce(lambda inner, _: [inner], range(900), [])
 # Rows of another writer: nested, out of range, of other types, too short.
-ODD_ROWS = [
+MALFORMED_ROWS = [
     NESTED,
     [NESTED, NESTED, NESTED, NESTED, NESTED],
     [10**400, "0123456789abcdef.0.0.0", 10**400, "done", 10**400],
@@ -91,7 +91,7 @@
     assert soak.checker.starts > 0
 
 
-class OddWorker(EmulatedWorker):
+class MalformedRowsWorker(EmulatedWorker):
     """A worker whose heartbeats hold rows of another writer."""
 
     __slots__ = ()
@@ -99,8 +99,8 @@
     def report(self):
         """Returns the document of the next heartbeat."""
         document = super().report()
-        document["running"] = [*ODD_ROWS, *document["running"]]
-        document["ended"] = [*document["ended"], *ODD_ROWS]
+        document["running"] = [*MALFORMED_ROWS, *document["running"]]
+        document["ended"] = [*document["ended"], *MALFORMED_ROWS]
         return document
 
 
@@ -114,14 +114,14 @@
         await trio.sleep(self.seconds)
 
 
-def test_odd_rows_in_heartbeats_stop_no_control(tmp_path):
-    """Guards against controls that end, or stop, at an odd row of a worker.
+def test_malformed_rows_in_heartbeats_stop_no_control(tmp_path):
+    """Guards against controls that end, or stop, at a malformed row.
 
     All jobs must still be accepted and end.
     """
     soak = QuietSoak(107, 3.0, tmp_path)
     soak.workers = [
-        OddWorker(
+        MalformedRowsWorker(
             worker.worker_id,
             "desk",
             soak.fleet.control_addresses,
