--- a/review/harness.py
+++ b/review/harness.py
@@ -66,10 +66,15 @@
         return super().settings(process, bootstrap) + self.tables
 
 
+def make_folder():
+    """Returns a new temporary folder."""
+    return tempfile.mkdtemp(prefix="review-")
+
+
 def make_fleet(cores=3, fronts=2, tables=""):
     """Returns a SiteFleet on free loopback addresses, in a new folder."""
-    folder = tempfile.mkdtemp(prefix="review-")
-    fleet = SiteFleet(folder, random.randrange(16, 250), cores, fronts)
+    net = random.randrange(16, 250)
+    fleet = SiteFleet(make_folder(), net, cores, fronts)
     fleet.tables = tables
     return fleet
 
