--- a/review/1/case.py
+++ b/review/1/case.py
@@ -52,7 +52,7 @@
 
     Attributes:
         record: Record.
-        fleet: SiteFleet.
+        fleet: PlatformFleet.
         checker: Checker.
         workers: List of EmulatedWorker.
         client: Client.
--- a/review/harness.py
+++ b/review/harness.py
@@ -10,6 +10,7 @@
 import pathlib
 import random
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -52,18 +53,23 @@
         self.file.flush()
 
 
-class SiteFleet(PlatformFleet):
-    """A PlatformFleet whose settings have further lines.
+def find_net():
+    """Returns the second byte of loopback addresses that are free.
 
-    Attributes:
-        tables: Lines of tables to append to the settings of the controls.
+    Raises:
+        CannotRunError: If there are none.
     """
-
-    tables = ""
-
-    def settings(self, process, bootstrap):
-        """Returns the settings file of a process."""
-        return super().settings(process, bootstrap) + self.tables
+    nets = list(range(16, 250))
+    random.shuffle(nets)
+    for net in nets:
+        try:
+            for host in ("1.1", "1.2", "1.3"):
+                with socket.socket() as probe:
+                    probe.bind((f"127.{net}.{host}", CONTROL_PORT))
+        except OSError:
+            continue
+        return net
+    raise CannotRunError("no free addresses")
 
 
 def make_folder():
@@ -71,12 +77,9 @@
     return tempfile.mkdtemp(prefix="review-")
 
 
-def make_fleet(cores=3, fronts=2, tables=""):
-    """Returns a SiteFleet on free loopback addresses, in a new folder."""
-    net = random.randrange(16, 250)
-    fleet = SiteFleet(make_folder(), net, cores, fronts)
-    fleet.tables = tables
-    return fleet
+def make_fleet(cores=3, fronts=2):
+    """Returns a PlatformFleet on free loopback addresses."""
+    return PlatformFleet(make_folder(), find_net(), cores, fronts)
 
 
 def power_off(fleet, process):
