--- a/review/harness.py
+++ b/review/harness.py
@@ -9,6 +9,7 @@
 import os
 import pathlib
 import random
+import shutil
 import signal
 import socket
 import sys
@@ -28,6 +29,8 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 LIMIT_S = 110.0
 START_LIMIT_S = 30.0
+# Temporary folders of this process.
+folders = []
 
 
 class CannotRunError(Exception):
@@ -73,8 +76,9 @@
 
 
 def make_folder():
-    """Returns a new temporary folder."""
-    return tempfile.mkdtemp(prefix="review-")
+    """Returns a new temporary folder, which ``play`` removes."""
+    folders.append(tempfile.mkdtemp(prefix="review-"))
+    return folders[-1]
 
 
 def make_fleet(cores=3, fronts=2):
@@ -148,6 +152,8 @@
     """
     record = Record(folder)
     record(f"TROUBLE={int(TROUBLE)}")
+    # A script that is stopped still ends its processes.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
 
     async def run():
         with trio.fail_after(LIMIT_S):
@@ -159,6 +165,9 @@
         record(f"the case could not run: {error!r}")
         traceback.print_exc()
         sys.exit(NOT_RUN)
+    finally:
+        for path in folders:
+            shutil.rmtree(path, ignore_errors=True)
     record("RULE BROKEN" if broken else "the rule held")
     print("rule broken" if broken else "rule held")
     sys.exit(BROKEN if broken else HELD)
