Register a worker only after its heartbeat is checked

Callers saw lasting tasks run twice: one heartbeat of another writer, for a service that no configuration names and without capacity and slots, made all tasks of the worker on the machine that it named start again elsewhere, while the first runs went on until their lease expired 4.4 s later.

Cause: the table of workers replaced the worker of a machine by any sender that named the machine with a later start. The service was not checked, and a missing capacity only after the runs had been recorded as lost.

Change: the leader checks a heartbeat before it changes anything. Without a capacity, for a service that no configuration and no remaining job names, or with another service or machine than its incarnation had, it registers no worker. The decoder refuses a heartbeat without slots or with an incomplete capacity. The newest heartbeat of such a sender is kept and registered with the configuration that names its service, so that a worker that really restarts waits for nothing else; with a known service it replaces the former worker at its first heartbeat as before. Nothing else can end the runs of the former worker before its lease, because no other path looks at the sender.

The heartbeat of test_batch_controllers gets the slots that every worker sends; its checks are the same.

The suite without the soaks and the programs passes.

--- a/tests/test_batch_controllers.py
+++ b/tests/test_batch_controllers.py
@@ -548,6 +548,7 @@
 
 
 HEARTBEAT = {
+    "slots": 8,
     "service": "desk",
     "address": "10.0.0.9:80",
     "zone": "ikeja",
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -283,6 +283,21 @@
         decode_heartbeat("i-1", document)
 
 
+def test_heartbeat_without_slots_is_refused():
+    """Guards against another writer that counts as a worker."""
+    document = {k: v for k, v in HEARTBEAT.items() if k != "slots"}
+    with pytest.raises(MalformedBodyError):
+        decode_heartbeat("i-1", document)
+
+
+@pytest.mark.parametrize("name", ["cpu", "mem-mb"])
+def test_heartbeat_with_an_incomplete_capacity_is_refused(name):
+    """Guards against a worker without room that replaces a real one."""
+    capacity = {k: v for k, v in HEARTBEAT["capacity"].items() if k != name}
+    with pytest.raises(MalformedBodyError):
+        decode_heartbeat("i-1", HEARTBEAT | {"capacity": capacity})
+
+
 # What a number, a text or a level of nesting may look like in an entry of
 # another writer.
 MALFORMED_VALUES = {
--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -8,6 +8,7 @@
 from wigeonport.advice_tickets import Tickets
 from wigeonport.batch_calls import INVALID, NO_QUEUE, OK, PROBE, BatchReply
 from wigeonport.batch_commands import (
+    AdoptRoutes,
     EndRuns,
     OpenOccurrence,
     StartRuns,
@@ -25,6 +26,12 @@
 from wigeonport.task_evacuations import withdraw_stops
 from wigeonport.task_placements import place_gangs, place_tasks
 from wigeonport.worker_evaluations import review_worker
+from wigeonport.worker_registrations import (
+    drop_silent,
+    find_rejection,
+    keep_pending,
+    register_pending,
+)
 from wigeonport.worker_reports import WorkerOrders
 from wigeonport.worker_tables import WorkerTable, lease_end_ms
 
@@ -126,6 +133,8 @@
         self.operations.append(operation)
         if isinstance(operation, StartRuns):
             self.index_started_runs(operation)
+        elif isinstance(operation, AdoptRoutes):
+            register_pending(self)
         elif isinstance(operation, SubmitJob):
             job = self.state.batch.jobs.get(operation.job_id)
             if job is not None and self.track_active(job):
@@ -191,9 +200,11 @@
         """Handles a heartbeat and returns the WorkerOrders in answer."""
         self.wall_ms, self.now_ms = wall_ms, now_ms
         orders = WorkerOrders(self.term, self.heartbeat_interval_ms)
-        worker, replaced = self.workers.record_heartbeat(report, now_ms)
-        for incarnation in replaced:
-            self.record_lost_worker(incarnation, "the worker has restarted")
+        reason = find_rejection(self, report)
+        if reason:
+            keep_pending(self, report, reason, now_ms)
+            return orders
+        worker = self.register_worker(report, now_ms)
         if worker is None:
             logger.info(
                 "Outdated heartbeat ignored.",
@@ -201,8 +212,6 @@
                 sequence=report.sequence,
             )
             return orders
-        if report.capacity is None:
-            return orders
         self.reserve_ordered(worker, now_ms)
         record_ended_runs(self, worker, orders)
         record_reported_runs(self, worker)
@@ -222,6 +231,24 @@
         worker.extend_lease(orders.run_lease_ms, now_ms)
         return orders
 
+    def register_worker(self, report, now_ms):
+        """Records a heartbeat and registers its worker if it is new.
+
+        The runs of the incarnations that it has replaced are lost.
+
+        Args:
+            report: WorkerReport.
+            now_ms: Monotonic time at which it arrived.
+
+        Returns:
+            The Worker, or None if the heartbeat is outdated.
+        """
+        self.workers.pending.pop(report.incarnation, None)
+        worker, replaced = self.workers.record_heartbeat(report, now_ms)
+        for incarnation in replaced:
+            self.record_lost_worker(incarnation, "the worker has restarted")
+        return worker
+
     def reserve_ordered(self, worker, now_ms):
         """Reserves a worker whose machine has an order, so it gets no task."""
         ordered = worker.report.machine in self.state.upkeep.orders
@@ -305,8 +332,9 @@
                     self.record_lost_worker(
                         incarnation, "no heartbeat in this term"
                     )
+        drop_silent(self, now_ms)
         self.heartbeat_interval_ms = self.settings.choose_heartbeat_interval(
-            len(self.workers.by_id)
+            self.workers.count_senders()
         )
         self.tasks_to_copy = find_tasks_to_copy(self, now_ms)
         self.open_occurrences(wall_ms)
--- a/wigeonport/route_tables.py
+++ b/wigeonport/route_tables.py
@@ -226,6 +226,15 @@
         """Returns the queue, including a removed one with jobs, or None."""
         return self.table.queues.get(name) or self.former_queues.get(name)
 
+    def names_service(self, name):
+        """Returns whether workers of a service are in use.
+
+        The jobs of a removed queue still need the workers of its service.
+        """
+        return name in self.table.services or any(
+            queue.service == name for queue in self.former_queues.values()
+        )
+
     def adopt(self, table, in_use=()):
         """Replaces the table in force.
 
--- a/wigeonport/worker_tables.py
+++ b/wigeonport/worker_tables.py
@@ -193,18 +193,20 @@
             number to Step. Includes incarnations that have sent no
             heartbeat to this leader.
         removed: Maps incarnation to Worker, for the latest removed ones.
+        pending: Maps incarnation to PendingRegistration.
     """
 
-    __slots__ = ("by_id", "by_machine", "runs", "removed")
+    __slots__ = ("by_id", "by_machine", "runs", "removed", "pending")
 
     def __init__(self):
         self.by_id = {}
         self.by_machine = {}
         self.runs = {}
         self.removed = {}
+        self.pending = {}
 
     def record_heartbeat(self, report, now_ms):
-        """Records a heartbeat.
+        """Records a heartbeat that ``find_rejection`` has not rejected.
 
         Returns:
             The Worker, or None if the heartbeat is outdated, and the list
@@ -275,6 +277,10 @@
             if worker.report.service == service
         ]
 
+    def count_senders(self):
+        """Returns the number of senders of heartbeats."""
+        return len(self.by_id) + len(self.pending)
+
     def incarnations(self):
         """Returns the incarnations that have sent a heartbeat."""
         return {worker.incarnation for worker in self.by_id.values()}
