Log why a lasting task waits

No line told why a task that is to last does not run, so that a report of one could not be traced: an exclusion, a reservation, a full worker and a start that was never taken looked the same.

A lasting task without a run that its worker reports is logged after 3 s and every 3 s, with the runs that are believed live and the number of workers by the first obstacle, in the order in which the placement checks them. At most 32 tasks are logged in one check, every 500 ms, and only the jobs with a lasting step are looked at.

--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -25,6 +25,7 @@
 from wigeonport.task_copies import find_tasks_to_copy, start_copies
 from wigeonport.task_evacuations import withdraw_stops
 from wigeonport.task_placements import place_gangs, place_tasks
+from wigeonport.waiting_tasks import log_waiting_tasks
 from wigeonport.worker_evaluations import review_worker
 from wigeonport.worker_registrations import (
     drop_silent,
@@ -61,6 +62,7 @@
             that has no event to report.
         active: Maps job id to BatchJob, for jobs whose tasks may be started.
         gang_jobs: The same, for jobs with a step whose tasks are a gang.
+        lasting_jobs: The same, for jobs with a lasting step.
         operations: Operations since the last ``take_operations``.
         orphans_until_ms: Monotonic time until which runs may be live on
             workers that have sent no heartbeat to this leader.
@@ -73,6 +75,8 @@
         rack_wait_start_ms: Maps the common prefix of a step's task ids to
             the monotonic time at which the step began to wait for a worker
             in the rack of its data.
+        waits: Maps the id of each lasting task that waits to its Wait.
+        waits_due_ms: Monotonic time of the next check for them.
         wall_ms: Wall time of the event being handled.
         now_ms: Monotonic time of the event being handled.
     """
@@ -86,6 +90,7 @@
         "heartbeat_interval_ms",
         "active",
         "gang_jobs",
+        "lasting_jobs",
         "operations",
         "orphans_until_ms",
         "failure_times",
@@ -93,6 +98,8 @@
         "tickets",
         "tasks_to_copy",
         "rack_wait_start_ms",
+        "waits",
+        "waits_due_ms",
         "wall_ms",
         "now_ms",
     )
@@ -106,6 +113,7 @@
         self.heartbeat_interval_ms = settings.heartbeat_interval_ms
         self.active = {}
         self.gang_jobs = {}
+        self.lasting_jobs = {}
         self.operations = []
         # The former leader may have extended leases until this election.
         self.orphans_until_ms = lease_end_ms(settings.run_lease_ms, now_ms)
@@ -114,6 +122,8 @@
         self.tickets = {}
         self.tasks_to_copy = {}
         self.rack_wait_start_ms = {}
+        self.waits = {}
+        self.waits_due_ms = now_ms
         self.wall_ms = 0
         self.now_ms = now_ms
         for job in state.batch.jobs.values():
@@ -146,6 +156,8 @@
             self.active[job.job_id] = job
             if any(step.gang for step in job.spec.steps):
                 self.gang_jobs[job.job_id] = job
+            if any(step.lasting for step in job.spec.steps):
+                self.lasting_jobs[job.job_id] = job
         return job.active
 
     def add_to_ranking(self, job):
@@ -338,6 +350,7 @@
         )
         self.tasks_to_copy = find_tasks_to_copy(self, now_ms)
         self.open_occurrences(wall_ms)
+        log_waiting_tasks(self, now_ms)
 
     def open_occurrences(self, wall_ms):
         """Opens the due occurrences of repeated jobs."""
