Grow a pool whose workers accept no tasks

Users saw a task that is to last not run although its pool had room for it.

Cause: a pool without a worker that accepts tasks never grew. A worker that is reserved for a wave accepts none. If it is the only one, or the other one of the pool has crashed, the lasting tasks that are away wait until a machine comes back: the reserved worker cannot be emptied, because no further task of their step may be stopped.

Change: such a pool grows, except at the beginning of a term while workers have yet to find the leader. What its jobs need is measured in the size of the workers that it has.

--- a/tests/load_simulations.py
+++ b/tests/load_simulations.py
@@ -693,13 +693,17 @@
         if machine.pool != STANDBY:
             self.heartbeat(machine, machine.lives)
 
+    def state_of(self, machine):
+        """Returns the state of a machine in the platform's list."""
+        return UP if machine.up else "moving"
+
     def list_machines(self):
         """Passes the platform's list of machines to the manager."""
         rows = {
             machine.name: MachineRow(
                 machine.name,
                 machine.pool,
-                UP if machine.up else "moving",
+                self.state_of(machine),
                 "ikeja",
                 "r1",
                 f"w-{machine.name}-{machine.lives}",
--- /dev/null
+++ b/tests/test_lasting_tasks.py
@@ -0,0 +1,16 @@
+"""Lasting tasks run whenever there is room, on simulated days."""
+
+import pytest
+from lasting_simulations import LastingSimulation
+
+
+@pytest.mark.parametrize("seed", [152, 168, 253, 307])
+def test_lasting_task_does_not_wait_beside_a_reserved_worker(seed):
+    """Guards against a task that is to last and does not run.
+
+    The only worker of its pool is reserved for a wave, and the pool has to
+    grow.
+    """
+    simulation = LastingSimulation(seed)
+    simulation.run(after_ms=4_000)
+    assert simulation.violations == []
--- a/tests/test_machine_managers.py
+++ b/tests/test_machine_managers.py
@@ -336,6 +336,28 @@
     ) == ["s2", "s1"]
 
 
+def test_pool_without_a_worker_that_accepts_tasks_grows(cluster):
+    """Guards against a lasting task that waits beside a reserved worker.
+
+    The other worker of the pool is lost. The last one is reserved for a wave
+    and cannot be emptied while tasks of the step are away.
+    """
+    cluster.states = {
+        "m1": ("desk", "up"),
+        "m2": ("desk", "down"),
+        "s1": ("spare", "up"),
+    }
+    cluster.harness.submit(LASTING | {"max_per_worker": 2})
+    ((first, run), (second, _)) = started_runs(cluster.heartbeat("m1"))
+    cluster.harness.now_ms += 400
+    ended = [(1, second, 1, "failed")]
+    cluster.heartbeat("m1", running=[(first, run, "", 100)], ended=ended)
+    cluster.harness.dispatcher.workers.by_machine["m1"].reserved_ms = 1
+    cluster.list_machines()
+    (order,) = cluster.tick()
+    assert (order.machine, order.target) == ("s1", "desk")
+
+
 def test_machine_without_a_heartbeat_in_the_term_gets_no_upkeep(cluster):
     """A machine must not go down before its worker has found the new leader.
 
--- a/wigeonport/pool_loads.py
+++ b/wigeonport/pool_loads.py
@@ -115,7 +115,9 @@
     margined_work, needed, waiting_work = 0, 0, 0
     late_work, late = 0, 0
     arrivals = []
-    machine = RankedPool([each.report.capacity for each in workers]).machine
+    # A pool without a worker that accepts tasks still has to grow.
+    sized = workers or dispatcher.workers.of_service(service)
+    machine = RankedPool([each.report.capacity for each in sized]).machine
     ranked_jobs = active_ranked_jobs(dispatcher, service, wall_ms)
     for ranked_job in sorted(
         ranked_jobs, key=lambda ranked_job: ranked_job.objective_ms
--- a/wigeonport/pool_sizes.py
+++ b/wigeonport/pool_sizes.py
@@ -72,7 +72,8 @@
     move instead of two, then from standby, and then from pools that can spare
     one once its tasks have ended.
     """
-    if not pool.workers:
+    if not pool.workers and pool.unseen:
+        # The workers have yet to find a new leader.
         return
     incoming = count_incoming(manager, dispatcher, pool.service)
     wanted = pool.count_missing() - incoming
