Release the worker of a move that is dropped

A worker whose machine was to be moved stayed reserved without an order, and got no task until it restarted or the leader changed; its room stayed unused while tasks waited.

Cause: a pending move is dropped if the list of machines does not show the machine as up. The list may be older than the worker, or lack a readable entry. The reservation was left.

Change: a dropped move without an order releases the worker.

--- a/tests/test_machine_managers.py
+++ b/tests/test_machine_managers.py
@@ -358,6 +358,28 @@
     assert (order.machine, order.target) == ("s1", "desk")
 
 
+@pytest.mark.parametrize("row", [("desk", "upkeep"), ("", ""), None])
+def test_dropped_move_releases_its_worker(cluster, row):
+    """Guards against a worker that stays reserved without an order.
+
+    The list may be older than the worker, or lack a readable entry. The
+    worker's room stays unused while tasks wait.
+    """
+    manager = cluster.manager
+    cluster.heartbeat("m1")
+    worker = cluster.harness.dispatcher.workers.by_machine["m1"]
+    worker.reserved_ms = cluster.harness.now_ms
+    manager.pending_moves["m1"] = "spare"
+    if row is None:
+        del cluster.states["m1"]
+    else:
+        cluster.states["m1"] = row
+    cluster.list_machines()
+    assert cluster.tick() == []
+    assert manager.pending_moves == {}
+    assert worker.reserved_ms is None
+
+
 def test_machine_without_a_heartbeat_in_the_term_gets_no_upkeep(cluster):
     """A machine must not go down before its worker has found the new leader.
 
--- a/wigeonport/pool_sizes.py
+++ b/wigeonport/pool_sizes.py
@@ -249,7 +249,8 @@
 def order_pending_moves(manager, dispatcher, now_ms):
     """Orders the pending moves of machines that are empty.
 
-    A move is dropped if the machine is not up or has another order.
+    A move is dropped if the machine is not up or has another order. Without an
+    order, its worker gets tasks again.
     """
     for machine, target in list(manager.pending_moves.items()):
         worker = dispatcher.workers.by_machine.get(machine)
@@ -258,6 +259,8 @@
         if ordered or worker is None or row is None or row.state != UP:
             # An upkeep wave may have ordered the machine in the meantime.
             del manager.pending_moves[machine]
+            if not ordered:
+                manager.release(dispatcher, machine)
         elif not worker.runs:
             manager.record(dispatcher, machine, MOVE, target)
             del manager.pending_moves[machine]
