Keep lasting tasks where they have no other place

A task that is to last waited for 7.7 s beside two reserved workers with room, while no machine was free for its pool to grow by.

Cause: an evacuation stopped a lasting task as soon as its step allowed one more to be away, whether or not another worker could take it, and a reserved worker took nothing although its machine had no order.

Change: a lasting task is stopped only if another worker that accepts tasks can take it. A reserved worker without an order takes lasting tasks that no other worker can take, and a machine that has got one is no longer moved. If all tasks of the step on a machine may be away at once, they leave after 4 s all the same, so that the upkeep of a pool that cannot grow begins.

test_lasting_tasks_stay_available_during_a_wave lets the third machine report, because a task without another place is not stopped now; it still asserts that exactly one of the two tasks is stopped.

--- a/tests/test_lasting_tasks.py
+++ b/tests/test_lasting_tasks.py
@@ -14,3 +14,14 @@
     simulation = LastingSimulation(seed)
     simulation.run(after_ms=4_000)
     assert simulation.violations == []
+
+
+def test_lasting_task_keeps_its_place_while_machines_are_short():
+    """Guards against a task that an evacuation stops without another place.
+
+    Both workers of its pool are reserved for waves, and no machine is on
+    standby.
+    """
+    simulation = LastingSimulation(2039, standby=0, load=1.3)
+    simulation.run(after_ms=4_000)
+    assert simulation.violations == []
--- a/tests/test_machine_managers.py
+++ b/tests/test_machine_managers.py
@@ -188,6 +188,7 @@
         ((task, run),) = started_runs(cluster.heartbeat(name))
         tasks[name] = (task, run)
         cluster.heartbeat(name, running=[(task, run, "", 100)])
+    cluster.heartbeat("m3")
     cluster.open_wave(["m1", "m2"], count=2)
     cluster.tick()
     stops = []
--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -19,6 +19,7 @@
 from wigeonport.batch_specs import split_task_id
 from wigeonport.batch_states import apply_operation
 from wigeonport.fill_rates import update_fill_rates
+from wigeonport.lasting_placements import place_on_reserved
 from wigeonport.logs import PartLogger
 from wigeonport.run_orders import add_starts, choose_interval, reconcile
 from wigeonport.run_reports import record_ended_runs, record_reported_runs
@@ -237,6 +238,8 @@
             place_gangs(self, now_ms, wall_ms)
             place_tasks(self, worker, now_ms, wall_ms)
             start_copies(self, worker, now_ms, wall_ms)
+        elif worker.receives_answer():
+            place_on_reserved(self, worker, now_ms, wall_ms)
         add_starts(self, worker, orders)
         orders.retry_after_ms = choose_interval(worker, orders.retry_after_ms)
         orders.run_lease_ms = self.settings.run_lease_ms
--- a/wigeonport/pool_sizes.py
+++ b/wigeonport/pool_sizes.py
@@ -249,14 +249,18 @@
 def order_pending_moves(manager, dispatcher, now_ms):
     """Orders the pending moves of machines that are empty.
 
-    A move is dropped if the machine is not up or has another order. Without an
-    order, its worker gets tasks again.
+    A move is dropped if the machine is not up, has another order, or has got a
+    lasting task. Without an order, its worker gets tasks again.
     """
     for machine, target in list(manager.pending_moves.items()):
         worker = dispatcher.workers.by_machine.get(machine)
         row = manager.rows.get(machine)
         ordered = machine in dispatcher.state.upkeep.orders
-        if ordered or worker is None or row is None or row.state != UP:
+        lasting = worker is not None and any(
+            step.lasting for step in worker.runs.values()
+        )
+        gone = worker is None or row is None or row.state != UP
+        if ordered or gone or lasting:
             # An upkeep wave may have ordered the machine in the meantime.
             del manager.pending_moves[machine]
             if not ordered:
--- a/wigeonport/task_evacuations.py
+++ b/wigeonport/task_evacuations.py
@@ -1,5 +1,6 @@
 """Moves of running tasks within the availability limits of their steps."""
 
+from wigeonport.lasting_placements import has_other_place, must_leave
 from wigeonport.worker_reports import worker_id_of
 
 # Progress of a lasting task that has started up and is available.
@@ -81,5 +82,21 @@
             continue
         if key not in worker.progress and step.lasting:
             continue
-        if may_stop(dispatcher, key[0], step):
+        if may_stop(dispatcher, key[0], step) and may_move(
+            dispatcher, worker, key[0], step
+        ):
             worker.stopping.add(key)
+
+
+def may_move(dispatcher, worker, name, step):
+    """Returns whether a run may leave its worker.
+
+    A lasting task that is stopped without another place would wait for the
+    pool to grow, or for ever.
+    """
+    if not step.lasting:
+        return True
+    prefix = f"{name.rpartition('.')[0]}."
+    return must_leave(
+        worker, prefix, step, dispatcher.now_ms
+    ) or has_other_place(dispatcher, worker, prefix, step)
--- a/wigeonport/upkeep_waves.py
+++ b/wigeonport/upkeep_waves.py
@@ -3,12 +3,10 @@
 import math
 
 from wigeonport.batch_commands import UPKEEP
+from wigeonport.lasting_placements import EMPTYING_MS
 from wigeonport.machine_orders import UP
 from wigeonport.task_evacuations import evacuate
 
-# Tasks that still run on a reserved machine after this time are stopped. It is
-# twice the mean run time of the longest kind of task.
-EMPTYING_MS = 4_000
 # Assumed duration of one round of a wave, from which the latest start is
 # computed: emptying, the upkeep of 2 s, and the first heartbeat of the new
 # worker.
