Ignore the end of a run that is live on another worker

One heartbeat could end the run of another worker: its task started again elsewhere while the first run went on, or counted as done.

Cause: the ends in a heartbeat were matched by task and run only.

Change: an end counts from the worker on which the run is recorded as live, or if it is recorded as live on none, as after a loss. Any other is logged and acknowledged.

--- a/tests/test_batch_dispatchers.py
+++ b/tests/test_batch_dispatchers.py
@@ -246,6 +246,24 @@
     assert harness.state() == "running"
 
 
+@pytest.mark.parametrize("outcome", ["done", "failed", "stopped", "lapsed"])
+def test_end_of_a_run_on_another_worker_is_ignored(harness, outcome):
+    """Guards against a task that runs twice, or is lost, by a false end.
+
+    Its worker must go on with the run, and the end is acknowledged so that it
+    is not repeated.
+    """
+    harness.submit(ONE)
+    harness.heartbeat()
+    harness.heartbeat(running=[(TASK, 1)])
+    orders = harness.heartbeat("w2", ended=[(1, TASK, 1, outcome)])
+    assert orders.acknowledged == 1
+    assert started_runs(orders) == []
+    orders = harness.heartbeat(running=[(TASK, 1)])
+    assert orders.stops == []
+    assert harness.state() == "running"
+
+
 def test_lasting_task_is_restarted_however_it_ends(harness):
     """A lasting job must not fail when its task has used up its attempts.
 
--- a/wigeonport/run_reports.py
+++ b/wigeonport/run_reports.py
@@ -26,7 +26,7 @@
     tasks, runs, outcomes, checkpoints = [], [], [], []
     acknowledge_ends(worker, orders)
     for end in worker.report.ended:
-        if dispatcher.find_task(end.task) is None:
+        if not may_end(dispatcher, worker, end):
             continue
         tasks.append(end.task)
         runs.append(end.run)
@@ -46,6 +46,28 @@
         refresh_ended_steps(dispatcher, worker, tasks)
 
 
+def may_end(dispatcher, worker, end):
+    """Returns whether a worker may report the end of a run.
+
+    A run that is live on another worker goes on, whoever reports its end.
+    """
+    entry = dispatcher.find_task(end.task)
+    if entry is None:
+        return False
+    runner = entry[2].runs.get(end.run, worker.incarnation)
+    if runner == worker.incarnation:
+        return True
+    logger.warning(
+        "End of another worker's run ignored.",
+        task=end.task,
+        run=end.run,
+        outcome=end.outcome,
+        worker=worker.incarnation,
+        runner=runner,
+    )
+    return False
+
+
 def acknowledge_ends(worker, orders):
     """Acknowledges the ends that a heartbeat lists.
 
