--- a/review/rehearsal.py
+++ b/review/rehearsal.py
@@ -151,7 +151,8 @@
             role["on"]: (name, role["run"].split())
             for name, role in deploy["roles"].items()
         }
-        self.net, self.port = find_free_net()
+        self.guard = socket.socket()
+        self.net, self.port = find_free_net(self.guard)
         self.cloud = f"127.{self.net}.9.1:{self.port}"
         self.advice = f"127.{self.net}.9.2:{self.port}"
         self.seeds = [
@@ -258,23 +259,32 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def find_free_net():
+def find_free_net(guard):
     """Returns the second byte of free loopback addresses, and a free port.
 
+    Args:
+        guard: Socket that is bound to an address of the net and stays open,
+            so that no other case, started at the same time, takes the net.
+
     Raises:
         CannotRunError: If there is none.
     """
-    for _ in range(50):
-        net, port = secrets.randbelow(200) + 20, 20_000 + secrets.randbelow(99)
-        port += 100 * secrets.randbelow(90)
+    nets = secrets.SystemRandom().sample(range(20, 220), 50)
+    for net in nets:
+        port = 20_000 + secrets.randbelow(99) + 100 * secrets.randbelow(90)
         hosts = [f"127.{net}.{a}.{b}" for a in (1, 2, 9) for b in (1, 2, 3)]
+        try:
+            guard.bind((f"127.{net}.250.1", METRICS_PORT))
+        except OSError:
+            continue
         try:
             for host in hosts:
                 for number in (port, port + 1, port + 10, METRICS_PORT):
                     with socket.socket() as probe:
                         probe.bind((host, number))
         except OSError:
-            continue
+            # A socket can't be bound twice.
+            break
         return net, port
     raise CannotRunError("no free loopback addresses")
 
