Make one call to the advice service at a time, within its stated time

Cause: the leader kept four calls open at a service that takes the calls of a machine in turn, each named all workers of the pool, and each was given up after 2 s. With four steps waiting a call waited 1.95 s for the others and was given up while it was handled; its successor joined the end of the line. A call of over 2 s by its terms was never answered.

Change: one open call; its limit is its stated time, the rest of the calls that failed before it, and a margin that doubles with each failure. A call names the workers that the step may need. Queues take turns, urgent ones first, and jobs that would be late leave their turn. A ticket counts from the earliest time at which it can have been issued.

--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -730,7 +730,9 @@
         self.document = document
         self.metrics = Metrics()
 
-    async def exchange(self, method, path, document=None, headers=None):
+    async def exchange(
+        self, method, path, document=None, headers=None, timeout_ms=0
+    ):
         """Returns the answer."""
         return Ok((self.status, self.document))
 
@@ -749,8 +751,8 @@
         assert rows.is_error() or isinstance(rows.ok, dict)
         order = PlannedOrder("m-1", "move", "desk", "node", 3)
         assert await CloudClient(client).order(order)
-        tickets = await AdviceClient(client).advise("a.0.0", ["w1"])
-        assert tickets.is_error() or isinstance(tickets.ok, dict)
+        advice = await AdviceClient(client).advise("a.0.0", ["w1"], 2_000)
+        assert advice.is_error() or isinstance(advice.ok.tickets, dict)
 
     trio.run(main)
 
@@ -769,6 +771,9 @@
     assert rows.is_error() or set(rows.ok) <= {"m-1"}
 
 
+SLOW_BODY_MS = 3_000
+
+
 class FixedBody:
     """A connection pool whose every response has the same body.
 
@@ -784,7 +789,7 @@
         self.body = body
 
     @contextlib.asynccontextmanager
-    async def stream(self, method, url, headers, content):
+    async def stream(self, method, url, headers, content, extensions):
         """Yields the response."""
         yield self
 
@@ -793,6 +798,15 @@
         yield self.body
 
 
+class SlowBody(FixedBody):
+    """A connection pool whose response takes ``SLOW_BODY_MS``."""
+
+    async def aiter_stream(self):
+        """Yields the body."""
+        await trio.sleep(SLOW_BODY_MS / 1000)
+        yield self.body
+
+
 def make_client(body):
     """Returns a PlatformClient whose every response has this body."""
     client = PlatformClient("http://10.0.0.1:80", ManualClock(), Metrics())
@@ -861,8 +875,46 @@
     """Guards against steps that no worker may run for one malformed row."""
     rows = b'["w-1","t-1"],["w-2",' + malformed_value + b'],["w-3","t-3"]'
     client = make_client(b'{"allowed":[' + rows + b"]}")
-    tickets = trio.run(AdviceClient(client).advise, "a.0.0", ["w-1", "w-2"]).ok
-    assert tickets == {"w-1": "t-1", "w-2": None, "w-3": "t-3"}
+    workers = ["w-1", "w-2"]
+    advise = AdviceClient(client).advise
+    advice = trio.run(advise, "a.0.0", workers, 2_000).ok
+    assert advice.tickets == {"w-1": "t-1", "w-2": None, "w-3": "t-3"}
+
+
+@pytest.mark.parametrize(
+    ("stated", "valid_ms"),
+    [
+        (b"3000", 3_000),
+        (b"0", None),
+        (b"-5", None),
+        (b'"long"', None),
+        (b"null", None),
+    ],
+)
+def test_validity_in_an_answer_of_advice_is_read(stated, valid_ms):
+    """Guards against a ticket whose stated validity is ignored."""
+    client = make_client(b'{"allowed":[],"valid-ms":' + stated + b"}")
+    advise = AdviceClient(client).advise
+    assert trio.run(advise, "a.0.0", ["w-1"], 2_000).ok.valid_ms == valid_ms
+
+
+def test_request_is_given_up_after_its_own_limit():
+    """Guards against one fixed limit for requests that take longer."""
+    client = make_client(b"{}")
+    client.pool = SlowBody(b"{}")
+
+    async def main():
+        fixed = await client.exchange("GET", "/v1/machines")
+        longer = await client.exchange(
+            "POST", "/v1/advise", timeout_ms=2 * SLOW_BODY_MS
+        )
+        return fixed, longer
+
+    fixed, longer = trio.run(
+        main, clock=trio.testing.MockClock(autojump_threshold=0)
+    )
+    assert fixed.error == "no answer from the platform within 2000 ms"
+    assert longer.is_ok()
 
 
 @given(st.binary())
--- /dev/null
+++ b/wigeonport/advice_needs.py
@@ -0,0 +1,353 @@
+"""Decides which step gets the next call to the advice service.
+
+The service handles the calls of one machine in turn, and a call takes longer
+with each worker that it names. A call that turns out useless therefore delays
+all others, so that a call names only the workers that the step may need.
+"""
+
+from wigeonport.task_placements import WorkerCandidate, active_ranked_jobs
+
+# Maximum number of workers in one call.
+MAX_WORKERS = 100
+# A call names room for this many times the waiting tasks, because some of the
+# room may be taken when the answer arrives.
+ROOM_FACTOR = 2
+# More workers are named as long as they add at most this share of the base
+# duration to a call.
+EXTRA_SHARE = 0.25
+# Maximum number of steps of a service that are considered for a call.
+MAX_CONSIDERED_STEPS = 64
+# One in this many calls is for a job that will be late, so that it is not
+# postponed for as long as other jobs keep arriving.
+LATE_TURN = 4
+# Maximum number of queues whose last call is known.
+MAX_QUEUES = 4_096
+
+
+class AdviceNeed:
+    """A step whose waiting tasks can't start without advice.
+
+    Attributes:
+        ranked_job: RankedJob of the step.
+        step: Step id, ``job.occurrence.step``.
+        workers: Workers to name in the call.
+        duration_ms: Duration of the call, as the queue's terms state it.
+    """
+
+    __slots__ = ("ranked_job", "step", "workers", "duration_ms")
+
+    def __init__(self, ranked_job, step, workers):
+        self.ranked_job = ranked_job
+        self.step = step
+        self.workers = workers
+        self.duration_ms = ranked_job.queue.advice.duration_ms(len(workers))
+
+    def turn_key(self):
+        """Returns the sort key of the order of the calls."""
+        ranked_job = self.ranked_job
+        return (
+            not ranked_job.lasting,
+            ranked_job.queue.priority,
+            ranked_job.objective_ms,
+        )
+
+
+class Room:
+    """Room of a worker that no step has reserved yet.
+
+    Attributes:
+        worker: Worker.
+        free_capacity: Resources.
+    """
+
+    __slots__ = ("worker", "free_capacity")
+
+    def __init__(self, worker, free_capacity):
+        self.worker = worker
+        self.free_capacity = free_capacity
+
+    def reserve(self, step, maximum):
+        """Reserves room for up to ``maximum`` tasks; returns their number."""
+        count = 0
+        while count < maximum and self.free_capacity.fits(step):
+            self.free_capacity.subtract(step)
+            count += 1
+        return count
+
+    def release(self, step, count):
+        """Releases reserved room."""
+        for _ in range(count):
+            self.free_capacity.add(step)
+
+
+class RoomPlan:
+    """Reserves the room of a service for its waiting steps, in rank order.
+
+    Attributes:
+        dispatcher: BatchDispatcher.
+        rooms: Room of each worker that accepts tasks.
+        now_ms: Monotonic time.
+    """
+
+    __slots__ = ("dispatcher", "rooms", "now_ms")
+
+    def __init__(self, dispatcher, service, measure, now_ms):
+        silent_ms = dispatcher.max_silence_ms()
+        self.dispatcher = dispatcher
+        self.rooms = [
+            Room(worker, measure(worker))
+            for worker in dispatcher.workers.of_service(service)
+            if worker.accepts_tasks(now_ms, silent_ms)
+        ]
+        self.now_ms = now_ms
+
+    def add_step(self, ranked_job, occurrence, number, step_run):
+        """Reserves room for the waiting tasks of a step.
+
+        Returns:
+            AdviceNeed, or None if no call would let a task start.
+        """
+        step, waiting = step_run.step, len(step_run.waiting)
+        if step.gang and waiting < step.count:
+            return None
+        options = self.find_options(ranked_job, occurrence, number, step)
+        tickets = None
+        if ranked_job.queue.advice is not None:
+            step_id = f"{ranked_job.job.job_id}.{occurrence}.{number}"
+            tickets = self.dispatcher.tickets.get(step_id)
+            options = [
+                option
+                for option in options
+                if tickets is None
+                or not tickets.is_refused(option.room.worker.incarnation)
+            ]
+        if step.gang and sum(each.count for each in options) < waiting:
+            return None
+        if ranked_job.queue.advice is None:
+            reserve_options(options, step, waiting)
+            return None
+        ticketed, unticketed = [], []
+        for option in options:
+            incarnation = option.room.worker.incarnation
+            has_ticket = tickets is not None and tickets.find(
+                incarnation, self.now_ms
+            )
+            (ticketed if has_ticket else unticketed).append(option)
+        waiting -= reserve_options(ticketed, step, waiting)
+        if not waiting or not unticketed:
+            return None
+        if tickets is not None and self.now_ms < tickets.retry_ms:
+            return None
+        unticketed.sort(key=lambda option: option.preference(tickets))
+        named = name_workers(unticketed, ranked_job.queue, waiting, tickets)
+        reserve_options(unticketed, step, waiting)
+        return AdviceNeed(ranked_job, step_id, named)
+
+    def find_options(self, ranked_job, occurrence, number, step):
+        """Returns an Option for each worker with room for a task."""
+        options, rack_counts = [], {}
+        for room in self.rooms:
+            report = room.worker.report
+            if (
+                step.required_label
+                and step.required_label not in report.labels
+            ):
+                continue
+            candidate = WorkerCandidate(
+                self.dispatcher, room.worker, ranked_job, occurrence, number
+            )
+            count = room.reserve(step, candidate.remaining_limit(step))
+            room.release(step, count)
+            if count > 0:
+                options.append(Option(room, count, step))
+                rack_counts[report.rack] = (
+                    rack_counts.get(report.rack, 0) + count
+                )
+        if step.same_rack:
+            for option in options:
+                rack = option.room.worker.report.rack
+                option.rack_count = rack_counts[rack]
+        return options
+
+
+class Option:
+    """A worker with room for tasks of a step.
+
+    Attributes:
+        room: Room of the worker.
+        count: Number of tasks for which it has room.
+        remote: Whether the data of the step is in another rack.
+        rack_count: Number of tasks for which its rack has room, if the step
+            prefers a single rack, otherwise 0.
+    """
+
+    __slots__ = ("room", "count", "remote", "rack_count")
+
+    def __init__(self, room, count, step):
+        self.room = room
+        self.count = count
+        rack = room.worker.report.rack
+        self.remote = bool(step.data_rack) and rack != step.data_rack
+        self.rack_count = 0
+
+    def preference(self, tickets):
+        """Returns the sort key of the order in which workers are named."""
+        worker = self.room.worker
+        known = tickets is not None and tickets.is_allowed(worker.incarnation)
+        return (
+            self.remote,
+            -self.rack_count,
+            worker.report.rack if self.rack_count else "",
+            not known,
+            -self.count,
+            worker.incarnation,
+        )
+
+
+def reserve_options(options, step, waiting):
+    """Reserves room for up to ``waiting`` tasks; returns their number."""
+    reserved = 0
+    for option in options:
+        if reserved >= waiting:
+            break
+        maximum = min(option.count, waiting - reserved)
+        reserved += option.room.reserve(step, maximum)
+    return reserved
+
+
+def name_workers(options, queue, waiting, tickets):
+    """Returns the workers to name in a call.
+
+    Args:
+        options: Options without a valid ticket, best first.
+        queue: Queue of the step.
+        waiting: Number of tasks to start on them.
+        tickets: Tickets of the step, or None.
+    """
+    refused_factor = 1 if tickets is None else tickets.refused_factor()
+    wanted = waiting * ROOM_FACTOR * refused_factor
+    extra_ms = queue.advice.decision_ms * EXTRA_SHARE
+    named = []
+    for option in options[:MAX_WORKERS]:
+        added_ms = queue.advice.per_worker_ms * (len(named) + 1)
+        suffices = wanted <= 0 and len(named) >= refused_factor
+        if suffices and added_ms > extra_ms:
+            break
+        named.append(option.room.worker)
+        wanted -= option.count
+    return named
+
+
+def measure_free(worker):
+    """Returns the capacity of a worker that is free now."""
+    return worker.free_capacity()
+
+
+def measure_future(worker):
+    """Returns the capacity of a worker once all runs that end have ended."""
+    return worker.capacity_beside_lasting()
+
+
+def find_needs(dispatcher, service, measure, now_ms):
+    """Returns the AdviceNeeds of a service.
+
+    Args:
+        dispatcher: BatchDispatcher.
+        service: Name of the service.
+        measure: Function that returns the room of a Worker, as Resources.
+        now_ms: Monotonic time.
+    """
+    plan = RoomPlan(dispatcher, service, measure, now_ms)
+    needs, considered = [], 0
+    for ranked_job in active_ranked_jobs(
+        dispatcher, service, dispatcher.wall_ms
+    ):
+        for occurrence, number, step_run in ranked_job.job.ready_steps():
+            if not step_run.waiting:
+                continue
+            if considered >= MAX_CONSIDERED_STEPS:
+                return needs
+            considered += 1
+            need = plan.add_step(ranked_job, occurrence, number, step_run)
+            if need is not None:
+                needs.append(need)
+    return needs
+
+
+def find_all_needs(dispatcher, now_ms):
+    """Returns the AdviceNeeds that compete for the next call.
+
+    Steps that fit into free room go first. While there are none, tickets are
+    requested ahead for the room that the live runs leave.
+
+    Args:
+        dispatcher: BatchDispatcher.
+        now_ms: Monotonic time.
+    """
+    services = sorted(dispatcher.services_with_advice())
+    for measure in (measure_free, measure_future):
+        needs = [
+            need
+            for service in services
+            for need in find_needs(dispatcher, service, measure, now_ms)
+        ]
+        if needs:
+            return needs
+    return []
+
+
+class CallTurns:
+    """The order in which steps get calls to the advice service.
+
+    Lasting jobs go first, then urgent queues. Queues take turns, so that a
+    burst of one does not delay the others. Within a queue an early objective
+    goes first. A job that would miss its objective behind the calls that
+    precede it leaves its turn to the next, because its result is late in any
+    case; some calls are kept for such jobs.
+
+    Attributes:
+        made: Number of calls made.
+        last_turns: Maps the name of a queue to the number of its last call.
+    """
+
+    __slots__ = ("made", "last_turns")
+
+    def __init__(self):
+        self.made = 0
+        self.last_turns = {}
+
+    def choose(self, needs, wall_ms, start_delay_ms):
+        """Returns the AdviceNeed whose turn it is.
+
+        Args:
+            needs: Non-empty list of AdviceNeed.
+            wall_ms: Wall time.
+            start_delay_ms: Maximum time from an answer to the start of tasks.
+        """
+        in_time, late = [], []
+        line_ms = 0
+        for need in sorted(needs, key=AdviceNeed.turn_key):
+            ranked_job = need.ranked_job
+            start_ms = wall_ms + line_ms + need.duration_ms + start_delay_ms
+            end_ms = start_ms + ranked_job.remaining_ms
+            if ranked_job.lasting or end_ms <= ranked_job.objective_ms:
+                in_time.append(need)
+                line_ms += need.duration_ms * LATE_TURN / (LATE_TURN - 1)
+            else:
+                late.append(need)
+        keeps_turn = self.made % LATE_TURN == LATE_TURN - 1
+        candidates = late if late and (keeps_turn or not in_time) else in_time
+        return min(candidates, key=self.turn_key)
+
+    def turn_key(self, need):
+        """Returns the sort key of the next call."""
+        lasting, priority, objective_ms = need.turn_key()
+        last_turn = self.last_turns.get(need.ranked_job.queue.name, -1)
+        return lasting, priority, last_turn, objective_ms
+
+    def record(self, need):
+        """Records that the call for an AdviceNeed has been made."""
+        if len(self.last_turns) >= MAX_QUEUES:
+            self.last_turns.clear()
+        self.last_turns[need.ranked_job.queue.name] = self.made
+        self.made += 1
--- a/wigeonport/advice_tickets.py
+++ b/wigeonport/advice_tickets.py
@@ -1,5 +1,13 @@
 """Tickets: permissions for workers to run a step, from the advice service."""
 
+# A ticket is no longer used this long before it expires; an order to start
+# reaches the worker within a second.
+TICKET_MARGIN_MS = 1_200
+# Wait before a call about the step is repeated, after its first failure.
+RETRY_MS = 500
+# Longest wait before a call is repeated.
+MAX_RETRY_MS = 8_000
+
 
 class Tickets:
     """The tickets that have been issued for a step.
@@ -10,27 +18,72 @@
         by_worker: Maps worker incarnation to a pair of ticket and expiry
             time; an empty ticket means that the worker may not run the
             step.
-        asked_ms: Time of the call that has no answer yet, or None.
         retry_ms: Time before which no call is made.
+        failures: Number of calls without a complete answer since the last
+            complete one.
     """
 
-    __slots__ = ("by_worker", "asked_ms", "retry_ms")
+    __slots__ = ("by_worker", "retry_ms", "failures")
 
     def __init__(self):
         self.by_worker = {}
-        self.asked_ms = None
         self.retry_ms = 0
+        self.failures = 0
 
     def find(self, incarnation, now_ms):
         """Returns the valid ticket of a worker, or None."""
         ticket, until_ms = self.by_worker.get(incarnation, ("", 0))
         return ticket if ticket and now_ms < until_ms else None
 
-    def has_valid_answer(self, incarnation, now_ms):
-        """Returns whether no call is needed for a worker.
+    def is_refused(self, incarnation):
+        """Returns whether a worker may not run the step."""
+        entry = self.by_worker.get(incarnation)
+        return entry is not None and not entry[0]
 
-        That is so while it has a valid ticket, or if it may not run the
-        step.
-        """
+    def is_allowed(self, incarnation):
+        """Returns whether a worker may run the step, with a new ticket."""
         entry = self.by_worker.get(incarnation)
-        return entry is not None and (not entry[0] or now_ms < entry[1])
+        return entry is not None and bool(entry[0])
+
+    def refused_factor(self):
+        """Returns how many workers have been named for each allowed one.
+
+        One more counts as allowed, so that there is a factor without any.
+        """
+        allowed = sum(bool(ticket) for ticket, _ in self.by_worker.values())
+        return (len(self.by_worker) + 1) / (allowed + 1)
+
+    def store(self, incarnation, ticket, until_ms):
+        """Stores the answer about a worker.
+
+        Args:
+            incarnation: Incarnation of the worker.
+            ticket: Ticket, or "" if it may not run the step.
+            until_ms: Time until which a start may be ordered with it.
+        """
+        self.by_worker[incarnation] = (ticket, until_ms)
+
+    def postpone(self, now_ms):
+        """Sets the wait after a call without a complete answer."""
+        wait_ms = min(RETRY_MS * 2**self.failures, MAX_RETRY_MS)
+        self.retry_ms = now_ms + wait_ms
+        # The wait does not grow beyond the limit, nor does the exponent.
+        self.failures = min(self.failures + 1, MAX_RETRY_MS // RETRY_MS)
+
+
+def usable_until_ms(issued_ms, answered_ms, valid_ms):
+    """Returns the time until which a start may be ordered with a ticket.
+
+    If nothing is left of a ticket when it arrives, it counts from its arrival:
+    the service may have answered late. If the ticket has expired, the worker
+    rejects the start.
+
+    Args:
+        issued_ms: Earliest time at which the ticket was issued.
+        answered_ms: Time at which it arrived.
+        valid_ms: Time for which it is valid.
+    """
+    # Half of a short validity is left, or the step would never start.
+    usable_ms = valid_ms - min(TICKET_MARGIN_MS, valid_ms // 2)
+    until_ms = issued_ms + usable_ms
+    return until_ms if until_ms > answered_ms else answered_ms + usable_ms
--- a/wigeonport/advisors.py
+++ b/wigeonport/advisors.py
@@ -1,47 +1,77 @@
 """Advice on which workers may run a step, requested ahead of time.
 
 The decision on a worker holds for its incarnation; a ticket is valid for a
-limited time. The advice service handles the calls of one machine one after
-the other, so only a few calls are in flight at a time.
+limited time. The advice service handles the calls of one machine in turn, each
+for the time that the terms of the queue state. A second open call would only
+wait for the first, and a call that is given up still takes its turn. So one
+call is open at a time, and it is given up only after its stated time.
 """
 
-import trio
 from expression import Error
 
+from wigeonport.advice_needs import CallTurns, find_all_needs
+from wigeonport.advice_tickets import usable_until_ms
 from wigeonport.channels import REFUSE, Mailbox
 from wigeonport.logs import PartLogger
-from wigeonport.task_placements import active_ranked_jobs
 
 logger = PartLogger("advice")
 
-# The advice service refuses calls when 32 are queued.
-MAX_OPEN_CALLS = 4
-MAX_WORKERS = 100
-# A ticket is requested again this long before it expires; an order to start
-# reaches the worker within a second.
-TICKET_MARGIN_MS = 1_200
-# Wait before a call without an answer is repeated.
+# Time beyond the stated one after which a call is given up.
+CALL_MARGIN_MS = 2_000
+# Pause after a failed call. It doubles with each further failure, and so does
+# the margin, so that calls do not pile up at a service that is slow.
 RETRY_MS = 500
+MAX_DOUBLINGS = 3
 # Maximum length of an error in the log; it may quote a value.
 MAX_FAULT_LENGTH = 300
 
 
+class Advice:
+    """An answer of the advice service.
+
+    Attributes:
+        tickets: Maps the id of each worker that may run the step to its
+            ticket, or to None if the answer about it could not be read.
+        valid_ms: Validity of the tickets as the answer states it, or None.
+    """
+
+    __slots__ = ("tickets", "valid_ms")
+
+    def __init__(self, tickets, valid_ms=None):
+        self.tickets = tickets
+        self.valid_ms = valid_ms
+
+
 class AdviceCall:
     """A request for the tickets of workers for a step.
 
     Attributes:
         step: Step id, ``job.occurrence.step``.
         workers: Maps worker id to incarnation.
-        valid_ms: Time for which the tickets are valid, counted from the call.
+        duration_ms: Duration of the call, as the queue's terms state it.
+        valid_ms: Validity of a ticket, as the terms state it.
+        timeout_ms: Time after which the call is given up.
         term: Term of the leader.
     """
 
-    __slots__ = ("step", "workers", "valid_ms", "term")
-
-    def __init__(self, step, workers, valid_ms, term):
-        self.step = step
-        self.workers = workers
-        self.valid_ms = valid_ms
+    __slots__ = (
+        "step",
+        "workers",
+        "duration_ms",
+        "valid_ms",
+        "timeout_ms",
+        "term",
+    )
+
+    def __init__(self, need, timeout_ms, term):
+        self.step = need.step
+        self.workers = {
+            worker.report.worker_id: worker.incarnation
+            for worker in need.workers
+        }
+        self.duration_ms = need.duration_ms
+        self.valid_ms = need.ranked_job.queue.advice.valid_ms
+        self.timeout_ms = timeout_ms
         self.term = term
 
 
@@ -50,117 +80,176 @@
 
     Attributes:
         call: AdviceCall.
-        tickets: Maps the id of each worker that may run the step to its
-            ticket, or to None if the answer about it could not be read; None
-            if the call failed.
+        advice: Advice, or None if the call failed.
         asked_ms: Monotonic time at which the call was made.
+        answered_ms: Monotonic time of the answer or the failure.
     """
 
-    __slots__ = ("call", "tickets", "asked_ms")
+    __slots__ = ("call", "advice", "asked_ms", "answered_ms")
 
-    def __init__(self, call, tickets, asked_ms):
+    def __init__(self, call, advice, asked_ms, answered_ms):
         self.call = call
-        self.tickets = tickets
+        self.advice = advice
         self.asked_ms = asked_ms
+        self.answered_ms = answered_ms
+
+    def issued_ms(self):
+        """Returns the earliest time at which the tickets were issued.
+
+        The service answers after the stated time, not before.
+        """
+        return min(self.asked_ms + self.call.duration_ms, self.answered_ms)
 
 
 class Advisor:
     """Calls the advice service and stores its tickets in the dispatcher.
 
+    Times are monotonic.
+
     Attributes:
-        client: Has ``advise(step, worker_ids)``, which returns a Result of
-            a dict from worker id to ticket.
+        client: Has ``advise(step, worker_ids, timeout_ms)``, which returns a
+            Result of an Advice.
         clock: Clock.
+        metrics: Metrics.
         calls: Mailbox of AdviceCalls.
-        open_calls: Number of calls in flight.
+        is_calling: Whether a call has no answer yet.
+        retry_ms: Time before which no call is made.
+        failures: Number of failed calls since the last answer that came
+            within the stated time and the margin.
+        busy_until_ms: Time until which the service may handle calls that
+            have failed here.
+        turns: CallTurns.
     """
 
-    __slots__ = ("client", "clock", "calls", "open_calls")
-
-    def __init__(self, client, clock):
+    __slots__ = (
+        "client",
+        "clock",
+        "metrics",
+        "calls",
+        "is_calling",
+        "retry_ms",
+        "failures",
+        "busy_until_ms",
+        "turns",
+    )
+
+    def __init__(self, client, clock, metrics):
         self.client = client
         self.clock = clock
-        self.calls = Mailbox("advice calls", MAX_OPEN_CALLS, REFUSE)
-        self.open_calls = 0
+        self.metrics = metrics
+        self.calls = Mailbox("advice calls", 1, REFUSE)
+        self.is_calling = False
+        self.retry_ms = 0
+        self.failures = 0
+        self.busy_until_ms = 0
+        self.turns = CallTurns()
 
     async def run(self, inbox):
-        """Makes the queued calls concurrently."""
-        async with trio.open_nursery() as nursery:
-            async for call in self.calls:
-                nursery.start_soon(self.ask, call, inbox)
+        """Makes the calls, one after the other."""
+        async for call in self.calls:
+            await self.ask(call, inbox)
 
     async def ask(self, call, inbox):
         """Makes one call and sends the answer to the inbox."""
         asked_ms = self.clock.now()
         try:
-            answer = await self.client.advise(call.step, list(call.workers))
+            answer = await self.client.advise(
+                call.step, list(call.workers), call.timeout_ms
+            )
         except Exception as error:
             # An exception would end the process, and the next leader's.
             answer = Error(repr(error)[:MAX_FAULT_LENGTH])
+        answered_ms = self.clock.now()
+        self.metrics.record("advice_call_ms", answered_ms - asked_ms)
         if answer.is_error():
+            self.metrics.count("advice_failed_calls")
             logger.warning(
-                "Advice call failed.", step=call.step, reason=answer.error
+                "Advice call failed.",
+                step=call.step,
+                workers=len(call.workers),
+                stated_ms=call.duration_ms,
+                timeout_ms=call.timeout_ms,
+                reason=answer.error,
+            )
+        else:
+            logger.info(
+                "Advice received.",
+                step=call.step,
+                workers=len(call.workers),
+                allowed=len(answer.ok.tickets),
+                stated_ms=call.duration_ms,
+                took_ms=answered_ms - asked_ms,
             )
-        tickets = answer.default_value(None)
-        await inbox.put(AdviceAnswered(call, tickets, asked_ms))
+        advice = answer.default_value(None)
+        await inbox.put(AdviceAnswered(call, advice, asked_ms, answered_ms))
 
     def on_tick(self, dispatcher, now_ms):
-        """Requests tickets for the steps that are ready to run."""
-        for service in dispatcher.services_with_advice():
-            for ranked_job in active_ranked_jobs(
-                dispatcher, service, dispatcher.wall_ms
-            ):
-                if ranked_job.queue.advice is None:
-                    continue
-                for (
-                    occurrence,
-                    number,
-                    step_run,
-                ) in ranked_job.job.ready_steps():
-                    if self.open_calls >= MAX_OPEN_CALLS:
-                        return
-                    if step_run.waiting:
-                        step = f"{ranked_job.job.job_id}.{occurrence}.{number}"
-                        self.request_tickets(
-                            dispatcher, ranked_job, step, now_ms
-                        )
-
-    def request_tickets(self, dispatcher, ranked_job, step, now_ms):
-        """Requests tickets of one step for workers without a valid answer."""
-        tickets = dispatcher.tickets_of(step)
-        if tickets.asked_ms is not None or now_ms < tickets.retry_ms:
+        """Makes the next call, unless one is open or has just failed."""
+        if self.is_calling or now_ms < self.retry_ms:
             return
-        workers = {
-            worker.report.worker_id: worker.incarnation
-            for worker in dispatcher.workers.of_service(
-                ranked_job.queue.service
-            )
-            if worker.accepts_tasks(now_ms, dispatcher.max_silence_ms())
-            and not tickets.has_valid_answer(worker.incarnation, now_ms)
-        }
-        workers = dict(sorted(workers.items())[:MAX_WORKERS])
-        if not workers:
+        needs = find_all_needs(dispatcher, now_ms)
+        if not needs:
             return
-        valid_ms = ranked_job.queue.advice.valid_ms
-        call = AdviceCall(step, workers, valid_ms, dispatcher.term)
+        need = self.turns.choose(
+            needs, dispatcher.wall_ms, dispatcher.heartbeat_interval_ms
+        )
+        start_ms = max(now_ms, self.busy_until_ms)
+        margin_ms = CALL_MARGIN_MS * 2 ** min(self.failures, MAX_DOUBLINGS)
+        timeout_ms = start_ms + need.duration_ms + margin_ms - now_ms
+        call = AdviceCall(need, timeout_ms, dispatcher.term)
         if self.calls.put_nowait(call):
-            tickets.asked_ms = now_ms
-            self.open_calls += 1
+            self.is_calling = True
+            self.busy_until_ms = start_ms + need.duration_ms
+            self.turns.record(need)
+            self.metrics.count("advice_calls")
 
     def handle_answer(self, dispatcher, event, now_ms):
-        """Stores the tickets of an answer in the dispatcher."""
-        self.open_calls -= 1
-        if dispatcher is None or event.call.term != dispatcher.term:
-            return
-        tickets = dispatcher.tickets_of(event.call.step)
-        tickets.asked_ms = None
-        if event.tickets is None:
-            tickets.retry_ms = now_ms + RETRY_MS
+        """Stores the tickets of an answer, and makes the next call."""
+        self.is_calling = False
+        if event.advice is None:
+            self.postpone(now_ms)
+        else:
+            took_ms = event.answered_ms - event.asked_ms
+            if took_ms <= event.call.duration_ms + CALL_MARGIN_MS:
+                # A slower answer shows that the longer limit is needed.
+                self.failures = 0
+            self.busy_until_ms = 0
+        if dispatcher is None:
             return
-        until_ms = event.asked_ms + event.call.valid_ms - TICKET_MARGIN_MS
-        for worker_id, incarnation in event.call.workers.items():
-            ticket = event.tickets.get(worker_id, "")
-            if ticket is None:
-                tickets.retry_ms = now_ms + RETRY_MS
-                continue
-            tickets.by_worker[incarnation] = (ticket, until_ms)
+        if event.call.term == dispatcher.term:
+            store_advice(dispatcher.tickets_of(event.call.step), event, now_ms)
+        self.on_tick(dispatcher, now_ms)
+
+    def postpone(self, now_ms):
+        """Sets the pause after a failed call."""
+        self.retry_ms = now_ms + RETRY_MS * 2 ** min(
+            self.failures, MAX_DOUBLINGS
+        )
+        self.failures += 1
+
+
+def store_advice(tickets, event, now_ms):
+    """Stores the answer to a call in the Tickets of its step.
+
+    Args:
+        tickets: Tickets.
+        event: AdviceAnswered.
+        now_ms: Monotonic time.
+    """
+    call, advice = event.call, event.advice
+    if advice is None:
+        tickets.postpone(now_ms)
+        return
+    valid_ms = call.valid_ms if advice.valid_ms is None else advice.valid_ms
+    until_ms = usable_until_ms(event.issued_ms(), event.answered_ms, valid_ms)
+    complete = True
+    for worker_id, incarnation in call.workers.items():
+        ticket = advice.tickets.get(worker_id, "")
+        if ticket is None:
+            complete = False
+            continue
+        tickets.store(incarnation, ticket, until_ms)
+    if complete:
+        tickets.failures = 0
+    else:
+        tickets.postpone(now_ms)
--- a/wigeonport/batch_inputs.py
+++ b/wigeonport/batch_inputs.py
@@ -58,6 +58,8 @@
 @controller_inputs.register(AdviceAnswered)
 def on_advice(controller, event):
     """Passes the tickets of an answer to the Advisor."""
+    if controller.dispatcher is not None:
+        controller.dispatcher.wall_ms = controller.clock.wall()
     controller.advisor.handle_answer(
         controller.dispatcher, event, controller.clock.now()
     )
--- a/wigeonport/lasting_placements.py
+++ b/wigeonport/lasting_placements.py
@@ -9,7 +9,6 @@
 
 from wigeonport.batch_commands import StartRuns
 from wigeonport.task_placements import WorkerCandidate, active_ranked_jobs
-from wigeonport.worker_reports import Resources
 
 # Tasks that still run on a reserved machine after this time are stopped. It is
 # twice the mean run time of the longest kind of task.
@@ -64,18 +63,10 @@
     report = worker.report
     if step.required_label and step.required_label not in report.labels:
         return False
-    capacity = report.capacity
-    free_capacity = Resources(
-        capacity.cpu_milli, capacity.memory_mb, capacity.gpu
-    )
-    own = 0
-    for (task, _), other_step in worker.runs.items():
-        own += task.startswith(prefix)
-        if other_step.lasting:
-            free_capacity.subtract(other_step)
+    own = sum(task.startswith(prefix) for task, _ in worker.runs)
     if step.max_per_worker and own >= step.max_per_worker:
         return False
-    return free_capacity.fits(step)
+    return worker.capacity_beside_lasting().fits(step)
 
 
 def place_on_reserved(dispatcher, worker, now_ms, wall_ms):
--- a/wigeonport/platform_clients.py
+++ b/wigeonport/platform_clients.py
@@ -12,6 +12,9 @@
 from wigeonport.platform_reports import read_report
 
 REQUEST_TIMEOUT_MS = 2_000
+# A host that is cut off does not answer connection attempts, however long the
+# request itself may take.
+CONNECT_TIMEOUT = {"timeout": {"connect": REQUEST_TIMEOUT_MS / 1000}}
 POLL_INTERVAL_MS = 500
 MAX_CONNECTIONS = 8
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
@@ -43,25 +46,39 @@
         self.metrics = metrics
 
     async def exchange(
-        self, method, path, document=None, headers=None
+        self,
+        method,
+        path,
+        document=None,
+        headers=None,
+        timeout_ms=REQUEST_TIMEOUT_MS,
     ) -> Result:
         """Sends one request.
 
+        Args:
+            method: HTTP method.
+            path: Path with the query.
+            document: Body, encoded as JSON, or None.
+            headers: Dict of HTTP headers, or None.
+            timeout_ms: Maximum time until the response is complete.
+
         Returns:
             Pair of status and JSON document of the response, or the text of
             the error. Unreadable values of the document are UNREADABLE.
         """
         content = None if document is None else json.dumps(document).encode()
         try:
-            with trio.fail_after(REQUEST_TIMEOUT_MS / 1000):
+            with trio.fail_after(timeout_ms / 1000):
                 async with self.pool.stream(
-                    method, self.url + path, headers=headers, content=content
+                    method,
+                    self.url + path,
+                    headers=headers,
+                    content=content,
+                    extensions=CONNECT_TIMEOUT,
                 ) as response:
                     body = await read_bounded(response)
         except trio.TooSlowError:
-            return Error(
-                f"no answer from the platform within {REQUEST_TIMEOUT_MS} ms"
-            )
+            return Error(f"no answer from the platform within {timeout_ms} ms")
         except (
             httpcore.NetworkError,
             httpcore.ProtocolError,
--- a/wigeonport/route_tables.py
+++ b/wigeonport/route_tables.py
@@ -72,6 +72,10 @@
         self.per_worker_ms = per_worker_ms
         self.valid_ms = valid_ms
 
+    def duration_ms(self, workers):
+        """Returns the duration of a call that names this many workers."""
+        return self.decision_ms + self.per_worker_ms * workers
+
 
 class RoutedService(Record):
     """A service and the pool of machines with the same name.
--- a/wigeonport/worker_reports.py
+++ b/wigeonport/worker_reports.py
@@ -31,6 +31,13 @@
         self.memory_mb -= step.memory_mb
         self.gpu -= step.gpu
 
+    def add(self, step):
+        """Adds what one task of a step uses."""
+        if not step.fills:
+            self.cpu_milli += step.cpu_milli
+        self.memory_mb += step.memory_mb
+        self.gpu += step.gpu
+
     def share_of(self, step):
         """Returns the largest share of any resource that one task uses."""
         cpu_milli = 0 if step.fills else step.cpu_milli
--- a/wigeonport/worker_tables.py
+++ b/wigeonport/worker_tables.py
@@ -152,6 +152,17 @@
             free_capacity.subtract(step)
         return free_capacity
 
+    def capacity_beside_lasting(self):
+        """Returns the capacity that is free beside the lasting runs."""
+        capacity = self.report.capacity
+        free_capacity = Resources(
+            capacity.cpu_milli, capacity.memory_mb, capacity.gpu
+        )
+        for step in self.runs.values():
+            if step.lasting:
+                free_capacity.subtract(step)
+        return free_capacity
+
     def receive(self, report, previous, now_ms):
         """Records a newer report.
 
