Keep valid tickets while thousands of steps wait

Callers of a queue with advice could wait although a worker had a ticket for their step: each look-up of a ticket created an entry for its step, and the entry of the oldest step was dropped beyond 4,096 of them, with its valid tickets.

A look-up creates no entry any more; only an answer of the service does. test_waiting_steps_displace_no_valid_tickets fails without the change (no start, 4,096 steps waiting) and passes with it.

--- a/tests/test_advisors.py
+++ b/tests/test_advisors.py
@@ -17,6 +17,7 @@
     AdviceAnswered,
     Advisor,
 )
+from wigeonport.batch_dispatchers import MAX_TICKET_STEPS
 from wigeonport.channels import Mailbox
 from wigeonport.clocks import ManualClock
 from wigeonport.metrics import Metrics
@@ -215,6 +216,22 @@
     assert len(ask(harness, advisor)) == 1
 
 
+def test_waiting_steps_displace_no_valid_tickets(advised):
+    """Guards against valid tickets that are dropped before they are used.
+
+    A look-up for each of thousands of waiting steps displaced them.
+    """
+    harness, advisor = advised
+    harness.submit(ONE)
+    harness.heartbeat("w1")
+    (call,) = ask(harness, advisor)
+    answer(harness, advisor, call, {"w1": "pass"})
+    for number in range(MAX_TICKET_STEPS + 1):
+        harness.submit(ONE, job_id=f"{number:016x}")
+    harness.heartbeat("w2")
+    assert len(harness.heartbeat("w1").starts) == 1
+
+
 def submit_regularly(simulation, count, interval_ms):
     """Submits a job of one task at an interval; returns the job ids."""
     job_ids = [f"{number:016x}" for number in range(count)]
--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -388,6 +388,14 @@
             step_tickets = self.tickets[step] = Tickets()
         return step_tickets
 
+    def find_ticket(self, step, incarnation, now_ms):
+        """Returns the valid ticket of a worker for a step, or None.
+
+        Creates no Tickets, which would displace those of another step.
+        """
+        tickets = self.tickets.get(step)
+        return tickets.find(incarnation, now_ms) if tickets else None
+
     def services_with_advice(self):
         """Returns the services with an active job that needs tickets."""
         services = set()
--- a/wigeonport/run_orders.py
+++ b/wigeonport/run_orders.py
@@ -77,8 +77,8 @@
         ticket = ""
         if dispatcher.needs_ticket(job):
             step = key[0].rpartition(".")[0]
-            ticket = dispatcher.tickets_of(step).find(
-                worker.incarnation, worker.last_heartbeat_ms
+            ticket = dispatcher.find_ticket(
+                step, worker.incarnation, worker.last_heartbeat_ms
             )
             if ticket is None:
                 # The ticket is no longer valid. The advisor requests a new
--- a/wigeonport/task_placements.py
+++ b/wigeonport/task_placements.py
@@ -148,8 +148,9 @@
 
     def ticket(self, now_ms):
         """Returns the worker's valid ticket for the step, or None."""
-        tickets = self.dispatcher.tickets_of(self.prefix[:-1])
-        return tickets.find(self.worker.incarnation, now_ms)
+        return self.dispatcher.find_ticket(
+            self.prefix[:-1], self.worker.incarnation, now_ms
+        )
 
     def may_leave_rack(self, step, now_ms):
         """Returns whether a task may run outside the rack of its data.
