Drop the ticket of a start that its worker rejected

A caller's job could wait for the whole stated validity of a ticket that its worker no longer accepts: the same ticket was sent with each start. A ticket may expire earlier than stated, for example when the answer was held up or the terms of the queue have changed.

A start that ends as refused drops the ticket of the step for that worker, so that a new one is requested. test_refused_start_gets_a_new_ticket fails without the change (the job never starts) and passes with it.

--- a/tests/test_advice_needs.py
+++ b/tests/test_advice_needs.py
@@ -125,6 +125,18 @@
     assert simulation.waits_ms(["00000000000000aa"]) != [None]
 
 
+def test_refused_start_gets_a_new_ticket():
+    """Guards against a ticket that is sent again after it was rejected."""
+    simulation = AdviceSimulation(AdviceTerms(600, 50, 60_000))
+    simulation.service.lifetime_ms = 1
+    simulation.submit("00000000000000aa", STEP)
+    simulation.run(3_000)
+    assert simulation.refused_starts > 0
+    simulation.service.lifetime_ms = None
+    simulation.run(3_000)
+    assert simulation.waits_ms(["00000000000000aa"]) != [None]
+
+
 def test_workers_are_asked_for_until_one_is_allowed():
     """Guards against a step whose first workers may not run it."""
     simulation = AdviceSimulation(TERMS, workers=60)
--- a/wigeonport/advice_tickets.py
+++ b/wigeonport/advice_tickets.py
@@ -63,6 +63,10 @@
         """
         self.by_worker[incarnation] = (ticket, until_ms)
 
+    def drop(self, incarnation):
+        """Drops the answer about a worker."""
+        self.by_worker.pop(incarnation, None)
+
     def postpone(self, now_ms):
         """Sets the wait after a call without a complete answer."""
         wait_ms = min(RETRY_MS * 2**self.failures, MAX_RETRY_MS)
@@ -76,7 +80,7 @@
 
     If nothing is left of a ticket when it arrives, it counts from its arrival:
     the service may have answered late. If the ticket has expired, the worker
-    rejects the start.
+    rejects the start, and the ticket is dropped.
 
     Args:
         issued_ms: Earliest time at which the ticket was issued.
--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -396,6 +396,12 @@
         tickets = self.tickets.get(step)
         return tickets.find(incarnation, now_ms) if tickets else None
 
+    def drop_ticket(self, step, incarnation):
+        """Drops the ticket of a worker for a step."""
+        tickets = self.tickets.get(step)
+        if tickets is not None:
+            tickets.drop(incarnation)
+
     def services_with_advice(self):
         """Returns the services with an active job that needs tickets."""
         services = set()
--- a/wigeonport/batch_jobs.py
+++ b/wigeonport/batch_jobs.py
@@ -11,6 +11,7 @@
 
 DONE = "done"
 ENDED_FAILED = "failed"
+ENDED_REFUSED = "refused"
 LOST = "lost"
 
 
--- a/wigeonport/run_reports.py
+++ b/wigeonport/run_reports.py
@@ -1,6 +1,6 @@
 """Handling of the ended and live runs that heartbeats report."""
 
-from wigeonport.batch_jobs import DONE, ENDED_FAILED
+from wigeonport.batch_jobs import DONE, ENDED_FAILED, ENDED_REFUSED
 from wigeonport.batch_specs import split_task_id
 from wigeonport.job_orders import allowed_time_ms
 from wigeonport.logs import PartLogger
@@ -130,6 +130,9 @@
             dispatcher.failure_times.clear()
         failed_workers = dispatcher.failure_times.setdefault(end.task, {})
         failed_workers[worker.report.worker_id] = worker.last_heartbeat_ms
+    if end.outcome == ENDED_REFUSED:
+        # The ticket may have expired earlier than its stated validity.
+        dispatcher.drop_ticket(end.task.rpartition(".")[0], worker.incarnation)
     update_failures(dispatcher, worker, end)
     logger.info(
         "Run ended.",
