Decide on the leader alone which paths name a job

Cause: the front took the last segment of a path for a job id, the leader all that follows the longest prefix in force. Once the inner route was gone, "lo7/" and the id was looked up as a job of the outer queue. A removed queue had no path any more, so that nobody could cancel its jobs.

Change: the leader decides: nothing after the prefix is the queue, 16 digits are a job, all else is 404. The routing state keeps the former paths of queues that have jobs; a DELETE at one cancels the job and is answered 410, which acknowledges it, and every other request is answered 404.

--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -18,7 +18,7 @@
 from front import encode_answer, read_deadline
 from hypothesis import given
 from hypothesis import strategies as st
-from job_codec import MalformedBodyError, decode_submission, job_id_from_path
+from job_codec import MalformedBodyError, decode_submission
 from route_codec import decode_configuration, read_wave
 from worker_codec import decode_heartbeat, encode_orders
 
@@ -654,20 +654,6 @@
     assert str(path) in str(load_boot_settings().error)
 
 
-@pytest.mark.parametrize(
-    ("path", "job_id"),
-    [
-        ("/p/5c0e7a21d94b36f8", "5c0e7a21d94b36f8"),
-        ("/p/", None),
-        ("/p/5C0E7A21D94B36F8", None),
-        ("/p/5c0e", None),
-    ],
-)
-def test_job_id_of_a_path(path, job_id):
-    """Only 16 lower-case hexadecimal digits must be taken as a job id."""
-    assert job_id_from_path(path) == job_id
-
-
 @pytest.mark.parametrize(
     ("verb", "answer", "status"),
     [
@@ -691,6 +677,12 @@
         assert dict(response.headers)[b"retry-after"]
 
 
+def test_count_under_a_prefix_that_ends_like_a_job():
+    """Guards against a count without its number for such a prefix."""
+    answer = GatewayAnswer(BatchReply(OK, "", 3), True)
+    assert json.loads(encode_answer(STATE, answer).body) == {"pending": 3}
+
+
 def test_malformed_machine_rows_are_skipped():
     """A row without a name must not make the whole list unreadable."""
     assert decode_row({"machine": 5}) is None
--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -6,7 +6,7 @@
 """
 
 from wigeonport.advice_tickets import Tickets
-from wigeonport.batch_calls import INVALID, NO_QUEUE, OK, PROBE, BatchReply
+from wigeonport.batch_calls import OK, PROBE, BatchReply
 from wigeonport.batch_commands import (
     AdoptRoutes,
     EndRuns,
@@ -15,7 +15,7 @@
     SubmitJob,
 )
 from wigeonport.batch_jobs import LOST
-from wigeonport.batch_requests import call_handlers
+from wigeonport.batch_requests import answer_call
 from wigeonport.batch_specs import split_task_id
 from wigeonport.batch_states import apply_operation
 from wigeonport.fill_rates import update_fill_rates
@@ -427,11 +427,4 @@
         self.wall_ms = wall_ms
         if call.verb == PROBE:
             return BatchReply(OK)
-        queue = self.state.routes.table.resolve(call.host, call.path)
-        if queue is None:
-            return BatchReply(NO_QUEUE)
-        rest = call.path[len(queue.path_prefix) :]
-        handler = call_handlers.get(call.verb)
-        if handler.is_error():
-            return BatchReply(INVALID, handler.error)
-        return handler.ok(self, call, queue, rest)
+        return answer_call(self, call)
--- a/wigeonport/batch_requests.py
+++ b/wigeonport/batch_requests.py
@@ -1,8 +1,8 @@
 """Handlers of callers' requests about jobs, registered by verb.
 
-Each takes the dispatcher, the BatchCall, its Queue and the rest of the path
-after the prefix of the queue (the job id, where there is one), and returns
-the BatchReply.
+Each takes the dispatcher, the BatchCall, its Queue and the job id in the
+path, which is "" for a request about the whole queue, and returns the
+BatchReply.
 """
 
 from wigeonport.batch_calls import (
@@ -10,6 +10,7 @@
     COUNT,
     INVALID,
     NO_JOB,
+    NO_QUEUE,
     OK,
     STATE,
     SUBMIT,
@@ -17,6 +18,7 @@
 )
 from wigeonport.batch_commands import CancelJob, SubmitJob
 from wigeonport.batch_jobs import QUEUED
+from wigeonport.job_paths import is_job_id, split_job_path
 from wigeonport.logs import PartLogger
 from wigeonport.registries import Registry
 
@@ -24,15 +26,53 @@
 
 call_handlers = Registry("batch call")
 
+READS = (STATE, COUNT)
 # What decoding the specification of a job raises if it is malformed; the job
 # has not been added then.
 SPEC_ERRORS = (AttributeError, KeyError, RecursionError, TypeError, ValueError)
 
 
+def answer_call(dispatcher, call):
+    """Returns the BatchReply to a call about jobs."""
+    queue, rest = dispatcher.state.routes.table.split(call.host, call.path)
+    if queue is not None and is_job_id(rest):
+        return answer_by_verb(dispatcher, call.verb, call, queue, rest)
+    if queue is not None and not rest and call.verb in READS:
+        return answer_by_verb(dispatcher, COUNT, call, queue, rest)
+    if call.verb == CANCEL:
+        return cancel_former(dispatcher, call)
+    return BatchReply(NO_QUEUE)
+
+
+def answer_by_verb(dispatcher, verb, call, queue, job_id):
+    """Returns the BatchReply of the handler that a verb is registered for."""
+    handler = call_handlers.get(verb)
+    if handler.is_error():
+        return BatchReply(INVALID, handler.error)
+    return handler.ok(dispatcher, call, queue, job_id)
+
+
+def cancel_former(dispatcher, call):
+    """Cancels a job at its former path, which belongs to no queue any more.
+
+    Its caller knows no other path. The reply is that there is no such job,
+    which is so for every other request to the path.
+    """
+    prefix, job_id = split_job_path(call.path)
+    job = dispatcher.state.batch.jobs.get(job_id)
+    former = dispatcher.state.routes.former_names(call.host, prefix)
+    if job is None or job.queue not in former:
+        return BatchReply(NO_QUEUE)
+    if job.active:
+        dispatcher.record(CancelJob(job_id))
+    return BatchReply(NO_JOB)
+
+
 @call_handlers.register(SUBMIT)
 def submit(dispatcher, call, queue, job_id):
     """Accepts a job; accepting the same job id again has no effect."""
-    if not dispatcher.state.batch.has_accepted(job_id):
+    batch = dispatcher.state.batch
+    if not batch.has_accepted(job_id):
         try:
             dispatcher.record(SubmitJob(job_id, queue.name, call.spec_json))
         except SPEC_ERRORS as error:
@@ -62,7 +102,7 @@
 
 
 @call_handlers.register(COUNT)
-def count_waiting(dispatcher, call, queue, rest):
+def count_waiting(dispatcher, call, queue, job_id):
     """Returns the number of jobs of a queue with no task started yet."""
     number = sum(
         job.state == QUEUED and job.queue == queue.name
--- a/wigeonport/route_tables.py
+++ b/wigeonport/route_tables.py
@@ -10,6 +10,10 @@
 from wigeonport.batch_commands import OPERATIONS, AdoptRoutes
 from wigeonport.records import Record
 
+# Maximum number of former paths that are kept, for hundreds of configurations
+# that move the prefix of a queue with lasting jobs.
+MAX_FORMER_PATHS = 1_024
+
 
 class Queue(Record):
     """A queue of jobs that callers address by host and path prefix.
@@ -171,6 +175,20 @@
                 return queue
         return None
 
+    def split(self, host, path):
+        """Returns the queue of a path, or None, and the rest of the path."""
+        queue = self.resolve(host, path)
+        if queue is None:
+            return None, path
+        return queue, path[len(queue.path_prefix) :]
+
+    def paths(self):
+        """Returns triples of host, path prefix and name, as keys of a dict."""
+        queues = self.queues.values()
+        return dict.fromkeys(
+            (queue.host, queue.path_prefix, queue.name) for queue in queues
+        )
+
     def standby_services(self):
         """Returns the names of the services whose machines are on standby."""
         return [s.name for s in self.services.values() if s.standby]
@@ -206,20 +224,24 @@
 
 
 class RouteState:
-    """The routing table in force, and removed queues that still have jobs.
+    """The routing table in force, and what earlier tables said of jobs.
 
     Attributes:
         table: RouteTable in force.
         former_queues: Maps name to the last Queue of that name, for queues
             that are no longer in the table. Their accepted jobs are still
             completed.
+        former_paths: Pairs of host and path prefix with the name of the queue
+            that they selected, for queues with jobs and paths that they do
+            not select any more; the keys of a dict, oldest first.
     """
 
-    __slots__ = ("table", "former_queues")
+    __slots__ = ("table", "former_queues", "former_paths")
 
     def __init__(self):
         self.table = RouteTable()
         self.former_queues = {}
+        self.former_paths = {}
 
     @property
     def queues(self):
@@ -230,6 +252,14 @@
         """Returns the queue, including a removed one with jobs, or None."""
         return self.table.queues.get(name) or self.former_queues.get(name)
 
+    def former_names(self, host, path_prefix):
+        """Returns the names of the queues that a path selected before."""
+        return {
+            name
+            for former_host, former_prefix, name in self.former_paths
+            if (former_host, former_prefix) == (host, path_prefix)
+        }
+
     def names_service(self, name):
         """Returns whether workers of a service are in use.
 
@@ -245,7 +275,8 @@
         Args:
             table: RouteTable of a higher version.
             in_use: Names of the queues that have jobs; if removed from the
-                table, they are kept in ``former_queues``.
+                table, they are kept in ``former_queues``, and paths that no
+                longer select them in ``former_paths``.
         """
         all_queues = self.former_queues | self.table.queues
         self.former_queues = {
@@ -253,6 +284,14 @@
             for name, queue in all_queues.items()
             if name in in_use and name not in table.queues
         }
+        all_paths = self.former_paths | self.table.paths()
+        current_paths = table.paths()
+        former_paths = [
+            path
+            for path in all_paths
+            if path[-1] in in_use and path not in current_paths
+        ]
+        self.former_paths = dict.fromkeys(former_paths[-MAX_FORMER_PATHS:])
         self.table = table
 
     def to_document(self):
@@ -262,6 +301,7 @@
             "former_queues": [
                 queue.to_document() for queue in self.former_queues.values()
             ],
+            "former_paths": [list(path) for path in self.former_paths],
         }
 
 
@@ -272,6 +312,12 @@
     state.former_queues = {
         values["name"]: Queue(values) for values in document["former_queues"]
     }
+    paths = document.get("former_paths")
+    if paths is None:
+        # Earlier releases stored the removed queues only.
+        queues = state.former_queues.values()
+        paths = [(each.host, each.path_prefix, each.name) for each in queues]
+    state.former_paths = dict.fromkeys(map(tuple, paths))
     return state
 
 
