Keep a job out of reach under the paths of other queues

A caller who knew the id of a job could see and cancel it under the prefix of any queue, and a submission of the same id to another queue was acknowledged although it never ran: jobs were looked up by their id alone.

A job is found at the path at which it was accepted and at that of its queue; elsewhere it is answered 410. An id that is in use in another queue is refused with 400, as tasks are named by the id of their job alone.

test_job_of_another_queue_is_out_of_reach, test_job_id_of_another_queue_is_refused and test_hosts_have_separate_paths fail without the change and pass with it.

--- a/tests/test_batch_requests.py
+++ b/tests/test_batch_requests.py
@@ -17,6 +17,7 @@
 from wigeonport.batch_calls import (
     CANCEL,
     COUNT,
+    INVALID,
     NO_JOB,
     NO_QUEUE,
     OK,
@@ -150,6 +151,26 @@
     assert send(harness, STATE, f"/bobo/lo7/{JOB}").detail == "running"
 
 
+def test_job_of_another_queue_is_out_of_reach(nested):
+    """Guards against callers that see or cancel the job of another queue."""
+    harness, _ = nested
+    path = f"/bobo/{JOB}"
+    assert send(harness, STATE, path).outcome == NO_JOB
+    assert send(harness, CANCEL, path).outcome == NO_JOB
+    assert job_of(harness).active
+
+
+def test_job_id_of_another_queue_is_refused(nested):
+    """Guards against an acknowledged job that never runs.
+
+    Tasks are named by the id of their job alone.
+    """
+    harness, _ = nested
+    reply = send(harness, SUBMIT, f"/bobo/{JOB}")
+    assert reply.outcome == INVALID
+    assert "another queue" in reply.detail
+
+
 @pytest.mark.parametrize(
     "rest",
     [
@@ -206,6 +227,20 @@
     assert (reply.outcome, reply.detail, reply.number) == (OK, "", 1)
 
 
+def test_hosts_have_separate_paths():
+    """Guards against a job that is reached under another host."""
+    queues = [
+        make_queue("here", path_prefix="/p/"),
+        make_queue("there", path_prefix="/p/", host="there.example"),
+    ]
+    harness = DispatcherHarness(make_table(queues=queues))
+    assert send(harness, SUBMIT, f"/p/{JOB}").outcome == OK
+    there = "there.example"
+    assert send(harness, STATE, f"/p/{JOB}", there).outcome == NO_JOB
+    assert send(harness, CANCEL, f"/p/{JOB}", there).outcome == NO_JOB
+    assert job_of(harness).active
+
+
 def test_former_paths_survive_a_snapshot(nested):
     """Guards against a job that is out of reach after a restart."""
     harness, _ = nested
--- a/wigeonport/batch_requests.py
+++ b/wigeonport/batch_requests.py
@@ -3,6 +3,10 @@
 Each takes the dispatcher, the BatchCall, its Queue and the job id in the
 path, which is "" for a request about the whole queue, and returns the
 BatchReply.
+
+A job is found under the path at which it was accepted, also if the prefix
+belongs to another queue by now, and under that of its queue. Under any other
+path it does not exist, so that no caller gets at the job of another.
 """
 
 from wigeonport.batch_calls import (
@@ -52,6 +56,23 @@
     return handler.ok(dispatcher, call, queue, job_id)
 
 
+def find_job(dispatcher, queue, job_id):
+    """Returns the job that a path names, or None.
+
+    Args:
+        dispatcher: BatchDispatcher.
+        queue: Queue that the path selects.
+        job_id: Job id in the path.
+    """
+    job = dispatcher.state.batch.jobs.get(job_id)
+    if job is None or job.queue == queue.name:
+        return job
+    former = dispatcher.state.routes.former_names(
+        queue.host, queue.path_prefix
+    )
+    return job if job.queue in former else None
+
+
 def cancel_former(dispatcher, call):
     """Cancels a job at its former path, which belongs to no queue any more.
 
@@ -72,6 +93,11 @@
 def submit(dispatcher, call, queue, job_id):
     """Accepts a job; accepting the same job id again has no effect."""
     batch = dispatcher.state.batch
+    if job_id in batch.jobs and not find_job(dispatcher, queue, job_id):
+        logger.warning(
+            "Job refused.", job=job_id, fault="its id is in use elsewhere"
+        )
+        return BatchReply(INVALID, "the job id is in use in another queue")
     if not batch.has_accepted(job_id):
         try:
             dispatcher.record(SubmitJob(job_id, queue.name, call.spec_json))
@@ -86,14 +112,14 @@
 @call_handlers.register(STATE)
 def show_state(dispatcher, call, queue, job_id):
     """Returns the state of a job."""
-    job = dispatcher.state.batch.jobs.get(job_id)
+    job = find_job(dispatcher, queue, job_id)
     return BatchReply(OK, job.state) if job else BatchReply(NO_JOB)
 
 
 @call_handlers.register(CANCEL)
 def cancel(dispatcher, call, queue, job_id):
     """Cancels a job if it is active, and returns its state."""
-    job = dispatcher.state.batch.jobs.get(job_id)
+    job = find_job(dispatcher, queue, job_id)
     if job is None:
         return BatchReply(NO_JOB)
     if job.active:
