--- a/tests/lasting_simulations.py
+++ b/tests/lasting_simulations.py
@@ -21,8 +21,10 @@
     Deployment,
     JobKind,
     LoadSimulation,
+    lasting_job_id,
 )
 
+from wigeonport.batch_calls import OK
 from wigeonport.batch_commands import OpenWave
 from wigeonport.batch_settings import BatchSettings
 from wigeonport.batch_specs import JobSpec, Step
@@ -229,9 +231,10 @@
                 "max_unavailable": 1,
             }
         )
-        job_id = f"{kind.name}-lasting"
+        job_id = lasting_job_id(kind)
         spec = JobSpec("watch", [step]).to_json()
-        self.submit(f"{kind.name}-watch", job_id, spec)
+        reply = self.submit(f"{kind.name}-watch", job_id, spec)
+        assert reply.outcome == OK
         for index in range(count):
             name = f"{job_id}.0.0.{index}"
             self.tasks[name] = TaskRecord(self.now_ms)
--- a/tests/load_simulations.py
+++ b/tests/load_simulations.py
@@ -99,6 +99,11 @@
         self.lasting = 5
 
 
+def lasting_job_id(kind):
+    """Returns the id of the lasting job of a JobKind: its name in digits."""
+    return kind.name.encode().hex().ljust(16, "f")[:16]
+
+
 class Deployment:
     """Machines, kinds of job and prices of a deployment.
 
@@ -483,11 +488,12 @@
             }
         )
         spec = JobSpec("watch", [step]).to_json()
-        self.submit(f"{kind.name}-watch", f"{kind.name}-lasting", spec)
+        reply = self.submit(f"{kind.name}-watch", lasting_job_id(kind), spec)
+        assert reply.outcome == OK
 
     def arrive(self, kind):
         """Makes a job of a kind and sends it."""
-        job = SubmittedJob(f"j{len(self.jobs):06}", kind, self.now_ms)
+        job = SubmittedJob(f"{len(self.jobs):016x}", kind, self.now_ms)
         self.jobs[job.job_id] = job
         steps, chain_ms = [], 0
         count = max(1, min(4, round(self.random.gauss(kind.steps, 0.6))))
