Skip requests to the leader whose sender has given them up

A worker gives up a heartbeat after a second and repeats it. A control that had fallen behind by more handled each heartbeat after its sender had left: it spent its time on answers that nobody got, and assigned tasks to the worker that no answer could start.

A request that is given up closes its reply channel, and the controller skips such requests and counts them in batch_abandoned_events.

test_heartbeat_that_was_given_up_is_not_handled fails without the change (a heartbeat that was given up registers its worker) and passes with it. The effect on a leader that is overloaded was not measured.

--- a/tests/test_batch_controllers.py
+++ b/tests/test_batch_controllers.py
@@ -256,6 +256,54 @@
     run_controller(check)
 
 
+def test_heartbeat_that_was_given_up_is_not_handled(run_controller):
+    """Guards against a control that only handles heartbeats given up before.
+
+    A worker repeats a heartbeat after a second. A control that had fallen
+    behind by more handled each after its sender had left, and assigned it
+    tasks that no answer could start.
+    """
+
+    async def check(harness):
+        document = {
+            "service": "desk",
+            "state": "ready",
+            "slots": 8,
+            "address": "10.0.0.9:8080",
+            "zone": "ikeja",
+            "version": "v1",
+            "born": 5,
+            "seq": 1,
+            "machine": "m-1",
+            "capacity": {"cpu": 4_000, "mem-mb": 8_000, "gpu": 0},
+        }
+        report = decode_heartbeat("w1", document)
+        given_up, fresh = Reply(), Reply()
+        given_up.close()
+        await harness.call(SUBMIT)
+        await harness.controller.inbox.put(ReportReceived(report, given_up))
+        await trio.sleep(0.05)
+        assert not harness.controller.dispatcher.workers.by_id
+        await harness.controller.inbox.put(ReportReceived(report, fresh))
+        assert (await fresh.wait(WAIT_MS)).ok.starts
+        counters = harness.controller.metrics.counters
+        assert counters["batch_abandoned_events"] == 1
+
+    run_controller(check)
+
+
+def test_request_without_an_answer_in_time_is_given_up():
+    """Guards against requests that are handled after their sender left."""
+
+    async def main():
+        inbox = Mailbox("requests", 1)
+        answer = await ask(inbox, lambda reply: reply, 10)
+        reply = await inbox.get()
+        return answer.is_error(), reply.is_abandoned(), reply.send("late")
+
+    assert trio.run(main) == (True, True, False)
+
+
 def test_failed_commit_leaves_the_outcome_unknown(run_controller):
     """Guards against a caller that submits a stored job a second time.
 
--- a/wigeonport/batch_controllers.py
+++ b/wigeonport/batch_controllers.py
@@ -144,10 +144,17 @@
                 await self.send_durable_answers()
 
     def handle(self, events):
-        """Handles events and collects their answers in ``round_answers``."""
+        """Handles events and collects their answers in ``round_answers``.
+
+        An event whose answer has been given up is skipped. Its sender repeats
+        it, and a control that falls behind would handle nothing else.
+        """
         for event in events:
-            answer = self.dispatch(event)
             reply = getattr(event, "reply", None)
+            if reply is not None and reply.is_abandoned():
+                self.metrics.count("batch_abandoned_events")
+                continue
+            answer = self.dispatch(event)
             if reply is not None:
                 self.round_answers.append((reply, answer))
         now_ms = self.clock.now()
--- a/wigeonport/batch_programs.py
+++ b/wigeonport/batch_programs.py
@@ -56,6 +56,10 @@
         """Sends the answer; returns False if the link is closed."""
         return self.delivery.respond(message)
 
+    def is_abandoned(self):
+        """Returns False, because the other end does not say so."""
+        return False
+
 
 async def route_batch_deliveries(inbound, consensus, controller):
     """Passes each message to the controller or to the consensus task."""
--- a/wigeonport/channels.py
+++ b/wigeonport/channels.py
@@ -124,6 +124,14 @@
         except (trio.WouldBlock, trio.BrokenResourceError):
             return False
 
+    def close(self):
+        """Gives up the answer."""
+        self.receiver.close()
+
+    def is_abandoned(self):
+        """Returns whether the answer has been given up."""
+        return self.sender.statistics().open_receive_channels == 0
+
     async def wait(self, timeout_ms) -> Result:
         """Returns the answer, or an error text after the timeout."""
         with trio.move_on_after(max(timeout_ms, 0) / 1000):
@@ -134,6 +142,9 @@
 async def ask(mailbox, make_message, timeout_ms) -> Result:
     """Sends a request and waits for its answer.
 
+    After the timeout the other task can tell that the answer has been given
+    up, and need not handle the request.
+
     Args:
         mailbox: Mailbox of the task that answers.
         make_message: Function from the Reply to the request that carries it.
@@ -148,4 +159,5 @@
         if not await mailbox.put(make_message(reply)):
             return Error(f"the mailbox {mailbox.name} is full")
         return Ok(await reply.receiver.receive())
+    reply.close()
     return Error(f"no answer from {mailbox.name} within {timeout_ms} ms")
