Request tickets for runs that are assigned and not started

Assigned runs without a valid ticket get the next call. If the advice refuses the worker of such a run, the run is stopped and counted as lost, so that its task starts elsewhere.

--- a/tests/test_advisors.py
+++ b/tests/test_advisors.py
@@ -17,7 +17,10 @@
     AdviceAnswered,
     Advisor,
 )
-from wigeonport.batch_dispatchers import MAX_TICKET_STEPS
+from wigeonport.batch_dispatchers import (
+    MAX_TICKET_STEPS,
+    BatchDispatcher,
+)
 from wigeonport.channels import Mailbox
 from wigeonport.clocks import ManualClock
 from wigeonport.metrics import Metrics
@@ -216,6 +219,73 @@
     assert len(ask(harness, advisor)) == 1
 
 
+def test_assigned_run_gets_a_new_ticket(advised):
+    """Guards against a run that is never started once its ticket expires.
+
+    Its task does not wait any more, and only waiting tasks were asked for.
+    """
+    harness, advisor = advised
+    harness.submit(ONE)
+    harness.heartbeat("w1")
+    (call,) = ask(harness, advisor)
+    answer(harness, advisor, call, {"w1": "pass"})
+    (key,) = started_runs(harness.heartbeat("w1"))
+    # The answer with the start is lost.
+    harness.now_ms += VALID_MS
+    assert started_runs(harness.heartbeat("w1")) == []
+    (call,) = ask(harness, advisor)
+    assert (call.step, list(call.workers)) == (STEP, ["w1"])
+    answer(harness, advisor, call, {"w1": "new"})
+    (start,) = harness.heartbeat("w1").starts
+    assert ((start.task, start.run), start.ticket) == (key, "new")
+    harness.heartbeat("w1", running=[key])
+    harness.now_ms += VALID_MS
+    harness.heartbeat("w1", running=[key])
+    assert ask(harness, advisor) == []
+
+
+def test_new_leader_asks_for_assigned_runs(advised):
+    """Guards against runs that stay assigned after a change of leader."""
+    harness, advisor = advised
+    harness.submit(ONE)
+    harness.heartbeat("w1")
+    (call,) = ask(harness, advisor)
+    answer(harness, advisor, call, {"w1": "pass"})
+    (key,) = started_runs(harness.heartbeat("w1"))
+    former = harness.dispatcher
+    harness.dispatcher = BatchDispatcher(
+        former.state, former.settings, former.term + 1, harness.now_ms
+    )
+    assert started_runs(harness.heartbeat("w1")) == []
+    (call,) = ask(harness, advisor)
+    answer(harness, advisor, call, {"w1": "new"})
+    assert started_runs(harness.heartbeat("w1")) == [key]
+
+
+def test_assigned_run_of_a_refused_worker_starts_elsewhere(advised):
+    """Guards against a run whose worker may not run it after a change.
+
+    A new configuration may state advice for a queue with assigned runs.
+    """
+    harness, advisor = advised
+    harness.submit(ONE)
+    harness.heartbeat("w1")
+    (call,) = ask(harness, advisor)
+    answer(harness, advisor, call, {"w1": "pass"})
+    (key,) = started_runs(harness.heartbeat("w1"))
+    harness.now_ms += VALID_MS
+    harness.heartbeat("w1")
+    (call,) = ask(harness, advisor)
+    answer(harness, advisor, call, {})
+    # The stop makes the worker reject the start that may be on its way.
+    assert harness.heartbeat("w1").stops == [key]
+    harness.heartbeat("w2")
+    (call,) = ask(harness, advisor)
+    assert list(call.workers) == ["w2"]
+    answer(harness, advisor, call, {"w2": "pass"})
+    assert started_runs(harness.heartbeat("w2")) == [(key[0], key[1] + 1)]
+
+
 def test_waiting_steps_displace_no_valid_tickets(advised):
     """Guards against valid tickets that are dropped before they are used.
 
--- a/wigeonport/advice_needs.py
+++ b/wigeonport/advice_needs.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import functools
 
 from wigeonport.advice_tickets import Tickets
 from wigeonport.task_placements import WorkerCandidate, active_ranked_jobs
@@ -295,22 +296,72 @@
     return needs
 
 
+def find_unstarted(dispatcher, service, now_ms):
+    """Returns the AdviceNeeds of runs that are assigned and not started.
+
+    The ticket of a run may expire before its order reaches the worker, and a
+    new leader has no tickets at all. The task does not wait any more, but its
+    run starts only with a ticket.
+
+    Args:
+        dispatcher: BatchDispatcher.
+        service: Name of the service.
+        now_ms: Monotonic time.
+    """
+    workers_by_step = {}
+    silent_ms = dispatcher.max_silence_ms()
+    for worker in dispatcher.workers.of_service(service):
+        if now_ms - worker.last_heartbeat_ms > silent_ms:
+            continue
+        reported = {(row.task, row.run) for row in worker.report.running}
+        for key in worker.runs:
+            step_id = key[0].rpartition(".")[0]
+            tickets = dispatcher.tickets.get(step_id) or Tickets()
+            if (
+                key not in reported
+                and key not in worker.stopping
+                and not tickets.has_answer(worker.incarnation, now_ms)
+                and now_ms >= tickets.retry_ms
+            ):
+                workers_by_step.setdefault(step_id, {})[worker] = True
+    if not workers_by_step:
+        return []
+    ranked_jobs = {
+        ranked_job.job.job_id: ranked_job
+        for ranked_job in active_ranked_jobs(
+            dispatcher, service, dispatcher.wall_ms
+        )
+        if ranked_job.queue.advice is not None
+    }
+    return [
+        AdviceNeed(ranked_jobs[job_id], step_id, list(workers)[:MAX_WORKERS])
+        for step_id, workers in workers_by_step.items()
+        if (job_id := step_id.partition(".")[0]) in ranked_jobs
+    ]
+
+
 def find_all_needs(dispatcher, now_ms):
     """Returns the AdviceNeeds that compete for the next call.
 
-    Steps that fit into free room go first. While there are none, tickets are
-    requested ahead for the room that the live runs leave.
+    Runs that are assigned go first, as they hold room. Then come steps that
+    fit into free room. While there are none, tickets are requested ahead for
+    the room that the live runs leave.
 
     Args:
         dispatcher: BatchDispatcher.
         now_ms: Monotonic time.
     """
     services = sorted(dispatcher.services_with_advice())
-    for measure in (measure_free, measure_future):
+    searches = (
+        find_unstarted,
+        functools.partial(find_needs, measure=measure_free),
+        functools.partial(find_needs, measure=measure_future),
+    )
+    for search in searches:
         needs = [
             need
             for service in services
-            for need in find_needs(dispatcher, service, measure, now_ms)
+            for need in search(dispatcher, service, now_ms=now_ms)
         ]
         if needs:
             return needs
--- a/wigeonport/advice_tickets.py
+++ b/wigeonport/advice_tickets.py
@@ -34,6 +34,12 @@
         ticket, until_ms = self.by_worker.get(incarnation, ("", 0))
         return ticket if ticket and now_ms < until_ms else None
 
+    def has_answer(self, incarnation, now_ms):
+        """Returns whether a worker has a valid ticket or is refused."""
+        return self.is_refused(incarnation) or bool(
+            self.find(incarnation, now_ms)
+        )
+
     def is_refused(self, incarnation):
         """Returns whether a worker may not run the step."""
         entry = self.by_worker.get(incarnation)
--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -396,6 +396,17 @@
         tickets = self.tickets.get(step)
         return tickets.find(incarnation, now_ms) if tickets else None
 
+    def may_start(self, task, worker):
+        """Returns whether a worker may start a task, with a ticket if needed.
+
+        Advice that a queue has got since the task was assigned may refuse it.
+        """
+        entry = self.find_task(task)
+        if entry is None or not self.needs_ticket(entry[0]):
+            return True
+        tickets = self.tickets.get(task.rpartition(".")[0])
+        return tickets is None or not tickets.is_refused(worker.incarnation)
+
     def drop_ticket(self, step, incarnation):
         """Drops the ticket of a worker for a step."""
         tickets = self.tickets.get(step)
--- a/wigeonport/run_orders.py
+++ b/wigeonport/run_orders.py
@@ -32,7 +32,11 @@
         key
         for key in worker.runs
         if key not in reported
-        and (key in worker.stopping or not dispatcher.should_continue(*key))
+        and (
+            key in worker.stopping
+            or not dispatcher.should_continue(*key)
+            or not dispatcher.may_start(key[0], worker)
+        )
     ]
     for key in never_started:
         # The stop makes the worker reject a start order that is still in
@@ -81,8 +85,8 @@
                 step, worker.incarnation, worker.last_heartbeat_ms
             )
             if ticket is None:
-                # The ticket is no longer valid. The advisor requests a new
-                # one, and the start follows with a later heartbeat.
+                # The advisor requests a ticket, and the start follows with
+                # a later heartbeat.
                 continue
         orders.starts.append(
             StartOrder(*key, job.spec.payload, task.checkpoint, ticket)
