--- a/tools/platform_emulator.py
+++ b/tools/platform_emulator.py
@@ -155,6 +155,7 @@
             identifies its incarnation.
         sequence: Number of the last heartbeat of this incarnation.
         end_number: Number of the last end of this incarnation.
+        released_end: Number of the last end before the lease expired last.
         fence: Highest fencing number of an answer so far.
         lease_until: Monotonic time, in s, at which all runs are killed.
         target: Address to which the next heartbeat is sent.
@@ -176,6 +177,7 @@
         "started_ms",
         "sequence",
         "end_number",
+        "released_end",
         "fence",
         "lease_until",
         "target",
@@ -203,6 +205,7 @@
         self.started_ms = time.time_ns() // 1_000_000
         self.sequence = 0
         self.end_number = 0
+        self.released_end = 0
         self.fence = 0
         self.lease_until = 0.0
         self.last_runs = {}
@@ -237,13 +240,29 @@
         now = time.monotonic()
         lease_expired = now >= self.lease_until
         for task, run in list(self.runs.items()):
+            # A run that the lease has ended is not done, although this task
+            # may be late to notice.
+            until = min(now, self.lease_until)
             is_done = run.duration_s is not None and (
-                now - run.started >= run.duration_s
+                until - run.started >= run.duration_s
             )
             if is_done:
                 self.end(task, run.number, "done")
             elif lease_expired:
                 self.end(task, run.number, "lapsed")
+        if lease_expired:
+            self.release_ends()
+
+    def release_ends(self):
+        """Lets tasks start again whose end no answer has acknowledged.
+
+        Once the lease has expired, a control may start the task elsewhere,
+        whether or not it hears of the end later.
+        """
+        for number, task, _, outcome, _ in self.unacknowledged_ends:
+            if number > self.released_end and outcome == "done":
+                self.checker.done.discard(task)
+        self.released_end = self.end_number
 
     def end(self, task, number, outcome):
         """Ends a run and lists its end for the next heartbeat."""
