Reset connections to the platform when a request is given up

Connections to the platform have a linger time of 0 s, so that closing one resets it; the pages say that held bytes are lost then. Connections that have been answered are used again as before.

--- a/wigeonport/platform_clients.py
+++ b/wigeonport/platform_clients.py
@@ -1,6 +1,8 @@
 """Client of the platform's HTTP interface."""
 
 import json
+import socket
+import struct
 
 import httpcore
 import trio
@@ -15,6 +17,14 @@
 # A host that is cut off does not answer connection attempts, however long the
 # request itself may take.
 CONNECT_TIMEOUT = {"timeout": {"connect": REQUEST_TIMEOUT_MS / 1000}}
+# Closing a connection resets it (a linger time of 0 s). A request that is
+# given up while a partition holds it up is then lost. After an ordinary close
+# it arrives when the partition heals, behind the requests of a new leader.
+RESET_ON_CLOSE = (
+    socket.SOL_SOCKET,
+    socket.SO_LINGER,
+    struct.pack("ii", 1, 0),
+)
 POLL_INTERVAL_MS = 500
 MAX_CONNECTIONS = 8
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
@@ -40,7 +50,7 @@
     def __init__(self, url, clock, metrics):
         self.url = url.rstrip("/")
         self.pool = httpcore.AsyncConnectionPool(
-            max_connections=MAX_CONNECTIONS
+            max_connections=MAX_CONNECTIONS, socket_options=[RESET_ON_CLOSE]
         )
         self.clock = clock
         self.metrics = metrics
