Give the order of advice calls and the table of tickets their own places

Change: CallTurns is in advice_turns, the tickets of all steps are a TicketTable in advice_tickets, and the check of an assigned run is beside the orders that it decides.

The tests of advice, requests, dispatcher and controller pass, with the same assertions.

--- a/tests/test_advisors.py
+++ b/tests/test_advisors.py
@@ -11,16 +11,14 @@
     started_runs,
 )
 
+from wigeonport.advice_tickets import MAX_TICKET_STEPS
 from wigeonport.advisors import (
     CALL_MARGIN_MS,
     Advice,
     AdviceAnswered,
     Advisor,
 )
-from wigeonport.batch_dispatchers import (
-    MAX_TICKET_STEPS,
-    BatchDispatcher,
-)
+from wigeonport.batch_dispatchers import BatchDispatcher
 from wigeonport.channels import Mailbox
 from wigeonport.clocks import ManualClock
 from wigeonport.metrics import Metrics
--- a/wigeonport/advice_tickets.py
+++ b/wigeonport/advice_tickets.py
@@ -6,6 +6,8 @@
 # Wait before a call about the step is repeated. It doubles with each failure.
 RETRY_MS = 500
 MAX_DOUBLINGS = 4
+# Maximum number of steps whose tickets are kept.
+MAX_TICKET_STEPS = 4_096
 
 
 class Tickets:
@@ -79,6 +81,51 @@
         self.failures += 1
 
 
+class TicketTable:
+    """The Tickets of the steps of queues with advice.
+
+    Attributes:
+        by_step: Maps step id to Tickets, oldest step first.
+    """
+
+    __slots__ = ("by_step",)
+
+    def __init__(self):
+        self.by_step = {}
+
+    def get(self, step):
+        """Returns the Tickets of a step, or None.
+
+        Creates none, which would displace those of another step.
+        """
+        return self.by_step.get(step)
+
+    def create(self, step):
+        """Returns the Tickets of a step, creating them if necessary."""
+        tickets = self.by_step.get(step)
+        if tickets is None:
+            if len(self.by_step) >= MAX_TICKET_STEPS:
+                del self.by_step[next(iter(self.by_step))]
+            tickets = self.by_step[step] = Tickets()
+        return tickets
+
+    def find(self, step, incarnation, now_ms):
+        """Returns the valid ticket of a worker for a step, or None."""
+        tickets = self.by_step.get(step)
+        return tickets.find(incarnation, now_ms) if tickets else None
+
+    def is_refused(self, step, incarnation):
+        """Returns whether a worker may not run a step."""
+        tickets = self.by_step.get(step)
+        return tickets is not None and tickets.is_refused(incarnation)
+
+    def drop(self, step, incarnation):
+        """Drops the answer about a worker for a step."""
+        tickets = self.by_step.get(step)
+        if tickets is not None:
+            tickets.drop(incarnation)
+
+
 def usable_until_ms(issued_ms, answered_ms, valid_ms):
     """Returns the time until which a start may be ordered with a ticket.
 
--- a/wigeonport/advisors.py
+++ b/wigeonport/advisors.py
@@ -9,8 +9,9 @@
 
 from expression import Error
 
-from wigeonport.advice_needs import CallTurns, find_all_needs
+from wigeonport.advice_needs import find_all_needs
 from wigeonport.advice_tickets import usable_until_ms
+from wigeonport.advice_turns import CallTurns
 from wigeonport.channels import REFUSE, Mailbox
 from wigeonport.logs import PartLogger
 
@@ -217,7 +218,9 @@
         if dispatcher is None:
             return
         if event.call.term == dispatcher.term:
-            store_advice(dispatcher.tickets_of(event.call.step), event, now_ms)
+            store_advice(
+                dispatcher.tickets.create(event.call.step), event, now_ms
+            )
         self.on_tick(dispatcher, now_ms)
 
     def postpone(self, now_ms):
--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -5,7 +5,7 @@
 workers and callers may be sent only after these operations are committed.
 """
 
-from wigeonport.advice_tickets import Tickets
+from wigeonport.advice_tickets import TicketTable
 from wigeonport.batch_calls import OK, PROBE, BatchReply
 from wigeonport.batch_commands import (
     AdoptRoutes,
@@ -39,8 +39,6 @@
 
 logger = PartLogger("dispatch")
 
-# Maximum number of steps whose tickets are kept.
-MAX_TICKET_STEPS = 4_096
 # Maximum number of tasks in the open occurrences of a job, unless it has only
 # one. Due occurrences beyond it are opened as earlier ones end; all tasks of
 # a job are kept in memory.
@@ -70,7 +68,7 @@
         failure_times: Maps task id to a dict from worker id to the
             monotonic time of the last failure there, in ms.
         rankings: Maps service to its JobRanking.
-        tickets: Maps step id to Tickets, for queues with advice.
+        tickets: TicketTable of the steps of queues with advice.
         tasks_to_copy: Maps service to the ids of the tasks that need a
             speculative copy.
         rack_wait_start_ms: Maps the common prefix of a step's task ids to
@@ -120,7 +118,7 @@
         self.orphans_until_ms = lease_end_ms(settings.run_lease_ms, now_ms)
         self.failure_times = {}
         self.rankings = {}
-        self.tickets = {}
+        self.tickets = TicketTable()
         self.tasks_to_copy = {}
         self.rack_wait_start_ms = {}
         self.waits = {}
@@ -379,40 +377,6 @@
         queue = self.state.routes.queue_of(job.queue)
         return queue is not None and queue.advice is not None
 
-    def tickets_of(self, step):
-        """Returns the Tickets of a step, creating them if necessary."""
-        step_tickets = self.tickets.get(step)
-        if step_tickets is None:
-            if len(self.tickets) >= MAX_TICKET_STEPS:
-                self.tickets.pop(next(iter(self.tickets)))
-            step_tickets = self.tickets[step] = Tickets()
-        return step_tickets
-
-    def find_ticket(self, step, incarnation, now_ms):
-        """Returns the valid ticket of a worker for a step, or None.
-
-        Creates no Tickets, which would displace those of another step.
-        """
-        tickets = self.tickets.get(step)
-        return tickets.find(incarnation, now_ms) if tickets else None
-
-    def may_start(self, task, worker):
-        """Returns whether a worker may start a task, with a ticket if needed.
-
-        Advice that a queue has got since the task was assigned may refuse it.
-        """
-        entry = self.find_task(task)
-        if entry is None or not self.needs_ticket(entry[0]):
-            return True
-        tickets = self.tickets.get(task.rpartition(".")[0])
-        return tickets is None or not tickets.is_refused(worker.incarnation)
-
-    def drop_ticket(self, step, incarnation):
-        """Drops the ticket of a worker for a step."""
-        tickets = self.tickets.get(step)
-        if tickets is not None:
-            tickets.drop(incarnation)
-
     def services_with_advice(self):
         """Returns the services with an active job that needs tickets."""
         services = set()
--- a/wigeonport/run_orders.py
+++ b/wigeonport/run_orders.py
@@ -35,7 +35,7 @@
         and (
             key in worker.stopping
             or not dispatcher.should_continue(*key)
-            or not dispatcher.may_start(key[0], worker)
+            or not may_start(dispatcher, key[0], worker)
         )
     ]
     for key in never_started:
@@ -46,6 +46,18 @@
     worker.stopping &= set(worker.runs)
 
 
+def may_start(dispatcher, task, worker):
+    """Returns whether a worker may start a task, with a ticket if needed.
+
+    Advice that a queue has got since the task was assigned may refuse it.
+    """
+    entry = dispatcher.find_task(task)
+    if entry is None or not dispatcher.needs_ticket(entry[0]):
+        return True
+    step = task.rpartition(".")[0]
+    return not dispatcher.tickets.is_refused(step, worker.incarnation)
+
+
 def is_starting_up(worker):
     """Returns whether a lasting task of a worker is starting up."""
     now_ms = worker.measured_ms()
@@ -81,7 +93,7 @@
         ticket = ""
         if dispatcher.needs_ticket(job):
             step = key[0].rpartition(".")[0]
-            ticket = dispatcher.find_ticket(
+            ticket = dispatcher.tickets.find(
                 step, worker.incarnation, worker.last_heartbeat_ms
             )
             if ticket is None:
--- a/wigeonport/run_reports.py
+++ b/wigeonport/run_reports.py
@@ -132,7 +132,9 @@
         failed_workers[worker.report.worker_id] = worker.last_heartbeat_ms
     if end.outcome == ENDED_REFUSED:
         # The ticket may have expired earlier than its stated validity.
-        dispatcher.drop_ticket(end.task.rpartition(".")[0], worker.incarnation)
+        dispatcher.tickets.drop(
+            end.task.rpartition(".")[0], worker.incarnation
+        )
     update_failures(dispatcher, worker, end)
     logger.info(
         "Run ended.",
--- a/wigeonport/task_placements.py
+++ b/wigeonport/task_placements.py
@@ -148,7 +148,7 @@
 
     def ticket(self, now_ms):
         """Returns the worker's valid ticket for the step, or None."""
-        return self.dispatcher.find_ticket(
+        return self.dispatcher.tickets.find(
             self.prefix[:-1], self.worker.incarnation, now_ms
         )
 
