Test every request to a path after each change of its routes

Cause: the answers after a route is added, removed or moved were tested for single requests and in random sequences without the count, and no test said that a start carries a ticket that is still valid.

Change: test_path_after_a_change_of_the_routes sends a GET, a POST, the count and a DELETE after a route was added inside or around the prefix of a job's route, removed, moved away or taken over. The simulated burst and the call of over 6 s check that no start is refused.

--- a/tests/test_advice_needs.py
+++ b/tests/test_advice_needs.py
@@ -69,6 +69,7 @@
     simulation.run(TRAFFIC_MS + FINISH_MS)
     assert simulation.service.abandoned == 0
     assert simulation.most_open == 1
+    assert simulation.refused_starts == 0
     assert None not in simulation.waits_ms(job_ids)
 
 
@@ -113,6 +114,7 @@
     simulation.submit("00000000000000aa", STEP)
     simulation.run(8_000)
     assert simulation.service.abandoned == 0
+    assert simulation.refused_starts == 0
     assert simulation.waits_ms(["00000000000000aa"]) != [None]
 
 
--- a/tests/test_batch_requests.py
+++ b/tests/test_batch_requests.py
@@ -171,6 +171,60 @@
     assert "another queue" in reply.detail
 
 
+MOVED = make_queue("inner", "crusade", path_prefix="/moved/")
+RENAMED = make_queue("new", "crusade", path_prefix="/bobo/lo7/")
+
+
+@pytest.mark.parametrize(
+    ("first", "then", "prefix", "outcomes"),
+    [
+        # Added inside the prefix of the job's route, and around it.
+        ([OUTER], [OUTER, INNER], "/bobo/", (OK, OK, OK, OK)),
+        ([INNER], [OUTER, INNER], "/bobo/lo7/", (OK, OK, OK, OK)),
+        # Removed inside, around, and itself.
+        ([OUTER, INNER], [OUTER], "/bobo/", (OK, OK, OK, OK)),
+        ([OUTER, INNER], [INNER], "/bobo/lo7/", (OK, OK, OK, OK)),
+        (
+            [OUTER, INNER],
+            [OUTER],
+            "/bobo/lo7/",
+            (NO_QUEUE, NO_QUEUE, NO_QUEUE, NO_JOB),
+        ),
+        (
+            [OUTER, INNER],
+            [INNER],
+            "/bobo/",
+            (NO_QUEUE, NO_QUEUE, NO_QUEUE, NO_JOB),
+        ),
+        # Moved away, and taken over by another route.
+        (
+            [OUTER, INNER],
+            [OUTER, MOVED],
+            "/bobo/lo7/",
+            (NO_QUEUE, NO_QUEUE, NO_QUEUE, NO_JOB),
+        ),
+        ([INNER], [MOVED, RENAMED], "/bobo/lo7/", (OK, OK, OK, OK)),
+    ],
+)
+def test_path_after_a_change_of_the_routes(first, then, prefix, outcomes):
+    """Guards against answers that only an older configuration allows.
+
+    The outcomes are those of a GET, a POST, the count and a DELETE.
+    """
+    harness = DispatcherHarness(make_table(queues=first))
+    path = prefix + JOB
+    assert send(harness, SUBMIT, path, steps=[LASTING]).outcome == OK
+    adopt(harness, *then)
+    assert (
+        send(harness, STATE, path).outcome,
+        send(harness, SUBMIT, path).outcome,
+        send(harness, COUNT, prefix).outcome,
+        send(harness, CANCEL, path).outcome,
+    ) == outcomes
+    assert list(harness.dispatcher.state.batch.jobs) == [JOB]
+    assert job_of(harness).state == CANCELLED
+
+
 @pytest.mark.parametrize(
     "rest",
     [
