Give the routing table tenants and calls a key

Cause: the deployments with tenants state keys, weights and limits in the configuration and a key on each call; no type on the path of jobs could hold any of them.

Change: the records that the following parts share: Tenant and TenantTable, a public flag of queues, the key of a BatchCall, the tenant of SubmitJob and of a job, and the outcomes unauthorized and rejected. New fields are optional on the wire and in stored documents, so that a process of the earlier release reads them as before. Nothing uses them yet.

--- a/wigeonport/batch.thrift
+++ b/wigeonport/batch.thrift
@@ -13,6 +13,7 @@
   1: required string job_id
   2: required string queue
   3: required string spec_json
+  4: optional string tenant
 }
 
 struct CancelJob {
@@ -70,6 +71,7 @@
   3: required string path
   4: required string spec_json
   5: required string request_id
+  6: optional string api_key
 }
 
 struct BatchReply {
--- a/wigeonport/batch_calls.py
+++ b/wigeonport/batch_calls.py
@@ -15,6 +15,10 @@
 NO_JOB = "no-job"
 NOT_LEADING = "not-leading"
 INVALID = "invalid"
+# The call has no key that the routing table in force knows.
+UNAUTHORIZED = "unauthorized"
+# The job is not accepted now; the number says when to submit it again.
+REJECTED = "rejected"
 UNKNOWN = "unknown"
 
 
@@ -28,16 +32,28 @@
         path: Path of the caller's HTTP request; may end in the job id.
         spec_json: JobSpec as JSON for SUBMIT, otherwise "".
         request_id: Id that identifies the request in the logs.
+        api_key: Key with which the caller authenticates, or None. It must
+            not be logged.
     """
 
-    __slots__ = ("verb", "host", "path", "spec_json", "request_id")
+    __slots__ = (
+        "verb",
+        "host",
+        "path",
+        "spec_json",
+        "request_id",
+        "api_key",
+    )
 
-    def __init__(self, verb, host, path, spec_json="", request_id=""):
+    def __init__(
+        self, verb, host, path, spec_json="", request_id="", api_key=None
+    ):
         self.verb = verb
         self.host = host
         self.path = path
         self.spec_json = spec_json
         self.request_id = request_id
+        self.api_key = api_key
 
 
 @message_kinds.register("BatchReply")
@@ -45,9 +61,11 @@
     """The reply of a control to a BatchCall.
 
     Attributes:
-        outcome: OK, NO_QUEUE, NO_JOB, NOT_LEADING, INVALID or UNKNOWN.
+        outcome: OK, NO_QUEUE, NO_JOB, NOT_LEADING, INVALID, UNAUTHORIZED,
+            REJECTED or UNKNOWN.
         detail: State of the job, or the reason of a refusal.
-        number: For COUNT, the number of queued jobs.
+        number: For COUNT, the number of queued jobs; for REJECTED, the time
+            in ms after which to submit the job again.
         leader: Address of the leader, or "" if it is not known.
     """
 
--- a/wigeonport/batch_commands.py
+++ b/wigeonport/batch_commands.py
@@ -32,14 +32,16 @@
         job_id: Id that the caller chose.
         queue: Name of the queue of the job.
         spec_json: JobSpec as JSON.
+        tenant: Name of the tenant that owns the job, or None.
     """
 
-    __slots__ = ("job_id", "queue", "spec_json")
+    __slots__ = ("job_id", "queue", "spec_json", "tenant")
 
-    def __init__(self, job_id, queue, spec_json):
+    def __init__(self, job_id, queue, spec_json, tenant=None):
         self.job_id = job_id
         self.queue = queue
         self.spec_json = spec_json
+        self.tenant = tenant
 
 
 @message_kinds.register("CancelJob")
--- a/wigeonport/batch_jobs.py
+++ b/wigeonport/batch_jobs.py
@@ -105,6 +105,7 @@
         spec: JobSpec.
         attempts: Number of failed runs of a task after which the job fails.
         submitted_ms: Wall time at which the job was accepted.
+        tenant: Name of the tenant that owns the job, or "".
         state: QUEUED, RUNNING, COMPLETED, FAILED or CANCELLED.
         finished_ms: Wall time at which the job finished, or 0.
         occurrences: Maps the number of each open occurrence to its list of
@@ -119,6 +120,7 @@
         "spec",
         "attempts",
         "submitted_ms",
+        "tenant",
         "state",
         "finished_ms",
         "occurrences",
@@ -126,12 +128,13 @@
         "remaining",
     )
 
-    def __init__(self, job_id, queue, spec, attempts, submitted_ms):
+    def __init__(self, job_id, queue, spec, attempts, submitted_ms, tenant=""):
         self.job_id = job_id
         self.queue = queue
         self.spec = spec
         self.attempts = attempts
         self.submitted_ms = submitted_ms
+        self.tenant = tenant
         self.state = QUEUED
         self.finished_ms = 0
         self.occurrences = {}
@@ -264,6 +267,7 @@
             "spec": self.spec.to_document(),
             "attempts": self.attempts,
             "submitted_ms": self.submitted_ms,
+            "tenant": self.tenant,
             "state": self.state,
             "finished_ms": self.finished_ms,
             "opened": self.opened,
@@ -284,6 +288,7 @@
         spec,
         document["attempts"],
         document["submitted_ms"],
+        document.get("tenant", ""),
     )
     job.state = document["state"]
     job.finished_ms = document["finished_ms"]
--- a/wigeonport/batch_states.py
+++ b/wigeonport/batch_states.py
@@ -126,7 +126,12 @@
     attempts = queue.attempts if queue else 1
     spec = job_spec_from_json(operation.spec_json)
     state.batch.jobs[operation.job_id] = BatchJob(
-        operation.job_id, operation.queue, spec, attempts, now_ms
+        operation.job_id,
+        operation.queue,
+        spec,
+        attempts,
+        now_ms,
+        operation.tenant or "",
     )
 
 
--- a/wigeonport/route_tables.py
+++ b/wigeonport/route_tables.py
@@ -9,12 +9,17 @@
 
 from wigeonport.batch_commands import OPERATIONS, AdoptRoutes
 from wigeonport.records import Record
+from wigeonport.tenants import Tenant, TenantTable
 
 # Maximum number of former paths that are kept, for hundreds of configurations
 # that move the prefix of a queue with lasting jobs.
 MAX_FORMER_PATHS = 1_024
 
 
+# Fields that queues stored by earlier releases do not have.
+QUEUE_DEFAULTS = {"public": False}
+
+
 class Queue(Record):
     """A queue of jobs that callers address by host and path prefix.
 
@@ -30,6 +35,7 @@
         stretch: Factor by which the objective multiplies the estimated run
             time of the longest chain of dependent steps.
         advice: AdviceTerms, or None if any worker may run the jobs.
+        public: Whether callers need no key, even if there are tenants.
     """
 
     __slots__ = (
@@ -43,9 +49,11 @@
         "attempts",
         "stretch",
         "advice",
+        "public",
     )
 
     def __init__(self, values):
+        values = QUEUE_DEFAULTS | values
         for name in self.__slots__:
             setattr(self, name, values[name])
         if isinstance(self.advice, dict):
@@ -142,6 +150,7 @@
         limits: QueueLimits, or None.
         source: Text that the operator submitted, returned when the table
             is read.
+        tenants: TenantTable, or None if callers need no key.
         by_host: Maps host to its Queues, longest path prefix first.
     """
 
@@ -151,17 +160,25 @@
         "services",
         "limits",
         "source",
+        "tenants",
         "by_host",
     )
 
     def __init__(
-        self, version=0, queues=(), services=(), limits=None, source=""
+        self,
+        version=0,
+        queues=(),
+        services=(),
+        limits=None,
+        source="",
+        tenants=None,
     ):
         self.version = version
         self.queues = {queue.name: queue for queue in queues}
         self.services = {service.name: service for service in services}
         self.limits = limits
         self.source = source
+        self.tenants = tenants
         self.by_host = {}
         for queue in queues:
             self.by_host.setdefault(queue.host, []).append(queue)
@@ -203,6 +220,9 @@
             ],
             "limits": self.limits.to_document() if self.limits else None,
             "source": self.source,
+            "tenants": (
+                None if self.tenants is None else self.tenants.to_rows()
+            ),
         }
 
     def to_bytes(self):
@@ -214,15 +234,24 @@
 def route_table_from_document(document):
     """Rebuilds a RouteTable from ``RouteTable.to_document``."""
     limits = document["limits"]
+    # Earlier releases stored no tenants.
+    rows = document.get("tenants")
+    tenants = None if rows is None else read_tenant_rows(rows)
     return RouteTable(
         document["version"],
         [Queue(values) for values in document["queues"]],
         [RoutedService(**values) for values in document["services"]],
         QueueLimits(**limits) if limits else None,
         document["source"],
+        tenants,
     )
 
 
+def read_tenant_rows(rows):
+    """Rebuilds a TenantTable from ``TenantTable.to_rows``."""
+    return TenantTable([Tenant(**row) for row in rows])
+
+
 class RouteState:
     """The routing table in force, and what earlier tables said of jobs.
 
