Recover from the voter whose log ends last in the test

Cause: the test recovered from the leader and asked that its log hold all acknowledged entries. A commit counts the syncs of any two of three voters, so that an entry may be acknowledged before the leader has synced it. The operators' page says to choose the log that ends last, and promises no more.

Change: the test reads the last index of all three logs, asserts that two of them hold every acknowledged entry, and recovers the one that ends last. The checks on the survivor are the same; the one on the quorum is new.

--- a/tests/test_quorum_recoveries.py
+++ b/tests/test_quorum_recoveries.py
@@ -31,6 +31,13 @@
     ).ok
 
 
+def read_last_index(directory, node):
+    """Returns the index at which the log of a stopped node ends."""
+    survivor = open_survivor(make_settings(directory / node, node)).ok
+    survivor.storage.journal.close()
+    return survivor.last_index
+
+
 @pytest.fixture
 def survivor(tmp_path, monkeypatch):
     """One of three voters; its log ends at index 10."""
@@ -124,8 +131,9 @@
 def test_survivor_goes_on_and_others_join_again(run_group, tmp_path):
     """Fails if a recovery loses acknowledged entries of the survivor.
 
-    It must lead alone, and the other nodes must join again as voters with
-    empty directories.
+    The survivor is the voter whose log ends last, as the operators' page
+    says. It must lead alone, and the other nodes must join again as voters
+    with empty directories.
     """
 
     async def scenario(group):
@@ -138,28 +146,35 @@
         ]
         for node in list(group.tasks):
             await group.stop(node)
+        last_indexes = {
+            node: read_last_index(tmp_path, node) for node in SEEDS
+        }
+        # The leader counts the syncs of two voters, which need not be its own.
+        _, second_last, last = sorted(last_indexes.values())
+        assert second_last >= max(acknowledged_indexes)
+        chosen = max(SEEDS, key=last_indexes.get)
         for node in SEEDS:
-            if node != leader:
+            if node != chosen:
                 shutil.rmtree(tmp_path / node)
-        survivor = open_survivor(make_settings(tmp_path / leader, leader)).ok
-        assert survivor.last_index >= max(acknowledged_indexes)
+        survivor = open_survivor(make_settings(tmp_path / chosen, chosen)).ok
+        assert survivor.last_index == last
         assert len(survivor.describe()) == 4
         make_sole_voter(survivor)
         survivor.storage.journal.close()
-        await group.start(leader)
-        assert await group.leader() == leader
-        assert await group.read_applied_index(leader) >= max(
+        await group.start(chosen)
+        assert await group.leader() == chosen
+        assert await group.read_applied_index(chosen) >= max(
             acknowledged_indexes
         )
         for node in SEEDS:
-            if node != leader:
+            if node != chosen:
                 await group.start(node)
         while True:
-            members = (await group.status(leader)).members
+            members = (await group.status(chosen)).members
             if sum(member.voter for member in members) == 3:
                 break
             await trio.sleep(0.05)
-        answer = await group.claim(leader, "7", "other")
+        answer = await group.claim(chosen, "7", "other")
         assert type(answer.answer).__name__ == "ClaimInProgress"
 
     run_group(scenario)
