Learn run times where the estimates of callers are wrong

Pools were sized for half of the work, and 98 jobs of one queue were late for want of room. Two long runs of different jobs also excluded a sound worker.

Change: the dispatcher learns a regression of the run time on the estimate for each step of a queue, from the runs that are done, and uses it once the estimates are wrong by more than a factor of two: for the remaining work, the objective, the size of pools and the evaluation of slow runs. A worker is slow only if half of its runs are. Deployments with usable estimates are served as before.

--- a/tests/load_simulations.py
+++ b/tests/load_simulations.py
@@ -71,6 +71,12 @@
         memory_mb: Mean memory of a task.
         machines: Machines of its pool.
         lasting: Tasks of the lasting job of its pool.
+        estimate_factor: Median of the callers' estimates, as a multiple of
+            the run time.
+        estimate_spread: Spread of the callers' estimates, as a standard
+            deviation of their logarithm.
+        tail_share: Share of its tasks that take longer than the others.
+        tail_factor: Maximum factor of their run time.
     """
 
     __slots__ = (
@@ -83,6 +89,10 @@
         "memory_mb",
         "machines",
         "lasting",
+        "estimate_factor",
+        "estimate_spread",
+        "tail_share",
+        "tail_factor",
     )
 
     def __init__(
@@ -97,6 +107,10 @@
         self.memory_mb = memory_mb
         self.machines = machines
         self.lasting = 5
+        self.estimate_factor = 1.0
+        self.estimate_spread = 0.2
+        self.tail_share = 0.0
+        self.tail_factor = 1.0
 
 
 def lasting_job_id(kind):
@@ -166,6 +180,31 @@
     return deployment
 
 
+def make_uneven():
+    """Returns a fifth of a deployment with wrong estimates and long tails."""
+    deployment = Deployment()
+    deployment.kinds = [
+        JobKind("hold", 9.09 / SCALE, 1.6, 850, 1_500, 1_600, 7),
+        JobKind("map", 2.19 / SCALE, 2.0, 1_400, 3_300, 3_500, 7),
+        JobKind("gear", 11.3 / SCALE, 1.6, 850, 1_500, 1_600, 8),
+        JobKind("route", 2.67 / SCALE, 2.0, 1_400, 3_300, 3_500, 9),
+    ]
+    for kind in deployment.kinds:
+        kind.estimate_factor = 0.65
+        kind.estimate_spread = 0.9
+        kind.tail_share = 0.03
+        kind.tail_factor = 7.0
+    deployment.machine = Resources(16_000, 32_768, 0)
+    deployment.standby = 6
+    deployment.machine_price = 0.022
+    deployment.move_price = 0.025
+    deployment.owed = 300
+    deployment.settings = BatchSettings()
+    # The interval of 180 workers.
+    deployment.settings.heartbeat_interval_ms = 720
+    return deployment
+
+
 class SimulatedMachine:
     """A machine with the worker that runs on it.
 
@@ -507,7 +546,7 @@
                 )
             )
             memory = int(min(54_000, kind.memory_mb * self.vary(0.5)))
-            times = [run_ms * self.vary(0.28) for _ in range(width)]
+            times = [run_ms * self.vary_task(kind) for _ in range(width)]
             job.run_times[number] = [int(each) for each in times]
             job.work += sum(times) * cpu / 1_000
             chain_ms += max(times)
@@ -517,7 +556,7 @@
                         "count": width,
                         "cpu_milli": cpu,
                         "memory_mb": memory,
-                        "estimated_ms": int(run_ms * self.vary(0.2)),
+                        "estimated_ms": self.estimate(kind, run_ms),
                         "depends_on": [number - 1] if number else [],
                     }
                 )
@@ -530,6 +569,18 @@
         """Returns a random factor with a mean of about 1."""
         return self.random.lognormvariate(-spread * spread / 2, spread)
 
+    def estimate(self, kind, run_ms):
+        """Returns a caller's estimate of a run time, in ms."""
+        factor = kind.estimate_factor * self.vary(kind.estimate_spread)
+        return int(run_ms * factor)
+
+    def vary_task(self, kind):
+        """Returns the random factor of the run time of one task."""
+        factor = self.vary(0.28)
+        if kind.tail_share and self.random.random() < kind.tail_share:
+            factor *= self.random.uniform(1.0, kind.tail_factor)
+        return factor
+
     def send(self, job):
         """Sends a job; a refused one is sent again, as callers do."""
         if self.now_ms < self.paused_until_ms:
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -4,6 +4,8 @@
 jobs that users ask to have in time, not measured figures.
 """
 
+import math
+
 import pytest
 from batch_fixtures import make_queue
 from load_simulations import (
@@ -12,8 +14,10 @@
     LoadSimulation,
     make_large,
     make_roomy,
+    make_uneven,
 )
 
+from wigeonport import run_times
 from wigeonport.batch_jobs import BatchJob
 from wigeonport.batch_specs import JobSpec, Step
 from wigeonport.job_orders import (
@@ -24,6 +28,7 @@
     order_feasible_first,
 )
 from wigeonport.pool_loads import ARRIVAL_MS, estimate_rate
+from wigeonport.run_times import RunTimes
 from wigeonport.worker_reports import Resources
 
 SEEDS = (1, 2, 3)
@@ -46,7 +51,7 @@
             spec = JobSpec("text", [step])
             job = BatchJob(f"j{number}", "plans", spec, 2, START_MS)
             queue = make_queue(target_latency_ms=slack_ms + run_ms, stretch=0)
-            jobs.append(RankedJob(job, queue, pool.machine))
+            jobs.append(RankedJob(job, queue, pool.machine, RunTimes()))
         return order_feasible_first(jobs, pool, START_MS)
 
     return order
@@ -181,6 +186,18 @@
     assert simulation.count_unfinished() == 0
 
 
+def test_wrong_estimates_beside_overload(monkeypatch):
+    """Estimates of half the work must not decide who gets the room.
+
+    With twice the work of the pools, run times that are learned must bring
+    more jobs in time than the estimates of the callers.
+    """
+    learned = LoadSimulation(make_uneven(), 1, load=2.0).run().share()
+    monkeypatch.setattr(run_times, "MAX_LOG_ERROR", math.inf)
+    estimated = LoadSimulation(make_uneven(), 1, load=2.0).run().share()
+    assert learned > estimated
+
+
 def test_few_jobs_by_chance_are_no_peak():
     """A few jobs at once must not make a pool grow as much as a peak does."""
     assert estimate_rate([]) == 0
--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -23,6 +23,7 @@
 from wigeonport.logs import PartLogger
 from wigeonport.run_orders import add_starts, choose_interval, reconcile
 from wigeonport.run_reports import record_ended_runs, record_reported_runs
+from wigeonport.run_times import RunTimes
 from wigeonport.task_copies import find_tasks_to_copy, start_copies
 from wigeonport.task_evacuations import withdraw_stops
 from wigeonport.task_placements import place_gangs, place_tasks
@@ -68,6 +69,7 @@
         failure_times: Maps task id to a dict from worker id to the
             monotonic time of the last failure there, in ms.
         rankings: Maps service to its JobRanking.
+        run_times: RunTimes, learned in this term.
         tickets: TicketTable of the steps of queues with advice.
         tasks_to_copy: Maps service to the ids of the tasks that need a
             speculative copy.
@@ -94,6 +96,7 @@
         "orphans_until_ms",
         "failure_times",
         "rankings",
+        "run_times",
         "tickets",
         "tasks_to_copy",
         "rack_wait_start_ms",
@@ -118,6 +121,7 @@
         self.orphans_until_ms = lease_end_ms(settings.run_lease_ms, now_ms)
         self.failure_times = {}
         self.rankings = {}
+        self.run_times = RunTimes()
         self.tickets = TicketTable()
         self.tasks_to_copy = {}
         self.rack_wait_start_ms = {}
--- a/wigeonport/batch_specs.py
+++ b/wigeonport/batch_specs.py
@@ -135,19 +135,23 @@
     def longest_chain_ms(self):
         """Returns the estimated run time of the longest dependency chain."""
         if self.longest_ms is None:
-            self.longest_ms = self.compute_longest_chain()
+            self.longest_ms = self.compute_longest_chain(
+                [step.estimated_ms for step in self.steps]
+            )
         return self.longest_ms
 
-    def compute_longest_chain(self):
-        """Computes the result of ``longest_chain_ms``."""
+    def compute_longest_chain(self, run_times_ms):
+        """Returns the run time of the longest dependency chain.
+
+        Args:
+            run_times_ms: Run time of a task of each step, in ms.
+        """
         finish_times_ms = []
-        for step in self.steps:
+        for step, run_ms in zip(self.steps, run_times_ms, strict=True):
             dependencies_ms = [
                 finish_times_ms[number] for number in step.depends_on
             ]
-            finish_times_ms.append(
-                max(dependencies_ms, default=0) + step.estimated_ms
-            )
+            finish_times_ms.append(max(dependencies_ms, default=0) + run_ms)
         return max(finish_times_ms, default=0)
 
 
--- a/wigeonport/job_orders.py
+++ b/wigeonport/job_orders.py
@@ -46,7 +46,7 @@
         "startable",
     )
 
-    def __init__(self, job, queue, machine):
+    def __init__(self, job, queue, machine, run_times):
         self.job = job
         self.queue = queue
         spec = job.spec
@@ -54,9 +54,9 @@
         start_ms = job.submitted_ms
         if spec.repeat_count:
             start_ms = spec.due_ms(max(0, job.opened - 1))
-        self.objective_ms = start_ms + allowed_time_ms(queue, spec)
+        self.objective_ms = start_ms + allowed_time_ms(queue, spec, run_times)
         self.remaining_ms, self.waiting_work, self.running_work = (
-            estimate_remaining(job, machine)
+            estimate_remaining(job, machine, run_times)
         )
         self.startable = []
         self.update_startable()
@@ -92,6 +92,7 @@
         created_ms: Wall time at which the ranking was computed.
         policy: Function from ``job_orders`` that sorts RankedJobs.
         pool: RankedPool.
+        run_times: RunTimes, which predict the work of the jobs.
         ranked_jobs: List of RankedJob, highest rank first.
         by_job_id: Maps job id to RankedJob.
         least: Resources with the smallest need of each kind among the steps
@@ -102,15 +103,17 @@
         "created_ms",
         "policy",
         "pool",
+        "run_times",
         "ranked_jobs",
         "by_job_id",
         "least",
     )
 
-    def __init__(self, ranked_jobs, policy, pool, created_ms):
+    def __init__(self, ranked_jobs, policy, pool, run_times, created_ms):
         self.created_ms = created_ms
         self.policy = policy
         self.pool = pool
+        self.run_times = run_times
         self.ranked_jobs = policy(ranked_jobs, pool, created_ms)
         self.by_job_id = {
             ranked_job.job.job_id: ranked_job for ranked_job in ranked_jobs
@@ -147,7 +150,7 @@
 
     def add(self, job, queue):
         """Adds a new job at its rank."""
-        ranked_job = RankedJob(job, queue, self.pool.machine)
+        ranked_job = RankedJob(job, queue, self.pool.machine, self.run_times)
         self.include_waiting(ranked_job)
         self.by_job_id[job.job_id] = ranked_job
         self.ranked_jobs = self.policy(
@@ -162,12 +165,13 @@
             self.include_waiting(ranked_job)
 
 
-def allowed_time_ms(queue, spec):
+def allowed_time_ms(queue, spec, run_times):
     """Returns the time from the start of a job to its objective, in ms."""
-    return queue.stretch * spec.longest_chain_ms() + queue.target_latency_ms
+    chain_ms = run_times.predict_chain(queue.name, spec)
+    return queue.stretch * chain_ms + queue.target_latency_ms
 
 
-def estimate_remaining(job, machine):
+def estimate_remaining(job, machine, run_times):
     """Returns the remaining time, the waiting and the running work of a job.
 
     See ``RankedJob`` for the three values and their units.
@@ -175,13 +179,16 @@
     Args:
         job: BatchJob.
         machine: Resources of a mean machine of the pool.
+        run_times: RunTimes.
     """
     longest_ms, waiting_work, running_work = 0, 0, 0
     for step_runs in job.occurrences.values():
         finish_ms = []
-        for step_run in step_runs:
+        for number, step_run in enumerate(step_runs):
             step = step_run.step
-            own_ms = step.estimated_ms if step_run.remaining else 0
+            own_ms = 0
+            if step_run.remaining:
+                own_ms = run_times.predict(job.queue, number, step)
             dependencies_ms = [finish_ms[each] for each in step.depends_on]
             finish_ms.append(max(dependencies_ms, default=0) + own_ms)
             task_work = machine.share_of(step) * own_ms
--- a/wigeonport/run_orders.py
+++ b/wigeonport/run_orders.py
@@ -1,6 +1,7 @@
 """Start and stop orders in the answers to heartbeats."""
 
 from wigeonport.logs import PartLogger
+from wigeonport.run_measurements import forget_orders, note_order
 from wigeonport.task_evacuations import FULL_PROGRESS_PERCENT
 from wigeonport.worker_reports import StartOrder
 
@@ -84,6 +85,7 @@
 
 def add_starts(dispatcher, worker, orders):
     """Orders the start of all runs that the worker does not report."""
+    forget_orders(worker)
     reported = {(row.task, row.run) for row in worker.report.running}
     stopped = set(orders.stops)
     for key in list(worker.runs):
@@ -103,6 +105,7 @@
         orders.starts.append(
             StartOrder(*key, job.spec.payload, task.checkpoint, ticket)
         )
+        note_order(worker, key)
         logger.info(
             "Run start ordered.",
             task=key[0],
--- a/wigeonport/run_reports.py
+++ b/wigeonport/run_reports.py
@@ -4,6 +4,7 @@
 from wigeonport.batch_specs import split_task_id
 from wigeonport.job_orders import allowed_time_ms
 from wigeonport.logs import PartLogger
+from wigeonport.run_measurements import measure_run
 from wigeonport.worker_evaluations import update_failures, update_progress
 
 logger = PartLogger("dispatch")
@@ -118,11 +119,16 @@
             state=job.state,
             queue=job.queue,
             age_ms=dispatcher.wall_ms - job.submitted_ms,
-            allowed_ms=int(allowed_time_ms(queue, job.spec)) if known else 0,
+            allowed_ms=find_allowed_ms(dispatcher, queue, job) if known else 0,
             term=dispatcher.term,
         )
 
 
+def find_allowed_ms(dispatcher, queue, job):
+    """Returns the time from the start of a job to its objective, in ms."""
+    return int(allowed_time_ms(queue, job.spec, dispatcher.run_times))
+
+
 def record_outcome(dispatcher, worker, end):
     """Records the worker of a failed run, and logs the end of any run."""
     if end.outcome == ENDED_FAILED:
@@ -136,6 +142,7 @@
             end.task.rpartition(".")[0], worker.incarnation
         )
     update_failures(dispatcher, worker, end)
+    measure_run(dispatcher, worker, end)
     logger.info(
         "Run ended.",
         task=end.task,
--- a/wigeonport/task_placements.py
+++ b/wigeonport/task_placements.py
@@ -73,9 +73,11 @@
             continue
         queue = routes.queue_of(job.queue)
         if queue is not None and queue.service == service:
-            ranked_jobs.append(RankedJob(job, queue, pool.machine))
+            ranked_jobs.append(
+                RankedJob(job, queue, pool.machine, dispatcher.run_times)
+            )
     policy = job_orders.get(dispatcher.settings.job_order).ok
-    return JobRanking(ranked_jobs, policy, pool, now_ms)
+    return JobRanking(ranked_jobs, policy, pool, dispatcher.run_times, now_ms)
 
 
 def place_tasks(dispatcher, worker, now_ms, wall_ms):
--- a/wigeonport/worker_evaluations.py
+++ b/wigeonport/worker_evaluations.py
@@ -7,6 +7,7 @@
 
 from wigeonport.batch_jobs import DONE, ENDED_FAILED
 from wigeonport.logs import PartLogger
+from wigeonport.run_measurements import expected_run_ms
 from wigeonport.task_evacuations import FULL_PROGRESS_PERCENT
 from wigeonport.worker_tables import RunProgress
 
@@ -33,6 +34,9 @@
 # Number of jobs with slow runs before their worker is excluded. One job is
 # not enough: its tasks share one estimate, which may be far off.
 MIN_SLOW_JOBS = 2
+# Share of the runs on a slow worker that are slow: on a machine that is slow
+# all of them are, and a few long ones are no sign of it.
+MIN_SLOW_SHARE = 0.5
 # A slow run is moved if its remaining time exceeds the time of a move and a
 # new run by this factor.
 MOVE_FACTOR = 2.0
@@ -94,12 +98,14 @@
     stalled = find_stalled(worker, measured_ms)
     for key in stalled:
         worker.stopping.add(key)
-    slow = find_slow(worker, measured_ms)
+    slow = find_slow(dispatcher, worker, measured_ms)
     if now_ms >= worker.excluded_until_ms:
         evaluate(dispatcher, worker, now_ms, stalled, slow)
     if now_ms < worker.excluded_until_ms:
         worker.stopping.update(
-            key for key in slow if is_worth_moving(worker, key, measured_ms)
+            key
+            for key in slow
+            if is_worth_moving(dispatcher, worker, key, measured_ms)
         )
 
 
@@ -137,12 +143,14 @@
     return stalled
 
 
-def find_slow(worker, measured_ms):
-    """Returns the runs that are far slower than estimated.
+def find_slow(dispatcher, worker, measured_ms):
+    """Returns the runs that are far slower than expected.
 
-    See ``find_stalled`` for the arguments.
+    There are none if most runs of the worker have the expected speed: the
+    others are then long by themselves. See ``find_stalled`` for the worker
+    and the time.
     """
-    slow = []
+    slow, judged = [], 0
     for key, progress in worker.progress.items():
         step = worker.runs.get(key)
         age_ms = measured_ms - progress.first_ms
@@ -151,19 +159,21 @@
         if step.data_rack or step.same_rack:
             # Their speed depends on the rack, also on a healthy worker.
             continue
-        expected = 100 * age_ms / max(1, step.estimated_ms)
-        if progress.percent * SLOW_FACTOR < min(100, expected):
+        judged += 1
+        expected_ms = expected_run_ms(dispatcher, key[0], step)
+        expected_percent = 100 * age_ms / max(1, expected_ms)
+        if progress.percent * SLOW_FACTOR < min(100, expected_percent):
             slow.append(key)
-    return slow
+    return slow if len(slow) >= MIN_SLOW_SHARE * judged else []
 
 
-def is_worth_moving(worker, key, measured_ms):
+def is_worth_moving(dispatcher, worker, key, measured_ms):
     """Returns whether a slow run would end much sooner on another worker."""
     step = worker.runs[key]
     if step.gang or step.fills or key[1] > MAX_MOVED_RUN:
         return False
     progress = worker.progress[key]
-    new_run_ms = step.estimated_ms
+    new_run_ms = expected_run_ms(dispatcher, key[0], step)
     if step.checkpoints:
         new_run_ms *= (100 - progress.percent) / 100
     return progress.remaining_ms(measured_ms) > MOVE_FACTOR * (
--- a/wigeonport/worker_tables.py
+++ b/wigeonport/worker_tables.py
@@ -78,6 +78,9 @@
         reserved_ms: Time since which it gets no tasks because its machine
             has an order or is being emptied for one, or None.
         progress: Maps pairs of task id and run number to RunProgress.
+        ordered_ms: Maps pairs of task id and run number to the time of the
+            order to start the run, from ``measured_ms``, or to None if it
+            was ordered repeatedly.
         failed_jobs: Ids of the jobs with a task that failed on it since its
             last success.
         exclusion_ms: Duration of its last exclusion.
@@ -97,6 +100,7 @@
         "fill_percent",
         "reserved_ms",
         "progress",
+        "ordered_ms",
         "failed_jobs",
         "exclusion_ms",
         "acknowledged",
@@ -114,6 +118,7 @@
         self.fill_percent = 100
         self.reserved_ms = None
         self.progress = {}
+        self.ordered_ms = {}
         self.failed_jobs = set()
         self.exclusion_ms = 0
         self.acknowledged = 0
