Answer only after the last batch that an answer depends on

Cause: operations that arrive during a commit may be proposed as several batches, while their answers waited for the first of them only.

Change: answers that depend on operations which are not proposed yet are kept apart until these are proposed, and then wait for the last batch.

--- a/tests/test_batch_controllers.py
+++ b/tests/test_batch_controllers.py
@@ -18,7 +18,7 @@
     BatchCall,
 )
 from wigeonport.batch_commands import MOVE, StartRuns
-from wigeonport.batch_controllers import BatchController
+from wigeonport.batch_controllers import MAX_BATCH_BYTES, BatchController
 from wigeonport.batch_messages import (
     CallReceived,
     Redirect,
@@ -117,15 +117,19 @@
     def decide_pending(self):
         """Gives the pending proposals their outcome, if one is set."""
         while self.pending and self.outcome is not None:
-            request = self.pending.pop(0)
-            if self.outcome == COMMITTED:
-                self.index += 1
-                codec = codecs.get("thrift").ok()
-                payload = codec.encode(request.command)
-                self.largest_payload = max(self.largest_payload, len(payload))
-                command = codec.decode(payload).ok
-                self.state.apply(Entry(self.index, 0, command))
-            request.reply.send(ProposalAnswer(self.outcome, "by the test"))
+            self.decide_next()
+
+    def decide_next(self):
+        """Gives the oldest pending proposal the outcome that is set."""
+        request = self.pending.pop(0)
+        if self.outcome == COMMITTED:
+            self.index += 1
+            codec = codecs.get("thrift").ok()
+            payload = codec.encode(request.command)
+            self.largest_payload = max(self.largest_payload, len(payload))
+            command = codec.decode(payload).ok
+            self.state.apply(Entry(self.index, 0, command))
+        request.reply.send(ProposalAnswer(self.outcome, "by the test"))
 
 
 def answer_read(request, state):
@@ -242,6 +246,46 @@
     run_controller(check)
 
 
+@pytest.mark.parametrize("commits", range(1, 8))
+def test_answer_waits_for_the_last_batch_it_depends_on(
+    run_controller, commits
+):
+    """Guards against losing what was acknowledged with the leader.
+
+    Operations that arrive during a commit may fill several batches. Whenever
+    the leader is lost between two of their commits, each answered job must be
+    in the committed state.
+    """
+    payload = "x" * (MAX_BATCH_BYTES // 3)
+    spec = JobSpec(payload, [Step({"cpu_milli": 100})]).to_json()
+
+    async def check(harness):
+        consensus = harness.consensus
+        consensus.outcome = None
+        answered = []
+
+        async def submit(job_id):
+            call = BatchCall(SUBMIT, "jobs.example", f"/plans/{job_id}", spec)
+            answer = await harness.ask(lambda reply: CallReceived(call, reply))
+            if answer.is_ok() and answer.ok.outcome == OK:
+                answered.append(job_id)
+
+        async with trio.open_nursery() as nursery:
+            for number in range(12):
+                nursery.start_soon(submit, f"{number:016x}")
+                await trio.sleep(0.005)
+            assert len(consensus.pending) == 1
+            consensus.outcome = COMMITTED
+            for _ in range(commits):
+                if consensus.pending:
+                    consensus.decide_next()
+                await trio.sleep(0.02)
+            assert set(answered) <= consensus.state.batch.jobs.keys()
+            nursery.cancel_scope.cancel()
+
+    run_controller(check)
+
+
 def test_state_is_answered_after_the_commits_it_depends_on(run_controller):
     """Guards against reporting a job that a change of leader can lose.
 
--- a/wigeonport/batch_controllers.py
+++ b/wigeonport/batch_controllers.py
@@ -69,6 +69,8 @@
         pending_answers: Triples (batch number, reply, answer) of the answers
             that wait for a commit, oldest first.
         round_answers: Pairs (reply, answer) of the current round.
+        unproposed_answers: Pairs (reply, answer) of the answers that depend
+            on operations which are not proposed yet.
         lease_until_ms: Monotonic time until which the lease of this leader
             is confirmed.
         stopping: Whether the process stops and must not become the leader.
@@ -92,6 +94,7 @@
         "committed",
         "pending_answers",
         "round_answers",
+        "unproposed_answers",
         "lease_until_ms",
         "stopping",
         "nursery",
@@ -123,6 +126,7 @@
         self.committed = 0
         self.pending_answers = collections.deque()
         self.round_answers = []
+        self.unproposed_answers = []
         self.lease_until_ms = 0
         self.stopping = False
         self.nursery = None
@@ -208,6 +212,7 @@
 
         Only one set of operations is in flight at a time: under load the
         cost of a commit is shared by all operations that arrive during it.
+        Answers that depend on them wait for the last of their batches.
         """
         if self.dispatcher is None or self.sequence > self.committed:
             return
@@ -227,6 +232,9 @@
             chunk.append(data)
             size += len(data)
         self.propose_chunk(chunk)
+        for reply, answer in self.unproposed_answers:
+            self.pending_answers.append((self.sequence, reply, answer))
+        self.unproposed_answers.clear()
 
     def propose_chunk(self, chunk):
         """Proposes one batch and starts a task that awaits its outcome."""
@@ -264,10 +272,12 @@
                 reply.send(answer)
             self.round_answers.clear()
             return
-        # Operations that are not proposed yet go into the next batch.
-        required_batch = self.sequence + bool(self.dispatcher.operations)
-        for reply, answer in self.round_answers:
-            self.pending_answers.append((required_batch, reply, answer))
+        if self.dispatcher.operations:
+            # Into how many batches they will go is not known yet.
+            self.unproposed_answers += self.round_answers
+        else:
+            for reply, answer in self.round_answers:
+                self.pending_answers.append((self.sequence, reply, answer))
         self.round_answers.clear()
         if (
             not self.pending_answers
@@ -307,15 +317,17 @@
         self.lease_until_ms = 0
         if self.machines is not None:
             self.machines.stop()
-        pending = [
+        waiting = [
             (reply, answer) for _, reply, answer in self.pending_answers
         ]
-        for reply, answer in pending + self.round_answers:
+        waiting += self.unproposed_answers + self.round_answers
+        for reply, answer in waiting:
             if isinstance(answer, BatchReply):
                 reply.send(BatchReply(UNKNOWN, reason))
             else:
                 reply.send(Redirect(""))
         self.pending_answers.clear()
+        self.unproposed_answers.clear()
         self.round_answers.clear()
         if self.leader_node == self.node and not self.stopping:
             self.nursery.start_soon(self.load, self.term)
