Bound the starts in one answer to a heartbeat

Cause: answers carried the starts of all placed runs and exceeded the 4 MiB that workers take; each next answer repeated them.

Change: at most 3 MiB of starts in one answer; the rest follows with the next heartbeat, 100 ms later.

--- a/wigeonport/run_orders.py
+++ b/wigeonport/run_orders.py
@@ -13,6 +13,13 @@
 STARTUP_INTERVAL_MS = 300
 # The same interval after a heartbeat that was held up, which starts nothing.
 DELAYED_INTERVAL_MS = 100
+# Maximum size of the starts in one answer. Workers drop answers over 4 MiB;
+# the rest is left for the lists of stops and rates.
+MAX_START_BYTES = 3 * 1024 * 1024
+# The task id and the run number, with the marks around them.
+START_OVERHEAD_BYTES = 200
+# JSON escapes a character by at most six bytes.
+ESCAPED_BYTES = 6
 # Time after which a task that is not at full progress counts as slow.
 STARTUP_MS = 3_000
 
@@ -84,8 +91,13 @@
 
 
 def add_starts(dispatcher, worker, orders):
-    """Orders the start of all runs that the worker does not report."""
+    """Orders the start of the runs that the worker does not report.
+
+    Those that do not fit into one answer follow with the next, which the
+    worker is asked for soon.
+    """
     forget_orders(worker)
+    size_bytes = 0
     reported = {(row.task, row.run) for row in worker.report.running}
     stopped = set(orders.stops)
     for key in list(worker.runs):
@@ -102,9 +114,14 @@
                 # The advisor requests a ticket, and the start follows with
                 # a later heartbeat.
                 continue
-        orders.starts.append(
-            StartOrder(*key, job.spec.payload, task.checkpoint, ticket)
-        )
+        start = StartOrder(*key, job.spec.payload, task.checkpoint, ticket)
+        size_bytes += count_start_bytes(start)
+        if size_bytes > MAX_START_BYTES:
+            orders.retry_after_ms = min(
+                orders.retry_after_ms, DELAYED_INTERVAL_MS
+            )
+            break
+        orders.starts.append(start)
         note_order(worker, key)
         logger.info(
             "Run start ordered.",
@@ -113,3 +130,9 @@
             worker=worker.incarnation,
             sequence=worker.report.sequence,
         )
+
+
+def count_start_bytes(start):
+    """Returns the maximum size of a StartOrder in an answer, in bytes."""
+    texts = (start.payload, start.checkpoint, start.ticket)
+    return START_OVERHEAD_BYTES + ESCAPED_BYTES * sum(map(len, texts))
