Take no worker or loss from entries of another writer

Cause: a heartbeat without the start time of its worker registered one; the last entry of a machine replaced the others whatever pool it named, and ended the runs of a worker that was only cut off.

Of several entries of a machine the last one that names a known pool counts, and an entry for an unknown pool ends no run.

--- a/tests/test_machine_managers.py
+++ b/tests/test_machine_managers.py
@@ -791,6 +791,20 @@
     trio.run(main)
 
 
+def test_entry_for_an_unknown_pool_ends_no_run(cluster):
+    """Guards against a second run of tasks whose worker is only cut off.
+
+    Another writer's entry says that its machine is down.
+    """
+    cluster.harness.submit({"count": 1, "cpu_milli": 100})
+    ((task, run),) = started_runs(cluster.heartbeat("m1"))
+    cluster.harness.now_ms += 1_500
+    cluster.states["m1"] = ("agents", "down")
+    cluster.list_machines()
+    _, _, entry = cluster.harness.dispatcher.find_task(task)
+    assert run in entry.runs
+
+
 class FailingCloud:
     """A platform client that raises an exception in every other call.
 
@@ -807,7 +821,7 @@
         """Raises an exception."""
         raise RecursionError("by the test")
 
-    async def list_machines(self):
+    async def list_machines(self, pools):
         """Raises an exception, or returns an empty list."""
         self.calls += 1
         if self.calls % 2:
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -235,6 +235,14 @@
     assert (report.ended[0].number, report.ended[0].outcome) == (58, "done")
 
 
+@pytest.mark.parametrize("name", ["seq", "slots", "born"])
+def test_heartbeat_without_a_field_of_every_worker_is_refused(name):
+    """Guards against tasks on a worker that only another writer names."""
+    document = {key: HEARTBEAT[key] for key in HEARTBEAT.keys() - {name}}
+    with pytest.raises(MalformedBodyError):
+        decode_heartbeat("w-1", document)
+
+
 @pytest.mark.parametrize(
     "change",
     [
@@ -853,6 +861,24 @@
     assert (listed["m-2"].pool, listed["m-2"].state) == ("", "")
 
 
+@pytest.mark.parametrize("other_first", [True, False])
+def test_entry_for_an_unknown_pool_does_not_replace_another(other_first):
+    """Guards against ending the runs of a machine by another's entry.
+
+    The entry says that the machine is down, and names no known pool.
+    """
+    rows = [
+        {"machine": "m-1", "pool": "agents", "state": "down"},
+        {"machine": "m-1", "pool": "desk", "state": "up"},
+    ]
+    client = FixedAnswer(
+        200, {"machines": rows if other_first else rows[::-1]}
+    )
+    cloud = CloudClient(client)
+    listed = trio.run(cloud.list_machines, frozenset(["desk"])).ok
+    assert (listed["m-1"].pool, listed["m-1"].state) == ("desk", "up")
+
+
 def test_malformed_page_token_is_an_error(malformed_value):
     """Guards against a process that ends by a token that is no text.
 
--- a/wigeonport/machine_losses.py
+++ b/wigeonport/machine_losses.py
@@ -40,7 +40,14 @@
         listed: MachineListed.
     """
     silent_before_ms = listed.asked_ms - DOWN_SILENCE_MS
-    down = [row for row in listed.rows.values() if row.state == DOWN]
+    routes = dispatcher.state.routes
+    # An entry for an unknown pool comes from another writer, and the worker
+    # may run on.
+    down = [
+        row
+        for row in listed.rows.values()
+        if row.state == DOWN and routes.names_service(row.pool)
+    ]
     for row in down:
         worker = dispatcher.workers.by_machine.get(row.machine)
         if worker is not None and worker.last_heartbeat_ms <= silent_before_ms:
--- a/wigeonport/machine_managers.py
+++ b/wigeonport/machine_managers.py
@@ -100,6 +100,7 @@
         orders_in_flight: Machines whose order has no answer yet.
         ordered_in_term: Machines that have got an order in this term.
         leading: Whether this replica leads.
+        pools: Names of the pools in the routing table in force.
         pending_moves: Maps machine to target pool, for machines that are
             being emptied to be moved.
         underused_since_ms: Maps service to the time since which its pool
@@ -124,6 +125,7 @@
         "orders_in_flight",
         "ordered_in_term",
         "leading",
+        "pools",
         "pending_moves",
         "underused_since_ms",
         "peak_needs",
@@ -145,6 +147,7 @@
         self.orders_in_flight = set()
         self.ordered_in_term = set()
         self.leading = False
+        self.pools = frozenset()
         self.pending_moves = {}
         self.underused_since_ms = {}
         self.peak_needs = {}
@@ -220,7 +223,7 @@
     async def read_list(self) -> Result:
         """Returns the Result of reading the list; an exception is an error."""
         try:
-            return await self.cloud.list_machines()
+            return await self.cloud.list_machines(self.pools)
         except Exception as error:
             return Error(repr(error)[:MAX_FAULT_LENGTH])
 
@@ -292,6 +295,7 @@
             order once it is committed.
         """
         self.silent_worker = has_silent_worker(dispatcher, now_ms)
+        self.pools = dispatcher.state.routes.table.services.keys()
         self.reserve_ordered(dispatcher, now_ms)
         if not self.rows:
             return []
