Decode tenants and public routes of a configuration

Cause: a configuration with tenants was accepted unread, so that one in which two tenants share a key was acknowledged, and no key could be looked up.

Change: the codec reads `public` of a route and the list `tenants`. Names and keys have to be unique, weights positive and limits whole numbers; a key that one tenant lists twice counts once, since only a key of two tenants makes a configuration invalid. Error texts name the field and never the key. Without the field `tenants` a configuration asks for no key, as before.

--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -48,7 +48,7 @@
     PlatformClient,
     poll_reports,
 )
-from wigeonport.worker_reports import StartOrder, WorkerOrders
+from wigeonport.worker_reports import Resources, StartOrder, WorkerOrders
 
 LEADER = "10.1.0.12:8623"
 HEARTBEAT = {
@@ -78,6 +78,13 @@
     "attempts": 3,
     "stretch": 1.6,
 }
+TENANT = {
+    "name": "a",
+    "api-keys": ["k1", "k2"],
+    "priority": 1,
+    "weight": 82,
+    "max-count": {"cpu": 4_000, "mem-mb": 8_000, "gpu": 0},
+}
 CONFIGURATION = {
     "version": 7,
     "routes": [ROUTE],
@@ -481,6 +488,29 @@
     return CONFIGURATION | {"routes": [ROUTE | change for change in changes]}
 
 
+def tenants(*changes):
+    """Returns a configuration with one tenant for each dict of changes."""
+    return CONFIGURATION | {"tenants": [TENANT | each for each in changes]}
+
+
+def test_tenants_of_a_configuration_are_decoded():
+    """A limit that is not stated is none, and a key may be listed twice."""
+    rows = tenants(
+        {}, {"name": "b", "api-keys": ["k3", "k3"], "max-count": {"gpu": 2}}
+    )
+    assert decode_configuration(encode(CONFIGURATION)).ok.tenants is None
+    table = decode_configuration(encode(rows)).ok.tenants
+    first, second = table.by_name.values()
+    assert (first.priority, first.weight) == (1, 82)
+    assert first.max_running == Resources(4_000, 8_000, 0)
+    assert second.max_running == Resources(0, 0, 2)
+    owners = [table.find(key) for key in ("k1", "k2", "k3", "k4")]
+    assert owners == [first, first, second, None]
+    queues = routes({"public": True}, {"name": "r-2", "path-prefix": "/q/"})
+    queues = decode_configuration(encode(queues)).ok.queues
+    assert [queue.public for queue in queues.values()] == [True, False]
+
+
 @pytest.mark.parametrize(
     "document",
     [
@@ -505,11 +535,43 @@
         routes({"attempts": 1e999}),
         routes({"advice": {"valid-ms": 2**70}}),
         routes({"advice": [5]}),
+        routes({"public": 1}),
+        CONFIGURATION | {"tenants": None},
+        CONFIGURATION | {"tenants": {"a": TENANT}},
+        CONFIGURATION | {"tenants": [["a"]]},
+        tenants({"name": ""}),
+        tenants({"name": 5}),
+        tenants({"name": "a" * 1_001}),
+        tenants({}, {"api-keys": ["k3"]}),
+        tenants({}, {"name": "b", "api-keys": ["k3", "k2"]}),
+        tenants({"api-keys": "k1"}),
+        tenants({"api-keys": None}),
+        tenants({"api-keys": [""]}),
+        tenants({"api-keys": [5]}),
+        tenants({"api-keys": ["\ud800"]}),
+        tenants({"api-keys": ["k" * 1_001]}),
+        tenants({"weight": 0}),
+        tenants({"weight": None}),
+        tenants({"weight": -1}),
+        tenants({"weight": True}),
+        tenants({"weight": "82"}),
+        tenants({"weight": 1e999}),
+        tenants({"priority": -1}),
+        tenants({"max-count": None}),
+        tenants({"max-count": [1]}),
+        tenants({"max-count": {"cpu": -1}}),
+        tenants({"max-count": {"gpu": 0.5}}),
+        tenants({"max-count": {"mem-mb": "1"}}),
     ],
 )
 def test_invalid_configuration_is_refused(document):
-    """An invalid configuration must never be acknowledged."""
-    assert decode_configuration(encode(document)).is_error()
+    """An invalid configuration must never be acknowledged.
+
+    The reason is logged, so it must not hold a key.
+    """
+    answer = decode_configuration(encode(document))
+    assert answer.is_error()
+    assert not re.search(r"\bk+[0-9]?\b", answer.error)
 
 
 def test_configuration_with_any_malformed_value_is_refused(malformed_value):
--- a/wigeonport/tenants.py
+++ b/wigeonport/tenants.py
@@ -10,6 +10,9 @@
 from wigeonport.records import Record
 from wigeonport.worker_reports import Resources
 
+# Maximum length of a key, far more than the platform's keys of 20 bytes have.
+MAX_KEY_BYTES = 1_000
+
 
 class Tenant(Record):
     """A tenant of the fleet.
