Check the keys of calls and the tenant of each job

Cause: a call was answered whatever key it carried, so a job of one tenant was open to the callers of all, and a revoked key went on working.

Change: the front passes the key of `Authorization: Token KEY` on, and the leader looks its digest up in the newest version that it has adopted, for each call. No queue is 404, no valid key 401, the job of another tenant 410. A job keeps the tenant of its first accepted submission; it runs on when the tenant loses its keys. `refuse_submission` is the place for limits on submissions and accepts all of them so far; the outcome `rejected` becomes 429 with the time after which to submit again. Both refusals leave the outcome unknown after an attempt whose answer was lost. A flood of calls without a key is logged once a second, without the key.

--- a/tests/batch_fixtures.py
+++ b/tests/batch_fixtures.py
@@ -13,6 +13,7 @@
     RouteTable,
 )
 from wigeonport.states import ReplicatedState
+from wigeonport.tenants import Tenant, TenantTable, digest_key
 from wigeonport.worker_reports import (
     Resources,
     RunEnd,
@@ -41,13 +42,20 @@
     return Queue(defaults | values)
 
 
-def make_table(version=1, queues=None, standby=()):
+def make_tenant(name, *keys, weight=1, **maximum):
+    """Returns a tenant with these keys; ``maximum`` limits what it runs."""
+    digests = [digest_key(key) for key in keys]
+    return Tenant(name, digests, 0, weight, Resources(**maximum))
+
+
+def make_table(version=1, queues=None, standby=(), tenants=None):
     """Returns a routing table with the services of its queues.
 
     Args:
         version: Version of the table.
         queues: Queues, or None for one default queue.
         standby: Names of standby services.
+        tenants: Tenants, or None if no call needs a key.
     """
     queues = queues or [make_queue()]
     service_names = {queue.service for queue in queues}
@@ -56,7 +64,8 @@
     ]
     services += [RoutedService(name, True, True, "/") for name in standby]
     limits = QueueLimits(16_384, 262_144, 3_000, 15_000)
-    return RouteTable(version, queues, services, limits, "{}")
+    tenant_table = None if tenants is None else TenantTable(tenants)
+    return RouteTable(version, queues, services, limits, "{}", tenant_table)
 
 
 class DispatcherHarness:
@@ -80,17 +89,19 @@
             state, BatchSettings(), 3, self.now_ms
         )
 
-    def call(self, verb, rest="", queue="plans", steps=(), host=HOST):
+    def call(
+        self, verb, rest="", queue="plans", steps=(), host=HOST, key=None
+    ):
         """Sends a caller's request and returns the BatchReply."""
         spec = JobSpec("text", [Step(values) for values in steps]).to_json()
         path = f"/{queue}/{rest}"
         return self.dispatcher.on_call(
-            BatchCall(verb, host, path, spec), self.now_ms
+            BatchCall(verb, host, path, spec, "", key), self.now_ms
         )
 
-    def submit(self, *steps, job_id=JOB, queue="plans"):
+    def submit(self, *steps, job_id=JOB, queue="plans", key=None):
         """Submits a job with these steps and returns the BatchReply."""
-        return self.call(SUBMIT, job_id, queue, steps)
+        return self.call(SUBMIT, job_id, queue, steps, key=key)
 
     def state(self, job_id=JOB):
         """Returns the state of a job."""
--- a/wigeonport/batch_calls.py
+++ b/wigeonport/batch_calls.py
@@ -55,6 +55,14 @@
         self.request_id = request_id
         self.api_key = api_key
 
+    def __repr__(self):
+        """Returns the call as text, which does not contain the key."""
+        shown = self.to_document()
+        if self.api_key is not None:
+            shown["api_key"] = "hidden"
+        pairs = (f"{name}={value!r}" for name, value in shown.items())
+        return f"BatchCall({', '.join(pairs)})"
+
 
 @message_kinds.register("BatchReply")
 class BatchReply(Record):
--- a/wigeonport/batch_controllers.py
+++ b/wigeonport/batch_controllers.py
@@ -27,6 +27,7 @@
     ResignRequest,
     StatusRequest,
 )
+from wigeonport.key_refusals import KeyRefusals
 from wigeonport.logs import PartLogger
 from wigeonport.machine_orders import PlannedOrder
 from wigeonport.replica_events import COMMITTED, LEADER
@@ -74,6 +75,7 @@
         stopping: Whether the process stops and must not become the leader.
         nursery: Runs the tasks that wait for the outcomes of proposals.
         tick_due_ms: Monotonic time of the next tick.
+        key_refusals: KeyRefusals.
     """
 
     __slots__ = (
@@ -96,6 +98,7 @@
         "stopping",
         "nursery",
         "tick_due_ms",
+        "key_refusals",
     )
 
     def __init__(
@@ -127,6 +130,7 @@
         self.stopping = False
         self.nursery = None
         self.tick_due_ms = 0
+        self.key_refusals = KeyRefusals()
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Handles messages in rounds; a batch covers one or more rounds."""
--- a/wigeonport/batch_inputs.py
+++ b/wigeonport/batch_inputs.py
@@ -1,7 +1,12 @@
 """Handlers of the messages to the batch controller."""
 
 from wigeonport.advisors import AdviceAnswered
-from wigeonport.batch_calls import NOT_LEADING, PROBE, BatchReply
+from wigeonport.batch_calls import (
+    NOT_LEADING,
+    PROBE,
+    UNAUTHORIZED,
+    BatchReply,
+)
 from wigeonport.batch_commands import AdoptRoutes, OpenWave
 from wigeonport.batch_dispatchers import BatchDispatcher
 from wigeonport.batch_messages import (
@@ -150,6 +155,10 @@
     reply = controller.dispatcher.on_call(event.call, controller.clock.wall())
     if event.call.verb == PROBE:
         return reply
+    if reply.outcome == UNAUTHORIZED:
+        controller.metrics.count("calls_unauthorized")
+        controller.key_refusals.record(reply.detail, controller.clock.now())
+        return reply
     logger.info(
         "Batch call handled.",
         request=event.call.request_id,
--- a/wigeonport/batch_requests.py
+++ b/wigeonport/batch_requests.py
@@ -1,12 +1,13 @@
 """Handlers of callers' requests about jobs, registered by verb.
 
-Each takes the dispatcher, the BatchCall, its Queue and the job id in the
-path, which is "" for a request about the whole queue, and returns the
-BatchReply.
+Each takes the dispatcher, the BatchCall, its Queue, the job id in the path,
+which is "" for a request about the whole queue, and the Tenant of the caller,
+which is None if the queue requires no key. It returns the BatchReply.
 
 A job is found under the path at which it was accepted, also if the prefix
 belongs to another queue by now, and under that of its queue. Under any other
-path it does not exist, so that no caller gets at the job of another.
+path it does not exist, so that no caller gets at the job of another. Nor
+does it exist for a caller with the key of another tenant.
 """
 
 from wigeonport.batch_calls import (
@@ -25,6 +26,8 @@
 from wigeonport.job_paths import is_job_id, split_job_path
 from wigeonport.logs import PartLogger
 from wigeonport.registries import Registry
+from wigeonport.tenant_admissions import refuse_submission
+from wigeonport.tenant_keys import authenticate, may_reach
 
 logger = PartLogger("dispatch")
 
@@ -49,23 +52,33 @@
 
 
 def answer_by_verb(dispatcher, verb, call, queue, job_id):
-    """Returns the BatchReply of the handler that a verb is registered for."""
+    """Returns the BatchReply of the handler that a verb is registered for.
+
+    A call without a valid key is refused before anything else is decided.
+    """
+    table = dispatcher.state.routes.table
+    tenant = authenticate(table, queue, call.api_key)
+    if tenant.is_error():
+        return tenant.error
     handler = call_handlers.get(verb)
     if handler.is_error():
         return BatchReply(INVALID, handler.error)
-    return handler.ok(dispatcher, call, queue, job_id)
+    return handler.ok(dispatcher, call, queue, job_id, tenant.ok)
 
 
-def find_job(dispatcher, queue, job_id):
-    """Returns the job that a path names, or None.
+def find_job(dispatcher, queue, job_id, tenant):
+    """Returns the job that a path names for a caller, or None.
 
     Args:
         dispatcher: BatchDispatcher.
         queue: Queue that the path selects.
         job_id: Job id in the path.
+        tenant: Tenant of the caller, or None if the queue requires no key.
     """
     job = dispatcher.state.batch.jobs.get(job_id)
-    if job is None or job.queue == queue.name:
+    if job is None or not may_reach(tenant, job):
+        return None
+    if job.queue == queue.name:
         return job
     former = dispatcher.state.routes.former_names(
         queue.host, queue.path_prefix
@@ -77,30 +90,50 @@
     """Cancels a job at its former path, which belongs to no queue any more.
 
     Its caller knows no other path. The reply is that there is no such job,
-    which is so for every other request to the path.
+    which is so for every other request to the path. The queue of the job
+    decides whether a key is required; without it, the reply is that there is
+    no such queue, as for a job that never existed.
     """
     prefix, job_id = split_job_path(call.path)
+    routes = dispatcher.state.routes
     job = dispatcher.state.batch.jobs.get(job_id)
-    former = dispatcher.state.routes.former_names(call.host, prefix)
+    former = routes.former_names(call.host, prefix)
     if job is None or job.queue not in former:
         return BatchReply(NO_QUEUE)
+    tenant = authenticate(
+        routes.table, routes.queue_of(job.queue), call.api_key
+    )
+    if tenant.is_error() or not may_reach(tenant.ok, job):
+        return BatchReply(NO_QUEUE)
     if job.active:
         dispatcher.record(CancelJob(job_id))
     return BatchReply(NO_JOB)
 
 
 @call_handlers.register(SUBMIT)
-def submit(dispatcher, call, queue, job_id):
-    """Accepts a job; accepting the same job id again has no effect."""
+def submit(dispatcher, call, queue, job_id, tenant):
+    """Accepts a job; accepting the same job id again has no effect.
+
+    The job belongs to the tenant of its first accepted submission for good.
+    """
     batch = dispatcher.state.batch
-    if job_id in batch.jobs and not find_job(dispatcher, queue, job_id):
+    found = find_job(dispatcher, queue, job_id, tenant)
+    if job_id in batch.jobs and found is None:
         logger.warning(
             "Job refused.", job=job_id, fault="its id is in use elsewhere"
         )
-        return BatchReply(INVALID, "the job id is in use in another queue")
+        return BatchReply(
+            INVALID, "the job id is in use in another queue or tenant"
+        )
     if not batch.has_accepted(job_id):
+        refusal = refuse_submission(dispatcher, tenant, queue, call)
+        if refusal is not None:
+            return refusal
+        owner = tenant.name if tenant is not None else None
         try:
-            dispatcher.record(SubmitJob(job_id, queue.name, call.spec_json))
+            dispatcher.record(
+                SubmitJob(job_id, queue.name, call.spec_json, owner)
+            )
         except SPEC_ERRORS as error:
             logger.warning(
                 "Job refused.", job=job_id, fault=type(error).__name__
@@ -110,16 +143,16 @@
 
 
 @call_handlers.register(STATE)
-def show_state(dispatcher, call, queue, job_id):
+def show_state(dispatcher, call, queue, job_id, tenant):
     """Returns the state of a job."""
-    job = find_job(dispatcher, queue, job_id)
+    job = find_job(dispatcher, queue, job_id, tenant)
     return BatchReply(OK, job.state) if job else BatchReply(NO_JOB)
 
 
 @call_handlers.register(CANCEL)
-def cancel(dispatcher, call, queue, job_id):
+def cancel(dispatcher, call, queue, job_id, tenant):
     """Cancels a job if it is active, and returns its state."""
-    job = find_job(dispatcher, queue, job_id)
+    job = find_job(dispatcher, queue, job_id, tenant)
     if job is None:
         return BatchReply(NO_JOB)
     if job.active:
@@ -128,7 +161,7 @@
 
 
 @call_handlers.register(COUNT)
-def count_waiting(dispatcher, call, queue, job_id):
+def count_waiting(dispatcher, call, queue, job_id, tenant):
     """Returns the number of jobs of a queue with no task started yet."""
     number = sum(
         job.state == QUEUED and job.queue == queue.name
--- a/wigeonport/gateways.py
+++ b/wigeonport/gateways.py
@@ -7,7 +7,9 @@
     INVALID,
     NO_QUEUE,
     NOT_LEADING,
+    REJECTED,
     SUBMIT,
+    UNAUTHORIZED,
     UNKNOWN,
 )
 from wigeonport.channels import REFUSE, Mailbox
@@ -26,7 +28,7 @@
 LEADER_REACHABLE_MS = 2_500
 # Calls with an effect, and replies which say that it had none.
 EFFECTIVE_VERBS = frozenset({SUBMIT, CANCEL})
-REFUSALS = frozenset({INVALID, NO_QUEUE})
+REFUSALS = frozenset({INVALID, NO_QUEUE, REJECTED, UNAUTHORIZED})
 
 
 class GatewayCall:
@@ -144,7 +146,7 @@
                 self.leader_answered_ms = self.clock.now()
                 if sent and is_refusal(request.call, reply):
                     # An earlier attempt may have had its effect before the
-                    # routing table changed.
+                    # routing table or the keys changed.
                     return GatewayAnswer(None, True)
                 return GatewayAnswer(reply, True)
 
