Test keys through the programs of the platform

Cause: the tests of keys decided in one process; none showed that a header on an open connection reaches the leader's newest version.

Change: a test with three controls and a front calls over one connection while versions add, take away and, invalidly, share a key; the logs of all processes must hold none. Its calls are repeated while nobody can decide them.

--- a/tests/test_platform_programs.py
+++ b/tests/test_platform_programs.py
@@ -1,5 +1,6 @@
 """Tests that run the platform's programs as processes."""
 
+import contextlib
 import functools
 import os
 import pathlib
@@ -8,10 +9,12 @@
 import sys
 import time
 
+import httpcore
 import pytest
 import trio
-from platform_emulator import EmulatedWorker
-from platform_soak import Soak
+from platform_emulator import CALL_ERRORS, EmulatedWorker, exchange
+from platform_fleet import PlatformFleet
+from platform_soak import HOST, PREFIX, Soak, make_configuration
 
 START_S = 10.0
 NESTED = functools.reduce(lambda inner, _: [inner], range(900), [])
@@ -137,3 +140,85 @@
         (core.folder / "log").read_text() for core in soak.fleet.cores
     )
     assert "Heartbeat rows skipped." in logs
+
+
+KEYS_NET = 109
+FIRST, SECOND = "first-key-of-a", "second-key-of-a"
+JOB_PATH = f"{PREFIX}00000000000000aa"
+STEPS = {"spec": "text", "steps": [{"count": 1, "cpu": 100}]}
+
+
+async def ask_until_answered(*arguments):
+    """Returns the status of a call, repeated while nobody can decide it."""
+    while True:
+        with contextlib.suppress(*CALL_ERRORS):
+            status, _ = await exchange(*arguments)
+            if status not in (503, 504):
+                return status
+        await trio.sleep(0.1)
+
+
+async def put_tenants(fleet, version, *keys_of_tenants):
+    """Sends a configuration with tenants; returns the status."""
+    rows = [
+        {"name": f"t{number}", "api-keys": keys, "weight": 1}
+        for number, keys in enumerate(keys_of_tenants)
+    ]
+    document = make_configuration(version) | {"tenants": rows}
+    url = f"http://{fleet.control_addresses[0]}/v1/config"
+    return await ask_until_answered("PUT", url, document, (), 3.0)
+
+
+async def call_with_keys(fleet):
+    """Returns the statuses of calls while keys come and go.
+
+    All calls use the same open connection to a front.
+    """
+    statuses = []
+    url = f"http://{fleet.front_addresses[0]}{JOB_PATH}"
+    async with httpcore.AsyncConnectionPool(max_connections=1) as pool:
+
+        async def call(method, key, document=None):
+            headers = [("Host", HOST), ("Authorization", f"Token {key}")]
+            statuses.append(
+                await ask_until_answered(
+                    method, url, document, headers, 4.0, pool
+                )
+            )
+
+        statuses.append(await put_tenants(fleet, 1, [FIRST]))
+        await call("POST", FIRST, STEPS)
+        await call("GET", SECOND)
+        statuses.append(await put_tenants(fleet, 2, [SECOND]))
+        await call("GET", FIRST)
+        await call("GET", SECOND)
+        statuses.append(await put_tenants(fleet, 3, [FIRST], [FIRST]))
+        await call("DELETE", FIRST)
+        await call("DELETE", SECOND)
+    return statuses
+
+
+def test_keys_come_and_go_on_an_open_connection(tmp_path):
+    """Guards against a revoked key that is honoured where it was before.
+
+    A version with a shared key must be refused, and no log may hold a key.
+    """
+    fleet = PlatformFleet(tmp_path, KEYS_NET, 3, 1)
+
+    async def main():
+        try:
+            with trio.fail_after(60):
+                async with trio.open_nursery() as nursery:
+                    await fleet.start(nursery)
+                    statuses = await call_with_keys(fleet)
+                    nursery.cancel_scope.cancel()
+        finally:
+            with trio.CancelScope(shield=True):
+                await fleet.stop()
+        return statuses
+
+    assert trio.run(main) == [200, 200, 401, 200, 401, 200, 400, 401, 200]
+    for process in (*fleet.cores, *fleet.fronts):
+        log = (process.folder / "log").read_text()
+        assert FIRST not in log
+        assert SECOND not in log
--- a/tests/test_tenant_keys.py
+++ b/tests/test_tenant_keys.py
@@ -214,6 +214,8 @@
         committed_keys: Keys of the newest committed version.
     """
 
+    __slots__ = ("committed", "dispatcher", "keys", "committed_keys")
+
     def __init__(self):
         self.committed = ReplicatedState()
         self.keys = self.committed_keys = ()
