Test that a refusal waits for the commit of its version

Cause: no test held the answer to a call without a key back until the version that takes the key away is committed, nor counted such calls.

Change: a test of the controller over a consensus task that commits late; the log lines of the refused calls and the metric are checked with it.

--- a/tests/test_batch_controllers.py
+++ b/tests/test_batch_controllers.py
@@ -3,9 +3,10 @@
 import json
 import random
 
+import logbook
 import pytest
 import trio
-from batch_fixtures import JOB, make_queue, make_table
+from batch_fixtures import JOB, make_queue, make_table, make_tenant
 from expression import Ok
 from worker_codec import decode_heartbeat
 
@@ -14,6 +15,7 @@
     OK,
     STATE,
     SUBMIT,
+    UNAUTHORIZED,
     UNKNOWN,
     BatchCall,
 )
@@ -242,6 +244,32 @@
     run_controller(check)
 
 
+def test_refusal_by_a_version_waits_for_its_commit(run_controller):
+    """Guards against 401 by a version that a change of leader can lose.
+
+    A call without a key has no log line of its own: anybody can send one.
+    """
+
+    async def check(harness):
+        harness.consensus.outcome = None
+        table = make_table(2, tenants=[make_tenant("a", "secret")])
+        await harness.ask(lambda reply: RoutesStated(table, reply), SHORT_MS)
+        with logbook.TestHandler().applicationbound() as log:
+            for _ in range(3):
+                assert (await harness.call(STATE, SHORT_MS)).is_error()
+            harness.consensus.outcome = COMMITTED
+            harness.consensus.decide_pending()
+            answer = await harness.call(SUBMIT)
+        assert answer.ok.outcome == UNAUTHORIZED
+        counters = harness.controller.metrics.counters
+        assert counters["calls_unauthorized"] == 4
+        messages = {record.message for record in log.records}
+        assert "Calls without a valid key refused." in messages
+        assert "Batch call handled." not in messages
+
+    run_controller(check)
+
+
 def test_state_is_answered_after_the_commits_it_depends_on(run_controller):
     """Guards against reporting a job that a change of leader can lose.
 
