Keep what a tenant has running within its limit

Change: tenant_usage counts the runs of each tenant from the recorded orders: from StartRuns until the end is recorded, or until the run is certain not to be live. The dispatcher keeps the sums as it records; a new leader builds them from the live runs of the state. Tasks, gangs, copies and lasting tasks on reserved workers start only within the newest limit; tasks that fill count in full. Without tenants nothing is computed.

--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -26,6 +26,7 @@
 from wigeonport.task_copies import find_tasks_to_copy, start_copies
 from wigeonport.task_evacuations import withdraw_stops
 from wigeonport.task_placements import place_gangs, place_tasks
+from wigeonport.tenant_usage import TenantUsage
 from wigeonport.waiting_tasks import log_waiting_tasks
 from wigeonport.worker_evaluations import review_worker
 from wigeonport.worker_registrations import (
@@ -64,6 +65,7 @@
         failure_times: Maps task id to a dict from worker id to the
             monotonic time of the last failure there, in ms.
         rankings: Maps service to its JobRanking.
+        usage: TenantUsage.
         tickets: TicketTable of the steps of queues with advice.
         tasks_to_copy: Maps service to the ids of the tasks that need a
             speculative copy.
@@ -90,6 +92,7 @@
         "orphans_until_ms",
         "failure_times",
         "rankings",
+        "usage",
         "tickets",
         "tasks_to_copy",
         "rack_wait_start_ms",
@@ -114,6 +117,7 @@
         self.orphans_until_ms = lease_end_ms(settings.run_lease_ms, now_ms)
         self.failure_times = {}
         self.rankings = {}
+        self.usage = TenantUsage()
         self.tickets = TicketTable()
         self.tasks_to_copy = {}
         self.rack_wait_start_ms = {}
@@ -125,6 +129,7 @@
             self.track_active(job)
             for task, run, worker, step in job.live_runs():
                 self.workers.add_run(worker, task, run, step)
+                self.usage.add_run(job, step)
 
     def max_silence_ms(self):
         """Returns the silence, in ms, after which a worker gets no task."""
@@ -165,8 +170,9 @@
     def index_started_runs(self, operation):
         """Adds started runs to the index of live runs."""
         for task_id, run in zip(operation.tasks, operation.runs, strict=True):
-            step = self.find_task(task_id)[1].step
-            self.workers.add_run(operation.worker, task_id, run, step)
+            job, step_run, _ = self.find_task(task_id)
+            self.workers.add_run(operation.worker, task_id, run, step_run.step)
+            self.usage.add_run(job, step_run.step)
 
     def unindex_ended_runs(self, operation):
         """Removes runs from the index of live runs.
@@ -178,7 +184,9 @@
             entry = self.find_task(task_id)
             if entry is not None:
                 worker = entry[2].runs.get(run)
-                self.workers.drop_run(worker, task_id, run)
+                step = self.workers.drop_run(worker, task_id, run)
+                if step is not None:
+                    self.usage.remove_run(entry[0], step)
 
     def take_operations(self):
         """Returns and clears the operations to commit."""
--- a/wigeonport/lasting_placements.py
+++ b/wigeonport/lasting_placements.py
@@ -9,6 +9,7 @@
 
 from wigeonport.batch_commands import StartRuns
 from wigeonport.task_placements import WorkerCandidate, active_ranked_jobs
+from wigeonport.tenant_usage import open_allowance
 
 # Tasks that still run on a reserved machine after this time are stopped. It is
 # twice the mean run time of the longest kind of task.
@@ -93,6 +94,7 @@
     if not waiting:
         return
     free_capacity = worker.free_capacity()
+    allowance = open_allowance(dispatcher)
     tasks, runs = [], []
     for ranked_job, occurrence, number, step_run in waiting:
         step = step_run.step
@@ -105,7 +107,9 @@
             or has_other_place(dispatcher, worker, candidate.prefix, step)
         ):
             continue
-        for index in candidate.choose_tasks(step_run, free_capacity):
+        for index in candidate.choose_tasks(
+            step_run, free_capacity, allowance
+        ):
             tasks.append(f"{candidate.prefix}{index}")
             runs.append(step_run.tasks[index].last_run + 1)
     if tasks:
--- a/wigeonport/run_orders.py
+++ b/wigeonport/run_orders.py
@@ -2,6 +2,7 @@
 
 from wigeonport.logs import PartLogger
 from wigeonport.task_evacuations import FULL_PROGRESS_PERCENT
+from wigeonport.tenant_usage import is_above_limit
 from wigeonport.worker_reports import StartOrder
 
 logger = PartLogger("dispatch")
@@ -47,12 +48,17 @@
 
 
 def may_start(dispatcher, task, worker):
-    """Returns whether a worker may start a task, with a ticket if needed.
+    """Returns whether a worker may start a task that it was assigned.
 
-    Advice that a queue has got since the task was assigned may refuse it.
+    Advice that a queue has got since then may refuse it, and the limit of its
+    tenant may have been lowered before the order reached the worker.
     """
     entry = dispatcher.find_task(task)
-    if entry is None or not dispatcher.needs_ticket(entry[0]):
+    if entry is None:
+        return True
+    if is_above_limit(dispatcher, entry[0]):
+        return False
+    if not dispatcher.needs_ticket(entry[0]):
         return True
     step = task.rpartition(".")[0]
     return not dispatcher.tickets.is_refused(step, worker.incarnation)
--- a/wigeonport/task_evacuations.py
+++ b/wigeonport/task_evacuations.py
@@ -1,6 +1,7 @@
 """Moves of running tasks within the availability limits of their steps."""
 
 from wigeonport.lasting_placements import has_other_place, must_leave
+from wigeonport.tenant_usage import is_above_limit
 from wigeonport.worker_reports import worker_id_of
 
 # Progress of a lasting task that has started up and is available.
@@ -92,11 +93,15 @@
     """Returns whether a run may leave its worker.
 
     A lasting task that is stopped without another place would wait for the
-    pool to grow, or for ever.
+    pool to grow, or for ever. So would one whose tenant is above a lowered
+    limit, which may start nothing.
     """
     if not step.lasting:
         return True
     prefix = f"{name.rpartition('.')[0]}."
-    return must_leave(
-        worker, prefix, step, dispatcher.now_ms
-    ) or has_other_place(dispatcher, worker, prefix, step)
+    if must_leave(worker, prefix, step, dispatcher.now_ms):
+        return True
+    job = dispatcher.find_task(name)[0]
+    return not is_above_limit(dispatcher, job) and has_other_place(
+        dispatcher, worker, prefix, step
+    )
--- a/wigeonport/task_placements.py
+++ b/wigeonport/task_placements.py
@@ -8,6 +8,7 @@
     RankedPool,
     job_orders,
 )
+from wigeonport.tenant_usage import open_allowance
 
 # Once an answer starts this many tasks, each further job adds the tasks of at
 # most one step, which keeps the answer far below 4 MiB. Also the default for
@@ -84,6 +85,7 @@
     ranking = current_ranking(dispatcher, worker.report.service, wall_ms)
     if not ranking.may_fit(free_capacity):
         return
+    allowance = open_allowance(dispatcher)
     tasks, runs = [], []
     for ranked_job in ranking.ranked_jobs:
         if not ranked_job.job.active:
@@ -92,7 +94,9 @@
         for step_run, candidate in find_candidates(
             dispatcher, worker, ranked_job, free_capacity, now_ms
         ):
-            for index in candidate.choose_tasks(step_run, free_capacity):
+            for index in candidate.choose_tasks(
+                step_run, free_capacity, allowance
+            ):
                 tasks.append(f"{candidate.prefix}{index}")
                 runs.append(step_run.tasks[index].last_run + 1)
             if len(tasks) >= MAX_STARTS:
@@ -174,19 +178,23 @@
         wait_ms = LOCALITY_WAIT_MS + step.estimated_ms
         return not rack_accepts_tasks or now_ms - start_ms > wait_ms
 
-    def choose_tasks(self, step_run, free_capacity):
+    def choose_tasks(self, step_run, free_capacity, allowance):
         """Returns the indices of the tasks to start.
 
-        Subtracts what they use from ``free_capacity``.
+        Subtracts what they use from ``free_capacity`` and ``allowance``.
         """
         chosen = []
-        maximum = self.remaining_limit(step_run.step)
+        job, step = self.ranked_job.job, step_run.step
+        maximum = self.remaining_limit(step)
         for index in sorted(step_run.waiting):
-            if len(chosen) >= maximum or not free_capacity.fits(step_run.step):
+            if len(chosen) >= maximum or not free_capacity.fits(step):
                 break
             if self.failed_recently(index):
                 continue
-            free_capacity.subtract(step_run.step)
+            if not allowance.allows(job, step):
+                break
+            free_capacity.subtract(step)
+            allowance.take(job, step)
             chosen.append(index)
         return chosen
 
@@ -239,6 +247,9 @@
     otherwise across racks.
     """
     step = step_run.step
+    allowance = open_allowance(dispatcher)
+    if not allowance.allows(ranked_job.job, step, step.count):
+        return
     silent_ms = GANG_MAX_SILENT_HEARTBEATS * dispatcher.heartbeat_interval_ms
     candidates = [
         worker
--- a/wigeonport/waiting_tasks.py
+++ b/wigeonport/waiting_tasks.py
@@ -10,6 +10,7 @@
 from wigeonport.logs import PartLogger
 from wigeonport.registries import Registry
 from wigeonport.task_placements import WorkerCandidate, active_ranked_jobs
+from wigeonport.tenant_usage import open_allowance
 from wigeonport.worker_reports import worker_id_of
 
 logger = PartLogger("dispatch")
@@ -113,6 +114,14 @@
     return placement.candidate.failed_recently(placement.index)
 
 
+@obstacles.register("tenant")
+def is_above_tenant_limit(placement):
+    """The tenant of the job has reached what it may have running."""
+    candidate = placement.candidate
+    allowance = open_allowance(candidate.dispatcher)
+    return not allowance.allows(candidate.ranked_job.job, placement.step)
+
+
 @obstacles.register("full")
 def is_full(placement):
     """The task does not fit beside its runs."""
--- a/wigeonport/worker_tables.py
+++ b/wigeonport/worker_tables.py
@@ -275,10 +275,9 @@
         self.runs.setdefault(incarnation, {})[task, run] = step
 
     def drop_run(self, incarnation, task, run):
-        """Removes a run that has ended."""
+        """Removes a run that has ended; returns its Step if it was live."""
         runs = self.runs.get(incarnation)
-        if runs is not None:
-            runs.pop((task, run), None)
+        return None if runs is None else runs.pop((task, run), None)
 
     def of_service(self, service):
         """Returns the workers of a service."""
