Divide the starts of a full pool by the weights of its tenants

Cause: jobs were ordered by objective alone, so a tenant that sends many times its share took the pool and the jobs of the others were late.

Change: the job order "weighted" uses the order by objective while all jobs that wait can be in time, and charges nothing then. Otherwise the tenants take turns by start-time fair queueing over the work that they have started, each with its jobs by priority and objective. Jobs of which half has been started come first. A tenant that returns starts at the virtual time of the pool, and one that could not use its turns catches up at most a second of the pool. Without tenants, the order is the one before.

--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -26,6 +26,7 @@
 from wigeonport.task_copies import find_tasks_to_copy, start_copies
 from wigeonport.task_evacuations import withdraw_stops
 from wigeonport.task_placements import place_gangs, place_tasks
+from wigeonport.tenant_shares import charge_start
 from wigeonport.tenant_usage import TenantUsage
 from wigeonport.waiting_tasks import log_waiting_tasks
 from wigeonport.worker_evaluations import review_worker
@@ -66,6 +67,7 @@
             monotonic time of the last failure there, in ms.
         rankings: Maps service to its JobRanking.
         usage: TenantUsage.
+        shares: Maps service to its PoolShares, if there are tenants.
         tickets: TicketTable of the steps of queues with advice.
         tasks_to_copy: Maps service to the ids of the tasks that need a
             speculative copy.
@@ -93,6 +95,7 @@
         "failure_times",
         "rankings",
         "usage",
+        "shares",
         "tickets",
         "tasks_to_copy",
         "rack_wait_start_ms",
@@ -118,6 +121,7 @@
         self.failure_times = {}
         self.rankings = {}
         self.usage = TenantUsage()
+        self.shares = {}
         self.tickets = TicketTable()
         self.tasks_to_copy = {}
         self.rack_wait_start_ms = {}
@@ -173,6 +177,8 @@
             job, step_run, _ = self.find_task(task_id)
             self.workers.add_run(operation.worker, task_id, run, step_run.step)
             self.usage.add_run(job, step_run.step)
+            if self.shares:
+                charge_start(self, job, step_run.step)
 
     def unindex_ended_runs(self, operation):
         """Removes runs from the index of live runs.
--- a/wigeonport/batch_settings.py
+++ b/wigeonport/batch_settings.py
@@ -18,7 +18,8 @@
             exceed a quarter of the lease.
         max_silent_intervals: Number of heartbeat intervals without a
             heartbeat after which a worker gets no more tasks.
-        job_order: Name of the ordering of jobs, in ``job_orders``.
+        job_order: Name of the ordering of jobs, in ``job_orders``. Without
+            tenants, "weighted" is "feasible".
         max_filler_tasks_per_step: Maximum number of tasks of a step with
             ``fills`` on one worker.
         takeover_wait_ms: Time after a change of leader in which a machine
@@ -41,7 +42,7 @@
         self.heartbeat_interval_ms = 400
         self.interval_per_worker_ms = 4
         self.max_silent_intervals = 3.75
-        self.job_order = "feasible"
+        self.job_order = "weighted"
         self.max_filler_tasks_per_step = 2
         self.takeover_wait_ms = lease_ms + 500
 
--- a/wigeonport/job_orders.py
+++ b/wigeonport/job_orders.py
@@ -76,11 +76,13 @@
     Attributes:
         machine: Resources of a mean machine.
         count: Number of machines that accept tasks.
+        shares: PoolShares, or None without tenants.
     """
 
-    __slots__ = ("machine", "count")
+    __slots__ = ("machine", "count", "shares")
 
-    def __init__(self, capacities):
+    def __init__(self, capacities, shares=None):
+        self.shares = shares
         self.count = len(capacities)
         self.machine = mean_resources(capacities or [UNKNOWN_MACHINE])
 
@@ -146,10 +148,19 @@
         )
 
     def add(self, job, queue):
-        """Adds a new job at its rank."""
+        """Adds a new job at its rank.
+
+        In a full pool with tenants, where nothing can start at once, it
+        stands after the jobs that are to be in time, until the next ranking.
+        """
         ranked_job = RankedJob(job, queue, self.pool.machine)
         self.include_waiting(ranked_job)
         self.by_job_id[job.job_id] = ranked_job
+        shares = self.pool.shares
+        if shares is not None and shares.full and not ranked_job.lasting:
+            self.ranked_jobs.insert(shares.served, ranked_job)
+            shares.served += 1
+            return
         self.ranked_jobs = self.policy(
             [*self.ranked_jobs, ranked_job], self.pool, self.created_ms
         )
@@ -203,10 +214,23 @@
     the next. Deferred jobs get what room is left, and jobs that would be late
     on an empty pool come last.
     """
+    by_objective = sorted(ranked_jobs, key=objective_of)
+    lasting, feasible, deferred, late = divide_jobs(by_objective, pool, now_ms)
+    return lasting + feasible + deferred + late
+
+
+def divide_jobs(ranked_jobs, pool, now_ms):
+    """Returns the lasting, feasible, deferred and late jobs, in their order.
+
+    Args:
+        ranked_jobs: RankedJobs in the order of their objectives.
+        pool: RankedPool.
+        now_ms: Wall time.
+    """
     rate = PACKING_SHARE * max(1, pool.count)
     lasting, feasible, deferred, late = [], [], [], []
     preceding_work = 0
-    for ranked_job in sorted(ranked_jobs, key=objective_of):
+    for ranked_job in ranked_jobs:
         remaining_ms = ranked_job.remaining_ms
         if ranked_job.lasting:
             lasting.append(ranked_job)
@@ -214,15 +238,30 @@
         if now_ms + remaining_ms > ranked_job.objective_ms:
             late.append(ranked_job)
             continue
-        work = preceding_work + ranked_job.waiting_work
-        work += ranked_job.running_work / 2
-        finish_ms = now_ms + max(remaining_ms, work / rate + remaining_ms / 2)
+        finish_ms, work = finish_time_ms(
+            ranked_job, preceding_work, rate, now_ms
+        )
         if finish_ms > ranked_job.objective_ms:
             deferred.append(ranked_job)
             continue
         preceding_work = work
         feasible.append(ranked_job)
-    return lasting + feasible + deferred + late
+    return lasting, feasible, deferred, late
+
+
+def finish_time_ms(ranked_job, preceding_work, rate, now_ms):
+    """Returns the time at which a job ends, and the work until then.
+
+    Args:
+        ranked_job: RankedJob.
+        preceding_work: Work of the jobs before it, in ms of a machine.
+        rate: Work that the pool does in 1 ms.
+        now_ms: Wall time.
+    """
+    work = preceding_work + ranked_job.waiting_work
+    work += ranked_job.running_work / 2
+    remaining_ms = ranked_job.remaining_ms
+    return now_ms + max(remaining_ms, work / rate + remaining_ms / 2), work
 
 
 def objective_of(ranked_job):
--- a/wigeonport/task_placements.py
+++ b/wigeonport/task_placements.py
@@ -8,6 +8,7 @@
     RankedPool,
     job_orders,
 )
+from wigeonport.tenant_shares import find_shares
 from wigeonport.tenant_usage import open_allowance
 
 # Once an answer starts this many tasks, each further job adds the tasks of at
@@ -65,7 +66,8 @@
             worker.report.capacity
             for worker in dispatcher.workers.of_service(service)
             if worker.accepts_tasks(dispatcher.now_ms, silent_ms)
-        ]
+        ],
+        find_shares(dispatcher, service),
     )
     ranked_jobs = []
     for job in list(dispatcher.active.values()):
