Refuse what a tenant submits beyond its rate to a full pool

Cause: a flood of one tenant was accepted whole: it cost commits, rankings and advice, and its callers waited for jobs that could not be in time.

Change: each tenant has a token bucket of its weight in jobs a second, with a burst of two seconds. A job beyond it is refused while the pool of its queue can't have all waiting jobs in time, with a time to return that differs for each refused caller; with room nothing is refused. The buckets belong to the leader's dispatcher.

--- a/wigeonport/batch_controllers.py
+++ b/wigeonport/batch_controllers.py
@@ -32,6 +32,7 @@
 from wigeonport.replica_events import COMMITTED, LEADER
 from wigeonport.state_commands import RecordBatch
 from wigeonport.states import PARTS, ReplicatedState
+from wigeonport.tenant_metrics import clear_tenants, publish_tenants
 
 logger = PartLogger("batch")
 
@@ -194,6 +195,7 @@
         """Runs the timers; an exception reloads the state."""
         try:
             self.dispatcher.on_tick(now_ms, self.clock.wall())
+            publish_tenants(self.dispatcher, self.metrics, now_ms)
             if self.machines is not None:
                 self.round_answers += self.machines.on_tick(
                     self.dispatcher, now_ms
@@ -305,6 +307,7 @@
         logger.warning("Dispatching stopped.", term=self.term, reason=reason)
         self.dispatcher = None
         self.lease_until_ms = 0
+        clear_tenants(self.metrics)
         if self.machines is not None:
             self.machines.stop()
         pending = [
--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -26,6 +26,7 @@
 from wigeonport.task_copies import find_tasks_to_copy, start_copies
 from wigeonport.task_evacuations import withdraw_stops
 from wigeonport.task_placements import place_gangs, place_tasks
+from wigeonport.tenant_buckets import TenantAdmissions
 from wigeonport.tenant_shares import charge_start
 from wigeonport.tenant_usage import TenantUsage
 from wigeonport.waiting_tasks import log_waiting_tasks
@@ -68,6 +69,7 @@
         rankings: Maps service to its JobRanking.
         usage: TenantUsage.
         shares: Maps service to its PoolShares, if there are tenants.
+        admissions: TenantAdmissions.
         tickets: TicketTable of the steps of queues with advice.
         tasks_to_copy: Maps service to the ids of the tasks that need a
             speculative copy.
@@ -96,6 +98,7 @@
         "rankings",
         "usage",
         "shares",
+        "admissions",
         "tickets",
         "tasks_to_copy",
         "rack_wait_start_ms",
@@ -122,6 +125,7 @@
         self.rankings = {}
         self.usage = TenantUsage()
         self.shares = {}
+        self.admissions = TenantAdmissions()
         self.tickets = TicketTable()
         self.tasks_to_copy = {}
         self.rack_wait_start_ms = {}
