Set jobs apart that only the limit of their tenant makes late

Cause: the jobs of a tenant at its limit counted as work before those of others, so a pool with room looked full, grew without use, and the surplus of others was refused. Each heartbeat of a worker with room also examined each of these jobs in full.

Change: the job order first takes out the jobs that the tenant's limit keeps from being in time. They stand behind the others and count neither as load of the pool nor for advice. Their tenant alone is under pressure: what it submits beyond its rate is refused. A placement checks the limit before the worker.

Tests of dispatcher, advice, machines and tenants pass.

--- a/wigeonport/advice_needs.py
+++ b/wigeonport/advice_needs.py
@@ -270,6 +270,8 @@
     for ranked_job in active_ranked_jobs(
         dispatcher, service, dispatcher.wall_ms
     ):
+        if ranked_job.limited:
+            continue
         for occurrence, number, step_run in ranked_job.job.ready_steps():
             if not step_run.waiting:
                 continue
--- a/wigeonport/job_orders.py
+++ b/wigeonport/job_orders.py
@@ -33,6 +33,8 @@
         running_work: Estimated work of its running tasks, in the same unit.
         startable: Triples of occurrence, step number and StepRun, for the
             steps whose tasks may be started one by one, so not for gangs.
+        limited: Whether the limit of its tenant keeps it from being in time,
+            however much room there is.
     """
 
     __slots__ = (
@@ -44,9 +46,11 @@
         "waiting_work",
         "running_work",
         "startable",
+        "limited",
     )
 
     def __init__(self, job, queue, machine):
+        self.limited = False
         self.job = job
         self.queue = queue
         spec = job.spec
--- a/wigeonport/pool_loads.py
+++ b/wigeonport/pool_loads.py
@@ -133,6 +133,9 @@
                 if not step.fills
             )
             continue
+        if ranked_job.limited:
+            # More machines would not let it start.
+            continue
         span_ms = (
             ranked_job.objective_ms - wall_ms - ranked_job.remaining_ms / 2
         )
--- a/wigeonport/task_placements.py
+++ b/wigeonport/task_placements.py
@@ -94,7 +94,7 @@
             continue
         placed = len(tasks)
         for step_run, candidate in find_candidates(
-            dispatcher, worker, ranked_job, free_capacity, now_ms
+            dispatcher, worker, ranked_job, free_capacity, now_ms, allowance
         ):
             for index in candidate.choose_tasks(
                 step_run, free_capacity, allowance
@@ -109,15 +109,22 @@
         dispatcher.record(StartRuns(tasks, runs, worker.incarnation))
 
 
-def find_candidates(dispatcher, worker, ranked_job, free_capacity, now_ms):
+def find_candidates(
+    dispatcher, worker, ranked_job, free_capacity, now_ms, allowance
+):
     """Yields pairs of StepRun and WorkerCandidate for steps that fit now."""
     for occurrence, number, step_run in ranked_job.startable:
-        if not step_run.waiting or not free_capacity.fits(step_run.step):
+        step = step_run.step
+        if (
+            not step_run.waiting
+            or not free_capacity.fits(step)
+            or not allowance.allows(ranked_job.job, step)
+        ):
             continue
         candidate = WorkerCandidate(
             dispatcher, worker, ranked_job, occurrence, number
         )
-        if candidate.is_suitable(step_run.step, now_ms):
+        if candidate.is_suitable(step, now_ms):
             yield step_run, candidate
 
 
--- a/wigeonport/tenant_admissions.py
+++ b/wigeonport/tenant_admissions.py
@@ -1,8 +1,9 @@
 """Admission of jobs: which submissions of a tenant are refused.
 
 A job that can never run is refused for good. What a tenant submits beyond its
-rate is refused only under pressure: while its pool can't have all waiting
-jobs in time. A tenant within its rate is not refused, whatever others send.
+rate is refused only under pressure: while the pool, or the tenant's limit,
+can't have all of its waiting jobs in time. A tenant within its rate is not
+refused, whatever others send.
 """
 
 from wigeonport.batch_calls import INVALID, REJECTED, BatchReply
@@ -71,7 +72,7 @@
     now_ms = dispatcher.wall_ms
     admissions = dispatcher.admissions
     bucket = admissions.bucket_of(tenant, now_ms)
-    if bucket.tokens >= 1 or not is_under_pressure(dispatcher, queue):
+    if bucket.tokens >= 1 or not is_under_pressure(dispatcher, tenant, queue):
         bucket.take()
         return None
     return_ms = bucket.promise_return(rate_of(tenant), now_ms)
@@ -82,11 +83,16 @@
     )
 
 
-def is_under_pressure(dispatcher, queue):
-    """Returns whether the pool of a queue can't have all jobs in time."""
+def is_under_pressure(dispatcher, tenant, queue):
+    """Returns whether not all jobs that wait for a pool can be in time.
+
+    A tenant at its limit is under pressure alone.
+    """
     ranking = current_ranking(dispatcher, queue.service, dispatcher.wall_ms)
     shares = ranking.pool.shares
-    return shares is not None and shares.full
+    return shares is not None and (
+        shares.full or tenant.name in shares.limited
+    )
 
 
 def log_refusals(admissions, queue, return_ms, now_ms):
--- a/wigeonport/tenant_shares.py
+++ b/wigeonport/tenant_shares.py
@@ -14,6 +14,7 @@
 """
 
 import heapq
+import math
 
 from wigeonport.batch_jobs import RUNNING
 from wigeonport.job_orders import (
@@ -24,6 +25,7 @@
     objective_of,
     order_feasible_first,
 )
+from wigeonport.tenant_buckets import rate_of
 
 # A tenant whose jobs could not start although it was its turn, for example at
 # its limit, catches up at most what the pool does in this time, so that the
@@ -31,7 +33,6 @@
 MAX_LAG_MS = 1_000
 # Weight of jobs without a tenant in the table: the least that one may have.
 UNKNOWN_WEIGHT = 1
-MIN_WEIGHT = 0.01
 
 
 class PoolShares:
@@ -41,24 +42,28 @@
     at most about one job for each tenant.
 
     Attributes:
-        weights: Maps the name of each tenant to its weight.
+        tenants: Maps name to Tenant, in the newest table in force.
         tags: Maps tenant to the work that it has started, in ms of a whole
             machine, divided by its weight.
         full: Whether not all waiting jobs can be in time.
         served: Number of jobs in the order that are to be in time.
+        limited: Names of the tenants whose limits keep jobs of theirs from
+            being in time.
     """
 
-    __slots__ = ("weights", "tags", "full", "served")
+    __slots__ = ("tenants", "tags", "full", "served", "limited")
 
     def __init__(self):
-        self.weights = {}
+        self.tenants = {}
+        self.limited = set()
         self.tags = {}
         self.full = False
         self.served = 0
 
     def weight_of(self, name):
         """Returns the weight of a tenant."""
-        return max(MIN_WEIGHT, self.weights.get(name, UNKNOWN_WEIGHT))
+        tenant = self.tenants.get(name)
+        return UNKNOWN_WEIGHT if tenant is None else rate_of(tenant)
 
     def charge(self, name, work):
         """Adds started work to the tag of a tenant while the pool is full."""
@@ -143,15 +148,15 @@
     """The work that precedes the next job on a pool.
 
     Attributes:
-        rate: Machines' work that the pool does in a unit of time.
+        rate: Number of machines that do the work.
         now_ms: Wall time.
         work: Work of the jobs so far.
     """
 
     __slots__ = ("rate", "now_ms", "work")
 
-    def __init__(self, pool, now_ms):
-        self.rate = PACKING_SHARE * max(1, pool.count)
+    def __init__(self, rate, now_ms):
+        self.rate = rate
         self.now_ms = now_ms
         self.work = 0
 
@@ -178,15 +183,15 @@
     shares = pool.shares
     if shares is None:
         return order_feasible_first(ranked_jobs, pool, now_ms)
-    by_objective = sorted(ranked_jobs, key=objective_of)
+    by_objective, limited = split_limited(ranked_jobs, pool, now_ms)
     lasting, feasible, deferred, late = divide_jobs(by_objective, pool, now_ms)
     if not deferred:
         shares.clear()
-        return lasting + feasible + late
+        return lasting + feasible + limited + late
     possible = sorted(feasible + deferred, key=urgency_of)
     names = dict.fromkeys(each.job.tenant for each in possible + late)
     shares.update(names, pool.count)
-    schedule = Schedule(pool, now_ms)
+    schedule = Schedule(PACKING_SHARE * max(1, pool.count), now_ms)
     begun, fresh = [], []
     for ranked_job in possible:
         first = is_half_started(ranked_job, pool) and schedule.accepts(
@@ -195,11 +200,57 @@
         (begun if first else fresh).append(ranked_job)
     queues = TenantQueues(shares, shares.tags, fresh)
     served, refused = queues.take(schedule.accepts)
-    rest = [*take_turns(shares, refused), *take_turns(shares, late)]
+    rest = take_turns(shares, refused) + limited + take_turns(shares, late)
     shares.served = len(lasting) + len(begun) + len(served)
     return lasting + begun + served + rest
 
 
+def split_limited(ranked_jobs, pool, now_ms):
+    """Returns jobs by objective, and those that a tenant's limit makes late.
+
+    The latter would stand before jobs of others without being able to start,
+    and let a pool look full that has room.
+    """
+    shares = pool.shares
+    shares.limited = set()
+    schedules, free, limited = {}, [], []
+    for ranked_job in sorted(ranked_jobs, key=objective_of):
+        name = ranked_job.job.tenant
+        schedule = schedules.get(name)
+        if schedule is None:
+            rate = limit_of(shares.tenants.get(name), pool.machine)
+            schedule = schedules[name] = Schedule(rate, now_ms)
+        late = now_ms + ranked_job.remaining_ms > ranked_job.objective_ms
+        ranked_job.limited = not (
+            ranked_job.lasting or late or schedule.accepts(ranked_job)
+        )
+        if ranked_job.limited:
+            shares.limited.add(name)
+        (limited if ranked_job.limited else free).append(ranked_job)
+    return free, limited
+
+
+def limit_of(tenant, machine):
+    """Returns how many machines the tasks of a tenant may fill.
+
+    The resource that allows most counts: which one a task needs most of
+    differs, and a job must not wait for a limit that does not bind it.
+
+    Args:
+        tenant: Tenant, or None.
+        machine: Resources of a mean machine.
+    """
+    if tenant is None:
+        return math.inf
+    limit = tenant.max_running
+    shares = [
+        getattr(limit, name) / getattr(machine, name)
+        for name in limit.__slots__
+        if getattr(limit, name) and getattr(machine, name)
+    ]
+    return max(shares, default=math.inf)
+
+
 def take_turns(shares, ranked_jobs):
     """Returns jobs in the order of the tenants' turns."""
     queues = TenantQueues(shares, shares.tags, ranked_jobs)
@@ -231,9 +282,7 @@
     if tenants is None:
         return None
     shares = dispatcher.shares.setdefault(service, PoolShares())
-    shares.weights = {
-        name: tenant.weight for name, tenant in tenants.by_name.items()
-    }
+    shares.tenants = tenants.by_name
     return shares
 
 
