--- a/wigeonport/task_placements.py
+++ b/wigeonport/task_placements.py
@@ -8,6 +8,8 @@
     RankedPool,
     job_orders,
 )
+from wigeonport.tenant_shares import find_shares
+from wigeonport.tenant_usage import open_allowance
 
 # Once an answer starts this many tasks, each further job adds the tasks of at
 # most one step, which keeps the answer far below 4 MiB. Also the default for
@@ -64,7 +66,8 @@
             worker.report.capacity
             for worker in dispatcher.workers.of_service(service)
             if worker.accepts_tasks(dispatcher.now_ms, silent_ms)
-        ]
+        ],
+        find_shares(dispatcher, service),
     )
     ranked_jobs = []
     for job in list(dispatcher.active.values()):
@@ -86,15 +89,18 @@
     ranking = current_ranking(dispatcher, worker.report.service, wall_ms)
     if not ranking.may_fit(free_capacity):
         return
+    allowance = open_allowance(dispatcher)
     tasks, runs = [], []
     for ranked_job in ranking.ranked_jobs:
         if not ranked_job.job.active:
             continue
         placed = len(tasks)
         for step_run, candidate in find_candidates(
-            dispatcher, worker, ranked_job, free_capacity, now_ms
+            dispatcher, worker, ranked_job, free_capacity, now_ms, allowance
         ):
-            for index in candidate.choose_tasks(step_run, free_capacity):
+            for index in candidate.choose_tasks(
+                step_run, free_capacity, allowance
+            ):
                 tasks.append(f"{candidate.prefix}{index}")
                 runs.append(step_run.tasks[index].last_run + 1)
             if len(tasks) >= MAX_STARTS:
@@ -105,15 +111,22 @@
         dispatcher.record(StartRuns(tasks, runs, worker.incarnation))
 
 
-def find_candidates(dispatcher, worker, ranked_job, free_capacity, now_ms):
+def find_candidates(
+    dispatcher, worker, ranked_job, free_capacity, now_ms, allowance
+):
     """Yields pairs of StepRun and WorkerCandidate for steps that fit now."""
     for occurrence, number, step_run in ranked_job.startable:
-        if not step_run.waiting or not free_capacity.fits(step_run.step):
+        step = step_run.step
+        if (
+            not step_run.waiting
+            or not free_capacity.fits(step)
+            or not allowance.allows(ranked_job.job, step)
+        ):
             continue
         candidate = WorkerCandidate(
             dispatcher, worker, ranked_job, occurrence, number
         )
-        if candidate.is_suitable(step_run.step, now_ms):
+        if candidate.is_suitable(step, now_ms):
             yield step_run, candidate
 
 
@@ -176,19 +189,23 @@
         wait_ms = LOCALITY_WAIT_MS + step.estimated_ms
         return not rack_accepts_tasks or now_ms - start_ms > wait_ms
 
-    def choose_tasks(self, step_run, free_capacity):
+    def choose_tasks(self, step_run, free_capacity, allowance):
         """Returns the indices of the tasks to start.
 
-        Subtracts what they use from ``free_capacity``.
+        Subtracts what they use from ``free_capacity`` and ``allowance``.
         """
         chosen = []
-        maximum = self.remaining_limit(step_run.step)
+        job, step = self.ranked_job.job, step_run.step
+        maximum = self.remaining_limit(step)
         for index in sorted(step_run.waiting):
-            if len(chosen) >= maximum or not free_capacity.fits(step_run.step):
+            if len(chosen) >= maximum or not free_capacity.fits(step):
                 break
             if self.failed_recently(index):
                 continue
-            free_capacity.subtract(step_run.step)
+            if not allowance.allows(job, step):
+                break
+            free_capacity.subtract(step)
+            allowance.take(job, step)
             chosen.append(index)
         return chosen
 
@@ -241,6 +258,9 @@
     otherwise across racks.
     """
     step = step_run.step
+    allowance = open_allowance(dispatcher)
+    if not allowance.allows(ranked_job.job, step, step.count):
+        return
     silent_ms = GANG_MAX_SILENT_HEARTBEATS * dispatcher.heartbeat_interval_ms
     candidates = [
         worker
