Show in the test that a limited backlog does not fill the pool

One test also looped for ever where calls need a key.

Change: the limited tenant now sends 1.5 times the pool. The test of waves reads the job from the state, and ends after ten waves.

--- a/tests/test_tenant_shares.py
+++ b/tests/test_tenant_shares.py
@@ -176,13 +176,13 @@
 
 
 def test_backlog_of_a_tenant_at_its_limit_fills_no_pool():
-    """A tenant with a limit of an eighth of the pool sends half of its work.
+    """A tenant limited to an eighth of the pool sends more than all of it.
 
     The other asks for half of the pool. All of its jobs start, and its
     objectives alone decide on their order: the pool has room.
     """
     weights = {"birch": 1, "cedar": 1}
-    pool = SharedPool(weights, dict.fromkeys(weights, RATE / 2))
+    pool = SharedPool(weights, {"birch": RATE * 1.5, "cedar": RATE / 2})
     limit = Resources(WORKERS * CORES * 1_000 // 8, 0, 0)
     pool.harness.dispatcher.state.routes.table.tenants = make_tenants(
         {"birch": limit, "cedar": UNLIMITED}
@@ -191,5 +191,5 @@
     assert pool.started["cedar"] >= 0.95 * 10 * RATE / 2
     assert pool.started["birch"] >= 0.9 * 10 * RATE / 8
     shares = pool.harness.dispatcher.shares["desk"]
-    assert shares.limited == {"birch"}
     assert not shares.full
+    assert shares.limited == {"birch"}
--- a/tests/test_tenant_usage.py
+++ b/tests/test_tenant_usage.py
@@ -41,8 +41,9 @@
 def test_step_wider_than_the_limit_runs_in_waves(limited):
     """A wide step must neither exceed the limit nor wait for ever."""
     submit(limited, JOB, count=7)
+    job = limited.dispatcher.state.batch.jobs[JOB]
     ended, waves = [], []
-    while limited.state() != "completed":
+    while job.active and len(waves) < 10:
         starts = started_runs(limited.heartbeat(ended=ended))
         waves.append(len(starts))
         ended = [
