Ask for no allowance where there are no tenants

Change: open_allowance returns None without tenants, and placements skip the check. may_start asks for single decisions.

Tests of limits, dispatcher, copies and lasting tasks pass.

--- a/wigeonport/task_copies.py
+++ b/wigeonport/task_copies.py
@@ -9,7 +9,7 @@
 from wigeonport.logs import PartLogger
 from wigeonport.machine_losses import SUSPECT_HEARTBEATS
 from wigeonport.task_placements import WorkerCandidate, active_ranked_jobs
-from wigeonport.tenant_usage import open_allowance
+from wigeonport.tenant_usage import may_start
 
 logger = PartLogger("copies")
 
@@ -66,7 +66,7 @@
             continue
         if candidate.remaining_limit(step) < 1 or not free_capacity.fits(step):
             continue
-        if not open_allowance(dispatcher).allows(ranked_job.job, step):
+        if not may_start(dispatcher, ranked_job.job, step):
             continue
         free_capacity.subtract(step)
         run = task.last_run + 1
--- a/wigeonport/task_placements.py
+++ b/wigeonport/task_placements.py
@@ -9,7 +9,7 @@
     job_orders,
 )
 from wigeonport.tenant_shares import find_shares
-from wigeonport.tenant_usage import open_allowance
+from wigeonport.tenant_usage import may_start, open_allowance
 
 # Once an answer starts this many tasks, each further job adds the tasks of at
 # most one step, which keeps the answer far below 4 MiB. Also the default for
@@ -115,11 +115,9 @@
     """Yields pairs of StepRun and WorkerCandidate for steps that fit now."""
     for occurrence, number, step_run in ranked_job.startable:
         step = step_run.step
-        if (
-            not step_run.waiting
-            or not free_capacity.fits(step)
-            or not allowance.allows(ranked_job.job, step)
-        ):
+        if not step_run.waiting or not free_capacity.fits(step):
+            continue
+        if allowance and not allowance.allows(ranked_job.job, step):
             continue
         candidate = WorkerCandidate(
             dispatcher, worker, ranked_job, occurrence, number
@@ -190,7 +188,8 @@
     def choose_tasks(self, step_run, free_capacity, allowance):
         """Returns the indices of the tasks to start.
 
-        Subtracts what they use from ``free_capacity`` and ``allowance``.
+        Subtracts what they use from ``free_capacity``, and from the
+        ``allowance`` of the tenants if there are any.
         """
         chosen = []
         job, step = self.ranked_job.job, step_run.step
@@ -200,10 +199,11 @@
                 break
             if self.failed_recently(index):
                 continue
-            if not allowance.allows(job, step):
-                break
+            if allowance:
+                if not allowance.allows(job, step):
+                    break
+                allowance.take(job, step)
             free_capacity.subtract(step)
-            allowance.take(job, step)
             chosen.append(index)
         return chosen
 
@@ -256,8 +256,7 @@
     otherwise across racks.
     """
     step = step_run.step
-    allowance = open_allowance(dispatcher)
-    if not allowance.allows(ranked_job.job, step, step.count):
+    if not may_start(dispatcher, ranked_job.job, step, step.count):
         return
     silent_ms = GANG_MAX_SILENT_HEARTBEATS * dispatcher.heartbeat_interval_ms
     candidates = [
--- a/wigeonport/tenant_usage.py
+++ b/wigeonport/tenant_usage.py
@@ -150,29 +150,19 @@
             left.add(step, -1)
 
 
-class NoLimits:
-    """The Allowance of a routing table without tenants."""
-
-    __slots__ = ()
-
-    def allows(self, job, step, count=1):
-        """Returns True."""
-        return True
-
-    def take(self, job, step):
-        """Does nothing."""
-
-
-NO_LIMITS = NoLimits()
-
-
 def open_allowance(dispatcher):
-    """Returns the Allowance, or NoLimits, for one pass of decisions."""
+    """Returns the Allowance for one pass, or None if there are no tenants."""
     if dispatcher.state.routes.table.tenants is None:
-        return NO_LIMITS
+        return None
     return Allowance(dispatcher)
 
 
+def may_start(dispatcher, job, step, count=1):
+    """Returns whether tasks of a step may start together, in a new pass."""
+    allowance = open_allowance(dispatcher)
+    return allowance is None or allowance.allows(job, step, count)
+
+
 def compute_left(limit, usage):
     """Returns what may start beside ``usage`` within a limit.
 
--- a/wigeonport/waiting_tasks.py
+++ b/wigeonport/waiting_tasks.py
@@ -10,7 +10,7 @@
 from wigeonport.logs import PartLogger
 from wigeonport.registries import Registry
 from wigeonport.task_placements import WorkerCandidate, active_ranked_jobs
-from wigeonport.tenant_usage import open_allowance
+from wigeonport.tenant_usage import may_start
 from wigeonport.worker_reports import worker_id_of
 
 logger = PartLogger("dispatch")
@@ -118,8 +118,9 @@
 def is_above_tenant_limit(placement):
     """The tenant of the job has reached what it may have running."""
     candidate = placement.candidate
-    allowance = open_allowance(candidate.dispatcher)
-    return not allowance.allows(candidate.ranked_job.job, placement.step)
+    return not may_start(
+        candidate.dispatcher, candidate.ranked_job.job, placement.step
+    )
 
 
 @obstacles.register("full")
