Store the layouts of messages instead of parsing them at each start

Cause: each process parsed the .thrift files at its start.

Change: struct_layouts.json holds the result of the parser and the digest of the definitions. If the definitions have changed, they are parsed as before; a test compares the file with the parser's result.

--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -14,6 +14,13 @@
     FrameSealer,
 )
 from wigeonport.messages import ONEWAY, Envelope, Hello
+from wigeonport.struct_layouts import (
+    LAYOUT_FILE,
+    load_layouts,
+    make_document,
+    parse_layouts,
+    read_definitions,
+)
 
 
 @pytest.fixture(scope="module")
@@ -32,6 +39,24 @@
         assert getattr(decoded, name) == getattr(HELLO, name)
 
 
+def test_stored_layouts_are_those_of_the_definitions():
+    """Stored layouts must not differ from what the parser reads.
+
+    Fails after a change of a ``.thrift`` file until
+    ``tools/write_struct_layouts.py`` has run.
+    """
+    assert LAYOUT_FILE.read_text("utf-8") == make_document()
+    assert load_layouts() == parse_layouts(read_definitions())
+
+
+def test_outdated_layouts_are_not_used(monkeypatch, tmp_path):
+    """A changed definition must not be decoded by the layouts of the old."""
+    outdated = tmp_path / "layouts.json"
+    outdated.write_text('{"digest": "0", "structs": {}}')
+    monkeypatch.setattr("wigeonport.struct_layouts.LAYOUT_FILE", outdated)
+    assert load_layouts.__wrapped__() == load_layouts()
+
+
 def test_every_truncation_is_refused(codec):
     """A message cut off at any byte, or with a byte added, must be refused.
 
--- a/wigeonport/codecs.py
+++ b/wigeonport/codecs.py
@@ -5,22 +5,19 @@
 ``.thrift`` files and has the same name and the same field names.
 """
 
-import functools
 import io
-import pathlib
 
-import thriftpy2
 from expression import Error, Ok, Result
 from thriftpy2.protocol.cybin import TCyBinaryProtocol
 from thriftpy2.thrift import TMessageType, TType
 from thriftpy2.transport import TCyBufferedTransport, TCyMemoryBuffer
 
 from wigeonport.registries import Registry
+from wigeonport.struct_layouts import load_layouts
 
 codecs = Registry("codec")
 message_kinds = Registry("message kind")
 
-PACKAGE_DIR = pathlib.Path(__file__).parent
 PYTHON_TYPES = {
     TType.BOOL: bool,
     TType.BYTE: int,
@@ -57,15 +54,14 @@
     kind, so that stored bytes can be decoded without further information.
 
     Attributes:
-        structs: Maps struct name to the thrift struct, for all ``.thrift``
-            files.
+        layouts: Maps struct name to its layout, for all ``.thrift`` files.
         bound_classes: Message classes that already have a thrift layout.
     """
 
-    __slots__ = ("structs", "bound_classes")
+    __slots__ = ("layouts", "bound_classes")
 
     def __init__(self):
-        self.structs = load_structs()
+        self.layouts = load_layouts()
         self.bound_classes = set()
 
     def encode(self, message):
@@ -121,13 +117,12 @@
         if message_class in self.bound_classes:
             return
         name = message_class.__name__
-        struct = self.structs[name]
+        layout = self.layouts[name]
         self.bound_classes.add(message_class)
         message_class.thrift_spec = {
-            number: self.bind_field(field)
-            for number, field in struct.thrift_spec.items()
+            number: self.bind_field(field) for number, field in layout.items()
         }
-        field_names = {field[1] for field in struct.thrift_spec.values()}
+        field_names = {field[1] for field in layout.values()}
         if field_names != set(message_class.__slots__):
             raise TypeError(
                 f"{name}: class slots and thrift struct fields differ"
@@ -141,7 +136,7 @@
         return (kind, name, self.bind_nested(kind, nested[0]), required)
 
     def bind_nested(self, kind, spec):
-        """Replaces thrift struct classes inside a type specification."""
+        """Replaces the names of structs inside a type specification."""
         if kind == TType.STRUCT:
             return self.make_factory(spec)
         if kind in (TType.LIST, TType.SET):
@@ -150,9 +145,9 @@
             return spec
         return spec
 
-    def make_factory(self, struct):
+    def make_factory(self, name):
         """Returns the factory that stands for a nested struct."""
-        message_class = message_kinds.get(struct.__name__).ok
+        message_class = message_kinds.get(name).ok
         self.bind(message_class)
         return BlankMessageFactory(message_class)
 
@@ -212,27 +207,6 @@
         return make_blank(self.message_class)
 
 
-@functools.cache
-def load_structs():
-    """Returns a dict of struct name to struct for all ``.thrift`` files.
-
-    The files are parsed as one text, because thriftpy2 builds a new parser
-    for each call, which takes about 30 ms.
-
-    Raises:
-        TypeError: If two structs have the same name.
-    """
-    paths = sorted(PACKAGE_DIR.glob("*.thrift"))
-    text = "\n".join(path.read_text() for path in paths)
-    module = thriftpy2.load_fp(io.StringIO(text), "wigeonport_thrift")
-    structs = {}
-    for struct in module.__thrift_meta__["structs"]:
-        if struct.__name__ in structs:
-            raise TypeError(f"struct {struct.__name__} is defined twice")
-        structs[struct.__name__] = struct
-    return structs
-
-
 def make_blank(message_class):
     """Returns a message with all fields None."""
     message = object.__new__(message_class)
