--- a/wigeonport/settings.py
+++ b/wigeonport/settings.py
@@ -9,7 +9,6 @@
 from wigeonport.registries import Registry
 from wigeonport.setting_tables import PEER_FIELDS, PORT_FIELDS, SETTING_FIELDS
 from wigeonport.share_ledgers import share_policies
-from wigeonport.yaml_documents import load_file
 
 # Functions ``(settings, reporter)`` that check one settings file.
 SETTINGS_CHECKS = Registry("settings check")
@@ -72,6 +71,10 @@
 
 def load_settings(path) -> Result:
     """Reads a settings file; returns Settings or all Findings."""
+    # Programs that get their settings in another format need no YAML, whose
+    # library takes 18 ms of a start.
+    from wigeonport.yaml_documents import load_file
+
     loaded = load_file(path)
     if loaded.is_error():
         return loaded
