--- a/tests/test_batch_controllers.py
+++ b/tests/test_batch_controllers.py
@@ -3,9 +3,10 @@
 import json
 import random
 
+import logbook
 import pytest
 import trio
-from batch_fixtures import JOB, make_queue, make_table
+from batch_fixtures import JOB, make_queue, make_table, make_tenant
 from expression import Ok
 from worker_codec import decode_heartbeat
 
@@ -14,11 +15,12 @@
     OK,
     STATE,
     SUBMIT,
+    UNAUTHORIZED,
     UNKNOWN,
     BatchCall,
 )
 from wigeonport.batch_commands import MOVE, StartRuns
-from wigeonport.batch_controllers import BatchController
+from wigeonport.batch_controllers import MAX_BATCH_BYTES, BatchController
 from wigeonport.batch_messages import (
     CallReceived,
     Redirect,
@@ -117,15 +119,19 @@
     def decide_pending(self):
         """Gives the pending proposals their outcome, if one is set."""
         while self.pending and self.outcome is not None:
-            request = self.pending.pop(0)
-            if self.outcome == COMMITTED:
-                self.index += 1
-                codec = codecs.get("thrift").ok()
-                payload = codec.encode(request.command)
-                self.largest_payload = max(self.largest_payload, len(payload))
-                command = codec.decode(payload).ok
-                self.state.apply(Entry(self.index, 0, command))
-            request.reply.send(ProposalAnswer(self.outcome, "by the test"))
+            self.decide_next()
+
+    def decide_next(self):
+        """Gives the oldest pending proposal the outcome that is set."""
+        request = self.pending.pop(0)
+        if self.outcome == COMMITTED:
+            self.index += 1
+            codec = codecs.get("thrift").ok()
+            payload = codec.encode(request.command)
+            self.largest_payload = max(self.largest_payload, len(payload))
+            command = codec.decode(payload).ok
+            self.state.apply(Entry(self.index, 0, command))
+        request.reply.send(ProposalAnswer(self.outcome, "by the test"))
 
 
 def answer_read(request, state):
@@ -242,6 +248,72 @@
     run_controller(check)
 
 
+@pytest.mark.parametrize("commits", range(1, 8))
+def test_answer_waits_for_the_last_batch_it_depends_on(
+    run_controller, commits
+):
+    """Guards against losing what was acknowledged with the leader.
+
+    Operations that arrive during a commit may fill several batches. Whenever
+    the leader is lost between two of their commits, each answered job must be
+    in the committed state.
+    """
+    payload = "x" * (MAX_BATCH_BYTES // 3)
+    spec = JobSpec(payload, [Step({"cpu_milli": 100})]).to_json()
+
+    async def check(harness):
+        consensus = harness.consensus
+        consensus.outcome = None
+        answered = []
+
+        async def submit(job_id):
+            call = BatchCall(SUBMIT, "jobs.example", f"/plans/{job_id}", spec)
+            answer = await harness.ask(lambda reply: CallReceived(call, reply))
+            if answer.is_ok() and answer.ok.outcome == OK:
+                answered.append(job_id)
+
+        async with trio.open_nursery() as nursery:
+            for number in range(12):
+                nursery.start_soon(submit, f"{number:016x}")
+                await trio.sleep(0.005)
+            assert len(consensus.pending) == 1
+            consensus.outcome = COMMITTED
+            for _ in range(commits):
+                if consensus.pending:
+                    consensus.decide_next()
+                await trio.sleep(0.02)
+            assert set(answered) <= consensus.state.batch.jobs.keys()
+            nursery.cancel_scope.cancel()
+
+    run_controller(check)
+
+
+def test_refusal_by_a_version_waits_for_its_commit(run_controller):
+    """Guards against 401 by a version that a change of leader can lose.
+
+    A call without a key has no log line of its own: anybody can send one.
+    """
+
+    async def check(harness):
+        harness.consensus.outcome = None
+        table = make_table(2, tenants=[make_tenant("a", "secret")])
+        await harness.ask(lambda reply: RoutesStated(table, reply), SHORT_MS)
+        with logbook.TestHandler().applicationbound() as log:
+            for _ in range(3):
+                assert (await harness.call(STATE, SHORT_MS)).is_error()
+            harness.consensus.outcome = COMMITTED
+            harness.consensus.decide_pending()
+            answer = await harness.call(SUBMIT)
+        assert answer.ok.outcome == UNAUTHORIZED
+        counters = harness.controller.metrics.counters
+        assert counters["calls_unauthorized"] == 4
+        messages = {record.message for record in log.records}
+        assert "Calls without a valid key refused." in messages
+        assert "Batch call handled." not in messages
+
+    run_controller(check)
+
+
 def test_state_is_answered_after_the_commits_it_depends_on(run_controller):
     """Guards against reporting a job that a change of leader can lose.
 
--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -10,7 +10,6 @@
 from wigeonport.batch_commands import (
     AdoptRoutes,
     EndRuns,
-    OpenOccurrence,
     StartRuns,
     SubmitJob,
 )
@@ -19,13 +18,18 @@
 from wigeonport.batch_specs import split_task_id
 from wigeonport.batch_states import apply_operation
 from wigeonport.fill_rates import update_fill_rates
+from wigeonport.job_occurrences import open_occurrences
 from wigeonport.lasting_placements import place_on_reserved
 from wigeonport.logs import PartLogger
 from wigeonport.run_orders import add_starts, choose_interval, reconcile
 from wigeonport.run_reports import record_ended_runs, record_reported_runs
+from wigeonport.run_times import RunTimes
 from wigeonport.task_copies import find_tasks_to_copy, start_copies
 from wigeonport.task_evacuations import withdraw_stops
 from wigeonport.task_placements import place_gangs, place_tasks
+from wigeonport.tenant_buckets import TenantAdmissions
+from wigeonport.tenant_shares import charge_start
+from wigeonport.tenant_usage import TenantUsage
 from wigeonport.waiting_tasks import log_waiting_tasks
 from wigeonport.worker_evaluations import review_worker
 from wigeonport.worker_registrations import (
@@ -39,10 +43,6 @@
 
 logger = PartLogger("dispatch")
 
-# Maximum number of tasks in the open occurrences of a job, unless it has only
-# one. Due occurrences beyond it are opened as earlier ones end; all tasks of
-# a job are kept in memory.
-MAX_OPEN_TASKS = 10_000
 # Maximum number of ends in one operation: with checkpoints of 4,000 bytes it
 # still fits into a log entry.
 MAX_ENDS_PER_OPERATION = 100
@@ -68,6 +68,10 @@
         failure_times: Maps task id to a dict from worker id to the
             monotonic time of the last failure there, in ms.
         rankings: Maps service to its JobRanking.
+        run_times: RunTimes, learned in this term.
+        usage: TenantUsage.
+        shares: Maps service to its PoolShares, if there are tenants.
+        admissions: TenantAdmissions.
         tickets: TicketTable of the steps of queues with advice.
         tasks_to_copy: Maps service to the ids of the tasks that need a
             speculative copy.
@@ -94,6 +98,10 @@
         "orphans_until_ms",
         "failure_times",
         "rankings",
+        "run_times",
+        "usage",
+        "shares",
+        "admissions",
         "tickets",
         "tasks_to_copy",
         "rack_wait_start_ms",
@@ -118,6 +126,10 @@
         self.orphans_until_ms = lease_end_ms(settings.run_lease_ms, now_ms)
         self.failure_times = {}
         self.rankings = {}
+        self.run_times = RunTimes()
+        self.usage = TenantUsage()
+        self.shares = {}
+        self.admissions = TenantAdmissions()
         self.tickets = TicketTable()
         self.tasks_to_copy = {}
         self.rack_wait_start_ms = {}
@@ -129,6 +141,7 @@
             self.track_active(job)
             for task, run, worker, step in job.live_runs():
                 self.workers.add_run(worker, task, run, step)
+                self.usage.add_run(job, step)
 
     def max_silence_ms(self):
         """Returns the silence, in ms, after which a worker gets no task."""
@@ -169,8 +182,11 @@
     def index_started_runs(self, operation):
         """Adds started runs to the index of live runs."""
         for task_id, run in zip(operation.tasks, operation.runs, strict=True):
-            step = self.find_task(task_id)[1].step
-            self.workers.add_run(operation.worker, task_id, run, step)
+            job, step_run, _ = self.find_task(task_id)
+            self.workers.add_run(operation.worker, task_id, run, step_run.step)
+            self.usage.add_run(job, step_run.step)
+            if self.shares:
+                charge_start(self, job, step_run.step)
 
     def unindex_ended_runs(self, operation):
         """Removes runs from the index of live runs.
@@ -182,7 +198,9 @@
             entry = self.find_task(task_id)
             if entry is not None:
                 worker = entry[2].runs.get(run)
-                self.workers.drop_run(worker, task_id, run)
+                step = self.workers.drop_run(worker, task_id, run)
+                if step is not None:
+                    self.usage.remove_run(entry[0], step)
 
     def take_operations(self):
         """Returns and clears the operations to commit."""
@@ -350,28 +368,9 @@
             self.workers.count_senders()
         )
         self.tasks_to_copy = find_tasks_to_copy(self, now_ms)
-        self.open_occurrences(wall_ms)
+        open_occurrences(self, wall_ms)
         log_waiting_tasks(self, now_ms)
 
-    def open_occurrences(self, wall_ms):
-        """Opens the due occurrences of repeated jobs."""
-        for job in list(self.active.values()):
-            spec = job.spec
-            while (
-                job.active
-                and job.opened < spec.repeat_count
-                and spec.due_ms(job.opened) <= wall_ms
-                and self.may_open(job)
-            ):
-                self.record(OpenOccurrence(job.job_id, job.opened))
-
-    def may_open(self, job):
-        """Returns whether one more occurrence of a job may be opened."""
-        if not job.occurrences:
-            return True
-        tasks = sum(step.count for step in job.spec.steps)
-        return (len(job.occurrences) + 1) * tasks <= MAX_OPEN_TASKS
-
     def needs_ticket(self, job):
         """Returns whether the tasks of a job need a ticket to start."""
         queue = self.state.routes.queue_of(job.queue)
--- a/wigeonport/job_orders.py
+++ b/wigeonport/job_orders.py
@@ -33,6 +33,8 @@
         running_work: Estimated work of its running tasks, in the same unit.
         startable: Triples of occurrence, step number and StepRun, for the
             steps whose tasks may be started one by one, so not for gangs.
+        limited: Whether the limit of its tenant keeps it from being in time,
+            however much room there is.
     """
 
     __slots__ = (
@@ -44,9 +46,11 @@
         "waiting_work",
         "running_work",
         "startable",
+        "limited",
     )
 
-    def __init__(self, job, queue, machine):
+    def __init__(self, job, queue, machine, run_times):
+        self.limited = False
         self.job = job
         self.queue = queue
         spec = job.spec
@@ -54,9 +58,9 @@
         start_ms = job.submitted_ms
         if spec.repeat_count:
             start_ms = spec.due_ms(max(0, job.opened - 1))
-        self.objective_ms = start_ms + allowed_time_ms(queue, spec)
+        self.objective_ms = start_ms + allowed_time_ms(queue, spec, run_times)
         self.remaining_ms, self.waiting_work, self.running_work = (
-            estimate_remaining(job, machine)
+            estimate_remaining(job, machine, run_times)
         )
         self.startable = []
         self.update_startable()
@@ -76,11 +80,13 @@
     Attributes:
         machine: Resources of a mean machine.
         count: Number of machines that accept tasks.
+        shares: PoolShares, or None without tenants.
     """
 
-    __slots__ = ("machine", "count")
+    __slots__ = ("machine", "count", "shares")
 
-    def __init__(self, capacities):
+    def __init__(self, capacities, shares=None):
+        self.shares = shares
         self.count = len(capacities)
         self.machine = mean_resources(capacities or [UNKNOWN_MACHINE])
 
@@ -92,6 +98,7 @@
         created_ms: Wall time at which the ranking was computed.
         policy: Function from ``job_orders`` that sorts RankedJobs.
         pool: RankedPool.
+        run_times: RunTimes, which predict the work of the jobs.
         ranked_jobs: List of RankedJob, highest rank first.
         by_job_id: Maps job id to RankedJob.
         least: Resources with the smallest need of each kind among the steps
@@ -102,15 +109,17 @@
         "created_ms",
         "policy",
         "pool",
+        "run_times",
         "ranked_jobs",
         "by_job_id",
         "least",
     )
 
-    def __init__(self, ranked_jobs, policy, pool, created_ms):
+    def __init__(self, ranked_jobs, policy, pool, run_times, created_ms):
         self.created_ms = created_ms
         self.policy = policy
         self.pool = pool
+        self.run_times = run_times
         self.ranked_jobs = policy(ranked_jobs, pool, created_ms)
         self.by_job_id = {
             ranked_job.job.job_id: ranked_job for ranked_job in ranked_jobs
@@ -146,10 +155,19 @@
         )
 
     def add(self, job, queue):
-        """Adds a new job at its rank."""
-        ranked_job = RankedJob(job, queue, self.pool.machine)
+        """Adds a new job at its rank.
+
+        In a full pool with tenants, where nothing can start at once, it
+        stands after the jobs that are to be in time, until the next ranking.
+        """
+        ranked_job = RankedJob(job, queue, self.pool.machine, self.run_times)
         self.include_waiting(ranked_job)
         self.by_job_id[job.job_id] = ranked_job
+        shares = self.pool.shares
+        if shares is not None and shares.full and not ranked_job.lasting:
+            self.ranked_jobs.insert(shares.served, ranked_job)
+            shares.served += 1
+            return
         self.ranked_jobs = self.policy(
             [*self.ranked_jobs, ranked_job], self.pool, self.created_ms
         )
@@ -162,12 +180,13 @@
             self.include_waiting(ranked_job)
 
 
-def allowed_time_ms(queue, spec):
+def allowed_time_ms(queue, spec, run_times):
     """Returns the time from the start of a job to its objective, in ms."""
-    return queue.stretch * spec.longest_chain_ms() + queue.target_latency_ms
+    chain_ms = run_times.predict_chain(queue.name, spec)
+    return queue.stretch * chain_ms + queue.target_latency_ms
 
 
-def estimate_remaining(job, machine):
+def estimate_remaining(job, machine, run_times):
     """Returns the remaining time, the waiting and the running work of a job.
 
     See ``RankedJob`` for the three values and their units.
@@ -175,13 +194,16 @@
     Args:
         job: BatchJob.
         machine: Resources of a mean machine of the pool.
+        run_times: RunTimes.
     """
     longest_ms, waiting_work, running_work = 0, 0, 0
     for step_runs in job.occurrences.values():
         finish_ms = []
-        for step_run in step_runs:
+        for number, step_run in enumerate(step_runs):
             step = step_run.step
-            own_ms = step.estimated_ms if step_run.remaining else 0
+            own_ms = 0
+            if step_run.remaining:
+                own_ms = run_times.predict(job.queue, number, step)
             dependencies_ms = [finish_ms[each] for each in step.depends_on]
             finish_ms.append(max(dependencies_ms, default=0) + own_ms)
             task_work = machine.share_of(step) * own_ms
@@ -203,10 +225,23 @@
     the next. Deferred jobs get what room is left, and jobs that would be late
     on an empty pool come last.
     """
+    by_objective = sorted(ranked_jobs, key=objective_of)
+    lasting, feasible, deferred, late = divide_jobs(by_objective, pool, now_ms)
+    return lasting + feasible + deferred + late
+
+
+def divide_jobs(ranked_jobs, pool, now_ms):
+    """Returns the lasting, feasible, deferred and late jobs, in their order.
+
+    Args:
+        ranked_jobs: RankedJobs in the order of their objectives.
+        pool: RankedPool.
+        now_ms: Wall time.
+    """
     rate = PACKING_SHARE * max(1, pool.count)
     lasting, feasible, deferred, late = [], [], [], []
     preceding_work = 0
-    for ranked_job in sorted(ranked_jobs, key=objective_of):
+    for ranked_job in ranked_jobs:
         remaining_ms = ranked_job.remaining_ms
         if ranked_job.lasting:
             lasting.append(ranked_job)
@@ -214,15 +249,30 @@
         if now_ms + remaining_ms > ranked_job.objective_ms:
             late.append(ranked_job)
             continue
-        work = preceding_work + ranked_job.waiting_work
-        work += ranked_job.running_work / 2
-        finish_ms = now_ms + max(remaining_ms, work / rate + remaining_ms / 2)
+        finish_ms, work = finish_time_ms(
+            ranked_job, preceding_work, rate, now_ms
+        )
         if finish_ms > ranked_job.objective_ms:
             deferred.append(ranked_job)
             continue
         preceding_work = work
         feasible.append(ranked_job)
-    return lasting + feasible + deferred + late
+    return lasting, feasible, deferred, late
+
+
+def finish_time_ms(ranked_job, preceding_work, rate, now_ms):
+    """Returns the time at which a job ends, and the work until then.
+
+    Args:
+        ranked_job: RankedJob.
+        preceding_work: Work of the jobs before it, in ms of a machine.
+        rate: Work that the pool does in 1 ms.
+        now_ms: Wall time.
+    """
+    work = preceding_work + ranked_job.waiting_work
+    work += ranked_job.running_work / 2
+    remaining_ms = ranked_job.remaining_ms
+    return now_ms + max(remaining_ms, work / rate + remaining_ms / 2), work
 
 
 def objective_of(ranked_job):
