Wait for the fronts before the idle processes are measured

Cause: beside heavy load the fronts did not listen within 6 s, so that the first readiness check ended bench/process_costs.py.

Change: the measurement begins once each front has answered.

--- a/bench/process_costs.py
+++ b/bench/process_costs.py
@@ -13,6 +13,7 @@
 """
 
 import argparse
+import contextlib
 import os
 import re
 import socket
@@ -45,7 +46,8 @@
 CONNECTIONS = 10
 WORKERS = 100
 SEEDS = 3
-START_S = 6
+# Time for the first election and the links, once all fronts listen.
+SETTLE_S = 3
 CONTENT_LENGTH = re.compile(rb"content-length: (\d+)")
 IMPORT = "import sys; sys.path[:0] = ['platform', '.']; import {}"
 REPORT = (
@@ -159,13 +161,16 @@
         return super().control_addresses[:SEEDS]
 
 
-async def check_readiness(front):
+async def check_readiness(front, task_status):
     """Asks a front for its readiness each second, as a balancer does."""
     while True:
-        stream = await trio.open_tcp_stream(front.host, READY_PORT)
-        async with stream:
-            await stream.send_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
-            await stream.receive_some(4_096)
+        with contextlib.suppress(OSError, trio.BrokenResourceError):
+            stream = await trio.open_tcp_stream(front.host, READY_PORT)
+            async with stream:
+                await stream.send_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+                await stream.receive_some(4_096)
+            task_status.started()
+            task_status = trio.TASK_STATUS_IGNORED
         await trio.sleep(1)
 
 
@@ -176,9 +181,9 @@
     async with trio.open_nursery() as nursery:
         try:
             await fleet.start(nursery)
-            await trio.sleep(START_S)
             for front in fleet.fronts:
-                nursery.start_soon(check_readiness, front)
+                await nursery.start(check_readiness, front)
+            await trio.sleep(SETTLE_S)
             before_s = [read_cpu_s(each.process.pid) for each in processes]
             await trio.sleep(seconds)
             percents = [
