Keep kinds of task apart that slow each other down

Cause: the evidence on pairs of kinds was not fed and had no effect.

Change: the dispatcher of a term owns a table of what runs beside what and what was learned, if separate_interfering_tasks is set; by default it has none. Tasks of a step are held back beside a harmful neighbour, as many as other workers have room for now, for one heartbeat interval at most, and not if the job would be late by it. Settings rule pairs in and out, the metrics hold the table, and two log lines say when a pair is taken up or dropped.

--- a/wigeonport/batch_controllers.py
+++ b/wigeonport/batch_controllers.py
@@ -27,6 +27,7 @@
     ResignRequest,
     StatusRequest,
 )
+from wigeonport.interference_tables import INTERFERENCE_TABLE
 from wigeonport.logs import PartLogger
 from wigeonport.machine_orders import PlannedOrder
 from wigeonport.replica_events import COMMITTED, LEADER
@@ -194,6 +195,8 @@
         """Runs the timers; an exception reloads the state."""
         try:
             self.dispatcher.on_tick(now_ms, self.clock.wall())
+            if self.dispatcher.interference is not None:
+                self.dispatcher.interference.publish(self.metrics, now_ms)
             if self.machines is not None:
                 self.round_answers += self.machines.on_tick(
                     self.dispatcher, now_ms
@@ -304,6 +307,7 @@
             return
         logger.warning("Dispatching stopped.", term=self.term, reason=reason)
         self.dispatcher = None
+        self.metrics.tables.pop(INTERFERENCE_TABLE, None)
         self.lease_until_ms = 0
         if self.machines is not None:
             self.machines.stop()
--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -10,7 +10,6 @@
 from wigeonport.batch_commands import (
     AdoptRoutes,
     EndRuns,
-    OpenOccurrence,
     StartRuns,
     SubmitJob,
 )
@@ -18,7 +17,9 @@
 from wigeonport.batch_requests import answer_call
 from wigeonport.batch_specs import split_task_id
 from wigeonport.batch_states import apply_operation
+from wigeonport.due_occurrences import open_occurrences
 from wigeonport.fill_rates import update_fill_rates
+from wigeonport.interference_tables import make_table
 from wigeonport.lasting_placements import place_on_reserved
 from wigeonport.logs import PartLogger
 from wigeonport.run_orders import add_starts, choose_interval, reconcile
@@ -39,10 +40,6 @@
 
 logger = PartLogger("dispatch")
 
-# Maximum number of tasks in the open occurrences of a job, unless it has only
-# one. Due occurrences beyond it are opened as earlier ones end; all tasks of
-# a job are kept in memory.
-MAX_OPEN_TASKS = 10_000
 # Maximum number of ends in one operation: with checkpoints of 4,000 bytes it
 # still fits into a log entry.
 MAX_ENDS_PER_OPERATION = 100
@@ -74,6 +71,7 @@
         rack_wait_start_ms: Maps the common prefix of a step's task ids to
             the monotonic time at which the step began to wait for a worker
             in the rack of its data.
+        interference: InterferenceTable, or None if it is switched off.
         waits: Maps the id of each lasting task that waits to its Wait.
         waits_due_ms: Monotonic time of the next check for them.
         wall_ms: Wall time of the event being handled.
@@ -97,6 +95,7 @@
         "tickets",
         "tasks_to_copy",
         "rack_wait_start_ms",
+        "interference",
         "waits",
         "waits_due_ms",
         "wall_ms",
@@ -121,6 +120,7 @@
         self.tickets = TicketTable()
         self.tasks_to_copy = {}
         self.rack_wait_start_ms = {}
+        self.interference = make_table(settings)
         self.waits = {}
         self.waits_due_ms = now_ms
         self.wall_ms = 0
@@ -239,6 +239,8 @@
         elif worker.receives_answer():
             place_on_reserved(self, worker, now_ms, wall_ms)
         add_starts(self, worker, orders)
+        if self.interference is not None:
+            self.interference.on_answer(self, worker, orders)
         orders.retry_after_ms = choose_interval(worker, orders.retry_after_ms)
         orders.run_lease_ms = self.settings.run_lease_ms
         worker.extend_lease(orders.run_lease_ms, now_ms)
@@ -350,28 +352,11 @@
             self.workers.count_senders()
         )
         self.tasks_to_copy = find_tasks_to_copy(self, now_ms)
-        self.open_occurrences(wall_ms)
+        if self.interference is not None:
+            self.interference.on_tick(self, now_ms)
+        open_occurrences(self, wall_ms)
         log_waiting_tasks(self, now_ms)
 
-    def open_occurrences(self, wall_ms):
-        """Opens the due occurrences of repeated jobs."""
-        for job in list(self.active.values()):
-            spec = job.spec
-            while (
-                job.active
-                and job.opened < spec.repeat_count
-                and spec.due_ms(job.opened) <= wall_ms
-                and self.may_open(job)
-            ):
-                self.record(OpenOccurrence(job.job_id, job.opened))
-
-    def may_open(self, job):
-        """Returns whether one more occurrence of a job may be opened."""
-        if not job.occurrences:
-            return True
-        tasks = sum(step.count for step in job.spec.steps)
-        return (len(job.occurrences) + 1) * tasks <= MAX_OPEN_TASKS
-
     def needs_ticket(self, job):
         """Returns whether the tasks of a job need a ticket to start."""
         queue = self.state.routes.queue_of(job.queue)
--- a/wigeonport/batch_programs.py
+++ b/wigeonport/batch_programs.py
@@ -111,7 +111,11 @@
 
 def make_batch_settings(settings):
     """Returns the BatchSettings for the Settings of a program."""
-    return BatchSettings(settings.max_hold_ms, settings.machine_lease_ms)
+    batch = BatchSettings(settings.max_hold_ms, settings.machine_lease_ms)
+    batch.separate_interfering_tasks = settings.separate_interfering_tasks
+    batch.separated_pairs = settings.separated_pairs
+    batch.unseparated_pairs = settings.unseparated_pairs
+    return batch
 
 
 async def forward_stop(stopping, controller):
--- a/wigeonport/batch_settings.py
+++ b/wigeonport/batch_settings.py
@@ -24,6 +24,11 @@
         takeover_wait_ms: Time after a change of leader in which a machine
             with a recent order gets no new one, because the former leader
             may just have sent it one.
+        separate_interfering_tasks: Whether kinds of task that slow each
+            other down are learned and kept apart.
+        separated_pairs: Texts ``KIND beside KIND`` of the kinds that are
+            kept apart whatever is learned.
+        unseparated_pairs: The same for kinds that are never kept apart.
     """
 
     __slots__ = (
@@ -34,6 +39,9 @@
         "job_order",
         "max_filler_tasks_per_step",
         "takeover_wait_ms",
+        "separate_interfering_tasks",
+        "separated_pairs",
+        "unseparated_pairs",
     )
 
     def __init__(self, max_hold_ms=10_000, lease_ms=3_000):
@@ -44,6 +52,9 @@
         self.job_order = "feasible"
         self.max_filler_tasks_per_step = 2
         self.takeover_wait_ms = lease_ms + 500
+        self.separate_interfering_tasks = False
+        self.separated_pairs = ()
+        self.unseparated_pairs = ()
 
     def choose_heartbeat_interval(self, workers):
         """Returns the heartbeat interval, in ms, for a number of workers.
--- /dev/null
+++ b/wigeonport/due_occurrences.py
@@ -0,0 +1,29 @@
+"""Opening of the due occurrences of repeated jobs."""
+
+from wigeonport.batch_commands import OpenOccurrence
+
+# Maximum number of tasks in the open occurrences of a job, unless it has only
+# one. Due occurrences beyond it are opened as earlier ones end; all tasks of
+# a job are kept in memory.
+MAX_OPEN_TASKS = 10_000
+
+
+def open_occurrences(dispatcher, wall_ms):
+    """Opens the due occurrences of repeated jobs."""
+    for job in list(dispatcher.active.values()):
+        spec = job.spec
+        while (
+            job.active
+            and job.opened < spec.repeat_count
+            and spec.due_ms(job.opened) <= wall_ms
+            and may_open(job)
+        ):
+            dispatcher.record(OpenOccurrence(job.job_id, job.opened))
+
+
+def may_open(job):
+    """Returns whether one more occurrence of a job may be opened."""
+    if not job.occurrences:
+        return True
+    tasks = sum(step.count for step in job.spec.steps)
+    return (len(job.occurrences) + 1) * tasks <= MAX_OPEN_TASKS
--- a/wigeonport/metrics.py
+++ b/wigeonport/metrics.py
@@ -15,14 +15,16 @@
         counters: Maps name to count.
         gauges: Maps name to latest value.
         histograms: Maps name to HdrHistogram.
+        tables: Maps name to a list of dicts, for what no number holds.
     """
 
-    __slots__ = ("counters", "gauges", "histograms")
+    __slots__ = ("counters", "gauges", "histograms", "tables")
 
     def __init__(self):
         self.counters = {}
         self.gauges = {}
         self.histograms = {}
+        self.tables = {}
 
     def count(self, name, amount=1):
         """Adds ``amount`` to a counter."""
@@ -51,6 +53,7 @@
                 name: summarize(histogram)
                 for name, histogram in self.histograms.items()
             },
+            "tables": dict(self.tables),
         }
 
 
--- a/wigeonport/run_reports.py
+++ b/wigeonport/run_reports.py
@@ -125,6 +125,8 @@
 
 def record_outcome(dispatcher, worker, end):
     """Records the worker of a failed run, and logs the end of any run."""
+    if dispatcher.interference is not None:
+        dispatcher.interference.on_end(dispatcher, worker, end)
     if end.outcome == ENDED_FAILED:
         if len(dispatcher.failure_times) > MAX_FAILED_TASKS:
             dispatcher.failure_times.clear()
--- a/wigeonport/setting_tables.py
+++ b/wigeonport/setting_tables.py
@@ -328,6 +328,26 @@
         None,
         text="Address `host:port` of `/metrics` for batch roles.",
     ),
+    Field(
+        "separate_interfering_tasks",
+        "flag",
+        False,
+        text="Whether the leader learns which kinds of task slow each other "
+        "down on one worker, and keeps them apart where there is room.",
+    ),
+    Field(
+        "separated_pairs",
+        "texts",
+        [],
+        text="Kinds that are kept apart whatever is learned, each as "
+        "`KIND beside KIND`; only with `separate_interfering_tasks`.",
+    ),
+    Field(
+        "unseparated_pairs",
+        "texts",
+        [],
+        text="Kinds that are never kept apart, each as `KIND beside KIND`.",
+    ),
 )
 SETTING_GROUPS = (
     ("Identity", IDENTITY_FIELDS),
--- a/wigeonport/settings.py
+++ b/wigeonport/settings.py
@@ -4,6 +4,7 @@
 
 from wigeonport.documents import Reporter, read_fields
 from wigeonport.findings import Findings
+from wigeonport.interference_pairs import is_pair, read_pairs
 from wigeonport.queues import disciplines
 from wigeonport.records import Record
 from wigeonport.registries import Registry
@@ -216,6 +217,22 @@
         reporter.add(("log_level",), text)
 
 
+@SETTINGS_CHECKS.register("pairs")
+def check_pairs(settings, reporter):
+    """Reports pairs of kinds that are malformed or ruled both in and out."""
+    for name in ("separated_pairs", "unseparated_pairs"):
+        for index, text in enumerate(getattr(settings, name)):
+            if not is_pair(text):
+                problem = f"write 'KIND beside KIND', not {text!r}"
+                reporter.add((name, index), problem)
+    both = read_pairs(settings.separated_pairs) & read_pairs(
+        settings.unseparated_pairs
+    )
+    for pair in sorted(" beside ".join(sorted(pair)) for pair in both):
+        text = f"{pair!r} is in separated_pairs too"
+        reporter.add(("unseparated_pairs",), text)
+
+
 @SETTINGS_CHECKS.register("policies")
 def check_policies(settings, reporter):
     """Reports policies that are not registered."""
--- a/wigeonport/task_placements.py
+++ b/wigeonport/task_placements.py
@@ -2,6 +2,7 @@
 
 from wigeonport.batch_commands import StartRuns
 from wigeonport.batch_specs import task_id
+from wigeonport.interference_placements import count_held_back
 from wigeonport.job_orders import (
     JobRanking,
     RankedJob,
@@ -92,7 +93,10 @@
         for step_run, candidate in find_candidates(
             dispatcher, worker, ranked_job, free_capacity, now_ms
         ):
-            for index in candidate.choose_tasks(step_run, free_capacity):
+            held_back = count_held_back(candidate, step_run, tasks, now_ms)
+            for index in candidate.choose_tasks(
+                step_run, free_capacity, held_back
+            ):
                 tasks.append(f"{candidate.prefix}{index}")
                 runs.append(step_run.tasks[index].last_run + 1)
             if len(tasks) >= MAX_STARTS:
@@ -174,13 +178,21 @@
         wait_ms = LOCALITY_WAIT_MS + step.estimated_ms
         return not rack_accepts_tasks or now_ms - start_ms > wait_ms
 
-    def choose_tasks(self, step_run, free_capacity):
+    def choose_tasks(self, step_run, free_capacity, held_back=0):
         """Returns the indices of the tasks to start.
 
         Subtracts what they use from ``free_capacity``.
+
+        Args:
+            step_run: StepRun.
+            free_capacity: Free Resources of the worker.
+            held_back: Number of waiting tasks to leave to other workers.
         """
         chosen = []
-        maximum = self.remaining_limit(step_run.step)
+        maximum = min(
+            self.remaining_limit(step_run.step),
+            len(step_run.waiting) - held_back,
+        )
         for index in sorted(step_run.waiting):
             if len(chosen) >= maximum or not free_capacity.fits(step_run.step):
                 break
