Show operators which kinds of task slow each other down

Cause: the pairs were visible as a list in the metrics only, and no page told what they mean, how they are overruled and what was weighed.

Reading a URL is shared with the command timeline.

--- a/tests/test_interference.py
+++ b/tests/test_interference.py
@@ -9,6 +9,7 @@
 import sys
 
 import pytest
+import trio
 from batch_fixtures import (
     DispatcherHarness,
     make_queue,
@@ -18,11 +19,13 @@
 from interference_simulations import TRUE_PAIRS, InterferenceSimulation, Load
 
 from wigeonport.batch_dispatchers import BatchDispatcher
+from wigeonport.cli_main import run
 from wigeonport.interference_evidence import MAX_KINDS, ServiceEvidence
 from wigeonport.interference_pairs import Pair
 from wigeonport.interference_samples import EndedRun
 from wigeonport.mean_comparisons import AgedMoments, student_quantile
 from wigeonport.metrics import Metrics
+from wigeonport.servers import ProcessInfo, StatusApp, serve_http
 from wigeonport.settings import settings_from_document
 
 LOADS = {
@@ -296,6 +299,33 @@
     assert metrics.counters["interference_runs"] > 0
 
 
+@pytest.mark.parametrize("served", [True, False])
+def test_the_command_prints_the_served_table(served, capsys):
+    """A process without the table must not look like one without pairs."""
+    metrics = Metrics()
+    if served:
+        simulation, _ = play("pairs", 1)
+        table = simulation.harness.dispatcher.interference
+        table.publish(metrics, simulation.harness.now_ms)
+
+    async def main():
+        stopping = trio.Event()
+        app = StatusApp(ProcessInfo(metrics, None, stopping))
+        async with trio.open_nursery() as nursery:
+            binds = await nursery.start(
+                serve_http, app, "127.0.0.1", 0, stopping, 100
+            )
+            command = ["jobs", "interference", f"{binds[0]}/metrics"]
+            code = await trio.to_thread.run_sync(run, command)
+            stopping.set()
+        return code
+
+    assert trio.run(main) == (0 if served else 1)
+    output = capsys.readouterr()
+    assert ("plans.0" in output.out) == served
+    assert ("has no table" in output.err) != served
+
+
 def test_malformed_pairs_in_the_settings_are_found():
     """A pair with a typing error would silently have no effect."""
     document = {
--- a/wigeonport/commands/jobs.py
+++ b/wigeonport/commands/jobs.py
@@ -1,4 +1,4 @@
-"""Command that explains lost and late jobs from the logs."""
+"""Commands that explain how batch jobs ran."""
 
 import json
 
@@ -12,6 +12,9 @@
     PlainCommand,
     UsageError,
 )
+from wigeonport.commands.timeline import fetch_content
+from wigeonport.findings import Findings
+from wigeonport.interference_tables import INTERFERENCE_TABLE, render_rows
 from wigeonport.job_histories import (
     LogSummary,
     read_log_lines,
@@ -75,3 +78,45 @@
         if summary.unread:
             self.print_error(f"lines that are no log lines: {summary.unread}")
         return EXIT_REFUSED if failed else EXIT_DONE
+
+
+@commands.register("jobs interference")
+class JobsInterferenceCommand(PlainCommand):
+    """Prints which kinds of task slow each other down."""
+
+    name = "jobs interference"
+    description = "Shows which kinds of task slow each other down."
+    arguments = [
+        argument(
+            "url",
+            "Metrics of the leading control, as http://host:port/metrics.",
+        )
+    ]
+    options = [JSON_OPTION]
+
+    def handle(self):
+        """Prints the table; returns 1 if the process has none."""
+        findings = Findings()
+        url = self.argument("url")
+        rows = read_table(url, findings)
+        if self.option("json"):
+            self.print_json({"rows": rows, "findings": findings.lines()})
+        else:
+            for line in render_rows(rows):
+                self.print(line)
+        for line in findings.lines():
+            self.print_error(line)
+        return EXIT_REFUSED if findings else EXIT_DONE
+
+
+def read_table(url, findings):
+    """Returns the rows of the table in the metrics of a process."""
+    content = fetch_content(url, findings)
+    if content is None:
+        return []
+    try:
+        return json.loads(content)["tables"][INTERFERENCE_TABLE]
+    except (ValueError, KeyError, TypeError):
+        text = "has no table: it does not lead, or does not separate tasks"
+        findings.add(url, text)
+        return []
--- a/wigeonport/commands/timeline.py
+++ b/wigeonport/commands/timeline.py
@@ -66,6 +66,14 @@
 
 def read_url(url, findings):
     """Returns the events that a running process serves."""
+    content = fetch_content(url, findings)
+    if content is None:
+        return []
+    return read_lines(url, content.splitlines(), findings)
+
+
+def fetch_content(url, findings):
+    """Returns the body that a running process serves, or None."""
     try:
         status, content = trio.run(fetch, url, FETCH_TIMEOUT_MS)
     except (
@@ -78,8 +86,8 @@
         ValueError,
     ) as error:
         findings.add(url, f"cannot be read: {describe_error(error)}")
-        return []
+        return None
     if status != 200:
         findings.add(url, f"answered with HTTP status {status}, not 200")
-        return []
-    return read_lines(url, content.splitlines(), findings)
+        return None
+    return content
--- a/wigeonport/interference_tables.py
+++ b/wigeonport/interference_tables.py
@@ -174,6 +174,29 @@
     return next(iter(pair - {kind}), kind)
 
 
+def render_rows(rows):
+    """Returns the lines of a text table, the highest slow-down first."""
+    lines = [
+        f"{'service':16} {'kind':24} {'beside':24} {'slow-down':20}"
+        f" {'steps':>11} {'last s':>7}  kept apart"
+    ]
+    for row in sorted(rows, key=lambda row: -row.get("slow_down", 0)):
+        slow_down = "too few steps"
+        if "slow_down" in row:
+            limits = f"{row['slow_down_low']} to {row['slow_down_high']}"
+            slow_down = f"{row['slow_down']} ({limits})"
+        steps = f"{row['steps_beside']:.0f}/{row['steps_alone']:.0f}"
+        apart = "no"
+        if row["separated"]:
+            apart = f"for {row['separated_for_ms'] / 1_000:.0f} s"
+        lines.append(
+            f"{row['service']:16} {row['kind']:24} {row['neighbour']:24}"
+            f" {slow_down:20} {steps:>11}"
+            f" {row['last_sample_ms'] / 1_000:7.0f}  {apart}"
+        )
+    return lines
+
+
 def make_table(settings):
     """Returns the InterferenceTable, or None where it is switched off."""
     if not settings.separate_interfering_tasks:
