Count a hold only from the first task held back

Cause: a step used up its time to be held back when no other worker had room for it. A wide step that starts over minutes was then never kept apart from its harmful neighbours, however much room there was later.

Change: the time begins with the first task that is held back, and a step may be held back again after 10 s, for one heartbeat interval at most.

--- a/wigeonport/interference_placements.py
+++ b/wigeonport/interference_placements.py
@@ -10,13 +10,13 @@
 from wigeonport.batch_specs import split_task_id
 from wigeonport.run_neighbours import kind_of
 
-# Heartbeat intervals for which a step may be held back in all. Every other
+# Heartbeat intervals for which a step may be held back at a time. Every other
 # worker sends a heartbeat within one.
 HOLD_INTERVALS = 1.0
 # A worker that has been silent for more intervals offers no room.
 MAX_SILENT_INTERVALS = 2
-# Time for which a hold is remembered at least, so that a step is not held
-# back again.
+# Time after which a step may be held back again. A step with more tasks than
+# there is room for starts them over minutes, and each is held back little.
 HOLD_MEMORY_MS = 10_000
 
 
@@ -54,7 +54,7 @@
         return math.ceil(min(self.count, len(self.step_run.waiting)) * size)
 
     def is_over(self, now_ms):
-        """Returns whether the hold may be forgotten once its step is over."""
+        """Returns whether the step may be held back again."""
         return now_ms - self.since_ms > HOLD_MEMORY_MS
 
 
@@ -130,13 +130,10 @@
     """Returns how many of the wanted tasks other workers have room for."""
     dispatcher, prefix = candidate.dispatcher, candidate.prefix[:-1]
     hold = table.holds.get(prefix)
-    if hold is None:
-        wait_ms = int(HOLD_INTERVALS * dispatcher.heartbeat_interval_ms)
-        hold = Hold(now_ms, now_ms + wait_ms, step_run)
-        table.holds[prefix] = hold
-    hold.count = 0
-    if now_ms >= hold.until_ms:
-        return 0
+    if hold is not None:
+        hold.count = 0
+        if now_ms >= hold.until_ms:
+            return 0
     promised = sum(
         other.promised_tasks(step_run.step, now_ms)
         for other in table.holds.values()
@@ -144,8 +141,14 @@
     room = count_room(
         candidate, step_run.step, wanted + promised, partners, now_ms
     )
-    hold.count = max(0, min(wanted, room - promised))
-    return hold.count
+    held = max(0, min(wanted, room - promised))
+    if held and hold is None:
+        wait_ms = int(HOLD_INTERVALS * dispatcher.heartbeat_interval_ms)
+        hold = Hold(now_ms, now_ms + wait_ms, step_run)
+        table.holds[prefix] = hold
+    if held:
+        hold.count = held
+    return held
 
 
 def count_room(candidate, step, wanted, partners, now_ms):
--- a/wigeonport/interference_tables.py
+++ b/wigeonport/interference_tables.py
@@ -143,7 +143,7 @@
         for incarnation in self.workers.keys() - dispatcher.workers.runs:
             del self.workers[incarnation]
         for prefix, hold in list(self.holds.items()):
-            if hold.is_over(now_ms) and is_over(prefix):
+            if hold.is_over(now_ms):
                 del self.holds[prefix]
 
     def to_rows(self, now_ms):
