--- a/wigeonport/batch_controllers.py
+++ b/wigeonport/batch_controllers.py
@@ -27,6 +27,7 @@
     ResignRequest,
     StatusRequest,
 )
+from wigeonport.interference_tables import INTERFERENCE_TABLE
 from wigeonport.key_refusals import KeyRefusals
 from wigeonport.logs import PartLogger
 from wigeonport.machine_orders import PlannedOrder
@@ -204,6 +205,8 @@
         try:
             self.dispatcher.on_tick(now_ms, self.clock.wall())
             publish_tenants(self.dispatcher, self.metrics, now_ms)
+            if self.dispatcher.interference is not None:
+                self.dispatcher.interference.publish(self.metrics, now_ms)
             if self.machines is not None:
                 self.round_answers += self.machines.on_tick(
                     self.dispatcher, now_ms
@@ -320,6 +323,7 @@
             return
         logger.warning("Dispatching stopped.", term=self.term, reason=reason)
         self.dispatcher = None
+        self.metrics.tables.pop(INTERFERENCE_TABLE, None)
         self.lease_until_ms = 0
         clear_tenants(self.metrics)
         if self.machines is not None:
--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -18,6 +18,7 @@
 from wigeonport.batch_specs import split_task_id
 from wigeonport.batch_states import apply_operation
 from wigeonport.fill_rates import update_fill_rates
+from wigeonport.interference_tables import make_table
 from wigeonport.job_occurrences import open_occurrences
 from wigeonport.lasting_placements import place_on_reserved
 from wigeonport.logs import PartLogger
@@ -78,6 +79,7 @@
         rack_wait_start_ms: Maps the common prefix of a step's task ids to
             the monotonic time at which the step began to wait for a worker
             in the rack of its data.
+        interference: InterferenceTable, or None if it is switched off.
         waits: Maps the id of each lasting task that waits to its Wait.
         waits_due_ms: Monotonic time of the next check for them.
         wall_ms: Wall time of the event being handled.
@@ -105,6 +107,7 @@
         "tickets",
         "tasks_to_copy",
         "rack_wait_start_ms",
+        "interference",
         "waits",
         "waits_due_ms",
         "wall_ms",
@@ -133,6 +136,7 @@
         self.tickets = TicketTable()
         self.tasks_to_copy = {}
         self.rack_wait_start_ms = {}
+        self.interference = make_table(settings)
         self.waits = {}
         self.waits_due_ms = now_ms
         self.wall_ms = 0
@@ -257,6 +261,8 @@
         elif worker.receives_answer():
             place_on_reserved(self, worker, now_ms, wall_ms)
         add_starts(self, worker, orders)
+        if self.interference is not None:
+            self.interference.on_answer(self, worker, orders)
         orders.retry_after_ms = choose_interval(worker, orders.retry_after_ms)
         orders.run_lease_ms = self.settings.run_lease_ms
         worker.extend_lease(orders.run_lease_ms, now_ms)
@@ -368,6 +374,8 @@
             self.workers.count_senders()
         )
         self.tasks_to_copy = find_tasks_to_copy(self, now_ms)
+        if self.interference is not None:
+            self.interference.on_tick(self, now_ms)
         open_occurrences(self, wall_ms)
         log_waiting_tasks(self, now_ms)
 
--- a/wigeonport/task_placements.py
+++ b/wigeonport/task_placements.py
@@ -2,6 +2,7 @@
 
 from wigeonport.batch_commands import StartRuns
 from wigeonport.batch_specs import task_id
+from wigeonport.interference_placements import count_held_back
 from wigeonport.job_orders import (
     JobRanking,
     RankedJob,
@@ -98,8 +99,9 @@
         for step_run, candidate in find_candidates(
             dispatcher, worker, ranked_job, free_capacity, now_ms, allowance
         ):
+            held_back = count_held_back(candidate, step_run, tasks, now_ms)
             for index in candidate.choose_tasks(
-                step_run, free_capacity, allowance
+                step_run, free_capacity, allowance, held_back
             ):
                 tasks.append(f"{candidate.prefix}{index}")
                 runs.append(step_run.tasks[index].last_run + 1)
@@ -187,15 +189,23 @@
         wait_ms = LOCALITY_WAIT_MS + step.estimated_ms
         return not rack_accepts_tasks or now_ms - start_ms > wait_ms
 
-    def choose_tasks(self, step_run, free_capacity, allowance):
+    def choose_tasks(self, step_run, free_capacity, allowance, held_back=0):
         """Returns the indices of the tasks to start.
 
         Subtracts what they use from ``free_capacity``, and from the
         ``allowance`` of the tenants if there are any.
+
+        Args:
+            step_run: StepRun.
+            free_capacity: Free Resources of the worker.
+            allowance: Allowance of the tenants, or None.
+            held_back: Number of waiting tasks to leave to other workers.
         """
         chosen = []
         job, step = self.ranked_job.job, step_run.step
-        maximum = self.remaining_limit(step)
+        maximum = min(
+            self.remaining_limit(step), len(step_run.waiting) - held_back
+        )
         for index in sorted(step_run.waiting):
             if len(chosen) >= maximum or not free_capacity.fits(step):
                 break
