Bound what connections without a handshake hold

Cause: a connection to the port of the links could make the process hold a frame of 1 MiB before it had shown that it knows the key, and 256 such connections kept every other process out.

Change: before the handshake has succeeded, an accepted connection may send frames of up to 4 KiB. At most 64 handshakes are pending; beyond that the oldest is given up, since a real one takes a few round trips. Only established links count towards the 256. The log has at most one refused handshake a second; links_dropped_handshakes counts the ones given up.

--- a/wigeonport/dialers.py
+++ b/wigeonport/dialers.py
@@ -17,6 +17,10 @@
 INITIAL_BACKOFF_MS = 50
 MAX_BACKOFF_MS = 1_000
 MAX_ACCEPTED_LINKS = 256
+# A handshake takes a few round trips. Beyond this number the oldest one is
+# given up, so that connections without a handshake keep no process out.
+MAX_PENDING_HANDSHAKES = 64
+REFUSAL_LOG_INTERVAL_MS = 1_000
 
 
 class Dialer:
@@ -143,33 +147,71 @@
     await session.inbound.put(LinkClosed(session.peer, session))
 
 
-async def listen(context, host, port, task_status=trio.TASK_STATUS_IGNORED):
-    """Accepts links until cancelled.
+class LinkListener:
+    """Accepts links; only handshakes that succeed count as links.
 
-    Connections beyond MAX_ACCEPTED_LINKS are closed at once and counted.
+    Attributes:
+        context: LinkContext of the process.
+        handshakes: The trio.CancelScope of each pending handshake, as keys,
+            oldest first.
+        links: Number of established links.
+        logged_ms: Time of the last log line about a refused handshake.
     """
-    limiter = trio.CapacityLimiter(MAX_ACCEPTED_LINKS)
 
-    async def handle(stream):
-        try:
-            limiter.acquire_nowait()
-        except trio.WouldBlock:
-            context.metrics.count("links_refused_connections")
+    __slots__ = ("context", "handshakes", "links", "logged_ms")
+
+    def __init__(self, context):
+        self.context = context
+        self.handshakes = {}
+        self.links = 0
+        self.logged_ms = 0
+
+    async def serve(self, stream):
+        """Runs the handshake and the session of an accepted connection."""
+        session = await self.accept(stream)
+        if session is None:
             return
+        if self.links >= MAX_ACCEPTED_LINKS:
+            self.context.metrics.count("links_refused_connections")
+            return
+        self.links += 1
         try:
-            await accept(context, stream)
+            await session.run()
         finally:
-            limiter.release()
+            self.links -= 1
+        await report_closed(session)
+
+    async def accept(self, stream):
+        """Returns the Session after the handshake, or None."""
+        if len(self.handshakes) >= MAX_PENDING_HANDSHAKES:
+            self.context.metrics.count("links_dropped_handshakes")
+            oldest = next(iter(self.handshakes))
+            del self.handshakes[oldest]
+            oldest.cancel()
+        with trio.CancelScope() as scope:
+            self.handshakes[scope] = scope
+            try:
+                session = await run_handshake(
+                    Handshake(stream, self.context).accept
+                )
+            finally:
+                self.handshakes.pop(scope, None)
+            if session.is_ok():
+                return session.ok
+            self.report_refusal(session.error)
+        return None
 
-    await trio.serve_tcp(handle, port, host=host, task_status=task_status)
+    def report_refusal(self, reason):
+        """Counts a refused handshake; logs at most one a second."""
+        self.context.metrics.count("links_refused_handshakes")
+        now_ms = self.context.clock.now()
+        if now_ms - self.logged_ms >= REFUSAL_LOG_INTERVAL_MS:
+            self.logged_ms = now_ms
+            logger.warning("Link refused.", reason=reason)
 
 
-async def accept(context, stream):
-    """Runs the handshake and the session of an accepted connection."""
-    session = await run_handshake(Handshake(stream, context).accept)
-    if session.is_error():
-        context.metrics.count("links_refused_handshakes")
-        logger.warning("Link refused.", reason=session.error)
-        return
-    await session.ok.run()
-    await report_closed(session.ok)
+async def listen(context, host, port, task_status=trio.TASK_STATUS_IGNORED):
+    """Accepts links until cancelled."""
+    await trio.serve_tcp(
+        LinkListener(context).serve, port, host=host, task_status=task_status
+    )
--- a/wigeonport/frames.py
+++ b/wigeonport/frames.py
@@ -41,12 +41,14 @@
 
     Attributes:
         data: Received bytes of a frame that is not complete yet.
+        max_frame_bytes: Largest length of a frame.
     """
 
-    __slots__ = ("data",)
+    __slots__ = ("data", "max_frame_bytes")
 
-    def __init__(self):
+    def __init__(self, max_frame_bytes=MAX_FRAME_BYTES):
         self.data = bytearray()
+        self.max_frame_bytes = max_frame_bytes
 
     def feed(self, received) -> Result:
         """Returns the frames completed by these bytes, or a FrameError.
@@ -58,11 +60,11 @@
         frames = []
         while len(self.data) >= LENGTH_FORMAT.size:
             (length,) = LENGTH_FORMAT.unpack_from(self.data)
-            if not MAC_BYTES <= length <= MAX_FRAME_BYTES:
+            if not MAC_BYTES <= length <= self.max_frame_bytes:
                 return Error(
                     FrameError(
                         f"frame length {length} is not in the range "
-                        f"{MAC_BYTES} to {MAX_FRAME_BYTES}"
+                        f"{MAC_BYTES} to {self.max_frame_bytes}"
                     )
                 )
             if len(self.data) < LENGTH_FORMAT.size + length:
--- a/wigeonport/handshakes.py
+++ b/wigeonport/handshakes.py
@@ -15,6 +15,7 @@
 from wigeonport.frames import (
     ACCEPTOR,
     DIALER,
+    MAX_FRAME_BYTES,
     FrameBuffer,
     FrameSealer,
     derive_session_key,
@@ -25,6 +26,9 @@
 
 NONCE_BYTES = 16
 HANDSHAKE_TIMEOUT_MS = 2_000
+# A Hello has a few hundred bytes. Whoever has not shown yet that it knows the
+# key must not make this process hold a frame of full size.
+MAX_HELLO_BYTES = 4_096
 # Not a secret: signs the frames that come before the session key exists.
 INITIAL_KEY = b"challenge"
 
@@ -79,6 +83,7 @@
         Raises:
             HandshakeError: If the other side is refused.
         """
+        self.buffer.max_frame_bytes = MAX_HELLO_BYTES
         nonce = secrets.token_bytes(NONCE_BYTES)
         initial_sealer = FrameSealer(INITIAL_KEY, ACCEPTOR)
         await self.send(initial_sealer, Challenge(nonce))
@@ -132,6 +137,7 @@
         for frame in reversed(self.frames):
             length = len(frame).to_bytes(4, "big")
             self.buffer.data[:0] = length + frame
+        self.buffer.max_frame_bytes = MAX_FRAME_BYTES
         return Session(self.stream, peer, sealer, self.buffer, self.context)
 
     async def send(self, sealer, message):
