Bound what a process holds for its clients

Cause: bodies, answers and connections of clients outside the limits had no common bound, and an exception of one connection left the nursery of all and ended the process.

Change: each process has one ClientBudget of bytes and connections, from memory_mb and max_descriptors, which the platform's settings name. Everything received for a request in progress counts, and the announced length of a body is reserved before it is read. At the edge, what holds most for longest without progress is ended; a request that was read completely never is. A body that the application still waits for is told 503 with Retry-After. Callers, workers, operators and status ports each keep a share. The loop around hypercorn's parser is now our own: one task for each connection, without HTTP/2 and WebSocket, whose faults end only itself. Without the settings there are no limits.

--- a/wigeonport/batch_programs.py
+++ b/wigeonport/batch_programs.py
@@ -21,6 +21,7 @@
 )
 from wigeonport.dialers import listen
 from wigeonport.gateways import Gateway, GatewayCall
+from wigeonport.http_listeners import ListenerLimits
 from wigeonport.links import LinkClosed
 from wigeonport.logs import PartLogger
 from wigeonport.peer_links import PeerLinks
@@ -160,6 +161,8 @@
         *split_address(settings.metrics_listen),
         program.stopping,
         METRICS_GRACE_MS,
+        limits=ListenerLimits(program.client_budget),
+        metrics=program.metrics,
     )
 
 
--- a/wigeonport/programs.py
+++ b/wigeonport/programs.py
@@ -7,6 +7,7 @@
 import trio
 
 from wigeonport.channels import DROP_OLDEST, Mailbox
+from wigeonport.client_budgets import ClientBudget, derive_limits
 from wigeonport.clocks import Clock, LamportCounter
 from wigeonport.credentials import load_keys
 from wigeonport.events import EventLog, write_events
@@ -39,6 +40,7 @@
         stopping: trio.Event that is set by the first SIGTERM or SIGINT.
         reloads: Mailbox of requests to reload the settings, one for each
             SIGHUP.
+        client_budget: ClientBudget that the listeners of the process share.
     """
 
     __slots__ = (
@@ -51,6 +53,7 @@
         "events",
         "stopping",
         "reloads",
+        "client_budget",
     )
 
     def __init__(self, role, settings, keys):
@@ -69,6 +72,7 @@
         )
         self.stopping = trio.Event()
         self.reloads = Mailbox("reloads", 1, DROP_OLDEST)
+        self.client_budget = ClientBudget(derive_limits(settings))
 
     @property
     def node_id(self):
--- a/wigeonport/receivers.py
+++ b/wigeonport/receivers.py
@@ -149,7 +149,7 @@
                 finally:
                     self.body_limiter.release()
         if reader.complete:
-            return b"".join(reader.chunks)
+            return bytes(reader.data)
         if reader.more_expected:
             return refuse(408, "the body did not arrive in time")
         return refuse(413, "the body is too large or incomplete")
--- a/wigeonport/servers.py
+++ b/wigeonport/servers.py
@@ -3,10 +3,10 @@
 import json
 import socket
 
-import hypercorn.trio
 import trio
 from hypercorn.config import Config
 
+from wigeonport.http_listeners import HttpListener, no_limits
 from wigeonport.registries import Registry
 
 common_routes = Registry("route")
@@ -15,6 +15,11 @@
 KEEP_ALIVE_S = 30
 BACKLOG = 512
 STALLED_TIMEOUT_MS = 10_000
+# Bytes that arrived and were not read yet count towards the memory of the
+# machine. Connections whose requests wait must not keep megabytes of them.
+RECEIVE_BUFFER_BYTES = 65_536
+# Parts of a body that wait for the application.
+MAX_WAITING_PARTS = 2
 
 
 class HttpResponse:
@@ -144,9 +149,9 @@
     Attributes:
         receive: Receive function of ASGI.
         limit_bytes: Maximum size of the body.
-        chunks: The chunks read so far; empty if the body is too large or
-            was cut short.
-        size: Number of bytes read so far.
+        data: The bytes read so far, joined, so that chunks of a few bytes
+            take no more memory than large ones; empty if the body is too
+            large or was cut short.
         more_expected: Whether more chunks are expected.
         complete: Whether the whole body was read.
     """
@@ -154,8 +159,7 @@
     __slots__ = (
         "receive",
         "limit_bytes",
-        "chunks",
-        "size",
+        "data",
         "more_expected",
         "complete",
     )
@@ -163,20 +167,18 @@
     def __init__(self, receive, limit_bytes):
         self.receive = receive
         self.limit_bytes = limit_bytes
-        self.chunks = []
-        self.size = 0
+        self.data = bytearray()
         self.more_expected = True
         self.complete = False
 
     async def read_chunk(self):
         """Reads the next chunk."""
         event = await self.receive()
-        piece = event.get("body", b"")
-        self.size += len(piece)
-        if event["type"] != "http.request" or self.size > self.limit_bytes:
-            self.more_expected, self.chunks = False, []
+        self.data += event.get("body", b"")
+        size_bytes = len(self.data)
+        if event["type"] != "http.request" or size_bytes > self.limit_bytes:
+            self.more_expected, self.data = False, bytearray()
             return
-        self.chunks.append(piece)
         self.more_expected = event.get("more_body", False)
         self.complete = not self.more_expected
 
@@ -190,7 +192,7 @@
     """Returns the whole body, or None if it is too large or cut short."""
     reader = BodyReader(receive, limit_bytes)
     await reader.read_rest()
-    return b"".join(reader.chunks) if reader.complete else None
+    return bytes(reader.data) if reader.complete else None
 
 
 class ServerConfig(Config):
@@ -220,6 +222,9 @@
                 socket.TCP_USER_TIMEOUT,
                 self.stalled_timeout_ms,
             )
+            listener.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+            )
         return sockets
 
 
@@ -239,6 +244,7 @@
     config.graceful_timeout = grace_ms / 1000
     config.shutdown_timeout = grace_ms / 1000
     config.h11_max_incomplete_size = MAX_HEADER_BYTES
+    config.max_app_queue_size = MAX_WAITING_PARTS
     config.include_server_header = False
     config.accesslog = None
     config.errorlog = None
@@ -253,14 +259,28 @@
     grace_ms,
     keep_alive_s=KEEP_ALIVE_S,
     task_status=trio.TASK_STATUS_IGNORED,
+    limits=None,
+    metrics=None,
 ):
-    """Serves an ASGI app until ``stopping`` is set.
+    """Serves an ASGI app by HTTP/1.1 until ``stopping`` is set.
 
     Requests in progress then get ``grace_ms`` to finish.
+
+    Args:
+        app: ASGI app.
+        host: IP address to listen on.
+        port: TCP port.
+        stopping: trio.Event.
+        grace_ms: Time that requests in progress have to finish at a stop.
+        keep_alive_s: Time after which an idle connection is closed.
+        task_status: Gets the URLs that accept connections.
+        limits: ListenerLimits; without them no client is ended for others.
+        metrics: Metrics of the process.
     """
-    await hypercorn.trio.serve(
+    listener = HttpListener(
         app,
         make_config(host, port, grace_ms, keep_alive_s),
-        shutdown_trigger=stopping.wait,
-        task_status=task_status,
+        limits or no_limits(),
+        metrics,
     )
+    await listener.run(stopping, task_status)
--- a/wigeonport/setting_tables.py
+++ b/wigeonport/setting_tables.py
@@ -329,6 +329,50 @@
         text="Address `host:port` of `/metrics` for batch roles.",
     ),
 )
+CLIENT_FIELDS = (
+    Field(
+        "memory_mb",
+        "whole",
+        0,
+        least=0,
+        text="Memory of the machine in MB, from which the limits of what is "
+        "held for clients follow; 0 if it is not known.",
+    ),
+    Field(
+        "max_descriptors",
+        "whole",
+        0,
+        least=0,
+        text="Descriptors that the process may open; 0 if it is not known.",
+    ),
+    Field(
+        "max_client_bytes",
+        "whole",
+        0,
+        least=0,
+        text="Bytes of requests and answers that the process holds for its "
+        "clients; 0 for a quarter of `memory_mb` beyond 64 MB, at least "
+        "8 MiB, or for no limit if that is not known.",
+    ),
+    Field(
+        "max_client_connections",
+        "whole",
+        0,
+        least=0,
+        text="Open connections of clients; 0 for what `memory_mb` and "
+        "`max_descriptors` allow, or for no limit if neither is known.",
+    ),
+    _ms(
+        "body_stall_ms",
+        30_000,
+        "A request of which less than 4 KiB arrive in this time is ended.",
+    ),
+    _ms(
+        "answer_stall_ms",
+        30_000,
+        "An answer of which nothing is taken in this time is given up.",
+    ),
+)
 SETTING_GROUPS = (
     ("Identity", IDENTITY_FIELDS),
     ("Ports", PORT_FIELDS),
@@ -337,6 +381,7 @@
     ("Limits", LIMIT_FIELDS),
     ("Intervals", INTERVAL_FIELDS),
     ("Batch jobs", BATCH_FIELDS),
+    ("Clients", CLIENT_FIELDS),
 )
 SETTING_FIELDS = tuple(
     field for _, fields in SETTING_GROUPS for field in fields
