--- a/tests/test_client_floods.py
+++ b/tests/test_client_floods.py
@@ -9,13 +9,12 @@
 
 import pytest
 import trio
-from client_floods import (
+from client_floods import Crowd, forms
+from flood_fleets import (
     PORTS,
-    Crowd,
     FloodFleet,
     count_descriptors,
     find_net,
-    forms,
     put_configuration,
     read_memory_mb,
     send_heartbeat,
--- a/tools/client_floods.py
+++ b/tools/client_floods.py
@@ -1,25 +1,20 @@
 """Clients outside the limits of the pages, for tests and runs by hand.
 
+Usage: client_floods.py FORM HOST PORT CLIENTS
+
 Each form is one way in which a client keeps a process busy with a request
-that it does not complete, or with answers that it does not read.
+that it does not complete, or with answers that it does not read. Started as a
+program, it plays a crowd that connects again until it is ended.
 """
 
-import pathlib
 import secrets
-import socket
+import sys
 
 import h2.config
 import h2.connection
-import h2.events
+import h2.exceptions
 import trio
-from platform_emulator import CALL_ERRORS, exchange
-from platform_fleet import (
-    CONTROL_PORT,
-    FRONT_PORT,
-    LINKS_PORT,
-    PlatformFleet,
-)
-from platform_soak import HOST, PREFIX, make_configuration
+from platform_soak import HOST, PREFIX
 
 from wigeonport.registries import Registry
 
@@ -33,14 +28,11 @@
 PIECE_BYTES = 4_000
 # What a client sends at most of something that has no end.
 ENDLESS_BYTES = 2_000_000
-CONFIGURATION_PADDING = 1_000_000
 STREAMS_PER_CONNECTION = 90
 READ_BYTES = 65_536
 SMALL_WINDOW_BYTES = 4_096
-CALL_TIMEOUT_S = 5.0
 # Time for which a crowd that is held up is waited for.
 GATHER_TIMEOUT_S = 10.0
-CALL_TRIES = 12
 
 
 class Crowd:
@@ -309,119 +301,13 @@
     await hold(stream, ready)
 
 
-class FloodFleet(PlatformFleet):
-    """One control and one front on machines with given limits.
-
-    Attributes:
-        memory_mb: Memory of each machine.
-        max_fds: Descriptors of each process.
-    """
-
-    __slots__ = ("memory_mb", "max_fds")
-
-    def __init__(self, folder, net, memory_mb, max_fds):
-        super().__init__(folder, net, cores=1, fronts=1)
-        self.memory_mb = memory_mb
-        self.max_fds = max_fds
-
-    def settings(self, process, bootstrap):
-        """Returns the content of the settings file of a process."""
-        limits = (
-            f"[limits]\nmemory-mb = {self.memory_mb}\n"
-            f"max-fds = {self.max_fds}\n"
-        )
-        return super().settings(process, bootstrap) + limits
-
-    def target(self, port):
-        """Returns the process and the address that a port belongs to."""
-        process = self.fronts[0] if port == FRONT_PORT else self.cores[0]
-        return process, (process.host, port)
+def main(arguments):
+    """Plays a crowd until the process is ended."""
+    form, host, port, clients = arguments
+    address = (host, int(port))
+    crowd = Crowd(forms.get(form).ok, address, int(clients))
+    trio.run(crowd.run, True)
 
 
-def find_net():
-    """Returns the second byte of loopback addresses that are free.
-
-    Raises:
-        OSError: If there are none.
-    """
-    for net in range(220, 250):
-        probes = [
-            (f"127.{net}.1.1", CONTROL_PORT),
-            (f"127.{net}.1.1", LINKS_PORT),
-            (f"127.{net}.2.1", FRONT_PORT),
-        ]
-        try:
-            for probe in probes:
-                socket.create_server(probe).close()
-        except OSError:
-            continue
-        return net
-    raise OSError("no free addresses")
-
-
-def read_memory_mb(process, name):
-    """Returns ``VmRSS`` or ``VmHWM`` of a live process in MB."""
-    status = pathlib.Path(f"/proc/{process.process.pid}/status").read_text()
-    (line,) = [x for x in status.splitlines() if x.startswith(name + ":")]
-    return int(line.split()[1]) / 1024
-
-
-def count_descriptors(process):
-    """Returns the number of open descriptors of a process."""
-    folder = pathlib.Path(f"/proc/{process.process.pid}/fd")
-    return len(list(folder.iterdir())) if folder.exists() else 0
-
-
-async def call(method, url, document=None, headers=()):
-    """Calls until the answer is 200; returns whether there was one."""
-    for _ in range(CALL_TRIES):
-        try:
-            with trio.fail_after(CALL_TIMEOUT_S):
-                status, _ = await exchange(
-                    method, url, document, headers, CALL_TIMEOUT_S
-                )
-            if status == 200:
-                return True
-        except CALL_ERRORS:
-            pass
-        await trio.sleep(0.5)
-    return False
-
-
-async def submit_job(fleet):
-    """Returns whether the front accepts a job."""
-    steps = [{"count": 1, "cpu": 100, "mem-mb": 10, "estimated-ms": 100}]
-    url = f"http://{fleet.front_addresses[0]}{job_path()}"
-    document = {"spec": "text", "steps": steps}
-    return await call("POST", url, document, (("Host", HOST),))
-
-
-async def send_heartbeat(fleet):
-    """Returns whether the control accepts a heartbeat."""
-    url = f"http://{fleet.control_addresses[0]}/v1/instances/w1"
-    document = {
-        "service": "desk",
-        "address": "127.0.0.1:9",
-        "zone": "ikeja",
-        "version": "v1",
-        "slots": 8,
-        "state": "ready",
-        "capacity": {"cpu": 16_000, "mem-mb": 32_768, "gpu": 0},
-        "labels": ["a", "r1"],
-        "born": 1,
-        "clock-ms": 1,
-        "seq": 1,
-        "running": [],
-        "ended": [],
-    }
-    return await call("PUT", url, document)
-
-
-async def put_configuration(fleet, version):
-    """Returns whether the control accepts a configuration."""
-    url = f"http://{fleet.control_addresses[0]}/v1/config"
-    padding = {"padding": "x" * CONFIGURATION_PADDING}
-    return await call("PUT", url, make_configuration(version) | padding)
-
-
-PORTS = {"front": FRONT_PORT, "control": CONTROL_PORT, "links": LINKS_PORT}
+if __name__ == "__main__":
+    main(sys.argv[1:])
