--- a/wigeonport/batch_programs.py
+++ b/wigeonport/batch_programs.py
@@ -10,6 +10,7 @@
 from wigeonport.batch_settings import BatchSettings
 from wigeonport.channels import DROP_OLDEST, Mailbox, Reply
 from wigeonport.gateways import Gateway, GatewayCall
+from wigeonport.http_listeners import ListenerLimits
 from wigeonport.logs import PartLogger
 from wigeonport.peer_links import PeerLinks
 from wigeonport.servers import ProcessInfo, StatusApp, serve_http
@@ -81,6 +82,8 @@
         *split_address(settings.metrics_listen),
         program.stopping,
         METRICS_GRACE_MS,
+        limits=ListenerLimits(program.client_budget),
+        metrics=program.metrics,
     )
 
 
