Search no backlog of a tenant at its limit

Cause: a ranking knew only the smallest need of all waiting tasks. While a tenant at its limit had jobs waiting, that need fitted each worker with room, so each heartbeat of such a worker looked at every waiting job.

Change: the smallest needs are kept for each tenant, and a pass starts with the tenants of which a waiting task both fits the worker and is within the limit. Without tenants there is one such need, as before.

--- a/tests/test_tenant_usage.py
+++ b/tests/test_tenant_usage.py
@@ -6,6 +6,7 @@
 
 from wigeonport.batch_commands import AdoptRoutes, SubmitJob
 from wigeonport.batch_specs import JobSpec, Step
+from wigeonport.tenant_usage import Allowance
 from wigeonport.worker_reports import Resources
 
 
@@ -69,6 +70,23 @@
     assert not limited.heartbeat().starts
 
 
+def test_backlog_at_the_limit_is_not_searched(limited, monkeypatch):
+    """Guards against heartbeats that cost as much as a tenant's backlog."""
+    for number in range(50):
+        submit(limited, f"{number:032x}")
+    submit(limited, f"{50:032x}", "larch")
+    asked, allows = [], Allowance.allows
+
+    def count(allowance, *arguments):
+        asked.append(arguments)
+        return allows(allowance, *arguments)
+
+    assert len(started_runs(limited.heartbeat())) == 4
+    monkeypatch.setattr(Allowance, "allows", count)
+    assert not limited.heartbeat("w2").starts
+    assert len(asked) <= 2
+
+
 def test_copies_count(limited):
     """A copy of a task on a silent worker must not exceed the limit."""
     submit(limited, JOB, count=3, duplicates=True)
--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -333,7 +333,7 @@
             queue = self.state.routes.queue_of(entry[0].queue)
             ranking = self.rankings.get(queue.service if queue else "")
             if ranking is not None:
-                ranking.include_step(entry[1].step)
+                ranking.include_step(entry[0].tenant, entry[1].step)
 
     def record_lost_worker(self, incarnation, reason):
         """Records all runs of a worker incarnation as lost."""
--- a/wigeonport/job_orders.py
+++ b/wigeonport/job_orders.py
@@ -91,6 +91,40 @@
         self.machine = mean_resources(capacities or [UNKNOWN_MACHINE])
 
 
+class LeastNeed:
+    """The smallest need of each kind among waiting tasks.
+
+    Attributes:
+        cpu_milli: CPU in thousandths of a core.
+        memory_mb: Memory in MB.
+        gpu: Number of accelerators.
+        room_cpu_milli: The same as ``cpu_milli``, without tasks that fill,
+            which fit whatever CPU is free.
+    """
+
+    __slots__ = ("cpu_milli", "memory_mb", "gpu", "room_cpu_milli")
+
+    def __init__(self):
+        self.cpu_milli = self.room_cpu_milli = math.inf
+        self.memory_mb = self.gpu = math.inf
+
+    def include(self, step):
+        """Takes the tasks of a step into account."""
+        room_cpu_milli = -math.inf if step.fills else step.cpu_milli
+        self.room_cpu_milli = min(self.room_cpu_milli, room_cpu_milli)
+        self.cpu_milli = min(self.cpu_milli, step.cpu_milli)
+        self.memory_mb = min(self.memory_mb, step.memory_mb)
+        self.gpu = min(self.gpu, step.gpu)
+
+    def may_fit(self, free_capacity):
+        """Returns whether one of the tasks may fit into free Resources."""
+        return (
+            self.room_cpu_milli <= free_capacity.cpu_milli
+            and self.memory_mb <= free_capacity.memory_mb
+            and self.gpu <= free_capacity.gpu
+        )
+
+
 class JobRanking:
     """The ranked jobs of a service, cached for a short time.
 
@@ -101,8 +135,7 @@
         run_times: RunTimes, which predict the work of the jobs.
         ranked_jobs: List of RankedJob, highest rank first.
         by_job_id: Maps job id to RankedJob.
-        least: Resources with the smallest need of each kind among the steps
-            with waiting tasks.
+        least: Maps tenant to the LeastNeed of its steps with waiting tasks.
     """
 
     __slots__ = (
@@ -124,7 +157,7 @@
         self.by_job_id = {
             ranked_job.job.job_id: ranked_job for ranked_job in ranked_jobs
         }
-        self.least = Resources(math.inf, math.inf, math.inf)
+        self.least = {}
         for ranked_job in ranked_jobs:
             self.include_waiting(ranked_job)
 
@@ -132,27 +165,31 @@
         """Takes the waiting tasks of a job into account in ``least``."""
         for _, _, step_run in ranked_job.startable:
             if step_run.waiting:
-                self.include_step(step_run.step)
+                self.include_step(ranked_job.job.tenant, step_run.step)
 
-    def include_step(self, step):
+    def include_step(self, tenant, step):
         """Takes the tasks of a step into account in ``least``."""
-        least = self.least
-        # A task that fills fits whatever CPU is free, even if none is.
-        cpu_milli = -math.inf if step.fills else step.cpu_milli
-        least.cpu_milli = min(least.cpu_milli, cpu_milli)
-        least.memory_mb = min(least.memory_mb, step.memory_mb)
-        least.gpu = min(least.gpu, step.gpu)
+        least = self.least.get(tenant)
+        if least is None:
+            least = self.least[tenant] = LeastNeed()
+        least.include(step)
 
-    def may_fit(self, free_capacity):
-        """Returns whether a waiting task may fit into free Resources.
+    def find_startable(self, free_capacity, allowance):
+        """Returns the names of the tenants of which a waiting task may start.
 
-        False spares a full worker the search through all jobs.
+        An empty result spares a full worker the search through all jobs, and
+        a worker with room the one through the jobs of tenants at their limit.
+
+        Args:
+            free_capacity: Free Resources of a worker.
+            allowance: Allowance of the tenants, or None.
         """
-        return (
-            self.least.cpu_milli <= free_capacity.cpu_milli
-            and self.least.memory_mb <= free_capacity.memory_mb
-            and self.least.gpu <= free_capacity.gpu
-        )
+        return {
+            name
+            for name, least in self.least.items()
+            if least.may_fit(free_capacity)
+            and (allowance is None or allowance.allows(name, least))
+        }
 
     def add(self, job, queue):
         """Adds a new job at its rank.
--- a/wigeonport/task_placements.py
+++ b/wigeonport/task_placements.py
@@ -88,12 +88,13 @@
     """Starts waiting tasks on a worker while they fit."""
     free_capacity = worker.free_capacity()
     ranking = current_ranking(dispatcher, worker.report.service, wall_ms)
-    if not ranking.may_fit(free_capacity):
-        return
     allowance = open_allowance(dispatcher)
+    startable = ranking.find_startable(free_capacity, allowance)
+    if not startable:
+        return
     tasks, runs = [], []
     for ranked_job in ranking.ranked_jobs:
-        if not ranked_job.job.active:
+        if ranked_job.job.tenant not in startable or not ranked_job.job.active:
             continue
         placed = len(tasks)
         for step_run, candidate in find_candidates(
@@ -107,8 +108,10 @@
                 runs.append(step_run.tasks[index].last_run + 1)
             if len(tasks) >= MAX_STARTS:
                 break
-        if len(tasks) > placed and not ranking.may_fit(free_capacity):
-            break
+        if len(tasks) > placed:
+            startable = ranking.find_startable(free_capacity, allowance)
+            if not startable:
+                break
     if tasks:
         dispatcher.record(StartRuns(tasks, runs, worker.incarnation))
 
@@ -121,7 +124,7 @@
         step = step_run.step
         if not step_run.waiting or not free_capacity.fits(step):
             continue
-        if allowance and not allowance.allows(ranked_job.job, step):
+        if allowance and not allowance.allows(ranked_job.job.tenant, step):
             continue
         candidate = WorkerCandidate(
             dispatcher, worker, ranked_job, occurrence, number
@@ -212,7 +215,7 @@
             if self.failed_recently(index):
                 continue
             if allowance:
-                if not allowance.allows(job, step):
+                if not allowance.allows(job.tenant, step):
                     break
                 allowance.take(job, step)
             free_capacity.subtract(step)
--- a/wigeonport/tenant_usage.py
+++ b/wigeonport/tenant_usage.py
@@ -121,18 +121,23 @@
         self.tenants = dispatcher.state.routes.table.tenants.by_name
         self.left = {}
 
-    def allows(self, job, step, count=1):
+    def allows(self, name, step, count=1):
         """Returns whether a number of tasks of a step may start together.
 
         A tenant that the table no longer has is not limited by it.
+
+        Args:
+            name: Name of the tenant.
+            step: Step, or the LeastNeed of several.
+            count: Number of tasks.
         """
-        tenant = self.tenants.get(job.tenant)
+        tenant = self.tenants.get(name)
         if tenant is None:
             return True
-        left = self.left.get(job.tenant)
+        left = self.left.get(name)
         if left is None:
-            left = self.left[job.tenant] = compute_left(
-                tenant.max_running, self.dispatcher.usage.of(job.tenant)
+            left = self.left[name] = compute_left(
+                tenant.max_running, self.dispatcher.usage.of(name)
             )
         if (
             count * step.cpu_milli <= left.cpu_milli
@@ -160,7 +165,7 @@
 def may_start(dispatcher, job, step, count=1):
     """Returns whether tasks of a step may start together, in a new pass."""
     allowance = open_allowance(dispatcher)
-    return allowance is None or allowance.allows(job, step, count)
+    return allowance is None or allowance.allows(job.tenant, step, count)
 
 
 def compute_left(limit, usage):
