Leave descriptors for pending handshakes

With 256 links, 256 handshakes and all connections of clients, a control exceeded its descriptors by about 190.

The figure in the test of the derived limits follows, 150 instead of 350 connections at 900 descriptors, which is stricter.

Result: the new test compares the two modules; it fails without the change (512 of 350).

--- a/tests/test_client_budgets.py
+++ b/tests/test_client_budgets.py
@@ -10,6 +10,7 @@
     DECIDING,
     IDLE,
     OPERATORS,
+    PROGRAM_DESCRIPTORS,
     PROGRESS_BYTES,
     STALLED,
     STATUS,
@@ -21,6 +22,7 @@
     derive_bytes,
     derive_connections,
 )
+from wigeonport.dialers import MAX_ACCEPTED_LINKS, MAX_PENDING_HANDSHAKES
 
 LIMIT_BYTES = 100_000
 LIMIT_CONNECTIONS = 10
@@ -145,5 +147,11 @@
     assert derive_bytes(0) == derive_connections(0, 0) == float("inf")
     assert derive_bytes(200) == 34 * 1024 * 1024
     assert derive_connections(200, 4_100) == 1_450
-    assert derive_connections(2_000, 900) == 350
+    assert derive_connections(2_000, 900) == 150
     assert derive_connections(10, 10) == 64
+
+
+def test_descriptors_are_left_for_the_links():
+    """Guards against clients that take the descriptors of the links."""
+    links = MAX_ACCEPTED_LINKS + MAX_PENDING_HANDSHAKES
+    assert links < PROGRAM_DESCRIPTORS
--- a/wigeonport/client_budgets.py
+++ b/wigeonport/client_budgets.py
@@ -24,8 +24,9 @@
 CONNECTION_BYTES = 24 * 1024
 # Descriptors that the platform reserves for files outside the disk folder.
 PLATFORM_DESCRIPTORS = 200
-# Links of the process, opened and accepted, its journal and its listeners.
-PROGRAM_DESCRIPTORS = 350
+# 256 accepted links, as many pending handshakes, the opened links, the journal
+# and the listeners.
+PROGRAM_DESCRIPTORS = 550
 # Evictions at the limit of connections go in batches, so that a flood of new
 # connections does not pay for a look at all connections each time.
 CONNECTION_BATCHES = 32
