Hold a whole configuration on the smallest machine

Cause: the least limit of held bytes was 8 MiB, the size of the largest configuration. Its header block counts as well, so on a machine of less than about 96 MB such a body was ended for its own sake each time. The comment promised room for a heartbeat beside it, for which there was none.

Change: the least limit is 9 MiB; comment, setting and page say what it is for.

--- a/tests/test_client_budgets.py
+++ b/tests/test_client_budgets.py
@@ -24,6 +24,7 @@
 )
 from wigeonport.dialers import MAX_ACCEPTED_LINKS, MAX_PENDING_HANDSHAKES
 
+MAX_CONFIGURATION_BYTES = 8 * 1024 * 1024
 LIMIT_BYTES = 100_000
 LIMIT_CONNECTIONS = 10
 STALL_MS = 30_000
@@ -142,6 +143,17 @@
     assert holding.reason == reason
 
 
+def test_small_machine_takes_a_whole_configuration():
+    """Guards against a body of full size that its own header block ends."""
+    budget = ClientBudget(ClientLimits(derive_bytes(64)))
+    holding = Holding(OPERATORS, lambda: None, 0)
+    assert budget.open(holding, 0)
+    budget.receive(holding, 200, 0)
+    budget.begin(holding, OPERATORS, MAX_CONFIGURATION_BYTES, 0)
+    budget.receive(holding, MAX_CONFIGURATION_BYTES, 1)
+    assert holding.reason is None
+
+
 def test_limits_follow_the_machine():
     """Guards against limits beyond the memory or the descriptors."""
     assert derive_bytes(0) == derive_connections(0, 0) == float("inf")
--- a/wigeonport/client_budgets.py
+++ b/wigeonport/client_budgets.py
@@ -17,8 +17,9 @@
 # connections get a quarter each. The other half is for the program's own state
 # and for the objects that bodies are decoded into.
 MEMORY_PARTS = 4
-# A small machine still takes one configuration and one heartbeat of full size.
-MIN_HELD_BYTES = 8 * MIB
+# A small machine still takes one configuration of full size, 8 MiB, with its
+# header block.
+MIN_HELD_BYTES = 9 * MIB
 MIN_CONNECTIONS = 64
 # Memory of a connection with a request: its tasks, parser and buffers.
 CONNECTION_BYTES = 24 * 1024
--- a/wigeonport/setting_tables.py
+++ b/wigeonport/setting_tables.py
@@ -372,7 +372,7 @@
         least=0,
         text="Bytes of requests and answers that the process holds for its "
         "clients; 0 for a quarter of `memory_mb` beyond 64 MB, at least "
-        "8 MiB, or for no limit if that is not known.",
+        "9 MiB, or for no limit if that is not known.",
     ),
     Field(
         "max_client_connections",
