Close a connection that was answered before its request ended

Cause: two parts of a body wait for the application. Where it answers without reading them, as for an unknown path or a chunked body that is too large, the third part waited for ever, and so did the notice of the end of the request. The connection kept its place, its announced length and the memory of both tasks until the time-out of answers, 30 s, its client could not send the rest of its body, and a stop of the process took its whole grace time.

--- a/tests/test_http_listeners.py
+++ b/tests/test_http_listeners.py
@@ -157,6 +157,28 @@
     run_listener(check, ClientLimits(1_500, math.inf))
 
 
+def test_answer_before_the_end_of_its_request_ends_the_connection(
+    run_listener,
+):
+    """Guards against parts of a body that nobody takes.
+
+    They kept the connection and what was reserved for it until its time-out,
+    and held up the stop of the process.
+    """
+
+    async def check(budget):
+        async with await connect() as stream:
+            await stream.send_all(
+                b"POST / HTTP/1.1\r\nHost: a\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 99
+            )
+            answer = await receive_all(stream)
+        assert answer.startswith(b"HTTP/1.1 404")
+        assert await is_served()
+
+    run_listener(check, ClientLimits())
+
+
 @pytest.mark.parametrize(
     ("head", "status"),
     [
--- a/wigeonport/http_connections.py
+++ b/wigeonport/http_connections.py
@@ -10,6 +10,7 @@
 import os
 import socket
 
+import h11
 import trio
 from hypercorn.events import Closed, RawData, Updated
 from hypercorn.protocol.events import EndBody, Request, Response
@@ -117,6 +118,15 @@
             self.owner.enter(ANSWERING)
         await super().stream_send(event)
 
+    async def _maybe_recycle(self):
+        # Nobody reads the rest of a request that was answered before its end,
+        # and its parts would wait for the application without an end.
+        if self.connection.their_state is h11.SEND_BODY:
+            self.owner.close()
+            self.owner.scope.cancel()
+            return
+        await super()._maybe_recycle()
+
 
 class HttpConnection:
     """Serves the requests of one connection.
