Drop expired jobs from the leader's working copy

Cause: jobs that ended more than 300 s ago are dropped when a batch is applied to the replicated state. The leader's dispatcher decides on a copy of its own, to which batches are not applied, and nothing called prune there. So a leader kept every job of its term, against docs/CAPACITY.md.

--- a/tests/test_batch_dispatchers.py
+++ b/tests/test_batch_dispatchers.py
@@ -560,6 +560,17 @@
     assert started_runs(harness.heartbeat()) == []
 
 
+def test_leader_drops_expired_jobs(harness):
+    """Guards against a leader that grows with each job until it ends."""
+    harness.submit(ONE)
+    harness.submit(ONE, job_id="00000000000000bb")
+    harness.heartbeat()
+    harness.heartbeat(ended=[(1, TASK, 1, "done")])
+    harness.advance(400_000)
+    assert list(harness.dispatcher.state.batch.jobs) == ["00000000000000bb"]
+    assert harness.dispatcher.state.batch.has_accepted(JOB)
+
+
 @pytest.mark.parametrize(
     ("workers", "interval_ms"), [(30, 400), (180, 720), (1_800, 1_125)]
 )
--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -351,7 +351,8 @@
         """Runs the timers of workers and jobs.
 
         Records workers with expired leases as lost, adapts the heartbeat
-        interval, finds the tasks to copy, and opens due occurrences.
+        interval, finds the tasks to copy, opens due occurrences, and drops
+        expired jobs from the working copy, as each replica does from its own.
         """
         self.wall_ms, self.now_ms = wall_ms, now_ms
         for worker in list(self.workers.by_id.values()):
@@ -377,6 +378,7 @@
         if self.interference is not None:
             self.interference.on_tick(self, now_ms)
         open_occurrences(self, wall_ms)
+        self.state.batch.prune(wall_ms)
         log_waiting_tasks(self, now_ms)
 
     def needs_ticket(self, job):
