Divide the limits of clients from their budget

Change: ClientLimits, the figures that it derives from and the derive functions are moved to client_limits without a change.

--- a/tests/test_client_budgets.py
+++ b/tests/test_client_budgets.py
@@ -10,15 +10,17 @@
     DECIDING,
     IDLE,
     OPERATORS,
-    PROGRAM_DESCRIPTORS,
     PROGRESS_BYTES,
     STALLED,
     STATUS,
     UNREAD,
     WORKERS,
     ClientBudget,
-    ClientLimits,
     Holding,
+)
+from wigeonport.client_limits import (
+    PROGRAM_DESCRIPTORS,
+    ClientLimits,
     derive_bytes,
     derive_connections,
 )
