Keep newcomers before connections that are idle for long

Cause: at the limit of connections, those that were never answered went first, whatever their age.

Change: for its first second a connection yields only after those that have waited for a request for 5 s or more. Connections that stay without an answer still go first, and those in use last.

The new test fails without the change; the other tests of the budget are unchanged and pass, as do the idle crowds at front and control.

--- a/tests/test_client_budgets.py
+++ b/tests/test_client_budgets.py
@@ -100,6 +100,23 @@
     assert [served.reason, idle[1].reason, status.reason] == [None] * 3
 
 
+def test_newcomers_do_not_yield_to_idle_connections(connect):
+    """Guards against clients that keep each other out beside idle ones.
+
+    A first request takes a moment to arrive, and a kept connection that has
+    been idle for long loses nothing.
+    """
+    idle = [connect(0) for _ in range(LIMIT_CONNECTIONS - 2)]
+    active = connect(0)
+    for holding in [*idle, active]:
+        holding.answered = 1
+    active.mark(19_000)
+    newcomers = [connect(20_000 + n) for n in range(LIMIT_CONNECTIONS - 1)]
+    assert {holding.reason for holding in newcomers} == {None}
+    assert active.reason is None
+    assert {holding.reason for holding in idle} == {CONNECTIONS}
+
+
 def test_full_of_complete_requests_refuses_a_connection(budget, connect):
     """Guards against more connections than the process has descriptors."""
     for _ in range(LIMIT_CONNECTIONS):
--- a/wigeonport/client_budgets.py
+++ b/wigeonport/client_budgets.py
@@ -18,6 +18,13 @@
 # still holds its place.
 PROGRESS_BYTES = 4_096
 
+# A new connection is not counted among those without an answer for this time:
+# its first request is on its way, over a link with delay.
+NEWCOMER_MS = 1_000
+# A connection that waits for a request for longer yields to newcomers. Workers
+# send the next heartbeat sooner.
+LONG_IDLE_MS = 5_000
+
 CALLERS = "callers"
 WORKERS = "workers"
 OPERATORS = "operators"
@@ -110,6 +117,14 @@
         self.marked_ms = now_ms
         self.unmarked_bytes = 0
 
+    def rank_idleness(self, now_ms):
+        """Returns a sort key; the connection with the highest yields first."""
+        waited_ms = now_ms - self.marked_ms
+        if not self.answered:
+            return 3 if waited_ms >= NEWCOMER_MS else 1, waited_ms
+        idle = self.phase == WAITING and waited_ms >= LONG_IDLE_MS
+        return 2 if idle else 0, waited_ms
+
     def is_evictable(self):
         """Returns whether its connection may be closed for others."""
         return self.phase != DECIDING and self.reason is None
@@ -149,7 +164,7 @@
         """Adds the Holding of a new connection; returns whether it fits.
 
         At the limit, connections that were never answered go first, then
-        those without progress for longest.
+        those that wait for long, then newcomers, and the others last.
         """
         if len(self.holdings) >= self.limits.connections:
             self.evict_connections(holding.share, now_ms)
@@ -272,10 +287,7 @@
         worst = heapq.nlargest(
             batch,
             candidates,
-            key=lambda holding: (
-                not holding.answered,
-                now_ms - holding.marked_ms,
-            ),
+            key=lambda holding: holding.rank_idleness(now_ms),
         )
         for holding in worst:
             if self.yields(holding.share, share):
