Clear the metrics of tenants with the last tenant

Cause: a table without tenants ended the publication of their metrics before the gauges of the former table were removed, so a leader went on showing the last figures.

Change: the gauges are cleared once when the table in force has no tenants.

--- a/tests/test_tenant_admissions.py
+++ b/tests/test_tenant_admissions.py
@@ -6,7 +6,7 @@
 from tenant_simulations import make_tenants
 
 from wigeonport.batch_calls import INVALID, REJECTED, SUBMIT, BatchCall
-from wigeonport.batch_commands import SubmitJob
+from wigeonport.batch_commands import AdoptRoutes, SubmitJob
 from wigeonport.batch_specs import JobSpec, Step
 from wigeonport.metrics import Metrics
 from wigeonport.tenant_admissions import refuse_submission
@@ -170,3 +170,13 @@
     assert metrics.gauges["tenants_refused_jobs/birch"] == 6
     clear_tenants(metrics)
     assert not metrics.gauges
+
+
+def test_metrics_of_removed_tenants_are_cleared(harness):
+    """Guards against figures of tenants that no longer exist."""
+    metrics = Metrics()
+    publish_tenants(harness.dispatcher, metrics, harness.now_ms)
+    assert metrics.gauges
+    harness.dispatcher.record(AdoptRoutes(2, make_table(2).to_bytes()))
+    publish_tenants(harness.dispatcher, metrics, harness.now_ms + 100)
+    assert not metrics.gauges
--- a/wigeonport/tenant_metrics.py
+++ b/wigeonport/tenant_metrics.py
@@ -20,6 +20,9 @@
     tenants = dispatcher.state.routes.table.tenants
     admissions = dispatcher.admissions
     if tenants is None:
+        if admissions.published_ms is not None:
+            clear_tenants(metrics)
+            admissions.published_ms = None
         return
     published_ms = admissions.published_ms
     if published_ms is not None and now_ms - published_ms < INTERVAL_MS:
