--- a/wigeonport/dialers.py
+++ b/wigeonport/dialers.py
@@ -17,9 +17,9 @@
 INITIAL_BACKOFF_MS = 50
 MAX_BACKOFF_MS = 1_000
 MAX_ACCEPTED_LINKS = 256
-# A handshake takes a few round trips, and all fronts may connect at once after
-# a restart. Beyond this number the oldest one is
-# given up, so that connections without a handshake keep no process out.
+# A handshake takes a few round trips, and all entries may connect at once
+# after a restart. Beyond this number the oldest one is given up, so that
+# connections without a handshake keep no process out.
 MAX_PENDING_HANDSHAKES = MAX_ACCEPTED_LINKS
 REFUSAL_LOG_INTERVAL_MS = 1_000
 
--- a/wigeonport/http_connections.py
+++ b/wigeonport/http_connections.py
@@ -50,6 +50,8 @@
 class BoundedStream(HTTPStream):
     """A request of hypercorn that tells its connection when it is complete."""
 
+    __slots__ = ()
+
     async def handle(self, event):
         """Handles an event of the parser."""
         if isinstance(event, EndBody):
