Report a flood once a second for the whole process

Cause: each listener kept the time of its own last log line, so that a process with three listeners could write three lines a second about one flood.

Change: the budget hands out its report at most once a second, whoever asks. The receive buffer is left to platforms without that option, and the classes that extend those of hypercorn have slots.

--- a/tests/test_client_budgets.py
+++ b/tests/test_client_budgets.py
@@ -140,6 +140,16 @@
     assert holding.reason == reason
 
 
+def test_flood_is_reported_once_a_second(budget, connect):
+    """Guards against a log line for each connection that is ended."""
+    for now_ms in range(0, 1_000, 10):
+        connect(now_ms)
+    assert budget.take_report(1_000) == {CONNECTIONS: 90}
+    connect(1_010)
+    assert not budget.take_report(1_500)
+    assert budget.take_report(2_000) == {CONNECTIONS: 1}
+
+
 def test_limits_follow_the_machine():
     """Guards against limits beyond the memory or the descriptors."""
     assert derive_bytes(0) == derive_connections(0, 0) == float("inf")
--- a/wigeonport/client_budgets.py
+++ b/wigeonport/client_budgets.py
@@ -51,6 +51,8 @@
 DECIDING = "deciding"
 ANSWERING = "answering"
 
+REPORT_INTERVAL_MS = 1_000
+
 # Why a connection is ended.
 IDLE = "idle"
 STALLED = "stalled"
@@ -213,6 +215,7 @@
         connections_by_share: Maps a share to its number of connections.
         ended: Counter of the connections ended, by reason, since the last
             report.
+        reported_ms: Time of the last report.
     """
 
     __slots__ = (
@@ -222,6 +225,7 @@
         "bytes_by_share",
         "connections_by_share",
         "ended",
+        "reported_ms",
     )
 
     def __init__(self, limits):
@@ -231,6 +235,7 @@
         self.bytes_by_share = collections.Counter()
         self.connections_by_share = collections.Counter()
         self.ended = collections.Counter()
+        self.reported_ms = -REPORT_INTERVAL_MS
 
     def open(self, holding, now_ms):
         """Adds the Holding of a new connection; returns whether it fits.
@@ -397,3 +402,16 @@
             and waited_ms >= self.limits.answer_stall_ms
         ):
             self.evict(holding, UNREAD)
+
+    def take_report(self, now_ms):
+        """Returns the connections ended by reason, at most once a second.
+
+        Idle connections are closed all the time and not reported.
+        """
+        del self.ended[IDLE]
+        if now_ms - self.reported_ms < REPORT_INTERVAL_MS:
+            return collections.Counter()
+        if self.ended:
+            self.reported_ms = now_ms
+        ended, self.ended = self.ended, collections.Counter()
+        return ended
--- a/wigeonport/http_connections.py
+++ b/wigeonport/http_connections.py
@@ -42,6 +42,8 @@
         status: HTTP status of the answer.
     """
 
+    __slots__ = ("status",)
+
     def __init__(self, status):
         super().__init__(status)
         self.status = status
@@ -50,6 +52,8 @@
 class BoundedStream(HTTPStream):
     """A request of hypercorn that tells its connection when it is complete."""
 
+    __slots__ = ()
+
     async def handle(self, event):
         """Handles an event of the parser."""
         if isinstance(event, EndBody):
@@ -64,6 +68,8 @@
         owner: HttpConnection.
     """
 
+    __slots__ = ("owner",)
+
     def __init__(self, owner, task_group, client, server):
         listener = owner.listener
         super().__init__(
--- a/wigeonport/http_listeners.py
+++ b/wigeonport/http_listeners.py
@@ -6,7 +6,7 @@
 import trio
 from hypercorn.trio.worker_context import WorkerContext
 
-from wigeonport.client_budgets import IDLE, STATUS, ClientBudget, ClientLimits
+from wigeonport.client_budgets import STATUS, ClientBudget, ClientLimits
 from wigeonport.clocks import Clock
 from wigeonport.http_connections import HttpConnection
 from wigeonport.logs import PartLogger
@@ -86,8 +86,7 @@
         clock: Clock.
         context: Context of hypercorn, which knows whether the server stops.
         connections: The open HttpConnections, as keys.
-        faults: Number of connections that ended with an error.
-        logged_ms: Time of the last log line.
+        logged_ms: Time of the last log line about a fault.
     """
 
     __slots__ = (
@@ -98,7 +97,6 @@
         "clock",
         "context",
         "connections",
-        "faults",
         "logged_ms",
     )
 
@@ -110,8 +108,7 @@
         self.clock = clock or Clock()
         self.context = WorkerContext(None)
         self.connections = {}
-        self.faults = 0
-        self.logged_ms = self.clock.now()
+        self.logged_ms = -LOG_INTERVAL_MS
 
     async def run(self, stopping, task_status=trio.TASK_STATUS_IGNORED):
         """Serves until ``stopping`` is set and the requests have finished.
@@ -201,19 +198,17 @@
         budget = self.limits.budget
         self.metrics.set("clients_connections", len(budget.holdings))
         self.metrics.set("clients_held_bytes", budget.held_bytes)
-        del budget.ended[IDLE]
-        if not budget.ended or now_ms - self.logged_ms < LOG_INTERVAL_MS:
+        ended = budget.take_report(now_ms)
+        if not ended:
             return
-        self.logged_ms = now_ms
         logger.warning(
             "Connections ended.",
             open_connections=len(budget.holdings),
             held_bytes=budget.held_bytes,
-            reasons=",".join(f"{k}:{n}" for k, n in budget.ended.items()),
+            reasons=",".join(f"{name}:{ended[name]}" for name in ended),
         )
-        for reason, number in budget.ended.items():
+        for reason, number in ended.items():
             self.metrics.count(f"clients_ended_{reason}", number)
-        budget.ended.clear()
 
     def report_fault(self, group):
         """Counts and logs the errors that ended a connection."""
--- a/wigeonport/servers.py
+++ b/wigeonport/servers.py
@@ -1,5 +1,6 @@
 """HTTP servers: hypercorn configuration and the routes of every process."""
 
+import contextlib
 import json
 import socket
 
@@ -222,9 +223,11 @@
                 socket.TCP_USER_TIMEOUT,
                 self.stalled_timeout_ms,
             )
-            listener.setsockopt(
-                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
-            )
+            # A platform without this option keeps windows of its own.
+            with contextlib.suppress(OSError):
+                listener.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+                )
         return sockets
 
 
