Bound the totals of the kinds that ran on a worker

Cause: the time for which each kind ran on a worker was kept for the life of the worker. Callers name images, and each image is a kind, so that ever new images used ever more memory of the leader.

Change: beyond 64 entries, those of kinds that do not run are dropped. A run that overlaps with such a kind may count a smaller share of its time.

--- a/tests/test_interference.py
+++ b/tests/test_interference.py
@@ -25,6 +25,7 @@
 from wigeonport.interference_samples import EndedRun
 from wigeonport.mean_comparisons import AgedMoments, student_quantile
 from wigeonport.metrics import Metrics
+from wigeonport.run_neighbours import MAX_TOTALS
 from wigeonport.servers import ProcessInfo, StatusApp, serve_http
 from wigeonport.settings import settings_from_document
 
@@ -189,6 +190,18 @@
     assert len(evidence.kinds) == MAX_KINDS
 
 
+def test_the_totals_of_a_worker_are_bounded(separating):
+    """A worker that runs ever new images would use ever more memory."""
+    for number in range(2 * MAX_TOTALS):
+        job_id, image = f"{number:016x}", f"image-{number}"
+        separating.submit({"cpu_milli": 1, "image": image}, job_id=job_id)
+        ((task, run),) = started_runs(separating.heartbeat("w1"))
+        separating.advance(100)
+        separating.heartbeat("w1", ended=[(number + 1, task, run, "done")])
+    (neighbours,) = separating.dispatcher.interference.workers.values()
+    assert len(neighbours.totals_ms) <= MAX_TOTALS + 2
+
+
 @pytest.mark.parametrize("name", ["pairs", "tails", "slow", "leader"])
 def test_pairs_are_found_and_none_is_accused_wrongly(name):
     """A confounder must neither hide a pair nor make up one."""
--- a/wigeonport/run_neighbours.py
+++ b/wigeonport/run_neighbours.py
@@ -8,6 +8,10 @@
 from wigeonport.batch_specs import split_task_id
 from wigeonport.interference_samples import EndedRun
 
+# Number of entries of a worker's totals from which those of absent kinds are
+# dropped. Callers name images, so that the kinds of a worker have no bound.
+MAX_TOTALS = 64
+
 
 def kind_of(job, number, step):
     """Returns the name of a step's kind of task.
@@ -87,6 +91,12 @@
         self.advance(worker.measured_ms())
         for key in self.kinds.keys() - worker.runs.keys():
             self.remove(key)
+        if len(self.totals_ms) > MAX_TOTALS:
+            self.totals_ms = {
+                key: total_ms
+                for key, total_ms in self.totals_ms.items()
+                if key[0] in self.counts
+            }
         for key in worker.runs.keys() - self.kinds.keys():
             entry = dispatcher.find_task(key[0])
             if entry is not None:
@@ -163,7 +173,8 @@
         for (other, least), total_ms in self.totals_ms.items():
             if least == (2 if other == kind else 1):
                 passed_ms = total_ms - run.totals_ms.get((other, least), 0)
-                shares[other] = passed_ms / run_ms
+                # A total that was dropped has begun again at 0.
+                shares[other] = max(0, passed_ms) / run_ms
         return EndedRun(
             kind,
             end.task.rpartition(".")[0],
