Give calls beside a crowd their former number of tries

Change: 12 tries again; only the first configuration and the first job, which wait for the start of the processes, have 40.

--- a/tests/test_client_floods.py
+++ b/tests/test_client_floods.py
@@ -13,6 +13,7 @@
 from flood_fleets import (
     PORTS,
     FloodFleet,
+    call_at_start,
     count_descriptors,
     find_net,
     put_configuration,
@@ -63,8 +64,10 @@
     try:
         async with trio.open_nursery() as nursery:
             await fleet.start(nursery)
-            check(await put_configuration(fleet, 1), "no configuration")
-            check(await submit_job(fleet), "no job accepted before the crowd")
+            configured = await put_configuration(fleet, 1, call_at_start)
+            check(configured, "no configuration")
+            accepted = await submit_job(fleet, call_at_start)
+            check(accepted, "no job accepted before the crowd")
             nursery.start_soon(crowd.run)
             await crowd.gather()
             descriptors = count_descriptors(process)
--- a/tools/client_flood_runs.py
+++ b/tools/client_flood_runs.py
@@ -19,6 +19,7 @@
 from flood_fleets import (
     PORTS,
     FloodFleet,
+    call_at_start,
     call_once,
     count_descriptors,
     find_net,
@@ -102,8 +103,8 @@
         try:
             async with trio.open_nursery() as nursery:
                 await self.fleet.start(nursery)
-                await put_configuration(self.fleet, 1)
-                await submit_job(self.fleet)
+                await put_configuration(self.fleet, 1, call_at_start)
+                await submit_job(self.fleet, call_at_start)
                 before_s = read_processor_s(self.process)
                 command = [str(word) for word in self.crowd]
                 crowd = await trio.lowlevel.open_process(command)
--- a/tools/flood_fleets.py
+++ b/tools/flood_fleets.py
@@ -17,8 +17,9 @@
 
 CONFIGURATION_PADDING = 1_000_000
 CALL_TIMEOUT_S = 5.0
+CALL_TRIES = 12
 # A process needs some seconds to start beside other load.
-CALL_TRIES = 40
+START_TRIES = 40
 PORTS = {"front": FRONT_PORT, "control": CONTROL_PORT, "links": LINKS_PORT}
 
 
@@ -105,15 +106,20 @@
     return status == 200
 
 
-async def call(method, url, document=None, headers=()):
+async def call(method, url, document=None, headers=(), tries=CALL_TRIES):
     """Calls until the answer is 200; returns whether there was one."""
-    for _ in range(CALL_TRIES):
+    for _ in range(tries):
         if await call_once(method, url, document, headers):
             return True
         await trio.sleep(0.5)
     return False
 
 
+async def call_at_start(method, url, document=None, headers=()):
+    """Does the same as ``call`` while the processes start."""
+    return await call(method, url, document, headers, START_TRIES)
+
+
 async def submit_job(fleet, make_call=call):
     """Returns whether the front accepts a job."""
     steps = [{"count": 1, "cpu": 100, "mem-mb": 10, "estimated-ms": 100}]
