Let a tenant below half of its limit start one task of any size

Callers would see: a job that waits for good.

Cause: a task had to fit beside what runs, and nothing keeps room free inside a tenant.

Change: a tenant with less than half of its limit running may start one more task, and such a run stays assigned until its worker reports it.

--- a/wigeonport/run_orders.py
+++ b/wigeonport/run_orders.py
@@ -3,7 +3,7 @@
 from wigeonport.logs import PartLogger
 from wigeonport.run_measurements import forget_orders, note_order
 from wigeonport.task_evacuations import FULL_PROGRESS_PERCENT
-from wigeonport.tenant_usage import is_above_limit
+from wigeonport.tenant_usage import exceeds_limit
 from wigeonport.worker_reports import StartOrder
 
 logger = PartLogger("dispatch")
@@ -64,7 +64,7 @@
     entry = dispatcher.find_task(task)
     if entry is None:
         return True
-    if is_above_limit(dispatcher, entry[0]):
+    if exceeds_limit(dispatcher, entry[0], entry[1].step):
         return False
     if not dispatcher.needs_ticket(entry[0]):
         return True
--- a/wigeonport/tenant_usage.py
+++ b/wigeonport/tenant_usage.py
@@ -124,7 +124,10 @@
     def allows(self, name, step, count=1):
         """Returns whether a number of tasks of a step may start together.
 
-        A tenant that the table no longer has is not limited by it.
+        A tenant that the table no longer has is not limited by it. One with
+        less than half of its limit running may start one more task of any
+        size: a task of more than half of the limit would otherwise wait for
+        ever beside a lasting one.
 
         Args:
             name: Name of the tenant.
@@ -145,6 +148,8 @@
             and count * step.gpu <= left.gpu
         ):
             return True
+        if count == 1 and has_half_left(tenant.max_running, left):
+            return True
         self.dispatcher.usage.log_limit(tenant, step, self.dispatcher.now_ms)
         return False
 
@@ -185,10 +190,44 @@
     return left
 
 
+def has_half_left(limit, left):
+    """Returns whether more than half of each limited resource is left.
+
+    Args:
+        limit: Resources.
+        left: Usage, what may still start within the limit.
+    """
+    return all(
+        not getattr(limit, name)
+        or 2 * getattr(left, name) > getattr(limit, name)
+        for name in limit.__slots__
+    )
+
+
+def exceeds_limit(dispatcher, job, step):
+    """Returns whether a run that was assigned must not start any more.
+
+    That is so if its tenant is above its limit, and would have half of it
+    running without the run. The limit was lowered then.
+    """
+    if not is_above_limit(dispatcher, job):
+        return False
+    limit = dispatcher.state.routes.table.tenants.by_name[
+        job.tenant
+    ].max_running
+    usage = dispatcher.usage.of(job.tenant)
+    return any(
+        getattr(limit, name)
+        and 2 * (getattr(usage, name) - getattr(step, name))
+        >= getattr(limit, name)
+        for name in limit.__slots__
+    )
+
+
 def is_above_limit(dispatcher, job):
     """Returns whether the tenant of a job has more running than its limit.
 
-    That is so only after the limit was lowered.
+    That is so after the limit was lowered, or after one large task.
     """
     tenants = dispatcher.state.routes.table.tenants
     if tenants is None:
