Wait for the batches in the test instead of sleeping

Cause: the test of answers that depend on several batches gave each submission 5 ms; at a load above 30 no batch was pending yet, and it failed once.

Change: it waits until the first batch is pending and all later answers are held back. The checks are the same.

--- a/tests/test_batch_controllers.py
+++ b/tests/test_batch_controllers.py
@@ -273,8 +273,12 @@
                 answered.append(job_id)
 
         async with trio.open_nursery() as nursery:
-            for number in range(12):
+            nursery.start_soon(submit, f"{0:016x}")
+            while not consensus.pending:
+                await trio.sleep(0.005)
+            for number in range(1, 12):
                 nursery.start_soon(submit, f"{number:016x}")
+            while len(harness.controller.unproposed_answers) < 11:
                 await trio.sleep(0.005)
             assert len(consensus.pending) == 1
             consensus.outcome = COMMITTED
