--- a/tools/flood_fleets.py
+++ b/tools/flood_fleets.py
@@ -2,6 +2,7 @@
 
 import os
 import pathlib
+import random
 import socket
 
 import trio
@@ -57,10 +58,12 @@
     Raises:
         OSError: If there are none.
     """
-    for net in range(220, 250):
+    # In random order, so that two runs seldom probe the same one at once.
+    for net in random.sample(range(220, 250), 30):
         probes = [
             (f"127.{net}.1.1", CONTROL_PORT),
             (f"127.{net}.1.1", LINKS_PORT),
+            (f"127.{net}.1.1", LINKS_PORT + 1),
             (f"127.{net}.2.1", FRONT_PORT),
         ]
         try:
