Split the limits of clients from their budget

Change: the limits and how they follow from the machine are in client_limits.py; nothing else changes.

--- a/tests/test_client_budgets.py
+++ b/tests/test_client_budgets.py
@@ -16,8 +16,10 @@
     UNREAD,
     WORKERS,
     ClientBudget,
-    ClientLimits,
     Holding,
+)
+from wigeonport.client_limits import (
+    ClientLimits,
     derive_bytes,
     derive_connections,
 )
--- a/tests/test_http_listeners.py
+++ b/tests/test_http_listeners.py
@@ -7,7 +7,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from wigeonport.client_budgets import CALLERS, ClientBudget, ClientLimits
+from wigeonport.client_budgets import CALLERS, ClientBudget
+from wigeonport.client_limits import ClientLimits
 from wigeonport.http_listeners import HttpListener, ListenerLimits
 from wigeonport.servers import (
     HttpResponse,
--- a/wigeonport/client_budgets.py
+++ b/wigeonport/client_budgets.py
@@ -8,24 +8,7 @@
 
 import collections
 import heapq
-import math
-
-MIB = 1024 * 1024
-# Memory of a program without clients, with a margin: both start with 47 MB.
-PROGRAM_MEMORY_MB = 64
-# Of the memory beside the program, the bytes held for clients and their
-# connections get a quarter each. The other half is for the program's own state
-# and for the objects that bodies are decoded into.
-MEMORY_PARTS = 4
-# A small machine still takes one configuration and one heartbeat of full size.
-MIN_HELD_BYTES = 8 * MIB
-MIN_CONNECTIONS = 64
-# Memory of a connection with a request: its tasks, parser and buffers.
-CONNECTION_BYTES = 24 * 1024
-# Descriptors that the platform reserves for files outside the disk folder.
-PLATFORM_DESCRIPTORS = 200
-# Links of the process, opened and accepted, its journal and its listeners.
-PROGRAM_DESCRIPTORS = 350
+
 # Evictions at the limit of connections go in batches, so that a flood of new
 # connections does not pay for a look at all connections each time.
 CONNECTION_BATCHES = 32
@@ -61,76 +44,6 @@
 CONNECTIONS = "connections"
 
 
-class ClientLimits:
-    """Limits of what a process holds for its clients.
-
-    Attributes:
-        held_bytes: Bytes received for requests in progress and of answers
-            that are being sent.
-        connections: Number of open connections.
-        body_stall_ms: Time without progress after which a request is ended.
-        answer_stall_ms: Time without progress after which the connection of
-            an answer is closed.
-    """
-
-    __slots__ = (
-        "held_bytes",
-        "connections",
-        "body_stall_ms",
-        "answer_stall_ms",
-    )
-
-    def __init__(
-        self,
-        held_bytes=math.inf,
-        connections=math.inf,
-        body_stall_ms=math.inf,
-        answer_stall_ms=math.inf,
-    ):
-        self.held_bytes = held_bytes
-        self.connections = connections
-        self.body_stall_ms = body_stall_ms
-        self.answer_stall_ms = answer_stall_ms
-
-
-def derive_limits(settings):
-    """Returns the ClientLimits for the Settings of a program.
-
-    A limit that the settings neither name nor derive from the machine does
-    not exist.
-    """
-    return ClientLimits(
-        settings.max_client_bytes or derive_bytes(settings.memory_mb),
-        settings.max_client_connections
-        or derive_connections(settings.memory_mb, settings.max_descriptors),
-        settings.body_stall_ms,
-        settings.answer_stall_ms,
-    )
-
-
-def spare_bytes(memory_mb):
-    """Returns each part of the memory beside the program, in bytes."""
-    return (memory_mb - PROGRAM_MEMORY_MB) * MIB // MEMORY_PARTS
-
-
-def derive_bytes(memory_mb):
-    """Returns the limit of held bytes; ``memory_mb`` 0 is not known."""
-    if not memory_mb:
-        return math.inf
-    return max(MIN_HELD_BYTES, spare_bytes(memory_mb))
-
-
-def derive_connections(memory_mb, max_descriptors):
-    """Returns the limit of connections; 0 is not known."""
-    limit = math.inf
-    if memory_mb:
-        limit = spare_bytes(memory_mb) // CONNECTION_BYTES
-    if max_descriptors:
-        reserved = PLATFORM_DESCRIPTORS + PROGRAM_DESCRIPTORS
-        limit = min(limit, max_descriptors - reserved)
-    return max(MIN_CONNECTIONS, limit)
-
-
 class Holding:
     """What the process holds for one connection.
 
--- a/wigeonport/http_listeners.py
+++ b/wigeonport/http_listeners.py
@@ -6,7 +6,8 @@
 import trio
 from hypercorn.trio.worker_context import WorkerContext
 
-from wigeonport.client_budgets import STATUS, ClientBudget, ClientLimits
+from wigeonport.client_budgets import STATUS, ClientBudget
+from wigeonport.client_limits import ClientLimits
 from wigeonport.clocks import Clock
 from wigeonport.http_connections import HttpConnection
 from wigeonport.logs import PartLogger
--- a/wigeonport/programs.py
+++ b/wigeonport/programs.py
@@ -7,7 +7,8 @@
 import trio
 
 from wigeonport.channels import DROP_OLDEST, Mailbox
-from wigeonport.client_budgets import ClientBudget, derive_limits
+from wigeonport.client_budgets import ClientBudget
+from wigeonport.client_limits import derive_limits
 from wigeonport.clocks import Clock, LamportCounter
 from wigeonport.credentials import load_keys
 from wigeonport.events import EventLog, write_events
