Keep the working copy over a short gap of the leader's lease

Callers saw: 504 and silence in bursts. Each time the working copy was dropped, all calls got an unknown outcome, and loading the copy again held the consensus task up, so that the lease expired once more.

Cause: an expired lease ended dispatching at once, although the leader was often confirmed in the same term soon after. Copying the state went through JSON text.

Change: answers wait up to 600 ms for the lease to be confirmed in the same term. The parts of the state are copied object by object, and share what never changes: specifications of jobs and the routing table.

--- a/tests/test_batch_controllers.py
+++ b/tests/test_batch_controllers.py
@@ -20,7 +20,12 @@
     BatchCall,
 )
 from wigeonport.batch_commands import MOVE, StartRuns
-from wigeonport.batch_controllers import MAX_BATCH_BYTES, BatchController
+from wigeonport.batch_controllers import (
+    MAX_BATCH_BYTES,
+    BatchController,
+    copy_parts,
+)
+from wigeonport.batch_jobs import CANCELLED
 from wigeonport.batch_messages import (
     CallReceived,
     Redirect,
@@ -443,6 +448,50 @@
     run_controller(check)
 
 
+def test_short_gap_of_the_lease_loses_no_answer(run_controller):
+    """Guards against a leader that gives up all calls when it is slow once.
+
+    Loading the state again takes longer than the gap, and may cause the next.
+    """
+
+    async def check(harness):
+        dispatcher = harness.controller.dispatcher
+        harness.consensus.lease_ms = -1
+        harness.controller.lease_until_ms = 0
+        async with trio.open_nursery() as nursery:
+
+            async def renew():
+                await trio.sleep(0.15)
+                harness.consensus.lease_ms = 800
+
+            nursery.start_soon(renew)
+            answer = await harness.call(SUBMIT)
+        assert answer.ok.outcome == OK
+        assert harness.controller.dispatcher is dispatcher
+
+    run_controller(check)
+
+
+def test_copied_parts_share_nothing_that_changes(run_controller):
+    """Guards against a working copy that changes the committed state."""
+
+    async def check(harness):
+        state = harness.consensus.state
+        await harness.call(SUBMIT)
+        before = json.dumps(state.to_document())
+        copied = copy_parts(state)
+        assert json.dumps(copied.batch.to_document()) in before
+        assert json.dumps(copied.routes.to_document()) in before
+        assert json.dumps(copied.upkeep.to_document()) in before
+        for job in copied.batch.jobs.values():
+            job.start_run((0, 0, 0), 1, "w@1")
+            job.end(CANCELLED, 1)
+        copied.routes.adopt(make_table(9), {"plans"})
+        assert json.dumps(state.to_document()) == before
+
+    run_controller(check)
+
+
 def test_follower_names_the_leader(run_controller):
     """A follower must name the leader, or its callers would not find it."""
 
--- a/wigeonport/batch_controllers.py
+++ b/wigeonport/batch_controllers.py
@@ -6,7 +6,6 @@
 """
 
 import collections
-import json
 
 import trio
 
@@ -33,7 +32,7 @@
 from wigeonport.machine_orders import PlannedOrder
 from wigeonport.replica_events import COMMITTED, LEADER
 from wigeonport.state_commands import RecordBatch
-from wigeonport.states import PARTS, ReplicatedState
+from wigeonport.states import ReplicatedState
 from wigeonport.tenant_metrics import clear_tenants, publish_tenants
 
 logger = PartLogger("batch")
@@ -46,6 +45,10 @@
 STATUS_TIMEOUT_MS = 500
 READ_TIMEOUT_MS = 5_000
 LOAD_RETRY_MS = 100
+# Time for which answers wait for a lease that has run out while no other
+# leader is known. Loading the state again costs more than a short gap, and
+# entries repeat a call after 900 ms.
+LEASE_WAIT_MS = 600
 # Longer than an election; after this time no caller waits for the answer.
 PROPOSAL_TIMEOUT_MS = 8_000
 COPIED_PARTS = ("batch", "routes", "upkeep")
@@ -76,6 +79,8 @@
             on operations which are not proposed yet.
         lease_until_ms: Monotonic time until which the lease of this leader
             is confirmed.
+        lease_missed_ms: Monotonic time since which the lease could not be
+            confirmed, or None.
         stopping: Whether the process stops and must not become the leader.
         nursery: Runs the tasks that wait for the outcomes of proposals.
         tick_due_ms: Monotonic time of the next tick.
@@ -100,6 +105,7 @@
         "round_answers",
         "unproposed_answers",
         "lease_until_ms",
+        "lease_missed_ms",
         "stopping",
         "nursery",
         "tick_due_ms",
@@ -133,6 +139,7 @@
         self.round_answers = []
         self.unproposed_answers = []
         self.lease_until_ms = 0
+        self.lease_missed_ms = None
         self.stopping = False
         self.nursery = None
         self.tick_due_ms = 0
@@ -294,8 +301,9 @@
         ):
             return
         if not await self.confirm_lease():
-            self.stop_dispatching("the lease of the leader has expired")
+            self.wait_for_lease()
             return
+        self.lease_missed_ms = None
         while (
             self.pending_answers
             and self.pending_answers[0][0] <= self.committed
@@ -305,6 +313,19 @@
                 answer.valid_until_ms = self.lease_until_ms
             reply.send(answer)
 
+    def wait_for_lease(self):
+        """Keeps the answers for a while until the lease is confirmed again.
+
+        A lease that is confirmed in the same term says that no other leader
+        was elected meanwhile, so that the working copy is still valid.
+        """
+        now_ms = self.clock.now()
+        if self.lease_missed_ms is None:
+            self.lease_missed_ms = now_ms
+            self.metrics.count("batch_missed_leases")
+        elif now_ms - self.lease_missed_ms > LEASE_WAIT_MS:
+            self.stop_dispatching("the lease of the leader has expired")
+
     async def confirm_lease(self):
         """Returns whether this replica holds the lease of the leader now."""
         if self.clock.now() < self.lease_until_ms:
@@ -323,6 +344,7 @@
             return
         logger.warning("Dispatching stopped.", term=self.term, reason=reason)
         self.dispatcher = None
+        self.lease_missed_ms = None
         self.metrics.tables.pop(INTERFERENCE_TABLE, None)
         self.lease_until_ms = 0
         clear_tenants(self.metrics)
@@ -393,9 +415,7 @@
     """Returns a ReplicatedState with copies of the parts for batch jobs."""
     copy = ReplicatedState()
     for name in COPIED_PARTS:
-        _, decode = PARTS.entries[name]
-        document = json.dumps(getattr(state, name).to_document())
-        setattr(copy, name, decode(json.loads(document)))
+        setattr(copy, name, getattr(state, name).copy())
     return copy
 
 
--- a/wigeonport/batch_jobs.py
+++ b/wigeonport/batch_jobs.py
@@ -38,6 +38,16 @@
         self.done = done
         self.checkpoint = checkpoint
 
+    def copy(self):
+        """Returns a copy that shares nothing mutable."""
+        return Task(
+            dict(self.runs),
+            self.last_run,
+            self.failures,
+            self.done,
+            self.checkpoint,
+        )
+
     def to_row(self):
         """Returns the progress as a JSON-compatible list."""
         runs = [[run, worker] for run, worker in self.runs.items()]
@@ -72,6 +82,10 @@
         }
         self.remaining = sum(not task.done for task in self.tasks)
 
+    def copy(self):
+        """Returns a copy that shares only the Step."""
+        return StepRun(self.step, [task.copy() for task in self.tasks])
+
     def start(self, index, run, worker):
         """Records a new run of a task."""
         task = self.tasks[index]
@@ -259,6 +273,17 @@
         if not any(task.runs for s in step_runs for task in s.tasks):
             del self.occurrences[occurrence]
 
+    def copy(self):
+        """Returns a copy that shares only the specification."""
+        copied = object.__new__(BatchJob)
+        for name in self.__slots__:
+            setattr(copied, name, getattr(self, name))
+        copied.occurrences = {
+            number: [step_run.copy() for step_run in step_runs]
+            for number, step_runs in self.occurrences.items()
+        }
+        return copied
+
     def to_document(self):
         """Returns the job as JSON-compatible data."""
         return {
--- a/wigeonport/batch_states.py
+++ b/wigeonport/batch_states.py
@@ -68,6 +68,14 @@
         while len(self.remembered) > MAX_REMEMBERED_IDS:
             del self.remembered[next(iter(self.remembered))]
 
+    def copy(self):
+        """Returns a copy that shares only the specifications of jobs."""
+        copied = BatchState()
+        copied.jobs = {name: job.copy() for name, job in self.jobs.items()}
+        copied.remembered = dict(self.remembered)
+        copied.next_prune_ms = self.next_prune_ms
+        return copied
+
     def to_document(self):
         """Returns the state as a JSON-compatible dict."""
         return {
--- a/wigeonport/route_tables.py
+++ b/wigeonport/route_tables.py
@@ -323,6 +323,17 @@
         self.former_paths = dict.fromkeys(former_paths[-MAX_FORMER_PATHS:])
         self.table = table
 
+    def copy(self):
+        """Returns a copy that shares the table and queues.
+
+        Nothing changes them: a new version brings new ones.
+        """
+        copied = RouteState()
+        copied.table = self.table
+        copied.former_queues = dict(self.former_queues)
+        copied.former_paths = dict(self.former_paths)
+        return copied
+
     def to_document(self):
         """Returns the state as a JSON-compatible dict."""
         return {
--- a/wigeonport/upkeep_states.py
+++ b/wigeonport/upkeep_states.py
@@ -5,6 +5,8 @@
 of one machine or to move it to another pool.
 """
 
+import json
+
 from wigeonport.batch_commands import (
     OPERATIONS,
     UPKEEP,
@@ -113,6 +115,11 @@
             for order in self.orders.values()
         )
 
+    def copy(self):
+        """Returns a copy that shares nothing mutable."""
+        text = json.dumps(self.to_document())
+        return upkeep_state_from_document(json.loads(text))
+
     def to_document(self):
         """Returns the state as a JSON-compatible dict."""
         return {
