Move expired leases and copies of the state to modules of their own

Change: lease_expiries holds the loss of workers whose leases have expired, state_copies the copies that a new leader works on. No behaviour changes.

Result: the tests of the dispatcher, the controller and the keys pass.

--- a/tests/test_batch_controllers.py
+++ b/tests/test_batch_controllers.py
@@ -20,11 +20,7 @@
     BatchCall,
 )
 from wigeonport.batch_commands import MOVE, StartRuns
-from wigeonport.batch_controllers import (
-    MAX_BATCH_BYTES,
-    BatchController,
-    copy_parts,
-)
+from wigeonport.batch_controllers import MAX_BATCH_BYTES, BatchController
 from wigeonport.batch_jobs import CANCELLED
 from wigeonport.batch_messages import (
     CallReceived,
@@ -50,6 +46,7 @@
 from wigeonport.machine_orders import PlannedOrder
 from wigeonport.metrics import Metrics
 from wigeonport.replica_events import COMMITTED, REFUSED, ReplicaSettings
+from wigeonport.state_copies import copy_parts
 from wigeonport.states import Entry, ReplicatedState
 
 SPEC = JobSpec("text", [Step({"cpu_milli": 100})]).to_json()
--- a/tests/test_tenant_keys.py
+++ b/tests/test_tenant_keys.py
@@ -33,7 +33,6 @@
     BatchReply,
 )
 from wigeonport.batch_commands import AdoptRoutes, SubmitJob
-from wigeonport.batch_controllers import copy_parts
 from wigeonport.batch_dispatchers import BatchDispatcher
 from wigeonport.batch_jobs import CANCELLED, COMPLETED, job_from_document
 from wigeonport.batch_settings import BatchSettings
@@ -42,6 +41,7 @@
 from wigeonport.gateways import GatewayAnswer, is_refusal
 from wigeonport.key_refusals import KeyRefusals
 from wigeonport.logs import format_record
+from wigeonport.state_copies import copy_parts
 from wigeonport.states import ReplicatedState
 
 OTHER = "00000000000000bb"
--- a/wigeonport/batch_controllers.py
+++ b/wigeonport/batch_controllers.py
@@ -32,7 +32,7 @@
 from wigeonport.machine_orders import PlannedOrder
 from wigeonport.replica_events import COMMITTED, LEADER
 from wigeonport.state_commands import RecordBatch
-from wigeonport.states import ReplicatedState
+from wigeonport.state_copies import copy_parts
 from wigeonport.tenant_metrics import clear_tenants, publish_tenants
 
 logger = PartLogger("batch")
@@ -51,7 +51,6 @@
 LEASE_WAIT_MS = 600
 # Longer than an election; after this time no caller waits for the answer.
 PROPOSAL_TIMEOUT_MS = 8_000
-COPIED_PARTS = ("batch", "routes", "upkeep")
 
 
 class BatchController:
@@ -411,14 +410,6 @@
         return Redirect(self.leader_node if leads_elsewhere else "")
 
 
-def copy_parts(state):
-    """Returns a ReplicatedState with copies of the parts for batch jobs."""
-    copy = ReplicatedState()
-    for name in COPIED_PARTS:
-        setattr(copy, name, getattr(state, name).copy())
-    return copy
-
-
 async def forward_leadership(notices, inbox):
     """Forwards changes of leadership from the consensus task."""
     async for notice in notices:
--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -21,6 +21,7 @@
 from wigeonport.interference_tables import make_table
 from wigeonport.job_occurrences import open_occurrences
 from wigeonport.lasting_placements import place_on_reserved
+from wigeonport.lease_expiries import drop_expired
 from wigeonport.logs import PartLogger
 from wigeonport.run_orders import add_starts, choose_interval, reconcile
 from wigeonport.run_reports import record_ended_runs, record_reported_runs
@@ -355,21 +356,7 @@
         expired jobs from the working copy, as each replica does from its own.
         """
         self.wall_ms, self.now_ms = wall_ms, now_ms
-        for worker in list(self.workers.by_id.values()):
-            if now_ms > worker.lease_until_ms and (
-                now_ms - worker.last_heartbeat_ms > self.settings.run_lease_ms
-            ):
-                self.workers.remove_worker(worker)
-                self.record_lost_worker(
-                    worker.incarnation, "the lease has expired"
-                )
-        if now_ms > self.orphans_until_ms:
-            current = self.workers.incarnations()
-            for incarnation in list(self.workers.runs):
-                if incarnation not in current:
-                    self.record_lost_worker(
-                        incarnation, "no heartbeat in this term"
-                    )
+        drop_expired(self, now_ms)
         drop_silent(self, now_ms)
         self.heartbeat_interval_ms = self.settings.choose_heartbeat_interval(
             self.workers.count_senders()
