Refuse a length of too many digits without a stand-in number

Cause: the listener replaced such a length by a row of nines, which a reader has to work out.

Change: it refuses the request with 413 at once.

Result: the tests of the listener and the budget pass.

--- a/wigeonport/http_connections.py
+++ b/wigeonport/http_connections.py
@@ -26,8 +26,7 @@
 READ_BYTES = 16_384
 # Larger answers are sent in pieces, so that their progress is seen.
 PIECE_BYTES = 65_536
-# The first digits of a longer number exceed every limit too, and int()
-# refuses very long ones.
+# A longer number exceeds every limit, and int() refuses very long ones.
 MAX_LENGTH_DIGITS = 18
 FIRST_STATUS_OF_ANSWERS = 200
 REFUSAL = (
@@ -224,10 +223,9 @@
         limits, length = self.listener.limits, 0
         for name, value in request.headers:
             if name == b"content-length":
-                digits = (
-                    value if len(value) <= MAX_LENGTH_DIGITS else b"9" * 18
-                )
-                length = int(digits)
+                if len(value) > MAX_LENGTH_DIGITS:
+                    raise RequestRefusedError(413)
+                length = int(value)
         if length > limits.max_body_bytes:
             raise RequestRefusedError(413)
         share = limits.find_share(request.method, request.target)
