--- a/tools/flood_fleets.py
+++ b/tools/flood_fleets.py
@@ -25,7 +25,7 @@
 
 
 class FloodFleet(PlatformFleet):
-    """One control and one front on machines with given limits.
+    """Controls and one front on machines with given limits.
 
     Attributes:
         memory_mb: Memory of each machine.
@@ -34,15 +34,19 @@
 
     __slots__ = ("memory_mb", "max_fds")
 
-    def __init__(self, folder, net, memory_mb, max_fds):
-        super().__init__(folder, net, cores=1, fronts=1)
+    def __init__(self, folder, net, memory_mb, max_fds, cores=1):
+        super().__init__(folder, net, cores, fronts=1)
         self.memory_mb = memory_mb
         self.max_fds = max_fds
 
+    def memory_of(self, process):
+        """Returns the memory, in MB, of the machine of a process."""
+        return self.memory_mb
+
     def settings(self, process, bootstrap):
         """Returns the content of the settings file of a process."""
         limits = (
-            f"[limits]\nmemory-mb = {self.memory_mb}\n"
+            f"[limits]\nmemory-mb = {self.memory_of(process)}\n"
             f"max-fds = {self.max_fds}\n"
         )
         return super().settings(process, bootstrap) + limits
