Keep an object only for tasks that have run

What callers saw: after a crowd of jobs of 10,000 tasks, controls ended for want of memory and ordinary jobs got 503. Cause: each task had an object and a dict of its own from its submission on, in the replicated state and again in the leader's working copy, so that a job of 120 bytes took 5 MB. Change: a step keeps objects for the tasks that have run or have a checkpoint; all others are one number.

--- a/wigeonport/advice_needs.py
+++ b/wigeonport/advice_needs.py
@@ -91,7 +91,7 @@
         Returns:
             AdviceNeed, or None if no call would let a task start.
         """
-        step, waiting = step_run.step, len(step_run.waiting)
+        step, waiting = step_run.step, step_run.waiting
         if step.gang and waiting < step.count:
             return None
         advised = ranked_job.queue.advice is not None
@@ -133,7 +133,7 @@
             AdviceNeed, or None if the valid tickets suffice, if no worker has
             room, or if a call has just failed.
         """
-        step, waiting = step_run.step, len(step_run.waiting)
+        step, waiting = step_run.step, step_run.waiting
         tickets = self.dispatcher.tickets.get(step_id) or Tickets()
         ticketed, unticketed = [], []
         for option in options:
--- a/wigeonport/batch_jobs.py
+++ b/wigeonport/batch_jobs.py
@@ -1,6 +1,7 @@
 """Accepted batch jobs and the progress of their tasks."""
 
 from wigeonport.batch_specs import job_spec_from_document, task_id
+from wigeonport.step_runs import StepRun, step_run_from_rows
 
 QUEUED = "queued"
 RUNNING = "running"
@@ -15,101 +16,6 @@
 LOST = "lost"
 
 
-class Task:
-    """Progress of one task.
-
-    Attributes:
-        runs: Maps the number of each run that may still be live to the
-            incarnation of its worker.
-        last_run: Highest run number assigned so far.
-        failures: Number of runs that failed.
-        done: 1 after a run has completed, otherwise 0.
-        checkpoint: Newest checkpoint, or "".
-    """
-
-    __slots__ = ("runs", "last_run", "failures", "done", "checkpoint")
-
-    def __init__(
-        self, runs=None, last_run=0, failures=0, done=0, checkpoint=""
-    ):
-        self.runs = runs or {}
-        self.last_run = last_run
-        self.failures = failures
-        self.done = done
-        self.checkpoint = checkpoint
-
-    def copy(self):
-        """Returns a copy that shares nothing mutable."""
-        return Task(
-            dict(self.runs),
-            self.last_run,
-            self.failures,
-            self.done,
-            self.checkpoint,
-        )
-
-    def to_row(self):
-        """Returns the progress as a JSON-compatible list."""
-        runs = [[run, worker] for run, worker in self.runs.items()]
-        return [runs, self.last_run, self.failures, self.done, self.checkpoint]
-
-    @classmethod
-    def from_row(cls, row):
-        """Returns the Task of the data that ``to_row`` returned."""
-        return cls(dict(map(tuple, row[0])), *row[1:])
-
-
-class StepRun:
-    """Progress of a step in one occurrence of the job.
-
-    Attributes:
-        step: Step.
-        tasks: List of Task, by index.
-        waiting: Set of the indices of tasks that are neither done nor
-            running.
-        remaining: Number of tasks that are not done.
-    """
-
-    __slots__ = ("step", "tasks", "waiting", "remaining")
-
-    def __init__(self, step, tasks=None):
-        self.step = step
-        self.tasks = tasks or [Task() for _ in range(step.count)]
-        self.waiting = {
-            index
-            for index, task in enumerate(self.tasks)
-            if not task.done and not task.runs
-        }
-        self.remaining = sum(not task.done for task in self.tasks)
-
-    def copy(self):
-        """Returns a copy that shares only the Step."""
-        return StepRun(self.step, [task.copy() for task in self.tasks])
-
-    def start(self, index, run, worker):
-        """Records a new run of a task."""
-        task = self.tasks[index]
-        task.runs[run] = worker
-        task.last_run = max(task.last_run, run)
-        self.waiting.discard(index)
-
-    def requeue(self, index):
-        """Makes a task eligible again if it is neither done nor running."""
-        task = self.tasks[index]
-        if not task.done and not task.runs:
-            self.waiting.add(index)
-
-    def finish(self, index):
-        """Marks a task as done; for a gang, all of its tasks."""
-        indices = range(len(self.tasks)) if self.step.gang else (index,)
-        for each in indices:
-            task = self.tasks[each]
-            if not task.done:
-                task.done = 1
-                self.remaining -= 1
-            self.waiting.discard(each)
-
-
 class BatchJob:
     """An accepted job.
 
@@ -170,14 +76,15 @@
         self.opened += 1
 
     def find(self, occurrence, step, index):
-        """Returns the StepRun and Task of a task, or None if unknown."""
+        """Returns the StepRun and Task of a task, or None if unknown.
+
+        The Task is to be read only.
+        """
         step_runs = self.occurrences.get(occurrence)
         if step_runs is None or not 0 <= step < len(step_runs):
             return None
-        step_run = step_runs[step]
-        if not 0 <= index < len(step_run.tasks):
-            return None
-        return step_run, step_run.tasks[index]
+        task = step_runs[step].find(index)
+        return None if task is None else (step_runs[step], task)
 
     def ready_steps(self):
         """Yields occurrence, step number and StepRun of each ready step.
@@ -197,10 +104,9 @@
         """Yields task id, run number, worker and Step of each live run."""
         for occurrence, step_runs in self.occurrences.items():
             for number, step_run in enumerate(step_runs):
-                for index, task in enumerate(step_run.tasks):
-                    for run, worker in task.runs.items():
-                        name = task_id(self.job_id, occurrence, number, index)
-                        yield name, run, worker, step_run.step
+                for index, run, worker in step_run.live_runs():
+                    name = task_id(self.job_id, occurrence, number, index)
+                    yield name, run, worker, step_run.step
 
     def end(self, state, now_ms):
         """Finishes the job; live runs stay recorded until they end."""
@@ -229,9 +135,9 @@
         if entry is None:
             return False
         step_run, task = entry
-        was_live = task.runs.pop(run, None) is not None
+        was_live = task.end_run(run)
         if checkpoint:
-            self.store_checkpoint(step_run, task, checkpoint)
+            step_run.store_checkpoint(position[2], checkpoint)
         if outcome == DONE:
             self.finish_task(position, now_ms)
         elif was_live and outcome == ENDED_FAILED:
@@ -249,11 +155,6 @@
         self.drop_finished_occurrence(position[0])
         return was_live or outcome == DONE
 
-    def store_checkpoint(self, step_run, task, checkpoint):
-        """Stores a checkpoint; in a gang it applies to every task."""
-        for each in step_run.tasks if step_run.step.gang else (task,):
-            each.checkpoint = checkpoint
-
     def finish_task(self, position, now_ms):
         """Marks a task as done; the last one completes the job."""
         occurrence, step, index = position
@@ -270,7 +171,7 @@
         step_runs = self.occurrences[occurrence]
         if not self.spec.repeat_count or any(s.remaining for s in step_runs):
             return
-        if not any(task.runs for s in step_runs for task in s.tasks):
+        if not any(any(step_run.live_runs()) for step_run in step_runs):
             del self.occurrences[occurrence]
 
     def copy(self):
@@ -298,7 +199,7 @@
             "opened": self.opened,
             "left": self.remaining,
             "occurrences": [
-                [number, [[t.to_row() for t in s.tasks] for s in step_runs]]
+                [number, [step_run.to_rows() for step_run in step_runs]]
                 for number, step_runs in self.occurrences.items()
             ],
         }
@@ -321,7 +222,7 @@
     job.remaining = document["left"]
     job.occurrences = {
         number: [
-            StepRun(step, [Task.from_row(row) for row in rows])
+            step_run_from_rows(step, rows)
             for step, rows in zip(spec.steps, step_rows, strict=True)
         ]
         for number, step_rows in document["occurrences"]
--- a/wigeonport/interference_placements.py
+++ b/wigeonport/interference_placements.py
@@ -51,7 +51,7 @@
             own.memory_mb / max(1, step.memory_mb),
             1,
         )
-        return math.ceil(min(self.count, len(self.step_run.waiting)) * size)
+        return math.ceil(min(self.count, self.step_run.waiting) * size)
 
     def is_over(self, now_ms):
         """Returns whether the step may be held back again."""
@@ -86,7 +86,7 @@
         table, candidate, kind, [partners[each] for each in here]
     ):
         return 0
-    wanted = len(step_run.waiting) - spare
+    wanted = step_run.waiting - spare
     held = hold_tasks(table, candidate, step_run, wanted, partners, now_ms)
     table.count("interference_held_tasks", held)
     return held
--- a/wigeonport/job_orders.py
+++ b/wigeonport/job_orders.py
@@ -244,10 +244,8 @@
             dependencies_ms = [finish_ms[each] for each in step.depends_on]
             finish_ms.append(max(dependencies_ms, default=0) + own_ms)
             task_work = machine.share_of(step) * own_ms
-            waiting_work += len(step_run.waiting) * task_work
-            running_work += (
-                step_run.remaining - len(step_run.waiting)
-            ) * task_work
+            waiting_work += step_run.waiting * task_work
+            running_work += (step_run.remaining - step_run.waiting) * task_work
         longest_ms = max(longest_ms, *finish_ms) if finish_ms else longest_ms
     return longest_ms, waiting_work, running_work
 
--- a/wigeonport/lasting_placements.py
+++ b/wigeonport/lasting_placements.py
@@ -111,7 +111,7 @@
             step_run, free_capacity, allowance
         ):
             tasks.append(f"{candidate.prefix}{index}")
-            runs.append(step_run.tasks[index].last_run + 1)
+            runs.append(step_run.find(index).last_run + 1)
     if tasks:
         dispatcher.record(StartRuns(tasks, runs, worker.incarnation))
 
--- a/wigeonport/run_reports.py
+++ b/wigeonport/run_reports.py
@@ -173,6 +173,6 @@
 def store_checkpoint(dispatcher, row):
     """Keeps the newest checkpoint, from which a lost task is resumed."""
     entry = dispatcher.find_task(row.task)
-    if entry is not None:
-        job, step_run, task = entry
-        job.store_checkpoint(step_run, task, row.checkpoint)
+    index = split_task_id(row.task)[3] if entry is not None else None
+    if entry is not None and index in entry[1].tasks:
+        entry[1].store_checkpoint(index, row.checkpoint)
--- a/wigeonport/task_evacuations.py
+++ b/wigeonport/task_evacuations.py
@@ -20,7 +20,8 @@
     _, step_run, _ = dispatcher.find_task(name)
     prefix, _, own_index = name.rpartition(".")
     unavailable = 0
-    for index, task in enumerate(step_run.tasks):
+    for index in range(step_run.step.count):
+        task = step_run.find(index)
         if str(index) == own_index or task.done:
             continue
         unavailable += not any(
--- a/wigeonport/task_placements.py
+++ b/wigeonport/task_placements.py
@@ -105,7 +105,7 @@
                 step_run, free_capacity, allowance, held_back
             ):
                 tasks.append(f"{candidate.prefix}{index}")
-                runs.append(step_run.tasks[index].last_run + 1)
+                runs.append(step_run.find(index).last_run + 1)
             if len(tasks) >= MAX_STARTS:
                 break
         if len(tasks) > placed:
@@ -206,10 +206,8 @@
         """
         chosen = []
         job, step = self.ranked_job.job, step_run.step
-        maximum = min(
-            self.remaining_limit(step), len(step_run.waiting) - held_back
-        )
-        for index in sorted(step_run.waiting):
+        maximum = min(self.remaining_limit(step), step_run.waiting - held_back)
+        for index in step_run.waiting_indices():
             if len(chosen) >= maximum or not free_capacity.fits(step):
                 break
             if self.failed_recently(index):
@@ -252,7 +250,7 @@
         for ranked_job in active_ranked_jobs(dispatcher, service, wall_ms):
             for occurrence, number, step_run in ranked_job.job.ready_steps():
                 step = step_run.step
-                complete = len(step_run.waiting) == step.count
+                complete = step_run.waiting == step.count
                 if step.gang and complete:
                     place_gang(
                         dispatcher,
@@ -301,7 +299,8 @@
     )
     if chosen is None:
         return
-    run = max(task.last_run for task in step_run.tasks) + 1
+    runs = [task.last_run for task in step_run.tasks.values()]
+    run = max(runs, default=0) + 1
     task_ids = [
         task_id(ranked_job.job.job_id, occurrence, number, index)
         for index in range(step.count)
--- a/wigeonport/waiting_tasks.py
+++ b/wigeonport/waiting_tasks.py
@@ -172,7 +172,8 @@
     for occurrence, number, step_run in job.ready_steps():
         if not step_run.step.lasting:
             continue
-        for index, task in enumerate(step_run.tasks):
+        for index in range(step_run.step.count):
+            task = step_run.find(index)
             name = task_id(job.job_id, occurrence, number, index)
             reported = any(
                 is_reported(dispatcher, name, run, incarnation)
@@ -228,7 +229,7 @@
         task=name,
         waited_ms=waited_ms,
         service=service,
-        runs=step_run.tasks[index].runs,
+        runs=step_run.find(index).runs,
         workers=dict(counts),
         gang=step_run.step.gang,
         term=dispatcher.term,
