Release the tasks and the specification of a finished job

What callers saw: a crowd that cancels each of its jobs at once still took a control past its memory. Cause: a finished job stays readable for 300 s, and kept its specification and all tasks for that time, in the state and in the leader's working copy; a job of 256 KiB cost as much cancelled as running. Change: once a job and all of its runs have ended, only its state is kept.

--- a/wigeonport/batch_jobs.py
+++ b/wigeonport/batch_jobs.py
@@ -1,6 +1,6 @@
 """Accepted batch jobs and the progress of their tasks."""
 
-from wigeonport.batch_specs import job_spec_from_document, task_id
+from wigeonport.batch_specs import JobSpec, job_spec_from_document, task_id
 from wigeonport.step_runs import StepRun, step_run_from_rows
 
 QUEUED = "queued"
@@ -15,6 +15,9 @@
 ENDED_REFUSED = "refused"
 LOST = "lost"
 
+# Takes the place of the specification of a finished job.
+NO_SPEC = JobSpec("", ())
+
 
 class BatchJob:
     """An accepted job.
@@ -22,7 +25,7 @@
     Attributes:
         job_id: Id that the caller chose.
         queue: Name of its queue.
-        spec: JobSpec.
+        spec: JobSpec, or ``NO_SPEC`` once the job is released.
         attempts: Number of failed runs of a task after which the job fails.
         submitted_ms: Wall time at which the job was accepted.
         tenant: Name of the tenant that owns the job, or "".
@@ -113,6 +116,20 @@
         self.state = state
         self.finished_ms = now_ms
 
+    def release(self):
+        """Drops specification and tasks once the job and its runs have ended.
+
+        What remains is the state that callers may read.
+
+        Returns:
+            Whether they are dropped.
+        """
+        if self.active or any(self.live_runs()):
+            return False
+        self.spec = NO_SPEC
+        self.occurrences = {}
+        return True
+
     def start_run(self, position, run, worker):
         """Records a new run of a task; returns False for an unknown task.
 
--- a/wigeonport/batch_states.py
+++ b/wigeonport/batch_states.py
@@ -34,24 +34,35 @@
         jobs: Maps job id to BatchJob, in order of acceptance.
         remembered: Ids of dropped jobs as the keys of a dict, oldest first.
         next_prune_ms: Wall time of the next removal of expired jobs.
+        finished: Jobs that may have to be released, by job id.
     """
 
-    __slots__ = ("jobs", "remembered", "next_prune_ms")
+    __slots__ = ("jobs", "remembered", "next_prune_ms", "finished")
 
     def __init__(self):
         self.jobs = {}
         self.remembered = {}
         self.next_prune_ms = 0
+        self.finished = {}
 
     def has_accepted(self, job_id):
         """Returns whether a job with this id has been accepted before."""
         return job_id in self.jobs or job_id in self.remembered
 
+    def note_change(self, job):
+        """Notes a job whose state or runs have changed."""
+        if not job.active:
+            self.finished[job.job_id] = job
+
     def prune(self, now_ms):
-        """Drops finished jobs that are older than ``RETENTION_MS``.
+        """Releases finished jobs; drops those older than ``RETENTION_MS``.
 
-        A job with a run that may still be live is kept.
+        A job with a run that may still be live is kept as it is; the end of
+        the run notes the job again.
         """
+        for job in self.finished.values():
+            job.release()
+        self.finished.clear()
         if now_ms < self.next_prune_ms:
             return
         self.next_prune_ms = now_ms + RETENTION_MS // 10
@@ -90,6 +101,7 @@
     state = BatchState()
     for row in document["jobs"]:
         job = job_from_document(row)
+        job.release()
         state.jobs[job.job_id] = job
     state.remembered = dict.fromkeys(document["remembered"], True)
     state.next_prune_ms = document["next_prune_ms"]
@@ -149,6 +161,7 @@
     job = state.batch.jobs.get(operation.job_id)
     if job is not None and job.active:
         job.end(CANCELLED, now_ms)
+        state.batch.note_change(job)
 
 
 @OPERATIONS.register(OpenOccurrence)
@@ -184,3 +197,4 @@
         job = state.batch.jobs.get(job_id)
         if job is not None:
             job.end_run(position, run, outcome, checkpoint, now_ms)
+            state.batch.note_change(job)
