Refuse jobs for which a control has no memory

What callers saw: controls went past their memory with accepted jobs of many steps or long names, also after all of them were killed and read the state back. Cause: nothing bounded what was accepted and had not ended. Change: each state counts the memory of its jobs, from the jobs alone, so that a new leader has the same count. The leader refuses a submission before anything of it is recorded: 400 for a job that can never be held, 429 with the time at which memory will be free for the others. A job may take a quarter of what is free, so that a crowd of large ones leaves room for many small ones, and half of the limit is reserved for tenants by their weights. Due occurrences of a periodic job wait for room, but for the first.

--- a/wigeonport/batch_controllers.py
+++ b/wigeonport/batch_controllers.py
@@ -30,6 +30,7 @@
 from wigeonport.key_refusals import KeyRefusals
 from wigeonport.logs import PartLogger
 from wigeonport.machine_orders import PlannedOrder
+from wigeonport.memory_admissions import publish_memory
 from wigeonport.replica_events import COMMITTED, LEADER
 from wigeonport.state_commands import RecordBatch
 from wigeonport.state_copies import copy_parts
@@ -211,6 +212,7 @@
         try:
             self.dispatcher.on_tick(now_ms, self.clock.wall())
             publish_tenants(self.dispatcher, self.metrics, now_ms)
+            publish_memory(self.dispatcher, self.metrics)
             if self.dispatcher.interference is not None:
                 self.dispatcher.interference.publish(self.metrics, now_ms)
             if self.machines is not None:
--- a/wigeonport/batch_dispatchers.py
+++ b/wigeonport/batch_dispatchers.py
@@ -23,6 +23,7 @@
 from wigeonport.lasting_placements import place_on_reserved
 from wigeonport.lease_expiries import drop_expired
 from wigeonport.logs import PartLogger
+from wigeonport.memory_admissions import MemoryAdmissions
 from wigeonport.run_orders import add_starts, choose_interval, reconcile
 from wigeonport.run_reports import record_ended_runs, record_reported_runs
 from wigeonport.run_times import RunTimes
@@ -74,6 +75,7 @@
         usage: TenantUsage.
         shares: Maps service to its PoolShares, if there are tenants.
         admissions: TenantAdmissions.
+        memory: MemoryAdmissions.
         tickets: TicketTable of the steps of queues with advice.
         tasks_to_copy: Maps service to the ids of the tasks that need a
             speculative copy.
@@ -105,6 +107,7 @@
         "usage",
         "shares",
         "admissions",
+        "memory",
         "tickets",
         "tasks_to_copy",
         "rack_wait_start_ms",
@@ -134,6 +137,7 @@
         self.usage = TenantUsage()
         self.shares = {}
         self.admissions = TenantAdmissions()
+        self.memory = MemoryAdmissions(settings.max_job_bytes)
         self.tickets = TicketTable()
         self.tasks_to_copy = {}
         self.rack_wait_start_ms = {}
@@ -366,6 +370,7 @@
             self.interference.on_tick(self, now_ms)
         open_occurrences(self, wall_ms)
         self.state.batch.prune(wall_ms)
+        self.memory.update(self.state.batch.freed_bytes, wall_ms)
         log_waiting_tasks(self, now_ms)
 
     def needs_ticket(self, job):
--- a/wigeonport/batch_jobs.py
+++ b/wigeonport/batch_jobs.py
@@ -1,6 +1,13 @@
 """Accepted batch jobs and the progress of their tasks."""
 
 from wigeonport.batch_specs import JobSpec, job_spec_from_document, task_id
+from wigeonport.job_sizes import (
+    FINISHED_JOB_BYTES,
+    JOB_BYTES,
+    TASK_BYTES,
+    size_of_occurrence,
+    size_of_spec,
+)
 from wigeonport.step_runs import StepRun, step_run_from_rows
 
 QUEUED = "queued"
@@ -35,6 +42,9 @@
             StepRun.
         opened: Number of occurrences opened so far.
         remaining: Number of occurrences that are not done.
+        spec_bytes: Size of the specification.
+        kept_tasks: Number of tasks in open occurrences that have run.
+        counted_bytes: Size at which the BatchState has counted the job.
     """
 
     __slots__ = (
@@ -49,6 +59,9 @@
         "occurrences",
         "opened",
         "remaining",
+        "spec_bytes",
+        "kept_tasks",
+        "counted_bytes",
     )
 
     def __init__(self, job_id, queue, spec, attempts, submitted_ms, tenant=""):
@@ -63,6 +76,9 @@
         self.occurrences = {}
         self.opened = 0
         self.remaining = spec.occurrences()
+        self.spec_bytes = size_of_spec(spec)
+        self.kept_tasks = 0
+        self.counted_bytes = 0
         if not spec.repeat_count:
             self.open_next()
 
@@ -71,6 +87,22 @@
         """Whether tasks of the job may still be started."""
         return self.state in ACTIVE
 
+    def size_bytes(self):
+        """Returns the memory that the job takes.
+
+        It includes one occurrence in advance, so that a periodic job can
+        always open its next one.
+        """
+        if self.spec is NO_SPEC:
+            return FINISHED_JOB_BYTES
+        occurrences = max(1, len(self.occurrences))
+        return (
+            JOB_BYTES
+            + self.spec_bytes
+            + occurrences * size_of_occurrence(self.spec)
+            + self.kept_tasks * TASK_BYTES
+        )
+
     def open_next(self):
         """Opens the next occurrence, so that its tasks may start."""
         self.occurrences[self.opened] = [
@@ -128,6 +160,7 @@
             return False
         self.spec = NO_SPEC
         self.occurrences = {}
+        self.kept_tasks = 0
         return True
 
     def start_run(self, position, run, worker):
@@ -141,7 +174,10 @@
         occurrence, step, index = position
         if self.find(*position) is None:
             return False
-        self.occurrences[occurrence][step].start(index, run, worker)
+        step_run = self.occurrences[occurrence][step]
+        self.kept_tasks -= len(step_run.tasks)
+        step_run.start(index, run, worker)
+        self.kept_tasks += len(step_run.tasks)
         if self.state == QUEUED:
             self.state = RUNNING
         return True
@@ -152,6 +188,7 @@
         if entry is None:
             return False
         step_run, task = entry
+        self.kept_tasks -= len(step_run.tasks)
         was_live = task.end_run(run)
         if checkpoint:
             step_run.store_checkpoint(position[2], checkpoint)
@@ -169,6 +206,7 @@
             ):
                 self.end(FAILED, now_ms)
         step_run.requeue(position[2])
+        self.kept_tasks += len(step_run.tasks)
         self.drop_finished_occurrence(position[0])
         return was_live or outcome == DONE
 
@@ -190,6 +228,7 @@
             return
         if not any(any(step_run.live_runs()) for step_run in step_runs):
             del self.occurrences[occurrence]
+            self.kept_tasks -= sum(len(each.tasks) for each in step_runs)
 
     def copy(self):
         """Returns a copy that shares only the specification."""
@@ -244,4 +283,9 @@
         ]
         for number, step_rows in document["occurrences"]
     }
+    job.kept_tasks = sum(
+        len(step_run.tasks)
+        for step_runs in job.occurrences.values()
+        for step_run in step_runs
+    )
     return job
--- a/wigeonport/batch_programs.py
+++ b/wigeonport/batch_programs.py
@@ -9,6 +9,7 @@
 from wigeonport.batch_calls import PROBE, BatchCall
 from wigeonport.batch_settings import BatchSettings
 from wigeonport.channels import DROP_OLDEST, Mailbox, Reply
+from wigeonport.client_limits import derive_job_bytes
 from wigeonport.gateways import Gateway, GatewayCall
 from wigeonport.http_listeners import ListenerLimits
 from wigeonport.logs import PartLogger
@@ -36,6 +37,7 @@
 def make_batch_settings(settings):
     """Returns the BatchSettings for the Settings of a program."""
     batch = BatchSettings(settings.max_hold_ms, settings.machine_lease_ms)
+    batch.max_job_bytes = derive_job_bytes(settings)
     batch.separate_interfering_tasks = settings.separate_interfering_tasks
     batch.separated_pairs = settings.separated_pairs
     batch.unseparated_pairs = settings.unseparated_pairs
--- a/wigeonport/batch_requests.py
+++ b/wigeonport/batch_requests.py
@@ -23,8 +23,10 @@
 )
 from wigeonport.batch_commands import CancelJob, SubmitJob
 from wigeonport.batch_jobs import QUEUED
+from wigeonport.batch_specs import job_spec_from_json
 from wigeonport.job_paths import is_job_id, split_job_path
 from wigeonport.logs import PartLogger
+from wigeonport.memory_admissions import refuse_for_memory
 from wigeonport.registries import Registry
 from wigeonport.tenant_admissions import refuse_submission
 from wigeonport.tenant_keys import authenticate, may_reach
@@ -125,20 +127,20 @@
         return BatchReply(
             INVALID, "the job id is in use in another queue or tenant"
         )
-    if not batch.has_accepted(job_id):
-        refusal = refuse_submission(dispatcher, tenant, queue, call)
+    if batch.has_accepted(job_id):
+        return BatchReply(OK)
+    owner = tenant.name if tenant is not None else None
+    try:
+        spec = job_spec_from_json(call.spec_json)
+        refusal = refuse_for_memory(
+            dispatcher, tenant, spec
+        ) or refuse_submission(dispatcher, tenant, queue, call)
         if refusal is not None:
             return refusal
-        owner = tenant.name if tenant is not None else None
-        try:
-            dispatcher.record(
-                SubmitJob(job_id, queue.name, call.spec_json, owner)
-            )
-        except SPEC_ERRORS as error:
-            logger.warning(
-                "Job refused.", job=job_id, fault=type(error).__name__
-            )
-            return BatchReply(INVALID, "the job cannot be decoded")
+        dispatcher.record(SubmitJob(job_id, queue.name, call.spec_json, owner))
+    except SPEC_ERRORS as error:
+        logger.warning("Job refused.", job=job_id, fault=type(error).__name__)
+        return BatchReply(INVALID, "the job cannot be decoded")
     return BatchReply(OK)
 
 
--- a/wigeonport/batch_settings.py
+++ b/wigeonport/batch_settings.py
@@ -1,5 +1,7 @@
 """Settings of the decisions on batch jobs."""
 
+import math
+
 from wigeonport.records import Record
 
 
@@ -25,6 +27,7 @@
         takeover_wait_ms: Time after a change of leader in which a machine
             with a recent order gets no new one, because the former leader
             may just have sent it one.
+        max_job_bytes: Memory that accepted jobs may take.
         separate_interfering_tasks: Whether kinds of task that slow each
             other down are learned and kept apart.
         separated_pairs: Texts ``KIND beside KIND`` of the kinds that are
@@ -40,6 +43,7 @@
         "job_order",
         "max_filler_tasks_per_step",
         "takeover_wait_ms",
+        "max_job_bytes",
         "separate_interfering_tasks",
         "separated_pairs",
         "unseparated_pairs",
@@ -53,6 +57,7 @@
         self.job_order = "weighted"
         self.max_filler_tasks_per_step = 2
         self.takeover_wait_ms = lease_ms + 500
+        self.max_job_bytes = math.inf
         self.separate_interfering_tasks = False
         self.separated_pairs = ()
         self.unseparated_pairs = ()
--- a/wigeonport/batch_states.py
+++ b/wigeonport/batch_states.py
@@ -1,5 +1,7 @@
 """Replicated state of the batch jobs."""
 
+import collections
+
 from wigeonport.batch_commands import (
     OPERATIONS,
     BatchRecorded,
@@ -35,15 +37,29 @@
         remembered: Ids of dropped jobs as the keys of a dict, oldest first.
         next_prune_ms: Wall time of the next removal of expired jobs.
         finished: Jobs that may have to be released, by job id.
+        held_bytes: Memory that the jobs take.
+        bytes_by_tenant: The same, by name of the tenant.
+        freed_bytes: Memory of jobs that was freed in total.
     """
 
-    __slots__ = ("jobs", "remembered", "next_prune_ms", "finished")
+    __slots__ = (
+        "jobs",
+        "remembered",
+        "next_prune_ms",
+        "finished",
+        "held_bytes",
+        "bytes_by_tenant",
+        "freed_bytes",
+    )
 
     def __init__(self):
         self.jobs = {}
         self.remembered = {}
         self.next_prune_ms = 0
         self.finished = {}
+        self.held_bytes = 0
+        self.bytes_by_tenant = collections.Counter()
+        self.freed_bytes = 0
 
     def has_accepted(self, job_id):
         """Returns whether a job with this id has been accepted before."""
@@ -51,9 +67,20 @@
 
     def note_change(self, job):
         """Notes a job whose state or runs have changed."""
+        self.count(job, job.size_bytes())
         if not job.active:
             self.finished[job.job_id] = job
 
+    def count(self, job, size_bytes):
+        """Counts a job at its present size; 0 for one that is dropped."""
+        change_bytes = size_bytes - job.counted_bytes
+        job.counted_bytes = size_bytes
+        self.held_bytes += change_bytes
+        self.bytes_by_tenant[job.tenant] += change_bytes
+        self.freed_bytes += max(0, -change_bytes)
+        if not self.bytes_by_tenant[job.tenant]:
+            del self.bytes_by_tenant[job.tenant]
+
     def prune(self, now_ms):
         """Releases finished jobs; drops those older than ``RETENTION_MS``.
 
@@ -62,6 +89,7 @@
         """
         for job in self.finished.values():
             job.release()
+            self.count(job, job.size_bytes())
         self.finished.clear()
         if now_ms < self.next_prune_ms:
             return
@@ -74,7 +102,7 @@
             and not any(job.live_runs())
         ]
         for job_id in expired_ids:
-            del self.jobs[job_id]
+            self.count(self.jobs.pop(job_id), 0)
             self.remembered[job_id] = True
         while len(self.remembered) > MAX_REMEMBERED_IDS:
             del self.remembered[next(iter(self.remembered))]
@@ -85,6 +113,8 @@
         copied.jobs = {name: job.copy() for name, job in self.jobs.items()}
         copied.remembered = dict(self.remembered)
         copied.next_prune_ms = self.next_prune_ms
+        copied.held_bytes = self.held_bytes
+        copied.bytes_by_tenant = self.bytes_by_tenant.copy()
         return copied
 
     def to_document(self):
@@ -103,6 +133,7 @@
         job = job_from_document(row)
         job.release()
         state.jobs[job.job_id] = job
+        state.count(job, job.size_bytes())
     state.remembered = dict.fromkeys(document["remembered"], True)
     state.next_prune_ms = document["next_prune_ms"]
     return state
@@ -145,7 +176,7 @@
     queue = state.routes.queues.get(operation.queue)
     attempts = queue.attempts if queue else 1
     spec = job_spec_from_json(operation.spec_json)
-    state.batch.jobs[operation.job_id] = BatchJob(
+    job = BatchJob(
         operation.job_id,
         operation.queue,
         spec,
@@ -153,6 +184,8 @@
         now_ms,
         operation.tenant or "",
     )
+    state.batch.jobs[operation.job_id] = job
+    state.batch.note_change(job)
 
 
 @OPERATIONS.register(CancelJob)
@@ -170,6 +203,7 @@
     job = state.batch.jobs.get(operation.job_id)
     if job is not None and job.opened == operation.occurrence:
         job.open_next()
+        state.batch.note_change(job)
 
 
 @OPERATIONS.register(StartRuns)
@@ -180,6 +214,7 @@
         job = state.batch.jobs.get(job_id)
         if job is not None:
             job.start_run(position, run, operation.worker)
+            state.batch.note_change(job)
 
 
 @OPERATIONS.register(EndRuns)
--- a/wigeonport/client_limits.py
+++ b/wigeonport/client_limits.py
@@ -9,6 +9,11 @@
 # connections get a quarter each. The other half is for the program's own state
 # and for the objects that bodies are decoded into.
 MEMORY_PARTS = 4
+# Accepted jobs get an eighth of it, and the log, messages under way, snapshots
+# and decoded bodies the rest.
+JOB_PARTS = 8
+# Four of the largest job that the platform's pages allow.
+MIN_JOB_BYTES = 12 * MIB
 # A small machine still takes one configuration of full size, 8 MiB, with its
 # header block.
 MIN_HELD_BYTES = 9 * MIB
@@ -81,6 +86,16 @@
     return max(MIN_HELD_BYTES, spare_bytes(memory_mb))
 
 
+def derive_job_bytes(settings):
+    """Returns the bytes that accepted jobs may take at a control."""
+    if settings.max_job_bytes:
+        return settings.max_job_bytes
+    if not settings.memory_mb:
+        return math.inf
+    spare_mb = settings.memory_mb - PROGRAM_MEMORY_MB
+    return max(MIN_JOB_BYTES, spare_mb * MIB // JOB_PARTS)
+
+
 def derive_connections(memory_mb, max_descriptors):
     """Returns the limit of connections; 0 is not known."""
     limit = math.inf
--- a/wigeonport/job_occurrences.py
+++ b/wigeonport/job_occurrences.py
@@ -1,10 +1,10 @@
 """Occurrences of repeated jobs, which the leader opens when they are due."""
 
 from wigeonport.batch_commands import OpenOccurrence
+from wigeonport.memory_admissions import has_room_for_occurrence
 
 # Maximum number of tasks in the open occurrences of a job, unless it has only
-# one. Due occurrences beyond it are opened as earlier ones end; all tasks of
-# a job are kept in memory.
+# one. Due occurrences beyond it are opened as earlier ones end.
 MAX_OPEN_TASKS = 10_000
 
 
@@ -17,6 +17,7 @@
             and job.opened < spec.repeat_count
             and spec.due_ms(job.opened) <= wall_ms
             and may_open(job)
+            and has_room_for_occurrence(dispatcher, job)
         ):
             dispatcher.record(OpenOccurrence(job.job_id, job.opened))
 
--- a/wigeonport/setting_tables.py
+++ b/wigeonport/setting_tables.py
@@ -382,6 +382,15 @@
         text="Open connections of clients; 0 for what `memory_mb` and "
         "`max_descriptors` allow, or for no limit if neither is known.",
     ),
+    Field(
+        "max_job_bytes",
+        "whole",
+        0,
+        least=0,
+        text="Bytes of memory that accepted jobs may take at a control; 0 "
+        "for an eighth of `memory_mb` beyond 64 MB, at least 12 MiB, or for "
+        "no limit if that is not known. All controls need the same value.",
+    ),
     _ms(
         "body_stall_ms",
         30_000,
