Count the clients of the product's programs towards their budget

What callers saw: a crowd of idle connections took wigeonport-entry and wigeonport-control past their descriptors, and bodies and answers that nobody finishes had no common bound there. Cause: only the platform's programs gave their listeners the budget of the process. Change: all listeners of both programs have it. The announcements of endpoints come in one request without an end, in a few bytes a second, so that their listener releases what was handled and counts any byte as progress.

An endless request of 4,000 bytes stays open under a limit of 2,000 bytes; without the change it is ended.

--- a/tests/test_http_listeners.py
+++ b/tests/test_http_listeners.py
@@ -62,14 +62,16 @@
 def run_listener():
     """Runs an async check with a listener and its budget."""
 
-    def run(check, limits):
+    def run(check, limits, app=answer_length, streams=False):
         async def main():
             budget = ClientBudget(limits)
             stopping = trio.Event()
             listener = HttpListener(
-                answer_length,
+                app,
                 make_config(HOST, PORT, 100),
-                ListenerLimits(budget, CALLERS, MAX_BODY_BYTES),
+                ListenerLimits(
+                    budget, CALLERS, MAX_BODY_BYTES, streams=streams
+                ),
             )
             async with trio.open_nursery() as nursery:
                 await nursery.start(listener.run, stopping)
@@ -207,3 +209,39 @@
         assert answer.count(b"HTTP/1.1 ") == 1
 
     run_listener(check, ClientLimits())
+
+
+async def count_parts(scope, receive, send):
+    """Handles each part of a body at once; answers with their length."""
+    length, more = 0, True
+    while more:
+        event = await receive()
+        length += len(event.get("body", b""))
+        more = event.get("more_body", False)
+    return await send_response(send, HttpResponse(200, b"%d" % length))
+
+
+def test_body_without_an_end_is_not_held(run_listener):
+    """Guards against an endpoint whose announcements are cut off.
+
+    It sends them in one long request, of which nothing is kept, and only a
+    few bytes at a time.
+    """
+
+    async def check(budget):
+        async with await connect() as stream:
+            await stream.send_all(
+                b"POST /x HTTP/1.1\r\nHost: a\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n"
+            )
+            for _ in range(40):
+                await stream.send_all(b"64\r\n" + b"y" * 100 + b"\r\n")
+                await trio.sleep(0.05)
+            assert budget.held_bytes < 1_000
+            await stream.send_all(b"0\r\n\r\n")
+            answer = b""
+            while not answer.endswith(b"4000"):
+                answer += await stream.receive_some(1_000)
+
+    limits = ClientLimits(2_000, 4, 1_000, 1_000)
+    run_listener(check, limits, count_parts, streams=True)
--- a/wigeonport/client_budgets.py
+++ b/wigeonport/client_budgets.py
@@ -30,7 +30,7 @@
 OPERATORS = "operators"
 STATUS = "status"
 # Part of the bytes and connections that holdings of other shares cannot take.
-# An entry has callers and status, a control the others; the rest of the budget
+# Endpoints that announce themselves count as workers. The rest of the budget
 # is for whoever comes first.
 GUARANTEES = {CALLERS: 0.5, WORKERS: 0.4, OPERATORS: 0.4, STATUS: 0.05}
 
@@ -199,6 +199,14 @@
             holding.mark(now_ms)
         self.grow(holding, holding.held_bytes - before_bytes, now_ms)
 
+    def release_received(self, holding, now_ms):
+        """Removes received bytes that the application has handled."""
+        if holding in self.holdings:
+            self.add(holding.share, holding.answer_bytes - holding.held_bytes)
+        holding.received_bytes = 0
+        holding.expected_bytes = 0
+        holding.mark(now_ms)
+
     def begin(self, holding, share, expected_bytes, now_ms):
         """Begins a request; reserves the length that was announced.
 
--- a/wigeonport/control_main.py
+++ b/wigeonport/control_main.py
@@ -12,6 +12,7 @@
     ClaimBroker,
     broker_claims,
 )
+from wigeonport.client_budgets import OPERATORS
 from wigeonport.configurations import ConfigUpdate, Subscribe, VersionReport
 from wigeonport.consensus import Consensus
 from wigeonport.consensus_writers import DISK_FULL_RETRY_MS
@@ -25,6 +26,7 @@
     broker_health,
 )
 from wigeonport.histories import record_history
+from wigeonport.http_listeners import ListenerLimits
 from wigeonport.links import LinkClosed
 from wigeonport.logs import PartLogger
 from wigeonport.operators import OperatorApp, OperatorControl
@@ -317,6 +319,10 @@
         settings.operators_port,
         program.stopping,
         settings.shutdown_grace_ms,
+        limits=ListenerLimits(
+            program.client_budget, OPERATORS, settings.max_patch_bytes
+        ),
+        metrics=program.metrics,
     )
 
 
--- a/wigeonport/entry_main.py
+++ b/wigeonport/entry_main.py
@@ -1,5 +1,6 @@
 """The entry program: starts the tasks between callers and endpoints."""
 
+import functools
 import random
 import sys
 
@@ -9,6 +10,7 @@
 from wigeonport.announcements import AnnouncementApp
 from wigeonport.channels import DROP_OLDEST, Mailbox
 from wigeonport.claims import claim_keys
+from wigeonport.client_budgets import CALLERS, WORKERS
 from wigeonport.configurations import Configuration, apply_updates
 from wigeonport.demand_reporters import report_demands
 from wigeonport.dialers import listen
@@ -25,6 +27,7 @@
 )
 from wigeonport.exchanges import run_table_exchange
 from wigeonport.histories import record_history
+from wigeonport.http_listeners import ListenerLimits
 from wigeonport.programs import start
 from wigeonport.receivers import CallerApp
 from wigeonport.routers import route
@@ -173,15 +176,27 @@
     )
     closing, drained = trio.Event(), trio.Event()
     announcements = AnnouncementApp(mailboxes.peers, program.metrics, drained)
+    budget = program.client_budget
     other_servers = (
-        (announcements, settings.announcements_port),
-        (StatusApp(process_info), settings.entry_status_port),
+        (
+            announcements,
+            settings.announcements_port,
+            ListenerLimits(budget, WORKERS, streams=True),
+        ),
+        (
+            StatusApp(process_info),
+            settings.entry_status_port,
+            ListenerLimits(budget),
+        ),
     )
     grace_ms = settings.shutdown_grace_ms
     async with trio.open_nursery() as nursery:
-        for app, port in other_servers:
+        for app, port, listener_limits in other_servers:
+            serve_other = functools.partial(
+                serve_http, limits=listener_limits, metrics=program.metrics
+            )
             nursery.start_soon(
-                serve_http, app, settings.host, port, drained, grace_ms
+                serve_other, app, settings.host, port, drained, grace_ms
             )
         # The other ports close after the callers' port, because requests that
         # still wait for a slot need the endpoints' announcements.
@@ -195,6 +210,10 @@
                 settings.callers_port,
                 closing,
                 grace_ms,
+                limits=ListenerLimits(
+                    budget, CALLERS, settings.max_body_bytes
+                ),
+                metrics=program.metrics,
             )
             shutdown_nursery.cancel_scope.cancel()
         drained.set()
--- a/wigeonport/http_connections.py
+++ b/wigeonport/http_connections.py
@@ -213,6 +213,8 @@
             await self.protocol.handle(RawData(data))
             if not data:
                 return
+            if self.listener.limits.streams:
+                budget.release_received(self.holding, clock.now())
 
     def admit(self, request):
         """Counts the request that begins.
--- a/wigeonport/http_listeners.py
+++ b/wigeonport/http_listeners.py
@@ -28,17 +28,26 @@
         max_body_bytes: Largest body that the application takes.
         share_of: Function ``(method, path)``, both as bytes, that returns the
             share of a request, or None for the share of the listener.
+        streams: Whether bodies have no end: the application handles each part
+            at once, so that received bytes are not held, and any of them are
+            progress.
     """
 
-    __slots__ = ("budget", "share", "max_body_bytes", "share_of")
+    __slots__ = ("budget", "share", "max_body_bytes", "share_of", "streams")
 
     def __init__(
-        self, budget, share=STATUS, max_body_bytes=math.inf, share_of=None
+        self,
+        budget,
+        share=STATUS,
+        max_body_bytes=math.inf,
+        share_of=None,
+        streams=False,
     ):
         self.budget = budget
         self.share = share
         self.max_body_bytes = max_body_bytes
         self.share_of = share_of
+        self.streams = streams
 
     def find_share(self, method, path):
         """Returns the share of a request."""
