--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -1,11 +1,16 @@
 """Tests of the front of the platform."""
 
+import gc
+import json
+
 import pytest
 import trio
 import trio.testing
 from front import FrontEdge, encode_answer
+from http_edges import Request
 
 from wigeonport.batch_calls import STATE, SUBMIT, BatchCall
+from wigeonport.batch_specs import Step
 from wigeonport.channels import REFUSE, Mailbox
 from wigeonport.clocks import Clock
 from wigeonport.metrics import Metrics
@@ -65,3 +70,32 @@
     answer = trio.run(edge.ask, call, edge.clock.now() + LONG_MS)
     assert encode_answer(SUBMIT, answer).status == 503
     assert edge.gateway.inbox.drain(8) == []
+
+
+def make_request(body):
+    """Returns a Request that submits a job."""
+
+    async def receive():
+        return {"type": "http.request", "body": body, "more_body": False}
+
+    return Request({"method": "POST", "path": PATH, "headers": ()}, receive)
+
+
+def test_decoded_job_is_not_kept_while_its_call_waits(edge):
+    """Guards against calls that hold several times the bytes of their bodies.
+
+    380 jobs of 250 steps took a front of 100 MB to 97 MB.
+    """
+    body = json.dumps({"spec": "", "steps": [{"count": 1}] * 250}).encode()
+    kept = []
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(edge.handle, make_request(body))
+            await trio.testing.wait_all_tasks_blocked()
+            kept.extend(x for x in gc.get_objects() if type(x) is Step)
+            edge.end_waits()
+
+    trio.run(main)
+    assert edge.gateway.inbox.depth() == 1
+    assert kept == []
