Bound the log in memory by bytes

What callers saw: jobs of long names, each cancelled at once, took all controls past their memory, although the jobs themselves were released. Cause: the log was bounded by number only. Change: the log knows its size between any two indexes.

--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -255,3 +255,25 @@
             return [tmp_path / "kept", removed]
 
     assert consensus_writers.measure_directory(Directory()) == 5
+
+
+def test_snapshot_is_due_by_bytes(run_group):
+    """Guards against a log of few, large entries that fills the memory.
+
+    A snapshot was due by number of entries only.
+    """
+
+    async def scenario(group):
+        for node in SEEDS:
+            consensus = await group.start(node)
+            consensus.snapshot_entries = 1_000_000
+            consensus.snapshot_bytes = 2_000
+        leader = await group.leader()
+        for number in range(60):
+            await group.claim(leader, f"{number}")
+        log = group.tasks[leader].replica.log
+        with trio.fail_after(5):
+            while log.base_index == 0:
+                await trio.sleep(0.05)
+
+    run_group(scenario)
--- a/tests/test_job_floods.py
+++ b/tests/test_job_floods.py
@@ -79,7 +79,8 @@
     @property
     def name(self):
         """Name of the test."""
-        return "-".join([self.form, *self.variant, self.fault])
+        words = [self.form, *self.variant, self.fault]
+        return "-".join(words if self.jobs <= 10 else [*words, str(self.jobs)])
 
 
 CROWDS = [
@@ -92,6 +93,7 @@
     JobCrowd("long-texts", 100, 4, "", "kill-follower"),
     JobCrowd("long-texts", 100, 4, "unread key", "pause-leader"),
     JobCrowd("long-texts", 100, 6, "cancelled"),
+    JobCrowd("long-texts", 60, 30, "cancelled"),
     JobCrowd("single-tasks", 100, 8, "key workers"),
     JobCrowd("single-tasks", 100, 8, "", "restart-controls"),
 ]
--- a/wigeonport/appends.py
+++ b/wigeonport/appends.py
@@ -112,6 +112,11 @@
     settings = replica.settings
     limit_index = progress.next_index + settings.max_in_flight_entries - 1
     if progress.mode == REPLICATE:
+        in_flight_bytes = replica.log.size_between(
+            progress.match_index, progress.next_index - 1
+        )
+        if in_flight_bytes >= settings.max_in_flight_bytes:
+            return []
         limit_index = progress.match_index + settings.max_in_flight_entries
     if limit_index < progress.next_index:
         return []
--- a/wigeonport/batch_controls.py
+++ b/wigeonport/batch_controls.py
@@ -22,6 +22,7 @@
     split_address,
 )
 from wigeonport.channels import DROP_OLDEST, Mailbox
+from wigeonport.client_limits import derive_log_bytes
 from wigeonport.consensus import Consensus
 from wigeonport.control_main import (
     make_replica_settings,
@@ -94,6 +95,7 @@
         snapshot_entries=settings.snapshot_entries,
         # Batches are as frequent as task starts, and no observer needs them.
         unobserved_commands=(RecordBatch,),
+        snapshot_bytes=derive_log_bytes(settings),
     )
 
 
--- a/wigeonport/client_limits.py
+++ b/wigeonport/client_limits.py
@@ -14,6 +14,9 @@
 JOB_PARTS = 8
 # Four of the largest job that the platform's pages allow.
 MIN_JOB_BYTES = 12 * MIB
+# The log in memory gets a twelfth until a snapshot is due.
+LOG_PARTS = 12
+MIN_LOG_BYTES = 8 * MIB
 # A small machine still takes one configuration of full size, 8 MiB, with its
 # header block.
 MIN_HELD_BYTES = 9 * MIB
@@ -96,6 +99,12 @@
     return max(MIN_JOB_BYTES, spare_mb * MIB // JOB_PARTS)
 
 
+def derive_log_bytes(settings):
+    """Returns the bytes of applied entries at which a snapshot is due."""
+    spare_mb = max(0, settings.memory_mb - PROGRAM_MEMORY_MB)
+    return max(MIN_LOG_BYTES, spare_mb * MIB // LOG_PARTS)
+
+
 def derive_connections(memory_mb, max_descriptors):
     """Returns the limit of connections; 0 is not known."""
     limit = math.inf
--- a/wigeonport/consensus.py
+++ b/wigeonport/consensus.py
@@ -52,6 +52,7 @@
 # batch at the end of the round.
 MAX_BATCH_MESSAGES = 512
 SNAPSHOT_ENTRIES = 5_000
+SNAPSHOT_BYTES = 16 * 1024 * 1024
 # Far below the heartbeat interval, so that applying entries delays no
 # heartbeat.
 MAX_APPLY_MS = 20
@@ -84,6 +85,8 @@
             is being written.
         snapshot_in_progress: Whether the snapshot writer is busy.
         snapshot_entries: Number of entries to apply between two snapshots.
+        snapshot_bytes: Size of the applied entries at which a snapshot is
+            due earlier; they stay in memory until then.
         unobserved_commands: Classes of the commands for which observers
             get no EntryApplied.
         leadership: Pair of term and leader id after the last round.
@@ -116,6 +119,7 @@
         "snapshot_index",
         "snapshot_in_progress",
         "snapshot_entries",
+        "snapshot_bytes",
         "unobserved_commands",
         "leadership",
         "leader_absence",
@@ -139,6 +143,7 @@
         random_source=None,
         snapshot_entries=SNAPSHOT_ENTRIES,
         unobserved_commands=(),
+        snapshot_bytes=SNAPSHOT_BYTES,
     ):
         self.replica = Replica(
             storage.replica_id,
@@ -167,6 +172,7 @@
         self.snapshot_index = 0
         self.snapshot_in_progress = False
         self.snapshot_entries = snapshot_entries
+        self.snapshot_bytes = snapshot_bytes
         self.unobserved_commands = unobserved_commands
         self.leadership = (0, "")
         self.leader_absence = LeaderAbsence(clock.now())
@@ -388,9 +394,13 @@
 
     def start_snapshot_if_due(self):
         """Requests a snapshot of the state if one is due."""
-        index = self.applied_index
-        due = index - self.snapshot_index >= self.snapshot_entries
-        term = self.replica.log.term_at(index)
+        index, log = self.applied_index, self.replica.log
+        term = log.term_at(index)
+        due = index - self.snapshot_index >= self.snapshot_entries or (
+            term is not None
+            and log.size_between(self.snapshot_index, index)
+            >= self.snapshot_bytes
+        )
         if self.snapshot_in_progress or not due or term is None:
             return
         members = self.replica.log.members_at(index)
--- a/wigeonport/persistence.py
+++ b/wigeonport/persistence.py
@@ -50,7 +50,8 @@
 def on_snapshot_taken(replica, event):
     """Compacts the log after a snapshot of the local state is durable.
 
-    The last ``retained_entries`` that the snapshot contains stay in memory.
+    The last ``retained_entries`` that the snapshot contains stay in memory,
+    unless they take more than ``retained_bytes``.
     A snapshot that is not newer than the present one, or is beyond the
     delivered entries, is ignored.
     """
@@ -62,6 +63,11 @@
     ):
         return
     replica.snapshot = snapshot
-    memory_base_index = snapshot.index - replica.settings.retained_entries
-    replica.log.compact_to(max(memory_base_index, replica.log.base_index))
+    settings, log = replica.settings, replica.log
+    log.compact_to(
+        max(
+            snapshot.index - settings.retained_entries,
+            log.first_within(snapshot.index, settings.retained_bytes),
+        )
+    )
     replica.persist.compact_index = snapshot.index
--- a/wigeonport/proposals.py
+++ b/wigeonport/proposals.py
@@ -22,6 +22,13 @@
             reason = "the addressed replica is not the leader"
         elif pending >= settings.max_pending_entries:
             reason = "too many entries wait for commit or for the disk"
+        elif (
+            replica.log.size_between(
+                committed_durable_index, replica.log.last_index()
+            )
+            >= settings.max_pending_bytes
+        ):
+            reason = "too many bytes wait for commit or for the disk"
         elif len(item.payload) > settings.max_payload_bytes:
             reason = "the payload is too large for a log entry"
         if reason:
--- a/wigeonport/replica_events.py
+++ b/wigeonport/replica_events.py
@@ -7,6 +7,8 @@
 
 handlers = Registry("replica event handler")
 
+MIB = 1024 * 1024
+
 COMMITTED = "committed"
 REFUSED = "refused"
 UNKNOWN = "unknown"
@@ -294,9 +296,12 @@
             single larger entry is sent alone.
         max_in_flight_entries: Maximum number of entries sent to a peer and
             not yet acknowledged by it.
+        max_in_flight_bytes: Size of such entries beyond which none is added;
+            each Append under way has a copy of its entries.
         max_pending_entries: Maximum number of entries that the leader has
             appended and that are not yet both committed and durable on
             the leader's disk.
+        max_pending_bytes: Maximum size of such entries.
         max_payload_bytes: Maximum size of the payload of a proposal; an
             Append must fit into a frame of 1 MB.
         snapshot_piece_bytes: Size of a SnapshotPiece's data.
@@ -304,6 +309,7 @@
         retained_entries: Number of entries kept in memory that the newest
             snapshot already contains, so that a follower that lags a
             little needs no snapshot.
+        retained_bytes: Maximum size of those entries.
     """
 
     __slots__ = (
@@ -318,11 +324,14 @@
         "remove_learner_ms",
         "max_append_bytes",
         "max_in_flight_entries",
+        "max_in_flight_bytes",
         "max_pending_entries",
+        "max_pending_bytes",
         "max_payload_bytes",
         "snapshot_piece_bytes",
         "may_form_cluster",
         "retained_entries",
+        "retained_bytes",
     )
 
     def __init__(self, target_voters=3, retained_entries=500):
@@ -337,8 +346,11 @@
         self.remove_learner_ms = 600_000
         self.max_append_bytes = 256 * 1024
         self.max_in_flight_entries = 4_096
+        self.max_in_flight_bytes = 4 * MIB
         self.max_pending_entries = 20_000
+        self.max_pending_bytes = 16 * MIB
         self.max_payload_bytes = 512 * 1024
         self.snapshot_piece_bytes = 128 * 1024
         self.may_form_cluster = True
         self.retained_entries = retained_entries
+        self.retained_bytes = 2 * MIB
--- a/wigeonport/replica_logs.py
+++ b/wigeonport/replica_logs.py
@@ -1,8 +1,13 @@
 """The part of the replicated log that a replica holds in memory."""
 
+import bisect
+
 from wigeonport.memberships import Members
 from wigeonport.replication_messages import MEMBERS
 
+# What an entry counts for its other fields.
+ENTRY_BYTES = 64
+
 
 class ReplicaLog:
     """Entries of the log after a compacted prefix.
@@ -11,6 +16,9 @@
         base_index: Last index of the compacted prefix, 0 without one.
         base_term: Term of the entry at ``base_index``.
         entries: Entries from ``base_index + 1`` on.
+        base_offset: Bytes of all entries up to ``base_index``, from an
+            arbitrary one on.
+        offsets: The same for each of ``entries``.
         durable_index: Highest index known to be synced to disk.
         members_history: Pairs of index and Members, oldest first. The first
             pair has the members as of ``base_index``; each later one has
@@ -21,6 +29,8 @@
         "base_index",
         "base_term",
         "entries",
+        "base_offset",
+        "offsets",
         "durable_index",
         "members_history",
     )
@@ -29,6 +39,8 @@
         self.base_index = base_index
         self.base_term = base_term
         self.entries = []
+        self.base_offset = 0
+        self.offsets = []
         self.members_history = [(base_index, members)]
         for entry in entries:
             self.append(entry)
@@ -50,8 +62,36 @@
             return self.entries[index - self.base_index - 1].term
         return None
 
+    def offset_at(self, index):
+        """Returns the bytes of all entries up to an index in memory.
+
+        An index before ``base_index`` counts as ``base_index``.
+        """
+        if index <= self.base_index:
+            return self.base_offset
+        return self.offsets[index - self.base_index - 1]
+
+    def size_between(self, after_index, last_index):
+        """Returns the bytes in memory of the entries after an index."""
+        return self.offset_at(last_index) - self.offset_at(after_index)
+
+    def first_within(self, last_index, limit_bytes):
+        """Returns the lowest index after which the entries take few bytes.
+
+        Args:
+            last_index: Index of the last entry that counts.
+            limit_bytes: Largest size of the entries after the result, up to
+                ``last_index``.
+        """
+        floor = self.offset_at(last_index) - limit_bytes
+        if floor <= self.base_offset:
+            return self.base_index
+        return self.base_index + 1 + bisect.bisect_left(self.offsets, floor)
+
     def append(self, entry):
         """Adds an entry at the end."""
+        offset = self.offset_at(self.last_index())
+        self.offsets.append(offset + len(entry.payload) + ENTRY_BYTES)
         self.entries.append(entry)
         if entry.kind == MEMBERS:
             members = Members.from_payload(entry.payload)
@@ -60,6 +100,7 @@
     def truncate_from(self, index):
         """Removes the entries from ``index`` on."""
         del self.entries[index - self.base_index - 1 :]
+        del self.offsets[index - self.base_index - 1 :]
         while (
             len(self.members_history) > 1
             and self.members_history[-1][0] >= index
@@ -76,7 +117,7 @@
         """Returns entries of a range of indexes, up to a size in bytes.
 
         The first entry is returned even if it is larger than
-        ``limit_bytes``. Each entry counts 64 bytes for its other fields.
+        ``limit_bytes``.
         """
         batch = []
         size_bytes = 0
@@ -84,7 +125,7 @@
         stop = last_index - self.base_index
         for position in range(start, min(stop, len(self.entries))):
             entry = self.entries[position]
-            size_bytes += len(entry.payload) + 64
+            size_bytes += len(entry.payload) + ENTRY_BYTES
             if batch and size_bytes > limit_bytes:
                 break
             batch.append(entry)
@@ -119,7 +160,9 @@
             return
         members = self.members_at(index)
         term = self.term_at(index)
+        self.base_offset = self.offset_at(index)
         del self.entries[: index - self.base_index]
+        del self.offsets[: index - self.base_index]
         self.base_index = index
         self.base_term = term
         later_changes = [
@@ -134,5 +177,7 @@
         self.base_index = snapshot.index
         self.base_term = snapshot.term
         self.entries = []
+        self.base_offset = 0
+        self.offsets = []
         self.members_history = [(snapshot.index, snapshot.members)]
         self.durable_index = 0
