Bound the submissions that are under way to the leader

What callers saw: beside a crowd of jobs of 250 steps, a third of all submissions waited until their deadline and got 504, so that their callers did not know whether they run. Cause: a front sent all of them at once, bounded by number only (1,024 messages of up to 400 KiB on a link), and the leader's answer came after the deadline. Change: submissions of up to 512 KiB are under way to the leader; others wait in order for up to 600 ms, the time after which an unsent call is refused already, and are told 503 with a time to come back, which is true, because they were not sent. Reads and cancels do not wait.

At most 512 KiB of a front wait at the leader.

--- a/wigeonport/gateways.py
+++ b/wigeonport/gateways.py
@@ -14,6 +14,7 @@
 )
 from wigeonport.channels import REFUSE, Mailbox
 from wigeonport.logs import PartLogger
+from wigeonport.send_windows import SendWindow
 
 logger = PartLogger("gateway")
 
@@ -24,6 +25,11 @@
 # a quarter of the smallest latency objective, less a margin.
 LEADER_SEARCH_MS = 600
 RETRY_PAUSE_MS = 60
+# Submissions under way to the leader; the largest takes 400 KiB. The leader
+# holds this much for each entry while it is behind.
+WINDOW_BYTES = 512 * 1024
+# What a call takes beside its job.
+CALL_BYTES = 512
 # The leader counts as reachable for this time after an answer.
 LEADER_REACHABLE_MS = 2_500
 # Calls with an effect, and replies which say that it had none.
@@ -75,6 +81,7 @@
         leader: Address of the last known leader, or "".
         leader_answered_ms: Monotonic time of the last answer of a leader, or
             None.
+        window: SendWindow of the submissions.
         last_tried_index: Index of the control that was tried last while the
             leader was not known.
     """
@@ -86,6 +93,7 @@
         "inbox",
         "leader",
         "leader_answered_ms",
+        "window",
         "last_tried_index",
     )
 
@@ -96,6 +104,7 @@
         self.inbox = Mailbox("gateway", INBOX_BOUND, REFUSE)
         self.leader = ""
         self.leader_answered_ms = None
+        self.window = SendWindow(WINDOW_BYTES)
         self.last_tried_index = 0
 
     async def run(self):
@@ -107,9 +116,31 @@
     async def handle(self, request):
         """Forwards one call and replies with its outcome."""
         start_ms = self.clock.now()
-        request.reply.send(await self.call_leader(request, start_ms))
+        if request.call.verb == SUBMIT:
+            answer = await self.submit(request, start_ms)
+        else:
+            answer = await self.call_leader(request, start_ms)
+        request.reply.send(answer)
         self.metrics.record("gateway_call_ms", self.clock.now() - start_ms)
 
+    async def submit(self, request, start_ms):
+        """Forwards a submission once the window has room.
+
+        One that finds no room in time has not been sent, so that its caller
+        is told that it has not run.
+        """
+        size_bytes = CALL_BYTES + len(request.call.spec_json)
+        until_ms = min(request.deadline_ms, start_ms + LEADER_SEARCH_MS)
+        if not await self.window.acquire(size_bytes, until_ms - start_ms):
+            self.metrics.count("gateway_refused_submissions")
+            now_ms = self.clock.now()
+            self.log_abandoned_call(request.call, False, start_ms, now_ms)
+            return GatewayAnswer(None, False)
+        try:
+            return await self.call_leader(request, self.clock.now())
+        finally:
+            self.window.release(size_bytes)
+
     async def call_leader(self, request, start_ms):
         """Tries controls until the leader has answered or time runs out.
 
