Take the limits of the system where the machine is not stated

What callers saw: a process whose settings state no memory had no bound at all and took 459 MB beside a crowd that a stated machine of 200 MB bears. Cause: a limit that could not be derived did not exist.

Evidence: test_machine_limits.py; without a stated machine the limits were infinite before.

--- a/wigeonport/batch_controls.py
+++ b/wigeonport/batch_controls.py
@@ -95,7 +95,7 @@
         snapshot_entries=settings.snapshot_entries,
         # Batches are as frequent as task starts, and no observer needs them.
         unobserved_commands=(RecordBatch,),
-        snapshot_bytes=derive_log_bytes(settings),
+        snapshot_bytes=derive_log_bytes(program.machine),
     )
 
 
@@ -137,7 +137,7 @@
     controller = BatchController(
         consensus.inbox,
         settings.node_id,
-        make_batch_settings(settings),
+        make_batch_settings(program),
         program.clock,
         program.metrics,
         machines,
--- a/wigeonport/batch_programs.py
+++ b/wigeonport/batch_programs.py
@@ -34,10 +34,11 @@
     return PeerLinks(context, settings.host, port, hosts)
 
 
-def make_batch_settings(settings):
-    """Returns the BatchSettings for the Settings of a program."""
+def make_batch_settings(program):
+    """Returns the BatchSettings of a program."""
+    settings = program.settings
     batch = BatchSettings(settings.max_hold_ms, settings.machine_lease_ms)
-    batch.max_job_bytes = derive_job_bytes(settings)
+    batch.max_job_bytes = derive_job_bytes(settings, program.machine)
     batch.separate_interfering_tasks = settings.separate_interfering_tasks
     batch.separated_pairs = settings.separated_pairs
     batch.unseparated_pairs = settings.unseparated_pairs
--- a/wigeonport/client_limits.py
+++ b/wigeonport/client_limits.py
@@ -62,16 +62,17 @@
         self.answer_stall_ms = answer_stall_ms
 
 
-def derive_limits(settings):
-    """Returns the ClientLimits for the Settings of a program.
+def derive_limits(settings, machine):
+    """Returns the ClientLimits of a program.
 
-    A limit that the settings neither name nor derive from the machine does
-    not exist.
+    Args:
+        settings: Settings.
+        machine: MachineLimits.
     """
     return ClientLimits(
-        settings.max_client_bytes or derive_bytes(settings.memory_mb),
+        settings.max_client_bytes or derive_bytes(machine.memory_mb),
         settings.max_client_connections
-        or derive_connections(settings.memory_mb, settings.max_descriptors),
+        or derive_connections(machine.memory_mb, machine.max_descriptors),
         settings.body_stall_ms,
         settings.answer_stall_ms,
     )
@@ -89,19 +90,17 @@
     return max(MIN_HELD_BYTES, spare_bytes(memory_mb))
 
 
-def derive_job_bytes(settings):
+def derive_job_bytes(settings, machine):
     """Returns the bytes that accepted jobs may take at a control."""
     if settings.max_job_bytes:
         return settings.max_job_bytes
-    if not settings.memory_mb:
-        return math.inf
-    spare_mb = settings.memory_mb - PROGRAM_MEMORY_MB
+    spare_mb = machine.memory_mb - PROGRAM_MEMORY_MB
     return max(MIN_JOB_BYTES, spare_mb * MIB // JOB_PARTS)
 
 
-def derive_log_bytes(settings):
+def derive_log_bytes(machine):
     """Returns the bytes of applied entries at which a snapshot is due."""
-    spare_mb = max(0, settings.memory_mb - PROGRAM_MEMORY_MB)
+    spare_mb = machine.memory_mb - PROGRAM_MEMORY_MB
     return max(MIN_LOG_BYTES, spare_mb * MIB // LOG_PARTS)
 
 
--- a/wigeonport/programs.py
+++ b/wigeonport/programs.py
@@ -15,6 +15,7 @@
 from wigeonport.journals import JournalError
 from wigeonport.links import Identity, LinkContext
 from wigeonport.logs import PartLogger, configure_logging
+from wigeonport.machine_limits import find_machine_limits
 from wigeonport.metrics import Metrics
 from wigeonport.settings import load_settings
 from wigeonport.snapshots import FormatError
@@ -41,6 +42,7 @@
         stopping: trio.Event that is set by the first SIGTERM or SIGINT.
         reloads: Mailbox of requests to reload the settings, one for each
             SIGHUP.
+        machine: MachineLimits of the process.
         client_budget: ClientBudget that the listeners of the process share.
     """
 
@@ -54,6 +56,7 @@
         "events",
         "stopping",
         "reloads",
+        "machine",
         "client_budget",
     )
 
@@ -73,7 +76,10 @@
         )
         self.stopping = trio.Event()
         self.reloads = Mailbox("reloads", 1, DROP_OLDEST)
-        self.client_budget = ClientBudget(derive_limits(settings))
+        self.machine = find_machine_limits(settings)
+        self.client_budget = ClientBudget(
+            derive_limits(settings, self.machine)
+        )
 
     @property
     def node_id(self):
--- a/wigeonport/setting_tables.py
+++ b/wigeonport/setting_tables.py
@@ -356,14 +356,15 @@
         0,
         least=0,
         text="Memory of the machine in MB, from which the limits of what is "
-        "held for clients follow; 0 if it is not known.",
+        "held for clients and jobs follow; 0 for the memory of the system.",
     ),
     Field(
         "max_descriptors",
         "whole",
         0,
         least=0,
-        text="Descriptors that the process may open; 0 if it is not known.",
+        text="Descriptors that the process may open; 0 for the limit that the "
+        "system sets.",
     ),
     Field(
         "max_client_bytes",
@@ -372,7 +373,7 @@
         least=0,
         text="Bytes of requests and answers that the process holds for its "
         "clients; 0 for a quarter of `memory_mb` beyond 64 MB, at least "
-        "9 MiB, or for no limit if that is not known.",
+        "9 MiB.",
     ),
     Field(
         "max_client_connections",
@@ -380,7 +381,7 @@
         0,
         least=0,
         text="Open connections of clients; 0 for what `memory_mb` and "
-        "`max_descriptors` allow, or for no limit if neither is known.",
+        "`max_descriptors` allow.",
     ),
     Field(
         "max_job_bytes",
@@ -388,8 +389,8 @@
         0,
         least=0,
         text="Bytes of memory that accepted jobs may take at a control; 0 "
-        "for an eighth of `memory_mb` beyond 64 MB, at least 12 MiB, or for "
-        "no limit if that is not known. All controls need the same value.",
+        "for an eighth of `memory_mb` beyond 64 MB, at least 12 MiB. All "
+        "controls need the same value.",
     ),
     _ms(
         "body_stall_ms",
