Test crowds of lasting tasks, gangs and periodic jobs

Three forms of jobs of legal size were not in the table of crowds: a step of 10,000 lasting tasks, a gang of 10,000 tasks, and a periodic job of which very many occurrences are due at once.

--- a/tests/test_job_floods.py
+++ b/tests/test_job_floods.py
@@ -96,6 +96,9 @@
     JobCrowd("long-texts", 60, 30, "cancelled"),
     JobCrowd("single-tasks", 100, 8, "key workers"),
     JobCrowd("single-tasks", 100, 8, "", "restart-controls"),
+    JobCrowd("lasting-tasks", 40, 2),
+    JobCrowd("gangs", 40, 2, "workers"),
+    JobCrowd("occurrences", 40, 2, "workers"),
 ]
 
 
--- a/tools/job_floods.py
+++ b/tools/job_floods.py
@@ -77,6 +77,32 @@
     return make_job("y" * SPEC_BYTES, step, LONG_STEPS)
 
 
+@job_forms.register("lasting-tasks")
+def make_lasting_tasks():
+    """One step of the largest number of tasks that run until cancelled."""
+    step = make_step(MAX_TASKS, **{"long-running": True})
+    return make_job("text", step, 1)
+
+
+@job_forms.register("gangs")
+def make_gangs():
+    """One gang of the largest number of tasks."""
+    return make_job("text", make_step(MAX_TASKS, gang=True), 1)
+
+
+@job_forms.register("occurrences")
+def make_occurrences():
+    """A periodic job of which very many occurrences are due at once."""
+    job = {
+        "spec": "text",
+        "steps": [make_step(1)] * 10,
+        "repeat-count": 1_000_000,
+        "first-ms": 1,
+        "interval-ms": 1,
+    }
+    return json.dumps(job).encode()
+
+
 class JobFlood:
     """Clients that each submit several jobs over one connection.
 
