Bound the waits that are kept for the log of lasting tasks

Callers saw that no job was accepted while jobs of 10,000 lasting tasks waited, and each control that led went past its memory.

Every 500 ms the leader kept an object and an id for each lasting task without a run, 10,000 a job, although such a task costs the state nothing until it runs. Each leader was busy with them and was replaced by the next one.

The check now keeps the waits of the first 1,000 waiting tasks; no more than 32 lines are written in a check as before. Jobs that have ended are dropped first, so that the bound keeps none of them in memory.

The test of the number of waits fails before (10,000).

--- a/tests/test_waiting_tasks.py
+++ b/tests/test_waiting_tasks.py
@@ -102,3 +102,19 @@
         lambda: harness.heartbeat(running=[(TASK, 1, "", 100)]),
     )
     assert log.lines == []
+
+
+def test_number_of_kept_waits_is_bounded(harness, log):
+    """Guards against waits that take more memory than the accepted jobs."""
+    harness.submit(LASTING | {"count": 10_000})
+    wait(harness, 1_200, harness.heartbeat)
+    assert len(harness.dispatcher.waits) == waiting_tasks.MAX_WAITS
+
+
+def test_ended_job_behind_many_waits_is_dropped(harness, log):
+    """Guards against ended jobs that the bound on waits keeps in memory."""
+    harness.submit(LASTING | {"count": 10_000}, job_id="0" * 16)
+    harness.submit(LASTING)
+    harness.cancel()
+    wait(harness, 1_200, harness.heartbeat)
+    assert list(harness.dispatcher.lasting_jobs) == ["0" * 16]
--- a/wigeonport/waiting_tasks.py
+++ b/wigeonport/waiting_tasks.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import itertools
 
 from wigeonport.batch_specs import task_id
 from wigeonport.logs import PartLogger
@@ -21,6 +22,9 @@
 CHECK_INTERVAL_MS = 500
 # Most tasks that are logged in one check.
 MAX_LOGGED_TASKS = 32
+# Most tasks whose wait is kept. A step may have 10,000 lasting tasks, and
+# their waits would take more memory than the accepted jobs.
+MAX_WAITS = 1_000
 
 obstacles = Registry("obstacle to a placement")
 
@@ -148,20 +152,29 @@
         return
     dispatcher.waits_due_ms = now_ms + CHECK_INTERVAL_MS
     former, dispatcher.waits = dispatcher.waits, {}
+    drop_ended_jobs(dispatcher)
+    waiting = (
+        (job, entry)
+        for job in dispatcher.lasting_jobs.values()
+        for entry in find_waiting(dispatcher, job)
+    )
     logged = 0
+    for job, entry in itertools.islice(waiting, MAX_WAITS):
+        name = entry[0]
+        wait = former.get(name) or Wait(now_ms)
+        dispatcher.waits[name] = wait
+        due = now_ms - wait.logged_ms >= WAIT_LOG_MS
+        if due and logged < MAX_LOGGED_TASKS:
+            logged += 1
+            wait.logged_ms = now_ms
+            log_wait(dispatcher, job, entry, now_ms - wait.since_ms)
+
+
+def drop_ended_jobs(dispatcher):
+    """Removes the ended jobs from the dispatcher's lasting jobs."""
     for job in list(dispatcher.lasting_jobs.values()):
         if not job.active:
             del dispatcher.lasting_jobs[job.job_id]
-            continue
-        for entry in find_waiting(dispatcher, job):
-            name = entry[0]
-            wait = former.get(name) or Wait(now_ms)
-            dispatcher.waits[name] = wait
-            due = now_ms - wait.logged_ms >= WAIT_LOG_MS
-            if due and logged < MAX_LOGGED_TASKS:
-                logged += 1
-                wait.logged_ms = now_ms
-                log_wait(dispatcher, job, entry, now_ms - wait.since_ms)
 
 
 def find_waiting(dispatcher, job):
