Keep room for new jobs beside due occurrences

Callers saw that no job was accepted once periodic jobs with very many due occurrences had been submitted.

An occurrence needed a quarter of the free memory at most, and so the leader opened occurrences until almost nothing was free. Each heartbeat that started tasks then ranked all their steps, so that leaders were also replaced for being late.

Occurrences beside the first one of each job now take an eighth of the limit together. The others wait until earlier ones end, as those beyond 10,000 tasks already do, and each job keeps its first occurrence.

The new test of the room for a job fails before.

--- a/tests/test_memory_admissions.py
+++ b/tests/test_memory_admissions.py
@@ -113,15 +113,34 @@
     assert submit_all(harness, SMALL, 300, 1, "k2")[0].outcome == OK
 
 
-def test_occurrences_wait_for_memory(small_control):
-    """Guards against a periodic job that opens all occurrences at once."""
-    dispatcher = small_control.dispatcher
+def submit_periodic(harness, number):
+    """Submits a job of which 5,000 occurrences are due at once."""
     spec = {"payload": "t", "steps": [SMALL], "repeat_count": 5_000}
     spec |= {"first_ms": 1, "interval_ms": 1}
     call = BatchCall(
-        SUBMIT, "jobs.example", f"/plans/{1:016x}", json.dumps(spec)
+        SUBMIT, "jobs.example", f"/plans/{number:016x}", json.dumps(spec)
     )
-    assert dispatcher.on_call(call, small_control.now_ms).outcome == OK
+    return harness.dispatcher.on_call(call, harness.now_ms)
+
+
+def test_occurrences_leave_room_for_new_jobs(small_control):
+    """Guards against due occurrences that keep new jobs out.
+
+    Each periodic job has its first occurrence open nevertheless.
+    """
+    for number in range(2):
+        assert submit_periodic(small_control, number).outcome == OK
+    small_control.advance(100)
+    first, second = small_control.dispatcher.active.values()
+    assert len(first.occurrences) > 1
+    assert second.occurrences
+    assert submit_all(small_control, LARGE, 100, 1)[0].outcome == OK
+
+
+def test_occurrences_wait_for_memory(small_control):
+    """Guards against a periodic job that opens all occurrences at once."""
+    dispatcher = small_control.dispatcher
+    assert submit_periodic(small_control, 1).outcome == OK
     small_control.advance(100)
     assert dispatcher.state.batch.held_bytes <= LIMIT_BYTES
     (job,) = dispatcher.active.values()
--- a/wigeonport/memory_admissions.py
+++ b/wigeonport/memory_admissions.py
@@ -15,6 +15,10 @@
 
 MAX_SHARE_OF_FREE = 1 / 4
 RESERVED_SHARE = 1 / 2
+# Share of the limit for the occurrences that periodic jobs have open beside
+# their first one. Due occurrences wait without loss, and each one costs the
+# leader time in every heartbeat that starts tasks.
+OCCURRENCE_SHARE = 1 / 8
 # Refused callers are told to return within these times. Ended jobs free their
 # memory at once, so that a longer wait is seldom needed.
 MIN_RETURN_MS = 1_000
@@ -132,17 +136,35 @@
     )
 
 
-def has_room_for_occurrence(dispatcher, job):
+def has_room_for_occurrence(dispatcher, job, open_bytes):
     """Returns whether one more occurrence of a job fits into the memory.
 
-    The first one was counted when the job was accepted.
+    The first one was counted when the job was accepted, so that each job can
+    go on however many occurrences of others are open.
+
+    Args:
+        dispatcher: BatchDispatcher.
+        job: BatchJob.
+        open_bytes: Result of ``count_occurrence_bytes``.
     """
     if not job.occurrences:
         return True
-    free_bytes = (
-        dispatcher.memory.limit_bytes - dispatcher.state.batch.held_bytes
+    limit_bytes = dispatcher.memory.limit_bytes
+    size_bytes = size_of_occurrence(job.spec)
+    free_bytes = limit_bytes - dispatcher.state.batch.held_bytes
+    return (
+        size_bytes <= free_bytes * MAX_SHARE_OF_FREE
+        and open_bytes + size_bytes <= limit_bytes * OCCURRENCE_SHARE
+    )
+
+
+def count_occurrence_bytes(jobs):
+    """Returns the memory of all open occurrences but the first of each job."""
+    return sum(
+        (len(job.occurrences) - 1) * size_of_occurrence(job.spec)
+        for job in jobs
+        if len(job.occurrences) > 1
     )
-    return size_of_occurrence(job.spec) <= free_bytes * MAX_SHARE_OF_FREE
 
 
 def find_limit(dispatcher, tenant, size_bytes):
