--- a/tests/test_client_floods.py
+++ b/tests/test_client_floods.py
@@ -46,6 +46,9 @@
     ("chunk-extension", "front", 40),
     ("requests-ahead", "front", 40),
     ("requests-ahead", "control", 40),
+    ("many-values-heartbeat", "control", 4),
+    ("many-values-configuration", "control", 4),
+    ("many-values-wave", "control", 4),
 ]
 
 
--- a/tools/client_floods.py
+++ b/tools/client_floods.py
@@ -23,6 +23,11 @@
 # Just below the limit of a body in the platform's configurations.
 JOB_BYTES = 262_000
 OPERATOR_BYTES = 2_000_000
+# Just below the limits of a heartbeat and of a configuration.
+HEARTBEAT_BYTES = 4_190_000
+CONFIGURATION_BYTES = 8_380_000
+# The value that takes the most memory for its bytes once it is decoded.
+COSTLY_VALUE = b'{"":1}'
 # Just below the largest frame of a link.
 FRAME_BYTES = 1_000_000
 PIECE_BYTES = 4_000
@@ -131,6 +136,18 @@
     await hold(stream, ready)
 
 
+async def send_many_values(stream, ready, method, path, size_bytes):
+    """Sends a complete body of as many values as fit."""
+    values = b",".join(
+        [COSTLY_VALUE] * (size_bytes // (len(COSTLY_VALUE) + 1))
+    )
+    body = b'{"values":[%s]}' % values
+    length = f"Content-Length: {len(body)}"
+    await stream.send_all(make_head(method, path, length) + body)
+    await stream.receive_some(READ_BYTES)
+    await hold(stream, ready)
+
+
 async def send_chunked(stream, ready, method, path, size_bytes, chunk_bytes):
     """Sends a body in chunks, without the last chunk."""
     chunked = "Transfer-Encoding: chunked"
@@ -208,6 +225,27 @@
     await send_short(stream, ready, "PUT", path, OPERATOR_BYTES)
 
 
+@forms.register("many-values-heartbeat")
+async def send_heartbeat_of_values(stream, ready):
+    """A complete heartbeat of very many values."""
+    path = "/v1/instances/" + secrets.token_hex(4)
+    await send_many_values(stream, ready, "PUT", path, HEARTBEAT_BYTES)
+
+
+@forms.register("many-values-configuration")
+async def send_configuration_of_values(stream, ready):
+    """A complete configuration of very many values."""
+    path = "/v1/config"
+    await send_many_values(stream, ready, "PUT", path, CONFIGURATION_BYTES)
+
+
+@forms.register("many-values-wave")
+async def send_wave_of_values(stream, ready):
+    """A complete upkeep wave of very many values."""
+    path = "/v1/wave-start"
+    await send_many_values(stream, ready, "POST", path, CONFIGURATION_BYTES)
+
+
 @forms.register("idle")
 async def send_nothing(stream, ready):
     """A connection without a request."""
