Count the values of a body before it is decoded

A control takes up to 8 MiB of JSON from any client, and decoding makes 240 bytes of an object that takes seven. One such body at a time took a control past its memory, however small its state was.

Only a body over 256 KiB can have as many, so that others are not searched. Separators are counted first, and texts are left out only if that count is too high.

--- a/tests/test_client_floods.py
+++ b/tests/test_client_floods.py
@@ -49,6 +49,7 @@
     ("many-values-heartbeat", "control", 4),
     ("many-values-configuration", "control", 4),
     ("many-values-wave", "control", 4),
+    ("wide-text-configuration", "control", 4),
 ]
 
 
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -39,7 +39,11 @@
 from wigeonport.clocks import ManualClock
 from wigeonport.codecs import codecs
 from wigeonport.gateways import GatewayAnswer
-from wigeonport.json_bodies import decode_json
+from wigeonport.json_bodies import (
+    MAX_VALUES,
+    decode_json,
+    has_too_many_values,
+)
 from wigeonport.logs import PartLogger
 from wigeonport.machine_orders import PlannedOrder
 from wigeonport.metrics import Metrics
@@ -1130,3 +1134,19 @@
         client.pool.status = 422
         answer = trio.run(client.execute, FakeCommand())
         assert answer is None or len(answer.reason) < 1_000
+
+
+def test_values_of_a_body_are_bounded_before_it_is_decoded():
+    """Guards against a body that takes many times its size in memory.
+
+    Separators within texts do not count, in any encoding of JSON.
+    """
+    many = "[" + '{"":1},' * MAX_VALUES + "1]"
+    text = '["' + '\\",' * (MAX_VALUES + 1) + '"]'
+    wide = '["\u2200",' + '{"":1},' * MAX_VALUES + "1]"
+    assert has_too_many_values(many.encode())
+    assert has_too_many_values(many.replace(":1", ':""').encode())
+    assert has_too_many_values(wide.encode("utf-16"))
+    assert not has_too_many_values(text.encode())
+    assert not has_too_many_values(text.encode("utf-16"))
+    assert has_too_many_values(b"," * (MAX_VALUES + 1))
--- a/tools/client_floods.py
+++ b/tools/client_floods.py
@@ -246,6 +246,17 @@
     await send_many_values(stream, ready, "POST", path, CONFIGURATION_BYTES)
 
 
+@forms.register("wide-text-configuration")
+async def send_configuration_of_wide_text(stream, ready):
+    """A complete configuration whose characters take four bytes each."""
+    body = b'{"text":"\xf0\x9f\x98\x80' + b"x" * CONFIGURATION_BYTES + b'"}'
+    length = f"Content-Length: {len(body)}"
+    head = make_head("PUT", "/v1/config", length)
+    await stream.send_all(head + body)
+    await stream.receive_some(READ_BYTES)
+    await hold(stream, ready)
+
+
 @forms.register("idle")
 async def send_nothing(stream, ready):
     """A connection without a request."""
--- a/wigeonport/json_bodies.py
+++ b/wigeonport/json_bodies.py
@@ -4,6 +4,8 @@
 ``UNREADABLE``, which has none of the types of JSON, so that the check of its
 field's type refuses it. The other values of the body are decoded as usual. If
 an object names a field twice, the last value counts.
+
+A body of a client is checked for its number of values before it is decoded.
 """
 
 import json
@@ -21,6 +23,17 @@
 # at most 20. The interpreter refuses to convert over 4,300.
 MAX_DIGITS = 20
 MAX_COUNT = 2**53 - 1
+# Values of a client's body. An object takes about 240 bytes once it is decoded
+# and a body as few as seven, so that 8 MiB of them would take 290 MB. A
+# configuration of 20,000 queues stays below this.
+MAX_VALUES = 262_144
+# Each element of a list and each member of an object follows one of these.
+SEPARATORS = ",[{"
+# Separators, and strings, whose separators do not count.
+PARTS = re.compile(r'"[^"\\]*+(?:\\.?[^"\\]*+)*+"?|[,\[{]', re.DOTALL)
+# Parts that are searched; a body with fewer values has at most two strings for
+# each of them.
+MAX_PARTS = 3 * MAX_VALUES
 # Runs of brackets, and strings, whose brackets do not count. A string without
 # an end extends to the end of the text, so that the search stays linear.
 TOKENS = re.compile(
@@ -40,6 +53,26 @@
 UNREADABLE = Unreadable()
 
 
+def has_too_many_values(body):
+    """Returns whether a body has over ``MAX_VALUES`` JSON values.
+
+    Args:
+        body: The body as bytes.
+    """
+    if len(body) <= MAX_VALUES:
+        return False
+    marks = sum(body.count(mark.encode()) for mark in SEPARATORS)
+    if marks <= MAX_VALUES:
+        return False
+    text = body.decode(json.detect_encoding(body), "replace")
+    values = 0
+    for number, match in enumerate(PARTS.finditer(text)):
+        values += text[match.start()] != '"'
+        if values > MAX_VALUES or number > MAX_PARTS:
+            return True
+    return False
+
+
 def decode_json(body) -> Result:
     """Decodes a JSON body.
 
