Drop the checkpoints of tasks that are done

The checkpoint is dropped when the task is done, and a later one of another run of the task is not stored.

The new test fails before.

--- a/tests/test_step_runs.py
+++ b/tests/test_step_runs.py
@@ -100,3 +100,16 @@
     step_run.start(7, 1, "worker")
     assert list(step_run.tasks) == [7]
     assert len(step_run.to_rows()) == 1
+
+
+@given(CHANGES, st.booleans())
+def test_tasks_that_are_done_keep_no_checkpoint(changes, gang):
+    """Guards against checkpoints in memory that no run will need.
+
+    A checkpoint has up to 4,000 bytes, and a job up to 10,000 tasks.
+    """
+    step_run = StepRun(make_step(gang=gang))
+    for each in changes:
+        change(step_run, *each)
+        for task in step_run.tasks.values():
+            assert not (task.done and task.checkpoint)
--- a/wigeonport/step_runs.py
+++ b/wigeonport/step_runs.py
@@ -170,20 +170,29 @@
             self.requeued = self.requeued or NO_INDICES
 
     def finish(self, index):
-        """Marks a task as done; for a gang, all of its tasks."""
+        """Marks a task as done; for a gang, all of its tasks.
+
+        Their checkpoints are dropped, because no further run needs them.
+        """
         indices = range(self.step.count) if self.step.gang else (index,)
         for each in indices:
             task = self.touch(each)
             if not task.done:
                 task.done = 1
+                task.checkpoint = ""
                 self.remaining -= 1
             self.drop_waiting(each)
 
     def store_checkpoint(self, index, checkpoint):
-        """Stores a checkpoint; in a gang it applies to every task."""
+        """Stores a checkpoint; in a gang it applies to every task.
+
+        A task that is done keeps none.
+        """
         indices = range(self.step.count) if self.step.gang else (index,)
         for each in indices:
-            self.touch(each).checkpoint = checkpoint
+            task = self.touch(each)
+            if not task.done:
+                task.checkpoint = checkpoint
             self.requeue(each)
 
     def live_runs(self):
