Admit calls of tenants where jobs have no limit

With an infinite limit of the memory of jobs, half of it is infinite too, and their difference is no number, so that each submission of a call without a tenant was refused. No program has an infinite limit; four tests of the keys of tenants failed since the limit was added. The part that is not reserved is now a product. The tests pass.

--- a/wigeonport/memory_admissions.py
+++ b/wigeonport/memory_admissions.py
@@ -177,14 +177,14 @@
     tenants = dispatcher.state.routes.table.tenants
     if tenants is None:
         return limit_bytes
-    reserved_bytes = limit_bytes * RESERVED_SHARE
     if tenant is not None:
         weights = sum(each.weight for each in tenants.by_name.values())
         held_bytes = dispatcher.state.batch.bytes_by_tenant[tenant.name]
+        reserved_bytes = limit_bytes * RESERVED_SHARE
         part_bytes = reserved_bytes * tenant.weight / weights
         if held_bytes + size_bytes <= part_bytes:
             return limit_bytes
-    return limit_bytes - reserved_bytes
+    return limit_bytes * (1 - RESERVED_SHARE)
 
 
 def publish_memory(dispatcher, metrics):
