--- a/review/stage.py
+++ b/review/stage.py
@@ -31,7 +31,6 @@
 PREFIX = "/puxa400/"
 SERVICE = "huvo11a"
 SPARE = "lohu93e"
-STOP_MS = 100
 LATE_S = 1.0
 MAX_ENDS = 500
 
@@ -54,7 +53,7 @@
 "upkeep","sharing"]
 config_mode = "highest"
 orders = "heartbeat"
-{advice}
+
 [zones]
 ikeja = "lagos"
 lekki = "lagos"
@@ -90,7 +89,7 @@
 max-stretch-ms = 5000
 recovery-s = 12
 max-hold-ms = 10000
-stop-ms = 200
+stop-ms = {stop_ms}
 gang-timeout-ms = 3000
 cancel_ms = 3000
 visible_ms = 3000
@@ -255,11 +254,11 @@
         fronts: Programs of the role ``entry``.
         cloud: Address of the platform's API.
         duty: Calls a second that the platform accepts, for the settings.
-        advised: Whether the settings name the advice service.
+        stop_ms: Bound of the settings on the time that a stop takes.
         tasks: Tasks of stand-ins, which end with the stage.
     """
 
-    def __init__(self, folder, cores=3, fronts=2, duty=64.0, advised=False):
+    def __init__(self, folder, cores=3, fronts=2, duty=64.0, stop_ms=200):
         self.record_path = pathlib.Path(folder) / "record.txt"
         self.record_path.write_text("")
         self.started = time.monotonic()
@@ -277,7 +276,7 @@
         ]
         self.cloud = f"127.{self.net}.9.1:{CLOUD_PORT}"
         self.duty = duty
-        self.advised = advised
+        self.stop_ms = stop_ms
         self.tasks = []
 
     def write(self, text):
@@ -305,7 +304,6 @@
                 f'readiness-addr = "{place}{READY_PORT}"'
             )
             data = ""
-        advice = f'advice = "{self.cloud}"\n' if self.advised else ""
         return SETTINGS.format(
             name=f"{program.role}-{program.ip}",
             role=program.role,
@@ -317,7 +315,7 @@
             bootstrap="true" if bootstrap else "false",
             counts="true" if is_core else "false",
             data=data,
-            advice=advice,
+            stop_ms=self.stop_ms,
             listen=listen,
             disk=128 if is_core else 0,
             cloud=self.cloud,
@@ -474,6 +472,9 @@
         runs: Maps task to Run.
         ends: Rows of the ends that are not acknowledged.
         gangs: Board of the gangs, or None.
+        rate: Speed of its steady clock, 0.98 to 1.
+        kill_s: Time that it takes to kill its runs once its lease expires.
+        cut: Whether it is cut off from all machines of the system.
     """
 
     def __init__(self, stage, name, number, watch, machine=None, gangs=None):
@@ -496,6 +497,9 @@
         self.lease_until = 0.0
         self.address = None
         self.wake = asyncio.Event()
+        self.rate = 1.0
+        self.kill_s = 0.0
+        self.cut = False
 
     def body(self):
         """Returns the next heartbeat."""
@@ -512,7 +516,7 @@
             "labels": ["a", f"r{self.number % 3}-1"],
             "machine": self.machine,
             "born": self.born,
-            "clock-ms": int((time.monotonic() - self.zero) * 1000),
+            "clock-ms": int((time.monotonic() - self.zero) * self.rate * 1000),
             "seq": self.sequence,
             "running": [
                 [task, run.number, "", self.percent(run), 100]
@@ -534,6 +538,9 @@
         """Sends heartbeats until the minion ends."""
         self.stage.spawn(self.work())
         while self.alive:
+            if self.cut:
+                await asyncio.sleep(0.05)
+                continue
             wait_s = await self.beat()
             self.wake.clear()
             try:
@@ -550,7 +557,7 @@
         answer = await call(
             address, "PUT", f"/v1/instances/{self.name}", self.body()
         )
-        if not self.alive:
+        if not self.alive or self.cut:
             return 0
         late = time.monotonic() - sent > LATE_S
         if answer is None or answer[0] != 200 or late:
@@ -567,7 +574,8 @@
             return
         self.fence = orders.get("fence", 0)
         if "hold-ms" in orders:
-            until = sent + min(orders["hold-ms"], 10_000) / 1000
+            hold_s = min(orders["hold-ms"], 10_000) / 1000
+            until = sent + hold_s / self.rate
             self.lease_until = max(self.lease_until, until)
         through = orders.get("acked-through", 0)
         if any(row[0] <= through for row in self.ends):
@@ -611,7 +619,7 @@
             for task, run in list(self.runs.items()):
                 if task not in self.runs:
                     continue
-                if now >= self.lease_until:
+                if now >= self.lease_until + self.kill_s:
                     self.end(task, "lapsed")
                 elif (
                     run.began is not None
