--- a/review/12/case.py
+++ b/review/12/case.py
@@ -21,7 +21,7 @@
 STOP_MS = 400
 # The slowest steady clock that the pages allow.
 RATE = 0.98
-ROUNDS = 4
+ROUNDS = 6
 TASKS = 48
 
 
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -91,7 +91,7 @@
                     + data
                 )
                 await writer.drain()
-        except (OSError, EOFError):
+        except (OSError, EOFError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
