--- a/review/stage.py
+++ b/review/stage.py
@@ -111,7 +111,7 @@
 [cloud]
 address = "{cloud}"
 rate-per-s = 64.0
-duties = ["move","upkeep"]
+duties = []
 duty-per-s = {duty}
 """
 
