--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,4 +1,4 @@
-"""A long task is stopped every two seconds, and its job never ends."""
+"""Lasting tasks that fill never run again after the loss of their minion."""
 
 import asyncio
 import json
@@ -12,62 +12,90 @@
 from stage import (  # noqa: E402
     PREFIX,
     Minion,
+    NotReadyError,
     Stage,
     main,
     make_config,
 )
 
-MINIONS = 6
-# The second rack of the service, of which two of six minions are.
-LABEL = "r1-1"
-SHORT_MS = 2_000
-LONG_MS = 300_000
-# `finish_s` of the settings, and the 3 s of the rule.
-FINISH_S = 14
+MINIONS = 8
+TASKS = 16
+# The rule's times: from 6 s after the last run on, for 3 s, with 4 s of calm
+# before them.
+AWAY_S = 6
 IDLE_S = 3
 WATCH_S = 30
 
 
+async def find_idle(job, live, ended):
+    """Returns texts on the tasks that don't run for the time of the rule.
+
+    Args:
+        job: Id of the job.
+        live: Maps the tasks that run to their minions.
+        ended: Maps the tasks whose last run has ended to the time of it.
+    """
+    idle = {f"{job}.0.0.{index}" for index in range(TASKS)} - live.keys()
+    until = time.monotonic() + IDLE_S
+    while time.monotonic() < until:
+        idle -= live.keys()
+        await asyncio.sleep(0.05)
+    broken = []
+    for task in sorted(idle):
+        away_s = time.monotonic() - ended[task]
+        if away_s >= AWAY_S + IDLE_S:
+            broken.append(
+                f"LOST: {task} is to last and has not run for {away_s:.0f} s, "
+                f"with {MINIONS - 1} minions up of which each has room for it"
+            )
+    return broken
+
+
 async def play(folder, trouble):
     """Plays the case; returns what broke the rule."""
     stage = Stage(folder)
-    runs = {"live": 0, "since": 0.0, "starts": 0, "done": False}
-    broken = []
+    live, ended = {}, {}
 
     def watch(event, minion, task, run):
-        runs["live"] += 1 if event == "start" else -1
-        runs["starts"] += event == "start"
-        runs["done"] = runs["done"] or event == "done"
-        runs["since"] = time.monotonic()
+        if event == "start":
+            live[task] = minion.name
+        else:
+            live.pop(task, None)
+            ended[task] = time.monotonic()
 
-    work_ms = LONG_MS if trouble else SHORT_MS
     try:
         await stage.start()
         await stage.configure(make_config(7))
-        for number in range(MINIONS):
-            minion = Minion(stage, f"i-{number:08x}", number, watch)
+        minions = [
+            Minion(stage, f"i-{number:08x}", number, watch)
+            for number in range(MINIONS)
+        ]
+        for minion in minions:
             stage.spawn(minion.live())
         await asyncio.sleep(4)
-        step = {"count": 1, "cpu": 1000, "mem-mb": 256}
-        step |= {"estimated-ms": work_ms, "required-label": LABEL}
-        document = {"spec": json.dumps({"ms": work_ms}), "steps": [step]}
+        step = {"count": TASKS, "cpu": 1000, "mem-mb": 512}
+        step |= {"long-running": True, "fills": True}
         job = secrets.token_hex(8)
+        document = {"spec": json.dumps({"ms": None}), "steps": [step]}
         await stage.submit(job, document)
-        await asyncio.sleep(FINISH_S)
-        begin = time.monotonic()
-        while time.monotonic() < begin + WATCH_S:
-            await asyncio.sleep(0.05)
-            idle_s = time.monotonic() - max(runs["since"], begin)
-            waits = not runs["live"] and not runs["done"]
-            if waits and idle_s >= IDLE_S:
-                runs["since"] = time.monotonic()
-                broken.append(
-                    f"LOST: nothing of {job} has run for {IDLE_S} s, after "
-                    f"{runs['starts']} runs, while its minions are idle"
-                )
-                stage.write(broken[-1])
+        until = time.monotonic() + 15
+        while len(live) < TASKS and time.monotonic() < until:
+            await asyncio.sleep(0.1)
+        if len(live) < TASKS:
+            raise NotReadyError("the tasks didn't all start")
+        stage.write(f"all {TASKS} tasks run")
+        await asyncio.sleep(3)
+        if trouble:
+            stage.write(f"{minions[0].name} crashes for good")
+            minions[0].leave()
+        await asyncio.sleep(WATCH_S - IDLE_S)
+        broken = await find_idle(job, live, ended)
+        for minion in minions:
+            stage.write(f"{minion.name} runs {len(minion.runs)} tasks")
         answer = await stage.ask("GET", PREFIX + job, front=1)
-        stage.write(f"{job}: {answer}, started {runs['starts']} times")
+        stage.write(f"{job}: {answer}")
+        for text in broken:
+            stage.write(text)
         return broken
     finally:
         await stage.stop()
