--- a/review/stage.py
+++ b/review/stage.py
@@ -647,9 +647,16 @@
         folder: Folder of the case.
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    # Ends the processes of the case also when it is terminated.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         broken = asyncio.run(case(folder, trouble))
-    except (NotReadyError, OSError, TimeoutError) as error:
+    except (
+        NotReadyError,
+        OSError,
+        TimeoutError,
+        KeyboardInterrupt,
+    ) as error:
         print(f"the case could not run: {error!r}")
         return 2
     for text in broken:
