--- a/review/11/case.py
+++ b/review/11/case.py
@@ -68,12 +68,13 @@
         runs[run] = minion.name
 
     try:
-        await stage.start()
-        await stage.configure(make_config(7))
         minions = [
             Minion(stage, f"i-{number:08x}", number, watch)
             for number in range(MINIONS)
         ]
+        await stage.serve_machines(minions)
+        await stage.start()
+        await stage.configure(make_config(7))
         for minion in minions:
             stage.spawn(minion.live())
         await asyncio.sleep(4)
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -69,10 +69,14 @@
             stage.write(text)
 
     try:
+        minions = [
+            Minion(stage, f"i-{number:08x}", number, watch)
+            for number in range(3)
+        ]
+        await stage.serve_machines(minions)
         await stage.start()
         await stage.configure(make_config(7))
-        for number in range(3):
-            minion = Minion(stage, f"i-{number:08x}", number, watch)
+        for minion in minions:
             stage.spawn(minion.live())
         await asyncio.sleep(6)
         step = {"count": 2, "cpu": 500, "mem-mb": 256, "long-running": True}
--- a/review/stage.py
+++ b/review/stage.py
@@ -256,6 +256,7 @@
         duty: Calls a second that the platform accepts, for the settings.
         stop_ms: Bound of the settings on the time that a stop takes.
         tasks: Tasks of stand-ins, which end with the stage.
+        servers: Servers of stand-ins, which end with the stage.
     """
 
     def __init__(self, folder, cores=3, fronts=2, duty=64.0, stop_ms=200):
@@ -278,6 +279,7 @@
         self.duty = duty
         self.stop_ms = stop_ms
         self.tasks = []
+        self.servers = []
 
     def write(self, text):
         """Adds a line with the time since the start to the record."""
@@ -333,6 +335,8 @@
 
     async def stop(self):
         """Ends all stand-ins and processes."""
+        for server in self.servers:
+            server.close()
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
@@ -340,6 +344,37 @@
             await program.stop()
         shutil.rmtree(self.folder, ignore_errors=True)
 
+    async def serve_machines(self, minions):
+        """Serves the platform's machine API for the machines of minions.
+
+        Moves are refused with 400, because the spare pool is one of other
+        machines.
+        """
+
+        async def serve(reader, writer):
+            try:
+                while (message := await read_message(reader)) is not None:
+                    line = message[0]
+                    listed = line.startswith("GET /v1/machines")
+                    document = list_machines(minions) if listed else {}
+                    data = json.dumps(document).encode()
+                    writer.write(
+                        f"HTTP/1.1 {200 if listed else 400} X\r\n"
+                        "Content-Type: application/json\r\n"
+                        f"Content-Length: {len(data)}\r\n\r\n".encode()
+                        + data
+                    )
+                    await writer.drain()
+            except (OSError, EOFError, asyncio.CancelledError):
+                pass
+            finally:
+                writer.close()
+
+        host = self.cloud.partition(":")[0]
+        self.servers.append(
+            await asyncio.start_server(serve, host, CLOUD_PORT)
+        )
+
     async def configure(self, document, limit=30.0):
         """Sends a configuration until it is acknowledged."""
         until = time.monotonic() + limit
@@ -381,6 +416,23 @@
     """The case can't run."""
 
 
+def list_machines(minions):
+    """Returns the platform's list of the machines of minions."""
+    rows = [
+        {
+            "machine": minion.machine,
+            "pool": SERVICE,
+            "state": "up" if minion.alive else "down",
+            "zone": ZONES[minion.number % 3],
+            "labels": ["a", f"r{minion.number % 3}-1"],
+            "capacity": {"cpu": 16000, "mem-mb": 32768, "gpu": 0},
+            "id": minion.name,
+        }
+        for minion in minions
+    ]
+    return {"machines": rows, "next-token": None}
+
+
 def find_net():
     """Returns the second byte of loopback addresses with free ports."""
     for _ in range(100):
